--- /dev/null
+++ b/cli/src/args.rs
@@ -0,0 +1,181 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use lexopt::prelude::*;
+
+use crate::bundle_command::Side;
+use crate::error::CliError;
+
+/// The help texts.
+pub const HELP: &str = "\
+leadstage: the operators' command
+
+Usage:
+  leadstage bundle check FILE
+  leadstage bundle sign FILE --key KEYFILE --operator NAME --envelope OUT
+  leadstage bundle roll-out ENVELOPE --platform IP:PORT [--operator NAME]
+  leadstage bundle show --platform IP:PORT
+  leadstage bundle diff OLD [NEW] [--platform IP:PORT]
+  leadstage keys new --out FILE
+  leadstage status --node IP:PORT [--node IP:PORT ...]
+  leadstage explain ID --node IP:PORT [--node IP:PORT ...]
+  leadstage report burn --node IP:PORT [--node IP:PORT ...] [--plot FILE.svg]
+
+  --format text|json   how to print (text by default)
+  --node IP:PORT       a node's admin port; give each node of the fleet
+  --platform IP:PORT   the platform's object API
+  --help, --version
+
+bundle check      reads a bundle and lists every mistake with its path
+bundle sign       adds an operator's sign-off to an envelope
+bundle roll-out   offers the envelope; exactly one bundle of a number is accepted
+bundle show       prints the accepted bundle, who signed it and who rolled it out
+bundle diff       compares two bundles, or one with the accepted one
+keys new          writes a signing key to FILE and prints the public key
+status            nodes, bundle, pools and leads, engines, queues, leaving upstreams
+explain           what was decided for a request, by the id in X-Request-Id
+report burn       how fast the error budgets of the service levels are used up
+
+Exit codes: 0 done, 1 failure, 2 wrong arguments or a wrong file,
+3 the roll-out was overtaken by another one, 4 the roll-out's outcome is not known.
+";
+
+/// How to print.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// For people.
+    #[default]
+    Text,
+    /// For programs.
+    Json,
+}
+
+/// What to do.
+#[derive(Debug)]
+pub enum Command {
+    /// Print a text.
+    Print(String),
+    /// Check a bundle.
+    Check(PathBuf),
+    /// Sign a bundle.
+    Sign {
+        /// The bundle.
+        bundle: PathBuf,
+        /// The signing key's file.
+        key: PathBuf,
+        /// Who signs.
+        operator: String,
+        /// The envelope to add to.
+        envelope: PathBuf,
+    },
+    /// Roll an envelope out.
+    RollOut {
+        /// The envelope.
+        envelope: PathBuf,
+        /// The object API.
+        platform: SocketAddr,
+        /// Who rolls it out, if not the first signer.
+        operator: Option<String>,
+    },
+    /// Show the accepted bundle.
+    Show(SocketAddr),
+    /// Compare two bundles.
+    Diff(Side, Side),
+    /// Make a signing key.
+    NewKey(PathBuf),
+    /// Show the nodes' status.
+    Status(Vec<SocketAddr>),
+    /// Explain a request.
+    Explain(String, Vec<SocketAddr>),
+    /// Report the burn.
+    Burn(Vec<SocketAddr>, Option<PathBuf>),
+}
+
+#[derive(Default)]
+struct Options {
+    words: Vec<String>,
+    nodes: Vec<SocketAddr>,
+    platform: Option<SocketAddr>,
+    key: Option<PathBuf>,
+    out: Option<PathBuf>,
+    envelope: Option<PathBuf>,
+    plot: Option<PathBuf>,
+    operator: Option<String>,
+    format: Format,
+    print: Option<String>,
+}
+
+/// Reads the command line.
+pub fn parse(parser: lexopt::Parser) -> Result<(Command, Format), CliError> {
+    let options = read(parser)?;
+    let format = options.format;
+    Ok((command(options)?, format))
+}
+
+fn read(mut args: lexopt::Parser) -> Result<Options, CliError> {
+    let mut options = Options::default();
+    while let Some(arg) = args.next()? {
+        match arg {
+            Value(word) => options.words.push(word.string()?),
+            Long("node") => options.nodes.push(args.value()?.parse()?),
+            Long("platform") => options.platform = Some(args.value()?.parse()?),
+            Long("key") => options.key = Some(args.value()?.into()),
+            Long("out") => options.out = Some(args.value()?.into()),
+            Long("envelope") => options.envelope = Some(args.value()?.into()),
+            Long("plot") => options.plot = Some(args.value()?.into()),
+            Long("operator") => options.operator = Some(args.value()?.string()?),
+            Long("format") => {
+                options.format = match args.value()?.string()?.as_str() {
+                    "text" => Format::Text,
+                    "json" => Format::Json,
+                    other => {
+                        return Err(
+                            lexopt::Error::from(format!("--format {other}: must be text or json")).into()
+                        );
+                    }
+                }
+            }
+            Long("help") | Short('h') => options.print = Some(HELP.to_owned()),
+            Long("version") => options.print = Some(format!("leadstage {}\n", env!("CARGO_PKG_VERSION"))),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    Ok(options)
+}
+
+fn command(options: Options) -> Result<Command, CliError> {
+    if let Some(text) = options.print {
+        return Ok(Command::Print(text));
+    }
+    let words: Vec<&str> = options.words.iter().map(String::as_str).collect();
+    let platform = || options.platform.ok_or(CliError::Missing("--platform IP:PORT"));
+    let nodes = || match options.nodes.is_empty() {
+        true => Err(CliError::Missing("--node IP:PORT")),
+        false => Ok(options.nodes.clone()),
+    };
+    match words[..] {
+        ["bundle", "check", file] => Ok(Command::Check(file.into())),
+        ["bundle", "sign", file] => Ok(Command::Sign {
+            bundle: file.into(),
+            key: options.key.ok_or(CliError::Missing("--key KEYFILE"))?,
+            operator: options.operator.ok_or(CliError::Missing("--operator NAME"))?,
+            envelope: options.envelope.ok_or(CliError::Missing("--envelope OUT"))?,
+        }),
+        ["bundle", "roll-out", envelope] => Ok(Command::RollOut {
+            envelope: envelope.into(),
+            platform: platform()?,
+            operator: options.operator,
+        }),
+        ["bundle", "show"] => Ok(Command::Show(platform()?)),
+        ["bundle", "diff", old, new] => Ok(Command::Diff(Side::File(old.into()), Side::File(new.into()))),
+        ["bundle", "diff", new] => Ok(Command::Diff(Side::Accepted(platform()?), Side::File(new.into()))),
+        ["keys", "new"] => Ok(Command::NewKey(options.out.ok_or(CliError::Missing("--out FILE"))?)),
+        ["status"] => Ok(Command::Status(nodes()?)),
+        ["explain", id] => Ok(Command::Explain(id.to_owned(), nodes()?)),
+        ["report", "burn"] => Ok(Command::Burn(nodes()?, options.plot.clone())),
+        [] => Err(CliError::Missing("a command")),
+        _ => Err(lexopt::Error::from(format!("unknown command: {}", words.join(" "))).into()),
+    }
+}
--- /dev/null
+++ b/cli/src/bundle_command.rs
@@ -0,0 +1,237 @@
+//! `leadstage bundle check|sign|roll-out|show|diff`.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use leadstage_lib::bundle::Bundle;
+use leadstage_lib::rollout::BUNDLE_OBJECT;
+use leadstage_lib::rollout::Rollout;
+use leadstage_lib::rollout::RolloutStep;
+use leadstage_lib::signing::Envelope;
+use leadstage_lib::signing::decode_signing_key;
+use leadstage_lib::signing::sign;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::args::Format;
+use crate::error::CliError;
+use crate::http;
+
+/// Pause between two attempts of a roll-out.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(300);
+
+fn read_file(path: &Path) -> Result<String, CliError> {
+    std::fs::read_to_string(path).map_err(|source| CliError::File { path: path.to_owned(), source })
+}
+
+fn write_file(path: &Path, bytes: &[u8]) -> Result<(), CliError> {
+    std::fs::write(path, bytes).map_err(|source| CliError::File { path: path.to_owned(), source })
+}
+
+fn read_bundle(path: &Path) -> Result<(String, Bundle), CliError> {
+    let yaml = read_file(path)?;
+    let bundle = Bundle::from_yaml(&yaml).map_err(CliError::Bundle)?;
+    Ok((yaml, bundle))
+}
+
+/// Checks a bundle's file.
+pub fn check(path: &Path, format: Format) -> Result<String, CliError> {
+    let (_, bundle) = read_bundle(path)?;
+    Ok(match format {
+        Format::Json => format!("{}\n", json!({"number": bundle.number, "problems": []})),
+        Format::Text => format!("bundle {} is right\n", bundle.number),
+    })
+}
+
+/// Signs a bundle's file into an envelope, next to the sign-offs that it has already.
+pub fn sign_off(path: &Path, key: &Path, operator: &str, envelope: &Path) -> Result<String, CliError> {
+    let (yaml, bundle) = read_bundle(path)?;
+    let key_text = read_file(key)?;
+    let signing_key = decode_signing_key(&key_text).ok_or_else(|| CliError::Key { path: key.to_owned() })?;
+    let mut signed = match envelope.exists() {
+        true => Envelope::from_bytes(read_file(envelope)?.as_bytes())?,
+        false => Envelope {
+            number: bundle.number,
+            operator: operator.to_owned(),
+            yaml: yaml.clone(),
+            signatures: Vec::new(),
+        },
+    };
+    if signed.yaml != yaml {
+        return Err(CliError::OtherBundle { path: envelope.to_owned() });
+    }
+    let sign_off = sign(&yaml, &signing_key);
+    signed.signatures.retain(|s| s.key != sign_off.key);
+    signed.signatures.push(sign_off);
+    write_file(envelope, &signed.to_bytes())?;
+    let count = signed.signatures.len();
+    Ok(format!("bundle {} has {count} sign-offs in {}\n", bundle.number, envelope.display()))
+}
+
+/// Rolls an envelope out: one conditional update, settled by reading back.
+pub async fn roll_out(path: &Path, platform: SocketAddr, operator: Option<&str>) -> Result<String, CliError> {
+    let mut envelope = Envelope::from_bytes(read_file(path)?.as_bytes())?;
+    Bundle::from_yaml(&envelope.yaml).map_err(CliError::Bundle)?;
+    if let Some(operator) = operator {
+        envelope.operator = operator.to_owned();
+    }
+    let mut rollout = Rollout::new(&envelope);
+    let mut step = RolloutStep::Read;
+    loop {
+        step = match step {
+            RolloutStep::Read => read_step(&mut rollout, platform).await,
+            RolloutStep::Write { expected } => write_step(&mut rollout, platform, expected, &envelope).await,
+            RolloutStep::Accepted => return Ok(format!("bundle {} is accepted\n", envelope.number)),
+            RolloutStep::Failed(err) => return Err(err.into()),
+        };
+    }
+}
+
+fn object_path() -> String {
+    format!("/v1/objects/{BUNDLE_OBJECT}")
+}
+
+async fn read_step(rollout: &mut Rollout, platform: SocketAddr) -> RolloutStep {
+    let answer = http::get(platform, &object_path()).await;
+    match answer {
+        Ok(answer) if answer.status == 200 => {
+            rollout.on_read(answer.version.map(|version| (version, &answer.body[..])))
+        }
+        Ok(answer) if answer.status == 404 => rollout.on_read(None),
+        _ => {
+            tokio::time::sleep(ATTEMPT_PAUSE).await;
+            rollout.on_failure()
+        }
+    }
+}
+
+async fn write_step(
+    rollout: &mut Rollout,
+    platform: SocketAddr,
+    expected: u64,
+    envelope: &Envelope,
+) -> RolloutStep {
+    let answer = http::put(platform, &object_path(), expected, envelope.to_bytes()).await;
+    match answer.map(|a| a.status) {
+        Ok(200) => rollout.on_written(),
+        Ok(412) => rollout.on_conflict(),
+        _ => {
+            tokio::time::sleep(ATTEMPT_PAUSE).await;
+            rollout.on_failure()
+        }
+    }
+}
+
+async fn accepted(platform: SocketAddr) -> Result<Envelope, CliError> {
+    let answer = http::get(platform, &object_path()).await?;
+    if answer.status != 200 {
+        let reason = format!("HTTP status {}", answer.status);
+        return Err(CliError::Answer { what: "the accepted bundle".to_owned(), reason });
+    }
+    Ok(Envelope::from_bytes(&answer.body)?)
+}
+
+/// Shows the accepted bundle.
+pub async fn show(platform: SocketAddr, format: Format) -> Result<String, CliError> {
+    let envelope = accepted(platform).await?;
+    if format == Format::Json {
+        return Ok(format!("{}\n", serde_json::to_string_pretty(&envelope).expect("plain data serialises")));
+    }
+    let signers: Vec<&str> = envelope.signatures.iter().map(|s| &*s.key).collect();
+    Ok(format!(
+        "# number {}, rolled out by {}, hash {}\n# signed by {}\n{}",
+        envelope.number,
+        envelope.operator,
+        envelope.hash(),
+        signers.join(", "),
+        envelope.yaml,
+    ))
+}
+
+/// Where a side of a comparison comes from.
+#[derive(Debug)]
+pub enum Side {
+    /// A bundle's file.
+    File(PathBuf),
+    /// The accepted bundle.
+    Accepted(SocketAddr),
+}
+
+/// Compares two bundles field by field.
+pub async fn diff(old: Side, new: Side, format: Format) -> Result<String, CliError> {
+    let (old, new) = (side(old).await?, side(new).await?);
+    let mut changes = Vec::new();
+    compare("", &old, &new, &mut changes);
+    if format == Format::Json {
+        let lines: Vec<Value> =
+            changes.iter().map(|c| json!({"path": c.path, "old": c.old, "new": c.new})).collect();
+        return Ok(format!("{}\n", Value::from(lines)));
+    }
+    let lines = changes.iter().map(|c| format!("{}: {} -> {}\n", c.path, text(&c.old), text(&c.new)));
+    Ok(lines.collect())
+}
+
+async fn side(side: Side) -> Result<Value, CliError> {
+    let bundle = match side {
+        Side::File(path) => read_bundle(&path)?.1,
+        Side::Accepted(platform) => {
+            Bundle::from_yaml(&accepted(platform).await?.yaml).map_err(CliError::Bundle)?
+        }
+    };
+    Ok(serde_json::to_value(bundle).expect("plain data serialises"))
+}
+
+struct Change {
+    path: String,
+    old: Option<Value>,
+    new: Option<Value>,
+}
+
+fn text(value: &Option<Value>) -> String {
+    value.as_ref().map_or_else(|| "(none)".to_owned(), Value::to_string)
+}
+
+/// Lists are compared by the elements' ids where they have them.
+fn compare(path: &str, old: &Value, new: &Value, changes: &mut Vec<Change>) {
+    match (members(old), members(new)) {
+        (Some(old), Some(new)) => {
+            for (name, value) in &old {
+                let at = join(path, name);
+                match new.iter().find(|(other, _)| other == name) {
+                    Some((_, other)) => compare(&at, value, other, changes),
+                    None => changes.push(Change { path: at, old: Some((*value).clone()), new: None }),
+                }
+            }
+            let added = new.iter().filter(|(name, _)| !old.iter().any(|(other, _)| other == name));
+            changes.extend(added.map(|(name, value)| Change {
+                path: join(path, name),
+                old: None,
+                new: Some((*value).clone()),
+            }));
+        }
+        _ if old != new => {
+            changes.push(Change { path: path.to_owned(), old: Some(old.clone()), new: Some(new.clone()) });
+        }
+        _ => {}
+    }
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") }
+}
+
+fn members(value: &Value) -> Option<Vec<(String, &Value)>> {
+    match value {
+        Value::Object(map) => Some(map.iter().map(|(name, value)| (name.clone(), value)).collect()),
+        Value::Array(list) => {
+            let name = |value: &Value| {
+                let id = value.get("id").or_else(|| value.get("prefix")).and_then(Value::as_str);
+                id.map(|id| format!("[{id}]"))
+            };
+            list.iter().map(|value| Some((name(value)?, value))).collect()
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,61 @@
+//! `leadstage`: the operators' command.
+
+mod args;
+mod bundle_command;
+mod burn_command;
+mod error;
+mod http;
+mod keys_command;
+mod status_command;
+mod table;
+
+use std::process::ExitCode;
+
+use crate::args::Command;
+use crate::args::Format;
+use crate::error::CliError;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    match run() {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(err) => {
+            eprintln!("leadstage: {err}");
+            if let CliError::Bundle(problems) = &err {
+                problems.iter().for_each(|problem| eprintln!("  {problem}"));
+            }
+            if let Some(hint) = err.hint() {
+                eprintln!("hint: {hint}");
+            }
+            ExitCode::from(err.exit_code())
+        }
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn run() -> Result<String, CliError> {
+    let (command, format) = args::parse(lexopt::Parser::from_env())?;
+    carry_out(command, format).await
+}
+
+async fn carry_out(command: Command, format: Format) -> Result<String, CliError> {
+    match command {
+        Command::Print(text) => Ok(text),
+        Command::Check(path) => bundle_command::check(&path, format),
+        Command::Sign { bundle, key, operator, envelope } => {
+            bundle_command::sign_off(&bundle, &key, &operator, &envelope)
+        }
+        Command::RollOut { envelope, platform, operator } => {
+            bundle_command::roll_out(&envelope, platform, operator.as_deref()).await
+        }
+        Command::Show(platform) => bundle_command::show(platform, format).await,
+        Command::Diff(old, new) => bundle_command::diff(old, new, format).await,
+        Command::NewKey(out) => keys_command::new_key(&out, format),
+        Command::Status(nodes) => status_command::status(&nodes, format).await,
+        Command::Explain(id, nodes) => status_command::explain(&id, &nodes, format).await,
+        Command::Burn(nodes, plot) => burn_command::burn(&nodes, plot.as_deref(), format).await,
+    }
+}
--- /dev/null
+++ b/cli/src/table.rs
@@ -0,0 +1,35 @@
+//! Plain text tables with aligned columns.
+
+/// Rows of cells below a row of headings.
+#[derive(Debug)]
+pub struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// A table with these headings.
+    pub fn new(headings: &[&str]) -> Self {
+        Table { rows: vec![headings.iter().map(|h| (*h).to_owned()).collect()] }
+    }
+
+    /// Adds a row.
+    pub fn row<const N: usize>(&mut self, cells: [String; N]) {
+        self.rows.push(cells.into());
+    }
+
+    /// The table as text, with a line end after each row.
+    pub fn render(&self) -> String {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
+        let width =
+            |at: usize| self.rows.iter().filter_map(|r| r.get(at)).map(String::len).max().unwrap_or(0);
+        let widths: Vec<usize> = (0..columns).map(width).collect();
+        let mut out = String::new();
+        for row in &self.rows {
+            let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+            let line = cells.collect::<Vec<_>>().join("  ");
+            out.push_str(line.trim_end());
+            out.push('\n');
+        }
+        out
+    }
+}
--- /dev/null
+++ b/lib/benches/policy.rs
@@ -0,0 +1,3 @@
+//! The measuring loop of the policy.
+
+fn main() {}
--- /dev/null
+++ b/lib/src/checked_yaml.rs
@@ -0,0 +1,93 @@
+//! Reads YAML settings and lists every mistake with its path in the file.
+
+use derive_more::Display;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// Mistakes listed at most.
+const MAX_PROBLEMS: usize = 100;
+
+/// One mistake in a settings file.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("{path}: {message}")]
+pub struct Problem {
+    /// Where, as in `organisations[2].share`.
+    pub path: String,
+    /// What is wrong and what is allowed.
+    pub message: String,
+}
+
+impl Problem {
+    /// A problem at `path`.
+    pub fn new(path: impl Into<String>, message: impl Into<String>) -> Self {
+        Problem { path: path.into(), message: message.into() }
+    }
+}
+
+/// Reads `yaml` into `T`, whose fields must all have defaults.
+///
+/// Collects every unknown field and every value of a wrong type: the offending
+/// value is noted, taken out, and reading starts again. The result is there
+/// unless the text is not YAML at all.
+pub fn read<T: DeserializeOwned>(yaml: &str) -> (Option<T>, Vec<Problem>) {
+    let mut problems = Vec::new();
+    let mut tree: Value = match serde_saphyr::from_str(yaml) {
+        Ok(tree) => tree,
+        Err(err) => {
+            problems.push(Problem::new("(file)", err.to_string()));
+            return (None, problems);
+        }
+    };
+    loop {
+        let err = match serde_path_to_error::deserialize::<_, T>(tree.clone()) {
+            Ok(read) => return (Some(read), problems),
+            Err(err) => err,
+        };
+        let path = err.path().to_string();
+        let found = lookup(&tree, err.path()).map(|v| format!(" (found {v})")).unwrap_or_default();
+        problems.push(Problem::new(path, format!("{}{found}", err.inner())));
+        let removed = remove(&mut tree, err.path());
+        if !removed || problems.len() >= MAX_PROBLEMS {
+            return (None, problems);
+        }
+    }
+}
+
+fn lookup<'a>(tree: &'a Value, path: &serde_path_to_error::Path) -> Option<&'a Value> {
+    use serde_path_to_error::Segment;
+    let mut at = tree;
+    for segment in path.iter() {
+        at = match segment {
+            Segment::Seq { index } => at.get(index)?,
+            Segment::Map { key } => at.get(key)?,
+            _ => at,
+        };
+    }
+    at.is_string().then_some(at).or_else(|| at.is_number().then_some(at))
+}
+
+fn remove(tree: &mut Value, path: &serde_path_to_error::Path) -> bool {
+    use serde_path_to_error::Segment;
+    let segments: Vec<_> = path.iter().collect();
+    let Some((last, parents)) = segments.split_last() else {
+        return false;
+    };
+    let mut at = tree;
+    for segment in parents {
+        let next = match segment {
+            Segment::Seq { index } => at.get_mut(index),
+            Segment::Map { key } => at.get_mut(key),
+            _ => Some(at),
+        };
+        let Some(next) = next else { return false };
+        at = next;
+    }
+    match (last, at) {
+        (Segment::Map { key }, Value::Object(map)) => map.remove(key).is_some(),
+        (Segment::Seq { index }, Value::Array(list)) if *index < list.len() => {
+            list.remove(*index);
+            true
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/lib/src/code.rs
@@ -0,0 +1,169 @@
+//! The numbered result codes: whether a request ran, and whether to ask again.
+
+use derive_more::Display;
+
+/// Whether the request has run, as far as leadstage can know.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Ran {
+    /// It did not run and will not.
+    #[display("not run")]
+    No,
+    /// It ran, wholly or in part.
+    #[display("ran")]
+    Yes,
+    /// It may have run.
+    #[display("unknown")]
+    Unknown,
+}
+
+/// Whether asking again helps.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum AskAgain {
+    /// The same request would get the same answer.
+    #[display("no")]
+    No,
+    /// Yes, after the time in `Retry-After`.
+    #[display("after `Retry-After`")]
+    Later,
+    /// Yes with the same `Idempotency-Key`, to learn the outcome; it will not run twice.
+    #[display("with the same key, for the outcome")]
+    SameKey,
+    /// Only if the caller accepts that it may run twice.
+    #[display("only if running twice does no harm")]
+    IfRepeatable,
+}
+
+macro_rules! codes {
+    ($($(#[doc = $doc:literal])+ $name:ident = $number:literal, $status:literal, $ran:ident, $again:ident;)+) => {
+        /// A result code. The number is stable; docs/CODES.md has the table.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Code { $($(#[doc = $doc])+ $name,)+ }
+
+        impl Code {
+            /// All codes, by number.
+            pub const ALL: &[Code] = &[$(Code::$name),+];
+
+            /// The stable number.
+            pub const fn number(self) -> u16 {
+                match self { $(Code::$name => $number,)+ }
+            }
+
+            /// The HTTP status it is sent with.
+            pub const fn http_status(self) -> u16 {
+                match self { $(Code::$name => $status,)+ }
+            }
+
+            /// Whether the request ran.
+            pub const fn ran(self) -> Ran {
+                match self { $(Code::$name => Ran::$ran,)+ }
+            }
+
+            /// Whether to ask again.
+            pub const fn ask_again(self) -> AskAgain {
+                match self { $(Code::$name => AskAgain::$again,)+ }
+            }
+
+            /// The name in snake case, as in the error's `type`.
+            pub const fn name(self) -> &'static str {
+                match self { $(Code::$name => stringify!($name),)+ }
+            }
+
+            /// What it means, in a sentence.
+            pub fn meaning(self) -> &'static str {
+                match self { $(Code::$name => concat!($($doc),+).trim(),)+ }
+            }
+        }
+    };
+}
+
+codes! {
+    /// The request was carried out.
+    Done = 1000, 200, Yes, No;
+    /// The body is not valid JSON of the expected shape.
+    BadRequest = 2001, 400, No, No;
+    /// The bearer token is missing or belongs to no organisation.
+    Unauthorised = 2002, 401, No, No;
+    /// The model is not in the bundle.
+    UnknownModel = 2003, 404, No, No;
+    /// No route of the bundle has this path.
+    NoRoute = 2004, 404, No, No;
+    /// The body is larger than the bundle allows.
+    BodyTooLarge = 2005, 413, No, No;
+    /// The prompt is longer than the model's bound.
+    PromptTooLong = 2006, 400, No, No;
+    /// The body did not arrive within the bundle's bound.
+    SlowBody = 2007, 408, No, No;
+    /// A header that leadstage reads is malformed.
+    BadHeader = 2008, 400, No, No;
+    /// The `Idempotency-Key` was used before with another request.
+    KeyReused = 2009, 422, No, No;
+    /// The method is not allowed on this path.
+    BadMethod = 2010, 405, No, No;
+    /// The pool's wait queue is full.
+    QueueFull = 2101, 429, No, Later;
+    /// The request could not start within its bounded wait.
+    WaitTooLong = 2102, 429, No, Later;
+    /// The organisation has as many requests open as the bundle allows.
+    OrganisationLimit = 2103, 429, No, Later;
+    /// No live upstream serves this now.
+    NoUpstream = 2104, 503, No, Later;
+    /// The object API cannot be reached, so the key cannot be claimed.
+    PlatformDown = 2105, 503, No, Later;
+    /// The key's claim shard holds as many keys as fit.
+    ClaimShardFull = 2106, 503, No, Later;
+    /// The node has no bundle yet, or cannot know whether its bundle is the newest.
+    NotReady = 2107, 503, No, Later;
+    /// The node is stopping.
+    Stopping = 2108, 503, No, Later;
+    /// The upstream could not be connected to, or said that it did not run the request.
+    UpstreamRefused = 2109, 503, No, Later;
+    /// The node has as many requests open as the bundle allows.
+    NodeLimit = 2110, 429, No, Later;
+    /// The upstream was lost after the request was sent to it.
+    UpstreamLost = 3001, 502, Unknown, IfRepeatable;
+    /// Another arrival of the key was dispatched and its outcome is not recorded yet.
+    KeyInProgress = 3002, 409, Unknown, SameKey;
+    /// The node that had claimed the key is gone and recorded no outcome.
+    ClaimantLost = 3003, 409, Unknown, No;
+    /// The upstream did not answer within the bundle's bound.
+    UpstreamTimeout = 3004, 504, Unknown, IfRepeatable;
+    /// The engine was lost after tokens had reached the caller.
+    StreamLost = 4001, 502, Yes, IfRepeatable;
+    /// The generation that the caller wants to go on with is no longer known.
+    GenerationUnknown = 4002, 410, Yes, IfRepeatable;
+    /// The generation belongs to another organisation.
+    NotYourGeneration = 4003, 403, No, No;
+    /// The node reached the bound of its planned stop with the stream still open.
+    StopBound = 4004, 503, Yes, Later;
+}
+
+impl Code {
+    /// The code with this number, if there is one.
+    pub fn from_number(number: u16) -> Option<Code> {
+        Code::ALL.iter().copied().find(|code| code.number() == number)
+    }
+}
+
+impl std::fmt::Display for Code {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} {}", self.number(), self.name())
+    }
+}
+
+/// The table of docs/CODES.md, in Markdown.
+pub fn markdown_table() -> String {
+    let mut out =
+        String::from("| number | name | HTTP | ran | ask again | meaning |\n|---|---|---|---|---|---|\n");
+    for code in Code::ALL {
+        out.push_str(&format!(
+            "| {} | {} | {} | {} | {} | {} |\n",
+            code.number(),
+            code.name(),
+            code.http_status(),
+            code.ran(),
+            code.ask_again(),
+            code.meaning(),
+        ));
+    }
+    out
+}
--- /dev/null
+++ b/lib/src/engine_book.rs
@@ -0,0 +1,200 @@
+//! What a pool's lead knows of one engine: the generations that it placed there,
+//! their projected memory, and the engine's own reports as a correction.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::ids::GenerationId;
+use crate::ids::Timestamp;
+use crate::ids::UpstreamId;
+use crate::overflow::Footprint;
+use crate::overflow::Projection;
+use crate::pool_event::EngineLimits;
+use crate::pool_event::LoadReport;
+use crate::pool_event::PlaceRequest;
+use crate::survival::SurvivalCurve;
+
+/// A projection is made anew after this, even without an event.
+const PROJECTION_AGE: Duration = Duration::from_millis(100);
+/// Step time assumed until the engine reports one.
+const ASSUMED_STEP: Duration = Duration::from_millis(25);
+/// Tokens that a generation is taken to have produced since its last report, at most.
+const MAX_EXTRAPOLATED: f64 = 40.0;
+/// Part of the old value kept when a step time is reported.
+const STEP_SMOOTHING: f64 = 0.8;
+/// Prompt tokens that an engine is assumed to work on in one step.
+const PREFILL_PER_STEP: f64 = 2_048.0;
+
+/// Whether an engine gets new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineState {
+    /// It does.
+    Up,
+    /// It does not; what runs there goes on.
+    Leaving,
+}
+
+/// A generation on an engine.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// What was asked for.
+    pub request: PlaceRequest,
+    /// Tokens delivered, by the latest report.
+    pub tokens: u32,
+    /// When `tokens` last rose, or the grant.
+    pub advanced: Timestamp,
+    /// When its entry last spoke of it, or the grant.
+    pub heard: Timestamp,
+    /// When it was granted, or first heard of.
+    pub placed: Timestamp,
+    /// Its organisation's curve at that time.
+    pub curve: Rc<SurvivalCurve>,
+    /// Output tokens that its organisation has been charged.
+    pub charged: f64,
+    /// The priority that the engine was given.
+    pub priority: i32,
+}
+
+impl Run {
+    /// No token has been seen of it.
+    pub fn is_unstarted(&self) -> bool {
+        self.tokens == 0
+    }
+
+    fn footprint(&self, now: Timestamp, step: Duration) -> Footprint {
+        let produced = f64::from(self.tokens);
+        let since = now.saturating_sub(self.advanced).as_secs_f64();
+        let extrapolated = if self.is_unstarted() { 0.0 } else { since / step.as_secs_f64() };
+        Footprint {
+            prompt: f64::from(self.request.prompt_tokens),
+            produced: produced + extrapolated.min(MAX_EXTRAPOLATED),
+            cap: f64::from(self.request.max_tokens),
+        }
+    }
+}
+
+/// One engine's book.
+#[derive(Debug)]
+pub struct EngineBook {
+    /// Its id.
+    pub id: UpstreamId,
+    /// Its sizes.
+    pub limits: EngineLimits,
+    /// Whether it gets new work.
+    pub state: EngineState,
+    /// What runs there.
+    pub runs: Vec<Run>,
+    /// Smoothed time of a step.
+    pub step: Duration,
+    foreign_tokens: f64,
+    excess: Option<[f64; 3]>,
+    projection: Projection,
+    projected: Option<Timestamp>,
+}
+
+impl EngineBook {
+    /// An empty book.
+    pub fn new(id: UpstreamId, limits: EngineLimits) -> Self {
+        EngineBook {
+            id,
+            limits,
+            state: EngineState::Up,
+            runs: Vec::new(),
+            step: ASSUMED_STEP,
+            foreign_tokens: 0.0,
+            excess: None,
+            projection: Projection::default(),
+            projected: None,
+        }
+    }
+
+    /// Tokens that its memory holds, less the half block that each generation wastes
+    /// on average.
+    pub fn memory(&self) -> f64 {
+        let block = f64::from(self.limits.block_tokens);
+        let wasted = block * 0.5 * (self.runs.len() + 1) as f64;
+        self.limits.blocks as f64 * block - wasted - self.foreign_tokens
+    }
+
+    /// Tokens that its generations hold by their latest reports.
+    pub fn held_tokens(&self) -> u64 {
+        self.runs.iter().map(|r| u64::from(r.request.prompt_tokens) + u64::from(r.tokens)).sum()
+    }
+
+    /// Whether its batch has room for one more.
+    pub fn has_slot(&self) -> bool {
+        self.runs.len() < self.limits.max_batch as usize
+    }
+
+    /// Adds a generation.
+    pub fn add(&mut self, run: Run) {
+        let step = self.step;
+        let footprint = run.footprint(run.placed, step);
+        self.projection.add(&Projection::of(&footprint, &run.curve));
+        self.runs.push(run);
+    }
+
+    /// Takes a generation out.
+    pub fn remove(&mut self, generation: GenerationId) -> Option<Run> {
+        let at = self.runs.iter().position(|r| r.request.generation == generation)?;
+        self.projected = None;
+        Some(self.runs.swap_remove(at))
+    }
+
+    /// A generation by id.
+    pub fn run_mut(&mut self, generation: GenerationId) -> Option<&mut Run> {
+        self.runs.iter_mut().find(|r| r.request.generation == generation)
+    }
+
+    /// The projection of all that runs here.
+    pub fn projection(&mut self, now: Timestamp) -> &Projection {
+        let fresh = self.projected.is_some_and(|at| now.saturating_sub(at) < PROJECTION_AGE);
+        if !fresh {
+            self.project(now);
+        }
+        &self.projection
+    }
+
+    fn project(&mut self, now: Timestamp) {
+        let step = self.step;
+        let mut sum = Projection::default();
+        for run in &self.runs {
+            sum.add(&Projection::of(&run.footprint(now, step), &run.curve));
+        }
+        self.projection = sum;
+        self.projected = Some(now);
+    }
+
+    /// Prompt tokens placed here whose first token should not be there yet.
+    pub fn prefill_backlog(&self, now: Timestamp) -> f64 {
+        let unstarted = self.runs.iter().filter(|r| r.is_unstarted());
+        let placed: f64 = unstarted
+            .map(|run| {
+                let done = now.saturating_sub(run.placed).as_secs_f64() / self.step.as_secs_f64();
+                (f64::from(run.request.prompt_tokens) - done * PREFILL_PER_STEP).max(0.0)
+            })
+            .sum();
+        placed
+    }
+
+    /// Takes the engine's own report in: its step time, and memory that is used by
+    /// generations that this lead does not know. As the report lags, only an excess
+    /// that three reports in a row show is believed; the first report is believed at
+    /// once, so that a new lead does not overload what an earlier one filled.
+    pub fn correct(&mut self, report: &LoadReport, now: Timestamp) {
+        if !report.step.is_zero() {
+            let kept = self.step.as_secs_f64() * STEP_SMOOTHING;
+            let added = report.step.as_secs_f64() * (1.0 - STEP_SMOOTHING);
+            self.step = Duration::from_secs_f64(kept + added);
+        }
+        let block = f64::from(self.limits.block_tokens);
+        let wasted = block * self.runs.len() as f64;
+        let held = self.projection(now).held;
+        let reported = report.used_blocks as f64 * block;
+        let latest = (reported - held - wasted).max(0.0);
+        let excess = self.excess.get_or_insert([latest; 3]);
+        excess.rotate_left(1);
+        excess[2] = latest;
+        self.foreign_tokens = excess.iter().copied().fold(f64::INFINITY, f64::min);
+    }
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,29 @@
+//! Every decision of leadstage, sans-I/O: no sockets, threads, clocks or global
+//! randomness. Events and the time go in, typed actions come out, and a seed makes a
+//! run repeatable. A foreign bench drives the same interfaces as the node does.
+
+pub mod bundle;
+pub mod bundle_check;
+pub mod burn;
+pub mod checked_yaml;
+pub mod claims;
+pub mod code;
+pub mod engine_book;
+pub mod fair_queue;
+pub mod ids;
+pub mod length_model;
+pub mod membership;
+pub mod overflow;
+pub mod placement;
+pub mod pool;
+pub mod pool_event;
+pub mod prefix_map;
+pub mod rendezvous;
+pub mod retry;
+pub mod rollout;
+pub mod signing;
+pub mod start_rate;
+pub mod status;
+pub mod stream_cursor;
+pub mod survival;
+pub mod upstreams;
--- /dev/null
+++ b/lib/src/membership.rs
@@ -0,0 +1,328 @@
+//! Which VMs are alive: random probes, indirect probes before suspicion, and news
+//! carried on the probes, after SWIM (Das, Gupta, Motivala, 2002). The cost on a VM
+//! does not grow with the fleet.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::ids::Timestamp;
+use crate::ids::VmId;
+
+/// Time between two probes by one VM.
+pub const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// A suspect that does not refute within this is dead.
+pub const SUSPECT_FOR: Duration = Duration::from_secs(2);
+/// A dead VM is remembered this long, so that old news does not revive it.
+const REMEMBER_DEAD: Duration = Duration::from_secs(300);
+/// VMs that are asked to probe a target that did not answer.
+const INDIRECT_PROBES: usize = 2;
+/// News items on one message.
+pub const NEWS_PER_MESSAGE: usize = 8;
+/// A pause of the process longer than this makes it doubt what it knows.
+const PAUSE: Duration = Duration::from_secs(3);
+
+/// What is thought of a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Liveness {
+    /// It answers.
+    Alive,
+    /// It did not answer, directly or through others.
+    Suspect,
+    /// It did not refute the suspicion in time.
+    Dead,
+    /// It said that it stops.
+    Left,
+}
+
+/// A piece of news about a VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct News {
+    /// About whom.
+    pub vm: VmId,
+    /// Raised by the VM itself to refute a suspicion.
+    pub incarnation: u64,
+    /// What is thought of it.
+    pub liveness: Liveness,
+}
+
+/// What the driver is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MembershipAction {
+    /// Probe the target and report with [`Membership::on_probe`].
+    Probe {
+        /// Whom.
+        target: VmId,
+    },
+    /// Ask `via` to probe the target and report with [`Membership::on_indirect`].
+    ProbeVia {
+        /// Whom to ask.
+        via: VmId,
+        /// Whom it is to probe.
+        target: VmId,
+    },
+    /// A VM's liveness changed.
+    Changed(News),
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    incarnation: u64,
+    liveness: Liveness,
+    since: Timestamp,
+    listed: bool,
+    told: u32,
+}
+
+/// One VM's view of the fleet.
+#[derive(Debug)]
+pub struct Membership {
+    own: VmId,
+    incarnation: u64,
+    leaving: bool,
+    members: BTreeMap<VmId, Member>,
+    round: Vec<VmId>,
+    last_probe: Option<Timestamp>,
+    last_tick: Option<Timestamp>,
+    last_contact: Option<Timestamp>,
+    rng: SmallRng,
+}
+
+impl Membership {
+    /// A view with nobody but the VM itself. The incarnation should be higher after
+    /// each start of the process, such as the time in milliseconds.
+    pub fn new(own: VmId, incarnation: u64, seed: u64) -> Self {
+        Membership {
+            own,
+            incarnation,
+            leaving: false,
+            members: BTreeMap::new(),
+            round: Vec::new(),
+            last_probe: None,
+            last_tick: None,
+            last_contact: None,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes the VM list in: new VMs are candidates, taken to be alive until a probe
+    /// fails; VMs that it no longer names are forgotten once they are dead.
+    pub fn on_list(&mut self, listed: &[VmId], now: Timestamp) {
+        for member in self.members.values_mut() {
+            member.listed = false;
+        }
+        for vm in listed.iter().filter(|vm| **vm != self.own) {
+            let fresh =
+                Member { incarnation: 0, liveness: Liveness::Alive, since: now, listed: true, told: 0 };
+            self.members.entry(vm.clone()).or_insert(fresh).listed = true;
+        }
+    }
+
+    /// Time has passed; wanted a few times a second.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        self.notice_pause(now);
+        self.expire(now, &mut actions);
+        let due = self.last_probe.is_none_or(|at| now.saturating_sub(at) >= PROBE_INTERVAL);
+        if due {
+            self.last_probe = Some(now);
+            if let Some(target) = self.next_target() {
+                actions.push(MembershipAction::Probe { target });
+            }
+        }
+        actions
+    }
+
+    /// After a pause others may think this VM dead; and its own suspicions are stale.
+    fn notice_pause(&mut self, now: Timestamp) {
+        let paused = self.last_tick.is_some_and(|at| now.saturating_sub(at) > PAUSE);
+        self.last_tick = Some(now);
+        if !paused {
+            return;
+        }
+        self.incarnation += 1;
+        self.last_contact = None;
+        for member in self.members.values_mut().filter(|m| m.liveness == Liveness::Suspect) {
+            member.since = now;
+        }
+    }
+
+    fn expire(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+        for (vm, member) in &mut self.members {
+            let age = now.saturating_sub(member.since);
+            if member.liveness == Liveness::Suspect && age >= SUSPECT_FOR {
+                member.liveness = Liveness::Dead;
+                member.since = now;
+                member.told = 0;
+                actions.push(MembershipAction::Changed(member.news(vm)));
+            }
+        }
+        self.members.retain(|_, m| m.listed || m.is_up() || now.saturating_sub(m.since) < REMEMBER_DEAD);
+    }
+
+    /// The next VM of a shuffled round over all that may be reached; dead ones that the
+    /// VM list still names are tried too, as they may have been cut off only.
+    fn next_target(&mut self) -> Option<VmId> {
+        loop {
+            if let Some(vm) = self.round.pop() {
+                if self.members.get(&vm).is_some_and(|m| m.liveness != Liveness::Left) {
+                    return Some(vm);
+                }
+                continue;
+            }
+            let mut round: Vec<VmId> =
+                self.members.iter().filter(|(_, m)| m.is_worth_a_probe()).map(|(vm, _)| vm.clone()).collect();
+            if round.is_empty() {
+                return None;
+            }
+            for at in (1..round.len()).rev() {
+                round.swap(at, self.rng.random_range(0..=at));
+            }
+            self.round = round;
+        }
+    }
+
+    /// A direct probe answered, or not.
+    pub fn on_probe(&mut self, target: &VmId, answered: bool, now: Timestamp) -> Vec<MembershipAction> {
+        if answered {
+            return self.heard_from(target, now);
+        }
+        let mut others: Vec<VmId> = self.alive().filter(|vm| *vm != target).cloned().collect();
+        if others.is_empty() {
+            return self.suspect(target, now);
+        }
+        let mut actions = Vec::new();
+        for _ in 0..INDIRECT_PROBES.min(others.len()) {
+            let via = others.swap_remove(self.rng.random_range(0..others.len()));
+            actions.push(MembershipAction::ProbeVia { via, target: target.clone() });
+        }
+        actions
+    }
+
+    /// All indirect probes of a target are over; `answered` if any did.
+    pub fn on_indirect(&mut self, target: &VmId, answered: bool, now: Timestamp) -> Vec<MembershipAction> {
+        if answered { self.heard_from(target, now) } else { self.suspect(target, now) }
+    }
+
+    /// A VM was heard from directly.
+    pub fn heard_from(&mut self, vm: &VmId, now: Timestamp) -> Vec<MembershipAction> {
+        self.last_contact = Some(now);
+        let Some(member) = self.members.get_mut(vm) else {
+            return Vec::new();
+        };
+        if matches!(member.liveness, Liveness::Alive | Liveness::Left) {
+            return Vec::new();
+        }
+        member.set(Liveness::Alive, now);
+        vec![MembershipAction::Changed(member.news(vm))]
+    }
+
+    fn suspect(&mut self, vm: &VmId, now: Timestamp) -> Vec<MembershipAction> {
+        match self.members.get_mut(vm) {
+            Some(member) if member.liveness == Liveness::Alive => {
+                member.set(Liveness::Suspect, now);
+                vec![MembershipAction::Changed(member.news(vm))]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Takes news in that came with a message.
+    pub fn on_news(&mut self, news: &[News], now: Timestamp) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        for item in news {
+            if item.vm == self.own {
+                self.refute(item);
+                continue;
+            }
+            let Some(member) = self.members.get_mut(&item.vm) else {
+                continue;
+            };
+            let newer = item.incarnation > member.incarnation;
+            let worse = item.incarnation == member.incarnation && item.liveness > member.liveness;
+            if !(newer || worse) {
+                continue;
+            }
+            member.incarnation = item.incarnation;
+            if member.liveness != item.liveness {
+                member.set(item.liveness, now);
+                actions.push(MembershipAction::Changed(item.clone()));
+            }
+        }
+        actions
+    }
+
+    /// Others doubt this VM: a higher incarnation tells them that it is there.
+    fn refute(&mut self, item: &News) {
+        if item.liveness != Liveness::Alive && !self.leaving {
+            self.incarnation = self.incarnation.max(item.incarnation + 1);
+        }
+    }
+
+    /// News to put on the next message: this VM's own and the least told.
+    pub fn news(&mut self) -> Vec<News> {
+        let own = if self.leaving { Liveness::Left } else { Liveness::Alive };
+        let mut news = vec![News { vm: self.own.clone(), incarnation: self.incarnation, liveness: own }];
+        let enough = 3 * (self.members.len() + 2).ilog2() + 3;
+        let mut fresh: Vec<_> = self
+            .members
+            .iter_mut()
+            .filter(|(_, m)| m.told < enough && (m.incarnation > 0 || m.liveness != Liveness::Alive))
+            .collect();
+        fresh.sort_by_key(|(_, m)| m.told);
+        for (vm, member) in fresh.into_iter().take(NEWS_PER_MESSAGE - 1) {
+            member.told += 1;
+            news.push(member.news(vm));
+        }
+        news
+    }
+
+    /// This VM is about to stop.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.incarnation += 1;
+    }
+
+    /// VMs thought to be alive or only suspected, without this one.
+    pub fn alive(&self) -> impl Iterator<Item = &VmId> {
+        self.members.iter().filter(|(_, m)| m.is_up()).map(|(vm, _)| vm)
+    }
+
+    /// What is thought of a VM.
+    pub fn liveness(&self, vm: &str) -> Option<Liveness> {
+        self.members.get(vm).map(|m| m.liveness)
+    }
+
+    /// When any peer was last heard from since the start or the latest pause.
+    pub fn last_contact(&self) -> Option<Timestamp> {
+        self.last_contact
+    }
+
+    /// Whether there is any peer that should be alive.
+    pub fn has_peers(&self) -> bool {
+        self.members.values().any(|m| m.listed && m.liveness != Liveness::Left)
+    }
+}
+
+impl Member {
+    fn set(&mut self, liveness: Liveness, now: Timestamp) {
+        self.liveness = liveness;
+        self.since = now;
+        self.told = 0;
+    }
+
+    fn is_up(&self) -> bool {
+        matches!(self.liveness, Liveness::Alive | Liveness::Suspect)
+    }
+
+    fn is_worth_a_probe(&self) -> bool {
+        self.is_up() || (self.listed && self.liveness == Liveness::Dead)
+    }
+
+    fn news(&self, vm: &VmId) -> News {
+        News { vm: vm.clone(), incarnation: self.incarnation, liveness: self.liveness }
+    }
+}
--- /dev/null
+++ b/lib/src/rendezvous.rs
@@ -0,0 +1,23 @@
+//! Rendezvous hashing: everyone who knows the same members picks the same one.
+
+/// Picks the member with the highest hash with `key`; `None` when there is none.
+pub fn pick<'a, T: AsRef<str>>(key: &str, members: impl IntoIterator<Item = &'a T>) -> Option<&'a T> {
+    members.into_iter().max_by_key(|member| weight(key, member.as_ref()))
+}
+
+/// A mixed 64-bit hash of the pair; the same on every machine and version.
+pub fn weight(key: &str, member: &str) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let separator = [0xff];
+    let bytes = key.bytes().chain(separator).chain(member.bytes());
+    let fnv = bytes.fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
+    mix(fnv)
+}
+
+/// The finaliser of SplitMix64 (Steele, Lea, Flood, 2014).
+pub fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/lib/src/survival.rs
@@ -0,0 +1,143 @@
+//! Survival curves of output lengths, learned from ended and censored generations.
+//!
+//! Lengths fall into buckets that are spaced evenly on a log scale; the curve is
+//! the Kaplan-Meier estimate over them (Kaplan and Meier, 1958).
+
+/// Buckets in each doubling of the length.
+const BUCKETS_PER_OCTAVE: f64 = 4.0;
+/// Buckets in all: lengths up to 2^17 tokens.
+pub const BUCKETS: usize = 69;
+/// Observations after which all counts are halved, so that old ones fade.
+const FORGET_AT: f32 = 4_000.0;
+
+/// Lower edge of a bucket in tokens.
+fn edge(bucket: usize) -> f64 {
+    (bucket as f64 / BUCKETS_PER_OCTAVE).exp2() - 1.0
+}
+
+/// The bucket of a length, with the part of the bucket that it has passed, 0 to 1.
+fn place(tokens: f64) -> (usize, f64) {
+    let at = (tokens.max(0.0) + 1.0).log2() * BUCKETS_PER_OCTAVE;
+    let bucket = (at as usize).min(BUCKETS - 1);
+    (bucket, (at - bucket as f64).clamp(0.0, 1.0))
+}
+
+/// Weighted counts of lengths: ended ones and ones that were only seen so far.
+#[derive(Clone, Debug)]
+pub struct LengthCounts {
+    ended: [f32; BUCKETS],
+    censored: [f32; BUCKETS],
+    total: f32,
+}
+
+impl Default for LengthCounts {
+    fn default() -> Self {
+        LengthCounts { ended: [0.0; BUCKETS], censored: [0.0; BUCKETS], total: 0.0 }
+    }
+}
+
+impl LengthCounts {
+    /// What is assumed with no data: each doubling of the length is as likely,
+    /// up to 2^15 tokens; it weighs as much as eight generations.
+    pub fn prior() -> Self {
+        let mut counts = LengthCounts::default();
+        let octaves = 15;
+        let last = octaves * BUCKETS_PER_OCTAVE as usize;
+        let each = 8.0 / last as f32;
+        counts.ended[..last].fill(each);
+        counts.total = 8.0;
+        counts
+    }
+
+    /// Adds a generation that ended by itself after `tokens`.
+    pub fn add_ended(&mut self, tokens: u32) {
+        self.ended[place(f64::from(tokens)).0] += 1.0;
+        self.count_one();
+    }
+
+    /// Adds a generation that was cut off after `tokens`; its length is at least that.
+    pub fn add_censored(&mut self, tokens: u32) {
+        self.censored[place(f64::from(tokens)).0] += 1.0;
+        self.count_one();
+    }
+
+    fn count_one(&mut self) {
+        self.total += 1.0;
+        if self.total > FORGET_AT {
+            self.ended.iter_mut().chain(&mut self.censored).for_each(|c| *c *= 0.5);
+            self.total *= 0.5;
+        }
+    }
+
+    /// Weight of all observations.
+    pub fn total(&self) -> f32 {
+        self.total
+    }
+
+    /// These counts with `parent`'s added, scaled down to weigh `weight` at most.
+    pub fn blended(&self, parent: &LengthCounts, weight: f32) -> LengthCounts {
+        let scale = weight / parent.total.max(weight);
+        let mut sum = self.clone();
+        let add = |to: &mut [f32; BUCKETS], from: &[f32; BUCKETS]| {
+            to.iter_mut().zip(from).for_each(|(to, from)| *to += from * scale);
+        };
+        add(&mut sum.ended, &parent.ended);
+        add(&mut sum.censored, &parent.censored);
+        sum.total += parent.total * scale;
+        sum
+    }
+
+    /// The survival curve of these counts.
+    pub fn curve(&self) -> SurvivalCurve {
+        let mut alive = [0.0_f32; BUCKETS + 1];
+        let mut at_risk: f32 = self.ended.iter().sum::<f32>() + self.censored.iter().sum::<f32>();
+        alive[0] = 1.0;
+        for bucket in 0..BUCKETS {
+            let exposed = at_risk - self.censored[bucket] * 0.5;
+            let hazard = if exposed > 0.0 { (self.ended[bucket] / exposed).min(1.0) } else { 0.0 };
+            alive[bucket + 1] = (alive[bucket] * (1.0 - hazard)).max(SurvivalCurve::LEAST);
+            at_risk -= self.ended[bucket] + self.censored[bucket];
+        }
+        SurvivalCurve { alive }
+    }
+}
+
+/// The chance that a length is at least so many tokens.
+#[derive(Clone, Debug)]
+pub struct SurvivalCurve {
+    alive: [f32; BUCKETS + 1],
+}
+
+impl SurvivalCurve {
+    /// Chances below this count as this, so that conditions on them stay defined.
+    const LEAST: f32 = 1e-6;
+
+    /// The chance that an output has at least `tokens`.
+    pub fn at_least(&self, tokens: f64) -> f64 {
+        let (bucket, part) = place(tokens);
+        let (from, to) = (f64::from(self.alive[bucket]), f64::from(self.alive[bucket + 1]));
+        from + (to - from) * part
+    }
+
+    /// The chance that an output with `so_far` tokens has `more` to come.
+    pub fn still_running(&self, so_far: f64, more: f64) -> f64 {
+        (self.at_least(so_far + more) / self.at_least(so_far)).min(1.0)
+    }
+
+    /// The mean of the tokens to come after `so_far`, in an output of `cap` at most.
+    pub fn mean_remaining(&self, so_far: f64, cap: f64) -> f64 {
+        let start = self.at_least(so_far);
+        let (first, _) = place(so_far);
+        let mut from = so_far;
+        let mut mean = 0.0;
+        for bucket in first..BUCKETS {
+            let to = edge(bucket + 1).min(cap);
+            if to > from {
+                let between = (self.at_least(from) + self.at_least(to)) * 0.5;
+                mean += (to - from) * between / start;
+                from = to;
+            }
+        }
+        mean
+    }
+}
--- /dev/null
+++ b/node/src/bundle_watch.rs
@@ -0,0 +1,57 @@
+//! Watches the accepted bundle in the object API.
+
+use std::time::Duration;
+
+use leadstage_lib::retry::Backoff;
+use leadstage_lib::rollout;
+use leadstage_lib::rollout::BUNDLE_OBJECT;
+use log::warn;
+
+use crate::control::ControlRef;
+use crate::platform::Read;
+
+/// Least pause after a failed watch.
+const LEAST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after failed watches.
+const MOST_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Watches for ever; each change is considered at once.
+pub async fn run(control: ControlRef) {
+    let platform = control.borrow().platform.clone();
+    let rewatch = control.borrow().rewatch.clone();
+    let mut backoff = Backoff::new(LEAST_PAUSE, MOST_PAUSE);
+    let mut seen = 0;
+    loop {
+        let read = tokio::select! {
+            read = platform.watch(BUNDLE_OBJECT, seen) => read,
+            () = rewatch.notified() => {
+                seen = 0;
+                continue;
+            }
+        };
+        control.borrow_mut().on_platform_call(read.is_ok());
+        match read {
+            Ok(Read::Found { version, value }) => {
+                seen = version;
+                backoff.reset();
+                consider(&control, &value, "object API");
+            }
+            Ok(Read::Absent | Read::Unchanged) => backoff.reset(),
+            Err(_) => {
+                let pause = backoff.next(&mut rand::rng());
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
+}
+
+/// Considers an envelope from the object API or a peer.
+pub fn consider(control: &ControlRef, bytes: &[u8], from: &str) {
+    let mut control = control.borrow_mut();
+    let current = control.shared.bundle().map(|b| b.number);
+    match rollout::consider(bytes, current, &control.settings.trust) {
+        Ok(Some(new)) => control.put_in_force(new),
+        Ok(None) => {}
+        Err(err) => warn!(event = "bundle_refused", from = from, reason:% = err; "bundle refused"),
+    }
+}
--- /dev/null
+++ b/node/src/call.rs
@@ -0,0 +1,201 @@
+//! A plain call: claimed if it may not repeat and has a key, sent to a replica, and
+//! answered as done, not run, or unknown.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http_body_util::Full;
+use leadstage_lib::bundle::Route;
+use leadstage_lib::claims::ClaimOutcome;
+use leadstage_lib::code::Code;
+use leadstage_lib::signing::sha256_hex;
+use rand::seq::IndexedRandom;
+use xitca_web::http::WebResponse;
+
+use crate::control_message::ControlMessage;
+use crate::filters::account::Account;
+use crate::filters::authenticate::Authenticated;
+use crate::filters::claim;
+use crate::filters::claim::ClaimResult;
+use crate::filters::claim::OwnedKey;
+use crate::filters::dispatch;
+use crate::filters::dispatch::CallAnswer;
+use crate::refusal::Refusal;
+use crate::refusal::json_response;
+use crate::shared::Shared;
+use crate::shared::UpstreamAddress;
+use crate::upstream_client::SendError;
+
+/// Replicas tried at most for one call.
+const MAX_TRIES: u32 = 3;
+/// Request headers that are passed on.
+const PASSED_HEADERS: [&str; 4] = ["content-type", "accept", "idempotency-key", "user-agent"];
+
+/// A plain call with all that was read of it.
+#[derive(Debug)]
+pub struct PlainCall {
+    /// Its method.
+    pub method: Method,
+    /// Path and query as the caller sent them.
+    pub path_and_query: String,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The bundle's route.
+    pub route: Route,
+    /// Whether it may be sent again.
+    pub repeatable: bool,
+    /// The caller's `Idempotency-Key`.
+    pub key: Option<String>,
+}
+
+/// How sending a call to replicas ended.
+enum Sent {
+    Answered(CallAnswer),
+    NotRun(Code),
+    Unknown(Code),
+}
+
+/// Carries a plain call out.
+pub async fn carry_out(
+    shared: &Arc<Shared>,
+    cx: &Authenticated,
+    call: &PlainCall,
+    account: &mut Account,
+    request: u64,
+) -> Result<WebResponse, Refusal> {
+    let key = call.key.as_deref().filter(|_| !call.repeatable);
+    let owned = match key {
+        None => None,
+        Some(key) => match claim::claim(shared, &cx.organisation.id, key, &digest(call)).await? {
+            ClaimResult::Owned(owned) => Some(owned),
+            ClaimResult::Earlier(outcome) => {
+                account.note("claim", format!("the key has outcome {}", outcome.code));
+                return Ok(earlier(outcome, account, request));
+            }
+        },
+    };
+    let sent = send(shared, cx, call, account).await;
+    let outcome = match sent {
+        Sent::Answered(answer) => {
+            account.on_answer(Code::Done);
+            account.on_call();
+            record(owned, kept(&answer));
+            Ok(respond(answer, request))
+        }
+        Sent::NotRun(code) => {
+            record(owned, ClaimOutcome::not_run(code));
+            Err(Refusal::new(code))
+        }
+        Sent::Unknown(code) => {
+            let unknown = ClaimOutcome { status: code.http_status(), ..ClaimOutcome::not_run(code) };
+            record(owned, unknown);
+            Err(Refusal::new(code))
+        }
+    };
+    outcome
+}
+
+fn record(owned: Option<OwnedKey>, outcome: ClaimOutcome) {
+    if let Some(owned) = owned {
+        owned.record(outcome);
+    }
+}
+
+fn digest(call: &PlainCall) -> String {
+    let head = format!("{} {}\n", call.method, call.path_and_query);
+    sha256_hex(&[head.as_bytes(), &call.body].concat())
+}
+
+fn kept(answer: &CallAnswer) -> ClaimOutcome {
+    ClaimOutcome {
+        code: Code::Done.number(),
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: String::from_utf8(answer.body.to_vec()).ok(),
+    }
+}
+
+/// The recorded outcome of an earlier arrival of the key.
+fn earlier(outcome: ClaimOutcome, account: &mut Account, request: u64) -> WebResponse {
+    let code = Code::from_number(outcome.code).unwrap_or(Code::UpstreamLost);
+    account.on_answer(code);
+    if code != Code::Done {
+        return Refusal::new(code).response(request);
+    }
+    let body = outcome.body.unwrap_or_default();
+    let answer = CallAnswer { status: outcome.status, content_type: outcome.content_type, body: body.into() };
+    let mut res = respond(answer, request);
+    res.headers_mut().insert("idempotency-replayed", http::HeaderValue::from_static("true"));
+    res
+}
+
+fn respond(answer: CallAnswer, request: u64) -> WebResponse {
+    let mut res = json_response(answer.status, answer.body, request);
+    if let Ok(value) = http::HeaderValue::try_from(answer.content_type) {
+        res.headers_mut().insert("content-type", value);
+    }
+    res
+}
+
+/// Sends the call to a replica. It goes to another one only if not a byte of it reached
+/// the first, or if it may be repeated; both within the retry budget.
+async fn send(shared: &Arc<Shared>, cx: &Authenticated, call: &PlainCall, account: &Account) -> Sent {
+    let mut tried: Vec<UpstreamAddress> = Vec::new();
+    let mut last = Sent::NotRun(Code::NoUpstream);
+    for _ in 0..MAX_TRIES {
+        if !tried.is_empty() && !shared.take_retry() {
+            return last;
+        }
+        let Some(replica) = choose(shared, call, &tried) else {
+            return last;
+        };
+        account.note("dispatch", format!("{} {} to {}", call.method, call.route.service, replica.id));
+        let Some(request) = request_for(call, &replica) else {
+            return Sent::NotRun(Code::BadHeader);
+        };
+        match dispatch::call(request, cx.bundle.bounds.call_within).await {
+            Ok(answer) => return Sent::Answered(answer),
+            Err(SendError::NotSent) => {
+                let _ = shared.control.send(ControlMessage::UpstreamFailed(replica.id.clone()));
+                if !matches!(last, Sent::Unknown(_)) {
+                    last = Sent::NotRun(Code::UpstreamRefused);
+                }
+            }
+            Err(SendError::MayHaveRun) if call.repeatable => last = Sent::Unknown(Code::UpstreamLost),
+            Err(SendError::TimedOut) if call.repeatable => last = Sent::Unknown(Code::UpstreamTimeout),
+            Err(SendError::MayHaveRun) => return Sent::Unknown(Code::UpstreamLost),
+            Err(SendError::TimedOut) => return Sent::Unknown(Code::UpstreamTimeout),
+        }
+        tried.push(replica);
+    }
+    last
+}
+
+/// A usable replica that was not tried, in this hall if there is one.
+fn choose(shared: &Shared, call: &PlainCall, tried: &[UpstreamAddress]) -> Option<UpstreamAddress> {
+    let table = shared.upstreams();
+    let was_tried = |id: &str| tried.iter().any(|t| &*t.id == id);
+    let usable: Vec<&UpstreamAddress> = table
+        .values()
+        .filter(|u| u.usable && *u.serves == *call.route.service && !was_tried(&u.id))
+        .collect();
+    let near: Vec<&UpstreamAddress> = usable.iter().copied().filter(|u| u.hall == shared.hall).collect();
+    let from = if near.is_empty() { usable } else { near };
+    from.choose(&mut rand::rng()).map(|u| (*u).clone())
+}
+
+fn request_for(call: &PlainCall, replica: &UpstreamAddress) -> Option<Request<Full<Bytes>>> {
+    let uri = format!("http://{}{}", replica.address, call.path_and_query);
+    let mut request = Request::builder().method(call.method.clone()).uri(uri);
+    for name in PASSED_HEADERS {
+        if let Some(value) = call.headers.get(name) {
+            request = request.header(name, value.clone());
+        }
+    }
+    request.body(Full::from(call.body.clone())).ok()
+}
--- /dev/null
+++ b/node/src/claim_driver.rs
@@ -0,0 +1,239 @@
+//! Drives [`leadstage_lib::claims`]: claims go to the shard's preferred writer, which
+//! commits many of them in one conditional update; without it an entry writes itself.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use leadstage_lib::bundle::Bounds;
+use leadstage_lib::claims;
+use leadstage_lib::claims::ClaimAction;
+use leadstage_lib::claims::ClaimOutcome;
+use leadstage_lib::claims::ClaimRequest;
+use leadstage_lib::claims::ClaimVerdict;
+use leadstage_lib::claims::ClaimWriter;
+use leadstage_lib::claims::Nonce;
+use leadstage_lib::claims::Ticket;
+use leadstage_lib::claims::WriteResult;
+use leadstage_lib::code::Code;
+use leadstage_lib::ids::VmId;
+use leadstage_lib::membership::Liveness;
+use leadstage_lib::rendezvous;
+use log::warn;
+use tokio::sync::oneshot;
+
+use crate::control::Control;
+use crate::control::ControlRef;
+use crate::control_message::Claimed;
+use crate::peers;
+use crate::peers::RemoteClaim;
+use crate::platform::Read;
+use crate::platform::Written;
+use crate::shared::unix_millis;
+
+/// A claim or record that is not settled by then is answered "unreachable".
+const PATIENCE: Duration = Duration::from_millis(1_200);
+/// When to come back if the object API cannot be reached.
+const PLATFORM_RETRY: Duration = Duration::from_secs(5);
+/// When to come back if a shard is full, or a claim is in progress.
+const BUSY_RETRY: Duration = Duration::from_secs(2);
+/// Tries to record an outcome.
+const RECORD_TRIES: u32 = 5;
+/// Pause between them.
+const RECORD_PAUSE: Duration = Duration::from_millis(1_000);
+
+struct Shard {
+    writer: ClaimWriter,
+    replies: HashMap<Ticket, oneshot::Sender<ClaimVerdict>>,
+}
+
+/// The shards that this VM writes.
+#[derive(Default)]
+pub struct ClaimShards {
+    shards: HashMap<u32, Shard>,
+    bounds: Bounds,
+    tickets: Ticket,
+}
+
+impl ClaimShards {
+    /// Another bundle is in force; writers are made anew, waiting requests are answered
+    /// "unreachable" by the drop of their replies.
+    pub fn set_bounds(&mut self, bounds: &Bounds) {
+        let same =
+            bounds.claim_commit == self.bounds.claim_commit && bounds.claims_kept == self.bounds.claims_kept;
+        self.bounds = bounds.clone();
+        if !same {
+            self.shards.clear();
+        }
+    }
+
+    fn shard(&mut self, shard: u32) -> &mut Shard {
+        let (commit, kept) = (self.bounds.claim_commit, self.bounds.claims_kept);
+        self.shards.entry(shard).or_insert_with(|| Shard {
+            writer: ClaimWriter::new(commit, kept, PATIENCE),
+            replies: HashMap::new(),
+        })
+    }
+}
+
+/// Claims a key for an arrival at this VM.
+pub async fn claim(control: &ControlRef, key: String, nonce: Nonce, digest: String) -> Claimed {
+    let shard = claims::shard_of(&key, control.borrow().claims.bounds.claim_shards);
+    let writer = preferred_writer(&control.borrow(), shard);
+    if let Some(writer) = writer {
+        let remote = RemoteClaim { shard, key: &key, nonce, digest: &digest };
+        if let Ok(claimed) = peers::claim(control, &writer, &remote).await {
+            return claimed;
+        }
+    }
+    let by = control.borrow().settings.vm.clone();
+    claim_here(control, shard, key, ClaimRequest::Claim { nonce, by, digest }).await
+}
+
+/// Claims a key in a shard that this VM writes, for an arrival here or at a peer.
+pub async fn claim_here(control: &ControlRef, shard: u32, key: String, request: ClaimRequest) -> Claimed {
+    match ask(control, shard, key, request).await {
+        ClaimVerdict::Claimed | ClaimVerdict::Recorded => Claimed::Owned,
+        ClaimVerdict::Known { outcome: Some(outcome), .. } => Claimed::Outcome(outcome),
+        ClaimVerdict::Known { by, outcome: None } => {
+            let code =
+                if is_alive(&control.borrow(), &by) { Code::KeyInProgress } else { Code::ClaimantLost };
+            Claimed::Refused { code, retry_after: BUSY_RETRY }
+        }
+        ClaimVerdict::KeyReused => Claimed::Refused { code: Code::KeyReused, retry_after: Duration::ZERO },
+        ClaimVerdict::Full => Claimed::Refused { code: Code::ClaimShardFull, retry_after: BUSY_RETRY },
+        ClaimVerdict::Unreachable => {
+            Claimed::Refused { code: Code::PlatformDown, retry_after: PLATFORM_RETRY }
+        }
+    }
+}
+
+fn is_alive(control: &Control, vm: &VmId) -> bool {
+    *vm == control.settings.vm || control.membership.liveness(vm) == Some(Liveness::Alive)
+}
+
+/// The live VM that writes a shard, so that writers rarely conflict; `None` for this one.
+fn preferred_writer(control: &Control, shard: u32) -> Option<VmId> {
+    let name = claims::object_key(shard);
+    let own = &control.settings.vm;
+    let alive = control.membership.alive().filter(|vm| is_alive(control, vm));
+    let writer = rendezvous::pick(&name, alive.chain([own]))?;
+    (writer != own).then(|| writer.clone())
+}
+
+/// Records an outcome for an arrival at this VM; tries again for a while.
+pub async fn record(control: ControlRef, key: String, nonce: Nonce, outcome: ClaimOutcome) {
+    let shard = claims::shard_of(&key, control.borrow().claims.bounds.claim_shards);
+    for _ in 0..RECORD_TRIES {
+        let writer = preferred_writer(&control.borrow(), shard);
+        if let Some(writer) = writer
+            && peers::record(&control, &writer, shard, &key, nonce, &outcome).await.is_ok()
+        {
+            return;
+        }
+        if record_here(&control, shard, key.clone(), nonce, outcome.clone()).await {
+            return;
+        }
+        tokio::time::sleep(RECORD_PAUSE).await;
+    }
+    warn!(event = "outcome_not_recorded", code = outcome.code; "a later arrival of the key learns only that it was claimed");
+}
+
+/// Records an outcome in a shard that this VM writes; false when that failed.
+pub async fn record_here(
+    control: &ControlRef,
+    shard: u32,
+    key: String,
+    nonce: Nonce,
+    outcome: ClaimOutcome,
+) -> bool {
+    let verdict = ask(control, shard, key, ClaimRequest::Record { nonce, outcome }).await;
+    verdict == ClaimVerdict::Recorded
+}
+
+async fn ask(control: &ControlRef, shard: u32, key: String, request: ClaimRequest) -> ClaimVerdict {
+    let (reply, rx) = oneshot::channel();
+    {
+        let mut control = control.borrow_mut();
+        let now = control.now();
+        control.claims.tickets += 1;
+        let ticket = control.claims.tickets;
+        let shard = control.claims.shard(shard);
+        shard.replies.insert(ticket, reply);
+        shard.writer.ask(ticket, key, request, now);
+    }
+    pump(control, shard);
+    rx.await.unwrap_or(ClaimVerdict::Unreachable)
+}
+
+/// Moves on the shards that wait for their commit interval.
+pub fn tick(control: &ControlRef) {
+    let waiting: Vec<u32> = {
+        let control = control.borrow();
+        let shards = control.claims.shards.iter();
+        shards.filter(|(_, s)| s.writer.waiting() > 0).map(|(id, _)| *id).collect()
+    };
+    for shard in waiting {
+        pump(control, shard);
+    }
+}
+
+fn pump(control: &ControlRef, shard: u32) {
+    let actions = {
+        let mut control = control.borrow_mut();
+        let now = control.now();
+        control.claims.shard(shard).writer.advance(now, unix_millis())
+    };
+    carry_out(control, shard, actions);
+}
+
+fn carry_out(control: &ControlRef, shard: u32, actions: Vec<ClaimAction>) {
+    for action in actions {
+        match action {
+            ClaimAction::Read => _ = tokio::task::spawn_local(read(control.clone(), shard)),
+            ClaimAction::Write { expected, value } => {
+                tokio::task::spawn_local(write(control.clone(), shard, expected, value));
+            }
+            ClaimAction::Answer { ticket, verdict } => {
+                let reply = control.borrow_mut().claims.shard(shard).replies.remove(&ticket);
+                if let Some(reply) = reply {
+                    let _ = reply.send(verdict);
+                }
+            }
+        }
+    }
+}
+
+async fn read(control: ControlRef, shard: u32) {
+    let platform = control.borrow().platform.clone();
+    let read = platform.read(&claims::object_key(shard)).await;
+    let actions = {
+        let mut control = control.borrow_mut();
+        control.on_platform_call(read.is_ok());
+        let now = control.now();
+        let found = match read {
+            Ok(Read::Found { version, value }) => Some((version, value.to_vec())),
+            Ok(Read::Absent) => Some((0, Vec::new())),
+            Ok(Read::Unchanged) | Err(_) => None,
+        };
+        control.claims.shard(shard).writer.on_read(found, now, unix_millis())
+    };
+    carry_out(&control, shard, actions);
+    pump(&control, shard);
+}
+
+async fn write(control: ControlRef, shard: u32, expected: u64, value: Vec<u8>) {
+    let platform = control.borrow().platform.clone();
+    let written = platform.write(&claims::object_key(shard), expected, value).await;
+    let actions = {
+        let mut control = control.borrow_mut();
+        control.on_platform_call(written.is_ok());
+        let result = match written {
+            Ok(Written::Done { version }) => WriteResult::Done { version },
+            Ok(Written::Conflict) => WriteResult::Conflict,
+            Err(_) => WriteResult::Unknown,
+        };
+        control.claims.shard(shard).writer.on_write(result)
+    };
+    carry_out(&control, shard, actions);
+    pump(&control, shard);
+}
--- /dev/null
+++ b/node/src/control.rs
@@ -0,0 +1,230 @@
+//! The control thread: the platform, the peers, the pools that this VM leads, and
+//! what the traffic threads ask. One thread, as capnp-rpc is `!Send`.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use leadstage_lib::ids::Timestamp;
+use leadstage_lib::membership::Liveness;
+use leadstage_lib::membership::Membership;
+use leadstage_lib::membership::MembershipAction;
+use leadstage_lib::pool_event::PoolEvent;
+use leadstage_lib::rollout::InForce;
+use leadstage_lib::upstreams::Directory;
+use log::info;
+use rand::RngExt;
+use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::LocalSet;
+
+use crate::bundle_watch;
+use crate::claim_driver;
+use crate::claim_driver::ClaimShards;
+use crate::control_message::ControlMessage;
+use crate::engine_api::EngineApi;
+use crate::entry;
+use crate::entry_book;
+use crate::entry_book::EntryBook;
+use crate::leads;
+use crate::leads::Leads;
+use crate::membership_driver;
+use crate::peer_server;
+use crate::peers::Peers;
+use crate::platform::Platform;
+use crate::readiness;
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::shared::unix_millis;
+use crate::status_report;
+use crate::stop;
+use crate::vm_watch;
+
+/// Time between two looks at what is due.
+pub const TICK: Duration = Duration::from_millis(100);
+
+/// The control thread's state.
+pub struct Control {
+    /// The node's settings.
+    pub settings: Settings,
+    /// State shared with the traffic threads.
+    pub shared: Arc<Shared>,
+    /// The object API and the VM list.
+    pub platform: Platform,
+    /// Calls to engines that are not traffic.
+    pub engines: EngineApi,
+    /// The start of this process's timestamps.
+    pub started: Instant,
+    /// Upstreams and entry VMs.
+    pub directory: Directory,
+    /// Which entry VMs are alive.
+    pub membership: Membership,
+    /// Connections to other entry VMs.
+    pub peers: Peers,
+    /// The pools that this VM leads.
+    pub leads: Leads,
+    /// The generations of this VM's own callers.
+    pub book: EntryBook,
+    /// Claim shards that this VM writes.
+    pub claims: ClaimShards,
+    /// When the object API last answered, since the start or the latest pause.
+    pub platform_contact: Option<Timestamp>,
+    /// Whether its latest call worked.
+    pub platform_reached: bool,
+    /// Wakes the bundle watch: a pause of the process may have broken it unnoticed.
+    pub rewatch: Rc<Notify>,
+    last_tick: Timestamp,
+}
+
+/// The control thread's state, shared by its tasks; never borrowed across an await.
+pub type ControlRef = Rc<RefCell<Control>>;
+
+impl Control {
+    fn new(settings: Settings, shared: Arc<Shared>) -> Self {
+        let incarnation = unix_millis();
+        let seed = rand::rng().random();
+        Control {
+            platform: Platform::new(settings.platform),
+            engines: EngineApi::new(),
+            started: Instant::now(),
+            directory: Directory::default(),
+            membership: Membership::new(settings.vm.clone(), incarnation, seed),
+            peers: Peers::default(),
+            leads: Leads::default(),
+            book: EntryBook::default(),
+            claims: ClaimShards::default(),
+            platform_contact: None,
+            platform_reached: false,
+            rewatch: Rc::new(Notify::new()),
+            last_tick: Timestamp::ZERO,
+            settings,
+            shared,
+        }
+    }
+
+    /// Time since the process's start.
+    pub fn now(&self) -> Timestamp {
+        self.started.elapsed()
+    }
+
+    /// Notes whether a call to the object API worked.
+    pub fn on_platform_call(&mut self, worked: bool) {
+        self.platform_reached = worked;
+        if worked {
+            self.platform_contact = Some(self.now());
+        }
+    }
+
+    /// Puts a bundle in force if it is newer.
+    pub fn put_in_force(&mut self, new: InForce) {
+        let bundle = new.bundle.clone();
+        let hash = new.hash.clone();
+        if !self.shared.set_in_force(new) {
+            return;
+        }
+        info!(event = "bundle_in_force", number = bundle.number, hash = &*hash; "bundle in force");
+        let now = self.now();
+        self.leads.set_bundle(&bundle, now);
+        self.claims.set_bounds(&bundle.bounds);
+        readiness::update(self);
+    }
+
+    /// Carries out what changed in the membership.
+    pub fn on_membership(&mut self, actions: &[MembershipAction]) {
+        for action in actions {
+            let MembershipAction::Changed(news) = action else {
+                continue;
+            };
+            info!(event = "member", vm = &*news.vm, liveness:? = news.liveness; "member changed");
+            if matches!(news.liveness, Liveness::Dead | Liveness::Left) {
+                self.peers.forget(&news.vm);
+                let now = self.now();
+                self.leads.all_pools(now, |_| PoolEvent::EntryGone(news.vm.clone()));
+            }
+        }
+    }
+}
+
+/// Runs the control thread until the planned stop is over.
+pub fn run(
+    settings: Settings,
+    shared: Arc<Shared>,
+    rx: UnboundedReceiver<ControlMessage>,
+) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    let control = Rc::new(RefCell::new(Control::new(settings, shared)));
+    local.block_on(&runtime, async move {
+        peer_server::listen(control.clone()).await?;
+        tokio::task::spawn_local(bundle_watch::run(control.clone()));
+        tokio::task::spawn_local(vm_watch::run(control.clone()));
+        tokio::task::spawn_local(tick_for_ever(control.clone()));
+        tokio::task::spawn_local(answer_traffic(control.clone(), rx));
+        stop::wait(control).await
+    })
+}
+
+async fn tick_for_ever(control: ControlRef) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        notice_pause(&control);
+        membership_driver::tick(&control);
+        leads::tick(&control);
+        entry_book::tick(&control);
+        claim_driver::tick(&control);
+        readiness::update(&mut control.borrow_mut());
+        status_report::tick(&control);
+    }
+}
+
+/// A process that was frozen can't know what it missed: it doubts its contacts and
+/// reads the bundle anew.
+fn notice_pause(control: &ControlRef) {
+    let mut control = control.borrow_mut();
+    let now = control.now();
+    let paused = now.saturating_sub(control.last_tick) > membership_driver::PAUSE;
+    control.last_tick = now;
+    if paused {
+        info!(event = "pause"; "the process was paused");
+        control.platform_contact = None;
+        control.rewatch.notify_one();
+    }
+}
+
+async fn answer_traffic(control: ControlRef, mut rx: UnboundedReceiver<ControlMessage>) {
+    while let Some(message) = rx.recv().await {
+        match message {
+            ControlMessage::Place { request, model, mut reply } => {
+                let control = control.clone();
+                tokio::task::spawn_local(async move {
+                    let outcome = tokio::select! {
+                        outcome = entry::place(&control, request, model) => outcome,
+                        () = reply.closed() => return,
+                    };
+                    let _ = reply.send(outcome);
+                });
+            }
+            ControlMessage::Started(running) => control.borrow_mut().book.start(running),
+            ControlMessage::Ended { generation, how } => entry_book::end(&control, generation, how),
+            ControlMessage::UpstreamFailed(upstream) => {
+                let mut control = control.borrow_mut();
+                let now = control.now();
+                control.directory.on_failed(&upstream, now);
+                vm_watch::publish(&control);
+            }
+            ControlMessage::Claim { key, nonce, digest, reply } => {
+                let control = control.clone();
+                tokio::task::spawn_local(async move {
+                    let _ = reply.send(claim_driver::claim(&control, key, nonce, digest).await);
+                });
+            }
+            ControlMessage::Record { key, nonce, outcome } => {
+                tokio::task::spawn_local(claim_driver::record(control.clone(), key, nonce, outcome));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/engine_api.rs
@@ -0,0 +1,99 @@
+//! Calls of the control thread to engines: load, priority, cancel.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use leadstage_lib::ids::GenerationId;
+use leadstage_lib::pool_event::EngineLimits;
+use leadstage_lib::pool_event::LoadReport;
+use serde::Deserialize;
+
+/// A call without an answer for this long counts as failed.
+const CALL_LIMIT: Duration = Duration::from_millis(800);
+/// Bytes of an answer at most.
+const ANSWER_LIMIT: usize = 64 << 10;
+
+/// An engine's report as it sends it.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct EngineReport {
+    running: u32,
+    waiting: u32,
+    used_blocks: u64,
+    total_blocks: u64,
+    block_tokens: u32,
+    max_batch: u32,
+    step_us: u64,
+    /// The engine is about to be taken back.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+impl EngineReport {
+    /// The sizes in it.
+    pub fn limits(&self) -> EngineLimits {
+        EngineLimits { blocks: self.total_blocks, block_tokens: self.block_tokens, max_batch: self.max_batch }
+    }
+
+    /// The load in it.
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            running: self.running,
+            waiting: self.waiting,
+            used_blocks: self.used_blocks,
+            step: Duration::from_micros(self.step_us),
+        }
+    }
+}
+
+/// The client; clones share their connections.
+#[derive(Clone, Debug)]
+pub struct EngineApi {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl EngineApi {
+    /// A client for all engines.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CALL_LIMIT));
+        EngineApi { client: Client::builder(TokioExecutor::new()).build(connector) }
+    }
+
+    async fn call(&self, method: Method, uri: String) -> Option<Bytes> {
+        let req = Request::builder().method(method).uri(uri).body(Full::default()).ok()?;
+        let exchange = async {
+            let res = self.client.request(req).await.ok()?;
+            let worked = res.status().is_success();
+            let body = Limited::new(res.into_body(), ANSWER_LIMIT).collect().await.ok()?;
+            worked.then(|| body.to_bytes())
+        };
+        tokio::time::timeout(CALL_LIMIT, exchange).await.ok()?
+    }
+
+    /// The engine's load, or `None` when it does not answer.
+    pub async fn load(&self, address: SocketAddr) -> Option<EngineReport> {
+        let body = self.call(Method::GET, format!("http://{address}/v1/load")).await?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Changes a generation's priority; a failure changes nothing.
+    pub async fn set_priority(self, address: SocketAddr, generation: GenerationId, priority: i32) {
+        let uri = format!("http://{address}/v1/generations/{generation:016x}/priority?value={priority}");
+        self.call(Method::POST, uri).await;
+    }
+
+    /// Cancels a generation; a failure leaves it to run to its end.
+    pub async fn cancel(self, address: SocketAddr, generation: GenerationId) {
+        self.call(Method::DELETE, format!("http://{address}/v1/generations/{generation:016x}")).await;
+    }
+}
--- /dev/null
+++ b/node/src/filters/claim.rs
@@ -0,0 +1,95 @@
+//! Makes a call that may not repeat run at most once: its `Idempotency-Key` is claimed
+//! in the object API before a byte of it can reach an upstream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use leadstage_lib::claims::ClaimOutcome;
+use leadstage_lib::claims::Nonce;
+use leadstage_lib::code::Code;
+use leadstage_lib::ids::OrganisationId;
+use leadstage_lib::signing::sha256_hex;
+use rand::RngExt;
+use tokio::sync::oneshot;
+
+use crate::control_message::Claimed;
+use crate::control_message::ControlMessage;
+use crate::refusal::Refusal;
+use crate::shared::Shared;
+
+/// Time for a claim in all; then the call is not run.
+const CLAIM_LIMIT: Duration = Duration::from_secs(3);
+/// When to come back then.
+const RETRY: Duration = Duration::from_secs(5);
+/// Characters of a hash that are kept.
+const HASH_CHARS: usize = 32;
+
+/// A key that this arrival owns.
+pub struct OwnedKey {
+    shared: Arc<Shared>,
+    key: String,
+    nonce: Nonce,
+    settled: bool,
+}
+
+/// What a claim led to.
+pub enum ClaimResult {
+    /// This arrival may dispatch, once.
+    Owned(OwnedKey),
+    /// An earlier arrival had this outcome.
+    Earlier(ClaimOutcome),
+}
+
+/// Claims a key. Keys of different organisations never meet.
+pub async fn claim(
+    shared: &Arc<Shared>,
+    organisation: &OrganisationId,
+    key: &str,
+    digest: &str,
+) -> Result<ClaimResult, Refusal> {
+    let key = shorten(&sha256_hex(format!("{organisation}\n{key}").as_bytes()));
+    let nonce = rand::rng().random();
+    let mut owned = OwnedKey { shared: shared.clone(), key: key.clone(), nonce, settled: false };
+    let (reply, rx) = oneshot::channel();
+    let message = ControlMessage::Claim { key, nonce, digest: shorten(digest), reply };
+    shared.control.send(message).map_err(|_| Refusal::new(Code::Stopping))?;
+    match tokio::time::timeout(CLAIM_LIMIT, rx).await {
+        Ok(Ok(Claimed::Owned)) => Ok(ClaimResult::Owned(owned)),
+        Ok(Ok(Claimed::Outcome(outcome))) => {
+            owned.settled = true;
+            Ok(ClaimResult::Earlier(outcome))
+        }
+        Ok(Ok(Claimed::Refused { code, retry_after })) => {
+            owned.settled = code != Code::PlatformDown;
+            Err(Refusal::later(code, retry_after))
+        }
+        Ok(Err(_)) | Err(_) => Err(Refusal::later(Code::PlatformDown, RETRY)),
+    }
+}
+
+fn shorten(hash: &str) -> String {
+    hash.chars().take(HASH_CHARS).collect()
+}
+
+impl OwnedKey {
+    /// Records the outcome for later arrivals.
+    pub fn record(mut self, outcome: ClaimOutcome) {
+        self.send(outcome);
+        self.settled = true;
+    }
+
+    fn send(&self, outcome: ClaimOutcome) {
+        let message = ControlMessage::Record { key: self.key.clone(), nonce: self.nonce, outcome };
+        let _ = self.shared.control.send(message);
+    }
+}
+
+impl Drop for OwnedKey {
+    /// Nothing was dispatched under this claim, and nothing will be: a claim that took
+    /// effect unnoticed is released, so that the caller may come back with its key.
+    fn drop(&mut self) {
+        if !self.settled {
+            self.send(ClaimOutcome::not_run(Code::UpstreamRefused));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/filters/dispatch.rs
@@ -0,0 +1,138 @@
+//! Sends a generation to its engine, or resumes it there, and reads the engine's
+//! events; sends a plain call to a replica.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eventsource_stream::Event;
+use eventsource_stream::Eventsource;
+use futures::StreamExt;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use leadstage_lib::ids::GenerationId;
+use leadstage_lib::ids::OrganisationId;
+
+use crate::filters::place::GenerationRequest;
+use crate::filters::route::GenerationKind;
+use crate::upstream_client;
+use crate::upstream_client::SendError;
+
+/// Time for the head of an engine's answer.
+const HEAD_LIMIT: Duration = Duration::from_secs(2);
+
+/// Why there is no link to a generation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkError {
+    /// The engine could not be connected to.
+    NotSent,
+    /// The link broke or nothing came in time.
+    Broken,
+    /// The engine does not know the generation, or cannot take it now.
+    Refused,
+    /// The engine finds fault with the request itself.
+    Rejected,
+}
+
+impl From<SendError> for LinkError {
+    fn from(err: SendError) -> Self {
+        match err {
+            SendError::NotSent => LinkError::NotSent,
+            SendError::MayHaveRun | SendError::TimedOut => LinkError::Broken,
+        }
+    }
+}
+
+/// An open stream of a generation's events.
+pub struct Link {
+    events: std::pin::Pin<Box<EngineEvents>>,
+    /// The organisation that the engine was given with the generation.
+    pub organisation: Option<String>,
+}
+
+type EngineEvents = eventsource_stream::EventStream<http_body_util::BodyDataStream<Incoming>>;
+
+impl Link {
+    fn new(res: http::Response<Incoming>) -> Result<Link, LinkError> {
+        match res.status().as_u16() {
+            200 => {}
+            400 | 413 | 422 => return Err(LinkError::Rejected),
+            _ => return Err(LinkError::Refused),
+        }
+        let organisation =
+            res.headers().get("x-organisation").and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let events = Box::pin(res.into_body().into_data_stream().eventsource());
+        Ok(Link { events, organisation })
+    }
+
+    /// The next event; `None` when the link ended, broke or was silent for `patience`.
+    pub async fn next(&mut self, patience: Duration) -> Option<Event> {
+        let next = tokio::time::timeout(patience, self.events.next()).await;
+        next.ok().flatten().and_then(Result::ok)
+    }
+}
+
+/// Starts a generation at its engine. The engine takes a second start of the same id
+/// as the first one, so this may be sent again.
+pub async fn start(
+    address: SocketAddr,
+    generation: GenerationId,
+    organisation: &OrganisationId,
+    priority: i32,
+    req: &GenerationRequest,
+) -> Result<Link, LinkError> {
+    let uri = format!("http://{address}{}", req.kind.path());
+    let request = Request::post(uri)
+        .header("content-type", "application/json")
+        .header("x-generation-id", format!("{generation:016x}"))
+        .header("x-organisation", &**organisation)
+        .header("x-priority", priority)
+        .body(Full::from(req.body.clone()))
+        .map_err(|_| LinkError::Refused)?;
+    Link::new(upstream_client::send(request, HEAD_LIMIT).await?)
+}
+
+/// Resumes a generation at its engine from a token's index.
+pub async fn resume(
+    address: SocketAddr,
+    generation: GenerationId,
+    from: u64,
+    kind: GenerationKind,
+    model: &str,
+) -> Result<Link, LinkError> {
+    let chat = u8::from(kind == GenerationKind::Chat);
+    let uri =
+        format!("http://{address}/v1/generations/{generation:016x}?from={from}&chat={chat}&model={model}");
+    let request = Request::get(uri).body(Full::default()).map_err(|_| LinkError::Refused)?;
+    Link::new(upstream_client::send(request, HEAD_LIMIT).await?)
+}
+
+/// A plain call's answer.
+#[derive(Debug)]
+pub struct CallAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Its `Content-Type`.
+    pub content_type: String,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Bytes of a plain call's answer at most.
+const CALL_ANSWER_LIMIT: usize = 8 << 20;
+
+/// Sends a plain call to a replica and reads its answer whole.
+pub async fn call(request: Request<Full<Bytes>>, limit: Duration) -> Result<CallAnswer, SendError> {
+    let exchange = async {
+        let res = upstream_client::send(request, limit).await?;
+        let status = res.status().as_u16();
+        let header = res.headers().get("content-type").and_then(|v| v.to_str().ok());
+        let content_type = header.unwrap_or("application/octet-stream").to_owned();
+        let body = http_body_util::Limited::new(res.into_body(), CALL_ANSWER_LIMIT);
+        let body = body.collect().await.map_err(|_| SendError::MayHaveRun)?.to_bytes();
+        Ok(CallAnswer { status, content_type, body })
+    };
+    tokio::time::timeout(limit, exchange).await.unwrap_or(Err(SendError::TimedOut))
+}
--- /dev/null
+++ b/node/src/filters/relay.rs
@@ -0,0 +1,290 @@
+//! Passes a generation's tokens on to its caller: once, in order, from one
+//! generation, over however many engine links that takes.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use eventsource_stream::Event;
+use leadstage_lib::code::Code;
+use leadstage_lib::ids::GenerationId;
+use leadstage_lib::pool_event::EndKind;
+use leadstage_lib::stream_cursor::AfterBreak;
+use leadstage_lib::stream_cursor::StreamCursor;
+use leadstage_lib::stream_cursor::StreamPosition;
+use leadstage_lib::stream_cursor::Verdict;
+use leadstage_lib::stream_cursor::parse_engine_event_id;
+use log::info;
+use rand::RngExt;
+
+use crate::chunk;
+use crate::control_message::ControlMessage;
+use crate::control_message::Granted;
+use crate::control_message::Running;
+use crate::filters::account::Account;
+use crate::filters::authenticate::Authenticated;
+use crate::filters::dispatch;
+use crate::filters::dispatch::Link;
+use crate::filters::dispatch::LinkError;
+use crate::filters::place;
+use crate::filters::place::GenerationRequest;
+use crate::refusal::Refusal;
+use crate::shared::Shared;
+
+/// Pause before a broken link is resumed, on average.
+const RESUME_PAUSE: Duration = Duration::from_millis(50);
+/// A silent link is looked at this often, to see a planned stop's bound.
+const STOP_CHECK: Duration = Duration::from_millis(250);
+
+/// What the caller gets next.
+#[derive(Debug)]
+pub enum Relayed {
+    /// An event of the engine, with its position.
+    Event {
+        /// Where the caller is with it.
+        position: StreamPosition,
+        /// The engine's JSON.
+        data: String,
+    },
+    /// The generation is complete.
+    Done,
+    /// It ended early.
+    Failed(Refusal),
+}
+
+/// One caller's generation.
+pub struct Relay {
+    shared: Arc<Shared>,
+    cx: Authenticated,
+    req: GenerationRequest,
+    account: Account,
+    cursor: StreamCursor,
+    granted: Option<Granted>,
+    link: Option<Link>,
+    finished: bool,
+}
+
+impl Relay {
+    /// A new generation, not placed yet.
+    pub fn new(shared: Arc<Shared>, cx: Authenticated, req: GenerationRequest, account: Account) -> Self {
+        let cursor = StreamCursor::new(new_generation(), 0);
+        Relay { shared, cx, req, account, cursor, granted: None, link: None, finished: false }
+    }
+
+    /// The request's bookkeeping.
+    pub fn account(&mut self) -> &mut Account {
+        &mut self.account
+    }
+
+    /// Places and starts the generation; on an engine that cannot be connected to, on
+    /// another one, within the retry budget.
+    pub async fn start(&mut self) -> Result<(), Refusal> {
+        loop {
+            let generation = self.cursor.generation();
+            let granted = place::place(&self.shared, &self.cx, &self.req, generation).await?;
+            let what =
+                format!("generation {generation:016x} on {} by lead {}", granted.upstream, granted.lead);
+            self.account.note("place", what);
+            self.report_start(&granted);
+            let organisation = &self.cx.organisation.id;
+            let started =
+                dispatch::start(granted.address, generation, organisation, granted.priority, &self.req).await;
+            self.granted = Some(granted);
+            match started {
+                Ok(link) => {
+                    self.link = Some(link);
+                    return Ok(());
+                }
+                Err(LinkError::Broken) => return Ok(()),
+                Err(LinkError::Rejected) => {
+                    self.account.on_generation_end(EndKind::Cancelled);
+                    return Err(Refusal::with_detail(
+                        Code::BadRequest,
+                        "the engine does not take this request",
+                    ));
+                }
+                Err(LinkError::NotSent | LinkError::Refused) => self.give_up_engine()?,
+            }
+        }
+    }
+
+    /// Goes on with a generation that another entry may have started.
+    pub async fn take_over(&mut self, position: &StreamPosition) -> Result<(), Refusal> {
+        let upstreams = self.shared.upstreams();
+        let engine = upstreams.get(&position.engine).ok_or_else(|| Refusal::new(Code::GenerationUnknown))?;
+        let from = position.index + 1;
+        let linked =
+            dispatch::resume(engine.address, position.generation, from, self.req.kind, &self.req.model).await;
+        let link = linked.map_err(|_| Refusal::new(Code::GenerationUnknown))?;
+        if link.organisation.as_deref() != Some(&*self.cx.organisation.id) {
+            return Err(Refusal::new(Code::NotYourGeneration));
+        }
+        self.cursor = StreamCursor::new(position.generation, from);
+        let granted = Granted {
+            upstream: engine.id.clone(),
+            hall: engine.hall.clone(),
+            address: engine.address,
+            priority: self.cx.organisation.priority,
+            lead: "resumed".to_owned(),
+        };
+        self.account.note("relay", format!("taken over at {position}"));
+        self.report_start(&granted);
+        self.granted = Some(granted);
+        self.link = Some(link);
+        Ok(())
+    }
+
+    fn report_start(&mut self, granted: &Granted) {
+        let generation = self.cursor.generation();
+        let tokens = self.account.on_start(generation, self.cursor.next() as u32);
+        let running = Running {
+            request: place::place_request(&self.shared, &self.cx, &self.req, generation),
+            model: self.req.model.clone(),
+            hall: granted.hall.clone(),
+            upstream: granted.upstream.clone(),
+            tokens,
+        };
+        let _ = self.shared.control.send(ControlMessage::Started(running));
+    }
+
+    /// What the caller gets next.
+    pub async fn next(&mut self) -> Relayed {
+        if self.finished {
+            return Relayed::Done;
+        }
+        loop {
+            if self.shared.stop_now.load(Ordering::Relaxed) {
+                return self.fail(Refusal::new(Code::StopBound));
+            }
+            let event = match self.next_event().await {
+                Some(event) => event,
+                None => match self.mend().await {
+                    Ok(()) => continue,
+                    Err(refusal) => return self.fail(refusal),
+                },
+            };
+            if event.data == "[DONE]" {
+                continue;
+            }
+            if let Some(relayed) = self.on_event(event) {
+                return relayed;
+            }
+        }
+    }
+
+    /// The next event of the link, or `None` when it broke or stalled.
+    async fn next_event(&mut self) -> Option<Event> {
+        let link = self.link.as_mut()?;
+        let patience = self.cx.bundle.bounds.stall_within;
+        let mut waited = Duration::ZERO;
+        while waited < patience {
+            let slice = STOP_CHECK.min(patience - waited);
+            let started = tokio::time::Instant::now();
+            if let Some(event) = link.next(slice).await {
+                return Some(event);
+            }
+            let broke = started.elapsed() < slice;
+            if broke || self.shared.stop_now.load(Ordering::Relaxed) {
+                return None;
+            }
+            waited += slice;
+        }
+        None
+    }
+
+    fn on_event(&mut self, event: Event) -> Option<Relayed> {
+        let verdict = match parse_engine_event_id(&event.id) {
+            Some((generation, index)) => self.cursor.on_event(generation, index),
+            None => Verdict::BreakLink,
+        };
+        match verdict {
+            Verdict::Repeated => return None,
+            Verdict::BreakLink => {
+                self.link = None;
+                return None;
+            }
+            Verdict::Deliver => {}
+        }
+        if chunk::is_last(&event.data) {
+            self.finished = true;
+            self.account.on_generation_end(EndKind::Finished);
+            self.account.on_answer(Code::Done);
+        } else {
+            self.account.on_token();
+        }
+        Some(Relayed::Event { position: self.position(), data: event.data })
+    }
+
+    fn position(&self) -> StreamPosition {
+        let engine = self.granted.as_ref().map_or_else(|| "".into(), |g| g.upstream.clone());
+        StreamPosition {
+            generation: self.cursor.generation(),
+            engine,
+            index: self.cursor.next().saturating_sub(1),
+        }
+    }
+
+    /// The link broke or stalled: resumes it, starts anew, or gives the stream up.
+    async fn mend(&mut self) -> Result<(), Refusal> {
+        self.link = None;
+        let mut after = self.cursor.on_break();
+        loop {
+            match after {
+                AfterBreak::Resume { from } => match self.resume(from).await {
+                    Ok(link) => {
+                        self.link = Some(link);
+                        return Ok(());
+                    }
+                    Err(LinkError::Refused | LinkError::Rejected) => after = self.cursor.on_engine_lost(),
+                    Err(LinkError::NotSent | LinkError::Broken) => after = self.cursor.on_break(),
+                },
+                AfterBreak::Restart => {
+                    self.give_up_engine()?;
+                    return Box::pin(self.start()).await;
+                }
+                AfterBreak::End => {
+                    self.account.on_generation_end(EndKind::Lost);
+                    return Err(Refusal::new(Code::StreamLost));
+                }
+            }
+        }
+    }
+
+    async fn resume(&mut self, from: u64) -> Result<Link, LinkError> {
+        let Some(granted) = &self.granted else {
+            return Err(LinkError::Refused);
+        };
+        let jitter: f64 = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(RESUME_PAUSE.mul_f64(jitter)).await;
+        self.shared.metrics.on_resume();
+        self.account.note("relay", format!("resumes at {} from {from}", granted.upstream));
+        let generation = self.cursor.generation();
+        dispatch::resume(granted.address, generation, from, self.req.kind, &self.req.model).await
+    }
+
+    /// The engine is lost and the caller has nothing: a new generation may start
+    /// elsewhere, within the retry budget.
+    fn give_up_engine(&mut self) -> Result<(), Refusal> {
+        self.account.on_generation_end(EndKind::Lost);
+        if let Some(granted) = self.granted.take() {
+            info!(event = "engine_lost", upstream = &*granted.upstream, generation:% = format_args!("{:016x}", self.cursor.generation()); "engine lost before a token");
+            self.account.note("dispatch", format!("{} lost before a token", granted.upstream));
+            let _ = self.shared.control.send(ControlMessage::UpstreamFailed(granted.upstream));
+        }
+        if !self.shared.take_retry() {
+            return Err(Refusal::new(Code::UpstreamRefused));
+        }
+        self.cursor = StreamCursor::new(new_generation(), 0);
+        Ok(())
+    }
+
+    fn fail(&mut self, refusal: Refusal) -> Relayed {
+        self.finished = true;
+        self.account.on_answer(refusal.code);
+        Relayed::Failed(refusal)
+    }
+}
+
+fn new_generation() -> GenerationId {
+    rand::rng().random()
+}
--- /dev/null
+++ b/node/src/leads.rs
@@ -0,0 +1,406 @@
+//! The pools that this VM leads: drives [`leadstage_lib::pool::Pool`] with requests,
+//! reports and the engines' loads.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use leadstage_lib::bundle::Bundle;
+use leadstage_lib::code::Code;
+use leadstage_lib::ids::GenerationId;
+use leadstage_lib::ids::HallId;
+use leadstage_lib::ids::ModelId;
+use leadstage_lib::ids::Timestamp;
+use leadstage_lib::ids::UpstreamId;
+use leadstage_lib::ids::VmId;
+use leadstage_lib::membership::Liveness;
+use leadstage_lib::pool::Pool;
+use leadstage_lib::pool_event::EndKind;
+use leadstage_lib::pool_event::PlaceRequest;
+use leadstage_lib::pool_event::PoolAction;
+use leadstage_lib::pool_event::PoolEvent;
+use leadstage_lib::pool_event::PoolPolicy;
+use leadstage_lib::rendezvous;
+use leadstage_lib::upstreams::VmRole;
+use log::info;
+use rand::RngExt;
+use tokio::sync::oneshot;
+
+use crate::control::Control;
+use crate::control::ControlRef;
+use crate::engine_api::EngineReport;
+
+/// Time between two reads of an engine's load.
+const POLL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Reads without an answer after which an engine counts as gone.
+const GONE_AFTER: u32 = 3;
+/// A new lead waits this long for the engines' first loads.
+const FIRST_LOADS: Duration = Duration::from_millis(300);
+
+/// Names a pool: a model's replicas in one hall.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PoolKey {
+    /// The model.
+    pub model: ModelId,
+    /// The hall.
+    pub hall: HallId,
+}
+
+/// What a lead answers to a request for an engine.
+#[derive(Clone, Debug)]
+pub enum Placement {
+    /// It may start there.
+    Granted {
+        /// Where.
+        upstream: UpstreamId,
+        /// The priority to give to the engine.
+        priority: i32,
+    },
+    /// It does not start.
+    Refused {
+        /// Why.
+        code: Code,
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+#[derive(Default)]
+struct PolledEngine {
+    next_poll: Timestamp,
+    polling: bool,
+    failures: u32,
+    known: bool,
+}
+
+/// A pool that this VM leads.
+pub struct LedPool {
+    /// Its decisions.
+    pub pool: Pool,
+    replies: HashMap<GenerationId, oneshot::Sender<Placement>>,
+    engines: HashMap<UpstreamId, PolledEngine>,
+}
+
+/// All pools that this VM leads.
+#[derive(Default)]
+pub struct Leads {
+    pools: BTreeMap<PoolKey, LedPool>,
+}
+
+impl Leads {
+    /// The pools with their keys.
+    pub fn pools(&self) -> impl Iterator<Item = (&PoolKey, &LedPool)> {
+        self.pools.iter()
+    }
+
+    /// Tells all pools of another bundle.
+    pub fn set_bundle(&mut self, bundle: &Bundle, now: Timestamp) {
+        self.all_pools(now, |_| PoolEvent::Policy(policy(bundle)));
+    }
+
+    /// Gives all pools an event that needs no action at once.
+    pub fn all_pools(&mut self, now: Timestamp, event: impl Fn(&PoolKey) -> PoolEvent) {
+        for (key, led) in &mut self.pools {
+            let mut actions = Vec::new();
+            led.pool.handle(now, event(key), &mut actions);
+            led.answer(actions);
+        }
+    }
+}
+
+impl LedPool {
+    /// Sends the answers among the actions and returns the others.
+    fn answer(&mut self, actions: Vec<PoolAction>) -> Vec<PoolAction> {
+        let mut rest = Vec::new();
+        for action in actions {
+            let (generation, placement) = match action {
+                PoolAction::Grant { generation, engine, priority } => {
+                    (generation, Placement::Granted { upstream: engine, priority })
+                }
+                PoolAction::Refuse { generation, code, retry_after } => {
+                    (generation, Placement::Refused { code, retry_after })
+                }
+                other => {
+                    rest.push(other);
+                    continue;
+                }
+            };
+            let reply = self.replies.remove(&generation);
+            let heard = reply.is_some_and(|reply| reply.send(placement).is_ok());
+            if !heard {
+                let ended = PoolEvent::Ended { generation, tokens: 0, how: EndKind::Cancelled };
+                self.pool.handle(Timestamp::ZERO, ended, &mut Vec::new());
+            }
+        }
+        rest
+    }
+}
+
+fn policy(bundle: &Bundle) -> PoolPolicy {
+    let mut policy = PoolPolicy::new(bundle.objective, &bundle.bounds);
+    policy.shares = bundle.organisations.iter().map(|o| (o.id.clone(), o.share)).collect();
+    policy
+}
+
+/// The VM that leads a pool as this VM sees it, without the ones in `except`: chosen by
+/// rendezvous among the live VMs of the pool's hall, or of any hall when it has none.
+pub fn lead_of(control: &Control, key: &PoolKey, except: &[VmId]) -> Option<VmId> {
+    let name = format!("{}/{}", key.model, key.hall);
+    let is_alive = |vm: &VmId| control.membership.liveness(vm) == Some(Liveness::Alive);
+    let entries = control.directory.with_role(VmRole::Entry);
+    let mut alive: Vec<(VmId, bool)> = entries
+        .filter(|r| r.id != control.settings.vm && is_alive(&r.id) && !except.contains(&r.id))
+        .map(|r| (r.id.clone(), r.hall == key.hall))
+        .collect();
+    let stopping = control.shared.readiness() == crate::shared::Readiness::Stopping;
+    if !stopping && !except.contains(&control.settings.vm) {
+        alive.push((control.settings.vm.clone(), control.settings.hall == key.hall));
+    }
+    let near: Vec<&VmId> = alive.iter().filter(|(_, near)| *near).map(|(vm, _)| vm).collect();
+    if near.is_empty() {
+        return rendezvous::pick(&name, alive.iter().map(|(vm, _)| vm)).cloned();
+    }
+    rendezvous::pick(&name, near).cloned()
+}
+
+/// Gives a pool an event and carries out what follows.
+pub fn handle(control: &mut Control, key: &PoolKey, event: PoolEvent) {
+    let now = control.now();
+    let Some(led) = control.leads.pools.get_mut(key) else {
+        return;
+    };
+    let mut actions = Vec::new();
+    led.pool.handle(now, event, &mut actions);
+    let rest = led.answer(actions);
+    for action in rest {
+        carry_out(control, action);
+    }
+}
+
+fn carry_out(control: &Control, action: PoolAction) {
+    let api = control.engines.clone();
+    let address = |engine: &UpstreamId| control.directory.get(engine).map(|r| r.address);
+    match action {
+        PoolAction::SetPriority { engine, generation, priority } => {
+            if let Some(address) = address(&engine) {
+                tokio::task::spawn_local(api.set_priority(address, generation, priority));
+            }
+        }
+        PoolAction::Cancel { engine, generation } => {
+            info!(event = "abandoned", generation:% = format!("{generation:016x}"), engine = &*engine; "cancelled");
+            if let Some(address) = address(&engine) {
+                tokio::task::spawn_local(api.cancel(address, generation));
+            }
+        }
+        PoolAction::Grant { .. } | PoolAction::Refuse { .. } => {}
+    }
+}
+
+/// Places a request in a pool that this VM leads; waits in its queue. Dropping the
+/// future takes the request out.
+pub async fn place_here(control: &ControlRef, key: &PoolKey, request: PlaceRequest) -> Placement {
+    ensure_pool(control, key).await;
+    let (reply, rx) = oneshot::channel();
+    let generation = request.generation;
+    let withdrawal = Withdrawal { control, key, generation };
+    {
+        let mut control = control.borrow_mut();
+        if let Some(led) = control.leads.pools.get_mut(key) {
+            led.replies.insert(generation, reply);
+        }
+        handle(&mut control, key, PoolEvent::Place(request));
+    }
+    let placement = rx.await;
+    std::mem::forget(withdrawal);
+    placement.unwrap_or(Placement::Refused { code: Code::NoUpstream, retry_after: POLL_INTERVAL })
+}
+
+/// Takes a request out of the queue when its entry no longer waits.
+struct Withdrawal<'a> {
+    control: &'a ControlRef,
+    key: &'a PoolKey,
+    generation: GenerationId,
+}
+
+impl Drop for Withdrawal<'_> {
+    fn drop(&mut self) {
+        let Ok(mut control) = self.control.try_borrow_mut() else {
+            return;
+        };
+        if let Some(led) = control.leads.pools.get_mut(self.key) {
+            led.replies.remove(&self.generation);
+        }
+        handle(&mut control, self.key, PoolEvent::Withdraw(self.generation));
+    }
+}
+
+/// Makes the pool if it is new here, and waits a little for its engines' loads.
+async fn ensure_pool(control: &ControlRef, key: &PoolKey) {
+    if !create_pool(&mut control.borrow_mut(), key) {
+        return;
+    }
+    poll_due(control);
+    let until = tokio::time::Instant::now() + FIRST_LOADS;
+    while tokio::time::Instant::now() < until {
+        let ready = control.borrow().leads.pools.get(key).is_none_or(|led| {
+            !led.engines.is_empty() && led.engines.values().all(|e| e.known || e.failures > 0)
+        });
+        if ready {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn create_pool(control: &mut Control, key: &PoolKey) -> bool {
+    let Some(bundle) = control.shared.bundle() else {
+        return false;
+    };
+    if control.leads.pools.contains_key(key) {
+        return false;
+    }
+    info!(event = "lead", model = &*key.model, hall = &*key.hall; "leads the pool");
+    let pool = Pool::new(policy(&bundle), rand::rng().random());
+    let led = LedPool { pool, replies: HashMap::new(), engines: HashMap::new() };
+    control.leads.pools.insert(key.clone(), led);
+    list_engines(control);
+    true
+}
+
+/// Ticks the pools, reads loads that are due, and takes up or drops pools.
+pub fn tick(control: &ControlRef) {
+    {
+        let mut control = control.borrow_mut();
+        review_leads(&mut control);
+        list_engines(&mut control);
+        let keys: Vec<PoolKey> = control.leads.pools.keys().cloned().collect();
+        for key in keys {
+            handle(&mut control, &key, PoolEvent::Tick);
+        }
+    }
+    poll_due(control);
+}
+
+fn review_leads(control: &mut Control) {
+    let engines = control.directory.with_role(VmRole::Engine);
+    let mut keys: Vec<PoolKey> =
+        engines.map(|r| PoolKey { model: r.serves.clone(), hall: r.hall.clone() }).collect();
+    keys.sort();
+    keys.dedup();
+    keys.retain(|key| lead_of(control, key, &[]).as_ref() == Some(&control.settings.vm));
+    for key in &keys {
+        create_pool(control, key);
+    }
+    control.leads.pools.retain(|key, led| {
+        let kept = keys.contains(key) || !led.replies.is_empty();
+        if !kept {
+            info!(event = "lead_over", model = &*key.model, hall = &*key.hall; "no longer leads the pool");
+        }
+        kept
+    });
+}
+
+/// Brings the pools' engines in line with the VM list, the notices and the bundle.
+fn list_engines(control: &mut Control) {
+    let now = control.now();
+    let bundle = control.shared.bundle();
+    let mut leaving = Vec::new();
+    for (key, led) in &mut control.leads.pools {
+        let model = bundle.as_ref().and_then(|b| b.model(&key.model));
+        let records = control.directory.with_role(VmRole::Engine);
+        for record in records.filter(|r| r.serves == key.model && r.hall == key.hall) {
+            led.engines
+                .entry(record.id.clone())
+                .or_insert_with(|| PolledEngine { next_poll: now, ..Default::default() });
+        }
+        for id in led.engines.keys() {
+            let listed = control.directory.get(id).is_some();
+            let drained = model.is_some_and(|m| m.drained.contains(id));
+            if !listed || drained || control.directory.is_leaving(id) {
+                leaving.push((key.clone(), id.clone()));
+            }
+        }
+    }
+    for (key, id) in leaving {
+        handle(control, &key, PoolEvent::EngineLeaving(id));
+    }
+}
+
+fn poll_due(control: &ControlRef) {
+    let mut due = Vec::new();
+    {
+        let mut borrowed = control.borrow_mut();
+        let now = borrowed.now();
+        let Control { leads, directory, .. } = &mut *borrowed;
+        for (key, led) in &mut leads.pools {
+            for (id, engine) in led.engines.iter_mut().filter(|(_, e)| !e.polling && e.next_poll <= now) {
+                engine.polling = true;
+                due.push((key.clone(), id.clone(), directory.get(id).map(|r| r.address)));
+            }
+        }
+    }
+    for (key, id, address) in due {
+        let control = control.clone();
+        tokio::task::spawn_local(async move {
+            let api = control.borrow().engines.clone();
+            let report = match address {
+                Some(address) => api.load(address).await,
+                None => None,
+            };
+            on_poll(&mut control.borrow_mut(), &key, &id, report);
+        });
+    }
+}
+
+fn on_poll(control: &mut Control, key: &PoolKey, id: &UpstreamId, report: Option<EngineReport>) {
+    let now = control.now();
+    let jitter: f64 = rand::rng().random_range(0.8..1.2);
+    let Some(engine) = control.leads.pools.get_mut(key).and_then(|led| led.engines.get_mut(id)) else {
+        return;
+    };
+    engine.polling = false;
+    engine.next_poll = now + POLL_INTERVAL.mul_f64(jitter);
+    match report {
+        Some(report) => {
+            engine.failures = 0;
+            engine.known = true;
+            if report.leaving {
+                control.directory.on_leaving(id, now);
+            }
+            if !control.directory.is_leaving(id) {
+                handle(control, key, PoolEvent::EngineUp { engine: id.clone(), limits: report.limits() });
+                list_engines(control);
+            }
+            handle(control, key, PoolEvent::Load { engine: id.clone(), report: report.load() });
+        }
+        None => {
+            engine.failures += 1;
+            engine.known = false;
+            let gone = engine.failures >= GONE_AFTER;
+            let listed = control.directory.get(id).is_some();
+            let event =
+                if gone { PoolEvent::EngineGone(id.clone()) } else { PoolEvent::EngineLeaving(id.clone()) };
+            handle(control, key, event);
+            if gone
+                && !listed
+                && let Some(led) = control.leads.pools.get_mut(key)
+            {
+                led.engines.remove(id);
+            }
+        }
+    }
+}
+
+/// An entry lost an engine: it gets no new work until it answers again.
+pub fn on_lost(control: &mut Control, key: &PoolKey, id: &UpstreamId) {
+    let now = control.now();
+    if let Some(engine) = control.leads.pools.get_mut(key).and_then(|led| led.engines.get_mut(id)) {
+        engine.next_poll = now;
+    }
+    handle(control, key, PoolEvent::EngineLeaving(id.clone()));
+}
+
+/// Whether this VM's pool has a generation in its books.
+pub fn knows(control: &Control, key: &PoolKey, generation: GenerationId) -> bool {
+    control.leads.pools.get(key).is_some_and(|led| led.pool.knows(generation))
+}
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,178 @@
+//! `leadstaged`: the entry process of leadstage, one on each VM.
+
+mod admin;
+mod bundle_watch;
+mod call;
+mod chunk;
+mod claim_driver;
+mod control;
+mod control_message;
+mod decision_log;
+mod engine_api;
+mod entry;
+mod entry_book;
+mod filters;
+mod generation;
+mod leads;
+mod membership_driver;
+mod metrics;
+mod peer_server;
+mod peers;
+mod platform;
+mod readiness;
+mod refusal;
+mod settings;
+mod shared;
+mod status_report;
+mod stop;
+mod traffic;
+mod upstream_client;
+mod vm_watch;
+mod wire;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use leadstage_lib::checked_yaml::Problem;
+use lexopt::prelude::*;
+use log::error;
+use log::info;
+use tokio::sync::mpsc;
+
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// Exit code for wrong arguments or settings.
+const EXIT_USAGE: u8 = 2;
+/// Exit code for a failure at run time.
+const EXIT_FAILURE: u8 = 1;
+
+const HELP: &str = "\
+leadstaged: the entry process of leadstage
+
+Usage: leadstaged --config FILE [--check-config]
+
+  --config FILE    the node's settings, YAML; see docs/CONFIG.md
+  --check-config   check the settings and exit
+  --help           this text
+  --version        the version
+
+Exit codes: 0 stopped as planned, 1 failure, 2 wrong arguments or settings.
+Logs go to standard error; RUST_LOG sets their level (info by default).
+";
+
+#[derive(Debug, Display, Error, From)]
+enum StartError {
+    #[display("{_0}")]
+    Arguments(lexopt::Error),
+    #[display("--config FILE is missing")]
+    #[from(skip)]
+    NoConfig,
+    #[display("{}: {source}", path.display())]
+    #[from(skip)]
+    Unreadable { path: PathBuf, source: std::io::Error },
+    #[display("{} mistakes in the settings", problems.len())]
+    #[from(skip)]
+    Settings { problems: Vec<Problem> },
+}
+
+/// A task that panics would leave the node half alive; the fleet copes better with one
+/// that is gone.
+fn abort_on_panic() {
+    let usual = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        usual(panic);
+        std::process::abort();
+    }));
+}
+
+enum Command {
+    Run(Settings),
+    Print(String),
+}
+
+fn main() -> ExitCode {
+    let settings = match command() {
+        Ok(Command::Run(settings)) => settings,
+        Ok(Command::Print(text)) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(err) => {
+            eprintln!("leadstaged: {err}");
+            if let StartError::Settings { problems } = &err {
+                problems.iter().for_each(|problem| eprintln!("  {problem}"));
+            }
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    abort_on_panic();
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            error!(event = "failed", reason:% = err; "leadstaged failed");
+            ExitCode::from(EXIT_FAILURE)
+        }
+    }
+}
+
+fn command() -> Result<Command, StartError> {
+    let mut path = None;
+    let mut check_only = false;
+    let mut args = lexopt::Parser::from_env();
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("config") => path = Some(PathBuf::from(args.value()?)),
+            Long("check-config") => check_only = true,
+            Long("help") | Short('h') => return Ok(Command::Print(HELP.to_owned())),
+            Long("version") => {
+                return Ok(Command::Print(format!("leadstaged {}\n", env!("CARGO_PKG_VERSION"))));
+            }
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    let path = path.ok_or(StartError::NoConfig)?;
+    let yaml = std::fs::read_to_string(&path).map_err(|source| StartError::Unreadable { path, source })?;
+    let settings = Settings::from_yaml(&yaml).map_err(|problems| StartError::Settings { problems })?;
+    if check_only {
+        return Ok(Command::Print("the settings are right\n".to_owned()));
+    }
+    Ok(Command::Run(settings))
+}
+
+fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+    let (tx, rx) = mpsc::unbounded_channel();
+    let metrics = Metrics::new()?;
+    let shared = Arc::new(Shared::new(settings.vm.clone(), settings.hall.clone(), tx, metrics));
+    info!(event = "start", vm = &*settings.vm, hall = &*settings.hall, listen:% = settings.listen; "leadstaged starts");
+    spawn("traffic", settings.clone(), shared.clone(), traffic::serve);
+    spawn("admin", settings.clone(), shared.clone(), admin::serve);
+    control::run(settings, shared, rx)?;
+    Ok(())
+}
+
+/// Runs a server on a thread of its own; the process ends if it fails.
+fn spawn(
+    name: &'static str,
+    settings: Settings,
+    shared: Arc<Shared>,
+    serve: fn(&Settings, Arc<Shared>) -> std::io::Result<()>,
+) {
+    let thread = std::thread::Builder::new().name(name.to_owned());
+    let body = move || {
+        if let Err(err) = serve(&settings, shared) {
+            error!(event = "failed", server = name, reason:% = err; "a server failed");
+            std::process::exit(i32::from(EXIT_FAILURE));
+        }
+    };
+    if let Err(err) = thread.spawn(body) {
+        error!(event = "failed", server = name, reason:% = err; "no thread");
+        std::process::exit(i32::from(EXIT_FAILURE));
+    }
+}
--- /dev/null
+++ b/node/src/membership_driver.rs
@@ -0,0 +1,111 @@
+//! Drives [`leadstage_lib::membership`]: probes peers and carries news.
+
+use std::time::Duration;
+
+use leadstage_lib::ids::VmId;
+use leadstage_lib::membership::MembershipAction;
+
+use crate::bundle_watch;
+use crate::control::Control;
+use crate::control::ControlRef;
+use crate::peers;
+use crate::vm_watch;
+use crate::wire::Gossip;
+
+/// A gap between two ticks that means that the process was frozen.
+pub const PAUSE: Duration = Duration::from_secs(3);
+/// Leaving upstreams named in one message at most.
+const MAX_LEAVING: usize = 32;
+
+/// Probes whom it is time to probe.
+pub fn tick(control: &ControlRef) {
+    let actions = {
+        let mut control = control.borrow_mut();
+        let now = control.now();
+        let actions = control.membership.tick(now);
+        control.on_membership(&actions);
+        actions
+    };
+    for action in actions {
+        if let MembershipAction::Probe { target } = action {
+            tokio::task::spawn_local(probe(control.clone(), target));
+        }
+    }
+}
+
+async fn probe(control: ControlRef, target: VmId) {
+    let gossip = gossip(&mut control.borrow_mut());
+    let answer = peers::probe(&control, &target, &gossip).await;
+    let vias = {
+        let mut control = control.borrow_mut();
+        let now = control.now();
+        let actions = control.membership.on_probe(&target, answer.is_ok(), now);
+        control.on_membership(&actions);
+        vias_of(actions)
+    };
+    if let Ok(gossip) = answer {
+        on_gossip(&control, &gossip);
+    }
+    if !vias.is_empty() {
+        probe_via(&control, vias, &target).await;
+    }
+}
+
+fn vias_of(actions: Vec<MembershipAction>) -> Vec<VmId> {
+    let via = |action| match action {
+        MembershipAction::ProbeVia { via, .. } => Some(via),
+        _ => None,
+    };
+    actions.into_iter().filter_map(via).collect()
+}
+
+async fn probe_via(control: &ControlRef, vias: Vec<VmId>, target: &VmId) {
+    let calls = vias.iter().map(|via| peers::probe_for(control, via, target));
+    let answers = futures::future::join_all(calls).await;
+    let alive = answers.iter().any(|answer| matches!(answer, Ok(true)));
+    let mut control = control.borrow_mut();
+    let now = control.now();
+    let actions = control.membership.on_indirect(target, alive, now);
+    control.on_membership(&actions);
+}
+
+/// What this VM tells on its next message.
+pub fn gossip(control: &mut Control) -> Gossip {
+    Gossip {
+        from: control.settings.vm.clone(),
+        news: control.membership.news(),
+        bundle: control.shared.bundle().map_or(0, |b| b.number),
+        leaving: control.directory.leaving().take(MAX_LEAVING).cloned().collect(),
+    }
+}
+
+/// Takes a peer's news in; a newer bundle is fetched from it.
+pub fn on_gossip(control: &ControlRef, gossip: &Gossip) {
+    let newer = {
+        let mut control = control.borrow_mut();
+        let now = control.now();
+        let mut actions = control.membership.heard_from(&gossip.from, now);
+        actions.extend(control.membership.on_news(&gossip.news, now));
+        control.on_membership(&actions);
+        let mut fresh = false;
+        for upstream in &gossip.leaving {
+            fresh |= control.directory.on_leaving(upstream, now);
+        }
+        if fresh {
+            vm_watch::publish(&control);
+        }
+        gossip.bundle > control.shared.bundle().map_or(0, |b| b.number)
+    };
+    if newer {
+        tokio::task::spawn_local(fetch(control.clone(), gossip.from.clone()));
+    }
+}
+
+async fn fetch(control: ControlRef, from: VmId) {
+    let above = control.borrow().shared.bundle().map_or(0, |b| b.number);
+    if let Ok(bytes) = peers::fetch_bundle(&control, &from, above).await
+        && !bytes.is_empty()
+    {
+        bundle_watch::consider(&control, &bytes, &from);
+    }
+}
--- /dev/null
+++ b/node/src/metrics.rs
@@ -0,0 +1,114 @@
+//! The metrics, by opentelemetry, exported as Prometheus text. docs/OPERATIONS.md
+//! has the table. Label values are bounded: codes, and organisations of the bundle.
+
+use std::time::Duration;
+
+use leadstage_lib::code::Code;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry::metrics::UpDownCounter;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Upper edges of the time histograms, in seconds.
+const SECONDS: [f64; 14] = [0.001, 0.005, 0.01, 0.02, 0.033, 0.05, 0.1, 0.2, 0.34, 0.5, 1.0, 2.0, 5.0, 10.0];
+
+/// The instruments.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    tokens: Counter<u64>,
+    resumes: Counter<u64>,
+    open: UpDownCounter<i64>,
+    first_token: Histogram<f64>,
+    token_gap: Histogram<f64>,
+    stall: Histogram<f64>,
+    call: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Makes the instruments with a registry of their own.
+    pub fn new() -> Result<Self, Box<dyn std::error::Error>> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("leadstage");
+        let seconds = |name: &'static str, what: &'static str| {
+            let builder = meter.f64_histogram(name).with_unit("s").with_description(what);
+            builder.with_boundaries(SECONDS.to_vec()).build()
+        };
+        let counter =
+            |name: &'static str, what: &'static str| meter.u64_counter(name).with_description(what).build();
+        Ok(Metrics {
+            requests: counter("leadstage.requests", "Requests answered, by organisation and result code"),
+            tokens: counter("leadstage.stream.tokens", "Tokens passed on to callers"),
+            resumes: counter("leadstage.stream.resumes", "Engine links resumed after a break or a stall"),
+            open: meter
+                .i64_up_down_counter("leadstage.requests.open")
+                .with_description("Requests open")
+                .build(),
+            first_token: seconds("leadstage.stream.first_token", "From the request to its first token"),
+            token_gap: seconds("leadstage.stream.token_gap", "Between two tokens of a stream"),
+            stall: seconds("leadstage.stream.stall", "Time without progress, for each stream"),
+            call: seconds("leadstage.call.duration", "Plain calls"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// A request was answered.
+    pub fn on_answer(&self, organisation: &str, code: Code) {
+        let labels = [
+            KeyValue::new("organisation", organisation.to_owned()),
+            KeyValue::new("code", i64::from(code.number())),
+        ];
+        self.requests.add(1, &labels);
+    }
+
+    /// Tokens were passed on.
+    pub fn on_tokens(&self, tokens: u64) {
+        self.tokens.add(tokens, &[]);
+    }
+
+    /// An engine link was resumed.
+    pub fn on_resume(&self) {
+        self.resumes.add(1, &[]);
+    }
+
+    /// A request opened (1) or closed (-1).
+    pub fn on_open(&self, change: i64) {
+        self.open.add(change, &[]);
+    }
+
+    /// A first token was passed on.
+    pub fn on_first_token(&self, after: Duration) {
+        self.first_token.record(after.as_secs_f64(), &[]);
+    }
+
+    /// A later token was passed on.
+    pub fn on_token_gap(&self, gap: Duration) {
+        self.token_gap.record(gap.as_secs_f64(), &[]);
+    }
+
+    /// A stream ended that had sat without progress for so long.
+    pub fn on_stall(&self, stall: Duration) {
+        self.stall.record(stall.as_secs_f64(), &[]);
+    }
+
+    /// A plain call was answered.
+    pub fn on_call(&self, took: Duration) {
+        self.call.record(took.as_secs_f64(), &[]);
+    }
+
+    /// The Prometheus text.
+    pub fn text(&self) -> String {
+        let mut buf = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
+        encoded.map(|()| String::from_utf8_lossy(&buf).into_owned()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/node/src/peers.rs
@@ -0,0 +1,285 @@
+//! Calls to other entry VMs over capnp-rpc. Connections are made when needed and
+//! dropped after a failure, so that a link that stalls without breaking is replaced.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use futures::AsyncReadExt;
+use leadstage_lib::claims::ClaimOutcome;
+use leadstage_lib::claims::Nonce;
+use leadstage_lib::code::Code;
+use leadstage_lib::ids::BundleNumber;
+use leadstage_lib::ids::GenerationId;
+use leadstage_lib::ids::VmId;
+use leadstage_lib::membership::Liveness;
+use leadstage_lib::pool_event::PlaceRequest;
+use leadstage_proto::peer_capnp::ClaimState;
+use leadstage_proto::peer_capnp::peer;
+use leadstage_proto::peer_capnp::place_outcome;
+use tokio::net::TcpStream;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::control::ControlRef;
+use crate::control_message::Claimed;
+use crate::entry_book::Line;
+use crate::leads::Placement;
+use crate::leads::PoolKey;
+use crate::wire;
+use crate::wire::Gossip;
+
+/// Time for a connection to a peer.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// Time for a call that is answered at once.
+const CALL_LIMIT: Duration = Duration::from_millis(500);
+/// Time for a claim: a commit interval, a read and a write.
+const CLAIM_LIMIT: Duration = Duration::from_millis(1_500);
+/// While a call waits in a lead's queue, the lead's liveness is looked at this often.
+const LIVENESS_CHECK: Duration = Duration::from_millis(100);
+
+/// A call to a peer failed; it may have been carried out.
+#[derive(Debug, Display, Error, From)]
+pub enum PeerError {
+    /// The VM list does not name the peer.
+    #[display("the peer is not in the VM list")]
+    Unknown,
+    /// No connection.
+    #[display("no connection: {_0}")]
+    Connect(std::io::Error),
+    /// The call failed.
+    #[display("the call failed: {_0}")]
+    Call(capnp::Error),
+    /// No answer in time, or the peer is suspected.
+    #[display("no answer")]
+    NoAnswer,
+    /// The answer is none that this version knows.
+    #[display("malformed answer")]
+    Malformed,
+}
+
+/// Open connections by VM.
+#[derive(Default)]
+pub struct Peers {
+    clients: HashMap<VmId, peer::Client>,
+}
+
+impl Peers {
+    /// Drops the connection to a VM; the next call makes a new one.
+    pub fn forget(&mut self, vm: &VmId) {
+        self.clients.remove(vm);
+    }
+}
+
+async fn client(control: &ControlRef, vm: &VmId) -> Result<peer::Client, PeerError> {
+    let address = {
+        let control = control.borrow();
+        if let Some(client) = control.peers.clients.get(vm) {
+            return Ok(client.clone());
+        }
+        control.directory.get(vm).map(|r| r.address).ok_or(PeerError::Unknown)?
+    };
+    let client = connect(address).await?;
+    control.borrow_mut().peers.clients.insert(vm.clone(), client.clone());
+    Ok(client)
+}
+
+async fn connect(address: SocketAddr) -> Result<peer::Client, PeerError> {
+    let connecting = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address));
+    let stream = connecting.await.map_err(|_| PeerError::NoAnswer)??;
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.compat().split();
+    let network = Box::new(VatNetwork::new(reader, writer, Side::Client, Default::default()));
+    let mut system = RpcSystem::new(network, None);
+    let client = system.bootstrap(Side::Server);
+    tokio::task::spawn_local(system);
+    Ok(client)
+}
+
+/// Waits for a call within `limit`; a failure drops the connection.
+async fn finish<T>(
+    control: &ControlRef,
+    vm: &VmId,
+    limit: Duration,
+    call: impl Future<Output = Result<T, capnp::Error>>,
+) -> Result<T, PeerError> {
+    let result = match tokio::time::timeout(limit, call).await {
+        Ok(result) => result.map_err(PeerError::from),
+        Err(_) => Err(PeerError::NoAnswer),
+    };
+    if result.is_err() {
+        control.borrow_mut().peers.forget(vm);
+    }
+    result
+}
+
+/// Asks a lead for an engine; waits in its queue for as long as the lead is alive.
+pub async fn place(
+    control: &ControlRef,
+    lead: &VmId,
+    key: &PoolKey,
+    request: &PlaceRequest,
+) -> Result<Placement, PeerError> {
+    let client = client(control, lead).await?;
+    let mut call = client.place_request();
+    wire::write_place(call.get().init_req(), key, request);
+    let limit = control.borrow().shared.bundle().map_or(CALL_LIMIT, |b| b.bounds.max_wait) + 2 * CALL_LIMIT;
+    let promise = finish(control, lead, limit, call.send().promise);
+    let answer = tokio::select! {
+        answer = promise => answer?,
+        () = until_suspected(control, lead) => return Err(PeerError::NoAnswer),
+    };
+    read_placement(answer.get()?.get_outcome()?)
+}
+
+async fn until_suspected(control: &ControlRef, vm: &VmId) {
+    loop {
+        tokio::time::sleep(LIVENESS_CHECK).await;
+        if control.borrow().membership.liveness(vm) != Some(Liveness::Alive) {
+            return;
+        }
+    }
+}
+
+fn read_placement(outcome: place_outcome::Reader<'_>) -> Result<Placement, PeerError> {
+    match outcome.which().map_err(|_| PeerError::Malformed)? {
+        place_outcome::Granted(granted) => {
+            let upstream = wire::text(granted.get_upstream()?)?;
+            Ok(Placement::Granted { upstream: upstream.into(), priority: granted.get_priority() })
+        }
+        place_outcome::Refused(refused) => {
+            let code = Code::from_number(refused.get_code()).ok_or(PeerError::Malformed)?;
+            let retry_after = Duration::from_millis(u64::from(refused.get_retry_after_ms()));
+            Ok(Placement::Refused { code, retry_after })
+        }
+    }
+}
+
+/// Reports generations of one pool to its lead; returns those that it needs all about.
+pub async fn report(
+    control: &ControlRef,
+    lead: &VmId,
+    key: &PoolKey,
+    lines: &[Line],
+) -> Result<Vec<GenerationId>, PeerError> {
+    let client = client(control, lead).await?;
+    let mut call = client.report_request();
+    {
+        let mut params = call.get();
+        params.set_entry(&*control.borrow().settings.vm);
+        params.set_model(&*key.model);
+        params.set_hall(&*key.hall);
+        let mut batch = params.init_batch(lines.len() as u32);
+        for (at, line) in lines.iter().enumerate() {
+            wire::write_line(batch.reborrow().get(at as u32), line);
+        }
+    }
+    let answer = finish(control, lead, CALL_LIMIT, call.send().promise).await?;
+    Ok(answer.get()?.get_unknown()?.iter().collect())
+}
+
+/// Probes a peer with news, and returns its news.
+pub async fn probe(control: &ControlRef, vm: &VmId, gossip: &Gossip) -> Result<Gossip, PeerError> {
+    let client = client(control, vm).await?;
+    let mut call = client.probe_request();
+    wire::write_gossip(call.get().init_gossip(), gossip);
+    let answer = finish(control, vm, CALL_LIMIT, call.send().promise).await?;
+    Ok(wire::read_gossip(answer.get()?.get_gossip()?)?)
+}
+
+/// Asks a peer to probe another one.
+pub async fn probe_for(control: &ControlRef, via: &VmId, target: &VmId) -> Result<bool, PeerError> {
+    let client = client(control, via).await?;
+    let mut call = client.probe_for_request();
+    call.get().set_target(&**target);
+    let answer = finish(control, via, 2 * CALL_LIMIT, call.send().promise).await?;
+    Ok(answer.get()?.get_alive())
+}
+
+/// Fetches the peer's bundle if its number is above `above`; empty otherwise.
+pub async fn fetch_bundle(
+    control: &ControlRef,
+    vm: &VmId,
+    above: BundleNumber,
+) -> Result<Vec<u8>, PeerError> {
+    let client = client(control, vm).await?;
+    let mut call = client.fetch_bundle_request();
+    call.get().set_above(above);
+    let answer = finish(control, vm, 2 * CALL_LIMIT, call.send().promise).await?;
+    Ok(answer.get()?.get_envelope()?.to_vec())
+}
+
+/// A claim for a shard whose preferred writer is another VM.
+#[derive(Clone, Debug)]
+pub struct RemoteClaim<'a> {
+    /// The shard.
+    pub shard: u32,
+    /// The key.
+    pub key: &'a str,
+    /// The arrival.
+    pub nonce: Nonce,
+    /// Hash of the request.
+    pub digest: &'a str,
+}
+
+/// Claims a key through the shard's preferred writer. After an error the claim may
+/// have taken effect; the same nonce finds it.
+pub async fn claim(
+    control: &ControlRef,
+    writer: &VmId,
+    claim: &RemoteClaim<'_>,
+) -> Result<Claimed, PeerError> {
+    let client = client(control, writer).await?;
+    let mut call = client.claim_request();
+    {
+        let mut params = call.get();
+        params.set_shard(claim.shard);
+        params.set_key(claim.key);
+        params.set_nonce(claim.nonce);
+        params.set_digest(claim.digest);
+        params.set_by(&*control.borrow().settings.vm);
+    }
+    let answer = finish(control, writer, CLAIM_LIMIT, call.send().promise).await?;
+    let reply = answer.get()?.get_reply()?;
+    let state = reply.get_state().map_err(|_| PeerError::Malformed)?;
+    match state {
+        ClaimState::Claimed => Ok(Claimed::Owned),
+        ClaimState::Known => {
+            let outcome: ClaimOutcome =
+                serde_json::from_slice(reply.get_outcome()?).map_err(|_| PeerError::Malformed)?;
+            Ok(Claimed::Outcome(outcome))
+        }
+        ClaimState::Refused => {
+            let code = Code::from_number(reply.get_code()).ok_or(PeerError::Malformed)?;
+            let retry_after = Duration::from_millis(u64::from(reply.get_retry_after_ms()));
+            Ok(Claimed::Refused { code, retry_after })
+        }
+    }
+}
+
+/// Records an outcome through the shard's preferred writer.
+pub async fn record(
+    control: &ControlRef,
+    writer: &VmId,
+    shard: u32,
+    key: &str,
+    nonce: Nonce,
+    outcome: &ClaimOutcome,
+) -> Result<(), PeerError> {
+    let client = client(control, writer).await?;
+    let mut call = client.record_request();
+    {
+        let mut params = call.get();
+        params.set_shard(shard);
+        params.set_key(key);
+        params.set_nonce(nonce);
+        params.set_outcome(&serde_json::to_vec(outcome).expect("plain data serialises"));
+    }
+    finish(control, writer, CLAIM_LIMIT, call.send().promise).await?;
+    Ok(())
+}
--- /dev/null
+++ b/node/src/platform.rs
@@ -0,0 +1,154 @@
+//! The client of the platform's object API and VM list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use leadstage_lib::upstreams::VmRecord;
+
+/// A call without an answer for this long counts as failed.
+const CALL_LIMIT: Duration = Duration::from_millis(1_000);
+/// A watch waits this long for a change.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Bytes of an answer at most.
+const ANSWER_LIMIT: usize = 4 << 20;
+
+/// A call to the platform failed.
+#[derive(Debug, Display, Error)]
+pub enum PlatformError {
+    /// No answer in time, or no connection.
+    #[display("no answer: {reason}")]
+    NoAnswer {
+        /// What the client said.
+        reason: String,
+    },
+    /// An answer that is no success.
+    #[display("HTTP status {status}")]
+    Status {
+        /// The status.
+        status: u16,
+    },
+}
+
+/// What a read found.
+#[derive(Debug)]
+pub enum Read {
+    /// The object with its version.
+    Found {
+        /// Its version.
+        version: u64,
+        /// Its value.
+        value: Bytes,
+    },
+    /// There is no such object.
+    Absent,
+    /// The watch ended without a change.
+    Unchanged,
+}
+
+/// How a conditional update ended.
+#[derive(Debug)]
+pub enum Written {
+    /// It took effect.
+    Done {
+        /// The new version.
+        version: u64,
+    },
+    /// The object had another version.
+    Conflict,
+}
+
+/// The client; clones share their connections.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Platform {
+    /// A client of the platform at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CALL_LIMIT));
+        Platform { address, client: Client::builder(TokioExecutor::new()).build(connector) }
+    }
+
+    async fn call(
+        &self,
+        req: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<(u16, Option<u64>, Bytes), PlatformError> {
+        let no_answer = |reason: String| PlatformError::NoAnswer { reason };
+        let exchange = async {
+            let res = self.client.request(req).await.map_err(|err| no_answer(err.to_string()))?;
+            let status = res.status().as_u16();
+            let etag = res.headers().get("etag").and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
+            let body = Limited::new(res.into_body(), ANSWER_LIMIT).collect().await;
+            let body = body.map_err(|err| no_answer(err.to_string()))?.to_bytes();
+            Ok((status, etag, body))
+        };
+        match tokio::time::timeout(limit, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => Err(no_answer(format!("nothing within {limit:?}"))),
+        }
+    }
+
+    fn get_request(&self, path: &str) -> Request<Full<Bytes>> {
+        let uri = format!("http://{}{path}", self.address);
+        Request::get(uri).body(Full::default()).expect("a valid request")
+    }
+
+    /// Reads an object.
+    pub async fn read(&self, key: &str) -> Result<Read, PlatformError> {
+        let req = self.get_request(&format!("/v1/objects/{key}"));
+        Self::as_read(self.call(req, CALL_LIMIT).await?)
+    }
+
+    /// Waits until an object has a higher version than `after`.
+    pub async fn watch(&self, key: &str, after: u64) -> Result<Read, PlatformError> {
+        let wait = WATCH_WAIT.as_millis();
+        let req = self.get_request(&format!("/v1/objects/{key}?after={after}&wait_ms={wait}"));
+        Self::as_read(self.call(req, WATCH_WAIT + CALL_LIMIT).await?)
+    }
+
+    fn as_read((status, etag, value): (u16, Option<u64>, Bytes)) -> Result<Read, PlatformError> {
+        match (status, etag) {
+            (200, Some(version)) => Ok(Read::Found { version, value }),
+            (404, _) => Ok(Read::Absent),
+            (304, _) => Ok(Read::Unchanged),
+            _ => Err(PlatformError::Status { status }),
+        }
+    }
+
+    /// Writes an object if it still has version `expected`, 0 for absent. An error
+    /// may mean that it took effect.
+    pub async fn write(&self, key: &str, expected: u64, value: Vec<u8>) -> Result<Written, PlatformError> {
+        let uri = format!("http://{}/v1/objects/{key}", self.address);
+        let req = Request::put(uri).header("if-match", expected.to_string());
+        let req = req.body(Full::from(value)).expect("a valid request");
+        match self.call(req, CALL_LIMIT).await? {
+            (200, Some(version), _) => Ok(Written::Done { version }),
+            (412, _, _) => Ok(Written::Conflict),
+            (status, _, _) => Err(PlatformError::Status { status }),
+        }
+    }
+
+    /// Reads the VM list.
+    pub async fn vms(&self) -> Result<Vec<VmRecord>, PlatformError> {
+        let (status, _, body) = self.call(self.get_request("/v1/vms"), CALL_LIMIT).await?;
+        if status != 200 {
+            return Err(PlatformError::Status { status });
+        }
+        serde_json::from_slice(&body).map_err(|err| PlatformError::NoAnswer { reason: err.to_string() })
+    }
+}
--- /dev/null
+++ b/node/src/readiness.rs
@@ -0,0 +1,32 @@
+//! Whether the balancer may send requests to this node.
+
+use leadstage_lib::ids::Timestamp;
+use log::info;
+
+use crate::control::Control;
+use crate::shared::Readiness;
+
+/// Works the readiness out anew.
+///
+/// A node without a bundle is not ready. One that for longer than the bound has
+/// reached neither the object API nor any peer that should be alive cannot know of a
+/// newer bundle and is not ready either; an outage of the object API alone never
+/// does that.
+pub fn update(control: &mut Control) {
+    let before = control.shared.readiness();
+    let now = control.now();
+    let readiness = match control.shared.bundle() {
+        None => Readiness::NoBundle,
+        Some(bundle) => {
+            let bound = bundle.bounds.alone_within;
+            let recent = |at: Option<Timestamp>| at.is_some_and(|at| now.saturating_sub(at) <= bound);
+            let reached = recent(control.platform_contact) || recent(control.membership.last_contact());
+            if reached || !control.membership.has_peers() { Readiness::Ready } else { Readiness::Alone }
+        }
+    };
+    control.shared.set_readiness(readiness);
+    let after = control.shared.readiness();
+    if before != after {
+        info!(event = "readiness", readiness:? = after; "readiness changed");
+    }
+}
--- /dev/null
+++ b/node/src/refusal.rs
@@ -0,0 +1,100 @@
+//! The answer to a request that got no result: the OpenAI error shape with the
+//! numbered code, and `Retry-After` where coming back helps.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use leadstage_lib::code::AskAgain;
+use leadstage_lib::code::Code;
+use serde_json::json;
+use xitca_web::body::ResponseBody;
+use xitca_web::http::HeaderValue;
+use xitca_web::http::WebResponse;
+
+use crate::control_message::NotPlaced;
+
+/// When to come back where nothing better is known.
+const USUAL_RETRY: Duration = Duration::from_secs(1);
+
+/// Why a request gets no result.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// The code.
+    pub code: Code,
+    /// When to come back; told only where coming back helps.
+    pub retry_after: Duration,
+    /// What exactly is wrong.
+    pub detail: String,
+}
+
+impl Refusal {
+    /// A refusal with the code's own meaning.
+    pub fn new(code: Code) -> Self {
+        Refusal::with_detail(code, code.meaning())
+    }
+
+    /// A refusal that says more.
+    pub fn with_detail(code: Code, detail: impl Into<String>) -> Self {
+        Refusal { code, retry_after: USUAL_RETRY, detail: detail.into() }
+    }
+
+    /// A refusal that says when to come back.
+    pub fn later(code: Code, retry_after: Duration) -> Self {
+        Refusal { retry_after, ..Refusal::new(code) }
+    }
+
+    fn tells_retry(&self) -> bool {
+        matches!(self.code.ask_again(), AskAgain::Later | AskAgain::SameKey)
+    }
+
+    /// The JSON body.
+    pub fn body(&self, request: u64) -> String {
+        let retry_after_ms = self.tells_retry().then_some(self.retry_after.as_millis() as u64);
+        json!({
+            "error": {
+                "message": self.detail,
+                "type": self.code.name(),
+                "param": null,
+                "code": self.code.number(),
+                "ran": self.code.ran().to_string(),
+                "retry_after_ms": retry_after_ms,
+                "request_id": format!("{request:016x}"),
+            }
+        })
+        .to_string()
+    }
+
+    /// The HTTP response.
+    pub fn response(&self, request: u64) -> WebResponse {
+        let mut res = json_response(self.code.http_status(), self.body(request), request);
+        let headers = res.headers_mut();
+        headers.insert("x-leadstage-code", HeaderValue::from(self.code.number()));
+        if self.tells_retry() {
+            let seconds = self.retry_after.as_millis().div_ceil(1_000).max(1) as u64;
+            headers.insert("retry-after", HeaderValue::from(seconds));
+        }
+        res
+    }
+}
+
+impl From<NotPlaced> for Refusal {
+    fn from(not_placed: NotPlaced) -> Self {
+        Refusal::later(not_placed.code, not_placed.retry_after)
+    }
+}
+
+/// A response with a JSON body and the request's id.
+pub fn json_response(status: u16, body: impl Into<Bytes>, request: u64) -> WebResponse {
+    let body: Bytes = body.into();
+    let mut res = WebResponse::new(ResponseBody::from(body));
+    *res.status_mut() = status.try_into().unwrap_or_default();
+    let headers = res.headers_mut();
+    headers.insert("content-type", HeaderValue::from_static("application/json"));
+    headers.insert("x-request-id", id_header(request));
+    res
+}
+
+/// A request's id as a header.
+pub fn id_header(request: u64) -> HeaderValue {
+    HeaderValue::try_from(format!("{request:016x}")).expect("hex digits are a valid header")
+}
--- /dev/null
+++ b/node/src/shared.rs
@@ -0,0 +1,250 @@
+//! What the control thread publishes and the traffic threads read.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use leadstage_lib::bundle::Bundle;
+use leadstage_lib::burn::BurnCounts;
+use leadstage_lib::burn::Indicator;
+use leadstage_lib::ids::HallId;
+use leadstage_lib::ids::OrganisationId;
+use leadstage_lib::ids::UpstreamId;
+use leadstage_lib::ids::VmId;
+use leadstage_lib::retry::RetryBudget;
+use leadstage_lib::rollout::InForce;
+use leadstage_lib::status::NodeStatus;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::control_message::ControlMessage;
+use crate::decision_log::DecisionLog;
+use crate::metrics::Metrics;
+
+/// Whether the balancer may send requests here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    /// No bundle yet.
+    NoBundle,
+    /// Yes.
+    Ready,
+    /// Neither the object API nor a peer was reached within the bound.
+    Alone,
+    /// A planned stop has begun.
+    Stopping,
+}
+
+/// An upstream that can be called.
+#[derive(Clone, Debug)]
+pub struct UpstreamAddress {
+    /// Its id.
+    pub id: UpstreamId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The hall that it is in.
+    pub hall: HallId,
+    /// The model or service that it serves.
+    pub serves: String,
+    /// Whether it may get new work.
+    pub usable: bool,
+}
+
+/// All upstreams, by id.
+pub type UpstreamTable = HashMap<UpstreamId, UpstreamAddress>;
+
+/// State between the control thread and the traffic threads.
+pub struct Shared {
+    /// This VM.
+    pub vm: VmId,
+    /// Its hall.
+    pub hall: HallId,
+    /// To the control thread.
+    pub control: UnboundedSender<ControlMessage>,
+    /// The metrics' instruments.
+    pub metrics: Metrics,
+    /// The last decisions, by request.
+    pub decisions: Mutex<DecisionLog>,
+    /// Retries that are left.
+    pub retries: Mutex<RetryBudget>,
+    /// The planned stop's bound is reached: streams end now.
+    pub stop_now: AtomicBool,
+    in_force: RwLock<Option<InForce>>,
+    readiness: RwLock<Readiness>,
+    upstreams: RwLock<Arc<UpstreamTable>>,
+    status: RwLock<NodeStatus>,
+    burn: Mutex<BurnCounts>,
+    open: AtomicU32,
+    open_by_organisation: Mutex<HashMap<OrganisationId, u32>>,
+}
+
+/// Milliseconds since the Unix epoch.
+pub fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder panics")
+}
+
+impl Shared {
+    /// The state of a node that has just started.
+    pub fn new(vm: VmId, hall: HallId, control: UnboundedSender<ControlMessage>, metrics: Metrics) -> Self {
+        Shared {
+            vm,
+            hall,
+            control,
+            metrics,
+            decisions: Mutex::default(),
+            retries: Mutex::new(RetryBudget::new(0.1)),
+            stop_now: AtomicBool::new(false),
+            in_force: RwLock::new(None),
+            readiness: RwLock::new(Readiness::NoBundle),
+            upstreams: RwLock::default(),
+            status: RwLock::default(),
+            burn: Mutex::default(),
+            open: AtomicU32::new(0),
+            open_by_organisation: Mutex::default(),
+        }
+    }
+
+    /// The bundle in force with its envelope.
+    pub fn in_force(&self) -> Option<InForce> {
+        self.in_force.read().expect("no holder panics").clone()
+    }
+
+    /// The bundle in force.
+    pub fn bundle(&self) -> Option<Arc<Bundle>> {
+        self.in_force.read().expect("no holder panics").as_ref().map(|f| f.bundle.clone())
+    }
+
+    /// Puts a bundle in force; a lower or equal number is not taken.
+    pub fn set_in_force(&self, new: InForce) -> bool {
+        let mut current = self.in_force.write().expect("no holder panics");
+        let newer = current.as_ref().is_none_or(|f| f.bundle.number < new.bundle.number);
+        if newer {
+            locked(&self.retries).set_ratio(new.bundle.bounds.retry_ratio);
+            *current = Some(new);
+        }
+        newer
+    }
+
+    /// Whether the balancer may send requests here.
+    pub fn readiness(&self) -> Readiness {
+        *self.readiness.read().expect("no holder panics")
+    }
+
+    /// Sets it; a stop is never taken back.
+    pub fn set_readiness(&self, new: Readiness) {
+        let mut current = self.readiness.write().expect("no holder panics");
+        if *current != Readiness::Stopping {
+            *current = new;
+        }
+    }
+
+    /// All upstreams.
+    pub fn upstreams(&self) -> Arc<UpstreamTable> {
+        self.upstreams.read().expect("no holder panics").clone()
+    }
+
+    /// Publishes the upstreams.
+    pub fn set_upstreams(&self, table: UpstreamTable) {
+        *self.upstreams.write().expect("no holder panics") = Arc::new(table);
+    }
+
+    /// The latest status.
+    pub fn status(&self) -> NodeStatus {
+        self.status.read().expect("no holder panics").clone()
+    }
+
+    /// Publishes the status.
+    pub fn set_status(&self, status: NodeStatus) {
+        *self.status.write().expect("no holder panics") = status;
+    }
+
+    /// Counts an event against its objective.
+    pub fn observe(&self, indicator: Indicator, good: bool) {
+        let minute = unix_millis() / 60_000;
+        locked(&self.burn).observe(indicator, good, minute);
+    }
+
+    /// The burn counts.
+    pub fn burn(&self) -> BurnCounts {
+        locked(&self.burn).clone()
+    }
+
+    /// Notes a decision for `leadstage explain`.
+    pub fn note(&self, request: u64, filter: &'static str, what: String) {
+        locked(&self.decisions).note(request, unix_millis(), filter, what);
+    }
+
+    /// A request came: it adds to the retry budget.
+    pub fn on_request(&self) {
+        locked(&self.retries).on_request();
+    }
+
+    /// Takes a retry from the budget.
+    pub fn take_retry(&self) -> bool {
+        locked(&self.retries).take()
+    }
+
+    /// Requests open now.
+    pub fn open(&self) -> u32 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as open until the guard is dropped; `None` at a limit.
+    pub fn open_guard(
+        self: &Arc<Self>,
+        organisation: &OrganisationId,
+        most: u32,
+        most_all: u32,
+    ) -> Result<OpenGuard, OpenLimit> {
+        let mut counts = locked(&self.open_by_organisation);
+        if self.open() >= most_all {
+            return Err(OpenLimit::Node);
+        }
+        let count = counts.entry(organisation.clone()).or_default();
+        if *count >= most {
+            return Err(OpenLimit::Organisation);
+        }
+        *count += 1;
+        self.open.fetch_add(1, Ordering::Relaxed);
+        Ok(OpenGuard { shared: self.clone(), organisation: organisation.clone() })
+    }
+}
+
+/// Which limit on open requests was reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenLimit {
+    /// The node's.
+    Node,
+    /// The organisation's.
+    Organisation,
+}
+
+/// Counts one request as open.
+pub struct OpenGuard {
+    shared: Arc<Shared>,
+    organisation: OrganisationId,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        let mut counts = locked(&self.shared.open_by_organisation);
+        if let Some(count) = counts.get_mut(&self.organisation) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.organisation);
+            }
+        }
+        self.shared.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/node/src/status_report.rs
@@ -0,0 +1,86 @@
+//! Publishes the node's status for the admin port.
+
+use leadstage_lib::engine_book::EngineBook;
+use leadstage_lib::engine_book::EngineState;
+use leadstage_lib::status::EngineLine;
+use leadstage_lib::status::NodeStatus;
+use leadstage_lib::status::PeerLine;
+use leadstage_lib::status::PoolLine;
+use leadstage_lib::upstreams::VmRole;
+
+use crate::control::Control;
+use crate::control::ControlRef;
+use crate::leads::LedPool;
+use crate::leads::PoolKey;
+use crate::shared::Readiness;
+
+/// Publishes the status as it is now.
+pub fn tick(control: &ControlRef) {
+    let control = control.borrow();
+    let in_force = control.shared.in_force();
+    let status = NodeStatus {
+        vm: control.settings.vm.to_string(),
+        hall: control.settings.hall.to_string(),
+        readiness: readiness_text(control.shared.readiness()).to_owned(),
+        bundle: in_force.as_ref().map(|f| f.bundle.number),
+        bundle_hash: in_force.map(|f| f.hash).unwrap_or_default(),
+        open: control.shared.open(),
+        platform_reached: control.platform_reached,
+        peers: peers(&control),
+        pools: control.leads.pools().map(|(key, led)| pool_line(key, led)).collect(),
+        leaving: leaving(&control),
+    };
+    control.shared.set_status(status);
+}
+
+/// The readiness as the status and `/readyz` tell it.
+pub fn readiness_text(readiness: Readiness) -> &'static str {
+    match readiness {
+        Readiness::NoBundle => "no bundle",
+        Readiness::Ready => "ready",
+        Readiness::Alone => "alone",
+        Readiness::Stopping => "stopping",
+    }
+}
+
+fn peers(control: &Control) -> Vec<PeerLine> {
+    let entries = control.directory.with_role(VmRole::Entry);
+    let others = entries.filter(|r| r.id != control.settings.vm);
+    let line = |id: &str| {
+        let liveness = control.membership.liveness(id);
+        let liveness = liveness.map_or_else(|| "unknown".to_owned(), |l| format!("{l:?}").to_lowercase());
+        PeerLine { vm: id.to_owned(), liveness }
+    };
+    others.map(|r| line(&r.id)).collect()
+}
+
+fn leaving(control: &Control) -> Vec<String> {
+    let roles = [VmRole::Engine, VmRole::Service];
+    let records = roles.into_iter().flat_map(|role| control.directory.with_role(role));
+    records.filter(|r| control.directory.is_leaving(&r.id)).map(|r| r.id.to_string()).collect()
+}
+
+fn pool_line(key: &PoolKey, led: &LedPool) -> PoolLine {
+    let status = led.pool.status();
+    PoolLine {
+        model: key.model.to_string(),
+        hall: key.hall.to_string(),
+        waiting: status.waiting,
+        running: status.running,
+        engines: led.pool.books().map(engine_line).collect(),
+    }
+}
+
+fn engine_line(book: &EngineBook) -> EngineLine {
+    EngineLine {
+        id: book.id.to_string(),
+        state: match book.state {
+            EngineState::Up => "up".to_owned(),
+            EngineState::Leaving => "leaving".to_owned(),
+        },
+        running: book.runs.len(),
+        held_tokens: book.held_tokens(),
+        memory_tokens: book.limits.blocks * u64::from(book.limits.block_tokens),
+        step_ms: book.step.as_secs_f64() * 1_000.0,
+    }
+}
--- /dev/null
+++ b/node/src/stop.rs
@@ -0,0 +1,58 @@
+//! The planned stop: not ready to the balancer, leads handed over, every stream
+//! finished, then the process ends.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::control::ControlRef;
+use crate::shared::Readiness;
+
+/// New requests are still taken for this long, until the balancer has noticed.
+pub const BALANCER_GRACE: Duration = Duration::from_secs(3);
+/// Time between two looks at whether all is finished.
+const POLL: Duration = Duration::from_millis(50);
+/// Time for streams that are ended at the bound to send their code.
+const LAST_WORDS: Duration = Duration::from_millis(500);
+/// Time for the last reports and outcomes to be sent.
+const FLUSH: Duration = Duration::from_millis(400);
+/// The bound where there is no bundle.
+const BOUND_WITHOUT_BUNDLE: Duration = Duration::from_secs(5);
+
+/// Waits for SIGTERM or SIGINT and then for all requests to end.
+pub async fn wait(control: ControlRef) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    begin(&control);
+    let bundle = control.borrow().shared.bundle();
+    let bound = bundle.map_or(BOUND_WITHOUT_BUNDLE, |b| b.bounds.stop_within);
+    let shared = control.borrow().shared.clone();
+    let started = tokio::time::Instant::now();
+    while started.elapsed() < BALANCER_GRACE || shared.open() > 0 {
+        if started.elapsed() > bound {
+            warn!(event = "stop_bound", open = shared.open(); "streams are ended at the bound");
+            shared.stop_now.store(true, Ordering::Relaxed);
+            tokio::time::sleep(LAST_WORDS).await;
+            break;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    tokio::time::sleep(FLUSH).await;
+    info!(event = "stopped"; "stopped");
+    Ok(())
+}
+
+fn begin(control: &ControlRef) {
+    info!(event = "stopping"; "a planned stop begins");
+    let mut control = control.borrow_mut();
+    control.shared.set_readiness(Readiness::Stopping);
+    control.membership.leave();
+}
--- /dev/null
+++ b/node/src/wire.rs
@@ -0,0 +1,163 @@
+//! Conversions between the Cap'n Proto messages and the types of the decisions.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+
+use leadstage_lib::ids::BundleNumber;
+use leadstage_lib::ids::UpstreamId;
+use leadstage_lib::ids::VmId;
+use leadstage_lib::membership::Liveness;
+use leadstage_lib::membership::News;
+use leadstage_lib::pool_event::EndKind;
+use leadstage_lib::pool_event::PlaceRequest;
+use leadstage_proto::peer_capnp;
+use leadstage_proto::peer_capnp::RunState;
+
+use crate::control_message::Running;
+use crate::entry_book::Line;
+use crate::leads::PoolKey;
+
+/// What travels on probes.
+#[derive(Clone, Debug)]
+pub struct Gossip {
+    /// The sender.
+    pub from: VmId,
+    /// News of VMs.
+    pub news: Vec<News>,
+    /// The sender's bundle, 0 for none.
+    pub bundle: BundleNumber,
+    /// Upstreams that the sender knows to be leaving.
+    pub leaving: Vec<UpstreamId>,
+}
+
+/// Reads a text as UTF-8.
+pub fn text(reader: capnp::text::Reader<'_>) -> Result<&str, capnp::Error> {
+    reader.to_str().map_err(|err| capnp::Error::failed(err.to_string()))
+}
+
+/// Writes a request for an engine.
+pub fn write_place(mut to: peer_capnp::place_request::Builder<'_>, key: &PoolKey, request: &PlaceRequest) {
+    to.set_generation(request.generation);
+    to.set_organisation(&*request.organisation);
+    to.set_model(&*key.model);
+    to.set_hall(&*key.hall);
+    to.set_prompt_tokens(request.prompt_tokens);
+    to.set_max_tokens(request.max_tokens);
+    to.set_priority(request.priority);
+    to.set_prefix(request.prefix);
+    to.set_entry(&*request.entry);
+}
+
+/// Reads a request for an engine.
+pub fn read_place(
+    from: peer_capnp::place_request::Reader<'_>,
+) -> Result<(PoolKey, PlaceRequest), capnp::Error> {
+    let key = PoolKey { model: text(from.get_model()?)?.into(), hall: text(from.get_hall()?)?.into() };
+    let request = PlaceRequest {
+        generation: from.get_generation(),
+        organisation: text(from.get_organisation()?)?.into(),
+        entry: text(from.get_entry()?)?.into(),
+        prompt_tokens: from.get_prompt_tokens(),
+        max_tokens: from.get_max_tokens(),
+        priority: from.get_priority(),
+        prefix: from.get_prefix(),
+    };
+    Ok((key, request))
+}
+
+/// Writes a line of a report.
+pub fn write_line(mut to: peer_capnp::progress::Builder<'_>, line: &Line) {
+    let request = &line.running.request;
+    to.set_generation(request.generation);
+    to.set_tokens(line.tokens);
+    to.set_state(match line.ended {
+        None => RunState::Running,
+        Some(EndKind::Finished) => RunState::Finished,
+        Some(EndKind::Cancelled) => RunState::Cancelled,
+        Some(EndKind::Lost) => RunState::Lost,
+    });
+    to.set_brief(line.brief);
+    if line.ended == Some(EndKind::Lost) || !line.brief {
+        to.set_upstream(&*line.running.upstream);
+    }
+    if line.brief {
+        return;
+    }
+    to.set_organisation(&*request.organisation);
+    to.set_prompt_tokens(request.prompt_tokens);
+    to.set_max_tokens(request.max_tokens);
+    to.set_priority(request.priority);
+    to.set_prefix(request.prefix);
+}
+
+/// Reads a line of a report by `entry` on a pool.
+pub fn read_line(
+    from: peer_capnp::progress::Reader<'_>,
+    entry: &VmId,
+    key: &PoolKey,
+) -> Result<Line, capnp::Error> {
+    let request = PlaceRequest {
+        generation: from.get_generation(),
+        organisation: text(from.get_organisation()?)?.into(),
+        entry: entry.clone(),
+        prompt_tokens: from.get_prompt_tokens(),
+        max_tokens: from.get_max_tokens(),
+        priority: from.get_priority(),
+        prefix: from.get_prefix(),
+    };
+    let running = Running {
+        request,
+        model: key.model.clone(),
+        hall: key.hall.clone(),
+        upstream: text(from.get_upstream()?)?.into(),
+        tokens: Arc::new(AtomicU32::new(from.get_tokens())),
+    };
+    let ended = match from.get_state()? {
+        RunState::Running => None,
+        RunState::Finished => Some(EndKind::Finished),
+        RunState::Cancelled => Some(EndKind::Cancelled),
+        RunState::Lost => Some(EndKind::Lost),
+    };
+    Ok(Line { running, tokens: from.get_tokens(), ended, brief: from.get_brief() })
+}
+
+/// Writes gossip.
+pub fn write_gossip(mut to: peer_capnp::gossip::Builder<'_>, gossip: &Gossip) {
+    to.set_from(&*gossip.from);
+    to.set_bundle_number(gossip.bundle);
+    let mut news = to.reborrow().init_news(gossip.news.len() as u32);
+    for (at, item) in gossip.news.iter().enumerate() {
+        let mut to = news.reborrow().get(at as u32);
+        to.set_vm(&*item.vm);
+        to.set_incarnation(item.incarnation);
+        to.set_liveness(match item.liveness {
+            Liveness::Alive => peer_capnp::Liveness::Alive,
+            Liveness::Suspect => peer_capnp::Liveness::Suspect,
+            Liveness::Dead => peer_capnp::Liveness::Dead,
+            Liveness::Left => peer_capnp::Liveness::Left,
+        });
+    }
+    let mut leaving = to.init_leaving(gossip.leaving.len() as u32);
+    for (at, upstream) in gossip.leaving.iter().enumerate() {
+        leaving.set(at as u32, &**upstream);
+    }
+}
+
+/// Reads gossip.
+pub fn read_gossip(from: peer_capnp::gossip::Reader<'_>) -> Result<Gossip, capnp::Error> {
+    let mut news = Vec::new();
+    for item in from.get_news()? {
+        let liveness = match item.get_liveness()? {
+            peer_capnp::Liveness::Alive => Liveness::Alive,
+            peer_capnp::Liveness::Suspect => Liveness::Suspect,
+            peer_capnp::Liveness::Dead => Liveness::Dead,
+            peer_capnp::Liveness::Left => Liveness::Left,
+        };
+        news.push(News { vm: text(item.get_vm()?)?.into(), incarnation: item.get_incarnation(), liveness });
+    }
+    let mut leaving = Vec::new();
+    for upstream in from.get_leaving()? {
+        leaving.push(text(upstream?)?.into());
+    }
+    Ok(Gossip { from: text(from.get_from()?)?.into(), news, bundle: from.get_bundle_number(), leaving })
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# The formatter's check, clippy with warnings as errors, the check that io_uring
+# stays off, and all tests. Needs nothing outside the repository but the registry.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+echo "== formatter"
+cargo fmt --all --check
+
+echo "== clippy"
+cargo clippy --quiet --workspace --all-targets -- -D warnings
+
+echo "== io_uring features stay off"
+features=$(cargo tree --workspace -e features --prefix none | grep -E 'feature "(io-uring|runtime-uring)"' || true)
+if [ -n "$features" ]; then
+    echo "an io_uring feature is on: $features" >&2
+    exit 1
+fi
+
+echo "== tests"
+cargo test --workspace --quiet
--- /dev/null
+++ b/testutils/src/engine_model.rs
@@ -0,0 +1,411 @@
+//! A model engine that is stepped without a clock: continuous batching, limited
+//! memory in blocks, preemption by priority and a prefix cache.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Names a generation on an engine.
+pub type GenerationId = u64;
+
+/// Share of a full batch's decode cost that depends on the batch's size.
+const BATCH_COST: f64 = 0.5;
+/// Blocks kept free when a sequence is admitted, one in this many.
+const WATERMARK_DIVISOR: u64 = 100;
+/// Cached prefixes kept at most.
+const CACHE_ENTRIES: usize = 64;
+
+/// Sizes and speed of an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineConfig {
+    /// Blocks of memory.
+    pub blocks: u64,
+    /// Tokens that fit one block.
+    pub block_tokens: u64,
+    /// Sequences that run at once at most.
+    pub max_batch: usize,
+    /// Time of a decode step with a batch of one.
+    pub step: Duration,
+    /// Prompt tokens worked on in one step at most; a step that uses them all
+    /// takes `step` longer.
+    pub prefill_tokens_per_step: u64,
+    /// Factor on each step's time; 2.0 runs at half speed.
+    pub slowdown: f64,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        EngineConfig {
+            blocks: 2048,
+            block_tokens: 16,
+            max_batch: 64,
+            step: Duration::from_millis(25),
+            prefill_tokens_per_step: 2048,
+            slowdown: 1.0,
+        }
+    }
+}
+
+/// A generation handed to the engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Submission {
+    /// The caller's id; a second submission of a known id changes nothing.
+    pub generation: GenerationId,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens it will produce; the engine does not look ahead.
+    pub output_tokens: u64,
+    /// Higher runs first and is preempted last.
+    pub priority: i32,
+    /// Hash of the prompt's shared prefix; 0 for none.
+    pub prefix: u64,
+    /// Tokens of that prefix.
+    pub prefix_tokens: u64,
+}
+
+/// Why a generation ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FinishReason {
+    /// It produced all its tokens.
+    Stop,
+    /// The engine's whole memory was not enough.
+    Length,
+}
+
+/// What happened in one step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineEvent {
+    /// A token was produced; `index` counts from 0.
+    Token {
+        /// Whose token.
+        generation: GenerationId,
+        /// Position in the output.
+        index: u64,
+    },
+    /// The generation lost its memory and waits to be recomputed.
+    Preempted {
+        /// Which one.
+        generation: GenerationId,
+    },
+    /// The generation is over.
+    Finished {
+        /// Which one.
+        generation: GenerationId,
+        /// Why.
+        reason: FinishReason,
+    },
+    /// A prefix is now cached.
+    PrefixStored {
+        /// Hash of the prefix.
+        prefix: u64,
+    },
+    /// A prefix is no longer cached.
+    PrefixEvicted {
+        /// Hash of the prefix.
+        prefix: u64,
+    },
+}
+
+/// The outcome of one step.
+#[derive(Debug, Default)]
+pub struct StepOutcome {
+    /// How long the step took.
+    pub duration: Duration,
+    /// What happened, in order.
+    pub events: Vec<EngineEvent>,
+}
+
+/// The engine's load, as it would report it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineLoad {
+    /// Sequences in the batch.
+    pub running: usize,
+    /// Sequences that wait at the engine.
+    pub waiting: usize,
+    /// Blocks in use.
+    pub used_blocks: u64,
+    /// Blocks in all.
+    pub total_blocks: u64,
+    /// Time of the latest step.
+    pub step: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Sequence {
+    submission: Submission,
+    arrival: u64,
+    produced: u64,
+    prefilled: u64,
+    blocks: u64,
+}
+
+impl Sequence {
+    fn context(&self) -> u64 {
+        self.submission.prompt_tokens + self.produced
+    }
+
+    fn rank(&self) -> (i32, std::cmp::Reverse<u64>) {
+        (self.submission.priority, std::cmp::Reverse(self.arrival))
+    }
+}
+
+/// The stepped engine.
+#[derive(Debug)]
+pub struct EngineModel {
+    config: EngineConfig,
+    running: Vec<Sequence>,
+    waiting: Vec<Sequence>,
+    cache: VecDeque<u64>,
+    free_blocks: u64,
+    stolen_blocks: u64,
+    arrivals: u64,
+    last_step: Duration,
+}
+
+impl EngineModel {
+    /// An idle engine.
+    pub fn new(config: EngineConfig) -> Self {
+        EngineModel {
+            config,
+            running: Vec::new(),
+            waiting: Vec::new(),
+            cache: VecDeque::new(),
+            free_blocks: config.blocks,
+            stolen_blocks: 0,
+            arrivals: 0,
+            last_step: config.step.mul_f64(config.slowdown),
+        }
+    }
+
+    /// The sizes it was made with.
+    pub fn config(&self) -> &EngineConfig {
+        &self.config
+    }
+
+    /// Changes the speed; 1.0 is full speed.
+    pub fn set_slowdown(&mut self, slowdown: f64) {
+        self.config.slowdown = slowdown;
+    }
+
+    /// Takes `blocks` away from all sequences, as a fault.
+    pub fn steal_blocks(&mut self, blocks: u64) {
+        let taken = blocks.min(self.free_blocks);
+        self.free_blocks -= taken;
+        self.stolen_blocks += taken;
+    }
+
+    /// Accepts a generation; a known id is ignored.
+    pub fn submit(&mut self, submission: Submission) {
+        if self.knows(submission.generation) {
+            return;
+        }
+        self.arrivals += 1;
+        self.waiting.push(Sequence {
+            submission,
+            arrival: self.arrivals,
+            produced: 0,
+            prefilled: 0,
+            blocks: 0,
+        });
+    }
+
+    /// Forgets a generation and frees its memory; false when unknown.
+    pub fn cancel(&mut self, generation: GenerationId) -> bool {
+        let is_it = |s: &Sequence| s.submission.generation == generation;
+        if let Some(at) = self.running.iter().position(is_it) {
+            let sequence = self.running.remove(at);
+            self.free_blocks += sequence.blocks;
+            return true;
+        }
+        let before = self.waiting.len();
+        self.waiting.retain(|s| !is_it(s));
+        before != self.waiting.len()
+    }
+
+    /// Changes a generation's priority.
+    pub fn set_priority(&mut self, generation: GenerationId, priority: i32) {
+        self.running
+            .iter_mut()
+            .chain(self.waiting.iter_mut())
+            .filter(|s| s.submission.generation == generation)
+            .for_each(|s| s.submission.priority = priority);
+    }
+
+    /// Whether a generation waits or runs here.
+    pub fn knows(&self, generation: GenerationId) -> bool {
+        self.running.iter().chain(self.waiting.iter()).any(|s| s.submission.generation == generation)
+    }
+
+    /// Nothing runs and nothing waits.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
+    /// The load right now.
+    pub fn load(&self) -> EngineLoad {
+        EngineLoad {
+            running: self.running.len(),
+            waiting: self.waiting.len(),
+            used_blocks: self.config.blocks - self.free_blocks,
+            total_blocks: self.config.blocks,
+            step: self.last_step,
+        }
+    }
+
+    /// Runs one step of the batch.
+    pub fn step(&mut self) -> StepOutcome {
+        let mut events = Vec::new();
+        self.admit();
+        let prefilled = self.prefill(&mut events);
+        let decoded = self.decode(&mut events);
+        self.shrink_cache(&mut events);
+        let duration = self.step_time(prefilled, decoded);
+        self.last_step = duration;
+        StepOutcome { duration, events }
+    }
+
+    fn step_time(&self, prefilled: u64, decoded: usize) -> Duration {
+        let batch = decoded as f64 / self.config.max_batch as f64;
+        let prefill = prefilled as f64 / self.config.prefill_tokens_per_step as f64;
+        let factor = 1.0 + BATCH_COST * batch + prefill;
+        self.config.step.mul_f64(factor * self.config.slowdown)
+    }
+
+    fn blocks_for(&self, tokens: u64) -> u64 {
+        tokens.div_ceil(self.config.block_tokens)
+    }
+
+    fn admit(&mut self) {
+        let watermark = self.config.blocks / WATERMARK_DIVISOR;
+        self.waiting.sort_by_key(|s| std::cmp::Reverse(s.rank()));
+        while self.running.len() < self.config.max_batch && !self.waiting.is_empty() {
+            let needed = self.blocks_for(self.waiting[0].context() + 1);
+            let reserve = if self.running.is_empty() { 0 } else { watermark };
+            if needed + reserve > self.free_blocks && !self.never_fits(needed) {
+                break;
+            }
+            let mut sequence = self.waiting.remove(0);
+            let blocks = needed.min(self.free_blocks);
+            sequence.blocks = blocks;
+            sequence.prefilled = self.cached_tokens(&sequence);
+            self.free_blocks -= blocks;
+            self.running.push(sequence);
+        }
+    }
+
+    fn never_fits(&self, blocks: u64) -> bool {
+        self.running.is_empty() && blocks > self.config.blocks - self.stolen_blocks
+    }
+
+    fn cached_tokens(&self, sequence: &Sequence) -> u64 {
+        let submission = &sequence.submission;
+        let hit = submission.prefix != 0 && self.cache.contains(&submission.prefix);
+        if hit { submission.prefix_tokens.min(submission.prompt_tokens) } else { 0 }
+    }
+
+    fn prefill(&mut self, events: &mut Vec<EngineEvent>) -> u64 {
+        let mut budget = self.config.prefill_tokens_per_step;
+        let mut stored = Vec::new();
+        for sequence in &mut self.running {
+            let work = (sequence.context() - sequence.prefilled).min(budget);
+            if sequence.prefilled < sequence.submission.prompt_tokens
+                && sequence.prefilled + work >= sequence.submission.prompt_tokens
+                && sequence.submission.prefix != 0
+            {
+                stored.push(sequence.submission.prefix);
+            }
+            sequence.prefilled += work;
+            budget -= work;
+        }
+        for prefix in stored {
+            if !self.cache.contains(&prefix) {
+                self.cache.push_back(prefix);
+                events.push(EngineEvent::PrefixStored { prefix });
+            }
+        }
+        self.config.prefill_tokens_per_step - budget
+    }
+
+    fn decode(&mut self, events: &mut Vec<EngineEvent>) -> usize {
+        let mut order: Vec<GenerationId> = self
+            .running
+            .iter()
+            .filter(|s| s.prefilled >= s.context())
+            .map(|s| s.submission.generation)
+            .collect();
+        order.reverse();
+        let mut decoded = 0;
+        while let Some(generation) = order.pop() {
+            let Some(at) = self.position(generation) else {
+                continue;
+            };
+            if !self.make_room(generation, events) {
+                continue;
+            }
+            let at = self.position(generation).unwrap_or(at);
+            decoded += 1;
+            self.produce(at, events);
+        }
+        decoded
+    }
+
+    fn position(&self, generation: GenerationId) -> Option<usize> {
+        self.running.iter().position(|s| s.submission.generation == generation)
+    }
+
+    /// Makes sure the sequence's next token fits; false when it was preempted itself.
+    fn make_room(&mut self, generation: GenerationId, events: &mut Vec<EngineEvent>) -> bool {
+        loop {
+            let Some(at) = self.position(generation) else {
+                return false;
+            };
+            let needed = self.blocks_for(self.running[at].context() + 1);
+            if needed <= self.running[at].blocks {
+                return true;
+            }
+            if self.free_blocks > 0 {
+                self.free_blocks -= 1;
+                self.running[at].blocks += 1;
+                continue;
+            }
+            if self.running.len() == 1 {
+                return true;
+            }
+            self.preempt_one(events);
+        }
+    }
+
+    fn preempt_one(&mut self, events: &mut Vec<EngineEvent>) {
+        let victim = (0..self.running.len()).min_by_key(|&at| self.running[at].rank());
+        let Some(at) = victim else { return };
+        let mut sequence = self.running.remove(at);
+        self.free_blocks += sequence.blocks;
+        sequence.blocks = 0;
+        sequence.prefilled = 0;
+        events.push(EngineEvent::Preempted { generation: sequence.submission.generation });
+        self.waiting.push(sequence);
+    }
+
+    fn produce(&mut self, at: usize, events: &mut Vec<EngineEvent>) {
+        let sequence = &mut self.running[at];
+        let generation = sequence.submission.generation;
+        events.push(EngineEvent::Token { generation, index: sequence.produced });
+        sequence.produced += 1;
+        sequence.prefilled += 1;
+        let full = sequence.context() >= (self.config.blocks - self.stolen_blocks) * self.config.block_tokens;
+        let done = sequence.produced >= sequence.submission.output_tokens;
+        if done || full {
+            let reason = if done { FinishReason::Stop } else { FinishReason::Length };
+            let sequence = self.running.remove(at);
+            self.free_blocks += sequence.blocks;
+            events.push(EngineEvent::Finished { generation, reason });
+        }
+    }
+
+    fn shrink_cache(&mut self, events: &mut Vec<EngineEvent>) {
+        let keep = CACHE_ENTRIES.min(self.free_blocks as usize);
+        while self.cache.len() > keep {
+            let Some(prefix) = self.cache.pop_front() else { break };
+            events.push(EngineEvent::PrefixEvicted { prefix });
+        }
+    }
+}
