--- /dev/null
+++ b/testutils/src/engine_server.rs
@@ -0,0 +1,518 @@
+//! The engine stand-in as an HTTP server: OpenAI-compatible streams with
+//! generation ids and token indexes, resume, cancel, load reports that lag,
+//! cache events with gaps, fenced orders and fault switches.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures::Stream;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::sync::watch;
+use xitca_web::http::WebResponse;
+
+use crate::engine_model::EngineConfig;
+use crate::engine_model::EngineEvent;
+use crate::engine_model::EngineLoad;
+use crate::engine_model::EngineModel;
+use crate::engine_model::FinishReason;
+use crate::engine_model::GenerationId;
+use crate::engine_model::Submission;
+use crate::http_server::Handler;
+use crate::http_server::Request;
+use crate::http_server::respond;
+use crate::http_server::respond_json;
+use crate::http_server::respond_stream;
+use crate::lengths::Lengths;
+
+/// Characters of prompt taken as one token.
+const CHARS_PER_TOKEN: u64 = 4;
+/// How long an ended generation can still be resumed.
+const KEEP_ENDED: Duration = Duration::from_secs(120);
+/// One cache event in this many is lost.
+const CACHE_EVENT_GAP: u64 = 10;
+/// Sleep of an engine with nothing to do.
+const IDLE_SLEEP: Duration = Duration::from_millis(1);
+
+/// Settings of the stand-in.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineServerConfig {
+    /// Sizes and speed.
+    pub engine: EngineConfig,
+    /// Age of the load that it reports.
+    pub load_lag: Duration,
+    /// Output lengths where the request does not name one.
+    pub outputs: Lengths,
+    /// Refuses orders with an old fence.
+    pub checks_fences: bool,
+    /// Seed of the output lengths.
+    pub seed: u64,
+}
+
+/// How far a generation is.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Progress {
+    produced: u64,
+    finished: Option<FinishReason>,
+    cancelled: bool,
+}
+
+struct Tracked {
+    organisation: String,
+    progress: watch::Sender<Progress>,
+    ended: Option<Instant>,
+}
+
+struct State {
+    model: EngineModel,
+    tracked: HashMap<GenerationId, Tracked>,
+    loads: VecDeque<(Instant, EngineLoad)>,
+    cache_events: VecDeque<(Instant, u64, bool)>,
+    cache_sequence: u64,
+    preemptions: u64,
+    started: u64,
+    cancelled: u64,
+    rng: SmallRng,
+    fence: u64,
+    orders: Vec<String>,
+}
+
+/// The stand-in, shared between its threads.
+#[derive(Clone)]
+pub struct EngineServer {
+    config: EngineServerConfig,
+    state: Arc<Mutex<State>>,
+    frozen: Arc<AtomicBool>,
+    cuts: Arc<AtomicU64>,
+    stalls: Arc<AtomicU64>,
+}
+
+#[derive(Deserialize)]
+struct GenerateBody {
+    prompt: Option<String>,
+    messages: Option<Vec<Message>>,
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+    model: String,
+    /// Not part of the OpenAI API: the exact length, for experiments.
+    stand_in_tokens: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    content: String,
+}
+
+#[derive(Deserialize)]
+struct Order {
+    fence: u64,
+    action: String,
+}
+
+impl EngineServer {
+    /// Makes the stand-in and starts its stepping thread.
+    pub fn start(config: EngineServerConfig) -> Self {
+        let state = State {
+            model: EngineModel::new(config.engine),
+            tracked: HashMap::new(),
+            loads: VecDeque::new(),
+            cache_events: VecDeque::new(),
+            cache_sequence: 0,
+            preemptions: 0,
+            started: 0,
+            cancelled: 0,
+            rng: SmallRng::seed_from_u64(config.seed),
+            fence: 0,
+            orders: Vec::new(),
+        };
+        let server = EngineServer {
+            config,
+            state: Arc::new(Mutex::new(state)),
+            frozen: Arc::default(),
+            cuts: Arc::default(),
+            stalls: Arc::default(),
+        };
+        let stepper = server.clone();
+        std::thread::spawn(move || stepper.step_for_ever());
+        server
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    fn step_for_ever(&self) {
+        let mut due = Instant::now();
+        loop {
+            let pause = if self.frozen.load(Ordering::Relaxed) { IDLE_SLEEP } else { self.lock().step() };
+            due = (due + pause).max(Instant::now());
+            std::thread::sleep(due - Instant::now());
+        }
+    }
+
+    async fn wait_while_frozen(&self) {
+        while self.frozen.load(Ordering::Relaxed) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn generate(&self, req: &Request, chat: bool) -> WebResponse {
+        let body: GenerateBody = match serde_json::from_slice(&req.body) {
+            Ok(body) => body,
+            Err(err) => return respond_json(400, &json!({"error": {"message": err.to_string()}})),
+        };
+        let Some(generation) = req.header("x-generation-id").and_then(parse_generation) else {
+            return respond_json(400, &json!({"error": {"message": "x-generation-id missing"}}));
+        };
+        let organisation = req.header("x-organisation").unwrap_or("").to_owned();
+        let priority = req.header("x-priority").and_then(|v| v.parse().ok()).unwrap_or(0);
+        self.lock().submit(generation, organisation, priority, &body, &self.config);
+        if body.stream {
+            return self.stream(generation, 0, chat, body.model);
+        }
+        self.whole(generation, chat, body.model)
+    }
+
+    fn whole(&self, generation: GenerationId, chat: bool, model: String) -> WebResponse {
+        let Some(mut rx) = self.subscribe(generation) else {
+            return respond(404, "unknown generation");
+        };
+        let stream = async_stream(move |tx| async move {
+            while rx.borrow_and_update().finished.is_none() {
+                if rx.changed().await.is_err() {
+                    return;
+                }
+            }
+            let produced = rx.borrow().produced;
+            let text: String = (0..produced).map(|index| token_text(generation, index)).collect();
+            let body = whole_body(generation, &model, &text, chat, produced);
+            let _ = tx.send(Ok(Bytes::from(body))).await;
+        });
+        let mut res = respond_stream(stream);
+        let json = "application/json".parse().expect("a valid header");
+        res.headers_mut().insert("content-type", json);
+        res
+    }
+
+    fn subscribe(&self, generation: GenerationId) -> Option<watch::Receiver<Progress>> {
+        let state = self.lock();
+        state.tracked.get(&generation).map(|t| t.progress.subscribe())
+    }
+
+    fn stream(&self, generation: GenerationId, from: u64, chat: bool, model: String) -> WebResponse {
+        let Some(mut rx) = self.subscribe(generation) else {
+            return respond_json(404, &json!({"error": {"message": "unknown generation"}}));
+        };
+        let organisation = self.lock().tracked[&generation].organisation.clone();
+        let cuts = self.cuts.clone();
+        let stalls = self.stalls.clone();
+        let (cut_at, stall_at) = (cuts.load(Ordering::Relaxed), stalls.load(Ordering::Relaxed));
+        let stream = async_stream(move |tx| async move {
+            let mut next = from;
+            loop {
+                let progress = *rx.borrow_and_update();
+                if stalls.load(Ordering::Relaxed) != stall_at {
+                    std::future::pending::<()>().await;
+                }
+                if cuts.load(Ordering::Relaxed) != cut_at {
+                    let _ = tx.send(Err(std::io::Error::other("cut"))).await;
+                    return;
+                }
+                let mut chunk = String::new();
+                while next < progress.produced {
+                    chunk.push_str(&token_event(generation, next, &model, chat));
+                    next += 1;
+                }
+                if let Some(reason) = progress.finished {
+                    chunk.push_str(&last_events(generation, next, &model, chat, reason));
+                }
+                if !chunk.is_empty() && tx.send(Ok(Bytes::from(chunk))).await.is_err() {
+                    return;
+                }
+                if progress.finished.is_some() || progress.cancelled {
+                    return;
+                }
+                tokio::select! {
+                    changed = rx.changed() => if changed.is_err() { return },
+                    () = tokio::time::sleep(Duration::from_millis(50)) => {}
+                }
+            }
+        });
+        let mut res = respond_stream(stream);
+        if let Ok(value) = organisation.parse() {
+            res.headers_mut().insert("x-organisation", value);
+        }
+        res
+    }
+
+    fn fault(&self, kind: &str, req: &Request) -> WebResponse {
+        match kind {
+            "die" => std::process::exit(1),
+            "freeze" => self.frozen.store(true, Ordering::Relaxed),
+            "thaw" => self.frozen.store(false, Ordering::Relaxed),
+            "cut" => _ = self.cuts.fetch_add(1, Ordering::Relaxed),
+            "stall" => _ = self.stalls.fetch_add(1, Ordering::Relaxed),
+            "slow" => {
+                let factor = req.query_value("factor").and_then(|v| v.parse().ok()).unwrap_or(2.0);
+                self.lock().model.set_slowdown(factor);
+            }
+            "fill" => {
+                let blocks = req.query_value("blocks").and_then(|v| v.parse().ok()).unwrap_or(u64::MAX);
+                self.lock().model.steal_blocks(blocks);
+            }
+            _ => return respond(404, "unknown fault"),
+        }
+        respond(200, "ok")
+    }
+
+    fn order(&self, req: &Request) -> WebResponse {
+        let Ok(order) = serde_json::from_slice::<Order>(&req.body) else {
+            return respond(400, "order");
+        };
+        let mut state = self.lock();
+        if self.config.checks_fences && order.fence < state.fence {
+            return respond_json(409, &json!({"fence": state.fence}));
+        }
+        state.fence = state.fence.max(order.fence);
+        state.orders.push(format!("{}:{}", order.fence, order.action));
+        respond_json(200, &json!({"fence": state.fence}))
+    }
+
+    fn on_generation(&self, req: &Request, rest: &str) -> WebResponse {
+        let (id, tail) = rest.split_once('/').unwrap_or((rest, ""));
+        let Some(generation) = parse_generation(id) else {
+            return respond(400, "generation id");
+        };
+        match (req.method.as_str(), tail) {
+            ("GET", _) => {
+                let from = req.query_value("from").and_then(|v| v.parse().ok()).unwrap_or(0);
+                let chat = req.query_value("chat") != Some("0");
+                let model = req.query_value("model").unwrap_or("").to_owned();
+                self.stream(generation, from, chat, model)
+            }
+            ("DELETE", _) => {
+                let known = self.lock().cancel(generation);
+                respond(if known { 200 } else { 404 }, "")
+            }
+            ("POST", "priority") => {
+                let priority = req.query_value("value").and_then(|v| v.parse().ok()).unwrap_or(0);
+                self.lock().model.set_priority(generation, priority);
+                respond(200, "")
+            }
+            _ => respond(405, "method"),
+        }
+    }
+}
+
+impl State {
+    fn submit(
+        &mut self,
+        generation: GenerationId,
+        organisation: String,
+        priority: i32,
+        body: &GenerateBody,
+        config: &EngineServerConfig,
+    ) {
+        if self.tracked.contains_key(&generation) {
+            return;
+        }
+        let chars = body.prompt.as_deref().unwrap_or("").len()
+            + body.messages.iter().flatten().map(|m| m.content.len()).sum::<usize>();
+        let limit = body.max_tokens.unwrap_or(u64::MAX >> 1);
+        let drawn = config.outputs.draw(&mut self.rng, limit.max(1));
+        self.model.submit(Submission {
+            generation,
+            prompt_tokens: (chars as u64).div_ceil(CHARS_PER_TOKEN).max(1),
+            output_tokens: body.stand_in_tokens.unwrap_or(drawn).min(limit).max(1),
+            priority,
+            prefix: 0,
+            prefix_tokens: 0,
+        });
+        self.started += 1;
+        let progress = watch::Sender::new(Progress::default());
+        self.tracked.insert(generation, Tracked { organisation, progress, ended: None });
+    }
+
+    fn cancel(&mut self, generation: GenerationId) -> bool {
+        let known = self.model.cancel(generation);
+        if let Some(tracked) = self.tracked.get_mut(&generation) {
+            tracked.progress.send_modify(|p| p.cancelled = true);
+            tracked.ended = Some(Instant::now());
+        }
+        self.cancelled += u64::from(known);
+        known
+    }
+
+    fn step(&mut self) -> Duration {
+        let now = Instant::now();
+        self.tracked.retain(|_, t| t.ended.is_none_or(|at| now - at < KEEP_ENDED));
+        let outcome = self.model.step();
+        for event in &outcome.events {
+            self.apply(*event, now);
+        }
+        self.loads.push_back((now, self.model.load()));
+        while self.loads.len() > 2_000 {
+            self.loads.pop_front();
+        }
+        if self.model.is_idle() { IDLE_SLEEP } else { outcome.duration }
+    }
+
+    fn apply(&mut self, event: EngineEvent, now: Instant) {
+        match event {
+            EngineEvent::Token { generation, .. } => {
+                if let Some(tracked) = self.tracked.get(&generation) {
+                    tracked.progress.send_modify(|p| p.produced += 1);
+                }
+            }
+            EngineEvent::Finished { generation, reason } => {
+                if let Some(tracked) = self.tracked.get_mut(&generation) {
+                    tracked.ended = Some(now);
+                    tracked.progress.send_modify(|p| p.finished = Some(reason));
+                }
+            }
+            EngineEvent::Preempted { .. } => self.preemptions += 1,
+            EngineEvent::PrefixStored { prefix } => self.cache_event(now, prefix, true),
+            EngineEvent::PrefixEvicted { prefix } => self.cache_event(now, prefix, false),
+        }
+    }
+
+    fn cache_event(&mut self, now: Instant, prefix: u64, stored: bool) {
+        self.cache_sequence += 1;
+        if !self.cache_sequence.is_multiple_of(CACHE_EVENT_GAP) {
+            self.cache_events.push_back((now, prefix, stored));
+        }
+        if self.cache_events.len() > 1_000 {
+            self.cache_events.pop_front();
+        }
+    }
+
+    /// The latest load that is older than the lag.
+    fn lagged_load(&self, lag: Duration) -> EngineLoad {
+        let now = Instant::now();
+        let known = self.loads.iter().rev().find(|(at, _)| now - *at >= lag);
+        known.map_or_else(
+            || EngineLoad { total_blocks: self.model.config().blocks, ..EngineLoad::default() },
+            |l| l.1,
+        )
+    }
+}
+
+impl Handler for EngineServer {
+    async fn handle(&self, req: Request) -> WebResponse {
+        if let Some(kind) = req.path.strip_prefix("/fault/") {
+            return self.fault(kind, &req);
+        }
+        self.wait_while_frozen().await;
+        if let Some(rest) = req.path.strip_prefix("/v1/generations/") {
+            return self.on_generation(&req, rest);
+        }
+        match req.path.as_str() {
+            "/v1/chat/completions" => self.generate(&req, true),
+            "/v1/completions" => self.generate(&req, false),
+            "/v1/load" => {
+                let state = self.lock();
+                let load = state.lagged_load(self.config.load_lag);
+                respond_json(200, &load_body(&load, &state, &self.config))
+            }
+            "/v1/cache_events" => {
+                let state = self.lock();
+                let events: Vec<_> =
+                    state.cache_events.iter().map(|e| json!({"prefix": e.1, "stored": e.2})).collect();
+                respond_json(200, &events)
+            }
+            "/v1/orders" => self.order(&req),
+            "/stand-in/orders" => respond_json(200, &self.lock().orders),
+            _ => respond(404, "no such path"),
+        }
+    }
+}
+
+fn load_body(load: &EngineLoad, state: &State, config: &EngineServerConfig) -> serde_json::Value {
+    json!({
+        "running": load.running,
+        "waiting": load.waiting,
+        "used_blocks": load.used_blocks,
+        "total_blocks": load.total_blocks,
+        "block_tokens": config.engine.block_tokens,
+        "max_batch": config.engine.max_batch,
+        "step_us": load.step.as_micros() as u64,
+        "preemptions": state.preemptions,
+        "started": state.started,
+        "cancelled": state.cancelled,
+    })
+}
+
+fn parse_generation(text: &str) -> Option<GenerationId> {
+    u64::from_str_radix(text, 16).ok()
+}
+
+/// The text of a token, which depends only on its generation and index.
+pub fn token_text(generation: GenerationId, index: u64) -> String {
+    format!("{:x}.{index} ", generation & 0xffff)
+}
+
+fn token_event(generation: GenerationId, index: u64, model: &str, chat: bool) -> String {
+    let text = token_text(generation, index);
+    let data = if chat {
+        format!(
+            r#"{{"id":"{generation:016x}","object":"chat.completion.chunk","model":"{model}","choices":[{{"index":0,"delta":{{"content":"{text}"}},"finish_reason":null}}]}}"#
+        )
+    } else {
+        format!(
+            r#"{{"id":"{generation:016x}","object":"text_completion","model":"{model}","choices":[{{"index":0,"text":"{text}","finish_reason":null}}]}}"#
+        )
+    };
+    format!("id: {generation:016x}:{index}\ndata: {data}\n\n")
+}
+
+fn last_events(generation: GenerationId, next: u64, model: &str, chat: bool, reason: FinishReason) -> String {
+    let reason = match reason {
+        FinishReason::Stop => "stop",
+        FinishReason::Length => "length",
+    };
+    let object = if chat { "chat.completion.chunk" } else { "text_completion" };
+    let empty = if chat { r#""delta":{}"# } else { r#""text":"""# };
+    format!(
+        "id: {generation:016x}:{next}\ndata: {{\"id\":\"{generation:016x}\",\"object\":\"{object}\",\"model\":\"{model}\",\"choices\":[{{\"index\":0,{empty},\"finish_reason\":\"{reason}\"}}]}}\n\ndata: [DONE]\n\n"
+    )
+}
+
+fn whole_body(generation: GenerationId, model: &str, text: &str, chat: bool, produced: u64) -> String {
+    let choice = if chat {
+        json!({"index": 0, "message": {"role": "assistant", "content": text}, "finish_reason": "stop"})
+    } else {
+        json!({"index": 0, "text": text, "finish_reason": "stop"})
+    };
+    json!({
+        "id": format!("{generation:016x}"),
+        "object": if chat { "chat.completion" } else { "text_completion" },
+        "model": model,
+        "choices": [choice],
+        "usage": {"completion_tokens": produced},
+    })
+    .to_string()
+}
+
+/// Runs `body` with a channel whose other end is the returned stream.
+fn async_stream<F, Fut>(body: F) -> impl Stream<Item = std::io::Result<Bytes>>
+where
+    F: FnOnce(tokio::sync::mpsc::Sender<std::io::Result<Bytes>>) -> Fut,
+    Fut: Future<Output = ()> + 'static,
+{
+    let (tx, rx) = tokio::sync::mpsc::channel(4);
+    let task = body(tx);
+    tokio::task::spawn_local(task);
+    futures::stream::unfold(rx, |mut rx| async move { rx.recv().await.map(|item| (item, rx)) })
+}
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for what surrounds leadstage: engine, plain service, object API,
+//! VM list and weight store, with switches for their faults. Never shipped.
+
+pub mod engine_model;
+pub mod engine_server;
+pub mod http_client;
+pub mod http_server;
+pub mod lengths;
+pub mod object_store;
+pub mod plain_server;
+pub mod platform_server;
--- /dev/null
+++ b/testutils/src/platform_server.rs
@@ -0,0 +1,234 @@
+//! The platform's stand-in as an HTTP server: object API, VM list and weight store.
+//!
+//! `GET|PUT /v1/objects/KEY` with `ETag` and `If-Match` (0 for absent), a watch
+//! with `?after=VERSION&wait_ms=N`; `GET /v1/list/PREFIX`; `GET /v1/vms`, which
+//! lags; `GET /v1/weights/NAME`, rate-limited. `PUT /stand-in/vms` sets the list,
+//! `POST /fault/down|up|slow|lose` switches faults, `GET /stand-in/calls` counts.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use serde_json::json;
+use tokio::sync::watch;
+use xitca_web::http::WebResponse;
+
+use crate::http_server::Handler;
+use crate::http_server::Request;
+use crate::http_server::respond;
+use crate::http_server::respond_json;
+use crate::object_store::CallBudget;
+use crate::object_store::Object;
+use crate::object_store::ObjectStore;
+use crate::object_store::READS_PER_SECOND;
+use crate::object_store::StoreFaults;
+use crate::object_store::WRITES_PER_SECOND;
+use crate::object_store::WriteError;
+
+/// A watch waits this long at most.
+const WATCH_LIMIT: Duration = Duration::from_secs(30);
+/// Loads of weights a second.
+const WEIGHTS_PER_SECOND: f64 = 2.0;
+/// A call whose answer is lost hangs this long.
+const LOST_ANSWER: Duration = Duration::from_secs(20);
+
+struct State {
+    store: ObjectStore,
+    faults: StoreFaults,
+    reads: CallBudget,
+    writes: CallBudget,
+    weights: CallBudget,
+    read_calls: u64,
+    write_calls: u64,
+    vms: VecDeque<(Instant, Bytes)>,
+}
+
+/// The stand-in, shared between its threads.
+#[derive(Clone)]
+pub struct PlatformServer {
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+    vm_lag: Duration,
+}
+
+impl PlatformServer {
+    /// A stand-in whose VM list lags by `vm_lag`.
+    pub fn new(vm_lag: Duration) -> Self {
+        let now = Instant::now();
+        let state = State {
+            store: ObjectStore::default(),
+            faults: StoreFaults::default(),
+            reads: CallBudget::new(READS_PER_SECOND, now),
+            writes: CallBudget::new(WRITES_PER_SECOND, now),
+            weights: CallBudget::new(WEIGHTS_PER_SECOND, now),
+            read_calls: 0,
+            write_calls: 0,
+            vms: VecDeque::new(),
+        };
+        PlatformServer { state: Arc::new(Mutex::new(state)), changed: watch::Sender::new(0), vm_lag }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    async fn objects(&self, req: &Request, key: &str) -> WebResponse {
+        let faults = self.lock().faults;
+        tokio::time::sleep(faults.slow).await;
+        if faults.down {
+            return respond(503, "down");
+        }
+        match req.method.as_str() {
+            "GET" => self.read(req, key).await,
+            "PUT" => self.write(req, key).await,
+            _ => respond(405, "method"),
+        }
+    }
+
+    async fn read(&self, req: &Request, key: &str) -> WebResponse {
+        if !self.lock().take_read() {
+            return respond(429, "read budget");
+        }
+        let after = req.query_value("after").and_then(|v| v.parse::<u64>().ok());
+        let wait = req.query_value("wait_ms").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let until = tokio::time::Instant::now() + Duration::from_millis(wait).min(WATCH_LIMIT);
+        let mut rx = self.changed.subscribe();
+        loop {
+            let object = self.lock().store.get(key).cloned();
+            let is_new = |o: &Object| after.is_none_or(|after| o.version > after);
+            match object {
+                Some(object) if is_new(&object) => return object_response(object),
+                None if after.is_none() => return respond(404, "absent"),
+                _ => {}
+            }
+            let changed = tokio::time::timeout_at(until, rx.changed()).await;
+            if self.lock().faults.down {
+                return respond(503, "down");
+            }
+            if changed.is_err() {
+                return respond(304, "");
+            }
+        }
+    }
+
+    async fn write(&self, req: &Request, key: &str) -> WebResponse {
+        let Some(expected) = req.header("if-match").and_then(|v| v.parse().ok()) else {
+            return respond(428, "if-match missing");
+        };
+        let (outcome, lost) = {
+            let mut state = self.lock();
+            if !state.take_write() {
+                return respond(429, "write budget");
+            }
+            let outcome = state.store.put(key, expected, req.body.to_vec());
+            let lost = outcome.is_ok() && state.faults.lose_answers > 0;
+            state.faults.lose_answers -= u32::from(lost);
+            (outcome, lost)
+        };
+        match outcome {
+            Ok(version) => {
+                self.changed.send_replace(version);
+                if lost {
+                    tokio::time::sleep(LOST_ANSWER).await;
+                    return respond(504, "lost");
+                }
+                with_etag(respond(200, ""), version)
+            }
+            Err(WriteError::Conflict { current }) => with_etag(respond(412, "version"), current),
+            Err(WriteError::TooLarge) => respond(413, "value too large"),
+        }
+    }
+
+    fn fault(&self, kind: &str, req: &Request) -> WebResponse {
+        let number = |name| req.query_value(name).and_then(|v| v.parse::<u64>().ok());
+        let mut state = self.lock();
+        match kind {
+            "down" => state.faults.down = true,
+            "up" => state.faults = StoreFaults::default(),
+            "slow" => state.faults.slow = Duration::from_millis(number("ms").unwrap_or(500)),
+            "lose" => state.faults.lose_answers = number("count").unwrap_or(1) as u32,
+            _ => return respond(404, "unknown fault"),
+        }
+        drop(state);
+        self.changed.send_modify(|_| {});
+        respond(200, "ok")
+    }
+
+    fn vms(&self) -> WebResponse {
+        let now = Instant::now();
+        let state = self.lock();
+        let seen = state.vms.iter().rev().find(|(at, _)| now - *at >= self.vm_lag);
+        let list = seen.map_or_else(|| Bytes::from_static(b"[]"), |(_, list)| list.clone());
+        respond(200, list)
+    }
+
+    fn weights(&self) -> WebResponse {
+        if self.lock().weights.take(Instant::now()) { respond(200, "weights") } else { respond(429, "rate") }
+    }
+}
+
+impl State {
+    fn take_read(&mut self) -> bool {
+        self.read_calls += 1;
+        self.reads.take(Instant::now())
+    }
+
+    fn take_write(&mut self) -> bool {
+        self.write_calls += 1;
+        self.writes.take(Instant::now())
+    }
+}
+
+impl Handler for PlatformServer {
+    async fn handle(&self, req: Request) -> WebResponse {
+        if let Some(key) = req.path.strip_prefix("/v1/objects/") {
+            return self.objects(&req, key).await;
+        }
+        if let Some(prefix) = req.path.strip_prefix("/v1/list/") {
+            let mut state = self.lock();
+            if state.faults.down {
+                return respond(503, "down");
+            }
+            if !state.take_read() {
+                return respond(429, "read budget");
+            }
+            return respond_json(200, &state.store.list(prefix));
+        }
+        if let Some(kind) = req.path.strip_prefix("/fault/") {
+            return self.fault(kind, &req);
+        }
+        if req.path.starts_with("/v1/weights/") {
+            return self.weights();
+        }
+        match req.path.as_str() {
+            "/v1/vms" => self.vms(),
+            "/stand-in/vms" => {
+                let mut state = self.lock();
+                state.vms.push_back((Instant::now(), req.body.clone()));
+                if state.vms.len() > 100 {
+                    state.vms.pop_front();
+                }
+                respond(200, "ok")
+            }
+            "/stand-in/calls" => {
+                let state = self.lock();
+                respond_json(200, &json!({"reads": state.read_calls, "writes": state.write_calls}))
+            }
+            _ => respond(404, "no such path"),
+        }
+    }
+}
+
+fn object_response(object: Object) -> WebResponse {
+    with_etag(respond(200, object.value), object.version)
+}
+
+fn with_etag(mut res: WebResponse, version: u64) -> WebResponse {
+    let value = version.to_string().parse().expect("a number is a valid header");
+    res.headers_mut().insert("etag", value);
+    res
+}
