node: fault matrices of streams, calls and bundles on processes

Cause: nothing showed what holds under kills, freezes, cuts and outages. Ruled out: a cluster simulator; each cell runs real processes on loopback. Before: 'queued x entry stops' never ended: a planned stop's news made the lead drop the entry's waiting requests without an answer. 'placed x engine dies' showed that the stand-in gave a step's tokens before the step's time.

--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -163,7 +163,9 @@
                 Scope::Nothing
             }
             PoolEvent::EntryGone(entry) => {
-                self.queue.remove_entry(&entry);
+                for waiting in self.queue.remove_entry(&entry) {
+                    self.refuse(waiting.request.generation, Code::NotReady, actions);
+                }
                 Scope::Nothing
             }
             PoolEvent::Policy(policy) => {
--- a/lib/src/pool_event.rs
+++ b/lib/src/pool_event.rs
@@ -162,7 +162,7 @@
         /// Cached or not.
         stored: bool,
     },
-    /// An entry VM is dead; what it waits for is dropped.
+    /// An entry VM is dead; what it waits for is refused, in case it is only cut off.
     EntryGone(VmId),
     /// Another bundle is in force.
     Policy(PoolPolicy),
--- a/lib/tests/test_pool.rs
+++ b/lib/tests/test_pool.rs
@@ -251,6 +251,18 @@
     assert_eq!(env.refused.iter().map(|r| r.1).collect::<Vec<_>>(), [Code::NoUpstream]);
 }
 
+/// What a dead entry waits for is refused: it may only be cut off, and is told at once.
+#[test]
+fn test_dead_entry_is_answered() {
+    let mut env = Env::new(1);
+    (1..=20).for_each(|g| env.event(PoolEvent::Place(request(g, "a", 400))));
+    let waiting = env.pool.status().waiting;
+    assert!(waiting > 0);
+    let before = env.refused.len();
+    env.event(PoolEvent::EntryGone("entry-1".into()));
+    assert_eq!(env.refused.len() - before, waiting);
+}
+
 /// One organisation floods the queue; another one still gets in and is served.
 #[test]
 fn test_no_organisation_is_starved() {
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -140,6 +140,8 @@
             info!(event = "member", vm = &*news.vm, liveness:? = news.liveness; "member changed");
             if matches!(news.liveness, Liveness::Dead | Liveness::Left) {
                 self.peers.forget(&news.vm);
+            }
+            if news.liveness == Liveness::Dead {
                 let now = self.now();
                 self.leads.all_pools(now, |_| PoolEvent::EntryGone(news.vm.clone()));
             }
--- /dev/null
+++ b/node/tests/environment.rs
@@ -0,0 +1,438 @@
+//! A small fleet of processes on loopback, stopped when it is dropped.
+
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ed25519_dalek::SigningKey;
+use http::Request;
+use http_body_util::Full;
+use leadstage_lib::signing::Envelope;
+use leadstage_lib::signing::encode_key;
+use leadstage_lib::signing::sha256_hex;
+use leadstage_lib::signing::sign;
+use leadstage_testutils::http_client;
+use leadstage_testutils::http_client::HttpClient;
+use leadstage_testutils::http_client::Reply;
+use serde_json::Value;
+use tempfile::TempDir;
+
+/// What should come about does so within this, or the test fails. Far longer than
+/// needed, as machines are slow at times; nothing is asserted about speed.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Time between two looks.
+const POLL: Duration = Duration::from_millis(50);
+
+static NETS: AtomicU32 = AtomicU32::new(0);
+
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Nodes.
+    pub nodes: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Further arguments of the engines.
+    pub engine_args: Vec<String>,
+    /// Lag of the VM list in milliseconds.
+    pub vm_lag_ms: u64,
+    /// Lines for the bundle's bounds.
+    pub bounds: String,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            nodes: 2,
+            engines: 2,
+            engine_args: vec![],
+            vm_lag_ms: 0,
+            bounds: "stall_within: 500ms".to_owned(),
+        }
+    }
+}
+
+/// The fleet.
+pub struct Env {
+    /// Its options.
+    pub options: Options,
+    /// An HTTP client.
+    pub client: HttpClient,
+    net: String,
+    dir: TempDir,
+    children: BTreeMap<String, Child>,
+    vms: Vec<Value>,
+    _guard: TcpListener,
+}
+
+fn stand_in(name: &str) -> PathBuf {
+    let bin = PathBuf::from(env!("CARGO_BIN_EXE_leadstaged"));
+    let path = bin.parent().expect("a folder").join("examples").join(name);
+    assert!(path.exists(), "{} is missing: run cargo test --workspace", path.display());
+    path
+}
+
+/// A network of its own in 127.0.0.0/8, held by a listener on its last address.
+fn own_net() -> (String, TcpListener) {
+    loop {
+        let n = NETS.fetch_add(1, Ordering::Relaxed).wrapping_mul(7) + std::process::id();
+        let net = format!("127.{}.{}", n / 250 % 200 + 30, n % 250 + 2);
+        if let Ok(guard) = TcpListener::bind(format!("{net}.254:7000")) {
+            return (net, guard);
+        }
+    }
+}
+
+/// The operators' key of all test fleets.
+pub fn operator_key() -> SigningKey {
+    SigningKey::from_bytes(&[5; 32])
+}
+
+/// A bundle's text for tests.
+pub fn bundle_yaml(number: u64, bounds: &str) -> String {
+    let hash = |token: &str| sha256_hex(token.as_bytes());
+    let bounds = if bounds.is_empty() { "max_queue: 200" } else { bounds };
+    let bounds: String = bounds.lines().map(|line| format!("  {line}\n")).collect();
+    format!(
+        "number: {number}\nfleet: test\norganisations:\n  - {{id: a, token_hashes: [{}]}}\n  - {{id: b, token_hashes: [{}], max_open: 2}}\n\
+         models:\n  - {{id: m, checks_fences: true, max_prompt_tokens: 1000}}\nservices:\n  - {{id: booking}}\n\
+         routes:\n  - {{prefix: /booking/, service: booking, repeatable: [GET]}}\nbounds:\n{bounds}",
+        hash("token-a"),
+        hash("token-b"),
+    )
+}
+
+/// A signed envelope of a bundle's text.
+pub fn envelope(number: u64, yaml: &str, operator: &str) -> Envelope {
+    let signatures = vec![sign(yaml, &operator_key())];
+    Envelope { number, operator: operator.to_owned(), yaml: yaml.to_owned(), signatures }
+}
+
+impl Env {
+    /// Starts a fleet with bundle 1 in force and a lead that knows all engines.
+    pub async fn start(options: Options) -> Env {
+        let env = Env::without_bundle(options).await;
+        env.roll_out(1).await;
+        for node in 1..=env.options.nodes {
+            env.until_ready(node).await;
+        }
+        let engines = env.options.engines;
+        env.until("a lead that knows all engines", async |env: &Env| env.engines_up().await == engines).await;
+        env
+    }
+
+    /// Starts a fleet that has no bundle yet.
+    pub async fn without_bundle(options: Options) -> Env {
+        let (net, guard) = own_net();
+        let mut env = Env {
+            options,
+            client: http_client::client(),
+            net,
+            dir: TempDir::new().expect("a folder"),
+            children: BTreeMap::new(),
+            vms: Vec::new(),
+            _guard: guard,
+        };
+        let lag = env.options.vm_lag_ms.to_string();
+        env.spawn_stand_in("platform", "platform", &["--vm-lag-ms", &lag]);
+        for n in 1..=env.options.engines {
+            env.start_engine(n);
+        }
+        env.spawn_stand_in("booking-1", "plain", &[]);
+        env.add_vm("booking-1", "service", "booking");
+        for n in 1..=env.options.nodes {
+            env.add_vm(&format!("entry-{n}"), "entry", "");
+        }
+        env.until("the platform", async |env: &Env| {
+            env.get(&env.address("platform"), "/v1/vms").await.is_ok()
+        })
+        .await;
+        env.publish_vms().await;
+        for n in 1..=env.options.nodes {
+            env.start_node(n);
+        }
+        env
+    }
+
+    /// The address of a process: its callers' port for a node.
+    pub fn address(&self, name: &str) -> String {
+        let (kind, n) = name.rsplit_once('-').unwrap_or((name, "0"));
+        let n: u32 = n.parse().expect("a number");
+        match kind {
+            "platform" => format!("{}.1:9000", self.net),
+            "entry" => format!("{}.{}:8080", self.net, 10 + n),
+            "engine" => format!("{}.{}:9100", self.net, 60 + n),
+            _ => format!("{}.{}:9200", self.net, 150 + n),
+        }
+    }
+
+    fn port(&self, node: usize, port: u16) -> String {
+        format!("{}.{}:{port}", self.net, 10 + node)
+    }
+
+    /// A node's admin address.
+    pub fn admin(&self, node: usize) -> String {
+        self.port(node, 8081)
+    }
+
+    fn spawn_stand_in(&mut self, name: &str, program: &str, args: &[&str]) {
+        let mut command = Command::new(stand_in(program));
+        command.args(["--listen", &self.address(name)]).args(args);
+        self.spawn(name, command);
+    }
+
+    fn spawn(&mut self, name: &str, mut command: Command) {
+        let log =
+            std::fs::File::options().append(true).create(true).open(self.log_path(name)).expect("a log");
+        command.stdout(Stdio::null()).stderr(log).stdin(Stdio::null());
+        self.children.insert(name.to_owned(), command.spawn().expect("it starts"));
+    }
+
+    fn log_path(&self, name: &str) -> PathBuf {
+        self.dir.path().join(format!("{name}.log"))
+    }
+
+    /// Starts an engine and lists it.
+    pub fn start_engine(&mut self, n: usize) {
+        let name = format!("engine-{n}");
+        let args = self.options.engine_args.clone();
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
+        self.spawn_stand_in(&name, "engine", &args);
+        self.add_vm(&name, "engine", "m");
+    }
+
+    /// Starts a node, or starts it again.
+    pub fn start_node(&mut self, n: usize) {
+        let path = self.dir.path().join(format!("entry-{n}.yaml"));
+        let settings = format!(
+            "vm: entry-{n}\nhall: h\nlisten: {}\nadmin: {}\npeer: {}\nplatform: {}\noperators: ['{}']\n",
+            self.port(n, 8080),
+            self.port(n, 8081),
+            self.port(n, 8082),
+            self.address("platform"),
+            encode_key(&operator_key().verifying_key()),
+        );
+        std::fs::write(&path, settings).expect("writable");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_leadstaged"));
+        command.arg("--config").arg(&path);
+        self.spawn(&format!("entry-{n}"), command);
+    }
+
+    fn add_vm(&mut self, name: &str, role: &str, serves: &str) {
+        let address = match role {
+            "entry" => self.address(name).replace(":8080", ":8082"),
+            _ => self.address(name),
+        };
+        let vm = serde_json::json!({"id": name, "role": role, "hall": "h", "address": address, "serves": serves, "state": "live"});
+        self.vms.push(vm);
+    }
+
+    /// Changes a VM's state in the VM list.
+    pub async fn set_vm_state(&mut self, name: &str, state: &str) {
+        for vm in self.vms.iter_mut().filter(|vm| vm["id"] == name) {
+            vm["state"] = state.into();
+        }
+        self.publish_vms().await;
+    }
+
+    async fn publish_vms(&self) {
+        let body = serde_json::to_vec(&self.vms).expect("JSON");
+        let uri = format!("http://{}/stand-in/vms", self.address("platform"));
+        let req = Request::put(uri).body(Full::from(body)).expect("valid");
+        http_client::send(&self.client, req).await.expect("the platform answers");
+    }
+
+    /// Puts a bundle into the object API as the accepted one.
+    pub async fn roll_out(&self, number: u64) {
+        let yaml = bundle_yaml(number, &self.options.bounds);
+        self.put_bundle(envelope(number, &yaml, "test").to_bytes()).await;
+    }
+
+    /// Puts bytes into the bundle's object, whatever it holds.
+    pub async fn put_bundle(&self, bytes: Vec<u8>) {
+        let platform = self.address("platform");
+        let found = self.get(&platform, "/v1/objects/bundle").await.expect("the platform answers");
+        let version = found.headers.get("etag").filter(|_| found.status == 200);
+        let version = version.and_then(|v| v.to_str().ok()).unwrap_or("0").to_owned();
+        let uri = format!("http://{platform}/v1/objects/bundle");
+        let req = Request::put(uri).header("if-match", version).body(Full::from(bytes)).expect("valid");
+        let reply = http_client::send(&self.client, req).await.expect("the platform answers");
+        assert_eq!(reply.status, 200);
+    }
+
+    /// A GET of a path.
+    pub async fn get(&self, address: &str, path: &str) -> Result<Reply, String> {
+        let req = Request::get(format!("http://{address}{path}")).body(Full::default()).expect("valid");
+        let sent = tokio::time::timeout(Duration::from_secs(5), http_client::send(&self.client, req));
+        sent.await.unwrap_or_else(|_| Err("no answer".to_owned()))
+    }
+
+    /// Switches a fault on, as in `fault("engine-1", "cut")`.
+    pub async fn fault(&self, name: &str, fault: &str) {
+        let uri = format!("http://{}/fault/{fault}", self.address(name));
+        let req = Request::post(uri).body(Full::default()).expect("valid");
+        let _ = http_client::send(&self.client, req).await;
+    }
+
+    /// Sends a signal to a process.
+    pub fn signal(&self, name: &str, signal: &str) {
+        let pid = self.children[name].id().to_string();
+        let status = Command::new("kill").args([signal, &pid]).status().expect("kill runs");
+        assert!(status.success(), "{signal} {name}");
+    }
+
+    /// Kills a process and waits for its end.
+    pub fn kill(&mut self, name: &str) {
+        let child = self.children.get_mut(name).expect("known");
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
+    /// Waits for a process that stops by itself; true if it did so without a failure.
+    pub async fn wait_exit(&mut self, name: &str) -> bool {
+        let deadline = std::time::Instant::now() + PATIENCE;
+        while std::time::Instant::now() < deadline {
+            if let Some(status) = self.children.get_mut(name).expect("known").try_wait().expect("a child") {
+                return status.success();
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("{name} did not stop");
+    }
+
+    /// A node's status, as JSON.
+    pub async fn status(&self, node: usize) -> Option<Value> {
+        let reply = self.get(&self.admin(node), "/status").await.ok()?;
+        serde_json::from_str(&reply.body).ok()
+    }
+
+    /// Waits for something to come about.
+    pub async fn until(&self, what: &str, mut is_so: impl AsyncFnMut(&Env) -> bool) {
+        let deadline = std::time::Instant::now() + PATIENCE;
+        while std::time::Instant::now() < deadline {
+            if is_so(self).await {
+                return;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("{what}: did not come about\n{}", self.logs());
+    }
+
+    /// Waits until a node is ready to the balancer.
+    pub async fn until_ready(&self, node: usize) {
+        let what = format!("entry-{node} ready");
+        self.until(&what, async |env: &Env| {
+            let reply = env.get(&env.admin(node), "/readyz").await;
+            reply.is_ok_and(|r| r.status == 200)
+        })
+        .await;
+    }
+
+    /// Waits until a node has a bundle in force.
+    pub async fn until_bundle(&self, node: usize, number: u64) {
+        let what = format!("bundle {number} on entry-{node}");
+        self.until(&what, async |env: &Env| env.status(node).await.is_some_and(|s| s["bundle"] == number))
+            .await;
+    }
+
+    /// The node that leads the pool, and how many of its engines are up.
+    async fn pool(&self) -> Option<(usize, usize)> {
+        let mut found = None;
+        for node in 1..=self.options.nodes {
+            let Some(status) = self.status(node).await else { continue };
+            for pool in status["pools"].as_array().into_iter().flatten() {
+                let engines = pool["engines"].as_array().into_iter().flatten();
+                let up = engines.filter(|e| e["state"] == "up").count();
+                found = found.max(Some((node, up)));
+            }
+        }
+        found
+    }
+
+    /// The node that leads the pool.
+    pub async fn lead(&self) -> usize {
+        self.pool().await.expect("a lead").0
+    }
+
+    async fn engines_up(&self) -> usize {
+        let one_lead = {
+            let mut leads = 0;
+            for node in 1..=self.options.nodes {
+                let status = self.status(node).await;
+                leads += status.map_or(0, |s| s["pools"].as_array().map_or(0, Vec::len));
+            }
+            leads == 1
+        };
+        if one_lead { self.pool().await.map_or(0, |(_, up)| up) } else { 0 }
+    }
+
+    /// A number of an engine's load report.
+    pub async fn engine_count(&self, engine: usize, field: &str) -> u64 {
+        let reply = self.get(&self.address(&format!("engine-{engine}")), "/v1/load").await;
+        let load: Option<Value> = reply.ok().and_then(|r| serde_json::from_str(&r.body).ok());
+        load.and_then(|l| l[field].as_u64()).unwrap_or(0)
+    }
+
+    /// How often each booking ran, by key.
+    pub async fn bookings(&self) -> BTreeMap<String, u64> {
+        let reply = self.get(&self.address("booking-1"), "/stand-in/ran").await.expect("the service answers");
+        serde_json::from_str(&reply.body).expect("JSON")
+    }
+
+    /// Books through a node.
+    pub async fn book(&self, node: usize, key: Option<&str>) -> Result<Reply, String> {
+        self.book_for("token-a", node, key, "{}").await
+    }
+
+    /// Books through a node as an organisation, with a body.
+    pub async fn book_for(
+        &self,
+        token: &str,
+        node: usize,
+        key: Option<&str>,
+        body: &str,
+    ) -> Result<Reply, String> {
+        let uri = format!("http://{}/booking/book", self.address(&format!("entry-{node}")));
+        let mut req = Request::post(uri).header("authorization", format!("Bearer {token}"));
+        if let Some(key) = key {
+            req = req.header("idempotency-key", key);
+        }
+        let req = req.body(Full::from(Bytes::from(body.to_owned()))).expect("valid");
+        let sent = tokio::time::timeout(PATIENCE, http_client::send(&self.client, req));
+        sent.await.unwrap_or_else(|_| Err("no answer".to_owned()))
+    }
+
+    /// The logs of all processes, for a failure's message.
+    pub fn logs(&self) -> String {
+        let mut out = String::new();
+        for name in self.children.keys() {
+            let log = std::fs::read_to_string(self.log_path(name)).unwrap_or_default();
+            let last: Vec<&str> = log.lines().rev().take(15).collect();
+            out.push_str(&format!("--- {name}\n"));
+            last.iter().rev().for_each(|line| out.push_str(&format!("{line}\n")));
+        }
+        out
+    }
+}
+
+impl Drop for Env {
+    fn drop(&mut self) {
+        for child in self.children.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// The code of a refusal, 0 for none.
+pub fn code(reply: &Reply) -> u64 {
+    let body: Value = serde_json::from_str(&reply.body).unwrap_or_default();
+    body["error"]["code"].as_u64().unwrap_or(0)
+}
--- /dev/null
+++ b/node/tests/runner.rs
@@ -0,0 +1,11 @@
+//! All tests of the package, in one program. They run leadstaged and the stand-ins as
+//! processes; `cargo test --workspace` builds those first.
+
+mod environment;
+mod stream;
+mod test_bundles;
+mod test_callers;
+mod test_calls;
+mod test_settings;
+mod test_streams;
+mod test_upstreams;
--- /dev/null
+++ b/node/tests/stream.rs
@@ -0,0 +1,157 @@
+//! A caller's stream, read in the background.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures::StreamExt;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use leadstage_testutils::engine_server::token_text;
+use leadstage_testutils::http_client::HttpClient;
+use serde_json::Value;
+use tokio::task::JoinHandle;
+
+/// How a stream ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    /// With the finish reason and `[DONE]`.
+    Whole,
+    /// With a numbered code, in the stream or as the response.
+    Code(u64),
+    /// The connection broke.
+    Broken,
+}
+
+/// What a caller has got.
+#[derive(Clone, Debug, Default)]
+pub struct Got {
+    /// The texts, in order.
+    pub texts: Vec<String>,
+    /// The latest event's id.
+    pub last_id: Option<String>,
+    /// How it ended, once it has.
+    pub end: Option<End>,
+    /// The response's `Retry-After`.
+    pub retry_after: Option<String>,
+    finished: bool,
+}
+
+impl Got {
+    /// The generation of the latest event.
+    pub fn generation(&self) -> Option<u64> {
+        let id = self.last_id.as_ref()?;
+        u64::from_str_radix(id.split('@').next()?, 16).ok()
+    }
+
+    /// Each token once, in order, from a single generation, starting with index `from`.
+    pub fn assert_in_order(&self, from: u64) {
+        let Some(generation) = self.generation() else {
+            return assert!(self.texts.is_empty());
+        };
+        let expected: Vec<String> =
+            (from..from + self.texts.len() as u64).map(|index| token_text(generation, index)).collect();
+        assert_eq!(self.texts, expected);
+    }
+}
+
+/// A stream in the background.
+pub struct Caller {
+    got: Arc<Mutex<Got>>,
+    task: JoinHandle<()>,
+}
+
+/// The body of a chat request that yields so many tokens.
+pub fn chat_body(tokens: u64, stream: bool) -> String {
+    format!(
+        r#"{{"model":"m","stream":{stream},"stand_in_tokens":{tokens},"max_tokens":{tokens},"messages":[{{"role":"user","content":"hello"}}]}}"#
+    )
+}
+
+impl Caller {
+    /// Asks for a stream of `tokens` at `address`; goes on after `last_id` if one is given.
+    pub fn ask(
+        client: &HttpClient,
+        address: &str,
+        token: &str,
+        tokens: u64,
+        last_id: Option<&str>,
+    ) -> Caller {
+        let uri = format!("http://{address}/v1/chat/completions");
+        let mut req = Request::post(uri).header("authorization", format!("Bearer {token}"));
+        if let Some(id) = last_id {
+            req = req.header("last-event-id", id);
+        }
+        let req = req.body(Full::from(Bytes::from(chat_body(tokens, true)))).expect("valid");
+        let got = Arc::new(Mutex::new(Got::default()));
+        let task = tokio::spawn(read(client.clone(), req, got.clone()));
+        Caller { got, task }
+    }
+
+    /// What it has got so far.
+    pub fn got(&self) -> Got {
+        self.got.lock().expect("no holder panics").clone()
+    }
+
+    /// Leaves: the connection is closed.
+    pub fn leave(&self) {
+        self.task.abort();
+    }
+
+    /// Waits for the end.
+    pub async fn finish(self) -> Got {
+        let got = self.got.clone();
+        let ended = tokio::time::timeout(std::time::Duration::from_secs(60), self.task).await;
+        assert!(ended.is_ok(), "the stream did not end: {:?}", got.lock());
+        got.lock().expect("no holder panics").clone()
+    }
+}
+
+async fn read(client: HttpClient, req: Request<Full<Bytes>>, got: Arc<Mutex<Got>>) {
+    let end = follow(client, req, &got).await;
+    got.lock().expect("no holder panics").end = Some(end);
+}
+
+async fn follow(client: HttpClient, req: Request<Full<Bytes>>, got: &Arc<Mutex<Got>>) -> End {
+    let Ok(res) = client.request(req).await else {
+        return End::Broken;
+    };
+    if res.status() != 200 {
+        let retry = res.headers().get("retry-after").and_then(|v| v.to_str().ok()).map(str::to_owned);
+        got.lock().expect("no holder panics").retry_after = retry;
+        let body = res.into_body().collect().await.map(|b| b.to_bytes()).unwrap_or_default();
+        return End::Code(code_of(&body));
+    }
+    let mut events = res.into_body().into_data_stream().eventsource();
+    while let Some(event) = events.next().await {
+        let Ok(event) = event else { return End::Broken };
+        if event.event == "error" {
+            return End::Code(code_of(event.data.as_bytes()));
+        }
+        let mut got = got.lock().expect("no holder panics");
+        if event.data == "[DONE]" {
+            return if got.finished { End::Whole } else { End::Broken };
+        }
+        got.take(&event.data, event.id);
+    }
+    End::Broken
+}
+
+impl Got {
+    fn take(&mut self, data: &str, id: String) {
+        let chunk: Value = serde_json::from_str(data).expect("JSON");
+        let choice = &chunk["choices"][0];
+        self.last_id = Some(id);
+        match choice["delta"]["content"].as_str() {
+            Some(text) if choice["finish_reason"].is_null() => self.texts.push(text.to_owned()),
+            _ => self.finished = true,
+        }
+    }
+}
+
+fn code_of(body: &[u8]) -> u64 {
+    let body: Value = serde_json::from_slice(body).unwrap_or_default();
+    body["error"]["code"].as_u64().unwrap_or(0)
+}
--- /dev/null
+++ b/node/tests/test_settings.rs
@@ -0,0 +1,57 @@
+//! The node's settings file and command line.
+
+use std::process::Command;
+
+fn check(yaml: &str) -> (i32, String) {
+    let dir = tempfile::TempDir::new().expect("a folder");
+    let path = dir.path().join("node.yaml");
+    std::fs::write(&path, yaml).expect("writable");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_leadstaged"));
+    let output = command.arg("--check-config").arg("--config").arg(&path).output().expect("it runs");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).into_owned())
+}
+
+const RIGHT: &str = "\
+vm: entry-1
+hall: lj-a
+listen: 127.0.0.1:8080
+admin: 127.0.0.1:8081
+peer: 127.0.0.1:8082
+platform: 127.0.0.1:9000
+operators: ['O2onvM62pC1io6jQKm8Nc2UyFXcd4kOmOsBIoYtZ2ik=']
+";
+
+#[test]
+fn test_right_settings() {
+    assert_eq!(check(RIGHT), (0, "the settings are right\n".to_owned()));
+}
+
+#[test]
+fn test_every_mistake_is_listed() {
+    let (code, text) =
+        check("vm: entry-1\nlisten: here\nport: 7\noperators: [abc]\nsign_offs: 3\ntraffic_threads: 0\n");
+    assert_eq!(code, 2);
+    insta::assert_snapshot!(text, @r#"
+    leadstaged: 9 mistakes in the settings
+      listen: invalid socket address syntax (found "here")
+      port: unknown field `port`, expected one of `vm`, `hall`, `listen`, `admin`, `peer`, `platform`, `operators`, `sign_offs`, `traffic_threads` (found 7)
+      hall: must be given: the hall's id
+      admin: must be given: IP:PORT
+      peer: must be given: IP:PORT
+      platform: must be given: IP:PORT
+      operators[0]: "abc" is not an ed25519 public key in base64
+      sign_offs: 3 must be from 1 to the 1 operators
+      traffic_threads: 0 must be from 1 to 64
+    "#);
+}
+
+#[test]
+fn test_command_line() {
+    let run =
+        |args: &[&str]| Command::new(env!("CARGO_BIN_EXE_leadstaged")).args(args).output().expect("it runs");
+    assert_eq!(run(&["--help"]).status.code(), Some(0));
+    assert_eq!(run(&[]).status.code(), Some(2));
+    assert_eq!(run(&["--colour"]).status.code(), Some(2));
+    assert_eq!(run(&["--config", "/nonexistent"]).status.code(), Some(2));
+}
--- /dev/null
+++ b/node/tests/test_upstreams.rs
@@ -0,0 +1,114 @@
+//! Upstreams and nodes that leave, and recovery after a burst of failures.
+
+use std::time::Duration;
+
+use crate::environment::Env;
+use crate::environment::Options;
+use crate::stream::Caller;
+use crate::stream::End;
+
+/// A reclaimed engine tells so itself; the VM list lags far behind. It gets no new work
+/// after that, and what runs there ends whole.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_reclaimed_engine_gets_no_new_work() {
+    let args = ["--step-us", "20000", "--lag-ms", "0"].map(str::to_owned).into();
+    let env = Env::start(Options { engine_args: args, ..Options::default() }).await;
+    let address = env.address("entry-1");
+    let running: Vec<Caller> =
+        (0..6).map(|_| Caller::ask(&env.client, &address, "token-a", 150, None)).collect();
+    env.until("work on both", async |env: &Env| {
+        env.engine_count(1, "started").await > 0 && env.engine_count(2, "started").await > 0
+    })
+    .await;
+    env.fault("engine-1", "reclaim").await;
+    for node in 1..=2 {
+        env.until("every node knows", async |env: &Env| {
+            let status = env.status(node).await.unwrap_or_default();
+            status["leaving"].as_array().is_some_and(|l| l.iter().any(|e| e == "engine-1"))
+        })
+        .await;
+    }
+    let before = env.engine_count(1, "started").await;
+    for node in [1, 2, 1, 2, 1, 2] {
+        let address = env.address(&format!("entry-{node}"));
+        let got = Caller::ask(&env.client, &address, "token-a", 3, None).finish().await;
+        assert_eq!(got.end, Some(End::Whole));
+    }
+    assert_eq!(env.engine_count(1, "started").await, before, "new work on a leaving engine");
+    for caller in running {
+        let got = caller.finish().await;
+        assert_eq!(got.end, Some(End::Whole), "{got:?}");
+        got.assert_in_order(0);
+    }
+}
+
+/// The VM list says that a service's replica leaves: it gets no new call.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_leaving_service_gets_no_new_call() {
+    let mut env = Env::start(Options { engines: 0, ..Options::default() }).await;
+    assert!(env.book(1, None).await.is_ok_and(|r| r.status == 200));
+    env.set_vm_state("booking-1", "leaving").await;
+    for node in 1..=2 {
+        env.until("every node knows", async |env: &Env| {
+            env.status(node).await.unwrap_or_default()["leaving"].as_array().is_some_and(|l| !l.is_empty())
+        })
+        .await;
+    }
+    let before = env.bookings().await;
+    let reply = env.book(2, None).await.expect("an answer");
+    assert_eq!((reply.status, crate::environment::code(&reply)), (503, 2104));
+    assert!(reply.headers.contains_key("retry-after"));
+    assert_eq!(env.bookings().await, before);
+}
+
+/// Half of the fleet goes at once while streams run; what can end does, the rest gets a
+/// code, and the system serves again as before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_settles_after_a_burst_of_failures() {
+    let args = ["--step-us", "10000"].map(str::to_owned).into();
+    let options = Options { nodes: 4, engines: 4, engine_args: args, ..Options::default() };
+    let mut env = Env::start(options).await;
+    let streams: Vec<Caller> = (0..40)
+        .map(|n| {
+            Caller::ask(&env.client, &env.address(&format!("entry-{}", n % 2 + 1)), "token-a", 100, None)
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    ["entry-3", "entry-4", "engine-3", "engine-4"].iter().for_each(|name| env.kill(name));
+    env.fault("platform", "down").await;
+    env.fault("engine-1", "cut").await;
+    for stream in streams {
+        let got = stream.finish().await;
+        got.assert_in_order(0);
+        assert!(matches!(got.end, Some(End::Whole | End::Code(4001 | 2109))), "{got:?}\n{}", env.logs());
+    }
+    for node in [1, 2, 1, 2] {
+        let address = env.address(&format!("entry-{node}"));
+        let got = Caller::ask(&env.client, &address, "token-a", 10, None).finish().await;
+        assert_eq!(got.end, Some(End::Whole), "{got:?}\n{}", env.logs());
+    }
+    env.until("the books are empty again", async |env: &Env| {
+        let lead = env.lead().await;
+        let status = env.status(lead).await.unwrap_or_default();
+        status["pools"][0]["running"] == 0 && status["pools"][0]["waiting"] == 0
+    })
+    .await;
+}
+
+/// A caller whose entry died does not come back: its generation is cancelled in the end
+/// and the engine's memory is free again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_abandoned_generation_is_cancelled() {
+    let args = ["--step-us", "100000"].map(str::to_owned).into();
+    let mut env = Env::start(Options { engine_args: args, engines: 1, ..Options::default() }).await;
+    let lead = env.lead().await;
+    let entry = lead % 2 + 1;
+    let caller = Caller::ask(&env.client, &env.address(&format!("entry-{entry}")), "token-a", 2_000, None);
+    env.until("tokens", async |_: &Env| caller.got().texts.len() > 2).await;
+    env.until("the lead's book has it", async |env: &Env| {
+        env.status(lead).await.unwrap_or_default()["pools"][0]["running"] == 1
+    })
+    .await;
+    env.kill(&format!("entry-{entry}"));
+    env.until("it is cancelled", async |env: &Env| env.engine_count(1, "cancelled").await == 1).await;
+}
--- a/testutils/src/engine_model.rs
+++ b/testutils/src/engine_model.rs
@@ -251,8 +251,11 @@
         }
     }
 
-    /// Runs one step of the batch.
+    /// Runs one step of the batch; an idle engine's step takes no time.
     pub fn step(&mut self) -> StepOutcome {
+        if self.is_idle() {
+            return StepOutcome::default();
+        }
         let mut events = Vec::new();
         self.admit();
         let prefilled = self.prefill(&mut events);
--- a/testutils/src/engine_server.rs
+++ b/testutils/src/engine_server.rs
@@ -42,6 +42,8 @@
 const KEEP_ENDED: Duration = Duration::from_secs(120);
 /// One cache event in this many is lost.
 const CACHE_EVENT_GAP: u64 = 10;
+/// Past loads that are kept, to report an old one.
+const LOADS_KEPT: usize = 5_000;
 /// Sleep of an engine with nothing to do.
 const IDLE_SLEEP: Duration = Duration::from_millis(1);
 
@@ -94,6 +96,7 @@
     config: EngineServerConfig,
     state: Arc<Mutex<State>>,
     frozen: Arc<AtomicBool>,
+    reclaimed: Arc<AtomicBool>,
     cuts: Arc<AtomicU64>,
     stalls: Arc<AtomicU64>,
 }
@@ -141,6 +144,7 @@
             config,
             state: Arc::new(Mutex::new(state)),
             frozen: Arc::default(),
+            reclaimed: Arc::default(),
             cuts: Arc::default(),
             stalls: Arc::default(),
         };
@@ -156,9 +160,18 @@
     fn step_for_ever(&self) {
         let mut due = Instant::now();
         loop {
-            let pause = if self.frozen.load(Ordering::Relaxed) { IDLE_SLEEP } else { self.lock().step() };
-            due = (due + pause).max(Instant::now());
+            if self.frozen.load(Ordering::Relaxed) {
+                std::thread::sleep(IDLE_SLEEP);
+                continue;
+            }
+            let outcome = self.lock().model.step();
+            let idle = outcome.events.is_empty() && outcome.duration.is_zero();
+            due = (due + outcome.duration).max(Instant::now());
             std::thread::sleep(due - Instant::now());
+            self.lock().finish_step(&outcome.events);
+            if idle {
+                std::thread::sleep(IDLE_SLEEP);
+            }
         }
     }
 
@@ -261,6 +274,7 @@
         match kind {
             "die" => std::process::exit(1),
             "freeze" => self.frozen.store(true, Ordering::Relaxed),
+            "reclaim" => self.reclaimed.store(true, Ordering::Relaxed),
             "thaw" => self.frozen.store(false, Ordering::Relaxed),
             "cut" => _ = self.cuts.fetch_add(1, Ordering::Relaxed),
             "stall" => _ = self.stalls.fetch_add(1, Ordering::Relaxed),
@@ -355,18 +369,17 @@
         known
     }
 
-    fn step(&mut self) -> Duration {
+    /// The step's time has passed: its tokens are there.
+    fn finish_step(&mut self, events: &[EngineEvent]) {
         let now = Instant::now();
         self.tracked.retain(|_, t| t.ended.is_none_or(|at| now - at < KEEP_ENDED));
-        let outcome = self.model.step();
-        for event in &outcome.events {
+        for event in events {
             self.apply(*event, now);
         }
         self.loads.push_back((now, self.model.load()));
-        while self.loads.len() > 2_000 {
+        while self.loads.len() > LOADS_KEPT {
             self.loads.pop_front();
         }
-        if self.model.is_idle() { IDLE_SLEEP } else { outcome.duration }
     }
 
     fn apply(&mut self, event: EngineEvent, now: Instant) {
@@ -424,7 +437,8 @@
             "/v1/load" => {
                 let state = self.lock();
                 let load = state.lagged_load(self.config.load_lag);
-                respond_json(200, &load_body(&load, &state, &self.config))
+                let leaving = self.reclaimed.load(Ordering::Relaxed);
+                respond_json(200, &load_body(&load, &state, &self.config, leaving))
             }
             "/v1/cache_events" => {
                 let state = self.lock();
@@ -439,8 +453,14 @@
     }
 }
 
-fn load_body(load: &EngineLoad, state: &State, config: &EngineServerConfig) -> serde_json::Value {
+fn load_body(
+    load: &EngineLoad,
+    state: &State,
+    config: &EngineServerConfig,
+    leaving: bool,
+) -> serde_json::Value {
     json!({
+        "leaving": leaving,
         "running": load.running,
         "waiting": load.waiting,
         "used_blocks": load.used_blocks,
