testutils: load tool that measures a node beside the engine itself

Cause: what a node adds was not known. Of 32.6 KB for an open stream a large part was the 8 KB that the HTTP client reads at once from an engine. Ruled out: the sizes of the request's futures (3.7 KB in all, 0.8 KB for the relay).

--- a/node/src/upstream_client.rs
+++ b/node/src/upstream_client.rs
@@ -19,6 +19,9 @@
 /// An unused connection is closed after this.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 
+/// Bytes read from an upstream at once; a token's event has about 200.
+const READ_BUF: usize = 2_048;
+
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 thread_local! {
@@ -45,6 +48,7 @@
             Client::builder(TokioExecutor::new())
                 .pool_idle_timeout(IDLE_LIMIT)
                 .pool_timer(TokioTimer::new())
+                .http1_read_buf_exact_size(READ_BUF)
                 .build(connector)
         })
         .clone()
--- /dev/null
+++ b/scripts/measure-node.sh
@@ -0,0 +1,71 @@
+#!/usr/bin/env bash
+# Measures what a node adds to an engine's first token and to the time between tokens,
+# side by side in one run, and its memory and control cost. Loopback only; about a minute.
+#
+# Usage: scripts/measure-node.sh [RATE] [TOKENS] [SECONDS]
+# By default 100 requests a second each way, 200 tokens of 50 ms: 1000 open streams and
+# 20000 tokens a second through the node.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+rate=${1:-200}
+tokens=${2:-200}
+seconds=${3:-30}
+
+cargo build --quiet --release --workspace --bins --examples
+target=${CARGO_TARGET_DIR:-target}
+case "$target" in /*) ;; *) target=$(pwd)/$target ;; esac
+bin=$target/release
+net=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 2))
+work=$(mktemp -d)
+pids=()
+stop_all() {
+    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+    rm -rf "$work"
+}
+trap stop_all EXIT
+start() {
+    local name=$1
+    shift
+    "$@" >"$work/$name.log" 2>&1 &
+    pids+=($!)
+}
+
+start platform "$bin/examples/platform" --listen "$net.1:9000"
+start engine "$bin/examples/engine" --listen "$net.21:9100" --step-us 36000 --blocks 1000000 --max-batch 2600
+sleep 0.5
+cat >"$work/vms.json" <<JSON
+[{"id":"entry-1","role":"entry","hall":"h","address":"$net.11:8082","state":"live"},
+ {"id":"engine-1","role":"engine","hall":"h","address":"$net.21:9100","serves":"assistant","state":"live"}]
+JSON
+curl -sf -X PUT --data-binary "@$work/vms.json" "http://$net.1:9000/stand-in/vms" >/dev/null
+key=$("$bin/leadstage" keys new --out "$work/key")
+hash=$(printf %s load-token | sha256sum | cut -d' ' -f1)
+cat >"$work/bundle.yaml" <<YAML
+number: 1
+fleet: load
+organisations: [{id: load, token_hashes: [$hash], max_open: 100000}]
+models: [{id: assistant}]
+bounds: {max_open_per_node: 100000, max_queue: 2000}
+YAML
+"$bin/leadstage" bundle sign "$work/bundle.yaml" --key "$work/key" --operator load --envelope "$work/bundle.json" >/dev/null
+cat >"$work/node.yaml" <<YAML
+vm: entry-1
+hall: h
+listen: $net.11:8080
+admin: $net.11:8081
+peer: $net.11:8082
+platform: $net.1:9000
+operators: ["$key"]
+traffic_threads: 2
+YAML
+start node env RUST_LOG=warn "$bin/leadstaged" --config "$work/node.yaml"
+node_pid=${pids[-1]}
+"$bin/leadstage" bundle roll-out "$work/bundle.json" --platform "$net.1:9000" >/dev/null
+for _ in $(seq 100); do curl -sf "http://$net.11:8081/readyz" >/dev/null && break; sleep 0.1; done
+sleep 2
+
+"$bin/examples/load" --engine "$net.21:9100" --node "$net.11:8080" --token load-token \
+    --rate "$rate" --tokens "$tokens" --seconds "$seconds" --node-pid "$node_pid"
+cpu=$(awk '{ print ($14 + $15) / 100 }' "/proc/$node_pid/stat")
+echo "Processor time of the node in all: $cpu s."
--- /dev/null
+++ b/testutils/examples/load.rs
@@ -0,0 +1,208 @@
+//! An open-loop load: requests at fixed times, alternately straight to an engine and
+//! through a node, so that both are measured side by side in one run.
+//!
+//! `load --engine IP:PORT --node IP:PORT --token TOKEN [--rate N] [--seconds N]
+//! [--tokens N] [--node-pid PID] [--model M]`. Prints Markdown: first token and time
+//! between tokens of both, the difference, and the node's memory for each open stream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures::StreamExt;
+use hdrhistogram::Histogram;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use leadstage_testutils::http_client;
+use leadstage_testutils::http_client::HttpClient;
+use lexopt::prelude::*;
+use rand::Rng;
+
+/// Connections are spread over this many clients, as one client is one pool.
+const CLIENTS: usize = 4;
+
+struct Options {
+    engine: SocketAddr,
+    node: SocketAddr,
+    token: String,
+    model: String,
+    rate: f64,
+    seconds: u64,
+    tokens: u64,
+    node_pid: Option<u32>,
+}
+
+/// What one way measured.
+struct Way {
+    first: Mutex<Histogram<u64>>,
+    gaps: Mutex<Histogram<u64>>,
+    open: AtomicUsize,
+    most_open: AtomicUsize,
+    tokens: AtomicUsize,
+    failed: AtomicUsize,
+}
+
+impl Way {
+    fn new() -> Arc<Way> {
+        let histogram = || Mutex::new(Histogram::new(3).expect("three digits are allowed"));
+        Arc::new(Way {
+            first: histogram(),
+            gaps: histogram(),
+            open: AtomicUsize::new(0),
+            most_open: AtomicUsize::new(0),
+            tokens: AtomicUsize::new(0),
+            failed: AtomicUsize::new(0),
+        })
+    }
+
+    fn quantile(histogram: &Mutex<Histogram<u64>>, quantile: f64) -> f64 {
+        histogram.lock().expect("no holder panics").value_at_quantile(quantile) as f64 / 1_000.0
+    }
+}
+
+fn options() -> Result<Options, lexopt::Error> {
+    let mut options = Options {
+        engine: SocketAddr::from(([127, 0, 0, 1], 9100)),
+        node: SocketAddr::from(([127, 0, 0, 1], 8080)),
+        token: String::new(),
+        model: "assistant".to_owned(),
+        rate: 200.0,
+        seconds: 30,
+        tokens: 200,
+        node_pid: None,
+    };
+    let mut args = lexopt::Parser::from_env();
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("engine") => options.engine = args.value()?.parse()?,
+            Long("node") => options.node = args.value()?.parse()?,
+            Long("token") => options.token = args.value()?.string()?,
+            Long("model") => options.model = args.value()?.string()?,
+            Long("rate") => options.rate = args.value()?.parse()?,
+            Long("seconds") => options.seconds = args.value()?.parse::<u64>()?.min(300),
+            Long("tokens") => options.tokens = args.value()?.parse()?,
+            Long("node-pid") => options.node_pid = Some(args.value()?.parse()?),
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    if !options.engine.ip().is_loopback() || !options.node.ip().is_loopback() {
+        return Err("only loopback addresses are loaded".into());
+    }
+    Ok(options)
+}
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 3)]
+async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let options = options()?;
+    let before = options.node_pid.and_then(resident_kb);
+    let (direct, through) = (Way::new(), Way::new());
+    let clients: Vec<HttpClient> = (0..CLIENTS).map(|_| http_client::client()).collect();
+    let count = (options.rate * options.seconds as f64) as usize;
+    let start = Instant::now();
+    let mut tasks = Vec::new();
+    for n in 0..count {
+        let due = start + Duration::from_secs_f64(n as f64 / options.rate);
+        tokio::time::sleep_until(due.into()).await;
+        let way = if n % 2 == 0 { &direct } else { &through };
+        let address = if n % 2 == 0 { options.engine } else { options.node };
+        let req = request(&options, address);
+        tasks.push(tokio::spawn(follow(clients[n / 2 % CLIENTS].clone(), req, due, way.clone())));
+    }
+    let at_peak = options.node_pid.and_then(resident_kb);
+    for task in tasks {
+        task.await?;
+    }
+    report(&options, &direct, &through, before.zip(at_peak));
+    Ok(())
+}
+
+fn request(options: &Options, address: SocketAddr) -> Request<Full<Bytes>> {
+    let body = format!(
+        r#"{{"model":"{}","stream":true,"stand_in_tokens":{tokens},"max_tokens":{tokens},"messages":[{{"role":"user","content":"How long is it?"}}]}}"#,
+        options.model,
+        tokens = options.tokens,
+    );
+    Request::post(format!("http://{address}/v1/chat/completions"))
+        .header("authorization", format!("Bearer {}", options.token))
+        .header("x-generation-id", format!("{:016x}", rand::rng().next_u64()))
+        .header("x-organisation", "load")
+        .body(Full::from(body))
+        .expect("a valid request")
+}
+
+/// Times count from when the request was due, so that a late start is not hidden.
+async fn follow(client: HttpClient, req: Request<Full<Bytes>>, due: Instant, way: Arc<Way>) {
+    let open = way.open.fetch_add(1, Ordering::Relaxed) + 1;
+    way.most_open.fetch_max(open, Ordering::Relaxed);
+    if !read(client, req, due, &way).await {
+        way.failed.fetch_add(1, Ordering::Relaxed);
+    }
+    way.open.fetch_sub(1, Ordering::Relaxed);
+}
+
+async fn read(client: HttpClient, req: Request<Full<Bytes>>, due: Instant, way: &Way) -> bool {
+    let Ok(res) = client.request(req).await else {
+        return false;
+    };
+    if res.status() != 200 {
+        return false;
+    }
+    let mut events = res.into_body().into_data_stream().eventsource();
+    let mut last: Option<Instant> = None;
+    while let Some(Ok(event)) = events.next().await {
+        if event.data == "[DONE]" {
+            return true;
+        }
+        let now = Instant::now();
+        let (histogram, since) = match last {
+            None => (&way.first, due),
+            Some(last) => (&way.gaps, last),
+        };
+        let _ = histogram.lock().expect("no holder panics").record((now - since).as_micros() as u64);
+        way.tokens.fetch_add(1, Ordering::Relaxed);
+        last = Some(now);
+    }
+    false
+}
+
+fn resident_kb(pid: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
+fn report(options: &Options, direct: &Way, through: &Way, memory: Option<(u64, u64)>) {
+    let rate = |way: &Way| way.tokens.load(Ordering::Relaxed) as f64 / (options.seconds as f64);
+    println!("| ms | direct | through the node | added |");
+    println!("|---|---|---|---|");
+    for (name, quantile) in [("p50", 0.5), ("p95", 0.95), ("p99", 0.99)] {
+        let (d, t) = (Way::quantile(&direct.first, quantile), Way::quantile(&through.first, quantile));
+        println!("| first token {name} | {d:.2} | {t:.2} | {:.2} |", t - d);
+    }
+    for (name, quantile) in [("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999)] {
+        let (d, t) = (Way::quantile(&direct.gaps, quantile), Way::quantile(&through.gaps, quantile));
+        println!("| between tokens {name} | {d:.2} | {t:.2} | {:.2} |", t - d);
+    }
+    println!();
+    let most = through.most_open.load(Ordering::Relaxed);
+    println!(
+        "Most streams open at once: {} direct, {most} through the node.",
+        direct.most_open.load(Ordering::Relaxed)
+    );
+    println!("Tokens a second: {:.0} direct, {:.0} through the node.", rate(direct), rate(through));
+    let failed = |way: &Way| way.failed.load(Ordering::Relaxed);
+    println!("Failed: {} direct, {} through the node.", failed(direct), failed(through));
+    if let Some((before, at_peak)) = memory {
+        let each = (at_peak.saturating_sub(before)) as f64 / most.max(1) as f64;
+        println!(
+            "Memory of the node: {before} KB before, {at_peak} KB at the peak, {each:.1} KB for each open stream."
+        );
+    }
+}
