--- a/lib/benches/policy.rs
+++ b/lib/benches/policy.rs
@@ -11,7 +11,6 @@
 
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::pool_event::EndKind;
-use leadstage_lib::pool_event::EngineLimits;
 use leadstage_lib::pool_event::LoadReport;
 use leadstage_lib::pool_event::PlaceRequest;
 use leadstage_testutils::engine_model::EngineEvent;
@@ -84,10 +83,7 @@
     let Some(x) = Experiment::from_args()? else {
         return Ok(());
     };
-    println!(
-        "policy,offered,completed,refused,preemptions_per_1000,stall_ms_per_generation,token_gap_p50_ms,\
-         token_gap_p99_ms,token_gap_max_ms,first_token_p50_ms,first_token_p95_ms,goodput_tokens_per_s,share_error"
-    );
+    println!("{}", totals::HEADER);
     for policy in &x.policies {
         let mut run = Run::new(&x, Placer::new(policy, &x)?);
         run.run();
@@ -114,8 +110,7 @@
             out: Totals::new(x.organisations.len()),
         };
         for engine in 0..count {
-            let limits = run.limits(engine);
-            run.placer.on_engine(engine, limits);
+            run.placer.on_engine(engine, x.limits());
             run.at(LOAD_READ.mul_f64(engine as f64 / count as f64), What::ReadLoad(engine));
         }
         run.at(Duration::ZERO, What::Tick);
@@ -125,15 +120,6 @@
         run
     }
 
-    fn limits(&self, engine: usize) -> EngineLimits {
-        let config = self.engines[engine].config();
-        EngineLimits {
-            blocks: config.blocks,
-            block_tokens: config.block_tokens as u32,
-            max_batch: config.max_batch as u32,
-        }
-    }
-
     fn at(&mut self, time: Timestamp, what: What) {
         self.ordinal += 1;
         self.queue.push(Reverse((time, self.ordinal, what)));
--- a/lib/benches/policy/experiment.rs
+++ b/lib/benches/policy/experiment.rs
@@ -4,6 +4,7 @@
 
 use leadstage_lib::bundle::Objective;
 use leadstage_lib::ids::OrganisationId;
+use leadstage_lib::pool_event::EngineLimits;
 use leadstage_lib::pool_event::PlaceRequest;
 use leadstage_testutils::engine_model::EngineConfig;
 use leadstage_testutils::lengths::Lengths;
@@ -163,6 +164,15 @@
         }
     }
 
+    /// The sizes as the engines report them.
+    pub fn limits(&self) -> EngineLimits {
+        EngineLimits {
+            blocks: self.engine.blocks,
+            block_tokens: self.engine.block_tokens as u32,
+            max_batch: self.engine.max_batch as u32,
+        }
+    }
+
     /// Draws a request and its output length.
     pub fn draw(&self, rng: &mut SmallRng) -> (PlaceRequest, u64) {
         let memory = self.engine.blocks * self.engine.block_tokens;
--- a/lib/benches/policy/totals.rs
+++ b/lib/benches/policy/totals.rs
@@ -6,6 +6,11 @@
 
 use crate::experiment::Experiment;
 
+/// The table's first line.
+pub const HEADER: &str = "policy,offered,completed,refused,preemptions_per_1000,stall_ms_per_generation,\
+    token_gap_p50_ms,token_gap_p99_ms,token_gap_max_ms,first_token_p50_ms,first_token_p95_ms,\
+    goodput_tokens_per_s,share_error";
+
 /// The sums of one policy's run.
 pub struct Totals {
     pub offered: u64,
--- a/testutils/examples/load.rs
+++ b/testutils/examples/load.rs
@@ -1,10 +1,13 @@
 //! An open-loop load: requests at fixed times, alternately straight to an engine and
-//! through a node, so that both are measured side by side in one run.
+//! through a node, so that both are measured side by side in one run; or, without an
+//! engine, through several nodes in turn, to see what faults cost.
 //!
-//! `load --engine IP:PORT --node IP:PORT --token TOKEN [--rate N] [--seconds N]
-//! [--tokens N] [--node-pid PID] [--model M]`. Prints Markdown: first token and time
-//! between tokens of both, the difference, and the node's memory for each open stream.
+//! `load [--engine IP:PORT] --node IP:PORT [--node ...] --token TOKEN [--rate N]
+//! [--seconds N] [--tokens N] [--node-pid PID] [--model M]`. Prints Markdown: first token
+//! and time between tokens of both, the difference, and the node's memory for each open
+//! stream; or what failed, by the second in which it was due.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -29,8 +32,8 @@
 const CLIENTS: usize = 4;
 
 struct Options {
-    engine: SocketAddr,
-    node: SocketAddr,
+    engine: Option<SocketAddr>,
+    nodes: Vec<SocketAddr>,
     token: String,
     model: String,
     rate: f64,
@@ -47,6 +50,7 @@
     most_open: AtomicUsize,
     tokens: AtomicUsize,
     failed: AtomicUsize,
+    failures: Mutex<BTreeMap<(Failure, u64), usize>>,
 }
 
 impl Way {
@@ -59,6 +63,7 @@
             most_open: AtomicUsize::new(0),
             tokens: AtomicUsize::new(0),
             failed: AtomicUsize::new(0),
+            failures: Mutex::default(),
         })
     }
 
@@ -69,8 +74,8 @@
 
 fn options() -> Result<Options, lexopt::Error> {
     let mut options = Options {
-        engine: SocketAddr::from(([127, 0, 0, 1], 9100)),
-        node: SocketAddr::from(([127, 0, 0, 1], 8080)),
+        engine: None,
+        nodes: Vec::new(),
         token: String::new(),
         model: "assistant".to_owned(),
         rate: 200.0,
@@ -81,8 +86,8 @@
     let mut args = lexopt::Parser::from_env();
     while let Some(arg) = args.next()? {
         match arg {
-            Long("engine") => options.engine = args.value()?.parse()?,
-            Long("node") => options.node = args.value()?.parse()?,
+            Long("engine") => options.engine = Some(args.value()?.parse()?),
+            Long("node") => options.nodes.push(args.value()?.parse()?),
             Long("token") => options.token = args.value()?.string()?,
             Long("model") => options.model = args.value()?.string()?,
             Long("rate") => options.rate = args.value()?.parse()?,
@@ -92,7 +97,10 @@
             _ => return Err(arg.unexpected()),
         }
     }
-    if !options.engine.ip().is_loopback() || !options.node.ip().is_loopback() {
+    if options.nodes.is_empty() {
+        return Err("--node IP:PORT is missing".into());
+    }
+    if !options.engine.iter().chain(&options.nodes).all(|address| address.ip().is_loopback()) {
         return Err("only loopback addresses are loaded".into());
     }
     Ok(options)
@@ -110,16 +118,28 @@
     for n in 0..count {
         let due = start + Duration::from_secs_f64(n as f64 / options.rate);
         tokio::time::sleep_until(due.into()).await;
-        let way = if n % 2 == 0 { &direct } else { &through };
-        let address = if n % 2 == 0 { options.engine } else { options.node };
+        let (way, address) = match options.engine {
+            Some(engine) if n % 2 == 0 => (&direct, engine),
+            Some(_) => (&through, options.nodes[n / 2 % options.nodes.len()]),
+            None => (&through, options.nodes[n % options.nodes.len()]),
+        };
         let req = request(&options, address);
-        tasks.push(tokio::spawn(follow(clients[n / 2 % CLIENTS].clone(), req, due, way.clone())));
+        tasks.push(tokio::spawn(follow(
+            clients[n / 2 % CLIENTS].clone(),
+            req,
+            due,
+            due - start,
+            way.clone(),
+        )));
     }
     let at_peak = options.node_pid.and_then(resident_kb);
     for task in tasks {
         task.await?;
     }
-    report(&options, &direct, &through, before.zip(at_peak));
+    match options.engine {
+        Some(_) => report(&options, &direct, &through, before.zip(at_peak)),
+        None => report_failures(&through, count),
+    }
     Ok(())
 }
 
@@ -138,27 +158,43 @@
 }
 
 /// Times count from when the request was due, so that a late start is not hidden.
-async fn follow(client: HttpClient, req: Request<Full<Bytes>>, due: Instant, way: Arc<Way>) {
+async fn follow(client: HttpClient, req: Request<Full<Bytes>>, due: Instant, at: Duration, way: Arc<Way>) {
     let open = way.open.fetch_add(1, Ordering::Relaxed) + 1;
     way.most_open.fetch_max(open, Ordering::Relaxed);
-    if !read(client, req, due, &way).await {
+    if let Err(failure) = read(client, req, due, &way).await {
         way.failed.fetch_add(1, Ordering::Relaxed);
+        let mut failures = way.failures.lock().expect("no holder panics");
+        *failures.entry((failure, at.as_secs())).or_default() += 1;
     }
     way.open.fetch_sub(1, Ordering::Relaxed);
 }
 
-async fn read(client: HttpClient, req: Request<Full<Bytes>>, due: Instant, way: &Way) -> bool {
+/// How a request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Failure {
+    /// An error status before a token, most with a time to come back.
+    Refused,
+    /// The stream ended early.
+    Ended,
+    /// No answer at all.
+    NoAnswer,
+}
+
+async fn read(client: HttpClient, req: Request<Full<Bytes>>, due: Instant, way: &Way) -> Result<(), Failure> {
     let Ok(res) = client.request(req).await else {
-        return false;
+        return Err(Failure::NoAnswer);
     };
     if res.status() != 200 {
-        return false;
+        return Err(Failure::Refused);
     }
     let mut events = res.into_body().into_data_stream().eventsource();
     let mut last: Option<Instant> = None;
     while let Some(Ok(event)) = events.next().await {
         if event.data == "[DONE]" {
-            return true;
+            return Ok(());
+        }
+        if event.event == "error" {
+            return Err(Failure::Ended);
         }
         let now = Instant::now();
         let (histogram, since) = match last {
@@ -169,7 +205,7 @@
         way.tokens.fetch_add(1, Ordering::Relaxed);
         last = Some(now);
     }
-    false
+    Err(Failure::Ended)
 }
 
 fn resident_kb(pid: u32) -> Option<u64> {
@@ -206,3 +242,15 @@
         );
     }
 }
+
+fn report_failures(way: &Way, offered: usize) {
+    let failed = way.failed.load(Ordering::Relaxed);
+    let (p50, p99) = (Way::quantile(&way.first, 0.5), Way::quantile(&way.first, 0.99));
+    let most_gap = Way::quantile(&way.gaps, 1.0);
+    println!(
+        "{offered} offered, {failed} failed; first token p50 {p50:.0} ms, p99 {p99:.0} ms; longest gap {most_gap:.0} ms"
+    );
+    for ((failure, second), count) in way.failures.lock().expect("no holder panics").iter() {
+        println!("  due in second {second}: {count} {failure:?}");
+    }
+}
