read: smaller modules, one set-up for the scripts, help for each command

Cause: a read as a newcomer: claims.rs and leads.rs did two jobs each, four scripts had the same set-up, the lead sent answers in a way that could drop a grant that followed from a reply nobody waited for, an index at its limit in Last-Event-ID overflowed, a panic of one connection ended the node, and two commands had no JSON. Ruled out: splitting pool.rs, whose parts all work on the same books.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -42,6 +42,18 @@
 3 the roll-out was overtaken by another one, 4 the roll-out's outcome is not known.
 ";
 
+/// The help of the command that `words` begin: its lines of the whole text, or all of it.
+fn help(words: &[&str]) -> String {
+    let command = words.join(" ");
+    let usage = format!("leadstage {command}");
+    let is_its = |line: &&str| line.trim_start().starts_with(&usage) || line.starts_with(&command);
+    let own: Vec<&str> = HELP.lines().filter(is_its).collect();
+    if words.is_empty() || own.is_empty() {
+        return HELP.to_owned();
+    }
+    format!("{}\n\nSee `leadstage --help` for the options and exit codes.\n", own.join("\n"))
+}
+
 /// How to print.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Format {
@@ -105,6 +117,7 @@
     operator: Option<String>,
     format: Format,
     print: Option<String>,
+    help: bool,
 }
 
 /// Reads the command line.
@@ -137,7 +150,7 @@
                     }
                 }
             }
-            Long("help") | Short('h') => options.print = Some(HELP.to_owned()),
+            Long("help") | Short('h') => options.help = true,
             Long("version") => options.print = Some(format!("leadstage {}\n", env!("CARGO_PKG_VERSION"))),
             _ => return Err(arg.unexpected().into()),
         }
@@ -150,6 +163,9 @@
         return Ok(Command::Print(text));
     }
     let words: Vec<&str> = options.words.iter().map(String::as_str).collect();
+    if options.help {
+        return Ok(Command::Print(help(&words)));
+    }
     let platform = || options.platform.ok_or(CliError::Missing("--platform IP:PORT"));
     let nodes = || match options.nodes.is_empty() {
         true => Err(CliError::Missing("--node IP:PORT")),
--- a/cli/src/bundle_command.rs
+++ b/cli/src/bundle_command.rs
@@ -46,7 +46,13 @@
 }
 
 /// Signs a bundle's file into an envelope, next to the sign-offs that it has already.
-pub fn sign_off(path: &Path, key: &Path, operator: &str, envelope: &Path) -> Result<String, CliError> {
+pub fn sign_off(
+    path: &Path,
+    key: &Path,
+    operator: &str,
+    envelope: &Path,
+    format: Format,
+) -> Result<String, CliError> {
     let (yaml, bundle) = read_bundle(path)?;
     let key_text = read_file(key)?;
     let signing_key = decode_signing_key(&key_text).ok_or_else(|| CliError::Key { path: key.to_owned() })?;
@@ -67,11 +73,19 @@
     signed.signatures.push(sign_off);
     write_file(envelope, &signed.to_bytes())?;
     let count = signed.signatures.len();
-    Ok(format!("bundle {} has {count} sign-offs in {}\n", bundle.number, envelope.display()))
+    Ok(match format {
+        Format::Json => format!("{}\n", json!({"number": bundle.number, "sign_offs": count})),
+        Format::Text => format!("bundle {} has {count} sign-offs in {}\n", bundle.number, envelope.display()),
+    })
 }
 
 /// Rolls an envelope out: one conditional update, settled by reading back.
-pub async fn roll_out(path: &Path, platform: SocketAddr, operator: Option<&str>) -> Result<String, CliError> {
+pub async fn roll_out(
+    path: &Path,
+    platform: SocketAddr,
+    operator: Option<&str>,
+    format: Format,
+) -> Result<String, CliError> {
     let mut envelope = Envelope::from_bytes(read_file(path)?.as_bytes())?;
     Bundle::from_yaml(&envelope.yaml).map_err(CliError::Bundle)?;
     if let Some(operator) = operator {
@@ -83,12 +97,19 @@
         step = match step {
             RolloutStep::Read => read_step(&mut rollout, platform).await,
             RolloutStep::Write { expected } => write_step(&mut rollout, platform, expected, &envelope).await,
-            RolloutStep::Accepted => return Ok(format!("bundle {} is accepted\n", envelope.number)),
+            RolloutStep::Accepted => return Ok(accepted_text(&envelope, format)),
             RolloutStep::Failed(err) => return Err(err.into()),
         };
     }
 }
 
+fn accepted_text(envelope: &Envelope, format: Format) -> String {
+    match format {
+        Format::Json => format!("{}\n", json!({"number": envelope.number, "hash": envelope.hash()})),
+        Format::Text => format!("bundle {} is accepted\n", envelope.number),
+    }
+}
+
 fn object_path() -> String {
     format!("/v1/objects/{BUNDLE_OBJECT}")
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -46,10 +46,10 @@
         Command::Print(text) => Ok(text),
         Command::Check(path) => bundle_command::check(&path, format),
         Command::Sign { bundle, key, operator, envelope } => {
-            bundle_command::sign_off(&bundle, &key, &operator, &envelope)
+            bundle_command::sign_off(&bundle, &key, &operator, &envelope, format)
         }
         Command::RollOut { envelope, platform, operator } => {
-            bundle_command::roll_out(&envelope, platform, operator.as_deref()).await
+            bundle_command::roll_out(&envelope, platform, operator.as_deref(), format).await
         }
         Command::Show(platform) => bundle_command::show(platform, format).await,
         Command::Diff(old, new) => bundle_command::diff(old, new, format).await,
--- a/cli/tests/test_commands.rs
+++ b/cli/tests/test_commands.rs
@@ -128,6 +128,13 @@
     leadstage: invalid option '--colour'
     hint: see `leadstage --help`
     "#);
+    insta::assert_snapshot!(env.run("bundle show --help"), @"
+    exit 0
+      leadstage bundle show --platform IP:PORT
+    bundle show       prints the accepted bundle, who signed it and who rolled it out
+
+    See `leadstage --help` for the options and exit codes.
+    ");
     assert!(env.run("--help").starts_with("exit 0\nleadstage: the operators' command"));
 }
 
--- a/lib/src/fence.rs
+++ b/lib/src/fence.rs
@@ -11,8 +11,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::claim_writer::WriteResult;
 use crate::claims::UnixMillis;
-use crate::claims::WriteResult;
 use crate::ids::UpstreamId;
 use crate::ids::VmId;
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bundle_check;
 pub mod burn;
 pub mod checked_yaml;
+pub mod claim_writer;
 pub mod claims;
 pub mod code;
 pub mod engine_book;
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -3,14 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use leadstage_lib::claims::ClaimAction;
+use leadstage_lib::claim_writer::ClaimAction;
+use leadstage_lib::claim_writer::ClaimWriter;
+use leadstage_lib::claim_writer::WriteResult;
 use leadstage_lib::claims::ClaimOutcome;
 use leadstage_lib::claims::ClaimRequest;
 use leadstage_lib::claims::ClaimShard;
 use leadstage_lib::claims::ClaimVerdict;
-use leadstage_lib::claims::ClaimWriter;
 use leadstage_lib::claims::FULL_BYTES;
-use leadstage_lib::claims::WriteResult;
 use leadstage_lib::code::Code;
 use proptest::prelude::*;
 
--- a/lib/tests/test_fence.rs
+++ b/lib/tests/test_fence.rs
@@ -1,6 +1,6 @@
 //! Orders under a fence, with holders that lose their lease while paused.
 
-use leadstage_lib::claims::WriteResult;
+use leadstage_lib::claim_writer::WriteResult;
 use leadstage_lib::fence::Fence;
 use leadstage_lib::fence::FenceAction;
 use leadstage_lib::fence::LEASE;
--- a/node/src/claim_driver.rs
+++ b/node/src/claim_driver.rs
@@ -5,15 +5,15 @@
 use std::time::Duration;
 
 use leadstage_lib::bundle::Bounds;
+use leadstage_lib::claim_writer::ClaimAction;
+use leadstage_lib::claim_writer::ClaimWriter;
+use leadstage_lib::claim_writer::WriteResult;
 use leadstage_lib::claims;
-use leadstage_lib::claims::ClaimAction;
 use leadstage_lib::claims::ClaimOutcome;
 use leadstage_lib::claims::ClaimRequest;
 use leadstage_lib::claims::ClaimVerdict;
-use leadstage_lib::claims::ClaimWriter;
 use leadstage_lib::claims::Nonce;
 use leadstage_lib::claims::Ticket;
-use leadstage_lib::claims::WriteResult;
 use leadstage_lib::code::Code;
 use leadstage_lib::ids::VmId;
 use leadstage_lib::membership::Liveness;
--- /dev/null
+++ b/node/src/engine_polls.rs
@@ -0,0 +1,140 @@
+//! Reads the loads of the engines of the pools that this VM leads, and keeps the pools'
+//! engines in line with the VM list, the notices and the bundle.
+
+use leadstage_lib::ids::Timestamp;
+use leadstage_lib::ids::UpstreamId;
+use leadstage_lib::pool_event::PoolEvent;
+use leadstage_lib::upstreams::VmRole;
+use rand::RngExt;
+
+use crate::control::Control;
+use crate::control::ControlRef;
+use crate::engine_api::EngineReport;
+use crate::leads;
+use crate::leads::PoolKey;
+
+/// Reads of an engine's load within the bundle's time for a leaving upstream.
+const POLLS_WITHIN_BOUND: u32 = 3;
+/// Reads without an answer after which an engine counts as gone.
+const GONE_AFTER: u32 = 3;
+
+/// An engine as it was last read.
+#[derive(Default)]
+pub struct PolledEngine {
+    next_poll: Timestamp,
+    polling: bool,
+    /// Reads without an answer since the latest one.
+    pub failures: u32,
+    /// It answered the latest read.
+    pub known: bool,
+    /// Adapters that it has loaded.
+    pub loaded: Vec<String>,
+}
+
+/// Brings the pools' engines in line with the VM list, the notices and the bundle.
+pub fn list_engines(control: &mut Control) {
+    let now = control.now();
+    let bundle = control.shared.bundle();
+    let mut leaving = Vec::new();
+    for (key, led) in &mut control.leads.pools {
+        let model = bundle.as_ref().and_then(|b| b.model(&key.model));
+        let records = control.directory.with_role(VmRole::Engine);
+        for record in records.filter(|r| r.serves == key.model && r.hall == key.hall) {
+            led.engines
+                .entry(record.id.clone())
+                .or_insert_with(|| PolledEngine { next_poll: now, ..Default::default() });
+        }
+        for id in led.engines.keys() {
+            let listed = control.directory.get(id).is_some();
+            let drained = model.is_some_and(|m| m.drained.contains(id));
+            if !listed || drained || control.directory.is_leaving(id) {
+                leaving.push((key.clone(), id.clone()));
+            }
+        }
+    }
+    for (key, id) in leaving {
+        leads::handle(control, &key, PoolEvent::EngineLeaving(id));
+    }
+}
+
+/// Reads the loads that are due.
+pub fn poll_due(control: &ControlRef) {
+    let mut due = Vec::new();
+    {
+        let mut borrowed = control.borrow_mut();
+        let now = borrowed.now();
+        let Control { leads, directory, .. } = &mut *borrowed;
+        for (key, led) in &mut leads.pools {
+            for (id, engine) in led.engines.iter_mut().filter(|(_, e)| !e.polling && e.next_poll <= now) {
+                engine.polling = true;
+                due.push((key.clone(), id.clone(), directory.get(id).map(|r| r.address)));
+            }
+        }
+    }
+    for (key, id, address) in due {
+        let control = control.clone();
+        tokio::task::spawn_local(async move {
+            let api = control.borrow().engines.clone();
+            let report = match address {
+                Some(address) => api.load(address).await,
+                None => None,
+            };
+            on_poll(&mut control.borrow_mut(), &key, &id, report);
+        });
+    }
+}
+
+fn on_poll(control: &mut Control, key: &PoolKey, id: &UpstreamId, report: Option<EngineReport>) {
+    let now = control.now();
+    let jitter: f64 = rand::rng().random_range(0.8..1.2);
+    let bounds = control.shared.bundle().map(|b| b.bounds.clone()).unwrap_or_default();
+    let interval = bounds.leaving_within / POLLS_WITHIN_BOUND;
+    let Some(engine) = control.leads.pools.get_mut(key).and_then(|led| led.engines.get_mut(id)) else {
+        return;
+    };
+    engine.polling = false;
+    engine.next_poll = now + interval.mul_f64(jitter);
+    match report {
+        Some(report) => {
+            engine.failures = 0;
+            engine.known = true;
+            engine.loaded = report.loaded.clone();
+            if report.leaving {
+                control.directory.on_leaving(id, now);
+            }
+            if !control.directory.is_leaving(id) {
+                leads::handle(
+                    control,
+                    key,
+                    PoolEvent::EngineUp { engine: id.clone(), limits: report.limits() },
+                );
+                list_engines(control);
+            }
+            leads::handle(control, key, PoolEvent::Load { engine: id.clone(), report: report.load() });
+        }
+        None => {
+            engine.failures += 1;
+            engine.known = false;
+            let gone = engine.failures >= GONE_AFTER;
+            let listed = control.directory.get(id).is_some();
+            let event =
+                if gone { PoolEvent::EngineGone(id.clone()) } else { PoolEvent::EngineLeaving(id.clone()) };
+            leads::handle(control, key, event);
+            if gone
+                && !listed
+                && let Some(led) = control.leads.pools.get_mut(key)
+            {
+                led.engines.remove(id);
+            }
+        }
+    }
+}
+
+/// An entry lost an engine: it gets no new work until it answers again.
+pub fn on_lost(control: &mut Control, key: &PoolKey, id: &UpstreamId) {
+    let now = control.now();
+    if let Some(engine) = control.leads.pools.get_mut(key).and_then(|led| led.engines.get_mut(id)) {
+        engine.next_poll = now;
+    }
+    leads::handle(control, key, PoolEvent::EngineLeaving(id.clone()));
+}
--- a/node/src/entry_book.rs
+++ b/node/src/entry_book.rs
@@ -15,6 +15,7 @@
 use crate::control::Control;
 use crate::control::ControlRef;
 use crate::control_message::Running;
+use crate::engine_polls;
 use crate::leads;
 use crate::leads::PoolKey;
 use crate::peers;
@@ -188,7 +189,7 @@
             Some(how) => {
                 leads::handle(control, key, PoolEvent::Ended { generation, tokens: line.tokens, how });
                 if how == EndKind::Lost {
-                    leads::on_lost(control, key, &line.running.upstream);
+                    engine_polls::on_lost(control, key, &line.running.upstream);
                 }
             }
             None if line.brief => {
--- a/node/src/filters/relay.rs
+++ b/node/src/filters/relay.rs
@@ -112,7 +112,7 @@
     pub async fn take_over(&mut self, position: &StreamPosition) -> Result<(), Refusal> {
         let upstreams = self.shared.upstreams();
         let engine = upstreams.get(&position.engine).ok_or_else(|| Refusal::new(Code::GenerationUnknown))?;
-        let from = position.index + 1;
+        let from = position.index.saturating_add(1);
         let linked =
             dispatch::resume(engine.address, position.generation, from, self.req.kind, &self.req.model).await;
         let link = linked.map_err(|_| Refusal::new(Code::GenerationUnknown))?;
--- a/node/src/leads.rs
+++ b/node/src/leads.rs
@@ -30,14 +30,11 @@
 
 use crate::control::Control;
 use crate::control::ControlRef;
-use crate::engine_api::EngineReport;
+use crate::engine_polls;
+use crate::engine_polls::PolledEngine;
 
-/// Reads of an engine's load within the bundle's time for a leaving upstream.
-const POLLS_WITHIN_BOUND: u32 = 3;
 /// When to come back after a lead gave a pool up.
 const LEAD_OVER_RETRY: Duration = Duration::from_millis(1_000);
-/// Reads without an answer after which an engine counts as gone.
-const GONE_AFTER: u32 = 3;
 /// A new lead waits this long for the engines' first loads.
 const FIRST_LOADS: Duration = Duration::from_millis(300);
 
@@ -69,15 +66,6 @@
     },
 }
 
-#[derive(Default)]
-struct PolledEngine {
-    next_poll: Timestamp,
-    polling: bool,
-    failures: u32,
-    known: bool,
-    loaded: Vec<String>,
-}
-
 /// A pool that this VM leads.
 pub struct LedPool {
     /// Its decisions.
@@ -85,13 +73,15 @@
     /// Its orders to engines.
     pub orders: OrderSender,
     replies: HashMap<GenerationId, oneshot::Sender<Placement>>,
-    engines: HashMap<UpstreamId, PolledEngine>,
+    /// Its engines as they were last read.
+    pub engines: HashMap<UpstreamId, PolledEngine>,
 }
 
 /// All pools that this VM leads.
 #[derive(Default)]
 pub struct Leads {
-    pools: BTreeMap<PoolKey, LedPool>,
+    /// The pools by key.
+    pub pools: BTreeMap<PoolKey, LedPool>,
 }
 
 impl Leads {
@@ -118,9 +108,7 @@
     /// Gives all pools an event that needs no action at once.
     pub fn all_pools(&mut self, now: Timestamp, event: impl Fn(&PoolKey) -> PoolEvent) {
         for (key, led) in &mut self.pools {
-            let mut actions = Vec::new();
-            led.pool.handle(now, event(key), &mut actions);
-            led.answer(actions);
+            led.handle(now, event(key));
         }
     }
 }
@@ -150,30 +138,33 @@
         self.replies.len()
     }
 
-    /// Sends the answers among the actions and returns the others.
-    fn answer(&mut self, actions: Vec<PoolAction>) -> Vec<PoolAction> {
-        let mut rest = Vec::new();
-        for action in actions {
-            let (generation, placement) = match action {
+    /// Gives the pool an event and sends its answers; returns the actions for engines.
+    fn handle(&mut self, now: Timestamp, event: PoolEvent) -> Vec<PoolAction> {
+        let mut actions = Vec::new();
+        let mut for_engines = Vec::new();
+        self.pool.handle(now, event, &mut actions);
+        while let Some(action) = actions.pop() {
+            match action {
                 PoolAction::Grant { generation, engine, priority } => {
-                    (generation, Placement::Granted { upstream: engine, priority })
+                    let granted = Placement::Granted { upstream: engine, priority };
+                    if !self.reply(generation, granted) {
+                        let ended = PoolEvent::Ended { generation, tokens: 0, how: EndKind::Cancelled };
+                        self.pool.handle(now, ended, &mut actions);
+                    }
                 }
                 PoolAction::Refuse { generation, code, retry_after } => {
-                    (generation, Placement::Refused { code, retry_after })
+                    self.reply(generation, Placement::Refused { code, retry_after });
                 }
-                other => {
-                    rest.push(other);
-                    continue;
-                }
-            };
-            let reply = self.replies.remove(&generation);
-            let heard = reply.is_some_and(|reply| reply.send(placement).is_ok());
-            if !heard {
-                let ended = PoolEvent::Ended { generation, tokens: 0, how: EndKind::Cancelled };
-                self.pool.handle(Timestamp::ZERO, ended, &mut Vec::new());
+                other => for_engines.push(other),
             }
         }
-        rest
+        for_engines
+    }
+
+    /// Answers a request; false when nobody waits for it any more.
+    fn reply(&mut self, generation: GenerationId, placement: Placement) -> bool {
+        let reply = self.replies.remove(&generation);
+        reply.is_some_and(|reply| reply.send(placement).is_ok())
     }
 }
 
@@ -210,10 +201,7 @@
     let Some(led) = control.leads.pools.get_mut(key) else {
         return;
     };
-    let mut actions = Vec::new();
-    led.pool.handle(now, event, &mut actions);
-    let rest = led.answer(actions);
-    for action in rest {
+    for action in led.handle(now, event) {
         carry_out(control, action);
     }
 }
@@ -280,7 +268,7 @@
     if !create_pool(&mut control.borrow_mut(), key) {
         return;
     }
-    poll_due(control);
+    engine_polls::poll_due(control);
     let until = tokio::time::Instant::now() + FIRST_LOADS;
     while tokio::time::Instant::now() < until {
         let ready = control.borrow().leads.pools.get(key).is_none_or(|led| {
@@ -306,7 +294,7 @@
     let orders = OrderSender::new(control.settings.vm.clone(), checks_fences);
     let led = LedPool { pool, orders, replies: HashMap::new(), engines: HashMap::new() };
     control.leads.pools.insert(key.clone(), led);
-    list_engines(control);
+    engine_polls::list_engines(control);
     true
 }
 
@@ -315,13 +303,13 @@
     {
         let mut control = control.borrow_mut();
         review_leads(&mut control);
-        list_engines(&mut control);
+        engine_polls::list_engines(&mut control);
         let keys: Vec<PoolKey> = control.leads.pools.keys().cloned().collect();
         for key in keys {
             handle(&mut control, &key, PoolEvent::Tick);
         }
     }
-    poll_due(control);
+    engine_polls::poll_due(control);
 }
 
 fn review_leads(control: &mut Control) {
@@ -343,109 +331,6 @@
     });
 }
 
-/// Brings the pools' engines in line with the VM list, the notices and the bundle.
-fn list_engines(control: &mut Control) {
-    let now = control.now();
-    let bundle = control.shared.bundle();
-    let mut leaving = Vec::new();
-    for (key, led) in &mut control.leads.pools {
-        let model = bundle.as_ref().and_then(|b| b.model(&key.model));
-        let records = control.directory.with_role(VmRole::Engine);
-        for record in records.filter(|r| r.serves == key.model && r.hall == key.hall) {
-            led.engines
-                .entry(record.id.clone())
-                .or_insert_with(|| PolledEngine { next_poll: now, ..Default::default() });
-        }
-        for id in led.engines.keys() {
-            let listed = control.directory.get(id).is_some();
-            let drained = model.is_some_and(|m| m.drained.contains(id));
-            if !listed || drained || control.directory.is_leaving(id) {
-                leaving.push((key.clone(), id.clone()));
-            }
-        }
-    }
-    for (key, id) in leaving {
-        handle(control, &key, PoolEvent::EngineLeaving(id));
-    }
-}
-
-fn poll_due(control: &ControlRef) {
-    let mut due = Vec::new();
-    {
-        let mut borrowed = control.borrow_mut();
-        let now = borrowed.now();
-        let Control { leads, directory, .. } = &mut *borrowed;
-        for (key, led) in &mut leads.pools {
-            for (id, engine) in led.engines.iter_mut().filter(|(_, e)| !e.polling && e.next_poll <= now) {
-                engine.polling = true;
-                due.push((key.clone(), id.clone(), directory.get(id).map(|r| r.address)));
-            }
-        }
-    }
-    for (key, id, address) in due {
-        let control = control.clone();
-        tokio::task::spawn_local(async move {
-            let api = control.borrow().engines.clone();
-            let report = match address {
-                Some(address) => api.load(address).await,
-                None => None,
-            };
-            on_poll(&mut control.borrow_mut(), &key, &id, report);
-        });
-    }
-}
-
-fn on_poll(control: &mut Control, key: &PoolKey, id: &UpstreamId, report: Option<EngineReport>) {
-    let now = control.now();
-    let jitter: f64 = rand::rng().random_range(0.8..1.2);
-    let bounds = control.shared.bundle().map(|b| b.bounds.clone()).unwrap_or_default();
-    let interval = bounds.leaving_within / POLLS_WITHIN_BOUND;
-    let Some(engine) = control.leads.pools.get_mut(key).and_then(|led| led.engines.get_mut(id)) else {
-        return;
-    };
-    engine.polling = false;
-    engine.next_poll = now + interval.mul_f64(jitter);
-    match report {
-        Some(report) => {
-            engine.failures = 0;
-            engine.known = true;
-            engine.loaded = report.loaded.clone();
-            if report.leaving {
-                control.directory.on_leaving(id, now);
-            }
-            if !control.directory.is_leaving(id) {
-                handle(control, key, PoolEvent::EngineUp { engine: id.clone(), limits: report.limits() });
-                list_engines(control);
-            }
-            handle(control, key, PoolEvent::Load { engine: id.clone(), report: report.load() });
-        }
-        None => {
-            engine.failures += 1;
-            engine.known = false;
-            let gone = engine.failures >= GONE_AFTER;
-            let listed = control.directory.get(id).is_some();
-            let event =
-                if gone { PoolEvent::EngineGone(id.clone()) } else { PoolEvent::EngineLeaving(id.clone()) };
-            handle(control, key, event);
-            if gone
-                && !listed
-                && let Some(led) = control.leads.pools.get_mut(key)
-            {
-                led.engines.remove(id);
-            }
-        }
-    }
-}
-
-/// An entry lost an engine: it gets no new work until it answers again.
-pub fn on_lost(control: &mut Control, key: &PoolKey, id: &UpstreamId) {
-    let now = control.now();
-    if let Some(engine) = control.leads.pools.get_mut(key).and_then(|led| led.engines.get_mut(id)) {
-        engine.next_poll = now;
-    }
-    handle(control, key, PoolEvent::EngineLeaving(id.clone()));
-}
-
 /// Whether this VM's pool has a generation in its books.
 pub fn knows(control: &Control, key: &PoolKey, generation: GenerationId) -> bool {
     control.leads.pools.get(key).is_some_and(|led| led.pool.knows(generation))
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -9,6 +9,7 @@
 mod control_message;
 mod decision_log;
 mod engine_api;
+mod engine_polls;
 mod entry;
 mod entry_book;
 mod filters;
@@ -82,13 +83,15 @@
     Settings { problems: Vec<Problem> },
 }
 
-/// A task that panics would leave the node half alive; the fleet copes better with one
-/// that is gone.
-fn abort_on_panic() {
+/// A panic on the control thread would leave the node half alive; the fleet copes better
+/// with one that is gone. On a traffic thread it ends one connection only.
+fn abort_on_control_panic() {
     let usual = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
         usual(panic);
-        std::process::abort();
+        if std::thread::current().name() == Some("main") {
+            std::process::abort();
+        }
     }));
 }
 
@@ -115,7 +118,7 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
         .init();
-    abort_on_panic();
+    abort_on_control_panic();
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
--- a/node/src/orders.rs
+++ b/node/src/orders.rs
@@ -1,7 +1,7 @@
 //! Drives [`leadstage_lib::fence`]: has the engines of the pools that this VM leads load
 //! the adapters that the bundle wants, one order of a pool at a time.
 
-use leadstage_lib::claims::WriteResult;
+use leadstage_lib::claim_writer::WriteResult;
 use leadstage_lib::fence;
 use leadstage_lib::fence::FenceAction;
 use leadstage_lib::fence::Order;
--- a/node/tests/test_streams.rs
+++ b/node/tests/test_streams.rs
@@ -31,6 +31,7 @@
     LinkStalls,
     LeadKilled,
     LeadFrozen,
+    LeadStops,
     EntryKilled,
     EntryStops,
     ObjectApiDown,
@@ -65,6 +66,7 @@
     (Step::Queued,    Fault::LinkStalls,          Expected::Whole),
     (Step::Queued,    Fault::LeadKilled,          Expected::Whole),
     (Step::Queued,    Fault::LeadFrozen,          Expected::Whole),
+    (Step::Queued,    Fault::LeadStops,           Expected::Whole),
     (Step::Queued,    Fault::EntryKilled,         Expected::StartsAnew),
     (Step::Queued,    Fault::EntryStops,          Expected::Whole),
     (Step::Queued,    Fault::ObjectApiDown,       Expected::Whole),
@@ -77,6 +79,7 @@
     (Step::Placed,    Fault::LinkStalls,          Expected::Whole),
     (Step::Placed,    Fault::LeadKilled,          Expected::Whole),
     (Step::Placed,    Fault::LeadFrozen,          Expected::Whole),
+    (Step::Placed,    Fault::LeadStops,           Expected::Whole),
     (Step::Placed,    Fault::EntryKilled,         Expected::StartsAnew),
     (Step::Placed,    Fault::EntryStops,          Expected::Whole),
     (Step::Placed,    Fault::ObjectApiDown,       Expected::Whole),
@@ -89,6 +92,7 @@
     (Step::Streaming, Fault::LinkStalls,          Expected::Whole),
     (Step::Streaming, Fault::LeadKilled,          Expected::Whole),
     (Step::Streaming, Fault::LeadFrozen,          Expected::Whole),
+    (Step::Streaming, Fault::LeadStops,           Expected::Whole),
     (Step::Streaming, Fault::EntryKilled,         Expected::GoesOn),
     (Step::Streaming, Fault::EntryStops,          Expected::Whole),
     (Step::Streaming, Fault::ObjectApiDown,       Expected::Whole),
@@ -146,6 +150,7 @@
             Fault::LinkStalls => self.env.fault(&engine, "stall").await,
             Fault::LeadKilled => self.env.kill(&lead),
             Fault::LeadFrozen => self.env.signal(&lead, "-STOP"),
+            Fault::LeadStops => self.env.signal(&lead, "-TERM"),
             Fault::EntryKilled => self.env.kill(&entry),
             Fault::EntryStops => self.env.signal(&entry, "-TERM"),
             Fault::ObjectApiDown => self.env.fault("platform", "down").await,
@@ -190,9 +195,13 @@
                     .await;
             }
         }
-        if fault == Fault::EntryStops {
-            let entry = format!("entry-{}", self.entry);
-            assert!(self.env.wait_exit(&entry).await, "a planned stop that failed");
+        let stopping = match fault {
+            Fault::EntryStops => Some(self.entry),
+            Fault::LeadStops => Some(self.lead),
+            _ => None,
+        };
+        if let Some(node) = stopping {
+            assert!(self.env.wait_exit(&format!("entry-{node}")).await, "a planned stop that failed");
         }
         drop(self.others);
     }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,21 +6,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-cargo build --quiet --workspace --bins --examples
-bin=$(pwd)/${CARGO_TARGET_DIR:-target}/debug
-case "${CARGO_TARGET_DIR:-}" in /*) bin=$CARGO_TARGET_DIR/debug ;; esac
-
-# Addresses of its own in 127.0.0.0/8, so that two runs do not meet.
-net=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 2))
-work=$(mktemp -d)
-pids=()
-
-stop_all() {
-    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-    rm -rf "$work"
-}
-trap stop_all EXIT
+source scripts/common.sh
+build debug
+own_net
 
 fail() {
     echo "demo: $1" >&2
@@ -28,13 +16,6 @@
     exit 1
 }
 
-start() { # NAME COMMAND...
-    local name=$1
-    shift
-    "$@" >"$work/$name.log" 2>&1 &
-    pids+=($!)
-}
-
 until_true() { # WHAT COMMAND...
     local what=$1
     shift
@@ -111,7 +92,6 @@
     echo "entry-$n: 12 tokens, last id $(grep '^id: ' "$work/stream-$n" | tail -n 1)"
     id=$(grep -i '^x-request-id:' "$work/head-$n" | tr -d '\r' | cut -d' ' -f2)
     "$bin/leadstage" explain "$id" --node "$net.1$n:8081"
-    grep -h 'event="lead"' "$work"/entry-*.log >/dev/null || true
 done
 cat "$work"/entry-*.log | grep -q 'leads the pool' || fail "no node leads the pool"
 leads=$(grep -l 'leads the pool' "$work"/entry-*.log | wc -l)
@@ -132,7 +112,8 @@
 
 step "status and burn"
 "$bin/leadstage" status --node "$net.11:8081" --node "$net.12:8081"
-"$bin/leadstage" report burn --node "$net.11:8081" --node "$net.12:8081"
+"$bin/leadstage" report burn --node "$net.11:8081" --node "$net.12:8081" --plot "$work/burn.svg"
+grep -q "</svg>" "$work/burn.svg" || fail "the plot of the burn"
 
 step "planned stop of both nodes"
 for at in "${!pids[@]}"; do
--- a/scripts/measure-node.sh
+++ b/scripts/measure-node.sh
@@ -12,25 +12,9 @@
 tokens=${2:-200}
 seconds=${3:-30}
 
-cargo build --quiet --release --workspace --bins --examples
-target=${CARGO_TARGET_DIR:-target}
-case "$target" in /*) ;; *) target=$(pwd)/$target ;; esac
-bin=$target/release
-net=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 2))
-work=$(mktemp -d)
-pids=()
-stop_all() {
-    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-    rm -rf "$work"
-}
-trap stop_all EXIT
-start() {
-    local name=$1
-    shift
-    "$@" >"$work/$name.log" 2>&1 &
-    pids+=($!)
-}
+source scripts/common.sh
+build release
+own_net
 
 start platform "$bin/examples/platform" --listen "$net.1:9000"
 start engine "$bin/examples/engine" --listen "$net.21:9100" --step-us 36000 --blocks 1000000 --max-batch 2600
@@ -67,10 +51,10 @@
 if [ -n "$peer" ]; then
     sed "s/entry-1/entry-2/; s/$net\.11:/$net.12:/" "$work/node.yaml" >"$work/peer.yaml"
     start peer env RUST_LOG=info "$bin/leadstaged" --config "$work/peer.yaml"
-    peer_pid=${pids[-1]}
+    peer_pid=$pid
 fi
 start node env RUST_LOG=warn "$bin/leadstaged" --config "$work/node.yaml"
-node_pid=${pids[-1]}
+node_pid=$pid
 "$bin/leadstage" bundle roll-out "$work/bundle.json" --platform "$net.1:9000" >/dev/null
 for _ in $(seq 100); do curl -sf "http://$net.11:8081/readyz" >/dev/null && break; sleep 0.1; done
 sleep 2
--- a/scripts/measure-recovery.sh
+++ b/scripts/measure-recovery.sh
@@ -4,30 +4,19 @@
 # the load. Loopback only; about two minutes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cargo build --quiet --release --workspace --bins --examples
-target=${CARGO_TARGET_DIR:-target}
-case "$target" in /*) ;; *) target=$(pwd)/$target ;; esac
-bin=$target/release
-pids=()
-stop_all() {
-    for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-    pids=()
-}
-trap stop_all EXIT
+source scripts/common.sh
+build release
 
 fleet() {
-    net=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 2))
-    work=$(mktemp -d)
-    "$bin/examples/platform" --listen "$net.1:9000" >/dev/null 2>&1 &
-    pids+=($!)
+    own_net
+    start platform "$bin/examples/platform" --listen "$net.1:9000"
     engines=()
     nodes=()
     sleep 0.5
     local vms="" n
     for n in $(seq 15); do
-        "$bin/examples/engine" --listen "$net.$((100 + n)):9100" --step-us 25000 --seed "$n" >/dev/null 2>&1 &
-        engines+=($!)
+        start "engine-$n" "$bin/examples/engine" --listen "$net.$((100 + n)):9100" --step-us 25000 --seed "$n"
+        engines+=("$pid")
         vms+="{\"id\":\"engine-$n\",\"role\":\"engine\",\"hall\":\"h$((n % 3))\",\"address\":\"$net.$((100 + n)):9100\",\"serves\":\"assistant\",\"state\":\"live\"},"
     done
     for n in $(seq 9); do
@@ -43,10 +32,9 @@
     for n in $(seq 9); do
         printf 'vm: entry-%s\nhall: h%s\nlisten: %s:8080\nadmin: %s:8081\npeer: %s:8082\nplatform: %s:9000\noperators: ["%s"]\n' \
             "$n" "$((n % 3))" "$net.$((n + 10))" "$net.$((n + 10))" "$net.$((n + 10))" "$net.1" "$key" >"$work/$n.yaml"
-        RUST_LOG=info "$bin/leadstaged" --config "$work/$n.yaml" 2>"$work/entry-$n.log" &
-        nodes+=($!)
+        start "entry-$n" "$bin/leadstaged" --config "$work/$n.yaml"
+        nodes+=("$pid")
     done
-    pids+=("${engines[@]}" "${nodes[@]}")
     "$bin/leadstage" bundle roll-out "$work/bundle.json" --platform "$net.1:9000" >/dev/null
     sleep 5
 }
@@ -87,8 +75,7 @@
     sleep 5
     for f in "$@"; do fault "$f"; done
     wait "$load"
-    stop_all
-    rm -rf "$work"
+    clean_up
 }
 
 measure "no fault"
--- a/scripts/measure-scale.sh
+++ b/scripts/measure-scale.sh
@@ -7,48 +7,33 @@
 # Without arguments it walks the sizes of docs/CAPACITY.md. Prints CSV.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cargo build --quiet --release --workspace --bins --examples
-target=${CARGO_TARGET_DIR:-target}
-case "$target" in /*) ;; *) target=$(pwd)/$target ;; esac
-bin=$target/release
+source scripts/common.sh
+build release
 settle=6
 measure=10
 
-pids=()
-stop_all() {
-    for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-    pids=()
-}
-trap stop_all EXIT
-
 lo_bytes() { awk '$1 == "lo:" { print $10 }' /proc/net/dev; }
 calls() { curl -sf "http://$net.1:9000/stand-in/calls"; }
 field() { grep -o "\"$1\":[0-9]*" | cut -d: -f2; }
 
 # Clock ticks that the control threads, which are the main threads, have used.
 control_ticks() {
-    local sum=0 pid
-    for pid in "${node_pids[@]}"; do
-        sum=$((sum + $(awk '{ print $14 + $15 }' "/proc/$pid/task/$pid/stat")))
+    local sum=0 node
+    for node in "${node_pids[@]}"; do
+        sum=$((sum + $(awk '{ print $14 + $15 }' "/proc/$node/task/$node/stat")))
     done
     echo "$sum"
 }
 
 size() { # NODES ENGINES ORGANISATIONS MODELS
     local nodes=$1 engines=$2 organisations=$3 models=$4
-    net=127.$((RANDOM % 200 + 20))
-    net=$net.$((RANDOM % 250 + 2))
-    work=$(mktemp -d)
-    pids=()
+    own_net
     node_pids=()
-    "$bin/examples/platform" --listen "$net.1:9000" >"$work/platform.log" 2>&1 &
-    pids+=($!)
+    start platform "$bin/examples/platform" --listen "$net.1:9000"
     sleep 0.5
     local vms="" n
     for n in $(seq "$engines"); do
-        "$bin/examples/engine" --listen "$net.254:$((20000 + n))" >"$work/engine-$n.log" 2>&1 &
-        pids+=($!)
+        start "engine-$n" "$bin/examples/engine" --listen "$net.254:$((20000 + n))"
         vms+="{\"id\":\"engine-$n\",\"role\":\"engine\",\"hall\":\"h$((n % 3))\",\"address\":\"$net.254:$((20000 + n))\",\"serves\":\"m$((n % models))\",\"state\":\"live\"},"
     done
     for n in $(seq "$nodes"); do
@@ -61,9 +46,8 @@
     for n in $(seq "$nodes"); do
         printf 'vm: entry-%s\nhall: h%s\nlisten: %s:8080\nadmin: %s:8081\npeer: %s:8082\nplatform: %s:9000\noperators: ["%s"]\n' \
             "$n" "$((n % 3))" "$net.$((n + 1))" "$net.$((n + 1))" "$net.$((n + 1))" "$net.1" "$key" >"$work/$n.yaml"
-        "$bin/leadstaged" --config "$work/$n.yaml" 2>"$work/entry-$n.log" &
-        pids+=($!)
-        node_pids+=($!)
+        start "entry-$n" "$bin/leadstaged" --config "$work/$n.yaml"
+        node_pids+=("$pid")
     done
     roll_out 1
     sleep "$settle"
@@ -76,9 +60,9 @@
     bytes=$(($(lo_bytes) - bytes))
     reads=$(($(calls | field reads) - $(field reads <<<"$before")))
     writes=$(($(calls | field writes) - $(field writes <<<"$before")))
-    local rss=0 pid
-    for pid in "${node_pids[@]}"; do
-        rss=$((rss + $(awk '$1 == "VmRSS:" { print $2 }' "/proc/$pid/status")))
+    local rss=0 node
+    for node in "${node_pids[@]}"; do
+        rss=$((rss + $(awk '$1 == "VmRSS:" { print $2 }' "/proc/$node/status")))
     done
     local accepted last in_force
     accepted=$(date +%s.%N)
@@ -92,8 +76,7 @@
     local took
     took=$(awk "BEGIN { printf \"%.2f\", $(date -d "$last" +%s.%N) - $accepted }")
     awk "BEGIN { printf \"%d,%d,%d,%d,%d,%.3f,%.1f,%.2f,%.2f,%.2f,%d,%s\n\", $nodes, $engines, $organisations, $models, $(wc -c <"$work/bundle.yaml"), $ticks / $measure / $nodes, $rss / $nodes / 1024, $bytes / $measure / $nodes / 1024, $reads / $measure, $writes / $measure, $in_force, \"$took\" }"
-    stop_all
-    rm -rf "$work"
+    clean_up
 }
 
 roll_out() { # NUMBER
--- a/testutils/src/engine_server.rs
+++ b/testutils/src/engine_server.rs
@@ -4,6 +4,9 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -38,6 +41,8 @@
 
 /// Characters of prompt taken as one token.
 const CHARS_PER_TOKEN: u64 = 4;
+/// Characters at the start of a prompt that are cached together.
+const PREFIX_CHARS: u64 = 1_024;
 /// How long an ended generation can still be resumed.
 const KEEP_ENDED: Duration = Duration::from_secs(120);
 /// One cache event in this many is lost.
@@ -347,8 +352,9 @@
         if self.tracked.contains_key(&generation) {
             return;
         }
-        let chars = body.prompt.as_deref().unwrap_or("").len()
-            + body.messages.iter().flatten().map(|m| m.content.len()).sum::<usize>();
+        let messages = body.messages.iter().flatten().map(|m| m.content.as_str());
+        let prompt: String = body.prompt.as_deref().into_iter().chain(messages).collect();
+        let chars = prompt.len();
         let limit = body.max_tokens.unwrap_or(u64::MAX >> 1);
         let drawn = config.outputs.draw(&mut self.rng, limit.max(1));
         self.model.submit(Submission {
@@ -356,8 +362,8 @@
             prompt_tokens: (chars as u64).div_ceil(CHARS_PER_TOKEN).max(1),
             output_tokens: body.stand_in_tokens.unwrap_or(drawn).min(limit).max(1),
             priority,
-            prefix: 0,
-            prefix_tokens: 0,
+            prefix: prefix_of(&prompt),
+            prefix_tokens: PREFIX_CHARS / CHARS_PER_TOKEN,
         });
         self.started += 1;
         let progress = watch::Sender::new(Progress::default());
@@ -480,6 +486,16 @@
     })
 }
 
+/// Hash of a prompt's start; 0 for a prompt that is too short to be cached.
+fn prefix_of(prompt: &str) -> u64 {
+    let Some(start) = prompt.as_bytes().get(..PREFIX_CHARS as usize) else {
+        return 0;
+    };
+    let mut hasher = DefaultHasher::new();
+    start.hash(&mut hasher);
+    hasher.finish().max(1)
+}
+
 fn parse_generation(text: &str) -> Option<GenerationId> {
     u64::from_str_radix(text, 16).ok()
 }
