pool: an engine that others filled is not taken for idle

Cause: a new lead whose books are empty took an engine that reports itself full for idle, which may always take one, and its negative room made it look the cheapest. Ruled out: the correction itself, which believed the first report as meant. Before: test_new_lead_believes_the_first_load failed: the request was granted on an engine with 62 of 64 blocks in use. Found while reading the code as a newcomer.

--- a/lib/src/engine_book.rs
+++ b/lib/src/engine_book.rs
@@ -166,7 +166,13 @@
     pub fn memory(&self) -> f64 {
         let block = f64::from(self.limits.block_tokens);
         let wasted = block * 0.5 * (self.runs.len() + 1) as f64;
-        self.limits.blocks as f64 * block * USED_PART - wasted - self.foreign_tokens
+        (self.limits.blocks as f64 * block * USED_PART - wasted - self.foreign_tokens).max(1.0)
+    }
+
+    /// Nothing runs here, as far as this lead and the engine's reports know; a generation
+    /// may then start even if it could fill the whole memory.
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty() && self.foreign_tokens < f64::from(self.limits.block_tokens)
     }
 
     /// Tokens that its generations hold by their latest reports.
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -46,7 +46,7 @@
         return None;
     }
     let memory = book.memory();
-    let idle = book.runs.is_empty();
+    let idle = book.is_idle();
     if !idle && book.prefill_backlog(now) > MAX_PREFILL_BACKLOG {
         return None;
     }
--- a/lib/tests/test_pool.rs
+++ b/lib/tests/test_pool.rs
@@ -10,6 +10,7 @@
 use leadstage_lib::pool::Pool;
 use leadstage_lib::pool_event::EndKind;
 use leadstage_lib::pool_event::EngineLimits;
+use leadstage_lib::pool_event::LoadReport;
 use leadstage_lib::pool_event::PlaceRequest;
 use leadstage_lib::pool_event::PoolAction;
 use leadstage_lib::pool_event::PoolEvent;
@@ -251,6 +252,23 @@
     assert_eq!(env.refused.iter().map(|r| r.1).collect::<Vec<_>>(), [Code::NoUpstream]);
 }
 
+/// A new lead that has no books yet does not fill engines that say they are full.
+#[test]
+fn test_new_lead_believes_the_first_load() {
+    let mut env = Env::new(1);
+    for e in 0..ENGINES {
+        let report = LoadReport { running: 6, waiting: 0, used_blocks: 62, step: Duration::from_millis(25) };
+        env.event(PoolEvent::Load { engine: engine(e), report });
+    }
+    env.event(PoolEvent::Place(request(1, "a", 300)));
+    assert_eq!((env.granted.len(), env.pool.status().waiting), (0, 1));
+    for e in 0..ENGINES {
+        let report = LoadReport { step: Duration::from_millis(25), ..LoadReport::default() };
+        env.event(PoolEvent::Load { engine: engine(e), report });
+    }
+    assert_eq!(env.granted.len(), 1);
+}
+
 /// What a dead entry waits for is refused: it may only be cut off, and is told at once.
 #[test]
 fn test_dead_entry_is_answered() {
