relay: 'not run' is not said once an engine may have begun

Cause: when an engine was lost before a token and no other could be found, the refusal of the second placement went to the caller as it was, and says 'not run', although the first engine may have begun. Ruled out: plain calls, which keep 'unknown' over later refusals already. After: 3001, outcome unknown, with a time to come back; a request that was sent nowhere still gets 2104. Found while reading one request through the code.

--- a/node/src/filters/relay.rs
+++ b/node/src/filters/relay.rs
@@ -7,6 +7,7 @@
 
 use eventsource_stream::Event;
 use leadstage_lib::code::Code;
+use leadstage_lib::code::Ran;
 use leadstage_lib::ids::GenerationId;
 use leadstage_lib::pool_event::EndKind;
 use leadstage_lib::stream_cursor::AfterBreak;
@@ -61,6 +62,7 @@
     cursor: StreamCursor,
     granted: Option<Granted>,
     link: Option<Link>,
+    may_have_run: bool,
     finished: bool,
 }
 
@@ -68,7 +70,17 @@
     /// A new generation, not placed yet.
     pub fn new(shared: Arc<Shared>, cx: Authenticated, req: GenerationRequest, account: Account) -> Self {
         let cursor = StreamCursor::new(new_generation(), 0);
-        Relay { shared, cx, req, account, cursor, granted: None, link: None, finished: false }
+        Relay {
+            shared,
+            cx,
+            req,
+            account,
+            cursor,
+            granted: None,
+            link: None,
+            may_have_run: false,
+            finished: false,
+        }
     }
 
     /// The request's bookkeeping.
@@ -76,9 +88,23 @@
         &mut self.account
     }
 
-    /// Places and starts the generation; on an engine that cannot be connected to, on
-    /// another one, within the retry budget.
+    /// Places and starts the generation. Once an engine may have begun it, no refusal says
+    /// any more that it did not run.
     pub async fn start(&mut self) -> Result<(), Refusal> {
+        let started = self.start_on_an_engine().await;
+        started.map_err(|refusal| self.truthful(refusal))
+    }
+
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run && refusal.code.ran() == Ran::No {
+            return Refusal::later(Code::UpstreamLost, refusal.retry_after);
+        }
+        refusal
+    }
+
+    /// On an engine that cannot be connected to, goes on to another one, within the retry
+    /// budget.
+    async fn start_on_an_engine(&mut self) -> Result<(), Refusal> {
         loop {
             let generation = self.cursor.generation();
             let granted = place::place(&self.shared, &self.cx, &self.req, generation).await?;
@@ -90,6 +116,7 @@
             let started =
                 dispatch::start(granted.address, generation, organisation, granted.priority, &self.req).await;
             self.granted = Some(granted);
+            self.may_have_run |= !matches!(started, Err(LinkError::NotSent | LinkError::Rejected));
             match started {
                 Ok(link) => {
                     self.link = Some(link);
@@ -240,7 +267,7 @@
                     Err(LinkError::NotSent | LinkError::Broken) => after = self.cursor.on_break(),
                 },
                 AfterBreak::Restart => {
-                    self.give_up_engine()?;
+                    self.give_up_engine().map_err(|refusal| self.truthful(refusal))?;
                     return Box::pin(self.start()).await;
                 }
                 AfterBreak::End => {
--- a/node/src/refusal.rs
+++ b/node/src/refusal.rs
@@ -44,7 +44,7 @@
     }
 
     fn tells_retry(&self) -> bool {
-        matches!(self.code.ask_again(), AskAgain::Later | AskAgain::SameKey)
+        self.code.ask_again() != AskAgain::No
     }
 
     /// The JSON body.
--- a/node/tests/test_streams.rs
+++ b/node/tests/test_streams.rs
@@ -305,6 +305,22 @@
     assert_eq!(lost.end, Some(End::Code(4002)));
 }
 
+/// The only engine dies with a generation that has no token yet: it may have run, so the
+/// caller is not told "not run", although there is no engine to start it on again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_not_run_is_not_said_after_a_dispatch() {
+    let args = ["--step-us", SLOW_STEP_US].map(str::to_owned).into();
+    let mut env = Env::start(Options { engine_args: args, engines: 1, ..Options::default() }).await;
+    let caller = Caller::ask(&env.client, &env.address("entry-1"), "token-a", 4, None);
+    env.until("a placed request", async |env: &Env| env.engine_count(1, "started").await == 1).await;
+    env.kill("engine-1");
+    let got = caller.finish().await;
+    assert_eq!(got.end, Some(End::Code(3001)), "{}", env.logs());
+    assert!(got.retry_after.is_some());
+    let next = Caller::ask(&env.client, &env.address("entry-1"), "token-a", 4, None).finish().await;
+    assert_eq!(next.end, Some(End::Code(2104)), "this one was sent nowhere");
+}
+
 /// Many callers at once, with links cut at random: each gets its own answer.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn test_answers_never_mix() {
