stop: after the balancer's grace a stopping node takes nothing new

Cause: a stopping node took new requests for as long as it had open ones, so a busy balancer could keep it from ever stopping. Ruled out: refusing from the start, as the balancer needs a moment to notice.

--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -75,6 +75,8 @@
     pub retries: Mutex<RetryBudget>,
     /// The planned stop's bound is reached: streams end now.
     pub stop_now: AtomicBool,
+    /// The balancer's grace in a planned stop is over: nothing new is taken.
+    pub closed: AtomicBool,
     in_force: RwLock<Option<InForce>>,
     readiness: RwLock<Readiness>,
     upstreams: RwLock<Arc<UpstreamTable>>,
@@ -105,6 +107,7 @@
             decisions: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(0.1)),
             stop_now: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             in_force: RwLock::new(None),
             readiness: RwLock::new(Readiness::NoBundle),
             upstreams: RwLock::default(),
--- a/node/src/stop.rs
+++ b/node/src/stop.rs
@@ -37,6 +37,9 @@
     let shared = control.borrow().shared.clone();
     let started = tokio::time::Instant::now();
     while started.elapsed() < BALANCER_GRACE || shared.open() > 0 || is_awaited(&control) {
+        if started.elapsed() >= BALANCER_GRACE {
+            shared.closed.store(true, Ordering::Relaxed);
+        }
         if started.elapsed() > bound {
             warn!(event = "stop_bound", open = shared.open(); "streams are ended at the bound");
             shared.stop_now.store(true, Ordering::Relaxed);
--- a/node/tests/test_upstreams.rs
+++ b/node/tests/test_upstreams.rs
@@ -135,3 +135,22 @@
     assert_eq!(orders(&env, "engine-2").await, ["1:load:desk"]);
     assert_eq!(orders(&env, "engine-3").await, ["2:load:desk"]);
 }
+
+/// A stopping node finishes its stream, and after the balancer's grace it takes no new
+/// request, however long the stream lasts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_stopping_node_takes_nothing_new_after_the_grace() {
+    let args = ["--step-us", "50000"].map(str::to_owned).into();
+    let mut env = Env::start(Options { engine_args: args, ..Options::default() }).await;
+    let address = env.address("entry-1");
+    let stream = Caller::ask(&env.client, &address, "token-a", 300, None);
+    env.until("tokens", async |_: &Env| !stream.got().texts.is_empty()).await;
+    env.signal("entry-1", "-TERM");
+    env.until("it takes nothing new", async |env: &Env| {
+        env.book(1, None).await.is_ok_and(|reply| crate::environment::code(&reply) == 2108)
+    })
+    .await;
+    let got = stream.finish().await;
+    assert_eq!((got.end.clone(), got.texts.len()), (Some(End::Whole), 300), "{got:?}");
+    assert!(env.wait_exit("entry-1").await);
+}
