read: one piece of code for what stood twice

Cause: a read of the whole change. orders.rs and claim_driver.rs both turned the object API's answers into a decision's; leads.rs had accessors beside a public field; the relay made a refusal truthful at two depths; survival.rs had a function that nobody called; an end searched through all engines for the one it was about. Ruled out: publishing the status less often than every tick (it would be seen later). Before and after: the same behaviour and assertions. Conclusion: Platform::read_value and write_value, one place in Relay::fail, and a range of one engine in Pool::choose.

--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::ops::Bound;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -462,10 +463,9 @@
     ) -> Option<UpstreamId> {
         let added = self.projection_of(request);
         let mut best: Option<(f64, UpstreamId)> = None;
-        for book in self.engines.values_mut() {
-            if only.is_some_and(|only| *only != book.id) {
-                continue;
-            }
+        let all = (Bound::Unbounded, Bound::Unbounded);
+        let within = only.map_or(all, |id| (Bound::Included(id), Bound::Included(id)));
+        for book in self.engines.range_mut::<UpstreamId, _>(within).map(|(_, book)| book) {
             if self.reserved.get(&book.id).is_some_and(|generation| *generation != request.generation) {
                 continue;
             }
--- a/lib/src/survival.rs
+++ b/lib/src/survival.rs
@@ -147,9 +147,4 @@
         let (from, to) = (f64::from(self.alive[bucket]), f64::from(self.alive[bucket + 1]));
         from + (to - from) * part
     }
-
-    /// The chance that an output with `so_far` tokens has `more` to come.
-    pub fn still_running(&self, so_far: f64, more: f64) -> f64 {
-        (self.at_least(so_far + more) / self.at_least(so_far)).min(1.0)
-    }
 }
--- a/node/src/claim_driver.rs
+++ b/node/src/claim_driver.rs
@@ -26,8 +26,6 @@
 use crate::control_message::Claimed;
 use crate::peers;
 use crate::peers::RemoteClaim;
-use crate::platform::Read;
-use crate::platform::Written;
 use crate::shared::unix_millis;
 
 /// A claim or record that is not settled by then is answered "unreachable".
@@ -210,16 +208,11 @@
 
 async fn read(control: ControlRef, shard: u32) {
     let platform = control.borrow().platform.clone();
-    let read = platform.read(&claims::object_key(shard)).await;
+    let found = platform.read_value(&claims::object_key(shard)).await;
     let actions = {
         let mut control = control.borrow_mut();
-        control.on_platform_call(read.is_ok());
+        control.on_platform_call(found.is_some());
         let now = control.now();
-        let found = match read {
-            Ok(Read::Found { version, value }) => Some((version, value.to_vec())),
-            Ok(Read::Absent) => Some((0, Vec::new())),
-            Ok(Read::Unchanged) | Err(_) => None,
-        };
         control.claims.shard(shard).writer.on_read(found, now, unix_millis())
     };
     carry_out(&control, shard, actions);
@@ -228,15 +221,10 @@
 
 async fn write(control: ControlRef, shard: u32, expected: u64, value: Vec<u8>) {
     let platform = control.borrow().platform.clone();
-    let written = platform.write(&claims::object_key(shard), expected, value).await;
+    let result = platform.write_value(&claims::object_key(shard), expected, value).await;
     let actions = {
         let mut control = control.borrow_mut();
-        control.on_platform_call(written.is_ok());
-        let result = match written {
-            Ok(Written::Done { version }) => WriteResult::Done { version },
-            Ok(Written::Conflict) => WriteResult::Conflict,
-            Err(_) => WriteResult::Unknown,
-        };
+        control.on_platform_call(result != WriteResult::Unknown);
         control.claims.shard(shard).writer.on_write(result)
     };
     carry_out(&control, shard, actions);
--- a/node/src/filters/relay.rs
+++ b/node/src/filters/relay.rs
@@ -267,8 +267,8 @@
                     Err(LinkError::NotSent | LinkError::Broken) => after = self.cursor.on_break(),
                 },
                 AfterBreak::Restart => {
-                    self.give_up_engine().map_err(|refusal| self.truthful(refusal))?;
-                    return Box::pin(self.start()).await;
+                    self.give_up_engine()?;
+                    return Box::pin(self.start_on_an_engine()).await;
                 }
                 AfterBreak::End => {
                     self.account.on_generation_end(EndKind::Lost);
@@ -307,6 +307,7 @@
     }
 
     fn fail(&mut self, refusal: Refusal) -> Relayed {
+        let refusal = self.truthful(refusal);
         self.finished = true;
         self.account.on_answer(refusal.code);
         Relayed::Failed(refusal)
--- a/node/src/leads.rs
+++ b/node/src/leads.rs
@@ -85,16 +85,6 @@
 }
 
 impl Leads {
-    /// The pools with their keys.
-    pub fn pools(&self) -> impl Iterator<Item = (&PoolKey, &LedPool)> {
-        self.pools.iter()
-    }
-
-    /// A pool that this VM leads.
-    pub fn get_mut(&mut self, key: &PoolKey) -> Option<&mut LedPool> {
-        self.pools.get_mut(key)
-    }
-
     /// A pool's order sender.
     pub fn orders_mut(&mut self, key: &PoolKey) -> Option<&mut OrderSender> {
         self.pools.get_mut(key).map(|led| &mut led.orders)
--- a/node/src/orders.rs
+++ b/node/src/orders.rs
@@ -1,7 +1,6 @@
 //! Drives [`leadstage_lib::fence`]: has the engines of the pools that this VM leads load
 //! the adapters that the bundle wants, one order of a pool at a time.
 
-use leadstage_lib::claim_writer::WriteResult;
 use leadstage_lib::fence;
 use leadstage_lib::fence::FenceAction;
 use leadstage_lib::fence::Order;
@@ -11,8 +10,6 @@
 use crate::control::ControlRef;
 use crate::engine_api::OrderAnswer;
 use crate::leads::PoolKey;
-use crate::platform::Read;
-use crate::platform::Written;
 use crate::shared::unix_millis;
 
 /// Goes on with the next order of each pool.
@@ -28,7 +25,8 @@
     };
     let wanted: Vec<(PoolKey, Order)> = control
         .leads
-        .pools()
+        .pools
+        .iter()
         .filter_map(|(key, led)| {
             let model = bundle.model(&key.model)?;
             Some((key.clone(), led.first_lacking(&model.adapters)?))
@@ -47,21 +45,13 @@
     let object = fence::object_key(&key.model, &key.hall);
     match action {
         FenceAction::Read => {
-            let found = match platform.read(&object).await {
-                Ok(Read::Found { version, value }) => Some((version, value.to_vec())),
-                Ok(Read::Absent) => Some((0, Vec::new())),
-                Ok(Read::Unchanged) | Err(_) => None,
-            };
+            let found = platform.read_value(&object).await;
             if let Some(orders) = control.borrow_mut().leads.orders_mut(&key) {
                 orders.on_read(found);
             }
         }
         FenceAction::Write { expected, value } => {
-            let result = match platform.write(&object, expected, value).await {
-                Ok(Written::Done { version }) => WriteResult::Done { version },
-                Ok(Written::Conflict) => WriteResult::Conflict,
-                Err(_) => WriteResult::Unknown,
-            };
+            let result = platform.write_value(&object, expected, value).await;
             if let Some(orders) = control.borrow_mut().leads.orders_mut(&key) {
                 orders.on_write(result);
             }
@@ -83,7 +73,7 @@
     };
     info!(event = "order", engine = &*order.engine, action = &*order.action, epoch = epoch, answer:? = answer; "order sent");
     let mut control = control.borrow_mut();
-    if let Some(led) = control.leads.get_mut(key) {
+    if let Some(led) = control.leads.pools.get_mut(key) {
         led.orders.on_sent(answer == OrderAnswer::OldFence);
         if answer == OrderAnswer::Taken {
             led.on_loaded(order);
--- a/node/src/platform.rs
+++ b/node/src/platform.rs
@@ -13,6 +13,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use leadstage_lib::claim_writer::WriteResult;
 use leadstage_lib::upstreams::VmRecord;
 
 /// A call without an answer for this long counts as failed.
@@ -57,7 +58,7 @@
 
 /// How a conditional update ended.
 #[derive(Debug)]
-pub enum Written {
+enum Written {
     /// It took effect.
     Done {
         /// The new version.
@@ -123,7 +124,7 @@
     }
 
     /// Reads an object.
-    pub async fn read(&self, key: &str) -> Result<Read, PlatformError> {
+    async fn read(&self, key: &str) -> Result<Read, PlatformError> {
         let req = self.get_request(&format!("/v1/objects/{key}"));
         Self::as_read(self.call(req, CALL_LIMIT).await?)
     }
@@ -146,7 +147,7 @@
 
     /// Writes an object if it still has version `expected`, 0 for absent. An error
     /// may mean that it took effect.
-    pub async fn write(&self, key: &str, expected: u64, value: Vec<u8>) -> Result<Written, PlatformError> {
+    async fn write(&self, key: &str, expected: u64, value: Vec<u8>) -> Result<Written, PlatformError> {
         let uri = format!("http://{}/v1/objects/{key}", self.address);
         let req = Request::put(uri).header("if-match", expected.to_string());
         let req = req.body(Full::from(value)).expect("a valid request");
@@ -157,6 +158,25 @@
         }
     }
 
+    /// Reads an object for a decision: version and value, (0, empty) when it is absent,
+    /// `None` when the read failed.
+    pub async fn read_value(&self, key: &str) -> Option<(u64, Vec<u8>)> {
+        match self.read(key).await {
+            Ok(Read::Found { version, value }) => Some((version, value.to_vec())),
+            Ok(Read::Absent) => Some((0, Vec::new())),
+            Ok(Read::Unchanged) | Err(_) => None,
+        }
+    }
+
+    /// Writes an object for a decision, which tells a conflict from a lost answer.
+    pub async fn write_value(&self, key: &str, expected: u64, value: Vec<u8>) -> WriteResult {
+        match self.write(key, expected, value).await {
+            Ok(Written::Done { version }) => WriteResult::Done { version },
+            Ok(Written::Conflict) => WriteResult::Conflict,
+            Err(_) => WriteResult::Unknown,
+        }
+    }
+
     /// Reads the VM list if it differs from the one with version `known`. Whole, it is
     /// by far the largest thing that a node reads; so it is read only when it changed.
     pub async fn vms(&self, known: Option<u64>) -> Result<VmList, PlatformError> {
--- a/node/src/status_report.rs
+++ b/node/src/status_report.rs
@@ -27,7 +27,7 @@
         open: control.shared.open(),
         platform_reached: control.platform_reached,
         peers: peers(&control),
-        pools: control.leads.pools().map(|(key, led)| pool_line(key, led)).collect(),
+        pools: control.leads.pools.iter().map(|(key, led)| pool_line(key, led)).collect(),
         leaving: leaving(&control),
     };
     control.shared.set_status(status);
--- a/node/src/stop.rs
+++ b/node/src/stop.rs
@@ -56,7 +56,7 @@
 /// Others wait for what this VM leads, or outcomes are not recorded yet.
 fn is_awaited(control: &ControlRef) -> bool {
     let control = control.borrow();
-    let queued = control.leads.pools().any(|(_, led)| led.waiting() > 0);
+    let queued = control.leads.pools.iter().any(|(_, led)| led.waiting() > 0);
     queued || control.claims.waiting() > 0
 }
 
