leads: a drained engine gets no work between two events

Cause: each read of a load put the engine up and then took the drained ones out again; the first event already placed waiting requests on them. Ruled out: the pool, which does as it is told. Before: test_drained_engine_gets_no_new_work failed: 1 request on the drained engine. After: one question, gets_work, decides for the list and for each read; the test passes.

--- a/node/src/engine_polls.rs
+++ b/node/src/engine_polls.rs
@@ -1,9 +1,11 @@
 //! Reads the loads of the engines of the pools that this VM leads, and keeps the pools'
 //! engines in line with the VM list, the notices and the bundle.
 
+use leadstage_lib::bundle::Model;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::pool_event::PoolEvent;
+use leadstage_lib::upstreams::Directory;
 use leadstage_lib::upstreams::VmRole;
 use rand::RngExt;
 
@@ -44,19 +46,20 @@
                 .entry(record.id.clone())
                 .or_insert_with(|| PolledEngine { next_poll: now, ..Default::default() });
         }
-        for id in led.engines.keys() {
-            let listed = control.directory.get(id).is_some();
-            let drained = model.is_some_and(|m| m.drained.contains(id));
-            if !listed || drained || control.directory.is_leaving(id) {
-                leaving.push((key.clone(), id.clone()));
-            }
-        }
+        let refused = led.engines.keys().filter(|id| !gets_work(&control.directory, model, id));
+        leaving.extend(refused.map(|id| (key.clone(), id.clone())));
     }
     for (key, id) in leaving {
         leads::handle(control, &key, PoolEvent::EngineLeaving(id));
     }
 }
 
+/// Whether an engine may get new work: listed, not leaving, and not drained by the bundle.
+fn gets_work(directory: &Directory, model: Option<&Model>, id: &UpstreamId) -> bool {
+    let drained = model.is_some_and(|m| m.drained.contains(id));
+    directory.get(id).is_some() && !drained && !directory.is_leaving(id)
+}
+
 /// Reads the loads that are due.
 pub fn poll_due(control: &ControlRef) {
     let mut due = Vec::new();
@@ -87,7 +90,8 @@
 fn on_poll(control: &mut Control, key: &PoolKey, id: &UpstreamId, report: Option<EngineReport>) {
     let now = control.now();
     let jitter: f64 = rand::rng().random_range(0.8..1.2);
-    let bounds = control.shared.bundle().map(|b| b.bounds.clone()).unwrap_or_default();
+    let bundle = control.shared.bundle();
+    let bounds = bundle.as_ref().map(|b| b.bounds.clone()).unwrap_or_default();
     let interval = bounds.leaving_within / POLLS_WITHIN_BOUND;
     let Some(engine) = control.leads.pools.get_mut(key).and_then(|led| led.engines.get_mut(id)) else {
         return;
@@ -102,13 +106,10 @@
             if report.leaving {
                 control.directory.on_leaving(id, now);
             }
-            if !control.directory.is_leaving(id) {
-                leads::handle(
-                    control,
-                    key,
-                    PoolEvent::EngineUp { engine: id.clone(), limits: report.limits() },
-                );
-                list_engines(control);
+            let model = bundle.as_ref().and_then(|b| b.model(&key.model));
+            if gets_work(&control.directory, model, id) {
+                let up = PoolEvent::EngineUp { engine: id.clone(), limits: report.limits() };
+                leads::handle(control, key, up);
             }
             leads::handle(control, key, PoolEvent::Load { engine: id.clone(), report: report.load() });
         }
--- a/node/tests/test_upstreams.rs
+++ b/node/tests/test_upstreams.rs
@@ -4,6 +4,8 @@
 
 use crate::environment::Env;
 use crate::environment::Options;
+use crate::environment::bundle_yaml;
+use crate::environment::envelope;
 use crate::stream::Caller;
 use crate::stream::End;
 
@@ -154,3 +156,31 @@
     assert_eq!((got.end.clone(), got.texts.len()), (Some(End::Whole), 300), "{got:?}");
     assert!(env.wait_exit("entry-1").await);
 }
+
+/// An engine that the bundle drains gets no new work, also when requests wait and it
+/// answers every read of its load.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_drained_engine_gets_no_new_work() {
+    let args = ["--step-us", "50000", "--max-batch", "1"].map(str::to_owned).into();
+    let bounds = "stall_within: 5s\nmax_wait: 60s".to_owned();
+    let env = Env::start(Options { engine_args: args, bounds, ..Options::default() }).await;
+    let yaml = bundle_yaml(2, &env.options.bounds).replace("[desk]", "[desk], drained: [engine-2]");
+    env.put_bundle(envelope(2, &yaml, "test").to_bytes()).await;
+    for node in 1..=2 {
+        env.until_bundle(node, 2).await;
+    }
+    let lead = env.lead().await;
+    env.until("it is drained", async |env: &Env| {
+        let status = env.status(lead).await.unwrap_or_default();
+        let engines = status["pools"][0]["engines"].as_array().cloned().unwrap_or_default();
+        engines.iter().any(|e| e["id"] == "engine-2" && e["state"] == "leaving")
+    })
+    .await;
+    let address = env.address("entry-1");
+    let callers: Vec<Caller> =
+        (0..3).map(|_| Caller::ask(&env.client, &address, "token-a", 60, None)).collect();
+    for caller in callers {
+        assert_eq!(caller.finish().await.end, Some(End::Whole));
+    }
+    assert_eq!(env.engine_count(2, "started").await, 0, "new work on a drained engine");
+}
