claims: a failed read answers only what was asked before it began

Cause: a claim that came while a read was failing was answered 'object API down' by that read, though the object API was back. test_calls_that_may_not_repeat_2 failed so once: the second arrival came 3 ms after the outage's end, behind the release of the first. Before: test_failed_read_answers_only_what_was_asked_before_it failed. After: it passes; what came later is read for again.

--- a/lib/src/claim_writer.rs
+++ b/lib/src/claim_writer.rs
@@ -77,6 +77,7 @@
     proposed: ClaimShard,
     asked: VecDeque<Asked>,
     answers: Vec<(Ticket, ClaimVerdict)>,
+    in_read: usize,
     in_write: usize,
     last_write: Option<Timestamp>,
     commit_interval: Duration,
@@ -94,6 +95,7 @@
             proposed: ClaimShard::default(),
             asked: VecDeque::new(),
             answers: Vec::new(),
+            in_read: 0,
             in_write: 0,
             last_write: None,
             commit_interval,
@@ -119,8 +121,7 @@
         }
         match self.shard.take() {
             None => {
-                self.state = State::Reading;
-                actions.push(ClaimAction::Read);
+                self.read(&mut actions);
             }
             Some((version, shard)) => {
                 self.commit(Known { version, shard, fresh: false }, now, unix_now, &mut actions)
@@ -160,14 +161,21 @@
             Some((version, shard)) => {
                 self.commit(Known { version, shard, fresh: true }, now, unix_now, &mut actions)
             }
-            None => self.answer_all_unreachable(&mut actions),
+            None => self.answer_unreachable(&mut actions),
         }
         actions
     }
 
-    /// The object API cannot be read: answer at once instead of waiting on.
-    fn answer_all_unreachable(&mut self, actions: &mut Vec<ClaimAction>) {
-        for asked in self.asked.drain(..) {
+    fn read(&mut self, actions: &mut Vec<ClaimAction>) {
+        self.state = State::Reading;
+        self.in_read = self.asked.len();
+        actions.push(ClaimAction::Read);
+    }
+
+    /// The object API cannot be read: answer at once instead of waiting on. What was asked
+    /// since the read began is not answered by it: the object API may be back by then.
+    fn answer_unreachable(&mut self, actions: &mut Vec<ClaimAction>) {
+        for asked in self.asked.drain(..self.in_read) {
             actions.push(ClaimAction::Answer { ticket: asked.ticket, verdict: ClaimVerdict::Unreachable });
         }
     }
@@ -186,8 +194,7 @@
             self.answers.push((asked.ticket, verdict));
         }
         if !fresh && self.answers.iter().any(|(_, verdict)| verdict.may_be_outdated()) {
-            self.state = State::Reading;
-            return actions.push(ClaimAction::Read);
+            return self.read(actions);
         }
         self.in_write = self.asked.len();
         if proposed == shard {
@@ -222,8 +229,7 @@
                 self.answer(&mut actions);
             }
             WriteResult::Conflict | WriteResult::Unknown => {
-                self.state = State::Reading;
-                actions.push(ClaimAction::Read);
+                self.read(&mut actions);
             }
         }
         actions
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -242,6 +242,19 @@
     assert_eq!(env.answers[&1], ClaimVerdict::Unreachable);
 }
 
+/// What is asked while a read is under way is not answered by that read's failure.
+#[test]
+fn test_failed_read_answers_only_what_was_asked_before_it() {
+    let mut env = Env::new(1);
+    env.claim(0, 1, "one", "digest");
+    assert_eq!(env.writers[0].advance(env.now, 0), [ClaimAction::Read]);
+    env.claim(0, 2, "two", "digest");
+    let answers = env.writers[0].on_read(None, env.now, 0);
+    assert_eq!(answers, [ClaimAction::Answer { ticket: 1, verdict: ClaimVerdict::Unreachable }]);
+    env.advance(0, &[]);
+    assert_eq!(env.answers[&2], ClaimVerdict::Claimed);
+}
+
 #[test]
 fn test_key_that_did_not_run_may_be_claimed_again() {
     let mut env = Env::new(1);
