--- /dev/null
+++ b/lib/src/gateway.rs
@@ -0,0 +1,9 @@
+//! The gateway interface: requests pass unaltered to replicas that the platform lists.
+//!
+//! Everything here is sans-I/O. `node/src/gateway` drives it, and the adapter in
+//! `platform/` fills its types from what the platform says.
+
+pub mod load;
+pub mod replicas;
+pub mod retry_window;
+pub mod routing;
--- /dev/null
+++ b/lib/src/gateway/load.rs
@@ -0,0 +1,191 @@
+//! The load of the replicas as a node knows it, and the choice of a replica by it.
+//!
+//! For engines a request costs time until its first event (prompts are read one after
+//! another), what it takes from the streams that run beside it, and the risk that the
+//! engine's memory overflows. For plain services only the requests in flight count.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::gateway::replicas::Replica;
+use crate::gateway::routing::EngineTraits;
+use crate::ids::HallId;
+use crate::ids::Timestamp;
+use crate::ids::UpstreamId;
+
+/// Names one request of one node.
+pub type RunId = u64;
+
+/// Prompt tokens that an engine reads in a millisecond beside running streams; from the
+/// first events of calm days, which come about 0.1 ms a prompt token after the request.
+const READ_TOKENS_PER_MS: f64 = 10.0;
+/// Milliseconds that one more running stream adds to the cost of an engine: each makes
+/// every step a little longer, and is one more to move when the engine leaves.
+const COST_PER_RUN_MS: f64 = 25.0;
+/// Cost of a request in another hall: its bytes are priced, and moves take twice as long.
+const COST_OTHER_HALL_MS: f64 = 12.0;
+/// Part of an engine's memory that expected use may reach without a cost.
+const MEMORY_AT_EASE: f64 = 0.7;
+/// Cost of expecting to fill all of the memory beyond that, growing with the square.
+const COST_FULL_MEMORY_MS: f64 = 4_000.0;
+/// Cost of one request in flight at a plain replica, against [`COST_OTHER_HALL_MS`].
+const COST_PER_CALL_MS: f64 = 30.0;
+/// Random part of a cost, so that nodes which know the same don't all choose the same.
+const SPREAD_MS: f64 = 8.0;
+/// Cost for each failure in a row that a replica had lately.
+const COST_PER_FAILURE_MS: f64 = 100.0;
+
+/// The size of a generation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GenerationSize {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Tokens that are expected out.
+    pub expected: u32,
+}
+
+/// A request at a replica.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The replica.
+    pub replica: UpstreamId,
+    /// Set for generations.
+    pub size: Option<GenerationSize>,
+    /// Tokens made so far.
+    pub produced: u32,
+}
+
+impl Run {
+    /// Tokens of memory that it is expected to take at its end.
+    fn memory(&self) -> f64 {
+        let size = self.size.unwrap_or_default();
+        f64::from(size.prompt) + f64::from(size.expected.max(self.produced))
+    }
+}
+
+/// What a node knows of the requests at the replicas.
+#[derive(Debug, Default)]
+pub struct LoadBook {
+    runs: HashMap<RunId, Run>,
+    by_replica: BTreeMap<UpstreamId, Vec<RunId>>,
+    /// When an engine will have read the prompts that it was given.
+    read_until: HashMap<UpstreamId, Timestamp>,
+}
+
+impl LoadBook {
+    /// A request was given to a replica.
+    pub fn add(&mut self, id: RunId, run: Run, now: Timestamp) {
+        if let (Some(size), 0) = (run.size, run.produced) {
+            let until = self.read_until.entry(run.replica.clone()).or_default();
+            *until = (*until).max(now) + reading_time(size.prompt);
+        }
+        self.by_replica.entry(run.replica.clone()).or_default().push(id);
+        self.runs.insert(id, run);
+    }
+
+    /// A request has ended, or was never sent.
+    pub fn remove(&mut self, id: RunId) -> Option<Run> {
+        let run = self.runs.remove(&id)?;
+        if let Some(ids) = self.by_replica.get_mut(&run.replica) {
+            ids.retain(|other| *other != id);
+            if ids.is_empty() {
+                self.by_replica.remove(&run.replica);
+            }
+        }
+        Some(run)
+    }
+
+    /// A generation made tokens.
+    pub fn on_progress(&mut self, id: RunId, produced: u32) {
+        if let Some(run) = self.runs.get_mut(&id) {
+            run.produced = produced;
+        }
+    }
+
+    /// A request.
+    pub fn get(&self, id: RunId) -> Option<&Run> {
+        self.runs.get(&id)
+    }
+
+    /// The requests at a replica.
+    pub fn at<'a>(&'a self, replica: &str) -> impl Iterator<Item = (RunId, &'a Run)> {
+        let ids = self.by_replica.get(replica).into_iter().flatten();
+        ids.filter_map(|id| self.runs.get(id).map(|run| (*id, run)))
+    }
+
+    /// The cheapest replica for a generation, among usable ones.
+    pub fn choose_engine<'a, R: Rng>(
+        &self,
+        candidates: impl Iterator<Item = &'a Replica>,
+        request: &EngineRequest<'_>,
+        now: Timestamp,
+        rng: &mut R,
+    ) -> Option<&'a Replica> {
+        let costs = candidates.map(|replica| (self.engine_cost(replica, request, now, rng), replica));
+        costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, replica)| replica)
+    }
+
+    /// The cheapest replica for a plain call, among usable ones.
+    pub fn choose_plain<'a, R: Rng>(
+        &self,
+        candidates: impl Iterator<Item = &'a Replica>,
+        hall: &HallId,
+        rng: &mut R,
+    ) -> Option<&'a Replica> {
+        let costs = candidates.map(|replica| {
+            let calls = self.at(&replica.record.id).count() as f64;
+            (calls * COST_PER_CALL_MS + general_cost(replica, hall, rng), replica)
+        });
+        costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, replica)| replica)
+    }
+
+    fn engine_cost<R: Rng>(
+        &self,
+        replica: &Replica,
+        request: &EngineRequest<'_>,
+        now: Timestamp,
+        rng: &mut R,
+    ) -> f64 {
+        let id = &replica.record.id;
+        let waits = self.read_until.get(id).map_or(0.0, |until| millis(until.saturating_sub(now)));
+        let cold = millis(replica.warm_at.saturating_sub(now));
+        let runs = self.at(id).count() as f64;
+        let own = f64::from(request.size.prompt) + f64::from(request.size.expected);
+        let expected: f64 = self.at(id).map(|(_, run)| run.memory()).sum::<f64>() + own;
+        let filled = expected / f64::from(request.engine.memory_tokens.max(1));
+        let beyond = (filled - MEMORY_AT_EASE).max(0.0) / (1.0 - MEMORY_AT_EASE);
+        waits
+            + cold
+            + runs * COST_PER_RUN_MS
+            + beyond * beyond * COST_FULL_MEMORY_MS
+            + general_cost(replica, request.hall, rng)
+    }
+}
+
+/// A generation that wants an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineRequest<'a> {
+    /// Its size.
+    pub size: GenerationSize,
+    /// What the service's engines are.
+    pub engine: &'a EngineTraits,
+    /// The hall where it came in.
+    pub hall: &'a HallId,
+}
+
+fn general_cost<R: Rng>(replica: &Replica, hall: &HallId, rng: &mut R) -> f64 {
+    let elsewhere = if replica.record.hall == *hall { 0.0 } else { COST_OTHER_HALL_MS };
+    let failures = f64::from(replica.failures()) * COST_PER_FAILURE_MS;
+    elsewhere + failures + rng.random::<f64>() * SPREAD_MS
+}
+
+fn reading_time(tokens: u32) -> Timestamp {
+    Timestamp::from_secs_f64(f64::from(tokens) / READ_TOKENS_PER_MS / 1_000.0)
+}
+
+fn millis(duration: Timestamp) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/lib/src/gateway/replicas.rs
@@ -0,0 +1,235 @@
+//! What a node believes of the replicas: the platform's list, signs of leaving, and what
+//! its own requests showed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::gateway::routing::ServiceId;
+use crate::ids::HallId;
+use crate::ids::Timestamp;
+use crate::ids::UpstreamId;
+
+/// A replica that failed gets no new work for this long after the first failure; doubled
+/// with each further one. Long enough that a dead replica costs few requests, short enough
+/// that one that only stumbled is missed briefly.
+const FIRST_REST: Duration = Duration::from_millis(300);
+/// The longest rest after failures.
+const LONGEST_REST: Duration = Duration::from_secs(5);
+/// An entry that went missing while the store was away is kept for this long after it is
+/// back: live replicas are listed again by then.
+pub const LAPSED_GRACE: Duration = Duration::from_secs(2);
+
+/// A replica as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaRecord {
+    /// Its id, new at each start.
+    pub id: UpstreamId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its hall.
+    pub hall: HallId,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it said that it leaves.
+    pub leaving: bool,
+    /// Time until it works at full speed, from the reading on.
+    pub cold: Duration,
+}
+
+/// Why a replica is taken to be leaving.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum LeavingSign {
+    /// Its entry says so.
+    #[display("listed as leaving")]
+    Listed,
+    /// Its entry went away while the list was followed.
+    #[display("no longer listed")]
+    Unlisted,
+    /// Its answer closed the connection.
+    #[display("closed a kept connection")]
+    ClosedConnection,
+    /// Another instance answers at its address.
+    #[display("another instance at its address")]
+    Replaced,
+}
+
+/// A replica with what is believed of it.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    /// The platform's entry.
+    pub record: Arc<ReplicaRecord>,
+    /// Set from the first sign of leaving on.
+    pub leaving: Option<LeavingSign>,
+    /// When it was first seen leaving.
+    pub leaving_since: Timestamp,
+    /// When it works at full speed.
+    pub warm_at: Timestamp,
+    failures: u32,
+    rest_until: Timestamp,
+    missing_since: Option<Timestamp>,
+}
+
+impl Replica {
+    fn new(record: ReplicaRecord, now: Timestamp) -> Self {
+        let leaving = record.leaving.then_some(LeavingSign::Listed);
+        Replica {
+            warm_at: now + record.cold,
+            record: Arc::new(record),
+            leaving,
+            leaving_since: now,
+            failures: 0,
+            rest_until: Timestamp::ZERO,
+            missing_since: None,
+        }
+    }
+
+    /// Whether it may get new work.
+    pub fn is_usable(&self, now: Timestamp) -> bool {
+        self.leaving.is_none() && self.rest_until <= now
+    }
+
+    /// Failures in a row.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+}
+
+/// What a new list changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListChange {
+    /// Replicas that are newly taken to be leaving.
+    pub leaving: Vec<UpstreamId>,
+    /// Replicas that appeared.
+    pub added: Vec<UpstreamId>,
+}
+
+/// All replicas that this node knows.
+#[derive(Debug, Default)]
+pub struct ReplicaTable {
+    replicas: BTreeMap<UpstreamId, Replica>,
+}
+
+impl ReplicaTable {
+    /// A replica's entry changed or appeared.
+    pub fn on_entry(&mut self, record: ReplicaRecord, now: Timestamp, change: &mut ListChange) {
+        let id = record.id.clone();
+        let Some(replica) = self.replicas.get_mut(&id) else {
+            if record.leaving {
+                change.leaving.push(id.clone());
+            }
+            change.added.push(id.clone());
+            self.replicas.insert(id, Replica::new(record, now));
+            return;
+        };
+        replica.missing_since = None;
+        if record.leaving && replica.leaving.is_none() {
+            replica.leaving = Some(LeavingSign::Listed);
+            replica.leaving_since = now;
+            change.leaving.push(id);
+        } else if !record.leaving && replica.leaving == Some(LeavingSign::Unlisted) {
+            replica.leaving = None;
+        }
+        replica.record = Arc::new(record);
+    }
+
+    /// A replica's entry went away while the list was followed without a break.
+    pub fn on_unlisted(&mut self, id: &str, now: Timestamp, change: &mut ListChange) {
+        if let Some(replica) = self.replicas.get_mut(id)
+            && replica.leaving.is_none()
+        {
+            replica.leaving = Some(LeavingSign::Unlisted);
+            replica.leaving_since = now;
+            change.leaving.push(replica.record.id.clone());
+        }
+    }
+
+    /// A whole list was read. What it lacks is gone at once, or within [`LAPSED_GRACE`] if
+    /// entries may have lapsed because the store was away.
+    pub fn on_list(&mut self, records: Vec<ReplicaRecord>, lapses: bool, now: Timestamp) -> ListChange {
+        let mut change = ListChange::default();
+        let listed: std::collections::BTreeSet<UpstreamId> = records.iter().map(|r| r.id.clone()).collect();
+        for record in records {
+            self.on_entry(record, now, &mut change);
+        }
+        let missing: Vec<UpstreamId> =
+            self.replicas.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        for id in missing {
+            if lapses {
+                let replica = self.replicas.get_mut(&id).expect("the id is a key");
+                replica.missing_since.get_or_insert(now);
+            } else {
+                self.on_unlisted(&id, now, &mut change);
+            }
+        }
+        change
+    }
+
+    /// Takes entries that stayed missing for gone, and forgets what left long ago.
+    pub fn tick(&mut self, now: Timestamp, forget_after: Duration) -> ListChange {
+        let mut change = ListChange::default();
+        let overdue: Vec<UpstreamId> = self
+            .replicas
+            .values()
+            .filter(|r| r.missing_since.is_some_and(|since| now > since + LAPSED_GRACE))
+            .map(|r| r.record.id.clone())
+            .collect();
+        for id in overdue {
+            self.on_unlisted(&id, now, &mut change);
+        }
+        self.replicas.retain(|_, r| {
+            let gone = r.leaving.is_some_and(|sign| sign != LeavingSign::Listed);
+            !(gone && now > r.leaving_since + forget_after)
+        });
+        change
+    }
+
+    /// A sign from the replica itself that it leaves. Returns whether it is news.
+    pub fn on_sign(&mut self, id: &str, sign: LeavingSign, now: Timestamp) -> bool {
+        match self.replicas.get_mut(id) {
+            Some(replica) if replica.leaving.is_none() => {
+                replica.leaving = Some(sign);
+                replica.leaving_since = now;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// A request failed there for a reason of the replica's.
+    pub fn on_failure(&mut self, id: &str, now: Timestamp) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            let rest = FIRST_REST.saturating_mul(1 << replica.failures.min(8)).min(LONGEST_REST);
+            replica.failures += 1;
+            replica.rest_until = now + rest;
+        }
+    }
+
+    /// A request was answered there.
+    pub fn on_success(&mut self, id: &str) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.failures = 0;
+            replica.rest_until = Timestamp::ZERO;
+        }
+    }
+
+    /// A replica.
+    pub fn get(&self, id: &str) -> Option<&Replica> {
+        self.replicas.get(id)
+    }
+
+    /// The replicas of a service.
+    pub fn of_service<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Replica> {
+        self.replicas.values().filter(move |r| &*r.record.service == service)
+    }
+
+    /// All replicas.
+    pub fn iter(&self) -> impl Iterator<Item = &Replica> {
+        self.replicas.values()
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/routing.rs
@@ -0,0 +1,236 @@
+//! The routing configuration of the gateway interface: which service takes a request,
+//! on whose behalf, and within which bounds.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::ids::OrganisationId;
+
+/// A service of the configuration.
+pub type ServiceId = Arc<str>;
+/// A route of the configuration.
+pub type RouteId = Arc<str>;
+/// The number of a configuration; a higher one replaces a lower one.
+pub type ConfigVersion = u64;
+
+/// How often a request of a route may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// As often as needed.
+    Idempotent,
+    /// Once at most.
+    Once,
+    /// Once at most, and its answer is a series of events.
+    Stream,
+}
+
+/// A part of a route's requests goes to this service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// The service.
+    pub service: ServiceId,
+    /// Its share against the route's other targets.
+    pub weight: f64,
+}
+
+/// A route: the requests of one host below one path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: RouteId,
+    /// The host that callers name, without a port, in lower case.
+    pub host: String,
+    /// The path's prefix; begins and ends with a slash.
+    pub prefix: String,
+    /// How often its requests may run.
+    pub repeat: Repeat,
+    /// The longest that a request is held.
+    pub timeout: Duration,
+    /// An answer within this earns its full worth; for streams, the first event.
+    pub objective: Duration,
+    /// The longest pause between events that still counts as in time.
+    pub gap_objective: Duration,
+    /// Rank among the routes; 0 is the most urgent.
+    pub priority: u8,
+    /// Replicas to which one request may be sent.
+    pub max_attempts: u32,
+    /// Whether requests need no key.
+    pub public: bool,
+    /// The services that take its requests.
+    pub targets: Vec<Target>,
+}
+
+impl Route {
+    /// Picks a target at random, by weight; `None` when there is none.
+    pub fn pick_target<R: Rng>(&self, rng: &mut R) -> Option<&ServiceId> {
+        let total: f64 = self.targets.iter().map(|t| t.weight).sum();
+        let mut left = rng.random::<f64>() * total;
+        for target in &self.targets {
+            left -= target.weight;
+            if left < 0.0 {
+                return Some(&target.service);
+            }
+        }
+        self.targets.last().map(|t| &t.service)
+    }
+}
+
+/// What the engines of a model service offer beyond plain calls.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineTraits {
+    /// Requests in one batch.
+    pub batch: u32,
+    /// Tokens that fit into an engine's memory.
+    pub memory_tokens: u32,
+    /// Bytes of memory for one token.
+    pub bytes_per_token: u64,
+    /// Bandwidth of an engine's link, bits a second.
+    pub link_bits_per_second: f64,
+    /// Whether running generations can be moved.
+    pub moves: bool,
+    /// Whether running generations can be backed up as they run.
+    pub backups: bool,
+    /// Tokens in one event of a stream.
+    pub tokens_per_event: u32,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceId,
+    /// Connections that each replica takes from all callers together.
+    pub max_connections: u32,
+    /// Set for model services.
+    pub engine: Option<EngineTraits>,
+}
+
+/// Bounds for callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time for a request's head to arrive.
+    pub head_within: Duration,
+    /// An unused connection is closed after this.
+    pub idle: Duration,
+}
+
+/// An organisation and its keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Organisation {
+    /// Its name.
+    pub name: OrganisationId,
+    /// Keys that its callers present.
+    pub keys: Vec<String>,
+    /// Rank among the organisations; 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// A whole configuration as the operator wrote it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewayConfig {
+    /// Its number.
+    pub version: ConfigVersion,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Bounds for callers.
+    pub limits: CallerLimits,
+    /// Organisations; `None` when requests need no key at all.
+    pub organisations: Option<Vec<Organisation>>,
+}
+
+/// Why a request is not routed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unrouted {
+    /// No route has this host and path.
+    NoRoute,
+    /// The key is missing or unknown.
+    UnknownKey,
+}
+
+/// A configuration indexed for look-ups.
+#[derive(Debug)]
+pub struct RoutingTable {
+    /// Its number.
+    pub version: ConfigVersion,
+    /// Bounds for callers.
+    pub limits: CallerLimits,
+    by_host: HashMap<String, Vec<Arc<Route>>>,
+    services: HashMap<ServiceId, Arc<Service>>,
+    keys: Option<HashMap<String, Arc<Organisation>>>,
+}
+
+impl RoutingTable {
+    /// Indexes a configuration.
+    pub fn new(config: GatewayConfig) -> Self {
+        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in config.routes {
+            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = config.services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
+        RoutingTable {
+            version: config.version,
+            limits: config.limits,
+            by_host,
+            services,
+            keys: config.organisations.map(index_keys),
+        }
+    }
+
+    /// The route with the longest prefix of `path` at `host`.
+    pub fn route(&self, host: &str, path: &str) -> Result<Arc<Route>, Unrouted> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let routes = self.by_host.get(&name).ok_or(Unrouted::NoRoute)?;
+        let found = routes.iter().find(|route| path.starts_with(&route.prefix));
+        found.cloned().ok_or(Unrouted::NoRoute)
+    }
+
+    /// The organisation that a request of `route` is for; `None` when it needs none.
+    pub fn organisation(
+        &self,
+        route: &Route,
+        key: Option<&str>,
+    ) -> Result<Option<Arc<Organisation>>, Unrouted> {
+        let Some(keys) = &self.keys else {
+            return Ok(None);
+        };
+        let found = key.and_then(|key| keys.get(key)).cloned();
+        if found.is_none() && !route.public {
+            return Err(Unrouted::UnknownKey);
+        }
+        Ok(found)
+    }
+
+    /// A service.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+}
+
+fn index_keys(organisations: Vec<Organisation>) -> HashMap<String, Arc<Organisation>> {
+    let mut index = HashMap::new();
+    for organisation in organisations {
+        let organisation = Arc::new(organisation);
+        for key in &organisation.keys {
+            index.insert(key.clone(), organisation.clone());
+        }
+    }
+    index
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine_book;
 pub mod fair_queue;
 pub mod fence;
+pub mod gateway;
 pub mod ids;
 pub mod length_model;
 pub mod membership;
--- /dev/null
+++ b/node/src/gateway.rs
@@ -0,0 +1,25 @@
+//! The gateway interface: requests pass unaltered to replicas that the platform lists.
+//!
+//! The control thread follows the store, keeps what is believed of the replicas and
+//! chooses among them; the traffic thread serves callers and replicas. They talk through
+//! [`messages`]; the routing table is published in [`shared`].
+
+mod balancer_port;
+mod caller_port;
+mod connections;
+mod control;
+mod event_stream;
+mod exchange;
+mod follow;
+mod io_watch;
+mod messages;
+mod passing;
+mod plain;
+mod reply;
+pub mod settings;
+mod shared;
+mod start;
+mod stop;
+mod streams;
+
+pub use start::run;
--- /dev/null
+++ b/node/src/gateway/caller_port.rs
@@ -0,0 +1,203 @@
+//! The callers' port: accepts connections and serves the requests on them.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use leadstage_lib::gateway::retry_window::RetryWindow;
+use leadstage_lib::gateway::routing::CallerLimits;
+use leadstage_lib::gateway::routing::Repeat;
+use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_platform::connect;
+use log::info;
+use log::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::gateway::connections::Connections;
+use crate::gateway::io_watch::Activity;
+use crate::gateway::io_watch::WatchedIo;
+use crate::gateway::messages::ToControl;
+use crate::gateway::passing;
+use crate::gateway::plain;
+use crate::gateway::reply::Reply;
+use crate::gateway::shared::Phase;
+use crate::gateway::shared::RunGuard;
+use crate::gateway::shared::Shared;
+use crate::gateway::stop;
+use crate::gateway::streams;
+
+/// Limits until there is a configuration.
+const FIRST_LIMITS: CallerLimits = CallerLimits {
+    head_bytes: 16 << 10,
+    body_bytes: 1 << 20,
+    head_within: Duration::from_secs(3),
+    idle: Duration::from_secs(15),
+};
+/// The least that the server's buffer may have.
+const LEAST_HEAD_BYTES: usize = 8 << 10;
+/// Time between two sweeps of unused connections.
+const SWEEP: Duration = Duration::from_secs(1);
+/// Nodes that share the retry budget, until the peers are known.
+const ASSUMED_NODES: f64 = 9.0;
+
+/// What the requests of the traffic thread share.
+#[derive(Clone)]
+pub struct Traffic {
+    /// What both threads share.
+    pub shared: Arc<Shared>,
+    /// Unused connections to replicas.
+    pub connections: Rc<Connections>,
+    retries: Rc<RefCell<HashMap<ServiceId, RetryWindow>>>,
+}
+
+impl Traffic {
+    fn new(shared: Arc<Shared>) -> Self {
+        Traffic { shared, connections: Rc::default(), retries: Rc::default() }
+    }
+
+    /// Takes one repeat of a request to a service from the budget.
+    pub fn take_retry(&self, service: &ServiceId) -> bool {
+        let now = self.shared.now();
+        self.with_window(service, |window| window.take(now))
+    }
+
+    fn on_request(&self, service: &ServiceId) {
+        let now = self.shared.now();
+        self.with_window(service, |window| window.on_request(now));
+    }
+
+    fn with_window<T>(&self, service: &ServiceId, act: impl FnOnce(&mut RetryWindow) -> T) -> T {
+        let bounds = &self.shared.settings.bounds;
+        let mut windows = self.retries.borrow_mut();
+        let window = windows.entry(service.clone()).or_insert_with(|| {
+            RetryWindow::new(bounds.retry_window, bounds.retry_ratio, bounds.retry_slack / ASSUMED_NODES)
+        });
+        act(window)
+    }
+
+    /// A replica turned a request away.
+    pub fn on_not_run(&self, req: &passing::CallerRequest, run: &RunGuard, status: StatusCode) {
+        let replica = &run.placed.replica.id;
+        info!(event = "turned_away", request = req.id(), upstream = &**replica, status = status.as_u16(); "a replica did not run a request");
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            let sign = leadstage_lib::gateway::replicas::LeavingSign::Replaced;
+            self.shared.tell(ToControl::Sign(replica.clone(), sign));
+        }
+    }
+}
+
+/// Serves callers until the process ends.
+pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let traffic = Traffic::new(shared);
+    tokio::task::spawn_local(sweep(traffic.clone()));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(traffic.clone(), stream));
+            }
+            Err(err) => {
+                warn!(event = "accept_failed", reason:% = err; "a connection could not be accepted");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn sweep(traffic: Traffic) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        traffic.connections.sweep();
+    }
+}
+
+fn limits(shared: &Shared) -> CallerLimits {
+    shared.table().map_or(FIRST_LIMITS, |table| table.limits)
+}
+
+/// Serves one connection until either side closes it or it breaks a limit.
+async fn connection(traffic: Traffic, stream: TcpStream) {
+    if let Err(err) = connect::notice_silence(&stream) {
+        warn!(event = "socket_options", reason:% = err; "a socket takes no options");
+    }
+    let activity = Activity::new();
+    let io = TokioIo::new(WatchedIo::new(stream, activity.clone()));
+    let shared = traffic.shared.clone();
+    let service_activity = activity.clone();
+    let service = service_fn(move |req| {
+        let (traffic, activity) = (traffic.clone(), service_activity.clone());
+        async move { Ok::<_, Infallible>(handle(&traffic, req, &activity).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(limits(&shared).head_bytes.max(LEAST_HEAD_BYTES)).half_close(false);
+    let mut connection = std::pin::pin!(builder.serve_connection(io, service));
+    let mut closing = std::pin::pin!(stop::close_unused(&shared));
+    let mut asked_to_close = false;
+    loop {
+        let overdue = activity.check(&limits(&shared));
+        let pause = match overdue {
+            Ok(pause) => pause,
+            Err(_) if asked_to_close => return,
+            Err(_) => {
+                connection.as_mut().graceful_shutdown();
+                asked_to_close = true;
+                Duration::from_millis(100)
+            }
+        };
+        tokio::select! {
+            // What breaks a connection concerns its caller only, and requests log their ends.
+            _ = connection.as_mut() => return,
+            () = &mut closing, if !asked_to_close => {
+                connection.as_mut().graceful_shutdown();
+                asked_to_close = true;
+            }
+            () = tokio::time::sleep(pause) => {}
+        }
+    }
+}
+
+async fn handle(traffic: &Traffic, req: Request<Incoming>, activity: &Activity) -> Reply {
+    let serving = activity.serving();
+    let open = traffic.shared.open();
+    let mut reply = match admitted(traffic, req, serving, open).await {
+        Ok(reply) => reply,
+        Err(refused) => refused,
+    };
+    if traffic.shared.phase() == Phase::Stopping {
+        reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+async fn admitted(
+    traffic: &Traffic,
+    req: Request<Incoming>,
+    serving: crate::gateway::io_watch::Serving,
+    open: crate::gateway::shared::OpenGuard,
+) -> Result<Reply, Reply> {
+    let id = leadstage_platform::headers::REQUEST_ID;
+    let id = req.headers().get(id).and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
+    let refused = |refusal: crate::gateway::reply::Refusal| {
+        info!(event = "refused", request = id, code:% = refusal.code; "request refused");
+        refusal.reply()
+    };
+    let req = passing::admit(&traffic.shared, req).await.map_err(refused)?;
+    traffic.on_request(&req.service);
+    if req.route.repeat == Repeat::Stream {
+        return streams::serve(traffic, req, serving, open).await.map_err(refused);
+    }
+    let reply = plain::serve(traffic, &req).await;
+    drop((serving, open));
+    reply.map_err(refused)
+}
--- /dev/null
+++ b/node/src/gateway/exchange.rs
@@ -0,0 +1,129 @@
+//! One request to one replica, and the head of its answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_platform::headers;
+use leadstage_platform::headers::Added;
+use tokio::time::Instant;
+
+use crate::gateway::connections::ConnectError;
+use crate::gateway::connections::Connection;
+use crate::gateway::connections::Connections;
+use crate::gateway::passing::CallerRequest;
+
+/// Bytes of a plain answer at most, as it is held until it is whole.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// Why a replica gave no usable answer.
+#[derive(Debug, Display, Error)]
+pub enum SendError {
+    /// Not a byte of the request was sent.
+    #[display("not sent: {_0}")]
+    NotSent(ConnectError),
+    /// The connection broke after the request may have been sent.
+    #[display("connection broke: {_0}")]
+    Broken(hyper::Error),
+    /// No answer in time.
+    #[display("no answer in time")]
+    TimedOut,
+    /// The answer belongs to another request.
+    #[display("answer to another request")]
+    Foreign,
+    /// The answer ended early or was too large.
+    #[display("answer cut short: {_0}")]
+    Cut(#[error(not(source))] String),
+}
+
+/// An answer whose body is still to come.
+pub struct Exchange {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Incoming,
+    connection: Connection,
+}
+
+/// An answer read to its end.
+pub struct WholeAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Sends a request to a replica and waits for the head of its answer until `until`.
+pub async fn send(
+    connections: &Connections,
+    replica: &ReplicaRecord,
+    req: &CallerRequest,
+    added: &Added<'_>,
+    until: Instant,
+) -> Result<Exchange, SendError> {
+    let mut connection = connections.take(replica).await.map_err(SendError::NotSent)?;
+    let sending = connection.sender.send_request(request(req, added));
+    let answer = tokio::time::timeout_at(until, sending).await.map_err(|_| SendError::TimedOut)?;
+    let (head, body) = answer.map_err(SendError::Broken)?.into_parts();
+    if head.headers.get(headers::REQUEST_ID) != req.headers.get(headers::REQUEST_ID) {
+        return Err(SendError::Foreign);
+    }
+    Ok(Exchange { status: head.status, headers: head.headers, body, connection })
+}
+
+fn request(req: &CallerRequest, added: &Added<'_>) -> Request<Full<Bytes>> {
+    let mut out = Request::new(Full::new(req.body.clone()));
+    *out.method_mut() = req.method.clone();
+    *out.uri_mut() = req.uri.clone();
+    *out.headers_mut() = headers::for_replica(&req.headers, added);
+    out
+}
+
+impl Exchange {
+    /// Whether the replica says that it did not run the request.
+    pub fn says_not_run(&self) -> bool {
+        headers::says_not_run(self.status, &self.headers)
+    }
+
+    /// Whether the body's end can be told from a connection that just closes.
+    pub fn is_framed(&self) -> bool {
+        let framing = [header::TRANSFER_ENCODING, header::CONTENT_LENGTH];
+        framing.iter().any(|name| self.headers.contains_key(name))
+    }
+
+    /// Reads the answer to its end until `until`, and keeps the connection if it can be
+    /// used again.
+    pub async fn whole(
+        self,
+        connections: &Connections,
+        replica: &ReplicaRecord,
+        until: Instant,
+    ) -> Result<WholeAnswer, SendError> {
+        let reading = Limited::new(self.body, MAX_ANSWER_BYTES).collect();
+        let body = tokio::time::timeout_at(until, reading).await.map_err(|_| SendError::TimedOut)?;
+        let body = body.map_err(|err| SendError::Cut(err.to_string()))?.to_bytes();
+        if !headers::closes(&self.headers) {
+            connections.put(&replica.id, self.connection, headers::keeps_for(&self.headers));
+        }
+        Ok(WholeAnswer { status: self.status, headers: self.headers, body })
+    }
+}
+
+/// What is left until `until`.
+pub fn left(until: Instant) -> Duration {
+    until.saturating_duration_since(Instant::now())
+}
--- /dev/null
+++ b/node/src/gateway/follow.rs
@@ -0,0 +1,77 @@
+//! Follows a kind of objects in the platform's store: lists it, then waits for changes.
+
+use std::cell::Cell;
+use std::sync::Arc;
+use std::time::Duration;
+
+use leadstage_lib::retry::Backoff;
+use leadstage_platform::store::Kind;
+use leadstage_platform::store::Store;
+use leadstage_platform::store::StoreError;
+use log::info;
+use log::warn;
+
+use crate::gateway::messages::News;
+use crate::gateway::messages::ToControl;
+use crate::gateway::shared::Shared;
+
+/// How long one watch waits at the store: the longest that it allows, as each call is priced.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// Pause after the first failed call. Calls are priced, refused ones too.
+const LEAST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause after failed calls.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Follows the kind `K` until the process ends, and tells the control loop what it learns.
+pub async fn follow<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl) {
+    let mut store = Store::new(shared.settings.store);
+    let mut backoff = Backoff::new(LEAST_PAUSE, LONGEST_PAUSE);
+    let lost = Cell::new(false);
+    loop {
+        let err = match follow_once::<K>(&mut store, &shared, wrap, &mut backoff, &lost).await {
+            StoreError::HistoryGone => {
+                info!(event = "store_history_gone", kind = K::NAME; "the store's history is gone: lists anew");
+                continue;
+            }
+            err => err,
+        };
+        if !lost.replace(true) {
+            warn!(event = "store_lost", kind = K::NAME, reason:% = err; "the store does not answer");
+        }
+        let pause = backoff.next(&mut rand::rng());
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn follow_once<K: Kind>(
+    store: &mut Store,
+    shared: &Shared,
+    wrap: fn(News<K::Item>) -> ToControl,
+    backoff: &mut Backoff,
+    lost: &Cell<bool>,
+) -> StoreError {
+    let list = match store.list::<K>(note_unreadable::<K>).await {
+        Ok(list) => list,
+        Err(err) => return err,
+    };
+    let after_outage = lost.replace(false);
+    if after_outage {
+        info!(event = "store_regained", kind = K::NAME, revision = list.at; "the store answers again");
+    }
+    backoff.reset();
+    let mut at = list.at;
+    shared.tell(wrap(News::Listed { list, after_outage }));
+    loop {
+        match store.watch::<K>(at, WATCH_WAIT, note_unreadable::<K>).await {
+            Ok(changes) => {
+                at = changes.at;
+                shared.tell(wrap(News::Changed(changes)));
+            }
+            Err(err) => return err,
+        }
+    }
+}
+
+fn note_unreadable<K: Kind>(name: &str, err: &serde_json::Error) {
+    warn!(event = "object_unreadable", kind = K::NAME, name, reason:% = err; "an object of the store can't be read");
+}
--- /dev/null
+++ b/node/src/gateway/messages.rs
@@ -0,0 +1,95 @@
+//! What the traffic thread and the tasks of the control thread tell the control loop.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+
+use bytes::Bytes;
+use leadstage_lib::gateway::load::GenerationSize;
+use leadstage_lib::gateway::load::RunId;
+use leadstage_lib::gateway::replicas::LeavingSign;
+use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::ids::UpstreamId;
+use leadstage_platform::store::Changes;
+use leadstage_platform::store::Listed;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+
+/// To the control loop.
+pub enum ToControl {
+    /// A request wants a replica.
+    Place(PlaceRequest, oneshot::Sender<Option<Placed>>),
+    /// A request is no longer at its replica.
+    Ended(RunId, Outcome),
+    /// A replica showed that it leaves.
+    Sign(UpstreamId, LeavingSign),
+    /// News of the replicas from the store.
+    Replicas(News<ReplicaRecord>),
+    /// News of the configuration from the store.
+    Configuration(News<Bytes>),
+}
+
+/// What following a kind of objects brought.
+pub enum News<T> {
+    /// The whole list. `after_outage` is set if entries may have lapsed meanwhile.
+    Listed {
+        /// The list.
+        list: Listed<T>,
+        /// The store had been away.
+        after_outage: bool,
+    },
+    /// Changes since the last news.
+    Changed(Changes<T>),
+}
+
+/// A request that wants a replica.
+pub struct PlaceRequest {
+    /// The service.
+    pub service: ServiceId,
+    /// Set for generations.
+    pub size: Option<GenerationSize>,
+    /// Tokens made so far, for a generation that moves.
+    pub produced: u32,
+    /// Replicas that are out of the question.
+    pub exclude: Vec<UpstreamId>,
+    /// How a stream is told to move, and shows its progress.
+    pub stream: Option<StreamHandle>,
+}
+
+/// The control loop's hold on a running stream.
+#[derive(Clone)]
+pub struct StreamHandle {
+    /// Takes orders to the stream.
+    pub orders: UnboundedSender<Order>,
+    /// Tokens that the stream has made.
+    pub produced: Arc<AtomicU32>,
+}
+
+/// What a stream is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Its engine leaves: move the generation.
+    Evacuate(UpstreamId),
+}
+
+/// A replica was chosen.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// Names the request at this replica until [`ToControl::Ended`].
+    pub run: RunId,
+    /// The replica.
+    pub replica: Arc<ReplicaRecord>,
+}
+
+/// How a request ended at a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered.
+    Answered,
+    /// The replica failed it.
+    Failed,
+    /// The replica turned it away.
+    Refused,
+    /// It went away for reasons that say nothing of the replica.
+    Withdrawn,
+}
--- /dev/null
+++ b/node/src/gateway/passing.rs
@@ -0,0 +1,135 @@
+//! Takes a caller's request in: its route, its organisation, its body and its deadline.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Uri;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use leadstage_lib::code::Code;
+use leadstage_lib::gateway::routing::Organisation;
+use leadstage_lib::gateway::routing::Route;
+use leadstage_lib::gateway::routing::RoutingTable;
+use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::routing::Unrouted;
+use leadstage_platform::headers;
+use tokio::time::Instant;
+
+use crate::gateway::reply::Refusal;
+use crate::gateway::shared::Shared;
+
+/// Urgency levels at an engine for one rank of organisations.
+const ROUTE_RANKS: u8 = 3;
+/// The least urgent level at an engine.
+const LEAST_URGENT: u8 = 9;
+
+/// A caller's request, read whole and admitted.
+pub struct CallerRequest {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The route.
+    pub route: Arc<Route>,
+    /// On whose behalf; `None` where there are no organisations.
+    pub organisation: Option<Arc<Organisation>>,
+    /// The configuration that admitted it.
+    pub table: Arc<RoutingTable>,
+    /// The service that takes it.
+    pub service: ServiceId,
+    /// When it came.
+    pub came: Instant,
+    /// When its caller or its route gives it up.
+    pub until: Instant,
+}
+
+impl CallerRequest {
+    /// The caller's id of this attempt, for logs and calls.
+    pub fn id(&self) -> &str {
+        headers::text(&self.headers, &headers::REQUEST_ID).unwrap_or("")
+    }
+
+    /// Urgency at an engine: the organisation's rank, then the route's.
+    pub fn priority(&self) -> u8 {
+        let organisation = self.organisation.as_ref().map_or(0, |o| o.priority);
+        let route = self.route.priority.min(ROUTE_RANKS - 1);
+        organisation.saturating_mul(ROUTE_RANKS).saturating_add(route).min(LEAST_URGENT)
+    }
+}
+
+/// Admits a request, or says why not.
+pub async fn admit(shared: &Shared, req: Request<Incoming>) -> Result<CallerRequest, Refusal> {
+    let came = Instant::now();
+    let table = shared.table().ok_or(Refusal::new(Code::NotReady))?;
+    let (head, body) = req.into_parts();
+    let route = table.route(host(&head.uri, &head.headers), head.uri.path()).map_err(refuse)?;
+    let organisation = table.organisation(&route, headers::key(&head.headers)).map_err(refuse)?;
+    let patience = headers::deadline(&head.headers).unwrap_or(route.timeout).min(route.timeout);
+    let until = came + patience;
+    let body = read_body(body, table.limits.body_bytes, until).await?;
+    let service = route.pick_target(&mut rand::rng()).cloned().ok_or(Refusal::new(Code::NoUpstream))?;
+    let uri = path_and_query(&head.uri);
+    Ok(CallerRequest {
+        method: head.method,
+        uri,
+        headers: head.headers,
+        body,
+        route,
+        organisation,
+        table,
+        service,
+        came,
+        until,
+    })
+}
+
+fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
+    headers::text(headers, &header::HOST).or_else(|| uri.host()).unwrap_or("")
+}
+
+fn path_and_query(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| Uri::from_static("/"), Uri::from)
+}
+
+fn refuse(unrouted: Unrouted) -> Refusal {
+    Refusal::new(match unrouted {
+        Unrouted::NoRoute => Code::NoRoute,
+        Unrouted::UnknownKey => Code::Unauthorised,
+    })
+}
+
+async fn read_body(body: Incoming, limit: usize, until: Instant) -> Result<Bytes, Refusal> {
+    let announced = body.size_hint().lower();
+    if announced > limit as u64 {
+        return Err(Refusal::new(Code::BodyTooLarge));
+    }
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let reading = Limited::new(body, limit).collect();
+    match tokio::time::timeout_at(until, reading).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => Err(Refusal::new(Code::BodyTooLarge)),
+        // The caller's connection broke: nobody reads this answer.
+        Ok(Err(_)) => Err(Refusal::new(Code::BadRequest)),
+        Err(_) => Err(Refusal::new(Code::SlowBody)),
+    }
+}
+
+/// A tenth of what is left, within bounds: when a refused caller comes back.
+pub fn come_back_after(until: Instant) -> Duration {
+    let left = until.saturating_duration_since(Instant::now());
+    (left / 10).clamp(Duration::from_millis(50), Duration::from_secs(2))
+}
--- /dev/null
+++ b/node/src/gateway/plain.rs
@@ -0,0 +1,146 @@
+//! Plain calls: answered whole by one replica, sent again only where that is allowed.
+
+use http::Response;
+use http_body_util::Either;
+use http_body_util::Full;
+use leadstage_lib::code::Code;
+use leadstage_lib::gateway::routing::Repeat;
+use leadstage_lib::ids::UpstreamId;
+use leadstage_platform::headers;
+use leadstage_platform::headers::Added;
+use log::info;
+
+use crate::gateway::caller_port::Traffic;
+use crate::gateway::exchange;
+use crate::gateway::exchange::SendError;
+use crate::gateway::exchange::WholeAnswer;
+use crate::gateway::messages::Outcome;
+use crate::gateway::messages::PlaceRequest;
+use crate::gateway::passing::CallerRequest;
+use crate::gateway::passing::come_back_after;
+use crate::gateway::reply::Refusal;
+use crate::gateway::reply::Reply;
+use crate::gateway::shared::RunGuard;
+
+/// Replicas that a request may fail to reach, beyond those that it was sent to.
+const MOST_UNREACHED: u32 = 3;
+
+/// What one attempt came to.
+enum Attempt {
+    /// The replica's answer, to be passed on.
+    Answer(WholeAnswer),
+    /// Nothing was sent.
+    NotSent,
+    /// The replica did not run it.
+    NotRun,
+    /// It may have run.
+    Unknown(Code),
+}
+
+/// Serves a plain call.
+pub async fn serve(traffic: &Traffic, req: &CallerRequest) -> Result<Reply, Refusal> {
+    let mut tried: Vec<UpstreamId> = Vec::new();
+    let mut sent = 0;
+    let mut unreached = 0;
+    let mut best: Result<WholeAnswer, Refusal> = Err(Refusal::new(Code::NoUpstream));
+    loop {
+        let request = PlaceRequest {
+            service: req.service.clone(),
+            size: None,
+            produced: 0,
+            exclude: tried.clone(),
+            stream: None,
+        };
+        let Some(run) = traffic.shared.place(request).await else {
+            break;
+        };
+        tried.push(run.placed.replica.id.clone());
+        match attempt(traffic, req, run).await {
+            Attempt::Answer(answer) if answer.status.is_server_error() => best = Ok(answer),
+            Attempt::Answer(answer) => return Ok(reply(answer)),
+            Attempt::NotSent => {
+                unreached += 1;
+                if unreached > MOST_UNREACHED {
+                    break;
+                }
+                continue;
+            }
+            Attempt::NotRun if sent == 0 => best = Err(Refusal::new(Code::UpstreamRefused)),
+            Attempt::NotRun => {}
+            Attempt::Unknown(code) => best = best.or(Err(Refusal::new(code))),
+        }
+        sent += 1;
+        if !may_go_on(traffic, req, sent) {
+            break;
+        }
+    }
+    match best {
+        Ok(answer) => Ok(reply(answer)),
+        Err(refusal) => Err(Refusal { retry_after: Some(come_back_after(req.until)), ..refusal }),
+    }
+}
+
+fn may_go_on(traffic: &Traffic, req: &CallerRequest, sent: u32) -> bool {
+    let repeatable = req.route.repeat == Repeat::Idempotent;
+    repeatable
+        && sent < req.route.max_attempts
+        && exchange::left(req.until) > req.route.objective / 4
+        && traffic.take_retry(&req.service)
+}
+
+async fn attempt(traffic: &Traffic, req: &CallerRequest, run: RunGuard) -> Attempt {
+    let replica = run.placed.replica.clone();
+    let added = Added {
+        deadline: exchange::left(req.until),
+        target: &replica.id,
+        organisation: req.organisation.as_ref().map(|o| &*o.name),
+        priority: None,
+        resume: None,
+        backup: None,
+    };
+    let sent = exchange::send(&traffic.connections, &replica, req, &added, req.until).await;
+    let exchanged = match sent {
+        Ok(exchanged) => exchanged,
+        Err(err) => return failed(req, run, err),
+    };
+    if exchanged.says_not_run() {
+        traffic.on_not_run(req, &run, exchanged.status);
+        run.end(Outcome::Refused);
+        return Attempt::NotRun;
+    }
+    match exchanged.whole(&traffic.connections, &replica, req.until).await {
+        Ok(answer) if promises_not_run(&answer) => {
+            run.end(Outcome::Failed);
+            Attempt::Unknown(Code::UpstreamLost)
+        }
+        Ok(answer) => {
+            run.end(Outcome::Answered);
+            Attempt::Answer(answer)
+        }
+        Err(err) => failed(req, run, err),
+    }
+}
+
+/// Statuses that tell a caller "not run" are passed on only when the replica says the same.
+fn promises_not_run(answer: &WholeAnswer) -> bool {
+    matches!(answer.status.as_u16(), 408 | 421 | 429 | 503)
+}
+
+fn failed(req: &CallerRequest, run: RunGuard, err: SendError) -> Attempt {
+    let replica = run.placed.replica.id.clone();
+    info!(event = "attempt_failed", request = req.id(), upstream = &*replica, reason:% = err; "attempt failed");
+    run.end(Outcome::Failed);
+    match err {
+        SendError::NotSent(_) => Attempt::NotSent,
+        SendError::TimedOut => Attempt::Unknown(Code::UpstreamTimeout),
+        SendError::Broken(_) | SendError::Foreign | SendError::Cut(_) => Attempt::Unknown(Code::UpstreamLost),
+    }
+}
+
+/// A replica's answer as the caller gets it.
+pub fn reply(answer: WholeAnswer) -> Reply {
+    let mut res = Response::new(Either::Left(Full::new(answer.body)));
+    *res.status_mut() = answer.status;
+    *res.headers_mut() = headers::without_hop_by_hop(&answer.headers);
+    res
+}
--- /dev/null
+++ b/node/src/gateway/settings.rs
@@ -0,0 +1,165 @@
+//! The settings file of a gateway node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use leadstage_lib::checked_yaml;
+use leadstage_lib::checked_yaml::Problem;
+use leadstage_lib::ids::HallId;
+use leadstage_lib::ids::VmId;
+use serde::Deserialize;
+
+use crate::settings::required;
+
+/// Which of leadstage's two interfaces the node serves.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Interface {
+    /// Chat and text completions, with signed bundles.
+    #[default]
+    Completions,
+    /// Requests pass unaltered to replicas that the platform lists.
+    Gateway,
+}
+
+/// Only the field that says how to read the rest.
+#[derive(Default, Deserialize)]
+struct InterfaceField {
+    #[serde(default)]
+    interface: Interface,
+}
+
+/// The interface that a settings file asks for; the usual one if it can't be read, so that
+/// the full check reports what is wrong.
+pub fn interface_of(yaml: &str) -> Interface {
+    serde_saphyr::from_str::<InterfaceField>(yaml).unwrap_or_default().interface
+}
+
+/// The file as written.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct SettingsFile {
+    #[serde(rename = "interface")]
+    _interface: Interface,
+    vm: Option<String>,
+    hall: Option<String>,
+    listen: Option<SocketAddr>,
+    ready: Option<SocketAddr>,
+    peer: Option<SocketAddr>,
+    metrics: Option<SocketAddr>,
+    seeds: Vec<SocketAddr>,
+    store: Option<SocketAddr>,
+    bounds: BoundsFile,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct BoundsFile {
+    #[serde(with = "humantime_serde")]
+    stop_within: Duration,
+    retry_ratio: f64,
+    retry_slack: f64,
+    #[serde(with = "humantime_serde")]
+    retry_window: Duration,
+}
+
+impl Default for BoundsFile {
+    fn default() -> Self {
+        BoundsFile {
+            stop_within: Duration::from_secs(8),
+            retry_ratio: 0.1,
+            retry_slack: 10.0,
+            retry_window: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Bounds that hold for the whole fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// A planned stop ends within this.
+    pub stop_within: Duration,
+    /// Requests sent again, for each request to a service, over all nodes.
+    pub retry_ratio: f64,
+    /// Requests that may be sent again beyond the ratio, over all nodes.
+    pub retry_slack: f64,
+    /// The window of both.
+    pub retry_window: Duration,
+}
+
+/// Checked settings of a gateway node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// This VM's id.
+    pub vm: VmId,
+    /// Its hall.
+    pub hall: HallId,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether the node is ready.
+    pub ready: SocketAddr,
+    /// Where other nodes send to.
+    pub peer: SocketAddr,
+    /// Where metrics and explanations are served.
+    pub metrics: SocketAddr,
+    /// Other nodes' peer addresses, perhaps stale.
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Bounds that hold for the whole fleet.
+    pub bounds: Bounds,
+}
+
+impl GatewaySettings {
+    /// Reads and checks a settings file; the error lists every mistake.
+    pub fn from_yaml(yaml: &str) -> Result<GatewaySettings, Vec<Problem>> {
+        let (file, mut problems) = checked_yaml::read::<SettingsFile>(yaml);
+        let settings = check(&file.unwrap_or_default(), &mut problems);
+        match settings {
+            Some(settings) if problems.is_empty() => Ok(settings),
+            _ => Err(problems),
+        }
+    }
+}
+
+fn check(file: &SettingsFile, problems: &mut Vec<Problem>) -> Option<GatewaySettings> {
+    let address = "IP:PORT";
+    let vm = required(&file.vm, "vm", "the VM's id", problems);
+    let hall = required(&file.hall, "hall", "the hall's id", problems);
+    let listen = required(&file.listen, "listen", address, problems);
+    let ready = required(&file.ready, "ready", address, problems);
+    let peer = required(&file.peer, "peer", address, problems);
+    let metrics = required(&file.metrics, "metrics", address, problems);
+    let store = required(&file.store, "store", address, problems);
+    let bounds = check_bounds(&file.bounds, problems);
+    Some(GatewaySettings {
+        vm: vm?.into(),
+        hall: hall?.into(),
+        listen: listen?,
+        ready: ready?,
+        peer: peer?,
+        metrics: metrics?,
+        seeds: file.seeds.clone(),
+        store: store?,
+        bounds,
+    })
+}
+
+fn check_bounds(file: &BoundsFile, problems: &mut Vec<Problem>) -> Bounds {
+    for (name, value) in [("retry_ratio", file.retry_ratio), ("retry_slack", file.retry_slack)] {
+        if !value.is_finite() || value < 0.0 {
+            problems.push(Problem::new(format!("bounds.{name}"), format!("{value} must be 0 or more")));
+        }
+    }
+    for (name, value) in [("stop_within", file.stop_within), ("retry_window", file.retry_window)] {
+        if value.is_zero() {
+            problems.push(Problem::new(format!("bounds.{name}"), "must be more than 0s"));
+        }
+    }
+    Bounds {
+        stop_within: file.stop_within,
+        retry_ratio: file.retry_ratio,
+        retry_slack: file.retry_slack,
+        retry_window: file.retry_window,
+    }
+}
--- /dev/null
+++ b/node/src/gateway/shared.rs
@@ -0,0 +1,148 @@
+//! What both threads of a gateway node read.
+
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use leadstage_lib::gateway::routing::RoutingTable;
+use leadstage_lib::ids::Timestamp;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::gateway::messages::Outcome;
+use crate::gateway::messages::PlaceRequest;
+use crate::gateway::messages::Placed;
+use crate::gateway::messages::ToControl;
+use crate::gateway::settings::GatewaySettings;
+
+/// How far a node is between its start and its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It lacks the configuration or the list of replicas.
+    Starting,
+    /// It serves.
+    Serving,
+    /// A planned stop has begun.
+    Stopping,
+}
+
+/// State between the threads.
+pub struct Shared {
+    /// The node's settings.
+    pub settings: GatewaySettings,
+    started: Instant,
+    control: UnboundedSender<ToControl>,
+    table: RwLock<Option<Arc<RoutingTable>>>,
+    phase: watch::Sender<Phase>,
+    open: AtomicUsize,
+}
+
+impl Shared {
+    /// The state of a node that has just started.
+    pub fn new(settings: GatewaySettings, control: UnboundedSender<ToControl>) -> Self {
+        Shared {
+            settings,
+            started: Instant::now(),
+            control,
+            table: RwLock::new(None),
+            phase: watch::Sender::new(Phase::Starting),
+            open: AtomicUsize::new(0),
+        }
+    }
+
+    /// Time since the process began.
+    pub fn now(&self) -> Timestamp {
+        self.started.elapsed()
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<Arc<RoutingTable>> {
+        self.table.read().expect("no holder panics").clone()
+    }
+
+    /// Puts a configuration in force; an older or equal one is not taken.
+    pub fn set_table(&self, new: RoutingTable) -> bool {
+        let mut table = self.table.write().expect("no holder panics");
+        let newer = table.as_ref().is_none_or(|t| t.version < new.version);
+        if newer {
+            *table = Some(Arc::new(new));
+        }
+        newer
+    }
+
+    /// How far the node is.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Told of each change of the phase.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Moves on to a later phase; returns whether it was a change.
+    pub fn advance(&self, to: Phase) -> bool {
+        self.phase.send_if_modified(|phase| {
+            let later = *phase < to;
+            *phase = to.max(*phase);
+            later
+        })
+    }
+
+    /// Counts a request as open until the guard is dropped.
+    pub fn open(self: &Arc<Self>) -> OpenGuard {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        OpenGuard(self.clone())
+    }
+
+    /// Requests that are open.
+    pub fn open_requests(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Tells the control loop; it lives as long as the process.
+    pub fn tell(&self, message: ToControl) {
+        let _ = self.control.send(message);
+    }
+
+    /// Asks the control loop for a replica.
+    pub async fn place(self: &Arc<Self>, request: PlaceRequest) -> Option<RunGuard> {
+        let (tx, rx) = oneshot::channel();
+        self.tell(ToControl::Place(request, tx));
+        let placed = rx.await.ok().flatten()?;
+        Some(RunGuard { shared: self.clone(), placed, outcome: Outcome::Withdrawn })
+    }
+}
+
+/// A request's place at a replica; tells the control loop when it is given up.
+pub struct RunGuard {
+    shared: Arc<Shared>,
+    /// The place.
+    pub placed: Placed,
+    outcome: Outcome,
+}
+
+impl RunGuard {
+    /// Gives the place up with an outcome.
+    pub fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.shared.tell(ToControl::Ended(self.placed.run, self.outcome));
+    }
+}
+
+/// Counts one request as open.
+pub struct OpenGuard(Arc<Shared>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/node/src/gateway/start.rs
@@ -0,0 +1,86 @@
+//! Starts a gateway node: the control thread's tasks here, traffic on a thread of its own.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use derive_more::Display;
+use derive_more::Error;
+use leadstage_platform::store::Configuration;
+use leadstage_platform::store::Replicas;
+use log::error;
+use log::info;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+use crate::gateway::balancer_port;
+use crate::gateway::caller_port;
+use crate::gateway::control::Control;
+use crate::gateway::follow;
+use crate::gateway::messages::ToControl;
+use crate::gateway::settings::GatewaySettings;
+use crate::gateway::shared::Shared;
+use crate::gateway::stop;
+
+/// Why a node did not start.
+#[derive(Debug, Display, Error)]
+pub enum RunError {
+    /// No runtime or thread.
+    #[display("no runtime: {_0}")]
+    Runtime(io::Error),
+    /// A port is not free.
+    #[display("port {address}: {source}")]
+    Port {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// No signal handler.
+    #[display("no signal handler: {_0}")]
+    Signal(io::Error),
+}
+
+/// Runs a gateway node until a planned stop has ended.
+pub fn run(settings: GatewaySettings) -> Result<(), RunError> {
+    let (tx, rx) = mpsc::unbounded_channel();
+    let shared = Arc::new(Shared::new(settings, tx));
+    let settings = &shared.settings;
+    info!(event = "start", vm = &*settings.vm, hall = &*settings.hall, listen:% = settings.listen, version = env!("CARGO_PKG_VERSION"); "leadstaged starts");
+    let traffic = shared.clone();
+    let thread = std::thread::Builder::new().name("traffic".to_owned());
+    thread.spawn(move || traffic_thread(traffic)).map_err(RunError::Runtime)?;
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime)?;
+    LocalSet::new().block_on(&runtime, control_thread(shared, rx))
+}
+
+async fn control_thread(shared: Arc<Shared>, rx: mpsc::UnboundedReceiver<ToControl>) -> Result<(), RunError> {
+    let ready = listen(shared.settings.ready).await?;
+    tokio::task::spawn_local(balancer_port::serve(shared.clone(), ready));
+    tokio::task::spawn_local(follow::follow::<Configuration>(shared.clone(), ToControl::Configuration));
+    tokio::task::spawn_local(follow::follow::<Replicas>(shared.clone(), ToControl::Replicas));
+    tokio::task::spawn_local(Control::new(shared.clone()).run(rx));
+    stop::wait(&shared).await.map_err(RunError::Signal)
+}
+
+/// Serves callers; without this thread the node is of no use, so its end ends the process.
+fn traffic_thread(shared: Arc<Shared>) {
+    let result = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime);
+    let result = result.and_then(|runtime| {
+        LocalSet::new().block_on(&runtime, async {
+            let listener = listen(shared.settings.listen).await?;
+            caller_port::serve(shared.clone(), listener).await;
+            Ok(())
+        })
+    });
+    if let Err(err) = result {
+        error!(event = "failed", thread = "traffic", reason:% = err; "the callers' port failed");
+    }
+    std::process::exit(1);
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).await.map_err(|source| RunError::Port { address, source })
+}
--- /dev/null
+++ b/node/src/gateway/streams.rs
@@ -0,0 +1,495 @@
+//! Streams: a generation runs once, at one engine after the other if engines leave, and
+//! its caller sees one stream.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Either;
+use leadstage_lib::code::Code;
+use leadstage_lib::gateway::load::GenerationSize;
+use leadstage_lib::ids::UpstreamId;
+use leadstage_platform::engine;
+use leadstage_platform::engine::CopyOutcome;
+use leadstage_platform::engine::CopySource;
+use leadstage_platform::headers;
+use leadstage_platform::headers::Added;
+use log::info;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::gateway::caller_port::Traffic;
+use crate::gateway::event_stream::EventSplitter;
+use crate::gateway::exchange;
+use crate::gateway::exchange::Exchange;
+use crate::gateway::exchange::SendError;
+use crate::gateway::io_watch::Serving;
+use crate::gateway::messages::Order;
+use crate::gateway::messages::Outcome;
+use crate::gateway::messages::PlaceRequest;
+use crate::gateway::messages::StreamHandle;
+use crate::gateway::passing::CallerRequest;
+use crate::gateway::passing::come_back_after;
+use crate::gateway::plain;
+use crate::gateway::reply::BrokenStream;
+use crate::gateway::reply::ChannelBody;
+use crate::gateway::reply::Refusal;
+use crate::gateway::reply::Reply;
+use crate::gateway::shared::OpenGuard;
+use crate::gateway::shared::RunGuard;
+
+/// Parts of a stream that wait for a slow caller, at most; then the engine waits too.
+const PARTS_WAITING: usize = 16;
+/// Engines that a request may fail to reach.
+const MOST_UNREACHED: usize = 3;
+/// Pause before a copy is asked for again: a generation that waits can't be copied yet.
+const COPY_PAUSE: Duration = Duration::from_millis(40);
+/// Time for one copy: some times that of the largest generation over a busy link.
+const COPY_LIMIT: Duration = Duration::from_millis(2_500);
+/// How long an engine that is leaving is asked for copies: the longest that one serves on.
+const EVACUATE_WITHIN: Duration = Duration::from_secs(12);
+/// Time for the rest of a stopped generation's events to arrive.
+const DRAIN_LIMIT: Duration = Duration::from_millis(80);
+/// Time for the answer to a stop, once the stream has ended.
+const STOP_ANSWER_LIMIT: Duration = Duration::from_millis(600);
+
+/// Serves a stream: answers with its head, and passes its events on in a task.
+pub async fn serve(
+    traffic: &Traffic,
+    req: CallerRequest,
+    serving: Serving,
+    open: OpenGuard,
+) -> Result<Reply, Refusal> {
+    let (orders_tx, orders) = mpsc::unbounded_channel();
+    let handle = StreamHandle { orders: orders_tx.clone(), produced: Arc::new(AtomicU32::new(0)) };
+    let (run, exchanged) = start(traffic, &req, &handle).await?;
+    if !exchanged.status.is_success() {
+        let replica = run.placed.replica.clone();
+        let answer = exchanged.whole(&traffic.connections, &replica, req.until).await;
+        let answer = answer.map_err(|_| Refusal::new(Code::UpstreamLost))?;
+        run.end(Outcome::Failed);
+        return match answer.status.as_u16() {
+            408 | 421 | 429 | 503 => Err(Refusal::new(Code::UpstreamLost)),
+            _ => Ok(plain::reply(answer)),
+        };
+    }
+    let (tx, rx) = mpsc::channel(PARTS_WAITING);
+    let mut res = Response::new(Either::Right(ChannelBody(rx)));
+    *res.status_mut() = exchanged.status;
+    *res.headers_mut() = headers::without_hop_by_hop(&exchanged.headers);
+    let relay = Relay::new(traffic.clone(), req, handle, Leg { run, exchange: exchanged }, tx);
+    tokio::task::spawn_local(async move {
+        relay.run(orders).await;
+        drop((serving, open));
+    });
+    Ok(res)
+}
+
+/// Sends the request to an engine. It is sent once; engines that could not be reached
+/// don't count.
+async fn start(
+    traffic: &Traffic,
+    req: &CallerRequest,
+    handle: &StreamHandle,
+) -> Result<(RunGuard, Exchange), Refusal> {
+    let mut tried: Vec<UpstreamId> = Vec::new();
+    let refusal = |code| Refusal { code, retry_after: Some(come_back_after(req.until)) };
+    while tried.len() < MOST_UNREACHED {
+        let request = PlaceRequest {
+            service: req.service.clone(),
+            size: Some(size(req)),
+            produced: 0,
+            exclude: tried.clone(),
+            stream: Some(handle.clone()),
+        };
+        let Some(run) = traffic.shared.place(request).await else {
+            return Err(refusal(Code::NoUpstream));
+        };
+        let replica = run.placed.replica.clone();
+        let added = added(req, &replica.id, None);
+        match exchange::send(&traffic.connections, &replica, req, &added, req.until).await {
+            Ok(exchanged) if exchanged.says_not_run() => {
+                traffic.on_not_run(req, &run, exchanged.status);
+                run.end(Outcome::Refused);
+                return Err(refusal(Code::UpstreamRefused));
+            }
+            Ok(exchanged) => return Ok((run, exchanged)),
+            Err(err) => {
+                info!(event = "attempt_failed", request = req.id(), upstream = &*replica.id, reason:% = err; "attempt failed");
+                run.end(Outcome::Failed);
+                match err {
+                    SendError::NotSent(_) => tried.push(replica.id.clone()),
+                    SendError::TimedOut => return Err(Refusal::new(Code::UpstreamTimeout)),
+                    _ => return Err(Refusal::new(Code::UpstreamLost)),
+                }
+            }
+        }
+    }
+    Err(refusal(Code::UpstreamRefused))
+}
+
+fn size(req: &CallerRequest) -> GenerationSize {
+    let said = headers::size(&req.headers);
+    GenerationSize { prompt: said.prompt_tokens, expected: said.length_hint.unwrap_or(said.max_tokens) }
+}
+
+fn added<'a>(req: &'a CallerRequest, target: &'a str, resume: Option<&'a CopySource>) -> Added<'a> {
+    Added {
+        deadline: exchange::left(req.until),
+        target,
+        organisation: req.organisation.as_ref().map(|o| &*o.name),
+        priority: Some(req.priority()),
+        resume,
+        backup: None,
+    }
+}
+
+/// A generation at one engine.
+struct Leg {
+    run: RunGuard,
+    exchange: Exchange,
+}
+
+/// The generation's memory is at another engine.
+struct Copied {
+    target: RunGuard,
+    handle: String,
+}
+
+impl Copied {
+    /// Takes the answer to the stop in. Returns whether the generation stopped, as far as
+    /// can be known; if not, it had just ended and the rest of its stream is on its way.
+    fn note_stop(&mut self, outcome: Option<CopyOutcome>) -> bool {
+        match outcome {
+            Some(CopyOutcome::Done { handle, .. } | CopyOutcome::NoRoom { handle: Some(handle) }) => {
+                self.handle = handle;
+                true
+            }
+            Some(CopyOutcome::NotRunning) => false,
+            _ => true,
+        }
+    }
+}
+
+/// What moving a generation has come to.
+enum Step {
+    /// A copy was made while the generation ran on.
+    Copied(Copied),
+    /// The generation stopped, or the call got no answer.
+    Stopped(Copied, Option<CopyOutcome>),
+    /// No copy could be made.
+    GaveUp,
+}
+
+/// How a relay ended.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+enum End {
+    #[display("done")]
+    Done,
+    #[display("caller left")]
+    CallerLeft,
+    #[display("out of time")]
+    OutOfTime,
+    #[display("engine lost")]
+    EngineLost,
+}
+
+/// Passes one stream on to its caller.
+struct Relay {
+    traffic: Traffic,
+    req: Arc<CallerRequest>,
+    handle: StreamHandle,
+    leg: Leg,
+    tx: mpsc::Sender<Result<Bytes, BrokenStream>>,
+    events: EventSplitter,
+    tokens_per_event: u32,
+    steps_tx: UnboundedSender<Step>,
+    /// The task that moves the generation.
+    moving: Option<AbortOnDropHandle<()>>,
+    moves: u32,
+}
+
+impl Relay {
+    fn new(
+        traffic: Traffic,
+        req: CallerRequest,
+        handle: StreamHandle,
+        leg: Leg,
+        tx: mpsc::Sender<Result<Bytes, BrokenStream>>,
+    ) -> Self {
+        let service = req.table.service(&req.service);
+        let engine = service.and_then(|s| s.engine.as_ref());
+        // Replaced by the channel of `run`.
+        let (steps_tx, _) = mpsc::unbounded_channel();
+        Relay {
+            tokens_per_event: engine.map_or(1, |e| e.tokens_per_event),
+            traffic,
+            req: Arc::new(req),
+            handle,
+            leg,
+            tx,
+            events: EventSplitter::default(),
+            steps_tx,
+            moving: None,
+            moves: 0,
+        }
+    }
+
+    async fn run(mut self, mut orders: UnboundedReceiver<Order>) {
+        let (steps_tx, mut steps) = mpsc::unbounded_channel();
+        self.steps_tx = steps_tx;
+        let end = self.relay(&mut orders, &mut steps).await;
+        if end != End::Done && end != End::CallerLeft {
+            // Nobody may be there any more to see it.
+            let _ = self.tx.send(Err(BrokenStream)).await;
+        }
+        let took = self.req.came.elapsed().as_millis() as u64;
+        info!(event = "stream_end", request = self.req.id(), route = &*self.req.route.name, end:% = end, upstream = &*self.leg.run.placed.replica.id, events = self.events.events(), moves = self.moves, took_ms = took; "stream ended");
+        let outcome = match end {
+            End::Done => Outcome::Answered,
+            End::CallerLeft | End::OutOfTime => Outcome::Withdrawn,
+            End::EngineLost => Outcome::Failed,
+        };
+        self.leg.run.end(outcome);
+    }
+
+    async fn relay(
+        &mut self,
+        orders: &mut UnboundedReceiver<Order>,
+        steps: &mut UnboundedReceiver<Step>,
+    ) -> End {
+        let tx = self.tx.clone();
+        loop {
+            tokio::select! {
+                biased;
+                () = tx.closed() => return End::CallerLeft,
+                () = tokio::time::sleep_until(self.req.until) => return End::OutOfTime,
+                Some(order) = orders.recv() => self.on_order(order),
+                Some(step) = steps.recv() => {
+                    if let Err(end) = self.on_step(step).await {
+                        return end;
+                    }
+                }
+                frame = self.leg.exchange.body.frame() => {
+                    let went_on = match frame {
+                        Some(Ok(frame)) => self.on_frame(frame.into_data().unwrap_or_default()).await,
+                        None => Err(self.on_regular_end().await),
+                        Some(Err(err)) => self.on_break(&err, steps).await,
+                    };
+                    if let Err(end) = went_on {
+                        return end;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn on_frame(&mut self, bytes: Bytes) -> Result<(), End> {
+        let Some(whole) = self.events.push(&bytes) else {
+            return Err(End::EngineLost);
+        };
+        if whole.is_empty() {
+            return Ok(());
+        }
+        let tokens = self.events.events() as u32 * self.tokens_per_event;
+        self.handle.produced.store(tokens, Ordering::Relaxed);
+        self.tx.send(Ok(whole)).await.map_err(|_| End::CallerLeft)
+    }
+
+    async fn on_regular_end(&mut self) -> End {
+        let rest = self.events.rest();
+        if !rest.is_empty() && self.tx.send(Ok(rest)).await.is_err() {
+            return End::CallerLeft;
+        }
+        End::Done
+    }
+
+    fn on_order(&mut self, order: Order) {
+        let Order::Evacuate(engine) = order;
+        if self.moving.is_some() || self.leg.run.placed.replica.id != engine {
+            return;
+        }
+        self.start_copy();
+    }
+
+    fn start_copy(&mut self) {
+        let copying = Copying {
+            traffic: self.traffic.clone(),
+            req: self.req.clone(),
+            handle: self.handle.clone(),
+            source: self.leg.run.placed.replica.clone(),
+        };
+        let steps = self.steps_tx.clone();
+        self.moving = Some(AbortOnDropHandle::new(tokio::task::spawn_local(async move {
+            let step = copying.copy().await;
+            let _ = steps.send(step);
+        })));
+    }
+
+    async fn on_step(&mut self, step: Step) -> Result<(), End> {
+        match step {
+            Step::Copied(copied) => {
+                self.start_stop(copied);
+                Ok(())
+            }
+            Step::Stopped(mut copied, outcome) => {
+                if !copied.note_stop(outcome) {
+                    self.moving = None;
+                    return Ok(());
+                }
+                match self.drain().await {
+                    Some(end) => Err(end),
+                    None => self.go_on_at(copied).await,
+                }
+            }
+            Step::GaveUp => {
+                self.moving = None;
+                Ok(())
+            }
+        }
+    }
+
+    /// Stops the generation at its engine and copies the rest.
+    fn start_stop(&mut self, copied: Copied) {
+        let source = self.leg.run.placed.replica.clone();
+        let (req, steps) = (self.req.clone(), self.steps_tx.clone());
+        self.moving = Some(AbortOnDropHandle::new(tokio::task::spawn_local(async move {
+            let target = copied.target.placed.replica.address;
+            let called = engine::copy_generation(source.address, req.id(), target, true, COPY_LIMIT).await;
+            let outcome = called.inspect_err(|err| {
+                info!(event = "stop_unanswered", request = req.id(), upstream = &*source.id, reason:% = err; "no answer to a stop");
+            });
+            let _ = steps.send(Step::Stopped(copied, outcome.ok()));
+        })));
+    }
+
+    /// Passes on what a stopped generation still sends. Returns an end if the generation
+    /// had ended by itself.
+    async fn drain(&mut self) -> Option<End> {
+        let until = Instant::now() + DRAIN_LIMIT;
+        loop {
+            let frame = tokio::time::timeout_at(until, self.leg.exchange.body.frame()).await;
+            match frame {
+                Ok(Some(Ok(frame))) => {
+                    if let Err(end) = self.on_frame(frame.into_data().unwrap_or_default()).await {
+                        return Some(end);
+                    }
+                }
+                Ok(None) if self.leg.exchange.is_framed() => return Some(self.on_regular_end().await),
+                Ok(None | Some(Err(_))) | Err(_) => return None,
+            }
+        }
+    }
+
+    /// The engine's stream broke. The generation goes on where its copy is.
+    async fn on_break(&mut self, err: &hyper::Error, steps: &mut UnboundedReceiver<Step>) -> Result<(), End> {
+        let replica = self.leg.run.placed.replica.id.clone();
+        info!(event = "stream_broke", request = self.req.id(), upstream = &*replica, moving = self.moving.is_some(), events = self.events.events(), reason:% = err; "an engine's stream broke");
+        if self.moving.is_none() {
+            return Err(End::EngineLost);
+        }
+        let step = tokio::time::timeout(STOP_ANSWER_LIMIT, steps.recv()).await;
+        match step.ok().flatten() {
+            Some(Step::Copied(copied)) => self.go_on_at(copied).await,
+            Some(Step::Stopped(mut copied, outcome)) => {
+                copied.note_stop(outcome);
+                self.go_on_at(copied).await
+            }
+            Some(Step::GaveUp) | None => Err(End::EngineLost),
+        }
+    }
+
+    /// Goes on with the generation where its copy is.
+    async fn go_on_at(&mut self, copied: Copied) -> Result<(), End> {
+        self.moving = None;
+        self.events.drop_part();
+        let source = CopySource {
+            engine: self.leg.run.placed.replica.address,
+            copy: copied.handle,
+            last_event: self.events.last_id().map(str::to_owned),
+        };
+        let replica = copied.target.placed.replica.clone();
+        let added = added(&self.req, &replica.id, Some(&source));
+        let sent =
+            exchange::send(&self.traffic.connections, &replica, &self.req, &added, self.req.until).await;
+        match sent {
+            Ok(exchanged) if exchanged.status.is_success() => {
+                info!(event = "moved", request = self.req.id(), from = &*self.leg.run.placed.replica.id, upstream = &*replica.id, events = self.events.events(); "generation moved");
+                let old = std::mem::replace(&mut self.leg, Leg { run: copied.target, exchange: exchanged });
+                old.run.end(Outcome::Withdrawn);
+                self.moves += 1;
+                Ok(())
+            }
+            Ok(exchanged) => {
+                info!(event = "move_refused", request = self.req.id(), upstream = &*replica.id, status = exchanged.status.as_u16(); "the copy was refused");
+                Err(End::EngineLost)
+            }
+            Err(err) => {
+                info!(event = "move_failed", request = self.req.id(), upstream = &*replica.id, reason:% = err; "the copy could not be used");
+                Err(End::EngineLost)
+            }
+        }
+    }
+}
+
+/// Copies a generation away from an engine that leaves.
+struct Copying {
+    traffic: Traffic,
+    req: Arc<CallerRequest>,
+    handle: StreamHandle,
+    source: Arc<leadstage_lib::gateway::replicas::ReplicaRecord>,
+}
+
+impl Copying {
+    async fn copy(self) -> Step {
+        let until = Instant::now() + EVACUATE_WITHIN;
+        let mut exclude: Vec<UpstreamId> = vec![self.source.id.clone()];
+        while Instant::now() < until {
+            let Some(target) = self.target(&exclude).await else {
+                exclude.truncate(1);
+                tokio::time::sleep(COPY_PAUSE).await;
+                continue;
+            };
+            match self.copy_to(target).await {
+                Ok(copied) => return Step::Copied(copied),
+                Err(Some(refused)) => exclude.push(refused),
+                Err(None) => tokio::time::sleep(COPY_PAUSE).await,
+            }
+        }
+        Step::GaveUp
+    }
+
+    async fn target(&self, exclude: &[UpstreamId]) -> Option<RunGuard> {
+        let request = PlaceRequest {
+            service: self.req.service.clone(),
+            size: Some(size(&self.req)),
+            produced: self.handle.produced.load(Ordering::Relaxed).max(1),
+            exclude: exclude.to_vec(),
+            stream: Some(self.handle.clone()),
+        };
+        self.traffic.shared.place(request).await
+    }
+
+    /// Copies to `target`; an error names the target if another one should be tried.
+    async fn copy_to(&self, target: RunGuard) -> Result<Copied, Option<UpstreamId>> {
+        let to = target.placed.replica.clone();
+        let began = Instant::now();
+        let called =
+            engine::copy_generation(self.source.address, self.req.id(), to.address, false, COPY_LIMIT).await;
+        let took = began.elapsed().as_millis() as u64;
+        info!(event = "copy", request = self.req.id(), from = &*self.source.id, to = &*to.id, took_ms = took, outcome:? = called; "copy of a generation");
+        match called {
+            Ok(CopyOutcome::Done { handle, .. }) => Ok(Copied { target, handle }),
+            Ok(CopyOutcome::NotRunning | CopyOutcome::Busy) => Err(None),
+            Ok(CopyOutcome::NoRoom { .. }) => Err(Some(to.id.clone())),
+            Ok(CopyOutcome::Unexpected(_)) | Err(_) => Err(Some(to.id.clone())),
+        }
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -13,6 +13,7 @@
 mod entry;
 mod entry_book;
 mod filters;
+mod gateway;
 mod generation;
 mod leads;
 mod membership_driver;
@@ -45,6 +46,8 @@
 use log::info;
 use tokio::sync::mpsc;
 
+use crate::gateway::settings::GatewaySettings;
+use crate::gateway::settings::Interface;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -97,16 +100,17 @@
 
 enum Command {
     Run(Settings),
+    RunGateway(GatewaySettings),
     Print(String),
 }
 
 fn main() -> ExitCode {
-    let settings = match command() {
-        Ok(Command::Run(settings)) => settings,
+    let command = match command() {
         Ok(Command::Print(text)) => {
             print!("{text}");
             return ExitCode::SUCCESS;
         }
+        Ok(command) => command,
         Err(err) => {
             eprintln!("leadstaged: {err}");
             if let StartError::Settings { problems } = &err {
@@ -115,11 +119,19 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .format_timestamp_millis()
-        .init();
+    let mut logger = env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"));
+    logger.format_timestamp_millis();
+    if matches!(command, Command::RunGateway(_)) {
+        logger.target(env_logger::Target::Stdout);
+    }
+    logger.init();
     abort_on_control_panic();
-    match run(settings) {
+    let result = match command {
+        Command::RunGateway(settings) => gateway::run(settings).map_err(Into::into),
+        Command::Run(settings) => run(settings),
+        Command::Print(_) => Ok(()),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             error!(event = "failed", reason:% = err; "leadstaged failed");
@@ -145,11 +157,15 @@
     }
     let path = path.ok_or(StartError::NoConfig)?;
     let yaml = std::fs::read_to_string(&path).map_err(|source| StartError::Unreadable { path, source })?;
-    let settings = Settings::from_yaml(&yaml).map_err(|problems| StartError::Settings { problems })?;
+    let wrong = |problems| StartError::Settings { problems };
+    let command = match gateway::settings::interface_of(&yaml) {
+        Interface::Gateway => Command::RunGateway(GatewaySettings::from_yaml(&yaml).map_err(wrong)?),
+        Interface::Completions => Command::Run(Settings::from_yaml(&yaml).map_err(wrong)?),
+    };
     if check_only {
         return Ok(Command::Print("the settings are right\n".to_owned()));
     }
-    Ok(Command::Run(settings))
+    Ok(command)
 }
 
 fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -94,7 +94,12 @@
     })
 }
 
-fn required<T: Clone>(value: &Option<T>, path: &str, what: &str, problems: &mut Vec<Problem>) -> Option<T> {
+pub(crate) fn required<T: Clone>(
+    value: &Option<T>,
+    path: &str,
+    what: &str,
+    problems: &mut Vec<Problem>,
+) -> Option<T> {
     let noted = problems.iter().any(|p| p.path == path);
     if value.is_none() && !noted {
         problems.push(Problem::new(path, format!("must be given: {what}")));
