--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -15,10 +15,22 @@
 use crate::ids::HallId;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
+use crate::ids::VmId;
+use serde::Deserialize;
+use serde::Serialize;
 
-/// Names one request of one node.
+/// Names one request of one node; a node's ids rise.
 pub type RunId = u64;
 
+/// Names one request in the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RunKey {
+    /// The node that its caller is connected to.
+    pub entry: VmId,
+    /// The request.
+    pub run: RunId,
+}
+
 /// Prompt tokens that an engine reads in a millisecond beside running streams; from the
 /// first events of calm days, which come about 0.1 ms a prompt token after the request.
 const READ_TOKENS_PER_MS: f64 = 10.0;
@@ -33,13 +45,18 @@
 const COST_FULL_MEMORY_MS: f64 = 4_000.0;
 /// Cost of one request in flight at a plain replica, against [`COST_OTHER_HALL_MS`].
 const COST_PER_CALL_MS: f64 = 30.0;
+/// Cost of a move to another hall: copies take twice as long there.
+const COST_FAR_MOVE_MS: f64 = 150.0;
+/// Cost of a move to an engine that another one moves to: its link carries one copy after
+/// the other, each some 200 ms.
+const COST_PER_ARRIVING_MS: f64 = 200.0;
 /// Random part of a cost, so that nodes which know the same don't all choose the same.
 const SPREAD_MS: f64 = 8.0;
 /// Cost for each failure in a row that a replica had lately.
 const COST_PER_FAILURE_MS: f64 = 100.0;
 
 /// The size of a generation.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
 pub struct GenerationSize {
     /// Tokens of the prompt.
     pub prompt: u32,
@@ -48,7 +65,7 @@
 }
 
 /// A request at a replica.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
 pub struct Run {
     /// The replica.
     pub replica: UpstreamId,
@@ -56,6 +73,8 @@
     pub size: Option<GenerationSize>,
     /// Tokens made so far.
     pub produced: u32,
+    /// Its memory is being copied there; it runs elsewhere.
+    pub arriving: bool,
 }
 
 impl Run {
@@ -69,29 +88,34 @@
 /// What a node knows of the requests at the replicas.
 #[derive(Debug, Default)]
 pub struct LoadBook {
-    runs: HashMap<RunId, Run>,
-    by_replica: BTreeMap<UpstreamId, Vec<RunId>>,
+    runs: HashMap<RunKey, Run>,
+    by_replica: BTreeMap<UpstreamId, Vec<RunKey>>,
     /// When an engine will have read the prompts that it was given.
     read_until: HashMap<UpstreamId, Timestamp>,
 }
 
 impl LoadBook {
     /// A request was given to a replica.
-    pub fn add(&mut self, id: RunId, run: Run, now: Timestamp) {
+    pub fn add(&mut self, key: RunKey, run: Run, now: Timestamp) {
         if let (Some(size), 0) = (run.size, run.produced) {
             let until = self.read_until.entry(run.replica.clone()).or_default();
             *until = (*until).max(now) + reading_time(size.prompt);
         }
-        self.by_replica.entry(run.replica.clone()).or_default().push(id);
-        self.runs.insert(id, run);
+        self.insert(key, run);
+    }
+
+    fn insert(&mut self, key: RunKey, run: Run) {
+        self.remove(&key);
+        self.by_replica.entry(run.replica.clone()).or_default().push(key.clone());
+        self.runs.insert(key, run);
     }
 
     /// A request has ended, or was never sent.
-    pub fn remove(&mut self, id: RunId) -> Option<Run> {
-        let run = self.runs.remove(&id)?;
-        if let Some(ids) = self.by_replica.get_mut(&run.replica) {
-            ids.retain(|other| *other != id);
-            if ids.is_empty() {
+    pub fn remove(&mut self, key: &RunKey) -> Option<Run> {
+        let run = self.runs.remove(key)?;
+        if let Some(keys) = self.by_replica.get_mut(&run.replica) {
+            keys.retain(|other| other != key);
+            if keys.is_empty() {
                 self.by_replica.remove(&run.replica);
             }
         }
@@ -99,21 +123,56 @@
     }
 
     /// A generation made tokens.
-    pub fn on_progress(&mut self, id: RunId, produced: u32) {
-        if let Some(run) = self.runs.get_mut(&id) {
+    pub fn on_progress(&mut self, key: &RunKey, produced: u32) {
+        if let Some(run) = self.runs.get_mut(key) {
             run.produced = produced;
         }
     }
 
+    /// A copy is in use: the generation runs there now.
+    pub fn on_arrived(&mut self, key: &RunKey) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.arriving = false;
+        }
+    }
+
+    /// All generations of a node, as it reports them. Those that it had started by then
+    /// and does not name have ended; `last` is the newest that it had started.
+    pub fn on_inventory(&mut self, entry: &VmId, runs: Vec<(RunId, Run)>, last: RunId) {
+        let ended: Vec<RunKey> = self
+            .runs
+            .keys()
+            .filter(|key| key.entry == *entry && key.run <= last)
+            .filter(|key| !runs.iter().any(|(run, _)| *run == key.run))
+            .cloned()
+            .collect();
+        for key in ended {
+            self.remove(&key);
+        }
+        for (run, report) in runs {
+            self.insert(RunKey { entry: entry.clone(), run }, report);
+        }
+    }
+
+    /// A node is gone, and its requests with it.
+    pub fn on_entry_gone(&mut self, entry: &VmId) {
+        self.on_inventory(entry, Vec::new(), RunId::MAX);
+    }
+
     /// A request.
-    pub fn get(&self, id: RunId) -> Option<&Run> {
-        self.runs.get(&id)
+    pub fn get(&self, key: &RunKey) -> Option<&Run> {
+        self.runs.get(key)
+    }
+
+    /// All requests.
+    pub fn iter(&self) -> impl Iterator<Item = (&RunKey, &Run)> {
+        self.runs.iter()
     }
 
     /// The requests at a replica.
-    pub fn at<'a>(&'a self, replica: &str) -> impl Iterator<Item = (RunId, &'a Run)> {
-        let ids = self.by_replica.get(replica).into_iter().flatten();
-        ids.filter_map(|id| self.runs.get(id).map(|run| (*id, run)))
+    pub fn at<'a>(&'a self, replica: &str) -> impl Iterator<Item = (&'a RunKey, &'a Run)> {
+        let keys = self.by_replica.get(replica).into_iter().flatten();
+        keys.filter_map(|key| self.runs.get(key).map(|run| (key, run)))
     }
 
     /// The cheapest replica for a generation, among usable ones.
@@ -150,6 +209,9 @@
         rng: &mut R,
     ) -> f64 {
         let id = &replica.record.id;
+        let moves = request.produced > 0;
+        let arriving = if moves { self.at(id).filter(|(_, run)| run.arriving).count() as f64 } else { 0.0 };
+        let far = if moves && replica.record.hall != *request.hall { COST_FAR_MOVE_MS } else { 0.0 };
         let waits = self.read_until.get(id).map_or(0.0, |until| millis(until.saturating_sub(now)));
         let cold = millis(replica.warm_at.saturating_sub(now));
         let runs = self.at(id).count() as f64;
@@ -158,6 +220,8 @@
         let filled = expected / f64::from(request.engine.memory_tokens.max(1));
         let beyond = (filled - MEMORY_AT_EASE).max(0.0) / (1.0 - MEMORY_AT_EASE);
         waits
+            + far
+            + arriving * COST_PER_ARRIVING_MS
             + cold
             + runs * COST_PER_RUN_MS
             + beyond * beyond * COST_FULL_MEMORY_MS
@@ -165,15 +229,17 @@
     }
 }
 
-/// A generation that wants an engine.
+/// A generation that wants an engine, or another one.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineRequest<'a> {
     /// Its size.
     pub size: GenerationSize,
     /// What the service's engines are.
     pub engine: &'a EngineTraits,
-    /// The hall where it came in.
+    /// The hall where it came in; for one that moves, where it runs.
     pub hall: &'a HallId,
+    /// Tokens made so far; above 0 for one that moves.
+    pub produced: u32,
 }
 
 fn general_cost<R: Rng>(replica: &Replica, hall: &HallId, rng: &mut R) -> f64 {
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::gateway::routing::ServiceId;
 use crate::ids::HallId;
@@ -24,7 +26,7 @@
 pub const LAPSED_GRACE: Duration = Duration::from_secs(2);
 
 /// A replica as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
 pub struct ReplicaRecord {
     /// Its id, new at each start.
     pub id: UpstreamId,
@@ -54,6 +56,9 @@
     /// Its answer closed the connection.
     #[display("closed a kept connection")]
     ClosedConnection,
+    /// Another node has learnt that it leaves.
+    #[display("told by another node")]
+    Told,
     /// Another instance answers at its address.
     #[display("another instance at its address")]
     Replaced,
@@ -132,7 +137,9 @@
             replica.leaving = Some(LeavingSign::Listed);
             replica.leaving_since = now;
             change.leaving.push(id);
-        } else if !record.leaving && replica.leaving == Some(LeavingSign::Unlisted) {
+        } else if !record.leaving
+            && matches!(replica.leaving, Some(LeavingSign::Unlisted | LeavingSign::Told))
+        {
             replica.leaving = None;
         }
         replica.record = Arc::new(record);
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -8,6 +8,8 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::ids::Timestamp;
 use crate::ids::VmId;
@@ -26,7 +28,7 @@
 pub const PAUSE: Duration = Duration::from_secs(3);
 
 /// What is thought of a VM.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Liveness {
     /// It answers.
     Alive,
@@ -39,7 +41,7 @@
 }
 
 /// A piece of news about a VM.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
 pub struct News {
     /// About whom.
     pub vm: VmId,
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -6,14 +6,19 @@
 
 mod balancer_port;
 mod caller_port;
+mod config_port;
 mod connections;
 mod control;
 mod event_stream;
 mod exchange;
+mod fleet;
 mod follow;
 mod io_watch;
 mod messages;
+mod outbox;
 mod passing;
+mod peer_message;
+mod placing;
 mod plain;
 mod reply;
 pub mod settings;
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -1,21 +1,14 @@
-//! The control loop of a gateway node: what is believed of the replicas, who gets which
-//! request, and which streams must move.
+//! The control loop of a gateway node: takes each message and passes it to the part that
+//! it concerns.
 
-use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
-use leadstage_lib::gateway::load::EngineRequest;
-use leadstage_lib::gateway::load::LoadBook;
-use leadstage_lib::gateway::load::Run;
-use leadstage_lib::gateway::load::RunId;
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ListChange;
-use leadstage_lib::gateway::replicas::Replica;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
-use leadstage_lib::gateway::replicas::ReplicaTable;
+use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::store::Change;
@@ -24,43 +17,47 @@
 use log::warn;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use crate::gateway::config_port;
+use crate::gateway::fleet::FAN_OUT;
+use crate::gateway::fleet::Fleet;
 use crate::gateway::messages::News;
 use crate::gateway::messages::Order;
-use crate::gateway::messages::Outcome;
-use crate::gateway::messages::PlaceRequest;
-use crate::gateway::messages::Placed;
-use crate::gateway::messages::StreamHandle;
 use crate::gateway::messages::ToControl;
+use crate::gateway::outbox::Outbox;
+use crate::gateway::peer_message::Datagram;
+use crate::gateway::peer_message::PeerMessage;
+use crate::gateway::peer_message::ReplicaNews;
+use crate::gateway::placing::Placing;
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
 
 /// Time between two looks at what is due.
-const TICK: Duration = Duration::from_millis(250);
+const TICK: Duration = Duration::from_millis(100);
 /// A replica that left is forgotten after this: the longest time that one serves on after
 /// its entry is gone is a few seconds.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// A newer configuration that another node has usually comes from the store as well; it is
+/// fetched from that node if it has not come within this.
+const STORE_FIRST: Duration = Duration::from_millis(120);
 
 /// The state of the control loop.
 pub struct Control {
     shared: Arc<Shared>,
-    replicas: ReplicaTable,
+    outbox: Outbox,
+    fleet: Fleet,
+    placing: Placing,
     replicas_known: bool,
-    book: LoadBook,
-    streams: HashMap<RunId, StreamHandle>,
-    last_run: RunId,
+    /// A configuration is being fetched from another node.
+    fetching: bool,
 }
 
 impl Control {
     /// A loop that knows nothing yet.
-    pub fn new(shared: Arc<Shared>) -> Self {
-        Control {
-            shared,
-            replicas: ReplicaTable::default(),
-            replicas_known: false,
-            book: LoadBook::default(),
-            streams: HashMap::new(),
-            last_run: 0,
-        }
+    pub fn new(shared: Arc<Shared>, outbox: Outbox) -> Self {
+        let settings = &shared.settings;
+        let fleet = Fleet::new(settings.peer, &settings.seeds, outbox.clone());
+        let placing = Placing::new(shared.clone(), outbox.clone(), fleet.own().clone());
+        Control { shared, outbox, fleet, placing, replicas_known: false, fetching: false }
     }
 
     /// Handles messages until the process ends.
@@ -79,79 +76,78 @@
 
     fn handle(&mut self, message: ToControl) {
         match message {
-            ToControl::Place(request, reply) => {
-                let placed = self.place(request);
-                let run = placed.as_ref().map(|p| p.run);
-                if reply.send(placed).is_err()
-                    && let Some(run) = run
-                {
-                    self.end(run, Outcome::Withdrawn);
-                }
-            }
-            ToControl::Ended(run, outcome) => self.end(run, outcome),
-            ToControl::Sign(replica, sign) => self.on_sign(replica, sign),
+            ToControl::Place(request, reply) => self.placing.place(&self.fleet, request, reply),
+            ToControl::LeadSilent(run) => self.placing.on_lead_silent(run),
+            ToControl::Arrived(run) => self.placing.on_arrived(run),
+            ToControl::Ended(run, outcome) => self.placing.end(run, outcome),
+            ToControl::Sign(replica, sign) => self.on_sign(&replica, sign),
             ToControl::Replicas(news) => self.on_replicas(news),
             ToControl::Configuration(news) => self.on_configuration(news),
+            ToControl::ConfigurationFrom(from, text) => {
+                self.fetching = false;
+                info!(event = "config_fetched", from:% = from, bytes = text.len(); "another node handed its configuration over");
+                self.take_configuration(&text);
+            }
+            ToControl::ConfigurationNotFetched => self.fetching = false,
+            ToControl::Datagram(datagram) => self.on_datagram(datagram),
+            ToControl::Stopping => self.fleet.leave(),
         }
     }
 
     fn tick(&mut self) {
-        let change = self.replicas.tick(self.shared.now(), FORGET_AFTER);
-        self.on_list_change(change);
-    }
-
-    fn place(&mut self, request: PlaceRequest) -> Option<Placed> {
-        let replica = self.choose(&request)?.record.clone();
-        self.last_run += 1;
-        let run = Run { replica: replica.id.clone(), size: request.size, produced: request.produced };
-        self.book.add(self.last_run, run, self.shared.now());
-        if let Some(stream) = request.stream {
-            self.streams.insert(self.last_run, stream);
+        let now = self.shared.now();
+        for node in self.fleet.tick(now) {
+            self.placing.on_node_gone(&node);
         }
-        Some(Placed { run: self.last_run, replica })
+        let change = self.placing.replicas.tick(now, FORGET_AFTER);
+        self.on_list_change(&change);
+        self.placing.tell_leads(&self.fleet);
     }
 
-    fn choose(&mut self, request: &PlaceRequest) -> Option<&Replica> {
-        self.update_progress();
+    fn on_datagram(&mut self, datagram: Datagram) {
         let now = self.shared.now();
-        let table = self.shared.table()?;
-        let engine = table.service(&request.service).and_then(|s| s.engine.as_ref());
-        let allowed = |r: &&Replica| !request.exclude.contains(&r.record.id);
-        let usable: Vec<&Replica> =
-            self.replicas.of_service(&request.service).filter(|r| r.is_usable(now)).filter(allowed).collect();
-        let candidates = usable.into_iter();
-        let hall = &self.shared.settings.hall;
-        let rng = &mut rand::rng();
-        match (engine, request.size) {
-            (Some(engine), Some(size)) => {
-                let wanted = EngineRequest { size, engine, hall };
-                self.book.choose_engine(candidates, &wanted, now, rng)
-            }
-            _ => self.book.choose_plain(candidates, hall, rng),
+        let from = datagram.from;
+        let mut gone = self.fleet.heard_from(from, now);
+        self.compare_configuration(from, datagram.config);
+        match datagram.message {
+            PeerMessage::Probe(id, gossip) => gone.extend(self.fleet.on_probe(from, id, gossip, now)),
+            PeerMessage::ProbeAnswer(id, gossip) => gone.extend(self.fleet.on_answer(id, gossip, now)),
+            PeerMessage::ProbeFor(id, target) => self.fleet.on_probe_for(from, id, target, now),
+            PeerMessage::Place(remote) => self.placing.on_place(from, remote),
+            PeerMessage::Placed(run, record) => self.placing.on_placed(run, record),
+            PeerMessage::Inventory(inventory) => self.placing.on_inventory(from, inventory),
+            PeerMessage::Replicas(news) => self.on_replica_news(news),
+            PeerMessage::NewConfig => {}
+        }
+        for node in gone {
+            self.placing.on_node_gone(&node);
         }
     }
 
-    fn update_progress(&mut self) {
-        for (run, stream) in &self.streams {
-            self.book.on_progress(*run, stream.produced.load(Ordering::Relaxed));
-        }
+    fn version(&self) -> ConfigVersion {
+        self.shared.table().map_or(0, |table| table.version)
     }
 
-    fn end(&mut self, run: RunId, outcome: Outcome) {
-        self.streams.remove(&run);
-        let Some(run) = self.book.remove(run) else {
+    /// Fetches a configuration that another node has, unless the store brings it first.
+    fn compare_configuration(&mut self, from: std::net::SocketAddr, theirs: ConfigVersion) {
+        if self.fetching || theirs <= self.version() {
             return;
-        };
-        match outcome {
-            Outcome::Answered => self.replicas.on_success(&run.replica),
-            Outcome::Failed => self.replicas.on_failure(&run.replica, self.shared.now()),
-            Outcome::Refused | Outcome::Withdrawn => {}
         }
+        self.fetching = true;
+        let shared = self.shared.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(STORE_FIRST).await;
+            if shared.table().map_or(0, |table| table.version) < theirs {
+                config_port::fetch(shared, from).await;
+            } else {
+                shared.tell(ToControl::ConfigurationNotFetched);
+            }
+        });
     }
 
-    fn on_sign(&mut self, replica: UpstreamId, sign: LeavingSign) {
-        if self.replicas.on_sign(&replica, sign, self.shared.now()) {
-            self.evacuate(&replica, sign);
+    fn on_sign(&mut self, replica: &UpstreamId, sign: LeavingSign) {
+        if self.placing.replicas.on_sign(replica, sign, self.shared.now()) {
+            self.evacuate(replica, sign);
         }
     }
 
@@ -160,11 +156,12 @@
         let change = match news {
             News::Listed { list, after_outage } => {
                 self.replicas_known = true;
-                self.replicas.on_list(list.items, after_outage, now)
+                self.placing.replicas.on_list(list.items, after_outage, now)
             }
             News::Changed(changes) => self.on_replica_changes(changes),
         };
-        self.on_list_change(change);
+        self.on_list_change(&change);
+        self.tell_replica_news(&change);
         self.check_ready();
     }
 
@@ -173,35 +170,63 @@
         let mut change = ListChange::default();
         for event in changes.events {
             match event {
-                Change::Put(record) => self.replicas.on_entry(record, now, &mut change),
-                Change::Gone(id) => self.replicas.on_unlisted(&id, now, &mut change),
+                Change::Put(record) => self.placing.replicas.on_entry(record, now, &mut change),
+                Change::Gone(id) => self.placing.replicas.on_unlisted(&id, now, &mut change),
             }
         }
         change
     }
 
-    fn on_list_change(&mut self, change: ListChange) {
+    /// Another node learnt of replicas; what is new here is told on.
+    fn on_replica_news(&mut self, news: ReplicaNews) {
+        let now = self.shared.now();
+        let mut change = ListChange::default();
+        for record in news.added {
+            if self.placing.replicas.get(&record.id).is_none() {
+                self.placing.replicas.on_entry(record, now, &mut change);
+            }
+        }
+        for id in news.leaving {
+            if self.placing.replicas.on_sign(&id, LeavingSign::Told, now) {
+                change.leaving.push(id);
+            }
+        }
+        self.on_list_change(&change);
+        self.tell_replica_news(&change);
+    }
+
+    fn on_list_change(&mut self, change: &ListChange) {
         for id in &change.added {
-            if let Some(replica) = self.replicas.get(id) {
+            if let Some(replica) = self.placing.replicas.get(id) {
                 info!(event = "replica_listed", upstream = &**id, service = &*replica.record.service, hall = &*replica.record.hall, address:% = replica.record.address; "replica is listed");
             }
         }
         for id in &change.leaving {
-            if let Some(sign) = self.replicas.get(id).and_then(|r| r.leaving) {
+            if let Some(sign) = self.placing.replicas.get(id).and_then(|r| r.leaving) {
                 self.evacuate(id, sign);
             }
         }
     }
 
+    fn tell_replica_news(&self, change: &ListChange) {
+        let records = change.added.iter().filter_map(|id| self.placing.replicas.get(id));
+        let added: Vec<ReplicaRecord> = records.map(|replica| (*replica.record).clone()).collect();
+        if added.is_empty() && change.leaving.is_empty() {
+            return;
+        }
+        for node in self.fleet.some(FAN_OUT) {
+            let news = ReplicaNews { added: added.clone(), leaving: change.leaving.clone() };
+            self.outbox.send(node, PeerMessage::Replicas(news));
+        }
+    }
+
     /// A replica leaves: its streams are told to move.
     fn evacuate(&mut self, id: &UpstreamId, sign: LeavingSign) {
-        let runs: Vec<RunId> = self.book.at(id).map(|(run, _)| run).collect();
-        info!(event = "replica_leaves", upstream = &**id, sign:% = sign, requests = runs.len(); "replica leaves");
-        for run in runs {
-            if let Some(stream) = self.streams.get(&run) {
-                // A stream that has just ended needs no order.
-                let _ = stream.orders.send(Order::Evacuate(id.clone()));
-            }
+        let streams = self.placing.streams_at(id);
+        info!(event = "replica_leaves", upstream = &**id, sign:% = sign, streams = streams.len(); "replica leaves");
+        for stream in streams {
+            // A stream that has just ended needs no order.
+            let _ = stream.orders.send(Order::Evacuate(id.clone()));
         }
     }
 
@@ -217,24 +242,28 @@
                 })
                 .collect(),
         };
+        // Only the newest of several counts.
         if let Some(newest) = texts.last() {
             self.take_configuration(newest);
         }
-        self.check_ready();
     }
 
     fn take_configuration(&mut self, text: &Bytes) {
         match leadstage_platform::config::decode(text) {
             Ok(config) => {
                 let version = config.version;
-                if self.shared.set_table(RoutingTable::new(config)) {
+                if self.shared.set_table(RoutingTable::new(config), text.clone()) {
                     info!(event = "config_in_force", version, bytes = text.len(); "configuration in force");
+                    for node in self.fleet.some(FAN_OUT) {
+                        self.outbox.send(node, PeerMessage::NewConfig);
+                    }
                 }
             }
             Err(err) => {
                 warn!(event = "config_unreadable", reason:% = err; "the configuration can't be read; the old one stays")
             }
         }
+        self.check_ready();
     }
 
     fn check_ready(&mut self) {
--- /dev/null
+++ b/node/src/gateway/fleet.rs
@@ -0,0 +1,228 @@
+//! The other nodes: drives [`leadstage_lib::membership`] over datagrams.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use leadstage_lib::ids::Timestamp;
+use leadstage_lib::ids::VmId;
+use leadstage_lib::membership::Liveness;
+use leadstage_lib::membership::Membership;
+use leadstage_lib::membership::MembershipAction;
+use log::info;
+use rand::RngExt;
+use rand::seq::IteratorRandom;
+
+use crate::gateway::outbox::Outbox;
+use crate::gateway::outbox::address_of;
+use crate::gateway::outbox::node_id;
+use crate::gateway::peer_message::Gossip;
+use crate::gateway::peer_message::PeerMessage;
+use crate::gateway::peer_message::ProbeId;
+use crate::shared::unix_millis;
+
+/// A probe that is not answered within this has failed: some round trips between halls,
+/// and the time that a busy node with a small share of a core needs to answer.
+const PROBE_LIMIT: Duration = Duration::from_millis(300);
+/// Nodes named in one message.
+const KNOWN_PER_MESSAGE: usize = 8;
+/// Nodes that are told of news directly; each of them tells as many again.
+pub const FAN_OUT: usize = 3;
+
+/// Whose answer to a probe is awaited, and why.
+#[derive(Clone, Debug)]
+enum Awaited {
+    /// For this node's own view.
+    Direct(VmId),
+    /// Another node probes it for this one.
+    Indirect(VmId),
+    /// This node probes for another one, which named the probe so.
+    ForOther(SocketAddr, ProbeId),
+}
+
+/// This node's view of the others.
+pub struct Fleet {
+    own: VmId,
+    own_address: SocketAddr,
+    seeds: BTreeSet<SocketAddr>,
+    known: BTreeSet<SocketAddr>,
+    membership: Membership,
+    probes: HashMap<ProbeId, (Awaited, Timestamp)>,
+    last_probe: ProbeId,
+    outbox: Outbox,
+}
+
+impl Fleet {
+    /// A view that knows the seeds only.
+    pub fn new(own_address: SocketAddr, seeds: &[SocketAddr], outbox: Outbox) -> Self {
+        let own = node_id(own_address);
+        // Seeds name another port of their nodes; all nodes use the same peer port.
+        let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), own_address.port()));
+        let seeds: BTreeSet<SocketAddr> = seeds.filter(|seed| *seed != own_address).collect();
+        Fleet {
+            membership: Membership::new(own.clone(), unix_millis(), rand::rng().random()),
+            own,
+            own_address,
+            known: seeds.clone(),
+            seeds,
+            probes: HashMap::new(),
+            last_probe: 0,
+            outbox,
+        }
+    }
+
+    /// This node's id in the fleet.
+    pub fn own(&self) -> &VmId {
+        &self.own
+    }
+
+    /// The other nodes that are taken to be alive.
+    pub fn alive(&self) -> impl Iterator<Item = &VmId> {
+        self.membership.alive()
+    }
+
+    /// Some other nodes, at random.
+    pub fn some(&self, count: usize) -> Vec<SocketAddr> {
+        self.membership.alive().filter_map(address_of).sample(&mut rand::rng(), count)
+    }
+
+    /// Probes whom it is time to probe; returns the nodes that are gone.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<VmId> {
+        self.list(now);
+        let mut actions = self.membership.tick(now);
+        let late: Vec<ProbeId> =
+            self.probes.iter().filter(|(_, (_, until))| *until <= now).map(|(id, _)| *id).collect();
+        for id in late {
+            match self.probes.remove(&id) {
+                Some((Awaited::Direct(target), _)) => {
+                    actions.extend(self.membership.on_probe(&target, false, now))
+                }
+                Some((Awaited::Indirect(target), _)) if !self.awaits(&target) => {
+                    actions.extend(self.membership.on_indirect(&target, false, now))
+                }
+                _ => {}
+            }
+        }
+        self.act(actions, now)
+    }
+
+    /// A message came from a node.
+    pub fn heard_from(&mut self, from: SocketAddr, now: Timestamp) -> Vec<VmId> {
+        if from != self.own_address && self.known.insert(from) {
+            self.list(now);
+        }
+        let actions = self.membership.heard_from(&node_id(from), now);
+        self.act(actions, now)
+    }
+
+    /// A probe came.
+    pub fn on_probe(&mut self, from: SocketAddr, id: ProbeId, gossip: Gossip, now: Timestamp) -> Vec<VmId> {
+        let answer = PeerMessage::ProbeAnswer(id, self.gossip());
+        self.outbox.send(from, answer);
+        self.on_gossip(gossip, now)
+    }
+
+    /// A probe was answered.
+    pub fn on_answer(&mut self, id: ProbeId, gossip: Gossip, now: Timestamp) -> Vec<VmId> {
+        let actions = match self.probes.remove(&id) {
+            Some((Awaited::Direct(target), _)) => self.membership.on_probe(&target, true, now),
+            Some((Awaited::Indirect(target), _)) => self.membership.on_indirect(&target, true, now),
+            Some((Awaited::ForOther(asker, their_id), _)) => {
+                self.outbox.send(asker, PeerMessage::ProbeAnswer(their_id, Gossip::default()));
+                Vec::new()
+            }
+            None => Vec::new(),
+        };
+        let mut gone = self.act(actions, now);
+        gone.extend(self.on_gossip(gossip, now));
+        gone
+    }
+
+    /// A node wants another one probed.
+    pub fn on_probe_for(&mut self, asker: SocketAddr, id: ProbeId, target: SocketAddr, now: Timestamp) {
+        self.probe(target, Awaited::ForOther(asker, id), now);
+    }
+
+    /// Tells some nodes that this one stops.
+    pub fn leave(&mut self) {
+        self.membership.leave();
+        for node in self.some(FAN_OUT) {
+            let gossip = self.gossip();
+            self.outbox.send(node, PeerMessage::Probe(0, gossip));
+        }
+    }
+
+    fn awaits(&self, target: &VmId) -> bool {
+        self.probes.values().any(|(awaited, _)| matches!(awaited, Awaited::Indirect(t) if t == target))
+    }
+
+    fn list(&mut self, now: Timestamp) {
+        let listed: Vec<VmId> = self.known.iter().map(|address| node_id(*address)).collect();
+        self.membership.on_list(&listed, now);
+    }
+
+    fn on_gossip(&mut self, gossip: Gossip, now: Timestamp) -> Vec<VmId> {
+        for address in gossip.known {
+            let gone =
+                matches!(self.membership.liveness(&node_id(address)), Some(Liveness::Dead | Liveness::Left));
+            if address != self.own_address && !gone {
+                self.known.insert(address);
+            }
+        }
+        self.list(now);
+        let actions = self.membership.on_news(&gossip.news, now);
+        self.act(actions, now)
+    }
+
+    fn gossip(&mut self) -> Gossip {
+        Gossip { news: self.membership.news(), known: self.some(KNOWN_PER_MESSAGE) }
+    }
+
+    fn act(&mut self, actions: Vec<MembershipAction>, now: Timestamp) -> Vec<VmId> {
+        let mut gone = Vec::new();
+        for action in actions {
+            match action {
+                MembershipAction::Probe { target } => {
+                    if let Some(address) = address_of(&target) {
+                        self.probe(address, Awaited::Direct(target), now);
+                    }
+                }
+                MembershipAction::ProbeVia { via, target } => self.probe_via(&via, target, now),
+                MembershipAction::Changed(news) => {
+                    info!(event = "node_changed", node = &*news.vm, liveness:? = news.liveness, incarnation = news.incarnation; "another node's state changed");
+                    if matches!(news.liveness, Liveness::Dead | Liveness::Left) {
+                        self.forget(&news.vm);
+                        gone.push(news.vm);
+                    }
+                }
+            }
+        }
+        gone
+    }
+
+    /// A node that is gone is not named to others; seeds are tried again for ever.
+    fn forget(&mut self, node: &VmId) {
+        if let Some(address) = address_of(node)
+            && !self.seeds.contains(&address)
+        {
+            self.known.remove(&address);
+        }
+    }
+
+    fn probe(&mut self, target: SocketAddr, awaited: Awaited, now: Timestamp) {
+        self.last_probe += 1;
+        self.probes.insert(self.last_probe, (awaited, now + PROBE_LIMIT));
+        let gossip = self.gossip();
+        self.outbox.send(target, PeerMessage::Probe(self.last_probe, gossip));
+    }
+
+    fn probe_via(&mut self, via: &VmId, target: VmId, now: Timestamp) {
+        let (Some(via), Some(address)) = (address_of(via), address_of(&target)) else {
+            return;
+        };
+        self.last_probe += 1;
+        self.probes.insert(self.last_probe, (Awaited::Indirect(target), now + 2 * PROBE_LIMIT));
+        self.outbox.send(via, PeerMessage::ProbeFor(self.last_probe, address));
+    }
+}
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -1,5 +1,6 @@
 //! What the traffic thread and the tasks of the control thread tell the control loop.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 
@@ -9,16 +10,23 @@
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::store::Changes;
 use leadstage_platform::store::Listed;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
+use crate::gateway::peer_message::Datagram;
+
 /// To the control loop.
 pub enum ToControl {
     /// A request wants a replica.
     Place(PlaceRequest, oneshot::Sender<Option<Placed>>),
+    /// The lead did not answer within its bound.
+    LeadSilent(RunId),
+    /// A generation that was copied runs at its new engine now.
+    Arrived(RunId),
     /// A request is no longer at its replica.
     Ended(RunId, Outcome),
     /// A replica showed that it leaves.
@@ -27,6 +35,14 @@
     Replicas(News<ReplicaRecord>),
     /// News of the configuration from the store.
     Configuration(News<Bytes>),
+    /// Another node handed its configuration over.
+    ConfigurationFrom(SocketAddr, Bytes),
+    /// Another node was asked for its configuration in vain, or need not be any more.
+    ConfigurationNotFetched,
+    /// A message from another node.
+    Datagram(Datagram),
+    /// A planned stop has begun.
+    Stopping,
 }
 
 /// What following a kind of objects brought.
@@ -48,8 +64,10 @@
     pub service: ServiceId,
     /// Set for generations.
     pub size: Option<GenerationSize>,
-    /// Tokens made so far, for a generation that moves.
+    /// Tokens made so far; above 0 for a generation that moves.
     pub produced: u32,
+    /// The hall where it came in; for a generation that moves, where it runs.
+    pub hall: HallId,
     /// Replicas that are out of the question.
     pub exclude: Vec<UpstreamId>,
     /// How a stream is told to move, and shows its progress.
--- /dev/null
+++ b/node/src/gateway/outbox.rs
@@ -0,0 +1,77 @@
+//! Sends datagrams to other nodes and receives theirs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use leadstage_lib::ids::VmId;
+use log::debug;
+use log::warn;
+use tokio::net::UdpSocket;
+
+use crate::gateway::messages::ToControl;
+use crate::gateway::peer_message::Datagram;
+use crate::gateway::peer_message::MAX_DATAGRAM;
+use crate::gateway::peer_message::PeerMessage;
+use crate::gateway::shared::Shared;
+
+/// Sends this node's datagrams.
+#[derive(Clone)]
+pub struct Outbox {
+    socket: Arc<UdpSocket>,
+    shared: Arc<Shared>,
+}
+
+/// The id under which membership and leads know a node: its peer address, as seeds tell
+/// nothing else.
+pub fn node_id(address: SocketAddr) -> VmId {
+    address.to_string().into()
+}
+
+/// A node's peer address.
+pub fn address_of(node: &VmId) -> Option<SocketAddr> {
+    node.parse().ok()
+}
+
+impl Outbox {
+    /// Sends through `socket`.
+    pub fn new(socket: Arc<UdpSocket>, shared: Arc<Shared>) -> Self {
+        Outbox { socket, shared }
+    }
+
+    /// Sends a message; like any datagram, it may be lost.
+    pub fn send(&self, to: SocketAddr, message: PeerMessage) {
+        let config = self.shared.table().map_or(0, |table| table.version);
+        let datagram = Datagram { from: self.shared.settings.peer, config, message };
+        match postcard::to_stdvec(&datagram) {
+            Ok(bytes) if bytes.len() <= MAX_DATAGRAM => {
+                if let Err(err) = self.socket.try_send_to(&bytes, to) {
+                    debug!(event = "datagram_not_sent", to:% = to, reason:% = err; "a datagram was not sent");
+                }
+            }
+            Ok(bytes) => {
+                warn!(event = "datagram_too_large", to:% = to, bytes = bytes.len(); "a datagram is too large")
+            }
+            Err(err) => warn!(event = "datagram_unwritable", reason:% = err; "a datagram can't be encoded"),
+        }
+    }
+}
+
+/// Passes datagrams on to the control loop until the process ends.
+pub async fn receive(socket: Arc<UdpSocket>, shared: Arc<Shared>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        let read = match socket.recv_from(&mut buf).await {
+            Ok((read, _)) => read,
+            // An earlier datagram met a closed port.
+            Err(err) => {
+                debug!(event = "datagram_not_received", reason:% = err; "the peer socket reported an error");
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Datagram>(&buf[..read]) {
+            Ok(datagram) => shared.tell(ToControl::Datagram(datagram)),
+            Err(err) => debug!(event = "datagram_unreadable", reason:% = err; "a datagram can't be read"),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/gateway/peer_message.rs
@@ -0,0 +1,101 @@
+//! What nodes tell each other: one datagram each, encoded with postcard.
+//!
+//! Datagrams hold no connection that a cut could leave hanging, and every message may be
+//! lost: what must not be lost is told again.
+
+use std::net::SocketAddr;
+
+use leadstage_lib::gateway::load::GenerationSize;
+use leadstage_lib::gateway::load::Run;
+use leadstage_lib::gateway::load::RunId;
+use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::routing::ConfigVersion;
+use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::ids::HallId;
+use leadstage_lib::ids::UpstreamId;
+use leadstage_lib::membership::News;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Bytes of a datagram at most. Nearly all fit into one packet; the inventory of a busy
+/// node takes a few.
+pub const MAX_DATAGRAM: usize = 16 << 10;
+
+/// A datagram.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Datagram {
+    /// The sender's peer address.
+    pub from: SocketAddr,
+    /// The sender's configuration; 0 without one.
+    pub config: ConfigVersion,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+/// A message.
+#[derive(Debug, Deserialize, Serialize)]
+pub enum PeerMessage {
+    /// Are you there? Carries news of the fleet.
+    Probe(ProbeId, Gossip),
+    /// Yes. Carries news back.
+    ProbeAnswer(ProbeId, Gossip),
+    /// Probe that node for me.
+    ProbeFor(ProbeId, SocketAddr),
+    /// Place a generation.
+    Place(RemotePlace),
+    /// Where it goes; `None` if nowhere.
+    Placed(RunId, Option<ReplicaRecord>),
+    /// All generations of the sender at a service's engines.
+    Inventory(Inventory),
+    /// What the sender has learnt of the replicas.
+    Replicas(ReplicaNews),
+    /// The sender has a newer configuration; its version stands in the datagram.
+    NewConfig,
+}
+
+/// Names a probe of one node.
+pub type ProbeId = u64;
+
+/// News of the fleet.
+#[derive(Debug, Default, Deserialize, Serialize)]
+pub struct Gossip {
+    /// What is thought of nodes; they are named by their peer addresses.
+    pub news: Vec<News>,
+    /// Some nodes that the sender knows.
+    pub known: Vec<SocketAddr>,
+}
+
+/// A generation that a node wants placed.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct RemotePlace {
+    /// Names it at the asking node.
+    pub run: RunId,
+    /// The service.
+    pub service: ServiceId,
+    /// Its size.
+    pub size: GenerationSize,
+    /// Tokens made so far; above 0 for one that moves.
+    pub produced: u32,
+    /// The hall where it came in; for one that moves, where it runs.
+    pub hall: HallId,
+    /// Engines that are out of the question.
+    pub exclude: Vec<UpstreamId>,
+}
+
+/// A node's generations at the engines of a service.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Inventory {
+    /// The generations.
+    pub runs: Vec<(RunId, Run)>,
+    /// The newest that the sender had started.
+    pub last: RunId,
+}
+
+/// What a node has learnt of the replicas.
+#[derive(Debug, Default, Deserialize, Serialize)]
+pub struct ReplicaNews {
+    /// New replicas.
+    pub added: Vec<ReplicaRecord>,
+    /// Replicas that leave.
+    pub leaving: Vec<UpstreamId>,
+}
--- a/node/src/gateway/plain.rs
+++ b/node/src/gateway/plain.rs
@@ -48,6 +48,7 @@
             service: req.service.clone(),
             size: None,
             produced: 0,
+            hall: traffic.shared.settings.hall.clone(),
             exclude: tried.clone(),
             stream: None,
         };
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use bytes::Bytes;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::ids::Timestamp;
 use tokio::sync::mpsc::UnboundedSender;
@@ -35,7 +36,7 @@
     pub settings: GatewaySettings,
     started: Instant,
     control: UnboundedSender<ToControl>,
-    table: RwLock<Option<Arc<RoutingTable>>>,
+    table: RwLock<Option<(Arc<RoutingTable>, Bytes)>>,
     phase: watch::Sender<Phase>,
     open: AtomicUsize,
 }
@@ -60,15 +61,20 @@
 
     /// The configuration in force.
     pub fn table(&self) -> Option<Arc<RoutingTable>> {
-        self.table.read().expect("no holder panics").clone()
+        self.table.read().expect("no holder panics").as_ref().map(|(table, _)| table.clone())
+    }
+
+    /// The text of the configuration in force, to be handed to other nodes.
+    pub fn config_text(&self) -> Option<Bytes> {
+        self.table.read().expect("no holder panics").as_ref().map(|(_, text)| text.clone())
     }
 
     /// Puts a configuration in force; an older or equal one is not taken.
-    pub fn set_table(&self, new: RoutingTable) -> bool {
+    pub fn set_table(&self, new: RoutingTable, text: Bytes) -> bool {
         let mut table = self.table.write().expect("no holder panics");
-        let newer = table.as_ref().is_none_or(|t| t.version < new.version);
+        let newer = table.as_ref().is_none_or(|(t, _)| t.version < new.version);
         if newer {
-            *table = Some(Arc::new(new));
+            *table = Some((Arc::new(new), text));
         }
         newer
     }
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -11,15 +11,19 @@
 use log::error;
 use log::info;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
 use crate::gateway::balancer_port;
 use crate::gateway::caller_port;
+use crate::gateway::config_port;
 use crate::gateway::control::Control;
 use crate::gateway::follow;
 use crate::gateway::messages::ToControl;
+use crate::gateway::outbox;
+use crate::gateway::outbox::Outbox;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shared::Shared;
 use crate::gateway::stop;
@@ -61,7 +65,12 @@
     tokio::task::spawn_local(balancer_port::serve(shared.clone(), ready));
     tokio::task::spawn_local(follow::follow::<Configuration>(shared.clone(), ToControl::Configuration));
     tokio::task::spawn_local(follow::follow::<Replicas>(shared.clone(), ToControl::Replicas));
-    tokio::task::spawn_local(Control::new(shared.clone()).run(rx));
+    let peer = listen(shared.settings.peer).await?;
+    tokio::task::spawn_local(config_port::serve(shared.clone(), peer));
+    let socket = Arc::new(datagrams(shared.settings.peer).await?);
+    tokio::task::spawn_local(outbox::receive(socket.clone(), shared.clone()));
+    let outbox = Outbox::new(socket, shared.clone());
+    tokio::task::spawn_local(Control::new(shared.clone(), outbox).run(rx));
     stop::wait(&shared).await.map_err(RunError::Signal)
 }
 
@@ -84,3 +93,7 @@
 async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
     TcpListener::bind(address).await.map_err(|source| RunError::Port { address, source })
 }
+
+async fn datagrams(address: SocketAddr) -> Result<UdpSocket, RunError> {
+    UdpSocket::bind(address).await.map_err(|source| RunError::Port { address, source })
+}
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -8,6 +8,7 @@
 use tokio::signal::unix::signal;
 use tokio::time::Instant;
 
+use crate::gateway::messages::ToControl;
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
 
@@ -31,6 +32,7 @@
 pub async fn wait(shared: &Arc<Shared>) -> std::io::Result<()> {
     signal(SignalKind::terminate())?.recv().await;
     shared.advance(Phase::Stopping);
+    shared.tell(ToControl::Stopping);
     let began = Instant::now();
     info!(event = "stop", open = shared.open_requests(); "planned stop begins");
     let last = began + shared.settings.bounds.stop_within.saturating_sub(END_MARGIN);
--- a/node/src/gateway/streams.rs
+++ b/node/src/gateway/streams.rs
@@ -13,6 +13,7 @@
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::ids::UpstreamId;
+use leadstage_platform::connect::CallError;
 use leadstage_platform::engine;
 use leadstage_platform::engine::CopyOutcome;
 use leadstage_platform::engine::CopySource;
@@ -35,6 +36,7 @@
 use crate::gateway::messages::Outcome;
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::StreamHandle;
+use crate::gateway::messages::ToControl;
 use crate::gateway::passing::CallerRequest;
 use crate::gateway::passing::come_back_after;
 use crate::gateway::plain;
@@ -106,6 +108,7 @@
             service: req.service.clone(),
             size: Some(size(req)),
             produced: 0,
+            hall: traffic.shared.settings.hall.clone(),
             exclude: tried.clone(),
             stream: Some(handle.clone()),
         };
@@ -182,8 +185,8 @@
 enum Step {
     /// A copy was made while the generation ran on.
     Copied(Copied),
-    /// The generation stopped, or the call got no answer.
-    Stopped(Copied, Option<CopyOutcome>),
+    /// The call that stops the generation was answered, or got no answer.
+    StopAnswered(Option<CopyOutcome>),
     /// No copy could be made.
     GaveUp,
 }
@@ -213,6 +216,8 @@
     steps_tx: UnboundedSender<Step>,
     /// The task that moves the generation.
     moving: Option<AbortOnDropHandle<()>>,
+    /// Where the generation goes on once it has stopped.
+    stopping: Option<Copied>,
     moves: u32,
 }
 
@@ -238,6 +243,7 @@
             events: EventSplitter::default(),
             steps_tx,
             moving: None,
+            stopping: None,
             moves: 0,
         }
     }
@@ -273,7 +279,7 @@
                 () = tokio::time::sleep_until(self.req.until) => return End::OutOfTime,
                 Some(order) = orders.recv() => self.on_order(order),
                 Some(step) = steps.recv() => {
-                    if let Err(end) = self.on_step(step).await {
+                    if let Err(end) = self.on_step(step, steps).await {
                         return end;
                     }
                 }
@@ -333,20 +339,22 @@
         })));
     }
 
-    async fn on_step(&mut self, step: Step) -> Result<(), End> {
+    async fn on_step(&mut self, step: Step, steps: &mut UnboundedReceiver<Step>) -> Result<(), End> {
         match step {
             Step::Copied(copied) => {
                 self.start_stop(copied);
                 Ok(())
             }
-            Step::Stopped(mut copied, outcome) => {
-                if !copied.note_stop(outcome) {
+            Step::StopAnswered(outcome) => {
+                let stopped = self.stopping.as_mut().is_some_and(|copied| copied.note_stop(outcome));
+                if !stopped {
+                    self.stopping = None;
                     self.moving = None;
                     return Ok(());
                 }
                 match self.drain().await {
                     Some(end) => Err(end),
-                    None => self.go_on_at(copied).await,
+                    None => self.go_on_elsewhere(steps).await,
                 }
             }
             Step::GaveUp => {
@@ -356,17 +364,19 @@
         }
     }
 
-    /// Stops the generation at its engine and copies the rest.
+    /// Stops the generation at its engine; the call also copies the rest, behind all other
+    /// copies on these links.
     fn start_stop(&mut self, copied: Copied) {
         let source = self.leg.run.placed.replica.clone();
+        let target = copied.target.placed.replica.address;
         let (req, steps) = (self.req.clone(), self.steps_tx.clone());
+        self.stopping = Some(copied);
         self.moving = Some(AbortOnDropHandle::new(tokio::task::spawn_local(async move {
-            let target = copied.target.placed.replica.address;
             let called = engine::copy_generation(source.address, req.id(), target, true, COPY_LIMIT).await;
             let outcome = called.inspect_err(|err| {
                 info!(event = "stop_unanswered", request = req.id(), upstream = &*source.id, reason:% = err; "no answer to a stop");
             });
-            let _ = steps.send(Step::Stopped(copied, outcome.ok()));
+            let _ = steps.send(Step::StopAnswered(outcome.ok()));
         })));
     }
 
@@ -391,54 +401,92 @@
     /// The engine's stream broke. The generation goes on where its copy is.
     async fn on_break(&mut self, err: &hyper::Error, steps: &mut UnboundedReceiver<Step>) -> Result<(), End> {
         let replica = self.leg.run.placed.replica.id.clone();
-        info!(event = "stream_broke", request = self.req.id(), upstream = &*replica, moving = self.moving.is_some(), events = self.events.events(), reason:% = err; "an engine's stream broke");
-        if self.moving.is_none() {
-            return Err(End::EngineLost);
+        info!(event = "stream_broke", request = self.req.id(), upstream = &*replica, moving = self.moving.is_some(), stopping = self.stopping.is_some(), events = self.events.events(), reason:% = err; "an engine's stream broke");
+        if self.stopping.is_none() {
+            let copied = self.await_copy(steps).await.ok_or(End::EngineLost)?;
+            self.stopping = Some(copied);
         }
-        let step = tokio::time::timeout(STOP_ANSWER_LIMIT, steps.recv()).await;
-        match step.ok().flatten() {
-            Some(Step::Copied(copied)) => self.go_on_at(copied).await,
-            Some(Step::Stopped(mut copied, outcome)) => {
-                copied.note_stop(outcome);
-                self.go_on_at(copied).await
-            }
-            Some(Step::GaveUp) | None => Err(End::EngineLost),
+        self.go_on_elsewhere(steps).await
+    }
+
+    /// Waits a little for a copy that was being made when the stream broke.
+    async fn await_copy(&mut self, steps: &mut UnboundedReceiver<Step>) -> Option<Copied> {
+        self.moving.as_ref()?;
+        match tokio::time::timeout(STOP_ANSWER_LIMIT, steps.recv()).await {
+            Ok(Some(Step::Copied(copied))) => Some(copied),
+            _ => None,
         }
     }
 
-    /// Goes on with the generation where its copy is.
-    async fn go_on_at(&mut self, copied: Copied) -> Result<(), End> {
-        self.moving = None;
+    /// Goes on with a stopped generation where its copy is. The engine there reads again
+    /// what the copy lacks, so the end of the last copy is not waited for unless that
+    /// engine wants it.
+    async fn go_on_elsewhere(&mut self, steps: &mut UnboundedReceiver<Step>) -> Result<(), End> {
         self.events.drop_part();
+        let mut copied = self.stopping.take().ok_or(End::EngineLost)?;
+        let mut resumed = self.resume(&copied).await;
+        if matches!(resumed, Err(NotResumed::Refused)) {
+            let answer = tokio::time::timeout(STOP_ANSWER_LIMIT, steps.recv()).await;
+            if let Ok(Some(Step::StopAnswered(outcome))) = answer
+                && copied.note_stop(outcome)
+            {
+                resumed = self.resume(&copied).await;
+            }
+        }
+        self.moving = None;
+        let exchange = resumed.map_err(|_| End::EngineLost)?;
+        let leg = Leg { run: copied.target, exchange };
+        info!(event = "moved", request = self.req.id(), from = &*self.leg.run.placed.replica.id, upstream = &*leg.run.placed.replica.id, events = self.events.events(); "generation moved");
+        let old = std::mem::replace(&mut self.leg, leg);
+        old.run.end(Outcome::Withdrawn);
+        self.traffic.shared.tell(ToControl::Arrived(self.leg.run.placed.run));
+        self.moves += 1;
+        Ok(())
+    }
+
+    async fn resume(&self, copied: &Copied) -> Result<Exchange, NotResumed> {
         let source = CopySource {
             engine: self.leg.run.placed.replica.address,
-            copy: copied.handle,
+            copy: copied.handle.clone(),
             last_event: self.events.last_id().map(str::to_owned),
         };
-        let replica = copied.target.placed.replica.clone();
+        let replica = &copied.target.placed.replica;
         let added = added(&self.req, &replica.id, Some(&source));
         let sent =
-            exchange::send(&self.traffic.connections, &replica, &self.req, &added, self.req.until).await;
+            exchange::send(&self.traffic.connections, replica, &self.req, &added, self.req.until).await;
         match sent {
-            Ok(exchanged) if exchanged.status.is_success() => {
-                info!(event = "moved", request = self.req.id(), from = &*self.leg.run.placed.replica.id, upstream = &*replica.id, events = self.events.events(); "generation moved");
-                let old = std::mem::replace(&mut self.leg, Leg { run: copied.target, exchange: exchanged });
-                old.run.end(Outcome::Withdrawn);
-                self.moves += 1;
-                Ok(())
-            }
+            Ok(exchanged) if exchanged.status.is_success() => Ok(exchanged),
             Ok(exchanged) => {
                 info!(event = "move_refused", request = self.req.id(), upstream = &*replica.id, status = exchanged.status.as_u16(); "the copy was refused");
-                Err(End::EngineLost)
+                Err(NotResumed::Refused)
             }
             Err(err) => {
                 info!(event = "move_failed", request = self.req.id(), upstream = &*replica.id, reason:% = err; "the copy could not be used");
-                Err(End::EngineLost)
+                Err(NotResumed::Failed)
             }
         }
     }
 }
 
+/// Why a generation did not go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NotResumed {
+    /// The engine did not take the copy; nothing ran.
+    Refused,
+    /// The engine did not answer.
+    Failed,
+}
+
+/// Why there is no copy.
+enum NotCopied {
+    /// The engine that it runs on is gone.
+    SourceGone,
+    /// The target has no room, or can't be reached.
+    Elsewhere(UpstreamId),
+    /// It does not run yet, or another call is under way.
+    Later,
+}
+
 /// Copies a generation away from an engine that leaves.
 struct Copying {
     traffic: Traffic,
@@ -459,8 +507,9 @@
             };
             match self.copy_to(target).await {
                 Ok(copied) => return Step::Copied(copied),
-                Err(Some(refused)) => exclude.push(refused),
-                Err(None) => tokio::time::sleep(COPY_PAUSE).await,
+                Err(NotCopied::SourceGone) => return Step::GaveUp,
+                Err(NotCopied::Elsewhere(refused)) => exclude.push(refused),
+                Err(NotCopied::Later) => tokio::time::sleep(COPY_PAUSE).await,
             }
         }
         Step::GaveUp
@@ -471,14 +520,14 @@
             service: self.req.service.clone(),
             size: Some(size(&self.req)),
             produced: self.handle.produced.load(Ordering::Relaxed).max(1),
+            hall: self.source.hall.clone(),
             exclude: exclude.to_vec(),
             stream: Some(self.handle.clone()),
         };
         self.traffic.shared.place(request).await
     }
 
-    /// Copies to `target`; an error names the target if another one should be tried.
-    async fn copy_to(&self, target: RunGuard) -> Result<Copied, Option<UpstreamId>> {
+    async fn copy_to(&self, target: RunGuard) -> Result<Copied, NotCopied> {
         let to = target.placed.replica.clone();
         let began = Instant::now();
         let called =
@@ -487,9 +536,12 @@
         info!(event = "copy", request = self.req.id(), from = &*self.source.id, to = &*to.id, took_ms = took, outcome:? = called; "copy of a generation");
         match called {
             Ok(CopyOutcome::Done { handle, .. }) => Ok(Copied { target, handle }),
-            Ok(CopyOutcome::NotRunning | CopyOutcome::Busy) => Err(None),
-            Ok(CopyOutcome::NoRoom { .. }) => Err(Some(to.id.clone())),
-            Ok(CopyOutcome::Unexpected(_)) | Err(_) => Err(Some(to.id.clone())),
+            Ok(CopyOutcome::NotRunning | CopyOutcome::Busy) => Err(NotCopied::Later),
+            Ok(CopyOutcome::NoRoom { .. } | CopyOutcome::Unexpected(_)) => {
+                Err(NotCopied::Elsewhere(to.id.clone()))
+            }
+            Err(CallError::Connect(_) | CallError::Broken(_)) => Err(NotCopied::SourceGone),
+            Err(CallError::TimedOut(_) | CallError::Body(_)) => Err(NotCopied::Later),
         }
     }
 }
