placing: project an engine's memory over 3 s instead of to the end

Cause: the expected final size of every generation together overstated what an engine needs at once, so engines looked full and the choice among them was blind. Ruled out: a higher threshold on the final size: it hides which engine fills first.

--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -37,6 +37,11 @@
 /// Milliseconds that one more running stream adds to the cost of an engine: each makes
 /// every step a little longer, and is one more to move when the engine leaves.
 const COST_PER_RUN_MS: f64 = 25.0;
+/// Tokens that a generation grows by within the horizon of 3 s, at most: it makes 4 tokens
+/// in some 35 ms. Beyond the horizon others have ended.
+const MOST_GROWTH: u32 = 340;
+/// Tokens that a generation is taken to grow by when it should have ended already.
+const LEAST_GROWTH: u32 = 80;
 /// Cost of a request in another hall: its bytes are priced, and moves take twice as long.
 const COST_OTHER_HALL_MS: f64 = 12.0;
 /// Part of an engine's memory that expected use may reach without a cost.
@@ -78,10 +83,9 @@
 }
 
 impl Run {
-    /// Tokens of memory that it is expected to take at its end.
+    /// Tokens of memory that it is expected to take soon.
     fn memory(&self) -> f64 {
-        let size = self.size.unwrap_or_default();
-        f64::from(size.prompt) + f64::from(size.expected.max(self.produced))
+        self.size.map_or(0.0, |size| soon(size, self.produced))
     }
 }
 
@@ -182,9 +186,9 @@
         request: &EngineRequest<'_>,
         now: Timestamp,
         rng: &mut R,
-    ) -> Option<&'a Replica> {
-        let costs = candidates.map(|replica| (self.engine_cost(replica, request, now, rng), replica));
-        costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, replica)| replica)
+    ) -> Option<EngineChoice<'a>> {
+        let choices = candidates.map(|replica| self.consider(replica, request, now, rng));
+        choices.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
     /// The cheapest replica for a plain call, among usable ones.
@@ -201,34 +205,52 @@
         costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, replica)| replica)
     }
 
-    fn engine_cost<R: Rng>(
+    fn consider<'a, R: Rng>(
         &self,
-        replica: &Replica,
+        replica: &'a Replica,
         request: &EngineRequest<'_>,
         now: Timestamp,
         rng: &mut R,
-    ) -> f64 {
+    ) -> EngineChoice<'a> {
         let id = &replica.record.id;
         let moves = request.produced > 0;
-        let arriving = if moves { self.at(id).filter(|(_, run)| run.arriving).count() as f64 } else { 0.0 };
-        let far = if moves && replica.record.hall != *request.hall { COST_FAR_MOVE_MS } else { 0.0 };
-        let waits = self.read_until.get(id).map_or(0.0, |until| millis(until.saturating_sub(now)));
-        let cold = millis(replica.warm_at.saturating_sub(now));
-        let runs = self.at(id).count() as f64;
-        let own = f64::from(request.size.prompt) + f64::from(request.size.expected);
+        let arriving = self.at(id).filter(|(_, run)| run.arriving).count();
+        let far = moves && replica.record.hall != *request.hall;
+        let read_until = self.read_until.get(id).copied().unwrap_or_default();
+        let ready_at = read_until.max(replica.warm_at);
+        let wait = ready_at.saturating_sub(now);
+        let runs = self.at(id).count();
+        let own = soon(request.size, request.produced);
         let expected: f64 = self.at(id).map(|(_, run)| run.memory()).sum::<f64>() + own;
-        let filled = expected / f64::from(request.engine.memory_tokens.max(1));
-        let beyond = (filled - MEMORY_AT_EASE).max(0.0) / (1.0 - MEMORY_AT_EASE);
-        waits
-            + far
-            + arriving * COST_PER_ARRIVING_MS
-            + cold
-            + runs * COST_PER_RUN_MS
+        let fill = expected / f64::from(request.engine.memory_tokens.max(1));
+        let beyond = (fill - MEMORY_AT_EASE).max(0.0) / (1.0 - MEMORY_AT_EASE);
+        let move_cost = if moves { arriving as f64 * COST_PER_ARRIVING_MS } else { 0.0 };
+        let far_cost = if far { COST_FAR_MOVE_MS } else { 0.0 };
+        let cost = millis(wait)
+            + move_cost
+            + far_cost
+            + runs as f64 * COST_PER_RUN_MS
             + beyond * beyond * COST_FULL_MEMORY_MS
-            + general_cost(replica, request.hall, rng)
+            + general_cost(replica, request.hall, rng);
+        EngineChoice { replica, runs, fill, wait, cost }
     }
 }
 
+/// An engine with what speaks for and against it.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineChoice<'a> {
+    /// The engine.
+    pub replica: &'a Replica,
+    /// Requests there.
+    pub runs: usize,
+    /// Part of its memory that is expected to be used, with the request.
+    pub fill: f64,
+    /// Time until it has read the prompts that it was given.
+    pub wait: Timestamp,
+    /// The cost, in milliseconds; lower is better.
+    pub cost: f64,
+}
+
 /// A generation that wants an engine, or another one.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineRequest<'a> {
@@ -248,6 +270,12 @@
     elsewhere + failures + rng.random::<f64>() * SPREAD_MS
 }
 
+/// Tokens of memory that a generation takes within the horizon.
+fn soon(size: GenerationSize, produced: u32) -> f64 {
+    let remaining = size.expected.saturating_sub(produced).clamp(LEAST_GROWTH, MOST_GROWTH);
+    f64::from(size.prompt) + f64::from(produced) + f64::from(remaining)
+}
+
 fn reading_time(tokens: u32) -> Timestamp {
     Timestamp::from_secs_f64(f64::from(tokens) / READ_TOKENS_PER_MS / 1_000.0)
 }
--- a/node/src/gateway/placing.rs
+++ b/node/src/gateway/placing.rs
@@ -296,7 +296,12 @@
         let chosen = match (engine, wanted.size) {
             (Some(engine), Some(size)) => {
                 let request = EngineRequest { size, engine, hall: wanted.hall, produced: wanted.produced };
-                self.book.choose_engine(candidates.into_iter(), &request, now, rng)
+                let engines = candidates.len();
+                let choice = self.book.choose_engine(candidates.into_iter(), &request, now, rng);
+                if let Some(choice) = &choice {
+                    info!(event = "engine_chosen", upstream = &*choice.replica.record.id, service = &**service, prompt = size.prompt, expected = size.expected, produced = wanted.produced, engines, runs = choice.runs, fill:% = format_args!("{:.2}", choice.fill), wait_ms = choice.wait.as_millis() as u64, cost_ms:% = format_args!("{:.0}", choice.cost); "engine chosen");
+                }
+                choice.map(|choice| choice.replica)
             }
             _ => self.book.choose_plain(candidates.into_iter(), wanted.hall, rng),
         };
--- a/node/src/gateway/streams.rs
+++ b/node/src/gateway/streams.rs
@@ -219,6 +219,25 @@
     /// Where the generation goes on once it has stopped.
     stopping: Option<Copied>,
     moves: u32,
+    pace: Pace,
+}
+
+/// When a stream's events came.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    first: Option<Duration>,
+    last: Option<Instant>,
+    longest_gap: Duration,
+}
+
+impl Pace {
+    fn on_event(&mut self, came: Instant) {
+        let now = Instant::now();
+        self.first.get_or_insert(now - came);
+        if let Some(last) = self.last.replace(now) {
+            self.longest_gap = self.longest_gap.max(now - last);
+        }
+    }
 }
 
 impl Relay {
@@ -245,6 +264,7 @@
             moving: None,
             stopping: None,
             moves: 0,
+            pace: Pace::default(),
         }
     }
 
@@ -257,7 +277,7 @@
             let _ = self.tx.send(Err(BrokenStream)).await;
         }
         let took = self.req.came.elapsed().as_millis() as u64;
-        info!(event = "stream_end", request = self.req.id(), route = &*self.req.route.name, end:% = end, upstream = &*self.leg.run.placed.replica.id, events = self.events.events(), moves = self.moves, took_ms = took; "stream ended");
+        info!(event = "stream_end", request = self.req.id(), route = &*self.req.route.name, end:% = end, upstream = &*self.leg.run.placed.replica.id, events = self.events.events(), moves = self.moves, first_ms = self.pace.first.unwrap_or_default().as_millis() as u64, gap_ms = self.pace.longest_gap.as_millis() as u64, took_ms = took; "stream ended");
         let outcome = match end {
             End::Done => Outcome::Answered,
             End::CallerLeft | End::OutOfTime => Outcome::Withdrawn,
@@ -304,6 +324,7 @@
         if whole.is_empty() {
             return Ok(());
         }
+        self.pace.on_event(self.req.came);
         let tokens = self.events.events() as u32 * self.tokens_per_event;
         self.handle.produced.store(tokens, Ordering::Relaxed);
         self.tx.send(Ok(whole)).await.map_err(|_| End::CallerLeft)
