--- a/node/src/gateway/caller_port.rs
+++ b/node/src/gateway/caller_port.rs
@@ -15,6 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use leadstage_lib::code::Code;
 use leadstage_lib::gateway::retry_window::RetryWindow;
 use leadstage_lib::gateway::routing::CallerLimits;
 use leadstage_lib::gateway::routing::Repeat;
@@ -27,11 +28,14 @@
 
 use crate::gateway::connections::Connections;
 use crate::gateway::io_watch::Activity;
+use crate::gateway::io_watch::Serving;
 use crate::gateway::io_watch::WatchedIo;
 use crate::gateway::messages::ToControl;
 use crate::gateway::passing;
 use crate::gateway::plain;
+use crate::gateway::reply::Refusal;
 use crate::gateway::reply::Reply;
+use crate::gateway::shared::OpenGuard;
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::RunGuard;
 use crate::gateway::shared::Shared;
@@ -183,16 +187,19 @@
 async fn admitted(
     traffic: &Traffic,
     req: Request<Incoming>,
-    serving: crate::gateway::io_watch::Serving,
-    open: crate::gateway::shared::OpenGuard,
+    serving: Serving,
+    open: OpenGuard,
 ) -> Result<Reply, Reply> {
     let id = leadstage_platform::headers::REQUEST_ID;
     let id = req.headers().get(id).and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
-    let refused = |refusal: crate::gateway::reply::Refusal| {
+    let refused = |refusal: Refusal| {
         info!(event = "refused", request = id, code:% = refusal.code; "request refused");
         refusal.reply()
     };
     let req = passing::admit(&traffic.shared, req).await.map_err(refused)?;
+    if !stop::takes(&traffic.shared, req.route.repeat) {
+        return Err(refused(Refusal::new(Code::Stopping)));
+    }
     traffic.on_request(&req.service);
     if req.route.repeat == Repeat::Stream {
         return streams::serve(traffic, req, serving, open).await.map_err(refused);
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -1,9 +1,11 @@
 //! What both threads of a gateway node read.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -39,6 +41,7 @@
     table: RwLock<Option<(Arc<RoutingTable>, Bytes)>>,
     phase: watch::Sender<Phase>,
     open: AtomicUsize,
+    stop_began: OnceLock<Timestamp>,
 }
 
 impl Shared {
@@ -51,6 +54,7 @@
             table: RwLock::new(None),
             phase: watch::Sender::new(Phase::Starting),
             open: AtomicUsize::new(0),
+            stop_began: OnceLock::new(),
         }
     }
 
@@ -98,6 +102,18 @@
         })
     }
 
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        self.stop_began.get_or_init(|| self.now());
+        self.advance(Phase::Stopping);
+    }
+
+    /// Time that is left to requests that come now, if a planned stop has begun.
+    pub fn left_to_serve(&self) -> Option<Duration> {
+        let ends = *self.stop_began.get()? + self.settings.bounds.stop_within;
+        Some(ends.saturating_sub(self.now()))
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub fn open(self: &Arc<Self>) -> OpenGuard {
         self.open.fetch_add(1, Ordering::Relaxed);
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::gateway::routing::Repeat;
 use log::info;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -20,6 +21,21 @@
 /// Time between two looks at the open requests.
 const POLL: Duration = Duration::from_millis(50);
 
+/// A stopping node takes plain calls until so long before its end.
+const PLAIN_CALL_WITHIN: Duration = Duration::from_millis(2_500);
+/// A stopping node takes streams until so long before its end: the balancer has noticed by
+/// then, and what comes later would be cut off.
+const STREAM_WITHIN: Duration = Duration::from_millis(5_500);
+
+/// Whether a node that may be stopping still takes a request of this kind.
+pub fn takes(shared: &Shared, repeat: Repeat) -> bool {
+    let needs = match repeat {
+        Repeat::Stream => STREAM_WITHIN,
+        Repeat::Idempotent | Repeat::Once => PLAIN_CALL_WITHIN,
+    };
+    shared.left_to_serve().is_none_or(|left| left > needs)
+}
+
 /// Waits until unused connections of callers should be closed.
 pub async fn close_unused(shared: &Shared) {
     let mut phases = shared.phases();
@@ -31,7 +47,7 @@
 /// Waits for the signal to stop, then until the node has nothing more to do.
 pub async fn wait(shared: &Arc<Shared>) -> std::io::Result<()> {
     signal(SignalKind::terminate())?.recv().await;
-    shared.advance(Phase::Stopping);
+    shared.stop();
     shared.tell(ToControl::Stopping);
     let began = Instant::now();
     info!(event = "stop", open = shared.open_requests(); "planned stop begins");
