placing: generations wait at the lead for room, and move for balance

Cause: engines were filled to preemption while others had just come back empty, and a move from a leaving engine found no room (56 of 129 copies at Bahla). Ruled out: refusing at once: half of the waits end within 100 ms.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -5,6 +5,8 @@
 
 pub mod lead;
 pub mod load;
+pub mod rebalance;
 pub mod replicas;
 pub mod retry_window;
 pub mod routing;
+pub mod waiting;
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -46,6 +46,11 @@
 const COST_OTHER_HALL_MS: f64 = 12.0;
 /// Part of an engine's memory that expected use may reach without a cost.
 const MEMORY_AT_EASE: f64 = 0.7;
+/// Part of an engine's memory that new generations may fill. The rest is for those that
+/// move when other engines leave, which are worth more: their callers have waited already.
+const ADMITS_UP_TO: f64 = 0.9;
+/// Part of an engine's memory that moving generations may fill.
+const MOVES_UP_TO: f64 = 1.0;
 /// Cost of expecting to fill all of the memory beyond that, growing with the square.
 const COST_FULL_MEMORY_MS: f64 = 4_000.0;
 /// Cost of one request in flight at a plain replica, against [`COST_OTHER_HALL_MS`].
@@ -84,9 +89,14 @@
 
 impl Run {
     /// Tokens of memory that it is expected to take soon.
-    fn memory(&self) -> f64 {
+    pub fn memory(&self) -> f64 {
         self.size.map_or(0.0, |size| soon(size, self.produced))
     }
+
+    /// Tokens that it is still expected to make.
+    pub fn remaining(&self) -> u32 {
+        self.size.unwrap_or_default().expected.saturating_sub(self.produced)
+    }
 }
 
 /// What a node knows of the requests at the replicas.
@@ -179,7 +189,14 @@
         keys.filter_map(|key| self.runs.get(key).map(|run| (key, run)))
     }
 
-    /// The cheapest replica for a generation, among usable ones.
+    /// The part of an engine's memory that is expected to be used soon.
+    pub fn fill(&self, replica: &str, engine: &EngineTraits) -> f64 {
+        let expected: f64 = self.at(replica).map(|(_, run)| run.memory()).sum();
+        expected / f64::from(engine.memory_tokens.max(1))
+    }
+
+    /// The cheapest replica for a generation, among usable ones; `None` where it would
+    /// overfill each.
     pub fn choose_engine<'a, R: Rng>(
         &self,
         candidates: impl Iterator<Item = &'a Replica>,
@@ -187,8 +204,10 @@
         now: Timestamp,
         rng: &mut R,
     ) -> Option<EngineChoice<'a>> {
+        let most = if request.produced > 0 { MOVES_UP_TO } else { ADMITS_UP_TO };
         let choices = candidates.map(|replica| self.consider(replica, request, now, rng));
-        choices.min_by(|a, b| a.cost.total_cmp(&b.cost))
+        let fitting = choices.filter(|choice| choice.fill <= most || choice.runs == 0);
+        fitting.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
     /// The cheapest replica for a plain call, among usable ones.
@@ -221,8 +240,7 @@
         let wait = ready_at.saturating_sub(now);
         let runs = self.at(id).count();
         let own = soon(request.size, request.produced);
-        let expected: f64 = self.at(id).map(|(_, run)| run.memory()).sum::<f64>() + own;
-        let fill = expected / f64::from(request.engine.memory_tokens.max(1));
+        let fill = self.fill(id, request.engine) + own / f64::from(request.engine.memory_tokens.max(1));
         let beyond = (fill - MEMORY_AT_EASE).max(0.0) / (1.0 - MEMORY_AT_EASE);
         let move_cost = if moves { arriving as f64 * COST_PER_ARRIVING_MS } else { 0.0 };
         let far_cost = if far { COST_FAR_MOVE_MS } else { 0.0 };
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -14,6 +14,8 @@
 mod fleet;
 mod follow;
 mod io_watch;
+mod knowledge;
+mod lead_desk;
 mod messages;
 mod outbox;
 mod passing;
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -99,9 +99,10 @@
         for node in self.fleet.tick(now) {
             self.placing.on_node_gone(&node);
         }
-        let change = self.placing.replicas.tick(now, FORGET_AFTER);
+        let change = self.placing.knowledge.replicas.tick(now, FORGET_AFTER);
         self.on_list_change(&change);
         self.placing.tell_leads(&self.fleet);
+        self.placing.lead(&self.fleet);
     }
 
     fn on_datagram(&mut self, datagram: Datagram) {
@@ -115,6 +116,8 @@
             PeerMessage::ProbeFor(id, target) => self.fleet.on_probe_for(from, id, target, now),
             PeerMessage::Place(remote) => self.placing.on_place(from, remote),
             PeerMessage::Placed(run, record) => self.placing.on_placed(run, record),
+            PeerMessage::Waits(run) => self.placing.on_waits(run),
+            PeerMessage::MoveAway(run, engine) => self.placing.on_move_away(run, engine),
             PeerMessage::Inventory(inventory) => self.placing.on_inventory(from, inventory),
             PeerMessage::Replicas(news) => self.on_replica_news(news),
             PeerMessage::NewConfig => {}
@@ -146,7 +149,7 @@
     }
 
     fn on_sign(&mut self, replica: &UpstreamId, sign: LeavingSign) {
-        if self.placing.replicas.on_sign(replica, sign, self.shared.now()) {
+        if self.placing.knowledge.replicas.on_sign(replica, sign, self.shared.now()) {
             self.evacuate(replica, sign);
         }
     }
@@ -156,7 +159,7 @@
         let change = match news {
             News::Listed { list, after_outage } => {
                 self.replicas_known = true;
-                self.placing.replicas.on_list(list.items, after_outage, now)
+                self.placing.knowledge.replicas.on_list(list.items, after_outage, now)
             }
             News::Changed(changes) => self.on_replica_changes(changes),
         };
@@ -170,8 +173,8 @@
         let mut change = ListChange::default();
         for event in changes.events {
             match event {
-                Change::Put(record) => self.placing.replicas.on_entry(record, now, &mut change),
-                Change::Gone(id) => self.placing.replicas.on_unlisted(&id, now, &mut change),
+                Change::Put(record) => self.placing.knowledge.replicas.on_entry(record, now, &mut change),
+                Change::Gone(id) => self.placing.knowledge.replicas.on_unlisted(&id, now, &mut change),
             }
         }
         change
@@ -182,12 +185,12 @@
         let now = self.shared.now();
         let mut change = ListChange::default();
         for record in news.added {
-            if self.placing.replicas.get(&record.id).is_none() {
-                self.placing.replicas.on_entry(record, now, &mut change);
+            if self.placing.knowledge.replicas.get(&record.id).is_none() {
+                self.placing.knowledge.replicas.on_entry(record, now, &mut change);
             }
         }
         for id in news.leaving {
-            if self.placing.replicas.on_sign(&id, LeavingSign::Told, now) {
+            if self.placing.knowledge.replicas.on_sign(&id, LeavingSign::Told, now) {
                 change.leaving.push(id);
             }
         }
@@ -197,19 +200,19 @@
 
     fn on_list_change(&mut self, change: &ListChange) {
         for id in &change.added {
-            if let Some(replica) = self.placing.replicas.get(id) {
+            if let Some(replica) = self.placing.knowledge.replicas.get(id) {
                 info!(event = "replica_listed", upstream = &**id, service = &*replica.record.service, hall = &*replica.record.hall, address:% = replica.record.address; "replica is listed");
             }
         }
         for id in &change.leaving {
-            if let Some(sign) = self.placing.replicas.get(id).and_then(|r| r.leaving) {
+            if let Some(sign) = self.placing.knowledge.replicas.get(id).and_then(|r| r.leaving) {
                 self.evacuate(id, sign);
             }
         }
     }
 
     fn tell_replica_news(&self, change: &ListChange) {
-        let records = change.added.iter().filter_map(|id| self.placing.replicas.get(id));
+        let records = change.added.iter().filter_map(|id| self.placing.knowledge.replicas.get(id));
         let added: Vec<ReplicaRecord> = records.map(|replica| (*replica.record).clone()).collect();
         if added.is_empty() && change.leaving.is_empty() {
             return;
--- /dev/null
+++ b/node/src/gateway/knowledge.rs
@@ -0,0 +1,111 @@
+//! What a node knows of the replicas and of the requests at them.
+
+use std::sync::Arc;
+
+use leadstage_lib::gateway::load::EngineRequest;
+use leadstage_lib::gateway::load::GenerationSize;
+use leadstage_lib::gateway::load::LoadBook;
+use leadstage_lib::gateway::load::Run;
+use leadstage_lib::gateway::replicas::Replica;
+use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::replicas::ReplicaTable;
+use leadstage_lib::gateway::routing::EngineTraits;
+use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::ids::HallId;
+use leadstage_lib::ids::UpstreamId;
+use log::info;
+
+use crate::gateway::shared::Shared;
+
+/// What a request wants of a replica.
+#[derive(Clone, Debug)]
+pub struct Wanted {
+    /// The service.
+    pub service: ServiceId,
+    /// Set for generations.
+    pub size: Option<GenerationSize>,
+    /// Tokens made so far; above 0 for a generation that moves.
+    pub produced: u32,
+    /// The hall where it came in; for a generation that moves, where it runs.
+    pub hall: HallId,
+    /// Replicas that are out of the question.
+    pub exclude: Vec<UpstreamId>,
+}
+
+impl Wanted {
+    /// The request at a replica.
+    pub fn at(&self, replica: &UpstreamId) -> Run {
+        Run {
+            replica: replica.clone(),
+            size: self.size,
+            produced: self.produced,
+            arriving: self.produced > 0,
+        }
+    }
+}
+
+/// The replicas, and the requests at them.
+pub struct Knowledge {
+    shared: Arc<Shared>,
+    /// The replicas.
+    pub replicas: ReplicaTable,
+    /// The requests; those of other nodes as far as this node leads.
+    pub book: LoadBook,
+}
+
+impl Knowledge {
+    /// Knows nothing yet.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Knowledge { shared, replicas: ReplicaTable::default(), book: LoadBook::default() }
+    }
+
+    /// What the engines of a service are; `None` for plain services.
+    pub fn engine_traits(&self, service: &ServiceId) -> Option<EngineTraits> {
+        self.shared.table()?.service(service)?.engine.clone()
+    }
+
+    /// The best replica for a request, if one has room.
+    pub fn choose(&self, wanted: &Wanted) -> Option<Arc<ReplicaRecord>> {
+        let traits = self.engine_traits(&wanted.service);
+        match (&traits, wanted.size) {
+            (Some(traits), Some(size)) => self.choose_engine(wanted, traits, size),
+            _ => {
+                let candidates = self.candidates(wanted).into_iter();
+                let chosen = self.book.choose_plain(candidates, &wanted.hall, &mut rand::rng());
+                chosen.map(|replica| replica.record.clone())
+            }
+        }
+    }
+
+    fn choose_engine(
+        &self,
+        wanted: &Wanted,
+        traits: &EngineTraits,
+        size: GenerationSize,
+    ) -> Option<Arc<ReplicaRecord>> {
+        let candidates = self.candidates(wanted);
+        let engines = candidates.len();
+        let request = EngineRequest { size, engine: traits, hall: &wanted.hall, produced: wanted.produced };
+        let now = self.shared.now();
+        let choice = self.book.choose_engine(candidates.into_iter(), &request, now, &mut rand::rng())?;
+        info!(event = "engine_chosen", upstream = &*choice.replica.record.id, service = &*wanted.service, prompt = size.prompt, expected = size.expected, produced = wanted.produced, engines, runs = choice.runs, fill:% = format_args!("{:.2}", choice.fill), wait_ms = choice.wait.as_millis() as u64, cost_ms:% = format_args!("{:.0}", choice.cost); "engine chosen");
+        Some(choice.replica.record.clone())
+    }
+
+    /// Replicas that may get a request; those that rest after failures only when there are
+    /// no others.
+    fn candidates(&self, wanted: &Wanted) -> Vec<&Replica> {
+        let now = self.shared.now();
+        let staying: Vec<&Replica> = self
+            .staying(&wanted.service)
+            .filter(|replica| !wanted.exclude.contains(&replica.record.id))
+            .collect();
+        let usable: Vec<&Replica> = staying.iter().filter(|r| r.is_usable(now)).copied().collect();
+        if usable.is_empty() { staying } else { usable }
+    }
+
+    /// The replicas of a service that are not known to leave.
+    pub fn staying<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Replica> {
+        self.replicas.of_service(service).filter(|replica| replica.leaving.is_none())
+    }
+}
--- /dev/null
+++ b/node/src/gateway/lead_desk.rs
@@ -0,0 +1,135 @@
+//! A lead's work: grants engines, lets generations wait for room, and has running ones move
+//! for balance.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use leadstage_lib::gateway::load::RunKey;
+use leadstage_lib::gateway::rebalance::Rebalancer;
+use leadstage_lib::gateway::rebalance::Relief;
+use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::waiting::Waiting;
+use leadstage_lib::gateway::waiting::WaitingRoom;
+use leadstage_lib::ids::Timestamp;
+use tokio::sync::oneshot;
+
+use crate::gateway::knowledge::Knowledge;
+use crate::gateway::knowledge::Wanted;
+use crate::gateway::messages::Placed;
+use crate::gateway::messages::StreamHandle;
+
+/// A generation that wants an engine.
+pub struct Ask {
+    /// Names it.
+    pub key: RunKey,
+    /// What it wants.
+    pub wanted: Wanted,
+    /// Its urgency; 0 goes first.
+    pub priority: u8,
+    /// How long it may wait.
+    pub patience: Duration,
+    /// Who gets the answer.
+    pub asker: Asker,
+}
+
+/// Who asked for a place.
+pub enum Asker {
+    /// A request of this node.
+    Here {
+        /// How a stream is told to move.
+        stream: Option<StreamHandle>,
+        /// Takes the answer.
+        reply: oneshot::Sender<Option<Placed>>,
+    },
+    /// Another node.
+    There(SocketAddr),
+}
+
+/// An answer to a generation that wanted an engine.
+pub struct Decision {
+    /// The question.
+    pub ask: Ask,
+    /// The engine, already in the books; `None` if there is no room.
+    pub chosen: Option<Arc<ReplicaRecord>>,
+}
+
+/// What became of a question at once.
+pub enum Outcome {
+    /// It is answered.
+    Decided(Decision),
+    /// It waits; this node is to be told so.
+    Waits(RunKey, Option<SocketAddr>),
+}
+
+/// The services that this node leads.
+#[derive(Default)]
+pub struct LeadDesk {
+    rooms: HashMap<ServiceId, WaitingRoom<Ask>>,
+    rebalancers: HashMap<ServiceId, Rebalancer>,
+}
+
+impl LeadDesk {
+    /// Takes a question in.
+    pub fn ask(&mut self, knowledge: &mut Knowledge, ask: Ask, now: Timestamp) -> Outcome {
+        let room = self.rooms.entry(ask.wanted.service.clone()).or_default();
+        let waits = !ask.patience.is_zero();
+        if !waits || room.lets_pass(ask.priority) {
+            let decision = decide(knowledge, ask, now);
+            if decision.chosen.is_some() || !waits {
+                return Outcome::Decided(decision);
+            }
+            return wait(room, decision.ask, now);
+        }
+        wait(room, ask, now)
+    }
+
+    /// Answers those for which there is room now, and those whose time is over.
+    pub fn settle(&mut self, knowledge: &mut Knowledge, now: Timestamp) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for room in self.rooms.values_mut() {
+            while let Some(first) = room.pop() {
+                let Waiting { item, priority, until } = first;
+                let decision = decide(knowledge, item, now);
+                if decision.chosen.is_none() {
+                    room.put_back(Waiting { item: decision.ask, priority, until });
+                    break;
+                }
+                decisions.push(decision);
+            }
+            let expired = room.expired(now).into_iter();
+            decisions.extend(expired.map(|ask| Decision { ask, chosen: None }));
+        }
+        decisions
+    }
+
+    /// Generations of a service that should move for balance.
+    pub fn reliefs(&mut self, knowledge: &Knowledge, service: &ServiceId, now: Timestamp) -> Vec<Relief> {
+        let Some(traits) = knowledge.engine_traits(service) else {
+            return Vec::new();
+        };
+        let rebalancer = self.rebalancers.entry(service.clone()).or_default();
+        let engines = knowledge.staying(service).filter(|replica| replica.is_usable(now));
+        rebalancer.reliefs(&knowledge.book, engines, &traits, now)
+    }
+}
+
+fn wait(room: &mut WaitingRoom<Ask>, ask: Ask, now: Timestamp) -> Outcome {
+    let there = match &ask.asker {
+        Asker::There(address) => Some(*address),
+        Asker::Here { .. } => None,
+    };
+    let key = ask.key.clone();
+    room.push(Waiting { priority: ask.priority, until: now + ask.patience, item: ask });
+    Outcome::Waits(key, there)
+}
+
+fn decide(knowledge: &mut Knowledge, ask: Ask, now: Timestamp) -> Decision {
+    let chosen = knowledge.choose(&ask.wanted);
+    if let Some(replica) = &chosen {
+        knowledge.book.add(ask.key.clone(), ask.wanted.at(&replica.id), now);
+    }
+    Decision { ask, chosen }
+}
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
+use std::time::Duration;
 
 use bytes::Bytes;
 use leadstage_lib::gateway::load::GenerationSize;
@@ -66,6 +67,10 @@
     pub size: Option<GenerationSize>,
     /// Tokens made so far; above 0 for a generation that moves.
     pub produced: u32,
+    /// Its urgency; 0 goes first.
+    pub priority: u8,
+    /// How long it may wait for a replica with room.
+    pub patience: Duration,
     /// The hall where it came in; for a generation that moves, where it runs.
     pub hall: HallId,
     /// Replicas that are out of the question.
@@ -88,6 +93,8 @@
 pub enum Order {
     /// Its engine leaves: move the generation.
     Evacuate(UpstreamId),
+    /// Its engine fills up: move the generation if there is room elsewhere at once.
+    Relieve(UpstreamId),
 }
 
 /// A replica was chosen.
--- a/node/src/gateway/peer_message.rs
+++ b/node/src/gateway/peer_message.rs
@@ -4,6 +4,7 @@
 //! lost: what must not be lost is told again.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::Run;
@@ -45,6 +46,10 @@
     Place(RemotePlace),
     /// Where it goes; `None` if nowhere.
     Placed(RunId, Option<ReplicaRecord>),
+    /// It waits at the lead until an engine has room.
+    Waits(RunId),
+    /// The generation should move away from this engine.
+    MoveAway(RunId, UpstreamId),
     /// All generations of the sender at a service's engines.
     Inventory(Inventory),
     /// What the sender has learnt of the replicas.
@@ -76,6 +81,10 @@
     pub size: GenerationSize,
     /// Tokens made so far; above 0 for one that moves.
     pub produced: u32,
+    /// Its urgency; 0 goes first.
+    pub priority: u8,
+    /// How long it may wait for an engine with room.
+    pub patience: Duration,
     /// The hall where it came in; for one that moves, where it runs.
     pub hall: HallId,
     /// Engines that are out of the question.
--- a/node/src/gateway/placing.rs
+++ b/node/src/gateway/placing.rs
@@ -1,28 +1,34 @@
-//! Chooses a replica for each request: plain calls here, generations at the service's
+//! Finds a replica for each request: for plain calls here, for generations at the service's
 //! lead, or here while no lead answers.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use leadstage_lib::gateway::lead::Leads;
-use leadstage_lib::gateway::load::EngineRequest;
-use leadstage_lib::gateway::load::LoadBook;
 use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::load::RunId;
 use leadstage_lib::gateway::load::RunKey;
 use leadstage_lib::gateway::replicas::ListChange;
-use leadstage_lib::gateway::replicas::Replica;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
-use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::ids::VmId;
 use log::info;
 use tokio::sync::oneshot;
 
 use crate::gateway::fleet::Fleet;
+use crate::gateway::knowledge::Knowledge;
+use crate::gateway::knowledge::Wanted;
+use crate::gateway::lead_desk;
+use crate::gateway::lead_desk::Ask;
+use crate::gateway::lead_desk::Asker;
+use crate::gateway::lead_desk::Decision;
+use crate::gateway::lead_desk::LeadDesk;
+use crate::gateway::messages::Order;
 use crate::gateway::messages::Outcome;
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::Placed;
@@ -47,18 +53,19 @@
 
 /// A request that waits for a lead's answer.
 struct Pending {
-    request: PlaceRequest,
+    ask: Ask,
     lead: VmId,
-    reply: oneshot::Sender<Option<Placed>>,
+    /// When the lead is passed over.
+    due: Timestamp,
 }
 
-/// What is known of replicas and of the requests at them.
+/// Finds replicas.
 pub struct Placing {
     shared: Arc<Shared>,
     outbox: Outbox,
-    /// The replicas.
-    pub replicas: ReplicaTable,
-    book: LoadBook,
+    /// The replicas, and the requests at them.
+    pub knowledge: Knowledge,
+    desk: LeadDesk,
     leads: Leads,
     pending: HashMap<RunId, Pending>,
     streams: HashMap<RunId, StreamHandle>,
@@ -73,10 +80,10 @@
     /// Knows nothing yet.
     pub fn new(shared: Arc<Shared>, outbox: Outbox, own: VmId) -> Self {
         Placing {
+            knowledge: Knowledge::new(shared.clone()),
             shared,
             outbox,
-            replicas: ReplicaTable::default(),
-            book: LoadBook::default(),
+            desk: LeadDesk::default(),
             leads: Leads::default(),
             pending: HashMap::new(),
             streams: HashMap::new(),
@@ -90,155 +97,232 @@
     /// Places a request, or asks the lead to.
     pub fn place(&mut self, fleet: &Fleet, request: PlaceRequest, reply: oneshot::Sender<Option<Placed>>) {
         self.last_run += 1;
-        let run = self.last_run;
-        match self.lead_for(fleet, &request) {
-            Some(lead) => self.ask(run, lead, request, reply),
-            None => self.place_here(run, request, reply),
+        let ask = Ask {
+            key: self.own_key(self.last_run),
+            wanted: Wanted {
+                service: request.service,
+                size: request.size,
+                produced: request.produced,
+                hall: request.hall,
+                exclude: request.exclude,
+            },
+            priority: request.priority,
+            patience: request.patience,
+            asker: Asker::Here { stream: request.stream, reply },
+        };
+        match self.lead_for(fleet, &ask) {
+            Some((lead, address)) => self.ask_lead(ask, lead, address),
+            None => self.decide_here(ask),
         }
     }
 
     /// The other node that places this request, if there is one.
-    fn lead_for(&self, fleet: &Fleet, request: &PlaceRequest) -> Option<VmId> {
-        request.size?;
-        let lead = self.lead_of(fleet, &request.service);
-        (lead != self.own).then_some(lead)
+    fn lead_for(&self, fleet: &Fleet, ask: &Ask) -> Option<(VmId, SocketAddr)> {
+        ask.wanted.size?;
+        let lead = self.lead_of(fleet, &ask.wanted.service);
+        let address = address_of(&lead).filter(|_| lead != self.own)?;
+        Some((lead, address))
     }
 
     fn lead_of(&self, fleet: &Fleet, service: &ServiceId) -> VmId {
         self.leads.lead_of(service, &self.own, fleet.alive(), self.shared.now()).clone()
     }
 
-    fn ask(&mut self, run: RunId, lead: VmId, request: PlaceRequest, reply: oneshot::Sender<Option<Placed>>) {
-        let (Some(address), Some(size)) = (address_of(&lead), request.size) else {
-            return self.place_here(run, request, reply);
-        };
+    fn ask_lead(&mut self, ask: Ask, lead: VmId, address: SocketAddr) {
+        let run = ask.key.run;
         let remote = RemotePlace {
             run,
-            service: request.service.clone(),
-            size,
-            produced: request.produced,
-            hall: request.hall.clone(),
-            exclude: request.exclude.clone(),
+            service: ask.wanted.service.clone(),
+            size: ask.wanted.size.unwrap_or_default(),
+            produced: ask.wanted.produced,
+            priority: ask.priority,
+            patience: ask.patience,
+            hall: ask.wanted.hall.clone(),
+            exclude: ask.wanted.exclude.clone(),
         };
         self.outbox.send(address, PeerMessage::Place(remote));
-        self.pending.insert(run, Pending { request, lead, reply });
+        let due = self.shared.now() + LEAD_LIMIT;
+        self.pending.insert(run, Pending { ask, lead, due });
+        self.expect_answer(run, LEAD_LIMIT);
+    }
+
+    fn expect_answer(&self, run: RunId, within: Duration) {
         let shared = self.shared.clone();
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(LEAD_LIMIT).await;
+            tokio::time::sleep(within).await;
             shared.tell(ToControl::LeadSilent(run));
         });
     }
 
-    fn place_here(&mut self, run: RunId, request: PlaceRequest, reply: oneshot::Sender<Option<Placed>>) {
-        let chosen = self.choose(&request.service, &wanted(&request));
-        self.settle(run, request, chosen, reply);
+    fn decide_here(&mut self, ask: Ask) {
+        self.update_progress();
+        match self.desk.ask(&mut self.knowledge, ask, self.shared.now()) {
+            lead_desk::Outcome::Decided(decision) => self.answer(decision),
+            lead_desk::Outcome::Waits(key, Some(there)) => {
+                self.outbox.send(there, PeerMessage::Waits(key.run))
+            }
+            lead_desk::Outcome::Waits(_, None) => {}
+        }
     }
 
-    /// Takes a choice into the books and answers the request.
-    fn settle(
-        &mut self,
-        run: RunId,
-        request: PlaceRequest,
-        chosen: Option<Arc<ReplicaRecord>>,
-        reply: oneshot::Sender<Option<Placed>>,
-    ) {
-        let Some(replica) = chosen else {
-            // The request may have been given up meanwhile.
-            let _ = reply.send(None);
-            return;
-        };
-        let key = self.own_key(run);
-        self.book.add(key, run_of(&wanted(&request), &replica.id), self.shared.now());
-        if let Some(stream) = request.stream {
-            self.streams.insert(run, stream);
-        }
-        if reply.send(Some(Placed { run, replica })).is_err() {
-            self.end(run, Outcome::Withdrawn);
+    /// Answers a question of this node or of another one.
+    fn answer(&mut self, decision: Decision) {
+        let Decision { ask, chosen } = decision;
+        let run = ask.key.run;
+        match ask.asker {
+            Asker::There(there) => {
+                let record = chosen.map(|record| (*record).clone());
+                self.outbox.send(there, PeerMessage::Placed(run, record));
+            }
+            Asker::Here { stream, reply } => {
+                if let (Some(_), Some(stream)) = (&chosen, stream) {
+                    self.streams.insert(run, stream);
+                }
+                let placed = chosen.map(|replica| Placed { run, replica });
+                if reply.send(placed).is_err() {
+                    self.end(run, Outcome::Withdrawn);
+                }
+            }
         }
     }
 
     /// The lead answered.
     pub fn on_placed(&mut self, run: RunId, record: Option<ReplicaRecord>) {
-        let Some(Pending { request, lead, reply }) = self.pending.remove(&run) else {
+        let Some(Pending { ask, lead, .. }) = self.pending.remove(&run) else {
             return;
         };
         self.leads.on_answer(&lead);
         let Some(record) = record else {
-            return self.settle(run, request, None, reply);
+            return self.answer(Decision { ask, chosen: None });
         };
-        let known = self.replicas.get(&record.id);
+        let known = self.knowledge.replicas.get(&record.id);
         if known.is_some_and(|replica| replica.leaving.is_some()) {
-            return self.place_here(run, request, reply);
+            return self.decide_here(ask);
         }
+        let now = self.shared.now();
         if known.is_none() {
-            self.replicas.on_entry(record.clone(), self.shared.now(), &mut ListChange::default());
+            self.knowledge.replicas.on_entry(record.clone(), now, &mut ListChange::default());
         }
-        self.settle(run, request, Some(Arc::new(record)), reply);
+        self.knowledge.book.add(ask.key.clone(), ask.wanted.at(&record.id), now);
+        self.answer(Decision { ask, chosen: Some(Arc::new(record)) });
+    }
+
+    /// The request waits at the lead.
+    pub fn on_waits(&mut self, run: RunId) {
+        let Some(pending) = self.pending.get_mut(&run) else {
+            return;
+        };
+        self.leads.on_answer(&pending.lead);
+        pending.due = self.shared.now() + pending.ask.patience + LEAD_LIMIT;
+        let within = pending.ask.patience + LEAD_LIMIT;
+        self.expect_answer(run, within);
     }
 
     /// The lead did not answer in time: this node chooses by what it knows.
     pub fn on_lead_silent(&mut self, run: RunId) {
-        let Some(Pending { request, lead, reply }) = self.pending.remove(&run) else {
+        let now = self.shared.now();
+        if self.pending.get(&run).is_none_or(|pending| pending.due > now) {
+            return;
+        }
+        let Some(Pending { ask, lead, .. }) = self.pending.remove(&run) else {
             return;
         };
-        info!(event = "lead_silent", lead = &*lead, service = &*request.service, run; "the lead did not answer: places alone");
+        info!(event = "lead_silent", lead = &*lead, service = &*ask.wanted.service, run; "the lead did not answer: places alone");
         self.leads.on_silence(&lead, self.shared.now());
-        self.place_here(run, request, reply);
+        self.decide_here(ask);
     }
 
     /// Another node asks this one, as the lead, to place a generation.
-    pub fn on_place(&mut self, from: std::net::SocketAddr, remote: RemotePlace) {
-        let wanted = Wanted {
-            size: Some(remote.size),
-            produced: remote.produced,
-            hall: &remote.hall,
-            exclude: &remote.exclude,
-        };
-        let chosen = self.choose(&remote.service, &wanted);
-        if let Some(replica) = &chosen {
-            let key = RunKey { entry: node_id(from), run: remote.run };
-            self.book.add(key, run_of(&wanted, &replica.id), self.shared.now());
-        }
-        let record = chosen.map(|record| (*record).clone());
-        self.outbox.send(from, PeerMessage::Placed(remote.run, record));
+    pub fn on_place(&mut self, from: SocketAddr, remote: RemotePlace) {
+        self.decide_here(Ask {
+            key: RunKey { entry: node_id(from), run: remote.run },
+            wanted: Wanted {
+                service: remote.service,
+                size: Some(remote.size),
+                produced: remote.produced,
+                hall: remote.hall,
+                exclude: remote.exclude,
+            },
+            priority: remote.priority,
+            patience: remote.patience,
+            asker: Asker::There(from),
+        });
     }
 
     /// Another node tells what it runs.
-    pub fn on_inventory(&mut self, from: std::net::SocketAddr, inventory: Inventory) {
-        self.book.on_inventory(&node_id(from), inventory.runs, inventory.last);
+    pub fn on_inventory(&mut self, from: SocketAddr, inventory: Inventory) {
+        self.knowledge.book.on_inventory(&node_id(from), inventory.runs, inventory.last);
     }
 
     /// Another node is gone.
     pub fn on_node_gone(&mut self, node: &VmId) {
-        self.book.on_entry_gone(node);
+        self.knowledge.book.on_entry_gone(node);
+    }
+
+    /// The lead wants a generation of this node to move for balance.
+    pub fn on_move_away(&self, run: RunId, engine: UpstreamId) {
+        if let Some(stream) = self.streams.get(&run) {
+            // A stream that has just ended needs no order.
+            let _ = stream.orders.send(Order::Relieve(engine));
+        }
     }
 
     /// A generation that was copied runs at its new engine now.
     pub fn on_arrived(&mut self, run: RunId) {
         let key = self.own_key(run);
-        self.book.on_arrived(&key);
+        self.knowledge.book.on_arrived(&key);
     }
 
     /// A request is no longer at its replica.
     pub fn end(&mut self, run: RunId, outcome: Outcome) {
         self.streams.remove(&run);
         let key = self.own_key(run);
-        let Some(run) = self.book.remove(&key) else {
+        let Some(run) = self.knowledge.book.remove(&key) else {
             return;
         };
+        let replicas = &mut self.knowledge.replicas;
         match outcome {
-            Outcome::Answered => self.replicas.on_success(&run.replica),
-            Outcome::Failed => self.replicas.on_failure(&run.replica, self.shared.now()),
+            Outcome::Answered => replicas.on_success(&run.replica),
+            Outcome::Failed => replicas.on_failure(&run.replica, self.shared.now()),
             Outcome::Refused | Outcome::Withdrawn => {}
         }
     }
 
     /// This node's streams at a replica.
     pub fn streams_at(&self, replica: &str) -> Vec<StreamHandle> {
-        let own = self.book.at(replica).filter(|(key, _)| key.entry == self.own);
+        let own = self.knowledge.book.at(replica).filter(|(key, _)| key.entry == self.own);
         own.filter_map(|(key, _)| self.streams.get(&key.run).cloned()).collect()
     }
 
+    /// Does a lead's work that is due: answers who waits, and has generations move.
+    pub fn lead(&mut self, fleet: &Fleet) {
+        let now = self.shared.now();
+        self.update_progress();
+        for decision in self.desk.settle(&mut self.knowledge, now) {
+            self.answer(decision);
+        }
+        let Some(table) = self.shared.table() else {
+            return;
+        };
+        let models = table.services().filter(|service| service.engine.is_some());
+        for service in models.map(|service| service.name.clone()) {
+            if self.lead_of(fleet, &service) == self.own {
+                self.rebalance(&service);
+            }
+        }
+    }
+
+    fn rebalance(&mut self, service: &ServiceId) {
+        for relief in self.desk.reliefs(&self.knowledge, service, self.shared.now()) {
+            info!(event = "relief", upstream = &*relief.from, entry = &*relief.key.entry, run = relief.key.run; "a generation should move for balance");
+            if relief.key.entry == self.own {
+                self.on_move_away(relief.key.run, relief.from);
+            } else if let Some(address) = address_of(&relief.key.entry) {
+                self.outbox.send(address, PeerMessage::MoveAway(relief.key.run, relief.from));
+            }
+        }
+    }
+
     /// Tells the leads what this node runs, when it is time.
     pub fn tell_leads(&mut self, fleet: &Fleet) {
         let now = self.shared.now();
@@ -248,8 +332,9 @@
         self.last_inventory = now;
         self.update_progress();
         let mut by_service: HashMap<ServiceId, Vec<(RunId, Run)>> = HashMap::new();
-        for (key, run) in self.book.iter().filter(|(key, run)| key.entry == self.own && run.size.is_some()) {
-            if let Some(replica) = self.replicas.get(&run.replica) {
+        let own = self.knowledge.book.iter().filter(|(key, run)| key.entry == self.own && run.size.is_some());
+        for (key, run) in own {
+            if let Some(replica) = self.knowledge.replicas.get(&run.replica) {
                 let service = replica.record.service.clone();
                 by_service.entry(service).or_default().push((key.run, run.clone()));
             }
@@ -274,75 +359,25 @@
             return;
         }
         if let Some(address) = address_of(&lead) {
-            let inventory = Inventory { runs, last: self.last_run };
+            let inventory = Inventory { runs, last: self.newest_settled() };
             self.outbox.send(address, PeerMessage::Inventory(inventory));
         }
     }
 
+    /// The newest request of this node before which none waits for a lead.
+    fn newest_settled(&self) -> RunId {
+        let oldest_pending = self.pending.keys().min();
+        oldest_pending.map_or(self.last_run, |run| run - 1)
+    }
+
     fn update_progress(&mut self) {
         for (run, stream) in &self.streams {
             let key = RunKey { entry: self.own.clone(), run: *run };
-            self.book.on_progress(&key, stream.produced.load(Ordering::Relaxed));
+            self.knowledge.book.on_progress(&key, stream.produced.load(Ordering::Relaxed));
         }
     }
 
-    fn choose(&mut self, service: &ServiceId, wanted: &Wanted<'_>) -> Option<Arc<ReplicaRecord>> {
-        self.update_progress();
-        let now = self.shared.now();
-        let table = self.shared.table()?;
-        let engine = table.service(service).and_then(|s| s.engine.as_ref());
-        let candidates = self.candidates(service, wanted.exclude);
-        let rng = &mut rand::rng();
-        let chosen = match (engine, wanted.size) {
-            (Some(engine), Some(size)) => {
-                let request = EngineRequest { size, engine, hall: wanted.hall, produced: wanted.produced };
-                let engines = candidates.len();
-                let choice = self.book.choose_engine(candidates.into_iter(), &request, now, rng);
-                if let Some(choice) = &choice {
-                    info!(event = "engine_chosen", upstream = &*choice.replica.record.id, service = &**service, prompt = size.prompt, expected = size.expected, produced = wanted.produced, engines, runs = choice.runs, fill:% = format_args!("{:.2}", choice.fill), wait_ms = choice.wait.as_millis() as u64, cost_ms:% = format_args!("{:.0}", choice.cost); "engine chosen");
-                }
-                choice.map(|choice| choice.replica)
-            }
-            _ => self.book.choose_plain(candidates.into_iter(), wanted.hall, rng),
-        };
-        chosen.map(|replica| replica.record.clone())
-    }
-
-    /// Replicas that may get a request; those that rest after failures only when there are
-    /// no others.
-    fn candidates(&self, service: &ServiceId, exclude: &[UpstreamId]) -> Vec<&Replica> {
-        let now = self.shared.now();
-        let staying: Vec<&Replica> = self
-            .replicas
-            .of_service(service)
-            .filter(|r| r.leaving.is_none() && !exclude.contains(&r.record.id))
-            .collect();
-        let usable: Vec<&Replica> = staying.iter().filter(|r| r.is_usable(now)).copied().collect();
-        if usable.is_empty() { staying } else { usable }
-    }
-
     fn own_key(&self, run: RunId) -> RunKey {
         RunKey { entry: self.own.clone(), run }
     }
 }
-
-/// What is wanted of a replica.
-struct Wanted<'a> {
-    size: Option<leadstage_lib::gateway::load::GenerationSize>,
-    produced: u32,
-    hall: &'a leadstage_lib::ids::HallId,
-    exclude: &'a [UpstreamId],
-}
-
-fn wanted(request: &PlaceRequest) -> Wanted<'_> {
-    Wanted { size: request.size, produced: request.produced, hall: &request.hall, exclude: &request.exclude }
-}
-
-fn run_of(wanted: &Wanted<'_>, replica: &UpstreamId) -> Run {
-    Run {
-        replica: replica.clone(),
-        size: wanted.size,
-        produced: wanted.produced,
-        arriving: wanted.produced > 0,
-    }
-}
--- a/node/src/gateway/plain.rs
+++ b/node/src/gateway/plain.rs
@@ -1,5 +1,7 @@
 //! Plain calls: answered whole by one replica, sent again only where that is allowed.
 
+use std::time::Duration;
+
 use http::Response;
 use http_body_util::Either;
 use http_body_util::Full;
@@ -48,6 +50,8 @@
             service: req.service.clone(),
             size: None,
             produced: 0,
+            priority: req.priority(),
+            patience: Duration::ZERO,
             hall: traffic.shared.settings.hall.clone(),
             exclude: tried.clone(),
             stream: None,
--- a/node/src/gateway/streams.rs
+++ b/node/src/gateway/streams.rs
@@ -12,6 +12,8 @@
 use http_body_util::Either;
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::load::GenerationSize;
+use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::waiting;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::connect::CallError;
 use leadstage_platform::engine;
@@ -108,6 +110,8 @@
             service: req.service.clone(),
             size: Some(size(req)),
             produced: 0,
+            priority: req.priority(),
+            patience: waiting::patience(req.route.objective),
             hall: traffic.shared.settings.hall.clone(),
             exclude: tried.clone(),
             stream: Some(handle.clone()),
@@ -218,6 +222,8 @@
     moving: Option<AbortOnDropHandle<()>>,
     /// Where the generation goes on once it has stopped.
     stopping: Option<Copied>,
+    /// The engine began to leave while a move was under way.
+    leaves: bool,
     moves: u32,
     pace: Pace,
 }
@@ -263,6 +269,7 @@
             steps_tx,
             moving: None,
             stopping: None,
+            leaves: false,
             moves: 0,
             pace: Pace::default(),
         }
@@ -339,19 +346,29 @@
     }
 
     fn on_order(&mut self, order: Order) {
-        let Order::Evacuate(engine) = order;
-        if self.moving.is_some() || self.leg.run.placed.replica.id != engine {
+        let (engine, insist) = match order {
+            Order::Evacuate(engine) => (engine, EVACUATE_WITHIN),
+            Order::Relieve(engine) => (engine, Duration::ZERO),
+        };
+        let evacuates = !insist.is_zero();
+        if self.leg.run.placed.replica.id != engine || (self.moving.is_some() && !evacuates) {
+            return;
+        }
+        if self.moving.is_some() {
+            // A move for balance may give up where one from a leaving engine must not.
+            self.leaves = true;
             return;
         }
-        self.start_copy();
+        self.start_copy(insist);
     }
 
-    fn start_copy(&mut self) {
+    fn start_copy(&mut self, insist: Duration) {
         let copying = Copying {
             traffic: self.traffic.clone(),
             req: self.req.clone(),
             handle: self.handle.clone(),
             source: self.leg.run.placed.replica.clone(),
+            insist,
         };
         let steps = self.steps_tx.clone();
         self.moving = Some(AbortOnDropHandle::new(tokio::task::spawn_local(async move {
@@ -380,6 +397,9 @@
             }
             Step::GaveUp => {
                 self.moving = None;
+                if std::mem::take(&mut self.leaves) {
+                    self.start_copy(EVACUATE_WITHIN);
+                }
                 Ok(())
             }
         }
@@ -462,6 +482,7 @@
         old.run.end(Outcome::Withdrawn);
         self.traffic.shared.tell(ToControl::Arrived(self.leg.run.placed.run));
         self.moves += 1;
+        self.leaves = false;
         Ok(())
     }
 
@@ -513,27 +534,32 @@
     traffic: Traffic,
     req: Arc<CallerRequest>,
     handle: StreamHandle,
-    source: Arc<leadstage_lib::gateway::replicas::ReplicaRecord>,
+    source: Arc<ReplicaRecord>,
+    /// How long to go on trying.
+    insist: Duration,
 }
 
 impl Copying {
     async fn copy(self) -> Step {
-        let until = Instant::now() + EVACUATE_WITHIN;
+        let until = Instant::now() + self.insist;
         let mut exclude: Vec<UpstreamId> = vec![self.source.id.clone()];
-        while Instant::now() < until {
-            let Some(target) = self.target(&exclude).await else {
-                exclude.truncate(1);
-                tokio::time::sleep(COPY_PAUSE).await;
-                continue;
-            };
-            match self.copy_to(target).await {
-                Ok(copied) => return Step::Copied(copied),
-                Err(NotCopied::SourceGone) => return Step::GaveUp,
-                Err(NotCopied::Elsewhere(refused)) => exclude.push(refused),
-                Err(NotCopied::Later) => tokio::time::sleep(COPY_PAUSE).await,
+        loop {
+            match self.target(&exclude).await {
+                Some(target) => match self.copy_to(target).await {
+                    Ok(copied) => return Step::Copied(copied),
+                    Err(NotCopied::SourceGone) => return Step::GaveUp,
+                    Err(NotCopied::Elsewhere(refused)) => exclude.push(refused),
+                    Err(NotCopied::Later) => tokio::time::sleep(COPY_PAUSE).await,
+                },
+                None => {
+                    exclude.truncate(1);
+                    tokio::time::sleep(COPY_PAUSE).await;
+                }
+            }
+            if Instant::now() >= until {
+                return Step::GaveUp;
             }
         }
-        Step::GaveUp
     }
 
     async fn target(&self, exclude: &[UpstreamId]) -> Option<RunGuard> {
@@ -541,6 +567,8 @@
             service: self.req.service.clone(),
             size: Some(size(&self.req)),
             produced: self.handle.produced.load(Ordering::Relaxed).max(1),
+            priority: 0,
+            patience: Duration::ZERO,
             hall: self.source.hall.clone(),
             exclude: exclude.to_vec(),
             stream: Some(self.handle.clone()),
