evacuation: near targets and the worth-most first; measured reading rate

Cause: copies to other halls take twice the source link's time, so of 5 generations at a leaving engine 2 were cut; one whose target began to leave as well was never told; prompts were taken to be read at 10 tokens a ms where 7 were measured. Ruled out: targets by memory alone.

--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -31,9 +31,9 @@
     pub run: RunId,
 }
 
-/// Prompt tokens that an engine reads in a millisecond beside running streams; from the
-/// first events of calm days, which come about 0.1 ms a prompt token after the request.
-const READ_TOKENS_PER_MS: f64 = 10.0;
+/// Prompt tokens that an engine reads in a millisecond beside running streams: prompts of
+/// 3,000 tokens had their first event after 430 ms at idle engines of the calm days.
+const READ_TOKENS_PER_MS: f64 = 7.0;
 /// Milliseconds that one more running stream adds to the cost of an engine: each makes
 /// every step a little longer, and is one more to move when the engine leaves.
 const COST_PER_RUN_MS: f64 = 25.0;
@@ -46,6 +46,8 @@
 const COST_OTHER_HALL_MS: f64 = 12.0;
 /// Part of an engine's memory that expected use may reach without a cost.
 const MEMORY_AT_EASE: f64 = 0.7;
+/// The same for generations that move: the links' time is scarcer than the memory.
+const MEMORY_AT_EASE_FOR_MOVES: f64 = 0.85;
 /// Part of an engine's memory that new generations may fill. The rest is for those that
 /// move when other engines leave, which are worth more: their callers have waited already.
 const ADMITS_UP_TO: f64 = 0.9;
@@ -56,7 +58,7 @@
 /// Cost of one request in flight at a plain replica, against [`COST_OTHER_HALL_MS`].
 const COST_PER_CALL_MS: f64 = 30.0;
 /// Cost of a move to another hall: copies take twice as long there.
-const COST_FAR_MOVE_MS: f64 = 150.0;
+const COST_FAR_MOVE_MS: f64 = 600.0;
 /// Cost of a move to an engine that another one moves to: its link carries one copy after
 /// the other, each some 200 ms.
 const COST_PER_ARRIVING_MS: f64 = 200.0;
@@ -241,12 +243,16 @@
         let runs = self.at(id).count();
         let own = soon(request.size, request.produced);
         let fill = self.fill(id, request.engine) + own / f64::from(request.engine.memory_tokens.max(1));
-        let beyond = (fill - MEMORY_AT_EASE).max(0.0) / (1.0 - MEMORY_AT_EASE);
-        let move_cost = if moves { arriving as f64 * COST_PER_ARRIVING_MS } else { 0.0 };
-        let far_cost = if far { COST_FAR_MOVE_MS } else { 0.0 };
-        let cost = millis(wait)
-            + move_cost
-            + far_cost
+        // A copy goes ahead of the prompts that wait there.
+        let way = if moves {
+            let far_cost = if far { COST_FAR_MOVE_MS } else { 0.0 };
+            arriving as f64 * COST_PER_ARRIVING_MS + far_cost
+        } else {
+            millis(wait)
+        };
+        let at_ease = if moves { MEMORY_AT_EASE_FOR_MOVES } else { MEMORY_AT_EASE };
+        let beyond = (fill - at_ease).max(0.0) / (1.0 - at_ease);
+        let cost = way
             + runs as f64 * COST_PER_RUN_MS
             + beyond * beyond * COST_FULL_MEMORY_MS
             + general_cost(replica, request.hall, rng);
--- a/node/src/gateway/streams.rs
+++ b/node/src/gateway/streams.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Either;
 use leadstage_lib::code::Code;
+use leadstage_lib::gateway::evacuation;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::waiting;
@@ -144,7 +145,8 @@
 
 fn size(req: &CallerRequest) -> GenerationSize {
     let said = headers::size(&req.headers);
-    GenerationSize { prompt: said.prompt_tokens, expected: said.length_hint.unwrap_or(said.max_tokens) }
+    let expected = said.length_hint.unwrap_or(said.max_tokens).min(said.max_tokens);
+    GenerationSize { prompt: said.prompt_tokens, expected }
 }
 
 fn added<'a>(req: &'a CallerRequest, target: &'a str, resume: Option<&'a CopySource>) -> Added<'a> {
@@ -192,7 +194,7 @@
     /// The call that stops the generation was answered, or got no answer.
     StopAnswered(Option<CopyOutcome>),
     /// No copy could be made.
-    GaveUp,
+    GaveUp(NotCopied),
 }
 
 /// How a relay ended.
@@ -222,8 +224,8 @@
     moving: Option<AbortOnDropHandle<()>>,
     /// Where the generation goes on once it has stopped.
     stopping: Option<Copied>,
-    /// The engine began to leave while a move was under way.
-    leaves: bool,
+    /// Engines that leave, of those that the generation ran or was to run on.
+    leaving: Vec<UpstreamId>,
     moves: u32,
     pace: Pace,
 }
@@ -269,7 +271,7 @@
             steps_tx,
             moving: None,
             stopping: None,
-            leaves: false,
+            leaving: Vec::new(),
             moves: 0,
             pace: Pace::default(),
         }
@@ -346,20 +348,25 @@
     }
 
     fn on_order(&mut self, order: Order) {
-        let (engine, insist) = match order {
-            Order::Evacuate(engine) => (engine, EVACUATE_WITHIN),
-            Order::Relieve(engine) => (engine, Duration::ZERO),
-        };
-        let evacuates = !insist.is_zero();
-        if self.leg.run.placed.replica.id != engine || (self.moving.is_some() && !evacuates) {
-            return;
+        let here = &self.leg.run.placed.replica.id;
+        match order {
+            Order::Relieve(engine) if engine == *here && self.moving.is_none() => {
+                self.start_copy(Duration::ZERO)
+            }
+            Order::Relieve(_) => {}
+            Order::Evacuate(engine) => {
+                self.leaving.push(engine);
+                self.leave();
+            }
         }
-        if self.moving.is_some() {
-            // A move for balance may give up where one from a leaving engine must not.
-            self.leaves = true;
-            return;
+    }
+
+    /// Starts to move the generation if its engine leaves and no move is under way. One that
+    /// is under way goes on, even to an engine that leaves as well: that is still later.
+    fn leave(&mut self) {
+        if self.moving.is_none() && self.leaving.contains(&self.leg.run.placed.replica.id) {
+            self.start_copy(EVACUATE_WITHIN);
         }
-        self.start_copy(insist);
     }
 
     fn start_copy(&mut self, insist: Duration) {
@@ -379,6 +386,13 @@
 
     async fn on_step(&mut self, step: Step, steps: &mut UnboundedReceiver<Step>) -> Result<(), End> {
         match step {
+            Step::Copied(copied) if self.leaving.contains(&copied.target.placed.replica.id) => {
+                info!(event = "copy_dropped", request = self.req.id(), upstream = &*copied.target.placed.replica.id; "the copy's engine leaves as well");
+                self.moving = None;
+                drop(copied);
+                self.leave();
+                Ok(())
+            }
             Step::Copied(copied) => {
                 self.start_stop(copied);
                 Ok(())
@@ -395,10 +409,10 @@
                     None => self.go_on_elsewhere(steps).await,
                 }
             }
-            Step::GaveUp => {
+            Step::GaveUp(why) => {
                 self.moving = None;
-                if std::mem::take(&mut self.leaves) {
-                    self.start_copy(EVACUATE_WITHIN);
+                if why != NotCopied::SourceGone {
+                    self.leave();
                 }
                 Ok(())
             }
@@ -482,7 +496,7 @@
         old.run.end(Outcome::Withdrawn);
         self.traffic.shared.tell(ToControl::Arrived(self.leg.run.placed.run));
         self.moves += 1;
-        self.leaves = false;
+        self.leave();
         Ok(())
     }
 
@@ -520,6 +534,7 @@
 }
 
 /// Why there is no copy.
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum NotCopied {
     /// The engine that it runs on is gone.
     SourceGone,
@@ -541,13 +556,17 @@
 
 impl Copying {
     async fn copy(self) -> Step {
+        if !self.insist.is_zero() {
+            let produced = self.handle.produced.load(Ordering::Relaxed);
+            tokio::time::sleep(evacuation::start_delay(size(&self.req), produced)).await;
+        }
         let until = Instant::now() + self.insist;
         let mut exclude: Vec<UpstreamId> = vec![self.source.id.clone()];
         loop {
             match self.target(&exclude).await {
                 Some(target) => match self.copy_to(target).await {
                     Ok(copied) => return Step::Copied(copied),
-                    Err(NotCopied::SourceGone) => return Step::GaveUp,
+                    Err(NotCopied::SourceGone) => return Step::GaveUp(NotCopied::SourceGone),
                     Err(NotCopied::Elsewhere(refused)) => exclude.push(refused),
                     Err(NotCopied::Later) => tokio::time::sleep(COPY_PAUSE).await,
                 },
@@ -557,7 +576,7 @@
                 }
             }
             if Instant::now() >= until {
-                return Step::GaveUp;
+                return Step::GaveUp(NotCopied::Later);
             }
         }
     }
