reload: SIGHUP and changed settings are taken in while the node runs

Ruled out: a crash in the program: no panic, the code is that of the signal. The retry budget is shared by the nodes that are alive instead of an assumed nine.

--- a/lib/src/gateway/retry_window.rs
+++ b/lib/src/gateway/retry_window.rs
@@ -8,34 +8,40 @@
 /// Part of the allowed ratio that the node uses; the rest covers windows that slide
 /// differently at the replicas.
 const SAFETY: f64 = 0.7;
+/// Requests that are counted at most, to bound the memory between two repeats.
+const MOST_COUNTED: usize = 10_000;
+
+/// What this node may send again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryShare {
+    /// The window in which it holds.
+    pub window: Duration,
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats beyond the ratio: this node's share of what the fleet may send.
+    pub slack: f64,
+}
 
 /// Counts requests and repeats of one service in a sliding window.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct RetryWindow {
-    window: Duration,
-    ratio: f64,
-    slack: f64,
     requests: VecDeque<Timestamp>,
     repeats: VecDeque<Timestamp>,
 }
 
 impl RetryWindow {
-    /// Allows `ratio` repeats for each request in `window`, and `slack` more: this node's
-    /// share of what the fleet may send.
-    pub fn new(window: Duration, ratio: f64, slack: f64) -> Self {
-        RetryWindow { window, ratio, slack, requests: VecDeque::new(), repeats: VecDeque::new() }
-    }
-
     /// A request came.
     pub fn on_request(&mut self, now: Timestamp) {
         self.requests.push_back(now);
-        self.forget(now);
+        if self.requests.len() > MOST_COUNTED {
+            self.requests.pop_front();
+        }
     }
 
     /// Takes a repeat; false when the budget is used up.
-    pub fn take(&mut self, now: Timestamp) -> bool {
-        self.forget(now);
-        let allowed = (self.requests.len() as f64 * self.ratio + self.slack) * SAFETY;
+    pub fn take(&mut self, now: Timestamp, share: &RetryShare) -> bool {
+        self.forget(now.saturating_sub(share.window));
+        let allowed = (self.requests.len() as f64 * share.ratio + share.slack) * SAFETY;
         if self.repeats.len() as f64 + 1.0 > allowed {
             return false;
         }
@@ -43,8 +49,7 @@
         true
     }
 
-    fn forget(&mut self, now: Timestamp) {
-        let oldest = now.saturating_sub(self.window);
+    fn forget(&mut self, oldest: Timestamp) {
         for times in [&mut self.requests, &mut self.repeats] {
             while times.front().is_some_and(|t| *t < oldest) {
                 times.pop_front();
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -22,6 +22,7 @@
 mod peer_message;
 mod placing;
 mod plain;
+mod reload;
 mod reply;
 pub mod settings;
 mod shared;
@@ -29,4 +30,5 @@
 mod stop;
 mod streams;
 
+pub use start::SettingsFile;
 pub use start::run;
--- a/node/src/gateway/caller_port.rs
+++ b/node/src/gateway/caller_port.rs
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use leadstage_lib::code::Code;
+use leadstage_lib::gateway::retry_window::RetryShare;
 use leadstage_lib::gateway::retry_window::RetryWindow;
 use leadstage_lib::gateway::routing::CallerLimits;
 use leadstage_lib::gateway::routing::Repeat;
@@ -53,8 +54,9 @@
 const LEAST_HEAD_BYTES: usize = 8 << 10;
 /// Time between two sweeps of unused connections.
 const SWEEP: Duration = Duration::from_secs(1);
-/// Nodes that share the retry budget, until the peers are known.
-const ASSUMED_NODES: f64 = 9.0;
+/// Nodes that share the retry budget at least: a node that is cut off from the others must
+/// not take all of it.
+const LEAST_NODES: usize = 6;
 
 /// What the requests of the traffic thread share.
 #[derive(Clone)]
@@ -74,7 +76,13 @@
     /// Takes one repeat of a request to a service from the budget.
     pub fn take_retry(&self, service: &ServiceId) -> bool {
         let now = self.shared.now();
-        self.with_window(service, |window| window.take(now))
+        let bounds = self.shared.bounds();
+        let share = RetryShare {
+            window: bounds.retry_window,
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack / self.shared.nodes().max(LEAST_NODES) as f64,
+        };
+        self.with_window(service, |window| window.take(now, &share))
     }
 
     fn on_request(&self, service: &ServiceId) {
@@ -83,12 +91,8 @@
     }
 
     fn with_window<T>(&self, service: &ServiceId, act: impl FnOnce(&mut RetryWindow) -> T) -> T {
-        let bounds = &self.shared.settings.bounds;
         let mut windows = self.retries.borrow_mut();
-        let window = windows.entry(service.clone()).or_insert_with(|| {
-            RetryWindow::new(bounds.retry_window, bounds.retry_ratio, bounds.retry_slack / ASSUMED_NODES)
-        });
-        act(window)
+        act(windows.entry(service.clone()).or_default())
     }
 
     /// A replica turned a request away.
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -90,6 +90,7 @@
             }
             ToControl::ConfigurationNotFetched => self.fetching = false,
             ToControl::Datagram(datagram) => self.on_datagram(datagram),
+            ToControl::Seeds(seeds) => self.fleet.set_seeds(&seeds),
             ToControl::Stopping => self.fleet.leave(),
         }
     }
@@ -99,6 +100,7 @@
         for node in self.fleet.tick(now) {
             self.placing.on_node_gone(&node);
         }
+        self.shared.set_nodes(self.fleet.alive().count() + 1);
         let change = self.placing.knowledge.replicas.tick(now, FORGET_AFTER);
         self.on_list_change(&change);
         self.placing.tell_leads(&self.fleet);
--- a/node/src/gateway/fleet.rs
+++ b/node/src/gateway/fleet.rs
@@ -57,9 +57,7 @@
     /// A view that knows the seeds only.
     pub fn new(own_address: SocketAddr, seeds: &[SocketAddr], outbox: Outbox) -> Self {
         let own = node_id(own_address);
-        // Seeds name another port of their nodes; all nodes use the same peer port.
-        let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), own_address.port()));
-        let seeds: BTreeSet<SocketAddr> = seeds.filter(|seed| *seed != own_address).collect();
+        let seeds = peer_addresses(seeds, own_address);
         Fleet {
             membership: Membership::new(own.clone(), unix_millis(), rand::rng().random()),
             own,
@@ -72,6 +70,12 @@
         }
     }
 
+    /// The settings name other seeds.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.seeds = peer_addresses(seeds, self.own_address);
+        self.known.extend(&self.seeds);
+    }
+
     /// This node's id in the fleet.
     pub fn own(&self) -> &VmId {
         &self.own
@@ -226,3 +230,10 @@
         self.outbox.send(via, PeerMessage::ProbeFor(self.last_probe, address));
     }
 }
+
+/// The peer addresses of seeds, without this node's own. Seeds name another port of their
+/// nodes; all nodes use the same peer port.
+fn peer_addresses(seeds: &[SocketAddr], own: SocketAddr) -> BTreeSet<SocketAddr> {
+    let addresses = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), own.port()));
+    addresses.filter(|address| *address != own).collect()
+}
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -42,6 +42,8 @@
     ConfigurationNotFetched,
     /// A message from another node.
     Datagram(Datagram),
+    /// The settings name other seeds.
+    Seeds(Vec<SocketAddr>),
     /// A planned stop has begun.
     Stopping,
 }
--- a/node/src/gateway/settings.rs
+++ b/node/src/gateway/settings.rs
@@ -111,6 +111,14 @@
 }
 
 impl GatewaySettings {
+    /// Whether `other` has the same identity and addresses, which only a restart changes.
+    pub fn same_addresses(&self, other: &GatewaySettings) -> bool {
+        let fixed = |s: &GatewaySettings| {
+            (s.vm.clone(), s.hall.clone(), [s.listen, s.ready, s.peer, s.metrics, s.store])
+        };
+        fixed(self) == fixed(other)
+    }
+
     /// Reads and checks a settings file; the error lists every mistake.
     pub fn from_yaml(yaml: &str) -> Result<GatewaySettings, Vec<Problem>> {
         let (file, mut problems) = checked_yaml::read::<SettingsFile>(yaml);
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -19,6 +19,7 @@
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::Placed;
 use crate::gateway::messages::ToControl;
+use crate::gateway::settings::Bounds;
 use crate::gateway::settings::GatewaySettings;
 
 /// How far a node is between its start and its end.
@@ -42,12 +43,16 @@
     phase: watch::Sender<Phase>,
     open: AtomicUsize,
     stop_began: OnceLock<Timestamp>,
+    bounds: RwLock<Bounds>,
+    nodes: AtomicUsize,
 }
 
 impl Shared {
     /// The state of a node that has just started.
     pub fn new(settings: GatewaySettings, control: UnboundedSender<ToControl>) -> Self {
         Shared {
+            bounds: RwLock::new(settings.bounds.clone()),
+            nodes: AtomicUsize::new(1),
             settings,
             started: Instant::now(),
             control,
@@ -83,6 +88,26 @@
         newer
     }
 
+    /// Bounds that hold for the whole fleet.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.read().expect("no holder panics").clone()
+    }
+
+    /// Replaces them.
+    pub fn set_bounds(&self, new: Bounds) {
+        *self.bounds.write().expect("no holder panics") = new;
+    }
+
+    /// Nodes of the fleet that are taken to be alive, this one included.
+    pub fn nodes(&self) -> usize {
+        self.nodes.load(Ordering::Relaxed)
+    }
+
+    /// Publishes how many nodes are taken to be alive.
+    pub fn set_nodes(&self, nodes: usize) {
+        self.nodes.store(nodes, Ordering::Relaxed);
+    }
+
     /// How far the node is.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
@@ -110,7 +135,7 @@
 
     /// Time that is left to requests that come now, if a planned stop has begun.
     pub fn left_to_serve(&self) -> Option<Duration> {
-        let ends = *self.stop_began.get()? + self.settings.bounds.stop_within;
+        let ends = *self.stop_began.get()? + self.bounds().stop_within;
         Some(ends.saturating_sub(self.now()))
     }
 
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use derive_more::Display;
@@ -24,6 +25,7 @@
 use crate::gateway::messages::ToControl;
 use crate::gateway::outbox;
 use crate::gateway::outbox::Outbox;
+use crate::gateway::reload;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shared::Shared;
 use crate::gateway::stop;
@@ -47,8 +49,16 @@
     Signal(io::Error),
 }
 
+/// The file that the settings were read from.
+pub struct SettingsFile {
+    /// Where it is.
+    pub path: PathBuf,
+    /// What was in it.
+    pub text: String,
+}
+
 /// Runs a gateway node until a planned stop has ended.
-pub fn run(settings: GatewaySettings) -> Result<(), RunError> {
+pub fn run(settings: GatewaySettings, file: SettingsFile) -> Result<(), RunError> {
     let (tx, rx) = mpsc::unbounded_channel();
     let shared = Arc::new(Shared::new(settings, tx));
     let settings = &shared.settings;
@@ -57,10 +67,14 @@
     let thread = std::thread::Builder::new().name("traffic".to_owned());
     thread.spawn(move || traffic_thread(traffic)).map_err(RunError::Runtime)?;
     let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime)?;
-    LocalSet::new().block_on(&runtime, control_thread(shared, rx))
+    LocalSet::new().block_on(&runtime, control_thread(shared, rx, file))
 }
 
-async fn control_thread(shared: Arc<Shared>, rx: mpsc::UnboundedReceiver<ToControl>) -> Result<(), RunError> {
+async fn control_thread(
+    shared: Arc<Shared>,
+    rx: mpsc::UnboundedReceiver<ToControl>,
+    file: SettingsFile,
+) -> Result<(), RunError> {
     let ready = listen(shared.settings.ready).await?;
     tokio::task::spawn_local(balancer_port::serve(shared.clone(), ready));
     tokio::task::spawn_local(follow::follow::<Configuration>(shared.clone(), ToControl::Configuration));
@@ -71,7 +85,11 @@
     tokio::task::spawn_local(outbox::receive(socket.clone(), shared.clone()));
     let outbox = Outbox::new(socket, shared.clone());
     tokio::task::spawn_local(Control::new(shared.clone(), outbox).run(rx));
-    stop::wait(&shared).await.map_err(RunError::Signal)
+    let reloads = reload::follow(shared.clone(), file.path, file.text);
+    tokio::select! {
+        stopped = stop::wait(&shared) => stopped.map_err(RunError::Signal),
+        failed = reloads => failed.map_err(RunError::Signal),
+    }
 }
 
 /// Serves callers; without this thread the node is of no use, so its end ends the process.
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -51,7 +51,7 @@
     shared.tell(ToControl::Stopping);
     let began = Instant::now();
     info!(event = "stop", open = shared.open_requests(); "planned stop begins");
-    let last = began + shared.settings.bounds.stop_within.saturating_sub(END_MARGIN);
+    let last = began + shared.bounds().stop_within.saturating_sub(END_MARGIN);
     tokio::time::sleep(BALANCER_NOTICES.min(last - began)).await;
     while shared.open_requests() > 0 && Instant::now() < last {
         tokio::time::sleep(POLL).await;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -46,6 +46,7 @@
 use log::info;
 use tokio::sync::mpsc;
 
+use crate::gateway::SettingsFile;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::settings::Interface;
 use crate::metrics::Metrics;
@@ -100,7 +101,7 @@
 
 enum Command {
     Run(Settings),
-    RunGateway(GatewaySettings),
+    RunGateway(GatewaySettings, SettingsFile),
     Print(String),
 }
 
@@ -121,13 +122,13 @@
     };
     let mut logger = env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"));
     logger.format_timestamp_millis();
-    if matches!(command, Command::RunGateway(_)) {
+    if matches!(command, Command::RunGateway(..)) {
         logger.target(env_logger::Target::Stdout);
     }
     logger.init();
     abort_on_control_panic();
     let result = match command {
-        Command::RunGateway(settings) => gateway::run(settings).map_err(Into::into),
+        Command::RunGateway(settings, file) => gateway::run(settings, file).map_err(Into::into),
         Command::Run(settings) => run(settings),
         Command::Print(_) => Ok(()),
     };
@@ -156,10 +157,14 @@
         }
     }
     let path = path.ok_or(StartError::NoConfig)?;
-    let yaml = std::fs::read_to_string(&path).map_err(|source| StartError::Unreadable { path, source })?;
+    let yaml = std::fs::read_to_string(&path)
+        .map_err(|source| StartError::Unreadable { path: path.clone(), source })?;
     let wrong = |problems| StartError::Settings { problems };
     let command = match gateway::settings::interface_of(&yaml) {
-        Interface::Gateway => Command::RunGateway(GatewaySettings::from_yaml(&yaml).map_err(wrong)?),
+        Interface::Gateway => {
+            let settings = GatewaySettings::from_yaml(&yaml).map_err(wrong)?;
+            Command::RunGateway(settings, SettingsFile { path, text: yaml })
+        }
         Interface::Completions => Command::Run(Settings::from_yaml(&yaml).map_err(wrong)?),
     };
     if check_only {
