--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -53,9 +53,9 @@
     /// Its entry went away while the list was followed.
     #[display("no longer listed")]
     Unlisted,
-    /// Its answer closed the connection.
-    #[display("closed a kept connection")]
-    ClosedConnection,
+    /// It says so when asked for its health.
+    #[display("not well or leaving when asked")]
+    Unwell,
     /// Another node has learnt that it leaves.
     #[display("told by another node")]
     Told,
@@ -64,6 +64,16 @@
     Replaced,
 }
 
+impl LeavingSign {
+    /// Whether an entry that says that the replica stays is believed more than this sign.
+    fn is_taken_back(self) -> bool {
+        match self {
+            LeavingSign::Unlisted | LeavingSign::Unwell | LeavingSign::Told => true,
+            LeavingSign::Listed | LeavingSign::Replaced => false,
+        }
+    }
+}
+
 /// A replica with what is believed of it.
 #[derive(Clone, Debug)]
 pub struct Replica {
@@ -137,9 +147,7 @@
             replica.leaving = Some(LeavingSign::Listed);
             replica.leaving_since = now;
             change.leaving.push(id);
-        } else if !record.leaving
-            && matches!(replica.leaving, Some(LeavingSign::Unlisted | LeavingSign::Told))
-        {
+        } else if !record.leaving && replica.leaving.is_some_and(LeavingSign::is_taken_back) {
             replica.leaving = None;
         }
         replica.record = Arc::new(record);
--- a/lib/src/gateway/routing.rs
+++ b/lib/src/gateway/routing.rs
@@ -103,6 +103,8 @@
 pub struct Service {
     /// Its name.
     pub name: ServiceId,
+    /// Where its replicas tell whether they are well.
+    pub health_path: String,
     /// Connections that each replica takes from all callers together.
     pub max_connections: u32,
     /// Set for model services.
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -16,6 +16,7 @@
 mod io_watch;
 mod knowledge;
 mod lead_desk;
+mod lookout;
 mod messages;
 mod outbox;
 mod passing;
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -11,6 +11,7 @@
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::ids::UpstreamId;
+use leadstage_platform::health::Health;
 use leadstage_platform::store::Change;
 use leadstage_platform::store::Changes;
 use log::info;
@@ -20,6 +21,7 @@
 use crate::gateway::config_port;
 use crate::gateway::fleet::FAN_OUT;
 use crate::gateway::fleet::Fleet;
+use crate::gateway::lookout::Lookout;
 use crate::gateway::messages::News;
 use crate::gateway::messages::Order;
 use crate::gateway::messages::ToControl;
@@ -46,6 +48,7 @@
     outbox: Outbox,
     fleet: Fleet,
     placing: Placing,
+    lookout: Lookout,
     replicas_known: bool,
     /// A configuration is being fetched from another node.
     fetching: bool,
@@ -57,7 +60,8 @@
         let settings = &shared.settings;
         let fleet = Fleet::new(settings.peer, &settings.seeds, outbox.clone());
         let placing = Placing::new(shared.clone(), outbox.clone(), fleet.own().clone());
-        Control { shared, outbox, fleet, placing, replicas_known: false, fetching: false }
+        let lookout = Lookout::new(shared.clone());
+        Control { shared, outbox, fleet, placing, lookout, replicas_known: false, fetching: false }
     }
 
     /// Handles messages until the process ends.
@@ -81,6 +85,7 @@
             ToControl::Arrived(run) => self.placing.on_arrived(run),
             ToControl::Ended(run, outcome) => self.placing.end(run, outcome),
             ToControl::Sign(replica, sign) => self.on_sign(&replica, sign),
+            ToControl::Health(replica, health) => self.on_health(&replica, health),
             ToControl::Replicas(news) => self.on_replicas(news),
             ToControl::Configuration(news) => self.on_configuration(news),
             ToControl::ConfigurationFrom(from, text) => {
@@ -105,6 +110,9 @@
         self.on_list_change(&change);
         self.placing.tell_leads(&self.fleet);
         self.placing.lead(&self.fleet);
+        let leads = self.placing.leads_any(&self.fleet);
+        let engines = if leads { self.placing.engines_in_use(&self.fleet) } else { Vec::new() };
+        self.lookout.tick(now, leads, engines);
     }
 
     fn on_datagram(&mut self, datagram: Datagram) {
@@ -112,6 +120,9 @@
         let from = datagram.from;
         let mut gone = self.fleet.heard_from(from, now);
         self.compare_configuration(from, datagram.config);
+        if datagram.store_heard {
+            self.lookout.on_store_answers_others(now);
+        }
         match datagram.message {
             PeerMessage::Probe(id, gossip) => gone.extend(self.fleet.on_probe(from, id, gossip, now)),
             PeerMessage::ProbeAnswer(id, gossip) => gone.extend(self.fleet.on_answer(id, gossip, now)),
@@ -156,6 +167,22 @@
         }
     }
 
+    fn on_health(&mut self, replica: &UpstreamId, health: Health) {
+        self.lookout.on_health(replica);
+        let now = self.shared.now();
+        let sign = match health {
+            Health::Well => return,
+            Health::Unwell => LeavingSign::Unwell,
+            Health::Other => LeavingSign::Replaced,
+            Health::Silent => return self.placing.knowledge.replicas.on_failure(replica, now),
+        };
+        if self.placing.knowledge.replicas.on_sign(replica, sign, now) {
+            let change = ListChange { leaving: vec![replica.clone()], added: Vec::new() };
+            self.on_list_change(&change);
+            self.tell_replica_news(&change);
+        }
+    }
+
     fn on_replicas(&mut self, news: News<ReplicaRecord>) {
         let now = self.shared.now();
         let change = match news {
--- a/node/src/gateway/follow.rs
+++ b/node/src/gateway/follow.rs
@@ -35,6 +35,7 @@
             }
             err => err,
         };
+        shared.set_store_answers(false);
         if !lost.replace(true) {
             warn!(event = "store_lost", kind = K::NAME, reason:% = err; "the store does not answer");
         }
@@ -59,12 +60,14 @@
         info!(event = "store_regained", kind = K::NAME, revision = list.at; "the store answers again");
     }
     backoff.reset();
+    shared.set_store_answers(true);
     let mut at = list.at;
     shared.tell(wrap(News::Listed { list, after_outage }));
     loop {
         match store.watch::<K>(at, WATCH_WAIT, note_unreadable::<K>).await {
             Ok(changes) => {
                 at = changes.at;
+                shared.set_store_answers(true);
                 shared.tell(wrap(News::Changed(changes)));
             }
             Err(err) => return err,
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -13,6 +13,7 @@
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::UpstreamId;
+use leadstage_platform::health::Health;
 use leadstage_platform::store::Changes;
 use leadstage_platform::store::Listed;
 use tokio::sync::mpsc::UnboundedSender;
@@ -32,6 +33,8 @@
     Ended(RunId, Outcome),
     /// A replica showed that it leaves.
     Sign(UpstreamId, LeavingSign),
+    /// A replica was asked for its health.
+    Health(UpstreamId, Health),
     /// News of the replicas from the store.
     Replicas(News<ReplicaRecord>),
     /// News of the configuration from the store.
--- a/node/src/gateway/outbox.rs
+++ b/node/src/gateway/outbox.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use leadstage_lib::ids::VmId;
 use log::debug;
@@ -14,6 +15,9 @@
 use crate::gateway::peer_message::PeerMessage;
 use crate::gateway::shared::Shared;
 
+/// An answer of the store this old still shows that it answers.
+const FRESH: Duration = Duration::from_millis(700);
+
 /// Sends this node's datagrams.
 #[derive(Clone)]
 pub struct Outbox {
@@ -41,7 +45,8 @@
     /// Sends a message; like any datagram, it may be lost.
     pub fn send(&self, to: SocketAddr, message: PeerMessage) {
         let config = self.shared.table().map_or(0, |table| table.version);
-        let datagram = Datagram { from: self.shared.settings.peer, config, message };
+        let from = self.shared.settings.peer;
+        let datagram = Datagram { from, config, store_heard: self.shared.store_heard_within(FRESH), message };
         match postcard::to_stdvec(&datagram) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => {
                 if let Err(err) = self.socket.try_send_to(&bytes, to) {
--- a/node/src/gateway/peer_message.rs
+++ b/node/src/gateway/peer_message.rs
@@ -29,6 +29,8 @@
     pub from: SocketAddr,
     /// The sender's configuration; 0 without one.
     pub config: ConfigVersion,
+    /// Whether the store has just answered the sender.
+    pub store_heard: bool,
     /// The message.
     pub message: PeerMessage,
 }
--- a/node/src/gateway/placing.rs
+++ b/node/src/gateway/placing.rs
@@ -301,15 +301,40 @@
         for decision in self.desk.settle(&mut self.knowledge, now) {
             self.answer(decision);
         }
+        for service in self.led(fleet) {
+            self.rebalance(&service);
+        }
+    }
+
+    /// The model services that this node leads.
+    fn led(&self, fleet: &Fleet) -> Vec<ServiceId> {
         let Some(table) = self.shared.table() else {
-            return;
+            return Vec::new();
         };
         let models = table.services().filter(|service| service.engine.is_some());
-        for service in models.map(|service| service.name.clone()) {
-            if self.lead_of(fleet, &service) == self.own {
-                self.rebalance(&service);
-            }
+        let names = models.map(|service| service.name.clone());
+        names.filter(|service| self.lead_of(fleet, service) == self.own).collect()
+    }
+
+    /// Whether this node leads any service.
+    pub fn leads_any(&self, fleet: &Fleet) -> bool {
+        !self.led(fleet).is_empty()
+    }
+
+    /// The engines with generations, of the services that this node leads, and where they
+    /// tell their health.
+    pub fn engines_in_use(&self, fleet: &Fleet) -> Vec<(Arc<ReplicaRecord>, String)> {
+        let Some(table) = self.shared.table() else {
+            return Vec::new();
+        };
+        let mut engines = Vec::new();
+        for service in self.led(fleet) {
+            let path = table.service(&service).map_or(String::new(), |s| s.health_path.clone());
+            let in_use = self.knowledge.staying(&service);
+            let in_use = in_use.filter(|r| self.knowledge.book.at(&r.record.id).next().is_some());
+            engines.extend(in_use.map(|replica| (replica.record.clone(), path.clone())));
         }
+        engines
     }
 
     fn rebalance(&mut self, service: &ServiceId) {
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -45,6 +46,8 @@
     stop_began: OnceLock<Timestamp>,
     bounds: RwLock<Bounds>,
     nodes: AtomicUsize,
+    store_answers: AtomicBool,
+    store_heard: RwLock<Option<Timestamp>>,
 }
 
 impl Shared {
@@ -53,6 +56,8 @@
         Shared {
             bounds: RwLock::new(settings.bounds.clone()),
             nodes: AtomicUsize::new(1),
+            store_answers: AtomicBool::new(true),
+            store_heard: RwLock::new(None),
             settings,
             started: Instant::now(),
             control,
@@ -108,6 +113,25 @@
         self.nodes.store(nodes, Ordering::Relaxed);
     }
 
+    /// Whether the store answers this node, as far as it knows.
+    pub fn store_answers(&self) -> bool {
+        self.store_answers.load(Ordering::Relaxed)
+    }
+
+    /// Whether the store has answered this node within `window`.
+    pub fn store_heard_within(&self, window: Duration) -> bool {
+        let heard = *self.store_heard.read().expect("no holder panics");
+        heard.is_some_and(|at| at + window > self.now())
+    }
+
+    /// Notes whether the store answered; returns whether that is news.
+    pub fn set_store_answers(&self, answers: bool) -> bool {
+        if answers {
+            *self.store_heard.write().expect("no holder panics") = Some(self.now());
+        }
+        self.store_answers.swap(answers, Ordering::Relaxed) != answers
+    }
+
     /// How far the node is.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
