evacuation: the lead lets two copies from an engine start at a time

Cause: all copies from a leaving engine were asked for at once and queued at its link; a copy that had waited 1.4 s was 50 events old, so the engine that went on read 200 tokens again (gaps of 190 to 350 ms), and which got away was left to chance. Ruled out: waiting for the stop's copy: it queues behind the same copies.

--- a/lib/src/gateway/evacuation.rs
+++ b/lib/src/gateway/evacuation.rs
@@ -2,8 +2,10 @@
 //!
 //! An engine copies one generation after the other, some 200 ms each, and ends some 1.5 s
 //! after its notice: not all may get away. The generations belong to callers of many nodes.
-//! Instead of agreeing on an order, each starts after a delay that only depends on itself,
-//! the same function at every node: what is worth most starts first.
+//! The lead lets a few copies from one engine start at a time, the worth-most first: what
+//! queues at the engine would be old when its turn comes. Each also starts after a short
+//! delay that only depends on itself, so that the first are well chosen too, and the order
+//! is much the same while no lead answers.
 
 use std::time::Duration;
 
@@ -22,12 +24,31 @@
 /// which is how the users weigh a generation; some 2,200 tokens are the most out.
 const MOST_WORTH: f64 = 25_000.0;
 
+/// Copies that may be under way from one engine: one that runs and one that follows it
+/// without a pause.
+pub const COPIES_AT_ONCE: usize = 2;
+/// How long a generation may wait for its copy to start: engines serve on for some seconds
+/// at most after their notice.
+pub const COPY_PATIENCE: Duration = Duration::from_secs(2);
+/// Ranks of generations that wait for their copy.
+const RANKS: f64 = 100.0;
+
+/// The rank of a generation that waits for its copy; 0 goes first.
+pub fn rank(size: GenerationSize, produced: u32) -> u8 {
+    (RANKS * (1.0 - worth(size, produced))) as u8
+}
+
+/// What a generation is worth, 0 to 1.
+fn worth(size: GenerationSize, produced: u32) -> f64 {
+    let tokens = f64::from(size.prompt) + 10.0 * f64::from(size.expected.max(produced));
+    (tokens / MOST_WORTH).min(1.0)
+}
+
 /// How long after its engine's notice a generation's move starts.
 pub fn start_delay(size: GenerationSize, produced: u32) -> Duration {
     let remaining = f64::from(size.expected.saturating_sub(produced)) / TOKENS_PER_SECOND;
     if remaining < ENDS_SOON.as_secs_f64() && produced > 0 && size.expected > produced {
         return SOON_DELAY;
     }
-    let worth = f64::from(size.prompt) + 10.0 * f64::from(size.expected.max(produced));
-    LONGEST_DELAY.mul_f64(1.0 - (worth / MOST_WORTH).min(1.0))
+    LONGEST_DELAY.mul_f64(1.0 - worth(size, produced))
 }
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -85,8 +85,8 @@
     pub size: Option<GenerationSize>,
     /// Tokens made so far.
     pub produced: u32,
-    /// Its memory is being copied there; it runs elsewhere.
-    pub arriving: bool,
+    /// The engine that it runs on while its memory is being copied here.
+    pub copied_from: Option<UpstreamId>,
 }
 
 impl Run {
@@ -145,13 +145,18 @@
         }
     }
 
-    /// A copy is in use: the generation runs there now.
-    pub fn on_arrived(&mut self, key: &RunKey) {
+    /// A copy is complete.
+    pub fn on_copied(&mut self, key: &RunKey) {
         if let Some(run) = self.runs.get_mut(key) {
-            run.arriving = false;
+            run.copied_from = None;
         }
     }
 
+    /// Copies that are under way from an engine.
+    pub fn copies_from(&self, engine: &str) -> usize {
+        self.runs.values().filter(|run| run.copied_from.as_deref() == Some(engine)).count()
+    }
+
     /// All generations of a node, as it reports them. Those that it had started by then
     /// and does not name have ended; `last` is the newest that it had started.
     pub fn on_inventory(&mut self, entry: &VmId, runs: Vec<(RunId, Run)>, last: RunId) {
@@ -206,7 +211,7 @@
         now: Timestamp,
         rng: &mut R,
     ) -> Option<EngineChoice<'a>> {
-        let most = if request.produced > 0 { MOVES_UP_TO } else { ADMITS_UP_TO };
+        let most = if request.moves { MOVES_UP_TO } else { ADMITS_UP_TO };
         let choices = candidates.map(|replica| self.consider(replica, request, now, rng));
         let fitting = choices.filter(|choice| choice.fill <= most || choice.runs == 0);
         fitting.min_by(|a, b| a.cost.total_cmp(&b.cost))
@@ -234,8 +239,8 @@
         rng: &mut R,
     ) -> EngineChoice<'a> {
         let id = &replica.record.id;
-        let moves = request.produced > 0;
-        let arriving = self.at(id).filter(|(_, run)| run.arriving).count();
+        let moves = request.moves;
+        let arriving = self.at(id).filter(|(_, run)| run.copied_from.is_some()).count();
         let far = moves && replica.record.hall != *request.hall;
         let read_until = self.read_until.get(id).copied().unwrap_or_default();
         let ready_at = read_until.max(replica.warm_at);
@@ -284,8 +289,10 @@
     pub engine: &'a EngineTraits,
     /// The hall where it came in; for one that moves, where it runs.
     pub hall: &'a HallId,
-    /// Tokens made so far; above 0 for one that moves.
+    /// Tokens made so far.
     pub produced: u32,
+    /// Whether it runs on another engine and moves.
+    pub moves: bool,
 }
 
 fn general_cost<R: Rng>(replica: &Replica, hall: &HallId, rng: &mut R) -> f64 {
--- a/lib/src/gateway/rebalance.rs
+++ b/lib/src/gateway/rebalance.rs
@@ -62,7 +62,7 @@
                 replica,
                 fill: book.fill(&replica.record.id, traits),
                 runs: book.at(&replica.record.id).count(),
-                arriving: book.at(&replica.record.id).any(|(_, run)| run.arriving),
+                arriving: book.at(&replica.record.id).any(|(_, run)| run.copied_from.is_some()),
             })
             .collect();
         loads.sort_by(|a, b| a.fill.total_cmp(&b.fill));
@@ -95,7 +95,7 @@
         let memory = f64::from(traits.memory_tokens.max(1));
         let runs = book.at(engine).filter(|(key, run)| {
             run.produced > 0
-                && !run.arriving
+                && run.copied_from.is_none()
                 && !self.asked.contains_key(*key)
                 && run.memory() / memory <= room
         });
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -82,8 +82,8 @@
         match message {
             ToControl::Place(request, reply) => self.placing.place(&self.fleet, request, reply),
             ToControl::LeadSilent(run) => self.placing.on_lead_silent(run),
-            ToControl::Arrived(run) => self.placing.on_arrived(run),
-            ToControl::Ended(run, outcome) => self.placing.end(run, outcome),
+            ToControl::Copied(run) => self.placing.on_own_copied(&self.fleet, run),
+            ToControl::Ended(run, outcome) => self.placing.on_ended(&self.fleet, run, outcome),
             ToControl::Sign(replica, sign) => self.on_sign(&replica, sign),
             ToControl::Health(replica, health) => self.on_health(&replica, health),
             ToControl::Replicas(news) => self.on_replicas(news),
@@ -130,6 +130,7 @@
             PeerMessage::Place(remote) => self.placing.on_place(from, remote),
             PeerMessage::Placed(run, record) => self.placing.on_placed(run, record),
             PeerMessage::Waits(run) => self.placing.on_waits(run),
+            PeerMessage::Copied(run) => self.placing.on_copied(from, run),
             PeerMessage::MoveAway(run, engine) => self.placing.on_move_away(run, engine),
             PeerMessage::Inventory(inventory) => self.placing.on_inventory(from, inventory),
             PeerMessage::Replicas(news) => self.on_replica_news(news),
--- a/node/src/gateway/knowledge.rs
+++ b/node/src/gateway/knowledge.rs
@@ -24,8 +24,10 @@
     pub service: ServiceId,
     /// Set for generations.
     pub size: Option<GenerationSize>,
-    /// Tokens made so far; above 0 for a generation that moves.
+    /// Tokens made so far.
     pub produced: u32,
+    /// The engine that it runs on, for a generation that moves.
+    pub from: Option<UpstreamId>,
     /// The hall where it came in; for a generation that moves, where it runs.
     pub hall: HallId,
     /// Replicas that are out of the question.
@@ -39,7 +41,7 @@
             replica: replica.clone(),
             size: self.size,
             produced: self.produced,
-            arriving: self.produced > 0,
+            copied_from: self.from.clone(),
         }
     }
 }
@@ -85,7 +87,13 @@
     ) -> Option<Arc<ReplicaRecord>> {
         let candidates = self.candidates(wanted);
         let engines = candidates.len();
-        let request = EngineRequest { size, engine: traits, hall: &wanted.hall, produced: wanted.produced };
+        let request = EngineRequest {
+            size,
+            engine: traits,
+            hall: &wanted.hall,
+            produced: wanted.produced,
+            moves: wanted.from.is_some(),
+        };
         let now = self.shared.now();
         let choice = self.book.choose_engine(candidates.into_iter(), &request, now, &mut rand::rng())?;
         info!(event = "engine_chosen", upstream = &*choice.replica.record.id, service = &*wanted.service, prompt = size.prompt, expected = size.expected, produced = wanted.produced, engines, runs = choice.runs, fill:% = format_args!("{:.2}", choice.fill), wait_ms = choice.wait.as_millis() as u64, cost_ms:% = format_args!("{:.0}", choice.cost); "engine chosen");
--- a/node/src/gateway/lead_desk.rs
+++ b/node/src/gateway/lead_desk.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::gateway::evacuation;
 use leadstage_lib::gateway::load::RunKey;
 use leadstage_lib::gateway::rebalance::Rebalancer;
 use leadstage_lib::gateway::rebalance::Relief;
@@ -14,6 +15,7 @@
 use leadstage_lib::gateway::waiting::Waiting;
 use leadstage_lib::gateway::waiting::WaitingRoom;
 use leadstage_lib::ids::Timestamp;
+use leadstage_lib::ids::UpstreamId;
 use tokio::sync::oneshot;
 
 use crate::gateway::knowledge::Knowledge;
@@ -64,34 +66,44 @@
     Waits(RunKey, Option<SocketAddr>),
 }
 
+/// Where a question waits.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Room {
+    /// New generations of a service, for an engine with room.
+    New(ServiceId),
+    /// Generations that leave an engine, for their turn on its link.
+    From(UpstreamId),
+}
+
 /// The services that this node leads.
 #[derive(Default)]
 pub struct LeadDesk {
-    rooms: HashMap<ServiceId, WaitingRoom<Ask>>,
+    rooms: HashMap<Room, WaitingRoom<Ask>>,
     rebalancers: HashMap<ServiceId, Rebalancer>,
 }
 
 impl LeadDesk {
     /// Takes a question in.
     pub fn ask(&mut self, knowledge: &mut Knowledge, ask: Ask, now: Timestamp) -> Outcome {
-        let room = self.rooms.entry(ask.wanted.service.clone()).or_default();
-        let waits = !ask.patience.is_zero();
-        if !waits || room.lets_pass(ask.priority) {
-            let decision = decide(knowledge, ask, now);
-            if decision.chosen.is_some() || !waits {
-                return Outcome::Decided(decision);
-            }
-            return wait(room, decision.ask, now);
+        let room = self.rooms.entry(room_of(&ask)).or_default();
+        if ask.patience.is_zero() {
+            return Outcome::Decided(decide(knowledge, ask, now));
+        }
+        if !room.lets_pass(ask.priority) {
+            return wait(room, ask, now);
+        }
+        let decision = decide(knowledge, ask, now);
+        match decision.chosen {
+            Some(_) => Outcome::Decided(decision),
+            None => wait(room, decision.ask, now),
         }
-        wait(room, ask, now)
     }
 
-    /// Answers those for which there is room now, and those whose time is over.
+    /// Answers those that can go on now, and those whose time is over.
     pub fn settle(&mut self, knowledge: &mut Knowledge, now: Timestamp) -> Vec<Decision> {
         let mut decisions = Vec::new();
         for room in self.rooms.values_mut() {
-            while let Some(first) = room.pop() {
-                let Waiting { item, priority, until } = first;
+            while let Some(Waiting { item, priority, until }) = room.pop() {
                 let decision = decide(knowledge, item, now);
                 if decision.chosen.is_none() {
                     room.put_back(Waiting { item: decision.ask, priority, until });
@@ -102,6 +114,7 @@
             let expired = room.expired(now).into_iter();
             decisions.extend(expired.map(|ask| Decision { ask, chosen: None }));
         }
+        self.rooms.retain(|_, room| !room.is_empty());
         decisions
     }
 
@@ -126,8 +139,22 @@
     Outcome::Waits(key, there)
 }
 
+fn room_of(ask: &Ask) -> Room {
+    match &ask.wanted.from {
+        Some(engine) => Room::From(engine.clone()),
+        None => Room::New(ask.wanted.service.clone()),
+    }
+}
+
+/// Whether the engine that a generation runs on can start another copy.
+fn link_is_free(knowledge: &Knowledge, wanted: &Wanted) -> bool {
+    let copies = wanted.from.as_ref().map_or(0, |engine| knowledge.book.copies_from(engine));
+    copies < evacuation::COPIES_AT_ONCE
+}
+
 fn decide(knowledge: &mut Knowledge, ask: Ask, now: Timestamp) -> Decision {
-    let chosen = knowledge.choose(&ask.wanted);
+    let free = link_is_free(knowledge, &ask.wanted);
+    let chosen = if free { knowledge.choose(&ask.wanted) } else { None };
     if let Some(replica) = &chosen {
         knowledge.book.add(ask.key.clone(), ask.wanted.at(&replica.id), now);
     }
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -27,8 +27,8 @@
     Place(PlaceRequest, oneshot::Sender<Option<Placed>>),
     /// The lead did not answer within its bound.
     LeadSilent(RunId),
-    /// A generation that was copied runs at its new engine now.
-    Arrived(RunId),
+    /// The copy of a generation to this engine is complete.
+    Copied(RunId),
     /// A request is no longer at its replica.
     Ended(RunId, Outcome),
     /// A replica showed that it leaves.
@@ -70,8 +70,10 @@
     pub service: ServiceId,
     /// Set for generations.
     pub size: Option<GenerationSize>,
-    /// Tokens made so far; above 0 for a generation that moves.
+    /// Tokens made so far.
     pub produced: u32,
+    /// The engine that it runs on, for a generation that moves.
+    pub from: Option<UpstreamId>,
     /// Its urgency; 0 goes first.
     pub priority: u8,
     /// How long it may wait for a replica with room.
--- a/node/src/gateway/peer_message.rs
+++ b/node/src/gateway/peer_message.rs
@@ -50,6 +50,8 @@
     Placed(RunId, Option<ReplicaRecord>),
     /// It waits at the lead until an engine has room.
     Waits(RunId),
+    /// The generation's copy is complete, or is not made after all.
+    Copied(RunId),
     /// The generation should move away from this engine.
     MoveAway(RunId, UpstreamId),
     /// All generations of the sender at a service's engines.
@@ -81,8 +83,10 @@
     pub service: ServiceId,
     /// Its size.
     pub size: GenerationSize,
-    /// Tokens made so far; above 0 for one that moves.
+    /// Tokens made so far.
     pub produced: u32,
+    /// The engine that it runs on, for one that moves.
+    pub from: Option<UpstreamId>,
     /// Its urgency; 0 goes first.
     pub priority: u8,
     /// How long it may wait for an engine with room.
--- a/node/src/gateway/placing.rs
+++ b/node/src/gateway/placing.rs
@@ -103,6 +103,7 @@
                 service: request.service,
                 size: request.size,
                 produced: request.produced,
+                from: request.from,
                 hall: request.hall,
                 exclude: request.exclude,
             },
@@ -135,6 +136,7 @@
             service: ask.wanted.service.clone(),
             size: ask.wanted.size.unwrap_or_default(),
             produced: ask.wanted.produced,
+            from: ask.wanted.from.clone(),
             priority: ask.priority,
             patience: ask.patience,
             hall: ask.wanted.hall.clone(),
@@ -240,6 +242,7 @@
                 service: remote.service,
                 size: Some(remote.size),
                 produced: remote.produced,
+                from: remote.from,
                 hall: remote.hall,
                 exclude: remote.exclude,
             },
@@ -267,14 +270,35 @@
         }
     }
 
-    /// A generation that was copied runs at its new engine now.
-    pub fn on_arrived(&mut self, run: RunId) {
+    /// A copy for a generation of this node is complete, or is not made after all: the lead
+    /// lets the next one start.
+    pub fn on_own_copied(&mut self, fleet: &Fleet, run: RunId) {
         let key = self.own_key(run);
-        self.knowledge.book.on_arrived(&key);
+        let Some(run) = self.knowledge.book.get(&key).filter(|run| run.copied_from.is_some()) else {
+            return;
+        };
+        let service = self.knowledge.replicas.get(&run.replica).map(|r| r.record.service.clone());
+        self.knowledge.book.on_copied(&key);
+        let lead = service.map(|service| self.lead_of(fleet, &service));
+        match lead.filter(|lead| *lead != self.own).and_then(|lead| address_of(&lead)) {
+            Some(address) => self.outbox.send(address, PeerMessage::Copied(key.run)),
+            None => self.settle(),
+        }
+    }
+
+    /// A copy for a generation of another node is complete, or is not made after all.
+    pub fn on_copied(&mut self, from: SocketAddr, run: RunId) {
+        self.knowledge.book.on_copied(&RunKey { entry: node_id(from), run });
+        self.settle();
     }
 
     /// A request is no longer at its replica.
-    pub fn end(&mut self, run: RunId, outcome: Outcome) {
+    pub fn on_ended(&mut self, fleet: &Fleet, run: RunId, outcome: Outcome) {
+        self.on_own_copied(fleet, run);
+        self.end(run, outcome);
+    }
+
+    fn end(&mut self, run: RunId, outcome: Outcome) {
         self.streams.remove(&run);
         let key = self.own_key(run);
         let Some(run) = self.knowledge.book.remove(&key) else {
@@ -296,16 +320,20 @@
 
     /// Does a lead's work that is due: answers who waits, and has generations move.
     pub fn lead(&mut self, fleet: &Fleet) {
-        let now = self.shared.now();
         self.update_progress();
-        for decision in self.desk.settle(&mut self.knowledge, now) {
-            self.answer(decision);
-        }
+        self.settle();
         for service in self.led(fleet) {
             self.rebalance(&service);
         }
     }
 
+    /// Answers who waits here and can go on.
+    fn settle(&mut self) {
+        for decision in self.desk.settle(&mut self.knowledge, self.shared.now()) {
+            self.answer(decision);
+        }
+    }
+
     /// The model services that this node leads.
     fn led(&self, fleet: &Fleet) -> Vec<ServiceId> {
         let Some(table) = self.shared.table() else {
--- a/node/src/gateway/plain.rs
+++ b/node/src/gateway/plain.rs
@@ -50,6 +50,7 @@
             service: req.service.clone(),
             size: None,
             produced: 0,
+            from: None,
             priority: req.priority(),
             patience: Duration::ZERO,
             hall: traffic.shared.settings.hall.clone(),
--- a/node/src/gateway/streams.rs
+++ b/node/src/gateway/streams.rs
@@ -111,6 +111,7 @@
             service: req.service.clone(),
             size: Some(size(req)),
             produced: 0,
+            from: None,
             priority: req.priority(),
             patience: waiting::patience(req.route.objective),
             hall: traffic.shared.settings.hall.clone(),
@@ -494,7 +495,6 @@
         info!(event = "moved", request = self.req.id(), from = &*self.leg.run.placed.replica.id, upstream = &*leg.run.placed.replica.id, events = self.events.events(); "generation moved");
         let old = std::mem::replace(&mut self.leg, leg);
         old.run.end(Outcome::Withdrawn);
-        self.traffic.shared.tell(ToControl::Arrived(self.leg.run.placed.run));
         self.moves += 1;
         self.leave();
         Ok(())
@@ -582,12 +582,15 @@
     }
 
     async fn target(&self, exclude: &[UpstreamId]) -> Option<RunGuard> {
+        let size = size(&self.req);
+        let produced = self.handle.produced.load(Ordering::Relaxed);
         let request = PlaceRequest {
             service: self.req.service.clone(),
-            size: Some(size(&self.req)),
-            produced: self.handle.produced.load(Ordering::Relaxed).max(1),
-            priority: 0,
-            patience: Duration::ZERO,
+            size: Some(size),
+            produced,
+            from: Some(self.source.id.clone()),
+            priority: evacuation::rank(size, produced),
+            patience: if self.insist.is_zero() { Duration::ZERO } else { evacuation::COPY_PATIENCE },
             hall: self.source.hall.clone(),
             exclude: exclude.to_vec(),
             stream: Some(self.handle.clone()),
@@ -603,7 +606,10 @@
         let took = began.elapsed().as_millis() as u64;
         info!(event = "copy", request = self.req.id(), from = &*self.source.id, to = &*to.id, took_ms = took, outcome:? = called; "copy of a generation");
         match called {
-            Ok(CopyOutcome::Done { handle, .. }) => Ok(Copied { target, handle }),
+            Ok(CopyOutcome::Done { handle, .. }) => {
+                self.traffic.shared.tell(ToControl::Copied(target.placed.run));
+                Ok(Copied { target, handle })
+            }
             Ok(CopyOutcome::NotRunning | CopyOutcome::Busy) => Err(NotCopied::Later),
             Ok(CopyOutcome::NoRoom { .. } | CopyOutcome::Unexpected(_)) => {
                 Err(NotCopied::Elsewhere(to.id.clone()))
