tests: the gateway on processes against stand-ins of the platform's manner

Ruled out: stand-ins as processes: inside the test they show what each replica saw, and die at a chosen event.

--- a/node/src/gateway/fleet.rs
+++ b/node/src/gateway/fleet.rs
@@ -114,6 +114,7 @@
     /// A message came from a node.
     pub fn heard_from(&mut self, from: SocketAddr, now: Timestamp) -> Vec<VmId> {
         if from != self.own_address && self.known.insert(from) {
+            info!(event = "node_met", node:% = from; "another node is known");
             self.list(now);
         }
         let actions = self.membership.heard_from(&node_id(from), now);
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -2,10 +2,14 @@
 //! processes; `cargo test --workspace` builds those first.
 
 mod environment;
+mod gateway_environment;
 mod stream;
 mod test_bundles;
 mod test_callers;
 mod test_calls;
+mod test_gateway_calls;
+mod test_gateway_fleet;
+mod test_gateway_streams;
 mod test_settings;
 mod test_streams;
 mod test_upstreams;
--- /dev/null
+++ b/node/tests/test_gateway_calls.rs
@@ -0,0 +1,178 @@
+//! Plain calls through the gateway interface.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use leadstage_testutils::gateway_replica::ReplicaFault;
+
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::KEY;
+use crate::gateway_environment::RunningReplica;
+use crate::gateway_environment::config;
+use crate::gateway_environment::request;
+use crate::gateway_environment::send;
+
+fn set_faults(replicas: &[RunningReplica], fault: ReplicaFault) {
+    replicas.iter().for_each(|running| running.replica.set_fault(fault));
+}
+
+fn arrivals(replicas: &[RunningReplica]) -> usize {
+    replicas.iter().map(|running| running.replica.seen().len()).sum()
+}
+
+#[tokio::test]
+async fn test_requests_pass_unaltered_but_for_what_leadstage_sets() {
+    let (gateway, bookings, _models) = Gateway::with_replicas(1).await;
+    let mut req = request("POST", "/book/a%20b?x=1&y", KEY, "r-7");
+    *req.body_mut() = Full::from("a body");
+    let headers = req.headers_mut();
+    for (name, value) in [
+        ("x-own", "kept"),
+        ("leadstage-tenant", "forged"),
+        ("priority", "0"),
+        ("hold", "h"),
+        ("pin-ms", "9"),
+        ("kv-from", "10.0.0.1:1/x"),
+        ("kv-backup", "10.0.0.1:1"),
+        ("kv-fetch", "10.0.0.1:1"),
+        ("last-event-id", "4"),
+        ("expect-version", "2"),
+        ("leadstage-target-instance", "forged"),
+        ("connection", "x-hop"),
+        ("x-hop", "dropped"),
+    ] {
+        headers.insert(name, value.parse().expect("valid"));
+    }
+    let called = gateway.call(0, req).await;
+    assert_eq!((called.status, called.body.as_str()), (200, "booking-1 answers /book/a%20b?x=1&y"));
+    assert_eq!(called.header("leadstage-server-signature"), Some("sig-booking-1"));
+    let seen = bookings[0].replica.seen().pop().expect("it arrived");
+    assert_eq!(seen.line, "POST /book/a%20b?x=1&y");
+    assert_eq!(seen.body, "a body");
+    let deadline: u64 =
+        seen.header("leadstage-deadline-ms").and_then(|ms| ms.parse().ok()).expect("a deadline");
+    assert!((7_000..=8_000).contains(&deadline), "{deadline} is not what is left");
+    let mut names: Vec<String> = seen
+        .headers
+        .iter()
+        .filter(|(name, _)| *name != "leadstage-deadline-ms" && *name != "content-length")
+        .map(|(name, value)| format!("{name}: {}", value.to_str().unwrap_or("?")))
+        .collect();
+    names.sort();
+    insta::assert_snapshot!(names.join("\n"), @r"
+    host: h.example
+    leadstage-request-id: r-7
+    leadstage-target-instance: booking-1
+    leadstage-tenant: org-a
+    x-own: kept
+    ");
+}
+
+#[tokio::test]
+async fn test_refusals_say_why() {
+    let (gateway, bookings, _models) = Gateway::with_replicas(1).await;
+    assert_eq!(gateway.status_of(0, "/nowhere/x", KEY).await, 404);
+    assert_eq!(gateway.status_of(0, "/read/x", "unknown").await, 401);
+    let mut large = request("POST", "/book/x", KEY, "r-1");
+    *large.body_mut() = Full::from(Bytes::from(vec![b'x'; 1_001]));
+    assert_eq!(gateway.call(0, large).await.status, 413);
+    assert_eq!(arrivals(&bookings), 0);
+}
+
+#[tokio::test]
+async fn test_without_a_configuration_requests_are_to_come_back() {
+    let mut gateway = Gateway::start().await;
+    gateway.start_node();
+    gateway.until("the port", async || gateway.status_of(0, "/read/x", KEY).await == 503).await;
+    let called = gateway.call(0, request("GET", "/read/x", KEY, "r-1")).await;
+    assert_eq!((called.status, called.code()), (503, 2107));
+    assert!(called.header("retry-after").is_some());
+    assert_eq!(gateway.ready_status(0).await, 503);
+}
+
+/// What each fault of all replicas comes to: the status for a call that may repeat, with
+/// its arrivals, and the same for one that may not.
+#[tokio::test]
+async fn test_outcomes_are_true() {
+    let (gateway, bookings, _models) = Gateway::with_replicas(2).await;
+    let mut rows = Vec::new();
+    for fault in [
+        ReplicaFault::None,
+        ReplicaFault::NotRun,
+        ReplicaFault::Fails,
+        ReplicaFault::Breaks,
+        ReplicaFault::ForeignAnswer,
+        ReplicaFault::CutsBody,
+    ] {
+        set_faults(&bookings, fault);
+        for path in ["/read/x", "/book/x"] {
+            let before = arrivals(&bookings);
+            let called = gateway.call(0, request("POST", path, KEY, "r-1")).await;
+            let sent = arrivals(&bookings) - before;
+            let signed = called.header("leadstage-server-signature").is_some();
+            rows.push(format!("{fault:?} {path}: {} sent {sent} signed {signed}", called.status));
+        }
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    None /read/x: 200 sent 1 signed true
+    None /book/x: 200 sent 1 signed true
+    NotRun /read/x: 503 sent 2 signed false
+    NotRun /book/x: 503 sent 1 signed false
+    Fails /read/x: 500 sent 2 signed true
+    Fails /book/x: 500 sent 1 signed true
+    Breaks /read/x: 502 sent 2 signed false
+    Breaks /book/x: 502 sent 1 signed false
+    ForeignAnswer /read/x: 502 sent 2 signed false
+    ForeignAnswer /book/x: 502 sent 1 signed false
+    CutsBody /read/x: 502 sent 2 signed false
+    CutsBody /book/x: 502 sent 1 signed false
+    ");
+}
+
+#[tokio::test]
+async fn test_a_caller_that_leaves_is_seen_while_its_replica_is_silent() {
+    let (gateway, bookings, _models) = Gateway::with_replicas(1).await;
+    bookings[0].replica.set_fault(ReplicaFault::Hangs);
+    let front = gateway.front(0);
+    let calling =
+        tokio::spawn(async move { send(&front, request("GET", "/read/x", KEY, "r-left")).await.is_ok() });
+    gateway.until("it runs", async || bookings[0].replica.running() == 1).await;
+    calling.abort();
+    let asked = tokio::time::Instant::now();
+    gateway.until("the replica sees it", async || bookings[0].replica.left() == ["r-left"]).await;
+    assert!(asked.elapsed() < Duration::from_millis(500), "seen after {:?}", asked.elapsed());
+}
+
+#[tokio::test]
+async fn test_a_leaving_replica_gets_nothing_new() {
+    let (gateway, bookings, _models) = Gateway::with_replicas(2).await;
+    gateway.drain("booking", &bookings[0]);
+    gateway
+        .until("the notice", async || gateway.log(0).contains("event=replica_leaves upstream=booking-1"))
+        .await;
+    for _ in 0..20 {
+        assert_eq!(gateway.status_of(0, "/read/x", KEY).await, 200);
+    }
+    assert_eq!(arrivals(&bookings[..1]), 0);
+    assert_eq!(arrivals(&bookings[1..]), 20);
+}
+
+#[tokio::test]
+async fn test_a_new_configuration_is_in_force_and_an_old_one_is_not_taken_back() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    assert_eq!(gateway.status_of(0, "/read/x", KEY).await, 200);
+    let mut newer = config(3);
+    newer["tenants"][0]["apiKeys"] = serde_json::json!(["key-b"]);
+    gateway.store.put("config", "main", newer);
+    gateway.until("the key is gone", async || gateway.status_of(0, "/read/x", KEY).await == 401).await;
+    assert_eq!(gateway.status_of(0, "/read/x", "key-b").await, 200);
+    gateway.store.put("config", "main", config(2));
+    gateway.store.put(
+        "servers",
+        "other",
+        serde_json::json!({"service": "s", "address": "127.0.0.1:1", "zone": "z", "state": "ready"}),
+    );
+    gateway.until("later news", async || gateway.log(0).contains("upstream=other")).await;
+    assert_eq!(gateway.status_of(0, "/read/x", KEY).await, 401);
+}
--- /dev/null
+++ b/node/tests/test_gateway_fleet.rs
@@ -0,0 +1,85 @@
+//! A gateway node's life: start, stop, reload, and what nodes tell each other.
+
+use std::time::Duration;
+
+use leadstage_testutils::metadata_store::MetadataStore;
+use leadstage_testutils::metadata_store::StoreFault;
+use leadstage_testutils::metadata_store::replica_entry;
+
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::KEY;
+use crate::gateway_environment::chat;
+use crate::gateway_environment::config;
+
+#[tokio::test]
+async fn test_a_planned_stop_cuts_no_stream_and_takes_none_that_it_would_cut() {
+    let (mut gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    let (called, ()) = tokio::join!(gateway.call(0, chat("r-1")), async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        gateway.signal(0, "-TERM");
+        gateway.until("not ready", async || gateway.ready_status(0).await == 503).await;
+    });
+    assert!(called.whole && called.event_ids().len() == 60, "{called:?}");
+    let late = gateway.call(0, chat("r-2")).await;
+    assert_eq!((late.status, late.code()), (503, 2108), "{}", gateway.logs());
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(20);
+    while gateway.ended(0).is_none() && tokio::time::Instant::now() < deadline {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(gateway.ended(0), Some(true));
+}
+
+#[tokio::test]
+async fn test_hangup_reloads_and_a_wrong_file_leaves_the_old_settings() {
+    let (mut gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    std::fs::write(gateway.settings_path(0), "interface: gateway\nvm: 7\nnonsense: 1\n").expect("writable");
+    gateway.signal(0, "-HUP");
+    gateway.until("the mistakes", async || gateway.log(0).contains("event=reload_failed")).await;
+    assert_eq!(gateway.status_of(0, "/read/x", KEY).await, 200);
+    let right = gateway.settings(0, gateway.store_address(), "# changed\n");
+    std::fs::write(gateway.settings_path(0), right).expect("writable");
+    gateway.signal(0, "-HUP");
+    gateway.until("the reload", async || gateway.log(0).contains("event=reload changed=true")).await;
+    assert_eq!(gateway.ended(0), None);
+}
+
+/// A node that its store turns away gets the configuration and the replicas from its peer.
+#[tokio::test]
+async fn test_nodes_tell_each_other_what_the_store_tells_only_one() {
+    let (mut gateway, bookings, _models) = Gateway::with_replicas(1).await;
+    let (own, server) = MetadataStore::start(&gateway.own_store_ip()).await;
+    own.put("config", "main", config(1));
+    let address = bookings[0].server.as_ref().expect("it serves").address;
+    own.put("servers", "booking-1", replica_entry("booking", address, "hall-1", "ready"));
+    let second = gateway.start_node_at(server.address);
+    gateway.until_ready(second).await;
+    gateway
+        .until("they know each other", async || {
+            gateway.log(second).contains("event=node_changed") || gateway.log(0).contains("node_met")
+        })
+        .await;
+    own.set_fault(StoreFault::Refuses);
+    let mut newer = config(2);
+    newer["tenants"][0]["apiKeys"] = serde_json::json!(["key-b"]);
+    gateway.store.put("config", "main", newer);
+    gateway.until("the key is gone", async || gateway.status_of(second, "/read/x", KEY).await == 401).await;
+    let added = gateway.start_replica("booking", "booking-2", 1).await;
+    gateway.drain("booking", &bookings[0]);
+    gateway
+        .until("the new replica", async || {
+            gateway.status_of(second, "/read/x", "key-b").await == 200 && !added.replica.seen().is_empty()
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn test_a_forgotten_history_is_listed_anew() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    gateway.store.set_fault(StoreFault::ForgetsHistory);
+    gateway.until("it lists", async || gateway.log(0).contains("event=store_history_gone")).await;
+    gateway.store.set_fault(StoreFault::None);
+    let mut newer = config(2);
+    newer["tenants"][0]["apiKeys"] = serde_json::json!(["key-b"]);
+    gateway.store.put("config", "main", newer);
+    gateway.until("the key is gone", async || gateway.status_of(0, "/read/x", KEY).await == 401).await;
+}
--- /dev/null
+++ b/node/tests/test_gateway_streams.rs
@@ -0,0 +1,129 @@
+//! Streams through the gateway interface: one generation, whatever happens to its engines.
+
+use leadstage_testutils::gateway_replica::CopyFault;
+
+use crate::gateway_environment::Called;
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::MODEL;
+use crate::gateway_environment::RunningReplica;
+use crate::gateway_environment::chat;
+
+/// Events of the stand-in's generations.
+const EVENTS: u64 = 60;
+
+/// When a fault strikes, counted in events of the generation.
+const MIDWAY: u64 = 20;
+
+/// What happens to a stream at its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    /// The engine says that it leaves.
+    Leaves,
+    /// It leaves, and copies from it find no room.
+    LeavesWithoutRoom,
+    /// It leaves, its copies hang, and it dies.
+    DiesWhileCopying,
+    /// It leaves and stops the generation, but never answers the call.
+    StopHangs,
+    /// It dies without a word.
+    Dies,
+    /// It and the engine that the generation moved to leave one after the other.
+    LeavesTwice,
+}
+
+async fn engine_of<'a>(
+    gateway: &Gateway,
+    models: &'a mut [RunningReplica],
+    made: u64,
+) -> &'a mut RunningReplica {
+    gateway.until("it runs", async || models.iter().any(|m| m.replica.running() > 0)).await;
+    let at = models.iter().position(|m| m.replica.running() > 0).expect("it runs");
+    let pause = models[at].replica.pace * made as u32;
+    tokio::time::sleep(pause).await;
+    &mut models[at]
+}
+
+async fn strike(gateway: &Gateway, models: &mut [RunningReplica], fault: Fault) {
+    let engine = engine_of(gateway, models, MIDWAY).await;
+    match fault {
+        Fault::Leaves => gateway.drain(MODEL, engine),
+        Fault::LeavesWithoutRoom => {
+            engine.replica.set_copy_fault(CopyFault::NoRoom);
+            gateway.drain(MODEL, engine);
+        }
+        Fault::DiesWhileCopying => {
+            engine.replica.set_copy_fault(CopyFault::CopyHangs);
+            gateway.drain(MODEL, engine);
+            tokio::time::sleep(engine.replica.pace * 10).await;
+            engine.server = None;
+        }
+        Fault::StopHangs => {
+            engine.replica.set_copy_fault(CopyFault::StopHangs);
+            gateway.drain(MODEL, engine);
+        }
+        Fault::Dies => engine.server = None,
+        Fault::LeavesTwice => {
+            let first = engine.replica.id.clone();
+            gateway.drain(MODEL, engine);
+            gateway
+                .until("it moved", async || {
+                    models.iter().any(|m| m.replica.id != first && m.replica.running() > 0)
+                })
+                .await;
+            let second =
+                models.iter().find(|m| m.replica.id != first && m.replica.running() > 0).expect("it moved");
+            gateway.drain(MODEL, second);
+        }
+    }
+}
+
+/// Plays one fault; returns what the caller saw and how many engines ran the generation.
+async fn play(fault: Fault) -> (Called, usize, String) {
+    let (gateway, _bookings, mut models) = Gateway::with_replicas(3).await;
+    let (called, ()) = tokio::join!(gateway.call(0, chat("r-chat")), strike(&gateway, &mut models, fault));
+    let starts = models.iter().flat_map(|m| m.replica.seen());
+    let fresh = starts.clone().filter(|seen| seen.header("kv-from").is_none()).count();
+    assert_eq!(fresh, 1, "{fault:?}: a generation starts once\n{}", gateway.logs());
+    (called, starts.count(), gateway.logs())
+}
+
+/// Whatever happens: events without a gap or a repeat, an end only after the last one, and
+/// one generation.
+#[tokio::test]
+async fn test_matrix_of_faults() {
+    let mut rows = Vec::new();
+    for fault in [
+        Fault::Leaves,
+        Fault::LeavesWithoutRoom,
+        Fault::DiesWhileCopying,
+        Fault::StopHangs,
+        Fault::Dies,
+        Fault::LeavesTwice,
+    ] {
+        let (called, engines, logs) = play(fault).await;
+        let ids = called.event_ids();
+        let in_order: Vec<u64> = (1..=ids.len() as u64).collect();
+        assert_eq!(ids, in_order, "{fault:?}: in order\n{logs}");
+        assert_eq!(called.whole, ids.len() as u64 == EVENTS, "{fault:?}: {} events\n{logs}", ids.len());
+        rows.push(format!("{fault:?}: whole {}, engines {engines}", called.whole));
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    Leaves: whole true, engines 2
+    LeavesWithoutRoom: whole true, engines 1
+    DiesWhileCopying: whole false, engines 1
+    StopHangs: whole true, engines 2
+    Dies: whole false, engines 1
+    LeavesTwice: whole true, engines 3
+    ");
+}
+
+#[tokio::test]
+async fn test_a_stream_whose_caller_leaves_is_ended() {
+    let (gateway, _bookings, models) = Gateway::with_replicas(1).await;
+    let (connection, res) =
+        crate::gateway_environment::send(&gateway.front(0), chat("r-1")).await.expect("it begins");
+    assert_eq!(models[0].replica.running(), 1);
+    drop((connection, res));
+    gateway.until("it ends", async || models[0].replica.running() == 0).await;
+    assert_eq!(models[0].replica.left(), ["r-1"]);
+}
--- /dev/null
+++ b/testutils/src/gateway_replica.rs
@@ -0,0 +1,322 @@
+//! A stand-in for a replica of the users' platform: answers calls, runs generations that
+//! can be copied away, and has switches for its faults.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use serde_json::json;
+
+use crate::loopback;
+use crate::loopback::Answerer;
+use crate::loopback::Body;
+use crate::loopback::Server;
+
+/// How a replica treats requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReplicaFault {
+    /// Answers them.
+    #[default]
+    None,
+    /// Says that it did not run them.
+    NotRun,
+    /// Runs them and fails.
+    Fails,
+    /// Runs them and never answers.
+    Hangs,
+    /// Runs them and closes the connection.
+    Breaks,
+    /// Answers with another request's id.
+    ForeignAnswer,
+    /// Cuts the body short.
+    CutsBody,
+}
+
+/// How an engine treats calls to copy a generation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CopyFault {
+    /// Copies.
+    #[default]
+    None,
+    /// Says that there is no room.
+    NoRoom,
+    /// Never answers the first call.
+    CopyHangs,
+    /// Stops the generation and never answers.
+    StopHangs,
+}
+
+/// A request that a replica saw.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// `METHOD path?query`.
+    pub line: String,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Seen {
+    /// A header's text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// Copies of generations, by the engine that made them and their handle.
+#[derive(Default)]
+pub struct Copies(Mutex<HashMap<String, u64>>);
+
+#[derive(Default)]
+struct State {
+    fault: ReplicaFault,
+    copy_fault: CopyFault,
+    seen: Vec<Seen>,
+    /// Running generations and the events that they made.
+    runs: HashMap<String, u64>,
+    stopped: Vec<String>,
+    /// Callers that closed their connection before the answer's end.
+    left: Vec<String>,
+    address: Option<SocketAddr>,
+}
+
+/// A replica.
+pub struct GatewayReplica {
+    /// Its id.
+    pub id: String,
+    /// Events of a generation.
+    pub events: u64,
+    /// Time between two events.
+    pub pace: Duration,
+    copies: Arc<Copies>,
+    state: Mutex<State>,
+}
+
+/// Notes that a generation or an answer is over, however it ends.
+struct RunGuard {
+    replica: Arc<GatewayReplica>,
+    id: String,
+    done: bool,
+}
+
+impl RunGuard {
+    /// The answer ended as it should.
+    fn finish(&mut self) {
+        self.done = true;
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut state = self.replica.state();
+        state.runs.remove(&self.id);
+        if !self.done {
+            state.left.push(self.id.clone());
+        }
+    }
+}
+
+impl GatewayReplica {
+    /// A replica that serves on a free port of `ip`.
+    pub async fn start(ip: &str, id: &str, events: u64, copies: Arc<Copies>) -> (Arc<Self>, Server) {
+        let replica = Arc::new(GatewayReplica {
+            id: id.to_owned(),
+            events,
+            pace: Duration::from_millis(15),
+            copies,
+            state: Mutex::default(),
+        });
+        let server = loopback::serve(ip, replica.clone()).await;
+        replica.state().address = Some(server.address);
+        (replica, server)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// Sets how it treats requests.
+    pub fn set_fault(&self, fault: ReplicaFault) {
+        self.state().fault = fault;
+    }
+
+    /// Sets how it treats calls to copy.
+    pub fn set_copy_fault(&self, fault: CopyFault) {
+        self.state().copy_fault = fault;
+    }
+
+    /// What it saw.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.state().seen.clone()
+    }
+
+    /// Generations and calls that it works on.
+    pub fn running(&self) -> usize {
+        self.state().runs.len()
+    }
+
+    /// Requests whose caller closed the connection.
+    pub fn left(&self) -> Vec<String> {
+        self.state().left.clone()
+    }
+
+    fn headers(&self, req: &HeaderMap, fault: ReplicaFault) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        let id = req.get("leadstage-request-id").cloned();
+        if fault == ReplicaFault::ForeignAnswer {
+            headers.insert("leadstage-request-id", "another".parse().expect("valid"));
+        } else if let Some(id) = id {
+            headers.insert("leadstage-request-id", id);
+        }
+        headers.insert("leadstage-server-signature", format!("sig-{}", self.id).parse().expect("valid"));
+        headers
+    }
+
+    fn not_run(&self, req: &HeaderMap) -> Response<Body> {
+        let mut res = Response::new(loopback::whole(""));
+        *res.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+        *res.headers_mut() = self.headers(req, ReplicaFault::None);
+        res.headers_mut().insert("leadstage-not-executed", "1".parse().expect("valid"));
+        res
+    }
+
+    async fn call(self: Arc<Self>, req: Request<Bytes>, fault: ReplicaFault) -> Response<Body> {
+        let id = text(req.headers(), "leadstage-request-id");
+        self.state().runs.insert(id.clone(), 0);
+        let mut guard = RunGuard { replica: self.clone(), id, done: false };
+        if fault == ReplicaFault::Hangs {
+            std::future::pending::<()>().await;
+        }
+        guard.finish();
+        let cut = futures::stream::iter([Ok(Bytes::from("cut")), Err(std::io::Error::other("cut"))]);
+        let body = match fault {
+            ReplicaFault::Breaks => {
+                loopback::parts(futures::stream::iter([Err(std::io::Error::other("cut"))]))
+            }
+            ReplicaFault::CutsBody => loopback::parts(cut),
+            _ => loopback::whole(format!("{} answers {}", self.id, req.uri())),
+        };
+        let mut res = Response::new(body);
+        *res.headers_mut() = self.headers(req.headers(), fault);
+        if fault == ReplicaFault::Fails {
+            *res.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
+        }
+        res
+    }
+
+    fn stream(self: Arc<Self>, req: &Request<Bytes>) -> Response<Body> {
+        let id = text(req.headers(), "leadstage-request-id");
+        let from = match req.headers().get("kv-from") {
+            Some(copy) => {
+                let copy = copy.to_str().unwrap_or("").to_owned();
+                let used = self.copies.0.lock().expect("no holder panics").remove(&copy);
+                if used.is_none() {
+                    return self.not_run(req.headers());
+                }
+                text(req.headers(), "last-event-id").parse().unwrap_or(0)
+            }
+            None => 0,
+        };
+        let mut res = Response::new(loopback::parts(self.clone().generate(id, from)));
+        *res.headers_mut() = self.headers(req.headers(), ReplicaFault::None);
+        res.headers_mut().insert("content-type", "text/event-stream".parse().expect("valid"));
+        res
+    }
+
+    /// The events after `from`; stops without an end when the generation was copied away.
+    fn generate(
+        self: Arc<Self>,
+        id: String,
+        from: u64,
+    ) -> impl futures::Stream<Item = std::io::Result<Bytes>> + Send {
+        self.state().runs.insert(id.clone(), from);
+        let guard = RunGuard { replica: self.clone(), id, done: false };
+        futures::stream::unfold((guard, from), |(mut guard, made)| async move {
+            let replica = guard.replica.clone();
+            if made == replica.events {
+                guard.finish();
+                return None;
+            }
+            tokio::time::sleep(replica.pace).await;
+            let mut state = replica.state();
+            if state.stopped.contains(&guard.id) {
+                guard.finish();
+                drop(state);
+                return Some((Err(std::io::Error::other("stopped")), (guard, replica.events)));
+            }
+            state.runs.insert(guard.id.clone(), made + 1);
+            drop(state);
+            let event = format!("id: {}\ndata: token {}\n\n", made + 1, made + 1);
+            Some((Ok(Bytes::from(event)), (guard, made + 1)))
+        })
+    }
+
+    async fn copy(&self, req: Request<Bytes>) -> Response<Body> {
+        let call: serde_json::Value = serde_json::from_slice(req.body()).unwrap_or_default();
+        let (id, last) = (call["id"].as_str().unwrap_or("").to_owned(), call["last"] == true);
+        let (fault, made, address) = {
+            let state = self.state();
+            (state.copy_fault, state.runs.get(&id).copied(), state.address)
+        };
+        let Some(made) = made else {
+            return status(404);
+        };
+        match fault {
+            CopyFault::NoRoom => return status(503),
+            CopyFault::CopyHangs if !last => std::future::pending::<()>().await,
+            _ => {}
+        }
+        let address = address.expect("it serves");
+        self.copies.0.lock().expect("no holder panics").insert(format!("{address}/h-{id}"), made);
+        if last {
+            self.state().stopped.push(id.clone());
+            if fault == CopyFault::StopHangs {
+                std::future::pending::<()>().await;
+            }
+        }
+        Response::new(loopback::whole(json!({"handle": format!("h-{id}"), "made": made}).to_string()))
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
+}
+
+fn status(status: u16) -> Response<Body> {
+    let mut res = Response::new(loopback::whole("{}"));
+    *res.status_mut() = status.try_into().expect("a valid status");
+    res
+}
+
+impl Answerer for GatewayReplica {
+    async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
+        match req.uri().path() {
+            "/v1/kv-move" => return self.copy(req).await,
+            "/healthz" => {
+                let mut res = status(200);
+                res.headers_mut().insert("leadstage-instance-id", self.id.parse().expect("valid"));
+                return res;
+            }
+            _ => {}
+        }
+        let line = format!("{} {}", req.method(), req.uri());
+        let seen = Seen { line, headers: req.headers().clone(), body: req.body().clone() };
+        self.state().seen.push(seen);
+        let fault = self.state().fault;
+        if fault == ReplicaFault::NotRun {
+            return self.not_run(req.headers());
+        }
+        if req.headers().contains_key("leadstage-model") {
+            return self.stream(&req);
+        }
+        self.call(req, fault).await
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -3,9 +3,12 @@
 
 pub mod engine_model;
 pub mod engine_server;
+pub mod gateway_replica;
 pub mod http_client;
 pub mod http_server;
 pub mod lengths;
+pub mod loopback;
+pub mod metadata_store;
 pub mod object_store;
 pub mod plain_server;
 pub mod platform_server;
--- /dev/null
+++ b/testutils/src/loopback.rs
@@ -0,0 +1,77 @@
+//! An HTTP/1.1 server inside a test, whose connections can be cut at once.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::Stream;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio_util::task::AbortOnDropHandle;
+
+/// The body of an answer; an error breaks the connection.
+pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Answers requests.
+pub trait Answerer: Send + Sync + 'static {
+    /// Answers one.
+    fn answer(self: Arc<Self>, req: Request<Bytes>) -> impl Future<Output = Response<Body>> + Send;
+}
+
+/// A server; dropping it closes its port and all connections.
+pub struct Server {
+    /// Its address.
+    pub address: SocketAddr,
+    _accepting: AbortOnDropHandle<()>,
+}
+
+/// A whole body.
+pub fn whole(text: impl Into<Bytes>) -> Body {
+    let frame = futures::stream::once(std::future::ready(Ok(Frame::data(text.into()))));
+    BodyExt::boxed_unsync(StreamBody::new(frame))
+}
+
+/// A body that comes in parts.
+pub fn parts(stream: impl Stream<Item = std::io::Result<Bytes>> + Send + 'static) -> Body {
+    let stream: Pin<Box<dyn Stream<Item = _> + Send>> = Box::pin(stream);
+    BodyExt::boxed_unsync(StreamBody::new(futures::StreamExt::map(stream, |part| part.map(Frame::data))))
+}
+
+/// Serves on a free port of `ip`.
+pub async fn serve<A: Answerer>(ip: &str, answerer: Arc<A>) -> Server {
+    let listener = TcpListener::bind(format!("{ip}:0")).await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let accepting = tokio::spawn(async move {
+        let mut connections = JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            connections.spawn(connection(stream, answerer.clone()));
+        }
+    });
+    Server { address, _accepting: AbortOnDropHandle::new(accepting) }
+}
+
+async fn connection<A: Answerer>(stream: tokio::net::TcpStream, answerer: Arc<A>) {
+    let service = service_fn(move |req: Request<Incoming>| {
+        let answerer = answerer.clone();
+        async move {
+            let (head, body) = req.into_parts();
+            let body = body.collect().await.map(|b| b.to_bytes()).unwrap_or_default();
+            Ok::<_, Infallible>(answerer.answer(Request::from_parts(head, body)).await)
+        }
+    });
+    // The other side sees how it ended.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
--- /dev/null
+++ b/testutils/src/metadata_store.rs
@@ -0,0 +1,172 @@
+//! A stand-in for the metadata store of the users' platform: lists, watches, and switches
+//! for its faults.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+
+use crate::loopback;
+use crate::loopback::Answerer;
+use crate::loopback::Body;
+use crate::loopback::Server;
+
+/// What the store does with calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Answers them.
+    #[default]
+    None,
+    /// Answers 503 and does nothing.
+    Refuses,
+    /// Says that the history is gone to each watch.
+    ForgetsHistory,
+}
+
+#[derive(Default)]
+struct State {
+    objects: BTreeMap<(String, String), Value>,
+    history: Vec<(u64, String, Value, bool)>,
+    revision: u64,
+    fault: StoreFault,
+    calls: u64,
+}
+
+/// The store.
+pub struct MetadataStore {
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+impl MetadataStore {
+    /// An empty store that serves on a free port of `ip`.
+    pub async fn start(ip: &str) -> (Arc<MetadataStore>, Server) {
+        let store = Arc::new(MetadataStore { state: Mutex::default(), changed: watch::Sender::new(0) });
+        let server = loopback::serve(ip, store.clone()).await;
+        (store, server)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// Puts an object.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        let mut state = self.state();
+        state.revision += 1;
+        let revision = state.revision;
+        let object = json!({"metadata": {"name": name, "revision": revision}, "spec": spec, "status": null});
+        state.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
+        state.history.push((revision, kind.to_owned(), object, false));
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Takes an object away.
+    pub fn delete(&self, kind: &str, name: &str) {
+        let mut state = self.state();
+        state.revision += 1;
+        let revision = state.revision;
+        if let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) {
+            state.history.push((revision, kind.to_owned(), object, true));
+        }
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Sets what it does with calls; waiting watches are woken.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.state().fault = fault;
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    fn list(&self, kind: &str) -> Value {
+        let state = self.state();
+        let items = state.objects.iter().filter(|((k, _), _)| k == kind).map(|(_, object)| object.clone());
+        json!({"items": items.collect::<Vec<_>>(), "more": false, "at": state.revision})
+    }
+
+    fn events(&self, kind: &str, since: u64) -> Vec<Value> {
+        let state = self.state();
+        let events = state.history.iter().filter(|(revision, k, _, _)| *revision > since && k == kind);
+        events.map(|(_, _, object, gone)| json!({"object": object, "gone": gone})).collect()
+    }
+
+    async fn watch(&self, kind: &str, since: u64, wait: Duration) -> Response<Body> {
+        let mut changed = self.changed.subscribe();
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            match self.state().fault {
+                StoreFault::None => {}
+                StoreFault::Refuses => return refusal(503),
+                StoreFault::ForgetsHistory => return refusal(410),
+            }
+            let events = self.events(kind, since);
+            if !events.is_empty() {
+                let at = self.state().revision;
+                return answer(&json!({"events": events, "at": at}));
+            }
+            if tokio::time::timeout_at(until, changed.changed()).await.is_err() {
+                return answer(&json!({"events": [], "at": since}));
+            }
+        }
+    }
+}
+
+/// An entry of a replica.
+pub fn replica_entry(service: &str, address: SocketAddr, hall: &str, state: &str) -> Value {
+    json!({"service": service, "address": address, "zone": hall, "version": "v1", "slots": 8,
+        "state": state, "coldRemainingMs": 0, "sequence": 1})
+}
+
+fn answer(value: &Value) -> Response<Body> {
+    Response::new(loopback::whole(value.to_string()))
+}
+
+fn refusal(status: u16) -> Response<Body> {
+    let mut res = Response::new(loopback::whole(""));
+    *res.status_mut() = status.try_into().expect("a valid status");
+    res
+}
+
+fn query<'a>(req: &'a Request<Bytes>, name: &str) -> Option<&'a str> {
+    let pairs = req.uri().query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+impl Answerer for MetadataStore {
+    async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
+        self.state().calls += 1;
+        if self.state().fault == StoreFault::Refuses {
+            return refusal(503);
+        }
+        let Some(rest) = req.uri().path().strip_prefix("/v1/objects/") else {
+            return refusal(404);
+        };
+        let (kind, name) = rest.split_once('/').map_or((rest, None), |(kind, name)| (kind, Some(name)));
+        if let Some(name) = name {
+            let found = self.state().objects.get(&(kind.to_owned(), name.to_owned())).cloned();
+            return found.map_or_else(|| refusal(404), |object| answer(&object));
+        }
+        let since = query(&req, "watch").and_then(|since| since.parse().ok());
+        let wait = query(&req, "waitMs").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+        match since {
+            Some(since) => self.watch(kind, since, Duration::from_millis(wait)).await,
+            None => answer(&self.list(kind)),
+        }
+    }
+}
