store: three nodes follow it and tell the others

Ruled out: polling with stale reads by all: slow news, and calls that grow with the fleet; one watcher: the store may turn just that node away.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -12,3 +12,4 @@
 pub mod retry_window;
 pub mod routing;
 pub mod waiting;
+pub mod watchers;
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -6,7 +6,6 @@
 
 mod balancer_port;
 mod caller_port;
-mod config_port;
 mod connections;
 mod control;
 mod event_stream;
@@ -24,6 +23,7 @@
 mod outbox;
 mod passing;
 mod peer_message;
+mod peer_port;
 mod placing;
 mod plain;
 mod reload;
@@ -35,6 +35,7 @@
 mod status;
 mod stop;
 mod streams;
+mod watching;
 
 pub use logging::start as start_logging;
 pub use start::SettingsFile;
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -1,6 +1,7 @@
 //! The control loop of a gateway node: takes each message and passes it to the part that
 //! it concerns.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,30 +11,38 @@
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
+use leadstage_lib::gateway::watchers::PulseNumber;
+use leadstage_lib::gateway::watchers::Watchers;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::health::Health;
 use leadstage_platform::store::Change;
 use leadstage_platform::store::Changes;
+use leadstage_platform::store::Revision;
 use log::info;
 use log::warn;
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use crate::gateway::config_port;
 use crate::gateway::fleet::FAN_OUT;
 use crate::gateway::fleet::Fleet;
 use crate::gateway::lookout::Lookout;
+use crate::gateway::messages::Fetched;
 use crate::gateway::messages::News;
 use crate::gateway::messages::Order;
 use crate::gateway::messages::ToControl;
 use crate::gateway::metrics::Levels;
 use crate::gateway::outbox::Outbox;
+use crate::gateway::outbox::node_id;
 use crate::gateway::peer_message::Datagram;
 use crate::gateway::peer_message::PeerMessage;
+use crate::gateway::peer_message::Pulse;
 use crate::gateway::peer_message::ReplicaNews;
+use crate::gateway::peer_port;
+use crate::gateway::peer_port::ReplicaList;
 use crate::gateway::placing::Placing;
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
+use crate::gateway::watching::Watching;
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(100);
@@ -42,9 +51,9 @@
 /// A replica that left is forgotten after this: the longest time that one serves on after
 /// its entry is gone is a few seconds.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
-/// A newer configuration that another node has usually comes from the store as well; it is
-/// fetched from that node if it has not come within this.
-const STORE_FIRST: Duration = Duration::from_millis(120);
+/// What another node knows already usually comes by itself; it is fetched from that node if
+/// it has not come within this.
+const NEWS_FIRST: Duration = Duration::from_millis(120);
 
 /// The state of the control loop.
 pub struct Control {
@@ -54,12 +63,17 @@
     placing: Placing,
     lookout: Lookout,
     replicas_known: bool,
+    watchers: Watchers,
+    watching: Watching,
+    /// The store's revision up to which the replicas are known.
+    replicas_at: Revision,
     /// When the configuration and news of the replicas last came.
-    config_at: Timestamp,
-    replicas_at: Timestamp,
+    config_heard: Timestamp,
+    replicas_heard: Timestamp,
     last_status: Timestamp,
-    /// A configuration is being fetched from another node.
-    fetching: bool,
+    /// Something is being fetched from another node.
+    fetches_configuration: bool,
+    fetches_replicas: bool,
 }
 
 impl Control {
@@ -69,6 +83,8 @@
         let fleet = Fleet::new(settings.peer, &settings.seeds, outbox.clone());
         let placing = Placing::new(shared.clone(), outbox.clone(), fleet.own().clone());
         let lookout = Lookout::new(shared.clone());
+        let watchers = Watchers::new(fleet.own().clone());
+        let watching = Watching::new(shared.clone());
         Control {
             shared,
             outbox,
@@ -76,10 +92,14 @@
             placing,
             lookout,
             replicas_known: false,
-            config_at: Timestamp::ZERO,
-            replicas_at: Timestamp::ZERO,
+            watchers,
+            watching,
+            replicas_at: 0,
+            config_heard: Timestamp::ZERO,
+            replicas_heard: Timestamp::ZERO,
             last_status: Timestamp::ZERO,
-            fetching: false,
+            fetches_configuration: false,
+            fetches_replicas: false,
         }
     }
 
@@ -108,12 +128,11 @@
             ToControl::Health(replica, health) => self.on_health(&replica, health),
             ToControl::Replicas(news) => self.on_replicas(news),
             ToControl::Configuration(news) => self.on_configuration(news),
-            ToControl::ConfigurationFrom(from, text) => {
-                self.fetching = false;
-                info!(event = "config_fetched", from:% = from, bytes = text.len(); "another node handed its configuration over");
-                self.take_configuration(&text);
+            ToControl::Fetched(from, Fetched::Configuration(text)) => {
+                self.on_fetched_configuration(from, text)
             }
-            ToControl::ConfigurationNotFetched => self.fetching = false,
+            ToControl::Fetched(from, Fetched::Replicas(list)) => self.on_fetched_replicas(from, list),
+            ToControl::OwnPulse(number, store_answers) => self.on_own_pulse(number, store_answers),
             ToControl::Datagram(datagram) => self.on_datagram(datagram),
             ToControl::Seeds(seeds) => self.fleet.set_seeds(&seeds),
             ToControl::Stopping => self.fleet.leave(),
@@ -131,9 +150,10 @@
         self.placing.knowledge.forget_gone();
         self.placing.tell_leads(&self.fleet);
         self.placing.lead(&self.fleet);
-        let leads = self.placing.leads_any(&self.fleet);
-        let engines = if leads { self.placing.engines_in_use(&self.fleet) } else { Vec::new() };
-        self.lookout.tick(now, leads, engines);
+        self.watching.set(self.watchers.should_watch(self.fleet.alive(), now));
+        if !self.watchers.store_answers(now) {
+            self.lookout.tick(now, self.placing.engines_in_use(&self.fleet));
+        }
         self.publish_status(now);
     }
 
@@ -148,8 +168,8 @@
             waiting: self.placing.waiting(),
             open: self.shared.open_requests(),
             nodes: self.shared.nodes(),
-            config_age: now.saturating_sub(self.config_at),
-            replicas_age: now.saturating_sub(self.replicas_at),
+            config_age: now.saturating_sub(self.config_heard),
+            replicas_age: now.saturating_sub(self.replicas_heard),
         });
     }
 
@@ -158,9 +178,7 @@
         let from = datagram.from;
         let mut gone = self.fleet.heard_from(from, now);
         self.compare_configuration(from, datagram.config);
-        if datagram.store_heard {
-            self.lookout.on_store_answers_others(now);
-        }
+        self.compare_replicas(from, datagram.replicas_at);
         match datagram.message {
             PeerMessage::Probe(id, gossip) => gone.extend(self.fleet.on_probe(from, id, gossip, now)),
             PeerMessage::ProbeAnswer(id, gossip) => gone.extend(self.fleet.on_answer(id, gossip, now)),
@@ -172,7 +190,8 @@
             PeerMessage::Copied(run) => self.placing.on_copied(from, run),
             PeerMessage::MoveAway(run, engine) => self.placing.on_move_away(run, engine),
             PeerMessage::Inventory(inventory) => self.placing.on_inventory(from, inventory),
-            PeerMessage::Replicas(news) => self.on_replica_news(news),
+            PeerMessage::Replicas(news) => self.on_replica_news(from, news),
+            PeerMessage::Pulse(pulse) => self.on_pulse(pulse),
             PeerMessage::NewConfig => {}
         }
         for node in gone {
@@ -184,23 +203,81 @@
         self.shared.table().map_or(0, |table| table.version)
     }
 
-    /// Fetches a configuration that another node has, unless the store brings it first.
-    fn compare_configuration(&mut self, from: std::net::SocketAddr, theirs: ConfigVersion) {
-        if self.fetching || theirs <= self.version() {
+    /// Fetches a configuration that another node has, unless it comes by itself.
+    fn compare_configuration(&mut self, from: SocketAddr, theirs: ConfigVersion) {
+        if self.fetches_configuration || theirs <= self.version() {
             return;
         }
-        self.fetching = true;
+        self.fetches_configuration = true;
         let shared = self.shared.clone();
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(STORE_FIRST).await;
+            tokio::time::sleep(NEWS_FIRST).await;
             if shared.table().map_or(0, |table| table.version) < theirs {
-                config_port::fetch(shared, from).await;
+                peer_port::fetch_configuration(shared, from).await;
             } else {
-                shared.tell(ToControl::ConfigurationNotFetched);
+                shared.tell(ToControl::Fetched(from, Fetched::Configuration(None)));
             }
         });
     }
 
+    fn on_fetched_configuration(&mut self, from: SocketAddr, text: Option<Bytes>) {
+        self.fetches_configuration = false;
+        if let Some(text) = text {
+            info!(event = "config_fetched", from:% = from, bytes = text.len(); "another node handed its configuration over");
+            self.take_configuration(&text);
+        }
+    }
+
+    /// Fetches the replicas that another node knows, unless the news come by themselves.
+    fn compare_replicas(&mut self, from: SocketAddr, theirs: Revision) {
+        if self.fetches_replicas || theirs <= self.replicas_at {
+            return;
+        }
+        self.fetches_replicas = true;
+        let shared = self.shared.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(NEWS_FIRST).await;
+            if shared.replica_list().at < theirs {
+                peer_port::fetch_replicas(shared, from).await;
+            } else {
+                shared.tell(ToControl::Fetched(from, Fetched::Replicas(None)));
+            }
+        });
+    }
+
+    fn on_fetched_replicas(&mut self, from: SocketAddr, list: Option<ReplicaList>) {
+        self.fetches_replicas = false;
+        let Some(list) = list.filter(|list| list.at > self.replicas_at) else {
+            return;
+        };
+        info!(event = "replicas_fetched", from:% = from, replicas = list.records.len(), at = list.at, before = self.replicas_at; "another node handed its replicas over");
+        let change = self.placing.knowledge.replicas.on_list(list.records, true, self.shared.now());
+        self.replicas_at = list.at;
+        self.after_replica_news(&change);
+    }
+
+    fn on_own_pulse(&mut self, number: PulseNumber, store_answers: bool) {
+        if store_answers {
+            self.watchers.on_own_answer(self.shared.now());
+        }
+        let watcher = self.shared.settings.peer;
+        self.pass_on(&PeerMessage::Pulse(Pulse { watcher, number, store_answers }));
+    }
+
+    fn on_pulse(&mut self, pulse: Pulse) {
+        let watcher = node_id(pulse.watcher);
+        if self.watchers.on_pulse(&watcher, pulse.number, pulse.store_answers, self.shared.now()) {
+            self.pass_on(&PeerMessage::Pulse(pulse));
+        }
+    }
+
+    /// Tells some nodes, each of which tells as many again.
+    fn pass_on(&self, message: &PeerMessage) {
+        for node in self.fleet.some(FAN_OUT) {
+            self.outbox.send(node, message);
+        }
+    }
+
     fn on_sign(&mut self, replica: &UpstreamId, sign: LeavingSign) {
         if self.placing.knowledge.replicas.on_sign(replica, sign, self.shared.now()) {
             self.evacuate(replica, sign);
@@ -218,23 +295,42 @@
         };
         if self.placing.knowledge.replicas.on_sign(replica, sign, now) {
             let change = ListChange { leaving: vec![replica.clone()], added: Vec::new() };
-            self.on_list_change(&change);
-            self.tell_replica_news(&change);
+            self.after_replica_news(&change);
+            let news = ReplicaNews { leaving: change.leaving, ..ReplicaNews::default() };
+            self.pass_on(&PeerMessage::Replicas(news));
         }
     }
 
     fn on_replicas(&mut self, news: News<ReplicaRecord>) {
-        let now = self.shared.now();
-        self.replicas_at = now;
-        let change = match news {
+        let before = self.replicas_at;
+        let (change, at) = match news {
             News::Listed { list, after_outage } => {
-                self.replicas_known = true;
-                self.placing.knowledge.replicas.on_list(list.items, after_outage, now)
+                let replicas = &mut self.placing.knowledge.replicas;
+                (replicas.on_list(list.items, after_outage, self.shared.now()), list.at)
+            }
+            News::Changed(changes) => {
+                let at = changes.at;
+                (self.on_replica_changes(changes), at)
             }
-            News::Changed(changes) => self.on_replica_changes(changes),
         };
-        self.on_list_change(&change);
-        self.tell_replica_news(&change);
+        self.replicas_at = self.replicas_at.max(at);
+        self.after_replica_news(&change);
+        let added = change.added.iter().filter_map(|id| self.placing.knowledge.replicas.get(id));
+        let added: Vec<ReplicaRecord> = added.map(|replica| (*replica.record).clone()).collect();
+        if !added.is_empty() || !change.leaving.is_empty() {
+            let news = ReplicaNews { before, at, added, leaving: change.leaving };
+            self.pass_on(&PeerMessage::Replicas(news));
+        }
+    }
+
+    /// What follows from any news of the replicas.
+    fn after_replica_news(&mut self, change: &ListChange) {
+        self.replicas_known = true;
+        self.replicas_heard = self.shared.now();
+        self.on_list_change(change);
+        let records = self.placing.knowledge.replicas.iter().filter(|replica| replica.leaving.is_none());
+        let records = records.map(|replica| (*replica.record).clone()).collect();
+        self.shared.set_replica_list(ReplicaList { at: self.replicas_at, records });
         self.check_ready();
     }
 
@@ -250,22 +346,35 @@
         change
     }
 
-    /// Another node learnt of replicas; what is new here is told on.
-    fn on_replica_news(&mut self, news: ReplicaNews) {
+    /// A watcher learnt of replicas. News that is new here is passed on.
+    fn on_replica_news(&mut self, from: SocketAddr, news: ReplicaNews) {
+        let is_sign = news.at == 0;
+        if !is_sign && news.at <= self.replicas_at {
+            return;
+        }
         let now = self.shared.now();
         let mut change = ListChange::default();
-        for record in news.added {
+        for record in &news.added {
             if self.placing.knowledge.replicas.get(&record.id).is_none() {
-                self.placing.knowledge.replicas.on_entry(record, now, &mut change);
+                self.placing.knowledge.replicas.on_entry(record.clone(), now, &mut change);
             }
         }
-        for id in news.leaving {
-            if self.placing.knowledge.replicas.on_sign(&id, LeavingSign::Told, now) {
-                change.leaving.push(id);
+        for id in &news.leaving {
+            if self.placing.knowledge.replicas.on_sign(id, LeavingSign::Told, now) {
+                change.leaving.push(id.clone());
             }
         }
-        self.on_list_change(&change);
-        self.tell_replica_news(&change);
+        let is_news = !change.added.is_empty() || !change.leaving.is_empty();
+        if news.before <= self.replicas_at {
+            self.replicas_at = self.replicas_at.max(news.at);
+        } else {
+            // Something between was missed.
+            self.compare_replicas(from, news.at);
+        }
+        self.after_replica_news(&change);
+        if is_news || !is_sign {
+            self.pass_on(&PeerMessage::Replicas(news));
+        }
     }
 
     fn on_list_change(&mut self, change: &ListChange) {
@@ -281,18 +390,6 @@
         }
     }
 
-    fn tell_replica_news(&self, change: &ListChange) {
-        let records = change.added.iter().filter_map(|id| self.placing.knowledge.replicas.get(id));
-        let added: Vec<ReplicaRecord> = records.map(|replica| (*replica.record).clone()).collect();
-        if added.is_empty() && change.leaving.is_empty() {
-            return;
-        }
-        for node in self.fleet.some(FAN_OUT) {
-            let news = ReplicaNews { added: added.clone(), leaving: change.leaving.clone() };
-            self.outbox.send(node, PeerMessage::Replicas(news));
-        }
-    }
-
     /// A replica leaves: its streams are told to move.
     fn evacuate(&mut self, id: &UpstreamId, sign: LeavingSign) {
         let streams = self.placing.streams_at(id);
@@ -326,11 +423,9 @@
             Ok(config) => {
                 let version = config.version;
                 if self.shared.set_table(RoutingTable::new(config), text.clone()) {
-                    self.config_at = self.shared.now();
+                    self.config_heard = self.shared.now();
                     info!(event = "config_in_force", version, bytes = text.len(); "configuration in force");
-                    for node in self.fleet.some(FAN_OUT) {
-                        self.outbox.send(node, PeerMessage::NewConfig);
-                    }
+                    self.pass_on(&PeerMessage::NewConfig);
                 }
             }
             Err(err) => {
--- a/node/src/gateway/fleet.rs
+++ b/node/src/gateway/fleet.rs
@@ -124,7 +124,7 @@
     /// A probe came.
     pub fn on_probe(&mut self, from: SocketAddr, id: ProbeId, gossip: Gossip, now: Timestamp) -> Vec<VmId> {
         let answer = PeerMessage::ProbeAnswer(id, self.gossip());
-        self.outbox.send(from, answer);
+        self.outbox.send(from, &answer);
         self.on_gossip(gossip, now)
     }
 
@@ -134,7 +134,7 @@
             Some((Awaited::Direct(target), _)) => self.membership.on_probe(&target, true, now),
             Some((Awaited::Indirect(target), _)) => self.membership.on_indirect(&target, true, now),
             Some((Awaited::ForOther(asker, their_id), _)) => {
-                self.outbox.send(asker, PeerMessage::ProbeAnswer(their_id, Gossip::default()));
+                self.outbox.send(asker, &PeerMessage::ProbeAnswer(their_id, Gossip::default()));
                 Vec::new()
             }
             None => Vec::new(),
@@ -154,7 +154,7 @@
         self.membership.leave();
         for node in self.some(FAN_OUT) {
             let gossip = self.gossip();
-            self.outbox.send(node, PeerMessage::Probe(0, gossip));
+            self.outbox.send(node, &PeerMessage::Probe(0, gossip));
         }
     }
 
@@ -219,7 +219,7 @@
         self.last_probe += 1;
         self.probes.insert(self.last_probe, (awaited, now + PROBE_LIMIT));
         let gossip = self.gossip();
-        self.outbox.send(target, PeerMessage::Probe(self.last_probe, gossip));
+        self.outbox.send(target, &PeerMessage::Probe(self.last_probe, gossip));
     }
 
     fn probe_via(&mut self, via: &VmId, target: VmId, now: Timestamp) {
@@ -228,7 +228,7 @@
         };
         self.last_probe += 1;
         self.probes.insert(self.last_probe, (Awaited::Indirect(target), now + 2 * PROBE_LIMIT));
-        self.outbox.send(via, PeerMessage::ProbeFor(self.last_probe, address));
+        self.outbox.send(via, &PeerMessage::ProbeFor(self.last_probe, address));
     }
 }
 
--- a/node/src/gateway/follow.rs
+++ b/node/src/gateway/follow.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use leadstage_lib::retry::Backoff;
+use leadstage_platform::store::Age;
 use leadstage_platform::store::Kind;
 use leadstage_platform::store::Store;
 use leadstage_platform::store::StoreError;
@@ -22,6 +23,19 @@
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// Reads what a starting node needs once: what may be some seconds old is enough, as other
+/// nodes tell what is newer, and costs a tenth.
+pub async fn read_once<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl) {
+    let mut store = Store::new(shared.settings.store);
+    match store.list::<K>(Age::SomeSeconds, note_unreadable::<K>).await {
+        Ok(list) => shared.tell(wrap(News::Listed { list, after_outage: true })),
+        Err(err) => {
+            info!(event = "store_lost", kind = K::NAME, reason:% = err; "the store does not answer a starting node")
+        }
+    }
+    shared.metrics.on_store_call("read", "done");
+}
+
 /// Follows the kind `K` until the process ends, and tells the control loop what it learns.
 pub async fn follow<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl) {
     let mut store = Store::new(shared.settings.store);
@@ -52,7 +66,7 @@
     backoff: &mut Backoff,
     lost: &Cell<bool>,
 ) -> StoreError {
-    let list = match store.list::<K>(note_unreadable::<K>).await {
+    let list = match store.list::<K>(Age::Newest, note_unreadable::<K>).await {
         Ok(list) => list,
         Err(err) => return err,
     };
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -11,6 +11,7 @@
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::health::Health;
@@ -20,6 +21,7 @@
 use tokio::sync::oneshot;
 
 use crate::gateway::peer_message::Datagram;
+use crate::gateway::peer_port::ReplicaList;
 
 /// To the control loop.
 pub enum ToControl {
@@ -41,10 +43,10 @@
     Replicas(News<ReplicaRecord>),
     /// News of the configuration from the store.
     Configuration(News<Bytes>),
-    /// Another node handed its configuration over.
-    ConfigurationFrom(SocketAddr, Bytes),
-    /// Another node was asked for its configuration in vain, or need not be any more.
-    ConfigurationNotFetched,
+    /// Another node was asked for what it knows.
+    Fetched(SocketAddr, Fetched),
+    /// This node's own pulse as a watcher of the store, and whether the store answers.
+    OwnPulse(PulseNumber, bool),
     /// A message from another node.
     Datagram(Datagram),
     /// The settings name other seeds.
@@ -53,6 +55,14 @@
     Stopping,
 }
 
+/// What another node handed over; `None` if nothing, or if it was no longer wanted.
+pub enum Fetched {
+    /// Its configuration's text.
+    Configuration(Option<Bytes>),
+    /// Its list of replicas.
+    Replicas(Option<ReplicaList>),
+}
+
 /// What following a kind of objects brought.
 pub enum News<T> {
     /// The whole list. `after_outage` is set if entries may have lapsed meanwhile.
--- a/node/src/gateway/outbox.rs
+++ b/node/src/gateway/outbox.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use leadstage_lib::ids::VmId;
 use log::debug;
@@ -15,9 +14,6 @@
 use crate::gateway::peer_message::PeerMessage;
 use crate::gateway::shared::Shared;
 
-/// An answer of the store this old still shows that it answers.
-const FRESH: Duration = Duration::from_millis(700);
-
 /// Sends this node's datagrams.
 #[derive(Clone)]
 pub struct Outbox {
@@ -43,10 +39,11 @@
     }
 
     /// Sends a message; like any datagram, it may be lost.
-    pub fn send(&self, to: SocketAddr, message: PeerMessage) {
+    pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
         let config = self.shared.table().map_or(0, |table| table.version);
         let from = self.shared.settings.peer;
-        let datagram = Datagram { from, config, store_heard: self.shared.store_heard_within(FRESH), message };
+        let replicas_at = self.shared.replica_list().at;
+        let datagram = Datagram { from, config, replicas_at, message };
         match postcard::to_stdvec(&datagram) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => {
                 if let Err(err) = self.socket.try_send_to(&bytes, to) {
--- a/node/src/gateway/peer_message.rs
+++ b/node/src/gateway/peer_message.rs
@@ -12,9 +12,11 @@
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::membership::News;
+use leadstage_platform::store::Revision;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -22,17 +24,17 @@
 /// node takes a few.
 pub const MAX_DATAGRAM: usize = 16 << 10;
 
-/// A datagram.
+/// A datagram; `M` is a message, or a reference to one that is sent to several nodes.
 #[derive(Debug, Deserialize, Serialize)]
-pub struct Datagram {
+pub struct Datagram<M = PeerMessage> {
     /// The sender's peer address.
     pub from: SocketAddr,
     /// The sender's configuration; 0 without one.
     pub config: ConfigVersion,
-    /// Whether the store has just answered the sender.
-    pub store_heard: bool,
+    /// The store's revision up to which the sender knows the replicas.
+    pub replicas_at: Revision,
     /// The message.
-    pub message: PeerMessage,
+    pub message: M,
 }
 
 /// A message.
@@ -58,8 +60,10 @@
     MoveAway(RunId, UpstreamId),
     /// All generations of the sender at a service's engines.
     Inventory(Inventory),
-    /// What the sender has learnt of the replicas.
+    /// What a watcher has learnt of the replicas; passed on unchanged.
     Replicas(ReplicaNews),
+    /// A watcher of the store is there; passed on unchanged.
+    Pulse(Pulse),
     /// The sender has a newer configuration; its version stands in the datagram.
     NewConfig,
 }
@@ -108,9 +112,25 @@
     pub last: RunId,
 }
 
-/// What a node has learnt of the replicas.
-#[derive(Debug, Default, Deserialize, Serialize)]
+/// A watcher's pulse.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Pulse {
+    /// The watcher's peer address.
+    pub watcher: SocketAddr,
+    /// Numbers its pulses.
+    pub number: PulseNumber,
+    /// Whether the store answers it.
+    pub store_answers: bool,
+}
+
+/// What a watcher has learnt of the replicas.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct ReplicaNews {
+    /// The revision up to which the watcher knew the replicas before; 0 for a sign that
+    /// does not come from the store.
+    pub before: Revision,
+    /// The revision up to which it knows them now.
+    pub at: Revision,
     /// New replicas.
     pub added: Vec<ReplicaRecord>,
     /// Replicas that leave.
--- /dev/null
+++ b/node/src/gateway/peer_port.rs
@@ -0,0 +1,87 @@
+//! What nodes hand to each other whole: the configuration and the list of replicas, for
+//! those that don't follow the store or missed some news.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_platform::connect::Link;
+use leadstage_platform::store::Revision;
+use log::info;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::gateway::messages::Fetched;
+use crate::gateway::messages::ToControl;
+use crate::gateway::shared::Shared;
+
+/// Where a node hands its configuration out, as the operator wrote it.
+const CONFIG_PATH: &str = "/config";
+/// Where a node hands its list of replicas out.
+const REPLICAS_PATH: &str = "/replicas";
+/// Time for either to arrive.
+const FETCH_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// The replicas that a node knows and takes to stay.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct ReplicaList {
+    /// The store's revision up to which the list holds.
+    pub at: Revision,
+    /// The replicas.
+    pub records: Vec<ReplicaRecord>,
+}
+
+/// Hands the configuration and the replicas out.
+pub fn answer(shared: &Arc<Shared>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let body = match req.uri().path() {
+        CONFIG_PATH => shared.config_text(),
+        REPLICAS_PATH => serde_json::to_vec(&*shared.replica_list()).ok().map(Bytes::from),
+        _ => None,
+    };
+    let status = if body.is_some() { StatusCode::OK } else { StatusCode::NOT_FOUND };
+    let mut res = Response::new(Full::from(body.unwrap_or_default()));
+    *res.status_mut() = status;
+    res
+}
+
+/// Fetches the configuration from another node and tells the control loop.
+pub async fn fetch_configuration(shared: Arc<Shared>, from: SocketAddr) {
+    let text = fetch(from, CONFIG_PATH).await;
+    shared.tell(ToControl::Fetched(from, Fetched::Configuration(text)));
+}
+
+/// Fetches the replicas from another node and tells the control loop.
+pub async fn fetch_replicas(shared: Arc<Shared>, from: SocketAddr) {
+    let body = fetch(from, REPLICAS_PATH).await;
+    let list = body.and_then(|body| match serde_json::from_slice(&body) {
+        Ok(list) => Some(list),
+        Err(err) => {
+            info!(event = "fetch_failed", from:% = from, path = REPLICAS_PATH, reason:% = err; "a node's list can't be read");
+            None
+        }
+    });
+    shared.tell(ToControl::Fetched(from, Fetched::Replicas(list)));
+}
+
+async fn fetch(from: SocketAddr, path: &'static str) -> Option<Bytes> {
+    let req = Request::get(path).header(http::header::HOST, from.to_string()).body(Full::default());
+    let answer = Link::new(from).call(req.expect("the request is valid"), FETCH_LIMIT).await;
+    match answer {
+        Ok(answer) if answer.status == StatusCode::OK => Some(answer.body),
+        Ok(answer) => {
+            info!(event = "fetch_failed", from:% = from, path, status = answer.status.as_u16(); "a node handed nothing out");
+            None
+        }
+        Err(err) => {
+            info!(event = "fetch_failed", from:% = from, path, reason:% = err; "a node did not answer");
+            None
+        }
+    }
+}
--- a/node/src/gateway/placing.rs
+++ b/node/src/gateway/placing.rs
@@ -144,7 +144,7 @@
             hall: ask.wanted.hall.clone(),
             exclude: ask.wanted.exclude.clone(),
         };
-        self.outbox.send(address, PeerMessage::Place(remote));
+        self.outbox.send(address, &PeerMessage::Place(remote));
         let due = self.shared.now() + LEAD_LIMIT;
         self.pending.insert(run, Pending { ask, lead, due });
         self.expect_answer(run, LEAD_LIMIT);
@@ -163,7 +163,7 @@
         match self.desk.ask(&mut self.knowledge, ask, self.shared.now()) {
             lead_desk::Outcome::Decided(decision) => self.answer(decision),
             lead_desk::Outcome::Waits(key, Some(there)) => {
-                self.outbox.send(there, PeerMessage::Waits(key.run))
+                self.outbox.send(there, &PeerMessage::Waits(key.run))
             }
             lead_desk::Outcome::Waits(_, None) => {}
         }
@@ -176,7 +176,7 @@
         match ask.asker {
             Asker::There(there) => {
                 let record = chosen.map(|record| (*record).clone());
-                self.outbox.send(there, PeerMessage::Placed(run, record));
+                self.outbox.send(there, &PeerMessage::Placed(run, record));
             }
             Asker::Here { stream, reply } => {
                 if let (Some(_), Some(stream)) = (&chosen, stream) {
@@ -283,7 +283,7 @@
         let replica = run.replica.clone();
         self.knowledge.book.on_copied(&key);
         match self.other_lead(fleet, &replica) {
-            Some(address) => self.outbox.send(address, PeerMessage::Copied(key.run)),
+            Some(address) => self.outbox.send(address, &PeerMessage::Copied(key.run)),
             None => self.settle(),
         }
     }
@@ -303,7 +303,7 @@
         };
         self.knowledge.book.on_first_event(&key, self.shared.now());
         if let Some(address) = self.other_lead(fleet, &replica) {
-            self.outbox.send(address, PeerMessage::FirstEvent(run));
+            self.outbox.send(address, &PeerMessage::FirstEvent(run));
         }
     }
 
@@ -381,11 +381,6 @@
         self.desk.waiting()
     }
 
-    /// Whether this node leads any service.
-    pub fn leads_any(&self, fleet: &Fleet) -> bool {
-        !self.led(fleet).is_empty()
-    }
-
     /// The engines with generations, of the services that this node leads, and where they
     /// tell their health.
     pub fn engines_in_use(&self, fleet: &Fleet) -> Vec<(Arc<ReplicaRecord>, String)> {
@@ -408,7 +403,7 @@
             if relief.key.entry == self.own {
                 self.on_move_away(relief.key.run, relief.from);
             } else if let Some(address) = address_of(&relief.key.entry) {
-                self.outbox.send(address, PeerMessage::MoveAway(relief.key.run, relief.from));
+                self.outbox.send(address, &PeerMessage::MoveAway(relief.key.run, relief.from));
             }
         }
     }
@@ -450,7 +445,7 @@
         }
         if let Some(address) = address_of(&lead) {
             let inventory = Inventory { runs, last: self.newest_settled() };
-            self.outbox.send(address, PeerMessage::Inventory(inventory));
+            self.outbox.send(address, &PeerMessage::Inventory(inventory));
         }
     }
 
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -22,6 +22,7 @@
 use crate::gateway::messages::Placed;
 use crate::gateway::messages::ToControl;
 use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::peer_port::ReplicaList;
 use crate::gateway::settings::Bounds;
 use crate::gateway::settings::GatewaySettings;
 
@@ -52,7 +53,7 @@
     bounds: RwLock<Bounds>,
     nodes: AtomicUsize,
     store_answers: AtomicBool,
-    store_heard: RwLock<Option<Timestamp>>,
+    replica_list: RwLock<Arc<ReplicaList>>,
 }
 
 impl Shared {
@@ -66,7 +67,7 @@
             bounds: RwLock::new(settings.bounds.clone()),
             nodes: AtomicUsize::new(1),
             store_answers: AtomicBool::new(true),
-            store_heard: RwLock::new(None),
+            replica_list: RwLock::default(),
             settings,
             metrics,
             status: RwLock::default(),
@@ -129,17 +130,18 @@
         self.store_answers.load(Ordering::Relaxed)
     }
 
-    /// Whether the store has answered this node within `window`.
-    pub fn store_heard_within(&self, window: Duration) -> bool {
-        let heard = *self.store_heard.read().expect("no holder panics");
-        heard.is_some_and(|at| at + window > self.now())
+    /// The replicas that this node knows, to be handed to other nodes.
+    pub fn replica_list(&self) -> Arc<ReplicaList> {
+        self.replica_list.read().expect("no holder panics").clone()
+    }
+
+    /// Publishes them.
+    pub fn set_replica_list(&self, list: ReplicaList) {
+        *self.replica_list.write().expect("no holder panics") = Arc::new(list);
     }
 
     /// Notes whether the store answered; returns whether that is news.
     pub fn set_store_answers(&self, answers: bool) -> bool {
-        if answers {
-            *self.store_heard.write().expect("no holder panics") = Some(self.now());
-        }
         self.store_answers.swap(answers, Ordering::Relaxed) != answers
     }
 
--- /dev/null
+++ b/node/src/gateway/watching.rs
@@ -0,0 +1,81 @@
+//! Follows the store while this node is one of its watchers, and sends their pulse.
+
+use std::sync::Arc;
+
+use leadstage_lib::gateway::watchers::PULSE_INTERVAL;
+use leadstage_lib::gateway::watchers::PulseNumber;
+use leadstage_platform::store::Configuration;
+use leadstage_platform::store::Replicas;
+use leadstage_platform::store::Store;
+use log::info;
+use log::warn;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::gateway::follow;
+use crate::gateway::messages::ToControl;
+use crate::gateway::shared::Shared;
+use crate::shared::unix_millis;
+
+/// The store is away if it does not answer within this; a slow one takes a quarter of a
+/// second.
+const PULSE_LIMIT: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// The tasks of a watcher; they end when this is dropped.
+struct Tasks {
+    _configuration: AbortOnDropHandle<()>,
+    _replicas: AbortOnDropHandle<()>,
+    _pulse: AbortOnDropHandle<()>,
+}
+
+/// This node's watching.
+pub struct Watching {
+    shared: Arc<Shared>,
+    tasks: Option<Tasks>,
+}
+
+impl Watching {
+    /// Does not watch yet.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Watching { shared, tasks: None }
+    }
+
+    /// Begins or ends to watch.
+    pub fn set(&mut self, watch: bool) {
+        if watch == self.tasks.is_some() {
+            return;
+        }
+        info!(event = "store_watch", watch; "this node begins or ends to follow the store for others");
+        self.tasks = watch.then(|| self.start());
+    }
+
+    fn start(&self) -> Tasks {
+        let configuration = follow::follow::<Configuration>(self.shared.clone(), ToControl::Configuration);
+        let replicas = follow::follow::<Replicas>(self.shared.clone(), ToControl::Replicas);
+        Tasks {
+            _configuration: AbortOnDropHandle::new(tokio::task::spawn_local(configuration)),
+            _replicas: AbortOnDropHandle::new(tokio::task::spawn_local(replicas)),
+            _pulse: AbortOnDropHandle::new(tokio::task::spawn_local(pulse(self.shared.clone()))),
+        }
+    }
+}
+
+/// Asks the store again and again whether it answers: a waiting watch looks the same when
+/// the store is away. Each question costs a tenth of a usual call.
+async fn pulse(shared: Arc<Shared>) {
+    let mut store = Store::new(shared.settings.store);
+    let mut number: PulseNumber = unix_millis();
+    loop {
+        let answers = store.answers(PULSE_LIMIT).await;
+        shared.metrics.on_store_call("pulse", if answers { "answered" } else { "failed" });
+        if shared.set_store_answers(answers) {
+            if answers {
+                info!(event = "store_regained", by = "pulse"; "the store answers again");
+            } else {
+                warn!(event = "store_lost", by = "pulse"; "the store does not answer");
+            }
+        }
+        number += 1;
+        shared.tell(ToControl::OwnPulse(number, answers));
+        tokio::time::sleep(PULSE_INTERVAL).await;
+    }
+}
