--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_gateway_load;
 mod test_gateway_replicas;
 mod test_gateway_routing;
+mod test_gateway_watchers;
 mod test_membership;
 mod test_pool;
 mod test_retry;
--- /dev/null
+++ b/lib/tests/test_gateway_watchers.rs
@@ -0,0 +1,88 @@
+//! Which nodes follow the store.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::watchers::WATCHERS;
+use leadstage_lib::gateway::watchers::Watchers;
+use leadstage_lib::ids::VmId;
+
+const LATER: Duration = Duration::from_secs(20);
+
+fn nodes(count: usize) -> Vec<VmId> {
+    (0..count).map(|n| VmId::from(format!("10.0.0.{n}:7200"))).collect()
+}
+
+/// Who watches among `nodes` if each has heard these pulses (watcher, whether the store
+/// answers it) just before `LATER`.
+fn watching(nodes: &[VmId], pulses: &[(usize, bool)]) -> Vec<usize> {
+    let mut watching = Vec::new();
+    for (at, own) in nodes.iter().enumerate() {
+        let mut view = Watchers::new(own.clone());
+        for (watcher, answers) in pulses {
+            view.on_pulse(&nodes[*watcher], 1, *answers, LATER);
+        }
+        if view.should_watch(nodes.iter().filter(|node| *node != own), LATER) {
+            watching.push(at);
+        }
+    }
+    watching
+}
+
+#[test]
+fn test_a_few_watch_whatever_the_size() {
+    for count in [9, 85, 410] {
+        let nodes = nodes(count);
+        let first = watching(&nodes, &[(0, true), (1, true), (2, true)]);
+        let pulses: Vec<_> = first.iter().map(|n| (*n, true)).collect();
+        assert_eq!(watching(&nodes, &pulses).len(), WATCHERS, "{count} nodes");
+    }
+}
+
+#[test]
+fn test_when_the_store_answers_no_watcher_only_the_next_few_try() {
+    let nodes = nodes(85);
+    let others = [(0, true), (1, true), (2, true)];
+    let first: Vec<usize> = {
+        let mut found = watching(&nodes, &others);
+        for _ in 0..3 {
+            let pulses: Vec<_> = found.iter().map(|n| (*n, true)).collect();
+            found = watching(&nodes, &pulses);
+        }
+        found
+    };
+    let failing: Vec<_> = first.iter().map(|n| (*n, false)).collect();
+    assert_eq!(watching(&nodes, &failing).len(), 2 * WATCHERS);
+    let one_works: Vec<_> = first.iter().enumerate().map(|(at, n)| (*n, at == 0)).collect();
+    assert_eq!(watching(&nodes, &one_works).len(), WATCHERS);
+}
+
+#[test]
+fn test_a_node_that_hears_nothing_is_on_its_own() {
+    let nodes = nodes(40);
+    let alone = |now| {
+        let views = nodes.iter().map(|own| Watchers::new(own.clone()));
+        let views: Vec<Watchers> = views.collect();
+        views
+            .iter()
+            .zip(&nodes)
+            .filter(|(view, own)| view.should_watch(nodes.iter().filter(|node| node != own), now))
+            .count()
+    };
+    assert_eq!(alone(Duration::from_millis(100)), 0, "it listens first");
+    assert!(alone(Duration::from_secs(2)) <= 2 * WATCHERS);
+    let (some, all) = (alone(Duration::from_millis(3_500)), alone(Duration::from_secs(5)));
+    assert!(some > 2 * WATCHERS && some < 40, "spread over a second: {some}");
+    assert_eq!(all, 40);
+}
+
+#[test]
+fn test_pulses_are_news_once_and_age() {
+    let nodes = nodes(2);
+    let mut view = Watchers::new(nodes[0].clone());
+    assert!(view.on_pulse(&nodes[1], 5, true, LATER));
+    assert!(!view.on_pulse(&nodes[1], 5, true, LATER));
+    assert!(!view.on_pulse(&nodes[1], 4, false, LATER));
+    assert!(!view.on_pulse(&nodes[0], 9, true, LATER), "its own, come back");
+    assert!(view.store_answers(LATER + Duration::from_secs(1)));
+    assert!(!view.store_answers(LATER + Duration::from_secs(2)));
+}
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ListChange;
+use leadstage_lib::gateway::replicas::Replica;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
@@ -24,6 +25,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::gateway::fleet::FAN_OUT;
+use crate::gateway::fleet::FIRST_FAN_OUT;
 use crate::gateway::fleet::Fleet;
 use crate::gateway::lookout::Lookout;
 use crate::gateway::messages::Fetched;
@@ -251,7 +253,12 @@
             return;
         };
         info!(event = "replicas_fetched", from:% = from, replicas = list.records.len(), at = list.at, before = self.replicas_at; "another node handed its replicas over");
-        let change = self.placing.knowledge.replicas.on_list(list.records, true, self.shared.now());
+        let now = self.shared.now();
+        let replicas = &mut self.placing.knowledge.replicas;
+        let mut change = replicas.on_list(list.records, true, now);
+        change
+            .leaving
+            .extend(list.leaving.into_iter().filter(|id| replicas.on_sign(id, LeavingSign::Told, now)));
         self.replicas_at = list.at;
         self.after_replica_news(&change);
     }
@@ -261,7 +268,7 @@
             self.watchers.on_own_answer(self.shared.now());
         }
         let watcher = self.shared.settings.peer;
-        self.pass_on(&PeerMessage::Pulse(Pulse { watcher, number, store_answers }));
+        self.tell(&PeerMessage::Pulse(Pulse { watcher, number, store_answers }));
     }
 
     fn on_pulse(&mut self, pulse: Pulse) {
@@ -271,7 +278,14 @@
         }
     }
 
-    /// Tells some nodes, each of which tells as many again.
+    /// Tells news of this node's own.
+    fn tell(&self, message: &PeerMessage) {
+        for node in self.fleet.some(FIRST_FAN_OUT) {
+            self.outbox.send(node, message);
+        }
+    }
+
+    /// Passes on what another node told; each that hears of it for the first time does so.
     fn pass_on(&self, message: &PeerMessage) {
         for node in self.fleet.some(FAN_OUT) {
             self.outbox.send(node, message);
@@ -297,7 +311,7 @@
             let change = ListChange { leaving: vec![replica.clone()], added: Vec::new() };
             self.after_replica_news(&change);
             let news = ReplicaNews { leaving: change.leaving, ..ReplicaNews::default() };
-            self.pass_on(&PeerMessage::Replicas(news));
+            self.tell(&PeerMessage::Replicas(news));
         }
     }
 
@@ -317,9 +331,10 @@
         self.after_replica_news(&change);
         let added = change.added.iter().filter_map(|id| self.placing.knowledge.replicas.get(id));
         let added: Vec<ReplicaRecord> = added.map(|replica| (*replica.record).clone()).collect();
-        if !added.is_empty() || !change.leaving.is_empty() {
+        // Without any change too, so that nobody takes the new revision for missed news.
+        if self.replicas_at > before {
             let news = ReplicaNews { before, at, added, leaving: change.leaving };
-            self.pass_on(&PeerMessage::Replicas(news));
+            self.tell(&PeerMessage::Replicas(news));
         }
     }
 
@@ -328,9 +343,13 @@
         self.replicas_known = true;
         self.replicas_heard = self.shared.now();
         self.on_list_change(change);
-        let records = self.placing.knowledge.replicas.iter().filter(|replica| replica.leaving.is_none());
-        let records = records.map(|replica| (*replica.record).clone()).collect();
-        self.shared.set_replica_list(ReplicaList { at: self.replicas_at, records });
+        let (leaving, staying): (Vec<&Replica>, Vec<&Replica>) =
+            self.placing.knowledge.replicas.iter().partition(|replica| replica.leaving.is_some());
+        self.shared.set_replica_list(ReplicaList {
+            at: self.replicas_at,
+            records: staying.iter().map(|replica| (*replica.record).clone()).collect(),
+            leaving: leaving.iter().map(|replica| replica.record.id.clone()).collect(),
+        });
         self.check_ready();
     }
 
--- a/node/src/gateway/fleet.rs
+++ b/node/src/gateway/fleet.rs
@@ -27,8 +27,12 @@
 const PROBE_LIMIT: Duration = Duration::from_millis(300);
 /// Nodes named in one message.
 const KNOWN_PER_MESSAGE: usize = 8;
-/// Nodes that are told of news directly; each of them tells as many again.
-pub const FAN_OUT: usize = 3;
+/// Nodes that are told by the one that has news: all of a small fleet, so that most news
+/// takes one way only.
+pub const FIRST_FAN_OUT: usize = 8;
+/// Nodes that each node which hears of the news tells on: some 2 in 100 are missed by all,
+/// and notice from the next message that they lack something.
+pub const FAN_OUT: usize = 4;
 
 /// Whose answer to a probe is awaited, and why.
 #[derive(Clone, Debug)]
--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -197,6 +197,11 @@
         format!("{}:7004", self.ip(node))
     }
 
+    /// Where other nodes fetch from.
+    pub fn peer(&self, node: usize) -> String {
+        format!("{}:7003", self.ip(node))
+    }
+
     /// The status that the balancer gets; 0 for none.
     pub async fn ready_status(&self, node: usize) -> u16 {
         let req = Request::get("/v1/readyz").header("host", "x").body(Full::default()).expect("valid");
--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -131,6 +131,22 @@
     assert_eq!((&status["readiness"], &status["bundle"]), (&"ready".into(), &1.into()));
 }
 
+/// A node that missed the news fetches the list; who leaves must stand in it, as a replica
+/// that is merely missing there is given some time.
+#[tokio::test]
+async fn test_the_list_for_other_nodes_says_who_leaves() {
+    let (gateway, bookings, _models) = Gateway::with_replicas(2).await;
+    gateway.drain("booking", &bookings[0]);
+    let peer = gateway.peer(0);
+    gateway
+        .until("it says so", async || {
+            let list: serde_json::Value =
+                serde_json::from_str(&read(&peer, "/replicas").await).expect("JSON");
+            list["leaving"] == serde_json::json!(["booking-1"])
+        })
+        .await;
+}
+
 async fn read(address: &str, path: &str) -> String {
     let req =
         http::Request::get(path).header("host", "x").body(http_body_util::Full::default()).expect("valid");
