--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -164,6 +164,14 @@
         }
     }
 
+    /// A replica's entry went away, perhaps only because the store was: it is gone if it is
+    /// not back within [`LAPSED_GRACE`].
+    pub fn on_missing(&mut self, id: &str, now: Timestamp) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.missing_since.get_or_insert(now);
+        }
+    }
+
     /// A whole list was read. What it lacks is gone at once, or within [`LAPSED_GRACE`] if
     /// entries may have lapsed because the store was away.
     pub fn on_list(&mut self, records: Vec<ReplicaRecord>, lapses: bool, now: Timestamp) -> ListChange {
@@ -176,8 +184,7 @@
             self.replicas.keys().filter(|id| !listed.contains(*id)).cloned().collect();
         for id in missing {
             if lapses {
-                let replica = self.replicas.get_mut(&id).expect("the id is a key");
-                replica.missing_since.get_or_insert(now);
+                self.on_missing(&id, now);
             } else {
                 self.on_unlisted(&id, now, &mut change);
             }
--- a/lib/src/gateway/waiting.rs
+++ b/lib/src/gateway/waiting.rs
@@ -9,8 +9,8 @@
 use crate::ids::Timestamp;
 
 /// Part of a route's objective that a generation may wait for room. A quarter is what a
-/// refusal may take without a price; the rest is for the way there and back.
-const WAIT_PART: f64 = 0.2;
+/// refusal may take without a price; the rest is for the lead's tick and the way back.
+const WAIT_PART: f64 = 0.17;
 
 /// How long a generation may wait whose first event is due within `objective`.
 pub fn patience(objective: Duration) -> Duration {
--- a/lib/tests/test_gateway_replicas.rs
+++ b/lib/tests/test_gateway_replicas.rs
@@ -59,6 +59,17 @@
     assert_eq!(usable(&table, seconds(13)), ["a"]);
 }
 
+/// The same for an entry whose end was told while the store had trouble.
+#[test]
+fn test_missing_entry_gets_a_grace_from_its_first_absence() {
+    let mut table = ReplicaTable::default();
+    table.on_list(vec![record("a", false)], false, seconds(1));
+    table.on_missing("a", seconds(10));
+    table.on_missing("a", seconds(11));
+    assert_eq!(usable(&table, seconds(11)), ["a"]);
+    assert_eq!(table.tick(seconds(13), seconds(30)).leaving, ["a".into()]);
+}
+
 #[test]
 fn test_an_entry_takes_back_hearsay_but_not_its_own_word() {
     let mut table = ReplicaTable::default();
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use leadstage_lib::gateway::replicas::LAPSED_GRACE;
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ListChange;
 use leadstage_lib::gateway::replicas::Replica;
@@ -50,6 +51,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two looks at status and levels.
 const STATUS_INTERVAL: Duration = Duration::from_secs(2);
+/// A store that is back tells of entries that lapsed meanwhile within this.
+const LAPSES_TOLD_WITHIN: Duration = Duration::from_secs(1);
 /// A replica that left is forgotten after this: the longest time that one serves on after
 /// its entry is gone is a few seconds.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
@@ -65,6 +68,8 @@
     placing: Placing,
     lookout: Lookout,
     replicas_known: bool,
+    /// Until then, entries may have gone because the store was away.
+    lapses_until: Timestamp,
     watchers: Watchers,
     watching: Watching,
     /// The store's revision up to which the replicas are known.
@@ -94,6 +99,7 @@
             placing,
             lookout,
             replicas_known: false,
+            lapses_until: Timestamp::ZERO,
             watchers,
             watching,
             replicas_at: 0,
@@ -154,6 +160,7 @@
         self.placing.lead(&self.fleet);
         self.watching.set(self.watchers.should_watch(self.fleet.alive(), now));
         if !self.watchers.store_answers(now) {
+            self.lapses_until = now + LAPSED_GRACE + LAPSES_TOLD_WITHIN;
             self.lookout.tick(now, self.placing.engines_in_use(&self.fleet));
         }
         self.publish_status(now);
@@ -359,6 +366,11 @@
         for event in changes.events {
             match event {
                 Change::Put(record) => self.placing.knowledge.replicas.on_entry(record, now, &mut change),
+                Change::Gone(id) if now < self.lapses_until => {
+                    info!(event = "replica_missing", upstream = id; "a replica is no longer listed, perhaps because the store was away");
+                    self.placing.knowledge.replicas.on_missing(&id, now);
+                    self.lookout.ask_about(self.placing.knowledge.asked_for_health(&id), now);
+                }
                 Change::Gone(id) => self.placing.knowledge.replicas.on_unlisted(&id, now, &mut change),
             }
         }
--- a/node/src/gateway/knowledge.rs
+++ b/node/src/gateway/knowledge.rs
@@ -114,6 +114,13 @@
         if usable.is_empty() { staying } else { usable }
     }
 
+    /// A replica, and the path where it tells its health.
+    pub fn asked_for_health(&self, id: &str) -> Option<(Arc<ReplicaRecord>, String)> {
+        let record = self.replicas.get(id)?.record.clone();
+        let path = self.shared.table()?.service(&record.service)?.health_path.clone();
+        Some((record, path))
+    }
+
     /// Forgets what was learnt of replicas that are no longer known.
     pub fn forget_gone(&mut self) {
         let replicas = &self.replicas;
--- a/node/src/gateway/lookout.rs
+++ b/node/src/gateway/lookout.rs
@@ -40,11 +40,18 @@
     /// Asks engines if it is time; each comes with the path of its health.
     pub fn tick(&mut self, now: Timestamp, engines: Vec<(Arc<ReplicaRecord>, String)>) {
         self.asked.retain(|_, at| *at + ASK_INTERVAL + ASK_LIMIT > now);
-        for (replica, path) in engines {
-            if !self.asked.contains_key(&replica.id) {
-                self.asked.insert(replica.id.clone(), now);
-                tokio::task::spawn_local(ask(self.shared.clone(), replica, path));
-            }
+        for engine in engines {
+            self.ask_about(Some(engine), now);
+        }
+    }
+
+    /// Asks a replica for its health, unless it is being asked.
+    pub fn ask_about(&mut self, replica: Option<(Arc<ReplicaRecord>, String)>, now: Timestamp) {
+        if let Some((replica, path)) = replica
+            && !self.asked.contains_key(&replica.id)
+        {
+            self.asked.insert(replica.id.clone(), now);
+            tokio::task::spawn_local(ask(self.shared.clone(), replica, path));
         }
     }
 }
--- a/node/src/gateway/placing.rs
+++ b/node/src/gateway/placing.rs
@@ -48,6 +48,9 @@
 /// A lead that does not answer within this is passed over: ten times the round trip between
 /// halls with a turn of a busy node in it, and little against the objectives.
 const LEAD_LIMIT: Duration = Duration::from_millis(40);
+/// What a lead may take beyond the time that a generation waits: it looks at those that
+/// wait each 100 ms, and may be late itself.
+const WAIT_SLACK: Duration = Duration::from_millis(300);
 /// Time between two inventories for a lead.
 const INVENTORY_INTERVAL: Duration = Duration::from_millis(300);
 /// Ids of one process: those of its next start are higher.
@@ -217,8 +220,8 @@
             return;
         };
         self.leads.on_answer(&pending.lead);
-        pending.due = self.shared.now() + pending.ask.patience + LEAD_LIMIT;
-        let within = pending.ask.patience + LEAD_LIMIT;
+        let within = pending.ask.patience + WAIT_SLACK;
+        pending.due = self.shared.now() + within;
         self.expect_answer(run, within);
     }
 
@@ -384,15 +387,11 @@
     /// The engines with generations, of the services that this node leads, and where they
     /// tell their health.
     pub fn engines_in_use(&self, fleet: &Fleet) -> Vec<(Arc<ReplicaRecord>, String)> {
-        let Some(table) = self.shared.table() else {
-            return Vec::new();
-        };
         let mut engines = Vec::new();
         for service in self.led(fleet) {
-            let path = table.service(&service).map_or(String::new(), |s| s.health_path.clone());
-            let in_use = self.knowledge.staying(&service);
-            let in_use = in_use.filter(|r| self.knowledge.book.at(&r.record.id).next().is_some());
-            engines.extend(in_use.map(|replica| (replica.record.clone(), path.clone())));
+            let in_use = self.knowledge.staying(&service).map(|replica| &replica.record.id);
+            let in_use = in_use.filter(|id| self.knowledge.book.at(id).next().is_some());
+            engines.extend(in_use.filter_map(|id| self.knowledge.asked_for_health(id)));
         }
         engines
     }
--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -154,3 +154,28 @@
     let body = http_body_util::BodyExt::collect(res.into_body()).await.expect("a body").to_bytes();
     String::from_utf8_lossy(&body).into_owned()
 }
+
+/// A generation that waits at a lead for room is refused by it in time; the asking node
+/// must not take the lead for silent meanwhile and place it by itself.
+#[tokio::test]
+async fn test_who_waits_at_a_lead_does_not_take_it_for_silent() {
+    let (mut gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    let second = gateway.start_node();
+    gateway.until_ready(second).await;
+    gateway.until("they know each other", async || gateway.log(0).contains("node_met")).await;
+    let large = |id: &str| {
+        let mut req = chat(id);
+        req.headers_mut().insert("leadstage-token-usage", "30000,2000".parse().expect("valid"));
+        req
+    };
+    let front = gateway.front(0);
+    let running = crate::gateway_environment::send(&front, large("r-1")).await.expect("it begins");
+    // The lead hears within an inventory's interval of what the other node runs.
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for node in [0, second] {
+        let refused = gateway.call(node, large("r-2")).await;
+        assert_eq!((refused.status, refused.code()), (503, 2104), "{}", gateway.logs());
+    }
+    drop(running);
+    assert!(!gateway.logs().contains("event=lead_silent"), "{}", gateway.logs());
+}
