--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -5,38 +5,21 @@
 //! [`messages`]; the routing table is published in [`shared`].
 
 mod balancer_port;
-mod caller_port;
-mod connections;
 mod control;
-mod event_stream;
-mod exchange;
-mod fleet;
-mod follow;
-mod io_watch;
-mod knowledge;
-mod lead_desk;
-mod logging;
-mod lookout;
+mod ingress;
 mod messages;
-mod metrics;
-mod metrics_port;
-mod outbox;
-mod passing;
-mod peer_message;
-mod peer_port;
-mod placing;
-mod plain;
+mod observability;
+mod peers;
 mod reload;
 mod reply;
+mod request;
 pub mod settings;
 mod shared;
 mod small_port;
 mod start;
-mod status;
 mod stop;
-mod streams;
-mod watching;
+mod upstream;
 
-pub use logging::start as start_logging;
+pub use observability::logging::start as start_logging;
 pub use start::SettingsFile;
 pub use start::run;
--- a/node/src/gateway/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -18,8 +18,8 @@
 use leadstage_lib::ids::UpstreamId;
 use tokio::sync::oneshot;
 
-use crate::gateway::knowledge::Knowledge;
-use crate::gateway::knowledge::Wanted;
+use crate::gateway::control::knowledge::Knowledge;
+use crate::gateway::control::knowledge::Wanted;
 use crate::gateway::messages::Placed;
 use crate::gateway::messages::StreamHandle;
 
--- a/node/src/gateway/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::lead::Leads;
-use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::load::RunId;
 use leadstage_lib::gateway::load::RunKey;
 use leadstage_lib::gateway::replicas::ListChange;
@@ -21,28 +20,29 @@
 use log::info;
 use tokio::sync::oneshot;
 
-use crate::gateway::fleet::Fleet;
-use crate::gateway::knowledge::Knowledge;
-use crate::gateway::knowledge::Wanted;
-use crate::gateway::lead_desk;
-use crate::gateway::lead_desk::Ask;
-use crate::gateway::lead_desk::Asker;
-use crate::gateway::lead_desk::Decision;
-use crate::gateway::lead_desk::LeadDesk;
+use crate::gateway::control::inventories::Inventories;
+use crate::gateway::control::knowledge::Knowledge;
+use crate::gateway::control::knowledge::Wanted;
+use crate::gateway::control::lead_desk;
+use crate::gateway::control::lead_desk::Ask;
+use crate::gateway::control::lead_desk::Asker;
+use crate::gateway::control::lead_desk::Decision;
+use crate::gateway::control::lead_desk::LeadDesk;
 use crate::gateway::messages::Order;
 use crate::gateway::messages::Outcome;
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::Placed;
 use crate::gateway::messages::StreamHandle;
 use crate::gateway::messages::ToControl;
-use crate::gateway::outbox::Outbox;
-use crate::gateway::outbox::address_of;
-use crate::gateway::outbox::node_id;
-use crate::gateway::peer_message::Inventory;
-use crate::gateway::peer_message::PeerMessage;
-use crate::gateway::peer_message::RemotePlace;
+use crate::gateway::observability::status;
+use crate::gateway::peers::fleet::Fleet;
+use crate::gateway::peers::outbox::Outbox;
+use crate::gateway::peers::outbox::address_of;
+use crate::gateway::peers::outbox::node_id;
+use crate::gateway::peers::peer_message::Inventory;
+use crate::gateway::peers::peer_message::PeerMessage;
+use crate::gateway::peers::peer_message::RemotePlace;
 use crate::gateway::shared::Shared;
-use crate::gateway::status;
 use crate::shared::unix_millis;
 
 /// A lead that does not answer within this is passed over: ten times the round trip between
@@ -51,8 +51,6 @@
 /// What a lead may take beyond the time that a generation waits: it looks at those that
 /// wait each 100 ms, and may be late itself.
 const WAIT_SLACK: Duration = Duration::from_millis(300);
-/// Time between two inventories for a lead.
-const INVENTORY_INTERVAL: Duration = Duration::from_millis(300);
 /// Ids of one process: those of its next start are higher.
 const RUNS_PER_MILLI: RunId = 1 << 10;
 
@@ -74,9 +72,7 @@
     leads: Leads,
     pending: HashMap<RunId, Pending>,
     streams: HashMap<RunId, StreamHandle>,
-    /// Services whose lead got an inventory of this node that was not empty.
-    told: HashMap<ServiceId, VmId>,
-    last_inventory: Duration,
+    inventories: Inventories,
     last_run: RunId,
     own: VmId,
 }
@@ -92,8 +88,7 @@
             leads: Leads::default(),
             pending: HashMap::new(),
             streams: HashMap::new(),
-            told: HashMap::new(),
-            last_inventory: Duration::ZERO,
+            inventories: Inventories::default(),
             last_run: unix_millis() * RUNS_PER_MILLI,
             own,
         }
@@ -410,42 +405,17 @@
     /// Tells the leads what this node runs, when it is time.
     pub fn tell_leads(&mut self, fleet: &Fleet) {
         let now = self.shared.now();
-        if now < self.last_inventory + INVENTORY_INTERVAL {
+        if !self.inventories.is_due(now) {
             return;
         }
-        self.last_inventory = now;
         self.update_progress();
-        let mut by_service: HashMap<ServiceId, Vec<(RunId, Run)>> = HashMap::new();
-        let own = self.knowledge.book.iter().filter(|(key, run)| key.entry == self.own && run.size.is_some());
-        for (key, run) in own {
-            if let Some(replica) = self.knowledge.replicas.get(&run.replica) {
-                let service = replica.record.service.clone();
-                by_service.entry(service).or_default().push((key.run, run.clone()));
+        let last = self.newest_settled();
+        for (service, inventory) in self.inventories.take(&self.knowledge, &self.own, last) {
+            let lead = self.lead_of(fleet, &service);
+            if let Some(address) = address_of(&lead).filter(|_| lead != self.own) {
+                self.outbox.send(address, &PeerMessage::Inventory(inventory));
             }
         }
-        // A lead that was told of generations is told when there are none any more.
-        for service in self.told.keys() {
-            by_service.entry(service.clone()).or_default();
-        }
-        for (service, runs) in by_service {
-            self.tell_lead(fleet, service, runs);
-        }
-    }
-
-    fn tell_lead(&mut self, fleet: &Fleet, service: ServiceId, runs: Vec<(RunId, Run)>) {
-        let lead = self.lead_of(fleet, &service);
-        if runs.is_empty() {
-            self.told.remove(&service);
-        } else {
-            self.told.insert(service, lead.clone());
-        }
-        if lead == self.own {
-            return;
-        }
-        if let Some(address) = address_of(&lead) {
-            let inventory = Inventory { runs, last: self.newest_settled() };
-            self.outbox.send(address, &PeerMessage::Inventory(inventory));
-        }
     }
 
     /// The newest request of this node before which none waits for a lead.
--- a/node/src/gateway/watching.rs
+++ b/node/src/gateway/control/watching.rs
@@ -11,7 +11,7 @@
 use log::warn;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::gateway::follow;
+use crate::gateway::control::follow;
 use crate::gateway::messages::ToControl;
 use crate::gateway::shared::Shared;
 use crate::shared::unix_millis;
--- a/node/src/gateway/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -1,47 +1,38 @@
 //! The callers' port: accepts connections and serves the requests on them.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::convert::Infallible;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::HeaderValue;
 use http::Request;
-use http::StatusCode;
 use http::header;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use leadstage_lib::code::Code;
-use leadstage_lib::gateway::retry_window::RetryShare;
-use leadstage_lib::gateway::retry_window::RetryWindow;
 use leadstage_lib::gateway::routing::CallerLimits;
 use leadstage_lib::gateway::routing::Repeat;
-use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_platform::connect;
 use log::info;
 use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
-use crate::gateway::connections::Connections;
-use crate::gateway::io_watch::Activity;
-use crate::gateway::io_watch::Serving;
-use crate::gateway::io_watch::WatchedIo;
-use crate::gateway::messages::ToControl;
-use crate::gateway::passing;
-use crate::gateway::plain;
+use crate::gateway::ingress::io_watch::Activity;
+use crate::gateway::ingress::io_watch::Serving;
+use crate::gateway::ingress::io_watch::WatchedIo;
+use crate::gateway::ingress::plain;
+use crate::gateway::ingress::streams;
 use crate::gateway::reply::Refusal;
 use crate::gateway::reply::Reply;
+use crate::gateway::request;
 use crate::gateway::shared::OpenGuard;
 use crate::gateway::shared::Phase;
-use crate::gateway::shared::RunGuard;
 use crate::gateway::shared::Shared;
 use crate::gateway::stop;
-use crate::gateway::streams;
+use crate::gateway::upstream::traffic::Traffic;
 
 /// Limits until there is a configuration.
 const FIRST_LIMITS: CallerLimits = CallerLimits {
@@ -54,59 +45,6 @@
 const LEAST_HEAD_BYTES: usize = 8 << 10;
 /// Time between two sweeps of unused connections.
 const SWEEP: Duration = Duration::from_secs(1);
-/// Nodes that share the retry budget at least: a node that is cut off from the others must
-/// not take all of it.
-const LEAST_NODES: usize = 6;
-
-/// What the requests of the traffic thread share.
-#[derive(Clone)]
-pub struct Traffic {
-    /// What both threads share.
-    pub shared: Arc<Shared>,
-    /// Unused connections to replicas.
-    pub connections: Rc<Connections>,
-    retries: Rc<RefCell<HashMap<ServiceId, RetryWindow>>>,
-}
-
-impl Traffic {
-    fn new(shared: Arc<Shared>) -> Self {
-        Traffic { shared, connections: Rc::default(), retries: Rc::default() }
-    }
-
-    /// Takes one repeat of a request to a service from the budget.
-    pub fn take_retry(&self, service: &ServiceId) -> bool {
-        let now = self.shared.now();
-        let bounds = self.shared.bounds();
-        let share = RetryShare {
-            window: bounds.retry_window,
-            ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack / self.shared.nodes().max(LEAST_NODES) as f64,
-        };
-        let allowed = self.with_window(service, |window| window.take(now, &share));
-        self.shared.metrics.on_repeat(allowed);
-        allowed
-    }
-
-    fn on_request(&self, service: &ServiceId) {
-        let now = self.shared.now();
-        self.with_window(service, |window| window.on_request(now));
-    }
-
-    fn with_window<T>(&self, service: &ServiceId, act: impl FnOnce(&mut RetryWindow) -> T) -> T {
-        let mut windows = self.retries.borrow_mut();
-        act(windows.entry(service.clone()).or_default())
-    }
-
-    /// A replica turned a request away.
-    pub fn on_not_run(&self, req: &passing::CallerRequest, run: &RunGuard, status: StatusCode) {
-        let replica = &run.placed.replica.id;
-        info!(event = "turned_away", request = req.id(), upstream = &**replica, status = status.as_u16(); "a replica did not run a request");
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            let sign = leadstage_lib::gateway::replicas::LeavingSign::Replaced;
-            self.shared.tell(ToControl::Sign(replica.clone(), sign));
-        }
-    }
-}
 
 /// Serves callers until the process ends.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
@@ -203,7 +141,7 @@
         traffic.shared.metrics.on_refusal(refusal.code);
         refusal.reply()
     };
-    let req = passing::admit(&traffic.shared, req).await.map_err(refused)?;
+    let req = request::admit(&traffic.shared, req).await.map_err(refused)?;
     if !stop::takes(&traffic.shared, req.route.repeat) {
         return Err(refused(Refusal::new(Code::Stopping)));
     }
--- a/node/src/gateway/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -12,17 +12,17 @@
 use leadstage_platform::headers::Added;
 use log::info;
 
-use crate::gateway::caller_port::Traffic;
-use crate::gateway::exchange;
-use crate::gateway::exchange::SendError;
-use crate::gateway::exchange::WholeAnswer;
 use crate::gateway::messages::Outcome;
 use crate::gateway::messages::PlaceRequest;
-use crate::gateway::passing::CallerRequest;
-use crate::gateway::passing::come_back_after;
 use crate::gateway::reply::Refusal;
 use crate::gateway::reply::Reply;
+use crate::gateway::request::CallerRequest;
+use crate::gateway::request::come_back_after;
 use crate::gateway::shared::RunGuard;
+use crate::gateway::upstream::exchange;
+use crate::gateway::upstream::exchange::SendError;
+use crate::gateway::upstream::exchange::WholeAnswer;
+use crate::gateway::upstream::traffic::Traffic;
 
 /// Replicas that a request may fail to reach, beyond those that it was sent to.
 const MOST_UNREACHED: u32 = 3;
@@ -96,14 +96,7 @@
 
 async fn attempt(traffic: &Traffic, req: &CallerRequest, run: RunGuard) -> Attempt {
     let replica = run.placed.replica.clone();
-    let added = Added {
-        deadline: exchange::left(req.until),
-        target: &replica.id,
-        organisation: req.organisation.as_ref().map(|o| &*o.name),
-        priority: None,
-        resume: None,
-        backup: None,
-    };
+    let added = Added { priority: None, ..req.added(&replica.id, None) };
     let sent = exchange::send(traffic, &replica, req, &added, req.until).await;
     let exchanged = match sent {
         Ok(exchanged) => exchanged,
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -20,8 +20,8 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
-use crate::gateway::peer_message::Datagram;
-use crate::gateway::peer_port::ReplicaList;
+use crate::gateway::peers::peer_message::Datagram;
+use crate::gateway::peers::peer_message::ReplicaList;
 
 /// To the control loop.
 pub enum ToControl {
--- /dev/null
+++ b/node/src/gateway/observability.rs
@@ -0,0 +1,6 @@
+//! Logs, metrics and status.
+
+pub mod logging;
+pub mod metrics;
+pub mod metrics_port;
+pub mod status;
--- a/node/src/gateway/status.rs
+++ b/node/src/gateway/observability/status.rs
@@ -6,8 +6,8 @@
 use leadstage_lib::status::PeerLine;
 use leadstage_lib::status::PoolLine;
 
-use crate::gateway::fleet::Fleet;
-use crate::gateway::knowledge::Knowledge;
+use crate::gateway::control::knowledge::Knowledge;
+use crate::gateway::peers::fleet::Fleet;
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
 
--- a/node/src/gateway/fleet.rs
+++ b/node/src/gateway/peers/fleet.rs
@@ -14,12 +14,12 @@
 use rand::RngExt;
 use rand::seq::IteratorRandom;
 
-use crate::gateway::outbox::Outbox;
-use crate::gateway::outbox::address_of;
-use crate::gateway::outbox::node_id;
-use crate::gateway::peer_message::Gossip;
-use crate::gateway::peer_message::PeerMessage;
-use crate::gateway::peer_message::ProbeId;
+use crate::gateway::peers::outbox::Outbox;
+use crate::gateway::peers::outbox::address_of;
+use crate::gateway::peers::outbox::node_id;
+use crate::gateway::peers::peer_message::Gossip;
+use crate::gateway::peers::peer_message::PeerMessage;
+use crate::gateway::peers::peer_message::ProbeId;
 use crate::shared::unix_millis;
 
 /// A probe that is not answered within this has failed: some round trips between halls,
--- a/node/src/gateway/outbox.rs
+++ b/node/src/gateway/peers/outbox.rs
@@ -9,9 +9,9 @@
 use tokio::net::UdpSocket;
 
 use crate::gateway::messages::ToControl;
-use crate::gateway::peer_message::Datagram;
-use crate::gateway::peer_message::MAX_DATAGRAM;
-use crate::gateway::peer_message::PeerMessage;
+use crate::gateway::peers::peer_message::Datagram;
+use crate::gateway::peers::peer_message::MAX_DATAGRAM;
+use crate::gateway::peers::peer_message::PeerMessage;
 use crate::gateway::shared::Shared;
 
 /// Sends this node's datagrams.
--- a/node/src/gateway/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -136,3 +136,14 @@
     /// Replicas that leave.
     pub leaving: Vec<UpstreamId>,
 }
+
+/// The replicas that a node knows.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct ReplicaList {
+    /// The store's revision up to which the list holds.
+    pub at: Revision,
+    /// The replicas that stay.
+    pub records: Vec<ReplicaRecord>,
+    /// Those that are known to leave.
+    pub leaving: Vec<UpstreamId>,
+}
--- a/node/src/gateway/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -11,13 +11,8 @@
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
-use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::connect::Link;
-use leadstage_platform::store::Revision;
 use log::info;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::gateway::messages::Fetched;
 use crate::gateway::messages::ToControl;
@@ -30,17 +25,6 @@
 /// Time for either to arrive.
 const FETCH_LIMIT: Duration = Duration::from_millis(1_000);
 
-/// The replicas that a node knows.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct ReplicaList {
-    /// The store's revision up to which the list holds.
-    pub at: Revision,
-    /// The replicas that stay.
-    pub records: Vec<ReplicaRecord>,
-    /// Those that are known to leave.
-    pub leaving: Vec<UpstreamId>,
-}
-
 /// Hands the configuration and the replicas out.
 pub fn answer(shared: &Arc<Shared>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
     let body = match req.uri().path() {
--- a/node/src/gateway/passing.rs
+++ b/node/src/gateway/request.rs
@@ -14,12 +14,15 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use leadstage_lib::code::Code;
+use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::routing::Organisation;
 use leadstage_lib::gateway::routing::Route;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::routing::Unrouted;
+use leadstage_platform::engine::CopySource;
 use leadstage_platform::headers;
+use leadstage_platform::headers::Added;
 use tokio::time::Instant;
 
 use crate::gateway::reply::Refusal;
@@ -60,6 +63,25 @@
         headers::text(&self.headers, &headers::REQUEST_ID).unwrap_or("")
     }
 
+    /// The size of the generation that it asks for.
+    pub fn generation_size(&self) -> GenerationSize {
+        let said = headers::size(&self.headers);
+        let expected = said.length_hint.unwrap_or(said.max_tokens).min(said.max_tokens);
+        GenerationSize { prompt: said.prompt_tokens, expected }
+    }
+
+    /// What leadstage adds to it for an engine.
+    pub fn added<'a>(&'a self, target: &'a str, resume: Option<&'a CopySource>) -> Added<'a> {
+        Added {
+            deadline: self.until.saturating_duration_since(Instant::now()),
+            target,
+            organisation: self.organisation.as_ref().map(|o| &*o.name),
+            priority: Some(self.priority()),
+            resume,
+            backup: None,
+        }
+    }
+
     /// Urgency at an engine: the organisation's rank, then the route's.
     pub fn priority(&self) -> u8 {
         let organisation = self.organisation.as_ref().map_or(0, |o| o.priority);
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -21,8 +21,8 @@
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::Placed;
 use crate::gateway::messages::ToControl;
-use crate::gateway::metrics::GatewayMetrics;
-use crate::gateway::peer_port::ReplicaList;
+use crate::gateway::observability::metrics::GatewayMetrics;
+use crate::gateway::peers::peer_message::ReplicaList;
 use crate::gateway::settings::Bounds;
 use crate::gateway::settings::GatewaySettings;
 
--- /dev/null
+++ b/node/src/gateway/upstream.rs
@@ -0,0 +1,9 @@
+//! Replicas: connections, exchanges, relayed streams and their moves.
+
+pub mod connections;
+pub mod copying;
+pub mod event_stream;
+pub mod exchange;
+pub mod pace;
+pub mod relay;
+pub mod traffic;
--- /dev/null
+++ b/node/src/gateway/upstream/copying.rs
@@ -0,0 +1,165 @@
+//! Copies a running generation to another engine.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use leadstage_lib::gateway::evacuation;
+use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::ids::UpstreamId;
+use leadstage_platform::connect::CallError;
+use leadstage_platform::engine;
+use leadstage_platform::engine::CopyHandle;
+use leadstage_platform::engine::CopyOutcome;
+use log::info;
+use tokio::time::Instant;
+
+use crate::gateway::messages::PlaceRequest;
+use crate::gateway::messages::StreamHandle;
+use crate::gateway::messages::ToControl;
+use crate::gateway::request::CallerRequest;
+use crate::gateway::shared::RunGuard;
+use crate::gateway::upstream::traffic::Traffic;
+
+/// Pause before a copy is asked for again: a generation that waits can't be copied yet.
+const COPY_PAUSE: Duration = Duration::from_millis(40);
+/// Time for one copy: some times that of the largest generation over a busy link.
+pub const COPY_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// The generation's memory is at another engine.
+pub struct Copied {
+    /// The engine, and the generation's place there.
+    pub target: RunGuard,
+    /// Names the copy.
+    pub handle: CopyHandle,
+}
+
+impl Copied {
+    /// Takes the answer to the stop in. Returns whether the generation stopped, as far as
+    /// can be known; if not, it had just ended and the rest of its stream is on its way.
+    pub fn note_stop(&mut self, outcome: Option<CopyOutcome>) -> bool {
+        match outcome {
+            Some(CopyOutcome::Done { handle, .. } | CopyOutcome::NoRoom { handle: Some(handle) }) => {
+                self.handle = handle;
+                true
+            }
+            Some(CopyOutcome::NotRunning) => false,
+            _ => true,
+        }
+    }
+}
+
+/// What moving a generation has come to.
+pub enum Step {
+    /// A copy was made while the generation ran on.
+    Copied(Copied),
+    /// The call that stops the generation was answered, or got no answer.
+    StopAnswered(Option<CopyOutcome>),
+    /// No copy could be made.
+    GaveUp(NotCopied),
+}
+
+/// The outcome of a call to copy, as a label.
+fn outcome_word(called: &Result<CopyOutcome, CallError>) -> &'static str {
+    match called {
+        Ok(CopyOutcome::Done { .. }) => "done",
+        Ok(CopyOutcome::NotRunning) => "not running",
+        Ok(CopyOutcome::Busy) => "busy",
+        Ok(CopyOutcome::NoRoom { .. }) => "no room",
+        Ok(CopyOutcome::Unexpected(_)) => "unexpected",
+        Err(_) => "no answer",
+    }
+}
+
+/// Why there is no copy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NotCopied {
+    /// The engine that it runs on is gone.
+    SourceGone,
+    /// The target has no room, or can't be reached.
+    Elsewhere(UpstreamId),
+    /// It does not run yet, or another call is under way.
+    Later,
+}
+
+/// Copies a generation away from an engine that leaves.
+pub struct Copying {
+    /// The traffic side.
+    pub traffic: Traffic,
+    /// The request.
+    pub req: Arc<CallerRequest>,
+    /// The stream.
+    pub handle: StreamHandle,
+    /// The engine that it runs on.
+    pub source: Arc<ReplicaRecord>,
+    /// How long to go on trying.
+    pub insist: Duration,
+}
+
+impl Copying {
+    /// Copies to some engine with room.
+    pub async fn copy(self) -> Step {
+        if !self.insist.is_zero() {
+            let produced = self.handle.produced.load(Ordering::Relaxed);
+            tokio::time::sleep(evacuation::start_delay(self.req.generation_size(), produced)).await;
+        }
+        let until = Instant::now() + self.insist;
+        let mut exclude: Vec<UpstreamId> = vec![self.source.id.clone()];
+        loop {
+            match self.target(&exclude).await {
+                Some(target) => match self.copy_to(target).await {
+                    Ok(copied) => return Step::Copied(copied),
+                    Err(NotCopied::SourceGone) => return Step::GaveUp(NotCopied::SourceGone),
+                    Err(NotCopied::Elsewhere(refused)) => exclude.push(refused),
+                    Err(NotCopied::Later) => tokio::time::sleep(COPY_PAUSE).await,
+                },
+                None => {
+                    exclude.truncate(1);
+                    tokio::time::sleep(COPY_PAUSE).await;
+                }
+            }
+            if Instant::now() >= until {
+                return Step::GaveUp(NotCopied::Later);
+            }
+        }
+    }
+
+    async fn target(&self, exclude: &[UpstreamId]) -> Option<RunGuard> {
+        let size = self.req.generation_size();
+        let produced = self.handle.produced.load(Ordering::Relaxed);
+        let request = PlaceRequest {
+            service: self.req.service.clone(),
+            size: Some(size),
+            produced,
+            from: Some(self.source.id.clone()),
+            priority: evacuation::rank(size, produced),
+            patience: if self.insist.is_zero() { Duration::ZERO } else { evacuation::COPY_PATIENCE },
+            hall: self.source.hall.clone(),
+            exclude: exclude.to_vec(),
+            stream: Some(self.handle.clone()),
+        };
+        self.traffic.shared.place(request).await
+    }
+
+    async fn copy_to(&self, target: RunGuard) -> Result<Copied, NotCopied> {
+        let to = target.placed.replica.clone();
+        let began = Instant::now();
+        let called =
+            engine::copy_generation(self.source.address, self.req.id(), to.address, false, COPY_LIMIT).await;
+        let took = began.elapsed().as_millis() as u64;
+        info!(event = "copy", request = self.req.id(), run = target.placed.run, from = &*self.source.id, to = &*to.id, took_ms = took, outcome:? = called; "copy of a generation");
+        self.traffic.shared.metrics.on_move("copy", outcome_word(&called));
+        match called {
+            Ok(CopyOutcome::Done { handle, .. }) => {
+                self.traffic.shared.tell(ToControl::Copied(target.placed.run));
+                Ok(Copied { target, handle })
+            }
+            Ok(CopyOutcome::NotRunning | CopyOutcome::Busy) => Err(NotCopied::Later),
+            Ok(CopyOutcome::NoRoom { .. } | CopyOutcome::Unexpected(_)) => {
+                Err(NotCopied::Elsewhere(to.id.clone()))
+            }
+            Err(CallError::Connect(_) | CallError::Broken(_)) => Err(NotCopied::SourceGone),
+            Err(CallError::TimedOut(_) | CallError::Body(_)) => Err(NotCopied::Later),
+        }
+    }
+}
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -18,11 +18,11 @@
 use leadstage_platform::headers::Added;
 use tokio::time::Instant;
 
-use crate::gateway::caller_port::Traffic;
-use crate::gateway::connections::ConnectError;
-use crate::gateway::connections::Connection;
-use crate::gateway::connections::Connections;
-use crate::gateway::passing::CallerRequest;
+use crate::gateway::request::CallerRequest;
+use crate::gateway::upstream::connections::ConnectError;
+use crate::gateway::upstream::connections::Connection;
+use crate::gateway::upstream::connections::Connections;
+use crate::gateway::upstream::traffic::Traffic;
 
 /// Bytes of a plain answer at most, as it is held until it is whole.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
--- a/node/src/gateway/streams.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -1,27 +1,14 @@
-//! Streams: a generation runs once, at one engine after the other if engines leave, and
-//! its caller sees one stream.
+//! Passes one stream on to its caller, from one engine after the other if engines leave.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Response;
 use http_body_util::BodyExt;
-use http_body_util::Either;
-use leadstage_lib::code::Code;
-use leadstage_lib::gateway::evacuation;
-use leadstage_lib::gateway::load::GenerationSize;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
-use leadstage_lib::gateway::waiting;
 use leadstage_lib::ids::UpstreamId;
-use leadstage_platform::connect::CallError;
 use leadstage_platform::engine;
-use leadstage_platform::engine::CopyOutcome;
 use leadstage_platform::engine::CopySource;
-use leadstage_platform::headers;
-use leadstage_platform::headers::Added;
 use log::info;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -29,35 +16,24 @@
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::gateway::caller_port::Traffic;
-use crate::gateway::event_stream::EventSplitter;
-use crate::gateway::exchange;
-use crate::gateway::exchange::Exchange;
-use crate::gateway::exchange::SendError;
-use crate::gateway::io_watch::Serving;
 use crate::gateway::messages::Order;
 use crate::gateway::messages::Outcome;
-use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::StreamHandle;
 use crate::gateway::messages::ToControl;
-use crate::gateway::passing::CallerRequest;
-use crate::gateway::passing::come_back_after;
-use crate::gateway::plain;
 use crate::gateway::reply::BrokenStream;
-use crate::gateway::reply::ChannelBody;
-use crate::gateway::reply::Refusal;
-use crate::gateway::reply::Reply;
-use crate::gateway::shared::OpenGuard;
+use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
+use crate::gateway::upstream::copying::COPY_LIMIT;
+use crate::gateway::upstream::copying::Copied;
+use crate::gateway::upstream::copying::Copying;
+use crate::gateway::upstream::copying::NotCopied;
+use crate::gateway::upstream::copying::Step;
+use crate::gateway::upstream::event_stream::EventSplitter;
+use crate::gateway::upstream::exchange;
+use crate::gateway::upstream::exchange::Exchange;
+use crate::gateway::upstream::pace::Pace;
+use crate::gateway::upstream::traffic::Traffic;
 
-/// Parts of a stream that wait for a slow caller, at most; then the engine waits too.
-const PARTS_WAITING: usize = 16;
-/// Engines that a request may fail to reach.
-const MOST_UNREACHED: usize = 3;
-/// Pause before a copy is asked for again: a generation that waits can't be copied yet.
-const COPY_PAUSE: Duration = Duration::from_millis(40);
-/// Time for one copy: some times that of the largest generation over a busy link.
-const COPY_LIMIT: Duration = Duration::from_millis(2_500);
 /// How long an engine that is leaving is asked for copies: the longest that one serves on.
 const EVACUATE_WITHIN: Duration = Duration::from_secs(12);
 /// Time for the rest of a stopped generation's events to arrive.
@@ -65,139 +41,12 @@
 /// Time for the answer to a stop, once the stream has ended.
 const STOP_ANSWER_LIMIT: Duration = Duration::from_millis(600);
 
-/// Serves a stream: answers with its head, and passes its events on in a task.
-pub async fn serve(
-    traffic: &Traffic,
-    req: CallerRequest,
-    serving: Serving,
-    open: OpenGuard,
-) -> Result<Reply, Refusal> {
-    let (orders_tx, orders) = mpsc::unbounded_channel();
-    let handle = StreamHandle { orders: orders_tx.clone(), produced: Arc::new(AtomicU32::new(0)) };
-    let (run, exchanged) = start(traffic, &req, &handle).await?;
-    if !exchanged.status.is_success() {
-        let replica = run.placed.replica.clone();
-        let answer = exchanged.whole(&traffic.connections, &replica, req.until).await;
-        let answer = answer.map_err(|_| Refusal::new(Code::UpstreamLost))?;
-        run.end(Outcome::Failed);
-        return match answer.status.as_u16() {
-            408 | 421 | 429 | 503 => Err(Refusal::new(Code::UpstreamLost)),
-            _ => Ok(plain::reply(answer)),
-        };
-    }
-    let placed_ms = run.placed_at.duration_since(req.came.into_std()).as_millis() as u64;
-    info!(event = "stream_begins", request = req.id(), route = &*req.route.name, upstream = &*run.placed.replica.id, run = run.placed.run, priority = req.priority(), placed_ms, head_ms = req.came.elapsed().as_millis() as u64; "stream begins");
-    let (tx, rx) = mpsc::channel(PARTS_WAITING);
-    let mut res = Response::new(Either::Right(ChannelBody(rx)));
-    *res.status_mut() = exchanged.status;
-    *res.headers_mut() = headers::without_hop_by_hop(&exchanged.headers);
-    let relay = Relay::new(traffic.clone(), req, handle, Leg { run, exchange: exchanged }, tx);
-    tokio::task::spawn_local(async move {
-        relay.run(orders).await;
-        drop((serving, open));
-    });
-    Ok(res)
-}
-
-/// Sends the request to an engine. It is sent once; engines that could not be reached
-/// don't count.
-async fn start(
-    traffic: &Traffic,
-    req: &CallerRequest,
-    handle: &StreamHandle,
-) -> Result<(RunGuard, Exchange), Refusal> {
-    let mut tried: Vec<UpstreamId> = Vec::new();
-    let refusal = |code| Refusal { code, retry_after: Some(come_back_after(req.until)) };
-    while tried.len() < MOST_UNREACHED {
-        let request = PlaceRequest {
-            service: req.service.clone(),
-            size: Some(size(req)),
-            produced: 0,
-            from: None,
-            priority: req.priority(),
-            patience: waiting::patience(req.route.objective),
-            hall: traffic.shared.settings.hall.clone(),
-            exclude: tried.clone(),
-            stream: Some(handle.clone()),
-        };
-        let Some(run) = traffic.shared.place(request).await else {
-            return Err(refusal(Code::NoUpstream));
-        };
-        let replica = run.placed.replica.clone();
-        let added = added(req, &replica.id, None);
-        match exchange::send(traffic, &replica, req, &added, req.until).await {
-            Ok(exchanged) if exchanged.says_not_run() => {
-                traffic.on_not_run(req, &run, exchanged.status);
-                run.end(Outcome::Refused);
-                return Err(refusal(Code::UpstreamRefused));
-            }
-            Ok(exchanged) => return Ok((run, exchanged)),
-            Err(err) => {
-                info!(event = "attempt_failed", request = req.id(), upstream = &*replica.id, reason:% = err; "attempt failed");
-                run.end(Outcome::Failed);
-                match err {
-                    SendError::NotSent(_) => tried.push(replica.id.clone()),
-                    SendError::TimedOut => return Err(Refusal::new(Code::UpstreamTimeout)),
-                    _ => return Err(Refusal::new(Code::UpstreamLost)),
-                }
-            }
-        }
-    }
-    Err(refusal(Code::UpstreamRefused))
-}
-
-fn size(req: &CallerRequest) -> GenerationSize {
-    let said = headers::size(&req.headers);
-    let expected = said.length_hint.unwrap_or(said.max_tokens).min(said.max_tokens);
-    GenerationSize { prompt: said.prompt_tokens, expected }
-}
-
-fn added<'a>(req: &'a CallerRequest, target: &'a str, resume: Option<&'a CopySource>) -> Added<'a> {
-    Added {
-        deadline: exchange::left(req.until),
-        target,
-        organisation: req.organisation.as_ref().map(|o| &*o.name),
-        priority: Some(req.priority()),
-        resume,
-        backup: None,
-    }
-}
-
 /// A generation at one engine.
-struct Leg {
-    run: RunGuard,
-    exchange: Exchange,
-}
-
-/// The generation's memory is at another engine.
-struct Copied {
-    target: RunGuard,
-    handle: String,
-}
-
-impl Copied {
-    /// Takes the answer to the stop in. Returns whether the generation stopped, as far as
-    /// can be known; if not, it had just ended and the rest of its stream is on its way.
-    fn note_stop(&mut self, outcome: Option<CopyOutcome>) -> bool {
-        match outcome {
-            Some(CopyOutcome::Done { handle, .. } | CopyOutcome::NoRoom { handle: Some(handle) }) => {
-                self.handle = handle;
-                true
-            }
-            Some(CopyOutcome::NotRunning) => false,
-            _ => true,
-        }
-    }
-}
-
-/// What moving a generation has come to.
-enum Step {
-    /// A copy was made while the generation ran on.
-    Copied(Copied),
-    /// The call that stops the generation was answered, or got no answer.
-    StopAnswered(Option<CopyOutcome>),
-    /// No copy could be made.
-    GaveUp(NotCopied),
+pub struct Leg {
+    /// Its place there.
+    pub run: RunGuard,
+    /// Its answer.
+    pub exchange: Exchange,
 }
 
 /// How a relay ended.
@@ -214,7 +63,7 @@
 }
 
 /// Passes one stream on to its caller.
-struct Relay {
+pub struct Relay {
     traffic: Traffic,
     req: Arc<CallerRequest>,
     handle: StreamHandle,
@@ -233,26 +82,9 @@
     pace: Pace,
 }
 
-/// When a stream's events came.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pace {
-    first: Option<Duration>,
-    last: Option<Instant>,
-    longest_gap: Duration,
-}
-
-impl Pace {
-    fn on_event(&mut self, came: Instant) {
-        let now = Instant::now();
-        self.first.get_or_insert(now - came);
-        if let Some(last) = self.last.replace(now) {
-            self.longest_gap = self.longest_gap.max(now - last);
-        }
-    }
-}
-
 impl Relay {
-    fn new(
+    /// A relay that begins at its first engine.
+    pub fn new(
         traffic: Traffic,
         req: CallerRequest,
         handle: StreamHandle,
@@ -280,7 +112,8 @@
         }
     }
 
-    async fn run(mut self, mut orders: UnboundedReceiver<Order>) {
+    /// Passes events on until the stream ends.
+    pub async fn run(mut self, mut orders: UnboundedReceiver<Order>) {
         let (steps_tx, mut steps) = mpsc::unbounded_channel();
         self.steps_tx = steps_tx;
         let end = self.relay(&mut orders, &mut steps).await;
@@ -516,7 +349,7 @@
             last_event: self.events.last_id().map(str::to_owned),
         };
         let replica = &copied.target.placed.replica;
-        let added = added(&self.req, &replica.id, Some(&source));
+        let added = self.req.added(&replica.id, Some(&source));
         let sent = exchange::send(&self.traffic, replica, &self.req, &added, self.req.until).await;
         match sent {
             Ok(exchanged) if exchanged.status.is_success() => Ok(exchanged),
@@ -542,103 +375,3 @@
     /// The engine did not answer.
     Failed,
 }
-
-/// The outcome of a call to copy, as a label.
-fn outcome_word(called: &Result<CopyOutcome, CallError>) -> &'static str {
-    match called {
-        Ok(CopyOutcome::Done { .. }) => "done",
-        Ok(CopyOutcome::NotRunning) => "not running",
-        Ok(CopyOutcome::Busy) => "busy",
-        Ok(CopyOutcome::NoRoom { .. }) => "no room",
-        Ok(CopyOutcome::Unexpected(_)) => "unexpected",
-        Err(_) => "no answer",
-    }
-}
-
-/// Why there is no copy.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum NotCopied {
-    /// The engine that it runs on is gone.
-    SourceGone,
-    /// The target has no room, or can't be reached.
-    Elsewhere(UpstreamId),
-    /// It does not run yet, or another call is under way.
-    Later,
-}
-
-/// Copies a generation away from an engine that leaves.
-struct Copying {
-    traffic: Traffic,
-    req: Arc<CallerRequest>,
-    handle: StreamHandle,
-    source: Arc<ReplicaRecord>,
-    /// How long to go on trying.
-    insist: Duration,
-}
-
-impl Copying {
-    async fn copy(self) -> Step {
-        if !self.insist.is_zero() {
-            let produced = self.handle.produced.load(Ordering::Relaxed);
-            tokio::time::sleep(evacuation::start_delay(size(&self.req), produced)).await;
-        }
-        let until = Instant::now() + self.insist;
-        let mut exclude: Vec<UpstreamId> = vec![self.source.id.clone()];
-        loop {
-            match self.target(&exclude).await {
-                Some(target) => match self.copy_to(target).await {
-                    Ok(copied) => return Step::Copied(copied),
-                    Err(NotCopied::SourceGone) => return Step::GaveUp(NotCopied::SourceGone),
-                    Err(NotCopied::Elsewhere(refused)) => exclude.push(refused),
-                    Err(NotCopied::Later) => tokio::time::sleep(COPY_PAUSE).await,
-                },
-                None => {
-                    exclude.truncate(1);
-                    tokio::time::sleep(COPY_PAUSE).await;
-                }
-            }
-            if Instant::now() >= until {
-                return Step::GaveUp(NotCopied::Later);
-            }
-        }
-    }
-
-    async fn target(&self, exclude: &[UpstreamId]) -> Option<RunGuard> {
-        let size = size(&self.req);
-        let produced = self.handle.produced.load(Ordering::Relaxed);
-        let request = PlaceRequest {
-            service: self.req.service.clone(),
-            size: Some(size),
-            produced,
-            from: Some(self.source.id.clone()),
-            priority: evacuation::rank(size, produced),
-            patience: if self.insist.is_zero() { Duration::ZERO } else { evacuation::COPY_PATIENCE },
-            hall: self.source.hall.clone(),
-            exclude: exclude.to_vec(),
-            stream: Some(self.handle.clone()),
-        };
-        self.traffic.shared.place(request).await
-    }
-
-    async fn copy_to(&self, target: RunGuard) -> Result<Copied, NotCopied> {
-        let to = target.placed.replica.clone();
-        let began = Instant::now();
-        let called =
-            engine::copy_generation(self.source.address, self.req.id(), to.address, false, COPY_LIMIT).await;
-        let took = began.elapsed().as_millis() as u64;
-        info!(event = "copy", request = self.req.id(), run = target.placed.run, from = &*self.source.id, to = &*to.id, took_ms = took, outcome:? = called; "copy of a generation");
-        self.traffic.shared.metrics.on_move("copy", outcome_word(&called));
-        match called {
-            Ok(CopyOutcome::Done { handle, .. }) => {
-                self.traffic.shared.tell(ToControl::Copied(target.placed.run));
-                Ok(Copied { target, handle })
-            }
-            Ok(CopyOutcome::NotRunning | CopyOutcome::Busy) => Err(NotCopied::Later),
-            Ok(CopyOutcome::NoRoom { .. } | CopyOutcome::Unexpected(_)) => {
-                Err(NotCopied::Elsewhere(to.id.clone()))
-            }
-            Err(CallError::Connect(_) | CallError::Broken(_)) => Err(NotCopied::SourceGone),
-            Err(CallError::TimedOut(_) | CallError::Body(_)) => Err(NotCopied::Later),
-        }
-    }
-}
--- /dev/null
+++ b/node/src/gateway/upstream/traffic.rs
@@ -0,0 +1,75 @@
+//! What the requests of the traffic thread share.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use http::StatusCode;
+use leadstage_lib::gateway::replicas::LeavingSign;
+use leadstage_lib::gateway::retry_window::RetryShare;
+use leadstage_lib::gateway::retry_window::RetryWindow;
+use leadstage_lib::gateway::routing::ServiceId;
+use log::info;
+
+use crate::gateway::messages::ToControl;
+use crate::gateway::request::CallerRequest;
+use crate::gateway::shared::RunGuard;
+use crate::gateway::shared::Shared;
+use crate::gateway::upstream::connections::Connections;
+
+/// Nodes that share the retry budget at least: a node that is cut off from the others must
+/// not take all of it.
+const LEAST_NODES: usize = 6;
+
+/// What the requests of the traffic thread share.
+#[derive(Clone)]
+pub struct Traffic {
+    /// What both threads share.
+    pub shared: Arc<Shared>,
+    /// Unused connections to replicas.
+    pub connections: Rc<Connections>,
+    retries: Rc<RefCell<HashMap<ServiceId, RetryWindow>>>,
+}
+
+impl Traffic {
+    /// Nothing is open yet.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Traffic { shared, connections: Rc::default(), retries: Rc::default() }
+    }
+
+    /// Takes one repeat of a request to a service from the budget.
+    pub fn take_retry(&self, service: &ServiceId) -> bool {
+        let now = self.shared.now();
+        let bounds = self.shared.bounds();
+        let share = RetryShare {
+            window: bounds.retry_window,
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack / self.shared.nodes().max(LEAST_NODES) as f64,
+        };
+        let allowed = self.with_window(service, |window| window.take(now, &share));
+        self.shared.metrics.on_repeat(allowed);
+        allowed
+    }
+
+    /// A request for a service came: it adds to the retry budget.
+    pub fn on_request(&self, service: &ServiceId) {
+        let now = self.shared.now();
+        self.with_window(service, |window| window.on_request(now));
+    }
+
+    fn with_window<T>(&self, service: &ServiceId, act: impl FnOnce(&mut RetryWindow) -> T) -> T {
+        let mut windows = self.retries.borrow_mut();
+        act(windows.entry(service.clone()).or_default())
+    }
+
+    /// A replica turned a request away.
+    pub fn on_not_run(&self, req: &CallerRequest, run: &RunGuard, status: StatusCode) {
+        let replica = &run.placed.replica.id;
+        info!(event = "turned_away", request = req.id(), upstream = &**replica, status = status.as_u16(); "a replica did not run a request");
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            let sign = LeavingSign::Replaced;
+            self.shared.tell(ToControl::Sign(replica.clone(), sign));
+        }
+    }
+}
