connections: a kept one that was forgotten is not trusted again soon

Cause: replicas may forget unused connections without a word; what is sent next is reset and may have run, so a call that must not repeat ends with 502. Ruled out: a new connection for each call: they are priced, and most replicas say how long they keep one.

--- a/node/src/gateway/upstream/connections.rs
+++ b/node/src/gateway/upstream/connections.rs
@@ -1,6 +1,7 @@
 //! Connections to replicas: each carries one request at a time, and is used again only if
 //! nothing about it is in doubt.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -18,6 +19,7 @@
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::connect;
+use log::info;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -32,13 +34,19 @@
 /// replicas count the connections of all nodes together.
 const MOST_UNUSED: usize = 4;
 
+/// A connection that broke when it was used again shows that replicas forget unused ones
+/// without a word: then only this part of its rest is trusted.
+const TRUST_AFTER_BREAK: f64 = 0.6;
+/// The trusted rest doubles after this time without such a break.
+const TRUST_DOUBLES_IN: Duration = Duration::from_secs(10);
+
 /// A connection to a replica; closed when dropped.
 pub struct Connection {
     /// Sends requests.
     pub sender: SendRequest<Full<Bytes>>,
     _driver: AbortOnDropHandle<()>,
-    /// Whether it carried a request before.
-    pub reused: bool,
+    /// How long it had rested, if it carried a request before.
+    pub rested: Option<Duration>,
 }
 
 /// No connection came up: nothing was sent.
@@ -56,10 +64,25 @@
     until: Instant,
 }
 
+/// How long a rest of connections is trusted.
+#[derive(Clone, Copy, Debug)]
+struct Trust {
+    rest: Duration,
+    since: Instant,
+}
+
+impl Trust {
+    fn rest(&self) -> Duration {
+        let doublings = self.since.elapsed().as_secs_f64() / TRUST_DOUBLES_IN.as_secs_f64();
+        self.rest.mul_f64(2_f64.powf(doublings.min(16.0)))
+    }
+}
+
 /// The unused connections of the traffic thread.
 #[derive(Default)]
 pub struct Connections {
     unused: RefCell<HashMap<UpstreamId, VecDeque<Unused>>>,
+    trust: Cell<Option<Trust>>,
 }
 
 impl Connections {
@@ -75,13 +98,25 @@
         let now = Instant::now();
         let mut unused = self.unused.borrow_mut();
         let queue = unused.get_mut(id)?;
-        queue.retain(|u| u.until > now && u.connection.sender.is_ready());
-        let rested = queue.front().is_some_and(|u| now - u.since >= LEAST_REST);
-        let mut connection = if rested { queue.pop_front()?.connection } else { return None };
-        connection.reused = true;
+        let trusted = self.trust.get().map_or(Duration::MAX, |trust| trust.rest());
+        queue.retain(|u| u.until > now && u.connection.sender.is_ready() && now - u.since < trusted);
+        let rested = now - queue.front()?.since;
+        if rested < LEAST_REST {
+            return None;
+        }
+        let mut connection = queue.pop_front()?.connection;
+        connection.rested = Some(rested);
         Some(connection)
     }
 
+    /// A connection that had rested so long broke when it was used again.
+    pub fn on_break(&self, rested: Duration) {
+        let known = self.trust.get().map_or(Duration::MAX, |trust| trust.rest());
+        let rest = rested.mul_f64(TRUST_AFTER_BREAK).min(known);
+        info!(event = "rest_not_trusted", rested_ms = rested.as_millis() as u64, trusted_ms = rest.as_millis() as u64; "a connection broke when it was used again");
+        self.trust.set(Some(Trust { rest, since: Instant::now() }));
+    }
+
     /// Keeps a connection whose answer was read to its end.
     pub fn put(&self, id: &UpstreamId, connection: Connection, keeps_for: Option<Duration>) {
         let now = Instant::now();
@@ -112,5 +147,5 @@
         // What breaks the connection reaches the request on it.
         let _ = driver.await;
     });
-    Ok(Connection { sender, _driver: AbortOnDropHandle::new(driver), reused: false })
+    Ok(Connection { sender, _driver: AbortOnDropHandle::new(driver), rested: None })
 }
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -77,9 +77,12 @@
     until: Instant,
 ) -> Result<Exchange, SendError> {
     let mut connection = traffic.connections.take(replica).await.map_err(SendError::NotSent)?;
-    traffic.shared.metrics.on_connection(connection.reused);
+    traffic.shared.metrics.on_connection(connection.rested.is_some());
     let sending = connection.sender.send_request(request(req, added));
     let answer = tokio::time::timeout_at(until, sending).await.map_err(|_| SendError::TimedOut)?;
+    if let (Err(_), Some(rested)) = (&answer, connection.rested) {
+        traffic.connections.on_break(rested);
+    }
     let (head, body) = answer.map_err(SendError::Broken)?.into_parts();
     if head.headers.get(headers::REQUEST_ID) != req.headers.get(headers::REQUEST_ID) {
         return Err(SendError::Foreign);
--- a/node/tests/test_gateway_calls.rs
+++ b/node/tests/test_gateway_calls.rs
@@ -176,3 +176,18 @@
     gateway.until("later news", async || gateway.log(0).contains("upstream=other")).await;
     assert_eq!(gateway.status_of(0, "/read/x", KEY).await, 401);
 }
+
+/// Replicas may forget unused connections without a word: what is sent on one next may have
+/// run, so such connections are soon not used again.
+#[tokio::test]
+async fn test_forgotten_connections_fail_few_calls() {
+    let (gateway, bookings, _models) = Gateway::with_replicas(1).await;
+    set_faults(&bookings, ReplicaFault::ForgetsConnections);
+    let mut failed = 0;
+    for _ in 0..16 {
+        let called = gateway.call(0, request("POST", "/book/x", KEY, "r-1")).await;
+        failed += usize::from(called.status != 200);
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+    assert!((1..=3).contains(&failed), "{failed} of 16 failed");
+}
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -17,6 +17,7 @@
 use crate::loopback;
 use crate::loopback::Answerer;
 use crate::loopback::Body;
+use crate::loopback::RequestNumber;
 use crate::loopback::Server;
 
 /// How a replica treats requests.
@@ -37,6 +38,8 @@
     ForeignAnswer,
     /// Cuts the body short.
     CutsBody,
+    /// Breaks the connection at its second request, as if it had forgotten it.
+    ForgetsConnections,
 }
 
 /// How an engine treats calls to copy a generation.
@@ -286,6 +289,11 @@
     }
 }
 
+fn forgets(req: &Request<Bytes>) -> ReplicaFault {
+    let number = req.extensions().get::<RequestNumber>().map_or(1, |number| number.0);
+    if number > 1 { ReplicaFault::Breaks } else { ReplicaFault::None }
+}
+
 fn text(headers: &HeaderMap, name: &str) -> String {
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
 }
@@ -310,7 +318,10 @@
         let line = format!("{} {}", req.method(), req.uri());
         let seen = Seen { line, headers: req.headers().clone(), body: req.body().clone() };
         self.state().seen.push(seen);
-        let fault = self.state().fault;
+        let fault = match self.state().fault {
+            ReplicaFault::ForgetsConnections => forgets(&req),
+            fault => fault,
+        };
         if fault == ReplicaFault::NotRun {
             return self.not_run(req.headers());
         }
--- a/testutils/src/loopback.rs
+++ b/testutils/src/loopback.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use futures::Stream;
@@ -50,6 +52,10 @@
     BodyExt::boxed_unsync(StreamBody::new(futures::StreamExt::map(stream, |part| part.map(Frame::data))))
 }
 
+/// Numbers the requests of one connection, from 1.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestNumber(pub u32);
+
 /// Serves on a free port of `ip`.
 pub async fn serve<A: Answerer>(ip: &str, answerer: Arc<A>) -> Server {
     let listener = TcpListener::bind(format!("{ip}:0")).await.expect("a free port");
@@ -64,10 +70,13 @@
 }
 
 async fn connection<A: Answerer>(stream: tokio::net::TcpStream, answerer: Arc<A>) {
+    let number = AtomicU32::new(0);
     let service = service_fn(move |req: Request<Incoming>| {
         let answerer = answerer.clone();
+        let number = RequestNumber(number.fetch_add(1, Ordering::Relaxed) + 1);
         async move {
-            let (head, body) = req.into_parts();
+            let (mut head, body) = req.into_parts();
+            head.extensions.insert(number);
             let body = body.collect().await.map(|b| b.to_bytes()).unwrap_or_default();
             Ok::<_, Infallible>(answerer.answer(Request::from_parts(head, body)).await)
         }
