--- a/node/src/gateway/control/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -41,6 +41,8 @@
 pub enum Asker {
     /// A request of this node.
     Here {
+        /// The caller's id of the request, for logs.
+        request: String,
         /// How a stream is told to move.
         stream: Option<StreamHandle>,
         /// Takes the answer.
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -109,7 +109,7 @@
             },
             priority: request.priority,
             patience: request.patience,
-            asker: Asker::Here { stream: request.stream, reply },
+            asker: Asker::Here { request: request.request, stream: request.stream, reply },
         };
         match self.lead_for(fleet, &ask) {
             Some((lead, address)) => self.ask_lead(ask, lead, address),
@@ -176,7 +176,11 @@
                 let record = chosen.map(|record| (*record).clone());
                 self.outbox.send(there, &PeerMessage::Placed(run, record));
             }
-            Asker::Here { stream, reply } => {
+            Asker::Here { request, stream, reply } => {
+                if chosen.is_none() {
+                    let replicas = self.knowledge.staying(&ask.wanted.service).count();
+                    info!(event = "no_room", request = request, run, service = &*ask.wanted.service, replicas, excluded = ask.wanted.exclude.len(), patience_ms = ask.patience.as_millis() as u64; "no replica has room");
+                }
                 if let (Some(_), Some(stream)) = (&chosen, stream) {
                     self.streams.insert(run, stream);
                 }
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -47,6 +47,7 @@
     let mut best: Result<WholeAnswer, Refusal> = Err(Refusal::new(Code::NoUpstream));
     loop {
         let request = PlaceRequest {
+            request: req.id().to_owned(),
             service: req.service.clone(),
             size: None,
             produced: 0,
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -81,6 +81,7 @@
     let refusal = |code| Refusal { code, retry_after: Some(come_back_after(req.until)) };
     while tried.len() < MOST_UNREACHED {
         let request = PlaceRequest {
+            request: req.id().to_owned(),
             service: req.service.clone(),
             size: Some(req.generation_size()),
             produced: 0,
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -78,6 +78,8 @@
 
 /// A request that wants a replica.
 pub struct PlaceRequest {
+    /// The caller's id of the request, for logs.
+    pub request: String,
     /// The service.
     pub service: ServiceId,
     /// Set for generations.
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -128,6 +128,7 @@
         let size = self.req.generation_size();
         let produced = self.handle.produced.load(Ordering::Relaxed);
         let request = PlaceRequest {
+            request: self.req.id().to_owned(),
             service: self.req.service.clone(),
             size: Some(size),
             produced,
