soak: randomized faults from outside on real gateway nodes

Ruled out: an example of testutils: the soak needs the nodes' binary and the tests' environment, so it is a test that takes more seeds from LEADSTAGE_SOAK_SEEDS.

--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -127,12 +127,37 @@
 
     /// Starts a replica whose generations have `events`, and lists it.
     pub async fn start_replica(&self, service: &str, id: &str, events: u64) -> RunningReplica {
-        let ip = format!("{}.2", self.net);
+        let ip = self.replicas_ip();
         let (replica, server) = GatewayReplica::start(&ip, id, events, self.copies.clone()).await;
         self.store.put("servers", id, replica_entry(service, server.address, "hall-1", "ready"));
         RunningReplica { replica, server: Some(server) }
     }
 
+    /// Where replicas listen.
+    pub fn replicas_ip(&self) -> String {
+        format!("{}.2", self.net)
+    }
+
+    /// Kills a node and waits for its end.
+    pub fn kill(&mut self, node: usize) {
+        let _ = self.nodes[node].kill();
+        let _ = self.nodes[node].wait();
+    }
+
+    /// Starts a node that has ended again, with the settings that are there now.
+    pub fn start_again(&mut self, node: usize) {
+        let path = self.dir.path().join(format!("node-{node}.log"));
+        let log = std::fs::File::options().append(true).open(path).expect("a log");
+        self.nodes[node] = self.spawn(node, log);
+    }
+
+    fn spawn(&self, node: usize, log: std::fs::File) -> Child {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_leadstaged"));
+        command.arg("--config").arg(self.settings_path(node));
+        command.stdout(log).stderr(Stdio::null()).stdin(Stdio::null());
+        command.spawn().expect("it starts")
+    }
+
     /// A replica says that it leaves.
     pub fn drain(&self, service: &str, running: &RunningReplica) {
         let address = running.server.as_ref().expect("it serves").address;
@@ -151,10 +176,8 @@
         let yaml = self.settings(node, store, "");
         std::fs::write(self.settings_path(node), yaml).expect("writable");
         let log = std::fs::File::create(self.dir.path().join(format!("node-{node}.log"))).expect("a log");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_leadstaged"));
-        command.arg("--config").arg(self.settings_path(node));
-        command.stdout(log).stderr(Stdio::null()).stdin(Stdio::null());
-        self.nodes.push(command.spawn().expect("it starts"));
+        let child = self.spawn(node, log);
+        self.nodes.push(child);
         node
     }
 
@@ -228,12 +251,7 @@
 
     /// Calls a path of a node and reads the whole answer.
     pub async fn call(&self, node: usize, req: Request<Full<Bytes>>) -> Called {
-        let calling = async {
-            let (_connection, res) = send(&self.front(node), req).await?;
-            Called::read(res).await
-        };
-        let called = tokio::time::timeout(PATIENCE, calling).await.expect("an answer in time");
-        called.unwrap_or_else(Called::broken)
+        call(&self.front(node), req).await
     }
 
     /// The status of a call with nothing special about it.
@@ -326,6 +344,16 @@
     Ok((connection, res))
 }
 
+/// Calls a path at an address and reads the whole answer.
+pub async fn call(address: &str, req: Request<Full<Bytes>>) -> Called {
+    let calling = async {
+        let (_connection, res) = send(address, req).await?;
+        Called::read(res).await
+    };
+    let called = tokio::time::timeout(PATIENCE, calling).await.expect("an answer in time");
+    called.unwrap_or_else(Called::broken)
+}
+
 /// An answer read to its end.
 #[derive(Debug)]
 pub struct Called {
--- /dev/null
+++ b/node/tests/test_gateway_soak.rs
@@ -0,0 +1,271 @@
+//! A randomized soak of the gateway: real nodes, faults from outside in series and
+//! overlapping, and the promises checked from what callers and replicas see.
+//!
+//! A seed fixes the schedule. CI plays [`REGRESSIONS`]; more seeds by hand:
+//! `LEADSTAGE_SOAK_SEEDS=1..50 cargo test --release -p leadstage-node --test runner soak`.
+//! A failed run prints its seed and the nodes' logs.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use leadstage_testutils::faulty_proxy::FaultyProxy;
+use leadstage_testutils::faulty_proxy::LinkFault;
+use leadstage_testutils::gateway_replica::GatewayReplica;
+use leadstage_testutils::metadata_store::StoreFault;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use crate::gateway_environment::Called;
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::KEY;
+use crate::gateway_environment::MODEL;
+use crate::gateway_environment::RunningReplica;
+use crate::gateway_environment::chat;
+use crate::gateway_environment::config;
+use crate::gateway_environment::request;
+
+/// Seeds that CI plays: the first, and each that ever failed with a line on its cause.
+const REGRESSIONS: &[u64] = &[1];
+/// Nodes of the fleet.
+const NODES: usize = 3;
+/// Engines, and clients of each kind.
+const ENGINES: usize = 4;
+const STREAM_CLIENTS: usize = 6;
+const CALL_CLIENTS: usize = 4;
+/// Events of a generation.
+const EVENTS: u64 = 60;
+/// How long faults come.
+const FAULTS_FOR: Duration = Duration::from_secs(5);
+
+/// What a caller saw of a request.
+struct Seen {
+    id: String,
+    called: Called,
+}
+
+/// What all callers saw.
+type Log = Arc<Mutex<Vec<Seen>>>;
+
+/// Replicas that ever ran; what they saw is looked at in the end.
+type Replicas = Vec<Arc<GatewayReplica>>;
+
+struct Soak {
+    gateway: Gateway,
+    rng: SmallRng,
+    engines: Vec<RunningReplica>,
+    bookings: Vec<RunningReplica>,
+    ever: Replicas,
+    proxy: FaultyProxy,
+    started: usize,
+    version: u64,
+}
+
+impl Soak {
+    async fn start(seed: u64) -> Soak {
+        let (mut gateway, bookings, engines) = Gateway::with_replicas(ENGINES).await;
+        let proxy = FaultyProxy::start(&gateway.own_store_ip(), gateway.store_address()).await;
+        for _ in 1..NODES {
+            let node = gateway.start_node_at(proxy.address);
+            gateway.until_ready(node).await;
+        }
+        let ever = bookings.iter().chain(&engines).map(|running| running.replica.clone()).collect();
+        let rng = SmallRng::seed_from_u64(seed);
+        Soak { gateway, rng, engines, bookings, ever, proxy, started: ENGINES, version: 1 }
+    }
+
+    fn pick(&mut self, count: usize) -> usize {
+        self.rng.random_range(0..count)
+    }
+
+    fn millis(&mut self, from: u64, to: u64) -> Duration {
+        Duration::from_millis(self.rng.random_range(from..to))
+    }
+
+    /// One fault; some last beyond the next.
+    async fn strike(&mut self) {
+        let node = self.pick(NODES);
+        match self.pick(11) {
+            0 => self.gateway.signal(node, "-TERM"),
+            1 => self.gateway.kill(node),
+            2 => {
+                self.gateway.signal(node, "-STOP");
+                let pause = self.millis(50, 900);
+                tokio::time::sleep(pause).await;
+                self.gateway.signal(node, "-CONT");
+            }
+            3 => self.gateway.signal(node, "-HUP"),
+            4 => {
+                let at = self.pick(self.engines.len());
+                self.gateway.drain(MODEL, &self.engines[at]);
+            }
+            5 => {
+                let at = self.pick(self.engines.len());
+                self.replace_engine(at).await;
+            }
+            6 => self.gateway.store.set_fault(StoreFault::Refuses),
+            7 => self.gateway.store.set_fault(StoreFault::ForgetsHistory),
+            8 => self.gateway.store.set_fault(StoreFault::None),
+            9 => {
+                self.version += 1;
+                self.gateway.store.put("config", "main", config(self.version));
+            }
+            _ => {
+                let delay = self.millis(5, 200);
+                let faults = [
+                    LinkFault::Delay(delay),
+                    LinkFault::Reset,
+                    LinkFault::OneWay,
+                    LinkFault::Silent,
+                    LinkFault::None,
+                ];
+                let fault = faults[self.pick(faults.len())];
+                self.proxy.set(fault);
+            }
+        }
+        self.restart_ended();
+    }
+
+    /// An engine dies without a word, and another one comes.
+    async fn replace_engine(&mut self, at: usize) {
+        self.started += 1;
+        let id = format!("model-{}", self.started);
+        let gone =
+            std::mem::replace(&mut self.engines[at], self.gateway.start_replica(MODEL, &id, EVENTS).await);
+        self.gateway.store.delete("servers", &gone.replica.id);
+        self.ever.push(self.engines[at].replica.clone());
+    }
+
+    /// The platform starts a process that ended again.
+    fn restart_ended(&mut self) {
+        for node in 0..NODES {
+            if self.gateway.ended(node).is_some() {
+                self.gateway.start_again(node);
+            }
+        }
+    }
+
+    /// Ends all faults and waits until every node serves.
+    async fn recover(&mut self) {
+        self.gateway.store.set_fault(StoreFault::None);
+        self.proxy.set(LinkFault::None);
+        // Engines that were told to leave are replaced.
+        for at in 0..self.engines.len() {
+            self.replace_engine(at).await;
+        }
+        let deadline = Instant::now() + Duration::from_secs(40);
+        for node in 0..NODES {
+            loop {
+                self.restart_ended();
+                let status = self.gateway.status_of(node, "/read/x?after", KEY).await;
+                if status == 200 && self.gateway.ready_status(node).await == 200 {
+                    break;
+                }
+                assert!(
+                    Instant::now() < deadline,
+                    "node {node} does not serve again\n{}",
+                    self.gateway.logs()
+                );
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+/// Asks again and again through random nodes until the end.
+async fn client(front: Vec<String>, name: String, seed: u64, until: Instant, streams: bool, log: Log) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut n = 0;
+    while Instant::now() < until {
+        n += 1;
+        let id = format!("{name}-{n}");
+        let req = if streams { chat(&id) } else { request("POST", &format!("/book/x?{id}"), KEY, &id) };
+        let node = &front[rng.random_range(0..front.len())];
+        let called = crate::gateway_environment::call(node, req).await;
+        log.lock().expect("no holder panics").push(Seen { id, called });
+        tokio::time::sleep(Duration::from_millis(rng.random_range(5..60))).await;
+    }
+}
+
+/// The promises, from what callers and replicas saw.
+fn check(seed: u64, log: &[Seen], ever: &Replicas) -> Result<BTreeMap<u16, usize>, String> {
+    let mut arrivals: BTreeMap<String, usize> = BTreeMap::new();
+    for seen in ever.iter().flat_map(|replica| replica.seen()) {
+        if seen.header("kv-from").is_none()
+            && let Some(id) = seen.header("leadstage-request-id")
+        {
+            *arrivals.entry(id.to_owned()).or_default() += 1;
+        }
+    }
+    let mut statuses = BTreeMap::new();
+    for Seen { id, called } in log {
+        *statuses.entry(called.status).or_default() += 1;
+        let arrived = arrivals.get(id).copied().unwrap_or(0);
+        let fail =
+            |what: &str| Err(format!("seed {seed}: {id}: {what}: {called:?}, arrived {arrived} times"));
+        if arrived > 1 {
+            return fail("ran more than once");
+        }
+        if matches!(called.status, 408 | 421 | 429 | 503) && arrived > 0 {
+            return fail("said not to have run");
+        }
+        if called.status == 200 && id.starts_with("stream") {
+            let ids = called.event_ids();
+            if ids != (1..=ids.len() as u64).collect::<Vec<_>>() {
+                return fail("events out of order");
+            }
+            if called.whole != (ids.len() as u64 == EVENTS) {
+                return fail("whole, or not, against its events");
+            }
+        }
+        if called.status == 200 && id.starts_with("call") && called.whole && !called.body.ends_with(id) {
+            return fail("another request's answer");
+        }
+    }
+    Ok(statuses)
+}
+
+async fn play(seed: u64) {
+    let mut soak = Soak::start(seed).await;
+    let fronts: Vec<String> = (0..NODES).map(|node| soak.gateway.front(node)).collect();
+    let until = Instant::now() + FAULTS_FOR;
+    let log = Log::default();
+    let mut clients = tokio::task::JoinSet::new();
+    for n in 0..STREAM_CLIENTS + CALL_CLIENTS {
+        let streams = n < STREAM_CLIENTS;
+        let name = format!("{}{n}", if streams { "stream" } else { "call" });
+        clients.spawn(client(fronts.clone(), name, seed ^ (n as u64) << 32, until, streams, log.clone()));
+    }
+    while Instant::now() < until {
+        soak.strike().await;
+        let pause = soak.millis(40, 350);
+        tokio::time::sleep(pause).await;
+    }
+    soak.recover().await;
+    clients.join_all().await;
+    let log = log.lock().expect("no holder panics");
+    match check(seed, &log, &soak.ever) {
+        Ok(statuses) => println!("seed {seed}: {} requests by status {statuses:?}", log.len()),
+        Err(broken) => panic!("{broken}\n{}", soak.gateway.logs()),
+    }
+    assert_eq!(soak.bookings.len(), ENGINES, "plain replicas serve all along");
+}
+
+fn seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var("LEADSTAGE_SOAK_SEEDS") else {
+        return REGRESSIONS.to_vec();
+    };
+    let (first, last) = text.split_once("..").unwrap_or((&text, &text));
+    let number = |text: &str| text.parse().expect("LEADSTAGE_SOAK_SEEDS is N or N..M");
+    (number(first)..=number(last)).collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_soak() {
+    for seed in seeds() {
+        play(seed).await;
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod engine_model;
 pub mod engine_server;
+pub mod faulty_proxy;
 pub mod gateway_replica;
 pub mod http_client;
 pub mod http_server;
