tests: parts of events, exact bodies, and faults of plain replicas in the soak

Cause: two lines broken on purpose went unseen: a part of an event kept at a move (the stand-in cut only between events, the tests read only ids), and in the soak "may have run" said as "not run" (plain replicas had no faults there). Ruled out: weaker checks: both now fail with those lines broken.

--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -401,9 +401,11 @@
         self.headers.get(name)?.to_str().ok()
     }
 
-    /// The ids of the events.
-    pub fn event_ids(&self) -> Vec<u64> {
-        let ids = self.body.lines().filter_map(|line| line.strip_prefix("id: "));
-        ids.filter_map(|id| id.parse().ok()).collect()
+    /// How many events came; `None` unless the body is just the first events of the
+    /// stand-in's generations, each once, in order and whole.
+    pub fn events(&self) -> Option<u64> {
+        let count = self.body.matches("\n\n").count() as u64;
+        let expected: String = (1..=count).map(|n| format!("id: {n}\ndata: token {n}\n\n")).collect();
+        (self.body == expected).then_some(count)
     }
 }
--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -20,7 +20,7 @@
         gateway.signal(0, "-TERM");
         gateway.until("not ready", async || gateway.ready_status(0).await == 503).await;
     });
-    assert!(called.whole && called.event_ids().len() == 60, "{called:?}");
+    assert!(called.whole && called.events() == Some(60), "{called:?}");
     let late = gateway.call(0, chat("r-2")).await;
     assert_eq!((late.status, late.code()), (503, 2108), "{}", gateway.logs());
     let deadline = tokio::time::Instant::now() + Duration::from_secs(20);
--- a/node/tests/test_gateway_soak.rs
+++ b/node/tests/test_gateway_soak.rs
@@ -13,6 +13,7 @@
 use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::faulty_proxy::LinkFault;
 use leadstage_testutils::gateway_replica::GatewayReplica;
+use leadstage_testutils::gateway_replica::ReplicaFault;
 use leadstage_testutils::metadata_store::StoreFault;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -88,7 +89,7 @@
     /// One fault; some last beyond the next.
     async fn strike(&mut self) {
         let node = self.pick(NODES);
-        match self.pick(11) {
+        match self.pick(12) {
             0 => self.gateway.signal(node, "-TERM"),
             1 => self.gateway.kill(node),
             2 => {
@@ -113,6 +114,17 @@
                 self.version += 1;
                 self.gateway.store.put("config", "main", config(self.version));
             }
+            10 => {
+                let faults = [
+                    ReplicaFault::Breaks,
+                    ReplicaFault::CutsBody,
+                    ReplicaFault::ForeignAnswer,
+                    ReplicaFault::ForgetsConnections,
+                    ReplicaFault::None,
+                ];
+                let (at, fault) = (self.pick(ENGINES), faults[self.pick(faults.len())]);
+                self.bookings[at].replica.set_fault(fault);
+            }
             _ => {
                 let delay = self.millis(5, 200);
                 let faults = [
@@ -152,6 +164,7 @@
     async fn recover(&mut self) {
         self.gateway.store.set_fault(StoreFault::None);
         self.proxy.set(LinkFault::None);
+        self.bookings.iter().for_each(|running| running.replica.set_fault(ReplicaFault::None));
         // Engines that were told to leave are replaced.
         for at in 0..self.engines.len() {
             self.replace_engine(at).await;
@@ -213,11 +226,11 @@
             return fail("said not to have run");
         }
         if called.status == 200 && id.starts_with("stream") {
-            let ids = called.event_ids();
-            if ids != (1..=ids.len() as u64).collect::<Vec<_>>() {
-                return fail("events out of order");
+            let events = called.events();
+            if events.is_none() {
+                return fail("not just its events");
             }
-            if called.whole != (ids.len() as u64 == EVENTS) {
+            if called.whole != (events == Some(EVENTS)) {
                 return fail("whole, or not, against its events");
             }
         }
@@ -251,7 +264,6 @@
         Ok(statuses) => println!("seed {seed}: {} requests by status {statuses:?}", log.len()),
         Err(broken) => panic!("{broken}\n{}", soak.gateway.logs()),
     }
-    assert_eq!(soak.bookings.len(), ENGINES, "plain replicas serve all along");
 }
 
 fn seeds() -> Vec<u64> {
--- a/node/tests/test_gateway_streams.rs
+++ b/node/tests/test_gateway_streams.rs
@@ -101,10 +101,9 @@
         Fault::LeavesTwice,
     ] {
         let (called, engines, logs) = play(fault).await;
-        let ids = called.event_ids();
-        let in_order: Vec<u64> = (1..=ids.len() as u64).collect();
-        assert_eq!(ids, in_order, "{fault:?}: in order\n{logs}");
-        assert_eq!(called.whole, ids.len() as u64 == EVENTS, "{fault:?}: {} events\n{logs}", ids.len());
+        let events = called.events();
+        assert!(events.is_some(), "{fault:?}: not just the events: {}\n{logs}", called.body);
+        assert_eq!(called.whole, events == Some(EVENTS), "{fault:?}: {events:?} events\n{logs}");
         rows.push(format!("{fault:?}: whole {}, engines {engines}", called.whole));
     }
     insta::assert_snapshot!(rows.join("\n"), @r"
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -56,6 +56,9 @@
     StopHangs,
 }
 
+/// Stands for the events of a generation that is to be cut off next.
+const CUT: u64 = u64::MAX;
+
 /// A request that a replica saw.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -234,7 +237,7 @@
         res
     }
 
-    /// The events after `from`; stops without an end when the generation was copied away.
+    /// The events after `from`; stops in the middle of one, without an end, when the generation was copied away.
     fn generate(
         self: Arc<Self>,
         id: String,
@@ -244,6 +247,12 @@
         let guard = RunGuard { replica: self.clone(), id, done: false };
         futures::stream::unfold((guard, from), |(mut guard, made)| async move {
             let replica = guard.replica.clone();
+            if made == CUT {
+                // The part is sent before the connection breaks.
+                tokio::time::sleep(replica.pace).await;
+                guard.finish();
+                return Some((Err(std::io::Error::other("stopped")), (guard, replica.events)));
+            }
             if made == replica.events {
                 guard.finish();
                 return None;
@@ -251,9 +260,9 @@
             tokio::time::sleep(replica.pace).await;
             let mut state = replica.state();
             if state.stopped.contains(&guard.id) {
-                guard.finish();
                 drop(state);
-                return Some((Err(std::io::Error::other("stopped")), (guard, replica.events)));
+                let part = format!("id: {}\ndata: tok", made + 1);
+                return Some((Ok(Bytes::from(part)), (guard, CUT)));
             }
             state.runs.insert(guard.id.clone(), made + 1);
             drop(state);
