--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -5,48 +5,17 @@
 use leadstage_lib::gateway::load::EngineRequest;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::LoadBook;
-use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::load::RunKey;
 use leadstage_lib::gateway::replicas::Replica;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::routing::EngineTraits;
 use leadstage_lib::gateway::routing::ServiceId;
-use leadstage_lib::ids::HallId;
-use leadstage_lib::ids::UpstreamId;
 use log::info;
 
+use crate::gateway::peers::peer_message::Wanted;
 use crate::gateway::shared::Shared;
 
-/// What a request wants of a replica.
-#[derive(Clone, Debug)]
-pub struct Wanted {
-    /// The service.
-    pub service: ServiceId,
-    /// Set for generations.
-    pub size: Option<GenerationSize>,
-    /// Tokens made so far.
-    pub produced: u32,
-    /// The engine that it runs on, for a generation that moves.
-    pub from: Option<UpstreamId>,
-    /// The hall where it came in; for a generation that moves, where it runs.
-    pub hall: HallId,
-    /// Replicas that are out of the question.
-    pub exclude: Vec<UpstreamId>,
-}
-
-impl Wanted {
-    /// The request at a replica.
-    pub fn at(&self, replica: &UpstreamId) -> Run {
-        Run {
-            replica: replica.clone(),
-            size: self.size,
-            produced: self.produced,
-            copied_from: self.from.clone(),
-        }
-    }
-}
-
 /// The replicas, and the requests at them.
 pub struct Knowledge {
     shared: Arc<Shared>,
--- a/node/src/gateway/control/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -19,9 +19,9 @@
 use tokio::sync::oneshot;
 
 use crate::gateway::control::knowledge::Knowledge;
-use crate::gateway::control::knowledge::Wanted;
 use crate::gateway::messages::Placed;
 use crate::gateway::messages::StreamHandle;
+use crate::gateway::peers::peer_message::Wanted;
 
 /// A generation that wants an engine.
 pub struct Ask {
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -22,7 +22,6 @@
 
 use crate::gateway::control::inventories::Inventories;
 use crate::gateway::control::knowledge::Knowledge;
-use crate::gateway::control::knowledge::Wanted;
 use crate::gateway::control::lead_desk;
 use crate::gateway::control::lead_desk::Ask;
 use crate::gateway::control::lead_desk::Asker;
@@ -99,14 +98,7 @@
         self.last_run += 1;
         let ask = Ask {
             key: self.own_key(self.last_run),
-            wanted: Wanted {
-                service: request.service,
-                size: request.size,
-                produced: request.produced,
-                from: request.from,
-                hall: request.hall,
-                exclude: request.exclude,
-            },
+            wanted: request.wanted,
             priority: request.priority,
             patience: request.patience,
             asker: Asker::Here { request: request.request, stream: request.stream, reply },
@@ -131,17 +123,8 @@
 
     fn ask_lead(&mut self, ask: Ask, lead: VmId, address: SocketAddr) {
         let run = ask.key.run;
-        let remote = RemotePlace {
-            run,
-            service: ask.wanted.service.clone(),
-            size: ask.wanted.size.unwrap_or_default(),
-            produced: ask.wanted.produced,
-            from: ask.wanted.from.clone(),
-            priority: ask.priority,
-            patience: ask.patience,
-            hall: ask.wanted.hall.clone(),
-            exclude: ask.wanted.exclude.clone(),
-        };
+        let remote =
+            RemotePlace { run, wanted: ask.wanted.clone(), priority: ask.priority, patience: ask.patience };
         self.outbox.send(address, &PeerMessage::Place(remote));
         let due = self.shared.now() + LEAD_LIMIT;
         self.pending.insert(run, Pending { ask, lead, due });
@@ -243,14 +226,7 @@
     pub fn on_place(&mut self, from: SocketAddr, remote: RemotePlace) {
         self.decide_here(Ask {
             key: RunKey { entry: node_id(from), run: remote.run },
-            wanted: Wanted {
-                service: remote.service,
-                size: Some(remote.size),
-                produced: remote.produced,
-                from: remote.from,
-                hall: remote.hall,
-                exclude: remote.exclude,
-            },
+            wanted: remote.wanted,
             priority: remote.priority,
             patience: remote.patience,
             asker: Asker::There(from),
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -14,6 +14,7 @@
 
 use crate::gateway::messages::Outcome;
 use crate::gateway::messages::PlaceRequest;
+use crate::gateway::peers::peer_message::Wanted;
 use crate::gateway::reply::Refusal;
 use crate::gateway::reply::Reply;
 use crate::gateway::request::CallerRequest;
@@ -48,14 +49,16 @@
     loop {
         let request = PlaceRequest {
             request: req.id().to_owned(),
-            service: req.service.clone(),
-            size: None,
-            produced: 0,
-            from: None,
+            wanted: Wanted {
+                service: req.service.clone(),
+                size: None,
+                produced: 0,
+                from: None,
+                hall: traffic.shared.settings.hall.clone(),
+                exclude: tried.clone(),
+            },
             priority: req.priority(),
             patience: Duration::ZERO,
-            hall: traffic.shared.settings.hall.clone(),
-            exclude: tried.clone(),
             stream: None,
         };
         let Some(run) = traffic.shared.place(request).await else {
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -17,6 +17,7 @@
 use crate::gateway::messages::Outcome;
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::StreamHandle;
+use crate::gateway::peers::peer_message::Wanted;
 use crate::gateway::reply::ChannelBody;
 use crate::gateway::reply::Refusal;
 use crate::gateway::reply::Reply;
@@ -82,14 +83,16 @@
     while tried.len() < MOST_UNREACHED {
         let request = PlaceRequest {
             request: req.id().to_owned(),
-            service: req.service.clone(),
-            size: Some(req.generation_size()),
-            produced: 0,
-            from: None,
+            wanted: Wanted {
+                service: req.service.clone(),
+                size: Some(req.generation_size()),
+                produced: 0,
+                from: None,
+                hall: traffic.shared.settings.hall.clone(),
+                exclude: tried.clone(),
+            },
             priority: req.priority(),
             patience: waiting::patience(req.route.objective),
-            hall: traffic.shared.settings.hall.clone(),
-            exclude: tried.clone(),
             stream: Some(handle.clone()),
         };
         let Some(run) = traffic.shared.place(request).await else {
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -6,13 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::RunId;
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
-use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::watchers::PulseNumber;
-use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::health::Health;
 use leadstage_platform::store::Changes;
@@ -22,6 +19,7 @@
 
 use crate::gateway::peers::peer_message::Datagram;
 use crate::gateway::peers::peer_message::ReplicaList;
+use crate::gateway::peers::peer_message::Wanted;
 
 /// To the control loop.
 pub enum ToControl {
@@ -80,22 +78,12 @@
 pub struct PlaceRequest {
     /// The caller's id of the request, for logs.
     pub request: String,
-    /// The service.
-    pub service: ServiceId,
-    /// Set for generations.
-    pub size: Option<GenerationSize>,
-    /// Tokens made so far.
-    pub produced: u32,
-    /// The engine that it runs on, for a generation that moves.
-    pub from: Option<UpstreamId>,
+    /// What it wants.
+    pub wanted: Wanted,
     /// Its urgency; 0 goes first.
     pub priority: u8,
     /// How long it may wait for a replica with room.
     pub patience: Duration,
-    /// The hall where it came in; for a generation that moves, where it runs.
-    pub hall: HallId,
-    /// Replicas that are out of the question.
-    pub exclude: Vec<UpstreamId>,
     /// How a stream is told to move, and shows its progress.
     pub stream: Option<StreamHandle>,
 }
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -80,27 +80,46 @@
     pub known: Vec<SocketAddr>,
 }
 
-/// A generation that a node wants placed.
-#[derive(Debug, Deserialize, Serialize)]
-pub struct RemotePlace {
-    /// Names it at the asking node.
-    pub run: RunId,
+/// What a request wants of a replica.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Wanted {
     /// The service.
     pub service: ServiceId,
-    /// Its size.
-    pub size: GenerationSize,
+    /// Set for generations.
+    pub size: Option<GenerationSize>,
     /// Tokens made so far.
     pub produced: u32,
-    /// The engine that it runs on, for one that moves.
+    /// The engine that it runs on, for a generation that moves.
     pub from: Option<UpstreamId>,
+    /// The hall where it came in; for a generation that moves, where it runs.
+    pub hall: HallId,
+    /// Replicas that are out of the question.
+    pub exclude: Vec<UpstreamId>,
+}
+
+impl Wanted {
+    /// The request at a replica.
+    pub fn at(&self, replica: &UpstreamId) -> Run {
+        Run {
+            replica: replica.clone(),
+            size: self.size,
+            produced: self.produced,
+            copied_from: self.from.clone(),
+        }
+    }
+}
+
+/// A generation that a node wants placed.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct RemotePlace {
+    /// Names it at the asking node.
+    pub run: RunId,
+    /// What it wants.
+    pub wanted: Wanted,
     /// Its urgency; 0 goes first.
     pub priority: u8,
     /// How long it may wait for an engine with room.
     pub patience: Duration,
-    /// The hall where it came in; for one that moves, where it runs.
-    pub hall: HallId,
-    /// Engines that are out of the question.
-    pub exclude: Vec<UpstreamId>,
 }
 
 /// A node's generations at the engines of a service.
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -17,6 +17,7 @@
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::StreamHandle;
 use crate::gateway::messages::ToControl;
+use crate::gateway::peers::peer_message::Wanted;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
 use crate::gateway::upstream::traffic::Traffic;
@@ -129,14 +130,16 @@
         let produced = self.handle.produced.load(Ordering::Relaxed);
         let request = PlaceRequest {
             request: self.req.id().to_owned(),
-            service: self.req.service.clone(),
-            size: Some(size),
-            produced,
-            from: Some(self.source.id.clone()),
+            wanted: Wanted {
+                service: self.req.service.clone(),
+                size: Some(size),
+                produced,
+                from: Some(self.source.id.clone()),
+                hall: self.source.hall.clone(),
+                exclude: exclude.to_vec(),
+            },
             priority: evacuation::rank(size, produced),
             patience: if self.insist.is_zero() { Duration::ZERO } else { evacuation::COPY_PATIENCE },
-            hall: self.source.hall.clone(),
-            exclude: exclude.to_vec(),
             stream: Some(self.handle.clone()),
         };
         self.traffic.shared.place(request).await
