--- a/lib/src/gateway/rebalance.rs
+++ b/lib/src/gateway/rebalance.rs
@@ -18,6 +18,9 @@
 /// An engine with so many more generations than another one gives one away even if both
 /// have room: each running generation makes every step of its neighbours longer.
 const RUNS_APART: usize = 4;
+/// Time between two looks, for each engine: a lead of a few looks at each of its ticks, one
+/// of 3,000 every 2.4 s, so that its work does not grow with them.
+const LOOK_PER_ENGINE: Duration = Duration::from_micros(800);
 /// A generation is asked to move once within this: the time of a copy on a busy link.
 const ASK_AGAIN: Duration = Duration::from_secs(2);
 /// Tokens that a generation must still be expected to make for a move to pay: the time
@@ -37,6 +40,7 @@
 #[derive(Debug, Default)]
 pub struct Rebalancer {
     asked: HashMap<RunKey, Timestamp>,
+    next: Timestamp,
 }
 
 /// An engine's load.
@@ -56,6 +60,9 @@
         traits: &EngineTraits,
         now: Timestamp,
     ) -> Vec<Relief> {
+        if now < self.next {
+            return Vec::new();
+        }
         self.asked.retain(|_, at| *at + ASK_AGAIN > now);
         let mut loads: Vec<Load<'_>> = engines
             .map(|replica| Load {
@@ -65,6 +72,7 @@
                 arriving: book.at(&replica.record.id).any(|(_, run)| run.copied_from.is_some()),
             })
             .collect();
+        self.next = now + LOOK_PER_ENGINE * loads.len() as u32;
         loads.sort_by(|a, b| a.fill.total_cmp(&b.fill));
         let mut takers = loads.iter().filter(|load| !load.arriving && load.fill < TAKES_UP_TO);
         let mut reliefs = Vec::new();
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -51,6 +51,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two looks at status and levels.
 const STATUS_INTERVAL: Duration = Duration::from_secs(2);
+/// Long lists are fetched later, and so more rarely: with 3,000 replicas after a second.
+const NEWS_FIRST_PER_REPLICA: Duration = Duration::from_micros(300);
 /// A store that is back tells of entries that lapsed meanwhile within this.
 const LAPSES_TOLD_WITHIN: Duration = Duration::from_secs(1);
 /// A replica that left is forgotten after this: the longest time that one serves on after
@@ -74,6 +76,8 @@
     watching: Watching,
     /// The store's revision up to which the replicas are known.
     replicas_at: Revision,
+    /// The list for other nodes lacks changes.
+    list_is_old: bool,
     /// When the configuration and news of the replicas last came.
     config_heard: Timestamp,
     replicas_heard: Timestamp,
@@ -103,6 +107,7 @@
             watchers,
             watching,
             replicas_at: 0,
+            list_is_old: false,
             config_heard: Timestamp::ZERO,
             replicas_heard: Timestamp::ZERO,
             last_status: Timestamp::ZERO,
@@ -163,6 +168,7 @@
             self.lapses_until = now + LAPSED_GRACE + LAPSES_TOLD_WITHIN;
             self.lookout.tick(now, self.placing.engines_in_use(&self.fleet));
         }
+        self.publish_list();
         self.publish_status(now);
     }
 
@@ -182,6 +188,20 @@
         });
     }
 
+    /// Publishes the list for other nodes, if it changed: once for many changes.
+    fn publish_list(&mut self) {
+        if !std::mem::take(&mut self.list_is_old) {
+            return;
+        }
+        let (leaving, staying): (Vec<&Replica>, Vec<&Replica>) =
+            self.placing.knowledge.replicas.iter().partition(|replica| replica.leaving.is_some());
+        self.shared.set_replica_list(ReplicaList {
+            at: self.replicas_at,
+            records: staying.iter().map(|replica| (*replica.record).clone()).collect(),
+            leaving: leaving.iter().map(|replica| replica.record.id.clone()).collect(),
+        });
+    }
+
     fn on_datagram(&mut self, datagram: Datagram) {
         let now = self.shared.now();
         let from = datagram.from;
@@ -244,9 +264,11 @@
         }
         self.fetches_replicas = true;
         let shared = self.shared.clone();
+        let replicas = self.placing.knowledge.replicas.iter().count() as u32;
+        let pause = NEWS_FIRST + NEWS_FIRST_PER_REPLICA * replicas;
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(NEWS_FIRST).await;
-            if shared.replica_list().at < theirs {
+            tokio::time::sleep(pause).await;
+            if shared.replicas_at() < theirs {
                 peer_port::fetch_replicas(shared, from).await;
             } else {
                 shared.tell(ToControl::Fetched(from, Fetched::Replicas(None)));
@@ -350,13 +372,8 @@
         self.replicas_known = true;
         self.replicas_heard = self.shared.now();
         self.on_list_change(change);
-        let (leaving, staying): (Vec<&Replica>, Vec<&Replica>) =
-            self.placing.knowledge.replicas.iter().partition(|replica| replica.leaving.is_some());
-        self.shared.set_replica_list(ReplicaList {
-            at: self.replicas_at,
-            records: staying.iter().map(|replica| (*replica.record).clone()).collect(),
-            leaving: leaving.iter().map(|replica| replica.record.id.clone()).collect(),
-        });
+        self.shared.set_replicas_at(self.replicas_at);
+        self.list_is_old = true;
         self.check_ready();
     }
 
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -11,11 +11,16 @@
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::routing::EngineTraits;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::ids::HallId;
 use log::info;
+use rand::seq::IndexedRandom;
 
 use crate::gateway::peers::peer_message::Wanted;
 use crate::gateway::shared::Shared;
 
+/// Engines that are weighed for one generation at most.
+const MOST_CONSIDERED: usize = 64;
+
 /// The replicas, and the requests at them.
 pub struct Knowledge {
     shared: Arc<Shared>,
@@ -59,6 +64,7 @@
     ) -> Option<Arc<ReplicaRecord>> {
         let candidates = self.candidates(wanted);
         let engines = candidates.len();
+        let candidates = sample(candidates, &wanted.hall);
         let request = EngineRequest {
             size,
             engine: traits,
@@ -102,3 +108,18 @@
         self.replicas.of_service(service).filter(|replica| replica.leaving.is_none())
     }
 }
+
+/// Some candidates of many, half of them of the hall if it has so many: the best of these is
+/// close to the best of all, and a lead's work does not grow with the fleet.
+fn sample<'a>(candidates: Vec<&'a Replica>, hall: &HallId) -> Vec<&'a Replica> {
+    if candidates.len() <= MOST_CONSIDERED {
+        return candidates;
+    }
+    let (near, far): (Vec<&Replica>, Vec<&Replica>) =
+        candidates.into_iter().partition(|replica| replica.record.hall == *hall);
+    let rng = &mut rand::rng();
+    let mut chosen: Vec<&Replica> = near.sample(rng, MOST_CONSIDERED / 2).copied().collect();
+    let rest = MOST_CONSIDERED - chosen.len();
+    chosen.extend(far.sample(rng, rest).copied());
+    chosen
+}
--- a/node/src/gateway/peers/outbox.rs
+++ b/node/src/gateway/peers/outbox.rs
@@ -42,7 +42,7 @@
     pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
         let config = self.shared.table().map_or(0, |table| table.version);
         let from = self.shared.settings.peer;
-        let replicas_at = self.shared.replica_list().at;
+        let replicas_at = self.shared.replicas_at();
         let datagram = Datagram { from, config, replicas_at, message };
         match postcard::to_stdvec(&datagram) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => {
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::status::NodeStatus;
+use leadstage_platform::store::Revision;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -54,6 +56,7 @@
     nodes: AtomicUsize,
     store_answers: AtomicBool,
     replica_list: RwLock<Arc<ReplicaList>>,
+    replicas_at: AtomicU64,
 }
 
 impl Shared {
@@ -68,6 +71,7 @@
             nodes: AtomicUsize::new(1),
             store_answers: AtomicBool::new(true),
             replica_list: RwLock::default(),
+            replicas_at: AtomicU64::new(0),
             settings,
             metrics,
             status: RwLock::default(),
@@ -135,6 +139,17 @@
         self.replica_list.read().expect("no holder panics").clone()
     }
 
+    /// The store's revision up to which this node knows the replicas; the list may be a
+    /// little older.
+    pub fn replicas_at(&self) -> Revision {
+        self.replicas_at.load(Ordering::Relaxed)
+    }
+
+    /// Publishes that revision.
+    pub fn set_replicas_at(&self, at: Revision) {
+        self.replicas_at.store(at, Ordering::Relaxed);
+    }
+
     /// Publishes them.
     pub fn set_replica_list(&self, list: ReplicaList) {
         *self.replica_list.write().expect("no holder panics") = Arc::new(list);
