--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -18,13 +18,16 @@
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::health::Health;
+use leadstage_platform::store::Age;
 use leadstage_platform::store::Change;
 use leadstage_platform::store::Changes;
+use leadstage_platform::store::Configuration;
 use leadstage_platform::store::Revision;
 use log::info;
 use log::warn;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use crate::gateway::control::follow;
 use crate::gateway::control::lookout::Lookout;
 use crate::gateway::control::placing::Placing;
 use crate::gateway::control::watching::Watching;
@@ -82,6 +85,8 @@
     config_heard: Timestamp,
     replicas_heard: Timestamp,
     last_status: Timestamp,
+    /// The configuration that another node was last asked for.
+    config_wanted: ConfigVersion,
     /// Something is being fetched from another node.
     fetches_configuration: bool,
     fetches_replicas: bool,
@@ -111,6 +116,7 @@
             config_heard: Timestamp::ZERO,
             replicas_heard: Timestamp::ZERO,
             last_status: Timestamp::ZERO,
+            config_wanted: 0,
             fetches_configuration: false,
             fetches_replicas: false,
         }
@@ -238,6 +244,7 @@
             return;
         }
         self.fetches_configuration = true;
+        self.config_wanted = theirs;
         let shared = self.shared.clone();
         tokio::task::spawn_local(async move {
             tokio::time::sleep(NEWS_FIRST).await;
@@ -254,6 +261,10 @@
         if let Some(text) = text {
             info!(event = "config_fetched", from:% = from, bytes = text.len(); "another node handed its configuration over");
             self.take_configuration(&text);
+        } else if self.version() < self.config_wanted {
+            let shared = self.shared.clone();
+            let reading = follow::read_once::<Configuration>(shared, ToControl::Configuration, Age::Newest);
+            tokio::task::spawn_local(reading);
         }
     }
 
--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -23,14 +23,14 @@
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Reads what a starting node needs once: what may be some seconds old is enough, as other
+/// Reads a kind once. For a starting node what may be some seconds old is enough, as other
 /// nodes tell what is newer, and costs a tenth.
-pub async fn read_once<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl) {
+pub async fn read_once<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl, age: Age) {
     let mut store = Store::new(shared.settings.store);
-    match store.list::<K>(Age::SomeSeconds, note_unreadable::<K>).await {
+    match store.list::<K>(age, note_unreadable::<K>).await {
         Ok(list) => shared.tell(wrap(News::Listed { list, after_outage: true })),
         Err(err) => {
-            info!(event = "store_lost", kind = K::NAME, reason:% = err; "the store does not answer a starting node")
+            info!(event = "store_lost", kind = K::NAME, reason:% = err; "the store does not answer a node that reads once")
         }
     }
     shared.metrics.on_store_call("read", "done");
--- a/node/src/gateway/peers/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -22,8 +22,9 @@
 const CONFIG_PATH: &str = "/config";
 /// Where a node hands its list of replicas out.
 const REPLICAS_PATH: &str = "/replicas";
-/// Time for either to arrive.
-const FETCH_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time for either to arrive. Many nodes may fetch a large configuration over one small link
+/// at once; the store's is wide, and is asked then.
+const FETCH_LIMIT: Duration = Duration::from_millis(600);
 
 /// Hands the configuration and the replicas out.
 pub fn answer(shared: &Arc<Shared>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -7,6 +7,7 @@
 
 use derive_more::Display;
 use derive_more::Error;
+use leadstage_platform::store::Age;
 use leadstage_platform::store::Configuration;
 use leadstage_platform::store::Replicas;
 use log::error;
@@ -86,8 +87,11 @@
     tokio::task::spawn_local(small_port::serve(shared.clone(), ready, "ready", balancer_port::answer));
     let metrics = listen(shared.settings.metrics).await?;
     tokio::task::spawn_local(small_port::serve(shared.clone(), metrics, "metrics", metrics_port::answer));
-    tokio::task::spawn_local(follow::read_once::<Configuration>(shared.clone(), ToControl::Configuration));
-    tokio::task::spawn_local(follow::read_once::<Replicas>(shared.clone(), ToControl::Replicas));
+    let configuration =
+        follow::read_once::<Configuration>(shared.clone(), ToControl::Configuration, Age::SomeSeconds);
+    tokio::task::spawn_local(configuration);
+    let replicas = follow::read_once::<Replicas>(shared.clone(), ToControl::Replicas, Age::SomeSeconds);
+    tokio::task::spawn_local(replicas);
     let peer = listen(shared.settings.peer).await?;
     tokio::task::spawn_local(small_port::serve(shared.clone(), peer, "peer", peer_port::answer));
     let socket = Arc::new(datagrams(shared.settings.peer).await?);
