--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -21,10 +21,12 @@
   leadstage keys new --out FILE
   leadstage status --node IP:PORT [--node IP:PORT ...]
   leadstage explain ID --node IP:PORT [--node IP:PORT ...]
+  leadstage explain ID --logs FILE [--logs FILE ...]
   leadstage report burn --node IP:PORT [--node IP:PORT ...] [--plot FILE.svg]
 
   --format text|json   how to print (text by default)
   --node IP:PORT       a node's admin port; give each node of the fleet
+  --logs FILE          a gateway node's log, named after the node
   --platform IP:PORT   the platform's object API
   --help, --version
 
@@ -35,7 +37,8 @@
 bundle diff       compares two bundles, or one with the accepted one
 keys new          writes a signing key to FILE and prints the public key
 status            nodes, bundle, pools and leads, engines, queues, leaving upstreams
-explain           what was decided for a request, by the id in X-Request-Id
+explain           what was decided for a request, by the id in X-Request-Id; with --logs,
+                  by the id of a gateway's request, from the logs of all nodes
 report burn       how fast the error budgets of the service levels are used up
 
 Exit codes: 0 done, 1 failure, 2 wrong arguments or a wrong file,
@@ -101,6 +104,8 @@
     Status(Vec<SocketAddr>),
     /// Explain a request.
     Explain(String, Vec<SocketAddr>),
+    /// Explain a gateway's request from logs.
+    ExplainLogs(String, Vec<PathBuf>),
     /// Report the burn.
     Burn(Vec<SocketAddr>, Option<PathBuf>),
 }
@@ -109,6 +114,7 @@
 struct Options {
     words: Vec<String>,
     nodes: Vec<SocketAddr>,
+    logs: Vec<PathBuf>,
     platform: Option<SocketAddr>,
     key: Option<PathBuf>,
     out: Option<PathBuf>,
@@ -133,6 +139,7 @@
         match arg {
             Value(word) => options.words.push(word.string()?),
             Long("node") => options.nodes.push(args.value()?.parse()?),
+            Long("logs") => options.logs.push(args.value()?.into()),
             Long("platform") => options.platform = Some(args.value()?.parse()?),
             Long("key") => options.key = Some(args.value()?.into()),
             Long("out") => options.out = Some(args.value()?.into()),
@@ -189,6 +196,9 @@
         ["bundle", "diff", new] => Ok(Command::Diff(Side::Accepted(platform()?), Side::File(new.into()))),
         ["keys", "new"] => Ok(Command::NewKey(options.out.ok_or(CliError::Missing("--out FILE"))?)),
         ["status"] => Ok(Command::Status(nodes()?)),
+        ["explain", id] if !options.logs.is_empty() => {
+            Ok(Command::ExplainLogs(id.to_owned(), options.logs.clone()))
+        }
         ["explain", id] => Ok(Command::Explain(id.to_owned(), nodes()?)),
         ["report", "burn"] => Ok(Command::Burn(nodes()?, options.plot.clone())),
         [] => Err(CliError::Missing("a command")),
--- /dev/null
+++ b/cli/src/explain_logs.rs
@@ -0,0 +1,151 @@
+//! `leadstage explain ID --logs FILE`: what the gateway nodes' logs say of a request, with
+//! what they say of its upstreams and of the store and the configuration meanwhile.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::path::PathBuf;
+
+use crate::args::Format;
+use crate::error::CliError;
+
+/// Events that concern every request of their time.
+const EVENTS_FOR_ALL: [&str; 6] =
+    ["store_lost", "store_regained", "config_in_force", "stop", "reload", "log_lines_left_out"];
+/// Events about an upstream that bear on its requests.
+const EVENTS_OF_UPSTREAMS: [&str; 2] = ["replica_leaves", "replica_listed"];
+/// How long before and after a request's own lines the other ones count, in milliseconds:
+/// a replica ends some seconds after its notice.
+const MARGIN_MS: i64 = 3_000;
+
+/// A log line, its pairs by key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Line {
+    at_ms: i64,
+    node: String,
+    pairs: BTreeMap<String, String>,
+    text: String,
+}
+
+impl Line {
+    fn get(&self, key: &str) -> &str {
+        self.pairs.get(key).map_or("", String::as_str)
+    }
+}
+
+/// Explains a request from log files, one for each node.
+pub fn explain(id: &str, files: &[PathBuf], format: Format) -> Result<String, CliError> {
+    let mut lines = Vec::new();
+    for file in files {
+        lines.extend(read(file)?);
+    }
+    let chosen = choose(id, &lines);
+    if chosen.is_empty() {
+        return Err(CliError::Missing("a line about this request in these logs"));
+    }
+    if format == Format::Json {
+        let pairs: Vec<_> = chosen.iter().map(|line| &line.pairs).collect();
+        return Ok(format!("{}\n", serde_json::to_string_pretty(&pairs).expect("plain data serialises")));
+    }
+    Ok(render(&chosen))
+}
+
+fn read(path: &Path) -> Result<Vec<Line>, CliError> {
+    let text = std::fs::read_to_string(path);
+    let text = text.map_err(|source| CliError::File { path: path.to_owned(), source })?;
+    let node = path.file_stem().map(|stem| stem.to_string_lossy().into_owned()).unwrap_or_default();
+    Ok(text.lines().filter_map(|line| parse(line, &node)).collect())
+}
+
+/// Reads a line; what stands before its time is the collector's.
+fn parse(line: &str, file: &str) -> Option<Line> {
+    let start = line.find("ts=")?;
+    let pairs = pairs(&line[start..]);
+    let at = humantime::parse_rfc3339_weak(pairs.get("ts")?).ok()?;
+    let at_ms = at.duration_since(std::time::UNIX_EPOCH).ok()?.as_millis() as i64;
+    let before = line[..start].split_whitespace().last().unwrap_or(file);
+    Some(Line { at_ms, node: before.to_owned(), pairs, text: line[start..].to_owned() })
+}
+
+fn pairs(line: &str) -> BTreeMap<String, String> {
+    let mut pairs = BTreeMap::new();
+    let mut rest = line.trim_start();
+    while let Some((key, after)) = rest.split_once('=') {
+        let (value, left) = value(after);
+        pairs.insert(key.trim().to_owned(), value);
+        rest = left.trim_start();
+    }
+    pairs
+}
+
+/// The value at the start of `text`, bare or quoted, and what follows.
+fn value(text: &str) -> (String, &str) {
+    let Some(quoted) = text.strip_prefix('"') else {
+        let (value, rest) = text.split_once(' ').unwrap_or((text, ""));
+        return (value.to_owned(), rest);
+    };
+    let mut value = String::new();
+    let mut escaped = false;
+    for (at, c) in quoted.char_indices() {
+        match c {
+            _ if escaped => {
+                value.push(c);
+                escaped = false;
+            }
+            '\\' => escaped = true,
+            '"' => return (value, &quoted[at + 1..]),
+            _ => value.push(c),
+        }
+    }
+    (value, "")
+}
+
+/// The request's own lines, and those around them that bear on it.
+fn choose<'a>(id: &str, lines: &'a [Line]) -> Vec<&'a Line> {
+    let own: Vec<&Line> = lines.iter().filter(|line| line.get("request") == id).collect();
+    let (Some(first), Some(last)) =
+        (own.iter().map(|line| line.at_ms).min(), own.iter().map(|line| line.at_ms).max())
+    else {
+        return Vec::new();
+    };
+    let nodes: BTreeSet<&str> = own.iter().map(|line| line.node.as_str()).collect();
+    let upstreams: BTreeSet<&str> =
+        own.iter().flat_map(|line| ["upstream", "from", "to"].map(|key| line.get(key))).collect();
+    let runs: BTreeSet<&str> = own.iter().map(|line| line.get("run")).filter(|run| !run.is_empty()).collect();
+    let around = first - MARGIN_MS..=last + MARGIN_MS;
+    let bears = |line: &&Line| {
+        let event = line.get("event");
+        let for_all = EVENTS_FOR_ALL.contains(&event) && nodes.contains(line.node.as_str());
+        let of_upstream = EVENTS_OF_UPSTREAMS.contains(&event)
+            && upstreams.contains(line.get("upstream"))
+            && nodes.contains(line.node.as_str());
+        let of_run = runs.contains(line.get("run"));
+        around.contains(&line.at_ms) && (for_all || of_upstream || of_run)
+    };
+    let mut chosen: Vec<&Line> =
+        lines.iter().filter(|line| line.get("request") == id || bears(line)).collect();
+    chosen.sort_by_key(|line| line.at_ms);
+    chosen
+}
+
+fn render(chosen: &[&Line]) -> String {
+    let first = chosen.first().map_or(0, |line| line.at_ms);
+    let mut out = String::new();
+    for line in chosen {
+        let rest: Vec<String> = line
+            .pairs
+            .iter()
+            .filter(|(key, _)| !["ts", "level", "event", "msg", "request"].contains(&key.as_str()))
+            .map(|(key, value)| format!("{key}={value}"))
+            .collect();
+        out.push_str(&format!(
+            "{:>7} ms  {:<16} {:<16} {}  [{}]\n",
+            line.at_ms - first,
+            line.node,
+            line.get("event"),
+            line.get("msg"),
+            rest.join(" "),
+        ));
+    }
+    out
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod bundle_command;
 mod burn_command;
 mod error;
+mod explain_logs;
 mod http;
 mod keys_command;
 mod status_command;
@@ -56,6 +57,7 @@
         Command::NewKey(out) => keys_command::new_key(&out, format),
         Command::Status(nodes) => status_command::status(&nodes, format).await,
         Command::Explain(id, nodes) => status_command::explain(&id, &nodes, format).await,
+        Command::ExplainLogs(id, files) => explain_logs::explain(&id, &files, format),
         Command::Burn(nodes, plot) => burn_command::burn(&nodes, plot.as_deref(), format).await,
     }
 }
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -1,3 +1,4 @@
 //! All tests of the package, in one program.
 
 mod test_commands;
+mod test_explain_logs;
--- /dev/null
+++ b/lib/tests/test_gateway_load.rs
@@ -0,0 +1,231 @@
+//! The gateway interface's choices of replicas.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::evacuation;
+use leadstage_lib::gateway::lead::Leads;
+use leadstage_lib::gateway::load::EngineRequest;
+use leadstage_lib::gateway::load::GenerationSize;
+use leadstage_lib::gateway::load::LoadBook;
+use leadstage_lib::gateway::load::Run;
+use leadstage_lib::gateway::load::RunKey;
+use leadstage_lib::gateway::reading::ReadingClocks;
+use leadstage_lib::gateway::rebalance::Rebalancer;
+use leadstage_lib::gateway::replicas::ReplicaTable;
+use leadstage_lib::gateway::routing::EngineTraits;
+use leadstage_lib::gateway::waiting::Waiting;
+use leadstage_lib::gateway::waiting::WaitingRoom;
+use leadstage_lib::ids::HallId;
+use leadstage_lib::ids::VmId;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::test_gateway_replicas::record;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn traits() -> EngineTraits {
+    EngineTraits {
+        batch: 24,
+        memory_tokens: 34_000,
+        bytes_per_token: 300_000,
+        link_bits_per_second: 47e9,
+        moves: true,
+        backups: true,
+        tokens_per_event: 4,
+    }
+}
+
+fn table(engines: &[(&str, &str)]) -> ReplicaTable {
+    let mut table = ReplicaTable::default();
+    let records = engines.iter().map(|(id, hall)| {
+        let mut record = record(id, false);
+        record.hall = (*hall).into();
+        record
+    });
+    table.on_list(records.collect(), false, Duration::ZERO);
+    table
+}
+
+fn key(run: u64) -> RunKey {
+    RunKey { entry: "n".into(), run }
+}
+
+fn run(engine: &str, prompt: u32, expected: u32, produced: u32) -> Run {
+    let size = Some(GenerationSize { prompt, expected });
+    Run { replica: engine.into(), size, produced, copied_from: None }
+}
+
+fn choose(book: &LoadBook, table: &ReplicaTable, prompt: u32, moves: bool) -> Option<String> {
+    let (traits, hall) = (traits(), HallId::from("a"));
+    let size = GenerationSize { prompt, expected: 900 };
+    let produced = if moves { 400 } else { 0 };
+    let request = EngineRequest { size, engine: &traits, hall: &hall, produced, moves };
+    let rng = &mut SmallRng::seed_from_u64(1);
+    let choice = book.choose_engine(table.of_service("m"), &request, NOW, rng);
+    choice.map(|choice| choice.replica.record.id.to_string())
+}
+
+#[test]
+fn test_prompts_spread_over_engines_as_they_are_read_one_after_another() {
+    let table = table(&[("e1", "a"), ("e2", "a"), ("e3", "a")]);
+    let mut book = LoadBook::default();
+    let mut chosen = Vec::new();
+    for n in 0..6 {
+        let engine = choose(&book, &table, 3_000, false).expect("there is room");
+        book.add(key(n), run(&engine, 3_000, 900, 0), NOW);
+        chosen.push(engine);
+    }
+    for engine in ["e1", "e2", "e3"] {
+        assert_eq!(chosen.iter().filter(|e| *e == engine).count(), 2, "{chosen:?}");
+    }
+}
+
+#[test]
+fn test_full_engines_take_no_new_generation_but_one_that_moves() {
+    let table = table(&[("e1", "a")]);
+    let mut book = LoadBook::default();
+    for n in 0..9 {
+        book.add(key(n), run("e1", 3_000, 300, 200), NOW);
+    }
+    assert!((0.80..0.90).contains(&book.fill("e1", &traits())), "{}", book.fill("e1", &traits()));
+    assert_eq!(choose(&book, &table, 3_000, false), None);
+    assert_eq!(choose(&book, &table, 3_000, true), Some("e1".to_owned()));
+}
+
+#[test]
+fn test_moves_stay_in_their_hall_and_off_busy_links() {
+    let table = table(&[("far", "b"), ("near1", "a"), ("near2", "a")]);
+    let mut book = LoadBook::default();
+    let copy = Run { copied_from: Some("gone".into()), ..run("near1", 3_000, 900, 400) };
+    book.add(key(1), copy, NOW);
+    assert_eq!(choose(&book, &table, 3_000, true), Some("near2".to_owned()));
+    assert_eq!(book.copies_from("gone"), 1);
+    book.on_copied(&key(1));
+    assert_eq!(book.copies_from("gone"), 0);
+}
+
+/// An inventory ends what it does not name, but not what was placed after it was written.
+#[test]
+fn test_inventory_keeps_what_is_newer() {
+    let mut book = LoadBook::default();
+    for n in 1..=3 {
+        book.add(key(n), run("e1", 100, 100, 0), NOW);
+    }
+    let entry: VmId = "n".into();
+    book.on_inventory(&entry, vec![(1, run("e2", 100, 100, 40))], 2);
+    let mut runs: Vec<String> = book
+        .iter()
+        .map(|(key, run)| format!("{} at {} made {}", key.run, run.replica, run.produced))
+        .collect();
+    runs.sort();
+    assert_eq!(runs, ["1 at e2 made 40", "3 at e1 made 0"]);
+    book.on_entry_gone(&entry);
+    assert_eq!(book.iter().count(), 0);
+}
+
+proptest! {
+    /// The book's two indexes agree, whatever comes.
+    #[test]
+    fn test_book_stays_consistent(steps in proptest::collection::vec((0u8..4, 0u64..6, 0u8..3), 1..60)) {
+        let mut book = LoadBook::default();
+        for (what, n, engine) in steps {
+            let engine = format!("e{engine}");
+            match what {
+                0 => book.add(key(n), run(&engine, 100, 100, 0), NOW),
+                1 => { book.remove(&key(n)); }
+                2 => book.on_inventory(&"n".into(), vec![(n, run(&engine, 100, 100, 4))], n),
+                _ => book.on_first_event(&key(n), NOW),
+            }
+            let by_engine: usize = (0..3).map(|e| book.at(&format!("e{e}")).count()).sum();
+            prop_assert_eq!(by_engine, book.iter().count());
+        }
+    }
+}
+
+#[test]
+fn test_clock_learns_a_slow_engine() {
+    let mut clocks = ReadingClocks::default();
+    let engine = "e1".into();
+    let mut now = NOW;
+    for n in 0..30 {
+        clocks.on_given(&key(n), &engine, 2_800, now);
+        now += Duration::from_millis(1_200);
+        clocks.on_first_event(&key(n), &engine, now);
+    }
+    let slowness = clocks.slowness("e1");
+    assert!((2.8..3.2).contains(&slowness), "400 ms of reading take 1,200: {slowness}");
+    assert_eq!(clocks.wait("e1", now), Duration::ZERO);
+    clocks.retain(|_| false);
+    assert_eq!(clocks.slowness("e1"), 1.0);
+}
+
+#[test]
+fn test_clock_moves_with_late_events() {
+    let mut clocks = ReadingClocks::default();
+    let engine = "e1".into();
+    clocks.on_given(&key(1), &engine, 700, NOW);
+    clocks.on_given(&key(2), &engine, 700, NOW);
+    assert_eq!(clocks.wait("e1", NOW), Duration::from_millis(200));
+    let later = NOW + Duration::from_millis(150);
+    clocks.on_first_event(&key(1), &engine, later);
+    assert_eq!(clocks.wait("e1", later), Duration::from_millis(100), "50 ms late, so is the next one");
+}
+
+fn in_room(room: &mut WaitingRoom<&'static str>) -> Vec<&'static str> {
+    std::iter::from_fn(|| room.pop().map(|waiting| waiting.item)).collect()
+}
+
+#[test]
+fn test_waiting_room_is_ordered_and_ends_in_time() {
+    let mut room = WaitingRoom::default();
+    for (item, priority, until) in [("late", 1, 9), ("first", 0, 9), ("second", 0, 9), ("over", 0, 5)] {
+        room.push(Waiting { item, priority, until: Duration::from_secs(until) });
+    }
+    assert!(!room.lets_pass(0), "one as urgent waits");
+    assert_eq!(room.expired(Duration::from_secs(5)), ["over"]);
+    assert_eq!(in_room(&mut room), ["first", "second", "late"]);
+    assert!(room.lets_pass(0));
+}
+
+#[test]
+fn test_full_engines_give_generations_to_empty_ones_once() {
+    let table = table(&[("empty", "a"), ("full", "a")]);
+    let mut book = LoadBook::default();
+    for n in 0..9 {
+        book.add(key(n), run("full", 3_400, 500 + n as u32, 100), NOW);
+    }
+    let mut rebalancer = Rebalancer::default();
+    let reliefs = rebalancer.reliefs(&book, table.iter(), &traits(), NOW);
+    assert_eq!(reliefs.len(), 1);
+    assert_eq!((reliefs[0].key.run, &*reliefs[0].from), (8, "full"), "the one with the longest to go");
+    assert_eq!(rebalancer.reliefs(&book, table.iter(), &traits(), NOW), []);
+}
+
+#[test]
+fn test_order_of_an_evacuation() {
+    let long = GenerationSize { prompt: 3_000, expected: 2_200 };
+    let short = GenerationSize { prompt: 3_000, expected: 200 };
+    assert!(evacuation::rank(long, 100) < evacuation::rank(short, 10));
+    assert!(evacuation::start_delay(long, 100) < evacuation::start_delay(short, 10));
+    assert!(evacuation::start_delay(short, 180) > Duration::from_millis(500), "it ends by itself");
+    assert!(evacuation::start_delay(short, 400) < Duration::from_millis(100), "the estimate was wrong");
+}
+
+#[test]
+fn test_silent_lead_is_passed_over_for_a_while() {
+    let own: VmId = "a".into();
+    let others: Vec<VmId> = ["b", "c", "d"].map(VmId::from).into();
+    let mut leads = Leads::default();
+    let lead = leads.lead_of("m", &own, others.iter(), NOW).clone();
+    leads.on_silence(&lead, NOW);
+    let next = leads.lead_of("m", &own, others.iter(), NOW).clone();
+    if lead != own {
+        assert_ne!(next, lead);
+    }
+    let later = NOW + Duration::from_secs(2);
+    assert_eq!(*leads.lead_of("m", &own, others.iter(), later), lead);
+    let seen_by_b = leads.lead_of("m", &others[0], [&own, &others[1], &others[2]].into_iter(), later);
+    assert_eq!(*seen_by_b, lead, "all pick the same one");
+}
--- /dev/null
+++ b/lib/tests/test_gateway_replicas.rs
@@ -0,0 +1,112 @@
+//! What a node believes of replicas.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::replicas::LAPSED_GRACE;
+use leadstage_lib::gateway::replicas::LeavingSign;
+use leadstage_lib::gateway::replicas::ListChange;
+use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::replicas::ReplicaTable;
+use leadstage_lib::gateway::retry_window::RetryShare;
+use leadstage_lib::gateway::retry_window::RetryWindow;
+
+/// An entry of service `m`.
+pub fn record(id: &str, leaving: bool) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.into(),
+        service: "m".into(),
+        address: "127.0.0.1:9000".parse().expect("valid"),
+        hall: "a".into(),
+        slots: 4,
+        leaving,
+        cold: Duration::ZERO,
+    }
+}
+
+fn usable(table: &ReplicaTable, now: Duration) -> Vec<String> {
+    table.of_service("m").filter(|r| r.is_usable(now)).map(|r| r.record.id.to_string()).collect()
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[test]
+fn test_what_says_that_it_leaves_or_is_no_longer_listed_leaves() {
+    let mut table = ReplicaTable::default();
+    let change = table.on_list(vec![record("a", false), record("b", false)], false, seconds(1));
+    assert_eq!(change.added.len(), 2);
+    let mut change = ListChange::default();
+    table.on_entry(record("a", true), seconds(2), &mut change);
+    table.on_unlisted("b", seconds(2), &mut change);
+    table.on_unlisted("b", seconds(3), &mut change);
+    assert_eq!(change.leaving, ["a".into(), "b".into()], "each is news once");
+    assert_eq!(usable(&table, seconds(3)), Vec::<String>::new());
+}
+
+/// Entries that lapsed while the store was away may come back; after the grace they are
+/// gone.
+#[test]
+fn test_lapsed_entries_get_a_grace() {
+    let mut table = ReplicaTable::default();
+    table.on_list(vec![record("a", false), record("b", false)], false, seconds(1));
+    let change = table.on_list(vec![], true, seconds(10));
+    assert_eq!(change, ListChange::default());
+    assert_eq!(usable(&table, seconds(10)).len(), 2);
+    table.on_entry(record("a", false), seconds(11), &mut ListChange::default());
+    let change = table.tick(seconds(10) + LAPSED_GRACE + Duration::from_millis(1), seconds(30));
+    assert_eq!(change.leaving, ["b".into()]);
+    assert_eq!(usable(&table, seconds(13)), ["a"]);
+}
+
+#[test]
+fn test_an_entry_takes_back_hearsay_but_not_its_own_word() {
+    let mut table = ReplicaTable::default();
+    table.on_list(vec![record("a", false), record("b", false)], false, seconds(1));
+    assert!(table.on_sign("a", LeavingSign::Told, seconds(2)));
+    assert!(!table.on_sign("a", LeavingSign::Unwell, seconds(2)), "no news");
+    assert!(table.on_sign("b", LeavingSign::Replaced, seconds(2)));
+    for id in ["a", "b"] {
+        table.on_entry(record(id, false), seconds(3), &mut ListChange::default());
+    }
+    assert_eq!(usable(&table, seconds(3)), ["a"]);
+}
+
+#[test]
+fn test_failures_rest_a_replica_longer_each_time() {
+    let mut table = ReplicaTable::default();
+    table.on_list(vec![record("a", false)], false, seconds(1));
+    table.on_failure("a", seconds(1));
+    assert_eq!(usable(&table, seconds(1)), Vec::<String>::new());
+    assert_eq!(usable(&table, seconds(2)), ["a"]);
+    for _ in 0..5 {
+        table.on_failure("a", seconds(2));
+    }
+    assert_eq!(usable(&table, seconds(4)), Vec::<String>::new());
+    table.on_success("a");
+    assert_eq!(usable(&table, seconds(4)), ["a"]);
+}
+
+#[test]
+fn test_what_left_is_forgotten() {
+    let mut table = ReplicaTable::default();
+    table.on_list(vec![record("a", false)], false, seconds(1));
+    table.on_unlisted("a", seconds(2), &mut ListChange::default());
+    table.tick(seconds(20), seconds(30));
+    assert!(table.get("a").is_some());
+    table.tick(seconds(40), seconds(30));
+    assert!(table.get("a").is_none());
+}
+
+#[test]
+fn test_repeats_keep_to_the_window() {
+    let share = RetryShare { window: seconds(10), ratio: 0.2, slack: 2.0 };
+    let mut window = RetryWindow::default();
+    for n in 0..50 {
+        window.on_request(Duration::from_millis(100 * n));
+    }
+    let taken = (0..100).filter(|_| window.take(seconds(5), &share)).count();
+    assert_eq!(taken, 8, "0.7 of 50 x 0.2 + 2");
+    assert!(!window.take(seconds(14), &share), "the window still holds them");
+    assert!(window.take(seconds(16), &share), "the slack is there again");
+}
--- a/node/src/gateway/caller_port.rs
+++ b/node/src/gateway/caller_port.rs
@@ -82,7 +82,9 @@
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack / self.shared.nodes().max(LEAST_NODES) as f64,
         };
-        self.with_window(service, |window| window.take(now, &share))
+        let allowed = self.with_window(service, |window| window.take(now, &share));
+        self.shared.metrics.on_repeat(allowed);
+        allowed
     }
 
     fn on_request(&self, service: &ServiceId) {
@@ -198,6 +200,7 @@
     let id = req.headers().get(id).and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
     let refused = |refusal: Refusal| {
         info!(event = "refused", request = id, code:% = refusal.code; "request refused");
+        traffic.shared.metrics.on_refusal(refusal.code);
         refusal.reply()
     };
     let req = passing::admit(&traffic.shared, req).await.map_err(refused)?;
@@ -208,7 +211,12 @@
     if req.route.repeat == Repeat::Stream {
         return streams::serve(traffic, req, serving, open).await.map_err(refused);
     }
-    let reply = plain::serve(traffic, &req).await;
+    let reply = plain::serve(traffic, &req).await.map_err(refused);
     drop((serving, open));
-    reply.map_err(refused)
+    let status = reply.as_ref().map_or_else(|refused| refused.status(), |reply| reply.status());
+    let took = req.came.elapsed();
+    info!(event = "call_end", request = req.id(), route = &*req.route.name, status = status.as_u16(), took_ms = took.as_millis() as u64; "call ended");
+    traffic.shared.metrics.on_call(took);
+    traffic.shared.metrics.on_answer(&req.route.name, status.as_u16());
+    reply
 }
--- a/node/src/gateway/config_port.rs
+++ b/node/src/gateway/config_port.rs
@@ -1,6 +1,5 @@
 //! Nodes hand the configuration to each other, for those that the store turns away.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,13 +10,8 @@
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use leadstage_platform::connect::Link;
 use log::info;
-use log::warn;
-use tokio::net::TcpListener;
 
 use crate::gateway::messages::ToControl;
 use crate::gateway::shared::Shared;
@@ -27,30 +21,8 @@
 /// Time for a whole configuration to arrive.
 const FETCH_LIMIT: Duration = Duration::from_millis(1_000);
 
-/// Hands the configuration out until the process ends.
-pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                warn!(event = "accept_failed", port = "peer", reason:% = err; "a connection could not be accepted");
-                tokio::task::yield_now().await;
-                continue;
-            }
-        };
-        let shared = shared.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|req: Request<Incoming>| {
-                let answer = answer(&shared, &req);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            // The asking node asks another one.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-        });
-    }
-}
-
-fn answer(shared: &Shared, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+/// Hands the configuration out.
+pub fn answer(shared: &Arc<Shared>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
     let text = shared.config_text().filter(|_| req.uri().path() == CONFIG_PATH);
     let status = if text.is_some() { StatusCode::OK } else { StatusCode::NOT_FOUND };
     let mut res = Response::new(Full::from(text.unwrap_or_default()));
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -10,6 +10,7 @@
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
+use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::health::Health;
 use leadstage_platform::store::Change;
@@ -25,6 +26,7 @@
 use crate::gateway::messages::News;
 use crate::gateway::messages::Order;
 use crate::gateway::messages::ToControl;
+use crate::gateway::metrics::Levels;
 use crate::gateway::outbox::Outbox;
 use crate::gateway::peer_message::Datagram;
 use crate::gateway::peer_message::PeerMessage;
@@ -35,6 +37,8 @@
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(100);
+/// Time between two looks at status and levels.
+const STATUS_INTERVAL: Duration = Duration::from_secs(2);
 /// A replica that left is forgotten after this: the longest time that one serves on after
 /// its entry is gone is a few seconds.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
@@ -50,6 +54,10 @@
     placing: Placing,
     lookout: Lookout,
     replicas_known: bool,
+    /// When the configuration and news of the replicas last came.
+    config_at: Timestamp,
+    replicas_at: Timestamp,
+    last_status: Timestamp,
     /// A configuration is being fetched from another node.
     fetching: bool,
 }
@@ -61,7 +69,18 @@
         let fleet = Fleet::new(settings.peer, &settings.seeds, outbox.clone());
         let placing = Placing::new(shared.clone(), outbox.clone(), fleet.own().clone());
         let lookout = Lookout::new(shared.clone());
-        Control { shared, outbox, fleet, placing, lookout, replicas_known: false, fetching: false }
+        Control {
+            shared,
+            outbox,
+            fleet,
+            placing,
+            lookout,
+            replicas_known: false,
+            config_at: Timestamp::ZERO,
+            replicas_at: Timestamp::ZERO,
+            last_status: Timestamp::ZERO,
+            fetching: false,
+        }
     }
 
     /// Handles messages until the process ends.
@@ -115,6 +134,23 @@
         let leads = self.placing.leads_any(&self.fleet);
         let engines = if leads { self.placing.engines_in_use(&self.fleet) } else { Vec::new() };
         self.lookout.tick(now, leads, engines);
+        self.publish_status(now);
+    }
+
+    /// Publishes status and levels, when it is time.
+    fn publish_status(&mut self, now: Timestamp) {
+        if now < self.last_status + STATUS_INTERVAL {
+            return;
+        }
+        self.last_status = now;
+        self.shared.set_status(self.placing.status(&self.fleet));
+        self.shared.metrics.on_levels(&Levels {
+            waiting: self.placing.waiting(),
+            open: self.shared.open_requests(),
+            nodes: self.shared.nodes(),
+            config_age: now.saturating_sub(self.config_at),
+            replicas_age: now.saturating_sub(self.replicas_at),
+        });
     }
 
     fn on_datagram(&mut self, datagram: Datagram) {
@@ -189,6 +225,7 @@
 
     fn on_replicas(&mut self, news: News<ReplicaRecord>) {
         let now = self.shared.now();
+        self.replicas_at = now;
         let change = match news {
             News::Listed { list, after_outage } => {
                 self.replicas_known = true;
@@ -289,6 +326,7 @@
             Ok(config) => {
                 let version = config.version;
                 if self.shared.set_table(RoutingTable::new(config), text.clone()) {
+                    self.config_at = self.shared.now();
                     info!(event = "config_in_force", version, bytes = text.len(); "configuration in force");
                     for node in self.fleet.some(FAN_OUT) {
                         self.outbox.send(node, PeerMessage::NewConfig);
--- a/node/src/gateway/exchange.rs
+++ b/node/src/gateway/exchange.rs
@@ -18,6 +18,7 @@
 use leadstage_platform::headers::Added;
 use tokio::time::Instant;
 
+use crate::gateway::caller_port::Traffic;
 use crate::gateway::connections::ConnectError;
 use crate::gateway::connections::Connection;
 use crate::gateway::connections::Connections;
@@ -69,13 +70,14 @@
 
 /// Sends a request to a replica and waits for the head of its answer until `until`.
 pub async fn send(
-    connections: &Connections,
+    traffic: &Traffic,
     replica: &ReplicaRecord,
     req: &CallerRequest,
     added: &Added<'_>,
     until: Instant,
 ) -> Result<Exchange, SendError> {
-    let mut connection = connections.take(replica).await.map_err(SendError::NotSent)?;
+    let mut connection = traffic.connections.take(replica).await.map_err(SendError::NotSent)?;
+    traffic.shared.metrics.on_connection(connection.reused);
     let sending = connection.sender.send_request(request(req, added));
     let answer = tokio::time::timeout_at(until, sending).await.map_err(|_| SendError::TimedOut)?;
     let (head, body) = answer.map_err(SendError::Broken)?.into_parts();
--- a/node/src/gateway/follow.rs
+++ b/node/src/gateway/follow.rs
@@ -35,6 +35,7 @@
             }
             err => err,
         };
+        shared.metrics.on_store_call("any", "failed");
         shared.set_store_answers(false);
         if !lost.replace(true) {
             warn!(event = "store_lost", kind = K::NAME, reason:% = err; "the store does not answer");
@@ -61,12 +62,14 @@
     }
     backoff.reset();
     shared.set_store_answers(true);
+    shared.metrics.on_store_call("list", "answered");
     let mut at = list.at;
     shared.tell(wrap(News::Listed { list, after_outage }));
     loop {
         match store.watch::<K>(at, WATCH_WAIT, note_unreadable::<K>).await {
             Ok(changes) => {
                 at = changes.at;
+                shared.metrics.on_store_call("watch", "answered");
                 shared.set_store_answers(true);
                 shared.tell(wrap(News::Changed(changes)));
             }
--- a/node/src/gateway/knowledge.rs
+++ b/node/src/gateway/knowledge.rs
@@ -6,6 +6,7 @@
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::LoadBook;
 use leadstage_lib::gateway::load::Run;
+use leadstage_lib::gateway::load::RunKey;
 use leadstage_lib::gateway::replicas::Replica;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ReplicaTable;
@@ -67,10 +68,10 @@
     }
 
     /// The best replica for a request, if one has room.
-    pub fn choose(&self, wanted: &Wanted) -> Option<Arc<ReplicaRecord>> {
+    pub fn choose(&self, key: &RunKey, wanted: &Wanted) -> Option<Arc<ReplicaRecord>> {
         let traits = self.engine_traits(&wanted.service);
         match (&traits, wanted.size) {
-            (Some(traits), Some(size)) => self.choose_engine(wanted, traits, size),
+            (Some(traits), Some(size)) => self.choose_engine(key, wanted, traits, size),
             _ => {
                 let candidates = self.candidates(wanted).into_iter();
                 let chosen = self.book.choose_plain(candidates, &wanted.hall, &mut rand::rng());
@@ -81,6 +82,7 @@
 
     fn choose_engine(
         &self,
+        key: &RunKey,
         wanted: &Wanted,
         traits: &EngineTraits,
         size: GenerationSize,
@@ -96,7 +98,7 @@
         };
         let now = self.shared.now();
         let choice = self.book.choose_engine(candidates.into_iter(), &request, now, &mut rand::rng())?;
-        info!(event = "engine_chosen", upstream = &*choice.replica.record.id, service = &*wanted.service, prompt = size.prompt, expected = size.expected, produced = wanted.produced, engines, runs = choice.runs, fill:% = format_args!("{:.2}", choice.fill), wait_ms = choice.wait.as_millis() as u64, cost_ms:% = format_args!("{:.0}", choice.cost); "engine chosen");
+        info!(event = "engine_chosen", run = key.run, entry = &*key.entry, upstream = &*choice.replica.record.id, service = &*wanted.service, prompt = size.prompt, expected = size.expected, produced = wanted.produced, engines, runs = choice.runs, fill:% = format_args!("{:.2}", choice.fill), wait_ms = choice.wait.as_millis() as u64, cost_ms:% = format_args!("{:.0}", choice.cost); "engine chosen");
         Some(choice.replica.record.clone())
     }
 
--- a/node/src/gateway/lead_desk.rs
+++ b/node/src/gateway/lead_desk.rs
@@ -118,6 +118,11 @@
         decisions
     }
 
+    /// Generations that wait.
+    pub fn waiting(&self) -> usize {
+        self.rooms.values().map(WaitingRoom::len).sum()
+    }
+
     /// Generations of a service that should move for balance.
     pub fn reliefs(&mut self, knowledge: &Knowledge, service: &ServiceId, now: Timestamp) -> Vec<Relief> {
         let Some(traits) = knowledge.engine_traits(service) else {
@@ -154,7 +159,7 @@
 
 fn decide(knowledge: &mut Knowledge, ask: Ask, now: Timestamp) -> Decision {
     let free = link_is_free(knowledge, &ask.wanted);
-    let chosen = if free { knowledge.choose(&ask.wanted) } else { None };
+    let chosen = if free { knowledge.choose(&ask.key, &ask.wanted) } else { None };
     if let Some(replica) = &chosen {
         knowledge.book.add(ask.key.clone(), ask.wanted.at(&replica.id), now);
     }
--- a/node/src/gateway/lookout.rs
+++ b/node/src/gateway/lookout.rs
@@ -88,6 +88,7 @@
     let mut store = Store::new(shared.settings.store);
     loop {
         let answers = store.answers(PULSE_LIMIT).await;
+        shared.metrics.on_store_call("pulse", if answers { "answered" } else { "failed" });
         if shared.set_store_answers(answers) {
             if answers {
                 info!(event = "store_regained", by = "pulse"; "the store answers again");
--- /dev/null
+++ b/node/src/gateway/metrics.rs
@@ -0,0 +1,170 @@
+//! The metrics of a gateway node. docs/OPERATIONS.md has the table, which a test checks.
+//! Label values are bounded: services of the configuration up to a limit, codes, and fixed
+//! words.
+
+use std::collections::HashSet;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use leadstage_lib::code::Code;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+
+use crate::metrics::Instruments;
+
+/// Routes with a label value of their own; later ones share `other`.
+const MOST_ROUTES: usize = 64;
+/// The label value of routes beyond that.
+const OTHER_ROUTE: &str = "other";
+
+/// The instruments.
+pub struct GatewayMetrics {
+    instruments: Instruments,
+    routes: Mutex<HashSet<String>>,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    first_event: Histogram<f64>,
+    event_gap: Histogram<f64>,
+    call: Histogram<f64>,
+    moves: Counter<u64>,
+    repeats: Counter<u64>,
+    connections: Counter<u64>,
+    store_calls: Counter<u64>,
+    lead_silences: Counter<u64>,
+    waiting: Gauge<u64>,
+    open: Gauge<u64>,
+    config_age: Gauge<f64>,
+    replicas_age: Gauge<f64>,
+    nodes: Gauge<u64>,
+}
+
+impl GatewayMetrics {
+    /// Makes the instruments with a registry of their own.
+    pub fn new() -> Result<Self, Box<dyn std::error::Error>> {
+        let instruments = Instruments::new()?;
+        let counter = |name, what| instruments.counter(name, what);
+        let seconds = |name, what| instruments.seconds(name, what);
+        Ok(GatewayMetrics {
+            requests: counter("leadstage.gateway.requests", "Requests answered, by route and status"),
+            refusals: counter("leadstage.gateway.refusals", "Requests refused here, by result code"),
+            first_event: seconds(
+                "leadstage.gateway.first_event",
+                "From a request to its stream's first event",
+            ),
+            event_gap: seconds(
+                "leadstage.gateway.longest_gap",
+                "The longest gap between two events of a stream",
+            ),
+            call: seconds("leadstage.gateway.call", "Plain calls, from the request to the answer"),
+            moves: counter("leadstage.gateway.moves", "Generations moved, by step and outcome"),
+            repeats: counter(
+                "leadstage.gateway.repeats",
+                "Requests sent again, by whether the budget let them",
+            ),
+            connections: counter("leadstage.gateway.connections", "Connections to replicas, new and reused"),
+            store_calls: counter("leadstage.gateway.store_calls", "Calls to the store, by kind and answer"),
+            lead_silences: counter("leadstage.gateway.lead_silences", "Questions that a lead did not answer"),
+            waiting: instruments
+                .gauge("leadstage.gateway.waiting", "Generations that wait here for an engine"),
+            open: instruments.gauge("leadstage.gateway.open", "Requests open"),
+            config_age: instruments.age("leadstage.gateway.config_age", "Time since the configuration came"),
+            replicas_age: instruments
+                .age("leadstage.gateway.replicas_age", "Time since news of the replicas"),
+            nodes: instruments.gauge("leadstage.gateway.nodes", "Nodes taken to be alive, this one included"),
+            routes: Mutex::default(),
+            instruments,
+        })
+    }
+
+    fn route_label(&self, route: &str) -> String {
+        let mut routes = self.routes.lock().expect("no holder panics");
+        if routes.contains(route) {
+            return route.to_owned();
+        }
+        if routes.len() >= MOST_ROUTES {
+            return OTHER_ROUTE.to_owned();
+        }
+        routes.insert(route.to_owned());
+        route.to_owned()
+    }
+
+    /// A request was answered.
+    pub fn on_answer(&self, route: &str, status: u16) {
+        let route = KeyValue::new("route", self.route_label(route));
+        self.requests.add(1, &[route, KeyValue::new("status", i64::from(status))]);
+    }
+
+    /// A request was refused.
+    pub fn on_refusal(&self, code: Code) {
+        self.refusals.add(1, &[KeyValue::new("code", i64::from(code.number()))]);
+    }
+
+    /// A plain call was answered.
+    pub fn on_call(&self, took: Duration) {
+        self.call.record(took.as_secs_f64(), &[]);
+    }
+
+    /// A stream ended.
+    pub fn on_stream(&self, first_event: Option<Duration>, longest_gap: Duration) {
+        if let Some(first_event) = first_event {
+            self.first_event.record(first_event.as_secs_f64(), &[]);
+            self.event_gap.record(longest_gap.as_secs_f64(), &[]);
+        }
+    }
+
+    /// A step of a move ended so.
+    pub fn on_move(&self, step: &'static str, outcome: &'static str) {
+        self.moves.add(1, &[KeyValue::new("step", step), KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A request was to be sent again.
+    pub fn on_repeat(&self, allowed: bool) {
+        self.repeats.add(1, &[KeyValue::new("allowed", allowed)]);
+    }
+
+    /// A connection to a replica was taken.
+    pub fn on_connection(&self, reused: bool) {
+        self.connections.add(1, &[KeyValue::new("reused", reused)]);
+    }
+
+    /// A call to the store was answered so.
+    pub fn on_store_call(&self, kind: &'static str, answer: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("kind", kind), KeyValue::new("answer", answer)]);
+    }
+
+    /// A lead did not answer.
+    pub fn on_lead_silence(&self) {
+        self.lead_silences.add(1, &[]);
+    }
+
+    /// The levels at this time.
+    pub fn on_levels(&self, levels: &Levels) {
+        self.waiting.record(levels.waiting as u64, &[]);
+        self.open.record(levels.open as u64, &[]);
+        self.nodes.record(levels.nodes as u64, &[]);
+        self.config_age.record(levels.config_age.as_secs_f64(), &[]);
+        self.replicas_age.record(levels.replicas_age.as_secs_f64(), &[]);
+    }
+
+    /// The Prometheus text.
+    pub fn text(&self) -> String {
+        self.instruments.text()
+    }
+}
+
+/// What is measured as a level.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Levels {
+    /// Generations that wait here for an engine.
+    pub waiting: usize,
+    /// Requests open.
+    pub open: usize,
+    /// Nodes taken to be alive.
+    pub nodes: usize,
+    /// Time since the configuration came.
+    pub config_age: Duration,
+    /// Time since news of the replicas.
+    pub replicas_age: Duration,
+}
--- a/node/src/gateway/placing.rs
+++ b/node/src/gateway/placing.rs
@@ -17,6 +17,7 @@
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::ids::VmId;
+use leadstage_lib::status::NodeStatus;
 use log::info;
 use tokio::sync::oneshot;
 
@@ -41,6 +42,7 @@
 use crate::gateway::peer_message::PeerMessage;
 use crate::gateway::peer_message::RemotePlace;
 use crate::gateway::shared::Shared;
+use crate::gateway::status;
 use crate::shared::unix_millis;
 
 /// A lead that does not answer within this is passed over: ten times the round trip between
@@ -230,6 +232,7 @@
             return;
         };
         info!(event = "lead_silent", lead = &*lead, service = &*ask.wanted.service, run; "the lead did not answer: places alone");
+        self.shared.metrics.on_lead_silence();
         self.leads.on_silence(&lead, self.shared.now());
         self.decide_here(ask);
     }
@@ -368,6 +371,16 @@
         names.filter(|service| self.lead_of(fleet, service) == self.own).collect()
     }
 
+    /// The node's status as it is now.
+    pub fn status(&self, fleet: &Fleet) -> NodeStatus {
+        status::status(&self.shared, fleet, &self.knowledge, &self.led(fleet), self.desk.waiting())
+    }
+
+    /// Generations that wait here.
+    pub fn waiting(&self) -> usize {
+        self.desk.waiting()
+    }
+
     /// Whether this node leads any service.
     pub fn leads_any(&self, fleet: &Fleet) -> bool {
         !self.led(fleet).is_empty()
--- a/node/src/gateway/plain.rs
+++ b/node/src/gateway/plain.rs
@@ -104,7 +104,7 @@
         resume: None,
         backup: None,
     };
-    let sent = exchange::send(&traffic.connections, &replica, req, &added, req.until).await;
+    let sent = exchange::send(traffic, &replica, req, &added, req.until).await;
     let exchanged = match sent {
         Ok(exchanged) => exchanged,
         Err(err) => return failed(req, run, err),
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::ids::Timestamp;
+use leadstage_lib::status::NodeStatus;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -20,6 +21,7 @@
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::Placed;
 use crate::gateway::messages::ToControl;
+use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::settings::Bounds;
 use crate::gateway::settings::GatewaySettings;
 
@@ -38,6 +40,9 @@
 pub struct Shared {
     /// The node's settings.
     pub settings: GatewaySettings,
+    /// The metrics' instruments.
+    pub metrics: GatewayMetrics,
+    status: RwLock<NodeStatus>,
     started: Instant,
     control: UnboundedSender<ToControl>,
     table: RwLock<Option<(Arc<RoutingTable>, Bytes)>>,
@@ -52,13 +57,19 @@
 
 impl Shared {
     /// The state of a node that has just started.
-    pub fn new(settings: GatewaySettings, control: UnboundedSender<ToControl>) -> Self {
+    pub fn new(
+        settings: GatewaySettings,
+        control: UnboundedSender<ToControl>,
+        metrics: GatewayMetrics,
+    ) -> Self {
         Shared {
             bounds: RwLock::new(settings.bounds.clone()),
             nodes: AtomicUsize::new(1),
             store_answers: AtomicBool::new(true),
             store_heard: RwLock::new(None),
             settings,
+            metrics,
+            status: RwLock::default(),
             started: Instant::now(),
             control,
             table: RwLock::new(None),
@@ -163,6 +174,16 @@
         Some(ends.saturating_sub(self.now()))
     }
 
+    /// The latest status.
+    pub fn status(&self) -> NodeStatus {
+        self.status.read().expect("no holder panics").clone()
+    }
+
+    /// Publishes the status.
+    pub fn set_status(&self, status: NodeStatus) {
+        *self.status.write().expect("no holder panics") = status;
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub fn open(self: &Arc<Self>) -> OpenGuard {
         self.open.fetch_add(1, Ordering::Relaxed);
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -23,11 +23,14 @@
 use crate::gateway::control::Control;
 use crate::gateway::follow;
 use crate::gateway::messages::ToControl;
+use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::metrics_port;
 use crate::gateway::outbox;
 use crate::gateway::outbox::Outbox;
 use crate::gateway::reload;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shared::Shared;
+use crate::gateway::small_port;
 use crate::gateway::stop;
 
 /// Why a node did not start.
@@ -36,6 +39,9 @@
     /// No runtime or thread.
     #[display("no runtime: {_0}")]
     Runtime(io::Error),
+    /// No metrics.
+    #[display("no metrics: {_0}")]
+    Metrics(#[error(not(source))] String),
     /// A port is not free.
     #[display("port {address}: {source}")]
     Port {
@@ -60,7 +66,8 @@
 /// Runs a gateway node until a planned stop has ended.
 pub fn run(settings: GatewaySettings, file: SettingsFile) -> Result<(), RunError> {
     let (tx, rx) = mpsc::unbounded_channel();
-    let shared = Arc::new(Shared::new(settings, tx));
+    let metrics = GatewayMetrics::new().map_err(|err| RunError::Metrics(err.to_string()))?;
+    let shared = Arc::new(Shared::new(settings, tx, metrics));
     let settings = &shared.settings;
     info!(event = "start", vm = &*settings.vm, hall = &*settings.hall, listen:% = settings.listen, version = env!("CARGO_PKG_VERSION"); "leadstaged starts");
     let traffic = shared.clone();
@@ -76,11 +83,13 @@
     file: SettingsFile,
 ) -> Result<(), RunError> {
     let ready = listen(shared.settings.ready).await?;
-    tokio::task::spawn_local(balancer_port::serve(shared.clone(), ready));
+    tokio::task::spawn_local(small_port::serve(shared.clone(), ready, "ready", balancer_port::answer));
+    let metrics = listen(shared.settings.metrics).await?;
+    tokio::task::spawn_local(small_port::serve(shared.clone(), metrics, "metrics", metrics_port::answer));
     tokio::task::spawn_local(follow::follow::<Configuration>(shared.clone(), ToControl::Configuration));
     tokio::task::spawn_local(follow::follow::<Replicas>(shared.clone(), ToControl::Replicas));
     let peer = listen(shared.settings.peer).await?;
-    tokio::task::spawn_local(config_port::serve(shared.clone(), peer));
+    tokio::task::spawn_local(small_port::serve(shared.clone(), peer, "peer", config_port::answer));
     let socket = Arc::new(datagrams(shared.settings.peer).await?);
     tokio::task::spawn_local(outbox::receive(socket.clone(), shared.clone()));
     let outbox = Outbox::new(socket, shared.clone());
--- /dev/null
+++ b/node/src/gateway/status.rs
@@ -0,0 +1,78 @@
+//! A gateway node's status for operators, in the form that `leadstage status` reads.
+
+use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::status::EngineLine;
+use leadstage_lib::status::NodeStatus;
+use leadstage_lib::status::PeerLine;
+use leadstage_lib::status::PoolLine;
+
+use crate::gateway::fleet::Fleet;
+use crate::gateway::knowledge::Knowledge;
+use crate::gateway::shared::Phase;
+use crate::gateway::shared::Shared;
+
+/// A gateway's pools span all halls.
+const ALL_HALLS: &str = "all";
+
+/// The status as it is now. `led` names the services that this node leads, `waiting` is
+/// how many generations wait here.
+pub fn status(
+    shared: &Shared,
+    fleet: &Fleet,
+    knowledge: &Knowledge,
+    led: &[ServiceId],
+    waiting: usize,
+) -> NodeStatus {
+    let leaving = knowledge.replicas.iter().filter(|replica| replica.leaving.is_some());
+    NodeStatus {
+        vm: shared.settings.vm.to_string(),
+        hall: shared.settings.hall.to_string(),
+        readiness: readiness(shared.phase()).to_owned(),
+        bundle: shared.table().map(|table| table.version),
+        bundle_hash: String::new(),
+        open: shared.open_requests() as u32,
+        platform_reached: shared.store_answers(),
+        peers: fleet
+            .alive()
+            .map(|node| PeerLine { vm: node.to_string(), liveness: "alive".to_owned() })
+            .collect(),
+        pools: led.iter().map(|service| pool(knowledge, service, waiting)).collect(),
+        leaving: leaving.map(|replica| replica.record.id.to_string()).collect(),
+    }
+}
+
+fn readiness(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Starting => "no bundle",
+        Phase::Serving => "ready",
+        Phase::Stopping => "stopping",
+    }
+}
+
+fn pool(knowledge: &Knowledge, service: &ServiceId, waiting: usize) -> PoolLine {
+    let engines: Vec<EngineLine> =
+        knowledge.replicas.of_service(service).map(|replica| engine(knowledge, service, replica)).collect();
+    PoolLine {
+        model: service.to_string(),
+        hall: ALL_HALLS.to_owned(),
+        waiting,
+        running: engines.iter().map(|engine| engine.running).sum(),
+        engines,
+    }
+}
+
+fn engine(
+    knowledge: &Knowledge,
+    service: &ServiceId,
+    replica: &leadstage_lib::gateway::replicas::Replica,
+) -> EngineLine {
+    let id = &replica.record.id;
+    EngineLine {
+        id: id.to_string(),
+        state: replica.leaving.map_or_else(|| "up".to_owned(), |sign| format!("leaving: {sign}")),
+        running: knowledge.book.at(id).count(),
+        held_tokens: knowledge.book.at(id).map(|(_, run)| run.memory() as u64).sum(),
+        memory_tokens: knowledge.engine_traits(service).map_or(0, |traits| u64::from(traits.memory_tokens)),
+        step_ms: 0.0,
+    }
+}
--- a/node/src/gateway/streams.rs
+++ b/node/src/gateway/streams.rs
@@ -125,7 +125,7 @@
         };
         let replica = run.placed.replica.clone();
         let added = added(req, &replica.id, None);
-        match exchange::send(&traffic.connections, &replica, req, &added, req.until).await {
+        match exchange::send(traffic, &replica, req, &added, req.until).await {
             Ok(exchanged) if exchanged.says_not_run() => {
                 traffic.on_not_run(req, &run, exchanged.status);
                 run.end(Outcome::Refused);
@@ -290,6 +290,9 @@
         }
         let took = self.req.came.elapsed().as_millis() as u64;
         info!(event = "stream_end", request = self.req.id(), route = &*self.req.route.name, end:% = end, upstream = &*self.leg.run.placed.replica.id, events = self.events.events(), moves = self.moves, first_ms = self.pace.first.unwrap_or_default().as_millis() as u64, gap_ms = self.pace.longest_gap.as_millis() as u64, took_ms = took; "stream ended");
+        let metrics = &self.traffic.shared.metrics;
+        metrics.on_stream(self.pace.first, self.pace.longest_gap);
+        metrics.on_answer(&self.req.route.name, if end == End::Done { 200 } else { 0 });
         let outcome = match end {
             End::Done => Outcome::Answered,
             End::CallerLeft | End::OutOfTime => Outcome::Withdrawn,
@@ -497,6 +500,7 @@
         self.moving = None;
         let exchange = resumed.map_err(|_| End::EngineLost)?;
         let leg = Leg { run: copied.target, exchange };
+        self.traffic.shared.metrics.on_move("resume", "done");
         info!(event = "moved", request = self.req.id(), from = &*self.leg.run.placed.replica.id, upstream = &*leg.run.placed.replica.id, events = self.events.events(); "generation moved");
         let old = std::mem::replace(&mut self.leg, leg);
         old.run.end(Outcome::Withdrawn);
@@ -513,15 +517,16 @@
         };
         let replica = &copied.target.placed.replica;
         let added = added(&self.req, &replica.id, Some(&source));
-        let sent =
-            exchange::send(&self.traffic.connections, replica, &self.req, &added, self.req.until).await;
+        let sent = exchange::send(&self.traffic, replica, &self.req, &added, self.req.until).await;
         match sent {
             Ok(exchanged) if exchanged.status.is_success() => Ok(exchanged),
             Ok(exchanged) => {
                 info!(event = "move_refused", request = self.req.id(), upstream = &*replica.id, status = exchanged.status.as_u16(); "the copy was refused");
+                self.traffic.shared.metrics.on_move("resume", "refused");
                 Err(NotResumed::Refused)
             }
             Err(err) => {
+                self.traffic.shared.metrics.on_move("resume", "failed");
                 info!(event = "move_failed", request = self.req.id(), upstream = &*replica.id, reason:% = err; "the copy could not be used");
                 Err(NotResumed::Failed)
             }
@@ -538,6 +543,18 @@
     Failed,
 }
 
+/// The outcome of a call to copy, as a label.
+fn outcome_word(called: &Result<CopyOutcome, CallError>) -> &'static str {
+    match called {
+        Ok(CopyOutcome::Done { .. }) => "done",
+        Ok(CopyOutcome::NotRunning) => "not running",
+        Ok(CopyOutcome::Busy) => "busy",
+        Ok(CopyOutcome::NoRoom { .. }) => "no room",
+        Ok(CopyOutcome::Unexpected(_)) => "unexpected",
+        Err(_) => "no answer",
+    }
+}
+
 /// Why there is no copy.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum NotCopied {
@@ -609,7 +626,8 @@
         let called =
             engine::copy_generation(self.source.address, self.req.id(), to.address, false, COPY_LIMIT).await;
         let took = began.elapsed().as_millis() as u64;
-        info!(event = "copy", request = self.req.id(), from = &*self.source.id, to = &*to.id, took_ms = took, outcome:? = called; "copy of a generation");
+        info!(event = "copy", request = self.req.id(), run = target.placed.run, from = &*self.source.id, to = &*to.id, took_ms = took, outcome:? = called; "copy of a generation");
+        self.traffic.shared.metrics.on_move("copy", outcome_word(&called));
         match called {
             Ok(CopyOutcome::Done { handle, .. }) => {
                 self.traffic.shared.tell(ToControl::Copied(target.placed.run));
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -120,12 +120,10 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    let mut logger = env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"));
-    logger.format_timestamp_millis();
-    if matches!(command, Command::RunGateway(..)) {
-        logger.target(env_logger::Target::Stdout);
+    if let Err(err) = start_logging(&command) {
+        eprintln!("leadstaged: no logs: {err}");
+        return ExitCode::from(EXIT_FAILURE);
     }
-    logger.init();
     abort_on_control_panic();
     let result = match command {
         Command::RunGateway(settings, file) => gateway::run(settings, file).map_err(Into::into),
@@ -141,6 +139,18 @@
     }
 }
 
+/// A gateway node logs to standard output, as its platform collects that; the other
+/// interface to standard error.
+fn start_logging(command: &Command) -> std::io::Result<()> {
+    if matches!(command, Command::RunGateway(..)) {
+        return gateway::start_logging();
+    }
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format_timestamp_millis()
+        .init();
+    Ok(())
+}
+
 fn command() -> Result<Command, StartError> {
     let mut path = None;
     let mut check_only = false;
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use leadstage_lib::code::Code;
+use log::warn;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry::metrics::UpDownCounter;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -17,10 +20,68 @@
 /// Upper edges of the time histograms, in seconds.
 const SECONDS: [f64; 14] = [0.001, 0.005, 0.01, 0.02, 0.033, 0.05, 0.1, 0.2, 0.34, 0.5, 1.0, 2.0, 5.0, 10.0];
 
+/// A registry, and what makes instruments in it.
+pub struct Instruments {
+    registry: Registry,
+    provider: SdkMeterProvider,
+}
+
+impl Instruments {
+    /// An empty registry.
+    pub fn new() -> Result<Self, Box<dyn std::error::Error>> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Instruments { registry, provider })
+    }
+
+    fn meter(&self) -> Meter {
+        self.provider.meter("leadstage")
+    }
+
+    /// A counter.
+    pub fn counter(&self, name: &'static str, what: &'static str) -> Counter<u64> {
+        self.meter().u64_counter(name).with_description(what).build()
+    }
+
+    /// A histogram of times in seconds.
+    pub fn seconds(&self, name: &'static str, what: &'static str) -> Histogram<f64> {
+        let meter = self.meter();
+        let builder = meter.f64_histogram(name).with_unit("s").with_description(what);
+        builder.with_boundaries(SECONDS.to_vec()).build()
+    }
+
+    /// A level.
+    pub fn gauge(&self, name: &'static str, what: &'static str) -> Gauge<u64> {
+        self.meter().u64_gauge(name).with_description(what).build()
+    }
+
+    /// An age in seconds.
+    pub fn age(&self, name: &'static str, what: &'static str) -> Gauge<f64> {
+        self.meter().f64_gauge(name).with_unit("s").with_description(what).build()
+    }
+
+    /// A counter that goes up and down.
+    pub fn up_down(&self, name: &'static str, what: &'static str) -> UpDownCounter<i64> {
+        self.meter().i64_up_down_counter(name).with_description(what).build()
+    }
+
+    /// The Prometheus text.
+    pub fn text(&self) -> String {
+        let mut buf = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
+            Err(err) => {
+                warn!(event = "metrics_unreadable", reason:% = err; "the metrics can't be written as text");
+                String::new()
+            }
+        }
+    }
+}
+
 /// The instruments.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    instruments: Instruments,
     requests: Counter<u64>,
     tokens: Counter<u64>,
     resumes: Counter<u64>,
@@ -34,30 +95,19 @@
 impl Metrics {
     /// Makes the instruments with a registry of their own.
     pub fn new() -> Result<Self, Box<dyn std::error::Error>> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("leadstage");
-        let seconds = |name: &'static str, what: &'static str| {
-            let builder = meter.f64_histogram(name).with_unit("s").with_description(what);
-            builder.with_boundaries(SECONDS.to_vec()).build()
-        };
-        let counter =
-            |name: &'static str, what: &'static str| meter.u64_counter(name).with_description(what).build();
+        let instruments = Instruments::new()?;
+        let counter = |name, what| instruments.counter(name, what);
+        let seconds = |name, what| instruments.seconds(name, what);
         Ok(Metrics {
             requests: counter("leadstage.requests", "Requests answered, by organisation and result code"),
             tokens: counter("leadstage.stream.tokens", "Tokens passed on to callers"),
             resumes: counter("leadstage.stream.resumes", "Engine links resumed after a break or a stall"),
-            open: meter
-                .i64_up_down_counter("leadstage.requests.open")
-                .with_description("Requests open")
-                .build(),
+            open: instruments.up_down("leadstage.requests.open", "Requests open"),
             first_token: seconds("leadstage.stream.first_token", "From the request to its first token"),
             token_gap: seconds("leadstage.stream.token_gap", "Between two tokens of a stream"),
             stall: seconds("leadstage.stream.stall", "Time without progress, for each stream"),
             call: seconds("leadstage.call.duration", "Plain calls"),
-            registry,
-            _provider: provider,
+            instruments,
         })
     }
 
@@ -107,8 +157,6 @@
 
     /// The Prometheus text.
     pub fn text(&self) -> String {
-        let mut buf = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
-        encoded.map(|()| String::from_utf8_lossy(&buf).into_owned()).unwrap_or_default()
+        self.instruments.text()
     }
 }
--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use leadstage_testutils::gateway_replica::ReplicaFault;
 use leadstage_testutils::metadata_store::MetadataStore;
 use leadstage_testutils::metadata_store::StoreFault;
 use leadstage_testutils::metadata_store::replica_entry;
@@ -83,3 +84,57 @@
     gateway.store.put("config", "main", newer);
     gateway.until("the key is gone", async || gateway.status_of(0, "/read/x", KEY).await == 401).await;
 }
+
+/// The names that docs/OPERATIONS.md lists for the gateway.
+fn documented_metrics() -> Vec<String> {
+    let docs = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/OPERATIONS.md");
+    let docs = std::fs::read_to_string(docs).expect("the page is there");
+    let rows = docs.lines().filter_map(|line| line.strip_prefix("| `leadstage_gateway_"));
+    let mut names: Vec<String> = rows
+        .filter_map(|row| row.split('`').next())
+        .map(|name| format!("leadstage_gateway_{name}"))
+        .collect();
+    names.sort();
+    names
+}
+
+#[tokio::test]
+async fn test_metrics_and_status_are_as_documented() {
+    let (gateway, bookings, models) = Gateway::with_replicas(2).await;
+    gateway.status_of(0, "/read/x", KEY).await;
+    gateway.status_of(0, "/read/x", "unknown").await;
+    bookings.iter().for_each(|running| running.replica.set_fault(ReplicaFault::Fails));
+    gateway.status_of(0, "/read/x", KEY).await;
+    let (_, ()) = tokio::join!(gateway.call(0, chat("r-1")), async {
+        gateway.until("it runs", async || models.iter().any(|m| m.replica.running() > 0)).await;
+        let at = models.iter().position(|m| m.replica.running() > 0).expect("it runs");
+        gateway.drain("model", &models[at]);
+    });
+    let metrics = gateway.metrics(0);
+    let mut served = Vec::new();
+    gateway
+        .until("all metrics", async || {
+            let text = read(&metrics, "/metrics").await;
+            let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE leadstage_"));
+            served =
+                types.filter_map(|line| line.split(' ').next()).map(|n| format!("leadstage_{n}")).collect();
+            served.sort();
+            served.len() + 1 >= documented_metrics().len()
+        })
+        .await;
+    // No lead can be silent in a fleet of one.
+    let expected: Vec<String> =
+        documented_metrics().into_iter().filter(|name| !name.contains("lead_silences")).collect();
+    served.retain(|name| !name.contains("lead_silences"));
+    assert_eq!(served, expected);
+    let status: serde_json::Value = serde_json::from_str(&read(&metrics, "/status").await).expect("JSON");
+    assert_eq!((&status["readiness"], &status["bundle"]), (&"ready".into(), &1.into()));
+}
+
+async fn read(address: &str, path: &str) -> String {
+    let req =
+        http::Request::get(path).header("host", "x").body(http_body_util::Full::default()).expect("valid");
+    let (_connection, res) = crate::gateway_environment::send(address, req).await.expect("it answers");
+    let body = http_body_util::BodyExt::collect(res.into_body()).await.expect("a body").to_bytes();
+    String::from_utf8_lossy(&body).into_owned()
+}
--- /dev/null
+++ b/scripts/play-days.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# Plays our own days of trouble on the users' bench and prints a row for each.
+#
+# Usage: scripts/play-days.sh WHY [PATTERN]
+#   WHY      a line for the bench's journal
+#   PATTERN  a regular expression for the names of days; all by default
+# KIT names the folder of the users' system pages and SITES the sites (both by default).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+kit="${KIT:-../given/kit/more/system}"
+sites="${SITES:-najem-flota bahla-ci}"
+why="${1:?a line for the journal}"
+pattern="${2:-.}"
+at_once=5
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
+
+play() {
+    local site=$1 file=$2 name
+    name=$(basename "$file" .toml)
+    "$kit/bin/fleetbench" run "$kit/sites/$site.toml" "$file" --why "$why" >"$out/$site-$name.txt" 2>&1 || true
+    grep "^$name " "$out/$site-$name.txt" | sed "s/^/$site /" || echo "$site $name was not played"
+}
+
+for site in $sites; do
+    for file in experiments/platform-days/"$site"/*.toml; do
+        [[ $(basename "$file" .toml) =~ $pattern ]] || continue
+        play "$site" "$file" &
+        while (($(jobs -r | wc -l) >= at_once)); do wait -n; done
+    done
+done
+wait
