--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -21,6 +21,11 @@
 const FIRST_REST: Duration = Duration::from_millis(300);
 /// The longest rest after failures.
 const LONGEST_REST: Duration = Duration::from_secs(5);
+/// Weight of the newest answer in a replica's share of errors.
+const NEWEST_WEIGHT: f64 = 0.2;
+/// A share of errors counts half as much after this time, so that a replica that recovered
+/// is tried again.
+const ERRORS_HALVE_IN: Duration = Duration::from_secs(3);
 /// An entry that went missing while the store was away is kept for this long after it is
 /// back: live replicas are listed again by then.
 pub const LAPSED_GRACE: Duration = Duration::from_secs(2);
@@ -87,6 +92,8 @@
     pub warm_at: Timestamp,
     failures: u32,
     rest_until: Timestamp,
+    errors: f64,
+    errors_at: Timestamp,
     missing_since: Option<Timestamp>,
 }
 
@@ -99,6 +106,8 @@
             leaving,
             leaving_since: now,
             failures: 0,
+            errors: 0.0,
+            errors_at: now,
             rest_until: Timestamp::ZERO,
             missing_since: None,
         }
@@ -109,6 +118,21 @@
         self.leaving.is_none() && self.rest_until <= now
     }
 
+    /// The share of its answers that were errors of its own lately, 0 to 1.
+    pub fn errors(&self, now: Timestamp) -> f64 {
+        let halvings = now.saturating_sub(self.errors_at).as_secs_f64() / ERRORS_HALVE_IN.as_secs_f64();
+        self.errors * 0.5_f64.powf(halvings)
+    }
+
+    fn on_answer(&mut self, is_error: bool, now: Timestamp) {
+        let newest = if is_error { 1.0 } else { 0.0 };
+        let before = self.errors(now);
+        self.errors = before + NEWEST_WEIGHT * (newest - before);
+        self.errors_at = now;
+        self.failures = 0;
+        self.rest_until = Timestamp::ZERO;
+    }
+
     /// Failures in a row.
     pub fn failures(&self) -> u32 {
         self.failures
@@ -232,11 +256,10 @@
         }
     }
 
-    /// A request was answered there.
-    pub fn on_success(&mut self, id: &str) {
+    /// A request was answered there, with an error of the replica's own or not.
+    pub fn on_answer(&mut self, id: &str, is_error: bool, now: Timestamp) {
         if let Some(replica) = self.replicas.get_mut(id) {
-            replica.failures = 0;
-            replica.rest_until = Timestamp::ZERO;
+            replica.on_answer(is_error, now);
         }
     }
 
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -74,7 +74,8 @@
             (Some(traits), Some(size)) => self.choose_engine(key, wanted, traits, size),
             _ => {
                 let candidates = self.candidates(wanted).into_iter();
-                let chosen = self.book.choose_plain(candidates, &wanted.hall, &mut rand::rng());
+                let now = self.shared.now();
+                let chosen = self.book.choose_plain(candidates, &wanted.hall, now, &mut rand::rng());
                 chosen.map(|replica| replica.record.clone())
             }
         }
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -331,7 +331,8 @@
         };
         let replicas = &mut self.knowledge.replicas;
         match outcome {
-            Outcome::Answered => replicas.on_success(&run.replica),
+            Outcome::Answered => replicas.on_answer(&run.replica, false, self.shared.now()),
+            Outcome::Errored => replicas.on_answer(&run.replica, true, self.shared.now()),
             Outcome::Failed => replicas.on_failure(&run.replica, self.shared.now()),
             Outcome::Refused | Outcome::Withdrawn => {}
         }
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -113,7 +113,8 @@
             Attempt::Unknown(Code::UpstreamLost)
         }
         Ok(answer) => {
-            run.end(Outcome::Answered);
+            let is_error = answer.status.is_server_error();
+            run.end(if is_error { Outcome::Errored } else { Outcome::Answered });
             Attempt::Answer(answer)
         }
         Err(err) => failed(req, run, err),
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -130,6 +130,8 @@
 pub enum Outcome {
     /// It was answered.
     Answered,
+    /// It was answered with an error of the replica's own.
+    Errored,
     /// The replica failed it.
     Failed,
     /// The replica turned it away.
--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -16,10 +16,14 @@
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 
+site_file() {
+    ls "$kit"/{sites,grown}/"$1".toml 2>/dev/null | head -1
+}
+
 play() {
     local site=$1 file=$2 name
     name=$(basename "$file" .toml)
-    "$kit/bin/fleetbench" run "$kit/sites/$site.toml" "$file" --why "$why" >"$out/$site-$name.txt" 2>&1 || true
+    "$kit/bin/fleetbench" run "$(site_file "$site")" "$file" --why "$why" >"$out/$site-$name.txt" 2>&1 || true
     grep "^$name " "$out/$site-$name.txt" | sed "s/^/$site /" || echo "$site $name was not played"
 }
 
