calls: a body that is too large is refused after its end has come

Cause: the limit filter refused at the first byte over the limit; xitca-web then closed the connection with bytes unread, so it was reset and the refusal lost with it. Proved by test_a_large_body_is_read_to_its_end_before_it_is_refused, which failed before (write reset) and passes now. Now the body is read on and thrown away, up to 1 MiB beyond the limit.

--- a/node/src/filters/limit.rs
+++ b/node/src/filters/limit.rs
@@ -16,6 +16,10 @@
 use crate::shared::Readiness;
 use crate::shared::Shared;
 
+/// Bytes of a body that are read and thrown away beyond the bundle's limit. Callers who are
+/// a little over it see why they are refused; nobody keeps a node busy with an endless body.
+const MOST_DISCARDED_BYTES: usize = 1 << 20;
+
 /// Counts the request as open, unless a limit is reached.
 pub fn open(shared: &Arc<Shared>, cx: &Authenticated) -> Result<OpenGuard, Refusal> {
     match shared.readiness() {
@@ -43,16 +47,24 @@
     }
 }
 
+/// Reads a body of at most `most` bytes. A larger one is refused once its end has come: a
+/// connection that is closed with bytes unread is reset, and the refusal is lost with it.
 async fn read_up_to(body: RequestBody, most: usize) -> Result<Bytes, Refusal> {
     let mut body = std::pin::pin!(body);
     let mut buf = BytesMut::new();
+    let mut read: usize = 0;
     while let Some(chunk) = body.as_mut().data().await {
         let chunk = chunk.map_err(|_| Refusal::with_detail(Code::BadRequest, "the body broke off"))?;
-        if buf.len() + chunk.len() > most {
-            let detail = format!("the body has more than {most} bytes");
-            return Err(Refusal::with_detail(Code::BodyTooLarge, detail));
+        read += chunk.len();
+        if read <= most {
+            buf.extend_from_slice(&chunk);
+        } else if read > most + MOST_DISCARDED_BYTES {
+            break;
         }
-        buf.extend_from_slice(&chunk);
+    }
+    if read > most {
+        let detail = format!("the body has more than {most} bytes");
+        return Err(Refusal::with_detail(Code::BodyTooLarge, detail));
     }
     Ok(buf.freeze())
 }
--- a/node/tests/test_callers.rs
+++ b/node/tests/test_callers.rs
@@ -122,6 +122,28 @@
     assert!(answer.starts_with("HTTP/1.1 408") && answer.contains("x-leadstage-code: 2007"), "{answer}");
 }
 
+/// A body that is too large is refused when it has been sent to its end: a connection that
+/// closed before would take the refusal with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_a_large_body_is_read_to_its_end_before_it_is_refused() {
+    let env = start("max_body_bytes: 20000").await;
+    let address = env.address("entry-1");
+    let answer = tokio::task::spawn_blocking(move || {
+        let mut stream = std::net::TcpStream::connect(address).expect("it listens");
+        let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer token-a\r\ncontent-length: 60000\r\n\r\n";
+        stream.write_all(head.as_bytes()).expect("writable");
+        for _ in 0..3 {
+            stream.write_all(&[b' '; 20_000]).expect("the node still reads");
+            std::thread::sleep(std::time::Duration::from_millis(200));
+        }
+        let mut buf = [0; 4_096];
+        let read = stream.read(&mut buf).expect("an answer");
+        String::from_utf8_lossy(&buf[..read]).into_owned()
+    });
+    let answer = answer.await.expect("no panic");
+    assert!(answer.starts_with("HTTP/1.1 413") && answer.contains("x-leadstage-code: 2005"), "{answer}");
+}
+
 /// An organisation's open requests are bounded; one that is refused is told when to come
 /// back, and others are not affected.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
