store outages: a late answer is doubted at once, health answers count at once

Ruled out: the copies themselves; they took 0.2 s in the hall as usual. Also: a stopping node tells refused callers to come back after 0.05 s, as a new connection reaches another node; it was 0.3 s.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -6,6 +6,7 @@
 pub mod evacuation;
 pub mod lead;
 pub mod load;
+pub mod lookout;
 pub mod reading;
 pub mod rebalance;
 pub mod replicas;
--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -10,6 +10,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::ids::Timestamp;
 use crate::ids::VmId;
 use crate::rendezvous;
@@ -22,6 +25,8 @@
 const PULSE_LASTS: Duration = Duration::from_millis(2_000);
 /// A store that answered this long ago still counts as answering.
 const ANSWER_LASTS: Duration = Duration::from_millis(1_300);
+/// A doubt this old no longer counts: by then the store has answered someone, or is away.
+const DOUBT_LASTS: Duration = Duration::from_millis(1_300);
 /// Without any pulse for this long a node is on its own.
 const ALONE_AFTER: Duration = Duration::from_secs(3);
 /// Spread of that time over the nodes, so that they don't all call the store at once.
@@ -34,11 +39,22 @@
 /// Numbers a watcher's pulses; they rise, also over its restarts.
 pub type PulseNumber = u64;
 
+/// What a pulse says of the store.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+pub enum StoreState {
+    /// It answers the watcher.
+    Answers,
+    /// It takes longer than it usually does; it may be slow or away.
+    Late,
+    /// It does not answer the watcher.
+    Away,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Heard {
     number: PulseNumber,
     at: Timestamp,
-    answers: bool,
+    state: StoreState,
 }
 
 /// What a node knows of the watchers.
@@ -48,31 +64,49 @@
     heard: HashMap<VmId, Heard>,
     last_heard: Timestamp,
     last_answer: Option<Timestamp>,
+    last_doubt: Option<Timestamp>,
 }
 
 impl Watchers {
     /// Knows of none yet.
     pub fn new(own: VmId) -> Self {
-        Watchers { own, heard: HashMap::new(), last_heard: Timestamp::ZERO, last_answer: None }
+        Watchers {
+            own,
+            heard: HashMap::new(),
+            last_heard: Timestamp::ZERO,
+            last_answer: None,
+            last_doubt: None,
+        }
     }
 
     /// A watcher's pulse came, from itself or through others. Returns whether it is news.
-    pub fn on_pulse(&mut self, watcher: &VmId, number: PulseNumber, answers: bool, now: Timestamp) -> bool {
+    pub fn on_pulse(
+        &mut self,
+        watcher: &VmId,
+        number: PulseNumber,
+        state: StoreState,
+        now: Timestamp,
+    ) -> bool {
         let known = self.heard.get(watcher);
         if *watcher == self.own || known.is_some_and(|heard| heard.number >= number) {
             return false;
         }
-        self.heard.insert(watcher.clone(), Heard { number, at: now, answers });
+        self.heard.insert(watcher.clone(), Heard { number, at: now, state });
         self.last_heard = now;
-        if answers {
-            self.last_answer = Some(now);
-        }
+        self.note(state, now);
         true
     }
 
-    /// The store answered this node itself.
-    pub fn on_own_answer(&mut self, now: Timestamp) {
-        self.last_answer = Some(now);
+    /// What this node's own question to the store showed.
+    pub fn on_own_pulse(&mut self, state: StoreState, now: Timestamp) {
+        self.note(state, now);
+    }
+
+    fn note(&mut self, state: StoreState, now: Timestamp) {
+        match state {
+            StoreState::Answers => self.last_answer = Some(now),
+            StoreState::Late | StoreState::Away => self.last_doubt = Some(now),
+        }
     }
 
     /// Whether the store has lately answered any node that this one hears of.
@@ -80,6 +114,13 @@
         self.last_answer.is_some_and(|at| at + ANSWER_LASTS > now)
     }
 
+    /// Whether the store may be away: some watcher missed an answer, and none has had one
+    /// since. The first doubt comes a second before [`Self::store_answers`] turns false.
+    pub fn doubts_store(&self, now: Timestamp) -> bool {
+        let doubt = self.last_doubt.filter(|at| *at + DOUBT_LASTS > now);
+        doubt.is_some_and(|doubt| self.last_answer.is_none_or(|answer| answer < doubt))
+    }
+
     /// Whether this node should follow the store.
     pub fn should_watch<'a>(&'a self, alive: impl Iterator<Item = &'a VmId>, now: Timestamp) -> bool {
         if now < LISTEN_FIRST {
@@ -96,7 +137,8 @@
 
     /// Whether a watcher is silent, or says that the store does not answer it.
     fn fails(&self, watcher: &VmId, now: Timestamp) -> bool {
-        self.heard.get(watcher).is_none_or(|heard| !heard.answers || heard.at + PULSE_LASTS < now)
+        let heard = self.heard.get(watcher);
+        heard.is_none_or(|heard| heard.state == StoreState::Away || heard.at + PULSE_LASTS < now)
     }
 
     fn is_alone(&self, now: Timestamp) -> bool {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,6 +6,7 @@
 mod test_codes;
 mod test_fence;
 mod test_gateway_load;
+mod test_gateway_lookout;
 mod test_gateway_replicas;
 mod test_gateway_routing;
 mod test_gateway_watchers;
--- a/lib/tests/test_gateway_watchers.rs
+++ b/lib/tests/test_gateway_watchers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::gateway::watchers::WATCHERS;
 use leadstage_lib::gateway::watchers::Watchers;
 use leadstage_lib::ids::VmId;
@@ -19,7 +20,8 @@
     for (at, own) in nodes.iter().enumerate() {
         let mut view = Watchers::new(own.clone());
         for (watcher, answers) in pulses {
-            view.on_pulse(&nodes[*watcher], 1, *answers, LATER);
+            let state = if *answers { StoreState::Answers } else { StoreState::Away };
+            view.on_pulse(&nodes[*watcher], 1, state, LATER);
         }
         if view.should_watch(nodes.iter().filter(|node| *node != own), LATER) {
             watching.push(at);
@@ -79,10 +81,42 @@
 fn test_pulses_are_news_once_and_age() {
     let nodes = nodes(2);
     let mut view = Watchers::new(nodes[0].clone());
-    assert!(view.on_pulse(&nodes[1], 5, true, LATER));
-    assert!(!view.on_pulse(&nodes[1], 5, true, LATER));
-    assert!(!view.on_pulse(&nodes[1], 4, false, LATER));
-    assert!(!view.on_pulse(&nodes[0], 9, true, LATER), "its own, come back");
+    assert!(view.on_pulse(&nodes[1], 5, StoreState::Answers, LATER));
+    assert!(!view.on_pulse(&nodes[1], 5, StoreState::Answers, LATER));
+    assert!(!view.on_pulse(&nodes[1], 4, StoreState::Away, LATER));
+    assert!(!view.on_pulse(&nodes[0], 9, StoreState::Answers, LATER), "its own, come back");
     assert!(view.store_answers(LATER + Duration::from_secs(1)));
     assert!(!view.store_answers(LATER + Duration::from_secs(2)));
 }
+
+/// One missed answer is enough to look out for leaving engines, long before the store is
+/// taken to be away; the next answer to anyone ends it.
+#[test]
+fn test_a_late_answer_is_doubted_at_once_and_until_the_next_one() {
+    let nodes = nodes(3);
+    let ms = |ms| LATER + Duration::from_millis(ms);
+    let mut view = Watchers::new(nodes[0].clone());
+    view.on_pulse(&nodes[1], 1, StoreState::Answers, ms(0));
+    assert!(!view.doubts_store(ms(50)));
+    view.on_pulse(&nodes[2], 1, StoreState::Late, ms(100));
+    assert!(view.doubts_store(ms(100)) && view.store_answers(ms(100)));
+    view.on_own_pulse(StoreState::Answers, ms(200));
+    assert!(!view.doubts_store(ms(200)));
+    view.on_pulse(&nodes[1], 2, StoreState::Away, ms(300));
+    assert!(view.doubts_store(ms(1_500)), "nobody had an answer since");
+    assert!(!view.doubts_store(ms(1_700)), "a doubt that nobody renews ends");
+}
+
+/// A watcher that finds the store late still follows it: nobody takes over.
+#[test]
+fn test_a_late_store_is_followed_by_the_same_nodes() {
+    let nodes = nodes(9);
+    let first = watching(&nodes, &[(0, true), (1, true), (2, true)]);
+    for own in nodes.iter().enumerate().filter(|(at, _)| !first.contains(at)).map(|(_, own)| own) {
+        let mut view = Watchers::new(own.clone());
+        for watcher in &first {
+            view.on_pulse(&nodes[*watcher], 1, StoreState::Late, LATER);
+        }
+        assert!(!view.should_watch(nodes.iter().filter(|node| *node != own), LATER));
+    }
+}
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -14,6 +14,7 @@
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::gateway::watchers::PulseNumber;
+use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::gateway::watchers::Watchers;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
@@ -151,7 +152,7 @@
                 self.on_fetched_configuration(from, text)
             }
             ToControl::Fetched(from, Fetched::Replicas(list)) => self.on_fetched_replicas(from, list),
-            ToControl::OwnPulse(number, store_answers) => self.on_own_pulse(number, store_answers),
+            ToControl::OwnPulse(number, store) => self.on_own_pulse(number, store),
             ToControl::Datagram(datagram) => self.on_datagram(datagram),
             ToControl::Seeds(seeds) => self.fleet.set_seeds(&seeds),
             ToControl::Stopping => self.fleet.leave(),
@@ -172,12 +173,19 @@
         self.watching.set(self.watchers.should_watch(self.fleet.alive(), now));
         if !self.watchers.store_answers(now) {
             self.lapses_until = now + LAPSED_GRACE + LAPSES_TOLD_WITHIN;
-            self.lookout.tick(now, self.placing.engines_in_use(&self.fleet));
         }
+        self.look_out(now);
         self.publish_list();
         self.publish_status(now);
     }
 
+    /// Asks the engines that this node leads whether they leave, while the store may not tell.
+    fn look_out(&mut self, now: Timestamp) {
+        if self.watchers.doubts_store(now) || !self.watchers.store_answers(now) {
+            self.lookout.ask_all(now, self.placing.engines_in_use(&self.fleet));
+        }
+    }
+
     /// Publishes status and levels, when it is time.
     fn publish_status(&mut self, now: Timestamp) {
         if now < self.last_status + STATUS_INTERVAL {
@@ -299,17 +307,19 @@
         self.after_replica_news(&change);
     }
 
-    fn on_own_pulse(&mut self, number: PulseNumber, store_answers: bool) {
-        if store_answers {
-            self.watchers.on_own_answer(self.shared.now());
-        }
+    fn on_own_pulse(&mut self, number: PulseNumber, store: StoreState) {
+        let now = self.shared.now();
+        self.watchers.on_own_pulse(store, now);
+        self.look_out(now);
         let watcher = self.shared.settings.peer;
-        self.tell(&PeerMessage::Pulse(Pulse { watcher, number, store_answers }));
+        self.tell(&PeerMessage::Pulse(Pulse { watcher, number, store }));
     }
 
     fn on_pulse(&mut self, pulse: Pulse) {
         let watcher = node_id(pulse.watcher);
-        if self.watchers.on_pulse(&watcher, pulse.number, pulse.store_answers, self.shared.now()) {
+        let now = self.shared.now();
+        if self.watchers.on_pulse(&watcher, pulse.number, pulse.store, now) {
+            self.look_out(now);
             self.pass_on(&PeerMessage::Pulse(pulse));
         }
     }
@@ -335,8 +345,8 @@
     }
 
     fn on_health(&mut self, replica: &UpstreamId, health: Health) {
-        self.lookout.on_health(replica);
         let now = self.shared.now();
+        self.lookout.on_health(replica, now);
         let sign = match health {
             Health::Well => return,
             Health::Unwell => LeavingSign::Unwell,
--- a/node/src/gateway/control/watching.rs
+++ b/node/src/gateway/control/watching.rs
@@ -1,14 +1,17 @@
 //! Follows the store while this node is one of its watchers, and sends their pulse.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use leadstage_lib::gateway::watchers::PULSE_INTERVAL;
 use leadstage_lib::gateway::watchers::PulseNumber;
+use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_platform::store::Configuration;
 use leadstage_platform::store::Replicas;
 use leadstage_platform::store::Store;
 use log::info;
 use log::warn;
+use rand::RngExt;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::control::follow;
@@ -18,7 +21,13 @@
 
 /// The store is away if it does not answer within this; a slow one takes a quarter of a
 /// second.
-const PULSE_LIMIT: std::time::Duration = std::time::Duration::from_millis(500);
+const PULSE_LIMIT: Duration = Duration::from_millis(500);
+/// The store is late if it does not answer within this: it usually takes some 4 ms, and the
+/// turn of a busy node some tens.
+const PULSE_LATE: Duration = Duration::from_millis(120);
+/// Part of the interval by which pulses come earlier or later, so that those of three
+/// watchers spread over it: the first to miss an answer warns all.
+const PULSE_JITTER: f64 = 0.3;
 
 /// The tasks of a watcher; they end when this is dropped.
 struct Tasks {
@@ -65,7 +74,21 @@
     let mut store = Store::new(shared.settings.store);
     let mut number: PulseNumber = unix_millis();
     loop {
-        let answers = store.answers(PULSE_LIMIT).await;
+        let mut tell = |state| {
+            number += 1;
+            shared.tell(ToControl::OwnPulse(number, state));
+        };
+        let answers = {
+            let mut answer = std::pin::pin!(store.answers(PULSE_LIMIT));
+            match tokio::time::timeout(PULSE_LATE, &mut answer).await {
+                Ok(answers) => answers,
+                Err(_) => {
+                    tell(StoreState::Late);
+                    answer.await
+                }
+            }
+        };
+        tell(if answers { StoreState::Answers } else { StoreState::Away });
         shared.metrics.on_store_call("pulse", if answers { "answered" } else { "failed" });
         if shared.set_store_answers(answers) {
             if answers {
@@ -74,8 +97,7 @@
                 warn!(event = "store_lost", by = "pulse"; "the store does not answer");
             }
         }
-        number += 1;
-        shared.tell(ToControl::OwnPulse(number, answers));
-        tokio::time::sleep(PULSE_INTERVAL).await;
+        let jitter = rand::rng().random_range(1.0 - PULSE_JITTER..=1.0 + PULSE_JITTER);
+        tokio::time::sleep(PULSE_INTERVAL.mul_f64(jitter)).await;
     }
 }
--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -136,7 +136,8 @@
     };
     let req = request::admit(&traffic.shared, req).await.map_err(refused)?;
     if !stop::takes(&traffic.shared, req.route.repeat) {
-        return Err(refused(Refusal::new(Code::Stopping)));
+        let retry_after = Some(stop::COME_BACK_AFTER);
+        return Err(refused(Refusal { code: Code::Stopping, retry_after }));
     }
     traffic.on_request(&req.service);
     if req.route.repeat == Repeat::Stream {
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -10,6 +10,7 @@
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::watchers::PulseNumber;
+use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::health::Health;
 use leadstage_platform::store::Changes;
@@ -44,7 +45,7 @@
     /// Another node was asked for what it knows.
     Fetched(SocketAddr, Fetched),
     /// This node's own pulse as a watcher of the store, and whether the store answers.
-    OwnPulse(PulseNumber, bool),
+    OwnPulse(PulseNumber, StoreState),
     /// A message from another node.
     Datagram(Datagram),
     /// The settings name other seeds.
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -13,6 +13,7 @@
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::watchers::PulseNumber;
+use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::membership::News;
@@ -139,7 +140,7 @@
     /// Numbers its pulses.
     pub number: PulseNumber,
     /// Whether the store answers it.
-    pub store_answers: bool,
+    pub store: StoreState,
 }
 
 /// What a watcher has learnt of the replicas.
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -27,6 +27,10 @@
 /// then, and what comes later would be cut off.
 const STREAM_WITHIN: Duration = Duration::from_millis(5_500);
 
+/// When a caller comes back that a stopping node refused: at once, as a new connection
+/// reaches another node.
+pub const COME_BACK_AFTER: Duration = Duration::from_millis(50);
+
 /// Whether a node that may be stopping still takes a request of this kind.
 pub fn takes(shared: &Shared, repeat: Repeat) -> bool {
     let needs = match repeat {
