replicas: nodes hand each other what changed, news is gathered, books go by node

Found by reading, not by a profile. Now the list says at which revision each replica changed, and a node that knows the replicas up to a revision gets what changed since; the encoding is postcard. The lead's book goes by node. A replica that stays after all is news to other nodes too; it was not. Tests: test_gateway_replica_list (a property test among them), test_gateway_replica_news; two lines broken on purpose and seen to fail. test_the_list_for_other_nodes_says_who_leaves read JSON of the whole list; it now reads the same from the new answer, and that nothing is handed out to who knows it.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -9,6 +9,8 @@
 pub mod lookout;
 pub mod reading;
 pub mod rebalance;
+pub mod replica_list;
+pub mod replica_news;
 pub mod replicas;
 pub mod retry_window;
 pub mod routing;
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use rand::Rng;
 use rand::RngExt;
@@ -108,7 +109,8 @@
 /// What a node knows of the requests at the replicas.
 #[derive(Debug, Default)]
 pub struct LoadBook {
-    runs: HashMap<RunKey, Run>,
+    /// By node: each of hundreds tells a lead of its own some times a second.
+    runs: HashMap<VmId, BTreeMap<RunId, Run>>,
     by_replica: BTreeMap<UpstreamId, Vec<RunKey>>,
     reading: ReadingClocks,
 }
@@ -125,12 +127,13 @@
     fn insert(&mut self, key: RunKey, run: Run) {
         self.take_out(&key);
         self.by_replica.entry(run.replica.clone()).or_default().push(key.clone());
-        self.runs.insert(key, run);
+        self.runs.entry(key.entry).or_default().insert(key.run, run);
     }
 
     /// A generation's first event came.
     pub fn on_first_event(&mut self, key: &RunKey, now: Timestamp) {
-        if let Some(run) = self.runs.get(key) {
+        let run = self.runs.get(&key.entry).and_then(|runs| runs.get(&key.run));
+        if let Some(run) = run {
             self.reading.on_first_event(key, &run.replica, now);
         }
     }
@@ -147,7 +150,11 @@
     }
 
     fn take_out(&mut self, key: &RunKey) -> Option<Run> {
-        let run = self.runs.remove(key)?;
+        let runs = self.runs.get_mut(&key.entry)?;
+        let run = runs.remove(&key.run)?;
+        if runs.is_empty() {
+            self.runs.remove(&key.entry);
+        }
         if let Some(keys) = self.by_replica.get_mut(&run.replica) {
             keys.retain(|other| other != key);
             if keys.is_empty() {
@@ -159,35 +166,31 @@
 
     /// A generation made tokens.
     pub fn on_progress(&mut self, key: &RunKey, produced: u32) {
-        if let Some(run) = self.runs.get_mut(key) {
+        if let Some(run) = self.get_mut(key) {
             run.produced = produced;
         }
     }
 
     /// A copy is complete.
     pub fn on_copied(&mut self, key: &RunKey) {
-        if let Some(run) = self.runs.get_mut(key) {
+        if let Some(run) = self.get_mut(key) {
             run.copied_from = None;
         }
     }
 
     /// Copies that are under way from an engine.
     pub fn copies_from(&self, engine: &str) -> usize {
-        self.runs.values().filter(|run| run.copied_from.as_deref() == Some(engine)).count()
+        self.iter().map(|(_, run)| run).filter(|run| run.copied_from.as_deref() == Some(engine)).count()
     }
 
     /// All generations of a node, as it reports them. Those that it had started by then
     /// and does not name have ended; `last` is the newest that it had started.
     pub fn on_inventory(&mut self, entry: &VmId, runs: Vec<(RunId, Run)>, last: RunId) {
-        let ended: Vec<RunKey> = self
-            .runs
-            .keys()
-            .filter(|key| key.entry == *entry && key.run <= last)
-            .filter(|key| !runs.iter().any(|(run, _)| *run == key.run))
-            .cloned()
-            .collect();
-        for key in ended {
-            self.remove(&key);
+        let named: HashSet<RunId> = runs.iter().map(|(run, _)| *run).collect();
+        let known = self.runs.get(entry).into_iter().flat_map(|runs| runs.range(..=last));
+        let ended: Vec<RunId> = known.map(|(run, _)| *run).filter(|run| !named.contains(run)).collect();
+        for run in ended {
+            self.remove(&RunKey { entry: entry.clone(), run });
         }
         for (run, report) in runs {
             self.insert(RunKey { entry: entry.clone(), run }, report);
@@ -201,18 +204,27 @@
 
     /// A request.
     pub fn get(&self, key: &RunKey) -> Option<&Run> {
-        self.runs.get(key)
+        self.runs.get(&key.entry)?.get(&key.run)
+    }
+
+    fn get_mut(&mut self, key: &RunKey) -> Option<&mut Run> {
+        self.runs.get_mut(&key.entry)?.get_mut(&key.run)
+    }
+
+    /// The requests of a node.
+    pub fn of_entry(&self, entry: &VmId) -> impl Iterator<Item = (RunId, &Run)> {
+        self.runs.get(entry).into_iter().flatten().map(|(run, it)| (*run, it))
     }
 
-    /// All requests.
-    pub fn iter(&self) -> impl Iterator<Item = (&RunKey, &Run)> {
-        self.runs.iter()
+    /// All requests, with the node that each came to.
+    pub fn iter(&self) -> impl Iterator<Item = (&VmId, &Run)> {
+        self.runs.iter().flat_map(|(entry, runs)| runs.values().map(move |run| (entry, run)))
     }
 
     /// The requests at a replica.
     pub fn at<'a>(&'a self, replica: &str) -> impl Iterator<Item = (&'a RunKey, &'a Run)> {
         let keys = self.by_replica.get(replica).into_iter().flatten();
-        keys.filter_map(|key| self.runs.get(key).map(|run| (key, run)))
+        keys.filter_map(|key| self.get(key).map(|run| (key, run)))
     }
 
     /// The part of an engine's memory that is expected to be used soon.
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -10,6 +10,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::replica_list::Changed;
+use crate::gateway::replica_list::ReplicaList;
+use crate::gateway::replica_list::Revision;
 use crate::gateway::routing::ServiceId;
 use crate::ids::HallId;
 use crate::ids::Timestamp;
@@ -95,6 +98,8 @@
     errors: f64,
     errors_at: Timestamp,
     missing_since: Option<Timestamp>,
+    /// The store's revision when other nodes would last have learnt something new of it.
+    changed_at: Revision,
 }
 
 impl Replica {
@@ -110,6 +115,7 @@
             errors_at: now,
             rest_until: Timestamp::ZERO,
             missing_since: None,
+            changed_at: 0,
         }
     }
 
@@ -154,7 +160,7 @@
 pub struct ListChange {
     /// Replicas that are newly taken to be leaving.
     pub leaving: Vec<UpstreamId>,
-    /// Replicas that appeared.
+    /// Replicas that appeared, or stay after all.
     pub added: Vec<UpstreamId>,
 }
 
@@ -162,6 +168,8 @@
 #[derive(Debug, Default)]
 pub struct ReplicaTable {
     replicas: BTreeMap<UpstreamId, Replica>,
+    /// The newest change of a replica that is forgotten.
+    forgotten_up_to: Revision,
 }
 
 impl ReplicaTable {
@@ -181,6 +189,7 @@
             change.leaving.push(id);
         } else if !record.leaving && replica.leaving.is_some_and(LeavingSign::is_taken_back) {
             replica.leaving = None;
+            change.added.push(id);
         }
         replica.record = Arc::new(record);
     }
@@ -234,13 +243,61 @@
         for id in overdue {
             self.on_unlisted(&id, now, &mut change);
         }
+        let forgotten_up_to = &mut self.forgotten_up_to;
         self.replicas.retain(|_, r| {
             let gone = r.leaving.is_some_and(|sign| sign != LeavingSign::Listed);
-            !(gone && now > r.leaving_since + forget_after)
+            let forgets = gone && now > r.leaving_since + forget_after;
+            if forgets {
+                *forgotten_up_to = r.changed_at.max(*forgotten_up_to);
+            }
+            !forgets
         });
         change
     }
 
+    /// Notes that a change was learnt at a revision of the store.
+    pub fn mark(&mut self, change: &ListChange, at: Revision) {
+        for id in change.added.iter().chain(&change.leaving) {
+            if let Some(replica) = self.replicas.get_mut(id) {
+                replica.changed_at = at;
+            }
+        }
+    }
+
+    /// All replicas, to be handed to other nodes; known up to the revision `at`.
+    pub fn list(&self, at: Revision) -> ReplicaList {
+        let mut list = ReplicaList {
+            at,
+            forgotten_up_to: self.forgotten_up_to,
+            is_whole: true,
+            ..ReplicaList::default()
+        };
+        for replica in self.replicas.values() {
+            let changed_at = replica.changed_at;
+            if replica.leaving.is_some() {
+                list.leaving.push(Changed { at: changed_at, item: replica.record.id.clone() });
+            } else {
+                list.staying.push(Changed { at: changed_at, item: (*replica.record).clone() });
+            }
+        }
+        list
+    }
+
+    /// Another node handed its list over, whole or what changed.
+    pub fn on_handed_list(&mut self, list: ReplicaList, now: Timestamp) -> ListChange {
+        let records = list.staying.into_iter().map(|changed| changed.item);
+        let mut change = if list.is_whole {
+            self.on_list(records.collect(), true, now)
+        } else {
+            let mut change = ListChange::default();
+            records.for_each(|record| self.on_entry(record, now, &mut change));
+            change
+        };
+        let leaving = list.leaving.into_iter().map(|changed| changed.item);
+        change.leaving.extend(leaving.filter(|id| self.on_sign(id, LeavingSign::Told, now)));
+        change
+    }
+
     /// A sign from the replica itself that it leaves. Returns whether it is news.
     pub fn on_sign(&mut self, id: &str, sign: LeavingSign, now: Timestamp) -> bool {
         self.replicas.get_mut(id).is_some_and(|replica| replica.on_sign(sign, now))
@@ -272,6 +329,16 @@
         self.replicas.values().filter(move |r| &*r.record.service == service)
     }
 
+    /// How many replicas are known.
+    pub fn len(&self) -> usize {
+        self.replicas.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.replicas.is_empty()
+    }
+
     /// All replicas.
     pub fn iter(&self) -> impl Iterator<Item = &Replica> {
         self.replicas.values()
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,6 +7,8 @@
 mod test_fence;
 mod test_gateway_load;
 mod test_gateway_lookout;
+mod test_gateway_replica_list;
+mod test_gateway_replica_news;
 mod test_gateway_replicas;
 mod test_gateway_routing;
 mod test_gateway_watchers;
--- a/lib/tests/test_gateway_load.rs
+++ b/lib/tests/test_gateway_load.rs
@@ -116,8 +116,8 @@
     let entry: VmId = "n".into();
     book.on_inventory(&entry, vec![(1, run("e2", 100, 100, 40))], 2);
     let mut runs: Vec<String> = book
-        .iter()
-        .map(|(key, run)| format!("{} at {} made {}", key.run, run.replica, run.produced))
+        .of_entry(&entry)
+        .map(|(id, run)| format!("{id} at {} made {}", run.replica, run.produced))
         .collect();
     runs.sort();
     assert_eq!(runs, ["1 at e2 made 40", "3 at e1 made 0"]);
--- /dev/null
+++ b/lib/tests/test_gateway_replica_list.rs
@@ -0,0 +1,137 @@
+//! What nodes hand to each other of the replicas.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::replica_list::Revision;
+use leadstage_lib::gateway::replicas::LeavingSign;
+use leadstage_lib::gateway::replicas::ListChange;
+use leadstage_lib::gateway::replicas::ReplicaTable;
+use proptest::prelude::*;
+
+use crate::test_gateway_replicas::record;
+
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// A node that follows the store.
+#[derive(Default)]
+struct Follower {
+    table: ReplicaTable,
+    at: Revision,
+    now: Duration,
+}
+
+impl Follower {
+    fn entry(&mut self, id: &str, leaving: bool) {
+        let mut change = ListChange::default();
+        self.table.on_entry(record(id, leaving), self.now, &mut change);
+        self.took(&change);
+    }
+
+    fn unlisted(&mut self, id: &str) {
+        let mut change = ListChange::default();
+        self.table.on_unlisted(id, self.now, &mut change);
+        self.took(&change);
+    }
+
+    fn sign(&mut self, id: &str) {
+        if self.table.on_sign(id, LeavingSign::Unwell, self.now) {
+            self.took(&ListChange { leaving: vec![id.into()], added: Vec::new() });
+        }
+    }
+
+    fn wait(&mut self, seconds: u64) {
+        self.now += Duration::from_secs(seconds);
+        self.table.tick(self.now, FORGET_AFTER);
+    }
+
+    fn took(&mut self, change: &ListChange) {
+        self.at += 1;
+        self.table.mark(change, self.at);
+    }
+
+    /// Takes what another node hands out to one that knows as much as this.
+    fn fetch(&mut self, other: &Follower) -> usize {
+        let list = other.table.list(other.at).since(self.at);
+        let size = list.staying.len() + list.leaving.len();
+        self.at = list.at;
+        let change = self.table.on_handed_list(list, self.now);
+        self.table.mark(&change, self.at);
+        size
+    }
+
+    fn staying(&self) -> Vec<String> {
+        let staying = self.table.of_service("m").filter(|r| r.leaving.is_none());
+        staying.map(|r| r.record.id.to_string()).collect()
+    }
+}
+
+#[test]
+fn test_only_what_changed_is_handed_over() {
+    let (mut watcher, mut other) = (Follower::default(), Follower::default());
+    for n in 0..500 {
+        watcher.entry(&format!("engine-{n:03}"), false);
+    }
+    assert_eq!(other.fetch(&watcher), 500);
+    watcher.entry("engine-500", false);
+    watcher.entry("engine-007", true);
+    watcher.unlisted("engine-008");
+    assert_eq!(other.fetch(&watcher), 3);
+    assert_eq!(other.staying(), watcher.staying());
+    assert_eq!(other.fetch(&watcher), 0);
+}
+
+/// A replica that was taken to be leaving and stays after all is news.
+#[test]
+fn test_a_replica_that_stays_after_all_is_handed_over() {
+    let (mut watcher, mut other) = (Follower::default(), Follower::default());
+    watcher.entry("engine-1", false);
+    watcher.unlisted("engine-1");
+    other.fetch(&watcher);
+    assert!(other.staying().is_empty());
+    watcher.entry("engine-1", false);
+    other.fetch(&watcher);
+    assert_eq!(other.staying(), ["engine-1"]);
+}
+
+/// Who has missed more than is remembered gets all, and sees what is missing.
+#[test]
+fn test_who_knows_too_little_gets_the_whole_list() {
+    let (mut watcher, mut other) = (Follower::default(), Follower::default());
+    watcher.entry("engine-1", false);
+    watcher.entry("engine-2", false);
+    other.fetch(&watcher);
+    watcher.unlisted("engine-1");
+    watcher.wait(60);
+    assert!(watcher.table.list(watcher.at).since(other.at).is_whole);
+    other.fetch(&watcher);
+    other.wait(3);
+    assert_eq!(other.staying(), ["engine-2"]);
+}
+
+proptest! {
+    /// Whatever happens, and however rarely it asks, a node that is handed the changes agrees
+    /// with the one that follows the store, but for the grace of what lapsed.
+    #[test]
+    fn test_changes_add_up_to_the_list(steps in prop::collection::vec((0u8..6, 0u8..8), 1..80)) {
+        let (mut watcher, mut other) = (Follower::default(), Follower::default());
+        for (step, n) in steps {
+            let id = format!("engine-{n}");
+            match step {
+                0 => watcher.entry(&id, false),
+                1 => watcher.entry(&id, true),
+                2 => watcher.unlisted(&id),
+                3 => watcher.sign(&id),
+                4 => {
+                    other.now = watcher.now;
+                    other.fetch(&watcher);
+                }
+                _ => watcher.wait(u64::from(n) * 6),
+            }
+        }
+        other.now = watcher.now;
+        other.fetch(&watcher);
+        watcher.wait(3);
+        other.wait(60);
+        prop_assert_eq!(other.staying(), watcher.staying());
+    }
+}
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use leadstage_lib::gateway::replica_list::ReplicaList;
+use leadstage_lib::gateway::replica_news::NewsGathering;
+use leadstage_lib::gateway::replica_news::ReplicaNews;
 use leadstage_lib::gateway::replicas::LAPSED_GRACE;
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ListChange;
-use leadstage_lib::gateway::replicas::Replica;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
@@ -45,8 +47,6 @@
 use crate::gateway::peers::peer_message::Datagram;
 use crate::gateway::peers::peer_message::PeerMessage;
 use crate::gateway::peers::peer_message::Pulse;
-use crate::gateway::peers::peer_message::ReplicaList;
-use crate::gateway::peers::peer_message::ReplicaNews;
 use crate::gateway::peers::peer_port;
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
@@ -55,8 +55,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two looks at status and levels.
 const STATUS_INTERVAL: Duration = Duration::from_secs(2);
-/// Long lists are fetched later, and so more rarely: with 3,000 replicas after a second.
-const NEWS_FIRST_PER_REPLICA: Duration = Duration::from_micros(300);
+/// With many replicas news come together and take longer: with 3,000 another tenth of a second.
+const NEWS_FIRST_PER_REPLICA: Duration = Duration::from_micros(30);
 /// A store that is back tells of entries that lapsed meanwhile within this.
 const LAPSES_TOLD_WITHIN: Duration = Duration::from_secs(1);
 /// A replica that left is forgotten after this: the longest time that one serves on after
@@ -73,6 +73,7 @@
     fleet: Fleet,
     placing: Placing,
     lookout: Lookout,
+    gathering: NewsGathering,
     replicas_known: bool,
     /// Until then, entries may have gone because the store was away.
     lapses_until: Timestamp,
@@ -108,6 +109,7 @@
             fleet,
             placing,
             lookout,
+            gathering: NewsGathering::default(),
             replicas_known: false,
             lapses_until: Timestamp::ZERO,
             watchers,
@@ -146,6 +148,7 @@
             ToControl::Ended(run, outcome) => self.placing.on_ended(&self.fleet, run, outcome),
             ToControl::Sign(replica, sign) => self.on_sign(&replica, sign),
             ToControl::Health(replica, health) => self.on_health(&replica, health),
+            ToControl::TellReplicas => self.tell_gathered(),
             ToControl::Replicas(news) => self.on_replicas(news),
             ToControl::Configuration(news) => self.on_configuration(news),
             ToControl::Fetched(from, Fetched::Configuration(text)) => {
@@ -166,8 +169,9 @@
         }
         self.shared.set_nodes(self.fleet.alive().count() + 1);
         let change = self.placing.knowledge.replicas.tick(now, FORGET_AFTER);
-        self.on_list_change(&change);
-        self.placing.knowledge.forget_gone();
+        if !change.leaving.is_empty() {
+            self.on_list_change(&change);
+        }
         self.placing.tell_leads(&self.fleet);
         self.placing.lead(&self.fleet);
         self.watching.set(self.watchers.should_watch(self.fleet.alive(), now));
@@ -192,6 +196,7 @@
             return;
         }
         self.last_status = now;
+        self.placing.knowledge.forget_gone();
         self.shared.set_status(self.placing.status(&self.fleet));
         self.shared.metrics.on_levels(&Levels {
             waiting: self.placing.waiting(),
@@ -207,13 +212,7 @@
         if !std::mem::take(&mut self.list_is_old) {
             return;
         }
-        let (leaving, staying): (Vec<&Replica>, Vec<&Replica>) =
-            self.placing.knowledge.replicas.iter().partition(|replica| replica.leaving.is_some());
-        self.shared.set_replica_list(ReplicaList {
-            at: self.replicas_at,
-            records: staying.iter().map(|replica| (*replica.record).clone()).collect(),
-            leaving: leaving.iter().map(|replica| replica.record.id.clone()).collect(),
-        });
+        self.shared.set_replica_list(self.placing.knowledge.replicas.list(self.replicas_at));
     }
 
     fn on_datagram(&mut self, datagram: Datagram) {
@@ -279,12 +278,13 @@
         }
         self.fetches_replicas = true;
         let shared = self.shared.clone();
-        let replicas = self.placing.knowledge.replicas.iter().count() as u32;
+        let replicas = self.placing.knowledge.replicas.len() as u32;
         let pause = NEWS_FIRST + NEWS_FIRST_PER_REPLICA * replicas;
         tokio::task::spawn_local(async move {
             tokio::time::sleep(pause).await;
             if shared.replicas_at() < theirs {
-                peer_port::fetch_replicas(shared, from).await;
+                let known = shared.replicas_at();
+                peer_port::fetch_replicas(shared, from, known).await;
             } else {
                 shared.tell(ToControl::Fetched(from, Fetched::Replicas(None)));
             }
@@ -296,14 +296,9 @@
         let Some(list) = list.filter(|list| list.at > self.replicas_at) else {
             return;
         };
-        info!(event = "replicas_fetched", from:% = from, replicas = list.records.len(), at = list.at, before = self.replicas_at; "another node handed its replicas over");
-        let now = self.shared.now();
-        let replicas = &mut self.placing.knowledge.replicas;
-        let mut change = replicas.on_list(list.records, true, now);
-        change
-            .leaving
-            .extend(list.leaving.into_iter().filter(|id| replicas.on_sign(id, LeavingSign::Told, now)));
+        info!(event = "replicas_fetched", from:% = from, whole = list.is_whole, staying = list.staying.len(), leaving = list.leaving.len(), at = list.at, before = self.replicas_at; "another node handed its replicas over");
         self.replicas_at = list.at;
+        let change = self.placing.knowledge.replicas.on_handed_list(list, self.shared.now());
         self.after_replica_news(&change);
     }
 
@@ -379,8 +374,34 @@
         let added: Vec<ReplicaRecord> = added.map(|replica| (*replica.record).clone()).collect();
         // Without any change too, so that nobody takes the new revision for missed news.
         if self.replicas_at > before {
-            let news = ReplicaNews { before, at, added, leaving: change.leaving };
+            self.gather(ReplicaNews { before, at, added, leaving: change.leaving });
+        }
+    }
+
+    /// Tells other nodes, together with what follows soon.
+    fn gather(&mut self, news: ReplicaNews) {
+        match self.gathering.add(news, self.shared.now()) {
+            Some(Duration::ZERO) => self.tell_gathered(),
+            Some(pause) => {
+                let shared = self.shared.clone();
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(pause).await;
+                    shared.tell(ToControl::TellReplicas);
+                });
+            }
+            None => {}
+        }
+    }
+
+    fn tell_gathered(&mut self) {
+        let replicas = self.placing.knowledge.replicas.len();
+        let Some(news) = self.gathering.take(replicas, self.shared.now()) else {
+            return;
+        };
+        if news.fits() {
             self.tell(&PeerMessage::Replicas(news));
+        } else {
+            info!(event = "news_not_told", added = news.added.len(), leaving = news.leaving.len(), at = news.at; "too many changes for a message: other nodes fetch them");
         }
     }
 
@@ -390,7 +411,6 @@
         self.replicas_heard = self.shared.now();
         self.on_list_change(change);
         self.shared.set_replicas_at(self.replicas_at);
-        self.list_is_old = true;
         self.check_ready();
     }
 
@@ -420,7 +440,8 @@
         let now = self.shared.now();
         let mut change = ListChange::default();
         for record in &news.added {
-            if self.placing.knowledge.replicas.get(&record.id).is_none() {
+            // One that is thought to leave may stay after all.
+            if self.placing.knowledge.replicas.get(&record.id).is_none_or(|known| known.leaving.is_some()) {
                 self.placing.knowledge.replicas.on_entry(record.clone(), now, &mut change);
             }
         }
@@ -443,6 +464,8 @@
     }
 
     fn on_list_change(&mut self, change: &ListChange) {
+        self.placing.knowledge.replicas.mark(change, self.replicas_at);
+        self.list_is_old = true;
         for id in &change.added {
             if let Some(replica) = self.placing.knowledge.replicas.get(id) {
                 info!(event = "replica_listed", upstream = &**id, service = &*replica.record.service, hall = &*replica.record.hall, address:% = replica.record.address; "replica is listed");
--- a/node/src/gateway/control/inventories.rs
+++ b/node/src/gateway/control/inventories.rs
@@ -40,11 +40,11 @@
         let empty = || Inventory { runs: Vec::new(), last };
         let mut by_service: HashMap<ServiceId, Inventory> =
             self.told.drain().map(|service| (service, empty())).collect();
-        let runs = knowledge.book.iter().filter(|(key, run)| key.entry == *own && run.size.is_some());
-        for (key, run) in runs {
+        let runs = knowledge.book.of_entry(own).filter(|(_, run)| run.size.is_some());
+        for (id, run) in runs {
             if let Some(replica) = knowledge.replicas.get(&run.replica) {
                 let service = replica.record.service.clone();
-                by_service.entry(service).or_insert_with(empty).runs.push((key.run, run.clone()));
+                by_service.entry(service).or_insert_with(empty).runs.push((id, run.clone()));
             }
         }
         let told = by_service.iter().filter(|(_, inventory)| !inventory.runs.is_empty());
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use leadstage_lib::gateway::load::RunId;
+use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::watchers::PulseNumber;
@@ -19,7 +20,6 @@
 use tokio::sync::oneshot;
 
 use crate::gateway::peers::peer_message::Datagram;
-use crate::gateway::peers::peer_message::ReplicaList;
 use crate::gateway::peers::peer_message::Wanted;
 
 /// To the control loop.
@@ -38,6 +38,8 @@
     Sign(UpstreamId, LeavingSign),
     /// A replica was asked for its health.
     Health(UpstreamId, Health),
+    /// It is time to tell other nodes what was gathered of the replicas.
+    TellReplicas,
     /// News of the replicas from the store.
     Replicas(News<ReplicaRecord>),
     /// News of the configuration from the store.
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -9,6 +9,7 @@
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::load::RunId;
+use leadstage_lib::gateway::replica_news::ReplicaNews;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::ServiceId;
@@ -142,28 +143,3 @@
     /// Whether the store answers it.
     pub store: StoreState,
 }
-
-/// What a watcher has learnt of the replicas.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct ReplicaNews {
-    /// The revision up to which the watcher knew the replicas before; 0 for a sign that
-    /// does not come from the store.
-    pub before: Revision,
-    /// The revision up to which it knows them now.
-    pub at: Revision,
-    /// New replicas.
-    pub added: Vec<ReplicaRecord>,
-    /// Replicas that leave.
-    pub leaving: Vec<UpstreamId>,
-}
-
-/// The replicas that a node knows.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-pub struct ReplicaList {
-    /// The store's revision up to which the list holds.
-    pub at: Revision,
-    /// The replicas that stay.
-    pub records: Vec<ReplicaRecord>,
-    /// Those that are known to leave.
-    pub leaving: Vec<UpstreamId>,
-}
--- a/node/src/gateway/peers/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -12,7 +12,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use leadstage_platform::connect::Link;
+use leadstage_platform::store::Revision;
 use log::info;
+use log::warn;
 
 use crate::gateway::messages::Fetched;
 use crate::gateway::messages::ToControl;
@@ -20,7 +22,8 @@
 
 /// Where a node hands its configuration out, as the operator wrote it.
 const CONFIG_PATH: &str = "/config";
-/// Where a node hands its list of replicas out.
+/// Where a node hands out what it knows of the replicas; the query is the revision up to
+/// which the asking node knows them.
 const REPLICAS_PATH: &str = "/replicas";
 /// Time for either to arrive. Many nodes may fetch a large configuration over one small link
 /// at once; the store's is wide, and is asked then.
@@ -30,7 +33,7 @@
 pub fn answer(shared: &Arc<Shared>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
     let body = match req.uri().path() {
         CONFIG_PATH => shared.config_text(),
-        REPLICAS_PATH => serde_json::to_vec(&*shared.replica_list()).ok().map(Bytes::from),
+        REPLICAS_PATH => replicas_since(shared, req.uri().query()),
         _ => None,
     };
     let status = if body.is_some() { StatusCode::OK } else { StatusCode::NOT_FOUND };
@@ -39,16 +42,29 @@
     res
 }
 
+fn replicas_since(shared: &Shared, known: Option<&str>) -> Option<Bytes> {
+    let known: Revision = known?.parse().ok()?;
+    let list = shared.replica_list().since(known);
+    match postcard::to_stdvec(&list) {
+        Ok(bytes) => Some(Bytes::from(bytes)),
+        Err(err) => {
+            warn!(event = "replicas_unwritable", reason:% = err; "the list of replicas can't be encoded");
+            None
+        }
+    }
+}
+
 /// Fetches the configuration from another node and tells the control loop.
 pub async fn fetch_configuration(shared: Arc<Shared>, from: SocketAddr) {
     let text = fetch(from, CONFIG_PATH).await;
     shared.tell(ToControl::Fetched(from, Fetched::Configuration(text)));
 }
 
-/// Fetches the replicas from another node and tells the control loop.
-pub async fn fetch_replicas(shared: Arc<Shared>, from: SocketAddr) {
-    let body = fetch(from, REPLICAS_PATH).await;
-    let list = body.and_then(|body| match serde_json::from_slice(&body) {
+/// Fetches from another node what changed of the replicas since the revision `known`, and
+/// tells the control loop.
+pub async fn fetch_replicas(shared: Arc<Shared>, from: SocketAddr, known: Revision) {
+    let body = fetch(from, &format!("{REPLICAS_PATH}?{known}")).await;
+    let list = body.and_then(|body| match postcard::from_bytes(&body) {
         Ok(list) => Some(list),
         Err(err) => {
             info!(event = "fetch_failed", from:% = from, path = REPLICAS_PATH, reason:% = err; "a node's list can't be read");
@@ -58,7 +74,7 @@
     shared.tell(ToControl::Fetched(from, Fetched::Replicas(list)));
 }
 
-async fn fetch(from: SocketAddr, path: &'static str) -> Option<Bytes> {
+async fn fetch(from: SocketAddr, path: &str) -> Option<Bytes> {
     let req = Request::get(path).header(http::header::HOST, from.to_string()).body(Full::default());
     let answer = Link::new(from).call(req.expect("the request is valid"), FETCH_LIMIT).await;
     match answer {
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::ids::Timestamp;
@@ -25,7 +26,6 @@
 use crate::gateway::messages::Placed;
 use crate::gateway::messages::ToControl;
 use crate::gateway::observability::metrics::GatewayMetrics;
-use crate::gateway::peers::peer_message::ReplicaList;
 use crate::gateway::settings::Bounds;
 use crate::gateway::settings::GatewaySettings;
 
--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_testutils::gateway_replica::ReplicaFault;
 use leadstage_testutils::metadata_store::MetadataStore;
 use leadstage_testutils::metadata_store::StoreFault;
@@ -114,7 +116,7 @@
     let mut served = Vec::new();
     gateway
         .until("all metrics", async || {
-            let text = read(&metrics, "/metrics").await;
+            let text = read_text(&metrics, "/metrics").await;
             let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE leadstage_"));
             served =
                 types.filter_map(|line| line.split(' ').next()).map(|n| format!("leadstage_{n}")).collect();
@@ -127,7 +129,8 @@
         documented_metrics().into_iter().filter(|name| !name.contains("lead_silences")).collect();
     served.retain(|name| !name.contains("lead_silences"));
     assert_eq!(served, expected);
-    let status: serde_json::Value = serde_json::from_str(&read(&metrics, "/status").await).expect("JSON");
+    let status: serde_json::Value =
+        serde_json::from_str(&read_text(&metrics, "/status").await).expect("JSON");
     assert_eq!((&status["readiness"], &status["bundle"]), (&"ready".into(), &1.into()));
 }
 
@@ -140,19 +143,30 @@
     let peer = gateway.peer(0);
     gateway
         .until("it says so", async || {
-            let list: serde_json::Value =
-                serde_json::from_str(&read(&peer, "/replicas").await).expect("JSON");
-            list["leaving"] == serde_json::json!(["booking-1"])
+            let list = replicas_since(&peer, 0).await;
+            let leaving: Vec<_> = list.leaving.iter().map(|changed| changed.item.to_string()).collect();
+            leaving == ["booking-1"] && list.staying.iter().all(|changed| &*changed.item.id != "booking-1")
         })
         .await;
+    let known = replicas_since(&peer, 0).await;
+    let changed = replicas_since(&peer, known.at).await;
+    assert!(changed.staying.is_empty() && changed.leaving.is_empty(), "{changed:?}");
 }
 
-async fn read(address: &str, path: &str) -> String {
+async fn replicas_since(peer: &str, known: u64) -> ReplicaList {
+    let body = read(peer, &format!("/replicas?{known}")).await;
+    postcard::from_bytes(&body).expect("a list")
+}
+
+async fn read_text(address: &str, path: &str) -> String {
+    String::from_utf8_lossy(&read(address, path).await).into_owned()
+}
+
+async fn read(address: &str, path: &str) -> Bytes {
     let req =
         http::Request::get(path).header("host", "x").body(http_body_util::Full::default()).expect("valid");
     let (_connection, res) = crate::gateway_environment::send(address, req).await.expect("it answers");
-    let body = http_body_util::BodyExt::collect(res.into_body()).await.expect("a body").to_bytes();
-    String::from_utf8_lossy(&body).into_owned()
+    http_body_util::BodyExt::collect(res.into_body()).await.expect("a body").to_bytes()
 }
 
 /// A generation that waits at a lead for room is refused by it in time; the asking node
