engines: failures reach the lead; a generation whose copy fails goes back to where it stopped

Its entry node learnt of the failure, the lead that chooses did not; and a generation that was stopped for such a target was given up although the engine that it had run on keeps its memory. Ruled out: evacuation time; the copies were complete after 0.23 to 0.31 s. Now an entry tells the lead of each failure, a failure counts in the engine's share of errors, which costs an engine more than a plain replica, and a first event shows that it is well. A refused or failed resume goes back to the source with the stop's handle, and the next copy avoids that engine.

--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -66,9 +66,12 @@
 const COST_PER_ARRIVING_MS: f64 = 200.0;
 /// Random part of a cost, so that nodes which know the same don't all choose the same.
 const SPREAD_MS: f64 = 8.0;
-/// Cost of a replica all of whose answers are errors, growing with the square of their share:
+/// Cost of a plain replica all of whose answers are errors, growing with the square of their share:
 /// some replicas fail one request in seven for reasons of the request.
 const COST_ALL_ERRORS_MS: f64 = 600.0;
+/// The same for an engine: a generation that it fails is lost, unlike a call that can be
+/// repeated. One failure among its last answers outweighs five running streams.
+const COST_ENGINE_ERRORS_MS: f64 = 8_000.0;
 /// Cost for each failure in a row that a replica had lately.
 const COST_PER_FAILURE_MS: f64 = 100.0;
 
@@ -258,7 +261,7 @@
     ) -> Option<&'a Replica> {
         let costs = candidates.map(|replica| {
             let calls = self.at(&replica.record.id).count() as f64;
-            (calls * COST_PER_CALL_MS + general_cost(replica, hall, now, rng), replica)
+            (calls * COST_PER_CALL_MS + general_cost(replica, hall, COST_ALL_ERRORS_MS, now, rng), replica)
         });
         costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, replica)| replica)
     }
@@ -292,7 +295,7 @@
         let cost = way
             + runs as f64 * COST_PER_RUN_MS
             + beyond * beyond * COST_FULL_MEMORY_MS
-            + general_cost(replica, request.hall, now, rng);
+            + general_cost(replica, request.hall, COST_ENGINE_ERRORS_MS, now, rng);
         EngineChoice { replica, runs, fill, wait, cost }
     }
 }
@@ -327,11 +330,17 @@
     pub moves: bool,
 }
 
-fn general_cost<R: Rng>(replica: &Replica, hall: &HallId, now: Timestamp, rng: &mut R) -> f64 {
+fn general_cost<R: Rng>(
+    replica: &Replica,
+    hall: &HallId,
+    cost_all_errors: f64,
+    now: Timestamp,
+    rng: &mut R,
+) -> f64 {
     let elsewhere = if replica.record.hall == *hall { 0.0 } else { COST_OTHER_HALL_MS };
     let failures = f64::from(replica.failures()) * COST_PER_FAILURE_MS;
     let errors = replica.errors(now);
-    elsewhere + failures + errors * errors * COST_ALL_ERRORS_MS + rng.random::<f64>() * SPREAD_MS
+    elsewhere + failures + errors * errors * cost_all_errors + rng.random::<f64>() * SPREAD_MS
 }
 
 /// Tokens of memory that a generation takes within the horizon.
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -124,7 +124,7 @@
         self.leaving.is_none() && self.rest_until <= now
     }
 
-    /// The share of its answers that were errors of its own lately, 0 to 1.
+    /// The share of its answers that were errors of its own lately, or failed to come, 0 to 1.
     pub fn errors(&self, now: Timestamp) -> f64 {
         let halvings = now.saturating_sub(self.errors_at).as_secs_f64() / ERRORS_HALVE_IN.as_secs_f64();
         self.errors * 0.5_f64.powf(halvings)
@@ -140,11 +140,15 @@
         true
     }
 
-    fn on_answer(&mut self, is_error: bool, now: Timestamp) {
+    fn note_error(&mut self, is_error: bool, now: Timestamp) {
         let newest = if is_error { 1.0 } else { 0.0 };
         let before = self.errors(now);
         self.errors = before + NEWEST_WEIGHT * (newest - before);
         self.errors_at = now;
+    }
+
+    fn on_answer(&mut self, is_error: bool, now: Timestamp) {
+        self.note_error(is_error, now);
         self.failures = 0;
         self.rest_until = Timestamp::ZERO;
     }
@@ -309,6 +313,7 @@
             let rest = FIRST_REST.saturating_mul(1 << replica.failures.min(8)).min(LONGEST_REST);
             replica.failures += 1;
             replica.rest_until = now + rest;
+            replica.note_error(true, now);
         }
     }
 
--- a/lib/tests/test_gateway_load.rs
+++ b/lib/tests/test_gateway_load.rs
@@ -94,6 +94,28 @@
     assert_eq!(choose(&book, &table, 3_000, true), Some("e1".to_owned()));
 }
 
+/// An engine that failed some of its last generations gets none while others have room, even
+/// if they are busier; one that has been well since is used again.
+#[test]
+fn test_engines_that_failed_lately_are_avoided() {
+    let mut table = table(&[("e1", "a"), ("e2", "a")]);
+    let mut book = LoadBook::default();
+    for n in 0..4 {
+        book.add(key(n), run("e2", 2_000, 900, 100), NOW);
+    }
+    assert_eq!(choose(&book, &table, 3_000, false), Some("e1".to_owned()));
+    let before = NOW - Duration::from_millis(400);
+    table.on_answer("e1", false, before);
+    table.on_failure("e1", before);
+    table.on_answer("e1", false, before);
+    assert_eq!(choose(&book, &table, 3_000, false), Some("e2".to_owned()), "one of three");
+    assert_eq!(choose(&book, &table, 3_000, true), Some("e2".to_owned()));
+    for _ in 0..10 {
+        table.on_answer("e1", false, NOW);
+    }
+    assert_eq!(choose(&book, &table, 3_000, false), Some("e1".to_owned()));
+}
+
 #[test]
 fn test_moves_stay_in_their_hall_and_off_busy_links() {
     let table = table(&[("far", "b"), ("near1", "a"), ("near2", "a")]);
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -283,7 +283,7 @@
         let Some(replica) = self.knowledge.book.get(&key).map(|run| run.replica.clone()) else {
             return;
         };
-        self.knowledge.book.on_first_event(&key, self.shared.now());
+        self.note_first_event(&key);
         if let Some(address) = self.other_lead_at(fleet, &replica) {
             self.outbox.send(address, &PeerMessage::FirstEvent(run));
         }
@@ -291,8 +291,16 @@
 
     /// The first event of a generation of another node came.
     pub fn on_first_event(&mut self, from: SocketAddr, run: RunId) {
-        let key = RunKey { entry: node_id(from), run };
-        self.knowledge.book.on_first_event(&key, self.shared.now());
+        self.note_first_event(&RunKey { entry: node_id(from), run });
+    }
+
+    /// An engine that begins to answer does not fail.
+    fn note_first_event(&mut self, key: &RunKey) {
+        let now = self.shared.now();
+        self.knowledge.book.on_first_event(key, now);
+        if let Some(run) = self.knowledge.book.get(key) {
+            self.knowledge.replicas.on_answer(&run.replica, false, now);
+        }
     }
 
     /// A copy for a generation of another node is complete, or is not made after all.
@@ -304,9 +312,30 @@
     /// A request is no longer at its replica.
     pub fn on_ended(&mut self, fleet: &Fleet, run: RunId, outcome: Outcome) {
         self.on_own_copied(fleet, run);
+        if matches!(outcome, Outcome::Errored | Outcome::Failed) {
+            self.tell_failure(fleet, run);
+        }
         self.end(run, outcome);
     }
 
+    /// Tells the lead that an engine failed a generation of this node: it sees the outcomes
+    /// of its own only.
+    fn tell_failure(&self, fleet: &Fleet, run: RunId) {
+        let run = self.knowledge.book.get(&self.own_key(run)).filter(|run| run.size.is_some());
+        let Some(engine) = run.map(|run| run.replica.clone()) else {
+            return;
+        };
+        if let Some(lead) = self.other_lead_at(fleet, &engine) {
+            self.outbox.send(lead, &PeerMessage::EngineFailed(engine));
+        }
+    }
+
+    /// An engine failed a generation of another node.
+    pub fn on_engine_failed(&mut self, engine: &UpstreamId) {
+        info!(event = "engine_failed", upstream = &**engine; "an engine failed another node's generation");
+        self.knowledge.replicas.on_failure(engine, self.shared.now());
+    }
+
     fn end(&mut self, run: RunId, outcome: Outcome) {
         self.streams.remove(&run);
         let key = self.own_key(run);
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -56,6 +56,8 @@
     Waits(RunId),
     /// The generation's first event came.
     FirstEvent(RunId),
+    /// An engine failed a generation of the sender.
+    EngineFailed(UpstreamId),
     /// The generation's copy is complete, or is not made after all.
     Copied(RunId),
     /// The generation should move away from this engine.
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -6,4 +6,5 @@
 pub mod exchange;
 pub mod pace;
 pub mod relay;
+pub mod resuming;
 pub mod traffic;
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -33,12 +33,15 @@
     pub target: RunGuard,
     /// Names the copy.
     pub handle: CopyHandle,
+    /// Whether the stop of the generation was answered.
+    pub stop_is_known: bool,
 }
 
 impl Copied {
     /// Takes the answer to the stop in. Returns whether the generation stopped, as far as
     /// can be known; if not, it had just ended and the rest of its stream is on its way.
     pub fn note_stop(&mut self, outcome: Option<CopyOutcome>) -> bool {
+        self.stop_is_known = true;
         match outcome {
             Some(CopyOutcome::Done { handle, .. } | CopyOutcome::NoRoom { handle: Some(handle) }) => {
                 self.handle = handle;
@@ -93,6 +96,8 @@
     pub handle: StreamHandle,
     /// The engine that it runs on.
     pub source: Arc<ReplicaRecord>,
+    /// Engines that it can't go on at.
+    pub avoid: Vec<UpstreamId>,
     /// How long to go on trying.
     pub insist: Duration,
 }
@@ -105,7 +110,9 @@
             tokio::time::sleep(evacuation::start_delay(self.req.generation_size(), produced)).await;
         }
         let until = Instant::now() + self.insist;
-        let mut exclude: Vec<UpstreamId> = vec![self.source.id.clone()];
+        let mut exclude = vec![self.source.id.clone()];
+        exclude.extend(self.avoid.iter().cloned());
+        let always = exclude.len();
         loop {
             match self.target(&exclude).await {
                 Some(target) => match self.copy_to(target).await {
@@ -115,7 +122,7 @@
                     Err(NotCopied::Later) => tokio::time::sleep(COPY_PAUSE).await,
                 },
                 None => {
-                    exclude.truncate(1);
+                    exclude.truncate(always);
                     tokio::time::sleep(COPY_PAUSE).await;
                 }
             }
@@ -156,7 +163,7 @@
         match called {
             Ok(CopyOutcome::Done { handle, .. }) => {
                 self.traffic.shared.tell(ToControl::Copied(target.placed.run));
-                Ok(Copied { target, handle })
+                Ok(Copied { target, handle, stop_is_known: false })
             }
             Ok(CopyOutcome::NotRunning | CopyOutcome::Busy) => Err(NotCopied::Later),
             Ok(CopyOutcome::NoRoom { .. } | CopyOutcome::Unexpected(_)) => {
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::engine;
 use leadstage_platform::engine::CopySource;
@@ -29,9 +30,10 @@
 use crate::gateway::upstream::copying::NotCopied;
 use crate::gateway::upstream::copying::Step;
 use crate::gateway::upstream::event_stream::EventSplitter;
-use crate::gateway::upstream::exchange;
 use crate::gateway::upstream::exchange::Exchange;
 use crate::gateway::upstream::pace::Pace;
+use crate::gateway::upstream::resuming;
+use crate::gateway::upstream::resuming::NotResumed;
 use crate::gateway::upstream::traffic::Traffic;
 
 /// How long an engine that is leaving is asked for copies: the longest that one serves on.
@@ -79,6 +81,8 @@
     stopping: Option<Copied>,
     /// Engines that leave, of those that the generation ran or was to run on.
     leaving: Vec<UpstreamId>,
+    /// Engines that could not go on with it.
+    failing: Vec<UpstreamId>,
     moves: u32,
     pace: Pace,
 }
@@ -108,6 +112,7 @@
             moving: None,
             stopping: None,
             leaving: Vec::new(),
+            failing: Vec::new(),
             moves: 0,
             pace: Pace::default(),
         }
@@ -212,6 +217,7 @@
             req: self.req.clone(),
             handle: self.handle.clone(),
             source: self.leg.run.placed.replica.clone(),
+            avoid: self.failing.clone(),
             insist,
         };
         let steps = self.steps_tx.clone();
@@ -316,57 +322,62 @@
     async fn go_on_elsewhere(&mut self) -> Result<(), End> {
         self.events.drop_part();
         let mut copied = self.stopping.take().ok_or(End::EngineLost)?;
-        let mut resumed = self.resume(&copied).await;
-        if matches!(resumed, Err(NotResumed::Refused)) {
-            let answer = tokio::time::timeout(STOP_ANSWER_LIMIT, self.steps.recv()).await;
-            if let Ok(Some(Step::StopAnswered(outcome))) = answer
-                && copied.note_stop(outcome)
-            {
-                resumed = self.resume(&copied).await;
-            }
+        let mut resumed = self.resume(&copied.target.placed.replica, &copied).await;
+        if matches!(resumed, Err(NotResumed::Refused)) && self.await_stop(&mut copied).await {
+            resumed = self.resume(&copied.target.placed.replica, &copied).await;
+        }
+        match resumed {
+            Ok(exchange) => self.move_to(Leg { run: copied.target, exchange }),
+            Err(NotResumed::Unknown) => return Err(End::EngineLost),
+            Err(why) => self.go_back(copied, why).await?,
         }
         self.moving = None;
-        let exchange = resumed.map_err(|_| End::EngineLost)?;
-        let leg = Leg { run: copied.target, exchange };
-        self.traffic.shared.metrics.on_move("resume", "done");
+        self.leave();
+        Ok(())
+    }
+
+    fn move_to(&mut self, leg: Leg) {
         info!(event = "moved", request = self.req.id(), from = &*self.leg.run.placed.replica.id, upstream = &*leg.run.placed.replica.id, events = self.events.events(); "generation moved");
         let old = std::mem::replace(&mut self.leg, leg);
         old.run.end(Outcome::Withdrawn);
         self.moves += 1;
-        self.leave();
+    }
+
+    /// The engine with the copy does not go on: the one where the generation stopped keeps
+    /// its memory, and goes on if it is still there. Another engine is tried next.
+    async fn go_back(&mut self, mut copied: Copied, why: NotResumed) -> Result<(), End> {
+        let here = self.leg.run.placed.replica.clone();
+        let failing = copied.target.placed.replica.id.clone();
+        self.await_stop(&mut copied).await;
+        let exchange = self.resume(&here, &copied).await.map_err(|_| End::EngineLost)?;
+        info!(event = "went_back", request = self.req.id(), upstream = &*here.id, failing = &*failing, reason:% = why; "the generation goes on where it stopped");
+        copied.target.end(if why == NotResumed::Failed { Outcome::Failed } else { Outcome::Refused });
+        self.failing.push(failing);
+        self.leg.exchange = exchange;
         Ok(())
     }
 
-    async fn resume(&self, copied: &Copied) -> Result<Exchange, NotResumed> {
+    /// Waits for the answer to the stop, if it has not come yet. Returns whether it came
+    /// now, and says that the generation stopped.
+    async fn await_stop(&mut self, copied: &mut Copied) -> bool {
+        if copied.stop_is_known {
+            return false;
+        }
+        match tokio::time::timeout(STOP_ANSWER_LIMIT, self.steps.recv()).await {
+            Ok(Some(Step::StopAnswered(outcome))) => copied.note_stop(outcome),
+            _ => false,
+        }
+    }
+
+    async fn resume(&self, engine: &ReplicaRecord, copied: &Copied) -> Result<Exchange, NotResumed> {
         let source = CopySource {
             engine: self.leg.run.placed.replica.address,
             copy: copied.handle.clone(),
             last_event: self.events.last_id().map(str::to_owned),
         };
-        let replica = &copied.target.placed.replica;
-        let added = self.req.added(&replica.id, Some(&source));
-        let sent = exchange::send(&self.traffic, replica, &self.req, &added, self.req.until).await;
-        match sent {
-            Ok(exchanged) if exchanged.status.is_success() => Ok(exchanged),
-            Ok(exchanged) => {
-                info!(event = "move_refused", request = self.req.id(), upstream = &*replica.id, status = exchanged.status.as_u16(); "the copy was refused");
-                self.traffic.shared.metrics.on_move("resume", "refused");
-                Err(NotResumed::Refused)
-            }
-            Err(err) => {
-                self.traffic.shared.metrics.on_move("resume", "failed");
-                info!(event = "move_failed", request = self.req.id(), upstream = &*replica.id, reason:% = err; "the copy could not be used");
-                Err(NotResumed::Failed)
-            }
-        }
+        let resumed = resuming::resume(&self.traffic, &self.req, engine, &source).await;
+        let outcome = resumed.as_ref().map_or_else(|why| why.label(), |_| "done");
+        self.traffic.shared.metrics.on_move("resume", outcome);
+        resumed
     }
 }
-
-/// Why a generation did not go on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum NotResumed {
-    /// The engine did not take the copy; nothing ran.
-    Refused,
-    /// The engine did not answer.
-    Failed,
-}
--- /dev/null
+++ b/node/src/gateway/upstream/resuming.rs
@@ -0,0 +1,56 @@
+//! Sends a stopped generation's request again, to go on from a copy of its memory.
+
+use derive_more::Display;
+use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_platform::engine::CopySource;
+use log::info;
+
+use crate::gateway::request::CallerRequest;
+use crate::gateway::upstream::exchange;
+use crate::gateway::upstream::exchange::Exchange;
+use crate::gateway::upstream::exchange::SendError;
+use crate::gateway::upstream::traffic::Traffic;
+
+/// Why a generation did not go on at an engine.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("{}", self.label())]
+pub enum NotResumed {
+    /// The engine did not take the copy; nothing ran.
+    Refused,
+    /// The engine could not be reached, or answered with an error: the generation does not
+    /// run there.
+    Failed,
+    /// The engine did not answer: the generation may run there.
+    Unknown,
+}
+
+impl NotResumed {
+    /// The reason as a label of metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            NotResumed::Refused => "refused",
+            NotResumed::Failed => "failed",
+            NotResumed::Unknown => "no answer",
+        }
+    }
+}
+
+/// Goes on with a generation at `engine`, from `source`.
+pub async fn resume(
+    traffic: &Traffic,
+    req: &CallerRequest,
+    engine: &ReplicaRecord,
+    source: &CopySource,
+) -> Result<Exchange, NotResumed> {
+    let added = req.added(&engine.id, Some(source));
+    let sent = exchange::send(traffic, engine, req, &added, req.until).await;
+    let (why, reason) = match sent {
+        Ok(exchanged) if exchanged.status.is_success() => return Ok(exchanged),
+        Ok(exchanged) if exchanged.says_not_run() => (NotResumed::Refused, exchanged.status.to_string()),
+        Ok(exchanged) => (NotResumed::Failed, exchanged.status.to_string()),
+        Err(err @ SendError::NotSent(_)) => (NotResumed::Failed, err.to_string()),
+        Err(err) => (NotResumed::Unknown, err.to_string()),
+    };
+    info!(event = "move_failed", request = req.id(), upstream = &*engine.id, outcome:% = why, reason = reason; "a generation could not go on from its copy");
+    Err(why)
+}
--- a/node/tests/test_gateway_streams.rs
+++ b/node/tests/test_gateway_streams.rs
@@ -27,6 +27,8 @@
     StopHangs,
     /// It dies without a word.
     Dies,
+    /// It leaves, and the other engines answer with errors where the generation is to go on.
+    TargetsFail,
     /// It and the engine that the generation moved to leave one after the other.
     LeavesTwice,
 }
@@ -62,6 +64,14 @@
             gateway.drain(MODEL, engine);
         }
         Fault::Dies => engine.server = None,
+        Fault::TargetsFail => {
+            let first = engine.replica.id.clone();
+            for other in models.iter().filter(|m| m.replica.id != first) {
+                other.replica.set_copy_fault(CopyFault::ResumeFails);
+            }
+            let engine = models.iter().find(|m| m.replica.id == first).expect("it runs");
+            gateway.drain(MODEL, engine);
+        }
         Fault::LeavesTwice => {
             let first = engine.replica.id.clone();
             gateway.drain(MODEL, engine);
@@ -98,6 +108,7 @@
         Fault::DiesWhileCopying,
         Fault::StopHangs,
         Fault::Dies,
+        Fault::TargetsFail,
         Fault::LeavesTwice,
     ] {
         let (called, engines, logs) = play(fault).await;
@@ -112,6 +123,7 @@
     DiesWhileCopying: whole false, engines 1
     StopHangs: whole true, engines 2
     Dies: whole false, engines 1
+    TargetsFail: whole true, engines 5
     LeavesTwice: whole true, engines 3
     ");
 }
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -54,6 +54,8 @@
     CopyHangs,
     /// Stops the generation and never answers.
     StopHangs,
+    /// Fails whoever wants to go on with a copy there; the copy stays.
+    ResumeFails,
 }
 
 /// Stands for the events of a generation that is to be cut off next.
@@ -221,12 +223,18 @@
     fn stream(self: Arc<Self>, req: &Request<Bytes>) -> Response<Body> {
         let id = text(req.headers(), "leadstage-request-id");
         let from = match req.headers().get("kv-from") {
+            Some(_) if self.state().copy_fault == CopyFault::ResumeFails => {
+                let mut res = status(500);
+                *res.headers_mut() = self.headers(req.headers(), ReplicaFault::None);
+                return res;
+            }
             Some(copy) => {
                 let copy = copy.to_str().unwrap_or("").to_owned();
                 let used = self.copies.0.lock().expect("no holder panics").remove(&copy);
                 if used.is_none() {
                     return self.not_run(req.headers());
                 }
+                self.state().stopped.retain(|stopped| *stopped != id);
                 text(req.headers(), "last-event-id").parse().unwrap_or(0)
             }
             None => 0,
