watchers: one learns of each change at once, the others gather for 0.5 s; starting nodes say 1 s

Cause: three watchers asked the store anew after each change, though the first tells all. A standby now gathers for 0.5 s before it asks on; if the first is silent or turned away, the next takes its place (test_the_first_watcher_that_works_is_first). A starting node refused callers for 0.3 s; after a loss of power they came back to another starting node. A failed single read of the store counted as done in the metrics; it counts as failed.

--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -36,6 +36,29 @@
 
 const RANKING: &str = "store watchers";
 
+/// A standby gathers the store's changes for this long before it asks for more: the first
+/// watcher has told them by then, and each question is priced.
+const STANDBY_GATHERS: Duration = Duration::from_millis(500);
+
+/// How a node follows the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchRole {
+    /// It learns of each change at once.
+    First,
+    /// Watchers before it do; it is there for what they miss.
+    Standby,
+}
+
+impl WatchRole {
+    /// Pause between a change and the question for the next.
+    pub fn gathers_for(self) -> Duration {
+        match self {
+            WatchRole::First => Duration::ZERO,
+            WatchRole::Standby => STANDBY_GATHERS,
+        }
+    }
+}
+
 /// Numbers a watcher's pulses; they rise, also over its restarts.
 pub type PulseNumber = u64;
 
@@ -121,10 +144,10 @@
         doubt.is_some_and(|doubt| self.last_answer.is_none_or(|answer| answer < doubt))
     }
 
-    /// Whether this node should follow the store.
-    pub fn should_watch<'a>(&'a self, alive: impl Iterator<Item = &'a VmId>, now: Timestamp) -> bool {
+    /// How this node should follow the store, if it should.
+    pub fn role<'a>(&'a self, alive: impl Iterator<Item = &'a VmId>, now: Timestamp) -> Option<WatchRole> {
         if now < LISTEN_FIRST {
-            return false;
+            return None;
         }
         let mut ranking: Vec<&VmId> = alive.chain(std::iter::once(&self.own)).collect();
         ranking.sort_by_key(|node| std::cmp::Reverse(rendezvous::weight(RANKING, node)));
@@ -132,7 +155,9 @@
         let rank = ranking.iter().position(|node| **node == self.own).unwrap_or(0);
         let first = &ranking[..WATCHERS.min(ranking.len())];
         let none_answered = || first.iter().all(|node| self.fails(node, now));
-        rank < WATCHERS || (rank < 2 * WATCHERS && none_answered()) || self.is_alone(now)
+        let watches = rank < WATCHERS || (rank < 2 * WATCHERS && none_answered()) || self.is_alone(now);
+        let is_first = ranking[..rank].iter().all(|node| self.fails(node, now));
+        watches.then_some(if is_first { WatchRole::First } else { WatchRole::Standby })
     }
 
     /// Whether a watcher is silent, or says that the store does not answer it.
--- a/lib/tests/test_gateway_watchers.rs
+++ b/lib/tests/test_gateway_watchers.rs
@@ -4,6 +4,7 @@
 
 use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::gateway::watchers::WATCHERS;
+use leadstage_lib::gateway::watchers::WatchRole;
 use leadstage_lib::gateway::watchers::Watchers;
 use leadstage_lib::ids::VmId;
 
@@ -23,7 +24,7 @@
             let state = if *answers { StoreState::Answers } else { StoreState::Away };
             view.on_pulse(&nodes[*watcher], 1, state, LATER);
         }
-        if view.should_watch(nodes.iter().filter(|node| *node != own), LATER) {
+        if view.role(nodes.iter().filter(|node| *node != own), LATER).is_some() {
             watching.push(at);
         }
     }
@@ -67,7 +68,7 @@
         views
             .iter()
             .zip(&nodes)
-            .filter(|(view, own)| view.should_watch(nodes.iter().filter(|node| node != own), now))
+            .filter(|(view, own)| view.role(nodes.iter().filter(|node| node != own), now).is_some())
             .count()
     };
     assert_eq!(alone(Duration::from_millis(100)), 0, "it listens first");
@@ -117,6 +118,33 @@
         for watcher in &first {
             view.on_pulse(&nodes[*watcher], 1, StoreState::Late, LATER);
         }
-        assert!(!view.should_watch(nodes.iter().filter(|node| *node != own), LATER));
+        assert_eq!(view.role(nodes.iter().filter(|node| *node != own), LATER), None);
     }
 }
+
+/// One watcher learns of each change at once, the others gather; if the store fails it or it
+/// falls silent, the next one takes its place.
+#[test]
+fn test_the_first_watcher_that_works_is_first() {
+    let nodes = nodes(9);
+    let firsts = |pulses: &[(usize, bool)]| {
+        let mut firsts = Vec::new();
+        for (at, own) in nodes.iter().enumerate() {
+            let mut view = Watchers::new(own.clone());
+            for (watcher, answers) in pulses {
+                let state = if *answers { StoreState::Answers } else { StoreState::Away };
+                view.on_pulse(&nodes[*watcher], 1, state, LATER);
+            }
+            if view.role(nodes.iter().filter(|node| *node != own), LATER) == Some(WatchRole::First) {
+                firsts.push(at);
+            }
+        }
+        firsts
+    };
+    let all: Vec<(usize, bool)> = (0..nodes.len()).map(|at| (at, true)).collect();
+    let [first] = firsts(&all)[..] else { panic!("one first") };
+    let turned_away: Vec<(usize, bool)> = all.iter().map(|(at, _)| (*at, *at != first)).collect();
+    let [_, second] = firsts(&turned_away)[..] else { panic!("it tries on, and the next is first") };
+    let silent: Vec<(usize, bool)> = all.iter().copied().filter(|(at, _)| *at != first).collect();
+    assert!(firsts(&silent).contains(&second));
+}
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -174,7 +174,7 @@
         }
         self.placing.tell_leads(&self.fleet);
         self.placing.lead(&self.fleet);
-        self.watching.set(self.watchers.should_watch(self.fleet.alive(), now));
+        self.watching.set(self.watchers.role(self.fleet.alive(), now));
         if !self.watchers.store_answers(now) {
             self.lapses_until = now + LAPSED_GRACE + LAPSES_TOLD_WITHIN;
         }
--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -1,6 +1,7 @@
 //! Follows a kind of objects in the platform's store: lists it, then waits for changes.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,26 +24,32 @@
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// Pause between a change and the next watch; it changes with the node's role.
+pub type Gather = Rc<Cell<Duration>>;
+
 /// Reads a kind once. For a starting node what may be some seconds old is enough, as other
 /// nodes tell what is newer, and costs a tenth.
 pub async fn read_once<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl, age: Age) {
     let mut store = Store::new(shared.settings.store);
     match store.list::<K>(age, note_unreadable::<K>).await {
-        Ok(list) => shared.tell(wrap(News::Listed { list, after_outage: true })),
+        Ok(list) => {
+            shared.metrics.on_store_call("read", "answered");
+            shared.tell(wrap(News::Listed { list, after_outage: true }));
+        }
         Err(err) => {
-            info!(event = "store_lost", kind = K::NAME, reason:% = err; "the store does not answer a node that reads once")
+            shared.metrics.on_store_call("read", "failed");
+            info!(event = "store_lost", kind = K::NAME, reason:% = err; "the store does not answer a node that reads once");
         }
     }
-    shared.metrics.on_store_call("read", "done");
 }
 
 /// Follows the kind `K` until the process ends, and tells the control loop what it learns.
-pub async fn follow<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl) {
+pub async fn follow<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl, gather: Gather) {
     let mut store = Store::new(shared.settings.store);
     let mut backoff = Backoff::new(LEAST_PAUSE, LONGEST_PAUSE);
     let lost = Cell::new(false);
     loop {
-        let err = match follow_once::<K>(&mut store, &shared, wrap, &mut backoff, &lost).await {
+        let err = match follow_once::<K>(&mut store, &shared, wrap, &gather, &mut backoff, &lost).await {
             StoreError::HistoryGone => {
                 info!(event = "store_history_gone", kind = K::NAME; "the store's history is gone: lists anew");
                 continue;
@@ -63,6 +70,7 @@
     store: &mut Store,
     shared: &Shared,
     wrap: fn(News<K::Item>) -> ToControl,
+    gather: &Gather,
     backoff: &mut Backoff,
     lost: &Cell<bool>,
 ) -> StoreError {
@@ -86,6 +94,9 @@
                 shared.metrics.on_store_call("watch", "answered");
                 shared.set_store_answers(true);
                 shared.tell(wrap(News::Changed(changes)));
+                if !gather.get().is_zero() {
+                    tokio::time::sleep(gather.get()).await;
+                }
             }
             Err(err) => return err,
         }
--- a/node/src/gateway/control/watching.rs
+++ b/node/src/gateway/control/watching.rs
@@ -6,6 +6,7 @@
 use leadstage_lib::gateway::watchers::PULSE_INTERVAL;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
+use leadstage_lib::gateway::watchers::WatchRole;
 use leadstage_platform::store::Configuration;
 use leadstage_platform::store::Replicas;
 use leadstage_platform::store::Store;
@@ -15,6 +16,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::control::follow;
+use crate::gateway::control::follow::Gather;
 use crate::gateway::messages::ToControl;
 use crate::gateway::shared::Shared;
 use crate::shared::unix_millis;
@@ -39,27 +41,37 @@
 /// This node's watching.
 pub struct Watching {
     shared: Arc<Shared>,
+    role: Option<WatchRole>,
+    gather: Gather,
     tasks: Option<Tasks>,
 }
 
 impl Watching {
     /// Does not watch yet.
     pub fn new(shared: Arc<Shared>) -> Self {
-        Watching { shared, tasks: None }
+        Watching { shared, role: None, gather: Gather::default(), tasks: None }
     }
 
-    /// Begins or ends to watch.
-    pub fn set(&mut self, watch: bool) {
-        if watch == self.tasks.is_some() {
+    /// Begins or ends to watch, or changes how.
+    pub fn set(&mut self, role: Option<WatchRole>) {
+        if role == self.role {
             return;
         }
-        info!(event = "store_watch", watch; "this node begins or ends to follow the store for others");
-        self.tasks = watch.then(|| self.start());
+        info!(event = "store_watch", before:? = self.role, now:? = role; "this node follows the store for others, or no longer");
+        self.role = role;
+        self.gather.set(role.map_or(Duration::ZERO, WatchRole::gathers_for));
+        if role.is_none() {
+            self.tasks = None;
+        } else if self.tasks.is_none() {
+            self.tasks = Some(self.start());
+        }
     }
 
     fn start(&self) -> Tasks {
-        let configuration = follow::follow::<Configuration>(self.shared.clone(), ToControl::Configuration);
-        let replicas = follow::follow::<Replicas>(self.shared.clone(), ToControl::Replicas);
+        let (shared, gather) = (&self.shared, &self.gather);
+        let configuration =
+            follow::follow::<Configuration>(shared.clone(), ToControl::Configuration, gather.clone());
+        let replicas = follow::follow::<Replicas>(shared.clone(), ToControl::Replicas, gather.clone());
         Tasks {
             _configuration: AbortOnDropHandle::new(tokio::task::spawn_local(configuration)),
             _replicas: AbortOnDropHandle::new(tokio::task::spawn_local(replicas)),
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -33,6 +33,11 @@
 /// The least urgent level at an engine.
 const LEAST_URGENT: u8 = 9;
 
+/// When callers come back that a starting node refused. Nodes usually start one by one and
+/// within some tens of milliseconds, but all at once, as after a loss of power, they wait for
+/// the store; who comes back too early is refused by another starting node.
+const STARTS_WITHIN: Duration = Duration::from_secs(1);
+
 /// A caller's request, read whole and admitted.
 pub struct CallerRequest {
     /// The method.
@@ -103,7 +108,8 @@
 /// Admits a request, or says why not.
 pub async fn admit(shared: &Shared, req: Request<Incoming>) -> Result<CallerRequest, Refusal> {
     let came = Instant::now();
-    let table = shared.table().ok_or(Refusal::new(Code::NotReady))?;
+    let not_ready = Refusal { code: Code::NotReady, retry_after: Some(STARTS_WITHIN) };
+    let table = shared.table().ok_or(not_ready)?;
     let (head, body) = req.into_parts();
     let route = table.route(host(&head.uri, &head.headers), head.uri.path()).map_err(refuse)?;
     let organisation = table.organisation(&route, headers::key(&head.headers)).map_err(refuse)?;
