callers: limits hold at once for heads that stall and for idle connections

Cause: a connection looked at its limits when the pause computed at the last look was over. An idle connection with 15 s to go did not see that a head had begun to arrive and stalled, nor that a new configuration had shortened its time. Now each look follows what happens on the connection, and a new configuration wakes it.

--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -44,6 +44,8 @@
 };
 /// The least that the server's buffer may have.
 const LEAST_HEAD_BYTES: usize = 8 << 10;
+/// Time for a connection that broke a limit to close by itself.
+const CLOSES_WITHIN: Duration = Duration::from_millis(100);
 /// Time between two sweeps of unused connections.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -85,27 +87,28 @@
     builder.max_buf_size(limits(&shared).head_bytes.max(LEAST_HEAD_BYTES)).half_close(false);
     let mut connection = std::pin::pin!(builder.serve_connection(io, service));
     let mut closing = std::pin::pin!(stop::close_unused(&shared));
-    let mut asked_to_close = false;
-    loop {
-        let pause = match activity.check(&limits(&shared)) {
-            Some(pause) => pause,
-            None if asked_to_close => return,
-            None => {
-                connection.as_mut().graceful_shutdown();
-                asked_to_close = true;
-                Duration::from_millis(100)
-            }
-        };
+    let mut breaks = std::pin::pin!(activity.breaks(|| limits(&shared)));
+    let mut versions = shared.config_versions();
+    let (mut asked_to_close, mut broke) = (false, false);
+    while !broke {
         tokio::select! {
+            biased;
             // What breaks a connection concerns its caller only, and requests log their ends.
             _ = connection.as_mut() => return,
+            () = &mut breaks => {
+                connection.as_mut().graceful_shutdown();
+                broke = true;
+            }
             () = &mut closing, if !asked_to_close => {
                 connection.as_mut().graceful_shutdown();
                 asked_to_close = true;
             }
-            () = tokio::time::sleep(pause) => {}
+            // New limits may be shorter.
+            Ok(()) = versions.changed() => {}
         }
     }
+    // An answer that is being written goes out; a connection that stalls is dropped.
+    let _ = tokio::time::timeout(CLOSES_WITHIN, connection).await;
 }
 
 async fn handle(traffic: &Traffic, req: Request<Incoming>, activity: &Activity) -> Reply {
--- a/node/src/gateway/ingress/io_watch.rs
+++ b/node/src/gateway/ingress/io_watch.rs
@@ -2,6 +2,7 @@
 //! hold for open connections too.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -16,6 +17,10 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+/// Time between two looks at a connection whose request is being served: no limit holds then,
+/// and the connection is looked at whenever something happens on it.
+const LONGEST_LOOK: Duration = Duration::from_secs(60);
+
 /// What a caller's connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Doing {
@@ -48,14 +53,34 @@
         matches!(self.0.get(), Doing::Idle(_))
     }
 
-    /// When to look again; `None` if the connection broke a limit.
-    pub fn check(&self, limits: &CallerLimits) -> Option<Duration> {
-        let (since, limit) = match self.0.get() {
-            Doing::Serving => return Some(limits.idle.min(limits.head_within)),
-            Doing::Idle(since) => (since, limits.idle),
-            Doing::Head(since) => (since, limits.head_within),
-        };
-        limit.checked_sub(since.elapsed()).filter(|left| !left.is_zero())
+    /// Waits until the connection breaks a limit. The limits may change: whoever polls this
+    /// beside the connection wakes it when they do.
+    pub async fn breaks(&self, limits: impl Fn() -> CallerLimits) {
+        let mut look = std::pin::pin!(tokio::time::sleep(LONGEST_LOOK));
+        std::future::poll_fn(|cx| {
+            loop {
+                let due = self.due(&limits());
+                if due <= Instant::now() {
+                    return Poll::Ready(());
+                }
+                if due < look.deadline() || look.is_elapsed() {
+                    look.as_mut().reset(due);
+                }
+                if look.as_mut().poll(cx).is_pending() {
+                    return Poll::Pending;
+                }
+            }
+        })
+        .await;
+    }
+
+    /// When the connection breaks a limit if nothing happens on it.
+    fn due(&self, limits: &CallerLimits) -> Instant {
+        match self.0.get() {
+            Doing::Serving => Instant::now() + LONGEST_LOOK,
+            Doing::Idle(since) => since + limits.idle,
+            Doing::Head(since) => since + limits.head_within,
+        }
     }
 
     fn on_read(&self) {
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -50,6 +50,7 @@
     started: Instant,
     control: UnboundedSender<ToControl>,
     table: RwLock<Option<(Arc<RoutingTable>, Bytes)>>,
+    config_versions: watch::Sender<ConfigVersion>,
     phase: watch::Sender<Phase>,
     open: AtomicUsize,
     stop_began: OnceLock<Timestamp>,
@@ -79,6 +80,7 @@
             started: Instant::now(),
             control,
             table: RwLock::new(None),
+            config_versions: watch::Sender::new(0),
             phase: watch::Sender::new(Phase::Starting),
             open: AtomicUsize::new(0),
             stop_began: OnceLock::new(),
@@ -108,13 +110,21 @@
     /// Puts a configuration in force; an older or equal one is not taken.
     pub fn set_table(&self, new: RoutingTable, text: Bytes) -> bool {
         let mut table = self.table.write().expect("no holder panics");
-        let newer = table.as_ref().is_none_or(|(t, _)| t.version < new.version);
+        let version = new.version;
+        let newer = table.as_ref().is_none_or(|(t, _)| t.version < version);
         if newer {
             *table = Some((Arc::new(new), text));
+            drop(table);
+            self.config_versions.send_replace(version);
         }
         newer
     }
 
+    /// Told of each new configuration.
+    pub fn config_versions(&self) -> watch::Receiver<ConfigVersion> {
+        self.config_versions.subscribe()
+    }
+
     /// Bounds that hold for the whole fleet.
     pub fn bounds(&self) -> Bounds {
         self.bounds.read().expect("no holder panics").clone()
--- /dev/null
+++ b/node/tests/test_gateway_limits.rs
@@ -0,0 +1,91 @@
+//! Bounds on what callers may send, and how long they may take: those of the configuration in
+//! force, for connections that were open before it as well.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::KEY;
+use crate::gateway_environment::config;
+use crate::gateway_environment::request;
+
+/// Bounds how long a test waits for a connection's end: far above every limit set here, and
+/// far below the one that must no longer hold.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+async fn connect(gateway: &Gateway) -> TcpStream {
+    TcpStream::connect(gateway.front(0)).await.expect("it listens")
+}
+
+/// Reads until the node closes the connection; returns what came and how long it took.
+async fn read_to_end(stream: &mut TcpStream) -> (String, Duration) {
+    let began = Instant::now();
+    let mut text = Vec::new();
+    let reading = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut text)).await;
+    // A connection that is reset is closed as well.
+    let _ = reading.expect("the node closes the connection");
+    (String::from_utf8_lossy(&text).into_owned(), began.elapsed())
+}
+
+fn with_limits(version: u64, head_ms: u64, idle_ms: u64) -> serde_json::Value {
+    let mut config = config(version);
+    config["limits"]["headerTimeoutMs"] = json!(head_ms);
+    config["limits"]["idleTimeoutMs"] = json!(idle_ms);
+    config
+}
+
+#[tokio::test]
+async fn test_a_head_that_is_too_large_is_refused() {
+    let (gateway, bookings, _models) = Gateway::with_replicas(1).await;
+    let mut req = request("GET", "/read/x", KEY, "r-1");
+    req.headers_mut().insert("x-large", "x".repeat(20_000).parse().expect("valid"));
+    assert_eq!(gateway.call(0, req).await.status, 431);
+    let mut req = request("GET", "/read/x", KEY, "r-2");
+    req.headers_mut().insert("x-large", "x".repeat(12_000).parse().expect("valid"));
+    assert_eq!(gateway.call(0, req).await.status, 200);
+    assert_eq!(bookings[0].replica.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn test_a_head_that_comes_too_slowly_ends_its_connection() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    let mut stream = connect(&gateway).await;
+    stream.write_all(b"GET /read/x HTTP/1.1\r\nhost: h.ex").await.expect("writable");
+    let (_, took) = read_to_end(&mut stream).await;
+    assert!(took >= Duration::from_millis(900), "the limit is 1 s: {took:?}");
+}
+
+/// A shorter limit holds at once for a connection that was idle before.
+#[tokio::test]
+async fn test_idle_connections_follow_a_new_limit() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    let mut stream = connect(&gateway).await;
+    let head = format!(
+        "GET /read/x HTTP/1.1\r\nhost: h.example\r\nleadstage-request-id: r-1\r\nauthorization: Token {KEY}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("writable");
+    let mut buf = [0; 4_096];
+    let read = stream.read(&mut buf).await.expect("an answer");
+    assert!(buf[..read].starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&buf[..read]));
+    gateway.store.put("config", "main", with_limits(2, 1_000, 300));
+    let (rest, _) = read_to_end(&mut stream).await;
+    assert_eq!(rest, "", "nothing but the end");
+}
+
+/// A longer limit keeps a connection open that the old one would have ended.
+#[tokio::test]
+async fn test_a_longer_limit_keeps_a_connection_open() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    gateway.store.put("config", "main", with_limits(2, 1_000, 1_500));
+    gateway.until("version 2", async || gateway.log(0).contains("event=config_in_force version=2")).await;
+    let mut stream = connect(&gateway).await;
+    gateway.store.put("config", "main", with_limits(3, 1_000, 60_000));
+    let mut byte = [0; 1];
+    let closed = tokio::time::timeout(Duration::from_millis(2_500), stream.read(&mut byte)).await;
+    assert!(closed.is_err(), "it stays open");
+}
