--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -1,5 +1,6 @@
 //! What the node believes and decides, on the control thread.
 
+pub mod config_intake;
 pub mod control_loop;
 pub mod follow;
 pub mod inventories;
@@ -7,4 +8,5 @@
 pub mod lead_desk;
 pub mod lookout;
 pub mod placing;
+pub mod replica_intake;
 pub mod watching;
--- /dev/null
+++ b/node/src/gateway/control/replica_intake.rs
@@ -0,0 +1,301 @@
+//! Takes news of the replicas in, from wherever they come: the store, another node, or signs of
+//! the replicas' own. What is new moves generations away from engines that leave, and is told
+//! to other nodes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use leadstage_lib::gateway::replica_list::ReplicaList;
+use leadstage_lib::gateway::replica_news::NewsGathering;
+use leadstage_lib::gateway::replica_news::ReplicaNews;
+use leadstage_lib::gateway::replicas::LAPSED_GRACE;
+use leadstage_lib::gateway::replicas::LeavingSign;
+use leadstage_lib::gateway::replicas::ListChange;
+use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::ids::Timestamp;
+use leadstage_lib::ids::UpstreamId;
+use leadstage_platform::health::Health;
+use leadstage_platform::store::Change;
+use leadstage_platform::store::Changes;
+use leadstage_platform::store::Revision;
+use log::info;
+
+use crate::gateway::control::lookout::Lookout;
+use crate::gateway::control::placing::Placing;
+use crate::gateway::messages::Fetched;
+use crate::gateway::messages::News;
+use crate::gateway::messages::Order;
+use crate::gateway::messages::ToControl;
+use crate::gateway::peers::fleet::Fleet;
+use crate::gateway::peers::peer_message::PeerMessage;
+use crate::gateway::peers::peer_port;
+use crate::gateway::peers::peer_port::NEWS_FIRST;
+use crate::gateway::shared::Shared;
+
+/// A store that is back tells of entries that lapsed meanwhile within this.
+const LAPSES_TOLD_WITHIN: Duration = Duration::from_secs(1);
+/// A replica that left is forgotten after this: the longest time that one serves on after
+/// its entry is gone is a few seconds.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// With many replicas news come together and take longer: with 3,000 another tenth of a second.
+const NEWS_FIRST_PER_REPLICA: Duration = Duration::from_micros(30);
+
+/// The way of news of the replicas into this node, and on to others.
+pub struct ReplicaIntake {
+    shared: Arc<Shared>,
+    lookout: Lookout,
+    gathering: NewsGathering,
+    /// Whether any list or news has come.
+    is_known: bool,
+    /// The store's revision up to which the replicas are known.
+    at: Revision,
+    /// When news last came.
+    heard: Timestamp,
+    /// Until then, entries may have gone because the store was away.
+    lapses_until: Timestamp,
+    /// The list for other nodes lacks changes.
+    list_is_old: bool,
+    /// What another node knows is being fetched.
+    fetches: bool,
+}
+
+impl ReplicaIntake {
+    /// Nothing has come yet.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        ReplicaIntake {
+            lookout: Lookout::new(shared.clone()),
+            shared,
+            gathering: NewsGathering::default(),
+            is_known: false,
+            at: 0,
+            heard: Timestamp::ZERO,
+            lapses_until: Timestamp::ZERO,
+            list_is_old: false,
+            fetches: false,
+        }
+    }
+
+    /// Whether the replicas are known.
+    pub fn is_known(&self) -> bool {
+        self.is_known
+    }
+
+    /// When news last came.
+    pub fn heard(&self) -> Timestamp {
+        self.heard
+    }
+
+    /// Takes replicas that stayed missing for gone, and publishes the list for other nodes, if
+    /// it changed: once for many changes.
+    pub fn tick(&mut self, placing: &mut Placing) {
+        let change = placing.knowledge.replicas.tick(self.shared.now(), FORGET_AFTER);
+        if !change.leaving.is_empty() {
+            self.on_list_change(placing, &change);
+        }
+        if std::mem::take(&mut self.list_is_old) {
+            self.shared.set_replica_list(placing.knowledge.replicas.list(self.at));
+        }
+    }
+
+    /// The store answers nobody: entries may lapse.
+    pub fn on_store_away(&mut self) {
+        self.lapses_until = self.shared.now() + LAPSED_GRACE + LAPSES_TOLD_WITHIN;
+    }
+
+    /// Asks the engines that this node leads whether they leave: the store may not tell.
+    pub fn look_out(&mut self, placing: &Placing, fleet: &Fleet) {
+        self.lookout.ask_all(self.shared.now(), placing.engines_in_use(fleet));
+    }
+
+    /// A replica showed a request of this node that it leaves.
+    pub fn on_sign(&mut self, placing: &mut Placing, replica: &UpstreamId, sign: LeavingSign) {
+        if placing.knowledge.replicas.on_sign(replica, sign, self.shared.now()) {
+            self.evacuate(placing, replica, sign);
+        }
+    }
+
+    /// A replica was asked for its health.
+    pub fn on_health(&mut self, placing: &mut Placing, fleet: &Fleet, replica: &UpstreamId, health: Health) {
+        let now = self.shared.now();
+        self.lookout.on_health(replica, now);
+        let sign = match health {
+            Health::Well => return,
+            Health::Unwell => LeavingSign::Unwell,
+            Health::Other => LeavingSign::Replaced,
+            Health::Silent => return placing.knowledge.replicas.on_failure(replica, now),
+        };
+        if placing.knowledge.replicas.on_sign(replica, sign, now) {
+            let change = ListChange { leaving: vec![replica.clone()], added: Vec::new() };
+            self.after_news(placing, &change);
+            let news = ReplicaNews { leaving: change.leaving, ..ReplicaNews::default() };
+            fleet.tell(&PeerMessage::Replicas(news));
+        }
+    }
+
+    /// The store told of its replicas.
+    pub fn on_store_news(&mut self, placing: &mut Placing, fleet: &Fleet, news: News<ReplicaRecord>) {
+        let before = self.at;
+        let (change, at) = match news {
+            News::Listed { list, after_outage } => {
+                let replicas = &mut placing.knowledge.replicas;
+                (replicas.on_list(list.items, after_outage, self.shared.now()), list.at)
+            }
+            News::Changed(changes) => {
+                let at = changes.at;
+                (self.on_changes(placing, changes), at)
+            }
+        };
+        self.at = self.at.max(at);
+        self.after_news(placing, &change);
+        let added = change.added.iter().filter_map(|id| placing.knowledge.replicas.get(id));
+        let added: Vec<ReplicaRecord> = added.map(|replica| (*replica.record).clone()).collect();
+        // Without any change too, so that nobody takes the new revision for missed news.
+        if self.at > before {
+            self.gather(placing, fleet, ReplicaNews { before, at, added, leaving: change.leaving });
+        }
+    }
+
+    fn on_changes(&mut self, placing: &mut Placing, changes: Changes<ReplicaRecord>) -> ListChange {
+        let now = self.shared.now();
+        let mut change = ListChange::default();
+        for event in changes.events {
+            match event {
+                Change::Put(record) => placing.knowledge.replicas.on_entry(record, now, &mut change),
+                Change::Gone(id) if now < self.lapses_until => {
+                    info!(event = "replica_missing", upstream = id; "a replica is no longer listed, perhaps because the store was away");
+                    placing.knowledge.replicas.on_missing(&id, now);
+                    self.lookout.ask_about(placing.knowledge.asked_for_health(&id), now);
+                }
+                Change::Gone(id) => placing.knowledge.replicas.on_unlisted(&id, now, &mut change),
+            }
+        }
+        change
+    }
+
+    /// Tells other nodes, together with what follows soon.
+    fn gather(&mut self, placing: &Placing, fleet: &Fleet, news: ReplicaNews) {
+        match self.gathering.add(news, self.shared.now()) {
+            Some(Duration::ZERO) => self.tell_gathered(placing, fleet),
+            Some(pause) => {
+                let shared = self.shared.clone();
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(pause).await;
+                    shared.tell(ToControl::TellReplicas);
+                });
+            }
+            None => {}
+        }
+    }
+
+    /// Tells other nodes what was gathered.
+    pub fn tell_gathered(&mut self, placing: &Placing, fleet: &Fleet) {
+        let replicas = placing.knowledge.replicas.len();
+        let Some(news) = self.gathering.take(replicas, self.shared.now()) else {
+            return;
+        };
+        if news.fits() {
+            fleet.tell(&PeerMessage::Replicas(news));
+        } else {
+            info!(event = "news_not_told", added = news.added.len(), leaving = news.leaving.len(), at = news.at; "too many changes for a message: other nodes fetch them");
+        }
+    }
+
+    /// A watcher learnt of replicas. What is new here is passed on.
+    pub fn on_news(&mut self, placing: &mut Placing, fleet: &Fleet, from: SocketAddr, news: ReplicaNews) {
+        let is_sign = news.at == 0;
+        if !is_sign && news.at <= self.at {
+            return;
+        }
+        let now = self.shared.now();
+        let mut change = ListChange::default();
+        for record in &news.added {
+            // One that is thought to leave may stay after all.
+            if placing.knowledge.replicas.get(&record.id).is_none_or(|known| known.leaving.is_some()) {
+                placing.knowledge.replicas.on_entry(record.clone(), now, &mut change);
+            }
+        }
+        for id in &news.leaving {
+            if placing.knowledge.replicas.on_sign(id, LeavingSign::Told, now) {
+                change.leaving.push(id.clone());
+            }
+        }
+        let is_news = !change.added.is_empty() || !change.leaving.is_empty();
+        if news.before <= self.at {
+            self.at = self.at.max(news.at);
+        } else {
+            // Something between was missed.
+            self.compare(placing, from, news.at);
+        }
+        self.after_news(placing, &change);
+        if is_news || !is_sign {
+            fleet.pass_on(&PeerMessage::Replicas(news));
+        }
+    }
+
+    /// Another node knows the replicas up to this revision; what is missing here is fetched
+    /// there unless it comes by itself.
+    pub fn compare(&mut self, placing: &Placing, from: SocketAddr, theirs: Revision) {
+        if self.fetches || theirs <= self.at {
+            return;
+        }
+        self.fetches = true;
+        let shared = self.shared.clone();
+        let replicas = placing.knowledge.replicas.len() as u32;
+        let pause = NEWS_FIRST + NEWS_FIRST_PER_REPLICA * replicas;
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(pause).await;
+            if shared.replicas_at() < theirs {
+                let known = shared.replicas_at();
+                peer_port::fetch_replicas(shared, from, known).await;
+            } else {
+                shared.tell(ToControl::Fetched(from, Fetched::Replicas(None)));
+            }
+        });
+    }
+
+    /// Another node answered, or did not.
+    pub fn on_fetched(&mut self, placing: &mut Placing, from: SocketAddr, list: Option<ReplicaList>) {
+        self.fetches = false;
+        let Some(list) = list.filter(|list| list.at > self.at) else {
+            return;
+        };
+        info!(event = "replicas_fetched", from:% = from, whole = list.is_whole, staying = list.staying.len(), leaving = list.leaving.len(), at = list.at, before = self.at; "another node handed its replicas over");
+        self.at = list.at;
+        let change = placing.knowledge.replicas.on_handed_list(list, self.shared.now());
+        self.after_news(placing, &change);
+    }
+
+    /// What follows from any news.
+    fn after_news(&mut self, placing: &mut Placing, change: &ListChange) {
+        self.is_known = true;
+        self.heard = self.shared.now();
+        self.on_list_change(placing, change);
+        self.shared.set_replicas_at(self.at);
+    }
+
+    fn on_list_change(&mut self, placing: &mut Placing, change: &ListChange) {
+        placing.knowledge.replicas.mark(change, self.at);
+        self.list_is_old = true;
+        for id in &change.added {
+            if let Some(replica) = placing.knowledge.replicas.get(id) {
+                info!(event = "replica_listed", upstream = &**id, service = &*replica.record.service, hall = &*replica.record.hall, address:% = replica.record.address; "replica is listed");
+            }
+        }
+        for id in &change.leaving {
+            if let Some(sign) = placing.knowledge.replicas.get(id).and_then(|r| r.leaving) {
+                self.evacuate(placing, id, sign);
+            }
+        }
+    }
+
+    /// A replica leaves: its streams are told to move.
+    fn evacuate(&self, placing: &Placing, id: &UpstreamId, sign: LeavingSign) {
+        let streams = placing.streams_at(id);
+        info!(event = "replica_leaves", upstream = &**id, sign:% = sign, streams = streams.len(); "replica leaves");
+        for stream in streams {
+            // A stream that has just ended needs no order.
+            let _ = stream.orders.send(Order::Evacuate(id.clone()));
+        }
+    }
+}
--- a/node/src/gateway/peers/fleet.rs
+++ b/node/src/gateway/peers/fleet.rs
@@ -29,10 +29,10 @@
 const KNOWN_PER_MESSAGE: usize = 8;
 /// Nodes that are told by the one that has news: all of a small fleet, so that most news
 /// takes one way only.
-pub const FIRST_FAN_OUT: usize = 8;
+const FIRST_FAN_OUT: usize = 8;
 /// Nodes that each node which hears of the news tells on: some 2 in 100 are missed by all,
 /// and notice from the next message that they lack something.
-pub const FAN_OUT: usize = 4;
+const FAN_OUT: usize = 4;
 
 /// Whose answer to a probe is awaited, and why.
 #[derive(Clone, Debug)]
@@ -91,10 +91,22 @@
     }
 
     /// Some other nodes, at random.
-    pub fn some(&self, count: usize) -> Vec<SocketAddr> {
+    fn some(&self, count: usize) -> Vec<SocketAddr> {
         self.membership.alive().filter_map(address_of).sample(&mut rand::rng(), count)
     }
 
+    pub fn tell(&self, message: &PeerMessage) {
+        for node in self.some(FIRST_FAN_OUT) {
+            self.outbox.send(node, message);
+        }
+    }
+
+    pub fn pass_on(&self, message: &PeerMessage) {
+        for node in self.some(FAN_OUT) {
+            self.outbox.send(node, message);
+        }
+    }
+
     /// Probes whom it is time to probe; returns the nodes that are gone.
     pub fn tick(&mut self, now: Timestamp) -> Vec<VmId> {
         self.list(now);
--- a/node/src/gateway/peers/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -20,6 +20,9 @@
 use crate::gateway::messages::ToControl;
 use crate::gateway::shared::Shared;
 
+/// What another node knows already usually comes by itself, in datagrams; it is fetched from
+/// that node if it has not come within this.
+pub const NEWS_FIRST: Duration = Duration::from_millis(120);
 /// Where a node hands its configuration out, as the operator wrote it.
 const CONFIG_PATH: &str = "/config";
 /// Where a node hands out what it knows of the replicas; the query is the revision up to
