--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -31,6 +31,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two looks at status and levels.
 const STATUS_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two lines of the log that tell the levels.
+const LEVELS_LINE_INTERVAL: Duration = Duration::from_secs(10);
 
 /// The parts of the control thread.
 pub struct Control {
@@ -42,6 +44,7 @@
     watchers: Watchers,
     watching: Watching,
     last_status: Timestamp,
+    last_levels_line: Timestamp,
 }
 
 impl Control {
@@ -56,6 +59,7 @@
             watchers: Watchers::new(fleet.own().clone()),
             watching: Watching::new(shared.clone()),
             last_status: Timestamp::ZERO,
+            last_levels_line: Timestamp::ZERO,
             fleet,
             shared,
         }
@@ -134,13 +138,19 @@
         self.last_status = now;
         self.placing.knowledge.forget_gone();
         self.shared.set_status(self.placing.status(&self.fleet));
-        self.shared.metrics.on_levels(&Levels {
+        let levels = Levels {
             waiting: self.placing.waiting(),
             open: self.shared.open_requests(),
             nodes: self.shared.nodes(),
             config_age: now.saturating_sub(self.configs.heard()),
             replicas_age: now.saturating_sub(self.replicas.heard()),
-        });
+        };
+        self.shared.metrics.on_levels(&levels);
+        if now >= self.last_levels_line + LEVELS_LINE_INTERVAL {
+            self.last_levels_line = now;
+            let peer_bytes = self.shared.metrics.peer_bytes_so_far();
+            info!(event = "levels", open = levels.open, waiting = levels.waiting, nodes = levels.nodes, config = self.shared.config_version(), config_age_ms = levels.config_age.as_millis() as u64, replicas_age_ms = levels.replicas_age.as_millis() as u64, peer_bytes; "levels");
+        }
     }
 
     fn on_datagram(&mut self, datagram: Datagram) {
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -4,6 +4,8 @@
 
 use std::collections::HashSet;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use leadstage_lib::code::Code;
@@ -33,6 +35,8 @@
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     lead_silences: Counter<u64>,
+    peer_bytes: Counter<u64>,
+    peer_bytes_sum: AtomicU64,
     waiting: Gauge<u64>,
     open: Gauge<u64>,
     config_age: Gauge<f64>,
@@ -66,6 +70,8 @@
             connections: counter("leadstage.gateway.connections", "Connections to replicas, new and reused"),
             store_calls: counter("leadstage.gateway.store_calls", "Calls to the store, by kind and answer"),
             lead_silences: counter("leadstage.gateway.lead_silences", "Questions that a lead did not answer"),
+            peer_bytes: counter("leadstage.gateway.peer_bytes", "Bytes from and to other nodes, by what"),
+            peer_bytes_sum: AtomicU64::new(0),
             waiting: instruments
                 .gauge("leadstage.gateway.waiting", "Generations that wait here for an engine"),
             open: instruments.gauge("leadstage.gateway.open", "Requests open"),
@@ -139,6 +145,17 @@
         self.lead_silences.add(1, &[]);
     }
 
+    /// Bytes were sent to another node, or came from one; headers of packets don't count.
+    pub fn on_peer_bytes(&self, what: PeerBytes, bytes: usize) {
+        self.peer_bytes_sum.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.peer_bytes.add(bytes as u64, &[KeyValue::new("what", what.label())]);
+    }
+
+    /// Bytes from and to other nodes so far.
+    pub fn peer_bytes_so_far(&self) -> u64 {
+        self.peer_bytes_sum.load(Ordering::Relaxed)
+    }
+
     /// The levels at this time.
     pub fn on_levels(&self, levels: &Levels) {
         self.waiting.record(levels.waiting as u64, &[]);
@@ -154,6 +171,30 @@
     }
 }
 
+/// What nodes send to each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerBytes {
+    /// Datagrams that came.
+    DatagramsIn,
+    /// Datagrams that went.
+    DatagramsOut,
+    /// Configurations and lists that were fetched.
+    FetchedIn,
+    /// Configurations and lists that were handed out.
+    FetchedOut,
+}
+
+impl PeerBytes {
+    fn label(self) -> &'static str {
+        match self {
+            PeerBytes::DatagramsIn => "datagrams in",
+            PeerBytes::DatagramsOut => "datagrams out",
+            PeerBytes::FetchedIn => "fetched",
+            PeerBytes::FetchedOut => "handed out",
+        }
+    }
+}
+
 /// What is measured as a level.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Levels {
--- a/node/src/gateway/peers/outbox.rs
+++ b/node/src/gateway/peers/outbox.rs
@@ -9,6 +9,7 @@
 use tokio::net::UdpSocket;
 
 use crate::gateway::messages::ToControl;
+use crate::gateway::observability::metrics::PeerBytes;
 use crate::gateway::peers::peer_message::Datagram;
 use crate::gateway::peers::peer_message::MAX_DATAGRAM;
 use crate::gateway::peers::peer_message::PeerMessage;
@@ -45,11 +46,12 @@
         let replicas_at = self.shared.replicas_at();
         let datagram = Datagram { from, config, replicas_at, message };
         match postcard::to_stdvec(&datagram) {
-            Ok(bytes) if bytes.len() <= MAX_DATAGRAM => {
-                if let Err(err) = self.socket.try_send_to(&bytes, to) {
-                    debug!(event = "datagram_not_sent", to:% = to, reason:% = err; "a datagram was not sent");
+            Ok(bytes) if bytes.len() <= MAX_DATAGRAM => match self.socket.try_send_to(&bytes, to) {
+                Ok(sent) => self.shared.metrics.on_peer_bytes(PeerBytes::DatagramsOut, sent),
+                Err(err) => {
+                    debug!(event = "datagram_not_sent", to:% = to, reason:% = err; "a datagram was not sent")
                 }
-            }
+            },
             Ok(bytes) => {
                 warn!(event = "datagram_too_large", to:% = to, bytes = bytes.len(); "a datagram is too large")
             }
@@ -71,6 +73,7 @@
                 continue;
             }
         };
+        shared.metrics.on_peer_bytes(PeerBytes::DatagramsIn, read);
         match postcard::from_bytes::<Datagram>(&buf[..read]) {
             Ok(datagram) => shared.tell(ToControl::Datagram(datagram)),
             Err(err) => debug!(event = "datagram_unreadable", reason:% = err; "a datagram can't be read"),
--- a/node/src/gateway/peers/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -18,6 +18,7 @@
 
 use crate::gateway::messages::Fetched;
 use crate::gateway::messages::ToControl;
+use crate::gateway::observability::metrics::PeerBytes;
 use crate::gateway::shared::Shared;
 
 /// What another node knows already usually comes by itself, in datagrams; it is fetched from
@@ -39,6 +40,8 @@
         REPLICAS_PATH => replicas_since(shared, req.uri().query()),
         _ => None,
     };
+    let bytes = body.as_ref().map_or(0, Bytes::len);
+    shared.metrics.on_peer_bytes(PeerBytes::FetchedOut, bytes);
     let status = if body.is_some() { StatusCode::OK } else { StatusCode::NOT_FOUND };
     let mut res = Response::new(Full::from(body.unwrap_or_default()));
     *res.status_mut() = status;
@@ -59,14 +62,14 @@
 
 /// Fetches the configuration from another node and tells the control loop.
 pub async fn fetch_configuration(shared: Arc<Shared>, from: SocketAddr) {
-    let text = fetch(from, CONFIG_PATH).await;
+    let text = fetch(&shared, from, CONFIG_PATH).await;
     shared.tell(ToControl::Fetched(from, Fetched::Configuration(text)));
 }
 
 /// Fetches from another node what changed of the replicas since the revision `known`, and
 /// tells the control loop.
 pub async fn fetch_replicas(shared: Arc<Shared>, from: SocketAddr, known: Revision) {
-    let body = fetch(from, &format!("{REPLICAS_PATH}?{known}")).await;
+    let body = fetch(&shared, from, &format!("{REPLICAS_PATH}?{known}")).await;
     let list = body.and_then(|body| match postcard::from_bytes(&body) {
         Ok(list) => Some(list),
         Err(err) => {
@@ -77,11 +80,14 @@
     shared.tell(ToControl::Fetched(from, Fetched::Replicas(list)));
 }
 
-async fn fetch(from: SocketAddr, path: &str) -> Option<Bytes> {
+async fn fetch(shared: &Shared, from: SocketAddr, path: &str) -> Option<Bytes> {
     let req = Request::get(path).header(http::header::HOST, from.to_string()).body(Full::default());
     let answer = Link::new(from).call(req.expect("the request is valid"), FETCH_LIMIT).await;
     match answer {
-        Ok(answer) if answer.status == StatusCode::OK => Some(answer.body),
+        Ok(answer) if answer.status == StatusCode::OK => {
+            shared.metrics.on_peer_bytes(PeerBytes::FetchedIn, answer.body.len());
+            Some(answer.body)
+        }
         Ok(answer) => {
             info!(event = "fetch_failed", from:% = from, path, status = answer.status.as_u16(); "a node handed nothing out");
             None
--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -112,6 +112,8 @@
         let at = models.iter().position(|m| m.replica.running() > 0).expect("it runs");
         gateway.drain("model", &models[at]);
     });
+    // As another node would.
+    read(&gateway.peer(0), "/config").await;
     let metrics = gateway.metrics(0);
     let mut served = Vec::new();
     gateway
