placing: a generation stays in the hall that it came to, unless that costs over 150 ms

An engine of another hall cost 12 ms, so placing hardly looked at halls. Ruled out: the callers' links, which lose nothing. Test: test_generations_stay_in_the_hall_that_they_came_to, failed before.

--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -44,8 +44,12 @@
 const MOST_GROWTH: u32 = 340;
 /// Tokens that a generation is taken to grow by when it should have ended already.
 const LEAST_GROWTH: u32 = 80;
-/// Cost of a request in another hall: its bytes are priced, and moves take twice as long.
+/// Cost of a call in another hall: its bytes are priced.
 const COST_OTHER_HALL_MS: f64 = 12.0;
+/// Cost of a generation in another hall: where a link between halls loses 3 packets in 100, a
+/// stream that crosses it stalls within a second or two. With more, halls fill unevenly and more
+/// generations are lost when engines are taken away (docs/BENCHMARKS.md).
+const COST_FAR_STREAM_MS: f64 = 150.0;
 /// Part of an engine's memory that expected use may reach without a cost.
 const MEMORY_AT_EASE: f64 = 0.7;
 /// The same for generations that move: the links' time is scarcer than the memory.
@@ -75,6 +79,15 @@
 /// Cost for each failure in a row that a replica had lately.
 const COST_PER_FAILURE_MS: f64 = 100.0;
 
+/// What differs between engines and plain replicas, in milliseconds.
+struct Costs {
+    other_hall: f64,
+    all_errors: f64,
+}
+
+const PLAIN_COSTS: Costs = Costs { other_hall: COST_OTHER_HALL_MS, all_errors: COST_ALL_ERRORS_MS };
+const ENGINE_COSTS: Costs = Costs { other_hall: COST_FAR_STREAM_MS, all_errors: COST_ENGINE_ERRORS_MS };
+
 /// The size of a generation.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
 pub struct GenerationSize {
@@ -261,7 +274,7 @@
     ) -> Option<&'a Replica> {
         let costs = candidates.map(|replica| {
             let calls = self.at(&replica.record.id).count() as f64;
-            (calls * COST_PER_CALL_MS + general_cost(replica, hall, COST_ALL_ERRORS_MS, now, rng), replica)
+            (calls * COST_PER_CALL_MS + general_cost(replica, hall, &PLAIN_COSTS, now, rng), replica)
         });
         costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, replica)| replica)
     }
@@ -295,7 +308,7 @@
         let cost = way
             + runs as f64 * COST_PER_RUN_MS
             + beyond * beyond * COST_FULL_MEMORY_MS
-            + general_cost(replica, request.hall, COST_ENGINE_ERRORS_MS, now, rng);
+            + general_cost(replica, request.hall, &ENGINE_COSTS, now, rng);
         EngineChoice { replica, runs, fill, wait, cost }
     }
 }
@@ -330,17 +343,11 @@
     pub moves: bool,
 }
 
-fn general_cost<R: Rng>(
-    replica: &Replica,
-    hall: &HallId,
-    cost_all_errors: f64,
-    now: Timestamp,
-    rng: &mut R,
-) -> f64 {
-    let elsewhere = if replica.record.hall == *hall { 0.0 } else { COST_OTHER_HALL_MS };
+fn general_cost<R: Rng>(replica: &Replica, hall: &HallId, costs: &Costs, now: Timestamp, rng: &mut R) -> f64 {
+    let elsewhere = if replica.record.hall == *hall { 0.0 } else { costs.other_hall };
     let failures = f64::from(replica.failures()) * COST_PER_FAILURE_MS;
     let errors = replica.errors(now);
-    elsewhere + failures + errors * errors * cost_all_errors + rng.random::<f64>() * SPREAD_MS
+    elsewhere + failures + errors * errors * costs.all_errors + rng.random::<f64>() * SPREAD_MS
 }
 
 /// Tokens of memory that a generation takes within the horizon.
--- a/lib/tests/test_gateway_load.rs
+++ b/lib/tests/test_gateway_load.rs
@@ -94,6 +94,22 @@
     assert_eq!(choose(&book, &table, 3_000, true), Some("e1".to_owned()));
 }
 
+/// Links between halls lose packets now and then, and a stream that crosses one then stalls: a
+/// somewhat busier engine of the caller's hall is better, a much busier one is not.
+#[test]
+fn test_generations_stay_in_the_hall_that_they_came_to() {
+    let table = table(&[("far", "b"), ("near", "a")]);
+    let mut book = LoadBook::default();
+    for n in 0..3 {
+        book.add(key(n), run("near", 2_000, 900, 100), NOW);
+    }
+    assert_eq!(choose(&book, &table, 3_000, false), Some("near".to_owned()));
+    for n in 3..10 {
+        book.add(key(n), run("near", 2_000, 900, 100), NOW);
+    }
+    assert_eq!(choose(&book, &table, 3_000, false), Some("far".to_owned()));
+}
+
 /// An engine that failed some of its last generations gets none while others have room, even
 /// if they are busier; one that has been well since is used again.
 #[test]
