--- a/node/tests/test_gateway_soak.rs
+++ b/node/tests/test_gateway_soak.rs
@@ -3,7 +3,8 @@
 //!
 //! A seed fixes the schedule. CI plays [`REGRESSIONS`]; more seeds by hand:
 //! `LEADSTAGE_SOAK_SEEDS=1..50 cargo test --release -p leadstage-node --test runner soak`.
-//! A failed run prints its seed and the nodes' logs.
+//! `LEADSTAGE_SOAK_NODES=100` plays them with as many nodes; 3 by default. A failed run prints
+//! its seed and the nodes' logs.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -12,6 +13,7 @@
 
 use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::faulty_proxy::LinkFault;
+use leadstage_testutils::gateway_replica::CopyFault;
 use leadstage_testutils::gateway_replica::GatewayReplica;
 use leadstage_testutils::gateway_replica::ReplicaFault;
 use leadstage_testutils::metadata_store::StoreFault;
@@ -31,7 +33,7 @@
 
 /// Seeds that CI plays: the first, and each that ever failed with a line on its cause.
 const REGRESSIONS: &[u64] = &[1];
-/// Nodes of the fleet.
+/// Nodes of the fleet by default.
 const NODES: usize = 3;
 /// Engines, and clients of each kind.
 const ENGINES: usize = 4;
@@ -69,7 +71,7 @@
     async fn start(seed: u64) -> Soak {
         let (mut gateway, bookings, engines) = Gateway::with_replicas(ENGINES).await;
         let proxy = FaultyProxy::start(&gateway.own_store_ip(), gateway.store_address()).await;
-        for _ in 1..NODES {
+        for _ in 1..nodes() {
             let node = gateway.start_node_at(proxy.address);
             gateway.until_ready(node).await;
         }
@@ -88,8 +90,8 @@
 
     /// One fault; some last beyond the next.
     async fn strike(&mut self) {
-        let node = self.pick(NODES);
-        match self.pick(12) {
+        let node = self.pick(nodes());
+        match self.pick(13) {
             0 => self.gateway.signal(node, "-TERM"),
             1 => self.gateway.kill(node),
             2 => {
@@ -115,6 +117,17 @@
                 self.gateway.store.put("config", "main", config(self.version));
             }
             10 => {
+                let faults = [
+                    CopyFault::NoRoom,
+                    CopyFault::StopHangs,
+                    CopyFault::ResumeFails,
+                    CopyFault::CopyHangs,
+                    CopyFault::None,
+                ];
+                let (at, fault) = (self.pick(ENGINES), faults[self.pick(faults.len())]);
+                self.engines[at].replica.set_copy_fault(fault);
+            }
+            11 => {
                 let faults = [
                     ReplicaFault::Breaks,
                     ReplicaFault::CutsBody,
@@ -153,7 +166,7 @@
 
     /// The platform starts a process that ended again.
     fn restart_ended(&mut self) {
-        for node in 0..NODES {
+        for node in 0..nodes() {
             if self.gateway.ended(node).is_some() {
                 self.gateway.start_again(node);
             }
@@ -170,7 +183,7 @@
             self.replace_engine(at).await;
         }
         let deadline = Instant::now() + Duration::from_secs(40);
-        for node in 0..NODES {
+        for node in 0..nodes() {
             loop {
                 self.restart_ended();
                 let status = self.gateway.status_of(node, "/read/x?after", KEY).await;
@@ -243,7 +256,7 @@
 
 async fn play(seed: u64) {
     let mut soak = Soak::start(seed).await;
-    let fronts: Vec<String> = (0..NODES).map(|node| soak.gateway.front(node)).collect();
+    let fronts: Vec<String> = (0..nodes()).map(|node| soak.gateway.front(node)).collect();
     let until = Instant::now() + FAULTS_FOR;
     let log = Log::default();
     let mut clients = tokio::task::JoinSet::new();
@@ -266,6 +279,11 @@
     }
 }
 
+fn nodes() -> usize {
+    let nodes = std::env::var("LEADSTAGE_SOAK_NODES").ok();
+    nodes.map_or(NODES, |text| text.parse().expect("LEADSTAGE_SOAK_NODES is a number"))
+}
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("LEADSTAGE_SOAK_SEEDS") else {
         return REGRESSIONS.to_vec();
