read: questions to leads in a part of their own; no circles between arguments and commands, bundle and check

placing.rs gave its questions to LeadQuestions, which owns them. Side is an argument's type and stands with the arguments; Bundle::from_yaml stands with the check that it calls.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -5,9 +5,17 @@
 
 use lexopt::prelude::*;
 
-use crate::bundle_command::Side;
 use crate::error::CliError;
 
+/// Where a side of a comparison comes from.
+#[derive(Debug)]
+pub enum Side {
+    /// A bundle's file.
+    File(PathBuf),
+    /// The accepted bundle.
+    Accepted(SocketAddr),
+}
+
 /// The help texts.
 pub const HELP: &str = "\
 leadstage: the operators' command
--- a/cli/src/bundle_command.rs
+++ b/cli/src/bundle_command.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use leadstage_lib::bundle::Bundle;
@@ -16,6 +15,7 @@
 use serde_json::json;
 
 use crate::args::Format;
+use crate::args::Side;
 use crate::error::CliError;
 use crate::http;
 
@@ -171,15 +171,6 @@
     ))
 }
 
-/// Where a side of a comparison comes from.
-#[derive(Debug)]
-pub enum Side {
-    /// A bundle's file.
-    File(PathBuf),
-    /// The accepted bundle.
-    Accepted(SocketAddr),
-}
-
 /// Compares two bundles field by field.
 pub async fn diff(old: Side, new: Side, format: Format) -> Result<String, CliError> {
     let (old, new) = (side(old).await?, side(new).await?);
--- a/lib/src/bundle.rs
+++ b/lib/src/bundle.rs
@@ -1,16 +1,13 @@
 //! The bundle: the versioned configuration that operators roll out.
 //!
-//! docs/CONFIG.md describes each field for operators. Reading is here, the
-//! check of what was read is in [`crate::bundle_check`].
+//! docs/CONFIG.md describes each field for operators. It is read and checked in
+//! [`crate::bundle_check`].
 
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::bundle_check;
-use crate::checked_yaml;
-use crate::checked_yaml::Problem;
 use crate::ids::BundleNumber;
 use crate::ids::HallId;
 use crate::ids::ModelId;
@@ -239,18 +236,6 @@
 }
 
 impl Bundle {
-    /// Reads and checks a bundle; the error lists every mistake.
-    pub fn from_yaml(yaml: &str) -> Result<Bundle, Vec<Problem>> {
-        let (bundle, mut problems) = checked_yaml::read::<Bundle>(yaml);
-        if let Some(bundle) = &bundle {
-            problems.extend(bundle_check::check(bundle));
-        }
-        match bundle {
-            Some(bundle) if problems.is_empty() => Ok(bundle),
-            _ => Err(problems),
-        }
-    }
-
     /// A model by id.
     pub fn model(&self, id: &str) -> Option<&Model> {
         self.models.iter().find(|m| &*m.id == id)
--- a/lib/src/bundle_check.rs
+++ b/lib/src/bundle_check.rs
@@ -1,4 +1,4 @@
-//! Checks a bundle that was read: ranges, references and uniqueness.
+//! Reads a bundle and checks it: ranges, references and uniqueness.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -8,6 +8,7 @@
 use crate::bundle::Organisation;
 use crate::bundle::Route;
 use crate::bundle::ServiceLevel;
+use crate::checked_yaml;
 use crate::checked_yaml::Problem;
 
 /// Characters of a SHA-256 in hex.
@@ -19,8 +20,22 @@
 /// Writes a second that claims may use of the object API's hundred.
 const MAX_CLAIM_WRITES: f64 = 60.0;
 
+impl Bundle {
+    /// Reads and checks a bundle; the error lists every mistake.
+    pub fn from_yaml(yaml: &str) -> Result<Bundle, Vec<Problem>> {
+        let (bundle, mut problems) = checked_yaml::read::<Bundle>(yaml);
+        if let Some(bundle) = &bundle {
+            problems.extend(check(bundle));
+        }
+        match bundle {
+            Some(bundle) if problems.is_empty() => Ok(bundle),
+            _ => Err(problems),
+        }
+    }
+}
+
 /// All that is wrong with `bundle`.
-pub fn check(bundle: &Bundle) -> Vec<Problem> {
+fn check(bundle: &Bundle) -> Vec<Problem> {
     let mut problems = Vec::new();
     if bundle.number == 0 {
         problems.push(Problem::new("number", "must be 1 or more"));
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -6,6 +6,7 @@
 pub mod inventories;
 pub mod knowledge;
 pub mod lead_desk;
+pub mod lead_questions;
 pub mod lookout;
 pub mod placing;
 pub mod replica_intake;
--- /dev/null
+++ b/node/src/gateway/control/lead_questions.rs
@@ -0,0 +1,96 @@
+//! Questions to the leads of other nodes, and how long their answers are waited for.
+//!
+//! A lead answers within some milliseconds, or says that the generation waits there. One that
+//! does neither is passed over, and this node decides alone.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use leadstage_lib::gateway::load::RunId;
+use leadstage_lib::ids::Timestamp;
+use leadstage_lib::ids::VmId;
+
+use crate::gateway::control::lead_desk::Ask;
+use crate::gateway::messages::ToControl;
+use crate::gateway::peers::outbox::Outbox;
+use crate::gateway::peers::peer_message::PeerMessage;
+use crate::gateway::peers::peer_message::RemotePlace;
+use crate::gateway::shared::Shared;
+
+/// A lead that does not answer within this is passed over: ten times the round trip between
+/// halls with a turn of a busy node in it, and little against the objectives.
+const LEAD_LIMIT: Duration = Duration::from_millis(40);
+/// What a lead may take beyond the time that a generation waits: it looks at those that
+/// wait each 100 ms, and may be late itself.
+const WAIT_SLACK: Duration = Duration::from_millis(300);
+
+/// A question without an answer.
+pub struct Question {
+    /// What was asked.
+    pub ask: Ask,
+    /// The lead that was asked.
+    pub lead: VmId,
+    /// When the lead is passed over.
+    due: Timestamp,
+}
+
+/// The questions without an answer.
+pub struct LeadQuestions {
+    shared: Arc<Shared>,
+    outbox: Outbox,
+    open: HashMap<RunId, Question>,
+}
+
+impl LeadQuestions {
+    /// None yet.
+    pub fn new(shared: Arc<Shared>, outbox: Outbox) -> Self {
+        LeadQuestions { shared, outbox, open: HashMap::new() }
+    }
+
+    /// Asks a lead to place a generation.
+    pub fn ask(&mut self, ask: Ask, lead: VmId, address: SocketAddr) {
+        let run = ask.key.run;
+        let remote =
+            RemotePlace { run, wanted: ask.wanted.clone(), priority: ask.priority, patience: ask.patience };
+        self.outbox.send(address, &PeerMessage::Place(remote));
+        let due = self.shared.now() + LEAD_LIMIT;
+        self.open.insert(run, Question { ask, lead, due });
+        self.expect_answer(run, LEAD_LIMIT);
+    }
+
+    /// The lead lets the generation wait; returns the lead.
+    pub fn on_waits(&mut self, run: RunId) -> Option<&VmId> {
+        let question = self.open.get_mut(&run)?;
+        let within = question.ask.patience + WAIT_SLACK;
+        question.due = self.shared.now() + within;
+        self.expect_answer(run, within);
+        self.open.get(&run).map(|question| &question.lead)
+    }
+
+    /// Takes a question out, as its answer came.
+    pub fn answered(&mut self, run: RunId) -> Option<Question> {
+        self.open.remove(&run)
+    }
+
+    /// Takes a question out if its lead is to be passed over.
+    pub fn overdue(&mut self, run: RunId) -> Option<Question> {
+        let now = self.shared.now();
+        self.open.get(&run).filter(|question| question.due <= now)?;
+        self.open.remove(&run)
+    }
+
+    /// The oldest generation without an answer.
+    pub fn oldest(&self) -> Option<RunId> {
+        self.open.keys().min().copied()
+    }
+
+    fn expect_answer(&self, run: RunId, within: Duration) {
+        let shared = self.shared.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(within).await;
+            shared.tell(ToControl::LeadSilent(run));
+        });
+    }
+}
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use leadstage_lib::gateway::lead::Leads;
 use leadstage_lib::gateway::load::RunId;
@@ -13,7 +12,6 @@
 use leadstage_lib::gateway::replicas::ListChange;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ServiceId;
-use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::ids::VmId;
 use leadstage_lib::status::NodeStatus;
@@ -27,12 +25,13 @@
 use crate::gateway::control::lead_desk::Asker;
 use crate::gateway::control::lead_desk::Decision;
 use crate::gateway::control::lead_desk::LeadDesk;
+use crate::gateway::control::lead_questions::LeadQuestions;
+use crate::gateway::control::lead_questions::Question;
 use crate::gateway::messages::Order;
 use crate::gateway::messages::Outcome;
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::Placed;
 use crate::gateway::messages::StreamHandle;
-use crate::gateway::messages::ToControl;
 use crate::gateway::observability::status;
 use crate::gateway::peers::fleet::Fleet;
 use crate::gateway::peers::outbox::Outbox;
@@ -44,23 +43,9 @@
 use crate::gateway::shared::Shared;
 use crate::shared::unix_millis;
 
-/// A lead that does not answer within this is passed over: ten times the round trip between
-/// halls with a turn of a busy node in it, and little against the objectives.
-const LEAD_LIMIT: Duration = Duration::from_millis(40);
-/// What a lead may take beyond the time that a generation waits: it looks at those that
-/// wait each 100 ms, and may be late itself.
-const WAIT_SLACK: Duration = Duration::from_millis(300);
 /// Ids of one process: those of its next start are higher.
 const RUNS_PER_MILLI: RunId = 1 << 10;
 
-/// A request that waits for a lead's answer.
-struct Pending {
-    ask: Ask,
-    lead: VmId,
-    /// When the lead is passed over.
-    due: Timestamp,
-}
-
 /// Finds replicas.
 pub struct Placing {
     shared: Arc<Shared>,
@@ -69,7 +54,7 @@
     pub knowledge: Knowledge,
     desk: LeadDesk,
     leads: Leads,
-    pending: HashMap<RunId, Pending>,
+    questions: LeadQuestions,
     streams: HashMap<RunId, StreamHandle>,
     inventories: Inventories,
     last_run: RunId,
@@ -81,11 +66,11 @@
     pub fn new(shared: Arc<Shared>, outbox: Outbox, own: VmId) -> Self {
         Placing {
             knowledge: Knowledge::new(shared.clone()),
-            shared,
-            outbox,
             desk: LeadDesk::default(),
             leads: Leads::default(),
-            pending: HashMap::new(),
+            questions: LeadQuestions::new(shared.clone(), outbox.clone()),
+            shared,
+            outbox,
             streams: HashMap::new(),
             inventories: Inventories::default(),
             last_run: unix_millis() * RUNS_PER_MILLI,
@@ -104,7 +89,7 @@
             asker: Asker::Here { request: request.request, stream: request.stream, reply },
         };
         match self.lead_for(fleet, &ask) {
-            Some((lead, address)) => self.ask_lead(ask, lead, address),
+            Some((lead, address)) => self.questions.ask(ask, lead, address),
             None => self.decide_here(ask),
         }
     }
@@ -126,24 +111,6 @@
         self.leads.lead_of(service, &self.own, fleet.alive(), self.shared.now()).clone()
     }
 
-    fn ask_lead(&mut self, ask: Ask, lead: VmId, address: SocketAddr) {
-        let run = ask.key.run;
-        let remote =
-            RemotePlace { run, wanted: ask.wanted.clone(), priority: ask.priority, patience: ask.patience };
-        self.outbox.send(address, &PeerMessage::Place(remote));
-        let due = self.shared.now() + LEAD_LIMIT;
-        self.pending.insert(run, Pending { ask, lead, due });
-        self.expect_answer(run, LEAD_LIMIT);
-    }
-
-    fn expect_answer(&self, run: RunId, within: Duration) {
-        let shared = self.shared.clone();
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(within).await;
-            shared.tell(ToControl::LeadSilent(run));
-        });
-    }
-
     fn decide_here(&mut self, ask: Ask) {
         self.update_progress();
         match self.desk.ask(&mut self.knowledge, ask, self.shared.now()) {
@@ -182,7 +149,7 @@
 
     /// The lead answered.
     pub fn on_placed(&mut self, run: RunId, record: Option<ReplicaRecord>) {
-        let Some(Pending { ask, lead, .. }) = self.pending.remove(&run) else {
+        let Some(Question { ask, lead, .. }) = self.questions.answered(run) else {
             return;
         };
         self.leads.on_answer(&lead);
@@ -203,22 +170,14 @@
 
     /// The request waits at the lead.
     pub fn on_waits(&mut self, run: RunId) {
-        let Some(pending) = self.pending.get_mut(&run) else {
-            return;
-        };
-        self.leads.on_answer(&pending.lead);
-        let within = pending.ask.patience + WAIT_SLACK;
-        pending.due = self.shared.now() + within;
-        self.expect_answer(run, within);
+        if let Some(lead) = self.questions.on_waits(run) {
+            self.leads.on_answer(lead);
+        }
     }
 
     /// The lead did not answer in time: this node chooses by what it knows.
     pub fn on_lead_silent(&mut self, run: RunId) {
-        let now = self.shared.now();
-        if self.pending.get(&run).is_none_or(|pending| pending.due > now) {
-            return;
-        }
-        let Some(Pending { ask, lead, .. }) = self.pending.remove(&run) else {
+        let Some(Question { ask, lead, .. }) = self.questions.overdue(run) else {
             return;
         };
         info!(event = "lead_silent", lead = &*lead, service = &*ask.wanted.service, run; "the lead did not answer: places alone");
@@ -436,8 +395,7 @@
 
     /// The newest request of this node before which none waits for a lead.
     fn newest_settled(&self) -> RunId {
-        let oldest_pending = self.pending.keys().min();
-        oldest_pending.map_or(self.last_run, |run| run - 1)
+        self.questions.oldest().map_or(self.last_run, |run| run - 1)
     }
 
     fn update_progress(&mut self) {
