configuration: all watchers take it at once, and nodes fetch it without a pause

Since standby watchers gather, one node alone had a configuration at first, and all others fetched it there after a pause of 0.12 s in which nobody else could get it. Now the three watchers take configurations at once, and a node fetches one when it hears of it, so that those that have it are many soon.

--- a/node/src/gateway/control/config_intake.rs
+++ b/node/src/gateway/control/config_intake.rs
@@ -15,13 +15,11 @@
 use log::warn;
 
 use crate::gateway::control::follow;
-use crate::gateway::messages::Fetched;
 use crate::gateway::messages::News;
 use crate::gateway::messages::ToControl;
 use crate::gateway::peers::fleet::Fleet;
 use crate::gateway::peers::peer_message::PeerMessage;
 use crate::gateway::peers::peer_port;
-use crate::gateway::peers::peer_port::NEWS_FIRST;
 use crate::gateway::shared::Shared;
 
 /// The way of configurations into this node.
@@ -65,7 +63,7 @@
         }
     }
 
-    /// Another node has this version; it is fetched there unless it comes by itself.
+    /// Another node has this version; it is fetched there if it is newer.
     pub fn compare(&mut self, from: SocketAddr, theirs: ConfigVersion) {
         if self.fetches || theirs <= self.shared.config_version() {
             return;
@@ -73,14 +71,9 @@
         self.fetches = true;
         self.wanted = theirs;
         let shared = self.shared.clone();
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(NEWS_FIRST).await;
-            if shared.config_version() < theirs {
-                peer_port::fetch_configuration(shared, from).await;
-            } else {
-                shared.tell(ToControl::Fetched(from, Fetched::Configuration(None)));
-            }
-        });
+        // At once: who waits learns of it from the first few nodes that have it, and so do all
+        // others, and their links are small.
+        tokio::task::spawn_local(peer_port::fetch_configuration(shared, from));
     }
 
     /// Another node answered, or did not.
--- a/node/src/gateway/control/watching.rs
+++ b/node/src/gateway/control/watching.rs
@@ -69,8 +69,10 @@
 
     fn start(&self) -> Tasks {
         let (shared, gather) = (&self.shared, &self.gather);
+        // Each watcher takes a configuration at once: all nodes fetch it from those that have it,
+        // and one alone may have a small link.
         let configuration =
-            follow::follow::<Configuration>(shared.clone(), ToControl::Configuration, gather.clone());
+            follow::follow::<Configuration>(shared.clone(), ToControl::Configuration, Gather::default());
         let replicas = follow::follow::<Replicas>(shared.clone(), ToControl::Replicas, gather.clone());
         Tasks {
             _configuration: AbortOnDropHandle::new(tokio::task::spawn_local(configuration)),
