--- a/lib/src/gateway/routing.rs
+++ b/lib/src/gateway/routing.rs
@@ -60,11 +60,19 @@
     pub max_attempts: u32,
     /// Whether requests need no key.
     pub public: bool,
+    /// Whether a stream that broke may go on at another replica after the last event that its
+    /// caller has, in a run of its own there.
+    pub resumable: bool,
     /// The services that take its requests.
     pub targets: Vec<Target>,
 }
 
 impl Route {
+    /// Whether a request may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        self.repeat == Repeat::Idempotent || self.resumable
+    }
+
     /// Picks a target at random, by weight; `None` when there is none.
     pub fn pick_target<R: Rng>(&self, rng: &mut R) -> Option<&ServiceId> {
         let total: f64 = self.targets.iter().map(|t| t.weight).sum();
--- a/lib/tests/test_gateway_routing.rs
+++ b/lib/tests/test_gateway_routing.rs
@@ -25,6 +25,7 @@
         priority: 0,
         max_attempts: 1,
         public,
+        resumable: false,
         targets: vec![Target { service: "s".into(), weight: 1.0 }],
     }
 }
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -6,7 +6,6 @@
 use http_body_util::Either;
 use http_body_util::Full;
 use leadstage_lib::code::Code;
-use leadstage_lib::gateway::routing::Repeat;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::headers;
 use leadstage_platform::headers::Added;
@@ -79,7 +78,7 @@
             Attempt::Unknown(code) => best = best.or(Err(Refusal::new(code))),
         }
         sent += 1;
-        if !may_go_on(traffic, req, sent) {
+        if !traffic.may_send_again(req, sent) {
             break;
         }
     }
@@ -89,14 +88,6 @@
     }
 }
 
-fn may_go_on(traffic: &Traffic, req: &CallerRequest, sent: u32) -> bool {
-    let repeatable = req.route.repeat == Repeat::Idempotent;
-    repeatable
-        && sent < req.route.max_attempts
-        && req.left() > req.route.objective / 4
-        && traffic.take_retry(&req.service)
-}
-
 async fn attempt(traffic: &Traffic, req: &CallerRequest, run: RunGuard) -> Attempt {
     let replica = run.placed.replica.clone();
     let added = Added { priority: None, ..req.added(&replica.id, None) };
@@ -130,7 +121,7 @@
     run.end(Outcome::Failed);
     match err {
         SendError::NotSent(_) => Attempt::NotSent,
-        SendError::TimedOut => Attempt::Unknown(Code::UpstreamTimeout),
+        SendError::TimedOut | SendError::Stalled => Attempt::Unknown(Code::UpstreamTimeout),
         SendError::Broken(_) | SendError::Foreign | SendError::Cut(_) => Attempt::Unknown(Code::UpstreamLost),
     }
 }
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -8,6 +8,7 @@
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::waiting;
 use leadstage_lib::ids::UpstreamId;
+use leadstage_platform::engine::Resume;
 use leadstage_platform::headers;
 use log::info;
 use tokio::sync::mpsc;
@@ -27,6 +28,7 @@
 use crate::gateway::upstream::exchange;
 use crate::gateway::upstream::exchange::Exchange;
 use crate::gateway::upstream::exchange::SendError;
+use crate::gateway::upstream::exchange::WholeAnswer;
 use crate::gateway::upstream::relay::Leg;
 use crate::gateway::upstream::relay::Relay;
 use crate::gateway::upstream::traffic::Traffic;
@@ -34,7 +36,7 @@
 /// Parts of a stream that wait for a slow caller, at most; then the engine waits too.
 const PARTS_WAITING: usize = 16;
 /// Engines that a request may fail to reach.
-const MOST_UNREACHED: usize = 3;
+const MOST_UNREACHED: u32 = 3;
 
 /// Serves a stream: answers with its head, and passes its events on in a task.
 pub async fn serve(
@@ -45,24 +47,18 @@
 ) -> Result<Reply, Refusal> {
     let (orders_tx, orders) = mpsc::unbounded_channel();
     let handle = StreamHandle { orders: orders_tx.clone(), produced: Arc::new(AtomicU32::new(0)) };
-    let (run, exchanged) = start(traffic, &req, &handle).await?;
-    if !exchanged.status.is_success() {
-        let replica = run.placed.replica.clone();
-        let answer = exchanged.whole(&traffic.connections, &replica, req.until).await;
-        let answer = answer.map_err(|_| Refusal::new(Code::UpstreamLost))?;
-        run.end(Outcome::Failed);
-        if answer.promises_not_run() {
-            return Err(Refusal::new(Code::UpstreamLost));
-        }
-        return Ok(plain::reply(answer));
-    }
+    let Begun { run, exchange, sent } = match begin(traffic, &req, &handle).await? {
+        Beginning::Begun(begun) => begun,
+        Beginning::Answered(answer) => return Ok(plain::reply(answer)),
+    };
     let placed_ms = run.placed_at.duration_since(req.came.into_std()).as_millis() as u64;
     info!(event = "stream_begins", request = req.id(), route = &*req.route.name, upstream = &*run.placed.replica.id, run = run.placed.run, priority = req.priority(), placed_ms, head_ms = req.came.elapsed().as_millis() as u64; "stream begins");
     let (tx, rx) = mpsc::channel(PARTS_WAITING);
     let mut res = Response::new(Either::Right(ChannelBody(rx)));
-    *res.status_mut() = exchanged.status;
-    *res.headers_mut() = headers::without_hop_by_hop(&exchanged.headers);
-    let relay = Relay::new(traffic.clone(), req, handle, Leg { run, exchange: exchanged }, tx);
+    *res.status_mut() = exchange.status;
+    *res.headers_mut() = headers::without_hop_by_hop(&exchange.headers);
+    let leg = Leg { run, exchange: Some(exchange) };
+    let relay = Relay::new(traffic.clone(), req, handle, leg, sent, tx);
     tokio::task::spawn_local(async move {
         relay.run(orders).await;
         drop((serving, open));
@@ -70,52 +66,125 @@
     Ok(res)
 }
 
-/// Sends the request to an engine. It is sent once; engines that could not be reached
-/// don't count.
-async fn start(
-    traffic: &Traffic,
-    req: &CallerRequest,
-    handle: &StreamHandle,
-) -> Result<(RunGuard, Exchange), Refusal> {
+/// A stream that has begun.
+struct Begun {
+    /// Its place at the engine.
+    run: RunGuard,
+    /// The engine's answer.
+    exchange: Exchange,
+    /// Engines that the request was sent to.
+    sent: u32,
+}
+
+/// How a stream began, or did not.
+enum Beginning {
+    Begun(Begun),
+    /// An engine answered with an error of its own.
+    Answered(WholeAnswer),
+}
+
+/// What one engine did with the request.
+enum Attempt {
+    Begun(RunGuard, Exchange),
+    /// An error of its own.
+    Answered(WholeAnswer),
+    /// Nothing was sent.
+    NotSent,
+    /// The engine did not run it.
+    NotRun,
+    /// It may have run.
+    Unknown(Code),
+}
+
+/// Sends the request to an engine. One that may not be repeated is sent once; engines that could
+/// not be reached don't count.
+async fn begin(traffic: &Traffic, req: &CallerRequest, handle: &StreamHandle) -> Result<Beginning, Refusal> {
     let mut tried: Vec<UpstreamId> = Vec::new();
+    let mut sent = 0;
+    let mut unreached = 0;
     let refusal = |code| Refusal { code, retry_after: Some(req.come_back_after()) };
-    while tried.len() < MOST_UNREACHED {
-        let request = PlaceRequest {
-            request: req.id().to_owned(),
-            wanted: Wanted {
-                service: req.service.clone(),
-                size: Some(req.generation_size()),
-                produced: 0,
-                from: None,
-                hall: traffic.shared.settings.hall.clone(),
-                exclude: tried.clone(),
-            },
-            priority: req.priority(),
-            patience: waiting::patience(req.route.objective),
-            stream: Some(handle.clone()),
+    let mut best: Result<Beginning, Refusal> = Err(refusal(Code::NoUpstream));
+    loop {
+        let Some(run) = traffic.shared.place(new_generation(traffic, req, handle, &tried)).await else {
+            break;
         };
-        let Some(run) = traffic.shared.place(request).await else {
-            return Err(refusal(Code::NoUpstream));
-        };
-        let replica = run.placed.replica.clone();
-        let added = req.added(&replica.id, None);
-        match exchange::send(traffic, &replica, req, &added, req.until).await {
-            Ok(exchanged) if exchanged.says_not_run() => {
-                traffic.on_not_run(req, &run, exchanged.status);
-                run.end(Outcome::Refused);
-                return Err(refusal(Code::UpstreamRefused));
+        tried.push(run.placed.replica.id.clone());
+        match attempt(traffic, req, run).await {
+            Attempt::Begun(run, exchange) => {
+                return Ok(Beginning::Begun(Begun { run, exchange, sent: sent + 1 }));
             }
-            Ok(exchanged) => return Ok((run, exchanged)),
-            Err(err) => {
-                info!(event = "attempt_failed", request = req.id(), upstream = &*replica.id, reason:% = err; "attempt failed");
-                run.end(Outcome::Failed);
-                match err {
-                    SendError::NotSent(_) => tried.push(replica.id.clone()),
-                    SendError::TimedOut => return Err(Refusal::new(Code::UpstreamTimeout)),
-                    _ => return Err(Refusal::new(Code::UpstreamLost)),
+            Attempt::NotSent => {
+                unreached += 1;
+                if unreached >= MOST_UNREACHED {
+                    best = best
+                        .map_err(|before| if sent == 0 { refusal(Code::UpstreamRefused) } else { before });
+                    break;
                 }
+                continue;
+            }
+            Attempt::Answered(answer) => best = Ok(Beginning::Answered(answer)),
+            Attempt::NotRun if sent == 0 => best = Err(refusal(Code::UpstreamRefused)),
+            Attempt::NotRun => {}
+            Attempt::Unknown(code) => best = best.or(Err(Refusal::new(code))),
+        }
+        sent += 1;
+        if !traffic.may_send_again(req, sent) {
+            break;
+        }
+        info!(event = "sent_again", request = req.id(), sent; "a stream that has not begun is sent to another engine");
+    }
+    best
+}
+
+fn new_generation(
+    traffic: &Traffic,
+    req: &CallerRequest,
+    handle: &StreamHandle,
+    tried: &[UpstreamId],
+) -> PlaceRequest {
+    PlaceRequest {
+        request: req.id().to_owned(),
+        wanted: Wanted {
+            service: req.service.clone(),
+            size: Some(req.generation_size()),
+            produced: 0,
+            from: None,
+            hall: traffic.shared.settings.hall.clone(),
+            exclude: tried.to_vec(),
+        },
+        priority: req.priority(),
+        patience: waiting::patience(req.route.objective),
+        stream: Some(handle.clone()),
+    }
+}
+
+async fn attempt(traffic: &Traffic, req: &CallerRequest, run: RunGuard) -> Attempt {
+    let replica = run.placed.replica.clone();
+    let resume = Resume { copy: None, last_event: req.last_event().map(str::to_owned) };
+    let added = req.added(&replica.id, Some(&resume));
+    match exchange::send(traffic, &replica, req, &added, req.until).await {
+        Ok(exchanged) if exchanged.says_not_run() => {
+            traffic.on_not_run(req, &run, exchanged.status);
+            run.end(Outcome::Refused);
+            Attempt::NotRun
+        }
+        Ok(exchanged) if exchanged.status.is_success() => Attempt::Begun(run, exchanged),
+        Ok(exchanged) => {
+            let answer = exchanged.whole(&traffic.connections, &replica, req.until).await;
+            run.end(Outcome::Failed);
+            match answer {
+                Ok(answer) if !answer.promises_not_run() => Attempt::Answered(answer),
+                _ => Attempt::Unknown(Code::UpstreamLost),
+            }
+        }
+        Err(err) => {
+            info!(event = "attempt_failed", request = req.id(), upstream = &*replica.id, reason:% = err; "attempt failed");
+            run.end(Outcome::Failed);
+            match err {
+                SendError::NotSent(_) => Attempt::NotSent,
+                SendError::TimedOut | SendError::Stalled => Attempt::Unknown(Code::UpstreamTimeout),
+                _ => Attempt::Unknown(Code::UpstreamLost),
             }
         }
     }
-    Err(refusal(Code::UpstreamRefused))
 }
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -20,7 +20,7 @@
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::routing::Unrouted;
-use leadstage_platform::engine::CopySource;
+use leadstage_platform::engine::Resume;
 use leadstage_platform::headers;
 use leadstage_platform::headers::Added;
 use tokio::time::Instant;
@@ -86,8 +86,19 @@
         GenerationSize { prompt: said.prompt_tokens, expected }
     }
 
+    /// The last event that its caller has from an earlier attempt, where that counts.
+    pub fn last_event(&self) -> Option<&str> {
+        headers::text(&self.headers, &headers::LAST_EVENT_ID).filter(|_| self.route.resumable)
+    }
+
+    /// Whether it may be sent to one more replica after `sent`, the retry budget aside: a replica
+    /// needs some time to answer.
+    pub fn may_repeat(&self, sent: u32) -> bool {
+        self.route.is_repeatable() && sent < self.route.max_attempts && self.left() > self.route.objective / 4
+    }
+
     /// What leadstage adds to it for an engine.
-    pub fn added<'a>(&'a self, target: &'a str, resume: Option<&'a CopySource>) -> Added<'a> {
+    pub fn added<'a>(&'a self, target: &'a str, resume: Option<&'a Resume>) -> Added<'a> {
         Added {
             deadline: self.left(),
             target,
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -7,4 +7,5 @@
 pub mod pace;
 pub mod relay;
 pub mod resuming;
+pub mod stall;
 pub mod traffic;
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -53,7 +53,7 @@
     }
 }
 
-/// What moving a generation has come to.
+/// What a task beside a stream has come to: one that moves its generation, or asks its engine.
 pub enum Step {
     /// A copy was made while the generation ran on.
     Copied(Copied),
@@ -61,6 +61,8 @@
     StopAnswered(Option<CopyOutcome>),
     /// No copy could be made.
     GaveUp(NotCopied),
+    /// The engine was silent, and is gone.
+    EngineGone(UpstreamId),
 }
 
 /// The outcome of a call to copy, as a label.
--- a/node/src/gateway/upstream/event_stream.rs
+++ b/node/src/gateway/upstream/event_stream.rs
@@ -3,10 +3,23 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use derive_more::Display;
 
 /// Bytes of one event at most; the largest that the sheets name have some kilobytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// Why a stream is of no use any more.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Unusable {
+    /// An event is larger than any may be.
+    #[display("an event is too large")]
+    TooLarge,
+    /// An event's id is not above that of the event before: the engine did not go on where it was
+    /// asked to, and the caller would get events twice.
+    #[display("ids of events do not rise")]
+    NotRising,
+}
+
 /// Takes bytes in and gives whole events out.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -14,30 +27,49 @@
     searched: usize,
     last_id: Option<String>,
     events: u64,
+    unusable: Option<Unusable>,
 }
 
 impl EventSplitter {
-    /// Takes bytes in; returns all events that are whole now, as they came. `None` when an
-    /// event is larger than any may be.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    /// For a stream that goes on after the event `last_id`, or begins.
+    pub fn after(last_id: Option<&str>) -> Self {
+        EventSplitter { last_id: last_id.map(str::to_owned), ..EventSplitter::default() }
+    }
+
+    /// Takes bytes in; returns all events that are whole now, as they came.
+    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.buf.extend_from_slice(bytes);
         let mut whole = 0;
         let mut at = self.searched;
-        while let Some(end) = event_end(&self.buf, at) {
-            self.note_event(whole, end);
+        while self.unusable.is_none()
+            && let Some(end) = event_end(&self.buf, at)
+        {
+            if !self.note_event(whole, end) {
+                self.unusable = Some(Unusable::NotRising);
+                break;
+            }
             whole = end;
             at = end;
         }
         let out = self.buf.split_to(whole).freeze();
         // An event's end may be split between two reads.
         self.searched = self.buf.len().saturating_sub(3);
-        (self.buf.len() <= MAX_EVENT_BYTES).then_some(out)
+        if self.buf.len() > MAX_EVENT_BYTES {
+            self.unusable.get_or_insert(Unusable::TooLarge);
+        }
+        out
+    }
+
+    /// Set once the stream is of no use any more.
+    pub fn unusable(&self) -> Option<Unusable> {
+        self.unusable
     }
 
     /// Drops the part of an event that is there.
     pub fn drop_part(&mut self) {
         self.buf.clear();
         self.searched = 0;
+        self.unusable = None;
     }
 
     /// What is left at a stream's regular end.
@@ -56,14 +88,29 @@
         self.events
     }
 
-    fn note_event(&mut self, start: usize, end: usize) {
+    /// Notes a whole event; returns whether its id, if it has one, is above the one before.
+    fn note_event(&mut self, start: usize, end: usize) -> bool {
         let event = &self.buf[start..end];
         let mut lines = event.split(|byte| *byte == b'\n');
         let id = lines.find_map(|line| line.strip_prefix(b"id:"));
-        if let Some(id) = id.and_then(|id| std::str::from_utf8(id).ok()) {
-            self.last_id = Some(id.trim().to_owned());
-            self.events += 1;
+        let Some(id) = id.and_then(|id| std::str::from_utf8(id).ok()).map(str::trim) else {
+            return true;
+        };
+        if !rises(self.last_id.as_deref(), id) {
+            return false;
         }
+        self.last_id = Some(id.to_owned());
+        self.events += 1;
+        true
+    }
+}
+
+/// Whether an id may follow another one; what is no number is not compared.
+fn rises(last: Option<&str>, next: &str) -> bool {
+    let number = |id: &str| id.parse::<u64>().ok();
+    match (last.and_then(number), number(next)) {
+        (Some(last), Some(next)) => next > last,
+        _ => true,
     }
 }
 
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -20,6 +20,7 @@
 use crate::gateway::upstream::connections::ConnectError;
 use crate::gateway::upstream::connections::Connection;
 use crate::gateway::upstream::connections::Connections;
+use crate::gateway::upstream::stall;
 use crate::gateway::upstream::traffic::Traffic;
 
 /// Bytes of a plain answer at most, as it is held until it is whole.
@@ -37,6 +38,9 @@
     /// No answer in time.
     #[display("no answer in time")]
     TimedOut,
+    /// The replica stayed silent for too long, and the request may go on elsewhere.
+    #[display("silent for too long")]
+    Stalled,
     /// The answer belongs to another request.
     #[display("answer to another request")]
     Foreign,
@@ -77,7 +81,9 @@
     let mut connection = traffic.connections.take(replica).await.map_err(SendError::NotSent)?;
     traffic.shared.metrics.on_connection(connection.rested.is_some());
     let sending = connection.sender.send_request(request(req, added));
+    let sending = stall::head(traffic, req, replica, sending);
     let answer = tokio::time::timeout_at(until, sending).await.map_err(|_| SendError::TimedOut)?;
+    let answer = answer.ok_or(SendError::Stalled)?;
     if let (Err(_), Some(rested)) = (&answer, connection.rested) {
         traffic.connections.on_break(rested);
     }
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -6,10 +6,13 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::waiting;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::engine;
 use leadstage_platform::engine::CopySource;
+use leadstage_platform::engine::Resume;
 use log::info;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -19,8 +22,10 @@
 
 use crate::gateway::messages::Order;
 use crate::gateway::messages::Outcome;
+use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::StreamHandle;
 use crate::gateway::messages::ToControl;
+use crate::gateway::peers::peer_message::Wanted;
 use crate::gateway::reply::BrokenStream;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
@@ -34,6 +39,9 @@
 use crate::gateway::upstream::pace::Pace;
 use crate::gateway::upstream::resuming;
 use crate::gateway::upstream::resuming::NotResumed;
+use crate::gateway::upstream::stall;
+use crate::gateway::upstream::stall::Silence;
+use crate::gateway::upstream::stall::StallWatch;
 use crate::gateway::upstream::traffic::Traffic;
 
 /// How long an engine that is leaving is asked for copies: the longest that one serves on.
@@ -47,8 +55,23 @@
 pub struct Leg {
     /// Its place there.
     pub run: RunGuard,
-    /// Its answer.
-    pub exchange: Exchange,
+    /// Its answer; `None` once this node has hung up.
+    pub exchange: Option<Exchange>,
+}
+
+impl Leg {
+    /// The next part of the answer's body; never comes once this node has hung up.
+    async fn frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        match &mut self.exchange {
+            Some(exchange) => exchange.body.frame().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Whether the answer's end can be told from a connection that just closes.
+    fn is_framed(&self) -> bool {
+        self.exchange.as_ref().is_some_and(Exchange::is_framed)
+    }
 }
 
 /// How a relay ended.
@@ -77,6 +100,8 @@
     steps: UnboundedReceiver<Step>,
     /// The task that moves the generation.
     moving: Option<AbortOnDropHandle<()>>,
+    /// The task that asks a silent engine for its health.
+    asking: Option<AbortOnDropHandle<()>>,
     /// Where the generation goes on once it has stopped.
     stopping: Option<Copied>,
     /// Engines that leave, of those that the generation ran or was to run on.
@@ -85,6 +110,9 @@
     failing: Vec<UpstreamId>,
     moves: u32,
     pace: Pace,
+    /// Engines that the request was sent to, those that went on from a copy aside.
+    sent: u32,
+    stall: StallWatch,
 }
 
 impl Relay {
@@ -94,6 +122,7 @@
         req: CallerRequest,
         handle: StreamHandle,
         leg: Leg,
+        sent: u32,
         tx: mpsc::Sender<Result<Bytes, BrokenStream>>,
     ) -> Self {
         let service = req.table.service(&req.service);
@@ -102,19 +131,22 @@
         Relay {
             tokens_per_event: engine.map_or(1, |e| e.tokens_per_event),
             traffic,
-            req: Arc::new(req),
             handle,
             leg,
             tx,
-            events: EventSplitter::default(),
+            events: EventSplitter::after(req.last_event()),
+            stall: StallWatch::new(&req.route),
+            sent,
             steps_tx,
             steps,
             moving: None,
+            asking: None,
             stopping: None,
             leaving: Vec::new(),
             failing: Vec::new(),
             moves: 0,
             pace: Pace::default(),
+            req: Arc::new(req),
         }
     }
 
@@ -139,39 +171,72 @@
     }
 
     async fn relay(&mut self, orders: &mut UnboundedReceiver<Order>) -> End {
-        let tx = self.tx.clone();
         loop {
-            tokio::select! {
-                biased;
-                () = tx.closed() => return End::CallerLeft,
-                () = tokio::time::sleep_until(self.req.until) => return End::OutOfTime,
-                Some(order) = orders.recv() => self.on_order(order),
-                Some(step) = self.steps.recv() => {
-                    if let Err(end) = self.on_step(step).await {
-                        return end;
-                    }
-                }
-                frame = self.leg.exchange.body.frame() => {
-                    let went_on = match frame {
-                        Some(Ok(frame)) => self.on_frame(frame.into_data().unwrap_or_default()).await,
-                        None => Err(self.on_regular_end().await),
-                        Some(Err(err)) => self.on_break(&err).await,
-                    };
-                    if let Err(end) = went_on {
+            match self.next(orders).await {
+                Ok(()) => {}
+                Err(End::EngineLost) => {
+                    if let Err(end) = self.go_on_after_last_event().await {
                         return end;
                     }
                 }
+                Err(end) => return end,
             }
         }
     }
 
-    async fn on_frame(&mut self, bytes: Bytes) -> Result<(), End> {
-        let Some(whole) = self.events.push(&bytes) else {
+    /// Does what comes next; an error if the stream cannot go on by itself.
+    async fn next(&mut self, orders: &mut UnboundedReceiver<Order>) -> Result<(), End> {
+        let tx = self.tx.clone();
+        tokio::select! {
+            biased;
+            () = tx.closed() => Err(End::CallerLeft),
+            () = tokio::time::sleep_until(self.req.until) => Err(End::OutOfTime),
+            Some(order) = orders.recv() => {
+                self.on_order(order);
+                Ok(())
+            }
+            Some(step) = self.steps.recv() => self.on_step(step).await,
+            frame = self.leg.frame() => match frame {
+                Some(Ok(frame)) => self.on_frame(frame.into_data().unwrap_or_default()).await,
+                None => Err(self.on_regular_end().await),
+                Some(Err(err)) => self.on_break(&err).await,
+            },
+            () = tokio::time::sleep_until(self.stall.due()), if self.req.route.resumable => self.on_silence().await,
+        }
+    }
+
+    /// The engine has been silent for too long.
+    async fn on_silence(&mut self) -> Result<(), End> {
+        if self.stall.on_due() == Silence::Leave {
             return Err(End::EngineLost);
-        };
-        if whole.is_empty() {
-            return Ok(());
         }
+        let (traffic, req) = (self.traffic.clone(), self.req.clone());
+        let engine = self.leg.run.placed.replica.clone();
+        let steps = self.steps_tx.clone();
+        self.asking = Some(AbortOnDropHandle::new(tokio::task::spawn_local(async move {
+            if stall::is_gone(&traffic, &req, &engine).await {
+                let _ = steps.send(Step::EngineGone(engine.id.clone()));
+            }
+        })));
+        Ok(())
+    }
+
+    async fn on_frame(&mut self, bytes: Bytes) -> Result<(), End> {
+        let whole = self.events.push(&bytes);
+        if !whole.is_empty() {
+            self.pass_on(whole).await?;
+        }
+        match self.events.unusable() {
+            Some(why) => {
+                info!(event = "stream_unusable", request = self.req.id(), upstream = &*self.leg.run.placed.replica.id, reason:% = why; "an engine's stream is of no use");
+                Err(End::EngineLost)
+            }
+            None => Ok(()),
+        }
+    }
+
+    async fn pass_on(&mut self, whole: Bytes) -> Result<(), End> {
+        self.stall.on_event(&self.req.route);
         if self.pace.first.is_none() {
             self.traffic.shared.tell(ToControl::FirstEvent(self.leg.run.placed.run));
         }
@@ -229,6 +294,8 @@
 
     async fn on_step(&mut self, step: Step) -> Result<(), End> {
         match step {
+            Step::EngineGone(engine) if engine == self.leg.run.placed.replica.id => Err(End::EngineLost),
+            Step::EngineGone(_) => Ok(()),
             Step::Copied(copied) if self.leaving.contains(&copied.target.placed.replica.id) => {
                 info!(event = "copy_dropped", request = self.req.id(), upstream = &*copied.target.placed.replica.id; "the copy's engine leaves as well");
                 self.moving = None;
@@ -283,14 +350,14 @@
     async fn drain(&mut self) -> Option<End> {
         let until = Instant::now() + DRAIN_LIMIT;
         loop {
-            let frame = tokio::time::timeout_at(until, self.leg.exchange.body.frame()).await;
+            let frame = tokio::time::timeout_at(until, self.leg.frame()).await;
             match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Err(end) = self.on_frame(frame.into_data().unwrap_or_default()).await {
                         return Some(end);
                     }
                 }
-                Ok(None) if self.leg.exchange.is_framed() => return Some(self.on_regular_end().await),
+                Ok(None) if self.leg.is_framed() => return Some(self.on_regular_end().await),
                 Ok(None | Some(Err(_))) | Err(_) => return None,
             }
         }
@@ -322,12 +389,14 @@
     async fn go_on_elsewhere(&mut self) -> Result<(), End> {
         self.events.drop_part();
         let mut copied = self.stopping.take().ok_or(End::EngineLost)?;
-        let mut resumed = self.resume(&copied.target.placed.replica, &copied).await;
+        let mut resumed = self.resume_copy(&copied.target.placed.replica, &copied).await;
         if matches!(resumed, Err(NotResumed::Refused)) && self.await_stop(&mut copied).await {
-            resumed = self.resume(&copied.target.placed.replica, &copied).await;
+            resumed = self.resume_copy(&copied.target.placed.replica, &copied).await;
         }
         match resumed {
-            Ok(exchange) => self.move_to(Leg { run: copied.target, exchange }),
+            Ok(exchange) => {
+                self.move_to(Leg { run: copied.target, exchange: Some(exchange) }, Outcome::Withdrawn)
+            }
             Err(NotResumed::Unknown) => return Err(End::EngineLost),
             Err(why) => self.go_back(copied, why).await?,
         }
@@ -336,10 +405,72 @@
         Ok(())
     }
 
-    fn move_to(&mut self, leg: Leg) {
+    /// The engine is lost, and so is the generation's memory. Where the route allows it, another
+    /// engine reads the prompt again and goes on after the last event that the caller has.
+    async fn go_on_after_last_event(&mut self) -> Result<(), End> {
+        self.give_up_leg();
+        while self.traffic.may_send_again(&self.req, self.sent) {
+            let caller = self.tx.clone();
+            let went_on = tokio::select! {
+                biased;
+                () = caller.closed() => return Err(End::CallerLeft),
+                went_on = self.begin_again() => went_on,
+            };
+            if went_on? {
+                return Ok(());
+            }
+        }
+        Err(End::EngineLost)
+    }
+
+    /// Hangs up, so that the lost engine does not work beside the next one, and drops what was
+    /// under way for it.
+    fn give_up_leg(&mut self) {
+        self.leg.exchange = None;
+        self.events.drop_part();
+        (self.moving, self.stopping, self.asking) = (None, None, None);
+        (self.steps_tx, self.steps) = mpsc::unbounded_channel();
+        self.failing.push(self.leg.run.placed.replica.id.clone());
+    }
+
+    /// Sends the request to one more engine; returns whether the stream goes on there.
+    async fn begin_again(&mut self) -> Result<bool, End> {
+        let request = PlaceRequest {
+            request: self.req.id().to_owned(),
+            wanted: Wanted {
+                service: self.req.service.clone(),
+                size: Some(self.req.generation_size()),
+                produced: 0,
+                from: None,
+                hall: self.traffic.shared.settings.hall.clone(),
+                exclude: self.failing.clone(),
+            },
+            priority: self.req.priority(),
+            patience: waiting::patience(self.req.route.objective),
+            stream: Some(self.handle.clone()),
+        };
+        let run = self.traffic.shared.place(request).await.ok_or(End::EngineLost)?;
+        self.sent += 1;
+        let engine = run.placed.replica.clone();
+        let resume = Resume { copy: None, last_event: self.events.last_id().map(str::to_owned) };
+        match self.resume(&engine, &resume, "go on").await {
+            Ok(exchange) => {
+                self.stall.on_resumed(&self.req.route);
+                self.move_to(Leg { run, exchange: Some(exchange) }, Outcome::Failed);
+                Ok(true)
+            }
+            Err(why) => {
+                self.failing.push(engine.id.clone());
+                run.end(if why == NotResumed::Refused { Outcome::Refused } else { Outcome::Failed });
+                Ok(false)
+            }
+        }
+    }
+
+    fn move_to(&mut self, leg: Leg, before: Outcome) {
         info!(event = "moved", request = self.req.id(), from = &*self.leg.run.placed.replica.id, upstream = &*leg.run.placed.replica.id, events = self.events.events(); "generation moved");
         let old = std::mem::replace(&mut self.leg, leg);
-        old.run.end(Outcome::Withdrawn);
+        old.run.end(before);
         self.moves += 1;
     }
 
@@ -349,11 +480,11 @@
         let here = self.leg.run.placed.replica.clone();
         let failing = copied.target.placed.replica.id.clone();
         self.await_stop(&mut copied).await;
-        let exchange = self.resume(&here, &copied).await.map_err(|_| End::EngineLost)?;
+        let exchange = self.resume_copy(&here, &copied).await.map_err(|_| End::EngineLost)?;
         info!(event = "went_back", request = self.req.id(), upstream = &*here.id, failing = &*failing, reason:% = why; "the generation goes on where it stopped");
         copied.target.end(if why == NotResumed::Failed { Outcome::Failed } else { Outcome::Refused });
         self.failing.push(failing);
-        self.leg.exchange = exchange;
+        self.leg.exchange = Some(exchange);
         Ok(())
     }
 
@@ -369,15 +500,22 @@
         }
     }
 
-    async fn resume(&self, engine: &ReplicaRecord, copied: &Copied) -> Result<Exchange, NotResumed> {
-        let source = CopySource {
-            engine: self.leg.run.placed.replica.address,
-            copy: copied.handle.clone(),
-            last_event: self.events.last_id().map(str::to_owned),
-        };
-        let resumed = resuming::resume(&self.traffic, &self.req, engine, &source).await;
+    /// Goes on at `engine` with a copy of the generation's memory.
+    async fn resume_copy(&self, engine: &ReplicaRecord, copied: &Copied) -> Result<Exchange, NotResumed> {
+        let copy = CopySource { engine: self.leg.run.placed.replica.address, handle: copied.handle.clone() };
+        let resume = Resume { copy: Some(copy), last_event: self.events.last_id().map(str::to_owned) };
+        self.resume(engine, &resume, "resume").await
+    }
+
+    async fn resume(
+        &self,
+        engine: &ReplicaRecord,
+        resume: &Resume,
+        step: &'static str,
+    ) -> Result<Exchange, NotResumed> {
+        let resumed = resuming::resume(&self.traffic, &self.req, engine, resume).await;
         let outcome = resumed.as_ref().map_or_else(|why| why.label(), |_| "done");
-        self.traffic.shared.metrics.on_move("resume", outcome);
+        self.traffic.shared.metrics.on_move(step, outcome);
         resumed
     }
 }
--- a/node/src/gateway/upstream/resuming.rs
+++ b/node/src/gateway/upstream/resuming.rs
@@ -1,8 +1,8 @@
-//! Sends a stopped generation's request again, to go on from a copy of its memory.
+//! Sends a generation's request again, to go on from a copy of its memory or after an event.
 
 use derive_more::Display;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
-use leadstage_platform::engine::CopySource;
+use leadstage_platform::engine::Resume;
 use log::info;
 
 use crate::gateway::request::CallerRequest;
@@ -35,14 +35,14 @@
     }
 }
 
-/// Goes on with a generation at `engine`, from `source`.
+/// Goes on with a generation at `engine`.
 pub async fn resume(
     traffic: &Traffic,
     req: &CallerRequest,
     engine: &ReplicaRecord,
-    source: &CopySource,
+    resume: &Resume,
 ) -> Result<Exchange, NotResumed> {
-    let added = req.added(&engine.id, Some(source));
+    let added = req.added(&engine.id, Some(resume));
     let sent = exchange::send(traffic, engine, req, &added, req.until).await;
     let (why, reason) = match sent {
         Ok(exchanged) if exchanged.status.is_success() => return Ok(exchanged),
@@ -51,6 +51,6 @@
         Err(err @ SendError::NotSent(_)) => (NotResumed::Failed, err.to_string()),
         Err(err) => (NotResumed::Unknown, err.to_string()),
     };
-    info!(event = "move_failed", request = req.id(), upstream = &*engine.id, outcome:% = why, reason = reason; "a generation could not go on from its copy");
+    info!(event = "move_failed", request = req.id(), upstream = &*engine.id, outcome:% = why, reason = reason; "a generation could not go on at an engine");
     Err(why)
 }
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -38,8 +38,13 @@
         Traffic { shared, connections: Rc::default(), retries: Rc::default() }
     }
 
-    /// Takes one repeat of a request to a service from the budget.
-    pub fn take_retry(&self, service: &ServiceId) -> bool {
+    /// Whether a request that was sent to `sent` replicas may be sent to one more; if so, that is
+    /// taken from the retry budget.
+    pub fn may_send_again(&self, req: &CallerRequest, sent: u32) -> bool {
+        req.may_repeat(sent) && self.take_retry(&req.service)
+    }
+
+    fn take_retry(&self, service: &ServiceId) -> bool {
         let now = self.shared.now();
         let bounds = self.shared.bounds();
         let share = RetryShare {
--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -20,7 +20,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use leadstage_testutils::gateway_replica::Copies;
+use leadstage_testutils::gateway_replica::Engines;
 use leadstage_testutils::gateway_replica::GatewayReplica;
 use leadstage_testutils::loopback::Server;
 use leadstage_testutils::metadata_store::MetadataStore;
@@ -58,15 +58,20 @@
     /// The store.
     pub store: Arc<MetadataStore>,
     store_server: Server,
-    copies: Arc<Copies>,
+    /// What the engines share.
+    pub engines: Arc<Engines>,
     nodes: Vec<Child>,
     net: String,
     dir: TempDir,
     _guard: TcpListener,
 }
 
-/// A configuration with two plain routes and one of streams.
+/// A configuration with two plain routes and two of streams, of which one is resumable.
 pub fn config(version: u64) -> Value {
+    let resumable = |mut route: Value| {
+        route["resumable"] = true.into();
+        route
+    };
     let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
         json!({"name": name, "host": "h.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": 8000,
             "targetLatencyMs": 500, "priority": 1, "service": service, "maxAttempts": attempts,
@@ -78,6 +83,7 @@
             route("read", "/read/", "idempotent", BOOKING, 2),
             route("book", "/book/", "non_idempotent", BOOKING, 1),
             route("chat", "/chat/", "streaming", MODEL, 1),
+            resumable(route("tag", "/tag/", "streaming", MODEL, 3)),
         ],
         "services": [
             {"name": BOOKING, "healthPath": "/healthz", "maxConnections": 50},
@@ -98,7 +104,7 @@
         Gateway {
             store,
             store_server,
-            copies: Arc::default(),
+            engines: Arc::default(),
             nodes: Vec::new(),
             net,
             dir: TempDir::new().expect("a folder"),
@@ -128,7 +134,7 @@
     /// Starts a replica whose generations have `events`, and lists it.
     pub async fn start_replica(&self, service: &str, id: &str, events: u64) -> RunningReplica {
         let ip = self.replicas_ip();
-        let (replica, server) = GatewayReplica::start(&ip, id, events, self.copies.clone()).await;
+        let (replica, server) = GatewayReplica::start(&ip, id, events, self.engines.clone()).await;
         self.store.put("servers", id, replica_entry(service, server.address, "hall-1", "ready"));
         RunningReplica { replica, server: Some(server) }
     }
@@ -322,7 +328,16 @@
 
 /// A request for a stream.
 pub fn chat(id: &str) -> Request<Full<Bytes>> {
-    let mut req = request("POST", "/chat/x", KEY, id);
+    stream("/chat/x", id)
+}
+
+/// A request for a stream that may be resumed.
+pub fn tag(id: &str) -> Request<Full<Bytes>> {
+    stream("/tag/x", id)
+}
+
+fn stream(path: &str, id: &str) -> Request<Full<Bytes>> {
+    let mut req = request("POST", path, KEY, id);
     let headers = req.headers_mut();
     headers.insert("leadstage-model", "m".parse().expect("valid"));
     headers.insert("leadstage-token-usage", "100,2000".parse().expect("valid"));
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_gateway_calls;
 mod test_gateway_fleet;
 mod test_gateway_limits;
+mod test_gateway_resuming;
 mod test_gateway_soak;
 mod test_gateway_streams;
 mod test_settings;
--- /dev/null
+++ b/node/tests/test_gateway_resuming.rs
@@ -0,0 +1,158 @@
+//! Streams that may be resumed go on at another engine after the last event that the caller has.
+
+use std::time::Duration;
+
+use leadstage_testutils::gateway_replica::Seen;
+use leadstage_testutils::gateway_replica::StreamFault;
+
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::RunningReplica;
+use crate::gateway_environment::chat;
+use crate::gateway_environment::send;
+use crate::gateway_environment::tag;
+
+/// Events of the stand-in's generations.
+const EVENTS: u64 = 60;
+
+/// What the engines do with the stream, one after the other as they get it.
+struct Case {
+    name: &'static str,
+    faults: &'static [StreamFault],
+}
+
+const MATRIX: [Case; 13] = [
+    Case { name: "none", faults: &[] },
+    Case { name: "dies before its head", faults: &[StreamFault::NoHead] },
+    Case { name: "fails it", faults: &[StreamFault::Fails] },
+    Case { name: "did not run it", faults: &[StreamFault::NotRun] },
+    Case { name: "never answers", faults: &[StreamFault::Hangs] },
+    Case { name: "breaks before an event", faults: &[StreamFault::BreaksAfter(0)] },
+    Case { name: "breaks between events", faults: &[StreamFault::BreaksAfter(7)] },
+    Case { name: "breaks inside an event", faults: &[StreamFault::BreaksInside(7)] },
+    Case { name: "breaks after the last event", faults: &[StreamFault::BreaksAfter(EVENTS)] },
+    Case { name: "falls silent", faults: &[StreamFault::StallsAfter(7)] },
+    Case {
+        name: "the second breaks too",
+        faults: &[StreamFault::BreaksAfter(7), StreamFault::BreaksInside(20)],
+    },
+    Case {
+        name: "all break",
+        faults: &[StreamFault::BreaksAfter(7), StreamFault::BreaksAfter(20), StreamFault::BreaksAfter(30)],
+    },
+    Case { name: "the second starts over", faults: &[StreamFault::BreaksAfter(7), StreamFault::StartsOver] },
+];
+
+fn arrivals(models: &[RunningReplica]) -> Vec<Seen> {
+    models.iter().flat_map(|model| model.replica.seen()).collect()
+}
+
+/// The signature of the engine whose head went to the caller.
+fn first_signature(logs: &str) -> Option<String> {
+    let begins = logs.lines().find(|line| line.contains("event=stream_begins"))?;
+    let engine = begins.split_whitespace().find_map(|word| word.strip_prefix("upstream="))?;
+    Some(format!("sig-{engine}"))
+}
+
+/// Each event comes once, whole and in order, whatever becomes of the engines; an end comes only
+/// after the last one; the head is the first engine's; and no more engines are asked than the route allows.
+#[tokio::test]
+async fn test_matrix_of_faults() {
+    let mut rows = Vec::new();
+    for (n, case) in MATRIX.iter().enumerate() {
+        let (gateway, _bookings, models) = Gateway::with_replicas(4).await;
+        let id = format!("r-{n}");
+        gateway.engines.set_stream_faults(case.faults.iter().copied());
+        let called = gateway.call(0, tag(&id)).await;
+        let events = called.events();
+        let logs = gateway.logs();
+        assert!(events.is_some() || called.status != 200, "{}: {}\n{logs}", case.name, called.body);
+        if called.status == 200 {
+            assert_eq!(called.whole, events == Some(EVENTS), "{}: {events:?}\n{logs}", case.name);
+            let signature = called.header("leadstage-server-signature");
+            assert_eq!(signature, first_signature(&logs).as_deref(), "{}\n{logs}", case.name);
+        }
+        let seen = arrivals(&models);
+        assert!(seen.len() <= 3, "{}: {} engines\n{logs}", case.name, seen.len());
+        let mut resumed: Vec<&str> = seen.iter().filter_map(|seen| seen.header("last-event-id")).collect();
+        resumed.sort_by_key(|id| id.len());
+        rows.push(format!(
+            "{}: status {}, whole {}, events {events:?}, engines {}, resumed after {resumed:?}",
+            case.name,
+            called.status,
+            called.whole,
+            seen.len()
+        ));
+        gateway.until("all is quiet", async || models.iter().all(|m| m.replica.running() == 0)).await;
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r#"
+    none: status 200, whole true, events Some(60), engines 1, resumed after []
+    dies before its head: status 200, whole true, events Some(60), engines 2, resumed after []
+    fails it: status 200, whole true, events Some(60), engines 2, resumed after []
+    did not run it: status 200, whole true, events Some(60), engines 2, resumed after []
+    never answers: status 200, whole true, events Some(60), engines 2, resumed after []
+    breaks before an event: status 200, whole true, events Some(60), engines 2, resumed after []
+    breaks between events: status 200, whole true, events Some(60), engines 2, resumed after ["7"]
+    breaks inside an event: status 200, whole true, events Some(60), engines 2, resumed after ["7"]
+    breaks after the last event: status 200, whole true, events Some(60), engines 2, resumed after ["60"]
+    falls silent: status 200, whole true, events Some(60), engines 2, resumed after ["7"]
+    the second breaks too: status 200, whole true, events Some(60), engines 3, resumed after ["7", "20"]
+    all break: status 200, whole false, events Some(30), engines 3, resumed after ["7", "20"]
+    the second starts over: status 200, whole true, events Some(60), engines 3, resumed after ["7", "7"]
+    "#);
+}
+
+/// A caller that comes back names the last event that it has: on a resumable route the engine gets
+/// to know it, on others it is for the system alone.
+#[tokio::test]
+async fn test_a_caller_may_go_on_after_its_last_event() {
+    let (gateway, _bookings, models) = Gateway::with_replicas(1).await;
+    let mut came_back = tag("r-1");
+    came_back.headers_mut().insert("last-event-id", "40".parse().expect("valid"));
+    let called = gateway.call(0, came_back).await;
+    let expected: String = (41..=EVENTS).map(|n| format!("id: {n}\ndata: token {n}\n\n")).collect();
+    assert_eq!((called.whole, called.body), (true, expected));
+    let mut other = chat("r-2");
+    other.headers_mut().insert("last-event-id", "40".parse().expect("valid"));
+    assert_eq!(gateway.call(0, other).await.events(), Some(EVENTS));
+    let named: Vec<bool> =
+        models[0].replica.seen().iter().map(|seen| seen.header("last-event-id").is_some()).collect();
+    assert_eq!(named, [true, false]);
+}
+
+/// A caller that came back and whose engine breaks before an event goes on after the event that it
+/// named, and not from the first.
+#[tokio::test]
+async fn test_a_caller_that_came_back_goes_on_once_more() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(2).await;
+    gateway.engines.set_stream_faults([StreamFault::BreaksAfter(40)]);
+    let mut came_back = tag("r-1");
+    came_back.headers_mut().insert("last-event-id", "40".parse().expect("valid"));
+    let called = gateway.call(0, came_back).await;
+    let expected: String = (41..=EVENTS).map(|n| format!("id: {n}\ndata: token {n}\n\n")).collect();
+    assert_eq!((called.whole, called.body), (true, expected), "{}", gateway.logs());
+}
+
+/// A stream that may not be resumed ends where its engine breaks.
+#[tokio::test]
+async fn test_other_streams_are_not_sent_twice() {
+    let (gateway, _bookings, models) = Gateway::with_replicas(3).await;
+    for fault in [StreamFault::NoHead, StreamFault::Fails, StreamFault::BreaksAfter(7)] {
+        gateway.engines.set_stream_faults([fault]);
+        let before = arrivals(&models).len();
+        let called = gateway.call(0, chat("r-1")).await;
+        assert!(called.status != 200 || !called.whole, "{fault:?}");
+        assert_eq!(arrivals(&models).len(), before + 1, "{fault:?}");
+    }
+}
+
+/// Nobody is asked to go on for a caller that has left.
+#[tokio::test]
+async fn test_a_caller_that_left_is_not_gone_on_for() {
+    let (gateway, _bookings, models) = Gateway::with_replicas(2).await;
+    gateway.engines.set_stream_faults([StreamFault::StallsAfter(7)]);
+    let answer = send(&gateway.front(0), tag("r-1")).await.expect("it begins");
+    drop(answer);
+    gateway.until("it ends", async || models.iter().all(|m| m.replica.running() == 0)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(arrivals(&models).len(), 1);
+}
--- a/scripts/play-seeds.sh
+++ b/scripts/play-seeds.sh
@@ -26,7 +26,8 @@
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 
-if [ "$days" = trouble ]; then days="trouble-1 scale-1 trouble-2 scale-2 trouble-3"; fi
+days=" $days "
+days="${days// trouble / trouble-1 scale-1 trouble-2 scale-2 trouble-3 }"
 site_file=$(find "$kit" -name "$site.toml" | head -1)
 
 for day in $days; do
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -2,6 +2,7 @@
 //! can be copied away, and has switches for its faults.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -58,8 +59,40 @@
     ResumeFails,
 }
 
-/// Stands for the events of a generation that is to be cut off next.
-const CUT: u64 = u64::MAX;
+/// How an engine treats a stream that it makes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StreamFault {
+    /// Makes it.
+    #[default]
+    None,
+    /// Closes the connection instead of answering.
+    NoHead,
+    /// Never answers.
+    Hangs,
+    /// Answers with an error of its own.
+    Fails,
+    /// Says that it did not run it.
+    NotRun,
+    /// Breaks off after so many events.
+    BreaksAfter(u64),
+    /// Breaks off in the middle of the event after so many.
+    BreaksInside(u64),
+    /// Falls silent after so many events.
+    StallsAfter(u64),
+    /// Begins at the first event, whatever event it is to go on after.
+    StartsOver,
+}
+
+/// What a stand-in's generation does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    /// Makes the event after so many.
+    Event(u64),
+    /// Breaks off.
+    Break,
+    /// Is over.
+    End,
+}
 
 /// A request that a replica saw.
 #[derive(Clone, Debug)]
@@ -79,9 +112,25 @@
     }
 }
 
-/// Copies of generations, by the engine that made them and their handle.
+/// What the engines of one fleet share.
 #[derive(Default)]
-pub struct Copies(Mutex<HashMap<String, u64>>);
+pub struct Engines {
+    /// Copies of generations, by the engine that made them and their handle.
+    copies: Mutex<HashMap<String, u64>>,
+    /// How the next streams are treated, one after the other, at whichever engine they arrive.
+    stream_faults: Mutex<VecDeque<StreamFault>>,
+}
+
+impl Engines {
+    /// Sets how the next streams are treated, one after the other; all that follow are made.
+    pub fn set_stream_faults(&self, faults: impl IntoIterator<Item = StreamFault>) {
+        *self.stream_faults.lock().expect("no holder panics") = faults.into_iter().collect();
+    }
+
+    fn next_stream_fault(&self) -> StreamFault {
+        self.stream_faults.lock().expect("no holder panics").pop_front().unwrap_or_default()
+    }
+}
 
 #[derive(Default)]
 struct State {
@@ -104,7 +153,7 @@
     pub events: u64,
     /// Time between two events.
     pub pace: Duration,
-    copies: Arc<Copies>,
+    engines: Arc<Engines>,
     state: Mutex<State>,
 }
 
@@ -134,12 +183,12 @@
 
 impl GatewayReplica {
     /// A replica that serves on a free port of `ip`.
-    pub async fn start(ip: &str, id: &str, events: u64, copies: Arc<Copies>) -> (Arc<Self>, Server) {
+    pub async fn start(ip: &str, id: &str, events: u64, engines: Arc<Engines>) -> (Arc<Self>, Server) {
         let replica = Arc::new(GatewayReplica {
             id: id.to_owned(),
             events,
             pace: Duration::from_millis(15),
-            copies,
+            engines,
             state: Mutex::default(),
         });
         let server = loopback::serve(ip, replica.clone()).await;
@@ -220,8 +269,28 @@
         res
     }
 
-    fn stream(self: Arc<Self>, req: &Request<Bytes>) -> Response<Body> {
+    async fn stream(self: Arc<Self>, req: &Request<Bytes>) -> Response<Body> {
         let id = text(req.headers(), "leadstage-request-id");
+        let fault = self.engines.next_stream_fault();
+        match fault {
+            StreamFault::NoHead => {
+                let broken = futures::stream::iter([Err(std::io::Error::other("no head"))]);
+                return Response::new(loopback::parts(broken));
+            }
+            StreamFault::Hangs => {
+                self.state().runs.insert(id.clone(), 0);
+                let _guard = RunGuard { replica: self.clone(), id, done: false };
+                std::future::pending::<()>().await;
+                unreachable!("nothing ends it");
+            }
+            StreamFault::Fails => {
+                let mut res = status(500);
+                *res.headers_mut() = self.headers(req.headers(), ReplicaFault::None);
+                return res;
+            }
+            StreamFault::NotRun => return self.not_run(req.headers()),
+            _ => {}
+        }
         let from = match req.headers().get("kv-from") {
             Some(_) if self.state().copy_fault == CopyFault::ResumeFails => {
                 let mut res = status(500);
@@ -230,36 +299,49 @@
             }
             Some(copy) => {
                 let copy = copy.to_str().unwrap_or("").to_owned();
-                let used = self.copies.0.lock().expect("no holder panics").remove(&copy);
+                let used = self.engines.copies.lock().expect("no holder panics").remove(&copy);
                 if used.is_none() {
                     return self.not_run(req.headers());
                 }
                 self.state().stopped.retain(|stopped| *stopped != id);
                 text(req.headers(), "last-event-id").parse().unwrap_or(0)
             }
-            None => 0,
+            None if fault == StreamFault::StartsOver => 0,
+            None => text(req.headers(), "last-event-id").parse().unwrap_or(0),
         };
-        let mut res = Response::new(loopback::parts(self.clone().generate(id, from)));
+        let mut res = Response::new(loopback::parts(self.clone().generate(id, from, fault)));
         *res.headers_mut() = self.headers(req.headers(), ReplicaFault::None);
         res.headers_mut().insert("content-type", "text/event-stream".parse().expect("valid"));
         res
     }
 
-    /// The events after `from`; stops in the middle of one, without an end, when the generation was copied away.
+    /// The events after `from`; stops in the middle of one, without an end, when the generation
+    /// was copied away.
     fn generate(
         self: Arc<Self>,
         id: String,
         from: u64,
+        fault: StreamFault,
     ) -> impl futures::Stream<Item = std::io::Result<Bytes>> + Send {
         self.state().runs.insert(id.clone(), from);
         let guard = RunGuard { replica: self.clone(), id, done: false };
-        futures::stream::unfold((guard, from), |(mut guard, made)| async move {
+        futures::stream::unfold((guard, Next::Event(from)), move |(mut guard, next)| async move {
             let replica = guard.replica.clone();
-            if made == CUT {
-                // The part is sent before the connection breaks.
-                tokio::time::sleep(replica.pace).await;
-                guard.finish();
-                return Some((Err(std::io::Error::other("stopped")), (guard, replica.events)));
+            let made = match next {
+                Next::Event(made) => made,
+                Next::Break => {
+                    // What was made is sent before the connection breaks.
+                    tokio::time::sleep(replica.pace).await;
+                    guard.finish();
+                    return Some((Err(std::io::Error::other("stopped")), (guard, Next::End)));
+                }
+                Next::End => return None,
+            };
+            if fault == StreamFault::StallsAfter(made) {
+                std::future::pending::<()>().await;
+            }
+            if fault == StreamFault::BreaksAfter(made) {
+                return Some((Ok(Bytes::new()), (guard, Next::Break)));
             }
             if made == replica.events {
                 guard.finish();
@@ -267,15 +349,15 @@
             }
             tokio::time::sleep(replica.pace).await;
             let mut state = replica.state();
-            if state.stopped.contains(&guard.id) {
+            if state.stopped.contains(&guard.id) || fault == StreamFault::BreaksInside(made) {
                 drop(state);
                 let part = format!("id: {}\ndata: tok", made + 1);
-                return Some((Ok(Bytes::from(part)), (guard, CUT)));
+                return Some((Ok(Bytes::from(part)), (guard, Next::Break)));
             }
             state.runs.insert(guard.id.clone(), made + 1);
             drop(state);
             let event = format!("id: {}\ndata: token {}\n\n", made + 1, made + 1);
-            Some((Ok(Bytes::from(event)), (guard, made + 1)))
+            Some((Ok(Bytes::from(event)), (guard, Next::Event(made + 1))))
         })
     }
 
@@ -295,7 +377,7 @@
             _ => {}
         }
         let address = address.expect("it serves");
-        self.copies.0.lock().expect("no holder panics").insert(format!("{address}/h-{id}"), made);
+        self.engines.copies.lock().expect("no holder panics").insert(format!("{address}/h-{id}"), made);
         if last {
             self.state().stopped.push(id.clone());
             if fault == CopyFault::StopHangs {
@@ -343,7 +425,7 @@
             return self.not_run(req.headers());
         }
         if req.headers().contains_key("leadstage-model") {
-            return self.stream(&req);
+            return self.stream(&req).await;
         }
         self.call(req, fault).await
     }
