engines: how fast they are is learned, by service and engine

Cause: times of reading, tokens and copies were constants that fitted two sites. On an own deployment with engines 2.6 times as slow, an engine that had read nothing was taken to be as fast as guessed and the others as slow as they had shown: new ones got all prompts, and first events came up to 5 s late. Times of copies follow from links and sizes. Shown by the properties of test_gateway_learned: engines 0.3 to 4 times as fast are known after ten prompts, one that slows down after five.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -5,6 +5,7 @@
 
 pub mod evacuation;
 pub mod lead;
+pub mod learned;
 pub mod load;
 pub mod lookout;
 pub mod reading;
@@ -14,5 +15,6 @@
 pub mod replicas;
 pub mod retry_window;
 pub mod routing;
+pub mod token_pace;
 pub mod waiting;
 pub mod watchers;
--- a/lib/src/gateway/evacuation.rs
+++ b/lib/src/gateway/evacuation.rs
@@ -11,8 +11,6 @@
 
 use crate::gateway::load::GenerationSize;
 
-/// Tokens that a generation makes in a second: an event of 4 in some 35 ms.
-const TOKENS_PER_SECOND: f64 = 115.0;
 /// A generation that should end within this is left alone at first.
 const ENDS_SOON: Duration = Duration::from_millis(800);
 /// How long one that should end soon is given.
@@ -45,8 +43,8 @@
 }
 
 /// How long after its engine's notice a generation's move starts.
-pub fn start_delay(size: GenerationSize, produced: u32) -> Duration {
-    let remaining = f64::from(size.expected.saturating_sub(produced)) / TOKENS_PER_SECOND;
+pub fn start_delay(size: GenerationSize, produced: u32, tokens_per_second: f64) -> Duration {
+    let remaining = f64::from(size.expected.saturating_sub(produced)) / tokens_per_second;
     if remaining < ENDS_SOON.as_secs_f64() && produced > 0 && size.expected > produced {
         return SOON_DELAY;
     }
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -16,6 +16,9 @@
 use crate::gateway::reading::ReadingClocks;
 use crate::gateway::replicas::Replica;
 use crate::gateway::routing::EngineTraits;
+use crate::gateway::routing::ServiceId;
+use crate::gateway::token_pace::GUESSED_TOKENS_PER_SECOND;
+use crate::gateway::token_pace::TokenPaces;
 use crate::ids::HallId;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
@@ -39,11 +42,10 @@
 /// Milliseconds that one more running stream adds to the cost of an engine: each makes
 /// every step a little longer, and is one more to move when the engine leaves.
 const COST_PER_RUN_MS: f64 = 25.0;
-/// Tokens that a generation grows by within the horizon of 3 s, at most: it makes 4 tokens
-/// in some 35 ms. Beyond the horizon others have ended.
-const MOST_GROWTH: u32 = 340;
-/// Tokens that a generation is taken to grow by when it should have ended already.
-const LEAST_GROWTH: u32 = 80;
+/// Seconds for which a generation is taken to grow, at most: beyond them others have ended.
+const MOST_GROWTH_S: f64 = 3.0;
+/// Seconds for which one is taken to grow that should have ended already.
+const LEAST_GROWTH_S: f64 = 0.7;
 /// Cost of a call in another hall: its bytes are priced.
 const COST_OTHER_HALL_MS: f64 = 12.0;
 /// Cost of a generation in another hall: where a link between halls loses 3 packets in 100, a
@@ -63,11 +65,9 @@
 const COST_FULL_MEMORY_MS: f64 = 4_000.0;
 /// Cost of one request in flight at a plain replica, against [`COST_OTHER_HALL_MS`].
 const COST_PER_CALL_MS: f64 = 30.0;
-/// Cost of a move to another hall: copies take twice as long there.
-const COST_FAR_MOVE_MS: f64 = 600.0;
-/// Cost of a move to an engine that another one moves to: its link carries one copy after
-/// the other, each some 200 ms.
-const COST_PER_ARRIVING_MS: f64 = 200.0;
+/// Cost of a move to another hall, in times that a copy takes within one: it takes twice as long,
+/// on the links of both engines, and others wait for these.
+const FAR_MOVE_COPIES: f64 = 3.0;
 /// Random part of a cost, so that nodes which know the same don't all choose the same.
 const SPREAD_MS: f64 = 8.0;
 /// Cost of a plain replica all of whose answers are errors, growing with the square of their share:
@@ -111,11 +111,6 @@
 }
 
 impl Run {
-    /// Tokens of memory that it is expected to take soon.
-    pub fn memory(&self) -> f64 {
-        self.size.map_or(0.0, |size| soon(size, self.produced))
-    }
-
     /// Tokens that it is still expected to make.
     pub fn remaining(&self) -> u32 {
         self.size.unwrap_or_default().expected.saturating_sub(self.produced)
@@ -128,14 +123,20 @@
     /// By node: each of hundreds tells a lead of its own some times a second.
     runs: HashMap<VmId, BTreeMap<RunId, Run>>,
     by_replica: BTreeMap<UpstreamId, Vec<RunKey>>,
+    /// The services of the replicas that were given requests.
+    services: HashMap<UpstreamId, ServiceId>,
     reading: ReadingClocks,
+    paces: TokenPaces,
 }
 
 impl LoadBook {
     /// A request was given to a replica.
-    pub fn add(&mut self, key: RunKey, run: Run, now: Timestamp) {
-        if let (Some(size), 0) = (run.size, run.produced) {
-            self.reading.on_given(&key, &run.replica, size.prompt, now);
+    pub fn add(&mut self, key: RunKey, run: Run, replica: &Replica, now: Timestamp) {
+        if let Some(size) = run.size {
+            self.services.insert(run.replica.clone(), replica.record.service.clone());
+            if run.produced == 0 {
+                self.reading.on_given(&key, replica, size.prompt, now);
+            }
         }
         self.insert(key, run);
     }
@@ -156,12 +157,14 @@
 
     /// Forgets what it learnt of replicas that are gone.
     pub fn retain_replicas(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.services.retain(|replica, _| is_known(replica));
         self.reading.retain(is_known);
     }
 
     /// A request has ended, or was never sent.
     pub fn remove(&mut self, key: &RunKey) -> Option<Run> {
         self.reading.forget(key);
+        self.paces.forget(key);
         self.take_out(key)
     }
 
@@ -181,12 +184,33 @@
     }
 
     /// A generation made tokens.
-    pub fn on_progress(&mut self, key: &RunKey, produced: u32) {
-        if let Some(run) = self.get_mut(key) {
-            run.produced = produced;
+    pub fn on_progress(&mut self, key: &RunKey, produced: u32, now: Timestamp) {
+        let Some(run) = self.get_mut(key) else {
+            return;
+        };
+        run.produced = produced;
+        let replica = run.replica.clone();
+        self.note_pace(key, &replica, produced, now);
+    }
+
+    fn note_pace(&mut self, key: &RunKey, replica: &str, produced: u32, now: Timestamp) {
+        if let Some(service) = self.services.get(replica) {
+            self.paces.on_progress(key, service, produced, now);
         }
     }
 
+    /// How fast the generations of each service make tokens.
+    pub fn paces(&self) -> &TokenPaces {
+        &self.paces
+    }
+
+    /// Tokens of memory that a request is expected to take soon.
+    pub fn memory(&self, run: &Run) -> f64 {
+        let service = self.services.get(&run.replica);
+        let pace = service.map_or(GUESSED_TOKENS_PER_SECOND, |service| self.paces.tokens_per_second(service));
+        run.size.map_or(0.0, |size| soon(size, run.produced, pace))
+    }
+
     /// A copy is complete.
     pub fn on_copied(&mut self, key: &RunKey) {
         if let Some(run) = self.get_mut(key) {
@@ -201,7 +225,7 @@
 
     /// All generations of a node, as it reports them. Those that it had started by then
     /// and does not name have ended; `last` is the newest that it had started.
-    pub fn on_inventory(&mut self, entry: &VmId, runs: Vec<(RunId, Run)>, last: RunId) {
+    pub fn on_inventory(&mut self, entry: &VmId, runs: Vec<(RunId, Run)>, last: RunId, now: Timestamp) {
         let named: HashSet<RunId> = runs.iter().map(|(run, _)| *run).collect();
         let known = self.runs.get(entry).into_iter().flat_map(|runs| runs.range(..=last));
         let ended: Vec<RunId> = known.map(|(run, _)| *run).filter(|run| !named.contains(run)).collect();
@@ -209,13 +233,15 @@
             self.remove(&RunKey { entry: entry.clone(), run });
         }
         for (run, report) in runs {
-            self.insert(RunKey { entry: entry.clone(), run }, report);
+            let key = RunKey { entry: entry.clone(), run };
+            self.note_pace(&key, &report.replica, report.produced, now);
+            self.insert(key, report);
         }
     }
 
     /// A node is gone, and its requests with it.
     pub fn on_entry_gone(&mut self, entry: &VmId) {
-        self.on_inventory(entry, Vec::new(), RunId::MAX);
+        self.on_inventory(entry, Vec::new(), RunId::MAX, Timestamp::ZERO);
     }
 
     /// A request.
@@ -245,7 +271,7 @@
 
     /// The part of an engine's memory that is expected to be used soon.
     pub fn fill(&self, replica: &str, engine: &EngineTraits) -> f64 {
-        let expected: f64 = self.at(replica).map(|(_, run)| run.memory()).sum();
+        let expected: f64 = self.at(replica).map(|(_, run)| self.memory(run)).sum();
         expected / f64::from(engine.memory_tokens.max(1))
     }
 
@@ -290,16 +316,18 @@
         let moves = request.moves;
         let arriving = self.at(id).filter(|(_, run)| run.copied_from.is_some()).count();
         let far = moves && replica.record.hall != *request.hall;
-        let wait = self.reading.wait(id, now).max(replica.warm_at.saturating_sub(now));
+        let wait = self.reading.wait(id, now);
         let runs = self.at(id).count();
-        let own = soon(request.size, request.produced);
+        let pace = self.paces.tokens_per_second(&replica.record.service);
+        let own = soon(request.size, request.produced, pace);
         let fill = self.fill(id, request.engine) + own / f64::from(request.engine.memory_tokens.max(1));
         // A copy goes ahead of the prompts that wait there.
         let way = if moves {
-            let far_cost = if far { COST_FAR_MOVE_MS } else { 0.0 };
-            arriving as f64 * COST_PER_ARRIVING_MS + far_cost
+            let copy = millis(request.engine.copy_time(request.size.prompt + request.produced));
+            let copies = arriving as f64 + if far { FAR_MOVE_COPIES } else { 0.0 };
+            copies * copy
         } else {
-            let own_time = self.reading.reading_time(id, request.size.prompt);
+            let own_time = self.reading.reading_time(replica, request.size.prompt, now);
             let first_event = millis(wait + own_time);
             first_event + first_event * first_event / WAIT_TWICE_AS_BAD_MS
         };
@@ -351,9 +379,10 @@
 }
 
 /// Tokens of memory that a generation takes within the horizon.
-fn soon(size: GenerationSize, produced: u32) -> f64 {
-    let remaining = size.expected.saturating_sub(produced).clamp(LEAST_GROWTH, MOST_GROWTH);
-    f64::from(size.prompt) + f64::from(produced) + f64::from(remaining)
+fn soon(size: GenerationSize, produced: u32, tokens_per_second: f64) -> f64 {
+    let remaining = f64::from(size.expected.saturating_sub(produced));
+    let growth = remaining.clamp(LEAST_GROWTH_S * tokens_per_second, MOST_GROWTH_S * tokens_per_second);
+    f64::from(size.prompt) + f64::from(produced) + growth
 }
 
 fn millis(duration: Timestamp) -> f64 {
--- a/lib/src/gateway/reading.rs
+++ b/lib/src/gateway/reading.rs
@@ -1,68 +1,103 @@
 //! When an engine will have read the prompts that it was given.
 //!
 //! Prompts are read one after another, so the wait at an engine is a clock that each prompt
-//! moves on. First events show how far off the clock is, and how fast the engine is: some
-//! are slower than others, or become so.
+//! moves on. First events show how far off the clock is, and how fast the engine reads: some are
+//! slower than others, or become so. An engine that has shown nothing yet is taken to be like the
+//! others of its service, and one that has just started like those that had just started.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::gateway::learned::Learned;
 use crate::gateway::load::RunKey;
+use crate::gateway::replicas::Replica;
+use crate::gateway::routing::ServiceId;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
 
-/// Prompt tokens that an engine reads in a millisecond beside running streams: prompts of
-/// 3,000 tokens had their first event after 430 ms at idle engines of the calm days.
-const READ_TOKENS_PER_MS: f64 = 7.0;
-/// Weight of the newest first event in an engine's slowness.
-const NEWEST_WEIGHT: f64 = 0.25;
-/// Bounds of a slowness, so that one odd event does not rule an engine out.
-const SLOWNESS: std::ops::RangeInclusive<f64> = 0.7..=5.0;
+/// Milliseconds that an engine takes for a prompt token, before the first was seen to be read.
+const GUESSED_MS_PER_TOKEN: f64 = 0.14;
+/// How much slower an engine is guessed to read that has just started.
+const GUESSED_COLD_FACTOR: f64 = 1.5;
+/// Weight of the newest first event in an engine's speed: of four, so that one that slows down is
+/// noticed within a second or two.
+const ENGINE_WEIGHT: f64 = 0.25;
+/// Weight of the newest first event in a service's speed.
+const SERVICE_WEIGHT: f64 = 0.05;
 
 /// A prompt that is being read, or waits for it.
 #[derive(Clone, Copy, Debug)]
 struct Reading {
     given: Timestamp,
     expected: Timestamp,
+    /// The engine had just started.
+    cold: bool,
 }
 
-/// The clocks of all engines.
-#[derive(Debug, Default)]
-pub struct ReadingClocks {
-    engines: HashMap<UpstreamId, Clock>,
-    readings: HashMap<RunKey, Reading>,
+/// How the engines of a service read.
+#[derive(Clone, Copy, Debug)]
+struct ServiceReading {
+    ms_per_token: Learned,
+    /// How many times longer engines take that have just started.
+    cold_factor: Learned,
 }
 
-#[derive(Clone, Copy, Debug)]
+impl Default for ServiceReading {
+    fn default() -> Self {
+        ServiceReading {
+            ms_per_token: Learned::new(GUESSED_MS_PER_TOKEN, SERVICE_WEIGHT),
+            cold_factor: Learned::new(GUESSED_COLD_FACTOR, SERVICE_WEIGHT),
+        }
+    }
+}
+
+/// One engine.
+#[derive(Clone, Debug)]
 struct Clock {
+    service: ServiceId,
     until: Timestamp,
-    slowness: f64,
+    ms_per_token: Learned,
 }
 
-impl Default for Clock {
-    fn default() -> Self {
-        Clock { until: Timestamp::ZERO, slowness: 1.0 }
-    }
+/// The clocks of all engines.
+#[derive(Debug, Default)]
+pub struct ReadingClocks {
+    services: HashMap<ServiceId, ServiceReading>,
+    engines: HashMap<UpstreamId, Clock>,
+    readings: HashMap<RunKey, Reading>,
 }
 
 impl ReadingClocks {
     /// An engine was given a prompt.
-    pub fn on_given(&mut self, key: &RunKey, engine: &UpstreamId, tokens: u32, now: Timestamp) {
-        let clock = self.engines.entry(engine.clone()).or_default();
-        clock.until = clock.until.max(now) + reading_time(tokens).mul_f64(clock.slowness);
-        self.readings.insert(key.clone(), Reading { given: now, expected: clock.until });
+    pub fn on_given(&mut self, key: &RunKey, engine: &Replica, tokens: u32, now: Timestamp) {
+        let own = self.reading_time(engine, tokens, now);
+        let record = &engine.record;
+        let service = self.services.entry(record.service.clone()).or_default();
+        let clock = self.engines.entry(record.id.clone()).or_insert_with(|| Clock {
+            service: record.service.clone(),
+            until: Timestamp::ZERO,
+            ms_per_token: Learned::like(&service.ms_per_token, ENGINE_WEIGHT),
+        });
+        clock.until = clock.until.max(now) + own;
+        let reading = Reading { given: now, expected: clock.until, cold: is_cold(engine, now) };
+        self.readings.insert(key.clone(), reading);
     }
 
     /// A generation's first event came.
-    pub fn on_first_event(&mut self, key: &RunKey, engine: &UpstreamId, now: Timestamp) {
+    pub fn on_first_event(&mut self, key: &RunKey, engine: &str, now: Timestamp) {
         let (Some(reading), Some(clock)) = (self.readings.remove(key), self.engines.get_mut(engine)) else {
             return;
         };
-        let took = (now.saturating_sub(reading.given)).as_secs_f64();
-        let expected = (reading.expected.saturating_sub(reading.given)).as_secs_f64().max(1e-3);
-        let seen = clock.slowness * took / expected;
-        let slowness = clock.slowness + NEWEST_WEIGHT * (seen - clock.slowness);
-        clock.slowness = slowness.clamp(*SLOWNESS.start(), *SLOWNESS.end());
+        let took = now.saturating_sub(reading.given).as_secs_f64();
+        let expected = reading.expected.saturating_sub(reading.given).as_secs_f64().max(1e-3);
+        let service = self.services.entry(clock.service.clone()).or_default();
+        if reading.cold {
+            service.cold_factor.observe(service.cold_factor.value() * took / expected);
+        } else {
+            let seen = clock.ms_per_token.value() * took / expected;
+            clock.ms_per_token.observe(seen);
+            service.ms_per_token.observe(seen);
+        }
         // Those behind it move by as much as it was late or early.
         let late = now.saturating_sub(reading.expected);
         let early = reading.expected.saturating_sub(now);
@@ -79,14 +114,13 @@
         self.engines.get(engine).map_or(Duration::ZERO, |clock| clock.until.saturating_sub(now))
     }
 
-    /// How much slower than usual an engine reads; 1 is the usual.
-    pub fn slowness(&self, engine: &str) -> f64 {
-        self.engines.get(engine).map_or(1.0, |clock| clock.slowness)
-    }
-
     /// Time that an engine needs for a prompt.
-    pub fn reading_time(&self, engine: &str, tokens: u32) -> Duration {
-        reading_time(tokens).mul_f64(self.slowness(engine))
+    pub fn reading_time(&self, engine: &Replica, tokens: u32, now: Timestamp) -> Duration {
+        let service = self.services.get(&engine.record.service).copied().unwrap_or_default();
+        let clock = self.engines.get(&engine.record.id);
+        let ms_per_token = clock.map_or(service.ms_per_token.value(), |clock| clock.ms_per_token.value());
+        let cold_factor = if is_cold(engine, now) { service.cold_factor.value() } else { 1.0 };
+        Duration::from_secs_f64(f64::from(tokens) * ms_per_token * cold_factor / 1_000.0)
     }
 
     /// Forgets engines that are gone.
@@ -95,6 +129,6 @@
     }
 }
 
-fn reading_time(tokens: u32) -> Duration {
-    Duration::from_secs_f64(f64::from(tokens) / READ_TOKENS_PER_MS / 1_000.0)
+fn is_cold(engine: &Replica, now: Timestamp) -> bool {
+    engine.warm_at > now
 }
--- a/lib/src/gateway/rebalance.rs
+++ b/lib/src/gateway/rebalance.rs
@@ -105,7 +105,7 @@
             run.produced > 0
                 && run.copied_from.is_none()
                 && !self.asked.contains_key(*key)
-                && run.memory() / memory <= room
+                && book.memory(run) / memory <= room
         });
         let remaining = runs.map(|(key, run)| (run.remaining(), key));
         let longest = remaining.max_by_key(|(remaining, _)| *remaining)?;
--- a/lib/src/gateway/routing.rs
+++ b/lib/src/gateway/routing.rs
@@ -106,6 +106,14 @@
     pub tokens_per_event: u32,
 }
 
+impl EngineTraits {
+    /// Time to copy so many tokens of memory within a hall, if the links do nothing else.
+    pub fn copy_time(&self, tokens: u32) -> Duration {
+        let bits = f64::from(tokens) * self.bytes_per_token as f64 * 8.0;
+        Duration::try_from_secs_f64(bits / self.link_bits_per_second).unwrap_or(Duration::MAX)
+    }
+}
+
 /// A service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -5,6 +5,7 @@
 mod test_claims;
 mod test_codes;
 mod test_fence;
+mod test_gateway_learned;
 mod test_gateway_load;
 mod test_gateway_lookout;
 mod test_gateway_replica_list;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -137,6 +137,7 @@
         }
         self.last_status = now;
         self.placing.knowledge.forget_gone();
+        self.placing.publish_paces();
         self.shared.set_status(self.placing.status(&self.fleet));
         let levels = Levels {
             waiting: self.placing.waiting(),
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -78,6 +78,14 @@
         Some(choice.replica.record.clone())
     }
 
+    /// A request is at a replica from now on.
+    pub fn add(&mut self, key: RunKey, wanted: &Wanted, id: &str) {
+        let now = self.shared.now();
+        if let Some(replica) = self.replicas.get(id) {
+            self.book.add(key, wanted.at(&replica.record.id), replica, now);
+        }
+    }
+
     /// Replicas that may get a request; those that rest after failures only when there are
     /// no others.
     fn candidates(&self, wanted: &Wanted) -> Vec<&Replica> {
--- a/node/src/gateway/control/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -89,12 +89,12 @@
     pub fn ask(&mut self, knowledge: &mut Knowledge, ask: Ask, now: Timestamp) -> Outcome {
         let room = self.rooms.entry(room_of(&ask)).or_default();
         if ask.patience.is_zero() {
-            return Outcome::Decided(decide(knowledge, ask, now));
+            return Outcome::Decided(decide(knowledge, ask));
         }
         if !room.lets_pass(ask.priority) {
             return wait(room, ask, now);
         }
-        let decision = decide(knowledge, ask, now);
+        let decision = decide(knowledge, ask);
         match decision.chosen {
             Some(_) => Outcome::Decided(decision),
             None => wait(room, decision.ask, now),
@@ -106,7 +106,7 @@
         let mut decisions = Vec::new();
         for room in self.rooms.values_mut() {
             while let Some(Waiting { item, priority, until }) = room.pop() {
-                let decision = decide(knowledge, item, now);
+                let decision = decide(knowledge, item);
                 if decision.chosen.is_none() {
                     room.put_back(Waiting { item: decision.ask, priority, until });
                     break;
@@ -159,11 +159,11 @@
     copies < evacuation::COPIES_AT_ONCE
 }
 
-fn decide(knowledge: &mut Knowledge, ask: Ask, now: Timestamp) -> Decision {
+fn decide(knowledge: &mut Knowledge, ask: Ask) -> Decision {
     let free = link_is_free(knowledge, &ask.wanted);
     let chosen = if free { knowledge.choose(&ask.key, &ask.wanted) } else { None };
     if let Some(replica) = &chosen {
-        knowledge.book.add(ask.key.clone(), ask.wanted.at(&replica.id), now);
+        knowledge.add(ask.key.clone(), &ask.wanted, &replica.id);
     }
     Decision { ask, chosen }
 }
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -164,7 +164,7 @@
         if known.is_none() {
             self.knowledge.replicas.on_entry(record.clone(), now, &mut ListChange::default());
         }
-        self.knowledge.book.add(ask.key.clone(), ask.wanted.at(&record.id), now);
+        self.knowledge.add(ask.key.clone(), &ask.wanted, &record.id);
         self.answer(Decision { ask, chosen: Some(Arc::new(record)) });
     }
 
@@ -199,7 +199,8 @@
 
     /// Another node tells what it runs.
     pub fn on_inventory(&mut self, from: SocketAddr, inventory: Inventory) {
-        self.knowledge.book.on_inventory(&node_id(from), inventory.runs, inventory.last);
+        let now = self.shared.now();
+        self.knowledge.book.on_inventory(&node_id(from), inventory.runs, inventory.last, now);
     }
 
     /// Another node is gone.
@@ -348,6 +349,12 @@
         names.filter(|service| self.lead_of(fleet, service) == self.own).collect()
     }
 
+    /// Publishes how fast generations make tokens, for the traffic thread.
+    pub fn publish_paces(&self) {
+        let paces = self.knowledge.book.paces().all();
+        self.shared.set_paces(paces.map(|(service, pace)| (service.clone(), pace)).collect());
+    }
+
     /// The node's status as it is now.
     pub fn status(&self, fleet: &Fleet) -> NodeStatus {
         status::status(&self.shared, fleet, &self.knowledge, &self.led(fleet), self.desk.waiting())
@@ -399,9 +406,10 @@
     }
 
     fn update_progress(&mut self) {
+        let now = self.shared.now();
         for (run, stream) in &self.streams {
             let key = RunKey { entry: self.own.clone(), run: *run };
-            self.knowledge.book.on_progress(&key, stream.produced.load(Ordering::Relaxed));
+            self.knowledge.book.on_progress(&key, stream.produced.load(Ordering::Relaxed), now);
         }
     }
 
--- a/node/src/gateway/observability/status.rs
+++ b/node/src/gateway/observability/status.rs
@@ -71,7 +71,7 @@
         id: id.to_string(),
         state: replica.leaving.map_or_else(|| "up".to_owned(), |sign| format!("leaving: {sign}")),
         running: knowledge.book.at(id).count(),
-        held_tokens: knowledge.book.at(id).map(|(_, run)| run.memory() as u64).sum(),
+        held_tokens: knowledge.book.at(id).map(|(_, run)| knowledge.book.memory(run) as u64).sum(),
         memory_tokens: knowledge.engine_traits(service).map_or(0, |traits| u64::from(traits.memory_tokens)),
         step_ms: 0.0,
     }
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -1,5 +1,6 @@
 //! What both threads of a gateway node read.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::RwLock;
@@ -14,6 +15,8 @@
 use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
+use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::token_pace::GUESSED_TOKENS_PER_SECOND;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::status::NodeStatus;
 use leadstage_platform::store::Revision;
@@ -59,6 +62,7 @@
     store_answers: AtomicBool,
     replica_list: RwLock<Arc<ReplicaList>>,
     replicas_at: AtomicU64,
+    paces: RwLock<HashMap<ServiceId, f64>>,
 }
 
 impl Shared {
@@ -74,6 +78,7 @@
             store_answers: AtomicBool::new(true),
             replica_list: RwLock::default(),
             replicas_at: AtomicU64::new(0),
+            paces: RwLock::default(),
             settings,
             metrics,
             status: RwLock::default(),
@@ -171,6 +176,17 @@
         *self.replica_list.write().expect("no holder panics") = Arc::new(list);
     }
 
+    /// Tokens that a generation of a service makes in a second, as far as this node knows.
+    pub fn tokens_per_second(&self, service: &ServiceId) -> f64 {
+        let paces = self.paces.read().expect("no holder panics");
+        paces.get(service).copied().unwrap_or(GUESSED_TOKENS_PER_SECOND)
+    }
+
+    /// Publishes them.
+    pub fn set_paces(&self, paces: HashMap<ServiceId, f64>) {
+        *self.paces.write().expect("no holder panics") = paces;
+    }
+
     /// Notes whether the store answered; returns whether that is news.
     pub fn set_store_answers(&self, answers: bool) -> bool {
         self.store_answers.swap(answers, Ordering::Relaxed) != answers
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -109,7 +109,9 @@
     pub async fn copy(self) -> Step {
         if !self.insist.is_zero() {
             let produced = self.handle.produced.load(Ordering::Relaxed);
-            tokio::time::sleep(evacuation::start_delay(self.req.generation_size(), produced)).await;
+            let pace = self.traffic.shared.tokens_per_second(&self.req.service);
+            let delay = evacuation::start_delay(self.req.generation_size(), produced, pace);
+            tokio::time::sleep(delay).await;
         }
         let until = Instant::now() + self.insist;
         let mut exclude = vec![self.source.id.clone()];
--- a/scripts/play-seeds.sh
+++ b/scripts/play-seeds.sh
@@ -6,7 +6,7 @@
 #
 # Usage: scripts/play-seeds.sh WHY SITE DAYS [SEEDS] [FIRST]
 #   WHY    a line for the bench's journal
-#   SITE   the name of a site, such as bahla-ci
+#   SITE   the name of a site, such as bahla-ci, or a site file
 #   DAYS   names of days, or TOML files, between blanks; "trouble" stands for the standard five
 #   SEEDS  how many seeds; 12 by default
 #   FIRST  the first seed; 1 by default
@@ -28,7 +28,9 @@
 
 days=" $days "
 days="${days// trouble / trouble-1 scale-1 trouble-2 scale-2 trouble-3 }"
-site_file=$(find "$kit" -name "$site.toml" | head -1)
+site_file=$site
+if [ ! -f "$site_file" ]; then site_file=$(find "$kit" -name "$site.toml" | head -1); fi
+site=$(basename "$site" .toml)
 
 for day in $days; do
     for ((seed = first; seed < first + seeds; seed++)); do
