admission: who can't begin in time is told at once, by a forecast of room

Cause: a generation waited for 0.17 of its route's objective, whatever it could expect, and was then refused for up to 2 s. Now it waits as long as its first event can still come in time, if the memory that it and those before it need should be free by then, judged by what became free in the last seconds; otherwise it is told at once when to come back, spread. A stopping node takes a stream if it should end in time, by its expected length, instead of all until 5.5 s before its end. Shown by test_gateway_waiting.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod replica_news;
 pub mod replicas;
 pub mod retry_window;
+pub mod room_forecast;
 pub mod routing;
 pub mod token_pace;
 pub mod waiting;
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::time::Duration;
 
 use rand::Rng;
 use rand::RngExt;
@@ -204,6 +205,16 @@
         &self.paces
     }
 
+    /// Tokens of memory that a new generation is expected to take soon.
+    pub fn memory_of_new(&self, service: &str, size: GenerationSize) -> f64 {
+        soon(size, 0, self.paces.tokens_per_second(service))
+    }
+
+    /// Time that a usual engine of a service needs for a prompt.
+    pub fn usual_reading_time(&self, service: &str, size: GenerationSize) -> Duration {
+        self.reading.usual_time(service, size.prompt)
+    }
+
     /// Tokens of memory that a request is expected to take soon.
     pub fn memory(&self, run: &Run) -> f64 {
         let service = self.services.get(&run.replica);
--- a/lib/src/gateway/reading.rs
+++ b/lib/src/gateway/reading.rs
@@ -123,6 +123,12 @@
         Duration::from_secs_f64(f64::from(tokens) * ms_per_token * cold_factor / 1_000.0)
     }
 
+    /// Time that a usual engine of a service needs for a prompt.
+    pub fn usual_time(&self, service: &str, tokens: u32) -> Duration {
+        let service = self.services.get(service).copied().unwrap_or_default();
+        Duration::from_secs_f64(f64::from(tokens) * service.ms_per_token.value() / 1_000.0)
+    }
+
     /// Forgets engines that are gone.
     pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.engines.retain(|engine, _| is_known(engine));
--- a/lib/src/gateway/waiting.rs
+++ b/lib/src/gateway/waiting.rs
@@ -1,20 +1,28 @@
 //! Generations that wait at their service's lead until an engine has room.
 //!
-//! A wait is short: a caller that is refused early comes back, and one that is held and
-//! then refused has lost both its time and its place.
+//! One waits only while it can be expected to begin in time: a caller that is told at once comes
+//! back when there is room, and one that is held and then refused has lost both its time and its
+//! place.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::RngExt;
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::ids::Timestamp;
 
-/// Part of a route's objective that a generation may wait for room. A quarter is what a
-/// refusal may take without a price; the rest is for the lead's tick and the way back.
-const WAIT_PART: f64 = 0.17;
+/// Callers that are refused come back earlier or later by up to this part, so that those that
+/// were refused together don't return together.
+const COME_BACK_SPREAD: f64 = 0.25;
 
-/// How long a generation may wait whose first event is due within `objective`.
-pub fn patience(objective: Duration) -> Duration {
-    objective.mul_f64(WAIT_PART)
+/// No engine has room for a generation.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+pub struct NoRoom {
+    /// When there should be room, as far as that is known.
+    pub expected: Option<Duration>,
 }
 
 /// Something that waits.
@@ -26,6 +34,8 @@
     pub priority: u8,
     /// When it is given up.
     pub until: Timestamp,
+    /// Tokens of memory that it needs.
+    pub tokens: f64,
 }
 
 /// The queue of a service, the most urgent first and then in the order of arrival.
@@ -52,12 +62,35 @@
         self.queue.front().is_none_or(|first| first.priority > priority)
     }
 
-    /// Takes those out whose time is over.
-    pub fn expired(&mut self, now: Timestamp) -> Vec<T> {
-        let (over, still): (VecDeque<_>, VecDeque<_>) =
-            std::mem::take(&mut self.queue).into_iter().partition(|waiting| waiting.until <= now);
+    /// Tokens of memory that are needed by those that would go before one of this urgency.
+    pub fn tokens_before(&self, priority: u8) -> f64 {
+        let before = self.queue.iter().filter(|other| other.priority <= priority);
+        before.map(|other| other.tokens).sum()
+    }
+
+    /// Takes those out that can no longer be expected to begin in time: their time is over, or
+    /// will be before `time_until` the memory is free that they and those before them need, where
+    /// that is known.
+    pub fn lost(
+        &mut self,
+        now: Timestamp,
+        time_until: impl Fn(f64) -> Option<Duration>,
+    ) -> Vec<(T, Option<Duration>)> {
+        let mut lost = Vec::new();
+        let mut still = VecDeque::new();
+        let mut tokens = 0.0;
+        for waiting in std::mem::take(&mut self.queue) {
+            let expected = time_until(tokens + waiting.tokens);
+            let is_over = waiting.until <= now;
+            if is_over || expected.is_some_and(|expected| expected > waiting.until - now) {
+                lost.push((waiting.item, expected));
+            } else {
+                tokens += waiting.tokens;
+                still.push_back(waiting);
+            }
+        }
         self.queue = still;
-        over.into_iter().map(|waiting| waiting.item).collect()
+        lost
     }
 
     /// Takes the first one out.
@@ -80,3 +113,8 @@
         self.queue.is_empty()
     }
 }
+
+/// When a caller comes back that is refused as room is expected after `expected`.
+pub fn come_back_after<R: Rng>(expected: Duration, rng: &mut R) -> Duration {
+    expected.mul_f64(rng.random_range(1.0 - COME_BACK_SPREAD..=1.0 + COME_BACK_SPREAD))
+}
--- a/lib/tests/test_gateway_load.rs
+++ b/lib/tests/test_gateway_load.rs
@@ -12,8 +12,6 @@
 use leadstage_lib::gateway::rebalance::Rebalancer;
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::routing::EngineTraits;
-use leadstage_lib::gateway::waiting::Waiting;
-use leadstage_lib::gateway::waiting::WaitingRoom;
 use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::VmId;
 use proptest::prelude::*;
@@ -191,22 +189,6 @@
     }
 }
 
-fn in_room(room: &mut WaitingRoom<&'static str>) -> Vec<&'static str> {
-    std::iter::from_fn(|| room.pop().map(|waiting| waiting.item)).collect()
-}
-
-#[test]
-fn test_waiting_room_is_ordered_and_ends_in_time() {
-    let mut room = WaitingRoom::default();
-    for (item, priority, until) in [("late", 1, 9), ("first", 0, 9), ("second", 0, 9), ("over", 0, 5)] {
-        room.push(Waiting { item, priority, until: Duration::from_secs(until) });
-    }
-    assert!(!room.lets_pass(0), "one as urgent waits");
-    assert_eq!(room.expired(Duration::from_secs(5)), ["over"]);
-    assert_eq!(in_room(&mut room), ["first", "second", "late"]);
-    assert!(room.lets_pass(0));
-}
-
 #[test]
 fn test_full_engines_give_generations_to_empty_ones_once() {
     let table = table(&[("empty", "a"), ("full", "a")]);
--- /dev/null
+++ b/lib/tests/test_gateway_waiting.rs
@@ -0,0 +1,84 @@
+//! Generations that wait for room: in which order, how long, and when they are told.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::room_forecast::RoomForecast;
+use leadstage_lib::gateway::waiting;
+use leadstage_lib::gateway::waiting::Waiting;
+use leadstage_lib::gateway::waiting::WaitingRoom;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn room(items: &[(&'static str, u8, u64, f64)]) -> WaitingRoom<&'static str> {
+    let mut room = WaitingRoom::default();
+    for (item, priority, until, tokens) in items.iter().copied() {
+        room.push(Waiting { item, priority, until: Duration::from_secs(until), tokens });
+    }
+    room
+}
+
+fn in_room(room: &mut WaitingRoom<&'static str>) -> Vec<&'static str> {
+    std::iter::from_fn(|| room.pop().map(|waiting| waiting.item)).collect()
+}
+
+fn unknown(_: f64) -> Option<Duration> {
+    None
+}
+
+#[test]
+fn test_waiting_room_is_ordered_and_ends_in_time() {
+    let mut room =
+        room(&[("late", 1, 9, 0.0), ("first", 0, 9, 0.0), ("second", 0, 9, 0.0), ("over", 0, 5, 0.0)]);
+    assert!(!room.lets_pass(0), "one as urgent waits");
+    assert_eq!(room.lost(Duration::from_secs(5), unknown), [("over", None)]);
+    assert_eq!(in_room(&mut room), ["first", "second", "late"]);
+    assert!(room.lets_pass(0));
+}
+
+/// Who can no longer be served in time is told at once, and does not count for those behind it.
+#[test]
+fn test_who_cannot_begin_in_time_is_told_at_once() {
+    let mut room = room(&[("a", 0, 14, 3.0), ("huge", 0, 14, 90.0), ("b", 0, 14, 1.0), ("c", 1, 13, 1.0)]);
+    assert_eq!((room.tokens_before(0), room.tokens_before(1)), (94.0, 95.0));
+    let one_a_second = |tokens: f64| Some(Duration::from_secs_f64(tokens));
+    let lost = room.lost(Duration::from_secs(10), one_a_second);
+    let expected = Some(Duration::from_secs(93));
+    assert_eq!(lost, [("huge", expected), ("c", Some(Duration::from_secs(5)))]);
+    assert_eq!(in_room(&mut room), ["a", "b"]);
+}
+
+#[test]
+fn test_nothing_is_forecast_before_something_was_seen() {
+    let mut forecast = RoomForecast::default();
+    assert_eq!(forecast.time_until(1.0, Duration::from_secs(9)), None);
+    forecast.on_freed(1_000.0, Duration::from_secs(9));
+    assert_eq!(forecast.time_until(1.0, Duration::from_millis(9_500)), None);
+    assert!(forecast.time_until(1.0, Duration::from_secs(11)).is_some());
+}
+
+proptest! {
+    /// Memory that becomes free evenly is forecast to within a quarter, after a few seconds as
+    /// after many; once none becomes free the forecast grows.
+    #[test]
+    fn test_room_is_forecast(per_second in 100.0_f64..1e6, seconds in 3_u64..60) {
+        let mut forecast = RoomForecast::default();
+        let mut now = Duration::from_secs(100);
+        for _ in 0..seconds * 10 {
+            now += Duration::from_millis(100);
+            forecast.on_freed(per_second / 10.0, now);
+        }
+        let expected = forecast.time_until(10.0 * per_second, now).expect("enough was seen").as_secs_f64();
+        prop_assert!((7.5..=12.5).contains(&expected), "{} s instead of 10", expected);
+        let later = forecast.time_until(10.0 * per_second, now + Duration::from_secs(10));
+        prop_assert!(later.expect("enough was seen").as_secs_f64() > 3.0 * expected);
+    }
+
+    /// Callers that are refused together return spread over half of the time.
+    #[test]
+    fn test_returns_are_spread(seed in 0_u64..1_000) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let after = waiting::come_back_after(Duration::from_secs(1), &mut rng);
+        prop_assert!((0.75..=1.25).contains(&after.as_secs_f64()));
+    }
+}
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -1,14 +1,17 @@
 //! What a node knows of the replicas and of the requests at them.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use leadstage_lib::gateway::load::EngineRequest;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::LoadBook;
+use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::load::RunKey;
 use leadstage_lib::gateway::replicas::Replica;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ReplicaTable;
+use leadstage_lib::gateway::room_forecast::RoomForecast;
 use leadstage_lib::gateway::routing::EngineTraits;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::ids::HallId;
@@ -28,12 +31,18 @@
     pub replicas: ReplicaTable,
     /// The requests; those of other nodes as far as this node leads.
     pub book: LoadBook,
+    forecasts: HashMap<ServiceId, RoomForecast>,
 }
 
 impl Knowledge {
     /// Knows nothing yet.
     pub fn new(shared: Arc<Shared>) -> Self {
-        Knowledge { shared, replicas: ReplicaTable::default(), book: LoadBook::default() }
+        Knowledge {
+            shared,
+            replicas: ReplicaTable::default(),
+            book: LoadBook::default(),
+            forecasts: HashMap::new(),
+        }
     }
 
     /// What the engines of a service are; `None` for plain services.
@@ -86,6 +95,24 @@
         }
     }
 
+    /// A request is no longer at its replica. What it held there may be used by others, if the
+    /// replica stays.
+    pub fn remove(&mut self, key: &RunKey) -> Option<Run> {
+        let now = self.shared.now();
+        let run = self.book.remove(key)?;
+        let replica = self.replicas.get(&run.replica).filter(|replica| replica.leaving.is_none());
+        if let (Some(size), Some(replica)) = (run.size, replica) {
+            let forecast = self.forecasts.entry(replica.record.service.clone()).or_default();
+            forecast.on_freed(f64::from(size.prompt + run.produced), now);
+        }
+        Some(run)
+    }
+
+    /// When the engines of a service are expected to have room.
+    pub fn forecast(&self, service: &ServiceId) -> RoomForecast {
+        self.forecasts.get(service).copied().unwrap_or_default()
+    }
+
     /// Replicas that may get a request; those that rest after failures only when there are
     /// no others.
     fn candidates(&self, wanted: &Wanted) -> Vec<&Replica> {
--- a/node/src/gateway/control/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -12,14 +12,14 @@
 use leadstage_lib::gateway::rebalance::Relief;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::gateway::waiting::Waiting;
 use leadstage_lib::gateway::waiting::WaitingRoom;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
-use tokio::sync::oneshot;
 
 use crate::gateway::control::knowledge::Knowledge;
-use crate::gateway::messages::Placed;
+use crate::gateway::messages::PlaceReply;
 use crate::gateway::messages::StreamHandle;
 use crate::gateway::peers::peer_message::Wanted;
 
@@ -31,7 +31,8 @@
     pub wanted: Wanted,
     /// Its urgency; 0 goes first.
     pub priority: u8,
-    /// How long it may wait.
+    /// For a new generation, the time until its first event is due; for one that moves, how long
+    /// it may wait for its turn.
     pub patience: Duration,
     /// Who gets the answer.
     pub asker: Asker,
@@ -46,7 +47,7 @@
         /// How a stream is told to move.
         stream: Option<StreamHandle>,
         /// Takes the answer.
-        reply: oneshot::Sender<Option<Placed>>,
+        reply: PlaceReply,
     },
     /// Another node.
     There(SocketAddr),
@@ -56,8 +57,8 @@
 pub struct Decision {
     /// The question.
     pub ask: Ask,
-    /// The engine, already in the books; `None` if there is no room.
-    pub chosen: Option<Arc<ReplicaRecord>>,
+    /// The engine, already in the books.
+    pub chosen: Result<Arc<ReplicaRecord>, NoRoom>,
 }
 
 /// What became of a question at once.
@@ -87,34 +88,34 @@
 impl LeadDesk {
     /// Takes a question in.
     pub fn ask(&mut self, knowledge: &mut Knowledge, ask: Ask, now: Timestamp) -> Outcome {
-        let room = self.rooms.entry(room_of(&ask)).or_default();
         if ask.patience.is_zero() {
             return Outcome::Decided(decide(knowledge, ask));
         }
+        let room = self.rooms.entry(room_of(&ask)).or_default();
         if !room.lets_pass(ask.priority) {
-            return wait(room, ask, now);
+            return wait(room, knowledge, ask, now);
         }
         let decision = decide(knowledge, ask);
         match decision.chosen {
-            Some(_) => Outcome::Decided(decision),
-            None => wait(room, decision.ask, now),
+            Ok(_) => Outcome::Decided(decision),
+            Err(_) => wait(room, knowledge, decision.ask, now),
         }
     }
 
-    /// Answers those that can go on now, and those whose time is over.
+    /// Answers those that can go on now, and those that can't be expected to begin in time.
     pub fn settle(&mut self, knowledge: &mut Knowledge, now: Timestamp) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        for room in self.rooms.values_mut() {
-            while let Some(Waiting { item, priority, until }) = room.pop() {
+        for (name, room) in &mut self.rooms {
+            while let Some(Waiting { item, priority, until, tokens }) = room.pop() {
                 let decision = decide(knowledge, item);
-                if decision.chosen.is_none() {
-                    room.put_back(Waiting { item: decision.ask, priority, until });
+                if decision.chosen.is_err() {
+                    room.put_back(Waiting { item: decision.ask, priority, until, tokens });
                     break;
                 }
                 decisions.push(decision);
             }
-            let expired = room.expired(now).into_iter();
-            decisions.extend(expired.map(|ask| Decision { ask, chosen: None }));
+            let lost = room.lost(now, |tokens| expected(knowledge, name, tokens, now));
+            decisions.extend(lost.into_iter().map(|(ask, expected)| refusal(ask, expected)));
         }
         self.rooms.retain(|_, room| !room.is_empty());
         decisions
@@ -136,16 +137,38 @@
     }
 }
 
-fn wait(room: &mut WaitingRoom<Ask>, ask: Ask, now: Timestamp) -> Outcome {
+/// Lets a generation wait if it can be expected to begin in time, and refuses it otherwise.
+fn wait(room: &mut WaitingRoom<Ask>, knowledge: &Knowledge, ask: Ask, now: Timestamp) -> Outcome {
+    let (service, size) = (&ask.wanted.service, ask.wanted.size.unwrap_or_default());
+    let is_new = ask.wanted.from.is_none();
+    let tokens = if is_new { knowledge.book.memory_of_new(service, size) } else { 0.0 };
+    let reading = if is_new { knowledge.book.usual_reading_time(service, size) } else { Duration::ZERO };
+    let may_wait = ask.patience.saturating_sub(reading);
+    let expected = expected(knowledge, &room_of(&ask), room.tokens_before(ask.priority) + tokens, now);
+    if may_wait.is_zero() || expected.is_some_and(|expected| expected > may_wait) {
+        return Outcome::Decided(refusal(ask, expected));
+    }
     let there = match &ask.asker {
         Asker::There(address) => Some(*address),
         Asker::Here { .. } => None,
     };
     let key = ask.key.clone();
-    room.push(Waiting { priority: ask.priority, until: now + ask.patience, item: ask });
+    room.push(Waiting { priority: ask.priority, until: now + may_wait, tokens, item: ask });
     Outcome::Waits(key, there)
 }
 
+/// Time until so much memory has become free for those that wait; unknown for a turn on a link.
+fn expected(knowledge: &Knowledge, room: &Room, tokens: f64, now: Timestamp) -> Option<Duration> {
+    match room {
+        Room::New(service) => knowledge.forecast(service).time_until(tokens, now),
+        Room::From(_) => None,
+    }
+}
+
+fn refusal(ask: Ask, expected: Option<Duration>) -> Decision {
+    Decision { ask, chosen: Err(NoRoom { expected }) }
+}
+
 fn room_of(ask: &Ask) -> Room {
     match &ask.wanted.from {
         Some(engine) => Room::From(engine.clone()),
@@ -165,5 +188,5 @@
     if let Some(replica) = &chosen {
         knowledge.add(ask.key.clone(), &ask.wanted, &replica.id);
     }
-    Decision { ask, chosen }
+    Decision { ask, chosen: chosen.ok_or(NoRoom::default()) }
 }
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -12,11 +12,11 @@
 use leadstage_lib::gateway::replicas::ListChange;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::ids::VmId;
 use leadstage_lib::status::NodeStatus;
 use log::info;
-use tokio::sync::oneshot;
 
 use crate::gateway::control::inventories::Inventories;
 use crate::gateway::control::knowledge::Knowledge;
@@ -29,6 +29,7 @@
 use crate::gateway::control::lead_questions::Question;
 use crate::gateway::messages::Order;
 use crate::gateway::messages::Outcome;
+use crate::gateway::messages::PlaceReply;
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::Placed;
 use crate::gateway::messages::StreamHandle;
@@ -79,7 +80,7 @@
     }
 
     /// Places a request, or asks the lead to.
-    pub fn place(&mut self, fleet: &Fleet, request: PlaceRequest, reply: oneshot::Sender<Option<Placed>>) {
+    pub fn place(&mut self, fleet: &Fleet, request: PlaceRequest, reply: PlaceReply) {
         self.last_run += 1;
         let ask = Ask {
             key: self.own_key(self.last_run),
@@ -128,16 +129,19 @@
         let run = ask.key.run;
         match ask.asker {
             Asker::There(there) => {
-                let record = chosen.map(|record| (*record).clone());
-                self.outbox.send(there, &PeerMessage::Placed(run, record));
+                let placed = chosen.map(|record| (*record).clone());
+                self.outbox.send(there, &PeerMessage::Placed(run, placed));
             }
             Asker::Here { request, stream, reply } => {
-                if chosen.is_none() {
-                    let replicas = self.knowledge.staying(&ask.wanted.service).count();
-                    info!(event = "no_room", request = request, run, service = &*ask.wanted.service, replicas, excluded = ask.wanted.exclude.len(), patience_ms = ask.patience.as_millis() as u64; "no replica has room");
-                }
-                if let (Some(_), Some(stream)) = (&chosen, stream) {
-                    self.streams.insert(run, stream);
+                match (&chosen, stream) {
+                    (Ok(_), Some(stream)) => {
+                        self.streams.insert(run, stream);
+                    }
+                    (Err(no_room), _) => {
+                        let replicas = self.knowledge.staying(&ask.wanted.service).count();
+                        info!(event = "no_room", request = request, run, service = &*ask.wanted.service, replicas, excluded = ask.wanted.exclude.len(), patience_ms = ask.patience.as_millis() as u64, expected_ms = no_room.expected.map_or(0, |expected| expected.as_millis() as u64); "no replica has room");
+                    }
+                    _ => {}
                 }
                 let placed = chosen.map(|replica| Placed { run, replica });
                 if reply.send(placed).is_err() {
@@ -148,13 +152,14 @@
     }
 
     /// The lead answered.
-    pub fn on_placed(&mut self, run: RunId, record: Option<ReplicaRecord>) {
+    pub fn on_placed(&mut self, run: RunId, placed: Result<ReplicaRecord, NoRoom>) {
         let Some(Question { ask, lead, .. }) = self.questions.answered(run) else {
             return;
         };
         self.leads.on_answer(&lead);
-        let Some(record) = record else {
-            return self.answer(Decision { ask, chosen: None });
+        let record = match placed {
+            Ok(record) => record,
+            Err(no_room) => return self.answer(Decision { ask, chosen: Err(no_room) }),
         };
         let known = self.knowledge.replicas.get(&record.id);
         if known.is_some_and(|replica| replica.leaving.is_some()) {
@@ -165,7 +170,7 @@
             self.knowledge.replicas.on_entry(record.clone(), now, &mut ListChange::default());
         }
         self.knowledge.add(ask.key.clone(), &ask.wanted, &record.id);
-        self.answer(Decision { ask, chosen: Some(Arc::new(record)) });
+        self.answer(Decision { ask, chosen: Ok(Arc::new(record)) });
     }
 
     /// The request waits at the lead.
@@ -293,7 +298,7 @@
 
     /// A generation of another node ended: its room may let one that waits go on.
     pub fn on_other_ended(&mut self, from: SocketAddr, run: RunId) {
-        self.knowledge.book.remove(&RunKey { entry: node_id(from), run });
+        self.knowledge.remove(&RunKey { entry: node_id(from), run });
         self.settle();
     }
 
@@ -306,7 +311,7 @@
     fn end(&mut self, run: RunId, outcome: Outcome) {
         self.streams.remove(&run);
         let key = self.own_key(run);
-        let Some(run) = self.knowledge.book.remove(&key) else {
+        let Some(run) = self.knowledge.remove(&key) else {
             return;
         };
         let replicas = &mut self.knowledge.replicas;
--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -138,7 +138,7 @@
         refusal.reply()
     };
     let req = request::admit(&traffic.shared, req).await.map_err(refused)?;
-    if !stop::takes(&traffic.shared, req.route.repeat) {
+    if !stop::takes(&traffic.shared, &req) {
         let retry_after = Some(stop::COME_BACK_AFTER);
         return Err(refused(Refusal { code: Code::Stopping, retry_after }));
     }
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -59,7 +59,7 @@
             patience: Duration::ZERO,
             stream: None,
         };
-        let Some(run) = traffic.shared.place(request).await else {
+        let Ok(run) = traffic.shared.place(request).await else {
             break;
         };
         tried.push(run.placed.replica.id.clone());
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
+use std::time::Duration;
 
 use http::Response;
 use http_body_util::Either;
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::waiting;
+use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::engine::Resume;
 use leadstage_platform::headers;
@@ -37,6 +39,11 @@
 const PARTS_WAITING: usize = 16;
 /// Engines that a request may fail to reach.
 const MOST_UNREACHED: u32 = 3;
+/// The soonest that a caller returns who finds no room: the lead looks at what became free ten
+/// times a second.
+const SOONEST_RETURN: Duration = Duration::from_millis(100);
+/// The latest: forecasts reach no further than what was seen in the last seconds.
+const LATEST_RETURN: Duration = Duration::from_secs(5);
 
 /// Serves a stream: answers with its head, and passes its events on in a task.
 pub async fn serve(
@@ -105,8 +112,12 @@
     let refusal = |code| Refusal { code, retry_after: Some(req.come_back_after()) };
     let mut best: Result<Beginning, Refusal> = Err(refusal(Code::NoUpstream));
     loop {
-        let Some(run) = traffic.shared.place(new_generation(traffic, req, handle, &tried)).await else {
-            break;
+        let run = match traffic.shared.place(new_generation(traffic, req, handle, &tried)).await {
+            Ok(run) => run,
+            Err(no_room) => {
+                best = best.map_err(|before| if sent == 0 { refuse_for_room(req, no_room) } else { before });
+                break;
+            }
         };
         tried.push(run.placed.replica.id.clone());
         match attempt(traffic, req, run).await {
@@ -153,11 +164,19 @@
             exclude: tried.to_vec(),
         },
         priority: req.priority(),
-        patience: waiting::patience(req.route.objective),
+        patience: req.first_event_due(),
         stream: Some(handle.clone()),
     }
 }
 
+/// The caller comes back when there should be room, if that is known.
+fn refuse_for_room(req: &CallerRequest, no_room: NoRoom) -> Refusal {
+    let expected = no_room.expected.map(|expected| waiting::come_back_after(expected, &mut rand::rng()));
+    let retry_after =
+        expected.map_or(req.come_back_after(), |after| after.clamp(SOONEST_RETURN, LATEST_RETURN));
+    Refusal { code: Code::NoUpstream, retry_after: Some(retry_after) }
+}
+
 async fn attempt(traffic: &Traffic, req: &CallerRequest, run: RunGuard) -> Attempt {
     let replica = run.placed.replica.clone();
     let resume = Resume { copy: None, last_event: req.last_event().map(str::to_owned) };
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -10,6 +10,7 @@
 use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::ids::UpstreamId;
@@ -25,7 +26,7 @@
 /// To the control loop.
 pub enum ToControl {
     /// A request wants a replica.
-    Place(PlaceRequest, oneshot::Sender<Option<Placed>>),
+    Place(PlaceRequest, PlaceReply),
     /// The lead did not answer within its bound.
     LeadSilent(RunId),
     /// A generation's first event came.
@@ -77,6 +78,9 @@
     Changed(Changes<T>),
 }
 
+/// Takes the answer to a request that wants a replica.
+pub type PlaceReply = oneshot::Sender<Result<Placed, NoRoom>>;
+
 /// A request that wants a replica.
 pub struct PlaceRequest {
     /// The caller's id of the request, for logs.
@@ -85,7 +89,8 @@
     pub wanted: Wanted,
     /// Its urgency; 0 goes first.
     pub priority: u8,
-    /// How long it may wait for a replica with room.
+    /// For a new generation, the time until its first event is due; for one that moves, how long
+    /// it may wait for its turn.
     pub patience: Duration,
     /// How a stream is told to move, and shows its progress.
     pub stream: Option<StreamHandle>,
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -13,6 +13,7 @@
 use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::ids::HallId;
@@ -51,7 +52,7 @@
     /// Place a generation.
     Place(RemotePlace),
     /// Where it goes; `None` if nowhere.
-    Placed(RunId, Option<ReplicaRecord>),
+    Placed(RunId, Result<ReplicaRecord, NoRoom>),
     /// It waits at the lead until an engine has room.
     Waits(RunId),
     /// The generation's first event came.
@@ -124,7 +125,8 @@
     pub wanted: Wanted,
     /// Its urgency; 0 goes first.
     pub priority: u8,
-    /// How long it may wait for an engine with room.
+    /// For a new generation, the time until its first event is due; for one that moves, how long
+    /// it may wait for its turn.
     pub patience: Duration,
 }
 
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -73,8 +73,13 @@
         self.until.saturating_duration_since(Instant::now())
     }
 
-    /// When its caller comes back if it is refused: after a tenth of what is left, within
-    /// bounds.
+    /// Time until its first event is due.
+    pub fn first_event_due(&self) -> Duration {
+        self.route.objective.saturating_sub(self.came.elapsed())
+    }
+
+    /// When its caller comes back if it is refused and nothing better is known: after a tenth of
+    /// what is left, within bounds.
     pub fn come_back_after(&self) -> Duration {
         (self.left() / 10).clamp(Duration::from_millis(50), Duration::from_secs(2))
     }
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -17,6 +17,7 @@
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::token_pace::GUESSED_TOKENS_PER_SECOND;
+use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::status::NodeStatus;
 use leadstage_platform::store::Revision;
@@ -250,16 +251,11 @@
     }
 
     /// Asks the control loop for a replica.
-    pub async fn place(self: &Arc<Self>, request: PlaceRequest) -> Option<RunGuard> {
+    pub async fn place(self: &Arc<Self>, request: PlaceRequest) -> Result<RunGuard, NoRoom> {
         let (tx, rx) = oneshot::channel();
         self.tell(ToControl::Place(request, tx));
-        let placed = rx.await.ok().flatten()?;
-        Some(RunGuard {
-            shared: self.clone(),
-            placed,
-            placed_at: Instant::now(),
-            outcome: Outcome::Withdrawn,
-        })
+        let placed = rx.await.unwrap_or(Err(NoRoom::default()))?;
+        Ok(RunGuard { shared: self.clone(), placed, placed_at: Instant::now(), outcome: Outcome::Withdrawn })
     }
 }
 
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::messages::ToControl;
+use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
 
@@ -23,21 +24,33 @@
 
 /// A stopping node takes plain calls until so long before its end.
 const PLAIN_CALL_WITHIN: Duration = Duration::from_millis(2_500);
-/// A stopping node takes streams until so long before its end: the balancer has noticed by
-/// then, and what comes later would be cut off.
-const STREAM_WITHIN: Duration = Duration::from_millis(5_500);
+/// How much longer than expected a stream may take that a stopping node still takes: callers'
+/// estimates of lengths are often off, and a stream that is cut is lost, while one that is refused
+/// begins at another node some 50 ms later.
+const STREAM_MARGIN: f64 = 1.5;
 
 /// When a caller comes back that a stopping node refused: at once, as a new connection
 /// reaches another node.
 pub const COME_BACK_AFTER: Duration = Duration::from_millis(50);
 
-/// Whether a node that may be stopping still takes a request of this kind.
-pub fn takes(shared: &Shared, repeat: Repeat) -> bool {
-    let needs = match repeat {
-        Repeat::Stream => STREAM_WITHIN,
+/// Whether a node that may be stopping still takes a request: one that it can be expected to serve
+/// to its end.
+pub fn takes(shared: &Shared, req: &CallerRequest) -> bool {
+    let Some(left) = shared.left_to_serve() else {
+        return true;
+    };
+    let needs = match req.route.repeat {
+        Repeat::Stream => stream_time(shared, req).mul_f64(STREAM_MARGIN).max(PLAIN_CALL_WITHIN),
         Repeat::Idempotent | Repeat::Once => PLAIN_CALL_WITHIN,
     };
-    shared.left_to_serve().is_none_or(|left| left > needs)
+    left > needs
+}
+
+/// The longest that a stream should take: its first event comes within the objective, and its
+/// tokens at the usual pace.
+fn stream_time(shared: &Shared, req: &CallerRequest) -> Duration {
+    let tokens = f64::from(req.generation_size().expected);
+    req.route.objective + Duration::from_secs_f64(tokens / shared.tokens_per_second(&req.service))
 }
 
 /// Waits until unused connections of callers should be closed.
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -153,7 +153,7 @@
             patience: if self.insist.is_zero() { Duration::ZERO } else { evacuation::COPY_PATIENCE },
             stream: Some(self.handle.clone()),
         };
-        self.traffic.shared.place(request).await
+        self.traffic.shared.place(request).await.ok()
     }
 
     async fn copy_to(&self, target: RunGuard) -> Result<Copied, NotCopied> {
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -8,7 +8,6 @@
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
-use leadstage_lib::gateway::waiting;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::engine;
 use leadstage_platform::engine::CopySource;
@@ -446,10 +445,10 @@
                 exclude: self.failing.clone(),
             },
             priority: self.req.priority(),
-            patience: waiting::patience(self.req.route.objective),
+            patience: self.req.first_event_due(),
             stream: Some(self.handle.clone()),
         };
-        let run = self.traffic.shared.place(request).await.ok_or(End::EngineLost)?;
+        let run = self.traffic.shared.place(request).await.map_err(|_| End::EngineLost)?;
         self.sent += 1;
         let engine = run.placed.replica.clone();
         let resume = Resume { copy: None, last_event: self.events.last_id().map(str::to_owned) };
--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -25,6 +25,10 @@
     assert!(called.whole && called.events() == Some(60), "{called:?}");
     let late = gateway.call(0, chat("r-2")).await;
     assert_eq!((late.status, late.code()), (503, 2108), "{}", gateway.logs());
+    let mut short = chat("r-3");
+    short.headers_mut().insert("length-hint", "40".parse().expect("valid"));
+    let short = gateway.call(0, short).await;
+    assert!(short.whole && short.events() == Some(60), "it is served to its end: {short:?}");
     let deadline = tokio::time::Instant::now() + Duration::from_secs(20);
     while gateway.ended(0).is_none() && tokio::time::Instant::now() < deadline {
         tokio::time::sleep(Duration::from_millis(50)).await;
