policy: each mechanism that decides can be switched off in the settings

Cause: what a mechanism is worth could only be told by building leadstage without it. Ruled out: switches that only a test could set.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod learned;
 pub mod load;
 pub mod lookout;
+pub mod policy;
 pub mod reading;
 pub mod rebalance;
 pub mod replica_list;
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::policy::Policy;
 use crate::gateway::reading::ReadingClocks;
 use crate::gateway::replicas::Replica;
 use crate::gateway::routing::EngineTraits;
@@ -121,6 +122,7 @@
 /// What a node knows of the requests at the replicas.
 #[derive(Debug, Default)]
 pub struct LoadBook {
+    policy: Policy,
     /// By node: each of hundreds tells a lead of its own some times a second.
     runs: HashMap<VmId, BTreeMap<RunId, Run>>,
     by_replica: BTreeMap<UpstreamId, Vec<RunKey>>,
@@ -131,6 +133,11 @@
 }
 
 impl LoadBook {
+    /// A book without requests.
+    pub fn new(policy: Policy) -> Self {
+        LoadBook { policy, reading: ReadingClocks::new(policy), ..LoadBook::default() }
+    }
+
     /// A request was given to a replica.
     pub fn add(&mut self, key: RunKey, run: Run, replica: &Replica, now: Timestamp) {
         if let Some(size) = run.size {
@@ -195,7 +202,7 @@
     }
 
     fn note_pace(&mut self, key: &RunKey, replica: &str, produced: u32, now: Timestamp) {
-        if let Some(service) = self.services.get(replica) {
+        if let Some(service) = self.services.get(replica).filter(|_| self.policy.learn) {
             self.paces.on_progress(key, service, produced, now);
         }
     }
@@ -311,7 +318,7 @@
     ) -> Option<&'a Replica> {
         let costs = candidates.map(|replica| {
             let calls = self.at(&replica.record.id).count() as f64;
-            (calls * COST_PER_CALL_MS + general_cost(replica, hall, &PLAIN_COSTS, now, rng), replica)
+            (calls * COST_PER_CALL_MS + self.general_cost(replica, hall, &PLAIN_COSTS, now, rng), replica)
         });
         costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, replica)| replica)
     }
@@ -347,9 +354,24 @@
         let cost = way
             + runs as f64 * COST_PER_RUN_MS
             + beyond * beyond * COST_FULL_MEMORY_MS
-            + general_cost(replica, request.hall, &ENGINE_COSTS, now, rng);
+            + self.general_cost(replica, request.hall, &ENGINE_COSTS, now, rng);
         EngineChoice { replica, runs, fill, wait, cost }
     }
+
+    fn general_cost<R: Rng>(
+        &self,
+        replica: &Replica,
+        hall: &HallId,
+        costs: &Costs,
+        now: Timestamp,
+        rng: &mut R,
+    ) -> f64 {
+        let is_near = replica.record.hall == *hall || !self.policy.stay_in_hall;
+        let elsewhere = if is_near { 0.0 } else { costs.other_hall };
+        let failures = f64::from(replica.failures()) * COST_PER_FAILURE_MS;
+        let errors = if self.policy.avoid_errors { replica.errors(now) } else { 0.0 };
+        elsewhere + failures + errors * errors * costs.all_errors + rng.random::<f64>() * SPREAD_MS
+    }
 }
 
 /// An engine with what speaks for and against it.
@@ -382,13 +404,6 @@
     pub moves: bool,
 }
 
-fn general_cost<R: Rng>(replica: &Replica, hall: &HallId, costs: &Costs, now: Timestamp, rng: &mut R) -> f64 {
-    let elsewhere = if replica.record.hall == *hall { 0.0 } else { costs.other_hall };
-    let failures = f64::from(replica.failures()) * COST_PER_FAILURE_MS;
-    let errors = replica.errors(now);
-    elsewhere + failures + errors * errors * costs.all_errors + rng.random::<f64>() * SPREAD_MS
-}
-
 /// Tokens of memory that a generation takes within the horizon.
 fn soon(size: GenerationSize, produced: u32, tokens_per_second: f64) -> f64 {
     let remaining = f64::from(size.expected.saturating_sub(produced));
--- a/lib/src/gateway/reading.rs
+++ b/lib/src/gateway/reading.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway::learned::Learned;
 use crate::gateway::load::RunKey;
+use crate::gateway::policy::Policy;
 use crate::gateway::replicas::Replica;
 use crate::gateway::routing::ServiceId;
 use crate::ids::Timestamp;
@@ -62,12 +63,18 @@
 /// The clocks of all engines.
 #[derive(Debug, Default)]
 pub struct ReadingClocks {
+    policy: Policy,
     services: HashMap<ServiceId, ServiceReading>,
     engines: HashMap<UpstreamId, Clock>,
     readings: HashMap<RunKey, Reading>,
 }
 
 impl ReadingClocks {
+    /// Clocks that know nothing yet.
+    pub fn new(policy: Policy) -> Self {
+        ReadingClocks { policy, ..ReadingClocks::default() }
+    }
+
     /// An engine was given a prompt.
     pub fn on_given(&mut self, key: &RunKey, engine: &Replica, tokens: u32, now: Timestamp) {
         let own = self.reading_time(engine, tokens, now);
@@ -91,7 +98,9 @@
         let took = now.saturating_sub(reading.given).as_secs_f64();
         let expected = reading.expected.saturating_sub(reading.given).as_secs_f64().max(1e-3);
         let service = self.services.entry(clock.service.clone()).or_default();
-        if reading.cold {
+        if !self.policy.learn {
+            // The guesses stay.
+        } else if reading.cold {
             service.cold_factor.observe(service.cold_factor.value() * took / expected);
         } else {
             let seen = clock.ms_per_token.value() * took / expected;
@@ -111,7 +120,8 @@
 
     /// Time until an engine has read what it was given.
     pub fn wait(&self, engine: &str, now: Timestamp) -> Duration {
-        self.engines.get(engine).map_or(Duration::ZERO, |clock| clock.until.saturating_sub(now))
+        let clock = self.engines.get(engine).filter(|_| self.policy.reading_clocks);
+        clock.map_or(Duration::ZERO, |clock| clock.until.saturating_sub(now))
     }
 
     /// Time that an engine needs for a prompt.
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::policy::Policy;
 use crate::gateway::replica_list::Changed;
 use crate::gateway::replica_list::ReplicaList;
 use crate::gateway::replica_list::Revision;
@@ -171,12 +172,18 @@
 /// All replicas that this node knows.
 #[derive(Debug, Default)]
 pub struct ReplicaTable {
+    policy: Policy,
     replicas: BTreeMap<UpstreamId, Replica>,
     /// The newest change of a replica that is forgotten.
     forgotten_up_to: Revision,
 }
 
 impl ReplicaTable {
+    /// A table without replicas.
+    pub fn new(policy: Policy) -> Self {
+        ReplicaTable { policy, ..ReplicaTable::default() }
+    }
+
     /// A replica's entry changed or appeared.
     pub fn on_entry(&mut self, record: ReplicaRecord, now: Timestamp, change: &mut ListChange) {
         let id = record.id.clone();
@@ -311,8 +318,10 @@
     pub fn on_failure(&mut self, id: &str, now: Timestamp) {
         if let Some(replica) = self.replicas.get_mut(id) {
             let rest = FIRST_REST.saturating_mul(1 << replica.failures.min(8)).min(LONGEST_REST);
-            replica.failures += 1;
-            replica.rest_until = now + rest;
+            if self.policy.rest_after_failures {
+                replica.failures += 1;
+                replica.rest_until = now + rest;
+            }
             replica.note_error(true, now);
         }
     }
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use leadstage_lib::gateway::evacuation;
 use leadstage_lib::gateway::load::EngineRequest;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::LoadBook;
@@ -37,10 +38,11 @@
 impl Knowledge {
     /// Knows nothing yet.
     pub fn new(shared: Arc<Shared>) -> Self {
+        let policy = shared.settings.policy;
         Knowledge {
             shared,
-            replicas: ReplicaTable::default(),
-            book: LoadBook::default(),
+            replicas: ReplicaTable::new(policy),
+            book: LoadBook::new(policy),
             forecasts: HashMap::new(),
         }
     }
@@ -87,6 +89,13 @@
         Some(choice.replica.record.clone())
     }
 
+    /// Whether the engine that a generation moves away from can start another copy; a new
+    /// generation needs none.
+    pub fn copy_may_start(&self, wanted: &Wanted) -> bool {
+        let copies = wanted.from.as_ref().map_or(0, |engine| self.book.copies_from(engine));
+        copies < evacuation::COPIES_AT_ONCE || !self.shared.settings.policy.copy_turns
+    }
+
     /// A request is at a replica from now on.
     pub fn add(&mut self, key: RunKey, wanted: &Wanted, id: &str) {
         let now = self.shared.now();
--- a/node/src/gateway/control/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use leadstage_lib::gateway::evacuation;
 use leadstage_lib::gateway::load::RunKey;
+use leadstage_lib::gateway::policy::Policy;
 use leadstage_lib::gateway::rebalance::Rebalancer;
 use leadstage_lib::gateway::rebalance::Relief;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
@@ -81,14 +81,22 @@
 /// The services that this node leads.
 #[derive(Default)]
 pub struct LeadDesk {
+    policy: Policy,
     rooms: HashMap<Room, WaitingRoom<Ask>>,
     rebalancers: HashMap<ServiceId, Rebalancer>,
 }
 
 impl LeadDesk {
+    /// Leads no services yet.
+    pub fn new(policy: Policy) -> Self {
+        LeadDesk { policy, ..LeadDesk::default() }
+    }
+
     /// Takes a question in.
     pub fn ask(&mut self, knowledge: &mut Knowledge, ask: Ask, now: Timestamp) -> Outcome {
-        if ask.patience.is_zero() {
+        let waits =
+            if ask.wanted.from.is_some() { self.policy.copy_turns } else { self.policy.wait_for_room };
+        if ask.patience.is_zero() || !waits {
             return Outcome::Decided(decide(knowledge, ask));
         }
         let room = self.rooms.entry(room_of(&ask)).or_default();
@@ -128,7 +136,7 @@
 
     /// Generations of a service that should move for balance.
     pub fn reliefs(&mut self, knowledge: &Knowledge, service: &ServiceId, now: Timestamp) -> Vec<Relief> {
-        let Some(traits) = knowledge.engine_traits(service) else {
+        let Some(traits) = knowledge.engine_traits(service).filter(|_| self.policy.balance) else {
             return Vec::new();
         };
         let rebalancer = self.rebalancers.entry(service.clone()).or_default();
@@ -176,15 +184,9 @@
     }
 }
 
-/// Whether the engine that a generation runs on can start another copy.
-fn link_is_free(knowledge: &Knowledge, wanted: &Wanted) -> bool {
-    let copies = wanted.from.as_ref().map_or(0, |engine| knowledge.book.copies_from(engine));
-    copies < evacuation::COPIES_AT_ONCE
-}
-
 fn decide(knowledge: &mut Knowledge, ask: Ask) -> Decision {
-    let free = link_is_free(knowledge, &ask.wanted);
-    let chosen = if free { knowledge.choose(&ask.key, &ask.wanted) } else { None };
+    let may_start = knowledge.copy_may_start(&ask.wanted);
+    let chosen = if may_start { knowledge.choose(&ask.key, &ask.wanted) } else { None };
     if let Some(replica) = &chosen {
         knowledge.add(ask.key.clone(), &ask.wanted, &replica.id);
     }
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -67,7 +67,7 @@
     pub fn new(shared: Arc<Shared>, outbox: Outbox, own: VmId) -> Self {
         Placing {
             knowledge: Knowledge::new(shared.clone()),
-            desk: LeadDesk::default(),
+            desk: LeadDesk::new(shared.settings.policy),
             leads: Leads::default(),
             questions: LeadQuestions::new(shared.clone(), outbox.clone()),
             shared,
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -105,7 +105,9 @@
 
     /// Asks the engines that this node leads whether they leave: the store may not tell.
     pub fn look_out(&mut self, placing: &Placing, fleet: &Fleet) {
-        self.lookout.ask_all(self.shared.now(), placing.engines_in_use(fleet));
+        if self.shared.settings.policy.look_out {
+            self.lookout.ask_all(self.shared.now(), placing.engines_in_use(fleet));
+        }
     }
 
     /// A replica showed a request of this node that it leaves.
@@ -291,7 +293,7 @@
 
     /// A replica leaves: its streams are told to move.
     fn evacuate(&self, placing: &Placing, id: &UpstreamId, sign: LeavingSign) {
-        let streams = placing.streams_at(id);
+        let streams = if self.shared.settings.policy.evacuate { placing.streams_at(id) } else { Vec::new() };
         info!(event = "replica_leaves", upstream = &**id, sign:% = sign, streams = streams.len(); "replica leaves");
         for stream in streams {
             // A stream that has just ended needs no order.
--- a/node/src/gateway/settings.rs
+++ b/node/src/gateway/settings.rs
@@ -5,6 +5,7 @@
 
 use leadstage_lib::checked_yaml;
 use leadstage_lib::checked_yaml::Problem;
+use leadstage_lib::gateway::policy::Policy;
 use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::VmId;
 use serde::Deserialize;
@@ -50,6 +51,7 @@
     seeds: Vec<SocketAddr>,
     store: Option<SocketAddr>,
     bounds: BoundsFile,
+    policy: Policy,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -108,13 +110,15 @@
     pub store: SocketAddr,
     /// Bounds that hold for the whole fleet.
     pub bounds: Bounds,
+    /// What the node decides by itself.
+    pub policy: Policy,
 }
 
 impl GatewaySettings {
     /// Whether `other` has the same identity and addresses, which only a restart changes.
     pub fn same_addresses(&self, other: &GatewaySettings) -> bool {
         let fixed = |s: &GatewaySettings| {
-            (s.vm.clone(), s.hall.clone(), [s.listen, s.ready, s.peer, s.metrics, s.store])
+            (s.vm.clone(), s.hall.clone(), [s.listen, s.ready, s.peer, s.metrics, s.store], s.policy)
         };
         fixed(self) == fixed(other)
     }
@@ -150,6 +154,7 @@
         seeds: file.seeds.clone(),
         store: store?,
         bounds,
+        policy: file.policy,
     })
 }
 
--- a/node/tests/test_settings.rs
+++ b/node/tests/test_settings.rs
@@ -55,3 +55,27 @@
     assert_eq!(run(&["--colour"]).status.code(), Some(2));
     assert_eq!(run(&["--config", "/nonexistent"]).status.code(), Some(2));
 }
+
+const GATEWAY: &str = "\
+interface: gateway
+vm: entry-1
+hall: lj-a
+listen: 127.0.0.1:8080
+ready: 127.0.0.1:8081
+peer: 127.0.0.1:8082
+metrics: 127.0.0.1:8083
+store: 127.0.0.1:9000
+";
+
+#[test]
+fn test_switches_of_the_policy_are_checked() {
+    let (code, text) = check(&format!("{GATEWAY}policy: {{balance: false, learn: true}}\n"));
+    assert_eq!((code, text.as_str()), (0, "the settings are right\n"));
+    let (code, text) = check(&format!("{GATEWAY}policy: {{balance: 3, magic: true}}\n"));
+    assert_eq!(code, 2);
+    insta::assert_snapshot!(text, @r"
+    leadstaged: 2 mistakes in the settings
+      policy.balance: invalid type: integer `3`, expected a boolean (found 3)
+      policy.magic: unknown field `magic`, expected one of `evacuate`, `copy_turns`, `balance`, `reading_clocks`, `learn`, `stay_in_hall`, `wait_for_room`, `resume_streams`, `repeat`, `rest_after_failures`, `avoid_errors`, `look_out`
+    ");
+}
--- /dev/null
+++ b/scripts/measure-ablation.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# Plays days of the users' bench with each mechanism of the policy switched off alone, and with all
+# on, with the same seeds, and prints for each the mean difference of worth and its standard error.
+# The switches are those of the settings (docs/CONFIG.md); nothing is built anew.
+#
+# Usage: scripts/measure-ablation.sh WHY SITE DAYS SEEDS [SWITCH...]
+#   the first four as for scripts/play-seeds.sh; SWITCH: names of switches, all by default
+# Run it in a scratch copy of the repository: it changes the template of the settings.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+why="${1:?a line for the journal}"
+site="${2:?a site}"
+days="${3:?days}"
+seeds="${4:?seeds}"
+shift 4
+switches=("$@")
+if [ ${#switches[@]} = 0 ]; then
+    mapfile -t switches < <(sed -n 's/^    pub \([a-z_]*\): bool,$/\1/p' lib/src/gateway/policy.rs)
+fi
+template=deploy/node.yaml
+out=$(mktemp -d)
+cp "$template" "$out/template"
+trap 'cp "$out/template" "$template"; rm -rf "$out"' EXIT
+
+play() {
+    ROWS="$out/$1.rows" scripts/play-seeds.sh "$why: $1" "$site" "$days" "$seeds" >"$out/$1.txt"
+}
+
+play all-on
+for switch in "${switches[@]}"; do
+    { cat "$out/template"; printf 'policy:\n  %s: false\n' "$switch"; } >"$template"
+    play "$switch-off"
+    cp "$out/template" "$template"
+    difference=$(scripts/compare-plays.sh "$out/all-on.rows" "$out/$switch-off.rows" | grep '^all')
+    broken=$(awk 'NF > 9' "$out/$switch-off.rows" | wc -l)
+    echo "$(basename "$site" .toml) $switch off: ${difference#all}, plays with a broken rule: $broken"
+done
