replicas: the grace of a lapsed entry counts from the end of the store's outage

Cause: an entry that went within 3 s after an outage was kept for 2 s more, so a replica that was gone could stay in use for 5 s, while calm nodes are bound 3 s after the outage: the spans were added up. Ruled out: lists read after an outage, which count from when they were read, about a second after the store is back. Shown by test_the_grace_of_a_lapsed_entry_counts_from_the_end_of_the_outage, which names the moment; before, the entry told of at 11.9 s stayed until 13.9 s.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -4,6 +4,7 @@
 //! `platform/` fills its types from what the platform says.
 
 pub mod evacuation;
+pub mod lapses;
 pub mod lead;
 pub mod learned;
 pub mod load;
--- /dev/null
+++ b/lib/src/gateway/lapses.rs
@@ -0,0 +1,31 @@
+//! Whether an entry that goes away may have lapsed only because the store was away.
+//!
+//! The grace of such an entry counts from when the store was last known to be away, not from when
+//! the entry was seen to go: two spans one after the other would leave a replica that is gone in
+//! use for up to five seconds.
+
+use std::time::Duration;
+
+use crate::ids::Timestamp;
+
+/// Live replicas are listed again within this after the store is back.
+pub const LAPSED_GRACE: Duration = Duration::from_secs(2);
+
+/// When the store was away.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lapses {
+    store_away_at: Option<Timestamp>,
+}
+
+impl Lapses {
+    /// The store answers nobody.
+    pub fn on_store_away(&mut self, now: Timestamp) {
+        self.store_away_at = Some(now);
+    }
+
+    /// Since when an entry that goes now is missing, if it may only have lapsed: it is gone when
+    /// [`LAPSED_GRACE`] after that it is still missing.
+    pub fn missing_since(&self, now: Timestamp) -> Option<Timestamp> {
+        self.store_away_at.filter(|away| now < *away + LAPSED_GRACE)
+    }
+}
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::lapses::LAPSED_GRACE;
 use crate::gateway::policy::Policy;
 use crate::gateway::replica_list::Changed;
 use crate::gateway::replica_list::ReplicaList;
@@ -30,9 +31,6 @@
 /// A share of errors counts half as much after this time, so that a replica that recovered
 /// is tried again.
 const ERRORS_HALVE_IN: Duration = Duration::from_secs(3);
-/// An entry that went missing while the store was away is kept for this long after it is
-/// back: live replicas are listed again by then.
-pub const LAPSED_GRACE: Duration = Duration::from_secs(2);
 
 /// A replica as the platform lists it.
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
@@ -215,10 +213,10 @@
     }
 
     /// A replica's entry went away, perhaps only because the store was: it is gone if it is
-    /// not back within [`LAPSED_GRACE`].
-    pub fn on_missing(&mut self, id: &str, now: Timestamp) {
+    /// not back [`LAPSED_GRACE`] after `since`.
+    pub fn on_missing(&mut self, id: &str, since: Timestamp) {
         if let Some(replica) = self.replicas.get_mut(id) {
-            replica.missing_since.get_or_insert(now);
+            replica.missing_since.get_or_insert(since);
         }
     }
 
--- a/lib/tests/test_gateway_replicas.rs
+++ b/lib/tests/test_gateway_replicas.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use leadstage_lib::gateway::replicas::LAPSED_GRACE;
+use leadstage_lib::gateway::lapses::LAPSED_GRACE;
+use leadstage_lib::gateway::lapses::Lapses;
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ListChange;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
@@ -134,3 +135,23 @@
     assert!(errors(&table, seconds(12)) < 0.15);
     assert_eq!(usable(&table, seconds(2)), ["a"], "it answers: it only costs more");
 }
+
+/// A replica whose entry goes after an outage is taken to be gone two seconds after the store was
+/// back, whenever the news of it comes: the spans don't add up.
+#[test]
+fn test_the_grace_of_a_lapsed_entry_counts_from_the_end_of_the_outage() {
+    let second = Duration::from_secs(1);
+    let mut lapses = Lapses::default();
+    assert_eq!(lapses.missing_since(5 * second), None, "the store was never away");
+    lapses.on_store_away(10 * second);
+    for told in [10 * second, 11 * second, 12 * second - Duration::from_millis(1)] {
+        let since = lapses.missing_since(told).expect("it may have lapsed");
+        let mut table = ReplicaTable::default();
+        table.on_list(vec![record("r", false)], false, Duration::ZERO);
+        table.on_missing("r", since);
+        assert!(table.tick(12 * second, 60 * second).leaving.is_empty());
+        let gone = table.tick(12 * second + Duration::from_millis(1), 60 * second).leaving;
+        assert_eq!(gone, ["r".into()], "told at {told:?}");
+    }
+    assert_eq!(lapses.missing_since(12 * second), None, "by then live replicas are listed again");
+}
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -6,10 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::gateway::lapses::Lapses;
 use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::replica_news::NewsGathering;
 use leadstage_lib::gateway::replica_news::ReplicaNews;
-use leadstage_lib::gateway::replicas::LAPSED_GRACE;
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ListChange;
 use leadstage_lib::gateway::replicas::ReplicaRecord;
@@ -33,8 +33,6 @@
 use crate::gateway::peers::peer_port::NEWS_FIRST;
 use crate::gateway::shared::Shared;
 
-/// A store that is back tells of entries that lapsed meanwhile within this.
-const LAPSES_TOLD_WITHIN: Duration = Duration::from_secs(1);
 /// A replica that left is forgotten after this: the longest time that one serves on after
 /// its entry is gone is a few seconds.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
@@ -52,8 +50,7 @@
     at: Revision,
     /// When news last came.
     heard: Timestamp,
-    /// Until then, entries may have gone because the store was away.
-    lapses_until: Timestamp,
+    lapses: Lapses,
     /// The list for other nodes lacks changes.
     list_is_old: bool,
     /// What another node knows is being fetched.
@@ -70,7 +67,7 @@
             is_known: false,
             at: 0,
             heard: Timestamp::ZERO,
-            lapses_until: Timestamp::ZERO,
+            lapses: Lapses::default(),
             list_is_old: false,
             fetches: false,
         }
@@ -100,7 +97,7 @@
 
     /// The store answers nobody: entries may lapse.
     pub fn on_store_away(&mut self) {
-        self.lapses_until = self.shared.now() + LAPSED_GRACE + LAPSES_TOLD_WITHIN;
+        self.lapses.on_store_away(self.shared.now());
     }
 
     /// Asks the engines that this node leads whether they leave: the store may not tell.
@@ -164,12 +161,14 @@
         for event in changes.events {
             match event {
                 Change::Put(record) => placing.knowledge.replicas.on_entry(record, now, &mut change),
-                Change::Gone(id) if now < self.lapses_until => {
-                    info!(event = "replica_missing", upstream = id; "a replica is no longer listed, perhaps because the store was away");
-                    placing.knowledge.replicas.on_missing(&id, now);
-                    self.lookout.ask_about(placing.knowledge.asked_for_health(&id), now);
-                }
-                Change::Gone(id) => placing.knowledge.replicas.on_unlisted(&id, now, &mut change),
+                Change::Gone(id) => match self.lapses.missing_since(now) {
+                    Some(since) => {
+                        info!(event = "replica_missing", upstream = id; "a replica is no longer listed, perhaps because the store was away");
+                        placing.knowledge.replicas.on_missing(&id, since);
+                        self.lookout.ask_about(placing.knowledge.asked_for_health(&id), now);
+                    }
+                    None => placing.knowledge.replicas.on_unlisted(&id, now, &mut change),
+                },
             }
         }
         change
