report losses: what became of a gateway's streams, by cause and moment, from logs

Cause: where streams are lost could only be counted by hand. The command reads the logs of all nodes and prints, for each route, what became of its streams (whole, node ended, engine lost with or without notice, out of time), refusals by code, where the time of whole streams went, and for each two seconds how many of those that began then were lost. Reading of log lines moved from explain to a module of its own; nothing else changed there.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -31,6 +31,7 @@
   leadstage explain ID --node IP:PORT [--node IP:PORT ...]
   leadstage explain ID --logs FILE [--logs FILE ...]
   leadstage report burn --node IP:PORT [--node IP:PORT ...] [--plot FILE.svg]
+  leadstage report losses --logs FILE [--logs FILE ...]
 
   --format text|json   how to print (text by default)
   --node IP:PORT       a node's admin port; give each node of the fleet
@@ -48,6 +49,8 @@
 explain           what was decided for a request, by the id in X-Request-Id; with --logs,
                   by the id of a gateway's request, from the logs of all nodes
 report burn       how fast the error budgets of the service levels are used up
+report losses     what became of a gateway's streams, by cause and moment, and where their
+                  time went, from the logs of all nodes
 
 Exit codes: 0 done, 1 failure, 2 wrong arguments or a wrong file,
 3 the roll-out was overtaken by another one, 4 the roll-out's outcome is not known.
@@ -114,6 +117,8 @@
     Explain(String, Vec<SocketAddr>),
     /// Explain a gateway's request from logs.
     ExplainLogs(String, Vec<PathBuf>),
+    /// Report what became of a gateway's streams, from logs.
+    Losses(Vec<PathBuf>),
     /// Report the burn.
     Burn(Vec<SocketAddr>, Option<PathBuf>),
 }
@@ -208,6 +213,8 @@
             Ok(Command::ExplainLogs(id.to_owned(), options.logs.clone()))
         }
         ["explain", id] => Ok(Command::Explain(id.to_owned(), nodes()?)),
+        ["report", "losses"] if !options.logs.is_empty() => Ok(Command::Losses(options.logs.clone())),
+        ["report", "losses"] => Err(CliError::Missing("--logs FILE")),
         ["report", "burn"] => Ok(Command::Burn(nodes()?, options.plot.clone())),
         [] => Err(CliError::Missing("a command")),
         _ => Err(lexopt::Error::from(format!("unknown command: {}", words.join(" "))).into()),
--- a/cli/src/explain_logs.rs
+++ b/cli/src/explain_logs.rs
@@ -1,13 +1,13 @@
 //! `leadstage explain ID --logs FILE`: what the gateway nodes' logs say of a request, with
 //! what they say of its upstreams and of the store and the configuration meanwhile.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::path::Path;
 use std::path::PathBuf;
 
 use crate::args::Format;
 use crate::error::CliError;
+use crate::log_lines;
+use crate::log_lines::Line;
 
 /// Events that concern every request of their time.
 const EVENTS_FOR_ALL: [&str; 6] =
@@ -18,27 +18,9 @@
 /// a replica ends some seconds after its notice.
 const MARGIN_MS: i64 = 3_000;
 
-/// A log line, its pairs by key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Line {
-    at_ms: i64,
-    node: String,
-    pairs: BTreeMap<String, String>,
-    text: String,
-}
-
-impl Line {
-    fn get(&self, key: &str) -> &str {
-        self.pairs.get(key).map_or("", String::as_str)
-    }
-}
-
 /// Explains a request from log files, one for each node.
 pub fn explain(id: &str, files: &[PathBuf], format: Format) -> Result<String, CliError> {
-    let mut lines = Vec::new();
-    for file in files {
-        lines.extend(read(file)?);
-    }
+    let lines = log_lines::read_all(files)?;
     let chosen = choose(id, &lines);
     if chosen.is_empty() {
         return Err(CliError::Missing("a line about this request in these logs"));
@@ -50,56 +32,6 @@
     Ok(render(&chosen))
 }
 
-fn read(path: &Path) -> Result<Vec<Line>, CliError> {
-    let text = std::fs::read_to_string(path);
-    let text = text.map_err(|source| CliError::File { path: path.to_owned(), source })?;
-    let node = path.file_stem().map(|stem| stem.to_string_lossy().into_owned()).unwrap_or_default();
-    Ok(text.lines().filter_map(|line| parse(line, &node)).collect())
-}
-
-/// Reads a line; what stands before its time is the collector's.
-fn parse(line: &str, file: &str) -> Option<Line> {
-    let start = line.find("ts=")?;
-    let pairs = pairs(&line[start..]);
-    let at = humantime::parse_rfc3339_weak(pairs.get("ts")?).ok()?;
-    let at_ms = at.duration_since(std::time::UNIX_EPOCH).ok()?.as_millis() as i64;
-    let before = line[..start].split_whitespace().last().unwrap_or(file);
-    Some(Line { at_ms, node: before.to_owned(), pairs, text: line[start..].to_owned() })
-}
-
-fn pairs(line: &str) -> BTreeMap<String, String> {
-    let mut pairs = BTreeMap::new();
-    let mut rest = line.trim_start();
-    while let Some((key, after)) = rest.split_once('=') {
-        let (value, left) = value(after);
-        pairs.insert(key.trim().to_owned(), value);
-        rest = left.trim_start();
-    }
-    pairs
-}
-
-/// The value at the start of `text`, bare or quoted, and what follows.
-fn value(text: &str) -> (String, &str) {
-    let Some(quoted) = text.strip_prefix('"') else {
-        let (value, rest) = text.split_once(' ').unwrap_or((text, ""));
-        return (value.to_owned(), rest);
-    };
-    let mut value = String::new();
-    let mut escaped = false;
-    for (at, c) in quoted.char_indices() {
-        match c {
-            _ if escaped => {
-                value.push(c);
-                escaped = false;
-            }
-            '\\' => escaped = true,
-            '"' => return (value, &quoted[at + 1..]),
-            _ => value.push(c),
-        }
-    }
-    (value, "")
-}
-
 /// The request's own lines, and those around them that bear on it.
 fn choose<'a>(id: &str, lines: &'a [Line]) -> Vec<&'a Line> {
     let own: Vec<&Line> = lines.iter().filter(|line| line.get("request") == id).collect();
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,6 +7,8 @@
 mod explain_logs;
 mod http;
 mod keys_command;
+mod log_lines;
+mod losses_command;
 mod status_command;
 mod table;
 
@@ -58,6 +60,7 @@
         Command::Status(nodes) => status_command::status(&nodes, format).await,
         Command::Explain(id, nodes) => status_command::explain(&id, &nodes, format).await,
         Command::ExplainLogs(id, files) => explain_logs::explain(&id, &files, format),
+        Command::Losses(files) => losses_command::losses(&files, format),
         Command::Burn(nodes, plot) => burn_command::burn(&nodes, plot.as_deref(), format).await,
     }
 }
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -2,3 +2,4 @@
 
 mod test_commands;
 mod test_explain_logs;
+mod test_losses;
--- /dev/null
+++ b/cli/tests/test_losses.rs
@@ -0,0 +1,57 @@
+//! `leadstage report losses` over the logs of gateway nodes.
+
+use std::process::Command;
+
+use tempfile::TempDir;
+
+const LOG: &str = r#"ts=2026-01-21T17:06:40.000Z level=INFO event=start vm=node-1 hall=a listen=10.0.0.1:7000 msg="leadstaged starts"
+ts=2026-01-21T17:06:41.500Z level=INFO event=stream_begins request=r-1 route=chat upstream=e-1 run=7 placed_ms=2 head_ms=400 msg="stream begins"
+ts=2026-01-21T17:06:41.600Z level=INFO event=stream_begins request=r-2 route=chat upstream=e-1 run=8 placed_ms=2 head_ms=500 msg="stream begins"
+ts=2026-01-21T17:06:42.700Z level=INFO event=stream_begins request=r-3 route=chat upstream=e-2 run=9 placed_ms=4 head_ms=100 msg="stream begins"
+ts=2026-01-21T17:06:42.800Z level=INFO event=stream_begins request=r-4 route=tag upstream=e-2 run=10 placed_ms=0 head_ms=100 msg="stream begins"
+ts=2026-01-21T17:06:42.900Z level=INFO event=refused request=r-5 code="2104 NoUpstream" msg="request refused"
+ts=2026-01-21T17:06:43.000Z level=INFO event=replica_leaves upstream=e-1 sign="no longer listed" streams=2 msg="replica leaves"
+ts=2026-01-21T17:06:43.100Z level=INFO event=stream_end request=r-4 route=tag end="engine lost" upstream=e-2 events=1 moves=0 first_ms=100 gap_ms=0 took_ms=400 msg="stream ended"
+ts=2026-01-21T17:06:44.500Z level=INFO event=stream_end request=r-1 route=chat end="engine lost" upstream=e-1 events=70 moves=0 first_ms=400 gap_ms=40 took_ms=3000 msg="stream ended"
+ts=2026-01-21T17:06:45.100Z level=INFO event=stream_end request=r-2 route=chat end="done" upstream=e-3 events=101 moves=1 first_ms=500 gap_ms=90 took_ms=4000 msg="stream ended"
+"#;
+
+fn losses(args: &[&str]) -> (i32, String) {
+    let dir = TempDir::new().expect("a folder");
+    let path = dir.path().join("node-1.log");
+    std::fs::write(&path, LOG).expect("writable");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_leadstage"));
+    command.args(["report", "losses"]).args(args).arg(&path);
+    let output = command.output().expect("it runs");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).into_owned())
+}
+
+#[test]
+fn test_losses_by_cause_and_moment() {
+    let (code, text) = losses(&["--logs"]);
+    assert_eq!(code, 0, "{text}");
+    insta::assert_snapshot!(text, @r"
+    ROUTE  BECAME                    STREAMS
+    chat   whole                     1
+    chat   node ended                1
+    chat   engine lost, with notice  1
+    tag    engine lost, no notice    1
+
+    REFUSED WITH     REQUESTS
+    2104 NoUpstream  1
+
+    ROUTE  WHOLE  WAITING MS  READING MS  STREAMING MS  MS PER EVENT  MOVES  LONGEST GAP MS
+    chat   1      2           498         3500          35.0          1.00   90
+
+    FROM S  BEGUN  LOST  REFUSED
+    0       2      1     0
+    2       2      2     1
+    ");
+}
+
+#[test]
+fn test_logs_must_be_named() {
+    assert_eq!(losses(&["--format", "json"]).0, 2);
+    assert_eq!(losses(&["--format", "json", "--logs"]).0, 0);
+}
