--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -18,9 +18,7 @@
 use crate::gateway::ingress::io_watch::Serving;
 use crate::gateway::ingress::plain;
 use crate::gateway::messages::Outcome;
-use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::StreamHandle;
-use crate::gateway::peers::peer_message::Wanted;
 use crate::gateway::reply::ChannelBody;
 use crate::gateway::reply::Refusal;
 use crate::gateway::reply::Reply;
@@ -31,7 +29,7 @@
 use crate::gateway::upstream::exchange::Exchange;
 use crate::gateway::upstream::exchange::SendError;
 use crate::gateway::upstream::exchange::WholeAnswer;
-use crate::gateway::upstream::relay::Leg;
+use crate::gateway::upstream::leg::Leg;
 use crate::gateway::upstream::relay::Relay;
 use crate::gateway::upstream::traffic::Traffic;
 
@@ -112,7 +110,7 @@
     let refusal = |code| Refusal { code, retry_after: Some(req.come_back_after()) };
     let mut best: Result<Beginning, Refusal> = Err(refusal(Code::NoUpstream));
     loop {
-        let run = match traffic.shared.place(new_generation(traffic, req, handle, &tried)).await {
+        let run = match traffic.place_generation(req, handle, &tried).await {
             Ok(run) => run,
             Err(no_room) => {
                 best = best.map_err(|before| if sent == 0 { refuse_for_room(req, no_room) } else { before });
@@ -147,28 +145,6 @@
     best
 }
 
-fn new_generation(
-    traffic: &Traffic,
-    req: &CallerRequest,
-    handle: &StreamHandle,
-    tried: &[UpstreamId],
-) -> PlaceRequest {
-    PlaceRequest {
-        request: req.id().to_owned(),
-        wanted: Wanted {
-            service: req.service.clone(),
-            size: Some(req.generation_size()),
-            produced: 0,
-            from: None,
-            hall: traffic.shared.settings.hall.clone(),
-            exclude: tried.to_vec(),
-        },
-        priority: req.priority(),
-        patience: req.first_event_due(),
-        stream: Some(handle.clone()),
-    }
-}
-
 /// The caller comes back when there should be room, if that is known.
 fn refuse_for_room(req: &CallerRequest, no_room: NoRoom) -> Refusal {
     let expected = no_room.expected.map(|expected| waiting::come_back_after(expected, &mut rand::rng()));
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -4,6 +4,7 @@
 pub mod copying;
 pub mod event_stream;
 pub mod exchange;
+pub mod leg;
 pub mod pace;
 pub mod relay;
 pub mod resuming;
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -10,9 +10,14 @@
 use leadstage_lib::gateway::retry_window::RetryShare;
 use leadstage_lib::gateway::retry_window::RetryWindow;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::waiting::NoRoom;
+use leadstage_lib::ids::UpstreamId;
 use log::info;
 
+use crate::gateway::messages::PlaceRequest;
+use crate::gateway::messages::StreamHandle;
 use crate::gateway::messages::ToControl;
+use crate::gateway::peers::peer_message::Wanted;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
 use crate::gateway::shared::Shared;
@@ -59,6 +64,30 @@
         allowed
     }
 
+    /// Asks for an engine that reads a request's prompt, other than some.
+    pub async fn place_generation(
+        &self,
+        req: &CallerRequest,
+        handle: &StreamHandle,
+        exclude: &[UpstreamId],
+    ) -> Result<RunGuard, NoRoom> {
+        let request = PlaceRequest {
+            request: req.id().to_owned(),
+            wanted: Wanted {
+                service: req.service.clone(),
+                size: Some(req.generation_size()),
+                produced: 0,
+                from: None,
+                hall: self.shared.settings.hall.clone(),
+                exclude: exclude.to_vec(),
+            },
+            priority: req.priority(),
+            patience: req.first_event_due(),
+            stream: Some(handle.clone()),
+        };
+        self.shared.place(request).await
+    }
+
     /// A request for a service came: it adds to the retry budget.
     pub fn on_request(&self, service: &ServiceId) {
         let now = self.shared.now();
