--- a/node/src/gateway/control/inventories.rs
+++ b/node/src/gateway/control/inventories.rs
@@ -2,6 +2,7 @@
 //! a lost message or a new lead needs no special care.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -43,7 +44,10 @@
         lead_of: impl Fn(&ServiceId) -> Option<SocketAddr>,
     ) -> Vec<(SocketAddr, Inventory)> {
         let mut due = HashMap::new();
-        for service in services(knowledge, own).chain(self.told.keys().cloned()) {
+        // A lead is picked by a hash over all nodes: once for each service, not each generation.
+        let services: HashSet<ServiceId> =
+            services(knowledge, own).chain(self.told.keys().cloned()).collect();
+        for service in services {
             if let Some(lead) = lead_of(&service).filter(|lead| self.is_due(&service, *lead, now)) {
                 due.insert(service, (lead, Inventory { runs: Vec::new(), last }));
             }
--- a/node/src/gateway/control/lead_questions.rs
+++ b/node/src/gateway/control/lead_questions.rs
@@ -81,6 +81,12 @@
         self.open.remove(&run)
     }
 
+    /// Takes the questions out whose lead is gone: a generation may wait there for the whole time
+    /// until its first event is due.
+    pub fn of_lost_lead(&mut self, lead: &VmId) -> Vec<Question> {
+        self.open.extract_if(|_, question| question.lead == *lead).map(|(_, question)| question).collect()
+    }
+
     /// The oldest generation without an answer.
     pub fn oldest(&self) -> Option<RunId> {
         self.open.keys().min().copied()
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -211,6 +211,10 @@
     /// Another node is gone.
     pub fn on_node_gone(&mut self, node: &VmId) {
         self.knowledge.book.on_entry_gone(node);
+        for Question { ask, lead, .. } in self.questions.of_lost_lead(node) {
+            info!(event = "lead_lost", lead = &*lead, run = ask.key.run; "the lead is gone with what waited there: places alone");
+            self.decide_here(ask);
+        }
     }
 
     /// The lead wants a generation of this node to move for balance.
@@ -329,7 +333,8 @@
         own.filter_map(|(key, _)| self.streams.get(&key.run).cloned()).collect()
     }
 
-    /// Does a lead's work that is due: answers who waits, and has generations move.
+    /// Does a lead's work that is due: answers who waits, and has generations move. The progress of
+    /// this node's own streams must be up to date, as after [`Self::tell_leads`].
     pub fn lead(&mut self, fleet: &Fleet) {
         self.settle();
         for service in self.led(fleet) {
