stopping nodes: callers come back to a neighbour, or once the balancer has noticed

Nodes now tell their halls with their probes. Callers that are refused while nothing is known of when they would be served come back after 0.15 s, spread, and a request is sent again if the time left is what a replica needs: both were parts of the time or the objective before.

--- a/lib/src/gateway/reading.rs
+++ b/lib/src/gateway/reading.rs
@@ -145,6 +145,11 @@
     }
 }
 
+/// Time that a prompt is guessed to take where nothing is known of the engines.
+pub fn guessed_time(tokens: u32) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) * GUESSED_MS_PER_TOKEN / 1_000.0)
+}
+
 fn is_cold(engine: &Replica, now: Timestamp) -> bool {
     engine.warm_at > now
 }
--- a/lib/src/gateway/waiting.rs
+++ b/lib/src/gateway/waiting.rs
@@ -114,7 +114,16 @@
     }
 }
 
-/// When a caller comes back that is refused as room is expected after `expected`.
-pub fn come_back_after<R: Rng>(expected: Duration, rng: &mut R) -> Duration {
+/// When a caller comes back that is refused while nothing is known of when it would be served: soon,
+/// as its next attempt reaches another node and perhaps another replica.
+const COME_BACK_SOON: Duration = Duration::from_millis(150);
+/// The soonest that a caller returns: a lead looks at what became free ten times a second.
+const SOONEST_RETURN: Duration = Duration::from_millis(100);
+/// The latest: forecasts reach no further than what was seen in the last seconds.
+const LATEST_RETURN: Duration = Duration::from_secs(5);
+
+/// When a caller comes back that is refused as room is expected after `expected`, if that is known.
+pub fn come_back_after<R: Rng>(expected: Option<Duration>, rng: &mut R) -> Duration {
+    let expected = expected.unwrap_or(COME_BACK_SOON).clamp(SOONEST_RETURN, LATEST_RETURN);
     expected.mul_f64(rng.random_range(1.0 - COME_BACK_SPREAD..=1.0 + COME_BACK_SPREAD))
 }
--- a/lib/tests/test_gateway_waiting.rs
+++ b/lib/tests/test_gateway_waiting.rs
@@ -78,7 +78,11 @@
     #[test]
     fn test_returns_are_spread(seed in 0_u64..1_000) {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let after = waiting::come_back_after(Duration::from_secs(1), &mut rng);
+        let after = waiting::come_back_after(Some(Duration::from_secs(1)), &mut rng);
         prop_assert!((0.75..=1.25).contains(&after.as_secs_f64()));
+        let bounds = [None, Some(Duration::ZERO), Some(Duration::MAX)]
+            .map(|expected| waiting::come_back_after(expected, &mut rng).as_secs_f64());
+        prop_assert!((0.11..=0.19).contains(&bounds[0]) && (0.07..=0.13).contains(&bounds[1]));
+        prop_assert!((3.7..=6.3).contains(&bounds[2]));
     }
 }
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -51,7 +51,7 @@
     /// A loop that knows nothing yet.
     pub fn new(shared: Arc<Shared>, outbox: Outbox) -> Self {
         let settings = &shared.settings;
-        let fleet = Fleet::new(settings.peer, &settings.seeds, outbox.clone());
+        let fleet = Fleet::new(settings.peer, settings.hall.clone(), &settings.seeds, outbox.clone());
         Control {
             placing: Placing::new(shared.clone(), outbox, fleet.own().clone()),
             configs: ConfigIntake::new(shared.clone()),
@@ -112,6 +112,7 @@
             self.placing.on_node_gone(&node);
         }
         self.shared.set_nodes(self.fleet.alive().count() + 1);
+        self.shared.set_has_neighbour(self.fleet.has_neighbour());
         self.placing.tell_leads(&self.fleet);
         self.placing.lead(&self.fleet);
         self.watching.set(self.watchers.role(self.fleet.alive(), now));
@@ -162,7 +163,7 @@
         self.replicas.compare(&self.placing, from, datagram.replicas_at);
         match datagram.message {
             PeerMessage::Probe(id, gossip) => gone.extend(self.fleet.on_probe(from, id, gossip, now)),
-            PeerMessage::ProbeAnswer(id, gossip) => gone.extend(self.fleet.on_answer(id, gossip, now)),
+            PeerMessage::ProbeAnswer(id, gossip) => gone.extend(self.fleet.on_answer(from, id, gossip, now)),
             PeerMessage::ProbeFor(id, target) => self.fleet.on_probe_for(from, id, target, now),
             PeerMessage::Place(remote) => self.placing.on_place(from, remote),
             PeerMessage::Placed(run, record) => self.placing.on_placed(run, record),
--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -139,7 +139,7 @@
     };
     let req = request::admit(&traffic.shared, req).await.map_err(refused)?;
     if !stop::takes(&traffic.shared, &req) {
-        let retry_after = Some(stop::COME_BACK_AFTER);
+        let retry_after = Some(stop::come_back_after(&traffic.shared));
         return Err(refused(Refusal { code: Code::Stopping, retry_after }));
     }
     traffic.on_request(&req.service);
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -6,6 +6,7 @@
 use http_body_util::Either;
 use http_body_util::Full;
 use leadstage_lib::code::Code;
+use leadstage_lib::gateway::waiting;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::headers;
 use leadstage_platform::headers::Added;
@@ -84,7 +85,10 @@
     }
     match best {
         Ok(answer) => Ok(reply(answer)),
-        Err(refusal) => Err(Refusal { retry_after: Some(req.come_back_after()), ..refusal }),
+        Err(refusal) => {
+            let retry_after = Some(waiting::come_back_after(None, &mut rand::rng()));
+            Err(Refusal { retry_after, ..refusal })
+        }
     }
 }
 
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -8,7 +8,6 @@
 use http_body_util::Either;
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::waiting;
-use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::engine::Resume;
 use leadstage_platform::headers;
@@ -37,11 +36,6 @@
 const PARTS_WAITING: usize = 16;
 /// Engines that a request may fail to reach.
 const MOST_UNREACHED: u32 = 3;
-/// The soonest that a caller returns who finds no room: the lead looks at what became free ten
-/// times a second.
-const SOONEST_RETURN: Duration = Duration::from_millis(100);
-/// The latest: forecasts reach no further than what was seen in the last seconds.
-const LATEST_RETURN: Duration = Duration::from_secs(5);
 
 /// Serves a stream: answers with its head, and passes its events on in a task.
 pub async fn serve(
@@ -107,13 +101,16 @@
     let mut tried: Vec<UpstreamId> = Vec::new();
     let mut sent = 0;
     let mut unreached = 0;
-    let refusal = |code| Refusal { code, retry_after: Some(req.come_back_after()) };
+    let refusal = |code| refuse(code, None);
     let mut best: Result<Beginning, Refusal> = Err(refusal(Code::NoUpstream));
     loop {
         let run = match traffic.place_generation(req, handle, &tried).await {
             Ok(run) => run,
             Err(no_room) => {
-                best = best.map_err(|before| if sent == 0 { refuse_for_room(req, no_room) } else { before });
+                best =
+                    best.map_err(
+                        |before| if sent == 0 { refuse(Code::NoUpstream, no_room.expected) } else { before },
+                    );
                 break;
             }
         };
@@ -146,11 +143,8 @@
 }
 
 /// The caller comes back when there should be room, if that is known.
-fn refuse_for_room(req: &CallerRequest, no_room: NoRoom) -> Refusal {
-    let expected = no_room.expected.map(|expected| waiting::come_back_after(expected, &mut rand::rng()));
-    let retry_after =
-        expected.map_or(req.come_back_after(), |after| after.clamp(SOONEST_RETURN, LATEST_RETURN));
-    Refusal { code: Code::NoUpstream, retry_after: Some(retry_after) }
+fn refuse(code: Code, expected: Option<Duration>) -> Refusal {
+    Refusal { code, retry_after: Some(waiting::come_back_after(expected, &mut rand::rng())) }
 }
 
 async fn attempt(traffic: &Traffic, req: &CallerRequest, run: RunGuard) -> Attempt {
--- a/node/src/gateway/peers/fleet.rs
+++ b/node/src/gateway/peers/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::VmId;
 use leadstage_lib::membership::Liveness;
@@ -49,6 +50,9 @@
 pub struct Fleet {
     own: VmId,
     own_address: SocketAddr,
+    own_hall: HallId,
+    /// The halls of nodes that said so.
+    halls: HashMap<VmId, HallId>,
     seeds: BTreeSet<SocketAddr>,
     known: BTreeSet<SocketAddr>,
     membership: Membership,
@@ -59,13 +63,15 @@
 
 impl Fleet {
     /// A view that knows the seeds only.
-    pub fn new(own_address: SocketAddr, seeds: &[SocketAddr], outbox: Outbox) -> Self {
+    pub fn new(own_address: SocketAddr, own_hall: HallId, seeds: &[SocketAddr], outbox: Outbox) -> Self {
         let own = node_id(own_address);
         let seeds = peer_addresses(seeds, own_address);
         Fleet {
             membership: Membership::new(own.clone(), unix_millis(), rand::rng().random()),
             own,
             own_address,
+            own_hall,
+            halls: HashMap::new(),
             known: seeds.clone(),
             seeds,
             probes: HashMap::new(),
@@ -90,6 +96,11 @@
         self.membership.alive()
     }
 
+    /// Whether another node of this node's hall is taken to be alive.
+    pub fn has_neighbour(&self) -> bool {
+        self.alive().any(|node| self.halls.get(node) == Some(&self.own_hall))
+    }
+
     /// Some other nodes, at random.
     fn some(&self, count: usize) -> Vec<SocketAddr> {
         self.membership.alive().filter_map(address_of).sample(&mut rand::rng(), count)
@@ -141,11 +152,11 @@
     pub fn on_probe(&mut self, from: SocketAddr, id: ProbeId, gossip: Gossip, now: Timestamp) -> Vec<VmId> {
         let answer = PeerMessage::ProbeAnswer(id, self.gossip());
         self.outbox.send(from, &answer);
-        self.on_gossip(gossip, now)
+        self.on_gossip(&node_id(from), gossip, now)
     }
 
     /// A probe was answered.
-    pub fn on_answer(&mut self, id: ProbeId, gossip: Gossip, now: Timestamp) -> Vec<VmId> {
+    pub fn on_answer(&mut self, from: SocketAddr, id: ProbeId, gossip: Gossip, now: Timestamp) -> Vec<VmId> {
         let actions = match self.probes.remove(&id) {
             Some((Awaited::Direct(target), _)) => self.membership.on_probe(&target, true, now),
             Some((Awaited::Indirect(target), _)) => self.membership.on_indirect(&target, true, now),
@@ -156,7 +167,7 @@
             None => Vec::new(),
         };
         let mut gone = self.act(actions, now);
-        gone.extend(self.on_gossip(gossip, now));
+        gone.extend(self.on_gossip(&node_id(from), gossip, now));
         gone
     }
 
@@ -183,7 +194,10 @@
         self.membership.on_list(&listed, now);
     }
 
-    fn on_gossip(&mut self, gossip: Gossip, now: Timestamp) -> Vec<VmId> {
+    fn on_gossip(&mut self, from: &VmId, gossip: Gossip, now: Timestamp) -> Vec<VmId> {
+        if let Some(hall) = gossip.hall {
+            self.halls.insert(from.clone(), hall);
+        }
         for address in gossip.known {
             let gone =
                 matches!(self.membership.liveness(&node_id(address)), Some(Liveness::Dead | Liveness::Left));
@@ -197,7 +211,8 @@
     }
 
     fn gossip(&mut self) -> Gossip {
-        Gossip { news: self.membership.news(), known: self.some(KNOWN_PER_MESSAGE) }
+        let hall = Some(self.own_hall.clone());
+        Gossip { hall, news: self.membership.news(), known: self.some(KNOWN_PER_MESSAGE) }
     }
 
     fn act(&mut self, actions: Vec<MembershipAction>, now: Timestamp) -> Vec<VmId> {
@@ -224,6 +239,7 @@
 
     /// A node that is gone is not named to others; seeds are tried again for ever.
     fn forget(&mut self, node: &VmId) {
+        self.halls.remove(node);
         if let Some(address) = address_of(node)
             && !self.seeds.contains(&address)
         {
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -81,6 +81,8 @@
 /// News of the fleet.
 #[derive(Debug, Default, Deserialize, Serialize)]
 pub struct Gossip {
+    /// The sender's hall; `None` in an answer on behalf of another node.
+    pub hall: Option<HallId>,
     /// What is thought of nodes; they are named by their peer addresses.
     pub news: Vec<News>,
     /// Some nodes that the sender knows.
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::load::GenerationSize;
+use leadstage_lib::gateway::reading;
 use leadstage_lib::gateway::routing::Organisation;
 use leadstage_lib::gateway::routing::Route;
 use leadstage_lib::gateway::routing::RoutingTable;
@@ -33,6 +34,9 @@
 /// The least urgent level at an engine.
 const LEAST_URGENT: u8 = 9;
 
+/// Time that a replica needs at least for an answer: a short call and the way there and back.
+const LEAST_TO_ANSWER: Duration = Duration::from_millis(20);
+
 /// When callers come back that a starting node refused. Nodes usually start one by one and
 /// within some tens of milliseconds, but all at once, as after a loss of power, they wait for
 /// the store; who comes back too early is refused by another starting node.
@@ -78,12 +82,6 @@
         self.route.objective.saturating_sub(self.came.elapsed())
     }
 
-    /// When its caller comes back if it is refused and nothing better is known: after a tenth of
-    /// what is left, within bounds.
-    pub fn come_back_after(&self) -> Duration {
-        (self.left() / 10).clamp(Duration::from_millis(50), Duration::from_secs(2))
-    }
-
     /// The size of the generation that it asks for.
     pub fn generation_size(&self) -> GenerationSize {
         let said = headers::size(&self.headers);
@@ -96,10 +94,11 @@
         headers::text(&self.headers, &headers::LAST_EVENT_ID).filter(|_| self.route.resumable)
     }
 
-    /// Whether it may be sent to one more replica after `sent`, the retry budget aside: a replica
-    /// needs some time to answer.
+    /// Whether it may be sent to one more replica after `sent`, the retry budget aside: with less
+    /// time than a replica needs to answer, that would work in vain.
     pub fn may_repeat(&self, sent: u32) -> bool {
-        self.route.is_repeatable() && sent < self.route.max_attempts && self.left() > self.route.objective / 4
+        let needs = LEAST_TO_ANSWER + reading::guessed_time(self.generation_size().prompt);
+        self.route.is_repeatable() && sent < self.route.max_attempts && self.left() > needs
     }
 
     /// What leadstage adds to it for an engine.
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -60,6 +60,7 @@
     stop_began: OnceLock<Timestamp>,
     bounds: RwLock<Bounds>,
     nodes: AtomicUsize,
+    has_neighbour: AtomicBool,
     store_answers: AtomicBool,
     replica_list: RwLock<Arc<ReplicaList>>,
     replicas_at: AtomicU64,
@@ -76,6 +77,7 @@
         Shared {
             bounds: RwLock::new(settings.bounds.clone()),
             nodes: AtomicUsize::new(1),
+            has_neighbour: AtomicBool::new(false),
             store_answers: AtomicBool::new(true),
             replica_list: RwLock::default(),
             replicas_at: AtomicU64::new(0),
@@ -146,6 +148,16 @@
         self.nodes.load(Ordering::Relaxed)
     }
 
+    /// Whether another node of this node's hall is taken to be alive.
+    pub fn has_neighbour(&self) -> bool {
+        self.has_neighbour.load(Ordering::Relaxed)
+    }
+
+    /// Publishes that.
+    pub fn set_has_neighbour(&self, has_neighbour: bool) {
+        self.has_neighbour.store(has_neighbour, Ordering::Relaxed);
+    }
+
     /// Publishes how many nodes are taken to be alive.
     pub fn set_nodes(&self, nodes: usize) {
         self.nodes.store(nodes, Ordering::Relaxed);
@@ -224,6 +236,11 @@
         Some(ends.saturating_sub(self.now()))
     }
 
+    /// Time since a planned stop began, if one has.
+    pub fn stopping_for(&self) -> Option<Duration> {
+        Some(self.now().saturating_sub(*self.stop_began.get()?))
+    }
+
     /// The latest status.
     pub fn status(&self) -> NodeStatus {
         self.status.read().expect("no holder panics").clone()
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -30,8 +30,19 @@
 const STREAM_MARGIN: f64 = 1.5;
 
 /// When a caller comes back that a stopping node refused: at once, as a new connection
-/// reaches another node.
-pub const COME_BACK_AFTER: Duration = Duration::from_millis(50);
+/// reaches another node of the hall.
+const COME_BACK_AFTER: Duration = Duration::from_millis(50);
+
+/// When a caller comes back that a stopping node refuses. Where no other node of the hall is alive
+/// the balancer sends it here again until it has noticed.
+pub fn come_back_after(shared: &Shared) -> Duration {
+    let stopping_for = shared.stopping_for().unwrap_or_default();
+    if shared.has_neighbour() {
+        COME_BACK_AFTER
+    } else {
+        BALANCER_NOTICES.saturating_sub(stopping_for).max(COME_BACK_AFTER)
+    }
+}
 
 /// Whether a node that may be stopping still takes a request: one that it can be expected to serve
 /// to its end.
--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -25,6 +25,8 @@
     assert!(called.whole && called.events() == Some(60), "{called:?}");
     let late = gateway.call(0, chat("r-2")).await;
     assert_eq!((late.status, late.code()), (503, 2108), "{}", gateway.logs());
+    let back: f64 = late.header("retry-after").and_then(|after| after.parse().ok()).expect("a time");
+    assert!((0.5..=2.3).contains(&back), "{back}: there is no other node, so the balancer must notice first");
     let mut short = chat("r-3");
     short.headers_mut().insert("length-hint", "40".parse().expect("valid"));
     let short = gateway.call(0, short).await;
@@ -36,6 +38,21 @@
     assert_eq!(gateway.ended(0), Some(true));
 }
 
+/// Whom a stopping node refuses comes back at once where the hall has another node.
+#[tokio::test]
+async fn test_callers_of_a_stopping_node_come_back_to_its_neighbour() {
+    let (mut gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    let second = gateway.start_node();
+    gateway.until_ready(second).await;
+    gateway.until("they have met", async || gateway.log(0).contains("event=node_met")).await;
+    // Halls are told with the probes, one a second.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    gateway.signal(0, "-TERM");
+    gateway.until("not ready", async || gateway.ready_status(0).await == 503).await;
+    let refused = gateway.call(0, chat("r-1")).await;
+    assert_eq!((refused.code(), refused.header("retry-after")), (2108, Some("0.05")), "{}", gateway.logs());
+}
+
 #[tokio::test]
 async fn test_hangup_reloads_and_a_wrong_file_leaves_the_old_settings() {
     let (mut gateway, _bookings, _models) = Gateway::with_replicas(1).await;
