--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -82,11 +82,14 @@
         self.route.objective.saturating_sub(self.came.elapsed())
     }
 
-    /// The size of the generation that it asks for.
+    /// The size of the generation that it asks for, no larger than an engine's memory: what a
+    /// caller says beyond that must not count for hours of reading.
     pub fn generation_size(&self) -> GenerationSize {
         let said = headers::size(&self.headers);
         let expected = said.length_hint.unwrap_or(said.max_tokens).min(said.max_tokens);
-        GenerationSize { prompt: said.prompt_tokens, expected }
+        let engine = self.table.service(&self.service).and_then(|service| service.engine.as_ref());
+        let most = engine.map_or(u32::MAX, |engine| engine.memory_tokens);
+        GenerationSize { prompt: said.prompt_tokens.min(most), expected: expected.min(most) }
     }
 
     /// The last event that its caller has from an earlier attempt, where that counts.
