--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -419,8 +419,14 @@
     /// How many events came; `None` unless the body is just the first events of the
     /// stand-in's generations, each once, in order and whole.
     pub fn events(&self) -> Option<u64> {
-        let count = self.body.matches("\n\n").count() as u64;
-        let expected: String = (1..=count).map(|n| format!("id: {n}\ndata: token {n}\n\n")).collect();
-        (self.body == expected).then_some(count)
+        self.last_event_after(0)
+    }
+
+    /// The last event that came; `None` unless the body is just the events after `from`, each
+    /// once, in order and whole. It is `from` if none came.
+    pub fn last_event_after(&self, from: u64) -> Option<u64> {
+        let last = from + self.body.matches("\n\n").count() as u64;
+        let expected: String = (from + 1..=last).map(|n| format!("id: {n}\ndata: token {n}\n\n")).collect();
+        (self.body == expected).then_some(last)
     }
 }
--- a/node/tests/test_gateway_resuming.rs
+++ b/node/tests/test_gateway_resuming.rs
@@ -109,8 +109,7 @@
     let mut came_back = tag("r-1");
     came_back.headers_mut().insert("last-event-id", "40".parse().expect("valid"));
     let called = gateway.call(0, came_back).await;
-    let expected: String = (41..=EVENTS).map(|n| format!("id: {n}\ndata: token {n}\n\n")).collect();
-    assert_eq!((called.whole, called.body), (true, expected));
+    assert_eq!((called.whole, called.last_event_after(40)), (true, Some(EVENTS)), "{}", called.body);
     let mut other = chat("r-2");
     other.headers_mut().insert("last-event-id", "40".parse().expect("valid"));
     assert_eq!(gateway.call(0, other).await.events(), Some(EVENTS));
@@ -128,8 +127,7 @@
     let mut came_back = tag("r-1");
     came_back.headers_mut().insert("last-event-id", "40".parse().expect("valid"));
     let called = gateway.call(0, came_back).await;
-    let expected: String = (41..=EVENTS).map(|n| format!("id: {n}\ndata: token {n}\n\n")).collect();
-    assert_eq!((called.whole, called.body), (true, expected), "{}", gateway.logs());
+    assert_eq!((called.whole, called.last_event_after(40)), (true, Some(EVENTS)), "{}", gateway.logs());
 }
 
 /// A stream that may not be resumed ends where its engine breaks.
--- a/node/tests/test_gateway_soak.rs
+++ b/node/tests/test_gateway_soak.rs
@@ -11,11 +11,15 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
 use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::faulty_proxy::LinkFault;
 use leadstage_testutils::gateway_replica::CopyFault;
 use leadstage_testutils::gateway_replica::GatewayReplica;
 use leadstage_testutils::gateway_replica::ReplicaFault;
+use leadstage_testutils::gateway_replica::StreamFault;
 use leadstage_testutils::metadata_store::StoreFault;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -30,6 +34,7 @@
 use crate::gateway_environment::chat;
 use crate::gateway_environment::config;
 use crate::gateway_environment::request;
+use crate::gateway_environment::tag;
 
 /// Seeds that CI plays: the first, and each that ever failed with a line on its cause.
 const REGRESSIONS: &[u64] = &[1];
@@ -39,6 +44,9 @@
 const ENGINES: usize = 4;
 const STREAM_CLIENTS: usize = 6;
 const CALL_CLIENTS: usize = 4;
+const TAG_CLIENTS: usize = 3;
+/// Attempts of one caller whose stream may be resumed, and engines that each may be sent to.
+const TAG_ATTEMPTS: u64 = 3;
 /// Events of a generation.
 const EVENTS: u64 = 60;
 /// How long faults come.
@@ -47,9 +55,20 @@
 /// What a caller saw of a request.
 struct Seen {
     id: String,
+    /// The last event that it had from earlier attempts.
+    from: u64,
     called: Called,
 }
 
+/// What a client asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asks {
+    Streams,
+    Calls,
+    /// Streams that may be resumed: it comes back after a break.
+    Tags,
+}
+
 /// What all callers saw.
 type Log = Arc<Mutex<Vec<Seen>>>;
 
@@ -91,7 +110,7 @@
     /// One fault; some last beyond the next.
     async fn strike(&mut self) {
         let node = self.pick(nodes());
-        match self.pick(13) {
+        match self.pick(14) {
             0 => self.gateway.signal(node, "-TERM"),
             1 => self.gateway.kill(node),
             2 => {
@@ -128,6 +147,20 @@
                 self.engines[at].replica.set_copy_fault(fault);
             }
             11 => {
+                let after = self.pick(EVENTS as usize) as u64;
+                let faults = [
+                    StreamFault::BreaksAfter(after),
+                    StreamFault::BreaksInside(after),
+                    StreamFault::StallsAfter(after),
+                    StreamFault::NoHead,
+                    StreamFault::Fails,
+                    StreamFault::StartsOver,
+                ];
+                let count = 1 + self.pick(4);
+                let chosen: Vec<StreamFault> = (0..count).map(|_| faults[self.pick(faults.len())]).collect();
+                self.gateway.engines.set_stream_faults(chosen);
+            }
+            12 => {
                 let faults = [
                     ReplicaFault::Breaks,
                     ReplicaFault::CutsBody,
@@ -177,6 +210,7 @@
     async fn recover(&mut self) {
         self.gateway.store.set_fault(StoreFault::None);
         self.proxy.set(LinkFault::None);
+        self.gateway.engines.set_stream_faults([]);
         self.bookings.iter().for_each(|running| running.replica.set_fault(ReplicaFault::None));
         // Engines that were told to leave are replaced.
         for at in 0..self.engines.len() {
@@ -202,20 +236,42 @@
 }
 
 /// Asks again and again through random nodes until the end.
-async fn client(front: Vec<String>, name: String, seed: u64, until: Instant, streams: bool, log: Log) {
+async fn client(front: Vec<String>, name: String, seed: u64, until: Instant, asks: Asks, log: Log) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut n = 0;
     while Instant::now() < until {
         n += 1;
-        let id = format!("{name}-{n}");
-        let req = if streams { chat(&id) } else { request("POST", &format!("/book/x?{id}"), KEY, &id) };
-        let node = &front[rng.random_range(0..front.len())];
-        let called = crate::gateway_environment::call(node, req).await;
-        log.lock().expect("no holder panics").push(Seen { id, called });
+        let mut from = 0;
+        for attempt in 0..if asks == Asks::Tags { TAG_ATTEMPTS } else { 1 } {
+            let id = format!("{name}-{n}-{attempt}");
+            let node = &front[rng.random_range(0..front.len())];
+            let called = crate::gateway_environment::call(node, ask(asks, &id, from)).await;
+            let last = called.last_event_after(from).filter(|_| called.status == 200);
+            let is_whole = called.whole && called.status == 200;
+            log.lock().expect("no holder panics").push(Seen { id, from, called });
+            if is_whole {
+                break;
+            }
+            from = last.unwrap_or(from);
+        }
         tokio::time::sleep(Duration::from_millis(rng.random_range(5..60))).await;
     }
 }
 
+fn ask(asks: Asks, id: &str, from: u64) -> Request<Full<Bytes>> {
+    match asks {
+        Asks::Streams => chat(id),
+        Asks::Calls => request("POST", &format!("/book/x?{id}"), KEY, id),
+        Asks::Tags => {
+            let mut req = tag(id);
+            if from > 0 {
+                req.headers_mut().insert("last-event-id", from.to_string().parse().expect("valid"));
+            }
+            req
+        }
+    }
+}
+
 /// The promises, from what callers and replicas saw.
 fn check(seed: u64, log: &[Seen], ever: &Replicas) -> Result<BTreeMap<u16, usize>, String> {
     let mut arrivals: BTreeMap<String, usize> = BTreeMap::new();
@@ -227,23 +283,23 @@
         }
     }
     let mut statuses = BTreeMap::new();
-    for Seen { id, called } in log {
+    for Seen { id, from, called } in log {
         *statuses.entry(called.status).or_default() += 1;
         let arrived = arrivals.get(id).copied().unwrap_or(0);
         let fail =
             |what: &str| Err(format!("seed {seed}: {id}: {what}: {called:?}, arrived {arrived} times"));
-        if arrived > 1 {
-            return fail("ran more than once");
+        let most = if id.starts_with("tag") { TAG_ATTEMPTS as usize } else { 1 };
+        if arrived > most {
+            return fail("ran more often than it may");
         }
         if matches!(called.status, 408 | 421 | 429 | 503) && arrived > 0 {
             return fail("said not to have run");
         }
-        if called.status == 200 && id.starts_with("stream") {
-            let events = called.events();
-            if events.is_none() {
+        if called.status == 200 && !id.starts_with("call") {
+            let Some(last) = called.last_event_after(*from) else {
                 return fail("not just its events");
-            }
-            if called.whole != (events == Some(EVENTS)) {
+            };
+            if called.whole != (last == EVENTS) {
                 return fail("whole, or not, against its events");
             }
         }
@@ -260,10 +316,16 @@
     let until = Instant::now() + FAULTS_FOR;
     let log = Log::default();
     let mut clients = tokio::task::JoinSet::new();
-    for n in 0..STREAM_CLIENTS + CALL_CLIENTS {
-        let streams = n < STREAM_CLIENTS;
-        let name = format!("{}{n}", if streams { "stream" } else { "call" });
-        clients.spawn(client(fronts.clone(), name, seed ^ (n as u64) << 32, until, streams, log.clone()));
+    let kinds = [
+        (Asks::Streams, "stream", STREAM_CLIENTS),
+        (Asks::Calls, "call", CALL_CLIENTS),
+        (Asks::Tags, "tag", TAG_CLIENTS),
+    ];
+    for (asks, kind, count) in kinds {
+        for n in 0..count {
+            let own_seed = seed ^ (clients.len() as u64) << 32;
+            clients.spawn(client(fronts.clone(), format!("{kind}{n}"), own_seed, until, asks, log.clone()));
+        }
     }
     while Instant::now() < until {
         soak.strike().await;
