--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -3,6 +3,7 @@
 //! Everything here is sans-I/O. `node/src/gateway` drives it, and the adapter in
 //! `platform/` fills its types from what the platform says.
 
+pub mod choice;
 pub mod evacuation;
 pub mod lapses;
 pub mod lead;
@@ -14,10 +15,12 @@
 pub mod rebalance;
 pub mod replica_list;
 pub mod replica_news;
+pub mod replica_record;
 pub mod replicas;
 pub mod retry_window;
 pub mod room_forecast;
 pub mod routing;
+pub mod run_key;
 pub mod token_pace;
 pub mod waiting;
 pub mod watchers;
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -1,16 +1,11 @@
-//! The load of the replicas as a node knows it, and the choice of a replica by it.
-//!
-//! For engines a request costs time until its first event (prompts are read one after
-//! another), what it takes from the streams that run beside it, and the risk that the
-//! engine's memory overflows. For plain services only the requests in flight count.
+//! The load of the replicas as a node knows it: the requests there, how fast prompts are read, and
+//! how fast generations make tokens.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Duration;
 
-use rand::Rng;
-use rand::RngExt;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -19,77 +14,18 @@
 use crate::gateway::replicas::Replica;
 use crate::gateway::routing::EngineTraits;
 use crate::gateway::routing::ServiceId;
+use crate::gateway::run_key::RunId;
+use crate::gateway::run_key::RunKey;
 use crate::gateway::token_pace::GUESSED_TOKENS_PER_SECOND;
 use crate::gateway::token_pace::TokenPaces;
-use crate::ids::HallId;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
 use crate::ids::VmId;
 
-/// Names one request of one node; a node's ids rise.
-pub type RunId = u64;
-
-/// Names one request in the fleet.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct RunKey {
-    /// The node that its caller is connected to.
-    pub entry: VmId,
-    /// The request.
-    pub run: RunId,
-}
-
-/// A time to the first event that counts twice: it is close to the objectives, which are
-/// 1.5 s and more.
-const WAIT_TWICE_AS_BAD_MS: f64 = 1_000.0;
-/// Milliseconds that one more running stream adds to the cost of an engine: each makes
-/// every step a little longer, and is one more to move when the engine leaves.
-const COST_PER_RUN_MS: f64 = 25.0;
 /// Seconds for which a generation is taken to grow, at most: beyond them others have ended.
 const MOST_GROWTH_S: f64 = 3.0;
 /// Seconds for which one is taken to grow that should have ended already.
 const LEAST_GROWTH_S: f64 = 0.7;
-/// Cost of a call in another hall: its bytes are priced.
-const COST_OTHER_HALL_MS: f64 = 12.0;
-/// Cost of a generation in another hall: where a link between halls loses 3 packets in 100, a
-/// stream that crosses it stalls within a second or two. With more, halls fill unevenly and more
-/// generations are lost when engines are taken away (docs/BENCHMARKS.md).
-const COST_FAR_STREAM_MS: f64 = 150.0;
-/// Part of an engine's memory that expected use may reach without a cost.
-const MEMORY_AT_EASE: f64 = 0.7;
-/// The same for generations that move: the links' time is scarcer than the memory.
-const MEMORY_AT_EASE_FOR_MOVES: f64 = 0.85;
-/// Part of an engine's memory that new generations may fill. The rest is for those that
-/// move when other engines leave, which are worth more: their callers have waited already.
-const ADMITS_UP_TO: f64 = 0.9;
-/// Part of an engine's memory that moving generations may fill.
-const MOVES_UP_TO: f64 = 1.0;
-/// Cost of expecting to fill all of the memory beyond that, growing with the square.
-const COST_FULL_MEMORY_MS: f64 = 4_000.0;
-/// Cost of one request in flight at a plain replica, against [`COST_OTHER_HALL_MS`].
-const COST_PER_CALL_MS: f64 = 30.0;
-/// Cost of a move to another hall, in times that a copy takes within one: it takes twice as long,
-/// on the links of both engines, and others wait for these.
-const FAR_MOVE_COPIES: f64 = 3.0;
-/// Random part of a cost, so that nodes which know the same don't all choose the same.
-const SPREAD_MS: f64 = 8.0;
-/// Cost of a plain replica all of whose answers are errors, growing with the square of their share:
-/// some replicas fail one request in seven for reasons of the request.
-const COST_ALL_ERRORS_MS: f64 = 600.0;
-/// The same for an engine: a generation that it fails is lost, unlike a call that can be
-/// repeated. One failure among its last answers outweighs five running streams.
-const COST_ENGINE_ERRORS_MS: f64 = 8_000.0;
-/// Cost for each failure in a row that a replica had lately.
-const COST_PER_FAILURE_MS: f64 = 100.0;
-
-/// What differs between engines and plain replicas, in milliseconds.
-struct Costs {
-    other_hall: f64,
-    all_errors: f64,
-}
-
-const PLAIN_COSTS: Costs = Costs { other_hall: COST_OTHER_HALL_MS, all_errors: COST_ALL_ERRORS_MS };
-const ENGINE_COSTS: Costs = Costs { other_hall: COST_FAR_STREAM_MS, all_errors: COST_ENGINE_ERRORS_MS };
-
 /// The size of a generation.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
 pub struct GenerationSize {
@@ -122,13 +58,15 @@
 /// What a node knows of the requests at the replicas.
 #[derive(Debug, Default)]
 pub struct LoadBook {
-    policy: Policy,
+    /// What is switched on.
+    pub policy: Policy,
     /// By node: each of hundreds tells a lead of its own some times a second.
     runs: HashMap<VmId, BTreeMap<RunId, Run>>,
     by_replica: BTreeMap<UpstreamId, Vec<RunKey>>,
     /// The services of the replicas that were given requests.
     services: HashMap<UpstreamId, ServiceId>,
-    reading: ReadingClocks,
+    /// When engines will have read what they were given.
+    pub reading: ReadingClocks,
     paces: TokenPaces,
 }
 
@@ -212,9 +150,9 @@
         &self.paces
     }
 
-    /// Tokens of memory that a new generation is expected to take soon.
-    pub fn memory_of_new(&self, service: &str, size: GenerationSize) -> f64 {
-        soon(size, 0, self.paces.tokens_per_second(service))
+    /// Tokens of memory that a generation of a service is expected to take soon.
+    pub fn memory_of(&self, service: &str, size: GenerationSize, produced: u32) -> f64 {
+        soon(size, produced, self.paces.tokens_per_second(service))
     }
 
     /// Time that a usual engine of a service needs for a prompt.
@@ -292,116 +230,6 @@
         let expected: f64 = self.at(replica).map(|(_, run)| self.memory(run)).sum();
         expected / f64::from(engine.memory_tokens.max(1))
     }
-
-    /// The cheapest replica for a generation, among usable ones; `None` where it would
-    /// overfill each.
-    pub fn choose_engine<'a, R: Rng>(
-        &self,
-        candidates: impl Iterator<Item = &'a Replica>,
-        request: &EngineRequest<'_>,
-        now: Timestamp,
-        rng: &mut R,
-    ) -> Option<EngineChoice<'a>> {
-        let most = if request.moves { MOVES_UP_TO } else { ADMITS_UP_TO };
-        let choices = candidates.map(|replica| self.consider(replica, request, now, rng));
-        let fitting = choices.filter(|choice| choice.fill <= most || choice.runs == 0);
-        fitting.min_by(|a, b| a.cost.total_cmp(&b.cost))
-    }
-
-    /// The cheapest replica for a plain call, among usable ones.
-    pub fn choose_plain<'a, R: Rng>(
-        &self,
-        candidates: impl Iterator<Item = &'a Replica>,
-        hall: &HallId,
-        now: Timestamp,
-        rng: &mut R,
-    ) -> Option<&'a Replica> {
-        let costs = candidates.map(|replica| {
-            let calls = self.at(&replica.record.id).count() as f64;
-            (calls * COST_PER_CALL_MS + self.general_cost(replica, hall, &PLAIN_COSTS, now, rng), replica)
-        });
-        costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, replica)| replica)
-    }
-
-    fn consider<'a, R: Rng>(
-        &self,
-        replica: &'a Replica,
-        request: &EngineRequest<'_>,
-        now: Timestamp,
-        rng: &mut R,
-    ) -> EngineChoice<'a> {
-        let id = &replica.record.id;
-        let moves = request.moves;
-        let arriving = self.at(id).filter(|(_, run)| run.copied_from.is_some()).count();
-        let far = moves && replica.record.hall != *request.hall;
-        let wait = self.reading.wait(id, now);
-        let runs = self.at(id).count();
-        let pace = self.paces.tokens_per_second(&replica.record.service);
-        let own = soon(request.size, request.produced, pace);
-        let fill = self.fill(id, request.engine) + own / f64::from(request.engine.memory_tokens.max(1));
-        // A copy goes ahead of the prompts that wait there.
-        let way = if moves {
-            let copy = millis(request.engine.copy_time(request.size.prompt + request.produced));
-            let copies = arriving as f64 + if far { FAR_MOVE_COPIES } else { 0.0 };
-            copies * copy
-        } else {
-            let own_time = self.reading.reading_time(replica, request.size.prompt, now);
-            let first_event = millis(wait + own_time);
-            first_event + first_event * first_event / WAIT_TWICE_AS_BAD_MS
-        };
-        let at_ease = if moves { MEMORY_AT_EASE_FOR_MOVES } else { MEMORY_AT_EASE };
-        let beyond = (fill - at_ease).max(0.0) / (1.0 - at_ease);
-        let cost = way
-            + runs as f64 * COST_PER_RUN_MS
-            + beyond * beyond * COST_FULL_MEMORY_MS
-            + self.general_cost(replica, request.hall, &ENGINE_COSTS, now, rng);
-        EngineChoice { replica, runs, fill, wait, cost }
-    }
-
-    fn general_cost<R: Rng>(
-        &self,
-        replica: &Replica,
-        hall: &HallId,
-        costs: &Costs,
-        now: Timestamp,
-        rng: &mut R,
-    ) -> f64 {
-        let is_near = replica.record.hall == *hall || !self.policy.stay_in_hall;
-        let elsewhere = if is_near { 0.0 } else { costs.other_hall };
-        let failures = f64::from(replica.failures()) * COST_PER_FAILURE_MS;
-        let errors = if self.policy.avoid_errors { replica.errors(now) } else { 0.0 };
-        elsewhere + failures + errors * errors * costs.all_errors + rng.random::<f64>() * SPREAD_MS
-    }
-}
-
-/// An engine with what speaks for and against it.
-#[derive(Clone, Copy, Debug)]
-pub struct EngineChoice<'a> {
-    /// The engine.
-    pub replica: &'a Replica,
-    /// Requests there.
-    pub runs: usize,
-    /// Part of its memory that is expected to be used, with the request.
-    pub fill: f64,
-    /// Time until it has read the prompts that it was given.
-    pub wait: Timestamp,
-    /// The cost, in milliseconds; lower is better.
-    pub cost: f64,
-}
-
-/// A generation that wants an engine, or another one.
-#[derive(Clone, Copy, Debug)]
-pub struct EngineRequest<'a> {
-    /// Its size.
-    pub size: GenerationSize,
-    /// What the service's engines are.
-    pub engine: &'a EngineTraits,
-    /// The hall where it came in; for one that moves, where it runs.
-    pub hall: &'a HallId,
-    /// Tokens made so far.
-    pub produced: u32,
-    /// Whether it runs on another engine and moves.
-    pub moves: bool,
 }
 
 /// Tokens of memory that a generation takes within the horizon.
@@ -410,7 +238,3 @@
     let growth = remaining.clamp(LEAST_GROWTH_S * tokens_per_second, MOST_GROWTH_S * tokens_per_second);
     f64::from(size.prompt) + f64::from(produced) + growth
 }
-
-fn millis(duration: Timestamp) -> f64 {
-    duration.as_secs_f64() * 1_000.0
-}
--- a/lib/src/gateway/reading.rs
+++ b/lib/src/gateway/reading.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use crate::gateway::learned::Learned;
-use crate::gateway::load::RunKey;
 use crate::gateway::policy::Policy;
 use crate::gateway::replicas::Replica;
 use crate::gateway::routing::ServiceId;
+use crate::gateway::run_key::RunKey;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
 
--- a/lib/src/gateway/rebalance.rs
+++ b/lib/src/gateway/rebalance.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use crate::gateway::load::LoadBook;
-use crate::gateway::load::RunKey;
 use crate::gateway::replicas::Replica;
 use crate::gateway::routing::EngineTraits;
+use crate::gateway::run_key::RunKey;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
 
--- a/lib/src/gateway/replica_list.rs
+++ b/lib/src/gateway/replica_list.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::gateway::replicas::ReplicaRecord;
+use crate::gateway::replica_record::ReplicaRecord;
 use crate::ids::UpstreamId;
 
 /// The store's counter of changes.
--- a/lib/src/gateway/replica_news.rs
+++ b/lib/src/gateway/replica_news.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use crate::gateway::replica_list::Revision;
-use crate::gateway::replicas::ReplicaRecord;
+use crate::gateway::replica_record::ReplicaRecord;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
 
--- /dev/null
+++ b/lib/src/gateway/replica_record.rs
@@ -0,0 +1,30 @@
+//! A replica as it is listed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::gateway::routing::ServiceId;
+use crate::ids::HallId;
+use crate::ids::UpstreamId;
+
+/// A replica as the platform lists it.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
+pub struct ReplicaRecord {
+    /// Its id, new at each start.
+    pub id: UpstreamId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its hall.
+    pub hall: HallId,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it said that it leaves.
+    pub leaving: bool,
+    /// Time until it works at full speed, from the reading on.
+    pub cold: Duration,
+}
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -2,21 +2,17 @@
 //! its own requests showed.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::gateway::lapses::LAPSED_GRACE;
 use crate::gateway::policy::Policy;
 use crate::gateway::replica_list::Changed;
 use crate::gateway::replica_list::ReplicaList;
 use crate::gateway::replica_list::Revision;
-use crate::gateway::routing::ServiceId;
-use crate::ids::HallId;
+use crate::gateway::replica_record::ReplicaRecord;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
 
@@ -32,25 +28,6 @@
 /// is tried again.
 const ERRORS_HALVE_IN: Duration = Duration::from_secs(3);
 
-/// A replica as the platform lists it.
-#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
-pub struct ReplicaRecord {
-    /// Its id, new at each start.
-    pub id: UpstreamId,
-    /// Its service.
-    pub service: ServiceId,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its hall.
-    pub hall: HallId,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    /// Whether it said that it leaves.
-    pub leaving: bool,
-    /// Time until it works at full speed, from the reading on.
-    pub cold: Duration,
-}
-
 /// Why a replica is taken to be leaving.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum LeavingSign {
--- a/lib/src/gateway/token_pace.rs
+++ b/lib/src/gateway/token_pace.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use crate::gateway::learned::Learned;
-use crate::gateway::load::RunKey;
 use crate::gateway::routing::ServiceId;
+use crate::gateway::run_key::RunKey;
 use crate::ids::Timestamp;
 
 /// Tokens that a generation makes in a second, before one was seen to: one in 8.7 ms.
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -78,7 +78,7 @@
     /// Read the accepted bundle and report with [`Rollout::on_read`].
     Read,
     /// Write the envelope if the object still has this version, and report with
-    /// [`Rollout::on_write`].
+    /// [`Rollout::on_written`].
     Write {
         /// The version; 0 for absent.
         expected: u64,
--- a/lib/tests/test_gateway_load.rs
+++ b/lib/tests/test_gateway_load.rs
@@ -2,16 +2,16 @@
 
 use std::time::Duration;
 
+use leadstage_lib::gateway::choice::EngineRequest;
 use leadstage_lib::gateway::evacuation;
 use leadstage_lib::gateway::lead::Leads;
-use leadstage_lib::gateway::load::EngineRequest;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::LoadBook;
 use leadstage_lib::gateway::load::Run;
-use leadstage_lib::gateway::load::RunKey;
 use leadstage_lib::gateway::rebalance::Rebalancer;
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::routing::EngineTraits;
+use leadstage_lib::gateway::run_key::RunKey;
 use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::VmId;
 use proptest::prelude::*;
--- a/lib/tests/test_gateway_replicas.rs
+++ b/lib/tests/test_gateway_replicas.rs
@@ -4,9 +4,9 @@
 
 use leadstage_lib::gateway::lapses::LAPSED_GRACE;
 use leadstage_lib::gateway::lapses::Lapses;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ListChange;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::retry_window::RetryShare;
 use leadstage_lib::gateway::retry_window::RetryWindow;
--- a/node/src/gateway/control/inventories.rs
+++ b/node/src/gateway/control/inventories.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use leadstage_lib::gateway::load::RunId;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::run_key::RunId;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::VmId;
 
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -3,18 +3,18 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use leadstage_lib::gateway::choice::EngineRequest;
 use leadstage_lib::gateway::evacuation;
-use leadstage_lib::gateway::load::EngineRequest;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::LoadBook;
 use leadstage_lib::gateway::load::Run;
-use leadstage_lib::gateway::load::RunKey;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::Replica;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::room_forecast::RoomForecast;
 use leadstage_lib::gateway::routing::EngineTraits;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::run_key::RunKey;
 use leadstage_lib::ids::HallId;
 use log::info;
 use rand::seq::IndexedRandom;
--- a/node/src/gateway/control/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use leadstage_lib::gateway::load::RunKey;
 use leadstage_lib::gateway::policy::Policy;
 use leadstage_lib::gateway::rebalance::Rebalancer;
 use leadstage_lib::gateway::rebalance::Relief;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::run_key::RunKey;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::gateway::waiting::Waiting;
 use leadstage_lib::gateway::waiting::WaitingRoom;
@@ -149,7 +149,7 @@
 fn wait(room: &mut WaitingRoom<Ask>, knowledge: &Knowledge, ask: Ask, now: Timestamp) -> Outcome {
     let (service, size) = (&ask.wanted.service, ask.wanted.size.unwrap_or_default());
     let is_new = ask.wanted.from.is_none();
-    let tokens = if is_new { knowledge.book.memory_of_new(service, size) } else { 0.0 };
+    let tokens = if is_new { knowledge.book.memory_of(service, size, 0) } else { 0.0 };
     let reading = if is_new { knowledge.book.usual_reading_time(service, size) } else { Duration::ZERO };
     let may_wait = ask.patience.saturating_sub(reading);
     let expected = expected(knowledge, &room_of(&ask), room.tokens_before(ask.priority) + tokens, now);
--- a/node/src/gateway/control/lead_questions.rs
+++ b/node/src/gateway/control/lead_questions.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use leadstage_lib::gateway::load::RunId;
+use leadstage_lib::gateway::run_key::RunId;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::VmId;
 
--- a/node/src/gateway/control/lookout.rs
+++ b/node/src/gateway/control/lookout.rs
@@ -7,7 +7,7 @@
 
 use leadstage_lib::gateway::lookout;
 use leadstage_lib::gateway::lookout::ANSWER_LIMIT;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::health;
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -7,11 +7,11 @@
 use std::sync::atomic::Ordering;
 
 use leadstage_lib::gateway::lead::Leads;
-use leadstage_lib::gateway::load::RunId;
-use leadstage_lib::gateway::load::RunKey;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ListChange;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::run_key::RunId;
+use leadstage_lib::gateway::run_key::RunKey;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::ids::VmId;
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use leadstage_lib::gateway::load::RunId;
 use leadstage_lib::gateway::replica_list::ReplicaList;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::LeavingSign;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::run_key::RunId;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -8,11 +8,11 @@
 
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::Run;
-use leadstage_lib::gateway::load::RunId;
 use leadstage_lib::gateway::replica_news::ReplicaNews;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::run_key::RunId;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
--- a/node/src/gateway/upstream/connections.rs
+++ b/node/src/gateway/upstream/connections.rs
@@ -16,7 +16,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::connect;
 use log::info;
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::evacuation;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::connect::CallError;
 use leadstage_platform::engine;
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_platform::headers;
 use leadstage_platform::headers::Added;
 use tokio::time::Instant;
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::engine::Resume;
 use log::info;
--- a/node/src/gateway/upstream/relay/moving.rs
+++ b/node/src/gateway/upstream/relay/moving.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_platform::engine;
 use leadstage_platform::engine::CopySource;
 use leadstage_platform::engine::Resume;
--- a/node/src/gateway/upstream/resuming.rs
+++ b/node/src/gateway/upstream/resuming.rs
@@ -1,7 +1,7 @@
 //! Sends a generation's request again, to go on from a copy of its memory or after an event.
 
 use derive_more::Display;
-use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_platform::engine::Resume;
 use log::info;
 
--- a/node/src/gateway/upstream/stall.rs
+++ b/node/src/gateway/upstream/stall.rs
@@ -7,7 +7,7 @@
 use std::future::Future;
 use std::time::Duration;
 
-use leadstage_lib::gateway::replicas::ReplicaRecord;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::routing::Route;
 use leadstage_platform::health;
 use leadstage_platform::health::Health;
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_gateway_resuming;
 mod test_gateway_soak;
 mod test_gateway_streams;
+mod test_module_arrows;
 mod test_settings;
 mod test_streams;
 mod test_upstreams;
--- /dev/null
+++ b/node/tests/test_module_arrows.rs
@@ -0,0 +1,84 @@
+//! Arrows between modules go one way: what a module uses does not use it in turn.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::path::Path;
+
+/// The modules of a folder that each one uses, by path below the crate's root.
+type Uses = BTreeMap<String, BTreeSet<String>>;
+
+/// Reads the sources below `folder` of a crate.
+fn read(krate: &Path, folder: &str, sources: &mut BTreeMap<String, String>) {
+    let entries = std::fs::read_dir(krate.join("src").join(folder)).expect("a folder of sources");
+    for entry in entries {
+        let path = entry.expect("readable").path();
+        let name = path.file_stem().expect("a name").to_string_lossy().into_owned();
+        let module = if folder.is_empty() { name } else { format!("{folder}/{name}") };
+        if path.is_dir() {
+            read(krate, &module, sources);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            sources.insert(module, std::fs::read_to_string(&path).expect("readable"));
+        }
+    }
+}
+
+/// The module that a path of a `use` line names, where it is among `sources`. A module that is
+/// split into parts is one with them.
+fn module_of(path: &str, sources: &BTreeMap<String, String>) -> Option<String> {
+    let mut parts: Vec<&str> = path.split("::").collect();
+    while !parts.is_empty() {
+        let module = parts.join("/");
+        if sources.contains_key(&module) {
+            return Some(module);
+        }
+        parts.pop();
+    }
+    None
+}
+
+fn uses(sources: &BTreeMap<String, String>) -> Uses {
+    let mut uses = Uses::new();
+    for (module, text) in sources {
+        let paths = text.lines().filter_map(|line| line.strip_prefix("use crate::"));
+        let used = paths.filter_map(|path| module_of(path.trim_end_matches(';'), sources));
+        let others = used.filter(|other| other != module);
+        uses.insert(module.clone(), others.collect());
+    }
+    uses
+}
+
+/// Takes modules out that use no other that is left; what remains is in circles, or leads there.
+fn in_circles(mut uses: Uses) -> BTreeSet<String> {
+    loop {
+        let left: BTreeSet<String> = uses.keys().cloned().collect();
+        let before = uses.len();
+        uses.retain(|_, used| used.iter().any(|other| left.contains(other)));
+        if uses.len() == before {
+            return left;
+        }
+    }
+}
+
+#[test]
+fn test_arrows_go_one_way() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().expect("a workspace");
+    for (krate, folder) in [("lib", "gateway"), ("node", "gateway"), ("platform", "")] {
+        let mut sources = BTreeMap::new();
+        read(&root.join(krate), folder, &mut sources);
+        assert!(sources.len() > 5, "{krate}: the sources are elsewhere");
+        let circles = in_circles(uses(&sources));
+        assert!(circles.is_empty(), "{krate}: {circles:?}");
+    }
+}
+
+#[test]
+fn test_a_circle_is_found() {
+    let text = |uses: &str| format!("//! A module.\n\n{uses}\n");
+    let sources = BTreeMap::from([
+        ("a".to_owned(), text("use crate::b::B;")),
+        ("b".to_owned(), text("use crate::c::d::D;")),
+        ("c/d".to_owned(), text("use crate::a::A;")),
+        ("e".to_owned(), text("use std::fmt;")),
+    ]);
+    assert_eq!(in_circles(uses(&sources)), BTreeSet::from(["a", "b", "c/d"].map(str::to_owned)));
+}
