--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -38,9 +38,9 @@
 const LEAST_TO_ANSWER: Duration = Duration::from_millis(20);
 
 /// How long a request is held by a node that has just started. It reads the configuration and the
-/// list of replicas in some tens of milliseconds, a thousand replicas in 0.3 s; refused at once, a
-/// caller would come back to another node, which has just started too after all lost power: of 100
-/// nodes that started at once, 69 requests were refused that the same nodes could serve 0.3 s later.
+/// list of replicas in some tens of milliseconds; refused at once, a caller would come back to
+/// another node, which has just started too after all lost power: 100 nodes that started at once
+/// refused 69 requests in the first second while they had the configuration and not yet the list.
 const START_PATIENCE: Duration = Duration::from_millis(500);
 
 /// When callers come back that a starting node refused. Nodes usually start one by one and
