--- a/node/tests/test_gateway_resuming.rs
+++ b/node/tests/test_gateway_resuming.rs
@@ -20,11 +20,16 @@
     faults: &'static [StreamFault],
 }
 
-const MATRIX: [Case; 13] = [
+/// Longer than the objective, after which the engine is doubted, and shorter than twice that, after
+/// which it is left.
+const LATE: Duration = Duration::from_millis(750);
+
+const MATRIX: [Case; 14] = [
     Case { name: "none", faults: &[] },
     Case { name: "dies before its head", faults: &[StreamFault::NoHead] },
     Case { name: "fails it", faults: &[StreamFault::Fails] },
     Case { name: "did not run it", faults: &[StreamFault::NotRun] },
+    Case { name: "answers late", faults: &[StreamFault::Late(LATE)] },
     Case { name: "never answers", faults: &[StreamFault::Hangs] },
     Case { name: "breaks before an event", faults: &[StreamFault::BreaksAfter(0)] },
     Case { name: "breaks between events", faults: &[StreamFault::BreaksAfter(7)] },
@@ -89,6 +94,7 @@
     dies before its head: status 200, whole true, events Some(60), engines 2, resumed after []
     fails it: status 200, whole true, events Some(60), engines 2, resumed after []
     did not run it: status 200, whole true, events Some(60), engines 2, resumed after []
+    answers late: status 200, whole true, events Some(60), engines 1, resumed after []
     never answers: status 200, whole true, events Some(60), engines 2, resumed after []
     breaks before an event: status 200, whole true, events Some(60), engines 2, resumed after []
     breaks between events: status 200, whole true, events Some(60), engines 2, resumed after ["7"]
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -69,6 +69,8 @@
     NoHead,
     /// Never answers.
     Hangs,
+    /// Answers, but later than callers should wait.
+    Late(Duration),
     /// Answers with an error of its own.
     Fails,
     /// Says that it did not run it.
@@ -289,6 +291,7 @@
                 return res;
             }
             StreamFault::NotRun => return self.not_run(req.headers()),
+            StreamFault::Late(after) => tokio::time::sleep(after).await,
             _ => {}
         }
         let from = match req.headers().get("kv-from") {
