read: one piece of code for failed attempts and prompt times

`exchange::failed` and `time_for` serve all of them; the pass-throughs are gone. A refusal for a request that was never sent is assigned under `sent == 0` rather than mapped: an answer implies that something was sent, so the cases are the same. Behaviour and tests are unchanged.

Seen and left: `LoadBook::memory` and `memory_of` are near twins; `has_neighbour` scans the fleet at each tick where a VM is alone in its hall.

--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -155,11 +154,6 @@
         soon(size, produced, self.paces.tokens_per_second(service))
     }
 
-    /// Time that a usual engine of a service needs for a prompt.
-    pub fn usual_reading_time(&self, service: &str, size: GenerationSize) -> Duration {
-        self.reading.usual_time(service, size.prompt)
-    }
-
     /// Tokens of memory that a request is expected to take soon.
     pub fn memory(&self, run: &Run) -> f64 {
         let service = self.services.get(&run.replica);
--- a/lib/src/gateway/reading.rs
+++ b/lib/src/gateway/reading.rs
@@ -130,13 +130,13 @@
         let clock = self.engines.get(&engine.record.id);
         let ms_per_token = clock.map_or(service.ms_per_token.value(), |clock| clock.ms_per_token.value());
         let cold_factor = if is_cold(engine, now) { service.cold_factor.value() } else { 1.0 };
-        Duration::from_secs_f64(f64::from(tokens) * ms_per_token * cold_factor / 1_000.0)
+        time_for(tokens, ms_per_token * cold_factor)
     }
 
     /// Time that a usual engine of a service needs for a prompt.
     pub fn usual_time(&self, service: &str, tokens: u32) -> Duration {
         let service = self.services.get(service).copied().unwrap_or_default();
-        Duration::from_secs_f64(f64::from(tokens) * service.ms_per_token.value() / 1_000.0)
+        time_for(tokens, service.ms_per_token.value())
     }
 
     /// Forgets engines that are gone.
@@ -147,7 +147,11 @@
 
 /// Time that a prompt is guessed to take where nothing is known of the engines.
 pub fn guessed_time(tokens: u32) -> Duration {
-    Duration::from_secs_f64(f64::from(tokens) * GUESSED_MS_PER_TOKEN / 1_000.0)
+    time_for(tokens, GUESSED_MS_PER_TOKEN)
+}
+
+fn time_for(tokens: u32, ms_per_token: f64) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) * ms_per_token / 1_000.0)
 }
 
 fn is_cold(engine: &Replica, now: Timestamp) -> bool {
--- a/node/src/gateway/control/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -150,7 +150,8 @@
     let (service, size) = (&ask.wanted.service, ask.wanted.size.unwrap_or_default());
     let is_new = ask.wanted.from.is_none();
     let tokens = if is_new { knowledge.book.memory_of(service, size, 0) } else { 0.0 };
-    let reading = if is_new { knowledge.book.usual_reading_time(service, size) } else { Duration::ZERO };
+    let reading =
+        if is_new { knowledge.book.reading.usual_time(service, size.prompt) } else { Duration::ZERO };
     let may_wait = ask.patience.saturating_sub(reading);
     let expected = expected(knowledge, &room_of(&ask), room.tokens_before(ask.priority) + tokens, now);
     if may_wait.is_zero() || expected.is_some_and(|expected| expected > may_wait) {
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -10,7 +10,6 @@
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::headers;
 use leadstage_platform::headers::Added;
-use log::info;
 
 use crate::gateway::messages::Outcome;
 use crate::gateway::messages::PlaceRequest;
@@ -120,14 +119,7 @@
 }
 
 fn failed(req: &CallerRequest, run: RunGuard, err: SendError) -> Attempt {
-    let replica = run.placed.replica.id.clone();
-    info!(event = "attempt_failed", request = req.id(), upstream = &*replica, reason:% = err; "attempt failed");
-    run.end(Outcome::Failed);
-    match err {
-        SendError::NotSent(_) => Attempt::NotSent,
-        SendError::TimedOut | SendError::Stalled => Attempt::Unknown(Code::UpstreamTimeout),
-        SendError::Broken(_) | SendError::Foreign | SendError::Cut(_) => Attempt::Unknown(Code::UpstreamLost),
-    }
+    exchange::failed(req, run, &err).map_or(Attempt::NotSent, Attempt::Unknown)
 }
 
 /// A replica's answer as the caller gets it.
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -26,7 +26,6 @@
 use crate::gateway::shared::RunGuard;
 use crate::gateway::upstream::exchange;
 use crate::gateway::upstream::exchange::Exchange;
-use crate::gateway::upstream::exchange::SendError;
 use crate::gateway::upstream::exchange::WholeAnswer;
 use crate::gateway::upstream::leg::Leg;
 use crate::gateway::upstream::relay::Relay;
@@ -107,10 +106,9 @@
         let run = match traffic.place_generation(req, handle, &tried).await {
             Ok(run) => run,
             Err(no_room) => {
-                best =
-                    best.map_err(
-                        |before| if sent == 0 { refuse(Code::NoUpstream, no_room.expected) } else { before },
-                    );
+                if sent == 0 {
+                    best = Err(refuse(Code::NoUpstream, no_room.expected));
+                }
                 break;
             }
         };
@@ -122,8 +120,9 @@
             Attempt::NotSent => {
                 unreached += 1;
                 if unreached >= MOST_UNREACHED {
-                    best = best
-                        .map_err(|before| if sent == 0 { refusal(Code::UpstreamRefused) } else { before });
+                    if sent == 0 {
+                        best = Err(refusal(Code::UpstreamRefused));
+                    }
                     break;
                 }
                 continue;
@@ -166,14 +165,6 @@
                 _ => Attempt::Unknown(Code::UpstreamLost),
             }
         }
-        Err(err) => {
-            info!(event = "attempt_failed", request = req.id(), upstream = &*replica.id, reason:% = err; "attempt failed");
-            run.end(Outcome::Failed);
-            match err {
-                SendError::NotSent(_) => Attempt::NotSent,
-                SendError::TimedOut | SendError::Stalled => Attempt::Unknown(Code::UpstreamTimeout),
-                _ => Attempt::Unknown(Code::UpstreamLost),
-            }
-        }
+        Err(err) => exchange::failed(req, run, &err).map_or(Attempt::NotSent, Attempt::Unknown),
     }
 }
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -11,12 +11,16 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use leadstage_lib::code::Code;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_platform::headers;
 use leadstage_platform::headers::Added;
+use log::info;
 use tokio::time::Instant;
 
+use crate::gateway::messages::Outcome;
 use crate::gateway::request::CallerRequest;
+use crate::gateway::shared::RunGuard;
 use crate::gateway::upstream::connections::ConnectError;
 use crate::gateway::upstream::connections::Connection;
 use crate::gateway::upstream::connections::Connections;
@@ -49,6 +53,18 @@
     Cut(#[error(not(source))] String),
 }
 
+/// Ends a request's place at a replica that failed it. Returns the code for its caller, unless
+/// nothing was sent.
+pub fn failed(req: &CallerRequest, run: RunGuard, err: &SendError) -> Option<Code> {
+    info!(event = "attempt_failed", request = req.id(), upstream = &*run.placed.replica.id, reason:% = err; "attempt failed");
+    run.end(Outcome::Failed);
+    match err {
+        SendError::NotSent(_) => None,
+        SendError::TimedOut | SendError::Stalled => Some(Code::UpstreamTimeout),
+        SendError::Broken(_) | SendError::Foreign | SendError::Cut(_) => Some(Code::UpstreamLost),
+    }
+}
+
 /// An answer whose body is still to come.
 pub struct Exchange {
     /// The status.
--- a/node/src/gateway/upstream/relay/going_on.rs
+++ b/node/src/gateway/upstream/relay/going_on.rs
@@ -13,6 +13,7 @@
 use crate::gateway::upstream::resuming::NotResumed;
 use crate::gateway::upstream::stall;
 use crate::gateway::upstream::stall::Silence;
+use crate::gateway::upstream::stall::StallWatch;
 
 impl Relay {
     /// The engine has been silent for too long.
@@ -68,7 +69,7 @@
         let resume = Resume { copy: None, last_event: self.events.last_id().map(str::to_owned) };
         match self.resume(&engine, &resume, "go on").await {
             Ok(exchange) => {
-                self.stall.on_resumed(&self.req.route);
+                self.stall = StallWatch::new(&self.req.route);
                 self.is_reading = true;
                 self.move_to(Leg { run, exchange: Some(exchange) }, Outcome::Failed);
                 Ok(true)
--- a/node/src/gateway/upstream/stall.rs
+++ b/node/src/gateway/upstream/stall.rs
@@ -47,11 +47,6 @@
         StallWatch { limit: route.objective, due: Instant::now() + route.objective, doubted: false }
     }
 
-    /// Another engine goes on with the stream.
-    pub fn on_resumed(&mut self, route: &Route) {
-        *self = StallWatch::new(route);
-    }
-
     /// An event came.
     pub fn on_event(&mut self, route: &Route) {
         self.limit = route.gap_objective * DOUBTED_GAPS;
