--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -4,26 +4,27 @@
 # Usage: scripts/play-days.sh WHY [PATTERN]
 #   WHY      a line for the bench's journal
 #   PATTERN  a regular expression for the names of days; all by default
-# KIT names the folder of the users' system pages and SITES the sites (both by default).
+# KIT names the folder of the users' system pages, BENCH their bench, and SITES the sites.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 kit="${KIT:-../given/kit/more/system}"
-sites="${SITES:-najem-flota bahla-ci}"
+bench="${BENCH:-$kit/more/bench-650335/bin/fleetbench}"
+sites="${SITES:-najem-flota bahla-ci kls-sapporo}"
 why="${1:?a line for the journal}"
 pattern="${2:-.}"
-at_once=5
+at_once="${AT_ONCE:-5}"
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 
 site_file() {
-    ls "$kit"/{sites,grown}/"$1".toml 2>/dev/null | head -1
+    find "$kit" -name "$1.toml" | head -1
 }
 
 play() {
     local site=$1 file=$2 name
     name=$(basename "$file" .toml)
-    "$kit/bin/fleetbench" run "$(site_file "$site")" "$file" --why "$why" >"$out/$site-$name.txt" 2>&1 || true
+    "$bench" run "$(site_file "$site")" "$file" --why "$why" >"$out/$site-$name.txt" 2>&1 || true
     grep "^$name " "$out/$site-$name.txt" | sed "s/^/$site /" || echo "$site $name was not played"
 }
 
