--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -96,6 +96,20 @@
     })
 }
 
+/// [`config`] with so many plain routes more, `/more-0/` and on: some 200 bytes each, of which a
+/// tenth is like nothing else.
+pub fn large_config(version: u64, routes: usize) -> Value {
+    let mut config = config(version);
+    let more = (0..routes as u64).map(|n| {
+        let word = n.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        json!({"name": format!("more-{word:016x}"), "host": "h.example", "pathPrefix": format!("/more-{n}/"),
+            "kind": "idempotent", "timeoutMs": 8000, "targetLatencyMs": 500, "priority": 1,
+            "service": BOOKING, "maxAttempts": 2, "public": false, "gap_aim_ms": 0})
+    });
+    config["routes"].as_array_mut().expect("routes").extend(more);
+    config
+}
+
 impl Gateway {
     /// A fleet without nodes and replicas.
     pub async fn start() -> Gateway {
@@ -178,8 +192,18 @@
 
     /// Starts a node at a store of its own.
     pub fn start_node_at(&mut self, store: SocketAddr) -> usize {
+        let yaml = self.settings(self.nodes.len(), store, "");
+        self.start_node_with(yaml)
+    }
+
+    /// Starts a node at a store of its own that knows no other node.
+    pub fn start_lone_node_at(&mut self, store: SocketAddr) -> usize {
+        let yaml = self.settings(self.nodes.len(), store, "").replace("seeds: [", "seeds: [] # [");
+        self.start_node_with(yaml)
+    }
+
+    fn start_node_with(&mut self, yaml: String) -> usize {
         let node = self.nodes.len();
-        let yaml = self.settings(node, store, "");
         std::fs::write(self.settings_path(node), yaml).expect("writable");
         let log = std::fs::File::create(self.dir.path().join(format!("node-{node}.log"))).expect("a log");
         let child = self.spawn(node, log);
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_calls;
 mod test_gateway_calls;
 mod test_gateway_fleet;
+mod test_gateway_large_config;
 mod test_gateway_limits;
 mod test_gateway_resuming;
 mod test_gateway_soak;
--- a/testutils/src/faulty_proxy.rs
+++ b/testutils/src/faulty_proxy.rs
@@ -23,6 +23,8 @@
     None,
     /// They pass later.
     Delay(Duration),
+    /// What the server sends on a connection passes at so many bytes a second, as over a small link.
+    Thin(u32),
     /// Connections are reset.
     Reset,
     /// What the server sends is held up.
@@ -105,8 +107,15 @@
         };
         let _ = faults.wait_for(|fault| !holds(fault)).await;
         let fault = *faults.borrow();
-        if let LinkFault::Delay(delay) = fault {
-            tokio::time::sleep(delay).await;
+        let holds_for = match fault {
+            LinkFault::Delay(delay) => delay,
+            LinkFault::Thin(rate) if way == Way::ToClient => {
+                Duration::from_secs_f64(read as f64 / f64::from(rate))
+            }
+            _ => Duration::ZERO,
+        };
+        if !holds_for.is_zero() {
+            tokio::time::sleep(holds_for).await;
         }
         if to.write_all(&buf[..read]).await.is_err() {
             return;
