--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -4,7 +4,10 @@
 //! `platform/` fills its types from what the platform says.
 
 pub mod choice;
+pub mod config_sources;
+pub mod config_text;
 pub mod evacuation;
+pub mod handouts;
 pub mod lapses;
 pub mod lead;
 pub mod learned;
--- a/lib/src/gateway/routing.rs
+++ b/lib/src/gateway/routing.rs
@@ -175,6 +175,29 @@
     UnknownKey,
 }
 
+/// The routes of one host.
+#[derive(Debug, Default)]
+struct HostRoutes {
+    by_prefix: HashMap<String, Arc<Route>>,
+    longest_prefix: usize,
+}
+
+impl HostRoutes {
+    /// Of two routes with one prefix the first counts.
+    fn add(&mut self, route: Route) {
+        self.longest_prefix = self.longest_prefix.max(route.prefix.len());
+        self.by_prefix.entry(route.prefix.clone()).or_insert_with(|| Arc::new(route));
+    }
+
+    /// The route with the longest prefix of `path`. Prefixes end with a slash, so only what ends
+    /// with one is looked up: once for each part of the path, however many routes the host has.
+    fn of(&self, path: &str) -> Option<&Arc<Route>> {
+        let ends = path.bytes().take(self.longest_prefix).enumerate().filter(|(_, byte)| *byte == b'/');
+        let ends: Vec<usize> = ends.map(|(at, _)| at).collect();
+        ends.into_iter().rev().find_map(|end| self.by_prefix.get(&path[..=end]))
+    }
+}
+
 /// A configuration indexed for look-ups.
 #[derive(Debug)]
 pub struct RoutingTable {
@@ -182,7 +205,7 @@
     pub version: ConfigVersion,
     /// Bounds for callers.
     pub limits: CallerLimits,
-    by_host: HashMap<String, Vec<Arc<Route>>>,
+    by_host: HashMap<String, HostRoutes>,
     services: HashMap<ServiceId, Arc<Service>>,
     keys: Option<HashMap<String, Arc<Organisation>>>,
 }
@@ -190,12 +213,9 @@
 impl RoutingTable {
     /// Indexes a configuration.
     pub fn new(config: GatewayConfig) -> Self {
-        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        let mut by_host: HashMap<String, HostRoutes> = HashMap::new();
         for route in config.routes {
-            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
-        }
-        for routes in by_host.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+            by_host.entry(route.host.clone()).or_default().add(route);
         }
         let services = config.services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
         RoutingTable {
@@ -211,8 +231,7 @@
     pub fn route(&self, host: &str, path: &str) -> Result<Arc<Route>, Unrouted> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
         let routes = self.by_host.get(&name).ok_or(Unrouted::NoRoute)?;
-        let found = routes.iter().find(|route| path.starts_with(&route.prefix));
-        found.cloned().ok_or(Unrouted::NoRoute)
+        routes.of(path).cloned().ok_or(Unrouted::NoRoute)
     }
 
     /// The organisation that a request of `route` is for; `None` when it needs none.
--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -1,7 +1,8 @@
 //! Which nodes follow the platform's store for all.
 //!
 //! Calls to the store are priced, so a few nodes follow it and tell the others. Every node
-//! ranks the nodes that it takes to be alive by rendezvous hashing; the first few follow the
+//! ranks the nodes that it takes to be alive, those with large links first, by rendezvous hashing;
+//! the first few follow the
 //! store and send a pulse that says whether it answers them. If it answers none of them, as
 //! when it turns some nodes away, the next few try as well, but no more: a store that is
 //! down must not be asked by the whole fleet. A node that hears of no pulse at all is cut
@@ -144,13 +145,21 @@
         doubt.is_some_and(|doubt| self.last_answer.is_none_or(|answer| answer < doubt))
     }
 
-    /// How this node should follow the store, if it should.
-    pub fn role<'a>(&'a self, alive: impl Iterator<Item = &'a VmId>, now: Timestamp) -> Option<WatchRole> {
+    /// How this node should follow the store, if it should. `has_wide_link` tells it of any node:
+    /// those come first, as what the store has changed goes from the watchers to all others, and
+    /// 1 MB takes 0.8 s on a link of 10 Mbit/s. Nodes may know of different ones for some seconds.
+    pub fn role<'a>(
+        &'a self,
+        alive: impl Iterator<Item = &'a VmId>,
+        has_wide_link: impl Fn(&VmId) -> bool,
+        now: Timestamp,
+    ) -> Option<WatchRole> {
         if now < LISTEN_FIRST {
             return None;
         }
         let mut ranking: Vec<&VmId> = alive.chain(std::iter::once(&self.own)).collect();
-        ranking.sort_by_key(|node| std::cmp::Reverse(rendezvous::weight(RANKING, node)));
+        let rank = |node: &VmId| (has_wide_link(node), rendezvous::weight(RANKING, node));
+        ranking.sort_by_cached_key(|node| std::cmp::Reverse(rank(node)));
         ranking.dedup();
         let rank = ranking.iter().position(|node| **node == self.own).unwrap_or(0);
         let first = &ranking[..WATCHERS.min(ranking.len())];
--- a/lib/tests/test_gateway_watchers.rs
+++ b/lib/tests/test_gateway_watchers.rs
@@ -24,7 +24,7 @@
             let state = if *answers { StoreState::Answers } else { StoreState::Away };
             view.on_pulse(&nodes[*watcher], 1, state, LATER);
         }
-        if view.role(nodes.iter().filter(|node| *node != own), LATER).is_some() {
+        if view.role(nodes.iter().filter(|node| *node != own), |_| true, LATER).is_some() {
             watching.push(at);
         }
     }
@@ -68,7 +68,7 @@
         views
             .iter()
             .zip(&nodes)
-            .filter(|(view, own)| view.role(nodes.iter().filter(|node| node != own), now).is_some())
+            .filter(|(view, own)| view.role(nodes.iter().filter(|node| node != own), |_| true, now).is_some())
             .count()
     };
     assert_eq!(alone(Duration::from_millis(100)), 0, "it listens first");
@@ -118,7 +118,7 @@
         for watcher in &first {
             view.on_pulse(&nodes[*watcher], 1, StoreState::Late, LATER);
         }
-        assert_eq!(view.role(nodes.iter().filter(|node| *node != own), LATER), None);
+        assert_eq!(view.role(nodes.iter().filter(|node| *node != own), |_| true, LATER), None);
     }
 }
 
@@ -135,7 +135,8 @@
                 let state = if *answers { StoreState::Answers } else { StoreState::Away };
                 view.on_pulse(&nodes[*watcher], 1, state, LATER);
             }
-            if view.role(nodes.iter().filter(|node| *node != own), LATER) == Some(WatchRole::First) {
+            if view.role(nodes.iter().filter(|node| *node != own), |_| true, LATER) == Some(WatchRole::First)
+            {
                 firsts.push(at);
             }
         }
@@ -148,3 +149,29 @@
     let silent: Vec<(usize, bool)> = all.iter().copied().filter(|(at, _)| *at != first).collect();
     assert!(firsts(&silent).contains(&second));
 }
+
+/// What the store has changed goes from the watchers to all others: their links should be large.
+#[test]
+fn test_nodes_with_wide_links_watch_first() {
+    for (count, wide) in [(85, 8), (410, 2)] {
+        let nodes = nodes(count);
+        let has_wide_link = |node: &VmId| nodes[..wide].contains(node);
+        let watchers = |pulses: &[(usize, bool)]| -> Vec<usize> {
+            let views = nodes.iter().enumerate().filter(|(_, own)| {
+                let mut view = Watchers::new((*own).clone());
+                for (watcher, _) in pulses {
+                    view.on_pulse(&nodes[*watcher], 1, StoreState::Answers, LATER);
+                }
+                view.role(nodes.iter().filter(|node| node != own), has_wide_link, LATER).is_some()
+            });
+            views.map(|(at, _)| at).collect()
+        };
+        let first = watchers(&[(0, true)]);
+        let others = first.iter().filter(|at| **at >= wide).count();
+        assert_eq!(
+            (first.len(), others),
+            (WATCHERS, WATCHERS.saturating_sub(wide)),
+            "{count} nodes: {first:?}"
+        );
+    }
+}
--- a/node/src/gateway/control/config_intake.rs
+++ b/node/src/gateway/control/config_intake.rs
@@ -1,10 +1,15 @@
 //! Takes configurations in: from the store, if this node follows it, or from another node that
 //! has a newer one.
 
+use leadstage_lib::gateway::config_text::PartOfConfig;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use leadstage_lib::gateway::config_sources::ConfigSources;
+use leadstage_lib::gateway::config_sources::HeardHow;
+use leadstage_lib::gateway::config_sources::NextSource;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::ids::Timestamp;
@@ -15,28 +20,45 @@
 use log::warn;
 
 use crate::gateway::control::follow;
+use crate::gateway::messages::HandedConfig;
 use crate::gateway::messages::News;
 use crate::gateway::messages::ToControl;
+use crate::gateway::peers::fetching;
 use crate::gateway::peers::fleet::Fleet;
-use crate::gateway::peers::peer_message::PeerMessage;
-use crate::gateway::peers::peer_port;
 use crate::gateway::shared::Shared;
 
+/// A starting node with a small link waits so long for another node to tell that it has the
+/// configuration: compressed it comes in a tenth of the time that it takes from the store.
+const OTHERS_FIRST: Duration = Duration::from_millis(250);
+
 /// The way of configurations into this node.
 pub struct ConfigIntake {
     shared: Arc<Shared>,
     /// When a configuration last came.
     heard: Timestamp,
-    /// The configuration that another node was last asked for.
-    wanted: ConfigVersion,
-    /// One is being fetched from another node.
-    fetches: bool,
+    sources: ConfigSources,
+    /// What is here of an edition that broke off.
+    part: Option<PartOfConfig>,
+    /// What differs from the configuration that is here did not fit.
+    wants_whole: bool,
+    /// One is being fetched from another node, or read from the store.
+    is_busy: bool,
+    /// When [`ToControl::ConfigurationDue`] comes.
+    due: Option<Timestamp>,
 }
 
 impl ConfigIntake {
     /// None has come yet.
     pub fn new(shared: Arc<Shared>) -> Self {
-        ConfigIntake { shared, heard: Timestamp::ZERO, wanted: 0, fetches: false }
+        ConfigIntake {
+            shared,
+            heard: Timestamp::ZERO,
+            sources: ConfigSources::default(),
+            part: None,
+            wants_whole: false,
+            is_busy: false,
+            due: None,
+        }
     }
 
     /// When a configuration last came.
@@ -63,30 +85,94 @@
         }
     }
 
-    /// Another node has this version; it is fetched there if it is newer.
-    pub fn compare(&mut self, from: SocketAddr, theirs: ConfigVersion) {
-        if self.fetches || theirs <= self.shared.config_version() {
+    /// Another node has this version.
+    pub fn compare(&mut self, fleet: &Fleet, from: SocketAddr, theirs: ConfigVersion, how: HeardHow) {
+        if theirs <= self.shared.config_version() {
             return;
         }
-        self.fetches = true;
-        self.wanted = theirs;
-        let shared = self.shared.clone();
-        // At once: who waits learns of it from the first few nodes that have it, and so do all
-        // others, and their links are small.
-        tokio::task::spawn_local(peer_port::fetch_configuration(shared, from));
+        let now = self.shared.now();
+        self.sources.on_version(from, theirs, fleet.has_wide_link(from), how, now, &mut rand::rng());
+        self.fetch_next();
     }
 
     /// Another node answered, or did not.
-    pub fn on_fetched(&mut self, fleet: &Fleet, from: SocketAddr, text: Option<Bytes>) {
-        self.fetches = false;
-        if let Some(text) = text {
-            info!(event = "config_fetched", from:% = from, bytes = text.len(); "another node handed its configuration over");
-            self.take(fleet, &text);
-        } else if self.shared.config_version() < self.wanted {
-            let shared = self.shared.clone();
-            let reading = follow::read_once::<Configuration>(shared, ToControl::Configuration, Age::Newest);
-            tokio::task::spawn_local(reading);
+    pub fn on_fetched(&mut self, fleet: &Fleet, from: SocketAddr, handed: HandedConfig) {
+        self.is_busy = false;
+        let now = self.shared.now();
+        match handed {
+            HandedConfig::Text(text) => {
+                self.wants_whole = false;
+                self.sources.on_handed(from);
+                self.take(fleet, &text);
+            }
+            HandedConfig::Busy(after, part) => {
+                self.part = part;
+                self.sources.on_busy(from, after, now);
+            }
+            HandedConfig::Failed(part) => {
+                self.part = part;
+                self.sources.on_failed(from, now);
+            }
+            HandedConfig::Unreadable => {
+                self.wants_whole = true;
+                self.sources.on_failed(from, now);
+            }
+        }
+        self.fetch_next();
+    }
+
+    /// The store was read, or did not answer.
+    pub fn on_read(&mut self) {
+        self.is_busy = false;
+        self.fetch_next();
+    }
+
+    /// A node may be asked that had to wait.
+    pub fn on_due(&mut self) {
+        self.due = None;
+        self.fetch_next();
+    }
+
+    fn fetch_next(&mut self) {
+        let (own, now) = (self.shared.config_version(), self.shared.now());
+        let next = self.sources.next(own, now, &mut rand::rng());
+        self.shared.set_newest_config(self.sources.newest().unwrap_or(0));
+        match next {
+            _ if self.is_busy => {}
+            NextSource::Nothing => self.part = None,
+            NextSource::Node(from) => self.fetch(from, own),
+            NextSource::Store => self.read_store(),
+            NextSource::Later(pause) => self.wait(now + pause, pause),
+        }
+    }
+
+    fn fetch(&mut self, from: SocketAddr, own: ConfigVersion) {
+        self.is_busy = true;
+        let text = if self.wants_whole { None } else { self.shared.config_text() };
+        let part = self.part.take().filter(|part| part.serves(own));
+        let fetching = fetching::fetch_configuration(self.shared.clone(), from, text, part);
+        tokio::task::spawn_local(fetching);
+    }
+
+    fn read_store(&mut self) {
+        self.is_busy = true;
+        let shared = self.shared.clone();
+        tokio::task::spawn_local(async move {
+            read(&shared, Age::Newest).await;
+            shared.tell(ToControl::ConfigurationRead);
+        });
+    }
+
+    fn wait(&mut self, until: Timestamp, pause: Duration) {
+        if self.due.is_some_and(|due| due <= until) {
+            return;
         }
+        self.due = Some(until);
+        let shared = self.shared.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(pause).await;
+            shared.tell(ToControl::ConfigurationDue);
+        });
     }
 
     fn take(&mut self, fleet: &Fleet, text: &Bytes) {
@@ -96,7 +182,7 @@
                 if self.shared.set_table(RoutingTable::new(config), text.clone()) {
                     self.heard = self.shared.now();
                     info!(event = "config_in_force", version, bytes = text.len(); "configuration in force");
-                    fleet.pass_on(&PeerMessage::NewConfig);
+                    fleet.announce_config();
                 }
             }
             Err(err) => {
@@ -105,3 +191,17 @@
         }
     }
 }
+
+async fn read(shared: &Arc<Shared>, age: Age) {
+    follow::read_once::<Configuration>(shared.clone(), ToControl::Configuration, age).await;
+}
+
+/// Reads the configuration when the node starts, unless another node has it and the link is small.
+pub async fn read_at_start(shared: Arc<Shared>) {
+    if !shared.settings.has_wide_link() {
+        tokio::time::sleep(OTHERS_FIRST).await;
+    }
+    if shared.table().is_none() && !shared.lacks_newer_config() {
+        read(&shared, Age::SomeSeconds).await;
+    }
+}
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::gateway::config_sources::HeardHow;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::gateway::watchers::Watchers;
 use leadstage_lib::ids::Timestamp;
+use leadstage_lib::ids::VmId;
 use log::info;
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -51,7 +53,7 @@
     /// A loop that knows nothing yet.
     pub fn new(shared: Arc<Shared>, outbox: Outbox) -> Self {
         let settings = &shared.settings;
-        let fleet = Fleet::new(settings.peer, settings.hall.clone(), &settings.seeds, outbox.clone());
+        let fleet = Fleet::new(settings, outbox.clone());
         Control {
             placing: Placing::new(shared.clone(), outbox, fleet.own().clone()),
             configs: ConfigIntake::new(shared.clone()),
@@ -92,9 +94,11 @@
             ToControl::TellReplicas => self.replicas.tell_gathered(&self.placing, &self.fleet),
             ToControl::Replicas(news) => self.replicas.on_store_news(&mut self.placing, &self.fleet, news),
             ToControl::Configuration(news) => self.configs.on_store_news(&self.fleet, news),
-            ToControl::Fetched(from, Fetched::Configuration(text)) => {
-                self.configs.on_fetched(&self.fleet, from, text)
+            ToControl::Fetched(from, Fetched::Configuration(handed)) => {
+                self.configs.on_fetched(&self.fleet, from, handed)
             }
+            ToControl::ConfigurationRead => self.configs.on_read(),
+            ToControl::ConfigurationDue => self.configs.on_due(),
             ToControl::Fetched(from, Fetched::Replicas(list)) => {
                 self.replicas.on_fetched(&mut self.placing, from, list)
             }
@@ -115,7 +119,8 @@
         self.shared.set_has_neighbour(self.fleet.has_neighbour());
         self.placing.tell_leads(&self.fleet);
         self.placing.lead(&self.fleet);
-        self.watching.set(self.watchers.role(self.fleet.alive(), now));
+        let has_wide_link = |node: &VmId| self.fleet.node_has_wide_link(node);
+        self.watching.set(self.watchers.role(self.fleet.alive(), has_wide_link, now));
         self.look_out(now);
         self.replicas.tick(&mut self.placing);
         self.publish_status(now);
@@ -159,7 +164,11 @@
         let now = self.shared.now();
         let from = datagram.from;
         let mut gone = self.fleet.heard_from(from, now);
-        self.configs.compare(from, datagram.config);
+        let how = match datagram.message {
+            PeerMessage::NewConfig => HeardHow::Told,
+            _ => HeardHow::Noticed,
+        };
+        self.configs.compare(&self.fleet, from, datagram.config, how);
         self.replicas.compare(&self.placing, from, datagram.replicas_at);
         match datagram.message {
             PeerMessage::Probe(id, gossip) => gone.extend(self.fleet.on_probe(from, id, gossip, now)),
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -28,10 +28,10 @@
 use crate::gateway::messages::News;
 use crate::gateway::messages::Order;
 use crate::gateway::messages::ToControl;
+use crate::gateway::peers::fetching;
+use crate::gateway::peers::fetching::NEWS_FIRST;
 use crate::gateway::peers::fleet::Fleet;
 use crate::gateway::peers::peer_message::PeerMessage;
-use crate::gateway::peers::peer_port;
-use crate::gateway::peers::peer_port::NEWS_FIRST;
 use crate::gateway::shared::Shared;
 
 /// A replica that left is forgotten after this: the longest time that one serves on after
@@ -252,7 +252,7 @@
             tokio::time::sleep(pause).await;
             if shared.replicas_at() < theirs {
                 let known = shared.replicas_at();
-                peer_port::fetch_replicas(shared, from, known).await;
+                fetching::fetch_replicas(shared, from, known).await;
             } else {
                 shared.tell(ToControl::Fetched(from, Fetched::Replicas(None)));
             }
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -1,5 +1,6 @@
 //! What the traffic thread and the tasks of the control thread tell the control loop.
 
+use leadstage_lib::gateway::config_text::PartOfConfig;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
@@ -47,6 +48,10 @@
     Configuration(News<Bytes>),
     /// Another node was asked for what it knows.
     Fetched(SocketAddr, Fetched),
+    /// The store was read once for its configuration, which came before if it did.
+    ConfigurationRead,
+    /// A node that has a newer configuration may be asked now.
+    ConfigurationDue,
     /// This node's own pulse as a watcher of the store, and whether the store answers.
     OwnPulse(PulseNumber, StoreState),
     /// A message from another node.
@@ -57,11 +62,24 @@
     Stopping,
 }
 
-/// What another node handed over; `None` if nothing, or if it was no longer wanted.
+/// What became of asking another node for its configuration. What came of it is kept.
+#[derive(Debug)]
+pub enum HandedConfig {
+    /// Its text.
+    Text(Bytes),
+    /// It hands out to others; it may be asked again after this.
+    Busy(Duration, Option<PartOfConfig>),
+    /// It handed nothing over, or not all.
+    Failed(Option<PartOfConfig>),
+    /// It does not fit to what is here, though it should.
+    Unreadable,
+}
+
+/// What another node handed over.
 pub enum Fetched {
-    /// Its configuration's text.
-    Configuration(Option<Bytes>),
-    /// Its list of replicas.
+    /// Its configuration.
+    Configuration(HandedConfig),
+    /// Its list of replicas; `None` if nothing, or if it was no longer wanted.
     Replicas(Option<ReplicaList>),
 }
 
--- /dev/null
+++ b/node/src/gateway/peers/fetching.rs
@@ -0,0 +1,168 @@
+//! Fetches from other nodes what they hand out, see [`super::peer_port`].
+
+use leadstage_lib::gateway::config_text::ConfigText;
+use leadstage_lib::gateway::config_text::Edition;
+use leadstage_lib::gateway::config_text::PartOfConfig;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use leadstage_lib::gateway::replica_list::ReplicaList;
+use leadstage_lib::gateway::routing::ConfigVersion;
+use leadstage_platform::connect::Link;
+use leadstage_platform::store::Revision;
+use log::info;
+
+use crate::gateway::messages::Fetched;
+use crate::gateway::messages::HandedConfig;
+use crate::gateway::messages::ToControl;
+use crate::gateway::observability::metrics::PeerBytes;
+use crate::gateway::peers::peer_port::CONFIG_PATH;
+use crate::gateway::peers::peer_port::REPLICAS_PATH;
+use crate::gateway::shared::Shared;
+
+/// What another node knows of the replicas usually comes by itself, in datagrams; it is fetched
+/// from that node if it has not come within this.
+pub const NEWS_FIRST: Duration = Duration::from_millis(120);
+/// Time until an answer begins: some round trips, and the turns of a busy node with a small share
+/// of a core.
+const ANSWER_LIMIT: Duration = Duration::from_millis(600);
+/// When to come back to a busy node that does not say.
+const DEFAULT_BUSY: Duration = Duration::from_millis(100);
+
+/// Fetches the configuration from another node, after the `part` of it that is here, and tells the
+/// control loop. What differs from `own` is enough, where there is one.
+pub async fn fetch_configuration(
+    shared: Arc<Shared>,
+    from: SocketAddr,
+    own: Option<Arc<ConfigText>>,
+    part: Option<PartOfConfig>,
+) {
+    let known = own.as_ref().map_or(0, |own| own.version);
+    let handed = match ask_for_configuration(&shared, from, known, part).await {
+        Ok(part) => {
+            read_edition(&part, own.as_deref(), from).map_or(HandedConfig::Unreadable, HandedConfig::Text)
+        }
+        Err(handed) => handed,
+    };
+    shared.tell(ToControl::Fetched(from, Fetched::Configuration(handed)));
+}
+
+fn read_edition(part: &PartOfConfig, own: Option<&ConfigText>, from: SocketAddr) -> Option<Bytes> {
+    let edition = part.edition;
+    match ConfigText::decode(edition, &part.buf, own) {
+        Ok(text) => {
+            info!(event = "config_fetched", from:% = from, edition:% = edition, bytes = edition.bytes, text = text.len(); "another node handed its configuration over");
+            Some(text)
+        }
+        Err(err) => {
+            info!(event = "fetch_failed", from:% = from, path = CONFIG_PATH, edition:% = edition, reason:% = err; "a node's configuration can't be read");
+            None
+        }
+    }
+}
+
+/// Asks a node; returns an edition that is whole, or what became of it otherwise.
+async fn ask_for_configuration(
+    shared: &Shared,
+    from: SocketAddr,
+    known: ConfigVersion,
+    part: Option<PartOfConfig>,
+) -> Result<PartOfConfig, HandedConfig> {
+    let mut req = get(from, &format!("{CONFIG_PATH}?{known}"));
+    if let Some(part) = &part {
+        let headers = req.headers_mut();
+        let value = |text: String| text.parse().expect("numbers are a valid value");
+        headers.insert(header::IF_RANGE, value(part.edition.to_string()));
+        headers.insert(header::RANGE, value(format!("bytes={}-", part.buf.len())));
+    }
+    let had = part.as_ref().map_or(0, |part| part.buf.len());
+    let mut part = part;
+    let answer = Link::new(from).fetch_into(req, ANSWER_LIMIT, |res| buf_for(res, &mut part)).await;
+    let has = part.as_ref().map_or(0, |part| part.buf.len());
+    shared.metrics.on_peer_bytes(PeerBytes::FetchedIn, has.saturating_sub(had));
+    match answer {
+        Ok((status, headers)) => {
+            if let Some(whole) = part.take_if(|part| status.is_success() && part.is_whole()) {
+                return Ok(whole);
+            }
+            if status == StatusCode::SERVICE_UNAVAILABLE {
+                return Err(HandedConfig::Busy(come_back(&headers), part));
+            }
+            info!(event = "fetch_failed", from:% = from, path = CONFIG_PATH, status = status.as_u16(); "a node handed nothing out");
+            Err(HandedConfig::Failed(part))
+        }
+        Err(err) => {
+            info!(event = "fetch_failed", from:% = from, path = CONFIG_PATH, had, has, reason:% = err; "a node did not hand its configuration over");
+            Err(HandedConfig::Failed(part))
+        }
+    }
+}
+
+/// Where an answer's body goes: on to the part that is here, or to a new one.
+fn buf_for<'p>(res: &Response<Incoming>, part: &'p mut Option<PartOfConfig>) -> Option<&'p mut BytesMut> {
+    let tag = res.headers().get(header::ETAG).and_then(|tag| tag.to_str().ok());
+    let edition: Edition = tag?.parse().ok()?;
+    match res.status() {
+        StatusCode::PARTIAL_CONTENT => {}
+        StatusCode::OK => *part = Some(PartOfConfig::new(edition)),
+        _ => return None,
+    }
+    part.as_mut().filter(|part| part.edition == edition).map(|part| &mut part.buf)
+}
+
+fn come_back(headers: &HeaderMap) -> Duration {
+    let after = headers.get(header::RETRY_AFTER).and_then(|after| after.to_str().ok());
+    let after = after.and_then(|after| after.parse().ok());
+    after.and_then(|after| Duration::try_from_secs_f64(after).ok()).unwrap_or(DEFAULT_BUSY)
+}
+
+/// Fetches from another node what changed of the replicas since the revision `known`, and
+/// tells the control loop.
+pub async fn fetch_replicas(shared: Arc<Shared>, from: SocketAddr, known: Revision) {
+    let body = fetch(&shared, from, &format!("{REPLICAS_PATH}?{known}")).await;
+    let list = body.and_then(|body| read_list(&body, from));
+    shared.tell(ToControl::Fetched(from, Fetched::Replicas(list)));
+}
+
+fn read_list(body: &[u8], from: SocketAddr) -> Option<ReplicaList> {
+    match postcard::from_bytes(body) {
+        Ok(list) => Some(list),
+        Err(err) => {
+            info!(event = "fetch_failed", from:% = from, path = REPLICAS_PATH, reason:% = err; "a node's list can't be read");
+            None
+        }
+    }
+}
+
+async fn fetch(shared: &Shared, from: SocketAddr, path: &str) -> Option<Bytes> {
+    let answer = Link::new(from).fetch(get(from, path), ANSWER_LIMIT).await;
+    match answer {
+        Ok(answer) if answer.status == StatusCode::OK => {
+            shared.metrics.on_peer_bytes(PeerBytes::FetchedIn, answer.body.len());
+            Some(answer.body)
+        }
+        Ok(answer) => {
+            info!(event = "fetch_failed", from:% = from, path, status = answer.status.as_u16(); "a node handed nothing out");
+            None
+        }
+        Err(err) => {
+            info!(event = "fetch_failed", from:% = from, path, reason:% = err; "a node did not answer");
+            None
+        }
+    }
+}
+
+fn get(from: SocketAddr, path: &str) -> Request<Full<Bytes>> {
+    let req = Request::get(path).header(header::HOST, from.to_string()).body(Full::default());
+    req.expect("the request is valid")
+}
--- a/node/src/gateway/peers/fleet.rs
+++ b/node/src/gateway/peers/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use leadstage_lib::gateway::handouts;
 use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::VmId;
@@ -19,8 +20,10 @@
 use crate::gateway::peers::outbox::address_of;
 use crate::gateway::peers::outbox::node_id;
 use crate::gateway::peers::peer_message::Gossip;
+use crate::gateway::peers::peer_message::KnownNode;
 use crate::gateway::peers::peer_message::PeerMessage;
 use crate::gateway::peers::peer_message::ProbeId;
+use crate::gateway::settings::GatewaySettings;
 use crate::shared::unix_millis;
 
 /// A probe that is not answered within this has failed: some round trips between halls,
@@ -51,6 +54,10 @@
     own: VmId,
     own_address: SocketAddr,
     own_hall: HallId,
+    own_link_is_wide: bool,
+    own_link_bits_per_second: f64,
+    /// Nodes that have wide links, as far as is known.
+    wide: BTreeSet<VmId>,
     /// The halls of nodes that said so.
     halls: HashMap<VmId, HallId>,
     seeds: BTreeSet<SocketAddr>,
@@ -63,14 +70,18 @@
 
 impl Fleet {
     /// A view that knows the seeds only.
-    pub fn new(own_address: SocketAddr, own_hall: HallId, seeds: &[SocketAddr], outbox: Outbox) -> Self {
+    pub fn new(settings: &GatewaySettings, outbox: Outbox) -> Self {
+        let own_address = settings.peer;
         let own = node_id(own_address);
-        let seeds = peer_addresses(seeds, own_address);
+        let seeds = peer_addresses(&settings.seeds, own_address);
         Fleet {
             membership: Membership::new(own.clone(), unix_millis(), rand::rng().random()),
             own,
             own_address,
-            own_hall,
+            own_hall: settings.hall.clone(),
+            own_link_is_wide: settings.has_wide_link(),
+            own_link_bits_per_second: settings.link_bits_per_second(),
+            wide: BTreeSet::new(),
             halls: HashMap::new(),
             known: seeds.clone(),
             seeds,
@@ -101,6 +112,29 @@
         self.alive().any(|node| self.halls.get(node) == Some(&self.own_hall))
     }
 
+    /// Whether a node, perhaps this one, is known to have a wide link.
+    pub fn node_has_wide_link(&self, node: &VmId) -> bool {
+        if *node == self.own { self.own_link_is_wide } else { self.wide.contains(node) }
+    }
+
+    /// Whether the node at a peer address is known to have a wide link.
+    pub fn has_wide_link(&self, address: SocketAddr) -> bool {
+        self.node_has_wide_link(&node_id(address))
+    }
+
+    /// Tells other nodes that this one has a newer configuration: as many as it can hand it to
+    /// soon, half of them with wide links, as those hand it on to many.
+    pub fn announce_config(&self) {
+        let count = handouts::at_once(self.own_link_bits_per_second).max(FAN_OUT);
+        let wide = self.alive().filter(|node| self.wide.contains(*node)).filter_map(address_of);
+        let wide: Vec<SocketAddr> = wide.sample(&mut rand::rng(), count / 2);
+        let others = self.some(count).into_iter().filter(|node| !wide.contains(node));
+        let told: Vec<SocketAddr> = wide.iter().copied().chain(others).take(count).collect();
+        for node in told {
+            self.outbox.send(node, &PeerMessage::NewConfig);
+        }
+    }
+
     /// Some other nodes, at random.
     fn some(&self, count: usize) -> Vec<SocketAddr> {
         self.membership.alive().filter_map(address_of).sample(&mut rand::rng(), count)
@@ -197,22 +231,39 @@
     fn on_gossip(&mut self, from: &VmId, gossip: Gossip, now: Timestamp) -> Vec<VmId> {
         if let Some(hall) = gossip.hall {
             self.halls.insert(from.clone(), hall);
-        }
-        for address in gossip.known {
-            let gone =
-                matches!(self.membership.liveness(&node_id(address)), Some(Liveness::Dead | Liveness::Left));
-            if address != self.own_address && !gone {
-                self.known.insert(address);
+            if gossip.has_wide_link {
+                self.wide.insert(from.clone());
             }
         }
+        for node in gossip.known {
+            self.on_known(node);
+        }
         self.list(now);
         let actions = self.membership.on_news(&gossip.news, now);
         self.act(actions, now)
     }
 
+    fn on_known(&mut self, node: KnownNode) {
+        let id = node_id(node.address);
+        let is_gone = matches!(self.membership.liveness(&id), Some(Liveness::Dead | Liveness::Left));
+        if node.address == self.own_address || is_gone {
+            return;
+        }
+        self.known.insert(node.address);
+        if node.has_wide_link {
+            self.wide.insert(id);
+        }
+    }
+
     fn gossip(&mut self) -> Gossip {
-        let hall = Some(self.own_hall.clone());
-        Gossip { hall, news: self.membership.news(), known: self.some(KNOWN_PER_MESSAGE) }
+        let known = self.some(KNOWN_PER_MESSAGE).into_iter();
+        let known = known.map(|address| KnownNode { address, has_wide_link: self.has_wide_link(address) });
+        Gossip {
+            known: known.collect(),
+            hall: Some(self.own_hall.clone()),
+            has_wide_link: self.own_link_is_wide,
+            news: self.membership.news(),
+        }
     }
 
     fn act(&mut self, actions: Vec<MembershipAction>, now: Timestamp) -> Vec<VmId> {
@@ -240,6 +291,7 @@
     /// A node that is gone is not named to others; seeds are tried again for ever.
     fn forget(&mut self, node: &VmId) {
         self.halls.remove(node);
+        self.wide.remove(node);
         if let Some(address) = address_of(node)
             && !self.seeds.contains(&address)
         {
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -83,10 +83,21 @@
 pub struct Gossip {
     /// The sender's hall; `None` in an answer on behalf of another node.
     pub hall: Option<HallId>,
+    /// Whether the sender has a wide link.
+    pub has_wide_link: bool,
     /// What is thought of nodes; they are named by their peer addresses.
     pub news: Vec<News>,
     /// Some nodes that the sender knows.
-    pub known: Vec<SocketAddr>,
+    pub known: Vec<KnownNode>,
+}
+
+/// A node that another one knows.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct KnownNode {
+    /// Its peer address.
+    pub address: SocketAddr,
+    /// Whether it is known to have a wide link.
+    pub has_wide_link: bool,
 }
 
 /// What a request wants of a replica.
--- a/node/src/gateway/peers/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -1,100 +1,185 @@
-//! What nodes hand to each other whole: the configuration and the list of replicas, for
-//! those that don't follow the store or missed some news.
+//! Where a node hands out what others lack that don't follow the store or missed some news: the
+//! configuration and the list of replicas.
 
-use std::net::SocketAddr;
+use leadstage_lib::gateway::config_text::Edition;
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
-use leadstage_platform::connect::Link;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use leadstage_lib::gateway::handouts;
+use leadstage_lib::gateway::handouts::Handouts;
+use leadstage_lib::gateway::routing::ConfigVersion;
+use leadstage_platform::connect;
 use leadstage_platform::store::Revision;
-use log::info;
 use log::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
 
-use crate::gateway::messages::Fetched;
-use crate::gateway::messages::ToControl;
 use crate::gateway::observability::metrics::PeerBytes;
 use crate::gateway::shared::Shared;
+use crate::gateway::small_port;
 
-/// What another node knows already usually comes by itself, in datagrams; it is fetched from
-/// that node if it has not come within this.
-pub const NEWS_FIRST: Duration = Duration::from_millis(120);
-/// Where a node hands its configuration out, as the operator wrote it.
-const CONFIG_PATH: &str = "/config";
+/// Where a node hands its configuration out, see [`leadstage_lib::gateway::config_text`]. The query is the
+/// version that the asking node has.
+pub const CONFIG_PATH: &str = "/config";
 /// Where a node hands out what it knows of the replicas; the query is the revision up to
 /// which the asking node knows them.
-const REPLICAS_PATH: &str = "/replicas";
-/// Time for either to arrive. Many nodes may fetch a large configuration over one small link
-/// at once; the store's is wide, and is asked then.
-const FETCH_LIMIT: Duration = Duration::from_millis(600);
-
-/// Hands the configuration and the replicas out.
-pub fn answer(shared: &Arc<Shared>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let body = match req.uri().path() {
-        CONFIG_PATH => shared.config_text(),
-        REPLICAS_PATH => replicas_since(shared, req.uri().query()),
-        _ => None,
-    };
-    let bytes = body.as_ref().map_or(0, Bytes::len);
-    shared.metrics.on_peer_bytes(PeerBytes::FetchedOut, bytes);
-    let status = if body.is_some() { StatusCode::OK } else { StatusCode::NOT_FOUND };
-    let mut res = Response::new(Full::from(body.unwrap_or_default()));
-    *res.status_mut() = status;
-    res
+pub const REPLICAS_PATH: &str = "/replicas";
+/// What is no larger goes out at once, however many ask: a few packets.
+const SMALL_BYTES: usize = 4 << 10;
+/// A place for a transfer is given to another one when the transfer lasts longer than it takes at
+/// so many bits a second; the transfer goes on. The receiver may stand still.
+const LEAST_BITS_PER_SECOND: f64 = 1e6;
+/// A place is held at least so long.
+const LEAST_PLACE_TIME: Duration = Duration::from_secs(1);
+
+/// A place for a large transfer.
+struct Place {
+    handouts: Rc<RefCell<Handouts>>,
+    since: Instant,
 }
 
-fn replicas_since(shared: &Shared, known: Option<&str>) -> Option<Bytes> {
-    let known: Revision = known?.parse().ok()?;
-    let list = shared.replica_list().since(known);
-    match postcard::to_stdvec(&list) {
-        Ok(bytes) => Some(Bytes::from(bytes)),
-        Err(err) => {
-            warn!(event = "replicas_unwritable", reason:% = err; "the list of replicas can't be encoded");
-            None
-        }
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.handouts.borrow_mut().end(self.since.elapsed());
     }
 }
 
-/// Fetches the configuration from another node and tells the control loop.
-pub async fn fetch_configuration(shared: Arc<Shared>, from: SocketAddr) {
-    let text = fetch(&shared, from, CONFIG_PATH).await;
-    shared.tell(ToControl::Fetched(from, Fetched::Configuration(text)));
+/// What one connection needs to answer.
+struct Connection {
+    shared: Arc<Shared>,
+    handouts: Rc<RefCell<Handouts>>,
+    /// Holds the place until the connection ends: the receiver closes it when it has all.
+    transfer: RefCell<Option<AbortOnDropHandle<()>>>,
 }
 
-/// Fetches from another node what changed of the replicas since the revision `known`, and
-/// tells the control loop.
-pub async fn fetch_replicas(shared: Arc<Shared>, from: SocketAddr, known: Revision) {
-    let body = fetch(&shared, from, &format!("{REPLICAS_PATH}?{known}")).await;
-    let list = body.and_then(|body| match postcard::from_bytes(&body) {
-        Ok(list) => Some(list),
-        Err(err) => {
-            info!(event = "fetch_failed", from:% = from, path = REPLICAS_PATH, reason:% = err; "a node's list can't be read");
-            None
-        }
-    });
-    shared.tell(ToControl::Fetched(from, Fetched::Replicas(list)));
+/// Hands the configuration and the replicas out until the process ends.
+pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let most = handouts::at_once(shared.settings.link_bits_per_second());
+    let handouts = Rc::new(RefCell::new(Handouts::new(most)));
+    loop {
+        let stream = small_port::accept(&listener, "peer").await;
+        let connection =
+            Connection { shared: shared.clone(), handouts: handouts.clone(), transfer: RefCell::default() };
+        tokio::task::spawn_local(connection.serve(stream));
+    }
 }
 
-async fn fetch(shared: &Shared, from: SocketAddr, path: &str) -> Option<Bytes> {
-    let req = Request::get(path).header(http::header::HOST, from.to_string()).body(Full::default());
-    let answer = Link::new(from).call(req.expect("the request is valid"), FETCH_LIMIT).await;
-    match answer {
-        Ok(answer) if answer.status == StatusCode::OK => {
-            shared.metrics.on_peer_bytes(PeerBytes::FetchedIn, answer.body.len());
-            Some(answer.body)
+impl Connection {
+    async fn serve(self, stream: TcpStream) {
+        // A receiver behind a cut must not hold its place.
+        if let Err(err) = connect::notice_silence(&stream) {
+            warn!(event = "socket_options", reason:% = err; "a socket takes no options");
+        }
+        let service = service_fn(|req: Request<Incoming>| {
+            let answer = self.answer(&req);
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        // Whoever asked asks again.
+        let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    }
+
+    fn answer(&self, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let known = req.uri().query().and_then(|known| known.parse().ok()).unwrap_or(0);
+        let res = match req.uri().path() {
+            CONFIG_PATH => self.configuration(req, known),
+            REPLICAS_PATH => self.replicas(known),
+            _ => status(StatusCode::NOT_FOUND),
+        };
+        let bytes = res.body().size_hint().lower() as usize;
+        self.shared.metrics.on_peer_bytes(PeerBytes::FetchedOut, bytes);
+        res
+    }
+
+    fn configuration(&self, req: &Request<Incoming>, known: ConfigVersion) -> Response<Full<Bytes>> {
+        let Some(text) = self.shared.config_text() else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        if text.version <= known {
+            return status(StatusCode::NOT_MODIFIED);
+        }
+        let (edition, bytes) = match text.encoded_for(known) {
+            Ok(encoded) => encoded,
+            Err(err) => {
+                warn!(event = "config_unwritable", version = text.version, reason:% = err; "the configuration can't be compressed");
+                return status(StatusCode::INTERNAL_SERVER_ERROR);
+            }
+        };
+        let from = continues_at(req.headers(), edition);
+        let mut res = self.hand_out(bytes.slice(from.unwrap_or(0)..));
+        if res.status() == StatusCode::OK {
+            let tag = HeaderValue::from_str(&edition.to_string()).expect("numbers are a valid value");
+            res.headers_mut().insert(header::ETAG, tag);
+            if from.is_some() {
+                *res.status_mut() = StatusCode::PARTIAL_CONTENT;
+            }
         }
-        Ok(answer) => {
-            info!(event = "fetch_failed", from:% = from, path, status = answer.status.as_u16(); "a node handed nothing out");
-            None
+        res
+    }
+
+    fn replicas(&self, known: Revision) -> Response<Full<Bytes>> {
+        match postcard::to_stdvec(&self.shared.replica_list().since(known)) {
+            Ok(bytes) => self.hand_out(Bytes::from(bytes)),
+            Err(err) => {
+                warn!(event = "replicas_unwritable", reason:% = err; "the list of replicas can't be encoded");
+                status(StatusCode::INTERNAL_SERVER_ERROR)
+            }
         }
-        Err(err) => {
-            info!(event = "fetch_failed", from:% = from, path, reason:% = err; "a node did not answer");
-            None
+    }
+
+    /// Answers with `bytes`, or says when to come back where too many nodes are being handed
+    /// something large.
+    fn hand_out(&self, bytes: Bytes) -> Response<Full<Bytes>> {
+        if bytes.len() > SMALL_BYTES {
+            if let Err(after) = self.handouts.borrow_mut().ask() {
+                let mut res = status(StatusCode::SERVICE_UNAVAILABLE);
+                let after = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64()));
+                res.headers_mut().insert(header::RETRY_AFTER, after.expect("a number is a valid value"));
+                return res;
+            }
+            self.take_place(bytes.len());
         }
+        Response::new(Full::from(bytes))
+    }
+
+    fn take_place(&self, bytes: usize) {
+        let place = Place { handouts: self.handouts.clone(), since: Instant::now() };
+        let longest = Duration::from_secs_f64(bytes as f64 * 8.0 / LEAST_BITS_PER_SECOND);
+        let holds = tokio::task::spawn_local(async move {
+            tokio::time::sleep(longest.max(LEAST_PLACE_TIME)).await;
+            drop(place);
+        });
+        self.transfer.replace(Some(AbortOnDropHandle::new(holds)));
     }
 }
+
+/// Where a node that has the beginning of an edition wants it from.
+fn continues_at(headers: &HeaderMap, edition: Edition) -> Option<usize> {
+    let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+    text(header::IF_RANGE).filter(|tag| *tag == edition.to_string())?;
+    let from = text(header::RANGE)?.strip_prefix("bytes=")?.strip_suffix('-')?.parse().ok()?;
+    (from <= edition.bytes).then_some(from)
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::default());
+    *res.status_mut() = status;
+    res
+}
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -48,6 +48,10 @@
 /// the store; who comes back too early is refused by another starting node.
 const STARTS_WITHIN: Duration = Duration::from_secs(1);
 
+/// When callers come back whose route or key is not known to a node that lacks a newer
+/// configuration: it usually comes within some tenths of a second.
+const CONFIG_COMES_WITHIN: Duration = Duration::from_millis(200);
+
 /// A caller's request, read whole and admitted.
 pub struct CallerRequest {
     /// The method.
@@ -138,6 +142,7 @@
     }
     let table = shared.table().ok_or(not_ready)?;
     let (head, body) = req.into_parts();
+    let refuse = |unrouted| refuse(unrouted, shared.lacks_newer_config());
     let route = table.route(host(&head.uri, &head.headers), head.uri.path()).map_err(refuse)?;
     let organisation = table.organisation(&route, headers::key(&head.headers)).map_err(refuse)?;
     let patience = headers::deadline(&head.headers).unwrap_or(route.timeout).min(route.timeout);
@@ -168,7 +173,11 @@
     path.map_or_else(|| Uri::from_static("/"), Uri::from)
 }
 
-fn refuse(unrouted: Unrouted) -> Refusal {
+/// What a newer configuration may allow is not denied while that is on its way.
+fn refuse(unrouted: Unrouted, lacks_newer_config: bool) -> Refusal {
+    if lacks_newer_config {
+        return Refusal { code: Code::NotReady, retry_after: Some(CONFIG_COMES_WITHIN) };
+    }
     Refusal::new(match unrouted {
         Unrouted::NoRoute => Code::NoRoute,
         Unrouted::UnknownKey => Code::Unauthorised,
--- a/node/src/gateway/settings.rs
+++ b/node/src/gateway/settings.rs
@@ -12,6 +12,11 @@
 
 use crate::settings::required;
 
+/// A VM's link where the settings name none, in 10^6 bits a second.
+const DEFAULT_LINK_MBPS: f64 = 1_000.0;
+/// A link is wide from here on: 1 MB takes less than a tenth of a second.
+const WIDE_LINK_MBPS: f64 = 100.0;
+
 /// Which of leadstage's two interfaces the node serves.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "snake_case")]
@@ -50,6 +55,7 @@
     metrics: Option<SocketAddr>,
     seeds: Vec<SocketAddr>,
     store: Option<SocketAddr>,
+    link_mbps: Option<f64>,
     bounds: BoundsFile,
     policy: Policy,
 }
@@ -108,6 +114,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
+    /// What this VM's link carries, in 10^6 bits a second.
+    pub link_mbps: f64,
     /// Bounds that hold for the whole fleet.
     pub bounds: Bounds,
     /// What the node decides by itself.
@@ -115,10 +123,26 @@
 }
 
 impl GatewaySettings {
-    /// Whether `other` has the same identity and addresses, which only a restart changes.
+    /// Whether others should rather get what is large from this VM than from most.
+    pub fn has_wide_link(&self) -> bool {
+        self.link_mbps >= WIDE_LINK_MBPS
+    }
+
+    /// What this VM's link carries, bits a second.
+    pub fn link_bits_per_second(&self) -> f64 {
+        self.link_mbps * 1e6
+    }
+
+    /// Whether `other` has the same identity, addresses and link, which only a restart changes.
     pub fn same_addresses(&self, other: &GatewaySettings) -> bool {
         let fixed = |s: &GatewaySettings| {
-            (s.vm.clone(), s.hall.clone(), [s.listen, s.ready, s.peer, s.metrics, s.store], s.policy)
+            (
+                s.vm.clone(),
+                s.hall.clone(),
+                [s.listen, s.ready, s.peer, s.metrics, s.store],
+                s.link_mbps,
+                s.policy,
+            )
         };
         fixed(self) == fixed(other)
     }
@@ -143,6 +167,7 @@
     let peer = required(&file.peer, "peer", address, problems);
     let metrics = required(&file.metrics, "metrics", address, problems);
     let store = required(&file.store, "store", address, problems);
+    let link_mbps = check_link(file.link_mbps, problems);
     let bounds = check_bounds(&file.bounds, problems);
     Some(GatewaySettings {
         vm: vm?.into(),
@@ -153,11 +178,20 @@
         metrics: metrics?,
         seeds: file.seeds.clone(),
         store: store?,
+        link_mbps,
         bounds,
         policy: file.policy,
     })
 }
 
+fn check_link(link_mbps: Option<f64>, problems: &mut Vec<Problem>) -> f64 {
+    let link_mbps = link_mbps.unwrap_or(DEFAULT_LINK_MBPS);
+    if !link_mbps.is_finite() || link_mbps <= 0.0 {
+        problems.push(Problem::new("link_mbps", format!("{link_mbps} must be more than 0")));
+    }
+    link_mbps
+}
+
 fn check_bounds(file: &BoundsFile, problems: &mut Vec<Problem>) -> Bounds {
     for (name, value) in [("retry_ratio", file.retry_ratio), ("retry_slack", file.retry_slack)] {
         if !value.is_finite() || value < 0.0 {
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -1,5 +1,6 @@
 //! What both threads of a gateway node read.
 
+use leadstage_lib::gateway::config_text::ConfigText;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::OnceLock;
@@ -53,7 +54,8 @@
     status: RwLock<NodeStatus>,
     started: Instant,
     control: UnboundedSender<ToControl>,
-    table: RwLock<Option<(Arc<RoutingTable>, Bytes)>>,
+    table: RwLock<Option<(Arc<RoutingTable>, Arc<ConfigText>)>>,
+    newest_config: AtomicU64,
     config_versions: watch::Sender<ConfigVersion>,
     phase: watch::Sender<Phase>,
     open: AtomicUsize,
@@ -88,6 +90,7 @@
             started: Instant::now(),
             control,
             table: RwLock::new(None),
+            newest_config: AtomicU64::new(0),
             config_versions: watch::Sender::new(0),
             phase: watch::Sender::new(Phase::Starting),
             open: AtomicUsize::new(0),
@@ -110,8 +113,18 @@
         self.table().map_or(0, |table| table.version)
     }
 
+    /// Whether another node has a newer configuration: what this one does not allow may be allowed.
+    pub fn lacks_newer_config(&self) -> bool {
+        self.newest_config.load(Ordering::Relaxed) > self.config_version()
+    }
+
+    /// Publishes the newest version that another node has.
+    pub fn set_newest_config(&self, version: ConfigVersion) {
+        self.newest_config.store(version, Ordering::Relaxed);
+    }
+
     /// The text of the configuration in force, to be handed to other nodes.
-    pub fn config_text(&self) -> Option<Bytes> {
+    pub fn config_text(&self) -> Option<Arc<ConfigText>> {
         self.table.read().expect("no holder panics").as_ref().map(|(_, text)| text.clone())
     }
 
@@ -121,8 +134,11 @@
         let version = new.version;
         let newer = table.as_ref().is_none_or(|(t, _)| t.version < version);
         if newer {
-            *table = Some((Arc::new(new), text));
+            let text = ConfigText::new(version, text, table.as_ref().map(|(_, text)| &**text));
+            let old = table.replace((Arc::new(new), text));
             drop(table);
+            // A large one takes some milliseconds to free; requests need not wait for that.
+            drop(old);
             self.config_versions.send_replace(version);
         }
         newer
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -8,7 +8,6 @@
 use derive_more::Display;
 use derive_more::Error;
 use leadstage_platform::store::Age;
-use leadstage_platform::store::Configuration;
 use leadstage_platform::store::Replicas;
 use log::error;
 use log::info;
@@ -19,6 +18,7 @@
 use tokio::task::LocalSet;
 
 use crate::gateway::balancer_port;
+use crate::gateway::control::config_intake;
 use crate::gateway::control::control_loop::Control;
 use crate::gateway::control::follow;
 use crate::gateway::ingress::caller_port;
@@ -87,13 +87,11 @@
     tokio::task::spawn_local(small_port::serve(shared.clone(), ready, "ready", balancer_port::answer));
     let metrics = listen(shared.settings.metrics).await?;
     tokio::task::spawn_local(small_port::serve(shared.clone(), metrics, "metrics", metrics_port::answer));
-    let configuration =
-        follow::read_once::<Configuration>(shared.clone(), ToControl::Configuration, Age::SomeSeconds);
-    tokio::task::spawn_local(configuration);
+    tokio::task::spawn_local(config_intake::read_at_start(shared.clone()));
     let replicas = follow::read_once::<Replicas>(shared.clone(), ToControl::Replicas, Age::SomeSeconds);
     tokio::task::spawn_local(replicas);
     let peer = listen(shared.settings.peer).await?;
-    tokio::task::spawn_local(small_port::serve(shared.clone(), peer, "peer", peer_port::answer));
+    tokio::task::spawn_local(peer_port::serve(shared.clone(), peer));
     let socket = Arc::new(datagrams(shared.settings.peer).await?);
     tokio::task::spawn_local(outbox::receive(socket.clone(), shared.clone()));
     let outbox = Outbox::new(socket, shared.clone());
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -174,7 +174,9 @@
                 Err(NotCopied::Elsewhere(to.id.clone()))
             }
             Err(CallError::Connect(_) | CallError::Broken(_)) => Err(NotCopied::SourceGone),
-            Err(CallError::TimedOut(_) | CallError::Body(_)) => Err(NotCopied::Later),
+            Err(CallError::TimedOut(_) | CallError::Stalled { .. } | CallError::Body(_)) => {
+                Err(NotCopied::Later)
+            }
         }
     }
 }
--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -245,6 +245,11 @@
         format!("{}:7001", self.ip(node))
     }
 
+    /// Where the balancer asks.
+    pub fn ready(&self, node: usize) -> String {
+        format!("{}:7002", self.ip(node))
+    }
+
     /// Where metrics are served.
     pub fn metrics(&self, node: usize) -> String {
         format!("{}:7004", self.ip(node))
@@ -258,8 +263,7 @@
     /// The status that the balancer gets; 0 for none.
     pub async fn ready_status(&self, node: usize) -> u16 {
         let req = Request::get("/v1/readyz").header("host", "x").body(Full::default()).expect("valid");
-        let address = format!("{}:7002", self.ip(node));
-        send(&address, req).await.map_or(0, |(_connection, res)| res.status().as_u16())
+        send(&self.ready(node), req).await.map_or(0, |(_connection, res)| res.status().as_u16())
     }
 
     /// Waits until a node takes connections.
@@ -286,7 +290,11 @@
 
     /// The status of a call with nothing special about it.
     pub async fn status_of(&self, node: usize, path: &str, key: &str) -> u16 {
-        self.call(node, request("GET", path, key, "r-1")).await.status
+        let called = self.call(node, request("GET", path, key, "r-1")).await;
+        if called.status == 0 {
+            eprintln!("node {node}: {}\n{}", called.body, self.log(node));
+        }
+        called.status
     }
 
     /// Sends a signal to a node.
@@ -425,8 +433,9 @@
         Ok(called)
     }
 
-    fn broken(_: String) -> Called {
-        Called { status: 0, headers: http::HeaderMap::new(), body: String::new(), whole: false }
+    /// The body says how it broke.
+    fn broken(how: String) -> Called {
+        Called { status: 0, headers: http::HeaderMap::new(), body: how, whole: false }
     }
 
     /// The code of a refusal, 0 for none.
