--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -193,16 +193,22 @@
     /// Starts a node at a store of its own.
     pub fn start_node_at(&mut self, store: SocketAddr) -> usize {
         let yaml = self.settings(self.nodes.len(), store, "");
-        self.start_node_with(yaml)
+        self.start_from(yaml)
     }
 
     /// Starts a node at a store of its own that knows no other node.
     pub fn start_lone_node_at(&mut self, store: SocketAddr) -> usize {
         let yaml = self.settings(self.nodes.len(), store, "").replace("seeds: [", "seeds: [] # [");
-        self.start_node_with(yaml)
+        self.start_from(yaml)
     }
 
-    fn start_node_with(&mut self, yaml: String) -> usize {
+    /// Starts a node at the fleet's store with changed settings.
+    pub fn start_node_with(&mut self, change: impl Fn(String) -> String) -> usize {
+        let yaml = change(self.settings(self.nodes.len(), self.store_address(), ""));
+        self.start_from(yaml)
+    }
+
+    fn start_from(&mut self, yaml: String) -> usize {
         let node = self.nodes.len();
         std::fs::write(self.settings_path(node), yaml).expect("writable");
         let log = std::fs::File::create(self.dir.path().join(format!("node-{node}.log"))).expect("a log");
