stop: tests of calls that meet a node's end

A node in a planned stop looks at its open requests, finds none, and serves its port for 50 ms more: what comes meanwhile reaches a replica and is lost with the process.

The stand-in replica learns to answer late and at length.

--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -221,6 +221,11 @@
         format!("{}:7001", self.ip(node))
     }
 
+    /// Where the balancer asks.
+    pub fn ready(&self, node: usize) -> String {
+        format!("{}:7002", self.ip(node))
+    }
+
     /// Where metrics are served.
     pub fn metrics(&self, node: usize) -> String {
         format!("{}:7004", self.ip(node))
@@ -234,8 +239,7 @@
     /// The status that the balancer gets; 0 for none.
     pub async fn ready_status(&self, node: usize) -> u16 {
         let req = Request::get("/v1/readyz").header("host", "x").body(Full::default()).expect("valid");
-        let address = format!("{}:7002", self.ip(node));
-        send(&address, req).await.map_or(0, |(_connection, res)| res.status().as_u16())
+        send(&self.ready(node), req).await.map_or(0, |(_connection, res)| res.status().as_u16())
     }
 
     /// Waits until a node takes connections.
@@ -277,6 +281,18 @@
         self.nodes[node].try_wait().expect("a child").map(|status| status.success())
     }
 
+    /// Waits for a node that ends by itself; true if it did so without a failure.
+    pub async fn end_of(&mut self, node: usize) -> bool {
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        while tokio::time::Instant::now() < deadline {
+            if let Some(is_success) = self.ended(node) {
+                return is_success;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        panic!("node {node} did not end\n{}", self.logs());
+    }
+
     /// A node's log.
     pub fn log(&self, node: usize) -> String {
         std::fs::read_to_string(self.dir.path().join(format!("node-{node}.log"))).unwrap_or_default()
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_gateway_limits;
 mod test_gateway_resuming;
 mod test_gateway_soak;
+mod test_gateway_stop;
 mod test_gateway_streams;
 mod test_module_arrows;
 mod test_settings;
--- /dev/null
+++ b/node/tests/test_gateway_stop.rs
@@ -0,0 +1,130 @@
+//! The end of a gateway node: what callers sent is answered or was not taken.
+
+use std::time::Duration;
+
+use leadstage_testutils::gateway_replica::ReplicaFault;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::KEY;
+
+/// A node without open requests ends about 2.3 s after the signal. Connections that came this
+/// long after it are not closed as unused before.
+const CONNECTED_AT: Duration = Duration::from_millis(1_900);
+/// What is sent from then on meets the node's end.
+const SENT_AT: Duration = Duration::from_millis(2_200);
+
+/// A call as the bytes that a caller sends.
+fn call(id: &str) -> String {
+    format!(
+        "POST /book/x HTTP/1.1\r\nhost: h.example\r\nleadstage-request-id: {id}\r\n\
+         authorization: Token {KEY}\r\ncontent-length: 4\r\n\r\nbody"
+    )
+}
+
+/// Reads until the node closes the connection, however it does that.
+async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let _ = stream.read_to_end(&mut text).await;
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+/// Whether an answer is a success with its whole body.
+fn is_whole(answer: &str) -> bool {
+    let Some((head, body)) = answer.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    head.starts_with("HTTP/1.1 200") && length == Some(&*body.len().to_string())
+}
+
+/// A node that stopped as planned lost calls: it looked at its open requests, found none, and
+/// served its port for 50 ms more, then ended with what had come meanwhile. Seen where a call came
+/// on a kept connection 38 ms after the last stream's end, 3 s after the signal: it reached its
+/// replica, and 27 ms later the process was gone, without an answer.
+#[tokio::test]
+async fn test_calls_that_meet_the_end_of_a_stop_are_answered_or_not_taken() {
+    let (mut gateway, bookings, _models) = Gateway::with_replicas(1).await;
+    bookings[0].replica.set_fault(ReplicaFault::Late(Duration::from_millis(50)));
+    gateway.signal(0, "-TERM");
+    let began = tokio::time::Instant::now();
+    tokio::time::sleep_until(began + CONNECTED_AT).await;
+    let mut calls = JoinSet::new();
+    for n in 0..18 {
+        let mut stream = TcpStream::connect(gateway.front(0)).await.expect("it listens");
+        calls.spawn(async move {
+            // The pauses between the calls let the node find none open, at one place or another.
+            tokio::time::sleep_until(began + SENT_AT + n * Duration::from_millis(110)).await;
+            let id = format!("r-{n}");
+            // Where the connection is closed by now, nothing is taken.
+            let _ = stream.write_all(call(&id).as_bytes()).await;
+            let answer = read_to_end(&mut stream).await;
+            is_whole(&answer).then_some(id)
+        });
+    }
+    let mut answered: Vec<String> = calls.join_all().await.into_iter().flatten().collect();
+    let seen = bookings[0].replica.seen();
+    let mut taken: Vec<String> =
+        seen.iter().filter_map(|seen| seen.header("leadstage-request-id").map(str::to_owned)).collect();
+    taken.sort();
+    answered.sort();
+    assert_eq!(taken, answered, "reached the replica, and were answered");
+    assert!(gateway.end_of(0).await, "the stop is no failure");
+}
+
+/// The end of an answer to a call of which a node has only the part before `split` when it
+/// decides to end.
+async fn answer_to_a_call_split_at(split: &str) -> String {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    gateway.signal(0, "-TERM");
+    let began = tokio::time::Instant::now();
+    tokio::time::sleep_until(began + CONNECTED_AT).await;
+    let mut stream = TcpStream::connect(gateway.front(0)).await.expect("it listens");
+    let call = call("r-1");
+    let (first, rest) = call.split_at(call.find(split).expect("a part of it"));
+    tokio::time::sleep_until(began + SENT_AT).await;
+    stream.write_all(first.as_bytes()).await.expect("it is open");
+    tokio::time::sleep_until(began + SENT_AT + Duration::from_millis(500)).await;
+    // Where the node is gone the answer is empty.
+    let _ = stream.write_all(rest.as_bytes()).await;
+    read_to_end(&mut stream).await
+}
+
+/// Nor did a node that ended know of requests of which it had read a part of the head: it closed
+/// their connections, and a caller can't know how far it had read.
+#[tokio::test]
+async fn test_a_call_whose_head_is_half_read_at_the_end_of_a_stop_is_served() {
+    let answer = answer_to_a_call_split_at("leadstage-request-id").await;
+    assert!(is_whole(&answer), "{answer:?}");
+}
+
+#[tokio::test]
+async fn test_a_call_whose_body_is_half_read_at_the_end_of_a_stop_is_served() {
+    let answer = answer_to_a_call_split_at("dy").await;
+    assert!(is_whole(&answer), "{answer:?}");
+}
+
+/// A call counted as open only until its answer was handed over to be written. A node that stopped
+/// cut what its callers had not read 50 ms later, beyond what the system holds for them.
+#[tokio::test]
+async fn test_an_answer_that_is_read_slowly_is_whole_when_its_node_stops() {
+    let (mut gateway, bookings, _models) = Gateway::with_replicas(1).await;
+    // Both sockets together held 3.6 MB of it, on loopback.
+    bookings[0].replica.set_fault(ReplicaFault::Long(4_000_000));
+    gateway.signal(0, "-TERM");
+    let began = tokio::time::Instant::now();
+    tokio::time::sleep_until(began + CONNECTED_AT).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(16 << 10).expect("a size");
+    let front = gateway.front(0).parse().expect("an address");
+    let mut stream = socket.connect(front).await.expect("it listens");
+    stream.write_all(call("r-1").as_bytes()).await.expect("it is open");
+    tokio::time::sleep_until(began + Duration::from_millis(3_300)).await;
+    let answer = read_to_end(&mut stream).await;
+    assert!(is_whole(&answer), "{} bytes came", answer.len());
+    assert!(gateway.end_of(0).await, "the stop is no failure");
+}
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -41,6 +41,10 @@
     CutsBody,
     /// Breaks the connection at its second request, as if it had forgotten it.
     ForgetsConnections,
+    /// Answers after this time.
+    Late(Duration),
+    /// Answers with so many bytes.
+    Long(usize),
 }
 
 /// How an engine treats calls to copy a generation.
@@ -254,6 +258,9 @@
         if fault == ReplicaFault::Hangs {
             std::future::pending::<()>().await;
         }
+        if let ReplicaFault::Late(after) = fault {
+            tokio::time::sleep(after).await;
+        }
         guard.finish();
         let cut = futures::stream::iter([Ok(Bytes::from("cut")), Err(std::io::Error::other("cut"))]);
         let body = match fault {
@@ -261,6 +268,7 @@
                 loopback::parts(futures::stream::iter([Err(std::io::Error::other("cut"))]))
             }
             ReplicaFault::CutsBody => loopback::parts(cut),
+            ReplicaFault::Long(bytes) => loopback::whole("x".repeat(bytes)),
             _ => loopback::whole(format!("{} answers {}", self.id, req.uri())),
         };
         let mut res = Response::new(body);
