stop: the callers' port closes before a node ends

Cause: a stop looked at a count of open requests and ended 50 ms after it had found none, while the port still accepted and read. Requests whose head was half read and answers that were being written did not count at all.

Now a stop has two phases more. Callers are served as before until no request is open; then the port takes nothing more (`Closing`): the listener is closed, each connection is closed once no request is open on it, one whose head is arriving is waited for, and the port waits for all its connections, which end when their answers are written and shut down (`Closed`). Then the process ends. The bound is the one that there was: 250 ms before the node would be killed.

Ruled out: to wait for the count once more after a flag was set. It leaves the half read heads and the answers that are still to be written.

--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -19,6 +19,7 @@
 use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio_util::task::TaskTracker;
 
 use crate::gateway::ingress::io_watch::Activity;
 use crate::gateway::ingress::io_watch::Serving;
@@ -49,14 +50,30 @@
 /// Time between two sweeps of unused connections.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// Serves callers until the process ends.
+/// Serves callers until the node takes no more, then until the answers to what was read before are
+/// written and all connections are closed.
+///
+/// Only the port itself knows when nothing is left: while it accepts and reads, a count of open
+/// requests that is zero may not be so a moment later. A node that ended 50 ms after it had found
+/// none open lost calls on kept connections, in one of six runs of a fleet with stops all day.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let traffic = Traffic::new(shared);
+    let traffic = Traffic::new(shared.clone());
     tokio::task::spawn_local(sweep(traffic.clone()));
+    let connections = TaskTracker::new();
+    let mut closing = std::pin::pin!(shared.reached(Phase::Closing));
     loop {
-        let stream = small_port::accept(&listener, "callers").await;
-        tokio::task::spawn_local(connection(traffic.clone(), stream));
+        tokio::select! {
+            biased;
+            () = &mut closing => break,
+            stream = small_port::accept(&listener, "callers") => {
+                connections.spawn_local(connection(traffic.clone(), stream));
+            }
+        }
     }
+    // Who waits to be accepted is told so, and nothing was read of it.
+    drop(listener);
+    connections.close();
+    connections.wait().await;
 }
 
 async fn sweep(traffic: Traffic) {
@@ -86,7 +103,11 @@
     let mut builder = http1::Builder::new();
     builder.max_buf_size(limits(&shared).head_bytes.max(LEAST_HEAD_BYTES)).half_close(false);
     let mut connection = std::pin::pin!(builder.serve_connection(io, service));
-    let mut closing = std::pin::pin!(stop::close_unused(&shared));
+    let mut closing = std::pin::pin!(async {
+        stop::close_unused(&shared).await;
+        // Closed now, it would leave its caller in doubt about a request that is half read.
+        activity.between_heads().await;
+    });
     let mut breaks = std::pin::pin!(activity.breaks(|| limits(&shared)));
     let mut versions = shared.config_versions();
     let (mut asked_to_close, mut broke) = (false, false);
@@ -118,7 +139,7 @@
         Ok(reply) => reply,
         Err(refused) => refused,
     };
-    if traffic.shared.phase() == Phase::Stopping {
+    if traffic.shared.phase() >= Phase::Stopping {
         reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     reply
--- a/node/src/gateway/ingress/io_watch.rs
+++ b/node/src/gateway/ingress/io_watch.rs
@@ -53,6 +53,16 @@
         matches!(self.0.get(), Doing::Idle(_))
     }
 
+    /// Waits while a request's head is arriving. Whoever polls this beside the connection wakes it
+    /// when the head is there.
+    pub async fn between_heads(&self) {
+        let poll = |_: &mut Context<'_>| match self.0.get() {
+            Doing::Head(_) => Poll::Pending,
+            Doing::Idle(_) | Doing::Serving => Poll::Ready(()),
+        };
+        std::future::poll_fn(poll).await;
+    }
+
     /// Waits until the connection breaks a limit. The limits may change: whoever polls this
     /// beside the connection wakes it when they do.
     pub async fn breaks(&self, limits: impl Fn() -> CallerLimits) {
--- a/node/src/gateway/observability/status.rs
+++ b/node/src/gateway/observability/status.rs
@@ -45,7 +45,7 @@
     match phase {
         Phase::Starting => "no bundle",
         Phase::Serving => "ready",
-        Phase::Stopping => "stopping",
+        Phase::Stopping | Phase::Closing | Phase::Closed => "stopping",
     }
 }
 
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -40,8 +40,12 @@
     Starting,
     /// It serves.
     Serving,
-    /// A planned stop has begun.
+    /// A planned stop has begun; callers are still served.
     Stopping,
+    /// No request is taken any more; those that have been read are served to their end.
+    Closing,
+    /// All connections of callers are closed.
+    Closed,
 }
 
 /// State between the threads.
@@ -210,18 +214,16 @@
         *self.phase.borrow()
     }
 
-    /// Told of each change of the phase.
-    pub fn phases(&self) -> watch::Receiver<Phase> {
-        self.phase.subscribe()
+    /// Waits until the node is at least as far as `phase`.
+    pub async fn reached(&self, phase: Phase) {
+        // The sender lives as long as the process.
+        let _ = self.phase.subscribe().wait_for(|now| *now >= phase).await;
     }
 
     /// Waits up to `limit` while the node lacks the configuration or the list of replicas. Returns
     /// whether it has both.
     pub async fn started(&self, limit: Duration) -> bool {
-        let mut phases = self.phases();
-        let started = phases.wait_for(|phase| *phase != Phase::Starting);
-        // The sender lives as long as the process.
-        tokio::time::timeout(limit, started).await.is_ok_and(|phase| phase.is_ok())
+        tokio::time::timeout(limit, self.reached(Phase::Serving)).await.is_ok()
     }
 
     /// Moves on to a later phase; returns whether it was a change.
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -1,5 +1,6 @@
 //! Starts a gateway node: the control thread's tasks here, traffic on a thread of its own.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -30,6 +31,7 @@
 use crate::gateway::peers::peer_port;
 use crate::gateway::reload;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
 use crate::gateway::small_port;
 use crate::gateway::stop;
@@ -105,22 +107,23 @@
     }
 }
 
-/// Serves callers; without this thread the node is of no use, so its end ends the process.
+/// Serves callers; without this thread the node is of no use, so its failure ends the process.
 fn traffic_thread(shared: Arc<Shared>) {
-    let result = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime);
-    let result = result.and_then(|runtime| {
-        LocalSet::new().block_on(&runtime, async {
-            let listener = listen(shared.settings.listen).await?;
-            caller_port::serve(shared.clone(), listener).await;
-            Ok(())
-        })
-    });
-    if let Err(err) = result {
-        error!(event = "failed", thread = "traffic", reason:% = err; "the callers' port failed");
-    }
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime);
+    let result = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, serve_callers(shared)));
+    let Err(err) = result;
+    error!(event = "failed", thread = "traffic", reason:% = err; "the callers' port failed");
     std::process::exit(1);
 }
 
+async fn serve_callers(shared: Arc<Shared>) -> Result<Infallible, RunError> {
+    let listener = listen(shared.settings.listen).await?;
+    caller_port::serve(shared.clone(), listener).await;
+    shared.advance(Phase::Closed);
+    // Streams whose callers left are ended at their engines meanwhile.
+    std::future::pending().await
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
     TcpListener::bind(address).await.map_err(|source| RunError::Port { address, source })
 }
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -5,6 +5,7 @@
 
 use leadstage_lib::gateway::routing::Repeat;
 use log::info;
+use log::warn;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::time::Instant;
@@ -19,6 +20,11 @@
 const BALANCER_NOTICES: Duration = Duration::from_millis(2_300);
 /// The process ends by itself so long before it would be killed.
 const END_MARGIN: Duration = Duration::from_millis(300);
+/// Time for the port to close where requests are open until the end: refusals, which are all that
+/// callers get by then, are written within some milliseconds.
+const PORT_CLOSES_WITHIN: Duration = Duration::from_millis(200);
+/// Time for the control loop to send other nodes what it was told last.
+const LAST_MESSAGES: Duration = Duration::from_millis(50);
 /// Time between two looks at the open requests.
 const POLL: Duration = Duration::from_millis(50);
 
@@ -64,28 +70,49 @@
     req.route.objective + Duration::from_secs_f64(tokens / shared.tokens_per_second(&req.service))
 }
 
-/// Waits until unused connections of callers should be closed.
+/// Waits until connections of callers should be closed as soon as no request is open on them: the
+/// balancer makes no new ones, or the node takes nothing more.
 pub async fn close_unused(shared: &Shared) {
-    let mut phases = shared.phases();
-    // The sender lives as long as the process.
-    let _ = phases.wait_for(|phase| *phase == Phase::Stopping).await;
-    tokio::time::sleep(BALANCER_NOTICES).await;
+    shared.reached(Phase::Stopping).await;
+    // Whichever comes first.
+    let _ = tokio::time::timeout(BALANCER_NOTICES, shared.reached(Phase::Closing)).await;
 }
 
 /// Waits for the signal to stop, then until the node has nothing more to do.
+///
+/// Callers are served on until no request is open: where the hall has no other node, the balancer
+/// keeps sending them here. Then the port closes, and the end comes when it has.
 pub async fn wait(shared: &Arc<Shared>) -> std::io::Result<()> {
     signal(SignalKind::terminate())?.recv().await;
     shared.stop();
     shared.tell(ToControl::Stopping);
     let began = Instant::now();
     info!(event = "stop", open = shared.open_requests(); "planned stop begins");
-    let last = began + shared.bounds().stop_within.saturating_sub(END_MARGIN);
-    tokio::time::sleep(BALANCER_NOTICES.min(last - began)).await;
-    while shared.open_requests() > 0 && Instant::now() < last {
-        tokio::time::sleep(POLL).await;
-    }
-    // What was written last is still on its way to the callers.
-    tokio::time::sleep(POLL).await;
+    let closes = began + shared.bounds().stop_within.saturating_sub(END_MARGIN + PORT_CLOSES_WITHIN);
+    tokio::time::sleep_until(closes.min(began + BALANCER_NOTICES)).await;
+    // Whether requests are open or the time is over, the port closes.
+    let _ = tokio::time::timeout_at(closes, none_open(shared)).await;
+    close_port(shared, closes + PORT_CLOSES_WITHIN).await;
+    tokio::time::sleep(LAST_MESSAGES).await;
     info!(event = "stopped", open = shared.open_requests(), took_ms = began.elapsed().as_millis() as u64; "planned stop ends");
     Ok(())
 }
+
+/// Takes no more requests, and waits until `last` for those that were read and for their answers to
+/// be written.
+async fn close_port(shared: &Shared, last: Instant) {
+    shared.advance(Phase::Closing);
+    let closed = async {
+        shared.reached(Phase::Closed).await;
+        none_open(shared).await;
+    };
+    if tokio::time::timeout_at(last, closed).await.is_err() {
+        warn!(event = "stop_bound", open = shared.open_requests(); "connections are cut at the stop's bound");
+    }
+}
+
+async fn none_open(shared: &Shared) {
+    while shared.open_requests() > 0 {
+        tokio::time::sleep(POLL).await;
+    }
+}
