logs: tests of the last lines of a node that ends

Three tests show why, on the code as it is:

- eight nodes that stop: in three of six runs one or two of them did not say so (loopback, where the log's thread is quick);
- twelve nodes whose port is taken: five to ten of them did not say why they failed;
- a node that logged 500 lines in its last second: the last line is left out.

A reader that does not read holds nothing up: that test passes, and is to.

--- a/node/tests/test_gateway_stop.rs
+++ b/node/tests/test_gateway_stop.rs
@@ -1,6 +1,12 @@
-//! The end of a gateway node: what callers sent is answered or was not taken.
+//! The end of a gateway node: what callers sent is answered or was not taken, and the last lines
+//! of the log come out.
 
+use std::io::Write;
+use std::net::TcpListener;
+use std::process::Command;
+use std::process::Stdio;
 use std::time::Duration;
+use std::time::Instant;
 
 use leadstage_testutils::gateway_replica::ReplicaFault;
 use tokio::io::AsyncReadExt;
@@ -17,6 +23,8 @@
 const CONNECTED_AT: Duration = Duration::from_millis(1_900);
 /// What is sent from then on meets the node's end.
 const SENT_AT: Duration = Duration::from_millis(2_200);
+/// Bytes that a pipe holds for its reader.
+const PIPE_BYTES: usize = 64 << 10;
 
 /// A call as the bytes that a caller sends.
 fn call(id: &str) -> String {
@@ -128,3 +136,92 @@
     assert!(is_whole(&answer), "{} bytes came", answer.len());
     assert!(gateway.end_of(0).await, "the stop is no failure");
 }
+
+/// The line that tells of a stop's end was never seen, in seven runs of a fleet with stops all day:
+/// lines are written by a thread of their own, and what it had not written was lost.
+#[tokio::test]
+async fn test_nodes_log_the_end_of_their_stop() {
+    let (mut gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    let nodes = 8;
+    for n in 1..nodes {
+        gateway.start_node();
+        gateway.until_ready(n).await;
+    }
+    (0..nodes).for_each(|n| gateway.signal(n, "-TERM"));
+    let mut silent = Vec::new();
+    for n in 0..nodes {
+        assert!(gateway.end_of(n).await, "the stop is no failure");
+        if !gateway.log(n).contains("event=stopped") {
+            silent.push(n);
+        }
+    }
+    assert_eq!(silent, [0; 0], "nodes that did not say that they stopped\n{}", gateway.logs());
+}
+
+/// Beyond 300 lines a second lines are left out, and the last ones of a busy node were among them.
+#[tokio::test]
+async fn test_a_busy_node_logs_the_end_of_its_stop() {
+    let (mut gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    gateway.kill(0);
+    let settings = gateway.settings(0, gateway.store_address(), "");
+    let short = settings.replace("stop_within: 6s", "stop_within: 600ms");
+    std::fs::write(gateway.settings_path(0), short).expect("writable");
+    gateway.start_again(0);
+    gateway.until_ready(0).await;
+    // A second begins with the first line that follows.
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    let mut stream = TcpStream::connect(gateway.front(0)).await.expect("it listens");
+    let began = Instant::now();
+    let refused = "GET /nowhere/ HTTP/1.1\r\nhost: h.example\r\n\r\n".repeat(499);
+    let last = "GET /nowhere/ HTTP/1.1\r\nhost: h.example\r\nconnection: close\r\n\r\n";
+    stream.write_all((refused + last).as_bytes()).await.expect("it is open");
+    let answers = read_to_end(&mut stream).await;
+    assert_eq!(answers.matches("HTTP/1.1 404").count(), 500);
+    gateway.signal(0, "-TERM");
+    assert!(gateway.end_of(0).await, "the stop is no failure");
+    let log = gateway.log(0);
+    assert!(log.contains("event=stopped"), "{}", gateway.logs());
+    let written = log.matches("event=refused").count();
+    let seconds = began.elapsed().as_secs() as usize + 1;
+    assert!(written <= 300 * seconds + 40, "the bound on lines holds but for the last: {written}");
+}
+
+/// The reason why a node failed was lost in the same way.
+#[tokio::test]
+async fn test_nodes_that_fail_log_why() {
+    let mut gateway = Gateway::start().await;
+    let mut taken = Vec::new();
+    for n in 0..12 {
+        // The callers' port is the traffic thread's, the balancer's the control thread's.
+        let address = if n % 2 == 0 { gateway.front(n) } else { gateway.ready(n) };
+        taken.push(TcpListener::bind(address).expect("it is free"));
+        gateway.start_node();
+    }
+    let mut silent = Vec::new();
+    for n in 0..taken.len() {
+        assert!(!gateway.end_of(n).await, "a port is taken");
+        if !gateway.log(n).contains("event=failed") {
+            silent.push(n);
+        }
+    }
+    assert_eq!(silent, [0; 0], "nodes that did not say why\n{}", gateway.logs());
+}
+
+/// Whoever collects the logs may have stopped reading: the end does not wait for it.
+#[tokio::test]
+async fn test_a_reader_that_does_not_read_does_not_hold_up_the_end() {
+    let gateway = Gateway::start().await;
+    let _taken = TcpListener::bind(gateway.front(0)).expect("it is free");
+    let yaml = gateway.settings(0, gateway.store_address(), "");
+    std::fs::write(gateway.settings_path(0), yaml).expect("writable");
+    let (_reader, mut writer) = std::io::pipe().expect("a pipe");
+    writer.write_all(&[b'\n'; PIPE_BYTES]).expect("it holds so much");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_leadstaged"));
+    command.arg("--config").arg(gateway.settings_path(0));
+    command.stdout(writer).stderr(Stdio::null()).stdin(Stdio::null());
+    let began = Instant::now();
+    let ended = tokio::task::spawn_blocking(move || command.status().expect("it runs")).await;
+    assert_eq!(ended.expect("no panic").code(), Some(1));
+    let took = began.elapsed();
+    assert!(took < Duration::from_secs(2), "it waits for 100 ms at most, and took {took:?}");
+}
