logs: the last lines are written before the process ends

Cause: lines are written by a thread of their own, which ends with the process; what it had not written was lost, and so was the last line of a busy node, beyond the 300 that are written in a second.

`logging::flush` has the thread write what was logged before, with the last 32 lines beyond the bound, and waits 100 ms at most. It is called wherever a process ends: after a stop or a failure in main, where the callers' port fails, and where the control thread panics, which is logged now (not run: no test makes it panic).

--- a/node/src/gateway/observability/logging.rs
+++ b/node/src/gateway/observability/logging.rs
@@ -1,9 +1,14 @@
 //! Structured logs on standard output: one `key=value` line for each event, at most so many
 //! a second, written by a thread of its own so that no request waits for a reader.
+//!
+//! Whoever ends the process calls [`flush`] before: the thread ends with the process, and what it has
+//! not written is lost.
 
+use std::collections::VecDeque;
 use std::io;
 use std::io::Write;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
@@ -23,12 +28,32 @@
 /// Lines written in a second at most, about 50 KB. A node of the sheets writes 20 to 60.
 const LINES_PER_SECOND: u32 = 300;
 
+/// Lines beyond that which are kept for the process's end, which may be in the same second: a node
+/// that had logged 500 lines in its last second did not tell that it stopped.
+const LAST_LINES: usize = 32;
+/// The end of a process waits so long for a reader that is slow, or does not read at all.
+const FLUSH_WITHIN: Duration = Duration::from_millis(100);
+/// Time between two tries to reach a thread whose queue is full.
+const FLUSH_RETRY: Duration = Duration::from_millis(5);
+
+/// The way to the thread that writes.
+static QUEUE: OnceLock<SyncSender<Entry>> = OnceLock::new();
+
+/// What the thread that writes is sent.
+enum Entry {
+    /// A line to write.
+    Line(Vec<u8>),
+    /// Tells when all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 /// Starts logging; the level comes from `RUST_LOG`, `info` by default.
 pub fn start() -> io::Result<()> {
     let (tx, rx) = sync_channel(LINES_WAITING);
     let left_out = Arc::new(AtomicU64::new(0));
-    let counted = left_out.clone();
-    std::thread::Builder::new().name("logs".to_owned()).spawn(move || write_lines(&rx, &counted))?;
+    let writer = Writer::new(left_out.clone());
+    std::thread::Builder::new().name("logs".to_owned()).spawn(move || writer.run(&rx))?;
+    QUEUE.get_or_init(|| tx.clone());
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format(format_line)
         .target(env_logger::Target::Pipe(Box::new(Queue { tx, left_out })))
@@ -36,15 +61,33 @@
     Ok(())
 }
 
+/// Waits until all lines that were logged before are written, 100 ms at most. Does nothing where
+/// logging was not started.
+pub fn flush() {
+    let Some(tx) = QUEUE.get() else {
+        return;
+    };
+    let deadline = Instant::now() + FLUSH_WITHIN;
+    let (written_tx, written) = sync_channel(1);
+    while tx.try_send(Entry::Flush(written_tx.clone())).is_err() {
+        if Instant::now() >= deadline {
+            return;
+        }
+        std::thread::sleep(FLUSH_RETRY);
+    }
+    // Where the reader does not read there is nobody to tell that lines are lost.
+    let _ = written.recv_timeout(deadline.saturating_duration_since(Instant::now()));
+}
+
 /// Takes formatted lines; never blocks.
 struct Queue {
-    tx: SyncSender<Vec<u8>>,
+    tx: SyncSender<Entry>,
     left_out: Arc<AtomicU64>,
 }
 
 impl Write for Queue {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        if self.tx.try_send(buf.to_vec()).is_err() {
+        if self.tx.try_send(Entry::Line(buf.to_vec())).is_err() {
             self.left_out.fetch_add(1, Ordering::Relaxed);
         }
         Ok(buf.len())
@@ -56,28 +99,69 @@
 }
 
 /// Writes lines until the process ends, and says how many were left out.
-fn write_lines(rx: &Receiver<Vec<u8>>, left_out: &AtomicU64) {
-    let mut second = Instant::now();
-    let mut written = 0;
-    while let Ok(line) = rx.recv() {
-        if second.elapsed() >= Duration::from_secs(1) {
-            second = Instant::now();
-            written = 0;
-            report_left_out(left_out);
+struct Writer {
+    /// When the second began in which lines are counted.
+    second: Instant,
+    /// Lines written in it.
+    written: u32,
+    /// The last lines that were not written in it.
+    beyond: VecDeque<Vec<u8>>,
+    /// Lines left out that were not reported yet.
+    left_out: Arc<AtomicU64>,
+}
+
+impl Writer {
+    fn new(left_out: Arc<AtomicU64>) -> Self {
+        Writer { second: Instant::now(), written: 0, beyond: VecDeque::new(), left_out }
+    }
+
+    fn run(mut self, rx: &Receiver<Entry>) {
+        while let Ok(entry) = rx.recv() {
+            match entry {
+                Entry::Line(line) => self.line(line),
+                Entry::Flush(written) => {
+                    self.write_beyond();
+                    // Who asked may have waited long enough.
+                    let _ = written.try_send(());
+                }
+            }
+        }
+    }
+
+    fn line(&mut self, line: Vec<u8>) {
+        if self.second.elapsed() >= Duration::from_secs(1) {
+            self.begin_second();
         }
-        written += 1;
-        if written > LINES_PER_SECOND {
-            left_out.fetch_add(1, Ordering::Relaxed);
-        } else {
+        if self.written < LINES_PER_SECOND {
+            self.written += 1;
             put(&line);
+            return;
+        }
+        self.beyond.push_back(line);
+        if self.beyond.len() > LAST_LINES {
+            self.beyond.pop_front();
+            self.left_out.fetch_add(1, Ordering::Relaxed);
         }
     }
-}
 
-fn report_left_out(left_out: &AtomicU64) {
-    let count = left_out.swap(0, Ordering::Relaxed);
-    if count > 0 {
-        put(format!("level=WARN event=log_lines_left_out count={count}\n").as_bytes());
+    fn begin_second(&mut self) {
+        self.second = Instant::now();
+        self.written = 0;
+        self.left_out.fetch_add(self.beyond.len() as u64, Ordering::Relaxed);
+        self.beyond.clear();
+        self.report_left_out();
+    }
+
+    fn write_beyond(&mut self) {
+        self.report_left_out();
+        self.beyond.drain(..).for_each(|line| put(&line));
+    }
+
+    fn report_left_out(&self) {
+        let count = self.left_out.swap(0, Ordering::Relaxed);
+        if count > 0 {
+            put(format!("level=WARN event=log_lines_left_out count={count}\n").as_bytes());
+        }
     }
 }
 
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -24,6 +24,7 @@
 use crate::gateway::control::follow;
 use crate::gateway::ingress::caller_port;
 use crate::gateway::messages::ToControl;
+use crate::gateway::observability::logging;
 use crate::gateway::observability::metrics::GatewayMetrics;
 use crate::gateway::observability::metrics_port;
 use crate::gateway::peers::outbox;
@@ -113,6 +114,7 @@
     let result = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, serve_callers(shared)));
     let Err(err) = result;
     error!(event = "failed", thread = "traffic", reason:% = err; "the callers' port failed");
+    logging::flush();
     std::process::exit(1);
 }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -94,6 +94,8 @@
     std::panic::set_hook(Box::new(move |panic| {
         usual(panic);
         if std::thread::current().name() == Some("main") {
+            error!(event = "failed", reason:% = panic; "the control thread panicked");
+            gateway::flush_logs();
             std::process::abort();
         }
     }));
@@ -130,13 +132,15 @@
         Command::Run(settings) => run(settings),
         Command::Print(_) => Ok(()),
     };
-    match result {
+    let code = match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             error!(event = "failed", reason:% = err; "leadstaged failed");
             ExitCode::from(EXIT_FAILURE)
         }
-    }
+    };
+    gateway::flush_logs();
+    code
 }
 
 /// A gateway node logs to standard output, as its platform collects that; the other
