stop: a test of calls that meet the end of a node of the completions interface

The same cause as at the gateway: where no request is open when the balancer's grace is over, the node sends its last reports for 400 ms and serves its port meanwhile.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -16,5 +16,6 @@
 mod test_gateway_streams;
 mod test_module_arrows;
 mod test_settings;
+mod test_stop;
 mod test_streams;
 mod test_upstreams;
