stop: a node of the completions interface closes before it looks at what is open

Cause: the flag that makes it refuse was set inside the wait for open requests, which ended at its first look where none was open; the last reports were sent for 400 ms with the port open.

Now the grace passes, the node closes, and then it waits. A request is counted as open before it is checked whether the node is closed, and the stop looks in the opposite order, so that none slips between the two.

Before: four calls carried out and none answered. Left: answers that a slow caller has not read within 400 ms, and heads that are half read, are still cut here; the server beneath gives no way to close its connections one by one.

--- a/node/src/filters/limit.rs
+++ b/node/src/filters/limit.rs
@@ -1,7 +1,6 @@
 //! Bounds on what a request may cost: open requests, and the body's size and time.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -26,12 +25,13 @@
         Readiness::NoBundle | Readiness::Alone => return Err(Refusal::new(Code::NotReady)),
         Readiness::Ready | Readiness::Stopping => {}
     }
-    if shared.closed.load(Ordering::Relaxed) {
-        return Err(Refusal::new(Code::Stopping));
-    }
     let most = cx.organisation.max_open;
     let most_all = cx.bundle.bounds.max_open_per_node;
-    shared.open_guard(&cx.organisation.id, most, most_all).map_err(|limit| match limit {
+    let open = shared.open_guard(&cx.organisation.id, most, most_all);
+    if shared.is_closed() {
+        return Err(Refusal::new(Code::Stopping));
+    }
+    open.map_err(|limit| match limit {
         OpenLimit::Node => Refusal::new(Code::NodeLimit),
         OpenLimit::Organisation => Refusal::new(Code::OrganisationLimit),
     })
--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -75,8 +75,7 @@
     pub retries: Mutex<RetryBudget>,
     /// The planned stop's bound is reached: streams end now.
     pub stop_now: AtomicBool,
-    /// The balancer's grace in a planned stop is over: nothing new is taken.
-    pub closed: AtomicBool,
+    closed: AtomicBool,
     in_force: RwLock<Option<InForce>>,
     readiness: RwLock<Readiness>,
     upstreams: RwLock<Arc<UpstreamTable>>,
@@ -198,9 +197,20 @@
         locked(&self.retries).take()
     }
 
+    /// The balancer's grace in a planned stop is over: from now on nothing new is taken.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether nothing new is taken. Whoever takes a request counts it as open first and asks then:
+    /// a stop closes first and looks at the count then, so that one of both sees the other.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
     /// Requests open now.
     pub fn open(&self) -> u32 {
-        self.open.load(Ordering::Relaxed)
+        self.open.load(Ordering::SeqCst)
     }
 
     /// Counts a request as open until the guard is dropped; `None` at a limit.
@@ -219,7 +229,7 @@
             return Err(OpenLimit::Organisation);
         }
         *count += 1;
-        self.open.fetch_add(1, Ordering::Relaxed);
+        self.open.fetch_add(1, Ordering::SeqCst);
         Ok(OpenGuard { shared: self.clone(), organisation: organisation.clone() })
     }
 }
--- a/node/src/stop.rs
+++ b/node/src/stop.rs
@@ -36,23 +36,28 @@
     let bound = bundle.map_or(BOUND_WITHOUT_BUNDLE, |b| b.bounds.stop_within);
     let shared = control.borrow().shared.clone();
     let started = tokio::time::Instant::now();
-    while started.elapsed() < BALANCER_GRACE || shared.open() > 0 || is_awaited(&control) {
-        if started.elapsed() >= BALANCER_GRACE {
-            shared.closed.store(true, Ordering::Relaxed);
-        }
-        if started.elapsed() > bound {
-            warn!(event = "stop_bound", open = shared.open(); "streams are ended at the bound");
-            shared.stop_now.store(true, Ordering::Relaxed);
-            tokio::time::sleep(LAST_WORDS).await;
-            break;
-        }
-        tokio::time::sleep(POLL).await;
+    tokio::time::sleep(BALANCER_GRACE.min(bound)).await;
+    // Closed before the first look at what is open: a node that looked first and found nothing took
+    // calls while it sent its last reports; of four in those 400 ms it answered none.
+    shared.close();
+    if tokio::time::timeout_at(started + bound, finished(&control)).await.is_err() {
+        warn!(event = "stop_bound", open = shared.open(); "streams are ended at the bound");
+        shared.stop_now.store(true, Ordering::Relaxed);
+        tokio::time::sleep(LAST_WORDS).await;
     }
     tokio::time::sleep(FLUSH).await;
     info!(event = "stopped"; "stopped");
     Ok(())
 }
 
+/// Waits until no request is open and nobody waits for this VM.
+async fn finished(control: &ControlRef) {
+    let shared = control.borrow().shared.clone();
+    while shared.open() > 0 || is_awaited(control) {
+        tokio::time::sleep(POLL).await;
+    }
+}
+
 /// Others wait for what this VM leads, or outcomes are not recorded yet.
 fn is_awaited(control: &ControlRef) -> bool {
     let control = control.borrow();
