--- a/node/tests/test_gateway_stop.rs
+++ b/node/tests/test_gateway_stop.rs
@@ -17,6 +17,9 @@
 
 use crate::gateway_environment::Gateway;
 use crate::gateway_environment::KEY;
+use crate::gateway_environment::MODEL;
+use crate::gateway_environment::chat;
+use crate::gateway_environment::config;
 
 /// A node without open requests ends about 2.3 s after the signal. Connections that came this
 /// long after it are not closed as unused before.
@@ -137,6 +140,30 @@
     assert!(gateway.end_of(0).await, "the stop is no failure");
 }
 
+/// A stopping node took streams by what their callers expected, which is often far too little: a
+/// stream that came 4.4 s after the signal was cut with the process 3.3 s later. While the balancer
+/// still sends callers, the estimate counts; after that, the most that the stream may make.
+#[tokio::test]
+async fn test_a_stopping_node_takes_no_stream_that_may_outlast_it() {
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    // 15 ms an event: 4.8 s, and the node ends 5.75 s after the signal.
+    let _model = gateway.start_replica(MODEL, "model-1", 320).await;
+    let node = gateway.start_node();
+    gateway.until_ready(node).await;
+    let (first, late) = tokio::join!(gateway.call(node, chat("r-1")), async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        gateway.signal(node, "-TERM");
+        tokio::time::sleep(Duration::from_millis(2_600)).await;
+        let mut late = chat("r-2");
+        late.headers_mut().insert("length-hint", "40".parse().expect("valid"));
+        gateway.call(node, late).await
+    });
+    assert_eq!(first.events(), Some(320), "it ends before the node does: {first:?}");
+    assert_eq!((late.status, late.code()), (503, 2108), "{late:?}");
+    assert!(gateway.end_of(node).await, "the stop is no failure");
+}
+
 /// The line that tells of a stop's end was never seen, in seven runs of a fleet with stops all day:
 /// lines are written by a thread of their own, and what it had not written was lost.
 #[tokio::test]
