--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -70,7 +70,7 @@
             }
         }
     }
-    // Who waits to be accepted is told so, and nothing was read of it.
+    // Connections that wait to be accepted are reset: nothing was read on them.
     drop(listener);
     connections.close();
     connections.wait().await;
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -96,7 +96,7 @@
     info!(event = "stop", open = shared.open_requests(); "planned stop begins");
     let closes = began + shared.bounds().stop_within.saturating_sub(END_MARGIN + PORT_CLOSES_WITHIN);
     tokio::time::sleep_until(closes.min(began + BALANCER_NOTICES)).await;
-    // Whether requests are open or the time is over, the port closes.
+    // The port closes in either case: no request is open, or the time is over.
     let _ = tokio::time::timeout_at(closes, none_open(shared)).await;
     close_port(shared, closes + PORT_CLOSES_WITHIN).await;
     tokio::time::sleep(LAST_MESSAGES).await;
--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -75,6 +75,7 @@
     pub retries: Mutex<RetryBudget>,
     /// The planned stop's bound is reached: streams end now.
     pub stop_now: AtomicBool,
+    /// Nothing new is taken.
     closed: AtomicBool,
     in_force: RwLock<Option<InForce>>,
     readiness: RwLock<Readiness>,
