streams: a stopped generation that is refused twice is lost: the test

Cause: a generation that is to move is stopped, and lies whole in the memory of its engine and of the one with its copy. Where the latter does not go on, the former is asked once; any refusal there ended the stream of a caller whose request had neither an answer nor a refusal.

`test_a_stopped_generation_is_asked_for_until_an_engine_takes_it` fails in all four of its cases on the code as it is (whole false).

--- a/node/tests/test_gateway_streams.rs
+++ b/node/tests/test_gateway_streams.rs
@@ -1,6 +1,7 @@
 //! Streams through the gateway interface: one generation, whatever happens to its engines.
 
 use leadstage_testutils::gateway_replica::CopyFault;
+use leadstage_testutils::gateway_replica::StreamFault;
 
 use crate::gateway_environment::Called;
 use crate::gateway_environment::Gateway;
@@ -138,3 +139,57 @@
     gateway.until("it ends", async || models[0].replica.running() == 0).await;
     assert_eq!(models[0].replica.left(), ["r-1"]);
 }
+
+/// What the engines do, one after the other, with a stream and with the calls to go on with it.
+struct Reluctance {
+    name: &'static str,
+    faults: &'static [StreamFault],
+}
+
+/// A generation that was stopped to be moved is asked for at the engine with its copy, and at the
+/// one where it stopped.
+const RELUCTANT: [Reluctance; 4] = [
+    Reluctance {
+        name: "the target turns it away, then the source does",
+        faults: &[StreamFault::None, StreamFault::NotRun, StreamFault::NotRun],
+    },
+    Reluctance {
+        name: "both turn it away twice",
+        faults: &[
+            StreamFault::None,
+            StreamFault::NotRun,
+            StreamFault::NotRun,
+            StreamFault::NotRun,
+            StreamFault::NotRun,
+        ],
+    },
+    Reluctance {
+        name: "the target fails it, and the source turns it away",
+        faults: &[StreamFault::None, StreamFault::Fails, StreamFault::NotRun],
+    },
+    Reluctance { name: "both fail it", faults: &[StreamFault::None, StreamFault::Fails, StreamFault::Fails] },
+];
+
+/// A stream broke for its caller although its generation lay whole in the memory of two engines:
+/// it was stopped to be moved, the engine with its copy was full for a moment and turned it away,
+/// the engine that it came from did too, and neither was asked again. Logs of busy engines showed
+/// it: two refusals at the target and one at the source within 8 ms, then the end "engine lost".
+#[tokio::test]
+async fn test_a_stopped_generation_is_asked_for_until_an_engine_takes_it() {
+    let mut rows = Vec::new();
+    for case in &RELUCTANT {
+        let (gateway, _bookings, mut models) = Gateway::with_replicas(2).await;
+        gateway.engines.set_stream_faults(case.faults.iter().copied());
+        let (called, ()) =
+            tokio::join!(gateway.call(0, chat("r-chat")), strike(&gateway, &mut models, Fault::Leaves));
+        let events = called.events();
+        assert!(events.is_some(), "{}: not just the events: {}", case.name, called.body);
+        rows.push(format!("{}: whole {}", case.name, called.whole));
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    the target turns it away, then the source does: whole true
+    both turn it away twice: whole true
+    the target fails it, and the source turns it away: whole true
+    both fail it: whole true
+    ");
+}
