streams: a stopped generation is asked for until an engine takes it

The engine where a generation stopped keeps its memory until its handle ends, and one that turns a request away has not used it up, but the source was asked once only and the target no more.

Now both are asked in turn, with pauses of 10, 30, 90, 270 and 810 ms, until one takes it or 1.5 s are over; a target that fails it is not asked again, and a caller that leaves ends the asking. Five pauses, as arrivals count against the retry budget: 13 at most for one stream.

What follows a stop has a module of its own, `relay/after_stop.rs`.

--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -1,8 +1,10 @@
 //! Passes one stream on to its caller, from one engine after the other.
 //!
 //! `moving` takes the generation away from engines that leave or are crowded, with a copy of its
-//! memory; `going_on` has another engine go on after the last event when one is lost.
+//! memory; `after_stop` has it go on once it has stopped; `going_on` has another engine go on after
+//! the last event when one is lost.
 
+mod after_stop;
 mod going_on;
 mod moving;
 
--- /dev/null
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -0,0 +1,128 @@
+//! Has a stopped generation go on: at the engine with its copy, or where it stopped.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
+use leadstage_platform::engine::CopySource;
+use leadstage_platform::engine::Resume;
+use log::info;
+use tokio::time::Instant;
+
+use crate::gateway::messages::Outcome;
+use crate::gateway::upstream::copying::Copied;
+use crate::gateway::upstream::copying::Step;
+use crate::gateway::upstream::exchange::Exchange;
+use crate::gateway::upstream::leg::Leg;
+use crate::gateway::upstream::relay::End;
+use crate::gateway::upstream::relay::Relay;
+use crate::gateway::upstream::resuming::NotResumed;
+
+/// Time for the answer to a stop, once the stream has ended.
+pub(super) const STOP_ANSWER_LIMIT: Duration = Duration::from_millis(600);
+/// How long engines are asked to go on with a stopped generation: callers leave a stream that has
+/// been silent for two seconds.
+const ASK_WITHIN: Duration = Duration::from_millis(1_500);
+/// The pause before both engines are asked again. Engines that turn requests away answer within
+/// 8 ms, and most take the next one.
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+/// Each pause is so many times the one before: five pauses, as what is sent again counts against
+/// the retry budget.
+const PAUSE_GROWTH: u32 = 3;
+
+impl Relay {
+    /// Goes on with a stopped generation. Two engines have its memory, so that it is lost only if
+    /// neither takes it for as long as its caller waits.
+    pub(super) async fn go_on_after_stop(&mut self) -> Result<(), End> {
+        self.events.drop_part();
+        let copied = self.stopping.take().ok_or(End::EngineLost)?;
+        let caller = self.tx.clone();
+        tokio::select! {
+            biased;
+            () = caller.closed() => return Err(End::CallerLeft),
+            taken = self.ask_in_turn(copied) => taken?,
+        }
+        self.moving = None;
+        self.leave();
+        Ok(())
+    }
+
+    /// Asks the engine with the copy, then the one where the generation stopped, until one goes on.
+    async fn ask_in_turn(&mut self, mut copied: Copied) -> Result<(), End> {
+        let until = Instant::now() + ASK_WITHIN;
+        let mut pause = FIRST_PAUSE;
+        let mut at_copy = NotResumed::Refused;
+        loop {
+            if at_copy == NotResumed::Refused {
+                match self.ask_copy(&mut copied).await {
+                    Ok(exchange) => {
+                        let leg = Leg { run: copied.target, exchange: Some(exchange) };
+                        self.move_to(leg, Outcome::Withdrawn);
+                        return Ok(());
+                    }
+                    Err(NotResumed::Unknown) => return Err(End::EngineLost),
+                    Err(why) => at_copy = why,
+                }
+            }
+            match self.ask_source(&mut copied).await {
+                Ok(exchange) => {
+                    self.go_back(copied, exchange, at_copy);
+                    return Ok(());
+                }
+                Err(NotResumed::Unknown) => return Err(End::EngineLost),
+                Err(NotResumed::Refused | NotResumed::Failed) => {}
+            }
+            if Instant::now() + pause > until {
+                return Err(End::EngineLost);
+            }
+            tokio::time::sleep(pause).await;
+            pause *= PAUSE_GROWTH;
+        }
+    }
+
+    /// Asks the engine with the copy to go on. It reads again what the copy lacks, so the end of
+    /// the last copy is not waited for unless that engine wants it.
+    async fn ask_copy(&mut self, copied: &mut Copied) -> Result<Exchange, NotResumed> {
+        let target = copied.target.placed.replica.clone();
+        let resumed = self.resume_copy(&target, copied).await;
+        if matches!(resumed, Err(NotResumed::Refused)) && self.await_stop(copied).await {
+            return self.resume_copy(&target, copied).await;
+        }
+        resumed
+    }
+
+    /// Asks the engine where the generation stopped, which keeps its memory, to go on.
+    async fn ask_source(&mut self, copied: &mut Copied) -> Result<Exchange, NotResumed> {
+        let here = self.leg.run.placed.replica.clone();
+        self.await_stop(copied).await;
+        self.resume_copy(&here, copied).await
+    }
+
+    /// The generation goes on where it stopped, as the engine with the copy did not take it.
+    fn go_back(&mut self, copied: Copied, exchange: Exchange, why: NotResumed) {
+        let here = &self.leg.run.placed.replica.id;
+        let failing = copied.target.placed.replica.id.clone();
+        info!(event = "went_back", request = self.req.id(), upstream = &**here, failing = &*failing, reason:% = why; "the generation goes on where it stopped");
+        copied.target.end(if why == NotResumed::Failed { Outcome::Failed } else { Outcome::Refused });
+        self.failing.push(failing);
+        self.leg.exchange = Some(exchange);
+    }
+
+    /// Waits for the answer to the stop, if it has not come yet. Returns whether it came
+    /// now, and says that the generation stopped.
+    async fn await_stop(&mut self, copied: &mut Copied) -> bool {
+        if copied.stop_is_known {
+            return false;
+        }
+        match tokio::time::timeout(STOP_ANSWER_LIMIT, self.steps.recv()).await {
+            Ok(Some(Step::StopAnswered(outcome))) => copied.note_stop(outcome),
+            _ => false,
+        }
+    }
+
+    /// Goes on at `engine` with a copy of the generation's memory.
+    async fn resume_copy(&self, engine: &ReplicaRecord, copied: &Copied) -> Result<Exchange, NotResumed> {
+        let copy = CopySource { engine: self.leg.run.placed.replica.address, handle: copied.handle.clone() };
+        let resume = Resume { copy: Some(copy), last_event: self.events.last_id().map(str::to_owned) };
+        self.resume(engine, &resume, "resume").await
+    }
+}
--- a/node/src/gateway/upstream/relay/moving.rs
+++ b/node/src/gateway/upstream/relay/moving.rs
@@ -2,33 +2,25 @@
 
 use std::time::Duration;
 
-use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_platform::engine;
-use leadstage_platform::engine::CopySource;
-use leadstage_platform::engine::Resume;
 use log::info;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::messages::Order;
-use crate::gateway::messages::Outcome;
 use crate::gateway::upstream::copying::COPY_LIMIT;
 use crate::gateway::upstream::copying::Copied;
 use crate::gateway::upstream::copying::Copying;
 use crate::gateway::upstream::copying::NotCopied;
 use crate::gateway::upstream::copying::Step;
-use crate::gateway::upstream::exchange::Exchange;
-use crate::gateway::upstream::leg::Leg;
 use crate::gateway::upstream::relay::End;
 use crate::gateway::upstream::relay::Relay;
-use crate::gateway::upstream::resuming::NotResumed;
+use crate::gateway::upstream::relay::after_stop::STOP_ANSWER_LIMIT;
 
 /// How long an engine that is leaving is asked for copies: the longest that one serves on.
 const EVACUATE_WITHIN: Duration = Duration::from_secs(12);
 /// Time for the rest of a stopped generation's events to arrive.
 const DRAIN_LIMIT: Duration = Duration::from_millis(80);
-/// Time for the answer to a stop, once the stream has ended.
-const STOP_ANSWER_LIMIT: Duration = Duration::from_millis(600);
 
 impl Relay {
     pub(super) fn on_order(&mut self, order: Order) {
@@ -47,7 +39,7 @@
 
     /// Starts to move the generation if its engine leaves and no move is under way. One that
     /// is under way goes on, even to an engine that leaves as well: that is still later.
-    fn leave(&mut self) {
+    pub(super) fn leave(&mut self) {
         if self.moving.is_none() && self.leaving.contains(&self.leg.run.placed.replica.id) {
             self.start_copy(EVACUATE_WITHIN);
         }
@@ -93,7 +85,7 @@
                 }
                 match self.drain().await {
                     Some(end) => Err(end),
-                    None => self.go_on_elsewhere().await,
+                    None => self.go_on_after_stop().await,
                 }
             }
             Step::GaveUp(why) => {
@@ -148,7 +140,7 @@
             let copied = self.await_copy().await.ok_or(End::EngineLost)?;
             self.stopping = Some(copied);
         }
-        self.go_on_elsewhere().await
+        self.go_on_after_stop().await
     }
 
     /// Waits a little for a copy that was being made when the stream broke.
@@ -159,59 +151,4 @@
             _ => None,
         }
     }
-
-    /// Goes on with a stopped generation where its copy is. The engine there reads again
-    /// what the copy lacks, so the end of the last copy is not waited for unless that
-    /// engine wants it.
-    async fn go_on_elsewhere(&mut self) -> Result<(), End> {
-        self.events.drop_part();
-        let mut copied = self.stopping.take().ok_or(End::EngineLost)?;
-        let mut resumed = self.resume_copy(&copied.target.placed.replica, &copied).await;
-        if matches!(resumed, Err(NotResumed::Refused)) && self.await_stop(&mut copied).await {
-            resumed = self.resume_copy(&copied.target.placed.replica, &copied).await;
-        }
-        match resumed {
-            Ok(exchange) => {
-                self.move_to(Leg { run: copied.target, exchange: Some(exchange) }, Outcome::Withdrawn)
-            }
-            Err(NotResumed::Unknown) => return Err(End::EngineLost),
-            Err(why) => self.go_back(copied, why).await?,
-        }
-        self.moving = None;
-        self.leave();
-        Ok(())
-    }
-
-    /// The engine with the copy does not go on: the one where the generation stopped keeps
-    /// its memory, and goes on if it is still there. Another engine is tried next.
-    async fn go_back(&mut self, mut copied: Copied, why: NotResumed) -> Result<(), End> {
-        let here = self.leg.run.placed.replica.clone();
-        let failing = copied.target.placed.replica.id.clone();
-        self.await_stop(&mut copied).await;
-        let exchange = self.resume_copy(&here, &copied).await.map_err(|_| End::EngineLost)?;
-        info!(event = "went_back", request = self.req.id(), upstream = &*here.id, failing = &*failing, reason:% = why; "the generation goes on where it stopped");
-        copied.target.end(if why == NotResumed::Failed { Outcome::Failed } else { Outcome::Refused });
-        self.failing.push(failing);
-        self.leg.exchange = Some(exchange);
-        Ok(())
-    }
-
-    /// Waits for the answer to the stop, if it has not come yet. Returns whether it came
-    /// now, and says that the generation stopped.
-    async fn await_stop(&mut self, copied: &mut Copied) -> bool {
-        if copied.stop_is_known {
-            return false;
-        }
-        match tokio::time::timeout(STOP_ANSWER_LIMIT, self.steps.recv()).await {
-            Ok(Some(Step::StopAnswered(outcome))) => copied.note_stop(outcome),
-            _ => false,
-        }
-    }
-
-    /// Goes on at `engine` with a copy of the generation's memory.
-    async fn resume_copy(&self, engine: &ReplicaRecord, copied: &Copied) -> Result<Exchange, NotResumed> {
-        let copy = CopySource { engine: self.leg.run.placed.replica.address, handle: copied.handle.clone() };
-        let resume = Resume { copy: Some(copy), last_event: self.events.last_id().map(str::to_owned) };
-        self.resume(engine, &resume, "resume").await
-    }
 }
