streams: a stop that was never sent ends a stream that runs: the test

Cause: where the call that is to stop a generation gets no answer, the generation is taken to have stopped. A call that found no connection was never sent, and the engine runs on. The node then asks the engine with the copy to go on and, where that is out of reach as well, the engine that still runs the generation: it answers 503, and the node hangs up on a sound stream.

--- a/node/tests/test_gateway_streams.rs
+++ b/node/tests/test_gateway_streams.rs
@@ -193,3 +193,29 @@
     both fail it: whole true
     ");
 }
+
+/// More calls to go on with a generation than are made while its caller waits.
+const REFUSALS: usize = 100;
+
+/// A stream broke for its caller while its engine ran the generation: the call that was to stop it
+/// found no connection, as a large configuration filled the node's link for a second, and the
+/// missing answer was taken for a stop that was made. The engine with the copy could not be
+/// reached either, and the one that still ran the generation answered 503 to the request to go on.
+/// The log told "stop_unanswered: no connection: timed out", then "not sent: timed out" and "503",
+/// and the engine made events until the node hung up.
+#[tokio::test]
+async fn test_a_generation_whose_stop_was_never_sent_runs_on() {
+    let (gateway, _bookings, mut models) = Gateway::with_replicas(2).await;
+    let refusals = std::iter::repeat_n(StreamFault::NotRun, REFUSALS);
+    gateway.engines.set_stream_faults(std::iter::once(StreamFault::None).chain(refusals));
+    let leave = async {
+        let engine = engine_of(&gateway, &mut models, MIDWAY).await;
+        engine.replica.set_copy_fault(CopyFault::ClosesPort);
+        gateway.drain(MODEL, engine);
+    };
+    let (called, ()) = tokio::join!(gateway.call(0, chat("r-chat")), leave);
+    assert!(called.whole, "{:?} events\n{}", called.events(), gateway.logs());
+    assert_eq!(called.events(), Some(EVENTS));
+    let asked: usize = models.iter().map(|m| m.replica.seen().len()).sum();
+    assert_eq!(asked, 1, "no engine is asked to go on with what still runs\n{}", gateway.logs());
+}
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -14,6 +14,7 @@
 use http::Request;
 use http::Response;
 use serde_json::json;
+use tokio::sync::Notify;
 
 use crate::loopback;
 use crate::loopback::Answerer;
@@ -21,6 +22,9 @@
 use crate::loopback::RequestNumber;
 use crate::loopback::Server;
 
+/// A port that is to close has closed after this.
+const PORT_CLOSES_WITHIN: Duration = Duration::from_millis(20);
+
 /// How a replica treats requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ReplicaFault {
@@ -55,6 +59,8 @@
     CopyHangs,
     /// Stops the generation and never answers.
     StopHangs,
+    /// Takes no more connections once it has made a copy; those that are open stay.
+    ClosesPort,
     /// Fails whoever wants to go on with a copy there; the copy stays.
     ResumeFails,
 }
@@ -145,6 +151,8 @@
     /// Callers that closed their connection before the answer's end.
     left: Vec<String>,
     address: Option<SocketAddr>,
+    /// Closes its port.
+    close_port: Option<Arc<Notify>>,
 }
 
 /// A replica.
@@ -195,6 +203,7 @@
         });
         let server = loopback::serve(ip, replica.clone()).await;
         replica.state().address = Some(server.address);
+        replica.state().close_port = Some(server.close_port.clone());
         (replica, server)
     }
 
@@ -387,8 +396,17 @@
                 std::future::pending::<()>().await;
             }
         }
+        if fault == CopyFault::ClosesPort {
+            self.close_port().await;
+        }
         Response::new(loopback::whole(json!({"handle": format!("h-{id}"), "made": made}).to_string()))
     }
+
+    async fn close_port(&self) {
+        let close_port = self.state().close_port.clone().expect("it serves");
+        close_port.notify_one();
+        tokio::time::sleep(PORT_CLOSES_WITHIN).await;
+    }
 }
 
 fn forgets(req: &Request<Bytes>) -> ReplicaFault {
--- a/testutils/src/loopback.rs
+++ b/testutils/src/loopback.rs
@@ -21,6 +21,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -37,6 +38,8 @@
 pub struct Server {
     /// Its address.
     pub address: SocketAddr,
+    /// Closes its port, once notified; its connections stay.
+    pub close_port: Arc<Notify>,
     _accepting: AbortOnDropHandle<()>,
 }
 
@@ -60,13 +63,24 @@
 pub async fn serve<A: Answerer>(ip: &str, answerer: Arc<A>) -> Server {
     let listener = TcpListener::bind(format!("{ip}:0")).await.expect("a free port");
     let address = listener.local_addr().expect("bound");
+    let close_port = Arc::new(Notify::new());
+    let closing = close_port.clone();
     let accepting = tokio::spawn(async move {
         let mut connections = JoinSet::new();
-        while let Ok((stream, _)) = listener.accept().await {
-            connections.spawn(connection(stream, answerer.clone()));
+        tokio::select! {
+            () = closing.notified() => drop(listener),
+            () = accept(&listener, &answerer, &mut connections) => {}
         }
+        // Its connections last as long as the server.
+        std::future::pending::<()>().await;
     });
-    Server { address, _accepting: AbortOnDropHandle::new(accepting) }
+    Server { address, close_port, _accepting: AbortOnDropHandle::new(accepting) }
+}
+
+async fn accept<A: Answerer>(listener: &TcpListener, answerer: &Arc<A>, connections: &mut JoinSet<()>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        connections.spawn(connection(stream, answerer.clone()));
+    }
 }
 
 async fn connection<A: Answerer>(stream: tokio::net::TcpStream, answerer: Arc<A>) {
