streams: a late answer to a stop does not end the next move

Cause: the answer to a stop may come while the next engine is being asked to go on. It lay in the queue until the stream ran there, and was then taken for the end of the move that had just begun: `moving` was set to none, which aborted the copy, and the generation stayed on an engine that leaves.

What is under way for a move that is over, and what it has come to, is dropped as soon as the generation goes on, with the same function as for a lost engine.

--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -205,6 +205,13 @@
         End::Done
     }
 
+    /// Drops what is under way beside the stream, and what it has come to but nobody has read: that
+    /// concerns an engine or a move that is over.
+    fn drop_tasks(&mut self) {
+        (self.moving, self.stopping, self.asking) = (None, None, None);
+        (self.steps_tx, self.steps) = mpsc::unbounded_channel();
+    }
+
     /// The stream goes on at another engine.
     fn move_to(&mut self, leg: Leg, before: Outcome) {
         info!(event = "moved", request = self.req.id(), from = &*self.leg.run.placed.replica.id, upstream = &*leg.run.placed.replica.id, events = self.events.events(); "generation moved");
--- a/node/src/gateway/upstream/relay/after_stop.rs
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -42,7 +42,7 @@
             () = caller.closed() => return Err(End::CallerLeft),
             taken = self.ask_in_turn(copied) => taken?,
         }
-        self.moving = None;
+        self.drop_tasks();
         self.leave();
         Ok(())
     }
--- a/node/src/gateway/upstream/relay/going_on.rs
+++ b/node/src/gateway/upstream/relay/going_on.rs
@@ -2,7 +2,6 @@
 //! has, when the engine that made it is lost or silent.
 
 use leadstage_platform::engine::Resume;
-use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::messages::Outcome;
@@ -55,8 +54,7 @@
     fn give_up_leg(&mut self) {
         self.leg.exchange = None;
         self.events.drop_part();
-        (self.moving, self.stopping, self.asking) = (None, None, None);
-        (self.steps_tx, self.steps) = mpsc::unbounded_channel();
+        self.drop_tasks();
         self.failing.push(self.leg.run.placed.replica.id.clone());
     }
 
--- a/node/tests/test_gateway_streams.rs
+++ b/node/tests/test_gateway_streams.rs
@@ -1,5 +1,7 @@
 //! Streams through the gateway interface: one generation, whatever happens to its engines.
 
+use std::time::Duration;
+
 use leadstage_testutils::gateway_replica::CopyFault;
 use leadstage_testutils::gateway_replica::StreamFault;
 
@@ -219,3 +221,33 @@
     let asked: usize = models.iter().map(|m| m.replica.seen().len()).sum();
     assert_eq!(asked, 1, "no engine is asked to go on with what still runs\n{}", gateway.logs());
 }
+
+/// How much later than the stream breaks the stop of its generation is answered.
+const STOP_ANSWERED_AFTER: Duration = Duration::from_millis(200);
+/// How long the engine with the copy takes to answer.
+const GOES_ON_AFTER: Duration = Duration::from_millis(800);
+
+/// A generation stayed on an engine that leaves, and would have broken with it: the answer to its
+/// stop at the engine before came while the next one was being asked to go on, lay unread until
+/// the stream ran there, and was then taken for the end of the move that had just begun. The log
+/// told "replica_leaves" for the second engine, and no copy from it after that.
+#[tokio::test]
+async fn test_a_late_answer_to_a_stop_does_not_end_the_next_move() {
+    let (gateway, _bookings, mut models) = Gateway::with_replicas(3).await;
+    gateway.engines.set_stream_faults([StreamFault::None, StreamFault::Late(GOES_ON_AFTER)]);
+    let leave_twice = async {
+        let first = engine_of(&gateway, &mut models, MIDWAY).await;
+        first.replica.set_copy_fault(CopyFault::StopLate(STOP_ANSWERED_AFTER));
+        let first_id = first.replica.id.clone();
+        gateway.drain(MODEL, first);
+        let is_asked = |m: &RunningReplica| m.replica.id != first_id && !m.replica.seen().is_empty();
+        gateway.until("it is to go on", async || models.iter().any(is_asked)).await;
+        let second = models.iter().find(|m| is_asked(m)).expect("it is to go on");
+        gateway.drain(MODEL, second);
+    };
+    let (called, ()) = tokio::join!(gateway.call(0, chat("r-chat")), leave_twice);
+    assert!(called.whole, "{}", gateway.logs());
+    assert_eq!(called.events(), Some(EVENTS));
+    let engines = models.iter().filter(|m| !m.replica.seen().is_empty()).count();
+    assert_eq!(engines, 3, "it left the second engine too\n{}", gateway.logs());
+}
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -61,6 +61,8 @@
     StopHangs,
     /// Takes no more connections once it has made a copy; those that are open stay.
     ClosesPort,
+    /// Stops the generation and answers so much later.
+    StopLate(Duration),
     /// Fails whoever wants to go on with a copy there; the copy stays.
     ResumeFails,
 }
@@ -392,8 +394,10 @@
         self.engines.copies.lock().expect("no holder panics").insert(format!("{address}/h-{id}"), made);
         if last {
             self.state().stopped.push(id.clone());
-            if fault == CopyFault::StopHangs {
-                std::future::pending::<()>().await;
+            match fault {
+                CopyFault::StopHangs => std::future::pending::<()>().await,
+                CopyFault::StopLate(after) => tokio::time::sleep(after).await,
+                _ => {}
             }
         }
         if fault == CopyFault::ClosesPort {
