streams: a stopped stream without a length looks whole: the test

Cause: an engine may send its stream without a length, so that it ends with its connection. A generation that is stopped to be moved has its connection closed: where that comes before the answer to the stop, it is taken for the end of the stream, and the caller gets a part of the events and the end of a whole answer.

A stream without a length that is left alone ends as it should.

--- a/node/tests/test_gateway_streams.rs
+++ b/node/tests/test_gateway_streams.rs
@@ -251,3 +251,27 @@
     let engines = models.iter().filter(|m| !m.replica.seen().is_empty()).count();
     assert_eq!(engines, 3, "it left the second engine too\n{}", gateway.logs());
 }
+
+/// A caller got the first events of a stream with the end of a whole one: its engine sent them
+/// without a length, so that the connection's end was the stream's, and the connection ended as the
+/// generation was stopped to be moved. Found by reading; the log told "stream_end: done" with 33
+/// of 60 events.
+#[tokio::test]
+async fn test_an_unframed_stream_that_is_stopped_goes_on() {
+    let (gateway, _bookings, mut models) = Gateway::with_replicas(2).await;
+    gateway.engines.set_stream_faults([StreamFault::Unframed]);
+    let (called, ()) =
+        tokio::join!(gateway.call(0, chat("r-chat")), strike(&gateway, &mut models, Fault::StopHangs));
+    assert!(called.whole, "{}", gateway.logs());
+    assert_eq!(called.events(), Some(EVENTS), "{}", gateway.logs());
+}
+
+/// The same stream, left alone, ends with its connection.
+#[tokio::test]
+async fn test_an_unframed_stream_ends_with_its_connection() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    gateway.engines.set_stream_faults([StreamFault::Unframed]);
+    let called = gateway.call(0, chat("r-chat")).await;
+    assert!(called.whole, "{}", gateway.logs());
+    assert_eq!(called.events(), Some(EVENTS));
+}
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -13,6 +13,7 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
+use http::Version;
 use serde_json::json;
 use tokio::sync::Notify;
 
@@ -91,6 +92,8 @@
     StallsAfter(u64),
     /// Begins at the first event, whatever event it is to go on after.
     StartsOver,
+    /// Makes it without a length or chunks: it ends with its connection.
+    Unframed,
 }
 
 /// What a stand-in's generation does next.
@@ -326,6 +329,9 @@
         let mut res = Response::new(loopback::parts(self.clone().generate(id, from, fault)));
         *res.headers_mut() = self.headers(req.headers(), ReplicaFault::None);
         res.headers_mut().insert("content-type", "text/event-stream".parse().expect("valid"));
+        if fault == StreamFault::Unframed {
+            *res.version_mut() = Version::HTTP_10;
+        }
         res
     }
 
