--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -165,6 +165,7 @@
             Some(step) = self.steps.recv() => self.on_step(step).await,
             frame = self.leg.frame() => match frame {
                 Some(Ok(frame)) => self.on_frame(frame.into_data().unwrap_or_default()).await,
+                None if self.stopping.is_some() && !self.leg.is_framed() => self.on_unframed_end().await,
                 None => Err(self.on_regular_end().await),
                 Some(Err(err)) => self.on_break(&err).await,
             },
--- a/node/src/gateway/upstream/relay/after_stop.rs
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -47,6 +47,17 @@
         Ok(())
     }
 
+    /// A stream that ends with its connection ended while it was to be stopped. Only the answer to
+    /// the stop tells whether that was its own end.
+    pub(super) async fn on_unframed_end(&mut self) -> Result<(), End> {
+        let mut copied = self.stopping.take().ok_or(End::EngineLost)?;
+        if self.await_stop(&mut copied).await == Some(Stop::RunsOn) {
+            return Err(self.on_regular_end().await);
+        }
+        self.stopping = Some(copied);
+        self.on_break("closed").await
+    }
+
     /// Asks the engine with the copy, then the one where the generation stopped, until one goes on.
     async fn ask_in_turn(&mut self, mut copied: Copied) -> Result<(), End> {
         let until = Instant::now() + ASK_WITHIN;
@@ -85,7 +96,8 @@
     async fn ask_copy(&mut self, copied: &mut Copied) -> Result<Exchange, NotResumed> {
         let target = copied.target.placed.replica.clone();
         let resumed = self.resume_copy(&target, copied).await;
-        if matches!(resumed, Err(NotResumed::Refused)) && self.await_stop(copied).await {
+        let is_refused = matches!(resumed, Err(NotResumed::Refused));
+        if is_refused && self.await_stop(copied).await == Some(Stop::Stopped) {
             return self.resume_copy(&target, copied).await;
         }
         resumed
@@ -108,15 +120,15 @@
         self.leg.exchange = Some(exchange);
     }
 
-    /// Waits for the answer to the stop, if it has not come yet. Returns whether it came
-    /// now, and says that the generation stopped.
-    async fn await_stop(&mut self, copied: &mut Copied) -> bool {
+    /// Waits for the answer to the stop, if it has not come yet. Returns what it tells if it came
+    /// now.
+    async fn await_stop(&mut self, copied: &mut Copied) -> Option<Stop> {
         if copied.stop_is_known {
-            return false;
+            return None;
         }
         match tokio::time::timeout(STOP_ANSWER_LIMIT, self.steps.recv()).await {
-            Ok(Some(Step::StopAnswered(answer))) => copied.note_stop(answer) == Stop::Stopped,
-            _ => false,
+            Ok(Some(Step::StopAnswered(answer))) => Some(copied.note_stop(answer)),
+            _ => None,
         }
     }
 
--- a/node/src/gateway/upstream/relay/moving.rs
+++ b/node/src/gateway/upstream/relay/moving.rs
@@ -1,5 +1,6 @@
 //! Moves a stream's generation to another engine, with a copy of its memory.
 
+use std::fmt::Display;
 use std::time::Duration;
 
 use log::info;
@@ -138,9 +139,9 @@
     }
 
     /// The engine's stream broke. The generation goes on where its copy is.
-    pub(super) async fn on_break(&mut self, err: &hyper::Error) -> Result<(), End> {
+    pub(super) async fn on_break(&mut self, reason: impl Display) -> Result<(), End> {
         let replica = self.leg.run.placed.replica.id.clone();
-        info!(event = "stream_broke", request = self.req.id(), upstream = &*replica, moving = self.moving.is_some(), stopping = self.stopping.is_some(), events = self.events.events(), reason:% = err; "an engine's stream broke");
+        info!(event = "stream_broke", request = self.req.id(), upstream = &*replica, moving = self.moving.is_some(), stopping = self.stopping.is_some(), events = self.events.events(), reason:% = reason; "an engine's stream broke");
         if self.stopping.is_none() {
             let copied = self.await_copy().await.ok_or(End::EngineLost)?;
             self.stopping = Some(copied);
