callers: a request that is taken as its connection closes is cut: the test

Cause: a connection that breaks a limit (a head within 1 s here, or idle) is asked to close and dropped 100 ms later. One that has not carried a request yet still takes the first one within these 100 ms: it is handed to an engine, and the connection is dropped with it.

`test_a_request_that_is_taken_late_is_served` fails: of ten streams whose heads were held back for 960 to 1,140 ms, the five of 1,020 to 1,100 ms were taken, run by the engine and cut after 2 to 82 ms; the log tells "caller left".

--- a/node/tests/test_gateway_limits.rs
+++ b/node/tests/test_gateway_limits.rs
@@ -89,3 +89,46 @@
     let closed = tokio::time::timeout(Duration::from_millis(2_500), stream.read(&mut byte)).await;
     assert!(closed.is_err(), "it stays open");
 }
+
+/// How long the head of a request is held back, around the moment at which its connection breaks
+/// the limit of 1 s and has a tenth of a second to close.
+const HELD_BACK_MS: [u64; 10] = [960, 980, 1_000, 1_020, 1_040, 1_060, 1_080, 1_100, 1_120, 1_140];
+
+/// A stream was cut 100 ms after it had begun: the rest of its request's head came just after its
+/// connection had broken the limit on heads, the request was taken and handed to an engine, and the
+/// connection was dropped with it when the time to close was over. Found by reading; the engine
+/// told of a caller that left.
+#[tokio::test]
+async fn test_a_request_that_is_taken_late_is_served() {
+    let (gateway, _bookings, models) = Gateway::with_replicas(1).await;
+    let calls = HELD_BACK_MS.map(|held| late_stream(&gateway, held));
+    let answers = futures::future::join_all(calls).await;
+    let seen = models[0].replica.seen();
+    let mut cut = Vec::new();
+    for (held, answer) in HELD_BACK_MS.iter().zip(answers) {
+        let id = format!("r-{held}");
+        let was_run = seen.iter().any(|seen| seen.header("leadstage-request-id") == Some(&id));
+        if was_run && !answer.ends_with("0\r\n\r\n") {
+            cut.push(held);
+        }
+    }
+    assert!(cut.is_empty(), "cut after {cut:?} ms\n{}", gateway.logs());
+}
+
+/// Asks for a stream and holds a part of the head back so long; returns what came.
+async fn late_stream(gateway: &Gateway, held_ms: u64) -> String {
+    let mut stream = connect(gateway).await;
+    stream.write_all(b"POST /chat/x HTTP/1.1\r\nhost: h.example\r\n").await.expect("writable");
+    tokio::time::sleep(Duration::from_millis(held_ms)).await;
+    let rest = format!(
+        "leadstage-request-id: r-{held_ms}\r\nleadstage-model: m\r\nleadstage-token-usage: 100,2000\r\n\
+         authorization: Token {KEY}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+    );
+    // It may be closed already.
+    let _ = stream.write_all(rest.as_bytes()).await;
+    let mut text = Vec::new();
+    let reading = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut text)).await;
+    // A connection that is reset is closed as well.
+    let _ = reading.expect("the node closes the connection");
+    String::from_utf8_lossy(&text).into_owned()
+}
