streams: an engine that is out of reach for a moment is still left

Before: `test_an_engine_that_is_out_of_reach_for_a_moment_is_still_left` one copy and the generation stays. After: it moves. Tests of streams 8 of 8.

--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -116,7 +116,7 @@
     SourceGone,
     /// The target has no room, or can't be reached.
     Elsewhere(UpstreamId),
-    /// It does not run yet, or another call is under way.
+    /// It does not run yet, another call is under way, or its engine was not reached.
     Later,
 }
 
@@ -205,8 +205,10 @@
             Ok(CopyOutcome::NoRoom { .. } | CopyOutcome::Unexpected(_)) => {
                 Err(NotCopied::Elsewhere(to.id.clone()))
             }
-            Err(CallError::Connect(_) | CallError::Broken(_)) => Err(NotCopied::SourceGone),
-            Err(CallError::TimedOut(_) | CallError::Body(_)) => Err(NotCopied::Later),
+            Err(CallError::Broken(_)) => Err(NotCopied::SourceGone),
+            // What shows that the engine is gone is its stream: a link that other traffic fills lets
+            // no connection come up either, beside a large configuration for 0.6 s.
+            Err(CallError::Connect(_) | CallError::TimedOut(_) | CallError::Body(_)) => Err(NotCopied::Later),
         }
     }
 }
