streams: a stopped generation does not wait for engines out of reach: the test

Cause: what stands for engines that turn a stopped generation away, 1.5 s and the target asked no more once it failed, holds for engines that cannot be reached too, though these have refused nothing and keep its memory.

`test_a_stopped_generation_waits_for_engines_that_are_out_of_reach` fails: 20 of 60 events, "engine lost" 1.2 s after the stop.

--- a/node/tests/test_gateway_streams.rs
+++ b/node/tests/test_gateway_streams.rs
@@ -10,6 +10,7 @@
 use crate::gateway_environment::MODEL;
 use crate::gateway_environment::RunningReplica;
 use crate::gateway_environment::chat;
+use crate::gateway_environment::config;
 
 /// Events of the stand-in's generations.
 const EVENTS: u64 = 60;
@@ -302,3 +303,38 @@
     let engines = models.iter().filter(|m| !m.replica.seen().is_empty()).count();
     assert_eq!(engines, 2, "it left the engine\n{}", gateway.logs());
 }
+
+/// Longer than engines that turn a generation away are asked, and shorter than a caller waits.
+const BOTH_OUT_OF_REACH_FOR: Duration = Duration::from_millis(1_800);
+
+/// Where the configuration has the route of `chat`.
+const CHAT_ROUTE: usize = 2;
+/// Callers wait four times as long for an event: 6 s.
+const FIRST_EVENT_DUE_MS: u64 = 1_500;
+
+/// A stream broke for its caller although two engines kept its generation's memory and nobody had
+/// turned it away: neither could be reached for a moment longer than engines that refuse are asked,
+/// while its caller would have waited some seconds more for the next event.
+#[tokio::test]
+async fn test_a_stopped_generation_waits_for_engines_that_are_out_of_reach() {
+    let (gateway, _bookings, mut models) = Gateway::with_replicas(2).await;
+    let mut patient = config(2);
+    patient["routes"][CHAT_ROUTE]["targetLatencyMs"] = FIRST_EVENT_DUE_MS.into();
+    gateway.store.put("config", "main", patient);
+    gateway.until("version 2", async || gateway.log(0).contains("event=config_in_force version=2")).await;
+    let leave = async {
+        let first = engine_of(&gateway, &mut models, MIDWAY).await;
+        first.replica.set_copy_fault(CopyFault::StopClosesPort);
+        let first_id = first.replica.id.clone();
+        let (first, second): (Vec<_>, Vec<_>) = models.iter().partition(|m| m.replica.id == first_id);
+        let servers = [first[0], second[0]].map(|m| m.server.as_ref().expect("it serves"));
+        servers[1].close_port.notify_one();
+        gateway.drain(MODEL, first[0]);
+        gateway.until("it is out of reach", async || gateway.log(0).contains("event=move_failed")).await;
+        tokio::time::sleep(BOTH_OUT_OF_REACH_FOR).await;
+        servers.map(|server| server.open_port.notify_one());
+    };
+    let (called, ()) = tokio::join!(gateway.call(0, chat("r-chat")), leave);
+    assert!(called.whole, "{:?} events\n{}", called.events(), gateway.logs());
+    assert_eq!(called.events(), Some(EVENTS));
+}
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -62,6 +62,8 @@
     StopHangs,
     /// Takes no more connections once it has made a copy; those that are open stay.
     ClosesPort,
+    /// Takes no more connections once it has stopped a generation.
+    StopClosesPort,
     /// Stops the generation and answers so much later.
     StopLate(Duration),
     /// Fails whoever wants to go on with a copy there; the copy stays.
@@ -406,7 +408,7 @@
                 _ => {}
             }
         }
-        if fault == CopyFault::ClosesPort {
+        if fault == CopyFault::ClosesPort || (fault == CopyFault::StopClosesPort && last) {
             self.close_port().await;
         }
         Response::new(loopback::whole(json!({"handle": format!("h-{id}"), "made": made}).to_string()))
