streams: a stopped generation waits for engines out of reach

An engine that could not be reached is now told from one that failed. It is tried again, the one with the copy too, with pauses of at most 500 ms for three quarters of the time that its caller waits for an event: four times the objective, eight times the longest pause in time, 2 s at least.

--- a/lib/src/gateway/routing.rs
+++ b/lib/src/gateway/routing.rs
@@ -67,12 +67,27 @@
     pub targets: Vec<Target>,
 }
 
+/// Callers wait for the next event of a stream at least this long.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+/// They wait so many times the objective for the first event.
+const PATIENT_OBJECTIVES: u32 = 4;
+/// They wait so many times the longest pause that counts as in time.
+const PATIENT_GAPS: u32 = 8;
+
 impl Route {
     /// Whether a request may run more than once.
     pub fn is_repeatable(&self) -> bool {
         self.repeat == Repeat::Idempotent || self.resumable
     }
 
+    /// How long a caller waits for the next event of a stream before it leaves, by the platform's
+    /// protocol.
+    pub fn callers_patience(&self) -> Duration {
+        let by_objective = self.objective * PATIENT_OBJECTIVES;
+        let by_gap = self.gap_objective * PATIENT_GAPS;
+        LEAST_PATIENCE.max(by_objective).max(by_gap)
+    }
+
     /// Picks a target at random, by weight; `None` when there is none.
     pub fn pick_target<R: Rng>(&self, rng: &mut R) -> Option<&ServiceId> {
         let total: f64 = self.targets.iter().map(|t| t.weight).sum();
--- a/node/src/gateway/upstream/relay/after_stop.rs
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -20,15 +20,19 @@
 
 /// Time for the answer to a stop, once the stream has ended.
 pub(super) const STOP_ANSWER_LIMIT: Duration = Duration::from_millis(600);
-/// How long engines are asked to go on with a stopped generation: callers leave a stream that has
-/// been silent for two seconds.
+/// How long engines that turn a stopped generation away are asked to go on with it.
 const ASK_WITHIN: Duration = Duration::from_millis(1_500);
+/// The part of its caller's patience in which engines that are out of reach are tried: they have
+/// refused nothing, and a full link lets connections through again.
+const REACH_WITHIN: f64 = 0.75;
 /// The pause before both engines are asked again. Engines that turn requests away answer within
 /// 8 ms, and most take the next one.
 const FIRST_PAUSE: Duration = Duration::from_millis(10);
-/// Each pause is so many times the one before: five pauses, as what is sent again counts against
-/// the retry budget.
+/// Each pause is so many times the one before: six pauses for engines that refuse, as what is sent
+/// again counts against the retry budget.
 const PAUSE_GROWTH: u32 = 3;
+/// The longest pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
 impl Relay {
     /// Goes on with a stopped generation. Two engines have its memory, so that it is lost only if
@@ -60,11 +64,11 @@
 
     /// Asks the engine with the copy, then the one where the generation stopped, until one goes on.
     async fn ask_in_turn(&mut self, mut copied: Copied) -> Result<(), End> {
-        let until = Instant::now() + ASK_WITHIN;
+        let began = Instant::now();
         let mut pause = FIRST_PAUSE;
         let mut at_copy = NotResumed::Refused;
         loop {
-            if at_copy == NotResumed::Refused {
+            if at_copy != NotResumed::Failed {
                 match self.ask_copy(&mut copied).await {
                     Ok(exchange) => {
                         let leg = Leg { run: copied.target, exchange: Some(exchange) };
@@ -75,19 +79,28 @@
                     Err(why) => at_copy = why,
                 }
             }
-            match self.ask_source(&mut copied).await {
+            let at_source = match self.ask_source(&mut copied).await {
                 Ok(exchange) => {
                     self.go_back(copied, exchange, at_copy);
                     return Ok(());
                 }
                 Err(NotResumed::Unknown) => return Err(End::EngineLost),
-                Err(NotResumed::Refused | NotResumed::Failed) => {}
-            }
-            if Instant::now() + pause > until {
+                Err(why) => why,
+            };
+            if began.elapsed() + pause > self.ask_within([at_copy, at_source]) {
                 return Err(End::EngineLost);
             }
             tokio::time::sleep(pause).await;
-            pause *= PAUSE_GROWTH;
+            pause = (pause * PAUSE_GROWTH).min(LONGEST_PAUSE);
+        }
+    }
+
+    /// How long the engines are asked, by why they did not go on.
+    fn ask_within(&self, why: [NotResumed; 2]) -> Duration {
+        if why.contains(&NotResumed::Unreached) {
+            self.req.route.callers_patience().mul_f64(REACH_WITHIN)
+        } else {
+            ASK_WITHIN
         }
     }
 
@@ -115,7 +128,7 @@
         let here = &self.leg.run.placed.replica.id;
         let failing = copied.target.placed.replica.id.clone();
         info!(event = "went_back", request = self.req.id(), upstream = &**here, failing = &*failing, reason:% = why; "the generation goes on where it stopped");
-        copied.target.end(if why == NotResumed::Failed { Outcome::Failed } else { Outcome::Refused });
+        copied.target.end(if why == NotResumed::Refused { Outcome::Refused } else { Outcome::Failed });
         self.failing.push(failing);
         self.leg.exchange = Some(exchange);
     }
--- a/node/src/gateway/upstream/resuming.rs
+++ b/node/src/gateway/upstream/resuming.rs
@@ -17,8 +17,9 @@
 pub enum NotResumed {
     /// The engine did not take the copy; nothing ran.
     Refused,
-    /// The engine could not be reached, or answered with an error: the generation does not
-    /// run there.
+    /// The engine could not be reached: nothing was sent.
+    Unreached,
+    /// The engine answered with an error: the generation does not run there.
     Failed,
     /// The engine did not answer: the generation may run there.
     Unknown,
@@ -29,6 +30,7 @@
     pub fn label(self) -> &'static str {
         match self {
             NotResumed::Refused => "refused",
+            NotResumed::Unreached => "not reached",
             NotResumed::Failed => "failed",
             NotResumed::Unknown => "no answer",
         }
@@ -48,7 +50,7 @@
         Ok(exchanged) if exchanged.status.is_success() => return Ok(exchanged),
         Ok(exchanged) if exchanged.says_not_run() => (NotResumed::Refused, exchanged.status.to_string()),
         Ok(exchanged) => (NotResumed::Failed, exchanged.status.to_string()),
-        Err(err @ SendError::NotSent(_)) => (NotResumed::Failed, err.to_string()),
+        Err(err @ SendError::NotSent(_)) => (NotResumed::Unreached, err.to_string()),
         Err(err) => (NotResumed::Unknown, err.to_string()),
     };
     info!(event = "move_failed", request = req.id(), upstream = &*engine.id, outcome:% = why, reason = reason; "a generation could not go on at an engine");
--- a/node/tests/test_gateway_streams.rs
+++ b/node/tests/test_gateway_streams.rs
@@ -332,7 +332,9 @@
         gateway.drain(MODEL, first[0]);
         gateway.until("it is out of reach", async || gateway.log(0).contains("event=move_failed")).await;
         tokio::time::sleep(BOTH_OUT_OF_REACH_FOR).await;
-        servers.map(|server| server.open_port.notify_one());
+        for server in servers {
+            server.open_port.notify_one();
+        }
     };
     let (called, ()) = tokio::join!(gateway.call(0, chat("r-chat")), leave);
     assert!(called.whole, "{:?} events\n{}", called.events(), gateway.logs());
