start: a ready node refuses connections: the test

Cause: the callers' port is opened by the traffic thread, and the control thread calls the node ready as soon as it knows the configuration and the replicas. Beside a load the former may come later: the balancer sends callers to a port that is closed.

--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -238,3 +238,28 @@
     drop(running);
     assert!(!gateway.logs().contains("event=lead_silent"), "{}", gateway.logs());
 }
+
+/// Nodes that are started one after the other.
+const STARTS: usize = 20;
+
+/// A node called itself ready while its callers' port was not open yet: the port is opened by the
+/// thread that serves callers, which may come after the configuration is known. Callers that the
+/// balancer sent there found no connection. Tests beside a load showed it: "serving" in the log, a
+/// call right after it that broke, and no request.
+#[tokio::test]
+async fn test_a_ready_node_takes_connections() {
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    let mut refused = Vec::new();
+    for _ in 0..STARTS {
+        let node = gateway.start_node();
+        while gateway.ready_status(node).await != 200 {
+            tokio::task::yield_now().await;
+        }
+        if let Err(err) = tokio::net::TcpStream::connect(gateway.front(node)).await {
+            refused.push(format!("node {node}: {err}"));
+        }
+        gateway.kill(node);
+    }
+    assert_eq!(refused, Vec::<String>::new(), "of {STARTS} nodes");
+}
