start: the callers' port is open before a node is ready

The port is opened before the threads start, and handed to the traffic thread; until that runs, connections wait in the queue.

Before: `test_a_ready_node_takes_connections` 2, 3 and 4 of 20 nodes refused.

--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -71,10 +71,14 @@
     let shared = Arc::new(Shared::new(settings, tx, metrics));
     let settings = &shared.settings;
     info!(event = "start", vm = &*settings.vm, hall = &*settings.hall, listen:% = settings.listen, version = env!("CARGO_PKG_VERSION"); "leadstaged starts");
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime)?;
+    // Open before the node can call itself ready: opened by the traffic thread, it came after that
+    // at 2 to 4 of 20 nodes that started beside other load.
+    let callers = runtime.block_on(listen(settings.listen))?;
+    let callers = callers.into_std().map_err(|source| RunError::Port { address: settings.listen, source })?;
     let traffic = shared.clone();
     let thread = std::thread::Builder::new().name("traffic".to_owned());
-    thread.spawn(move || traffic_thread(traffic)).map_err(RunError::Runtime)?;
-    let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime)?;
+    thread.spawn(move || traffic_thread(traffic, callers)).map_err(RunError::Runtime)?;
     LocalSet::new().block_on(&runtime, control_thread(shared, rx, file))
 }
 
@@ -106,11 +110,13 @@
 }
 
 /// Serves callers; without this thread the node is of no use, so its end ends the process.
-fn traffic_thread(shared: Arc<Shared>) {
+fn traffic_thread(shared: Arc<Shared>, callers: std::net::TcpListener) {
     let result = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime);
     let result = result.and_then(|runtime| {
         LocalSet::new().block_on(&runtime, async {
-            let listener = listen(shared.settings.listen).await?;
+            let address = shared.settings.listen;
+            let listener =
+                TcpListener::from_std(callers).map_err(|source| RunError::Port { address, source })?;
             caller_port::serve(shared.clone(), listener).await;
             Ok(())
         })
