--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -1,8 +1,10 @@
 //! Passes one stream on to its caller, from one engine after the other.
 //!
 //! `moving` takes the generation away from engines that leave or are crowded, with a copy of its
-//! memory; `going_on` has another engine go on after the last event when one is lost.
+//! memory; `after_stop` has it go on once it has stopped; `going_on` has another engine go on after
+//! the last event when one is lost.
 
+mod after_stop;
 mod going_on;
 mod moving;
 
@@ -163,6 +165,7 @@
             Some(step) = self.steps.recv() => self.on_step(step).await,
             frame = self.leg.frame() => match frame {
                 Some(Ok(frame)) => self.on_frame(frame.into_data().unwrap_or_default()).await,
+                None if self.stopping.is_some() && !self.leg.is_framed() => self.on_unframed_end().await,
                 None => Err(self.on_regular_end().await),
                 Some(Err(err)) => self.on_break(&err).await,
             },
@@ -203,6 +206,13 @@
         End::Done
     }
 
+    /// Drops what is under way beside the stream, and what it has come to but nobody has read: that
+    /// concerns an engine or a move that is over.
+    fn drop_tasks(&mut self) {
+        (self.moving, self.stopping, self.asking) = (None, None, None);
+        (self.steps_tx, self.steps) = mpsc::unbounded_channel();
+    }
+
     /// The stream goes on at another engine.
     fn move_to(&mut self, leg: Leg, before: Outcome) {
         info!(event = "moved", request = self.req.id(), from = &*self.leg.run.placed.replica.id, upstream = &*leg.run.placed.replica.id, events = self.events.events(); "generation moved");
--- /dev/null
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -0,0 +1,154 @@
+//! Has a stopped generation go on: at the engine with its copy, or where it stopped.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
+use leadstage_platform::engine::CopySource;
+use leadstage_platform::engine::Resume;
+use log::info;
+use tokio::time::Instant;
+
+use crate::gateway::messages::Outcome;
+use crate::gateway::upstream::copying::Copied;
+use crate::gateway::upstream::copying::Step;
+use crate::gateway::upstream::copying::Stop;
+use crate::gateway::upstream::exchange::Exchange;
+use crate::gateway::upstream::leg::Leg;
+use crate::gateway::upstream::relay::End;
+use crate::gateway::upstream::relay::Relay;
+use crate::gateway::upstream::resuming::NotResumed;
+
+/// Time for the answer to a stop, once the stream has ended.
+pub(super) const STOP_ANSWER_LIMIT: Duration = Duration::from_millis(600);
+/// How long engines that turn a stopped generation away are asked to go on with it.
+const ASK_WITHIN: Duration = Duration::from_millis(1_500);
+/// The part of its caller's patience in which engines that are out of reach are tried: they have
+/// refused nothing, and a full link lets connections through again.
+const REACH_WITHIN: f64 = 0.75;
+/// The pause before both engines are asked again. Engines that turn requests away answer within
+/// 8 ms, and most take the next one.
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+/// Each pause is so many times the one before: six pauses for engines that refuse, as what is sent
+/// again counts against the retry budget.
+const PAUSE_GROWTH: u32 = 3;
+/// The longest pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
+impl Relay {
+    /// Goes on with a stopped generation. Two engines have its memory, so that it is lost only if
+    /// neither takes it for as long as its caller waits.
+    pub(super) async fn go_on_after_stop(&mut self) -> Result<(), End> {
+        self.events.drop_part();
+        let copied = self.stopping.take().ok_or(End::EngineLost)?;
+        let caller = self.tx.clone();
+        tokio::select! {
+            biased;
+            () = caller.closed() => return Err(End::CallerLeft),
+            taken = self.ask_in_turn(copied) => taken?,
+        }
+        self.drop_tasks();
+        self.leave();
+        Ok(())
+    }
+
+    /// A stream that ends with its connection ended while it was to be stopped. Only the answer to
+    /// the stop tells whether that was its own end.
+    pub(super) async fn on_unframed_end(&mut self) -> Result<(), End> {
+        let mut copied = self.stopping.take().ok_or(End::EngineLost)?;
+        if self.await_stop(&mut copied).await == Some(Stop::RunsOn) {
+            return Err(self.on_regular_end().await);
+        }
+        self.stopping = Some(copied);
+        self.on_break("closed").await
+    }
+
+    /// Asks the engine with the copy, then the one where the generation stopped, until one goes on.
+    async fn ask_in_turn(&mut self, mut copied: Copied) -> Result<(), End> {
+        let began = Instant::now();
+        let mut pause = FIRST_PAUSE;
+        let mut at_copy = NotResumed::Refused;
+        loop {
+            if at_copy != NotResumed::Failed {
+                match self.ask_copy(&mut copied).await {
+                    Ok(exchange) => {
+                        let leg = Leg { run: copied.target, exchange: Some(exchange) };
+                        self.move_to(leg, Outcome::Withdrawn);
+                        return Ok(());
+                    }
+                    Err(NotResumed::Unknown) => return Err(End::EngineLost),
+                    Err(why) => at_copy = why,
+                }
+            }
+            let at_source = match self.ask_source(&mut copied).await {
+                Ok(exchange) => {
+                    self.go_back(copied, exchange, at_copy);
+                    return Ok(());
+                }
+                Err(NotResumed::Unknown) => return Err(End::EngineLost),
+                Err(why) => why,
+            };
+            if began.elapsed() + pause > self.ask_within([at_copy, at_source]) {
+                return Err(End::EngineLost);
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * PAUSE_GROWTH).min(LONGEST_PAUSE);
+        }
+    }
+
+    /// How long the engines are asked, by why they did not go on.
+    fn ask_within(&self, why: [NotResumed; 2]) -> Duration {
+        if why.contains(&NotResumed::Unreached) {
+            self.req.route.callers_patience().mul_f64(REACH_WITHIN)
+        } else {
+            ASK_WITHIN
+        }
+    }
+
+    /// Asks the engine with the copy to go on. It reads again what the copy lacks, so the end of
+    /// the last copy is not waited for unless that engine wants it.
+    async fn ask_copy(&mut self, copied: &mut Copied) -> Result<Exchange, NotResumed> {
+        let target = copied.target.placed.replica.clone();
+        let resumed = self.resume_copy(&target, copied).await;
+        let is_refused = matches!(resumed, Err(NotResumed::Refused));
+        if is_refused && self.await_stop(copied).await == Some(Stop::Stopped) {
+            return self.resume_copy(&target, copied).await;
+        }
+        resumed
+    }
+
+    /// Asks the engine where the generation stopped, which keeps its memory, to go on.
+    async fn ask_source(&mut self, copied: &mut Copied) -> Result<Exchange, NotResumed> {
+        let here = self.leg.run.placed.replica.clone();
+        self.await_stop(copied).await;
+        self.resume_copy(&here, copied).await
+    }
+
+    /// The generation goes on where it stopped, as the engine with the copy did not take it.
+    fn go_back(&mut self, copied: Copied, exchange: Exchange, why: NotResumed) {
+        let here = &self.leg.run.placed.replica.id;
+        let failing = copied.target.placed.replica.id.clone();
+        info!(event = "went_back", request = self.req.id(), upstream = &**here, failing = &*failing, reason:% = why; "the generation goes on where it stopped");
+        copied.target.end(if why == NotResumed::Refused { Outcome::Refused } else { Outcome::Failed });
+        self.failing.push(failing);
+        self.leg.exchange = Some(exchange);
+    }
+
+    /// Waits for the answer to the stop, if it has not come yet. Returns what it tells if it came
+    /// now.
+    async fn await_stop(&mut self, copied: &mut Copied) -> Option<Stop> {
+        if copied.stop_is_known {
+            return None;
+        }
+        match tokio::time::timeout(STOP_ANSWER_LIMIT, self.steps.recv()).await {
+            Ok(Some(Step::StopAnswered(answer))) => Some(copied.note_stop(answer)),
+            _ => None,
+        }
+    }
+
+    /// Goes on at `engine` with a copy of the generation's memory.
+    async fn resume_copy(&self, engine: &ReplicaRecord, copied: &Copied) -> Result<Exchange, NotResumed> {
+        let copy = CopySource { engine: self.leg.run.placed.replica.address, handle: copied.handle.clone() };
+        let resume = Resume { copy: Some(copy), last_event: self.events.last_id().map(str::to_owned) };
+        self.resume(engine, &resume, "resume").await
+    }
+}
--- a/node/tests/test_gateway_streams.rs
+++ b/node/tests/test_gateway_streams.rs
@@ -1,12 +1,16 @@
 //! Streams through the gateway interface: one generation, whatever happens to its engines.
 
+use std::time::Duration;
+
 use leadstage_testutils::gateway_replica::CopyFault;
+use leadstage_testutils::gateway_replica::StreamFault;
 
 use crate::gateway_environment::Called;
 use crate::gateway_environment::Gateway;
 use crate::gateway_environment::MODEL;
 use crate::gateway_environment::RunningReplica;
 use crate::gateway_environment::chat;
+use crate::gateway_environment::config;
 
 /// Events of the stand-in's generations.
 const EVENTS: u64 = 60;
@@ -138,3 +142,201 @@
     gateway.until("it ends", async || models[0].replica.running() == 0).await;
     assert_eq!(models[0].replica.left(), ["r-1"]);
 }
+
+/// What the engines do, one after the other, with a stream and with the calls to go on with it.
+struct Reluctance {
+    name: &'static str,
+    faults: &'static [StreamFault],
+}
+
+/// A generation that was stopped to be moved is asked for at the engine with its copy, and at the
+/// one where it stopped.
+const RELUCTANT: [Reluctance; 4] = [
+    Reluctance {
+        name: "the target turns it away, then the source does",
+        faults: &[StreamFault::None, StreamFault::NotRun, StreamFault::NotRun],
+    },
+    Reluctance {
+        name: "both turn it away twice",
+        faults: &[
+            StreamFault::None,
+            StreamFault::NotRun,
+            StreamFault::NotRun,
+            StreamFault::NotRun,
+            StreamFault::NotRun,
+        ],
+    },
+    Reluctance {
+        name: "the target fails it, and the source turns it away",
+        faults: &[StreamFault::None, StreamFault::Fails, StreamFault::NotRun],
+    },
+    Reluctance { name: "both fail it", faults: &[StreamFault::None, StreamFault::Fails, StreamFault::Fails] },
+];
+
+/// A stream broke for its caller although its generation lay whole in the memory of two engines:
+/// it was stopped to be moved, the engine with its copy was full for a moment and turned it away,
+/// the engine that it came from did too, and neither was asked again. Logs of busy engines showed
+/// it: two refusals at the target and one at the source within 8 ms, then the end "engine lost".
+#[tokio::test]
+async fn test_a_stopped_generation_is_asked_for_until_an_engine_takes_it() {
+    let mut rows = Vec::new();
+    for case in &RELUCTANT {
+        let (gateway, _bookings, mut models) = Gateway::with_replicas(2).await;
+        gateway.engines.set_stream_faults(case.faults.iter().copied());
+        let (called, ()) =
+            tokio::join!(gateway.call(0, chat("r-chat")), strike(&gateway, &mut models, Fault::Leaves));
+        let events = called.events();
+        assert!(events.is_some(), "{}: not just the events: {}", case.name, called.body);
+        rows.push(format!("{}: whole {}", case.name, called.whole));
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    the target turns it away, then the source does: whole true
+    both turn it away twice: whole true
+    the target fails it, and the source turns it away: whole true
+    both fail it: whole true
+    ");
+}
+
+/// More calls to go on with a generation than are made while its caller waits.
+const REFUSALS: usize = 100;
+
+/// A stream broke for its caller while its engine ran the generation: the call that was to stop it
+/// found no connection, as a large configuration filled the node's link for a second, and the
+/// missing answer was taken for a stop that was made. The engine with the copy could not be
+/// reached either, and the one that still ran the generation answered 503 to the request to go on.
+/// The log told "stop_unanswered: no connection: timed out", then "not sent: timed out" and "503",
+/// and the engine made events until the node hung up.
+#[tokio::test]
+async fn test_a_generation_whose_stop_was_never_sent_runs_on() {
+    let (gateway, _bookings, mut models) = Gateway::with_replicas(2).await;
+    let refusals = std::iter::repeat_n(StreamFault::NotRun, REFUSALS);
+    gateway.engines.set_stream_faults(std::iter::once(StreamFault::None).chain(refusals));
+    let leave = async {
+        let engine = engine_of(&gateway, &mut models, MIDWAY).await;
+        engine.replica.set_copy_fault(CopyFault::ClosesPort);
+        gateway.drain(MODEL, engine);
+    };
+    let (called, ()) = tokio::join!(gateway.call(0, chat("r-chat")), leave);
+    assert!(called.whole, "{:?} events\n{}", called.events(), gateway.logs());
+    assert_eq!(called.events(), Some(EVENTS));
+    let asked: usize = models.iter().map(|m| m.replica.seen().len()).sum();
+    assert_eq!(asked, 1, "no engine is asked to go on with what still runs\n{}", gateway.logs());
+}
+
+/// How much later than the stream breaks the stop of its generation is answered.
+const STOP_ANSWERED_AFTER: Duration = Duration::from_millis(200);
+/// How long the engine with the copy takes to answer.
+const GOES_ON_AFTER: Duration = Duration::from_millis(800);
+
+/// A generation stayed on an engine that leaves, and would have broken with it: the answer to its
+/// stop at the engine before came while the next one was being asked to go on, lay unread until
+/// the stream ran there, and was then taken for the end of the move that had just begun. The log
+/// told "replica_leaves" for the second engine, and no copy from it after that.
+#[tokio::test]
+async fn test_a_late_answer_to_a_stop_does_not_end_the_next_move() {
+    let (gateway, _bookings, mut models) = Gateway::with_replicas(3).await;
+    gateway.engines.set_stream_faults([StreamFault::None, StreamFault::Late(GOES_ON_AFTER)]);
+    let leave_twice = async {
+        let first = engine_of(&gateway, &mut models, MIDWAY).await;
+        first.replica.set_copy_fault(CopyFault::StopLate(STOP_ANSWERED_AFTER));
+        let first_id = first.replica.id.clone();
+        gateway.drain(MODEL, first);
+        let is_asked = |m: &RunningReplica| m.replica.id != first_id && !m.replica.seen().is_empty();
+        gateway.until("it is to go on", async || models.iter().any(is_asked)).await;
+        let second = models.iter().find(|m| is_asked(m)).expect("it is to go on");
+        gateway.drain(MODEL, second);
+    };
+    let (called, ()) = tokio::join!(gateway.call(0, chat("r-chat")), leave_twice);
+    assert!(called.whole, "{}", gateway.logs());
+    assert_eq!(called.events(), Some(EVENTS));
+    let engines = models.iter().filter(|m| !m.replica.seen().is_empty()).count();
+    assert_eq!(engines, 3, "it left the second engine too\n{}", gateway.logs());
+}
+
+/// A caller got the first events of a stream with the end of a whole one: its engine sent them
+/// without a length, so that the connection's end was the stream's, and the connection ended as the
+/// generation was stopped to be moved. Found by reading; the log told "stream_end: done" with 33
+/// of 60 events.
+#[tokio::test]
+async fn test_an_unframed_stream_that_is_stopped_goes_on() {
+    let (gateway, _bookings, mut models) = Gateway::with_replicas(2).await;
+    gateway.engines.set_stream_faults([StreamFault::Unframed]);
+    let (called, ()) =
+        tokio::join!(gateway.call(0, chat("r-chat")), strike(&gateway, &mut models, Fault::StopHangs));
+    assert!(called.whole, "{}", gateway.logs());
+    assert_eq!(called.events(), Some(EVENTS), "{}", gateway.logs());
+}
+
+/// The same stream, left alone, ends with its connection.
+#[tokio::test]
+async fn test_an_unframed_stream_ends_with_its_connection() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    gateway.engines.set_stream_faults([StreamFault::Unframed]);
+    let called = gateway.call(0, chat("r-chat")).await;
+    assert!(called.whole, "{}", gateway.logs());
+    assert_eq!(called.events(), Some(EVENTS));
+}
+
+/// How long an engine that leaves takes no connections.
+const OUT_OF_REACH_FOR: Duration = Duration::from_millis(150);
+
+/// A generation stayed on an engine that leaves and would have broken with it: the first call that
+/// was to copy it found no connection, as when other traffic fills the node's link, and the engine
+/// was taken to be gone, though its stream ran on. The log told "copy outcome=Err(Connect(..))" and
+/// no copy after that.
+#[tokio::test]
+async fn test_an_engine_that_is_out_of_reach_for_a_moment_is_still_left() {
+    let (gateway, _bookings, mut models) = Gateway::with_replicas(2).await;
+    let leave = async {
+        let engine = engine_of(&gateway, &mut models, MIDWAY).await;
+        let server = engine.server.as_ref().expect("it serves");
+        server.close_port.notify_one();
+        tokio::time::sleep(engine.replica.pace).await;
+        gateway.drain(MODEL, engine);
+        gateway.until("it is to leave", async || gateway.log(0).contains("event=replica_leaves")).await;
+        tokio::time::sleep(OUT_OF_REACH_FOR).await;
+        server.open_port.notify_one();
+    };
+    let (called, ()) = tokio::join!(gateway.call(0, chat("r-chat")), leave);
+    assert!(called.whole, "{}", gateway.logs());
+    assert_eq!(called.events(), Some(EVENTS));
+    let engines = models.iter().filter(|m| !m.replica.seen().is_empty()).count();
+    assert_eq!(engines, 2, "it left the engine\n{}", gateway.logs());
+}
+
+/// Longer than engines that turn a generation away are asked, and shorter than a caller waits.
+const BOTH_OUT_OF_REACH_FOR: Duration = Duration::from_millis(1_800);
+
+/// Where the configuration has the route of `chat`.
+const CHAT_ROUTE: usize = 2;
+/// Callers wait four times as long for an event: 6 s.
+const FIRST_EVENT_DUE_MS: u64 = 1_500;
+
+/// A stream broke for its caller although two engines kept its generation's memory and nobody had
+/// turned it away: neither could be reached for a moment longer than engines that refuse are asked,
+/// while its caller would have waited some seconds more for the next event.
+#[tokio::test]
+async fn test_a_stopped_generation_waits_for_engines_that_are_out_of_reach() {
+    let (gateway, _bookings, mut models) = Gateway::with_replicas(2).await;
+    let mut patient = config(2);
+    patient["routes"][CHAT_ROUTE]["targetLatencyMs"] = FIRST_EVENT_DUE_MS.into();
+    gateway.store.put("config", "main", patient);
+    gateway.until("version 2", async || gateway.log(0).contains("event=config_in_force version=2")).await;
+    let leave = async {
+        let first = engine_of(&gateway, &mut models, MIDWAY).await;
+        first.replica.set_copy_fault(CopyFault::StopClosesPort);
+        let first_id = first.replica.id.clone();
+        let (first, second): (Vec<_>, Vec<_>) = models.iter().partition(|m| m.replica.id == first_id);
+        let servers = [first[0], second[0]].map(|m| m.server.as_ref().expect("it serves"));
+        servers[1].close_port.notify_one();
+        gateway.drain(MODEL, first[0]);
+        gateway.until("it is out of reach", async || gateway.log(0).contains("event=move_failed")).await;
+        tokio::time::sleep(BOTH_OUT_OF_REACH_FOR).await;
+        for server in servers {
+            server.open_port.notify_one();
+        }
+    };
+    let (called, ()) = tokio::join!(gateway.call(0, chat("r-chat")), leave);
+    assert!(called.whole, "{:?} events\n{}", called.events(), gateway.logs());
+    assert_eq!(called.events(), Some(EVENTS));
+}
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -13,7 +13,9 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
+use http::Version;
 use serde_json::json;
+use tokio::sync::Notify;
 
 use crate::loopback;
 use crate::loopback::Answerer;
@@ -21,6 +23,9 @@
 use crate::loopback::RequestNumber;
 use crate::loopback::Server;
 
+/// A port that is to close has closed after this.
+const PORT_CLOSES_WITHIN: Duration = Duration::from_millis(20);
+
 /// How a replica treats requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ReplicaFault {
@@ -59,6 +64,12 @@
     CopyHangs,
     /// Stops the generation and never answers.
     StopHangs,
+    /// Takes no more connections once it has made a copy; those that are open stay.
+    ClosesPort,
+    /// Takes no more connections once it has stopped a generation.
+    StopClosesPort,
+    /// Stops the generation and answers so much later.
+    StopLate(Duration),
     /// Fails whoever wants to go on with a copy there; the copy stays.
     ResumeFails,
 }
@@ -87,6 +98,8 @@
     StallsAfter(u64),
     /// Begins at the first event, whatever event it is to go on after.
     StartsOver,
+    /// Makes it without a length or chunks: it ends with its connection.
+    Unframed,
 }
 
 /// What a stand-in's generation does next.
@@ -149,6 +162,8 @@
     /// Callers that closed their connection before the answer's end.
     left: Vec<String>,
     address: Option<SocketAddr>,
+    /// Closes its port.
+    close_port: Option<Arc<Notify>>,
 }
 
 /// A replica.
@@ -199,6 +214,7 @@
         });
         let server = loopback::serve(ip, replica.clone()).await;
         replica.state().address = Some(server.address);
+        replica.state().close_port = Some(server.close_port.clone());
         (replica, server)
     }
 
@@ -323,6 +339,9 @@
         let mut res = Response::new(loopback::parts(self.clone().generate(id, from, fault)));
         *res.headers_mut() = self.headers(req.headers(), ReplicaFault::None);
         res.headers_mut().insert("content-type", "text/event-stream".parse().expect("valid"));
+        if fault == StreamFault::Unframed {
+            *res.version_mut() = Version::HTTP_10;
+        }
         res
     }
 
@@ -391,12 +410,23 @@
         self.engines.copies.lock().expect("no holder panics").insert(format!("{address}/h-{id}"), made);
         if last {
             self.state().stopped.push(id.clone());
-            if fault == CopyFault::StopHangs {
-                std::future::pending::<()>().await;
+            match fault {
+                CopyFault::StopHangs => std::future::pending::<()>().await,
+                CopyFault::StopLate(after) => tokio::time::sleep(after).await,
+                _ => {}
             }
         }
+        if fault == CopyFault::ClosesPort || (fault == CopyFault::StopClosesPort && last) {
+            self.close_port().await;
+        }
         Response::new(loopback::whole(json!({"handle": format!("h-{id}"), "made": made}).to_string()))
     }
+
+    async fn close_port(&self) {
+        let close_port = self.state().close_port.clone().expect("it serves");
+        close_port.notify_one();
+        tokio::time::sleep(PORT_CLOSES_WITHIN).await;
+    }
 }
 
 fn forgets(req: &Request<Bytes>) -> ReplicaFault {
