silent: tests of connections to replicas that fall silent for good

Cause: open connections may go silent without a reset while new ones work. A kept connection to a replica that did gets the next request, which waits there until its deadline; the next requests then get the other silent ones.

The stand-in proxy learns to silence the links that are open at a moment. The kernel goes on acknowledging on them, so this shows what must be noticed without the kernel's timers.

--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -20,6 +20,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::gateway_replica::Engines;
 use leadstage_testutils::gateway_replica::GatewayReplica;
 use leadstage_testutils::loopback::Server;
@@ -139,6 +140,15 @@
         RunningReplica { replica, server: Some(server) }
     }
 
+    /// Puts a proxy before a replica and lists the replica there.
+    pub async fn put_proxy_before(&self, service: &str, running: &RunningReplica) -> FaultyProxy {
+        let address = running.server.as_ref().expect("it serves").address;
+        let proxy = FaultyProxy::start(&self.replicas_ip(), address).await;
+        let entry = replica_entry(service, proxy.address, "hall-1", "ready");
+        self.store.put("servers", &running.replica.id, entry);
+        proxy
+    }
+
     /// Where replicas listen.
     pub fn replicas_ip(&self) -> String {
         format!("{}.2", self.net)
@@ -221,6 +231,11 @@
         format!("{}:7001", self.ip(node))
     }
 
+    /// Where the balancer asks.
+    pub fn ready(&self, node: usize) -> String {
+        format!("{}:7002", self.ip(node))
+    }
+
     /// Where metrics are served.
     pub fn metrics(&self, node: usize) -> String {
         format!("{}:7004", self.ip(node))
@@ -234,8 +249,7 @@
     /// The status that the balancer gets; 0 for none.
     pub async fn ready_status(&self, node: usize) -> u16 {
         let req = Request::get("/v1/readyz").header("host", "x").body(Full::default()).expect("valid");
-        let address = format!("{}:7002", self.ip(node));
-        send(&address, req).await.map_or(0, |(_connection, res)| res.status().as_u16())
+        send(&self.ready(node), req).await.map_or(0, |(_connection, res)| res.status().as_u16())
     }
 
     /// Waits until a node takes connections.
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_gateway_fleet;
 mod test_gateway_limits;
 mod test_gateway_resuming;
+mod test_gateway_silent;
 mod test_gateway_soak;
 mod test_gateway_streams;
 mod test_module_arrows;
--- a/testutils/src/faulty_proxy.rs
+++ b/testutils/src/faulty_proxy.rs
@@ -1,4 +1,8 @@
-//! A TCP proxy on loopback whose links can be delayed, reset, cut one way or silenced.
+//! A TCP proxy on loopback whose links can be delayed, reset, cut one way or silenced, all of them
+//! or just those that are open at a moment.
+//!
+//! The kernel goes on acknowledging what a silenced link takes in, as a box between two networks
+//! may: neither `TCP_USER_TIMEOUT` nor keep-alive probes notice such a silence.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,11 +42,33 @@
     ToClient,
 }
 
+/// How often open links were silenced for good so far.
+type Silences = u32;
+
+/// What a link looks at while it passes bytes on.
+#[derive(Clone)]
+struct LinkWatch {
+    faults: watch::Receiver<LinkFault>,
+    silences: watch::Receiver<Silences>,
+    /// Silences before it was open.
+    opened_after: Silences,
+}
+
+impl LinkWatch {
+    /// Never returns for a link that was silenced for good.
+    async fn pass_unless_silenced(&self) {
+        if *self.silences.borrow() != self.opened_after {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 /// A proxy before one server.
 pub struct FaultyProxy {
     /// Where clients connect.
     pub address: SocketAddr,
     fault: watch::Sender<LinkFault>,
+    silences: watch::Sender<Silences>,
     _accepting: AbortOnDropHandle<()>,
 }
 
@@ -53,22 +79,32 @@
         let address = listener.local_addr().expect("bound");
         let fault = watch::Sender::new(LinkFault::None);
         let faults = fault.subscribe();
+        let silences = watch::Sender::new(0);
+        let silenced = silences.subscribe();
         let accepting = tokio::spawn(async move {
             let mut links = JoinSet::new();
             while let Ok((client, _)) = listener.accept().await {
-                links.spawn(link(client, server, faults.clone()));
+                let opened_after = *silenced.borrow();
+                let watch = LinkWatch { faults: faults.clone(), silences: silenced.clone(), opened_after };
+                links.spawn(link(client, server, watch));
             }
         });
-        FaultyProxy { address, fault, _accepting: AbortOnDropHandle::new(accepting) }
+        FaultyProxy { address, fault, silences, _accepting: AbortOnDropHandle::new(accepting) }
     }
 
     /// Sets the fault of all links, open ones included.
     pub fn set(&self, fault: LinkFault) {
         self.fault.send_replace(fault);
     }
+
+    /// Links that are open now pass nothing on any more, the end of either side included. Links
+    /// that open later work.
+    pub fn silence_open(&self) {
+        self.silences.send_modify(|silences| *silences += 1);
+    }
 }
 
-async fn link(client: TcpStream, server: SocketAddr, faults: watch::Receiver<LinkFault>) {
+async fn link(client: TcpStream, server: SocketAddr, watch: LinkWatch) {
     let Ok(server) = TcpStream::connect(server).await else {
         return;
     };
@@ -76,25 +112,23 @@
     let (from_server, to_server) = server.into_split();
     // Either way's end ends the link: the other half is dropped.
     tokio::select! {
-        () = pump(from_client, to_server, Way::ToServer, faults.clone()) => {}
-        () = pump(from_server, to_client, Way::ToClient, faults.clone()) => {}
-        () = reset(faults) => {}
+        () = pump(from_client, to_server, Way::ToServer, watch.clone()) => {}
+        () = pump(from_server, to_client, Way::ToClient, watch.clone()) => {}
+        () = reset(watch) => {}
     }
 }
 
-async fn reset(mut faults: watch::Receiver<LinkFault>) {
+async fn reset(mut watch: LinkWatch) {
     // The sender lives as long as the proxy.
-    let _ = faults.wait_for(|fault| *fault == LinkFault::Reset).await;
+    let _ = watch.faults.wait_for(|fault| *fault == LinkFault::Reset).await;
+    watch.pass_unless_silenced().await;
 }
 
-async fn pump(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    way: Way,
-    mut faults: watch::Receiver<LinkFault>,
-) {
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, way: Way, mut watch: LinkWatch) {
     let mut buf = vec![0; BUF];
-    while let Ok(read) = from.read(&mut buf).await {
+    loop {
+        let read = from.read(&mut buf).await.unwrap_or(0);
+        watch.pass_unless_silenced().await;
         if read == 0 {
             return;
         }
@@ -103,8 +137,8 @@
             LinkFault::OneWay => way == Way::ToClient,
             _ => false,
         };
-        let _ = faults.wait_for(|fault| !holds(fault)).await;
-        let fault = *faults.borrow();
+        let _ = watch.faults.wait_for(|fault| !holds(fault)).await;
+        let fault = *watch.faults.borrow();
         if let LinkFault::Delay(delay) = fault {
             tokio::time::sleep(delay).await;
         }
