silent: tests of a silent watch at the store and of the ports' sockets

Cause: a watch waits at the store for 30 s on a connection of its own. When that falls silent beside a pulse that reconnects, the node learns nothing until the watch should have ended. And the sockets that the balancer's, the nodes' and the operators' ports take are not probed: silent ones stay.

Before: a new configuration was in force 30.7 and 30.8 s after it was stored (a stand-in proxy that acknowledges; where the kernel's probes get through, they end the watch after 2 to 3 s). Of the four ports only the callers' has a keep-alive timer.

--- a/node/tests/test_gateway_silent.rs
+++ b/node/tests/test_gateway_silent.rs
@@ -1,11 +1,13 @@
 //! Connections that fall silent for good, without a reset, while new ones work.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::Request;
 use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::gateway_replica::ReplicaFault;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::gateway_environment::Called;
@@ -25,15 +27,23 @@
 /// Callers leave a stream after so long a silence.
 const CALLERS_LEAVE_AFTER: Duration = Duration::from_millis(2_000);
 
+/// Time for news of the store to reach a node whose old connections are silent: some pulses, each
+/// of which shows within half a second whether the store answers.
+const NEWS_WITHIN: Duration = Duration::from_secs(5);
+/// The longest wait of a watch, and some seconds.
+const WATCH_OVER: Duration = Duration::from_secs(40);
+/// The kernel's mark for a socket whose next timer is a keep-alive probe, in `/proc/net/tcp`.
+const KEEP_ALIVE_TIMER: &str = "02:";
+
 /// A node whose replicas of plain calls are behind proxies, with unused connections to all.
-async fn with_unused_connections() -> (Gateway, Vec<RunningReplica>, Vec<FaultyProxy>) {
+async fn with_unused_connections(replicas: usize) -> (Gateway, Vec<RunningReplica>, Vec<FaultyProxy>) {
     let mut gateway = Gateway::start().await;
     gateway.store.put("config", "main", config(1));
-    let (mut replicas, mut proxies) = (Vec::new(), Vec::new());
-    for id in ["booking-1", "booking-2"] {
-        let running = gateway.start_replica("booking", id, 1).await;
-        proxies.push(gateway.put_proxy_before("booking", &running).await);
-        replicas.push(running);
+    let (mut running, mut proxies) = (Vec::new(), Vec::new());
+    for n in 1..=replicas {
+        let replica = gateway.start_replica("booking", &format!("booking-{n}"), 1).await;
+        proxies.push(gateway.put_proxy_before("booking", &replica).await);
+        running.push(replica);
     }
     gateway.start_node();
     gateway.until_ready(0).await;
@@ -42,7 +52,7 @@
         assert_eq!(called.status, 200, "{}", gateway.logs());
     }
     tokio::time::sleep(REST).await;
-    (gateway, replicas, proxies)
+    (gateway, running, proxies)
 }
 
 fn plain(path: &str, id: &str) -> Request<http_body_util::Full<bytes::Bytes>> {
@@ -63,7 +73,7 @@
 /// connection answers within some milliseconds: three of the six calls ended with 504 after 1.5 s.
 #[tokio::test]
 async fn test_calls_that_may_repeat_outlive_silent_connections() {
-    let (gateway, _replicas, proxies) = with_unused_connections().await;
+    let (gateway, _replicas, proxies) = with_unused_connections(2).await;
     proxies.iter().for_each(FaultyProxy::silence_open);
     let mut rows = Vec::new();
     for n in 0..6 {
@@ -73,12 +83,24 @@
     assert_eq!(rows, vec![(200, true); 6], "statuses, and whether in time\n{}", gateway.logs());
 }
 
+/// The same with a single replica: a new connection to it answers, so the call is sent there again.
+#[tokio::test]
+async fn test_a_call_goes_to_the_same_replica_again_where_there_is_no_other() {
+    let (gateway, replicas, proxies) = with_unused_connections(1).await;
+    proxies.iter().for_each(FaultyProxy::silence_open);
+    let (called, _took) = timed(&gateway, "/read/x", "r-1").await;
+    assert_eq!(called.status, 200, "{}", gateway.logs());
+    let arrivals = replicas[0].replica.seen();
+    let arrivals = arrivals.iter().filter(|seen| seen.header("leadstage-request-id") == Some("r-1"));
+    assert_eq!(arrivals.count(), 1);
+}
+
 /// What is sent on a silent connection may have run, so a call that runs at most once fails with
 /// the first one. Those that followed were sent on the other silent connections to the same
 /// replica, and failed too: three of the eight calls to two replicas.
 #[tokio::test]
 async fn test_one_silent_connection_to_a_replica_condemns_its_others() {
-    let (gateway, replicas, proxies) = with_unused_connections().await;
+    let (gateway, replicas, proxies) = with_unused_connections(2).await;
     proxies.iter().for_each(FaultyProxy::silence_open);
     let mut failed = 0;
     for n in 0..8 {
@@ -95,7 +117,7 @@
 /// the other one while there is time for its answer.
 #[tokio::test]
 async fn test_a_replica_that_never_answers_on_a_kept_connection_is_left_in_time() {
-    let (gateway, replicas, _proxies) = with_unused_connections().await;
+    let (gateway, replicas, _proxies) = with_unused_connections(2).await;
     replicas[0].replica.set_fault(ReplicaFault::Hangs);
     for n in 0..6 {
         let (called, _took) = timed(&gateway, "/read/x", &format!("r-{n}")).await;
@@ -128,3 +150,66 @@
     let gap = gap.and_then(|gap| gap.parse().ok()).map(Duration::from_millis).expect("it is logged");
     assert!(gap < CALLERS_LEAVE_AFTER, "silent for {gap:?}\n{}", gateway.logs());
 }
+
+/// A watch that waited at the store had lost its connection to silence; the pulse beside it opened
+/// a new one and called the store well. News of the store came when the watch ended by itself: a
+/// configuration was in force 30.8 s after it was stored.
+#[tokio::test]
+async fn test_news_of_the_store_come_though_a_watch_is_silent() {
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    let _replica = gateway.start_replica("booking", "booking-1", 1).await;
+    let proxy = FaultyProxy::start(&gateway.own_store_ip(), gateway.store_address()).await;
+    gateway.start_node_at(proxy.address);
+    gateway.until_ready(0).await;
+    gateway.until("it watches", async || gateway.log(0).contains("event=store_watch")).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    proxy.silence_open();
+    let mut newer = config(2);
+    newer["tenants"][0]["apiKeys"] = serde_json::json!(["key-b"]);
+    gateway.store.put("config", "main", newer);
+    let put = Instant::now();
+    while gateway.status_of(0, "/read/x", "key-b").await != 200 && put.elapsed() < WATCH_OVER {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(put.elapsed() < NEWS_WITHIN, "in force after {:?}\n{}", put.elapsed(), gateway.logs());
+}
+
+/// An address as `/proc/net/tcp` writes it.
+fn proc_form(address: SocketAddr) -> String {
+    let SocketAddr::V4(address) = address else {
+        panic!("{address} is not of IPv4");
+    };
+    format!("{:08X}:{:04X}", u32::from_le_bytes(address.ip().octets()), address.port())
+}
+
+/// Whether the kernel is to probe the server's socket of a connection.
+fn is_probed(server: SocketAddr, client: SocketAddr) -> bool {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("readable");
+    let ends = format!("{} {} ", proc_form(server), proc_form(client));
+    let line = table.lines().find(|line| line.contains(&ends)).expect("it is open");
+    line.split_whitespace().any(|word| word.starts_with(KEEP_ALIVE_TIMER))
+}
+
+/// Sockets that callers, the balancer, operators and other nodes open to a node may fall silent for
+/// good. Those of the ports that answer from what is at hand (the balancer's, the nodes', the
+/// operators') were not probed, so they stayed open until the process ended and took descriptors.
+#[tokio::test]
+async fn test_every_port_probes_its_connections() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    let ports = [
+        ("callers", gateway.front(0)),
+        ("balancer", gateway.ready(0)),
+        ("peers", gateway.peer(0)),
+        ("metrics", gateway.metrics(0)),
+    ];
+    let mut probed = Vec::new();
+    for (port, address) in ports {
+        let stream = TcpStream::connect(&address).await.expect("it listens");
+        tokio::time::sleep(REST).await;
+        let ends = (stream.peer_addr().expect("open"), stream.local_addr().expect("open"));
+        probed.push((port, is_probed(ends.0, ends.1)));
+    }
+    let all = ["callers", "balancer", "peers", "metrics"].map(|port| (port, true));
+    assert_eq!(probed, all);
+}
