--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -20,6 +20,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::gateway_replica::Engines;
 use leadstage_testutils::gateway_replica::GatewayReplica;
 use leadstage_testutils::loopback::Server;
@@ -153,6 +154,15 @@
         RunningReplica { replica, server: Some(server) }
     }
 
+    /// Puts a proxy before a replica and lists the replica there.
+    pub async fn put_proxy_before(&self, service: &str, running: &RunningReplica) -> FaultyProxy {
+        let address = running.server.as_ref().expect("it serves").address;
+        let proxy = FaultyProxy::start(&self.replicas_ip(), address).await;
+        let entry = replica_entry(service, proxy.address, "hall-1", "ready");
+        self.store.put("servers", &running.replica.id, entry);
+        proxy
+    }
+
     /// Where replicas listen.
     pub fn replicas_ip(&self) -> String {
         format!("{}.2", self.net)
