silent connections: a watch that should have ended is left, every port probes; a request taken late is served

Causes: a watch waited 30 s at the store and a slow start of its answer was borne for 1.5 s more, so news that a silent connection swallowed came up to 31.5 s later; sockets of small ports had no limit on silence; a connection that broke a limit was dropped after 100 ms with the request it had just taken. Ruled out: waits that are short at all watchers (each call is priced).

--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -41,6 +41,13 @@
 /// watcher has told them by then, and each question is priced.
 const STANDBY_GATHERS: Duration = Duration::from_millis(500);
 
+/// One watch of the first watcher waits so long at the store. Its connection may fall silent for
+/// good while new ones work; that shows when the watch should have ended, and each watch is priced:
+/// of 44 s, some 15 calls in place of two.
+const FIRST_WAITS: Duration = Duration::from_secs(3);
+/// One watch of a standby waits so long: the longest that the store allows.
+const STANDBY_WAITS: Duration = Duration::from_secs(30);
+
 /// How a node follows the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchRole {
@@ -58,6 +65,14 @@
             WatchRole::Standby => STANDBY_GATHERS,
         }
     }
+
+    /// How long one watch waits at the store.
+    pub fn waits_for(self) -> Duration {
+        match self {
+            WatchRole::First => FIRST_WAITS,
+            WatchRole::Standby => STANDBY_WAITS,
+        }
+    }
 }
 
 /// Numbers a watcher's pulses; they rise, also over its restarts.
--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::gateway::watchers::WatchRole;
 use leadstage_lib::retry::Backoff;
 use leadstage_platform::store::Age;
 use leadstage_platform::store::Kind;
@@ -17,15 +18,22 @@
 use crate::gateway::messages::ToControl;
 use crate::gateway::shared::Shared;
 
-/// How long one watch waits at the store: the longest that it allows, as each call is priced.
-const WATCH_WAIT: Duration = Duration::from_secs(30);
 /// Pause after the first failed call. Calls are priced, refused ones too.
 const LEAST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Pause between a change and the next watch; it changes with the node's role.
-pub type Gather = Rc<Cell<Duration>>;
+/// How this node follows the store; it changes while it does.
+pub type Role = Rc<Cell<WatchRole>>;
+
+/// What a follower does after a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterChange {
+    /// It asks for the next at once.
+    AskOn,
+    /// It gathers changes as long as its role says.
+    Gather,
+}
 
 /// Reads a kind once. For a starting node what may be some seconds old is enough, as other
 /// nodes tell what is newer, and costs a tenth.
@@ -44,12 +52,18 @@
 }
 
 /// Follows the kind `K` until the process ends, and tells the control loop what it learns.
-pub async fn follow<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl, gather: Gather) {
+pub async fn follow<K: Kind>(
+    shared: Arc<Shared>,
+    wrap: fn(News<K::Item>) -> ToControl,
+    role: Role,
+    after: AfterChange,
+) {
     let mut store = Store::new(shared.settings.store);
     let mut backoff = Backoff::new(LEAST_PAUSE, LONGEST_PAUSE);
     let lost = Cell::new(false);
     loop {
-        let err = match follow_once::<K>(&mut store, &shared, wrap, &gather, &mut backoff, &lost).await {
+        let err = match follow_once::<K>(&mut store, &shared, wrap, (&role, after), &mut backoff, &lost).await
+        {
             StoreError::HistoryGone => {
                 info!(event = "store_history_gone", kind = K::NAME; "the store's history is gone: lists anew");
                 continue;
@@ -70,7 +84,7 @@
     store: &mut Store,
     shared: &Shared,
     wrap: fn(News<K::Item>) -> ToControl,
-    gather: &Gather,
+    (role, after): (&Role, AfterChange),
     backoff: &mut Backoff,
     lost: &Cell<bool>,
 ) -> StoreError {
@@ -88,14 +102,14 @@
     let mut at = list.at;
     shared.tell(wrap(News::Listed { list, after_outage }));
     loop {
-        match store.watch::<K>(at, WATCH_WAIT, note_unreadable::<K>).await {
+        match store.watch::<K>(at, role.get().waits_for(), note_unreadable::<K>).await {
             Ok(changes) => {
                 at = changes.at;
                 shared.metrics.on_store_call("watch", "answered");
                 shared.set_store_answers(true);
                 shared.tell(wrap(News::Changed(changes)));
-                if !gather.get().is_zero() {
-                    tokio::time::sleep(gather.get()).await;
+                if after == AfterChange::Gather && !role.get().gathers_for().is_zero() {
+                    tokio::time::sleep(role.get().gathers_for()).await;
                 }
             }
             Err(err) => return err,
--- a/node/src/gateway/control/watching.rs
+++ b/node/src/gateway/control/watching.rs
@@ -1,5 +1,7 @@
 //! Follows the store while this node is one of its watchers, and sends their pulse.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +18,8 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::control::follow;
-use crate::gateway::control::follow::Gather;
+use crate::gateway::control::follow::AfterChange;
+use crate::gateway::control::follow::Role;
 use crate::gateway::messages::ToControl;
 use crate::gateway::shared::Shared;
 use crate::shared::unix_millis;
@@ -42,14 +45,15 @@
 pub struct Watching {
     shared: Arc<Shared>,
     role: Option<WatchRole>,
-    gather: Gather,
+    /// The role that the tasks have, once there are some.
+    tasks_role: Role,
     tasks: Option<Tasks>,
 }
 
 impl Watching {
     /// Does not watch yet.
     pub fn new(shared: Arc<Shared>) -> Self {
-        Watching { shared, role: None, gather: Gather::default(), tasks: None }
+        Watching { shared, role: None, tasks_role: Rc::new(Cell::new(WatchRole::Standby)), tasks: None }
     }
 
     /// Begins or ends to watch, or changes how.
@@ -59,21 +63,32 @@
         }
         info!(event = "store_watch", before:? = self.role, now:? = role; "this node follows the store for others, or no longer");
         self.role = role;
-        self.gather.set(role.map_or(Duration::ZERO, WatchRole::gathers_for));
-        if role.is_none() {
+        let Some(role) = role else {
             self.tasks = None;
-        } else if self.tasks.is_none() {
+            return;
+        };
+        self.tasks_role.set(role);
+        if self.tasks.is_none() {
             self.tasks = Some(self.start());
         }
     }
 
     fn start(&self) -> Tasks {
-        let (shared, gather) = (&self.shared, &self.gather);
+        let (shared, role) = (&self.shared, &self.tasks_role);
         // Each watcher takes a configuration at once: all nodes fetch it from those that have it,
         // and one alone may have a small link.
-        let configuration =
-            follow::follow::<Configuration>(shared.clone(), ToControl::Configuration, Gather::default());
-        let replicas = follow::follow::<Replicas>(shared.clone(), ToControl::Replicas, gather.clone());
+        let configuration = follow::follow::<Configuration>(
+            shared.clone(),
+            ToControl::Configuration,
+            role.clone(),
+            AfterChange::AskOn,
+        );
+        let replicas = follow::follow::<Replicas>(
+            shared.clone(),
+            ToControl::Replicas,
+            role.clone(),
+            AfterChange::Gather,
+        );
         Tasks {
             _configuration: AbortOnDropHandle::new(tokio::task::spawn_local(configuration)),
             _replicas: AbortOnDropHandle::new(tokio::task::spawn_local(replicas)),
--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -14,9 +14,7 @@
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::routing::CallerLimits;
 use leadstage_lib::gateway::routing::Repeat;
-use leadstage_platform::connect;
 use log::info;
-use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::task::TaskTracker;
@@ -89,9 +87,6 @@
 
 /// Serves one connection until either side closes it or it breaks a limit.
 async fn connection(traffic: Traffic, stream: TcpStream) {
-    if let Err(err) = connect::notice_silence(&stream) {
-        warn!(event = "socket_options", reason:% = err; "a socket takes no options");
-    }
     let activity = Activity::new();
     let io = TokioIo::new(WatchedIo::new(stream, activity.clone()));
     let shared = traffic.shared.clone();
@@ -128,8 +123,9 @@
             Ok(()) = versions.changed() => {}
         }
     }
-    // An answer that is being written goes out; a connection that stalls is dropped.
-    let _ = tokio::time::timeout(CLOSES_WITHIN, connection).await;
+    // An answer that is being written goes out; a connection that stalls is dropped, but not with a
+    // request whose head came just after the limit: that has been taken, and is served.
+    while tokio::time::timeout(CLOSES_WITHIN, connection.as_mut()).await.is_err() && activity.is_serving() {}
 }
 
 async fn handle(traffic: &Traffic, req: Request<Incoming>, activity: &Activity) -> Reply {
--- a/node/src/gateway/ingress/io_watch.rs
+++ b/node/src/gateway/ingress/io_watch.rs
@@ -53,6 +53,11 @@
         matches!(self.0.get(), Doing::Idle(_))
     }
 
+    /// Whether a request is being served.
+    pub fn is_serving(&self) -> bool {
+        matches!(self.0.get(), Doing::Serving)
+    }
+
     /// Waits while a request's head is arriving. Whoever polls this beside the connection wakes it
     /// when the head is there.
     pub async fn between_heads(&self) {
--- a/node/src/gateway/peers/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -24,7 +24,6 @@
 use leadstage_lib::gateway::handouts;
 use leadstage_lib::gateway::handouts::Handouts;
 use leadstage_lib::gateway::routing::ConfigVersion;
-use leadstage_platform::connect;
 use leadstage_platform::store::Revision;
 use log::warn;
 use tokio::net::TcpListener;
@@ -84,10 +83,6 @@
 
 impl Connection {
     async fn serve(self, stream: TcpStream) {
-        // A receiver behind a cut must not hold its place.
-        if let Err(err) = connect::notice_silence(&stream) {
-            warn!(event = "socket_options", reason:% = err; "a socket takes no options");
-        }
         let service = service_fn(|req: Request<Incoming>| {
             let answer = self.answer(&req);
             async move { Ok::<_, Infallible>(answer) }
--- a/node/src/gateway/small_port.rs
+++ b/node/src/gateway/small_port.rs
@@ -12,6 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use leadstage_platform::connect;
 use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -24,11 +25,17 @@
 /// Answers one request.
 pub type Answer = fn(&Arc<Shared>, &Request<Incoming>) -> Response<Full<Bytes>>;
 
-/// The next connection of a port; `port` names it in logs.
+/// The next connection of a port; `port` names it in logs. One whose peer falls silent for good
+/// ends by itself: else it would take a descriptor until the process ends.
 pub async fn accept(listener: &TcpListener, port: &'static str) -> TcpStream {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => return stream,
+            Ok((stream, _)) => {
+                if let Err(err) = connect::notice_silence(&stream) {
+                    warn!(event = "socket_options", port, reason:% = err; "a socket takes no options");
+                }
+                return stream;
+            }
             Err(err) => {
                 warn!(event = "accept_failed", port, reason:% = err; "a connection could not be accepted");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
