streams: a resumable stream is asked for once after a stop

Cause: asking engines again and again holds up a stream that any other engine can go on with after its last event. Tests of the gateway interface all pass.

--- a/node/src/gateway/upstream/relay/after_stop.rs
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -95,9 +95,12 @@
         }
     }
 
-    /// How long the engines are asked, by why they did not go on.
+    /// How long the engines are asked, by why they did not go on. A stream that may be resumed is
+    /// asked for once, as any other engine can go on with it.
     fn ask_within(&self, why: [NotResumed; 2]) -> Duration {
-        if why.contains(&NotResumed::Unreached) {
+        if self.req.route.resumable {
+            Duration::ZERO
+        } else if why.contains(&NotResumed::Unreached) {
             self.req.route.callers_patience().mul_f64(REACH_WITHIN)
         } else {
             ASK_WITHIN
