--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -26,13 +26,24 @@
 /// How this node follows the store; it changes while it does.
 pub type Role = Rc<Cell<WatchRole>>;
 
-/// What a follower does after a change.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AfterChange {
-    /// It asks for the next at once.
-    AskOn,
-    /// It gathers changes as long as its role says.
-    Gather,
+/// How often a follower asks the store.
+pub struct Pace {
+    /// The node's role.
+    pub role: Role,
+    /// Whether changes are gathered, as long as the role says, before the next question.
+    pub gathers: bool,
+}
+
+impl Pace {
+    /// How long one watch waits at the store.
+    fn waits_for(&self) -> Duration {
+        self.role.get().waits_for()
+    }
+
+    /// Pause between a change and the next watch.
+    fn gathers_for(&self) -> Duration {
+        if self.gathers { self.role.get().gathers_for() } else { Duration::ZERO }
+    }
 }
 
 /// Reads a kind once. For a starting node what may be some seconds old is enough, as other
@@ -52,18 +63,12 @@
 }
 
 /// Follows the kind `K` until the process ends, and tells the control loop what it learns.
-pub async fn follow<K: Kind>(
-    shared: Arc<Shared>,
-    wrap: fn(News<K::Item>) -> ToControl,
-    role: Role,
-    after: AfterChange,
-) {
+pub async fn follow<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl, pace: Pace) {
     let mut store = Store::new(shared.settings.store);
     let mut backoff = Backoff::new(LEAST_PAUSE, LONGEST_PAUSE);
     let lost = Cell::new(false);
     loop {
-        let err = match follow_once::<K>(&mut store, &shared, wrap, (&role, after), &mut backoff, &lost).await
-        {
+        let err = match follow_once::<K>(&mut store, &shared, wrap, &pace, &mut backoff, &lost).await {
             StoreError::HistoryGone => {
                 info!(event = "store_history_gone", kind = K::NAME; "the store's history is gone: lists anew");
                 continue;
@@ -84,7 +89,7 @@
     store: &mut Store,
     shared: &Shared,
     wrap: fn(News<K::Item>) -> ToControl,
-    (role, after): (&Role, AfterChange),
+    pace: &Pace,
     backoff: &mut Backoff,
     lost: &Cell<bool>,
 ) -> StoreError {
@@ -102,14 +107,14 @@
     let mut at = list.at;
     shared.tell(wrap(News::Listed { list, after_outage }));
     loop {
-        match store.watch::<K>(at, role.get().waits_for(), note_unreadable::<K>).await {
+        match store.watch::<K>(at, pace.waits_for(), note_unreadable::<K>).await {
             Ok(changes) => {
                 at = changes.at;
                 shared.metrics.on_store_call("watch", "answered");
                 shared.set_store_answers(true);
                 shared.tell(wrap(News::Changed(changes)));
-                if after == AfterChange::Gather && !role.get().gathers_for().is_zero() {
-                    tokio::time::sleep(role.get().gathers_for()).await;
+                if !pace.gathers_for().is_zero() {
+                    tokio::time::sleep(pace.gathers_for()).await;
                 }
             }
             Err(err) => return err,
--- a/node/src/gateway/control/watching.rs
+++ b/node/src/gateway/control/watching.rs
@@ -18,7 +18,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::control::follow;
-use crate::gateway::control::follow::AfterChange;
+use crate::gateway::control::follow::Pace;
 use crate::gateway::control::follow::Role;
 use crate::gateway::messages::ToControl;
 use crate::gateway::shared::Shared;
@@ -77,18 +77,10 @@
         let (shared, role) = (&self.shared, &self.tasks_role);
         // Each watcher takes a configuration at once: all nodes fetch it from those that have it,
         // and one alone may have a small link.
-        let configuration = follow::follow::<Configuration>(
-            shared.clone(),
-            ToControl::Configuration,
-            role.clone(),
-            AfterChange::AskOn,
-        );
-        let replicas = follow::follow::<Replicas>(
-            shared.clone(),
-            ToControl::Replicas,
-            role.clone(),
-            AfterChange::Gather,
-        );
+        let pace = |gathers| Pace { role: role.clone(), gathers };
+        let configuration =
+            follow::follow::<Configuration>(shared.clone(), ToControl::Configuration, pace(false));
+        let replicas = follow::follow::<Replicas>(shared.clone(), ToControl::Replicas, pace(true));
         Tasks {
             _configuration: AbortOnDropHandle::new(tokio::task::spawn_local(configuration)),
             _replicas: AbortOnDropHandle::new(tokio::task::spawn_local(replicas)),
