logs: the end waits 200 ms for the last lines; tests of stops bear load

Beside a load of 28 on 12 cores, four copies of the tests at once: two of twelve processes that failed at their start had an empty log, as the thread that writes did not get to run within 100 ms. The bound is 200 ms now; it is felt only where nobody reads. The test starts its processes one after another, and the tests of half read calls and slow readers leave more time before the node decides to end.

The slow reader pauses for 0.8 s: one that reads nothing for 1.5 s counts as gone, whether its node stops or not.

--- a/node/src/gateway/observability/logging.rs
+++ b/node/src/gateway/observability/logging.rs
@@ -31,8 +31,10 @@
 /// Lines beyond that which are kept for the process's end, which may be in the same second: a node
 /// that had logged 500 lines in its last second did not tell that it stopped.
 const LAST_LINES: usize = 32;
-/// The end of a process waits so long for a reader that is slow, or does not read at all.
-const FLUSH_WITHIN: Duration = Duration::from_millis(100);
+/// The end of a process waits so long for a reader that is slow, or does not read at all. Of twelve
+/// processes that failed at their start at once, beside a load of 28 on 12 cores, two had not got
+/// the thread that writes to run within 100 ms.
+const FLUSH_WITHIN: Duration = Duration::from_millis(200);
 /// Time between two tries to reach a thread whose queue is full.
 const FLUSH_RETRY: Duration = Duration::from_millis(5);
 
@@ -61,7 +63,7 @@
     Ok(())
 }
 
-/// Waits until all lines that were logged before are written, 100 ms at most. Does nothing where
+/// Waits until all lines that were logged before are written, 200 ms at most. Does nothing where
 /// logging was not started.
 pub fn flush() {
     let Some(tx) = QUEUE.get() else {
--- a/node/tests/test_gateway_stop.rs
+++ b/node/tests/test_gateway_stop.rs
@@ -23,7 +23,9 @@
 
 /// A node without open requests ends about 2.3 s after the signal. Connections that came this
 /// long after it are not closed as unused before.
-const CONNECTED_AT: Duration = Duration::from_millis(1_900);
+const CONNECTED_AT: Duration = Duration::from_millis(1_500);
+/// What is sent then comes before the node decides to end, with time to spare.
+const SENT_BEFORE: Duration = Duration::from_millis(2_000);
 /// What is sent from then on meets the node's end.
 const SENT_AT: Duration = Duration::from_millis(2_200);
 /// Bytes that a pipe holds for its reader.
@@ -97,9 +99,10 @@
     let mut stream = TcpStream::connect(gateway.front(0)).await.expect("it listens");
     let call = call("r-1");
     let (first, rest) = call.split_at(call.find(split).expect("a part of it"));
-    tokio::time::sleep_until(began + SENT_AT).await;
+    // The head may take 1 s.
+    tokio::time::sleep_until(began + SENT_BEFORE).await;
     stream.write_all(first.as_bytes()).await.expect("it is open");
-    tokio::time::sleep_until(began + SENT_AT + Duration::from_millis(500)).await;
+    tokio::time::sleep_until(began + SENT_BEFORE + Duration::from_millis(700)).await;
     // Where the node is gone the answer is empty.
     let _ = stream.write_all(rest.as_bytes()).await;
     read_to_end(&mut stream).await
@@ -133,8 +136,10 @@
     socket.set_recv_buffer_size(16 << 10).expect("a size");
     let front = gateway.front(0).parse().expect("an address");
     let mut stream = socket.connect(front).await.expect("it listens");
+    tokio::time::sleep_until(began + SENT_BEFORE).await;
     stream.write_all(call("r-1").as_bytes()).await.expect("it is open");
-    tokio::time::sleep_until(began + Duration::from_millis(3_300)).await;
+    // A caller that reads nothing for 1.5 s counts as gone.
+    tokio::time::sleep_until(began + SENT_BEFORE + Duration::from_millis(800)).await;
     let answer = read_to_end(&mut stream).await;
     assert!(is_whole(&answer), "{} bytes came", answer.len());
     assert!(gateway.end_of(0).await, "the stop is no failure");
@@ -217,15 +222,12 @@
 #[tokio::test]
 async fn test_nodes_that_fail_log_why() {
     let mut gateway = Gateway::start().await;
-    let mut taken = Vec::new();
+    let mut silent = Vec::new();
     for n in 0..12 {
         // The callers' port is the traffic thread's, the balancer's the control thread's.
         let address = if n % 2 == 0 { gateway.front(n) } else { gateway.ready(n) };
-        taken.push(TcpListener::bind(address).expect("it is free"));
+        let _taken = TcpListener::bind(address).expect("it is free");
         gateway.start_node();
-    }
-    let mut silent = Vec::new();
-    for n in 0..taken.len() {
         assert!(!gateway.end_of(n).await, "a port is taken");
         if !gateway.log(n).contains("event=failed") {
             silent.push(n);
@@ -250,5 +252,5 @@
     let ended = tokio::task::spawn_blocking(move || command.status().expect("it runs")).await;
     assert_eq!(ended.expect("no panic").code(), Some(1));
     let took = began.elapsed();
-    assert!(took < Duration::from_secs(2), "it waits for 100 ms at most, and took {took:?}");
+    assert!(took < Duration::from_secs(2), "it waits for 200 ms at most, and took {took:?}");
 }
