tests: a node that refuses its first caller tells its log

test_who_waits_at_a_lead_does_not_take_it_for_silent failed once in a full run and in three of 120 runs, four at a time beside a load of 30: node 0 logs 'serving' some 30 ms before, and its callers' port is not listening yet. The thread of the port binds it by itself, and the node says that it is ready without having asked. As it was before; open.

--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -228,7 +228,8 @@
         req
     };
     let front = gateway.front(0);
-    let running = crate::gateway_environment::send(&front, large("r-1")).await.expect("it begins");
+    let running = crate::gateway_environment::send(&front, large("r-1")).await;
+    let running = running.unwrap_or_else(|err| panic!("it begins: {err}\n{}", gateway.logs()));
     // The lead hears within an inventory's interval of what the other node runs.
     tokio::time::sleep(Duration::from_millis(400)).await;
     for node in [0, second] {
