--- a/lib/tests/test_gateway_watchers.rs
+++ b/lib/tests/test_gateway_watchers.rs
@@ -175,3 +175,19 @@
         );
     }
 }
+
+/// The nodes with wide links may stand together behind one cut: whoever still reaches the store must
+/// come to follow it.
+#[test]
+fn test_others_follow_when_the_store_answers_no_node_with_a_wide_link() {
+    let (nodes, wide) = (nodes(62), 8);
+    let has_wide_link = |node: &VmId| nodes[..wide].contains(node);
+    let others = nodes[wide..].iter().filter(|own| {
+        let mut view = Watchers::new((*own).clone());
+        for node in &nodes[..wide] {
+            view.on_pulse(node, 1, StoreState::Away, LATER);
+        }
+        view.role(nodes.iter().filter(|node| node != own), has_wide_link, LATER).is_some()
+    });
+    assert!(others.count() > 0, "nobody who may reach the store follows it");
+}
--- /dev/null
+++ b/node/tests/test_vm_list_size.rs
@@ -0,0 +1,84 @@
+//! Large lists of VMs over small links.
+
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ed25519_dalek::SigningKey;
+use http::Request;
+use http::Response;
+use leadstage_lib::signing::encode_key;
+use leadstage_testutils::faulty_proxy::FaultyProxy;
+use leadstage_testutils::faulty_proxy::LinkFault;
+use leadstage_testutils::loopback;
+use leadstage_testutils::loopback::Answerer;
+use leadstage_testutils::loopback::Body;
+use serde_json::json;
+
+use crate::gateway_environment::Gateway;
+
+const VMS: usize = 3_000;
+
+/// A platform with many VMs and no bundle. Whoever has read the list names its version from then on.
+struct ManyVms {
+    list: String,
+    asked: AtomicU64,
+    was_read: AtomicBool,
+}
+
+impl Answerer for ManyVms {
+    async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
+        if req.uri().path() != "/v1/vms" {
+            return Response::builder().status(404).body(loopback::whole("")).expect("valid");
+        }
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        if req.headers().contains_key("if-none-match") {
+            self.was_read.store(true, Ordering::Relaxed);
+            return Response::builder().status(304).body(loopback::whole("")).expect("valid");
+        }
+        Response::builder().header("etag", "1").body(loopback::whole(self.list.clone())).expect("valid")
+    }
+}
+
+/// 3,000 VMs are 0.3 MB, which takes two seconds here: longer than a call to the platform may.
+#[tokio::test]
+async fn test_a_large_list_of_vms_is_read_over_a_thin_link() {
+    let net = Gateway::start().await;
+    let (ip, platform_ip) = (net.replicas_ip(), net.own_store_ip());
+    let vms = (0..VMS).map(|n| {
+        json!({"id": format!("engine-{n}"), "role": "engine", "hall": "h",
+            "address": format!("10.0.{}.{}:9100", n / 250, n % 250 + 1), "serves": "m", "state": "live"})
+    });
+    let list = serde_json::to_string(&vms.collect::<Vec<_>>()).expect("JSON");
+    let rate = list.len() as u32 / 2;
+    let platform = Arc::new(ManyVms { list, asked: AtomicU64::new(0), was_read: AtomicBool::new(false) });
+    let server = loopback::serve(&platform_ip, platform.clone()).await;
+    let proxy = FaultyProxy::start(&platform_ip, server.address).await;
+    proxy.set(LinkFault::Thin(rate));
+    let dir = tempfile::TempDir::new().expect("a folder");
+    let path = dir.path().join("node.yaml");
+    let key = encode_key(&SigningKey::from_bytes(&[5; 32]).verifying_key());
+    let settings = format!(
+        "vm: entry-1\nhall: h\nlisten: {ip}:8080\nadmin: {ip}:8081\npeer: {ip}:8082\nplatform: {}\noperators: ['{key}']\n",
+        proxy.address
+    );
+    std::fs::write(&path, settings).expect("writable");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_leadstaged"));
+    command.arg("--config").arg(&path).stdout(Stdio::null()).stderr(Stdio::null()).stdin(Stdio::null());
+    let mut node = command.spawn().expect("it starts");
+    for _ in 0..100 {
+        if platform.was_read.load(Ordering::Relaxed) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    let _ = node.kill();
+    let _ = node.wait();
+    let asked = platform.asked.load(Ordering::Relaxed);
+    assert!(platform.was_read.load(Ordering::Relaxed), "asked {asked} times in 15 s, never read whole");
+}
