--- a/node/tests/test_gateway_config_review.rs
+++ b/node/tests/test_gateway_config_review.rs
@@ -25,6 +25,7 @@
 use crate::gateway_environment::Gateway;
 use crate::gateway_environment::KEY;
 use crate::gateway_environment::RunningReplica;
+use crate::gateway_environment::call;
 use crate::gateway_environment::config;
 use crate::gateway_environment::large_config;
 
@@ -84,6 +85,36 @@
     }
 }
 
+/// A transfer that breaks off after some seconds goes on where it was: the node that hands out sends
+/// less than twice the whole. What the other one counts can't show that: what it threw away and what
+/// came in its place add up to the same.
+#[tokio::test]
+async fn test_the_rest_alone_is_sent_after_a_transfer_broke_off() {
+    let lacking = Lacking::start().await;
+    lacking.own_store.set_fault(StoreFault::Refuses);
+    let between = FaultyProxy::start(&lacking.gateway.replicas_ip(), lacking.peer(lacking.has)).await;
+    between.set(LinkFault::Thin(16_000));
+    tell(between.address, 2, 0, lacking.peer(lacking.lacks)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    between.set(LinkFault::Reset);
+    let gateway = &lacking.gateway;
+    gateway.until("it breaks off", async || gateway.log(lacking.lacks).contains("event=fetch_failed")).await;
+    between.set(LinkFault::None);
+    gateway
+        .until("in force", async || gateway.log(lacking.lacks).contains("config_in_force version=2"))
+        .await;
+    let metrics = gateway.metrics(lacking.has);
+    let req = Request::get("/metrics").header("host", "x").body(Default::default()).expect("valid");
+    let metrics = call(&metrics, req).await.body;
+    let sent = metrics.lines().find(|line| line.contains("what=\"handed out\"")).expect("a line");
+    let sent: usize = sent.rsplit(' ').next().and_then(|bytes| bytes.parse().ok()).expect("a number");
+    let whole = gateway.log(lacking.lacks);
+    let whole = whole.lines().find(|line| line.contains("event=config_fetched")).expect("a line");
+    let whole = whole.split_once(" bytes=").and_then(|(_, rest)| rest.split(' ').next()).expect("bytes");
+    let whole: usize = whole.parse().expect("a number");
+    assert!(sent < 2 * whole - 12_000, "{sent} bytes sent for {whole}\n{}", gateway.logs());
+}
+
 /// What the others measure against: nothing stands in the way.
 #[tokio::test]
 async fn test_a_large_configuration_comes_at_once_from_one_that_has_it() {
