--- a/node/tests/test_gateway_config_review.rs
+++ b/node/tests/test_gateway_config_review.rs
@@ -233,6 +233,34 @@
     assert!((1..=4).contains(&asked), "{asked} times in 3 s\n{}", lacking.gateway.logs());
 }
 
+/// A node with a small link starts in a large fleet. The first that tells it of its configuration
+/// stands still; the store works.
+#[tokio::test]
+async fn test_a_node_that_stands_still_does_not_hold_up_a_start() {
+    const OTHERS: u16 = 300;
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    let _booking = gateway.start_replica("booking", "booking-1", 1).await;
+    let ip = gateway.replicas_ip();
+    let still = FaultyProxy::start(&ip, gateway.store_address()).await;
+    still.set(LinkFault::Silent);
+    let node = gateway.start_node_with(|yaml| format!("{yaml}\nlink_mbps: 10\n"));
+    let to: SocketAddr = gateway.peer(node).parse().expect("an address");
+    gateway.until("its port is open", async || gateway.log(node).contains("event=start")).await;
+    let began = Instant::now();
+    // Others that have no configuration yet: the node is not one of the few that follow the store.
+    for port in 0..OTHERS {
+        tell(format!("{ip}:{}", 20_000 + port).parse().expect("an address"), 0, 0, to).await;
+    }
+    while began.elapsed() < Duration::from_millis(200) {
+        tell(still.address, 1, 0, to).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    gateway.until("in force", async || gateway.log(node).contains("event=config_in_force")).await;
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(1_500), "{took:?}\n{}", gateway.logs());
+}
+
 /// A node that named a newer configuration is gone, and nobody has what it named.
 #[tokio::test]
 async fn test_a_node_that_is_gone_is_not_asked_and_denies_nothing_for_ever() {
