store: a watcher that lags lists the newest configuration

test_a_watcher_that_lags_goes_on_to_the_newest_configuration: six changes of 1 MB over a link of 350 kB/s. The watch after the first brought all versions between, broke off at the limit of one answer (4 MiB), the store counted as lost, then the newest was listed: in force 19.3 s after it was stored.

Listing after each slow answer would read 1 MB anew where nothing has changed; test_a_large_configuration_that_comes_alone_is_not_listed guards that. The store answers throughout, so it isn't reported lost.

--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -9,6 +9,7 @@
 use leadstage_lib::retry::Backoff;
 use leadstage_platform::store::Age;
 use leadstage_platform::store::Kind;
+use leadstage_platform::store::Revision;
 use leadstage_platform::store::Store;
 use leadstage_platform::store::StoreError;
 use log::info;
@@ -64,61 +65,88 @@
 
 /// Follows the kind `K` until the process ends, and tells the control loop what it learns.
 pub async fn follow<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl, pace: Pace) {
-    let mut store = Store::new(shared.settings.store);
-    let mut backoff = Backoff::new(LEAST_PAUSE, LONGEST_PAUSE);
-    let lost = Cell::new(false);
+    let store = Store::new(shared.settings.store);
+    let backoff = Backoff::new(LEAST_PAUSE, LONGEST_PAUSE);
+    let mut follower = Follower::<K> { store, shared, wrap, pace, at: None, lost: false, backoff };
     loop {
-        let err = match follow_once::<K>(&mut store, &shared, wrap, &pace, &mut backoff, &lost).await {
-            StoreError::HistoryGone => {
-                info!(event = "store_history_gone", kind = K::NAME; "the store's history is gone: lists anew");
-                continue;
-            }
-            err => err,
-        };
-        shared.metrics.on_store_call("any", "failed");
-        shared.set_store_answers(false);
-        if !lost.replace(true) {
-            warn!(event = "store_lost", kind = K::NAME, reason:% = err; "the store does not answer");
+        if let Err(err) = follower.ask().await {
+            follower.on_error(err).await;
         }
-        let pause = backoff.next(&mut rand::rng());
-        tokio::time::sleep(pause).await;
     }
 }
 
-async fn follow_once<K: Kind>(
-    store: &mut Store,
-    shared: &Shared,
+struct Follower<K: Kind> {
+    store: Store,
+    shared: Arc<Shared>,
     wrap: fn(News<K::Item>) -> ToControl,
-    pace: &Pace,
-    backoff: &mut Backoff,
-    lost: &Cell<bool>,
-) -> StoreError {
-    let list = match store.list::<K>(Age::Newest, note_unreadable::<K>).await {
-        Ok(list) => list,
-        Err(err) => return err,
-    };
-    let after_outage = lost.replace(false);
-    if after_outage {
-        info!(event = "store_regained", kind = K::NAME, revision = list.at; "the store answers again");
+    pace: Pace,
+    /// The revision to watch from; without one the kind is listed.
+    at: Option<Revision>,
+    /// The last call had no answer.
+    lost: bool,
+    backoff: Backoff,
+}
+
+impl<K: Kind> Follower<K> {
+    async fn ask(&mut self) -> Result<(), StoreError> {
+        match self.at {
+            Some(at) => self.watch(at).await,
+            None => self.list().await,
+        }
     }
-    backoff.reset();
-    shared.set_store_answers(true);
-    shared.metrics.on_store_call("list", "answered");
-    let mut at = list.at;
-    shared.tell(wrap(News::Listed { list, after_outage }));
-    loop {
-        match store.watch::<K>(at, pace.waits_for(), note_unreadable::<K>).await {
-            Ok(changes) => {
-                at = changes.at;
-                shared.metrics.on_store_call("watch", "answered");
-                shared.set_store_answers(true);
-                shared.tell(wrap(News::Changed(changes)));
-                if !pace.gathers_for().is_zero() {
-                    tokio::time::sleep(pace.gathers_for()).await;
-                }
+
+    async fn list(&mut self) -> Result<(), StoreError> {
+        let list = self.store.list::<K>(Age::Newest, note_unreadable::<K>).await?;
+        let after_outage = self.on_answer("list", list.at);
+        self.shared.tell((self.wrap)(News::Listed { list, after_outage }));
+        Ok(())
+    }
+
+    async fn watch(&mut self, at: Revision) -> Result<(), StoreError> {
+        let changes = self.store.watch::<K>(at, self.pace.waits_for(), note_unreadable::<K>).await?;
+        self.on_answer("watch", changes.at);
+        self.shared.tell((self.wrap)(News::Changed(changes)));
+        let pause = self.pace.gathers_for();
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
+        Ok(())
+    }
+
+    /// Returns whether calls before had no answer.
+    fn on_answer(&mut self, call: &'static str, at: Revision) -> bool {
+        self.at = Some(at);
+        self.backoff.reset();
+        self.shared.set_store_answers(true);
+        self.shared.metrics.on_store_call(call, "answered");
+        let after_outage = std::mem::take(&mut self.lost);
+        if after_outage {
+            info!(event = "store_regained", kind = K::NAME, revision = at; "the store answers again");
+        }
+        after_outage
+    }
+
+    async fn on_error(&mut self, err: StoreError) {
+        self.at = None;
+        match err {
+            StoreError::HistoryGone => {
+                info!(event = "store_history_gone", kind = K::NAME; "the store's history is gone: lists anew");
             }
-            Err(err) => return err,
+            StoreError::TooManyChanges(most) => {
+                info!(event = "store_changes_skipped", kind = K::NAME, most; "much has changed: lists anew");
+            }
+            err => self.on_failure(err).await,
+        }
+    }
+
+    async fn on_failure(&mut self, err: StoreError) {
+        self.shared.metrics.on_store_call("any", "failed");
+        self.shared.set_store_answers(false);
+        if !std::mem::replace(&mut self.lost, true) {
+            warn!(event = "store_lost", kind = K::NAME, reason:% = err; "the store does not answer");
         }
+        let pause = self.backoff.next(&mut rand::rng());
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -212,6 +212,7 @@
                 CallError::Connect(_)
                 | CallError::TimedOut(_)
                 | CallError::Stalled { .. }
+                | CallError::TooLarge { .. }
                 | CallError::Body(_),
             ) => Err(NotCopied::Later),
         }
--- a/node/tests/test_gateway_config_review.rs
+++ b/node/tests/test_gateway_config_review.rs
@@ -174,6 +174,29 @@
     gateway.until("the last", async || gateway.log(node).contains("config_in_force version=7")).await;
     let took = last.elapsed();
     assert!(took < Duration::from_secs(10), "{took:?}\n{}", gateway.logs());
+    assert!(!gateway.log(node).contains("event=store_lost"), "{}", gateway.logs());
+}
+
+/// A large configuration that came slowly, and none after it: it is not listed as well.
+#[tokio::test]
+async fn test_a_large_configuration_that_comes_alone_is_not_listed() {
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    let _booking = gateway.start_replica("booking", "booking-1", 1).await;
+    let counting = Arc::new(Counting { store: gateway.store.clone(), lists: AtomicU64::new(0) });
+    let server = loopback::serve(&gateway.own_store_ip(), counting.clone()).await;
+    let proxy = FaultyProxy::start(&gateway.own_store_ip(), server.address).await;
+    proxy.set(LinkFault::Thin(350_000));
+    let node = gateway.start_node_at(proxy.address);
+    gateway.until_ready(node).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = counting.lists.load(Ordering::Relaxed);
+    gateway.store.put("config", "main", large_config(2, MOST_ROUTES));
+    gateway.until("in force", async || gateway.log(node).contains("config_in_force version=2")).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let read = counting.lists.load(Ordering::Relaxed) - before;
+    assert_eq!(read, 0, "read {read} times\n{}", gateway.logs());
+    assert!(!gateway.log(node).contains("event=store_lost"), "{}", gateway.logs());
 }
 
 /// A node whose configuration another one can't read, as when a newer leadstaged has taken one that
