watchers: those after the first three come by hashing alone

The first three have wide links as before; the next three are ranked by hash alone, so they stand together no more than any others.

--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -1,13 +1,13 @@
 //! Which nodes follow the platform's store for all.
 //!
 //! Calls to the store are priced, so a few nodes follow it and tell the others. Every node
-//! ranks the nodes that it takes to be alive, those with large links first, by rendezvous hashing;
-//! the first few follow the
-//! store and send a pulse that says whether it answers them. If it answers none of them, as
-//! when it turns some nodes away, the next few try as well, but no more: a store that is
-//! down must not be asked by the whole fleet. A node that hears of no pulse at all is cut
-//! off from the others and follows the store itself.
+//! ranks the nodes that it takes to be alive by rendezvous hashing. The first few of those with large
+//! links follow the store and send a pulse that says whether it answers them. If it answers none of
+//! them, as when it turns some nodes away, a few others try as well, whatever their links, but no
+//! more: a store that is down must not be asked by the whole fleet. A node that hears of no pulse at
+//! all is cut off from the others and follows the store itself.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -172,10 +172,7 @@
         if now < LISTEN_FIRST {
             return None;
         }
-        let mut ranking: Vec<&VmId> = alive.chain(std::iter::once(&self.own)).collect();
-        let rank = |node: &VmId| (has_wide_link(node), rendezvous::weight(RANKING, node));
-        ranking.sort_by_cached_key(|node| std::cmp::Reverse(rank(node)));
-        ranking.dedup();
+        let ranking = ranked(alive.chain(std::iter::once(&self.own)).collect(), has_wide_link);
         let rank = ranking.iter().position(|node| **node == self.own).unwrap_or(0);
         let first = &ranking[..WATCHERS.min(ranking.len())];
         let none_answered = || first.iter().all(|node| self.fails(node, now));
@@ -195,3 +192,15 @@
         now > self.last_heard + ALONE_AFTER + ALONE_SPREAD.mul_f64(part)
     }
 }
+
+/// The nodes in the order in which they come to follow the store: first [`WATCHERS`] with wide links,
+/// then by hashing alone. Nodes with wide links may stand together behind one cut: were they the next
+/// as well, 8 of 62 would leave the store to nobody while 54 reach it.
+fn ranked(mut nodes: Vec<&VmId>, has_wide_link: impl Fn(&VmId) -> bool) -> Vec<&VmId> {
+    let weight = |node: &VmId| rendezvous::weight(RANKING, node);
+    nodes.sort_by_cached_key(|node| Reverse((has_wide_link(node), weight(node))));
+    nodes.dedup();
+    let first = WATCHERS.min(nodes.len());
+    nodes[first..].sort_by_cached_key(|node| Reverse(weight(node)));
+    nodes
+}
