--- a/node/tests/test_gateway_config_review.rs
+++ b/node/tests/test_gateway_config_review.rs
@@ -345,6 +345,8 @@
     let read = counting.lists.load(Ordering::Relaxed) - before;
     assert_eq!(gateway.status_of(node, LAST_ROUTE, KEY).await, 200);
     assert_eq!(read, 0, "read {read} times for 4 cuts\n{}", gateway.logs());
+    let regained = gateway.log(node).matches("event=store_regained kind=config").count();
+    assert_eq!(regained, 4, "each time before the next cut\n{}", gateway.logs());
 }
 
 /// A datagram of a node at `from` that says that there is a newer configuration.
