tests: what a lead knows of a busy node's generations; failing

An inventory of 20,869 bytes is dropped with a warning each second, as a datagram holds 16 kB: a lead that starts anew knew 0 of 50 generations after 6 s.

The second stands beside it: an inventory tells of one service, but ends all that the lead knows of the sender. Of three services with the same lead and a generation each, two were unknown in each of 30 looks at its status.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_gateway_calls;
 mod test_gateway_config_review;
 mod test_gateway_fleet;
+mod test_gateway_inventories;
 mod test_gateway_large_config;
 mod test_gateway_limits;
 mod test_gateway_resuming;
--- /dev/null
+++ b/node/tests/test_gateway_inventories.rs
@@ -0,0 +1,136 @@
+//! What leads know of the generations of other nodes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use http::Response;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::MODEL;
+use crate::gateway_environment::chat;
+use crate::gateway_environment::config;
+use crate::gateway_environment::send;
+
+/// Events of each generation: some twelve seconds of them.
+const EVENTS: u64 = 800;
+
+/// A stream that goes on as long as this lives.
+type Open = (AbortOnDropHandle<()>, Response<Incoming>);
+
+/// A status is older than this at no time.
+const STATUS_AGE: Duration = Duration::from_millis(3_000);
+
+/// Two nodes that serve `config`; each knows which services it leads.
+async fn two_nodes(config: Value) -> Gateway {
+    let models = config["services"].as_array().expect("services").len() - 1;
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config);
+    for node in 0..2 {
+        gateway.start_node();
+        gateway.until_ready(node).await;
+    }
+    gateway.until("they know each other", async || gateway.log(0).contains("node_met")).await;
+    gateway
+        .until("each service has one lead", async || {
+            let (mut led, others) = (running(&gateway, 0).await, running(&gateway, 1).await);
+            let both = led.len() + others.len();
+            led.extend(others);
+            both == models && led.len() == models
+        })
+        .await;
+    gateway
+}
+
+/// The generations that a node knows of, by the services that it leads.
+async fn running(gateway: &Gateway, node: usize) -> BTreeMap<String, u64> {
+    let req = http::Request::get("/status").header("host", "x").body(Default::default()).expect("valid");
+    let status = crate::gateway_environment::call(&gateway.metrics(node), req).await;
+    let status: Value = serde_json::from_str(&status.body).unwrap_or_default();
+    let pools = status["pools"].as_array().into_iter().flatten();
+    pools
+        .map(|pool| (pool["model"].as_str().unwrap_or("").to_owned(), pool["running"].as_u64().unwrap_or(0)))
+        .collect()
+}
+
+async fn begin(gateway: &Gateway, node: usize, path: &str, id: &str) -> Open {
+    let mut req = chat(id);
+    *req.uri_mut() = path.parse().expect("a path");
+    let open = send(&gateway.front(node), req).await.expect("it begins");
+    assert_eq!(open.1.status(), 200, "{}", gateway.logs());
+    open
+}
+
+/// 50 generations at engines with names of 400 bytes take 20 kB to tell of, more than a datagram
+/// holds. A lead that starts anew must learn of all of them all the same.
+#[tokio::test]
+async fn test_a_new_lead_learns_of_all_generations_of_a_busy_node() {
+    let mut config = config(1);
+    config["services"][1]["maxConnections"] = 200.into();
+    config["services"][1]["engine"]["slots"] = 100.into();
+    config["services"][1]["engine"]["kvCacheTokens"] = 1_000_000.into();
+    let mut gateway = two_nodes(config).await;
+    let _engine = gateway.start_replica(MODEL, &"e".repeat(400), EVENTS).await;
+    let lead = if running(&gateway, 0).await.contains_key(MODEL) { 0 } else { 1 };
+    let entry = 1 - lead;
+    gateway
+        .until("the engine is known", async || gateway.call(entry, chat("first")).await.status == 200)
+        .await;
+    let mut open = Vec::new();
+    for n in 0..50 {
+        open.push(begin(&gateway, entry, "/chat/x", &format!("r-{n}")).await);
+    }
+    gateway.kill(lead);
+    gateway.start_again(lead);
+    let mut known = 0;
+    for _ in 0..60 {
+        known = running(&gateway, lead).await.get(MODEL).copied().unwrap_or(0).max(known);
+        if known == 50 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(known, 50, "{}", gateway.logs());
+}
+
+/// What a node tells a lead of one service must not end what it told of another one that the same
+/// node leads: of four services, one of two nodes leads two or more.
+#[tokio::test]
+async fn test_a_lead_of_several_services_knows_the_generations_of_all() {
+    let mut config = config(1);
+    let (route, service) = (config["routes"][2].clone(), config["services"][1].clone());
+    for n in 0..4 {
+        let name = format!("model-{n}");
+        let (mut route, mut service) = (route.clone(), service.clone());
+        route["name"] = json!(name);
+        route["pathPrefix"] = json!(format!("/{name}/"));
+        route["service"] = json!(name);
+        service["name"] = json!(name);
+        config["routes"].as_array_mut().expect("routes").push(route);
+        config["services"].as_array_mut().expect("services").push(service);
+    }
+    let gateway = two_nodes(config).await;
+    let mut engines = Vec::new();
+    for n in 0..4 {
+        engines.push(gateway.start_replica(&format!("model-{n}"), &format!("e-{n}"), EVENTS).await);
+    }
+    let led = running(&gateway, 0).await.into_keys().filter(|name| name != MODEL).count();
+    let lead = if led >= 2 { 0 } else { 1 };
+    let led: Vec<String> = running(&gateway, lead).await.into_keys().filter(|name| name != MODEL).collect();
+    assert!(led.len() >= 2, "{led:?}");
+    let mut open = Vec::new();
+    for name in &led {
+        open.push(begin(&gateway, 1 - lead, &format!("/{name}/x"), name).await);
+    }
+    tokio::time::sleep(STATUS_AGE).await;
+    let mut unknown = 0;
+    for _ in 0..30 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let running = running(&gateway, lead).await;
+        unknown += led.iter().filter(|name| running.get(*name) != Some(&1)).count();
+    }
+    assert_eq!(unknown, 0, "of 30 looks at {} generations that run\n{}", led.len(), gateway.logs());
+}
