inventories: told in parts, and of all services of a lead at once

Cause: a node's inventory went into one datagram of 16 kB at most, which holds some 600 generations, and was dropped whole when it did not fit, each second again. And an inventory of one service ended what the lead knew of the sender's others.

An inventory says now for which ids it names all requests, and replaces what was known of just those; so it is split into as many datagrams as it takes, which may come in any order, and one that is lost costs a second for its ids alone. It tells of all services that the receiver leads.

Before: a lead that started anew knew 0 of 50 generations (20 kB) after 6 s; of three services with the same lead two were unknown in each look.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod config_text;
 pub mod evacuation;
 pub mod handouts;
+pub mod inventory;
 pub mod lapses;
 pub mod lead;
 pub mod learned;
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::ops::RangeInclusive;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -173,12 +174,19 @@
         self.iter().map(|(_, run)| run).filter(|run| run.copied_from.as_deref() == Some(engine)).count()
     }
 
-    /// All generations of a node, as it reports them. Those that it had started by then
-    /// and does not name have ended; `last` is the newest that it had started.
-    pub fn on_inventory(&mut self, entry: &VmId, runs: Vec<(RunId, Run)>, last: RunId, now: Timestamp) {
+    /// All requests of a node with the given ids, as it reports them: those that it does not name
+    /// have ended. It may name some with other ids beside them.
+    pub fn on_inventory(
+        &mut self,
+        entry: &VmId,
+        ids: RangeInclusive<RunId>,
+        runs: Vec<(RunId, Run)>,
+        now: Timestamp,
+    ) {
         let named: HashSet<RunId> = runs.iter().map(|(run, _)| *run).collect();
-        let known = self.runs.get(entry).into_iter().flat_map(|runs| runs.range(..=last));
-        let ended: Vec<RunId> = known.map(|(run, _)| *run).filter(|run| !named.contains(run)).collect();
+        let known = self.runs.get(entry).into_iter().flat_map(|runs| runs.range(*ids.start()..));
+        let known = known.map(|(run, _)| *run).take_while(|run| ids.contains(run));
+        let ended: Vec<RunId> = known.filter(|run| !named.contains(run)).collect();
         for run in ended {
             self.remove(&RunKey { entry: entry.clone(), run });
         }
@@ -191,7 +199,7 @@
 
     /// A node is gone, and its requests with it.
     pub fn on_entry_gone(&mut self, entry: &VmId) {
-        self.on_inventory(entry, Vec::new(), RunId::MAX, Timestamp::ZERO);
+        self.on_inventory(entry, 0..=RunId::MAX, Vec::new(), Timestamp::ZERO);
     }
 
     /// A request.
--- a/lib/tests/test_gateway_load.rs
+++ b/lib/tests/test_gateway_load.rs
@@ -4,6 +4,7 @@
 
 use leadstage_lib::gateway::choice::EngineRequest;
 use leadstage_lib::gateway::evacuation;
+use leadstage_lib::gateway::inventory::Inventory;
 use leadstage_lib::gateway::lead::Leads;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::LoadBook;
@@ -17,6 +18,7 @@
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 
 use crate::test_gateway_replicas::record;
 
@@ -158,7 +160,7 @@
         give(&mut book, &engines, key(n), run("e1", 100, 100, 0));
     }
     let entry: VmId = "n".into();
-    book.on_inventory(&entry, vec![(1, run("e2", 100, 100, 40))], 2, NOW);
+    book.on_inventory(&entry, 0..=2, vec![(1, run("e2", 100, 100, 40))], NOW);
     let mut runs: Vec<String> = book
         .of_entry(&entry)
         .map(|(id, run)| format!("{id} at {} made {}", run.replica, run.produced))
@@ -180,7 +182,10 @@
             match what {
                 0 => give(&mut book, &engines, key(n), run(&engine, 100, 100, 0)),
                 1 => { book.remove(&key(n)); }
-                2 => book.on_inventory(&"n".into(), vec![(n, run(&engine, 100, 100, 4))], n, NOW),
+                2 => {
+                    let runs = vec![(n, run(&engine, 100, 100, 4))];
+                    book.on_inventory(&"n".into(), 0..=n, runs, NOW);
+                }
                 _ => book.on_first_event(&key(n), NOW),
             }
             let by_engine: usize = (0..3).map(|e| book.at(&format!("e{e}")).count()).sum();
@@ -230,3 +235,57 @@
     let seen_by_b = leads.lead_of("m", &others[0], [&own, &others[1], &others[2]].into_iter(), later);
     assert_eq!(*seen_by_b, lead, "all pick the same one");
 }
+
+proptest! {
+    /// A lead that is told in parts, in any order, knows what one knows that is told all at once. A
+    /// part that is lost leaves what was known of its requests, and nothing else.
+    #[test]
+    fn test_parts_of_an_inventory_make_up_the_whole(
+        before in proptest::collection::btree_set(0u64..60, 0..40),
+        now in proptest::collection::btree_set(0u64..60, 0..40),
+        last in 0u64..60,
+        most_bytes in 0usize..400,
+        lost in 0usize..10,
+        order in any::<u64>(),
+    ) {
+        let engines = table(&[("e1", "a")]);
+        let entry: VmId = "n".into();
+        let runs: Vec<_> = now.iter().map(|n| (*n, run("e1", 100, 100, 40))).collect();
+        let told = |parts: &[Inventory]| {
+            let mut book = LoadBook::default();
+            for n in &before {
+                give(&mut book, &engines, key(*n), run("e1", 100, 100, 0));
+            }
+            for part in parts {
+                book.on_inventory(&entry, part.ids.clone(), part.runs.clone(), NOW);
+            }
+            book.of_entry(&entry).map(|(n, run)| (n, run.produced)).collect::<Vec<_>>()
+        };
+        let whole = told(&[Inventory { runs: runs.clone(), ids: 0..=last }]);
+        let mut parts = Inventory::parts(runs, last, most_bytes);
+        parts.shuffle(&mut SmallRng::seed_from_u64(order));
+        prop_assert_eq!(&told(&parts), &whole);
+        let lost = parts.remove(lost % parts.len());
+        let is_lost = |n: &u64| lost.ids.contains(n) || lost.runs.iter().any(|(run, _)| run == n);
+        let mut expected: Vec<_> = whole.into_iter().filter(|(n, _)| !is_lost(n)).collect();
+        expected.extend(before.iter().filter(|n| is_lost(n)).map(|n| (*n, 0)));
+        expected.sort();
+        prop_assert_eq!(told(&parts), expected);
+    }
+}
+
+/// 3,000 generations at engines with long names: each part fits into what a datagram holds, as it
+/// is encoded.
+#[test]
+fn test_each_part_of_an_inventory_is_as_small_as_asked() {
+    let from = Some("e".repeat(80).into());
+    let largest = Run { copied_from: from, ..run(&"e".repeat(90), u32::MAX, u32::MAX, u32::MAX) };
+    let runs: Vec<_> = (0..3_000).map(|n| (u64::MAX - 3_000 + n, largest.clone())).collect();
+    let parts = Inventory::parts(runs, u64::MAX, 15 << 10);
+    let named: usize = parts.iter().map(|part| part.runs.len()).sum();
+    assert_eq!(named, 3_000);
+    for part in parts {
+        let bytes = postcard::to_stdvec(&part).expect("encodable").len();
+        assert!(bytes < 16 << 10, "{bytes} bytes");
+    }
+}
--- a/node/src/gateway/control/inventories.rs
+++ b/node/src/gateway/control/inventories.rs
@@ -6,13 +6,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::run_key::RunId;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::VmId;
 
 use crate::gateway::control::knowledge::Knowledge;
-use crate::gateway::peers::peer_message::Inventory;
 
 /// Time between two inventories for a lead. Ends are told at once, and in a second a
 /// generation makes some 115 tokens: 3 in 100 of its memory.
@@ -32,40 +32,43 @@
 }
 
 impl Inventories {
-    /// The inventories of the node `own` that are due, with their leads; `last` is its newest
-    /// generation that is placed. A new lead is told at once, and one that was told of
-    /// generations is told once more when there are none.
+    /// The requests of the node `own` that are to be told now, in order of their ids, by the lead
+    /// that is told. A new lead is told at once, and one that was told of generations is told once
+    /// more when there are none.
+    ///
+    /// A lead is told of all services that it leads at once: told of one alone it would take those
+    /// of the others for ended. Of three services with the same lead and a generation each, two were
+    /// unknown in each of 30 looks at the lead's status within 3 s.
     pub fn take(
         &mut self,
         knowledge: &Knowledge,
         own: &VmId,
-        last: RunId,
         now: Timestamp,
         lead_of: impl Fn(&ServiceId) -> Option<SocketAddr>,
-    ) -> Vec<(SocketAddr, Inventory)> {
-        let mut due = HashMap::new();
+    ) -> HashMap<SocketAddr, Vec<(RunId, Run)>> {
+        let busy: HashSet<ServiceId> = services(knowledge, own).collect();
         // A lead is picked by a hash over all nodes: once for each service, not each generation.
-        let services: HashSet<ServiceId> =
-            services(knowledge, own).chain(self.told.keys().cloned()).collect();
-        for service in services {
-            if let Some(lead) = lead_of(&service).filter(|lead| self.is_due(&service, *lead, now)) {
-                due.insert(service, (lead, Inventory { runs: Vec::new(), last }));
-            }
-        }
+        let known = busy.iter().chain(self.told.keys());
+        let leads: HashMap<ServiceId, SocketAddr> =
+            known.filter_map(|service| Some((service.clone(), lead_of(service)?))).collect();
+        let due = leads.iter().filter(|(service, lead)| self.is_due(service, **lead, now));
+        let mut told: HashMap<SocketAddr, Vec<(RunId, Run)>> =
+            due.map(|(_, lead)| (*lead, Vec::new())).collect();
         for (run, it) in knowledge.book.of_entry(own) {
             let service = knowledge.replicas.get(&it.replica).map(|replica| &replica.record.service);
-            if let Some((_, inventory)) = service.and_then(|service| due.get_mut(service)) {
-                inventory.runs.push((run, it.clone()));
+            let lead = service.and_then(|service| leads.get(service));
+            if let Some(runs) = lead.and_then(|lead| told.get_mut(lead)) {
+                runs.push((run, it.clone()));
             }
         }
-        for (service, (lead, inventory)) in &due {
-            if inventory.runs.is_empty() {
-                self.told.remove(service);
+        for (service, lead) in leads.into_iter().filter(|(_, lead)| told.contains_key(lead)) {
+            if busy.contains(&service) {
+                self.told.insert(service, Told { lead, at: now });
             } else {
-                self.told.insert(service.clone(), Told { lead: *lead, at: now });
+                self.told.remove(&service);
             }
         }
-        due.into_values().collect()
+        told
     }
 
     fn is_due(&self, service: &ServiceId, lead: SocketAddr, now: Timestamp) -> bool {
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use leadstage_lib::gateway::inventory::Inventory;
 use leadstage_lib::gateway::lead::Leads;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ListChange;
@@ -38,7 +39,7 @@
 use crate::gateway::peers::outbox::Outbox;
 use crate::gateway::peers::outbox::address_of;
 use crate::gateway::peers::outbox::node_id;
-use crate::gateway::peers::peer_message::Inventory;
+use crate::gateway::peers::peer_message::MAX_INVENTORY;
 use crate::gateway::peers::peer_message::PeerMessage;
 use crate::gateway::peers::peer_message::RemotePlace;
 use crate::gateway::shared::Shared;
@@ -205,7 +206,7 @@
     /// Another node tells what it runs.
     pub fn on_inventory(&mut self, from: SocketAddr, inventory: Inventory) {
         let now = self.shared.now();
-        self.knowledge.book.on_inventory(&node_id(from), inventory.runs, inventory.last, now);
+        self.knowledge.book.on_inventory(&node_id(from), inventory.ids, inventory.runs, now);
     }
 
     /// Another node is gone.
@@ -404,8 +405,10 @@
         let (now, last) = (self.shared.now(), self.newest_settled());
         let mut inventories = std::mem::take(&mut self.inventories);
         let lead_of = |service: &ServiceId| self.other_lead(fleet, service).map(|(_, address)| address);
-        for (lead, inventory) in inventories.take(&self.knowledge, &self.own, last, now, lead_of) {
-            self.outbox.send(lead, &PeerMessage::Inventory(inventory));
+        for (lead, runs) in inventories.take(&self.knowledge, &self.own, now, lead_of) {
+            for part in Inventory::parts(runs, last, MAX_INVENTORY) {
+                self.outbox.send(lead, &PeerMessage::Inventory(part));
+            }
         }
         self.inventories = inventories;
     }
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use leadstage_lib::gateway::inventory::Inventory;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::replica_news::ReplicaNews;
@@ -26,6 +27,9 @@
 /// Bytes of a datagram at most. Nearly all fit into one packet; the inventory of a busy
 /// node takes a few.
 pub const MAX_DATAGRAM: usize = 16 << 10;
+/// Bytes of an inventory's requests in one datagram at most; what stands beside them takes less
+/// than 100.
+pub const MAX_INVENTORY: usize = 15 << 10;
 
 /// A datagram; `M` is a message, or a reference to one that is sent to several nodes.
 #[derive(Debug, Deserialize, Serialize)]
@@ -65,7 +69,7 @@
     Copied(RunId),
     /// The generation should move away from this engine.
     MoveAway(RunId, UpstreamId),
-    /// All generations of the sender at a service's engines.
+    /// The sender's requests at the replicas of services that the receiver leads, or a part of them.
     Inventory(Inventory),
     /// What a watcher has learnt of the replicas; passed on unchanged.
     Replicas(ReplicaNews),
@@ -143,15 +147,6 @@
     pub patience: Duration,
 }
 
-/// A node's generations at the engines of a service.
-#[derive(Debug, Deserialize, Serialize)]
-pub struct Inventory {
-    /// The generations.
-    pub runs: Vec<(RunId, Run)>,
-    /// The newest that the sender had started.
-    pub last: RunId,
-}
-
 /// A watcher's pulse.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Pulse {
