tests: a large bundle from a peer over a thin link; failing

0.3 MB at 100 kB/s take three seconds; the whole has to come within one, and began anew with each probe's answer: not there after 60 s. Probes share the connection, which is dropped with each failure: the peer was suspected about once a second.

--- a/node/tests/environment.rs
+++ b/node/tests/environment.rs
@@ -18,6 +18,7 @@
 use leadstage_lib::signing::encode_key;
 use leadstage_lib::signing::sha256_hex;
 use leadstage_lib::signing::sign;
+use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::http_client;
 use leadstage_testutils::http_client::HttpClient;
 use leadstage_testutils::http_client::Reply;
@@ -242,6 +243,18 @@
         self.publish_vms().await;
     }
 
+    /// Lists a node's peer port behind a proxy before it, so that other nodes call it there.
+    pub async fn put_proxy_before_peer(&mut self, node: usize) -> FaultyProxy {
+        let peer = self.port(node, 8082).parse().expect("an address");
+        let proxy = FaultyProxy::start(&format!("{}.{}", self.net, 10 + node), peer).await;
+        let name = format!("entry-{node}");
+        for vm in self.vms.iter_mut().filter(|vm| vm["id"] == *name) {
+            vm["address"] = proxy.address.to_string().into();
+        }
+        self.publish_vms().await;
+        proxy
+    }
+
     async fn publish_vms(&self) {
         let body = serde_json::to_vec(&self.vms).expect("JSON");
         let uri = format!("http://{}/stand-in/vms", self.address("platform"));
--- a/node/tests/test_bundles.rs
+++ b/node/tests/test_bundles.rs
@@ -4,6 +4,7 @@
 use ed25519_dalek::SigningKey;
 use leadstage_lib::signing::Envelope;
 use leadstage_lib::signing::sign;
+use leadstage_testutils::faulty_proxy::LinkFault;
 
 use crate::environment::Env;
 use crate::environment::Options;
@@ -30,6 +31,23 @@
     env.until_ready(3).await;
 }
 
+/// A node that starts while the object API is down has a bundle of 0.3 MB from a peer, also over a
+/// link on which that takes three seconds, and does not take the peer for dead meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_a_large_bundle_is_handed_over_on_a_thin_link() {
+    let options = Options { nodes: 2, engines: 0, ..Options::default() };
+    let mut env = Env::start(options).await;
+    env.kill("entry-2");
+    let proxy = env.put_proxy_before_peer(1).await;
+    let yaml = format!("{}\n# {}\n", bundle_yaml(2, &env.options.bounds), "x".repeat(300_000));
+    env.put_bundle(envelope(2, &yaml, "test").to_bytes()).await;
+    env.until_bundle(1, 2).await;
+    proxy.set(LinkFault::Thin(100_000));
+    env.fault("platform", "down").await;
+    env.start_node(2);
+    env.until_bundle(2, 2).await;
+}
+
 /// A node that starts while the object API is down takes its peers' highest; alone it
 /// stays not ready.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
