tests: a stream that may not be resumed is lost with its silent connection

On a connection that fell silent midway while its engine goes on, the stream ended after 8.0 s with "out of time": 19 of 200 events reached the caller.

The stand-in for an engine tells of its runs, counts calls to copy, and takes the address of a proxy, as that names its copies.

--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -158,6 +158,7 @@
     pub async fn put_proxy_before(&self, service: &str, running: &RunningReplica) -> FaultyProxy {
         let address = running.server.as_ref().expect("it serves").address;
         let proxy = FaultyProxy::start(&self.replicas_ip(), address).await;
+        running.replica.set_address(proxy.address);
         let entry = replica_entry(service, proxy.address, "hall-1", "ready");
         self.store.put("servers", &running.replica.id, entry);
         proxy
--- a/node/tests/test_gateway_silent.rs
+++ b/node/tests/test_gateway_silent.rs
@@ -7,6 +7,7 @@
 use http::Request;
 use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::gateway_replica::ReplicaFault;
+use leadstage_testutils::gateway_replica::StreamFault;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -14,6 +15,7 @@
 use crate::gateway_environment::Gateway;
 use crate::gateway_environment::KEY;
 use crate::gateway_environment::RunningReplica;
+use crate::gateway_environment::chat;
 use crate::gateway_environment::config;
 use crate::gateway_environment::request;
 use crate::gateway_environment::tag;
@@ -125,30 +127,77 @@
     }
 }
 
-/// A stream's connection falls silent midway while its engine goes on and is well: a resumable
-/// stream goes on at the other engine before its caller leaves.
-#[tokio::test]
-async fn test_a_resumable_stream_goes_on_before_its_caller_leaves_a_silent_connection() {
+/// A node with two engines behind proxies, whose generations have `events`.
+async fn with_engines(events: u64) -> (Gateway, Vec<RunningReplica>, Vec<FaultyProxy>) {
     let mut gateway = Gateway::start().await;
     gateway.store.put("config", "main", config(1));
-    let mut models = Vec::new();
+    let (mut models, mut proxies) = (Vec::new(), Vec::new());
     for id in ["model-1", "model-2"] {
-        let running = gateway.start_replica("model", id, 60).await;
-        let proxy = gateway.put_proxy_before("model", &running).await;
-        models.push((running, proxy));
+        let running = gateway.start_replica("model", id, events).await;
+        proxies.push(gateway.put_proxy_before("model", &running).await);
+        models.push(running);
     }
     gateway.start_node();
     gateway.until_ready(0).await;
-    let (called, ()) = tokio::join!(gateway.call(0, tag("r-1")), async {
-        gateway.until("it runs", async || models.iter().any(|(m, _)| m.replica.running() > 0)).await;
-        tokio::time::sleep(Duration::from_millis(300)).await;
-        models.iter().for_each(|(_, proxy)| proxy.silence_open());
-    });
-    assert!(called.whole && called.events() == Some(60), "{called:?}\n{}", gateway.logs());
+    (gateway, models, proxies)
+}
+
+/// Waits until a stream has run for a while, and silences all open connections to engines.
+async fn silence_midway(gateway: &Gateway, models: &[RunningReplica], proxies: &[FaultyProxy]) {
+    gateway.until("it runs", async || models.iter().any(|model| model.replica.running() > 0)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    proxies.iter().for_each(FaultyProxy::silence_open);
+}
+
+/// The longest silence between two events of the node's only stream, by its log.
+fn longest_gap(gateway: &Gateway) -> Duration {
     let log = gateway.log(0);
     let gap = log.split("gap_ms=").nth(1).and_then(|rest| rest.split_whitespace().next());
-    let gap = gap.and_then(|gap| gap.parse().ok()).map(Duration::from_millis).expect("it is logged");
+    gap.and_then(|gap| gap.parse().ok()).map(Duration::from_millis).expect("it is logged")
+}
+
+/// A stream's connection falls silent midway while its engine goes on and is well: a resumable
+/// stream goes on at the other engine before its caller leaves.
+#[tokio::test]
+async fn test_a_resumable_stream_goes_on_before_its_caller_leaves_a_silent_connection() {
+    let (gateway, models, proxies) = with_engines(60).await;
+    let (called, ()) = tokio::join!(gateway.call(0, tag("r-1")), silence_midway(&gateway, &models, &proxies));
+    assert!(called.whole && called.events() == Some(60), "{called:?}\n{}", gateway.logs());
+    let gap = longest_gap(&gateway);
+    assert!(gap < CALLERS_LEAVE_AFTER, "silent for {gap:?}\n{}", gateway.logs());
+}
+
+/// The connection of a stream that may not be resumed fell silent midway, and the box that dropped
+/// its bytes went on acknowledging them. Its engine made the rest into the void; the node waited for
+/// it until the route's timeout and cut the stream off, though a new connection to the engine
+/// worked all the while and a copy of the generation's memory counts as the same run: 19 of 200 events
+/// reached the caller, and its stream broke after 8.0 s.
+#[tokio::test]
+async fn test_a_stream_that_may_not_be_resumed_is_moved_off_a_silent_connection() {
+    let (gateway, models, proxies) = with_engines(200).await;
+    let (called, ()) =
+        tokio::join!(gateway.call(0, chat("r-1")), silence_midway(&gateway, &models, &proxies));
+    assert!(called.whole && called.events() == Some(200), "{called:?}\n{}", gateway.logs());
+    let gap = longest_gap(&gateway);
     assert!(gap < CALLERS_LEAVE_AFTER, "silent for {gap:?}\n{}", gateway.logs());
+    let seen: Vec<_> = models.iter().flat_map(|model| model.replica.seen()).collect();
+    let fresh = seen.iter().filter(|seen| seen.header("kv-from").is_none()).count();
+    assert_eq!(fresh, 1, "a generation starts once");
+    let running: usize = models.iter().map(|model| model.replica.running()).sum();
+    assert_eq!(running, 0, "no engine works on it any more");
+}
+
+/// An engine that makes no events for a while, as it is busy or slow, has the same silence to show.
+/// Its generation stays: to move it costs the link and the other engine's memory, and the caller
+/// gains nothing.
+#[tokio::test]
+async fn test_a_stream_whose_engine_makes_no_events_stays_there() {
+    let (gateway, models, _proxies) = with_engines(200).await;
+    gateway.engines.set_stream_faults([StreamFault::StallsAfter(20)]);
+    let leaving = tokio::time::timeout(CALLERS_LEAVE_AFTER, gateway.call(0, chat("r-1"))).await;
+    assert!(leaving.is_err(), "{leaving:?}\n{}", gateway.logs());
+    let copies: usize = models.iter().map(|model| model.replica.copy_calls()).sum();
+    assert_eq!(copies, 0, "{}", gateway.logs());
 }
 
 /// A watch that waited at the store had lost its connection to silence; the pulse beside it opened
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -159,6 +159,10 @@
     /// Running generations and the events that they made.
     runs: HashMap<String, u64>,
     stopped: Vec<String>,
+    /// Calls for its report.
+    reports: usize,
+    /// Calls to copy a generation.
+    copy_calls: usize,
     /// Callers that closed their connection before the answer's end.
     left: Vec<String>,
     address: Option<SocketAddr>,
@@ -222,6 +226,11 @@
         self.state.lock().expect("no holder panics")
     }
 
+    /// Sets where nodes reach it, which names its copies.
+    pub fn set_address(&self, address: SocketAddr) {
+        self.state().address = Some(address);
+    }
+
     /// Sets how it treats requests.
     pub fn set_fault(&self, fault: ReplicaFault) {
         self.state().fault = fault;
@@ -242,6 +251,16 @@
         self.state().runs.len()
     }
 
+    /// How often it was asked for its report.
+    pub fn reports(&self) -> usize {
+        self.state().reports
+    }
+
+    /// How often it was asked to copy a generation.
+    pub fn copy_calls(&self) -> usize {
+        self.state().copy_calls
+    }
+
     /// Requests whose caller closed the connection.
     pub fn left(&self) -> Vec<String> {
         self.state().left.clone()
@@ -395,7 +414,8 @@
         let call: serde_json::Value = serde_json::from_slice(req.body()).unwrap_or_default();
         let (id, last) = (call["id"].as_str().unwrap_or("").to_owned(), call["last"] == true);
         let (fault, made, address) = {
-            let state = self.state();
+            let mut state = self.state();
+            state.copy_calls += 1;
             (state.copy_fault, state.runs.get(&id).copied(), state.address)
         };
         let Some(made) = made else {
@@ -422,6 +442,14 @@
         Response::new(loopback::whole(json!({"handle": format!("h-{id}"), "made": made}).to_string()))
     }
 
+    /// Tells of the generations that run: their ids, tokens in memory, events and priorities.
+    fn report(&self) -> Response<Body> {
+        let mut state = self.state();
+        state.reports += 1;
+        let runs: Vec<_> = state.runs.iter().map(|(id, made)| json!([id, made, made, 5])).collect();
+        Response::new(loopback::whole(json!({"stage": "both", "runs": runs}).to_string()))
+    }
+
     async fn close_port(&self) {
         let close_port = self.state().close_port.clone().expect("it serves");
         close_port.notify_one();
@@ -448,6 +476,7 @@
     async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
         match req.uri().path() {
             "/v1/kv-move" => return self.copy(req).await,
+            "/v1/report" => return self.report(),
             "/healthz" => {
                 let mut res = status(200);
                 res.headers_mut().insert("leadstage-instance-id", self.id.parse().expect("valid"));
