streams: move one that may not be resumed off a silent connection

Cause: only streams that may be resumed were watched for silence. Another one waited for the kernel's keep-alive, 3 s, or where a box acknowledges what it drops until the route's timeout. By then its engine had often made the rest, and the memory that it could have gone on from was gone.

Mend: after four of the longest pauses that count as in time, the engine is asked on a new connection how many events it has made. Only if it is two ahead of what came is the generation moved with a copy, which counts as the same run. The old connection is dropped when the other engine goes on, and the first engine has stopped by then.

Ruled out: to move whatever is silent, unasked. Generations that an engine has put behind others are silent too; to move those takes places and memory at other engines.

--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -95,6 +95,13 @@
     GaveUp(NotCopied),
     /// The engine was silent, and is gone.
     EngineGone(UpstreamId),
+    /// The engine had made more events than the `came` that its connection passed on.
+    ConnectionSilent {
+        /// The engine.
+        engine: UpstreamId,
+        /// Events that had come when it was asked.
+        came: u64,
+    },
 }
 
 /// The outcome of a call to copy, as a label.
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -2,11 +2,12 @@
 //!
 //! `moving` takes the generation away from engines that leave or are crowded, with a copy of its
 //! memory; `after_stop` has it go on once it has stopped; `going_on` has another engine go on after
-//! the last event when one is lost.
+//! the last event when one is lost; `silent_connection` moves it off connections that pass nothing on.
 
 mod after_stop;
 mod going_on;
 mod moving;
+mod silent_connection;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -79,6 +80,8 @@
     /// Engines that the request was sent to, those that went on from a copy aside.
     sent: u32,
     stall: StallWatch,
+    /// Whether the stream could go on elsewhere if it is silent for too long.
+    is_watched: bool,
 }
 
 impl Relay {
@@ -102,6 +105,7 @@
             tx,
             events: EventSplitter::after(req.last_event()),
             stall: StallWatch::new(&req.route),
+            is_watched: req.route.resumable || engine.is_some_and(|e| e.moves),
             sent,
             steps_tx,
             steps,
@@ -169,7 +173,7 @@
                 None => Err(self.on_regular_end().await),
                 Some(Err(err)) => self.on_break(&err).await,
             },
-            () = tokio::time::sleep_until(self.stall.due()), if self.req.route.resumable => self.on_silence().await,
+            () = tokio::time::sleep_until(self.stall.due()), if self.is_watched => self.on_silence().await,
         }
     }
 
--- a/node/src/gateway/upstream/relay/after_stop.rs
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -142,6 +142,8 @@
         if copied.stop_is_known {
             return None;
         }
+        // An answer about a stream that has stopped would be taken for the stop's.
+        self.asking = None;
         match tokio::time::timeout(STOP_ANSWER_LIMIT, self.steps.recv()).await {
             Ok(Some(Step::StopAnswered(answer))) => Some(copied.note_stop(answer)),
             _ => None,
--- a/node/src/gateway/upstream/relay/going_on.rs
+++ b/node/src/gateway/upstream/relay/going_on.rs
@@ -17,7 +17,12 @@
 impl Relay {
     /// The engine has been silent for too long.
     pub(super) async fn on_silence(&mut self) -> Result<(), End> {
-        if self.stall.on_due() == Silence::Leave {
+        let silence = self.stall.on_due();
+        if !self.req.route.resumable {
+            self.doubt_connection();
+            return Ok(());
+        }
+        if silence == Silence::Leave {
             return Err(End::EngineLost);
         }
         let (traffic, req) = (self.traffic.clone(), self.req.clone());
--- a/node/src/gateway/upstream/relay/moving.rs
+++ b/node/src/gateway/upstream/relay/moving.rs
@@ -47,7 +47,7 @@
         }
     }
 
-    fn start_copy(&mut self, insist: Duration) {
+    pub(super) fn start_copy(&mut self, insist: Duration) {
         let copying = Copying {
             traffic: self.traffic.clone(),
             req: self.req.clone(),
@@ -67,6 +67,12 @@
         match step {
             Step::EngineGone(engine) if engine == self.leg.run.placed.replica.id => Err(End::EngineLost),
             Step::EngineGone(_) => Ok(()),
+            Step::ConnectionSilent { engine, came } => {
+                if engine == self.leg.run.placed.replica.id {
+                    self.on_silent_connection(came);
+                }
+                Ok(())
+            }
             Step::Copied(copied) if self.leaving.contains(&copied.target.placed.replica.id) => {
                 info!(event = "copy_dropped", request = self.req.id(), upstream = &*copied.target.placed.replica.id; "the copy's engine leaves as well");
                 self.moving = None;
@@ -152,6 +158,8 @@
     /// Waits a little for a copy that was being made when the stream broke.
     async fn await_copy(&mut self) -> Option<Copied> {
         self.moving.as_ref()?;
+        // An answer about a stream that has broken would be taken for the copy's.
+        self.asking = None;
         match tokio::time::timeout(STOP_ANSWER_LIMIT, self.steps.recv()).await {
             Ok(Some(Step::Copied(copied))) => Some(copied),
             _ => None,
