streams: go on where a generation runs when its connection is silent

Cause: a generation on a silent connection was moved with a copy while it ran on. Other engines were often full, or it had ended before the copy did.

Mend: it is stopped at once, and goes on at the same engine on a new connection; the copy that the stop makes is the second way. An engine that has no room for that copy refuses the stop, and up to three others are named.

--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::evacuation;
+use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::connect::CallError;
@@ -28,12 +29,15 @@
 /// Time for one copy: some times that of the largest generation over a busy link.
 const COPY_LIMIT: Duration = Duration::from_millis(2_500);
 
-/// The generation's memory is at another engine.
+/// A generation that goes on after a stop: its memory is at another engine, or is there once it has
+/// stopped.
 pub struct Copied {
     /// The engine, and the generation's place there.
     pub target: RunGuard,
-    /// Names the copy.
-    pub handle: CopyHandle,
+    /// Names the copy; `None` until the stop is answered, if nothing was copied before.
+    pub handle: Option<CopyHandle>,
+    /// Whether the generation is to go on where it stopped, on a new connection, if it can.
+    pub stays: bool,
     /// Whether the stop of the generation was answered.
     pub stop_is_known: bool,
 }
@@ -44,7 +48,7 @@
         self.stop_is_known = true;
         match answer {
             Ok(CopyOutcome::Done { handle, .. } | CopyOutcome::NoRoom { handle: Some(handle) }) => {
-                self.handle = handle;
+                self.handle = Some(handle);
                 Stop::Stopped
             }
             Ok(CopyOutcome::NotRunning | CopyOutcome::Busy) | Err(CallError::Connect(_)) => Stop::RunsOn,
@@ -91,6 +95,8 @@
     Copied(Copied),
     /// The call that stops the generation was answered, or got no answer.
     StopAnswered(StopAnswer),
+    /// A generation whose connection is silent can be stopped, to go on where it stopped.
+    CanStop(Copied),
     /// No copy could be made.
     GaveUp(NotCopied),
     /// The engine was silent, and is gone.
@@ -175,20 +181,36 @@
         }
     }
 
+    /// Finds an engine that the call to stop the generation can name. It is not asked for room by its
+    /// load, as the generation goes on where it stopped; one that is full says so.
+    pub async fn prepare_stop(self) -> Step {
+        let mut exclude = vec![self.source.id.clone()];
+        exclude.extend(self.avoid.iter().cloned());
+        match self.place(None, &exclude).await {
+            Some(target) => Step::CanStop(Copied { target, handle: None, stays: true, stop_is_known: false }),
+            None => Step::GaveUp(NotCopied::Later),
+        }
+    }
+
     async fn target(&self, exclude: &[UpstreamId]) -> Option<RunGuard> {
-        let size = self.req.generation_size();
+        self.place(Some(self.req.generation_size()), exclude).await
+    }
+
+    /// Places the generation at an engine when it is the turn of a copy from its own one; without its
+    /// size, whether there is room or not.
+    async fn place(&self, size: Option<GenerationSize>, exclude: &[UpstreamId]) -> Option<RunGuard> {
         let produced = self.handle.produced.load(Ordering::Relaxed);
         let request = PlaceRequest {
             request: self.req.id().to_owned(),
             wanted: Wanted {
                 service: self.req.service.clone(),
-                size: Some(size),
+                size,
                 produced,
                 from: Some(self.source.id.clone()),
                 hall: self.source.hall.clone(),
                 exclude: exclude.to_vec(),
             },
-            priority: evacuation::rank(size, produced),
+            priority: evacuation::rank(self.req.generation_size(), produced),
             patience: if self.insist.is_zero() { Duration::ZERO } else { evacuation::COPY_PATIENCE },
             stream: Some(self.handle.clone()),
         };
@@ -206,7 +228,7 @@
         match called {
             Ok(CopyOutcome::Done { handle, .. }) => {
                 self.traffic.shared.tell(ToControl::Copied(target.placed.run));
-                Ok(Copied { target, handle, stop_is_known: false })
+                Ok(Copied { target, handle: Some(handle), stays: false, stop_is_known: false })
             }
             Ok(CopyOutcome::NotRunning | CopyOutcome::Busy) => Err(NotCopied::Later),
             Ok(CopyOutcome::NoRoom { .. } | CopyOutcome::Unexpected(_)) => {
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! `moving` takes the generation away from engines that leave or are crowded, with a copy of its
 //! memory; `after_stop` has it go on once it has stopped; `going_on` has another engine go on after
-//! the last event when one is lost; `silent_connection` moves it off connections that pass nothing on.
+//! the last event when one is lost; `silent_connection` takes it off connections that pass nothing on.
 
 mod after_stop;
 mod going_on;
@@ -73,6 +73,8 @@
     leaving: Vec<UpstreamId>,
     /// Engines that could not go on with it.
     failing: Vec<UpstreamId>,
+    /// Engines that a stop of the silent generation could not name.
+    unfit: Vec<UpstreamId>,
     moves: u32,
     pace: Pace,
     /// The engine has read the prompt or still does, and has made no event.
@@ -114,6 +116,7 @@
             stopping: None,
             leaving: Vec::new(),
             failing: Vec::new(),
+            unfit: Vec::new(),
             moves: 0,
             pace: Pace::default(),
             is_reading: true,
--- a/node/src/gateway/upstream/relay/after_stop.rs
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -63,12 +63,14 @@
     }
 
     /// Asks the engine with the copy, then the one where the generation stopped, until one goes on.
+    /// For a generation that is to stay, the copy is the second way.
     async fn ask_in_turn(&mut self, mut copied: Copied) -> Result<(), End> {
         let began = Instant::now();
         let mut pause = FIRST_PAUSE;
-        let mut at_copy = NotResumed::Refused;
+        let mut at_copy = None;
+        let mut asks_copy = !copied.stays;
         loop {
-            if at_copy != NotResumed::Failed {
+            if asks_copy && at_copy != Some(NotResumed::Failed) {
                 match self.ask_copy(&mut copied).await {
                     Ok(exchange) => {
                         let leg = Leg { run: copied.target, exchange: Some(exchange) };
@@ -76,7 +78,7 @@
                         return Ok(());
                     }
                     Err(NotResumed::Unknown) => return Err(End::EngineLost),
-                    Err(why) => at_copy = why,
+                    Err(why) => at_copy = Some(why),
                 }
             }
             let at_source = match self.ask_source(&mut copied).await {
@@ -87,7 +89,8 @@
                 Err(NotResumed::Unknown) => return Err(End::EngineLost),
                 Err(why) => why,
             };
-            if began.elapsed() + pause > self.ask_within([at_copy, at_source]) {
+            asks_copy = true;
+            if began.elapsed() + pause > self.ask_within(at_copy.into_iter().chain([at_source])) {
                 return Err(End::EngineLost);
             }
             tokio::time::sleep(pause).await;
@@ -97,10 +100,10 @@
 
     /// How long the engines are asked, by why they did not go on. A stream that may be resumed is
     /// asked for once, as any other engine can go on with it.
-    fn ask_within(&self, why: [NotResumed; 2]) -> Duration {
+    fn ask_within(&self, mut why: impl Iterator<Item = NotResumed>) -> Duration {
         if self.req.route.resumable {
             Duration::ZERO
-        } else if why.contains(&NotResumed::Unreached) {
+        } else if why.any(|why| why == NotResumed::Unreached) {
             self.req.route.callers_patience().mul_f64(REACH_WITHIN)
         } else {
             ASK_WITHIN
@@ -126,14 +129,20 @@
         self.resume_copy(&here, copied).await
     }
 
-    /// The generation goes on where it stopped, as the engine with the copy did not take it.
-    fn go_back(&mut self, copied: Copied, exchange: Exchange, why: NotResumed) {
+    /// The generation goes on where it stopped, as it was to, or as the engine with the copy did not
+    /// take it.
+    fn go_back(&mut self, copied: Copied, exchange: Exchange, at_copy: Option<NotResumed>) {
+        self.leg.exchange = Some(exchange);
+        let Some(why) = at_copy else {
+            info!(event = "went_on", request = self.req.id(), upstream = &*self.leg.run.placed.replica.id, events = self.events.events(); "the generation goes on on a new connection");
+            copied.target.end(Outcome::Withdrawn);
+            return;
+        };
         let here = &self.leg.run.placed.replica.id;
         let failing = copied.target.placed.replica.id.clone();
         info!(event = "went_back", request = self.req.id(), upstream = &**here, failing = &*failing, reason:% = why; "the generation goes on where it stopped");
         copied.target.end(if why == NotResumed::Refused { Outcome::Refused } else { Outcome::Failed });
         self.failing.push(failing);
-        self.leg.exchange = Some(exchange);
     }
 
     /// Waits for the answer to the stop, if it has not come yet. Returns what it tells if it came
@@ -152,7 +161,10 @@
 
     /// Goes on at `engine` with a copy of the generation's memory.
     async fn resume_copy(&self, engine: &ReplicaRecord, copied: &Copied) -> Result<Exchange, NotResumed> {
-        let copy = CopySource { engine: self.leg.run.placed.replica.address, handle: copied.handle.clone() };
+        let Some(handle) = copied.handle.clone() else {
+            return Err(NotResumed::Refused);
+        };
+        let copy = CopySource { engine: self.leg.run.placed.replica.address, handle };
         let resume = Resume { copy: Some(copy), last_event: self.events.last_id().map(str::to_owned) };
         self.resume(engine, &resume, "resume").await
     }
--- a/node/src/gateway/upstream/relay/moving.rs
+++ b/node/src/gateway/upstream/relay/moving.rs
@@ -3,6 +3,7 @@
 use std::fmt::Display;
 use std::time::Duration;
 
+use leadstage_platform::engine::CopyOutcome;
 use log::info;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
@@ -21,6 +22,10 @@
 
 /// How long an engine that is leaving is asked for copies: the longest that one serves on.
 const EVACUATE_WITHIN: Duration = Duration::from_secs(12);
+/// Engines without room that are named to stop a silent generation, one after the other, before it
+/// waits to be doubted again: where all are full, each node would ask for each of its generations
+/// at each engine.
+const MOST_UNFIT: usize = 3;
 /// Time for the rest of a stopped generation's events to arrive.
 const DRAIN_LIMIT: Duration = Duration::from_millis(80);
 
@@ -47,19 +52,35 @@
         }
     }
 
-    pub(super) fn start_copy(&mut self, insist: Duration) {
-        let copying = Copying {
+    fn start_copy(&mut self, insist: Duration) {
+        let copying = self.copying(insist);
+        self.start_move(copying.copy());
+    }
+
+    /// Stops the generation at once, so that it goes on here, on a new connection.
+    pub(super) fn stop_and_go_on_here(&mut self) {
+        let mut copying = self.copying(Duration::ZERO);
+        copying.avoid.extend(self.unfit.iter().cloned());
+        self.start_move(copying.prepare_stop());
+    }
+
+    fn copying(&self, insist: Duration) -> Copying {
+        Copying {
             traffic: self.traffic.clone(),
             req: self.req.clone(),
             handle: self.handle.clone(),
             source: self.leg.run.placed.replica.clone(),
             avoid: self.failing.clone(),
             insist,
-        };
+        }
+    }
+
+    /// Does a part of a move beside the stream.
+    fn start_move(&mut self, part: impl Future<Output = Step> + 'static) {
         let steps = self.steps_tx.clone();
         self.moving = Some(AbortOnDropHandle::new(tokio::task::spawn_local(async move {
-            let step = copying.copy().await;
-            let _ = steps.send(step);
+            // The stream may be over by now.
+            let _ = steps.send(part.await);
         })));
     }
 
@@ -80,7 +101,7 @@
                 self.leave();
                 Ok(())
             }
-            Step::Copied(copied) => {
+            Step::Copied(copied) | Step::CanStop(copied) => {
                 self.start_stop(copied);
                 Ok(())
             }
@@ -99,17 +120,16 @@
     fn start_stop(&mut self, copied: Copied) {
         let source = self.leg.run.placed.replica.clone();
         let target = copied.target.placed.replica.address;
-        let (req, steps) = (self.req.clone(), self.steps_tx.clone());
+        let req = self.req.clone();
         self.stopping = Some(copied);
-        self.moving = Some(AbortOnDropHandle::new(tokio::task::spawn_local(async move {
-            let answer = copying::stop(&source, req.id(), target).await;
-            let _ = steps.send(Step::StopAnswered(answer));
-        })));
+        self.start_move(async move { Step::StopAnswered(copying::stop(&source, req.id(), target).await) });
     }
 
     /// Nobody is asked to go on with a generation that may still run: the engine that runs it would
     /// refuse, and its stream, which is sound, would end.
     async fn on_stop_answer(&mut self, answer: StopAnswer) -> Result<(), End> {
+        let is_refused = matches!(answer, Ok(CopyOutcome::NoRoom { handle: None }));
+        info!(event = "stop", request = self.req.id(), upstream = &*self.leg.run.placed.replica.id, outcome:? = answer; "a generation was to stop");
         let stop = self.stopping.as_mut().map_or(Stop::RunsOn, |copied| copied.note_stop(answer));
         if stop == Stop::Stopped {
             return match self.drain().await {
@@ -117,11 +137,20 @@
                 None => self.go_on_after_stop().await,
             };
         }
+        self.moving = None;
+        if let Some(copied) = self.stopping.take_if(|copied| copied.stays) {
+            // It runs on, its connection as silent as before: another engine may be named.
+            if is_refused && self.unfit.len() < MOST_UNFIT {
+                self.unfit.push(copied.target.placed.replica.id.clone());
+                self.stop_and_go_on_here();
+            }
+            self.leave();
+            return Ok(());
+        }
         // The copy is kept for a generation that may have stopped: its stream is about to break.
         if stop == Stop::RunsOn {
             self.stopping = None;
         }
-        self.moving = None;
         self.leave();
         Ok(())
     }
--- a/node/tests/test_gateway_silent.rs
+++ b/node/tests/test_gateway_silent.rs
@@ -183,6 +183,8 @@
     let seen: Vec<_> = models.iter().flat_map(|model| model.replica.seen()).collect();
     let fresh = seen.iter().filter(|seen| seen.header("kv-from").is_none()).count();
     assert_eq!(fresh, 1, "a generation starts once");
+    let used = models.iter().filter(|model| !model.replica.seen().is_empty()).count();
+    assert_eq!(used, 1, "it goes on where it ran: the other engine may be full");
     let running: usize = models.iter().map(|model| model.replica.running()).sum();
     assert_eq!(running, 0, "no engine works on it any more");
 }
