--- a/node/tests/test_gateway_streams.rs
+++ b/node/tests/test_gateway_streams.rs
@@ -4,10 +4,16 @@
 
 use leadstage_testutils::gateway_replica::CopyFault;
 use leadstage_testutils::gateway_replica::StreamFault;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
+use tokio::time::Instant;
 
 use crate::gateway_environment::Called;
 use crate::gateway_environment::Gateway;
+use crate::gateway_environment::KEY;
 use crate::gateway_environment::MODEL;
+use crate::gateway_environment::PATIENCE;
 use crate::gateway_environment::RunningReplica;
 use crate::gateway_environment::chat;
 use crate::gateway_environment::config;
@@ -340,3 +346,36 @@
     assert!(called.whole, "{:?} events\n{}", called.events(), gateway.logs());
     assert_eq!(called.events(), Some(EVENTS));
 }
+
+/// A caller took 40 kB a second of a stream of 13 MB a second. The node waited until the caller had
+/// taken what was there, and did not look at the time meanwhile: the engine worked on the stream for
+/// 20.6 s, though its caller had told that it waits 3 s at most.
+#[tokio::test]
+async fn test_an_engine_is_left_in_time_though_the_caller_takes_little() {
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    let model = gateway.start_replica(MODEL, "model-1", 900).await;
+    model.replica.set_padding(200_000);
+    gateway.start_node();
+    gateway.until_ready(0).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("it is small");
+    let front = gateway.front(0).parse().expect("an address");
+    let mut stream = socket.connect(front).await.expect("it listens");
+    let head = format!(
+        "POST /chat/x HTTP/1.1\r\nhost: h.example\r\nleadstage-request-id: r-1\r\n\
+         leadstage-deadline-ms: 3000\r\nauthorization: Token {KEY}\r\nleadstage-model: m\r\n\
+         leadstage-token-usage: 100,2000\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("it is taken");
+    let began = Instant::now();
+    gateway.until("it runs", async || model.replica.running() > 0).await;
+    let mut buf = [0; 2_048];
+    while model.replica.running() > 0 && began.elapsed() < PATIENCE {
+        let taken = stream.read(&mut buf).await.expect("it is open");
+        assert_ne!(taken, 0, "the stream goes on");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let took = began.elapsed();
+    assert!(took < Duration::from_secs(4), "left after {took:?}\n{}", gateway.logs());
+}
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -159,6 +159,8 @@
     /// Running generations and the events that they made.
     runs: HashMap<String, u64>,
     stopped: Vec<String>,
+    /// Bytes that each event has beyond its token.
+    padding: usize,
     /// Calls for its report.
     reports: usize,
     /// Calls to copy a generation.
@@ -241,6 +243,11 @@
         self.state().copy_fault = fault;
     }
 
+    /// Sets how many bytes each event has beyond its token.
+    pub fn set_padding(&self, bytes: usize) {
+        self.state().padding = bytes;
+    }
+
     /// What it saw.
     pub fn seen(&self) -> Vec<Seen> {
         self.state().seen.clone()
@@ -404,8 +411,9 @@
                 return Some((Ok(Bytes::from(part)), (guard, Next::Break)));
             }
             state.runs.insert(guard.id.clone(), made + 1);
+            let padding = "x".repeat(state.padding);
             drop(state);
-            let event = format!("id: {}\ndata: token {}\n\n", made + 1, made + 1);
+            let event = format!("id: {}\ndata: token {}{padding}\n\n", made + 1, made + 1);
             Some((Ok(Bytes::from(event)), (guard, Next::Event(made + 1))))
         })
     }
