--- a/lib/src/gateway/inventory.rs
+++ b/lib/src/gateway/inventory.rs
@@ -11,8 +11,9 @@
 use crate::gateway::load::Run;
 use crate::gateway::run_key::RunId;
 
-/// Bytes of a request beside the names of engines, at most: its id and four numbers as varints.
-const MOST_RUN_BYTES: usize = 10 + 4 * 5;
+/// Bytes of a request beside the names of engines, at most: its id and three numbers as varints,
+/// and whether it has a size and is copied.
+const MOST_RUN_BYTES: usize = 10 + 3 * 5 + 2;
 /// Bytes of an engine's name beside the name itself, at most: whether there is one, and its length.
 const MOST_NAME_BYTES: usize = 1 + 5;
 
@@ -27,8 +28,9 @@
 }
 
 impl Inventory {
-    /// The inventories that tell of `runs`, which are in order of their ids and all up to `last`,
-    /// with no more than `most_bytes` of requests in each; one that is larger alone is told alone.
+    /// Tells of `runs`, which are in order of their ids, with no more than `most_bytes` of requests
+    /// in each part; a request that is larger by itself has a part of its own. Up to `last`, whatever
+    /// is not among them has ended.
     ///
     /// A lead was told nothing of a node with more than some 600 generations while they had to fit
     /// into one datagram of 16 kB: one that started anew knew 0 of 50 generations at engines with
