--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -71,7 +71,8 @@
 pub async fn follow<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl, pace: Pace) {
     let store = Store::new(shared.settings.store);
     let backoff = Backoff::new(LEAST_PAUSE, LONGEST_PAUSE);
-    let mut follower = Follower::<K> { store, shared, wrap, pace, at: None, lost: false, backoff };
+    let mut follower =
+        Follower::<K> { store, shared, wrap, pace, at: None, is_new: true, lost: false, backoff };
     loop {
         if let Err(err) = follower.ask().await {
             follower.on_error(err).await;
@@ -86,6 +87,8 @@
     pace: Pace,
     /// The revision to watch from; without one the kind is listed.
     at: Option<Revision>,
+    /// The revision to watch from has not been watched from yet.
+    is_new: bool,
     /// The last call had no answer.
     lost: bool,
     backoff: Backoff,
@@ -101,6 +104,7 @@
 
     async fn list(&mut self) -> Result<(), StoreError> {
         let list = self.store.list::<K>(Age::Newest, note_unreadable::<K>).await?;
+        self.is_new = true;
         let after_outage = self.on_answer("list", list.at);
         self.shared.tell((self.wrap)(News::Listed { list, after_outage }));
         Ok(())
@@ -109,6 +113,7 @@
     async fn watch(&mut self, at: Revision) -> Result<(), StoreError> {
         let wait = if self.lost { FIRST_AFTER_FAILURE } else { self.pace.waits_for() };
         let changes = self.store.watch::<K>(at, wait, note_unreadable::<K>).await?;
+        self.is_new = false;
         self.on_answer("watch", changes.at);
         self.shared.tell((self.wrap)(News::Changed(changes)));
         let pause = self.pace.gathers_for();
@@ -136,6 +141,10 @@
             StoreError::HistoryGone => {
                 self.at = None;
                 info!(event = "store_history_gone", kind = K::NAME; "the store's history is gone: lists anew");
+                if self.is_new {
+                    // A store that keeps no history at all must not be listed without end.
+                    tokio::time::sleep(LONGEST_PAUSE).await;
+                }
             }
             StoreError::TooManyChanges(most) => {
                 self.at = None;
--- a/node/tests/test_gateway_config_ways.rs
+++ b/node/tests/test_gateway_config_ways.rs
@@ -357,3 +357,21 @@
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
     socket.send_to(&datagram, to).await.expect("it is sent");
 }
+
+/// A store that has no history for any watch is listed, but not without a pause: each list may have
+/// 1 MB. Found by reading: nothing stood between the list and the next watch.
+#[tokio::test]
+async fn test_a_store_without_history_is_not_listed_without_end() {
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    let _booking = gateway.start_replica("booking", "booking-1", 1).await;
+    let node = gateway.start_node();
+    gateway.until_ready(node).await;
+    gateway.until("it watches", async || gateway.log(node).contains("event=store_watch")).await;
+    gateway.store.set_fault(StoreFault::ForgetsHistory);
+    let before = gateway.store.calls();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    // Two kinds are listed and watched once a second, and pulses come beside them.
+    let calls = gateway.store.calls() - before;
+    assert!(calls <= 30, "{calls} calls in 3 s");
+}
