--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -1,6 +1,7 @@
 //! What the node believes and decides, on the control thread.
 
 pub mod config_intake;
+pub mod config_transfers;
 pub mod control_loop;
 pub mod follow;
 pub mod inventories;
--- a/node/src/gateway/control/config_intake.rs
+++ b/node/src/gateway/control/config_intake.rs
@@ -1,8 +1,6 @@
 //! Takes configurations in: from the store, if this node follows it, or from another node that
 //! has a newer one.
 
-use leadstage_lib::gateway::config_text::PartOfConfig;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +9,7 @@
 use leadstage_lib::gateway::config_sources::ConfigSources;
 use leadstage_lib::gateway::config_sources::HeardHow;
 use leadstage_lib::gateway::config_sources::NextSource;
+use leadstage_lib::gateway::config_text::PartOfConfig;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::ids::Timestamp;
@@ -21,6 +20,8 @@
 use log::warn;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::gateway::control::config_transfers;
+use crate::gateway::control::config_transfers::Transfers;
 use crate::gateway::control::follow;
 use crate::gateway::messages::HandedConfig;
 use crate::gateway::messages::News;
@@ -35,19 +36,6 @@
 
 /// With a small link it waits no longer than this, whatever others tell: who told may stand still.
 const OTHERS_AT_MOST: Duration = Duration::from_millis(700);
-/// A transfer that lasts longer gets another one beside it, from another node: 5,000 routes take
-/// 51 ms on a link of 10 Mbit/s, and a node that sends them slowly must not keep them from one that
-/// others have.
-const SECOND_AFTER: Duration = Duration::from_millis(500);
-/// Transfers beside each other at most.
-const MOST_TRANSFERS: usize = 3;
-
-/// A configuration that another node hands over.
-struct Transfer {
-    began: Timestamp,
-    _task: AbortOnDropHandle<()>,
-}
-
 /// The way of configurations into this node.
 pub struct ConfigIntake {
     shared: Arc<Shared>,
@@ -60,8 +48,8 @@
     wants_whole: bool,
     /// A version that can't be read; it is not fetched again.
     unreadable: ConfigVersion,
-    /// What is being fetched, by node.
-    transfers: BTreeMap<SocketAddr, Transfer>,
+    /// What is being fetched.
+    transfers: Transfers,
     /// The store is being read, as other nodes did not hand a newer one over.
     reads_store: bool,
     /// When [`ToControl::ConfigurationDue`] comes.
@@ -78,7 +66,7 @@
             part: None,
             wants_whole: false,
             unreadable: 0,
-            transfers: BTreeMap::new(),
+            transfers: Transfers::default(),
             reads_store: false,
             due: None,
         }
@@ -121,13 +109,13 @@
     /// Another node is gone.
     pub fn on_node_gone(&mut self, node: SocketAddr) {
         self.sources.on_gone(node);
-        self.transfers.remove(&node);
+        self.transfers.end(node);
         self.fetch_next();
     }
 
     /// Another node answered, or did not.
     pub fn on_fetched(&mut self, fleet: &Fleet, from: SocketAddr, handed: HandedConfig) {
-        self.transfers.remove(&from);
+        self.transfers.end(from);
         let now = self.shared.now();
         match handed {
             HandedConfig::Text(version, text) => self.on_text(fleet, from, version, &text),
@@ -184,13 +172,13 @@
 
     fn fetch_next(&mut self) {
         let (own, now) = (self.shared.config_version(), self.shared.now());
-        let is_asked = |node| self.transfers.contains_key(&node);
+        let is_asked = |node| self.transfers.is_from(node);
         let next = self.sources.next(own, is_asked, now, &mut rand::rng());
         self.shared.set_newest_config(self.sources.newest().unwrap_or(0).max(self.unreadable));
         match next {
             NextSource::Nothing if self.transfers.is_empty() => self.part = None,
             NextSource::Nothing => {}
-            NextSource::Node(from) => match self.second_due(now) {
+            NextSource::Node(from) => match self.transfers.next_due(now) {
                 Some(pause) => self.wait(now + pause, pause),
                 None => self.fetch(from, own, now),
             },
@@ -199,23 +187,13 @@
         }
     }
 
-    /// The time until one more transfer may begin; `None` if it may now.
-    fn second_due(&self, now: Timestamp) -> Option<Duration> {
-        let newest = self.transfers.values().map(|transfer| transfer.began).max()?;
-        if self.transfers.len() >= MOST_TRANSFERS {
-            return Some(SECOND_AFTER);
-        }
-        let due = newest + SECOND_AFTER;
-        (due > now).then(|| due - now)
-    }
-
     fn fetch(&mut self, from: SocketAddr, own: ConfigVersion, now: Timestamp) {
         let text = if self.wants_whole { None } else { self.shared.config_text() };
         let part = self.part.take().filter(|part| part.serves(own));
         let fetching = fetching::fetch_configuration(self.shared.clone(), from, text, part);
         let task = AbortOnDropHandle::new(tokio::task::spawn_local(fetching));
-        self.transfers.insert(from, Transfer { began: now, _task: task });
-        self.wait(now + SECOND_AFTER, SECOND_AFTER);
+        self.transfers.begin(from, task, now);
+        self.wait(now + config_transfers::NEXT_AFTER, config_transfers::NEXT_AFTER);
     }
 
     /// Has the store read beside all else, as on a small link that may take long.
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -1,12 +1,12 @@
 //! What the traffic thread and the tasks of the control thread tell the control loop.
 
-use leadstage_lib::gateway::config_text::PartOfConfig;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
 use bytes::Bytes;
+use leadstage_lib::gateway::config_text::PartOfConfig;
 use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::LeavingSign;
--- a/node/src/gateway/peers/fetching.rs
+++ b/node/src/gateway/peers/fetching.rs
@@ -1,8 +1,5 @@
 //! Fetches from other nodes what they hand out, see [`super::peer_port`].
 
-use leadstage_lib::gateway::config_text::ConfigText;
-use leadstage_lib::gateway::config_text::Edition;
-use leadstage_lib::gateway::config_text::PartOfConfig;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +13,9 @@
 use http::header;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use leadstage_lib::gateway::config_text::ConfigText;
+use leadstage_lib::gateway::config_text::Edition;
+use leadstage_lib::gateway::config_text::PartOfConfig;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_platform::connect::Link;
 use leadstage_platform::store::Revision;
--- a/node/src/gateway/peers/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -1,7 +1,6 @@
 //! Where a node hands out what others lack that don't follow the store or missed some news: the
 //! configuration and the list of replicas.
 
-use leadstage_lib::gateway::config_text::Edition;
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -21,6 +20,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use leadstage_lib::gateway::config_text::Edition;
 use leadstage_lib::gateway::handouts;
 use leadstage_lib::gateway::handouts::Handouts;
 use leadstage_lib::gateway::routing::ConfigVersion;
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -1,6 +1,5 @@
 //! What both threads of a gateway node read.
 
-use leadstage_lib::gateway::config_text::ConfigText;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::OnceLock;
@@ -13,6 +12,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use leadstage_lib::gateway::config_text::ConfigText;
 use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
