gateway: a start of hundreds of nodes is no storm of calls to the store

Cause: a node listens 0.6 s, then ranks itself among the nodes that it knows, which are its seeds and a few more. Of 295 nodes that start at once nearly all took themselves for one of the first three and followed the store, gave it up as they met others, and began again: 299 times 'first' and 591 changes of role in two seconds. Each beginning is two lists, and each node had read the store twice before that. Ruled out: listening longer alone (4 s: 994 calls, but a node that starts alone or cut off is blind).

Now nodes take turns while no pulse is heard, by a hash and by how many nodes there are, which seeds tell; a node ranks itself 4 s after its start; who follows goes on until three better ranked work. If the store answers none of the first three, three others at a time try, and all have their times (before: the same three for ever). At the first start of the whole fleet nodes read nothing by themselves. Calls are counted by purpose.

--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -4,11 +4,17 @@
 //! ranks the nodes that it takes to be alive by rendezvous hashing. The first few of those with large
 //! links follow the store and send a pulse that says whether it answers them. If it answers none of
 //! them, as when it turns some nodes away, a few others try as well, whatever their links, but no
-//! more: a store that is down must not be asked by the whole fleet. A node that hears of no pulse at
-//! all is cut off from the others and follows the store itself.
+//! more: a store that is down must not be asked by the whole fleet.
+//!
+//! Where no pulse is heard, as at a first start or behind a cut, nodes take turns: each waits by its
+//! place in the order of the hashes, as far as it knows how many nodes there are, and the pulses of
+//! the first few keep all others from following. So a node that knows only some of the others, as all
+//! do that have just started, does not take itself for one of the first: whoever is on its own knows
+//! of few others, and its turn comes soon. A node that follows the store goes on until enough better
+//! ranked ones do.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -28,12 +34,31 @@
 const ANSWER_LASTS: Duration = Duration::from_millis(1_300);
 /// A doubt this old no longer counts: by then the store has answered someone, or is away.
 const DOUBT_LASTS: Duration = Duration::from_millis(1_300);
-/// Without any pulse for this long a node is on its own.
-const ALONE_AFTER: Duration = Duration::from_secs(3);
-/// Spread of that time over the nodes, so that they don't all call the store at once.
-const ALONE_SPREAD: Duration = Duration::from_secs(1);
-/// A node that has just started listens this long before it decides.
+/// A node that has just started listens this long before it decides: it has met a seed by then, and
+/// a watcher's pulse comes every [`PULSE_INTERVAL`].
 const LISTEN_FIRST: Duration = Duration::from_millis(600);
+/// A node that has started this long ago knows enough of the others to rank itself among them. A
+/// fleet of 295 that starts at once has met by then to such a part that its nodes rank alike.
+const SETTLES_AFTER: Duration = Duration::from_secs(4);
+/// Without any pulse for this long nodes take turns.
+const QUIET_AFTER: Duration = Duration::from_secs(3);
+/// Time from one turn to the next: a pulse reaches nearly all of 300 nodes within it.
+const TURN: Duration = Duration::from_millis(250);
+/// The longest that a node waits for its turn after its start.
+const LONGEST_FIRST_TURN: Duration = Duration::from_millis(3_600);
+/// The longest that one waits later, while it hears from others; among 295 nodes, 100 of which are
+/// cut off from the rest, four have had their turns by then.
+const LONGEST_TURN: Duration = Duration::from_secs(3);
+/// The longest that one waits who hears from nobody.
+const LONGEST_TURN_ALONE: Duration = Duration::from_secs(1);
+/// While the store answers none of the first, the next few try for this long, then those behind them.
+/// With a third of the nodes turned away, six nodes in a row are in one of 500 cases.
+const TRY_FOR: Duration = Duration::from_secs(3);
+/// A node that hears of enough working watchers ranks itself anew only this often: among 295 nodes
+/// that takes some 40 us, ten times a second else.
+const RANK_EVERY: Duration = Duration::from_secs(1);
+/// A node that heard from no other one for this long is alone.
+const CONTACT_LASTS: Duration = Duration::from_secs(2);
 
 const RANKING: &str = "store watchers";
 
@@ -100,10 +125,18 @@
 #[derive(Debug)]
 pub struct Watchers {
     own: VmId,
-    heard: HashMap<VmId, Heard>,
-    last_heard: Timestamp,
+    heard: BTreeMap<VmId, Heard>,
+    last_heard: Option<Timestamp>,
+    last_contact: Option<Timestamp>,
     last_answer: Option<Timestamp>,
     last_doubt: Option<Timestamp>,
+    /// Nodes that there are, as far as others told; this one may know fewer.
+    told_nodes: usize,
+    /// Whether this node follows the store.
+    watches: bool,
+    /// When the store last answered this node's own question.
+    last_own_answer: Option<Timestamp>,
+    last_ranked: Option<Timestamp>,
 }
 
 impl Watchers {
@@ -111,13 +144,34 @@
     pub fn new(own: VmId) -> Self {
         Watchers {
             own,
-            heard: HashMap::new(),
-            last_heard: Timestamp::ZERO,
+            heard: BTreeMap::new(),
+            last_heard: None,
+            last_contact: None,
             last_answer: None,
             last_doubt: None,
+            told_nodes: 0,
+            watches: false,
+            last_own_answer: None,
+            last_ranked: None,
         }
     }
 
+    /// Another node sent something.
+    pub fn on_contact(&mut self, now: Timestamp) {
+        self.last_contact = Some(now);
+    }
+
+    /// Another node knows of so many nodes.
+    pub fn on_nodes_told(&mut self, nodes: usize) {
+        self.told_nodes = self.told_nodes.max(nodes);
+    }
+
+    /// The watchers whose pulses are fresh, as they should be told to a node that has just started.
+    pub fn fresh_pulses(&self, now: Timestamp) -> impl Iterator<Item = (&VmId, PulseNumber, StoreState)> {
+        let fresh = self.heard.iter().filter(move |(_, heard)| heard.at + PULSE_LASTS >= now);
+        fresh.map(|(watcher, heard)| (watcher, heard.number, heard.state))
+    }
+
     /// A watcher's pulse came, from itself or through others. Returns whether it is news.
     pub fn on_pulse(
         &mut self,
@@ -131,13 +185,16 @@
             return false;
         }
         self.heard.insert(watcher.clone(), Heard { number, at: now, state });
-        self.last_heard = now;
+        self.last_heard = Some(now);
         self.note(state, now);
         true
     }
 
     /// What this node's own question to the store showed.
     pub fn on_own_pulse(&mut self, state: StoreState, now: Timestamp) {
+        if state == StoreState::Answers {
+            self.last_own_answer = Some(now);
+        }
         self.note(state, now);
     }
 
@@ -160,25 +217,58 @@
         doubt.is_some_and(|doubt| self.last_answer.is_none_or(|answer| answer < doubt))
     }
 
-    /// How this node should follow the store, if it should. `has_wide_link` tells it of any node:
-    /// those come first, as what the store has changed goes from the watchers to all others, and
+    /// How this node should follow the store from now on, if it should. `has_wide_link` tells it of any
+    /// node: those come first, as what the store has changed goes from the watchers to all others, and
     /// 1 MB takes 0.8 s on a link of 10 Mbit/s. Nodes may know of different ones for some seconds.
     pub fn role<'a>(
-        &'a self,
+        &mut self,
         alive: impl Iterator<Item = &'a VmId>,
         has_wide_link: impl Fn(&VmId) -> bool,
         now: Timestamp,
     ) -> Option<WatchRole> {
-        if now < LISTEN_FIRST {
+        if now < LISTEN_FIRST || self.is_served(now) {
             return None;
         }
-        let ranking = ranked(alive.chain(std::iter::once(&self.own)).collect(), has_wide_link);
+        self.last_ranked = Some(now);
+        let mut nodes: Vec<&VmId> = alive.collect();
+        nodes.push(&self.own);
+        let known = nodes.len();
+        nodes.extend(self.fresh_pulses(now).map(|(watcher, _, _)| watcher));
+        let ranking = ranked(nodes, has_wide_link);
         let rank = ranking.iter().position(|node| **node == self.own).unwrap_or(0);
+        let working = ranking[..rank].iter().filter(|node| !self.fails(node, now)).count();
+        let watches = self.has_turn(known, now)
+            || (self.is_answered(now) && working < WATCHERS)
+            || (now >= SETTLES_AFTER && self.is_ranked_to_watch(&ranking, rank, now));
+        self.watches = watches;
+        watches.then_some(if working == 0 { WatchRole::First } else { WatchRole::Standby })
+    }
+
+    /// Whether enough others follow the store, and this node found itself not to be one of the first a
+    /// moment ago.
+    fn is_served(&self, now: Timestamp) -> bool {
+        let lately = self.last_ranked.is_some_and(|at| at + RANK_EVERY > now);
+        let working = || self.fresh_pulses(now).filter(|(_, _, state)| *state != StoreState::Away).count();
+        lately && !self.watches && working() >= WATCHERS
+    }
+
+    /// Whether this node follows the store, which answers it.
+    fn is_answered(&self, now: Timestamp) -> bool {
+        self.watches && self.last_own_answer.is_some_and(|at| at + PULSE_LASTS > now)
+    }
+
+    /// Whether this node is among the first that should follow the store, or, while it answers none of
+    /// those, among the few others whose time it is to try.
+    fn is_ranked_to_watch(&self, ranking: &[&VmId], rank: usize, now: Timestamp) -> bool {
         let first = &ranking[..WATCHERS.min(ranking.len())];
         let none_answered = || first.iter().all(|node| self.fails(node, now));
-        let watches = rank < WATCHERS || (rank < 2 * WATCHERS && none_answered()) || self.is_alone(now);
-        let is_first = ranking[..rank].iter().all(|node| self.fails(node, now));
-        watches.then_some(if is_first { WatchRole::First } else { WatchRole::Standby })
+        let unanswered_for = now.saturating_sub(self.last_answer.unwrap_or_default());
+        let tried = (unanswered_for.as_millis() / TRY_FOR.as_millis()) as usize;
+        // All others have their times again and again.
+        let others = ranking.len().saturating_sub(WATCHERS).max(1);
+        let tries =
+            rank >= WATCHERS && (rank - WATCHERS + others - (tried * WATCHERS) % others) % others < WATCHERS;
+        rank < WATCHERS || (tries && none_answered())
     }
 
     /// Whether a watcher is silent, or says that the store does not answer it.
@@ -187,9 +277,17 @@
         heard.is_none_or(|heard| heard.state == StoreState::Away || heard.at + PULSE_LASTS < now)
     }
 
-    fn is_alone(&self, now: Timestamp) -> bool {
-        let part = (rendezvous::weight(RANKING, &self.own) % 1_000) as f64 / 1_000.0;
-        now > self.last_heard + ALONE_AFTER + ALONE_SPREAD.mul_f64(part)
+    /// Whether no pulse came for so long that it is this node's turn; it knows of `known` nodes.
+    fn has_turn(&self, known: usize, now: Timestamp) -> bool {
+        let part = rendezvous::weight(RANKING, &self.own) as f64 / u64::MAX as f64;
+        let turns_before = (1.0 - part) * known.max(self.told_nodes) as f64;
+        let is_in_touch = self.last_contact.is_some_and(|at| at + CONTACT_LASTS > now);
+        let (quiet_from, longest) = match self.last_heard {
+            None => (LISTEN_FIRST, LONGEST_FIRST_TURN),
+            Some(at) if is_in_touch => (at + QUIET_AFTER, LONGEST_TURN),
+            Some(at) => (at + QUIET_AFTER, LONGEST_TURN_ALONE),
+        };
+        now >= quiet_from + TURN.mul_f64(turns_before).min(longest)
     }
 }
 
--- a/lib/tests/test_gateway_watchers.rs
+++ b/lib/tests/test_gateway_watchers.rs
@@ -64,11 +64,11 @@
     let nodes = nodes(40);
     let alone = |now| {
         let views = nodes.iter().map(|own| Watchers::new(own.clone()));
-        let views: Vec<Watchers> = views.collect();
+        let mut views: Vec<Watchers> = views.collect();
         views
-            .iter()
+            .iter_mut()
             .zip(&nodes)
-            .filter(|(view, own)| view.role(nodes.iter().filter(|node| node != own), |_| true, now).is_some())
+            .filter_map(|(view, own)| view.role(nodes.iter().filter(|node| *node != own), |_| true, now))
             .count()
     };
     assert_eq!(alone(Duration::from_millis(100)), 0, "it listens first");
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -1,6 +1,7 @@
 //! The control loop of a gateway node: takes each message and passes it to the part that
 //! it concerns.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,11 +21,14 @@
 use crate::gateway::messages::Fetched;
 use crate::gateway::messages::ToControl;
 use crate::gateway::observability::metrics::Levels;
+use crate::gateway::observability::metrics::StoreCall;
+use crate::gateway::observability::metrics::StoreCalls;
 use crate::gateway::peers::fleet::Fleet;
 use crate::gateway::peers::outbox::Outbox;
 use crate::gateway::peers::outbox::address_of;
 use crate::gateway::peers::outbox::node_id;
 use crate::gateway::peers::peer_message::Datagram;
+use crate::gateway::peers::peer_message::Gossip;
 use crate::gateway::peers::peer_message::PeerMessage;
 use crate::gateway::peers::peer_message::Pulse;
 use crate::gateway::shared::Phase;
@@ -48,6 +52,8 @@
     watching: Watching,
     last_status: Timestamp,
     last_levels_line: Timestamp,
+    /// The calls to the store that a line of the log has told.
+    told_calls: StoreCalls,
 }
 
 impl Control {
@@ -63,6 +69,7 @@
             watching: Watching::new(shared.clone()),
             last_status: Timestamp::ZERO,
             last_levels_line: Timestamp::ZERO,
+            told_calls: StoreCalls::default(),
             fleet,
             shared,
         }
@@ -115,10 +122,11 @@
         let now = self.shared.now();
         let gone = self.fleet.tick(now);
         self.on_gone(gone);
-        self.shared.set_nodes(self.fleet.alive().count() + 1);
+        self.shared.set_nodes(self.fleet.nodes());
         self.shared.set_has_neighbour(self.fleet.has_neighbour());
         self.placing.tell_leads(&self.fleet);
         self.placing.lead(&self.fleet);
+        self.fleet.hears_watchers = self.watchers.fresh_pulses(now).next().is_some();
         let has_wide_link = |node: &VmId| self.fleet.node_has_wide_link(node);
         self.watching.set(self.watchers.role(self.fleet.alive(), has_wide_link, now));
         self.look_out(now);
@@ -142,6 +150,7 @@
             return;
         }
         self.last_status = now;
+        self.log_store_calls();
         self.placing.knowledge.forget_gone();
         self.placing.publish_paces();
         self.shared.set_status(self.placing.status(&self.fleet));
@@ -160,10 +169,22 @@
         }
     }
 
+    /// Tells the calls to the store so far, if there are more.
+    fn log_store_calls(&mut self) {
+        let calls = self.shared.metrics.store_calls_so_far();
+        if calls == self.told_calls {
+            return;
+        }
+        self.told_calls = calls;
+        let of = |purpose| calls.of(purpose);
+        info!(event = "store_calls", start = of(StoreCall::Start), read = of(StoreCall::Read), list = of(StoreCall::List), watch = of(StoreCall::Watch), pulse = of(StoreCall::Pulse); "calls to the store so far");
+    }
+
     fn on_datagram(&mut self, datagram: Datagram) {
         let now = self.shared.now();
         let from = datagram.from;
         let mut gone = self.fleet.heard_from(from, now);
+        self.watchers.on_contact(now);
         let how = match datagram.message {
             PeerMessage::NewConfig => HeardHow::Told,
             _ => HeardHow::Noticed,
@@ -171,8 +192,14 @@
         self.configs.compare(&self.fleet, from, datagram.config, how);
         self.replicas.compare(&self.placing, from, datagram.replicas_at);
         match datagram.message {
-            PeerMessage::Probe(id, gossip) => gone.extend(self.fleet.on_probe(from, id, gossip, now)),
-            PeerMessage::ProbeAnswer(id, gossip) => gone.extend(self.fleet.on_answer(from, id, gossip, now)),
+            PeerMessage::Probe(id, gossip) => {
+                self.on_gossip(from, &gossip, now);
+                gone.extend(self.fleet.on_probe(from, id, gossip, now));
+            }
+            PeerMessage::ProbeAnswer(id, gossip) => {
+                self.watchers.on_nodes_told(gossip.nodes as usize);
+                gone.extend(self.fleet.on_answer(from, id, gossip, now));
+            }
             PeerMessage::ProbeFor(id, target) => self.fleet.on_probe_for(from, id, target, now),
             PeerMessage::Place(remote) => self.placing.on_place(from, remote),
             PeerMessage::Placed(run, record) => self.placing.on_placed(run, record),
@@ -203,13 +230,32 @@
         let now = self.shared.now();
         self.watchers.on_own_pulse(store, now);
         self.look_out(now);
-        let watcher = self.shared.settings.peer;
-        self.fleet.tell(&PeerMessage::Pulse(Pulse { watcher, number, store }));
+        let settings = &self.shared.settings;
+        let (watcher, has_wide_link) = (settings.peer, settings.has_wide_link());
+        self.fleet.tell(&PeerMessage::Pulse(Pulse { watcher, has_wide_link, number, store }));
+    }
+
+    /// A node probes this one. One that hears of no watcher, as it has just started or was cut off, is
+    /// told who follows the store, which it would else hear some tenths of a second later.
+    fn on_gossip(&mut self, from: SocketAddr, gossip: &Gossip, now: Timestamp) {
+        self.watchers.on_nodes_told(gossip.nodes as usize);
+        if gossip.hears_watchers {
+            return;
+        }
+        for (watcher, number, store) in self.watchers.fresh_pulses(now) {
+            let has_wide_link = self.fleet.node_has_wide_link(watcher);
+            if let Some(watcher) = address_of(watcher) {
+                self.fleet.send(from, &PeerMessage::Pulse(Pulse { watcher, has_wide_link, number, store }));
+            }
+        }
     }
 
     fn on_pulse(&mut self, pulse: Pulse) {
         let watcher = node_id(pulse.watcher);
         let now = self.shared.now();
+        if pulse.has_wide_link {
+            self.fleet.on_wide_link(&watcher);
+        }
         if self.watchers.on_pulse(&watcher, pulse.number, pulse.store, now) {
             self.look_out(now);
             self.fleet.pass_on(&PeerMessage::Pulse(pulse));
--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -17,6 +17,7 @@
 
 use crate::gateway::messages::News;
 use crate::gateway::messages::ToControl;
+use crate::gateway::observability::metrics::StoreCall;
 use crate::gateway::shared::Shared;
 
 /// Pause after the first failed call. Calls are priced, refused ones too.
@@ -53,14 +54,18 @@
 /// seconds old is enough, as other nodes tell what is newer, and costs a tenth.
 pub async fn read_once<K: Kind>(shared: Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl, age: Age) -> bool {
     let mut store = Store::new(shared.settings.store);
+    let purpose = match age {
+        Age::SomeSeconds => StoreCall::Start,
+        Age::Newest => StoreCall::Read,
+    };
     match store.list::<K>(age, note_unreadable::<K>).await {
         Ok(list) => {
-            shared.metrics.on_store_call("read", "answered");
+            shared.metrics.on_store_call(purpose, true);
             shared.tell(wrap(News::Listed { list, after_outage: true }));
             true
         }
         Err(err) => {
-            shared.metrics.on_store_call("read", "failed");
+            shared.metrics.on_store_call(purpose, false);
             info!(event = "store_lost", kind = K::NAME, reason:% = err; "the store does not answer a node that reads once");
             false
         }
@@ -103,18 +108,22 @@
     }
 
     async fn list(&mut self) -> Result<(), StoreError> {
-        let list = self.store.list::<K>(Age::Newest, note_unreadable::<K>).await?;
+        let list = self.store.list::<K>(Age::Newest, note_unreadable::<K>).await;
+        self.shared.metrics.on_store_call(StoreCall::List, list.is_ok());
+        let list = list?;
         self.is_new = true;
-        let after_outage = self.on_answer("list", list.at);
+        let after_outage = self.on_answer(list.at);
         self.shared.tell((self.wrap)(News::Listed { list, after_outage }));
         Ok(())
     }
 
     async fn watch(&mut self, at: Revision) -> Result<(), StoreError> {
         let wait = if self.lost { FIRST_AFTER_FAILURE } else { self.pace.waits_for() };
-        let changes = self.store.watch::<K>(at, wait, note_unreadable::<K>).await?;
+        let changes = self.store.watch::<K>(at, wait, note_unreadable::<K>).await;
+        self.shared.metrics.on_store_call(StoreCall::Watch, changes.is_ok());
+        let changes = changes?;
         self.is_new = false;
-        self.on_answer("watch", changes.at);
+        self.on_answer(changes.at);
         self.shared.tell((self.wrap)(News::Changed(changes)));
         let pause = self.pace.gathers_for();
         if !pause.is_zero() {
@@ -124,11 +133,10 @@
     }
 
     /// Returns whether calls before had no answer.
-    fn on_answer(&mut self, call: &'static str, at: Revision) -> bool {
+    fn on_answer(&mut self, at: Revision) -> bool {
         self.at = Some(at);
         self.backoff.reset();
         self.shared.set_store_answers(true);
-        self.shared.metrics.on_store_call(call, "answered");
         let after_outage = std::mem::take(&mut self.lost);
         if after_outage {
             info!(event = "store_regained", kind = K::NAME, revision = at; "the store answers again");
@@ -160,7 +168,6 @@
         if !K::IS_ONE {
             self.at = None;
         }
-        self.shared.metrics.on_store_call("any", "failed");
         self.shared.set_store_answers(false);
         if !std::mem::replace(&mut self.lost, true) {
             warn!(event = "store_lost", kind = K::NAME, reason:% = err; "the store does not answer");
--- a/node/src/gateway/control/watching.rs
+++ b/node/src/gateway/control/watching.rs
@@ -21,6 +21,7 @@
 use crate::gateway::control::follow::Pace;
 use crate::gateway::control::follow::Role;
 use crate::gateway::messages::ToControl;
+use crate::gateway::observability::metrics::StoreCall;
 use crate::gateway::shared::Shared;
 use crate::shared::unix_millis;
 
@@ -110,7 +111,7 @@
             }
         };
         tell(if answers { StoreState::Answers } else { StoreState::Away });
-        shared.metrics.on_store_call("pulse", if answers { "answered" } else { "failed" });
+        shared.metrics.on_store_call(StoreCall::Pulse, answers);
         if shared.set_store_answers(answers) {
             if answers {
                 info!(event = "store_regained", by = "pulse"; "the store answers again");
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -34,6 +34,7 @@
     repeats: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
+    store_calls_sums: [AtomicU64; StoreCall::COUNT],
     lead_silences: Counter<u64>,
     peer_bytes: Counter<u64>,
     peer_bytes_sum: AtomicU64,
@@ -68,7 +69,11 @@
                 "Requests sent again, by whether the budget let them",
             ),
             connections: counter("leadstage.gateway.connections", "Connections to replicas, new and reused"),
-            store_calls: counter("leadstage.gateway.store_calls", "Calls to the store, by kind and answer"),
+            store_calls: counter(
+                "leadstage.gateway.store_calls",
+                "Calls to the store, by purpose and answer",
+            ),
+            store_calls_sums: Default::default(),
             lead_silences: counter("leadstage.gateway.lead_silences", "Questions that a lead did not answer"),
             peer_bytes: counter("leadstage.gateway.peer_bytes", "Bytes from and to other nodes, by what"),
             peer_bytes_sum: AtomicU64::new(0),
@@ -135,9 +140,16 @@
         self.connections.add(1, &[KeyValue::new("reused", reused)]);
     }
 
-    /// A call to the store was answered so.
-    pub fn on_store_call(&self, kind: &'static str, answer: &'static str) {
-        self.store_calls.add(1, &[KeyValue::new("kind", kind), KeyValue::new("answer", answer)]);
+    /// A call to the store was answered, or failed.
+    pub fn on_store_call(&self, purpose: StoreCall, answered: bool) {
+        self.store_calls_sums[purpose as usize].fetch_add(1, Ordering::Relaxed);
+        let answer = if answered { "answered" } else { "failed" };
+        self.store_calls.add(1, &[KeyValue::new("kind", purpose.label()), KeyValue::new("answer", answer)]);
+    }
+
+    /// Calls to the store so far, for each purpose.
+    pub fn store_calls_so_far(&self) -> StoreCalls {
+        StoreCalls(self.store_calls_sums.each_ref().map(|sum| sum.load(Ordering::Relaxed)))
     }
 
     /// A lead did not answer.
@@ -171,6 +183,47 @@
     }
 }
 
+/// Why the store is called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreCall {
+    /// A node that has just started reads what may be some seconds old.
+    Start,
+    /// What other nodes have can't be fetched from them.
+    Read,
+    /// A follower begins anew.
+    List,
+    /// A follower waits for changes.
+    Watch,
+    /// A follower asks whether the store answers.
+    Pulse,
+}
+
+impl StoreCall {
+    /// How many purposes there are.
+    const COUNT: usize = 5;
+
+    fn label(self) -> &'static str {
+        match self {
+            StoreCall::Start => "start",
+            StoreCall::Read => "read",
+            StoreCall::List => "list",
+            StoreCall::Watch => "watch",
+            StoreCall::Pulse => "pulse",
+        }
+    }
+}
+
+/// Calls to the store, for each purpose.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreCalls([u64; StoreCall::COUNT]);
+
+impl StoreCalls {
+    /// The calls for one purpose.
+    pub fn of(&self, purpose: StoreCall) -> u64 {
+        self.0[purpose as usize]
+    }
+}
+
 /// What nodes send to each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerBytes {
--- a/node/src/gateway/peers/fleet.rs
+++ b/node/src/gateway/peers/fleet.rs
@@ -31,6 +31,8 @@
 const PROBE_LIMIT: Duration = Duration::from_millis(300);
 /// Nodes named in one message.
 const KNOWN_PER_MESSAGE: usize = 8;
+/// When a node that has met others greets a seed once more, to learn of how many it is one.
+const GREETS_AGAIN_AT: Timestamp = Duration::from_millis(400);
 /// Nodes that are told by the one that has news: all of a small fleet, so that most news
 /// takes one way only.
 const FIRST_FAN_OUT: usize = 8;
@@ -47,6 +49,8 @@
     Indirect(VmId),
     /// This node probes for another one, which named the probe so.
     ForOther(SocketAddr, ProbeId),
+    /// A seed's, by a node that has just started; it is asked again if it does not answer.
+    Greeted,
 }
 
 /// This node's view of the others.
@@ -65,9 +69,23 @@
     membership: Membership,
     probes: HashMap<ProbeId, (Awaited, Timestamp)>,
     last_probe: ProbeId,
+    greeting: Greeting,
+    /// Whether this node hears of others that follow the store, which it tells with its probes.
+    pub hears_watchers: bool,
     outbox: Outbox,
 }
 
+/// How a node that has just started makes itself known.
+#[derive(Debug, Default)]
+struct Greeting {
+    /// Another node was heard from.
+    met: bool,
+    /// Seeds were asked once more after that.
+    asked_again: bool,
+    /// Seeds greeted so far.
+    greeted: usize,
+}
+
 impl Fleet {
     /// A view that knows the seeds only.
     pub fn new(settings: &GatewaySettings, outbox: Outbox) -> Self {
@@ -87,6 +105,8 @@
             seeds,
             probes: HashMap::new(),
             last_probe: 0,
+            greeting: Greeting::default(),
+            hears_watchers: false,
             outbox,
         }
     }
@@ -112,6 +132,11 @@
         self.alive().any(|node| self.halls.get(node) == Some(&self.own_hall))
     }
 
+    /// A node says that it has a wide link.
+    pub fn on_wide_link(&mut self, node: &VmId) {
+        self.wide.insert(node.clone());
+    }
+
     /// Whether a node, perhaps this one, is known to have a wide link.
     pub fn node_has_wide_link(&self, node: &VmId) -> bool {
         if *node == self.own { self.own_link_is_wide } else { self.wide.contains(node) }
@@ -140,6 +165,11 @@
         self.membership.alive().filter_map(address_of).sample(&mut rand::rng(), count)
     }
 
+    /// Tells one node.
+    pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
+        self.outbox.send(to, message);
+    }
+
     pub fn tell(&self, message: &PeerMessage) {
         for node in self.some(FIRST_FAN_OUT) {
             self.outbox.send(node, message);
@@ -155,6 +185,7 @@
     /// Probes whom it is time to probe; returns the nodes that are gone.
     pub fn tick(&mut self, now: Timestamp) -> Vec<VmId> {
         self.list(now);
+        self.greet(now);
         let mut actions = self.membership.tick(now);
         let late: Vec<ProbeId> =
             self.probes.iter().filter(|(_, (_, until))| *until <= now).map(|(id, _)| *id).collect();
@@ -172,8 +203,29 @@
         self.act(actions, now)
     }
 
+    /// Probes one seed after the other until another node was heard from, and one once more a little
+    /// later: of a fleet that starts at once, seeds know most by then.
+    fn greet(&mut self, now: Timestamp) {
+        let asks_again = self.greeting.met && !self.greeting.asked_again && now >= GREETS_AGAIN_AT;
+        if self.seeds.is_empty() || (self.greeting.met && !asks_again) {
+            return;
+        }
+        self.greeting.asked_again = asks_again;
+        let seed = self.seeds.iter().nth(self.greeting.greeted % self.seeds.len()).copied();
+        self.greeting.greeted += 1;
+        if let Some(seed) = seed {
+            self.probe(seed, Awaited::Greeted, now);
+        }
+    }
+
+    /// How many nodes there are, this one included, as far as it knows.
+    pub fn nodes(&self) -> usize {
+        self.alive().count() + 1
+    }
+
     /// A message came from a node.
     pub fn heard_from(&mut self, from: SocketAddr, now: Timestamp) -> Vec<VmId> {
+        self.greeting.met |= from != self.own_address;
         if from != self.own_address && self.known.insert(from) {
             info!(event = "node_met", node:% = from; "another node is known");
             self.list(now);
@@ -198,7 +250,7 @@
                 self.outbox.send(asker, &PeerMessage::ProbeAnswer(their_id, Gossip::default()));
                 Vec::new()
             }
-            None => Vec::new(),
+            Some((Awaited::Greeted, _)) | None => Vec::new(),
         };
         let mut gone = self.act(actions, now);
         gone.extend(self.on_gossip(&node_id(from), gossip, now));
@@ -263,6 +315,8 @@
             hall: Some(self.own_hall.clone()),
             has_wide_link: self.own_link_is_wide,
             news: self.membership.news(),
+            nodes: self.nodes() as u32,
+            hears_watchers: self.hears_watchers,
         }
     }
 
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -93,6 +93,10 @@
     pub news: Vec<News>,
     /// Some nodes that the sender knows.
     pub known: Vec<KnownNode>,
+    /// How many it takes to be alive, itself included; 0 in an answer on behalf of another node.
+    pub nodes: u32,
+    /// Whether it hears of nodes that follow the store; not said in an answer on behalf of another one.
+    pub hears_watchers: bool,
 }
 
 /// A node that another one knows.
@@ -152,6 +156,8 @@
 pub struct Pulse {
     /// The watcher's peer address.
     pub watcher: SocketAddr,
+    /// Whether the watcher has a wide link.
+    pub has_wide_link: bool,
     /// Numbers its pulses.
     pub number: PulseNumber,
     /// Whether the store answers it.
--- a/node/src/gateway/settings.rs
+++ b/node/src/gateway/settings.rs
@@ -56,6 +56,7 @@
     seeds: Vec<SocketAddr>,
     store: Option<SocketAddr>,
     link_mbps: Option<f64>,
+    first_start: bool,
     bounds: BoundsFile,
     policy: Policy,
 }
@@ -116,6 +117,9 @@
     pub store: SocketAddr,
     /// What this VM's link carries, in 10^6 bits a second.
     pub link_mbps: f64,
+    /// Whether the whole fleet starts for the first time: no callers wait yet, and what the store holds
+    /// comes from the first nodes that follow it.
+    pub first_start: bool,
     /// Bounds that hold for the whole fleet.
     pub bounds: Bounds,
     /// What the node decides by itself.
@@ -179,6 +183,7 @@
         seeds: file.seeds.clone(),
         store: store?,
         link_mbps,
+        first_start: file.first_start,
         bounds,
         policy: file.policy,
     })
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -73,7 +73,7 @@
     let metrics = GatewayMetrics::new().map_err(|err| RunError::Metrics(err.to_string()))?;
     let shared = Arc::new(Shared::new(settings, tx, metrics));
     let settings = &shared.settings;
-    info!(event = "start", vm = &*settings.vm, hall = &*settings.hall, listen:% = settings.listen, version = env!("CARGO_PKG_VERSION"); "leadstaged starts");
+    info!(event = "start", vm = &*settings.vm, hall = &*settings.hall, first = settings.first_start, listen:% = settings.listen, version = env!("CARGO_PKG_VERSION"); "leadstaged starts");
     let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime)?;
     // Open before the node can call itself ready: opened by the traffic thread, it came after that
     // at 2 to 4 of 20 nodes that started beside other load.
@@ -94,9 +94,11 @@
     tokio::task::spawn_local(small_port::serve(shared.clone(), ready, "ready", balancer_port::answer));
     let metrics = listen(shared.settings.metrics).await?;
     tokio::task::spawn_local(small_port::serve(shared.clone(), metrics, "metrics", metrics_port::answer));
-    tokio::task::spawn_local(config_intake::read_at_start(shared.clone()));
-    let replicas = follow::read_once::<Replicas>(shared.clone(), ToControl::Replicas, Age::SomeSeconds);
-    tokio::task::spawn_local(replicas);
+    if !shared.settings.first_start {
+        tokio::task::spawn_local(config_intake::read_at_start(shared.clone()));
+        let replicas = follow::read_once::<Replicas>(shared.clone(), ToControl::Replicas, Age::SomeSeconds);
+        tokio::task::spawn_local(replicas);
+    }
     let peer = listen(shared.settings.peer).await?;
     tokio::task::spawn_local(peer_port::serve(shared.clone(), peer));
     let socket = Arc::new(datagrams(shared.settings.peer).await?);
