gateway: who can still begin in time goes first, and waits at the lead

At an engine the more urgent kind went ahead and, where memory was short, preempted streams, whose prompts were read again: 580,000 tokens of 15.4 million. Ruled out: memory as the wall (0.97 of it for new generations: nothing), equal urgency in the lead's queue (the more urgent kind then is served less).

Engines now get 0.3 s of reading ahead; the rest waits at the lead: who can begin in time by urgency and arrival, behind them who can't any more, and before all who has been late for 0.6 of the time until its caller leaves. Nobody is refused for being late alone. At engines only the organisation's rank counts.

--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::ops::RangeInclusive;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -26,6 +27,10 @@
 const MOST_GROWTH_S: f64 = 3.0;
 /// Seconds for which one is taken to grow that should have ended already.
 const LEAST_GROWTH_S: f64 = 0.7;
+/// Reading that an engine may have ahead when a generation that can wait is given to it. So much keeps
+/// it at work until the next one comes, some tens of milliseconds after one was read. What would wait
+/// there longer waits at the lead, which can still let others go first and choose another engine.
+pub const READS_AHEAD: Duration = Duration::from_millis(300);
 /// The size of a generation.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
 pub struct GenerationSize {
@@ -227,6 +232,12 @@
         keys.filter_map(|key| self.get(key).map(|run| (key, run)))
     }
 
+    /// Whether a generation that can wait may be given to an engine: it will have read what it was given
+    /// within [`READS_AHEAD`], or has nothing to do.
+    pub fn reads_soon(&self, replica: &str, now: Timestamp) -> bool {
+        self.reading.wait(replica, now) <= READS_AHEAD || self.at(replica).next().is_none()
+    }
+
     /// The part of an engine's memory that is expected to be used soon.
     pub fn fill(&self, replica: &str, engine: &EngineTraits) -> f64 {
         let expected: f64 = self.at(replica).map(|(_, run)| self.memory(run)).sum();
--- a/lib/src/gateway/waiting.rs
+++ b/lib/src/gateway/waiting.rs
@@ -1,8 +1,14 @@
 //! Generations that wait at their service's lead until an engine has room.
 //!
-//! One waits only while it can be expected to begin in time: a caller that is told at once comes
-//! back when there is room, and one that is held and then refused has lost both its time and its
-//! place.
+//! Those that can still begin in time go first, the most urgent of them before others and each kind in
+//! the order of arrival. One that can't any more goes behind them: where engines get 1.1 times what
+//! they can read, a queue by arrival soon has all begin late, this one a tenth. So that nobody waits
+//! without end, one that has been late for [`LATE_FOR`] of the time until its caller leaves goes before
+//! all others.
+//!
+//! One waits only while it can be expected to begin before its caller leaves: a caller that is told at
+//! once comes back when there is room, and one that is held and then refused has lost both its time
+//! and its place.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -18,6 +24,13 @@
 /// were refused together don't return together.
 const COME_BACK_SPREAD: f64 = 0.25;
 
+/// Part of the time between its being late and its caller's leaving after which one goes before all
+/// others. At 1.1 times the prompts that engines read, for 15 s, 404 of 3,256 long streams begin late
+/// (551 with a half, 380 with three quarters), and nobody leaves; at 1.3 times 34 of 6,397 callers leave
+/// (none with a half, 55 with three quarters), as against 296 in a queue by arrival
+/// (`test_what_callers_get_at_full_engines`).
+const LATE_FOR: f64 = 0.6;
+
 /// No engine has room for a generation.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
 pub struct NoRoom {
@@ -32,13 +45,41 @@
     pub item: T,
     /// Its urgency; 0 goes first.
     pub priority: u8,
+    /// Given an engine later than this, it begins late.
+    pub due: Timestamp,
     /// When it is given up.
     pub until: Timestamp,
     /// Tokens of memory that it needs.
     pub tokens: f64,
 }
 
-/// The queue of a service, the most urgent first and then in the order of arrival.
+/// Whose turn comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Turn {
+    /// It has been late for long: the longest goes first, whatever its urgency, so that the wait of each
+    /// is bounded.
+    Overdue { due: Timestamp },
+    /// It can still begin in time.
+    InTime { priority: u8 },
+    /// It can't.
+    Late { priority: u8 },
+}
+
+impl<T> Waiting<T> {
+    fn turn(&self, now: Timestamp) -> Turn {
+        let late_at_most = self.until.saturating_sub(self.due).mul_f64(LATE_FOR);
+        if now <= self.due {
+            Turn::InTime { priority: self.priority }
+        } else if now < self.due + late_at_most {
+            Turn::Late { priority: self.priority }
+        } else {
+            Turn::Overdue { due: self.due }
+        }
+    }
+}
+
+/// The queue of a service. It is kept by urgency and then by arrival; whose turn it is changes with the
+/// time.
 #[derive(Debug)]
 pub struct WaitingRoom<T> {
     queue: VecDeque<Waiting<T>>,
@@ -57,19 +98,23 @@
         self.queue.insert(at, waiting);
     }
 
-    /// Whether none waits that would go before one of this urgency.
-    pub fn lets_pass(&self, priority: u8) -> bool {
-        self.queue.front().is_none_or(|first| first.priority > priority)
+    /// Whether none waits that would go before one of this urgency that can begin in time.
+    pub fn lets_pass(&self, priority: u8, now: Timestamp) -> bool {
+        self.before(priority, now).next().is_none()
     }
 
-    /// Tokens of memory that are needed by those that would go before one of this urgency.
-    pub fn tokens_before(&self, priority: u8) -> f64 {
-        let before = self.queue.iter().filter(|other| other.priority <= priority);
-        before.map(|other| other.tokens).sum()
+    /// Tokens of memory that are needed by those that would go before one of this urgency that can
+    /// begin in time.
+    pub fn tokens_before(&self, priority: u8, now: Timestamp) -> f64 {
+        self.before(priority, now).map(|other| other.tokens).sum()
     }
 
-    /// Takes those out that can no longer be expected to begin in time: their time is over, or
-    /// will be before `time_until` the memory is free that they and those before them need, where
+    fn before(&self, priority: u8, now: Timestamp) -> impl Iterator<Item = &Waiting<T>> {
+        self.queue.iter().filter(move |other| other.turn(now) <= Turn::InTime { priority })
+    }
+
+    /// Takes those out that can no longer be expected to begin before they are given up: that time has
+    /// come, or will before `time_until` the memory is free that they and those before them need, where
     /// that is known.
     pub fn lost(
         &mut self,
@@ -77,30 +122,47 @@
         time_until: impl Fn(f64) -> Option<Duration>,
     ) -> Vec<(T, Option<Duration>)> {
         let mut lost = Vec::new();
-        let mut still = VecDeque::new();
         let mut tokens = 0.0;
-        for waiting in std::mem::take(&mut self.queue) {
-            let expected = time_until(tokens + waiting.tokens);
+        let mut expected = vec![None; self.queue.len()];
+        for at in self.in_turn(now) {
+            let waiting = &self.queue[at];
+            let after = time_until(tokens + waiting.tokens);
             let is_over = waiting.until <= now;
-            if is_over || expected.is_some_and(|expected| expected > waiting.until - now) {
-                lost.push((waiting.item, expected));
+            if is_over || after.is_some_and(|after| after > waiting.until - now) {
+                expected[at] = Some(after);
             } else {
                 tokens += waiting.tokens;
-                still.push_back(waiting);
+            }
+        }
+        let mut still = VecDeque::new();
+        for (waiting, expected) in std::mem::take(&mut self.queue).into_iter().zip(expected) {
+            match expected {
+                Some(expected) => lost.push((waiting.item, expected)),
+                None => still.push_back(waiting),
             }
         }
         self.queue = still;
         lost
     }
 
-    /// Takes the first one out.
-    pub fn pop(&mut self) -> Option<Waiting<T>> {
-        self.queue.pop_front()
+    /// Where those that wait stand, in the order of their turns.
+    fn in_turn(&self, now: Timestamp) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.queue.len()).collect();
+        order.sort_by_key(|at| self.queue[*at].turn(now));
+        order
+    }
+
+    /// Takes the one out whose turn it is.
+    pub fn pop(&mut self, now: Timestamp) -> Option<Waiting<T>> {
+        let turns = self.queue.iter().enumerate();
+        let (at, _) = turns.min_by_key(|(_, waiting)| waiting.turn(now))?;
+        self.queue.remove(at)
     }
 
-    /// Puts one back at the front.
+    /// Puts one back that was taken out: it goes before those that are as urgent.
     pub fn put_back(&mut self, waiting: Waiting<T>) {
-        self.queue.push_front(waiting);
+        let at = self.queue.partition_point(|other| other.priority < waiting.priority);
+        self.queue.insert(at, waiting);
     }
 
     /// How many wait.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_gateway_config_sources;
 mod test_gateway_config_spread;
 mod test_gateway_config_text;
+mod test_gateway_full_engines;
 mod test_gateway_learned;
 mod test_gateway_load;
 mod test_gateway_lookout;
--- a/lib/tests/test_gateway_waiting.rs
+++ b/lib/tests/test_gateway_waiting.rs
@@ -13,13 +13,19 @@
 fn room(items: &[(&'static str, u8, u64, f64)]) -> WaitingRoom<&'static str> {
     let mut room = WaitingRoom::default();
     for (item, priority, until, tokens) in items.iter().copied() {
-        room.push(Waiting { item, priority, until: Duration::from_secs(until), tokens });
+        let until = Duration::from_secs(until);
+        room.push(Waiting { item, priority, due: until, until, tokens });
     }
     room
 }
 
 fn in_room(room: &mut WaitingRoom<&'static str>) -> Vec<&'static str> {
-    std::iter::from_fn(|| room.pop().map(|waiting| waiting.item)).collect()
+    in_room_at(room, 0)
+}
+
+fn in_room_at(room: &mut WaitingRoom<&'static str>, now_s: u64) -> Vec<&'static str> {
+    let now = Duration::from_secs(now_s);
+    std::iter::from_fn(|| room.pop(now).map(|waiting| waiting.item)).collect()
 }
 
 fn unknown(_: f64) -> Option<Duration> {
@@ -30,17 +36,58 @@
 fn test_waiting_room_is_ordered_and_ends_in_time() {
     let mut room =
         room(&[("late", 1, 9, 0.0), ("first", 0, 9, 0.0), ("second", 0, 9, 0.0), ("over", 0, 5, 0.0)]);
-    assert!(!room.lets_pass(0), "one as urgent waits");
+    assert!(!room.lets_pass(0, Duration::ZERO), "one as urgent waits");
     assert_eq!(room.lost(Duration::from_secs(5), unknown), [("over", None)]);
     assert_eq!(in_room(&mut room), ["first", "second", "late"]);
-    assert!(room.lets_pass(0));
+    assert!(room.lets_pass(0, Duration::ZERO));
+}
+
+/// Those that can begin in time go before those that can't any more, and these go before all once they
+/// have been late for six tenths of the time that their callers stay.
+#[test]
+fn test_who_can_still_begin_in_time_goes_first() {
+    let order_at = |now_s| {
+        let mut room = WaitingRoom::default();
+        let items = [("old", 1, 2, 10), ("late", 0, 4, 12), ("urgent", 0, 8, 16), ("new", 1, 9, 17)];
+        for (item, priority, due, until) in items {
+            let (due, until) = (Duration::from_secs(due), Duration::from_secs(until));
+            room.push(Waiting { item, priority, due, until, tokens: 1.0 });
+        }
+        let passes = (0..2).map(|priority| room.lets_pass(priority, Duration::from_secs(now_s)));
+        let passes: Vec<bool> = passes.collect();
+        (in_room_at(&mut room, now_s), passes)
+    };
+    assert_eq!(order_at(1), (vec!["late", "urgent", "old", "new"], vec![false, false]));
+    assert_eq!(order_at(5), (vec!["urgent", "new", "late", "old"], vec![false, false]));
+    assert_eq!(
+        order_at(7),
+        (vec!["old", "urgent", "new", "late"], vec![false, false]),
+        "old is late for long"
+    );
+    assert_eq!(order_at(12).0, ["old", "late", "urgent", "new"]);
+}
+
+/// One that was taken out and put back keeps its turn, and late ones don't hold up new ones.
+#[test]
+fn test_late_ones_hold_nobody_up() {
+    let at = Duration::from_secs;
+    let mut room = WaitingRoom::default();
+    for (item, due) in [("first", 2), ("second", 3)] {
+        room.push(Waiting { item, priority: 0, due: at(due), until: at(20), tokens: 1.0 });
+    }
+    let first = room.pop(at(1)).expect("two wait");
+    room.put_back(first);
+    assert!(!room.lets_pass(1, at(1)));
+    assert!(room.lets_pass(0, at(5)), "both are late");
+    assert_eq!(in_room_at(&mut room, 5), ["first", "second"]);
 }
 
 /// Who can no longer be served in time is told at once, and does not count for those behind it.
 #[test]
 fn test_who_cannot_begin_in_time_is_told_at_once() {
     let mut room = room(&[("a", 0, 14, 3.0), ("huge", 0, 14, 90.0), ("b", 0, 14, 1.0), ("c", 1, 13, 1.0)]);
-    assert_eq!((room.tokens_before(0), room.tokens_before(1)), (94.0, 95.0));
+    let before = |priority| room.tokens_before(priority, Duration::from_secs(10));
+    assert_eq!((before(0), before(1)), (94.0, 95.0));
     let one_a_second = |tokens: f64| Some(Duration::from_secs_f64(tokens));
     let lost = room.lost(Duration::from_secs(10), one_a_second);
     let expected = Some(Duration::from_secs(93));
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -52,11 +52,12 @@
         self.shared.table()?.service(service)?.engine.clone()
     }
 
-    /// The best replica for a request, if one has room.
-    pub fn choose(&self, key: &RunKey, wanted: &Wanted) -> Option<Arc<ReplicaRecord>> {
+    /// The best replica for a request, if one has room; for a generation that `may_wait`, if one reads
+    /// it soon.
+    pub fn choose(&self, key: &RunKey, wanted: &Wanted, may_wait: bool) -> Option<Arc<ReplicaRecord>> {
         let traits = self.engine_traits(&wanted.service);
         match (&traits, wanted.size) {
-            (Some(traits), Some(size)) => self.choose_engine(key, wanted, traits, size),
+            (Some(traits), Some(size)) => self.choose_engine(key, wanted, traits, size, may_wait),
             _ => {
                 let candidates = self.candidates(wanted).into_iter();
                 let now = self.shared.now();
@@ -72,9 +73,14 @@
         wanted: &Wanted,
         traits: &EngineTraits,
         size: GenerationSize,
+        may_wait: bool,
     ) -> Option<Arc<ReplicaRecord>> {
-        let candidates = self.candidates(wanted);
+        let now = self.shared.now();
+        let mut candidates = self.candidates(wanted);
         let engines = candidates.len();
+        if may_wait {
+            candidates.retain(|replica| self.book.reads_soon(&replica.record.id, now));
+        }
         let candidates = sample(candidates, &wanted.hall);
         let request = EngineRequest {
             size,
@@ -83,7 +89,6 @@
             produced: wanted.produced,
             moves: wanted.from.is_some(),
         };
-        let now = self.shared.now();
         let choice = self.book.choose_engine(candidates.into_iter(), &request, now, &mut rand::rng())?;
         info!(event = "engine_chosen", run = key.run, entry = &*key.entry, upstream = &*choice.replica.record.id, service = &*wanted.service, prompt = size.prompt, expected = size.expected, produced = wanted.produced, engines, runs = choice.runs, fill:% = format_args!("{:.2}", choice.fill), wait_ms = choice.wait.as_millis() as u64, cost_ms:% = format_args!("{:.0}", choice.cost); "engine chosen");
         Some(choice.replica.record.clone())
--- a/node/src/gateway/control/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::gateway::load::READS_AHEAD;
 use leadstage_lib::gateway::policy::Policy;
 use leadstage_lib::gateway::rebalance::Rebalancer;
 use leadstage_lib::gateway::rebalance::Relief;
@@ -34,6 +35,9 @@
     /// For a new generation, the time until its first event is due; for one that moves, how long
     /// it may wait for its turn.
     pub patience: Duration,
+    /// For a new generation, the time until its caller leaves that has had no event; at least the
+    /// patience.
+    pub leaves_after: Duration,
     /// Who gets the answer.
     pub asker: Asker,
 }
@@ -97,13 +101,13 @@
         let waits =
             if ask.wanted.from.is_some() { self.policy.copy_turns } else { self.policy.wait_for_room };
         if ask.patience.is_zero() || !waits {
-            return Outcome::Decided(decide(knowledge, ask));
+            return Outcome::Decided(decide(knowledge, ask, MayWait::No));
         }
         let room = self.rooms.entry(room_of(&ask)).or_default();
-        if !room.lets_pass(ask.priority) {
+        if !room.lets_pass(ask.priority, now) {
             return wait(room, knowledge, ask, now);
         }
-        let decision = decide(knowledge, ask);
+        let decision = decide(knowledge, ask, MayWait::Yes);
         match decision.chosen {
             Ok(_) => Outcome::Decided(decision),
             Err(_) => wait(room, knowledge, decision.ask, now),
@@ -114,10 +118,10 @@
     pub fn settle(&mut self, knowledge: &mut Knowledge, now: Timestamp) -> Vec<Decision> {
         let mut decisions = Vec::new();
         for (name, room) in &mut self.rooms {
-            while let Some(Waiting { item, priority, until, tokens }) = room.pop() {
-                let decision = decide(knowledge, item);
+            while let Some(Waiting { item, priority, due, until, tokens }) = room.pop(now) {
+                let decision = decide(knowledge, item, MayWait::Yes);
                 if decision.chosen.is_err() {
-                    room.put_back(Waiting { item: decision.ask, priority, until, tokens });
+                    room.put_back(Waiting { item: decision.ask, priority, due, until, tokens });
                     break;
                 }
                 decisions.push(decision);
@@ -145,15 +149,18 @@
     }
 }
 
-/// Lets a generation wait if it can be expected to begin in time, and refuses it otherwise.
+/// Lets a generation wait if it can be expected to begin before its caller leaves, and refuses it
+/// otherwise.
 fn wait(room: &mut WaitingRoom<Ask>, knowledge: &Knowledge, ask: Ask, now: Timestamp) -> Outcome {
     let (service, size) = (&ask.wanted.service, ask.wanted.size.unwrap_or_default());
     let is_new = ask.wanted.from.is_none();
     let tokens = if is_new { knowledge.book.memory_of(service, size, 0) } else { 0.0 };
     let reading =
         if is_new { knowledge.book.reading.usual_time(service, size.prompt) } else { Duration::ZERO };
-    let may_wait = ask.patience.saturating_sub(reading);
-    let expected = expected(knowledge, &room_of(&ask), room.tokens_before(ask.priority) + tokens, now);
+    let in_time = ask.patience.saturating_sub(reading + if is_new { READS_AHEAD } else { Duration::ZERO });
+    let may_wait = ask.leaves_after.saturating_sub(reading);
+    let tokens_before = room.tokens_before(ask.priority, now);
+    let expected = expected(knowledge, &room_of(&ask), tokens_before + tokens, now);
     if may_wait.is_zero() || expected.is_some_and(|expected| expected > may_wait) {
         return Outcome::Decided(refusal(ask, expected));
     }
@@ -162,7 +169,13 @@
         Asker::Here { .. } => None,
     };
     let key = ask.key.clone();
-    room.push(Waiting { priority: ask.priority, until: now + may_wait, tokens, item: ask });
+    room.push(Waiting {
+        priority: ask.priority,
+        due: now + in_time,
+        until: now + may_wait,
+        tokens,
+        item: ask,
+    });
     Outcome::Waits(key, there)
 }
 
@@ -185,9 +198,17 @@
     }
 }
 
-fn decide(knowledge: &mut Knowledge, ask: Ask) -> Decision {
+/// Whether a generation may wait for an engine that reads it soon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MayWait {
+    Yes,
+    No,
+}
+
+fn decide(knowledge: &mut Knowledge, ask: Ask, may_wait: MayWait) -> Decision {
     let may_start = knowledge.copy_may_start(&ask.wanted);
-    let chosen = if may_start { knowledge.choose(&ask.key, &ask.wanted) } else { None };
+    let reads_soon = may_wait == MayWait::Yes && ask.wanted.from.is_none();
+    let chosen = if may_start { knowledge.choose(&ask.key, &ask.wanted, reads_soon) } else { None };
     if let Some(replica) = &chosen {
         knowledge.add(ask.key.clone(), &ask.wanted, &replica.id);
     }
--- a/node/src/gateway/control/lead_questions.rs
+++ b/node/src/gateway/control/lead_questions.rs
@@ -52,8 +52,13 @@
     /// Asks a lead to place a generation.
     pub fn ask(&mut self, ask: Ask, lead: VmId, address: SocketAddr) {
         let run = ask.key.run;
-        let remote =
-            RemotePlace { run, wanted: ask.wanted.clone(), priority: ask.priority, patience: ask.patience };
+        let remote = RemotePlace {
+            run,
+            wanted: ask.wanted.clone(),
+            priority: ask.priority,
+            patience: ask.patience,
+            leaves_after: ask.leaves_after,
+        };
         self.outbox.send(address, &PeerMessage::Place(remote));
         let due = self.shared.now() + LEAD_LIMIT;
         self.open.insert(run, Question { ask, lead, due });
@@ -63,7 +68,7 @@
     /// The lead lets the generation wait; returns the lead.
     pub fn on_waits(&mut self, run: RunId) -> Option<&VmId> {
         let question = self.open.get_mut(&run)?;
-        let within = question.ask.patience + WAIT_SLACK;
+        let within = question.ask.leaves_after + WAIT_SLACK;
         question.due = self.shared.now() + within;
         self.expect_answer(run, within);
         self.open.get(&run).map(|question| &question.lead)
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -88,6 +88,7 @@
             wanted: request.wanted,
             priority: request.priority,
             patience: request.patience,
+            leaves_after: request.leaves_after,
             asker: Asker::Here { request: request.request, stream: request.stream, reply },
         };
         match self.lead_for(fleet, &ask) {
@@ -199,6 +200,7 @@
             wanted: remote.wanted,
             priority: remote.priority,
             patience: remote.patience,
+            leaves_after: remote.leaves_after,
             asker: Asker::There(from),
         });
     }
@@ -264,13 +266,14 @@
         self.note_first_event(&RunKey { entry: node_id(from), run });
     }
 
-    /// An engine that begins to answer does not fail.
+    /// An engine that begins to answer does not fail, and may be given another prompt to read.
     fn note_first_event(&mut self, key: &RunKey) {
         let now = self.shared.now();
         self.knowledge.book.on_first_event(key, now);
         if let Some(run) = self.knowledge.book.get(key) {
             self.knowledge.replicas.on_answer(&run.replica, false, now);
         }
+        self.settle();
     }
 
     /// A copy for a generation of another node is complete, or is not made after all.
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -106,6 +106,7 @@
         },
         priority: req.priority(),
         patience: Duration::ZERO,
+        leaves_after: Duration::ZERO,
         stream: None,
     };
     traffic.shared.place(request).await
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -122,6 +122,9 @@
     /// For a new generation, the time until its first event is due; for one that moves, how long
     /// it may wait for its turn.
     pub patience: Duration,
+    /// For a new generation, the time until its caller leaves that has had no event; at least the
+    /// patience.
+    pub leaves_after: Duration,
     /// How a stream is told to move, and shows its progress.
     pub stream: Option<StreamHandle>,
 }
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -149,6 +149,9 @@
     /// For a new generation, the time until its first event is due; for one that moves, how long
     /// it may wait for its turn.
     pub patience: Duration,
+    /// For a new generation, the time until its caller leaves that has had no event; at least the
+    /// patience.
+    pub leaves_after: Duration,
 }
 
 /// A watcher's pulse.
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -92,6 +92,12 @@
         self.route.objective.saturating_sub(self.came.elapsed())
     }
 
+    /// Time until its caller leaves or its deadline passes, if no event comes; no less than until the first is due.
+    pub fn caller_leaves(&self) -> Duration {
+        let silent = self.route.callers_patience().saturating_sub(self.came.elapsed());
+        silent.min(self.left()).max(self.first_event_due())
+    }
+
     /// The size of the generation that it asks for, no larger than an engine's memory: what a
     /// caller says beyond that must not count for hours of reading.
     pub fn generation_size(&self) -> GenerationSize {
@@ -125,12 +131,20 @@
             deadline: self.left(),
             target,
             organisation: self.organisation.as_ref().map(|o| &*o.name),
-            priority: Some(self.priority()),
+            priority: Some(self.engine_priority()),
             resume,
         }
     }
 
-    /// Urgency at an engine: the organisation's rank, then the route's.
+    /// Urgency at an engine: the organisation's rank alone. Kinds of one organisation wait in turn at the
+    /// lead; at an engine a more urgent one would preempt others that run, whose prompts are then read
+    /// again: 580,000 tokens of 15.4 million in 34 s on full engines, 207,000 without.
+    pub fn engine_priority(&self) -> u8 {
+        let organisation = self.organisation.as_ref().map_or(0, |o| o.priority);
+        organisation.saturating_mul(ROUTE_RANKS).min(LEAST_URGENT)
+    }
+
+    /// Urgency at the lead: the organisation's rank, then the route's.
     pub fn priority(&self) -> u8 {
         let organisation = self.organisation.as_ref().map_or(0, |o| o.priority);
         let route = self.route.priority.min(ROUTE_RANKS - 1);
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -200,6 +200,7 @@
     /// size, whether there is room or not.
     async fn place(&self, size: Option<GenerationSize>, exclude: &[UpstreamId]) -> Option<RunGuard> {
         let produced = self.handle.produced.load(Ordering::Relaxed);
+        let patience = if self.insist.is_zero() { Duration::ZERO } else { evacuation::COPY_PATIENCE };
         let request = PlaceRequest {
             request: self.req.id().to_owned(),
             wanted: Wanted {
@@ -211,7 +212,8 @@
                 exclude: exclude.to_vec(),
             },
             priority: evacuation::rank(self.req.generation_size(), produced),
-            patience: if self.insist.is_zero() { Duration::ZERO } else { evacuation::COPY_PATIENCE },
+            patience,
+            leaves_after: patience,
             stream: Some(self.handle.clone()),
         };
         self.traffic.shared.place(request).await.ok()
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -83,6 +83,7 @@
             },
             priority: req.priority(),
             patience: req.first_event_due(),
+            leaves_after: req.caller_leaves(),
             stream: Some(handle.clone()),
         };
         self.shared.place(request).await
