--- a/node/tests/test_gateway_silent.rs
+++ b/node/tests/test_gateway_silent.rs
@@ -149,8 +149,10 @@
     proxies.iter().for_each(FaultyProxy::silence_open);
 }
 
-/// The longest silence between two events of the node's only stream, by its log.
-fn longest_gap(gateway: &Gateway) -> Duration {
+/// The longest silence between two events of the node's only stream, by its log, which a thread of its
+/// own writes: the line may come after the caller has its answer.
+async fn longest_gap(gateway: &Gateway) -> Duration {
+    gateway.until("its end is logged", async || gateway.log(0).contains("gap_ms=")).await;
     let log = gateway.log(0);
     let gap = log.split("gap_ms=").nth(1).and_then(|rest| rest.split_whitespace().next());
     gap.and_then(|gap| gap.parse().ok()).map(Duration::from_millis).expect("it is logged")
@@ -163,7 +165,7 @@
     let (gateway, models, proxies) = with_engines(60).await;
     let (called, ()) = tokio::join!(gateway.call(0, tag("r-1")), silence_midway(&gateway, &models, &proxies));
     assert!(called.whole && called.events() == Some(60), "{called:?}\n{}", gateway.logs());
-    let gap = longest_gap(&gateway);
+    let gap = longest_gap(&gateway).await;
     assert!(gap < CALLERS_LEAVE_AFTER, "silent for {gap:?}\n{}", gateway.logs());
 }
 
@@ -178,7 +180,7 @@
     let (called, ()) =
         tokio::join!(gateway.call(0, chat("r-1")), silence_midway(&gateway, &models, &proxies));
     assert!(called.whole && called.events() == Some(200), "{called:?}\n{}", gateway.logs());
-    let gap = longest_gap(&gateway);
+    let gap = longest_gap(&gateway).await;
     assert!(gap < CALLERS_LEAVE_AFTER, "silent for {gap:?}\n{}", gateway.logs());
     let seen: Vec<_> = models.iter().flat_map(|model| model.replica.seen()).collect();
     let fresh = seen.iter().filter(|seen| seen.header("kv-from").is_none()).count();
