--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -62,6 +62,9 @@
 
 const RANKING: &str = "store watchers";
 
+/// The first watcher gathers for this long: replicas that leave together say so within some
+/// milliseconds, and each question is priced. The first of them is told at once.
+const FIRST_GATHERS: Duration = Duration::from_millis(10);
 /// A standby gathers the store's changes for this long before it asks for more: the first
 /// watcher has told them by then, and each question is priced.
 const STANDBY_GATHERS: Duration = Duration::from_millis(500);
@@ -86,7 +89,7 @@
     /// Pause between a change and the question for the next.
     pub fn gathers_for(self) -> Duration {
         match self {
-            WatchRole::First => Duration::ZERO,
+            WatchRole::First => FIRST_GATHERS,
             WatchRole::Standby => STANDBY_GATHERS,
         }
     }
