gateway: a stream that waited while its node began to stop is begun only if it can end

Cause: a generation may now wait at a lead until its caller leaves (four objectives) and not only until its first event is due; a stopping node counted on the objective when it took a stream, gave it an engine seconds later and cut it at its end. A stopping node now bounds the wait by what it has left, and looks again when an engine is found; the caller is told that it has not run, and comes back elsewhere.

--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -11,7 +11,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use leadstage_lib::code::Code;
 use leadstage_lib::gateway::routing::CallerLimits;
 use leadstage_lib::gateway::routing::Repeat;
 use log::info;
@@ -156,8 +155,7 @@
     };
     let req = request::admit(&traffic.shared, req).await.map_err(refused)?;
     if !stop::takes(&traffic.shared, &req) {
-        let retry_after = Some(stop::come_back_after(&traffic.shared));
-        return Err(refused(Refusal { code: Code::Stopping, retry_after }));
+        return Err(refused(stop::refusal(&traffic.shared)));
     }
     traffic.on_request(&req.service);
     if req.route.repeat == Repeat::Stream {
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -24,6 +24,7 @@
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::OpenGuard;
 use crate::gateway::shared::RunGuard;
+use crate::gateway::stop;
 use crate::gateway::upstream::connections::Choice;
 use crate::gateway::upstream::exchange;
 use crate::gateway::upstream::exchange::Exchange;
@@ -113,6 +114,14 @@
                 break;
             }
         };
+        if !stop::takes(&traffic.shared, req) {
+            // It waited while the node began to stop.
+            run.end(Outcome::Withdrawn);
+            if sent == 0 {
+                best = Err(stop::refusal(&traffic.shared));
+            }
+            break;
+        }
         tried.push(run.placed.replica.id.clone());
         match attempt(traffic, req, run, sent).await {
             Attempt::Begun(run, exchange) => {
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::code::Code;
 use leadstage_lib::gateway::routing::Repeat;
 use log::info;
 use log::warn;
@@ -11,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::messages::ToControl;
+use crate::gateway::reply::Refusal;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
@@ -41,7 +43,7 @@
 
 /// When a caller comes back that a stopping node refuses. Where no other node of the hall is alive
 /// the balancer sends it here again until it has noticed.
-pub fn come_back_after(shared: &Shared) -> Duration {
+fn come_back_after(shared: &Shared) -> Duration {
     let stopping_for = shared.stopping_for().unwrap_or_default();
     if shared.has_neighbour() {
         COME_BACK_AFTER
@@ -50,6 +52,11 @@
     }
 }
 
+/// What a stopping node answers to a request that it does not take.
+pub fn refusal(shared: &Shared) -> Refusal {
+    Refusal { code: Code::Stopping, retry_after: Some(come_back_after(shared)) }
+}
+
 /// Whether a node that may be stopping still takes a request: one that it can be expected to serve
 /// to its end.
 pub fn takes(shared: &Shared, req: &CallerRequest) -> bool {
@@ -63,6 +70,16 @@
     left > needs
 }
 
+/// How long a stream may wait for an engine: until its caller leaves and, at a stopping node, no longer
+/// than it can still be served to its end.
+pub fn may_wait(shared: &Shared, req: &CallerRequest) -> Duration {
+    let until_caller_leaves = req.caller_leaves();
+    let Some(left) = shared.left_to_serve() else {
+        return until_caller_leaves;
+    };
+    until_caller_leaves.min(left.saturating_sub(stream_time(shared, req))).max(req.first_event_due())
+}
+
 /// The longest that a stream should take: its first event comes within the objective, and its
 /// tokens at the usual pace.
 ///
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -21,6 +21,7 @@
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
 use crate::gateway::shared::Shared;
+use crate::gateway::stop;
 use crate::gateway::upstream::connections::Connections;
 
 /// Nodes that share the retry budget at least: a node that is cut off from the others must
@@ -83,7 +84,7 @@
             },
             priority: req.priority(),
             patience: req.first_event_due(),
-            leaves_after: req.caller_leaves(),
+            leaves_after: stop::may_wait(&self.shared, req),
             stream: Some(handle.clone()),
         };
         self.shared.place(request).await
--- a/node/tests/test_gateway_stop.rs
+++ b/node/tests/test_gateway_stop.rs
@@ -169,6 +169,34 @@
     assert!(gateway.end_of(node).await, "the stop is no failure");
 }
 
+/// A stream that waits for an engine while its node stops, and gets one when it can no longer end before
+/// the node does: it was begun and cut. It has not run, so its caller is sent to another node.
+#[tokio::test]
+async fn test_a_stream_that_waits_too_long_at_a_stopping_node_is_not_begun() {
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    // 15 ms an event: each lasts 3.3 s, and the engine has room for one.
+    let model = gateway.start_replica(MODEL, "model-1", 220).await;
+    let node = gateway.start_node();
+    gateway.until_ready(node).await;
+    let sized = |id: &str, usage: &str| {
+        let mut req = chat(id);
+        req.headers_mut().insert("leadstage-token-usage", usage.parse().expect("valid"));
+        req.headers_mut().insert("length-hint", "40".parse().expect("valid"));
+        req
+    };
+    let (first, waited) = tokio::join!(gateway.call(node, sized("r-1", "30000,2000")), async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        gateway.signal(node, "-TERM");
+        tokio::time::sleep(Duration::from_millis(1_600)).await;
+        gateway.call(node, sized("r-2", "2000,2000")).await
+    });
+    assert_eq!(first.events(), Some(220), "it ends before the node does: {first:?}");
+    assert_eq!((waited.status, waited.code()), (503, 2108), "{waited:?}\n{}", gateway.logs());
+    assert_eq!(model.replica.seen().len(), 1, "the second was sent to no engine");
+    assert!(gateway.end_of(node).await, "the stop is no failure");
+}
+
 /// The line that tells of a stop's end was never seen, in seven runs of a fleet with stops all day:
 /// lines are written by a thread of their own, and what it had not written was lost.
 #[tokio::test]
