--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -54,8 +54,8 @@
 /// While the store answers none of the first, the next few try for this long, then those behind them.
 /// With a third of the nodes turned away, six nodes in a row are in one of 500 cases.
 const TRY_FOR: Duration = Duration::from_secs(3);
-/// A node that hears of enough working watchers ranks itself anew only this often: among 295 nodes
-/// that takes some 40 us, ten times a second else.
+/// A node that hears of enough working watchers ranks itself anew only this often: a ranking hashes all
+/// nodes that it knows, which all nodes did ten times a second.
 const RANK_EVERY: Duration = Duration::from_secs(1);
 /// A node that heard from no other one for this long is alone.
 const CONTACT_LASTS: Duration = Duration::from_secs(2);
--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -30,6 +30,7 @@
 use serde_json::json;
 use tempfile::TempDir;
 use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
 use tokio_util::task::AbortOnDropHandle;
 
 /// What should come about does so within this; nothing is asserted about speed but where a
@@ -492,3 +493,12 @@
         (self.body == expected).then_some(last)
     }
 }
+
+/// Tells the node at `to`, in the name of the node at `from`, that this one has a configuration, and up
+/// to which revision it knows the replicas: the datagram that nodes send for that.
+pub async fn tell_of_config(from: SocketAddr, version: u64, replicas_at: u64, to: SocketAddr) {
+    const NEW_CONFIG: u32 = 14;
+    let datagram = postcard::to_stdvec(&(from, version, replicas_at, NEW_CONFIG)).expect("it can be encoded");
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    socket.send_to(&datagram, to).await.expect("it is sent");
+}
--- a/node/tests/test_gateway_config_ways.rs
+++ b/node/tests/test_gateway_config_ways.rs
@@ -19,7 +19,6 @@
 use leadstage_testutils::metadata_store::MetadataStore;
 use leadstage_testutils::metadata_store::StoreFault;
 use leadstage_testutils::metadata_store::replica_entry;
-use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
 use crate::gateway_environment::Gateway;
@@ -28,6 +27,7 @@
 use crate::gateway_environment::call;
 use crate::gateway_environment::config;
 use crate::gateway_environment::large_config;
+use crate::gateway_environment::tell_of_config;
 
 const MOST_ROUTES: usize = 5_000;
 const LAST_ROUTE: &str = "/more-4999/x";
@@ -75,7 +75,7 @@
     async fn takes_from_the_other(&self) -> Option<Duration> {
         let began = Instant::now();
         while began.elapsed() < FREE_LINK_WITHIN {
-            tell(self.peer(self.has), 2, 0, self.peer(self.lacks)).await;
+            tell_of_config(self.peer(self.has), 2, 0, self.peer(self.lacks)).await;
             if self.gateway.log(self.lacks).contains("config_in_force version=2") {
                 return Some(began.elapsed());
             }
@@ -94,7 +94,7 @@
     lacking.own_store.set_fault(StoreFault::Refuses);
     let between = FaultyProxy::start(&lacking.gateway.replicas_ip(), lacking.peer(lacking.has)).await;
     between.set(LinkFault::Thin(16_000));
-    tell(between.address, 2, 0, lacking.peer(lacking.lacks)).await;
+    tell_of_config(between.address, 2, 0, lacking.peer(lacking.lacks)).await;
     tokio::time::sleep(Duration::from_secs(2)).await;
     between.set(LinkFault::Reset);
     let gateway = &lacking.gateway;
@@ -131,7 +131,7 @@
     lacking.own_store.set_fault(StoreFault::Refuses);
     let slow = FaultyProxy::start(&lacking.gateway.replicas_ip(), lacking.peer(lacking.has)).await;
     slow.set(LinkFault::Thin(12_000));
-    tell(slow.address, 2, 0, lacking.peer(lacking.lacks)).await;
+    tell_of_config(slow.address, 2, 0, lacking.peer(lacking.lacks)).await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     let took = lacking.takes_from_the_other().await;
     assert!(took.is_some(), "{}", lacking.gateway.logs());
@@ -147,7 +147,7 @@
     let ip = lacking.gateway.replicas_ip();
     for port in 9..12 {
         let gone: SocketAddr = format!("{ip}:{port}").parse().expect("an address");
-        tell(gone, 2, 0, lacking.peer(lacking.lacks)).await;
+        tell_of_config(gone, 2, 0, lacking.peer(lacking.lacks)).await;
     }
     tokio::time::sleep(Duration::from_millis(2_000)).await;
     let took = lacking.takes_from_the_other().await;
@@ -220,7 +220,7 @@
     let peer = Arc::new(Unreadable { asked: AtomicU64::new(0) });
     let server = loopback::serve(&lacking.gateway.replicas_ip(), peer.clone()).await;
     for _ in 0..60 {
-        tell(server.address, 2, 0, lacking.peer(lacking.lacks)).await;
+        tell_of_config(server.address, 2, 0, lacking.peer(lacking.lacks)).await;
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     let asked = peer.asked.load(Ordering::Relaxed);
@@ -249,7 +249,7 @@
     let peer = Arc::new(Busy { asked: AtomicU64::new(0) });
     let server = loopback::serve(&lacking.gateway.replicas_ip(), peer.clone()).await;
     for _ in 0..60 {
-        tell(server.address, 1, 1_000_000, lacking.peer(lacking.lacks)).await;
+        tell_of_config(server.address, 1, 1_000_000, lacking.peer(lacking.lacks)).await;
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     let asked = peer.asked.load(Ordering::Relaxed);
@@ -273,10 +273,10 @@
     let began = Instant::now();
     // Others that have no configuration yet: the node is not one of the few that follow the store.
     for port in 0..OTHERS {
-        tell(format!("{ip}:{}", 20_000 + port).parse().expect("an address"), 0, 0, to).await;
+        tell_of_config(format!("{ip}:{}", 20_000 + port).parse().expect("an address"), 0, 0, to).await;
     }
     while began.elapsed() < Duration::from_millis(200) {
-        tell(still.address, 1, 0, to).await;
+        tell_of_config(still.address, 1, 0, to).await;
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     // Not by the log: of 300 nodes that are met at once some lines are left out.
@@ -298,7 +298,7 @@
     gateway.until_ready(node).await;
     tokio::time::sleep(Duration::from_secs(2)).await;
     let gone: SocketAddr = format!("{}:9", gateway.replicas_ip()).parse().expect("an address");
-    tell(gone, 99, 0, gateway.peer(node).parse().expect("an address")).await;
+    tell_of_config(gone, 99, 0, gateway.peer(node).parse().expect("an address")).await;
     tokio::time::sleep(GONE_WITHIN).await;
     assert!(gateway.log(node).contains("liveness=Dead"), "{}", gateway.logs());
     let before = counting.lists.load(Ordering::Relaxed);
@@ -350,14 +350,6 @@
     assert_eq!(regained, 4, "each time before the next cut\n{}", gateway.logs());
 }
 
-/// A datagram of a node at `from` that says that there is a newer configuration.
-async fn tell(from: SocketAddr, version: u64, replicas_at: u64, to: SocketAddr) {
-    const NEW_CONFIG: u32 = 14;
-    let datagram = postcard::to_stdvec(&(from, version, replicas_at, NEW_CONFIG)).expect("it can be encoded");
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
-    socket.send_to(&datagram, to).await.expect("it is sent");
-}
-
 /// A store that has no history for any watch is listed, but not without a pause: each list may have
 /// 1 MB. Found by reading: nothing stood between the list and the next watch.
 #[tokio::test]
--- a/node/tests/test_gateway_large_config.rs
+++ b/node/tests/test_gateway_large_config.rs
@@ -23,7 +23,6 @@
 use leadstage_testutils::metadata_store::MetadataStore;
 use leadstage_testutils::metadata_store::StoreFault;
 use leadstage_testutils::metadata_store::replica_entry;
-use tokio::net::UdpSocket;
 
 use crate::gateway_environment::Called;
 use crate::gateway_environment::Gateway;
@@ -33,6 +32,7 @@
 use crate::gateway_environment::config;
 use crate::gateway_environment::large_config;
 use crate::gateway_environment::send;
+use crate::gateway_environment::tell_of_config;
 
 /// Some 1 MB, the most that the store holds in one object.
 const MOST_ROUTES: usize = 5_000;
@@ -107,7 +107,7 @@
         let gateway = &self.gateway;
         gateway
             .until(what, async || {
-                tell_of_configuration(self.between.address, 2, lacking).await;
+                tell_of_config(self.between.address, 2, 0, lacking).await;
                 is_so(&gateway.log(self.lacks))
             })
             .await;
@@ -151,7 +151,7 @@
     let lacking: SocketAddr = gateway.peer(lacks).parse().expect("an address");
     gateway
         .until("it waits", async || {
-            tell_of_configuration(pair.between.address, 2, lacking).await;
+            tell_of_config(pair.between.address, 2, 0, lacking).await;
             gateway.status_of(lacks, LAST_ROUTE, KEY).await == 503
         })
         .await;
@@ -169,13 +169,3 @@
 async fn get(address: &str, path: &str) -> Called {
     call(address, ask(path)).await
 }
-
-/// Tells a node, as another one at `from` would, that there is a newer configuration: the head of
-/// every datagram and the message that there is one.
-async fn tell_of_configuration(from: SocketAddr, version: u64, to: SocketAddr) {
-    const NEW_CONFIG: u32 = 14;
-    let (replicas_at, message) = (0_u64, NEW_CONFIG);
-    let datagram = postcard::to_stdvec(&(from, version, replicas_at, message)).expect("it can be encoded");
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
-    socket.send_to(&datagram, to).await.expect("it is sent");
-}
