leads: a pool that a request waits for is not given up

Cause: a VM that is asked to place a request makes the pool and waits up to 0.3 s for its engines' first loads. A review of the pools in that time gave it up, as the VM still took the killed one for the lead and nobody was noted to wait; the request's answer was then awaited without anyone to give it. Ruled out: reports that name ended generations (they are dropped after 20 s).

A stream that does not end shows the logs of its fleet.

--- a/node/src/leads.rs
+++ b/node/src/leads.rs
@@ -218,20 +218,38 @@
 /// Places a request in a pool that this VM leads; waits in its queue. Dropping the
 /// future takes the request out.
 pub async fn place_here(control: &ControlRef, key: &PoolKey, request: PlaceRequest) -> Placement {
-    ensure_pool(control, key).await;
-    let (reply, rx) = oneshot::channel();
+    let lead_over = Placement::Refused { code: Code::NoUpstream, retry_after: LEAD_OVER_RETRY };
     let generation = request.generation;
     let withdrawal = Withdrawal { control, key, generation };
-    {
-        let mut control = control.borrow_mut();
-        if let Some(led) = control.leads.pools.get_mut(key) {
-            led.replies.insert(generation, reply);
-        }
-        handle(&mut control, key, PoolEvent::Place(request));
+    let joined = join(&mut control.borrow_mut(), key, generation);
+    let Some(Joined { rx, is_new }) = joined else {
+        return lead_over;
+    };
+    if is_new {
+        await_first_loads(control, key).await;
     }
+    handle(&mut control.borrow_mut(), key, PoolEvent::Place(request));
     let placement = rx.await;
     std::mem::forget(withdrawal);
-    placement.unwrap_or(Placement::Refused { code: Code::NoUpstream, retry_after: LEAD_OVER_RETRY })
+    placement.unwrap_or(lead_over)
+}
+
+/// A request that is about to be placed in a pool.
+struct Joined {
+    /// Its answer.
+    rx: oneshot::Receiver<Placement>,
+    /// The pool was made for it.
+    is_new: bool,
+}
+
+/// Makes the pool if it is new here, and notes that a request awaits its answer: a review of the pools
+/// that this VM leads does not give up one that somebody waits for. The asking entry may know earlier
+/// than this VM that the lead before it is gone. `None` where there is no bundle.
+fn join(control: &mut Control, key: &PoolKey, generation: GenerationId) -> Option<Joined> {
+    let is_new = create_pool(control, key);
+    let (reply, rx) = oneshot::channel();
+    control.leads.pools.get_mut(key)?.replies.insert(generation, reply);
+    Some(Joined { rx, is_new })
 }
 
 /// Takes a request out of the queue when its entry no longer waits.
@@ -253,11 +271,8 @@
     }
 }
 
-/// Makes the pool if it is new here, and waits a little for its engines' loads.
-async fn ensure_pool(control: &ControlRef, key: &PoolKey) {
-    if !create_pool(&mut control.borrow_mut(), key) {
-        return;
-    }
+/// Waits a little for the first loads of a new pool's engines.
+async fn await_first_loads(control: &ControlRef, key: &PoolKey) {
     engine_polls::poll_due(control);
     let until = tokio::time::Instant::now() + FIRST_LOADS;
     while tokio::time::Instant::now() < until {
--- a/node/tests/environment.rs
+++ b/node/tests/environment.rs
@@ -27,6 +27,8 @@
 
 /// What should come about does so within this, or the test fails. Far longer than
 /// needed, as machines are slow at times; nothing is asserted about speed.
+/// Lines of each process's log that a failing test shows.
+const LAST_LINES: usize = 60;
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Time between two looks.
 const POLL: Duration = Duration::from_millis(50);
@@ -427,7 +429,7 @@
         let mut out = String::new();
         for name in self.children.keys() {
             let log = std::fs::read_to_string(self.log_path(name)).unwrap_or_default();
-            let last: Vec<&str> = log.lines().rev().take(15).collect();
+            let last: Vec<&str> = log.lines().rev().take(LAST_LINES).collect();
             out.push_str(&format!("--- {name}\n"));
             last.iter().rev().for_each(|line| out.push_str(&format!("{line}\n")));
         }
--- a/node/tests/stream.rs
+++ b/node/tests/stream.rs
@@ -102,10 +102,16 @@
 
     /// Waits for the end.
     pub async fn finish(self) -> Got {
+        self.finish_or(String::new).await
+    }
+
+    /// Waits for the end; tells what `logs` says if it does not come.
+    pub async fn finish_or(self, logs: impl FnOnce() -> String) -> Got {
         let got = self.got.clone();
         let ended = tokio::time::timeout(std::time::Duration::from_secs(60), self.task).await;
-        assert!(ended.is_ok(), "the stream did not end: {:?}", got.lock());
-        got.lock().expect("no holder panics").clone()
+        let so_far = got.lock().expect("no holder panics").clone();
+        assert!(ended.is_ok(), "the stream did not end: {so_far:?}\n{}", logs());
+        so_far
     }
 }
 
--- a/node/tests/test_streams.rs
+++ b/node/tests/test_streams.rs
@@ -161,12 +161,12 @@
     async fn check(mut self, fault: Fault, expected: Expected) {
         match expected {
             Expected::Whole => {
-                let got = self.caller.finish().await;
+                let got = self.caller.finish_or(|| self.env.logs()).await;
                 assert_eq!(got.end, Some(End::Whole), "{got:?}\n{}", self.env.logs());
                 got.assert_in_order(0);
             }
             Expected::Code(code) => {
-                let got = self.caller.finish().await;
+                let got = self.caller.finish_or(|| self.env.logs()).await;
                 assert_eq!(got.end, Some(End::Code(code)), "{got:?}\n{}", self.env.logs());
                 got.assert_in_order(0);
             }
@@ -278,6 +278,27 @@
     walk(Step::Streaming).await;
 }
 
+/// A VM is asked to place a request as the lead was just killed, which it has not noticed itself: its next
+/// review of the pools that it leads gave the new one up while the request waited for the engines' first
+/// loads, and the request was never answered. Engines that answer nothing meanwhile make that wait long;
+/// if it is too long, its caller is told when to come back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_a_request_outlasts_a_review_of_its_new_pool() {
+    let args = ["--step-us", STEP_US].map(str::to_owned).into();
+    let bounds = "stall_within: 1500ms\nmax_wait: 60s".to_owned();
+    let mut env = Env::start(Options { engine_args: args, bounds, nodes: 3, ..Options::default() }).await;
+    let lead = env.lead().await;
+    let entry = lead % 3 + 1;
+    ["engine-1", "engine-2"].iter().for_each(|engine| env.signal(engine, "-STOP"));
+    env.kill(&format!("entry-{lead}"));
+    let caller = Caller::ask(&env.client, &env.address(&format!("entry-{entry}")), "token-a", 4, None);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    ["engine-1", "engine-2"].iter().for_each(|engine| env.signal(engine, "-CONT"));
+    let got = caller.finish_or(|| env.logs()).await;
+    let is_told = got.end == Some(End::Code(2104)) && got.retry_after.is_some();
+    assert!(got.end == Some(End::Whole) || is_told, "{got:?}\n{}", env.logs());
+}
+
 /// The matrix has every fault at every step, but for one that has no stream to leave.
 #[test]
 fn test_no_cell_is_missing() {
