--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -66,8 +66,9 @@
 /// milliseconds, and each question is priced. The first of them is told at once.
 const FIRST_GATHERS: Duration = Duration::from_millis(10);
 /// A standby gathers the store's changes for this long before it asks for more: the first
-/// watcher has told them by then, and each question is priced.
-const STANDBY_GATHERS: Duration = Duration::from_millis(500);
+/// watcher has told them by then, and each question is priced. Two standbys that gathered for half as
+/// long made 138 of 425 watches on a calm day of 295 nodes.
+const STANDBY_GATHERS: Duration = Duration::from_millis(1_000);
 
 /// One watch of the first watcher waits so long at the store. Its connection may fall silent for
 /// good while new ones work; that shows when the watch should have ended, and each watch is priced:
