--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -4,13 +4,14 @@
 # Usage: scripts/play-days.sh WHY [PATTERN]
 #   WHY      a line for the bench's journal
 #   PATTERN  a regular expression for the names of days; all by default
-# KIT names the folder of the users' system pages, BENCH their bench, and SITES the sites.
+# KIT names the folder of the users' system pages, BENCH their bench, and SITES the sites. DAYS names the
+# folder of days where it is not a site's own: those of najem-flota-grown fit najem-flota-large.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 kit="${KIT:-../given/kit/more/system}"
-bench="${BENCH:-$kit/more/bench-650335/bin/fleetbench}"
-sites="${SITES:-najem-flota bahla-ci kls-sapporo}"
+bench="${BENCH:-$kit/more/bench-93cd67/bin/fleetbench}"
+sites="${SITES:-najem-flota-large kls-sapporo}"
 why="${1:?a line for the journal}"
 pattern="${2:-.}"
 at_once="${AT_ONCE:-5}"
@@ -29,7 +30,7 @@
 }
 
 for site in $sites; do
-    for file in experiments/platform-days/"$site"/*.toml; do
+    for file in experiments/platform-days/"${DAYS:-$site}"/*.toml; do
         [[ $(basename "$file" .toml) =~ $pattern ]] || continue
         play "$site" "$file" &
         while (($(jobs -r | wc -l) >= at_once)); do wait -n; done
--- a/scripts/play-seeds.sh
+++ b/scripts/play-seeds.sh
@@ -16,7 +16,7 @@
 cd "$(dirname "$0")/.."
 
 kit="${KIT:-../given/kit/more/system}"
-bench="${BENCH:-$kit/more/bench-650335/bin/fleetbench}"
+bench="${BENCH:-$kit/more/bench-93cd67/bin/fleetbench}"
 why="${1:?a line for the journal}"
 site="${2:?a site}"
 days="${3:?days}"
