sight: a line for each run that breaks at its replica, with the fingerprint of its request

The fingerprint is a hash of method, host, path, organisation and body; it is computed only where a run broke. Ruled out: nothing yet. No decision changes.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod config_sources;
 pub mod config_text;
 pub mod evacuation;
+pub mod fingerprint;
 pub mod handouts;
 pub mod inventory;
 pub mod lapses;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_gateway_config_sources;
 mod test_gateway_config_spread;
 mod test_gateway_config_text;
+mod test_gateway_fingerprint;
 mod test_gateway_full_engines;
 mod test_gateway_learned;
 mod test_gateway_load;
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! Takes a caller's request in: its route, its organisation, its body and its deadline.
 
+use std::cell::OnceCell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use leadstage_lib::code::Code;
+use leadstage_lib::gateway::fingerprint::Fingerprint;
+use leadstage_lib::gateway::fingerprint::RequestParts;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::reading;
 use leadstage_lib::gateway::routing::Organisation;
@@ -74,6 +77,8 @@
     pub came: Instant,
     /// When its caller or its route gives it up.
     pub until: Instant,
+    /// Its fingerprint, once somebody has asked for it.
+    fingerprint: OnceCell<Fingerprint>,
 }
 
 impl CallerRequest {
@@ -82,6 +87,19 @@
         headers::text(&self.headers, &headers::REQUEST_ID).unwrap_or("")
     }
 
+    /// What names it and all that are like it. The first question costs a hash of the body.
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            Fingerprint::of(&RequestParts {
+                method: self.method.as_str(),
+                host: host(&self.uri, &self.headers),
+                path: self.uri.path_and_query().map_or("/", |path| path.as_str()),
+                organisation: self.organisation.as_ref().map_or("", |organisation| &organisation.name),
+                body: &self.body,
+            })
+        })
+    }
+
     /// Time until it is given up.
     pub fn left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
@@ -180,6 +198,7 @@
         service,
         came,
         until,
+        fingerprint: OnceCell::new(),
     })
 }
 
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -21,6 +21,7 @@
 use crate::gateway::messages::Outcome;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
+use crate::gateway::upstream::broken_run;
 use crate::gateway::upstream::connections::Choice;
 use crate::gateway::upstream::connections::ConnectError;
 use crate::gateway::upstream::connections::Connection;
@@ -66,6 +67,9 @@
 /// nothing was sent.
 pub fn failed(req: &CallerRequest, run: RunGuard, err: &SendError) -> Option<Code> {
     info!(event = "attempt_failed", request = req.id(), upstream = &*run.placed.replica.id, reason:% = err; "attempt failed");
+    if matches!(err, SendError::Broken(_) | SendError::Cut(_)) {
+        broken_run::note(req, &run.placed.replica, None, 0);
+    }
     let is_closed = matches!(err, SendError::HallClosed);
     run.end(if is_closed { Outcome::Withdrawn } else { Outcome::Failed });
     match err {
@@ -83,6 +87,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Incoming,
+    /// When the head came: an engine begins its answer when it begins to run the request.
+    pub head_came: Instant,
     connection: Connection,
 }
 
@@ -129,7 +135,7 @@
     if head.headers.get(headers::REQUEST_ID) != req.headers.get(headers::REQUEST_ID) {
         return Err(SendError::Foreign);
     }
-    Ok(Exchange { status: head.status, headers: head.headers, body, connection })
+    Ok(Exchange { status: head.status, headers: head.headers, body, head_came: Instant::now(), connection })
 }
 
 fn request(req: &CallerRequest, added: &Added<'_>) -> Request<Full<Bytes>> {
