requests that end their replicas: failing tests

A fleet of three nodes, four replicas of a service that end 20 ms after they begin to run a certain body and are replaced. The request comes at the nodes in turn, each 0.3 s, for 3 s after the third end; 9 attempts more then reach replicas 9 times (streams), 13 times (calls), 27 times (streams that go on elsewhere).

--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -1,7 +1,7 @@
 //! Takes a caller's request in: its route, its organisation, its body and its deadline.
 
-use std::cell::OnceCell;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -78,7 +78,7 @@
     /// When its caller or its route gives it up.
     pub until: Instant,
     /// Its fingerprint, once somebody has asked for it.
-    fingerprint: OnceCell<Fingerprint>,
+    fingerprint: OnceLock<Fingerprint>,
 }
 
 impl CallerRequest {
@@ -198,7 +198,7 @@
         service,
         came,
         until,
-        fingerprint: OnceCell::new(),
+        fingerprint: OnceLock::new(),
     })
 }
 
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_gateway_calls;
 mod test_gateway_closed_halls;
 mod test_gateway_config_ways;
+mod test_gateway_crashing_requests;
 mod test_gateway_fleet;
 mod test_gateway_foreign_entries;
 mod test_gateway_inventories;
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -23,6 +23,8 @@
 use crate::loopback::RequestNumber;
 use crate::loopback::Server;
 
+/// A replica that ends because of a request does so this long after it has begun to run it.
+const ENDS_AFTER: Duration = Duration::from_millis(20);
 /// A port that is to close has closed after this.
 const PORT_CLOSES_WITHIN: Duration = Duration::from_millis(20);
 
@@ -170,6 +172,11 @@
     address: Option<SocketAddr>,
     /// Closes its port.
     close_port: Option<Arc<Notify>>,
+    /// Ends its server.
+    end: Option<Arc<Notify>>,
+    /// It ends when it runs a request with this body.
+    ends_on: Option<Bytes>,
+    has_ended: bool,
 }
 
 /// A replica.
@@ -221,6 +228,7 @@
         let server = loopback::serve(ip, replica.clone()).await;
         replica.state().address = Some(server.address);
         replica.state().close_port = Some(server.close_port.clone());
+        replica.state().end = Some(server.end.clone());
         (replica, server)
     }
 
@@ -248,6 +256,23 @@
         self.state().padding = bytes;
     }
 
+    /// Has it end with all its connections soon after it begins to run a request with this body.
+    pub fn set_ends_on(&self, body: &str) {
+        self.state().ends_on = Some(Bytes::copy_from_slice(body.as_bytes()));
+    }
+
+    /// Ends it with all its connections at once.
+    pub fn end(&self) {
+        let mut state = self.state();
+        state.has_ended = true;
+        state.end.as_ref().expect("it serves").notify_one();
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&self) -> bool {
+        self.state().has_ended
+    }
+
     /// What it saw.
     pub fn seen(&self) -> Vec<Seen> {
         self.state().seen.clone()
@@ -293,6 +318,29 @@
         res
     }
 
+    /// Whether this request ends it; if so, that comes about soon.
+    fn ends_on(self: &Arc<Self>, req: &Request<Bytes>) -> bool {
+        let ends = self.state().ends_on.as_ref() == Some(req.body());
+        if ends {
+            let replica = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(ENDS_AFTER).await;
+                replica.end();
+            });
+        }
+        ends
+    }
+
+    /// The answer to a request that ends it: a stream's has begun by then, a plain call's has not.
+    async fn cut_off(&self, req: &Request<Bytes>) -> Response<Body> {
+        if !req.headers().contains_key("leadstage-model") {
+            std::future::pending::<()>().await;
+        }
+        let mut res = Response::new(loopback::parts(futures::stream::pending()));
+        *res.headers_mut() = self.headers(req.headers(), ReplicaFault::None);
+        res
+    }
+
     async fn call(self: Arc<Self>, req: Request<Bytes>, fault: ReplicaFault) -> Response<Body> {
         let id = text(req.headers(), "leadstage-request-id");
         self.state().runs.insert(id.clone(), 0);
@@ -502,6 +550,9 @@
         if fault == ReplicaFault::NotRun {
             return self.not_run(req.headers());
         }
+        if self.ends_on(&req) {
+            return self.cut_off(&req).await;
+        }
         if req.headers().contains_key("leadstage-model") {
             return self.stream(&req).await;
         }
--- a/testutils/src/loopback.rs
+++ b/testutils/src/loopback.rs
@@ -42,6 +42,8 @@
     pub close_port: Arc<Notify>,
     /// Opens a closed port again, once notified.
     pub open_port: Arc<Notify>,
+    /// Ends the server, once notified: its port and all connections close at once.
+    pub end: Arc<Notify>,
     _accepting: AbortOnDropHandle<()>,
 }
 
@@ -67,7 +69,7 @@
     let address = listener.local_addr().expect("bound");
     let (close_port, open_port) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
     let (closing, opening) = (close_port.clone(), open_port.clone());
-    let accepting = tokio::spawn(async move {
+    let serving = async move {
         let mut connections = JoinSet::new();
         let mut listener = listener;
         loop {
@@ -78,8 +80,16 @@
             opening.notified().await;
             listener = TcpListener::bind(address).await.expect("the port is still free");
         }
+    };
+    let end = Arc::new(Notify::new());
+    let ending = end.clone();
+    let accepting = tokio::spawn(async move {
+        tokio::select! {
+            () = ending.notified() => {}
+            () = serving => {}
+        }
     });
-    Server { address, close_port, open_port, _accepting: AbortOnDropHandle::new(accepting) }
+    Server { address, close_port, open_port, end, _accepting: AbortOnDropHandle::new(accepting) }
 }
 
 async fn accept<A: Answerer>(listener: &TcpListener, answerer: &Arc<A>, connections: &mut JoinSet<()>) {
