requests that end their replicas are quarantined in the whole fleet

Cause: a run's end said something of its replica and nothing of its request; nothing told one attempt of a caller from the next, and nothing was told to other nodes. So each attempt was the first one. Each node tells the others which replicas ended under which request (a fingerprint of method, host, path, organisation and body); after three it is sent to no further one. From two on the store keeps it, for nodes that start later and those that reach the store alone. Ruled out as the cause: replicas that end by themselves (one fingerprint stands at all of them).

--- a/lib/src/claim_writer.rs
+++ b/lib/src/claim_writer.rs
@@ -8,8 +8,8 @@
 use crate::claims::ClaimShard;
 use crate::claims::ClaimVerdict;
 use crate::claims::Ticket;
-use crate::claims::UnixMillis;
 use crate::ids::Timestamp;
+use crate::ids::UnixMillis;
 
 /// What the driver is to do. It bounds the time of each read and write itself and
 /// reports each exactly once.
--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -10,6 +10,7 @@
 
 use crate::code::Code;
 use crate::code::Ran;
+use crate::ids::UnixMillis;
 use crate::ids::VmId;
 use crate::rendezvous;
 
@@ -22,8 +23,6 @@
 pub type Nonce = u64;
 /// Names a question to the writer, to match the answer.
 pub type Ticket = u64;
-/// Milliseconds since the Unix epoch, by the writer's clock.
-pub type UnixMillis = u64;
 
 /// The shard of a key.
 pub fn shard_of(key: &str, shards: u32) -> u32 {
--- a/lib/src/fence.rs
+++ b/lib/src/fence.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 
 use crate::claim_writer::WriteResult;
-use crate::claims::UnixMillis;
+use crate::ids::UnixMillis;
 use crate::ids::UpstreamId;
 use crate::ids::VmId;
 
--- /dev/null
+++ b/lib/src/gateway/crash_ledger.rs
@@ -0,0 +1,253 @@
+//! Requests under which replicas have ended, and which of them are quarantined: sent to no further one.
+//!
+//! A request that ends each replica that begins to run it comes back under another id, at any node, and
+//! takes all that runs beside it along: one ended 13 of a service's 12 replicas within 14 s. No node
+//! sees more than its own part of that, so all nodes keep one ledger: for each request the replicas that
+//! ended under it. Ends are only added, and become void, never the reverse: news may come twice, late, in
+//! any order and by any way, and all who have heard the same agree.
+//!
+//! Evidence against blame voids the ends: a run that ended well. Only what is deterministic is caught:
+//! a request that ends one replica in two is cleared by each run that ends well.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::hash::BuildHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::gateway::fingerprint::Fingerprint;
+use crate::gateway::replica_record::Incarnation;
+use crate::ids::UnixMillis;
+
+/// Replicas that end under a request until it is quarantined.
+pub const ENDS_TO_QUARANTINE: usize = 3;
+/// How long an end counts. An operator has that long to see to the request or to the replicas' software.
+pub const KEPT_FOR: Duration = Duration::from_secs(3_600);
+/// Requests that are kept at most; the least suspected and oldest go first.
+pub const MOST_SUSPECTS: usize = 512;
+/// Ends that are kept of one request at most; more tell nothing new.
+pub const MOST_ENDS: usize = 16;
+/// Requests that one message tells at most: three ends each take some 100 bytes, of 15 kB.
+pub const MOST_TOLD: usize = 100;
+/// Ends of a request from which on all nodes must know of it: one alone may be any request's fate,
+/// and is told once, by a message that may be lost.
+const ENDS_TO_AGREE_ON: usize = 2;
+
+/// A replica that ended while it ran a request.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
+pub struct End {
+    /// The replica.
+    pub replica: Incarnation,
+    /// When it was noticed.
+    pub at: UnixMillis,
+    /// A run of the request ended well afterwards, or an operator cleared it.
+    pub is_void: bool,
+}
+
+/// A request with the replicas that ended under it, as nodes tell it and the store keeps it.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
+pub struct Suspect {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The ends, some or all.
+    pub ends: Vec<End>,
+}
+
+impl Suspect {
+    /// Ends that speak against it.
+    pub fn standing(&self) -> usize {
+        self.ends.iter().filter(|end| !end.is_void).count()
+    }
+}
+
+/// What speaks against a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// Replicas that ended under it.
+    pub ends: usize,
+    /// When the first of these no longer counts.
+    pub until: UnixMillis,
+}
+
+impl Standing {
+    /// Whether it is sent to no replica.
+    pub fn is_quarantined(&self) -> bool {
+        self.ends >= ENDS_TO_QUARANTINE
+    }
+}
+
+/// The requests that anything speaks against.
+pub type CrashTable = HashMap<Fingerprint, Standing>;
+
+#[derive(Clone, Debug, Default)]
+struct Ends(BTreeMap<Incarnation, (UnixMillis, bool)>);
+
+impl Ends {
+    fn standing(&self) -> usize {
+        self.0.values().filter(|(_, is_void)| !is_void).count()
+    }
+
+    fn newest(&self) -> UnixMillis {
+        self.0.values().map(|(at, _)| *at).max().unwrap_or(0)
+    }
+
+    /// Takes an end in; returns whether it told anything new.
+    fn take(&mut self, end: &End) -> bool {
+        if let Some((_, is_void)) = self.0.get_mut(&end.replica) {
+            return end.is_void && !std::mem::replace(is_void, true);
+        }
+        let has_room = self.0.len() < MOST_ENDS;
+        if has_room {
+            self.0.insert(end.replica.clone(), (end.at, end.is_void));
+        }
+        has_room
+    }
+
+    fn told(&self, fingerprint: Fingerprint) -> Suspect {
+        let ends = self.0.iter().map(|(replica, (at, is_void))| End {
+            replica: replica.clone(),
+            at: *at,
+            is_void: *is_void,
+        });
+        Suspect { fingerprint, ends: ends.collect() }
+    }
+}
+
+/// All that a node knows of requests under which replicas ended.
+#[derive(Clone, Debug, Default)]
+pub struct CrashLedger {
+    suspects: BTreeMap<Fingerprint, Ends>,
+}
+
+impl CrashLedger {
+    /// A replica ended under a request; returns what is to be told, if it is news.
+    pub fn on_end(
+        &mut self,
+        fingerprint: Fingerprint,
+        replica: Incarnation,
+        now: UnixMillis,
+    ) -> Vec<Suspect> {
+        let end = End { replica, at: now, is_void: false };
+        self.take(vec![Suspect { fingerprint, ends: vec![end] }], now)
+    }
+
+    /// Another node or the store told; returns what was news here.
+    pub fn take(&mut self, told: Vec<Suspect>, now: UnixMillis) -> Vec<Suspect> {
+        let mut news = Vec::new();
+        for Suspect { fingerprint, ends } in told {
+            let known = self.suspects.entry(fingerprint).or_default();
+            let ends: Vec<End> =
+                ends.into_iter().filter(|end| counts(end.at, now) && known.take(end)).collect();
+            if !ends.is_empty() {
+                news.push(Suspect { fingerprint, ends });
+            }
+            if self.suspects.get(&fingerprint).is_some_and(|known| known.0.is_empty()) {
+                self.suspects.remove(&fingerprint);
+            }
+        }
+        self.limit();
+        news
+    }
+
+    /// A run of the request ended well, or an operator cleared it; returns what is to be told.
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> Vec<Suspect> {
+        let Some(known) = self.suspects.get_mut(&fingerprint).filter(|known| known.standing() > 0) else {
+            return Vec::new();
+        };
+        known.0.values_mut().for_each(|(_, is_void)| *is_void = true);
+        vec![known.told(fingerprint)]
+    }
+
+    /// Forgets ends that no longer count; returns whether there were any.
+    pub fn forget(&mut self, now: UnixMillis) -> bool {
+        let ends = |ledger: &Self| ledger.suspects.values().map(|ends| ends.0.len()).sum::<usize>();
+        let before = ends(self);
+        self.suspects.values_mut().for_each(|ends| ends.0.retain(|_, (at, _)| counts(*at, now)));
+        self.suspects.retain(|_, ends| !ends.0.is_empty());
+        ends(self) < before
+    }
+
+    /// What is known of one request.
+    pub fn get(&self, fingerprint: &Fingerprint) -> Option<Suspect> {
+        self.suspects.get(fingerprint).map(|ends| ends.told(*fingerprint))
+    }
+
+    /// All requests that anything speaks against.
+    pub fn table(&self) -> CrashTable {
+        let standing = self.suspects.iter().filter_map(|(fingerprint, ends)| {
+            let first = ends.0.values().filter(|(_, is_void)| !is_void).map(|(at, _)| *at).min()?;
+            let until = first + KEPT_FOR.as_millis() as UnixMillis;
+            Some((*fingerprint, Standing { ends: ends.standing(), until }))
+        });
+        standing.collect()
+    }
+
+    /// What all nodes must know, the most suspected first: no more than one message holds.
+    pub fn agreed(&self) -> Vec<Suspect> {
+        let known = self.suspects.iter().filter(|(_, ends)| ends.0.len() >= ENDS_TO_AGREE_ON);
+        let mut known: Vec<_> = known.collect();
+        known.sort_by_key(|(_, ends)| std::cmp::Reverse((ends.standing(), ends.newest())));
+        known.truncate(MOST_TOLD);
+        known.into_iter().map(|(fingerprint, ends)| ends.told(*fingerprint)).collect()
+    }
+
+    /// Stands for [`Self::agreed`]: the same at nodes that know the same, 0 where there is nothing.
+    pub fn digest(&self) -> u64 {
+        let ends = self.agreed().into_iter().flat_map(|suspect| {
+            let fingerprint = suspect.fingerprint;
+            suspect.ends.into_iter().map(move |end| (fingerprint, end.replica, end.is_void))
+        });
+        ends.map(|end| Fnv::hash_of(&end)).fold(0, |sum, hash| sum ^ hash)
+    }
+
+    fn limit(&mut self) {
+        while self.suspects.len() > MOST_SUSPECTS {
+            let least = self.suspects.iter().min_by_key(|(_, ends)| (ends.standing(), ends.newest()));
+            let Some(least) = least.map(|(fingerprint, _)| *fingerprint) else {
+                return;
+            };
+            self.suspects.remove(&least);
+        }
+    }
+}
+
+/// Whether an end that was noticed then still counts. One from a clock that is far ahead would never stop
+/// to.
+fn counts(at: UnixMillis, now: UnixMillis) -> bool {
+    let kept_for = KEPT_FOR.as_millis() as UnixMillis;
+    now < at + kept_for && at < now + kept_for
+}
+
+/// A hash that is the same at all nodes, and in all versions of the standard library.
+struct Fnv(u64);
+
+impl Fnv {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+
+    fn hash_of(value: &impl Hash) -> u64 {
+        std::hash::BuildHasherDefault::<Fnv>::default().hash_one(value)
+    }
+}
+
+impl Default for Fnv {
+    fn default() -> Self {
+        Fnv(Self::OFFSET)
+    }
+}
+
+impl Hasher for Fnv {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(Self::PRIME);
+        }
+    }
+}
--- a/lib/src/gateway/replica_record.rs
+++ b/lib/src/gateway/replica_record.rs
@@ -15,7 +15,7 @@
 pub type Born = u64;
 
 /// One start of a replica: what is said of it says nothing of a later start under the same id.
-#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Incarnation {
     /// The replica's id.
     pub id: UpstreamId,
--- /dev/null
+++ b/lib/src/gateway/stored_suspects.rs
@@ -0,0 +1,177 @@
+//! What the store is to hold of requests under which replicas ended, and who writes it.
+//!
+//! Nodes tell each other; the store is for those that start later, for a fleet that starts anew, and for
+//! nodes that reach it and no other node. Each call is priced, so one end alone, which may be any
+//! request's fate, is written only by a node that is on its own. Whoever saw one of the ends writes; should it be
+//! gone, those who follow the store do. An operator clears a request by removing its object.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use crate::gateway::crash_ledger::CrashLedger;
+use crate::gateway::crash_ledger::KEPT_FOR;
+use crate::gateway::crash_ledger::Suspect;
+use crate::gateway::fingerprint::Fingerprint;
+use crate::gateway::replica_list::Revision;
+use crate::gateway::replica_record::Incarnation;
+use crate::ids::Timestamp;
+use crate::ids::UnixMillis;
+
+/// Ends of a request from which on it is written.
+const ENDS_TO_WRITE: usize = 2;
+/// Those who saw none of the ends write after this, if nobody has.
+const OTHERS_WRITE_AFTER: Duration = Duration::from_secs(1);
+/// A write that failed is tried again after this.
+const TRY_AGAIN_AFTER: Duration = Duration::from_secs(1);
+
+/// What a node has to do with the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreRole {
+    /// It follows the store.
+    pub follows: bool,
+    /// It knows of no other node.
+    pub is_alone: bool,
+}
+
+/// A write that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreWrite {
+    /// These ends are to be held, with those that are.
+    Keep(Suspect),
+    /// Nothing is to be held of the request.
+    Remove(Fingerprint),
+}
+
+impl StoreWrite {
+    /// The request that it concerns.
+    pub fn fingerprint(&self) -> Fingerprint {
+        match self {
+            StoreWrite::Keep(suspect) => suspect.fingerprint,
+            StoreWrite::Remove(fingerprint) => *fingerprint,
+        }
+    }
+}
+
+/// An object as it was last seen.
+#[derive(Clone, Debug)]
+struct Kept {
+    replicas: BTreeSet<Incarnation>,
+    newest: UnixMillis,
+    at: Revision,
+}
+
+impl Kept {
+    fn new(suspect: &Suspect, at: Revision) -> Kept {
+        let standing = suspect.ends.iter().filter(|end| !end.is_void);
+        Kept {
+            replicas: standing.map(|end| end.replica.clone()).collect(),
+            newest: suspect.ends.iter().map(|end| end.at).max().unwrap_or(0),
+            at,
+        }
+    }
+
+    fn covers(&self, suspect: &Suspect) -> bool {
+        suspect.ends.iter().all(|end| end.is_void || self.replicas.contains(&end.replica))
+    }
+}
+
+/// The store's objects as far as this node knows, and its writes.
+#[derive(Debug, Default)]
+pub struct StoredSuspects {
+    kept: HashMap<Fingerprint, Kept>,
+    /// Requests with an end that this node saw itself.
+    own: HashSet<Fingerprint>,
+    due: HashMap<Fingerprint, Timestamp>,
+    writing: HashSet<Fingerprint>,
+}
+
+impl StoredSuspects {
+    /// This node saw a replica end under a request.
+    pub fn on_own_end(&mut self, fingerprint: Fingerprint) {
+        self.own.insert(fingerprint);
+    }
+
+    /// The store held this at a revision.
+    pub fn on_kept(&mut self, suspect: &Suspect, at: Revision) {
+        let known = self.kept.get(&suspect.fingerprint);
+        if known.is_none_or(|known| known.at <= at) {
+            self.kept.insert(suspect.fingerprint, Kept::new(suspect, at));
+        }
+    }
+
+    /// The store held nothing of a request at a revision; returns whether it held something before.
+    pub fn on_removed(&mut self, fingerprint: &Fingerprint, at: Revision) -> bool {
+        let is_older = self.kept.get(fingerprint).is_some_and(|known| known.at <= at);
+        is_older && self.kept.remove(fingerprint).is_some()
+    }
+
+    /// The store held these and no others at a revision; returns those that it held before.
+    pub fn on_listed(&mut self, items: &[Suspect], at: Revision) -> Vec<Fingerprint> {
+        items.iter().for_each(|suspect| self.on_kept(suspect, at));
+        let listed: HashSet<Fingerprint> = items.iter().map(|suspect| suspect.fingerprint).collect();
+        let missing: Vec<Fingerprint> =
+            self.kept.keys().filter(|fingerprint| !listed.contains(fingerprint)).copied().collect();
+        missing.into_iter().filter(|fingerprint| self.on_removed(fingerprint, at)).collect()
+    }
+
+    /// A write ended, well or not.
+    pub fn on_write_ended(&mut self, fingerprint: Fingerprint, is_done: bool, now: Timestamp) {
+        self.writing.remove(&fingerprint);
+        if is_done {
+            self.due.remove(&fingerprint);
+        } else {
+            self.due.insert(fingerprint, now + TRY_AGAIN_AFTER);
+        }
+    }
+
+    /// The writes that are due; they count as begun.
+    pub fn writes(
+        &mut self,
+        ledger: &CrashLedger,
+        role: StoreRole,
+        now: Timestamp,
+        unix_now: UnixMillis,
+    ) -> Vec<StoreWrite> {
+        let mut writes = self.keeps(ledger, role);
+        writes.extend(self.removals(ledger, unix_now));
+        let wanted: HashSet<Fingerprint> = writes.iter().map(StoreWrite::fingerprint).collect();
+        self.due.retain(|fingerprint, _| wanted.contains(fingerprint));
+        writes.retain(|write| self.is_due(write, now));
+        self.writing.extend(writes.iter().map(StoreWrite::fingerprint));
+        writes
+    }
+
+    fn keeps(&self, ledger: &CrashLedger, role: StoreRole) -> Vec<StoreWrite> {
+        let least = if role.is_alone { 1 } else { ENDS_TO_WRITE };
+        let table = ledger.table();
+        let suspected = table.iter().filter(|(_, standing)| standing.ends >= least);
+        let concerns_this_node =
+            suspected.filter(|(fingerprint, _)| role.follows || self.own.contains(*fingerprint));
+        let suspects = concerns_this_node.filter_map(|(fingerprint, _)| ledger.get(fingerprint));
+        let is_missing =
+            |suspect: &Suspect| !self.kept.get(&suspect.fingerprint).is_some_and(|kept| kept.covers(suspect));
+        suspects.filter(is_missing).map(StoreWrite::Keep).collect()
+    }
+
+    fn removals(&self, ledger: &CrashLedger, unix_now: UnixMillis) -> Vec<StoreWrite> {
+        let kept_for = KEPT_FOR.as_millis() as UnixMillis;
+        let is_over = |fingerprint: &Fingerprint, kept: &Kept| match ledger.get(fingerprint) {
+            Some(suspect) => suspect.standing() == 0,
+            None => kept.newest + kept_for <= unix_now,
+        };
+        let over = self.kept.iter().filter(|(fingerprint, kept)| is_over(fingerprint, kept));
+        over.map(|(fingerprint, _)| StoreWrite::Remove(*fingerprint)).collect()
+    }
+
+    fn is_due(&mut self, write: &StoreWrite, now: Timestamp) -> bool {
+        let fingerprint = write.fingerprint();
+        if self.writing.contains(&fingerprint) {
+            return false;
+        }
+        let is_others = matches!(write, StoreWrite::Keep(_)) && !self.own.contains(&fingerprint);
+        let pause = if is_others { OTHERS_WRITE_AFTER } else { Duration::ZERO };
+        *self.due.entry(fingerprint).or_insert(now + pause) <= now
+    }
+}
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -19,3 +19,5 @@
 pub type BundleNumber = u64;
 /// Time since a start that the driver chooses; only differences count.
 pub type Timestamp = Duration;
+/// Time of day, milliseconds since the Unix epoch: near the truth, and not the same at all nodes.
+pub type UnixMillis = u64;
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -3,6 +3,7 @@
 pub mod config_intake;
 pub mod config_transfers;
 pub mod control_loop;
+pub mod crash_intake;
 pub mod follow;
 pub mod hall_intake;
 pub mod inventories;
@@ -12,4 +13,5 @@
 pub mod lookout;
 pub mod placing;
 pub mod replica_intake;
+pub mod suspect_store;
 pub mod watching;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::gateway::control::config_intake::ConfigIntake;
+use crate::gateway::control::crash_intake::CrashIntake;
 use crate::gateway::control::hall_intake::HallIntake;
 use crate::gateway::control::placing::Placing;
 use crate::gateway::control::replica_intake::ReplicaIntake;
@@ -50,6 +51,7 @@
     configs: ConfigIntake,
     replicas: ReplicaIntake,
     halls: HallIntake,
+    crashes: CrashIntake,
     watchers: Watchers,
     watching: Watching,
     last_status: Timestamp,
@@ -68,6 +70,7 @@
             configs: ConfigIntake::new(shared.clone()),
             replicas: ReplicaIntake::new(shared.clone()),
             halls: HallIntake::new(shared.clone()),
+            crashes: CrashIntake::new(shared.clone()),
             watchers: Watchers::new(fleet.own().clone()),
             watching: Watching::new(shared.clone()),
             last_status: Timestamp::ZERO,
@@ -105,6 +108,11 @@
             ToControl::TellReplicas => self.replicas.tell_gathered(&self.placing, &self.fleet),
             ToControl::Replicas(news) => self.replicas.on_store_news(&mut self.placing, &self.fleet, news),
             ToControl::ClosedHalls(news) => self.halls.on_store_news(&mut self.placing, &self.fleet, news),
+            ToControl::RunBroke(run) => self.crashes.on_break(&self.placing, run),
+            ToControl::RanWell(fingerprint) => self.crashes.on_ran_well(&self.fleet, fingerprint),
+            ToControl::AskedAfterBreak(of, shown) => self.crashes.on_asked(&self.fleet, &of, shown),
+            ToControl::Suspects(news) => self.crashes.on_store_news(&self.fleet, news),
+            ToControl::SuspectStored(of, stored) => self.crashes.on_stored(&self.fleet, of, stored),
             ToControl::Configuration(news) => self.configs.on_store_news(&self.fleet, news),
             ToControl::Fetched(from, Fetched::Configuration(handed)) => {
                 self.configs.on_fetched(&self.fleet, from, handed)
@@ -132,7 +140,9 @@
         self.placing.lead(&self.fleet);
         self.fleet.hears_watchers = self.watchers.fresh_pulses(now).next().is_some();
         let has_wide_link = |node: &VmId| self.fleet.node_has_wide_link(node);
-        self.watching.set(self.watchers.role(self.fleet.alive(), has_wide_link, now));
+        let role = self.watchers.role(self.fleet.alive(), has_wide_link, now);
+        self.watching.set(role);
+        self.crashes.tick(&self.placing, &self.fleet, role.is_some());
         self.look_out(now);
         self.replicas.tick(&mut self.placing);
         self.publish_status(now);
@@ -181,7 +191,7 @@
         }
         self.told_calls = calls;
         let of = |purpose| calls.of(purpose);
-        info!(event = "store_calls", start = of(StoreCall::Start), read = of(StoreCall::Read), list = of(StoreCall::List), watch = of(StoreCall::Watch), pulse = of(StoreCall::Pulse); "calls to the store so far");
+        info!(event = "store_calls", start = of(StoreCall::Start), read = of(StoreCall::Read), list = of(StoreCall::List), watch = of(StoreCall::Watch), pulse = of(StoreCall::Pulse), write = of(StoreCall::Write); "calls to the store so far");
     }
 
     fn on_datagram(&mut self, datagram: Datagram) {
@@ -196,6 +206,7 @@
         self.configs.compare(&self.fleet, from, datagram.config, how);
         self.replicas.compare(&self.placing, from, datagram.replicas_at);
         self.halls.on_told(&mut self.placing, &self.fleet, datagram.closed_halls);
+        self.crashes.compare(&self.fleet, from, datagram.crash_digest);
         match datagram.message {
             PeerMessage::Probe(id, gossip) => {
                 self.on_gossip(from, &gossip, now);
@@ -217,6 +228,7 @@
             PeerMessage::Inventory(inventory) => self.placing.on_inventory(from, inventory),
             PeerMessage::Replicas(news) => self.replicas.on_news(&mut self.placing, &self.fleet, from, news),
             PeerMessage::Pulse(pulse) => self.on_pulse(pulse),
+            PeerMessage::Suspects(told) => self.crashes.on_told(&self.fleet, told),
             PeerMessage::NewConfig | PeerMessage::HallsChanged => {}
         }
         self.on_gone(gone);
--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -7,11 +7,11 @@
 
 use leadstage_lib::gateway::watchers::WatchRole;
 use leadstage_lib::retry::Backoff;
-use leadstage_platform::store::Age;
-use leadstage_platform::store::Kind;
 use leadstage_platform::store::Revision;
 use leadstage_platform::store::Store;
 use leadstage_platform::store::StoreError;
+use leadstage_platform::store_kinds::Age;
+use leadstage_platform::store_kinds::Kind;
 use log::info;
 use log::warn;
 
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -131,7 +131,7 @@
             Health::Well { cold } => return placing.knowledge.replicas.on_cold(&of.id, cold, now),
             Health::Unwell => LeavingSign::Unwell,
             Health::Other => LeavingSign::Replaced,
-            Health::Silent => return placing.knowledge.replicas.on_failure_of(&of, now),
+            Health::Silent | Health::Closed => return placing.knowledge.replicas.on_failure_of(&of, now),
         };
         if placing.knowledge.replicas.on_sign(&of, sign, now) {
             let change = ListChange { leaving: vec![of.id.clone()], ..ListChange::default() };
--- /dev/null
+++ b/node/src/gateway/control/suspect_store.rs
@@ -0,0 +1,87 @@
+//! Writes to the platform's store under which requests replicas ended, so that it outlasts all nodes.
+
+use std::sync::Arc;
+
+use leadstage_lib::gateway::crash_ledger::CrashLedger;
+use leadstage_lib::gateway::crash_ledger::Suspect;
+use leadstage_lib::gateway::fingerprint::Fingerprint;
+use leadstage_lib::gateway::stored_suspects::StoreWrite;
+use leadstage_platform::store::Revision;
+use leadstage_platform::store::Store;
+use leadstage_platform::store::StoreError;
+use leadstage_platform::store::Written;
+use leadstage_platform::store_kinds::Suspects;
+use log::info;
+
+use crate::gateway::messages::StoredSuspect;
+use crate::gateway::messages::ToControl;
+use crate::gateway::observability::metrics::StoreCall;
+use crate::gateway::shared::Shared;
+use crate::shared::unix_millis;
+
+/// How often a write begins anew as another node came first.
+const MOST_CONFLICTS: usize = 4;
+
+/// Does a write, and tells the control loop what came of it.
+pub async fn write(shared: Arc<Shared>, write: StoreWrite) {
+    let fingerprint = write.fingerprint();
+    let mut store = SuspectStore { store: Store::new(shared.settings.store), shared: &shared };
+    let stored = match write {
+        StoreWrite::Keep(suspect) => store.keep(suspect).await,
+        StoreWrite::Remove(fingerprint) => store.remove(fingerprint).await.map(Some),
+    };
+    let stored = stored.unwrap_or_else(|err| {
+        info!(event = "suspect_not_stored", fingerprint:% = fingerprint, reason:% = err; "the store did not take a request under which replicas ended");
+        None
+    });
+    shared.tell(ToControl::SuspectStored(fingerprint, stored));
+}
+
+struct SuspectStore<'a> {
+    store: Store,
+    shared: &'a Shared,
+}
+
+impl SuspectStore<'_> {
+    /// Adds ends to those that the store holds. `None` if others were faster each time.
+    async fn keep(&mut self, mut suspect: Suspect) -> Result<Option<StoredSuspect>, StoreError> {
+        let mut replaces: Option<Revision> = None;
+        for _ in 0..MOST_CONFLICTS {
+            let written = match replaces {
+                None => self.store.create::<Suspects>(&suspect).await,
+                Some(revision) => self.store.replace::<Suspects>(&suspect, revision).await,
+            };
+            self.shared.metrics.on_store_call(StoreCall::Write, written.is_ok());
+            match written? {
+                Written::Done(at) => return Ok(Some(StoredSuspect::Kept(suspect, at))),
+                Written::Missing => replaces = None,
+                Written::Other(held, at) => {
+                    let (all, is_held) = union(suspect, held);
+                    if is_held {
+                        return Ok(Some(StoredSuspect::Kept(all, at)));
+                    }
+                    (suspect, replaces) = (all, Some(at));
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    async fn remove(&mut self, fingerprint: Fingerprint) -> Result<StoredSuspect, StoreError> {
+        let removed = self.store.remove::<Suspects>(&fingerprint.to_string()).await;
+        self.shared.metrics.on_store_call(StoreCall::Write, removed.is_ok());
+        removed.map(|_| StoredSuspect::Removed)
+    }
+}
+
+/// All ends of both, and whether the store holds them already.
+fn union(ours: Suspect, held: Suspect) -> (Suspect, bool) {
+    let now = unix_millis();
+    let mut ledger = CrashLedger::default();
+    let fingerprint = ours.fingerprint;
+    ledger.take(vec![held.clone()], now);
+    let is_held = ledger.take(vec![ours], now).is_empty();
+    let all = ledger.get(&fingerprint).unwrap_or(held);
+    // What is void is not written.
+    (all, is_held)
+}
--- a/node/src/gateway/control/watching.rs
+++ b/node/src/gateway/control/watching.rs
@@ -9,11 +9,12 @@
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::gateway::watchers::WatchRole;
-use leadstage_platform::store::Configuration;
-use leadstage_platform::store::Evacuations;
 use leadstage_platform::store::Glance;
-use leadstage_platform::store::Replicas;
 use leadstage_platform::store::Store;
+use leadstage_platform::store_kinds::Configuration;
+use leadstage_platform::store_kinds::Evacuations;
+use leadstage_platform::store_kinds::Replicas;
+use leadstage_platform::store_kinds::Suspects;
 use log::info;
 use log::warn;
 use rand::RngExt;
@@ -43,6 +44,7 @@
     _configuration: AbortOnDropHandle<()>,
     _replicas: AbortOnDropHandle<()>,
     _closed_halls: AbortOnDropHandle<()>,
+    _suspects: AbortOnDropHandle<()>,
     _pulse: AbortOnDropHandle<()>,
 }
 
@@ -87,13 +89,16 @@
             follow::follow::<Configuration>(shared.clone(), ToControl::Configuration, pace(false));
         let replicas = follow::follow::<Replicas>(shared.clone(), ToControl::Replicas, pace(true));
         // The pulses tell them too: a calm day on 66 nodes takes 387 calls to the store in place of 411.
-        let pace_of_halls = Pace { is_backed: true, ..pace(false) };
+        let backed_pace = || Pace { is_backed: true, ..pace(false) };
         let closed_halls =
-            follow::follow::<Evacuations>(shared.clone(), ToControl::ClosedHalls, pace_of_halls);
+            follow::follow::<Evacuations>(shared.clone(), ToControl::ClosedHalls, backed_pace());
+        // Nodes tell each other of suspects too, with or without the store.
+        let suspects = follow::follow::<Suspects>(shared.clone(), ToControl::Suspects, backed_pace());
         Tasks {
             _configuration: AbortOnDropHandle::new(tokio::task::spawn_local(configuration)),
             _replicas: AbortOnDropHandle::new(tokio::task::spawn_local(replicas)),
             _closed_halls: AbortOnDropHandle::new(tokio::task::spawn_local(closed_halls)),
+            _suspects: AbortOnDropHandle::new(tokio::task::spawn_local(suspects)),
             _pulse: AbortOnDropHandle::new(tokio::task::spawn_local(pulse(self.shared.clone()))),
         }
     }
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -51,6 +51,9 @@
     let mut choice = Choice::Any;
     let mut expected = None;
     loop {
+        if sent == 0 {
+            traffic.refuse_quarantined(req)?;
+        }
         let mut placed = place(traffic, req, &tried).await;
         if placed.is_err() && choice == Choice::New {
             // No other replica has room: the connection was in doubt, not the replica.
@@ -142,11 +145,17 @@
             Attempt::Unknown(Code::UpstreamLost)
         }
         Ok(answer) => {
+            traffic.on_sound_run(req);
             let is_error = answer.status.is_server_error();
             run.end(if is_error { Outcome::Errored } else { Outcome::Answered });
             Attempt::Answer(answer)
         }
-        Err(err) => failed(req, run, err),
+        Err(err) => {
+            if matches!(err, SendError::Cut(_)) {
+                traffic.on_broken_run(req, &replica, None, 0);
+            }
+            failed(req, run, err)
+        }
     }
 }
 
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -28,6 +28,7 @@
 use crate::gateway::upstream::connections::Choice;
 use crate::gateway::upstream::exchange;
 use crate::gateway::upstream::exchange::Exchange;
+use crate::gateway::upstream::exchange::SendError;
 use crate::gateway::upstream::exchange::WholeAnswer;
 use crate::gateway::upstream::leg::Leg;
 use crate::gateway::upstream::relay::Relay;
@@ -105,6 +106,9 @@
     let refusal = |code| refuse(code, None);
     let mut best: Result<Beginning, Refusal> = Err(refusal(Code::NoUpstream));
     loop {
+        if sent == 0 {
+            traffic.refuse_quarantined(req)?;
+        }
         let run = match traffic.place_generation(req, handle, &tried).await {
             Ok(run) => run,
             Err(no_room) => {
@@ -170,6 +174,9 @@
         Ok(exchanged) => {
             let answer = exchanged.whole(&traffic.connections, &replica, req.until).await;
             run.end(Outcome::Failed);
+            if matches!(answer, Err(SendError::Cut(_))) {
+                traffic.on_broken_run(req, &replica, None, 0);
+            }
             match answer {
                 Ok(answer) if !answer.promises_not_run() => Attempt::Answered(answer),
                 _ => Attempt::Unknown(Code::UpstreamLost),
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -7,6 +7,9 @@
 
 use bytes::Bytes;
 use leadstage_lib::gateway::config_text::PartOfConfig;
+use leadstage_lib::gateway::crash_ledger::Suspect;
+use leadstage_lib::gateway::fingerprint::Fingerprint;
+use leadstage_lib::gateway::pending_ends::Shown;
 use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
@@ -21,6 +24,7 @@
 use leadstage_platform::health::Health;
 use leadstage_platform::store::Changes;
 use leadstage_platform::store::Listed;
+use leadstage_platform::store::Revision;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -43,6 +47,16 @@
     Sign(Incarnation, LeavingSign),
     /// A replica was asked for its health.
     Health(Incarnation, Health),
+    /// A run broke at its replica, perhaps as that ended.
+    RunBroke(BrokenRun),
+    /// A run of a request ended well that something speaks against.
+    RanWell(Fingerprint),
+    /// A replica was asked after a run broke there.
+    AskedAfterBreak(Incarnation, Shown),
+    /// News of the requests under which replicas ended, from the store.
+    Suspects(News<Suspect>),
+    /// What the store holds of such a request after a write; `None` if it was not written.
+    SuspectStored(Fingerprint, Option<StoredSuspect>),
     /// It is time to tell other nodes what was gathered of the replicas.
     TellReplicas,
     /// News of the replicas from the store.
@@ -67,6 +81,24 @@
     Stopping,
 }
 
+/// A run that broke before its answer's end.
+#[derive(Clone, Debug)]
+pub struct BrokenRun {
+    /// What it ran.
+    pub fingerprint: Fingerprint,
+    /// Where.
+    pub replica: Incarnation,
+}
+
+/// What the store holds of a request under which replicas ended.
+#[derive(Clone, Debug)]
+pub enum StoredSuspect {
+    /// These ends, as of a revision.
+    Kept(Suspect, Revision),
+    /// Nothing.
+    Removed,
+}
+
 /// What became of asking another node for its configuration. What came of it is kept.
 #[derive(Debug)]
 pub enum HandedConfig {
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -196,11 +196,13 @@
     Watch,
     /// A follower asks whether the store answers.
     Pulse,
+    /// A request under which replicas ended is kept, or no longer.
+    Write,
 }
 
 impl StoreCall {
     /// How many purposes there are.
-    const COUNT: usize = 5;
+    const COUNT: usize = 6;
 
     fn label(self) -> &'static str {
         match self {
@@ -209,6 +211,7 @@
             StoreCall::List => "list",
             StoreCall::Watch => "watch",
             StoreCall::Pulse => "pulse",
+            StoreCall::Write => "write",
         }
     }
 }
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
+use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::inventory::Inventory;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::Run;
@@ -44,6 +45,8 @@
     pub replicas_at: Revision,
     /// The halls that are closed, as far as the sender knows.
     pub closed_halls: ClosedHalls,
+    /// Stands for what the sender knows of requests under which replicas ended.
+    pub crash_digest: u64,
     /// The message.
     pub message: M,
 }
@@ -83,6 +86,8 @@
     NewConfig,
     /// The sender has learnt that halls were closed or opened; they stand in the datagram.
     HallsChanged,
+    /// Requests under which replicas ended. What is new is passed on.
+    Suspects(Vec<Suspect>),
 }
 
 /// Names a probe of one node.
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -79,6 +80,8 @@
     pub until: Instant,
     /// Its fingerprint, once somebody has asked for it.
     fingerprint: OnceLock<Fingerprint>,
+    /// Runs of this attempt that broke, and may have because their replica ended under it.
+    pub broken_runs: AtomicU32,
 }
 
 impl CallerRequest {
@@ -89,15 +92,18 @@
 
     /// What names it and all that are like it. The first question costs a hash of the body.
     pub fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
-            Fingerprint::of(&RequestParts {
-                method: self.method.as_str(),
-                host: host(&self.uri, &self.headers),
-                path: self.uri.path_and_query().map_or("/", |path| path.as_str()),
-                organisation: self.organisation.as_ref().map_or("", |organisation| &organisation.name),
-                body: &self.body,
-            })
-        })
+        *self.fingerprint.get_or_init(|| Fingerprint::of(&self.parts()))
+    }
+
+    /// What its caller sends again when it comes back.
+    pub fn parts(&self) -> RequestParts<'_> {
+        RequestParts {
+            method: self.method.as_str(),
+            host: host(&self.uri, &self.headers),
+            path: self.uri.path_and_query().map_or("/", |path| path.as_str()),
+            organisation: self.organisation.as_ref().map_or("", |organisation| &organisation.name),
+            body: &self.body,
+        }
     }
 
     /// Time until it is given up.
@@ -199,6 +205,7 @@
         came,
         until,
         fingerprint: OnceLock::new(),
+        broken_runs: AtomicU32::new(0),
     })
 }
 
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
 use leadstage_lib::gateway::config_text::ConfigText;
+use leadstage_lib::gateway::crash_ledger::CrashTable;
 use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
@@ -66,6 +67,8 @@
     open: AtomicUsize,
     stop_began: OnceLock<Timestamp>,
     bounds: RwLock<Bounds>,
+    crashes: watch::Sender<Arc<CrashTable>>,
+    crash_digest: AtomicU64,
     nodes: AtomicUsize,
     has_neighbour: AtomicBool,
     store_answers: AtomicBool,
@@ -100,6 +103,8 @@
             newest_config: AtomicU64::new(0),
             config_versions: watch::Sender::new(0),
             phase: watch::Sender::new(Phase::Starting),
+            crashes: watch::Sender::new(Arc::default()),
+            crash_digest: AtomicU64::new(0),
             open: AtomicUsize::new(0),
             stop_began: OnceLock::new(),
         }
@@ -222,6 +227,27 @@
         *self.closed_halls.write().expect("no holder panics") = Arc::new(halls);
     }
 
+    /// The requests that anything speaks against, as replicas ended under them.
+    pub fn crashes(&self) -> Arc<CrashTable> {
+        self.crashes.borrow().clone()
+    }
+
+    /// Told of each change of these.
+    pub fn crash_changes(&self) -> watch::Receiver<Arc<CrashTable>> {
+        self.crashes.subscribe()
+    }
+
+    /// Publishes them, with what stands for them in messages to other nodes.
+    pub fn set_crashes(&self, crashes: CrashTable, digest: u64) {
+        self.crash_digest.store(digest, Ordering::Relaxed);
+        self.crashes.send_replace(Arc::new(crashes));
+    }
+
+    /// Stands for what all nodes must know of these requests.
+    pub fn crash_digest(&self) -> u64 {
+        self.crash_digest.load(Ordering::Relaxed)
+    }
+
     /// Tokens that a generation of a service makes in a second, as far as this node knows.
     pub fn tokens_per_second(&self, service: &ServiceId) -> f64 {
         let paces = self.paces.read().expect("no holder panics");
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -8,9 +8,10 @@
 
 use derive_more::Display;
 use derive_more::Error;
-use leadstage_platform::store::Age;
-use leadstage_platform::store::Evacuations;
-use leadstage_platform::store::Replicas;
+use leadstage_platform::store_kinds::Age;
+use leadstage_platform::store_kinds::Evacuations;
+use leadstage_platform::store_kinds::Replicas;
+use leadstage_platform::store_kinds::Suspects;
 use log::error;
 use log::info;
 use tokio::net::TcpListener;
@@ -102,6 +103,8 @@
         let halls =
             follow::read_once::<Evacuations>(shared.clone(), ToControl::ClosedHalls, Age::SomeSeconds);
         tokio::task::spawn_local(halls);
+        let suspects = follow::read_once::<Suspects>(shared.clone(), ToControl::Suspects, Age::SomeSeconds);
+        tokio::task::spawn_local(suspects);
     }
     let peer = listen(shared.settings.peer).await?;
     tokio::task::spawn_local(peer_port::serve(shared.clone(), peer));
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -1,6 +1,6 @@
 //! Replicas: connections, exchanges, relayed streams and their moves.
 
-pub mod broken_run;
+pub mod blame;
 pub mod connections;
 pub mod copying;
 pub mod event_stream;
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -21,7 +21,6 @@
 use crate::gateway::messages::Outcome;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
-use crate::gateway::upstream::broken_run;
 use crate::gateway::upstream::connections::Choice;
 use crate::gateway::upstream::connections::ConnectError;
 use crate::gateway::upstream::connections::Connection;
@@ -39,6 +38,12 @@
     /// The replica's hall is closed: nothing was sent.
     #[display("its hall is closed")]
     HallClosed,
+    /// Replicas end under the request: nothing was sent.
+    #[display("it is quarantined")]
+    Quarantined,
+    /// It turned out that replicas end under the request, and the replica had not answered yet.
+    #[display("it was quarantined meanwhile")]
+    Withdrawn,
     /// Not a byte of the request was sent.
     #[display("not sent: {_0}")]
     NotSent(ConnectError),
@@ -67,15 +72,14 @@
 /// nothing was sent.
 pub fn failed(req: &CallerRequest, run: RunGuard, err: &SendError) -> Option<Code> {
     info!(event = "attempt_failed", request = req.id(), upstream = &*run.placed.replica.id, reason:% = err; "attempt failed");
-    if matches!(err, SendError::Broken(_) | SendError::Cut(_)) {
-        broken_run::note(req, &run.placed.replica, None, 0);
-    }
-    let is_closed = matches!(err, SendError::HallClosed);
-    run.end(if is_closed { Outcome::Withdrawn } else { Outcome::Failed });
+    let says_nothing = matches!(err, SendError::HallClosed | SendError::Quarantined | SendError::Withdrawn);
+    run.end(if says_nothing { Outcome::Withdrawn } else { Outcome::Failed });
     match err {
-        SendError::HallClosed | SendError::NotSent(_) => None,
+        SendError::HallClosed | SendError::Quarantined | SendError::NotSent(_) => None,
         SendError::TimedOut | SendError::Stalled | SendError::ConnectionSilent => Some(Code::UpstreamTimeout),
-        SendError::Broken(_) | SendError::Foreign | SendError::Cut(_) => Some(Code::UpstreamLost),
+        SendError::Broken(_) | SendError::Foreign | SendError::Cut(_) | SendError::Withdrawn => {
+            Some(Code::UpstreamLost)
+        }
     }
 }
 
@@ -113,6 +117,9 @@
     sent: u32,
 ) -> Result<Exchange, SendError> {
     // Whatever chose the replica, and however long ago: this is the last look before the send.
+    if traffic.is_quarantined(req) {
+        return Err(SendError::Quarantined);
+    }
     if !traffic.shared.closed_halls().is_open(&replica.hall) {
         return Err(SendError::HallClosed);
     }
@@ -126,12 +133,23 @@
             None => Some(sending.await),
         }
     };
-    let answer = tokio::time::timeout_at(req.until, waiting).await.map_err(|_| SendError::TimedOut)?;
+    let waiting = async {
+        tokio::select! {
+            biased;
+            answer = waiting => Ok(answer),
+            // It may wait at the replica for its turn: hung up on, that one does not begin it.
+            () = traffic.until_quarantined(req) => Err(SendError::Withdrawn),
+        }
+    };
+    let answer = tokio::time::timeout_at(req.until, waiting).await.map_err(|_| SendError::TimedOut)??;
     let answer = answer.ok_or(SendError::ConnectionSilent)?.ok_or(SendError::Stalled)?;
     if let (Err(_), Some(rested)) = (&answer, connection.rested) {
         traffic.connections.on_break(rested);
     }
-    let (head, body) = answer.map_err(SendError::Broken)?.into_parts();
+    let (head, body) = answer
+        .inspect_err(|_| traffic.on_broken_run(req, replica, None, 0))
+        .map_err(SendError::Broken)?
+        .into_parts();
     if head.headers.get(headers::REQUEST_ID) != req.headers.get(headers::REQUEST_ID) {
         return Err(SendError::Foreign);
     }
--- a/node/src/gateway/upstream/relay/going_on.rs
+++ b/node/src/gateway/upstream/relay/going_on.rs
@@ -74,6 +74,7 @@
             Ok(exchange) => {
                 self.stall = StallWatch::new(&self.req.route);
                 self.is_reading = true;
+                self.began = exchange.head_came;
                 self.move_to(Leg { run, exchange: Some(exchange) }, Outcome::Failed);
                 Ok(true)
             }
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -10,6 +10,7 @@
 use leadstage_lib::gateway::retry_window::RetryShare;
 use leadstage_lib::gateway::retry_window::RetryWindow;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::sound_runs::SoundRuns;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::UpstreamId;
 use log::info;
@@ -36,12 +37,14 @@
     /// Unused connections to replicas.
     pub connections: Rc<Connections>,
     retries: Rc<RefCell<HashMap<ServiceId, RetryWindow>>>,
+    /// Requests that replicas answered lately.
+    pub sound_runs: Rc<RefCell<SoundRuns>>,
 }
 
 impl Traffic {
     /// Nothing is open yet.
     pub fn new(shared: Arc<Shared>) -> Self {
-        Traffic { shared, connections: Rc::default(), retries: Rc::default() }
+        Traffic { shared, connections: Rc::default(), retries: Rc::default(), sound_runs: Rc::default() }
     }
 
     /// Whether a request that was sent to `sent` replicas may be sent to one more; if so, that is
@@ -49,7 +52,7 @@
     pub fn may_send_again(&self, req: &CallerRequest, sent: u32) -> bool {
         let policy = self.shared.settings.policy;
         let is_on = if req.route.resumable { policy.resume_streams } else { policy.repeat };
-        is_on && req.may_repeat(sent) && self.take_retry(&req.service)
+        is_on && req.may_repeat(sent) && self.may_risk_another(req) && self.take_retry(&req.service)
     }
 
     fn take_retry(&self, service: &ServiceId) -> bool {
--- a/testutils/src/metadata_store.rs
+++ b/testutils/src/metadata_store.rs
@@ -1,5 +1,5 @@
-//! A stand-in for the metadata store of the users' platform: lists, watches, and switches
-//! for its faults.
+//! A stand-in for the metadata store of the users' platform: lists, watches, writes under a
+//! condition, and switches for its faults.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Method;
 use http::Request;
 use http::Response;
 use serde_json::Value;
@@ -83,6 +84,40 @@
         self.changed.send_replace(revision);
     }
 
+    /// An object's `spec`, if it is there.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        self.state().objects.get(&(kind.to_owned(), name.to_owned())).map(|object| object["spec"].clone())
+    }
+
+    /// The names of all objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = self.state();
+        state.objects.keys().filter(|(k, _)| k == kind).map(|(_, name)| name.clone()).collect()
+    }
+
+    /// A write of a node's: an object is created once, and replaced only by who names its revision.
+    fn write(&self, method: &Method, kind: &str, name: Option<&str>, body: &[u8]) -> Response<Body> {
+        let object: Value = serde_json::from_slice(body).unwrap_or_default();
+        let Some(name) = name.or(object["metadata"]["name"].as_str()) else {
+            return refusal(400);
+        };
+        let held = self.state().objects.get(&(kind.to_owned(), name.to_owned())).cloned();
+        let is_expected = |held: &Value| object["metadata"]["revision"] == held["metadata"]["revision"];
+        match (method, held) {
+            (&Method::DELETE, Some(held)) => {
+                self.delete(kind, name);
+                answer(&held)
+            }
+            (&Method::POST, Some(held)) => conflict(&held),
+            (&Method::PUT, Some(held)) if !is_expected(&held) => conflict(&held),
+            (&Method::POST, None) | (&Method::PUT, Some(_)) => {
+                self.put(kind, name, object["spec"].clone());
+                answer(&self.state().objects[&(kind.to_owned(), name.to_owned())])
+            }
+            _ => refusal(404),
+        }
+    }
+
     /// Sets what it does with calls; waiting watches are woken.
     pub fn set_fault(&self, fault: StoreFault) {
         self.state().fault = fault;
@@ -137,6 +172,12 @@
     Response::new(loopback::whole(value.to_string()))
 }
 
+fn conflict(held: &Value) -> Response<Body> {
+    let mut res = answer(held);
+    *res.status_mut() = http::StatusCode::CONFLICT;
+    res
+}
+
 fn refusal(status: u16) -> Response<Body> {
     let mut res = Response::new(loopback::whole(""));
     *res.status_mut() = status.try_into().expect("a valid status");
@@ -158,6 +199,9 @@
             return refusal(404);
         };
         let (kind, name) = rest.split_once('/').map_or((rest, None), |(kind, name)| (kind, Some(name)));
+        if req.method() != Method::GET {
+            return self.write(req.method(), kind, name, req.body());
+        }
         if let Some(name) = name {
             let found = self.state().objects.get(&(kind.to_owned(), name.to_owned())).cloned();
             return found.map_or_else(|| refusal(404), |object| answer(&object));
