ages are told by a clock that goes on while the VM is suspended

One module tells the time (CLOCK_BOOTTIME); all decisions of both interfaces, deadlines of callers, unused connections and the stop's bound use it.

--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::membership::Liveness;
@@ -24,6 +23,7 @@
 use crate::bundle_watch;
 use crate::claim_driver;
 use crate::claim_driver::ClaimShards;
+use crate::clock;
 use crate::control_message::ControlMessage;
 use crate::engine_api::EngineApi;
 use crate::entry;
@@ -58,7 +58,7 @@
     /// Calls to engines that are not traffic.
     pub engines: EngineApi,
     /// The start of this process's timestamps.
-    pub started: Instant,
+    pub started: Timestamp,
     /// Upstreams and entry VMs.
     pub directory: Directory,
     /// Which entry VMs are alive.
@@ -92,7 +92,7 @@
         Control {
             platform: Platform::new(settings.platform),
             engines: EngineApi::new(),
-            started: Instant::now(),
+            started: clock::since_boot(),
             directory: Directory::default(),
             membership: Membership::new(settings.vm.clone(), incarnation, seed),
             peers: Peers::default(),
@@ -109,9 +109,9 @@
         }
     }
 
-    /// Time since the process's start.
+    /// Time since the process's start, suspensions of the VM included.
     pub fn now(&self) -> Timestamp {
-        self.started.elapsed()
+        clock::since_boot().saturating_sub(self.started)
     }
 
     /// Notes whether a call to the object API worked.
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -139,7 +139,7 @@
         run.end(Outcome::Refused);
         return Attempt::NotRun;
     }
-    match exchanged.whole(&traffic.connections, &replica, req.until).await {
+    match exchanged.whole(&traffic.connections, &replica, req.until()).await {
         Ok(answer) if answer.promises_not_run() => {
             run.end(Outcome::Failed);
             Attempt::Unknown(Code::UpstreamLost)
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -172,7 +172,7 @@
         }
         Ok(exchanged) if exchanged.status.is_success() => Attempt::Begun(run, exchanged),
         Ok(exchanged) => {
-            let answer = exchanged.whole(&traffic.connections, &replica, req.until).await;
+            let answer = exchanged.whole(&traffic.connections, &replica, req.until()).await;
             run.end(Outcome::Failed);
             if matches!(answer, Err(SendError::Cut(_))) {
                 traffic.on_broken_run(req, &replica, None, 0);
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -26,11 +26,13 @@
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::routing::Unrouted;
+use leadstage_lib::ids::Timestamp;
 use leadstage_platform::engine::Resume;
 use leadstage_platform::headers;
 use leadstage_platform::headers::Added;
 use tokio::time::Instant;
 
+use crate::clock;
 use crate::gateway::reply::Refusal;
 use crate::gateway::shared::Shared;
 
@@ -77,8 +79,10 @@
     pub service: ServiceId,
     /// When it came.
     pub came: Instant,
-    /// When its caller or its route gives it up.
-    pub until: Instant,
+    /// The same, by the time since the VM's start.
+    came_at: Timestamp,
+    /// How long its caller waits, or its route holds it.
+    patience: Duration,
     /// Its fingerprint, once somebody has asked for it.
     fingerprint: OnceLock<Fingerprint>,
     /// Where runs of this attempt broke, perhaps because their replicas ended under it.
@@ -107,19 +111,29 @@
         }
     }
 
+    /// Time since it came. While the VM is suspended its caller's time goes on.
+    fn age(&self) -> Duration {
+        clock::since_boot().saturating_sub(self.came_at)
+    }
+
     /// Time until it is given up.
     pub fn left(&self) -> Duration {
-        self.until.saturating_duration_since(Instant::now())
+        self.patience.saturating_sub(self.age())
+    }
+
+    /// When it is given up, for a timer that is armed now.
+    pub fn until(&self) -> Instant {
+        Instant::now() + self.left()
     }
 
     /// Time until its first event is due.
     pub fn first_event_due(&self) -> Duration {
-        self.route.objective.saturating_sub(self.came.elapsed())
+        self.route.objective.saturating_sub(self.age())
     }
 
     /// Time until its caller leaves or its deadline passes, if no event comes; no less than until the first is due.
     pub fn caller_leaves(&self) -> Duration {
-        let silent = self.route.callers_patience().saturating_sub(self.came.elapsed());
+        let silent = self.route.callers_patience().saturating_sub(self.age());
         silent.min(self.left()).max(self.first_event_due())
     }
 
@@ -179,7 +193,7 @@
 
 /// Admits a request, or says why not.
 pub async fn admit(shared: &Shared, req: Request<Incoming>) -> Result<CallerRequest, Refusal> {
-    let came = Instant::now();
+    let (came, came_at) = (Instant::now(), clock::since_boot());
     let not_ready = Refusal { code: Code::NotReady, retry_after: Some(STARTS_WITHIN) };
     if !shared.started(START_PATIENCE).await {
         return Err(not_ready);
@@ -190,8 +204,7 @@
     let route = table.route(host(&head.uri, &head.headers), head.uri.path()).map_err(refuse)?;
     let organisation = table.organisation(&route, headers::key(&head.headers)).map_err(refuse)?;
     let patience = headers::deadline(&head.headers).unwrap_or(route.timeout).min(route.timeout);
-    let until = came + patience;
-    let body = read_body(body, table.limits.body_bytes, until).await?;
+    let body = read_body(body, table.limits.body_bytes, came + patience).await?;
     let service = route.pick_target(&mut rand::rng()).cloned().ok_or(Refusal::new(Code::NoUpstream))?;
     let uri = path_and_query(&head.uri);
     Ok(CallerRequest {
@@ -204,7 +217,8 @@
         table,
         service,
         came,
-        until,
+        came_at,
+        patience,
         fingerprint: OnceLock::new(),
         broken_at: Mutex::default(),
     })
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -28,6 +28,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::clock;
 use crate::gateway::messages::Outcome;
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::Placed;
@@ -58,7 +59,8 @@
     /// The metrics' instruments.
     pub metrics: GatewayMetrics,
     status: RwLock<NodeStatus>,
-    started: Instant,
+    /// Time from the VM's start to the process's.
+    started: Timestamp,
     control: UnboundedSender<ToControl>,
     table: RwLock<Option<(Arc<RoutingTable>, Arc<ConfigText>)>>,
     newest_config: AtomicU64,
@@ -97,7 +99,7 @@
             settings,
             metrics,
             status: RwLock::default(),
-            started: Instant::now(),
+            started: clock::since_boot(),
             control,
             table: RwLock::new(None),
             newest_config: AtomicU64::new(0),
@@ -110,9 +112,9 @@
         }
     }
 
-    /// Time since the process began.
+    /// Time since the process began, suspensions of the VM included.
     pub fn now(&self) -> Timestamp {
-        self.started.elapsed()
+        clock::since_boot().saturating_sub(self.started)
     }
 
     /// The configuration in force.
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -5,11 +5,11 @@
 
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::routing::Repeat;
+use leadstage_lib::ids::Timestamp;
 use log::info;
 use log::warn;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
-use tokio::time::Instant;
 
 use crate::gateway::messages::ToControl;
 use crate::gateway::reply::Refusal;
@@ -27,6 +27,8 @@
 const PORT_CLOSES_WITHIN: Duration = Duration::from_millis(200);
 /// Time for the control loop to send other nodes what it was told last.
 const LAST_MESSAGES: Duration = Duration::from_millis(50);
+/// A stop that is suspended notices within this that its time is over.
+const LONGEST_TURN: Duration = Duration::from_millis(100);
 /// Time between two looks at the open requests.
 const POLL: Duration = Duration::from_millis(50);
 
@@ -109,28 +111,46 @@
     signal(SignalKind::terminate())?.recv().await;
     shared.stop();
     shared.tell(ToControl::Stopping);
-    let began = Instant::now();
+    let began = shared.now();
     info!(event = "stop", open = shared.open_requests(); "planned stop begins");
     let closes = began + shared.bounds().stop_within.saturating_sub(END_MARGIN + PORT_CLOSES_WITHIN);
-    tokio::time::sleep_until(closes.min(began + BALANCER_NOTICES)).await;
+    sleep_until(shared, closes.min(began + BALANCER_NOTICES)).await;
     // The port closes in either case: no request is open, or the time is over.
-    let _ = tokio::time::timeout_at(closes, none_open(shared)).await;
+    tokio::select! {
+        () = none_open(shared) => {}
+        () = sleep_until(shared, closes) => {}
+    }
     close_port(shared, closes + PORT_CLOSES_WITHIN).await;
     tokio::time::sleep(LAST_MESSAGES).await;
-    info!(event = "stopped", open = shared.open_requests(), took_ms = began.elapsed().as_millis() as u64; "planned stop ends");
+    info!(event = "stopped", open = shared.open_requests(), took_ms = (shared.now() - began).as_millis() as u64; "planned stop ends");
     Ok(())
 }
 
 /// Takes no more requests, and waits until `last` for those that were read and for their answers to
 /// be written.
-async fn close_port(shared: &Shared, last: Instant) {
+async fn close_port(shared: &Shared, last: Timestamp) {
     shared.advance(Phase::Closing);
     let closed = async {
         shared.reached(Phase::Closed).await;
         none_open(shared).await;
     };
-    if tokio::time::timeout_at(last, closed).await.is_err() {
-        warn!(event = "stop_bound", open = shared.open_requests(); "connections are cut at the stop's bound");
+    tokio::select! {
+        biased;
+        () = closed => {}
+        () = sleep_until(shared, last) => {
+            warn!(event = "stop_bound", open = shared.open_requests(); "connections are cut at the stop's bound");
+        }
+    }
+}
+
+/// Sleeps in short turns: the platform's patience goes on while the VM is suspended, and timers do not.
+async fn sleep_until(shared: &Shared, at: Timestamp) {
+    loop {
+        let left = at.saturating_sub(shared.now());
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left.min(LONGEST_TURN)).await;
     }
 }
 
--- a/node/src/gateway/upstream/connections.rs
+++ b/node/src/gateway/upstream/connections.rs
@@ -18,11 +18,13 @@
 use hyper_util::rt::TokioIo;
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
+use leadstage_lib::ids::Timestamp;
 use leadstage_platform::connect;
 use log::info;
-use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::clock;
+
 /// An answered connection rests this long before it is used again: a surplus answer that
 /// follows shows within some ms, and the connection is dropped.
 const LEAST_REST: Duration = Duration::from_millis(20);
@@ -69,20 +71,20 @@
 
 struct Unused {
     connection: Connection,
-    since: Instant,
-    until: Instant,
+    since: Timestamp,
+    until: Timestamp,
 }
 
 /// How long a rest of connections is trusted.
 #[derive(Clone, Copy, Debug)]
 struct Trust {
     rest: Duration,
-    since: Instant,
+    since: Timestamp,
 }
 
 impl Trust {
     fn rest(&self) -> Duration {
-        let doublings = self.since.elapsed().as_secs_f64() / TRUST_DOUBLES_IN.as_secs_f64();
+        let doublings = (clock::since_boot() - self.since).as_secs_f64() / TRUST_DOUBLES_IN.as_secs_f64();
         self.rest.mul_f64(2_f64.powf(doublings.min(16.0)))
     }
 }
@@ -105,7 +107,7 @@
     }
 
     fn take_unused(&self, of: &Incarnation) -> Option<Connection> {
-        let now = Instant::now();
+        let now = clock::since_boot();
         let mut unused = self.unused.borrow_mut();
         let queue = unused.get_mut(of)?;
         let trusted = self.trust.get().map_or(Duration::MAX, |trust| trust.rest());
@@ -120,7 +122,7 @@
     }
 
     /// Drops the unused connections to a replica that have rested since before `moment`.
-    pub fn drop_unused_since_before(&self, replica: &ReplicaRecord, moment: Instant) {
+    pub fn drop_unused_since_before(&self, replica: &ReplicaRecord, moment: Timestamp) {
         if let Some(queue) = self.unused.borrow_mut().get_mut(&replica.incarnation()) {
             queue.retain(|u| u.since >= moment);
         }
@@ -131,12 +133,12 @@
         let known = self.trust.get().map_or(Duration::MAX, |trust| trust.rest());
         let rest = rested.mul_f64(TRUST_AFTER_BREAK).min(known);
         info!(event = "rest_not_trusted", rested_ms = rested.as_millis() as u64, trusted_ms = rest.as_millis() as u64; "a connection broke when it was used again");
-        self.trust.set(Some(Trust { rest, since: Instant::now() }));
+        self.trust.set(Some(Trust { rest, since: clock::since_boot() }));
     }
 
     /// Keeps a connection whose answer was read to its end.
     pub fn put(&self, replica: &ReplicaRecord, connection: Connection, keeps_for: Option<Duration>) {
-        let now = Instant::now();
+        let now = clock::since_boot();
         let keep = keeps_for.unwrap_or(DEFAULT_KEEP).saturating_sub(CLOSE_MARGIN);
         let mut unused = self.unused.borrow_mut();
         let queue = unused.entry(replica.incarnation()).or_default();
@@ -147,7 +149,7 @@
 
     /// Closes what is no longer of use.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let now = clock::since_boot();
         let mut unused = self.unused.borrow_mut();
         for queue in unused.values_mut() {
             queue.retain(|u| u.until > now && !u.connection.sender.is_closed());
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -141,7 +141,7 @@
             () = traffic.until_quarantined(req) => Err(SendError::Withdrawn),
         }
     };
-    let answer = tokio::time::timeout_at(req.until, waiting).await.map_err(|_| SendError::TimedOut)??;
+    let answer = tokio::time::timeout_at(req.until(), waiting).await.map_err(|_| SendError::TimedOut)??;
     let answer = answer.ok_or(SendError::ConnectionSilent)?.ok_or(SendError::Stalled)?;
     if let (Err(_), Some(rested)) = (&answer, connection.rested) {
         traffic.connections.on_break(rested);
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -175,7 +175,7 @@
         tokio::select! {
             biased;
             () = tx.closed() => Err(End::CallerLeft),
-            () = tokio::time::sleep_until(self.req.until) => Err(End::OutOfTime),
+            () = tokio::time::sleep_until(self.req.until()) => Err(End::OutOfTime),
             Some(order) = orders.recv() => self.on_order(order),
             Some(step) = self.steps.recv() => self.on_step(step).await,
             frame = self.leg.frame() => match frame {
@@ -217,7 +217,7 @@
     /// second of large events held its engine for 20.6 s instead of the 3 s that it waits, by the
     /// test of such a caller.
     async fn hand_over(&self, events: Bytes) -> Result<(), End> {
-        let sending = tokio::time::timeout_at(self.req.until, self.tx.send(Ok(events)));
+        let sending = tokio::time::timeout_at(self.req.until(), self.tx.send(Ok(events)));
         sending.await.map_err(|_| End::OutOfTime)?.map_err(|_| End::CallerLeft)
     }
 
--- a/node/src/gateway/upstream/silence.rs
+++ b/node/src/gateway/upstream/silence.rs
@@ -12,6 +12,7 @@
 use log::info;
 use tokio::time::Instant;
 
+use crate::clock;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::upstream::traffic::Traffic;
 
@@ -37,13 +38,13 @@
     if req.route.repeat == Repeat::Stream {
         return Some(sending.await);
     }
-    let began = Instant::now();
+    let (began, began_at) = (Instant::now(), clock::since_boot());
     let doubted = began + req.route.objective;
     let leave = (began + req.left().mul_f64(LEAVE_AFTER)).max(doubted);
     if let Ok(answer) = tokio::time::timeout_at(doubted, &mut sending).await {
         return Some(answer);
     }
-    traffic.connections.drop_unused_since_before(replica, began);
+    traffic.connections.drop_unused_since_before(replica, began_at);
     if let Ok(answer) = tokio::time::timeout_at(leave, &mut sending).await {
         return Some(answer);
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -6,6 +6,7 @@
 mod call;
 mod chunk;
 mod claim_driver;
+mod clock;
 mod control;
 mod control_message;
 mod decision_log;
