news of requests that end replicas are told again a few times

Found by a model of the network (test_gateway_crash_spread): messages may be lost, and the digests that repair that travel with a probe a second.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -26,6 +26,7 @@
 pub mod replica_news;
 pub mod replica_record;
 pub mod replicas;
+pub mod retelling;
 pub mod retry_window;
 pub mod room_forecast;
 pub mod routing;
--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -93,6 +93,10 @@
         self.0.values().filter(|(_, is_void)| !is_void).count()
     }
 
+    fn are_agreed_on(&self) -> bool {
+        self.0.len() >= ENDS_TO_AGREE_ON
+    }
+
     fn newest(&self) -> UnixMillis {
         self.0.values().map(|(at, _)| *at).max().unwrap_or(0)
     }
@@ -184,6 +188,11 @@
         self.suspects.get(fingerprint).map(|ends| ends.told(*fingerprint))
     }
 
+    /// Whether all nodes must know of a request.
+    pub fn is_agreed_on(&self, fingerprint: &Fingerprint) -> bool {
+        self.suspects.get(fingerprint).is_some_and(Ends::are_agreed_on)
+    }
+
     /// All requests that anything speaks against.
     pub fn table(&self) -> CrashTable {
         let standing = self.suspects.iter().filter_map(|(fingerprint, ends)| {
@@ -196,7 +205,7 @@
 
     /// What all nodes must know, the most suspected first: no more than one message holds.
     pub fn agreed(&self) -> Vec<Suspect> {
-        let known = self.suspects.iter().filter(|(_, ends)| ends.0.len() >= ENDS_TO_AGREE_ON);
+        let known = self.suspects.iter().filter(|(_, ends)| ends.are_agreed_on());
         let mut known: Vec<_> = known.collect();
         known.sort_by_key(|(_, ends)| std::cmp::Reverse((ends.standing(), ends.newest())));
         known.truncate(MOST_TOLD);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_gateway_config_text;
 mod test_gateway_crash_blame;
 mod test_gateway_crash_ledger;
+mod test_gateway_crash_spread;
 mod test_gateway_fingerprint;
 mod test_gateway_full_engines;
 mod test_gateway_learned;
--- a/node/src/gateway/control/crash_intake.rs
+++ b/node/src/gateway/control/crash_intake.rs
@@ -16,6 +16,7 @@
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::LeavingSign;
+use leadstage_lib::gateway::retelling::Retelling;
 use leadstage_lib::gateway::stored_suspects::StoreRole;
 use leadstage_lib::gateway::stored_suspects::StoredSuspects;
 use leadstage_lib::ids::Timestamp;
@@ -53,6 +54,7 @@
     ledger: CrashLedger,
     pending: PendingEnds,
     stored: StoredSuspects,
+    retelling: Retelling,
     told_all: Option<Timestamp>,
     forgot: Timestamp,
 }
@@ -65,6 +67,7 @@
             ledger: CrashLedger::default(),
             pending: PendingEnds::default(),
             stored: StoredSuspects::default(),
+            retelling: Retelling::default(),
             told_all: None,
             forgot: Timestamp::ZERO,
         }
@@ -92,12 +95,21 @@
                 self.publish();
             }
         }
+        self.tell_again(fleet);
         let role = StoreRole { follows, is_alone: fleet.nodes() == 1 };
         for write in self.stored.writes(&self.ledger, role, now, unix_millis()) {
             tokio::task::spawn_local(suspect_store::write(self.shared.clone(), write));
         }
     }
 
+    fn tell_again(&mut self, fleet: &Fleet) {
+        let told: Vec<Suspect> =
+            self.retelling.round(self.shared.now()).iter().filter_map(|of| self.ledger.get(of)).collect();
+        if !told.is_empty() {
+            fleet.pass_on(&PeerMessage::Suspects(told));
+        }
+    }
+
     fn ask(&mut self, placing: &Placing) {
         for of in self.pending.asks(self.shared.now()) {
             match placing.knowledge.asked_for_health(&of.id) {
@@ -243,6 +255,9 @@
         self.publish();
         let after = self.shared.crashes();
         for suspect in news {
+            if self.ledger.is_agreed_on(&suspect.fingerprint) {
+                self.retelling.on_news(suspect.fingerprint);
+            }
             log_change(suspect.fingerprint, &before, &after);
         }
     }
