--- a/node/src/gateway/control/crash_intake.rs
+++ b/node/src/gateway/control/crash_intake.rs
@@ -84,7 +84,7 @@
         self.ask(placing);
     }
 
-    /// Asks replicas at which runs broke, and writes what is due.
+    /// Asks replicas at which runs broke, tells news again and writes what is due.
     pub fn tick(&mut self, placing: &Placing, fleet: &Fleet, follows: bool) {
         self.look_at_list(placing, fleet);
         self.ask(placing);
@@ -195,8 +195,8 @@
     /// and does the same.
     pub fn compare(&mut self, fleet: &Fleet, from: SocketAddr, digest: u64) {
         let now = self.shared.now();
-        let was_told = self.told_all.is_some_and(|told_all| now < told_all + TELL_ALL_INTERVAL);
-        if digest == self.shared.crash_digest() || was_told {
+        let told_lately = self.told_all.is_some_and(|told_all| now < told_all + TELL_ALL_INTERVAL);
+        if digest == self.shared.crash_digest() || told_lately {
             return;
         }
         self.told_all = Some(now);
--- a/node/src/gateway/control/suspect_store.rs
+++ b/node/src/gateway/control/suspect_store.rs
@@ -19,8 +19,8 @@
 use crate::gateway::shared::Shared;
 use crate::shared::unix_millis;
 
-/// How often a write begins anew as another node came first.
-const MOST_CONFLICTS: usize = 4;
+/// Tries of a write at most, while other nodes come first.
+const MOST_TRIES: usize = 4;
 
 /// Does a write, and tells the control loop what came of it.
 pub async fn write(shared: Arc<Shared>, write: StoreWrite) {
@@ -46,7 +46,7 @@
     /// Adds ends to those that the store holds. `None` if others were faster each time.
     async fn keep(&mut self, mut suspect: Suspect) -> Result<Option<StoredSuspect>, StoreError> {
         let mut replaces: Option<Revision> = None;
-        for _ in 0..MOST_CONFLICTS {
+        for _ in 0..MOST_TRIES {
             let written = match replaces {
                 None => self.store.create::<Suspects>(&suspect).await,
                 Some(revision) => self.store.replace::<Suspects>(&suspect, revision).await,
@@ -74,7 +74,8 @@
     }
 }
 
-/// All ends of both, and whether the store holds them already.
+/// All ends of both, and whether the store holds them already: as ends are only added, it then has nothing to
+/// be told.
 fn union(ours: Suspect, held: Suspect) -> (Suspect, bool) {
     let now = unix_millis();
     let mut ledger = CrashLedger::default();
@@ -82,6 +83,5 @@
     ledger.take(vec![held.clone()], now);
     let is_held = ledger.take(vec![ours], now).is_empty();
     let all = ledger.get(&fingerprint).unwrap_or(held);
-    // What is void is not written.
     (all, is_held)
 }
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -133,14 +133,7 @@
             None => Some(sending.await),
         }
     };
-    let waiting = async {
-        tokio::select! {
-            biased;
-            answer = waiting => Ok(answer),
-            // It may wait at the replica for its turn: hung up on, that one does not begin it.
-            () = traffic.until_quarantined(req) => Err(SendError::Withdrawn),
-        }
-    };
+    let waiting = unless_quarantined(traffic, req, waiting);
     let answer = tokio::time::timeout_at(req.until(), waiting).await.map_err(|_| SendError::TimedOut)??;
     let answer = answer.ok_or(SendError::ConnectionSilent)?.ok_or(SendError::Stalled)?;
     if let (Err(_), Some(rested)) = (&answer, connection.rested) {
@@ -156,6 +149,20 @@
     Ok(Exchange { status: head.status, headers: head.headers, body, head_came: Instant::now(), connection })
 }
 
+/// Waits no longer than until the request is quarantined: it may wait at the replica for its turn, and that
+/// one does not begin it once it is hung up on.
+async fn unless_quarantined<T>(
+    traffic: &Traffic,
+    req: &CallerRequest,
+    waiting: impl Future<Output = T>,
+) -> Result<T, SendError> {
+    tokio::select! {
+        biased;
+        answer = waiting => Ok(answer),
+        () = traffic.until_quarantined(req) => Err(SendError::Withdrawn),
+    }
+}
+
 fn request(req: &CallerRequest, added: &Added<'_>) -> Request<Full<Bytes>> {
     let mut out = Request::new(Full::new(req.body.clone()));
     *out.method_mut() = req.method.clone();
