sight: a line for each limit that a replica names, and for each request that is sent there

Cause: nothing that was collected says what a replica named, which node heard it, or whether first attempts or repeats make up what is too much. Each node now logs a limit that it hears for the first time, changed or taken back (limit_named), and each request that it sends to a replica of which it knows a limit, with the attempts before it (sent_to_limited). No choice changes by it. Which answers count is decided by when their requests were sent.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod policy;
 pub mod reading;
 pub mod rebalance;
+pub mod replica_limits;
 pub mod replica_list;
 pub mod replica_news;
 pub mod replica_record;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_gateway_load;
 mod test_gateway_lookout;
 mod test_gateway_pending_ends;
+mod test_gateway_replica_limits;
 mod test_gateway_replica_list;
 mod test_gateway_replica_news;
 mod test_gateway_replicas;
--- /dev/null
+++ b/lib/tests/test_gateway_replica_limits.rs
@@ -0,0 +1,117 @@
+//! What a node knows of the limits that replicas name.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::replica_limits::AnswerTimes;
+use leadstage_lib::gateway::replica_limits::LimitWord;
+use leadstage_lib::gateway::replica_limits::ReplicaLimits;
+use leadstage_lib::gateway::replica_limits::ToldLimit;
+use leadstage_lib::gateway::replica_record::Incarnation;
+use leadstage_lib::ids::Timestamp;
+
+const REPLICA: &str = "r-1";
+
+fn start(born: u64) -> Incarnation {
+    Incarnation { id: REPLICA.into(), born }
+}
+
+fn s(seconds: f64) -> Timestamp {
+    Duration::from_secs_f64(seconds)
+}
+
+fn times(sent: f64, came: f64) -> AnswerTimes {
+    AnswerTimes { sent: s(sent), came: s(came) }
+}
+
+fn told(born: u64, limit: Option<f64>, age: f64) -> ToldLimit {
+    ToldLimit { replica: start(born), limit, age: s(age) }
+}
+
+fn limited() -> ReplicaLimits {
+    let mut limits = ReplicaLimits::default();
+    assert!(limits.on_answer(&start(1), LimitWord::Named(3.0), times(9.9, 10.0)));
+    limits
+}
+
+/// A long call that was sent before the need began is answered after another one that named the limit.
+#[test]
+fn test_an_answer_to_an_earlier_request_takes_no_limit_back() {
+    let mut limits = limited();
+    assert!(!limits.on_answer(&start(1), LimitWord::NotNamed, times(9.0, 12.0)));
+    assert_eq!(limits.limit(REPLICA), Some(3.0));
+    assert!(!limits.on_answer(&start(1), LimitWord::Silent, times(11.0, 12.0)));
+    assert_eq!(limits.limit(REPLICA), Some(3.0));
+    assert!(limits.on_answer(&start(1), LimitWord::NotNamed, times(10.1, 10.2)));
+    assert_eq!(limits.limit(REPLICA), None);
+    assert!(limits.in_force().is_empty());
+}
+
+#[test]
+fn test_a_limit_that_is_named_again_holds_from_then() {
+    let mut limits = limited();
+    assert!(!limits.on_answer(&start(1), LimitWord::Named(3.1), times(10.9, 11.0)));
+    assert!(!limits.on_answer(&start(1), LimitWord::NotNamed, times(10.5, 11.5)));
+    assert_eq!(limits.limit(REPLICA), Some(3.0));
+    assert!(limits.on_answer(&start(1), LimitWord::Named(4.0), times(11.9, 12.0)));
+    assert_eq!(limits.limit(REPLICA), Some(4.0));
+}
+
+/// What an earlier start named, or named none, says nothing of a later one.
+#[test]
+fn test_nothing_carries_over_to_another_start() {
+    let mut limits = limited();
+    assert!(!limits.on_answer(&start(0), LimitWord::Named(1.0), times(20.0, 20.0)));
+    assert_eq!(limits.limit(REPLICA), Some(3.0));
+    limits.on_answer(&start(2), LimitWord::Named(5.0), times(5.0, 5.1));
+    assert_eq!(limits.limit(REPLICA), Some(5.0));
+    assert!(!limits.on_answer(&start(1), LimitWord::NotNamed, times(30.0, 30.1)));
+    assert_eq!(limits.limit(REPLICA), Some(5.0));
+    limits.forget(REPLICA);
+    assert_eq!(limits.limit(REPLICA), None);
+}
+
+#[test]
+fn test_what_other_nodes_tell_counts_from_when_it_was_said() {
+    let mut limits = limited();
+    assert!(limits.on_told(vec![told(1, None, 4.0)], s(12.0)).is_empty());
+    assert_eq!(limits.limit(REPLICA), Some(3.0));
+    assert_eq!(limits.on_told(vec![told(1, None, 1.0)], s(12.0)).len(), 1);
+    assert_eq!(limits.limit(REPLICA), None);
+    assert_eq!(limits.on_told(vec![told(1, Some(2.0), 0.5)], s(12.0)).len(), 1);
+    assert_eq!(limits.limit(REPLICA), Some(2.0));
+    for wrong in [f64::NAN, f64::INFINITY, -1.0] {
+        assert!(limits.on_told(vec![told(1, Some(wrong), 0.0)], s(12.0)).is_empty());
+    }
+    assert_eq!(limits.limit(REPLICA), Some(2.0));
+}
+
+/// Nodes that know the same tell each other nothing; a node that missed the end of a need is told of it.
+#[test]
+fn test_digests_stand_for_the_limits_in_force() {
+    let (mut a, mut b) = (limited(), ReplicaLimits::default());
+    assert_eq!(b.digest(), 0);
+    assert_ne!(a.digest(), b.digest());
+    b.on_told(a.all(s(11.0)), s(511.0));
+    assert_eq!(a.digest(), b.digest());
+    a.on_answer(&start(1), LimitWord::NotNamed, times(11.5, 11.6));
+    assert_eq!(a.digest(), 0);
+    b.on_told(a.all(s(12.0)), s(512.0));
+    assert_eq!(b.digest(), 0);
+}
+
+/// A limit is not dropped because nobody asked; one that was taken back is forgotten in time, as is what
+/// is known of replicas that are gone.
+#[test]
+fn test_what_is_kept() {
+    let mut limits = limited();
+    limits.retain(|_| true, s(10_000.0));
+    assert_eq!(limits.limit(REPLICA), Some(3.0));
+    limits.on_answer(&start(1), LimitWord::NotNamed, times(10_001.0, 10_001.1));
+    limits.retain(|_| true, s(10_030.0));
+    assert_eq!(limits.all(s(10_030.0)).len(), 1);
+    limits.retain(|_| true, s(10_062.0));
+    assert!(limits.all(s(10_062.0)).is_empty());
+    let mut limits = limited();
+    limits.retain(|_| false, s(11.0));
+    assert_eq!(limits.limit(REPLICA), None);
+}
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -10,6 +10,7 @@
 pub mod knowledge;
 pub mod lead_desk;
 pub mod lead_questions;
+pub mod limit_intake;
 pub mod lookout;
 pub mod placing;
 pub mod replica_intake;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -17,6 +17,7 @@
 use crate::gateway::control::config_intake::ConfigIntake;
 use crate::gateway::control::crash_intake::CrashIntake;
 use crate::gateway::control::hall_intake::HallIntake;
+use crate::gateway::control::limit_intake::LimitIntake;
 use crate::gateway::control::placing::Placing;
 use crate::gateway::control::replica_intake::ReplicaIntake;
 use crate::gateway::control::watching::Watching;
@@ -52,6 +53,7 @@
     replicas: ReplicaIntake,
     halls: HallIntake,
     crashes: CrashIntake,
+    limits: LimitIntake,
     watchers: Watchers,
     watching: Watching,
     last_status: Timestamp,
@@ -71,6 +73,7 @@
             replicas: ReplicaIntake::new(shared.clone()),
             halls: HallIntake::new(shared.clone()),
             crashes: CrashIntake::new(shared.clone()),
+            limits: LimitIntake::new(shared.clone()),
             watchers: Watchers::new(fleet.own().clone()),
             watching: Watching::new(shared.clone()),
             last_status: Timestamp::ZERO,
@@ -108,6 +111,7 @@
             ToControl::TellReplicas => self.replicas.tell_gathered(&self.placing, &self.fleet),
             ToControl::Replicas(news) => self.replicas.on_store_news(&mut self.placing, &self.fleet, news),
             ToControl::ClosedHalls(news) => self.halls.on_store_news(&mut self.placing, &self.fleet, news),
+            ToControl::LimitWord(of, word, times) => self.limits.on_answer(&of, word, times),
             ToControl::RunBroke(run) => self.crashes.on_break(&self.placing, run),
             ToControl::RanWell(fingerprint) => self.crashes.on_ran_well(&self.fleet, fingerprint),
             ToControl::AskedAfterBreak(of, shown) => {
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -10,6 +10,8 @@
 use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::fingerprint::Fingerprint;
 use leadstage_lib::gateway::pending_ends::Shown;
+use leadstage_lib::gateway::replica_limits::AnswerTimes;
+use leadstage_lib::gateway::replica_limits::LimitWord;
 use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
@@ -47,6 +49,8 @@
     Sign(Incarnation, LeavingSign),
     /// A replica was asked for its health.
     Health(Incarnation, Health),
+    /// What a replica's answer says of its limit.
+    LimitWord(Incarnation, LimitWord, AnswerTimes),
     /// A run broke at its replica, perhaps as that ended.
     RunBroke(BrokenRun),
     /// A run of a request ended well that something speaks against.
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -15,6 +15,7 @@
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
 use leadstage_lib::gateway::config_text::ConfigText;
 use leadstage_lib::gateway::crash_ledger::CrashTable;
+use leadstage_lib::gateway::replica_limits::LimitsInForce;
 use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
@@ -76,6 +77,7 @@
     store_answers: AtomicBool,
     replica_list: RwLock<Arc<ReplicaList>>,
     closed_halls: RwLock<Arc<ClosedHalls>>,
+    limits: RwLock<Arc<LimitsInForce>>,
     replicas_at: AtomicU64,
     paces: RwLock<HashMap<ServiceId, f64>>,
 }
@@ -94,6 +96,7 @@
             store_answers: AtomicBool::new(true),
             replica_list: RwLock::default(),
             closed_halls: RwLock::default(),
+            limits: RwLock::default(),
             replicas_at: AtomicU64::new(0),
             paces: RwLock::default(),
             settings,
@@ -229,6 +232,16 @@
         *self.closed_halls.write().expect("no holder panics") = Arc::new(halls);
     }
 
+    /// The limits that replicas name, as far as this node knows.
+    pub fn limits(&self) -> Arc<LimitsInForce> {
+        self.limits.read().expect("no holder panics").clone()
+    }
+
+    /// Publishes them.
+    pub fn set_limits(&self, limits: LimitsInForce) {
+        *self.limits.write().expect("no holder panics") = Arc::new(limits);
+    }
+
     /// The requests that anything speaks against, as replicas ended under them.
     pub fn crashes(&self) -> Arc<CrashTable> {
         self.crashes.borrow().clone()
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -124,6 +124,8 @@
         return Err(SendError::HallClosed);
     }
     let mut connection = traffic.connections.take(replica, choice).await.map_err(SendError::NotSent)?;
+    let sent_at = traffic.shared.now();
+    traffic.on_sending(req, replica, sent);
     traffic.shared.metrics.on_connection(connection.rested.is_some());
     let sending = connection.sender.send_request(request(req, added));
     let sending = stall::head(traffic, req, replica, sending);
@@ -146,6 +148,7 @@
     if head.headers.get(headers::REQUEST_ID) != req.headers.get(headers::REQUEST_ID) {
         return Err(SendError::Foreign);
     }
+    traffic.on_limit_word(replica, headers::limit_word(head.status, &head.headers), sent_at);
     Ok(Exchange { status: head.status, headers: head.headers, body, head_came: Instant::now(), connection })
 }
 
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -6,12 +6,16 @@
 use std::sync::Arc;
 
 use http::StatusCode;
+use leadstage_lib::gateway::replica_limits::AnswerTimes;
+use leadstage_lib::gateway::replica_limits::LimitWord;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::retry_window::RetryShare;
 use leadstage_lib::gateway::retry_window::RetryWindow;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::sound_runs::SoundRuns;
 use leadstage_lib::gateway::waiting::NoRoom;
+use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use log::info;
 
@@ -104,6 +108,27 @@
         act(windows.entry(service.clone()).or_default())
     }
 
+    /// A request that was sent to `sent` replicas before is about to be sent to one more.
+    pub fn on_sending(&self, req: &CallerRequest, replica: &ReplicaRecord, sent: u32) {
+        if let Some(limit) = self.shared.limits().get(&replica.id) {
+            info!(event = "sent_to_limited", request = req.id(), upstream = &*replica.id, limit, sent; "a request is sent to a replica that names a limit");
+        }
+    }
+
+    /// What a replica's answer says of its limit. The control loop hears of those only that may change what
+    /// is known.
+    pub fn on_limit_word(&self, replica: &ReplicaRecord, word: LimitWord, sent: Timestamp) {
+        let may_change = match word {
+            LimitWord::Named(_) => true,
+            LimitWord::NotNamed => self.shared.limits().contains_key(&replica.id),
+            LimitWord::Silent => false,
+        };
+        if may_change {
+            let times = AnswerTimes { sent, came: self.shared.now() };
+            self.shared.tell(ToControl::LimitWord(replica.incarnation(), word, times));
+        }
+    }
+
     /// A replica turned a request away.
     pub fn on_not_run(&self, req: &CallerRequest, run: &RunGuard, status: StatusCode) {
         let replica = &run.placed.replica;
--- a/node/tests/crashing_fleet.rs
+++ b/node/tests/crashing_fleet.rs
@@ -5,15 +5,12 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use leadstage_lib::status::NodeStatus;
 use tokio::time::Instant;
 
 use crate::gateway_environment::Called;
 use crate::gateway_environment::Gateway;
 use crate::gateway_environment::RunningReplica;
-use crate::gateway_environment::call;
 use crate::gateway_environment::config;
-use crate::gateway_environment::request;
 
 /// The body that ends replicas.
 const ENDS_REPLICAS: &str = "ends replicas";
@@ -129,8 +126,7 @@
 
     /// What each node sends to no replica.
     pub async fn quarantined(&self, node: usize) -> Vec<String> {
-        let status = call(&self.gateway.metrics(node), request("GET", "/status", "", "")).await;
-        serde_json::from_str::<NodeStatus>(&status.body).unwrap_or_default().quarantined
+        self.gateway.node_status(node).await.quarantined
     }
 
     /// Asserts that nothing speaks against any request at any node.
--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -21,6 +21,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
+use leadstage_lib::status::NodeStatus;
 use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::gateway_replica::Engines;
 use leadstage_testutils::gateway_replica::GatewayReplica;
@@ -307,6 +308,12 @@
         call(&self.front(node), req).await
     }
 
+    /// What a node tells operators of itself.
+    pub async fn node_status(&self, node: usize) -> NodeStatus {
+        let status = call(&self.metrics(node), request("GET", "/status", "", "")).await;
+        serde_json::from_str(&status.body).unwrap_or_default()
+    }
+
     /// The status of a call with nothing special about it.
     pub async fn status_of(&self, node: usize, path: &str, key: &str) -> u16 {
         let called = self.call(node, request("GET", path, key, "r-1")).await;
