--- /dev/null
+++ b/node/tests/limited_fleet.rs
@@ -0,0 +1,122 @@
+//! A fleet whose replicas name limits, under a load that goes on.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use tokio::task::JoinSet;
+
+use crate::gateway_environment::Called;
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::RunningReplica;
+use crate::gateway_environment::call;
+use crate::gateway_environment::config;
+
+/// A limit binds this long after it was first named.
+pub const BINDS_AFTER: Duration = Duration::from_secs(3);
+/// The time in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Times that a limit may be exceeded in some window, and requests beyond that.
+const OVERSHOOT: f64 = 1.5;
+const SLACK: f64 = 5.0;
+/// Part of what a replica names that is used at least, while there is work for it.
+const LEAST_USED: f64 = 0.75;
+
+/// A fleet with replicas of one service.
+pub struct LimitedFleet {
+    /// The fleet.
+    pub gateway: Arc<Gateway>,
+    /// The replicas.
+    pub replicas: Vec<RunningReplica>,
+}
+
+/// Answers of the calls of a load, with when each call was made.
+pub type Answers = Vec<(Instant, Called)>;
+
+impl LimitedFleet {
+    /// So many nodes that know each other, and so many replicas.
+    pub async fn start(service: &str, nodes: usize, replicas: usize) -> LimitedFleet {
+        let mut gateway = Gateway::start().await;
+        gateway.store.put("config", "main", config(1));
+        let mut running = Vec::new();
+        for n in 1..=replicas {
+            running.push(gateway.start_replica(service, &format!("{service}-{n}"), 4).await);
+        }
+        for _ in 0..nodes {
+            let node = gateway.start_node();
+            gateway.until_ready(node).await;
+        }
+        for node in 0..nodes {
+            let knows_all = async || gateway.node_status(node).await.peers.len() == nodes - 1;
+            gateway.until("a node knows all others", knows_all).await;
+        }
+        LimitedFleet { gateway: Arc::new(gateway), replicas: running }
+    }
+
+    /// Calls go to the nodes at so many a second each for a time; all answers.
+    pub async fn load(
+        &self,
+        per_second: &[f64],
+        lasts: Duration,
+        make: impl Fn(&str) -> Request<Full<Bytes>>,
+    ) -> Answers {
+        let began = Instant::now();
+        let mut due: Vec<(Duration, usize)> = Vec::new();
+        for (node, rate) in per_second.iter().enumerate() {
+            let calls = (lasts.as_secs_f64() * rate) as u32;
+            due.extend((0..calls).map(|n| (Duration::from_secs_f64((f64::from(n) + 0.5) / rate), node)));
+        }
+        due.sort();
+        let mut calls = JoinSet::new();
+        for (n, (at, node)) in due.into_iter().enumerate() {
+            tokio::time::sleep_until((began + at).into()).await;
+            let (address, req) = (self.gateway.front(node), make(&format!("r-{n}")));
+            calls.spawn(async move { (Instant::now(), call(&address, req).await) });
+        }
+        calls.join_all().await
+    }
+
+    /// When requests came to a replica, from a moment on.
+    pub fn arrivals(&self, replica: usize, from: Instant) -> Vec<Instant> {
+        let seen = self.replicas[replica].replica.seen();
+        seen.into_iter().map(|seen| seen.at).filter(|at| *at >= from).collect()
+    }
+
+    /// Asserts that a replica got no more in any window than its limit allows.
+    pub fn assert_kept(&self, replica: usize, limit: f64, from: Instant) {
+        let arrivals = self.arrivals(replica, from);
+        let allowed = (limit * OVERSHOOT * WINDOW.as_secs_f64() + SLACK) as usize;
+        let most = arrivals.iter().map(|start| count_within(&arrivals, *start, *start + WINDOW)).max();
+        let most = most.unwrap_or(0);
+        assert!(
+            most <= allowed,
+            "replica {replica} named {limit} a second, got {most} in 4 s, allowed {allowed}\n{}",
+            self.gateway.logs()
+        );
+    }
+
+    /// Asserts that most of what a replica names was used from one moment to another.
+    pub fn assert_used(&self, replica: usize, limit: f64, from: Instant, until: Instant) {
+        let used = count_within(&self.arrivals(replica, from), from, until) as f64;
+        let named = limit * (until - from).as_secs_f64();
+        assert!(
+            used >= named * LEAST_USED,
+            "replica {replica} takes {named:.1} in this time, got {used}\n{}",
+            self.gateway.logs()
+        );
+    }
+}
+
+fn count_within(moments: &[Instant], from: Instant, until: Instant) -> usize {
+    moments.iter().filter(|at| **at >= from && **at < until).count()
+}
+
+/// Asserts that all calls were served.
+pub fn assert_all_served(answers: &Answers, fleet: &LimitedFleet) {
+    for (_, called) in answers {
+        assert!(called.status == 200 && called.whole, "{called:?}\n{}", fleet.gateway.logs());
+    }
+}
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -4,6 +4,7 @@
 mod crashing_fleet;
 mod environment;
 mod gateway_environment;
+mod limited_fleet;
 mod stream;
 mod test_bundles;
 mod test_callers;
@@ -19,6 +20,7 @@
 mod test_gateway_inventories;
 mod test_gateway_large_config;
 mod test_gateway_limits;
+mod test_gateway_replica_limits;
 mod test_gateway_restarts;
 mod test_gateway_resuming;
 mod test_gateway_silent;
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -118,6 +119,8 @@
 /// A request that a replica saw.
 #[derive(Clone, Debug)]
 pub struct Seen {
+    /// When it came.
+    pub at: Instant,
     /// `METHOD path?query`.
     pub line: String,
     /// Its headers.
@@ -177,6 +180,8 @@
     /// It ends when it runs a request with this body.
     ends_on: Option<Bytes>,
     has_ended: bool,
+    /// The limit that it names in its answers, as it stands there.
+    limit: Option<String>,
 }
 
 /// A replica.
@@ -261,6 +266,11 @@
         self.state().ends_on = Some(Bytes::copy_from_slice(body.as_bytes()));
     }
 
+    /// Has it name a limit in its answers from now on, or none.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        self.state().limit = limit.map(str::to_owned);
+    }
+
     /// Ends it with all its connections at once.
     pub fn end(&self) {
         let mut state = self.state();
@@ -307,6 +317,9 @@
             headers.insert("leadstage-request-id", id);
         }
         headers.insert("leadstage-server-signature", format!("sig-{}", self.id).parse().expect("valid"));
+        if let Some(limit) = &self.state().limit {
+            headers.insert("server-limit", limit.parse().expect("valid"));
+        }
         headers
     }
 
@@ -541,7 +554,8 @@
             _ => {}
         }
         let line = format!("{} {}", req.method(), req.uri());
-        let seen = Seen { line, headers: req.headers().clone(), body: req.body().clone() };
+        let seen =
+            Seen { at: Instant::now(), line, headers: req.headers().clone(), body: req.body().clone() };
         self.state().seen.push(seen);
         let fault = match self.state().fault {
             ReplicaFault::ForgetsConnections => forgets(&req),
