limits that replicas name are kept by all nodes together

Cause: a bound on the sum over all nodes that no node knew of. Answers were passed on with the limit unread, and each node chose by what is in flight there. Now a limit is read from each answer, ordered by when its request was sent, and told to all nodes; one node for each replica (the lead of a model service for its engines) grants requests one by one, to whoever has one. Where all replicas are in need the rest is refused at once, each caller with a time of its own.

--- a/cli/src/status_command.rs
+++ b/cli/src/status_command.rs
@@ -60,6 +60,7 @@
     out.push_str(&names("leaving upstreams", found.iter().flat_map(|n| &n.leaving)));
     out.push_str(&names("closed halls", found.iter().flat_map(|n| &n.closed_halls)));
     out.push_str(&names("quarantined requests", found.iter().flat_map(|n| &n.quarantined)));
+    out.push_str(&names("limits of upstreams", found.iter().flat_map(|n| &n.limits)));
     out
 }
 
--- /dev/null
+++ b/lib/src/gateway/limit_grants.rs
@@ -0,0 +1,161 @@
+//! Grants requests to replicas that name limits, one by one.
+//!
+//! A limit holds for all nodes together, so one node grants what a limit allows: the lead of a model service
+//! for its engines, and for each other replica the first of the nodes by a hash. Each grant is for one
+//! request that is there already, so nothing is granted to nodes that have no use for it.
+//!
+//! Weighed against a share of the limit for each node, on a model of the fleet (`test_gateway_limit_model`): where
+//! calls come unevenly, shares leave most of what is named unused, and of a limit of 0.4 a second most
+//! of 66 or 410 nodes have none.
+//!
+//! Nodes may see different fleets, and then two of them grant at once. What bounds that: a node that has just begun to
+//! grant has nothing saved up, a node that has just started grants nothing, and one that sees fewer nodes than a
+//! short time ago grants a smaller part, as the others may be on the far side of a cut with another one
+//! that grants.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::gateway::replica_limits::PerSecond;
+use crate::ids::Timestamp;
+use crate::ids::UpstreamId;
+use crate::ids::VmId;
+
+/// Part of a limit that is granted. The rest is for what nodes send by themselves (`limit_asks`), and for
+/// streams that go on at their engine without being placed anew.
+pub const GRANTED_PART: f64 = 0.85;
+/// Requests that go to a replica even if it names less: without any, nobody would learn that its need is over. One
+/// in 5 s is within the 5 requests beyond a limit that a replica may get in 4 s.
+pub const LEAST_RATE: PerSecond = 0.2;
+/// Grants that may be saved up while there are no requests.
+const MOST_SAVED: f64 = 2.0;
+/// What must be saved up beyond one grant for each rank of urgency: while urgent requests take all that a
+/// limit allows, it never is for others. The least urgent rank needs less than [`MOST_SAVED`].
+const KEPT_FOR_URGENT: f64 = 0.1;
+/// The last rank of urgency.
+const LEAST_URGENT: u8 = 9;
+/// Asks for each grant that all nodes make together. With three, a grant waits a third of the time that it
+/// takes to save one up; more only cost messages.
+const ASKS_PER_GRANT: f64 = 3.0;
+/// The least pause between two asks of a node for one replica.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
+/// The longest one: with 410 nodes, 20 asks a second reach whoever grants for a replica.
+const LONGEST_PAUSE: Duration = Duration::from_secs(20);
+/// A node counts as asking for this long beyond the time when it may ask again, twice over.
+const ASKS_AGAIN_WITHIN: Duration = Duration::from_secs(1);
+/// A node that has just started grants nothing for this long: until others are met, it takes itself for
+/// the one to grant.
+const KNOWS_FLEET_AFTER: Duration = Duration::from_secs(2);
+/// Nodes that were seen within this count as perhaps being behind a cut: cuts that last longer than nodes
+/// take to be replaced.
+const SEEN_LATELY: Duration = Duration::from_secs(20);
+
+/// The answer to a node that asks for a grant.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+pub struct Grant {
+    /// Whether one request may be sent now.
+    pub granted: bool,
+    /// The node may ask again after this.
+    pub ask_again_after: Duration,
+}
+
+/// What is saved up for one replica, and who asks.
+#[derive(Debug, Default)]
+struct Account {
+    saved: f64,
+    saved_at: Timestamp,
+    /// Nodes that have asked, until when they count.
+    askers: HashMap<VmId, Timestamp>,
+}
+
+/// Grants requests to replicas that name limits.
+#[derive(Debug, Default)]
+pub struct LimitGrants {
+    accounts: HashMap<UpstreamId, Account>,
+    nodes: usize,
+    most_nodes: usize,
+    most_nodes_at: Timestamp,
+}
+
+impl LimitGrants {
+    /// How many nodes there are now, as far as this one knows.
+    pub fn set_nodes(&mut self, nodes: usize, now: Timestamp) {
+        self.nodes = nodes;
+        if nodes >= self.most_nodes || self.most_nodes_at + SEEN_LATELY <= now {
+            (self.most_nodes, self.most_nodes_at) = (nodes, now);
+        }
+    }
+
+    /// Whether a request of an urgency may be granted to a replica.
+    pub fn may_grant(&mut self, replica: &UpstreamId, limit: PerSecond, urgency: u8, now: Timestamp) -> bool {
+        let rate = self.rate(limit, now);
+        let account = self.accounts.entry(replica.clone()).or_insert_with(|| Account::new(now));
+        account.save(rate, now);
+        account.saved >= 1.0 + f64::from(urgency.min(LEAST_URGENT)) * KEPT_FOR_URGENT
+    }
+
+    /// One was granted.
+    pub fn on_granted(&mut self, replica: &str) {
+        if let Some(account) = self.accounts.get_mut(replica) {
+            account.saved -= 1.0;
+        }
+    }
+
+    /// A node has a request for a replica.
+    pub fn ask(
+        &mut self,
+        asker: &VmId,
+        replica: &UpstreamId,
+        limit: PerSecond,
+        urgency: u8,
+        now: Timestamp,
+    ) -> Grant {
+        let granted = self.may_grant(replica, limit, urgency, now);
+        if granted {
+            self.on_granted(replica);
+        }
+        let rate = self.rate(limit, now);
+        let account = self.accounts.entry(replica.clone()).or_default();
+        Grant { granted, ask_again_after: account.pause(asker, rate, now) }
+    }
+
+    /// Grants a second under a limit.
+    fn rate(&self, limit: PerSecond, now: Timestamp) -> PerSecond {
+        if now < KNOWS_FLEET_AFTER {
+            return 0.0;
+        }
+        let seen = self.nodes.max(1) as f64 / self.most_nodes.max(1) as f64;
+        (limit * GRANTED_PART).max(LEAST_RATE) * seen
+    }
+
+    /// Forgets replicas that name no limit any more.
+    pub fn retain(&mut self, is_limited: impl Fn(&str) -> bool) {
+        self.accounts.retain(|replica, _| is_limited(replica));
+    }
+}
+
+impl Account {
+    fn new(now: Timestamp) -> Self {
+        Account { saved_at: now, ..Account::default() }
+    }
+
+    fn save(&mut self, rate: PerSecond, now: Timestamp) {
+        let passed = now.saturating_sub(self.saved_at).as_secs_f64();
+        self.saved = (self.saved + passed * rate).min(MOST_SAVED);
+        self.saved_at = now;
+    }
+
+    /// How long a node that asks pauses, so that all that do ask about as often as is needed.
+    fn pause(&mut self, asker: &VmId, rate: PerSecond, now: Timestamp) -> Duration {
+        self.askers.retain(|_, until| *until > now);
+        let others = self.askers.keys().filter(|other| *other != asker).count();
+        let pause = (others + 1) as f64 / (ASKS_PER_GRANT * rate);
+        let longest = LONGEST_PAUSE.as_secs_f64();
+        let pause = Duration::from_secs_f64(pause.min(longest)).max(SHORTEST_PAUSE);
+        self.askers.insert(asker.clone(), now + 2 * (pause + ASKS_AGAIN_WITHIN));
+        pause
+    }
+}
--- a/lib/src/status.rs
+++ b/lib/src/status.rs
@@ -35,6 +35,9 @@
     /// Fingerprints of the requests that it sends to no upstream, as upstreams ended under them.
     #[serde(default)]
     pub quarantined: Vec<String>,
+    /// Upstreams that name a limit, with the requests a second that they take from all nodes together.
+    #[serde(default)]
+    pub limits: Vec<String>,
 }
 
 /// Another entry VM, as this node sees it.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -16,6 +16,8 @@
 mod test_gateway_fingerprint;
 mod test_gateway_full_engines;
 mod test_gateway_learned;
+mod test_gateway_limit_grants;
+mod test_gateway_limit_model;
 mod test_gateway_load;
 mod test_gateway_lookout;
 mod test_gateway_pending_ends;
--- /dev/null
+++ b/lib/tests/test_gateway_limit_grants.rs
@@ -0,0 +1,172 @@
+//! Who may send a request to a replica that names a limit.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::cold_start::Giver;
+use leadstage_lib::gateway::limit_asks::LimitAsks;
+use leadstage_lib::gateway::limit_book::LimitBook;
+use leadstage_lib::gateway::limit_grants::Grant;
+use leadstage_lib::gateway::limit_grants::LimitGrants;
+use leadstage_lib::ids::Timestamp;
+use leadstage_lib::ids::UpstreamId;
+use leadstage_lib::ids::VmId;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const LIMIT: f64 = 4.0;
+
+fn s(seconds: f64) -> Timestamp {
+    Duration::from_secs_f64(seconds)
+}
+
+fn replica() -> UpstreamId {
+    "r-1".into()
+}
+
+/// Grants of a node that sees six, from `from` to `until`, where somebody asks each 10 ms.
+fn grants_between(grants: &mut LimitGrants, urgency: u8, from: f64, until: f64) -> usize {
+    let asks = (0..).map(|n| from + 0.01 * f64::from(n)).take_while(|at| *at < until);
+    asks.filter(|at| {
+        let may = grants.may_grant(&replica(), LIMIT, urgency, s(*at));
+        if may {
+            grants.on_granted(&replica());
+        }
+        may
+    })
+    .count()
+}
+
+fn six_nodes() -> LimitGrants {
+    let mut grants = LimitGrants::default();
+    grants.set_nodes(6, s(10.0));
+    grants
+}
+
+/// Whoever begins to grant has nothing saved up, and after a pause no more than two requests: 4 a second for
+/// 4 s are 13 or 14 with the part that is granted, where 29 are allowed.
+#[test]
+fn test_nothing_is_saved_up_at_the_start_and_little_after_a_pause() {
+    let mut grants = six_nodes();
+    assert!(!grants.may_grant(&replica(), LIMIT, 0, s(10.0)));
+    let at_start = grants_between(&mut grants, 0, 10.0, 14.0);
+    assert!((12..=14).contains(&at_start), "{at_start}");
+    let after_pause = grants_between(&mut grants, 0, 100.0, 104.0);
+    assert!((14..=15).contains(&after_pause), "{after_pause}");
+}
+
+#[test]
+fn test_a_node_that_has_just_started_grants_nothing() {
+    let mut grants = LimitGrants::default();
+    grants.set_nodes(1, s(0.0));
+    assert_eq!(grants_between(&mut grants, 0, 0.0, 2.0), 0);
+}
+
+/// Behind a cut others may grant as well: each side grants the part of the nodes that it sees.
+#[test]
+fn test_a_node_that_sees_fewer_nodes_grants_less_for_a_while() {
+    let mut grants = six_nodes();
+    grants_between(&mut grants, 0, 10.0, 20.0);
+    grants.set_nodes(2, s(20.0));
+    let behind_cut = grants_between(&mut grants, 0, 20.0, 30.0);
+    assert!((10..=12).contains(&behind_cut), "{behind_cut}");
+    grants.set_nodes(2, s(41.0));
+    let later = grants_between(&mut grants, 0, 41.0, 51.0);
+    assert!((32..=35).contains(&later), "{later}");
+}
+
+/// While urgent calls take all that the limit allows, others get nothing; as soon as they don't, others do.
+#[test]
+fn test_urgent_requests_go_first() {
+    let mut grants = six_nodes();
+    let mut given = [0, 0];
+    for n in 0..1_000 {
+        let at = s(10.0 + 0.01 * f64::from(n));
+        for (urgency, given) in [4, 0].into_iter().zip(&mut given) {
+            if grants.may_grant(&replica(), LIMIT, urgency, at) {
+                grants.on_granted(&replica());
+                *given += 1;
+            }
+        }
+    }
+    assert_eq!(given[0], 0);
+    assert!(given[1] >= 30, "{given:?}");
+    assert!(grants_between(&mut grants, 9, 20.0, 30.0) >= 30);
+}
+
+/// A replica that names next to nothing is asked now and then, or nobody would learn that its need is over.
+#[test]
+fn test_a_limit_of_zero_lets_one_request_through_now_and_then() {
+    let mut grants = six_nodes();
+    let mut given = 0;
+    for n in 0..4_000 {
+        if grants.may_grant(&replica(), 0.0, 0, s(10.0 + 0.01 * f64::from(n))) {
+            grants.on_granted(&replica());
+            given += 1;
+        }
+    }
+    assert!((7..=8).contains(&given), "{given}");
+}
+
+/// All nodes that ask make some three asks for each grant together, however many they are.
+#[test]
+fn test_pauses_grow_with_the_nodes_that_ask() {
+    let mut grants = six_nodes();
+    let mut ask =
+        |asker: &str, at: f64| -> Grant { grants.ask(&VmId::from(asker), &replica(), LIMIT, 0, s(at)) };
+    let alone = ask("a", 10.0).ask_again_after;
+    let both = ask("b", 10.0).ask_again_after;
+    assert!((0.09..0.11).contains(&alone.as_secs_f64()), "{alone:?}");
+    assert_eq!(both.as_millis(), (2 * alone).as_millis());
+    // The other one has not asked again when it might have.
+    assert_eq!(ask("a", 13.0).ask_again_after, alone);
+}
+
+/// Permits come as often as the shares say, and not all at once after a pause.
+#[test]
+fn test_permits_are_not_saved_up() {
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut nodes: Vec<LimitAsks> = (0..60).map(|_| LimitAsks::default()).collect();
+    nodes.iter_mut().for_each(|node| node.set_nodes(60));
+    let mut used_in = |nodes: &mut Vec<LimitAsks>, from: f64, until: f64| {
+        let mut used = 0;
+        let mut at = from;
+        while at < until {
+            for node in nodes.iter_mut() {
+                if node.has_permit(&replica(), LIMIT, s(at), &mut rng) {
+                    node.on_permit_used(&replica(), LIMIT, s(at), &mut rng);
+                    used += 1;
+                }
+            }
+            at += 0.1;
+        }
+        used
+    };
+    let steady = used_in(&mut nodes, 10.0, 110.0);
+    assert!((25..=55).contains(&steady), "a tenth of 4 a second for 100 s, {steady}");
+    let after_pause = used_in(&mut nodes, 1_000.0, 1_000.1);
+    assert!(after_pause <= 3, "{after_pause}");
+}
+
+/// Callers that are refused come back one after the other, and none later than in 5 s.
+#[test]
+fn test_callers_come_back_one_after_the_other() {
+    let mut book = LimitBook::default();
+    let service = "booking".into();
+    let mut after = || book.comes_back_after(&service, 6.0, 3, s(10.0)).as_secs_f64();
+    let times: Vec<f64> = (0..12).map(|_| after()).collect();
+    for (n, time) in times.iter().enumerate().take(8) {
+        let expected = (n + 1) as f64 * 3.0 / (6.0 * 0.85);
+        assert!((time - expected).abs() < 1e-6, "{times:?}");
+    }
+    assert!(times.iter().all(|time| *time <= 5.0), "{times:?}");
+    assert_eq!(book.comes_back_after(&service, 0.0, 3, s(100.0)), s(5.0));
+}
+
+#[test]
+fn test_replicas_without_a_limit_need_no_grant() {
+    let mut book = LimitBook::default();
+    let mut rng = StdRng::seed_from_u64(1);
+    assert!(book.allows(&replica(), Giver::Node, s(0.0), &mut rng));
+    assert!(!book.may_ask(&replica(), s(10.0), &mut rng));
+    assert!(book.grant(&VmId::from("a"), &replica(), 0, s(0.0)).granted);
+}
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -5,6 +5,7 @@
 pub mod control_loop;
 pub mod crash_intake;
 pub mod follow;
+pub mod grant_questions;
 pub mod hall_intake;
 pub mod inventories;
 pub mod knowledge;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -111,7 +111,10 @@
             ToControl::TellReplicas => self.replicas.tell_gathered(&self.placing, &self.fleet),
             ToControl::Replicas(news) => self.replicas.on_store_news(&mut self.placing, &self.fleet, news),
             ToControl::ClosedHalls(news) => self.halls.on_store_news(&mut self.placing, &self.fleet, news),
-            ToControl::LimitWord(of, word, times) => self.limits.on_answer(&of, word, times),
+            ToControl::LimitWord(of, word, times) => {
+                self.limits.on_answer(&mut self.placing.knowledge, &self.fleet, &of, word, times)
+            }
+            ToControl::GrantSilent(run) => self.placing.on_grant_silent(&self.fleet, run),
             ToControl::RunBroke(run) => self.crashes.on_break(&self.placing, run),
             ToControl::RanWell(fingerprint) => self.crashes.on_ran_well(&self.fleet, fingerprint),
             ToControl::AskedAfterBreak(of, shown) => {
@@ -172,6 +175,7 @@
         self.last_status = now;
         self.log_store_calls();
         self.placing.knowledge.forget_gone();
+        self.limits.publish(&self.placing.knowledge);
         self.placing.publish_paces();
         self.shared.set_status(self.placing.status(&self.fleet));
         let crashes = self.shared.crashes();
@@ -180,6 +184,7 @@
             open: self.shared.open_requests(),
             nodes: self.shared.nodes(),
             suspects: crashes.len(),
+            limited: self.shared.limits().len(),
             quarantined: crashes.values().filter(|standing| standing.is_quarantined()).count(),
             config_age: now.saturating_sub(self.configs.heard()),
             replicas_age: now.saturating_sub(self.replicas.heard()),
@@ -216,6 +221,7 @@
         self.replicas.compare(&self.placing, from, datagram.replicas_at);
         self.halls.on_told(&mut self.placing, &self.fleet, datagram.closed_halls);
         self.crashes.compare(&self.fleet, from, datagram.crash_digest);
+        self.limits.compare(&self.placing.knowledge, &self.fleet, from, datagram.limits_digest);
         match datagram.message {
             PeerMessage::Probe(id, gossip) => {
                 self.on_gossip(from, &gossip, now);
@@ -238,6 +244,12 @@
             PeerMessage::Replicas(news) => self.replicas.on_news(&mut self.placing, &self.fleet, from, news),
             PeerMessage::Pulse(pulse) => self.on_pulse(pulse),
             PeerMessage::Suspects(told) => self.crashes.on_told(&self.fleet, told),
+            PeerMessage::Limits(told) => self.limits.on_told(&mut self.placing.knowledge, &self.fleet, told),
+            PeerMessage::AskGrant(ask) => {
+                self.limits.on_told(&mut self.placing.knowledge, &self.fleet, vec![ask.limit.clone()]);
+                self.placing.on_ask_grant(from, ask)
+            }
+            PeerMessage::Granted(run, grant) => self.placing.on_granted(&self.fleet, run, grant),
             PeerMessage::NewConfig | PeerMessage::HallsChanged => {}
         }
         self.on_gone(gone);
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -10,6 +10,7 @@
 use leadstage_lib::gateway::cold_start::ColdStarts;
 use leadstage_lib::gateway::cold_start::Giver;
 use leadstage_lib::gateway::evacuation;
+use leadstage_lib::gateway::limit_book::LimitBook;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::LoadBook;
 use leadstage_lib::gateway::load::Run;
@@ -42,6 +43,8 @@
     pub book: LoadBook,
     forecasts: HashMap<ServiceId, RoomForecast>,
     cold: RefCell<ColdStarts>,
+    /// The limits that replicas name.
+    pub limits: RefCell<LimitBook>,
     /// The model services that this node leads.
     led: Vec<ServiceId>,
 }
@@ -56,6 +59,7 @@
             book: LoadBook::new(policy),
             forecasts: HashMap::new(),
             cold: RefCell::new(ColdStarts::new(own)),
+            limits: RefCell::default(),
             led: Vec::new(),
         }
     }
@@ -115,19 +119,31 @@
     }
 
     /// The other nodes that are alive, and the services that this one leads.
-    pub fn on_fleet(&mut self, nodes: impl Iterator<Item = VmId>, led: Vec<ServiceId>) {
-        self.cold.get_mut().set_nodes(nodes);
+    pub fn on_fleet(&mut self, nodes: Vec<VmId>, led: Vec<ServiceId>) {
+        self.limits.get_mut().set_nodes(nodes.len() + 1, self.shared.now());
+        self.cold.get_mut().set_nodes(nodes.into_iter());
         self.led = led;
     }
 
-    /// Whether a replica bears another request of this node: all that are warm do.
+    /// Whether a replica bears another request of this node: all do that are warm and name no limit.
     fn bears_more(&self, replica: &Replica, now: Timestamp) -> bool {
+        let giver = self.giver(&replica.record.service);
+        let mut limits = self.limits.borrow_mut();
+        limits.allows(&replica.record.id, giver, now, &mut rand::rng())
+            && self.is_warm_enough(replica, giver, now)
+    }
+
+    /// Who this node is for a service's replicas.
+    fn giver(&self, service: &ServiceId) -> Giver {
+        if self.led.contains(service) { Giver::Lead } else { Giver::Node }
+    }
+
+    fn is_warm_enough(&self, replica: &Replica, giver: Giver, now: Timestamp) -> bool {
         let service = &replica.record.service;
         let rate = replica.is_cold(now).then(|| self.shared.table()?.service(service)?.cold_rate).flatten();
         let Some(rate) = rate else {
             return true;
         };
-        let giver = if self.led.contains(service) { Giver::Lead } else { Giver::Node };
         let shared = self.shared.bounds().cold.shared(rate);
         self.cold.borrow_mut().allows(&replica.record.id, giver, shared, now)
     }
@@ -153,6 +169,8 @@
         let now = self.shared.now();
         if let Some(replica) = self.replicas.get(id) {
             self.cold.get_mut().on_given(id, now);
+            let giver = if self.led.contains(&replica.record.service) { Giver::Lead } else { Giver::Node };
+            self.limits.get_mut().on_given(id, giver, now, &mut rand::rng());
             self.book.add(key, wanted.at(&replica.record.id), replica, now);
         }
     }
@@ -199,6 +217,7 @@
         self.book.retain_replicas(|id| replicas.get(id).is_some());
         let now = self.shared.now();
         self.cold.get_mut().retain(|id| replicas.get(id).is_some_and(|replica| replica.is_cold(now)));
+        self.limits.get_mut().retain(|id| replicas.get(id).is_some(), now);
     }
 
     /// The replicas of a service that may get requests: they are not known to leave, and their halls are
@@ -208,10 +227,49 @@
         self.replicas.of_service(service).filter(|replica| takes_requests(replica, &halls)).collect()
     }
 
-    /// What who finds no replica with room is told; where all halls of the service are closed, that none
-    /// will have any.
-    pub fn no_room(&self, service: &str) -> NoRoom {
-        NoRoom { expected: self.is_closed(service).then_some(Duration::MAX) }
+    /// What who finds no replica with room is told: where all halls of the service are closed, that none
+    /// will have any; where all replicas name limits, when these have room for one more caller.
+    pub fn no_room(&self, service: &ServiceId) -> NoRoom {
+        if self.is_closed(service) {
+            return NoRoom { expected: Some(Duration::MAX) };
+        }
+        NoRoom { expected: self.has_room_under_limits_after(service) }
+    }
+
+    fn has_room_under_limits_after(&self, service: &ServiceId) -> Option<Duration> {
+        let mut limits = self.limits.borrow_mut();
+        let open = self.open(service);
+        let named: Option<f64> = open.iter().map(|replica| limits.limits.limit(&replica.record.id)).sum();
+        let nodes = if self.giver(service) == Giver::Lead { 1 } else { self.shared.nodes() };
+        let named = named.filter(|_| !open.is_empty())?;
+        Some(limits.comes_back_after(service, named, nodes, self.shared.now()))
+    }
+
+    /// A replica that names a limit and that this node may ask a grant at, for a plain call.
+    pub fn limited_to_ask(&self, wanted: &Wanted) -> Option<Arc<ReplicaRecord>> {
+        if wanted.size.is_some() || self.shared.limits().is_empty() {
+            return None;
+        }
+        let now = self.shared.now();
+        let rng = &mut rand::rng();
+        let mut limits = self.limits.borrow_mut();
+        let mut open = self.open(&wanted.service);
+        open.retain(|replica| {
+            let id = &replica.record.id;
+            replica.is_usable(now) && !wanted.exclude.contains(id) && limits.may_ask(id, now, rng)
+        });
+        open.choose(rng).map(|replica| replica.record.clone())
+    }
+
+    /// Whether a service has a replica that may get a plain call without a grant.
+    pub fn has_unlimited(&self, wanted: &Wanted) -> bool {
+        let limits = self.shared.limits();
+        let now = self.shared.now();
+        let mut open = self.open(&wanted.service).into_iter().filter(|replica| replica.is_usable(now));
+        open.any(|replica| {
+            let id = &replica.record.id;
+            !limits.contains_key(id) && !wanted.exclude.contains(id)
+        })
     }
 
     /// Whether a service has replicas, but none in an open hall.
--- a/node/src/gateway/control/limit_intake.rs
+++ b/node/src/gateway/control/limit_intake.rs
@@ -1,33 +1,92 @@
-//! Takes in the limits that replicas name.
+//! Takes in the limits that replicas name, from this node's own calls and from other nodes, and tells
+//! what is new.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use leadstage_lib::gateway::replica_limits::AnswerTimes;
 use leadstage_lib::gateway::replica_limits::LimitWord;
-use leadstage_lib::gateway::replica_limits::ReplicaLimits;
+use leadstage_lib::gateway::replica_limits::ToldLimit;
 use leadstage_lib::gateway::replica_record::Incarnation;
+use leadstage_lib::ids::Timestamp;
 use log::info;
 
+use crate::gateway::control::knowledge::Knowledge;
+use crate::gateway::peers::fleet::Fleet;
+use crate::gateway::peers::peer_message::PeerMessage;
 use crate::gateway::shared::Shared;
 
-/// The way of limits into this node.
+/// A node that knows other limits than another one tells that one all, no more often than this.
+const TELL_ALL_INTERVAL: Duration = Duration::from_secs(1);
+/// Limits in one message: each takes some 40 bytes, and ids are at most a few times as long as usual.
+const TOLD_AT_ONCE: usize = 100;
+
+/// The way of limits into this node, and on to others.
 pub struct LimitIntake {
     shared: Arc<Shared>,
-    limits: ReplicaLimits,
+    told_all: Option<Timestamp>,
 }
 
 impl LimitIntake {
-    /// None is known yet.
+    /// None has come yet.
     pub fn new(shared: Arc<Shared>) -> Self {
-        LimitIntake { shared, limits: ReplicaLimits::default() }
+        LimitIntake { shared, told_all: None }
     }
 
     /// An answer of a replica came to this node.
-    pub fn on_answer(&mut self, of: &Incarnation, word: LimitWord, times: AnswerTimes) {
-        if self.limits.on_answer(of, word, times) {
-            let limit = self.limits.limit(&of.id);
-            info!(event = "limit_named", upstream = &*of.id, limit:? = limit, asked_ms_ago = (self.shared.now().saturating_sub(times.sent)).as_millis() as u64; "a replica named another limit, or none");
-            self.shared.set_limits(self.limits.in_force());
+    pub fn on_answer(
+        &mut self,
+        knowledge: &mut Knowledge,
+        fleet: &Fleet,
+        of: &Incarnation,
+        word: LimitWord,
+        times: AnswerTimes,
+    ) {
+        let now = self.shared.now();
+        let limits = &mut knowledge.limits.get_mut().limits;
+        if !limits.on_answer(of, word, times) {
+            return;
+        }
+        let limit = limits.limit(&of.id);
+        let asked_ms_ago = now.saturating_sub(times.sent).as_millis() as u64;
+        info!(event = "limit_named", upstream = &*of.id, limit:? = limit, asked_ms_ago; "a replica named another limit, or none");
+        fleet.tell(&PeerMessage::Limits(limits.told(&of.id, now).into_iter().collect()));
+        self.publish(knowledge);
+    }
+
+    /// Another node told some.
+    pub fn on_told(&mut self, knowledge: &mut Knowledge, fleet: &Fleet, told: Vec<ToldLimit>) {
+        let news = knowledge.limits.get_mut().limits.on_told(told, self.shared.now());
+        if news.is_empty() {
+            return;
+        }
+        for told in &news {
+            info!(event = "limit_told", upstream = &*told.replica.id, limit:? = told.limit, said_ms_ago = told.age.as_millis() as u64; "another node told a replica's limit");
+        }
+        self.publish(knowledge);
+        fleet.pass_on(&PeerMessage::Limits(news));
+    }
+
+    /// Another node knows other limits if its digest is another one: it is told all, and does the same.
+    pub fn compare(&mut self, knowledge: &Knowledge, fleet: &Fleet, from: SocketAddr, digest: u64) {
+        let now = self.shared.now();
+        let told_lately = self.told_all.is_some_and(|told_all| now < told_all + TELL_ALL_INTERVAL);
+        if digest == self.shared.limits_digest() || told_lately {
+            return;
+        }
+        self.told_all = Some(now);
+        let all = knowledge.limits.borrow().limits.all(now);
+        for part in all.chunks(TOLD_AT_ONCE) {
+            fleet.send(from, &PeerMessage::Limits(part.to_vec()));
+        }
+    }
+
+    /// Publishes what has changed since, as replicas are gone or have started again.
+    pub fn publish(&self, knowledge: &Knowledge) {
+        let limits = &knowledge.limits.borrow().limits;
+        if limits.digest() != self.shared.limits_digest() {
+            self.shared.set_limits(limits.in_force(), limits.digest());
         }
     }
 }
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -1,6 +1,8 @@
 //! Finds a replica for each request: for plain calls here, for generations at the service's
 //! lead, or here while no lead answers.
 
+mod plain_calls;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,6 +22,7 @@
 use leadstage_lib::status::NodeStatus;
 use log::info;
 
+use crate::gateway::control::grant_questions::GrantQuestions;
 use crate::gateway::control::inventories::Inventories;
 use crate::gateway::control::knowledge::Knowledge;
 use crate::gateway::control::lead_desk;
@@ -58,6 +61,7 @@
     desk: LeadDesk,
     leads: Leads,
     questions: LeadQuestions,
+    grants: GrantQuestions,
     streams: HashMap<RunId, StreamHandle>,
     inventories: Inventories,
     last_run: RunId,
@@ -72,6 +76,7 @@
             desk: LeadDesk::new(shared.settings.policy),
             leads: Leads::default(),
             questions: LeadQuestions::new(shared.clone(), outbox.clone()),
+            grants: GrantQuestions::new(shared.clone(), outbox.clone()),
             shared,
             outbox,
             streams: HashMap::new(),
@@ -94,6 +99,7 @@
         };
         match self.lead_for(fleet, &ask) {
             Some((lead, address)) => self.questions.ask(ask, lead, address),
+            None if ask.wanted.size.is_none() => self.place_plain(fleet, ask, 0),
             None => self.decide_here(ask),
         }
     }
@@ -328,6 +334,7 @@
         let of = replica.record.incarnation();
         info!(event = "replica_restarted", upstream = &**id, born = of.born, streams = streams.len(); "a replica has started again under its id");
         self.knowledge.book.on_restarted(id);
+        self.knowledge.limits.get_mut().limits.forget(id);
         for stream in streams {
             // A stream that has just ended needs no order.
             let _ = stream.orders.send(Order::Lost(of.clone()));
@@ -360,7 +367,7 @@
     pub fn lead(&mut self, fleet: &Fleet) {
         self.settle();
         let led = self.led(fleet);
-        self.knowledge.on_fleet(fleet.alive().cloned(), led.clone());
+        self.knowledge.on_fleet(fleet.alive().cloned().collect(), led.clone());
         for service in led {
             self.rebalance(&service);
         }
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -171,6 +171,6 @@
 pub fn reply(answer: WholeAnswer) -> Reply {
     let mut res = Response::new(Either::Left(Full::new(answer.body)));
     *res.status_mut() = answer.status;
-    *res.headers_mut() = headers::without_hop_by_hop(&answer.headers);
+    *res.headers_mut() = headers::for_caller(&answer.headers);
     res
 }
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -57,7 +57,7 @@
     let (tx, rx) = mpsc::channel(PARTS_WAITING);
     let mut res = Response::new(Either::Right(ChannelBody(rx)));
     *res.status_mut() = exchange.status;
-    *res.headers_mut() = headers::without_hop_by_hop(&exchange.headers);
+    *res.headers_mut() = headers::for_caller(&exchange.headers);
     let leg = Leg { run, exchange: Some(exchange) };
     let relay = Relay::new(traffic.clone(), req, handle, leg, sent, tx);
     tokio::task::spawn_local(async move {
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -39,6 +39,8 @@
     Place(PlaceRequest, PlaceReply),
     /// The lead did not answer within its bound.
     LeadSilent(RunId),
+    /// Whoever grants requests to a replica that names a limit did not answer within its bound.
+    GrantSilent(RunId),
     /// A generation's first event came.
     FirstEvent(RunId),
     /// The copy of a generation to this engine is complete.
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use leadstage_lib::code::Code;
+use leadstage_lib::gateway::limit_grants::Grant;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
@@ -46,6 +47,9 @@
     broken_runs: Counter<u64>,
     suspects: Gauge<u64>,
     quarantined: Gauge<u64>,
+    limited: Gauge<u64>,
+    grants: Counter<u64>,
+    sent_to_limited: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -95,6 +99,15 @@
                 .gauge("leadstage.gateway.suspects", "Requests under which replicas ended lately"),
             quarantined: instruments
                 .gauge("leadstage.gateway.quarantined", "Those of them that are sent to no replica"),
+            limited: instruments.gauge("leadstage.gateway.limited", "Replicas that name a limit"),
+            grants: counter(
+                "leadstage.gateway.grants",
+                "Grants that calls to replicas with a limit asked for, by outcome",
+            ),
+            sent_to_limited: counter(
+                "leadstage.gateway.sent_to_limited",
+                "Requests sent to replicas that name a limit",
+            ),
             routes: Mutex::default(),
             instruments,
         })
@@ -146,6 +159,16 @@
         self.repeats.add(1, &[KeyValue::new("allowed", allowed)]);
     }
 
+    /// A call asked for a grant at a replica that names a limit.
+    pub fn on_grant(&self, outcome: GrantOutcome) {
+        self.grants.add(1, &[KeyValue::new("outcome", outcome.label())]);
+    }
+
+    /// A request is sent to a replica that names a limit.
+    pub fn on_sent_to_limited(&self) {
+        self.sent_to_limited.add(1, &[]);
+    }
+
     /// A connection to a replica was taken.
     pub fn on_connection(&self, reused: bool) {
         self.connections.add(1, &[KeyValue::new("reused", reused)]);
@@ -191,6 +214,7 @@
         self.nodes.record(levels.nodes as u64, &[]);
         self.suspects.record(levels.suspects as u64, &[]);
         self.quarantined.record(levels.quarantined as u64, &[]);
+        self.limited.record(levels.limited as u64, &[]);
         self.config_age.record(levels.config_age.as_secs_f64(), &[]);
         self.replicas_age.record(levels.replicas_age.as_secs_f64(), &[]);
     }
@@ -201,6 +225,32 @@
     }
 }
 
+/// What came of asking for a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GrantOutcome {
+    /// The request may be sent.
+    Granted,
+    /// Not now.
+    Denied,
+    /// No answer came in time.
+    Silent,
+}
+
+impl GrantOutcome {
+    /// What an answer comes to.
+    pub fn of(grant: &Grant) -> Self {
+        if grant.granted { GrantOutcome::Granted } else { GrantOutcome::Denied }
+    }
+
+    fn label(self) -> &'static str {
+        match self {
+            GrantOutcome::Granted => "granted",
+            GrantOutcome::Denied => "denied",
+            GrantOutcome::Silent => "silent",
+        }
+    }
+}
+
 /// Why the store is called.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreCall {
@@ -282,6 +332,8 @@
     pub suspects: usize,
     /// Those of them that are sent to no replica.
     pub quarantined: usize,
+    /// Replicas that name a limit.
+    pub limited: usize,
     /// Time since the configuration came.
     pub config_age: Duration,
     /// Time since news of the replicas.
--- a/node/src/gateway/observability/status.rs
+++ b/node/src/gateway/observability/status.rs
@@ -39,10 +39,18 @@
         pools: led.iter().map(|service| pool(knowledge, service, waiting)).collect(),
         leaving: leaving.map(|replica| replica.record.id.to_string()).collect(),
         quarantined: quarantined(shared),
+        limits: limits(shared),
         closed_halls: shared.closed_halls().halls.iter().map(|hall| hall.to_string()).collect(),
     }
 }
 
+fn limits(shared: &Shared) -> Vec<String> {
+    let limits = shared.limits();
+    let mut lines: Vec<String> = limits.iter().map(|(id, limit)| format!("{id} {limit}/s")).collect();
+    lines.sort();
+    lines
+}
+
 fn quarantined(shared: &Shared) -> Vec<String> {
     let crashes = shared.crashes();
     let quarantined = crashes.iter().filter(|(_, standing)| standing.is_quarantined());
--- a/node/src/gateway/peers/outbox.rs
+++ b/node/src/gateway/peers/outbox.rs
@@ -46,7 +46,9 @@
         let replicas_at = self.shared.replicas_at();
         let closed_halls = (*self.shared.closed_halls()).clone();
         let crash_digest = self.shared.crash_digest();
-        let datagram = Datagram { from, config, replicas_at, closed_halls, crash_digest, message };
+        let limits_digest = self.shared.limits_digest();
+        let datagram =
+            Datagram { from, config, replicas_at, closed_halls, crash_digest, limits_digest, message };
         match postcard::to_stdvec(&datagram) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => match self.socket.try_send_to(&bytes, to) {
                 Ok(sent) => self.shared.metrics.on_peer_bytes(PeerBytes::DatagramsOut, sent),
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -9,8 +9,10 @@
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
 use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::inventory::Inventory;
+use leadstage_lib::gateway::limit_grants::Grant;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::Run;
+use leadstage_lib::gateway::replica_limits::ToldLimit;
 use leadstage_lib::gateway::replica_news::ReplicaNews;
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
@@ -47,6 +49,8 @@
     pub closed_halls: ClosedHalls,
     /// Stands for what the sender knows of requests under which replicas ended.
     pub crash_digest: u64,
+    /// Stands for the limits of replicas that the sender knows.
+    pub limits_digest: u64,
     /// The message.
     pub message: M,
 }
@@ -88,6 +92,12 @@
     HallsChanged,
     /// Requests under which replicas ended. What is new is passed on.
     Suspects(Vec<Suspect>),
+    /// Limits that replicas name, or take back. What is new is passed on.
+    Limits(Vec<ToldLimit>),
+    /// May the sender send a request to a replica that names a limit?
+    AskGrant(AskGrant),
+    /// Whether it may.
+    Granted(RunId, Grant),
 }
 
 /// Names a probe of one node.
@@ -165,6 +175,17 @@
     pub leaves_after: Duration,
 }
 
+/// A request that a node would send to a replica that names a limit.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct AskGrant {
+    /// Names it at the asking node.
+    pub run: RunId,
+    /// The replica's limit, as far as the asking node knows.
+    pub limit: ToldLimit,
+    /// Its urgency; 0 goes first.
+    pub urgency: u8,
+}
+
 /// A watcher's pulse.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Pulse {
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -78,6 +78,7 @@
     replica_list: RwLock<Arc<ReplicaList>>,
     closed_halls: RwLock<Arc<ClosedHalls>>,
     limits: RwLock<Arc<LimitsInForce>>,
+    limits_digest: AtomicU64,
     replicas_at: AtomicU64,
     paces: RwLock<HashMap<ServiceId, f64>>,
 }
@@ -97,6 +98,7 @@
             replica_list: RwLock::default(),
             closed_halls: RwLock::default(),
             limits: RwLock::default(),
+            limits_digest: AtomicU64::new(0),
             replicas_at: AtomicU64::new(0),
             paces: RwLock::default(),
             settings,
@@ -237,8 +239,14 @@
         self.limits.read().expect("no holder panics").clone()
     }
 
-    /// Publishes them.
-    pub fn set_limits(&self, limits: LimitsInForce) {
+    /// Stands for the limits that this node knows.
+    pub fn limits_digest(&self) -> u64 {
+        self.limits_digest.load(Ordering::Relaxed)
+    }
+
+    /// Publishes them, with what stands for them in messages to other nodes.
+    pub fn set_limits(&self, limits: LimitsInForce, digest: u64) {
+        self.limits_digest.store(digest, Ordering::Relaxed);
         *self.limits.write().expect("no holder panics") = Arc::new(limits);
     }
 
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -111,6 +111,7 @@
     /// A request that was sent to `sent` replicas before is about to be sent to one more.
     pub fn on_sending(&self, req: &CallerRequest, replica: &ReplicaRecord, sent: u32) {
         if let Some(limit) = self.shared.limits().get(&replica.id) {
+            self.shared.metrics.on_sent_to_limited();
             info!(event = "sent_to_limited", request = req.id(), upstream = &*replica.id, limit, sent; "a request is sent to a replica that names a limit");
         }
     }
--- a/node/src/status_report.rs
+++ b/node/src/status_report.rs
@@ -31,6 +31,7 @@
         leaving: leaving(&control),
         closed_halls: Vec::new(),
         quarantined: Vec::new(),
+        limits: Vec::new(),
     };
     control.shared.set_status(status);
 }
--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -507,8 +507,9 @@
 pub async fn tell_of_config(from: SocketAddr, version: u64, replicas_at: u64, to: SocketAddr) {
     const NEW_CONFIG: u32 = 14;
     let closed_halls = ClosedHalls::default();
-    let crash_digest = 0_u64;
-    let datagram = postcard::to_stdvec(&(from, version, replicas_at, closed_halls, crash_digest, NEW_CONFIG));
+    let (crash_digest, limits_digest) = (0_u64, 0_u64);
+    let head = (from, version, replicas_at, closed_halls, crash_digest, limits_digest);
+    let datagram = postcard::to_stdvec(&(head, NEW_CONFIG));
     let datagram = datagram.expect("it can be encoded");
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
     socket.send_to(&datagram, to).await.expect("it is sent");
--- a/node/tests/limited_fleet.rs
+++ b/node/tests/limited_fleet.rs
@@ -33,8 +33,14 @@
     pub replicas: Vec<RunningReplica>,
 }
 
-/// Answers of the calls of a load, with when each call was made.
-pub type Answers = Vec<(Instant, Called)>;
+/// The answer to a call of a load.
+#[derive(Debug)]
+pub struct Answer {
+    /// What came.
+    pub called: Called,
+    /// How long it took.
+    pub took: Duration,
+}
 
 impl LimitedFleet {
     /// So many nodes that know each other, and so many replicas.
@@ -62,7 +68,7 @@
         per_second: &[f64],
         lasts: Duration,
         make: impl Fn(&str) -> Request<Full<Bytes>>,
-    ) -> Answers {
+    ) -> Vec<Answer> {
         let began = Instant::now();
         let mut due: Vec<(Duration, usize)> = Vec::new();
         for (node, rate) in per_second.iter().enumerate() {
@@ -74,7 +80,11 @@
         for (n, (at, node)) in due.into_iter().enumerate() {
             tokio::time::sleep_until((began + at).into()).await;
             let (address, req) = (self.gateway.front(node), make(&format!("r-{n}")));
-            calls.spawn(async move { (Instant::now(), call(&address, req).await) });
+            calls.spawn(async move {
+                let began = Instant::now();
+                let called = call(&address, req).await;
+                Answer { called, took: began.elapsed() }
+            });
         }
         calls.join_all().await
     }
@@ -115,8 +125,8 @@
 }
 
 /// Asserts that all calls were served.
-pub fn assert_all_served(answers: &Answers, fleet: &LimitedFleet) {
-    for (_, called) in answers {
+pub fn assert_all_served(answers: &[Answer], fleet: &LimitedFleet) {
+    for Answer { called, .. } in answers {
         assert!(called.status == 200 && called.whole, "{called:?}\n{}", fleet.gateway.logs());
     }
 }
--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -160,6 +160,12 @@
     gateway.call(0, chat("r-2")).await;
     // As another node would.
     read(&gateway.peer(0), "/config").await;
+    bookings.iter().for_each(|running| running.replica.set_limit(Some("100")));
+    let sent_to_limited = async || {
+        gateway.status_of(0, "/read/x", KEY).await;
+        gateway.log(0).contains("event=sent_to_limited")
+    };
+    gateway.until("a replica with a limit gets a call", sent_to_limited).await;
     let metrics = gateway.metrics(0);
     let mut served = Vec::new();
     gateway
--- a/node/tests/test_gateway_replica_limits.rs
+++ b/node/tests/test_gateway_replica_limits.rs
@@ -9,9 +9,12 @@
 //! The evidence: in this test's logs each node hears the limit (`limit_named`), and goes on sending first
 //! attempts there (`sent_to_limited ... sent=0`), at the rate from before.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use leadstage_testutils::gateway_replica::ReplicaFault;
+
 use crate::gateway_environment::BOOKING;
 use crate::gateway_environment::KEY;
 use crate::gateway_environment::MODEL;
@@ -25,6 +28,8 @@
 const NODES: usize = 6;
 /// What is measured once limits bind.
 const MEASURED: Duration = Duration::from_secs(8);
+/// A refusal that needs no waiting comes within this, on a busy machine too.
+const REFUSED_WITHIN: Duration = Duration::from_secs(1);
 
 fn read(id: &str) -> http::Request<http_body_util::Full<bytes::Bytes>> {
     request("GET", "/read/x", KEY, id)
@@ -67,3 +72,93 @@
     fleet.assert_kept(0, 2.0, binds);
     fleet.assert_used(0, 2.0, binds, binds + MEASURED);
 }
+
+/// All replicas are in need: what they take is served, and the rest is refused at once, with a time to come
+/// back.
+#[tokio::test]
+async fn test_what_replicas_in_need_do_not_take_is_refused_at_once() {
+    let fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
+    let limits = [2.0, 3.0, 4.0];
+    for (running, limit) in fleet.replicas.iter().zip(limits) {
+        running.replica.set_limit(Some(&limit.to_string()));
+    }
+    let binds = Instant::now() + BINDS_AFTER;
+    let answers = fleet.load(&[8.0; NODES], BINDS_AFTER + MEASURED, read).await;
+    for (replica, limit) in limits.into_iter().enumerate() {
+        fleet.assert_kept(replica, limit, binds);
+        fleet.assert_used(replica, limit, binds, binds + MEASURED);
+    }
+    let refused: Vec<_> = answers.iter().filter(|answer| answer.called.status != 200).collect();
+    assert!(!refused.is_empty());
+    for answer in refused {
+        assert_eq!(answer.called.status, 503, "{answer:?}");
+        let after: f64 = answer.called.header("retry-after").and_then(|s| s.parse().ok()).expect("a time");
+        assert!(after > 0.0, "{answer:?}");
+        assert!(answer.took < REFUSED_WITHIN, "{answer:?}\n{}", fleet.gateway.logs());
+    }
+}
+
+/// Calls that may be repeated fail at the replica without a limit: their second attempts go to the two in
+/// need, and count there like first ones.
+#[tokio::test]
+async fn test_repeats_count_against_limits() {
+    let fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
+    let limits = [2.0, 3.0];
+    for (running, limit) in fleet.replicas.iter().zip(limits) {
+        running.replica.set_limit(Some(&limit.to_string()));
+    }
+    fleet.replicas[2].replica.set_fault(ReplicaFault::Fails);
+    let binds = Instant::now() + BINDS_AFTER;
+    fleet.load(&[8.0; NODES], BINDS_AFTER + MEASURED, read).await;
+    for (replica, limit) in limits.into_iter().enumerate() {
+        fleet.assert_kept(replica, limit, binds);
+    }
+}
+
+/// The need ends: the first answer without a limit is told to all nodes, whoever gets it.
+#[tokio::test]
+async fn test_a_limit_ends_with_the_need() {
+    let fleet = LimitedFleet::start(BOOKING, NODES, 1).await;
+    fleet.replicas[0].replica.set_limit(Some("1"));
+    fleet.load(&[4.0; NODES], Duration::from_secs(2), read).await;
+    for node in 0..NODES {
+        let names_one = async || fleet.gateway.node_status(node).await.limits == ["booking-1 1/s"];
+        fleet.gateway.until("each node knows the limit", names_one).await;
+    }
+    fleet.replicas[0].replica.set_limit(None);
+    fleet.load(&[4.0; NODES], Duration::from_secs(4), read).await;
+    let answers = fleet.load(&[4.0; NODES], Duration::from_secs(2), read).await;
+    assert_all_served(&answers, &fleet);
+}
+
+/// Whoever grants is killed, and another node takes over with nothing saved up.
+#[tokio::test]
+async fn test_limits_are_kept_while_nodes_are_lost() {
+    let mut fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
+    let limits = [3.0, 4.4];
+    for (running, limit) in fleet.replicas.iter().zip(limits) {
+        running.replica.set_limit(Some(&limit.to_string()));
+    }
+    let binds = Instant::now() + BINDS_AFTER;
+    fleet.load(&[8.0; NODES], BINDS_AFTER, read).await;
+    for node in [1, 4] {
+        Arc::get_mut(&mut fleet.gateway).expect("no other holder").kill(node);
+        let rates: [f64; NODES] = std::array::from_fn(|n| if n == node { 0.0 } else { 8.0 });
+        fleet.load(&rates, Duration::from_secs(6), read).await;
+        Arc::get_mut(&mut fleet.gateway).expect("no other holder").start_again(node);
+        fleet.gateway.until_ready(node).await;
+        fleet.load(&[8.0; NODES], Duration::from_secs(2), read).await;
+    }
+    for (replica, limit) in limits.into_iter().enumerate() {
+        fleet.assert_kept(replica, limit, binds);
+    }
+}
+
+/// What a replica takes from all nodes is not for callers.
+#[tokio::test]
+async fn test_callers_are_not_told_of_limits() {
+    let fleet = LimitedFleet::start(BOOKING, 1, 1).await;
+    fleet.replicas[0].replica.set_limit(Some("5"));
+    let called = fleet.gateway.call(0, read("r-1")).await;
+    assert_eq!((called.status, called.header("server-limit")), (200, None), "{called:?}");
+}
