--- a/lib/src/gateway/limit_book.rs
+++ b/lib/src/gateway/limit_book.rs
@@ -9,6 +9,7 @@
 use crate::gateway::limit_asks::LimitAsks;
 use crate::gateway::limit_grants::GRANTED_PART;
 use crate::gateway::limit_grants::Grant;
+use crate::gateway::limit_grants::Granter;
 use crate::gateway::limit_grants::LimitGrants;
 use crate::gateway::replica_limits::PerSecond;
 use crate::gateway::replica_limits::ReplicaLimits;
@@ -84,9 +85,16 @@
     }
 
     /// A node, perhaps this one, asks for a grant at a replica. One that names no limit needs none.
-    pub fn grant(&mut self, asker: &VmId, replica: &UpstreamId, urgency: u8, now: Timestamp) -> Grant {
+    pub fn grant(
+        &mut self,
+        asker: &VmId,
+        replica: &UpstreamId,
+        as_granter: Granter,
+        urgency: u8,
+        now: Timestamp,
+    ) -> Grant {
         match self.limits.limit(replica) {
-            Some(limit) => self.grants.ask(asker, replica, limit, urgency, now),
+            Some(limit) => self.grants.ask(asker, replica, limit, as_granter, urgency, now),
             None => Grant { granted: true, ask_again_after: Duration::ZERO },
         }
     }
--- a/lib/src/gateway/limit_grants.rs
+++ b/lib/src/gateway/limit_grants.rs
@@ -8,10 +8,10 @@
 //! calls come unevenly, shares leave most of what is named unused, and of a limit of 0.4 a second most
 //! of 66 or 410 nodes have none.
 //!
-//! Nodes may see different fleets, and then two of them grant at once. What bounds that: a node that has just begun to
-//! grant has nothing saved up, a node that has just started grants nothing, and one that sees fewer nodes than a
-//! short time ago grants a smaller part, as the others may be on the far side of a cut with another one
-//! that grants.
+//! Nodes may see different fleets, or get no answer from who grants, and then two of them grant at once. What bounds
+//! that: a node that has just begun to grant has nothing saved up, a node that has just started grants nothing, one
+//! that takes another one for the first grants a quarter, and one that sees fewer nodes than a short time ago grants a
+//! smaller part, as the others may be on the far side of a cut with another one that grants.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -27,6 +27,9 @@
 /// Part of a limit that is granted. The rest is for what nodes send by themselves (`limit_asks`), and for
 /// streams that go on at their engine without being placed anew.
 pub const GRANTED_PART: f64 = 0.85;
+/// Part of that which a node grants that is not the first for a replica: who asks it got no answer from the first
+/// one in time, which may just be slow and grant to others.
+const SUBSTITUTE_PART: f64 = 0.25;
 /// Requests that go to a replica even if it names less: without any, nobody would learn that its need is over. One
 /// in 5 s is within the 5 requests beyond a limit that a replica may get in 4 s.
 pub const LEAST_RATE: PerSecond = 0.2;
@@ -62,6 +65,15 @@
     pub ask_again_after: Duration,
 }
 
+/// Who a node takes itself for that is asked for a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Granter {
+    /// The one that grants what a limit allows.
+    First,
+    /// One that is asked in the first one's place.
+    Substitute,
+}
+
 /// What is saved up for one replica, and who asks.
 #[derive(Debug, Default)]
 struct Account {
@@ -89,9 +101,13 @@
         }
     }
 
-    /// Whether a request of an urgency may be granted to a replica.
+    /// Whether a request of an urgency may be granted to a replica, by the first node.
     pub fn may_grant(&mut self, replica: &UpstreamId, limit: PerSecond, urgency: u8, now: Timestamp) -> bool {
-        let rate = self.rate(limit, now);
+        let rate = self.rate(limit, Granter::First, now);
+        self.is_saved(replica, rate, urgency, now)
+    }
+
+    fn is_saved(&mut self, replica: &UpstreamId, rate: PerSecond, urgency: u8, now: Timestamp) -> bool {
         let account = self.accounts.entry(replica.clone()).or_insert_with(|| Account::new(now));
         account.save(rate, now);
         account.saved >= 1.0 + f64::from(urgency.min(LEAST_URGENT)) * KEPT_FOR_URGENT
@@ -110,25 +126,27 @@
         asker: &VmId,
         replica: &UpstreamId,
         limit: PerSecond,
+        as_granter: Granter,
         urgency: u8,
         now: Timestamp,
     ) -> Grant {
-        let granted = self.may_grant(replica, limit, urgency, now);
+        let rate = self.rate(limit, as_granter, now);
+        let granted = self.is_saved(replica, rate, urgency, now);
         if granted {
             self.on_granted(replica);
         }
-        let rate = self.rate(limit, now);
         let account = self.accounts.entry(replica.clone()).or_default();
         Grant { granted, ask_again_after: account.pause(asker, rate, now) }
     }
 
     /// Grants a second under a limit.
-    fn rate(&self, limit: PerSecond, now: Timestamp) -> PerSecond {
+    fn rate(&self, limit: PerSecond, as_granter: Granter, now: Timestamp) -> PerSecond {
         if now < KNOWS_FLEET_AFTER {
             return 0.0;
         }
         let seen = self.nodes.max(1) as f64 / self.most_nodes.max(1) as f64;
-        (limit * GRANTED_PART).max(LEAST_RATE) * seen
+        let part = if as_granter == Granter::First { 1.0 } else { SUBSTITUTE_PART };
+        (limit * GRANTED_PART).max(LEAST_RATE) * seen * part
     }
 
     /// Forgets replicas that name no limit any more.
--- a/lib/tests/test_gateway_limit_grants.rs
+++ b/lib/tests/test_gateway_limit_grants.rs
@@ -6,6 +6,7 @@
 use leadstage_lib::gateway::limit_asks::LimitAsks;
 use leadstage_lib::gateway::limit_book::LimitBook;
 use leadstage_lib::gateway::limit_grants::Grant;
+use leadstage_lib::gateway::limit_grants::Granter;
 use leadstage_lib::gateway::limit_grants::LimitGrants;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
@@ -74,6 +75,18 @@
     assert!((32..=35).contains(&later), "{later}");
 }
 
+/// The first node may be slow rather than gone, and grant to others at the same time.
+#[test]
+fn test_a_substitute_grants_a_quarter() {
+    let mut grants = six_nodes();
+    let ask = |n: u32| {
+        let at = s(10.0 + 0.01 * f64::from(n));
+        grants.ask(&VmId::from("a"), &replica(), LIMIT, Granter::Substitute, 0, at).granted
+    };
+    let given = (0..2_000).map(ask).filter(|granted| *granted).count();
+    assert!((15..=17).contains(&given), "{given}");
+}
+
 /// While urgent calls take all that the limit allows, others get nothing; as soon as they don't, others do.
 #[test]
 fn test_urgent_requests_go_first() {
@@ -111,8 +124,9 @@
 #[test]
 fn test_pauses_grow_with_the_nodes_that_ask() {
     let mut grants = six_nodes();
-    let mut ask =
-        |asker: &str, at: f64| -> Grant { grants.ask(&VmId::from(asker), &replica(), LIMIT, 0, s(at)) };
+    let mut ask = |asker: &str, at: f64| -> Grant {
+        grants.ask(&VmId::from(asker), &replica(), LIMIT, Granter::First, 0, s(at))
+    };
     let alone = ask("a", 10.0).ask_again_after;
     let both = ask("b", 10.0).ask_again_after;
     assert!((0.09..0.11).contains(&alone.as_secs_f64()), "{alone:?}");
@@ -168,5 +182,5 @@
     let mut rng = StdRng::seed_from_u64(1);
     assert!(book.allows(&replica(), Giver::Node, s(0.0), &mut rng));
     assert!(!book.may_ask(&replica(), s(10.0), &mut rng));
-    assert!(book.grant(&VmId::from("a"), &replica(), 0, s(0.0)).granted);
+    assert!(book.grant(&VmId::from("a"), &replica(), Granter::First, 0, s(0.0)).granted);
 }
--- a/lib/tests/test_gateway_limit_model.rs
+++ b/lib/tests/test_gateway_limit_model.rs
@@ -10,6 +10,7 @@
 
 use leadstage_lib::gateway::cold_start::Giver;
 use leadstage_lib::gateway::limit_book::LimitBook;
+use leadstage_lib::gateway::limit_grants::Granter;
 use leadstage_lib::gateway::replica_limits::AnswerTimes;
 use leadstage_lib::gateway::replica_limits::LimitWord;
 use leadstage_lib::gateway::replica_record::Incarnation;
@@ -48,13 +49,23 @@
     Pause,
     /// Three of ten messages are lost.
     Lossy,
+    /// Whoever grants answers half of the questions too late; another one is asked for them.
+    Slow,
     /// Whoever grants is gone, and noticed after some seconds.
     Lost,
     /// A third of the nodes is cut off from the others, but not from the replica.
     Cut,
 }
 
-const CASES: [Case; 6] = [Case::Even, Case::Uneven, Case::Pause, Case::Lossy, Case::Lost, Case::Cut];
+const CASES: [Case; 7] =
+    [Case::Even, Case::Uneven, Case::Pause, Case::Lossy, Case::Slow, Case::Lost, Case::Cut];
+
+/// Who is asked for a grant.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    granter: usize,
+    as_granter: Granter,
+}
 
 /// How a fleet decides which calls go to the replica.
 trait Way {
@@ -63,7 +74,9 @@
     /// Nodes see another fleet; `seen` is how many each of them sees.
     fn on_fleet(&mut self, seen: impl Fn(usize) -> usize, now: Timestamp);
     /// Whether a call at a node goes to the replica; whoever grants is none if it does not answer.
-    fn takes(&mut self, node: usize, granter: Option<usize>, now: Timestamp, rng: &mut StdRng) -> bool;
+    fn takes(&mut self, node: usize, granter: Option<Asked>, now: Timestamp, rng: &mut StdRng) -> bool;
+    /// Whoever grants answers a question of a node too late, if that may ask.
+    fn is_asked_in_vain(&mut self, node: usize, granter: usize, now: Timestamp, rng: &mut StdRng);
     /// Messages so far.
     fn messages(&self) -> u64;
 }
@@ -100,12 +113,12 @@
         }
     }
 
-    fn takes(&mut self, node: usize, granter: Option<usize>, now: Timestamp, rng: &mut StdRng) -> bool {
+    fn takes(&mut self, node: usize, granter: Option<Asked>, now: Timestamp, rng: &mut StdRng) -> bool {
         if self.books[node].may_ask(&self.replica, now, rng) {
             self.books[node].on_asked(&self.replica, now);
             self.messages += 1;
-            if let Some(granter) = granter {
-                let grant = self.books[granter].grant(&self.names[node], &self.replica, 0, now);
+            if let Some(Asked { granter, as_granter }) = granter {
+                let grant = self.books[granter].grant(&self.names[node], &self.replica, as_granter, 0, now);
                 self.books[node].on_answer(&self.replica, grant.ask_again_after, now);
                 self.messages += 1;
                 if grant.granted {
@@ -121,6 +134,13 @@
         may
     }
 
+    fn is_asked_in_vain(&mut self, node: usize, granter: usize, now: Timestamp, rng: &mut StdRng) {
+        if !self.books[node].may_ask(&self.replica, now, rng) {
+            return;
+        }
+        self.books[granter].grant(&self.names[node], &self.replica, Granter::First, 0, now);
+    }
+
     fn messages(&self) -> u64 {
         self.messages
     }
@@ -142,7 +162,7 @@
         self.seen.iter_mut().enumerate().for_each(|(node, count)| *count = seen(node));
     }
 
-    fn takes(&mut self, node: usize, _granter: Option<usize>, now: Timestamp, _rng: &mut StdRng) -> bool {
+    fn takes(&mut self, node: usize, _granter: Option<Asked>, now: Timestamp, _rng: &mut StdRng) -> bool {
         let rate = self.limit / self.seen[node] as f64;
         let (saved, at) = &mut self.saved[node];
         *saved = (*saved + (now - *at).as_secs_f64() * rate).min(1.0);
@@ -152,6 +172,8 @@
         may
     }
 
+    fn is_asked_in_vain(&mut self, _node: usize, _granter: usize, _now: Timestamp, _rng: &mut StdRng) {}
+
     fn messages(&self) -> u64 {
         0
     }
@@ -190,6 +212,11 @@
         }
         let granter = granter(case, nodes, node, is_troubled, is_noticed);
         let granter = granter.filter(|_| case != Case::Lossy || rng.random_bool(0.49));
+        let mut granter = granter.map(|granter| Asked { granter, as_granter: Granter::First });
+        if case == Case::Slow && rng.random_bool(0.5) {
+            way.is_asked_in_vain(node, 0, Duration::from_secs_f64(now), &mut rng);
+            granter = Some(Asked { granter: 1, as_granter: Granter::Substitute });
+        }
         if way.takes(node, granter, Duration::from_secs_f64(now), &mut rng) {
             arrivals.push(now + rng.random::<f64>() * WAY_S);
         }
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -247,7 +247,7 @@
             PeerMessage::Limits(told) => self.limits.on_told(&mut self.placing.knowledge, &self.fleet, told),
             PeerMessage::AskGrant(ask) => {
                 self.limits.on_told(&mut self.placing.knowledge, &self.fleet, vec![ask.limit.clone()]);
-                self.placing.on_ask_grant(from, ask)
+                self.placing.on_ask_grant(&self.fleet, from, ask)
             }
             PeerMessage::Granted(run, grant) => self.placing.on_granted(&self.fleet, run, grant),
             PeerMessage::NewConfig | PeerMessage::HallsChanged => {}
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -60,6 +60,8 @@
     pub knowledge: Knowledge,
     desk: LeadDesk,
     leads: Leads,
+    /// Who grants for replicas that name limits; one that is slow with a grant may still lead.
+    granters: Leads,
     questions: LeadQuestions,
     grants: GrantQuestions,
     streams: HashMap<RunId, StreamHandle>,
@@ -75,6 +77,7 @@
             knowledge: Knowledge::new(shared.clone(), own.clone()),
             desk: LeadDesk::new(shared.settings.policy),
             leads: Leads::default(),
+            granters: Leads::default(),
             questions: LeadQuestions::new(shared.clone(), outbox.clone()),
             grants: GrantQuestions::new(shared.clone(), outbox.clone()),
             shared,
--- a/node/src/gateway/control/placing/plain_calls.rs
+++ b/node/src/gateway/control/placing/plain_calls.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::limit_grants::Grant;
+use leadstage_lib::gateway::limit_grants::Granter;
 use leadstage_lib::gateway::run_key::RunId;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::ids::VmId;
+use leadstage_lib::rendezvous;
 use log::info;
 
 use crate::gateway::control::grant_questions;
@@ -40,33 +42,37 @@
         let limits = self.knowledge.limits.get_mut();
         limits.on_asked(&replica.id, now);
         let limit = limits.limits.told(&replica.id, now);
-        let granter = self.leads.lead_of(&replica.id, &self.own, fleet.alive(), now).clone();
+        let granter = self.granters.lead_of(&replica.id, &self.own, fleet.alive(), now).clone();
         let address = address_of(&granter).filter(|_| granter != self.own);
         let question = GrantQuestion { ask, replica, granter, tries: tries + 1 };
         match (address, limit) {
             (Some(address), Some(limit)) => self.grants.ask(question, limit, address),
             _ => {
                 let urgency = grant_questions::urgency(&question.ask);
-                let grant = self.grant(&self.own.clone(), &question.replica.id, urgency);
+                let grant = self.grant(fleet, &self.own.clone(), &question.replica.id, urgency);
                 self.on_grant(fleet, question, grant);
             }
         }
     }
 
     /// Another node asks for a grant.
-    pub fn on_ask_grant(&mut self, from: SocketAddr, ask: AskGrant) {
+    pub fn on_ask_grant(&mut self, fleet: &Fleet, from: SocketAddr, ask: AskGrant) {
         let replica = ask.limit.replica.id.clone();
-        let grant = self.grant(&node_id(from), &replica, ask.urgency);
+        let grant = self.grant(fleet, &node_id(from), &replica, ask.urgency);
         self.outbox.send(from, &PeerMessage::Granted(ask.run, grant));
     }
 
-    fn grant(&mut self, asker: &VmId, replica: &UpstreamId, urgency: u8) -> Grant {
+    fn grant(&mut self, fleet: &Fleet, asker: &VmId, replica: &UpstreamId, urgency: u8) -> Grant {
         if self.shared.phase() > Phase::Serving {
             return Grant { granted: false, ask_again_after: ASK_ANOTHER_AFTER };
         }
-        let grant = self.knowledge.limits.get_mut().grant(asker, replica, urgency, self.shared.now());
+        let first = rendezvous::pick(replica, fleet.alive().chain(std::iter::once(&self.own)));
+        let is_first = first.is_none_or(|first| *first == self.own);
+        let as_granter = if is_first { Granter::First } else { Granter::Substitute };
+        let now = self.shared.now();
+        let grant = self.knowledge.limits.get_mut().grant(asker, replica, as_granter, urgency, now);
         if grant.granted {
-            info!(event = "limit_grant", upstream = &**replica, to = &**asker, urgency, pause_ms = grant.ask_again_after.as_millis() as u64; "a request to a replica that names a limit is granted");
+            info!(event = "limit_grant", upstream = &**replica, to = &**asker, urgency, is_first, pause_ms = grant.ask_again_after.as_millis() as u64; "a request to a replica that names a limit is granted");
         }
         grant
     }
@@ -74,7 +80,7 @@
     /// A node that was asked for a grant answered.
     pub fn on_granted(&mut self, fleet: &Fleet, run: RunId, grant: Grant) {
         if let Some(question) = self.grants.take(run) {
-            self.leads.on_answer(&question.granter);
+            self.granters.on_answer(&question.granter);
             self.on_grant(fleet, question, grant);
         }
     }
@@ -86,7 +92,7 @@
         };
         info!(event = "grant_silent", node = &*question.granter, upstream = &*question.replica.id, run; "a node that grants did not answer");
         self.shared.metrics.on_grant(GrantOutcome::Silent);
-        self.leads.on_silence(&question.granter, self.shared.now());
+        self.granters.on_silence(&question.granter, self.shared.now());
         self.place_without(fleet, question);
     }
 
--- a/node/tests/test_gateway_replica_limits.rs
+++ b/node/tests/test_gateway_replica_limits.rs
@@ -28,6 +28,8 @@
 const NODES: usize = 6;
 /// What is measured once limits bind.
 const MEASURED: Duration = Duration::from_secs(8);
+/// A node renews its status each 2 s.
+const STATUS_IS_OLD_AFTER: Duration = Duration::from_millis(2_500);
 /// A refusal that needs no waiting comes within this, on a busy machine too.
 const REFUSED_WITHIN: Duration = Duration::from_secs(1);
 
@@ -162,3 +164,58 @@
     let called = fleet.gateway.call(0, read("r-1")).await;
     assert_eq!((called.status, called.header("server-limit")), (200, None), "{called:?}");
 }
+
+/// Of a limit of 0.4 a second 16 nodes have no whole share each; 7 requests are allowed in 4 s.
+#[tokio::test]
+async fn test_a_limit_below_one_a_second_is_kept_by_many_nodes() {
+    const MANY: usize = 16;
+    let fleet = LimitedFleet::start(BOOKING, MANY, 2).await;
+    fleet.replicas[0].replica.set_limit(Some("0.4"));
+    let binds = Instant::now() + BINDS_AFTER;
+    let answers = fleet.load(&[4.0; MANY], BINDS_AFTER + 2 * MEASURED, read).await;
+    assert_all_served(&answers, &fleet);
+    fleet.assert_kept(0, 0.4, binds);
+    fleet.assert_used(0, 0.4, binds, binds + 2 * MEASURED);
+}
+
+/// All engines are in need: generations wait at the lead for their turn, and who can't begin in time is told at
+/// once.
+#[tokio::test]
+async fn test_generations_wait_for_engines_in_need() {
+    let fleet = LimitedFleet::start(MODEL, NODES, 2).await;
+    let limits = [2.0, 3.0];
+    for (running, limit) in fleet.replicas.iter().zip(limits) {
+        running.replica.set_limit(Some(&limit.to_string()));
+    }
+    let binds = Instant::now() + BINDS_AFTER;
+    let answers = fleet.load(&[2.0; NODES], BINDS_AFTER + MEASURED, chat).await;
+    for (replica, limit) in limits.into_iter().enumerate() {
+        fleet.assert_kept(replica, limit, binds);
+        fleet.assert_used(replica, limit, binds, binds + MEASURED);
+    }
+    for answer in answers {
+        assert!(matches!(answer.called.status, 200 | 503), "{answer:?}\n{}", fleet.gateway.logs());
+    }
+}
+
+/// A long call that was sent before the need is answered while it lasts, and takes nothing back.
+#[tokio::test]
+async fn test_a_late_answer_takes_no_limit_back() {
+    let fleet = LimitedFleet::start(BOOKING, 1, 1).await;
+    let replica = &fleet.replicas[0].replica;
+    replica.set_fault(ReplicaFault::Late(Duration::from_secs(1)));
+    let (gateway, late) = (fleet.gateway.clone(), replica.clone());
+    let early = tokio::spawn(async move { gateway.call(0, read("r-early")).await });
+    fleet.gateway.until("it is there", async || late.running() == 1).await;
+    replica.set_fault(ReplicaFault::None);
+    replica.set_limit(Some("3"));
+    let called = fleet.gateway.call(0, read("r-1")).await;
+    assert_eq!(called.status, 200);
+    replica.set_limit(None);
+    let early = early.await.expect("no panic");
+    assert_eq!(early.status, 200);
+    let names_one = async || fleet.gateway.node_status(0).await.limits == ["booking-1 3/s"];
+    fleet.gateway.until("the node knows the limit", names_one).await;
+    tokio::time::sleep(STATUS_IS_OLD_AFTER).await;
+    assert_eq!(fleet.gateway.node_status(0).await.limits, ["booking-1 3/s"]);
+}
