--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -188,6 +188,17 @@
         self.suspects.get(fingerprint).map(|ends| ends.told(*fingerprint))
     }
 
+    /// Whether anything is known of a request.
+    pub fn knows(&self, fingerprint: &Fingerprint) -> bool {
+        self.suspects.contains_key(fingerprint)
+    }
+
+    /// The requests with so many ends that count, or more.
+    pub fn with_ends(&self, least: usize) -> impl Iterator<Item = &Fingerprint> {
+        let suspected = self.suspects.iter().filter(move |(_, ends)| ends.standing() >= least);
+        suspected.map(|(fingerprint, _)| fingerprint)
+    }
+
     /// Whether all nodes must know of a request.
     pub fn is_agreed_on(&self, fingerprint: &Fingerprint) -> bool {
         self.suspects.get(fingerprint).is_some_and(Ends::are_agreed_on)
--- a/lib/src/gateway/stored_suspects.rs
+++ b/lib/src/gateway/stored_suspects.rs
@@ -134,6 +134,7 @@
         now: Timestamp,
         unix_now: UnixMillis,
     ) -> Vec<StoreWrite> {
+        self.own.retain(|fingerprint| ledger.knows(fingerprint));
         let mut writes = self.keeps(ledger, role);
         writes.extend(self.removals(ledger, unix_now));
         let wanted: HashSet<Fingerprint> = writes.iter().map(StoreWrite::fingerprint).collect();
@@ -145,11 +146,9 @@
 
     fn keeps(&self, ledger: &CrashLedger, role: StoreRole) -> Vec<StoreWrite> {
         let least = if role.is_alone { 1 } else { ENDS_TO_WRITE };
-        let table = ledger.table();
-        let suspected = table.iter().filter(|(_, standing)| standing.ends >= least);
-        let concerns_this_node =
-            suspected.filter(|(fingerprint, _)| role.follows || self.own.contains(*fingerprint));
-        let suspects = concerns_this_node.filter_map(|(fingerprint, _)| ledger.get(fingerprint));
+        let suspected = ledger.with_ends(least);
+        let concerns_this_node = suspected.filter(|of| role.follows || self.own.contains(*of));
+        let suspects = concerns_this_node.filter_map(|fingerprint| ledger.get(fingerprint));
         let is_missing =
             |suspect: &Suspect| !self.kept.get(&suspect.fingerprint).is_some_and(|kept| kept.covers(suspect));
         suspects.filter(is_missing).map(StoreWrite::Keep).collect()
--- a/lib/tests/test_gateway_stored_suspects.rs
+++ b/lib/tests/test_gateway_stored_suspects.rs
@@ -130,3 +130,19 @@
     assert!(stored.on_listed(std::slice::from_ref(&known), 53).is_empty());
     assert!(stored.on_removed(&fingerprint(1), 54));
 }
+
+/// A node that saw a request's ends an hour ago is like any other if it ends replicas again.
+#[test]
+fn test_own_ends_are_forgotten_with_the_request() {
+    let mut node = Node::with_ends(2);
+    node.stored.on_own_end(fingerprint(1));
+    assert_eq!(node.writes(NODE, 0).len(), 1);
+    node.stored.on_write_ended(fingerprint(1), true, Duration::ZERO);
+    let later = KEPT_FOR.as_millis() as u64 + 1;
+    assert!(node.ledger.forget(UNIX + later));
+    assert!(node.writes(NODE, later).is_empty());
+    for n in [5, 6] {
+        node.ledger.on_end(fingerprint(1), replica(n), UNIX + later);
+    }
+    assert!(node.writes(NODE, later + 10_000).is_empty());
+}
--- a/node/src/gateway/control/crash_intake.rs
+++ b/node/src/gateway/control/crash_intake.rs
@@ -162,6 +162,11 @@
             self.stored.on_own_end(fingerprint);
             news.extend(self.ledger.on_end(fingerprint, of.clone(), unix_millis()));
         }
+        self.tell_news(fleet, news);
+    }
+
+    /// Publishes what is news here, and tells other nodes.
+    fn tell_news(&mut self, fleet: &Fleet, news: Vec<Suspect>) {
         if !news.is_empty() {
             self.on_change(&news);
             fleet.tell(&PeerMessage::Suspects(news));
@@ -177,9 +182,8 @@
         let news = self.ledger.clear(fingerprint);
         if !news.is_empty() {
             warn!(event = "request_cleared", fingerprint:% = fingerprint, reason = why; "nothing speaks against a request any more");
-            self.on_change(&news);
-            fleet.tell(&PeerMessage::Suspects(news));
         }
+        self.tell_news(fleet, news);
     }
 
     /// Another node told what it knows.
@@ -228,10 +232,7 @@
             }
         }
         let news = self.ledger.take(told, unix_millis());
-        if !news.is_empty() {
-            self.on_change(&news);
-            fleet.tell(&PeerMessage::Suspects(news));
-        }
+        self.tell_news(fleet, news);
         for fingerprint in removed {
             self.clear(fleet, fingerprint, "its object was removed");
         }
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -139,7 +139,7 @@
         run.end(Outcome::Refused);
         return Attempt::NotRun;
     }
-    match exchanged.whole(&traffic.connections, &replica, req.until()).await {
+    match exchanged.whole(traffic, &replica, req).await {
         Ok(answer) if answer.promises_not_run() => {
             run.end(Outcome::Failed);
             Attempt::Unknown(Code::UpstreamLost)
@@ -150,12 +150,7 @@
             run.end(if is_error { Outcome::Errored } else { Outcome::Answered });
             Attempt::Answer(answer)
         }
-        Err(err) => {
-            if matches!(err, SendError::Cut(_)) {
-                traffic.on_broken_run(req, &replica, None, 0);
-            }
-            failed(req, run, err)
-        }
+        Err(err) => failed(req, run, err),
     }
 }
 
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -28,7 +28,6 @@
 use crate::gateway::upstream::connections::Choice;
 use crate::gateway::upstream::exchange;
 use crate::gateway::upstream::exchange::Exchange;
-use crate::gateway::upstream::exchange::SendError;
 use crate::gateway::upstream::exchange::WholeAnswer;
 use crate::gateway::upstream::leg::Leg;
 use crate::gateway::upstream::relay::Relay;
@@ -172,11 +171,8 @@
         }
         Ok(exchanged) if exchanged.status.is_success() => Attempt::Begun(run, exchanged),
         Ok(exchanged) => {
-            let answer = exchanged.whole(&traffic.connections, &replica, req.until()).await;
+            let answer = exchanged.whole(traffic, &replica, req).await;
             run.end(Outcome::Failed);
-            if matches!(answer, Err(SendError::Cut(_))) {
-                traffic.on_broken_run(req, &replica, None, 0);
-            }
             match answer {
                 Ok(answer) if !answer.promises_not_run() => Attempt::Answered(answer),
                 _ => Attempt::Unknown(Code::UpstreamLost),
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -186,9 +186,22 @@
         framing.iter().any(|name| self.headers.contains_key(name))
     }
 
-    /// Reads the answer to its end until `until`, and keeps the connection if it can be
-    /// used again.
+    /// Reads the answer to a request to its end; one that is cut short is a run that broke.
     pub async fn whole(
+        self,
+        traffic: &Traffic,
+        replica: &ReplicaRecord,
+        req: &CallerRequest,
+    ) -> Result<WholeAnswer, SendError> {
+        let answer = self.read(&traffic.connections, replica, req.until()).await;
+        if matches!(answer, Err(SendError::Cut(_))) {
+            traffic.on_broken_run(req, replica, None, 0);
+        }
+        answer
+    }
+
+    /// Reads it until `until`, and keeps the connection if it can be used again.
+    async fn read(
         self,
         connections: &Connections,
         replica: &ReplicaRecord,
--- a/node/src/gateway/upstream/suspicion.rs
+++ b/node/src/gateway/upstream/suspicion.rs
@@ -10,7 +10,6 @@
 use leadstage_lib::gateway::crash_ledger::Standing;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_platform::health;
-use leadstage_platform::health::Health;
 use log::info;
 use tokio::time::Instant;
 
@@ -93,7 +92,7 @@
             return false;
         };
         let health = health::ask(replica, &service.health_path, HEALTH_LIMIT).await;
-        matches!(health, Health::Well { .. } | Health::Unwell)
+        health.is_answer()
     }
 
     /// Whether a request is sent to no replica.
