tests of limits: one way to name limits and to look at what replicas got

The limit of 0.4 a second is watched for 32 s in place of 16: a grant more or less is a tenth of what is named in 16 s.

--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -167,9 +167,9 @@
     /// A request is at a replica from now on.
     pub fn add(&mut self, key: RunKey, wanted: &Wanted, id: &str) {
         let now = self.shared.now();
+        let giver = self.giver(&wanted.service);
         if let Some(replica) = self.replicas.get(id) {
             self.cold.get_mut().on_given(id, now);
-            let giver = if self.led.contains(&replica.record.service) { Giver::Lead } else { Giver::Node };
             self.limits.get_mut().on_given(id, giver, now, &mut rand::rng());
             self.book.add(key, wanted.at(&replica.record.id), replica, now);
         }
--- a/node/tests/limited_fleet.rs
+++ b/node/tests/limited_fleet.rs
@@ -62,6 +62,14 @@
         LimitedFleet { gateway: Arc::new(gateway), replicas: running }
     }
 
+    /// Has the first replicas name these limits from now on; returns when they bind.
+    pub fn name_limits(&self, limits: &[f64]) -> Instant {
+        for (running, limit) in self.replicas.iter().zip(limits) {
+            running.replica.set_limit(Some(&limit.to_string()));
+        }
+        Instant::now() + BINDS_AFTER
+    }
+
     /// Calls go to the nodes at so many a second each for a time; all answers.
     pub async fn load(
         &self,
@@ -95,28 +103,32 @@
         seen.into_iter().map(|seen| seen.at).filter(|at| *at >= from).collect()
     }
 
-    /// Asserts that a replica got no more in any window than its limit allows.
-    pub fn assert_kept(&self, replica: usize, limit: f64, from: Instant) {
-        let arrivals = self.arrivals(replica, from);
-        let allowed = (limit * OVERSHOOT * WINDOW.as_secs_f64() + SLACK) as usize;
-        let most = arrivals.iter().map(|start| count_within(&arrivals, *start, *start + WINDOW)).max();
-        let most = most.unwrap_or(0);
-        assert!(
-            most <= allowed,
-            "replica {replica} named {limit} a second, got {most} in 4 s, allowed {allowed}\n{}",
-            self.gateway.logs()
-        );
+    /// Asserts that no replica got more in any window than its limit allows.
+    pub fn assert_all_kept(&self, limits: &[f64], from: Instant) {
+        for (replica, limit) in limits.iter().enumerate() {
+            let arrivals = self.arrivals(replica, from);
+            let allowed = (limit * OVERSHOOT * WINDOW.as_secs_f64() + SLACK) as usize;
+            let most = arrivals.iter().map(|start| count_within(&arrivals, *start, *start + WINDOW)).max();
+            let most = most.unwrap_or(0);
+            assert!(
+                most <= allowed,
+                "replica {replica} named {limit} a second, got {most} in 4 s, allowed {allowed}\n{}",
+                self.gateway.logs()
+            );
+        }
     }
 
-    /// Asserts that most of what a replica names was used from one moment to another.
-    pub fn assert_used(&self, replica: usize, limit: f64, from: Instant, until: Instant) {
-        let used = count_within(&self.arrivals(replica, from), from, until) as f64;
-        let named = limit * (until - from).as_secs_f64();
-        assert!(
-            used >= named * LEAST_USED,
-            "replica {replica} takes {named:.1} in this time, got {used}\n{}",
-            self.gateway.logs()
-        );
+    /// Asserts that most of what each replica names was used in a time.
+    pub fn assert_all_used(&self, limits: &[f64], from: Instant, lasts: Duration) {
+        for (replica, limit) in limits.iter().enumerate() {
+            let used = count_within(&self.arrivals(replica, from), from, from + lasts) as f64;
+            let named = limit * lasts.as_secs_f64();
+            assert!(
+                used >= named * LEAST_USED,
+                "replica {replica} takes {named:.1} in this time, got {used}\n{}",
+                self.gateway.logs()
+            );
+        }
     }
 }
 
--- a/node/tests/test_gateway_replica_limits.rs
+++ b/node/tests/test_gateway_replica_limits.rs
@@ -11,7 +11,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use leadstage_testutils::gateway_replica::ReplicaFault;
 
@@ -41,16 +40,11 @@
 async fn check_two_of_three(per_second: &[f64; NODES]) {
     let fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
     let limits = [3.0, 4.4];
-    for (running, limit) in fleet.replicas.iter().zip(limits) {
-        running.replica.set_limit(Some(&limit.to_string()));
-    }
-    let binds = Instant::now() + BINDS_AFTER;
+    let binds = fleet.name_limits(&limits);
     let answers = fleet.load(per_second, BINDS_AFTER + MEASURED, read).await;
     assert_all_served(&answers, &fleet);
-    for (replica, limit) in limits.into_iter().enumerate() {
-        fleet.assert_kept(replica, limit, binds);
-        fleet.assert_used(replica, limit, binds, binds + MEASURED);
-    }
+    fleet.assert_all_kept(&limits, binds);
+    fleet.assert_all_used(&limits, binds, MEASURED);
 }
 
 #[tokio::test]
@@ -67,12 +61,11 @@
 #[tokio::test]
 async fn test_limits_of_engines_are_kept() {
     let fleet = LimitedFleet::start(MODEL, NODES, 3).await;
-    fleet.replicas[0].replica.set_limit(Some("2"));
-    let binds = Instant::now() + BINDS_AFTER;
+    let binds = fleet.name_limits(&[2.0]);
     let answers = fleet.load(&[3.0; NODES], BINDS_AFTER + MEASURED, chat).await;
     assert_all_served(&answers, &fleet);
-    fleet.assert_kept(0, 2.0, binds);
-    fleet.assert_used(0, 2.0, binds, binds + MEASURED);
+    fleet.assert_all_kept(&[2.0], binds);
+    fleet.assert_all_used(&[2.0], binds, MEASURED);
 }
 
 /// All replicas are in need: what they take is served, and the rest is refused at once, with a time to come
@@ -81,15 +74,10 @@
 async fn test_what_replicas_in_need_do_not_take_is_refused_at_once() {
     let fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
     let limits = [2.0, 3.0, 4.0];
-    for (running, limit) in fleet.replicas.iter().zip(limits) {
-        running.replica.set_limit(Some(&limit.to_string()));
-    }
-    let binds = Instant::now() + BINDS_AFTER;
+    let binds = fleet.name_limits(&limits);
     let answers = fleet.load(&[8.0; NODES], BINDS_AFTER + MEASURED, read).await;
-    for (replica, limit) in limits.into_iter().enumerate() {
-        fleet.assert_kept(replica, limit, binds);
-        fleet.assert_used(replica, limit, binds, binds + MEASURED);
-    }
+    fleet.assert_all_kept(&limits, binds);
+    fleet.assert_all_used(&limits, binds, MEASURED);
     let refused: Vec<_> = answers.iter().filter(|answer| answer.called.status != 200).collect();
     assert!(!refused.is_empty());
     for answer in refused {
@@ -106,15 +94,10 @@
 async fn test_repeats_count_against_limits() {
     let fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
     let limits = [2.0, 3.0];
-    for (running, limit) in fleet.replicas.iter().zip(limits) {
-        running.replica.set_limit(Some(&limit.to_string()));
-    }
     fleet.replicas[2].replica.set_fault(ReplicaFault::Fails);
-    let binds = Instant::now() + BINDS_AFTER;
+    let binds = fleet.name_limits(&limits);
     fleet.load(&[8.0; NODES], BINDS_AFTER + MEASURED, read).await;
-    for (replica, limit) in limits.into_iter().enumerate() {
-        fleet.assert_kept(replica, limit, binds);
-    }
+    fleet.assert_all_kept(&limits, binds);
 }
 
 /// The need ends: the first answer without a limit is told to all nodes, whoever gets it.
@@ -138,10 +121,7 @@
 async fn test_limits_are_kept_while_nodes_are_lost() {
     let mut fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
     let limits = [3.0, 4.4];
-    for (running, limit) in fleet.replicas.iter().zip(limits) {
-        running.replica.set_limit(Some(&limit.to_string()));
-    }
-    let binds = Instant::now() + BINDS_AFTER;
+    let binds = fleet.name_limits(&limits);
     fleet.load(&[8.0; NODES], BINDS_AFTER, read).await;
     for node in [1, 4] {
         Arc::get_mut(&mut fleet.gateway).expect("no other holder").kill(node);
@@ -151,9 +131,7 @@
         fleet.gateway.until_ready(node).await;
         fleet.load(&[8.0; NODES], Duration::from_secs(2), read).await;
     }
-    for (replica, limit) in limits.into_iter().enumerate() {
-        fleet.assert_kept(replica, limit, binds);
-    }
+    fleet.assert_all_kept(&limits, binds);
 }
 
 /// What a replica takes from all nodes is not for callers.
@@ -170,12 +148,11 @@
 async fn test_a_limit_below_one_a_second_is_kept_by_many_nodes() {
     const MANY: usize = 16;
     let fleet = LimitedFleet::start(BOOKING, MANY, 2).await;
-    fleet.replicas[0].replica.set_limit(Some("0.4"));
-    let binds = Instant::now() + BINDS_AFTER;
-    let answers = fleet.load(&[4.0; MANY], BINDS_AFTER + 2 * MEASURED, read).await;
+    let binds = fleet.name_limits(&[0.4]);
+    let answers = fleet.load(&[4.0; MANY], BINDS_AFTER + 4 * MEASURED, read).await;
     assert_all_served(&answers, &fleet);
-    fleet.assert_kept(0, 0.4, binds);
-    fleet.assert_used(0, 0.4, binds, binds + 2 * MEASURED);
+    fleet.assert_all_kept(&[0.4], binds);
+    fleet.assert_all_used(&[0.4], binds, 4 * MEASURED);
 }
 
 /// All engines are in need: generations wait at the lead for their turn, and who can't begin in time is told at
@@ -184,15 +161,10 @@
 async fn test_generations_wait_for_engines_in_need() {
     let fleet = LimitedFleet::start(MODEL, NODES, 2).await;
     let limits = [2.0, 3.0];
-    for (running, limit) in fleet.replicas.iter().zip(limits) {
-        running.replica.set_limit(Some(&limit.to_string()));
-    }
-    let binds = Instant::now() + BINDS_AFTER;
+    let binds = fleet.name_limits(&limits);
     let answers = fleet.load(&[2.0; NODES], BINDS_AFTER + MEASURED, chat).await;
-    for (replica, limit) in limits.into_iter().enumerate() {
-        fleet.assert_kept(replica, limit, binds);
-        fleet.assert_used(replica, limit, binds, binds + MEASURED);
-    }
+    fleet.assert_all_kept(&limits, binds);
+    fleet.assert_all_used(&limits, binds, MEASURED);
     for answer in answers {
         assert!(matches!(answer.called.status, 200 | 503), "{answer:?}\n{}", fleet.gateway.logs());
     }
