limits: a replica that has just come into need is left to others for 3 s

Cause: the bound counts some 4 s from 3 s after the limit was named, so its first windows reach back to the usual load. The test failed with the pause at zero.

--- a/lib/src/gateway/replica_limits.rs
+++ b/lib/src/gateway/replica_limits.rs
@@ -28,6 +28,11 @@
 /// A limit that differs from the known one by no more than this part is no news: replicas that measure
 /// their load name another figure in each answer, and all nodes are told of each change.
 const SAME_WITHIN: f64 = 0.05;
+/// A replica that has just come into need has been given what it took before: it is left to others for so
+/// long, where there are others. Where three replicas share 39 requests a second, one that names 3 a second got 20
+/// of them in the second before, and what it takes in 4 s would be exceeded by what else it is granted in the
+/// other three.
+const LEFT_TO_OTHERS_FOR: Duration = Duration::from_secs(3);
 /// A limit that was taken back is remembered for so long, so that nodes which missed that are told.
 const TAKEN_BACK_KEPT: Duration = Duration::from_secs(60);
 
@@ -67,6 +72,8 @@
     born: Born,
     limit: Option<PerSecond>,
     said: Timestamp,
+    /// When the need began, as far as was heard.
+    since: Timestamp,
 }
 
 /// The limits that are in force, by replica.
@@ -111,10 +118,17 @@
         }
         let changed = !is_same(before, limit);
         let limit = if changed { limit } else { before };
-        self.known.insert(of.id.clone(), Known { born: of.born, limit, said });
+        let since = known.filter(|_| before.is_some()).map_or(said, |known| known.since);
+        self.known.insert(of.id.clone(), Known { born: of.born, limit, said, since });
         changed
     }
 
+    /// Whether a replica came into need so lately that it is left to others.
+    pub fn is_left_to_others(&self, replica: &str, now: Timestamp) -> bool {
+        let known = self.known.get(replica).filter(|known| known.limit.is_some());
+        known.is_some_and(|known| now < known.since + LEFT_TO_OTHERS_FOR)
+    }
+
     /// The limit of a replica.
     pub fn limit(&self, replica: &str) -> Option<PerSecond> {
         self.known.get(replica)?.limit
--- a/lib/tests/test_gateway_replica_limits.rs
+++ b/lib/tests/test_gateway_replica_limits.rs
@@ -115,3 +115,17 @@
     limits.retain(|_| false, s(11.0));
     assert_eq!(limits.limit(REPLICA), None);
 }
+
+/// It was given what it took before until a moment ago. Another figure is the same need, another need is not.
+#[test]
+fn test_a_replica_that_comes_into_need_is_left_to_others_for_a_while() {
+    let mut limits = limited();
+    assert!(limits.is_left_to_others(REPLICA, s(12.9)));
+    limits.on_answer(&start(1), LimitWord::Named(2.0), times(11.0, 11.1));
+    assert!(!limits.is_left_to_others(REPLICA, s(13.1)));
+    limits.on_answer(&start(1), LimitWord::NotNamed, times(20.0, 20.1));
+    assert!(!limits.is_left_to_others(REPLICA, s(20.2)));
+    limits.on_answer(&start(1), LimitWord::Named(2.0), times(29.9, 30.0));
+    assert!(limits.is_left_to_others(REPLICA, s(31.0)));
+    assert!(!limits.is_left_to_others("r-2", s(31.0)));
+}
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -198,8 +198,13 @@
     /// no others.
     fn candidates(&self, wanted: &Wanted) -> Vec<&Replica> {
         let now = self.shared.now();
+        let has_others = !self.shared.limits().is_empty() && self.has_unlimited(wanted);
         let mut open = self.open(&wanted.service);
-        open.retain(|replica| !wanted.exclude.contains(&replica.record.id) && self.bears_more(replica, now));
+        open.retain(|replica| {
+            let id = &replica.record.id;
+            let is_left = has_others && self.limits.borrow().limits.is_left_to_others(id, now);
+            !wanted.exclude.contains(id) && !is_left && self.bears_more(replica, now)
+        });
         let usable: Vec<&Replica> = open.iter().filter(|r| r.is_usable(now)).copied().collect();
         if usable.is_empty() { open } else { usable }
     }
@@ -253,15 +258,17 @@
         let now = self.shared.now();
         let rng = &mut rand::rng();
         let mut limits = self.limits.borrow_mut();
+        let has_others = self.has_unlimited(wanted);
         let mut open = self.open(&wanted.service);
         open.retain(|replica| {
             let id = &replica.record.id;
-            replica.is_usable(now) && !wanted.exclude.contains(id) && limits.may_ask(id, now, rng)
+            let is_left = has_others && limits.limits.is_left_to_others(id, now);
+            replica.is_usable(now) && !wanted.exclude.contains(id) && !is_left && limits.may_ask(id, now, rng)
         });
         open.choose(rng).map(|replica| replica.record.clone())
     }
 
-    /// Whether a service has a replica that may get a plain call without a grant.
+    /// Whether a request may go to a replica that names no limit, should that have room.
     pub fn has_unlimited(&self, wanted: &Wanted) -> bool {
         let limits = self.shared.limits();
         let now = self.shared.now();
--- a/node/tests/test_gateway_replica_limits.rs
+++ b/node/tests/test_gateway_replica_limits.rs
@@ -57,6 +57,23 @@
     check_two_of_three(&[30.0, 0.0, 0.0, 1.0, 8.0, 0.0]).await;
 }
 
+/// One of three replicas comes into need under its usual load, 55 requests a second. Windows that reach
+/// back to before count too: with what it names granted at once it gets some 86 in 4 s, of 77 allowed.
+#[tokio::test]
+async fn test_a_replica_that_comes_into_need_is_left_to_others_at_first() {
+    let fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
+    let limits = [12.0];
+    let (answers, binds) =
+        tokio::join!(fleet.load(&[27.5; NODES], 2 * BINDS_AFTER + MEASURED, read), async {
+            tokio::time::sleep(BINDS_AFTER).await;
+            fleet.name_limits(&limits)
+        });
+    assert_all_served(&answers, &fleet);
+    let named = binds - BINDS_AFTER;
+    fleet.assert_all_kept(&limits, named - Duration::from_secs(1));
+    fleet.assert_all_used(&limits, binds, MEASURED);
+}
+
 /// Generations come through the lead of their model, which no other node goes around.
 #[tokio::test]
 async fn test_limits_of_engines_are_kept() {
