what generations wait for: a line at the lead, its split and plot in report losses

Cause: report losses told that late streams had waited, not for what. The lead adds up what the first in its queue lacked (engines that take requests, reading, memory), and tells it for each that waited. The drawing of lines stands once (plot.rs).

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -31,7 +31,7 @@
   leadstage explain ID --node IP:PORT [--node IP:PORT ...]
   leadstage explain ID --logs FILE [--logs FILE ...]
   leadstage report burn --node IP:PORT [--node IP:PORT ...] [--plot FILE.svg]
-  leadstage report losses --logs FILE [--logs FILE ...]
+  leadstage report losses FILE [FILE ...] [--plot FILE.svg]
 
   --format text|json   how to print (text by default)
   --node IP:PORT       a node's admin port; give each node of the fleet
@@ -118,7 +118,7 @@
     /// Explain a gateway's request from logs.
     ExplainLogs(String, Vec<PathBuf>),
     /// Report what became of a gateway's streams, from logs.
-    Losses(Vec<PathBuf>),
+    Losses(Vec<PathBuf>, Option<PathBuf>),
     /// Report the burn.
     Burn(Vec<SocketAddr>, Option<PathBuf>),
 }
@@ -213,8 +213,14 @@
             Ok(Command::ExplainLogs(id.to_owned(), options.logs.clone()))
         }
         ["explain", id] => Ok(Command::Explain(id.to_owned(), nodes()?)),
-        ["report", "losses"] if !options.logs.is_empty() => Ok(Command::Losses(options.logs.clone())),
-        ["report", "losses"] => Err(CliError::Missing("--logs FILE")),
+        ["report", "losses", ref files @ ..] => {
+            let logs: Vec<PathBuf> =
+                options.logs.iter().cloned().chain(files.iter().map(PathBuf::from)).collect();
+            if logs.is_empty() {
+                return Err(CliError::Missing("FILE"));
+            }
+            Ok(Command::Losses(logs, options.plot.clone()))
+        }
         ["report", "burn"] => Ok(Command::Burn(nodes()?, options.plot.clone())),
         [] => Err(CliError::Missing("a command")),
         _ => Err(lexopt::Error::from(format!("unknown command: {}", words.join(" "))).into()),
--- a/cli/src/burn_command.rs
+++ b/cli/src/burn_command.rs
@@ -10,15 +10,15 @@
 use leadstage_lib::burn::BurnLine;
 use leadstage_lib::burn::Indicator;
 use leadstage_lib::status::BurnStatus;
-use plotters::prelude::*;
 
 use crate::args::Format;
 use crate::error::CliError;
+use crate::plot;
+use crate::plot::Frame;
+use crate::plot::Series;
 use crate::status_command;
 use crate::table::Table;
 
-/// Size of the plot in pixels.
-const PLOT_SIZE: (u32, u32) = (960, 480);
 /// Minutes on the plot.
 const PLOT_MINUTES: u64 = 60;
 
@@ -34,7 +34,7 @@
     }
     let minute = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs() / 60;
     if let Some(path) = plot {
-        draw(path, &counts, &levels, minute).map_err(|err| CliError::Plot(err.to_string()))?;
+        draw(path, &counts, &levels, minute)?;
     }
     let lines = counts.report(&levels, minute);
     Ok(match format {
@@ -66,37 +66,20 @@
 }
 
 /// Draws the burn of each minute of the last hour.
-fn draw(
-    path: &Path,
-    counts: &BurnCounts,
-    levels: &ServiceLevels,
-    minute: u64,
-) -> Result<(), Box<dyn std::error::Error>> {
+fn draw(path: &Path, counts: &BurnCounts, levels: &ServiceLevels, minute: u64) -> Result<(), CliError> {
     let first = minute.saturating_sub(PLOT_MINUTES - 1);
-    let series: Vec<(Indicator, Vec<(f64, f64)>)> =
-        Indicator::ALL.iter().map(|i| (*i, by_minute(counts, levels, *i, first..=minute))).collect();
-    let values = series.iter().flat_map(|(_, points)| points.iter().map(|p| p.1));
-    let most = values.fold(1.0, f64::max) * 1.1;
-    let area = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
-    area.fill(&WHITE)?;
-    let minutes = -(PLOT_MINUTES as f64)..0.0;
-    let mut chart = ChartBuilder::on(&area)
-        .margin(12)
-        .caption("Service-level burn by minute (above 1 the budget shrinks)", ("sans-serif", 18))
-        .x_label_area_size(36)
-        .y_label_area_size(48)
-        .build_cartesian_2d(minutes, 0.0..most)?;
-    chart.configure_mesh().x_desc("minutes ago").y_desc("burn").draw()?;
-    for (at, (indicator, points)) in series.into_iter().enumerate() {
-        let colour = Palette99::pick(at).to_rgba();
-        chart
-            .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
-            .label(indicator.name())
-            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
-    }
-    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
-    area.present()?;
-    Ok(())
+    let series = |indicator: &Indicator| Series {
+        name: indicator.name().to_owned(),
+        points: by_minute(counts, levels, *indicator, first..=minute),
+    };
+    let frame = Frame {
+        caption: "Service-level burn by minute (above 1 the budget shrinks)",
+        x_label: "minutes ago",
+        y_label: "burn",
+        x: (-(PLOT_MINUTES as f64), 0.0),
+        least_top: 1.0,
+    };
+    plot::write(path, &frame, Indicator::ALL.iter().map(series).collect())
 }
 
 fn by_minute(
--- a/cli/src/late_streams.rs
+++ b/cli/src/late_streams.rs
@@ -1,11 +1,13 @@
 //! Why streams came whole and late: for how long they waited or were read, or a gap in them.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use serde::Serialize;
 
 use crate::log_lines;
 use crate::log_lines::Line;
+use crate::plot::Series;
 use crate::table::Table;
 
 /// Late streams of a route that began in one moment, each counted once.
@@ -13,7 +15,14 @@
 pub struct LateStreams {
     route: String,
     from_s: i64,
-    /// Their first events would have been in time without their wait for an engine.
+    /// Their first events would have been in time without their wait for an engine, which was for memory for
+    /// most of that time.
+    waited_memory: usize,
+    /// The same for an engine that reads soon.
+    waited_reading: usize,
+    /// The same for an engine that takes requests at all.
+    waited_engines: usize,
+    /// The same where no lead tells what was short.
     waited: usize,
     /// Their prompts were read too late, whatever they waited before.
     read_late: usize,
@@ -23,19 +32,28 @@
     gap_and_moved: usize,
 }
 
+/// Picks a count of a row.
+type Counter = fn(&mut LateStreams) -> &mut usize;
+
+/// Reads a count of a row.
+type CountOf = fn(&LateStreams) -> usize;
+
 /// Counts them by route and by moments of `moment_ms`.
 pub fn late_streams(lines: &[Line], moment_ms: i64) -> Vec<LateStreams> {
     let ends: BTreeMap<&str, &Line> = log_lines::events(lines, "stream_end")
         .filter(|line| line.get("end") == "done")
         .map(|line| (line.get("request"), line))
         .collect();
+    let waits: HashMap<(&str, &str), &Line> =
+        log_lines::events(lines, "waited").map(|line| ((line.get("entry"), line.get("run")), line)).collect();
     let first = lines.iter().map(|line| line.at_ms).min().unwrap_or(0);
     let mut late: BTreeMap<(&str, i64), LateStreams> = BTreeMap::new();
     for begin in log_lines::events(lines, "stream_begins") {
         let Some(end) = ends.get(begin.get("request")) else {
             continue;
         };
-        let Some(count) = counter(begin, end) else {
+        let wait = waits.get(&(begin.get("entry"), begin.get("run"))).copied();
+        let Some(count) = counter(begin, end, wait) else {
             continue;
         };
         let began_ms = begin.at_ms - begin.number("head_ms") as i64;
@@ -52,7 +70,7 @@
 }
 
 /// What a stream counts as; `None` if it was in time, or its lines don't say when it was due.
-fn counter(begin: &Line, end: &Line) -> Option<fn(&mut LateStreams) -> &mut usize> {
+fn counter(begin: &Line, end: &Line, wait: Option<&Line>) -> Option<Counter> {
     let (due, gap_due) = (begin.number("due_ms"), begin.number("gap_due_ms"));
     let (first_event, waited) = (end.number("first_ms"), begin.number("placed_ms"));
     if due == 0.0 {
@@ -60,7 +78,7 @@
     }
     if first_event > due {
         return Some(if first_event - waited <= due {
-            |row| &mut row.waited
+            what_was_short(wait)
         } else {
             |row| &mut row.read_late
         });
@@ -71,13 +89,52 @@
     Some(if end.number("moves") > 0.0 { |row| &mut row.gap_and_moved } else { |row| &mut row.gap })
 }
 
+/// What a stream waited for during most of its wait.
+fn what_was_short(wait: Option<&Line>) -> Counter {
+    let parts: [(&str, Counter); 3] = [
+        ("memory_ms", |row| &mut row.waited_memory),
+        ("reading_ms", |row| &mut row.waited_reading),
+        ("engines_ms", |row| &mut row.waited_engines),
+    ];
+    let of = |line: &Line| parts.map(|(key, counter)| (line.number(key), counter));
+    let longest = wait.and_then(|line| of(line).into_iter().max_by(|(a, _), (b, _)| a.total_cmp(b)));
+    longest.filter(|(time, _)| *time > 0.0).map_or(|row| &mut row.waited, |(_, counter)| counter)
+}
+
+/// The causes of being late, as tables and plots name them.
+const CAUSES: [(&str, CountOf); 7] = [
+    ("for memory", |row| row.waited_memory),
+    ("for reading", |row| row.waited_reading),
+    ("for engines", |row| row.waited_engines),
+    ("waited", |row| row.waited),
+    ("read late", |row| row.read_late),
+    ("gap", |row| row.gap),
+    ("gap, moved", |row| row.gap_and_moved),
+];
+
+/// As lines of a plot: late streams of all routes by moment, for each cause that there is.
+pub fn series(rows: &[LateStreams]) -> impl Iterator<Item = Series> {
+    let of_cause = |(name, count): (&str, CountOf)| {
+        let mut points: BTreeMap<i64, usize> = rows.iter().map(|row| (row.from_s, 0)).collect();
+        for row in rows {
+            *points.entry(row.from_s).or_default() += count(row);
+        }
+        let points = points.into_iter().map(|(from_s, late)| (from_s as f64, late as f64)).collect();
+        Series { name: format!("late: {name}"), points }
+    };
+    let series = CAUSES.into_iter().map(of_cause);
+    series.filter(|series| series.points.iter().any(|(_, late)| *late > 0.0)).collect::<Vec<_>>().into_iter()
+}
+
 /// As a table.
 pub fn table(rows: &[LateStreams]) -> Table {
-    let mut table = Table::new(&["LATE ON ROUTE", "FROM S", "WAITED", "READ LATE", "GAP", "GAP, MOVED"]);
+    let causes = CAUSES.map(|(name, _)| name.to_uppercase());
+    let headings: Vec<&str> =
+        ["LATE ON ROUTE", "FROM S"].into_iter().chain(causes.iter().map(String::as_str)).collect();
+    let mut table = Table::new(&headings);
     for row in rows {
-        let [waited, read_late, gap, gap_and_moved] =
-            [row.waited, row.read_late, row.gap, row.gap_and_moved].map(|n| n.to_string());
-        table.row([row.route.clone(), row.from_s.to_string(), waited, read_late, gap, gap_and_moved]);
+        let named = [row.route.clone(), row.from_s.to_string()];
+        table.row(named.into_iter().chain(CAUSES.map(|(_, count)| count(row).to_string())));
     }
     table
 }
--- a/cli/src/losses_command.rs
+++ b/cli/src/losses_command.rs
@@ -1,8 +1,9 @@
-//! `leadstage report losses --logs FILE`: what became of the streams that gateway nodes served, by
+//! `leadstage report losses FILE`: what became of the streams that gateway nodes served, by
 //! route, cause and moment, where their time went, why some were late, and the calls to the store.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::path::Path;
 use std::path::PathBuf;
 
 use derive_more::Display;
@@ -15,6 +16,9 @@
 use crate::log_lines;
 use crate::log_lines::Line;
 use crate::log_lines::events;
+use crate::plot;
+use crate::plot::Frame;
+use crate::plot::Series;
 use crate::store_calls;
 use crate::store_calls::StoreCalls;
 use crate::table::Table;
@@ -100,13 +104,16 @@
     store_calls: Vec<StoreCalls>,
 }
 
-/// Reports from log files, one for each node.
-pub fn losses(files: &[PathBuf], format: Format) -> Result<String, CliError> {
+/// Reports from log files, one for each node, and draws the moments if a file for that is named.
+pub fn losses(files: &[PathBuf], plot: Option<&Path>, format: Format) -> Result<String, CliError> {
     let lines = log_lines::read_all(files)?;
     let report = report(&lines);
     if report.fates.is_empty() {
         return Err(CliError::Missing("a line about a stream in these logs"));
     }
+    if let Some(path) = plot {
+        draw(path, &report)?;
+    }
     Ok(match format {
         Format::Json => {
             format!("{}\n", serde_json::to_string_pretty(&report).expect("plain data serialises"))
@@ -225,6 +232,29 @@
     moments.into_values().collect()
 }
 
+/// Draws how many streams began, were lost or late in each moment, and why.
+fn draw(path: &Path, report: &Report) -> Result<(), CliError> {
+    let last = report.moments.last().map_or(1, |moment| moment.from_s.max(1));
+    let frame = Frame {
+        caption: "Streams by the moment when they began",
+        x_label: "seconds of the logs",
+        y_label: "streams",
+        x: (0.0, last as f64),
+        least_top: 1.0,
+    };
+    let line = |name: &str, count: fn(&Moment) -> usize| Series {
+        name: name.to_owned(),
+        points: report.moments.iter().map(|row| (row.from_s as f64, count(row) as f64)).collect(),
+    };
+    let mut series = vec![
+        line("begun", |row| row.begun),
+        line("lost", |row| row.lost),
+        line("refused", |row| row.refused),
+    ];
+    series.extend(late_streams::series(&report.late));
+    plot::write(path, &frame, series)
+}
+
 fn render(report: &Report) -> String {
     let mut fates = Table::new(&["ROUTE", "BECAME", "STREAMS"]);
     for row in &report.fates {
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -10,6 +10,7 @@
 mod late_streams;
 mod log_lines;
 mod losses_command;
+mod plot;
 mod status_command;
 mod store_calls;
 mod table;
@@ -62,7 +63,7 @@
         Command::Status(nodes) => status_command::status(&nodes, format).await,
         Command::Explain(id, nodes) => status_command::explain(&id, &nodes, format).await,
         Command::ExplainLogs(id, files) => explain_logs::explain(&id, &files, format),
-        Command::Losses(files) => losses_command::losses(&files, format),
+        Command::Losses(files, plot) => losses_command::losses(&files, plot.as_deref(), format),
         Command::Burn(nodes, plot) => burn_command::burn(&nodes, plot.as_deref(), format).await,
     }
 }
--- a/cli/src/table.rs
+++ b/cli/src/table.rs
@@ -13,8 +13,8 @@
     }
 
     /// Adds a row.
-    pub fn row<const N: usize>(&mut self, cells: [String; N]) {
-        self.rows.push(cells.into());
+    pub fn row(&mut self, cells: impl IntoIterator<Item = String>) {
+        self.rows.push(cells.into_iter().collect());
     }
 
     /// The table as text, with a line end after each row.
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -35,6 +35,7 @@
 pub mod room_forecast;
 pub mod routing;
 pub mod run_key;
+pub mod shortage;
 pub mod sound_runs;
 pub mod stored_suspects;
 pub mod token_pace;
--- /dev/null
+++ b/lib/tests/test_gateway_shortage.rs
@@ -0,0 +1,27 @@
+//! What the first one that waits for an engine lacks, over time.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::shortage::Shortage;
+use leadstage_lib::gateway::shortage::ShortageClock;
+use leadstage_lib::gateway::shortage::ShortageTimes;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Who comes later waits for less, and time before anything was short is nobody's.
+#[test]
+fn test_times_are_split_by_what_was_short() {
+    let mut clock = ShortageClock::default();
+    assert_eq!(clock.times(ms(500)), ShortageTimes::default());
+    clock.set(Shortage::Reading, ms(1_000));
+    let first = ShortageTimes::default();
+    let second = clock.times(ms(1_100));
+    clock.set(Shortage::Memory, ms(1_200));
+    clock.set(Shortage::Engines, ms(1_500));
+    let end = clock.times(ms(1_900));
+    assert_eq!(end.since(&first), ShortageTimes { reading: ms(200), memory: ms(300), engines: ms(400) });
+    assert_eq!(end.since(&second), ShortageTimes { reading: ms(100), memory: ms(300), engines: ms(400) });
+    assert_eq!(end.since(&first).sum(), ms(900));
+}
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::gateway::choice::EngineChoice;
 use leadstage_lib::gateway::choice::EngineRequest;
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
 use leadstage_lib::gateway::cold_start::ColdStarts;
@@ -21,6 +22,7 @@
 use leadstage_lib::gateway::routing::EngineTraits;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::run_key::RunKey;
+use leadstage_lib::gateway::shortage::Shortage;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::Timestamp;
@@ -71,7 +73,12 @@
 
     /// The best replica for a request, if one has room; for a generation that `may_wait`, if one reads
     /// it soon.
-    pub fn choose(&self, key: &RunKey, wanted: &Wanted, may_wait: bool) -> Option<Arc<ReplicaRecord>> {
+    pub fn choose(
+        &self,
+        key: &RunKey,
+        wanted: &Wanted,
+        may_wait: bool,
+    ) -> Result<Arc<ReplicaRecord>, Shortage> {
         let traits = self.engine_traits(&wanted.service);
         match (&traits, wanted.size) {
             (Some(traits), Some(size)) => self.choose_engine(key, wanted, traits, size, may_wait),
@@ -79,7 +86,7 @@
                 let candidates = self.candidates(wanted).into_iter();
                 let now = self.shared.now();
                 let chosen = self.book.choose_plain(candidates, &wanted.hall, now, &mut rand::rng());
-                chosen.map(|replica| replica.record.clone())
+                chosen.map(|replica| replica.record.clone()).ok_or(Shortage::Engines)
             }
         }
     }
@@ -91,14 +98,13 @@
         traits: &EngineTraits,
         size: GenerationSize,
         may_wait: bool,
-    ) -> Option<Arc<ReplicaRecord>> {
+    ) -> Result<Arc<ReplicaRecord>, Shortage> {
         let now = self.shared.now();
-        let mut candidates = self.candidates(wanted);
-        let engines = candidates.len();
-        if may_wait {
-            candidates.retain(|replica| self.book.reads_soon(&replica.record.id, now));
-        }
-        let candidates = sample(candidates, &wanted.hall);
+        let open = self.candidates(wanted);
+        let engines = open.len();
+        let reads_soon = |replica: &&Replica| self.book.reads_soon(&replica.record.id, now);
+        let candidates: Vec<&Replica> =
+            open.iter().copied().filter(|replica| !may_wait || reads_soon(replica)).collect();
         let request = EngineRequest {
             size,
             engine: traits,
@@ -106,9 +112,25 @@
             produced: wanted.produced,
             moves: wanted.from.is_some(),
         };
-        let choice = self.book.choose_engine(candidates.into_iter(), &request, now, &mut rand::rng())?;
+        let Some(choice) = self.best_engine(candidates, &request, now) else {
+            return Err(match engines {
+                0 => Shortage::Engines,
+                _ if self.best_engine(open, &request, now).is_some() => Shortage::Reading,
+                _ => Shortage::Memory,
+            });
+        };
         info!(event = "engine_chosen", run = key.run, entry = &*key.entry, upstream = &*choice.replica.record.id, service = &*wanted.service, prompt = size.prompt, expected = size.expected, produced = wanted.produced, engines, runs = choice.runs, fill:% = format_args!("{:.2}", choice.fill), wait_ms = choice.wait.as_millis() as u64, cost_ms:% = format_args!("{:.0}", choice.cost); "engine chosen");
-        Some(choice.replica.record.clone())
+        Ok(choice.replica.record.clone())
+    }
+
+    fn best_engine<'a>(
+        &self,
+        candidates: Vec<&'a Replica>,
+        request: &EngineRequest<'_>,
+        now: Timestamp,
+    ) -> Option<EngineChoice<'a>> {
+        let considered = sample(candidates, request.hall).into_iter();
+        self.book.choose_engine(considered, request, now, &mut rand::rng())
     }
 
     /// Whether the engine that a generation moves away from can start another copy; a new
--- a/node/src/gateway/control/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -13,11 +13,15 @@
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::run_key::RunKey;
+use leadstage_lib::gateway::shortage::Shortage;
+use leadstage_lib::gateway::shortage::ShortageClock;
+use leadstage_lib::gateway::shortage::ShortageTimes;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::gateway::waiting::Waiting;
 use leadstage_lib::gateway::waiting::WaitingRoom;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
+use log::info;
 
 use crate::gateway::control::knowledge::Knowledge;
 use crate::gateway::messages::PlaceReply;
@@ -82,11 +86,25 @@
     From(UpstreamId),
 }
 
+/// Those that wait in one place.
+#[derive(Default)]
+struct Queue {
+    room: WaitingRoom<Queued>,
+    shortage: ShortageClock,
+}
+
+/// One that waits.
+struct Queued {
+    ask: Ask,
+    /// What had been short in its queue when it came.
+    from: ShortageTimes,
+}
+
 /// The services that this node leads.
 #[derive(Default)]
 pub struct LeadDesk {
     policy: Policy,
-    rooms: HashMap<Room, WaitingRoom<Ask>>,
+    rooms: HashMap<Room, Queue>,
     rebalancers: HashMap<ServiceId, Rebalancer>,
 }
 
@@ -101,44 +119,61 @@
         let waits =
             if ask.wanted.from.is_some() { self.policy.copy_turns } else { self.policy.wait_for_room };
         if ask.patience.is_zero() || !waits {
-            return Outcome::Decided(decide(knowledge, ask, MayWait::No));
+            return Outcome::Decided(match choose(knowledge, &ask, MayWait::No) {
+                Ok(replica) => Decision { ask, chosen: Ok(replica) },
+                Err(_) => {
+                    let no_room = knowledge.no_room(&ask.wanted.service);
+                    Decision { ask, chosen: Err(no_room) }
+                }
+            });
         }
-        let room = self.rooms.entry(room_of(&ask)).or_default();
-        if !room.lets_pass(ask.priority, now) {
-            return wait(room, knowledge, ask, now);
+        let queue = self.rooms.entry(room_of(&ask)).or_default();
+        if !queue.room.lets_pass(ask.priority, now) {
+            return wait(queue, knowledge, ask, now);
         }
-        let decision = decide(knowledge, ask, MayWait::Yes);
-        match decision.chosen {
-            Ok(_) => {
-                room.on_passed();
-                Outcome::Decided(decision)
+        match choose(knowledge, &ask, MayWait::Yes) {
+            Ok(replica) => {
+                queue.room.on_passed();
+                Outcome::Decided(Decision { ask, chosen: Ok(replica) })
+            }
+            Err(shortage) => {
+                queue.shortage.set(shortage, now);
+                wait(queue, knowledge, ask, now)
             }
-            Err(_) => wait(room, knowledge, decision.ask, now),
         }
     }
 
     /// Answers those that can go on now, and those that can't be expected to begin in time.
     pub fn settle(&mut self, knowledge: &mut Knowledge, now: Timestamp) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        for (name, room) in &mut self.rooms {
-            while let Some(Waiting { item, priority, due, until, tokens }) = room.pop(now) {
-                let decision = decide(knowledge, item, MayWait::Yes);
-                if decision.chosen.is_err() {
-                    room.put_back(Waiting { item: decision.ask, priority, due, until, tokens });
-                    break;
+        for (name, queue) in &mut self.rooms {
+            let times = queue.shortage.times(now);
+            while let Some(first) = queue.room.pop(now) {
+                match choose(knowledge, &first.item.ask, MayWait::Yes) {
+                    Ok(replica) => {
+                        log_wait(&first.item, &times, true);
+                        decisions.push(Decision { ask: first.item.ask, chosen: Ok(replica) });
+                    }
+                    Err(shortage) => {
+                        queue.shortage.set(shortage, now);
+                        queue.room.put_back(first);
+                        break;
+                    }
                 }
-                decisions.push(decision);
             }
-            let lost = room.lost(now, |tokens| expected(knowledge, name, tokens, now));
-            decisions.extend(lost.into_iter().map(|(ask, expected)| refusal(ask, expected)));
+            let lost = queue.room.lost(now, |tokens| expected(knowledge, name, tokens, now));
+            decisions.extend(lost.into_iter().map(|(queued, expected)| {
+                log_wait(&queued, &times, false);
+                refusal(queued.ask, expected)
+            }));
         }
-        self.rooms.retain(|_, room| !room.is_empty());
+        self.rooms.retain(|_, queue| !queue.room.is_empty());
         decisions
     }
 
     /// Generations that wait.
     pub fn waiting(&self) -> usize {
-        self.rooms.values().map(WaitingRoom::len).sum()
+        self.rooms.values().map(|queue| queue.room.len()).sum()
     }
 
     /// Generations of a service that should move for balance.
@@ -155,7 +190,7 @@
 
 /// Lets a generation wait if it can be expected to begin before its caller leaves, and refuses it
 /// otherwise.
-fn wait(room: &mut WaitingRoom<Ask>, knowledge: &Knowledge, ask: Ask, now: Timestamp) -> Outcome {
+fn wait(queue: &mut Queue, knowledge: &Knowledge, ask: Ask, now: Timestamp) -> Outcome {
     let (service, size) = (&ask.wanted.service, ask.wanted.size.unwrap_or_default());
     let is_new = ask.wanted.from.is_none();
     let tokens = if is_new { knowledge.book.memory_of(service, size, 0) } else { 0.0 };
@@ -163,7 +198,7 @@
         if is_new { knowledge.book.reading.usual_time(service, size.prompt) } else { Duration::ZERO };
     let in_time = ask.patience.saturating_sub(reading + if is_new { READS_AHEAD } else { Duration::ZERO });
     let may_wait = ask.leaves_after.saturating_sub(reading);
-    let tokens_before = room.tokens_before(ask.priority, now);
+    let tokens_before = queue.room.tokens_before(ask.priority, now);
     let expected = expected(knowledge, &room_of(&ask), tokens_before + tokens, now);
     if may_wait.is_zero() || expected.is_some_and(|expected| expected > may_wait) {
         return Outcome::Decided(refusal(ask, expected));
@@ -173,12 +208,13 @@
         Asker::Here { .. } => None,
     };
     let key = ask.key.clone();
-    room.push(Waiting {
+    let from = queue.shortage.times(now);
+    queue.room.push(Waiting {
         priority: ask.priority,
         due: now + in_time,
         until: now + may_wait,
         tokens,
-        item: ask,
+        item: Queued { ask, from },
     });
     Outcome::Waits(key, there)
 }
@@ -210,13 +246,23 @@
     No,
 }
 
-fn decide(knowledge: &mut Knowledge, ask: Ask, may_wait: MayWait) -> Decision {
-    let may_start = knowledge.copy_may_start(&ask.wanted);
+/// Finds a replica and puts the request into the books there. One that moves waits for its turn on its
+/// engine's link like for an engine.
+fn choose(knowledge: &mut Knowledge, ask: &Ask, may_wait: MayWait) -> Result<Arc<ReplicaRecord>, Shortage> {
+    if !knowledge.copy_may_start(&ask.wanted) {
+        return Err(Shortage::Engines);
+    }
     let reads_soon = may_wait == MayWait::Yes && ask.wanted.from.is_none();
-    let chosen = if may_start { knowledge.choose(&ask.key, &ask.wanted, reads_soon) } else { None };
-    if let Some(replica) = &chosen {
-        knowledge.add(ask.key.clone(), &ask.wanted, &replica.id);
+    let replica = knowledge.choose(&ask.key, &ask.wanted, reads_soon)?;
+    knowledge.add(ask.key.clone(), &ask.wanted, &replica.id);
+    Ok(replica)
+}
+
+/// One line for each new generation that waited: for what, and whether it was given an engine.
+fn log_wait(queued: &Queued, times: &ShortageTimes, given: bool) {
+    let (ask, waited) = (&queued.ask, times.since(&queued.from));
+    if ask.wanted.from.is_some() || waited.sum().is_zero() {
+        return;
     }
-    let chosen = chosen.ok_or_else(|| knowledge.no_room(&ask.wanted.service));
-    Decision { ask, chosen }
+    info!(event = "waited", entry = &*ask.key.entry, run = ask.key.run, given, engines_ms = waited.engines.as_millis() as u64, reading_ms = waited.reading.as_millis() as u64, memory_ms = waited.memory.as_millis() as u64; "a generation waited for an engine");
 }
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -52,7 +52,7 @@
         Beginning::Answered(answer) => return Ok(plain::reply(answer)),
     };
     let placed_ms = run.placed_at.duration_since(req.came.into_std()).as_millis() as u64;
-    info!(event = "stream_begins", request = req.id(), route = &*req.route.name, upstream = &*run.placed.replica.id, run = run.placed.run, priority = req.priority(), placed_ms, head_ms = req.came.elapsed().as_millis() as u64, due_ms = req.route.objective.as_millis() as u64, gap_due_ms = req.route.gap_objective.as_millis() as u64; "stream begins");
+    info!(event = "stream_begins", request = req.id(), route = &*req.route.name, upstream = &*run.placed.replica.id, run = run.placed.run, entry:% = traffic.shared.settings.peer, priority = req.priority(), placed_ms, head_ms = req.came.elapsed().as_millis() as u64, due_ms = req.route.objective.as_millis() as u64, gap_due_ms = req.route.gap_objective.as_millis() as u64; "stream begins");
     let (tx, rx) = mpsc::channel(PARTS_WAITING);
     let mut res = Response::new(Either::Right(ChannelBody(rx)));
     *res.status_mut() = exchange.status;
--- a/node/tests/test_gateway_replica_limits.rs
+++ b/node/tests/test_gateway_replica_limits.rs
@@ -185,6 +185,10 @@
     for answer in answers {
         assert!(matches!(answer.called.status, 200 | 503), "{answer:?}\n{}", fleet.gateway.logs());
     }
+    let logs: String = (0..NODES).map(|node| fleet.gateway.log(node)).collect();
+    let waited = logs.lines().filter(|line| line.contains("event=waited") && line.contains("given=true"));
+    assert!(waited.clone().any(|line| !line.contains("engines_ms=0 ")), "{logs}");
+    assert!(waited.clone().all(|line| line.contains("memory_ms=0")), "{logs}");
 }
 
 /// A long call that was sent before the need is answered while it lasts, and takes nothing back.
