--- a/lib/src/gateway/limit_grants.rs
+++ b/lib/src/gateway/limit_grants.rs
@@ -39,7 +39,7 @@
 /// limit allows, it never is for others. The least urgent rank needs less than [`MOST_SAVED`].
 const KEPT_FOR_URGENT: f64 = 0.1;
 /// The last rank of urgency.
-const LEAST_URGENT: u8 = 9;
+pub const LEAST_URGENT: u8 = 9;
 /// Asks for each grant that all nodes make together. With three, a grant waits a third of the time that it
 /// takes to save one up; more only cost messages.
 const ASKS_PER_GRANT: f64 = 3.0;
@@ -170,9 +170,12 @@
     fn pause(&mut self, asker: &VmId, rate: PerSecond, now: Timestamp) -> Duration {
         self.askers.retain(|_, until| *until > now);
         let others = self.askers.keys().filter(|other| *other != asker).count();
-        let pause = (others + 1) as f64 / (ASKS_PER_GRANT * rate);
-        let longest = LONGEST_PAUSE.as_secs_f64();
-        let pause = Duration::from_secs_f64(pause.min(longest)).max(SHORTEST_PAUSE);
+        let pause = if rate > 0.0 {
+            let pause = (others + 1) as f64 / (ASKS_PER_GRANT * rate);
+            Duration::from_secs_f64(pause.min(LONGEST_PAUSE.as_secs_f64())).max(SHORTEST_PAUSE)
+        } else {
+            KNOWS_FLEET_AFTER
+        };
         self.askers.insert(asker.clone(), now + 2 * (pause + ASKS_AGAIN_WITHIN));
         pause
     }
--- a/lib/tests/test_gateway_limit_grants.rs
+++ b/lib/tests/test_gateway_limit_grants.rs
@@ -60,6 +60,8 @@
     let mut grants = LimitGrants::default();
     grants.set_nodes(1, s(0.0));
     assert_eq!(grants_between(&mut grants, 0, 0.0, 2.0), 0);
+    let grant = grants.ask(&VmId::from("a"), &replica(), LIMIT, Granter::First, 0, s(1.9));
+    assert_eq!(grant, Grant { granted: false, ask_again_after: s(2.0) });
 }
 
 /// Behind a cut others may grant as well: each side grants the part of the nodes that it sees.
--- a/node/src/gateway/control/grant_questions.rs
+++ b/node/src/gateway/control/grant_questions.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::gateway::limit_grants::LEAST_URGENT;
 use leadstage_lib::gateway::replica_limits::ToldLimit;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::run_key::RunId;
@@ -21,8 +22,6 @@
 /// Whoever does not answer within this is passed over, as a lead is: ten times the round trip between halls
 /// with a turn of a busy node in it. So much a call waits at most, and only those that ask.
 const GRANT_LIMIT: Duration = Duration::from_millis(40);
-/// The least urgent rank: that of a call which was sent to another replica before.
-const LEAST_URGENT: u8 = 9;
 
 /// A plain call that waits for a grant.
 pub struct GrantQuestion {
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -285,7 +285,8 @@
         open.retain(|replica| {
             let id = &replica.record.id;
             let is_left = has_others && limits.limits.is_left_to_others(id, now);
-            replica.is_usable(now) && !wanted.exclude.contains(id) && !is_left && limits.may_ask(id, now, rng)
+            let may_ask = replica.is_usable(now) && !wanted.exclude.contains(id) && !is_left;
+            may_ask && limits.may_ask(id, now, rng) && self.is_warm_enough(replica, Giver::Node, now)
         });
         open.choose(rng).map(|replica| replica.record.clone())
     }
--- a/node/src/gateway/control/placing/plain_calls.rs
+++ b/node/src/gateway/control/placing/plain_calls.rs
@@ -42,7 +42,8 @@
         let limits = self.knowledge.limits.get_mut();
         limits.on_asked(&replica.id, now);
         let limit = limits.limits.told(&replica.id, now);
-        let granter = self.granters.lead_of(&replica.id, &self.own, fleet.alive(), now).clone();
+        let hashed = self.hashed_for(&replica.id);
+        let granter = self.granters.lead_of(&hashed, &self.own, fleet.alive(), now).clone();
         let address = address_of(&granter).filter(|_| granter != self.own);
         let question = GrantQuestion { ask, replica, granter, tries: tries + 1 };
         match (address, limit) {
@@ -62,11 +63,20 @@
         self.outbox.send(from, &PeerMessage::Granted(ask.run, grant));
     }
 
+    /// What the node that grants for a replica is the first for: an engine's service, whose lead it is, or the
+    /// replica itself.
+    fn hashed_for(&self, replica: &UpstreamId) -> UpstreamId {
+        let service = self.knowledge.replicas.get(replica).map(|known| &known.record.service);
+        let of_model = service.filter(|service| self.knowledge.engine_traits(service).is_some());
+        of_model.unwrap_or(replica).clone()
+    }
+
     fn grant(&mut self, fleet: &Fleet, asker: &VmId, replica: &UpstreamId, urgency: u8) -> Grant {
         if self.shared.phase() > Phase::Serving {
             return Grant { granted: false, ask_again_after: ASK_ANOTHER_AFTER };
         }
-        let first = rendezvous::pick(replica, fleet.alive().chain(std::iter::once(&self.own)));
+        let hashed = self.hashed_for(replica);
+        let first = rendezvous::pick(&hashed, fleet.alive().chain(std::iter::once(&self.own)));
         let is_first = first.is_none_or(|first| *first == self.own);
         let as_granter = if is_first { Granter::First } else { Granter::Substitute };
         let now = self.shared.now();
