--- a/cli/src/late_streams.rs
+++ b/cli/src/late_streams.rs
@@ -113,7 +113,7 @@
 ];
 
 /// As lines of a plot: late streams of all routes by moment, for each cause that there is.
-pub fn series(rows: &[LateStreams]) -> impl Iterator<Item = Series> {
+pub fn series(rows: &[LateStreams]) -> Vec<Series> {
     let of_cause = |(name, count): (&str, CountOf)| {
         let mut points: BTreeMap<i64, usize> = rows.iter().map(|row| (row.from_s, 0)).collect();
         for row in rows {
@@ -123,7 +123,7 @@
         Series { name: format!("late: {name}"), points }
     };
     let series = CAUSES.into_iter().map(of_cause);
-    series.filter(|series| series.points.iter().any(|(_, late)| *late > 0.0)).collect::<Vec<_>>().into_iter()
+    series.filter(|series| series.points.iter().any(|(_, late)| *late > 0.0)).collect()
 }
 
 /// As a table.
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod config_sources;
 pub mod config_text;
 pub mod crash_ledger;
+pub mod digest;
 pub mod evacuation;
 pub mod fingerprint;
 pub mod handouts;
--- a/lib/src/gateway/crash_ledger.rs
+++ b/lib/src/gateway/crash_ledger.rs
@@ -11,14 +11,12 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::hash::BuildHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::digest;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::replica_record::Incarnation;
 use crate::ids::UnixMillis;
@@ -229,7 +227,7 @@
             let fingerprint = suspect.fingerprint;
             suspect.ends.into_iter().map(move |end| (fingerprint, end.replica, end.is_void))
         });
-        ends.map(|end| Fnv::hash_of(&end)).fold(0, |sum, hash| sum ^ hash)
+        digest::of(ends)
     }
 
     fn limit(&mut self) {
@@ -249,33 +247,3 @@
     let kept_for = KEPT_FOR.as_millis() as UnixMillis;
     now < at + kept_for && at < now + kept_for
 }
-
-/// A hash that is the same at all nodes, and in all versions of the standard library.
-struct Fnv(u64);
-
-impl Fnv {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-
-    fn hash_of(value: &impl Hash) -> u64 {
-        std::hash::BuildHasherDefault::<Fnv>::default().hash_one(value)
-    }
-}
-
-impl Default for Fnv {
-    fn default() -> Self {
-        Fnv(Self::OFFSET)
-    }
-}
-
-impl Hasher for Fnv {
-    fn finish(&self) -> u64 {
-        self.0
-    }
-
-    fn write(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(Self::PRIME);
-        }
-    }
-}
--- /dev/null
+++ b/lib/src/gateway/digest.rs
@@ -0,0 +1,62 @@
+//! Digests of what all nodes must know: each message carries them, so that nodes which know different
+//! things notice and tell each other.
+
+use std::hash::BuildHasher;
+use std::hash::BuildHasherDefault;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::time::Duration;
+
+use crate::ids::Timestamp;
+
+/// A node that knows less or more than another one tells that one all, no more often than this.
+const TELL_ALL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Stands for some items, whatever their order: the same at nodes that know the same, 0 for none.
+pub fn of<T: Hash>(items: impl Iterator<Item = T>) -> u64 {
+    let hashes = items.map(|item| BuildHasherDefault::<Fnv>::default().hash_one(item));
+    hashes.fold(0, |sum, hash| sum ^ hash)
+}
+
+/// When a node tells another one all that it knows.
+#[derive(Debug, Default)]
+pub struct TellingAll {
+    last: Option<Timestamp>,
+}
+
+impl TellingAll {
+    /// Whether a node that has another digest is to be told all now; it counts as told.
+    pub fn is_due(&mut self, own: u64, other: u64, now: Timestamp) -> bool {
+        let is_due = own != other && self.last.is_none_or(|last| now >= last + TELL_ALL_INTERVAL);
+        if is_due {
+            self.last = Some(now);
+        }
+        is_due
+    }
+}
+
+/// A hash that is the same at all nodes, and in all versions of the standard library.
+struct Fnv(u64);
+
+impl Fnv {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+}
+
+impl Default for Fnv {
+    fn default() -> Self {
+        Fnv(Self::OFFSET)
+    }
+}
+
+impl Hasher for Fnv {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(Self::PRIME);
+        }
+    }
+}
--- a/lib/src/gateway/limit_grants.rs
+++ b/lib/src/gateway/limit_grants.rs
@@ -104,13 +104,14 @@
     /// Whether a request of an urgency may be granted to a replica, by the first node.
     pub fn may_grant(&mut self, replica: &UpstreamId, limit: PerSecond, urgency: u8, now: Timestamp) -> bool {
         let rate = self.rate(limit, Granter::First, now);
-        self.is_saved(replica, rate, urgency, now)
+        self.account(replica, rate, now).has_one_for(urgency)
     }
 
-    fn is_saved(&mut self, replica: &UpstreamId, rate: PerSecond, urgency: u8, now: Timestamp) -> bool {
+    /// A replica's account, up to date.
+    fn account(&mut self, replica: &UpstreamId, rate: PerSecond, now: Timestamp) -> &mut Account {
         let account = self.accounts.entry(replica.clone()).or_insert_with(|| Account::new(now));
         account.save(rate, now);
-        account.saved >= 1.0 + f64::from(urgency.min(LEAST_URGENT)) * KEPT_FOR_URGENT
+        account
     }
 
     /// One was granted.
@@ -131,11 +132,11 @@
         now: Timestamp,
     ) -> Grant {
         let rate = self.rate(limit, as_granter, now);
-        let granted = self.is_saved(replica, rate, urgency, now);
+        let account = self.account(replica, rate, now);
+        let granted = account.has_one_for(urgency);
         if granted {
-            self.on_granted(replica);
+            account.saved -= 1.0;
         }
-        let account = self.accounts.entry(replica.clone()).or_default();
         Grant { granted, ask_again_after: account.pause(asker, rate, now) }
     }
 
@@ -166,6 +167,10 @@
         self.saved_at = now;
     }
 
+    fn has_one_for(&self, urgency: u8) -> bool {
+        self.saved >= 1.0 + f64::from(urgency.min(LEAST_URGENT)) * KEPT_FOR_URGENT
+    }
+
     /// How long a node that asks pauses, so that all that do ask about as often as is needed.
     fn pause(&mut self, asker: &VmId, rate: PerSecond, now: Timestamp) -> Duration {
         self.askers.retain(|_, until| *until > now);
--- a/lib/src/gateway/replica_limits.rs
+++ b/lib/src/gateway/replica_limits.rs
@@ -9,14 +9,12 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::digest;
 use crate::gateway::replica_record::Born;
 use crate::gateway::replica_record::Incarnation;
 use crate::ids::Timestamp;
@@ -151,15 +149,9 @@
 
     /// Stands for the limits in force; 0 for none.
     pub fn digest(&self) -> u64 {
-        let mut in_force = self.known.iter().filter(|(_, known)| known.limit.is_some()).peekable();
-        if in_force.peek().is_none() {
-            return 0;
-        }
-        let mut hasher = DefaultHasher::new();
-        for (id, known) in in_force {
-            (id, known.born, known.limit.map(f64::to_bits)).hash(&mut hasher);
-        }
-        hasher.finish()
+        let in_force =
+            self.known.iter().filter_map(|(id, known)| Some((id, known.born, known.limit?.to_bits())));
+        digest::of(in_force)
     }
 
     /// A replica has started again: what it named is over.
--- a/node/src/gateway/control/crash_intake.rs
+++ b/node/src/gateway/control/crash_intake.rs
@@ -10,6 +10,7 @@
 use leadstage_lib::gateway::crash_ledger::CrashTable;
 use leadstage_lib::gateway::crash_ledger::Standing;
 use leadstage_lib::gateway::crash_ledger::Suspect;
+use leadstage_lib::gateway::digest::TellingAll;
 use leadstage_lib::gateway::fingerprint::Fingerprint;
 use leadstage_lib::gateway::pending_ends::PendingEnds;
 use leadstage_lib::gateway::pending_ends::Shown;
@@ -39,8 +40,6 @@
 
 /// Time for a replica to answer that is asked after a run broke there.
 const ASK_LIMIT: Duration = Duration::from_millis(300);
-/// A node that knows less or more than another one tells that one all, no more often than this.
-const TELL_ALL_INTERVAL: Duration = Duration::from_secs(1);
 /// News that a replica leaves may come so much later than its end: through another node, or after a break
 /// in following the store. A replica that ends without a plan is taken off the list only after three
 /// missed heartbeats, some 3 s later.
@@ -55,7 +54,7 @@
     pending: PendingEnds,
     stored: StoredSuspects,
     retelling: Retelling,
-    told_all: Option<Timestamp>,
+    telling_all: TellingAll,
     forgot: Timestamp,
 }
 
@@ -68,7 +67,7 @@
             pending: PendingEnds::default(),
             stored: StoredSuspects::default(),
             retelling: Retelling::default(),
-            told_all: None,
+            telling_all: TellingAll::default(),
             forgot: Timestamp::ZERO,
         }
     }
@@ -198,13 +197,9 @@
     /// Another node knows something else if its digest is another one: it is told all that is known here,
     /// and does the same.
     pub fn compare(&mut self, fleet: &Fleet, from: SocketAddr, digest: u64) {
-        let now = self.shared.now();
-        let told_lately = self.told_all.is_some_and(|told_all| now < told_all + TELL_ALL_INTERVAL);
-        if digest == self.shared.crash_digest() || told_lately {
-            return;
+        if self.telling_all.is_due(self.shared.crash_digest(), digest, self.shared.now()) {
+            fleet.send(from, &PeerMessage::Suspects(self.ledger.agreed()));
         }
-        self.told_all = Some(now);
-        fleet.send(from, &PeerMessage::Suspects(self.ledger.agreed()));
     }
 
     /// The store told what it holds.
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -220,13 +220,8 @@
     /// no others.
     fn candidates(&self, wanted: &Wanted) -> Vec<&Replica> {
         let now = self.shared.now();
-        let has_others = !self.shared.limits().is_empty() && self.has_unlimited(wanted);
-        let mut open = self.open(&wanted.service);
-        open.retain(|replica| {
-            let id = &replica.record.id;
-            let is_left = has_others && self.limits.borrow().limits.is_left_to_others(id, now);
-            !wanted.exclude.contains(id) && !is_left && self.bears_more(replica, now)
-        });
+        let mut open = self.not_left_to_others(wanted);
+        open.retain(|replica| self.bears_more(replica, now));
         let usable: Vec<&Replica> = open.iter().filter(|r| r.is_usable(now)).copied().collect();
         if usable.is_empty() { open } else { usable }
     }
@@ -274,32 +269,46 @@
 
     /// A replica that names a limit and that this node may ask a grant at, for a plain call.
     pub fn limited_to_ask(&self, wanted: &Wanted) -> Option<Arc<ReplicaRecord>> {
-        if wanted.size.is_some() || self.shared.limits().is_empty() {
+        if self.shared.limits().is_empty() {
             return None;
         }
         let now = self.shared.now();
         let rng = &mut rand::rng();
+        let mut open = self.not_left_to_others(wanted);
         let mut limits = self.limits.borrow_mut();
-        let has_others = self.has_unlimited(wanted);
-        let mut open = self.open(&wanted.service);
         open.retain(|replica| {
-            let id = &replica.record.id;
-            let is_left = has_others && limits.limits.is_left_to_others(id, now);
-            let may_ask = replica.is_usable(now) && !wanted.exclude.contains(id) && !is_left;
-            may_ask && limits.may_ask(id, now, rng) && self.is_warm_enough(replica, Giver::Node, now)
+            replica.is_usable(now)
+                && limits.may_ask(&replica.record.id, now, rng)
+                && self.is_warm_enough(replica, Giver::Node, now)
         });
         open.choose(rng).map(|replica| replica.record.clone())
     }
 
     /// Whether a request may go to a replica that names no limit, should that have room.
     pub fn has_unlimited(&self, wanted: &Wanted) -> bool {
-        let limits = self.shared.limits();
-        let now = self.shared.now();
-        let mut open = self.open(&wanted.service).into_iter().filter(|replica| replica.is_usable(now));
-        open.any(|replica| {
-            let id = &replica.record.id;
-            !limits.contains_key(id) && !wanted.exclude.contains(id)
-        })
+        self.is_any_unlimited(&self.not_excluded(wanted))
+    }
+
+    fn is_any_unlimited(&self, replicas: &[&Replica]) -> bool {
+        let (limits, now) = (self.shared.limits(), self.shared.now());
+        replicas.iter().any(|replica| replica.is_usable(now) && !limits.contains_key(&replica.record.id))
+    }
+
+    fn not_excluded(&self, wanted: &Wanted) -> Vec<&Replica> {
+        let mut open = self.open(&wanted.service);
+        open.retain(|replica| !wanted.exclude.contains(&replica.record.id));
+        open
+    }
+
+    /// The open replicas that are not out of the question, without those that came into need so lately that
+    /// they are left to others, if there are others.
+    fn not_left_to_others(&self, wanted: &Wanted) -> Vec<&Replica> {
+        let mut open = self.not_excluded(wanted);
+        if !self.shared.limits().is_empty() && self.is_any_unlimited(&open) {
+            let (book, now) = (self.limits.borrow(), self.shared.now());
+            open.retain(|replica| !book.limits.is_left_to_others(&replica.record.id, now));
+        }
+        open
     }
 
     /// Whether a service has replicas, but none in an open hall.
--- a/node/src/gateway/control/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -119,13 +119,9 @@
         let waits =
             if ask.wanted.from.is_some() { self.policy.copy_turns } else { self.policy.wait_for_room };
         if ask.patience.is_zero() || !waits {
-            return Outcome::Decided(match choose(knowledge, &ask, MayWait::No) {
-                Ok(replica) => Decision { ask, chosen: Ok(replica) },
-                Err(_) => {
-                    let no_room = knowledge.no_room(&ask.wanted.service);
-                    Decision { ask, chosen: Err(no_room) }
-                }
-            });
+            let chosen = choose(knowledge, &ask, MayWait::No);
+            let chosen = chosen.map_err(|_| knowledge.no_room(&ask.wanted.service));
+            return Outcome::Decided(Decision { ask, chosen });
         }
         let queue = self.rooms.entry(room_of(&ask)).or_default();
         if !queue.room.lets_pass(ask.priority, now) {
--- a/node/src/gateway/control/limit_intake.rs
+++ b/node/src/gateway/control/limit_intake.rs
@@ -3,13 +3,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
+use leadstage_lib::gateway::digest::TellingAll;
 use leadstage_lib::gateway::replica_limits::AnswerTimes;
 use leadstage_lib::gateway::replica_limits::LimitWord;
 use leadstage_lib::gateway::replica_limits::ToldLimit;
 use leadstage_lib::gateway::replica_record::Incarnation;
-use leadstage_lib::ids::Timestamp;
 use log::info;
 
 use crate::gateway::control::knowledge::Knowledge;
@@ -17,21 +16,19 @@
 use crate::gateway::peers::peer_message::PeerMessage;
 use crate::gateway::shared::Shared;
 
-/// A node that knows other limits than another one tells that one all, no more often than this.
-const TELL_ALL_INTERVAL: Duration = Duration::from_secs(1);
 /// Limits in one message: each takes some 40 bytes, and ids are at most a few times as long as usual.
 const TOLD_AT_ONCE: usize = 100;
 
 /// The way of limits into this node, and on to others.
 pub struct LimitIntake {
     shared: Arc<Shared>,
-    told_all: Option<Timestamp>,
+    telling_all: TellingAll,
 }
 
 impl LimitIntake {
     /// None has come yet.
     pub fn new(shared: Arc<Shared>) -> Self {
-        LimitIntake { shared, told_all: None }
+        LimitIntake { shared, telling_all: TellingAll::default() }
     }
 
     /// An answer of a replica came to this node.
@@ -71,11 +68,9 @@
     /// Another node knows other limits if its digest is another one: it is told all, and does the same.
     pub fn compare(&mut self, knowledge: &Knowledge, fleet: &Fleet, from: SocketAddr, digest: u64) {
         let now = self.shared.now();
-        let told_lately = self.told_all.is_some_and(|told_all| now < told_all + TELL_ALL_INTERVAL);
-        if digest == self.shared.limits_digest() || told_lately {
+        if !self.telling_all.is_due(self.shared.limits_digest(), digest, now) {
             return;
         }
-        self.told_all = Some(now);
         let all = knowledge.limits.borrow().limits.all(now);
         for part in all.chunks(TOLD_AT_ONCE) {
             fleet.send(from, &PeerMessage::Limits(part.to_vec()));
