closed halls: failing test of news that are lost on their way

Ruled out: a node that has just started (it started at 0), an older word that undoes a newer one (its revision never falls). Each node tells the news on once, to four others; after that only the usual two messages a second from each node carry it. 13 of 2,000 seeds of these changes break the bound; of the property test's own cases far fewer do, so it fails about once in a hundred runs or less (not measured).

The recorded seed and 400 others stand as a test of their own: two of them fail on this code.

--- a/lib/tests/test_gateway_closed_halls.rs
+++ b/lib/tests/test_gateway_closed_halls.rs
@@ -163,6 +163,21 @@
         self.nodes[node].knows = ClosedHalls::default();
     }
 
+    /// A change of the halls before each pause of so many steps, and a node that starts anew after it: nobody in
+    /// touch uses a hall after the bound.
+    fn keeps_to_closed_halls(&mut self, pauses: &[usize]) -> Result<(), TestCaseError> {
+        for pause in pauses {
+            self.change();
+            for _ in 0..*pause {
+                self.step();
+                let used = self.used_in_spite();
+                prop_assert!(used.is_empty(), "{used:?} at {:?}", self.now);
+            }
+            self.start_anew();
+        }
+        Ok(())
+    }
+
     /// Halls that a node in touch would use in spite of the bound.
     fn used_in_spite(&self) -> Vec<(usize, &'static str)> {
         let in_touch = |node: &&(usize, &Node)| self.now >= node.1.started + IN_TOUCH_AFTER;
@@ -188,18 +203,11 @@
     fn test_who_is_in_touch_uses_no_closed_hall(
         nodes in 4..60_usize,
         loses in 0.0..0.35_f64,
-        pauses in proptest::collection::vec(1..400_u32, 1..12),
+        pauses in proptest::collection::vec(1..400_usize, 1..12),
         seed in any::<u64>(),
     ) {
         let mut play = Play::new(nodes, loses, seed);
-        for pause in pauses {
-            play.change();
-            for _ in 0..pause {
-                play.step();
-                prop_assert!(play.used_in_spite().is_empty(), "{:?} at {:?}", play.used_in_spite(), play.now);
-            }
-            play.start_anew();
-        }
+        play.keeps_to_closed_halls(&pauses)?;
         for _ in 0..500 {
             play.step();
         }
@@ -226,6 +234,23 @@
     }
 }
 
+/// A node used a closed hall 5.02 s after it was closed. It had been up for 15 s and knew the revision before: where
+/// 34 in 100 messages are lost, none reached it in that time, neither the news, which each node told on once,
+/// nor a message that carries the halls. 13 of 2,000 plays of these changes broke the bound so.
+#[test]
+fn test_news_of_closed_halls_outlast_lost_messages() {
+    let pauses = [139, 395, 251];
+    let recorded = 13_951_568_961_271_417_719;
+    let seeds = (0..400).chain([recorded]);
+    let broken: Vec<String> = seeds
+        .filter_map(|seed| {
+            let kept = Play::new(27, 0.33589591680507574, seed).keeps_to_closed_halls(&pauses);
+            kept.err().map(|err| format!("seed {seed}: {err}"))
+        })
+        .collect();
+    assert_eq!(broken, Vec::<String>::new());
+}
+
 #[test]
 fn test_an_older_word_undoes_nothing() {
     let mut knows = ClosedHalls { at: 7, halls: BTreeSet::from([hall("a")]) };
