questions to other nodes: one open list for leads and grants, each question with a name of its own

Found by reading: a call that asked one node for a grant and then another one used its run as the name of both questions. The first one's timer ended the second one up to 38 ms early, and a node that would have answered was passed over for 1.5 s; a grant that came late for the first was taken for one by the second, for another replica.

Questions (lib) keeps what is asked, with its name and time, for leads and grants alike; the pattern "tell the control loop after a while" stood in four places and is Shared::tell_after.

Before: the type could not tell the questions apart.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -24,6 +24,7 @@
 pub mod lookout;
 pub mod pending_ends;
 pub mod policy;
+pub mod questions;
 pub mod reading;
 pub mod rebalance;
 pub mod replica_limits;
--- a/lib/src/gateway/limit_grants.rs
+++ b/lib/src/gateway/limit_grants.rs
@@ -20,6 +20,7 @@
 use serde::Serialize;
 
 use crate::gateway::replica_limits::PerSecond;
+use crate::gateway::run_key::RunId;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
 use crate::ids::VmId;
@@ -56,6 +57,15 @@
 /// take to be replaced.
 const SEEN_LATELY: Duration = Duration::from_secs(20);
 
+/// Names a question of one node for a grant: a call may ask for several replicas, one after the other.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct GrantQuestionId {
+    /// The call.
+    pub run: RunId,
+    /// Which of its questions; from 1 on.
+    pub number: u32,
+}
+
 /// The answer to a node that asks for a grant.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 pub struct Grant {
--- a/node/src/gateway/control/config_intake.rs
+++ b/node/src/gateway/control/config_intake.rs
@@ -215,11 +215,7 @@
             return;
         }
         self.due = Some(until);
-        let shared = self.shared.clone();
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(pause).await;
-            shared.tell(ToControl::ConfigurationDue);
-        });
+        self.shared.tell_after(pause, ToControl::ConfigurationDue);
     }
 
     /// Puts a configuration in force if it is newer; returns whether it can be read.
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -114,7 +114,7 @@
             ToControl::LimitWord(of, word, times) => {
                 self.limits.on_answer(&mut self.placing.knowledge, &self.fleet, &of, word, times)
             }
-            ToControl::GrantSilent(run) => self.placing.on_grant_silent(&self.fleet, run),
+            ToControl::GrantSilent(question) => self.placing.on_grant_silent(&self.fleet, question),
             ToControl::RunBroke(run) => self.crashes.on_break(&self.placing, run),
             ToControl::RanWell(fingerprint) => self.crashes.on_ran_well(&self.fleet, fingerprint),
             ToControl::AskedAfterBreak(of, shown) => {
@@ -250,7 +250,7 @@
                 self.limits.on_told(&mut self.placing.knowledge, &self.fleet, vec![ask.limit.clone()]);
                 self.placing.on_ask_grant(&self.fleet, from, ask)
             }
-            PeerMessage::Granted(run, grant) => self.placing.on_granted(&self.fleet, run, grant),
+            PeerMessage::Granted(question, grant) => self.placing.on_granted(&self.fleet, question, grant),
             PeerMessage::NewConfig | PeerMessage::HallsChanged => {}
         }
         self.on_gone(gone);
--- a/node/src/gateway/control/grant_questions.rs
+++ b/node/src/gateway/control/grant_questions.rs
@@ -1,15 +1,15 @@
 //! Questions to other nodes for a grant to send a plain call to a replica that names a limit, and how long
 //! their answers are waited for.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::gateway::limit_grants::GrantQuestionId;
 use leadstage_lib::gateway::limit_grants::LEAST_URGENT;
+use leadstage_lib::gateway::questions::Questions;
 use leadstage_lib::gateway::replica_limits::ToldLimit;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
-use leadstage_lib::gateway::run_key::RunId;
 use leadstage_lib::ids::VmId;
 
 use crate::gateway::control::lead_desk::Ask;
@@ -35,35 +35,42 @@
     pub tries: u32,
 }
 
+impl GrantQuestion {
+    fn id(&self) -> GrantQuestionId {
+        GrantQuestionId { run: self.ask.key.run, number: self.tries }
+    }
+}
+
 /// The questions without an answer.
 pub struct GrantQuestions {
     shared: Arc<Shared>,
     outbox: Outbox,
-    open: HashMap<RunId, GrantQuestion>,
+    open: Questions<GrantQuestionId, GrantQuestion>,
 }
 
 impl GrantQuestions {
     /// None yet.
     pub fn new(shared: Arc<Shared>, outbox: Outbox) -> Self {
-        GrantQuestions { shared, outbox, open: HashMap::new() }
+        GrantQuestions { shared, outbox, open: Questions::default() }
     }
 
     /// Asks another node, at `address`.
     pub fn ask(&mut self, question: GrantQuestion, limit: ToldLimit, address: SocketAddr) {
-        let run = question.ask.key.run;
-        let ask = AskGrant { run, limit, urgency: urgency(&question.ask) };
+        let id = question.id();
+        let ask = AskGrant { question: id, limit, urgency: urgency(&question.ask) };
         self.outbox.send(address, &PeerMessage::AskGrant(ask));
-        self.open.insert(run, question);
-        let shared = self.shared.clone();
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(GRANT_LIMIT).await;
-            shared.tell(ToControl::GrantSilent(run));
-        });
+        self.open.on_asked(id, question, self.shared.now() + GRANT_LIMIT);
+        self.shared.tell_after(GRANT_LIMIT, ToControl::GrantSilent(id));
+    }
+
+    /// Takes a question out, as its answer came.
+    pub fn answered(&mut self, id: GrantQuestionId) -> Option<GrantQuestion> {
+        self.open.answered(id)
     }
 
-    /// Takes a question out, as its answer came or did not come in time.
-    pub fn take(&mut self, run: RunId) -> Option<GrantQuestion> {
-        self.open.remove(&run)
+    /// Takes a question out if who was asked is to be passed over.
+    pub fn overdue(&mut self, id: GrantQuestionId) -> Option<GrantQuestion> {
+        self.open.overdue(id, self.shared.now())
     }
 }
 
--- a/node/src/gateway/control/lead_questions.rs
+++ b/node/src/gateway/control/lead_questions.rs
@@ -3,13 +3,12 @@
 //! A lead answers within some milliseconds, or says that the generation waits there. One that
 //! does neither is passed over, and this node decides alone.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::gateway::questions::Questions;
 use leadstage_lib::gateway::run_key::RunId;
-use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::VmId;
 
 use crate::gateway::control::lead_desk::Ask;
@@ -32,21 +31,19 @@
     pub ask: Ask,
     /// The lead that was asked.
     pub lead: VmId,
-    /// When the lead is passed over.
-    due: Timestamp,
 }
 
-/// The questions without an answer.
+/// The questions without an answer, by the generation that they are about.
 pub struct LeadQuestions {
     shared: Arc<Shared>,
     outbox: Outbox,
-    open: HashMap<RunId, Question>,
+    open: Questions<RunId, Question>,
 }
 
 impl LeadQuestions {
     /// None yet.
     pub fn new(shared: Arc<Shared>, outbox: Outbox) -> Self {
-        LeadQuestions { shared, outbox, open: HashMap::new() }
+        LeadQuestions { shared, outbox, open: Questions::default() }
     }
 
     /// Asks a lead to place a generation.
@@ -60,48 +57,36 @@
             leaves_after: ask.leaves_after,
         };
         self.outbox.send(address, &PeerMessage::Place(remote));
-        let due = self.shared.now() + LEAD_LIMIT;
-        self.open.insert(run, Question { ask, lead, due });
-        self.expect_answer(run, LEAD_LIMIT);
+        self.open.on_asked(run, Question { ask, lead }, self.shared.now() + LEAD_LIMIT);
+        self.shared.tell_after(LEAD_LIMIT, ToControl::LeadSilent(run));
     }
 
     /// The lead lets the generation wait; returns the lead.
     pub fn on_waits(&mut self, run: RunId) -> Option<&VmId> {
-        let question = self.open.get_mut(&run)?;
-        let within = question.ask.leaves_after + WAIT_SLACK;
-        question.due = self.shared.now() + within;
-        self.expect_answer(run, within);
-        self.open.get(&run).map(|question| &question.lead)
+        let within = self.open.get(run)?.ask.leaves_after + WAIT_SLACK;
+        self.shared.tell_after(within, ToControl::LeadSilent(run));
+        let question = self.open.extend(run, self.shared.now() + within)?;
+        Some(&question.lead)
     }
 
     /// Takes a question out, as its answer came.
     pub fn answered(&mut self, run: RunId) -> Option<Question> {
-        self.open.remove(&run)
+        self.open.answered(run)
     }
 
     /// Takes a question out if its lead is to be passed over.
     pub fn overdue(&mut self, run: RunId) -> Option<Question> {
-        let now = self.shared.now();
-        self.open.get(&run).filter(|question| question.due <= now)?;
-        self.open.remove(&run)
+        self.open.overdue(run, self.shared.now())
     }
 
     /// Takes the questions out whose lead is gone: a generation may wait there for the whole time
     /// until its first event is due.
     pub fn of_lost_lead(&mut self, lead: &VmId) -> Vec<Question> {
-        self.open.extract_if(|_, question| question.lead == *lead).map(|(_, question)| question).collect()
+        self.open.take_all(|question| question.lead == *lead)
     }
 
     /// The oldest generation without an answer.
     pub fn oldest(&self) -> Option<RunId> {
-        self.open.keys().min().copied()
-    }
-
-    fn expect_answer(&self, run: RunId, within: Duration) {
-        let shared = self.shared.clone();
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(within).await;
-            shared.tell(ToControl::LeadSilent(run));
-        });
+        self.open.oldest()
     }
 }
--- a/node/src/gateway/control/placing/plain_calls.rs
+++ b/node/src/gateway/control/placing/plain_calls.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::limit_grants::Grant;
+use leadstage_lib::gateway::limit_grants::GrantQuestionId;
 use leadstage_lib::gateway::limit_grants::Granter;
-use leadstage_lib::gateway::run_key::RunId;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::ids::VmId;
 use leadstage_lib::rendezvous;
@@ -60,7 +60,7 @@
     pub fn on_ask_grant(&mut self, fleet: &Fleet, from: SocketAddr, ask: AskGrant) {
         let replica = ask.limit.replica.id.clone();
         let grant = self.grant(fleet, &node_id(from), &replica, ask.urgency);
-        self.outbox.send(from, &PeerMessage::Granted(ask.run, grant));
+        self.outbox.send(from, &PeerMessage::Granted(ask.question, grant));
     }
 
     /// What the node that grants for a replica is the first for: an engine's service, whose lead it is, or the
@@ -88,19 +88,19 @@
     }
 
     /// A node that was asked for a grant answered.
-    pub fn on_granted(&mut self, fleet: &Fleet, run: RunId, grant: Grant) {
-        if let Some(question) = self.grants.take(run) {
+    pub fn on_granted(&mut self, fleet: &Fleet, id: GrantQuestionId, grant: Grant) {
+        if let Some(question) = self.grants.answered(id) {
             self.granters.on_answer(&question.granter);
             self.on_grant(fleet, question, grant);
         }
     }
 
     /// A node that was asked for a grant did not answer in time.
-    pub fn on_grant_silent(&mut self, fleet: &Fleet, run: RunId) {
-        let Some(question) = self.grants.take(run) else {
+    pub fn on_grant_silent(&mut self, fleet: &Fleet, id: GrantQuestionId) {
+        let Some(question) = self.grants.overdue(id) else {
             return;
         };
-        info!(event = "grant_silent", node = &*question.granter, upstream = &*question.replica.id, run; "a node that grants did not answer");
+        info!(event = "grant_silent", node = &*question.granter, upstream = &*question.replica.id, run = id.run; "a node that grants did not answer");
         self.shared.metrics.on_grant(GrantOutcome::Silent);
         self.granters.on_silence(&question.granter, self.shared.now());
         self.place_without(fleet, question);
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -191,13 +191,7 @@
     fn gather(&mut self, placing: &Placing, fleet: &Fleet, news: ReplicaNews) {
         match self.gathering.add(news, self.shared.now()) {
             Some(Duration::ZERO) => self.tell_gathered(placing, fleet),
-            Some(pause) => {
-                let shared = self.shared.clone();
-                tokio::task::spawn_local(async move {
-                    tokio::time::sleep(pause).await;
-                    shared.tell(ToControl::TellReplicas);
-                });
-            }
+            Some(pause) => self.shared.tell_after(pause, ToControl::TellReplicas),
             None => {}
         }
     }
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -9,6 +9,7 @@
 use leadstage_lib::gateway::config_text::PartOfConfig;
 use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::fingerprint::Fingerprint;
+use leadstage_lib::gateway::limit_grants::GrantQuestionId;
 use leadstage_lib::gateway::pending_ends::Shown;
 use leadstage_lib::gateway::replica_limits::AnswerTimes;
 use leadstage_lib::gateway::replica_limits::LimitWord;
@@ -40,7 +41,7 @@
     /// The lead did not answer within its bound.
     LeadSilent(RunId),
     /// Whoever grants requests to a replica that names a limit did not answer within its bound.
-    GrantSilent(RunId),
+    GrantSilent(GrantQuestionId),
     /// A generation's first event came.
     FirstEvent(RunId),
     /// The copy of a generation to this engine is complete.
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -10,6 +10,7 @@
 use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::inventory::Inventory;
 use leadstage_lib::gateway::limit_grants::Grant;
+use leadstage_lib::gateway::limit_grants::GrantQuestionId;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::replica_limits::ToldLimit;
@@ -97,7 +98,7 @@
     /// May the sender send a request to a replica that names a limit?
     AskGrant(AskGrant),
     /// Whether it may.
-    Granted(RunId, Grant),
+    Granted(GrantQuestionId, Grant),
 }
 
 /// Names a probe of one node.
@@ -178,8 +179,8 @@
 /// A request that a node would send to a replica that names a limit.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct AskGrant {
-    /// Names it at the asking node.
-    pub run: RunId,
+    /// Names the question at the asking node.
+    pub question: GrantQuestionId,
     /// The replica's limit, as far as the asking node knows.
     pub limit: ToldLimit,
     /// Its urgency; 0 goes first.
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -356,6 +356,15 @@
         let _ = self.control.send(message);
     }
 
+    /// Tells the control loop after some time; only from the control thread.
+    pub fn tell_after(self: &Arc<Self>, pause: Duration, message: ToControl) {
+        let shared = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(pause).await;
+            shared.tell(message);
+        });
+    }
+
     /// Asks the control loop for a replica.
     pub async fn place(self: &Arc<Self>, request: PlaceRequest) -> Result<RunGuard, NoRoom> {
         let (tx, rx) = oneshot::channel();
