a model of a fleet of engines, driven by the lead's code of lib

The lead is the book, the choice, the queue, the forecasts and the rebalancer of lib.

Left out: nodes, halls, late news, plain calls, faults other than reclaims; SVG.

--- /dev/null
+++ b/testutils/examples/fleet.rs
@@ -0,0 +1,55 @@
+//! Plays modelled days of a fleet of engines.
+//!
+//! `fleet EXPERIMENT.yaml [--seeds N] [--first N] [--load FACTOR]`. Prints what callers got: the mean of the days with its
+//! standard error, and the sums for each kind. `--load` multiplies the requests a second.
+
+use std::process::ExitCode;
+
+use leadstage_testutils::fleet_model;
+use leadstage_testutils::fleet_model::experiment::Experiment;
+use leadstage_testutils::fleet_model::tally;
+use lexopt::prelude::*;
+
+const SEEDS: u64 = 20;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("fleet: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), Box<dyn std::error::Error>> {
+    let (mut paths, mut seeds, mut first, mut load) = (Vec::new(), SEEDS, 1, 1.0);
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("seeds") => seeds = parser.value()?.parse()?,
+            Long("first") => first = parser.value()?.parse()?,
+            Long("load") => load = parser.value()?.parse()?,
+            Value(path) => paths.push(path.string()?),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    for path in paths {
+        let mut experiment = Experiment::parse(&std::fs::read_to_string(&path)?)?;
+        experiment.kinds.iter_mut().for_each(|kind| kind.per_second *= load);
+        let days = std::thread::scope(|scope| {
+            let plays: Vec<_> = (first..first + seeds)
+                .map(|seed| {
+                    scope.spawn({
+                        let experiment = &experiment;
+                        move || fleet_model::play(experiment, seed)
+                    })
+                })
+                .collect();
+            plays.into_iter().map(|play| play.join().expect("no play panics")).collect::<Vec<_>>()
+        });
+        println!("{path}, {seeds} days, load {load}");
+        print!("{}", tally::table(&experiment, &days));
+    }
+    Ok(())
+}
--- a/testutils/src/engine_model.rs
+++ b/testutils/src/engine_model.rs
@@ -7,8 +7,6 @@
 /// Names a generation on an engine.
 pub type GenerationId = u64;
 
-/// Share of a full batch's decode cost that depends on the batch's size.
-const BATCH_COST: f64 = 0.5;
 /// Blocks kept free when a sequence is admitted, one in this many.
 const WATERMARK_DIVISOR: u64 = 100;
 /// Cached prefixes kept at most.
@@ -25,9 +23,12 @@
     pub max_batch: usize,
     /// Time of a decode step with a batch of one.
     pub step: Duration,
-    /// Prompt tokens worked on in one step at most; a step that uses them all
-    /// takes `step` longer.
+    /// How much longer a step is with a full batch, in steps.
+    pub batch_cost: f64,
+    /// Prompt tokens worked on in one step at most.
     pub prefill_tokens_per_step: u64,
+    /// How much longer a step is that works on as many, in steps.
+    pub prefill_cost: f64,
     /// Factor on each step's time; 2.0 runs at half speed.
     pub slowdown: f64,
 }
@@ -39,7 +40,9 @@
             block_tokens: 16,
             max_batch: 64,
             step: Duration::from_millis(25),
+            batch_cost: 0.5,
             prefill_tokens_per_step: 2048,
+            prefill_cost: 1.0,
             slowdown: 1.0,
         }
     }
@@ -136,6 +139,8 @@
     produced: u64,
     prefilled: u64,
     blocks: u64,
+    /// Its memory was copied here: nothing has to be read when it is admitted.
+    copied: bool,
 }
 
 impl Sequence {
@@ -198,14 +203,21 @@
         if self.knows(submission.generation) {
             return;
         }
+        self.push(submission, 0, false);
+    }
+
+    /// Accepts a generation that has made `produced` tokens elsewhere and whose memory was copied here; a
+    /// known id is ignored.
+    pub fn submit_copied(&mut self, submission: Submission, produced: u64) {
+        if !self.knows(submission.generation) {
+            self.push(submission, produced, true);
+        }
+    }
+
+    fn push(&mut self, submission: Submission, produced: u64, copied: bool) {
         self.arrivals += 1;
-        self.waiting.push(Sequence {
-            submission,
-            arrival: self.arrivals,
-            produced: 0,
-            prefilled: 0,
-            blocks: 0,
-        });
+        let arrival = self.arrivals;
+        self.waiting.push(Sequence { submission, arrival, produced, prefilled: 0, blocks: 0, copied });
     }
 
     /// Forgets a generation and frees its memory; false when unknown.
@@ -269,7 +281,7 @@
     fn step_time(&self, prefilled: u64, decoded: usize) -> Duration {
         let batch = decoded as f64 / self.config.max_batch as f64;
         let prefill = prefilled as f64 / self.config.prefill_tokens_per_step as f64;
-        let factor = 1.0 + BATCH_COST * batch + prefill;
+        let factor = 1.0 + self.config.batch_cost * batch + self.config.prefill_cost * prefill;
         self.config.step.mul_f64(factor * self.config.slowdown)
     }
 
@@ -289,7 +301,9 @@
             let mut sequence = self.waiting.remove(0);
             let blocks = needed.min(self.free_blocks);
             sequence.blocks = blocks;
-            sequence.prefilled = self.cached_tokens(&sequence);
+            sequence.prefilled =
+                if sequence.copied { sequence.context() } else { self.cached_tokens(&sequence) };
+            sequence.copied = false;
             self.free_blocks -= blocks;
             self.running.push(sequence);
         }
--- a/testutils/src/lengths.rs
+++ b/testutils/src/lengths.rs
@@ -61,7 +61,7 @@
 }
 
 /// A draw from the standard normal distribution, by Box and Muller.
-fn standard_normal<R: Rng>(rng: &mut R) -> f64 {
+pub fn standard_normal<R: Rng>(rng: &mut R) -> f64 {
     let u1: f64 = 1.0 - rng.random::<f64>();
     let u2: f64 = rng.random();
     (-2.0 * u1.ln()).sqrt() * (std::f64::consts::TAU * u2).cos()
--- a/testutils/tests/runner.rs
+++ b/testutils/tests/runner.rs
@@ -1,4 +1,5 @@
 //! All tests of the package, in one program.
 
 mod test_engine_model;
+mod test_fleet_model;
 mod test_object_store;
--- /dev/null
+++ b/testutils/tests/test_fleet_model.rs
@@ -0,0 +1,89 @@
+//! The model of a fleet: what callers get follows from loads that can be reckoned by hand, and a short day of
+//! each shape stays as it is.
+
+use leadstage_testutils::fleet_model;
+use leadstage_testutils::fleet_model::experiment::Experiment;
+use leadstage_testutils::fleet_model::tally;
+use leadstage_testutils::fleet_model::tally::Tally;
+
+const SHAPES: [(&str, &str); 1] =
+    [("memory-bound", include_str!("../../experiments/fleet/memory-bound.yaml"))];
+const SEEDS: std::ops::Range<u64> = 1..4;
+
+/// A small fleet for some seconds, so that all tests of it take little time.
+fn short(yaml: &str, share: f64) -> Experiment {
+    let mut experiment = Experiment::parse(yaml).expect("it is an experiment");
+    experiment.seconds = 12.0;
+    experiment.engines.count = (experiment.engines.count as f64 * share) as usize;
+    for kind in &mut experiment.kinds {
+        kind.per_second *= share;
+    }
+    experiment
+}
+
+fn play(experiment: &Experiment) -> Vec<Tally> {
+    SEEDS.map(|seed| fleet_model::play(experiment, seed)).collect()
+}
+
+#[test]
+fn test_a_short_day_of_each_shape() {
+    let tables = SHAPES.map(|(name, yaml)| {
+        let experiment = short(yaml, 0.25);
+        format!("{name}\n{}", tally::table(&experiment, &play(&experiment)))
+    });
+    insta::assert_snapshot!(tables.join("\n"));
+}
+
+#[test]
+fn test_the_same_seed_plays_the_same_day() {
+    let experiment = short(SHAPES[0].1, 0.25);
+    assert_eq!(fleet_model::play(&experiment, 7), fleet_model::play(&experiment, 7));
+    assert_ne!(fleet_model::play(&experiment, 7), fleet_model::play(&experiment, 8));
+}
+
+/// A tenth of the usual callers, and no engine that ends: nobody waits.
+#[test]
+fn test_an_idle_fleet_serves_all_in_time() {
+    let mut experiment = short(SHAPES[0].1, 0.25);
+    experiment.reclaims = None;
+    for kind in &mut experiment.kinds {
+        kind.per_second /= 10.0;
+    }
+    for day in play(&experiment) {
+        assert!(day.kinds.iter().all(|got| got.in_time == got.all() && got.all() > 0), "{day:?}");
+        assert_eq!((day.preempted, day.refusals), (0, 0));
+    }
+}
+
+/// Engines that read 112 tokens in 15 ms at best take 7.5 a ms; twice as many prompt tokens come.
+#[test]
+fn test_a_fleet_serves_no_more_than_it_reads() {
+    let mut experiment = short(SHAPES[0].1, 0.25);
+    experiment.reclaims = None;
+    experiment.wave = None;
+    experiment.kinds.retain(|kind| kind.name == "short");
+    let reads_per_second = experiment.engines.count as f64 * 7_500.0;
+    let kind = &mut experiment.kinds[0];
+    kind.per_second = 2.0 * reads_per_second / 2_500.0;
+    for day in play(&experiment) {
+        let got = &day.kinds[0];
+        let served = got.in_time + got.late + got.paused;
+        let tokens_read = served as f64 * 2_500.0;
+        let seconds = experiment.seconds + 6.0;
+        assert!(tokens_read < 1.1 * reads_per_second * seconds, "{day:?}");
+        assert!(got.left + got.refused > got.all() / 5, "{day:?}");
+    }
+}
+
+/// Waves of reclaims at a quarter of the load: each engine has a generation or two, whose copies take 0.2 s
+/// of the 1.8 s of a notice.
+#[test]
+fn test_generations_move_off_engines_that_end() {
+    let mut experiment = short(SHAPES[0].1, 0.25);
+    for kind in &mut experiment.kinds {
+        kind.per_second /= 4.0;
+    }
+    let days = play(&experiment);
+    assert_eq!(days.iter().flat_map(|day| &day.kinds).map(|got| got.broken).sum::<usize>(), 0);
+    assert!(days.iter().all(|day| day.moved > 0), "{days:?}");
+}
