--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -264,12 +264,6 @@
         }
         load
     }
-
-    /// The part of an engine's memory that is expected to be used soon.
-    pub fn fill(&self, replica: &str, engine: &EngineTraits) -> f64 {
-        let expected: f64 = self.at(replica).map(|(_, run)| self.memory(run)).sum();
-        expected / f64::from(engine.memory_tokens.max(1))
-    }
 }
 
 /// What runs at an engine.
@@ -286,7 +280,7 @@
 }
 
 impl EngineLoad {
-    /// With a further generation.
+    /// A further generation, which runs there or would.
     pub fn add(&mut self, size: GenerationSize, produced: u32) {
         self.soon += soon(size, produced, self.pace);
         self.growths.push(growth(size, produced, self.pace));
--- a/lib/tests/test_gateway_load.rs
+++ b/lib/tests/test_gateway_load.rs
@@ -98,7 +98,8 @@
     for n in 0..9 {
         give(&mut book, &table, key(n), run("e1", 3_000, 300, 200));
     }
-    assert!((0.80..0.90).contains(&book.fill("e1", &traits())), "{}", book.fill("e1", &traits()));
+    let fill = book.engine_load(table.get("e1").expect("it is listed")).fill(&traits());
+    assert!((0.80..0.90).contains(&fill), "{fill}");
     assert_eq!(choose(&book, &table, 3_000, false), None);
     assert_eq!(choose(&book, &table, 3_000, true), Some("e1".to_owned()));
 }
--- /dev/null
+++ b/testutils/src/fleet_model/play/engines.rs
@@ -0,0 +1,129 @@
+//! Engines at work: what their steps bring to the streams of callers.
+
+use leadstage_lib::gateway::run_key::RunId;
+use leadstage_lib::ids::UpstreamId;
+
+use crate::engine_model::EngineEvent;
+use crate::engine_model::EngineModel;
+use crate::engine_model::Submission;
+use crate::fleet_model::lead::key;
+use crate::fleet_model::play::Caller;
+use crate::fleet_model::play::Engine;
+use crate::fleet_model::play::Event;
+use crate::fleet_model::play::Play;
+use crate::fleet_model::tally::Outcome;
+
+impl Play<'_> {
+    pub(super) fn start_engine(&mut self, place: usize) {
+        let at = self.engines.len();
+        let id: UpstreamId = format!("engine-{at:05}").into();
+        self.lead.on_entry(&id, false, self.now);
+        self.engines.push(Engine {
+            id,
+            place,
+            model: EngineModel::new(self.experiment.engines.config(place)),
+            stepping: None,
+            is_leaving: false,
+            is_gone: false,
+            link_free_at: self.now,
+        });
+    }
+
+    pub(super) fn engine_at(&self, id: &UpstreamId) -> usize {
+        self.engines.iter().position(|engine| engine.id == *id).expect("the lead knows no others")
+    }
+
+    pub(super) fn run_at(&mut self, run: RunId, engine: usize, is_copied: bool) {
+        let Some(caller) = self.callers.get_mut(&run) else { return };
+        caller.engine = Some(engine);
+        let submission = Submission {
+            generation: run,
+            prompt_tokens: u64::from(caller.size.prompt),
+            output_tokens: u64::from(caller.output),
+            priority: 0,
+            prefix: 0,
+            prefix_tokens: 0,
+        };
+        let model = &mut self.engines[engine].model;
+        if is_copied {
+            model.submit_copied(submission, u64::from(caller.produced));
+        } else {
+            model.submit(submission);
+        }
+        self.step(engine);
+    }
+
+    pub(super) fn step(&mut self, engine: usize) {
+        let it = &mut self.engines[engine];
+        if it.stepping.is_some() || it.is_gone || it.model.is_idle() {
+            return;
+        }
+        let outcome = it.model.step();
+        it.stepping = Some(outcome.events);
+        self.push(self.now + outcome.duration, Event::Stepped(engine));
+    }
+
+    pub(super) fn stepped(&mut self, engine: usize) {
+        if self.engines[engine].is_gone {
+            return;
+        }
+        let mut has_room = false;
+        for event in self.engines[engine].stepping.take().unwrap_or_default() {
+            match event {
+                EngineEvent::Token { generation, index } => {
+                    has_room |= self.on_token(generation, engine, index as u32 + 1);
+                }
+                EngineEvent::Finished { generation, .. } => {
+                    has_room = true;
+                    self.finished(generation);
+                }
+                EngineEvent::Preempted { .. } => self.tally.preempted += 1,
+                EngineEvent::PrefixStored { .. } | EngineEvent::PrefixEvicted { .. } => {}
+            }
+        }
+        self.step(engine);
+        if has_room {
+            self.settle();
+        }
+    }
+
+    /// A token was made; returns whether it was the first event's last one.
+    pub(super) fn on_token(&mut self, run: RunId, engine: usize, produced: u32) -> bool {
+        let per_event = self.experiment.engines.tokens_per_event;
+        let Some(caller) = self.callers.get_mut(&run).filter(|caller| caller.engine == Some(engine)) else {
+            return false;
+        };
+        caller.produced = caller.produced.max(produced);
+        if !caller.produced.is_multiple_of(per_event) && caller.produced < caller.output {
+            return false;
+        }
+        let kind = &self.experiment.kinds[caller.kind];
+        let is_first = caller.last_event.is_none();
+        let got = &mut self.tally.kinds[caller.kind];
+        match caller.last_event {
+            None => {
+                got.first_events.push(self.now - caller.came);
+                caller.is_late = self.now - caller.came > kind.objective();
+            }
+            Some(last) => {
+                got.pauses = (got.pauses.0 + (self.now - last), got.pauses.1 + 1);
+                caller.has_paused |= self.now - last > kind.gap();
+            }
+        }
+        caller.last_event = Some(self.now);
+        if is_first {
+            self.lead.book.on_first_event(&key(run), self.now);
+        }
+        is_first
+    }
+
+    pub(super) fn finished(&mut self, run: RunId) {
+        let Some(caller) = self.callers.get(&run) else { return };
+        let outcome = match caller {
+            Caller { is_late: true, .. } => Outcome::Late,
+            Caller { has_paused: true, .. } => Outcome::Paused,
+            _ => Outcome::InTime,
+        };
+        self.over(run, outcome);
+    }
+}
