choice: what runs at an engine is kept together; who finds no engine weighs each once

Cause: the book kept requests by node and only their names by replica, so each look at an engine looked each of its generations up in two maps; a choice that found no engine weighed all of them a second time, just to tell whether memory or reading was short; the peak was computed for moves and where it does not decide.

Now the requests lie by replica, and where each one is by node. Engines that read soon are weighed, and only if none of them has room the others are asked whether they had. Relief and admission share one constant.

--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::gateway::load::EngineLoad;
 use crate::gateway::load::GenerationSize;
 use crate::gateway::load::LoadBook;
 use crate::gateway::replicas::Replica;
@@ -35,7 +36,7 @@
 /// their callers have waited already. On modelled engines whose memory holds six long streams
 /// (`test_fleet_model`), 20 days of each load: with 0.9 793 of 18,994 long streams are late at the usual load, 122 of
 /// 18,997 with 0.95, 111 of 19,145 with 1.0; 0, 0 and 11 generations a day are preempted, and 32, 87 and 125 of all broken.
-const PEAK_UP_TO: f64 = 0.95;
+pub const PEAK_UP_TO: f64 = 0.95;
 /// The same by what is in use and some seconds' growth, where the peak does not decide.
 const ADMITS_UP_TO: f64 = 0.9;
 /// Part of an engine's memory that moving generations may fill.
@@ -76,8 +77,8 @@
     pub runs: usize,
     /// Part of its memory that is expected to be used soon, with the request.
     pub fill: f64,
-    /// Part that is expected to be used at the most, with the request.
-    pub peak: f64,
+    /// Whether its memory takes the request.
+    pub fits: bool,
     /// Time until it has read the prompts that it was given.
     pub wait: Timestamp,
     /// The cost, in milliseconds; lower is better.
@@ -110,17 +111,36 @@
         rng: &mut R,
     ) -> Option<EngineChoice<'a>> {
         let choices = candidates.map(|replica| self.consider(replica, request, now, rng));
-        let fitting = choices.filter(|choice| choice.runs == 0 || self.fits(choice, request));
+        let fitting = choices.filter(|choice| choice.fits);
         fitting.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
 
-    fn fits(&self, choice: &EngineChoice<'_>, request: &EngineRequest<'_>) -> bool {
-        if request.moves {
-            choice.fill <= MOVES_UP_TO
+    /// Whether the memory of one of these engines takes a generation.
+    pub fn has_memory<'a>(
+        &self,
+        mut engines: impl Iterator<Item = &'a Replica>,
+        request: &EngineRequest<'_>,
+    ) -> bool {
+        engines.any(|engine| self.fits(self.load_with(engine, request), request))
+    }
+
+    /// What runs at an engine, and the memory that it takes together with a generation.
+    fn load_with(&self, replica: &Replica, request: &EngineRequest<'_>) -> EngineLoad {
+        let mut load = self.engine_load(replica);
+        load.add(request.size, request.produced);
+        load
+    }
+
+    /// Whether the memory of an engine takes what it would have. One that runs nothing takes any generation.
+    fn fits(&self, load: EngineLoad, request: &EngineRequest<'_>) -> bool {
+        if load.runs == 0 {
+            true
+        } else if request.moves {
+            load.fill(request.engine) <= MOVES_UP_TO
         } else if self.policy.admit_by_peak {
-            choice.peak <= PEAK_UP_TO
+            load.peak(request.engine) <= PEAK_UP_TO
         } else {
-            choice.fill <= ADMITS_UP_TO
+            load.fill(request.engine) <= ADMITS_UP_TO
         }
     }
 
@@ -148,13 +168,11 @@
     ) -> EngineChoice<'a> {
         let id = &replica.record.id;
         let moves = request.moves;
-        let mut load = self.engine_load(replica);
-        let (runs, arriving) = (load.runs, load.arriving);
+        let load = self.load_with(replica, request);
+        let (runs, arriving, fill) = (load.runs, load.arriving, load.fill(request.engine));
+        let fits = self.fits(load, request);
         let far = moves && replica.record.hall != *request.hall;
         let wait = self.reading.wait(id, now);
-        load.add(request.size, request.produced);
-        let fill = load.fill(request.engine);
-        let peak = load.peak(request.engine);
         // A copy goes ahead of the prompts that wait there.
         let way = if moves {
             let copy = millis(request.engine.copy_time(request.size.prompt + request.produced));
@@ -171,7 +189,7 @@
             + runs as f64 * COST_PER_RUN_MS
             + beyond * beyond * COST_FULL_MEMORY_MS
             + self.general_cost(replica, request.hall, &ENGINE_COSTS, now, rng);
-        EngineChoice { replica, runs, fill, peak, wait, cost }
+        EngineChoice { replica, runs, fill, fits, wait, cost }
     }
 
     fn general_cost<R: Rng>(
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -65,9 +65,10 @@
 pub struct LoadBook {
     /// What is switched on.
     pub policy: Policy,
-    /// By node: each of hundreds tells a lead of its own some times a second.
-    runs: HashMap<VmId, BTreeMap<RunId, Run>>,
-    by_replica: BTreeMap<UpstreamId, Vec<RunKey>>,
+    /// The requests at each replica, together: a choice looks at all of some tens of engines.
+    by_replica: BTreeMap<UpstreamId, Vec<(RunKey, Run)>>,
+    /// Where each one is, by node: each of hundreds tells a lead of its own some times a second.
+    places: HashMap<VmId, BTreeMap<RunId, UpstreamId>>,
     /// The services of the replicas that were given requests.
     services: HashMap<UpstreamId, ServiceId>,
     /// When engines will have read what they were given.
@@ -94,15 +95,15 @@
 
     fn insert(&mut self, key: RunKey, run: Run) {
         self.take_out(&key);
-        self.by_replica.entry(run.replica.clone()).or_default().push(key.clone());
-        self.runs.entry(key.entry).or_default().insert(key.run, run);
+        self.places.entry(key.entry.clone()).or_default().insert(key.run, run.replica.clone());
+        self.by_replica.entry(run.replica.clone()).or_default().push((key, run));
     }
 
     /// A generation's first event came.
     pub fn on_first_event(&mut self, key: &RunKey, now: Timestamp) {
-        let run = self.runs.get(&key.entry).and_then(|runs| runs.get(&key.run));
-        if let Some(run) = run {
-            self.reading.on_first_event(key, &run.replica, now);
+        let replica = self.places.get(&key.entry).and_then(|places| places.get(&key.run));
+        if let Some(replica) = replica {
+            self.reading.on_first_event(key, replica, now);
         }
     }
 
@@ -114,12 +115,13 @@
 
     /// A replica has started again: nothing of what it was given is there, nor of what was copied from it.
     pub fn on_restarted(&mut self, replica: &str) {
-        for key in self.by_replica.get(replica).cloned().unwrap_or_default() {
-            self.remove(&key);
-        }
+        let there: Vec<RunKey> = self.at(replica).map(|(key, _)| key.clone()).collect();
+        there.iter().for_each(|key| {
+            self.remove(key);
+        });
         self.reading.retain(|engine| engine != replica);
-        let copies = self.runs.values_mut().flat_map(BTreeMap::values_mut);
-        for copy in copies.filter(|run| run.copied_from.as_deref() == Some(replica)) {
+        let runs = self.by_replica.values_mut().flatten().map(|(_, run)| run);
+        for copy in runs.filter(|run| run.copied_from.as_deref() == Some(replica)) {
             copy.copied_from = None;
         }
     }
@@ -132,16 +134,16 @@
     }
 
     fn take_out(&mut self, key: &RunKey) -> Option<Run> {
-        let runs = self.runs.get_mut(&key.entry)?;
-        let run = runs.remove(&key.run)?;
-        if runs.is_empty() {
-            self.runs.remove(&key.entry);
+        let places = self.places.get_mut(&key.entry)?;
+        let replica = places.remove(&key.run)?;
+        if places.is_empty() {
+            self.places.remove(&key.entry);
         }
-        if let Some(keys) = self.by_replica.get_mut(&run.replica) {
-            keys.retain(|other| other != key);
-            if keys.is_empty() {
-                self.by_replica.remove(&run.replica);
-            }
+        let there = self.by_replica.get_mut(&replica)?;
+        let at = there.iter().position(|(other, _)| other == key)?;
+        let (_, run) = there.remove(at);
+        if there.is_empty() {
+            self.by_replica.remove(&replica);
         }
         Some(run)
     }
@@ -201,7 +203,7 @@
         now: Timestamp,
     ) {
         let named: HashSet<RunId> = runs.iter().map(|(run, _)| *run).collect();
-        let known = self.runs.get(entry).into_iter().flat_map(|runs| runs.range(*ids.start()..));
+        let known = self.places.get(entry).into_iter().flat_map(|places| places.range(*ids.start()..));
         let known = known.map(|(run, _)| *run).take_while(|run| ids.contains(run));
         let ended: Vec<RunId> = known.filter(|run| !named.contains(run)).collect();
         for run in ended {
@@ -221,27 +223,33 @@
 
     /// A request.
     pub fn get(&self, key: &RunKey) -> Option<&Run> {
-        self.runs.get(&key.entry)?.get(&key.run)
+        let replica = self.places.get(&key.entry)?.get(&key.run)?;
+        self.at(replica).find(|(other, _)| *other == key).map(|(_, run)| run)
     }
 
     fn get_mut(&mut self, key: &RunKey) -> Option<&mut Run> {
-        self.runs.get_mut(&key.entry)?.get_mut(&key.run)
+        let replica = self.places.get(&key.entry)?.get(&key.run)?;
+        let there = self.by_replica.get_mut(replica)?;
+        there.iter_mut().find(|(other, _)| other == key).map(|(_, run)| run)
     }
 
     /// The requests of a node.
     pub fn of_entry(&self, entry: &VmId) -> impl Iterator<Item = (RunId, &Run)> {
-        self.runs.get(entry).into_iter().flatten().map(|(run, it)| (*run, it))
+        let keys = self.places.get(entry).into_iter().flat_map(BTreeMap::keys);
+        keys.filter_map(|run| {
+            let key = RunKey { entry: entry.clone(), run: *run };
+            Some((*run, self.get(&key)?))
+        })
     }
 
     /// All requests, with the node that each came to.
     pub fn iter(&self) -> impl Iterator<Item = (&VmId, &Run)> {
-        self.runs.iter().flat_map(|(entry, runs)| runs.values().map(move |run| (entry, run)))
+        self.by_replica.values().flatten().map(|(key, run)| (&key.entry, run))
     }
 
     /// The requests at a replica.
     pub fn at<'a>(&'a self, replica: &str) -> impl Iterator<Item = (&'a RunKey, &'a Run)> {
-        let keys = self.by_replica.get(replica).into_iter().flatten();
-        keys.filter_map(|key| self.get(key).map(|run| (key, run)))
+        self.by_replica.get(replica).into_iter().flatten().map(|(key, run)| (key, run))
     }
 
     /// Whether a generation that can wait may be given to an engine: it will have read what it was given
@@ -250,12 +258,16 @@
         self.reading.wait(replica, now) <= READS_AHEAD || self.at(replica).next().is_none()
     }
 
-    /// What runs at an engine, in one pass: a lead weighs up to 64 engines for each generation, which takes 48 us
-    /// so with 8 generations at each, and 161 to 225 us with a pass for each figure (decision bench, beside other load).
+    /// What runs at an engine, in one pass over what is kept together: a lead weighs up to 64 engines for each
+    /// generation, which takes 16 to 23 us so with 8 generations at each, 50 to 62 us where each generation is looked
+    /// up by its name, and 161 to 225 us with a pass for each figure (decision bench, beside other load).
     pub fn engine_load(&self, replica: &Replica) -> EngineLoad {
         let pace = self.paces.tokens_per_second(&replica.record.service);
-        let mut load = EngineLoad { pace, ..EngineLoad::default() };
-        for (_, run) in self.at(&replica.record.id) {
+        let there = self.by_replica.get(&replica.record.id).map_or(&[][..], Vec::as_slice);
+        // One more is weighed with those that are there.
+        let growths = Vec::with_capacity(there.len() + 1);
+        let mut load = EngineLoad { pace, growths, ..EngineLoad::default() };
+        for (_, run) in there {
             load.runs += 1;
             load.arriving += usize::from(run.copied_from.is_some());
             if let Some(size) = run.size {
--- a/lib/src/gateway/rebalance.rs
+++ b/lib/src/gateway/rebalance.rs
@@ -1,9 +1,14 @@
 //! Moves running generations from engines that fill up to engines with room, before the
 //! engine preempts one of them: a move costs its caller some 20 ms, a preemption seconds.
+//!
+//! An engine is too full beyond what new generations are admitted up to, by the same measure. By what is used
+//! soon, engines that were just filled gave some away again: 624 and 2,168 moves a day on two modelled fleets at
+//! 1.14 and 1.4 times their load, 557 and 1,979 so, with as much served.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::gateway::choice::PEAK_UP_TO;
 use crate::gateway::load::LoadBook;
 use crate::gateway::replicas::Replica;
 use crate::gateway::routing::EngineTraits;
@@ -11,11 +16,6 @@
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
 
-/// An engine whose memory is expected to be used beyond this gives a generation away: what new generations are
-/// admitted up to. By the same measure as their admission: by what is used soon, engines that were just filled gave some
-/// away again (624 and 2,168 moves a day on two modelled fleets at 1.14 and 1.4 times their load, 557 and 1,979 so, with
-/// as much served).
-const TOO_FULL: f64 = 0.95;
 /// An engine takes one only up to this, so that none is passed on and on.
 const TAKES_UP_TO: f64 = 0.8;
 /// An engine with so many more generations than another one gives one away even if both
@@ -87,7 +87,7 @@
         for giver in loads.iter().rev() {
             let Some(taker) = takers.next() else { break };
             let apart = giver.runs >= taker.runs + RUNS_APART;
-            if giver.peak <= TOO_FULL && !apart {
+            if giver.peak <= PEAK_UP_TO && !apart {
                 continue;
             }
             if self.is_giving(book, &giver.replica.record.id) {
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use leadstage_lib::gateway::choice::EngineChoice;
 use leadstage_lib::gateway::choice::EngineRequest;
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
 use leadstage_lib::gateway::cold_start::ColdStarts;
@@ -102,9 +101,8 @@
         let now = self.shared.now();
         let open = self.candidates(wanted);
         let engines = open.len();
-        let reads_soon = |replica: &&Replica| self.book.reads_soon(&replica.record.id, now);
-        let candidates: Vec<&Replica> =
-            open.iter().copied().filter(|replica| !may_wait || reads_soon(replica)).collect();
+        let (soon, later): (Vec<&Replica>, Vec<&Replica>) =
+            open.into_iter().partition(|replica| !may_wait || self.book.reads_soon(&replica.record.id, now));
         let request = EngineRequest {
             size,
             engine: traits,
@@ -112,10 +110,12 @@
             produced: wanted.produced,
             moves: wanted.from.is_some(),
         };
-        let Some(choice) = self.best_engine(candidates, &request, now) else {
+        let considered = sample(soon, request.hall).into_iter();
+        let Some(choice) = self.book.choose_engine(considered, &request, now, &mut rand::rng()) else {
+            let others = sample(later, request.hall).into_iter();
             return Err(match engines {
                 0 => Shortage::Engines,
-                _ if self.best_engine(open, &request, now).is_some() => Shortage::Reading,
+                _ if self.book.has_memory(others, &request) => Shortage::Reading,
                 _ => Shortage::Memory,
             });
         };
@@ -123,16 +123,6 @@
         Ok(choice.replica.record.clone())
     }
 
-    fn best_engine<'a>(
-        &self,
-        candidates: Vec<&'a Replica>,
-        request: &EngineRequest<'_>,
-        now: Timestamp,
-    ) -> Option<EngineChoice<'a>> {
-        let considered = sample(candidates, request.hall).into_iter();
-        self.book.choose_engine(considered, request, now, &mut rand::rng())
-    }
-
     /// Whether the engine that a generation moves away from can start another copy; a new
     /// generation needs none.
     pub fn copy_may_start(&self, wanted: &Wanted) -> bool {
