--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -151,9 +151,22 @@
 
     /// Starts a replica whose generations have `events`, and lists it.
     pub async fn start_replica(&self, service: &str, id: &str, events: u64) -> RunningReplica {
+        self.start_cold_replica(service, id, events, Duration::ZERO).await
+    }
+
+    /// The same for one that is slow from its start for so long.
+    pub async fn start_cold_replica(
+        &self,
+        service: &str,
+        id: &str,
+        events: u64,
+        cold: Duration,
+    ) -> RunningReplica {
         let ip = self.replicas_ip();
         let (replica, server) = GatewayReplica::start(&ip, id, events, self.engines.clone()).await;
-        self.store.put("servers", id, replica_entry(service, server.address, "hall-1", "ready"));
+        let mut entry = replica_entry(service, server.address, "hall-1", "ready");
+        entry["coldRemainingMs"] = (cold.as_millis() as u64).into();
+        self.store.put("servers", id, entry);
         RunningReplica { replica, server: Some(server) }
     }
 
--- a/node/tests/limited_fleet.rs
+++ b/node/tests/limited_fleet.rs
@@ -106,10 +106,8 @@
     /// Asserts that no replica got more in any window than its limit allows.
     pub fn assert_all_kept(&self, limits: &[f64], from: Instant) {
         for (replica, limit) in limits.iter().enumerate() {
-            let arrivals = self.arrivals(replica, from);
             let allowed = (limit * OVERSHOOT * WINDOW.as_secs_f64() + SLACK) as usize;
-            let most = arrivals.iter().map(|start| count_within(&arrivals, *start, *start + WINDOW)).max();
-            let most = most.unwrap_or(0);
+            let most = self.most_within(replica, from, WINDOW);
             assert!(
                 most <= allowed,
                 "replica {replica} named {limit} a second, got {most} in 4 s, allowed {allowed}\n{}",
@@ -118,6 +116,13 @@
         }
     }
 
+    /// The most requests that a replica got within a time.
+    pub fn most_within(&self, replica: usize, from: Instant, window: Duration) -> usize {
+        let arrivals = self.arrivals(replica, from);
+        let counts = arrivals.iter().map(|start| count_within(&arrivals, *start, *start + window));
+        counts.max().unwrap_or(0)
+    }
+
     /// Asserts that most of what each replica names was used in a time.
     pub fn assert_all_used(&self, limits: &[f64], from: Instant, lasts: Duration) {
         for (replica, limit) in limits.iter().enumerate() {
--- a/node/tests/test_gateway_replica_limits.rs
+++ b/node/tests/test_gateway_replica_limits.rs
@@ -11,6 +11,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use leadstage_testutils::gateway_replica::ReplicaFault;
 
@@ -18,6 +19,7 @@
 use crate::gateway_environment::KEY;
 use crate::gateway_environment::MODEL;
 use crate::gateway_environment::chat;
+use crate::gateway_environment::config;
 use crate::gateway_environment::request;
 use crate::limited_fleet::BINDS_AFTER;
 use crate::limited_fleet::LimitedFleet;
@@ -151,6 +153,30 @@
     fleet.assert_all_kept(&limits, binds);
 }
 
+/// A cold replica that names a limit is given no more than either allows: grants come beside no share of what
+/// a cold one bears. It bears 4 requests a second, and 12 a second are named.
+#[tokio::test]
+async fn test_a_cold_replica_with_a_limit_gets_no_more_than_a_cold_one() {
+    const BEARS: u32 = 4;
+    let mut fleet = LimitedFleet::start(BOOKING, NODES, 2).await;
+    let mut config = config(2);
+    config["services"][0]["coldStartS"] = 60.into();
+    config["services"][0]["warmupPerS"] = BEARS.into();
+    fleet.gateway.store.put("config", "main", config);
+    for node in 0..NODES {
+        let has_it = async || fleet.gateway.node_status(node).await.bundle == Some(2);
+        fleet.gateway.until("each node has the configuration", has_it).await;
+    }
+    let cold = fleet.gateway.start_cold_replica(BOOKING, "booking-3", 4, Duration::from_secs(60)).await;
+    cold.replica.set_limit(Some("12"));
+    fleet.replicas.push(cold);
+    let began = Instant::now();
+    let answers = fleet.load(&[8.0; NODES], BINDS_AFTER + MEASURED, read).await;
+    assert_all_served(&answers, &fleet);
+    let most = fleet.most_within(2, began, Duration::from_secs(1));
+    assert!((1..=BEARS as usize).contains(&most), "{most} in a second\n{}", fleet.gateway.logs());
+}
+
 /// What a replica takes from all nodes is not for callers.
 #[tokio::test]
 async fn test_callers_are_not_told_of_limits() {
