--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -129,12 +129,10 @@
         if soon.is_empty() && later.is_empty() {
             return Err(Shortage::Engines);
         }
-        let choice = self.choose_engine(soon.into_iter(), request, now, rng);
-        choice.ok_or_else(
-            || {
-                if self.has_memory(later, request) { Shortage::Reading } else { Shortage::Memory }
-            },
-        )
+        if let Some(choice) = self.choose_engine(soon.into_iter(), request, now, rng) {
+            return Ok(choice);
+        }
+        Err(if self.has_memory(later, request) { Shortage::Reading } else { Shortage::Memory })
     }
 
     fn has_memory(&self, engines: Vec<&Replica>, request: &EngineRequest<'_>) -> bool {
