--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! All tests of the package, in one program.
 
+mod limit_windows;
 mod test_bundle;
 mod test_burn;
 mod test_claims;
--- a/lib/tests/test_gateway_limit_model.rs
+++ b/lib/tests/test_gateway_limit_model.rs
@@ -21,12 +21,13 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::limit_windows;
+
 const LASTS_S: f64 = 60.0;
 /// Calls begin to come.
 const BEGINS_S: f64 = 5.0;
 /// From here on the limit binds, and its use is counted.
 const BINDS_S: f64 = 8.0;
-const WINDOW_S: f64 = 4.0;
 /// Requests that may be saved up while no calls come.
 const SAVED_UP_IN_PAUSE: f64 = 2.0;
 const SEEDS: u64 = 5;
@@ -220,14 +221,12 @@
     }
     arrivals.retain(|at| *at >= BINDS_S);
     arrivals.sort_by(f64::total_cmp);
-    let until = |end: f64| arrivals.partition_point(|at| *at < end);
-    let within = |(first, start): (usize, &f64)| until(start + WINDOW_S) - first;
-    let most = arrivals.iter().enumerate().map(within).max().unwrap_or(0) as f64;
+    let most = limit_windows::most_within(&arrivals, limit_windows::WINDOW_S);
     let saved_up = if case == Case::Pause { SAVED_UP_IN_PAUSE } else { 0.0 };
     let idle = if case == Case::Pause { TROUBLE_ENDS_S - TROUBLE_S } else { 0.0 };
     let named = limit * (LASTS_S - BINDS_S - idle);
     Played {
-        most: most / (limit * 1.5 * WINDOW_S + 5.0).floor(),
+        most: most as f64 / limit_windows::allowed(limit) as f64,
         used: arrivals.len() as f64 / named,
         used_of_saved: arrivals.len() as f64 / (named + saved_up),
         messages: way.messages() as f64 / (LASTS_S - BEGINS_S),
--- a/lib/tests/test_gateway_limit_regular_calls.rs
+++ b/lib/tests/test_gateway_limit_regular_calls.rs
@@ -22,6 +22,8 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 
+use crate::limit_windows;
+
 /// What the replicas name, in requests a second.
 const LIMITS: [f64; 2] = [3.0, 4.4];
 /// Calls a second at each node.
@@ -31,7 +33,6 @@
 /// Nodes grant nothing in their first 2 s.
 const BEGINS: Duration = Duration::from_secs(5);
 const LASTS: Duration = Duration::from_secs(8);
-const WINDOW: Duration = Duration::from_secs(4);
 /// Calls of a regular load come as late as this.
 const LATE_BY_S: f64 = 0.003;
 const LEAST_USED: f64 = 0.75;
@@ -88,14 +89,10 @@
     granted
 }
 
-fn most_within(moments: &[Duration], window: Duration) -> usize {
-    let until = |end: Duration| moments.partition_point(|at| *at < end);
-    moments.iter().enumerate().map(|(first, start)| until(*start + window) - first).max().unwrap_or(0)
-}
-
 /// Three quarters of a limit are used in each of the plays, whatever the calls' urgency, by grants alone.
 #[test]
 fn test_limits_are_used_by_regular_calls_of_few_nodes() {
+    let window = Duration::from_secs_f64(limit_windows::WINDOW_S);
     let mut table = String::from("urgency limit  used: least mean  most in 4 s allowed\n");
     for urgency in URGENCIES {
         let plays: Vec<_> = (0..SEEDS).map(|seed| granted(urgency, seed)).collect();
@@ -103,8 +100,9 @@
             let used = plays.iter().map(|play| play[n].len() as f64 / (limit * LASTS.as_secs_f64()));
             let least = used.clone().fold(f64::MAX, f64::min);
             let mean = used.sum::<f64>() / SEEDS as f64;
-            let most = plays.iter().map(|play| most_within(&play[n], WINDOW)).max().unwrap_or(0);
-            let allowed = (1.5 * limit * WINDOW.as_secs_f64() + 5.0) as usize;
+            let most =
+                plays.iter().map(|play| limit_windows::most_within(&play[n], window)).max().unwrap_or(0);
+            let allowed = limit_windows::allowed(limit);
             writeln!(table, "{urgency:7} {limit:5} {least:12.2} {mean:4.2} {most:12} {allowed:7}")
                 .expect("a string takes it");
             assert!(most <= allowed, "{table}");
--- a/node/tests/test_gateway_noise.rs
+++ b/node/tests/test_gateway_noise.rs
@@ -85,20 +85,18 @@
 }
 
 async fn check(seed: u64) {
-    let (mut gateway, _model, _booking) = Gateway::with_replicas(2).await;
-    for _ in 0..2 {
-        let node = gateway.start_node();
-        gateway.until_ready(node).await;
-    }
+    let (mut gateway, _bookings, _models) = Gateway::with_replicas(2).await;
+    let other = gateway.start_node();
+    gateway.until_ready(other).await;
     let before = memory_kb(&gateway, 0);
     let mut rng = StdRng::seed_from_u64(seed);
-    let [to, from] = [0, 1].map(|node| gateway.peer(node).parse().expect("an address"));
+    let [to, from] = [0, other].map(|node| gateway.peer(node).parse().expect("an address"));
     send_datagrams(to, from, &mut rng).await;
     for port in [gateway.front(0), gateway.peer(0), gateway.ready(0), gateway.metrics(0)] {
         send_streams(&port, &mut rng).await;
     }
     tokio::time::sleep(Duration::from_secs(1)).await;
-    for node in 0..2 {
+    for node in [0, other] {
         assert_eq!(gateway.ended(node), None, "seed {seed}\n{}", gateway.logs());
         assert!(!gateway.log(node).contains("panicked"), "seed {seed}\n{}", gateway.log(node));
     }
--- a/testutils/tests/test_fleet_model.rs
+++ b/testutils/tests/test_fleet_model.rs
@@ -1,6 +1,7 @@
 //! The model of a fleet: what callers get follows from loads that can be reckoned by hand, and a short day of
 //! each shape stays as it is.
 
+use leadstage_lib::gateway::policy::Policy;
 use leadstage_testutils::fleet_model;
 use leadstage_testutils::fleet_model::experiment::Experiment;
 use leadstage_testutils::fleet_model::tally;
@@ -36,6 +37,17 @@
     experiment
 }
 
+/// The days of an experiment, and the same with something switched off.
+fn with_and_without(
+    mut experiment: Experiment,
+    switch_off: impl Fn(&mut Policy),
+) -> (Experiment, Vec<Tally>, Vec<Tally>) {
+    let with = play(&experiment);
+    switch_off(&mut experiment.policy);
+    let without = play(&experiment);
+    (experiment, with, without)
+}
+
 /// Part of what could be earned on some days.
 fn earned(experiment: &Experiment, days: &[Tally]) -> f64 {
     days.iter().map(|day| day.earned(experiment)).sum::<f64>() / days.len() as f64
@@ -63,10 +75,8 @@
 /// peak. Three days of half the fleet here.
 #[test]
 fn test_admission_by_the_expected_peak_serves_more() {
-    let mut experiment = overloaded(1.14);
-    let by_peak = play(&experiment);
-    experiment.policy.admit_by_peak = false;
-    let by_growth = play(&experiment);
+    let (experiment, by_peak, by_growth) =
+        with_and_without(overloaded(1.14), |policy| policy.admit_by_peak = false);
     let [earned_by_peak, earned_by_growth] = [&by_peak, &by_growth].map(|days| earned(&experiment, days));
     assert!(earned_by_peak > earned_by_growth + 0.02, "{earned_by_peak} {earned_by_growth}");
     let in_time =
@@ -81,10 +91,7 @@
 /// over. Three days of half the fleet here.
 #[test]
 fn test_passing_over_long_prompts_serves_more() {
-    let mut experiment = overloaded(1.3);
-    let with = play(&experiment);
-    experiment.policy.pass_over = false;
-    let without = play(&experiment);
+    let (experiment, with, without) = with_and_without(overloaded(1.3), |policy| policy.pass_over = false);
     let table = format!("{}\n{}", tally::table(&experiment, &with), tally::table(&experiment, &without));
     assert!(earned(&experiment, &with) > earned(&experiment, &without), "{table}");
 }
