cli, node: how changes spread in a fleet, and what nodes send to each other by kind

Nodes log each 10 s what they have sent by kind (peer_traffic), and count it on the metrics address.

Tests: test_fleet in cli; the tests that waited for node_met wait for nodes_met.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -32,6 +32,7 @@
   leadstage explain ID --logs FILE [--logs FILE ...]
   leadstage report burn --node IP:PORT [--node IP:PORT ...] [--plot FILE.svg]
   leadstage report losses FILE [FILE ...] [--plot FILE.svg]
+  leadstage report fleet FILE [FILE ...] [--plot FILE.svg]
 
   --format text|json   how to print (text by default)
   --node IP:PORT       a node's admin port; give each node of the fleet
@@ -51,6 +52,8 @@
 report burn       how fast the error budgets of the service levels are used up
 report losses     what became of a gateway's streams, by cause and moment, and where their
                   time went, from the logs of all nodes
+report fleet      how long changes took to become known to all gateway nodes, and what nodes
+                  sent to each other, from the logs of all nodes
 
 Exit codes: 0 done, 1 failure, 2 wrong arguments or a wrong file,
 3 the roll-out was overtaken by another one, 4 the roll-out's outcome is not known.
@@ -119,6 +122,8 @@
     ExplainLogs(String, Vec<PathBuf>),
     /// Report what became of a gateway's streams, from logs.
     Losses(Vec<PathBuf>, Option<PathBuf>),
+    /// Report how changes spread among a gateway's nodes, from logs.
+    Fleet(Vec<PathBuf>, Option<PathBuf>),
     /// Report the burn.
     Burn(Vec<SocketAddr>, Option<PathBuf>),
 }
@@ -214,15 +219,19 @@
         }
         ["explain", id] => Ok(Command::Explain(id.to_owned(), nodes()?)),
         ["report", "losses", ref files @ ..] => {
-            let logs: Vec<PathBuf> =
-                options.logs.iter().cloned().chain(files.iter().map(PathBuf::from)).collect();
-            if logs.is_empty() {
-                return Err(CliError::Missing("FILE"));
-            }
-            Ok(Command::Losses(logs, options.plot.clone()))
+            Ok(Command::Losses(logs(&options.logs, files)?, options.plot.clone()))
+        }
+        ["report", "fleet", ref files @ ..] => {
+            Ok(Command::Fleet(logs(&options.logs, files)?, options.plot.clone()))
         }
         ["report", "burn"] => Ok(Command::Burn(nodes()?, options.plot.clone())),
         [] => Err(CliError::Missing("a command")),
         _ => Err(lexopt::Error::from(format!("unknown command: {}", words.join(" "))).into()),
     }
 }
+
+/// The log files, named by an option or not; at least one.
+fn logs(named: &[PathBuf], files: &[&str]) -> Result<Vec<PathBuf>, CliError> {
+    let logs: Vec<PathBuf> = named.iter().cloned().chain(files.iter().map(PathBuf::from)).collect();
+    if logs.is_empty() { Err(CliError::Missing("FILE")) } else { Ok(logs) }
+}
--- a/cli/src/log_lines.rs
+++ b/cli/src/log_lines.rs
@@ -1,6 +1,9 @@
 //! Reads the logs of gateway nodes.
 
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::BufRead;
+use std::io::BufReader;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -11,6 +14,8 @@
 pub struct Line {
     /// When it was written, in milliseconds of Unix time.
     pub at_ms: i64,
+    /// When a collector saw it, in milliseconds of the collector's own clock, if it says so.
+    pub collected_ms: Option<i64>,
     /// The node that wrote it.
     pub node: String,
     /// What it says, by key.
@@ -27,6 +32,11 @@
     pub fn number(&self, key: &str) -> f64 {
         self.get(key).parse().unwrap_or(0.0)
     }
+
+    /// When it was written by a clock that all nodes share, if there is one: the clocks of VMs differ.
+    pub fn shared_ms(&self) -> i64 {
+        self.collected_ms.unwrap_or(self.at_ms)
+    }
 }
 
 /// The lines that tell of one kind of event.
@@ -38,28 +48,56 @@
 pub fn read_all(files: &[PathBuf]) -> Result<Vec<Line>, CliError> {
     let mut lines = Vec::new();
     for file in files {
-        lines.extend(read(file)?);
+        for_each(file, |_| true, |line| lines.push(line))?;
     }
     Ok(lines)
 }
 
-fn read(path: &Path) -> Result<Vec<Line>, CliError> {
-    let text = std::fs::read_to_string(path);
-    let text = text.map_err(|source| CliError::File { path: path.to_owned(), source })?;
+/// Passes the lines of a file on that tell of wanted events, in their order. The others are not taken
+/// apart, and no more than one line is held at a time.
+pub fn for_each(
+    path: &Path,
+    is_wanted: impl Fn(&str) -> bool,
+    mut take: impl FnMut(Line),
+) -> Result<(), CliError> {
+    let failed = |source| CliError::File { path: path.to_owned(), source };
     let node = path.file_stem().map(|stem| stem.to_string_lossy().into_owned()).unwrap_or_default();
-    Ok(text.lines().filter_map(|line| parse(line, &node)).collect())
+    let mut reader = BufReader::new(File::open(path).map_err(failed)?);
+    let mut buf = Vec::new();
+    while reader.read_until(b'\n', &mut buf).map_err(failed)? > 0 {
+        let text = String::from_utf8_lossy(&buf);
+        if is_wanted(event_of(&text))
+            && let Some(line) = parse(text.trim_end(), &node)
+        {
+            take(line);
+        }
+        buf.clear();
+    }
+    Ok(())
 }
 
-/// Reads a line; what stands before its time is the collector's.
+/// The event that a line tells of; empty if it names none.
+fn event_of(line: &str) -> &str {
+    let after = line.split_once(" event=").map_or("", |(_, after)| after);
+    after.split_ascii_whitespace().next().unwrap_or_default()
+}
+
+/// Reads a line; what stands before its time is the collector's: seconds by its clock, if it tells them,
+/// and the node.
 fn parse(line: &str, file: &str) -> Option<Line> {
     let start = line.find("ts=")?;
     let pairs = pairs(&line[start..]);
     let at = humantime::parse_rfc3339_weak(pairs.get("ts")?).ok()?;
     let at_ms = at.duration_since(std::time::UNIX_EPOCH).ok()?.as_millis() as i64;
-    let before = line[..start].split_whitespace().last().unwrap_or(file);
-    Some(Line { at_ms, node: before.to_owned(), pairs })
+    let mut before = line[..start].split_whitespace();
+    let collected: Option<f64> = before.clone().next().and_then(|seconds| seconds.parse().ok());
+    Some(Line {
+        at_ms,
+        collected_ms: collected.map(|seconds| (seconds * 1_000.0).round() as i64),
+        node: before.next_back().unwrap_or(file).to_owned(),
+        pairs,
+    })
 }
-
 fn pairs(line: &str) -> BTreeMap<String, String> {
     let mut pairs = BTreeMap::new();
     let mut rest = line.trim_start();
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,12 +5,15 @@
 mod burn_command;
 mod error;
 mod explain_logs;
+mod fleet_command;
 mod http;
 mod keys_command;
 mod late_streams;
 mod log_lines;
 mod losses_command;
+mod peer_traffic;
 mod plot;
+mod spreads;
 mod status_command;
 mod store_calls;
 mod table;
@@ -64,6 +67,7 @@
         Command::Explain(id, nodes) => status_command::explain(&id, &nodes, format).await,
         Command::ExplainLogs(id, files) => explain_logs::explain(&id, &files, format),
         Command::Losses(files, plot) => losses_command::losses(&files, plot.as_deref(), format),
+        Command::Fleet(files, plot) => fleet_command::fleet(&files, plot.as_deref(), format),
         Command::Burn(nodes, plot) => burn_command::burn(&nodes, plot.as_deref(), format).await,
     }
 }
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -2,4 +2,5 @@
 
 mod test_commands;
 mod test_explain_logs;
+mod test_fleet;
 mod test_losses;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -26,6 +26,7 @@
 use crate::gateway::observability::metrics::Levels;
 use crate::gateway::observability::metrics::StoreCall;
 use crate::gateway::observability::metrics::StoreCalls;
+use crate::gateway::observability::peer_traffic::MessageKind;
 use crate::gateway::peers::fleet::Fleet;
 use crate::gateway::peers::outbox::Outbox;
 use crate::gateway::peers::outbox::address_of;
@@ -195,9 +196,17 @@
             self.last_levels_line = now;
             let peer_bytes = self.shared.metrics.peer_bytes_so_far();
             info!(event = "levels", open = levels.open, waiting = levels.waiting, nodes = levels.nodes, config = self.shared.config_version(), config_age_ms = levels.config_age.as_millis() as u64, replicas_age_ms = levels.replicas_age.as_millis() as u64, peer_bytes; "levels");
+            self.log_peer_traffic();
         }
     }
 
+    /// Tells what was sent to other nodes since the start, as messages and bytes of each kind.
+    fn log_peer_traffic(&self) {
+        let traffic = &self.shared.metrics.peer_traffic;
+        let of = |kind| traffic.of(kind);
+        info!(event = "peer_traffic", membership:% = of(MessageKind::Membership), placing:% = of(MessageKind::Placing), inventory:% = of(MessageKind::Inventory), replicas:% = of(MessageKind::Replicas), pulse:% = of(MessageKind::Pulse), config:% = of(MessageKind::Config), halls:% = of(MessageKind::Halls), suspects:% = of(MessageKind::Suspects), limits:% = of(MessageKind::Limits), config_handed_out:% = of(MessageKind::ConfigHandedOut), replicas_handed_out:% = of(MessageKind::ReplicasHandedOut); "sent to other nodes so far");
+    }
+
     /// Tells the calls to the store so far, if there are more.
     fn log_store_calls(&mut self) {
         let calls = self.shared.metrics.store_calls_so_far();
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -15,6 +15,8 @@
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 
+use crate::gateway::observability::peer_traffic::MessageKind;
+use crate::gateway::observability::peer_traffic::PeerTraffic;
 use crate::metrics::Instruments;
 
 /// Routes with a label value of their own; later ones share `other`.
@@ -39,6 +41,9 @@
     lead_silences: Counter<u64>,
     peer_bytes: Counter<u64>,
     peer_bytes_sum: AtomicU64,
+    peer_sent: Counter<u64>,
+    /// What was sent to other nodes so far.
+    pub peer_traffic: PeerTraffic,
     waiting: Gauge<u64>,
     open: Gauge<u64>,
     config_age: Gauge<f64>,
@@ -84,6 +89,8 @@
             lead_silences: counter("leadstage.gateway.lead_silences", "Questions that a lead did not answer"),
             peer_bytes: counter("leadstage.gateway.peer_bytes", "Bytes from and to other nodes, by what"),
             peer_bytes_sum: AtomicU64::new(0),
+            peer_sent: counter("leadstage.gateway.peer_sent", "Bytes sent to other nodes, by kind"),
+            peer_traffic: PeerTraffic::default(),
             waiting: instruments
                 .gauge("leadstage.gateway.waiting", "Generations that wait here for an engine"),
             open: instruments.gauge("leadstage.gateway.open", "Requests open"),
@@ -197,6 +204,12 @@
         self.peer_bytes.add(bytes as u64, &[KeyValue::new("what", what.label())]);
     }
 
+    /// A message of so many bytes was sent to another node.
+    pub fn on_peer_sent(&self, kind: MessageKind, bytes: usize) {
+        self.peer_traffic.on_sent(kind, bytes);
+        self.peer_sent.add(bytes as u64, &[KeyValue::new("kind", kind.label())]);
+    }
+
     /// Bytes from and to other nodes so far.
     pub fn peer_bytes_so_far(&self) -> u64 {
         self.peer_bytes_sum.load(Ordering::Relaxed)
--- a/node/src/gateway/peers/fleet.rs
+++ b/node/src/gateway/peers/fleet.rs
@@ -69,6 +69,8 @@
     membership: Membership,
     probes: HashMap<ProbeId, (Awaited, Timestamp)>,
     last_probe: ProbeId,
+    /// Nodes that sent their first message since the last tick.
+    met: usize,
     greeting: Greeting,
     /// Whether this node hears of others that follow the store, which it tells with its probes.
     pub hears_watchers: bool,
@@ -105,6 +107,7 @@
             seeds,
             probes: HashMap::new(),
             last_probe: 0,
+            met: 0,
             greeting: Greeting::default(),
             hears_watchers: false,
             outbox,
@@ -184,6 +187,7 @@
 
     /// Probes whom it is time to probe; returns the nodes that are gone.
     pub fn tick(&mut self, now: Timestamp) -> Vec<VmId> {
+        self.log_met();
         self.list(now);
         self.greet(now);
         let mut actions = self.membership.tick(now);
@@ -203,6 +207,15 @@
         self.act(actions, now)
     }
 
+    /// One line for all nodes that were met since the last tick: of a thousand that start at once each would else
+    /// write a thousand lines.
+    fn log_met(&mut self) {
+        let met = std::mem::take(&mut self.met);
+        if met > 0 {
+            info!(event = "nodes_met", met, known = self.known.len(); "other nodes are known");
+        }
+    }
+
     /// Probes one seed after the other until another node was heard from, and one once more a little
     /// later: of a fleet that starts at once, seeds know most by then.
     fn greet(&mut self, now: Timestamp) {
@@ -227,7 +240,7 @@
     pub fn heard_from(&mut self, from: SocketAddr, now: Timestamp) -> Vec<VmId> {
         self.greeting.met |= from != self.own_address;
         if from != self.own_address && self.known.insert(from) {
-            info!(event = "node_met", node:% = from; "another node is known");
+            self.met += 1;
             self.list(now);
         }
         let actions = self.membership.heard_from(&node_id(from), now);
--- a/node/src/gateway/peers/outbox.rs
+++ b/node/src/gateway/peers/outbox.rs
@@ -51,7 +51,10 @@
             Datagram { from, config, replicas_at, closed_halls, crash_digest, limits_digest, message };
         match postcard::to_stdvec(&datagram) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => match self.socket.try_send_to(&bytes, to) {
-                Ok(sent) => self.shared.metrics.on_peer_bytes(PeerBytes::DatagramsOut, sent),
+                Ok(sent) => {
+                    self.shared.metrics.on_peer_bytes(PeerBytes::DatagramsOut, sent);
+                    self.shared.metrics.on_peer_sent(message.kind(), sent);
+                }
                 Err(err) => {
                     debug!(event = "datagram_not_sent", to:% = to, reason:% = err; "a datagram was not sent")
                 }
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -30,6 +30,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::observability::peer_traffic::MessageKind;
+
 /// Bytes of a datagram at most. Nearly all fit into one packet; the inventory of a busy
 /// node takes a few.
 pub const MAX_DATAGRAM: usize = 18 << 10;
@@ -101,6 +103,34 @@
     Granted(GrantQuestionId, Grant),
 }
 
+impl PeerMessage {
+    /// What it is for.
+    pub fn kind(&self) -> MessageKind {
+        match self {
+            PeerMessage::Probe(..) | PeerMessage::ProbeAnswer(..) | PeerMessage::ProbeFor(..) => {
+                MessageKind::Membership
+            }
+            PeerMessage::Place(_)
+            | PeerMessage::Placed(..)
+            | PeerMessage::Waits(_)
+            | PeerMessage::FirstEvent(_)
+            | PeerMessage::Ended(_)
+            | PeerMessage::EngineFailed(_)
+            | PeerMessage::Copied(_)
+            | PeerMessage::MoveAway(..) => MessageKind::Placing,
+            PeerMessage::Inventory(_) => MessageKind::Inventory,
+            PeerMessage::Replicas(_) => MessageKind::Replicas,
+            PeerMessage::Pulse(_) => MessageKind::Pulse,
+            PeerMessage::NewConfig => MessageKind::Config,
+            PeerMessage::HallsChanged => MessageKind::Halls,
+            PeerMessage::Suspects(_) => MessageKind::Suspects,
+            PeerMessage::Limits(_) | PeerMessage::AskGrant(_) | PeerMessage::Granted(..) => {
+                MessageKind::Limits
+            }
+        }
+    }
+}
+
 /// Names a probe of one node.
 pub type ProbeId = u64;
 
--- a/node/src/gateway/peers/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -32,6 +32,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::observability::metrics::PeerBytes;
+use crate::gateway::observability::peer_traffic::MessageKind;
 use crate::gateway::shared::Shared;
 use crate::gateway::small_port;
 
@@ -93,13 +94,14 @@
 
     fn answer(&self, req: &Request<Incoming>) -> Response<Full<Bytes>> {
         let known = req.uri().query().and_then(|known| known.parse().ok()).unwrap_or(0);
-        let res = match req.uri().path() {
-            CONFIG_PATH => self.configuration(req, known),
-            REPLICAS_PATH => self.replicas(known),
-            _ => status(StatusCode::NOT_FOUND),
+        let (res, kind) = match req.uri().path() {
+            CONFIG_PATH => (self.configuration(req, known), MessageKind::ConfigHandedOut),
+            REPLICAS_PATH => (self.replicas(known), MessageKind::ReplicasHandedOut),
+            _ => return status(StatusCode::NOT_FOUND),
         };
         let bytes = res.body().size_hint().lower() as usize;
         self.shared.metrics.on_peer_bytes(PeerBytes::FetchedOut, bytes);
+        self.shared.metrics.on_peer_sent(kind, bytes);
         res
     }
 
--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -67,7 +67,7 @@
     let (mut gateway, _bookings, _models) = Gateway::with_replicas(1).await;
     let second = gateway.start_node();
     gateway.until_ready(second).await;
-    gateway.until("they have met", async || gateway.log(0).contains("event=node_met")).await;
+    gateway.until("they have met", async || gateway.log(0).contains("event=nodes_met")).await;
     // Halls are told with the probes, one a second.
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     gateway.signal(0, "-TERM");
@@ -102,7 +102,7 @@
     gateway.until_ready(second).await;
     gateway
         .until("they know each other", async || {
-            gateway.log(second).contains("event=node_changed") || gateway.log(0).contains("node_met")
+            gateway.log(second).contains("event=node_changed") || gateway.log(0).contains("nodes_met")
         })
         .await;
     own.set_fault(StoreFault::Refuses);
@@ -230,7 +230,7 @@
     let (mut gateway, _bookings, _models) = Gateway::with_replicas(1).await;
     let second = gateway.start_node();
     gateway.until_ready(second).await;
-    gateway.until("they know each other", async || gateway.log(0).contains("node_met")).await;
+    gateway.until("they know each other", async || gateway.log(0).contains("nodes_met")).await;
     let large = |id: &str| {
         let mut req = chat(id);
         req.headers_mut().insert("leadstage-token-usage", "30000,2000".parse().expect("valid"));
--- a/node/tests/test_gateway_inventories.rs
+++ b/node/tests/test_gateway_inventories.rs
@@ -33,7 +33,7 @@
         gateway.start_node();
         gateway.until_ready(node).await;
     }
-    gateway.until("they know each other", async || gateway.log(0).contains("node_met")).await;
+    gateway.until("they know each other", async || gateway.log(0).contains("nodes_met")).await;
     gateway
         .until("each service has one lead", async || {
             let (mut led, others) = (running(&gateway, 0).await, running(&gateway, 1).await);
