limits: who grants saves up from when a limit is named

Cause: an account for a replica that names a limit began with the first question, 3 s and more after the limit was named. Of a limit of 0.4 a second the first grant came 4.1 s later, and the tenth of ten requests that are needed 0.12 s before the end.

The account begins when the limit was named, if the first question comes within 5 s of that. One that begins later has nothing saved up, as another node may have granted before; what is saved up is bounded by two as before.

Ruled out: a larger part of the limit for grants, which would leave less for streams that go on at their engine.

--- a/lib/src/gateway/limit_book.rs
+++ b/lib/src/gateway/limit_book.rs
@@ -51,7 +51,10 @@
             return true;
         };
         match giver {
-            Giver::Lead => self.grants.may_grant(replica, limit, 0, now),
+            Giver::Lead => {
+                self.saves_from_naming(replica, now);
+                self.grants.may_grant(replica, limit, 0, now)
+            }
             Giver::Node => self.asks.has_permit(replica, limit, now, rng),
         }
     }
@@ -85,12 +88,21 @@
 
     /// A node, perhaps this one, asks for a grant at a replica. One that names no limit needs none.
     pub fn grant(&mut self, replica: &UpstreamId, as_granter: Granter, urgency: u8, now: Timestamp) -> Grant {
+        if as_granter == Granter::First {
+            self.saves_from_naming(replica, now);
+        }
         match self.limits.limit(replica) {
             Some(limit) => self.grants.ask(replica, limit, as_granter, urgency, now),
             None => Grant { granted: true, ask_again_after: Duration::ZERO },
         }
     }
 
+    fn saves_from_naming(&mut self, replica: &UpstreamId, now: Timestamp) {
+        if let Some(named_at) = self.limits.named_since(replica) {
+            self.grants.saves_from(replica, named_at, now);
+        }
+    }
+
     /// When a caller comes back that is refused, as all replicas of its service name limits, `named` together:
     /// each at a time of its own, as far apart as one node's part of the limits lets requests be.
     pub fn comes_back_after(
--- a/lib/src/gateway/limit_grants.rs
+++ b/lib/src/gateway/limit_grants.rs
@@ -50,6 +50,8 @@
 /// A node that has just started grants nothing for this long: until others are met, it takes itself for
 /// the one to grant.
 const KNOWS_FLEET_AFTER: Duration = Duration::from_secs(2);
+/// Whoever grants for a replica is asked within this after the limit was named, where there are calls.
+const BEGINS_WITHIN: Duration = Duration::from_secs(5);
 /// Nodes that were seen within this count as perhaps being behind a cut: cuts that last longer than nodes
 /// take to be replaced.
 const SEEN_LATELY: Duration = Duration::from_secs(20);
@@ -108,6 +110,15 @@
         }
     }
 
+    /// A replica has named a limit since some moment: what it takes from then on is saved up. A node that begins to
+    /// grant later than this has nothing saved up, as another one may have granted before.
+    pub fn saves_from(&mut self, replica: &UpstreamId, named_at: Timestamp, now: Timestamp) {
+        if now < named_at + BEGINS_WITHIN && !self.accounts.contains_key(replica) {
+            let from = named_at.max(KNOWS_FLEET_AFTER).min(now);
+            self.accounts.insert(replica.clone(), Account::new(from));
+        }
+    }
+
     /// Whether a request of an urgency may be granted to a replica, by the first node.
     pub fn may_grant(&mut self, replica: &UpstreamId, limit: PerSecond, urgency: u8, now: Timestamp) -> bool {
         let rate = self.rate(limit, Granter::First, now);
--- a/lib/src/gateway/replica_limits.rs
+++ b/lib/src/gateway/replica_limits.rs
@@ -135,6 +135,11 @@
         known.is_some_and(|known| now < known.since + LEFT_TO_OTHERS_FOR)
     }
 
+    /// Since when a replica has named a limit, as far as was heard.
+    pub fn named_since(&self, replica: &str) -> Option<Timestamp> {
+        self.known.get(replica).filter(|known| known.limit.is_some()).map(|known| known.since)
+    }
+
     /// The limit of a replica.
     pub fn limit(&self, replica: &str) -> Option<PerSecond> {
         self.known.get(replica)?.limit
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_gateway_lookout;
 mod test_gateway_pending_ends;
 mod test_gateway_questions;
+mod test_gateway_low_limit;
 mod test_gateway_replica_limits;
 mod test_gateway_replica_list;
 mod test_gateway_replica_news;
--- /dev/null
+++ b/lib/tests/test_gateway_low_limit.rs
@@ -0,0 +1,102 @@
+//! A limit below one request a second, and many nodes with calls.
+//!
+//! What was seen: sixteen nodes with four calls a second each used ten of the 12.8 requests that a replica named in 32 s, which is
+//! what three quarters of them need, the tenth one 0.12 s before the end.
+//! The order of events: the replica names its limit; for 3 s it is left to others; then the first node asks for a grant, and the
+//! account of whoever grants begins with nothing, so that the first grant comes 4.1 s later.
+//! The cause: what could have been saved up since the limit was named is lost.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::limit_book::LimitBook;
+use leadstage_lib::gateway::limit_grants::Granter;
+use leadstage_lib::gateway::replica_limits::AnswerTimes;
+use leadstage_lib::gateway::replica_limits::LimitWord;
+use leadstage_lib::gateway::replica_record::Incarnation;
+use leadstage_lib::ids::UpstreamId;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::limit_windows;
+
+const LIMIT: f64 = 0.4;
+const NODES: usize = 16;
+const CALLS_PER_SECOND: f64 = 4.0;
+/// What is in the middle must have 1.4 grants saved up.
+const URGENCY: u8 = 4;
+/// When the replica names its limit.
+const NAMED_AT: Duration = Duration::from_secs(20);
+/// A replica in need is left to others for so long.
+const BINDS_AFTER: Duration = Duration::from_secs(3);
+const LASTS: Duration = Duration::from_secs(32);
+/// The first call that asks comes so long after the limit binds, from and until.
+const FIRST_ASK_S: (f64, f64) = (0.5, 0.75);
+const LEAST_USED: f64 = 0.75;
+const SEEDS: u64 = 500;
+
+fn replica() -> UpstreamId {
+    "replica".into()
+}
+
+fn s(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+fn book() -> LimitBook {
+    let mut book = LimitBook::default();
+    let times = AnswerTimes { sent: NAMED_AT, came: NAMED_AT };
+    book.limits.on_answer(&Incarnation { id: replica(), born: 1 }, LimitWord::Named(LIMIT), times);
+    book.set_nodes(NODES, Duration::ZERO);
+    book
+}
+
+/// When the replica gets a request. Each call that may ask does.
+fn granted(seed: u64) -> Vec<Duration> {
+    let rng = &mut StdRng::seed_from_u64(seed);
+    let mut books: Vec<LimitBook> = (0..NODES).map(|_| book()).collect();
+    let binds = NAMED_AT + BINDS_AFTER;
+    let mut calls: Vec<(Duration, usize)> = Vec::new();
+    for node in 0..NODES {
+        let first = rng.random_range(FIRST_ASK_S.0..FIRST_ASK_S.1);
+        let count = (LASTS.as_secs_f64() * CALLS_PER_SECOND) as u32;
+        calls.extend((0..count).map(|n| (binds + s(first + f64::from(n) / CALLS_PER_SECOND), node)));
+    }
+    calls.retain(|(at, _)| *at < binds + LASTS);
+    calls.sort();
+    let mut granted = Vec::new();
+    for (now, node) in calls {
+        if !books[node].may_ask(&replica(), now, rng) {
+            continue;
+        }
+        books[node].on_asked(&replica(), now);
+        let grant = books[0].grant(&replica(), Granter::First, URGENCY, now);
+        books[node].on_answer(&replica(), grant.ask_again_after, now);
+        if grant.granted {
+            granted.push(now);
+        }
+    }
+    granted
+}
+
+#[test]
+fn test_a_low_limit_is_used_from_when_it_binds() {
+    let needed = (LIMIT * LASTS.as_secs_f64() * LEAST_USED).ceil() as usize;
+    for seed in 0..SEEDS {
+        let granted = granted(seed);
+        assert!(granted.len() >= needed, "seed {seed}: {} of {needed}", granted.len());
+        let most = limit_windows::most_within(&granted, s(limit_windows::WINDOW_S));
+        assert!(most <= limit_windows::allowed(LIMIT), "seed {seed}: {most} in a window");
+        // Something is to spare: the last one that is needed does not come at the very end.
+        let last = granted[needed - 1] - NAMED_AT - BINDS_AFTER;
+        assert!(last <= LASTS - Duration::from_secs(1), "seed {seed}: the last needed one after {last:?}");
+    }
+}
+
+/// A node that takes over long after a limit was named has nothing saved up: the one before it granted all.
+#[test]
+fn test_a_node_that_takes_over_has_nothing_saved_up() {
+    let mut book = book();
+    let grant = book.grant(&replica(), Granter::First, 0, NAMED_AT + Duration::from_secs(30));
+    assert!(!grant.granted, "{grant:?}");
+}
