--- /dev/null
+++ b/lib/src/gateway/answer_counts.rs
@@ -0,0 +1,154 @@
+//! How the replicas of two versions answer, counted so that all nodes' counts can be added up.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::gateway::routing::RouteId;
+
+/// Times are counted in steps of this factor: half an octave.
+const STEPS_PER_OCTAVE: f64 = 2.0;
+/// The last step takes whatever is longer: some 46 s.
+const LAST_STEP: u8 = 31;
+/// Routes that are counted apart; those beyond share one name.
+const MOST_ROUTES: usize = 48;
+/// The name that they share.
+const OTHER_ROUTES: &str = "";
+
+/// Which of the two versions answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// The one that is to be replaced.
+    Present,
+    /// The one on trial.
+    Target,
+}
+
+/// What of an answer is measured.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Measure {
+    /// Time from the request to its answer; of a stream, to its first event.
+    Answer,
+    /// Time from one event of a stream to the next, on average.
+    Pace,
+}
+
+/// What came of a request at a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sample {
+    /// The replica answered with an error of its own.
+    Failed,
+    /// It answered well, in this time.
+    Took(Measure, Duration),
+}
+
+/// The answers of one version on one route.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+pub struct Answers {
+    /// Errors of the replicas' own.
+    pub failed: u32,
+    /// Good answers by the step of their time.
+    pub took: BTreeMap<u8, u32>,
+}
+
+impl Answers {
+    /// All of them.
+    pub fn count(&self) -> u32 {
+        self.failed + self.took.values().sum::<u32>()
+    }
+
+    /// The step that half of the good answers don't exceed.
+    pub fn middle(&self) -> Option<u8> {
+        let good: u32 = self.took.values().sum();
+        let mut so_far = 0;
+        self.took.iter().find_map(|(step, count)| {
+            so_far += count;
+            (2 * so_far >= good).then_some(*step)
+        })
+    }
+
+    /// Good answers whose step is this or a later one.
+    pub fn from_step(&self, step: u8) -> u32 {
+        self.took.range(step..).map(|(_, count)| count).sum()
+    }
+
+    fn add(&mut self, other: &Answers) {
+        self.failed += other.failed;
+        for (step, count) in &other.took {
+            *self.took.entry(*step).or_default() += count;
+        }
+    }
+}
+
+/// The answers of both versions.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+pub struct Compared {
+    /// Of the version that is to be replaced.
+    pub present: Answers,
+    /// Of the one on trial.
+    pub target: Answers,
+}
+
+impl Compared {
+    fn side(&mut self, side: Side) -> &mut Answers {
+        match side {
+            Side::Present => &mut self.present,
+            Side::Target => &mut self.target,
+        }
+    }
+}
+
+/// Answers by route and measure.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+pub struct AnswerCounts {
+    cells: BTreeMap<(RouteId, Measure), Compared>,
+}
+
+impl AnswerCounts {
+    /// Counts an answer.
+    pub fn on_sample(&mut self, route: &RouteId, side: Side, sample: Sample) {
+        let is_known = self.cells.keys().any(|(known, _)| known == route);
+        let is_counted_apart = is_known || self.cells.len() < MOST_ROUTES;
+        let route = if is_counted_apart { route.clone() } else { OTHER_ROUTES.into() };
+        let measure = match sample {
+            Sample::Failed => Measure::Answer,
+            Sample::Took(measure, _) => measure,
+        };
+        let answers = self.cells.entry((route, measure)).or_default().side(side);
+        match sample {
+            Sample::Failed => answers.failed += 1,
+            Sample::Took(_, took) => *answers.took.entry(step_of(took)).or_default() += 1,
+        }
+    }
+
+    /// Adds the counts of another node.
+    pub fn add(&mut self, other: &AnswerCounts) {
+        for (cell, counts) in &other.cells {
+            let own = self.cells.entry(cell.clone()).or_default();
+            own.present.add(&counts.present);
+            own.target.add(&counts.target);
+        }
+    }
+
+    /// All counts.
+    pub fn iter(&self) -> impl Iterator<Item = (&RouteId, Measure, &Compared)> {
+        self.cells.iter().map(|((route, measure), counts)| (route, *measure, counts))
+    }
+
+    /// Requests that were answered, those of both versions, and those of the one on trial.
+    pub fn answered(&self) -> (u32, u32) {
+        let answers = self.cells.iter().filter(|((_, measure), _)| *measure == Measure::Answer);
+        answers.fold((0, 0), |(all, target), (_, counts)| {
+            let of_target = counts.target.count();
+            (all + counts.present.count() + of_target, target + of_target)
+        })
+    }
+}
+
+/// The step of a time: two steps are an octave, from 1 ms on.
+pub fn step_of(took: Duration) -> u8 {
+    let ms = took.as_secs_f64() * 1_000.0;
+    (ms.max(1.0).log2() * STEPS_PER_OCTAVE).min(f64::from(LAST_STEP)) as u8
+}
--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -10,7 +10,7 @@
 use crate::gateway::load::EngineLoad;
 use crate::gateway::load::GenerationSize;
 use crate::gateway::load::LoadBook;
-use crate::gateway::replicas::Replica;
+use crate::gateway::replica::Replica;
 use crate::gateway::routing::EngineTraits;
 use crate::gateway::shortage::Shortage;
 use crate::ids::HallId;
--- a/lib/src/gateway/lead.rs
+++ b/lib/src/gateway/lead.rs
@@ -4,6 +4,7 @@
 //! alive, so no election is needed. Two leads at once, or none, cost balance and nothing
 //! else: no promise depends on there being one.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -19,19 +20,45 @@
 #[derive(Debug, Default)]
 pub struct Leads {
     avoid: HashMap<VmId, Timestamp>,
+    picked: RefCell<Picked>,
 }
 
+/// Leads that were picked among the same nodes: a pick hashes each of them.
+#[derive(Debug, Default)]
+struct Picked {
+    version: u64,
+    leads: HashMap<String, VmId>,
+}
+
+/// Leads that are remembered at most.
+const MOST_PICKED: usize = 256;
+
 impl Leads {
-    /// The lead of a service among the nodes that are alive; `own` is one of them.
+    /// The lead of a service among the nodes that are alive; `own` is one of them. `version` tells whether these
+    /// are the same as before.
     pub fn lead_of<'a>(
         &self,
         service: &str,
         own: &'a VmId,
         alive: impl Iterator<Item = &'a VmId>,
+        version: u64,
         now: Timestamp,
-    ) -> &'a VmId {
-        let answering = alive.filter(|vm| self.avoid.get(*vm).is_none_or(|until| *until <= now));
-        rendezvous::pick(service, answering.chain(std::iter::once(own))).unwrap_or(own)
+    ) -> VmId {
+        let avoids = |vm: &VmId| self.avoid.get(vm).is_some_and(|until| *until > now);
+        if self.avoid.values().any(|until| *until > now) {
+            let answering = alive.filter(|vm| !avoids(vm));
+            return rendezvous::pick(service, answering.chain(std::iter::once(own))).unwrap_or(own).clone();
+        }
+        let mut picked = self.picked.borrow_mut();
+        if picked.version != version || picked.leads.len() >= MOST_PICKED {
+            *picked = Picked { version, leads: HashMap::new() };
+        }
+        if let Some(lead) = picked.leads.get(service) {
+            return lead.clone();
+        }
+        let lead = rendezvous::pick(service, alive.chain(std::iter::once(own))).unwrap_or(own);
+        picked.leads.insert(service.to_owned(), lead.clone());
+        lead.clone()
     }
 
     /// A node did not answer in time.
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::policy::Policy;
 use crate::gateway::reading::ReadingClocks;
-use crate::gateway::replicas::Replica;
+use crate::gateway::replica::Replica;
 use crate::gateway::routing::EngineTraits;
 use crate::gateway::routing::ServiceId;
 use crate::gateway::run_key::RunId;
@@ -247,6 +247,11 @@
         self.by_replica.values().flatten().map(|(key, run)| (&key.entry, run))
     }
 
+    /// The replicas that have requests.
+    pub fn busy(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.by_replica.keys()
+    }
+
     /// The requests at a replica.
     pub fn at<'a>(&'a self, replica: &str) -> impl Iterator<Item = (&'a RunKey, &'a Run)> {
         self.by_replica.get(replica).into_iter().flatten().map(|(key, run)| (key, run))
--- a/lib/src/gateway/reading.rs
+++ b/lib/src/gateway/reading.rs
@@ -10,7 +10,7 @@
 
 use crate::gateway::learned::Learned;
 use crate::gateway::policy::Policy;
-use crate::gateway::replicas::Replica;
+use crate::gateway::replica::Replica;
 use crate::gateway::routing::ServiceId;
 use crate::gateway::run_key::RunKey;
 use crate::ids::Timestamp;
--- a/lib/src/gateway/rebalance.rs
+++ b/lib/src/gateway/rebalance.rs
@@ -10,7 +10,7 @@
 
 use crate::gateway::choice::PEAK_UP_TO;
 use crate::gateway::load::LoadBook;
-use crate::gateway::replicas::Replica;
+use crate::gateway::replica::Replica;
 use crate::gateway::routing::EngineTraits;
 use crate::gateway::run_key::RunKey;
 use crate::ids::Timestamp;
--- /dev/null
+++ b/lib/src/gateway/regions.rs
@@ -0,0 +1,61 @@
+//! Regions in which requests may be served.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::HallId;
+
+/// A region, as the settings and the configuration name it: some halls.
+pub type RegionId = Arc<str>;
+
+/// The regions in which something may be served.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AllowedRegions(Option<BTreeSet<RegionId>>);
+
+impl AllowedRegions {
+    /// Any region.
+    pub const ANY: AllowedRegions = AllowedRegions(None);
+
+    /// These alone.
+    pub fn only(regions: impl IntoIterator<Item = RegionId>) -> Self {
+        AllowedRegions(Some(regions.into_iter().collect()))
+    }
+
+    /// Those that both allow.
+    pub fn both(&self, other: &AllowedRegions) -> AllowedRegions {
+        match (&self.0, &other.0) {
+            (Some(own), Some(other)) => AllowedRegions(Some(own.intersection(other).cloned().collect())),
+            (own, other) => AllowedRegions(own.clone().or_else(|| other.clone())),
+        }
+    }
+
+    /// Whether there is no restriction.
+    pub fn is_any(&self) -> bool {
+        self.0.is_none()
+    }
+
+    /// Whether a region is allowed; one that is not known is allowed only where all are.
+    pub fn allows(&self, region: Option<&RegionId>) -> bool {
+        self.0.as_ref().is_none_or(|allowed| region.is_some_and(|region| allowed.contains(region)))
+    }
+}
+
+/// Which region each hall is in.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HallRegions(BTreeMap<HallId, RegionId>);
+
+impl HallRegions {
+    /// As the settings tell it.
+    pub fn new(regions: impl IntoIterator<Item = (HallId, RegionId)>) -> Self {
+        HallRegions(regions.into_iter().collect())
+    }
+
+    /// Whether a hall is in one of some regions.
+    pub fn allows(&self, allowed: &AllowedRegions, hall: &str) -> bool {
+        allowed.allows(self.0.get(hall))
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/replica.rs
@@ -0,0 +1,168 @@
+//! A replica as a node believes it to be: the platform's entry, signs of leaving, and what the node's own requests
+//! showed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::gateway::replica_list::Revision;
+use crate::gateway::replica_record::Incarnation;
+use crate::gateway::replica_record::ReplicaRecord;
+use crate::ids::Timestamp;
+
+/// A replica that failed gets no new work for this long after the first failure; doubled
+/// with each further one. Long enough that a dead replica costs few requests, short enough
+/// that one that only stumbled is missed briefly.
+const FIRST_REST: Duration = Duration::from_millis(300);
+/// The longest rest after failures.
+const LONGEST_REST: Duration = Duration::from_secs(5);
+/// Weight of the newest answer in a replica's share of errors.
+const NEWEST_WEIGHT: f64 = 0.2;
+/// A share of errors counts half as much after this time, so that a replica that recovered
+/// is tried again.
+const ERRORS_HALVE_IN: Duration = Duration::from_secs(3);
+
+/// Why a replica is taken to be leaving.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum LeavingSign {
+    /// Its entry says so.
+    #[display("listed as leaving")]
+    Listed,
+    /// Its entry went away while the list was followed.
+    #[display("no longer listed")]
+    Unlisted,
+    /// It says so when asked for its health.
+    #[display("not well or leaving when asked")]
+    Unwell,
+    /// Another node has learnt that it leaves.
+    #[display("told by another node")]
+    Told,
+    /// Another instance answers at its address.
+    #[display("another instance at its address")]
+    Replaced,
+}
+
+impl LeavingSign {
+    /// Whether an entry that says that the replica stays is believed more than this sign.
+    pub(super) fn is_taken_back(self) -> bool {
+        match self {
+            LeavingSign::Unlisted | LeavingSign::Unwell | LeavingSign::Told => true,
+            LeavingSign::Listed | LeavingSign::Replaced => false,
+        }
+    }
+}
+
+/// A replica with what is believed of it.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    /// The platform's entry.
+    pub record: Arc<ReplicaRecord>,
+    /// Set from the first sign of leaving on.
+    pub leaving: Option<LeavingSign>,
+    /// When it was first seen leaving.
+    pub leaving_since: Timestamp,
+    /// When it works at full speed.
+    pub warm_at: Timestamp,
+    failures: u32,
+    rest_until: Timestamp,
+    errors: f64,
+    errors_at: Timestamp,
+    /// Since when its entry has been missing, perhaps only because the store was away.
+    pub(super) missing_since: Option<Timestamp>,
+    /// Since when it is known to end, or to have ended, whatever its entry said.
+    pub(super) ends_since: Option<Timestamp>,
+    /// The store's revision when other nodes would last have learnt something new of it.
+    pub(super) changed_at: Revision,
+}
+
+impl Replica {
+    pub(super) fn new(record: ReplicaRecord, now: Timestamp) -> Self {
+        let leaving = record.leaving.then_some(LeavingSign::Listed);
+        Replica {
+            warm_at: now + record.cold,
+            record: Arc::new(record),
+            leaving,
+            leaving_since: now,
+            failures: 0,
+            errors: 0.0,
+            errors_at: now,
+            rest_until: Timestamp::ZERO,
+            missing_since: None,
+            ends_since: None,
+            changed_at: 0,
+        }
+    }
+
+    /// Whether it may get new work.
+    pub fn is_usable(&self, now: Timestamp) -> bool {
+        self.leaving.is_none() && self.rest_until <= now
+    }
+
+    /// It is cold for so long, at least; for no time where it is warm.
+    pub(super) fn on_cold(&mut self, cold: Duration, now: Timestamp) {
+        if !cold.is_zero() {
+            self.warm_at = self.warm_at.max(now + cold);
+        }
+    }
+
+    /// Whether what is said of one start of it holds for this one, not for an earlier one.
+    pub(super) fn is_concerned(&self, of: &Incarnation) -> bool {
+        of.born == 0 || of.born >= self.record.born
+    }
+
+    /// Whether it bears few requests yet.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        self.warm_at > now
+    }
+
+    /// The share of its answers that were errors of its own lately, or failed to come, 0 to 1.
+    pub fn errors(&self, now: Timestamp) -> f64 {
+        let halvings = now.saturating_sub(self.errors_at).as_secs_f64() / ERRORS_HALVE_IN.as_secs_f64();
+        self.errors * 0.5_f64.powf(halvings)
+    }
+
+    /// A sign that it leaves; the first one counts. Returns whether it is news.
+    pub(super) fn on_sign(&mut self, sign: LeavingSign, now: Timestamp) -> bool {
+        if self.leaving.is_some() {
+            return false;
+        }
+        self.leaving = Some(sign);
+        self.leaving_since = now;
+        self.ends_since = (sign != LeavingSign::Listed).then_some(now);
+        true
+    }
+
+    /// It stays after all.
+    pub(super) fn stay(&mut self) {
+        (self.leaving, self.ends_since) = (None, None);
+    }
+
+    /// A request failed there for a reason of the replica's; `rests` if it gets no new work for a while.
+    pub(super) fn on_failure(&mut self, rests: bool, now: Timestamp) {
+        if rests {
+            let rest = FIRST_REST.saturating_mul(1 << self.failures.min(8)).min(LONGEST_REST);
+            self.failures += 1;
+            self.rest_until = now + rest;
+        }
+        self.note_error(true, now);
+    }
+
+    fn note_error(&mut self, is_error: bool, now: Timestamp) {
+        let newest = if is_error { 1.0 } else { 0.0 };
+        let before = self.errors(now);
+        self.errors = before + NEWEST_WEIGHT * (newest - before);
+        self.errors_at = now;
+    }
+
+    pub(super) fn on_answer(&mut self, is_error: bool, now: Timestamp) {
+        self.note_error(is_error, now);
+        self.failures = 0;
+        self.rest_until = Timestamp::ZERO;
+    }
+
+    /// Failures in a row.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+}
--- a/lib/src/gateway/replica_list.rs
+++ b/lib/src/gateway/replica_list.rs
@@ -1,5 +1,11 @@
 //! The replicas as one node hands them to another: all of them, or what changed since.
 
+use std::io;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -34,23 +40,32 @@
     pub leaving: Vec<Changed<Incarnation>>,
 }
 
+/// Zstandard's level: a list of 10,000 replicas shrinks to a quarter in some milliseconds.
+const LEVEL: i32 = 3;
+/// Bytes of a list at most, once it is unpacked.
+const MOST_BYTES: usize = 64 << 20;
+
+/// A list can't be packed or unpacked.
+#[derive(Debug, Display, Error, From)]
+pub enum ListError {
+    /// It is not compressed as it should be, or too large.
+    #[display("not unpacked: {_0}")]
+    Packing(io::Error),
+    /// What is in it is no list.
+    #[display("unreadable: {_0}")]
+    Encoding(postcard::Error),
+}
+
 impl ReplicaList {
-    /// What another node lacks that knows the replicas up to `known`: what changed since, or
-    /// all if that can't be told.
-    pub fn since(&self, known: Revision) -> ReplicaList {
-        if known < self.forgotten_up_to {
-            return self.clone();
-        }
-        ReplicaList {
-            at: self.at,
-            forgotten_up_to: self.forgotten_up_to,
-            is_whole: false,
-            staying: newer(&self.staying, known),
-            leaving: newer(&self.leaving, known),
-        }
+    /// Packs it to be handed to another node.
+    pub fn pack(&self) -> Result<Bytes, ListError> {
+        let encoded = postcard::to_allocvec(self)?;
+        Ok(zstd::bulk::compress(&encoded, LEVEL)?.into())
     }
-}
 
-fn newer<T: Clone>(all: &[Changed<T>], known: Revision) -> Vec<Changed<T>> {
-    all.iter().filter(|changed| changed.at > known).cloned().collect()
+    /// Unpacks what another node handed over.
+    pub fn unpack(packed: &[u8]) -> Result<ReplicaList, ListError> {
+        let encoded = zstd::bulk::decompress(packed, MOST_BYTES)?;
+        Ok(postcard::from_bytes(&encoded)?)
+    }
 }
--- a/lib/src/gateway/replica_record.rs
+++ b/lib/src/gateway/replica_record.rs
@@ -1,6 +1,7 @@
 //! A replica as it is listed.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -10,6 +11,9 @@
 use crate::ids::HallId;
 use crate::ids::UpstreamId;
 
+/// The version of a replica's software.
+pub type SoftwareVersion = Arc<str>;
+
 /// When a replica started, Unix milliseconds; 0 where that is not told. Of two with the same id, the one
 /// that started later is another replica, which knows nothing of the first.
 pub type Born = u64;
@@ -42,6 +46,8 @@
     pub cold: Duration,
     /// When it started.
     pub born: Born,
+    /// The version of its software.
+    pub version: SoftwareVersion,
 }
 
 impl ReplicaRecord {
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -1,158 +1,34 @@
-//! What a node believes of the replicas: the platform's list, signs of leaving, and what
-//! its own requests showed.
+//! What a node believes of the replicas.
+//!
+//! Whatever is done for one request or one change costs the same with ten replicas as with ten thousand: replicas
+//! are found by id, those that stay by service and hall, changes by revision, and what is due by its time.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use derive_more::Display;
+use rand::Rng;
+use rand::SeedableRng;
 
 use crate::gateway::lapses::LAPSED_GRACE;
 use crate::gateway::policy::Policy;
+use crate::gateway::replica::LeavingSign;
+use crate::gateway::replica::Replica;
 use crate::gateway::replica_list::Changed;
 use crate::gateway::replica_list::ReplicaList;
 use crate::gateway::replica_list::Revision;
 use crate::gateway::replica_record::Incarnation;
 use crate::gateway::replica_record::ReplicaRecord;
+use crate::gateway::routing::ServiceId;
+use crate::gateway::service_index::ServiceIndex;
+use crate::gateway::service_index::Slot;
+use crate::ids::HallId;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
 
-/// A replica that failed gets no new work for this long after the first failure; doubled
-/// with each further one. Long enough that a dead replica costs few requests, short enough
-/// that one that only stumbled is missed briefly.
-const FIRST_REST: Duration = Duration::from_millis(300);
-/// The longest rest after failures.
-const LONGEST_REST: Duration = Duration::from_secs(5);
-/// Weight of the newest answer in a replica's share of errors.
-const NEWEST_WEIGHT: f64 = 0.2;
-/// A share of errors counts half as much after this time, so that a replica that recovered
-/// is tried again.
-const ERRORS_HALVE_IN: Duration = Duration::from_secs(3);
-
-/// Why a replica is taken to be leaving.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum LeavingSign {
-    /// Its entry says so.
-    #[display("listed as leaving")]
-    Listed,
-    /// Its entry went away while the list was followed.
-    #[display("no longer listed")]
-    Unlisted,
-    /// It says so when asked for its health.
-    #[display("not well or leaving when asked")]
-    Unwell,
-    /// Another node has learnt that it leaves.
-    #[display("told by another node")]
-    Told,
-    /// Another instance answers at its address.
-    #[display("another instance at its address")]
-    Replaced,
-}
-
-impl LeavingSign {
-    /// Whether an entry that says that the replica stays is believed more than this sign.
-    fn is_taken_back(self) -> bool {
-        match self {
-            LeavingSign::Unlisted | LeavingSign::Unwell | LeavingSign::Told => true,
-            LeavingSign::Listed | LeavingSign::Replaced => false,
-        }
-    }
-}
-
-/// A replica with what is believed of it.
-#[derive(Clone, Debug)]
-pub struct Replica {
-    /// The platform's entry.
-    pub record: Arc<ReplicaRecord>,
-    /// Set from the first sign of leaving on.
-    pub leaving: Option<LeavingSign>,
-    /// When it was first seen leaving.
-    pub leaving_since: Timestamp,
-    /// When it works at full speed.
-    pub warm_at: Timestamp,
-    failures: u32,
-    rest_until: Timestamp,
-    errors: f64,
-    errors_at: Timestamp,
-    missing_since: Option<Timestamp>,
-    /// The store's revision when other nodes would last have learnt something new of it.
-    changed_at: Revision,
-}
-
-impl Replica {
-    fn new(record: ReplicaRecord, now: Timestamp) -> Self {
-        let leaving = record.leaving.then_some(LeavingSign::Listed);
-        Replica {
-            warm_at: now + record.cold,
-            record: Arc::new(record),
-            leaving,
-            leaving_since: now,
-            failures: 0,
-            errors: 0.0,
-            errors_at: now,
-            rest_until: Timestamp::ZERO,
-            missing_since: None,
-            changed_at: 0,
-        }
-    }
-
-    /// Whether it may get new work.
-    pub fn is_usable(&self, now: Timestamp) -> bool {
-        self.leaving.is_none() && self.rest_until <= now
-    }
-
-    /// It is cold for so long, at least; for no time where it is warm.
-    fn on_cold(&mut self, cold: Duration, now: Timestamp) {
-        if !cold.is_zero() {
-            self.warm_at = self.warm_at.max(now + cold);
-        }
-    }
-
-    /// Whether what is said of one start of it holds for this one, not for an earlier one.
-    fn is_concerned(&self, of: &Incarnation) -> bool {
-        of.born == 0 || of.born >= self.record.born
-    }
-
-    /// Whether it bears few requests yet.
-    pub fn is_cold(&self, now: Timestamp) -> bool {
-        self.warm_at > now
-    }
-
-    /// The share of its answers that were errors of its own lately, or failed to come, 0 to 1.
-    pub fn errors(&self, now: Timestamp) -> f64 {
-        let halvings = now.saturating_sub(self.errors_at).as_secs_f64() / ERRORS_HALVE_IN.as_secs_f64();
-        self.errors * 0.5_f64.powf(halvings)
-    }
-
-    /// A sign that it leaves; the first one counts. Returns whether it is news.
-    fn on_sign(&mut self, sign: LeavingSign, now: Timestamp) -> bool {
-        if self.leaving.is_some() {
-            return false;
-        }
-        self.leaving = Some(sign);
-        self.leaving_since = now;
-        true
-    }
-
-    fn note_error(&mut self, is_error: bool, now: Timestamp) {
-        let newest = if is_error { 1.0 } else { 0.0 };
-        let before = self.errors(now);
-        self.errors = before + NEWEST_WEIGHT * (newest - before);
-        self.errors_at = now;
-    }
-
-    fn on_answer(&mut self, is_error: bool, now: Timestamp) {
-        self.note_error(is_error, now);
-        self.failures = 0;
-        self.rest_until = Timestamp::ZERO;
-    }
-
-    /// Failures in a row.
-    pub fn failures(&self) -> u32 {
-        self.failures
-    }
-}
-
 /// What a new list changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListChange {
@@ -169,9 +45,45 @@
 #[derive(Debug, Default)]
 pub struct ReplicaTable {
     policy: Policy,
-    replicas: BTreeMap<UpstreamId, Replica>,
+    slots: Vec<Option<Replica>>,
+    free: Vec<Slot>,
+    by_id: HashMap<UpstreamId, Slot>,
+    /// Those that stay, by service.
+    staying: HashMap<ServiceId, ServiceIndex>,
+    /// Those that other nodes would have learnt something new of, by the store's revision.
+    changed: BTreeSet<(Revision, UpstreamId)>,
+    /// Those whose entries are missing, since when.
+    missing: BTreeMap<UpstreamId, Timestamp>,
+    /// Those that are to be forgotten, by when they were first known to end.
+    ending: BTreeSet<(Timestamp, UpstreamId)>,
     /// The newest change of a replica that is forgotten.
     forgotten_up_to: Revision,
+    /// Names that many replicas have are held once.
+    names: HashSet<Arc<str>>,
+    /// Rises with each change of which replicas stay.
+    version: u64,
+}
+
+/// What of a replica the table's indices go by.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Indexed {
+    /// Its service and hall, if it stays.
+    stays: Option<(ServiceId, HallId)>,
+    ends_since: Option<Timestamp>,
+    missing_since: Option<Timestamp>,
+    changed_at: Option<Revision>,
+}
+
+impl Indexed {
+    fn of(replica: &Replica) -> Self {
+        let stays = replica.leaving.is_none();
+        Indexed {
+            stays: stays.then(|| (replica.record.service.clone(), replica.record.hall.clone())),
+            ends_since: replica.ends_since,
+            missing_since: replica.missing_since,
+            changed_at: Some(replica.changed_at).filter(|at| *at > 0),
+        }
+    }
 }
 
 impl ReplicaTable {
@@ -180,15 +92,109 @@
         ReplicaTable { policy, ..ReplicaTable::default() }
     }
 
+    fn slot(&self, slot: Slot) -> Option<&Replica> {
+        self.slots.get(slot as usize)?.as_ref()
+    }
+
+    fn insert(&mut self, replica: Replica) {
+        let slot = self.free.pop().unwrap_or(self.slots.len() as Slot);
+        let id = replica.record.id.clone();
+        self.index(&id, slot, None, Some(&Indexed::of(&replica)));
+        self.by_id.insert(id, slot);
+        match self.slots.get_mut(slot as usize) {
+            Some(place) => *place = Some(replica),
+            None => self.slots.push(Some(replica)),
+        }
+    }
+
+    /// Changes a replica, if it is known, and the indices with it.
+    fn update<T>(&mut self, id: &str, change: impl FnOnce(&mut Replica) -> T) -> Option<T> {
+        let slot = *self.by_id.get(id)?;
+        let replica = self.slots.get_mut(slot as usize)?.as_mut()?;
+        let before = Indexed::of(replica);
+        let result = change(replica);
+        let after = Indexed::of(replica);
+        if before != after {
+            let id = replica.record.id.clone();
+            self.index(&id, slot, Some(&before), Some(&after));
+        }
+        Some(result)
+    }
+
+    fn forget(&mut self, id: &UpstreamId) {
+        let Some(slot) = self.by_id.remove(id) else {
+            return;
+        };
+        if let Some(replica) = self.slots[slot as usize].take() {
+            self.forgotten_up_to = replica.changed_at.max(self.forgotten_up_to);
+            self.index(id, slot, Some(&Indexed::of(&replica)), None);
+        }
+        self.free.push(slot);
+    }
+
+    /// Brings the indices from what a replica was to what it is.
+    fn index(&mut self, id: &UpstreamId, slot: Slot, before: Option<&Indexed>, after: Option<&Indexed>) {
+        let stayed = before.and_then(|before| before.stays.as_ref());
+        let stays = after.and_then(|after| after.stays.as_ref());
+        if stayed != stays {
+            self.version += 1;
+            if let Some((service, hall)) = stayed
+                && let Some(index) = self.staying.get_mut(service)
+            {
+                index.remove(hall, slot);
+            }
+            if let Some((service, hall)) = stays {
+                self.staying.entry(service.clone()).or_default().insert(hall, slot);
+            }
+        }
+        if let Some(since) = before.and_then(|before| before.ends_since) {
+            self.ending.remove(&(since, id.clone()));
+        }
+        if let Some(since) = after.and_then(|after| after.ends_since) {
+            self.ending.insert((since, id.clone()));
+        }
+        let (missed, misses) = (before.and_then(|b| b.missing_since), after.and_then(|a| a.missing_since));
+        if missed != misses {
+            match misses {
+                Some(since) => self.missing.insert(id.clone(), since),
+                None => self.missing.remove(id),
+            };
+        }
+        let (changed, changes) = (before.and_then(|b| b.changed_at), after.and_then(|a| a.changed_at));
+        if changed != changes {
+            changed.map(|at| self.changed.remove(&(at, id.clone())));
+            changes.map(|at| self.changed.insert((at, id.clone())));
+        }
+    }
+
+    fn name(&mut self, name: &Arc<str>) -> Arc<str> {
+        if let Some(known) = self.names.get(name) {
+            return known.clone();
+        }
+        self.names.insert(name.clone());
+        name.clone()
+    }
+
+    /// The record with names that it shares with others held once.
+    fn interned(&mut self, record: ReplicaRecord) -> ReplicaRecord {
+        ReplicaRecord {
+            service: self.name(&record.service),
+            hall: self.name(&record.hall),
+            version: self.name(&record.version),
+            ..record
+        }
+    }
+
     /// A replica's entry changed or appeared. One of an earlier start than the known one says nothing.
-    pub fn on_entry(&mut self, mut record: ReplicaRecord, now: Timestamp, change: &mut ListChange) {
+    pub fn on_entry(&mut self, record: ReplicaRecord, now: Timestamp, change: &mut ListChange) {
+        let mut record = self.interned(record);
         let id = record.id.clone();
-        let Some(replica) = self.replicas.get_mut(&id) else {
+        let Some(replica) = self.get(&id) else {
             if record.leaving {
                 change.leaving.push(id.clone());
             }
-            change.added.push(id.clone());
-            self.replicas.insert(id, Replica::new(record, now));
+            change.added.push(id);
+            self.insert(Replica::new(record, now));
             return;
         };
         let known = replica.record.born;
@@ -203,52 +209,62 @@
                 change.leaving.push(id.clone());
             }
             change.added.push(id.clone());
-            change.restarted.push(id);
-            *replica = Replica::new(record, now);
+            change.restarted.push(id.clone());
+            self.update(&id, |replica| {
+                let changed_at = replica.changed_at;
+                *replica = Replica::new(record, now);
+                replica.changed_at = changed_at;
+            });
             return;
         }
-        replica.missing_since = None;
-        // It may turn cold again at any moment; that is news to other nodes.
-        if !record.cold.is_zero() && replica.warm_at < now {
-            change.added.push(id.clone());
-        }
-        replica.on_cold(record.cold, now);
-        if record.leaving && replica.on_sign(LeavingSign::Listed, now) {
-            change.leaving.push(id);
-        } else if !record.leaving && replica.leaving.is_some_and(LeavingSign::is_taken_back) {
-            replica.leaving = None;
-            change.added.push(id);
-        }
-        replica.record = Arc::new(record);
+        self.update(&id, |replica| {
+            replica.missing_since = None;
+            // It may turn cold again at any moment; that is news to other nodes.
+            if !record.cold.is_zero() && replica.warm_at < now {
+                change.added.push(id.clone());
+            }
+            replica.on_cold(record.cold, now);
+            if record.leaving && replica.on_sign(LeavingSign::Listed, now) {
+                change.leaving.push(id.clone());
+            } else if !record.leaving && replica.leaving.is_some_and(LeavingSign::is_taken_back) {
+                replica.stay();
+                change.added.push(id.clone());
+            }
+            replica.record = Arc::new(record);
+        });
     }
 
     /// A replica's entry went away while the list was followed without a break.
     pub fn on_unlisted(&mut self, id: &str, now: Timestamp, change: &mut ListChange) {
-        if let Some(replica) = self.replicas.get_mut(id)
-            && replica.on_sign(LeavingSign::Unlisted, now)
-        {
-            change.leaving.push(replica.record.id.clone());
-        }
+        let is_news = self.update(id, |replica| {
+            let is_news = replica.on_sign(LeavingSign::Unlisted, now);
+            // One that had said that it leaves has ended.
+            replica.ends_since.get_or_insert(now);
+            replica.missing_since = None;
+            is_news.then(|| replica.record.id.clone())
+        });
+        change.leaving.extend(is_news.flatten());
     }
 
     /// A replica's entry went away, perhaps only because the store was: it is gone if it is
     /// not back [`LAPSED_GRACE`] after `since`.
     pub fn on_missing(&mut self, id: &str, since: Timestamp) {
-        if let Some(replica) = self.replicas.get_mut(id) {
+        self.update(id, |replica| {
             replica.missing_since.get_or_insert(since);
-        }
+        });
     }
 
     /// A whole list was read. What it lacks is gone at once, or within [`LAPSED_GRACE`] if
     /// entries may have lapsed because the store was away.
     pub fn on_list(&mut self, records: Vec<ReplicaRecord>, lapses: bool, now: Timestamp) -> ListChange {
         let mut change = ListChange::default();
-        let listed: std::collections::BTreeSet<UpstreamId> = records.iter().map(|r| r.id.clone()).collect();
+        let listed: HashSet<UpstreamId> = records.iter().map(|r| r.id.clone()).collect();
         for record in records {
             self.on_entry(record, now, &mut change);
         }
-        let missing: Vec<UpstreamId> =
-            self.replicas.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        let mut missing: Vec<UpstreamId> =
+            self.by_id.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        missing.sort_unstable();
         for id in missing {
             if lapses {
                 self.on_missing(&id, now);
@@ -262,52 +278,58 @@
     /// Takes entries that stayed missing for gone, and forgets what left long ago.
     pub fn tick(&mut self, now: Timestamp, forget_after: Duration) -> ListChange {
         let mut change = ListChange::default();
-        let overdue: Vec<UpstreamId> = self
-            .replicas
-            .values()
-            .filter(|r| r.missing_since.is_some_and(|since| now > since + LAPSED_GRACE))
-            .map(|r| r.record.id.clone())
-            .collect();
+        let overdue = self.missing.iter().filter(|(_, since)| now > **since + LAPSED_GRACE);
+        let overdue: Vec<UpstreamId> = overdue.map(|(id, _)| id.clone()).collect();
         for id in overdue {
             self.on_unlisted(&id, now, &mut change);
         }
-        let forgotten_up_to = &mut self.forgotten_up_to;
-        self.replicas.retain(|_, r| {
-            let gone = r.leaving.is_some_and(|sign| sign != LeavingSign::Listed);
-            let forgets = gone && now > r.leaving_since + forget_after;
-            if forgets {
-                *forgotten_up_to = r.changed_at.max(*forgotten_up_to);
-            }
-            !forgets
-        });
+        while let Some((since, id)) = self.ending.first().cloned()
+            && now > since + forget_after
+        {
+            self.forget(&id);
+        }
         change
     }
 
     /// Notes that a change was learnt at a revision of the store.
     pub fn mark(&mut self, change: &ListChange, at: Revision) {
         for id in change.added.iter().chain(&change.leaving) {
-            if let Some(replica) = self.replicas.get_mut(id) {
-                replica.changed_at = at;
-            }
+            self.update(id, |replica| replica.changed_at = at);
         }
     }
 
     /// A replica is cold for so long, by its own word or because its hall was closed until now.
     pub fn on_cold(&mut self, id: &str, cold: Duration, now: Timestamp) {
-        if let Some(replica) = self.replicas.get_mut(id) {
-            replica.on_cold(cold, now);
-        }
+        self.update(id, |replica| replica.on_cold(cold, now));
     }
 
     /// All replicas, to be handed to other nodes; known up to the revision `at`.
     pub fn list(&self, at: Revision) -> ReplicaList {
-        let mut list = ReplicaList {
-            at,
-            forgotten_up_to: self.forgotten_up_to,
-            is_whole: true,
-            ..ReplicaList::default()
-        };
-        for replica in self.replicas.values() {
+        self.listed(at, true, self.iter())
+    }
+
+    /// What a node lacks that knows the replicas up to `known`: what changed since, or all if that can't be
+    /// told. This one knows them up to `at`.
+    pub fn since(&self, at: Revision, known: Revision) -> ReplicaList {
+        if known < self.forgotten_up_to {
+            return self.list(at);
+        }
+        if known == 0 {
+            return ReplicaList { is_whole: false, ..self.list(at) };
+        }
+        let first = (known.saturating_add(1), UpstreamId::from(""));
+        self.listed(at, false, self.changed.range(first..).filter_map(|(_, id)| self.get(id)))
+    }
+
+    fn listed<'a>(
+        &'a self,
+        at: Revision,
+        is_whole: bool,
+        which: impl Iterator<Item = &'a Replica>,
+    ) -> ReplicaList {
+        let forgotten_up_to = self.forgotten_up_to;
+        let mut list = ReplicaList { at, forgotten_up_to, is_whole, ..ReplicaList::default() };
+        for replica in which {
             let changed_at = replica.changed_at;
             if replica.leaving.is_some() {
                 list.leaving.push(Changed { at: changed_at, item: replica.record.incarnation() });
@@ -348,13 +370,13 @@
     /// A sign that a replica leaves; one of an earlier start than the known one says nothing. Returns
     /// whether it is news.
     pub fn on_sign(&mut self, of: &Incarnation, sign: LeavingSign, now: Timestamp) -> bool {
-        let replica = self.replicas.get_mut(&of.id).filter(|replica| replica.is_concerned(of));
-        replica.is_some_and(|replica| replica.on_sign(sign, now))
+        let is_news = self.update(&of.id, |replica| replica.is_concerned(of) && replica.on_sign(sign, now));
+        is_news.unwrap_or(false)
     }
 
     /// Those of some replicas that are known to leave, by which start of theirs does.
     pub fn leaving_of(&self, ids: &[UpstreamId]) -> Vec<Incarnation> {
-        let replicas = ids.iter().filter_map(|id| self.replicas.get(id));
+        let replicas = ids.iter().filter_map(|id| self.get(id));
         replicas.filter(|replica| replica.leaving.is_some()).map(|r| r.record.incarnation()).collect()
     }
 
@@ -367,45 +389,99 @@
 
     /// A request failed there for a reason of the replica's.
     pub fn on_failure(&mut self, id: &str, now: Timestamp) {
-        if let Some(replica) = self.replicas.get_mut(id) {
-            let rest = FIRST_REST.saturating_mul(1 << replica.failures.min(8)).min(LONGEST_REST);
-            if self.policy.rest_after_failures {
-                replica.failures += 1;
-                replica.rest_until = now + rest;
-            }
-            replica.note_error(true, now);
-        }
+        let rests = self.policy.rest_after_failures;
+        self.update(id, |replica| replica.on_failure(rests, now));
     }
 
     /// A request was answered there, with an error of the replica's own or not.
     pub fn on_answer(&mut self, id: &str, is_error: bool, now: Timestamp) {
-        if let Some(replica) = self.replicas.get_mut(id) {
-            replica.on_answer(is_error, now);
-        }
+        self.update(id, |replica| replica.on_answer(is_error, now));
     }
 
     /// A replica.
     pub fn get(&self, id: &str) -> Option<&Replica> {
-        self.replicas.get(id)
-    }
-
-    /// The replicas of a service.
-    pub fn of_service<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Replica> {
-        self.replicas.values().filter(move |r| &*r.record.service == service)
+        self.slot(*self.by_id.get(id)?)
+    }
+
+    /// The replicas of a service that are not known to leave, in no order.
+    pub fn staying<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Replica> + use<'a> {
+        let index = self.staying.get(service);
+        index.into_iter().flat_map(ServiceIndex::iter).filter_map(|slot| self.slot(slot))
+    }
+
+    /// All replicas of a service, those that leave too, by id; looks at all of all services.
+    pub fn of_service(&self, service: &str) -> Vec<&Replica> {
+        let mut replicas: Vec<&Replica> =
+            self.iter().filter(|replica| *replica.record.service == *service).collect();
+        replicas.sort_by(|a, b| a.record.id.cmp(&b.record.id));
+        replicas
+    }
+
+    /// How many replicas of a service that stay each hall has.
+    pub fn staying_by_hall<'a>(
+        &'a self,
+        service: &str,
+    ) -> impl Iterator<Item = (&'a HallId, usize)> + use<'a> {
+        self.staying.get(service).into_iter().flat_map(ServiceIndex::halls)
+    }
+
+    /// Some of the replicas of a service that stay, picked at random among those that `accepts` takes: half of `most`
+    /// from a hall, if it has so many, and the rest from the others. Where there are more than that, few are looked at;
+    /// where few are taken, all are.
+    pub fn sample<'a, R: Rng>(
+        &'a self,
+        service: &str,
+        hall: &str,
+        most: usize,
+        rng: &mut R,
+        mut accepts: impl FnMut(&'a Replica) -> bool,
+    ) -> Vec<&'a Replica> {
+        let Some(index) = self.staying.get(service) else {
+            return Vec::new();
+        };
+        // Two sources of random numbers, as both orders go on while the other one is asked.
+        let mut far_rng = rand::rngs::SmallRng::from_rng(rng);
+        let mut near = index.shuffled_in(hall, rng);
+        let mut far = index.shuffled_outside(hall, &mut far_rng);
+        let mut sample = Vec::new();
+        self.fill(&mut sample, &mut near, most / 2, &mut accepts);
+        self.fill(&mut sample, &mut far, most, &mut accepts);
+        self.fill(&mut sample, &mut near, most, &mut accepts);
+        sample
+    }
+
+    /// Adds those of `slots` that are accepted until there are so many.
+    fn fill<'a>(
+        &'a self,
+        sample: &mut Vec<&'a Replica>,
+        slots: &mut impl Iterator<Item = Slot>,
+        up_to: usize,
+        accepts: &mut impl FnMut(&'a Replica) -> bool,
+    ) {
+        while sample.len() < up_to
+            && let Some(slot) = slots.next()
+        {
+            sample.extend(self.slot(slot).filter(|replica| accepts(replica)));
+        }
     }
 
     /// How many replicas are known.
     pub fn len(&self) -> usize {
-        self.replicas.len()
+        self.by_id.len()
     }
 
     /// Whether none is known.
     pub fn is_empty(&self) -> bool {
-        self.replicas.is_empty()
+        self.by_id.is_empty()
     }
 
-    /// All replicas.
+    /// All replicas, in no order.
     pub fn iter(&self) -> impl Iterator<Item = &Replica> {
-        self.replicas.values()
+        self.slots.iter().flatten()
+    }
+
+    /// Rises with each change of which replicas stay.
+    pub fn version(&self) -> u64 {
+        self.version
     }
 }
--- a/lib/src/gateway/routing.rs
+++ b/lib/src/gateway/routing.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::gateway::regions::AllowedRegions;
 use crate::ids::OrganisationId;
 
 /// A service of the configuration.
@@ -65,6 +66,8 @@
     pub resumable: bool,
     /// The services that take its requests.
     pub targets: Vec<Target>,
+    /// Where its requests may be served.
+    pub regions: AllowedRegions,
 }
 
 /// Callers wait for the next event of a stream at least this long.
@@ -168,6 +171,8 @@
     pub keys: Vec<String>,
     /// Rank among the organisations; 0 is the most urgent.
     pub priority: u8,
+    /// Where its requests may be served.
+    pub regions: AllowedRegions,
 }
 
 /// A whole configuration as the operator wrote it.
--- /dev/null
+++ b/lib/src/gateway/upgrade.rs
@@ -0,0 +1,225 @@
+//! Upgrades: the operator orders that the replicas of a service be replaced by some of another software
+//! version, which run beside the present ones until one of the two is given up.
+//!
+//! All nodes must come to the same stage of an upgrade. What they tell each other is merged so that the order
+//! of messages does not matter: of one order the later stage holds, and of two words on which orders there
+//! are the one with the higher revision of the store.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::gateway::replica_list::Revision;
+use crate::gateway::replica_record::SoftwareVersion;
+use crate::gateway::routing::ServiceId;
+use crate::ids::Timestamp;
+
+/// Upgrades that are told at most; each message between nodes tells them, in some thirty bytes each.
+pub const MOST_UPGRADES: usize = 16;
+
+/// How far an upgrade is. Of two words on the same order the later stage holds.
+#[derive(Clone, Copy, Debug, Deserialize, Display, Serialize, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// The new version gets a small share of the requests and is compared with the present one.
+    #[display("trial")]
+    Trial,
+    /// No sign speaks against it: all new requests go there, and streams move there.
+    #[display("switch")]
+    Switch,
+    /// Nor does the whole load: the operator is to be told that it succeeded.
+    #[display("proven")]
+    Proven,
+    /// It is worse than the present version and gets nothing; the operator is to be told.
+    #[display("reverted")]
+    Reverted,
+    /// The operator knows that it failed.
+    #[display("failed")]
+    Failed,
+    /// The operator knows that it succeeded: the replicas of other versions end.
+    #[display("succeeded")]
+    Succeeded,
+}
+
+/// What a version may get in a stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Whatever comes.
+    All,
+    /// A share of the requests.
+    Share,
+    /// What the share leaves.
+    Rest,
+    /// Nothing as long as there is another version.
+    Last,
+    /// Nothing.
+    None,
+}
+
+impl Stage {
+    /// Whether nothing changes any more.
+    pub fn is_final(self) -> bool {
+        matches!(self, Stage::Failed | Stage::Succeeded)
+    }
+
+    fn admission(self, is_target: bool) -> Admission {
+        match (self, is_target) {
+            (Stage::Trial, true) => Admission::Share,
+            (Stage::Trial, false) => Admission::Rest,
+            (Stage::Switch | Stage::Proven | Stage::Succeeded, true) => Admission::All,
+            (Stage::Switch | Stage::Proven | Stage::Succeeded, false) => Admission::Last,
+            (Stage::Reverted | Stage::Failed, true) => Admission::None,
+            (Stage::Reverted | Stage::Failed, false) => Admission::All,
+        }
+    }
+}
+
+/// What the operator ordered.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
+pub struct UpgradeOrder {
+    /// The version that the service's replicas should have.
+    pub target: SoftwareVersion,
+    /// The time that it may take.
+    pub within: Duration,
+    /// The store's revision when the order was first made: another one is another order.
+    pub made: Revision,
+}
+
+/// An upgrade as a node knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upgrade {
+    /// The order.
+    pub order: UpgradeOrder,
+    /// When it was made, as far as this node knows.
+    pub began: Timestamp,
+    /// How far it is.
+    pub stage: Stage,
+    /// Since when.
+    pub stage_since: Timestamp,
+}
+
+impl Upgrade {
+    /// What replicas of a version may get.
+    pub fn admission(&self, version: &str) -> Admission {
+        self.stage.admission(*self.order.target == *version)
+    }
+
+    fn raise(&mut self, stage: Stage, now: Timestamp) -> bool {
+        let is_later = stage > self.stage;
+        if is_later {
+            (self.stage, self.stage_since) = (stage, now);
+        }
+        is_later
+    }
+}
+
+/// An upgrade as a node tells it to another one.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
+pub struct ToldUpgrade {
+    /// The service.
+    pub service: ServiceId,
+    /// The order.
+    pub order: UpgradeOrder,
+    /// Time since the order, as far as the sender knows.
+    pub age: Duration,
+    /// How far it is.
+    pub stage: Stage,
+}
+
+/// All upgrades as a node tells them to another one.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+pub struct ToldUpgrades {
+    /// The store's revision up to which the sender knows which orders there are.
+    pub at: Revision,
+    /// The upgrades.
+    pub upgrades: Vec<ToldUpgrade>,
+}
+
+/// All upgrades that a node knows, by service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Upgrades {
+    at: Revision,
+    by_service: BTreeMap<ServiceId, Upgrade>,
+}
+
+impl Upgrades {
+    /// The upgrade of a service.
+    pub fn of(&self, service: &str) -> Option<&Upgrade> {
+        self.by_service.get(service)
+    }
+
+    /// All of them.
+    pub fn iter(&self) -> impl Iterator<Item = (&ServiceId, &Upgrade)> {
+        self.by_service.iter()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.by_service.is_empty()
+    }
+
+    /// The store's revision up to which it is known which orders there are; 0 where nothing is known.
+    pub fn at(&self) -> Revision {
+        self.at
+    }
+
+    /// What other nodes are told.
+    pub fn told(&self, now: Timestamp) -> ToldUpgrades {
+        let upgrades = self.by_service.iter().take(MOST_UPGRADES).map(|(service, upgrade)| ToldUpgrade {
+            service: service.clone(),
+            order: upgrade.order.clone(),
+            age: now.saturating_sub(upgrade.began),
+            stage: upgrade.stage,
+        });
+        ToldUpgrades { at: self.at, upgrades: upgrades.collect() }
+    }
+
+    /// Takes a word in; returns the services whose upgrades it changed.
+    pub fn take(&mut self, told: ToldUpgrades, now: Timestamp) -> Vec<ServiceId> {
+        let is_newer = told.at > self.at;
+        let before = self.by_service.clone();
+        if is_newer {
+            let is_told = |service: &ServiceId| told.upgrades.iter().any(|told| told.service == *service);
+            self.by_service.retain(|service, _| is_told(service));
+            self.at = told.at;
+        }
+        for told in told.upgrades {
+            self.take_one(told, is_newer, now);
+        }
+        let services: Vec<&ServiceId> = before.keys().chain(self.by_service.keys()).collect();
+        let mut changed: Vec<ServiceId> = Vec::new();
+        for service in services {
+            let stage = |of: &BTreeMap<ServiceId, Upgrade>| {
+                of.get(service).map(|upgrade| (upgrade.order.clone(), upgrade.stage))
+            };
+            if stage(&before) != stage(&self.by_service) && !changed.contains(service) {
+                changed.push(service.clone());
+            }
+        }
+        changed
+    }
+
+    fn take_one(&mut self, told: ToldUpgrade, is_newer: bool, now: Timestamp) {
+        let began = now.saturating_sub(told.age);
+        match self.by_service.get_mut(&told.service) {
+            Some(known) if known.order == told.order => {
+                known.began = known.began.min(began);
+                known.raise(told.stage, now);
+            }
+            // An older word knows nothing of which orders there are now.
+            _ if !is_newer => {}
+            _ => {
+                let upgrade = Upgrade { order: told.order, began, stage: told.stage, stage_since: now };
+                self.by_service.insert(told.service, upgrade);
+            }
+        }
+    }
+
+    /// An upgrade has come to a later stage; returns whether that is news.
+    pub fn raise(&mut self, service: &str, order: &UpgradeOrder, stage: Stage, now: Timestamp) -> bool {
+        let known = self.by_service.get_mut(service).filter(|upgrade| upgrade.order == *order);
+        known.is_some_and(|upgrade| upgrade.raise(stage, now))
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/upgrade_verdict.rs
@@ -0,0 +1,137 @@
+//! Whether a new version answers worse than the present one: more of its answers are errors or slow, over all
+//! nodes together.
+//!
+//! What counts as slow is taken from the present version on the same route, and so is how often that is usual. The
+//! new version is worse if so many bad answers would hardly come about by chance.
+
+use derive_more::Display;
+
+use crate::gateway::answer_counts::AnswerCounts;
+use crate::gateway::answer_counts::Compared;
+use crate::gateway::answer_counts::Measure;
+use crate::gateway::routing::RouteId;
+
+/// An answer is slow from so many half octaves above the present version's middle on: two to three times as long.
+const SLOW_STEPS: u8 = 3;
+/// Answers of the present version that tell what is usual.
+const LEAST_PRESENT: u32 = 12;
+/// A version is worse if its bad answers, or more, would come with less than this chance from one that is as good
+/// as the present one. A trial is looked at some hundred times, mostly at the same answers.
+const LEAST_CHANCE: f64 = 2e-5;
+/// Part of the answers that is bad at least, for all that is known, of a version without a fault.
+const LEAST_USUAL: f64 = 0.01;
+/// Bad answers that speak against a version at least: one request may fail at whatever replica it meets.
+const LEAST_BAD: u32 = 3;
+
+/// What the counts say of the new version.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// It has answered nothing yet.
+    Unknown,
+    /// Nothing speaks against it.
+    Sound,
+    /// It is worse.
+    Worse(Difference),
+}
+
+/// What speaks against a version.
+#[derive(Clone, Debug, Display, PartialEq)]
+#[display("{bad} of {of} answers bad on {} ({measure:?}), {usual:.3} usual", route.as_deref().unwrap_or("all routes"))]
+pub struct Difference {
+    /// Where; `None` for all routes together.
+    pub route: Option<RouteId>,
+    /// What was measured.
+    pub measure: Measure,
+    /// Answers that were errors or slow.
+    pub bad: u32,
+    /// Answers in all.
+    pub of: u32,
+    /// The part that is bad of the present version's, at the most for all that is known.
+    pub usual: f64,
+}
+
+/// Bad answers of all, of both versions.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bad {
+    present: u32,
+    of_present: u32,
+    target: u32,
+    of_target: u32,
+}
+
+impl Bad {
+    fn of(counts: &Compared) -> Self {
+        let Compared { present, target } = counts;
+        let is_known = present.count() >= LEAST_PRESENT;
+        let slow = present.middle().filter(|_| is_known).map(|middle| middle + SLOW_STEPS);
+        let slow_of =
+            |answers: &crate::gateway::answer_counts::Answers| slow.map_or(0, |slow| answers.from_step(slow));
+        Bad {
+            present: present.failed + slow_of(present),
+            of_present: present.count(),
+            target: target.failed + slow_of(target),
+            of_target: target.count(),
+        }
+    }
+
+    fn add(self, other: Bad) -> Bad {
+        Bad {
+            present: self.present + other.present,
+            of_present: self.of_present + other.of_present,
+            target: self.target + other.target,
+            of_target: self.of_target + other.of_target,
+        }
+    }
+
+    /// The part that is bad of the present version's answers, one standard error above what was seen.
+    fn usual(self) -> f64 {
+        let bad = f64::from(self.present) + 1.0;
+        ((bad + bad.sqrt()) / (f64::from(self.of_present) + 2.0)).clamp(LEAST_USUAL, 1.0)
+    }
+
+    fn is_worse(self) -> bool {
+        self.target >= LEAST_BAD && chance_of(self.target, self.of_target, self.usual()) < LEAST_CHANCE
+    }
+
+    fn difference(self, route: Option<RouteId>, measure: Measure) -> Option<Difference> {
+        let is_worse = self.is_worse();
+        let difference =
+            Difference { route, measure, bad: self.target, of: self.of_target, usual: self.usual() };
+        is_worse.then_some(difference)
+    }
+}
+
+/// What the counts of all nodes say.
+pub fn verdict(counts: &AnswerCounts) -> Verdict {
+    let mut all = Bad::default();
+    for (route, measure, compared) in counts.iter() {
+        let bad = Bad::of(compared);
+        if let Some(difference) = bad.difference(Some(route.clone()), measure) {
+            return Verdict::Worse(difference);
+        }
+        if measure == Measure::Answer {
+            all = all.add(bad);
+        }
+    }
+    match all.difference(None, Measure::Answer) {
+        Some(difference) => Verdict::Worse(difference),
+        None if all.of_target == 0 => Verdict::Unknown,
+        None => Verdict::Sound,
+    }
+}
+
+/// The chance that at least `bad` of `of` answers are bad where each one is with the chance `usual`.
+pub fn chance_of(bad: u32, of: u32, usual: f64) -> f64 {
+    if usual >= 1.0 || bad == 0 {
+        return 1.0;
+    }
+    let odds = usual / (1.0 - usual);
+    // The chance of exactly `k` bad ones, from that of none on.
+    let mut exactly = (1.0 - usual).powi(of as i32);
+    let mut fewer = 0.0;
+    for k in 0..bad.min(of + 1) {
+        fewer += exactly;
+        exactly *= odds * f64::from(of - k) / f64::from(k + 1);
+    }
+    (1.0 - fewer).max(0.0)
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod rollout;
+pub mod sample_set;
 pub mod signing;
 pub mod start_rate;
 pub mod status;
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -1,10 +1,12 @@
 //! Which VMs are alive: random probes, indirect probes before suspicion, and news
 //! carried on the probes, after SWIM (Das, Gupta, Motivala, 2002). The cost on a VM
-//! does not grow with the fleet.
+//! does not grow with the fleet: members that are up, suspect, ended or news are found without a look at all.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use rand::Rng;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -13,6 +15,7 @@
 
 use crate::ids::Timestamp;
 use crate::ids::VmId;
+use crate::sample_set::SampleSet;
 
 /// Time between two probes by one VM.
 pub const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -99,6 +102,15 @@
     incarnation: u64,
     leaving: bool,
     members: BTreeMap<VmId, Member>,
+    /// Those that are thought to be alive or only suspected.
+    up: SampleSet<VmId>,
+    suspects: BTreeSet<VmId>,
+    /// Those that are dead or left, by when they became so.
+    ended: BTreeSet<(Timestamp, VmId)>,
+    /// Those that others may be told of, the least told first.
+    fresh: BTreeSet<(u32, VmId)>,
+    /// Rises when a member comes up or is up no more.
+    version: u64,
     round: Vec<VmId>,
     last_probe: Option<Timestamp>,
     last_tick: Option<Timestamp>,
@@ -115,6 +127,11 @@
             incarnation,
             leaving: false,
             members: BTreeMap::new(),
+            up: SampleSet::default(),
+            suspects: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            fresh: BTreeSet::new(),
+            version: 0,
             round: Vec::new(),
             last_probe: None,
             last_tick: None,
@@ -129,8 +146,64 @@
         for member in self.members.values_mut() {
             member.listed = false;
         }
-        for vm in listed.iter().filter(|vm| **vm != self.own) {
-            self.members.entry(vm.clone()).or_insert_with(|| Member::new(now)).listed = true;
+        listed.iter().for_each(|vm| self.list(vm, now));
+    }
+
+    /// A VM is listed: it is a candidate, taken to be alive until a probe fails.
+    pub fn list(&mut self, vm: &VmId, now: Timestamp) {
+        if *vm == self.own {
+            return;
+        }
+        if !self.members.contains_key(vm) {
+            let member = Member::new(now);
+            self.index(vm, None, Some(&Indexed::of(&member)));
+            self.members.insert(vm.clone(), member);
+        }
+        self.update(vm, |member| member.listed = true);
+    }
+
+    /// A VM is not listed any more; it is forgotten once it is dead for some time.
+    pub fn unlist(&mut self, vm: &VmId) {
+        self.update(vm, |member| member.listed = false);
+    }
+
+    /// Changes a member, if there is one, and the indices with it.
+    fn update<T>(&mut self, vm: &VmId, change: impl FnOnce(&mut Member) -> T) -> Option<T> {
+        let member = self.members.get_mut(vm)?;
+        let before = Indexed::of(member);
+        let result = change(member);
+        let after = Indexed::of(member);
+        if before != after {
+            self.index(vm, Some(&before), Some(&after));
+        }
+        Some(result)
+    }
+
+    /// Brings the indices from what a member was to what it is.
+    fn index(&mut self, vm: &VmId, before: Option<&Indexed>, after: Option<&Indexed>) {
+        let is_up = after.is_some_and(|after| after.is_up);
+        if before.is_some_and(|before| before.is_up) != is_up {
+            self.version += 1;
+            if is_up {
+                self.up.insert(vm.clone());
+            } else {
+                self.up.remove(vm);
+            }
+        }
+        if after.is_some_and(|after| after.is_suspect) {
+            self.suspects.insert(vm.clone());
+        } else {
+            self.suspects.remove(vm);
+        }
+        let (ended, ends) = (before.and_then(|b| b.ended), after.and_then(|a| a.ended));
+        if ended != ends {
+            ended.map(|since| self.ended.remove(&(since, vm.clone())));
+            ends.map(|since| self.ended.insert((since, vm.clone())));
+        }
+        let (told, tells) = (before.and_then(|b| b.told), after.and_then(|a| a.told));
+        if told != tells {
+            told.map(|times| self.fresh.remove(&(times, vm.clone())));
+            tells.map(|times| self.fresh.insert((times, vm.clone())));
         }
     }
 
@@ -157,22 +230,39 @@
         }
         self.incarnation += 1;
         self.last_contact = None;
-        for member in self.members.values_mut().filter(|m| m.liveness == Liveness::Suspect) {
-            member.since = now;
+        for vm in self.suspects.clone() {
+            self.update(&vm, |member| member.since = now);
         }
     }
 
     fn expire(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        for (vm, member) in &mut self.members {
-            let age = now.saturating_sub(member.since);
-            if member.liveness == Liveness::Suspect && age >= SUSPECT_FOR {
+        let is_overdue = |vm: &&VmId| {
+            self.members.get(*vm).is_some_and(|member| now.saturating_sub(member.since) >= SUSPECT_FOR)
+        };
+        let overdue: Vec<VmId> = self.suspects.iter().filter(is_overdue).cloned().collect();
+        for vm in overdue {
+            let news = self.update(&vm, |member| {
                 member.liveness = Liveness::Dead;
                 member.since = now;
                 member.told = 0;
-                actions.push(MembershipAction::Changed(member.news(vm)));
+                member.news(&vm)
+            });
+            actions.extend(news.map(MembershipAction::Changed));
+        }
+        self.forget_ended(now);
+    }
+
+    /// Forgets who ended long ago; who is listed is asked again and again.
+    fn forget_ended(&mut self, now: Timestamp) {
+        let is_long_ago = |(since, _): &&(Timestamp, VmId)| now.saturating_sub(*since) >= REMEMBER_DEAD;
+        let long_ago: Vec<VmId> =
+            self.ended.iter().take_while(is_long_ago).map(|(_, vm)| vm.clone()).collect();
+        for vm in long_ago {
+            if let Some(member) = self.members.get(&vm).filter(|member| !member.listed) {
+                self.index(&vm, Some(&Indexed::of(member)), None);
+                self.members.remove(&vm);
             }
         }
-        self.members.retain(|_, m| m.listed || m.is_up() || now.saturating_sub(m.since) < REMEMBER_DEAD);
     }
 
     /// The next VM of a shuffled round over all that may be reached; dead ones that the
@@ -200,9 +290,9 @@
     /// The VM that this one suspects longest. It is asked each second, as the round over all may come
     /// back to it only after it is taken for dead.
     fn next_suspect(&self) -> Option<VmId> {
-        let suspects =
-            self.members.iter().filter(|(_, m)| m.liveness == Liveness::Suspect && m.suspected_here);
-        suspects.min_by_key(|(_, m)| m.since).map(|(vm, _)| vm.clone())
+        let suspects = self.suspects.iter().filter_map(|vm| Some((vm, self.members.get(vm)?)));
+        let own = suspects.filter(|(_, member)| member.suspected_here);
+        own.min_by_key(|(_, member)| member.since).map(|(vm, _)| vm.clone())
     }
 
     /// A direct probe answered, or not.
@@ -210,16 +300,11 @@
         if answered {
             return self.heard_from(target, now);
         }
-        let mut others: Vec<VmId> = self.alive().filter(|vm| *vm != target).cloned().collect();
-        if others.is_empty() {
-            return self.suspect(target, now);
-        }
-        let mut actions = Vec::new();
-        for _ in 0..INDIRECT_PROBES.min(others.len()) {
-            let via = others.swap_remove(self.rng.random_range(0..others.len()));
-            actions.push(MembershipAction::ProbeVia { via, target: target.clone() });
-        }
-        actions
+        let others = self.up.sample(INDIRECT_PROBES + 1, &mut self.rng);
+        let others = others.into_iter().filter(|vm| *vm != target).take(INDIRECT_PROBES);
+        let via = |vm: &VmId| MembershipAction::ProbeVia { via: vm.clone(), target: target.clone() };
+        let actions: Vec<MembershipAction> = others.map(via).collect();
+        if actions.is_empty() { self.suspect(target, now) } else { actions }
     }
 
     /// All indirect probes of a target are over; `answered` if any did.
@@ -238,19 +323,23 @@
         if matches!(member.liveness, Liveness::Alive | Liveness::Left) {
             return Vec::new();
         }
-        member.set(Liveness::Alive, now);
-        vec![MembershipAction::Changed(member.news(vm))]
+        let news = self.update(vm, |member| {
+            member.set(Liveness::Alive, now);
+            member.news(vm)
+        });
+        news.map(MembershipAction::Changed).into_iter().collect()
     }
 
     fn suspect(&mut self, vm: &VmId, now: Timestamp) -> Vec<MembershipAction> {
-        match self.members.get_mut(vm) {
-            Some(member) if member.liveness == Liveness::Alive && member.may_be_gone(now) => {
+        let news = self.update(vm, |member| {
+            let suspects = member.liveness == Liveness::Alive && member.may_be_gone(now);
+            suspects.then(|| {
                 member.set(Liveness::Suspect, now);
                 member.suspected_here = true;
-                vec![MembershipAction::Changed(member.news(vm))]
-            }
-            _ => Vec::new(),
-        }
+                member.news(vm)
+            })
+        });
+        news.flatten().map(MembershipAction::Changed).into_iter().collect()
     }
 
     /// Takes news in that came with a message.
@@ -261,19 +350,22 @@
                 self.refute(item);
                 continue;
             }
-            let Some(member) = self.members.get_mut(&item.vm) else {
-                continue;
-            };
-            let newer = item.incarnation > member.incarnation;
-            let worse = item.incarnation == member.incarnation && item.liveness > member.liveness;
-            if !(newer || worse) {
-                continue;
-            }
-            member.incarnation = item.incarnation;
-            // Only the VM itself gives out an incarnation.
-            member.met |= item.incarnation > 0;
-            if member.liveness != item.liveness {
-                member.set(item.liveness, now);
+            let changed = self.update(&item.vm, |member| {
+                let newer = item.incarnation > member.incarnation;
+                let worse = item.incarnation == member.incarnation && item.liveness > member.liveness;
+                if !(newer || worse) {
+                    return false;
+                }
+                member.incarnation = item.incarnation;
+                // Only the VM itself gives out an incarnation.
+                member.met |= item.incarnation > 0;
+                let changes = member.liveness != item.liveness;
+                if changes {
+                    member.set(item.liveness, now);
+                }
+                changes
+            });
+            if changed == Some(true) {
                 actions.push(MembershipAction::Changed(item.clone()));
             }
         }
@@ -292,15 +384,13 @@
         let own = if self.leaving { Liveness::Left } else { Liveness::Alive };
         let mut news = vec![News { vm: self.own.clone(), incarnation: self.incarnation, liveness: own }];
         let enough = 3 * (self.members.len() + 2).ilog2() + 3;
-        let mut fresh: Vec<_> = self
-            .members
-            .iter_mut()
-            .filter(|(_, m)| m.told < enough && (m.incarnation > 0 || m.liveness != Liveness::Alive))
-            .collect();
-        fresh.sort_by_key(|(_, m)| m.told);
-        for (vm, member) in fresh.into_iter().take(NEWS_PER_MESSAGE - 1) {
-            member.told += 1;
-            news.push(member.news(vm));
+        let fresh = self.fresh.iter().take_while(|(told, _)| *told < enough).take(NEWS_PER_MESSAGE - 1);
+        let fresh: Vec<VmId> = fresh.map(|(_, vm)| vm.clone()).collect();
+        for vm in fresh {
+            news.extend(self.update(&vm, |member| {
+                member.told += 1;
+                member.news(&vm)
+            }));
         }
         news
     }
@@ -316,6 +406,21 @@
         self.members.iter().filter(|(_, m)| m.is_up()).map(|(vm, _)| vm)
     }
 
+    /// Some of these, at random.
+    pub fn sample<R: Rng>(&self, count: usize, rng: &mut R) -> Vec<&VmId> {
+        self.up.sample(count, rng)
+    }
+
+    /// How many these are.
+    pub fn count_alive(&self) -> usize {
+        self.up.len()
+    }
+
+    /// Rises when one comes to them or goes from them.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// What is thought of a VM.
     pub fn liveness(&self, vm: &str) -> Option<Liveness> {
         self.members.get(vm).map(|m| m.liveness)
@@ -332,6 +437,30 @@
     }
 }
 
+/// What of a member the indices go by.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Indexed {
+    is_up: bool,
+    is_suspect: bool,
+    /// Since when it is dead or left.
+    ended: Option<Timestamp>,
+    /// How often others were told of it, if there is something to tell.
+    told: Option<u32>,
+}
+
+impl Indexed {
+    fn of(member: &Member) -> Self {
+        let is_up = member.is_up();
+        let is_news = member.incarnation > 0 || member.liveness != Liveness::Alive;
+        Indexed {
+            is_up,
+            is_suspect: member.liveness == Liveness::Suspect,
+            ended: (!is_up).then_some(member.since),
+            told: is_news.then_some(member.told),
+        }
+    }
+}
+
 impl Member {
     fn new(now: Timestamp) -> Self {
         Member {
--- a/lib/src/status.rs
+++ b/lib/src/status.rs
@@ -60,7 +60,10 @@
     pub waiting: usize,
     /// Generations placed and not ended.
     pub running: usize,
-    /// Its engines.
+    /// Its engines that may get generations.
+    #[serde(default)]
+    pub all_engines: usize,
+    /// Its engines; where there are hundreds, some of those with generations.
     pub engines: Vec<EngineLine>,
 }
 
--- a/lib/tests/test_gateway_learned.rs
+++ b/lib/tests/test_gateway_learned.rs
@@ -4,7 +4,7 @@
 
 use leadstage_lib::gateway::learned::Learned;
 use leadstage_lib::gateway::reading::ReadingClocks;
-use leadstage_lib::gateway::replicas::Replica;
+use leadstage_lib::gateway::replica::Replica;
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::run_key::RunKey;
 use leadstage_lib::gateway::token_pace::TokenPaces;
--- /dev/null
+++ b/lib/tests/test_gateway_upgrade.rs
@@ -0,0 +1,276 @@
+//! Upgrades: stages as nodes merge them, which replicas a request may go to, and when an upgrade goes on.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::answer_counts::AnswerCounts;
+use leadstage_lib::gateway::answer_counts::Measure;
+use leadstage_lib::gateway::answer_counts::Sample;
+use leadstage_lib::gateway::answer_counts::Side;
+use leadstage_lib::gateway::canary;
+use leadstage_lib::gateway::canary::VersionPool;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
+use leadstage_lib::gateway::replicas::ListChange;
+use leadstage_lib::gateway::replicas::ReplicaTable;
+use leadstage_lib::gateway::run_key::RunKey;
+use leadstage_lib::gateway::upgrade::Stage;
+use leadstage_lib::gateway::upgrade::ToldUpgrade;
+use leadstage_lib::gateway::upgrade::ToldUpgrades;
+use leadstage_lib::gateway::upgrade::Upgrade;
+use leadstage_lib::gateway::upgrade::UpgradeOrder;
+use leadstage_lib::gateway::upgrade::Upgrades;
+use leadstage_lib::gateway::upgrade_judge::Capacity;
+use leadstage_lib::gateway::upgrade_judge::ExposureBounds;
+use leadstage_lib::gateway::upgrade_judge::Situation;
+use leadstage_lib::gateway::upgrade_verdict;
+use leadstage_lib::gateway::upgrade_verdict::Verdict;
+use proptest::prelude::*;
+
+const BOUNDS: ExposureBounds = ExposureBounds { share: 0.1, slack: 50.0 };
+const STAGES: [Stage; 6] =
+    [Stage::Trial, Stage::Switch, Stage::Proven, Stage::Reverted, Stage::Failed, Stage::Succeeded];
+
+fn secs(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+fn order(target: &str, made: u64) -> UpgradeOrder {
+    UpgradeOrder { target: target.into(), within: secs(12.0), made }
+}
+
+fn told(at: u64, orders: &[(&str, u64, Stage)]) -> ToldUpgrades {
+    let upgrades = orders.iter().map(|(service, made, stage)| ToldUpgrade {
+        service: (*service).into(),
+        order: order("v2", *made),
+        age: secs(1.0),
+        stage: *stage,
+    });
+    ToldUpgrades { at, upgrades: upgrades.collect() }
+}
+
+fn upgrade(stage: Stage) -> Upgrade {
+    Upgrade { order: order("v2", 7), began: secs(100.0), stage, stage_since: secs(100.0) }
+}
+
+#[test]
+fn test_a_later_stage_holds_whoever_tells_it_first() {
+    let mut upgrades = Upgrades::default();
+    assert_eq!(upgrades.take(told(5, &[("s", 4, Stage::Reverted)]), secs(2.0)), ["s".into()]);
+    // A node that missed it tells the trial, with a newer view of the store.
+    assert!(upgrades.take(told(9, &[("s", 4, Stage::Trial)]), secs(3.0)).is_empty());
+    assert_eq!(upgrades.of("s").expect("there").stage, Stage::Reverted);
+    // Another order of the same service begins anew.
+    assert_eq!(upgrades.take(told(10, &[("s", 10, Stage::Trial)]), secs(4.0)), ["s".into()]);
+    assert_eq!(upgrades.of("s").expect("there").stage, Stage::Trial);
+    // An older word knows nothing of it.
+    assert!(upgrades.take(told(9, &[("s", 4, Stage::Succeeded)]), secs(5.0)).is_empty());
+    assert_eq!(upgrades.take(told(11, &[]), secs(6.0)), ["s".into()]);
+    assert!(upgrades.is_empty());
+}
+
+proptest! {
+    /// All words of one history of the store, in any order, several times: all nodes come to the same.
+    #[test]
+    fn test_nodes_come_to_the_same_in_whatever_order_they_hear(
+        words in prop::collection::vec((0_u64..4, 0_usize..6, 0_usize..6), 1..12),
+        shuffle in prop::collection::vec(any::<prop::sample::Index>(), 24),
+    ) {
+        // At revision 0 nothing is ordered, at 1 one service's order is made, at 2 a second one's, at 3 the
+        // first one is replaced.
+        let word = |(at, a, b): (u64, usize, usize)| {
+            let (a, b) = (STAGES[a], STAGES[b]);
+            match at {
+                0 => told(0, &[]),
+                1 => told(1, &[("s", 1, a)]),
+                2 => told(2, &[("s", 1, a), ("t", 2, b)]),
+                _ => told(3, &[("s", 3, a), ("t", 2, b)]),
+            }
+        };
+        let mut in_order = Upgrades::default();
+        let mut sorted = words.clone();
+        sorted.sort();
+        sorted.iter().for_each(|w| drop(in_order.take(word(*w), secs(10.0))));
+        let mut shuffled = Upgrades::default();
+        for index in shuffle {
+            shuffled.take(word(words[index.index(words.len())]), secs(10.0));
+        }
+        // Each word is heard once at least.
+        words.iter().rev().for_each(|w| drop(shuffled.take(word(*w), secs(10.0))));
+        let view = |upgrades: &Upgrades| {
+            upgrades.iter().map(|(s, u)| (s.clone(), u.order.clone(), u.stage)).collect::<Vec<_>>()
+        };
+        prop_assert_eq!(in_order.at(), shuffled.at());
+        let orders = |upgrades: &Upgrades| {
+            view(upgrades).into_iter().map(|(s, order, _)| (s, order)).collect::<Vec<_>>()
+        };
+        prop_assert_eq!(orders(&in_order), orders(&shuffled));
+    }
+}
+
+fn replica(id: &str, version: &str) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.into(),
+        service: "s".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        hall: "a".into(),
+        slots: 8,
+        leaving: false,
+        cold: Duration::ZERO,
+        born: 0,
+        version: version.into(),
+    }
+}
+
+fn table() -> ReplicaTable {
+    let mut table = ReplicaTable::default();
+    let mut change = ListChange::default();
+    for n in 0..20 {
+        table.on_entry(replica(&format!("old-{n}"), "v1"), Duration::ZERO, &mut change);
+        table.on_entry(replica(&format!("new-{n}"), "v2"), Duration::ZERO, &mut change);
+    }
+    table
+}
+
+/// The ids of the replicas that a request may go to, by pool.
+fn groups_of(table: &ReplicaTable, stage: Stage, run: u64) -> Vec<Vec<String>> {
+    let key = RunKey { entry: "10.0.0.9:7080".into(), run };
+    let upgrade = upgrade(stage);
+    let tried = || canary::tried_of(table, "s", &upgrade.order, 0.1);
+    let pools = canary::pools(&upgrade, &key, 0.1, tried);
+    let replicas = table.of_service("s");
+    let ids = |pool: &VersionPool| -> Vec<String> {
+        let its = replicas.iter().filter(|replica| pool.has(replica));
+        its.map(|replica| replica.record.id.to_string()).collect()
+    };
+    pools.iter().map(ids).collect()
+}
+
+#[test]
+fn test_a_share_of_the_requests_goes_to_few_new_replicas() {
+    let table = table();
+    let drawn = (0..20_000).filter(|run| groups_of(&table, Stage::Trial, *run).len() == 2).count();
+    assert!((1_800..2_200).contains(&drawn), "{drawn} of 20,000 for a share of a tenth");
+    for run in 0..200 {
+        let groups = groups_of(&table, Stage::Trial, run);
+        assert_eq!(groups, groups_of(&table, Stage::Trial, run), "a request is drawn once");
+        let present = groups.last().expect("a group");
+        assert!(present.len() == 20 && present.iter().all(|id| id.starts_with("old")), "{groups:?}");
+        if groups.len() == 2 {
+            assert_eq!(groups[0].len(), 2, "a tenth of 20 present ones: {groups:?}");
+            assert!(groups[0].iter().all(|id| id.starts_with("new")), "{groups:?}");
+        }
+    }
+}
+
+#[test]
+fn test_a_version_that_was_given_up_gets_nothing() {
+    let table = table();
+    for stage in [Stage::Reverted, Stage::Failed] {
+        for run in 0..200 {
+            let groups = groups_of(&table, stage, run);
+            assert!(groups.iter().flatten().all(|id| id.starts_with("old")), "{stage}: {groups:?}");
+        }
+    }
+    for stage in [Stage::Switch, Stage::Proven, Stage::Succeeded] {
+        let groups = groups_of(&table, stage, 1);
+        assert!(groups[0].len() == 20 && groups[0].iter().all(|id| id.starts_with("new")), "{groups:?}");
+    }
+}
+
+/// Answers of both versions on a route: so many good ones in 60 ms, and bad ones.
+fn counts(present: (u32, u32), target: (u32, u32), bad: Sample) -> AnswerCounts {
+    let mut counts = AnswerCounts::default();
+    for (side, (good, bad_ones)) in [(Side::Present, present), (Side::Target, target)] {
+        let good_one = Sample::Took(Measure::Answer, secs(0.06));
+        (0..good).for_each(|_| counts.on_sample(&"r".into(), side, good_one));
+        (0..bad_ones).for_each(|_| counts.on_sample(&"r".into(), side, bad));
+    }
+    counts
+}
+
+#[test]
+fn test_errors_and_slow_answers_tell_a_worse_version() {
+    let slow = Sample::Took(Measure::Answer, secs(0.3));
+    for bad in [Sample::Failed, slow] {
+        let verdict = |present, target| upgrade_verdict::verdict(&counts(present, target, bad));
+        assert!(matches!(verdict((200, 1), (12, 5)), Verdict::Worse(_)), "a third is bad");
+        assert_eq!(verdict((200, 1), (20, 1)), Verdict::Sound, "one may be the request's fault");
+        assert_eq!(verdict((150, 50), (20, 7)), Verdict::Sound, "as many are bad of the present version's");
+        assert!(matches!(verdict((150, 50), (10, 30)), Verdict::Worse(_)), "many more are bad than usual");
+    }
+    assert_eq!(upgrade_verdict::verdict(&AnswerCounts::default()), Verdict::Unknown);
+    // Nothing tells what is usual: only errors count.
+    assert!(matches!(upgrade_verdict::verdict(&counts((0, 0), (2, 6), Sample::Failed)), Verdict::Sound));
+    assert!(matches!(upgrade_verdict::verdict(&counts((6, 0), (2, 6), slow)), Verdict::Sound));
+}
+
+#[test]
+fn test_chances_are_those_of_the_binomial_distribution() {
+    let close = |a: f64, b: f64| (a - b).abs() < 1e-9;
+    assert!(close(upgrade_verdict::chance_of(1, 2, 0.5), 0.75));
+    assert!(close(upgrade_verdict::chance_of(2, 2, 0.5), 0.25));
+    assert!(close(upgrade_verdict::chance_of(3, 10, 0.1), 0.070_190_826_4));
+    assert!(close(upgrade_verdict::chance_of(0, 10, 0.1), 1.0));
+}
+
+/// The stages that an upgrade comes to, with when, where the counts stay as they are by the second.
+fn course(
+    counts: impl Fn(f64) -> AnswerCounts,
+    capacity: Capacity,
+    store_answers: bool,
+) -> Vec<(Stage, f64)> {
+    let mut upgrade = upgrade(Stage::Trial);
+    let mut course = Vec::new();
+    for tenth in 0..300 {
+        let elapsed = f64::from(tenth) / 10.0;
+        let now = secs(100.0 + elapsed);
+        let counts = counts(elapsed);
+        let situation = Situation {
+            upgrade: &upgrade,
+            counts: &counts,
+            capacity,
+            has_streams: false,
+            store_answers,
+            bounds: BOUNDS,
+        };
+        if let Some(next) = situation.next(now) {
+            course.push((next.stage, elapsed));
+            (upgrade.stage, upgrade.stage_since) = (next.stage, now);
+        }
+    }
+    course
+}
+
+/// A hundred requests a second, a twentieth of them to the new version.
+fn sound(elapsed: f64) -> AnswerCounts {
+    counts(((95.0 * elapsed) as u32, 0), ((5.0 * elapsed) as u32, 0), Sample::Failed)
+}
+
+#[test]
+fn test_a_sound_version_is_told_before_the_time_is_over() {
+    let capacity = Capacity { present: 40, target: 40 };
+    insta::assert_debug_snapshot!(course(sound, capacity, true));
+}
+
+#[test]
+fn test_nothing_goes_on_without_the_store_or_room() {
+    let capacity = Capacity { present: 40, target: 40 };
+    assert_eq!(course(sound, capacity, false), []);
+    assert_eq!(course(sound, Capacity { present: 40, target: 8 }, true), []);
+    let none = |_| counts((500, 0), (0, 0), Sample::Failed);
+    assert_eq!(course(none, capacity, true), [], "nothing is known of the new version");
+    let course = course(none, Capacity { present: 40, target: 0 }, true);
+    assert_eq!(course.iter().map(|(stage, _)| *stage).collect::<Vec<_>>(), [Stage::Reverted]);
+}
+
+#[test]
+fn test_a_version_that_turns_bad_late_or_in_the_switch_is_reverted() {
+    let capacity = Capacity { present: 40, target: 40 };
+    for from in [0.5, 6.0, 10.9] {
+        let turns_bad = |elapsed: f64| match elapsed > from {
+            true => counts(((95.0 * elapsed) as u32, 0), ((5.0 * from) as u32, 12), Sample::Failed),
+            false => sound(elapsed),
+        };
+        let last = course(turns_bad, capacity, true).pop().expect("it goes on");
+        assert_eq!(last, (Stage::Reverted, from + 0.1), "{from}");
+    }
+}
--- /dev/null
+++ b/lib/tests/test_gateway_upgrade_model.rs
@@ -0,0 +1,241 @@
+//! A model of an upgrade in fleets of several sizes: callers, both versions' replicas, nodes that draw and report, lost
+//! reports and news that take their time. Two ways to keep to the share are compared: each node draws from its own
+//! requests, or one node hands the share out.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use leadstage_lib::gateway::answer_counts::AnswerCounts;
+use leadstage_lib::gateway::answer_counts::Measure;
+use leadstage_lib::gateway::answer_counts::Sample;
+use leadstage_lib::gateway::answer_counts::Side;
+use leadstage_lib::gateway::canary;
+use leadstage_lib::gateway::run_key::RunKey;
+use leadstage_lib::gateway::upgrade::Stage;
+use leadstage_lib::gateway::upgrade::Upgrade;
+use leadstage_lib::gateway::upgrade::UpgradeOrder;
+use leadstage_lib::gateway::upgrade_judge::Capacity;
+use leadstage_lib::gateway::upgrade_judge::ExposureBounds;
+use leadstage_lib::gateway::upgrade_judge::Situation;
+use leadstage_lib::ids::VmId;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const BOUNDS: ExposureBounds = ExposureBounds { share: 0.1, slack: 50.0 };
+const STEP_S: f64 = 0.1;
+const WITHIN_S: f64 = 14.0;
+/// Requests a second of the whole fleet.
+const RATE: f64 = 126.0;
+/// Steps between two reports of a node.
+const REPORT_STEPS: usize = 4;
+/// Part of the messages that is lost.
+const LOST: f64 = 0.03;
+/// Part of a bad version's answers that is bad.
+const BAD: f64 = 0.3;
+const SEEDS: u64 = 20;
+
+/// What is wrong with the new version.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    Errors,
+    Slow,
+    ErrorsLater,
+    ErrorsOnOneRoute,
+    ErrorsUnderLoad,
+}
+
+/// How the share is kept.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    /// Each node draws from its own requests.
+    Drawn,
+    /// The judge hands the share out, with each report that reaches it, by what that report counts.
+    HandedOut,
+}
+
+struct Outcome {
+    exposed: u32,
+    bound: f64,
+    stage: Stage,
+    /// When the last node knew the last stage, in seconds from the order.
+    at_s: f64,
+    /// Requests that the new version had answered when the judge decided.
+    seen: u32,
+}
+
+struct Node {
+    id: VmId,
+    /// What it has counted and the judge has not: a report tells all since the order, so the next one makes up for
+    /// a lost one.
+    untold: Vec<(usize, Side, Sample)>,
+    requests: u64,
+    /// Requests that it may still send to the new version where shares are handed out.
+    allowance: f64,
+    handed_for: u64,
+    /// The stages it knows, with when.
+    stages: Vec<(f64, Stage)>,
+}
+
+impl Node {
+    /// `None` before it knows of the order; no replica of the new version is there so early.
+    fn stage(&self, at: f64) -> Option<Stage> {
+        self.stages.iter().filter(|(from, _)| *from <= at).map(|(_, stage)| *stage).max()
+    }
+}
+
+fn is_bad(fault: Fault, route: usize, at: f64, load: f64, rng: &mut SmallRng) -> bool {
+    let applies = match fault {
+        Fault::None => false,
+        Fault::Errors | Fault::Slow => true,
+        Fault::ErrorsLater => at > WITHIN_S * 0.6,
+        Fault::ErrorsOnOneRoute => route == 1,
+        Fault::ErrorsUnderLoad => load > 0.6,
+    };
+    applies && rng.random_bool(BAD)
+}
+
+/// Times vary by a factor of two either way.
+fn usual_time(rng: &mut SmallRng) -> f64 {
+    0.06 * 2.0_f64.powf(rng.random_range(-1.0..1.0) * rng.random_range(0.0..1.0))
+}
+
+fn play(nodes: usize, way: Way, fault: Fault, seed: u64) -> Outcome {
+    let rng = &mut SmallRng::seed_from_u64(seed);
+    let order = UpgradeOrder { target: "v2".into(), within: Duration::from_secs_f64(WITHIN_S), made: seed };
+    let share = canary::share_on_trial(BOUNDS.share);
+    let mut fleet: Vec<Node> = (0..nodes)
+        .map(|n| Node {
+            id: format!("10.0.{}.{}:7080", n / 250, n % 250).into(),
+            untold: Vec::new(),
+            requests: 0,
+            allowance: 0.0,
+            handed_for: 0,
+            stages: vec![(rng.random_range(0.0..0.3), Stage::Trial)],
+        })
+        .collect();
+    let mut counts = AnswerCounts::default();
+    let mut upgrade = Upgrade {
+        order: order.clone(),
+        began: Duration::ZERO,
+        stage: Stage::Trial,
+        stage_since: Duration::ZERO,
+    };
+    let (mut exposed, mut seen, mut decided) = (0, 0, 0.0);
+    let steps = (WITHIN_S / STEP_S) as usize;
+    for step in 0..steps {
+        let at = step as f64 * STEP_S;
+        let arrivals = (RATE * STEP_S) as usize + usize::from(rng.random_bool((RATE * STEP_S).fract()));
+        // Few new replicas are on trial, each under the load of a present one; in the switch all are.
+        let load = 0.9;
+        for _ in 0..arrivals {
+            let node = &mut fleet[rng.random_range(0..nodes)];
+            node.requests += 1;
+            let key = RunKey { entry: node.id.clone(), run: node.requests };
+            let to_target = match (node.stage(at), way) {
+                (Some(Stage::Trial), Way::Drawn) => canary::is_drawn(&key, &order, share),
+                (Some(Stage::Trial), Way::HandedOut) => node.allowance >= 1.0,
+                (stage, _) => matches!(stage, Some(Stage::Switch | Stage::Proven)),
+            };
+            if to_target && way == Way::HandedOut {
+                node.allowance = (node.allowance - 1.0).max(0.0);
+            }
+            exposed += u32::from(to_target);
+            let side = if to_target { Side::Target } else { Side::Present };
+            let route = usize::from(rng.random_bool(0.4));
+            let bad = to_target && is_bad(fault, route, at, load, rng);
+            let sample = match (bad, fault) {
+                (true, Fault::Slow) => {
+                    Sample::Took(Measure::Answer, Duration::from_secs_f64(usual_time(rng) * 5.0))
+                }
+                (true, _) => Sample::Failed,
+                (false, _) => Sample::Took(Measure::Answer, Duration::from_secs_f64(usual_time(rng))),
+            };
+            node.untold.push((route, side, sample));
+        }
+        for (n, node) in fleet.iter_mut().enumerate() {
+            if (step + n) % REPORT_STEPS == 0 && !rng.random_bool(LOST) {
+                for (route, side, sample) in node.untold.drain(..) {
+                    counts.on_sample(&["a", "b"][route].into(), side, sample);
+                }
+                node.allowance += share * (node.requests - node.handed_for) as f64;
+                node.handed_for = node.requests;
+            }
+        }
+        let now = Duration::from_secs_f64(at);
+        let situation = Situation {
+            upgrade: &upgrade,
+            counts: &counts,
+            capacity: Capacity { present: 42, target: 42 },
+            has_streams: false,
+            store_answers: true,
+            bounds: BOUNDS,
+        };
+        if let Some(next) = situation.next(now) {
+            (upgrade.stage, upgrade.stage_since, decided) = (next.stage, now, at);
+            seen = counts.answered().1;
+            for node in &mut fleet {
+                let late = if rng.random_bool(LOST) { 0.8 } else { rng.random_range(0.0..0.3) };
+                node.stages.push((at + late, next.stage));
+            }
+        }
+    }
+    let bound = BOUNDS.share * RATE * WITHIN_S + BOUNDS.slack;
+    let knows = |node: &Node| node.stages.last().map_or(0.0, |(at, _)| *at);
+    let at_s = fleet.iter().map(knows).fold(decided, f64::max);
+    Outcome { exposed, bound, stage: upgrade.stage, at_s, seen }
+}
+
+fn row(nodes: usize, way: Way, fault: Fault) -> (String, Vec<Outcome>) {
+    let outcomes: Vec<Outcome> = (0..SEEDS).map(|seed| play(nodes, way, fault, seed)).collect();
+    let most = outcomes.iter().map(|o| f64::from(o.exposed) / o.bound).fold(0.0, f64::max);
+    let stage = |stage: Stage| outcomes.iter().filter(|o| o.stage == stage).count();
+    let mut times: Vec<f64> = outcomes.iter().map(|o| o.at_s).collect();
+    times.sort_by(f64::total_cmp);
+    let seen = outcomes.iter().map(|o| f64::from(o.seen)).sum::<f64>() / outcomes.len() as f64;
+    let text = format!(
+        "{nodes:4}  {:<10} {:<17} exposed {most:.2} of the bound at most; proven {:2}, reverted {:2}, on trial {:2}; known to all after {:.1} s, {:.1} at most; {seen:.0} answers seen",
+        format!("{way:?}"),
+        format!("{fault:?}"),
+        stage(Stage::Proven),
+        stage(Stage::Reverted),
+        stage(Stage::Trial),
+        times[times.len() / 2],
+        times[times.len() - 1],
+    );
+    (text, outcomes)
+}
+
+#[test]
+fn test_bad_versions_are_found_and_good_ones_proven_in_fleets_of_each_size() {
+    let faults = [
+        Fault::None,
+        Fault::Errors,
+        Fault::Slow,
+        Fault::ErrorsLater,
+        Fault::ErrorsOnOneRoute,
+        Fault::ErrorsUnderLoad,
+    ];
+    let mut table = String::new();
+    for nodes in [6, 66, 410, 985] {
+        for fault in faults {
+            let (text, outcomes) = row(nodes, Way::Drawn, fault);
+            writeln!(table, "{text}").expect("it is text");
+            for (seed, outcome) in outcomes.iter().enumerate() {
+                let what = format!("{nodes} nodes, {fault:?}, seed {seed}");
+                let expected = if fault == Fault::None { Stage::Proven } else { Stage::Reverted };
+                assert_eq!(outcome.stage, expected, "{what}");
+                let is_kept = fault == Fault::None || f64::from(outcome.exposed) <= outcome.bound;
+                assert!(is_kept, "{what}: {} of {}", outcome.exposed, outcome.bound);
+            }
+        }
+    }
+    // The other way, for comparison: with few requests at each node hardly any is handed out.
+    for nodes in [6, 66, 410, 985] {
+        for fault in [Fault::None, Fault::ErrorsLater] {
+            writeln!(table, "{}", row(nodes, Way::HandedOut, fault).0).expect("it is text");
+        }
+    }
+    insta::assert_snapshot!(table);
+}
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -6,12 +6,14 @@
 
 mod balancer_port;
 mod control;
+mod held_bytes;
 mod ingress;
 mod messages;
 mod observability;
 mod peers;
 mod reload;
 mod reply;
+mod reply_body;
 mod request;
 pub mod settings;
 mod shared;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -20,6 +20,7 @@
 use crate::gateway::control::limit_intake::LimitIntake;
 use crate::gateway::control::placing::Placing;
 use crate::gateway::control::replica_intake::ReplicaIntake;
+use crate::gateway::control::upgrade_intake::UpgradeIntake;
 use crate::gateway::control::watching::Watching;
 use crate::gateway::messages::Fetched;
 use crate::gateway::messages::ToControl;
@@ -55,6 +56,7 @@
     halls: HallIntake,
     crashes: CrashIntake,
     limits: LimitIntake,
+    upgrades: UpgradeIntake,
     watchers: Watchers,
     watching: Watching,
     last_status: Timestamp,
@@ -75,6 +77,7 @@
             halls: HallIntake::new(shared.clone()),
             crashes: CrashIntake::new(shared.clone()),
             limits: LimitIntake::new(shared.clone()),
+            upgrades: UpgradeIntake::new(shared.clone()),
             watchers: Watchers::new(fleet.own().clone()),
             watching: Watching::new(shared.clone()),
             last_status: Timestamp::ZERO,
@@ -109,9 +112,15 @@
             ToControl::Health(of, health) => {
                 self.replicas.on_health(&mut self.placing, &self.fleet, of, health)
             }
+            ToControl::TellPart => self.replicas.tell_part(&self.fleet),
             ToControl::TellReplicas => self.replicas.tell_gathered(&self.placing, &self.fleet),
             ToControl::Replicas(news) => self.replicas.on_store_news(&mut self.placing, &self.fleet, news),
             ToControl::ClosedHalls(news) => self.halls.on_store_news(&mut self.placing, &self.fleet, news),
+            ToControl::Upgrades(news) => self.upgrades.on_store_news(&mut self.placing, &self.fleet, news),
+            ToControl::UpgradeWritten(written) => {
+                self.upgrades.on_written(&mut self.placing, &self.fleet, written)
+            }
+            ToControl::Sampled(sample) => self.upgrades.on_sample(sample),
             ToControl::LimitWord(of, word, times) => {
                 self.limits.on_answer(&mut self.placing.knowledge, &self.fleet, &of, word, times)
             }
@@ -129,12 +138,13 @@
             }
             ToControl::ConfigurationRead(answered) => self.configs.on_read(answered),
             ToControl::ConfigurationDue => self.configs.on_due(),
+            ToControl::HandOut(known, reply) => self.replicas.hand_out(&self.placing, known, reply),
             ToControl::Fetched(from, Fetched::Replicas(list)) => {
-                self.replicas.on_fetched(&mut self.placing, from, list)
+                self.replicas.on_fetched(&mut self.placing, &self.fleet, from, list)
             }
             ToControl::OwnPulse(number, store) => self.on_own_pulse(number, store),
             ToControl::Datagram(datagram) => self.on_datagram(datagram),
-            ToControl::Seeds(seeds) => self.fleet.set_seeds(&seeds),
+            ToControl::Seeds(seeds) => self.fleet.set_seeds(&seeds, self.shared.now()),
             ToControl::Stopping => self.fleet.leave(),
         }
         self.check_ready();
@@ -145,6 +155,7 @@
         let gone = self.fleet.tick(now);
         self.on_gone(gone);
         self.shared.set_nodes(self.fleet.nodes());
+        self.shared.note_fleet_size(self.fleet.nodes());
         self.shared.set_has_neighbour(self.fleet.has_neighbour());
         self.placing.tell_leads(&self.fleet);
         self.placing.lead(&self.fleet);
@@ -154,6 +165,8 @@
         self.watching.set(role);
         self.halls.tick(&self.fleet);
         self.crashes.tick(&self.placing, &self.fleet, role.is_some());
+        let store_answers = self.watchers.store_answers(now);
+        self.upgrades.tick(&mut self.placing, &self.fleet, role, store_answers);
         self.look_out(now);
         self.replicas.tick(&mut self.placing);
         self.publish_status(now);
@@ -184,6 +197,7 @@
         let levels = Levels {
             waiting: self.placing.waiting(),
             open: self.shared.open_requests(),
+            held: self.shared.held.held(),
             nodes: self.shared.nodes(),
             suspects: crashes.len(),
             limited: self.shared.limits().len(),
@@ -204,7 +218,7 @@
     fn log_peer_traffic(&self) {
         let traffic = &self.shared.metrics.peer_traffic;
         let of = |kind| traffic.of(kind);
-        info!(event = "peer_traffic", membership:% = of(MessageKind::Membership), placing:% = of(MessageKind::Placing), inventory:% = of(MessageKind::Inventory), replicas:% = of(MessageKind::Replicas), pulse:% = of(MessageKind::Pulse), config:% = of(MessageKind::Config), halls:% = of(MessageKind::Halls), suspects:% = of(MessageKind::Suspects), limits:% = of(MessageKind::Limits), config_handed_out:% = of(MessageKind::ConfigHandedOut), replicas_handed_out:% = of(MessageKind::ReplicasHandedOut); "sent to other nodes so far");
+        info!(event = "peer_traffic", membership:% = of(MessageKind::Membership), placing:% = of(MessageKind::Placing), inventory:% = of(MessageKind::Inventory), replicas:% = of(MessageKind::Replicas), pulse:% = of(MessageKind::Pulse), config:% = of(MessageKind::Config), halls:% = of(MessageKind::Halls), suspects:% = of(MessageKind::Suspects), limits:% = of(MessageKind::Limits), upgrades:% = of(MessageKind::Upgrades), config_handed_out:% = of(MessageKind::ConfigHandedOut), replicas_handed_out:% = of(MessageKind::ReplicasHandedOut); "sent to other nodes so far");
     }
 
     /// Tells the calls to the store so far, if there are more.
@@ -228,8 +242,9 @@
             _ => HeardHow::Noticed,
         };
         self.configs.compare(&self.fleet, from, datagram.config, how);
-        self.replicas.compare(&self.placing, from, datagram.replicas_at);
+        self.replicas.compare(&self.placing, &self.fleet, from, datagram.replicas_at);
         self.halls.on_told(&mut self.placing, &self.fleet, datagram.closed_halls);
+        self.upgrades.on_told(&mut self.placing, &self.fleet, datagram.upgrades);
         self.crashes.compare(&self.fleet, from, datagram.crash_digest);
         self.limits.compare(&self.placing.knowledge, &self.fleet, from, datagram.limits_digest);
         match datagram.message {
@@ -239,6 +254,7 @@
             }
             PeerMessage::ProbeAnswer(id, gossip) => {
                 self.watchers.on_nodes_told(gossip.nodes as usize);
+                self.shared.note_fleet_size(gossip.nodes as usize);
                 gone.extend(self.fleet.on_answer(from, id, gossip, now));
             }
             PeerMessage::ProbeFor(id, target) => self.fleet.on_probe_for(from, id, target, now),
@@ -260,7 +276,11 @@
                 self.placing.on_ask_grant(&self.fleet, from, ask)
             }
             PeerMessage::Granted(question, grant) => self.placing.on_granted(&self.fleet, question, grant),
-            PeerMessage::NewConfig | PeerMessage::HallsChanged => {}
+            PeerMessage::AnswerCounts(report) => self.upgrades.on_report(node_id(from), report),
+            PeerMessage::NewConfig
+            | PeerMessage::NewReplicas
+            | PeerMessage::HallsChanged
+            | PeerMessage::UpgradesChanged => {}
         }
         self.on_gone(gone);
     }
--- /dev/null
+++ b/node/src/gateway/control/first_read.rs
@@ -0,0 +1,45 @@
+//! What a node that has just started reads from the store, unless other nodes tell it first.
+
+use std::sync::Arc;
+
+use leadstage_lib::gateway::start_reading;
+use leadstage_platform::store_kinds::Age;
+use leadstage_platform::store_kinds::Evacuations;
+use leadstage_platform::store_kinds::Kind;
+use leadstage_platform::store_kinds::Replicas;
+use leadstage_platform::store_kinds::Suspects;
+use leadstage_platform::store_kinds::Upgrades;
+
+use crate::gateway::control::follow;
+use crate::gateway::messages::News;
+use crate::gateway::messages::ToControl;
+use crate::gateway::shared::Shared;
+
+/// Reads everything but the configuration once it is this node's turn, and again when that failed; ends when the
+/// replicas are known.
+pub async fn read_unless_told(shared: Arc<Shared>) {
+    let settings = &shared.settings;
+    let is_seed =
+        settings.seeds.is_empty() || settings.seeds.iter().any(|seed| seed.ip() == settings.peer.ip());
+    while shared.replicas_at() == 0 {
+        if start_reading::reads_now(is_seed, shared.fleet_size(), shared.now(), &mut rand::rng()) {
+            read(&shared).await;
+        }
+        tokio::time::sleep(start_reading::LOOK).await;
+    }
+}
+
+/// Reads the replicas last: who is told of them by this node is told of the rest as well.
+async fn read(shared: &Arc<Shared>) {
+    read_kind::<Evacuations>(shared, ToControl::ClosedHalls).await;
+    read_kind::<Suspects>(shared, ToControl::Suspects).await;
+    if shared.bounds().exposure.is_some() {
+        read_kind::<Upgrades>(shared, ToControl::Upgrades).await;
+    }
+    read_kind::<Replicas>(shared, ToControl::Replicas).await;
+}
+
+async fn read_kind<K: Kind>(shared: &Arc<Shared>, wrap: fn(News<K::Item>) -> ToControl) {
+    // A failure is logged, and what is missing comes from nodes that follow the store.
+    follow::read_once::<K>(shared.clone(), wrap, Age::SomeSeconds).await;
+}
--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -1,6 +1,7 @@
 //! Follows a kind of objects in the platform's store: lists it, then waits for changes.
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +25,8 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// Fields without a decision that the log tells of a kind at most.
+const MOST_NOTED: usize = 32;
 /// The first watch after a failed call waits so long: its answer shows that the store is back.
 const FIRST_AFTER_FAILURE: Duration = Duration::from_millis(1);
 
@@ -90,6 +93,7 @@
         is_new: true,
         lost: false,
         backoff,
+        noted: BTreeSet::new(),
     };
     loop {
         if let Err(err) = follower.ask().await {
@@ -112,6 +116,8 @@
     /// The last call had no answer.
     lost: bool,
     backoff: Backoff,
+    /// Fields that nobody has decided on, as far as the log has told them.
+    noted: BTreeSet<String>,
 }
 
 impl<K: Kind> Follower<K> {
@@ -126,6 +132,7 @@
         let list = self.store.list::<K>(self.age, note_unreadable::<K>).await;
         self.shared.metrics.on_store_call(StoreCall::List, list.is_ok());
         let list = list?;
+        self.note_undecided(&list.undecided);
         // If the history does not reach back to an old list, the next one is to be new.
         self.age = Age::Newest;
         self.is_new = true;
@@ -139,6 +146,7 @@
         let changes = self.store.watch::<K>(at, wait, note_unreadable::<K>).await;
         self.shared.metrics.on_store_call(StoreCall::Watch, changes.is_ok());
         let changes = changes?;
+        self.note_undecided(&changes.undecided);
         self.is_new = false;
         self.on_answer(changes.at);
         self.shared.tell((self.wrap)(News::Changed(changes)));
@@ -149,6 +157,15 @@
         Ok(())
     }
 
+    /// Logs each field once that nobody has decided on: the platform may ask for something that is not built.
+    fn note_undecided(&mut self, undecided: &BTreeSet<String>) {
+        for field in undecided {
+            if self.noted.len() < MOST_NOTED && self.noted.insert(field.clone()) {
+                warn!(event = "field_undecided", kind = K::NAME, field = field.as_str(); "an object has a field that is not read, and nobody has said why");
+            }
+        }
+    }
+
     /// Returns whether calls before had no answer.
     fn on_answer(&mut self, at: Revision) -> bool {
         self.at = Some(at);
--- a/node/src/gateway/control/hall_intake.rs
+++ b/node/src/gateway/control/hall_intake.rs
@@ -46,7 +46,7 @@
     pub fn on_store_news(&mut self, placing: &mut Placing, fleet: &Fleet, news: News<HallId>) {
         let known = self.shared.closed_halls();
         let told = match news {
-            News::Listed { list: Listed { items, at }, .. } => {
+            News::Listed { list: Listed { items, at, .. }, .. } => {
                 ClosedHalls { at, halls: items.into_iter().collect() }
             }
             News::Changed(changes) => {
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -1,12 +1,12 @@
 //! What a node knows of the replicas and of the requests at them.
 
+mod eligible;
+
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use leadstage_lib::gateway::choice::EngineRequest;
-use leadstage_lib::gateway::closed_halls::ClosedHalls;
 use leadstage_lib::gateway::cold_start::ColdStarts;
 use leadstage_lib::gateway::cold_start::Giver;
 use leadstage_lib::gateway::evacuation;
@@ -14,27 +14,22 @@
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::LoadBook;
 use leadstage_lib::gateway::load::Run;
+use leadstage_lib::gateway::replica::Replica;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
-use leadstage_lib::gateway::replicas::Replica;
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::room_forecast::RoomForecast;
 use leadstage_lib::gateway::routing::EngineTraits;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::run_key::RunKey;
 use leadstage_lib::gateway::shortage::Shortage;
-use leadstage_lib::gateway::waiting::NoRoom;
-use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::VmId;
 use log::info;
-use rand::seq::IndexedRandom;
 
+use crate::gateway::control::tried_replicas::TriedReplicas;
 use crate::gateway::peers::peer_message::Wanted;
 use crate::gateway::shared::Shared;
 
-/// Engines that are weighed for one generation at most.
-const MOST_CONSIDERED: usize = 64;
-
 /// The replicas, and the requests at them.
 pub struct Knowledge {
     shared: Arc<Shared>,
@@ -48,6 +43,7 @@
     pub limits: RefCell<LimitBook>,
     /// The model services that this node leads.
     led: Vec<ServiceId>,
+    tried: TriedReplicas,
 }
 
 impl Knowledge {
@@ -62,6 +58,7 @@
             cold: RefCell::new(ColdStarts::new(own)),
             limits: RefCell::default(),
             led: Vec::new(),
+            tried: TriedReplicas::default(),
         }
     }
 
@@ -82,7 +79,7 @@
         match (&traits, wanted.size) {
             (Some(traits), Some(size)) => self.choose_engine(key, wanted, traits, size, may_wait),
             _ => {
-                let candidates = self.candidates(wanted).into_iter();
+                let candidates = self.candidates(key, wanted, |_| true).into_iter();
                 let now = self.shared.now();
                 let chosen = self.book.choose_plain(candidates, &wanted.hall, now, &mut rand::rng());
                 chosen.map(|replica| replica.record.clone()).ok_or(Shortage::Engines)
@@ -99,10 +96,6 @@
         may_wait: bool,
     ) -> Result<Arc<ReplicaRecord>, Shortage> {
         let now = self.shared.now();
-        let open = self.candidates(wanted);
-        let engines = open.len();
-        let (soon, later): (Vec<&Replica>, Vec<&Replica>) =
-            open.into_iter().partition(|replica| !may_wait || self.book.reads_soon(&replica.record.id, now));
         let request = EngineRequest {
             size,
             engine: traits,
@@ -110,7 +103,16 @@
             produced: wanted.produced,
             moves: wanted.from.is_some(),
         };
-        let (soon, later) = (sample(soon, request.hall), sample(later, request.hall));
+        // Engines that read later are only asked whether they would have had memory.
+        let mut later = Vec::new();
+        let soon = self.candidates(key, wanted, |replica| {
+            let is_soon = !may_wait || self.book.reads_soon(&replica.record.id, now);
+            if !is_soon && later.len() < eligible::MOST_CONSIDERED {
+                later.push(replica);
+            }
+            is_soon
+        });
+        let engines = soon.len() + later.len();
         let choice = self.book.choose_engine_soon(soon, later, &request, now, &mut rand::rng())?;
         info!(event = "engine_chosen", run = key.run, entry = &*key.entry, upstream = &*choice.replica.record.id, service = &*wanted.service, prompt = size.prompt, expected = size.expected, produced = wanted.produced, engines, runs = choice.runs, fill:% = format_args!("{:.2}", choice.fill), wait_ms = choice.wait.as_millis() as u64, cost_ms:% = format_args!("{:.0}", choice.cost); "engine chosen");
         Ok(choice.replica.record.clone())
@@ -123,10 +125,14 @@
         copies < evacuation::COPIES_AT_ONCE || !self.shared.settings.policy.copy_turns
     }
 
-    /// The other nodes that are alive, and the services that this one leads.
-    pub fn on_fleet(&mut self, nodes: Vec<VmId>, led: Vec<ServiceId>) {
-        self.limits.get_mut().set_nodes(nodes.len() + 1, self.shared.now());
-        self.cold.get_mut().set_nodes(nodes.into_iter());
+    /// Other nodes are alive than before.
+    pub fn on_fleet(&mut self, nodes: impl Iterator<Item = VmId>) {
+        self.cold.get_mut().set_nodes(nodes);
+    }
+
+    /// How many nodes there are, this one included, and the services that it leads.
+    pub fn on_tick(&mut self, nodes: usize, led: Vec<ServiceId>) {
+        self.limits.get_mut().set_nodes(nodes, self.shared.now());
         self.led = led;
     }
 
@@ -186,7 +192,8 @@
         let now = self.shared.now();
         let run = self.book.remove(key)?;
         let halls = self.shared.closed_halls();
-        let replica = self.replicas.get(&run.replica).filter(|replica| takes_requests(replica, &halls));
+        let replica =
+            self.replicas.get(&run.replica).filter(|replica| eligible::takes_requests(replica, &halls));
         if let (Some(size), Some(replica)) = (run.size, replica) {
             let forecast = self.forecasts.entry(replica.record.service.clone()).or_default();
             forecast.on_freed(f64::from(size.prompt + run.produced), now);
@@ -199,16 +206,6 @@
         self.forecasts.get(service).copied().unwrap_or_default()
     }
 
-    /// Replicas that may get a request; those that rest after failures only when there are
-    /// no others.
-    fn candidates(&self, wanted: &Wanted) -> Vec<&Replica> {
-        let now = self.shared.now();
-        let mut open = self.not_left_to_others(wanted);
-        open.retain(|replica| self.bears_more(replica, now));
-        let usable: Vec<&Replica> = open.iter().filter(|r| r.is_usable(now)).copied().collect();
-        if usable.is_empty() { open } else { usable }
-    }
-
     /// A replica, and the path where it tells its health.
     pub fn asked_for_health(&self, id: &str) -> Option<(Arc<ReplicaRecord>, String)> {
         let record = self.replicas.get(id)?.record.clone();
@@ -224,105 +221,4 @@
         self.cold.get_mut().retain(|id| replicas.get(id).is_some_and(|replica| replica.is_cold(now)));
         self.limits.get_mut().retain(|id| replicas.get(id).is_some(), now);
     }
-
-    /// The replicas of a service that may get requests: they are not known to leave, and their halls are
-    /// open.
-    pub fn open(&self, service: &str) -> Vec<&Replica> {
-        let halls = self.shared.closed_halls();
-        self.replicas.of_service(service).filter(|replica| takes_requests(replica, &halls)).collect()
-    }
-
-    /// What who finds no replica with room is told: where all halls of the service are closed, that none
-    /// will have any; where all replicas name limits, when these have room for one more caller.
-    pub fn no_room(&self, service: &ServiceId) -> NoRoom {
-        if self.is_closed(service) {
-            return NoRoom { expected: Some(Duration::MAX) };
-        }
-        NoRoom { expected: self.has_room_under_limits_after(service) }
-    }
-
-    fn has_room_under_limits_after(&self, service: &ServiceId) -> Option<Duration> {
-        let mut limits = self.limits.borrow_mut();
-        let open = self.open(service);
-        let named: Option<f64> = open.iter().map(|replica| limits.limits.limit(&replica.record.id)).sum();
-        let nodes = if self.giver(service) == Giver::Lead { 1 } else { self.shared.nodes() };
-        let named = named.filter(|_| !open.is_empty())?;
-        Some(limits.comes_back_after(service, named, nodes, self.shared.now()))
-    }
-
-    /// A replica that names a limit and that this node may ask a grant at, for a plain call.
-    pub fn limited_to_ask(&self, wanted: &Wanted) -> Option<Arc<ReplicaRecord>> {
-        if self.shared.limits().is_empty() {
-            return None;
-        }
-        let now = self.shared.now();
-        let rng = &mut rand::rng();
-        let mut open = self.not_left_to_others(wanted);
-        let mut limits = self.limits.borrow_mut();
-        open.retain(|replica| {
-            replica.is_usable(now)
-                && limits.may_ask(&replica.record.id, now, rng)
-                && self.is_warm_enough(replica, Giver::Node, now)
-        });
-        open.choose(rng).map(|replica| replica.record.clone())
-    }
-
-    /// Whether a request may go to a replica that names no limit, should that have room.
-    pub fn has_unlimited(&self, wanted: &Wanted) -> bool {
-        self.is_any_unlimited(&self.not_excluded(wanted))
-    }
-
-    fn is_any_unlimited(&self, replicas: &[&Replica]) -> bool {
-        let (limits, now) = (self.shared.limits(), self.shared.now());
-        replicas.iter().any(|replica| replica.is_usable(now) && !limits.contains_key(&replica.record.id))
-    }
-
-    fn not_excluded(&self, wanted: &Wanted) -> Vec<&Replica> {
-        let mut open = self.open(&wanted.service);
-        open.retain(|replica| !wanted.exclude.contains(&replica.record.id));
-        open
-    }
-
-    /// The open replicas that are not out of the question, without those that came into need so lately that
-    /// they are left to others, if there are others.
-    fn not_left_to_others(&self, wanted: &Wanted) -> Vec<&Replica> {
-        let mut open = self.not_excluded(wanted);
-        if !self.shared.limits().is_empty() && self.is_any_unlimited(&open) {
-            let (book, now) = (self.limits.borrow(), self.shared.now());
-            open.retain(|replica| !book.limits.is_left_to_others(&replica.record.id, now));
-        }
-        open
-    }
-
-    /// Whether a service has replicas, but none in an open hall.
-    pub fn is_closed(&self, service: &str) -> bool {
-        let halls = self.shared.closed_halls();
-        let mut staying = self.staying(service).peekable();
-        staying.peek().is_some() && !staying.any(|replica| halls.is_open(&replica.record.hall))
-    }
-
-    /// The replicas of a service that are not known to leave.
-    pub fn staying<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Replica> {
-        self.replicas.of_service(service).filter(|replica| replica.leaving.is_none())
-    }
-}
-
-/// Whether a replica may get requests.
-fn takes_requests(replica: &Replica, halls: &ClosedHalls) -> bool {
-    replica.leaving.is_none() && halls.is_open(&replica.record.hall)
-}
-
-/// Some candidates of many, half of them of the hall if it has so many: the best of these is
-/// close to the best of all, and a lead's work does not grow with the fleet.
-fn sample<'a>(candidates: Vec<&'a Replica>, hall: &HallId) -> Vec<&'a Replica> {
-    if candidates.len() <= MOST_CONSIDERED {
-        return candidates;
-    }
-    let (near, far): (Vec<&Replica>, Vec<&Replica>) =
-        candidates.into_iter().partition(|replica| replica.record.hall == *hall);
-    let rng = &mut rand::rng();
-    let mut chosen: Vec<&Replica> = near.sample(rng, MOST_CONSIDERED / 2).copied().collect();
-    let rest = MOST_CONSIDERED - chosen.len();
-    chosen.extend(far.sample(rng, rest).copied());
-    chosen
 }
--- a/node/src/gateway/control/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -15,6 +15,7 @@
 use leadstage_lib::gateway::policy::Policy;
 use leadstage_lib::gateway::rebalance::Rebalancer;
 use leadstage_lib::gateway::rebalance::Relief;
+use leadstage_lib::gateway::regions::AllowedRegions;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::run_key::RunKey;
@@ -82,8 +83,8 @@
 /// Where a question waits.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Room {
-    /// New generations of a service, for an engine with room.
-    New(ServiceId),
+    /// New generations of a service, for an engine with room in these regions.
+    New(ServiceId, AllowedRegions),
     /// Generations that leave an engine, for their turn on its link.
     From(UpstreamId),
 }
@@ -108,7 +109,7 @@
             if ask.wanted.from.is_some() { self.policy.copy_turns } else { self.policy.wait_for_room };
         if ask.patience.is_zero() || !waits {
             let chosen = choose(knowledge, &ask, MayWait::No);
-            let chosen = chosen.map_err(|_| knowledge.no_room(&ask.wanted.service));
+            let chosen = chosen.map_err(|_| knowledge.no_room(&ask.wanted));
             return Outcome::Decided(Decision { ask, chosen });
         }
         let (room, terms) = (room_of(&ask), terms(knowledge, &ask));
@@ -153,8 +154,7 @@
             return Vec::new();
         };
         let rebalancer = self.rebalancers.entry(service.clone()).or_default();
-        let open = knowledge.open(service);
-        let engines = open.into_iter().filter(|replica| replica.is_usable(now));
+        let engines = knowledge.balanced(service).filter(|replica| replica.is_usable(now));
         rebalancer.reliefs(&knowledge.book, engines, &traits, now)
     }
 }
@@ -176,8 +176,8 @@
     /// Unknown for a turn on a link.
     fn time_until(&self, tokens: f64) -> Option<Duration> {
         match &self.room {
-            Room::New(service) if self.knowledge.is_closed(service) => Some(Duration::MAX),
-            Room::New(service) => self.knowledge.forecast(service).time_until(tokens, self.now),
+            Room::New(service, regions) if self.knowledge.is_closed(service, regions) => Some(Duration::MAX),
+            Room::New(service, _) => self.knowledge.forecast(service).time_until(tokens, self.now),
             Room::From(_) => None,
         }
     }
@@ -206,7 +206,7 @@
 fn room_of(ask: &Ask) -> Room {
     match &ask.wanted.from {
         Some(engine) => Room::From(engine.clone()),
-        None => Room::New(ask.wanted.service.clone()),
+        None => Room::New(ask.wanted.service.clone(), ask.wanted.regions.clone()),
     }
 }
 
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -68,6 +68,8 @@
     inventories: Inventories,
     last_run: RunId,
     own: VmId,
+    /// Which nodes the knowledge was told of.
+    fleet_version: Option<u64>,
 }
 
 impl Placing {
@@ -86,6 +88,7 @@
             inventories: Inventories::default(),
             last_run: unix_millis() * RUNS_PER_MILLI,
             own,
+            fleet_version: None,
         }
     }
 
@@ -121,7 +124,7 @@
     }
 
     fn lead_of(&self, fleet: &Fleet, service: &ServiceId) -> VmId {
-        self.leads.lead_of(service, &self.own, fleet.alive(), self.shared.now()).clone()
+        self.leads.lead_of(service, &self.own, fleet.alive(), fleet.version(), self.shared.now())
     }
 
     fn decide_here(&mut self, ask: Ask) {
@@ -150,7 +153,7 @@
                         self.streams.insert(run, stream);
                     }
                     (Err(no_room), _) => {
-                        let replicas = self.knowledge.open(&ask.wanted.service).len();
+                        let replicas = self.knowledge.count_open(&ask.wanted.service);
                         info!(event = "no_room", request = request, run, service = &*ask.wanted.service, replicas, excluded = ask.wanted.exclude.len(), patience_ms = ask.patience.as_millis() as u64, expected_ms = no_room.expected.map_or(0, |expected| expected.as_millis() as u64); "no replica has room");
                     }
                     _ => {}
@@ -370,7 +373,11 @@
     pub fn lead(&mut self, fleet: &Fleet) {
         self.settle();
         let led = self.led(fleet);
-        self.knowledge.on_fleet(fleet.alive().cloned().collect(), led.clone());
+        if self.fleet_version != Some(fleet.version()) {
+            self.fleet_version = Some(fleet.version());
+            self.knowledge.on_fleet(fleet.alive().cloned());
+        }
+        self.knowledge.on_tick(fleet.nodes(), led.clone());
         for service in led {
             self.rebalance(&service);
         }
@@ -414,8 +421,10 @@
     pub fn engines_in_use(&self, fleet: &Fleet) -> Vec<(Arc<ReplicaRecord>, String)> {
         let mut engines = Vec::new();
         for service in self.led(fleet) {
-            let in_use = self.knowledge.staying(&service).map(|replica| &replica.record.id);
-            let in_use = in_use.filter(|id| self.knowledge.book.at(id).next().is_some());
+            let in_use = self.knowledge.book.busy().filter(|id| {
+                let replica = self.knowledge.replicas.get(id);
+                replica.is_some_and(|replica| replica.leaving.is_none() && replica.record.service == service)
+            });
             engines.extend(in_use.filter_map(|id| self.knowledge.asked_for_health(id)));
         }
         engines
--- a/node/src/gateway/control/placing/plain_calls.rs
+++ b/node/src/gateway/control/placing/plain_calls.rs
@@ -35,7 +35,7 @@
 impl Placing {
     /// Places a plain call that has asked for `tries` replicas which name limits.
     pub(super) fn place_plain(&mut self, fleet: &Fleet, ask: Ask, tries: u32) {
-        let Some(replica) = self.knowledge.limited_to_ask(&ask.wanted) else {
+        let Some(replica) = self.knowledge.limited_to_ask(&ask.key, &ask.wanted) else {
             return self.decide_here(ask);
         };
         let now = self.shared.now();
@@ -43,7 +43,7 @@
         limits.on_asked(&replica.id, now);
         let limit = limits.limits.told(&replica.id, now);
         let hashed = self.hashed_for(&replica.id);
-        let granter = self.granters.lead_of(&hashed, &self.own, fleet.alive(), now).clone();
+        let granter = self.granters.lead_of(&hashed, &self.own, fleet.alive(), fleet.version(), now);
         let address = address_of(&granter).filter(|_| granter != self.own);
         let question = GrantQuestion { ask, replica, granter, tries: tries + 1 };
         match (address, limit) {
@@ -111,7 +111,7 @@
         let limits = self.knowledge.limits.get_mut();
         limits.on_answer(&replica.id, grant.ask_again_after, self.shared.now());
         self.shared.metrics.on_grant(GrantOutcome::of(&grant));
-        let stays = self.knowledge.open(&replica.service).iter().any(|open| open.record.id == replica.id);
+        let stays = self.knowledge.is_open(&replica.id);
         if !grant.granted || !stays {
             return self.place_without(fleet, question);
         }
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -2,19 +2,26 @@
 //! the replicas' own. What is new moves generations away from engines that leave, and is told
 //! to other nodes.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use leadstage_lib::gateway::lack_of_news::LackOfNews;
+use leadstage_lib::gateway::lack_of_news::Source;
 use leadstage_lib::gateway::lapses::Lapses;
+use leadstage_lib::gateway::replica::LeavingSign;
+use leadstage_lib::gateway::replica::Replica;
 use leadstage_lib::gateway::replica_news::NewsGathering;
+use leadstage_lib::gateway::replica_news::NewsProgress;
 use leadstage_lib::gateway::replica_news::NewsRelay;
+use leadstage_lib::gateway::replica_news::PackedNews;
+use leadstage_lib::gateway::replica_news::Part;
 use leadstage_lib::gateway::replica_news::ReplicaNews;
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
-use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::replicas::ListChange;
-use leadstage_lib::gateway::replicas::Replica;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::health::Health;
@@ -22,6 +29,8 @@
 use leadstage_platform::store::Changes;
 use leadstage_platform::store::Revision;
 use log::info;
+use log::warn;
+use tokio::sync::oneshot;
 
 use crate::gateway::control::lookout::Lookout;
 use crate::gateway::control::placing::Placing;
@@ -31,7 +40,6 @@
 use crate::gateway::messages::Order;
 use crate::gateway::messages::ToControl;
 use crate::gateway::peers::fetching;
-use crate::gateway::peers::fetching::NEWS_FIRST;
 use crate::gateway::peers::fleet::Fleet;
 use crate::gateway::peers::peer_message::PeerMessage;
 use crate::gateway::shared::Shared;
@@ -42,26 +50,26 @@
 /// Replicas that are listed at once and get a line each; a starting node would else write a thousand,
 /// of which the log's limit leaves 300, and lose what it says next.
 const MOST_LOGGED_ALONE: usize = 50;
-/// With many replicas news come together and take longer: with 3,000 another tenth of a second.
-const NEWS_FIRST_PER_REPLICA: Duration = Duration::from_micros(30);
-
+/// What the nodes that are told one part of some news take of the link, in bits.
+const PART_BITS: f64 = 8.0 * 9_000.0 * 8.0;
+/// Part of the link that is for it.
+const PART_OF_LINK: f64 = 0.5;
 /// The way of news of the replicas into this node, and on to others.
 pub struct ReplicaIntake {
     shared: Arc<Shared>,
     lookout: Lookout,
     gathering: NewsGathering,
+    /// Parts of news that are to be told, one after the other.
+    parts: VecDeque<ReplicaNews>,
     relay: NewsRelay,
-    /// The store's revision up to which the replicas are known.
-    at: Revision,
+    /// Up to which revision of the store the replicas are known.
+    progress: NewsProgress,
     /// When news last came.
     heard: Timestamp,
     lapses: Lapses,
-    /// The list for other nodes lacks changes.
-    list_is_old: bool,
-    /// What another node knows is being fetched.
-    fetches: bool,
-    /// A node that was busy said that it may be asked from then on; news may come before.
-    asks_from: Timestamp,
+    /// The whole list as other nodes are handed it, and up to which revision it holds.
+    packed: Option<(Revision, Bytes)>,
+    lack: LackOfNews,
 }
 
 impl ReplicaIntake {
@@ -71,20 +79,20 @@
             lookout: Lookout::new(shared.clone()),
             shared,
             gathering: NewsGathering::default(),
+            parts: VecDeque::new(),
             relay: NewsRelay::default(),
-            at: 0,
+            progress: NewsProgress::default(),
             heard: Timestamp::ZERO,
             lapses: Lapses::default(),
-            list_is_old: false,
-            fetches: false,
-            asks_from: Timestamp::ZERO,
+            packed: None,
+            lack: LackOfNews::new(&mut rand::rng()),
         }
     }
 
     /// Whether the replicas are known, all up to some revision. News of a few that came before the
     /// list does not count: a node that served on it would refuse what it can serve a moment later.
     pub fn is_known(&self) -> bool {
-        self.at > 0
+        self.progress.at() > 0
     }
 
     /// When news last came.
@@ -92,15 +100,35 @@
         self.heard
     }
 
-    /// Takes replicas that stayed missing for gone, and publishes the list for other nodes, if
-    /// it changed: once for many changes.
+    /// Takes replicas that stayed missing for gone.
     pub fn tick(&mut self, placing: &mut Placing) {
         let change = placing.knowledge.replicas.tick(self.shared.now(), FORGET_AFTER);
         if !change.leaving.is_empty() {
-            self.on_list_change(placing, &change);
+            self.on_list_change(placing, &change, 0);
+        }
+    }
+
+    /// Packs what another node lacks. The whole list is packed once for all that ask for it until it changes.
+    pub fn hand_out(&mut self, placing: &Placing, known: Revision, reply: oneshot::Sender<Bytes>) {
+        if let Some((at, packed)) = &self.packed
+            && known == 0
+            && *at == self.progress.at()
+        {
+            // Whoever asked may be gone.
+            let _ = reply.send(packed.clone());
+            return;
         }
-        if std::mem::take(&mut self.list_is_old) {
-            self.shared.set_replica_list(placing.knowledge.replicas.list(self.at));
+        let list = placing.knowledge.replicas.since(self.progress.at(), known);
+        match list.pack() {
+            Ok(packed) => {
+                if known == 0 {
+                    self.packed = Some((self.progress.at(), packed.clone()));
+                }
+                let _ = reply.send(packed);
+            }
+            Err(err) => {
+                warn!(event = "replicas_unwritable", reason:% = err; "the list of replicas can't be packed")
+            }
         }
     }
 
@@ -135,15 +163,15 @@
         };
         if placing.knowledge.replicas.on_sign(&of, sign, now) {
             let change = ListChange { leaving: vec![of.id.clone()], ..ListChange::default() };
-            self.after_news(placing, &change);
+            self.after_news(placing, &change, 0);
             let news = ReplicaNews { leaving: vec![of], ..ReplicaNews::default() };
-            fleet.tell(&PeerMessage::Replicas(news));
+            self.tell(fleet, &news);
         }
     }
 
     /// The store told of its replicas.
     pub fn on_store_news(&mut self, placing: &mut Placing, fleet: &Fleet, news: News<ReplicaRecord>) {
-        let before = self.at;
+        let before = self.progress.at();
         let (change, at) = match news {
             News::Listed { list, after_outage } => {
                 let replicas = &mut placing.knowledge.replicas;
@@ -154,16 +182,20 @@
                 (self.on_changes(placing, changes), at)
             }
         };
-        self.at = self.at.max(at);
-        self.after_news(placing, &change);
+        self.progress.on_known(at);
+        self.after_news(placing, &change, at);
+        if before == 0 {
+            fleet.announce_replicas();
+        }
         let replicas = &placing.knowledge.replicas;
         let added = change.added.iter().filter_map(|id| replicas.get(id));
         let added: Vec<ReplicaRecord> = added.map(|replica| (*replica.record).clone()).collect();
         // One that went and came again within one answer of the store stays.
         let leaving = replicas.leaving_of(&change.leaving);
         // Without any change too, so that nobody takes the new revision for missed news.
-        if self.at > before {
-            self.gather(placing, fleet, ReplicaNews { before, at, added, leaving });
+        if at > before && before > 0 {
+            let part = Part::default();
+            self.gather(placing, fleet, ReplicaNews { before, at, added, leaving, part });
         }
     }
 
@@ -202,19 +234,52 @@
         let Some(news) = self.gathering.take(replicas, self.shared.now()) else {
             return;
         };
-        if news.fits() {
-            fleet.tell(&PeerMessage::Replicas(news));
-        } else {
-            info!(event = "news_not_told", added = news.added.len(), leaving = news.leaving.len(), at = news.at; "too many changes for a message: other nodes fetch them");
+        let (added, leaving, at) = (news.added.len(), news.leaving.len(), news.at);
+        let Some(parts) = news.into_parts(replicas) else {
+            info!(event = "news_not_told", added, leaving, at; "more has changed than is told: other nodes fetch it");
+            return;
+        };
+        let is_idle = self.parts.is_empty();
+        self.parts.extend(parts);
+        if is_idle {
+            self.tell_part(fleet);
+        }
+    }
+
+    /// Tells the next part, and the one after it when the link has carried that.
+    pub fn tell_part(&mut self, fleet: &Fleet) {
+        let Some(part) = self.parts.pop_front() else {
+            return;
+        };
+        self.tell(fleet, &part);
+        if !self.parts.is_empty() {
+            let link = self.shared.settings.link_bits_per_second() * PART_OF_LINK;
+            self.shared.tell_after(Duration::from_secs_f64(PART_BITS / link), ToControl::TellPart);
+        }
+    }
+
+    fn tell(&self, fleet: &Fleet, news: &ReplicaNews) {
+        match news.pack() {
+            Ok(packed) => fleet.tell(&PeerMessage::Replicas(packed)),
+            Err(err) => {
+                warn!(event = "replicas_unwritable", reason:% = err; "news of the replicas can't be packed")
+            }
         }
     }
 
     /// A watcher learnt of replicas. What is new here is passed on.
-    pub fn on_news(&mut self, placing: &mut Placing, fleet: &Fleet, from: SocketAddr, news: ReplicaNews) {
-        let is_sign = news.at == 0;
-        if !is_sign && news.at <= self.at {
+    pub fn on_news(&mut self, placing: &mut Placing, fleet: &Fleet, from: SocketAddr, packed: PackedNews) {
+        let is_sign = packed.at == 0;
+        if !is_sign && self.progress.has(&packed) {
             return;
         }
+        let news = match packed.unpack() {
+            Ok(news) => news,
+            Err(err) => {
+                info!(event = "news_unreadable", from:% = from, reason:% = err; "another node's news can't be read");
+                return;
+            }
+        };
         let now = self.shared.now();
         let mut change = ListChange::default();
         for record in &news.added {
@@ -231,28 +296,33 @@
             }
         }
         let is_news = !change.added.is_empty() || !change.leaving.is_empty();
-        if news.before <= self.at {
-            self.at = self.at.max(news.at);
-        } else {
-            // Something between was missed.
-            self.compare(placing, from, news.at);
+        if !is_sign && self.progress.on_part(&news) {
+            // Something is still missing.
+            self.compare(placing, fleet, from, news.at);
         }
-        self.after_news(placing, &change);
+        self.after_news(placing, &change, news.at);
         if self.relay.passes_on(&news, is_news) {
-            fleet.pass_on(&PeerMessage::Replicas(news));
+            fleet.pass_on(&PeerMessage::Replicas(packed));
         }
     }
 
     /// Another node knows the replicas up to this revision; what is missing here is fetched
     /// there unless it comes by itself.
-    pub fn compare(&mut self, placing: &Placing, from: SocketAddr, theirs: Revision) {
-        if self.fetches || theirs <= self.at || self.shared.now() < self.asks_from {
+    pub fn compare(&mut self, placing: &Placing, fleet: &Fleet, from: SocketAddr, theirs: Revision) {
+        let own = self.progress.at();
+        if theirs <= own {
             return;
         }
-        self.fetches = true;
+        let source = match (fleet.knows_hall(), fleet.is_near(from)) {
+            (true, true) => Source::Near,
+            (true, false) => Source::Far,
+            (false, _) => Source::Any,
+        };
+        let replicas = placing.knowledge.replicas.len();
+        let Some(pause) = self.lack.on_theirs(theirs, own, source, replicas, self.shared.now()) else {
+            return;
+        };
         let shared = self.shared.clone();
-        let replicas = placing.knowledge.replicas.len() as u32;
-        let pause = NEWS_FIRST + NEWS_FIRST_PER_REPLICA * replicas;
         tokio::task::spawn_local(async move {
             tokio::time::sleep(pause).await;
             if shared.replicas_at() < theirs {
@@ -265,32 +335,48 @@
     }
 
     /// Another node answered, or did not.
-    pub fn on_fetched(&mut self, placing: &mut Placing, from: SocketAddr, handed: HandedReplicas) {
-        self.fetches = false;
-        let list = match handed {
-            HandedReplicas::List(list) if list.at > self.at => list,
+    pub fn on_fetched(
+        &mut self,
+        placing: &mut Placing,
+        fleet: &Fleet,
+        from: SocketAddr,
+        handed: HandedReplicas,
+    ) {
+        self.lack.on_answer();
+        let (list, packed) = match handed {
+            HandedReplicas::List(list, packed) if list.at > self.progress.at() => (list, packed),
             HandedReplicas::Busy(after) => {
-                self.asks_from = self.shared.now() + after;
-                return;
+                return self.lack.on_busy(after, self.progress.at(), self.shared.now());
             }
-            HandedReplicas::List(_) | HandedReplicas::Nothing => return,
+            HandedReplicas::List(..) | HandedReplicas::Nothing => return,
         };
-        info!(event = "replicas_fetched", from:% = from, whole = list.is_whole, staying = list.staying.len(), leaving = list.leaving.len(), at = list.at, before = self.at; "another node handed its replicas over");
-        self.at = list.at;
+        let is_first = !self.is_known();
+        info!(event = "replicas_fetched", from:% = from, whole = list.is_whole, staying = list.staying.len(), leaving = list.leaving.len(), at = list.at, before = self.progress.at(); "another node handed its replicas over");
+        let at = list.at;
         let change = placing.knowledge.replicas.on_handed_list(list, self.shared.now());
-        self.after_news(placing, &change);
+        self.progress.on_known(at);
+        self.after_news(placing, &change, at);
+        if is_first {
+            // It is handed on as it came.
+            self.packed = Some((at, packed));
+            fleet.announce_replicas();
+        }
     }
 
-    /// What follows from any news.
-    fn after_news(&mut self, placing: &mut Placing, change: &ListChange) {
+    /// What follows from any news; `at` is its revision, 0 for a sign.
+    fn after_news(&mut self, placing: &mut Placing, change: &ListChange, at: Revision) {
         self.heard = self.shared.now();
-        self.on_list_change(placing, change);
-        self.shared.set_replicas_at(self.at);
+        self.on_list_change(placing, change, at);
+        if self.shared.replicas_at() < self.progress.at() {
+            self.lack.on_news();
+            self.shared.set_replicas_at(self.progress.at());
+        }
     }
 
-    fn on_list_change(&mut self, placing: &mut Placing, change: &ListChange) {
-        placing.knowledge.replicas.mark(change, self.at);
-        self.list_is_old = true;
+    /// A change that is learnt with news which is not known whole is newer than all that is: whoever is handed what
+    /// this node knows later on must get it.
+    fn on_list_change(&mut self, placing: &mut Placing, change: &ListChange, at: Revision) {
+        placing.knowledge.replicas.mark(change, at.max(self.progress.at()));
         self.log_added(placing, change);
         for id in &change.restarted {
             placing.on_restarted(id);
@@ -304,7 +390,7 @@
 
     fn log_added(&self, placing: &Placing, change: &ListChange) {
         if change.added.len() > MOST_LOGGED_ALONE {
-            info!(event = "replicas_listed", replicas = change.added.len(), at = self.at; "many replicas are listed");
+            info!(event = "replicas_listed", replicas = change.added.len(), at = self.progress.at(); "many replicas are listed");
             return;
         }
         for id in &change.added {
--- /dev/null
+++ b/node/src/gateway/control/tried_replicas.rs
@@ -0,0 +1,46 @@
+//! The replicas of a new version that are tried: worked out once, as long as the same replicas stay.
+
+use std::cell::RefCell;
+use std::sync::Arc;
+
+use leadstage_lib::gateway::canary;
+use leadstage_lib::gateway::replicas::ReplicaTable;
+use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::upgrade::UpgradeOrder;
+use leadstage_lib::ids::UpstreamId;
+
+/// Those of the service that was asked for last.
+#[derive(Debug, Default)]
+pub struct TriedReplicas(RefCell<Option<Tried>>);
+
+#[derive(Debug)]
+struct Tried {
+    service: ServiceId,
+    order: UpgradeOrder,
+    table_version: u64,
+    ids: Arc<[UpstreamId]>,
+}
+
+impl TriedReplicas {
+    /// The replicas of a service that are tried.
+    pub fn of(
+        &self,
+        table: &ReplicaTable,
+        service: &ServiceId,
+        order: &UpgradeOrder,
+        share: f64,
+    ) -> Arc<[UpstreamId]> {
+        let table_version = table.version();
+        let mut known = self.0.borrow_mut();
+        let is_fresh = |tried: &&Tried| {
+            tried.service == *service && tried.order == *order && tried.table_version == table_version
+        };
+        if let Some(tried) = known.as_ref().filter(is_fresh) {
+            return tried.ids.clone();
+        }
+        let ids = canary::tried_of(table, service, order, share);
+        let (service, order) = (service.clone(), order.clone());
+        *known = Some(Tried { service, order, table_version, ids: ids.clone() });
+        ids
+    }
+}
--- /dev/null
+++ b/node/src/gateway/control/upgrade_intake.rs
@@ -0,0 +1,373 @@
+//! Takes upgrades in, from the store or from other nodes, counts how both versions answer, and has them go on.
+//!
+//! Each message between nodes tells all upgrades. The nodes tell their counts to one of them, the judge, which is the
+//! first by a hash, so that no election is needed: two judges, or a new one, come to the same by the same counts. The
+//! node that follows the store first tells the operator.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use leadstage_lib::gateway::answer_counts::AnswerCounts;
+use leadstage_lib::gateway::retelling::Retelling;
+use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::upgrade::Stage;
+use leadstage_lib::gateway::upgrade::ToldUpgrade;
+use leadstage_lib::gateway::upgrade::ToldUpgrades;
+use leadstage_lib::gateway::upgrade::Upgrade;
+use leadstage_lib::gateway::upgrade::UpgradeOrder;
+use leadstage_lib::gateway::upgrade::Upgrades;
+use leadstage_lib::gateway::upgrade_judge::Capacity;
+use leadstage_lib::gateway::upgrade_judge::NextStage;
+use leadstage_lib::gateway::upgrade_judge::Situation;
+use leadstage_lib::gateway::watchers::WatchRole;
+use leadstage_lib::ids::Timestamp;
+use leadstage_lib::ids::VmId;
+use leadstage_lib::rendezvous;
+use leadstage_platform::store::Change;
+use leadstage_platform::store::Listed;
+use leadstage_platform::store_kinds::StoredUpgrade;
+use log::info;
+use log::warn;
+
+use crate::gateway::control::placing::Placing;
+use crate::gateway::control::upgrade_store;
+use crate::gateway::messages::AnswerSample;
+use crate::gateway::messages::News;
+use crate::gateway::messages::Order;
+use crate::gateway::messages::StoredWord;
+use crate::gateway::peers::fleet::Fleet;
+use crate::gateway::peers::outbox::address_of;
+use crate::gateway::peers::peer_message::CountsReport;
+use crate::gateway::peers::peer_message::PeerMessage;
+use crate::gateway::shared::Shared;
+
+/// Time between two reports of a node's counts.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// A write to the store that failed is tried again after this.
+const WRITE_AGAIN_AFTER: Duration = Duration::from_millis(300);
+/// What the judge of a service's upgrade is hashed by, before the service's name.
+const JUDGE: &str = "judge of ";
+
+/// How a node learnt of it.
+#[derive(Clone, Copy, Debug, derive_more::Display)]
+enum Source {
+    #[display("store")]
+    Store,
+    #[display("node")]
+    Node,
+    #[display("judge")]
+    Judge,
+}
+
+/// What is counted for one order.
+struct Trial {
+    order: UpgradeOrder,
+    own: AnswerCounts,
+    /// What other nodes reported, as far as this one judges.
+    reported: HashMap<VmId, AnswerCounts>,
+    /// To whom, and when, the counts were told last, and whether they have changed since.
+    told: Option<(VmId, Timestamp)>,
+    has_news: bool,
+}
+
+impl Trial {
+    fn new(order: UpgradeOrder) -> Self {
+        Trial { order, own: AnswerCounts::default(), reported: HashMap::new(), told: None, has_news: false }
+    }
+
+    fn all(&self) -> AnswerCounts {
+        let mut all = self.own.clone();
+        self.reported.values().for_each(|counts| all.add(counts));
+        all
+    }
+}
+
+/// An order as the store holds it, as far as this node follows the store, and the write of its status.
+struct Stored {
+    held: StoredUpgrade,
+    is_writing: bool,
+    write_from: Timestamp,
+}
+
+/// The way of upgrades into this node, and on to others.
+pub struct UpgradeIntake {
+    shared: Arc<Shared>,
+    retelling: Retelling<ServiceId>,
+    trials: BTreeMap<ServiceId, Trial>,
+    stored: BTreeMap<ServiceId, Stored>,
+}
+
+impl UpgradeIntake {
+    /// Nothing has come yet.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        UpgradeIntake {
+            shared,
+            retelling: Retelling::default(),
+            trials: BTreeMap::new(),
+            stored: BTreeMap::new(),
+        }
+    }
+
+    /// The store told of the orders.
+    pub fn on_store_news(&mut self, placing: &mut Placing, fleet: &Fleet, news: News<StoredUpgrade>) {
+        let now = self.shared.now();
+        let mut told = self.shared.upgrades().told(now);
+        match news {
+            News::Listed { list: Listed { items, at, .. }, .. } => {
+                told = ToldUpgrades { at, upgrades: Vec::new() };
+                self.stored.clear();
+                items.into_iter().for_each(|item| self.on_stored(item, &mut told, now));
+            }
+            News::Changed(changes) => {
+                told.at = changes.at.max(told.at);
+                for event in changes.events {
+                    match event {
+                        Change::Put(item) => self.on_stored(item, &mut told, now),
+                        Change::Gone(name) | Change::Unreadable(name) => {
+                            self.stored.remove(&*name);
+                            told.upgrades.retain(|upgrade| *upgrade.service != *name);
+                        }
+                    }
+                }
+            }
+        }
+        if self.take(placing, told, Source::Store) {
+            fleet.tell(&PeerMessage::UpgradesChanged);
+        }
+    }
+
+    /// Takes an object in, and puts what it orders into `told`.
+    fn on_stored(&mut self, held: StoredUpgrade, told: &mut ToldUpgrades, now: Timestamp) {
+        let known = told.upgrades.iter().position(|upgrade| upgrade.service == held.service);
+        let known = known.map(|at| told.upgrades.swap_remove(at));
+        match &held.order {
+            Ok(order) => {
+                let known = known.filter(|known| known.order == *order);
+                let stage = held.state.and_then(upgrade_store::stage_of).unwrap_or(Stage::Trial);
+                told.upgrades.push(ToldUpgrade {
+                    service: held.service.clone(),
+                    order: order.clone(),
+                    age: known.as_ref().map_or(Duration::ZERO, |known| known.age),
+                    stage: known.map_or(stage, |known| known.stage.max(stage)),
+                });
+            }
+            Err(reason) if held.state.is_none() => {
+                warn!(event = "upgrade_refused", service = &*held.service, reason = reason.as_str(); "an order to upgrade a service can't be followed")
+            }
+            Err(_) => {}
+        }
+        let write_from = self.stored.get(&held.service).map_or(now, |stored| stored.write_from);
+        self.stored.insert(held.service.clone(), Stored { held, is_writing: false, write_from });
+    }
+
+    /// Another node told of them.
+    pub fn on_told(&mut self, placing: &mut Placing, fleet: &Fleet, told: ToldUpgrades) {
+        // Nearly always there is none.
+        if told.upgrades.is_empty() && told.at <= self.shared.upgrades().at() {
+            return;
+        }
+        if self.take(placing, told, Source::Node) {
+            fleet.pass_on(&PeerMessage::UpgradesChanged);
+        }
+    }
+
+    /// Returns whether it changed anything.
+    fn take(&mut self, placing: &mut Placing, told: ToldUpgrades, source: Source) -> bool {
+        let mut upgrades = (*self.shared.upgrades()).clone();
+        let changed = upgrades.take(told, self.shared.now());
+        self.publish(placing, upgrades, &changed, source);
+        !changed.is_empty()
+    }
+
+    fn publish(&mut self, placing: &mut Placing, upgrades: Upgrades, changed: &[ServiceId], source: Source) {
+        self.trials.retain(|service, trial| {
+            upgrades.of(service).is_some_and(|upgrade| upgrade.order == trial.order)
+        });
+        for (service, upgrade) in upgrades.iter() {
+            let trial = || Trial::new(upgrade.order.clone());
+            self.trials.entry(service.clone()).or_insert_with(trial);
+        }
+        self.shared.set_upgrades(upgrades.clone());
+        for service in changed {
+            self.retelling.on_news(service.clone());
+            match upgrades.of(service) {
+                Some(upgrade) => self.on_stage(placing, service, upgrade, source),
+                None => {
+                    info!(event = "upgrade_withdrawn", service = &**service, by:% = source; "there is no order to upgrade a service any more")
+                }
+            }
+        }
+        if !changed.is_empty() {
+            placing.settle();
+        }
+    }
+
+    fn on_stage(&self, placing: &Placing, service: &ServiceId, upgrade: &Upgrade, source: Source) {
+        let age_ms = self.shared.now().saturating_sub(upgrade.began).as_millis() as u64;
+        info!(event = "upgrade_stage", service = &**service, target = &*upgrade.order.target, stage:% = upgrade.stage, by:% = source, age_ms; "the upgrade of a service is at this stage");
+        if !matches!(upgrade.stage, Stage::Switch | Stage::Proven) {
+            return;
+        }
+        let replaced = placing.knowledge.staying(service);
+        let replaced = replaced.filter(|replica| replica.record.version != upgrade.order.target);
+        for replica in replaced {
+            for stream in placing.streams_at(&replica.record.id) {
+                // A stream that has just ended needs no order.
+                let _ = stream.orders.send(Order::Evacuate(replica.record.id.clone()));
+            }
+        }
+    }
+
+    /// A replica answered a request of this node.
+    pub fn on_sample(&mut self, AnswerSample { service, route, side, sample }: AnswerSample) {
+        if let Some(trial) = self.trials.get_mut(&service) {
+            trial.own.on_sample(&route, side, sample);
+            trial.has_news = true;
+        }
+    }
+
+    /// Another node tells its counts.
+    pub fn on_report(&mut self, from: VmId, report: CountsReport) {
+        let trial = self.trials.get_mut(&report.service).filter(|trial| trial.order == report.order);
+        if let Some(trial) = trial {
+            trial.reported.insert(from, report.counts);
+        }
+    }
+
+    /// Does what is due: `role` is how this node follows the store, `store_answers` whether that answers
+    /// somebody.
+    pub fn tick(
+        &mut self,
+        placing: &mut Placing,
+        fleet: &Fleet,
+        role: Option<WatchRole>,
+        store_answers: bool,
+    ) {
+        if !self.retelling.round(self.shared.now()).is_empty() {
+            fleet.pass_on(&PeerMessage::UpgradesChanged);
+        }
+        for service in self.trials.keys().cloned().collect::<Vec<_>>() {
+            self.report_or_judge(placing, fleet, &service, store_answers);
+        }
+        if role == Some(WatchRole::First) {
+            self.write_due();
+        }
+    }
+
+    fn report_or_judge(
+        &mut self,
+        placing: &mut Placing,
+        fleet: &Fleet,
+        service: &ServiceId,
+        store_answers: bool,
+    ) {
+        let key = format!("{JUDGE}{service}");
+        let judge = rendezvous::pick(&key, fleet.alive().chain(std::iter::once(fleet.own())));
+        match judge.filter(|judge| *judge != fleet.own()).cloned() {
+            Some(judge) => self.report(fleet, service, judge),
+            None => self.judge(placing, fleet, service, store_answers),
+        }
+    }
+
+    /// Tells the judge what is new, and a new judge all.
+    fn report(&mut self, fleet: &Fleet, service: &ServiceId, judge: VmId) {
+        let now = self.shared.now();
+        let Some(trial) = self.trials.get_mut(service) else {
+            return;
+        };
+        let is_due = match &trial.told {
+            Some((told, at)) if *told == judge => trial.has_news && *at + REPORT_INTERVAL <= now,
+            _ => true,
+        };
+        let Some(address) = address_of(&judge).filter(|_| is_due) else {
+            return;
+        };
+        trial.told = Some((judge, now));
+        trial.has_news = false;
+        let report =
+            CountsReport { service: service.clone(), order: trial.order.clone(), counts: trial.own.clone() };
+        fleet.send(address, &PeerMessage::AnswerCounts(report));
+    }
+
+    fn judge(&mut self, placing: &mut Placing, fleet: &Fleet, service: &ServiceId, store_answers: bool) {
+        let now = self.shared.now();
+        let mut upgrades = (*self.shared.upgrades()).clone();
+        let (Some(upgrade), Some(trial)) = (upgrades.of(service), self.trials.get(service)) else {
+            return;
+        };
+        let Some(bounds) = self.shared.bounds().exposure.filter(|_| upgrade.stage <= Stage::Switch) else {
+            return;
+        };
+        let counts = trial.all();
+        let situation = Situation {
+            upgrade,
+            counts: &counts,
+            capacity: capacity(placing, service, &upgrade.order),
+            has_streams: placing.knowledge.engine_traits(service).is_some(),
+            store_answers,
+            bounds,
+        };
+        let Some(NextStage { stage, reason }) = situation.next(now) else {
+            return;
+        };
+        let (answered, exposed) = counts.answered();
+        info!(event = "upgrade_judged", service = &**service, stage:% = stage, reason:% = reason, answered, exposed, nodes = trial.reported.len() + 1; "an upgrade goes on");
+        let order = upgrade.order.clone();
+        upgrades.raise(service, &order, stage, now);
+        self.publish(placing, upgrades, std::slice::from_ref(service), Source::Judge);
+        fleet.tell(&PeerMessage::UpgradesChanged);
+    }
+
+    /// Tells the operator what became of orders, where the store says otherwise.
+    fn write_due(&mut self) {
+        let now = self.shared.now();
+        let upgrades = self.shared.upgrades();
+        for stored in self.stored.values_mut().filter(|stored| !stored.is_writing && stored.write_from <= now)
+        {
+            let stage = upgrades.of(&stored.held.service).map(|upgrade| upgrade.stage);
+            if let Some(word) = upgrade_store::word_due(&stored.held, stage) {
+                stored.is_writing = true;
+                let writing = upgrade_store::write(self.shared.clone(), stored.held.clone(), word);
+                tokio::task::spawn_local(writing);
+            }
+        }
+    }
+
+    /// A write of a status ended.
+    pub fn on_written(&mut self, placing: &mut Placing, fleet: &Fleet, written: StoredWord) {
+        let now = self.shared.now();
+        let Some(stored) = self.stored.get_mut(&written.service) else {
+            return;
+        };
+        stored.is_writing = false;
+        stored.write_from = now + WRITE_AGAIN_AFTER;
+        let Some(held) = written.held else {
+            return;
+        };
+        info!(event = "upgrade_stored", service = &*written.service, state:? = held.state, revision = held.revision; "the operator is told of an upgrade");
+        let (state, order) = (held.state, held.order.clone());
+        stored.held = held;
+        let stage = state.and_then(upgrade_store::stage_of);
+        let (Some(stage), Ok(order)) = (stage, order) else {
+            return;
+        };
+        let mut upgrades = (*self.shared.upgrades()).clone();
+        if upgrades.raise(&written.service, &order, stage, now) {
+            self.publish(placing, upgrades, &[written.service], Source::Store);
+            fleet.tell(&PeerMessage::UpgradesChanged);
+        }
+    }
+}
+
+/// Requests that the replicas of both versions take at once.
+fn capacity(placing: &Placing, service: &ServiceId, order: &UpgradeOrder) -> Capacity {
+    let mut capacity = Capacity::default();
+    for replica in placing.knowledge.open(service) {
+        let is_target = replica.record.version == order.target;
+        let of = if is_target { &mut capacity.target } else { &mut capacity.present };
+        *of += replica.record.slots;
+    }
+    capacity
+}
--- a/node/src/gateway/control/watching.rs
+++ b/node/src/gateway/control/watching.rs
@@ -15,6 +15,7 @@
 use leadstage_platform::store_kinds::Evacuations;
 use leadstage_platform::store_kinds::Replicas;
 use leadstage_platform::store_kinds::Suspects;
+use leadstage_platform::store_kinds::Upgrades;
 use log::info;
 use log::warn;
 use rand::RngExt;
@@ -45,6 +46,8 @@
     _replicas: AbortOnDropHandle<()>,
     _closed_halls: AbortOnDropHandle<()>,
     _suspects: AbortOnDropHandle<()>,
+    /// Where the operator orders upgrades.
+    _upgrades: Option<AbortOnDropHandle<()>>,
     _pulse: AbortOnDropHandle<()>,
 }
 
@@ -94,11 +97,16 @@
             follow::follow::<Evacuations>(shared.clone(), ToControl::ClosedHalls, backed_pace());
         // Nodes tell each other of suspects too, with or without the store.
         let suspects = follow::follow::<Suspects>(shared.clone(), ToControl::Suspects, backed_pace());
+        let upgrades = self.shared.bounds().exposure.map(|_| {
+            let upgrades = follow::follow::<Upgrades>(shared.clone(), ToControl::Upgrades, backed_pace());
+            AbortOnDropHandle::new(tokio::task::spawn_local(upgrades))
+        });
         Tasks {
             _configuration: AbortOnDropHandle::new(tokio::task::spawn_local(configuration)),
             _replicas: AbortOnDropHandle::new(tokio::task::spawn_local(replicas)),
             _closed_halls: AbortOnDropHandle::new(tokio::task::spawn_local(closed_halls)),
             _suspects: AbortOnDropHandle::new(tokio::task::spawn_local(suspects)),
+            _upgrades: upgrades,
             _pulse: AbortOnDropHandle::new(tokio::task::spawn_local(pulse(self.shared.clone()))),
         }
     }
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -3,8 +3,6 @@
 use std::time::Duration;
 
 use http::Response;
-use http_body_util::Either;
-use http_body_util::Full;
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::waiting;
 use leadstage_lib::gateway::waiting::NoRoom;
@@ -17,6 +15,8 @@
 use crate::gateway::peers::peer_message::Wanted;
 use crate::gateway::reply::Refusal;
 use crate::gateway::reply::Reply;
+use crate::gateway::reply_body::ReplyBody;
+use crate::gateway::reply_body::WholeBody;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
 use crate::gateway::upstream::connections::Choice;
@@ -111,6 +111,7 @@
             from: None,
             hall: traffic.shared.settings.hall.clone(),
             exclude: exclude.to_vec(),
+            regions: req.regions(),
         },
         priority: req.priority(),
         patience: Duration::ZERO,
@@ -147,6 +148,7 @@
         Ok(answer) => {
             traffic.on_sound_run(req);
             let is_error = answer.status.is_server_error();
+            traffic.sample_answer(req, &replica, is_error, run.placed_at.elapsed());
             run.end(if is_error { Outcome::Errored } else { Outcome::Answered });
             Attempt::Answer(answer)
         }
@@ -164,7 +166,8 @@
 
 /// A replica's answer as the caller gets it.
 pub fn reply(answer: WholeAnswer) -> Reply {
-    let mut res = Response::new(Either::Left(Full::new(answer.body)));
+    let body = WholeBody::new(answer.body, Some(answer.held));
+    let mut res = Response::new(ReplyBody::Whole(body));
     *res.status_mut() = answer.status;
     *res.headers_mut() = headers::for_caller(&answer.headers);
     res
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use http::Response;
-use http_body_util::Either;
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::waiting;
 use leadstage_lib::ids::UpstreamId;
@@ -18,9 +17,10 @@
 use crate::gateway::ingress::plain;
 use crate::gateway::messages::Outcome;
 use crate::gateway::messages::StreamHandle;
-use crate::gateway::reply::ChannelBody;
 use crate::gateway::reply::Refusal;
 use crate::gateway::reply::Reply;
+use crate::gateway::reply_body;
+use crate::gateway::reply_body::ReplyBody;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::OpenGuard;
 use crate::gateway::shared::RunGuard;
@@ -33,8 +33,6 @@
 use crate::gateway::upstream::relay::Relay;
 use crate::gateway::upstream::traffic::Traffic;
 
-/// Parts of a stream that wait for a slow caller, at most; then the engine waits too.
-const PARTS_WAITING: usize = 16;
 /// Engines that a request may fail to reach.
 const MOST_UNREACHED: u32 = 3;
 
@@ -53,8 +51,8 @@
     };
     let placed_ms = run.placed_at.duration_since(req.came.into_std()).as_millis() as u64;
     info!(event = "stream_begins", request = req.id(), route = &*req.route.name, upstream = &*run.placed.replica.id, run = run.placed.run, entry:% = traffic.shared.settings.peer, priority = req.priority(), placed_ms, head_ms = req.came.elapsed().as_millis() as u64, due_ms = req.route.objective.as_millis() as u64, gap_due_ms = req.route.gap_objective.as_millis() as u64; "stream begins");
-    let (tx, rx) = mpsc::channel(PARTS_WAITING);
-    let mut res = Response::new(Either::Right(ChannelBody(rx)));
+    let (tx, body) = reply_body::parts(traffic.shared.held.clone());
+    let mut res = Response::new(ReplyBody::Parts(body));
     *res.status_mut() = exchange.status;
     *res.headers_mut() = headers::for_caller(&exchange.headers);
     let leg = Leg { run, exchange: Some(exchange) };
@@ -172,6 +170,7 @@
         Ok(exchanged) if exchanged.status.is_success() => Attempt::Begun(run, exchanged),
         Ok(exchanged) => {
             let answer = exchanged.whole(traffic, &replica, req).await;
+            traffic.sample_answer(req, &replica, true, Duration::ZERO);
             run.end(Outcome::Failed);
             match answer {
                 Ok(answer) if !answer.promises_not_run() => Attempt::Answered(answer),
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -6,18 +6,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use leadstage_lib::gateway::answer_counts::Sample;
+use leadstage_lib::gateway::answer_counts::Side;
 use leadstage_lib::gateway::config_text::PartOfConfig;
 use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::fingerprint::Fingerprint;
 use leadstage_lib::gateway::limit_grants::GrantQuestionId;
 use leadstage_lib::gateway::pending_ends::Shown;
+use leadstage_lib::gateway::replica::LeavingSign;
 use leadstage_lib::gateway::replica_limits::AnswerTimes;
 use leadstage_lib::gateway::replica_limits::LimitWord;
 use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
-use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::routing::ConfigVersion;
+use leadstage_lib::gateway::routing::RouteId;
+use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::run_key::RunId;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::gateway::watchers::PulseNumber;
@@ -28,6 +32,7 @@
 use leadstage_platform::store::Changes;
 use leadstage_platform::store::Listed;
 use leadstage_platform::store::Revision;
+use leadstage_platform::store_kinds::StoredUpgrade;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -66,12 +71,22 @@
     SuspectStored(Fingerprint, Option<StoredSuspect>),
     /// It is time to tell other nodes what was gathered of the replicas.
     TellReplicas,
+    /// It is time to tell them the next part of what is told.
+    TellPart,
     /// News of the replicas from the store.
     Replicas(News<ReplicaRecord>),
+    /// News of the orders to upgrade services, from the store.
+    Upgrades(News<StoredUpgrade>),
+    /// A write of what became of such an order ended.
+    UpgradeWritten(StoredWord),
+    /// A replica of a service that is being upgraded answered.
+    Sampled(AnswerSample),
     /// News of the closed halls from the store.
     ClosedHalls(News<HallId>),
     /// News of the configuration from the store.
     Configuration(News<Bytes>),
+    /// Another node that knows the replicas up to this revision wants what it lacks, packed.
+    HandOut(Revision, oneshot::Sender<Bytes>),
     /// Another node was asked for what it knows.
     Fetched(SocketAddr, Fetched),
     /// The store was read once for its configuration, which came before; whether it answered.
@@ -97,6 +112,28 @@
     pub replica: Incarnation,
 }
 
+/// An answer of a replica of a service that is being upgraded.
+#[derive(Clone, Debug)]
+pub struct AnswerSample {
+    /// The service.
+    pub service: ServiceId,
+    /// The request's route.
+    pub route: RouteId,
+    /// Which version answered.
+    pub side: Side,
+    /// What came.
+    pub sample: Sample,
+}
+
+/// What the store holds of an order after a write.
+#[derive(Clone, Debug)]
+pub struct StoredWord {
+    /// The service.
+    pub service: ServiceId,
+    /// The object; `None` if that is not known.
+    pub held: Option<StoredUpgrade>,
+}
+
 /// What the store holds of a request under which replicas ended.
 #[derive(Clone, Debug)]
 pub enum StoredSuspect {
@@ -122,8 +159,8 @@
 /// What became of asking another node for its list of replicas.
 #[derive(Debug)]
 pub enum HandedReplicas {
-    /// The list.
-    List(ReplicaList),
+    /// The list, and as it came.
+    List(ReplicaList, Bytes),
     /// It hands out to others; it may be asked again after this.
     Busy(Duration),
     /// Nothing, or it was no longer wanted.
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -46,6 +46,7 @@
     pub peer_traffic: PeerTraffic,
     waiting: Gauge<u64>,
     open: Gauge<u64>,
+    held: Gauge<u64>,
     config_age: Gauge<f64>,
     replicas_age: Gauge<f64>,
     nodes: Gauge<u64>,
@@ -94,6 +95,10 @@
             waiting: instruments
                 .gauge("leadstage.gateway.waiting", "Generations that wait here for an engine"),
             open: instruments.gauge("leadstage.gateway.open", "Requests open"),
+            held: instruments.gauge(
+                "leadstage.gateway.held_bytes",
+                "Bytes of requests and answers that callers and replicas have not taken yet",
+            ),
             config_age: instruments.age("leadstage.gateway.config_age", "Time since the configuration came"),
             replicas_age: instruments
                 .age("leadstage.gateway.replicas_age", "Time since news of the replicas"),
@@ -224,6 +229,7 @@
     pub fn on_levels(&self, levels: &Levels) {
         self.waiting.record(levels.waiting as u64, &[]);
         self.open.record(levels.open as u64, &[]);
+        self.held.record(levels.held as u64, &[]);
         self.nodes.record(levels.nodes as u64, &[]);
         self.suspects.record(levels.suspects as u64, &[]);
         self.quarantined.record(levels.quarantined as u64, &[]);
@@ -339,6 +345,8 @@
     pub waiting: usize,
     /// Requests open.
     pub open: usize,
+    /// Bytes held for callers and replicas.
+    pub held: usize,
     /// Nodes taken to be alive.
     pub nodes: usize,
     /// Requests under which replicas ended lately.
--- a/node/src/gateway/observability/peer_traffic.rs
+++ b/node/src/gateway/observability/peer_traffic.rs
@@ -25,6 +25,8 @@
     Suspects,
     /// Limits that replicas name, and grants for them.
     Limits,
+    /// Stages of upgrades, and how both versions answer.
+    Upgrades,
     /// A configuration, or what differs, handed out.
     ConfigHandedOut,
     /// A list of replicas, or what differs, handed out.
@@ -33,7 +35,7 @@
 
 impl MessageKind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [MessageKind; 11] = [
+    pub const ALL: [MessageKind; 12] = [
         MessageKind::Membership,
         MessageKind::Placing,
         MessageKind::Inventory,
@@ -43,6 +45,7 @@
         MessageKind::Halls,
         MessageKind::Suspects,
         MessageKind::Limits,
+        MessageKind::Upgrades,
         MessageKind::ConfigHandedOut,
         MessageKind::ReplicasHandedOut,
     ];
@@ -59,6 +62,7 @@
             MessageKind::Halls => "halls",
             MessageKind::Suspects => "suspects",
             MessageKind::Limits => "limits",
+            MessageKind::Upgrades => "upgrades",
             MessageKind::ConfigHandedOut => "config_handed_out",
             MessageKind::ReplicasHandedOut => "replicas_handed_out",
         }
--- a/node/src/gateway/observability/status.rs
+++ b/node/src/gateway/observability/status.rs
@@ -1,5 +1,6 @@
 //! A gateway node's status for operators, in the form that `leadstage status` reads.
 
+use leadstage_lib::gateway::replica::Replica;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::status::EngineLine;
 use leadstage_lib::status::NodeStatus;
@@ -59,6 +60,9 @@
     names
 }
 
+/// Engines of one service that are told at most.
+const MOST_ENGINES: usize = 200;
+
 fn readiness(phase: Phase) -> &'static str {
     match phase {
         Phase::Starting => "no bundle",
@@ -68,9 +72,18 @@
 }
 
 fn pool(knowledge: &Knowledge, service: &ServiceId, waiting: usize) -> PoolLine {
+    let all_engines = knowledge.staying(service).count();
+    let engines = if all_engines <= MOST_ENGINES {
+        knowledge.replicas.of_service(service)
+    } else {
+        // Those that have something to do.
+        let busy = knowledge.book.busy().filter_map(|id| knowledge.replicas.get(id));
+        busy.filter(|replica| replica.record.service == *service).take(MOST_ENGINES).collect()
+    };
     let engines: Vec<EngineLine> =
-        knowledge.replicas.of_service(service).map(|replica| engine(knowledge, service, replica)).collect();
+        engines.into_iter().map(|replica| engine(knowledge, service, replica)).collect();
     PoolLine {
+        all_engines,
         model: service.to_string(),
         hall: ALL_HALLS.to_owned(),
         waiting,
@@ -79,11 +92,7 @@
     }
 }
 
-fn engine(
-    knowledge: &Knowledge,
-    service: &ServiceId,
-    replica: &leadstage_lib::gateway::replicas::Replica,
-) -> EngineLine {
+fn engine(knowledge: &Knowledge, service: &ServiceId, replica: &Replica) -> EngineLine {
     let id = &replica.record.id;
     EngineLine {
         id: id.to_string(),
--- a/node/src/gateway/peers/fetching.rs
+++ b/node/src/gateway/peers/fetching.rs
@@ -16,6 +16,7 @@
 use leadstage_lib::gateway::config_text::ConfigText;
 use leadstage_lib::gateway::config_text::Edition;
 use leadstage_lib::gateway::config_text::PartOfConfig;
+use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_platform::connect::Link;
 use leadstage_platform::store::Revision;
@@ -30,9 +31,6 @@
 use crate::gateway::peers::peer_port::REPLICAS_PATH;
 use crate::gateway::shared::Shared;
 
-/// What another node knows of the replicas usually comes by itself, in datagrams; it is fetched
-/// from that node if it has not come within this.
-pub const NEWS_FIRST: Duration = Duration::from_millis(120);
 /// Time until an answer begins: some round trips, and the turns of a busy node with a small share
 /// of a core.
 const ANSWER_LIMIT: Duration = Duration::from_millis(600);
@@ -143,7 +141,7 @@
     match answer {
         Ok(answer) if answer.status == StatusCode::OK => {
             shared.metrics.on_peer_bytes(PeerBytes::FetchedIn, answer.body.len());
-            read_list(&answer.body, from)
+            read_list(answer.body, from)
         }
         Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
             HandedReplicas::Busy(come_back(&answer.headers))
@@ -159,9 +157,9 @@
     }
 }
 
-fn read_list(body: &[u8], from: SocketAddr) -> HandedReplicas {
-    match postcard::from_bytes(body) {
-        Ok(list) => HandedReplicas::List(list),
+fn read_list(body: Bytes, from: SocketAddr) -> HandedReplicas {
+    match ReplicaList::unpack(&body) {
+        Ok(list) => HandedReplicas::List(list, body),
         Err(err) => {
             info!(event = "fetch_failed", from:% = from, path = REPLICAS_PATH, reason:% = err; "a node's list can't be read");
             HandedReplicas::Nothing
