--- a/node/src/gateway/peers/fleet.rs
+++ b/node/src/gateway/peers/fleet.rs
@@ -6,15 +6,16 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::handouts;
+use leadstage_lib::gateway::peers_by_hall::PeersByHall;
 use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::VmId;
 use leadstage_lib::membership::Liveness;
 use leadstage_lib::membership::Membership;
 use leadstage_lib::membership::MembershipAction;
+use leadstage_lib::sample_set::SampleSet;
 use log::info;
 use rand::RngExt;
-use rand::seq::IteratorRandom;
 
 use crate::gateway::peers::outbox::Outbox;
 use crate::gateway::peers::outbox::address_of;
@@ -61,9 +62,8 @@
     own_link_is_wide: bool,
     own_link_bits_per_second: f64,
     /// Nodes that have wide links, as far as is known.
-    wide: BTreeSet<VmId>,
-    /// The halls of nodes that said so.
-    halls: HashMap<VmId, HallId>,
+    wide: SampleSet<VmId>,
+    peers: PeersByHall,
     seeds: BTreeSet<SocketAddr>,
     known: BTreeSet<SocketAddr>,
     membership: Membership,
@@ -94,30 +94,36 @@
         let own_address = settings.peer;
         let own = node_id(own_address);
         let seeds = peer_addresses(&settings.seeds, own_address);
-        Fleet {
+        let mut fleet = Fleet {
             membership: Membership::new(own.clone(), unix_millis(), rand::rng().random()),
+            peers: PeersByHall::new(settings.hall.clone()),
             own,
             own_address,
             own_hall: settings.hall.clone(),
             own_link_is_wide: settings.has_wide_link(),
             own_link_bits_per_second: settings.link_bits_per_second(),
-            wide: BTreeSet::new(),
-            halls: HashMap::new(),
-            known: seeds.clone(),
-            seeds,
+            wide: SampleSet::default(),
+            known: BTreeSet::new(),
+            seeds: seeds.clone(),
             probes: HashMap::new(),
             last_probe: 0,
             met: 0,
             greeting: Greeting::default(),
             hears_watchers: false,
             outbox,
+        };
+        for seed in seeds {
+            fleet.list(seed, Timestamp::ZERO);
         }
+        fleet
     }
 
     /// The settings name other seeds.
-    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr], now: Timestamp) {
         self.seeds = peer_addresses(seeds, self.own_address);
-        self.known.extend(&self.seeds);
+        for seed in self.seeds.clone() {
+            self.list(seed, now);
+        }
     }
 
     /// This node's id in the fleet.
@@ -132,7 +138,22 @@
 
     /// Whether another node of this node's hall is taken to be alive.
     pub fn has_neighbour(&self) -> bool {
-        self.alive().any(|node| self.halls.get(node) == Some(&self.own_hall))
+        self.peers.has_near()
+    }
+
+    /// Rises when a node comes to those that are taken to be alive, or goes from them.
+    pub fn version(&self) -> u64 {
+        self.membership.version()
+    }
+
+    /// Whether the node at a peer address is known to be in this one's hall.
+    pub fn is_near(&self, address: SocketAddr) -> bool {
+        self.peers.is_near(&node_id(address))
+    }
+
+    /// Whether this node knows enough others of its hall to fetch from them what it lacks.
+    pub fn knows_hall(&self) -> bool {
+        self.peers.knows_hall()
     }
 
     /// A node says that it has a wide link.
@@ -153,19 +174,33 @@
     /// Tells other nodes that this one has a newer configuration: as many as it can hand it to
     /// soon, half of them with wide links, as those hand it on to many.
     pub fn announce_config(&self) {
+        self.announce(&PeerMessage::NewConfig);
+    }
+
+    /// The same of the replicas, which it has come to know.
+    pub fn announce_replicas(&self) {
+        self.announce(&PeerMessage::NewReplicas);
+    }
+
+    fn announce(&self, message: &PeerMessage) {
         let count = handouts::at_once(self.own_link_bits_per_second).max(FAN_OUT);
-        let wide = self.alive().filter(|node| self.wide.contains(*node)).filter_map(address_of);
-        let wide: Vec<SocketAddr> = wide.sample(&mut rand::rng(), count / 2);
+        let wide = self.wide.sample(count / 2, &mut rand::rng()).into_iter().filter_map(address_of);
+        let wide: Vec<SocketAddr> = wide.collect();
         let others = self.some(count).into_iter().filter(|node| !wide.contains(node));
         let told: Vec<SocketAddr> = wide.iter().copied().chain(others).take(count).collect();
         for node in told {
-            self.outbox.send(node, &PeerMessage::NewConfig);
+            self.outbox.send(node, message);
         }
     }
 
     /// Some other nodes, at random.
     fn some(&self, count: usize) -> Vec<SocketAddr> {
-        self.membership.alive().filter_map(address_of).sample(&mut rand::rng(), count)
+        self.peers.some(count, &mut rand::rng()).into_iter().filter_map(address_of).collect()
+    }
+
+    /// Some other nodes to be told news, most of them of this one's hall.
+    fn to_tell(&self, count: usize) -> Vec<SocketAddr> {
+        self.peers.to_tell(count, &mut rand::rng()).into_iter().filter_map(address_of).collect()
     }
 
     /// Tells one node.
@@ -174,13 +209,13 @@
     }
 
     pub fn tell(&self, message: &PeerMessage) {
-        for node in self.some(FIRST_FAN_OUT) {
+        for node in self.to_tell(FIRST_FAN_OUT) {
             self.outbox.send(node, message);
         }
     }
 
     pub fn pass_on(&self, message: &PeerMessage) {
-        for node in self.some(FAN_OUT) {
+        for node in self.to_tell(FAN_OUT) {
             self.outbox.send(node, message);
         }
     }
@@ -188,7 +223,6 @@
     /// Probes whom it is time to probe; returns the nodes that are gone.
     pub fn tick(&mut self, now: Timestamp) -> Vec<VmId> {
         self.log_met();
-        self.list(now);
         self.greet(now);
         let mut actions = self.membership.tick(now);
         let late: Vec<ProbeId> =
@@ -233,15 +267,14 @@
 
     /// How many nodes there are, this one included, as far as it knows.
     pub fn nodes(&self) -> usize {
-        self.alive().count() + 1
+        self.membership.count_alive() + 1
     }
 
     /// A message came from a node.
     pub fn heard_from(&mut self, from: SocketAddr, now: Timestamp) -> Vec<VmId> {
         self.greeting.met |= from != self.own_address;
-        if from != self.own_address && self.known.insert(from) {
+        if from != self.own_address && self.list(from, now) {
             self.met += 1;
-            self.list(now);
         }
         let actions = self.membership.heard_from(&node_id(from), now);
         self.act(actions, now)
@@ -288,33 +321,43 @@
         self.probes.values().any(|(awaited, _)| matches!(awaited, Awaited::Indirect(t) if t == target))
     }
 
-    fn list(&mut self, now: Timestamp) {
-        let listed: Vec<VmId> = self.known.iter().map(|address| node_id(*address)).collect();
-        self.membership.on_list(&listed, now);
+    /// A node is known; returns whether that is new.
+    fn list(&mut self, address: SocketAddr, now: Timestamp) -> bool {
+        let is_new = self.known.insert(address);
+        if is_new {
+            let node = node_id(address);
+            self.membership.list(&node, now);
+            if matches!(self.membership.liveness(&node), Some(Liveness::Alive | Liveness::Suspect)) {
+                self.peers.on_up(&node);
+            }
+        }
+        is_new
     }
 
     fn on_gossip(&mut self, from: &VmId, gossip: Gossip, now: Timestamp) -> Vec<VmId> {
         if let Some(hall) = gossip.hall {
-            self.halls.insert(from.clone(), hall);
+            self.peers.on_hall(from, hall);
             if gossip.has_wide_link {
                 self.wide.insert(from.clone());
             }
         }
         for node in gossip.known {
-            self.on_known(node);
+            self.on_known(node, now);
         }
-        self.list(now);
         let actions = self.membership.on_news(&gossip.news, now);
         self.act(actions, now)
     }
 
-    fn on_known(&mut self, node: KnownNode) {
+    fn on_known(&mut self, node: KnownNode, now: Timestamp) {
         let id = node_id(node.address);
         let is_gone = matches!(self.membership.liveness(&id), Some(Liveness::Dead | Liveness::Left));
         if node.address == self.own_address || is_gone {
             return;
         }
-        self.known.insert(node.address);
+        self.list(node.address, now);
+        if let Some(hall) = node.hall {
+            self.peers.on_hall(&id, hall);
+        }
         if node.has_wide_link {
             self.wide.insert(id);
         }
@@ -322,7 +365,10 @@
 
     fn gossip(&mut self) -> Gossip {
         let known = self.some(KNOWN_PER_MESSAGE).into_iter();
-        let known = known.map(|address| KnownNode { address, has_wide_link: self.has_wide_link(address) });
+        let known = known.map(|address| {
+            let hall = self.peers.hall(&node_id(address)).cloned();
+            KnownNode { address, hall, has_wide_link: self.has_wide_link(address) }
+        });
         Gossip {
             known: known.collect(),
             hall: Some(self.own_hall.clone()),
@@ -348,6 +394,8 @@
                     if matches!(news.liveness, Liveness::Dead | Liveness::Left) {
                         self.forget(&news.vm);
                         gone.push(news.vm);
+                    } else {
+                        self.peers.on_up(&news.vm);
                     }
                 }
             }
@@ -357,12 +405,13 @@
 
     /// A node that is gone is not named to others; seeds are tried again for ever.
     fn forget(&mut self, node: &VmId) {
-        self.halls.remove(node);
+        self.peers.on_gone(node);
         self.wide.remove(node);
         if let Some(address) = address_of(node)
             && !self.seeds.contains(&address)
         {
             self.known.remove(&address);
+            self.membership.unlist(node);
         }
     }
 
--- a/node/src/gateway/peers/outbox.rs
+++ b/node/src/gateway/peers/outbox.rs
@@ -47,8 +47,17 @@
         let closed_halls = (*self.shared.closed_halls()).clone();
         let crash_digest = self.shared.crash_digest();
         let limits_digest = self.shared.limits_digest();
-        let datagram =
-            Datagram { from, config, replicas_at, closed_halls, crash_digest, limits_digest, message };
+        let upgrades = self.shared.upgrades().told(self.shared.now());
+        let datagram = Datagram {
+            from,
+            config,
+            replicas_at,
+            closed_halls,
+            crash_digest,
+            limits_digest,
+            upgrades,
+            message,
+        };
         match postcard::to_stdvec(&datagram) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => match self.socket.try_send_to(&bytes, to) {
                 Ok(sent) => {
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use leadstage_lib::gateway::answer_counts::AnswerCounts;
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
 use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::inventory::Inventory;
@@ -13,13 +14,16 @@
 use leadstage_lib::gateway::limit_grants::GrantQuestionId;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::Run;
+use leadstage_lib::gateway::regions::AllowedRegions;
 use leadstage_lib::gateway::replica_limits::ToldLimit;
-use leadstage_lib::gateway::replica_news::ReplicaNews;
+use leadstage_lib::gateway::replica_news::PackedNews;
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::run_key::RunId;
+use leadstage_lib::gateway::upgrade::ToldUpgrades;
+use leadstage_lib::gateway::upgrade::UpgradeOrder;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
@@ -54,6 +58,8 @@
     pub crash_digest: u64,
     /// Stands for the limits of replicas that the sender knows.
     pub limits_digest: u64,
+    /// The upgrades, as far as the sender knows.
+    pub upgrades: ToldUpgrades,
     /// The message.
     pub message: M,
 }
@@ -86,7 +92,7 @@
     /// The sender's requests at the replicas of services that the receiver leads, or a part of them.
     Inventory(Inventory),
     /// What a watcher has learnt of the replicas; passed on unchanged.
-    Replicas(ReplicaNews),
+    Replicas(PackedNews),
     /// A watcher of the store is there; passed on unchanged.
     Pulse(Pulse),
     /// The sender has a newer configuration; its version stands in the datagram.
@@ -101,6 +107,12 @@
     AskGrant(AskGrant),
     /// Whether it may.
     Granted(GrantQuestionId, Grant),
+    /// An upgrade has come to another stage; all stand in the datagram.
+    UpgradesChanged,
+    /// How the replicas of both versions have answered the sender's requests.
+    AnswerCounts(CountsReport),
+    /// The sender has come to know the replicas; up to which revision stands in the datagram.
+    NewReplicas,
 }
 
 impl PeerMessage {
@@ -119,7 +131,7 @@
             | PeerMessage::Copied(_)
             | PeerMessage::MoveAway(..) => MessageKind::Placing,
             PeerMessage::Inventory(_) => MessageKind::Inventory,
-            PeerMessage::Replicas(_) => MessageKind::Replicas,
+            PeerMessage::Replicas(_) | PeerMessage::NewReplicas => MessageKind::Replicas,
             PeerMessage::Pulse(_) => MessageKind::Pulse,
             PeerMessage::NewConfig => MessageKind::Config,
             PeerMessage::HallsChanged => MessageKind::Halls,
@@ -127,6 +139,7 @@
             PeerMessage::Limits(_) | PeerMessage::AskGrant(_) | PeerMessage::Granted(..) => {
                 MessageKind::Limits
             }
+            PeerMessage::UpgradesChanged | PeerMessage::AnswerCounts(_) => MessageKind::Upgrades,
         }
     }
 }
@@ -152,10 +165,12 @@
 }
 
 /// A node that another one knows.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct KnownNode {
     /// Its peer address.
     pub address: SocketAddr,
+    /// Its hall, if that is known.
+    pub hall: Option<HallId>,
     /// Whether it is known to have a wide link.
     pub has_wide_link: bool,
 }
@@ -175,6 +190,8 @@
     pub hall: HallId,
     /// Replicas that are out of the question.
     pub exclude: Vec<UpstreamId>,
+    /// Where it may be served.
+    pub regions: AllowedRegions,
 }
 
 impl Wanted {
@@ -217,6 +234,17 @@
     pub urgency: u8,
 }
 
+/// How a node's requests to a service that is being upgraded were answered so far.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct CountsReport {
+    /// The service.
+    pub service: ServiceId,
+    /// The order that it is being upgraded by.
+    pub order: UpgradeOrder,
+    /// The answers.
+    pub counts: AnswerCounts,
+}
+
 /// A watcher's pulse.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Pulse {
--- a/node/src/gateway/peers/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -28,9 +28,11 @@
 use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::gateway::messages::ToControl;
 use crate::gateway::observability::metrics::PeerBytes;
 use crate::gateway::observability::peer_traffic::MessageKind;
 use crate::gateway::shared::Shared;
@@ -85,18 +87,18 @@
 impl Connection {
     async fn serve(self, stream: TcpStream) {
         let service = service_fn(|req: Request<Incoming>| {
-            let answer = self.answer(&req);
-            async move { Ok::<_, Infallible>(answer) }
+            let this = &self;
+            async move { Ok::<_, Infallible>(this.answer(&req).await) }
         });
         // Whoever asked asks again.
         let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
     }
 
-    fn answer(&self, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, req: &Request<Incoming>) -> Response<Full<Bytes>> {
         let known = req.uri().query().and_then(|known| known.parse().ok()).unwrap_or(0);
         let (res, kind) = match req.uri().path() {
             CONFIG_PATH => (self.configuration(req, known), MessageKind::ConfigHandedOut),
-            REPLICAS_PATH => (self.replicas(known), MessageKind::ReplicasHandedOut),
+            REPLICAS_PATH => (self.replicas(known).await, MessageKind::ReplicasHandedOut),
             _ => return status(StatusCode::NOT_FOUND),
         };
         let bytes = res.body().size_hint().lower() as usize;
@@ -131,13 +133,13 @@
         res
     }
 
-    fn replicas(&self, known: Revision) -> Response<Full<Bytes>> {
-        match postcard::to_stdvec(&self.shared.replica_list().since(known)) {
-            Ok(bytes) => self.hand_out(Bytes::from(bytes)),
-            Err(err) => {
-                warn!(event = "replicas_unwritable", reason:% = err; "the list of replicas can't be encoded");
-                status(StatusCode::INTERNAL_SERVER_ERROR)
-            }
+    async fn replicas(&self, known: Revision) -> Response<Full<Bytes>> {
+        let (tx, rx) = oneshot::channel();
+        self.shared.tell(ToControl::HandOut(known, tx));
+        match rx.await {
+            Ok(packed) => self.hand_out(packed),
+            // The control loop has logged why.
+            Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
         }
     }
 
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -11,7 +11,6 @@
 use http::Request;
 use http::Uri;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -20,6 +19,7 @@
 use leadstage_lib::gateway::fingerprint::RequestParts;
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::reading;
+use leadstage_lib::gateway::regions::AllowedRegions;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::routing::Organisation;
 use leadstage_lib::gateway::routing::Route;
@@ -33,6 +33,9 @@
 use tokio::time::Instant;
 
 use crate::clock;
+use crate::gateway::held_bytes;
+use crate::gateway::held_bytes::Held;
+use crate::gateway::held_bytes::HeldBytes;
 use crate::gateway::reply::Refusal;
 use crate::gateway::shared::Shared;
 
@@ -59,6 +62,9 @@
 /// configuration: it usually comes within some tenths of a second.
 const CONFIG_COMES_WITHIN: Duration = Duration::from_millis(200);
 
+/// When callers come back that a node refused which holds as much as its memory bears.
+const MEMORY_FREED_WITHIN: Duration = Duration::from_secs(1);
+
 /// A caller's request, read whole and admitted.
 pub struct CallerRequest {
     /// The method.
@@ -87,6 +93,8 @@
     fingerprint: OnceLock<Fingerprint>,
     /// Where runs of this attempt broke, perhaps because their replicas ended under it.
     pub broken_at: Mutex<Vec<ReplicaRecord>>,
+    /// What its body takes of the node's memory.
+    _held: Held,
 }
 
 impl CallerRequest {
@@ -152,6 +160,12 @@
         headers::size(&self.headers).max_tokens
     }
 
+    /// Where it may be served: both its route and its organisation bind.
+    pub fn regions(&self) -> AllowedRegions {
+        let of_organisation = self.organisation.as_ref().map(|organisation| &organisation.regions);
+        self.route.regions.both(of_organisation.unwrap_or(&AllowedRegions::ANY))
+    }
+
     /// The last event that its caller has from an earlier attempt, where that counts.
     pub fn last_event(&self) -> Option<&str> {
         headers::text(&self.headers, &headers::LAST_EVENT_ID).filter(|_| self.route.resumable)
@@ -204,7 +218,10 @@
     let route = table.route(host(&head.uri, &head.headers), head.uri.path()).map_err(refuse)?;
     let organisation = table.organisation(&route, headers::key(&head.headers)).map_err(refuse)?;
     let patience = headers::deadline(&head.headers).unwrap_or(route.timeout).min(route.timeout);
-    let body = read_body(body, table.limits.body_bytes, came + patience).await?;
+    if !shared.held.takes_requests() {
+        return Err(memory_full());
+    }
+    let (body, held) = read_body(&shared.held, body, table.limits.body_bytes, came + patience).await?;
     let service = route.pick_target(&mut rand::rng()).cloned().ok_or(Refusal::new(Code::NoUpstream))?;
     let uri = path_and_query(&head.uri);
     Ok(CallerRequest {
@@ -221,6 +238,7 @@
         patience,
         fingerprint: OnceLock::new(),
         broken_at: Mutex::default(),
+        _held: held,
     })
 }
 
@@ -244,17 +262,28 @@
     })
 }
 
-async fn read_body(body: Incoming, limit: usize, until: Instant) -> Result<Bytes, Refusal> {
+/// What the node holds goes as callers and replicas take it, some of it within a second.
+fn memory_full() -> Refusal {
+    Refusal { code: Code::MemoryFull, retry_after: Some(MEMORY_FREED_WITHIN) }
+}
+
+async fn read_body(
+    node: &Arc<HeldBytes>,
+    body: Incoming,
+    limit: usize,
+    until: Instant,
+) -> Result<(Bytes, Held), Refusal> {
     let announced = body.size_hint().lower();
     if announced > limit as u64 {
         return Err(Refusal::new(Code::BodyTooLarge));
     }
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok((Bytes::new(), node.nothing()));
     }
-    let reading = Limited::new(body, limit).collect();
+    let reading = held_bytes::collect(Limited::new(body, limit), async |bytes| node.take(bytes));
     match tokio::time::timeout_at(until, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Ok(Some((body, held)))) => Ok((body, held.unwrap_or_else(|| node.nothing()))),
+        Ok(Ok(None)) => Err(memory_full()),
         Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => Err(Refusal::new(Code::BodyTooLarge)),
         // The caller's connection broke: nobody reads this answer.
         Ok(Err(_)) => Err(Refusal::new(Code::BadRequest)),
--- a/node/src/gateway/settings.rs
+++ b/node/src/gateway/settings.rs
@@ -1,5 +1,6 @@
 //! The settings file of a gateway node.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,6 +8,8 @@
 use leadstage_lib::checked_yaml::Problem;
 use leadstage_lib::gateway::cold_start::ColdBounds;
 use leadstage_lib::gateway::policy::Policy;
+use leadstage_lib::gateway::regions::HallRegions;
+use leadstage_lib::gateway::upgrade_judge::ExposureBounds;
 use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::VmId;
 use serde::Deserialize;
@@ -15,6 +18,8 @@
 
 /// A VM's link where the settings name none, in 10^6 bits a second.
 const DEFAULT_LINK_MBPS: f64 = 1_000.0;
+/// A VM's memory where the settings name none, in 10^6 bytes.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
 /// Times that cold replicas may get what they bear where the settings don't say.
 const DEFAULT_COLD_OVERSHOOT: f64 = 1.0;
 /// A link is wide from here on: 1 MB takes less than a tenth of a second.
@@ -59,7 +64,9 @@
     seeds: Vec<SocketAddr>,
     store: Option<SocketAddr>,
     link_mbps: Option<f64>,
+    memory_mb: Option<f64>,
     first_start: bool,
+    regions: BTreeMap<String, String>,
     bounds: BoundsFile,
     policy: Policy,
 }
@@ -75,6 +82,8 @@
     retry_window: Duration,
     cold_overshoot: Option<f64>,
     cold_slack: Option<f64>,
+    exposure_share: Option<f64>,
+    exposure_slack: Option<f64>,
 }
 
 impl Default for BoundsFile {
@@ -86,6 +95,8 @@
             retry_window: Duration::from_secs(10),
             cold_overshoot: None,
             cold_slack: None,
+            exposure_share: None,
+            exposure_slack: None,
         }
     }
 }
@@ -103,6 +114,9 @@
     pub retry_window: Duration,
     /// What all nodes together may give to a cold replica.
     pub cold: ColdBounds,
+    /// What a version of a service's software may get that is on trial; `None` where the operator orders no
+    /// upgrades.
+    pub exposure: Option<ExposureBounds>,
 }
 
 /// Checked settings of a gateway node.
@@ -126,9 +140,13 @@
     pub store: SocketAddr,
     /// What this VM's link carries, in 10^6 bits a second.
     pub link_mbps: f64,
+    /// This VM's memory.
+    pub memory_bytes: usize,
     /// Whether the whole fleet starts for the first time: no callers wait yet, and what the store holds
     /// comes from the first nodes that follow it.
     pub first_start: bool,
+    /// Which region each hall is in.
+    pub regions: HallRegions,
     /// Bounds that hold for the whole fleet.
     pub bounds: Bounds,
     /// What the node decides by itself.
@@ -154,6 +172,7 @@
                 s.hall.clone(),
                 [s.listen, s.ready, s.peer, s.metrics, s.store],
                 s.link_mbps,
+                s.memory_bytes,
                 s.policy,
             )
         };
@@ -180,7 +199,8 @@
     let peer = required(&file.peer, "peer", address, problems);
     let metrics = required(&file.metrics, "metrics", address, problems);
     let store = required(&file.store, "store", address, problems);
-    let link_mbps = check_link(file.link_mbps, problems);
+    let link_mbps = check_positive("link_mbps", file.link_mbps, DEFAULT_LINK_MBPS, problems);
+    let memory_mb = check_positive("memory_mb", file.memory_mb, DEFAULT_MEMORY_MB, problems);
     let bounds = check_bounds(&file.bounds, problems);
     Some(GatewaySettings {
         vm: vm?.into(),
@@ -192,18 +212,24 @@
         seeds: file.seeds.clone(),
         store: store?,
         link_mbps,
+        memory_bytes: (memory_mb * 1e6) as usize,
         first_start: file.first_start,
+        regions: regions(&file.regions),
         bounds,
         policy: file.policy,
     })
 }
 
-fn check_link(link_mbps: Option<f64>, problems: &mut Vec<Problem>) -> f64 {
-    let link_mbps = link_mbps.unwrap_or(DEFAULT_LINK_MBPS);
-    if !link_mbps.is_finite() || link_mbps <= 0.0 {
-        problems.push(Problem::new("link_mbps", format!("{link_mbps} must be more than 0")));
+fn regions(of_halls: &BTreeMap<String, String>) -> HallRegions {
+    HallRegions::new(of_halls.iter().map(|(hall, region)| (hall.as_str().into(), region.as_str().into())))
+}
+
+fn check_positive(name: &str, value: Option<f64>, default: f64, problems: &mut Vec<Problem>) -> f64 {
+    let value = value.unwrap_or(default);
+    if !value.is_finite() || value <= 0.0 {
+        problems.push(Problem::new(name, format!("{value} must be more than 0")));
     }
-    link_mbps
+    value
 }
 
 fn check_bounds(file: &BoundsFile, problems: &mut Vec<Problem>) -> Bounds {
@@ -232,5 +258,18 @@
         retry_slack: file.retry_slack,
         retry_window: file.retry_window,
         cold,
+        exposure: check_exposure(file, problems),
+    }
+}
+
+fn check_exposure(file: &BoundsFile, problems: &mut Vec<Problem>) -> Option<ExposureBounds> {
+    let slack = file.exposure_slack.unwrap_or_default();
+    if !slack.is_finite() || slack < 0.0 {
+        problems.push(Problem::new("bounds.exposure_slack", format!("{slack} must be 0 or more")));
+    }
+    let share = file.exposure_share?;
+    if !(0.0..=1.0).contains(&share) {
+        problems.push(Problem::new("bounds.exposure_share", format!("{share} must be between 0 and 1")));
     }
+    Some(ExposureBounds { share, slack })
 }
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -16,11 +16,11 @@
 use leadstage_lib::gateway::config_text::ConfigText;
 use leadstage_lib::gateway::crash_ledger::CrashTable;
 use leadstage_lib::gateway::replica_limits::LimitsInForce;
-use leadstage_lib::gateway::replica_list::ReplicaList;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::token_pace::GUESSED_TOKENS_PER_SECOND;
+use leadstage_lib::gateway::upgrade::Upgrades;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::status::NodeStatus;
@@ -30,6 +30,7 @@
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::gateway::held_bytes::HeldBytes;
 use crate::gateway::messages::Outcome;
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::Placed;
@@ -59,6 +60,8 @@
     pub settings: GatewaySettings,
     /// The metrics' instruments.
     pub metrics: GatewayMetrics,
+    /// What the node holds for callers and replicas.
+    pub held: Arc<HeldBytes>,
     status: RwLock<NodeStatus>,
     /// Time from the VM's start to the process's.
     started: Timestamp,
@@ -73,12 +76,13 @@
     crashes: watch::Sender<Arc<CrashTable>>,
     crash_digest: AtomicU64,
     nodes: AtomicUsize,
+    fleet_size: AtomicUsize,
     has_neighbour: AtomicBool,
     store_answers: AtomicBool,
-    replica_list: RwLock<Arc<ReplicaList>>,
     closed_halls: RwLock<Arc<ClosedHalls>>,
     limits: RwLock<Arc<LimitsInForce>>,
     limits_digest: AtomicU64,
+    upgrades: RwLock<Arc<Upgrades>>,
     replicas_at: AtomicU64,
     paces: RwLock<HashMap<ServiceId, f64>>,
 }
@@ -93,14 +97,16 @@
         Shared {
             bounds: RwLock::new(settings.bounds.clone()),
             nodes: AtomicUsize::new(1),
+            fleet_size: AtomicUsize::new(1),
             has_neighbour: AtomicBool::new(false),
             store_answers: AtomicBool::new(true),
-            replica_list: RwLock::default(),
             closed_halls: RwLock::default(),
             limits: RwLock::default(),
             limits_digest: AtomicU64::new(0),
+            upgrades: RwLock::default(),
             replicas_at: AtomicU64::new(0),
             paces: RwLock::default(),
+            held: HeldBytes::new(settings.memory_bytes),
             settings,
             metrics,
             status: RwLock::default(),
@@ -183,6 +189,16 @@
         self.nodes.load(Ordering::Relaxed)
     }
 
+    /// The most nodes that this one or another has taken to be alive, as far as it was told.
+    pub fn fleet_size(&self) -> usize {
+        self.fleet_size.load(Ordering::Relaxed)
+    }
+
+    /// Notes how many there are by a node.
+    pub fn note_fleet_size(&self, nodes: usize) {
+        self.fleet_size.fetch_max(nodes, Ordering::Relaxed);
+    }
+
     /// Whether another node of this node's hall is taken to be alive.
     pub fn has_neighbour(&self) -> bool {
         self.has_neighbour.load(Ordering::Relaxed)
@@ -203,13 +219,7 @@
         self.store_answers.load(Ordering::Relaxed)
     }
 
-    /// The replicas that this node knows, to be handed to other nodes.
-    pub fn replica_list(&self) -> Arc<ReplicaList> {
-        self.replica_list.read().expect("no holder panics").clone()
-    }
-
-    /// The store's revision up to which this node knows the replicas; the list may be a
-    /// little older.
+    /// The store's revision up to which this node knows the replicas.
     pub fn replicas_at(&self) -> Revision {
         self.replicas_at.load(Ordering::Relaxed)
     }
@@ -219,11 +229,6 @@
         self.replicas_at.store(at, Ordering::Relaxed);
     }
 
-    /// Publishes them.
-    pub fn set_replica_list(&self, list: ReplicaList) {
-        *self.replica_list.write().expect("no holder panics") = Arc::new(list);
-    }
-
     /// The halls that are closed, as far as this node knows.
     pub fn closed_halls(&self) -> Arc<ClosedHalls> {
         self.closed_halls.read().expect("no holder panics").clone()
@@ -250,6 +255,16 @@
         *self.limits.write().expect("no holder panics") = Arc::new(limits);
     }
 
+    /// The upgrades of services, as far as this node knows.
+    pub fn upgrades(&self) -> Arc<Upgrades> {
+        self.upgrades.read().expect("no holder panics").clone()
+    }
+
+    /// Publishes them.
+    pub fn set_upgrades(&self, upgrades: Upgrades) {
+        *self.upgrades.write().expect("no holder panics") = Arc::new(upgrades);
+    }
+
     /// The requests that anything speaks against, as replicas ended under them.
     pub fn crashes(&self) -> Arc<CrashTable> {
         self.crashes.borrow().clone()
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -8,10 +8,6 @@
 
 use derive_more::Display;
 use derive_more::Error;
-use leadstage_platform::store_kinds::Age;
-use leadstage_platform::store_kinds::Evacuations;
-use leadstage_platform::store_kinds::Replicas;
-use leadstage_platform::store_kinds::Suspects;
 use log::error;
 use log::info;
 use tokio::net::TcpListener;
@@ -23,7 +19,7 @@
 use crate::gateway::balancer_port;
 use crate::gateway::control::config_intake;
 use crate::gateway::control::control_loop::Control;
-use crate::gateway::control::follow;
+use crate::gateway::control::first_read;
 use crate::gateway::ingress::caller_port;
 use crate::gateway::messages::ToControl;
 use crate::gateway::observability::logging;
@@ -98,13 +94,7 @@
     tokio::task::spawn_local(small_port::serve(shared.clone(), metrics, "metrics", metrics_port::answer));
     if !shared.settings.first_start {
         tokio::task::spawn_local(config_intake::read_at_start(shared.clone()));
-        let replicas = follow::read_once::<Replicas>(shared.clone(), ToControl::Replicas, Age::SomeSeconds);
-        tokio::task::spawn_local(replicas);
-        let halls =
-            follow::read_once::<Evacuations>(shared.clone(), ToControl::ClosedHalls, Age::SomeSeconds);
-        tokio::task::spawn_local(halls);
-        let suspects = follow::read_once::<Suspects>(shared.clone(), ToControl::Suspects, Age::SomeSeconds);
-        tokio::task::spawn_local(suspects);
+        tokio::task::spawn_local(first_read::read_unless_told(shared.clone()));
     }
     let peer = listen(shared.settings.peer).await?;
     tokio::task::spawn_local(peer_port::serve(shared.clone(), peer));
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -8,6 +8,7 @@
 pub mod pace;
 pub mod relay;
 pub mod resuming;
+pub mod sampling;
 pub mod silence;
 pub mod stall;
 pub mod suspicion;
--- a/node/src/gateway/upstream/connections.rs
+++ b/node/src/gateway/upstream/connections.rs
@@ -32,6 +32,9 @@
 const CLOSE_MARGIN: Duration = Duration::from_millis(500);
 /// How long an unused connection is kept if the replica does not say.
 const DEFAULT_KEEP: Duration = Duration::from_secs(5);
+/// Bytes that are read ahead on a connection at most; the library's own bound is 25 times as much, which a hundred
+/// large answers at once would all use.
+const MOST_READ_AHEAD: usize = 16 << 10;
 /// Unused connections kept for one replica: what a node needs at once at the busiest, as
 /// replicas count the connections of all nodes together.
 const MOST_UNUSED: usize = 4;
@@ -161,7 +164,9 @@
 /// Opens a connection to a replica.
 pub async fn open(replica: &ReplicaRecord) -> Result<Connection, ConnectError> {
     let stream = connect::connect(replica.address, connect::CONNECT_LIMIT).await?;
-    let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MOST_READ_AHEAD);
+    let (sender, driver) = builder.handshake(TokioIo::new(stream)).await?;
     let driver = tokio::task::spawn_local(async move {
         // What breaks the connection reaches the request on it.
         let _ = driver.await;
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -210,6 +210,7 @@
                 from: Some(self.source.id.clone()),
                 hall: self.source.hall.clone(),
                 exclude: exclude.to_vec(),
+                regions: self.req.regions(),
             },
             priority: evacuation::rank(self.req.generation_size(), produced),
             patience,
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -1,5 +1,7 @@
 //! One request to one replica, and the head of its answer.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use derive_more::Display;
 use derive_more::Error;
@@ -7,7 +9,6 @@
 use http::Request;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
@@ -18,6 +19,9 @@
 use log::info;
 use tokio::time::Instant;
 
+use crate::gateway::held_bytes;
+use crate::gateway::held_bytes::Held;
+use crate::gateway::held_bytes::HeldBytes;
 use crate::gateway::messages::Outcome;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
@@ -38,6 +42,9 @@
     /// The replica's hall is closed: nothing was sent.
     #[display("its hall is closed")]
     HallClosed,
+    /// The replica's version was given up: nothing was sent.
+    #[display("its version was given up")]
+    VersionReverted,
     /// Replicas end under the request: nothing was sent.
     #[display("it is quarantined")]
     Quarantined,
@@ -72,10 +79,16 @@
 /// nothing was sent.
 pub fn failed(req: &CallerRequest, run: RunGuard, err: &SendError) -> Option<Code> {
     info!(event = "attempt_failed", request = req.id(), upstream = &*run.placed.replica.id, reason:% = err; "attempt failed");
-    let says_nothing = matches!(err, SendError::HallClosed | SendError::Quarantined | SendError::Withdrawn);
+    let says_nothing = matches!(
+        err,
+        SendError::HallClosed | SendError::VersionReverted | SendError::Quarantined | SendError::Withdrawn
+    );
     run.end(if says_nothing { Outcome::Withdrawn } else { Outcome::Failed });
     match err {
-        SendError::HallClosed | SendError::Quarantined | SendError::NotSent(_) => None,
+        SendError::HallClosed
+        | SendError::VersionReverted
+        | SendError::Quarantined
+        | SendError::NotSent(_) => None,
         SendError::TimedOut | SendError::Stalled | SendError::ConnectionSilent => Some(Code::UpstreamTimeout),
         SendError::Broken(_) | SendError::Foreign | SendError::Cut(_) | SendError::Withdrawn => {
             Some(Code::UpstreamLost)
@@ -104,6 +117,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// What it takes of the node's memory.
+    pub held: Held,
 }
 
 /// Sends a request that was sent to `sent` replicas before to one more, on a connection of
@@ -123,6 +138,9 @@
     if !traffic.shared.closed_halls().is_open(&replica.hall) {
         return Err(SendError::HallClosed);
     }
+    if traffic.is_reverted(req, replica) {
+        return Err(SendError::VersionReverted);
+    }
     let mut connection = traffic.connections.take(replica, choice).await.map_err(SendError::NotSent)?;
     let sent_at = traffic.shared.now();
     traffic.on_sending(req, replica, sent);
@@ -148,6 +166,7 @@
     if head.headers.get(headers::REQUEST_ID) != req.headers.get(headers::REQUEST_ID) {
         return Err(SendError::Foreign);
     }
+    traffic.note_headers(&head.headers);
     traffic.on_limit_word(replica, headers::limit_word(head.status, &head.headers), sent_at);
     Ok(Exchange { status: head.status, headers: head.headers, body, head_came: Instant::now(), connection })
 }
@@ -193,7 +212,7 @@
         replica: &ReplicaRecord,
         req: &CallerRequest,
     ) -> Result<WholeAnswer, SendError> {
-        let answer = self.read(&traffic.connections, replica, req.until()).await;
+        let answer = self.read(&traffic.shared.held, &traffic.connections, replica, req.until()).await;
         if matches!(answer, Err(SendError::Cut(_))) {
             traffic.on_broken_run(req, replica, None, 0);
         }
@@ -203,17 +222,24 @@
     /// Reads it until `until`, and keeps the connection if it can be used again.
     async fn read(
         self,
+        node: &Arc<HeldBytes>,
         connections: &Connections,
         replica: &ReplicaRecord,
         until: Instant,
     ) -> Result<WholeAnswer, SendError> {
-        let reading = Limited::new(self.body, MAX_ANSWER_BYTES).collect();
+        let body = Limited::new(self.body, MAX_ANSWER_BYTES);
+        let reading = held_bytes::collect(body, async |bytes| Some(node.take_when_free(bytes).await));
         let body = tokio::time::timeout_at(until, reading).await.map_err(|_| SendError::TimedOut)?;
-        let body = body.map_err(|err| SendError::Cut(err.to_string()))?.to_bytes();
+        let (body, held) = match body {
+            Ok(Some(whole)) => whole,
+            Ok(None) => return Err(SendError::Cut("no room for it".to_owned())),
+            Err(err) => return Err(SendError::Cut(err.to_string())),
+        };
+        let held = held.unwrap_or_else(|| node.nothing());
         if !headers::closes(&self.headers) {
             connections.put(replica, self.connection, headers::keeps_for(&self.headers));
         }
-        Ok(WholeAnswer { status: self.status, headers: self.headers, body })
+        Ok(WholeAnswer { status: self.status, headers: self.headers, body, held })
     }
 }
 
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -26,7 +26,7 @@
 use crate::gateway::messages::Outcome;
 use crate::gateway::messages::StreamHandle;
 use crate::gateway::messages::ToControl;
-use crate::gateway::reply::BrokenStream;
+use crate::gateway::reply_body::PartsSender;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::upstream::copying::Copied;
 use crate::gateway::upstream::copying::Step;
@@ -39,6 +39,9 @@
 use crate::gateway::upstream::stall::StallWatch;
 use crate::gateway::upstream::traffic::Traffic;
 
+/// Pauses between events that tell how fast an engine makes them, at least.
+const LEAST_PAUSES: u64 = 4;
+
 /// How a relay ended.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
 enum End {
@@ -58,7 +61,7 @@
     req: Arc<CallerRequest>,
     handle: StreamHandle,
     leg: Leg,
-    tx: mpsc::Sender<Result<Bytes, BrokenStream>>,
+    tx: PartsSender,
     events: EventSplitter,
     tokens_per_event: u32,
     steps_tx: UnboundedSender<Step>,
@@ -94,7 +97,7 @@
         handle: StreamHandle,
         leg: Leg,
         sent: u32,
-        tx: mpsc::Sender<Result<Bytes, BrokenStream>>,
+        tx: PartsSender,
     ) -> Self {
         let service = req.table.service(&req.service);
         let engine = service.and_then(|s| s.engine.as_ref());
@@ -134,6 +137,7 @@
         metrics.on_answer(&self.req.route.name, if end == End::Done { 200 } else { 0 });
         if end == End::Done {
             self.traffic.on_sound_run(&self.req);
+            self.sample_pace();
         }
         let outcome = match end {
             End::Done => Outcome::Answered,
@@ -143,8 +147,16 @@
         let tx = self.tx.clone();
         self.hang_up(outcome);
         if end != End::Done && end != End::CallerLeft {
-            // Nobody may be there any more to see it.
-            let _ = tx.send(Err(BrokenStream)).await;
+            tx.break_off();
+        }
+    }
+
+    /// Tells how fast its engine made events, where it was one alone.
+    fn sample_pace(&self) {
+        let (first, pauses) = (self.pace.first.unwrap_or_default(), self.events.events().saturating_sub(1));
+        if self.moves == 0 && pauses >= LEAST_PAUSES {
+            let took = self.req.came.elapsed().saturating_sub(first) / pauses as u32;
+            self.traffic.sample_pace(&self.req, &self.leg.run.placed.replica, took);
         }
     }
 
@@ -205,7 +217,10 @@
     async fn pass_on(&mut self, whole: Bytes) -> Result<(), End> {
         self.stall.on_event(&self.req.route);
         if std::mem::take(&mut self.is_reading) {
-            self.traffic.shared.tell(ToControl::FirstEvent(self.leg.run.placed.run));
+            let run = &self.leg.run;
+            self.traffic.shared.tell(ToControl::FirstEvent(run.placed.run));
+            let took = run.placed_at.elapsed();
+            self.traffic.sample_answer(&self.req, &run.placed.replica, false, took);
         }
         self.pace.on_event(self.req.came);
         let tokens = self.events.events() as u32 * self.tokens_per_event;
@@ -217,7 +232,7 @@
     /// second of large events held its engine for 20.6 s instead of the 3 s that it waits, by the
     /// test of such a caller.
     async fn hand_over(&self, events: Bytes) -> Result<(), End> {
-        let sending = tokio::time::timeout_at(self.req.until(), self.tx.send(Ok(events)));
+        let sending = tokio::time::timeout_at(self.req.until(), self.tx.send(events));
         sending.await.map_err(|_| End::OutOfTime)?.map_err(|_| End::CallerLeft)
     }
 
--- /dev/null
+++ b/node/src/gateway/upstream/sampling.rs
@@ -0,0 +1,52 @@
+//! Tells the control loop how the replicas of services answer that are being upgraded.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::answer_counts::Measure;
+use leadstage_lib::gateway::answer_counts::Sample;
+use leadstage_lib::gateway::answer_counts::Side;
+use leadstage_lib::gateway::replica_record::ReplicaRecord;
+use leadstage_lib::gateway::upgrade::Admission;
+use leadstage_lib::gateway::upgrade::Stage;
+
+use crate::gateway::messages::AnswerSample;
+use crate::gateway::messages::ToControl;
+use crate::gateway::request::CallerRequest;
+use crate::gateway::upstream::traffic::Traffic;
+
+impl Traffic {
+    /// A replica answered a request after this time, with an error of its own or not.
+    pub fn sample_answer(
+        &self,
+        req: &CallerRequest,
+        replica: &ReplicaRecord,
+        is_error: bool,
+        took: Duration,
+    ) {
+        let sample = if is_error { Sample::Failed } else { Sample::Took(Measure::Answer, took) };
+        self.sample(req, replica, sample);
+    }
+
+    /// A replica made a stream's events at this pace.
+    pub fn sample_pace(&self, req: &CallerRequest, replica: &ReplicaRecord, pace: Duration) {
+        self.sample(req, replica, Sample::Took(Measure::Pace, pace));
+    }
+
+    /// Whether the version of a replica was given up, so that it gets nothing.
+    pub fn is_reverted(&self, req: &CallerRequest, replica: &ReplicaRecord) -> bool {
+        let upgrades = self.shared.upgrades();
+        let upgrade = upgrades.of(&req.service);
+        upgrade.is_some_and(|upgrade| upgrade.admission(&replica.version) == Admission::None)
+    }
+
+    fn sample(&self, req: &CallerRequest, replica: &ReplicaRecord, sample: Sample) {
+        let upgrades = self.shared.upgrades();
+        let Some(upgrade) = upgrades.of(&req.service).filter(|upgrade| upgrade.stage <= Stage::Switch) else {
+            return;
+        };
+        let is_target = replica.version == upgrade.order.target;
+        let side = if is_target { Side::Target } else { Side::Present };
+        let (service, route) = (req.service.clone(), req.route.name.clone());
+        self.shared.tell(ToControl::Sampled(AnswerSample { service, route, side, sample }));
+    }
+}
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -2,14 +2,17 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
+use http::HeaderMap;
+use http::HeaderName;
 use http::StatusCode;
+use leadstage_lib::gateway::replica::LeavingSign;
 use leadstage_lib::gateway::replica_limits::AnswerTimes;
 use leadstage_lib::gateway::replica_limits::LimitWord;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
-use leadstage_lib::gateway::replicas::LeavingSign;
 use leadstage_lib::gateway::retry_window::RetryShare;
 use leadstage_lib::gateway::retry_window::RetryWindow;
 use leadstage_lib::gateway::routing::ServiceId;
@@ -17,7 +20,9 @@
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
+use leadstage_platform::fields;
 use log::info;
+use log::warn;
 
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::StreamHandle;
@@ -33,6 +38,9 @@
 /// not take all of it.
 const LEAST_NODES: usize = 6;
 
+/// Names of headers that are remembered at most.
+const MOST_HEADERS_SEEN: usize = 64;
+
 /// What the requests of the traffic thread share.
 #[derive(Clone)]
 pub struct Traffic {
@@ -43,12 +51,20 @@
     retries: Rc<RefCell<HashMap<ServiceId, RetryWindow>>>,
     /// Requests that replicas answered lately.
     pub sound_runs: Rc<RefCell<SoundRuns>>,
+    /// The headers of replicas' answers that have been looked at.
+    seen_headers: Rc<RefCell<HashSet<HeaderName>>>,
 }
 
 impl Traffic {
     /// Nothing is open yet.
     pub fn new(shared: Arc<Shared>) -> Self {
-        Traffic { shared, connections: Rc::default(), retries: Rc::default(), sound_runs: Rc::default() }
+        Traffic {
+            shared,
+            connections: Rc::default(),
+            retries: Rc::default(),
+            sound_runs: Rc::default(),
+            seen_headers: Rc::default(),
+        }
     }
 
     /// Whether a request that was sent to `sent` replicas may be sent to one more; if so, that is
@@ -88,6 +104,7 @@
                 from: None,
                 hall: self.shared.settings.hall.clone(),
                 exclude: exclude.to_vec(),
+                regions: req.regions(),
             },
             priority: req.priority(),
             patience: req.first_event_due(),
@@ -116,6 +133,21 @@
         }
     }
 
+    /// Logs each header of replicas' answers once that nobody has decided on: a replica may ask for something
+    /// that is not built.
+    pub fn note_headers(&self, headers: &HeaderMap) {
+        let mut seen = self.seen_headers.borrow_mut();
+        for name in headers.keys() {
+            if seen.len() >= MOST_HEADERS_SEEN || seen.contains(name) {
+                continue;
+            }
+            seen.insert(name.clone());
+            if !fields::knows_header(name.as_str()) {
+                warn!(event = "field_undecided", kind = "answer", field = name.as_str(); "an answer has a header that is not read, and nobody has said why");
+            }
+        }
+    }
+
     /// What a replica's answer says of its limit. The control loop hears of those only that may change what
     /// is known.
     pub fn on_limit_word(&self, replica: &ReplicaRecord, word: LimitWord, sent: Timestamp) {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -105,7 +105,7 @@
 
 enum Command {
     Run(Settings),
-    RunGateway(GatewaySettings, SettingsFile),
+    RunGateway(Box<GatewaySettings>, SettingsFile),
     Print(String),
 }
 
@@ -130,7 +130,7 @@
     }
     abort_on_control_panic();
     let result = match command {
-        Command::RunGateway(settings, file) => gateway::run(settings, file).map_err(Into::into),
+        Command::RunGateway(settings, file) => gateway::run(*settings, file).map_err(Into::into),
         Command::Run(settings) => run(settings),
         Command::Print(_) => Ok(()),
     };
@@ -179,7 +179,7 @@
     let command = match gateway::settings::interface_of(&yaml) {
         Interface::Gateway => {
             let settings = GatewaySettings::from_yaml(&yaml).map_err(wrong)?;
-            Command::RunGateway(settings, SettingsFile { path, text: yaml })
+            Command::RunGateway(Box::new(settings), SettingsFile { path, text: yaml })
         }
         Interface::Completions => Command::Run(Settings::from_yaml(&yaml).map_err(wrong)?),
     };
--- a/node/src/status_report.rs
+++ b/node/src/status_report.rs
@@ -70,6 +70,7 @@
         hall: key.hall.to_string(),
         waiting: status.waiting,
         running: status.running,
+        all_engines: led.pool.books().count(),
         engines: led.pool.books().map(engine_line).collect(),
     }
 }
--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -21,6 +21,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
+use leadstage_lib::gateway::upgrade::ToldUpgrades;
 use leadstage_lib::status::NodeStatus;
 use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::gateway_replica::Engines;
@@ -154,6 +155,18 @@
         self.start_cold_replica(service, id, events, Duration::ZERO).await
     }
 
+    /// Starts a replica that is not listed.
+    pub async fn start_unlisted_replica(&self, id: &str, events: u64) -> RunningReplica {
+        let (replica, server) =
+            GatewayReplica::start(&self.replicas_ip(), id, events, self.engines.clone()).await;
+        RunningReplica { replica, server: Some(server) }
+    }
+
+    /// How many nodes were started.
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+
     /// The same for one that is slow from its start for so long.
     pub async fn start_cold_replica(
         &self,
@@ -526,7 +539,8 @@
     const NEW_CONFIG: u32 = 14;
     let closed_halls = ClosedHalls::default();
     let (crash_digest, limits_digest) = (0_u64, 0_u64);
-    let head = (from, version, replicas_at, closed_halls, crash_digest, limits_digest);
+    let upgrades = ToldUpgrades::default();
+    let head = (from, version, replicas_at, closed_halls, crash_digest, limits_digest, upgrades);
     let datagram = postcard::to_stdvec(&(head, NEW_CONFIG));
     let datagram = datagram.expect("it can be encoded");
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
--- a/node/tests/limited_fleet.rs
+++ b/node/tests/limited_fleet.rs
@@ -45,14 +45,25 @@
 impl LimitedFleet {
     /// So many nodes that know each other, and so many replicas.
     pub async fn start(service: &str, nodes: usize, replicas: usize) -> LimitedFleet {
+        LimitedFleet::start_with(service, nodes, replicas, 4, |yaml| yaml).await
+    }
+
+    /// The same, with generations of so many events and changed settings.
+    pub async fn start_with(
+        service: &str,
+        nodes: usize,
+        replicas: usize,
+        events: u64,
+        change: impl Fn(String) -> String,
+    ) -> LimitedFleet {
         let mut gateway = Gateway::start().await;
         gateway.store.put("config", "main", config(1));
         let mut running = Vec::new();
         for n in 1..=replicas {
-            running.push(gateway.start_replica(service, &format!("{service}-{n}"), 4).await);
+            running.push(gateway.start_replica(service, &format!("{service}-{n}"), events).await);
         }
         for _ in 0..nodes {
-            let node = gateway.start_node();
+            let node = gateway.start_node_with(&change);
             gateway.until_ready(node).await;
         }
         for node in 0..nodes {
--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -209,7 +209,7 @@
 
 async fn replicas_since(peer: &str, known: u64) -> ReplicaList {
     let body = read(peer, &format!("/replicas?{known}")).await;
-    postcard::from_bytes(&body).expect("a list")
+    ReplicaList::unpack(&body).expect("a list")
 }
 
 async fn read_text(address: &str, path: &str) -> String {
--- /dev/null
+++ b/node/tests/test_gateway_slow_readers.rs
@@ -0,0 +1,204 @@
+//! Callers and replicas that read slowly: what a node holds for them is bounded, and others are served beside them.
+
+use std::time::Duration;
+
+use leadstage_testutils::gateway_replica::PartialFault;
+use leadstage_testutils::gateway_replica::ReplicaFault;
+use leadstage_testutils::metadata_store::replica_entry;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+use crate::gateway_environment::BOOKING;
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::KEY;
+use crate::gateway_environment::MODEL;
+use crate::gateway_environment::RunningReplica;
+use crate::gateway_environment::call;
+use crate::gateway_environment::chat;
+use crate::gateway_environment::config;
+use crate::gateway_environment::request;
+
+/// Memory of the smallest VM of all deployments, in 10^6 bytes.
+const MEMORY_MB: usize = 88;
+const SLOW_CALLERS: usize = 300;
+const ENGINES: usize = 12;
+/// What a slow caller reads in a second.
+const SLOW_BYTES: usize = 1_000;
+
+/// A fleet of one small node, whose plain service answers `/read/` with so many bytes, and whose generations have
+/// events of so many.
+async fn small_node(answer: usize, event: usize) -> (Gateway, RunningReplica, Vec<RunningReplica>) {
+    let mut gateway = Gateway::start().await;
+    let mut config = config(1);
+    config["limits"]["maxBodyBytes"] = 4_000_000.into();
+    config["services"][1]["engine"]["kvCacheTokens"] = 10_000_000.into();
+    gateway.store.put("config", "main", config);
+    let booking = gateway.start_replica(BOOKING, "booking-1", 4).await;
+    let long = PartialFault { fault: ReplicaFault::Long(answer), one_of: 1, prefix: "/read/".to_owned() };
+    booking.replica.set_partial_fault(long);
+    let mut models = Vec::new();
+    for n in 0..ENGINES {
+        let model = gateway.start_replica(MODEL, &format!("model-{n}"), 60).await;
+        model.replica.set_padding(event);
+        models.push(model);
+    }
+    let node = gateway.start_node_with(|yaml| format!("{yaml}memory_mb: {MEMORY_MB}\n"));
+    gateway.until_ready(node).await;
+    (gateway, booking, models)
+}
+
+/// The memory of a node's process, in 10^6 bytes.
+fn memory_mb(gateway: &Gateway) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.pid(0))).expect("it runs");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("a size");
+    let kb: usize = line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).expect("a number");
+    kb * 1_024 / 1_000_000
+}
+
+/// What the node holds by its own count.
+async fn held_bytes(gateway: &Gateway) -> usize {
+    let metrics = call(&gateway.metrics(0), request("GET", "/metrics", "", "")).await;
+    let line = metrics.body.lines().find(|line| line.starts_with("leadstage_gateway_held_bytes"));
+    line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).map_or(0, |held| held as usize)
+}
+
+/// A caller on a connection with a small window, which reads slowly for a time. Returns the status line.
+async fn slow_caller(address: String, req: String, lasts: Duration) -> String {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("a small window");
+    let mut stream = socket.connect(address.parse().expect("an address")).await.expect("it connects");
+    stream.write_all(req.as_bytes()).await.expect("it is sent");
+    let mut buf = vec![0; SLOW_BYTES];
+    let mut head = String::new();
+    let until = tokio::time::Instant::now() + lasts;
+    while tokio::time::Instant::now() < until {
+        match tokio::time::timeout_at(until, stream.read(&mut buf)).await {
+            Ok(Ok(read)) if read > 0 => {
+                if head.is_empty() {
+                    head = String::from_utf8_lossy(&buf[..read]).lines().next().unwrap_or("").to_owned();
+                }
+            }
+            _ => break,
+        }
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    head
+}
+
+fn plain_request(n: usize) -> String {
+    format!(
+        "GET /read/x HTTP/1.1\r\nhost: h.example\r\nleadstage-request-id: slow-{n}\r\nleadstage-deadline-ms: 8000\r\nauthorization: Token {KEY}\r\n\r\n"
+    )
+}
+
+fn stream_request(n: usize) -> String {
+    format!(
+        "POST /chat/x HTTP/1.1\r\nhost: h.example\r\nleadstage-request-id: slow-{n}\r\nleadstage-deadline-ms: 8000\r\nauthorization: Token {KEY}\r\n\
+         leadstage-model: m\r\nleadstage-token-usage: 10,20\r\nlength-hint: 20\r\ncontent-length: 0\r\n\r\n"
+    )
+}
+
+fn slow_callers(gateway: &Gateway, make: fn(usize) -> String, lasts: Duration) -> JoinSet<String> {
+    let mut callers = JoinSet::new();
+    for n in 0..SLOW_CALLERS {
+        callers.spawn(slow_caller(gateway.front(0), make(n), lasts));
+    }
+    callers
+}
+
+/// Answers that nobody takes fit into the bound: everybody is served.
+#[tokio::test]
+async fn test_calm_callers_are_served_beside_slow_ones() {
+    for (make, engines_are_free) in [(plain_request as fn(usize) -> String, true), (stream_request, false)] {
+        // 40 kB each: 12 MB for all, of 18 from which on requests are refused.
+        let (gateway, _booking, _models) = small_node(40_000, 650).await;
+        let slow = slow_callers(&gateway, make, Duration::from_secs(6));
+        let mut most = 0;
+        for n in 0..40 {
+            assert_eq!(gateway.status_of(0, "/book/x", KEY).await, 200, "{}", gateway.logs());
+            if n % 10 == 0 && engines_are_free {
+                let chat = gateway.call(0, chat(&format!("c-{n}"))).await;
+                assert!(chat.whole && chat.status == 200, "{chat:?}\n{}", gateway.logs());
+            }
+            most = most.max(memory_mb(&gateway));
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert!(most < MEMORY_MB, "{most} MB");
+        let answered = slow.join_all().await.iter().filter(|head| head.contains(" 200 ")).count();
+        assert!(answered >= SLOW_CALLERS * 9 / 10, "{answered}\n{}", gateway.logs());
+    }
+}
+
+/// Answers of which all together would take more than the VM has: what would go beyond is refused, and it has not run.
+#[tokio::test]
+async fn test_what_is_held_is_bounded_and_beyond_it_is_refused() {
+    let (gateway, booking, _models) = small_node(1_200_000, 0).await;
+    let slow = slow_callers(&gateway, plain_request, Duration::from_secs(5));
+    let mut most = (0, 0);
+    let mut refused = 0;
+    for _ in 0..60 {
+        let before = booking.replica.seen().len();
+        let called = gateway.call(0, request("POST", "/book/x", KEY, "b-1")).await;
+        if called.status == 503 {
+            assert_eq!(called.code(), 2112, "{called:?}");
+            assert!(called.header("retry-after").is_some(), "{called:?}");
+            refused += 1;
+        } else {
+            assert_eq!(called.status, 200, "{called:?}\n{}", gateway.logs());
+            assert!(booking.replica.seen().len() > before);
+        }
+        most = (most.0.max(memory_mb(&gateway)), most.1.max(held_bytes(&gateway).await));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(refused > 0, "nothing was refused, {most:?}");
+    assert!(most.0 < MEMORY_MB, "{most:?}");
+    assert!(most.1 > 1_000_000 && most.1 <= MEMORY_MB * 300_000, "{most:?}");
+    slow.join_all().await;
+    let is_served = async || gateway.status_of(0, "/book/x", KEY).await == 200;
+    gateway.until("calls are served again", is_served).await;
+    let is_freed = async || held_bytes(&gateway).await < 1_000_000;
+    gateway.until("nothing is held any more", is_freed).await;
+}
+
+/// A replica takes 1 kB of large bodies in a second: they are held once, and no more than the bound.
+#[tokio::test]
+async fn test_bodies_for_a_slow_replica_are_bounded() {
+    let (gateway, booking, _models) = small_node(10, 0).await;
+    let slow = TcpListener::bind(format!("{}:0", gateway.replicas_ip())).await.expect("a port");
+    let address = slow.local_addr().expect("an address");
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = slow.accept().await.expect("it accepts");
+            tokio::spawn(read_slowly(stream));
+        }
+    });
+    gateway.store.put("servers", "slow-1", replica_entry(BOOKING, address, "hall-1", "ready"));
+    gateway.store.delete("servers", &booking.replica.id);
+    let listed = async || gateway.log(0).contains("upstream=slow-1");
+    gateway.until("it is listed", listed).await;
+    let mut callers = JoinSet::new();
+    for n in 0..100 {
+        let front = gateway.front(0);
+        let mut req = request("POST", "/book/x", KEY, &format!("b-{n}"));
+        *req.body_mut() = bytes::Bytes::from(vec![7; 800_000]).into();
+        req.headers_mut().insert("leadstage-deadline-ms", "4000".parse().expect("valid"));
+        callers.spawn(async move { call(&front, req).await.status });
+    }
+    let mut most = 0;
+    while !callers.is_empty() {
+        most = most.max(memory_mb(&gateway));
+        let _ = tokio::time::timeout(Duration::from_millis(50), callers.join_next()).await;
+    }
+    assert!(most < MEMORY_MB, "{most} MB\n{}", gateway.logs());
+}
+
+async fn read_slowly(mut stream: TcpStream) {
+    let mut buf = vec![0; SLOW_BYTES];
+    while stream.read(&mut buf).await.is_ok_and(|read| read > 0) {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+}
--- /dev/null
+++ b/node/tests/upgraded_fleet.rs
@@ -0,0 +1,178 @@
+//! A fleet in which the operator upgrades a service under load: new replicas run beside the old ones, and the operator ends
+//! one of the two as soon as the order's status says which.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use leadstage_testutils::gateway_replica::PartialFault;
+use leadstage_testutils::metadata_store::replica_entry;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::RunningReplica;
+use crate::limited_fleet::Answer;
+use crate::limited_fleet::LimitedFleet;
+
+/// The share and the number of requests that a bad version may get.
+const EXPOSURE_SHARE: f64 = 0.2;
+const EXPOSURE_SLACK: f64 = 20.0;
+/// A version that was given up gets nothing after this: news take some tenths of a second.
+const REVERTED_EVERYWHERE: Duration = Duration::from_secs(2);
+/// Events of a generation.
+const EVENTS: u64 = 150;
+
+/// The fleet.
+pub struct UpgradedFleet {
+    /// Its nodes, store and old replicas.
+    pub fleet: LimitedFleet,
+    /// The service.
+    service: &'static str,
+    /// The new replicas.
+    pub new: Vec<RunningReplica>,
+    /// When the operator gave the order.
+    ordered: Instant,
+}
+
+/// When an order's status first said what became of it.
+#[derive(Debug)]
+pub struct Concluded {
+    /// `succeeded` or `rolled_back`; whatever it says last where the time is over.
+    pub state: String,
+    /// When.
+    pub at: Instant,
+}
+
+impl UpgradedFleet {
+    /// So many nodes, with as many old replicas of a service as new ones are started later.
+    pub async fn start(service: &'static str, nodes: usize, replicas: usize) -> UpgradedFleet {
+        let bounds =
+            format!("retry_slack: 100, exposure_share: {EXPOSURE_SHARE}, exposure_slack: {EXPOSURE_SLACK}");
+        let with_bounds = |yaml: String| yaml.replace("retry_slack: 100", &bounds);
+        let fleet = LimitedFleet::start_with(service, nodes, replicas, EVENTS, with_bounds).await;
+        UpgradedFleet { fleet, service, new: Vec::new(), ordered: Instant::now() }
+    }
+
+    /// The fleet's nodes and store.
+    pub fn gateway(&self) -> &Gateway {
+        &self.fleet.gateway
+    }
+
+    /// Gives an order, and starts as many new replicas as there are old ones.
+    pub async fn order(&mut self, within: Duration, fault: Option<PartialFault>) {
+        self.put_order(within.as_secs_f64());
+        for n in 0..self.fleet.replicas.len() {
+            let id = format!("{}-new-{n}", self.service);
+            let running = self.fleet.gateway.start_unlisted_replica(&id, EVENTS).await;
+            if let Some(fault) = &fault {
+                running.replica.set_partial_fault(fault.clone());
+            }
+            self.list(&running, "v2", "ready");
+            self.new.push(running);
+        }
+    }
+
+    /// Puts the order into the store.
+    pub fn put_order(&mut self, within_s: f64) {
+        self.ordered = Instant::now();
+        let order = json!({"service": self.service, "targetVersion": "v2", "durationS": within_s});
+        self.gateway().store.put("rollouts", self.service, order);
+    }
+
+    fn list(&self, running: &RunningReplica, version: &str, state: &str) {
+        let address = running.server.as_ref().expect("it serves").address;
+        let mut entry = replica_entry(self.service, address, "hall-1", state);
+        entry["version"] = version.into();
+        self.gateway().store.put("servers", &running.replica.id, entry);
+    }
+
+    /// What the order's status says.
+    pub fn status(&self) -> Value {
+        self.gateway().store.status("rollouts", self.service).unwrap_or_default()
+    }
+
+    /// Waits until the status is final, and ends the old replicas at once if the order succeeded. The wait ends
+    /// in any case after `at_most`.
+    pub async fn conclude(&mut self, at_most: Duration) -> Concluded {
+        let until = Instant::now() + at_most;
+        let state = loop {
+            let state = self.status()["state"].as_str().unwrap_or_default().to_owned();
+            if matches!(&*state, "succeeded" | "rolled_back") || Instant::now() >= until {
+                break state;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        };
+        let at = Instant::now();
+        if state == "succeeded" {
+            for running in &mut self.fleet.replicas {
+                running.server = None;
+                self.fleet.gateway.store.delete("servers", &running.replica.id);
+            }
+        }
+        Concluded { state, at }
+    }
+
+    /// Requests that old and new replicas got between the order and `until`.
+    pub fn got(&self, until: Instant) -> (usize, usize) {
+        let of = |running: &[RunningReplica]| {
+            let arrivals = running.iter().flat_map(|running| running.replica.seen());
+            arrivals.filter(|seen| seen.at >= self.ordered && seen.at < until).count()
+        };
+        (of(&self.fleet.replicas), of(&self.new))
+    }
+
+    /// Asserts that a bad version got no more than it may until `until`.
+    pub fn assert_exposure(&self, until: Instant) {
+        let (old, new) = self.got(until);
+        let allowed = EXPOSURE_SHARE * (old + new) as f64 + EXPOSURE_SLACK;
+        assert!(
+            new as f64 <= allowed,
+            "{new} of {} went to the new version, {allowed} may\n{}",
+            old + new,
+            self.logs()
+        );
+    }
+
+    /// Asserts that a version that was given up gets nothing a moment later.
+    pub fn assert_gets_nothing(&self, concluded: &Concluded) {
+        let from = concluded.at + REVERTED_EVERYWHERE;
+        let arrivals = self.new.iter().flat_map(|running| running.replica.seen());
+        let late = arrivals.filter(|seen| seen.at >= from).count();
+        assert_eq!(late, 0, "requests went to a version that was given up\n{}", self.logs());
+    }
+
+    /// The last lines of all logs.
+    pub fn logs(&self) -> String {
+        self.fleet.gateway.logs()
+    }
+
+    /// Puts calls to each node at so many a second for a time, beside what else is done.
+    pub fn load(
+        &self,
+        per_second: f64,
+        lasts: Duration,
+        make: fn(&str) -> Request<Full<Bytes>>,
+    ) -> tokio::task::JoinHandle<Vec<Answer>> {
+        let fleet = LimitedFleet { gateway: self.fleet.gateway.clone(), replicas: Vec::new() };
+        let per_second = vec![per_second; self.fleet.gateway.nodes()];
+        tokio::spawn(async move { fleet.load(&per_second, lasts, make).await })
+    }
+}
+
+/// One of so many requests on a path meets a fault.
+pub fn fault(
+    fault: leadstage_testutils::gateway_replica::ReplicaFault,
+    one_of: usize,
+    prefix: &str,
+) -> Option<PartialFault> {
+    Some(PartialFault { fault, one_of, prefix: prefix.to_owned() })
+}
+
+/// The share of the answers that are good.
+pub fn good(answers: &[Answer]) -> f64 {
+    let good = answers.iter().filter(|answer| answer.called.status == 200 && answer.called.whole).count();
+    good as f64 / answers.len().max(1) as f64
+}
--- a/testutils/src/fleet_model/lead.rs
+++ b/testutils/src/fleet_model/lead.rs
@@ -17,9 +17,9 @@
 use leadstage_lib::gateway::policy::Policy;
 use leadstage_lib::gateway::rebalance::Rebalancer;
 use leadstage_lib::gateway::rebalance::Relief;
+use leadstage_lib::gateway::replica::Replica;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ListChange;
-use leadstage_lib::gateway::replicas::Replica;
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::room_forecast::RoomForecast;
 use leadstage_lib::gateway::routing::EngineTraits;
@@ -134,7 +134,7 @@
     /// Generations that should move for balance.
     pub fn reliefs(&mut self, now: Timestamp) -> Vec<Relief> {
         let fleet = &self.fleet;
-        let usable = fleet.table.of_service(SERVICE).filter(|engine| engine.is_usable(now));
+        let usable = fleet.table.of_service(SERVICE).into_iter().filter(|engine| engine.is_usable(now));
         self.rebalancer.reliefs(&fleet.book, usable, &fleet.traits, now)
     }
 }
@@ -170,6 +170,7 @@
             leaving,
             cold: Duration::ZERO,
             born: 0,
+            version: "v1".into(),
         };
         self.table.on_entry(record, now, &mut ListChange::default());
     }
@@ -192,7 +193,7 @@
             produced: 0,
             moves: false,
         };
-        let usable = self.table.of_service(SERVICE).filter(|engine| engine.is_usable(now));
+        let usable = self.table.of_service(SERVICE).into_iter().filter(|engine| engine.is_usable(now));
         let (soon, later): (Vec<&Replica>, Vec<&Replica>) =
             usable.partition(|engine| self.book.reads_soon(&engine.record.id, now));
         let choice = self.book.choose_engine_soon(soon, later, &request, now, rng)?;
@@ -215,7 +216,7 @@
         let known = self.book.get(&key(run))?.clone();
         let (size, produced) = (known.size?, known.produced);
         let request = EngineRequest { size, engine: &self.traits, hall: &self.hall, produced, moves: true };
-        let others = self.table.of_service(SERVICE).filter(|engine| engine.record.id != *from);
+        let others = self.table.of_service(SERVICE).into_iter().filter(|engine| engine.record.id != *from);
         let usable = others.filter(|engine| engine.is_usable(now));
         let engine = self.book.choose_engine(usable, &request, now, rng)?.replica.clone();
         self.add(run, size, produced, Some(from.clone()), &engine, now);
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -156,9 +156,23 @@
     }
 }
 
+/// A fault that some of a replica's requests meet.
+#[derive(Clone, Debug)]
+pub struct PartialFault {
+    /// The fault.
+    pub fault: ReplicaFault,
+    /// One of so many requests meets it,
+    pub one_of: usize,
+    /// of those whose path begins so.
+    pub prefix: String,
+}
+
 #[derive(Default)]
 struct State {
     fault: ReplicaFault,
+    partial_fault: Option<PartialFault>,
+    /// Requests that the partial fault is for.
+    concerned: usize,
     copy_fault: CopyFault,
     seen: Vec<Seen>,
     /// Running generations and the events that they made.
@@ -251,6 +265,22 @@
         self.state().fault = fault;
     }
 
+    /// Sets a fault that some of its requests meet.
+    pub fn set_partial_fault(&self, fault: PartialFault) {
+        self.state().partial_fault = Some(fault);
+    }
+
+    /// The fault that a request meets.
+    fn fault_for(&self, req: &Request<Bytes>) -> ReplicaFault {
+        let mut state = self.state();
+        let partial = state.partial_fault.clone();
+        let Some(partial) = partial.filter(|partial| req.uri().path().starts_with(&partial.prefix)) else {
+            return state.fault;
+        };
+        state.concerned += 1;
+        if state.concerned.is_multiple_of(partial.one_of) { partial.fault } else { state.fault }
+    }
+
     /// Sets how it treats calls to copy.
     pub fn set_copy_fault(&self, fault: CopyFault) {
         self.state().copy_fault = fault;
@@ -557,7 +587,7 @@
         let seen =
             Seen { at: Instant::now(), line, headers: req.headers().clone(), body: req.body().clone() };
         self.state().seen.push(seen);
-        let fault = match self.state().fault {
+        let fault = match self.fault_for(&req) {
             ReplicaFault::ForgetsConnections => forgets(&req),
             fault => fault,
         };
--- a/testutils/src/metadata_store.rs
+++ b/testutils/src/metadata_store.rs
@@ -31,6 +31,8 @@
     Refuses,
     /// Says that the history is gone to each watch.
     ForgetsHistory,
+    /// Answers each page of a list with the first one.
+    RepeatsPage,
 }
 
 #[derive(Default)]
@@ -40,6 +42,8 @@
     revision: u64,
     fault: StoreFault,
     calls: u64,
+    /// Objects in one page of a list; all without.
+    page: Option<usize>,
 }
 
 /// The store.
@@ -60,13 +64,26 @@
         self.state.lock().expect("no holder panics")
     }
 
-    /// Puts an object.
+    /// Puts an object; one that is there keeps its status.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.replace(kind, name, |object| object["spec"] = spec);
+    }
+
+    /// Sets an object's status.
+    pub fn put_status(&self, kind: &str, name: &str, status: Value) {
+        self.replace(kind, name, |object| object["status"] = status);
+    }
+
+    fn replace(&self, kind: &str, name: &str, change: impl FnOnce(&mut Value)) {
         let mut state = self.state();
         state.revision += 1;
         let revision = state.revision;
-        let object = json!({"metadata": {"name": name, "revision": revision}, "spec": spec, "status": null});
-        state.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
+        let new = json!({"metadata": {"name": name, "made": revision, "finalizers": [], "deleting": false},
+            "spec": null, "status": null});
+        let object = state.objects.entry((kind.to_owned(), name.to_owned())).or_insert(new);
+        object["metadata"]["revision"] = revision.into();
+        change(object);
+        let object = object.clone();
         state.history.push((revision, kind.to_owned(), object, false));
         drop(state);
         self.changed.send_replace(revision);
@@ -89,6 +106,23 @@
         self.state().objects.get(&(kind.to_owned(), name.to_owned())).map(|object| object["spec"].clone())
     }
 
+    /// An object's `status`, if the object is there.
+    pub fn status(&self, kind: &str, name: &str) -> Option<Value> {
+        self.state().objects.get(&(kind.to_owned(), name.to_owned())).map(|object| object["status"].clone())
+    }
+
+    /// The statuses that an object has had, without those that repeat the one before.
+    pub fn statuses(&self, kind: &str, name: &str) -> Vec<Value> {
+        let state = self.state();
+        let is_its = |(_, k, object, gone): &&(u64, String, Value, bool)| {
+            k == kind && !gone && object["metadata"]["name"] == name
+        };
+        let mut statuses: Vec<Value> =
+            state.history.iter().filter(is_its).map(|(_, _, object, _)| object["status"].clone()).collect();
+        statuses.dedup();
+        statuses
+    }
+
     /// The names of all objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.state();
@@ -98,6 +132,8 @@
     /// A write of a node's: an object is created once, and replaced only by who names its revision.
     fn write(&self, method: &Method, kind: &str, name: Option<&str>, body: &[u8]) -> Response<Body> {
         let object: Value = serde_json::from_slice(body).unwrap_or_default();
+        let status_of = name.and_then(|name| name.strip_suffix("/status"));
+        let name = status_of.or(name);
         let Some(name) = name.or(object["metadata"]["name"].as_str()) else {
             return refusal(400);
         };
@@ -111,7 +147,10 @@
             (&Method::POST, Some(held)) => conflict(&held),
             (&Method::PUT, Some(held)) if !is_expected(&held) => conflict(&held),
             (&Method::POST, None) | (&Method::PUT, Some(_)) => {
-                self.put(kind, name, object["spec"].clone());
+                match status_of {
+                    Some(_) => self.put_status(kind, name, object["status"].clone()),
+                    None => self.put(kind, name, object["spec"].clone()),
+                }
                 answer(&self.state().objects[&(kind.to_owned(), name.to_owned())])
             }
             _ => refusal(404),
@@ -129,10 +168,25 @@
         self.state().calls
     }
 
-    fn list(&self, kind: &str) -> Value {
+    /// Sets how many objects a page of a list has.
+    pub fn set_page(&self, objects: usize) {
+        self.state().page = Some(objects);
+    }
+
+    fn list(&self, kind: &str, after: &str) -> Value {
         let state = self.state();
-        let items = state.objects.iter().filter(|((k, _), _)| k == kind).map(|(_, object)| object.clone());
-        json!({"items": items.collect::<Vec<_>>(), "more": false, "at": state.revision})
+        let after = if state.fault == StoreFault::RepeatsPage { "" } else { after };
+        let page = state.page.unwrap_or(usize::MAX);
+        let from = (kind.to_owned(), after.to_owned());
+        let behind = state.objects.range(from..).filter(|((_, name), _)| name != after);
+        let mut items: Vec<&Value> = behind
+            .take_while(|((k, _), _)| k == kind)
+            .map(|(_, object)| object)
+            .take(page.saturating_add(1))
+            .collect();
+        let more = items.len() > page;
+        items.truncate(page);
+        json!({"items": items, "more": more, "at": state.revision})
     }
 
     fn events(&self, kind: &str, since: u64) -> Vec<Value> {
@@ -146,7 +200,7 @@
         let until = tokio::time::Instant::now() + wait;
         loop {
             match self.state().fault {
-                StoreFault::None => {}
+                StoreFault::None | StoreFault::RepeatsPage => {}
                 StoreFault::Refuses => return refusal(503),
                 StoreFault::ForgetsHistory => return refusal(410),
             }
@@ -210,7 +264,7 @@
         let wait = query(&req, "waitMs").and_then(|wait| wait.parse().ok()).unwrap_or(0);
         match since {
             Some(since) => self.watch(kind, since, Duration::from_millis(wait)).await,
-            None => answer(&self.list(kind)),
+            None => answer(&self.list(kind, query(&req, "after").unwrap_or_default())),
         }
     }
 }
