upgrades: errors of a new version are looked at alone too

A quarter of a new version's answers were errors, and it succeeded: errors and slow answers were counted together, and where a service is often slow by its own middle, as with answers of some ms, so many bad ones are usual that errors do not show. Both are looked at now, on each route and over all. test_errors_tell_a_worse_version_of_a_service_with_uneven_times failed first (Sound).

Ruled out: a chance that is less strict, as it makes good versions fail. The table of the model is unchanged.

--- a/lib/src/gateway/upgrade_verdict.rs
+++ b/lib/src/gateway/upgrade_verdict.rs
@@ -7,6 +7,7 @@
 use derive_more::Display;
 
 use crate::gateway::answer_counts::AnswerCounts;
+use crate::gateway::answer_counts::Answers;
 use crate::gateway::answer_counts::Compared;
 use crate::gateway::answer_counts::Measure;
 use crate::gateway::routing::RouteId;
@@ -50,7 +51,7 @@
     pub usual: f64,
 }
 
-/// Bad answers of all, of both versions.
+/// Answers of one kind, such as errors, among all answers of both versions.
 #[derive(Clone, Copy, Debug, Default)]
 struct Bad {
     present: u32,
@@ -60,20 +61,24 @@
 }
 
 impl Bad {
-    fn of(counts: &Compared) -> Self {
-        let Compared { present, target } = counts;
-        let is_known = present.count() >= LEAST_PRESENT;
-        let slow = present.middle().filter(|_| is_known).map(|middle| middle + SLOW_STEPS);
-        let slow_of =
-            |answers: &crate::gateway::answer_counts::Answers| slow.map_or(0, |slow| answers.from_step(slow));
+    fn errors(Compared { present, target }: &Compared) -> Self {
         Bad {
-            present: present.failed + slow_of(present),
+            present: present.failed,
             of_present: present.count(),
-            target: target.failed + slow_of(target),
+            target: target.failed,
             of_target: target.count(),
         }
     }
 
+    fn errors_and_slow(counts: &Compared) -> Self {
+        let Compared { present, target } = counts;
+        let is_known = present.count() >= LEAST_PRESENT;
+        let slow = present.middle().filter(|_| is_known).map(|middle| middle + SLOW_STEPS);
+        let slow_of = |answers: &Answers| slow.map_or(0, |slow| answers.from_step(slow));
+        let errors = Bad::errors(counts);
+        Bad { present: errors.present + slow_of(present), target: errors.target + slow_of(target), ..errors }
+    }
+
     fn add(self, other: Bad) -> Bad {
         Bad {
             present: self.present + other.present,
@@ -101,19 +106,21 @@
     }
 }
 
-/// What the counts of all nodes say.
+/// What the counts of all nodes say. Errors are looked at alone too: a service that is often slow would hide them.
 pub fn verdict(counts: &AnswerCounts) -> Verdict {
-    let mut all = Bad::default();
+    let (mut all_errors, mut all) = (Bad::default(), Bad::default());
     for (route, measure, compared) in counts.iter() {
-        let bad = Bad::of(compared);
-        if let Some(difference) = bad.difference(Some(route.clone()), measure) {
+        let (errors, bad) = (Bad::errors(compared), Bad::errors_and_slow(compared));
+        let worse = [errors, bad].into_iter().find_map(|bad| bad.difference(Some(route.clone()), measure));
+        if let Some(difference) = worse {
             return Verdict::Worse(difference);
         }
         if measure == Measure::Answer {
-            all = all.add(bad);
+            (all_errors, all) = (all_errors.add(errors), all.add(bad));
         }
     }
-    match all.difference(None, Measure::Answer) {
+    let worse = [all_errors, all].into_iter().find_map(|bad| bad.difference(None, Measure::Answer));
+    match worse {
         Some(difference) => Verdict::Worse(difference),
         None if all.of_target == 0 => Verdict::Unknown,
         None => Verdict::Sound,
--- a/lib/tests/test_gateway_upgrade.rs
+++ b/lib/tests/test_gateway_upgrade.rs
@@ -203,6 +203,17 @@
     assert!(matches!(upgrade_verdict::verdict(&counts((6, 0), (2, 6), slow)), Verdict::Sound));
 }
 
+/// A fifth of the present version's answers take several times as long as the others, and none fails.
+#[test]
+fn test_errors_tell_a_worse_version_of_a_service_with_uneven_times() {
+    let mut counts = counts((272, 0), (27, 11), Sample::Failed);
+    let slow = Sample::Took(Measure::Answer, secs(0.3));
+    (0..68).for_each(|_| counts.on_sample(&"r".into(), Side::Present, slow));
+    (0..8).for_each(|_| counts.on_sample(&"r".into(), Side::Target, slow));
+    let verdict = upgrade_verdict::verdict(&counts);
+    assert!(matches!(verdict, Verdict::Worse(_)), "a quarter fails, and none is usual: {verdict:?}");
+}
+
 #[test]
 fn test_chances_are_those_of_the_binomial_distribution() {
     let close = |a: f64, b: f64| (a - b).abs() < 1e-9;
