gateway: nodes log which replicas say in answers that they leave, and what is still sent there

Cause: the logs of the incident could not tell when a node heard such a word, nor that it sent a request to a replica whose word it had heard, and so not "nobody reads it" from "it is read and taken back" or "it is passed by on the way".

Change: the header is read from the head of each answer, kept by start of the replica, and logged (leaving_said, sent_to_leaving). Nothing is decided by it yet.

Ruled out: a line for each answer with its replica, as that is a line more for each call.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -44,6 +44,7 @@
 pub mod room_forecast;
 pub mod routing;
 pub mod run_key;
+pub mod said_leaving;
 pub mod service_index;
 pub mod shortage;
 pub mod sound_runs;
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -167,6 +167,9 @@
         return Err(SendError::Foreign);
     }
     traffic.note_headers(&head.headers);
+    if headers::says_leaving(&head.headers) {
+        traffic.on_said_leaving(req, replica);
+    }
     traffic.on_limit_word(replica, headers::limit_word(head.status, &head.headers), sent_at);
     Ok(Exchange { status: head.status, headers: head.headers, body, head_came: Instant::now(), connection })
 }
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -16,6 +16,7 @@
 use leadstage_lib::gateway::retry_window::RetryShare;
 use leadstage_lib::gateway::retry_window::RetryWindow;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::said_leaving::SaidLeaving;
 use leadstage_lib::gateway::sound_runs::SoundRuns;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::Timestamp;
@@ -51,6 +52,7 @@
     retries: Rc<RefCell<HashMap<ServiceId, RetryWindow>>>,
     /// Requests that replicas answered lately.
     pub sound_runs: Rc<RefCell<SoundRuns>>,
+    said_leaving: Rc<RefCell<SaidLeaving>>,
     /// The headers of replicas' answers that have been looked at.
     seen_headers: Rc<RefCell<HashSet<HeaderName>>>,
 }
@@ -63,6 +65,7 @@
             connections: Rc::default(),
             retries: Rc::default(),
             sound_runs: Rc::default(),
+            said_leaving: Rc::default(),
             seen_headers: Rc::default(),
         }
     }
@@ -131,6 +134,17 @@
             self.shared.metrics.on_sent_to_limited();
             info!(event = "sent_to_limited", request = req.id(), upstream = &*replica.id, limit, sent; "a request is sent to a replica that names a limit");
         }
+        if let Some(since) = self.said_leaving.borrow().since(&replica.incarnation()) {
+            let said_ms_ago = self.shared.now().saturating_sub(since).as_millis() as u64;
+            info!(event = "sent_to_leaving", request = req.id(), upstream = &*replica.id, said_ms_ago, sent; "a request is sent to a replica that said that it leaves");
+        }
+    }
+
+    /// A replica said in an answer that it leaves.
+    pub fn on_said_leaving(&self, req: &CallerRequest, replica: &ReplicaRecord) {
+        if self.said_leaving.borrow_mut().on_said(&replica.incarnation(), self.shared.now()) {
+            info!(event = "leaving_said", request = req.id(), upstream = &*replica.id; "a replica says in an answer that it leaves");
+        }
     }
 
     /// Logs each header of replicas' answers once that nobody has decided on: a replica may ask for something
