tests: replicas that say in their answers that they leave, known red

Six nodes and three replicas. More than a second after a node had passed on the word it sent 15 to 23 calls and 13 to 21 streams within 8 s (4 s without the store, 4 s after it is back with an entry that says "ready"), 1 after failures; nodes that had heard nothing themselves sent 7 to 14; generations stayed; and calls were served by replicas that had all said so. In the log: leaving_said once a node, then sent_to_leaving.

--- a/node/tests/limited_fleet.rs
+++ b/node/tests/limited_fleet.rs
@@ -81,7 +81,8 @@
         Instant::now() + BINDS_AFTER
     }
 
-    /// Calls go to the nodes at so many a second each for a time; all answers.
+    /// Calls go to the nodes at so many a second each for a time; all answers. Their ids begin with their node's
+    /// number.
     pub async fn load(
         &self,
         per_second: &[f64],
@@ -98,7 +99,7 @@
         let mut calls = JoinSet::new();
         for (n, (at, node)) in due.into_iter().enumerate() {
             tokio::time::sleep_until((began + at).into()).await;
-            let (address, req) = (self.gateway.front(node), make(&format!("r-{n}")));
+            let (address, req) = (self.gateway.front(node), make(&format!("{node}-{n}")));
             calls.spawn(async move {
                 let began = Instant::now();
                 let called = call(&address, req).await;
@@ -114,6 +115,16 @@
         seen.into_iter().map(|seen| seen.at).filter(|at| *at >= from).collect()
     }
 
+    /// When requests of one node's callers came to a replica, from a moment on.
+    pub fn arrivals_through(&self, node: usize, replica: usize, from: Instant) -> Vec<Instant> {
+        let through = format!("{node}-");
+        let seen = self.replicas[replica].replica.seen();
+        let its = seen
+            .into_iter()
+            .filter(|seen| seen.header("leadstage-request-id").is_some_and(|id| id.starts_with(&through)));
+        its.map(|seen| seen.at).filter(|at| *at >= from).collect()
+    }
+
     /// Asserts that no replica got more in any window than its limit allows.
     pub fn assert_all_kept(&self, limits: &[f64], from: Instant) {
         for (replica, limit) in limits.iter().enumerate() {
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_gateway_replica_limits;
 mod test_gateway_restarts;
 mod test_gateway_resuming;
+mod test_gateway_said_leaving;
 mod test_gateway_silent;
 mod test_gateway_slow_readers;
 mod test_gateway_soak;
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -196,6 +196,8 @@
     has_ended: bool,
     /// The limit that it names in its answers, as it stands there.
     limit: Option<String>,
+    /// What its answers say of its leaving, as it stands there.
+    leaving: Option<String>,
 }
 
 /// A replica.
@@ -301,6 +303,11 @@
         self.state().limit = limit.map(str::to_owned);
     }
 
+    /// Has all its answers say from now on that it leaves, or no more.
+    pub fn set_leaving(&self, leaving: Option<&str>) {
+        self.state().leaving = leaving.map(str::to_owned);
+    }
+
     /// Ends it with all its connections at once.
     pub fn end(&self) {
         let mut state = self.state();
@@ -571,13 +578,13 @@
     res
 }
 
-impl Answerer for GatewayReplica {
-    async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
+impl GatewayReplica {
+    async fn treat(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
         match req.uri().path() {
             "/v1/kv-move" => return self.copy(req).await,
             "/v1/report" => return self.report(),
             "/healthz" => {
-                let mut res = status(200);
+                let mut res = status(if self.state().leaving.is_some() { 503 } else { 200 });
                 res.headers_mut().insert("leadstage-instance-id", self.id.parse().expect("valid"));
                 return res;
             }
@@ -603,3 +610,13 @@
         self.call(req, fault).await
     }
 }
+
+impl Answerer for GatewayReplica {
+    async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
+        let mut res = self.clone().treat(req).await;
+        if let Some(leaving) = &self.state().leaving {
+            res.headers_mut().insert("server-leaving", leaving.parse().expect("valid"));
+        }
+        res
+    }
+}
