gateway: a replica that says in an answer that it leaves gets nothing new

Callers saw nothing by themselves: the replica serves on. Machines sent it requests 2.2 to 3.1 s after it had told them, and it could not end.

Cause: nobody read the word. While the store is away it is the only one that comes, and the class is one that the limits of replicas had: what a replica says of itself in its answers is passed on and not heard.

Change: the word is a sign of leaving of its own (LeavingSign::Said), from answers and from health. No entry or list takes it back, as each was written before; it replaces weaker signs; whoever hears it tells the other nodes, and generations move. A sign that a request saw (421 too) is told like one of the health's.

Ruled out: that other nodes hold the word against an entry as well. It would have to be told apart from hearsay in news and lists, and a node that learnt so of a start without a birth would never take its successor (test_changes_add_up_to_the_list found that in a trial). A last look before the send: test_no_lead_sends_a_node_back holds without it, as a lead's choice is checked at the node that asked.

--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -9,6 +9,7 @@
 use crate::gateway::replica_list::Revision;
 use crate::gateway::replica_record::Incarnation;
 use crate::gateway::replica_record::ReplicaRecord;
+use crate::gateway::said_leaving::LONGEST_LEAVING;
 use crate::ids::Timestamp;
 
 /// A replica that failed gets no new work for this long after the first failure; doubled
@@ -29,6 +30,9 @@
     /// Its entry says so.
     #[display("listed as leaving")]
     Listed,
+    /// It says so in its answers.
+    #[display("says so in its answers")]
+    Said,
     /// Its entry went away while the list was followed.
     #[display("no longer listed")]
     Unlisted,
@@ -48,7 +52,18 @@
     pub(super) fn is_taken_back(self) -> bool {
         match self {
             LeavingSign::Unlisted | LeavingSign::Unwell | LeavingSign::Told => true,
-            LeavingSign::Listed | LeavingSign::Replaced => false,
+            LeavingSign::Listed | LeavingSign::Said | LeavingSign::Replaced => false,
+        }
+    }
+
+    /// By when a replica that shows this sign now has ended, or is about to, where that can be told.
+    fn ends_by(self, now: Timestamp) -> Option<Timestamp> {
+        match self {
+            LeavingSign::Listed => None,
+            LeavingSign::Said => Some(now + LONGEST_LEAVING),
+            LeavingSign::Unlisted | LeavingSign::Unwell | LeavingSign::Told | LeavingSign::Replaced => {
+                Some(now)
+            }
         }
     }
 }
@@ -70,8 +85,8 @@
     errors_at: Timestamp,
     /// Since when its entry has been missing, perhaps only because the store was away.
     pub(super) missing_since: Option<Timestamp>,
-    /// Since when it is known to end, or to have ended, whatever its entry said.
-    pub(super) ends_since: Option<Timestamp>,
+    /// By when it is known to have ended, or to be about to, whatever its entry said.
+    pub(super) ends_by: Option<Timestamp>,
     /// The store's revision when other nodes would last have learnt something new of it.
     pub(super) changed_at: Revision,
 }
@@ -89,7 +104,7 @@
             errors_at: now,
             rest_until: Timestamp::ZERO,
             missing_since: None,
-            ends_since: None,
+            ends_by: None,
             changed_at: 0,
         }
     }
@@ -122,20 +137,28 @@
         self.errors * 0.5_f64.powf(halvings)
     }
 
-    /// A sign that it leaves; the first one counts. Returns whether it is news.
+    /// A sign that it leaves; the first one counts, and the first that no entry takes back. Returns whether it is
+    /// news.
     pub(super) fn on_sign(&mut self, sign: LeavingSign, now: Timestamp) -> bool {
-        if self.leaving.is_some() {
-            return false;
+        match self.leaving {
+            Some(known) if !known.is_taken_back() || sign.is_taken_back() => return false,
+            Some(_) => {}
+            None => self.leaving_since = now,
         }
         self.leaving = Some(sign);
-        self.leaving_since = now;
-        self.ends_since = (sign != LeavingSign::Listed).then_some(now);
+        self.ends_by = sign.ends_by(now);
         true
     }
 
+    /// Its entry is gone: it has ended or is about to, whatever it said before.
+    pub(super) fn on_entry_gone(&mut self, now: Timestamp) {
+        self.ends_by = Some(self.ends_by.map_or(now, |by| by.min(now)));
+        self.missing_since = None;
+    }
+
     /// It stays after all.
     pub(super) fn stay(&mut self) {
-        (self.leaving, self.ends_since) = (None, None);
+        (self.leaving, self.ends_by) = (None, None);
     }
 
     /// A request failed there for a reason of the replica's; `rests` if it gets no new work for a while.
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -54,7 +54,7 @@
     changed: BTreeSet<(Revision, UpstreamId)>,
     /// Those whose entries are missing, since when.
     missing: BTreeMap<UpstreamId, Timestamp>,
-    /// Those that are to be forgotten, by when they were first known to end.
+    /// Those that are to be forgotten, by when they will have ended.
     ending: BTreeSet<(Timestamp, UpstreamId)>,
     /// The newest change of a replica that is forgotten.
     forgotten_up_to: Revision,
@@ -69,7 +69,7 @@
 struct Indexed {
     /// Its service and hall, if it stays.
     stays: Option<(ServiceId, HallId)>,
-    ends_since: Option<Timestamp>,
+    ends_by: Option<Timestamp>,
     missing_since: Option<Timestamp>,
     changed_at: Option<Revision>,
 }
@@ -79,7 +79,7 @@
         let stays = replica.leaving.is_none();
         Indexed {
             stays: stays.then(|| (replica.record.service.clone(), replica.record.hall.clone())),
-            ends_since: replica.ends_since,
+            ends_by: replica.ends_by,
             missing_since: replica.missing_since,
             changed_at: Some(replica.changed_at).filter(|at| *at > 0),
         }
@@ -147,11 +147,11 @@
                 self.staying.entry(service.clone()).or_default().insert(hall, slot);
             }
         }
-        if let Some(since) = before.and_then(|before| before.ends_since) {
-            self.ending.remove(&(since, id.clone()));
+        if let Some(by) = before.and_then(|before| before.ends_by) {
+            self.ending.remove(&(by, id.clone()));
         }
-        if let Some(since) = after.and_then(|after| after.ends_since) {
-            self.ending.insert((since, id.clone()));
+        if let Some(by) = after.and_then(|after| after.ends_by) {
+            self.ending.insert((by, id.clone()));
         }
         let (missed, misses) = (before.and_then(|b| b.missing_since), after.and_then(|a| a.missing_since));
         if missed != misses {
@@ -238,9 +238,7 @@
     pub fn on_unlisted(&mut self, id: &str, now: Timestamp, change: &mut ListChange) {
         let is_news = self.update(id, |replica| {
             let is_news = replica.on_sign(LeavingSign::Unlisted, now);
-            // One that had said that it leaves has ended.
-            replica.ends_since.get_or_insert(now);
-            replica.missing_since = None;
+            replica.on_entry_gone(now);
             is_news.then(|| replica.record.id.clone())
         });
         change.leaving.extend(is_news.flatten());
@@ -283,8 +281,8 @@
         for id in overdue {
             self.on_unlisted(&id, now, &mut change);
         }
-        while let Some((since, id)) = self.ending.first().cloned()
-            && now > since + forget_after
+        while let Some((by, id)) = self.ending.first().cloned()
+            && now > by + forget_after
         {
             self.forget(&id);
         }
--- a/lib/tests/test_gateway_replicas.rs
+++ b/lib/tests/test_gateway_replicas.rs
@@ -10,6 +10,7 @@
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::retry_window::RetryShare;
 use leadstage_lib::gateway::retry_window::RetryWindow;
+use leadstage_lib::gateway::said_leaving::LONGEST_LEAVING;
 
 /// An entry of service `m`.
 pub fn record(id: &str, leaving: bool) -> ReplicaRecord {
@@ -86,6 +87,42 @@
     assert_eq!(usable(&table, seconds(3)), ["a"]);
 }
 
+/// Also where it was taken to leave for a weaker sign before.
+#[test]
+fn test_no_entry_takes_back_what_a_replica_said_itself() {
+    let mut table = ReplicaTable::default();
+    table.on_list(vec![record("a", false), record("b", false)], false, seconds(1));
+    let of = |id| record(id, false).incarnation();
+    assert!(table.on_sign(&of("a"), LeavingSign::Said, seconds(2)));
+    assert!(!table.on_sign(&of("a"), LeavingSign::Said, seconds(2)), "no news");
+    assert!(table.on_sign(&of("b"), LeavingSign::Unwell, seconds(2)));
+    assert!(table.on_sign(&of("b"), LeavingSign::Said, seconds(2)), "no entry takes it back now");
+    let mut change = ListChange::default();
+    for id in ["a", "b"] {
+        table.on_entry(record(id, false), seconds(3), &mut change);
+    }
+    assert_eq!((change, usable(&table, seconds(3))), (ListChange::default(), Vec::new()));
+}
+
+/// It serves on for as long as the store is away, and its old entry may be there still: it is forgotten when its entry
+/// is gone, or has ended for sure.
+#[test]
+fn test_a_replica_that_said_that_it_leaves_is_not_forgotten_while_it_may_serve() {
+    let mut table = ReplicaTable::default();
+    table.on_list(vec![record("a", false), record("b", false)], false, seconds(1));
+    for id in ["a", "b"] {
+        table.on_sign(&record(id, false).incarnation(), LeavingSign::Said, seconds(2));
+    }
+    let forget_after = seconds(30);
+    table.tick(seconds(100), forget_after);
+    assert_eq!(table.len(), 2);
+    table.on_unlisted("a", seconds(100), &mut ListChange::default());
+    table.tick(seconds(131), forget_after);
+    assert!(table.get("a").is_none() && table.get("b").is_some());
+    table.tick(seconds(33) + LONGEST_LEAVING, forget_after);
+    assert!(table.is_empty());
+}
+
 #[test]
 fn test_failures_rest_a_replica_longer_each_time() {
     let mut table = ReplicaTable::default();
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -108,7 +108,7 @@
             ToControl::FirstEvent(run) => self.placing.on_own_first_event(&self.fleet, run),
             ToControl::Copied(run) => self.placing.on_own_copied(&self.fleet, run),
             ToControl::Ended(run, outcome) => self.placing.on_ended(&self.fleet, run, outcome),
-            ToControl::Sign(of, sign) => self.replicas.on_sign(&mut self.placing, &of, sign),
+            ToControl::Sign(of, sign) => self.replicas.on_sign(&mut self.placing, &self.fleet, &of, sign),
             ToControl::Health(of, health) => {
                 self.replicas.on_health(&mut self.placing, &self.fleet, of, health)
             }
--- a/node/src/gateway/control/crash_intake.rs
+++ b/node/src/gateway/control/crash_intake.rs
@@ -142,7 +142,7 @@
             let is_planned = replica.leaving_since < since + PLANS_COME_WITHIN;
             match replica.leaving {
                 _ if is_later_start => self.on_gone(fleet, &of),
-                Some(LeavingSign::Listed) => self.pending.on_lives(&of),
+                Some(LeavingSign::Listed | LeavingSign::Said) => self.pending.on_lives(&of),
                 Some(_) if is_planned => self.pending.on_lives(&of),
                 Some(LeavingSign::Unlisted | LeavingSign::Replaced) => self.on_gone(fleet, &of),
                 Some(LeavingSign::Told | LeavingSign::Unwell) | None => {}
@@ -283,7 +283,7 @@
 
 async fn ask(shared: Arc<Shared>, replica: Arc<ReplicaRecord>, path: String) {
     let shown = match health::ask(&replica, &path, ASK_LIMIT).await {
-        Health::Well { .. } | Health::Unwell => Shown::Lives,
+        Health::Well { .. } | Health::Unwell | Health::Leaving => Shown::Lives,
         Health::Other => Shown::Replaced,
         Health::Closed => Shown::PortClosed,
         Health::Silent => Shown::Silent,
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -144,11 +144,15 @@
         }
     }
 
-    /// A replica showed a request of this node that it leaves.
-    pub fn on_sign(&mut self, placing: &mut Placing, of: &Incarnation, sign: LeavingSign) {
-        if placing.knowledge.replicas.on_sign(of, sign, self.shared.now()) {
-            self.evacuate(placing, &of.id, sign);
+    /// A replica showed this node that it leaves: in an answer, or when it was asked for its health.
+    pub fn on_sign(&mut self, placing: &mut Placing, fleet: &Fleet, of: &Incarnation, sign: LeavingSign) {
+        let replicas = &mut placing.knowledge.replicas;
+        if !replicas.on_sign(of, sign, self.shared.now()) {
+            return;
         }
+        let change = ListChange { leaving: vec![of.id.clone()], ..ListChange::default() };
+        self.after_news(placing, &change, 0);
+        self.tell(fleet, &ReplicaNews { leaving: vec![of.clone()], ..ReplicaNews::default() });
     }
 
     /// A replica was asked for its health.
@@ -158,15 +162,11 @@
         let sign = match health {
             Health::Well { cold } => return placing.knowledge.replicas.on_cold(&of.id, cold, now),
             Health::Unwell => LeavingSign::Unwell,
+            Health::Leaving => LeavingSign::Said,
             Health::Other => LeavingSign::Replaced,
             Health::Silent | Health::Closed => return placing.knowledge.replicas.on_failure_of(&of, now),
         };
-        if placing.knowledge.replicas.on_sign(&of, sign, now) {
-            let change = ListChange { leaving: vec![of.id.clone()], ..ListChange::default() };
-            self.after_news(placing, &change, 0);
-            let news = ReplicaNews { leaving: vec![of], ..ReplicaNews::default() };
-            self.tell(fleet, &news);
-        }
+        self.on_sign(placing, fleet, &of, sign);
     }
 
     /// The store told of its replicas.
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -144,6 +144,7 @@
     pub fn on_said_leaving(&self, req: &CallerRequest, replica: &ReplicaRecord) {
         if self.said_leaving.borrow_mut().on_said(&replica.incarnation(), self.shared.now()) {
             info!(event = "leaving_said", request = req.id(), upstream = &*replica.id; "a replica says in an answer that it leaves");
+            self.shared.tell(ToControl::Sign(replica.incarnation(), LeavingSign::Said));
         }
     }
 
