gateway: nodes log which replicas ask them for rest, and what is still sent there

Cause: the logs of the incident say that a replica turned a request away, not what it asked for, and so not how much of its rest was left when the next request went there. platform/src/fields.rs called Retry-After read; of replicas' answers nothing read it.

Change: the time is read from the head of each 503, kept by replica and node, and logged (rest_asked, sent_to_resting). Nothing is decided by it yet.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -4,6 +4,7 @@
 //! `platform/` fills its types from what the platform says.
 
 pub mod answer_counts;
+pub mod asked_rests;
 pub mod canary;
 pub mod choice;
 pub mod closed_halls;
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -170,6 +170,7 @@
     if headers::says_leaving(&head.headers) {
         traffic.on_said_leaving(req, replica);
     }
+    traffic.on_rest_word(req, replica, &head, sent_at);
     traffic.on_limit_word(replica, headers::limit_word(head.status, &head.headers), sent_at);
     Ok(Exchange { status: head.status, headers: head.headers, body, head_came: Instant::now(), connection })
 }
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -9,6 +9,8 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::StatusCode;
+use http::response::Parts;
+use leadstage_lib::gateway::asked_rests::AskedRests;
 use leadstage_lib::gateway::replica::LeavingSign;
 use leadstage_lib::gateway::replica_limits::AnswerTimes;
 use leadstage_lib::gateway::replica_limits::LimitWord;
@@ -22,6 +24,7 @@
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::fields;
+use leadstage_platform::headers;
 use log::info;
 use log::warn;
 
@@ -53,6 +56,7 @@
     /// Requests that replicas answered lately.
     pub sound_runs: Rc<RefCell<SoundRuns>>,
     said_leaving: Rc<RefCell<SaidLeaving>>,
+    rests: Rc<RefCell<AskedRests>>,
     /// The headers of replicas' answers that have been looked at.
     seen_headers: Rc<RefCell<HashSet<HeaderName>>>,
 }
@@ -66,6 +70,7 @@
             retries: Rc::default(),
             sound_runs: Rc::default(),
             said_leaving: Rc::default(),
+            rests: Rc::default(),
             seen_headers: Rc::default(),
         }
     }
@@ -138,6 +143,26 @@
             let said_ms_ago = self.shared.now().saturating_sub(since).as_millis() as u64;
             info!(event = "sent_to_leaving", request = req.id(), upstream = &*replica.id, said_ms_ago, sent; "a request is sent to a replica that said that it leaves");
         }
+        let (of, now) = (replica.incarnation(), self.shared.now());
+        let mut rests = self.rests.borrow_mut();
+        if let Some(left) = rests.left(&of, now) {
+            let left_ms = left.as_millis() as u64;
+            info!(event = "sent_to_resting", request = req.id(), upstream = &*replica.id, left_ms, sent; "a request is sent to a replica that asked this node for rest");
+        }
+        rests.on_sending(&of, now);
+    }
+
+    /// The head of an answer came to a request that was sent at `sent`: the replica asks for rest, or does not.
+    pub fn on_rest_word(&self, req: &CallerRequest, replica: &ReplicaRecord, head: &Parts, sent: Timestamp) {
+        let mut rests = self.rests.borrow_mut();
+        match headers::rest_asked(head.status, &head.headers) {
+            Some(rest) => {
+                rests.on_asked(replica, rest, self.shared.now());
+                info!(event = "rest_asked", request = req.id(), upstream = &*replica.id, rest_ms = rest.as_millis() as u64; "a replica asks this node for rest");
+            }
+            None if head.status == StatusCode::SERVICE_UNAVAILABLE => {}
+            None => rests.on_answer(&replica.incarnation(), sent),
+        }
     }
 
     /// A replica said in an answer that it leaves.
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -198,6 +198,8 @@
     limit: Option<String>,
     /// What its answers say of its leaving, as it stands there.
     leaving: Option<String>,
+    /// The rest that it asks for when it turns a request away, as it stands there.
+    rest: Option<String>,
 }
 
 /// A replica.
@@ -308,6 +310,11 @@
         self.state().leaving = leaving.map(str::to_owned);
     }
 
+    /// Has it ask for rest when it turns a request away from now on, or no more.
+    pub fn set_rest(&self, rest: Option<&str>) {
+        self.state().rest = rest.map(str::to_owned);
+    }
+
     /// Ends it with all its connections at once.
     pub fn end(&self) {
         let mut state = self.state();
@@ -365,6 +372,9 @@
         *res.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
         *res.headers_mut() = self.headers(req, ReplicaFault::None);
         res.headers_mut().insert("leadstage-not-executed", "1".parse().expect("valid"));
+        if let Some(rest) = &self.state().rest {
+            res.headers_mut().insert("retry-after", rest.parse().expect("valid"));
+        }
         res
     }
 
