tests: replicas that turn requests away and ask for rest, known red

Six nodes; two of five replicas, or all of three, answer 503 with Retry-After: 3. A node sent 4 calls, 7 calls that may be repeated, 7 streams, and where all shed 17 calls and 9 streams, between half a second after it was asked and the end of the 3 s; two are allowed. In the log: rest_asked, then sent_to_resting with sent=0.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_callers;
 mod test_calls;
 mod test_clocks;
+mod test_gateway_asked_rests;
 mod test_gateway_calls;
 mod test_gateway_closed_halls;
 mod test_gateway_config_ways;
