gateway: a replica that asks a node for rest gets it

Callers saw: a third of the calls that may not be repeated were refused, as a replica that turned all away was chosen for them again and again: 14 to 26 requests a second, where each node may send two in three seconds.

Cause: the time that a replica names with a 503 was read by nobody, though the table of fields said so.

Change: a node sends nothing to a replica until the rest that it asked this node for is over; it tells whoever places its requests (Wanted::resting), looks once more before the send, and then tries one request after the other until one is taken. A generation whose memory is there may go on there, once in a rest. Where all replicas of a service rest, a request is refused at once, before a lead is asked, with the end of the first rest as the time to come back. Other nodes are not told: the rest is one node's.

Ruled out: to count a rest among the excluded replicas, as a repeat is known by these and is less urgent for grants; to let a generation wait for the end of the rest, as its caller is better told when to return.

--- a/node/src/gateway/control/knowledge/eligible.rs
+++ b/node/src/gateway/control/knowledge/eligible.rs
@@ -17,6 +17,7 @@
 use leadstage_lib::gateway::run_key::RunKey;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::Timestamp;
+use leadstage_lib::ids::UpstreamId;
 use rand::seq::IndexedRandom;
 
 use crate::gateway::control::knowledge::Knowledge;
@@ -53,6 +54,14 @@
         open.map(|(_, replicas)| replicas).sum()
     }
 
+    /// Whether a request may go to none of the open replicas, as each has asked its node for rest or was tried.
+    pub fn is_kept_from_all(&self, wanted: &Wanted) -> bool {
+        let excluded = wanted.exclude.len() + wanted.resting.len();
+        !wanted.resting.is_empty()
+            && excluded >= self.count_open(&wanted.service)
+            && self.open(&wanted.service).all(|replica| is_excluded(wanted, &replica.record.id))
+    }
+
     /// Whether a replica may get requests.
     pub fn is_open(&self, id: &str) -> bool {
         let halls = self.shared.closed_halls();
@@ -157,7 +166,7 @@
         let id = &replica.record.id;
         let is_left_to_others = || self.limits.borrow().limits.is_left_to_others(id, self.shared.now());
         takes_requests(replica, halls)
-            && !wanted.exclude.contains(id)
+            && !is_excluded(wanted, id)
             && (wanted.regions.is_any()
                 || self.shared.settings.regions.allows(&wanted.regions, &replica.record.hall))
             && !(*leaves_to_others && is_left_to_others())
@@ -235,6 +244,11 @@
     }
 }
 
+/// Whether a request may not go to a replica that others may go to.
+fn is_excluded(wanted: &Wanted, id: &UpstreamId) -> bool {
+    wanted.exclude.contains(id) || wanted.resting.contains(id)
+}
+
 /// Whether a replica may get requests.
 pub(super) fn takes_requests(replica: &Replica, halls: &ClosedHalls) -> bool {
     replica.leaving.is_none() && halls.is_open(&replica.record.hall)
--- a/node/src/gateway/control/lead_desk.rs
+++ b/node/src/gateway/control/lead_desk.rs
@@ -75,7 +75,7 @@
 /// What became of a question at once.
 pub enum Outcome {
     /// It is answered.
-    Decided(Decision),
+    Decided(Box<Decision>),
     /// It waits; this node is to be told so.
     Waits(RunKey, Option<SocketAddr>),
 }
@@ -110,7 +110,7 @@
         if ask.patience.is_zero() || !waits {
             let chosen = choose(knowledge, &ask, MayWait::No);
             let chosen = chosen.map_err(|_| knowledge.no_room(&ask.wanted));
-            return Outcome::Decided(Decision { ask, chosen });
+            return Outcome::Decided(Box::new(Decision { ask, chosen }));
         }
         let (room, terms) = (room_of(&ask), terms(knowledge, &ask));
         let key = ask.key.clone();
@@ -120,8 +120,8 @@
         };
         let queue = self.queues.entry(room.clone()).or_insert_with(|| LeadQueue::new(self.policy));
         match queue.ask(ask, &terms, &mut EnginesOf { knowledge, room, now }, now) {
-            Asked::Given(ask, replica) => Outcome::Decided(Decision { ask, chosen: Ok(replica) }),
-            Asked::Refused(ask, expected) => Outcome::Decided(refusal(ask, expected)),
+            Asked::Given(ask, replica) => Outcome::Decided(Box::new(Decision { ask, chosen: Ok(replica) })),
+            Asked::Refused(ask, expected) => Outcome::Decided(Box::new(refusal(ask, expected))),
             Asked::Waits => Outcome::Waits(key, there),
         }
     }
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -103,6 +103,10 @@
             leaves_after: request.leaves_after,
             asker: Asker::Here { request: request.request, stream: request.stream, reply },
         };
+        if self.knowledge.is_kept_from_all(&ask.wanted) {
+            let chosen = Err(self.knowledge.no_room(&ask.wanted));
+            return self.answer(Decision { ask, chosen });
+        }
         match self.lead_for(fleet, &ask) {
             Some((lead, address)) => self.questions.ask(ask, lead, address),
             None if ask.wanted.size.is_none() => self.place_plain(fleet, ask, 0),
@@ -130,7 +134,7 @@
     fn decide_here(&mut self, ask: Ask) {
         self.update_progress();
         match self.desk.ask(&mut self.knowledge, ask, self.shared.now()) {
-            lead_desk::Outcome::Decided(decision) => self.answer(decision),
+            lead_desk::Outcome::Decided(decision) => self.answer(*decision),
             lead_desk::Outcome::Waits(key, Some(there)) => {
                 self.outbox.send(there, &PeerMessage::Waits(key.run))
             }
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -111,6 +111,7 @@
             from: None,
             hall: traffic.shared.settings.hall.clone(),
             exclude: exclude.to_vec(),
+            resting: Vec::new(),
             regions: req.regions(),
         },
         priority: req.priority(),
@@ -118,7 +119,7 @@
         leaves_after: Duration::ZERO,
         stream: None,
     };
-    traffic.shared.place(request).await
+    traffic.place(request).await
 }
 
 async fn attempt(
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -190,6 +190,8 @@
     pub hall: HallId,
     /// Replicas that are out of the question.
     pub exclude: Vec<UpstreamId>,
+    /// Replicas that have asked the node of its caller for rest.
+    pub resting: Vec<UpstreamId>,
     /// Where it may be served.
     pub regions: AllowedRegions,
 }
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -210,6 +210,7 @@
                 from: Some(self.source.id.clone()),
                 hall: self.source.hall.clone(),
                 exclude: exclude.to_vec(),
+                resting: Vec::new(),
                 regions: self.req.regions(),
             },
             priority: evacuation::rank(self.req.generation_size(), produced),
@@ -217,7 +218,7 @@
             leaves_after: patience,
             stream: Some(self.handle.clone()),
         };
-        self.traffic.shared.place(request).await.ok()
+        self.traffic.place(request).await.ok()
     }
 
     async fn copy_to(&self, target: RunGuard) -> Result<Copied, NotCopied> {
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -42,6 +42,9 @@
     /// The replica's hall is closed: nothing was sent.
     #[display("its hall is closed")]
     HallClosed,
+    /// The replica asked this node for rest: nothing was sent.
+    #[display("it asked for rest")]
+    Resting,
     /// The replica's version was given up: nothing was sent.
     #[display("its version was given up")]
     VersionReverted,
@@ -81,11 +84,16 @@
     info!(event = "attempt_failed", request = req.id(), upstream = &*run.placed.replica.id, reason:% = err; "attempt failed");
     let says_nothing = matches!(
         err,
-        SendError::HallClosed | SendError::VersionReverted | SendError::Quarantined | SendError::Withdrawn
+        SendError::HallClosed
+            | SendError::Resting
+            | SendError::VersionReverted
+            | SendError::Quarantined
+            | SendError::Withdrawn
     );
     run.end(if says_nothing { Outcome::Withdrawn } else { Outcome::Failed });
     match err {
         SendError::HallClosed
+        | SendError::Resting
         | SendError::VersionReverted
         | SendError::Quarantined
         | SendError::NotSent(_) => None,
@@ -138,6 +146,9 @@
     if !traffic.shared.closed_halls().is_open(&replica.hall) {
         return Err(SendError::HallClosed);
     }
+    if traffic.lets_rest(replica, added.resume.is_some_and(|resume| resume.copy.is_some())) {
+        return Err(SendError::Resting);
+    }
     if traffic.is_reverted(req, replica) {
         return Err(SendError::VersionReverted);
     }
--- a/node/src/gateway/upstream/resuming.rs
+++ b/node/src/gateway/upstream/resuming.rs
@@ -51,7 +51,9 @@
         Ok(exchanged) if exchanged.status.is_success() => return Ok(exchanged),
         Ok(exchanged) if exchanged.says_not_run() => (NotResumed::Refused, exchanged.status.to_string()),
         Ok(exchanged) => (NotResumed::Failed, exchanged.status.to_string()),
-        Err(err @ (SendError::HallClosed | SendError::Quarantined)) => (NotResumed::Refused, err.to_string()),
+        Err(err @ (SendError::HallClosed | SendError::Resting | SendError::Quarantined)) => {
+            (NotResumed::Refused, err.to_string())
+        }
         Err(err @ SendError::NotSent(_)) => (NotResumed::Unreached, err.to_string()),
         Err(err) => (NotResumed::Unknown, err.to_string()),
     };
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -5,6 +5,7 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::HeaderMap;
 use http::HeaderName;
@@ -42,6 +43,10 @@
 /// not take all of it.
 const LEAST_NODES: usize = 6;
 
+/// Resting replicas that whoever places a request is told of at most: a message has room for some hundreds, and one
+/// that is chosen all the same is not sent to.
+const MOST_RESTING_TOLD: usize = 100;
+
 /// Names of headers that are remembered at most.
 const MOST_HEADERS_SEEN: usize = 64;
 
@@ -112,6 +117,7 @@
                 from: None,
                 hall: self.shared.settings.hall.clone(),
                 exclude: exclude.to_vec(),
+                resting: Vec::new(),
                 regions: req.regions(),
             },
             priority: req.priority(),
@@ -119,7 +125,29 @@
             leaves_after: stop::may_wait(&self.shared, req),
             stream: Some(handle.clone()),
         };
-        self.shared.place(request).await
+        self.place(request).await
+    }
+
+    /// Asks for a replica that has not asked this node for rest.
+    pub async fn place(&self, mut request: PlaceRequest) -> Result<RunGuard, NoRoom> {
+        let now = self.shared.now();
+        let (resting, left): (Vec<UpstreamId>, Vec<Duration>) = {
+            let rests = self.rests.borrow();
+            let of_service = rests.of_service(&request.wanted.service, now).take(MOST_RESTING_TOLD);
+            of_service.map(|(id, left)| (id.clone(), left)).unzip()
+        };
+        request.wanted.resting = resting;
+        let soonest = left.into_iter().min();
+        let placed = self.shared.place(request).await;
+        placed.map_err(|no_room| NoRoom { expected: no_room.expected.into_iter().chain(soonest).min() })
+    }
+
+    /// Whether a request may be sent to a replica, which may have asked for rest since it was chosen. `goes_on` is set
+    /// for a generation whose memory is there.
+    pub fn lets_rest(&self, replica: &ReplicaRecord, goes_on: bool) -> bool {
+        let (of, now) = (replica.incarnation(), self.shared.now());
+        let mut rests = self.rests.borrow_mut();
+        if goes_on { !rests.may_go_on(&of, now) } else { rests.left(&of, now).is_some() }
     }
 
     /// A request for a service came: it adds to the retry budget.
