gateway: nodes log the store's era, news that are kept back, and up to where they know the replicas

Cause: the logs of the incident could not tell up to which revision a node knew the replicas, nor that a watcher held news back for theirs, and so not "revisions are compared across a return from a copy" from lost messages.

Change: the header Store-Era is read from answers to lists and watches; a follower logs a change of it (store_era), a watcher news that it tells nobody (news_kept), and the levels carry replicas_at. Nothing is decided by it yet.

--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -209,7 +209,7 @@
         if now >= self.last_levels_line + LEVELS_LINE_INTERVAL {
             self.last_levels_line = now;
             let peer_bytes = self.shared.metrics.peer_bytes_so_far();
-            info!(event = "levels", open = levels.open, waiting = levels.waiting, nodes = levels.nodes, config = self.shared.config_version(), config_age_ms = levels.config_age.as_millis() as u64, replicas_age_ms = levels.replicas_age.as_millis() as u64, peer_bytes; "levels");
+            info!(event = "levels", open = levels.open, waiting = levels.waiting, nodes = levels.nodes, config = self.shared.config_version(), config_age_ms = levels.config_age.as_millis() as u64, replicas_age_ms = levels.replicas_age.as_millis() as u64, replicas_at = self.shared.replicas_at(), peer_bytes; "levels");
             self.log_peer_traffic();
         }
     }
--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -8,6 +8,7 @@
 
 use leadstage_lib::gateway::watchers::WatchRole;
 use leadstage_lib::retry::Backoff;
+use leadstage_platform::store::Era;
 use leadstage_platform::store::Revision;
 use leadstage_platform::store::Store;
 use leadstage_platform::store::StoreError;
@@ -91,6 +92,7 @@
         age: K::FIRST_AGE,
         at: None,
         is_new: true,
+        era: None,
         lost: false,
         backoff,
         noted: BTreeSet::new(),
@@ -113,6 +115,8 @@
     at: Option<Revision>,
     /// The revision to watch from has not been watched from yet.
     is_new: bool,
+    /// The era of the last answer.
+    era: Option<Era>,
     /// The last call had no answer.
     lost: bool,
     backoff: Backoff,
@@ -136,7 +140,7 @@
         // If the history does not reach back to an old list, the next one is to be new.
         self.age = Age::Newest;
         self.is_new = true;
-        let after_outage = self.on_answer(list.at);
+        let after_outage = self.on_answer(list.at, list.era);
         self.shared.tell((self.wrap)(News::Listed { list, after_outage }));
         Ok(())
     }
@@ -148,7 +152,7 @@
         let changes = changes?;
         self.note_undecided(&changes.undecided);
         self.is_new = false;
-        self.on_answer(changes.at);
+        self.on_answer(changes.at, changes.era);
         self.shared.tell((self.wrap)(News::Changed(changes)));
         let pause = self.pace.gathers_for();
         if !pause.is_zero() {
@@ -167,7 +171,11 @@
     }
 
     /// Returns whether calls before had no answer.
-    fn on_answer(&mut self, at: Revision) -> bool {
+    fn on_answer(&mut self, at: Revision, era: Era) -> bool {
+        let before = self.era.replace(era);
+        if before.is_some_and(|before| before != era) {
+            info!(event = "store_era", kind = K::NAME, before:? = before, now = era, revision = at; "the store has come back from a copy");
+        }
         self.at = Some(at);
         self.backoff.reset();
         self.shared.set_store_answers(true);
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -196,6 +196,8 @@
         if at > before && before > 0 {
             let part = Part::default();
             self.gather(placing, fleet, ReplicaNews { before, at, added, leaving, part });
+        } else if before > 0 && !(added.is_empty() && leaving.is_empty()) {
+            info!(event = "news_kept", added = added.len(), leaving = leaving.len(), at, before; "news of the store is no newer than what is known, and not told");
         }
     }
 
--- a/testutils/src/metadata_store.rs
+++ b/testutils/src/metadata_store.rs
@@ -44,6 +44,15 @@
     calls: u64,
     /// Objects in one page of a list; all without.
     page: Option<usize>,
+    /// How often it came back from a copy.
+    era: u64,
+}
+
+/// What the store held at a moment.
+pub struct Copy {
+    objects: BTreeMap<(String, String), Value>,
+    history: Vec<(u64, String, Value, bool)>,
+    revision: u64,
 }
 
 /// The store.
@@ -163,6 +172,22 @@
         self.changed.send_modify(|_| {});
     }
 
+    /// What it holds now.
+    pub fn copy(&self) -> Copy {
+        let state = self.state();
+        Copy { objects: state.objects.clone(), history: state.history.clone(), revision: state.revision }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and revisions go on from the copy's.
+    pub fn come_back_from(&self, copy: Copy) {
+        let mut state = self.state();
+        (state.objects, state.history, state.revision) = (copy.objects, copy.history, copy.revision);
+        state.era += 1;
+        state.fault = StoreFault::None;
+        drop(state);
+        self.changed.send_modify(|_| {});
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> u64 {
         self.state().calls
@@ -204,6 +229,9 @@
                 StoreFault::Refuses => return refusal(503),
                 StoreFault::ForgetsHistory => return refusal(410),
             }
+            if since > self.state().revision {
+                return refusal(410);
+            }
             let events = self.events(kind, since);
             if !events.is_empty() {
                 let at = self.state().revision;
@@ -243,8 +271,8 @@
     pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
 }
 
-impl Answerer for MetadataStore {
-    async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
+impl MetadataStore {
+    async fn treat(&self, req: Request<Bytes>) -> Response<Body> {
         self.state().calls += 1;
         if self.state().fault == StoreFault::Refuses {
             return refusal(503);
@@ -268,3 +296,11 @@
         }
     }
 }
+
+impl Answerer for MetadataStore {
+    async fn answer(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
+        let mut res = self.treat(req).await;
+        res.headers_mut().insert("store-era", self.state().era.into());
+        res
+    }
+}
