tests: a store that comes back from a copy, known red

Six nodes, the store away for 1.5 s and back from a copy that lacks 91 changes. A replica that left afterwards got 9 to 14 requests of each of three nodes from 2 s on; one that appeared was used by three of six; one whose entry had gone since the copy got 16 to 19 of each; one that the copy lacked was taken for gone by three nodes though it wrote again after 1.5 s. In the logs: news_kept at the watchers. A configuration at a revision that is given out again came in force: whoever follows the store anew lists it.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -31,6 +31,7 @@
 mod test_gateway_slow_readers;
 mod test_gateway_soak;
 mod test_gateway_stop;
+mod test_gateway_store_copies;
 mod test_gateway_streams;
 mod test_gateway_upgrades;
 mod test_module_arrows;
--- /dev/null
+++ b/node/tests/test_gateway_store_copies.rs
@@ -0,0 +1,161 @@
+//! A store that comes back from a copy some seconds old.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use leadstage_testutils::metadata_store::Copy;
+use leadstage_testutils::metadata_store::StoreFault;
+use leadstage_testutils::metadata_store::replica_entry;
+use serde_json::json;
+
+use crate::gateway_environment::BOOKING;
+use crate::gateway_environment::KEY;
+use crate::gateway_environment::config;
+use crate::gateway_environment::request;
+use crate::limited_fleet::LimitedFleet;
+use crate::limited_fleet::assert_all_served;
+
+const NODES: usize = 6;
+/// Changes that the copy lacks.
+const LOST: usize = 90;
+/// How long the store is away.
+const AWAY: Duration = Duration::from_millis(1_500);
+/// Nodes follow a store that is back, and know what they learn from it, within this.
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
+/// A replica that leaves gets nothing after this.
+const LEFT_WITHIN: Duration = Duration::from_secs(2);
+/// How long the fleet is under load.
+const LASTS: Duration = Duration::from_secs(4);
+
+type Req = http::Request<http_body_util::Full<bytes::Bytes>>;
+
+fn read(id: &str) -> Req {
+    request("GET", "/read/x", KEY, id)
+}
+
+/// Writes objects that concern nobody.
+fn write_others(fleet: &LimitedFleet, objects: usize) {
+    for n in 0..objects {
+        fleet.gateway.store.put("others", &format!("o-{n}"), json!({}));
+    }
+}
+
+/// Writes the entry of a replica anew.
+fn write_entry(fleet: &LimitedFleet, replica: usize, state: &str) {
+    let running = &fleet.replicas[replica];
+    let address = running.server.as_ref().expect("it serves").address;
+    fleet.gateway.store.put("servers", &running.replica.id, replica_entry(BOOKING, address, "hall-1", state));
+}
+
+/// The store goes away and comes back from a copy; returns once nodes follow it again.
+async fn come_back(fleet: &LimitedFleet, copy: Copy) {
+    fleet.gateway.store.set_fault(StoreFault::Refuses);
+    tokio::time::sleep(AWAY).await;
+    fleet.gateway.store.come_back_from(copy);
+    tokio::time::sleep(KNOWN_WITHIN).await;
+}
+
+/// A fleet whose store has come back from a copy that lacks many changes.
+async fn after_return(replicas: usize) -> LimitedFleet {
+    let fleet = LimitedFleet::start(BOOKING, NODES, replicas).await;
+    let copy = fleet.gateway.store.copy();
+    write_others(&fleet, LOST);
+    write_entry(&fleet, 0, "ready");
+    fleet.load(&[4.0; NODES], Duration::from_secs(1), read).await;
+    come_back(&fleet, copy).await;
+    fleet
+}
+
+/// Asserts that no node sends anything to a replica from a moment on.
+fn assert_unused(fleet: &LimitedFleet, replica: usize, from: Instant) {
+    let used: Vec<usize> = (0..NODES).map(|node| fleet.arrivals_through(node, replica, from).len()).collect();
+    assert_eq!(used, [0; NODES], "requests of each node\n{}", fleet.gateway.logs());
+}
+
+#[tokio::test]
+async fn test_a_replica_that_leaves_after_the_store_came_back_from_a_copy_is_left_by_all_nodes() {
+    let fleet = after_return(3).await;
+    write_entry(&fleet, 0, "draining");
+    tokio::time::sleep(LEFT_WITHIN).await;
+    let from = Instant::now();
+    assert_all_served(&fleet.load(&[8.0; NODES], LASTS, read).await, &fleet);
+    assert_unused(&fleet, 0, from);
+}
+
+#[tokio::test]
+async fn test_a_replica_that_appears_after_the_store_came_back_from_a_copy_is_used_by_all_nodes() {
+    let fleet = after_return(1).await;
+    let new = fleet.gateway.start_replica(BOOKING, "booking-new", 4).await;
+    tokio::time::sleep(LEFT_WITHIN).await;
+    assert_all_served(&fleet.load(&[8.0; NODES], LASTS, read).await, &fleet);
+    let seen = new.replica.seen();
+    let through = |node: usize| {
+        let of_node = |id: &str| id.starts_with(&format!("{node}-"));
+        seen.iter().filter(|seen| seen.header("leadstage-request-id").is_some_and(of_node)).count()
+    };
+    let used: Vec<bool> = (0..NODES).map(|node| through(node) > 0).collect();
+    assert_eq!(used, [true; NODES], "nodes that used it\n{}", fleet.gateway.logs());
+}
+
+/// The configuration is watched on from a revision that the store has again, for other changes: no 410 tells of it.
+#[tokio::test]
+async fn test_a_configuration_between_revisions_that_are_given_out_again_is_in_force() {
+    let fleet = LimitedFleet::start(BOOKING, NODES, 1).await;
+    let copy = fleet.gateway.store.copy();
+    write_others(&fleet, LOST);
+    fleet.gateway.store.put("config", "main", config(2));
+    let in_force = async |version: u64| {
+        for node in 0..NODES {
+            let has_it = async || fleet.gateway.node_status(node).await.bundle == Some(version);
+            fleet.gateway.until("the configuration is in force", has_it).await;
+        }
+    };
+    in_force(2).await;
+    fleet.gateway.store.set_fault(StoreFault::Refuses);
+    tokio::time::sleep(AWAY).await;
+    fleet.gateway.store.come_back_from(copy);
+    fleet.gateway.store.put("config", "main", config(3));
+    write_others(&fleet, 2 * LOST);
+    in_force(3).await;
+}
+
+/// The copy is older than what nodes know: a replica whose entry is gone since is not used again before it writes.
+#[tokio::test]
+async fn test_an_entry_that_a_copy_brings_back_is_not_used() {
+    let fleet = LimitedFleet::start(BOOKING, NODES, 2).await;
+    let copy = fleet.gateway.store.copy();
+    fleet.gateway.store.delete("servers", &fleet.replicas[0].replica.id);
+    fleet.load(&[4.0; NODES], LEFT_WITHIN, read).await;
+    let from = Instant::now();
+    come_back(&fleet, copy).await;
+    assert_all_served(&fleet.load(&[8.0; NODES], LASTS, read).await, &fleet);
+    assert_unused(&fleet, 0, from);
+}
+
+/// A replica that the copy lacks writes its entry again soon, and is used all the while.
+#[tokio::test]
+async fn test_a_replica_that_a_copy_lacks_is_not_taken_for_gone() {
+    let fleet = LimitedFleet::start(BOOKING, NODES, 1).await;
+    let copy = fleet.gateway.store.copy();
+    let new = fleet.gateway.start_replica(BOOKING, "booking-new", 4).await;
+    fleet
+        .gateway
+        .until("it is used", async || {
+            fleet.load(&[4.0; NODES], Duration::from_millis(250), read).await;
+            new.replica.seen().len() > NODES
+        })
+        .await;
+    fleet.gateway.store.set_fault(StoreFault::Refuses);
+    tokio::time::sleep(AWAY).await;
+    fleet.gateway.store.come_back_from(copy);
+    let loaded = async { fleet.load(&[8.0; NODES], LASTS, read).await };
+    let written = async {
+        tokio::time::sleep(AWAY).await;
+        let address = new.server.as_ref().expect("it serves").address;
+        let entry = replica_entry(BOOKING, address, "hall-1", "ready");
+        fleet.gateway.store.put("servers", &new.replica.id, entry);
+    };
+    tokio::join!(loaded, written);
+    let leaves = (0..NODES).filter(|node| fleet.gateway.log(*node).contains("event=replica_leaves")).count();
+    assert_eq!(leaves, 0, "nodes that took it for gone\n{}", fleet.gateway.logs());
+}
