gateway: followers of the store tell others of entries that lapsed, and of those that are back

Found by the test of a store that comes back from a copy: a replica whose entry went while the store was not known to answer was left by the one node that followed the store; the five others never heard, as the two seconds of grace end between two revisions.

Change: a follower tells what lapsed, and that a missing entry is back; a node that follows no more forgets what it misses.

--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -126,6 +126,11 @@
         of.born == 0 || of.born >= self.record.born
     }
 
+    /// Whether its entry is missing, perhaps only because the store was away.
+    pub fn is_missing(&self) -> bool {
+        self.missing_since.is_some()
+    }
+
     /// Whether it bears few requests yet.
     pub fn is_cold(&self, now: Timestamp) -> bool {
         self.warm_at > now
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -218,9 +218,10 @@
             return;
         }
         self.update(&id, |replica| {
-            replica.missing_since = None;
+            // Others may have missed its entry too, and follow the store no more.
+            let is_back = replica.missing_since.take().is_some() && replica.leaving.is_none();
             // It may turn cold again at any moment; that is news to other nodes.
-            if !record.cold.is_zero() && replica.warm_at < now {
+            if is_back || (!record.cold.is_zero() && replica.warm_at < now) {
                 change.added.push(id.clone());
             }
             replica.on_cold(record.cold, now);
@@ -252,6 +253,14 @@
         });
     }
 
+    /// This node follows the store no more: whoever does tells of entries that stay missing.
+    pub fn forget_missing(&mut self) {
+        let missing: Vec<UpstreamId> = self.missing.keys().cloned().collect();
+        for id in missing {
+            self.update(&id, |replica| replica.missing_since = None);
+        }
+    }
+
     /// A whole list was read. What it lacks is gone at once, or within [`LAPSED_GRACE`] if
     /// entries may have lapsed because the store was away.
     pub fn on_list(&mut self, records: Vec<ReplicaRecord>, lapses: bool, now: Timestamp) -> ListChange {
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -168,7 +168,7 @@
         let store_answers = self.watchers.store_answers(now);
         self.upgrades.tick(&mut self.placing, &self.fleet, role, store_answers);
         self.look_out(now);
-        self.replicas.tick(&mut self.placing);
+        self.replicas.tick(&mut self.placing, &self.fleet, role.is_some());
         self.publish_status(now);
     }
 
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -67,6 +67,8 @@
     /// When news last came.
     heard: Timestamp,
     lapses: Lapses,
+    /// This node follows the store.
+    follows: bool,
     /// The whole list as other nodes are handed it, and up to which revision it holds.
     packed: Option<(Revision, Bytes)>,
     lack: LackOfNews,
@@ -84,6 +86,7 @@
             progress: NewsProgress::default(),
             heard: Timestamp::ZERO,
             lapses: Lapses::default(),
+            follows: false,
             packed: None,
             lack: LackOfNews::new(&mut rand::rng()),
         }
@@ -100,11 +103,22 @@
         self.heard
     }
 
-    /// Takes replicas that stayed missing for gone.
-    pub fn tick(&mut self, placing: &mut Placing) {
-        let change = placing.knowledge.replicas.tick(self.shared.now(), FORGET_AFTER);
-        if !change.leaving.is_empty() {
-            self.on_list_change(placing, &change, 0);
+    /// Takes replicas that stayed missing for gone. Who follows the store tells the others, whose revision is the same.
+    pub fn tick(&mut self, placing: &mut Placing, fleet: &Fleet, follows: bool) {
+        let replicas = &mut placing.knowledge.replicas;
+        if std::mem::replace(&mut self.follows, follows) && !follows {
+            replicas.forget_missing();
+        }
+        let change = replicas.tick(self.shared.now(), FORGET_AFTER);
+        if change.leaving.is_empty() {
+            return;
+        }
+        let leaving = replicas.leaving_of(&change.leaving);
+        self.on_list_change(placing, &change, 0);
+        if follows {
+            let news = ReplicaNews { leaving, ..ReplicaNews::default() };
+            let parts = news.into_parts(placing.knowledge.replicas.len()).unwrap_or_default();
+            parts.iter().for_each(|part| self.tell(fleet, part));
         }
     }
 
@@ -287,7 +301,9 @@
         for record in &news.added {
             // One that is thought to leave may stay after all; one may have started again, or be cold.
             let known = placing.knowledge.replicas.get(&record.id);
-            let is_new = |known: &Replica| known.leaving.is_some() || known.record.born < record.born;
+            let is_new = |known: &Replica| {
+                known.leaving.is_some() || known.is_missing() || known.record.born < record.born
+            };
             if !record.cold.is_zero() || known.is_none_or(is_new) {
                 placing.knowledge.replicas.on_entry(record.clone(), now, &mut change);
             }
--- a/node/tests/test_gateway_store_copies.rs
+++ b/node/tests/test_gateway_store_copies.rs
@@ -132,6 +132,17 @@
     assert_unused(&fleet, 0, from);
 }
 
+/// A fleet that has just started does not know yet that the store answers, so that an entry that goes may only have lapsed.
+#[tokio::test]
+async fn test_a_replica_whose_entry_lapsed_is_left_by_all_nodes() {
+    let fleet = LimitedFleet::start(BOOKING, NODES, 2).await;
+    fleet.gateway.store.delete("servers", &fleet.replicas[0].replica.id);
+    for node in 0..NODES {
+        let knows = async || fleet.gateway.log(node).contains("event=replica_leaves");
+        fleet.gateway.until("each node knows", knows).await;
+    }
+}
+
 /// A replica that the copy lacks writes its entry again soon, and is used all the while.
 #[tokio::test]
 async fn test_a_replica_that_a_copy_lacks_is_not_taken_for_gone() {
