gateway: revisions are ordered by the store's era before its number

Callers saw nothing: the replica that left served on. For 2 s and more after the store had taken its word three of six machines knew nothing of it, and some seconds later sent to an address where nothing listened.

Cause: all that nodes know of the store is ordered by its revision, and only upward. After a return from a copy the revisions are lower: the watchers learnt of each change within 4 ms, took it for no news and told nobody, and whoever was told would not have taken it, until the numbers were as high as before. The class: a fact ordered by somebody else's counter.

Change: the era is joined to the number where answers of the store are decoded, so that each comparison holds as it stands. A watch that is answered in another era than it was asked from lists anew. As a copy is older than what nodes know, it ends nothing by what it lacks (entries are missing as after an outage, halls stay closed for 3 s, orders and stored requests that end replicas are kept, the latter written again: with the order alone a copy would have lifted their quarantine) and brings back no replica whose end was learnt before.

Ruled out: a pair of era and number as a type of its own (docs/design/platform.md has the ways weighed).

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -42,6 +42,7 @@
 pub mod replicas;
 pub mod retelling;
 pub mod retry_window;
+pub mod revision;
 pub mod room_forecast;
 pub mod routing;
 pub mod run_key;
--- a/lib/src/gateway/closed_halls.rs
+++ b/lib/src/gateway/closed_halls.rs
@@ -5,12 +5,15 @@
 //! higher revision holds, in whatever order they come: an older one undoes nothing.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::gateway::replica_list::Revision;
+use crate::gateway::revision;
+use crate::gateway::revision::Revision;
 use crate::ids::HallId;
+use crate::ids::Timestamp;
 
 /// Halls that are told at most: each message between nodes tells them, in some ten bytes each, and the
 /// largest deployments have five. More names come from a writer that means no halls.
@@ -58,13 +61,18 @@
         if other.at <= self.at {
             return Vec::new();
         }
-        let closed = other.halls.difference(&self.halls).cloned().map(HallChange::Closed);
-        let opened = self.halls.difference(&other.halls).cloned().map(HallChange::Opened);
-        let changes = closed.chain(opened).collect();
+        let changes = self.changes_to(&other);
         *self = other;
         changes
     }
 
+    /// What differs from these to others.
+    pub fn changes_to(&self, other: &ClosedHalls) -> Vec<HallChange> {
+        let closed = other.halls.difference(&self.halls).cloned().map(HallChange::Closed);
+        let opened = self.halls.difference(&other.halls).cloned().map(HallChange::Opened);
+        closed.chain(opened).collect()
+    }
+
     /// Leaves out what is beyond [`MOST_CLOSED`]; returns how many halls that were.
     pub fn limit(&mut self) -> usize {
         let beyond: Vec<HallId> = self.halls.iter().skip(MOST_CLOSED).cloned().collect();
@@ -72,3 +80,49 @@
         beyond.len()
     }
 }
+
+/// The operator has written again what a copy of the store lacks this long after the store's return.
+const WRITTEN_AGAIN_WITHIN: Duration = Duration::from_secs(3);
+
+/// The closed halls as the store tells them, and those that a copy of it lacks: they stay closed until the operator has
+/// had the time to close them again.
+#[derive(Debug, Default)]
+pub struct ClosedHallsBook {
+    told: ClosedHalls,
+    carried: BTreeSet<HallId>,
+    carried_until: Timestamp,
+}
+
+impl ClosedHallsBook {
+    /// What the store told last.
+    pub fn told(&self) -> &ClosedHalls {
+        &self.told
+    }
+
+    /// Takes a word in; returns whether it is newer than what is known.
+    pub fn take(&mut self, told: ClosedHalls, now: Timestamp) -> bool {
+        if told.at <= self.told.at {
+            return false;
+        }
+        let is_of_copy = self.told.at > 0 && revision::era(told.at) > revision::era(self.told.at);
+        if is_of_copy {
+            self.carried.extend(self.told.halls.iter().cloned());
+            self.carried_until = now + WRITTEN_AGAIN_WITHIN;
+        }
+        self.told.take(told);
+        true
+    }
+
+    /// The operator has opened a hall.
+    pub fn on_opened(&mut self, hall: &str) {
+        self.carried.remove(hall);
+    }
+
+    /// The halls that are closed now.
+    pub fn in_force(&mut self, now: Timestamp) -> ClosedHalls {
+        if now >= self.carried_until {
+            self.carried.clear();
+        }
+        ClosedHalls { at: self.told.at, halls: self.told.halls.union(&self.carried).cloned().collect() }
+    }
+}
--- a/lib/src/gateway/lack_of_news.rs
+++ b/lib/src/gateway/lack_of_news.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use rand::RngExt;
 
-use crate::gateway::replica_list::Revision;
+use crate::gateway::revision::Revision;
 use crate::ids::Timestamp;
 
 /// What another node knows usually comes by itself; it is fetched from that node if it has not come within this.
--- a/lib/src/gateway/lapses.rs
+++ b/lib/src/gateway/lapses.rs
@@ -1,4 +1,5 @@
-//! Whether an entry that goes away may have lapsed only because the store was away.
+//! Whether an entry that goes away may have lapsed only because the store was away, or lack in a copy that it came back
+//! from.
 //!
 //! The grace of such an entry counts from when the store was last known to be away, not from when
 //! the entry was seen to go: two spans one after the other would leave a replica that is gone in
@@ -18,7 +19,7 @@
 }
 
 impl Lapses {
-    /// The store answers nobody.
+    /// The store answers nobody, or has come back from a copy.
     pub fn on_store_away(&mut self, now: Timestamp) {
         self.store_away_at = Some(now);
     }
--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -6,9 +6,10 @@
 
 use derive_more::Display;
 
-use crate::gateway::replica_list::Revision;
 use crate::gateway::replica_record::Incarnation;
 use crate::gateway::replica_record::ReplicaRecord;
+use crate::gateway::revision;
+use crate::gateway::revision::Revision;
 use crate::gateway::said_leaving::LONGEST_LEAVING;
 use crate::ids::Timestamp;
 
@@ -36,6 +37,9 @@
     /// Its entry went away while the list was followed.
     #[display("no longer listed")]
     Unlisted,
+    /// Its entry did not come back after the store had been away.
+    #[display("not listed again")]
+    Lapsed,
     /// It says so when asked for its health.
     #[display("not well or leaving when asked")]
     Unwell,
@@ -51,7 +55,7 @@
     /// Whether an entry that says that the replica stays is believed more than this sign.
     pub(super) fn is_taken_back(self) -> bool {
         match self {
-            LeavingSign::Unlisted | LeavingSign::Unwell | LeavingSign::Told => true,
+            LeavingSign::Unlisted | LeavingSign::Lapsed | LeavingSign::Unwell | LeavingSign::Told => true,
             LeavingSign::Listed | LeavingSign::Said | LeavingSign::Replaced => false,
         }
     }
@@ -61,9 +65,11 @@
         match self {
             LeavingSign::Listed => None,
             LeavingSign::Said => Some(now + LONGEST_LEAVING),
-            LeavingSign::Unlisted | LeavingSign::Unwell | LeavingSign::Told | LeavingSign::Replaced => {
-                Some(now)
-            }
+            LeavingSign::Unlisted
+            | LeavingSign::Lapsed
+            | LeavingSign::Unwell
+            | LeavingSign::Told
+            | LeavingSign::Replaced => Some(now),
         }
     }
 }
@@ -161,6 +167,12 @@
         self.missing_since = None;
     }
 
+    /// Whether its end was learnt from the store before that came back from the copy that a list at `at` tells of.
+    pub(super) fn ended_before_copy(&self, at: Revision) -> bool {
+        let is_end = matches!(self.leaving, Some(LeavingSign::Unlisted | LeavingSign::Told));
+        is_end && self.changed_at > 0 && revision::era(self.changed_at) < revision::era(at)
+    }
+
     /// It stays after all.
     pub(super) fn stay(&mut self) {
         (self.leaving, self.ends_by) = (None, None);
--- a/lib/src/gateway/replica_list.rs
+++ b/lib/src/gateway/replica_list.rs
@@ -11,9 +11,7 @@
 
 use crate::gateway::replica_record::Incarnation;
 use crate::gateway::replica_record::ReplicaRecord;
-
-/// The store's counter of changes.
-pub type Revision = u64;
+use crate::gateway::revision::Revision;
 
 /// Something, with the revision at which it was learnt.
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
--- a/lib/src/gateway/replica_news.rs
+++ b/lib/src/gateway/replica_news.rs
@@ -18,9 +18,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::gateway::replica_list::Revision;
 use crate::gateway::replica_record::Incarnation;
 use crate::gateway::replica_record::ReplicaRecord;
+use crate::gateway::revision::Revision;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
 
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -19,9 +19,9 @@
 use crate::gateway::replica::Replica;
 use crate::gateway::replica_list::Changed;
 use crate::gateway::replica_list::ReplicaList;
-use crate::gateway::replica_list::Revision;
 use crate::gateway::replica_record::Incarnation;
 use crate::gateway::replica_record::ReplicaRecord;
+use crate::gateway::revision::Revision;
 use crate::gateway::routing::ServiceId;
 use crate::gateway::service_index::ServiceIndex;
 use crate::gateway::service_index::Slot;
@@ -237,8 +237,12 @@
 
     /// A replica's entry went away while the list was followed without a break.
     pub fn on_unlisted(&mut self, id: &str, now: Timestamp, change: &mut ListChange) {
+        self.on_entry_gone(id, LeavingSign::Unlisted, now, change);
+    }
+
+    fn on_entry_gone(&mut self, id: &str, sign: LeavingSign, now: Timestamp, change: &mut ListChange) {
         let is_news = self.update(id, |replica| {
-            let is_news = replica.on_sign(LeavingSign::Unlisted, now);
+            let is_news = replica.on_sign(sign, now);
             replica.on_entry_gone(now);
             is_news.then(|| replica.record.id.clone())
         });
@@ -282,13 +286,29 @@
         change
     }
 
+    /// A whole list was read from the store, at a revision. What a copy brings back of replicas that were gone before is
+    /// older than their end: they count as missing.
+    pub fn on_store_list(
+        &mut self,
+        mut records: Vec<ReplicaRecord>,
+        at: Revision,
+        lapses: bool,
+        now: Timestamp,
+    ) -> ListChange {
+        records.retain(|record| {
+            let known = self.get(&record.id).filter(|known| record.born <= known.record.born);
+            !known.is_some_and(|known| known.ended_before_copy(at))
+        });
+        self.on_list(records, lapses, now)
+    }
+
     /// Takes entries that stayed missing for gone, and forgets what left long ago.
     pub fn tick(&mut self, now: Timestamp, forget_after: Duration) -> ListChange {
         let mut change = ListChange::default();
         let overdue = self.missing.iter().filter(|(_, since)| now > **since + LAPSED_GRACE);
         let overdue: Vec<UpstreamId> = overdue.map(|(id, _)| id.clone()).collect();
         for id in overdue {
-            self.on_unlisted(&id, now, &mut change);
+            self.on_entry_gone(&id, LeavingSign::Lapsed, now, &mut change);
         }
         while let Some((by, id)) = self.ending.first().cloned()
             && now > by + forget_after
--- a/lib/src/gateway/stored_suspects.rs
+++ b/lib/src/gateway/stored_suspects.rs
@@ -14,8 +14,9 @@
 use crate::gateway::crash_ledger::KEPT_FOR;
 use crate::gateway::crash_ledger::Suspect;
 use crate::gateway::fingerprint::Fingerprint;
-use crate::gateway::replica_list::Revision;
 use crate::gateway::replica_record::Incarnation;
+use crate::gateway::revision;
+use crate::gateway::revision::Revision;
 use crate::ids::Timestamp;
 use crate::ids::UnixMillis;
 
@@ -107,13 +108,18 @@
         is_older && self.kept.remove(fingerprint).is_some()
     }
 
-    /// The store held these and no others at a revision; returns those that it held before.
+    /// The store held these and no others at a revision; returns those that it held before and that were removed. What a
+    /// copy lacks was lost and is written again.
     pub fn on_listed(&mut self, items: &[Suspect], at: Revision) -> Vec<Fingerprint> {
         items.iter().for_each(|suspect| self.on_kept(suspect, at));
         let listed: HashSet<Fingerprint> = items.iter().map(|suspect| suspect.fingerprint).collect();
         let missing: Vec<Fingerprint> =
             self.kept.keys().filter(|fingerprint| !listed.contains(fingerprint)).copied().collect();
-        missing.into_iter().filter(|fingerprint| self.on_removed(fingerprint, at)).collect()
+        let is_lost = |kept: &Kept| revision::era(kept.at) < revision::era(at);
+        let (lost, removed): (Vec<Fingerprint>, Vec<Fingerprint>) =
+            missing.into_iter().partition(|fingerprint| self.kept.get(fingerprint).is_some_and(is_lost));
+        lost.iter().for_each(|fingerprint| drop(self.kept.remove(fingerprint)));
+        removed.into_iter().filter(|fingerprint| self.on_removed(fingerprint, at)).collect()
     }
 
     /// A write ended, well or not.
--- a/lib/src/gateway/upgrade.rs
+++ b/lib/src/gateway/upgrade.rs
@@ -12,8 +12,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::gateway::replica_list::Revision;
 use crate::gateway::replica_record::SoftwareVersion;
+use crate::gateway::revision;
+use crate::gateway::revision::Revision;
 use crate::gateway::routing::ServiceId;
 use crate::ids::Timestamp;
 
@@ -180,11 +181,12 @@
     pub fn take(&mut self, told: ToldUpgrades, now: Timestamp) -> Vec<ServiceId> {
         let is_newer = told.at > self.at;
         let before = self.by_service.clone();
-        if is_newer {
+        if is_newer && revision::era(told.at) == revision::era(self.at) {
             let is_told = |service: &ServiceId| told.upgrades.iter().any(|told| told.service == *service);
             self.by_service.retain(|service, _| is_told(service));
-            self.at = told.at;
         }
+        // What a copy lacks was not withdrawn: the operator writes it again.
+        self.at = told.at.max(self.at);
         for told in told.upgrades {
             self.take_one(told, is_newer, now);
         }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -34,6 +34,7 @@
 mod test_gateway_replica_news;
 mod test_gateway_replicas;
 mod test_gateway_restarts;
+mod test_gateway_revision;
 mod test_gateway_routing;
 mod test_gateway_said_leaving;
 mod test_gateway_shortage;
--- a/lib/tests/test_gateway_closed_halls.rs
+++ b/lib/tests/test_gateway_closed_halls.rs
@@ -9,9 +9,11 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
+use leadstage_lib::gateway::closed_halls::ClosedHallsBook;
 use leadstage_lib::gateway::closed_halls::HallChange;
 use leadstage_lib::gateway::closed_halls::MOST_CLOSED;
 use leadstage_lib::gateway::retelling::Retelling;
+use leadstage_lib::gateway::revision;
 use leadstage_lib::ids::HallId;
 use proptest::prelude::*;
 use rand::RngExt;
@@ -289,3 +291,31 @@
     assert_eq!((told.limit(), told.halls.len()), (5, MOST_CLOSED));
     assert_eq!(told.limit(), 0);
 }
+
+/// The operator closes halls again that a copy of the store lacks; until then they stay closed.
+#[test]
+fn test_a_hall_that_a_copy_lacks_stays_closed_for_a_while() {
+    let second = Duration::from_secs(1);
+    let word = |era, number, halls: &[&str]| ClosedHalls {
+        at: revision::in_era(era, number),
+        halls: halls.iter().map(|name| hall(name)).collect(),
+    };
+    let closed = |book: &mut ClosedHallsBook, now| {
+        book.in_force(now).halls.iter().map(|hall| hall.to_string()).collect::<Vec<_>>()
+    };
+    let mut book = ClosedHallsBook::default();
+    assert!(book.take(word(0, 90, &["a", "b"]), second));
+    assert!(book.take(word(1, 5, &["c"]), 2 * second));
+    assert_eq!(closed(&mut book, 2 * second), ["a", "b", "c"]);
+    assert!(!book.take(word(0, 95, &[]), 2 * second), "a word of the era before");
+    assert!(book.take(word(1, 6, &["a", "c"]), 3 * second), "a is closed again");
+    book.on_opened("b");
+    assert_eq!(closed(&mut book, 3 * second), ["a", "c"]);
+    assert!(book.take(word(1, 7, &["a"]), 4 * second), "c is opened");
+    assert_eq!(closed(&mut book, 4 * second), ["a"]);
+    let mut lost = ClosedHallsBook::default();
+    lost.take(word(0, 90, &["a"]), second);
+    lost.take(word(1, 5, &[]), 2 * second);
+    assert_eq!(closed(&mut lost, 4 * second), ["a"]);
+    assert_eq!(closed(&mut lost, 5 * second), Vec::<String>::new(), "nobody closed it again");
+}
--- a/lib/tests/test_gateway_replica_list.rs
+++ b/lib/tests/test_gateway_replica_list.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::replica::LeavingSign;
-use leadstage_lib::gateway::replica_list::Revision;
 use leadstage_lib::gateway::replicas::ListChange;
 use leadstage_lib::gateway::replicas::ReplicaTable;
+use leadstage_lib::gateway::revision::Revision;
 use proptest::prelude::*;
 
 use crate::test_gateway_replicas::record;
--- /dev/null
+++ b/lib/tests/test_gateway_revision.rs
@@ -0,0 +1,89 @@
+//! Revisions over a store's returns from copies.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::replica::LeavingSign;
+use leadstage_lib::gateway::replica_news::NewsProgress;
+use leadstage_lib::gateway::replica_news::ReplicaNews;
+use leadstage_lib::gateway::replicas::ListChange;
+use leadstage_lib::gateway::replicas::ReplicaTable;
+use leadstage_lib::gateway::revision;
+use leadstage_lib::gateway::revision::Revision;
+use proptest::prelude::*;
+
+use crate::test_gateway_replicas::record;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn change(id: &str) -> ListChange {
+    ListChange { leaving: vec![id.into()], ..ListChange::default() }
+}
+
+proptest! {
+    /// Eras go before numbers, and numbers of one era are as the store has them.
+    #[test]
+    fn test_revisions_are_ordered_by_era_then_number(a in (0u64..1 << 20, 0u64..1 << 39), b in (0u64..1 << 20, 0u64..1 << 39)) {
+        let of = |(era, number)| revision::in_era(era, number);
+        prop_assert_eq!(of(a).cmp(&of(b)), a.cmp(&b));
+        prop_assert_eq!((revision::era(of(a)), revision::number(of(a))), a);
+    }
+}
+
+#[test]
+fn test_what_no_store_can_count_to_is_the_largest() {
+    let largest = revision::in_era(u64::MAX, u64::MAX);
+    assert_eq!(largest, Revision::MAX);
+    assert_eq!(revision::era(revision::in_era(3, u64::MAX)), 3);
+}
+
+#[test]
+fn test_news_of_a_later_era_are_newer() {
+    let mut progress = NewsProgress::default();
+    progress.on_known(revision::in_era(0, 90));
+    let at = revision::in_era(1, 5);
+    let news = ReplicaNews { before: revision::in_era(0, 90), at, ..ReplicaNews::default() };
+    assert!(!progress.has(&news.pack().expect("small")));
+    assert!(!progress.on_part(&news), "nothing is missing");
+    assert_eq!(progress.at(), at);
+    let late = ReplicaNews { before: 80, at: revision::in_era(0, 95), ..ReplicaNews::default() };
+    assert!(progress.has(&late.pack().expect("small")), "of the era before");
+}
+
+/// Of what a copy lists, the end of a replica that was learnt before is newer, and what only lapsed is not.
+#[test]
+fn test_a_list_of_a_copy_brings_no_ended_replica_back() {
+    let mut table = ReplicaTable::default();
+    let all = || ["a", "b", "c", "d"].map(|id| record(id, false)).to_vec();
+    table.on_list(all(), false, SECOND);
+    let mut gone = ListChange::default();
+    table.on_unlisted("a", SECOND, &mut gone);
+    table.on_missing("b", Duration::ZERO);
+    let lapsed = table.tick(3 * SECOND, 30 * SECOND);
+    assert_eq!(lapsed.leaving, ["b".into()]);
+    assert!(table.on_sign(&record("c", false).incarnation(), LeavingSign::Told, SECOND));
+    for id in ["a", "b", "c"] {
+        table.mark(&change(id), revision::in_era(0, 90));
+    }
+    let staying = |table: &ReplicaTable| {
+        let mut ids: Vec<String> = table.staying("m").map(|replica| replica.record.id.to_string()).collect();
+        ids.sort();
+        ids
+    };
+    let at = revision::in_era(1, 5);
+    let change = table.on_store_list(all(), at, true, 4 * SECOND);
+    assert_eq!((change.added, staying(&table)), (vec!["b".into()], vec!["b".to_owned(), "d".to_owned()]));
+    let mut change = ListChange::default();
+    table.on_entry(record("a", false), 5 * SECOND, &mut change);
+    assert_eq!(change.added, ["a".into()], "it is written in the new era");
+}
+
+/// A list of the same era as the end is newer than the end.
+#[test]
+fn test_a_list_of_the_same_era_brings_a_replica_back() {
+    let mut table = ReplicaTable::default();
+    table.on_list(vec![record("a", false)], false, SECOND);
+    table.on_unlisted("a", SECOND, &mut ListChange::default());
+    table.mark(&change("a"), revision::in_era(1, 4));
+    let change = table.on_store_list(vec![record("a", false)], revision::in_era(1, 5), false, 2 * SECOND);
+    assert_eq!(change.added, ["a".into()]);
+}
--- a/lib/tests/test_gateway_stored_suspects.rs
+++ b/lib/tests/test_gateway_stored_suspects.rs
@@ -5,6 +5,7 @@
 use leadstage_lib::gateway::crash_ledger::CrashLedger;
 use leadstage_lib::gateway::crash_ledger::KEPT_FOR;
 use leadstage_lib::gateway::crash_ledger::Suspect;
+use leadstage_lib::gateway::revision;
 use leadstage_lib::gateway::stored_suspects::StoreRole;
 use leadstage_lib::gateway::stored_suspects::StoreWrite;
 use leadstage_lib::gateway::stored_suspects::StoredSuspects;
@@ -146,3 +147,17 @@
     }
     assert!(node.writes(NODE, later + 10_000).is_empty());
 }
+
+/// What a copy of the store lacks nobody removed: it is written again, and no quarantine is lifted.
+#[test]
+fn test_what_a_copy_of_the_store_lacks_is_written_again() {
+    let mut node = Node::with_ends(2);
+    let suspect = node.known();
+    node.stored.on_kept(&suspect, revision::in_era(0, 50));
+    assert!(node.writes(WATCHER, 0).is_empty());
+    assert!(node.stored.on_listed(&[], revision::in_era(1, 20)).is_empty());
+    assert!(node.writes(WATCHER, 100).is_empty(), "whoever saw the ends comes first");
+    assert_eq!(node.writes(WATCHER, 2_000), [StoreWrite::Keep(suspect.clone())]);
+    node.stored.on_kept(&suspect, revision::in_era(1, 21));
+    assert_eq!(node.stored.on_listed(&[], revision::in_era(1, 22)), [fingerprint(1)], "an operator did");
+}
--- a/lib/tests/test_gateway_upgrade.rs
+++ b/lib/tests/test_gateway_upgrade.rs
@@ -11,6 +11,7 @@
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ListChange;
 use leadstage_lib::gateway::replicas::ReplicaTable;
+use leadstage_lib::gateway::revision;
 use leadstage_lib::gateway::run_key::RunKey;
 use leadstage_lib::gateway::upgrade::Stage;
 use leadstage_lib::gateway::upgrade::ToldUpgrade;
@@ -67,6 +68,16 @@
     assert!(upgrades.is_empty());
 }
 
+/// An order that a copy of the store lacks was not withdrawn; a later word of that era that lacks it still tells so.
+#[test]
+fn test_an_order_that_a_copy_of_the_store_lacks_stays() {
+    let mut upgrades = Upgrades::default();
+    upgrades.take(told(revision::in_era(0, 90), &[("s", 4, Stage::Reverted)]), secs(2.0));
+    assert!(upgrades.take(told(revision::in_era(1, 5), &[]), secs(3.0)).is_empty());
+    assert_eq!(upgrades.of("s").expect("there").stage, Stage::Reverted);
+    assert_eq!(upgrades.take(told(revision::in_era(1, 6), &[]), secs(4.0)), ["s".into()]);
+}
+
 proptest! {
     /// All words of one history of the store, in any order, several times: all nodes come to the same.
     #[test]
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::config_sources::HeardHow;
+use leadstage_lib::gateway::revision;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::gateway::watchers::Watchers;
@@ -163,7 +164,7 @@
         let has_wide_link = |node: &VmId| self.fleet.node_has_wide_link(node);
         let role = self.watchers.role(self.fleet.alive(), has_wide_link, now);
         self.watching.set(role);
-        self.halls.tick(&self.fleet);
+        self.halls.tick(&mut self.placing, &self.fleet);
         self.crashes.tick(&self.placing, &self.fleet, role.is_some());
         let store_answers = self.watchers.store_answers(now);
         self.upgrades.tick(&mut self.placing, &self.fleet, role, store_answers);
@@ -208,8 +209,9 @@
         self.shared.metrics.on_levels(&levels);
         if now >= self.last_levels_line + LEVELS_LINE_INTERVAL {
             self.last_levels_line = now;
+            let replicas_at = self.shared.replicas_at();
             let peer_bytes = self.shared.metrics.peer_bytes_so_far();
-            info!(event = "levels", open = levels.open, waiting = levels.waiting, nodes = levels.nodes, config = self.shared.config_version(), config_age_ms = levels.config_age.as_millis() as u64, replicas_age_ms = levels.replicas_age.as_millis() as u64, replicas_at = self.shared.replicas_at(), peer_bytes; "levels");
+            info!(event = "levels", open = levels.open, waiting = levels.waiting, nodes = levels.nodes, config = self.shared.config_version(), config_age_ms = levels.config_age.as_millis() as u64, replicas_age_ms = levels.replicas_age.as_millis() as u64, replicas_at = revision::number(replicas_at), store_era = revision::era(replicas_at), peer_bytes; "levels");
             self.log_peer_traffic();
         }
     }
--- a/node/src/gateway/control/crash_intake.rs
+++ b/node/src/gateway/control/crash_intake.rs
@@ -144,7 +144,9 @@
                 _ if is_later_start => self.on_gone(fleet, &of),
                 Some(LeavingSign::Listed | LeavingSign::Said) => self.pending.on_lives(&of),
                 Some(_) if is_planned => self.pending.on_lives(&of),
-                Some(LeavingSign::Unlisted | LeavingSign::Replaced) => self.on_gone(fleet, &of),
+                Some(LeavingSign::Unlisted | LeavingSign::Lapsed | LeavingSign::Replaced) => {
+                    self.on_gone(fleet, &of)
+                }
                 Some(LeavingSign::Told | LeavingSign::Unwell) | None => {}
             }
         }
--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -6,9 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::gateway::revision;
+use leadstage_lib::gateway::revision::Era;
 use leadstage_lib::gateway::watchers::WatchRole;
 use leadstage_lib::retry::Backoff;
-use leadstage_platform::store::Era;
 use leadstage_platform::store::Revision;
 use leadstage_platform::store::Store;
 use leadstage_platform::store::StoreError;
@@ -140,7 +141,7 @@
         // If the history does not reach back to an old list, the next one is to be new.
         self.age = Age::Newest;
         self.is_new = true;
-        let after_outage = self.on_answer(list.at, list.era);
+        let after_outage = self.on_answer(list.at);
         self.shared.tell((self.wrap)(News::Listed { list, after_outage }));
         Ok(())
     }
@@ -152,7 +153,7 @@
         let changes = changes?;
         self.note_undecided(&changes.undecided);
         self.is_new = false;
-        self.on_answer(changes.at, changes.era);
+        self.on_answer(changes.at);
         self.shared.tell((self.wrap)(News::Changed(changes)));
         let pause = self.pace.gathers_for();
         if !pause.is_zero() {
@@ -171,17 +172,18 @@
     }
 
     /// Returns whether calls before had no answer.
-    fn on_answer(&mut self, at: Revision, era: Era) -> bool {
+    fn on_answer(&mut self, at: Revision) -> bool {
+        let (era, number) = (revision::era(at), revision::number(at));
         let before = self.era.replace(era);
         if before.is_some_and(|before| before != era) {
-            info!(event = "store_era", kind = K::NAME, before:? = before, now = era, revision = at; "the store has come back from a copy");
+            info!(event = "store_era", kind = K::NAME, before:? = before, now = era, revision = number; "the store has come back from a copy");
         }
         self.at = Some(at);
         self.backoff.reset();
         self.shared.set_store_answers(true);
         let after_outage = std::mem::take(&mut self.lost);
         if after_outage {
-            info!(event = "store_regained", kind = K::NAME, revision = at; "the store answers again");
+            info!(event = "store_regained", kind = K::NAME, revision = number; "the store answers again");
         }
         after_outage
     }
@@ -196,6 +198,10 @@
                     tokio::time::sleep(LONGEST_PAUSE).await;
                 }
             }
+            StoreError::OtherEra => {
+                self.at = None;
+                info!(event = "store_era_ended", kind = K::NAME; "the store came back from a copy: lists anew");
+            }
             StoreError::TooManyChanges(most) => {
                 self.at = None;
                 info!(event = "store_changes_skipped", kind = K::NAME, most; "much has changed: lists anew");
--- a/node/src/gateway/control/hall_intake.rs
+++ b/node/src/gateway/control/hall_intake.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
+use leadstage_lib::gateway::closed_halls::ClosedHallsBook;
 use leadstage_lib::gateway::closed_halls::HallChange;
 use leadstage_lib::gateway::retelling::Retelling;
 use leadstage_lib::ids::HallId;
@@ -33,18 +34,18 @@
 /// The way of closed halls into this node, and on to others.
 pub struct HallIntake {
     shared: Arc<Shared>,
+    book: ClosedHallsBook,
     retelling: Retelling<HallId>,
 }
 
 impl HallIntake {
     /// Nothing has come yet.
     pub fn new(shared: Arc<Shared>) -> Self {
-        HallIntake { shared, retelling: Retelling::default() }
+        HallIntake { shared, book: ClosedHallsBook::default(), retelling: Retelling::default() }
     }
 
     /// The store told of the closed halls.
     pub fn on_store_news(&mut self, placing: &mut Placing, fleet: &Fleet, news: News<HallId>) {
-        let known = self.shared.closed_halls();
         let told = match news {
             News::Listed { list: Listed { items, at, .. }, .. } => {
                 ClosedHalls { at, halls: items.into_iter().collect() }
@@ -52,10 +53,14 @@
             News::Changed(changes) => {
                 let halls = changes.events.into_iter().filter_map(|event| match event {
                     Change::Put(hall) => Some(HallChange::Closed(hall)),
-                    Change::Gone(name) => Some(HallChange::Opened(name.into())),
+                    Change::Gone(name) => {
+                        self.book.on_opened(&name);
+                        Some(HallChange::Opened(name.into()))
+                    }
                     Change::Unreadable(_) => None,
                 });
-                known.after(halls, changes.at)
+                let halls: Vec<HallChange> = halls.collect();
+                self.book.told().after(halls, changes.at)
             }
         };
         if self.take(placing, told, Source::Store) {
@@ -72,7 +77,8 @@
 
     /// Tells news again. Each node that tells them on once may miss a node whose messages get lost: of 2,000 modelled
     /// series of changes, with a third of the messages lost, 13 left a node without them for 5 s, none since.
-    pub fn tick(&mut self, fleet: &Fleet) {
+    pub fn tick(&mut self, placing: &mut Placing, fleet: &Fleet) {
+        self.publish(placing, Source::Store);
         if !self.retelling.round(self.shared.now()).is_empty() {
             fleet.pass_on(&PeerMessage::HallsChanged);
         }
@@ -80,18 +86,26 @@
 
     /// Returns whether it changed anything.
     fn take(&mut self, placing: &mut Placing, mut told: ClosedHalls, source: Source) -> bool {
-        let known = self.shared.closed_halls();
         // Nearly all that nodes tell is known.
-        if told.at <= known.at {
+        if told.at <= self.book.told().at {
             return false;
         }
-        let mut halls = (*known).clone();
         let beyond = told.limit();
         if beyond > 0 {
             warn!(event = "halls_left_out", halls = beyond; "more halls are closed than there can be");
         }
-        let at = told.at;
-        let changes = halls.take(told);
+        self.book.take(told, self.shared.now());
+        self.publish(placing, source)
+    }
+
+    /// Publishes the halls that are closed now; returns whether others were before.
+    fn publish(&mut self, placing: &mut Placing, source: Source) -> bool {
+        let known = self.shared.closed_halls();
+        let halls = self.book.in_force(self.shared.now());
+        if *known == halls {
+            return false;
+        }
+        let (at, changes) = (halls.at, known.changes_to(&halls));
         self.shared.set_closed_halls(halls);
         for change in &changes {
             let (HallChange::Closed(hall) | HallChange::Opened(hall)) = change;
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -22,6 +22,7 @@
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ListChange;
+use leadstage_lib::gateway::revision;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::health::Health;
@@ -185,11 +186,12 @@
 
     /// The store told of its replicas.
     pub fn on_store_news(&mut self, placing: &mut Placing, fleet: &Fleet, news: News<ReplicaRecord>) {
-        let before = self.progress.at();
+        let (before, now) = (self.progress.at(), self.shared.now());
         let (change, at) = match news {
             News::Listed { list, after_outage } => {
-                let replicas = &mut placing.knowledge.replicas;
-                (replicas.on_list(list.items, after_outage, self.shared.now()), list.at)
+                self.note_era(list.at);
+                let lapses = after_outage || self.lapses.missing_since(now).is_some();
+                (placing.knowledge.replicas.on_store_list(list.items, list.at, lapses, now), list.at)
             }
             News::Changed(changes) => {
                 let at = changes.at;
@@ -215,6 +217,15 @@
         }
     }
 
+    /// What a copy lacks is not gone: replicas write their entries again.
+    fn note_era(&mut self, at: Revision) {
+        let before = self.progress.at();
+        if before > 0 && revision::era(at) > revision::era(before) {
+            info!(event = "store_copy", era = revision::era(at), revision = revision::number(at); "the store has come back from a copy, which may lack replicas");
+            self.lapses.on_store_away(self.shared.now());
+        }
+    }
+
     fn on_changes(&mut self, placing: &mut Placing, changes: Changes<ReplicaRecord>) -> ListChange {
         let now = self.shared.now();
         let mut change = ListChange::default();
--- a/node/tests/test_gateway_store_copies.rs
+++ b/node/tests/test_gateway_store_copies.rs
@@ -24,6 +24,8 @@
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 /// A replica that leaves gets nothing after this.
 const LEFT_WITHIN: Duration = Duration::from_secs(2);
+/// Who follows the store is settled by then, and the store known to answer.
+const SETTLED_AFTER: Duration = Duration::from_secs(6);
 /// How long the fleet is under load.
 const LASTS: Duration = Duration::from_secs(4);
 
@@ -123,9 +125,13 @@
 #[tokio::test]
 async fn test_an_entry_that_a_copy_brings_back_is_not_used() {
     let fleet = LimitedFleet::start(BOOKING, NODES, 2).await;
+    tokio::time::sleep(SETTLED_AFTER).await;
     let copy = fleet.gateway.store.copy();
     fleet.gateway.store.delete("servers", &fleet.replicas[0].replica.id);
-    fleet.load(&[4.0; NODES], LEFT_WITHIN, read).await;
+    for node in 0..NODES {
+        let knows = async || fleet.gateway.log(node).contains("event=replica_leaves");
+        fleet.gateway.until("each node knows", knows).await;
+    }
     let from = Instant::now();
     come_back(&fleet, copy).await;
     assert_all_served(&fleet.load(&[8.0; NODES], LASTS, read).await, &fleet);
