upgrades: a judge tells a success once it has heard nearly all nodes

Users of an upgrade would have seen a bad version take over after machines had ended.

Cause: whoever judges after another one has ended knows its own counts at first, by which nothing speaks against the version. Evidence: a run of the known red test under load failed with upgrade_judged stage=switch nodes=1 answered=127 exposed=13, 4.4 s after three of six nodes had been killed.

Change: what speaks against a version counts whoever hears it; success waits until three quarters of the nodes have told.

Ruled out: half of the nodes, which of three is two.

--- a/lib/src/gateway/upgrade_judge.rs
+++ b/lib/src/gateway/upgrade_judge.rs
@@ -64,6 +64,8 @@
     pub has_streams: bool,
     /// Whether the store answers somebody: without it no success can be told.
     pub store_answers: bool,
+    /// Whether nearly all nodes have told their counts: a new judge has its own alone at first.
+    pub hears_most: bool,
     /// What the new version may get.
     pub bounds: ExposureBounds,
 }
@@ -106,7 +108,7 @@
         if self.capacity.target == 0 && elapsed > order.within + GIVES_UP_AFTER {
             return Some(NextStage { stage: Stage::Reverted, reason: Reason::NoReplicas });
         }
-        if verdict == Verdict::Unknown || !self.store_answers {
+        if verdict == Verdict::Unknown || !self.store_answers || !self.hears_most {
             return None;
         }
         let told_at = order.within.saturating_sub(told_before(order.within));
--- a/lib/tests/test_gateway_upgrade.rs
+++ b/lib/tests/test_gateway_upgrade.rs
@@ -239,6 +239,7 @@
     counts: impl Fn(f64) -> AnswerCounts,
     capacity: Capacity,
     store_answers: bool,
+    hears_most: bool,
 ) -> Vec<(Stage, f64)> {
     let mut upgrade = upgrade(Stage::Trial);
     let mut course = Vec::new();
@@ -252,6 +253,7 @@
             capacity,
             has_streams: false,
             store_answers,
+            hears_most,
             bounds: BOUNDS,
         };
         if let Some(next) = situation.next(now) {
@@ -270,20 +272,29 @@
 #[test]
 fn test_a_sound_version_is_told_before_the_time_is_over() {
     let capacity = Capacity { present: 40, target: 40 };
-    insta::assert_debug_snapshot!(course(sound, capacity, true));
+    insta::assert_debug_snapshot!(course(sound, capacity, true, true));
 }
 
 #[test]
 fn test_nothing_goes_on_without_the_store_or_room() {
     let capacity = Capacity { present: 40, target: 40 };
-    assert_eq!(course(sound, capacity, false), []);
-    assert_eq!(course(sound, Capacity { present: 40, target: 8 }, true), []);
+    assert_eq!(course(sound, capacity, false, true), []);
+    assert_eq!(course(sound, Capacity { present: 40, target: 8 }, true, true), []);
     let none = |_| counts((500, 0), (0, 0), Sample::Failed);
-    assert_eq!(course(none, capacity, true), [], "nothing is known of the new version");
-    let course = course(none, Capacity { present: 40, target: 0 }, true);
+    assert_eq!(course(none, capacity, true, true), [], "nothing is known of the new version");
+    let course = course(none, Capacity { present: 40, target: 0 }, true, true);
     assert_eq!(course.iter().map(|(stage, _)| *stage).collect::<Vec<_>>(), [Stage::Reverted]);
 }
 
+/// Whoever judges after another one has ended knows little at first, which speaks against a version only.
+#[test]
+fn test_a_judge_that_hears_few_nodes_only_reverts() {
+    let capacity = Capacity { present: 40, target: 40 };
+    assert_eq!(course(sound, capacity, true, false), []);
+    let bad = |_| counts((500, 0), (10, 12), Sample::Failed);
+    assert_eq!(course(bad, capacity, true, false), [(Stage::Reverted, 0.0)]);
+}
+
 #[test]
 fn test_a_version_that_turns_bad_late_or_in_the_switch_is_reverted() {
     let capacity = Capacity { present: 40, target: 40 };
@@ -292,7 +303,7 @@
             true => counts(((95.0 * elapsed) as u32, 0), ((5.0 * from) as u32, 12), Sample::Failed),
             false => sound(elapsed),
         };
-        let last = course(turns_bad, capacity, true).pop().expect("it goes on");
+        let last = course(turns_bad, capacity, true, true).pop().expect("it goes on");
         assert_eq!(last, (Stage::Reverted, from + 0.1), "{from}");
     }
 }
--- a/lib/tests/test_gateway_upgrade_model.rs
+++ b/lib/tests/test_gateway_upgrade_model.rs
@@ -170,6 +170,7 @@
             capacity: Capacity { present: 42, target: 42 },
             has_streams: false,
             store_answers: true,
+            hears_most: true,
             bounds: BOUNDS,
         };
         if let Some(next) = situation.next(now) {
--- a/node/src/gateway/control/upgrade_intake.rs
+++ b/node/src/gateway/control/upgrade_intake.rs
@@ -47,6 +47,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// A write to the store that failed is tried again after this.
 const WRITE_AGAIN_AFTER: Duration = Duration::from_millis(300);
+/// A judge tells a success once this part of the nodes has told it their counts.
+const MOST_NODES: f64 = 0.75;
 /// What the judge of a service's upgrade is hashed by, before the service's name.
 const JUDGE: &str = "judge of ";
 
@@ -77,6 +79,12 @@
         Trial { order, own: AnswerCounts::default(), reported: HashMap::new(), told: None, has_news: false }
     }
 
+    /// Whether nearly all nodes have told their counts, this one included.
+    fn hears_most(&self, fleet: &Fleet) -> bool {
+        let told = fleet.alive().filter(|node| self.reported.contains_key(*node)).count() + 1;
+        told as f64 >= MOST_NODES * fleet.nodes() as f64
+    }
+
     fn all(&self) -> AnswerCounts {
         let mut all = self.own.clone();
         self.reported.values().for_each(|counts| all.add(counts));
@@ -307,6 +315,7 @@
             capacity: capacity(placing, service, &upgrade.order),
             has_streams: placing.knowledge.engine_traits(service).is_some(),
             store_answers,
+            hears_most: trial.hears_most(fleet),
             bounds,
         };
         let Some(NextStage { stage, reason }) = situation.next(now) else {
