--- a/cli/src/fleet_command.rs
+++ b/cli/src/fleet_command.rs
@@ -93,10 +93,7 @@
 
     fn report(&mut self) -> Report {
         self.serving_after.sort_unstable();
-        let part = |hundredths: usize| {
-            let at = (self.serving_after.len() * hundredths).div_ceil(100).max(1) - 1;
-            self.serving_after.get(at).copied().unwrap_or_default()
-        };
+        let part = |hundredths| spreads::within(&self.serving_after, hundredths);
         let starts = Starts {
             processes: self.serving_after.len(),
             half_ms: part(50),
--- a/cli/src/log_lines.rs
+++ b/cli/src/log_lines.rs
@@ -98,6 +98,7 @@
         pairs,
     })
 }
+
 fn pairs(line: &str) -> BTreeMap<String, String> {
     let mut pairs = BTreeMap::new();
     let mut rest = line.trim_start();
--- a/cli/src/spreads.rs
+++ b/cli/src/spreads.rs
@@ -130,10 +130,15 @@
     }
 }
 
+/// What so many of a hundred figures don't exceed, which stand from low to high; 0 of none.
+pub fn within(figures: &[i64], hundredths: usize) -> i64 {
+    let at = (figures.len() * hundredths).div_ceil(100).max(1) - 1;
+    figures.get(at).copied().unwrap_or_default()
+}
+
 fn row(subject: Subject, changes: &[Vec<i64>]) -> SpreadRow {
     let part = |hundredths: usize| {
-        let of_change = |delays: &Vec<i64>| delays[(delays.len() * hundredths).div_ceil(100).max(1) - 1];
-        let mut figures: Vec<i64> = changes.iter().map(of_change).collect();
+        let mut figures: Vec<i64> = changes.iter().map(|delays| within(delays, hundredths)).collect();
         figures.sort_unstable();
         Range(figures[figures.len() / 2], figures[figures.len() - 1])
     };
--- a/lib/src/gateway/regions.rs
+++ b/lib/src/gateway/regions.rs
@@ -56,6 +56,6 @@
 
     /// Whether a hall is in one of some regions.
     pub fn allows(&self, allowed: &AllowedRegions, hall: &str) -> bool {
-        allowed.allows(self.0.get(hall))
+        allowed.is_any() || allowed.allows(self.0.get(hall))
     }
 }
--- a/lib/src/gateway/upgrade.rs
+++ b/lib/src/gateway/upgrade.rs
@@ -6,6 +6,7 @@
 //! are the one with the higher revision of the store.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -180,41 +181,37 @@
     /// Takes a word in; returns the services whose upgrades it changed.
     pub fn take(&mut self, told: ToldUpgrades, now: Timestamp) -> Vec<ServiceId> {
         let is_newer = told.at > self.at;
-        let before = self.by_service.clone();
+        let mut changed = BTreeSet::new();
         if is_newer && revision::era(told.at) == revision::era(self.at) {
             let is_told = |service: &ServiceId| told.upgrades.iter().any(|told| told.service == *service);
-            self.by_service.retain(|service, _| is_told(service));
+            let withdrawn = self.by_service.extract_if(.., |service, _| !is_told(service));
+            changed.extend(withdrawn.map(|(service, _)| service));
         }
         // What a copy lacks was not withdrawn: the operator writes it again.
         self.at = told.at.max(self.at);
         for told in told.upgrades {
-            self.take_one(told, is_newer, now);
-        }
-        let services: Vec<&ServiceId> = before.keys().chain(self.by_service.keys()).collect();
-        let mut changed: Vec<ServiceId> = Vec::new();
-        for service in services {
-            let stage = |of: &BTreeMap<ServiceId, Upgrade>| {
-                of.get(service).map(|upgrade| (upgrade.order.clone(), upgrade.stage))
-            };
-            if stage(&before) != stage(&self.by_service) && !changed.contains(service) {
-                changed.push(service.clone());
+            let service = told.service.clone();
+            if self.take_one(told, is_newer, now) {
+                changed.insert(service);
             }
         }
-        changed
+        changed.into_iter().collect()
     }
 
-    fn take_one(&mut self, told: ToldUpgrade, is_newer: bool, now: Timestamp) {
+    /// Returns whether the order or its stage is another one than before.
+    fn take_one(&mut self, told: ToldUpgrade, is_newer: bool, now: Timestamp) -> bool {
         let began = now.saturating_sub(told.age);
         match self.by_service.get_mut(&told.service) {
             Some(known) if known.order == told.order => {
                 known.began = known.began.min(began);
-                known.raise(told.stage, now);
+                known.raise(told.stage, now)
             }
             // An older word knows nothing of which orders there are now.
-            _ if !is_newer => {}
+            _ if !is_newer => false,
             _ => {
                 let upgrade = Upgrade { order: told.order, began, stage: told.stage, stage_since: now };
                 self.by_service.insert(told.service, upgrade);
+                true
             }
         }
     }
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -6,7 +6,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use rand::Rng;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -406,11 +405,6 @@
         self.members.iter().filter(|(_, m)| m.is_up()).map(|(vm, _)| vm)
     }
 
-    /// Some of these, at random.
-    pub fn sample<R: Rng>(&self, count: usize, rng: &mut R) -> Vec<&VmId> {
-        self.up.sample(count, rng)
-    }
-
     /// How many these are.
     pub fn count_alive(&self) -> usize {
         self.up.len()
--- a/node/src/gateway/control/knowledge/eligible.rs
+++ b/node/src/gateway/control/knowledge/eligible.rs
@@ -79,7 +79,7 @@
     /// Whether a service has replicas where its requests may be served, but none of them in an open hall.
     pub fn is_closed(&self, service: &str, regions: &AllowedRegions) -> bool {
         let halls = self.shared.closed_halls();
-        let allowed = |hall: &str| regions.is_any() || self.shared.settings.regions.allows(regions, hall);
+        let allowed = |hall: &str| self.shared.settings.regions.allows(regions, hall);
         let mut there = self.replicas.staying_by_hall(service).map(|(hall, _)| hall).peekable();
         there.peek().is_some() && !there.any(|hall| allowed(hall) && halls.is_open(hall))
     }
@@ -167,8 +167,7 @@
         let is_left_to_others = || self.limits.borrow().limits.is_left_to_others(id, self.shared.now());
         takes_requests(replica, halls)
             && !is_excluded(wanted, id)
-            && (wanted.regions.is_any()
-                || self.shared.settings.regions.allows(&wanted.regions, &replica.record.hall))
+            && self.shared.settings.regions.allows(&wanted.regions, &replica.record.hall)
             && !(*leaves_to_others && is_left_to_others())
     }
 
@@ -198,9 +197,8 @@
         let service = &wanted.service;
         let mut limits = self.limits.borrow_mut();
         let regions = &self.shared.settings.regions;
-        let mut open = self.open(service).filter(|replica| {
-            wanted.regions.is_any() || regions.allows(&wanted.regions, &replica.record.hall)
-        });
+        let mut open =
+            self.open(service).filter(|replica| regions.allows(&wanted.regions, &replica.record.hall));
         let first = open.next()?;
         let limit = |replica: &Replica| limits.limits.limit(&replica.record.id);
         let named = open.try_fold(limit(first)?, |named, replica| Some(named + limit(replica)?))?;
