gateway: what is learnt of a known revision is told, and answers from before a return from a copy are left out

Seen in the log of a test: a follower of the store learnt that a replica's entry was gone at the revision up to which it knew the replicas from another one, which had taken the entry for missing only; nobody was told (news_kept at=4 before=4). A stale answer of the era before could bring entries back.

Change: such news go out as signs, without a revision; an answer of an earlier era than the known one is not taken in.

--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -117,12 +117,20 @@
         let leaving = replicas.leaving_of(&change.leaving);
         self.on_list_change(placing, &change, 0);
         if follows {
-            let news = ReplicaNews { leaving, ..ReplicaNews::default() };
-            let parts = news.into_parts(placing.knowledge.replicas.len()).unwrap_or_default();
-            parts.iter().for_each(|part| self.tell(fleet, part));
+            self.tell_signs(placing, fleet, ReplicaNews { leaving, ..ReplicaNews::default() });
         }
     }
 
+    /// Tells what comes with no new revision.
+    fn tell_signs(&self, placing: &Placing, fleet: &Fleet, signs: ReplicaNews) {
+        let (added, leaving) = (signs.added.len(), signs.leaving.len());
+        let Some(parts) = signs.into_parts(placing.knowledge.replicas.len()) else {
+            info!(event = "news_not_told", added, leaving, at = 0; "more has changed than is told");
+            return;
+        };
+        parts.iter().for_each(|part| self.tell(fleet, part));
+    }
+
     /// Packs what another node lacks. The whole list is packed once for all that ask for it until it changes.
     pub fn hand_out(&mut self, placing: &Placing, known: Revision, reply: oneshot::Sender<Bytes>) {
         if let Some((at, packed)) = &self.packed
@@ -187,16 +195,21 @@
     /// The store told of its replicas.
     pub fn on_store_news(&mut self, placing: &mut Placing, fleet: &Fleet, news: News<ReplicaRecord>) {
         let (before, now) = (self.progress.at(), self.shared.now());
-        let (change, at) = match news {
+        let at = match &news {
+            News::Listed { list, .. } => list.at,
+            News::Changed(changes) => changes.at,
+        };
+        if revision::era(at) < revision::era(before) {
+            info!(event = "store_era_old", era = revision::era(at), known = revision::era(before); "an answer of the store is older than its return from a copy");
+            return;
+        }
+        let change = match news {
             News::Listed { list, after_outage } => {
-                self.note_era(list.at);
+                self.note_era(at);
                 let lapses = after_outage || self.lapses.missing_since(now).is_some();
-                (placing.knowledge.replicas.on_store_list(list.items, list.at, lapses, now), list.at)
-            }
-            News::Changed(changes) => {
-                let at = changes.at;
-                (self.on_changes(placing, changes), at)
+                placing.knowledge.replicas.on_store_list(list.items, at, lapses, now)
             }
+            News::Changed(changes) => self.on_changes(placing, changes),
         };
         self.progress.on_known(at);
         self.after_news(placing, &change, at);
@@ -213,7 +226,9 @@
             let part = Part::default();
             self.gather(placing, fleet, ReplicaNews { before, at, added, leaving, part });
         } else if before > 0 && !(added.is_empty() && leaving.is_empty()) {
-            info!(event = "news_kept", added = added.len(), leaving = leaving.len(), at, before; "news of the store is no newer than what is known, and not told");
+            // Others know this revision, by whoever saw less of it.
+            info!(event = "news_of_known_revision", added = added.len(), leaving = leaving.len(), at, before; "more is learnt of a revision that is known");
+            self.tell_signs(placing, fleet, ReplicaNews { added, leaving, ..ReplicaNews::default() });
         }
     }
 
