gateway, tests: what replicas say of themselves is a module of its own; a loaded fleet is called so

traffic.rs had come to hold what all requests share and what replicas say (limits, leaving, rest): the latter are replica_words.rs, and one call takes the head of an answer in. A stronger sign of a departure that is known is told to nobody: they know. Tests share their calls, and the fleet under load is no longer named after limits.

--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -170,7 +170,9 @@
     /// A replica showed this node that it leaves: in an answer, or when it was asked for its health.
     pub fn on_sign(&mut self, placing: &mut Placing, fleet: &Fleet, of: &Incarnation, sign: LeavingSign) {
         let replicas = &mut placing.knowledge.replicas;
-        if !replicas.on_sign(of, sign, self.shared.now()) {
+        let was_leaving = replicas.get(&of.id).is_some_and(|replica| replica.leaving.is_some());
+        // A stronger sign of what is known holds against more, and is no news to others.
+        if !replicas.on_sign(of, sign, self.shared.now()) || was_leaving {
             return;
         }
         let change = ListChange { leaving: vec![of.id.clone()], ..ListChange::default() };
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -7,6 +7,7 @@
 pub mod leg;
 pub mod pace;
 pub mod relay;
+pub mod replica_words;
 pub mod resuming;
 pub mod sampling;
 pub mod silence;
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -177,12 +177,7 @@
     if head.headers.get(headers::REQUEST_ID) != req.headers.get(headers::REQUEST_ID) {
         return Err(SendError::Foreign);
     }
-    traffic.note_headers(&head.headers);
-    if headers::says_leaving(&head.headers) {
-        traffic.on_said_leaving(req, replica);
-    }
-    traffic.on_rest_word(req, replica, &head, sent_at);
-    traffic.on_limit_word(replica, headers::limit_word(head.status, &head.headers), sent_at);
+    traffic.on_head(req, replica, &head, sent_at);
     Ok(Exchange { status: head.status, headers: head.headers, body, head_came: Instant::now(), connection })
 }
 
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -5,33 +5,19 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
-use http::HeaderMap;
 use http::HeaderName;
-use http::StatusCode;
-use http::response::Parts;
 use leadstage_lib::gateway::asked_rests::AskedRests;
-use leadstage_lib::gateway::replica::LeavingSign;
-use leadstage_lib::gateway::replica_limits::AnswerTimes;
-use leadstage_lib::gateway::replica_limits::LimitWord;
-use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::retry_window::RetryShare;
 use leadstage_lib::gateway::retry_window::RetryWindow;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::said_leaving::SaidLeaving;
 use leadstage_lib::gateway::sound_runs::SoundRuns;
 use leadstage_lib::gateway::waiting::NoRoom;
-use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
-use leadstage_platform::fields;
-use leadstage_platform::headers;
-use log::info;
-use log::warn;
 
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::StreamHandle;
-use crate::gateway::messages::ToControl;
 use crate::gateway::peers::peer_message::Wanted;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
@@ -43,13 +29,6 @@
 /// not take all of it.
 const LEAST_NODES: usize = 6;
 
-/// Resting replicas that whoever places a request is told of at most: a message has room for some hundreds, and one
-/// that is chosen all the same is not sent to.
-const MOST_RESTING_TOLD: usize = 100;
-
-/// Names of headers that are remembered at most.
-const MOST_HEADERS_SEEN: usize = 64;
-
 /// What the requests of the traffic thread share.
 #[derive(Clone)]
 pub struct Traffic {
@@ -60,10 +39,12 @@
     retries: Rc<RefCell<HashMap<ServiceId, RetryWindow>>>,
     /// Requests that replicas answered lately.
     pub sound_runs: Rc<RefCell<SoundRuns>>,
-    said_leaving: Rc<RefCell<SaidLeaving>>,
-    rests: Rc<RefCell<AskedRests>>,
+    /// Replicas that said in an answer to this node that they leave.
+    pub said_leaving: Rc<RefCell<SaidLeaving>>,
+    /// Replicas that asked this node for rest.
+    pub rests: Rc<RefCell<AskedRests>>,
     /// The headers of replicas' answers that have been looked at.
-    seen_headers: Rc<RefCell<HashSet<HeaderName>>>,
+    pub seen_headers: Rc<RefCell<HashSet<HeaderName>>>,
 }
 
 impl Traffic {
@@ -128,28 +109,6 @@
         self.place(request).await
     }
 
-    /// Asks for a replica that has not asked this node for rest.
-    pub async fn place(&self, mut request: PlaceRequest) -> Result<RunGuard, NoRoom> {
-        let now = self.shared.now();
-        let (resting, left): (Vec<UpstreamId>, Vec<Duration>) = {
-            let rests = self.rests.borrow();
-            let of_service = rests.of_service(&request.wanted.service, now).take(MOST_RESTING_TOLD);
-            of_service.map(|(id, left)| (id.clone(), left)).unzip()
-        };
-        request.wanted.resting = resting;
-        let soonest = left.into_iter().min();
-        let placed = self.shared.place(request).await;
-        placed.map_err(|no_room| NoRoom { expected: no_room.expected.into_iter().chain(soonest).min() })
-    }
-
-    /// Whether a request may be sent to a replica, which may have asked for rest since it was chosen. `goes_on` is set
-    /// for a generation whose memory is there.
-    pub fn lets_rest(&self, replica: &ReplicaRecord, goes_on: bool) -> bool {
-        let (of, now) = (replica.incarnation(), self.shared.now());
-        let mut rests = self.rests.borrow_mut();
-        if goes_on { !rests.may_go_on(&of, now) } else { rests.left(&of, now).is_some() }
-    }
-
     /// A request for a service came: it adds to the retry budget.
     pub fn on_request(&self, service: &ServiceId) {
         let now = self.shared.now();
@@ -160,83 +119,4 @@
         let mut windows = self.retries.borrow_mut();
         act(windows.entry(service.clone()).or_default())
     }
-
-    /// A request that was sent to `sent` replicas before is about to be sent to one more.
-    pub fn on_sending(&self, req: &CallerRequest, replica: &ReplicaRecord, sent: u32) {
-        if let Some(limit) = self.shared.limits().get(&replica.id) {
-            self.shared.metrics.on_sent_to_limited();
-            info!(event = "sent_to_limited", request = req.id(), upstream = &*replica.id, limit, sent; "a request is sent to a replica that names a limit");
-        }
-        if let Some(since) = self.said_leaving.borrow().since(&replica.incarnation()) {
-            let said_ms_ago = self.shared.now().saturating_sub(since).as_millis() as u64;
-            info!(event = "sent_to_leaving", request = req.id(), upstream = &*replica.id, said_ms_ago, sent; "a request is sent to a replica that said that it leaves");
-        }
-        let (of, now) = (replica.incarnation(), self.shared.now());
-        let mut rests = self.rests.borrow_mut();
-        if let Some(left) = rests.left(&of, now) {
-            let left_ms = left.as_millis() as u64;
-            info!(event = "sent_to_resting", request = req.id(), upstream = &*replica.id, left_ms, sent; "a request is sent to a replica that asked this node for rest");
-        }
-        rests.on_sending(&of, now);
-    }
-
-    /// The head of an answer came to a request that was sent at `sent`: the replica asks for rest, or does not.
-    pub fn on_rest_word(&self, req: &CallerRequest, replica: &ReplicaRecord, head: &Parts, sent: Timestamp) {
-        let mut rests = self.rests.borrow_mut();
-        match headers::rest_asked(head.status, &head.headers) {
-            Some(rest) => {
-                rests.on_asked(replica, rest, self.shared.now());
-                info!(event = "rest_asked", request = req.id(), upstream = &*replica.id, rest_ms = rest.as_millis() as u64; "a replica asks this node for rest");
-            }
-            None if head.status == StatusCode::SERVICE_UNAVAILABLE => {}
-            None => rests.on_answer(&replica.incarnation(), sent),
-        }
-    }
-
-    /// A replica said in an answer that it leaves.
-    pub fn on_said_leaving(&self, req: &CallerRequest, replica: &ReplicaRecord) {
-        if self.said_leaving.borrow_mut().on_said(&replica.incarnation(), self.shared.now()) {
-            info!(event = "leaving_said", request = req.id(), upstream = &*replica.id; "a replica says in an answer that it leaves");
-            self.shared.tell(ToControl::Sign(replica.incarnation(), LeavingSign::Said));
-        }
-    }
-
-    /// Logs each header of replicas' answers once that nobody has decided on: a replica may ask for something
-    /// that is not built.
-    pub fn note_headers(&self, headers: &HeaderMap) {
-        let mut seen = self.seen_headers.borrow_mut();
-        for name in headers.keys() {
-            if seen.len() >= MOST_HEADERS_SEEN || seen.contains(name) {
-                continue;
-            }
-            seen.insert(name.clone());
-            if !fields::knows_header(name.as_str()) {
-                warn!(event = "field_undecided", kind = "answer", field = name.as_str(); "an answer has a header that is not read, and nobody has said why");
-            }
-        }
-    }
-
-    /// What a replica's answer says of its limit. The control loop hears of those only that may change what
-    /// is known.
-    pub fn on_limit_word(&self, replica: &ReplicaRecord, word: LimitWord, sent: Timestamp) {
-        let may_change = match word {
-            LimitWord::Named(_) => true,
-            LimitWord::NotNamed => self.shared.limits().contains_key(&replica.id),
-            LimitWord::Silent => false,
-        };
-        if may_change {
-            let times = AnswerTimes { sent, came: self.shared.now() };
-            self.shared.tell(ToControl::LimitWord(replica.incarnation(), word, times));
-        }
-    }
-
-    /// A replica turned a request away.
-    pub fn on_not_run(&self, req: &CallerRequest, run: &RunGuard, status: StatusCode) {
-        let replica = &run.placed.replica;
-        info!(event = "turned_away", request = req.id(), upstream = &*replica.id, status = status.as_u16(); "a replica did not run a request");
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            let sign = LeavingSign::Replaced;
-            self.shared.tell(ToControl::Sign(replica.incarnation(), sign));
-        }
-    }
 }
--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -438,6 +438,16 @@
         .expect("valid")
 }
 
+/// A call that may be repeated.
+pub fn read(id: &str) -> Request<Full<Bytes>> {
+    request("GET", "/read/x", KEY, id)
+}
+
+/// A call that may not be repeated.
+pub fn book(id: &str) -> Request<Full<Bytes>> {
+    request("POST", "/book/x", KEY, id)
+}
+
 /// A request for a stream.
 pub fn chat(id: &str) -> Request<Full<Bytes>> {
     stream("/chat/x", id)
--- a/node/tests/limited_fleet.rs
+++ b/node/tests/loaded_fleet.rs
@@ -1,4 +1,4 @@
-//! A fleet whose replicas name limits, under a load that goes on.
+//! A fleet under a load that goes on, and what its replicas got of it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,7 +26,7 @@
 const LEAST_USED: f64 = 0.75;
 
 /// A fleet with replicas of one service.
-pub struct LimitedFleet {
+pub struct LoadedFleet {
     /// The fleet.
     pub gateway: Arc<Gateway>,
     /// The replicas.
@@ -42,10 +42,10 @@
     pub took: Duration,
 }
 
-impl LimitedFleet {
+impl LoadedFleet {
     /// So many nodes that know each other, and so many replicas.
-    pub async fn start(service: &str, nodes: usize, replicas: usize) -> LimitedFleet {
-        LimitedFleet::start_with(service, nodes, replicas, 4, |yaml| yaml).await
+    pub async fn start(service: &str, nodes: usize, replicas: usize) -> LoadedFleet {
+        LoadedFleet::start_with(service, nodes, replicas, 4, |yaml| yaml).await
     }
 
     /// The same, with generations of so many events and changed settings.
@@ -55,7 +55,7 @@
         replicas: usize,
         events: u64,
         change: impl Fn(String) -> String,
-    ) -> LimitedFleet {
+    ) -> LoadedFleet {
         let mut gateway = Gateway::start().await;
         gateway.store.put("config", "main", config(1));
         let mut running = Vec::new();
@@ -70,7 +70,7 @@
             let knows_all = async || gateway.node_status(node).await.peers.len() == nodes - 1;
             gateway.until("a node knows all others", knows_all).await;
         }
-        LimitedFleet { gateway: Arc::new(gateway), replicas: running }
+        LoadedFleet { gateway: Arc::new(gateway), replicas: running }
     }
 
     /// Has the first replicas name these limits from now on; returns when they bind.
@@ -164,7 +164,7 @@
 }
 
 /// Asserts that all calls were served.
-pub fn assert_all_served(answers: &[Answer], fleet: &LimitedFleet) {
+pub fn assert_all_served(answers: &[Answer], fleet: &LoadedFleet) {
     for Answer { called, .. } in answers {
         assert!(called.status == 200 && called.whole, "{called:?}\n{}", fleet.gateway.logs());
     }
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -4,7 +4,7 @@
 mod crashing_fleet;
 mod environment;
 mod gateway_environment;
-mod limited_fleet;
+mod loaded_fleet;
 mod stream;
 mod test_bundles;
 mod test_callers;
--- a/node/tests/test_gateway_asked_rests.rs
+++ b/node/tests/test_gateway_asked_rests.rs
@@ -6,13 +6,13 @@
 use leadstage_testutils::gateway_replica::ReplicaFault;
 
 use crate::gateway_environment::BOOKING;
-use crate::gateway_environment::KEY;
 use crate::gateway_environment::MODEL;
+use crate::gateway_environment::book;
 use crate::gateway_environment::chat;
-use crate::gateway_environment::request;
-use crate::limited_fleet::Answer;
-use crate::limited_fleet::LimitedFleet;
-use crate::limited_fleet::assert_all_served;
+use crate::gateway_environment::read;
+use crate::loaded_fleet::Answer;
+use crate::loaded_fleet::LoadedFleet;
+use crate::loaded_fleet::assert_all_served;
 
 const NODES: usize = 6;
 /// What the replicas ask for, in seconds.
@@ -30,16 +30,8 @@
 
 type Req = http::Request<http_body_util::Full<bytes::Bytes>>;
 
-fn read(id: &str) -> Req {
-    request("GET", "/read/x", KEY, id)
-}
-
-fn book(id: &str) -> Req {
-    request("POST", "/book/x", KEY, id)
-}
-
 /// The first replicas turn all requests away and ask for rest.
-fn shed(fleet: &LimitedFleet, replicas: usize) -> Instant {
+fn shed(fleet: &LoadedFleet, replicas: usize) -> Instant {
     for running in &fleet.replicas[..replicas] {
         running.replica.set_rest(Some(ASKED));
         running.replica.set_fault(ReplicaFault::NotRun);
@@ -48,7 +40,7 @@
 }
 
 /// Asserts that a replica which turned all requests away got none of a node that it had asked for rest.
-fn assert_rested(fleet: &LimitedFleet, replica: usize, from: Instant) {
+fn assert_rested(fleet: &LoadedFleet, replica: usize, from: Instant) {
     for node in 0..NODES {
         let arrivals = fleet.arrivals_through(node, replica, from);
         let in_rest = |asked: &Instant| {
@@ -61,7 +53,7 @@
 
 /// Of several replicas some turn requests away; returns how many were served, and all answers.
 async fn check_some_shed(service: &str, make: fn(&str) -> Req) -> Vec<Answer> {
-    let fleet = LimitedFleet::start(service, NODES, 5).await;
+    let fleet = LoadedFleet::start(service, NODES, 5).await;
     let from = shed(&fleet, 2);
     let answers = fleet.load(&[10.0; NODES], LASTS, make).await;
     (0..2).for_each(|replica| assert_rested(&fleet, replica, from));
@@ -98,7 +90,7 @@
 
 /// All replicas ask for rest: what comes is refused at once, with a time to come back.
 async fn check_all_shed(service: &str, make: fn(&str) -> Req) {
-    let fleet = LimitedFleet::start(service, NODES, 3).await;
+    let fleet = LoadedFleet::start(service, NODES, 3).await;
     let from = shed(&fleet, 3);
     let answers = fleet.load(&[10.0; NODES], LASTS, make).await;
     (0..3).for_each(|replica| assert_rested(&fleet, replica, from));
@@ -125,7 +117,7 @@
 /// A replica that takes requests again is used again.
 #[tokio::test]
 async fn test_a_rest_ends() {
-    let fleet = LimitedFleet::start(BOOKING, NODES, 2).await;
+    let fleet = LoadedFleet::start(BOOKING, NODES, 2).await;
     shed(&fleet, 1);
     fleet.load(&[10.0; NODES], REST / 3, read).await;
     fleet.replicas[0].replica.set_fault(ReplicaFault::None);
--- a/node/tests/test_gateway_replica_limits.rs
+++ b/node/tests/test_gateway_replica_limits.rs
@@ -16,14 +16,13 @@
 use leadstage_testutils::gateway_replica::ReplicaFault;
 
 use crate::gateway_environment::BOOKING;
-use crate::gateway_environment::KEY;
 use crate::gateway_environment::MODEL;
 use crate::gateway_environment::chat;
 use crate::gateway_environment::config;
-use crate::gateway_environment::request;
-use crate::limited_fleet::BINDS_AFTER;
-use crate::limited_fleet::LimitedFleet;
-use crate::limited_fleet::assert_all_served;
+use crate::gateway_environment::read;
+use crate::loaded_fleet::BINDS_AFTER;
+use crate::loaded_fleet::LoadedFleet;
+use crate::loaded_fleet::assert_all_served;
 
 /// Nodes of the users' fleet.
 const NODES: usize = 6;
@@ -34,13 +33,9 @@
 /// A refusal that needs no waiting comes within this, on a busy machine too.
 const REFUSED_WITHIN: Duration = Duration::from_secs(1);
 
-fn read(id: &str) -> http::Request<http_body_util::Full<bytes::Bytes>> {
-    request("GET", "/read/x", KEY, id)
-}
-
 /// Two of three replicas are in need; the third one takes the rest.
 async fn check_two_of_three(per_second: &[f64; NODES]) {
-    let fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
+    let fleet = LoadedFleet::start(BOOKING, NODES, 3).await;
     let limits = [3.0, 4.4];
     let binds = fleet.name_limits(&limits);
     let answers = fleet.load(per_second, BINDS_AFTER + MEASURED, read).await;
@@ -63,7 +58,7 @@
 /// back to before count too: with what it names granted at once it gets some 86 in 4 s, of 77 allowed.
 #[tokio::test]
 async fn test_a_replica_that_comes_into_need_is_left_to_others_at_first() {
-    let fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
+    let fleet = LoadedFleet::start(BOOKING, NODES, 3).await;
     let limits = [12.0];
     let (answers, binds) =
         tokio::join!(fleet.load(&[27.5; NODES], 2 * BINDS_AFTER + MEASURED, read), async {
@@ -79,7 +74,7 @@
 /// Generations come through the lead of their model, which no other node goes around.
 #[tokio::test]
 async fn test_limits_of_engines_are_kept() {
-    let fleet = LimitedFleet::start(MODEL, NODES, 3).await;
+    let fleet = LoadedFleet::start(MODEL, NODES, 3).await;
     let binds = fleet.name_limits(&[2.0]);
     let answers = fleet.load(&[3.0; NODES], BINDS_AFTER + MEASURED, chat).await;
     assert_all_served(&answers, &fleet);
@@ -91,7 +86,7 @@
 /// back.
 #[tokio::test]
 async fn test_what_replicas_in_need_do_not_take_is_refused_at_once() {
-    let fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
+    let fleet = LoadedFleet::start(BOOKING, NODES, 3).await;
     let limits = [2.0, 3.0, 4.0];
     let binds = fleet.name_limits(&limits);
     let answers = fleet.load(&[8.0; NODES], BINDS_AFTER + MEASURED, read).await;
@@ -111,7 +106,7 @@
 /// need, and count there like first ones.
 #[tokio::test]
 async fn test_repeats_count_against_limits() {
-    let fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
+    let fleet = LoadedFleet::start(BOOKING, NODES, 3).await;
     let limits = [2.0, 3.0];
     fleet.replicas[2].replica.set_fault(ReplicaFault::Fails);
     let binds = fleet.name_limits(&limits);
@@ -122,7 +117,7 @@
 /// The need ends: the first answer without a limit is told to all nodes, whoever gets it.
 #[tokio::test]
 async fn test_a_limit_ends_with_the_need() {
-    let fleet = LimitedFleet::start(BOOKING, NODES, 1).await;
+    let fleet = LoadedFleet::start(BOOKING, NODES, 1).await;
     fleet.replicas[0].replica.set_limit(Some("1"));
     fleet.load(&[4.0; NODES], Duration::from_secs(2), read).await;
     for node in 0..NODES {
@@ -138,7 +133,7 @@
 /// Whoever grants is killed, and another node takes over with nothing saved up.
 #[tokio::test]
 async fn test_limits_are_kept_while_nodes_are_lost() {
-    let mut fleet = LimitedFleet::start(BOOKING, NODES, 3).await;
+    let mut fleet = LoadedFleet::start(BOOKING, NODES, 3).await;
     let limits = [3.0, 4.4];
     let binds = fleet.name_limits(&limits);
     fleet.load(&[8.0; NODES], BINDS_AFTER, read).await;
@@ -158,7 +153,7 @@
 #[tokio::test]
 async fn test_a_cold_replica_with_a_limit_gets_no_more_than_a_cold_one() {
     const BEARS: u32 = 4;
-    let mut fleet = LimitedFleet::start(BOOKING, NODES, 2).await;
+    let mut fleet = LoadedFleet::start(BOOKING, NODES, 2).await;
     let mut config = config(2);
     config["services"][0]["coldStartS"] = 60.into();
     config["services"][0]["warmupPerS"] = BEARS.into();
@@ -180,7 +175,7 @@
 /// What a replica takes from all nodes is not for callers.
 #[tokio::test]
 async fn test_callers_are_not_told_of_limits() {
-    let fleet = LimitedFleet::start(BOOKING, 1, 1).await;
+    let fleet = LoadedFleet::start(BOOKING, 1, 1).await;
     fleet.replicas[0].replica.set_limit(Some("5"));
     let called = fleet.gateway.call(0, read("r-1")).await;
     assert_eq!((called.status, called.header("server-limit")), (200, None), "{called:?}");
@@ -190,7 +185,7 @@
 #[tokio::test]
 async fn test_a_limit_below_one_a_second_is_kept_by_many_nodes() {
     const MANY: usize = 16;
-    let fleet = LimitedFleet::start(BOOKING, MANY, 2).await;
+    let fleet = LoadedFleet::start(BOOKING, MANY, 2).await;
     let binds = fleet.name_limits(&[0.4]);
     let answers = fleet.load(&[4.0; MANY], BINDS_AFTER + 4 * MEASURED, read).await;
     assert_all_served(&answers, &fleet);
@@ -202,7 +197,7 @@
 /// once.
 #[tokio::test]
 async fn test_generations_wait_for_engines_in_need() {
-    let fleet = LimitedFleet::start(MODEL, NODES, 2).await;
+    let fleet = LoadedFleet::start(MODEL, NODES, 2).await;
     let limits = [2.0, 3.0];
     let binds = fleet.name_limits(&limits);
     let answers = fleet.load(&[2.0; NODES], BINDS_AFTER + MEASURED, chat).await;
@@ -220,7 +215,7 @@
 /// A long call that was sent before the need is answered while it lasts, and takes nothing back.
 #[tokio::test]
 async fn test_a_late_answer_takes_no_limit_back() {
-    let fleet = LimitedFleet::start(BOOKING, 1, 1).await;
+    let fleet = LoadedFleet::start(BOOKING, 1, 1).await;
     let replica = &fleet.replicas[0].replica;
     replica.set_fault(ReplicaFault::Late(Duration::from_secs(1)));
     let (gateway, late) = (fleet.gateway.clone(), replica.clone());
--- a/node/tests/test_gateway_said_leaving.rs
+++ b/node/tests/test_gateway_said_leaving.rs
@@ -9,14 +9,14 @@
 use leadstage_testutils::metadata_store::replica_entry;
 
 use crate::gateway_environment::BOOKING;
-use crate::gateway_environment::KEY;
 use crate::gateway_environment::MODEL;
+use crate::gateway_environment::book;
 use crate::gateway_environment::chat;
-use crate::gateway_environment::request;
+use crate::gateway_environment::read;
 use crate::gateway_environment::tag;
-use crate::limited_fleet::Answer;
-use crate::limited_fleet::LimitedFleet;
-use crate::limited_fleet::assert_all_served;
+use crate::loaded_fleet::Answer;
+use crate::loaded_fleet::LoadedFleet;
+use crate::loaded_fleet::assert_all_served;
 
 const NODES: usize = 6;
 /// How long the fleet is under load with each state of the store.
@@ -28,27 +28,19 @@
 
 type Req = http::Request<http_body_util::Full<bytes::Bytes>>;
 
-fn read(id: &str) -> Req {
-    request("GET", "/read/x", KEY, id)
-}
-
-fn book(id: &str) -> Req {
-    request("POST", "/book/x", KEY, id)
-}
-
-async fn start(service: &str, replicas: usize, events: u64) -> LimitedFleet {
-    LimitedFleet::start_with(service, NODES, replicas, events, |yaml| yaml).await
+async fn start(service: &str, replicas: usize, events: u64) -> LoadedFleet {
+    LoadedFleet::start_with(service, NODES, replicas, events, |yaml| yaml).await
 }
 
 /// A fleet whose store is away.
-async fn without_store(service: &str, replicas: usize, events: u64) -> LimitedFleet {
+async fn without_store(service: &str, replicas: usize, events: u64) -> LoadedFleet {
     let fleet = start(service, replicas, events).await;
     fleet.gateway.store.set_fault(StoreFault::Refuses);
     fleet
 }
 
 /// Asserts that each node sent nothing to a replica since soon after it had first heard its word.
-fn assert_left_alone(fleet: &LimitedFleet, replica: usize, said: Instant) {
+fn assert_left_alone(fleet: &LoadedFleet, replica: usize, said: Instant) {
     let late: Vec<(usize, usize)> = (0..NODES)
         .map(|node| {
             let arrivals = fleet.arrivals_through(node, replica, said);
@@ -62,7 +54,7 @@
 
 /// The first of three replicas says that it leaves, and its entry in the store is written anew and says otherwise.
 async fn check_left_alone(
-    fleet: &LimitedFleet,
+    fleet: &LoadedFleet,
     service: &str,
     per_second: &[f64; NODES],
     make: fn(&str) -> Req,
@@ -133,7 +125,7 @@
     let fleet = start(MODEL, 2, 200).await;
     let front = fleet.gateway.front(0);
     let running = tokio::spawn(async move { crate::gateway_environment::call(&front, chat("0-long")).await });
-    let runs_at = |fleet: &LimitedFleet| fleet.replicas.iter().position(|r| r.replica.running() > 0);
+    let runs_at = |fleet: &LoadedFleet| fleet.replicas.iter().position(|r| r.replica.running() > 0);
     fleet.gateway.until("it runs", async || runs_at(&fleet).is_some()).await;
     let engine = runs_at(&fleet).expect("it runs");
     fleet.replicas[engine].replica.set_leaving(Some("1"));
--- a/node/tests/test_gateway_store_copies.rs
+++ b/node/tests/test_gateway_store_copies.rs
@@ -9,11 +9,10 @@
 use serde_json::json;
 
 use crate::gateway_environment::BOOKING;
-use crate::gateway_environment::KEY;
 use crate::gateway_environment::config;
-use crate::gateway_environment::request;
-use crate::limited_fleet::LimitedFleet;
-use crate::limited_fleet::assert_all_served;
+use crate::gateway_environment::read;
+use crate::loaded_fleet::LoadedFleet;
+use crate::loaded_fleet::assert_all_served;
 
 const NODES: usize = 6;
 /// Changes that the copy lacks.
@@ -29,28 +28,22 @@
 /// How long the fleet is under load.
 const LASTS: Duration = Duration::from_secs(4);
 
-type Req = http::Request<http_body_util::Full<bytes::Bytes>>;
-
-fn read(id: &str) -> Req {
-    request("GET", "/read/x", KEY, id)
-}
-
 /// Writes objects that concern nobody.
-fn write_others(fleet: &LimitedFleet, objects: usize) {
+fn write_others(fleet: &LoadedFleet, objects: usize) {
     for n in 0..objects {
         fleet.gateway.store.put("others", &format!("o-{n}"), json!({}));
     }
 }
 
 /// Writes the entry of a replica anew.
-fn write_entry(fleet: &LimitedFleet, replica: usize, state: &str) {
+fn write_entry(fleet: &LoadedFleet, replica: usize, state: &str) {
     let running = &fleet.replicas[replica];
     let address = running.server.as_ref().expect("it serves").address;
     fleet.gateway.store.put("servers", &running.replica.id, replica_entry(BOOKING, address, "hall-1", state));
 }
 
 /// The store goes away and comes back from a copy; returns once nodes follow it again.
-async fn come_back(fleet: &LimitedFleet, copy: Copy) {
+async fn come_back(fleet: &LoadedFleet, copy: Copy) {
     fleet.gateway.store.set_fault(StoreFault::Refuses);
     tokio::time::sleep(AWAY).await;
     fleet.gateway.store.come_back_from(copy);
@@ -58,8 +51,8 @@
 }
 
 /// A fleet whose store has come back from a copy that lacks many changes.
-async fn after_return(replicas: usize) -> LimitedFleet {
-    let fleet = LimitedFleet::start(BOOKING, NODES, replicas).await;
+async fn after_return(replicas: usize) -> LoadedFleet {
+    let fleet = LoadedFleet::start(BOOKING, NODES, replicas).await;
     let copy = fleet.gateway.store.copy();
     write_others(&fleet, LOST);
     write_entry(&fleet, 0, "ready");
@@ -69,7 +62,7 @@
 }
 
 /// Asserts that no node sends anything to a replica from a moment on.
-fn assert_unused(fleet: &LimitedFleet, replica: usize, from: Instant) {
+fn assert_unused(fleet: &LoadedFleet, replica: usize, from: Instant) {
     let used: Vec<usize> = (0..NODES).map(|node| fleet.arrivals_through(node, replica, from).len()).collect();
     assert_eq!(used, [0; NODES], "requests of each node\n{}", fleet.gateway.logs());
 }
@@ -102,7 +95,7 @@
 /// The configuration is watched on from a revision that the store has again, for other changes: no 410 tells of it.
 #[tokio::test]
 async fn test_a_configuration_between_revisions_that_are_given_out_again_is_in_force() {
-    let fleet = LimitedFleet::start(BOOKING, NODES, 1).await;
+    let fleet = LoadedFleet::start(BOOKING, NODES, 1).await;
     let copy = fleet.gateway.store.copy();
     write_others(&fleet, LOST);
     fleet.gateway.store.put("config", "main", config(2));
@@ -124,7 +117,7 @@
 /// The copy is older than what nodes know: a replica whose entry is gone since is not used again before it writes.
 #[tokio::test]
 async fn test_an_entry_that_a_copy_brings_back_is_not_used() {
-    let fleet = LimitedFleet::start(BOOKING, NODES, 2).await;
+    let fleet = LoadedFleet::start(BOOKING, NODES, 2).await;
     tokio::time::sleep(SETTLED_AFTER).await;
     let copy = fleet.gateway.store.copy();
     fleet.gateway.store.delete("servers", &fleet.replicas[0].replica.id);
@@ -141,7 +134,7 @@
 /// A fleet that has just started does not know yet that the store answers, so that an entry that goes may only have lapsed.
 #[tokio::test]
 async fn test_a_replica_whose_entry_lapsed_is_left_by_all_nodes() {
-    let fleet = LimitedFleet::start(BOOKING, NODES, 2).await;
+    let fleet = LoadedFleet::start(BOOKING, NODES, 2).await;
     fleet.gateway.store.delete("servers", &fleet.replicas[0].replica.id);
     for node in 0..NODES {
         let knows = async || fleet.gateway.log(node).contains("event=replica_leaves");
@@ -152,7 +145,7 @@
 /// A replica that the copy lacks writes its entry again soon, and is used all the while.
 #[tokio::test]
 async fn test_a_replica_that_a_copy_lacks_is_not_taken_for_gone() {
-    let fleet = LimitedFleet::start(BOOKING, NODES, 1).await;
+    let fleet = LoadedFleet::start(BOOKING, NODES, 1).await;
     let copy = fleet.gateway.store.copy();
     let new = fleet.gateway.start_replica(BOOKING, "booking-new", 4).await;
     fleet
--- a/node/tests/upgraded_fleet.rs
+++ b/node/tests/upgraded_fleet.rs
@@ -14,8 +14,8 @@
 
 use crate::gateway_environment::Gateway;
 use crate::gateway_environment::RunningReplica;
-use crate::limited_fleet::Answer;
-use crate::limited_fleet::LimitedFleet;
+use crate::loaded_fleet::Answer;
+use crate::loaded_fleet::LoadedFleet;
 
 /// The share and the number of requests that a bad version may get.
 const EXPOSURE_SHARE: f64 = 0.2;
@@ -28,7 +28,7 @@
 /// The fleet.
 pub struct UpgradedFleet {
     /// Its nodes, store and old replicas.
-    pub fleet: LimitedFleet,
+    pub fleet: LoadedFleet,
     /// The service.
     service: &'static str,
     /// The new replicas.
@@ -52,7 +52,7 @@
         let bounds =
             format!("retry_slack: 100, exposure_share: {EXPOSURE_SHARE}, exposure_slack: {EXPOSURE_SLACK}");
         let with_bounds = |yaml: String| yaml.replace("retry_slack: 100", &bounds);
-        let fleet = LimitedFleet::start_with(service, nodes, replicas, EVENTS, with_bounds).await;
+        let fleet = LoadedFleet::start_with(service, nodes, replicas, EVENTS, with_bounds).await;
         UpgradedFleet { fleet, service, new: Vec::new(), ordered: Instant::now() }
     }
 
@@ -157,7 +157,7 @@
         lasts: Duration,
         make: fn(&str) -> Request<Full<Bytes>>,
     ) -> tokio::task::JoinHandle<Vec<Answer>> {
-        let fleet = LimitedFleet { gateway: self.fleet.gateway.clone(), replicas: Vec::new() };
+        let fleet = LoadedFleet { gateway: self.fleet.gateway.clone(), replicas: Vec::new() };
         let per_second = vec![per_second; self.fleet.gateway.nodes()];
         tokio::spawn(async move { fleet.load(&per_second, lasts, make).await })
     }
