--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -198,6 +198,8 @@
     limit: Option<String>,
     /// What its answers say of its leaving, as it stands there.
     leaving: Option<String>,
+    /// Requests that it turned away.
+    turned_away: Vec<String>,
     /// The rest that it asks for when it turns a request away, as it stands there.
     rest: Option<String>,
 }
@@ -315,6 +317,11 @@
         self.state().rest = rest.map(str::to_owned);
     }
 
+    /// The requests that it turned away as its fault says.
+    pub fn turned_away(&self) -> Vec<String> {
+        self.state().turned_away.clone()
+    }
+
     /// Ends it with all its connections at once.
     pub fn end(&self) {
         let mut state = self.state();
@@ -609,6 +616,7 @@
             fault => fault,
         };
         if fault == ReplicaFault::NotRun {
+            self.state().turned_away.push(text(req.headers(), "leadstage-request-id"));
             return self.not_run(req.headers());
         }
         if self.ends_on(&req) {
