gateway: what a follower learns of a known revision is not told

These have no order: what a standby tells up to a second late of engines that it saw appear took back the departures that others had heard since.

Taken out; news_kept is logged again. What was for, entries that lapse at one follower alone, is told since the commit before it. An answer of an earlier era is still left out.

--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -228,9 +228,7 @@
             let part = Part::default();
             self.gather(placing, fleet, ReplicaNews { before, at, added, leaving, part });
         } else if before > 0 && !(added.is_empty() && leaving.is_empty()) {
-            // Others know this revision, by whoever saw less of it.
-            info!(event = "news_of_known_revision", added = added.len(), leaving = leaving.len(), at, before; "more is learnt of a revision that is known");
-            self.tell_signs(placing, fleet, ReplicaNews { added, leaving, ..ReplicaNews::default() });
+            info!(event = "news_kept", added = added.len(), leaving = leaving.len(), at, before; "news of the store is no newer than what is known, and not told");
         }
     }
 
