--- a/testutils/src/metadata_store.rs
+++ b/testutils/src/metadata_store.rs
@@ -188,6 +188,11 @@
         self.changed.send_modify(|_| {});
     }
 
+    /// Sets how often it has come back from a copy.
+    pub fn set_era(&self, era: u64) {
+        self.state().era = era;
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> u64 {
         self.state().calls
