--- a/node/tests/test_gateway_asked_rests.rs
+++ b/node/tests/test_gateway_asked_rests.rs
@@ -123,7 +123,7 @@
     fleet.replicas[0].replica.set_fault(ReplicaFault::None);
     tokio::time::sleep(REST).await;
     let from = Instant::now();
-    assert_all_served(&fleet.load(&[10.0; NODES], REST / 3, read).await, &fleet);
+    assert_all_served(&fleet.load(&[10.0; NODES], LASTS / 2, read).await, &fleet);
     for node in 0..NODES {
         assert!(fleet.arrivals_through(node, 0, from).len() > 1, "node {node}\n{}", fleet.gateway.logs());
     }
