upgrades: a success is told by fresh counts of half of the nodes at least

What callers saw: all of a bad version's answers. A node that reached the store and no other node, or the judge while all others were suspended, told the operator of a success by its own counts; the old replicas then end at once and there is no way back.

Cause: "nearly all nodes have told" was a part of those whom the judge itself took to be alive, so a node that is cut off or has just started was all of the fleet, and who had told once counted as heard for ever.

The change: reports are dated by their sender as time from the order, and counted by the run of the process that made them, so that counts outlast their node and a report that waited in a queue is as old as it is. A judge needs reports that are fresh (in the switch: from within it) of half of the nodes that there were in the last 15 to 30 s as anybody told, and of nine in ten of those that seem to be well unless time is short. Reports are acknowledged and sent again where they were lost, also by a node without news. Why it works: a side of a cut remembers the size of the fleet for longer than the others need to be taken for dead, and silence is no consent any more.

Ruled out: three quarters of the living in place of half of the known, as both sides of a cut have all of their own; asking that more than half answer, which a fleet that lost half of its nodes could not tell a good version by for half a minute.

The case that the old beginning of test_the_share_holds_while_the_store_is_away met by accident has a test of its own: the store takes no write from before the order on.

Messages between nodes have changed.

--- a/lib/src/gateway/answer_counts.rs
+++ b/lib/src/gateway/answer_counts.rs
@@ -75,9 +75,14 @@
     }
 
     fn add(&mut self, other: &Answers) {
-        self.failed += other.failed;
-        for (step, count) in &other.took {
-            *self.took.entry(*step).or_default() += count;
+        self.add_growth(&Answers::default(), other);
+    }
+
+    fn add_growth(&mut self, from: &Answers, to: &Answers) {
+        self.failed += to.failed.saturating_sub(from.failed);
+        for (step, count) in &to.took {
+            let before = from.took.get(step).copied().unwrap_or_default();
+            *self.took.entry(*step).or_default() += count.saturating_sub(before);
         }
     }
 }
@@ -132,6 +137,17 @@
         }
     }
 
+    /// Adds what another node has counted between two of its reports.
+    pub fn add_growth(&mut self, from: &AnswerCounts, to: &AnswerCounts) {
+        let nothing = Compared::default();
+        for (cell, counts) in &to.cells {
+            let before = from.cells.get(cell).unwrap_or(&nothing);
+            let own = self.cells.entry(cell.clone()).or_default();
+            own.present.add_growth(&before.present, &counts.present);
+            own.target.add_growth(&before.target, &counts.target);
+        }
+    }
+
     /// All counts.
     pub fn iter(&self) -> impl Iterator<Item = (&RouteId, Measure, &Compared)> {
         self.cells.iter().map(|((route, measure), counts)| (route, *measure, counts))
--- /dev/null
+++ b/lib/src/gateway/trial_evidence.rs
@@ -0,0 +1,97 @@
+//! What the nodes of a fleet have counted in the trial of a new version, as one that judges it has heard.
+//!
+//! A node reports all that it has counted since it began, so a report may be lost, come twice or be overtaken. Counts are
+//! kept by the run of the process that made them: what callers were given stays true after its node has ended or
+//! started again. Each report is dated by its sender, as it may have waited in a queue of a judge that was suspended.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::gateway::answer_counts::AnswerCounts;
+use crate::ids::UnixMillis;
+use crate::ids::VmId;
+
+/// The part of the nodes that seem to be well which most of them are.
+const MOST: f64 = 0.9;
+
+/// What a node has counted since its process began.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+pub struct TrialReport {
+    /// When its process began.
+    pub started: UnixMillis,
+    /// Time from the order to the report.
+    pub as_of: Duration,
+    /// The answers.
+    pub counts: AnswerCounts,
+}
+
+/// The other nodes, as one of them knows.
+#[derive(Clone, Debug, Default)]
+pub struct Census {
+    /// Those that are taken to be alive and are not suspected.
+    pub well: Vec<VmId>,
+    /// How many nodes there were lately, this one included; `None` where it was told of others and has met none.
+    pub size: Option<usize>,
+}
+
+/// How much of the fleet a judge has heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Hearing {
+    /// Less than half of the nodes that there were lately.
+    Few,
+    /// Half of them.
+    Half,
+    /// And nearly all that seem to be well.
+    Most,
+}
+
+/// What a judge has heard of other nodes.
+#[derive(Clone, Debug, Default)]
+pub struct TrialEvidence {
+    by_node: HashMap<VmId, BTreeMap<UnixMillis, TrialReport>>,
+    sum: AnswerCounts,
+}
+
+impl TrialEvidence {
+    /// A node reports.
+    pub fn take(&mut self, node: VmId, report: TrialReport) {
+        let known = self.by_node.entry(node).or_default().entry(report.started).or_default();
+        if report.as_of >= known.as_of {
+            self.sum.add_growth(&known.counts, &report.counts);
+            *known = report;
+        }
+    }
+
+    /// All counts, with those of the judge itself.
+    pub fn all(&self, own: &AnswerCounts) -> AnswerCounts {
+        let mut all = self.sum.clone();
+        all.add(own);
+        all
+    }
+
+    /// How many nodes have reported.
+    pub fn nodes(&self) -> usize {
+        self.by_node.len()
+    }
+
+    /// How much of the fleet was heard whose reports are of `since` or later, as time from the order.
+    pub fn hearing(&self, census: &Census, since: Duration) -> Hearing {
+        let heard = 1 + census.well.iter().filter(|node| self.has_since(node, since)).count();
+        match census.size {
+            Some(size) if 2 * heard >= size => {
+                let well = census.well.len() + 1;
+                if heard as f64 >= MOST * well as f64 { Hearing::Most } else { Hearing::Half }
+            }
+            _ => Hearing::Few,
+        }
+    }
+
+    fn has_since(&self, node: &VmId, since: Duration) -> bool {
+        let reports = self.by_node.get(node).into_iter().flat_map(BTreeMap::values);
+        reports.map(|report| report.as_of).max().is_some_and(|as_of| as_of >= since)
+    }
+}
--- a/lib/src/gateway/upgrade_judge.rs
+++ b/lib/src/gateway/upgrade_judge.rs
@@ -9,6 +9,8 @@
 
 use crate::gateway::answer_counts::AnswerCounts;
 use crate::gateway::canary;
+use crate::gateway::trial_evidence::Hearing;
+use crate::gateway::trial_reports;
 use crate::gateway::upgrade::Stage;
 use crate::gateway::upgrade::Upgrade;
 use crate::gateway::upgrade_verdict;
@@ -26,6 +28,10 @@
 const CALLS_END_WITHIN: Duration = Duration::from_millis(800);
 /// The switch takes no less than this: all nodes hear of it, and what was placed before is sent.
 const LEAST_SWITCH: Duration = Duration::from_millis(400);
+/// Reports from so long after its begin on tell how the new version bears all requests.
+const SWITCH_SETTLES_WITHIN: Duration = Duration::from_millis(200);
+/// So long a success that half of the nodes' counts speak for waits for the others.
+const WAITS_FOR_MOST: Duration = Duration::from_millis(200);
 /// Part of what a bad version may get that the switch uses.
 const PART_FOR_SWITCH: f64 = 0.7;
 /// The new replicas that bear requests must have this part of the present ones' slots at least.
@@ -64,8 +70,8 @@
     pub has_streams: bool,
     /// Whether the store answers somebody: without it no success can be told.
     pub store_answers: bool,
-    /// Whether nearly all nodes have told their counts: a new judge has its own alone at first.
-    pub hears_most: bool,
+    /// How much of the fleet was heard, by reports from [`heard_since`] on.
+    pub hearing: Hearing,
     /// What the new version may get.
     pub bounds: ExposureBounds,
 }
@@ -93,6 +99,19 @@
     Sound,
 }
 
+/// A node is heard if its report is not from before this, as time from the order: in a switch, one from within it.
+pub fn heard_since(upgrade: &Upgrade, nodes: usize, now: Timestamp) -> Duration {
+    match roll_call(upgrade) {
+        Some(at) => at.saturating_sub(upgrade.began),
+        None => now.saturating_sub(upgrade.began + trial_reports::fresh_for(nodes)),
+    }
+}
+
+/// When all nodes report once more, as the new version has got all requests for a moment.
+pub fn roll_call(upgrade: &Upgrade) -> Option<Timestamp> {
+    (upgrade.stage == Stage::Switch).then(|| upgrade.stage_since + SWITCH_SETTLES_WITHIN)
+}
+
 impl Situation<'_> {
     /// The stage that the upgrade goes on to now, if it does.
     pub fn next(&self, now: Timestamp) -> Option<NextStage> {
@@ -108,17 +127,27 @@
         if self.capacity.target == 0 && elapsed > order.within + GIVES_UP_AFTER {
             return Some(NextStage { stage: Stage::Reverted, reason: Reason::NoReplicas });
         }
-        if verdict == Verdict::Unknown || !self.store_answers || !self.hears_most {
+        if verdict == Verdict::Unknown || !self.store_answers {
             return None;
         }
         let told_at = order.within.saturating_sub(told_before(order.within));
-        let lasts = self.switch_lasts(elapsed);
+        let since_switch = now.saturating_sub(*stage_since);
         let next = match stage {
-            Stage::Trial if self.bears_all() && elapsed + lasts >= told_at => Stage::Switch,
-            Stage::Switch if elapsed >= told_at && now >= *stage_since + LEAST_SWITCH => Stage::Proven,
-            _ => return None,
+            Stage::Trial if self.bears_all() && elapsed + self.switch_lasts(elapsed) >= told_at => {
+                self.hears_enough(elapsed + LEAST_SWITCH >= told_at).then_some(Stage::Switch)
+            }
+            Stage::Switch if elapsed >= told_at && since_switch >= LEAST_SWITCH => {
+                self.hears_enough(elapsed >= told_at + WAITS_FOR_MOST).then_some(Stage::Proven)
+            }
+            _ => None,
         };
-        Some(NextStage { stage: next, reason: Reason::Sound })
+        next.map(|stage| NextStage { stage, reason: Reason::Sound })
+    }
+
+    /// A success is told by nearly all nodes' counts, and by those of half of them where time is short: others may have
+    /// ended a moment ago.
+    fn hears_enough(&self, is_short_of_time: bool) -> bool {
+        self.hearing >= if is_short_of_time { Hearing::Half } else { Hearing::Most }
     }
 
     /// How long all requests go to the new version before the operator is told: as long as the present replicas need
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -410,6 +410,11 @@
         self.up.len()
     }
 
+    /// Those of them that are not suspected.
+    pub fn well(&self) -> impl Iterator<Item = &VmId> {
+        self.up.iter().filter(|vm| !self.suspects.contains(*vm))
+    }
+
     /// Rises when one comes to them or goes from them.
     pub fn version(&self) -> u64 {
         self.version
--- a/lib/src/rendezvous.rs
+++ b/lib/src/rendezvous.rs
@@ -5,6 +5,24 @@
     members.into_iter().max_by_key(|member| weight(key, member.as_ref()))
 }
 
+/// The members with the highest hashes with `key`, at most `count` of them, the highest first.
+pub fn ranked<'a, T: AsRef<str>>(
+    key: &str,
+    members: impl IntoIterator<Item = &'a T>,
+    count: usize,
+) -> Vec<&'a T> {
+    let mut ranked: Vec<(u64, &T)> = Vec::with_capacity(count + 1);
+    for member in members {
+        let weight = weight(key, member.as_ref());
+        let at = ranked.partition_point(|(other, _)| *other > weight);
+        if at < count {
+            ranked.insert(at, (weight, member));
+            ranked.truncate(count);
+        }
+    }
+    ranked.into_iter().map(|(_, member)| member).collect()
+}
+
 /// A mixed 64-bit hash of the pair; the same on every machine and version.
 pub fn weight(key: &str, member: &str) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
--- a/lib/tests/test_gateway_upgrade.rs
+++ b/lib/tests/test_gateway_upgrade.rs
@@ -13,6 +13,7 @@
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::revision;
 use leadstage_lib::gateway::run_key::RunKey;
+use leadstage_lib::gateway::trial_evidence::Hearing;
 use leadstage_lib::gateway::upgrade::Stage;
 use leadstage_lib::gateway::upgrade::ToldUpgrade;
 use leadstage_lib::gateway::upgrade::ToldUpgrades;
@@ -239,7 +240,7 @@
     counts: impl Fn(f64) -> AnswerCounts,
     capacity: Capacity,
     store_answers: bool,
-    hears_most: bool,
+    hearing: Hearing,
 ) -> Vec<(Stage, f64)> {
     let mut upgrade = upgrade(Stage::Trial);
     let mut course = Vec::new();
@@ -253,7 +254,7 @@
             capacity,
             has_streams: false,
             store_answers,
-            hears_most,
+            hearing,
             bounds: BOUNDS,
         };
         if let Some(next) = situation.next(now) {
@@ -272,17 +273,17 @@
 #[test]
 fn test_a_sound_version_is_told_before_the_time_is_over() {
     let capacity = Capacity { present: 40, target: 40 };
-    insta::assert_debug_snapshot!(course(sound, capacity, true, true));
+    insta::assert_debug_snapshot!(course(sound, capacity, true, Hearing::Most));
 }
 
 #[test]
 fn test_nothing_goes_on_without_the_store_or_room() {
     let capacity = Capacity { present: 40, target: 40 };
-    assert_eq!(course(sound, capacity, false, true), []);
-    assert_eq!(course(sound, Capacity { present: 40, target: 8 }, true, true), []);
+    assert_eq!(course(sound, capacity, false, Hearing::Most), []);
+    assert_eq!(course(sound, Capacity { present: 40, target: 8 }, true, Hearing::Most), []);
     let none = |_| counts((500, 0), (0, 0), Sample::Failed);
-    assert_eq!(course(none, capacity, true, true), [], "nothing is known of the new version");
-    let course = course(none, Capacity { present: 40, target: 0 }, true, true);
+    assert_eq!(course(none, capacity, true, Hearing::Most), [], "nothing is known of the new version");
+    let course = course(none, Capacity { present: 40, target: 0 }, true, Hearing::Most);
     assert_eq!(course.iter().map(|(stage, _)| *stage).collect::<Vec<_>>(), [Stage::Reverted]);
 }
 
@@ -290,9 +291,17 @@
 #[test]
 fn test_a_judge_that_hears_few_nodes_only_reverts() {
     let capacity = Capacity { present: 40, target: 40 };
-    assert_eq!(course(sound, capacity, true, false), []);
+    assert_eq!(course(sound, capacity, true, Hearing::Few), []);
     let bad = |_| counts((500, 0), (10, 12), Sample::Failed);
-    assert_eq!(course(bad, capacity, true, false), [(Stage::Reverted, 0.0)]);
+    assert_eq!(course(bad, capacity, true, Hearing::Few), [(Stage::Reverted, 0.0)]);
+}
+
+/// Where half of the nodes are heard, others may have ended a moment ago: that is waited for as long as there is time.
+#[test]
+fn test_a_success_by_half_of_the_nodes_comes_as_late_as_it_may() {
+    let capacity = Capacity { present: 40, target: 40 };
+    let course = course(sound, capacity, true, Hearing::Half);
+    assert_eq!(course, [(Stage::Switch, 10.9), (Stage::Proven, 11.5)]);
 }
 
 #[test]
@@ -303,7 +312,7 @@
             true => counts(((95.0 * elapsed) as u32, 0), ((5.0 * from) as u32, 12), Sample::Failed),
             false => sound(elapsed),
         };
-        let last = course(turns_bad, capacity, true, true).pop().expect("it goes on");
+        let last = course(turns_bad, capacity, true, Hearing::Most).pop().expect("it goes on");
         assert_eq!(last, (Stage::Reverted, from + 0.1), "{from}");
     }
 }
--- a/lib/tests/test_gateway_upgrade_model.rs
+++ b/lib/tests/test_gateway_upgrade_model.rs
@@ -11,6 +11,7 @@
 use leadstage_lib::gateway::answer_counts::Side;
 use leadstage_lib::gateway::canary;
 use leadstage_lib::gateway::run_key::RunKey;
+use leadstage_lib::gateway::trial_evidence::Hearing;
 use leadstage_lib::gateway::upgrade::Stage;
 use leadstage_lib::gateway::upgrade::Upgrade;
 use leadstage_lib::gateway::upgrade::UpgradeOrder;
@@ -170,7 +171,7 @@
             capacity: Capacity { present: 42, target: 42 },
             has_streams: false,
             store_answers: true,
-            hears_most: true,
+            hearing: Hearing::Most,
             bounds: BOUNDS,
         };
         if let Some(next) = situation.next(now) {
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -17,6 +17,7 @@
 pub mod placing;
 pub mod replica_intake;
 pub mod suspect_store;
+pub mod trial;
 pub mod tried_replicas;
 pub mod upgrade_intake;
 pub mod upgrade_store;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -278,7 +278,10 @@
                 self.placing.on_ask_grant(&self.fleet, from, ask)
             }
             PeerMessage::Granted(question, grant) => self.placing.on_granted(&self.fleet, question, grant),
-            PeerMessage::AnswerCounts(report) => self.upgrades.on_report(node_id(from), report),
+            PeerMessage::AnswerCounts(report) => self.upgrades.on_report(&self.fleet, node_id(from), report),
+            PeerMessage::CountsTaken(trial, counted) => {
+                self.upgrades.on_acknowledged(&node_id(from), &trial, counted)
+            }
             PeerMessage::NewConfig
             | PeerMessage::NewReplicas
             | PeerMessage::HallsChanged
--- a/node/src/gateway/control/upgrade_intake.rs
+++ b/node/src/gateway/control/upgrade_intake.rs
@@ -1,17 +1,16 @@
 //! Takes upgrades in, from the store or from other nodes, counts how both versions answer, and has them go on.
 //!
-//! Each message between nodes tells all upgrades. The nodes tell their counts to one of them, the judge, which is the
-//! first by a hash, so that no election is needed: two judges, or a new one, come to the same by the same counts. The
+//! Each message between nodes tells all upgrades. The nodes tell their counts to a few of them, the judges, which are the
+//! first by a hash, so that no election is needed: all judges come to the same by the same counts. The
 //! node that follows the store first tells the operator.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use leadstage_lib::gateway::answer_counts::AnswerCounts;
 use leadstage_lib::gateway::retelling::Retelling;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::trial_reports::SampleCount;
 use leadstage_lib::gateway::upgrade::Stage;
 use leadstage_lib::gateway::upgrade::ToldUpgrade;
 use leadstage_lib::gateway::upgrade::ToldUpgrades;
@@ -23,8 +22,8 @@
 use leadstage_lib::gateway::upgrade_judge::Situation;
 use leadstage_lib::gateway::watchers::WatchRole;
 use leadstage_lib::ids::Timestamp;
+use leadstage_lib::ids::UnixMillis;
 use leadstage_lib::ids::VmId;
-use leadstage_lib::rendezvous;
 use leadstage_platform::store::Change;
 use leadstage_platform::store::Listed;
 use leadstage_platform::store_kinds::StoredUpgrade;
@@ -32,25 +31,21 @@
 use log::warn;
 
 use crate::gateway::control::placing::Placing;
+use crate::gateway::control::trial::Trial;
 use crate::gateway::control::upgrade_store;
 use crate::gateway::messages::AnswerSample;
 use crate::gateway::messages::News;
 use crate::gateway::messages::Order;
 use crate::gateway::messages::StoredWord;
 use crate::gateway::peers::fleet::Fleet;
-use crate::gateway::peers::outbox::address_of;
 use crate::gateway::peers::peer_message::CountsReport;
 use crate::gateway::peers::peer_message::PeerMessage;
+use crate::gateway::peers::peer_message::TrialId;
 use crate::gateway::shared::Shared;
+use crate::shared::unix_millis;
 
-/// Time between two reports of a node's counts.
-const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// A write to the store that failed is tried again after this.
 const WRITE_AGAIN_AFTER: Duration = Duration::from_millis(300);
-/// A judge tells a success once this part of the nodes has told it their counts.
-const MOST_NODES: f64 = 0.75;
-/// What the judge of a service's upgrade is hashed by, before the service's name.
-const JUDGE: &str = "judge of ";
 
 /// How a node learnt of it.
 #[derive(Clone, Copy, Debug, derive_more::Display)]
@@ -63,35 +58,6 @@
     Judge,
 }
 
-/// What is counted for one order.
-struct Trial {
-    order: UpgradeOrder,
-    own: AnswerCounts,
-    /// What other nodes reported, as far as this one judges.
-    reported: HashMap<VmId, AnswerCounts>,
-    /// To whom, and when, the counts were told last, and whether they have changed since.
-    told: Option<(VmId, Timestamp)>,
-    has_news: bool,
-}
-
-impl Trial {
-    fn new(order: UpgradeOrder) -> Self {
-        Trial { order, own: AnswerCounts::default(), reported: HashMap::new(), told: None, has_news: false }
-    }
-
-    /// Whether nearly all nodes have told their counts, this one included.
-    fn hears_most(&self, fleet: &Fleet) -> bool {
-        let told = fleet.alive().filter(|node| self.reported.contains_key(*node)).count() + 1;
-        told as f64 >= MOST_NODES * fleet.nodes() as f64
-    }
-
-    fn all(&self) -> AnswerCounts {
-        let mut all = self.own.clone();
-        self.reported.values().for_each(|counts| all.add(counts));
-        all
-    }
-}
-
 /// An order as the store holds it, as far as this node follows the store, and the write of its status.
 struct Stored {
     held: StoredUpgrade,
@@ -102,6 +68,8 @@
 /// The way of upgrades into this node, and on to others.
 pub struct UpgradeIntake {
     shared: Arc<Shared>,
+    /// When the process began.
+    started: UnixMillis,
     retelling: Retelling<ServiceId>,
     trials: BTreeMap<ServiceId, Trial>,
     stored: BTreeMap<ServiceId, Stored>,
@@ -112,6 +80,7 @@
     pub fn new(shared: Arc<Shared>) -> Self {
         UpgradeIntake {
             shared,
+            started: unix_millis(),
             retelling: Retelling::default(),
             trials: BTreeMap::new(),
             stored: BTreeMap::new(),
@@ -194,7 +163,7 @@
             upgrades.of(service).is_some_and(|upgrade| upgrade.order == trial.order)
         });
         for (service, upgrade) in upgrades.iter() {
-            let trial = || Trial::new(upgrade.order.clone());
+            let trial = || Trial::new(service.clone(), upgrade.order.clone());
             self.trials.entry(service.clone()).or_insert_with(trial);
         }
         self.shared.set_upgrades(upgrades.clone());
@@ -229,21 +198,31 @@
     }
 
     /// A replica answered a request of this node.
-    pub fn on_sample(&mut self, AnswerSample { service, route, side, sample }: AnswerSample) {
-        if let Some(trial) = self.trials.get_mut(&service) {
-            trial.own.on_sample(&route, side, sample);
-            trial.has_news = true;
+    pub fn on_sample(&mut self, sample: AnswerSample) {
+        if let Some(trial) = self.trials.get_mut(&sample.service) {
+            trial.on_sample(sample);
         }
     }
 
     /// Another node tells its counts.
-    pub fn on_report(&mut self, from: VmId, report: CountsReport) {
-        let trial = self.trials.get_mut(&report.service).filter(|trial| trial.order == report.order);
-        if let Some(trial) = trial {
-            trial.reported.insert(from, report.counts);
+    pub fn on_report(&mut self, fleet: &Fleet, from: VmId, report: CountsReport) {
+        let now = self.shared.now();
+        if let Some(trial) = self.trial(&report.trial) {
+            trial.on_report(fleet, from, report, now);
+        }
+    }
+
+    /// A judge has a report of this node.
+    pub fn on_acknowledged(&mut self, judge: &VmId, of: &TrialId, counted: SampleCount) {
+        if let Some(trial) = self.trial(of) {
+            trial.on_acknowledged(judge, counted);
         }
     }
 
+    fn trial(&mut self, id: &TrialId) -> Option<&mut Trial> {
+        self.trials.get_mut(&id.service).filter(|trial| trial.is(id))
+    }
+
     /// Does what is due: `role` is how this node follows the store, `store_answers` whether that answers
     /// somebody.
     pub fn tick(
@@ -257,46 +236,29 @@
             fleet.pass_on(&PeerMessage::UpgradesChanged);
         }
         for service in self.trials.keys().cloned().collect::<Vec<_>>() {
-            self.report_or_judge(placing, fleet, &service, store_answers);
+            self.report_and_judge(placing, fleet, &service, store_answers);
         }
         if role == Some(WatchRole::First) {
             self.write_due();
         }
     }
 
-    fn report_or_judge(
+    /// Reports what is due, and judges if this node is one of those that do.
+    fn report_and_judge(
         &mut self,
         placing: &mut Placing,
         fleet: &Fleet,
         service: &ServiceId,
         store_answers: bool,
     ) {
-        let key = format!("{JUDGE}{service}");
-        let judge = rendezvous::pick(&key, fleet.alive().chain(std::iter::once(fleet.own())));
-        match judge.filter(|judge| *judge != fleet.own()).cloned() {
-            Some(judge) => self.report(fleet, service, judge),
-            None => self.judge(placing, fleet, service, store_answers),
-        }
-    }
-
-    /// Tells the judge what is new, and a new judge all.
-    fn report(&mut self, fleet: &Fleet, service: &ServiceId, judge: VmId) {
-        let now = self.shared.now();
-        let Some(trial) = self.trials.get_mut(service) else {
-            return;
-        };
-        let is_due = match &trial.told {
-            Some((told, at)) if *told == judge => trial.has_news && *at + REPORT_INTERVAL <= now,
-            _ => true,
-        };
-        let Some(address) = address_of(&judge).filter(|_| is_due) else {
+        let upgrades = self.shared.upgrades();
+        let upgrade = upgrades.of(service).filter(|upgrade| upgrade.stage <= Stage::Switch);
+        let (Some(upgrade), Some(trial)) = (upgrade, self.trials.get_mut(service)) else {
             return;
         };
-        trial.told = Some((judge, now));
-        trial.has_news = false;
-        let report =
-            CountsReport { service: service.clone(), order: trial.order.clone(), counts: trial.own.clone() };
-        fleet.send(address, &PeerMessage::AnswerCounts(report));
+        if trial.report(fleet, upgrade, self.started, self.shared.now()) {
+            self.judge(placing, fleet, service, store_answers);
+        }
     }
 
     fn judge(&mut self, placing: &mut Placing, fleet: &Fleet, service: &ServiceId, store_answers: bool) {
@@ -315,14 +277,14 @@
             capacity: capacity(placing, service, &upgrade.order),
             has_streams: placing.knowledge.engine_traits(service).is_some(),
             store_answers,
-            hears_most: trial.hears_most(fleet),
+            hearing: trial.hearing(fleet, upgrade, now),
             bounds,
         };
         let Some(NextStage { stage, reason }) = situation.next(now) else {
             return;
         };
         let (answered, exposed) = counts.answered();
-        info!(event = "upgrade_judged", service = &**service, stage:% = stage, reason:% = reason, answered, exposed, nodes = trial.reported.len() + 1; "an upgrade goes on");
+        info!(event = "upgrade_judged", service = &**service, stage:% = stage, reason:% = reason, answered, exposed, nodes = trial.nodes(), hearing:? = situation.hearing; "an upgrade goes on");
         let order = upgrade.order.clone();
         upgrades.raise(service, &order, stage, now);
         self.publish(placing, upgrades, std::slice::from_ref(service), Source::Judge);
--- a/node/src/gateway/peers/fleet.rs
+++ b/node/src/gateway/peers/fleet.rs
@@ -5,8 +5,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use leadstage_lib::gateway::fleet_size::FleetSize;
 use leadstage_lib::gateway::handouts;
 use leadstage_lib::gateway::peers_by_hall::PeersByHall;
+use leadstage_lib::gateway::trial_evidence::Census;
 use leadstage_lib::ids::HallId;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::VmId;
@@ -71,6 +73,7 @@
     last_probe: ProbeId,
     /// Nodes that sent their first message since the last tick.
     met: usize,
+    size: FleetSize,
     greeting: Greeting,
     /// Whether this node hears of others that follow the store, which it tells with its probes.
     pub hears_watchers: bool,
@@ -108,6 +111,7 @@
             probes: HashMap::new(),
             last_probe: 0,
             met: 0,
+            size: FleetSize::default(),
             greeting: Greeting::default(),
             hears_watchers: false,
             outbox,
@@ -136,6 +140,12 @@
         self.membership.alive()
     }
 
+    /// Those of them that seem to be well, and how many nodes there were lately.
+    pub fn census(&self) -> Census {
+        let is_known = self.greeting.met || self.seeds.is_empty();
+        Census { well: self.membership.well().cloned().collect(), size: is_known.then(|| self.size.most()) }
+    }
+
     /// Whether another node of this node's hall is taken to be alive.
     pub fn has_neighbour(&self) -> bool {
         self.peers.has_near()
@@ -224,6 +234,7 @@
     pub fn tick(&mut self, now: Timestamp) -> Vec<VmId> {
         self.log_met();
         self.greet(now);
+        self.size.note(self.nodes(), now);
         let mut actions = self.membership.tick(now);
         let late: Vec<ProbeId> =
             self.probes.iter().filter(|(_, (_, until))| *until <= now).map(|(id, _)| *id).collect();
@@ -335,6 +346,7 @@
     }
 
     fn on_gossip(&mut self, from: &VmId, gossip: Gossip, now: Timestamp) -> Vec<VmId> {
+        self.size.note(gossip.nodes as usize, now);
         if let Some(hall) = gossip.hall {
             self.peers.on_hall(from, hall);
             if gossip.has_wide_link {
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use leadstage_lib::gateway::answer_counts::AnswerCounts;
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
 use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::inventory::Inventory;
@@ -22,8 +21,9 @@
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::run_key::RunId;
+use leadstage_lib::gateway::trial_evidence::TrialReport;
+use leadstage_lib::gateway::trial_reports::SampleCount;
 use leadstage_lib::gateway::upgrade::ToldUpgrades;
-use leadstage_lib::gateway::upgrade::UpgradeOrder;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
@@ -113,6 +113,8 @@
     AnswerCounts(CountsReport),
     /// The sender has come to know the replicas; up to which revision stands in the datagram.
     NewReplicas,
+    /// The sender, who judges an upgrade, has such a report.
+    CountsTaken(TrialId, SampleCount),
 }
 
 impl PeerMessage {
@@ -139,7 +141,9 @@
             PeerMessage::Limits(_) | PeerMessage::AskGrant(_) | PeerMessage::Granted(..) => {
                 MessageKind::Limits
             }
-            PeerMessage::UpgradesChanged | PeerMessage::AnswerCounts(_) => MessageKind::Upgrades,
+            PeerMessage::UpgradesChanged | PeerMessage::AnswerCounts(_) | PeerMessage::CountsTaken(..) => {
+                MessageKind::Upgrades
+            }
         }
     }
 }
@@ -236,15 +240,24 @@
     pub urgency: u8,
 }
 
+/// Names the trial of a new version.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
+pub struct TrialId {
+    /// The service that is being upgraded.
+    pub service: ServiceId,
+    /// The store's revision when the order was first made.
+    pub made: Revision,
+}
+
 /// How a node's requests to a service that is being upgraded were answered so far.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct CountsReport {
-    /// The service.
-    pub service: ServiceId,
-    /// The order that it is being upgraded by.
-    pub order: UpgradeOrder,
-    /// The answers.
-    pub counts: AnswerCounts,
+    /// The trial.
+    pub trial: TrialId,
+    /// Samples that the report counts.
+    pub counted: SampleCount,
+    /// The report.
+    pub report: TrialReport,
 }
 
 /// A watcher's pulse.
--- a/node/tests/upgraded_fleet.rs
+++ b/node/tests/upgraded_fleet.rs
@@ -1,12 +1,14 @@
 //! A fleet in which the operator upgrades a service under load: new replicas run beside the old ones, and the operator ends
 //! one of the two as soon as the order's status says which.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
+use leadstage_lib::rendezvous;
 use leadstage_testutils::gateway_replica::PartialFault;
 use leadstage_testutils::metadata_store::replica_entry;
 use serde_json::Value;
@@ -49,10 +51,7 @@
 impl UpgradedFleet {
     /// So many nodes, with as many old replicas of a service as new ones are started later.
     pub async fn start(service: &'static str, nodes: usize, replicas: usize) -> UpgradedFleet {
-        let bounds =
-            format!("retry_slack: 100, exposure_share: {EXPOSURE_SHARE}, exposure_slack: {EXPOSURE_SLACK}");
-        let with_bounds = |yaml: String| yaml.replace("retry_slack: 100", &bounds);
-        let fleet = LoadedFleet::start_with(service, nodes, replicas, EVENTS, with_bounds).await;
+        let fleet = LoadedFleet::start_with(service, nodes, replicas, EVENTS, with_exposure).await;
         UpgradedFleet { fleet, service, new: Vec::new(), ordered: Instant::now() }
     }
 
@@ -61,6 +60,42 @@
         &self.fleet.gateway
     }
 
+    /// Nodes in the order in which they are asked to judge an upgrade of the service.
+    pub fn judges(&self) -> Vec<usize> {
+        let key = format!("judge of {}", self.service);
+        let mut nodes: Vec<usize> = (0..self.gateway().nodes()).collect();
+        nodes.sort_by_key(|node| std::cmp::Reverse(rendezvous::weight(&key, &self.gateway().peer(*node))));
+        nodes
+    }
+
+    /// Starts a node that reaches the store and none of the other nodes.
+    pub async fn start_cut_off_node(&mut self) -> usize {
+        let gateway = Arc::get_mut(&mut self.fleet.gateway).expect("no load is running");
+        let nobody = format!("{}:7001", gateway.own_store_ip());
+        let seed = gateway.front(0);
+        let node = gateway.start_node_with(|yaml| {
+            with_exposure(yaml).replace(&format!("seeds: ['{seed}']"), &format!("seeds: ['{nobody}']"))
+        });
+        gateway.until_ready(node).await;
+        node
+    }
+
+    /// Sleeps until so long after the order.
+    pub async fn at(&self, since_order: Duration) {
+        tokio::time::sleep_until((self.ordered + since_order).into()).await;
+    }
+
+    /// From now on the new version answers like this.
+    pub fn set_fault(&self, fault: &PartialFault) -> Instant {
+        self.new.iter().for_each(|running| running.replica.set_partial_fault(fault.clone()));
+        Instant::now()
+    }
+
+    /// Time since the order.
+    pub fn since_order(&self, at: Instant) -> Duration {
+        at.saturating_duration_since(self.ordered)
+    }
+
     /// Gives an order, and starts as many new replicas as there are old ones.
     pub async fn order(&mut self, within: Duration, fault: Option<PartialFault>) {
         self.put_order(within.as_secs_f64());
@@ -156,13 +191,29 @@
         per_second: f64,
         lasts: Duration,
         make: fn(&str) -> Request<Full<Bytes>>,
+    ) -> tokio::task::JoinHandle<Vec<Answer>> {
+        self.load_each(vec![per_second; self.fleet.gateway.nodes()], lasts, make)
+    }
+
+    /// The same, with a rate for each node.
+    pub fn load_each(
+        &self,
+        per_second: Vec<f64>,
+        lasts: Duration,
+        make: fn(&str) -> Request<Full<Bytes>>,
     ) -> tokio::task::JoinHandle<Vec<Answer>> {
         let fleet = LoadedFleet { gateway: self.fleet.gateway.clone(), replicas: Vec::new() };
-        let per_second = vec![per_second; self.fleet.gateway.nodes()];
         tokio::spawn(async move { fleet.load(&per_second, lasts, make).await })
     }
 }
 
+/// Settings that name what a bad version may get.
+fn with_exposure(yaml: String) -> String {
+    let bounds =
+        format!("retry_slack: 100, exposure_share: {EXPOSURE_SHARE}, exposure_slack: {EXPOSURE_SLACK}");
+    yaml.replace("retry_slack: 100", &bounds)
+}
+
 /// One of so many requests on a path meets a fault.
 pub fn fault(
     fault: leadstage_testutils::gateway_replica::ReplicaFault,
--- a/testutils/src/metadata_store.rs
+++ b/testutils/src/metadata_store.rs
@@ -29,6 +29,8 @@
     None,
     /// Answers 503 and does nothing.
     Refuses,
+    /// Answers reads, and writes with 503.
+    RefusesWrites,
     /// Says that the history is gone to each watch.
     ForgetsHistory,
     /// Answers each page of a list with the first one.
@@ -230,7 +232,7 @@
         let until = tokio::time::Instant::now() + wait;
         loop {
             match self.state().fault {
-                StoreFault::None | StoreFault::RepeatsPage => {}
+                StoreFault::None | StoreFault::RefusesWrites | StoreFault::RepeatsPage => {}
                 StoreFault::Refuses => return refusal(503),
                 StoreFault::ForgetsHistory => return refusal(410),
             }
@@ -287,6 +289,9 @@
         };
         let (kind, name) = rest.split_once('/').map_or((rest, None), |(kind, name)| (kind, Some(name)));
         if req.method() != Method::GET {
+            if self.state().fault == StoreFault::RefusesWrites {
+                return refusal(503);
+            }
             return self.write(req.method(), kind, name, req.body());
         }
         if let Some(name) = name {
