upgrades: three nodes judge at once, and silent ones are replaced by the next

What callers saw: while the judge of an upgrade was killed or suspended, all nodes went on to give a bad version its share until the death was believed: 68 to 123 requests, the last 3.2 to 6.4 s after every answer had begun to fail (0.3 s where nothing happens). A good version was told 11.1 to 12.2 s after an order of 10 s whose judge ended at 7 s.

Cause: all counts went to one node, chosen by a hash over who is believed to be alive, and nobody else may revert or tell a success.

The change: reports go to the first three by that hash, each of which may give a version up, and tell a success if it has heard enough. One that acknowledges nothing for a second no longer counts among the three, so that the next one is told too. Whoever gets reports judges, whatever it thinks of the others. Why it works: what one judge knows the two others know as well, and no step waits for the belief in a death.

Ruled out: each node gives up by its own counts: in a fleet of hundreds a node has a few answers of the new version, and one whose own trouble makes them fail would decide for all.

--- a/lib/src/gateway/trial_reports.rs
+++ b/lib/src/gateway/trial_reports.rs
@@ -1,6 +1,7 @@
 //! To whom, and when, a node reports what it has counted in the trial of a new version.
 //!
-//! Judges acknowledge reports: what was lost is sent again soon, and a judge that is silent is replaced by the next one without a
+//! Several nodes judge at once, so that the others see on while the death of one is not believed yet. Judges
+//! acknowledge reports: what was lost is sent again soon, and a judge that is silent is replaced by the next one without a
 //! wait for the fleet's word on it.
 
 use std::collections::BTreeMap;
@@ -10,7 +11,7 @@
 use crate::ids::VmId;
 
 /// Nodes that judge at once.
-pub const JUDGES: usize = 1;
+pub const JUDGES: usize = 3;
 /// Nodes that may be asked to judge: where all of them are silent it is this node that is cut off.
 pub const CANDIDATES: usize = 8;
 /// Time between two reports of a node that has counted more.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -42,6 +42,7 @@
 mod test_gateway_start;
 mod test_gateway_stored_suspects;
 mod test_gateway_trial_evidence;
+mod test_gateway_trial_reports;
 mod test_gateway_upgrade;
 mod test_gateway_upgrade_model;
 mod test_gateway_waiting;
--- /dev/null
+++ b/lib/tests/test_gateway_trial_reports.rs
@@ -0,0 +1,113 @@
+//! To whom, and when, nodes report what they have counted in a trial.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::trial_reports::Due;
+use leadstage_lib::gateway::trial_reports::Pending;
+use leadstage_lib::gateway::trial_reports::TrialReports;
+use leadstage_lib::ids::VmId;
+use leadstage_lib::rendezvous;
+
+fn secs(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+fn node(n: usize) -> VmId {
+    format!("10.0.0.{n}:7003").into()
+}
+
+/// A node whose three judges are 1, 2 and 3, and 4 and 5 the next ones.
+struct Reporter {
+    reports: TrialReports,
+    candidates: Vec<VmId>,
+    counted: u64,
+    nodes: usize,
+}
+
+impl Reporter {
+    fn new() -> Reporter {
+        Reporter {
+            reports: TrialReports::default(),
+            candidates: (1..6).map(node).collect(),
+            counted: 1,
+            nodes: 6,
+        }
+    }
+
+    fn due(&mut self, own: usize, at: f64, roll_call: Option<f64>) -> Due {
+        let pending = Pending { counted: self.counted, nodes: self.nodes, roll_call: roll_call.map(secs) };
+        let ranked: Vec<&VmId> = self.candidates.iter().collect();
+        self.reports.due(&ranked, &node(own), &pending, secs(at))
+    }
+
+    /// The nodes that are reported to at these times by a node that is none of them, where `answers` acknowledge.
+    fn told(&mut self, at: impl Iterator<Item = u32>, answers: &[usize]) -> Vec<(u32, Vec<usize>)> {
+        let mut told = Vec::new();
+        for tenth in at {
+            let due = self.due(9, f64::from(tenth) / 10.0, None).to;
+            let due: Vec<usize> = (1..6).filter(|n| due.contains(&node(*n))).collect();
+            for n in due.iter().filter(|n| answers.contains(n)) {
+                self.reports.on_acknowledged(&node(*n), self.counted);
+            }
+            if !due.is_empty() {
+                told.push((tenth, due));
+            }
+        }
+        told
+    }
+}
+
+#[test]
+fn test_a_report_that_was_lost_is_sent_again_soon() {
+    let mut reporter = Reporter::new();
+    assert_eq!(reporter.told(0..1, &[2, 3]), [(0, vec![1, 2, 3])]);
+    // The two that have it hear of the node a little later, though it has no news.
+    assert_eq!(reporter.told(1..6, &[1, 2, 3]), [(4, vec![1]), (5, vec![2, 3])]);
+    reporter.counted += 1;
+    assert_eq!(reporter.told(6..10, &[1, 2, 3]), [(8, vec![1]), (9, vec![2, 3])]);
+}
+
+#[test]
+fn test_a_silent_judge_is_replaced_before_its_death_is_known() {
+    let mut reporter = Reporter::new();
+    reporter.told(0..10, &[1, 2, 3]);
+    let told = reporter.told(10..24, &[2, 3, 4]);
+    let first = told.iter().find(|(_, due)| due.contains(&4)).expect("the next one is told");
+    assert!(first.0 <= 21, "{told:?}");
+    // The silent one is still tried, and is a judge again once it answers.
+    reporter.told(24..40, &[1, 2, 3, 4]);
+    let told = reporter.told(40..60, &[1, 2, 3]);
+    assert!(told.iter().any(|(_, due)| due.contains(&1)), "{told:?}");
+    assert!(!told.iter().any(|(_, due)| due.contains(&4)), "{told:?}");
+}
+
+#[test]
+fn test_a_judge_reports_to_the_others() {
+    let mut reporter = Reporter::new();
+    let due = reporter.due(2, 0.0, None);
+    assert_eq!(due, Due { to: vec![node(1), node(3)], judges: true });
+    let due = Reporter::new().due(4, 0.0, None);
+    assert_eq!(due, Due { to: vec![node(1), node(2), node(3)], judges: false });
+}
+
+#[test]
+fn test_all_report_once_in_the_switch() {
+    let mut reporter = Reporter::new();
+    // So many that those without news report each 5 s.
+    reporter.nodes = 1_000;
+    reporter.told(0..1, &[1, 2, 3]);
+    assert_eq!(reporter.due(9, 1.0, Some(1.2)).to, []);
+    assert_eq!(reporter.due(9, 1.2, Some(1.2)).to.len(), 3);
+    assert_eq!(reporter.due(9, 1.3, Some(1.2)).to, []);
+}
+
+#[test]
+fn test_the_first_ranks_are_those_of_the_highest_hashes() {
+    let members: Vec<VmId> = (0..50).map(node).collect();
+    let ranked = rendezvous::ranked("k", &members, 3);
+    assert_eq!(rendezvous::pick("k", &members), Some(ranked[0]));
+    let mut sorted: Vec<&VmId> = members.iter().collect();
+    sorted.sort_by_key(|member| std::cmp::Reverse(rendezvous::weight("k", member)));
+    assert_eq!(ranked, sorted[..3]);
+    assert_eq!(rendezvous::ranked("k", &members[..2], 3).len(), 2);
+}
--- a/node/tests/test_gateway_upgrade_judges.rs
+++ b/node/tests/test_gateway_upgrade_judges.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use leadstage_lib::membership::SUSPECT_FOR;
 use leadstage_testutils::gateway_replica::PartialFault;
 use leadstage_testutils::gateway_replica::ReplicaFault;
 use leadstage_testutils::metadata_store::StoreFault;
@@ -22,6 +23,9 @@
 const PER_SECOND: f64 = 40.0;
 /// The time that most orders give here.
 const WITHIN: Duration = Duration::from_secs(10);
+const TURNS_BAD_AT: Duration = Duration::from_secs(3);
+/// A node can't be taken for dead sooner than this after its last word.
+const BEFORE_A_DEATH_IS_KNOWN: Duration = SUSPECT_FOR;
 /// The operator is told no later than this after the time is over, on a busy machine too.
 const TOLD_WITHIN: Duration = Duration::from_secs(3);
 
@@ -39,6 +43,39 @@
     PartialFault { fault: ReplicaFault::Fails, one_of: 1, prefix: prefix.to_owned() }
 }
 
+/// Plays an upgrade to a version all of whose answers fail from [`TURNS_BAD_AT`] on, while something happens to
+/// the first judges.
+async fn check_is_given_up(strike: impl AsyncFnOnce(&UpgradedFleet, &[usize])) {
+    let mut fleet = UpgradedFleet::start(BOOKING, NODES, REPLICAS).await;
+    let judges = fleet.judges();
+    let load = fleet.load(PER_SECOND, WITHIN + TOLD_WITHIN, read);
+    fleet.order(WITHIN, None).await;
+    fleet.at(TURNS_BAD_AT).await;
+    let turned_bad = fleet.set_fault(&all_fail("/"));
+    strike(&fleet, &judges).await;
+    let concluded = fleet.conclude(WITHIN + TOLD_WITHIN).await;
+    load.await.expect("the load ends");
+    assert_eq!(concluded.state, "rolled_back", "{}", fleet.logs());
+    fleet.assert_given_up_within(turned_bad, BEFORE_A_DEATH_IS_KNOWN);
+    fleet.assert_exposure(Instant::now());
+}
+
+/// Guards against a fleet that sees nothing until the death of its judge is believed.
+#[tokio::test]
+async fn test_a_bad_version_is_given_up_while_its_judge_ends() {
+    check_is_given_up(async |fleet, judges| fleet.gateway().signal(judges[0], "-KILL")).await;
+}
+
+/// Guards against the same where the next judge ends with the first one.
+#[tokio::test]
+async fn test_a_bad_version_is_given_up_while_two_judges_end() {
+    check_is_given_up(async |fleet, judges| {
+        fleet.gateway().signal(judges[0], "-KILL");
+        fleet.gateway().signal(judges[1], "-KILL");
+    })
+    .await;
+}
+
 /// Plays an upgrade to a good version while something happens to the first judges; returns when the operator was
 /// told, from the order on.
 async fn play_good(strike: impl AsyncFnOnce(&UpgradedFleet, &[usize])) -> (UpgradedFleet, Duration) {
@@ -54,6 +91,17 @@
     (fleet, told)
 }
 
+/// Guards against an operator who is told of a success after the time is over, as the judge ended late in it.
+#[tokio::test]
+async fn test_a_success_is_told_in_time_though_the_judge_ends_late() {
+    let (fleet, told) = play_good(async |fleet, judges| {
+        fleet.at(Duration::from_secs(7)).await;
+        fleet.gateway().signal(judges[0], "-KILL");
+    })
+    .await;
+    assert!(told <= WITHIN, "told after {told:?}\n{}", fleet.logs());
+}
+
 /// Guards against a fleet that can't tell a success any more after half of it has gone.
 #[tokio::test]
 async fn test_a_success_is_told_though_half_of_the_nodes_end() {
--- a/node/tests/upgraded_fleet.rs
+++ b/node/tests/upgraded_fleet.rs
@@ -96,6 +96,26 @@
         at.saturating_duration_since(self.ordered)
     }
 
+    /// Requests that the new version got from a moment on.
+    pub fn new_arrivals(&self, from: Instant) -> Vec<Instant> {
+        let arrivals = self.new.iter().flat_map(|running| running.replica.seen());
+        let mut arrivals: Vec<Instant> = arrivals.map(|seen| seen.at).filter(|at| *at >= from).collect();
+        arrivals.sort();
+        arrivals
+    }
+
+    /// Asserts that the new version gets nothing any more so long after it turned bad.
+    pub fn assert_given_up_within(&self, turned_bad: Instant, within: Duration) {
+        let arrivals = self.new_arrivals(turned_bad);
+        let last = arrivals.last().map_or(Duration::ZERO, |at| at.duration_since(turned_bad));
+        assert!(
+            last <= within,
+            "the new version got {} requests, the last {last:?} after it turned bad\n{}",
+            arrivals.len(),
+            self.logs()
+        );
+    }
+
     /// Gives an order, and starts as many new replicas as there are old ones.
     pub async fn order(&mut self, within: Duration, fault: Option<PartialFault>) {
         self.put_order(within.as_secs_f64());
