upgrades: who is not heard by a judge tries no new version

Cause: a node gives the new version its share by the last stage it has heard, however long ago; what waits for a place comes before the datagrams that tell the next stage.

The change: acknowledgements name the report that they are for; a node gives a new version its share only as long as a report that a judge has is fresh, by its own clock. The last node of a fleet needs none. Why it works: an acknowledgement brings the stage along, so a fresh one says that the node knew the stage a moment ago, and an old one from a queue names an old report. It holds for nodes that are cut off, too, whose callers are given the present version.

Ruled out: reading datagrams before requests after a pause, which would only shorten the gap.

--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -9,6 +9,7 @@
 pub mod grant_questions;
 pub mod hall_intake;
 pub mod inventories;
+pub mod judged_services;
 pub mod knowledge;
 pub mod lead_desk;
 pub mod lead_questions;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -279,8 +279,8 @@
             }
             PeerMessage::Granted(question, grant) => self.placing.on_granted(&self.fleet, question, grant),
             PeerMessage::AnswerCounts(report) => self.upgrades.on_report(&self.fleet, node_id(from), report),
-            PeerMessage::CountsTaken(trial, counted) => {
-                self.upgrades.on_acknowledged(&node_id(from), &trial, counted)
+            PeerMessage::CountsTaken(report) => {
+                self.upgrades.on_acknowledged(&mut self.placing, &self.fleet, &node_id(from), &report)
             }
             PeerMessage::NewConfig
             | PeerMessage::NewReplicas
--- a/node/src/gateway/control/knowledge.rs
+++ b/node/src/gateway/control/knowledge.rs
@@ -26,6 +26,7 @@
 use leadstage_lib::ids::VmId;
 use log::info;
 
+use crate::gateway::control::judged_services::JudgedServices;
 use crate::gateway::control::tried_replicas::TriedReplicas;
 use crate::gateway::peers::peer_message::Wanted;
 use crate::gateway::shared::Shared;
@@ -44,6 +45,8 @@
     /// The model services that this node leads.
     led: Vec<ServiceId>,
     tried: TriedReplicas,
+    /// Services whose upgrades are judged by what this node sees.
+    pub judged: JudgedServices,
 }
 
 impl Knowledge {
@@ -59,6 +62,7 @@
             limits: RefCell::default(),
             led: Vec::new(),
             tried: TriedReplicas::default(),
+            judged: JudgedServices::default(),
         }
     }
 
--- a/node/src/gateway/control/knowledge/eligible.rs
+++ b/node/src/gateway/control/knowledge/eligible.rs
@@ -142,7 +142,8 @@
         let upgrades = self.shared.upgrades();
         match upgrades.of(&wanted.service) {
             Some(upgrade) => {
-                let share = self.share_on_trial();
+                let is_judged = self.judged.may_try(&wanted.service, self.shared.now());
+                let share = if is_judged { self.share_on_trial() } else { 0.0 };
                 canary::pools(upgrade, key, share, || {
                     self.tried.of(&self.replicas, &wanted.service, &upgrade.order, share)
                 })
--- a/node/src/gateway/control/trial.rs
+++ b/node/src/gateway/control/trial.rs
@@ -25,6 +25,7 @@
 use crate::gateway::peers::outbox::address_of;
 use crate::gateway::peers::peer_message::CountsReport;
 use crate::gateway::peers::peer_message::PeerMessage;
+use crate::gateway::peers::peer_message::ReportId;
 use crate::gateway::peers::peer_message::TrialId;
 
 /// What the judges of a service's upgrade are hashed by, before the service's name.
@@ -43,6 +44,8 @@
     evidence: TrialEvidence,
     /// When another node last reported to this one.
     asked: Option<Timestamp>,
+    /// Time from the order to the last report that a judge has.
+    judged_as_of: Duration,
 }
 
 impl Trial {
@@ -56,6 +59,7 @@
             reports: TrialReports::default(),
             evidence: TrialEvidence::default(),
             asked: None,
+            judged_as_of: Duration::ZERO,
         }
     }
 
@@ -78,14 +82,22 @@
     pub fn on_report(&mut self, fleet: &Fleet, from: VmId, report: CountsReport, now: Timestamp) {
         self.asked = Some(now);
         if let Some(address) = address_of(&from) {
-            fleet.send(address, &PeerMessage::CountsTaken(report.trial, report.counted));
+            fleet.send(address, &PeerMessage::CountsTaken(report.id));
         }
         self.evidence.take(from, report.report);
     }
 
     /// A judge has a report of this node.
-    pub fn on_acknowledged(&mut self, judge: &VmId, counted: SampleCount) {
-        self.reports.on_acknowledged(judge, counted);
+    pub fn on_acknowledged(&mut self, judge: &VmId, report: &ReportId) {
+        self.reports.on_acknowledged(judge, report.counted);
+        self.judged_as_of = self.judged_as_of.max(report.as_of);
+    }
+
+    /// Whether what this node sees is known to a judge, and what judges find to this node: until when it may be
+    /// taken to be so.
+    pub fn is_judged_until(&self, fleet: &Fleet, upgrade: &Upgrade, now: Timestamp) -> Timestamp {
+        let fresh_for = trial_reports::fresh_for(fleet.nodes());
+        if fleet.is_alone() { now + fresh_for } else { upgrade.began + self.judged_as_of + fresh_for }
     }
 
     /// Reports to the judges what is due; returns whether this node is one of them.
@@ -102,8 +114,8 @@
         if !to.is_empty() {
             let as_of = now.saturating_sub(upgrade.began);
             let report = TrialReport { started, as_of, counts: self.own.clone() };
-            let report = CountsReport { trial: self.id(), counted: self.counted, report };
-            let message = PeerMessage::AnswerCounts(report);
+            let id = ReportId { trial: self.id(), counted: self.counted, as_of };
+            let message = PeerMessage::AnswerCounts(CountsReport { id, report });
             to.iter().filter_map(address_of).for_each(|judge| fleet.send(judge, &message));
         }
         judges || self.asked.is_some_and(|asked| asked + ASKED_FOR > now)
--- a/node/src/gateway/control/upgrade_intake.rs
+++ b/node/src/gateway/control/upgrade_intake.rs
@@ -10,7 +10,6 @@
 
 use leadstage_lib::gateway::retelling::Retelling;
 use leadstage_lib::gateway::routing::ServiceId;
-use leadstage_lib::gateway::trial_reports::SampleCount;
 use leadstage_lib::gateway::upgrade::Stage;
 use leadstage_lib::gateway::upgrade::ToldUpgrade;
 use leadstage_lib::gateway::upgrade::ToldUpgrades;
@@ -40,6 +39,7 @@
 use crate::gateway::peers::fleet::Fleet;
 use crate::gateway::peers::peer_message::CountsReport;
 use crate::gateway::peers::peer_message::PeerMessage;
+use crate::gateway::peers::peer_message::ReportId;
 use crate::gateway::peers::peer_message::TrialId;
 use crate::gateway::shared::Shared;
 use crate::shared::unix_millis;
@@ -207,15 +207,24 @@
     /// Another node tells its counts.
     pub fn on_report(&mut self, fleet: &Fleet, from: VmId, report: CountsReport) {
         let now = self.shared.now();
-        if let Some(trial) = self.trial(&report.trial) {
+        if let Some(trial) = self.trial(&report.id.trial) {
             trial.on_report(fleet, from, report, now);
         }
     }
 
     /// A judge has a report of this node.
-    pub fn on_acknowledged(&mut self, judge: &VmId, of: &TrialId, counted: SampleCount) {
-        if let Some(trial) = self.trial(of) {
-            trial.on_acknowledged(judge, counted);
+    pub fn on_acknowledged(&mut self, placing: &mut Placing, fleet: &Fleet, judge: &VmId, report: &ReportId) {
+        if let Some(trial) = self.trial(&report.trial) {
+            trial.on_acknowledged(judge, report);
+            self.note_judged(placing, fleet, &report.trial.service);
+        }
+    }
+
+    fn note_judged(&self, placing: &mut Placing, fleet: &Fleet, service: &ServiceId) {
+        let upgrades = self.shared.upgrades();
+        if let (Some(upgrade), Some(trial)) = (upgrades.of(service), self.trials.get(service)) {
+            let until = trial.is_judged_until(fleet, upgrade, self.shared.now());
+            placing.knowledge.judged.note(service, until);
         }
     }
 
@@ -256,7 +265,9 @@
         let (Some(upgrade), Some(trial)) = (upgrade, self.trials.get_mut(service)) else {
             return;
         };
-        if trial.report(fleet, upgrade, self.started, self.shared.now()) {
+        let judges = trial.report(fleet, upgrade, self.started, self.shared.now());
+        self.note_judged(placing, fleet, service);
+        if judges {
             self.judge(placing, fleet, service, store_answers);
         }
     }
--- a/node/src/gateway/peers/fleet.rs
+++ b/node/src/gateway/peers/fleet.rs
@@ -142,8 +142,17 @@
 
     /// Those of them that seem to be well, and how many nodes there were lately.
     pub fn census(&self) -> Census {
+        Census { well: self.membership.well().cloned().collect(), size: self.size() }
+    }
+
+    fn size(&self) -> Option<usize> {
         let is_known = self.greeting.met || self.seeds.is_empty();
-        Census { well: self.membership.well().cloned().collect(), size: is_known.then(|| self.size.most()) }
+        is_known.then(|| self.size.most())
+    }
+
+    /// Whether there was no other node of late.
+    pub fn is_alone(&self) -> bool {
+        self.size() == Some(1)
     }
 
     /// Whether another node of this node's hall is taken to be alive.
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -113,8 +113,8 @@
     AnswerCounts(CountsReport),
     /// The sender has come to know the replicas; up to which revision stands in the datagram.
     NewReplicas,
-    /// The sender, who judges an upgrade, has such a report.
-    CountsTaken(TrialId, SampleCount),
+    /// The sender, who judges an upgrade, has a report of the receiver's.
+    CountsTaken(ReportId),
 }
 
 impl PeerMessage {
@@ -249,13 +249,22 @@
     pub made: Revision,
 }
 
-/// How a node's requests to a service that is being upgraded were answered so far.
-#[derive(Debug, Deserialize, Serialize)]
-pub struct CountsReport {
+/// Names a report of a node.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
+pub struct ReportId {
     /// The trial.
     pub trial: TrialId,
-    /// Samples that the report counts.
+    /// Samples that it counts.
     pub counted: SampleCount,
+    /// Time from the order to the report.
+    pub as_of: Duration,
+}
+
+/// How a node's requests to a service that is being upgraded were answered so far.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct CountsReport {
+    /// Names it.
+    pub id: ReportId,
     /// The report.
     pub report: TrialReport,
 }
--- a/node/tests/test_gateway_upgrade_judges.rs
+++ b/node/tests/test_gateway_upgrade_judges.rs
@@ -76,6 +76,18 @@
     .await;
 }
 
+/// Guards against a fleet that waits for a judge that is there and does nothing.
+#[tokio::test]
+async fn test_a_bad_version_is_given_up_while_its_judge_is_suspended() {
+    check_is_given_up(async |fleet, judges| {
+        let judge = judges[0];
+        fleet.gateway().signal(judge, "-STOP");
+        tokio::time::sleep(Duration::from_millis(4_500)).await;
+        fleet.gateway().signal(judge, "-CONT");
+    })
+    .await;
+}
+
 /// Plays an upgrade to a good version while something happens to the first judges; returns when the operator was
 /// told, from the order on.
 async fn play_good(strike: impl AsyncFnOnce(&UpgradedFleet, &[usize])) -> (UpgradedFleet, Duration) {
