upgrades: a standby tells the operator what is final if the first watcher does not

What callers saw: old replicas that served on, as an operator was told of a success 10.11 s after an order of 10 s: the node that follows the store first was killed 1.3 s before the end.

Cause: only the first watcher writes the status, and a standby takes its place when its pulses lapse, 2 s after the last one. Evidence: the test's log has `stage=proven` at 9.56 s at all nodes and `upgrade_stored` at 10.11 s, after the lapse.

The change: a standby writes a final status that is due for longer than 0.3 s. Why it is safe: each write names the revision that it replaces, so the first one holds and the other learns of it; where the first watcher wrote, the standby hears of the final stage well before.

Ruled out: shorter pulses, which all nodes would pay for all the time.

Before: the test failed (killed, 10.11 s).

--- a/node/src/gateway/control/upgrade_intake.rs
+++ b/node/src/gateway/control/upgrade_intake.rs
@@ -58,6 +58,10 @@
     Judge,
 }
 
+/// A standby of who follows the store first writes what is final if it is still due after this: by then it would have
+/// heard that it was written.
+const STANDBY_WRITES_AFTER: Duration = Duration::from_millis(300);
+
 /// An order as the store holds it, as far as this node follows the store, and the write of its status.
 struct Stored {
     held: StoredUpgrade,
@@ -247,8 +251,8 @@
         for service in self.trials.keys().cloned().collect::<Vec<_>>() {
             self.report_and_judge(placing, fleet, &service, store_answers);
         }
-        if role == Some(WatchRole::First) {
-            self.write_due();
+        if let Some(role) = role {
+            self.write_due(role);
         }
     }
 
@@ -302,14 +306,18 @@
         fleet.tell(&PeerMessage::UpgradesChanged);
     }
 
-    /// Tells the operator what became of orders, where the store says otherwise.
-    fn write_due(&mut self) {
+    /// Tells the operator what became of orders, where the store says otherwise. Each write names the revision that it
+    /// replaces, so it does no harm if two nodes write.
+    fn write_due(&mut self, role: WatchRole) {
         let now = self.shared.now();
         let upgrades = self.shared.upgrades();
         for stored in self.stored.values_mut().filter(|stored| !stored.is_writing && stored.write_from <= now)
         {
-            let stage = upgrades.of(&stored.held.service).map(|upgrade| upgrade.stage);
-            if let Some(word) = upgrade_store::word_due(&stored.held, stage) {
+            let upgrade = upgrades.of(&stored.held.service);
+            if !writes(role, upgrade, now) {
+                continue;
+            }
+            if let Some(word) = upgrade_store::word_due(&stored.held, upgrade.map(|upgrade| upgrade.stage)) {
                 stored.is_writing = true;
                 let writing = upgrade_store::write(self.shared.clone(), stored.held.clone(), word);
                 tokio::task::spawn_local(writing);
@@ -343,6 +351,15 @@
     }
 }
 
+/// Whether a node that follows the store in this role tells the operator of an order.
+fn writes(role: WatchRole, upgrade: Option<&Upgrade>, now: Timestamp) -> bool {
+    let is_overdue = |upgrade: &Upgrade| {
+        matches!(upgrade.stage, Stage::Proven | Stage::Reverted)
+            && upgrade.stage_since + STANDBY_WRITES_AFTER <= now
+    };
+    role == WatchRole::First || upgrade.is_some_and(is_overdue)
+}
+
 /// Requests that the replicas of both versions take at once.
 fn capacity(placing: &Placing, service: &ServiceId, order: &UpgradeOrder) -> Capacity {
     let mut capacity = Capacity::default();
--- a/node/tests/test_gateway_upgrade_judges.rs
+++ b/node/tests/test_gateway_upgrade_judges.rs
@@ -88,6 +88,29 @@
     .await;
 }
 
+/// Guards against the next judge that tells a success by its own counts alone, as the others report to it only once they
+/// believe in the death of the first.
+#[tokio::test]
+async fn test_a_version_that_fails_later_is_reverted_while_its_judge_is_suspended() {
+    const WITHIN: Duration = Duration::from_secs(6);
+    let plays = [1_500, 1_900, 2_300].map(|suspended_at_ms| async move {
+        let mut fleet = UpgradedFleet::start(BOOKING, 10, REPLICAS).await;
+        let judge = fleet.judges()[0];
+        let load = fleet.load(25.0, WITHIN + TOLD_WITHIN, read);
+        fleet.order(WITHIN, None).await;
+        fleet.at(Duration::from_millis(suspended_at_ms)).await;
+        fleet.gateway().signal(judge, "-STOP");
+        fleet.at(TURNS_BAD_AT).await;
+        fleet.set_fault(&PartialFault { one_of: 3, ..all_fail("/") });
+        let concluded = fleet.conclude(WITHIN + TOLD_WITHIN).await;
+        fleet.gateway().signal(judge, "-CONT");
+        load.await.expect("the load ends");
+        let logs = fleet.logs();
+        assert_eq!(concluded.state, "rolled_back", "suspended at {suspended_at_ms} ms\n{logs}");
+    });
+    futures::future::join_all(plays).await;
+}
+
 /// Plays an upgrade to a good version while something happens to the first judges; returns when the operator was
 /// told, from the order on.
 async fn play_good(strike: impl AsyncFnOnce(&UpgradedFleet, &[usize])) -> (UpgradedFleet, Duration) {
@@ -98,8 +121,8 @@
     strike(&fleet, &judges).await;
     let concluded = fleet.conclude(WITHIN + TOLD_WITHIN).await;
     assert_eq!(concluded.state, "succeeded", "{}", fleet.logs());
-    load.await.expect("the load ends");
     let told = fleet.since_order(concluded.at);
+    load.abort();
     (fleet, told)
 }
 
@@ -114,6 +137,20 @@
     assert!(told <= WITHIN, "told after {told:?}\n{}", fleet.logs());
 }
 
+/// Guards against an operator who is told of a success after the time is over, as nobody wrote it in place of the node
+/// that follows the store first.
+#[tokio::test]
+async fn test_a_success_is_told_in_time_though_who_writes_it_is_away() {
+    for signal in ["-KILL", "-STOP"] {
+        let (fleet, told) = play_good(async |fleet, _judges| {
+            fleet.at(Duration::from_millis(8_700)).await;
+            fleet.gateway().signal(fleet.first_watcher(), signal);
+        })
+        .await;
+        assert!(told <= WITHIN, "{signal}: told after {told:?}\n{}", fleet.logs());
+    }
+}
+
 /// Guards against a fleet that can't tell a success any more after half of it has gone.
 #[tokio::test]
 async fn test_a_success_is_told_though_half_of_the_nodes_end() {
