tests: places that one node holds by a hash, while it is away

Looked for elsewhere: one node chosen by a hash over who is believed to be alive, told by datagrams. Leads of pools and whoever grants limits are passed over after 40 ms without an answer, standbys follow the store beside the first watcher.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_clocks;
 mod test_gateway_asked_rests;
 mod test_gateway_calls;
+mod test_gateway_chosen_nodes;
 mod test_gateway_closed_halls;
 mod test_gateway_config_ways;
 mod test_gateway_crash_evidence;
