--- a/lib/src/gateway/trial_reports.rs
+++ b/lib/src/gateway/trial_reports.rs
@@ -9,6 +9,7 @@
 
 use crate::ids::Timestamp;
 use crate::ids::VmId;
+use crate::rendezvous;
 
 /// Nodes that judge at once.
 pub const JUDGES: usize = 3;
@@ -20,6 +21,8 @@
 const LEAST_IDLE_INTERVAL: Duration = Duration::from_millis(500);
 /// In a large one, for each node, so that a judge gets no more than some 200 of these a second.
 const IDLE_INTERVAL_A_NODE: Duration = Duration::from_millis(5);
+/// Where all nodes have something to report at once, a judge gets the reports spread over this, for each node.
+const SPREAD_A_NODE: Duration = Duration::from_micros(500);
 /// A judge that acknowledges nothing for so long is silent.
 const SILENT_AFTER: Duration = Duration::from_secs(1);
 
@@ -48,6 +51,8 @@
     pub counted: SampleCount,
     /// Nodes of the fleet.
     pub nodes: usize,
+    /// When this node learnt of the trial.
+    pub since: Timestamp,
     /// All nodes report once more from this moment on.
     pub roll_call: Option<Timestamp>,
 }
@@ -95,7 +100,12 @@
             asked.push(*node);
             let told = self.told.get(*node);
             answering += usize::from(!told.is_some_and(|told| told.is_silent(now)));
-            if told.is_none_or(|told| is_due(told, pending, now)) {
+            let spread = spread(own, node, pending.nodes);
+            let is_due = match told {
+                Some(told) => is_due(told, pending, spread, now),
+                None => pending.since + spread <= now,
+            };
+            if is_due {
                 due.to.push((*node).clone());
             }
         }
@@ -123,9 +133,15 @@
     }
 }
 
-fn is_due(told: &Told, pending: &Pending, now: Timestamp) -> bool {
+/// How much later than others a node reports to a judge.
+fn spread(own: &VmId, judge: &VmId, nodes: usize) -> Duration {
+    let part = rendezvous::weight(own, judge) as f64 / u64::MAX as f64;
+    (SPREAD_A_NODE * nodes as u32).mul_f64(part)
+}
+
+fn is_due(told: &Told, pending: &Pending, spread: Duration, now: Timestamp) -> bool {
     let has_news = told.acknowledged < pending.counted && !told.is_silent(now);
     let interval = if has_news { REPORT_INTERVAL } else { idle_interval(pending.nodes) };
-    let is_called = pending.roll_call.is_some_and(|at| told.at < at && at <= now);
+    let is_called = pending.roll_call.is_some_and(|at| told.at < at && at + spread <= now);
     is_called || told.at + interval <= now
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -18,6 +18,7 @@
 mod test_gateway_fingerprint;
 mod test_gateway_fleet_spread;
 mod test_gateway_full_engines;
+mod test_gateway_judges_model;
 mod test_gateway_lead_queue;
 mod test_gateway_learned;
 mod test_gateway_limit_grants;
--- /dev/null
+++ b/lib/tests/test_gateway_judges_model.rs
@@ -0,0 +1,435 @@
+//! A model of who judges an upgrade, in fleets of several sizes: one node by a hash, three of them, or three and each node by its
+//! own counts, while judges end or are suspended.
+//!
+//! Deaths are believed after 3 to 5 s and suspected after 1.5 to 2.5 s. CI plays a few seeds; by hand:
+//! `LEADSTAGE_MODEL_SEEDS=60 cargo test --release -p leadstage-lib --test runner judges_model -- --nocapture`.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use leadstage_lib::gateway::answer_counts::AnswerCounts;
+use leadstage_lib::gateway::answer_counts::Measure;
+use leadstage_lib::gateway::answer_counts::Sample;
+use leadstage_lib::gateway::answer_counts::Side;
+use leadstage_lib::gateway::canary;
+use leadstage_lib::gateway::run_key::RunKey;
+use leadstage_lib::gateway::trial_evidence::Census;
+use leadstage_lib::gateway::trial_evidence::Hearing;
+use leadstage_lib::gateway::trial_evidence::TrialEvidence;
+use leadstage_lib::gateway::trial_evidence::TrialReport;
+use leadstage_lib::gateway::trial_reports;
+use leadstage_lib::gateway::trial_reports::Pending;
+use leadstage_lib::gateway::trial_reports::TrialReports;
+use leadstage_lib::gateway::upgrade::Stage;
+use leadstage_lib::gateway::upgrade::Upgrade;
+use leadstage_lib::gateway::upgrade::UpgradeOrder;
+use leadstage_lib::gateway::upgrade_judge;
+use leadstage_lib::gateway::upgrade_judge::Capacity;
+use leadstage_lib::gateway::upgrade_judge::ExposureBounds;
+use leadstage_lib::gateway::upgrade_judge::Situation;
+use leadstage_lib::gateway::upgrade_verdict;
+use leadstage_lib::gateway::upgrade_verdict::Verdict;
+use leadstage_lib::ids::VmId;
+use leadstage_lib::rendezvous;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const BOUNDS: ExposureBounds = ExposureBounds { share: 0.1, slack: 50.0 };
+const STEP_S: f64 = 0.1;
+const WITHIN_S: f64 = 14.0;
+/// The plays go on beyond the order's time.
+const PLAYED_S: f64 = 22.0;
+/// Requests a second of the whole fleet.
+const RATE: f64 = 500.0;
+/// Part of the messages that is lost.
+const LOST: f64 = 0.03;
+const TURNS_BAD_AT_S: f64 = 8.0;
+/// Part of a bad version's answers that is bad.
+const BAD: f64 = 0.3;
+/// Part of all answers that fails in any case.
+const USUALLY_BAD: f64 = 0.005;
+/// When something happens to judges of a good version.
+const STRIKES_GOOD_AT_S: f64 = 10.0;
+const SUSPENDED_FOR_S: f64 = 4.5;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    One,
+    Three,
+    ThreeAndEach,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trouble {
+    None,
+    JudgeEnds,
+    TwoJudgesEnd,
+    JudgeSuspended,
+    HalfEnd,
+}
+
+enum Message {
+    Report { from: usize, counted: u64, report: TrialReport },
+    Taken { from: usize, counted: u64 },
+    Stage(Stage),
+}
+
+struct Node {
+    id: VmId,
+    own: AnswerCounts,
+    counted: u64,
+    requests: u64,
+    reports: TrialReports,
+    evidence: TrialEvidence,
+    asked_at: Option<f64>,
+    upgrade: Upgrade,
+    inbox: Vec<(f64, Message)>,
+    ended_at: Option<f64>,
+    suspended_until: f64,
+    suspected_at: f64,
+    believed_at: f64,
+}
+
+impl Node {
+    fn runs(&self, at: f64) -> bool {
+        self.ended_at.is_none() && self.suspended_until <= at
+    }
+
+    /// Takes its messages; returns what it sends, with to whom.
+    fn receive(&mut self, own: usize, at: f64) -> Vec<(usize, Message)> {
+        let (now, later) = std::mem::take(&mut self.inbox).into_iter().partition(|(due, _)| *due <= at);
+        self.inbox = later;
+        let mut sent = Vec::new();
+        for (_, message) in now {
+            match message {
+                Message::Report { from, counted, report } => {
+                    self.asked_at = Some(at);
+                    self.evidence.take(name(from), report);
+                    sent.push((from, Message::Taken { from: own, counted }));
+                }
+                Message::Taken { from, counted } => self.reports.on_acknowledged(&name(from), counted),
+                Message::Stage(stage) => self.raise(stage, at),
+            }
+        }
+        sent
+    }
+
+    fn raise(&mut self, stage: Stage, at: f64) {
+        if stage > self.upgrade.stage {
+            (self.upgrade.stage, self.upgrade.stage_since) = (stage, secs(at));
+        }
+    }
+}
+
+fn secs(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+fn name(n: usize) -> VmId {
+    format!("10.0.{}.{}:7003", n / 250, n % 250).into()
+}
+
+fn number(node: &VmId) -> usize {
+    let mut parts = node.split([':', '.']).map(|part| part.parse::<usize>().expect("a number"));
+    parts.nth(2).expect("an address") * 250 + parts.next().expect("an address")
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    succeeded_at: Option<f64>,
+    reverted_at: Option<f64>,
+    /// Requests that the new version got after it had turned bad, and when it got the last one.
+    exposed: u32,
+    last_exposed: f64,
+    sent: u64,
+    most_at_a_judge: u64,
+    judging: Duration,
+}
+
+struct Play {
+    way: Way,
+    is_bad: bool,
+    nodes: Vec<Node>,
+    rng: SmallRng,
+    outcome: Outcome,
+}
+
+impl Play {
+    fn new(count: usize, way: Way, is_bad: bool, seed: u64) -> Play {
+        let order = UpgradeOrder { target: "v2".into(), within: secs(WITHIN_S), made: seed };
+        let upgrade =
+            Upgrade { order, began: Duration::ZERO, stage: Stage::Trial, stage_since: Duration::ZERO };
+        let node = |n| Node {
+            id: name(n),
+            own: AnswerCounts::default(),
+            counted: 0,
+            requests: 0,
+            reports: TrialReports::default(),
+            evidence: TrialEvidence::default(),
+            asked_at: None,
+            upgrade: upgrade.clone(),
+            inbox: Vec::new(),
+            ended_at: None,
+            suspended_until: 0.0,
+            suspected_at: f64::MAX,
+            believed_at: f64::MAX,
+        };
+        let rng = SmallRng::seed_from_u64(seed);
+        Play { way, is_bad, nodes: (0..count).map(node).collect(), rng, outcome: Outcome::default() }
+    }
+
+    fn ranked(&self, at: f64, count: usize) -> Vec<VmId> {
+        let alive = self.nodes.iter().filter(|node| node.believed_at > at).map(|node| &node.id);
+        rendezvous::ranked("judge of s", alive, count).into_iter().cloned().collect()
+    }
+
+    fn strike(&mut self, trouble: Trouble, at: f64) {
+        let judges: Vec<usize> = self.ranked(at, 2).iter().map(number).collect();
+        let (struck, ends) = match trouble {
+            Trouble::None => (Vec::new(), true),
+            Trouble::JudgeEnds => (judges[..1].to_vec(), true),
+            Trouble::TwoJudgesEnd => (judges, true),
+            Trouble::JudgeSuspended => (judges[..1].to_vec(), false),
+            Trouble::HalfEnd => (self.half(), true),
+        };
+        for n in struck {
+            let node = &mut self.nodes[n];
+            node.suspected_at = at + self.rng.random_range(1.5..2.5);
+            node.believed_at = at + self.rng.random_range(3.0..5.0);
+            if ends {
+                node.ended_at = Some(at);
+            } else {
+                node.suspended_until = at + SUSPENDED_FOR_S;
+            }
+        }
+    }
+
+    /// Half of the nodes, at random.
+    fn half(&mut self) -> Vec<usize> {
+        let mut nodes: Vec<usize> = (0..self.nodes.len()).collect();
+        for at in (1..nodes.len()).rev() {
+            nodes.swap(at, self.rng.random_range(0..=at));
+        }
+        nodes.truncate(self.nodes.len() / 2);
+        nodes
+    }
+
+    fn call(&mut self, at: f64) {
+        let node = loop {
+            let n = self.rng.random_range(0..self.nodes.len());
+            if self.nodes[n].runs(at) {
+                break &mut self.nodes[n];
+            }
+        };
+        node.requests += 1;
+        let key = RunKey { entry: node.id.clone(), run: node.requests };
+        let share = canary::share_on_trial(BOUNDS.share);
+        let to_target = match node.upgrade.stage {
+            Stage::Trial => canary::is_drawn(&key, &node.upgrade.order, share),
+            stage => matches!(stage, Stage::Switch | Stage::Proven),
+        };
+        let is_bad = to_target && self.is_bad && at >= TURNS_BAD_AT_S;
+        if is_bad {
+            self.outcome.exposed += 1;
+            self.outcome.last_exposed = at - TURNS_BAD_AT_S;
+        }
+        let fails = self.rng.random_bool(if is_bad { BAD } else { USUALLY_BAD });
+        let took = secs(0.06 * 2.0_f64.powf(self.rng.random_range(-1.0..1.0)));
+        let sample = if fails { Sample::Failed } else { Sample::Took(Measure::Answer, took) };
+        let side = if to_target { Side::Target } else { Side::Present };
+        node.own.on_sample(&"r".into(), side, sample);
+        node.counted += 1;
+    }
+
+    fn send(&mut self, to: usize, message: Message, delay: f64, at: f64) {
+        self.outcome.sent += 1;
+        if !self.rng.random_bool(LOST) {
+            self.nodes[to].inbox.push((at + delay, message));
+        }
+    }
+
+    fn tell_stage(&mut self, stage: Stage, at: f64) {
+        for n in 0..self.nodes.len() {
+            let late = if self.rng.random_bool(LOST) { 0.8 } else { self.rng.random_range(0.0..0.3) };
+            self.nodes[n].inbox.push((at + late, Message::Stage(stage)));
+        }
+    }
+
+    fn report(&mut self, n: usize, ranked: &[&VmId], at: f64) -> bool {
+        let nodes = self.nodes.len();
+        let node = &mut self.nodes[n];
+        let roll_call = upgrade_judge::roll_call(&node.upgrade);
+        let pending = Pending { counted: node.counted, nodes, since: Duration::ZERO, roll_call };
+        let due = node.reports.due(ranked, &node.id.clone(), &pending, secs(at));
+        let report = TrialReport { started: 1, as_of: secs(at), counts: node.own.clone() };
+        let (counted, is_asked) = (node.counted, node.asked_at.is_some_and(|asked| asked + 2.0 > at));
+        for to in &due.to {
+            let message = Message::Report { from: n, counted, report: report.clone() };
+            self.send(number(to), message, STEP_S / 2.0, at);
+        }
+        due.judges || (is_asked && self.way != Way::One)
+    }
+
+    fn hearing(&self, n: usize, at: f64) -> Hearing {
+        let alive = self.nodes.iter().filter(|node| node.believed_at > at).count();
+        let node = &self.nodes[n];
+        if self.way == Way::One {
+            let is_most = (node.evidence.nodes() + 1) as f64 >= 0.75 * alive as f64;
+            return if is_most { Hearing::Most } else { Hearing::Few };
+        }
+        let others = self.nodes.iter().filter(|other| other.id != node.id && other.suspected_at > at);
+        let well = others.map(|other| other.id.clone()).collect();
+        let census = Census { well, size: Some(self.nodes.len()) };
+        let since = upgrade_judge::heard_since(&node.upgrade, self.nodes.len(), secs(at));
+        node.evidence.hearing(&census, since)
+    }
+
+    fn judge(&mut self, n: usize, at: f64) {
+        let hearing = self.hearing(n, at);
+        let began = Instant::now();
+        let node = &self.nodes[n];
+        let counts = node.evidence.all(&node.own);
+        let situation = Situation {
+            upgrade: &node.upgrade,
+            counts: &counts,
+            capacity: Capacity { present: 42, target: 42 },
+            has_streams: false,
+            store_answers: true,
+            hearing,
+            bounds: BOUNDS,
+        };
+        let next = situation.next(secs(at));
+        self.outcome.judging += began.elapsed();
+        if let Some(next) = next {
+            self.decide(n, next.stage, at);
+        }
+    }
+
+    fn decide(&mut self, n: usize, stage: Stage, at: f64) {
+        self.nodes[n].raise(stage, at);
+        match stage {
+            Stage::Proven => drop(self.outcome.succeeded_at.get_or_insert(at)),
+            Stage::Reverted => drop(self.outcome.reverted_at.get_or_insert(at)),
+            _ => {}
+        }
+        self.tell_stage(stage, at);
+    }
+
+    fn step(&mut self, at: f64) {
+        let ranked = self.ranked(at, if self.way == Way::One { 1 } else { trial_reports::CANDIDATES });
+        let ranked: Vec<&VmId> = ranked.iter().collect();
+        let running: Vec<usize> = (0..self.nodes.len()).filter(|n| self.nodes[*n].runs(at)).collect();
+        for n in &running {
+            let inbox = self.nodes[*n].inbox.len() as u64;
+            self.outcome.most_at_a_judge = self.outcome.most_at_a_judge.max(inbox);
+            for (to, message) in self.nodes[*n].receive(*n, at) {
+                self.send(to, message, STEP_S / 2.0, at);
+            }
+        }
+        for n in running {
+            if self.nodes[n].upgrade.stage > Stage::Switch {
+                continue;
+            }
+            if self.report(n, &ranked, at) {
+                self.judge(n, at);
+            }
+            let is_worse = || matches!(upgrade_verdict::verdict(&self.nodes[n].own), Verdict::Worse(_));
+            if self.way == Way::ThreeAndEach && is_worse() {
+                self.decide(n, Stage::Reverted, at);
+            }
+        }
+    }
+}
+
+fn play(count: usize, way: Way, is_bad: bool, trouble: Trouble, seed: u64) -> Outcome {
+    let mut play = Play::new(count, way, is_bad, seed);
+    let strikes_at = if is_bad { TURNS_BAD_AT_S } else { STRIKES_GOOD_AT_S };
+    let mut is_struck = false;
+    for step in 0..(PLAYED_S / STEP_S) as usize {
+        let at = step as f64 * STEP_S;
+        if at >= strikes_at && !is_struck {
+            is_struck = true;
+            play.strike(trouble, at);
+        }
+        for _ in 0..(RATE * STEP_S) as usize {
+            play.call(at);
+        }
+        play.step(at);
+    }
+    play.outcome
+}
+
+/// The seeds that are played by hand.
+fn asked_seeds() -> Option<u64> {
+    let seeds = std::env::var("LEADSTAGE_MODEL_SEEDS").ok()?;
+    Some(seeds.parse().expect("LEADSTAGE_MODEL_SEEDS is a number"))
+}
+
+/// What came of all seeds. A play whose success and reversal are both told counts for both.
+struct Row {
+    text: String,
+    outcomes: Vec<Outcome>,
+}
+
+fn row(count: usize, way: Way, is_bad: bool, trouble: Trouble) -> Row {
+    let outcomes: Vec<Outcome> =
+        (0..asked_seeds().unwrap_or(1)).map(|seed| play(count, way, is_bad, trouble, seed)).collect();
+    let most = |of: fn(&Outcome) -> f64| outcomes.iter().map(of).fold(0.0, f64::max);
+    let succeeded = outcomes.iter().filter(|outcome| outcome.succeeded_at.is_some()).count();
+    let reverted = outcomes.iter().filter(|outcome| outcome.reverted_at.is_some()).count();
+    let told = most(|outcome| outcome.succeeded_at.unwrap_or(0.0));
+    let sent = most(|outcome| outcome.sent as f64) / count as f64 / PLAYED_S;
+    let version = if is_bad { "bad" } else { "good" };
+    let judging = outcomes.iter().map(|outcome| outcome.judging).max().unwrap_or_default();
+    let text = format!(
+        "{count:4} {:<12} {version:<4} {:<14} succeeded {succeeded}, told by {told:4.1} s; reverted {reverted}; {:3.0} exposed, the last {:3.1} s after; {sent:.2} messages a second and node, {:.0} at one in a step at most; judging {judging:?}",
+        format!("{way:?}"),
+        format!("{trouble:?}"),
+        most(|outcome| f64::from(outcome.exposed)),
+        most(|outcome| outcome.last_exposed),
+        most(|outcome| outcome.most_at_a_judge as f64),
+    );
+    Row { text, outcomes }
+}
+
+const BAD_TROUBLES: [Trouble; 5] =
+    [Trouble::None, Trouble::JudgeEnds, Trouble::TwoJudgesEnd, Trouble::JudgeSuspended, Trouble::HalfEnd];
+const GOOD_TROUBLES: [Trouble; 4] =
+    [Trouble::None, Trouble::JudgeEnds, Trouble::JudgeSuspended, Trouble::HalfEnd];
+
+/// Asserts that with three judges no bad version succeeds and no good one is reverted, and that a good one is told in time whatever
+/// happens to one judge. By hand it compares the ways.
+#[test]
+fn test_three_judges_see_on_while_one_is_away() {
+    let (sizes, ways): (&[usize], &[Way]) = match asked_seeds() {
+        Some(_) => (&[6, 66, 410, 985], &[Way::One, Way::Three, Way::ThreeAndEach]),
+        None => (&[6, 66, 410], &[Way::Three]),
+    };
+    for count in sizes {
+        for way in ways {
+            let bad = BAD_TROUBLES.map(|trouble| (true, trouble));
+            let good = GOOD_TROUBLES.map(|trouble| (false, trouble));
+            for (is_bad, trouble) in bad.into_iter().chain(good) {
+                let row = row(*count, *way, is_bad, trouble);
+                println!("{}", row.text);
+                if *way == Way::Three {
+                    check(&row, is_bad, trouble);
+                }
+            }
+        }
+    }
+}
+
+fn check(row: &Row, is_bad: bool, trouble: Trouble) {
+    for outcome in &row.outcomes {
+        if is_bad {
+            assert_eq!(outcome.succeeded_at, None, "{}", row.text);
+            assert!(outcome.reverted_at.is_some(), "{}", row.text);
+        } else {
+            assert_eq!(outcome.reverted_at, None, "{}", row.text);
+            let told = outcome.succeeded_at.expect("it is told");
+            assert!(trouble == Trouble::HalfEnd || told <= WITHIN_S, "{}", row.text);
+        }
+    }
+}
--- a/node/src/gateway/control/trial.rs
+++ b/node/src/gateway/control/trial.rs
@@ -36,6 +36,8 @@
 /// What is counted for one order.
 pub struct Trial {
     service: ServiceId,
+    /// When this node learnt of it.
+    since: Timestamp,
     /// The order.
     pub order: UpgradeOrder,
     own: AnswerCounts,
@@ -50,9 +52,10 @@
 
 impl Trial {
     /// Nothing is counted yet.
-    pub fn new(service: ServiceId, order: UpgradeOrder) -> Self {
+    pub fn new(service: ServiceId, order: UpgradeOrder, since: Timestamp) -> Self {
         Trial {
             service,
+            since,
             order,
             own: AnswerCounts::default(),
             counted: 0,
@@ -105,6 +108,7 @@
         let pending = Pending {
             counted: self.counted,
             nodes: fleet.nodes(),
+            since: self.since,
             roll_call: upgrade_judge::roll_call(upgrade),
         };
         let key = format!("{JUDGE}{}", self.service);
--- a/node/src/gateway/control/upgrade_intake.rs
+++ b/node/src/gateway/control/upgrade_intake.rs
@@ -167,7 +167,7 @@
             upgrades.of(service).is_some_and(|upgrade| upgrade.order == trial.order)
         });
         for (service, upgrade) in upgrades.iter() {
-            let trial = || Trial::new(service.clone(), upgrade.order.clone());
+            let trial = || Trial::new(service.clone(), upgrade.order.clone(), self.shared.now());
             self.trials.entry(service.clone()).or_insert_with(trial);
         }
         self.shared.set_upgrades(upgrades.clone());
