soak: upgrades, while those who judge them and tell the operator are struck

Six nodes, a good version or one that turns bad at a random moment; kills, planned stops, suspensions of up to 4.5 s and a store that refuses, half of them at the first two judges and the first watcher.

--- /dev/null
+++ b/node/tests/test_gateway_upgrade_soak.rs
@@ -0,0 +1,157 @@
+//! A randomized soak of upgrades: good and bad versions, while nodes are killed, suspended, stopped and started again and the
+//! store comes and goes, in series and overlapping.
+//!
+//! A seed fixes the schedule; odd ones play a version that turns bad. CI plays [`REGRESSIONS`]; more by hand:
+//! `LEADSTAGE_UPGRADE_SOAK_SEEDS=1..50 cargo test --release -p leadstage-node --test runner upgrade_soak`.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use leadstage_testutils::gateway_replica::PartialFault;
+use leadstage_testutils::gateway_replica::ReplicaFault;
+use leadstage_testutils::metadata_store::StoreFault;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::task::JoinSet;
+
+use crate::gateway_environment::BOOKING;
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::call;
+use crate::gateway_environment::read;
+use crate::upgraded_fleet::UpgradedFleet;
+
+/// Seeds that CI plays: one of each kind, and each that ever failed with a line on its cause.
+const REGRESSIONS: &[u64] = &[1, 2];
+const NODES: usize = 6;
+const REPLICAS: usize = 4;
+const WITHIN: Duration = Duration::from_secs(6);
+/// Time between two calls to a node.
+const CALL_EVERY: Duration = Duration::from_millis(40);
+/// Faults come until so long after the order.
+const FAULTS_FOR: Duration = Duration::from_secs(7);
+/// The operator knows the end so long after the last fault, whatever there was.
+const CONCLUDED_WITHIN: Duration = Duration::from_secs(40);
+
+struct UpgradeSoak {
+    fleet: UpgradedFleet,
+    rng: SmallRng,
+    /// Nodes that are suspended, with until when.
+    suspended: Vec<(usize, Instant)>,
+}
+
+impl UpgradeSoak {
+    fn gateway(&mut self) -> &mut Gateway {
+        Arc::get_mut(&mut self.fleet.fleet.gateway).expect("no other holder")
+    }
+
+    /// One fault; some last beyond the next. Nodes that others depend on are struck as often as all others together.
+    fn strike(&mut self) {
+        let chosen = [self.fleet.judges()[0], self.fleet.judges()[1], self.fleet.first_watcher()];
+        let node = match self.rng.random_bool(0.5) {
+            true => chosen[self.rng.random_range(0..chosen.len())],
+            false => self.rng.random_range(0..NODES),
+        };
+        let is_suspended = self.suspended.iter().any(|(suspended, _)| *suspended == node);
+        match self.rng.random_range(0..6) {
+            0 => self.gateway().kill(node),
+            1 if !is_suspended => self.gateway().signal(node, "-TERM"),
+            2 | 3 if !is_suspended => {
+                let lasts = Duration::from_millis(self.rng.random_range(100..4_500));
+                self.gateway().signal(node, "-STOP");
+                self.suspended.push((node, Instant::now() + lasts));
+            }
+            4 => self.gateway().store.set_fault(StoreFault::Refuses),
+            _ => self.gateway().store.set_fault(StoreFault::None),
+        }
+    }
+
+    /// The platform starts processes that ended again, and suspensions end.
+    fn tend(&mut self, now: Instant) {
+        let over: Vec<usize> =
+            self.suspended.iter().filter(|(_, until)| *until <= now).map(|(node, _)| *node).collect();
+        self.suspended.retain(|(_, until)| *until > now);
+        for node in over {
+            if self.gateway().ended(node).is_none() {
+                self.gateway().signal(node, "-CONT");
+            }
+        }
+        for node in 0..NODES {
+            if self.gateway().ended(node).is_some() {
+                self.suspended.retain(|(suspended, _)| *suspended != node);
+                self.gateway().start_again(node);
+            }
+        }
+    }
+
+    async fn strike_until(&mut self, until: Instant) {
+        while Instant::now() < until {
+            self.strike();
+            self.tend(Instant::now());
+            let pause = Duration::from_millis(self.rng.random_range(100..700));
+            tokio::time::sleep(pause).await;
+        }
+        self.gateway().store.set_fault(StoreFault::None);
+        self.tend(until + Duration::from_secs(3_600));
+    }
+}
+
+/// Calls a node again and again; a call that finds nobody there is another caller's.
+async fn client(front: String, node: usize) {
+    let mut calls = JoinSet::new();
+    for n in 0_u64.. {
+        let (front, req) = (front.clone(), read(&format!("{node}-{n}")));
+        calls.spawn(async move { call(&front, req).await });
+        while calls.try_join_next().is_some() {}
+        tokio::time::sleep(CALL_EVERY).await;
+    }
+}
+
+async fn play(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let is_bad = seed % 2 == 1;
+    let turns_bad_at = Duration::from_millis(rng.random_range(0..4_000));
+    let bad = PartialFault { fault: ReplicaFault::Fails, one_of: 2, prefix: "/".to_owned() };
+    let fleet = UpgradedFleet::start(BOOKING, NODES, REPLICAS).await;
+    let mut soak = UpgradeSoak { fleet, rng, suspended: Vec::new() };
+    let mut clients = JoinSet::new();
+    (0..NODES).for_each(|node| drop(clients.spawn(client(soak.fleet.gateway().front(node), node))));
+    soak.fleet.order(WITHIN, None).await;
+    let ordered = Instant::now();
+    soak.strike_until(ordered + turns_bad_at).await;
+    if is_bad {
+        soak.fleet.set_fault(&bad);
+    }
+    soak.strike_until(ordered + FAULTS_FOR).await;
+    let concluded = soak.fleet.conclude(CONCLUDED_WITHIN).await;
+    let told = soak.fleet.since_order(concluded.at);
+    println!("seed {seed}: turns bad at {turns_bad_at:?}: {is_bad}; {} after {told:?}", concluded.state);
+    let logs = || format!("seed {seed}\n{}", soak.fleet.logs());
+    match is_bad {
+        true => {
+            assert_eq!(concluded.state, "rolled_back", "{}", logs());
+            soak.fleet.assert_exposure(concluded.at);
+            // All nodes know by then; what they sent before has arrived.
+            tokio::time::sleep(Duration::from_secs(3)).await;
+            soak.fleet.assert_gets_nothing(&concluded);
+        }
+        false => assert!(matches!(&*concluded.state, "succeeded" | "rolled_back"), "{}", logs()),
+    }
+}
+
+fn seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var("LEADSTAGE_UPGRADE_SOAK_SEEDS") else {
+        return REGRESSIONS.to_vec();
+    };
+    let (first, last) = text.split_once("..").unwrap_or((&text, &text));
+    let number = |text: &str| text.parse().expect("LEADSTAGE_UPGRADE_SOAK_SEEDS is N or N..M");
+    (number(first)..=number(last)).collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_upgrade_soak() {
+    for seed in seeds() {
+        play(seed).await;
+    }
+}
