lib, gateway: one rule on which start of a replica a word concerns; departures are told as such

The rule stood in three places (rests asked for, leaving said, signs), once with its sides turned. What is told without a new revision is departures only, so its function takes those. No change of behaviour.

--- a/lib/src/gateway/asked_rests.rs
+++ b/lib/src/gateway/asked_rests.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::gateway::replica_record;
 use crate::gateway::replica_record::Born;
 use crate::gateway::replica_record::Incarnation;
 use crate::gateway::replica_record::ReplicaRecord;
@@ -34,7 +35,7 @@
 
 impl Rest {
     fn concerns(&self, of: &Incarnation) -> bool {
-        self.born == 0 || of.born <= self.born
+        replica_record::holds_for(self.born, of.born)
     }
 }
 
--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -6,6 +6,7 @@
 
 use derive_more::Display;
 
+use crate::gateway::replica_record;
 use crate::gateway::replica_record::Incarnation;
 use crate::gateway::replica_record::ReplicaRecord;
 use crate::gateway::revision;
@@ -129,7 +130,7 @@
 
     /// Whether what is said of one start of it holds for this one, not for an earlier one.
     pub(super) fn is_concerned(&self, of: &Incarnation) -> bool {
-        of.born == 0 || of.born >= self.record.born
+        replica_record::holds_for(of.born, self.record.born)
     }
 
     /// Whether its entry is missing, perhaps only because the store was away.
--- a/lib/src/gateway/replica_record.rs
+++ b/lib/src/gateway/replica_record.rs
@@ -27,6 +27,12 @@
     pub born: Born,
 }
 
+/// Whether what one start of a replica said holds for another start, by when they began: for itself and earlier ones, and for
+/// all where it is not known who said it.
+pub fn holds_for(said_by: Born, start: Born) -> bool {
+    said_by == 0 || start <= said_by
+}
+
 /// A replica as the platform lists it.
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
 pub struct ReplicaRecord {
--- a/lib/src/gateway/said_leaving.rs
+++ b/lib/src/gateway/said_leaving.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::gateway::replica_record;
 use crate::gateway::replica_record::Born;
 use crate::gateway::replica_record::Incarnation;
 use crate::ids::Timestamp;
@@ -40,7 +41,6 @@
     /// When this start of a replica first said so.
     pub fn since(&self, of: &Incarnation) -> Option<Timestamp> {
         let said = self.said.get(&of.id)?;
-        let is_later_start = said.born > 0 && of.born > said.born;
-        (!is_later_start).then_some(said.at)
+        replica_record::holds_for(said.born, of.born).then_some(said.at)
     }
 }
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -117,18 +117,20 @@
         let leaving = replicas.leaving_of(&change.leaving);
         self.on_list_change(placing, &change, 0);
         if follows {
-            self.tell_signs(placing, fleet, ReplicaNews { leaving, ..ReplicaNews::default() });
+            self.tell_departures(placing, fleet, leaving);
         }
     }
 
-    /// Tells what comes with no new revision.
-    fn tell_signs(&self, placing: &Placing, fleet: &Fleet, signs: ReplicaNews) {
-        let (added, leaving) = (signs.added.len(), signs.leaving.len());
-        let Some(parts) = signs.into_parts(placing.knowledge.replicas.len()) else {
-            info!(event = "news_not_told", added, leaving, at = 0; "more has changed than is told");
-            return;
-        };
-        parts.iter().for_each(|part| self.tell(fleet, part));
+    /// Tells that replicas leave, with no new revision.
+    fn tell_departures(&self, placing: &Placing, fleet: &Fleet, leaving: Vec<Incarnation>) {
+        let count = leaving.len();
+        let news = ReplicaNews { leaving, ..ReplicaNews::default() };
+        match news.into_parts(placing.knowledge.replicas.len()) {
+            Some(parts) => parts.iter().for_each(|part| self.tell(fleet, part)),
+            None => {
+                info!(event = "news_not_told", added = 0, leaving = count, at = 0; "more has changed than is told")
+            }
+        }
     }
 
     /// Packs what another node lacks. The whole list is packed once for all that ask for it until it changes.
