upgrades: times that a pause of the node has lengthened don't count against a version

Cause: a node that goes on measures its own suspension, and what had queued up in it, as the replicas' time. In the switch only the new version answers, so it alone seems slow. Evidence: `stage=reverted reason="worse: 28 of 31 answers bad"` of 65 answers by a judge that had just gone on, hearing=Few, and the like in each of the logs kept.

The change: times are left out that began before, or within 2 s after, a gap of over half a second between ticks of the control loop. Errors count as before. Why it works: a pause of the process shows in its own ticks, whatever caused it.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -28,6 +28,7 @@
 pub mod limit_grants;
 pub mod load;
 pub mod lookout;
+pub mod pauses;
 pub mod peers_by_hall;
 pub mod pending_ends;
 pub mod policy;
--- a/lib/tests/test_gateway_trial_evidence.rs
+++ b/lib/tests/test_gateway_trial_evidence.rs
@@ -6,6 +6,7 @@
 use leadstage_lib::gateway::answer_counts::Sample;
 use leadstage_lib::gateway::answer_counts::Side;
 use leadstage_lib::gateway::fleet_size::FleetSize;
+use leadstage_lib::gateway::pauses::Pauses;
 use leadstage_lib::gateway::trial_evidence::Census;
 use leadstage_lib::gateway::trial_evidence::Hearing;
 use leadstage_lib::gateway::trial_evidence::TrialEvidence;
@@ -109,6 +110,20 @@
     assert_eq!(TrialEvidence::default().hearing(&alone, secs(0.5)), Hearing::Most);
 }
 
+#[test]
+fn test_times_of_a_pause_and_of_what_queued_up_in_it_are_disturbed() {
+    let mut pauses = Pauses::default();
+    (0..=100).for_each(|tenth| pauses.tick(secs(f64::from(tenth) / 10.0)));
+    assert!(!pauses.disturb(secs(9.0), secs(10.3)));
+    // The process goes on at 14 s: before the first tick, after it, and once it has recovered.
+    assert!(pauses.disturb(secs(13.9), secs(14.0)));
+    pauses.tick(secs(14.0));
+    assert!(pauses.disturb(secs(9.9), secs(14.1)));
+    (141..170).for_each(|tenth| pauses.tick(secs(f64::from(tenth) / 10.0)));
+    assert!(pauses.disturb(secs(15.9), secs(16.8)));
+    assert!(!pauses.disturb(secs(16.1), secs(16.9)));
+}
+
 #[test]
 fn test_a_size_is_kept_for_a_while() {
     let mut size = FleetSize::default();
--- a/node/src/gateway/control/upgrade_intake.rs
+++ b/node/src/gateway/control/upgrade_intake.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use leadstage_lib::gateway::answer_counts::Sample;
+use leadstage_lib::gateway::pauses::Pauses;
 use leadstage_lib::gateway::retelling::Retelling;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::upgrade::Stage;
@@ -75,6 +77,7 @@
     /// When the process began.
     started: UnixMillis,
     retelling: Retelling<ServiceId>,
+    pauses: Pauses,
     trials: BTreeMap<ServiceId, Trial>,
     stored: BTreeMap<ServiceId, Stored>,
 }
@@ -86,6 +89,7 @@
             shared,
             started: unix_millis(),
             retelling: Retelling::default(),
+            pauses: Pauses::default(),
             trials: BTreeMap::new(),
             stored: BTreeMap::new(),
         }
@@ -201,8 +205,16 @@
         }
     }
 
-    /// A replica answered a request of this node.
+    /// A replica answered a request of this node. Times that a pause of this process has lengthened are left out.
     pub fn on_sample(&mut self, sample: AnswerSample) {
+        let now = self.shared.now();
+        let is_disturbed = match sample.sample {
+            Sample::Took(_, took) => self.pauses.disturb(now.saturating_sub(took), now),
+            Sample::Failed => false,
+        };
+        if is_disturbed {
+            return;
+        }
         if let Some(trial) = self.trials.get_mut(&sample.service) {
             trial.on_sample(sample);
         }
@@ -245,6 +257,7 @@
         role: Option<WatchRole>,
         store_answers: bool,
     ) {
+        self.pauses.tick(self.shared.now());
         if !self.retelling.round(self.shared.now()).is_empty() {
             fleet.pass_on(&PeerMessage::UpgradesChanged);
         }
--- a/node/tests/test_gateway_upgrade_judges.rs
+++ b/node/tests/test_gateway_upgrade_judges.rs
@@ -206,6 +206,25 @@
     load.await.expect("the load ends");
 }
 
+/// Guards against a good version that is given up as slow, by times that the nodes' own suspension and what had queued up in it
+/// have lengthened.
+#[tokio::test]
+async fn test_a_good_version_is_kept_though_most_nodes_were_suspended() {
+    const WITHIN: Duration = Duration::from_secs(6);
+    let mut fleet = UpgradedFleet::start(BOOKING, NODES, REPLICAS).await;
+    let judge = fleet.judges()[0];
+    let others: Vec<usize> = (0..NODES).filter(|node| *node != judge).collect();
+    let load = fleet.load(PER_SECOND, 2 * WITHIN, read);
+    fleet.order(WITHIN, None).await;
+    fleet.at(Duration::from_millis(2_500)).await;
+    others.iter().for_each(|node| fleet.gateway().signal(*node, "-STOP"));
+    fleet.at(WITHIN + Duration::from_secs(1)).await;
+    others.iter().for_each(|node| fleet.gateway().signal(*node, "-CONT"));
+    let concluded = fleet.conclude(WITHIN).await;
+    assert_eq!(concluded.state, "succeeded", "{}", fleet.logs());
+    load.await.expect("the load ends");
+}
+
 /// Guards against a share that is exceeded, or an operator who is never told, where the store goes away before it
 /// took the first status.
 #[tokio::test]
