upgrades: a success needs answers enough to speak for the new version

Cause: "nothing speaks against it" was taken for a proof. On a machine that busy few calls get through: `stage=proven answered=25 exposed=2` in one log, `answered=222 exposed=15` in the other, where 4 of 15 bad answers are needed to speak against a version and 3 came.

The change: a success is told only if a version of whose answers a fifth more is bad than usual would have so few bad ones with a chance below 1 in 100: 21 good answers and none bad, or 47 with three. The switch, in which all requests go there, brings them. A service with few callers is told 30 s after its time by whatever came. Why it works: a lack of answers delays the success and no longer brings it about.

Ruled out: more time in the switch, which on a stalled machine brings no more answers (one in 0.58 s there).

Verdicts and their tests are as before.

--- a/lib/src/gateway/upgrade_judge.rs
+++ b/lib/src/gateway/upgrade_judge.rs
@@ -32,6 +32,8 @@
 const SWITCH_SETTLES_WITHIN: Duration = Duration::from_millis(200);
 /// So long a success that half of the nodes' counts speak for waits for the others.
 const WAITS_FOR_MOST: Duration = Duration::from_millis(200);
+/// A service with few callers is told as upgraded this long after the time is over, by whatever was answered.
+const WAITS_FOR_ANSWERS: Duration = Duration::from_secs(30);
 /// Part of what a bad version may get that the switch uses.
 const PART_FOR_SWITCH: f64 = 0.7;
 /// The new replicas that bear requests must have this part of the present ones' slots at least.
@@ -136,7 +138,9 @@
             Stage::Trial if self.bears_all() && elapsed + self.switch_lasts(elapsed) >= told_at => {
                 self.hears_enough(elapsed + LEAST_SWITCH >= told_at).then_some(Stage::Switch)
             }
-            Stage::Switch if elapsed >= told_at && since_switch >= LEAST_SWITCH => {
+            Stage::Switch
+                if elapsed >= told_at && since_switch >= LEAST_SWITCH && self.has_answers(elapsed) =>
+            {
                 self.hears_enough(elapsed >= told_at + WAITS_FOR_MOST).then_some(Stage::Proven)
             }
             _ => None,
@@ -150,6 +154,12 @@
         self.hearing >= if is_short_of_time { Hearing::Half } else { Hearing::Most }
     }
 
+    /// Whether there are answers enough to tell a success by, or none are waited for any more.
+    fn has_answers(&self, elapsed: Duration) -> bool {
+        elapsed >= self.upgrade.order.within + WAITS_FOR_ANSWERS
+            || upgrade_verdict::speaks_for_target(self.counts)
+    }
+
     /// How long all requests go to the new version before the operator is told: as long as the present replicas need
     /// to become empty, or as what a bad version may get allows.
     fn switch_lasts(&self, elapsed: Duration) -> Duration {
--- a/lib/src/gateway/upgrade_verdict.rs
+++ b/lib/src/gateway/upgrade_verdict.rs
@@ -24,6 +24,11 @@
 /// Bad answers that speak against a version at least: one request may fail at whatever replica it meets.
 const LEAST_BAD: u32 = 3;
 
+/// A version is clearly bad if this much more of its answers is bad than usual.
+const CLEARLY_BAD: f64 = 0.2;
+/// Answers speak for a version if a clearly bad one would have so few bad answers, or fewer, with less than this chance.
+const LEAST_DOUBT: f64 = 0.01;
+
 /// What the counts say of the new version.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
@@ -94,6 +99,11 @@
         ((bad + bad.sqrt()) / (f64::from(self.of_present) + 2.0)).clamp(LEAST_USUAL, 1.0)
     }
 
+    fn speaks_for_target(self) -> bool {
+        let rate = (self.usual() + CLEARLY_BAD).min(1.0);
+        1.0 - chance_of(self.target + 1, self.of_target, rate) < LEAST_DOUBT
+    }
+
     fn is_worse(self) -> bool {
         self.target >= LEAST_BAD && chance_of(self.target, self.of_target, self.usual()) < LEAST_CHANCE
     }
@@ -127,6 +137,13 @@
     }
 }
 
+/// Whether the new version's answers are enough to speak for it, not just too few to speak against it.
+pub fn speaks_for_target(counts: &AnswerCounts) -> bool {
+    let answers = counts.iter().filter(|(_, measure, _)| *measure == Measure::Answer);
+    let all = answers.fold(Bad::default(), |all, (_, _, compared)| all.add(Bad::errors_and_slow(compared)));
+    all.speaks_for_target()
+}
+
 /// The chance that at least `bad` of `of` answers are bad where each one is with the chance `usual`.
 pub fn chance_of(bad: u32, of: u32, usual: f64) -> f64 {
     if usual >= 1.0 || bad == 0 {
--- a/lib/tests/test_gateway_upgrade.rs
+++ b/lib/tests/test_gateway_upgrade.rs
@@ -296,6 +296,20 @@
     assert_eq!(course(bad, capacity, true, Hearing::Few), [(Stage::Reverted, 0.0)]);
 }
 
+/// Guards against a success by a handful of answers, of which a clearly bad version may have few bad ones by chance.
+#[test]
+fn test_few_answers_speak_for_no_version() {
+    let speaks =
+        |good, bad| upgrade_verdict::speaks_for_target(&counts((200, 0), (good, bad), Sample::Failed));
+    assert_eq!([speaks(2, 0), speaks(12, 2), speaks(30, 0), speaks(60, 2)], [false, false, true, true]);
+    let capacity = Capacity { present: 40, target: 40 };
+    let few = |_| counts((200, 0), (12, 2), Sample::Failed);
+    let late = course(few, capacity, true, Hearing::Most);
+    assert_eq!(late.iter().map(|(stage, _)| *stage).collect::<Vec<_>>(), [Stage::Switch], "{late:?}");
+    let enough = |_| counts((200, 0), (60, 2), Sample::Failed);
+    assert_eq!(course(enough, capacity, true, Hearing::Most).len(), 2);
+}
+
 /// Where half of the nodes are heard, others may have ended a moment ago: that is waited for as long as there is time.
 #[test]
 fn test_a_success_by_half_of_the_nodes_comes_as_late_as_it_may() {
