upgrades: what is unknown of the present version excuses no bad answers of the new one

What callers saw: a bad version succeeded in 1 of 18 plays of test_another_node_goes_on_when_those_that_follow_the_store_end on (six at once, load 20 to 36 and a build): `stage=proven answered=112 exposed=103`, one answer in four bad.

Cause: the part that is usually bad was taken at the most that nine answers of the present version allow, 0.18, so that 25 of 103 were no more than usual and even spoke for the version. That bound is for what speaks against a version; what speaks for it needs the other one.

The change: for a success the usual part is what was seen of the present version, 0.01 at the least; and the success of a service with few callers, 30 s after its time, is for a version that has answered 20 requests or fewer.

--- a/lib/src/gateway/upgrade_judge.rs
+++ b/lib/src/gateway/upgrade_judge.rs
@@ -32,8 +32,10 @@
 const SWITCH_SETTLES_WITHIN: Duration = Duration::from_millis(200);
 /// So long a success that half of the nodes' counts speak for waits for the others.
 const WAITS_FOR_MOST: Duration = Duration::from_millis(200);
-/// A service with few callers is told as upgraded this long after the time is over, by whatever was answered.
+/// A service with few callers is told as upgraded this long after the time is over,
 const WAITS_FOR_ANSWERS: Duration = Duration::from_secs(30);
+/// if the new version has answered no more requests than this.
+const FEW_ANSWERS: u32 = 20;
 /// Part of what a bad version may get that the switch uses.
 const PART_FOR_SWITCH: f64 = 0.7;
 /// The new replicas that bear requests must have this part of the present ones' slots at least.
@@ -156,8 +158,9 @@
 
     /// Whether there are answers enough to tell a success by, or none are waited for any more.
     fn has_answers(&self, elapsed: Duration) -> bool {
-        elapsed >= self.upgrade.order.within + WAITS_FOR_ANSWERS
-            || upgrade_verdict::speaks_for_target(self.counts)
+        let is_overdue = elapsed >= self.upgrade.order.within + WAITS_FOR_ANSWERS;
+        let are_few = self.counts.answered().1 <= FEW_ANSWERS;
+        (is_overdue && are_few) || upgrade_verdict::speaks_for_target(self.counts)
     }
 
     /// How long all requests go to the new version before the operator is told: as long as the present replicas need
--- a/lib/src/gateway/upgrade_verdict.rs
+++ b/lib/src/gateway/upgrade_verdict.rs
@@ -100,7 +100,9 @@
     }
 
     fn speaks_for_target(self) -> bool {
-        let rate = (self.usual() + CLEARLY_BAD).min(1.0);
+        // Where little is known of the present version, nothing is excused by it.
+        let seen = f64::from(self.present) / f64::from(self.of_present.max(1));
+        let rate = (seen.max(LEAST_USUAL) + CLEARLY_BAD).min(1.0);
         1.0 - chance_of(self.target + 1, self.of_target, rate) < LEAST_DOUBT
     }
 
--- a/lib/tests/test_gateway_upgrade.rs
+++ b/lib/tests/test_gateway_upgrade.rs
@@ -302,6 +302,8 @@
     let speaks =
         |good, bad| upgrade_verdict::speaks_for_target(&counts((200, 0), (good, bad), Sample::Failed));
     assert_eq!([speaks(2, 0), speaks(12, 2), speaks(30, 0), speaks(60, 2)], [false, false, true, true]);
+    let of_nine = upgrade_verdict::speaks_for_target(&counts((9, 0), (78, 25), Sample::Failed));
+    assert!(!of_nine, "the present version has hardly answered");
     let capacity = Capacity { present: 40, target: 40 };
     let few = |_| counts((200, 0), (12, 2), Sample::Failed);
     let late = course(few, capacity, true, Hearing::Most);
