--- a/node/tests/test_gateway_upgrade_judges.rs
+++ b/node/tests/test_gateway_upgrade_judges.rs
@@ -185,20 +185,29 @@
     assert_eq!(concluded.state, "rolled_back", "node {cut_off} is cut off\n{}", fleet.logs());
 }
 
+fn all_but(node: usize) -> Vec<usize> {
+    (0..NODES).filter(|other| *other != node).collect()
+}
+
+/// Suspends nodes from 2.5 s after the order on; returns at a moment after it, with the nodes still suspended.
+async fn suspend_until(fleet: &UpgradedFleet, nodes: &[usize], until: Duration) {
+    fleet.at(Duration::from_millis(2_500)).await;
+    nodes.iter().for_each(|node| fleet.gateway().signal(*node, "-STOP"));
+    fleet.at(until).await;
+}
+
 /// Guards against a judge that tells a success by what others reported before they fell silent.
 #[tokio::test]
 async fn test_a_success_waits_for_nodes_that_were_heard_long_ago() {
     const WITHIN: Duration = Duration::from_secs(6);
     let mut fleet = UpgradedFleet::start(BOOKING, NODES, REPLICAS).await;
     let judge = fleet.judges()[0];
-    let others: Vec<usize> = (0..NODES).filter(|node| *node != judge).collect();
+    let others = all_but(judge);
     // All callers are at the judge, so that no calls pile up at the others.
     let per_second = (0..NODES).map(|node| if node == judge { PER_SECOND } else { 0.0 }).collect();
     let load = fleet.load_each(per_second, 2 * WITHIN, read);
     fleet.order(WITHIN, None).await;
-    fleet.at(Duration::from_millis(2_500)).await;
-    others.iter().for_each(|node| fleet.gateway().signal(*node, "-STOP"));
-    fleet.at(WITHIN + Duration::from_secs(1)).await;
+    suspend_until(&fleet, &others, WITHIN + Duration::from_secs(1)).await;
     assert_eq!(fleet.status()["state"], "running", "one of six was heard\n{}", fleet.logs());
     others.iter().for_each(|node| fleet.gateway().signal(*node, "-CONT"));
     let concluded = fleet.conclude(WITHIN).await;
@@ -213,12 +222,10 @@
     const WITHIN: Duration = Duration::from_secs(6);
     let mut fleet = UpgradedFleet::start(BOOKING, NODES, REPLICAS).await;
     let judge = fleet.judges()[0];
-    let others: Vec<usize> = (0..NODES).filter(|node| *node != judge).collect();
+    let others = all_but(judge);
     let load = fleet.load(PER_SECOND, 2 * WITHIN, read);
     fleet.order(WITHIN, None).await;
-    fleet.at(Duration::from_millis(2_500)).await;
-    others.iter().for_each(|node| fleet.gateway().signal(*node, "-STOP"));
-    fleet.at(WITHIN + Duration::from_secs(1)).await;
+    suspend_until(&fleet, &others, WITHIN + Duration::from_secs(1)).await;
     others.iter().for_each(|node| fleet.gateway().signal(*node, "-CONT"));
     let concluded = fleet.conclude(WITHIN).await;
     assert_eq!(concluded.state, "succeeded", "{}", fleet.logs());
