gateway: log why a stream's engine is abandoned

A stream of a route that may not be resumed ends early for eight different reasons.

Each reason has a name now, logged as `engine_abandoned` when it happens. Behaviour is unchanged.

--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -3,10 +3,11 @@
 //! `moving` moves the generation away from engines that are leaving or overloaded, with a copy of its KV
 //! cache memory; `after_stop` resumes it once it has stopped; `after_loss` resumes it at another engine
 //! after the last event when its engine is lost; `silent_connection` takes it off connections that
-//! deliver nothing.
+//! deliver nothing; `engine_loss` names why an engine is abandoned.
 
 mod after_loss;
 mod after_stop;
+mod engine_loss;
 mod moving;
 mod silent_connection;
 
@@ -35,6 +36,7 @@
 use crate::gateway::upstream::event_stream::EventSplitter;
 use crate::gateway::upstream::exchange::Exchange;
 use crate::gateway::upstream::pace::Pace;
+use crate::gateway::upstream::relay::engine_loss::EngineLoss;
 use crate::gateway::upstream::resuming;
 use crate::gateway::upstream::resuming::ResumeFailure;
 use crate::gateway::upstream::stall::StallWatch;
@@ -53,7 +55,7 @@
     #[display("out of time")]
     TimedOut,
     #[display("engine lost")]
-    EngineLost,
+    EngineLost(EngineLoss),
 }
 
 /// Relays one stream to its caller.
@@ -143,7 +145,7 @@
         let outcome = match end {
             StreamEnd::Done => Outcome::Answered,
             StreamEnd::CallerLeft | StreamEnd::TimedOut => Outcome::Withdrawn,
-            StreamEnd::EngineLost => Outcome::Failed,
+            StreamEnd::EngineLost(_) => Outcome::Failed,
         };
         let tx = self.tx.clone();
         self.close(outcome);
@@ -172,8 +174,8 @@
         loop {
             match self.process_next(commands).await {
                 Ok(()) => {}
-                Err(StreamEnd::EngineLost) => {
-                    if let Err(end) = self.resume_after_last_event().await {
+                Err(StreamEnd::EngineLost(loss)) => {
+                    if let Err(end) = self.resume_after_last_event(loss).await {
                         return end;
                     }
                 }
@@ -214,7 +216,7 @@
         match self.events.unusable() {
             Some(why) => {
                 info!(event = "stream_unusable", request = self.req.id(), upstream = &*self.engine_stream.run.placed.replica.id, reason:% = why; "the engine's stream is unusable");
-                Err(StreamEnd::EngineLost)
+                Err(StreamEnd::EngineLost(EngineLoss::Unusable))
             }
             None => Ok(()),
         }
--- a/node/src/gateway/upstream/relay/after_loss.rs
+++ b/node/src/gateway/upstream/relay/after_loss.rs
@@ -2,6 +2,7 @@
 //! when its engine is lost or silent.
 
 use leadstage_platform::engine::Resume;
+use log::info;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::messages::Outcome;
@@ -9,6 +10,7 @@
 use crate::gateway::upstream::engine_stream::EngineStream;
 use crate::gateway::upstream::relay::Relay;
 use crate::gateway::upstream::relay::StreamEnd;
+use crate::gateway::upstream::relay::engine_loss::EngineLoss;
 use crate::gateway::upstream::resuming::ResumeFailure;
 use crate::gateway::upstream::stall;
 use crate::gateway::upstream::stall::StallAction;
@@ -23,7 +25,7 @@
             return Ok(());
         }
         if action == StallAction::Abandon {
-            return Err(StreamEnd::EngineLost);
+            return Err(StreamEnd::EngineLost(EngineLoss::Silent));
         }
         let (traffic, req) = (self.traffic.clone(), self.req.clone());
         let engine = self.engine_stream.run.placed.replica.clone();
@@ -39,7 +41,8 @@
     /// Resumes the stream after its engine was lost together with the generation's memory. If the route
     /// allows it, another engine repeats the prefill and continues after the last event that the caller
     /// has.
-    pub(super) async fn resume_after_last_event(&mut self) -> Result<(), StreamEnd> {
+    pub(super) async fn resume_after_last_event(&mut self, loss: EngineLoss) -> Result<(), StreamEnd> {
+        info!(event = "engine_abandoned", request = self.req.id(), upstream = &*self.engine_stream.run.placed.replica.id, events = self.events.events(), reason:% = loss; "the engine of a stream is abandoned");
         self.abandon_engine();
         while self.traffic.may_retry(&self.req, self.sent).await {
             let caller = self.tx.clone();
@@ -52,7 +55,7 @@
                 return Ok(());
             }
         }
-        Err(StreamEnd::EngineLost)
+        Err(StreamEnd::EngineLost(loss))
     }
 
     /// Closes the connection, so that the lost engine does not run the generation in parallel with the
@@ -67,7 +70,7 @@
     /// Sends the request to one more engine; returns whether the stream is resumed there.
     async fn resume_elsewhere(&mut self) -> Result<bool, StreamEnd> {
         let placed = self.traffic.place_generation(&self.req, &self.handle, &self.failed_engines).await;
-        let run = placed.map_err(|_| StreamEnd::EngineLost)?;
+        let run = placed.map_err(|_| StreamEnd::EngineLost(EngineLoss::NoEngine))?;
         self.sent += 1;
         let engine = run.placed.replica.clone();
         let resume = Resume { copy: None, last_event: self.events.last_id().map(str::to_owned) };
--- a/node/src/gateway/upstream/relay/after_stop.rs
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -16,6 +16,7 @@
 use crate::gateway::upstream::exchange::Exchange;
 use crate::gateway::upstream::relay::Relay;
 use crate::gateway::upstream::relay::StreamEnd;
+use crate::gateway::upstream::relay::engine_loss::EngineLoss;
 use crate::gateway::upstream::resuming::ResumeFailure;
 
 /// Timeout of the answer to a stop, once the stream has ended.
@@ -39,7 +40,7 @@
     /// of them accepts it for as long as its caller waits.
     pub(super) async fn resume_after_stop(&mut self) -> Result<(), StreamEnd> {
         self.events.discard_partial();
-        let move_target = self.move_target.take().ok_or(StreamEnd::EngineLost)?;
+        let move_target = self.move_target.take().ok_or(StreamEnd::EngineLost(EngineLoss::Broken))?;
         let caller = self.tx.clone();
         tokio::select! {
             biased;
@@ -54,7 +55,7 @@
     /// Handles the end of an unframed stream whose generation was to be stopped. Only the answer to the
     /// stop shows whether the stream ended regularly.
     pub(super) async fn on_unframed_end(&mut self) -> Result<(), StreamEnd> {
-        let mut move_target = self.move_target.take().ok_or(StreamEnd::EngineLost)?;
+        let mut move_target = self.move_target.take().ok_or(StreamEnd::EngineLost(EngineLoss::Broken))?;
         if self.await_stop_answer(&mut move_target).await == Some(StopOutcome::NotStopped) {
             return Err(self.on_stream_end().await);
         }
@@ -78,7 +79,9 @@
                         self.switch_to(engine_stream, Outcome::Withdrawn);
                         return Ok(());
                     }
-                    Err(ResumeFailure::Unknown) => return Err(StreamEnd::EngineLost),
+                    Err(ResumeFailure::Unknown) => {
+                        return Err(StreamEnd::EngineLost(EngineLoss::ResumeUnknown));
+                    }
                     Err(why) => at_target = Some(why),
                 }
             }
@@ -87,12 +90,14 @@
                     self.stay_at_source(move_target, exchange, at_target);
                     return Ok(());
                 }
-                Err(ResumeFailure::Unknown) => return Err(StreamEnd::EngineLost),
+                Err(ResumeFailure::Unknown) => {
+                    return Err(StreamEnd::EngineLost(EngineLoss::ResumeUnknown));
+                }
                 Err(why) => why,
             };
             tries_target = true;
             if began.elapsed() + delay > self.resume_time_limit(at_target.into_iter().chain([at_source])) {
-                return Err(StreamEnd::EngineLost);
+                return Err(StreamEnd::EngineLost(EngineLoss::NotResumed));
             }
             tokio::time::sleep(delay).await;
             delay = (delay * RETRY_DELAY_FACTOR).min(MAX_RETRY_DELAY);
--- a/node/src/gateway/upstream/relay/moving.rs
+++ b/node/src/gateway/upstream/relay/moving.rs
@@ -19,6 +19,7 @@
 use crate::gateway::upstream::relay::Relay;
 use crate::gateway::upstream::relay::StreamEnd;
 use crate::gateway::upstream::relay::after_stop::STOP_ANSWER_TIMEOUT;
+use crate::gateway::upstream::relay::engine_loss::EngineLoss;
 
 /// How long copies from a leaving engine are retried: the longest time that one keeps serving.
 const EVACUATION_TIMEOUT: Duration = Duration::from_secs(12);
@@ -34,7 +35,7 @@
         let here = &self.engine_stream.run.placed.replica;
         match command {
             StreamCommand::Lost(of) if of.id == here.id && of.born > here.born => {
-                return Err(StreamEnd::EngineLost);
+                return Err(StreamEnd::EngineLost(EngineLoss::Restarted));
             }
             StreamCommand::Lost(_) => {}
             StreamCommand::Rebalance(engine) if engine == here.id && self.move_task.is_none() => {
@@ -98,7 +99,7 @@
     pub(super) async fn on_task_event(&mut self, event: TaskEvent) -> Result<(), StreamEnd> {
         match event {
             TaskEvent::EngineGone(engine) if engine == self.engine_stream.run.placed.replica.id => {
-                Err(StreamEnd::EngineLost)
+                Err(StreamEnd::EngineLost(EngineLoss::Gone))
             }
             TaskEvent::EngineGone(_) => Ok(()),
             TaskEvent::ConnectionSilent { engine, received } => {
@@ -202,7 +203,7 @@
             let began = self.engine_stream.exchange.as_ref().map(|exchange| exchange.head_received);
             let events = self.events.events();
             self.traffic.on_broken_run(&self.req, &self.engine_stream.run.placed.replica, began, events);
-            let move_target = self.await_copy().await.ok_or(StreamEnd::EngineLost)?;
+            let move_target = self.await_copy().await.ok_or(StreamEnd::EngineLost(EngineLoss::Broken))?;
             self.move_target = Some(move_target);
         }
         self.resume_after_stop().await
