upgrades: answers are counted by the phase in which their request began

Answers of the switch were summed with those of the trial, so a judge could not tell which of them the present version's answers can be compared with. Counts have a phase now, by the time at which the node itself learned of each stage, and there are two further stages, the recheck and the second switch, which nothing enters yet. Verdicts sum all phases as before.

Cells per report are limited as a whole, as a report is one datagram.

The convergence test draws from the new stages as well.

--- a/lib/src/gateway/answer_counts.rs
+++ b/lib/src/gateway/answer_counts.rs
@@ -1,4 +1,5 @@
-//! Counts of the answers of two versions' replicas, mergeable across nodes: errors, and times in a histogram.
+//! Counts of the answers of two versions' replicas, mergeable across nodes: errors, and times in a histogram,
+//! by the phase of the upgrade in which the request began.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 const LAST_BUCKET: u8 = 31;
 /// Limit on routes that are counted separately; further routes share [`OTHER_ROUTES`].
 const MAX_ROUTES: usize = 48;
+/// Limit on cells of these routes in all phases, so that a report fits into a datagram.
+const MAX_CELLS: usize = 120;
 /// Route name that further routes are counted under.
 const OTHER_ROUTES: &str = "";
 
@@ -26,6 +29,29 @@
     Target,
 }
 
+/// Phase of an upgrade in which a request began.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// The trial.
+    Trial,
+    /// The switch.
+    Switch,
+    /// The beginning of the recheck, when the new replicas still have the backlog of the switch.
+    Settling,
+    /// The remainder of the recheck.
+    Recheck,
+    /// The second switch.
+    SecondSwitch,
+}
+
+impl Phase {
+    /// Phases in which both versions answer at the same time, so that their times can be compared.
+    pub const SIDE_BY_SIDE: [Phase; 2] = [Phase::Trial, Phase::Recheck];
+    /// All phases.
+    pub const ALL: [Phase; 5] =
+        [Phase::Trial, Phase::Switch, Phase::Settling, Phase::Recheck, Phase::SecondSwitch];
+}
+
 /// The quantity that is measured of an answer.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Measure {
@@ -97,6 +123,11 @@
 }
 
 impl AnswersByVersion {
+    fn add(&mut self, other: &AnswersByVersion) {
+        self.present.add(&other.present);
+        self.target.add(&other.target);
+    }
+
     fn side(&mut self, side: Side) -> &mut Answers {
         match side {
             Side::Present => &mut self.present,
@@ -106,34 +137,42 @@
 }
 
 /// Answers per route and measure.
+pub type AnswersByRoute = BTreeMap<(RouteId, Measure), AnswersByVersion>;
+
+/// Answers per route, measure and phase.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
 pub struct AnswerCounts {
-    cells: BTreeMap<(RouteId, Measure), AnswersByVersion>,
+    cells: BTreeMap<(RouteId, Measure, Phase), AnswersByVersion>,
 }
 
 impl AnswerCounts {
-    /// Counts an answer.
-    pub fn on_sample(&mut self, route: &RouteId, side: Side, sample: Sample) {
-        let is_known = self.cells.keys().any(|(known, _)| known == route);
-        let has_own_cell = is_known || self.cells.len() < MAX_ROUTES;
-        let route = if has_own_cell { route.clone() } else { OTHER_ROUTES.into() };
+    /// Counts an answer to a request that began in `phase`.
+    pub fn on_sample(&mut self, route: &RouteId, phase: Phase, side: Side, sample: Sample) {
         let measure = match sample {
             Sample::Failed => Measure::Answer,
             Sample::Took(measure, _) => measure,
         };
-        let answers = self.cells.entry((route, measure)).or_default().side(side);
+        let mut cell = (route.clone(), measure, phase);
+        if !self.has_own_cell(&cell) {
+            cell.0 = OTHER_ROUTES.into();
+        }
+        let answers = self.cells.entry(cell).or_default().side(side);
         match sample {
             Sample::Failed => answers.failed += 1,
             Sample::Took(_, took) => *answers.took.entry(bucket_of(took)).or_default() += 1,
         }
     }
 
+    fn has_own_cell(&self, cell: &(RouteId, Measure, Phase)) -> bool {
+        let is_known_route = self.cells.keys().any(|(route, ..)| *route == cell.0);
+        let limit = if is_known_route { MAX_CELLS } else { MAX_ROUTES };
+        self.cells.len() < limit || self.cells.contains_key(cell)
+    }
+
     /// Adds the counts of another node.
     pub fn add(&mut self, other: &AnswerCounts) {
         for (cell, counts) in &other.cells {
-            let own = self.cells.entry(cell.clone()).or_default();
-            own.present.add(&counts.present);
-            own.target.add(&counts.target);
+            self.cells.entry(cell.clone()).or_default().add(counts);
         }
     }
 
@@ -148,14 +187,28 @@
         }
     }
 
-    /// Iterates over all counts.
-    pub fn iter(&self) -> impl Iterator<Item = (&RouteId, Measure, &AnswersByVersion)> {
-        self.cells.iter().map(|((route, measure), counts)| (route, *measure, counts))
+    /// The sums over some phases.
+    pub fn in_phases(&self, phases: &[Phase]) -> AnswersByRoute {
+        let mut sums = AnswersByRoute::new();
+        for ((route, measure, phase), counts) in &self.cells {
+            if phases.contains(phase) {
+                sums.entry((route.clone(), *measure)).or_default().add(counts);
+            }
+        }
+        sums
     }
 
     /// Number of requests answered by both versions together, and by the version on trial alone.
     pub fn answered(&self) -> (u32, u32) {
-        let answers = self.cells.iter().filter(|((_, measure), _)| *measure == Measure::Answer);
+        self.answered_in(&Phase::ALL)
+    }
+
+    /// The same for the requests that began in some phases.
+    pub fn answered_in(&self, phases: &[Phase]) -> (u32, u32) {
+        let answers = self
+            .cells
+            .iter()
+            .filter(|((_, measure, phase), _)| *measure == Measure::Answer && phases.contains(phase));
         answers.fold((0, 0), |(all, target), (_, counts)| {
             let by_target = counts.target.count();
             (all + counts.present.count() + by_target, target + by_target)
--- a/lib/src/gateway/upgrade.rs
+++ b/lib/src/gateway/upgrade.rs
@@ -22,7 +22,8 @@
 /// Limit on announced upgrades. Each message between nodes carries them, at about 30 bytes each.
 pub const MAX_ANNOUNCED_UPGRADES: usize = 16;
 
-/// Progress of an upgrade. Of two stages announced for the same order, the later one wins.
+/// Progress of an upgrade. Of two stages announced for the same order, the later one wins. The recheck and the
+/// second switch are skipped unless answers were clearly slow in the switch.
 #[derive(Clone, Copy, Debug, Deserialize, Display, Serialize, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
     /// The new version gets a small share of the requests and is compared with the present one.
@@ -31,6 +32,13 @@
     /// The trial found no regression: all new requests go to the new version, and streams are moved to it.
     #[display("switch")]
     Switch,
+    /// Answers were clearly slow in the switch, when the present version answered nothing to compare with: the
+    /// new version gets a small share again and is compared side by side.
+    #[display("recheck")]
+    Recheck,
+    /// The recheck found no regression either: all new requests go to the new version again.
+    #[display("second_switch")]
+    SecondSwitch,
     /// The full load showed no regression either; the success has to be reported to the operator.
     #[display("proven")]
     Proven,
@@ -66,12 +74,24 @@
         matches!(self, Stage::Failed | Stage::Succeeded)
     }
 
+    /// Whether the versions are still being judged.
+    pub fn is_judged(self) -> bool {
+        self < Stage::Proven
+    }
+
+    /// Whether all requests go to the new version while it is still being judged.
+    pub fn is_switch(self) -> bool {
+        matches!(self, Stage::Switch | Stage::SecondSwitch)
+    }
+
     fn admission(self, is_target: bool) -> Admission {
         match (self, is_target) {
-            (Stage::Trial, true) => Admission::Share,
-            (Stage::Trial, false) => Admission::Remainder,
-            (Stage::Switch | Stage::Proven | Stage::Succeeded, true) => Admission::All,
-            (Stage::Switch | Stage::Proven | Stage::Succeeded, false) => Admission::Fallback,
+            (Stage::Trial | Stage::Recheck, true) => Admission::Share,
+            (Stage::Trial | Stage::Recheck, false) => Admission::Remainder,
+            (Stage::Switch | Stage::SecondSwitch | Stage::Proven | Stage::Succeeded, true) => Admission::All,
+            (Stage::Switch | Stage::SecondSwitch | Stage::Proven | Stage::Succeeded, false) => {
+                Admission::Fallback
+            }
             (Stage::Reverted | Stage::Failed, true) => Admission::None,
             (Stage::Reverted | Stage::Failed, false) => Admission::All,
         }
--- a/lib/src/gateway/upgrade_judge.rs
+++ b/lib/src/gateway/upgrade_judge.rs
@@ -118,14 +118,14 @@
 /// Time from which on all nodes send one more report, when the new version has had all requests for a
 /// moment; `None` outside the switch.
 pub fn switch_report_at(upgrade: &Upgrade) -> Option<Timestamp> {
-    (upgrade.stage == Stage::Switch).then(|| upgrade.stage_since + SWITCH_SETTLE_TIME)
+    upgrade.stage.is_switch().then(|| upgrade.stage_since + SWITCH_SETTLE_TIME)
 }
 
 impl Situation<'_> {
     /// The stage that the upgrade advances to now, if any.
     pub fn next(&self, now: Timestamp) -> Option<NextStage> {
         let Upgrade { order, began, stage, stage_since } = self.upgrade;
-        if *stage > Stage::Switch {
+        if !stage.is_judged() {
             return None;
         }
         let elapsed = now.saturating_sub(*began);
--- a/lib/src/gateway/upgrade_verdict.rs
+++ b/lib/src/gateway/upgrade_verdict.rs
@@ -10,6 +10,7 @@
 use crate::gateway::answer_counts::Answers;
 use crate::gateway::answer_counts::AnswersByVersion;
 use crate::gateway::answer_counts::Measure;
+use crate::gateway::answer_counts::Phase;
 use crate::gateway::routing::RouteId;
 
 /// An answer is slow from this many half octaves above the present version's median on, which is two to
@@ -132,13 +133,13 @@
 /// that is often slow would hide them.
 pub fn verdict(counts: &AnswerCounts) -> Verdict {
     let (mut all_errors, mut all) = (BadCounts::default(), BadCounts::default());
-    for (route, measure, answers) in counts.iter() {
+    for ((route, measure), answers) in &counts.in_phases(&Phase::ALL) {
         let (errors, bad) = (BadCounts::errors(answers), BadCounts::errors_and_slow(answers));
-        let worse = [errors, bad].into_iter().find_map(|bad| bad.regression(Some(route.clone()), measure));
+        let worse = [errors, bad].into_iter().find_map(|bad| bad.regression(Some(route.clone()), *measure));
         if let Some(regression) = worse {
             return Verdict::Worse(regression);
         }
-        if measure == Measure::Answer {
+        if *measure == Measure::Answer {
             (all_errors, all) = (all_errors.add(errors), all.add(bad));
         }
     }
@@ -152,9 +153,10 @@
 
 /// Whether the new version's answers are evidence that it is good, not just too few to show that it is bad.
 pub fn supports_target(counts: &AnswerCounts) -> bool {
-    let answers = counts.iter().filter(|(_, measure, _)| *measure == Measure::Answer);
-    let all = answers
-        .fold(BadCounts::default(), |all, (_, _, answers)| all.add(BadCounts::errors_and_slow(answers)));
+    let sums = counts.in_phases(&Phase::ALL);
+    let answers = sums.iter().filter(|((_, measure), _)| *measure == Measure::Answer);
+    let all =
+        answers.fold(BadCounts::default(), |all, (_, answers)| all.add(BadCounts::errors_and_slow(answers)));
     all.supports_target()
 }
 
--- a/lib/tests/test_gateway_judges_model.rs
+++ b/lib/tests/test_gateway_judges_model.rs
@@ -10,6 +10,7 @@
 
 use leadstage_lib::gateway::answer_counts::AnswerCounts;
 use leadstage_lib::gateway::answer_counts::Measure;
+use leadstage_lib::gateway::answer_counts::Phase;
 use leadstage_lib::gateway::answer_counts::Sample;
 use leadstage_lib::gateway::answer_counts::Side;
 use leadstage_lib::gateway::canary;
@@ -226,9 +227,9 @@
         node.requests += 1;
         let key = RunKey { entry: node.id.clone(), run: node.requests };
         let share = canary::trial_share(BOUNDS.share);
-        let to_target = match node.upgrade.stage {
-            Stage::Trial => canary::is_sampled(&key, &node.upgrade.order, share),
-            stage => matches!(stage, Stage::Switch | Stage::Proven),
+        let (to_target, phase) = match node.upgrade.stage {
+            Stage::Trial => (canary::is_sampled(&key, &node.upgrade.order, share), Phase::Trial),
+            stage => (matches!(stage, Stage::Switch | Stage::Proven), Phase::Switch),
         };
         let is_bad = to_target && self.is_bad && at >= TURNS_BAD_AT_S;
         if is_bad {
@@ -239,7 +240,7 @@
         let took = secs(0.06 * 2.0_f64.powf(self.rng.random_range(-1.0..1.0)));
         let sample = if fails { Sample::Failed } else { Sample::Took(Measure::Answer, took) };
         let side = if to_target { Side::Target } else { Side::Present };
-        node.own.on_sample(&"r".into(), side, sample);
+        node.own.on_sample(&"r".into(), phase, side, sample);
         node.counted += 1;
     }
 
@@ -331,7 +332,7 @@
             }
         }
         for n in running {
-            if self.nodes[n].upgrade.stage > Stage::Switch {
+            if !self.nodes[n].upgrade.stage.is_judged() {
                 continue;
             }
             if self.report(n, &ranked, at) {
--- a/lib/tests/test_gateway_trial_evidence.rs
+++ b/lib/tests/test_gateway_trial_evidence.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::answer_counts::AnswerCounts;
+use leadstage_lib::gateway::answer_counts::Phase;
 use leadstage_lib::gateway::answer_counts::Sample;
 use leadstage_lib::gateway::answer_counts::Side;
 use leadstage_lib::gateway::fleet_size::FleetSize;
@@ -24,7 +25,7 @@
 
 fn failed(count: u32) -> AnswerCounts {
     let mut counts = AnswerCounts::default();
-    (0..count).for_each(|_| counts.on_sample(&"r".into(), Side::Target, Sample::Failed));
+    (0..count).for_each(|_| counts.on_sample(&"r".into(), Phase::Trial, Side::Target, Sample::Failed));
     counts
 }
 
--- a/lib/tests/test_gateway_upgrade.rs
+++ b/lib/tests/test_gateway_upgrade.rs
@@ -4,6 +4,7 @@
 
 use leadstage_lib::gateway::answer_counts::AnswerCounts;
 use leadstage_lib::gateway::answer_counts::Measure;
+use leadstage_lib::gateway::answer_counts::Phase;
 use leadstage_lib::gateway::answer_counts::Sample;
 use leadstage_lib::gateway::answer_counts::Side;
 use leadstage_lib::gateway::canary;
@@ -28,8 +29,16 @@
 use proptest::prelude::*;
 
 const BOUNDS: ExposureBounds = ExposureBounds { share: 0.1, slack: 50.0 };
-const STAGES: [Stage; 6] =
-    [Stage::Trial, Stage::Switch, Stage::Proven, Stage::Reverted, Stage::Failed, Stage::Succeeded];
+const STAGES: [Stage; 8] = [
+    Stage::Trial,
+    Stage::Switch,
+    Stage::Recheck,
+    Stage::SecondSwitch,
+    Stage::Proven,
+    Stage::Reverted,
+    Stage::Failed,
+    Stage::Succeeded,
+];
 
 fn secs(s: f64) -> Duration {
     Duration::from_secs_f64(s)
@@ -85,7 +94,7 @@
     /// same orders.
     #[test]
     fn test_nodes_converge_in_any_order_of_announcements(
-        announcements in prop::collection::vec((0_u64..4, 0_usize..6, 0_usize..6), 1..12),
+        announcements in prop::collection::vec((0_u64..4, 0..STAGES.len(), 0..STAGES.len()), 1..12),
         shuffle in prop::collection::vec(any::<prop::sample::Index>(), 24),
     ) {
         // At revision 0 there is no order, at 1 an order for one service, at 2 also one for a second
@@ -198,8 +207,8 @@
     let mut counts = AnswerCounts::default();
     for (side, (good_count, bad_count)) in [(Side::Present, present), (Side::Target, target)] {
         let good_answer = Sample::Took(Measure::Answer, secs(0.06));
-        (0..good_count).for_each(|_| counts.on_sample(&"r".into(), side, good_answer));
-        (0..bad_count).for_each(|_| counts.on_sample(&"r".into(), side, bad));
+        (0..good_count).for_each(|_| counts.on_sample(&"r".into(), Phase::Trial, side, good_answer));
+        (0..bad_count).for_each(|_| counts.on_sample(&"r".into(), Phase::Trial, side, bad));
     }
     counts
 }
@@ -225,8 +234,8 @@
 fn test_errors_show_a_worse_version_of_a_service_with_uneven_times() {
     let mut counts = counts((272, 0), (27, 11), Sample::Failed);
     let slow = Sample::Took(Measure::Answer, secs(0.3));
-    (0..68).for_each(|_| counts.on_sample(&"r".into(), Side::Present, slow));
-    (0..8).for_each(|_| counts.on_sample(&"r".into(), Side::Target, slow));
+    (0..68).for_each(|_| counts.on_sample(&"r".into(), Phase::Trial, Side::Present, slow));
+    (0..8).for_each(|_| counts.on_sample(&"r".into(), Phase::Trial, Side::Target, slow));
     let verdict = upgrade_verdict::verdict(&counts);
     assert!(matches!(verdict, Verdict::Worse(_)), "a quarter fails, with a baseline of none: {verdict:?}");
 }
--- a/lib/tests/test_gateway_upgrade_model.rs
+++ b/lib/tests/test_gateway_upgrade_model.rs
@@ -7,10 +7,12 @@
 
 use leadstage_lib::gateway::answer_counts::AnswerCounts;
 use leadstage_lib::gateway::answer_counts::Measure;
+use leadstage_lib::gateway::answer_counts::Phase;
 use leadstage_lib::gateway::answer_counts::Sample;
 use leadstage_lib::gateway::answer_counts::Side;
 use leadstage_lib::gateway::canary;
 use leadstage_lib::gateway::run_key::RunKey;
+use leadstage_lib::gateway::stage_history::StageHistory;
 use leadstage_lib::gateway::trial_evidence::Coverage;
 use leadstage_lib::gateway::upgrade::Stage;
 use leadstage_lib::gateway::upgrade::Upgrade;
@@ -71,7 +73,7 @@
     id: VmId,
     /// Samples that the judge does not have yet. Reports are cumulative, so the next report makes up for a
     /// lost one.
-    unreported: Vec<(usize, Side, Sample)>,
+    unreported: Vec<(usize, Phase, Side, Sample)>,
     requests: u64,
     /// Requests that the node may still send to the new version if the judge distributes the share.
     allowance: f64,
@@ -86,6 +88,15 @@
     fn stage(&self, at: f64) -> Option<Stage> {
         self.stages.iter().filter(|(from, _)| *from <= at).map(|(_, stage)| *stage).max()
     }
+
+    /// The phase in which a request begins now.
+    fn phase(&self, at: f64) -> Phase {
+        let mut history = StageHistory::default();
+        for (from, stage) in self.stages.iter().filter(|(from, _)| *from <= at) {
+            history.on_stage(*stage, Duration::from_secs_f64(*from));
+        }
+        history.phase_at(Duration::from_secs_f64(at))
+    }
 }
 
 fn is_bad(fault: Fault, route: usize, at: f64, load: f64, rng: &mut SmallRng) -> bool {
@@ -156,12 +167,13 @@
                 (true, _) => Sample::Failed,
                 (false, _) => Sample::Took(Measure::Answer, Duration::from_secs_f64(typical_time_s(rng))),
             };
-            node.unreported.push((route, side, sample));
+            let phase = node.phase(at);
+            node.unreported.push((route, phase, side, sample));
         }
         for (n, node) in fleet.iter_mut().enumerate() {
             if (step + n) % REPORT_STEPS == 0 && !rng.random_bool(LOSS_RATE) {
-                for (route, side, sample) in node.unreported.drain(..) {
-                    counts.on_sample(&["a", "b"][route].into(), side, sample);
+                for (route, phase, side, sample) in node.unreported.drain(..) {
+                    counts.on_sample(&["a", "b"][route].into(), phase, side, sample);
                 }
                 node.allowance += share * (node.requests - node.allowance_up_to) as f64;
                 node.allowance_up_to = node.requests;
--- a/node/src/gateway/control/trial.rs
+++ b/node/src/gateway/control/trial.rs
@@ -5,6 +5,7 @@
 
 use leadstage_lib::gateway::answer_counts::AnswerCounts;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::stage_history::StageHistory;
 use leadstage_lib::gateway::trial_evidence::Coverage;
 use leadstage_lib::gateway::trial_evidence::TrialEvidence;
 use leadstage_lib::gateway::trial_evidence::TrialReport;
@@ -43,6 +44,8 @@
     since: Timestamp,
     /// The order.
     pub order: UpgradeOrder,
+    /// The stages that this node learned of.
+    pub stages: StageHistory,
     own: AnswerCounts,
     counted: SampleCount,
     reports: TrialReports,
@@ -60,6 +63,7 @@
             service,
             since,
             order,
+            stages: StageHistory::default(),
             own: AnswerCounts::default(),
             counted: 0,
             reports: TrialReports::default(),
@@ -79,8 +83,8 @@
     }
 
     /// A replica answered a request of this node.
-    pub fn on_sample(&mut self, AnswerSample { route, side, sample, .. }: AnswerSample) {
-        self.own.on_sample(&route, side, sample);
+    pub fn on_sample(&mut self, AnswerSample { route, side, began, sample, .. }: AnswerSample) {
+        self.own.on_sample(&route, self.stages.phase_at(began), side, sample);
         self.counted += 1;
     }
 
--- a/node/src/gateway/control/upgrade_intake.rs
+++ b/node/src/gateway/control/upgrade_intake.rs
@@ -179,7 +179,8 @@
         });
         for (service, upgrade) in upgrades.iter() {
             let trial = || Trial::new(service.clone(), upgrade.order.clone(), self.shared.now());
-            self.trials.entry(service.clone()).or_insert_with(trial);
+            let trial = self.trials.entry(service.clone()).or_insert_with(trial);
+            trial.stages.on_stage(upgrade.stage, upgrade.stage_since);
         }
         self.shared.set_upgrades(upgrades.clone());
         for service in changed {
@@ -199,7 +200,7 @@
     fn on_stage(&self, placing: &Placing, service: &ServiceId, upgrade: &Upgrade, source: Source) {
         let age_ms = self.shared.now().saturating_sub(upgrade.began).as_millis() as u64;
         info!(event = "upgrade_stage", service = &**service, target = &*upgrade.order.target, stage:% = upgrade.stage, by:% = source, age_ms; "the upgrade of a service reached a stage");
-        if !matches!(upgrade.stage, Stage::Switch | Stage::Proven) {
+        if !(upgrade.stage.is_switch() || upgrade.stage == Stage::Proven) {
             return;
         }
         let replaced = placing.state.staying(service);
@@ -286,7 +287,7 @@
         store_answers: bool,
     ) {
         let upgrades = self.shared.upgrades();
-        let upgrade = upgrades.of(service).filter(|upgrade| upgrade.stage <= Stage::Switch);
+        let upgrade = upgrades.of(service).filter(|upgrade| upgrade.stage.is_judged());
         let (Some(upgrade), Some(trial)) = (upgrade, self.trials.get_mut(service)) else {
             return;
         };
@@ -303,7 +304,7 @@
         let (Some(upgrade), Some(trial)) = (upgrades.of(service), self.trials.get(service)) else {
             return;
         };
-        let Some(bounds) = self.shared.bounds().exposure.filter(|_| upgrade.stage <= Stage::Switch) else {
+        let Some(bounds) = self.shared.bounds().exposure.filter(|_| upgrade.stage.is_judged()) else {
             return;
         };
         let counts = trial.all();
--- a/node/src/gateway/control/upgrade_store.rs
+++ b/node/src/gateway/control/upgrade_store.rs
@@ -42,7 +42,7 @@
         }
     };
     let state = match stage? {
-        Stage::Trial | Stage::Switch => UpgradeState::Running,
+        Stage::Trial | Stage::Switch | Stage::Recheck | Stage::SecondSwitch => UpgradeState::Running,
         Stage::Proven => UpgradeState::Succeeded,
         Stage::Reverted => UpgradeState::RolledBack,
         Stage::Failed | Stage::Succeeded => return None,
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -27,6 +27,7 @@
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::ids::HallId;
+use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::health::Health;
 use leadstage_platform::store::Changes;
@@ -122,6 +123,8 @@
     pub route: RouteId,
     /// The version that answered.
     pub side: Side,
+    /// When the request was sent to the replica.
+    pub began: Timestamp,
     /// The outcome and timing of the answer.
     pub sample: Sample,
 }
