upgrades: a slow moment in the switch leads to a recheck

In the switch the present version answers nothing, so answers were called slow, and too many, by what it took in the trial. A moment that slows any version was held against the new one, and good versions were reverted.

Times are compared only within the trial and within the recheck, when both versions answer. It ends in a reversal or a second switch, in which clearly slow answers revert the version.

--- a/lib/src/gateway/answer_counts.rs
+++ b/lib/src/gateway/answer_counts.rs
@@ -47,6 +47,8 @@
 impl Phase {
     /// Phases in which both versions answer at the same time, so that their times can be compared.
     pub const SIDE_BY_SIDE: [Phase; 2] = [Phase::Trial, Phase::Recheck];
+    /// All other phases.
+    pub const NOT_COMPARED: [Phase; 3] = [Phase::Switch, Phase::Settling, Phase::SecondSwitch];
     /// All phases.
     pub const ALL: [Phase; 5] =
         [Phase::Trial, Phase::Switch, Phase::Settling, Phase::Recheck, Phase::SecondSwitch];
--- a/lib/src/gateway/upgrade_judge.rs
+++ b/lib/src/gateway/upgrade_judge.rs
@@ -5,10 +5,15 @@
 //! load, and drains the present replicas, which end without notice as soon as the success is reported to the
 //! operator. The length of the switch is limited by the number of requests that a version may get that turns
 //! out to be bad only then.
+//!
+//! In the switch the present version answers nothing, so a moment that slows any version looks like a slow new
+//! version. Answers that are clearly slow then lead to a recheck, side by side with a small share again, and a
+//! second switch. If answers are clearly slow in that one too, the version can't carry the full load.
 
 use std::time::Duration;
 
 use crate::gateway::answer_counts::AnswerCounts;
+use crate::gateway::answer_counts::Phase;
 use crate::gateway::canary;
 use crate::gateway::trial_evidence::Coverage;
 use crate::gateway::trial_reports;
@@ -29,6 +34,8 @@
 const CALL_DRAIN_TIME: Duration = Duration::from_millis(800);
 /// Minimum length of the switch: all nodes are notified of it, and the requests placed before it are sent.
 const MIN_SWITCH_TIME: Duration = Duration::from_millis(400);
+/// Minimum length of the recheck: its beginning does not count, and fast answers are reported before slow ones.
+const MIN_RECHECK_TIME: Duration = Duration::from_secs(3);
 /// Reports made this long after the start of the switch or later show how the new version carries all
 /// requests.
 const SWITCH_SETTLE_TIME: Duration = Duration::from_millis(200);
@@ -98,6 +105,9 @@
     /// The new version is worse.
     #[display("worse: {_0}")]
     Worse(Regression),
+    /// The new version answered slowly when it got all requests.
+    #[display("slow with all requests: {_0}")]
+    SlowWithAllRequests(Regression),
     /// The new version has no replicas.
     #[display("no replica has the new version")]
     NoReplicas,
@@ -133,6 +143,9 @@
         if let Verdict::Worse(regression) = verdict {
             return Some(NextStage { stage: Stage::Reverted, reason: Reason::Worse(regression) });
         }
+        if let Some(next) = self.after_slow_answers() {
+            return Some(next);
+        }
         if self.capacity.target == 0 && elapsed > order.within + ABANDON_AFTER {
             return Some(NextStage { stage: Stage::Reverted, reason: Reason::NoReplicas });
         }
@@ -140,7 +153,7 @@
             return None;
         }
         let report_success_at = order.within.saturating_sub(success_report_margin(order.within));
-        let since_switch = now.saturating_sub(*stage_since);
+        let since_stage = now.saturating_sub(*stage_since);
         let next = match stage {
             Stage::Trial
                 if self.has_capacity() && elapsed + self.switch_time(elapsed) >= report_success_at =>
@@ -148,9 +161,17 @@
                 self.has_enough_coverage(elapsed + MIN_SWITCH_TIME >= report_success_at)
                     .then_some(Stage::Switch)
             }
-            Stage::Switch
+            Stage::Recheck
+                if self.has_capacity()
+                    && elapsed >= order.within
+                    && since_stage >= MIN_RECHECK_TIME
+                    && self.has_enough_rechecked_answers(elapsed) =>
+            {
+                self.has_enough_coverage(true).then_some(Stage::SecondSwitch)
+            }
+            Stage::Switch | Stage::SecondSwitch
                 if elapsed >= report_success_at
-                    && since_switch >= MIN_SWITCH_TIME
+                    && since_stage >= self.min_switch_time()
                     && self.has_enough_answers(elapsed) =>
             {
                 self.has_enough_coverage(elapsed >= report_success_at + MAX_WAIT_FOR_MOST_NODES)
@@ -161,6 +182,26 @@
         next.map(|stage| NextStage { stage, reason: Reason::NotWorse })
     }
 
+    /// The stage that follows because answers were clearly slow when the new version got all requests.
+    fn after_slow_answers(&self) -> Option<NextStage> {
+        let stage = match self.upgrade.stage {
+            Stage::Switch => Stage::Recheck,
+            Stage::SecondSwitch => Stage::Reverted,
+            _ => return None,
+        };
+        let slow = upgrade_verdict::clearly_slow(self.counts, self.switch_phase()?)?;
+        Some(NextStage { stage, reason: Reason::SlowWithAllRequests(slow) })
+    }
+
+    /// The phase of requests that begin now, if all of them go to the new version.
+    fn switch_phase(&self) -> Option<Phase> {
+        match self.upgrade.stage {
+            Stage::Switch => Some(Phase::Switch),
+            Stage::SecondSwitch => Some(Phase::SecondSwitch),
+            _ => None,
+        }
+    }
+
     /// Whether enough nodes have reported to decide on a success: nearly all of them, or half of them if
     /// time is short, since the other nodes may have ended a moment ago.
     fn has_enough_coverage(&self, is_time_short: bool) -> bool {
@@ -169,15 +210,40 @@
 
     /// Whether there are enough answers to decide on a success, or the wait for more is over.
     fn has_enough_answers(&self, elapsed: Duration) -> bool {
-        let is_overdue = elapsed >= self.upgrade.order.within + MAX_WAIT_FOR_ANSWERS;
         let are_few = self.counts.answered().1 <= FEW_ANSWERS;
-        (is_overdue && are_few) || upgrade_verdict::supports_target(self.counts)
+        let may_be_slow = |phase| upgrade_verdict::may_be_clearly_slow(self.counts, phase);
+        (self.is_overdue(elapsed) && are_few)
+            || (upgrade_verdict::supports_target(self.counts)
+                && !self.switch_phase().is_some_and(may_be_slow))
+    }
+
+    /// The same for the decision on the second switch, by the answers of the recheck.
+    fn has_enough_rechecked_answers(&self, elapsed: Duration) -> bool {
+        let are_few = self.counts.answered_in(&[Phase::Recheck]).1 <= FEW_ANSWERS;
+        (self.is_overdue(elapsed) && are_few) || upgrade_verdict::recheck_supports_target(self.counts)
+    }
+
+    fn is_overdue(&self, elapsed: Duration) -> bool {
+        elapsed >= self.upgrade.order.within + MAX_WAIT_FOR_ANSWERS
+    }
+
+    /// Minimum time for which all requests go to the new version. The second switch begins after the order's
+    /// time, so it takes as long as it takes to drain the present replicas.
+    fn min_switch_time(&self) -> Duration {
+        match self.upgrade.stage {
+            Stage::SecondSwitch => self.drain_time(),
+            _ => MIN_SWITCH_TIME,
+        }
+    }
+
+    fn drain_time(&self) -> Duration {
+        if self.has_streams { STREAM_MOVE_TIME } else { CALL_DRAIN_TIME }
     }
 
     /// How long all requests go to the new version before a success is reported: as long as it takes to
     /// drain the present replicas, or less if the limit on requests to a bad version requires it.
     fn switch_time(&self, elapsed: Duration) -> Duration {
-        let wanted = if self.has_streams { STREAM_MOVE_TIME } else { CALL_DRAIN_TIME };
+        let wanted = self.drain_time();
         let (answered, exposed) = self.counts.answered();
         let rate = f64::from(answered) / elapsed.as_secs_f64().max(1.0);
         if rate <= 0.0 {
--- a/lib/src/gateway/upgrade_verdict.rs
+++ b/lib/src/gateway/upgrade_verdict.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::answer_counts::AnswerCounts;
 use crate::gateway::answer_counts::Answers;
+use crate::gateway::answer_counts::AnswersByRoute;
 use crate::gateway::answer_counts::AnswersByVersion;
 use crate::gateway::answer_counts::Measure;
 use crate::gateway::answer_counts::Phase;
@@ -30,6 +31,8 @@
 /// A version is clearly bad if its rate of bad answers is this much above the measured rate of the present
 /// version.
 const CLEARLY_BAD_MARGIN: f64 = 0.2;
+/// Number of answers after which an inconclusive part of slow ones is taken for noise in the switch.
+const ENOUGH_SWITCH_ANSWERS: u32 = 100;
 /// Significance level for a good version: the probability that a clearly bad version has at most as many bad
 /// answers must be below this.
 const SUPPORT_SIGNIFICANCE: f64 = 0.01;
@@ -80,17 +83,23 @@
         }
     }
 
-    fn errors_and_slow(counts: &AnswersByVersion) -> Self {
+    fn slow(counts: &AnswersByVersion) -> Self {
         let AnswersByVersion { present, target } = counts;
         let is_known = present.count() >= MIN_PRESENT_ANSWERS;
         let slow = present.median_bucket().filter(|_| is_known).map(|median| median + SLOW_BUCKETS);
         let count_slow = |answers: &Answers| slow.map_or(0, |slow| answers.count_from(slow));
-        let errors = BadCounts::errors(counts);
-        BadCounts {
-            present: errors.present + count_slow(present),
-            target: errors.target + count_slow(target),
-            ..errors
-        }
+        BadCounts { present: count_slow(present), target: count_slow(target), ..BadCounts::errors(counts) }
+    }
+
+    fn errors_and_slow(counts: &AnswersByVersion) -> Self {
+        let (errors, slow) = (BadCounts::errors(counts), BadCounts::slow(counts));
+        BadCounts { present: errors.present + slow.present, target: errors.target + slow.target, ..errors }
+    }
+
+    /// Errors only, without the new version's slow answers.
+    fn errors_of_fast(counts: &AnswersByVersion) -> Self {
+        let (errors, slow) = (BadCounts::errors(counts), BadCounts::slow(counts));
+        BadCounts { of_target: errors.of_target - slow.target, ..errors }
     }
 
     fn add(self, other: BadCounts) -> BadCounts {
@@ -108,56 +117,119 @@
         ((bad + bad.sqrt()) / (f64::from(self.of_present) + 2.0)).clamp(MIN_BASELINE_RATE, 1.0)
     }
 
-    fn supports_target(self) -> bool {
+    /// Rate of bad answers of a clearly bad version.
+    fn clearly_bad_rate(self) -> f64 {
         // The measured rate, not the upper estimate: few answers of the present version must not excuse bad
         // ones.
         let seen = f64::from(self.present) / f64::from(self.of_present.max(1));
-        let rate = (seen.max(MIN_BASELINE_RATE) + CLEARLY_BAD_MARGIN).min(1.0);
+        (seen.max(MIN_BASELINE_RATE) + CLEARLY_BAD_MARGIN).min(1.0)
+    }
+
+    fn supports_target(self) -> bool {
+        let rate = self.clearly_bad_rate();
         1.0 - binomial_tail(self.target + 1, self.of_target, rate) < SUPPORT_SIGNIFICANCE
     }
 
+    fn is_clearly_bad(self) -> bool {
+        self.target >= MIN_BAD_ANSWERS
+            && binomial_tail(self.target, self.of_target, self.clearly_bad_rate()) < WORSE_SIGNIFICANCE
+    }
+
     fn is_worse(self) -> bool {
         self.target >= MIN_BAD_ANSWERS
             && binomial_tail(self.target, self.of_target, self.baseline_rate()) < WORSE_SIGNIFICANCE
     }
 
-    fn regression(self, route: Option<RouteId>, measure: Measure) -> Option<Regression> {
-        let is_worse = self.is_worse();
-        let regression =
-            Regression { route, measure, bad: self.target, of: self.of_target, usual: self.baseline_rate() };
-        is_worse.then_some(regression)
+    fn regression(self, route: Option<RouteId>, measure: Measure) -> Regression {
+        Regression { route, measure, bad: self.target, of: self.of_target, usual: self.baseline_rate() }
     }
 }
 
-/// Compares both versions by the counts of all nodes. Errors are also checked on their own, since a service
-/// that is often slow would hide them.
+/// The first regression on a route, or on all routes together, of answers that `count` calls bad and that
+/// `is_worse` finds too many.
+fn regression(
+    answers: &AnswersByRoute,
+    count: fn(&AnswersByVersion) -> BadCounts,
+    is_worse: fn(BadCounts) -> bool,
+) -> Option<Regression> {
+    let by_route = answers.iter().find_map(|((route, measure), answers)| {
+        let bad = count(answers);
+        is_worse(bad).then(|| bad.regression(Some(route.clone()), *measure))
+    });
+    let all = all_routes(answers, count);
+    by_route.or_else(|| is_worse(all).then(|| all.regression(None, Measure::Answer)))
+}
+
+fn all_routes(answers: &AnswersByRoute, count: fn(&AnswersByVersion) -> BadCounts) -> BadCounts {
+    let answers = answers.iter().filter(|((_, measure), _)| *measure == Measure::Answer);
+    answers.fold(BadCounts::default(), |all, (_, answers)| all.add(count(answers)))
+}
+
+/// Compares both versions by the counts of all nodes. Errors are compared over all phases, and also on their
+/// own, since a service that is often slow would hide them. Slow answers are compared within each phase in
+/// which both versions answer: whatever slows one moment slows both versions.
 pub fn verdict(counts: &AnswerCounts) -> Verdict {
-    let (mut all_errors, mut all) = (BadCounts::default(), BadCounts::default());
-    for ((route, measure), answers) in &counts.in_phases(&Phase::ALL) {
-        let (errors, bad) = (BadCounts::errors(answers), BadCounts::errors_and_slow(answers));
-        let worse = [errors, bad].into_iter().find_map(|bad| bad.regression(Some(route.clone()), *measure));
-        if let Some(regression) = worse {
-            return Verdict::Worse(regression);
-        }
-        if *measure == Measure::Answer {
-            (all_errors, all) = (all_errors.add(errors), all.add(bad));
-        }
-    }
-    let worse = [all_errors, all].into_iter().find_map(|bad| bad.regression(None, Measure::Answer));
+    let errors = regression(&counts.in_phases(&Phase::ALL), BadCounts::errors, BadCounts::is_worse);
+    let worse = errors.or_else(|| {
+        Phase::SIDE_BY_SIDE.into_iter().find_map(|phase| {
+            regression(&counts.in_phases(&[phase]), BadCounts::errors_and_slow, BadCounts::is_worse)
+        })
+    });
     match worse {
         Some(regression) => Verdict::Worse(regression),
-        None if all.of_target == 0 => Verdict::Unknown,
+        None if counts.answered().1 == 0 => Verdict::Unknown,
         None => Verdict::NotWorse,
     }
 }
 
+/// Evidence that the new version is clearly slow in a phase in which it gets all requests. Its answers are
+/// compared with those that the present version gave in other phases. Since a moment that would slow both
+/// versions looks the same, and its answers are not independent of each other, more is required than of a
+/// regression: a rate above the present version's by a margin.
+pub fn clearly_slow(counts: &AnswerCounts, phase: Phase) -> Option<Regression> {
+    let answers = with_present_of_side_by_side(counts, &[phase]);
+    regression(&answers, BadCounts::slow, BadCounts::is_clearly_bad)
+}
+
+/// Whether too few requests were answered in a phase in which the new version gets all of them to call it
+/// clearly slow, and so many of the answers are slow that more could.
+pub fn may_be_clearly_slow(counts: &AnswerCounts, phase: Phase) -> bool {
+    let slow = all_routes(&with_present_of_side_by_side(counts, &[phase]), BadCounts::slow);
+    slow.target >= MIN_BAD_ANSWERS
+        && slow.of_target < ENOUGH_SWITCH_ANSWERS
+        && f64::from(slow.target) > slow.clearly_bad_rate() * f64::from(slow.of_target)
+}
+
+/// The new version's answers in some phases, beside those that the present version gave where both answered.
+fn with_present_of_side_by_side(counts: &AnswerCounts, phases: &[Phase]) -> AnswersByRoute {
+    let mut present = counts.in_phases(&Phase::SIDE_BY_SIDE);
+    let mut answers = counts.in_phases(phases);
+    for (cell, answers) in &mut answers {
+        answers.present = present.remove(cell).unwrap_or_default().present;
+    }
+    answers
+}
+
 /// Whether the new version's answers are evidence that it is good, not just too few to show that it is bad.
+/// Slow answers of phases that can't be compared speak neither for nor against it.
 pub fn supports_target(counts: &AnswerCounts) -> bool {
-    let sums = counts.in_phases(&Phase::ALL);
-    let answers = sums.iter().filter(|((_, measure), _)| *measure == Measure::Answer);
-    let all =
-        answers.fold(BadCounts::default(), |all, (_, answers)| all.add(BadCounts::errors_and_slow(answers)));
-    all.supports_target()
+    let not_compared = with_present_of_side_by_side(counts, &Phase::NOT_COMPARED);
+    let not_compared = all_routes(&not_compared, BadCounts::errors_of_fast);
+    let side_by_side = Phase::SIDE_BY_SIDE
+        .map(|phase| all_routes(&counts.in_phases(&[phase]), BadCounts::errors_and_slow))
+        .into_iter()
+        .fold(BadCounts::default(), BadCounts::add);
+    BadCounts {
+        target: side_by_side.target + not_compared.target,
+        of_target: side_by_side.of_target + not_compared.of_target,
+        ..side_by_side
+    }
+    .supports_target()
+}
+
+/// The same by the answers to requests that began in the recheck alone.
+pub fn recheck_supports_target(counts: &AnswerCounts) -> bool {
+    all_routes(&counts.in_phases(&[Phase::Recheck]), BadCounts::errors_and_slow).supports_target()
 }
 
 /// Probability that at least `bad` of `of` answers are bad if each one is with the probability `usual`.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -45,6 +45,7 @@
 mod test_gateway_trial_reports;
 mod test_gateway_upgrade;
 mod test_gateway_upgrade_model;
+mod test_gateway_upgrade_recheck;
 mod test_gateway_waiting;
 mod test_gateway_watchers;
 mod test_gateway_watchers_model;
