--- a/lib/tests/test_gateway_upgrade_model.rs
+++ b/lib/tests/test_gateway_upgrade_model.rs
@@ -36,6 +36,15 @@
 const LOSS_RATE: f64 = 0.03;
 /// Fraction of a bad version's answers that are bad.
 const BAD_ANSWER_RATE: f64 = 0.3;
+/// The same for a version that is really slow, and for all versions in a surge.
+const SLOW_ANSWER_RATE: f64 = 0.8;
+/// How long a surge lasts that begins with the switch.
+const SURGE_S: f64 = 1.5;
+/// Time for which upgrades are played that may end in a second switch.
+const PLAYED_WITH_RECHECK_S: f64 = 40.0;
+/// Number of bad answers, and the time after it within which a bad version gets no more requests.
+const BAD_ANSWERS_ALLOWED: usize = 50;
+const REVERTED_WITHIN_S: f64 = 5.0;
 const SEEDS: u64 = 20;
 
 /// Fault of the new version.
@@ -47,6 +56,17 @@
     ErrorsLater,
     ErrorsOnOneRoute,
     ErrorsUnderLoad,
+    SlowSinceSwitch,
+    OftenSlowSinceSwitch,
+}
+
+/// How the answers of the switch are judged.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum SwitchJudging {
+    /// Together with those of the trial.
+    AsTrial,
+    /// By their own phase, with a recheck.
+    ByPhase,
 }
 
 /// Method to keep to the share.
@@ -67,6 +87,26 @@
     known_to_all_s: f64,
     /// Requests that the new version had answered when the judge decided.
     answers_seen: u32,
+    /// When requests were sent whose answers were bad because of the fault.
+    bad: Vec<f64>,
+}
+
+impl Outcome {
+    /// Time from the 50th bad answer to the last one.
+    fn late_s(&self) -> f64 {
+        self.bad.get(BAD_ANSWERS_ALLOWED - 1).map_or(0.0, |at| self.bad[self.bad.len() - 1] - at)
+    }
+}
+
+/// What is played.
+#[derive(Clone, Copy)]
+struct Play {
+    nodes: usize,
+    method: ShareMethod,
+    fault: Fault,
+    judging: SwitchJudging,
+    has_surge: bool,
+    lasts_s: f64,
 }
 
 struct Node {
@@ -99,15 +139,17 @@
     }
 }
 
-fn is_bad(fault: Fault, route: usize, at: f64, load: f64, rng: &mut SmallRng) -> bool {
+fn is_bad(fault: Fault, route: usize, at: f64, load: f64, has_switched: bool, rng: &mut SmallRng) -> bool {
     let applies = match fault {
         Fault::None => false,
         Fault::Errors | Fault::Slow => true,
         Fault::ErrorsLater => at > WITHIN_S * 0.6,
         Fault::ErrorsOnOneRoute => route == 1,
         Fault::ErrorsUnderLoad => load > 0.6,
+        Fault::SlowSinceSwitch | Fault::OftenSlowSinceSwitch => has_switched,
     };
-    applies && rng.random_bool(BAD_ANSWER_RATE)
+    let rate = if fault == Fault::OftenSlowSinceSwitch { SLOW_ANSWER_RATE } else { BAD_ANSWER_RATE };
+    applies && rng.random_bool(rate)
 }
 
 /// Time of an answer without a fault, which varies by up to a factor of two either way.
@@ -115,7 +157,8 @@
     0.06 * 2.0_f64.powf(rng.random_range(-1.0..1.0) * rng.random_range(0.0..1.0))
 }
 
-fn simulate(nodes: usize, method: ShareMethod, fault: Fault, seed: u64) -> Outcome {
+fn simulate(play: Play, seed: u64) -> Outcome {
+    let Play { nodes, method, fault, judging, has_surge, lasts_s } = play;
     let rng = &mut SmallRng::seed_from_u64(seed);
     let order = UpgradeOrder { target: "v2".into(), within: Duration::from_secs_f64(WITHIN_S), made: seed };
     let share = canary::trial_share(BOUNDS.share);
@@ -137,7 +180,8 @@
         stage_since: Duration::ZERO,
     };
     let (mut exposed, mut answers_seen, mut decided) = (0, 0, 0.0);
-    let steps = (WITHIN_S / STEP_S) as usize;
+    let (mut switched_at, mut bad_at) = (None, Vec::new());
+    let steps = (lasts_s / STEP_S) as usize;
     for step in 0..steps {
         let at = step as f64 * STEP_S;
         let arrivals = (REQUESTS_PER_S * STEP_S) as usize
@@ -151,23 +195,32 @@
             let to_target = match (node.stage(at), method) {
                 (Some(Stage::Trial), ShareMethod::Drawn) => canary::is_sampled(&key, &order, share),
                 (Some(Stage::Trial), ShareMethod::HandedOut) => node.allowance >= 1.0,
-                (stage, _) => matches!(stage, Some(Stage::Switch | Stage::Proven)),
+                (Some(Stage::Recheck), _) => canary::is_sampled(&key, &order, share),
+                (stage, _) => stage.is_some_and(|stage| stage.is_switch() || stage == Stage::Proven),
             };
             if to_target && method == ShareMethod::HandedOut {
                 node.allowance = (node.allowance - 1.0).max(0.0);
             }
-            exposed += u32::from(to_target);
+            exposed += u32::from(to_target && at < WITHIN_S);
             let side = if to_target { Side::Target } else { Side::Present };
             let route = usize::from(rng.random_bool(0.4));
-            let bad = to_target && is_bad(fault, route, at, load, rng);
+            let bad = to_target && is_bad(fault, route, at, load, switched_at.is_some(), rng);
+            let in_surge = has_surge && switched_at.is_some_and(|since| at < since + SURGE_S);
+            let is_slow = in_surge && rng.random_bool(SLOW_ANSWER_RATE);
+            if bad {
+                bad_at.push(at);
+            }
             let sample = match (bad, fault) {
-                (true, Fault::Slow) => {
+                (true, Fault::Slow | Fault::SlowSinceSwitch | Fault::OftenSlowSinceSwitch) => {
                     Sample::Took(Measure::Answer, Duration::from_secs_f64(typical_time_s(rng) * 5.0))
                 }
                 (true, _) => Sample::Failed,
+                (false, _) if is_slow => {
+                    Sample::Took(Measure::Answer, Duration::from_secs_f64(typical_time_s(rng) * 5.0))
+                }
                 (false, _) => Sample::Took(Measure::Answer, Duration::from_secs_f64(typical_time_s(rng))),
             };
-            let phase = node.phase(at);
+            let phase = if judging == SwitchJudging::AsTrial { Phase::Trial } else { node.phase(at) };
             node.unreported.push((route, phase, side, sample));
         }
         for (n, node) in fleet.iter_mut().enumerate() {
@@ -192,6 +245,7 @@
         if let Some(next) = situation.next(now) {
             (upgrade.stage, upgrade.stage_since, decided) = (next.stage, now, at);
             answers_seen = counts.answered().1;
+            switched_at.get_or_insert(at);
             for node in &mut fleet {
                 let delay = if rng.random_bool(LOSS_RATE) { 0.8 } else { rng.random_range(0.0..0.3) };
                 node.stages.push((at + delay, next.stage));
@@ -201,11 +255,13 @@
     let bound = BOUNDS.share * REQUESTS_PER_S * WITHIN_S + BOUNDS.slack;
     let learned_at = |node: &Node| node.stages.last().map_or(0.0, |(at, _)| *at);
     let known_to_all_s = fleet.iter().map(learned_at).fold(decided, f64::max);
-    Outcome { exposed, bound, stage: upgrade.stage, known_to_all_s, answers_seen }
+    Outcome { exposed, bound, stage: upgrade.stage, known_to_all_s, answers_seen, bad: bad_at }
 }
 
 fn row(nodes: usize, method: ShareMethod, fault: Fault) -> (String, Vec<Outcome>) {
-    let outcomes: Vec<Outcome> = (0..SEEDS).map(|seed| simulate(nodes, method, fault, seed)).collect();
+    let (judging, has_surge, lasts_s) = (SwitchJudging::ByPhase, false, WITHIN_S);
+    let play = Play { nodes, method, fault, judging, has_surge, lasts_s };
+    let outcomes: Vec<Outcome> = (0..SEEDS).map(|seed| simulate(play, seed)).collect();
     let max_exposure = outcomes.iter().map(|o| f64::from(o.exposed) / o.bound).fold(0.0, f64::max);
     let stage = |stage: Stage| outcomes.iter().filter(|o| o.stage == stage).count();
     let mut times: Vec<f64> = outcomes.iter().map(|o| o.known_to_all_s).collect();
@@ -257,3 +313,57 @@
     }
     insta::assert_snapshot!(table);
 }
+
+fn switch_row(play: Play) -> (String, Vec<Outcome>) {
+    let outcomes: Vec<Outcome> = (0..SEEDS).map(|seed| simulate(play, seed)).collect();
+    let max = |value: fn(&Outcome) -> f64| outcomes.iter().map(value).fold(0.0, f64::max);
+    let stage = |stage: Stage| outcomes.iter().filter(|o| o.stage == stage).count();
+    let mut times: Vec<f64> = outcomes.iter().map(|o| o.known_to_all_s).collect();
+    times.sort_by(f64::total_cmp);
+    let text = format!(
+        "{:4}  {:<8} {:<20} {:<8} exposed {:.2} of the bound at most; proven {:2}, reverted {:2}; known to all after {:.1} s, {:.1} at most; last bad request {:.1} s after the 50th at most",
+        play.nodes,
+        format!("{:?}", play.judging),
+        format!("{:?}", play.fault),
+        if play.has_surge { "surge" } else { "no surge" },
+        max(|o| f64::from(o.exposed) / o.bound),
+        stage(Stage::Proven),
+        stage(Stage::Reverted),
+        times[times.len() / 2],
+        times[times.len() - 1],
+        max(Outcome::late_s),
+    );
+    (text, outcomes)
+}
+
+/// A surge in the switch slows every version. A version whose part of slow answers is no greater than that of
+/// a surge can't be told from it: only one that is often slow has to be found.
+#[test]
+fn test_a_surge_in_the_switch_reverts_no_good_version() {
+    let mut table = String::new();
+    for nodes in [6, 66] {
+        for fault in [Fault::None, Fault::SlowSinceSwitch, Fault::OftenSlowSinceSwitch] {
+            for has_surge in [false, true] {
+                for judging in [SwitchJudging::AsTrial, SwitchJudging::ByPhase] {
+                    let (method, lasts_s) = (ShareMethod::Drawn, PLAYED_WITH_RECHECK_S);
+                    let (text, outcomes) =
+                        switch_row(Play { nodes, method, fault, judging, has_surge, lasts_s });
+                    writeln!(table, "{text}").expect("it is text");
+                    if judging == SwitchJudging::AsTrial || fault == Fault::SlowSinceSwitch {
+                        continue;
+                    }
+                    for (seed, outcome) in outcomes.iter().enumerate() {
+                        let case = format!("{nodes} nodes, {fault:?}, surge {has_surge}, seed {seed}");
+                        let expected = if fault == Fault::None { Stage::Proven } else { Stage::Reverted };
+                        assert_eq!(outcome.stage, expected, "{case}");
+                        if fault != Fault::None {
+                            assert!(f64::from(outcome.exposed) <= outcome.bound, "{case}: exposed");
+                            assert!(outcome.late_s() <= REVERTED_WITHIN_S, "{case}: {}", outcome.late_s());
+                        }
+                    }
+                }
+            }
+        }
+    }
+    insta::assert_snapshot!(table);
+}
