gateway: deliver what arrived while the process was suspended

What callers saw: a stream that ended early (200, body not whole) or a 504, although the whole response lay in the node's socket buffers.

Cause: a process that goes on after a suspension finds its timers due before it has read its sockets. The deadline of a request was looked at first, so what had arrived in time was thrown away. On an idle connection the timer of a silent one did the same, and the request was sent again.

`CallerRequest::deadline` lies in the past once it has passed, so that this is known also where the timer is armed after the suspension. In time, nothing changes.

--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -129,9 +129,14 @@
         self.timeout.saturating_sub(self.age())
     }
 
-    /// When it is abandoned, for a timer that is armed now.
+    /// When it is abandoned, for a timer that is armed now; in the past if it should have been abandoned
+    /// already.
     pub fn deadline(&self) -> Instant {
-        Instant::now() + self.time_left()
+        let (now, age) = (Instant::now(), self.age());
+        match self.timeout.checked_sub(age) {
+            Some(left) => now + left,
+            None => now.checked_sub(age - self.timeout).unwrap_or(now),
+        }
     }
 
     /// Time until its first event is due.
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -25,6 +25,7 @@
 use crate::gateway::messages::Outcome;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
+use crate::gateway::upstream::arrival;
 use crate::gateway::upstream::connections::ConnectError;
 use crate::gateway::upstream::connections::Connection;
 use crate::gateway::upstream::connections::ConnectionChoice;
@@ -165,8 +166,7 @@
         }
     };
     let waiting = unless_quarantined(traffic, req, waiting);
-    let answer =
-        tokio::time::timeout_at(req.deadline(), waiting).await.map_err(|_| SendError::TimedOut)??;
+    let answer = arrival::timeout_at(req.deadline(), waiting).await.map_err(|_| SendError::TimedOut)??;
     let answer = answer.ok_or(SendError::ConnectionSilent)?.ok_or(SendError::Stalled)?;
     if let (Err(_), Some(idle_time)) = (&answer, connection.idle_time) {
         traffic.connections.on_break(idle_time);
@@ -246,7 +246,7 @@
     ) -> Result<BufferedResponse, SendError> {
         let body = Limited::new(self.body, MAX_ANSWER_BYTES);
         let reading = held_bytes::collect(body, async |bytes| Some(node.acquire(bytes).await));
-        let body = tokio::time::timeout_at(deadline, reading).await.map_err(|_| SendError::TimedOut)?;
+        let body = arrival::timeout_at(deadline, reading).await.map_err(|_| SendError::TimedOut)?;
         let (body, held) = match body {
             Ok(Some(collected)) => collected,
             Ok(None) => return Err(SendError::Truncated("not enough memory to buffer the body".to_owned())),
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -30,6 +30,7 @@
 use crate::gateway::messages::ToControl;
 use crate::gateway::reply_body::StreamingBodySender;
 use crate::gateway::request::CallerRequest;
+use crate::gateway::upstream::arrival;
 use crate::gateway::upstream::copying::MoveTarget;
 use crate::gateway::upstream::copying::TaskEvent;
 use crate::gateway::upstream::engine_stream::EngineStream;
@@ -193,7 +194,7 @@
         tokio::select! {
             biased;
             () = tx.closed() => Err(StreamEnd::CallerLeft),
-            () = tokio::time::sleep_until(self.req.deadline()) => Err(StreamEnd::TimedOut),
+            () = tokio::time::sleep_until(self.req.deadline()) => Err(self.on_deadline().await),
             Some(command) = commands.recv() => self.on_command(command),
             Some(event) = self.task_events.recv() => self.on_task_event(event).await,
             frame = self.engine_stream.frame() => match frame {
@@ -208,6 +209,13 @@
         }
     }
 
+    /// Handles the deadline. If the process was suspended at that time, events that have arrived are relayed,
+    /// and the stream may turn out to be complete.
+    async fn on_deadline(&mut self) -> StreamEnd {
+        let arrived = if arrival::is_late(self.req.deadline()) { self.drain().await } else { None };
+        arrived.unwrap_or(StreamEnd::TimedOut)
+    }
+
     async fn on_frame(&mut self, bytes: Bytes) -> Result<(), StreamEnd> {
         let complete = self.events.push(&bytes);
         if !complete.is_empty() {
--- a/node/src/gateway/upstream/relay/moving.rs
+++ b/node/src/gateway/upstream/relay/moving.rs
@@ -177,9 +177,9 @@
         Ok(())
     }
 
-    /// Relays the remaining events of a stopped generation. Returns how the stream ended if the
-    /// generation had already ended by itself.
-    async fn drain(&mut self) -> Option<StreamEnd> {
+    /// Relays the events that are on their way. Returns how the stream ended if the generation had already
+    /// ended by itself.
+    pub(super) async fn drain(&mut self) -> Option<StreamEnd> {
         let until = Instant::now() + DRAIN_TIMEOUT;
         loop {
             let frame = tokio::time::timeout_at(until, self.engine_stream.frame()).await;
--- a/node/src/gateway/upstream/silence.rs
+++ b/node/src/gateway/upstream/silence.rs
@@ -14,6 +14,7 @@
 
 use crate::clock;
 use crate::gateway::request::CallerRequest;
+use crate::gateway::upstream::arrival;
 use crate::gateway::upstream::traffic::Traffic;
 
 /// Fraction of a call's remaining time after which it is retried on a new connection: the second attempt
@@ -40,11 +41,11 @@
     let (began, began_at) = (Instant::now(), clock::since_boot());
     let objective_at = began + req.route.objective;
     let retry_at = (began + req.time_left().mul_f64(RETRY_AFTER_FRACTION)).max(objective_at);
-    if let Ok(answer) = tokio::time::timeout_at(objective_at, &mut sending).await {
+    if let Ok(answer) = arrival::timeout_at(objective_at, &mut sending).await {
         return Some(answer);
     }
     traffic.connections.drop_idle_since_before(replica, began_at);
-    if let Ok(answer) = tokio::time::timeout_at(retry_at, &mut sending).await {
+    if let Ok(answer) = arrival::timeout_at(retry_at, &mut sending).await {
         return Some(answer);
     }
     if traffic.may_retry(req, sent + 1).await {
--- a/node/src/gateway/upstream/stall.rs
+++ b/node/src/gateway/upstream/stall.rs
@@ -15,6 +15,7 @@
 
 use crate::gateway::messages::ToControl;
 use crate::gateway::request::CallerRequest;
+use crate::gateway::upstream::arrival;
 use crate::gateway::upstream::traffic::Traffic;
 
 /// A running stream is considered stalled after this many times its route's objective for the gap between
@@ -96,7 +97,7 @@
     }
     let mut watch = StallWatch::new(&req.route);
     loop {
-        if let Ok(answer) = tokio::time::timeout_at(watch.due(), &mut sending).await {
+        if let Ok(answer) = arrival::timeout_at(watch.due(), &mut sending).await {
             return Some(answer);
         }
         if watch.on_due() == StallAction::Abandon {
