node: queue as many connections as the system allows

What callers saw: with more than 128 connections at once, or a node that was suspended for a moment, a connection that takes more than a second to open, or a call that fails.

Cause: the ports of the gateway and the peers' port were bound with the library's queue of 128 connections. Linux drops what finds the queue full, and clients ask again after a second.

Evidence: 400 connections to a suspended node; the new test failed before (not all were queued within 0.9 s) and passes now.

--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -165,7 +165,7 @@
     let local = LocalSet::new();
     let control = Rc::new(RefCell::new(Control::new(settings, shared)));
     local.block_on(&runtime, async move {
-        peer_server::listen(control.clone()).await?;
+        peer_server::listen(control.clone())?;
         tokio::task::spawn_local(bundle_watch::run(control.clone()));
         tokio::task::spawn_local(vm_watch::run(control.clone()));
         tokio::task::spawn_local(run_ticks(control.clone()));
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -34,6 +34,7 @@
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
 use crate::gateway::stop;
+use crate::listener;
 
 /// Reason why a node did not start.
 #[derive(Debug, Display, Error)]
@@ -75,7 +76,7 @@
     let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime)?;
     // Bound here, before the node can report itself ready. The traffic thread would bind the port too
     // late: after that report at 2 to 4 of 20 nodes that started on loaded machines.
-    let callers = runtime.block_on(bind_tcp(settings.listen))?;
+    let callers = runtime.block_on(async { bind_tcp(settings.listen) })?;
     let callers = callers.into_std().map_err(|source| RunError::Port { address: settings.listen, source })?;
     let traffic = shared.clone();
     let thread = std::thread::Builder::new().name("traffic".to_owned());
@@ -88,15 +89,15 @@
     rx: mpsc::UnboundedReceiver<ToControl>,
     file: SettingsFile,
 ) -> Result<(), RunError> {
-    let ready = bind_tcp(shared.settings.ready).await?;
+    let ready = bind_tcp(shared.settings.ready)?;
     tokio::task::spawn_local(http_port::serve(shared.clone(), ready, "ready", balancer_port::answer));
-    let metrics = bind_tcp(shared.settings.metrics).await?;
+    let metrics = bind_tcp(shared.settings.metrics)?;
     tokio::task::spawn_local(http_port::serve(shared.clone(), metrics, "metrics", metrics_port::answer));
     if !shared.settings.first_start {
         tokio::task::spawn_local(config_intake::read_at_start(shared.clone()));
         tokio::task::spawn_local(first_read::read_until_replicas_known(shared.clone()));
     }
-    let peer = bind_tcp(shared.settings.peer).await?;
+    let peer = bind_tcp(shared.settings.peer)?;
     tokio::task::spawn_local(peer_port::serve(shared.clone(), peer));
     let socket = Arc::new(bind_udp(shared.settings.peer).await?);
     tokio::task::spawn_local(outbox::receive(socket.clone(), shared.clone()));
@@ -130,8 +131,8 @@
     std::future::pending().await
 }
 
-async fn bind_tcp(address: SocketAddr) -> Result<TcpListener, RunError> {
-    TcpListener::bind(address).await.map_err(|source| RunError::Port { address, source })
+fn bind_tcp(address: SocketAddr) -> Result<TcpListener, RunError> {
+    listener::bind(address).map_err(|source| RunError::Port { address, source })
 }
 
 async fn bind_udp(address: SocketAddr) -> Result<UdpSocket, RunError> {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -18,6 +18,7 @@
 mod gateway;
 mod generation;
 mod leads;
+mod listener;
 mod membership_driver;
 mod metrics;
 mod orders;
--- a/node/src/peer_server.rs
+++ b/node/src/peer_server.rs
@@ -24,6 +24,7 @@
 use crate::leads;
 use crate::leads::Placement;
 use crate::leads::PoolKey;
+use crate::listener;
 use crate::membership_driver;
 use crate::peers;
 use crate::wire;
@@ -33,9 +34,9 @@
 }
 
 /// Listens for connections from peers. Returns once the port is bound.
-pub async fn listen(control: ControlRef) -> std::io::Result<()> {
+pub fn listen(control: ControlRef) -> std::io::Result<()> {
     let address = control.borrow().settings.peer;
-    let listener = TcpListener::bind(address).await?;
+    let listener = listener::bind(address)?;
     tokio::task::spawn_local(accept(listener, control));
     Ok(())
 }
--- a/node/tests/test_gateway_suspended.rs
+++ b/node/tests/test_gateway_suspended.rs
@@ -6,6 +6,7 @@
 use http::Request;
 use http_body_util::Full;
 use leadstage_testutils::gateway_replica::ReplicaFault;
+use tokio::net::TcpStream;
 
 use crate::gateway_environment::CallResult;
 use crate::gateway_environment::Gateway;
@@ -20,6 +21,10 @@
 const SUSPENDED_AFTER: Duration = Duration::from_millis(150);
 /// Delay of the responses to plain calls: they arrive during the suspension.
 const RESPONSE_DELAY: Duration = Duration::from_millis(400);
+/// Callers that connect at the same time.
+const CONNECTING_CALLERS: usize = 400;
+/// A connection that finds the queue full is requested again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
 /// Longer than an idle connection has to rest before it is reused.
 const REUSE_DELAY: Duration = Duration::from_millis(60);
 
@@ -71,3 +76,18 @@
         tokio::time::sleep(REUSE_DELAY).await;
     }
 }
+
+/// Guards against callers that wait a second, or fail, because their node can't queue their connections while
+/// it is suspended for a moment.
+#[tokio::test]
+async fn test_many_callers_connect_while_their_node_is_suspended() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    gateway.signal(0, "-STOP");
+    let address = gateway.client_address(0);
+    let connecting = (0..CONNECTING_CALLERS).map(|_| TcpStream::connect(&address));
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, futures::future::join_all(connecting)).await;
+    gateway.signal(0, "-CONT");
+    let connected = connecting.expect("all connections are queued").iter().filter(|one| one.is_ok()).count();
+    assert_eq!(connected, CONNECTING_CALLERS);
+    assert_eq!(gateway.call(0, read("r-1")).await.status, 200, "{}", gateway.logs());
+}
