--- a/node/tests/test_gateway_slow_readers.rs
+++ b/node/tests/test_gateway_slow_readers.rs
@@ -181,11 +181,18 @@
     let slow = slow_callers(&gateway, plain_request, Duration::from_secs(5));
     let mut peak = (0, 0);
     let mut refused = 0;
-    for _ in 0..60 {
+    for n in 0..60 {
         let before = booking.replica.received_requests().len();
         let called = gateway.call(0, request("POST", "/book/x", KEY, "b-1")).await;
         if called.status == 503 {
-            assert_eq!(called.code(), 2112, "{called:?}");
+            let held = held_bytes(&gateway).await;
+            let running = booking.replica.running();
+            assert_eq!(
+                called.code(),
+                2112,
+                "call {n}, {held} bytes held, {running} run: {called:?}\n{}",
+                gateway.logs()
+            );
             assert!(called.header("retry-after").is_some(), "{called:?}");
             refused += 1;
         } else {
