testutils: delay some of an engine's links and calls, and not the others

Faults of the proxy applied to all links, or silenced open ones for good; a call that stops a generation could be answered late, but not arrive late, and a report came at once. Orders between a stream and the calls about it could not be forced.

The proxy can now hold the links that are open, or those opened later, until they are released. A stop can arrive late, also after its caller has left; reports can be late; and an engine can close reused connections of streams as it could those of plain calls.

--- a/testutils/src/faulty_proxy.rs
+++ b/testutils/src/faulty_proxy.rs
@@ -5,6 +5,10 @@
 //! may: neither `TCP_USER_TIMEOUT` nor keep-alive probes detect such a silence.
 
 use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
@@ -48,10 +52,19 @@
 /// Number of calls so far that permanently silenced the open links.
 type SilenceCount = u32;
 
+/// Number of a link, counted from the first that the proxy accepted.
+type LinkNumber = u64;
+
+/// The links whose data is withheld in both directions until they are released.
+#[derive(Clone, Debug, Default)]
+struct HeldLinks(Range<LinkNumber>);
+
 /// The faults that a link observes while it forwards data.
 #[derive(Clone)]
 struct LinkFaults {
+    number: LinkNumber,
     faults: watch::Receiver<LinkFault>,
+    held: watch::Receiver<HeldLinks>,
     silences: watch::Receiver<SilenceCount>,
     /// Number of silences before the link was opened.
     opened_after: SilenceCount,
@@ -64,6 +77,13 @@
             std::future::pending::<()>().await;
         }
     }
+
+    /// Waits while the link is held.
+    async fn wait_while_held(&mut self) {
+        let number = self.number;
+        // An error can be ignored: the sender lives as long as the proxy.
+        let _ = self.held.wait_for(|held| !held.0.contains(&number)).await;
+    }
 }
 
 /// A proxy in front of one server.
@@ -71,6 +91,8 @@
     /// Address that clients connect to.
     pub address: SocketAddr,
     fault: watch::Sender<LinkFault>,
+    held: watch::Sender<HeldLinks>,
+    accepted: Arc<AtomicU64>,
     silences: watch::Sender<SilenceCount>,
     _accept_task: AbortOnDropHandle<()>,
 }
@@ -82,17 +104,28 @@
         let address = listener.local_addr().expect("the listener is bound");
         let fault = watch::Sender::new(LinkFault::None);
         let faults = fault.subscribe();
+        let held = watch::Sender::new(HeldLinks::default());
+        let held_links = held.subscribe();
+        let accepted: Arc<AtomicU64> = Arc::default();
+        let numbers = accepted.clone();
         let silences = watch::Sender::new(0);
         let silenced = silences.subscribe();
         let accept_task = tokio::spawn(async move {
             let mut links = JoinSet::new();
             while let Ok((client, _)) = listener.accept().await {
                 let opened_after = *silenced.borrow();
-                let watch = LinkFaults { faults: faults.clone(), silences: silenced.clone(), opened_after };
+                let watch = LinkFaults {
+                    number: numbers.fetch_add(1, Ordering::Relaxed),
+                    faults: faults.clone(),
+                    held: held_links.clone(),
+                    silences: silenced.clone(),
+                    opened_after,
+                };
                 links.spawn(run_link(client, server, watch));
             }
         });
-        FaultyProxy { address, fault, silences, _accept_task: AbortOnDropHandle::new(accept_task) }
+        let _accept_task = AbortOnDropHandle::new(accept_task);
+        FaultyProxy { address, fault, held, accepted, silences, _accept_task }
     }
 
     /// Sets the fault of all links, including open ones.
@@ -100,6 +133,23 @@
         self.fault.send_replace(fault);
     }
 
+    /// Withholds data in both directions on the links that are open now, and on no others, until
+    /// [`Self::release_links`]. Nothing is lost.
+    pub fn hold_open_links(&self) {
+        self.held.send_replace(HeldLinks(0..self.accepted.load(Ordering::Relaxed)));
+    }
+
+    /// Withholds data in both directions on the links that are opened from now on, and on no others, until
+    /// [`Self::release_links`]. Nothing is lost.
+    pub fn hold_new_links(&self) {
+        self.held.send_replace(HeldLinks(self.accepted.load(Ordering::Relaxed)..LinkNumber::MAX));
+    }
+
+    /// Forwards what was withheld on held links, and all that follows.
+    pub fn release_links(&self) {
+        self.held.send_replace(HeldLinks::default());
+    }
+
     /// Permanently silences the links that are open now: nothing is forwarded, not even that either side
     /// closes its connection. Links opened later are not affected.
     pub fn silence_open_links(&self) {
@@ -146,6 +196,7 @@
             _ => false,
         };
         let _ = watch.faults.wait_for(|fault| !withholds(fault)).await;
+        watch.wait_while_held().await;
         let fault = *watch.faults.borrow();
         let delay_before_write = match fault {
             LinkFault::Delay(delay) => delay,
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -73,6 +73,9 @@
     StopClosesPort,
     /// Stops the generation and responds after this time.
     StopLate(Duration),
+    /// Stops the generation only after this time, also if the caller has disconnected by then, as if the call
+    /// were late on its way.
+    StopArrivesLate(Duration),
     /// Fails requests to resume from a copy with status 500; the copy is kept.
     ResumeFails,
 }
@@ -182,6 +185,8 @@
     padding: usize,
     /// Requests for the report.
     report_calls: usize,
+    /// Time until the report is made and sent.
+    report_delay: Duration,
     /// Requests to copy a generation.
     copy_calls: usize,
     /// Ids of requests whose caller closed the connection before the end of the response.
@@ -303,6 +308,11 @@
         self.state().padding = bytes;
     }
 
+    /// Sets the time until a requested report is made and sent.
+    pub fn set_report_delay(&self, delay: Duration) {
+        self.state().report_delay = delay;
+    }
+
     /// Makes the replica crash soon after it starts to run a request with this body.
     pub fn set_crash_on(&self, body: &str) {
         self.state().crash_on = Some(Bytes::copy_from_slice(body.as_bytes()));
@@ -540,8 +550,20 @@
         })
     }
 
-    async fn handle_copy(&self, req: Request<Bytes>) -> Response<Body> {
+    async fn handle_copy(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
         let call: serde_json::Value = serde_json::from_slice(req.body()).unwrap_or_default();
+        let fault = self.state().copy_fault;
+        if let (CopyFault::StopArrivesLate(after), true) = (fault, call["last"] == true) {
+            let late = tokio::spawn(async move {
+                tokio::time::sleep(after).await;
+                self.copy(&call).await
+            });
+            return late.await.unwrap_or_else(|_| status_response(500));
+        }
+        self.copy(&call).await
+    }
+
+    async fn copy(&self, call: &serde_json::Value) -> Response<Body> {
         let (id, last) = (call["id"].as_str().unwrap_or("").to_owned(), call["last"] == true);
         let (fault, made, address) = {
             let mut state = self.state();
@@ -573,7 +595,9 @@
     }
 
     /// Returns the report of running generations: id, tokens in memory, events and priority of each.
-    fn report(&self) -> Response<Body> {
+    async fn report(&self) -> Response<Body> {
+        let delay = self.state().report_delay;
+        tokio::time::sleep(delay).await;
         let mut state = self.state();
         state.report_calls += 1;
         let runs: Vec<_> = state.runs.iter().map(|(id, made)| json!([id, made, made, 5])).collect();
@@ -606,7 +630,7 @@
     async fn route(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
         match req.uri().path() {
             "/v1/kv-move" => return self.handle_copy(req).await,
-            "/v1/report" => return self.report(),
+            "/v1/report" => return self.report().await,
             "/healthz" => {
                 let mut res = status_response(if self.state().leaving.is_some() { 503 } else { 200 });
                 res.headers_mut().insert("leadstage-instance-id", self.id.parse().expect("valid"));
@@ -634,6 +658,10 @@
             return self.crash_response(&req).await;
         }
         if req.headers().contains_key("leadstage-model") {
+            if fault == ReplicaFault::Breaks {
+                let broken = futures::stream::iter([Err(std::io::Error::other("cut"))]);
+                return Response::new(loopback::stream_body(broken));
+            }
             return self.handle_stream(&req).await;
         }
         self.handle_call(req, fault).await
