node tests: tell how long an incomplete chat of a closed hall's test took

The test that failed once printed neither the time of the chat nor the node's log, so nobody can tell whether the chat ran out of its 8 s, its engine's connection broke or the node ended. The condition is as strict as before.

--- a/node/tests/test_gateway_closed_halls.rs
+++ b/node/tests/test_gateway_closed_halls.rs
@@ -71,8 +71,11 @@
         let before = [&bookings[0], &models[0]].map(|r| r.replica.received_requests().len());
         for n in 0..12 {
             assert_eq!(gateway.status_of(0, "/book/x", KEY).await, 200);
+            let sent_at = tokio::time::Instant::now();
             let chat = gateway.call(0, chat(&format!("c-{n}"))).await;
-            assert!(chat.whole && chat.events() == Some(60), "{chat:?}");
+            let took = sent_at.elapsed();
+            let is_complete = chat.whole && chat.events() == Some(60);
+            assert!(is_complete, "c-{n} after {took:?}: {chat:?}\n{}", gateway.logs());
         }
         let after = [&bookings[0], &models[0]].map(|r| r.replica.received_requests().len());
         assert_eq!(after, before, "{}", gateway.logs());
