node tests: orders of a stream and of what is asked about it

A chat on the only open engine of a closed hall's service ended early once, on a busy machine, and was not traced. Each test delays one of the connections, calls and messages about a stream whose engine is healthy, and expects all of its events.

With one open engine nothing of this ends a stream, as nothing is stopped: passes. A stream that was merely 0.8 s late is doubted, stopped at its engine, and then lost

- if the answer to the stop comes after 2.0 s, or never: "not resumed in time", 1.8 s after the break;
- if the stop arrives 2.6 s late, 0.1 s after the node gave up waiting for its answer and forgot it: "the stream broke", while it flowed again;
- if an idle connection to the engine is used to resume it, and was dropped ("connection closed before message completed") or is silent too ("no answer in time", at the caller's deadline of 8 s).

And a stream that began after its replica's restart ends when the late entry of that restart arrives. None of them is the cause of the chat's end: that one had one open engine.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -33,6 +33,7 @@
 mod test_gateway_soak;
 mod test_gateway_stop;
 mod test_gateway_store_restore;
+mod test_gateway_stream_orders;
 mod test_gateway_streams;
 mod test_gateway_upgrade_judges;
 mod test_gateway_upgrade_soak;
