node tests: print what a node logged about an incomplete chat, too

A node's log is written by a thread of its own: printed at once, it lacked the lines about the end of the chat in 5 of 5 forced failures. Half a second later they are there, in 2 of 2.

--- a/node/tests/test_gateway_closed_halls.rs
+++ b/node/tests/test_gateway_closed_halls.rs
@@ -20,6 +20,8 @@
 use crate::gateway_environment::request;
 
 const HALLS: [&str; 2] = ["hall-1", "hall-2"];
+/// Time within which a node has written what it logged.
+const LOG_DELAY: Duration = Duration::from_millis(500);
 
 /// Starts one node, and a replica of each service in each of two halls.
 async fn start_two_halls() -> (Gateway, [RunningReplica; 2], [RunningReplica; 2]) {
@@ -75,6 +77,10 @@
             let chat = gateway.call(0, chat(&format!("c-{n}"))).await;
             let took = sent_at.elapsed();
             let is_complete = chat.whole && chat.events() == Some(60);
+            if !is_complete {
+                // A separate thread writes the log that is printed.
+                tokio::time::sleep(LOG_DELAY).await;
+            }
             assert!(is_complete, "c-{n} after {took:?}: {chat:?}\n{}", gateway.logs());
         }
         let after = [&bookings[0], &models[0]].map(|r| r.replica.received_requests().len());
