testutils: a failed accept no longer ends a stand-in

A stand-in stopped accepting, and dropped all of its connections, when one accept failed: a healthy stream then broke in the middle. The node's own ports pause and try again. The stand-ins and the proxy do so now, and print the error.

--- a/testutils/src/faulty_proxy.rs
+++ b/testutils/src/faulty_proxy.rs
@@ -21,6 +21,8 @@
 use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::loopback;
+
 /// Size of the buffer for forwarded data.
 const BUF_BYTES: usize = 4 << 10;
 
@@ -112,7 +114,8 @@
         let silenced = silences.subscribe();
         let accept_task = tokio::spawn(async move {
             let mut links = JoinSet::new();
-            while let Ok((client, _)) = listener.accept().await {
+            loop {
+                let client = loopback::accept(&listener).await;
                 let opened_after = *silenced.borrow();
                 let watch = LinkFaults {
                     number: numbers.fetch_add(1, Ordering::Relaxed),
--- a/testutils/src/loopback.rs
+++ b/testutils/src/loopback.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::Stream;
@@ -21,10 +22,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// A response body; an error closes the connection.
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
@@ -75,7 +80,7 @@
         loop {
             tokio::select! {
                 () = closing.notified() => drop(listener),
-                () = accept_connections(&listener, &handler, &mut connections) => return,
+                never = accept_connections(&listener, &handler, &mut connections) => match never {},
             }
             opening.notified().await;
             listener = TcpListener::bind(address).await.expect("the port is still free");
@@ -96,13 +101,28 @@
     listener: &TcpListener,
     handler: &Arc<H>,
     connections: &mut JoinSet<()>,
-) {
-    while let Ok((stream, _)) = listener.accept().await {
+) -> Infallible {
+    loop {
+        let stream = accept(listener).await;
         connections.spawn(serve_connection(stream, handler.clone()));
     }
 }
 
-async fn serve_connection<H: RequestHandler>(stream: tokio::net::TcpStream, handler: Arc<H>) {
+/// Accepts the next connection. A failed accept, for example for want of a file descriptor, concerns no
+/// connection that is open: it is printed, and tried again.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(err) => {
+                eprintln!("stand-in: a connection could not be accepted: {err}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H: RequestHandler>(stream: TcpStream, handler: Arc<H>) {
     let number = AtomicU32::new(0);
     let service = service_fn(move |req: Request<Incoming>| {
         let handler = handler.clone();
