testutils: stand-ins queue a thousand connections

A stand-in queued 128 connections; a node gives a replica 250 ms to accept one.

A run of the node's memory had been ruled out: placement doesn't count a replica's connections.

--- a/testutils/src/faulty_proxy.rs
+++ b/testutils/src/faulty_proxy.rs
@@ -13,7 +13,6 @@
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -102,7 +101,7 @@
 impl FaultyProxy {
     /// Starts a proxy on a free port of `ip` in front of `server`.
     pub async fn start(ip: &str, server: SocketAddr) -> FaultyProxy {
-        let listener = TcpListener::bind(format!("{ip}:0")).await.expect("a port of the address is free");
+        let listener = loopback::listen(loopback::any_port(ip)).expect("a port of the address is free");
         let address = listener.local_addr().expect("the listener is bound");
         let fault = watch::Sender::new(LinkFault::None);
         let faults = fault.subscribe();
--- a/testutils/src/loopback.rs
+++ b/testutils/src/loopback.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -22,11 +23,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
+/// Number of connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -70,7 +74,7 @@
 
 /// Starts a server on a free port of `ip`.
 pub async fn serve<H: RequestHandler>(ip: &str, handler: Arc<H>) -> Server {
-    let listener = TcpListener::bind(format!("{ip}:0")).await.expect("a port of the address is free");
+    let listener = listen(any_port(ip)).expect("a port of the address is free");
     let address = listener.local_addr().expect("the listener is bound");
     let (close_port, open_port) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
     let (closing, opening) = (close_port.clone(), open_port.clone());
@@ -83,7 +87,7 @@
                 never = accept_connections(&listener, &handler, &mut connections) => match never {},
             }
             opening.notified().await;
-            listener = TcpListener::bind(address).await.expect("the port is still free");
+            listener = listen(address).expect("the port is still free");
         }
     };
     let shutdown = Arc::new(Notify::new());
@@ -108,6 +112,19 @@
     }
 }
 
+/// The address of any free port of `ip`.
+pub(crate) fn any_port(ip: &str) -> SocketAddr {
+    SocketAddr::new(ip.parse().expect("an IP address"), 0)
+}
+
+/// Listens with a queue for as many connections as a test opens at the same time.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Accepts the next connection. A failed accept, for example for want of a file descriptor, concerns no
 /// connection that is open: it is printed, and tried again.
 pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
