gateway: ask to resume a generation on a new connection

A chat whose connection was doubted was stopped and then lost: the request to resume it went over an idle connection to its engine, which was as silent as the stream's own, or which the engine had dropped. No answer came ("move_failed: no answer in time" at the caller's deadline, "connection closed before message completed"), and as the generation may then be running, it can't be asked for again.

All requests to resume use a new connection, also after other moves and losses: opening one costs a round trip, and one that can't be opened shows that nothing was sent.

--- a/node/src/gateway/upstream/resuming.rs
+++ b/node/src/gateway/upstream/resuming.rs
@@ -38,7 +38,9 @@
     }
 }
 
-/// Resumes a generation at `engine`.
+/// Resumes a generation at `engine`, on a new connection. What silenced or broke the stream's connection may
+/// have done so to the idle ones, and an engine may have dropped those. A request that is lost with one can't
+/// be repeated, as the generation may be running.
 pub async fn resume(
     traffic: &Traffic,
     req: &CallerRequest,
@@ -46,7 +48,7 @@
     resume: &Resume,
 ) -> Result<Exchange, ResumeFailure> {
     let added = req.added(&engine.id, Some(resume));
-    let sent = exchange::send(traffic, engine, req, &added, ConnectionChoice::Any, 1).await;
+    let sent = exchange::send(traffic, engine, req, &added, ConnectionChoice::New, 1).await;
     let (why, reason) = match sent {
         Ok(exchanged) if exchanged.status.is_success() => return Ok(exchanged),
         Ok(exchanged) if exchanged.says_not_run() => (ResumeFailure::Refused, exchanged.status.to_string()),
