gateway: keep the calls that stop a generation until they are answered

A chat that was merely 0.8 s late was doubted, stopped at its engine, and lost: "not resumed in time", 1.8 s after its stream broke, if the answer to the stop came after 2.0 s or was lost; "the stream broke" if the stop arrived 2.6 s late, 0.1 s after the node had given up waiting for the answer and forgotten it, while the stream flowed again. In all three the engine keeps the generation's memory.

Calls that stop a generation have a module now. Each stays open until it is answered. Where the stream is silent or broken and there is no copy, the call is made again after 0.6 s and then ever more seldom: "a repeated call copies only what is new" and names the handle, and 409 says that the first is under way. The wait ends when the caller leaves, at its deadline, at a 404 with no call open, or when the engine can't be asked for three quarters of the caller's patience. A call that failed or was overtaken by a repeated one is remembered until the generation has another engine: if the stream breaks, the handle is asked for. A generation runs at one engine at a time as before: it is resumed only with a handle that an answer named, and a handle serves once.

The answers no longer pass through the channel of the tasks beside the stream, where one of another task could be taken for them. Moves of generations that have a copy are as before: the stop's answer is not waited for.

The stand-in of an engine keeps a stopped generation's memory until its copy is used, answers a repeated call with the handle, and 409 while a call is under way.

--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -12,5 +12,6 @@
 pub mod sampling;
 pub mod silence;
 pub mod stall;
+pub mod stopping;
 pub mod suspicion;
 pub mod traffic;
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -1,6 +1,5 @@
 //! Copies a running generation to another engine.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -16,6 +15,7 @@
 use log::info;
 use tokio::time::Instant;
 
+use crate::gateway::messages::Outcome;
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::StreamHandle;
 use crate::gateway::messages::ToControl;
@@ -25,72 +25,47 @@
 use crate::gateway::upstream::traffic::Traffic;
 
 /// Delay before a copy is retried: a generation that is still queued can't be copied yet.
-const COPY_RETRY_DELAY: Duration = Duration::from_millis(40);
+pub(super) const COPY_RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Timeout of one copy: several times what the largest generation takes over a busy link.
-const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(super) const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Where a generation resumes after it is stopped: its KV cache memory is at another engine, or will be
 /// once it has stopped.
 pub struct MoveTarget {
-    /// The other engine and the run that is reserved there.
-    pub target: RunGuard,
+    /// The other engine and the run that is reserved there; `None` if the generation can only be resumed
+    /// where it stopped.
+    pub target: Option<RunGuard>,
     /// Identifies the copy; `None` until the stop is answered, if nothing was copied before.
     pub handle: Option<CopyHandle>,
     /// Whether the generation is to resume at the engine where it stopped, on a new connection, if
     /// possible.
     pub resumes_at_source: bool,
-    /// Whether the call that stops the generation was answered.
-    pub stop_answered: bool,
+    /// Whether an answer showed that the generation stopped.
+    pub is_stopped: bool,
 }
 
 impl MoveTarget {
-    /// Records the answer to the stop.
-    pub fn record_stop(&mut self, answer: StopAnswer) -> StopOutcome {
-        self.stop_answered = true;
-        match answer {
-            Ok(CopyOutcome::Done { handle, .. } | CopyOutcome::NoRoom { handle: Some(handle) }) => {
-                self.handle = Some(handle);
-                StopOutcome::Stopped
-            }
-            Ok(CopyOutcome::NotRunning | CopyOutcome::Busy) | Err(CallError::Connect(_)) => {
-                StopOutcome::NotStopped
-            }
-            Ok(CopyOutcome::NoRoom { handle: None } | CopyOutcome::Unexpected(_)) | Err(_) => {
-                StopOutcome::Unknown
-            }
-        }
+    /// Returns the move target of a generation that can only be resumed where it stopped.
+    pub fn at_source() -> MoveTarget {
+        MoveTarget { target: None, handle: None, resumes_at_source: true, is_stopped: false }
     }
-}
 
-/// The answer to a call that stops a generation.
-pub type StopAnswer = Result<CopyOutcome, CallError>;
+    /// Records that the generation stopped.
+    pub fn on_stopped(&mut self, handle: CopyHandle) {
+        self.handle = Some(handle);
+        self.is_stopped = true;
+    }
 
-/// The outcome of a call that stops a generation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StopOutcome {
-    /// The generation stopped.
-    Stopped,
-    /// The generation did not stop: it is still running or queued, or has just ended by itself.
-    NotStopped,
-    /// The generation may have stopped: if so, its stream breaks.
-    Unknown,
-}
+    /// Returns the engine that has the copy, or will have it.
+    pub fn engine(&self) -> Option<&Arc<ReplicaRecord>> {
+        self.target.as_ref().map(|target| &target.placed.replica)
+    }
 
-/// Stops a generation at its engine. The call also copies the remaining memory, queued behind all other
-/// copies on these links. A call that could not connect is retried, as nothing was sent: next to a
-/// transfer of a configuration of 282 kB on a link of 10 Mbit/s, no connection could be opened for 0.6 s.
-pub async fn stop(source: &ReplicaRecord, id: &str, target: SocketAddr) -> StopAnswer {
-    let until = Instant::now() + COPY_TIMEOUT;
-    loop {
-        let answer = engine::copy_generation(source.address, id, target, true, COPY_TIMEOUT).await;
-        let Err(err) = &answer else {
-            return answer;
-        };
-        info!(event = "stop_unanswered", request = id, upstream = &*source.id, reason:% = err; "the call that stops a generation failed");
-        if !matches!(err, CallError::Connect(_)) || Instant::now() >= until {
-            return answer;
+    /// Ends the run that is reserved at the other engine.
+    pub fn end(self, outcome: Outcome) {
+        if let Some(target) = self.target {
+            target.end(outcome);
         }
-        tokio::time::sleep(COPY_RETRY_DELAY).await;
     }
 }
 
@@ -98,8 +73,8 @@
 pub enum TaskEvent {
     /// A copy was made while the generation kept running.
     Copied(MoveTarget),
-    /// The call that stops the generation was answered or failed.
-    StopAnswered(StopAnswer),
+    /// The call that stops the generation has not been answered for a while.
+    StopOverdue,
     /// A target was found, so a generation whose connection is silent can be stopped and resumed where it
     /// stopped.
     ReadyToStop(MoveTarget),
@@ -195,10 +170,10 @@
         exclude.extend(self.excluded_engines.iter().cloned());
         match self.place(None, &exclude).await {
             Some(target) => TaskEvent::ReadyToStop(MoveTarget {
-                target,
+                target: Some(target),
                 handle: None,
                 resumes_at_source: true,
-                stop_answered: false,
+                is_stopped: false,
             }),
             None => TaskEvent::CopyFailed(CopyFailure::NotYet),
         }
@@ -246,10 +221,10 @@
             Ok(CopyOutcome::Done { handle, .. }) => {
                 self.traffic.shared.notify(ToControl::Copied(target.placed.run));
                 Ok(MoveTarget {
-                    target,
+                    target: Some(target),
                     handle: Some(handle),
                     resumes_at_source: false,
-                    stop_answered: false,
+                    is_stopped: false,
                 })
             }
             Ok(CopyOutcome::NotRunning | CopyOutcome::Busy) => Err(CopyFailure::NotYet),
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -1,7 +1,7 @@
 //! Relays one stream to its caller, from one engine after another.
 //!
 //! `moving` moves the generation away from engines that are leaving or overloaded, with a copy of its KV
-//! cache memory; `after_stop` resumes it once it has stopped; `after_loss` resumes it at another engine
+//! cache memory; `stopping` stops it, and `after_stop` resumes it once it has stopped; `after_loss` resumes it at another engine
 //! after the last event when its engine is lost; `silent_connection` takes it off connections that
 //! deliver nothing; `engine_loss` names why an engine is abandoned.
 
@@ -10,6 +10,7 @@
 mod engine_loss;
 mod moving;
 mod silent_connection;
+mod stopping;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -40,6 +41,7 @@
 use crate::gateway::upstream::resuming;
 use crate::gateway::upstream::resuming::ResumeFailure;
 use crate::gateway::upstream::stall::StallWatch;
+use crate::gateway::upstream::stopping::StopCalls;
 use crate::gateway::upstream::traffic::Traffic;
 
 /// Minimum number of intervals between events for a sample of an engine's pace.
@@ -73,6 +75,8 @@
     move_task: Option<AbortOnDropHandle<()>>,
     /// The task that queries a silent engine.
     probe_task: Option<AbortOnDropHandle<()>>,
+    /// The calls that stop the generation at its engine.
+    stops: StopCalls,
     /// Where the generation resumes once it has stopped.
     move_target: Option<MoveTarget>,
     /// Engines that are leaving, among those that the generation ran on or was to run on.
@@ -119,6 +123,7 @@
             task_events,
             move_task: None,
             probe_task: None,
+            stops: StopCalls::default(),
             move_target: None,
             leaving_engines: Vec::new(),
             failed_engines: Vec::new(),
@@ -196,9 +201,10 @@
             () = tokio::time::sleep_until(self.req.deadline()) => Err(StreamEnd::TimedOut),
             Some(command) = commands.recv() => self.on_command(command),
             Some(event) = self.task_events.recv() => self.on_task_event(event).await,
+            outcome = self.stops.next() => self.on_stop_outcome(outcome).await,
             frame = self.engine_stream.frame() => match frame {
                 Some(Ok(frame)) => self.on_frame(frame.into_data().unwrap_or_default()).await,
-                None if self.move_target.is_some() && !self.engine_stream.is_framed() =>
+                None if self.may_be_stopped() && !self.engine_stream.is_framed() =>
                     self.on_unframed_end().await,
                 None => Err(self.on_stream_end().await),
                 Some(Err(err)) => self.on_break(&err).await,
@@ -262,6 +268,7 @@
     fn switch_to(&mut self, engine_stream: EngineStream, outcome: Outcome) {
         info!(event = "moved", request = self.req.id(), from = &*self.engine_stream.run.placed.replica.id, upstream = &*engine_stream.run.placed.replica.id, events = self.events.events(); "stream continues at another engine");
         let old = std::mem::replace(&mut self.engine_stream, engine_stream);
+        self.stops = StopCalls::default();
         old.run.end(outcome);
         self.moves += 1;
     }
--- a/node/src/gateway/upstream/relay/after_loss.rs
+++ b/node/src/gateway/upstream/relay/after_loss.rs
@@ -21,7 +21,7 @@
     pub(super) async fn on_silence(&mut self) -> Result<(), StreamEnd> {
         let action = self.stall.on_due();
         if !self.req.route.resumable {
-            self.check_connection();
+            self.on_silence_of_the_only_run();
             return Ok(());
         }
         if action == StallAction::Abandon {
--- a/node/src/gateway/upstream/relay/after_stop.rs
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -10,16 +10,15 @@
 
 use crate::gateway::messages::Outcome;
 use crate::gateway::upstream::copying::MoveTarget;
-use crate::gateway::upstream::copying::StopOutcome;
-use crate::gateway::upstream::copying::TaskEvent;
 use crate::gateway::upstream::engine_stream::EngineStream;
 use crate::gateway::upstream::exchange::Exchange;
 use crate::gateway::upstream::relay::Relay;
 use crate::gateway::upstream::relay::StreamEnd;
 use crate::gateway::upstream::relay::engine_loss::EngineLoss;
 use crate::gateway::upstream::resuming::ResumeFailure;
+use crate::gateway::upstream::stopping::StopOutcome;
 
-/// Timeout of the answer to a stop, once the stream has ended.
+/// Timeout of the answer to a stop, once the stream has ended and another engine has a copy.
 pub(super) const STOP_ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long resuming is retried at engines that refuse a stopped generation.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -37,7 +36,8 @@
 
 impl Relay {
     /// Resumes a stopped generation. Two engines hold its KV cache memory, so it is lost only if neither
-    /// of them accepts it for as long as its caller waits.
+    /// of them accepts it for as long as its caller waits. The caller's connection and the deadline show how
+    /// long that is while an answer to the stop may still arrive.
     pub(super) async fn resume_after_stop(&mut self) -> Result<(), StreamEnd> {
         self.events.discard_partial();
         let move_target = self.move_target.take().ok_or(StreamEnd::EngineLost(EngineLoss::Broken))?;
@@ -45,6 +45,7 @@
         tokio::select! {
             biased;
             () = caller.closed() => return Err(StreamEnd::CallerLeft),
+            () = tokio::time::sleep_until(self.req.deadline()) => return Err(StreamEnd::TimedOut),
             resumed = self.resume_in_turn(move_target) => resumed?,
         }
         self.drop_tasks();
@@ -52,14 +53,23 @@
         Ok(())
     }
 
-    /// Handles the end of an unframed stream whose generation was to be stopped. Only the answer to the
-    /// stop shows whether the stream ended regularly.
+    /// Handles the end of an unframed stream whose generation may have been stopped. Only the answer to the
+    /// only call that stops it shows that the stream ended regularly: another call may have stopped it.
     pub(super) async fn on_unframed_end(&mut self) -> Result<(), StreamEnd> {
-        let mut move_target = self.move_target.take().ok_or(StreamEnd::EngineLost(EngineLoss::Broken))?;
-        if self.await_stop_answer(&mut move_target).await == Some(StopOutcome::NotStopped) {
-            return Err(self.on_stream_end().await);
+        if self.stops.is_unanswered()
+            && let Ok(outcome) = tokio::time::timeout(STOP_ANSWER_TIMEOUT, self.stops.next()).await
+        {
+            match (outcome, &mut self.move_target) {
+                (StopOutcome::Stopped(handle), Some(move_target)) => move_target.on_stopped(handle),
+                (StopOutcome::Stopped(handle), None) => self.stops.keep_handle(handle),
+                (StopOutcome::NotRunning | StopOutcome::Busy | StopOutcome::NotSent, _)
+                    if self.stops.is_only_call() =>
+                {
+                    return Err(self.on_stream_end().await);
+                }
+                _ => {}
+            }
         }
-        self.move_target = Some(move_target);
         self.on_break("closed").await
     }
 
@@ -71,12 +81,14 @@
         let mut at_target = None;
         let mut tries_target = !move_target.resumes_at_source;
         loop {
-            if tries_target && at_target != Some(ResumeFailure::Failed) {
-                match self.resume_at_target(&mut move_target).await {
+            self.await_handle(&mut move_target).await?;
+            if tries_target
+                && at_target != Some(ResumeFailure::Failed)
+                && let Some(target) = move_target.engine().cloned()
+            {
+                match self.resume_at_target(&target, &mut move_target).await {
                     Ok(exchange) => {
-                        let engine_stream =
-                            EngineStream { run: move_target.target, exchange: Some(exchange) };
-                        self.switch_to(engine_stream, Outcome::Withdrawn);
+                        self.continue_at_target(move_target, exchange);
                         return Ok(());
                     }
                     Err(ResumeFailure::Unknown) => {
@@ -96,7 +108,9 @@
                 Err(why) => why,
             };
             tries_target = true;
-            if began.elapsed() + delay > self.resume_time_limit(at_target.into_iter().chain([at_source])) {
+            let why = at_target.into_iter().chain([at_source]);
+            let awaits_stop = !move_target.is_stopped && self.stops.is_unanswered();
+            if self.resume_time_limit(awaits_stop, why).is_some_and(|limit| began.elapsed() + delay > limit) {
                 return Err(StreamEnd::EngineLost(EngineLoss::NotResumed));
             }
             tokio::time::sleep(delay).await;
@@ -104,26 +118,49 @@
         }
     }
 
+    /// Waits for the handle of a generation that has no copy yet: no engine resumes it without.
+    async fn await_handle(&mut self, move_target: &mut MoveTarget) -> Result<(), StreamEnd> {
+        if move_target.handle.is_none() {
+            let handle = self.stops.handle(self.unreachable_limit()).await;
+            move_target.on_stopped(handle.ok_or(StreamEnd::EngineLost(EngineLoss::NotResumed))?);
+        }
+        Ok(())
+    }
+
     /// How long the engines are tried, by why they did not resume the generation. A stream that may be
-    /// resumed anywhere is tried only once, as any other engine can continue it.
-    fn resume_time_limit(&self, mut why: impl Iterator<Item = ResumeFailure>) -> Duration {
+    /// resumed anywhere is tried only once, as any other engine can continue it. `None` for as long as the
+    /// caller waits: an engine that has not answered the stop keeps the generation, or still runs it.
+    fn resume_time_limit(
+        &self,
+        awaits_stop: bool,
+        mut why: impl Iterator<Item = ResumeFailure>,
+    ) -> Option<Duration> {
         if self.req.route.resumable {
-            Duration::ZERO
+            Some(Duration::ZERO)
+        } else if awaits_stop {
+            None
         } else if why.any(|why| why == ResumeFailure::Unreached) {
-            self.req.route.caller_patience().mul_f64(UNREACHABLE_PATIENCE_FRACTION)
+            Some(self.unreachable_limit())
         } else {
-            RESUME_TIMEOUT
+            Some(RESUME_TIMEOUT)
         }
     }
 
+    fn unreachable_limit(&self) -> Duration {
+        self.req.route.caller_patience().mul_f64(UNREACHABLE_PATIENCE_FRACTION)
+    }
+
     /// Requests that the engine with the copy resume the generation. That engine computes again what the
     /// copy lacks, so the end of the last copy is awaited only if the engine refuses without it.
-    async fn resume_at_target(&mut self, move_target: &mut MoveTarget) -> Result<Exchange, ResumeFailure> {
-        let target = move_target.target.placed.replica.clone();
-        let resumed = self.resume_from_copy(&target, move_target).await;
+    async fn resume_at_target(
+        &mut self,
+        target: &ReplicaRecord,
+        move_target: &mut MoveTarget,
+    ) -> Result<Exchange, ResumeFailure> {
+        let resumed = self.resume_from_copy(target, move_target).await;
         let is_refused = matches!(resumed, Err(ResumeFailure::Refused));
-        if is_refused && self.await_stop_answer(move_target).await == Some(StopOutcome::Stopped) {
-            return self.resume_from_copy(&target, move_target).await;
+        if is_refused && self.await_stop_outcome(move_target).await {
+            return self.resume_from_copy(target, move_target).await;
         }
         resumed
     }
@@ -131,8 +168,20 @@
     /// Requests that the engine where the generation stopped, which keeps its memory, resume it.
     async fn resume_at_source(&mut self, move_target: &mut MoveTarget) -> Result<Exchange, ResumeFailure> {
         let here = self.engine_stream.run.placed.replica.clone();
-        self.await_stop_answer(move_target).await;
-        self.resume_from_copy(&here, move_target).await
+        self.await_stop_outcome(move_target).await;
+        let resumed = self.resume_from_copy(&here, move_target).await;
+        if matches!(resumed, Err(ResumeFailure::Refused)) && move_target.target.is_none() {
+            // The handle may be that of an earlier stop.
+            move_target.handle = None;
+        }
+        resumed
+    }
+
+    /// Continues the generation at the engine with the copy.
+    fn continue_at_target(&mut self, move_target: MoveTarget, exchange: Exchange) {
+        if let Some(run) = move_target.target {
+            self.switch_to(EngineStream { run, exchange: Some(exchange) }, Outcome::Withdrawn);
+        }
     }
 
     /// Continues the generation where it stopped, because it was to stay there or the engine with the
@@ -146,33 +195,28 @@
         self.engine_stream.exchange = Some(exchange);
         let Some(why) = at_target else {
             info!(event = "went_on", request = self.req.id(), upstream = &*self.engine_stream.run.placed.replica.id, events = self.events.events(); "the generation was resumed at its engine on a new connection");
-            move_target.target.end(Outcome::Withdrawn);
+            move_target.end(Outcome::Withdrawn);
             return;
         };
         let here = &self.engine_stream.run.placed.replica.id;
-        let failing = move_target.target.placed.replica.id.clone();
-        info!(event = "went_back", request = self.req.id(), upstream = &**here, failing = &*failing, reason:% = why; "the generation was resumed where it stopped");
-        move_target.target.end(if why == ResumeFailure::Refused {
-            Outcome::Refused
-        } else {
-            Outcome::Failed
-        });
-        self.failed_engines.push(failing);
+        let failing = move_target.engine().map(|engine| engine.id.clone());
+        info!(event = "went_back", request = self.req.id(), upstream = &**here, failing = failing.as_deref().unwrap_or_default(), reason:% = why; "the generation was resumed where it stopped");
+        move_target.end(if why == ResumeFailure::Refused { Outcome::Refused } else { Outcome::Failed });
+        self.failed_engines.extend(failing);
     }
 
-    /// Waits for the answer to the stop, if it is not known yet. Returns the outcome if the answer was
-    /// received now.
-    async fn await_stop_answer(&mut self, move_target: &mut MoveTarget) -> Option<StopOutcome> {
-        if move_target.stop_answered {
-            return None;
+    /// Waits briefly for the answer to the stop, if it is not known yet. Returns whether it shows now that the
+    /// generation stopped.
+    async fn await_stop_outcome(&mut self, move_target: &mut MoveTarget) -> bool {
+        if move_target.is_stopped || !self.stops.is_unanswered() {
+            return false;
         }
-        // The result of a query of the stopped stream's engine would be mistaken for the answer to the
-        // stop.
-        self.probe_task = None;
-        match tokio::time::timeout(STOP_ANSWER_TIMEOUT, self.task_events.recv()).await {
-            Ok(Some(TaskEvent::StopAnswered(answer))) => Some(move_target.record_stop(answer)),
-            _ => None,
+        let outcome = tokio::time::timeout(STOP_ANSWER_TIMEOUT, self.stops.next()).await;
+        if let Ok(StopOutcome::Stopped(handle)) = outcome {
+            move_target.on_stopped(handle);
+            return true;
         }
+        false
     }
 
     /// Resumes the generation at `engine` from a copy of its memory.
--- a/node/src/gateway/upstream/relay/moving.rs
+++ b/node/src/gateway/upstream/relay/moving.rs
@@ -3,18 +3,13 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use leadstage_platform::engine::CopyOutcome;
 use log::info;
-use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::messages::StreamCommand;
-use crate::gateway::upstream::copying;
 use crate::gateway::upstream::copying::CopyFailure;
 use crate::gateway::upstream::copying::CopyTask;
 use crate::gateway::upstream::copying::MoveTarget;
-use crate::gateway::upstream::copying::StopAnswer;
-use crate::gateway::upstream::copying::StopOutcome;
 use crate::gateway::upstream::copying::TaskEvent;
 use crate::gateway::upstream::relay::Relay;
 use crate::gateway::upstream::relay::StreamEnd;
@@ -23,12 +18,6 @@
 
 /// How long copies from a leaving engine are retried: the longest time that one keeps serving.
 const EVACUATION_TIMEOUT: Duration = Duration::from_secs(12);
-/// Maximum number of engines without room that are tried as the target of a stop of a silent generation,
-/// before the connection has to be found silent again: where all engines are full, each node would query
-/// every engine for each of its generations.
-const MAX_REJECTED_TARGETS: usize = 3;
-/// Timeout of the remaining events of a stopped generation.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(80);
 
 impl Relay {
     pub(super) fn on_command(&mut self, command: StreamCommand) -> Result<(), StreamEnd> {
@@ -60,23 +49,12 @@
         }
     }
 
-    fn start_copy(&mut self, retry_for: Duration) {
+    pub(super) fn start_copy(&mut self, retry_for: Duration) {
         let task = self.copy_task(retry_for);
         self.spawn_move_task(task.copy());
     }
 
-    /// Stops the generation at once, so that it resumes at the same engine on a new connection. In a
-    /// closed hall it could not resume: there it is copied elsewhere while it keeps running.
-    pub(super) fn stop_and_resume_here(&mut self) {
-        if !self.traffic.shared.closed_halls().is_open(&self.engine_stream.run.placed.replica.hall) {
-            return self.start_copy(Duration::ZERO);
-        }
-        let mut task = self.copy_task(Duration::ZERO);
-        task.excluded_engines.extend(self.rejected_targets.iter().cloned());
-        self.spawn_move_task(task.find_stop_target());
-    }
-
-    fn copy_task(&self, retry_for: Duration) -> CopyTask {
+    pub(super) fn copy_task(&self, retry_for: Duration) -> CopyTask {
         CopyTask {
             traffic: self.traffic.clone(),
             req: self.req.clone(),
@@ -88,7 +66,7 @@
     }
 
     /// Runs a part of a move next to the stream.
-    fn spawn_move_task(&mut self, part: impl Future<Output = TaskEvent> + 'static) {
+    pub(super) fn spawn_move_task(&mut self, part: impl Future<Output = TaskEvent> + 'static) {
         let task_events = self.task_events_tx.clone();
         self.move_task = Some(AbortOnDropHandle::new(tokio::task::spawn_local(async move {
             // The stream may have ended by now.
@@ -109,9 +87,10 @@
                 Ok(())
             }
             TaskEvent::Copied(move_target)
-                if self.leaving_engines.contains(&move_target.target.placed.replica.id) =>
+                if move_target.engine().is_some_and(|to| self.leaving_engines.contains(&to.id)) =>
             {
-                info!(event = "copy_dropped", request = self.req.id(), upstream = &*move_target.target.placed.replica.id; "the engine with the copy is leaving as well");
+                let engine = move_target.engine().map_or("", |engine| &engine.id);
+                info!(event = "copy_dropped", request = self.req.id(), upstream = engine; "the engine with the copy is leaving as well");
                 self.move_task = None;
                 drop(move_target);
                 self.evacuate_if_leaving();
@@ -121,7 +100,11 @@
                 self.start_stop(move_target);
                 Ok(())
             }
-            TaskEvent::StopAnswered(answer) => self.on_stop_answer(answer).await,
+            TaskEvent::StopOverdue => {
+                self.move_task = None;
+                self.evacuate_if_leaving();
+                Ok(())
+            }
             TaskEvent::CopyFailed(why) => {
                 self.move_task = None;
                 if why != CopyFailure::SourceGone {
@@ -132,79 +115,21 @@
         }
     }
 
-    /// Stops the generation at its engine, next to its stream.
-    fn start_stop(&mut self, move_target: MoveTarget) {
-        let source = self.engine_stream.run.placed.replica.clone();
-        let target = move_target.target.placed.replica.address;
-        let req = self.req.clone();
-        self.move_target = Some(move_target);
-        self.spawn_move_task(async move {
-            TaskEvent::StopAnswered(copying::stop(&source, req.id(), target).await)
-        });
-    }
-
-    /// Handles the answer to a stop. No engine is requested to resume a generation that may still be
-    /// running: the engine that runs it would refuse, and its healthy stream would end.
-    async fn on_stop_answer(&mut self, answer: StopAnswer) -> Result<(), StreamEnd> {
-        let is_refused = matches!(answer, Ok(CopyOutcome::NoRoom { handle: None }));
-        info!(event = "stop", request = self.req.id(), upstream = &*self.engine_stream.run.placed.replica.id, outcome:? = answer; "the call that stops a generation was answered or failed");
-        let stop = self
-            .move_target
-            .as_mut()
-            .map_or(StopOutcome::NotStopped, |move_target| move_target.record_stop(answer));
-        if stop == StopOutcome::Stopped {
-            return match self.drain().await {
-                Some(end) => Err(end),
-                None => self.resume_after_stop().await,
-            };
-        }
-        self.move_task = None;
-        if let Some(move_target) = self.move_target.take_if(|move_target| move_target.resumes_at_source) {
-            // The generation is still running, and its connection is as silent as before: another engine
-            // may be the target.
-            if is_refused && self.rejected_targets.len() < MAX_REJECTED_TARGETS {
-                self.rejected_targets.push(move_target.target.placed.replica.id.clone());
-                self.stop_and_resume_here();
-            }
-            self.evacuate_if_leaving();
-            return Ok(());
-        }
-        // The copy is kept for a generation that may have stopped: its stream is about to break.
-        if stop == StopOutcome::NotStopped {
-            self.move_target = None;
-        }
-        self.evacuate_if_leaving();
-        Ok(())
-    }
-
-    /// Relays the remaining events of a stopped generation. Returns how the stream ended if the
-    /// generation had already ended by itself.
-    async fn drain(&mut self) -> Option<StreamEnd> {
-        let until = Instant::now() + DRAIN_TIMEOUT;
-        loop {
-            let frame = tokio::time::timeout_at(until, self.engine_stream.frame()).await;
-            match frame {
-                Ok(Some(Ok(frame))) => {
-                    if let Err(end) = self.on_frame(frame.into_data().unwrap_or_default()).await {
-                        return Some(end);
-                    }
-                }
-                Ok(None) if self.engine_stream.is_framed() => return Some(self.on_stream_end().await),
-                Ok(None | Some(Err(_))) | Err(_) => return None,
-            }
-        }
-    }
-
-    /// Handles a broken stream. The generation resumes at the engine that has its copy.
+    /// Handles a broken stream. The generation resumes at the engine that has its copy, or where it was
+    /// stopped.
     pub(super) async fn on_break(&mut self, reason: impl Display) -> Result<(), StreamEnd> {
         let replica = self.engine_stream.run.placed.replica.id.clone();
-        info!(event = "stream_broke", request = self.req.id(), upstream = &*replica, moving = self.move_task.is_some(), stopping = self.move_target.is_some(), events = self.events.events(), reason:% = reason; "the engine's stream broke");
-        if self.move_target.is_none() {
+        info!(event = "stream_broke", request = self.req.id(), upstream = &*replica, moving = self.move_task.is_some(), stopping = self.may_be_stopped(), events = self.events.events(), reason:% = reason; "the engine's stream broke");
+        if !self.may_be_stopped() {
             let began = self.engine_stream.exchange.as_ref().map(|exchange| exchange.head_received);
             let events = self.events.events();
             self.traffic.on_broken_run(&self.req, &self.engine_stream.run.placed.replica, began, events);
-            let move_target = self.await_copy().await.ok_or(StreamEnd::EngineLost(EngineLoss::Broken))?;
-            self.move_target = Some(move_target);
+        }
+        if self.move_target.is_none() {
+            self.move_target = self.await_copy().await;
+        }
+        if self.move_target.is_none() && self.stops.may_have_stopped() {
+            self.move_target = Some(MoveTarget::at_source());
         }
         self.resume_after_stop().await
     }
--- a/node/src/gateway/upstream/relay/silent_connection.rs
+++ b/node/src/gateway/upstream/relay/silent_connection.rs
@@ -31,10 +31,20 @@
 const MIN_EVENTS_AHEAD: u64 = 2;
 
 impl Relay {
+    /// Handles silence of a stream that can't be resumed elsewhere. If a stop is not answered, its call or
+    /// its answer may be lost.
+    pub(super) fn on_silence_of_the_only_run(&mut self) {
+        if self.awaits_stop() {
+            self.stops.repeat();
+        } else {
+            self.check_connection();
+        }
+    }
+
     /// Queries the engine on a new connection after nothing was received for a while. The answer shows
     /// whether the engine produces no events or its connection delivers none: stopping a generation that
     /// is merely slow costs its caller time, and makes a copy that is never used.
-    pub(super) fn check_connection(&mut self) {
+    fn check_connection(&mut self) {
         if self.move_task.is_some() || self.awaits_first_event {
             return;
         }
--- a/node/tests/test_clocks.rs
+++ b/node/tests/test_clocks.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 
 /// Files that read the monotonic clock, the number of reads in each, and why that is correct there.
-const MONOTONIC_CLOCK_USES: [(&str, usize, &str); 16] = [
+const MONOTONIC_CLOCK_USES: [(&str, usize, &str); 17] = [
     ("node/src/filters/account.rs", 2, "duration of a request, for metrics and logs"),
     (
         "node/src/filters/relay.rs",
@@ -20,7 +20,7 @@
     ("node/src/gateway/peers/peer_port.rs", 1, "duration of a transfer: its rate refers to running time"),
     ("node/src/gateway/request.rs", 2, "arrival time of a request, for logs; a timer that starts now"),
     ("node/src/gateway/shared.rs", 1, "time of a request at its replica, for logs"),
-    ("node/src/gateway/upstream/copying.rs", 5, "retries of a copy for some seconds of running time"),
+    ("node/src/gateway/upstream/copying.rs", 3, "retries of a copy for some seconds of running time"),
     ("node/src/gateway/upstream/exchange.rs", 1, "duration of a run, for logs"),
     ("node/src/gateway/upstream/pace.rs", 1, "gaps between events, for metrics"),
     (
@@ -28,13 +28,14 @@
         1,
         "queries to two engines for some seconds of running time",
     ),
-    ("node/src/gateway/upstream/relay/moving.rs", 1, "80 ms for the remaining events of a stopped stream"),
+    ("node/src/gateway/upstream/relay/stopping.rs", 1, "80 ms for the remaining events of a stopped stream"),
     ("node/src/gateway/upstream/silence.rs", 1, "a timer that starts now"),
     (
         "node/src/gateway/upstream/stall.rs",
         3,
         "timers that start now: silence during a suspension does not count",
     ),
+    ("node/src/gateway/upstream/stopping.rs", 2, "retries to connect for some seconds of running time"),
     (
         "node/src/stop.rs",
         1,
--- a/node/tests/test_gateway_stream_orders.rs
+++ b/node/tests/test_gateway_stream_orders.rs
@@ -159,6 +159,25 @@
     assert_complete_although_stop(CopyFault::StopArrivesLate(Duration::from_millis(2_600))).await;
 }
 
+/// Guards against forgetting a stop that was not answered once a repeated one was: the generation is resumed, and
+/// the first call stops it again when it arrives.
+#[tokio::test]
+async fn test_a_resumed_stream_survives_the_first_call_to_stop_it() {
+    let halls = Halls::start().await;
+    let called = halls
+        .chat_while(async |model, proxy| {
+            model.replica.set_copy_fault(CopyFault::StopArrivesLate(Duration::from_millis(2_600)));
+            proxy.silence_open_links();
+            // Between the first call and its repetition, after four and eight gap objectives.
+            tokio::time::sleep(Duration::from_millis(1_080)).await;
+            model.replica.set_copy_fault(CopyFault::None);
+        })
+        .await;
+    halls.assert_complete(&called, "stopped twice");
+    let resumed = halls.gateway.logs().matches("event=went_on").count();
+    assert_eq!(resumed, 2, "{}", halls.gateway.logs());
+}
+
 /// Guards against resuming a stopped stream on an idle connection, which what silenced the stream's connection
 /// has silenced too: "move_failed: no answer in time" at the caller's deadline.
 #[tokio::test]
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -2,6 +2,7 @@
 //! another engine, and injects faults.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -65,7 +66,8 @@
     NoRoom,
     /// Never responds to a call that leaves the generation running.
     CopyHangs,
-    /// Stops the generation and never responds.
+    /// Stops the generation and never responds to that call, as if the answer were lost. A repeated call is
+    /// answered.
     StopHangs,
     /// Accepts no more connections after the first copy; open connections stay open.
     ClosesPort,
@@ -181,6 +183,8 @@
     /// Running generations and plain calls, with the number of events produced.
     runs: HashMap<String, u64>,
     stopped: Vec<String>,
+    /// Generations for which a call to copy them is in progress.
+    copying: HashSet<String>,
     /// Bytes of padding added to the token of each event.
     padding: usize,
     /// Requests for the report.
@@ -246,6 +250,32 @@
     }
 }
 
+/// Marks a generation as being copied until dropped.
+struct CopyGuard<'a> {
+    replica: &'a GatewayReplica,
+    id: String,
+}
+
+impl CopyGuard<'_> {
+    /// Returns `None` if another call to copy the generation is in progress.
+    fn begin<'a>(replica: &'a GatewayReplica, id: &str) -> Option<CopyGuard<'a>> {
+        let is_first = replica.state().copying.insert(id.to_owned());
+        is_first.then(|| CopyGuard { replica, id: id.to_owned() })
+    }
+
+    /// Ends the call without an answer.
+    async fn lose_answer(self) -> Response<Body> {
+        drop(self);
+        std::future::pending().await
+    }
+}
+
+impl Drop for CopyGuard<'_> {
+    fn drop(&mut self) {
+        self.replica.state().copying.remove(&self.id);
+    }
+}
+
 impl GatewayReplica {
     /// Starts a replica that serves on a free port of `ip`.
     pub async fn start(
@@ -565,25 +595,30 @@
 
     async fn copy(&self, call: &serde_json::Value) -> Response<Body> {
         let (id, last) = (call["id"].as_str().unwrap_or("").to_owned(), call["last"] == true);
-        let (fault, made, address) = {
-            let mut state = self.state();
-            state.copy_calls += 1;
-            (state.copy_fault, state.runs.get(&id).copied(), state.address)
-        };
-        let Some(made) = made else {
+        self.state().copy_calls += 1;
+        let Some((made, was_stopped)) = self.copied_events(&id) else {
             return status_response(404);
         };
+        let Some(copying) = CopyGuard::begin(self, &id) else {
+            return status_response(409);
+        };
+        let (fault, address) = {
+            let state = self.state();
+            (state.copy_fault, state.address.expect("the server was started"))
+        };
         match fault {
             CopyFault::NoRoom => return status_response(503),
-            CopyFault::CopyHangs if !last => std::future::pending::<()>().await,
+            CopyFault::CopyHangs if !last => return copying.lose_answer().await,
             _ => {}
         }
-        let address = address.expect("the server was started");
-        self.engines.copies.lock().expect("no holder panics").insert(format!("{address}/h-{id}"), made);
-        if last {
+        if !was_stopped {
+            let copy = format!("{address}/h-{id}");
+            self.engines.copies.lock().expect("no holder panics").insert(copy, made);
+        }
+        if last && !was_stopped {
             self.state().stopped.push(id.clone());
             match fault {
-                CopyFault::StopHangs => std::future::pending::<()>().await,
+                CopyFault::StopHangs => return copying.lose_answer().await,
                 CopyFault::StopLate(after) => tokio::time::sleep(after).await,
                 _ => {}
             }
@@ -594,6 +629,18 @@
         Response::new(loopback::full_body(json!({"handle": format!("h-{id}"), "made": made}).to_string()))
     }
 
+    /// Returns the number of events of a generation that can be copied, and whether it was stopped: the
+    /// replica keeps the memory of a stopped generation until its copy is used.
+    fn copied_events(&self, id: &str) -> Option<(u64, bool)> {
+        let state = self.state();
+        if !state.stopped.iter().any(|stopped| stopped == id) {
+            return Some((*state.runs.get(id)?, false));
+        }
+        let copy = format!("{}/h-{id}", state.address?);
+        let copies = self.engines.copies.lock().expect("no holder panics");
+        Some((*copies.get(&copy)?, true))
+    }
+
     /// Returns the report of running generations: id, tokens in memory, events and priority of each.
     async fn report(&self) -> Response<Body> {
         let delay = self.state().report_delay;
