gateway: a stream that flows outlives the late entry of a restart

A chat that began after its replica's restart ended when the entry of that restart arrived: "it restarted". The node compared the entry's start with that of the entry by which the request was placed, which is the one before for all streams that began until then.

What is known when the entry arrives doesn't tell streams of before from those of after: the placing entry is old for both, and `born` is by another machine's clock. The stream tells: an engine that restarts breaks its connections, or leaves them silent. So the stream is lost if it breaks, or once it has been silent for as long as a doubted one and for one gap objective after the entry at least; an event before that shows that it lives.

Until then its run stays in the node's loads, so that a stream that lives is still evacuated and balanced. A stream that is lost by a restart is not held against the new start.

--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -10,6 +10,7 @@
 
 use leadstage_lib::gateway::inventory::Inventory;
 use leadstage_lib::gateway::lead::Leads;
+use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ListChange;
@@ -335,7 +336,8 @@
         self.state.replicas.on_incarnation_failure(engine, self.shared.now());
     }
 
-    /// A replica has restarted under the same id: the requests that ran there are lost.
+    /// A replica has restarted under the same id: the requests that ran there are lost. This node's streams
+    /// keep their runs until they have found out whether they began afterwards.
     pub fn on_restarted(&mut self, id: &UpstreamId) {
         let streams = self.streams_at(id);
         let Some(replica) = self.state.replicas.get(id) else {
@@ -343,11 +345,15 @@
         };
         let of = replica.record.incarnation();
         info!(event = "replica_restarted", upstream = &**id, born = of.born, streams = streams.len(); "replica restarted under the same id");
+        let kept = self.stream_runs_at(id);
         self.state.load.on_restarted(id);
+        for (key, run) in kept {
+            self.state.load.add(key, run, replica, self.shared.now());
+        }
         self.state.limits.get_mut().limits.forget(id);
         for stream in streams {
             // The send fails if the stream has just ended.
-            let _ = stream.commands.send(StreamCommand::Lost(of.clone()));
+            let _ = stream.commands.send(StreamCommand::Restarted(of.clone()));
         }
     }
 
@@ -366,6 +372,13 @@
         }
     }
 
+    /// The runs of this node's streams at a replica.
+    fn stream_runs_at(&self, replica: &str) -> Vec<(RunKey, Run)> {
+        let runs = self.state.load.runs_at(replica);
+        let own = runs.filter(|(key, _)| key.entry == self.own && self.streams.contains_key(&key.run));
+        own.map(|(key, run)| (key.clone(), run.clone())).collect()
+    }
+
     /// This node's streams at a replica.
     pub fn streams_at(&self, replica: &str) -> Vec<StreamHandle> {
         let own = self.state.load.runs_at(replica).filter(|(key, _)| key.entry == self.own);
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -224,8 +224,8 @@
 pub enum StreamCommand {
     /// Its engine is leaving: move the generation.
     Evacuate(UpstreamId),
-    /// Its engine has restarted under the same id: the generation is lost there.
-    Lost(Incarnation),
+    /// Its engine has restarted under the same id: the generation is lost there, unless it began afterwards.
+    Restarted(Incarnation),
     /// Its engine is filling up: move the generation if another engine has room at once.
     Rebalance(UpstreamId),
 }
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -3,12 +3,13 @@
 //! `moving` moves the generation away from engines that are leaving or overloaded, with a copy of its KV
 //! cache memory; `stopping` stops it, and `after_stop` resumes it once it has stopped; `after_loss` resumes it at another engine
 //! after the last event when its engine is lost; `silent_connection` takes it off connections that
-//! deliver nothing; `engine_loss` names why an engine is abandoned.
+//! deliver nothing; `restart` finds streams that a restart of their engine ended; `engine_loss` names why an engine is abandoned.
 
 mod after_loss;
 mod after_stop;
 mod engine_loss;
 mod moving;
+mod restart;
 mod silent_connection;
 mod stopping;
 
@@ -23,6 +24,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::messages::Outcome;
@@ -92,6 +94,8 @@
     /// Number of engines that the request was sent to, not counting those that resumed from a copy.
     sent: u32,
     stall: StallWatch,
+    /// When the stream is lost without another event, because its engine has restarted.
+    lost_at: Option<Instant>,
     /// Whether the stream is checked for silence: only if it could be resumed or moved.
     watches_stalls: bool,
 }
@@ -118,6 +122,7 @@
             events: EventSplitter::resuming_after(req.last_event()),
             stall: StallWatch::new(&req.route),
             watches_stalls: req.route.resumable || engine.is_some_and(|e| e.moves),
+            lost_at: None,
             sent,
             task_events_tx,
             task_events,
@@ -150,7 +155,7 @@
         let outcome = match end {
             StreamEnd::Done => Outcome::Answered,
             StreamEnd::CallerLeft | StreamEnd::TimedOut => Outcome::Withdrawn,
-            StreamEnd::EngineLost(_) => Outcome::Failed,
+            StreamEnd::EngineLost(loss) => loss.outcome(),
         };
         let tx = self.tx.clone();
         self.close(outcome);
@@ -199,7 +204,10 @@
             biased;
             () = tx.closed() => Err(StreamEnd::CallerLeft),
             () = tokio::time::sleep_until(self.req.deadline()) => Err(StreamEnd::TimedOut),
-            Some(command) = commands.recv() => self.on_command(command),
+            Some(command) = commands.recv() => {
+                self.on_command(command);
+                Ok(())
+            }
             Some(event) = self.task_events.recv() => self.on_task_event(event).await,
             outcome = self.stops.next() => self.on_stop_outcome(outcome).await,
             frame = self.engine_stream.frame() => match frame {
@@ -209,6 +217,7 @@
                 None => Err(self.on_stream_end().await),
                 Some(Err(err)) => self.on_break(&err).await,
             },
+            end = Self::until_lost(self.lost_at) => Err(end),
             () = tokio::time::sleep_until(self.stall.due()), if self.watches_stalls =>
                 self.on_silence().await,
         }
@@ -230,6 +239,7 @@
 
     async fn forward_events(&mut self, complete: Bytes) -> Result<(), StreamEnd> {
         self.stall.on_event(&self.req.route);
+        self.on_event_after_restart();
         if std::mem::take(&mut self.awaits_first_event) {
             let run = &self.engine_stream.run;
             self.traffic.shared.notify(ToControl::FirstEvent(run.placed.run));
@@ -269,6 +279,7 @@
         info!(event = "moved", request = self.req.id(), from = &*self.engine_stream.run.placed.replica.id, upstream = &*engine_stream.run.placed.replica.id, events = self.events.events(); "stream continues at another engine");
         let old = std::mem::replace(&mut self.engine_stream, engine_stream);
         self.stops = StopCalls::default();
+        self.lost_at = None;
         old.run.end(outcome);
         self.moves += 1;
     }
--- a/node/src/gateway/upstream/relay/after_loss.rs
+++ b/node/src/gateway/upstream/relay/after_loss.rs
@@ -49,7 +49,7 @@
             let resumed = tokio::select! {
                 biased;
                 () = caller.closed() => return Err(StreamEnd::CallerLeft),
-                resumed = self.resume_elsewhere() => resumed,
+                resumed = self.resume_elsewhere(loss) => resumed,
             };
             if resumed? {
                 return Ok(());
@@ -68,7 +68,7 @@
     }
 
     /// Sends the request to one more engine; returns whether the stream is resumed there.
-    async fn resume_elsewhere(&mut self) -> Result<bool, StreamEnd> {
+    async fn resume_elsewhere(&mut self, loss: EngineLoss) -> Result<bool, StreamEnd> {
         let placed = self.traffic.place_generation(&self.req, &self.handle, &self.failed_engines).await;
         let run = placed.map_err(|_| StreamEnd::EngineLost(EngineLoss::NoEngine))?;
         self.sent += 1;
@@ -78,7 +78,7 @@
             Ok(exchange) => {
                 self.stall = StallWatch::new(&self.req.route);
                 self.awaits_first_event = true;
-                self.switch_to(EngineStream { run, exchange: Some(exchange) }, Outcome::Failed);
+                self.switch_to(EngineStream { run, exchange: Some(exchange) }, loss.outcome());
                 Ok(true)
             }
             Err(why) => {
--- a/node/src/gateway/upstream/relay/engine_loss.rs
+++ b/node/src/gateway/upstream/relay/engine_loss.rs
@@ -2,6 +2,8 @@
 
 use derive_more::Display;
 
+use crate::gateway::messages::Outcome;
+
 /// Why an engine can no longer be used for a stream.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(super) enum EngineLoss {
@@ -31,3 +33,13 @@
     #[display("no engine to resume at")]
     NoEngine,
 }
+
+impl EngineLoss {
+    /// Returns the outcome of the run at the lost engine. An engine that restarted has not failed since.
+    pub(super) fn outcome(self) -> Outcome {
+        match self {
+            EngineLoss::Restarted => Outcome::Withdrawn,
+            _ => Outcome::Failed,
+        }
+    }
+}
--- a/node/src/gateway/upstream/relay/moving.rs
+++ b/node/src/gateway/upstream/relay/moving.rs
@@ -20,23 +20,19 @@
 const EVACUATION_TIMEOUT: Duration = Duration::from_secs(12);
 
 impl Relay {
-    pub(super) fn on_command(&mut self, command: StreamCommand) -> Result<(), StreamEnd> {
-        let here = &self.engine_stream.run.placed.replica;
+    pub(super) fn on_command(&mut self, command: StreamCommand) {
         match command {
-            StreamCommand::Lost(of) if of.id == here.id && of.born > here.born => {
-                return Err(StreamEnd::EngineLost(EngineLoss::Restarted));
-            }
-            StreamCommand::Lost(_) => {}
-            StreamCommand::Rebalance(engine) if engine == here.id && self.move_task.is_none() => {
-                self.start_copy(Duration::ZERO)
+            StreamCommand::Restarted(restarted) => self.on_restart(&restarted),
+            StreamCommand::Rebalance(engine) => {
+                if engine == self.engine_stream.run.placed.replica.id && self.move_task.is_none() {
+                    self.start_copy(Duration::ZERO);
+                }
             }
-            StreamCommand::Rebalance(_) => {}
             StreamCommand::Evacuate(engine) => {
                 self.leaving_engines.push(engine);
                 self.evacuate_if_leaving();
             }
         }
-        Ok(())
     }
 
     /// Starts to move the generation if its engine is leaving and no move is in progress. A move in
@@ -120,6 +116,9 @@
     pub(super) async fn on_break(&mut self, reason: impl Display) -> Result<(), StreamEnd> {
         let replica = self.engine_stream.run.placed.replica.id.clone();
         info!(event = "stream_broke", request = self.req.id(), upstream = &*replica, moving = self.move_task.is_some(), stopping = self.may_be_stopped(), events = self.events.events(), reason:% = reason; "the engine's stream broke");
+        if self.lost_at.is_some() && !self.may_be_stopped() {
+            return Err(StreamEnd::EngineLost(EngineLoss::Restarted));
+        }
         if !self.may_be_stopped() {
             let began = self.engine_stream.exchange.as_ref().map(|exchange| exchange.head_received);
             let events = self.events.events();
--- a/node/tests/test_clocks.rs
+++ b/node/tests/test_clocks.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 
 /// Files that read the monotonic clock, the number of reads in each, and why that is correct there.
-const MONOTONIC_CLOCK_USES: [(&str, usize, &str); 17] = [
+const MONOTONIC_CLOCK_USES: [(&str, usize, &str); 18] = [
     ("node/src/filters/account.rs", 2, "duration of a request, for metrics and logs"),
     (
         "node/src/filters/relay.rs",
@@ -28,6 +28,11 @@
         1,
         "queries to two engines for some seconds of running time",
     ),
+    (
+        "node/src/gateway/upstream/relay/restart.rs",
+        1,
+        "a timer that starts now: silence during a suspension does not count",
+    ),
     ("node/src/gateway/upstream/relay/stopping.rs", 1, "80 ms for the remaining events of a stopped stream"),
     ("node/src/gateway/upstream/silence.rs", 1, "a timer that starts now"),
     (
--- a/node/tests/test_gateway_restarts.rs
+++ b/node/tests/test_gateway_restarts.rs
@@ -1,4 +1,4 @@
-//! Replicas that restart under the same id: requests that ran there are considered lost at once, and are
+//! Replicas that restart under the same id: requests that ran there are considered lost, and are
 //! resumed at another replica where that is allowed.
 
 use leadstage_testutils::gateway_replica::ReplicaFault;
