gateway: stop no doubted stream that flows again

A chat that was late was stopped though it flowed again: the call that stops it was refused after 0.4 s, as its target had no room, and another engine was named without another look at the stream; nor was there one after the wait for a target. The stop of a healthy stream costs its caller a wait, and a copy that nobody uses.

Both steps check now that nothing was received since the connection was found silent.

--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -87,6 +87,8 @@
     failed_engines: Vec<UpstreamId>,
     /// Engines that refused to be the target of a stop of the silent generation.
     rejected_targets: Vec<UpstreamId>,
+    /// Number of events received when the connection was last found silent.
+    silent_after: Option<u64>,
     moves: u32,
     pace: Pace,
     /// No event has been received from the engine yet: it may still be in prefill.
@@ -133,6 +135,7 @@
             leaving_engines: Vec::new(),
             failed_engines: Vec::new(),
             rejected_targets: Vec::new(),
+            silent_after: None,
             moves: 0,
             pace: Pace::default(),
             awaits_first_event: true,
--- a/node/src/gateway/upstream/relay/moving.rs
+++ b/node/src/gateway/upstream/relay/moving.rs
@@ -92,10 +92,14 @@
                 self.evacuate_if_leaving();
                 Ok(())
             }
-            TaskEvent::Copied(move_target) | TaskEvent::ReadyToStop(move_target) => {
+            TaskEvent::Copied(move_target) => {
                 self.start_stop(move_target);
                 Ok(())
             }
+            TaskEvent::ReadyToStop(move_target) => {
+                self.on_ready_to_stop(move_target);
+                Ok(())
+            }
             TaskEvent::StopOverdue => {
                 self.move_task = None;
                 self.evacuate_if_leaving();
--- a/node/src/gateway/upstream/relay/silent_connection.rs
+++ b/node/src/gateway/upstream/relay/silent_connection.rs
@@ -64,6 +64,7 @@
     /// query show that the connection is healthy.
     pub(super) fn on_silent_connection(&mut self, received: u64) {
         if self.move_task.is_none() && self.events.events() == received {
+            self.silent_after = Some(received);
             self.stop_and_resume_here();
         }
     }
--- a/node/src/gateway/upstream/relay/stopping.rs
+++ b/node/src/gateway/upstream/relay/stopping.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::Instant;
 
+use crate::gateway::messages::Outcome;
 use crate::gateway::upstream::copying::COPY_TIMEOUT;
 use crate::gateway::upstream::copying::MoveTarget;
 use crate::gateway::upstream::copying::TaskEvent;
@@ -31,6 +32,22 @@
         self.spawn_move_task(task.find_stop_target());
     }
 
+    /// A target for the stop of a silent generation was found. An event received meanwhile shows that its
+    /// connection is healthy.
+    pub(super) fn on_ready_to_stop(&mut self, move_target: MoveTarget) {
+        if self.is_still_silent() {
+            return self.start_stop(move_target);
+        }
+        self.move_task = None;
+        move_target.end(Outcome::Withdrawn);
+        self.evacuate_if_leaving();
+    }
+
+    /// Whether nothing was received since the connection was found silent.
+    fn is_still_silent(&self) -> bool {
+        self.silent_after == Some(self.events.events())
+    }
+
     /// Stops the generation at its engine, next to its stream. The call stays open until it is answered, but
     /// holds up another move only for a while.
     pub(super) fn start_stop(&mut self, move_target: MoveTarget) {
@@ -88,9 +105,10 @@
     fn on_not_stopped(&mut self, outcome: &StopOutcome) {
         self.move_task = None;
         if let Some(move_target) = self.move_target.take_if(|move_target| move_target.resumes_at_source) {
-            // The generation is still running, and its connection is as silent as before: another engine
-            // may be the target.
-            if *outcome == StopOutcome::NoRoom && self.rejected_targets.len() < MAX_REJECTED_TARGETS {
+            // The generation is still running: if its connection is as silent as before, another engine may
+            // be the target.
+            let may_try_another = self.rejected_targets.len() < MAX_REJECTED_TARGETS;
+            if *outcome == StopOutcome::NoRoom && may_try_another && self.is_still_silent() {
                 self.rejected_targets.extend(move_target.engine().map(|engine| engine.id.clone()));
                 self.stop_and_resume_here();
             }
--- a/node/tests/test_gateway_stream_orders.rs
+++ b/node/tests/test_gateway_stream_orders.rs
@@ -178,6 +178,28 @@
     assert_eq!(resumed, 2, "{}", halls.gateway.logs());
 }
 
+/// Guards against stopping a stream that flows again: the first stop is refused late, as its target has no room,
+/// and another engine is named at once.
+#[tokio::test]
+async fn test_a_stream_that_flows_again_is_not_stopped_after_a_late_refusal() {
+    let halls = Halls::start().await;
+    let called = halls
+        .chat_while(async |model, proxy| {
+            let third = halls.gateway.start_replica(MODEL, "model-third", EVENTS).await;
+            let is_listed =
+                async || halls.gateway.log(0).contains("event=replica_listed upstream=model-third");
+            halls.gateway.until("the third engine is known", is_listed).await;
+            model.replica.set_copy_fault(CopyFault::NoRoomLate(Duration::from_millis(400)));
+            delay_stream(proxy).await;
+            tokio::time::sleep(DELAY).await;
+            assert_eq!(third.replica.received_requests().len(), 0);
+        })
+        .await;
+    halls.assert_complete(&called, "refused late");
+    let copies: usize = halls.models.iter().map(|model| model.replica.copy_calls()).sum();
+    assert_eq!(copies, 1, "{}", halls.gateway.logs());
+}
+
 /// Guards against resuming a stopped stream on an idle connection, which what silenced the stream's connection
 /// has silenced too: "move_failed: no answer in time" at the caller's deadline.
 #[tokio::test]
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -64,6 +64,8 @@
     None,
     /// Responds that there is no room.
     NoRoom,
+    /// Responds after this time that there is no room.
+    NoRoomLate(Duration),
     /// Never responds to a call that leaves the generation running.
     CopyHangs,
     /// Stops the generation and never responds to that call, as if the answer were lost. A repeated call is
@@ -608,6 +610,10 @@
         };
         match fault {
             CopyFault::NoRoom => return status_response(503),
+            CopyFault::NoRoomLate(after) => {
+                tokio::time::sleep(after).await;
+                return status_response(503);
+            }
             CopyFault::CopyHangs if !last => return copying.lose_answer().await,
             _ => {}
         }
