gateway: ask the same engine again if the connection of a request to resume breaks

A replica resets connections beyond those that it accepts. Such a break under a request to resume ended the stream: "no answer to the request to resume", as the generation might be running there.

"Each handle serves once (otherwise 503, and it is not run)", so this can't run twice; no other engine is asked from then on. Streams of resumable routes go elsewhere at once, as before.

--- a/node/src/gateway/upstream/relay/after_stop.rs
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -220,11 +220,47 @@
         false
     }
 
-    /// Resumes the generation at `engine` from a copy of its memory.
+    /// Resumes the generation at `engine` from a copy of its memory. A handle serves once, so the engine refuses
+    /// the request if it ran one whose connection broke: it may be asked again, but no other engine may, save
+    /// for a stream that may be resumed anywhere.
     async fn resume_from_copy(
         &self,
         engine: &ReplicaRecord,
         move_target: &MoveTarget,
+    ) -> Result<Exchange, ResumeFailure> {
+        let resumed = self.request_from_copy(engine, move_target).await;
+        match resumed {
+            Err(ResumeFailure::Broken) if self.req.route.resumable => Err(ResumeFailure::Unknown),
+            Err(ResumeFailure::Broken) => self.repeat_request_from_copy(engine, move_target).await,
+            resumed => resumed,
+        }
+    }
+
+    /// Repeats a request to resume the generation whose connection broke.
+    async fn repeat_request_from_copy(
+        &self,
+        engine: &ReplicaRecord,
+        move_target: &MoveTarget,
+    ) -> Result<Exchange, ResumeFailure> {
+        let until = Instant::now() + RESUME_TIMEOUT;
+        let mut delay = INITIAL_RETRY_DELAY;
+        while Instant::now() + delay < until {
+            tokio::time::sleep(delay).await;
+            delay = (delay * RETRY_DELAY_FACTOR).min(MAX_RETRY_DELAY);
+            match self.request_from_copy(engine, move_target).await {
+                Ok(exchange) => return Ok(exchange),
+                Err(ResumeFailure::Failed | ResumeFailure::Unknown) => break,
+                Err(ResumeFailure::Refused | ResumeFailure::Unreached | ResumeFailure::Broken) => {}
+            }
+        }
+        Err(ResumeFailure::Unknown)
+    }
+
+    /// Sends one request to resume the generation from a copy of its memory.
+    async fn request_from_copy(
+        &self,
+        engine: &ReplicaRecord,
+        move_target: &MoveTarget,
     ) -> Result<Exchange, ResumeFailure> {
         let Some(handle) = move_target.handle.clone() else {
             return Err(ResumeFailure::Refused);
--- a/node/src/gateway/upstream/resuming.rs
+++ b/node/src/gateway/upstream/resuming.rs
@@ -22,6 +22,8 @@
     Unreached,
     /// The engine answered with an error: the generation is not running there.
     Failed,
+    /// The connection broke: the generation may be running there.
+    Broken,
     /// The engine did not answer: the generation may be running there.
     Unknown,
 }
@@ -33,14 +35,14 @@
             ResumeFailure::Refused => "refused",
             ResumeFailure::Unreached => "not reached",
             ResumeFailure::Failed => "failed",
-            ResumeFailure::Unknown => "no answer",
+            ResumeFailure::Broken | ResumeFailure::Unknown => "no answer",
         }
     }
 }
 
 /// Resumes a generation at `engine`, on a new connection. What silenced or broke the stream's connection may
-/// have done so to the idle ones, and an engine may have dropped those. A request that is lost with one can't
-/// be repeated, as the generation may be running.
+/// have done so to the idle ones, and an engine may have dropped those. A request that is lost with one does not
+/// show whether the generation is running.
 pub async fn resume(
     traffic: &Traffic,
     req: &CallerRequest,
@@ -57,6 +59,7 @@
             (ResumeFailure::Refused, err.to_string())
         }
         Err(err @ SendError::NotSent(_)) => (ResumeFailure::Unreached, err.to_string()),
+        Err(err @ SendError::Broken(_)) => (ResumeFailure::Broken, err.to_string()),
         Err(err) => (ResumeFailure::Unknown, err.to_string()),
     };
     info!(event = "move_failed", request = req.id(), upstream = &*engine.id, outcome:% = why, reason = reason; "the engine did not resume the generation");
--- a/node/tests/test_clocks.rs
+++ b/node/tests/test_clocks.rs
@@ -25,7 +25,7 @@
     ("node/src/gateway/upstream/pace.rs", 1, "gaps between events, for metrics"),
     (
         "node/src/gateway/upstream/relay/after_stop.rs",
-        1,
+        3,
         "queries to two engines for some seconds of running time",
     ),
     ("node/src/gateway/upstream/relay/moving.rs", 1, "0.6 s for a copy whose stream broke"),
--- a/node/tests/test_gateway_streams.rs
+++ b/node/tests/test_gateway_streams.rs
@@ -211,6 +211,22 @@
     ");
 }
 
+/// Guards against breaking a stream because the connection of the request to resume it broke, as a replica resets
+/// connections beyond those that it accepts: "move_failed: no answer". A handle serves once, so the same engine may
+/// be asked again; the other one may not.
+#[tokio::test]
+async fn test_a_request_to_resume_is_repeated_after_its_connection_broke() {
+    let (gateway, _bookings, mut models) = Gateway::with_replicas(2).await;
+    gateway.engines.set_stream_faults([StreamFault::None, StreamFault::NoHead, StreamFault::NoHead]);
+    let (called, ()) =
+        tokio::join!(gateway.call(0, chat("r-chat")), inject_fault(&gateway, &mut models, Fault::Leaves));
+    assert!(called.whole, "{}", gateway.logs());
+    assert_eq!(called.events(), Some(EVENTS));
+    let mut received: Vec<_> = models.iter().map(|m| m.replica.received_requests().len()).collect();
+    received.sort_unstable();
+    assert_eq!(received, [1, 3], "{}", gateway.logs());
+}
+
 /// More than the number of resume calls that are sent while the caller waits.
 const REFUSAL_COUNT: usize = 100;
 
