gateway: stop no generation that may not be resumed at its engine

A doubted stream at an engine of a version that was rolled back was stopped there, to be resumed there; but nothing is sent to such a version any more, which counted as "no answer to the request to resume" although nothing was sent. Found by reading: no test plays an upgrade with a silent stream.

Such a generation is copied elsewhere while it runs, as in a closed hall, and a request that was not sent for its version counts as refused.

--- a/node/src/gateway/upstream/relay/stopping.rs
+++ b/node/src/gateway/upstream/relay/stopping.rs
@@ -21,10 +21,12 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(80);
 
 impl Relay {
-    /// Stops the generation at once, so that it resumes at the same engine on a new connection. In a
-    /// closed hall it could not resume: there it is copied elsewhere while it keeps running.
+    /// Stops the generation at once, so that it resumes at the same engine on a new connection. Where nothing
+    /// may be sent any more it could not resume: there it is copied elsewhere while it keeps running.
     pub(super) fn stop_and_resume_here(&mut self) {
-        if !self.traffic.shared.closed_halls().is_open(&self.engine_stream.run.placed.replica.hall) {
+        let here = &self.engine_stream.run.placed.replica;
+        let is_open = self.traffic.shared.closed_halls().is_open(&here.hall);
+        if !is_open || self.traffic.is_reverted(&self.req, here) {
             return self.start_copy(Duration::ZERO);
         }
         let mut task = self.copy_task(Duration::ZERO);
--- a/node/src/gateway/upstream/resuming.rs
+++ b/node/src/gateway/upstream/resuming.rs
@@ -55,9 +55,12 @@
         Ok(exchanged) if exchanged.status.is_success() => return Ok(exchanged),
         Ok(exchanged) if exchanged.says_not_run() => (ResumeFailure::Refused, exchanged.status.to_string()),
         Ok(exchanged) => (ResumeFailure::Failed, exchanged.status.to_string()),
-        Err(err @ (SendError::HallClosed | SendError::BackingOff | SendError::Quarantined)) => {
-            (ResumeFailure::Refused, err.to_string())
-        }
+        Err(
+            err @ (SendError::HallClosed
+            | SendError::BackingOff
+            | SendError::VersionReverted
+            | SendError::Quarantined),
+        ) => (ResumeFailure::Refused, err.to_string()),
         Err(err @ SendError::NotSent(_)) => (ResumeFailure::Unreached, err.to_string()),
         Err(err @ SendError::Broken(_)) => (ResumeFailure::Broken, err.to_string()),
         Err(err) => (ResumeFailure::Unknown, err.to_string()),
