--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -13,5 +13,6 @@
 pub mod sampling;
 pub mod silence;
 pub mod stall;
+pub mod stopping;
 pub mod suspicion;
 pub mod traffic;
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -1,15 +1,17 @@
 //! Relays one stream to its caller, from one engine after another.
 //!
 //! `moving` moves the generation away from engines that are leaving or overloaded, with a copy of its KV
-//! cache memory; `after_stop` resumes it once it has stopped; `after_loss` resumes it at another engine
+//! cache memory; `stopping` stops it, and `after_stop` resumes it once it has stopped; `after_loss` resumes it at another engine
 //! after the last event when its engine is lost; `silent_connection` takes it off connections that
-//! deliver nothing; `engine_loss` names why an engine is abandoned.
+//! deliver nothing; `restart` finds streams that a restart of their engine ended; `engine_loss` names why an engine is abandoned.
 
 mod after_loss;
 mod after_stop;
 mod engine_loss;
 mod moving;
+mod restart;
 mod silent_connection;
+mod stopping;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -22,6 +24,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::messages::Outcome;
@@ -41,6 +44,7 @@
 use crate::gateway::upstream::resuming;
 use crate::gateway::upstream::resuming::ResumeFailure;
 use crate::gateway::upstream::stall::StallWatch;
+use crate::gateway::upstream::stopping::StopCalls;
 use crate::gateway::upstream::traffic::Traffic;
 
 /// Minimum number of intervals between events for a sample of an engine's pace.
@@ -74,6 +78,8 @@
     move_task: Option<AbortOnDropHandle<()>>,
     /// The task that queries a silent engine.
     probe_task: Option<AbortOnDropHandle<()>>,
+    /// The calls that stop the generation at its engine.
+    stops: StopCalls,
     /// Where the generation resumes once it has stopped.
     move_target: Option<MoveTarget>,
     /// Engines that are leaving, among those that the generation ran on or was to run on.
@@ -82,6 +88,8 @@
     failed_engines: Vec<UpstreamId>,
     /// Engines that refused to be the target of a stop of the silent generation.
     rejected_targets: Vec<UpstreamId>,
+    /// Number of events received when the connection was last found silent.
+    silent_after: Option<u64>,
     moves: u32,
     pace: Pace,
     /// No event has been received from the engine yet: it may still be in prefill.
@@ -89,6 +97,8 @@
     /// Number of engines that the request was sent to, not counting those that resumed from a copy.
     sent: u32,
     stall: StallWatch,
+    /// When the stream is lost without another event, because its engine has restarted.
+    lost_at: Option<Instant>,
     /// Whether the stream is checked for silence: only if it could be resumed or moved.
     watches_stalls: bool,
 }
@@ -115,15 +125,18 @@
             events: EventSplitter::resuming_after(req.last_event()),
             stall: StallWatch::new(&req.route),
             watches_stalls: req.route.resumable || engine.is_some_and(|e| e.moves),
+            lost_at: None,
             sent,
             task_events_tx,
             task_events,
             move_task: None,
             probe_task: None,
+            stops: StopCalls::default(),
             move_target: None,
             leaving_engines: Vec::new(),
             failed_engines: Vec::new(),
             rejected_targets: Vec::new(),
+            silent_after: None,
             moves: 0,
             pace: Pace::default(),
             awaits_first_event: true,
@@ -146,7 +159,7 @@
         let outcome = match end {
             StreamEnd::Done => Outcome::Answered,
             StreamEnd::CallerLeft | StreamEnd::TimedOut => Outcome::Withdrawn,
-            StreamEnd::EngineLost(_) => Outcome::Failed,
+            StreamEnd::EngineLost(loss) => loss.outcome(),
         };
         let tx = self.tx.clone();
         self.close(outcome);
@@ -195,15 +208,20 @@
             biased;
             () = tx.closed() => Err(StreamEnd::CallerLeft),
             () = tokio::time::sleep_until(self.req.deadline()) => Err(self.on_deadline().await),
-            Some(command) = commands.recv() => self.on_command(command),
+            Some(command) = commands.recv() => {
+                self.on_command(command);
+                Ok(())
+            }
             Some(event) = self.task_events.recv() => self.on_task_event(event).await,
+            outcome = self.stops.next() => self.on_stop_outcome(outcome).await,
             frame = self.engine_stream.frame() => match frame {
                 Some(Ok(frame)) => self.on_frame(frame.into_data().unwrap_or_default()).await,
-                None if self.move_target.is_some() && !self.engine_stream.is_framed() =>
+                None if self.may_be_stopped() && !self.engine_stream.is_framed() =>
                     self.on_unframed_end().await,
                 None => Err(self.on_stream_end().await),
                 Some(Err(err)) => self.on_break(&err).await,
             },
+            end = Self::until_lost(self.lost_at) => Err(end),
             () = tokio::time::sleep_until(self.stall.due()), if self.watches_stalls =>
                 self.on_silence().await,
         }
@@ -232,6 +250,7 @@
 
     async fn forward_events(&mut self, complete: Bytes) -> Result<(), StreamEnd> {
         self.stall.on_event(&self.req.route);
+        self.on_event_after_restart();
         if std::mem::take(&mut self.awaits_first_event) {
             let run = &self.engine_stream.run;
             self.traffic.shared.notify(ToControl::FirstEvent(run.placed.run));
@@ -270,6 +289,8 @@
     fn switch_to(&mut self, engine_stream: EngineStream, outcome: Outcome) {
         info!(event = "moved", request = self.req.id(), from = &*self.engine_stream.run.placed.replica.id, upstream = &*engine_stream.run.placed.replica.id, events = self.events.events(); "stream continues at another engine");
         let old = std::mem::replace(&mut self.engine_stream, engine_stream);
+        self.stops = StopCalls::default();
+        self.lost_at = None;
         old.run.end(outcome);
         self.moves += 1;
     }
