gateway: deliver an unframed stream that ended during a suspension

What callers saw: a stream that was cut ("out of time") after all of its 60 events, although its engine had closed it regularly before the deadline.

Cause: past the deadline of a suspended node, the events that have arrived are relayed by `drain`, which takes the end of a stream without a length or chunks for the break of a stopped generation. That is so only if the generation was to be stopped, as elsewhere in the relay.

Evidence: the first new test failed before, with 60 events and `whole` false, and passes now. The other two cover resumable streams, and passed before too: they are not sent again after suspensions of 1, 2 and 5 s.

--- a/node/src/gateway/upstream/relay/moving.rs
+++ b/node/src/gateway/upstream/relay/moving.rs
@@ -178,7 +178,7 @@
     }
 
     /// Relays the events that are on their way. Returns how the stream ended if the generation had already
-    /// ended by itself.
+    /// ended by itself; the end of an unframed stream shows that only if the generation was not to be stopped.
     pub(super) async fn drain(&mut self) -> Option<StreamEnd> {
         let until = Instant::now() + DRAIN_TIMEOUT;
         loop {
@@ -189,7 +189,9 @@
                         return Some(end);
                     }
                 }
-                Ok(None) if self.engine_stream.is_framed() => return Some(self.on_stream_end().await),
+                Ok(None) if self.engine_stream.is_framed() || self.move_target.is_none() => {
+                    return Some(self.on_stream_end().await);
+                }
                 Ok(None | Some(Err(_))) | Err(_) => return None,
             }
         }
