gateway: read what arrived on a caller's connection before its limit closes it

What callers saw: a kept connection that closed without a response to a request that had arrived within the idle limit, so that they could not tell whether it was run.

Cause: a process that goes on after a suspension finds the limit exceeded before it has read its sockets. A limit that is noticed 50 ms late now closes the connection only if nothing is read in the next 80 ms.

Evidence: the test of an idle connection failed before (the connection ended without a byte) and passes now. That of a partly read head passed before too: such a connection had 100 ms to finish already.

--- a/node/src/gateway/ingress/io_watch.rs
+++ b/node/src/gateway/ingress/io_watch.rs
@@ -17,6 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::gateway::upstream::arrival;
+
 /// Interval between two checks of a connection whose request is being served: no limit applies then, and
 /// the connection is polled whenever something happens on it.
 const SERVING_CHECK_INTERVAL: Duration = Duration::from_secs(60);
@@ -69,14 +71,29 @@
     }
 
     /// Waits until the connection exceeds a limit. The limits may change: the task that polls this and the
-    /// connection has to be woken when they do.
+    /// connection has to be woken when they do. After a suspension of the process, what has arrived is read
+    /// first.
     pub async fn limit_exceeded(&self, limits: impl Fn() -> CallerLimits) {
+        loop {
+            let deadline = self.limit_due(&limits).await;
+            if !arrival::is_late(deadline) {
+                return;
+            }
+            tokio::time::sleep(arrival::READ_TIMEOUT).await;
+            if self.limit_deadline(&limits()) == deadline {
+                return;
+            }
+        }
+    }
+
+    /// Waits until a limit is due; returns when it was.
+    async fn limit_due(&self, limits: impl Fn() -> CallerLimits) -> Instant {
         let mut timer = std::pin::pin!(tokio::time::sleep(SERVING_CHECK_INTERVAL));
         std::future::poll_fn(|cx| {
             loop {
                 let deadline = self.limit_deadline(&limits());
                 if deadline <= Instant::now() {
-                    return Poll::Ready(());
+                    return Poll::Ready(deadline);
                 }
                 if deadline < timer.deadline() || timer.is_elapsed() {
                     timer.as_mut().reset(deadline);
@@ -86,7 +103,7 @@
                 }
             }
         })
-        .await;
+        .await
     }
 
     /// When the connection exceeds a limit if nothing happens on it.
--- a/node/src/gateway/upstream/arrival.rs
+++ b/node/src/gateway/upstream/arrival.rs
@@ -11,7 +11,7 @@
 /// A timer that fires this much later than it was due shows that the process did not run in between.
 const LATE_TIMER: Duration = Duration::from_millis(50);
 /// Time in which data that has arrived is read from its socket and passed on.
-const READ_TIMEOUT: Duration = Duration::from_millis(80);
+pub const READ_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// Waits for `future` until `deadline`, or a moment longer if the process was suspended at the deadline.
 pub async fn timeout_at<F: Future>(deadline: Instant, future: F) -> Result<F::Output, Elapsed> {
