platform: read what arrived during a suspension before a call counts as unanswered

Cause: the timeouts of calls to the store, to engines and to other nodes fired before the socket was read when a process went on. A watcher that was suspended for 5 s took the store for lost although its watch had been answered: it reported that, listed again, and would have kept replicas whose entries went in its list for two more seconds, as after an outage. Health checks, copies and stops of generations, connections and large responses use the same calls.

The functions for that move from the gateway to the platform crate, and the calls use them.

The other calls are covered by reading only.

--- a/node/src/gateway/ingress/io_watch.rs
+++ b/node/src/gateway/ingress/io_watch.rs
@@ -11,14 +11,13 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::routing::CallerLimits;
+use leadstage_platform::arrival;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::gateway::upstream::arrival;
-
 /// Interval between two checks of a connection whose request is being served: no limit applies then, and
 /// the connection is polled whenever something happens on it.
 const SERVING_CHECK_INTERVAL: Duration = Duration::from_secs(60);
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -1,6 +1,5 @@
 //! Replicas: connections, exchanges, relayed streams and their moves.
 
-pub mod arrival;
 pub mod connections;
 pub mod copying;
 pub mod engine_stream;
--- a/node/src/gateway/upstream/silence.rs
+++ b/node/src/gateway/upstream/silence.rs
@@ -9,12 +9,12 @@
 
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::routing::Repeat;
+use leadstage_platform::arrival;
 use log::info;
 use tokio::time::Instant;
 
 use crate::clock;
 use crate::gateway::request::CallerRequest;
-use crate::gateway::upstream::arrival;
 use crate::gateway::upstream::traffic::Traffic;
 
 /// Fraction of a call's remaining time after which it is retried on a new connection: the second attempt
--- a/node/src/gateway/upstream/stall.rs
+++ b/node/src/gateway/upstream/stall.rs
@@ -8,6 +8,7 @@
 
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::routing::Route;
+use leadstage_platform::arrival;
 use leadstage_platform::health;
 use leadstage_platform::health::Health;
 use log::info;
@@ -15,7 +16,6 @@
 
 use crate::gateway::messages::ToControl;
 use crate::gateway::request::CallerRequest;
-use crate::gateway::upstream::arrival;
 use crate::gateway::upstream::traffic::Traffic;
 
 /// A running stream is considered stalled after this many times its route's objective for the gap between
--- a/node/tests/test_clocks.rs
+++ b/node/tests/test_clocks.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 
 /// Files that read the monotonic clock, the number of reads in each, and why that is correct there.
-const MONOTONIC_CLOCK_USES: [(&str, usize, &str); 16] = [
+const MONOTONIC_CLOCK_USES: [(&str, usize, &str); 17] = [
     ("node/src/filters/account.rs", 2, "duration of a request, for metrics and logs"),
     (
         "node/src/filters/relay.rs",
@@ -40,6 +40,7 @@
         1,
         "time limit of a planned stop; after a suspension the platform kills the process first",
     ),
+    ("platform/src/arrival.rs", 1, "a timer that starts now"),
     ("platform/src/connect.rs", 5, "how slowly a response arrives while this node runs"),
 ];
 
