gateway: send no request whose deadline has passed

What callers saw: a call that may run only once ran 148 ms after its deadline of 1 s, answered to nobody.

Cause: since what has arrived by the deadline is read after a suspension, a request that is not sent yet got those 80 ms too. Before that, its sending was cancelled at once. The deadline is now checked once there is a connection, and the replica that got nothing is not blamed.

--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -55,6 +55,9 @@
     /// The request was quarantined while it waited for the replica's response.
     #[display("it was quarantined meanwhile")]
     QuarantinedMeanwhile,
+    /// The deadline passed before the request was sent: nothing was sent.
+    #[display("its deadline has passed")]
+    Expired,
     /// The request could not be sent: not a byte of it left this node.
     #[display("not sent: {_0}")]
     NotSent(ConnectError),
@@ -89,6 +92,7 @@
             | SendError::VersionReverted
             | SendError::Quarantined
             | SendError::QuarantinedMeanwhile
+            | SendError::Expired
     );
     run.end(if is_replica_blameless { Outcome::Withdrawn } else { Outcome::Failed });
     match err {
@@ -97,7 +101,9 @@
         | SendError::VersionReverted
         | SendError::Quarantined
         | SendError::NotSent(_) => None,
-        SendError::TimedOut | SendError::Stalled | SendError::ConnectionSilent => Some(Code::UpstreamTimeout),
+        SendError::Expired | SendError::TimedOut | SendError::Stalled | SendError::ConnectionSilent => {
+            Some(Code::UpstreamTimeout)
+        }
         SendError::Broken(_)
         | SendError::WrongRequest
         | SendError::Truncated(_)
@@ -154,6 +160,9 @@
         return Err(SendError::VersionReverted);
     }
     let mut connection = traffic.connections.take(replica, choice).await.map_err(SendError::NotSent)?;
+    if req.time_left().is_zero() {
+        return Err(SendError::Expired);
+    }
     let sent_at = traffic.shared.now();
     traffic.on_sending(req, replica, sent);
     traffic.shared.metrics.on_connection(connection.idle_time.is_some());
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -36,6 +36,7 @@
 mod test_gateway_streams;
 mod test_gateway_suspended;
 mod test_gateway_suspended_callers;
+mod test_gateway_suspended_deadlines;
 mod test_gateway_suspended_store;
 mod test_gateway_suspended_streams;
 mod test_gateway_upgrade_judges;
