watchers: don't count a suspension of the process as silence of the watchers

Cause: a node that went on after a suspension of 5 s had heard no pulse for that long, took its turn at once and began to watch the store, with four lists, until the pulses that waited in its socket were read. Each call is billed, and a whole fleet may be suspended at once. The store also counted as away at that moment.

Ages of pulses and answers now leave out a gap between ticks of more than 0.5 s, as for measured times.

The tests of watchers, the model of fleets among them, pass.

--- a/lib/src/gateway/process_pauses.rs
+++ b/lib/src/gateway/process_pauses.rs
@@ -7,7 +7,7 @@
 use crate::ids::Timestamp;
 
 /// Ticks that are further apart than this indicate a pause.
-const MAX_TICK_GAP: Duration = Duration::from_millis(500);
+pub const MAX_TICK_GAP: Duration = Duration::from_millis(500);
 /// Time within which the requests that queued up during a pause are sent and answered.
 const RECOVERY_TIME: Duration = Duration::from_secs(2);
 
--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -20,6 +20,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::process_pauses::MAX_TICK_GAP;
 use crate::ids::Timestamp;
 use crate::ids::VmId;
 use crate::rendezvous;
@@ -142,6 +143,7 @@
     /// When the store last answered a call of this node.
     last_own_answer: Option<Timestamp>,
     last_ranked: Option<Timestamp>,
+    last_tick: Option<Timestamp>,
 }
 
 impl Watchers {
@@ -158,6 +160,27 @@
             watches: false,
             last_own_answer: None,
             last_ranked: None,
+            last_tick: None,
+        }
+    }
+
+    /// Detects a pause of the process, during which it heard nobody: silence counts only while it runs.
+    /// Called a few times a second, before decisions.
+    pub fn tick(&mut self, now: Timestamp) {
+        let gap = now.saturating_sub(self.last_tick.replace(now).unwrap_or(now));
+        if gap <= MAX_TICK_GAP {
+            return;
+        }
+        let ages = [
+            &mut self.last_pulse,
+            &mut self.last_contact,
+            &mut self.last_answer,
+            &mut self.last_miss,
+            &mut self.last_own_answer,
+        ];
+        let pulses = self.pulses.values_mut().map(|pulse| &mut pulse.at);
+        for at in ages.into_iter().flatten().chain(pulses) {
+            *at = (*at + gap).min(now);
         }
     }
 
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -168,6 +168,7 @@
         self.shared.set_has_neighbour(self.fleet.has_neighbour());
         self.placing.send_inventories(&self.fleet);
         self.placing.lead(&self.fleet);
+        self.watchers.tick(now);
         self.fleet.hears_watchers = self.watchers.fresh_pulses(now).next().is_some();
         let has_wide_link = |node: &VmId| self.fleet.node_has_wide_link(node);
         let role = self.watchers.role(self.fleet.alive(), has_wide_link, now);
