upstreams: pass on the response to a call that arrived during a suspension

What callers saw: 504 for a call that had run, although its response had arrived at the node within the time that a call may take.

Cause: as in the gateway, the node's timer was due before it had read its sockets.

Evidence: the new test of a call failed before (504, code 3004) and passes now. That of a stream passed before too: an engine's silence is measured in steps of 0.25 s, of which a suspension counts as one.

--- a/node/src/filters/dispatch.rs
+++ b/node/src/filters/dispatch.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use leadstage_lib::ids::GenerationId;
 use leadstage_lib::ids::OrganisationId;
+use leadstage_platform::arrival;
 
 use crate::filters::place::GenerationRequest;
 use crate::filters::route::GenerationKind;
@@ -134,5 +135,5 @@
         let body = body.collect().await.map_err(|_| SendError::MayHaveRun)?.to_bytes();
         Ok(CallResponse { status, content_type, body })
     };
-    tokio::time::timeout(limit, exchange).await.unwrap_or(Err(SendError::TimedOut))
+    arrival::timeout(limit, exchange).await.unwrap_or(Err(SendError::TimedOut))
 }
--- a/node/src/upstream_client.rs
+++ b/node/src/upstream_client.rs
@@ -12,6 +12,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
+use leadstage_platform::arrival;
 
 /// Timeout for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -56,7 +57,7 @@
 
 /// Sends a request and waits up to `limit` for the head of the response.
 pub async fn send(req: Request<Full<Bytes>>, limit: Duration) -> Result<Response<Incoming>, SendError> {
-    match tokio::time::timeout(limit, client().request(req)).await {
+    match arrival::timeout(limit, client().request(req)).await {
         Ok(Ok(res)) => Ok(res),
         Ok(Err(err)) if err.is_connect() => Err(SendError::NotSent),
         Ok(Err(_)) => Err(SendError::MayHaveRun),
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -46,6 +46,7 @@
 mod test_settings;
 mod test_stop;
 mod test_streams;
+mod test_suspended;
 mod test_upstreams;
 mod test_vm_list_size;
 mod upgraded_fleet;
