--- a/node/tests/test_gateway_suspended_streams.rs
+++ b/node/tests/test_gateway_suspended_streams.rs
@@ -2,16 +2,17 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
 use leadstage_testutils::gateway_replica::StreamFault;
+use tokio::time::Instant;
 
 use crate::gateway_environment::CallResult;
 use crate::gateway_environment::Gateway;
 use crate::gateway_environment::RunningReplica;
 use crate::gateway_environment::chat;
 use crate::gateway_environment::tag;
-use bytes::Bytes;
-use http::Request;
-use http_body_util::Full;
 
 /// Time from the arrival of a request at its replica to the suspension of its node.
 const SUSPENDED_AFTER: Duration = Duration::from_millis(150);
@@ -20,6 +21,12 @@
 /// Events of a generation.
 const EVENTS: u64 = 60;
 
+fn with_deadline(mut req: Request<Full<Bytes>>) -> Request<Full<Bytes>> {
+    let deadline_ms = DEADLINE.as_millis().to_string().parse().expect("valid");
+    req.headers_mut().insert("leadstage-deadline-ms", deadline_ms);
+    req
+}
+
 /// Sends a request, and suspends its node for `pause` soon after the request reached one of `replicas`.
 async fn call_while_suspended(
     gateway: &Gateway,
@@ -49,14 +56,42 @@
 async fn test_an_unframed_stream_that_ended_during_a_suspension_is_complete() {
     let (gateway, _bookings, models) = Gateway::with_replicas(1).await;
     gateway.engines.set_stream_faults([StreamFault::Unframed]);
-    let mut req = chat("r-1");
-    let deadline_ms = DEADLINE.as_millis().to_string().parse().expect("valid");
-    req.headers_mut().insert("leadstage-deadline-ms", deadline_ms);
-    let called = call_while_suspended(&gateway, &models, req, DEADLINE).await;
+    let called = call_while_suspended(&gateway, &models, with_deadline(chat("r-1")), DEADLINE).await;
     assert!(called.whole, "{:?}\n{}", called.events(), gateway.logs());
     assert_eq!(called.events(), Some(EVENTS));
 }
 
+/// Bytes added to each event: the whole stream is larger than what may wait for its caller.
+const PADDING: usize = 16 << 10;
+
+/// Guards against a large stream that is cut while the events that had arrived are passed on.
+#[tokio::test]
+async fn test_a_large_stream_that_arrived_during_a_suspension_is_delivered() {
+    let (gateway, _bookings, models) = Gateway::with_replicas(1).await;
+    models[0].replica.set_padding(PADDING);
+    let called = call_while_suspended(&gateway, &models, with_deadline(chat("r-1")), DEADLINE).await;
+    assert!(called.whole, "{} bytes\n{}", called.body.len(), gateway.logs());
+    assert!(called.body.len() > EVENTS as usize * PADDING);
+}
+
+/// Time from a deadline to the end of the suspension.
+const JUST_AFTER: Duration = Duration::from_millis(25);
+
+/// Guards against a stream that is cut because its node went on just after the deadline, instead of later.
+#[tokio::test]
+async fn test_a_stream_is_delivered_if_the_suspension_ends_just_after_its_deadline() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    let suspend = async {
+        let ends_at = Instant::now() + DEADLINE + JUST_AFTER;
+        tokio::time::sleep(SUSPENDED_AFTER).await;
+        gateway.signal(0, "-STOP");
+        tokio::time::sleep_until(ends_at).await;
+        gateway.signal(0, "-CONT");
+    };
+    let (called, ()) = tokio::join!(gateway.call(0, with_deadline(chat("r-1"))), suspend);
+    assert!(called.whole, "{:?}\n{}", called.events(), gateway.logs());
+}
+
 /// Guards against a healthy engine that is taken for silent: a resumable stream is then read twice.
 #[tokio::test]
 async fn test_a_resumable_stream_stays_at_its_engine_after_a_suspension() {
