tests: a node that suspects another one while it is suspended, known red

A node that was suspended for 2.5 s declares a healthy node dead in its first tick, as the suspicion lasts 2 s and a pause counts as one from 3 s on; the refutation waits in its socket. It takes that back 2 ms later, but replaces a lead and places anew what waited there by then (by reading).

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -37,6 +37,7 @@
 mod test_gateway_suspended;
 mod test_gateway_suspended_callers;
 mod test_gateway_suspended_deadlines;
+mod test_gateway_suspended_fleet;
 mod test_gateway_suspended_store;
 mod test_gateway_suspended_streams;
 mod test_gateway_upgrade_judges;
