--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -15,10 +15,12 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::ids::UpstreamId;
+use leadstage_platform::arrival;
 use leadstage_platform::engine::Resume;
 use log::info;
 use tokio::sync::mpsc;
@@ -33,7 +35,6 @@
 use crate::gateway::messages::ToControl;
 use crate::gateway::reply_body::StreamingBodySender;
 use crate::gateway::request::CallerRequest;
-use crate::gateway::upstream::arrival;
 use crate::gateway::upstream::copying::MoveTarget;
 use crate::gateway::upstream::copying::TaskEvent;
 use crate::gateway::upstream::engine_stream::EngineStream;
@@ -50,6 +51,10 @@
 /// Minimum number of intervals between events for a sample of an engine's pace.
 const MIN_GAPS_FOR_PACE: u64 = 4;
 
+/// Time in which the events that arrived during a suspension are relayed past the deadline. An engine that is
+/// still producing events then is abandoned.
+const ARRIVED_EVENTS_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// How a relay ended.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
 enum StreamEnd {
@@ -230,7 +235,11 @@
     /// Handles the deadline. If the process was suspended at that time, events that have arrived are relayed,
     /// and the stream may turn out to be complete.
     async fn on_deadline(&mut self) -> StreamEnd {
-        let arrived = if arrival::is_late(self.req.deadline()) { self.drain().await } else { None };
+        let arrived = if arrival::is_late(self.req.deadline()) {
+            self.drain(ARRIVED_EVENTS_TIMEOUT).await
+        } else {
+            None
+        };
         arrived.unwrap_or(StreamEnd::TimedOut)
     }
 
--- a/node/src/gateway/upstream/relay/stopping.rs
+++ b/node/src/gateway/upstream/relay/stopping.rs
@@ -17,7 +17,7 @@
 /// before the connection has to be found silent again: where all engines are full, each node would query
 /// every engine for each of its generations.
 const MAX_REJECTED_TARGETS: usize = 3;
-/// Timeout of the remaining events of a stopped generation.
+/// Timeout of the remaining events of a stopped generation, and of each next event that has arrived.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(80);
 
 impl Relay {
@@ -97,7 +97,7 @@
     }
 
     async fn resume_stopped(&mut self) -> Result<(), StreamEnd> {
-        match self.drain().await {
+        match self.drain(DRAIN_TIMEOUT).await {
             Some(end) => Err(end),
             None => self.resume_after_stop().await,
         }
@@ -121,19 +121,23 @@
         self.evacuate_if_leaving();
     }
 
-    /// Relays the events that are on their way. Returns how the stream ended if the generation had already
-    /// ended by itself.
-    pub(super) async fn drain(&mut self) -> Option<StreamEnd> {
-        let until = Instant::now() + DRAIN_TIMEOUT;
+    /// Relays the events that are on their way, for `limit` at most. Returns how the stream ended if the
+    /// generation had already ended by itself; the end of an unframed stream shows that only if nothing may
+    /// have stopped the generation.
+    pub(super) async fn drain(&mut self, limit: Duration) -> Option<StreamEnd> {
+        let until = Instant::now() + limit;
         loop {
-            let frame = tokio::time::timeout_at(until, self.engine_stream.frame()).await;
+            let next_until = until.min(Instant::now() + DRAIN_TIMEOUT);
+            let frame = tokio::time::timeout_at(next_until, self.engine_stream.frame()).await;
             match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Err(end) = self.on_frame(frame.into_data().unwrap_or_default()).await {
                         return Some(end);
                     }
                 }
-                Ok(None) if self.engine_stream.is_framed() => return Some(self.on_stream_end().await),
+                Ok(None) if self.engine_stream.is_framed() || !self.may_be_stopped() => {
+                    return Some(self.on_stream_end().await);
+                }
                 Ok(None | Some(Err(_))) | Err(_) => return None,
             }
         }
