gateway: resume generations on the heap

Since the calls that stop a generation are kept and repeated, and timeouts look at what has arrived, the nested futures of a request to resume no longer fitted into the traffic thread's stack in a debug build: the node ended with a stack overflow in test_a_request_to_resume_is_repeated_after_its_connection_broke, each time, once both changes were merged. The request and the turns of the engines are boxed now; the test passes.

--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -311,7 +311,8 @@
         resume: &Resume,
         step: &'static str,
     ) -> Result<Exchange, ResumeFailure> {
-        let resumed = resuming::resume(&self.traffic, &self.req, engine, resume).await;
+        // On the heap: with all of its callers' state this future would not fit into the thread's stack.
+        let resumed = Box::pin(resuming::resume(&self.traffic, &self.req, engine, resume)).await;
         let outcome = resumed.as_ref().map_or_else(|why| why.label(), |_| "done");
         self.traffic.shared.metrics.on_move(step, outcome);
         resumed
--- a/node/src/gateway/upstream/relay/after_stop.rs
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -46,7 +46,7 @@
             biased;
             () = caller.closed() => return Err(StreamEnd::CallerLeft),
             () = tokio::time::sleep_until(self.req.deadline()) => return Err(StreamEnd::TimedOut),
-            resumed = self.resume_in_turn(move_target) => resumed?,
+            resumed = Box::pin(self.resume_in_turn(move_target)) => resumed?,
         }
         self.drop_tasks();
         self.evacuate_if_leaving();
