--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
+use leadstage_platform::arrival;
 use leadstage_platform::headers;
 use leadstage_platform::headers::AddedHeaders;
 use log::info;
@@ -54,6 +55,9 @@
     /// The request was quarantined while it waited for the replica's response.
     #[display("it was quarantined meanwhile")]
     QuarantinedMeanwhile,
+    /// The deadline passed before the request was sent: nothing was sent.
+    #[display("its deadline has passed")]
+    Expired,
     /// The request could not be sent: not a byte of it left this node.
     #[display("not sent: {_0}")]
     NotSent(ConnectError),
@@ -88,6 +92,7 @@
             | SendError::VersionReverted
             | SendError::Quarantined
             | SendError::QuarantinedMeanwhile
+            | SendError::Expired
     );
     run.end(if is_replica_blameless { Outcome::Withdrawn } else { Outcome::Failed });
     match err {
@@ -96,7 +101,9 @@
         | SendError::VersionReverted
         | SendError::Quarantined
         | SendError::NotSent(_) => None,
-        SendError::TimedOut | SendError::Stalled | SendError::ConnectionSilent => Some(Code::UpstreamTimeout),
+        SendError::Expired | SendError::TimedOut | SendError::Stalled | SendError::ConnectionSilent => {
+            Some(Code::UpstreamTimeout)
+        }
         SendError::Broken(_)
         | SendError::WrongRequest
         | SendError::Truncated(_)
@@ -153,6 +160,9 @@
         return Err(SendError::VersionReverted);
     }
     let mut connection = traffic.connections.take(replica, choice).await.map_err(SendError::NotSent)?;
+    if req.time_left().is_zero() {
+        return Err(SendError::Expired);
+    }
     let sent_at = traffic.shared.now();
     traffic.on_sending(req, replica, sent);
     traffic.shared.metrics.on_connection(connection.idle_time.is_some());
@@ -165,8 +175,7 @@
         }
     };
     let waiting = unless_quarantined(traffic, req, waiting);
-    let answer =
-        tokio::time::timeout_at(req.deadline(), waiting).await.map_err(|_| SendError::TimedOut)??;
+    let answer = arrival::timeout_at(req.deadline(), waiting).await.map_err(|_| SendError::TimedOut)??;
     let answer = answer.ok_or(SendError::ConnectionSilent)?.ok_or(SendError::Stalled)?;
     if let (Err(_), Some(idle_time)) = (&answer, connection.idle_time) {
         traffic.connections.on_break(idle_time);
@@ -246,7 +255,7 @@
     ) -> Result<BufferedResponse, SendError> {
         let body = Limited::new(self.body, MAX_ANSWER_BYTES);
         let reading = held_bytes::collect(body, async |bytes| Some(node.acquire(bytes).await));
-        let body = tokio::time::timeout_at(deadline, reading).await.map_err(|_| SendError::TimedOut)?;
+        let body = arrival::timeout_at(deadline, reading).await.map_err(|_| SendError::TimedOut)?;
         let (body, held) = match body {
             Ok(Some(collected)) => collected,
             Ok(None) => return Err(SendError::Truncated("not enough memory to buffer the body".to_owned())),
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -1,27 +1,32 @@
 //! Relays one stream to its caller, from one engine after another.
 //!
 //! `moving` moves the generation away from engines that are leaving or overloaded, with a copy of its KV
-//! cache memory; `after_stop` resumes it once it has stopped; `after_loss` resumes it at another engine
+//! cache memory; `stopping` stops it, and `after_stop` resumes it once it has stopped; `after_loss` resumes it at another engine
 //! after the last event when its engine is lost; `silent_connection` takes it off connections that
-//! deliver nothing; `engine_loss` names why an engine is abandoned.
+//! deliver nothing; `restart` finds streams that a restart of their engine ended; `engine_loss` names why an engine is abandoned.
 
 mod after_loss;
 mod after_stop;
 mod engine_loss;
 mod moving;
+mod restart;
 mod silent_connection;
+mod stopping;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::ids::UpstreamId;
+use leadstage_platform::arrival;
 use leadstage_platform::engine::Resume;
 use log::info;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::messages::Outcome;
@@ -40,11 +45,16 @@
 use crate::gateway::upstream::resuming;
 use crate::gateway::upstream::resuming::ResumeFailure;
 use crate::gateway::upstream::stall::StallWatch;
+use crate::gateway::upstream::stopping::StopCalls;
 use crate::gateway::upstream::traffic::Traffic;
 
 /// Minimum number of intervals between events for a sample of an engine's pace.
 const MIN_GAPS_FOR_PACE: u64 = 4;
 
+/// Time in which the events that arrived during a suspension are relayed past the deadline. An engine that is
+/// still producing events then is abandoned.
+const ARRIVED_EVENTS_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// How a relay ended.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
 enum StreamEnd {
@@ -73,6 +83,8 @@
     move_task: Option<AbortOnDropHandle<()>>,
     /// The task that queries a silent engine.
     probe_task: Option<AbortOnDropHandle<()>>,
+    /// The calls that stop the generation at its engine.
+    stops: StopCalls,
     /// Where the generation resumes once it has stopped.
     move_target: Option<MoveTarget>,
     /// Engines that are leaving, among those that the generation ran on or was to run on.
@@ -81,6 +93,8 @@
     failed_engines: Vec<UpstreamId>,
     /// Engines that refused to be the target of a stop of the silent generation.
     rejected_targets: Vec<UpstreamId>,
+    /// Number of events received when the connection was last found silent.
+    silent_after: Option<u64>,
     moves: u32,
     pace: Pace,
     /// No event has been received from the engine yet: it may still be in prefill.
@@ -88,6 +102,8 @@
     /// Number of engines that the request was sent to, not counting those that resumed from a copy.
     sent: u32,
     stall: StallWatch,
+    /// When the stream is lost without another event, because its engine has restarted.
+    lost_at: Option<Instant>,
     /// Whether the stream is checked for silence: only if it could be resumed or moved.
     watches_stalls: bool,
 }
@@ -114,15 +130,18 @@
             events: EventSplitter::resuming_after(req.last_event()),
             stall: StallWatch::new(&req.route),
             watches_stalls: req.route.resumable || engine.is_some_and(|e| e.moves),
+            lost_at: None,
             sent,
             task_events_tx,
             task_events,
             move_task: None,
             probe_task: None,
+            stops: StopCalls::default(),
             move_target: None,
             leaving_engines: Vec::new(),
             failed_engines: Vec::new(),
             rejected_targets: Vec::new(),
+            silent_after: None,
             moves: 0,
             pace: Pace::default(),
             awaits_first_event: true,
@@ -145,7 +164,7 @@
         let outcome = match end {
             StreamEnd::Done => Outcome::Answered,
             StreamEnd::CallerLeft | StreamEnd::TimedOut => Outcome::Withdrawn,
-            StreamEnd::EngineLost(_) => Outcome::Failed,
+            StreamEnd::EngineLost(loss) => loss.outcome(),
         };
         let tx = self.tx.clone();
         self.close(outcome);
@@ -193,21 +212,37 @@
         tokio::select! {
             biased;
             () = tx.closed() => Err(StreamEnd::CallerLeft),
-            () = tokio::time::sleep_until(self.req.deadline()) => Err(StreamEnd::TimedOut),
-            Some(command) = commands.recv() => self.on_command(command),
+            () = tokio::time::sleep_until(self.req.deadline()) => Err(self.on_deadline().await),
+            Some(command) = commands.recv() => {
+                self.on_command(command);
+                Ok(())
+            }
             Some(event) = self.task_events.recv() => self.on_task_event(event).await,
+            outcome = self.stops.next() => self.on_stop_outcome(outcome).await,
             frame = self.engine_stream.frame() => match frame {
                 Some(Ok(frame)) => self.on_frame(frame.into_data().unwrap_or_default()).await,
-                None if self.move_target.is_some() && !self.engine_stream.is_framed() =>
+                None if self.may_be_stopped() && !self.engine_stream.is_framed() =>
                     self.on_unframed_end().await,
                 None => Err(self.on_stream_end().await),
                 Some(Err(err)) => self.on_break(&err).await,
             },
+            end = Self::until_lost(self.lost_at) => Err(end),
             () = tokio::time::sleep_until(self.stall.due()), if self.watches_stalls =>
                 self.on_silence().await,
         }
     }
 
+    /// Handles the deadline. If the process was suspended at that time, events that have arrived are relayed,
+    /// and the stream may turn out to be complete.
+    async fn on_deadline(&mut self) -> StreamEnd {
+        let arrived = if arrival::is_late(self.req.deadline()) {
+            self.drain(ARRIVED_EVENTS_TIMEOUT).await
+        } else {
+            None
+        };
+        arrived.unwrap_or(StreamEnd::TimedOut)
+    }
+
     async fn on_frame(&mut self, bytes: Bytes) -> Result<(), StreamEnd> {
         let complete = self.events.push(&bytes);
         if !complete.is_empty() {
@@ -224,6 +259,7 @@
 
     async fn forward_events(&mut self, complete: Bytes) -> Result<(), StreamEnd> {
         self.stall.on_event(&self.req.route);
+        self.on_event_after_restart();
         if std::mem::take(&mut self.awaits_first_event) {
             let run = &self.engine_stream.run;
             self.traffic.shared.notify(ToControl::FirstEvent(run.placed.run));
@@ -262,6 +298,8 @@
     fn switch_to(&mut self, engine_stream: EngineStream, outcome: Outcome) {
         info!(event = "moved", request = self.req.id(), from = &*self.engine_stream.run.placed.replica.id, upstream = &*engine_stream.run.placed.replica.id, events = self.events.events(); "stream continues at another engine");
         let old = std::mem::replace(&mut self.engine_stream, engine_stream);
+        self.stops = StopCalls::default();
+        self.lost_at = None;
         old.run.end(outcome);
         self.moves += 1;
     }
@@ -273,7 +311,8 @@
         resume: &Resume,
         step: &'static str,
     ) -> Result<Exchange, ResumeFailure> {
-        let resumed = resuming::resume(&self.traffic, &self.req, engine, resume).await;
+        // On the heap: with all of its callers' state this future would not fit into the thread's stack.
+        let resumed = Box::pin(resuming::resume(&self.traffic, &self.req, engine, resume)).await;
         let outcome = resumed.as_ref().map_or_else(|why| why.label(), |_| "done");
         self.traffic.shared.metrics.on_move(step, outcome);
         resumed
--- a/node/src/gateway/upstream/silence.rs
+++ b/node/src/gateway/upstream/silence.rs
@@ -9,6 +9,7 @@
 
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::routing::Repeat;
+use leadstage_platform::arrival;
 use log::info;
 use tokio::time::Instant;
 
@@ -40,11 +41,11 @@
     let (began, began_at) = (Instant::now(), clock::since_boot());
     let objective_at = began + req.route.objective;
     let retry_at = (began + req.time_left().mul_f64(RETRY_AFTER_FRACTION)).max(objective_at);
-    if let Ok(answer) = tokio::time::timeout_at(objective_at, &mut sending).await {
+    if let Ok(answer) = arrival::timeout_at(objective_at, &mut sending).await {
         return Some(answer);
     }
     traffic.connections.drop_idle_since_before(replica, began_at);
-    if let Ok(answer) = tokio::time::timeout_at(retry_at, &mut sending).await {
+    if let Ok(answer) = arrival::timeout_at(retry_at, &mut sending).await {
         return Some(answer);
     }
     if traffic.may_retry(req, sent + 1).await {
--- a/node/src/gateway/upstream/stall.rs
+++ b/node/src/gateway/upstream/stall.rs
@@ -8,6 +8,7 @@
 
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::routing::Route;
+use leadstage_platform::arrival;
 use leadstage_platform::health;
 use leadstage_platform::health::Health;
 use log::info;
@@ -96,7 +97,7 @@
     }
     let mut watch = StallWatch::new(&req.route);
     loop {
-        if let Ok(answer) = tokio::time::timeout_at(watch.due(), &mut sending).await {
+        if let Ok(answer) = arrival::timeout_at(watch.due(), &mut sending).await {
             return Some(answer);
         }
         if watch.on_due() == StallAction::Abandon {
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -2,6 +2,7 @@
 //! another engine, and injects faults.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -63,9 +64,12 @@
     None,
     /// Responds that there is no room.
     NoRoom,
+    /// Responds after this time that there is no room.
+    NoRoomLate(Duration),
     /// Never responds to a call that leaves the generation running.
     CopyHangs,
-    /// Stops the generation and never responds.
+    /// Stops the generation and never responds to that call, as if the answer were lost. A repeated call is
+    /// answered.
     StopHangs,
     /// Accepts no more connections after the first copy; open connections stay open.
     ClosesPort,
@@ -73,6 +77,9 @@
     StopClosesPort,
     /// Stops the generation and responds after this time.
     StopLate(Duration),
+    /// Stops the generation only after this time, also if the caller has disconnected by then, as if the call
+    /// were late on its way.
+    StopArrivesLate(Duration),
     /// Fails requests to resume from a copy with status 500; the copy is kept.
     ResumeFails,
 }
@@ -178,10 +185,14 @@
     /// Running generations and plain calls, with the number of events produced.
     runs: HashMap<String, u64>,
     stopped: Vec<String>,
+    /// Generations for which a call to copy them is in progress.
+    copying: HashSet<String>,
     /// Bytes of padding added to the token of each event.
     padding: usize,
     /// Requests for the report.
     report_calls: usize,
+    /// Time until the report is made and sent.
+    report_delay: Duration,
     /// Requests to copy a generation.
     copy_calls: usize,
     /// Ids of requests whose caller closed the connection before the end of the response.
@@ -241,6 +252,32 @@
     }
 }
 
+/// Marks a generation as being copied until dropped.
+struct CopyGuard<'a> {
+    replica: &'a GatewayReplica,
+    id: String,
+}
+
+impl CopyGuard<'_> {
+    /// Returns `None` if another call to copy the generation is in progress.
+    fn begin<'a>(replica: &'a GatewayReplica, id: &str) -> Option<CopyGuard<'a>> {
+        let is_first = replica.state().copying.insert(id.to_owned());
+        is_first.then(|| CopyGuard { replica, id: id.to_owned() })
+    }
+
+    /// Ends the call without an answer.
+    async fn lose_answer(self) -> Response<Body> {
+        drop(self);
+        std::future::pending().await
+    }
+}
+
+impl Drop for CopyGuard<'_> {
+    fn drop(&mut self) {
+        self.replica.state().copying.remove(&self.id);
+    }
+}
+
 impl GatewayReplica {
     /// Starts a replica that serves on a free port of `ip`.
     pub async fn start(
@@ -303,6 +340,11 @@
         self.state().padding = bytes;
     }
 
+    /// Sets the time until a requested report is made and sent.
+    pub fn set_report_delay(&self, delay: Duration) {
+        self.state().report_delay = delay;
+    }
+
     /// Makes the replica crash soon after it starts to run a request with this body.
     pub fn set_crash_on(&self, body: &str) {
         self.state().crash_on = Some(Bytes::copy_from_slice(body.as_bytes()));
@@ -540,28 +582,49 @@
         })
     }
 
-    async fn handle_copy(&self, req: Request<Bytes>) -> Response<Body> {
+    async fn handle_copy(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
         let call: serde_json::Value = serde_json::from_slice(req.body()).unwrap_or_default();
+        let fault = self.state().copy_fault;
+        if let (CopyFault::StopArrivesLate(after), true) = (fault, call["last"] == true) {
+            let late = tokio::spawn(async move {
+                tokio::time::sleep(after).await;
+                self.copy(&call).await
+            });
+            return late.await.unwrap_or_else(|_| status_response(500));
+        }
+        self.copy(&call).await
+    }
+
+    async fn copy(&self, call: &serde_json::Value) -> Response<Body> {
         let (id, last) = (call["id"].as_str().unwrap_or("").to_owned(), call["last"] == true);
-        let (fault, made, address) = {
-            let mut state = self.state();
-            state.copy_calls += 1;
-            (state.copy_fault, state.runs.get(&id).copied(), state.address)
-        };
-        let Some(made) = made else {
+        self.state().copy_calls += 1;
+        let Some((made, was_stopped)) = self.copied_events(&id) else {
             return status_response(404);
         };
+        let Some(copying) = CopyGuard::begin(self, &id) else {
+            return status_response(409);
+        };
+        let (fault, address) = {
+            let state = self.state();
+            (state.copy_fault, state.address.expect("the server was started"))
+        };
         match fault {
             CopyFault::NoRoom => return status_response(503),
-            CopyFault::CopyHangs if !last => std::future::pending::<()>().await,
+            CopyFault::NoRoomLate(after) => {
+                tokio::time::sleep(after).await;
+                return status_response(503);
+            }
+            CopyFault::CopyHangs if !last => return copying.lose_answer().await,
             _ => {}
         }
-        let address = address.expect("the server was started");
-        self.engines.copies.lock().expect("no holder panics").insert(format!("{address}/h-{id}"), made);
-        if last {
+        if !was_stopped {
+            let copy = format!("{address}/h-{id}");
+            self.engines.copies.lock().expect("no holder panics").insert(copy, made);
+        }
+        if last && !was_stopped {
             self.state().stopped.push(id.clone());
             match fault {
-                CopyFault::StopHangs => std::future::pending::<()>().await,
+                CopyFault::StopHangs => return copying.lose_answer().await,
                 CopyFault::StopLate(after) => tokio::time::sleep(after).await,
                 _ => {}
             }
@@ -572,8 +635,22 @@
         Response::new(loopback::full_body(json!({"handle": format!("h-{id}"), "made": made}).to_string()))
     }
 
+    /// Returns the number of events of a generation that can be copied, and whether it was stopped: the
+    /// replica keeps the memory of a stopped generation until its copy is used.
+    fn copied_events(&self, id: &str) -> Option<(u64, bool)> {
+        let state = self.state();
+        if !state.stopped.iter().any(|stopped| stopped == id) {
+            return Some((*state.runs.get(id)?, false));
+        }
+        let copy = format!("{}/h-{id}", state.address?);
+        let copies = self.engines.copies.lock().expect("no holder panics");
+        Some((*copies.get(&copy)?, true))
+    }
+
     /// Returns the report of running generations: id, tokens in memory, events and priority of each.
-    fn report(&self) -> Response<Body> {
+    async fn report(&self) -> Response<Body> {
+        let delay = self.state().report_delay;
+        tokio::time::sleep(delay).await;
         let mut state = self.state();
         state.report_calls += 1;
         let runs: Vec<_> = state.runs.iter().map(|(id, made)| json!([id, made, made, 5])).collect();
@@ -606,7 +683,7 @@
     async fn route(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
         match req.uri().path() {
             "/v1/kv-move" => return self.handle_copy(req).await,
-            "/v1/report" => return self.report(),
+            "/v1/report" => return self.report().await,
             "/healthz" => {
                 let mut res = status_response(if self.state().leaving.is_some() { 503 } else { 200 });
                 res.headers_mut().insert("leadstage-instance-id", self.id.parse().expect("valid"));
@@ -634,6 +711,10 @@
             return self.crash_response(&req).await;
         }
         if req.headers().contains_key("leadstage-model") {
+            if fault == ReplicaFault::Breaks {
+                let broken = futures::stream::iter([Err(std::io::Error::other("cut"))]);
+                return Response::new(loopback::stream_body(broken));
+            }
             return self.handle_stream(&req).await;
         }
         self.handle_call(req, fault).await
--- a/testutils/src/loopback.rs
+++ b/testutils/src/loopback.rs
@@ -2,11 +2,13 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::Stream;
@@ -21,10 +23,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
+/// Number of connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// A response body; an error closes the connection.
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
@@ -65,7 +74,7 @@
 
 /// Starts a server on a free port of `ip`.
 pub async fn serve<H: RequestHandler>(ip: &str, handler: Arc<H>) -> Server {
-    let listener = TcpListener::bind(format!("{ip}:0")).await.expect("a port of the address is free");
+    let listener = listen(any_port(ip)).expect("a port of the address is free");
     let address = listener.local_addr().expect("the listener is bound");
     let (close_port, open_port) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
     let (closing, opening) = (close_port.clone(), open_port.clone());
@@ -75,10 +84,10 @@
         loop {
             tokio::select! {
                 () = closing.notified() => drop(listener),
-                () = accept_connections(&listener, &handler, &mut connections) => return,
+                never = accept_connections(&listener, &handler, &mut connections) => match never {},
             }
             opening.notified().await;
-            listener = TcpListener::bind(address).await.expect("the port is still free");
+            listener = listen(address).expect("the port is still free");
         }
     };
     let shutdown = Arc::new(Notify::new());
@@ -96,13 +105,41 @@
     listener: &TcpListener,
     handler: &Arc<H>,
     connections: &mut JoinSet<()>,
-) {
-    while let Ok((stream, _)) = listener.accept().await {
+) -> Infallible {
+    loop {
+        let stream = accept(listener).await;
         connections.spawn(serve_connection(stream, handler.clone()));
     }
 }
 
-async fn serve_connection<H: RequestHandler>(stream: tokio::net::TcpStream, handler: Arc<H>) {
+/// The address of any free port of `ip`.
+pub(crate) fn any_port(ip: &str) -> SocketAddr {
+    SocketAddr::new(ip.parse().expect("an IP address"), 0)
+}
+
+/// Listens with a queue for as many connections as a test opens at the same time.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts the next connection. A failed accept, for example for want of a file descriptor, concerns no
+/// connection that is open: it is printed, and tried again.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(err) => {
+                eprintln!("stand-in: a connection could not be accepted: {err}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H: RequestHandler>(stream: TcpStream, handler: Arc<H>) {
     let number = AtomicU32::new(0);
     let service = service_fn(move |req: Request<Incoming>| {
         let handler = handler.clone();
