--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -53,7 +53,7 @@
 
 /// Time in which the events that arrived during a suspension are relayed past the deadline. An engine that is
 /// still producing events then is abandoned.
-const ARRIVED_EVENTS_TIMEOUT: Duration = Duration::from_millis(250);
+const ARRIVED_EVENTS_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// How a relay ended.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
