membership: a pause of the process doesn't count towards its suspicions

What the fleet saw: a node that was suspended for 2.5 s while it suspected another one declared that dead in its first tick, to all others too, and alive 2 ms later, when it had read its socket.

Cause: a pause was one only from 3 s on, while a suspicion lasts 2 s. Ticks more than a second apart lengthen the suspicions by the gap now; what a long pause does besides is as it was.

It and a test of the store start their nodes by one function.

--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -32,6 +32,8 @@
 const INDIRECT_PROBES: usize = 2;
 /// Maximum number of updates in one message.
 pub const MAX_UPDATES_PER_MESSAGE: usize = 8;
+/// Ticks that are further apart than this indicate a pause of the process.
+const MAX_TICK_GAP: Duration = PROBE_INTERVAL;
 /// A process that was paused for longer than this no longer trusts its view of the fleet.
 pub const PAUSE_THRESHOLD: Duration = Duration::from_secs(3);
 
@@ -222,18 +224,22 @@
         actions
     }
 
-    /// Raises the incarnation and restarts the time of each suspicion after a pause of the process: other VMs
-    /// may consider this one dead, and its own suspicions are outdated.
+    /// Handles a pause of the process, in which it received no refutations: the pause does not count towards
+    /// its suspicions. After a long one, other VMs may also consider this one dead.
     fn detect_pause(&mut self, now: Timestamp) {
-        let paused = self.last_tick.is_some_and(|at| now.saturating_sub(at) > PAUSE_THRESHOLD);
-        self.last_tick = Some(now);
-        if !paused {
+        let gap = now.saturating_sub(self.last_tick.replace(now).unwrap_or(now));
+        if gap <= MAX_TICK_GAP {
             return;
         }
-        self.incarnation += 1;
-        self.last_contact = None;
+        let is_long = gap > PAUSE_THRESHOLD;
         for vm in self.suspects.clone() {
-            self.update(&vm, |member| member.since = now);
+            self.update(&vm, |member| {
+                member.since = if is_long { now } else { (member.since + gap).min(now) }
+            });
+        }
+        if is_long {
+            self.incarnation += 1;
+            self.last_contact = None;
         }
     }
 
--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -149,6 +149,18 @@
         (gateway, bookings, models)
     }
 
+    /// Starts a fleet with version 1 of [`config`], one replica of plain calls and `nodes` ready nodes.
+    pub async fn with_nodes(nodes: usize) -> (Gateway, RunningReplica) {
+        let mut gateway = Gateway::start().await;
+        gateway.store.put("config", "main", config(1));
+        let booking = gateway.start_replica(BOOKING, "booking-1", 1).await;
+        for node in 0..nodes {
+            gateway.start_node();
+            gateway.until_ready(node).await;
+        }
+        (gateway, booking)
+    }
+
     /// Starts a replica whose generations have `events` events, and writes its entry to the store.
     pub async fn start_replica(&self, service: &str, id: &str, events: u64) -> RunningReplica {
         self.start_cold_replica(service, id, events, Duration::ZERO).await
--- a/node/tests/test_gateway_suspended_fleet.rs
+++ b/node/tests/test_gateway_suspended_fleet.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use crate::gateway_environment::Gateway;
-use crate::gateway_environment::config;
 
 /// Longer than a suspicion lasts.
 const PAUSE: Duration = Duration::from_millis(2_500);
@@ -18,13 +17,7 @@
 /// have refuted a suspicion passed while the declaring node did not run.
 #[tokio::test]
 async fn test_a_suspect_does_not_die_during_a_suspension() {
-    let mut gateway = Gateway::start().await;
-    gateway.store.put("config", "main", config(1));
-    let _booking = gateway.start_replica("booking", "booking-1", 1).await;
-    for node in 0..NODES {
-        gateway.start_node();
-        gateway.until_ready(node).await;
-    }
+    let (gateway, _booking) = Gateway::with_nodes(NODES).await;
     tokio::time::sleep(SETTLE_TIME).await;
     let suspect = gateway.peer(0);
     let changed_to = |liveness: &str| {
--- a/node/tests/test_gateway_suspended_store.rs
+++ b/node/tests/test_gateway_suspended_store.rs
@@ -35,13 +35,7 @@
 /// did not run: each list is billed, and a whole fleet may be suspended at once.
 #[tokio::test]
 async fn test_a_suspended_node_does_not_begin_to_watch_the_store() {
-    let mut gateway = Gateway::start().await;
-    gateway.store.put("config", "main", config(1));
-    let _booking = gateway.start_replica("booking", "booking-1", 1).await;
-    for node in 0..NODES {
-        gateway.start_node();
-        gateway.until_ready(node).await;
-    }
+    let (gateway, _booking) = Gateway::with_nodes(NODES).await;
     tokio::time::sleep(SETTLE_TIME).await;
     let role_changes = |node: usize| gateway.log(node).matches("event=store_watch ").count();
     // A node that watches has changed its role once, one that has stopped to watch twice.
