--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -1,9 +1,10 @@
 //! Relays one stream to its caller, from one engine after another.
 //!
 //! `moving` moves the generation away from engines that are leaving or overloaded, with a copy of its KV
-//! cache memory; `stopping` stops it, and `after_stop` resumes it once it has stopped; `after_loss` resumes it at another engine
-//! after the last event when its engine is lost; `silent_connection` takes it off connections that
-//! deliver nothing; `restart` finds streams that a restart of their engine ended; `engine_loss` names why an engine is abandoned.
+//! cache memory; `stopping` stops it, and `after_stop` resumes it once it has stopped; `after_loss` resumes
+//! it at another engine after the last event when its engine is lost; `silent_connection` takes it off
+//! connections that deliver nothing; `restart` finds streams that a restart of their engine ended;
+//! `engine_loss` names why an engine is abandoned.
 
 mod after_loss;
 mod after_stop;
