upgrades: the first few answers of a switch don't call it slow

Those are the first of the switch: they need new connections to replicas that the trial did not use, and one slow moment makes all of them slow.

A switch is clearly slow by 30 answers at least.

--- a/lib/src/gateway/upgrade_verdict.rs
+++ b/lib/src/gateway/upgrade_verdict.rs
@@ -34,6 +34,9 @@
 /// A version is clearly slow in the switch if its rate of slow answers is this much above the measured rate of
 /// the present version: less than a bad version's, but more than a busy moment adds.
 const CLEARLY_SLOW_MARGIN: f64 = 0.05;
+/// Minimum number of answers of the switch that can be clearly slow. The first ones need new connections, and
+/// are as slow as each other.
+const MIN_SWITCH_ANSWERS: u32 = 30;
 /// Number of answers after which an inconclusive part of slow ones is taken for noise in the switch.
 const ENOUGH_SWITCH_ANSWERS: u32 = 100;
 /// Significance level for a good version: the probability that a clearly bad version has at most as many bad
@@ -135,7 +138,7 @@
 
     fn is_clearly_slow(self) -> bool {
         let rate = self.rate_above_present(CLEARLY_SLOW_MARGIN);
-        self.target >= MIN_BAD_ANSWERS
+        self.of_target >= MIN_SWITCH_ANSWERS
             && binomial_tail(self.target, self.of_target, rate) < WORSE_SIGNIFICANCE
     }
 
