gateway: count and log which replicas a node can't connect to

When callers of a node got 503, neither logs nor metrics told whether the replicas, or only that node's path to them, were gone: there was a line for each attempt and nothing over several replicas. Every connection to a replica, of requests, health checks and calls about generations, is now opened in one place, which counts outcomes (leadstage_gateway_dials_total) and logs path_lost and path_restored by how many replicas in a row were not reached.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -39,6 +39,7 @@
 pub mod replica_catch_up;
 pub mod replica_limits;
 pub mod replica_list;
+pub mod replica_paths;
 pub mod replica_rate_limiter;
 pub mod replica_record;
 pub mod replica_updates;
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -13,6 +13,7 @@
 mod observability;
 mod peers;
 mod reload;
+mod replica_dialer;
 mod reply;
 mod reply_body;
 mod request;
--- a/node/src/gateway/control/crash_intake.rs
+++ b/node/src/gateway/control/crash_intake.rs
@@ -35,6 +35,7 @@
 use crate::gateway::messages::ToControl;
 use crate::gateway::peers::fleet::Fleet;
 use crate::gateway::peers::peer_message::PeerMessage;
+use crate::gateway::replica_dialer::ReplicaDialer;
 use crate::gateway::shared::Shared;
 use crate::shared::unix_millis;
 
@@ -297,7 +298,14 @@
 }
 
 async fn check_health(shared: Arc<Shared>, replica: Arc<ReplicaRecord>, path: String) {
-    let result = match health::check(&replica, &path, HEALTH_CHECK_TIMEOUT).await {
+    let result = match health::check(
+        ReplicaDialer::new(shared.clone()),
+        &replica,
+        &path,
+        HEALTH_CHECK_TIMEOUT,
+    )
+    .await
+    {
         Health::Well { .. } | Health::Unwell | Health::Leaving => CheckResult::Lives,
         Health::Other => CheckResult::Replaced,
         Health::Closed => CheckResult::PortClosed,
--- a/node/src/gateway/control/health_poller.rs
+++ b/node/src/gateway/control/health_poller.rs
@@ -13,6 +13,7 @@
 use leadstage_platform::health;
 
 use crate::gateway::messages::ToControl;
+use crate::gateway::replica_dialer::ReplicaDialer;
 use crate::gateway::shared::Shared;
 
 /// Polls the health of engines to detect those that leave.
@@ -51,6 +52,6 @@
 }
 
 async fn poll(shared: Arc<Shared>, replica: Arc<ReplicaRecord>, path: String) {
-    let health = health::check(&replica, &path, HEALTH_TIMEOUT).await;
+    let health = health::check(ReplicaDialer::new(shared.clone()), &replica, &path, HEALTH_TIMEOUT).await;
     shared.notify(ToControl::Health(replica.incarnation(), health));
 }
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -2,6 +2,7 @@
 //! set of label values is bounded: routes of the configuration up to a limit, codes, and fixed words.
 
 use std::collections::HashSet;
+use std::io;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -35,6 +36,7 @@
     moves: Counter<u64>,
     repeats: Counter<u64>,
     connections: Counter<u64>,
+    dials: Counter<u64>,
     store_calls: Counter<u64>,
     store_calls_sums: [AtomicU64; StoreCall::COUNT],
     lead_silences: Counter<u64>,
@@ -81,6 +83,10 @@
                 "Requests sent again, by whether the budget let them",
             ),
             connections: counter("leadstage.gateway.connections", "Connections to replicas, new and reused"),
+            dials: counter(
+                "leadstage.gateway.dials",
+                "Attempts to open a connection to a replica, by outcome",
+            ),
             store_calls: counter(
                 "leadstage.gateway.store_calls",
                 "Calls to the store, by purpose and answer",
@@ -185,6 +191,17 @@
         self.connections.add(1, &[KeyValue::new("reused", reused)]);
     }
 
+    /// Counts an attempt to open a connection to a replica, by how it failed if it did.
+    pub fn on_dial(&self, failure: Option<io::ErrorKind>) {
+        let outcome = match failure {
+            None => "opened",
+            Some(io::ErrorKind::TimedOut) => "timed out",
+            Some(io::ErrorKind::ConnectionRefused) => "refused",
+            Some(_) => "failed",
+        };
+        self.dials.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a call to the store that was answered or failed.
     pub fn on_store_call(&self, purpose: StoreCall, answered: bool) {
         self.store_calls_sums[purpose as usize].fetch_add(1, Ordering::Relaxed);
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
@@ -16,6 +17,7 @@
 use leadstage_lib::gateway::config_text::ConfigText;
 use leadstage_lib::gateway::crash_ledger::CrashTable;
 use leadstage_lib::gateway::replica_limits::LimitsInForce;
+use leadstage_lib::gateway::replica_paths::ReplicaPaths;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::gateway::routing::ServiceId;
@@ -85,6 +87,7 @@
     upgrades: RwLock<Arc<Upgrades>>,
     replicas_at: AtomicU64,
     paces: RwLock<HashMap<ServiceId, f64>>,
+    paths: Mutex<ReplicaPaths>,
 }
 
 impl Shared {
@@ -106,6 +109,7 @@
             upgrades: RwLock::default(),
             replicas_at: AtomicU64::new(0),
             paces: RwLock::default(),
+            paths: Mutex::default(),
             held: HeldBytes::new(settings.memory_bytes),
             settings,
             metrics,
@@ -300,6 +304,11 @@
         *self.paces.write().expect("no holder panics") = paces;
     }
 
+    /// Reads or updates what this node knows about its paths to the replicas.
+    pub fn with_paths<T>(&self, access: impl FnOnce(&mut ReplicaPaths) -> T) -> T {
+        access(&mut self.paths.lock().expect("no holder panics"))
+    }
+
     /// Publishes whether the store answers this node; returns whether that has changed.
     pub fn set_store_answers(&self, answers: bool) -> bool {
         self.store_answers.swap(answers, Ordering::Relaxed) != answers
--- a/node/src/gateway/upstream/connections.rs
+++ b/node/src/gateway/upstream/connections.rs
@@ -19,7 +19,7 @@
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::ids::Timestamp;
-use leadstage_platform::connect;
+use leadstage_platform::connect::Dial;
 use log::info;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -104,6 +104,7 @@
     /// Returns a connection to a replica.
     pub async fn take(
         &self,
+        dialer: &impl Dial,
         replica: &ReplicaRecord,
         choice: ConnectionChoice,
     ) -> Result<Connection, ConnectError> {
@@ -111,7 +112,7 @@
             (choice == ConnectionChoice::Any).then(|| self.take_idle(&replica.incarnation())).flatten();
         match idle {
             Some(connection) => Ok(connection),
-            None => open(replica).await,
+            None => open(dialer, replica).await,
         }
     }
 
@@ -169,8 +170,8 @@
 }
 
 /// Opens a connection to a replica.
-pub async fn open(replica: &ReplicaRecord) -> Result<Connection, ConnectError> {
-    let stream = connect::connect(replica.address, connect::CONNECT_TIMEOUT).await?;
+pub async fn open(dialer: &impl Dial, replica: &ReplicaRecord) -> Result<Connection, ConnectError> {
+    let stream = dialer.dial(replica.address).await?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_READ_BUFFER_BYTES);
     let (sender, driver) = builder.handshake(TokioIo::new(stream)).await?;
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -211,9 +211,15 @@
     async fn copy_to(&self, target: RunGuard) -> Result<MoveTarget, CopyFailure> {
         let to = target.placed.replica.clone();
         let began = Instant::now();
-        let result =
-            engine::copy_generation(self.source.address, self.req.id(), to.address, false, COPY_TIMEOUT)
-                .await;
+        let result = engine::copy_generation(
+            self.traffic.dialer(),
+            self.source.address,
+            self.req.id(),
+            to.address,
+            false,
+            COPY_TIMEOUT,
+        )
+        .await;
         let took = began.elapsed().as_millis() as u64;
         info!(event = "copy", request = self.req.id(), run = target.placed.run, from = &*self.source.id, to = &*to.id, took_ms = took, outcome:? = result; "copy of a generation");
         self.traffic.shared.metrics.on_move("copy", outcome_label(&result));
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -159,7 +159,8 @@
     if traffic.is_reverted(req, replica) {
         return Err(SendError::VersionReverted);
     }
-    let mut connection = traffic.connections.take(replica, choice).await.map_err(SendError::NotSent)?;
+    let taken = traffic.connections.take(&traffic.dialer(), replica, choice).await;
+    let mut connection = taken.map_err(SendError::NotSent)?;
     if req.time_left().is_zero() {
         return Err(SendError::Expired);
     }
--- a/node/src/gateway/upstream/relay/silent_connection.rs
+++ b/node/src/gateway/upstream/relay/silent_connection.rs
@@ -19,6 +19,7 @@
 use log::info;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::gateway::replica_dialer::ReplicaDialer;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::upstream::copying::TaskEvent;
 use crate::gateway::upstream::relay::Relay;
@@ -52,8 +53,9 @@
         let (req, task_events) = (self.req.clone(), self.task_events_tx.clone());
         let engine = self.engine_stream.run.placed.replica.clone();
         let received = self.events.events();
+        let dialer = self.traffic.dialer();
         self.probe_task = Some(AbortOnDropHandle::new(tokio::task::spawn_local(async move {
-            if is_ahead(&req, &engine, received).await {
+            if is_ahead(dialer, &req, &engine, received).await {
                 // The stream may have ended by now.
                 let _ = task_events.send(TaskEvent::ConnectionSilent { engine: engine.id.clone(), received });
             }
@@ -72,8 +74,13 @@
 
 /// Whether the engine has produced clearly more events than the `received` ones that its connection
 /// delivered.
-async fn is_ahead(req: &Arc<CallerRequest>, engine: &ReplicaRecord, received: u64) -> bool {
-    let produced = engine::fetch_event_count(engine.address, req.id(), REPORT_TIMEOUT).await;
+async fn is_ahead(
+    dialer: ReplicaDialer,
+    req: &Arc<CallerRequest>,
+    engine: &ReplicaRecord,
+    received: u64,
+) -> bool {
+    let produced = engine::fetch_event_count(dialer, engine.address, req.id(), REPORT_TIMEOUT).await;
     let is_ahead = matches!(produced, Ok(Some(produced)) if produced >= received + MIN_EVENTS_AHEAD);
     info!(event = "connection_doubted", request = req.id(), upstream = &*engine.id, came = received, made:? = produced, silent = is_ahead; "queried the engine of a silent stream");
     is_ahead
--- a/node/src/gateway/upstream/stopping.rs
+++ b/node/src/gateway/upstream/stopping.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::gateway::replica_dialer::ReplicaDialer;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::upstream::copying::COPY_RETRY_DELAY;
 use crate::gateway::upstream::copying::COPY_TIMEOUT;
@@ -68,6 +69,8 @@
 /// A call that stops a generation.
 #[derive(Clone)]
 pub struct StopCall {
+    /// Opens the connections.
+    pub dialer: ReplicaDialer,
     /// The request of the generation.
     pub req: Arc<CallerRequest>,
     /// The engine that runs the generation.
@@ -84,8 +87,9 @@
         let until = Instant::now() + connect_for;
         loop {
             let limit = self.req.time_left();
+            let (dialer, source) = (self.dialer.clone(), self.source.address);
             let answer =
-                engine::copy_generation(self.source.address, self.req.id(), self.target, true, limit).await;
+                engine::copy_generation(dialer, source, self.req.id(), self.target, true, limit).await;
             let Err(err) = &answer else {
                 return answer;
             };
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -19,6 +19,7 @@
 use crate::gateway::messages::PlaceRequest;
 use crate::gateway::messages::StreamHandle;
 use crate::gateway::peers::peer_message::Wanted;
+use crate::gateway::replica_dialer::ReplicaDialer;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
 use crate::gateway::shared::Shared;
@@ -61,6 +62,11 @@
         }
     }
 
+    /// Returns a dialer for connections to replicas.
+    pub fn dialer(&self) -> ReplicaDialer {
+        ReplicaDialer::new(self.shared.clone())
+    }
+
     /// Whether a request that was sent to `sent` replicas may be sent to one more; if so, that is taken
     /// from the retry budget.
     pub async fn may_retry(&self, req: &CallerRequest, sent: u32) -> bool {
