--- /dev/null
+++ b/node/tests/test_gateway_partitioned_nodes.rs
@@ -0,0 +1,151 @@
+//! Nodes that are partitioned from all replicas, while callers and the other nodes reach them.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use leadstage_testutils::faulty_proxy::FaultyProxy;
+use leadstage_testutils::faulty_proxy::OpenLinks;
+
+use crate::gateway_environment::BOOKING;
+use crate::gateway_environment::CallResult;
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::MODEL;
+use crate::gateway_environment::RunningReplica;
+use crate::gateway_environment::book;
+use crate::gateway_environment::config;
+use crate::gateway_environment::read;
+use crate::gateway_environment::tag;
+
+/// Time after the beginning of a partition from which on the callers of all nodes are to be served alike.
+const DETECTION_TIME: Duration = Duration::from_secs(3);
+/// How long callers are observed.
+const OBSERVED_TIME: Duration = Duration::from_secs(3);
+/// Interval between two calls of each kind at each node.
+const CALL_INTERVAL: Duration = Duration::from_millis(100);
+/// The deadline of plain calls.
+const CALL_DEADLINE: &str = "600";
+/// Minimum served share of first attempts at partitioned nodes, as a fraction of that at the others.
+const MIN_RELATIVE_SHARE: f64 = 0.9;
+
+/// A fleet whose replicas are behind proxies, so that single nodes can be partitioned from them.
+struct PartitionedFleet {
+    gateway: Gateway,
+    replicas: Vec<RunningReplica>,
+    proxies: Vec<FaultyProxy>,
+}
+
+impl PartitionedFleet {
+    /// Starts a fleet with three replicas of each service whose generations have `events` events.
+    async fn start(nodes: usize, events: u64) -> PartitionedFleet {
+        let mut gateway = Gateway::start().await;
+        gateway.store.put("config", "main", config(1));
+        let (mut replicas, mut proxies) = (Vec::new(), Vec::new());
+        for service in [BOOKING, MODEL] {
+            for n in 1..=3 {
+                let running = gateway.start_replica(service, &format!("{service}-{n}"), events).await;
+                proxies.push(gateway.put_proxy_before(service, &running).await);
+                replicas.push(running);
+            }
+        }
+        for node in 0..nodes {
+            gateway.start_node();
+            gateway.until_ready(node).await;
+        }
+        PartitionedFleet { gateway, replicas, proxies }
+    }
+
+    fn ip(&self, node: usize) -> Ipv4Addr {
+        let address = self.gateway.client_address(node);
+        address.split(':').next().expect("an address").parse().expect("an IPv4 address")
+    }
+
+    /// Partitions the first `count` nodes from all replicas.
+    fn partition(&self, count: usize, open_links: OpenLinks) {
+        let nodes: Vec<Ipv4Addr> = (0..count).map(|node| self.ip(node)).collect();
+        self.proxies.iter().for_each(|proxy| proxy.partition(&nodes, open_links));
+    }
+
+    /// Sends calls of all kinds to each node for a while. Returns the attempts of each node with their ids.
+    async fn observe_callers(&self, name: &str) -> Vec<Vec<(String, CallResult)>> {
+        let nodes = (0..self.gateway.nodes()).map(|node| self.observe_callers_of(node, name));
+        futures::future::join_all(nodes).await
+    }
+
+    async fn observe_callers_of(&self, node: usize, name: &str) -> Vec<(String, CallResult)> {
+        let rounds = (OBSERVED_TIME.as_millis() / CALL_INTERVAL.as_millis()) as u32;
+        let calls = (0..rounds).flat_map(|round| {
+            let id = |kind| format!("{name}-{kind}-{node}-{round}");
+            let (read_id, book_id, tag_id) = (id("read"), id("book"), id("tag"));
+            [
+                (read_id.clone(), read(&read_id)),
+                (book_id.clone(), book(&book_id)),
+                (tag_id.clone(), tag(&tag_id)),
+            ]
+            .map(|(id, mut req)| async move {
+                if !id.contains("tag") {
+                    let deadline = CALL_DEADLINE.parse().expect("a header value");
+                    req.headers_mut().insert("leadstage-deadline-ms", deadline);
+                }
+                tokio::time::sleep(CALL_INTERVAL * round).await;
+                let called = self.gateway.call(node, req).await;
+                (id, called)
+            })
+        });
+        futures::future::join_all(calls).await
+    }
+
+    /// How often each call that may run once arrived at a replica.
+    fn arrivals(&self) -> BTreeMap<String, usize> {
+        let mut arrivals = BTreeMap::new();
+        for seen in self.replicas.iter().flat_map(|running| running.replica.received_requests()) {
+            let id = seen.header("leadstage-request-id").unwrap_or_default().to_owned();
+            if id.contains("book") {
+                *arrivals.entry(id).or_default() += 1;
+            }
+        }
+        arrivals
+    }
+
+    /// Checks that no call ran twice, and that none ran that was answered as not run.
+    fn check_promises(&self, observed: &[Vec<(String, CallResult)>]) {
+        let arrivals = self.arrivals();
+        let twice: Vec<_> = arrivals.iter().filter(|(_, count)| **count > 1).collect();
+        assert!(twice.is_empty(), "sent twice: {twice:?}\n{}", self.gateway.logs());
+        let not_run = observed.iter().flatten().filter(|(_, called)| matches!(called.status, 429 | 503));
+        let untrue: Vec<_> = not_run.filter(|(id, _)| arrivals.contains_key(id)).map(|(id, _)| id).collect();
+        assert!(untrue.is_empty(), "answered as not run, but ran: {untrue:?}\n{}", self.gateway.logs());
+    }
+}
+
+/// The share of attempts at some nodes that were served.
+fn served_share(observed: &[Vec<(String, CallResult)>]) -> f64 {
+    let attempts = observed.iter().flatten();
+    let served = attempts.clone().filter(|(_, called)| called.status == 200 && called.whole).count();
+    served as f64 / attempts.count() as f64
+}
+
+/// Checks that callers of `partitioned` of `nodes` nodes are served about as well as those of the others.
+async fn check_callers_are_served(nodes: usize, partitioned: usize, open_links: OpenLinks) {
+    let fleet = PartitionedFleet::start(nodes, 5).await;
+    fleet.observe_callers("before").await;
+    fleet.partition(partitioned, open_links);
+    let during = fleet.observe_callers("during").await;
+    tokio::time::sleep(DETECTION_TIME.saturating_sub(OBSERVED_TIME)).await;
+    let after = fleet.observe_callers("after").await;
+    let (cut, others) = after.split_at(partitioned);
+    let (cut_share, others_share) = (served_share(cut), served_share(others));
+    fleet.check_promises(&during);
+    fleet.check_promises(&after);
+    assert!(
+        others_share > 0.9 && cut_share >= MIN_RELATIVE_SHARE * others_share,
+        "served at partitioned nodes: {cut_share:.2}, at the others: {others_share:.2}\n{}",
+        fleet.gateway.logs()
+    );
+}
+
+/// Guards against callers who get no answer or 503 from a node that has lost its path to all replicas.
+#[tokio::test]
+async fn test_callers_of_nodes_without_a_path_to_replicas_are_served_as_those_of_the_others() {
+    check_callers_are_served(4, 2, OpenLinks::Hang).await;
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod loopback;
 pub mod metadata_store;
 pub mod object_store;
+pub mod packet_filter;
 pub mod plain_server;
 pub mod platform_server;
