gateway: connect to replicas through other nodes while the own path is lost

Cause: a node held the state of its own path for the state of the replicas. It had no other way to them, nothing lasted from one call to the next, and it reported engines as failed to the lead, 55 times in 9 s.

A connection to a replica that fails, or is not open after 100 ms, is now also opened through another node: CONNECT on the peer port, answered only for addresses of known replicas and never through a second node. The node still speaks HTTP with the replica itself, so that deadline, cancellation, at most one run, 'not run', attempts, limits and the configuration in force hold as they did; a reset is passed on as a reset. All connections of the gateway to replicas take this way: requests, health checks, stops and copies of generations. What a node knows of its paths is kept for each service: a replica that only others reach, two that were not reached in a row (cut off), which nodes opened tunnels. While a path is lost it is probed twice a second beside the callers' requests. A failure that shows nothing about the replica is no longer held against it, and if no node has a path the call is refused at once.

--- a/lib/src/gateway/replica_paths.rs
+++ b/lib/src/gateway/replica_paths.rs
@@ -1,12 +1,57 @@
-//! Whether a node has a path to the replicas. A replica that can't be reached may have ended, or this node may
-//! be partitioned from it; the outcomes at several replicas tell these apart.
+//! A node's paths to the replicas of a service: which it reaches by itself, and which only other nodes reach.
+//!
+//! A replica that can't be reached may have ended, or this node may be partitioned from it. Another node that
+//! reaches the replica tells these apart, and can carry this node's connection to it: a tunnel. While the
+//! direct path is lost, it is probed from time to time.
 
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
+use crate::ids::Timestamp;
 
 /// Number of replicas that can't be reached, with none reached in between, from which on the node itself
-/// counts as cut off.
+/// counts as cut off from the service.
 const MIN_UNREACHED_FOR_CUT: usize = 2;
+/// Interval between two probes of lost direct paths.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// How long other nodes are asked for tunnels before one that could not open one.
+const VIA_BACKOFF: Duration = Duration::from_secs(1);
+/// How long a node is preferred for tunnels after it opened one.
+const VIA_PREFERENCE: Duration = Duration::from_secs(5);
+/// How long no tunnel is tried to a replica that another node did not reach either.
+const UNREACHED_BACKOFF: Duration = Duration::from_secs(1);
+/// How long a lost path is remembered that was not used.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// How to connect to a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DialPlan {
+    /// Directly, and through a tunnel if that fails or takes long.
+    DirectFirst,
+    /// Directly only: other nodes don't reach the replica either.
+    DirectOnly,
+    /// Through a tunnel.
+    Tunnel {
+        /// Whether the direct path is to be probed now.
+        probes_direct: bool,
+    },
+}
+
+/// The outcome of asking a node for a tunnel to a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TunnelOutcome {
+    /// The tunnel is open.
+    Opened,
+    /// The node has a path to the replicas but did not reach this one.
+    ReplicaUnreached,
+    /// The node could not help: it was not reached, has no path either, or takes no tunnels.
+    Unavailable,
+}
 
 /// A change of what a node believes about its path to the replicas.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,29 +62,72 @@
     Restored,
 }
 
-/// The outcomes of a node's attempts to connect to replicas.
+/// What is known of a node as a carrier of tunnels.
+#[derive(Clone, Copy, Debug)]
+enum Via {
+    PreferredUntil(Timestamp),
+    AvoidedUntil(Timestamp),
+}
+
+/// A node's paths to the replicas.
 #[derive(Debug, Default)]
 pub struct ReplicaPaths {
-    /// Replicas that could not be reached since one was reached.
+    /// Replicas that could not be reached directly since one was.
     unreached: BTreeSet<SocketAddr>,
+    /// Replicas that only other nodes reach, with the time when that was last confirmed.
+    blocked: HashMap<SocketAddr, Timestamp>,
+    /// Replicas that other nodes don't reach either, until when no tunnel to them is tried.
+    unreached_by_others: HashMap<SocketAddr, Timestamp>,
+    vias: HashMap<SocketAddr, Via>,
+    next_probe_at: Timestamp,
 }
 
 impl ReplicaPaths {
-    /// Whether the node counts as cut off from the replicas.
+    /// Whether the node counts as cut off from all replicas.
     pub fn is_cut_off(&self) -> bool {
         self.unreached.len() >= MIN_UNREACHED_FOR_CUT
     }
 
-    /// Number of replicas that could not be reached since one was reached.
+    /// Whether the node is believed to have no direct path to a replica that others may reach.
+    pub fn lacks_path(&self, replica: SocketAddr) -> bool {
+        self.is_cut_off() || self.blocked.contains_key(&replica)
+    }
+
+    /// Number of replicas that could not be reached directly since one was.
     pub fn unreached(&self) -> usize {
         self.unreached.len()
     }
 
-    /// Records that a connection to a replica was opened, or could not be opened.
+    /// Returns how to connect to a replica now.
+    pub fn plan(&mut self, replica: SocketAddr, now: Timestamp) -> DialPlan {
+        if self.lacks_path(replica) {
+            return DialPlan::Tunnel { probes_direct: self.take_probe(now) };
+        }
+        if self.unreached_by_others.get(&replica).is_some_and(|until| now < *until) {
+            return DialPlan::DirectOnly;
+        }
+        DialPlan::DirectFirst
+    }
+
+    /// Whether a lost direct path is to be probed now; counts as probed if so.
+    pub fn take_probe(&mut self, now: Timestamp) -> bool {
+        let is_due = now >= self.next_probe_at;
+        if is_due {
+            self.next_probe_at = now + PROBE_INTERVAL;
+        }
+        is_due
+    }
+
+    /// Records that a direct connection to a replica was opened, or could not be opened.
     pub fn on_direct(&mut self, replica: SocketAddr, is_reached: bool) -> Option<PathChange> {
         let was_cut_off = self.is_cut_off();
         if is_reached {
             self.unreached.clear();
+            self.unreached_by_others.remove(&replica);
+            if self.blocked.remove(&replica).is_some() {
+                // The other paths are probably back too.
+                self.next_probe_at = Timestamp::ZERO;
+            }
         } else {
             self.unreached.insert(replica);
         }
@@ -49,4 +137,57 @@
             _ => None,
         }
     }
+
+    /// Records that a replica was reached through a tunnel but not directly.
+    pub fn on_blocked(&mut self, replica: SocketAddr, now: Timestamp) -> Option<PathChange> {
+        self.blocked.retain(|_, confirmed| now < *confirmed + FORGET_AFTER);
+        self.blocked.insert(replica, now);
+        self.on_direct(replica, false)
+    }
+
+    /// Records the outcome of asking the node `via` for a tunnel to a replica.
+    pub fn on_tunnel(
+        &mut self,
+        replica: SocketAddr,
+        via: SocketAddr,
+        outcome: TunnelOutcome,
+        now: Timestamp,
+    ) {
+        let state = match outcome {
+            TunnelOutcome::Opened => {
+                self.unreached_by_others.remove(&replica);
+                if let Some(confirmed) = self.blocked.get_mut(&replica) {
+                    *confirmed = now;
+                }
+                Via::PreferredUntil(now + VIA_PREFERENCE)
+            }
+            TunnelOutcome::ReplicaUnreached => {
+                self.unreached_by_others.retain(|_, until| now < *until);
+                self.unreached_by_others.insert(replica, now + UNREACHED_BACKOFF);
+                return;
+            }
+            TunnelOutcome::Unavailable => Via::AvoidedUntil(now + VIA_BACKOFF),
+        };
+        self.vias.retain(|_, via| match via {
+            Via::PreferredUntil(until) | Via::AvoidedUntil(until) => now < *until,
+        });
+        self.vias.insert(via, state);
+    }
+
+    /// Returns a node to ask for a tunnel, other than the `tried` ones: one that opened a tunnel recently if
+    /// there is any, else a random one, those last that failed to recently.
+    pub fn choose_via<R: Rng>(
+        &self,
+        nodes: &[SocketAddr],
+        tried: &[SocketAddr],
+        now: Timestamp,
+        rng: &mut R,
+    ) -> Option<SocketAddr> {
+        let preferred = |node: &&SocketAddr| matches!(self.vias.get(*node), Some(Via::PreferredUntil(until)) if now < *until);
+        let usable = |node: &&SocketAddr| !matches!(self.vias.get(*node), Some(Via::AvoidedUntil(until)) if now < *until);
+        let untried = || nodes.iter().filter(|node| !tried.contains(node));
+        let chosen = untried().filter(preferred).choose(rng);
+        let chosen = chosen.or_else(|| untried().filter(usable).choose(rng));
+        chosen.or_else(|| untried().choose(rng)).copied()
+    }
 }
--- /dev/null
+++ b/lib/tests/test_gateway_replica_paths.rs
@@ -0,0 +1,108 @@
+//! Paths to replicas, direct and through other nodes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use leadstage_lib::gateway::replica_paths::DialPlan;
+use leadstage_lib::gateway::replica_paths::PathChange;
+use leadstage_lib::gateway::replica_paths::ReplicaPaths;
+use leadstage_lib::gateway::replica_paths::TunnelOutcome;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn replica(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n], 80))
+}
+
+fn node(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 1, n], 70))
+}
+
+fn choose(paths: &ReplicaPaths, nodes: &[SocketAddr], tried: &[SocketAddr], seed: u64) -> Option<SocketAddr> {
+    paths.choose_via(nodes, tried, SECOND, &mut SmallRng::seed_from_u64(seed))
+}
+
+#[test]
+fn test_one_unreached_replica_does_not_show_that_the_path_is_lost() {
+    let mut paths = ReplicaPaths::default();
+    assert_eq!(paths.on_direct(replica(1), false), None);
+    assert_eq!(paths.on_direct(replica(1), false), None);
+    assert_eq!(paths.plan(replica(2), SECOND), DialPlan::DirectFirst);
+    assert_eq!(paths.on_direct(replica(2), false), Some(PathChange::Lost));
+    assert_eq!(paths.plan(replica(3), SECOND), DialPlan::Tunnel { probes_direct: true });
+    assert_eq!(paths.on_direct(replica(3), true), Some(PathChange::Restored));
+    assert_eq!(paths.plan(replica(2), SECOND), DialPlan::DirectFirst);
+}
+
+#[test]
+fn test_failures_between_successes_do_not_add_up() {
+    let mut paths = ReplicaPaths::default();
+    paths.on_direct(replica(1), false);
+    paths.on_direct(replica(2), true);
+    assert_eq!(paths.on_direct(replica(3), false), None);
+    assert!(!paths.is_cut_off());
+}
+
+#[test]
+fn test_a_replica_that_only_other_nodes_reach_stays_blocked_while_others_are_reached() {
+    let mut paths = ReplicaPaths::default();
+    paths.on_blocked(replica(1), SECOND);
+    paths.on_direct(replica(2), true);
+    assert!(paths.lacks_path(replica(1)));
+    assert!(!paths.lacks_path(replica(2)));
+    paths.on_direct(replica(1), true);
+    assert!(!paths.lacks_path(replica(1)));
+}
+
+#[test]
+fn test_lost_paths_are_probed_at_intervals_and_at_once_when_one_returns() {
+    let mut paths = ReplicaPaths::default();
+    for n in 1..=3 {
+        paths.on_blocked(replica(n), SECOND);
+    }
+    let probes = |paths: &mut ReplicaPaths, now| {
+        paths.plan(replica(1), now) == DialPlan::Tunnel { probes_direct: true }
+    };
+    let probed: Vec<bool> =
+        [1_000, 1_100, 1_499, 1_500, 1_600].map(|ms| probes(&mut paths, Duration::from_millis(ms))).to_vec();
+    assert_eq!(probed, [true, false, false, true, false]);
+    paths.on_direct(replica(2), true);
+    assert!(probes(&mut paths, Duration::from_millis(1_601)));
+}
+
+#[test]
+fn test_no_tunnel_is_tried_for_a_while_to_a_replica_that_others_do_not_reach_either() {
+    let mut paths = ReplicaPaths::default();
+    paths.on_direct(replica(1), false);
+    paths.on_tunnel(replica(1), node(1), TunnelOutcome::ReplicaUnreached, SECOND);
+    assert_eq!(paths.plan(replica(1), SECOND), DialPlan::DirectOnly);
+    assert_eq!(paths.plan(replica(2), SECOND), DialPlan::DirectFirst);
+    assert_eq!(paths.plan(replica(1), 2 * SECOND), DialPlan::DirectFirst);
+}
+
+#[test]
+fn test_nodes_that_opened_tunnels_are_asked_first_and_those_that_did_not_last() {
+    let mut paths = ReplicaPaths::default();
+    let nodes = [node(1), node(2), node(3)];
+    paths.on_tunnel(replica(1), node(1), TunnelOutcome::Unavailable, SECOND);
+    paths.on_tunnel(replica(1), node(2), TunnelOutcome::Opened, SECOND);
+    for seed in 0..20 {
+        let order = [&[][..], &[node(2)], &[node(2), node(3)], &nodes]
+            .map(|tried| choose(&paths, &nodes, tried, seed));
+        assert_eq!(order, [Some(node(2)), Some(node(3)), Some(node(1)), None]);
+    }
+}
+
+#[test]
+fn test_nodes_share_the_tunnels_of_others() {
+    let mut paths = ReplicaPaths::default();
+    let nodes = [node(1), node(2), node(3)];
+    (1..=2).for_each(|n| paths.on_tunnel(replica(1), node(n), TunnelOutcome::Opened, SECOND));
+    let chosen: Vec<_> = (0..20).filter_map(|seed| choose(&paths, &nodes, &[], seed)).collect();
+    assert!(
+        [node(1), node(2)].iter().all(|node| chosen.contains(node)) && !chosen.contains(&node(3)),
+        "{chosen:?}"
+    );
+}
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -148,6 +148,10 @@
             ToControl::ConfigurationRead(answered) => self.configs.on_read(answered),
             ToControl::ConfigurationDue => self.configs.on_due(),
             ToControl::ServeReplicas(known, reply) => self.replicas.serve_list(&self.placing, known, reply),
+            ToControl::ServiceAt(address, reply) => {
+                // The other node may have given up.
+                let _ = reply.send(self.placing.state.service_at(address));
+            }
             ToControl::Fetched(from, Fetched::Replicas(list)) => {
                 self.replicas.on_fetched(&mut self.placing, &self.fleet, from, list)
             }
@@ -166,6 +170,7 @@
         self.shared.set_nodes(self.fleet.nodes());
         self.shared.observe_fleet_size(self.fleet.nodes());
         self.shared.set_has_neighbour(self.fleet.has_neighbour());
+        self.shared.set_tunnel_nodes(self.fleet.sample_for_tunnels());
         self.placing.send_inventories(&self.fleet);
         self.placing.lead(&self.fleet);
         self.watchers.tick(now);
--- a/node/src/gateway/control/crash_intake.rs
+++ b/node/src/gateway/control/crash_intake.rs
@@ -299,7 +299,7 @@
 
 async fn check_health(shared: Arc<Shared>, replica: Arc<ReplicaRecord>, path: String) {
     let result = match health::check(
-        ReplicaDialer::new(shared.clone()),
+        ReplicaDialer::new(shared.clone(), replica.service.clone()),
         &replica,
         &path,
         HEALTH_CHECK_TIMEOUT,
--- a/node/src/gateway/control/health_poller.rs
+++ b/node/src/gateway/control/health_poller.rs
@@ -52,6 +52,12 @@
 }
 
 async fn poll(shared: Arc<Shared>, replica: Arc<ReplicaRecord>, path: String) {
-    let health = health::check(ReplicaDialer::new(shared.clone()), &replica, &path, HEALTH_TIMEOUT).await;
+    let health = health::check(
+        ReplicaDialer::new(shared.clone(), replica.service.clone()),
+        &replica,
+        &path,
+        HEALTH_TIMEOUT,
+    )
+    .await;
     shared.notify(ToControl::Health(replica.incarnation(), health));
 }
--- a/node/src/gateway/control/placement_state.rs
+++ b/node/src/gateway/control/placement_state.rs
@@ -4,6 +4,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use leadstage_lib::gateway::choice::EngineRequest;
@@ -222,6 +223,12 @@
         Some((record, path))
     }
 
+    /// The service of the known replica at an address, if there is one.
+    pub fn service_at(&self, address: SocketAddr) -> Option<ServiceId> {
+        let mut records = self.replicas.iter().map(|replica| &replica.record);
+        records.find(|record| record.address == address).map(|record| record.service.clone())
+    }
+
     /// Drops the state of replicas that are no longer known.
     pub fn forget_gone(&mut self) {
         let replicas = &self.replicas;
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -135,7 +135,7 @@
     let sent = exchange::send(traffic, &replica, req, &added, choice, sent).await;
     let exchanged = match sent {
         Ok(exchanged) => exchanged,
-        Err(err) => return on_send_error(req, run, err),
+        Err(err) => return on_send_error(traffic, req, run, err),
     };
     if exchanged.says_not_run() {
         traffic.on_not_run(req, &run, exchanged.status);
@@ -154,12 +154,12 @@
             run.end(if is_error { Outcome::Errored } else { Outcome::Answered });
             Attempt::Answer(answer)
         }
-        Err(err) => on_send_error(req, run, err),
+        Err(err) => on_send_error(traffic, req, run, err),
     }
 }
 
-fn on_send_error(req: &CallerRequest, run: RunGuard, err: SendError) -> Attempt {
-    match exchange::end_failed_run(req, run, &err) {
+fn on_send_error(traffic: &Traffic, req: &CallerRequest, run: RunGuard, err: SendError) -> Attempt {
+    match exchange::end_failed_run(traffic, req, run, &err) {
         Some(code) if matches!(err, SendError::ConnectionSilent) => Attempt::ConnectionSilent(code),
         Some(code) => Attempt::Unknown(code),
         None => Attempt::NotSent,
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -181,6 +181,8 @@
                 _ => Attempt::Unknown(Code::UpstreamLost),
             }
         }
-        Err(err) => exchange::end_failed_run(req, run, &err).map_or(Attempt::NotSent, Attempt::Unknown),
+        Err(err) => {
+            exchange::end_failed_run(traffic, req, run, &err).map_or(Attempt::NotSent, Attempt::Unknown)
+        }
     }
 }
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -88,6 +88,8 @@
     Configuration(StoreUpdate<Bytes>),
     /// Another node that knows the replicas up to this revision requests the changes since, packed.
     ServeReplicas(Revision, oneshot::Sender<Bytes>),
+    /// The service of the known replica at an address, if there is one.
+    ServiceAt(SocketAddr, oneshot::Sender<Option<ServiceId>>),
     /// The result of a fetch from another node.
     Fetched(SocketAddr, Fetched),
     /// A single read of the configuration from the store finished; the configuration itself was sent
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -37,6 +37,7 @@
     repeats: Counter<u64>,
     connections: Counter<u64>,
     dials: Counter<u64>,
+    tunnels: Counter<u64>,
     store_calls: Counter<u64>,
     store_calls_sums: [AtomicU64; StoreCall::COUNT],
     lead_silences: Counter<u64>,
@@ -87,6 +88,10 @@
                 "leadstage.gateway.dials",
                 "Attempts to open a connection to a replica, by outcome",
             ),
+            tunnels: counter(
+                "leadstage.gateway.tunnels",
+                "Tunnels to replicas that other nodes requested, by answer",
+            ),
             store_calls: counter(
                 "leadstage.gateway.store_calls",
                 "Calls to the store, by purpose and answer",
@@ -191,15 +196,14 @@
         self.connections.add(1, &[KeyValue::new("reused", reused)]);
     }
 
-    /// Counts an attempt to open a connection to a replica, by how it failed if it did.
-    pub fn on_dial(&self, failure: Option<io::ErrorKind>) {
-        let outcome = match failure {
-            None => "opened",
-            Some(io::ErrorKind::TimedOut) => "timed out",
-            Some(io::ErrorKind::ConnectionRefused) => "refused",
-            Some(_) => "failed",
-        };
-        self.dials.add(1, &[KeyValue::new("outcome", outcome)]);
+    /// Counts an attempt to open a connection to a replica.
+    pub fn on_dial(&self, outcome: DialOutcome) {
+        self.dials.add(1, &[KeyValue::new("outcome", outcome.label())]);
+    }
+
+    /// Counts a tunnel that another node requested.
+    pub fn on_tunnel_requested(&self, answer: TunnelAnswer) {
+        self.tunnels.add(1, &[KeyValue::new("answer", answer.label())]);
     }
 
     /// Counts a call to the store that was answered or failed.
@@ -260,6 +264,76 @@
     }
 }
 
+/// The outcome of an attempt to open a connection to a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DialOutcome {
+    /// It was opened directly.
+    Opened,
+    /// It was opened through another node.
+    Tunnelled,
+    /// The replica refused it.
+    Refused,
+    /// The replica did not answer in time.
+    TimedOut,
+    /// The direct attempt failed in another way.
+    Failed,
+    /// No node that was asked has a path.
+    NoPath,
+}
+
+impl DialOutcome {
+    /// The outcome of a direct attempt.
+    pub fn of<T>(dialed: &io::Result<T>) -> Self {
+        match dialed.as_ref().map_err(io::Error::kind) {
+            Ok(_) => DialOutcome::Opened,
+            Err(io::ErrorKind::ConnectionRefused) => DialOutcome::Refused,
+            Err(io::ErrorKind::TimedOut) => DialOutcome::TimedOut,
+            Err(_) => DialOutcome::Failed,
+        }
+    }
+
+    fn label(self) -> &'static str {
+        match self {
+            DialOutcome::Opened => "opened",
+            DialOutcome::Tunnelled => "tunnelled",
+            DialOutcome::Refused => "refused",
+            DialOutcome::TimedOut => "timed out",
+            DialOutcome::Failed => "failed",
+            DialOutcome::NoPath => "no path",
+        }
+    }
+}
+
+/// The answer to another node that requested a tunnel to a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TunnelAnswer {
+    /// The tunnel is open.
+    Opened,
+    /// The replica refused the connection.
+    ReplicaRefused,
+    /// The replica did not answer in time.
+    ReplicaSilent,
+    /// This node has no path to the replica either.
+    NoPath,
+    /// This node is stopping, or carries as many tunnels as it may.
+    Busy,
+    /// No replica that this node knows is at the address.
+    UnknownReplica,
+}
+
+impl TunnelAnswer {
+    fn label(self) -> &'static str {
+        match self {
+            TunnelAnswer::Opened => "opened",
+            TunnelAnswer::ReplicaRefused => "replica refused",
+            TunnelAnswer::ReplicaSilent => "replica silent",
+            TunnelAnswer::NoPath => "no path",
+            TunnelAnswer::Busy => "busy",
+            TunnelAnswer::UnknownReplica => "unknown replica",
+        }
+    }
+}
+
 /// The outcome of a request for a grant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GrantOutcome {
--- a/node/src/gateway/peers.rs
+++ b/node/src/gateway/peers.rs
@@ -5,3 +5,5 @@
 pub mod outbox;
 pub mod peer_message;
 pub mod peer_port;
+pub mod tunnel_client;
+pub mod tunnel_port;
--- a/node/src/gateway/peers/fleet.rs
+++ b/node/src/gateway/peers/fleet.rs
@@ -44,6 +44,9 @@
 /// of them, and notice from the next message that they lack an update.
 const FAN_OUT: usize = 4;
 
+/// Number of nodes in each of the two samples of nodes that may carry connections of this one.
+const TUNNEL_NODES: usize = 8;
+
 /// The purpose of a probe whose answer is awaited.
 #[derive(Clone, Debug)]
 enum ProbePurpose {
@@ -224,6 +227,16 @@
         self.peers.gossip_targets(count, &mut rand::rng()).into_iter().filter_map(address_of).collect()
     }
 
+    /// Returns some other nodes that may carry connections of this one, some of them in other halls: all
+    /// nodes of a hall may lose the same path.
+    pub fn sample_for_tunnels(&self) -> Vec<SocketAddr> {
+        let mut nodes = self.gossip_targets(TUNNEL_NODES);
+        nodes.extend(self.sample(TUNNEL_NODES));
+        nodes.sort_unstable();
+        nodes.dedup();
+        nodes
+    }
+
     /// Sends a message to one node.
     pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
         self.outbox.send(to, message);
--- a/node/src/gateway/peers/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -1,5 +1,5 @@
 //! Serves the configuration and the list of replicas to nodes that don't follow the store or have missed
-//! updates.
+//! updates, and tunnels to nodes that have lost their path to replicas.
 
 use std::cell::RefCell;
 use std::convert::Infallible;
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -36,6 +37,7 @@
 use crate::gateway::messages::ToControl;
 use crate::gateway::observability::metrics::PeerBytes;
 use crate::gateway::observability::peer_traffic::MessageKind;
+use crate::gateway::peers::tunnel_port::Tunnels;
 use crate::gateway::shared::Shared;
 
 /// Path of the configuration, see [`leadstage_lib::gateway::config_text`]. The query is the version that
@@ -67,19 +69,22 @@
 /// The state that one connection needs to answer requests.
 struct Connection {
     shared: Arc<Shared>,
+    tunnels: Tunnels,
     transfer_slots: Rc<RefCell<TransferSlots>>,
     /// Task that holds the slot until the connection ends, which the receiver closes when it has everything.
     transfer: RefCell<Option<AbortOnDropHandle<()>>>,
 }
 
-/// Serves the configuration and the replicas until the process ends.
+/// Serves other nodes until the process ends.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let max_transfers = transfer_slots::max_concurrent(shared.settings.link_bits_per_second());
     let transfer_slots = Rc::new(RefCell::new(TransferSlots::new(max_transfers)));
+    let tunnels = Tunnels::new(shared.clone());
     loop {
         let stream = http_port::accept(&listener, "peer").await;
         let connection = Connection {
             shared: shared.clone(),
+            tunnels: tunnels.clone(),
             transfer_slots: transfer_slots.clone(),
             transfer: RefCell::default(),
         };
@@ -91,10 +96,16 @@
     async fn serve(self, stream: TcpStream) {
         let service = service_fn(|req: Request<Incoming>| {
             let this = &self;
-            async move { Ok::<_, Infallible>(this.answer(&req).await) }
+            async move {
+                Ok::<_, Infallible>(match *req.method() {
+                    Method::CONNECT => this.tunnels.answer(req).await,
+                    _ => this.answer(&req).await,
+                })
+            }
         });
+        let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         // After an error, the requesting node retries.
-        let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        let _ = serving.with_upgrades().await;
     }
 
     async fn answer(&self, req: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -1,6 +1,7 @@
 //! State shared by the two threads of a gateway node.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
@@ -87,7 +88,8 @@
     upgrades: RwLock<Arc<Upgrades>>,
     replicas_at: AtomicU64,
     paces: RwLock<HashMap<ServiceId, f64>>,
-    paths: Mutex<ReplicaPaths>,
+    paths: Mutex<HashMap<ServiceId, ReplicaPaths>>,
+    tunnel_nodes: RwLock<Arc<[SocketAddr]>>,
 }
 
 impl Shared {
@@ -110,6 +112,7 @@
             replicas_at: AtomicU64::new(0),
             paces: RwLock::default(),
             paths: Mutex::default(),
+            tunnel_nodes: RwLock::default(),
             held: HeldBytes::new(settings.memory_bytes),
             settings,
             metrics,
@@ -304,9 +307,20 @@
         *self.paces.write().expect("no holder panics") = paces;
     }
 
-    /// Reads or updates what this node knows about its paths to the replicas.
-    pub fn with_paths<T>(&self, access: impl FnOnce(&mut ReplicaPaths) -> T) -> T {
-        access(&mut self.paths.lock().expect("no holder panics"))
+    /// Reads or updates what this node knows about its paths to the replicas of a service.
+    pub fn with_paths<T>(&self, service: &ServiceId, access: impl FnOnce(&mut ReplicaPaths) -> T) -> T {
+        let mut paths = self.paths.lock().expect("no holder panics");
+        access(paths.entry(service.clone()).or_default())
+    }
+
+    /// Returns some other nodes that may carry this node's connections to replicas.
+    pub fn tunnel_nodes(&self) -> Arc<[SocketAddr]> {
+        self.tunnel_nodes.read().expect("no holder panics").clone()
+    }
+
+    /// Publishes some other nodes that may carry this node's connections to replicas.
+    pub fn set_tunnel_nodes(&self, nodes: Vec<SocketAddr>) {
+        *self.tunnel_nodes.write().expect("no holder panics") = nodes.into();
     }
 
     /// Publishes whether the store answers this node; returns whether that has changed.
--- a/node/src/gateway/upstream/connections.rs
+++ b/node/src/gateway/upstream/connections.rs
@@ -24,6 +24,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::clock;
+use crate::gateway::replica_dialer::ReplicaDialer;
 
 /// Minimum idle time before a connection is reused. A surplus response to the previous request arrives
 /// within a few milliseconds, and the connection is then dropped.
@@ -58,6 +59,8 @@
 pub struct Connection {
     /// Sends requests.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Whether it leads to the replica directly, not through another node.
+    is_direct: bool,
     _driver: AbortOnDropHandle<()>,
     /// How long the connection was idle before this request, if it carried a request before.
     pub idle_time: Option<Duration>,
@@ -72,6 +75,13 @@
     Client(hyper::Error),
 }
 
+impl ConnectError {
+    /// Whether the failure shows nothing about the replica, as no node that was asked has a path.
+    pub fn is_path_lost(&self) -> bool {
+        matches!(self, ConnectError::Socket(err) if err.kind() == io::ErrorKind::NetworkUnreachable)
+    }
+}
+
 struct IdleConnection {
     connection: Connection,
     since: Timestamp,
@@ -104,10 +114,13 @@
     /// Returns a connection to a replica.
     pub async fn take(
         &self,
-        dialer: &impl Dial,
+        dialer: &ReplicaDialer,
         replica: &ReplicaRecord,
         choice: ConnectionChoice,
     ) -> Result<Connection, ConnectError> {
+        if dialer.lacks_path(replica.address) {
+            self.drop_direct(replica);
+        }
         let idle =
             (choice == ConnectionChoice::Any).then(|| self.take_idle(&replica.incarnation())).flatten();
         match idle {
@@ -131,6 +144,13 @@
         Some(connection)
     }
 
+    /// Drops the idle connections that lead to a replica directly: they may be as silent as new ones.
+    fn drop_direct(&self, replica: &ReplicaRecord) {
+        if let Some(queue) = self.idle.borrow_mut().get_mut(&replica.incarnation()) {
+            queue.retain(|c| !c.connection.is_direct);
+        }
+    }
+
     /// Drops the idle connections to a replica that have been idle since before `moment`.
     pub fn drop_idle_since_before(&self, replica: &ReplicaRecord, moment: Timestamp) {
         if let Some(queue) = self.idle.borrow_mut().get_mut(&replica.incarnation()) {
@@ -170,8 +190,9 @@
 }
 
 /// Opens a connection to a replica.
-pub async fn open(dialer: &impl Dial, replica: &ReplicaRecord) -> Result<Connection, ConnectError> {
+async fn open(dialer: &ReplicaDialer, replica: &ReplicaRecord) -> Result<Connection, ConnectError> {
     let stream = dialer.dial(replica.address).await?;
+    let is_direct = stream.peer_addr()? == replica.address;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_READ_BUFFER_BYTES);
     let (sender, driver) = builder.handshake(TokioIo::new(stream)).await?;
@@ -179,5 +200,5 @@
         // The request on the connection gets the error that ends the connection.
         let _ = driver.await;
     });
-    Ok(Connection { sender, _driver: AbortOnDropHandle::new(driver), idle_time: None })
+    Ok(Connection { sender, is_direct, _driver: AbortOnDropHandle::new(driver), idle_time: None })
 }
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -212,7 +212,7 @@
         let to = target.placed.replica.clone();
         let began = Instant::now();
         let result = engine::copy_generation(
-            self.traffic.dialer(),
+            self.traffic.dialer(&self.source.service),
             self.source.address,
             self.req.id(),
             to.address,
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -83,17 +83,27 @@
 
 /// Ends the run of a request that failed at a replica. Returns the code for the caller, or `None` if
 /// nothing was sent.
-pub fn end_failed_run(req: &CallerRequest, run: RunGuard, err: &SendError) -> Option<Code> {
+pub fn end_failed_run(
+    traffic: &Traffic,
+    req: &CallerRequest,
+    run: RunGuard,
+    err: &SendError,
+) -> Option<Code> {
     info!(event = "attempt_failed", request = req.id(), upstream = &*run.placed.replica.id, reason:% = err; "request to the replica failed");
-    let is_replica_blameless = matches!(
-        err,
+    let is_replica_blameless = match err {
         SendError::HallClosed
-            | SendError::BackingOff
-            | SendError::VersionReverted
-            | SendError::Quarantined
-            | SendError::QuarantinedMeanwhile
-            | SendError::Expired
-    );
+        | SendError::BackingOff
+        | SendError::VersionReverted
+        | SendError::Quarantined
+        | SendError::QuarantinedMeanwhile
+        | SendError::Expired => true,
+        SendError::NotSent(err) => err.is_path_lost(),
+        SendError::Broken(_) | SendError::TimedOut | SendError::Stalled | SendError::ConnectionSilent => {
+            let replica = &run.placed.replica;
+            traffic.dialer(&replica.service).lacks_path(replica.address)
+        }
+        SendError::WrongRequest | SendError::Truncated(_) => false,
+    };
     run.end(if is_replica_blameless { Outcome::Withdrawn } else { Outcome::Failed });
     match err {
         SendError::HallClosed
@@ -159,7 +169,7 @@
     if traffic.is_reverted(req, replica) {
         return Err(SendError::VersionReverted);
     }
-    let taken = traffic.connections.take(&traffic.dialer(), replica, choice).await;
+    let taken = traffic.connections.take(&traffic.dialer(&replica.service), replica, choice).await;
     let mut connection = taken.map_err(SendError::NotSent)?;
     if req.time_left().is_zero() {
         return Err(SendError::Expired);
--- a/node/src/gateway/upstream/relay/silent_connection.rs
+++ b/node/src/gateway/upstream/relay/silent_connection.rs
@@ -53,7 +53,7 @@
         let (req, task_events) = (self.req.clone(), self.task_events_tx.clone());
         let engine = self.engine_stream.run.placed.replica.clone();
         let received = self.events.events();
-        let dialer = self.traffic.dialer();
+        let dialer = self.traffic.dialer(&self.req.service);
         self.probe_task = Some(AbortOnDropHandle::new(tokio::task::spawn_local(async move {
             if is_ahead(dialer, &req, &engine, received).await {
                 // The stream may have ended by now.
--- a/node/src/gateway/upstream/relay/stopping.rs
+++ b/node/src/gateway/upstream/relay/stopping.rs
@@ -57,7 +57,12 @@
             return;
         };
         let source = self.engine_stream.run.placed.replica.clone();
-        self.stops.start(StopCall { dialer: self.traffic.dialer(), req: self.req.clone(), source, target });
+        self.stops.start(StopCall {
+            dialer: self.traffic.dialer(&self.req.service),
+            req: self.req.clone(),
+            source,
+            target,
+        });
         self.move_target = Some(move_target);
         self.spawn_move_task(async {
             tokio::time::sleep(COPY_TIMEOUT).await;
--- a/node/src/gateway/upstream/stall.rs
+++ b/node/src/gateway/upstream/stall.rs
@@ -75,7 +75,9 @@
     let Some(service) = req.table.service(&req.service) else {
         return false;
     };
-    let health = health::check(traffic.dialer(), engine, &service.health_path, HEALTH_CHECK_TIMEOUT).await;
+    let health =
+        health::check(traffic.dialer(&engine.service), engine, &service.health_path, HEALTH_CHECK_TIMEOUT)
+            .await;
     info!(event = "silence_doubted", request = req.id(), upstream = &*engine.id, health:? = health; "checked the health of a silent engine");
     let is_gone = matches!(health, Health::Silent | Health::Closed | Health::Other);
     if is_gone {
--- a/node/src/gateway/upstream/suspicion.rs
+++ b/node/src/gateway/upstream/suspicion.rs
@@ -94,7 +94,9 @@
         let Some(service) = req.table.service(&req.service) else {
             return false;
         };
-        let health = health::check(self.dialer(), replica, &service.health_path, HEALTH_CHECK_TIMEOUT).await;
+        let health =
+            health::check(self.dialer(&replica.service), replica, &service.health_path, HEALTH_CHECK_TIMEOUT)
+                .await;
         health.is_from_replica()
     }
 
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -62,9 +62,9 @@
         }
     }
 
-    /// Returns a dialer for connections to replicas.
-    pub fn dialer(&self) -> ReplicaDialer {
-        ReplicaDialer::new(self.shared.clone())
+    /// Returns a dialer for connections to the replicas of a service.
+    pub fn dialer(&self, service: &ServiceId) -> ReplicaDialer {
+        ReplicaDialer::new(self.shared.clone(), service.clone())
     }
 
     /// Whether a request that was sent to `sent` replicas may be sent to one more; if so, that is taken
--- a/node/tests/test_gateway_partitioned_nodes.rs
+++ b/node/tests/test_gateway_partitioned_nodes.rs
@@ -6,6 +6,7 @@
 
 use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::faulty_proxy::OpenLinks;
+use tokio::time::Instant;
 
 use crate::gateway_environment::BOOKING;
 use crate::gateway_environment::CallResult;
@@ -13,6 +14,7 @@
 use crate::gateway_environment::MODEL;
 use crate::gateway_environment::RunningReplica;
 use crate::gateway_environment::book;
+use crate::gateway_environment::chat;
 use crate::gateway_environment::config;
 use crate::gateway_environment::read;
 use crate::gateway_environment::tag;
@@ -25,6 +27,10 @@
 const CALL_INTERVAL: Duration = Duration::from_millis(100);
 /// The deadline of plain calls.
 const CALL_DEADLINE: &str = "600";
+/// Longest time until a node uses its own path again after that has returned.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+/// Longest time of a call that can't be served: a fraction of its deadline.
+const MAX_REFUSAL_TIME: Duration = Duration::from_millis(300);
 /// Minimum served share of first attempts at partitioned nodes, as a fraction of that at the others.
 const MIN_RELATIVE_SHARE: f64 = 0.9;
 
@@ -66,6 +72,15 @@
         self.proxies.iter().for_each(|proxy| proxy.partition(&nodes, open_links));
     }
 
+    fn end_partition(&self) {
+        self.proxies.iter().for_each(FaultyProxy::end_partition);
+    }
+
+    /// Number of connections that replicas accepted from a node.
+    fn connections_from(&self, node: usize) -> usize {
+        self.proxies.iter().map(|proxy| proxy.connections_from(self.ip(node))).sum()
+    }
+
     /// Sends calls of all kinds to each node for a while. Returns the attempts of each node with their ids.
     async fn observe_callers(&self, name: &str) -> Vec<Vec<(String, CallResult)>> {
         let nodes = (0..self.gateway.nodes()).map(|node| self.observe_callers_of(node, name));
@@ -149,3 +164,106 @@
 async fn test_callers_of_nodes_without_a_path_to_replicas_are_served_as_those_of_the_others() {
     check_callers_are_served(4, 2, OpenLinks::Hang).await;
 }
+
+#[tokio::test]
+async fn test_callers_are_served_while_connections_to_replicas_are_reset() {
+    check_callers_are_served(4, 2, OpenLinks::Reset).await;
+}
+
+#[tokio::test]
+async fn test_callers_are_served_while_only_open_connections_live_on() {
+    check_callers_are_served(4, 2, OpenLinks::LiveOn).await;
+}
+
+#[tokio::test]
+async fn test_one_node_with_a_path_serves_the_callers_of_all_others() {
+    check_callers_are_served(5, 4, OpenLinks::Hang).await;
+}
+
+/// Guards against leads that avoid sound engines because a node without a path failed to reach them.
+#[tokio::test]
+async fn test_a_node_without_a_path_does_not_report_engines_as_failed() {
+    let fleet = PartitionedFleet::start(3, 5).await;
+    fleet.observe_callers("before").await;
+    fleet.partition(1, OpenLinks::Hang);
+    tokio::time::sleep(DETECTION_TIME).await;
+    let reported_before = fleet.gateway.lines_with("event=engine_failed").lines().count();
+    fleet.observe_callers("after").await;
+    let reported = fleet.gateway.lines_with("event=engine_failed");
+    assert_eq!(reported.lines().count(), reported_before, "{reported}");
+}
+
+/// Guards against callers that wait for their deadline although no node reaches a replica, and against nodes
+/// that need long to serve again.
+#[tokio::test]
+async fn test_calls_are_refused_at_once_while_no_node_has_a_path_and_served_after_its_return() {
+    let fleet = PartitionedFleet::start(3, 5).await;
+    fleet.observe_callers("before").await;
+    fleet.partition(3, OpenLinks::Hang);
+    let during = fleet.observe_callers("during").await;
+    for node in 0..3 {
+        let began = Instant::now();
+        let refused = fleet.gateway.call(node, book(&format!("refused-book-{node}"))).await;
+        let took = began.elapsed();
+        assert_eq!(refused.status, 503, "{refused:?}\n{}", fleet.gateway.logs());
+        assert!(refused.header("retry-after").is_some(), "{refused:?}");
+        assert!(took < MAX_REFUSAL_TIME, "refused after {took:?}\n{}", fleet.gateway.logs());
+    }
+    fleet.check_promises(&during);
+    fleet.end_partition();
+    tokio::time::sleep(RETURN_TIME).await;
+    let after = fleet.observe_callers("after").await;
+    assert!(served_share(&after) > 0.99, "{}\n{}", served_share(&after), fleet.gateway.logs());
+}
+
+/// Guards against nodes that go on using other nodes' paths after their own has returned.
+#[tokio::test]
+async fn test_a_node_uses_its_own_path_again_soon_after_its_return() {
+    let fleet = PartitionedFleet::start(3, 5).await;
+    fleet.partition(1, OpenLinks::Hang);
+    fleet.observe_callers("during").await;
+    assert_eq!(fleet.connections_from(0), 0, "the node is partitioned");
+    fleet.end_partition();
+    let (connections, _) = tokio::join!(
+        async {
+            tokio::time::sleep(RETURN_TIME).await;
+            fleet.connections_from(0)
+        },
+        fleet.observe_callers("after")
+    );
+    assert!(connections > 0, "{}", fleet.gateway.logs());
+}
+
+/// Guards against calls that fail because the node that carried them has ended.
+#[tokio::test]
+async fn test_another_node_carries_the_calls_when_the_first_one_ends() {
+    let mut fleet = PartitionedFleet::start(4, 5).await;
+    fleet.partition(2, OpenLinks::Hang);
+    fleet.observe_callers("during").await;
+    fleet.gateway.kill(3);
+    tokio::time::sleep(DETECTION_TIME).await;
+    let after = futures::future::join_all((0..3).map(|node| fleet.observe_callers_of(node, "after"))).await;
+    fleet.check_promises(&after);
+    assert!(served_share(&after) > 0.99, "{}\n{}", served_share(&after), fleet.gateway.logs());
+}
+
+/// Guards against running streams that end when their node loses its path while the engine goes on.
+#[tokio::test]
+async fn test_running_streams_are_completed_after_their_node_has_lost_its_path() {
+    const EVENTS: u64 = 200;
+    let fleet = PartitionedFleet::start(3, EVENTS).await;
+    let streams = async {
+        let ids: Vec<String> = (0..4).map(|n| format!("stream-{n}")).collect();
+        let calls = ids.iter().map(|id| fleet.gateway.call(0, chat(id)));
+        futures::future::join_all(calls).await
+    };
+    let partition = async {
+        let runs = || fleet.replicas.iter().map(|running| running.replica.running()).sum::<usize>();
+        fleet.gateway.until("all generations run", async || runs() == 4).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.partition(1, OpenLinks::Hang);
+    };
+    let (streams, ()) = tokio::join!(streams, partition);
+    let events: Vec<Option<u64>> = streams.iter().map(CallResult::events).collect();
+    assert_eq!(events, vec![Some(EVENTS); 4], "{}", fleet.gateway.logs());
+}
