gateway: a lost path is one that another node has, not one on which several replicas are missed

A node is now cut off only if another one opened a connection to a replica that it misses. Until then its path is in doubt: requests to replicas that it missed fail at once, probes twice a second ask three other nodes beside the direct path, and its failures aren't reported to leads. A node without a path names one that carried its connections, so that where most are cut the few with a path are found. Probes run beside requests, also while none is sent; when the path is back, kept tunnels are dropped, and if no replica was usable all are again.

--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -203,6 +203,10 @@
 
     pub(super) fn on_answer(&mut self, is_error: bool, now: Timestamp) {
         self.update_error_share(is_error, now);
+        self.forget_failures();
+    }
+
+    pub(super) fn forget_failures(&mut self) {
         self.consecutive_failures = 0;
         self.backoff_until = Timestamp::ZERO;
     }
--- a/lib/src/gateway/replica_paths.rs
+++ b/lib/src/gateway/replica_paths.rs
@@ -1,8 +1,8 @@
 //! A node's paths to the replicas of a service: which it reaches by itself, and which only other nodes reach.
 //!
-//! A replica that can't be reached may have ended, or this node may be partitioned from it. Another node that
-//! reaches the replica tells these apart, and can carry this node's connection to it: a tunnel. While the
-//! direct path is lost, it is probed from time to time.
+//! A replica that can't be reached may have ended, or this node may be partitioned from it; and all replicas of a
+//! service may end at once. Only another node that reaches the replica tells these apart, and it can carry
+//! this node's connection: a tunnel. While the direct path is lost, it is probed from time to time.
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -14,9 +14,9 @@
 
 use crate::ids::Timestamp;
 
-/// Number of replicas that can't be reached, with none reached in between, from which on the node itself
-/// counts as cut off from the service.
-const MIN_UNREACHED_FOR_CUT: usize = 2;
+/// Number of replicas that can't be reached, with none reached in between, from which on the node's path to
+/// all of them is in doubt.
+const MIN_UNREACHED_FOR_DOUBT: usize = 2;
 /// Interval between two probes of lost direct paths.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// How long other nodes are asked for tunnels before one that could not open one.
@@ -26,7 +26,7 @@
 /// How long no tunnel is tried to a replica that another node did not reach either.
 const UNREACHED_BACKOFF: Duration = Duration::from_secs(1);
 /// How long a lost path is remembered that was not used.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
+const FORGET_AFTER: Duration = Duration::from_secs(15);
 
 /// How to connect to a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,10 +36,9 @@
     /// Directly only: other nodes don't reach the replica either.
     DirectOnly,
     /// Through a tunnel.
-    Tunnel {
-        /// Whether the direct path is to be probed now.
-        probes_direct: bool,
-    },
+    Tunnel,
+    /// Not at all: no node was found that reaches the replica.
+    Fail,
 }
 
 /// The outcome of asking a node for a tunnel to a replica.
@@ -47,8 +46,6 @@
 pub enum TunnelOutcome {
     /// The tunnel is open.
     Opened,
-    /// The node has a path to the replicas but did not reach this one.
-    ReplicaUnreached,
     /// The node could not help: it was not reached, has no path either, or takes no tunnels.
     Unavailable,
 }
@@ -69,7 +66,13 @@
     AvoidedUntil(Timestamp),
 }
 
-/// A node's paths to the replicas.
+impl Via {
+    fn is_preferred(&self, now: Timestamp) -> bool {
+        matches!(self, Via::PreferredUntil(until) if now < *until)
+    }
+}
+
+/// A node's paths to the replicas of a service.
 #[derive(Debug, Default)]
 pub struct ReplicaPaths {
     /// Replicas that could not be reached directly since one was.
@@ -83,12 +86,17 @@
 }
 
 impl ReplicaPaths {
-    /// Whether the node counts as cut off from all replicas.
+    /// Whether the path to all replicas is in doubt: they or the path are gone.
+    pub fn is_in_doubt(&self) -> bool {
+        self.unreached.len() >= MIN_UNREACHED_FOR_DOUBT
+    }
+
+    /// Whether the node is cut off from all replicas: it reaches none of several, and others reach some of these.
     pub fn is_cut_off(&self) -> bool {
-        self.unreached.len() >= MIN_UNREACHED_FOR_CUT
+        self.is_in_doubt() && self.unreached.iter().any(|replica| self.blocked.contains_key(replica))
     }
 
-    /// Whether the node is believed to have no direct path to a replica that others may reach.
+    /// Whether the node has no direct path to a replica that others may reach.
     pub fn lacks_path(&self, replica: SocketAddr) -> bool {
         self.is_cut_off() || self.blocked.contains_key(&replica)
     }
@@ -99,9 +107,12 @@
     }
 
     /// Returns how to connect to a replica now.
-    pub fn plan(&mut self, replica: SocketAddr, now: Timestamp) -> DialPlan {
+    pub fn plan(&self, replica: SocketAddr, now: Timestamp) -> DialPlan {
         if self.lacks_path(replica) {
-            return DialPlan::Tunnel { probes_direct: self.take_probe(now) };
+            return DialPlan::Tunnel;
+        }
+        if self.is_in_doubt() && self.unreached.contains(&replica) {
+            return DialPlan::Fail;
         }
         if self.unreached_by_others.get(&replica).is_some_and(|until| now < *until) {
             return DialPlan::DirectOnly;
@@ -109,8 +120,16 @@
         DialPlan::DirectFirst
     }
 
-    /// Whether a lost direct path is to be probed now; counts as probed if so.
-    pub fn take_probe(&mut self, now: Timestamp) -> bool {
+    /// Returns a replica to which the path is to be probed now, if the path to any is lost or in doubt. Requests
+    /// may not show that a path has returned: they use open tunnels, or fail at once.
+    pub fn due_probe<R: Rng>(&mut self, now: Timestamp, rng: &mut R) -> Option<SocketAddr> {
+        self.blocked.retain(|_, confirmed| now < *confirmed + FORGET_AFTER);
+        let in_doubt = self.unreached.iter().filter(|_| self.is_in_doubt());
+        let replica = self.blocked.keys().chain(in_doubt).choose(rng).copied()?;
+        self.take_probe(now).then_some(replica)
+    }
+
+    fn take_probe(&mut self, now: Timestamp) -> bool {
         let is_due = now >= self.next_probe_at;
         if is_due {
             self.next_probe_at = now + PROBE_INTERVAL;
@@ -120,7 +139,10 @@
 
     /// Records that a direct connection to a replica was opened, or could not be opened.
     pub fn on_direct(&mut self, replica: SocketAddr, is_reached: bool) -> Option<PathChange> {
-        let was_cut_off = self.is_cut_off();
+        self.update(|paths| paths.record_direct(replica, is_reached))
+    }
+
+    fn record_direct(&mut self, replica: SocketAddr, is_reached: bool) {
         if is_reached {
             self.unreached.clear();
             self.unreached_by_others.remove(&replica);
@@ -131,6 +153,11 @@
         } else {
             self.unreached.insert(replica);
         }
+    }
+
+    fn update(&mut self, change: impl FnOnce(&mut Self)) -> Option<PathChange> {
+        let was_cut_off = self.is_cut_off();
+        change(self);
         match (was_cut_off, self.is_cut_off()) {
             (false, true) => Some(PathChange::Lost),
             (true, false) => Some(PathChange::Restored),
@@ -140,9 +167,11 @@
 
     /// Records that a replica was reached through a tunnel but not directly.
     pub fn on_blocked(&mut self, replica: SocketAddr, now: Timestamp) -> Option<PathChange> {
-        self.blocked.retain(|_, confirmed| now < *confirmed + FORGET_AFTER);
-        self.blocked.insert(replica, now);
-        self.on_direct(replica, false)
+        self.update(|paths| {
+            paths.blocked.retain(|_, confirmed| now < *confirmed + FORGET_AFTER);
+            paths.blocked.insert(replica, now);
+            paths.unreached.insert(replica);
+        })
     }
 
     /// Records the outcome of asking the node `via` for a tunnel to a replica.
@@ -161,19 +190,37 @@
                 }
                 Via::PreferredUntil(now + VIA_PREFERENCE)
             }
-            TunnelOutcome::ReplicaUnreached => {
-                self.unreached_by_others.retain(|_, until| now < *until);
-                self.unreached_by_others.insert(replica, now + UNREACHED_BACKOFF);
-                return;
-            }
             TunnelOutcome::Unavailable => Via::AvoidedUntil(now + VIA_BACKOFF),
         };
+        self.set_via(via, state, now);
+    }
+
+    /// Records that another node named one that opened tunnels for it.
+    pub fn on_referral(&mut self, via: SocketAddr, now: Timestamp) {
+        if !self.vias.contains_key(&via) {
+            self.set_via(via, Via::PreferredUntil(now + VIA_BACKOFF), now);
+        }
+    }
+
+    fn set_via(&mut self, via: SocketAddr, state: Via, now: Timestamp) {
         self.vias.retain(|_, via| match via {
             Via::PreferredUntil(until) | Via::AvoidedUntil(until) => now < *until,
         });
         self.vias.insert(via, state);
     }
 
+    /// Records that other nodes did not reach a replica either.
+    pub fn on_unreached_by_others(&mut self, replica: SocketAddr, now: Timestamp) {
+        self.unreached_by_others.retain(|_, until| now < *until);
+        self.unreached_by_others.insert(replica, now + UNREACHED_BACKOFF);
+    }
+
+    /// Returns a node that opened a tunnel recently, for another node that asks this one.
+    pub fn referral<R: Rng>(&self, now: Timestamp, rng: &mut R) -> Option<SocketAddr> {
+        let preferred = self.vias.iter().filter(|(_, via)| via.is_preferred(now));
+        preferred.map(|(node, _)| *node).choose(rng)
+    }
+
     /// Returns a node to ask for a tunnel, other than the `tried` ones: one that opened a tunnel recently if
     /// there is any, else a random one, those last that failed to recently.
     pub fn choose_via<R: Rng>(
@@ -183,7 +230,7 @@
         now: Timestamp,
         rng: &mut R,
     ) -> Option<SocketAddr> {
-        let preferred = |node: &&SocketAddr| matches!(self.vias.get(*node), Some(Via::PreferredUntil(until)) if now < *until);
+        let preferred = |node: &&SocketAddr| self.vias.get(*node).is_some_and(|via| via.is_preferred(now));
         let usable = |node: &&SocketAddr| !matches!(self.vias.get(*node), Some(Via::AvoidedUntil(until)) if now < *until);
         let untried = || nodes.iter().filter(|node| !tried.contains(node));
         let chosen = untried().filter(preferred).choose(rng);
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -429,6 +429,14 @@
         self.update(id, |replica| replica.on_failure(backs_off, now));
     }
 
+    /// Forgets the failures of the replicas of a service: they were not the replicas' own.
+    pub fn forget_failures(&mut self, service: &str) {
+        let ids: Vec<UpstreamId> = self.staying(service).map(|replica| replica.record.id.clone()).collect();
+        for id in ids {
+            self.update(&id, Replica::forget_failures);
+        }
+    }
+
     /// A replica answered a request; `is_error` is set if the answer is an error of the replica's own.
     pub fn on_answer(&mut self, id: &str, is_error: bool, now: Timestamp) {
         self.update(id, |replica| replica.on_answer(is_error, now));
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -15,6 +15,7 @@
 pub mod lead_requests;
 pub mod lead_scheduler;
 pub mod limit_intake;
+pub mod path_probes;
 pub mod placement_state;
 pub mod placing;
 pub mod replica_intake;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -19,6 +19,7 @@
 use crate::gateway::control::crash_intake::CrashIntake;
 use crate::gateway::control::hall_intake::HallIntake;
 use crate::gateway::control::limit_intake::LimitIntake;
+use crate::gateway::control::path_probes;
 use crate::gateway::control::placing::Placing;
 use crate::gateway::control::replica_intake::ReplicaIntake;
 use crate::gateway::control::store_watcher::StoreWatcher;
@@ -148,6 +149,9 @@
             ToControl::ConfigurationRead(answered) => self.configs.on_read(answered),
             ToControl::ConfigurationDue => self.configs.on_due(),
             ToControl::ServeReplicas(known, reply) => self.replicas.serve_list(&self.placing, known, reply),
+            ToControl::PathRestored(service) => {
+                path_probes::on_path_restored(&self.shared, &mut self.placing.state, &service)
+            }
             ToControl::ServiceAt(address, reply) => {
                 // The other node may have given up.
                 let _ = reply.send(self.placing.state.service_at(address));
@@ -171,6 +175,7 @@
         self.shared.observe_fleet_size(self.fleet.nodes());
         self.shared.set_has_neighbour(self.fleet.has_neighbour());
         self.shared.set_tunnel_nodes(self.fleet.sample_for_tunnels());
+        path_probes::probe_lost_paths(&self.shared);
         self.placing.send_inventories(&self.fleet);
         self.placing.lead(&self.fleet);
         self.watchers.tick(now);
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -312,14 +312,18 @@
     fn notify_lead_of_end(&self, fleet: &Fleet, run: RunId, outcome: Outcome) {
         let generation = self.state.load.get(&self.own_key(run)).filter(|run| run.size.is_some());
         let engine = generation.and_then(|run| self.state.replicas.get(&run.replica));
-        let Some(engine) = engine.map(|engine| engine.record.incarnation()) else {
+        let Some((engine, service)) =
+            engine.map(|engine| (engine.record.incarnation(), engine.record.service.clone()))
+        else {
             return;
         };
         let Some(lead) = self.other_lead_at(fleet, &engine.id) else {
             return;
         };
         self.outbox.send(lead, &PeerMessage::Ended(run));
-        if matches!(outcome, Outcome::Errored | Outcome::Failed) {
+        // While this node may have lost its path, its failures show nothing about the engine.
+        let is_path_in_doubt = self.shared.with_paths(&service, |paths| paths.is_in_doubt());
+        if matches!(outcome, Outcome::Errored | Outcome::Failed) && !is_path_in_doubt {
             self.outbox.send(lead, &PeerMessage::EngineFailed(engine));
         }
     }
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -88,6 +88,8 @@
     Configuration(StoreUpdate<Bytes>),
     /// Another node that knows the replicas up to this revision requests the changes since, packed.
     ServeReplicas(Revision, oneshot::Sender<Bytes>),
+    /// This node reaches replicas of a service after it had reached several of them in vain.
+    PathRestored(ServiceId),
     /// The service of the known replica at an address, if there is one.
     ServiceAt(SocketAddr, oneshot::Sender<Option<ServiceId>>),
     /// The result of a fetch from another node.
--- a/node/src/gateway/peers/tunnel_client.rs
+++ b/node/src/gateway/peers/tunnel_client.rs
@@ -11,6 +11,7 @@
 use http::Method;
 use http::Request;
 use http::StatusCode;
+use http::header;
 use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -25,14 +26,19 @@
 /// Why there is no tunnel.
 #[derive(Debug, Display, Error, From)]
 pub enum TunnelError {
-    /// The other node did not reach the replica, although it reaches others.
+    /// The other node did not reach the replica either.
     #[display("the replica was not reached: {_0}")]
     #[from(skip)]
     ReplicaUnreached(#[error(not(source))] io::ErrorKind),
     /// The other node opens no tunnel.
-    #[display("status {_0}")]
+    #[display("status {status}")]
     #[from(skip)]
-    Rejected(#[error(not(source))] StatusCode),
+    Rejected {
+        /// The status.
+        status: StatusCode,
+        /// A node that opened tunnels for it recently.
+        referral: Option<SocketAddr>,
+    },
     /// The other node was not reached.
     Socket(io::Error),
     /// The other node's answer was not received.
@@ -59,7 +65,7 @@
     let req = Request::builder()
         .method(Method::CONNECT)
         .uri(replica.to_string())
-        .header(http::header::HOST, replica.to_string())
+        .header(header::HOST, replica.to_string())
         .body(Empty::<Bytes>::new())
         .expect("the request is valid");
     let res = sender.send_request(req).await?;
@@ -71,7 +77,11 @@
         StatusCode::GATEWAY_TIMEOUT => {
             return Err(TunnelError::ReplicaUnreached(io::ErrorKind::TimedOut));
         }
-        status => return Err(TunnelError::Rejected(status)),
+        status => {
+            let referral =
+                res.headers().get(header::LOCATION).and_then(|via| via.to_str().ok()?.parse().ok());
+            return Err(TunnelError::Rejected { status, referral });
+        }
     }
     let parts = hyper::upgrade::on(res).await?.downcast::<TokioIo<TcpStream>>();
     // A replica sends nothing before it has received a request, so no bytes were read beyond the answer.
--- a/node/src/gateway/peers/tunnel_port.rs
+++ b/node/src/gateway/peers/tunnel_port.rs
@@ -12,9 +12,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
@@ -75,9 +77,9 @@
     /// Answers a request for a tunnel, which opens with the answer.
     pub async fn answer(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         let replica = req.uri().authority().and_then(|authority| authority.as_str().parse().ok());
-        let answer = match replica {
+        let (answer, referral) = match replica {
             Some(replica) => self.open(replica, req).await,
-            None => TunnelAnswer::UnknownReplica,
+            None => (TunnelAnswer::UnknownReplica, None),
         };
         debug!(event = "tunnel_requested", replica:? = replica, answer:? = answer; "another node requested a tunnel");
         self.shared.metrics.on_tunnel_requested(answer);
@@ -89,33 +91,37 @@
             TunnelAnswer::NoPath | TunnelAnswer::Busy => StatusCode::SERVICE_UNAVAILABLE,
             TunnelAnswer::UnknownReplica => StatusCode::FORBIDDEN,
         };
+        if let Some(referral) = referral {
+            let via = HeaderValue::from_str(&referral.to_string()).expect("an address is a valid value");
+            res.headers_mut().insert(header::LOCATION, via);
+        }
         res
     }
 
-    async fn open(&self, replica: SocketAddr, req: Request<Incoming>) -> TunnelAnswer {
+    /// Opens a tunnel; without a path, also returns another node that may open one.
+    async fn open(&self, replica: SocketAddr, req: Request<Incoming>) -> (TunnelAnswer, Option<SocketAddr>) {
         if self.shared.phase() != Phase::Serving || self.open.get() >= MAX_TUNNELS {
-            return TunnelAnswer::Busy;
+            return (TunnelAnswer::Busy, None);
         }
         let Some(service) = self.service_at(replica).await else {
-            return TunnelAnswer::UnknownReplica;
+            return (TunnelAnswer::UnknownReplica, None);
         };
         let dialer = ReplicaDialer::new(self.shared.clone(), service);
         if dialer.lacks_path(replica) {
-            dialer.probe_if_due(replica);
-            return TunnelAnswer::NoPath;
+            return (TunnelAnswer::NoPath, dialer.referral());
         }
         let upstream = match dialer.dial_directly(replica, CONNECT_TIMEOUT).await {
             Ok(upstream) => upstream,
-            Err(_) if dialer.lacks_path(replica) => return TunnelAnswer::NoPath,
+            Err(_) if dialer.lacks_path(replica) => return (TunnelAnswer::NoPath, dialer.referral()),
             Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => {
-                return TunnelAnswer::ReplicaRefused;
+                return (TunnelAnswer::ReplicaRefused, None);
             }
-            Err(_) => return TunnelAnswer::ReplicaSilent,
+            Err(_) => return (TunnelAnswer::ReplicaSilent, None),
         };
         self.open.set(self.open.get() + 1);
         let guard = TunnelGuard(self.open.clone());
         tokio::task::spawn_local(carry_upgraded(self.shared.clone(), req, replica, upstream, guard));
-        TunnelAnswer::Opened
+        (TunnelAnswer::Opened, None)
     }
 
     /// The service of the known replica at an address; tunnels lead nowhere else.
--- a/node/src/gateway/replica_dialer.rs
+++ b/node/src/gateway/replica_dialer.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use leadstage_lib::gateway::replica_paths::DialPlan;
 use leadstage_lib::gateway::replica_paths::PathChange;
 use leadstage_lib::gateway::replica_paths::ReplicaPaths;
@@ -18,6 +20,7 @@
 use log::warn;
 use tokio::net::TcpStream;
 
+use crate::gateway::messages::ToControl;
 use crate::gateway::observability::metrics::DialOutcome;
 use crate::gateway::peers::tunnel_client;
 use crate::gateway::peers::tunnel_client::TunnelError;
@@ -28,6 +31,10 @@
 const HEAD_START: Duration = Duration::from_millis(100);
 /// Maximum number of nodes that are asked for a tunnel to a replica.
 const MAX_VIAS: usize = 4;
+/// Number of nodes that are asked at the same time while none is known to reach the replica.
+const VIAS_AT_ONCE: usize = 3;
+/// Number of nodes that have to miss the replica too until it counts as gone.
+const MIN_UNREACHED_ANSWERS: usize = 2;
 
 /// Opens connections to the replicas of a service.
 #[derive(Clone)]
@@ -38,21 +45,21 @@
 
 impl Dial for ReplicaDialer {
     /// Fails with [`io::ErrorKind::NetworkUnreachable`] if the failure shows nothing about the replica, as
-    /// neither this node nor those that it asked have a path.
+    /// neither this node nor those that it asked have a path; with [`io::ErrorKind::HostUnreachable`] if no node
+    /// was found a moment ago that reaches it.
     async fn dial(&self, replica: SocketAddr) -> io::Result<TcpStream> {
         let plan = self.with_paths(|paths, now| paths.plan(replica, now));
         match plan {
             DialPlan::DirectOnly => self.dial_directly(replica, connect::CONNECT_TIMEOUT).await,
             DialPlan::DirectFirst => self.dial_both(replica).await,
-            DialPlan::Tunnel { .. } if self.shared.tunnel_nodes().is_empty() => {
-                self.dial_directly(replica, connect::CONNECT_TIMEOUT).await
+            DialPlan::Fail => {
+                self.shared.metrics.on_dial(DialOutcome::NoPath);
+                Err(io::ErrorKind::HostUnreachable.into())
             }
-            DialPlan::Tunnel { probes_direct } => {
-                if probes_direct {
-                    self.spawn_probe(replica);
-                }
-                self.open_tunnel(replica).await
+            DialPlan::Tunnel if self.shared.tunnel_nodes().is_empty() => {
+                self.dial_directly(replica, connect::CONNECT_TIMEOUT).await
             }
+            DialPlan::Tunnel => Box::pin(self.open_tunnel(replica, 1)).await,
         }
     }
 }
@@ -79,10 +86,14 @@
         let source = Some(self.shared.settings.peer.ip());
         let dialed = connect::connect(replica, source, limit).await;
         self.shared.metrics.on_dial(DialOutcome::of(&dialed));
-        let (change, unreached) = self.with_paths(|paths, _| {
+        let (change, unreached, was_in_doubt) = self.with_paths(|paths, _| {
+            let was_in_doubt = paths.is_in_doubt();
             let change = paths.on_direct(replica, dialed.is_ok());
-            (change, paths.unreached())
+            (change, paths.unreached(), was_in_doubt)
         });
+        if was_in_doubt && dialed.is_ok() {
+            self.shared.notify(ToControl::PathRestored(self.service.clone()));
+        }
         if let Err(err) = &dialed {
             info!(event = "replica_unreached", replica:% = replica, reason:% = err.kind(), unreached; "no connection to a replica");
         }
@@ -90,18 +101,17 @@
         dialed
     }
 
-    /// Probes the direct path to a replica unless a path was probed recently.
-    pub fn probe_if_due(&self, replica: SocketAddr) {
-        if self.with_paths(ReplicaPaths::take_probe) {
-            self.spawn_probe(replica);
-        }
-    }
-
-    fn spawn_probe(&self, replica: SocketAddr) {
+    /// Probes the path to a replica: directly, and also through other nodes unless these are known to reach
+    /// replicas.
+    pub fn spawn_probe(&self, replica: SocketAddr) {
         let dialer = self.clone();
         tokio::task::spawn_local(async move {
             // The outcome is recorded; the connection is not used.
-            let _ = dialer.dial_directly(replica, connect::CONNECT_TIMEOUT).await;
+            let _ = if dialer.lacks_path(replica) {
+                dialer.dial_directly(replica, connect::CONNECT_TIMEOUT).await
+            } else {
+                dialer.dial_both(replica).await
+            };
         });
     }
 
@@ -119,7 +129,7 @@
                 None => direct.await,
             };
         }
-        let mut tunnel = std::pin::pin!(self.open_tunnel(replica));
+        let mut tunnel = Box::pin(self.open_tunnel(replica, VIAS_AT_ONCE));
         let direct_failure = match failure {
             Some(err) => err,
             None => tokio::select! {
@@ -151,41 +161,72 @@
         tunnel
     }
 
-    /// Opens a connection through another node, asking one after the other.
-    async fn open_tunnel(&self, replica: SocketAddr) -> io::Result<TcpStream> {
-        let mut tried = Vec::new();
-        while tried.len() < MAX_VIAS {
-            let Some(via) = self.choose_via(&tried) else {
+    /// Opens a connection through another node; `at_once` nodes are asked at the same time.
+    async fn open_tunnel(&self, replica: SocketAddr, at_once: usize) -> io::Result<TcpStream> {
+        let mut vias = self.shared.tunnel_nodes().to_vec();
+        let (mut tried, mut unreached) = (Vec::new(), Vec::new());
+        let mut opening = FuturesUnordered::new();
+        loop {
+            while opening.len() < at_once
+                && unreached.len() < MIN_UNREACHED_ANSWERS
+                && tried.len() < MAX_VIAS
+                && let Some(via) = self.choose_via(&vias, &tried)
+            {
+                tried.push(via);
+                opening.push(async move { (via, tunnel_client::open(via, replica).await) });
+            }
+            let Some((via, opened)) = opening.next().await else {
                 break;
             };
-            tried.push(via);
-            let opened = tunnel_client::open(via, replica).await;
-            let outcome = match &opened {
-                Ok(_) => TunnelOutcome::Opened,
-                Err(TunnelError::ReplicaUnreached(_)) => TunnelOutcome::ReplicaUnreached,
-                Err(_) => TunnelOutcome::Unavailable,
-            };
-            self.with_paths(|paths, now| paths.on_tunnel(replica, via, outcome, now));
-            match opened {
+            let err = match opened {
                 Ok(stream) => {
+                    self.on_tunnel(replica, via, TunnelOutcome::Opened);
                     self.shared.metrics.on_dial(DialOutcome::Tunnelled);
                     return Ok(stream);
                 }
-                Err(err) => {
-                    info!(event = "tunnel_failed", replica:% = replica, via:% = via, reason:% = err; "no tunnel to a replica through another node");
-                    if let TunnelError::ReplicaUnreached(kind) = err {
-                        return Err(kind.into());
-                    }
-                }
+                Err(err) => err,
+            };
+            info!(event = "tunnel_failed", replica:% = replica, via:% = via, reason:% = err; "no tunnel to a replica through another node");
+            if let TunnelError::ReplicaUnreached(kind) = err {
+                unreached.push(kind);
+                continue;
+            }
+            self.on_tunnel(replica, via, TunnelOutcome::Unavailable);
+            if let TunnelError::Rejected { referral: Some(referral), .. } = err {
+                self.on_referral(referral, &mut vias);
+            }
+        }
+        match unreached.first() {
+            Some(kind) => {
+                self.with_paths(|paths, now| paths.on_unreached_by_others(replica, now));
+                Err((*kind).into())
+            }
+            None => {
+                self.shared.metrics.on_dial(DialOutcome::NoPath);
+                Err(io::ErrorKind::NetworkUnreachable.into())
             }
         }
-        self.shared.metrics.on_dial(DialOutcome::NoPath);
-        Err(io::ErrorKind::NetworkUnreachable.into())
     }
 
-    fn choose_via(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
-        let nodes = self.shared.tunnel_nodes();
-        self.with_paths(|paths, now| paths.choose_via(&nodes, tried, now, &mut rand::rng()))
+    fn on_tunnel(&self, replica: SocketAddr, via: SocketAddr, outcome: TunnelOutcome) {
+        self.with_paths(|paths, now| paths.on_tunnel(replica, via, outcome, now));
+    }
+
+    /// Adds a node that another one named to those that may be asked.
+    fn on_referral(&self, via: SocketAddr, vias: &mut Vec<SocketAddr>) {
+        if via != self.shared.settings.peer {
+            vias.push(via);
+            self.with_paths(|paths, now| paths.on_referral(via, now));
+        }
+    }
+
+    fn choose_via(&self, vias: &[SocketAddr], tried: &[SocketAddr]) -> Option<SocketAddr> {
+        self.with_paths(|paths, now| paths.choose_via(vias, tried, now, &mut rand::rng()))
+    }
+
+    /// Returns a node that opened a tunnel for this one recently.
+    pub fn referral(&self) -> Option<SocketAddr> {
+        self.with_paths(|paths, now| paths.referral(now, &mut rand::rng()))
     }
 }
 
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -313,6 +313,16 @@
         access(paths.entry(service.clone()).or_default())
     }
 
+    /// Returns the replicas to which the path is to be probed now, with their services.
+    pub fn due_path_probes(&self) -> Vec<(ServiceId, SocketAddr)> {
+        let now = self.now();
+        let mut paths = self.paths.lock().expect("no holder panics");
+        let due = paths
+            .iter_mut()
+            .filter_map(|(service, paths)| Some((service.clone(), paths.due_probe(now, &mut rand::rng())?)));
+        due.collect()
+    }
+
     /// Returns some other nodes that may carry this node's connections to replicas.
     pub fn tunnel_nodes(&self) -> Arc<[SocketAddr]> {
         self.tunnel_nodes.read().expect("no holder panics").clone()
--- a/node/src/gateway/upstream/connections.rs
+++ b/node/src/gateway/upstream/connections.rs
@@ -118,9 +118,7 @@
         replica: &ReplicaRecord,
         choice: ConnectionChoice,
     ) -> Result<Connection, ConnectError> {
-        if dialer.lacks_path(replica.address) {
-            self.drop_direct(replica);
-        }
+        self.keep_only(replica, !dialer.lacks_path(replica.address));
         let idle =
             (choice == ConnectionChoice::Any).then(|| self.take_idle(&replica.incarnation())).flatten();
         match idle {
@@ -144,10 +142,11 @@
         Some(connection)
     }
 
-    /// Drops the idle connections that lead to a replica directly: they may be as silent as new ones.
-    fn drop_direct(&self, replica: &ReplicaRecord) {
+    /// Drops the idle connections to a replica that are not direct, or those that are: while the path is lost
+    /// they may be as silent as new ones would be, and once it is back other nodes need not carry any.
+    fn keep_only(&self, replica: &ReplicaRecord, direct: bool) {
         if let Some(queue) = self.idle.borrow_mut().get_mut(&replica.incarnation()) {
-            queue.retain(|c| !c.connection.is_direct);
+            queue.retain(|c| c.connection.is_direct == direct);
         }
     }
 
--- a/node/tests/test_gateway_fleet.rs
+++ b/node/tests/test_gateway_fleet.rs
@@ -178,6 +178,9 @@
     gateway.call(0, chat("r-2")).await;
     // Other nodes fetch the configuration like this.
     read(&gateway.peer(0), "/config").await;
+    // Other nodes request a connection to a replica like this.
+    let tunnel = http::Request::connect("127.0.0.1:1").body(http_body_util::Full::default()).expect("valid");
+    drop(crate::gateway_environment::send(&gateway.peer(0), tunnel).await.expect("the node answers"));
     bookings.iter().for_each(|running| running.replica.set_limit(Some("100")));
     let sent_to_limited = async || {
         gateway.status_of(0, "/read/x", KEY).await;
