--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_callers;
 mod test_calls;
 mod test_clocks;
+mod test_gateway_brittle_replicas;
 mod test_gateway_calls;
 mod test_gateway_chosen_nodes;
 mod test_gateway_closed_halls;
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -30,6 +30,9 @@
 /// Time within which the server closes its port after it is notified.
 const PORT_CLOSE_DELAY: Duration = Duration::from_millis(20);
 
+/// How long a replica that fell over breaks all calls.
+const FALL_TIME: Duration = Duration::from_secs(2);
+
 /// How a replica handles requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ReplicaFault {
@@ -207,6 +210,7 @@
     has_crashed: bool,
     /// Value of the `server-limit` response header.
     limit: Option<String>,
+    brittleness: Option<Brittleness>,
     /// Value of the `server-leaving` response header.
     leaving: Option<String>,
     /// Ids of the requests rejected because of `ReplicaFault::NotExecuted`.
@@ -215,6 +219,42 @@
     retry_after: Option<String>,
 }
 
+/// A replica that works on few calls at once and falls over when it turns too many away in a second.
+#[derive(Debug)]
+struct Brittleness {
+    /// Value of the `server-brittle` response header.
+    limit: usize,
+    /// Number of calls that it works on at once, from `since` on.
+    room: usize,
+    since: Instant,
+    /// When it turned calls away, in the last second.
+    turned_away: Vec<Instant>,
+    falls: usize,
+    fallen_until: Option<Instant>,
+}
+
+impl Brittleness {
+    fn is_fallen(&self) -> bool {
+        self.fallen_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Whether a call is turned away while `running` calls run.
+    fn turns_away(&mut self, running: usize) -> bool {
+        let now = Instant::now();
+        if now < self.since || running < self.room {
+            return false;
+        }
+        self.turned_away.retain(|at| now.duration_since(*at) < Duration::from_secs(1));
+        self.turned_away.push(now);
+        if self.turned_away.len() > self.limit {
+            self.falls += 1;
+            self.fallen_until = Some(now + FALL_TIME);
+            self.turned_away.clear();
+        }
+        true
+    }
+}
+
 /// A stand-in for a replica.
 pub struct GatewayReplica {
     /// Instance id.
@@ -355,6 +395,25 @@
         self.state().limit = limit.map(str::to_owned);
     }
 
+    /// Sets or removes the `server-brittle` header of all responses. After `notice` the replica works on `room`
+    /// calls at once, and falls over when it turns away more than `limit` in a second.
+    pub fn set_brittle(&self, limit: Option<usize>, room: usize, notice: Duration) {
+        let since = Instant::now() + notice;
+        self.state().brittleness = limit.map(|limit| Brittleness {
+            limit,
+            room,
+            since,
+            turned_away: Vec::new(),
+            falls: 0,
+            fallen_until: None,
+        });
+    }
+
+    /// How often the replica has fallen over since it became brittle.
+    pub fn falls(&self) -> usize {
+        self.state().brittleness.as_ref().map_or(0, |brittleness| brittleness.falls)
+    }
+
     /// Sets or removes the `server-leaving` header of all responses.
     pub fn set_leaving(&self, leaving: Option<&str>) {
         self.state().leaving = leaving.map(str::to_owned);
@@ -419,6 +478,9 @@
         if let Some(limit) = &self.state().limit {
             headers.insert("server-limit", limit.parse().expect("valid"));
         }
+        if let Some(brittleness) = &self.state().brittleness {
+            headers.insert("server-brittle", brittleness.limit.into());
+        }
         headers
     }
 
@@ -657,6 +719,16 @@
         Response::new(loopback::full_body(json!({"stage": "both", "runs": runs}).to_string()))
     }
 
+    fn is_fallen(&self) -> bool {
+        self.state().brittleness.as_ref().is_some_and(Brittleness::is_fallen)
+    }
+
+    fn turns_away(&self) -> bool {
+        let mut state = self.state();
+        let running = state.runs.len();
+        state.brittleness.as_mut().is_some_and(|brittleness| brittleness.turns_away(running))
+    }
+
     async fn close_port(&self) {
         let close_port = self.state().close_port.clone().expect("the server was started");
         close_port.notify_one();
@@ -703,7 +775,11 @@
             ReplicaFault::ClosesReusedConnections => fault_of_reused_connection(&req),
             fault => fault,
         };
-        if fault == ReplicaFault::NotExecuted {
+        if self.is_fallen() {
+            let broken = futures::stream::iter([Err(std::io::Error::other("fallen"))]);
+            return Response::new(loopback::stream_body(broken));
+        }
+        if fault == ReplicaFault::NotExecuted || self.turns_away() {
             self.state().rejected.push(header_text(req.headers(), "leadstage-request-id"));
             return self.not_executed(req.headers());
         }
