platform: a second of silence doesn't end a connection

A call whose replica was silent for 1.1 s got 502, though the replica answered it: the socket's TCP_USER_TIMEOUT of 1.5 s also decides when keep-alive probes give up, whatever their number.

test_a_call_survives_a_second_in_which_its_replica_is_silent failed before (502) and passes.

--- a/node/src/gateway/upstream/silence.rs
+++ b/node/src/gateway/upstream/silence.rs
@@ -1,7 +1,7 @@
 //! Detects that a reused connection to a replica may have fallen silent: without a reset, while new
 //! connections work.
 //!
-//! The kernel's timers are too slow for this: they end a connection after 1.5 s of unacknowledged bytes,
+//! The kernel's timers are too slow for this: they end a connection after 2.5 s of unacknowledged bytes,
 //! while callers of plain calls wait for 0.6 to 1.5 s, and a middlebox between two networks may
 //! acknowledge what it drops.
 
--- a/node/tests/test_gateway_partitioned_nodes.rs
+++ b/node/tests/test_gateway_partitioned_nodes.rs
@@ -6,6 +6,7 @@
 
 use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::faulty_proxy::OpenLinks;
+use leadstage_testutils::gateway_replica::ReplicaFault;
 use tokio::time::Instant;
 
 use crate::gateway_environment::BOOKING;
@@ -267,3 +268,21 @@
     let events: Vec<Option<u64>> = streams.iter().map(CallResult::events).collect();
     assert_eq!(events, vec![Some(EVENTS); 4], "{}", fleet.gateway.logs());
 }
+
+/// Guards against calls that are lost because a sound replica is silent for a second, as long as one keep-alive probe.
+#[tokio::test]
+async fn test_a_call_survives_a_second_in_which_its_replica_is_silent() {
+    const ANSWER_AFTER: Duration = Duration::from_millis(2_500);
+    let fleet = PartitionedFleet::start(1, 5).await;
+    for running in &fleet.replicas {
+        running.replica.set_fault(ReplicaFault::Late(ANSWER_AFTER));
+    }
+    let silence = async {
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        fleet.partition(1, OpenLinks::Hang);
+        tokio::time::sleep(Duration::from_millis(1_100)).await;
+        fleet.end_partition();
+    };
+    let (called, ()) = tokio::join!(fleet.gateway.call(0, book("book-1")), silence);
+    assert_eq!(called.status, 200, "{called:?}\n{}", fleet.gateway.logs());
+}
