gateway: calls of services with brittle replicas are placed by one node

A replica that says Server-Brittle falls over when all nodes together make it turn away too many requests in a second.

While a replica of a service says the word, the service's lead places its calls too. It sends no replica more than its slots, and the others wait at the lead for up to the route's objective. A lead that gets such a call from another node knows by that. A node whose lead is silent uses its share of the slots. Ends and inventories of such calls go to the lead, also of those under way when the word is gone: six of them blocked the lead for a second after that. Odd words say nothing.

Ruled out: shares of the slots for each node (six nodes, two slots: calls collide at random, 30 % turned away by Erlang's formula).

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -4,6 +4,7 @@
 //! from the platform's API.
 
 pub mod answer_counts;
+pub mod brittle_replicas;
 pub mod canary;
 pub mod choice;
 pub mod closed_halls;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,6 +6,7 @@
 mod test_claims;
 mod test_codes;
 mod test_fence;
+mod test_gateway_brittle_replicas;
 mod test_gateway_closed_halls;
 mod test_gateway_cold_start;
 mod test_gateway_config_sources;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -134,6 +134,7 @@
             ToControl::LimitReport(of, report, times) => {
                 self.limits.on_answer(&mut self.placing.state, &self.fleet, &of, report, times)
             }
+            ToControl::Brittle(of, is_brittle) => self.placing.state.on_brittle_report(&of, is_brittle),
             ToControl::GrantSilent(id) => self.placing.on_grant_silent(&self.fleet, id),
             ToControl::RunBroke(run) => self.crashes.on_break(&self.placing, run),
             ToControl::RunSucceeded(fingerprint) => self.crashes.on_run_succeeded(&self.fleet, fingerprint),
--- a/node/src/gateway/control/inventories.rs
+++ b/node/src/gateway/control/inventories.rs
@@ -56,8 +56,7 @@
         let mut runs_by_lead: HashMap<SocketAddr, Vec<(RunId, Run)>> =
             due.map(|(_, lead)| (*lead, Vec::new())).collect();
         for (id, run) in state.load.runs_of_entry(own) {
-            let service = state.replicas.get(&run.replica).map(|replica| &replica.record.service);
-            let lead = service.and_then(|service| leads.get(service));
+            let lead = placed_by_lead(state, run).and_then(|service| leads.get(service));
             if let Some(runs) = lead.and_then(|lead| runs_by_lead.get_mut(lead)) {
                 runs.push((id, run.clone()));
             }
@@ -79,8 +78,13 @@
     }
 }
 
-/// The services of a node's generations.
+/// The service of a request, if its lead places such requests: generations, and calls of brittle services.
+pub fn placed_by_lead<'a>(state: &'a PlacementState, run: &Run) -> Option<&'a ServiceId> {
+    let service = &state.replicas.get(&run.replica)?.record.service;
+    (run.size.is_some() || state.is_brittle(service)).then_some(service)
+}
+
+/// The services of a node's requests that leads place.
 fn services<'a>(state: &'a PlacementState, own: &'a VmId) -> impl Iterator<Item = ServiceId> + 'a {
-    let generations = state.load.runs_of_entry(own).filter(|(_, run)| run.size.is_some());
-    generations.filter_map(|(_, run)| Some(state.replicas.get(&run.replica)?.record.service.clone()))
+    state.load.runs_of_entry(own).filter_map(|(_, run)| placed_by_lead(state, run).cloned())
 }
--- a/node/src/gateway/control/lead_scheduler.rs
+++ b/node/src/gateway/control/lead_scheduler.rs
@@ -200,7 +200,7 @@
 /// The queue terms for a generation that may wait.
 fn terms(state: &PlacementState, pending: &PendingPlacement) -> QueueTerms {
     let PendingPlacement { priority, patience, leaves_after, .. } = *pending;
-    if pending.wanted.from.is_some() {
+    if pending.wanted.from.is_some() || pending.wanted.size.is_none() {
         return QueueTerms { priority, in_time: patience, may_wait: leaves_after, tokens: 0.0 };
     }
     let (service, size) = (&pending.wanted.service, pending.wanted.size.unwrap_or_default());
--- a/node/src/gateway/control/placement_state.rs
+++ b/node/src/gateway/control/placement_state.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use leadstage_lib::gateway::brittle_replicas;
+use leadstage_lib::gateway::brittle_replicas::BrittleReplicas;
 use leadstage_lib::gateway::choice::EngineRequest;
 use leadstage_lib::gateway::cold_start::ColdStartLimiter;
 use leadstage_lib::gateway::cold_start::PlacedBy;
@@ -16,6 +18,7 @@
 use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::replica::Replica;
 use leadstage_lib::gateway::replica_rate_limiter::ReplicaRateLimiter;
+use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::room_forecast::RoomForecast;
@@ -45,6 +48,7 @@
     /// The limits that replicas announce.
     pub limits: RefCell<ReplicaRateLimiter>,
     /// The model services that this node leads.
+    brittle: BrittleReplicas,
     led_services: Vec<ServiceId>,
     canary_replicas: CanaryCache,
     /// Services whose upgrades are judged by evidence that includes this node's.
@@ -62,6 +66,7 @@
             forecasts: HashMap::new(),
             cold: RefCell::new(ColdStartLimiter::new(own)),
             limits: RefCell::default(),
+            brittle: BrittleReplicas::default(),
             led_services: Vec::new(),
             canary_replicas: CanaryCache::default(),
             judged: JudgedServices::default(),
@@ -151,6 +156,34 @@
         let mut limits = self.limits.borrow_mut();
         limits.allows(&replica.record.id, placed_by, now, &mut rand::rng())
             && self.is_warm_enough(replica, placed_by, now)
+            && self.has_brittle_room(replica, placed_by, now)
+    }
+
+    /// Whether a replica can take another request without turning one away, if its service is brittle.
+    fn has_brittle_room(&self, replica: &Replica, placed_by: PlacedBy, now: Timestamp) -> bool {
+        let record = &replica.record;
+        if !self.brittle.is_brittle(&record.service, now) {
+            return true;
+        }
+        let room = brittle_replicas::room(record.slots, placed_by, self.shared.nodes());
+        self.load.runs_at(&record.id).count() < room
+    }
+
+    /// Whether a service has replicas that fall over when they turn many requests away.
+    pub fn is_brittle(&self, service: &str) -> bool {
+        self.brittle.is_brittle(service, self.shared.now())
+    }
+
+    /// A replica said in an answer whether it is brittle.
+    pub fn on_brittle_report(&mut self, of: &Incarnation, is_brittle: bool) {
+        if let Some(replica) = self.replicas.get(&of.id) {
+            self.brittle.on_report(&replica.record, is_brittle);
+        }
+    }
+
+    /// Another node sent this one a plain call to place, as its service is brittle.
+    pub fn on_told_brittle(&mut self, service: &ServiceId) {
+        self.brittle.on_told(service, self.shared.now());
     }
 
     /// The role in which this node places requests on a service's replicas.
@@ -234,6 +267,7 @@
         let replicas = &self.replicas;
         self.load.retain_replicas(|id| replicas.get(id).is_some());
         let now = self.shared.now();
+        self.brittle.retain(|id| replicas.get(id).is_some(), now);
         self.cold.get_mut().retain(|id| replicas.get(id).is_some_and(|replica| replica.is_cold(now)));
         self.limits.get_mut().retain(|id| replicas.get(id).is_some(), now);
     }
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -4,9 +4,11 @@
 mod plain_calls;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use leadstage_lib::gateway::inventory::Inventory;
 use leadstage_lib::gateway::lead::Leads;
@@ -24,6 +26,7 @@
 use log::info;
 
 use crate::gateway::control::grant_requests::GrantRequests;
+use crate::gateway::control::inventories;
 use crate::gateway::control::inventories::Inventories;
 use crate::gateway::control::lead_requests::LeadRequest;
 use crate::gateway::control::lead_requests::LeadRequests;
@@ -67,6 +70,8 @@
     lead_requests: LeadRequests,
     grant_requests: GrantRequests,
     streams: HashMap<RunId, StreamHandle>,
+    /// This node's plain calls that a lead placed.
+    calls_at_lead: HashSet<RunId>,
     inventories: Inventories,
     last_run: RunId,
     own: VmId,
@@ -87,6 +92,7 @@
             shared,
             outbox,
             streams: HashMap::new(),
+            calls_at_lead: HashSet::new(),
             inventories: Inventories::default(),
             last_run: unix_millis() * RUN_IDS_PER_MS,
             own,
@@ -97,11 +103,15 @@
     /// Places a request, or sends it to the lead.
     pub fn place(&mut self, fleet: &Fleet, request: PlaceRequest, reply: PlaceReply) {
         self.last_run += 1;
+        // A plain call waits only for the lead of a brittle service, which knows when there is room.
+        let is_placed_at_once =
+            request.wanted.size.is_none() && !self.state.is_brittle(&request.wanted.service);
+        let patience = if is_placed_at_once { Duration::ZERO } else { request.patience };
         let pending = PendingPlacement {
             key: self.own_key(self.last_run),
             wanted: request.wanted,
             priority: request.priority,
-            patience: request.patience,
+            patience,
             leaves_after: request.leaves_after,
             requester: Requester::Local { request: request.request, stream: request.stream, reply },
         };
@@ -111,14 +121,16 @@
         }
         match self.lead_for(fleet, &pending) {
             Some((lead, address)) => self.lead_requests.send(pending, lead, address),
-            None if pending.wanted.size.is_none() => self.place_plain(fleet, pending, 0),
+            None if is_placed_at_once => self.place_plain(fleet, pending, 0),
             None => self.place_locally(pending),
         }
     }
 
     /// The other node that places this request, if there is one.
     fn lead_for(&self, fleet: &Fleet, pending: &PendingPlacement) -> Option<(VmId, SocketAddr)> {
-        pending.wanted.size?;
+        if pending.wanted.size.is_none() && !self.state.is_brittle(&pending.wanted.service) {
+            return None;
+        }
         self.other_lead(fleet, &pending.wanted.service)
     }
 
@@ -192,6 +204,9 @@
             self.state.replicas.on_entry(record.clone(), now, &mut ListChange::default());
         }
         self.state.add(pending.key.clone(), &pending.wanted, &record.id);
+        if pending.wanted.size.is_none() {
+            self.calls_at_lead.insert(run);
+        }
         self.answer(Decision { pending, chosen: Ok(Arc::new(record)) });
     }
 
@@ -215,6 +230,9 @@
 
     /// Handles another node's request to place a generation, as the lead.
     pub fn on_place(&mut self, from: SocketAddr, remote: RemotePlace) {
+        if remote.wanted.size.is_none() {
+            self.state.on_told_brittle(&remote.wanted.service);
+        }
         self.place_locally(PendingPlacement {
             key: RunKey { entry: node_id(from), run: remote.run },
             wanted: remote.wanted,
@@ -306,12 +324,18 @@
         self.on_own_copied(fleet, run);
         self.notify_lead_of_end(fleet, run, outcome);
         self.end(run, outcome);
+        // A call that waits here for a brittle replica may get the place.
+        self.settle();
     }
 
-    /// Notifies the lead that a generation of this node ended, and whether its engine failed it.
-    fn notify_lead_of_end(&self, fleet: &Fleet, run: RunId, outcome: Outcome) {
-        let generation = self.state.load.get(&self.own_key(run)).filter(|run| run.size.is_some());
-        let engine = generation.and_then(|run| self.state.replicas.get(&run.replica));
+    /// Notifies the lead that a request of this node that it knows ended, and whether its replica failed it.
+    fn notify_lead_of_end(&mut self, fleet: &Fleet, run: RunId, outcome: Outcome) {
+        let run_at_lead = self.state.load.get(&self.own_key(run));
+        let is_call_at_lead = self.calls_at_lead.remove(&run);
+        let is_known_to_lead =
+            |run: &&Run| is_call_at_lead || inventories::placed_by_lead(&self.state, run).is_some();
+        let run_at_lead = run_at_lead.filter(is_known_to_lead);
+        let engine = run_at_lead.and_then(|run| self.state.replicas.get(&run.replica));
         let Some((engine, service)) =
             engine.map(|engine| (engine.record.incarnation(), engine.record.service.clone()))
         else {
@@ -411,12 +435,14 @@
         }
     }
 
-    /// The model services that this node leads.
+    /// The model services and the brittle ones that this node leads.
     fn led_services(&self, fleet: &Fleet) -> Vec<ServiceId> {
         let Some(table) = self.shared.table() else {
             return Vec::new();
         };
-        let models = table.services().filter(|service| service.engine.is_some());
+        let models = table
+            .services()
+            .filter(|service| service.engine.is_some() || self.state.is_brittle(&service.name));
         let names = models.map(|service| service.name.clone());
         names.filter(|service| self.lead_of(fleet, service) == self.own).collect()
     }
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -1,7 +1,5 @@
 //! Plain calls: answered in full by one replica, and retried only where that is allowed.
 
-use std::time::Duration;
-
 use http::Response;
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::waiting;
@@ -116,8 +114,8 @@
             regions: req.regions(),
         },
         priority: req.priority(),
-        patience: Duration::ZERO,
-        leaves_after: Duration::ZERO,
+        patience: req.route.objective,
+        leaves_after: req.route.objective,
         stream: None,
     };
     traffic.place(request).await
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -60,6 +60,8 @@
     Health(Incarnation, Health),
     /// What a replica's answer says about its limit.
     LimitReport(Incarnation, LimitReport, ResponseTimes),
+    /// Whether a replica says in its answers that it is brittle.
+    Brittle(Incarnation, bool),
     /// A run broke off, possibly because its replica ended.
     RunBroke(BrokenRun),
     /// A run of a request with evidence against it succeeded.
--- a/node/src/gateway/upstream/replica_headers.rs
+++ b/node/src/gateway/upstream/replica_headers.rs
@@ -6,6 +6,7 @@
 use http::HeaderMap;
 use http::StatusCode;
 use http::response::Parts;
+use leadstage_lib::gateway::brittle_replicas::BrittleReport;
 use leadstage_lib::gateway::replica::LeavingSign;
 use leadstage_lib::gateway::replica_limits::LimitReport;
 use leadstage_lib::gateway::replica_limits::ResponseTimes;
@@ -92,6 +93,21 @@
         }
         self.record_backoff(req, replica, head, sent);
         self.record_limit(replica, headers::limit_report(head.status, &head.headers), sent);
+        self.record_brittleness(replica, headers::brittle_report(head.status, &head.headers));
+    }
+
+    /// Reports to the control loop whether a replica is brittle, if that has changed.
+    fn record_brittleness(&self, replica: &ReplicaRecord, report: BrittleReport) {
+        let mut brittle = self.brittle.borrow_mut();
+        let (has_changed, limit) = match report {
+            BrittleReport::Brittle(limit) => (brittle.insert(replica.incarnation()), Some(limit)),
+            BrittleReport::Sound => (brittle.remove(&replica.incarnation()), None),
+            BrittleReport::Silent => (false, None),
+        };
+        if has_changed {
+            info!(event = "brittle", upstream = &*replica.id, service = &*replica.service, limit:? = limit; "the replica says that it is brittle, or no longer so");
+            self.shared.notify(ToControl::Brittle(replica.incarnation(), limit.is_some()));
+        }
     }
 
     /// Records whether the replica requests a back-off.
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -10,6 +10,7 @@
 use leadstage_lib::gateway::leaving_announcements::LeavingAnnouncements;
 use leadstage_lib::gateway::recent_successes::RecentSuccesses;
 use leadstage_lib::gateway::replica_backoffs::ReplicaBackoffs;
+use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::retry_window::RetryShare;
 use leadstage_lib::gateway::retry_window::RetryWindow;
 use leadstage_lib::gateway::routing::ServiceId;
@@ -44,6 +45,8 @@
     pub leaving_announcements: Rc<RefCell<LeavingAnnouncements>>,
     /// Replicas that requested a back-off from this node.
     pub backoffs: Rc<RefCell<ReplicaBackoffs>>,
+    /// Replicas that said in their last answer to this node that they are brittle.
+    pub brittle: Rc<RefCell<HashSet<Incarnation>>>,
     /// Names of response headers that have been checked already.
     pub seen_headers: Rc<RefCell<HashSet<HeaderName>>>,
 }
@@ -58,6 +61,7 @@
             recent_successes: Rc::default(),
             leaving_announcements: Rc::default(),
             backoffs: Rc::default(),
+            brittle: Rc::default(),
             seen_headers: Rc::default(),
         }
     }
--- a/node/tests/loaded_fleet.rs
+++ b/node/tests/loaded_fleet.rs
@@ -57,12 +57,22 @@
         events: u64,
         change: impl Fn(String) -> String,
     ) -> LoadedFleet {
-        let mut gateway = Gateway::start().await;
-        gateway.store.put("config", "main", config(1));
+        let gateway = Gateway::start().await;
         let mut running = Vec::new();
         for n in 1..=replicas {
             running.push(gateway.start_replica(service, &format!("{service}-{n}"), events).await);
         }
+        LoadedFleet::start_before(gateway, running, nodes, change).await
+    }
+
+    /// Starts `nodes` nodes that know each other before these replicas, with settings changed by `change`.
+    pub async fn start_before(
+        mut gateway: Gateway,
+        replicas: Vec<RunningReplica>,
+        nodes: usize,
+        change: impl Fn(String) -> String,
+    ) -> LoadedFleet {
+        gateway.store.put("config", "main", config(1));
         for _ in 0..nodes {
             let node = gateway.start_node_with(&change);
             gateway.until_ready(node).await;
@@ -71,7 +81,7 @@
             let knows_all = async || gateway.node_status(node).await.peers.len() == nodes - 1;
             gateway.until("a node knows all other nodes", knows_all).await;
         }
-        LoadedFleet { gateway: Arc::new(gateway), replicas: running }
+        LoadedFleet { gateway: Arc::new(gateway), replicas }
     }
 
     /// Has the first replicas announce these limits from now on; returns the time from which they are
--- a/node/tests/test_gateway_brittle_replicas.rs
+++ b/node/tests/test_gateway_brittle_replicas.rs
@@ -6,6 +6,7 @@
 use leadstage_testutils::metadata_store::replica_entry;
 
 use crate::gateway_environment::BOOKING;
+use crate::gateway_environment::Gateway;
 use crate::gateway_environment::read;
 use crate::loaded_fleet::LoadedFleet;
 use crate::upgraded_fleet::success_share;
@@ -29,15 +30,20 @@
 const MIN_USED_SHARE: f64 = 0.75;
 
 async fn with_brittle_replicas() -> LoadedFleet {
-    let fleet = LoadedFleet::start(BOOKING, NODES, REPLICAS).await;
-    for running in &fleet.replicas {
+    let gateway = Gateway::start().await;
+    let mut replicas = Vec::new();
+    for n in 1..=REPLICAS {
+        let running = gateway.start_unlisted_replica(&format!("{BOOKING}-{n}"), 1).await;
         let address = running.server.as_ref().expect("it serves").address;
         let mut entry = replica_entry(BOOKING, address, "hall-1", "ready");
         entry["slots"] = ROOM.into();
-        fleet.gateway.store.put("servers", &running.replica.id, entry);
+        gateway.store.put("servers", &running.replica.id, entry);
         running.replica.set_fault(ReplicaFault::Late(CALL_TIME));
-        running.replica.set_brittle(Some(BRITTLE_LIMIT), ROOM as usize, NOTICE);
+        replicas.push(running);
     }
+    let fleet = LoadedFleet::start_before(gateway, replicas, NODES, |yaml| yaml).await;
+    let replicas = fleet.replicas.iter();
+    replicas.for_each(|running| running.replica.set_brittle(Some(BRITTLE_LIMIT), ROOM as usize, NOTICE));
     fleet
 }
 
