gateway: failures before a node knew that it is cut off are forgotten; how a replica was missed is kept

A lead that is cut off avoided engines by its own failed attempts, also for nodes that reach them: once another node shows that the path was the reason, they are forgotten. A request to a replica that no node reaches fails as the last attempt did: a refused connection still counts as one in the check after a broken run.

--- a/lib/src/gateway/replica_paths.rs
+++ b/lib/src/gateway/replica_paths.rs
@@ -4,7 +4,7 @@
 //! service may end at once. Only another node that reaches the replica tells these apart, and it can carry
 //! this node's connection: a tunnel. While the direct path is lost, it is probed from time to time.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,7 +38,16 @@
     /// Through a tunnel.
     Tunnel,
     /// Not at all: no node was found that reaches the replica.
-    Fail,
+    Fail(Unreached),
+}
+
+/// Why a replica was not reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unreached {
+    /// The connection was refused.
+    Refused,
+    /// There was no answer.
+    Silent,
 }
 
 /// The outcome of asking a node for a tunnel to a replica.
@@ -76,7 +85,7 @@
 #[derive(Debug, Default)]
 pub struct ReplicaPaths {
     /// Replicas that could not be reached directly since one was.
-    unreached: BTreeSet<SocketAddr>,
+    unreached: BTreeMap<SocketAddr, Unreached>,
     /// Replicas that only other nodes reach, with the time when that was last confirmed.
     blocked: HashMap<SocketAddr, Timestamp>,
     /// Replicas that other nodes don't reach either, until when no tunnel to them is tried.
@@ -93,7 +102,7 @@
 
     /// Whether the node is cut off from all replicas: it reaches none of several, and others reach some of these.
     pub fn is_cut_off(&self) -> bool {
-        self.is_in_doubt() && self.unreached.iter().any(|replica| self.blocked.contains_key(replica))
+        self.is_in_doubt() && self.unreached.keys().any(|replica| self.blocked.contains_key(replica))
     }
 
     /// Whether the node has no direct path to a replica that others may reach.
@@ -111,8 +120,8 @@
         if self.lacks_path(replica) {
             return DialPlan::Tunnel;
         }
-        if self.is_in_doubt() && self.unreached.contains(&replica) {
-            return DialPlan::Fail;
+        if let Some(unreached) = self.unreached.get(&replica).filter(|_| self.is_in_doubt()) {
+            return DialPlan::Fail(*unreached);
         }
         if self.unreached_by_others.get(&replica).is_some_and(|until| now < *until) {
             return DialPlan::DirectOnly;
@@ -124,7 +133,7 @@
     /// may not show that a path has returned: they use open tunnels, or fail at once.
     pub fn due_probe<R: Rng>(&mut self, now: Timestamp, rng: &mut R) -> Option<SocketAddr> {
         self.blocked.retain(|_, confirmed| now < *confirmed + FORGET_AFTER);
-        let in_doubt = self.unreached.iter().filter(|_| self.is_in_doubt());
+        let in_doubt = self.unreached.keys().filter(|_| self.is_in_doubt());
         let replica = self.blocked.keys().chain(in_doubt).choose(rng).copied()?;
         self.take_probe(now).then_some(replica)
     }
@@ -138,20 +147,19 @@
     }
 
     /// Records that a direct connection to a replica was opened, or could not be opened.
-    pub fn on_direct(&mut self, replica: SocketAddr, is_reached: bool) -> Option<PathChange> {
-        self.update(|paths| paths.record_direct(replica, is_reached))
+    pub fn on_direct(&mut self, replica: SocketAddr, outcome: Result<(), Unreached>) -> Option<PathChange> {
+        self.update(|paths| match outcome {
+            Ok(()) => paths.on_reached(replica),
+            Err(unreached) => drop(paths.unreached.insert(replica, unreached)),
+        })
     }
 
-    fn record_direct(&mut self, replica: SocketAddr, is_reached: bool) {
-        if is_reached {
-            self.unreached.clear();
-            self.unreached_by_others.remove(&replica);
-            if self.blocked.remove(&replica).is_some() {
-                // The other paths are probably back too.
-                self.next_probe_at = Timestamp::ZERO;
-            }
-        } else {
-            self.unreached.insert(replica);
+    fn on_reached(&mut self, replica: SocketAddr) {
+        self.unreached.clear();
+        self.unreached_by_others.remove(&replica);
+        if self.blocked.remove(&replica).is_some() {
+            // The other paths are probably back too.
+            self.next_probe_at = Timestamp::ZERO;
         }
     }
 
@@ -170,7 +178,7 @@
         self.update(|paths| {
             paths.blocked.retain(|_, confirmed| now < *confirmed + FORGET_AFTER);
             paths.blocked.insert(replica, now);
-            paths.unreached.insert(replica);
+            paths.unreached.insert(replica, Unreached::Silent);
         })
     }
 
--- a/lib/tests/test_gateway_replica_paths.rs
+++ b/lib/tests/test_gateway_replica_paths.rs
@@ -7,6 +7,7 @@
 use leadstage_lib::gateway::replica_paths::PathChange;
 use leadstage_lib::gateway::replica_paths::ReplicaPaths;
 use leadstage_lib::gateway::replica_paths::TunnelOutcome;
+use leadstage_lib::gateway::replica_paths::Unreached;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -28,24 +29,24 @@
 #[test]
 fn test_unreached_replicas_show_a_lost_path_only_if_another_node_reaches_one() {
     let mut paths = ReplicaPaths::default();
-    assert_eq!(paths.on_direct(replica(1), false), None);
+    assert_eq!(paths.on_direct(replica(1), Err(Unreached::Silent)), None);
     assert!(!paths.is_in_doubt());
-    assert_eq!(paths.on_direct(replica(2), false), None);
+    assert_eq!(paths.on_direct(replica(2), Err(Unreached::Refused)), None);
     assert!(paths.is_in_doubt() && !paths.is_cut_off());
     assert_eq!(paths.plan(replica(3), SECOND), DialPlan::DirectFirst);
-    assert_eq!(paths.plan(replica(2), SECOND), DialPlan::Fail);
+    assert_eq!(paths.plan(replica(2), SECOND), DialPlan::Fail(Unreached::Refused));
     assert_eq!(paths.on_blocked(replica(2), SECOND), Some(PathChange::Lost));
     assert_eq!(paths.plan(replica(3), SECOND), DialPlan::Tunnel);
-    assert_eq!(paths.on_direct(replica(3), true), Some(PathChange::Restored));
+    assert_eq!(paths.on_direct(replica(3), Ok(())), Some(PathChange::Restored));
     assert_eq!(paths.plan(replica(1), SECOND), DialPlan::DirectFirst);
 }
 
 #[test]
 fn test_failures_between_successes_do_not_add_up() {
     let mut paths = ReplicaPaths::default();
-    paths.on_direct(replica(1), false);
-    paths.on_direct(replica(2), true);
-    paths.on_direct(replica(3), false);
+    paths.on_direct(replica(1), Err(Unreached::Silent));
+    paths.on_direct(replica(2), Ok(()));
+    paths.on_direct(replica(3), Err(Unreached::Silent));
     assert!(!paths.is_in_doubt());
 }
 
@@ -53,10 +54,10 @@
 fn test_a_replica_that_only_other_nodes_reach_stays_blocked_while_others_are_reached() {
     let mut paths = ReplicaPaths::default();
     paths.on_blocked(replica(1), SECOND);
-    paths.on_direct(replica(2), true);
+    paths.on_direct(replica(2), Ok(()));
     assert!(paths.lacks_path(replica(1)));
     assert!(!paths.lacks_path(replica(2)));
-    paths.on_direct(replica(1), true);
+    paths.on_direct(replica(1), Ok(()));
     assert!(!paths.lacks_path(replica(1)));
 }
 
@@ -72,7 +73,7 @@
         |paths: &mut ReplicaPaths, ms| paths.due_probe(Duration::from_millis(ms), &mut rng).is_some();
     let probed = [1_000, 1_100, 1_499, 1_500, 1_600].map(|ms| is_probed(&mut paths, ms));
     assert_eq!(probed, [true, false, false, true, false]);
-    paths.on_direct(replica(2), true);
+    paths.on_direct(replica(2), Ok(()));
     assert!(is_probed(&mut paths, 1_601));
     assert!(!is_probed(&mut paths, 60_000), "the paths were not used for long");
 }
@@ -80,7 +81,7 @@
 #[test]
 fn test_no_tunnel_is_tried_for_a_while_to_a_replica_that_others_do_not_reach_either() {
     let mut paths = ReplicaPaths::default();
-    paths.on_direct(replica(1), false);
+    paths.on_direct(replica(1), Err(Unreached::Silent));
     paths.on_unreached_by_others(replica(1), SECOND);
     assert_eq!(paths.plan(replica(1), SECOND), DialPlan::DirectOnly);
     assert_eq!(paths.plan(replica(2), SECOND), DialPlan::DirectFirst);
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -150,6 +150,8 @@
             ToControl::ConfigurationRead(answered) => self.configs.on_read(answered),
             ToControl::ConfigurationDue => self.configs.on_due(),
             ToControl::ServeReplicas(known, reply) => self.replicas.serve_list(&self.placing, known, reply),
+            // The path was the reason for the failures so far.
+            ToControl::PathLost(service) => self.placing.state.replicas.forget_failures(&service),
             ToControl::PathRestored(service) => {
                 path_probes::on_path_restored(&self.shared, &mut self.placing.state, &service)
             }
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -90,6 +90,8 @@
     Configuration(StoreUpdate<Bytes>),
     /// Another node that knows the replicas up to this revision requests the changes since, packed.
     ServeReplicas(Revision, oneshot::Sender<Bytes>),
+    /// This node has no path to the replicas of a service, but others have.
+    PathLost(ServiceId),
     /// This node reaches replicas of a service after it had reached several of them in vain.
     PathRestored(ServiceId),
     /// The service of the known replica at an address, if there is one.
--- a/node/src/gateway/replica_dialer.rs
+++ b/node/src/gateway/replica_dialer.rs
@@ -11,6 +11,7 @@
 use leadstage_lib::gateway::replica_paths::PathChange;
 use leadstage_lib::gateway::replica_paths::ReplicaPaths;
 use leadstage_lib::gateway::replica_paths::TunnelOutcome;
+use leadstage_lib::gateway::replica_paths::Unreached;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::ids::Timestamp;
 use leadstage_platform::arrival;
@@ -45,16 +46,18 @@
 
 impl Dial for ReplicaDialer {
     /// Fails with [`io::ErrorKind::NetworkUnreachable`] if the failure shows nothing about the replica, as
-    /// neither this node nor those that it asked have a path; with [`io::ErrorKind::HostUnreachable`] if no node
-    /// was found a moment ago that reaches it.
+    /// neither this node nor those that it asked have a path.
     async fn dial(&self, replica: SocketAddr) -> io::Result<TcpStream> {
         let plan = self.with_paths(|paths, now| paths.plan(replica, now));
         match plan {
             DialPlan::DirectOnly => self.dial_directly(replica, connect::CONNECT_TIMEOUT).await,
             DialPlan::DirectFirst => self.dial_both(replica).await,
-            DialPlan::Fail => {
+            DialPlan::Fail(unreached) => {
                 self.shared.metrics.on_dial(DialOutcome::NoPath);
-                Err(io::ErrorKind::HostUnreachable.into())
+                Err(match unreached {
+                    Unreached::Refused => io::ErrorKind::ConnectionRefused.into(),
+                    Unreached::Silent => io::ErrorKind::TimedOut.into(),
+                })
             }
             DialPlan::Tunnel if self.shared.tunnel_nodes().is_empty() => {
                 self.dial_directly(replica, connect::CONNECT_TIMEOUT).await
@@ -88,7 +91,11 @@
         self.shared.metrics.on_dial(DialOutcome::of(&dialed));
         let (change, unreached, was_in_doubt) = self.with_paths(|paths, _| {
             let was_in_doubt = paths.is_in_doubt();
-            let change = paths.on_direct(replica, dialed.is_ok());
+            let outcome = dialed.as_ref().map(drop).map_err(|err| match err.kind() {
+                io::ErrorKind::ConnectionRefused => Unreached::Refused,
+                _ => Unreached::Silent,
+            });
+            let change = paths.on_direct(replica, outcome);
             (change, paths.unreached(), was_in_doubt)
         });
         if was_in_doubt && dialed.is_ok() {
@@ -97,7 +104,7 @@
         if let Err(err) = &dialed {
             info!(event = "replica_unreached", replica:% = replica, reason:% = err.kind(), unreached; "no connection to a replica");
         }
-        log_change(change, &self.service, replica);
+        self.on_change(change, replica);
         dialed
     }
 
@@ -157,7 +164,7 @@
     fn on_blocked(&self, replica: SocketAddr, tunnel: TcpStream) -> TcpStream {
         let change = self.with_paths(|paths, now| paths.on_blocked(replica, now));
         info!(event = "path_blocked", replica:% = replica; "another node reaches a replica that this one does not");
-        log_change(change, &self.service, replica);
+        self.on_change(change, replica);
         tunnel
     }
 
@@ -228,16 +235,17 @@
     pub fn referral(&self) -> Option<SocketAddr> {
         self.with_paths(|paths, now| paths.referral(now, &mut rand::rng()))
     }
-}
 
-fn log_change(change: Option<PathChange>, service: &str, replica: SocketAddr) {
-    match change {
-        Some(PathChange::Lost) => {
-            warn!(event = "path_lost", service, replica:% = replica; "this node reaches no replica of a service by itself")
-        }
-        Some(PathChange::Restored) => {
-            warn!(event = "path_restored", service, replica:% = replica; "this node reaches replicas of a service again")
+    fn on_change(&self, change: Option<PathChange>, replica: SocketAddr) {
+        match change {
+            Some(PathChange::Lost) => {
+                warn!(event = "path_lost", service = &*self.service, replica:% = replica; "this node reaches no replica of a service by itself");
+                self.shared.notify(ToControl::PathLost(self.service.clone()));
+            }
+            Some(PathChange::Restored) => {
+                warn!(event = "path_restored", service = &*self.service, replica:% = replica; "this node reaches replicas of a service again")
+            }
+            None => {}
         }
-        None => {}
     }
 }
