--- a/lib/src/gateway/replica_paths.rs
+++ b/lib/src/gateway/replica_paths.rs
@@ -173,6 +173,13 @@
         }
     }
 
+    /// Forgets a replica that is gone. The next one is probed at once.
+    pub fn forget(&mut self, replica: SocketAddr) {
+        self.unreached.remove(&replica);
+        self.blocked.remove(&replica);
+        self.next_probe_at = Timestamp::ZERO;
+    }
+
     /// Records that a replica was reached through a tunnel but not directly.
     pub fn on_blocked(&mut self, replica: SocketAddr, now: Timestamp) -> Option<PathChange> {
         self.update(|paths| {
--- a/lib/tests/test_gateway_replica_paths.rs
+++ b/lib/tests/test_gateway_replica_paths.rs
@@ -41,6 +41,15 @@
     assert_eq!(paths.plan(replica(1), SECOND), DialPlan::DirectFirst);
 }
 
+#[test]
+fn test_replicas_that_are_gone_leave_no_doubt() {
+    let mut paths = ReplicaPaths::default();
+    (1..=2).for_each(|n| assert_eq!(paths.on_direct(replica(n), Err(Unreached::Refused)), None));
+    paths.forget(replica(1));
+    assert!(!paths.is_in_doubt());
+    assert_eq!(paths.due_probe(SECOND, &mut SmallRng::seed_from_u64(1)), None);
+}
+
 #[test]
 fn test_failures_between_successes_do_not_add_up() {
     let mut paths = ReplicaPaths::default();
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -178,7 +178,7 @@
         self.shared.observe_fleet_size(self.fleet.nodes());
         self.shared.set_has_neighbour(self.fleet.has_neighbour());
         self.shared.set_tunnel_nodes(self.fleet.sample_for_tunnels());
-        path_probes::probe_lost_paths(&self.shared);
+        path_probes::probe_lost_paths(&self.shared, &self.placing.state);
         self.placing.send_inventories(&self.fleet);
         self.placing.lead(&self.fleet);
         self.watchers.tick(now);
--- a/node/src/gateway/control/path_probes.rs
+++ b/node/src/gateway/control/path_probes.rs
@@ -9,10 +9,14 @@
 use crate::gateway::replica_dialer::ReplicaDialer;
 use crate::gateway::shared::Shared;
 
-/// Starts the probes that are due.
-pub fn probe_lost_paths(shared: &Arc<Shared>) {
+/// Starts the probes that are due. Replicas that are leaving or gone say nothing about the path.
+pub fn probe_lost_paths(shared: &Arc<Shared>, state: &PlacementState) {
     for (service, replica) in shared.due_path_probes() {
-        ReplicaDialer::new(shared.clone(), service).spawn_probe(replica);
+        if state.replicas.staying(&service).any(|staying| staying.record.address == replica) {
+            ReplicaDialer::new(shared.clone(), service).spawn_probe(replica);
+        } else {
+            shared.with_paths(&service, |paths| paths.forget(replica));
+        }
     }
 }
 
