gateway: the search for a tunnel is decided in the library; a model of large fleets that are mostly cut

Cause: how many nodes are asked for a tunnel, in which order and when the search ends was decided in the dialer of the node, where no model could reach it, and a mostly partitioned fleet had been played with 5 and 6 nodes only.

Change: `TunnelSearch` holds these decisions, without a change of behaviour; `Unreached` converts to and from `io::ErrorKind` in one place, and `TunnelOutcome` is gone. The model plays 6 to 1,000 nodes that lose all replicas at once.

Tunnels are unlimited and cost no time in the model.

Ruled out: that nodes whose path is in doubt slow the search by answering for the replica. They miss it after 100 ms, and by then another one has answered.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -60,6 +60,7 @@
 pub mod transfer_slots;
 pub mod trial_evidence;
 pub mod trial_reports;
+pub mod tunnel_search;
 pub mod upgrade;
 pub mod upgrade_judge;
 pub mod upgrade_verdict;
--- a/lib/src/gateway/replica_paths.rs
+++ b/lib/src/gateway/replica_paths.rs
@@ -5,7 +5,7 @@
 //! this node's connection: a tunnel. While the direct path is lost, it is probed from time to time.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -50,13 +50,22 @@
     Silent,
 }
 
-/// The outcome of asking a node for a tunnel to a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TunnelOutcome {
-    /// The tunnel is open.
-    Opened,
-    /// The node could not help: it was not reached, has no path either, or takes no tunnels.
-    Unavailable,
+impl From<io::ErrorKind> for Unreached {
+    fn from(kind: io::ErrorKind) -> Self {
+        match kind {
+            io::ErrorKind::ConnectionRefused => Unreached::Refused,
+            _ => Unreached::Silent,
+        }
+    }
+}
+
+impl From<Unreached> for io::ErrorKind {
+    fn from(unreached: Unreached) -> Self {
+        match unreached {
+            Unreached::Refused => io::ErrorKind::ConnectionRefused,
+            Unreached::Silent => io::ErrorKind::TimedOut,
+        }
+    }
 }
 
 /// A change of what a node believes about its path to the replicas.
@@ -87,10 +96,10 @@
     /// Replicas that could not be reached directly since one was.
     unreached: BTreeMap<SocketAddr, Unreached>,
     /// Replicas that only other nodes reach, with the time when that was last confirmed.
-    blocked: HashMap<SocketAddr, Timestamp>,
+    blocked: BTreeMap<SocketAddr, Timestamp>,
     /// Replicas that other nodes don't reach either, until when no tunnel to them is tried.
-    unreached_by_others: HashMap<SocketAddr, Timestamp>,
-    vias: HashMap<SocketAddr, Via>,
+    unreached_by_others: BTreeMap<SocketAddr, Timestamp>,
+    vias: BTreeMap<SocketAddr, Via>,
     next_probe_at: Timestamp,
 }
 
@@ -189,25 +198,18 @@
         })
     }
 
-    /// Records the outcome of asking the node `via` for a tunnel to a replica.
-    pub fn on_tunnel(
-        &mut self,
-        replica: SocketAddr,
-        via: SocketAddr,
-        outcome: TunnelOutcome,
-        now: Timestamp,
-    ) {
-        let state = match outcome {
-            TunnelOutcome::Opened => {
-                self.unreached_by_others.remove(&replica);
-                if let Some(confirmed) = self.blocked.get_mut(&replica) {
-                    *confirmed = now;
-                }
-                Via::PreferredUntil(now + VIA_PREFERENCE)
-            }
-            TunnelOutcome::Unavailable => Via::AvoidedUntil(now + VIA_BACKOFF),
-        };
-        self.set_via(via, state, now);
+    /// Records that the node `via` opened a tunnel to a replica.
+    pub fn on_tunnel_opened(&mut self, replica: SocketAddr, via: SocketAddr, now: Timestamp) {
+        self.unreached_by_others.remove(&replica);
+        if let Some(confirmed) = self.blocked.get_mut(&replica) {
+            *confirmed = now;
+        }
+        self.set_via(via, Via::PreferredUntil(now + VIA_PREFERENCE), now);
+    }
+
+    /// Records that the node `via` could not help when it was asked for a tunnel.
+    pub fn on_unavailable(&mut self, via: SocketAddr, now: Timestamp) {
+        self.set_via(via, Via::AvoidedUntil(now + VIA_BACKOFF), now);
     }
 
     /// Records that another node named one that opened tunnels for it.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -45,6 +45,7 @@
 mod test_gateway_stored_suspects;
 mod test_gateway_trial_evidence;
 mod test_gateway_trial_reports;
+mod test_gateway_tunnel_search_model;
 mod test_gateway_upgrade;
 mod test_gateway_upgrade_model;
 mod test_gateway_upgrade_recheck;
--- a/lib/tests/test_gateway_replica_paths.rs
+++ b/lib/tests/test_gateway_replica_paths.rs
@@ -6,7 +6,6 @@
 use leadstage_lib::gateway::replica_paths::DialPlan;
 use leadstage_lib::gateway::replica_paths::PathChange;
 use leadstage_lib::gateway::replica_paths::ReplicaPaths;
-use leadstage_lib::gateway::replica_paths::TunnelOutcome;
 use leadstage_lib::gateway::replica_paths::Unreached;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -101,8 +100,8 @@
 fn test_nodes_that_opened_tunnels_are_asked_first_and_those_that_did_not_last() {
     let mut paths = ReplicaPaths::default();
     let nodes = [node(1), node(2), node(3)];
-    paths.on_tunnel(replica(1), node(1), TunnelOutcome::Unavailable, SECOND);
-    paths.on_tunnel(replica(1), node(2), TunnelOutcome::Opened, SECOND);
+    paths.on_unavailable(node(1), SECOND);
+    paths.on_tunnel_opened(replica(1), node(2), SECOND);
     for seed in 0..20 {
         let order = [&[][..], &[node(2)], &[node(2), node(3)], &nodes]
             .map(|tried| choose(&paths, &nodes, tried, seed));
@@ -114,7 +113,7 @@
 fn test_nodes_share_the_tunnels_of_others() {
     let mut paths = ReplicaPaths::default();
     let nodes = [node(1), node(2), node(3)];
-    (1..=2).for_each(|n| paths.on_tunnel(replica(1), node(n), TunnelOutcome::Opened, SECOND));
+    (1..=2).for_each(|n| paths.on_tunnel_opened(replica(1), node(n), SECOND));
     let chosen: Vec<_> = (0..20).filter_map(|seed| choose(&paths, &nodes, &[], seed)).collect();
     assert!(
         [node(1), node(2)].iter().all(|node| chosen.contains(node)) && !chosen.contains(&node(3)),
@@ -126,9 +125,9 @@
 fn test_a_node_that_opened_tunnels_is_named_to_others() {
     let mut paths = ReplicaPaths::default();
     let referral = |paths: &ReplicaPaths| paths.referral(SECOND, &mut SmallRng::seed_from_u64(1));
-    paths.on_tunnel(replica(1), node(1), TunnelOutcome::Unavailable, SECOND);
+    paths.on_unavailable(node(1), SECOND);
     assert_eq!(referral(&paths), None);
-    paths.on_tunnel(replica(1), node(2), TunnelOutcome::Opened, SECOND);
+    paths.on_tunnel_opened(replica(1), node(2), SECOND);
     assert_eq!(referral(&paths), Some(node(2)));
     let mut asking = ReplicaPaths::default();
     asking.on_referral(node(2), SECOND);
--- a/node/src/gateway/peers/tunnel_client.rs
+++ b/node/src/gateway/peers/tunnel_client.rs
@@ -15,6 +15,8 @@
 use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use leadstage_lib::gateway::replica_paths::Unreached;
+use leadstage_lib::gateway::tunnel_search::ViaAnswer;
 use leadstage_platform::arrival;
 use leadstage_platform::connect;
 use tokio::net::TcpStream;
@@ -27,9 +29,9 @@
 #[derive(Debug, Display, Error, From)]
 pub enum TunnelError {
     /// The other node did not reach the replica either.
-    #[display("the replica was not reached: {_0}")]
+    #[display("the replica was not reached: {}", io::ErrorKind::from(*_0))]
     #[from(skip)]
-    ReplicaUnreached(#[error(not(source))] io::ErrorKind),
+    ReplicaUnreached(#[error(not(source))] Unreached),
     /// The other node opens no tunnel.
     #[display("status {status}")]
     #[from(skip)]
@@ -48,6 +50,19 @@
     TimedOut,
 }
 
+impl TunnelError {
+    /// What the failure says about the node that was asked, and about the replica.
+    pub fn answer(&self) -> ViaAnswer {
+        match self {
+            TunnelError::ReplicaUnreached(unreached) => ViaAnswer::ReplicaUnreached(*unreached),
+            TunnelError::Rejected { referral, .. } => ViaAnswer::Unavailable { referral: *referral },
+            TunnelError::Socket(_) | TunnelError::Http(_) | TunnelError::TimedOut => {
+                ViaAnswer::Unavailable { referral: None }
+            }
+        }
+    }
+}
+
 /// Opens a tunnel to `replica` through the node whose peer address is `via`. Bytes on the connection go to
 /// the replica, and its answers come back.
 pub async fn open(via: SocketAddr, replica: SocketAddr) -> Result<TcpStream, TunnelError> {
@@ -72,10 +87,10 @@
     match res.status() {
         StatusCode::OK => {}
         StatusCode::BAD_GATEWAY => {
-            return Err(TunnelError::ReplicaUnreached(io::ErrorKind::ConnectionRefused));
+            return Err(TunnelError::ReplicaUnreached(Unreached::Refused));
         }
         StatusCode::GATEWAY_TIMEOUT => {
-            return Err(TunnelError::ReplicaUnreached(io::ErrorKind::TimedOut));
+            return Err(TunnelError::ReplicaUnreached(Unreached::Silent));
         }
         status => {
             let referral =
--- a/node/src/gateway/replica_dialer.rs
+++ b/node/src/gateway/replica_dialer.rs
@@ -10,9 +10,11 @@
 use leadstage_lib::gateway::replica_paths::DialPlan;
 use leadstage_lib::gateway::replica_paths::PathChange;
 use leadstage_lib::gateway::replica_paths::ReplicaPaths;
-use leadstage_lib::gateway::replica_paths::TunnelOutcome;
 use leadstage_lib::gateway::replica_paths::Unreached;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::tunnel_search::NotFound;
+use leadstage_lib::gateway::tunnel_search::TunnelSearch;
+use leadstage_lib::gateway::tunnel_search::ViaAnswer;
 use leadstage_lib::ids::Timestamp;
 use leadstage_platform::arrival;
 use leadstage_platform::connect;
@@ -30,12 +32,8 @@
 /// Time after which a tunnel is tried beside a direct connection that is not open yet. Connections within a
 /// region open within some milliseconds.
 const HEAD_START: Duration = Duration::from_millis(100);
-/// Maximum number of nodes that are asked for a tunnel to a replica.
-const MAX_VIAS: usize = 4;
 /// Number of nodes that are asked at the same time while none is known to reach the replica.
 const VIAS_AT_ONCE: usize = 3;
-/// Number of nodes that have to miss the replica too until it counts as gone.
-const MIN_UNREACHED_ANSWERS: usize = 2;
 
 /// Opens connections to the replicas of a service.
 #[derive(Clone)]
@@ -54,10 +52,7 @@
             DialPlan::DirectFirst => self.dial_both(replica).await,
             DialPlan::Fail(unreached) => {
                 self.shared.metrics.on_dial(DialOutcome::NoPath);
-                Err(match unreached {
-                    Unreached::Refused => io::ErrorKind::ConnectionRefused.into(),
-                    Unreached::Silent => io::ErrorKind::TimedOut.into(),
-                })
+                Err(io::ErrorKind::from(unreached).into())
             }
             DialPlan::Tunnel if self.shared.tunnel_nodes().is_empty() => {
                 self.dial_directly(replica, connect::CONNECT_TIMEOUT).await
@@ -91,10 +86,7 @@
         self.shared.metrics.on_dial(DialOutcome::of(&dialed));
         let (change, unreached, was_in_doubt) = self.with_paths(|paths, _| {
             let was_in_doubt = paths.is_in_doubt();
-            let outcome = dialed.as_ref().map(drop).map_err(|err| match err.kind() {
-                io::ErrorKind::ConnectionRefused => Unreached::Refused,
-                _ => Unreached::Silent,
-            });
+            let outcome = dialed.as_ref().map(drop).map_err(|err| Unreached::from(err.kind()));
             let change = paths.on_direct(replica, outcome);
             (change, paths.unreached(), was_in_doubt)
         });
@@ -170,67 +162,37 @@
 
     /// Opens a connection through another node; `at_once` nodes are asked at the same time.
     async fn open_tunnel(&self, replica: SocketAddr, at_once: usize) -> io::Result<TcpStream> {
-        let mut vias = self.shared.tunnel_nodes().to_vec();
-        let (mut tried, mut unreached) = (Vec::new(), Vec::new());
+        let own = self.shared.settings.peer;
+        let mut search = TunnelSearch::new(replica, own, &self.shared.tunnel_nodes(), at_once);
         let mut opening = FuturesUnordered::new();
         loop {
-            while opening.len() < at_once
-                && unreached.len() < MIN_UNREACHED_ANSWERS
-                && tried.len() < MAX_VIAS
-                && let Some(via) = self.choose_via(&vias, &tried)
-            {
-                tried.push(via);
+            while let Some(via) = self.with_paths(|paths, now| search.next(paths, now, &mut rand::rng())) {
                 opening.push(async move { (via, tunnel_client::open(via, replica).await) });
             }
             let Some((via, opened)) = opening.next().await else {
                 break;
             };
-            let err = match opened {
+            let answer = opened.as_ref().map_or_else(TunnelError::answer, |_| ViaAnswer::Opened);
+            self.with_paths(|paths, now| search.on_answer(paths, via, answer, now));
+            match opened {
                 Ok(stream) => {
-                    self.on_tunnel(replica, via, TunnelOutcome::Opened);
                     self.shared.metrics.on_dial(DialOutcome::Tunnelled);
                     return Ok(stream);
                 }
-                Err(err) => err,
-            };
-            info!(event = "tunnel_failed", replica:% = replica, via:% = via, reason:% = err; "no tunnel to a replica through another node");
-            if let TunnelError::ReplicaUnreached(kind) = err {
-                unreached.push(kind);
-                continue;
-            }
-            self.on_tunnel(replica, via, TunnelOutcome::Unavailable);
-            if let TunnelError::Rejected { referral: Some(referral), .. } = err {
-                self.on_referral(referral, &mut vias);
+                Err(err) => {
+                    info!(event = "tunnel_failed", replica:% = replica, via:% = via, reason:% = err; "no tunnel to a replica through another node")
+                }
             }
         }
-        match unreached.first() {
-            Some(kind) => {
-                self.with_paths(|paths, now| paths.on_unreached_by_others(replica, now));
-                Err((*kind).into())
-            }
-            None => {
+        match self.with_paths(|paths, now| search.give_up(paths, now)) {
+            NotFound::ReplicaUnreached(unreached) => Err(io::ErrorKind::from(unreached).into()),
+            NotFound::NoPath => {
                 self.shared.metrics.on_dial(DialOutcome::NoPath);
                 Err(io::ErrorKind::NetworkUnreachable.into())
             }
         }
     }
 
-    fn on_tunnel(&self, replica: SocketAddr, via: SocketAddr, outcome: TunnelOutcome) {
-        self.with_paths(|paths, now| paths.on_tunnel(replica, via, outcome, now));
-    }
-
-    /// Adds a node that another one named to those that may be asked.
-    fn on_referral(&self, via: SocketAddr, vias: &mut Vec<SocketAddr>) {
-        if via != self.shared.settings.peer {
-            vias.push(via);
-            self.with_paths(|paths, now| paths.on_referral(via, now));
-        }
-    }
-
-    fn choose_via(&self, vias: &[SocketAddr], tried: &[SocketAddr]) -> Option<SocketAddr> {
-        self.with_paths(|paths, now| paths.choose_via(vias, tried, now, &mut rand::rng()))
-    }
-
     /// Returns a node that opened a tunnel for this one recently.
     pub fn referral(&self) -> Option<SocketAddr> {
         self.with_paths(|paths, now| paths.referral(now, &mut rand::rng()))
