gateway: a stream whose wait a stop has ended is sent to another node

What callers saw: 503 with 2104 and a time after which an engine is expected to have room, from a node that was stopping. Only the stop had ended their wait; another node would have queued them.

Cause: a stopping node waits for an engine only as long as the stream can still end before it exits, but answered the end of that wait as if no engine had room for it.

The new test makes that certain with a first stream of 4.2 s: 2104 before, 2108 now.

--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -114,7 +114,12 @@
             Ok(run) => run,
             Err(no_room) => {
                 if sent == 0 {
-                    best = Err(refuse(Code::NoUpstream, no_room.expected));
+                    // A stop shortens the wait; another node may wait longer.
+                    best = Err(if stop::accepts(&traffic.shared, req) {
+                        refuse(Code::NoUpstream, no_room.expected)
+                    } else {
+                        stop::refusal(&traffic.shared)
+                    });
                 }
                 break;
             }
--- a/node/tests/test_gateway_stop.rs
+++ b/node/tests/test_gateway_stop.rs
@@ -170,15 +170,12 @@
     assert!(gateway.wait_for_exit(node).await, "the stop is no failure");
 }
 
-/// Guards against a stream that waits for an engine while its node stops, gets one when it can no longer end
-/// before the node exits, and is started and cut off. It must not be started, so that its caller can be sent
-/// to another node.
-#[tokio::test]
-async fn test_a_stopping_node_refuses_queued_streams_that_may_outlast_it() {
+/// Queues a stream at a node that stops, behind one of `events` events on the only engine, and checks that it
+/// is refused without being started, so that its caller can be sent to another node.
+async fn check_queued_stream_is_refused_by_a_stopping_node(events: u64) {
     let mut gateway = Gateway::start().await;
     gateway.store.put("config", "main", config(1));
-    // 15 ms per event: each stream lasts 3.3 s, and the engine has room for one.
-    let model = gateway.start_replica(MODEL, "model-1", 220).await;
+    let model = gateway.start_replica(MODEL, "model-1", events).await;
     let node = gateway.start_node();
     gateway.until_ready(node).await;
     let chat_with_usage = |id: &str, usage: &str| {
@@ -193,12 +190,26 @@
         tokio::time::sleep(Duration::from_millis(1_600)).await;
         gateway.call(node, chat_with_usage("r-2", "2000,2000")).await
     });
-    assert_eq!(first.events(), Some(220), "the stream ends before the node exits: {first:?}");
+    assert_eq!(first.events(), Some(events), "the stream ends before the node exits: {first:?}");
     assert_eq!((queued.status, queued.code()), (503, 2108), "{queued:?}\n{}", gateway.logs());
     assert_eq!(model.replica.received_requests().len(), 1, "the second stream was sent to no engine");
     assert!(gateway.wait_for_exit(node).await, "the stop is no failure");
 }
 
+/// Guards against a stream that waits for an engine while its node stops, gets one when it can no longer end
+/// before the node exits, and is started and cut off.
+#[tokio::test]
+async fn test_a_stopping_node_refuses_queued_streams_that_may_outlast_it() {
+    // 15 ms per event: the first stream lasts 3.3 s, and the engine has room for one.
+    check_queued_stream_is_refused_by_a_stopping_node(220).await;
+}
+
+/// Guards against a caller that is told to wait for an engine, although only the stop of its node ended the wait.
+#[tokio::test]
+async fn test_a_stream_whose_wait_a_stop_has_ended_is_sent_to_another_node() {
+    check_queued_stream_is_refused_by_a_stopping_node(280).await;
+}
+
 /// Guards against losing the log line for the end of a stop: a separate thread writes the log, and lines that
 /// it has not written when the process exits are lost.
 #[tokio::test]
