--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -179,12 +179,13 @@
     traffic.shared.metrics.on_connection(connection.idle_time.is_some());
     let sending = connection.sender.send_request(request(req, added));
     let sending = stall::await_head(traffic, req, replica, sending);
-    let waiting = async {
+    // Boxed, as each of the futures around this one would hold it more than once.
+    let waiting = Box::pin(async {
         match connection.idle_time {
             Some(_) => silence::await_head(traffic, req, replica, sent, sending).await,
             None => Some(sending.await),
         }
-    };
+    });
     let waiting = unless_quarantined(traffic, req, waiting);
     let answer = arrival::timeout_at(req.deadline(), waiting).await.map_err(|_| SendError::TimedOut)??;
     let answer = answer.ok_or(SendError::ConnectionSilent)?.ok_or(SendError::Stalled)?;
