tests: the room of brittle replicas that is used is measured by the time that calls really take

Cause: test_brittle_replicas_do_not_fall_under_an_overload_and_their_room_is_used counted the calls that were served against those of 40 ms that fit into the room.

What is still lost with load is the way from the end of a call over its node and the lead to the next one.

Change: served calls times the mean time that the replicas worked on one, of the time that their slots have. The bound of 0.75 and the allowed falls are as before.

--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -208,6 +208,8 @@
     /// Body of a request that crashes the replica.
     crash_on: Option<Bytes>,
     has_crashed: bool,
+    /// How long the replica worked on each call.
+    work_times: Vec<Duration>,
     /// Value of the `server-limit` response header.
     limit: Option<String>,
     brittleness: Option<Brittleness>,
@@ -446,6 +448,11 @@
         self.state().received.clone()
     }
 
+    /// Returns how long the replica worked on each call, without the transfer of requests and responses.
+    pub fn work_times(&self) -> Vec<Duration> {
+        self.state().work_times.clone()
+    }
+
     /// Returns the number of running generations and calls.
     pub fn running(&self) -> usize {
         self.state().runs.len()
@@ -526,10 +533,12 @@
         if fault == ReplicaFault::Hangs {
             std::future::pending::<()>().await;
         }
+        let began = Instant::now();
         if let ReplicaFault::Late(after) = fault {
             tokio::time::sleep(after).await;
         }
         guard.finish();
+        self.state().work_times.push(began.elapsed());
         let cut = futures::stream::iter([Ok(Bytes::from("cut")), Err(std::io::Error::other("cut"))]);
         let body = match fault {
             ReplicaFault::Breaks => {
