--- a/node/tests/test_gateway_partitioned_nodes.rs
+++ b/node/tests/test_gateway_partitioned_nodes.rs
@@ -42,6 +42,12 @@
     proxies: Vec<FaultyProxy>,
 }
 
+/// The address from which a node connects to replicas.
+pub fn node_ip(gateway: &Gateway, node: usize) -> Ipv4Addr {
+    let address = gateway.client_address(node);
+    address.split(':').next().expect("an address").parse().expect("an IPv4 address")
+}
+
 impl PartitionedFleet {
     /// Starts a fleet with three replicas of each service whose generations have `events` events.
     async fn start(nodes: usize, events: u64) -> PartitionedFleet {
@@ -63,8 +69,7 @@
     }
 
     fn ip(&self, node: usize) -> Ipv4Addr {
-        let address = self.gateway.client_address(node);
-        address.split(':').next().expect("an address").parse().expect("an IPv4 address")
+        node_ip(&self.gateway, node)
     }
 
     /// Partitions the first `count` nodes from all replicas.
