gateway: replicas are found by address with an index; carriers are drawn when they may be needed

Behaviour stays, but for what is named:

- A carrier walked all replicas for each tunnel (10,000 in a whole fleet, up to some 700 times a second where most nodes are cut, by the model).
The table has an index by address, which its property test covers with addresses used again.
- Each tick drew 16 to 32 possible carriers; they are drawn when the set of nodes changes, and each tick only while a path is lost or in doubt.
`PathProbes` holds both parts of the periodic work.
- Whether a service is brittle walked all brittle replicas for each candidate: a set of services answers it, and `place` asks once.
- `ReplicaPaths::forget` tells that it ended a cut, which is then logged.

--- a/lib/src/gateway/brittle_replicas.rs
+++ b/lib/src/gateway/brittle_replicas.rs
@@ -5,6 +5,7 @@
 //! others wait at the lead for a moment.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use crate::gateway::cold_start::PlacedBy;
@@ -31,6 +32,8 @@
 #[derive(Debug, Default)]
 pub struct BrittleReplicas {
     replicas: HashMap<UpstreamId, ServiceId>,
+    /// The services of `replicas`.
+    services: HashSet<ServiceId>,
     told_until: HashMap<ServiceId, Timestamp>,
 }
 
@@ -39,8 +42,9 @@
     pub fn on_report(&mut self, replica: &ReplicaRecord, is_brittle: bool) {
         if is_brittle {
             self.replicas.insert(replica.id.clone(), replica.service.clone());
-        } else {
-            self.replicas.remove(&replica.id);
+            self.services.insert(replica.service.clone());
+        } else if self.replicas.remove(&replica.id).is_some() {
+            self.index_services();
         }
     }
 
@@ -52,12 +56,20 @@
     /// Whether a service has brittle replicas.
     pub fn is_brittle(&self, service: &str, now: Timestamp) -> bool {
         let is_told = self.told_until.get(service).is_some_and(|until| now < *until);
-        is_told || self.replicas.values().any(|of| **of == *service)
+        is_told || self.services.contains(service)
+    }
+
+    fn index_services(&mut self) {
+        self.services = self.replicas.values().cloned().collect();
     }
 
     /// Drops replicas that are not `known` any more, and what was told long ago.
     pub fn retain(&mut self, known: impl Fn(&UpstreamId) -> bool, now: Timestamp) {
+        let before = self.replicas.len();
         self.replicas.retain(|id, _| known(id));
+        if self.replicas.len() < before {
+            self.index_services();
+        }
         self.told_until.retain(|_, until| now < *until);
     }
 }
--- a/lib/src/gateway/replica_paths.rs
+++ b/lib/src/gateway/replica_paths.rs
@@ -114,6 +114,11 @@
         self.is_in_doubt() && self.unreached.keys().any(|replica| self.blocked.contains_key(replica))
     }
 
+    /// Whether any path is lost or in doubt.
+    pub fn is_impaired(&self) -> bool {
+        self.is_in_doubt() || !self.blocked.is_empty()
+    }
+
     /// Whether the node has no direct path to a replica that others may reach.
     pub fn lacks_path(&self, replica: SocketAddr) -> bool {
         self.is_cut_off() || self.blocked.contains_key(&replica)
@@ -142,7 +147,7 @@
     /// may not show that a path has returned: they use open tunnels, or fail at once.
     pub fn due_probe<R: Rng>(&mut self, now: Timestamp, rng: &mut R) -> Option<SocketAddr> {
         self.blocked.retain(|_, confirmed| now < *confirmed + FORGET_AFTER);
-        let in_doubt = self.unreached.keys().filter(|_| self.is_in_doubt());
+        let in_doubt = self.is_in_doubt().then(|| self.unreached.keys()).into_iter().flatten();
         let replica = self.blocked.keys().chain(in_doubt).choose(rng).copied()?;
         self.take_probe(now).then_some(replica)
     }
@@ -183,16 +188,17 @@
     }
 
     /// Forgets a replica that is gone. The next one is probed at once.
-    pub fn forget(&mut self, replica: SocketAddr) {
-        self.unreached.remove(&replica);
-        self.blocked.remove(&replica);
-        self.next_probe_at = Timestamp::ZERO;
+    pub fn forget(&mut self, replica: SocketAddr) -> Option<PathChange> {
+        self.update(|paths| {
+            paths.unreached.remove(&replica);
+            paths.blocked.remove(&replica);
+            paths.next_probe_at = Timestamp::ZERO;
+        })
     }
 
     /// Records that a replica was reached through a tunnel but not directly.
     pub fn on_blocked(&mut self, replica: SocketAddr, now: Timestamp) -> Option<PathChange> {
         self.update(|paths| {
-            paths.blocked.retain(|_, confirmed| now < *confirmed + FORGET_AFTER);
             paths.blocked.insert(replica, now);
             paths.unreached.insert(replica, Unreached::Silent);
         })
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -1,12 +1,14 @@
 //! The state of all replicas, as known to a node.
 //!
 //! The cost of handling one request or one change does not depend on the number of replicas: replicas are
-//! indexed by id, staying replicas by service and hall, changes by revision, and pending deadlines by time.
+//! indexed by id and address, staying replicas by service and hall, changes by revision, and pending deadlines
+//! by time.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -47,6 +49,8 @@
     slots: Vec<Option<Replica>>,
     free_slots: Vec<Slot>,
     by_id: HashMap<UpstreamId, Slot>,
+    /// Replicas by address, which a new one may reuse while its predecessor is still known.
+    by_address: BTreeSet<(SocketAddr, Slot)>,
     /// Staying replicas by service.
     staying: HashMap<ServiceId, ServiceIndex>,
     /// Replicas with a change that other nodes need to learn, by the store's revision.
@@ -66,6 +70,7 @@
 /// The properties of a replica that the table's indices depend on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct IndexKeys {
+    address: SocketAddr,
     /// Its service and hall, if it stays.
     stays: Option<(ServiceId, HallId)>,
     ends_by: Option<Timestamp>,
@@ -77,6 +82,7 @@
     fn of(replica: &Replica) -> Self {
         let stays = replica.leaving.is_none();
         IndexKeys {
+            address: replica.record.address,
             stays: stays.then(|| (replica.record.service.clone(), replica.record.hall.clone())),
             ends_by: replica.ends_by,
             missing_since: replica.missing_since,
@@ -146,6 +152,12 @@
                 self.staying.entry(service.clone()).or_default().insert(hall, slot);
             }
         }
+        if let Some(before) = before {
+            self.by_address.remove(&(before.address, slot));
+        }
+        if let Some(after) = after {
+            self.by_address.insert((after.address, slot));
+        }
         if let Some(by) = before.and_then(|before| before.ends_by) {
             self.ending.remove(&(by, id.clone()));
         }
@@ -509,6 +521,12 @@
         }
     }
 
+    /// The replicas at an address: the present one and predecessors that have not been forgotten yet.
+    pub fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &Replica> {
+        let slots = self.by_address.range((address, Slot::MIN)..=(address, Slot::MAX));
+        slots.filter_map(|(_, slot)| self.slot(*slot))
+    }
+
     /// The number of known replicas.
     pub fn len(&self) -> usize {
         self.by_id.len()
--- a/lib/tests/test_gateway_replica_index.rs
+++ b/lib/tests/test_gateway_replica_index.rs
@@ -63,7 +63,9 @@
                     }
                 }
                 6 => table.on_entry(
-                    ReplicaRecord { born: n as u64 + at, ..record(n, false) }, now, &mut change
+                    ReplicaRecord { born: n as u64 + at, address: record(n + 1, false).address, ..record(n, false) },
+                    now,
+                    &mut change,
                 ),
                 _ => {
                     now += Duration::from_secs(n as u64 / 2);
@@ -83,6 +85,11 @@
                 let rng = &mut SmallRng::seed_from_u64(at);
                 prop_assert_eq!(ids(table.sample(service, "b", 100, rng, |_| true)), expected);
             }
+            for replica in &all {
+                let address = replica.record.address;
+                let at_address = all.iter().filter(|other| other.record.address == address).copied();
+                prop_assert_eq!(ids(table.at_address(address)), ids(at_address));
+            }
             let whole = table.list(at);
             prop_assert_eq!(whole.staying.len() + whole.leaving.len(), all.len());
             let newest = table.since(at, at - 1);
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -19,7 +19,7 @@
 use crate::gateway::control::crash_intake::CrashIntake;
 use crate::gateway::control::hall_intake::HallIntake;
 use crate::gateway::control::limit_intake::LimitIntake;
-use crate::gateway::control::path_probes;
+use crate::gateway::control::path_probes::PathProbes;
 use crate::gateway::control::placing::Placing;
 use crate::gateway::control::replica_intake::ReplicaIntake;
 use crate::gateway::control::store_watcher::StoreWatcher;
@@ -59,6 +59,7 @@
     crashes: CrashIntake,
     limits: LimitIntake,
     upgrades: UpgradeIntake,
+    path_probes: PathProbes,
     watchers: Watchers,
     store_watcher: StoreWatcher,
     last_status: Timestamp,
@@ -80,6 +81,7 @@
             crashes: CrashIntake::new(shared.clone()),
             limits: LimitIntake::new(shared.clone()),
             upgrades: UpgradeIntake::new(shared.clone()),
+            path_probes: PathProbes::new(shared.clone()),
             watchers: Watchers::new(fleet.own().clone()),
             store_watcher: StoreWatcher::new(shared.clone()),
             last_status: Timestamp::ZERO,
@@ -153,7 +155,7 @@
             // The path was the reason for the failures so far.
             ToControl::PathLost(service) => self.placing.state.replicas.forget_failures(&service),
             ToControl::PathRestored(service) => {
-                path_probes::on_path_restored(&self.shared, &mut self.placing.state, &service)
+                self.path_probes.on_path_restored(&mut self.placing.state, &service)
             }
             ToControl::ServiceAt(address, reply) => {
                 // The other node may have given up.
@@ -177,8 +179,7 @@
         self.shared.set_nodes(self.fleet.nodes());
         self.shared.observe_fleet_size(self.fleet.nodes());
         self.shared.set_has_neighbour(self.fleet.has_neighbour());
-        self.shared.set_tunnel_nodes(self.fleet.sample_for_tunnels());
-        path_probes::probe_lost_paths(&self.shared, &self.placing.state);
+        self.path_probes.tick(&self.fleet, &self.placing.state);
         self.placing.send_inventories(&self.fleet);
         self.placing.lead(&self.fleet);
         self.watchers.tick(now);
--- a/node/src/gateway/control/placement_state.rs
+++ b/node/src/gateway/control/placement_state.rs
@@ -47,8 +47,8 @@
     cold: RefCell<ColdStartLimiter>,
     /// The limits that replicas announce.
     pub limits: RefCell<ReplicaRateLimiter>,
-    /// The model services that this node leads.
     brittle: BrittleReplicas,
+    /// The model services and the brittle ones that this node leads.
     led_services: Vec<ServiceId>,
     canary_replicas: CanaryCache,
     /// Services whose upgrades are judged by evidence that includes this node's.
@@ -258,8 +258,8 @@
 
     /// The service of the known replica at an address, if there is one.
     pub fn service_at(&self, address: SocketAddr) -> Option<ServiceId> {
-        let mut records = self.replicas.iter().map(|replica| &replica.record);
-        records.find(|record| record.address == address).map(|record| record.service.clone())
+        let replica = self.replicas.at_address(address).min_by_key(|replica| replica.leaving.is_some())?;
+        Some(replica.record.service.clone())
     }
 
     /// Drops the state of replicas that are no longer known.
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -119,21 +119,15 @@
             let chosen = Err(self.state.no_room(&pending.wanted));
             return self.answer(Decision { pending, chosen });
         }
-        match self.lead_for(fleet, &pending) {
+        if is_placed_at_once {
+            return self.place_plain(fleet, pending, 0);
+        }
+        match self.other_lead(fleet, &pending.wanted.service) {
             Some((lead, address)) => self.lead_requests.send(pending, lead, address),
-            None if is_placed_at_once => self.place_plain(fleet, pending, 0),
             None => self.place_locally(pending),
         }
     }
 
-    /// The other node that places this request, if there is one.
-    fn lead_for(&self, fleet: &Fleet, pending: &PendingPlacement) -> Option<(VmId, SocketAddr)> {
-        if pending.wanted.size.is_none() && !self.state.is_brittle(&pending.wanted.service) {
-            return None;
-        }
-        self.other_lead(fleet, &pending.wanted.service)
-    }
-
     /// The lead of a service and its address, unless this node leads it.
     fn other_lead(&self, fleet: &Fleet, service: &ServiceId) -> Option<(VmId, SocketAddr)> {
         let lead = self.lead_of(fleet, service);
@@ -324,7 +318,7 @@
         self.on_own_copied(fleet, run);
         self.notify_lead_of_end(fleet, run, outcome);
         self.end(run, outcome);
-        // A call that waits here for a brittle replica may get the place.
+        // A request that is queued here may get its place.
         self.settle();
     }
 
--- a/node/src/gateway/replica_dialer.rs
+++ b/node/src/gateway/replica_dialer.rs
@@ -198,6 +198,12 @@
         self.with_paths(|paths, now| paths.referral(now, &mut rand::rng()))
     }
 
+    /// Forgets a replica that is gone.
+    pub fn forget(&self, replica: SocketAddr) {
+        let change = self.with_paths(|paths, _| paths.forget(replica));
+        self.on_change(change, replica);
+    }
+
     fn on_change(&self, change: Option<PathChange>, replica: SocketAddr) {
         match change {
             Some(PathChange::Lost) => {
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -323,6 +323,11 @@
         due.collect()
     }
 
+    /// Whether a path to replicas of any service is lost or in doubt.
+    pub fn has_impaired_path(&self) -> bool {
+        self.paths.lock().expect("no holder panics").values().any(ReplicaPaths::is_impaired)
+    }
+
     /// Returns some other nodes that may carry this node's connections to replicas.
     pub fn tunnel_nodes(&self) -> Arc<[SocketAddr]> {
         self.tunnel_nodes.read().expect("no holder panics").clone()
