gateway: a node stays cut off until it reaches a replica

What callers of a cut node saw: nothing in the first 15 s; then calls refused at once, until a probe had found again that another node reaches a replica.

Cause: that others reach what this node misses was kept for single replicas and forgotten 15 s after it had last been confirmed, which only a new tunnel to just these replicas did. Calls on kept tunnels, or to other replicas, confirmed nothing. The path was then in doubt again, and kept tunnels were dropped.

Change: it is kept for the path as a whole, until a direct connection opens. Replicas that are reached through tunnels meanwhile count as missed, so that the cut is not forgotten either when those that showed it are replaced.

Evidence: test_a_node_stays_cut_off_until_it_reaches_a_replica failed at 16 s before (`Fail(Silent)` in place of `Tunnel`).

--- a/lib/src/gateway/replica_paths.rs
+++ b/lib/src/gateway/replica_paths.rs
@@ -25,7 +25,7 @@
 const VIA_PREFERENCE: Duration = Duration::from_secs(5);
 /// How long no tunnel is tried to a replica that another node did not reach either.
 const UNREACHED_BACKOFF: Duration = Duration::from_secs(1);
-/// How long a lost path is remembered that was not used.
+/// How long a lost path to a single replica is remembered that was not used.
 const FORGET_AFTER: Duration = Duration::from_secs(15);
 
 /// How to connect to a replica.
@@ -95,6 +95,8 @@
 pub struct ReplicaPaths {
     /// Replicas that could not be reached directly since one was.
     unreached: BTreeMap<SocketAddr, Unreached>,
+    /// Whether another node reached one of them meanwhile.
+    others_reach: bool,
     /// Replicas that only other nodes reach, with the time when that was last confirmed.
     blocked: BTreeMap<SocketAddr, Timestamp>,
     /// Replicas that other nodes don't reach either, until when no tunnel to them is tried.
@@ -111,7 +113,7 @@
 
     /// Whether the node is cut off from all replicas: it reaches none of several, and others reach some of these.
     pub fn is_cut_off(&self) -> bool {
-        self.is_in_doubt() && self.unreached.keys().any(|replica| self.blocked.contains_key(replica))
+        self.is_in_doubt() && self.others_reach
     }
 
     /// Whether any path is lost or in doubt.
@@ -170,6 +172,7 @@
 
     fn on_reached(&mut self, replica: SocketAddr) {
         self.unreached.clear();
+        self.others_reach = false;
         self.unreached_by_others.remove(&replica);
         if self.blocked.remove(&replica).is_some() {
             // The other paths are probably back too.
@@ -192,6 +195,7 @@
         self.update(|paths| {
             paths.unreached.remove(&replica);
             paths.blocked.remove(&replica);
+            paths.others_reach &= !paths.unreached.is_empty();
             paths.next_probe_at = Timestamp::ZERO;
         })
     }
@@ -201,6 +205,7 @@
         self.update(|paths| {
             paths.blocked.insert(replica, now);
             paths.unreached.insert(replica, Unreached::Silent);
+            paths.others_reach = true;
         })
     }
 
@@ -210,6 +215,10 @@
         if let Some(confirmed) = self.blocked.get_mut(&replica) {
             *confirmed = now;
         }
+        if self.is_cut_off() {
+            // Those that were missed first may end before the path returns.
+            self.unreached.entry(replica).or_insert(Unreached::Silent);
+        }
         self.set_via(via, Via::PreferredUntil(now + VIA_PREFERENCE), now);
     }
 
--- a/lib/tests/test_gateway_replica_paths.rs
+++ b/lib/tests/test_gateway_replica_paths.rs
@@ -133,3 +133,34 @@
     asking.on_referral(node(2), SECOND);
     assert_eq!(choose(&asking, &[node(1), node(2), node(3)], &[], 1), Some(node(2)));
 }
+
+/// Guards against a node that takes its path for doubtful again, and refuses calls, in the middle of a long cut.
+#[test]
+fn test_a_node_stays_cut_off_until_it_reaches_a_replica() {
+    let mut paths = ReplicaPaths::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    for n in 1..=2 {
+        paths.on_blocked(replica(n), SECOND);
+    }
+    for at in (1..60).map(|s| s * SECOND) {
+        let probed = paths.due_probe(at, &mut rng).expect("a probe is due");
+        paths.on_direct(probed, Err(Unreached::Silent));
+        assert_eq!(paths.plan(replica(1), at), DialPlan::Tunnel, "{at:?}");
+    }
+    paths.on_direct(replica(2), Ok(()));
+    assert!(!paths.is_cut_off());
+}
+
+/// Guards against the same when the replicas that showed the cut are replaced during it.
+#[test]
+fn test_a_node_stays_cut_off_while_replicas_are_replaced() {
+    let mut paths = ReplicaPaths::default();
+    for n in 1..=2 {
+        paths.on_blocked(replica(n), SECOND);
+    }
+    for n in 3..20 {
+        paths.on_tunnel_opened(replica(n), node(1), SECOND);
+        assert_eq!(paths.forget(replica(n - 2)), None);
+        assert_eq!(paths.plan(replica(n), SECOND), DialPlan::Tunnel, "replica {n}");
+    }
+}
