gateway: the log tells how the body of an engine's response ended

Cause: two streams of the incident ended as complete while their engines had ended in the middle, and no line told whether the engine's response was framed, came through another node, or ended inside an event: the three hypotheses could not be told apart.

Change: event=body_ended, with framed, direct, events and partial_bytes. No logic is changed.

Checked: the tests of streams and of their orders, 22 passed.

--- a/node/src/gateway/upstream/connections.rs
+++ b/node/src/gateway/upstream/connections.rs
@@ -60,7 +60,7 @@
     /// Sends requests.
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether it leads to the replica directly, not through another node.
-    is_direct: bool,
+    pub is_direct: bool,
     _driver: AbortOnDropHandle<()>,
     /// How long the connection was idle before this request, if it carried a request before.
     pub idle_time: Option<Duration>,
--- a/node/src/gateway/upstream/engine_stream.rs
+++ b/node/src/gateway/upstream/engine_stream.rs
@@ -29,4 +29,9 @@
     pub fn is_framed(&self) -> bool {
         self.exchange.as_ref().is_some_and(Exchange::is_framed)
     }
+
+    /// Whether the response comes from the engine directly, not through another node.
+    pub fn is_direct(&self) -> bool {
+        self.exchange.as_ref().is_some_and(Exchange::is_direct)
+    }
 }
--- a/node/src/gateway/upstream/event_stream.rs
+++ b/node/src/gateway/upstream/event_stream.rs
@@ -65,6 +65,11 @@
         self.unusable
     }
 
+    /// Number of bytes received after the last complete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Discards a partial event.
     pub fn discard_partial(&mut self) {
         self.buf.clear();
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -243,6 +243,11 @@
         framing.iter().any(|name| self.headers.contains_key(name))
     }
 
+    /// Whether the connection leads to the replica directly, not through another node.
+    pub fn is_direct(&self) -> bool {
+        self.connection.is_direct
+    }
+
     /// Reads the response to its end. A truncated response counts as a broken run.
     pub async fn read_response(
         self,
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -222,9 +222,7 @@
             outcome = self.stops.next() => self.on_stop_outcome(outcome).await,
             frame = self.engine_stream.frame() => match frame {
                 Some(Ok(frame)) => self.on_frame(frame.into_data().unwrap_or_default()).await,
-                None if self.may_be_stopped() && !self.engine_stream.is_framed() =>
-                    self.on_unframed_end().await,
-                None => Err(self.on_stream_end().await),
+                None => self.on_body_end().await,
                 Some(Err(err)) => self.on_break(&err).await,
             },
             end = Self::until_lost(self.lost_at) => Err(end),
@@ -233,6 +231,20 @@
         }
     }
 
+    /// Handles the end of the body of the engine's response.
+    async fn on_body_end(&mut self) -> Result<(), StreamEnd> {
+        self.log_body_end();
+        if self.may_be_stopped() && !self.engine_stream.is_framed() {
+            return self.on_unframed_end().await;
+        }
+        Err(self.on_stream_end().await)
+    }
+
+    fn log_body_end(&self) {
+        let engine = &self.engine_stream;
+        info!(event = "body_ended", request = self.req.id(), upstream = &*engine.run.placed.replica.id, framed = engine.is_framed(), direct = engine.is_direct(), events = self.events.events(), partial_bytes = self.events.partial_bytes(); "the body of the engine's response ended");
+    }
+
     /// Handles the deadline. If the process was suspended at that time, events that have arrived are relayed,
     /// and the stream may turn out to be complete.
     async fn on_deadline(&mut self) -> StreamEnd {
--- a/node/src/gateway/upstream/relay/stopping.rs
+++ b/node/src/gateway/upstream/relay/stopping.rs
@@ -140,10 +140,14 @@
                         return Some(end);
                     }
                 }
-                Ok(None) if self.engine_stream.is_framed() || !self.may_be_stopped() => {
-                    return Some(self.on_stream_end().await);
+                Ok(None) => {
+                    self.log_body_end();
+                    if self.engine_stream.is_framed() || !self.may_be_stopped() {
+                        return Some(self.on_stream_end().await);
+                    }
+                    return None;
                 }
-                Ok(None | Some(Err(_))) | Err(_) => return None,
+                Ok(Some(Err(_))) | Err(_) => return None,
             }
         }
     }
