--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_calls;
 mod test_clocks;
 mod test_gateway_brittle_replicas;
+mod test_gateway_broken_answers;
 mod test_gateway_calls;
 mod test_gateway_chosen_nodes;
 mod test_gateway_closed_halls;
--- /dev/null
+++ b/node/tests/test_gateway_broken_answers.rs
@@ -0,0 +1,286 @@
+//! Answers that end early look broken to their callers, whatever marks the end of an answer and whichever
+//! process ends; whole answers stay whole.
+
+use std::io;
+use std::time::Duration;
+
+use leadstage_testutils::gateway_replica::CopyFault;
+use leadstage_testutils::gateway_replica::Framing;
+use leadstage_testutils::gateway_replica::JSON_DOCUMENT;
+use leadstage_testutils::gateway_replica::ReplicaFault;
+use leadstage_testutils::gateway_replica::StreamEnding;
+use leadstage_testutils::gateway_replica::StreamFault;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::gateway_environment::CallResult;
+use crate::gateway_environment::Gateway;
+use crate::gateway_environment::KEY;
+use crate::gateway_environment::MODEL;
+use crate::gateway_environment::RunningReplica;
+use crate::gateway_environment::book;
+use crate::gateway_environment::chat;
+use crate::gateway_environment::read;
+use crate::gateway_environment::tag;
+
+/// Number of events in a generation of the stand-in engine.
+const EVENTS: u64 = 60;
+/// The number of generated events after which a stream ends early.
+const ENDS_AFTER: u64 = 20;
+
+const FRAMINGS: [Framing; 3] = [Framing::Chunked, Framing::Length, Framing::Unframed];
+
+fn ends(framing: Framing, events: u64, rest: &'static str) -> StreamFault {
+    StreamFault::Ends(StreamEnding { framing, events, rest })
+}
+
+/// What a caller sees, in one word, and the number of whole events.
+fn outcome(called: &CallResult) -> String {
+    let how = if called.whole { "whole" } else { "broken" };
+    format!("{how} {}", called.body.matches("\n\n").count())
+}
+
+/// Ends of streams inside an event.
+const PARTS_OF_EVENTS: [&str; 5] =
+    ["i", "id: 21", "id: 21\n", "id: 21\ndata: token 21\n", "id: 21\r\ndata: token 21\r\n"];
+
+#[tokio::test]
+async fn test_a_stream_that_ends_inside_an_event_looks_broken() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    let mut rows = Vec::new();
+    for framing in FRAMINGS {
+        for part in PARTS_OF_EVENTS {
+            gateway.engines.set_stream_faults([ends(framing, ENDS_AFTER, part)]);
+            let called = gateway.call(0, chat("r-chat")).await;
+            rows.push(format!("{framing:?} {part:?}: {}", outcome(&called)));
+        }
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r#"
+    Chunked "i": broken 20
+    Chunked "id: 21": broken 20
+    Chunked "id: 21\n": broken 20
+    Chunked "id: 21\ndata: token 21\n": broken 20
+    Chunked "id: 21\r\ndata: token 21\r\n": broken 20
+    Length "i": broken 20
+    Length "id: 21": broken 20
+    Length "id: 21\n": broken 20
+    Length "id: 21\ndata: token 21\n": broken 20
+    Length "id: 21\r\ndata: token 21\r\n": broken 20
+    Unframed "i": broken 20
+    Unframed "id: 21": broken 20
+    Unframed "id: 21\n": broken 20
+    Unframed "id: 21\ndata: token 21\n": broken 20
+    Unframed "id: 21\r\ndata: token 21\r\n": broken 20
+    "#);
+}
+
+#[tokio::test]
+async fn test_a_resumable_stream_that_ends_inside_an_event_goes_on() {
+    let mut rows = Vec::new();
+    for framing in FRAMINGS {
+        let (gateway, _bookings, _models) = Gateway::with_replicas(3).await;
+        let second_end = ends(framing, 2 * ENDS_AFTER, "id: 41\ndata");
+        gateway.engines.set_stream_faults([ends(framing, ENDS_AFTER, "id: 21\ndata"), second_end]);
+        let called = gateway.call(0, tag("r-tag")).await;
+        assert_eq!(called.events(), Some(EVENTS), "{framing:?}: {}\n{}", called.body, gateway.logs());
+        rows.push(format!("{framing:?}: {}", outcome(&called)));
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    Chunked: whole 60
+    Length: whole 60
+    Unframed: whole 60
+    ");
+}
+
+/// What may follow the last event of a whole stream.
+const RESTS_OF_WHOLE_STREAMS: [&str; 7] =
+    ["", "\n", "\r\n", ": bye\n", ":\r\n", ": bye\n\n", ": two\n: comments\n\n\n"];
+
+#[tokio::test]
+async fn test_whole_streams_stay_whole() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    for framing in FRAMINGS {
+        for rest in RESTS_OF_WHOLE_STREAMS {
+            gateway.engines.set_stream_faults([ends(framing, EVENTS, rest)]);
+            let called = gateway.call(0, chat("r-chat")).await;
+            assert!(called.whole, "{framing:?} {rest:?}\n{}", gateway.logs());
+            let events = called.body.strip_suffix(rest).map(|body| body.matches("\nid: ").count() + 1);
+            assert_eq!(events, Some(EVENTS as usize), "{framing:?} {rest:?}: {}", called.body);
+        }
+    }
+}
+
+#[tokio::test]
+async fn test_an_answer_to_a_stream_that_is_no_event_stream_stays_whole() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    for framing in FRAMINGS {
+        gateway.engines.set_stream_faults([StreamFault::Json(framing)]);
+        let called = gateway.call(0, chat("r-chat")).await;
+        assert!(called.whole, "{framing:?}\n{}", gateway.logs());
+        assert_eq!(called.body, JSON_DOCUMENT);
+    }
+}
+
+/// What happens to an engine between two events of an unframed stream.
+#[derive(Clone, Copy, Debug)]
+enum EngineEnd {
+    Dies,
+    DiesWhileLeaving,
+    AnotherReplicaTakesItsAddress,
+}
+
+async fn end_engine(gateway: &Gateway, models: &mut [RunningReplica], end: EngineEnd) {
+    gateway.until("a generation runs", async || models.iter().any(|m| m.replica.running() > 0)).await;
+    let engine = models.iter_mut().find(|m| m.replica.running() > 0).expect("a generation runs");
+    tokio::time::sleep(engine.replica.event_interval * ENDS_AFTER as u32).await;
+    match end {
+        EngineEnd::Dies => engine.server = None,
+        EngineEnd::DiesWhileLeaving => {
+            engine.replica.set_copy_fault(CopyFault::CopyHangs);
+            gateway.drain(MODEL, engine);
+            tokio::time::sleep(engine.replica.event_interval * 10).await;
+            engine.server = None;
+        }
+        EngineEnd::AnotherReplicaTakesItsAddress => {
+            let server = engine.server.as_ref().expect("it serves");
+            engine.replica.set_health_id("model-9");
+            server.close_connections.notify_one();
+        }
+    }
+}
+
+#[tokio::test]
+async fn test_an_unframed_stream_whose_engine_ends_between_events_is_not_taken_for_whole() {
+    let mut rows = Vec::new();
+    for end in [EngineEnd::Dies, EngineEnd::DiesWhileLeaving, EngineEnd::AnotherReplicaTakesItsAddress] {
+        for req in [chat("r-chat"), tag("r-tag")] {
+            let (gateway, _bookings, mut models) = Gateway::with_replicas(2).await;
+            gateway.engines.set_stream_faults([StreamFault::Unframed]);
+            let path = req.uri().path().to_owned();
+            let (called, ()) = tokio::join!(gateway.call(0, req), end_engine(&gateway, &mut models, end));
+            let events = called.events().unwrap_or_else(|| panic!("{end:?} {path}: {}", called.body));
+            assert!(!called.whole || events == EVENTS, "{end:?} {path}: {events} events\n{}", gateway.logs());
+            rows.push(format!("{end:?} {path}: whole {}", called.whole));
+        }
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    Dies /chat/x: whole false
+    Dies /tag/x: whole true
+    DiesWhileLeaving /chat/x: whole false
+    DiesWhileLeaving /tag/x: whole true
+    AnotherReplicaTakesItsAddress /chat/x: whole false
+    AnotherReplicaTakesItsAddress /tag/x: whole true
+    ");
+}
+
+#[tokio::test]
+async fn test_an_unframed_stream_stays_whole_while_its_engine_leaves_or_is_busy() {
+    let (gateway, _bookings, models) = Gateway::with_replicas(1).await;
+    gateway.engines.set_stream_faults([StreamFault::Unframed, StreamFault::Unframed]);
+    models[0].replica.set_health_delay(Duration::from_secs(5));
+    let called = gateway.call(0, chat("r-busy")).await;
+    assert_eq!((called.whole, called.events()), (true, Some(EVENTS)), "{}", gateway.logs());
+    models[0].replica.set_health_delay(Duration::ZERO);
+    models[0].replica.set_leaving(Some("1"));
+    let called = gateway.call(0, chat("r-leaving")).await;
+    assert_eq!((called.whole, called.events()), (true, Some(EVENTS)), "{}", gateway.logs());
+}
+
+#[tokio::test]
+async fn test_an_unframed_answer_whose_replica_ends_is_not_taken_for_whole() {
+    let mut rows = Vec::new();
+    for req in [book("r-book"), read("r-read")] {
+        let (gateway, bookings, _models) = Gateway::with_replicas(2).await;
+        bookings.iter().for_each(|running| running.replica.set_fault(ReplicaFault::UnframedCrash));
+        let path = req.uri().path().to_owned();
+        let called = gateway.call(0, req).await;
+        rows.push(format!("{path}: {}, code {}", called.status, called.code()));
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    /book/x: 502, code 3001
+    /read/x: 502, code 3001
+    ");
+}
+
+#[tokio::test]
+async fn test_a_call_whose_unframed_answer_broke_is_answered_by_another_replica() {
+    let (gateway, bookings, _models) = Gateway::with_replicas(2).await;
+    bookings[0].replica.set_fault(ReplicaFault::UnframedCrash);
+    for n in 0..4 {
+        let called = gateway.call(0, read(&format!("r-{n}"))).await;
+        assert_eq!((called.status, &*called.body), (200, "booking-2 answers /read/x"), "{}", gateway.logs());
+    }
+}
+
+#[tokio::test]
+async fn test_an_unframed_answer_of_a_living_replica_is_whole() {
+    let (gateway, bookings, _models) = Gateway::with_replicas(1).await;
+    bookings[0].replica.set_fault(ReplicaFault::Unframed);
+    for req in [book("r-book"), read("r-read")] {
+        let path = req.uri().path().to_owned();
+        let called = gateway.call(0, req).await;
+        assert_eq!((called.status, called.whole), (200, true), "{}", gateway.logs());
+        assert_eq!(called.body, format!("booking-1 answers {path}"));
+    }
+}
+
+/// Sends a request for a stream as HTTP/1.0, whose answers end with their connection. Returns the number of
+/// events received, and how the connection ended.
+async fn call_http_10(gateway: &Gateway, path: &str) -> (usize, io::Result<()>) {
+    let mut stream = TcpStream::connect(gateway.client_address(0)).await.expect("the node accepts");
+    let req = format!(
+        "POST {path} HTTP/1.0\r\nhost: h.example\r\nauthorization: Token {KEY}\r\nleadstage-request-id: r-1\r\n\
+         leadstage-deadline-ms: 8000\r\nleadstage-model: m\r\nleadstage-token-usage: 100,2000\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(req.as_bytes()).await.expect("the node reads");
+    let mut answer = Vec::new();
+    let mut buf = vec![0; 4 << 10];
+    let end = loop {
+        match stream.read(&mut buf).await {
+            Ok(0) => break Ok(()),
+            Ok(read) => answer.extend_from_slice(&buf[..read]),
+            Err(err) => break Err(err),
+        }
+    };
+    (String::from_utf8_lossy(&answer).matches("\nid: ").count(), end)
+}
+
+#[tokio::test]
+async fn test_a_broken_stream_looks_broken_to_a_caller_without_chunks() {
+    let (mut gateway, _bookings, models) = Gateway::with_replicas(1).await;
+    let mut rows = Vec::new();
+    for fault in
+        [StreamFault::None, StreamFault::BreaksInside(ENDS_AFTER), StreamFault::BreaksAfter(ENDS_AFTER)]
+    {
+        gateway.engines.set_stream_faults([fault]);
+        let (events, end) = call_http_10(&gateway, "/chat/x").await;
+        rows.push(format!("{fault:?}: {events} events, {:?}", end.map_err(|err| err.kind())));
+    }
+    let kill = async {
+        gateway.until("a generation runs", async || models[0].replica.running() > 0).await;
+        tokio::time::sleep(models[0].replica.event_interval * ENDS_AFTER as u32).await;
+        gateway.signal(0, "-KILL");
+    };
+    let ((events, end), ()) = tokio::join!(call_http_10(&gateway, "/chat/x"), kill);
+    assert!(events < EVENTS as usize, "the node was killed during the stream");
+    rows.push(format!("node killed: {:?}", end.map_err(|err| err.kind())));
+    gateway.kill(0);
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    None: 60 events, Ok(())
+    BreaksInside(20): 20 events, Err(ConnectionReset)
+    BreaksAfter(20): 20 events, Err(ConnectionReset)
+    node killed: Err(ConnectionReset)
+    ");
+}
+
+/// The replicas whose answers end early are avoided like others that fail.
+#[tokio::test]
+async fn test_an_end_inside_an_event_is_held_against_its_engine() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(2).await;
+    gateway.engines.set_stream_faults([ends(Framing::Unframed, ENDS_AFTER, "id: 21\ndata")]);
+    gateway.call(0, chat("r-chat")).await;
+    let log = gateway.log(0);
+    let broken = log.lines().filter(|line| line.contains("event=run_broke")).count();
+    assert_eq!(broken, 1, "{}", gateway.logs());
+}
--- a/node/tests/test_gateway_partitioned_nodes.rs
+++ b/node/tests/test_gateway_partitioned_nodes.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use leadstage_testutils::faulty_proxy::FaultyProxy;
+use leadstage_testutils::faulty_proxy::LinkFault;
 use leadstage_testutils::faulty_proxy::OpenLinks;
 use leadstage_testutils::gateway_replica::ReplicaFault;
+use leadstage_testutils::gateway_replica::StreamFault;
 use tokio::time::Instant;
 
 use crate::gateway_environment::BOOKING;
@@ -253,6 +255,55 @@
     assert!(served_share(&after) > 0.99, "{}\n{}", served_share(&after), fleet.gateway.logs());
 }
 
+/// Starts an unframed stream at a node without a path, which another node carries.
+async fn call_through_carrier(fleet: &PartitionedFleet) -> CallResult {
+    fleet.gateway.engines.set_stream_faults([StreamFault::Unframed]);
+    let called = fleet.gateway.call(0, chat("r-chat")).await;
+    assert!(called.events().is_some(), "{}", called.body);
+    called
+}
+
+async fn until_stream_is_carried(fleet: &PartitionedFleet) {
+    let runs = || fleet.replicas.iter().any(|running| running.replica.running() > 0);
+    fleet.gateway.until("the generation runs", async || runs()).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+}
+
+#[tokio::test]
+async fn test_an_unframed_stream_is_not_taken_for_whole_when_the_node_that_carries_it_is_killed() {
+    let fleet = PartitionedFleet::start(2, 60).await;
+    fleet.partition(1, OpenLinks::Hang);
+    let kill = async {
+        until_stream_is_carried(&fleet).await;
+        fleet.gateway.signal(1, "-KILL");
+    };
+    let (called, ()) = tokio::join!(call_through_carrier(&fleet), kill);
+    assert!(!called.whole, "{:?}\n{}", called.events(), fleet.gateway.logs());
+}
+
+#[tokio::test]
+async fn test_an_unframed_stream_is_not_taken_for_whole_when_the_node_that_carries_it_stops() {
+    let fleet = PartitionedFleet::start(2, 60).await;
+    fleet.partition(1, OpenLinks::Hang);
+    let stop = async {
+        until_stream_is_carried(&fleet).await;
+        fleet.proxies.iter().for_each(|proxy| proxy.set(LinkFault::OneWay));
+        fleet.gateway.signal(1, "-TERM");
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        fleet.proxies.iter().for_each(|proxy| proxy.set(LinkFault::None));
+    };
+    let (called, ()) = tokio::join!(call_through_carrier(&fleet), stop);
+    assert!(!called.whole || called.events() == Some(60), "{:?}\n{}", called.events(), fleet.gateway.logs());
+}
+
+#[tokio::test]
+async fn test_an_unframed_stream_that_another_node_carries_is_whole() {
+    let fleet = PartitionedFleet::start(2, 60).await;
+    fleet.partition(1, OpenLinks::Hang);
+    let called = call_through_carrier(&fleet).await;
+    assert_eq!((called.whole, called.events()), (true, Some(60)), "{}", fleet.gateway.logs());
+}
+
 /// Guards against running streams that end when their node loses its path while the engine goes on.
 #[tokio::test]
 async fn test_running_streams_are_completed_after_their_node_has_lost_its_path() {
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use futures::StreamExt;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -57,6 +58,10 @@
     Late(Duration),
     /// Responds with a body of this many bytes.
     Long(usize),
+    /// Sends the body without a length or chunks.
+    Unframed,
+    /// Sends a part of such a body and crashes.
+    UnframedCrash,
 }
 
 /// How an engine handles calls to copy a generation.
@@ -113,6 +118,40 @@
     StartsOver,
     /// Sends the body without a length or chunks, so that it ends when the connection closes.
     Unframed,
+    /// Ends the response in order, whether its body is whole or not.
+    Ends(StreamEnding),
+    /// Responds with a JSON document of this framing.
+    Json(Framing),
+}
+
+/// How a response marks the end of its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// The body is sent in chunks.
+    Chunked,
+    /// The length of the body is given.
+    Length,
+    /// The body ends with its connection.
+    Unframed,
+}
+
+/// The end of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamEnding {
+    /// How the end is marked.
+    pub framing: Framing,
+    /// Number of events before it.
+    pub events: u64,
+    /// What follows the last event.
+    pub rest: &'static str,
+}
+
+impl StreamEnding {
+    /// Length of a body that begins after the event `from`.
+    fn body_length(&self, from: u64, padding: usize) -> usize {
+        let events = (from..self.events).map(|made| event_text(made + 1, padding).len());
+        events.sum::<usize>() + self.rest.len()
+    }
 }
 
 /// The next step of a stream.
@@ -126,6 +165,23 @@
     End,
 }
 
+fn event_text(id: u64, padding: usize) -> String {
+    format!("id: {id}\ndata: token {id}{}\n\n", "x".repeat(padding))
+}
+
+fn mark_end(res: &mut Response<Body>, framing: Framing, body_length: usize) {
+    match framing {
+        Framing::Chunked => {}
+        Framing::Length => {
+            res.headers_mut().insert("content-length", body_length.into());
+        }
+        Framing::Unframed => *res.version_mut() = Version::HTTP_10,
+    }
+}
+
+/// A JSON document.
+pub const JSON_DOCUMENT: &str = "{\n  \"object\": \"list\",\n  \"data\": []\n}";
+
 /// A request that reached the replica.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -196,6 +252,10 @@
     report_calls: usize,
     /// Time until the report is made and sent.
     report_delay: Duration,
+    /// Time until a health check is answered.
+    health_delay: Duration,
+    /// Instance id in answers to health checks, if it is not the replica's own.
+    health_id: Option<String>,
     /// Requests to copy a generation.
     copy_calls: usize,
     /// Ids of requests whose caller closed the connection before the end of the response.
@@ -387,6 +447,16 @@
         self.state().report_delay = delay;
     }
 
+    /// Sets the time until a health check is answered.
+    pub fn set_health_delay(&self, delay: Duration) {
+        self.state().health_delay = delay;
+    }
+
+    /// Makes health checks find another replica at this address.
+    pub fn set_health_id(&self, id: &str) {
+        self.state().health_id = Some(id.to_owned());
+    }
+
     /// Makes the replica crash soon after it starts to run a request with this body.
     pub fn set_crash_on(&self, body: &str) {
         self.state().crash_on = Some(Bytes::copy_from_slice(body.as_bytes()));
@@ -546,10 +616,23 @@
             }
             ReplicaFault::TruncatesBody => loopback::stream_body(cut),
             ReplicaFault::Long(bytes) => loopback::full_body("x".repeat(bytes)),
+            ReplicaFault::UnframedCrash => {
+                let replica = self.clone();
+                let crash = async move {
+                    tokio::time::sleep(CRASH_DELAY).await;
+                    replica.crash();
+                    std::future::pending().await
+                };
+                let part = futures::stream::iter([Ok(Bytes::from("cut"))]);
+                loopback::stream_body(part.chain(futures::stream::once(crash)))
+            }
             _ => loopback::full_body(format!("{} answers {}", self.id, req.uri())),
         };
         let mut res = Response::new(body);
         *res.headers_mut() = self.response_headers(req.headers(), fault);
+        if matches!(fault, ReplicaFault::Unframed | ReplicaFault::UnframedCrash) {
+            mark_end(&mut res, Framing::Unframed, 0);
+        }
         if fault == ReplicaFault::Fails {
             *res.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
         }
@@ -597,11 +680,24 @@
             None if fault == StreamFault::StartsOver => 0,
             None => header_text(req.headers(), "last-event-id").parse().unwrap_or(0),
         };
+        if let StreamFault::Json(framing) = fault {
+            let body = futures::stream::iter([Ok(Bytes::from(JSON_DOCUMENT))]);
+            let mut res = Response::new(loopback::stream_body(body));
+            *res.headers_mut() = self.response_headers(req.headers(), ReplicaFault::None);
+            res.headers_mut().insert("content-type", "application/json".parse().expect("valid"));
+            mark_end(&mut res, framing, JSON_DOCUMENT.len());
+            return res;
+        }
         let mut res = Response::new(loopback::stream_body(self.clone().generate(id, from, fault)));
         *res.headers_mut() = self.response_headers(req.headers(), ReplicaFault::None);
         res.headers_mut().insert("content-type", "text/event-stream".parse().expect("valid"));
-        if fault == StreamFault::Unframed {
-            *res.version_mut() = Version::HTTP_10;
+        match fault {
+            StreamFault::Unframed => mark_end(&mut res, Framing::Unframed, 0),
+            StreamFault::Ends(ending) => {
+                let padding = self.state().padding;
+                mark_end(&mut res, ending.framing, ending.body_length(from, padding));
+            }
+            _ => {}
         }
         res
     }
@@ -634,6 +730,12 @@
             if fault == StreamFault::BreaksAfter(made) {
                 return Some((Ok(Bytes::new()), (guard, NextStep::Break)));
             }
+            if let StreamFault::Ends(ending) = fault
+                && ending.events == made
+            {
+                guard.finish();
+                return Some((Ok(Bytes::from(ending.rest)), (guard, NextStep::End)));
+            }
             if made == replica.events {
                 guard.finish();
                 return None;
@@ -646,9 +748,8 @@
                 return Some((Ok(Bytes::from(part)), (guard, NextStep::Break)));
             }
             state.runs.insert(guard.id.clone(), made + 1);
-            let padding = "x".repeat(state.padding);
+            let event = event_text(made + 1, state.padding);
             drop(state);
-            let event = format!("id: {}\ndata: token {}{padding}\n\n", made + 1, made + 1);
             Some((Ok(Bytes::from(event)), (guard, NextStep::Event(made + 1))))
         })
     }
@@ -728,6 +829,16 @@
         Response::new(loopback::full_body(json!({"stage": "both", "runs": runs}).to_string()))
     }
 
+    async fn health(&self) -> Response<Body> {
+        let delay = self.state().health_delay;
+        tokio::time::sleep(delay).await;
+        let state = self.state();
+        let mut res = status_response(if state.leaving.is_some() { 503 } else { 200 });
+        let id = state.health_id.as_ref().unwrap_or(&self.id);
+        res.headers_mut().insert("leadstage-instance-id", id.parse().expect("valid"));
+        res
+    }
+
     fn is_fallen(&self) -> bool {
         self.state().brittleness.as_ref().is_some_and(Brittleness::is_fallen)
     }
@@ -765,11 +876,7 @@
         match req.uri().path() {
             "/v1/kv-move" => return self.handle_copy(req).await,
             "/v1/report" => return self.report().await,
-            "/healthz" => {
-                let mut res = status_response(if self.state().leaving.is_some() { 503 } else { 200 });
-                res.headers_mut().insert("leadstage-instance-id", self.id.parse().expect("valid"));
-                return res;
-            }
+            "/healthz" => return self.health().await,
             _ => {}
         }
         let line = format!("{} {}", req.method(), req.uri());
--- a/testutils/src/loopback.rs
+++ b/testutils/src/loopback.rs
@@ -49,6 +49,8 @@
     pub address: SocketAddr,
     /// Closes the port when notified; open connections stay open.
     pub close_port: Arc<Notify>,
+    /// Closes all open connections when notified; the port stays open.
+    pub close_connections: Arc<Notify>,
     /// Opens a closed port again when notified.
     pub open_port: Arc<Notify>,
     /// Stops the server when notified: its port and all connections close at once.
@@ -77,13 +79,19 @@
     let listener = listen(any_port(ip)).expect("a port of the address is free");
     let address = listener.local_addr().expect("the listener is bound");
     let (close_port, open_port) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let close_connections = Arc::new(Notify::new());
     let (closing, opening) = (close_port.clone(), open_port.clone());
+    let closing_connections = close_connections.clone();
     let serve_loop = async move {
         let mut connections = JoinSet::new();
         let mut listener = listener;
         loop {
             tokio::select! {
                 () = closing.notified() => drop(listener),
+                () = closing_connections.notified() => {
+                    connections.abort_all();
+                    continue;
+                }
                 never = accept_connections(&listener, &handler, &mut connections) => match never {},
             }
             opening.notified().await;
@@ -98,7 +106,14 @@
             () = serve_loop => {}
         }
     });
-    Server { address, close_port, open_port, shutdown, _accept_task: AbortOnDropHandle::new(accept_task) }
+    Server {
+        address,
+        close_port,
+        close_connections,
+        open_port,
+        shutdown,
+        _accept_task: AbortOnDropHandle::new(accept_task),
+    }
 }
 
 async fn accept_connections<H: RequestHandler>(
