gateway: events whose lines end with CR alone are passed on as they arrive

What callers saw: a stream whose lines end with CR alone was held until its end, and cut beyond 256 KiB. Such streams would also be taken for broken once a stream that ends inside an event is.

Cause: the splitter knew LF and CR LF only, and began anew three bytes back with each read.

Change: the splitter is a decision without I/O and moves to the library. It reads line by line, knows all three ends of lines, and tells whether the bytes received so far end inside an event: comments and blank lines may follow the last one.

Checked: test_events_are_released_when_their_last_line_ends released nothing of a CR stream before (9, 15, 32, 1 and 27 bytes now); a blank line between two events is passed on by itself now. test_pieces_do_not_matter plays 300 ways of cutting a stream in pieces.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod decaying_mean;
 pub mod digest;
 pub mod evacuation;
+pub mod event_splitter;
 pub mod fingerprint;
 pub mod fleet_size;
 pub mod health_polls;
--- a/node/src/gateway/upstream/event_stream.rs
+++ b/lib/src/gateway/event_splitter.rs
@@ -7,6 +7,8 @@
 
 /// Maximum size of one event; the largest specified events have some kilobytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
+/// First byte of a line that is a comment.
+const COMMENT_MARK: u8 = b':';
 
 /// Why a stream is unusable.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -20,11 +22,35 @@
     NotIncreasing,
 }
 
+/// What ends a line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LineEnd {
+    Lf,
+    CrLf,
+    Cr,
+}
+
+impl LineEnd {
+    fn bytes(self) -> usize {
+        match self {
+            LineEnd::Lf | LineEnd::Cr => 1,
+            LineEnd::CrLf => 2,
+        }
+    }
+}
+
 /// Splits received bytes into whole events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    /// The bytes after the last complete event.
     buf: BytesMut,
+    /// Where the first line begins in `buf` whose end is not known yet.
+    line_start: usize,
+    /// The bytes of `buf` before this offset hold no end of that line.
     scanned: usize,
+    last_line_end: Option<LineEnd>,
+    /// Whether the partial event has a complete line other than a comment.
+    has_field: bool,
     last_id: Option<String>,
     events: u64,
     unusable: Option<Unusable>,
@@ -40,26 +66,54 @@
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.buf.extend_from_slice(bytes);
         let mut complete = 0;
-        let mut at = self.scanned;
         while self.unusable.is_none()
-            && let Some(end) = event_end(&self.buf, at)
+            && let Some(is_blank) = self.next_line()
         {
-            if !self.record_event(complete, end) {
+            if !is_blank {
+                continue;
+            }
+            if !self.record_event(complete, self.line_start) {
                 self.unusable = Some(Unusable::NotIncreasing);
                 break;
             }
-            complete = end;
-            at = end;
+            complete = self.line_start;
+            self.has_field = false;
         }
         let out = self.buf.split_to(complete).freeze();
-        // The end of an event may be split between two reads.
-        self.scanned = self.buf.len().saturating_sub(3);
+        self.line_start -= complete;
+        self.scanned -= complete;
         if self.buf.len() > MAX_EVENT_BYTES {
             self.unusable.get_or_insert(Unusable::TooLarge);
         }
         out
     }
 
+    /// Takes the next line if its end is known; returns whether it is blank.
+    fn next_line(&mut self) -> Option<bool> {
+        let is_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
+        let Some(offset) = self.buf[self.scanned..].iter().position(is_end) else {
+            self.scanned = self.buf.len();
+            return None;
+        };
+        let end = self.scanned + offset;
+        self.scanned = end;
+        let is_blank = end == self.line_start;
+        let line_end = match (self.buf[end], self.buf.get(end + 1)) {
+            (b'\n', _) => LineEnd::Lf,
+            (_, Some(b'\n')) => LineEnd::CrLf,
+            (_, Some(_)) => LineEnd::Cr,
+            // Whether LF follows is not known yet. In a stream whose lines end with CR alone, waiting for the
+            // next byte would delay each event until the next one.
+            (_, None) if is_blank && self.last_line_end == Some(LineEnd::Cr) => LineEnd::Cr,
+            (_, None) => return None,
+        };
+        self.has_field |= !is_blank && self.buf[self.line_start] != COMMENT_MARK;
+        self.last_line_end = Some(line_end);
+        self.line_start = end + line_end.bytes();
+        self.scanned = self.line_start;
+        Some(is_blank)
+    }
+
     /// Returns why the stream is unusable, if it is.
     pub fn unusable(&self) -> Option<Unusable> {
         self.unusable
@@ -70,17 +124,25 @@
         self.buf.len()
     }
 
+    /// Whether the bytes received so far end inside an event. Comments and blank lines are no part of one.
+    pub fn is_inside_event(&self) -> bool {
+        let line = &self.buf[self.line_start..];
+        let ends_event = line == b"\r";
+        !ends_event && (self.has_field || line.first().is_some_and(|first| *first != COMMENT_MARK))
+    }
+
     /// Discards a partial event.
     pub fn discard_partial(&mut self) {
         self.buf.clear();
-        self.scanned = 0;
+        (self.line_start, self.scanned, self.has_field) = (0, 0, false);
         self.unusable = None;
     }
 
     /// Returns the bytes that are left at a stream's regular end.
     pub fn take_remainder(&mut self) -> Bytes {
-        self.scanned = 0;
-        self.buf.split().freeze()
+        let remainder = self.buf.split().freeze();
+        self.discard_partial();
+        remainder
     }
 
     /// The id of the last complete event.
@@ -96,7 +158,7 @@
     /// Records a complete event; returns false if its id is not greater than the id before.
     fn record_event(&mut self, start: usize, end: usize) -> bool {
         let event = &self.buf[start..end];
-        let mut lines = event.split(|byte| *byte == b'\n');
+        let mut lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
         let id = lines.find_map(|line| line.strip_prefix(b"id:"));
         let Some(id) = id.and_then(|id| std::str::from_utf8(id).ok()).map(str::trim) else {
             return true;
@@ -118,20 +180,3 @@
         _ => true,
     }
 }
-
-/// Returns where the first event that ends at or after `from` ends: after an empty line.
-fn event_end(buf: &[u8], from: usize) -> Option<usize> {
-    let mut at = from;
-    while let Some(offset) = buf[at..].iter().position(|byte| *byte == b'\n') {
-        let newline = at + offset;
-        let rest = &buf[newline + 1..];
-        if rest.starts_with(b"\n") {
-            return Some(newline + 2);
-        }
-        if rest.starts_with(b"\r\n") {
-            return Some(newline + 3);
-        }
-        at = newline + 1;
-    }
-    None
-}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -16,6 +16,7 @@
 mod test_gateway_crash_ledger;
 mod test_gateway_crash_spread;
 mod test_gateway_decaying_mean;
+mod test_gateway_event_splitter;
 mod test_gateway_fingerprint;
 mod test_gateway_fleet_spread;
 mod test_gateway_full_engines;
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -3,7 +3,6 @@
 pub mod connections;
 pub mod copying;
 pub mod engine_stream;
-pub mod event_stream;
 pub mod exchange;
 pub mod pace;
 pub mod relay;
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use leadstage_lib::gateway::event_splitter::EventSplitter;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::arrival;
@@ -39,7 +40,6 @@
 use crate::gateway::upstream::copying::MoveTarget;
 use crate::gateway::upstream::copying::TaskEvent;
 use crate::gateway::upstream::engine_stream::EngineStream;
-use crate::gateway::upstream::event_stream::EventSplitter;
 use crate::gateway::upstream::exchange::Exchange;
 use crate::gateway::upstream::pace::Pace;
 use crate::gateway::upstream::relay::engine_loss::EngineLoss;
