gateway: events that were sent before a stream broke reach its caller

What callers saw: the last event before the end of a broken stream was lost at times, with the connection already closing: 19 events in place of 20 in 5 of 15 streams of test_a_stream_that_ends_inside_an_event_looks_broken.

Cause: the error that breaks the body follows the last event at once, and the HTTP server drops what it has buffered when the body fails. The body returns the error with the next poll now, which comes after the write.

--- a/node/src/gateway/reply_body.rs
+++ b/node/src/gateway/reply_body.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -104,18 +105,28 @@
 pub struct StreamingBody {
     rx: mpsc::UnboundedReceiver<Chunk>,
     backlog: Arc<Backlog>,
+    is_broken: bool,
 }
 
 impl StreamingBody {
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BrokenStream>>> {
-        self.rx.poll_recv(cx).map(|chunk| {
-            chunk.map(|chunk| {
-                let (bytes, _held) = chunk?;
+        if self.is_broken {
+            return Poll::Ready(Some(Err(BrokenStream)));
+        }
+        match ready!(self.rx.poll_recv(cx)) {
+            Some(Ok((bytes, _held))) => {
                 self.backlog.bytes.fetch_sub(bytes.len(), Ordering::Relaxed);
                 self.backlog.polled.notify_one();
-                Ok(bytes)
-            })
-        })
+                Poll::Ready(Some(Ok(bytes)))
+            }
+            Some(Err(BrokenStream)) => {
+                // The connection writes what it has buffered before it polls again; an error discards that.
+                self.is_broken = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            None => Poll::Ready(None),
+        }
     }
 }
 
@@ -136,7 +147,7 @@
 pub fn streaming_body(memory: Arc<HeldBytes>) -> (StreamingBodySender, StreamingBody) {
     let (tx, rx) = mpsc::unbounded_channel();
     let backlog: Arc<Backlog> = Arc::default();
-    (StreamingBodySender { tx, backlog: backlog.clone(), memory }, StreamingBody { rx, backlog })
+    (StreamingBodySender { tx, backlog: backlog.clone(), memory }, StreamingBody { rx, backlog, is_broken: false })
 }
 
 impl StreamingBodySender {
