gateway: a stream that ends inside an event has been broken off

What callers saw: 200, 20 of 60 events and a part of the next one, framed as complete, whether the engine's response had a length, chunks or neither; also on routes whose streams may be resumed.

Cause: the end of the engine's body was taken for the end of the stream. What was left after the last whole event was passed on, and the caller's body ended in order.

Change: an end inside an event is handled like a broken connection: the stream goes on from a copy, at its engine, or after the last event at another one, within its attempts and the retry budget; otherwise the caller's connection is closed inside the body. The ends after a stop and past the deadline ask the same question.

Why this works: a caller is never sent a part of an event, and an event stream ends between two events.

--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -234,6 +234,9 @@
     /// Handles the end of the body of the engine's response.
     async fn on_body_end(&mut self) -> Result<(), StreamEnd> {
         self.log_body_end();
+        if self.events.is_inside_event() {
+            return self.on_break("ended inside an event").await;
+        }
         if self.may_be_stopped() && !self.engine_stream.is_framed() {
             return self.on_unframed_end().await;
         }
@@ -292,6 +295,7 @@
         sending.await.map_err(|_| StreamEnd::TimedOut)?.map_err(|_| StreamEnd::CallerLeft)
     }
 
+    /// Sends what follows the last event of a whole stream.
     async fn on_stream_end(&mut self) -> StreamEnd {
         let remainder = self.events.take_remainder();
         if remainder.is_empty() {
--- a/node/src/gateway/upstream/relay/stopping.rs
+++ b/node/src/gateway/upstream/relay/stopping.rs
@@ -142,10 +142,11 @@
                 }
                 Ok(None) => {
                     self.log_body_end();
-                    if self.engine_stream.is_framed() || !self.may_be_stopped() {
-                        return Some(self.on_stream_end().await);
+                    let ends = self.engine_stream.is_framed() || !self.may_be_stopped();
+                    if self.events.is_inside_event() || !ends {
+                        return None;
                     }
-                    return None;
+                    return Some(self.on_stream_end().await);
                 }
                 Ok(Some(Err(_))) | Err(_) => return None,
             }
