gateway: an answer on a streaming route that is no event stream is passed on as a whole

What callers would see: with the commit before, a JSON document ends inside an event, and would be called broken.

Change: a success whose type is not text/event-stream is read to its end like the answer to a plain call, and is not sent again. An engine that answers a request to resume like that has not resumed it.

--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -77,14 +77,14 @@
 /// Result of starting a stream.
 enum StartResult {
     Started(StartedStream),
-    /// An engine responded with an error of its own.
+    /// An engine responded with something other than an event stream, such as an error.
     Answered(BufferedResponse),
 }
 
 /// Outcome of one attempt at an engine.
 enum Attempt {
     Started(RunGuard, Exchange),
-    /// The engine responded with an error of its own.
+    /// The engine responded with something other than an event stream, such as an error.
     Answered(BufferedResponse),
     /// The request was not sent.
     NotSent,
@@ -147,6 +147,9 @@
                 }
                 continue;
             }
+            Attempt::Answered(answer) if answer.status.is_success() => {
+                return Ok(StartResult::Answered(answer));
+            }
             Attempt::Answered(answer) => best = Ok(StartResult::Answered(answer)),
             Attempt::NotRun if sent == 0 => best = Err(refusal(Code::UpstreamRefused)),
             Attempt::NotRun => {}
@@ -176,11 +179,19 @@
             run.end(Outcome::Refused);
             Attempt::NotRun
         }
-        Ok(exchanged) if exchanged.status.is_success() => Attempt::Started(run, exchanged),
+        Ok(exchanged) if exchanged.status.is_success() && exchanged.is_event_stream() => {
+            Attempt::Started(run, exchanged)
+        }
         Ok(exchanged) => {
+            let is_success = exchanged.status.is_success();
             let answer = exchanged.read_response(traffic, &replica, req).await;
-            traffic.sample_answer(req, &replica, true, Duration::ZERO);
-            run.end(Outcome::Failed);
+            if is_success && answer.is_ok() {
+                traffic.on_successful_run(req);
+                run.end(Outcome::Answered);
+            } else {
+                traffic.sample_answer(req, &replica, true, Duration::ZERO);
+                run.end(Outcome::Failed);
+            }
             match answer {
                 Ok(answer) if !answer.has_not_run_status() => Attempt::Answered(answer),
                 _ => Attempt::Unknown(Code::UpstreamLost),
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -34,6 +34,8 @@
 use crate::gateway::upstream::stall;
 use crate::gateway::upstream::traffic::Traffic;
 
+/// The media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Maximum size of the body of a response that is not streamed, as all of it is buffered.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
@@ -243,6 +245,15 @@
         framing.iter().any(|name| self.headers.contains_key(name))
     }
 
+    /// Whether the body is an event stream. An engine that names no type sends one.
+    pub fn is_event_stream(&self) -> bool {
+        let Some(content_type) = headers::text(&self.headers, &header::CONTENT_TYPE) else {
+            return true;
+        };
+        let media_type = content_type.split(';').next().unwrap_or_default().trim();
+        media_type.eq_ignore_ascii_case(EVENT_STREAM)
+    }
+
     /// Whether the connection leads to the replica directly, not through another node.
     pub fn is_direct(&self) -> bool {
         self.connection.is_direct
--- a/node/src/gateway/upstream/resuming.rs
+++ b/node/src/gateway/upstream/resuming.rs
@@ -52,7 +52,9 @@
     let added = req.added(&engine.id, Some(resume));
     let sent = exchange::send(traffic, engine, req, &added, ConnectionChoice::New, 1).await;
     let (why, reason) = match sent {
-        Ok(exchanged) if exchanged.status.is_success() => return Ok(exchanged),
+        Ok(exchanged) if exchanged.status.is_success() && exchanged.is_event_stream() => {
+            return Ok(exchanged);
+        }
         Ok(exchanged) if exchanged.says_not_run() => (ResumeFailure::Refused, exchanged.status.to_string()),
         Ok(exchanged) => (ResumeFailure::Failed, exchanged.status.to_string()),
         Err(
