tests: a third node reaches the engine when the one that carries a stream ends

With two nodes nobody reaches the engine once the carrier has ended, and a check of the engine alone would show that the stream is broken.

--- a/node/tests/test_gateway_partitioned_nodes.rs
+++ b/node/tests/test_gateway_partitioned_nodes.rs
@@ -255,7 +255,17 @@
     assert!(served_share(&after) > 0.99, "{}\n{}", served_share(&after), fleet.gateway.logs());
 }
 
-/// Starts an unframed stream at a node without a path, which another node carries.
+/// Number of events of streams that another node carries.
+const CARRIED_EVENTS: u64 = 200;
+
+/// Starts a fleet in which node 2 carries the calls of the others, which lack a path.
+async fn start_with_carrier() -> PartitionedFleet {
+    let fleet = PartitionedFleet::start(3, CARRIED_EVENTS).await;
+    fleet.partition(2, OpenLinks::Hang);
+    fleet
+}
+
+/// Starts an unframed stream at node 0.
 async fn call_through_carrier(fleet: &PartitionedFleet) -> CallResult {
     fleet.gateway.engines.set_stream_faults([StreamFault::Unframed]);
     let called = fleet.gateway.call(0, chat("r-chat")).await;
@@ -263,19 +273,20 @@
     called
 }
 
+/// Waits until node 2 carries the stream, then gives node 1 its path back: node 0 reaches the engine through it.
 async fn until_stream_is_carried(fleet: &PartitionedFleet) {
     let runs = || fleet.replicas.iter().any(|running| running.replica.running() > 0);
     fleet.gateway.until("the generation runs", async || runs()).await;
+    fleet.partition(1, OpenLinks::Hang);
     tokio::time::sleep(Duration::from_millis(300)).await;
 }
 
 #[tokio::test]
 async fn test_an_unframed_stream_is_not_taken_for_whole_when_the_node_that_carries_it_is_killed() {
-    let fleet = PartitionedFleet::start(2, 60).await;
-    fleet.partition(1, OpenLinks::Hang);
+    let fleet = start_with_carrier().await;
     let kill = async {
         until_stream_is_carried(&fleet).await;
-        fleet.gateway.signal(1, "-KILL");
+        fleet.gateway.signal(2, "-KILL");
     };
     let (called, ()) = tokio::join!(call_through_carrier(&fleet), kill);
     assert!(!called.whole, "{:?}\n{}", called.events(), fleet.gateway.logs());
@@ -283,25 +294,24 @@
 
 #[tokio::test]
 async fn test_an_unframed_stream_is_not_taken_for_whole_when_the_node_that_carries_it_stops() {
-    let fleet = PartitionedFleet::start(2, 60).await;
-    fleet.partition(1, OpenLinks::Hang);
+    let fleet = start_with_carrier().await;
     let stop = async {
         until_stream_is_carried(&fleet).await;
         fleet.proxies.iter().for_each(|proxy| proxy.set(LinkFault::OneWay));
-        fleet.gateway.signal(1, "-TERM");
-        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        fleet.gateway.signal(2, "-TERM");
+        tokio::time::sleep(Duration::from_millis(800)).await;
         fleet.proxies.iter().for_each(|proxy| proxy.set(LinkFault::None));
     };
     let (called, ()) = tokio::join!(call_through_carrier(&fleet), stop);
-    assert!(!called.whole || called.events() == Some(60), "{:?}\n{}", called.events(), fleet.gateway.logs());
+    let is_whole = called.events() == Some(CARRIED_EVENTS);
+    assert_eq!(called.whole, is_whole, "{:?}\n{}", called.events(), fleet.gateway.logs());
 }
 
 #[tokio::test]
 async fn test_an_unframed_stream_that_another_node_carries_is_whole() {
-    let fleet = PartitionedFleet::start(2, 60).await;
-    fleet.partition(1, OpenLinks::Hang);
+    let fleet = start_with_carrier().await;
     let called = call_through_carrier(&fleet).await;
-    assert_eq!((called.whole, called.events()), (true, Some(60)), "{}", fleet.gateway.logs());
+    assert_eq!((called.whole, called.events()), (true, Some(CARRIED_EVENTS)), "{}", fleet.gateway.logs());
 }
 
 /// Guards against running streams that end when their node loses its path while the engine goes on.
