gateway: an unframed response is whole only if its replica outlives it

What callers saw: 19 of 60 events of a stream, or a part of the body of a plain call with status 200, framed as complete, when the replica's process ended between two events, or inside a body without a length or chunks.

Cause: the kernel closes the connections of a process that ends in order. Without a length or chunks that looks like the end of the answer. The end of a stream whose engine did not answer a call to stop it was taken for regular even if that call found no engine.

Change: after such an end the replica's health is checked before the caller's answer ends. It is whole if the replica answers as itself, or a process at its address holds the connection open, and broken if the connection is refused, cannot be opened, or another replica answers. A broken stream or call goes the way of one whose connection broke. What counts as framed is asked of the HTTP client, which also knows answers without a body and other transfer codings.

Ruled out: ending the caller's answer without a length too, as it would promise nothing but tell nothing either; calling a stream broken whenever its engine is leaving, as those end whole ones too.

Not told apart: a process that ends just after it has answered in full. Its stream goes on elsewhere if it may, otherwise it looks broken.

Three places built the same health check; there is one now.

--- a/node/src/gateway/control/crash_intake.rs
+++ b/node/src/gateway/control/crash_intake.rs
@@ -309,7 +309,7 @@
         Health::Well { .. } | Health::Unwell | Health::Leaving => CheckResult::Lives,
         Health::Other => CheckResult::Replaced,
         Health::Closed => CheckResult::PortClosed,
-        Health::Silent => CheckResult::Silent,
+        Health::Unreached | Health::Broken | Health::Silent => CheckResult::Silent,
     };
     shared.notify(ToControl::CheckedAfterBreak(replica.incarnation(), result));
 }
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -210,7 +210,7 @@
             Health::Unwell => LeavingSign::Unhealthy,
             Health::Leaving => LeavingSign::Announced,
             Health::Other => LeavingSign::Replaced,
-            Health::Silent | Health::Closed => {
+            Health::Silent | Health::Broken | Health::Unreached | Health::Closed => {
                 return placing.state.replicas.on_incarnation_failure(&incarnation, now);
             }
         };
--- a/node/src/gateway/reply_body.rs
+++ b/node/src/gateway/reply_body.rs
@@ -147,7 +147,10 @@
 pub fn streaming_body(memory: Arc<HeldBytes>) -> (StreamingBodySender, StreamingBody) {
     let (tx, rx) = mpsc::unbounded_channel();
     let backlog: Arc<Backlog> = Arc::default();
-    (StreamingBodySender { tx, backlog: backlog.clone(), memory }, StreamingBody { rx, backlog, is_broken: false })
+    (
+        StreamingBodySender { tx, backlog: backlog.clone(), memory },
+        StreamingBody { rx, backlog, is_broken: false },
+    )
 }
 
 impl StreamingBodySender {
--- a/node/src/gateway/upstream.rs
+++ b/node/src/gateway/upstream.rs
@@ -4,6 +4,7 @@
 pub mod copying;
 pub mod engine_stream;
 pub mod exchange;
+pub mod liveness;
 pub mod pace;
 pub mod relay;
 pub mod replica_headers;
--- a/node/src/gateway/upstream/engine_stream.rs
+++ b/node/src/gateway/upstream/engine_stream.rs
@@ -27,7 +27,7 @@
 
     /// Whether the end of the response can be told apart from a connection that just closes.
     pub fn is_framed(&self) -> bool {
-        self.exchange.as_ref().is_some_and(Exchange::is_framed)
+        self.exchange.as_ref().is_some_and(|exchange| exchange.is_framed)
     }
 
     /// Whether the response comes from the engine directly, not through another node.
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -11,6 +11,7 @@
 use http::header;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
@@ -133,6 +134,8 @@
     pub body: Incoming,
     /// When the head was received: an engine sends the head when it starts to run the request.
     pub head_received: Instant,
+    /// Whether the end of the body can be told apart from a connection that just closes.
+    pub is_framed: bool,
     connection: Connection,
 }
 
@@ -203,6 +206,7 @@
     }
     traffic.on_response_head(req, replica, &head, sent_at);
     Ok(Exchange {
+        is_framed: body.size_hint().exact().is_some() || headers::is_chunked(&head.headers),
         status: head.status,
         headers: head.headers,
         body,
@@ -239,12 +243,6 @@
         headers::reports_not_run(self.status, &self.headers)
     }
 
-    /// Whether the end of the body can be told apart from a connection that just closes.
-    pub fn is_framed(&self) -> bool {
-        let framing = [header::TRANSFER_ENCODING, header::CONTENT_LENGTH];
-        framing.iter().any(|name| self.headers.contains_key(name))
-    }
-
     /// Whether the body is an event stream. An engine that names no type sends one.
     pub fn is_event_stream(&self) -> bool {
         let Some(content_type) = headers::text(&self.headers, &header::CONTENT_TYPE) else {
@@ -266,7 +264,11 @@
         replica: &ReplicaRecord,
         req: &CallerRequest,
     ) -> Result<BufferedResponse, SendError> {
-        let answer = self.read(&traffic.shared.held, &traffic.connections, replica, req.deadline()).await;
+        let is_framed = self.is_framed;
+        let mut answer = self.read(&traffic.shared.held, &traffic.connections, replica, req.deadline()).await;
+        if answer.is_ok() && !is_framed && !traffic.outlives_response(req, replica).await {
+            answer = Err(SendError::Truncated("the replica has ended".to_owned()));
+        }
         if matches!(answer, Err(SendError::Truncated(_))) {
             traffic.on_broken_run(req, replica, None, 0);
         }
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -237,10 +237,26 @@
         if self.events.is_inside_event() {
             return self.on_break("ended inside an event").await;
         }
-        if self.may_be_stopped() && !self.engine_stream.is_framed() {
+        if self.engine_stream.is_framed() {
+            return Err(self.on_stream_end().await);
+        }
+        if self.may_be_stopped() {
             return self.on_unframed_end().await;
         }
-        Err(self.on_stream_end().await)
+        self.on_unstopped_end().await
+    }
+
+    /// Handles the end of an unframed stream that was not stopped: it is whole if its engine runs on.
+    async fn on_unstopped_end(&mut self) -> Result<(), StreamEnd> {
+        if self.outlived_by_engine().await {
+            return Err(self.on_stream_end().await);
+        }
+        self.on_break("closed by an engine that has ended").await
+    }
+
+    async fn outlived_by_engine(&self) -> bool {
+        let engine = &self.engine_stream.run.placed.replica;
+        self.lost_at.is_none() && self.traffic.outlives_response(&self.req, engine).await
     }
 
     fn log_body_end(&self) {
--- a/node/src/gateway/upstream/relay/after_stop.rs
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -65,7 +65,7 @@
                 (StopOutcome::NotRunning | StopOutcome::Busy | StopOutcome::NotSent, _)
                     if self.stops.is_only_call() =>
                 {
-                    return Err(self.on_stream_end().await);
+                    return self.on_unstopped_end().await;
                 }
                 _ => {}
             }
--- a/node/src/gateway/upstream/stall.rs
+++ b/node/src/gateway/upstream/stall.rs
@@ -9,8 +9,6 @@
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::routing::Route;
 use leadstage_platform::arrival;
-use leadstage_platform::health;
-use leadstage_platform::health::Health;
 use log::info;
 use tokio::time::Instant;
 
@@ -21,8 +19,6 @@
 /// A running stream is considered stalled after this many times its route's objective for the gap between
 /// events: moves and busy engines make some gaps longer than the objective.
 const STALL_OBJECTIVE_GAPS: u32 = 4;
-/// Timeout of an engine's answer to a health check.
-const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// What to do about a silent engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,14 +68,11 @@
 
 /// Whether the engine is gone; if so, the control loop is notified.
 pub async fn is_gone(traffic: &Traffic, req: &CallerRequest, engine: &ReplicaRecord) -> bool {
-    let Some(service) = req.table.service(&req.service) else {
+    let Some(health) = traffic.check_health(req, engine).await else {
         return false;
     };
-    let health =
-        health::check(traffic.dialer(&engine.service), engine, &service.health_path, HEALTH_CHECK_TIMEOUT)
-            .await;
     info!(event = "silence_doubted", request = req.id(), upstream = &*engine.id, health:? = health; "checked the health of a silent engine");
-    let is_gone = matches!(health, Health::Silent | Health::Closed | Health::Other);
+    let is_gone = !health.is_from_replica();
     if is_gone {
         traffic.shared.notify(ToControl::Health(engine.incarnation(), health));
     }
--- a/node/src/gateway/upstream/suspicion.rs
+++ b/node/src/gateway/upstream/suspicion.rs
@@ -9,7 +9,7 @@
 use leadstage_lib::gateway::crash_ledger::SuspectStatus;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::loss_limit;
-use leadstage_platform::health;
+use leadstage_platform::health::Health;
 use log::info;
 use tokio::time::Instant;
 
@@ -20,10 +20,6 @@
 use crate::gateway::upstream::traffic::Traffic;
 use crate::shared::unix_millis;
 
-/// Timeout of the health check of a replica at which a run of this attempt broke: the caller waits
-/// meanwhile.
-const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
-
 impl Traffic {
     /// Records that a request's run at a replica broke before the end of the response. `began` is when
     /// the run started, if that is known; `events` is the number of events that the caller has received
@@ -91,13 +87,7 @@
     }
 
     async fn is_alive(&self, req: &CallerRequest, replica: &ReplicaRecord) -> bool {
-        let Some(service) = req.table.service(&req.service) else {
-            return false;
-        };
-        let health =
-            health::check(self.dialer(&replica.service), replica, &service.health_path, HEALTH_CHECK_TIMEOUT)
-                .await;
-        health.is_from_replica()
+        self.check_health(req, replica).await.is_some_and(Health::is_from_replica)
     }
 
     /// Whether a request must not be sent to any replica.
