gateway: a tunnel whose node ends is reset

What callers saw: 18 of 200 events of an unframed stream, framed as complete, when the node that carried its connection was killed, or stopped as planned while the stream paused for half a second. The engine ran on.

Cause: the kernel closes the connections of a process that ends in order, and so does a carrier that drops a tunnel. The other node took that for the replica's own close.

Change: a carrier's connection to the other node resets when it is closed, from before the first byte on. Only after the replica has closed in order is that taken back, and the connection closed in order. This holds for any end of the process, as the kernel does it.

Ruled out: asking the carrier after each end, as it may be gone; chunks of our own inside the tunnel, which the kernel's reset makes superfluous.

A stream that may not be resumed still ends when its carrier stops during a pause of half a second; it looks broken now.

--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -17,6 +17,7 @@
 mod reply;
 mod reply_body;
 mod request;
+mod reset_on_close;
 pub mod settings;
 mod shared;
 mod start;
--- a/node/src/gateway/peers/tunnel_port.rs
+++ b/node/src/gateway/peers/tunnel_port.rs
@@ -1,8 +1,10 @@
 //! Carries connections of nodes that have lost their path to replicas: answers `CONNECT` on the peer port.
 //!
 //! The other node speaks HTTP with the replica through the tunnel, so that all it promises its callers holds
-//! as on a connection of its own. Ends are passed on as they are: a reset as a reset, and when the other node
-//! closes, the replica's connection is closed at once. A tunnel ends at a replica, never at another tunnel.
+//! as on a connection of its own. An orderly end of the replica's connection is passed on as one. Any other end
+//! of a tunnel is a reset, also that of this process: an orderly end would look like the end of an answer that
+//! has neither a length nor chunks. When the other node closes, the replica's connection is closed at once. A
+//! tunnel ends at a replica, never at another tunnel.
 
 use std::cell::Cell;
 use std::io;
@@ -23,7 +25,6 @@
 use leadstage_lib::gateway::routing::ServiceId;
 use log::debug;
 use log::info;
-use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -35,6 +36,7 @@
 use crate::gateway::messages::ToControl;
 use crate::gateway::observability::metrics::TunnelAnswer;
 use crate::gateway::replica_dialer::ReplicaDialer;
+use crate::gateway::reset_on_close;
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
 
@@ -151,6 +153,10 @@
         return;
     };
     let client = parts.io.into_inner();
+    if let Err(err) = reset_on_close::set(&client, true) {
+        info!(event = "tunnel_lost", replica:% = replica, reason:% = err; "a tunnel ended before it was used");
+        return;
+    }
     let mut upstream = upstream;
     if upstream.write_all(&parts.read_buf).await.is_ok() {
         let activity = Activity::default();
@@ -221,10 +227,8 @@
         () = requests => None,
         end = answers => Some(end),
     };
-    match end {
-        Some(CopyEnd::Closed) => close(client).await,
-        Some(CopyEnd::Broken) => reset(&client),
-        Some(CopyEnd::ReceiverGone) | None => {}
+    if end == Some(CopyEnd::Closed) {
+        close(client).await;
     }
 }
 
@@ -247,6 +251,7 @@
 /// Closes the connection to the other node after the replica closed its own in order.
 async fn close(mut client: TcpStream) {
     let closing = async {
+        reset_on_close::set(&client, false)?;
         client.shutdown().await?;
         let mut buf = vec![0; BUF_BYTES];
         while client.read(&mut buf).await? > 0 {}
@@ -255,10 +260,3 @@
     // However this ends, the socket is closed now.
     let _ = tokio::time::timeout(CLOSE_TIMEOUT, closing).await;
 }
-
-/// Makes the connection to the other node end with a reset, so that a truncated answer does not look complete.
-fn reset(client: &TcpStream) {
-    if let Err(err) = SockRef::from(client).set_linger(Some(Duration::ZERO)) {
-        debug!(event = "tunnel_not_reset", reason:% = err; "a tunnel can't be reset");
-    }
-}
