gateway: a broken stream is reset where its end is that of the connection

What callers saw: callers that speak HTTP/1.0 got a broken stream, or one whose node was killed, with an orderly end: their answers have neither a length nor chunks, so that looks whole.

Cause: the connection was closed like after a whole answer, by the node or, when it was killed, by the kernel.

Evidence: test_a_broken_stream_looks_broken_to_a_caller_without_chunks: three orderly ends before, three resets now; a whole stream ends in order.

Change: before the first byte of such an answer the connection is set to reset when it is closed; the HTTP server's shutdown after a whole answer takes that back. Answers with a length and HTTP/1.1 callers are as before.

Ruled out: refusing such callers; reading their streams to the end first, which would hold events back.

--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -6,7 +6,9 @@
 
 use http::HeaderValue;
 use http::Request;
+use http::Version;
 use http::header;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -20,6 +22,7 @@
 
 use crate::gateway::http_port;
 use crate::gateway::ingress::io_watch::Activity;
+use crate::gateway::ingress::io_watch::EndsResponse;
 use crate::gateway::ingress::io_watch::ServingGuard;
 use crate::gateway::ingress::io_watch::WatchedIo;
 use crate::gateway::ingress::plain;
@@ -88,12 +91,21 @@
 /// Serves one connection until either side closes it or it exceeds a limit.
 async fn serve_connection(traffic: Traffic, stream: TcpStream) {
     let activity = Activity::new();
-    let io = TokioIo::new(WatchedIo::new(stream, activity.clone()));
+    let ends_response = EndsResponse::default();
+    let io = TokioIo::new(WatchedIo::new(stream, activity.clone(), ends_response.clone()));
     let shared = traffic.shared.clone();
     let service_activity = activity.clone();
-    let service = service_fn(move |req| {
+    let service = service_fn(move |req: Request<Incoming>| {
         let (traffic, activity) = (traffic.clone(), service_activity.clone());
-        async move { Ok::<_, Infallible>(handle(&traffic, req, &activity).await) }
+        let ends_response = ends_response.clone();
+        async move {
+            let knows_chunks = req.version() >= Version::HTTP_11;
+            let reply = handle(&traffic, req, &activity).await;
+            if !knows_chunks && reply.body().size_hint().exact().is_none() {
+                ends_response.mark();
+            }
+            Ok::<_, Infallible>(reply)
+        }
     });
     let mut builder = http1::Builder::new();
     builder.max_buf_size(limits(&shared).head_bytes.max(MIN_BUFFER_BYTES)).half_close(false);
--- a/node/src/gateway/ingress/io_watch.rs
+++ b/node/src/gateway/ingress/io_watch.rs
@@ -18,6 +18,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::gateway::reset_on_close;
+
 /// Interval between two checks of a connection whose request is being served: no limit applies then, and
 /// the connection is polled whenever something happens on it.
 const SERVING_CHECK_INTERVAL: Duration = Duration::from_secs(60);
@@ -37,6 +39,17 @@
 #[derive(Clone, Debug)]
 pub struct Activity(Rc<Cell<ConnectionState>>);
 
+/// Whether the connection's end marks the end of a response, shared with the requests on it.
+#[derive(Clone, Debug, Default)]
+pub struct EndsResponse(Rc<Cell<bool>>);
+
+impl EndsResponse {
+    /// Marks the response that is about to be sent.
+    pub fn mark(&self) {
+        self.0.set(true);
+    }
+}
+
 impl Activity {
     /// State of a connection that has just been accepted.
     pub fn new() -> Self {
@@ -130,16 +143,31 @@
     }
 }
 
-/// A caller's socket that records reads.
+/// A caller's socket that records reads, and is reset unless it is shut down in order once its end marks the
+/// end of a response.
 pub struct WatchedIo {
     stream: TcpStream,
     activity: Activity,
+    ends_response: EndsResponse,
+    resets_on_close: bool,
 }
 
 impl WatchedIo {
     /// Wraps `stream` and records its reads in `activity`.
-    pub fn new(stream: TcpStream, activity: Activity) -> Self {
-        WatchedIo { stream, activity }
+    pub fn new(stream: TcpStream, activity: Activity, ends_response: EndsResponse) -> Self {
+        WatchedIo { stream, activity, ends_response, resets_on_close: false }
+    }
+
+    fn set_resets_on_close(&mut self, resets: bool) -> io::Result<()> {
+        if resets != self.resets_on_close {
+            reset_on_close::set(&self.stream, resets)?;
+            self.resets_on_close = resets;
+        }
+        Ok(())
+    }
+
+    fn before_write(&mut self) -> io::Result<()> {
+        self.set_resets_on_close(self.ends_response.0.get())
     }
 }
 
@@ -160,6 +188,7 @@
 
 impl AsyncWrite for WatchedIo {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.before_write()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -168,6 +197,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.before_write()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -180,6 +210,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.set_resets_on_close(false)?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
