node: an unframed answer to a plain call is whole only if its replica runs on

What callers of the completions interface saw: 200 and a part of the body of a plain call whose replica ended inside an answer without a length or chunks, framed as complete, and recorded as the outcome of the call's idempotency key.

Change: after such an answer the node connects to the replica's address. If nothing accepts there the call may have run, and is handled so. The services of that interface have no health check that tells which process answers: one that restarts within the round trip is taken for the one before. How a body is framed is asked in one place for both interfaces.

Streams of that interface were looked at: they end with the event that the engine marks as its last, whatever the connection does.

--- a/node/src/call.rs
+++ b/node/src/call.rs
@@ -160,7 +160,7 @@
         let Some(request) = request_for(call, &replica) else {
             return SendOutcome::NotRun(Code::BadHeader);
         };
-        match dispatch::call(request, cx.bundle.bounds.call_within).await {
+        match dispatch::call(replica.address, request, cx.bundle.bounds.call_within).await {
             Ok(answer) => return SendOutcome::Answered(answer),
             Err(SendError::NotSent) => {
                 let _ = shared.control.send(ControlMessage::UpstreamFailed(replica.id.clone()));
--- a/node/src/filters/dispatch.rs
+++ b/node/src/filters/dispatch.rs
@@ -18,6 +18,7 @@
 
 use crate::filters::place::GenerationRequest;
 use crate::filters::route::GenerationKind;
+use crate::framing;
 use crate::upstream_client;
 use crate::upstream_client::SendError;
 
@@ -124,15 +125,24 @@
 /// Size limit of the response to a plain call.
 const MAX_CALL_RESPONSE_BYTES: usize = 8 << 20;
 
-/// Sends a plain call to a replica and reads its complete response.
-pub async fn call(request: Request<Full<Bytes>>, limit: Duration) -> Result<CallResponse, SendError> {
+/// Sends a plain call to the replica at `address` and reads its complete response. One that ended with its
+/// connection is complete if the replica runs on: the kernel closes the connections of a process that ends too.
+pub async fn call(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<CallResponse, SendError> {
     let exchange = async {
         let res = upstream_client::send(request, limit).await?;
+        let is_framed = framing::is_framed(res.headers(), res.body());
         let status = res.status().as_u16();
         let header = res.headers().get("content-type").and_then(|v| v.to_str().ok());
         let content_type = header.unwrap_or("application/octet-stream").to_owned();
         let body = http_body_util::Limited::new(res.into_body(), MAX_CALL_RESPONSE_BYTES);
         let body = body.collect().await.map_err(|_| SendError::MayHaveRun)?.to_bytes();
+        if !is_framed && !upstream_client::accepts_connections(address).await {
+            return Err(SendError::MayHaveRun);
+        }
         Ok(CallResponse { status, content_type, body })
     };
     arrival::timeout(limit, exchange).await.unwrap_or(Err(SendError::TimedOut))
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -11,7 +11,6 @@
 use http::header;
 use http_body_util::Full;
 use http_body_util::Limited;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
@@ -21,6 +20,7 @@
 use log::info;
 use tokio::time::Instant;
 
+use crate::framing;
 use crate::gateway::held_bytes;
 use crate::gateway::held_bytes::HeldBytes;
 use crate::gateway::held_bytes::HeldGuard;
@@ -206,7 +206,7 @@
     }
     traffic.on_response_head(req, replica, &head, sent_at);
     Ok(Exchange {
-        is_framed: body.size_hint().exact().is_some() || headers::is_chunked(&head.headers),
+        is_framed: framing::is_framed(&head.headers, &body),
         status: head.status,
         headers: head.headers,
         body,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -15,6 +15,7 @@
 mod entry;
 mod entry_generations;
 mod filters;
+mod framing;
 mod gateway;
 mod generation;
 mod leads;
--- a/node/src/upstream_client.rs
+++ b/node/src/upstream_client.rs
@@ -1,6 +1,7 @@
 //! The HTTP client of the traffic threads. Each thread has its own, so that threads share no connections.
 
 use std::cell::OnceCell;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 use leadstage_platform::arrival;
+use tokio::net::TcpStream;
 
 /// Timeout for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -55,6 +57,12 @@
     })
 }
 
+/// Whether a process accepts connections at `address`.
+pub async fn accepts_connections(address: SocketAddr) -> bool {
+    let connected = arrival::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Ok(_)))
+}
+
 /// Sends a request and waits up to `limit` for the head of the response.
 pub async fn send(req: Request<Full<Bytes>>, limit: Duration) -> Result<Response<Incoming>, SendError> {
     match arrival::timeout(limit, client().request(req)).await {
--- a/node/tests/test_calls.rs
+++ b/node/tests/test_calls.rs
@@ -3,6 +3,11 @@
 
 use std::time::Duration;
 
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
 use crate::environment::Env;
 use crate::environment::Options;
 use crate::environment::error_code;
@@ -209,3 +214,44 @@
     let codes = [first, other_body, other_organisation, without_key].map(|r| status_or_code(&r));
     assert_eq!(codes, [200, 2009, 200, 200]);
 }
+
+/// Replaces the service with one that answers one call with `body`, without a length or chunks. Its port is closed
+/// before the connection is if the service `ends`.
+async fn answer_unframed(env: &mut Env, body: &str, ends: bool) -> JoinHandle<TcpListener> {
+    env.kill("booking-1");
+    let listen = || TcpListener::bind(env.address("booking-1"));
+    let listener = listen().await.expect("the port is free");
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n{body}");
+    let address = env.address("booking-1");
+    tokio::spawn(async move {
+        let (mut connection, _) = listener.accept().await.expect("a connection");
+        let mut buf = [0; 4 << 10];
+        let read = connection.read(&mut buf).await.expect("a request");
+        assert!(read > 0);
+        connection.write_all(answer.as_bytes()).await.expect("the answer is read");
+        if !ends {
+            drop(connection);
+            return listener;
+        }
+        drop(listener);
+        drop(connection);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        TcpListener::bind(address).await.expect("the port is free")
+    })
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_an_unframed_answer_whose_service_ends_is_not_taken_for_whole() {
+    let mut rows = Vec::new();
+    for (body, ends) in [("whole", false), ("par", true)] {
+        let mut env = Env::start(Options { engines: 0, ..Options::default() }).await;
+        let service = answer_unframed(&mut env, body, ends).await;
+        let reply = env.book(1, None).await;
+        rows.push(format!("{body}: {}", status_or_code(&reply)));
+        service.await.expect("the service answers");
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    whole: 200
+    par: 3001
+    ");
+}
