gateway: a stream's body is complete only if its relay says so

What callers would see: a stream whose relay ends without a word, as when it panics, would end in order, framed as complete.

Change: the relay sends the end, and the body breaks when the channel closes without it. There is no test of its own: nothing makes a relay panic from outside.

The check of a replica is boxed all the same, as each open request would hold it.

--- a/node/src/gateway/reply_body.rs
+++ b/node/src/gateway/reply_body.rs
@@ -91,8 +91,13 @@
     }
 }
 
-/// A chunk of a stream, with the guard of its bytes.
-type Chunk = Result<(Bytes, HeldGuard), BrokenStream>;
+/// A part of a streaming body.
+enum Part {
+    /// Bytes, with the guard that holds them.
+    Chunk(Bytes, HeldGuard),
+    /// The body is complete.
+    End,
+}
 
 /// Bytes that wait for the caller, shared by both ends of a streaming body.
 #[derive(Default)]
@@ -103,29 +108,34 @@
 
 /// Receiving end of a streaming body, which the caller's connection reads.
 pub struct StreamingBody {
-    rx: mpsc::UnboundedReceiver<Chunk>,
+    rx: mpsc::UnboundedReceiver<Part>,
     backlog: Arc<Backlog>,
-    is_broken: bool,
+    end: Option<Result<(), BrokenStream>>,
 }
 
 impl StreamingBody {
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BrokenStream>>> {
-        if self.is_broken {
-            return Poll::Ready(Some(Err(BrokenStream)));
+        match self.end {
+            Some(Ok(())) => return Poll::Ready(None),
+            Some(Err(broken)) => return Poll::Ready(Some(Err(broken))),
+            None => {}
         }
         match ready!(self.rx.poll_recv(cx)) {
-            Some(Ok((bytes, _held))) => {
+            Some(Part::Chunk(bytes, _held)) => {
                 self.backlog.bytes.fetch_sub(bytes.len(), Ordering::Relaxed);
                 self.backlog.polled.notify_one();
                 Poll::Ready(Some(Ok(bytes)))
             }
-            Some(Err(BrokenStream)) => {
+            Some(Part::End) => {
+                self.end = Some(Ok(()));
+                Poll::Ready(None)
+            }
+            None => {
                 // The connection writes what it has buffered before it polls again; an error discards that.
-                self.is_broken = true;
+                self.end = Some(Err(BrokenStream));
                 cx.waker().wake_by_ref();
                 Poll::Pending
             }
-            None => Poll::Ready(None),
         }
     }
 }
@@ -135,10 +145,10 @@
 #[display("the caller's connection is closed")]
 pub struct CallerDisconnected;
 
-/// Sending end of a streaming body.
+/// Sending end of a streaming body. The body breaks if all senders are dropped before one of them ends it.
 #[derive(Clone)]
 pub struct StreamingBodySender {
-    tx: mpsc::UnboundedSender<Chunk>,
+    tx: mpsc::UnboundedSender<Part>,
     backlog: Arc<Backlog>,
     memory: Arc<HeldBytes>,
 }
@@ -147,10 +157,7 @@
 pub fn streaming_body(memory: Arc<HeldBytes>) -> (StreamingBodySender, StreamingBody) {
     let (tx, rx) = mpsc::unbounded_channel();
     let backlog: Arc<Backlog> = Arc::default();
-    (
-        StreamingBodySender { tx, backlog: backlog.clone(), memory },
-        StreamingBody { rx, backlog, is_broken: false },
-    )
+    (StreamingBodySender { tx, backlog: backlog.clone(), memory }, StreamingBody { rx, backlog, end: None })
 }
 
 impl StreamingBodySender {
@@ -168,13 +175,13 @@
             () = self.tx.closed() => return Err(CallerDisconnected),
         };
         self.backlog.bytes.fetch_add(events.len(), Ordering::Relaxed);
-        self.tx.send(Ok((events, held))).map_err(|_| CallerDisconnected)
+        self.tx.send(Part::Chunk(events, held)).map_err(|_| CallerDisconnected)
     }
 
-    /// Ends the body with an error before it is complete.
-    pub fn abort(&self) {
+    /// Ends the body, which is complete.
+    pub fn end(self) {
         // The receiver may be gone already.
-        let _ = self.tx.send(Err(BrokenStream));
+        let _ = self.tx.send(Part::End);
     }
 
     /// Waits until the caller's connection is closed.
--- a/node/src/gateway/upstream/liveness.rs
+++ b/node/src/gateway/upstream/liveness.rs
@@ -45,7 +45,8 @@
             if check > 0 {
                 tokio::time::sleep(END_CHECK_DELAY).await;
             }
-            health = self.check_health_within(req, replica, END_CHECK_TIMEOUT).await;
+            // On the heap: each of the futures around this one would hold it, for every open request.
+            health = Box::pin(self.check_health_within(req, replica, END_CHECK_TIMEOUT)).await;
             if health != Some(Health::Broken) {
                 break;
             }
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -169,8 +169,8 @@
         };
         let tx = self.tx.clone();
         self.close(outcome);
-        if end != StreamEnd::Done && end != StreamEnd::CallerLeft {
-            tx.abort();
+        if end == StreamEnd::Done {
+            tx.end();
         }
     }
 
