--- a/node/tests/test_gateway_soak.rs
+++ b/node/tests/test_gateway_soak.rs
@@ -17,8 +17,10 @@
 use leadstage_testutils::faulty_proxy::FaultyProxy;
 use leadstage_testutils::faulty_proxy::LinkFault;
 use leadstage_testutils::gateway_replica::CopyFault;
+use leadstage_testutils::gateway_replica::Framing;
 use leadstage_testutils::gateway_replica::GatewayReplica;
 use leadstage_testutils::gateway_replica::ReplicaFault;
+use leadstage_testutils::gateway_replica::StreamEnding;
 use leadstage_testutils::gateway_replica::StreamFault;
 use leadstage_testutils::metadata_store::Copy;
 use leadstage_testutils::metadata_store::StoreFault;
@@ -206,8 +208,21 @@
         self.restart_exited_nodes();
     }
 
-    /// Applies a random event that is not a fault: an engine announces in its responses that it leaves, a
-    /// plain replica refuses requests and asks for a back-off, or the store is restored from a copy.
+    /// A stream without a length or chunks, or one that ends inside an event.
+    fn random_ending(&mut self) -> StreamFault {
+        const FRAMINGS: [Framing; 3] = [Framing::Chunked, Framing::Length, Framing::Unframed];
+        const RESTS: [&str; 3] = ["i", "id: 77\n", "id: 77\ndata: token 77\n"];
+        if self.event_rng.random_bool(0.5) {
+            return StreamFault::Unframed;
+        }
+        let framing = FRAMINGS[self.event_rng.random_range(0..FRAMINGS.len())];
+        let rest = RESTS[self.event_rng.random_range(0..RESTS.len())];
+        StreamFault::Ends(StreamEnding { framing, events: self.event_rng.random_range(0..EVENTS), rest })
+    }
+
+    /// Applies a random event that is not among the faults: an engine announces in its responses that it leaves, a
+    /// plain replica refuses requests and asks for a back-off, answers end with their connections or inside an
+    /// event, or the store is restored from a copy.
     fn apply_random_event(&mut self) {
         let at = self.event_rng.random_range(0..ENGINE_COUNT);
         match self.event_rng.random_range(0..10) {
@@ -220,6 +235,11 @@
                 Some(copy) => self.restore_store(copy),
                 None => self.copy = Some(self.gateway.store.copy()),
             },
+            3 => {
+                let chosen: Vec<StreamFault> = (0..4).map(|_| self.random_ending()).collect();
+                self.gateway.engines.set_stream_faults(chosen);
+            }
+            4 => self.bookings[at].replica.set_fault(ReplicaFault::Unframed),
             _ => {}
         }
     }
