gateway: an unframed stream without any event has been cut off

What callers saw: 200 and an empty stream, framed as complete, when an engine closed a response without a length or chunks before its first event.

Cause: as for an end inside an event. A generation has one event at least, so that its stream can't be whole; with a length or chunks the engine says itself that it is.

Checked: test_an_unframed_stream_that_ends_before_its_first_event_looks_broken, two empty answers before; one is broken now, and the resumable one has 60 of 60 events.

--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -234,8 +234,8 @@
     /// Handles the end of the body of the engine's response.
     async fn on_body_end(&mut self) -> Result<(), StreamEnd> {
         self.log_body_end();
-        if self.events.is_inside_event() {
-            return self.on_break("ended inside an event").await;
+        if self.is_cut_off() {
+            return self.on_break("ended inside an event, or before the first one").await;
         }
         if self.engine_stream.is_framed() {
             return Err(self.on_stream_end().await);
@@ -246,6 +246,12 @@
         self.on_unstopped_end().await
     }
 
+    /// Whether the body that has ended shows by itself that it is not whole.
+    fn is_cut_off(&self) -> bool {
+        let has_events = self.pace.first.is_some() || self.req.last_event().is_some();
+        self.events.is_inside_event() || (!has_events && !self.engine_stream.is_framed())
+    }
+
     /// Handles the end of an unframed stream that was not stopped: it is whole if its engine runs on.
     async fn on_unstopped_end(&mut self) -> Result<(), StreamEnd> {
         if self.outlived_by_engine().await {
--- a/node/src/gateway/upstream/relay/stopping.rs
+++ b/node/src/gateway/upstream/relay/stopping.rs
@@ -147,7 +147,7 @@
                 }
                 Ok(None) => {
                     self.log_body_end();
-                    if self.events.is_inside_event() || !self.is_end_regular().await {
+                    if self.is_cut_off() || !self.is_end_regular().await {
                         return None;
                     }
                     return Some(self.on_stream_end().await);
--- a/node/tests/test_gateway_broken_answers.rs
+++ b/node/tests/test_gateway_broken_answers.rs
@@ -93,6 +93,27 @@
     ");
 }
 
+#[tokio::test]
+async fn test_an_unframed_stream_that_ends_before_its_first_event_looks_broken() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(2).await;
+    let mut rows = Vec::new();
+    for framing in FRAMINGS {
+        for req in [chat("r-chat"), tag("r-tag")] {
+            gateway.engines.set_stream_faults([ends(framing, 0, "")]);
+            let path = req.uri().path().to_owned();
+            rows.push(format!("{framing:?} {path}: {}", outcome(&gateway.call(0, req).await)));
+        }
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    Chunked /chat/x: whole 0
+    Chunked /tag/x: whole 0
+    Length /chat/x: whole 0
+    Length /tag/x: whole 0
+    Unframed /chat/x: broken 0
+    Unframed /tag/x: whole 60
+    ");
+}
+
 /// What may follow the last event of a whole stream.
 const RESTS_OF_WHOLE_STREAMS: [&str; 7] =
     ["", "\n", "\r\n", ": bye\n", ":\r\n", ": bye\n\n", ": two\n: comments\n\n\n"];
