--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -1,6 +1,10 @@
 //! A stand-in for a replica of the users' platform: answers calls, runs generations that can be copied to
 //! another engine, and injects faults.
 
+mod brittleness;
+mod ending;
+mod faults;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
@@ -16,10 +20,19 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
-use http::Version;
 use serde_json::json;
 use tokio::sync::Notify;
 
+pub use self::ending::Framing;
+pub use self::ending::JSON_DOCUMENT;
+pub use self::ending::StreamEnding;
+pub use self::faults::CopyFault;
+pub use self::faults::PartialFault;
+pub use self::faults::ReplicaFault;
+pub use self::faults::StreamFault;
+use crate::gateway_replica::brittleness::Brittleness;
+use crate::gateway_replica::ending::event_text;
+use crate::gateway_replica::ending::mark_end;
 use crate::loopback;
 use crate::loopback::Body;
 use crate::loopback::RequestHandler;
@@ -31,129 +44,6 @@
 /// Time within which the server closes its port after it is notified.
 const PORT_CLOSE_DELAY: Duration = Duration::from_millis(20);
 
-/// How long a replica that fell over breaks all calls.
-const FALL_TIME: Duration = Duration::from_secs(2);
-
-/// How a replica handles requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum ReplicaFault {
-    /// Executes the request and responds with success.
-    #[default]
-    None,
-    /// Responds that the request was not executed.
-    NotExecuted,
-    /// Executes the request and responds with status 500.
-    Fails,
-    /// Executes the request and never responds.
-    Hangs,
-    /// Executes the request and closes the connection.
-    Breaks,
-    /// Responds with the id of another request.
-    WrongRequestId,
-    /// Closes the connection in the middle of the response body.
-    TruncatesBody,
-    /// Closes a connection when its second request arrives, as if the replica had forgotten the connection.
-    ClosesReusedConnections,
-    /// Responds after this time.
-    Late(Duration),
-    /// Responds with a body of this many bytes.
-    Long(usize),
-    /// Sends the body without a length or chunks.
-    Unframed,
-    /// Sends a part of such a body and crashes.
-    UnframedCrash,
-}
-
-/// How an engine handles calls to copy a generation.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum CopyFault {
-    /// Makes the copy.
-    #[default]
-    None,
-    /// Responds that there is no room.
-    NoRoom,
-    /// Responds after this time that there is no room.
-    NoRoomLate(Duration),
-    /// Never responds to a call that leaves the generation running.
-    CopyHangs,
-    /// Stops the generation and never responds to that call, as if the answer were lost. A repeated call is
-    /// answered.
-    StopHangs,
-    /// Accepts no more connections after the first copy; open connections stay open.
-    ClosesPort,
-    /// Accepts no more connections after it has stopped a generation.
-    StopClosesPort,
-    /// Stops the generation and responds after this time.
-    StopLate(Duration),
-    /// Stops the generation only after this time, also if the caller has disconnected by then, as if the call
-    /// were late on its way.
-    StopArrivesLate(Duration),
-    /// Fails requests to resume from a copy with status 500; the copy is kept.
-    ResumeFails,
-}
-
-/// How an engine handles a request for a stream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum StreamFault {
-    /// Streams the whole generation.
-    #[default]
-    None,
-    /// Closes the connection instead of responding.
-    NoHead,
-    /// Never responds.
-    Hangs,
-    /// Responds after this time, which is longer than callers should wait.
-    Late(Duration),
-    /// Responds with status 500.
-    Fails,
-    /// Responds that the request was not executed.
-    NotExecuted,
-    /// Closes the connection after this many events.
-    BreaksAfter(u64),
-    /// Closes the connection in the middle of the event that follows this many.
-    BreaksInside(u64),
-    /// Sends nothing more after this many events and keeps the connection open.
-    StallsAfter(u64),
-    /// Starts at the first event, ignoring `Last-Event-ID`.
-    StartsOver,
-    /// Sends the body without a length or chunks, so that it ends when the connection closes.
-    Unframed,
-    /// Ends the response in order, whether its body is whole or not.
-    Ends(StreamEnding),
-    /// Responds with a JSON document of this framing.
-    Json(Framing),
-}
-
-/// How a response marks the end of its body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Framing {
-    /// The body is sent in chunks.
-    Chunked,
-    /// The length of the body is given.
-    Length,
-    /// The body ends with its connection.
-    Unframed,
-}
-
-/// The end of a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StreamEnding {
-    /// How the end is marked.
-    pub framing: Framing,
-    /// Number of events before it.
-    pub events: u64,
-    /// What follows the last event.
-    pub rest: &'static str,
-}
-
-impl StreamEnding {
-    /// Length of a body that begins after the event `from`.
-    fn body_length(&self, from: u64, padding: usize) -> usize {
-        let events = (from..self.events).map(|made| event_text(made + 1, padding).len());
-        events.sum::<usize>() + self.rest.len()
-    }
-}
-
 /// The next step of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum NextStep {
@@ -165,23 +55,6 @@
     End,
 }
 
-fn event_text(id: u64, padding: usize) -> String {
-    format!("id: {id}\ndata: token {id}{}\n\n", "x".repeat(padding))
-}
-
-fn mark_end(res: &mut Response<Body>, framing: Framing, body_length: usize) {
-    match framing {
-        Framing::Chunked => {}
-        Framing::Length => {
-            res.headers_mut().insert("content-length", body_length.into());
-        }
-        Framing::Unframed => *res.version_mut() = Version::HTTP_10,
-    }
-}
-
-/// A JSON document.
-pub const JSON_DOCUMENT: &str = "{\n  \"object\": \"list\",\n  \"data\": []\n}";
-
 /// A request that reached the replica.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -222,17 +95,6 @@
     }
 }
 
-/// A fault that applies to a part of a replica's requests.
-#[derive(Clone, Debug)]
-pub struct PartialFault {
-    /// The fault to apply.
-    pub fault: ReplicaFault,
-    /// Applies the fault to one in this many requests with the path prefix.
-    pub every_nth: usize,
-    /// Prefix of the paths that the fault applies to.
-    pub prefix: String,
-}
-
 #[derive(Default)]
 struct State {
     fault: ReplicaFault,
@@ -281,42 +143,6 @@
     retry_after: Option<String>,
 }
 
-/// A replica that works on few calls at once and falls over when it turns too many away in a second.
-#[derive(Debug)]
-struct Brittleness {
-    /// Value of the `server-brittle` response header.
-    limit: usize,
-    /// Number of calls that it works on at once, from `since` on.
-    room: usize,
-    since: Instant,
-    /// When it turned calls away, in the last second.
-    turned_away: Vec<Instant>,
-    falls: usize,
-    fallen_until: Option<Instant>,
-}
-
-impl Brittleness {
-    fn is_fallen(&self) -> bool {
-        self.fallen_until.is_some_and(|until| Instant::now() < until)
-    }
-
-    /// Whether a call is turned away while `running` calls run.
-    fn turns_away(&mut self, running: usize) -> bool {
-        let now = Instant::now();
-        if now < self.since || running < self.room {
-            return false;
-        }
-        self.turned_away.retain(|at| now.duration_since(*at) < Duration::from_secs(1));
-        self.turned_away.push(now);
-        if self.turned_away.len() > self.limit {
-            self.falls += 1;
-            self.fallen_until = Some(now + FALL_TIME);
-            self.turned_away.clear();
-        }
-        true
-    }
-}
-
 /// A stand-in for a replica.
 pub struct GatewayReplica {
     /// Instance id.
@@ -471,14 +297,7 @@
     /// calls at once, and falls over when it turns away more than `limit` in a second.
     pub fn set_brittle(&self, limit: Option<usize>, room: usize, notice: Duration) {
         let since = Instant::now() + notice;
-        self.state().brittleness = limit.map(|limit| Brittleness {
-            limit,
-            room,
-            since,
-            turned_away: Vec::new(),
-            falls: 0,
-            fallen_until: None,
-        });
+        self.state().brittleness = limit.map(|limit| Brittleness::new(limit, room, since));
     }
 
     /// How often the replica has fallen over since it became brittle.
