gateway: an unframed response that resumes a stream holds an event at least

What callers saw: 20 of 60 events, framed as complete, when the engine that resumed a stream closed its response without a length or chunks before any event.

Cause: the check for an empty stream counted the events of earlier engines.

Change: it counts those of the engine whose response ended. A caller that asks to resume after an event may have had all of them: its first engine may send none.

Checked: test_a_stream_that_was_resumed_without_any_event_goes_on, 20 events before, 60 now; test_an_unframed_stream_that_resumes_after_the_last_event_is_whole passes before and after.

--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -246,10 +246,12 @@
         self.on_unstopped_end().await
     }
 
-    /// Whether the body that has ended shows by itself that it is not whole.
+    /// Whether the body that has ended shows by itself that it is not whole. An unframed one without any event may
+    /// be whole only if the caller may have had all events before.
     fn is_cut_off(&self) -> bool {
-        let has_events = self.pace.first.is_some() || self.req.last_event().is_some();
-        self.events.is_inside_event() || (!has_events && !self.engine_stream.is_framed())
+        let may_be_empty =
+            self.engine_stream.is_framed() || (self.moves == 0 && self.req.last_event().is_some());
+        self.events.is_inside_event() || (self.awaits_first_event && !may_be_empty)
     }
 
     /// Handles the end of an unframed stream that was not stopped: it is whole if its engine runs on.
--- a/node/tests/test_gateway_broken_answers.rs
+++ b/node/tests/test_gateway_broken_answers.rs
@@ -114,6 +114,26 @@
     ");
 }
 
+#[tokio::test]
+async fn test_a_stream_that_was_resumed_without_any_event_goes_on() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(3).await;
+    let empty = ends(Framing::Unframed, ENDS_AFTER, "");
+    gateway.engines.set_stream_faults([ends(Framing::Unframed, ENDS_AFTER, "id: 21\ndata"), empty]);
+    let called = gateway.call(0, tag("r-tag")).await;
+    assert_eq!((called.whole, called.events()), (true, Some(EVENTS)), "{}", gateway.logs());
+}
+
+/// A caller that has all events asks again.
+#[tokio::test]
+async fn test_an_unframed_stream_that_resumes_after_the_last_event_is_whole() {
+    let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    gateway.engines.set_stream_faults([ends(Framing::Unframed, EVENTS, "")]);
+    let mut req = tag("r-tag");
+    req.headers_mut().insert("last-event-id", EVENTS.into());
+    let called = gateway.call(0, req).await;
+    assert_eq!((called.whole, &*called.body), (true, ""), "{}", gateway.logs());
+}
+
 /// What may follow the last event of a whole stream.
 const RESTS_OF_WHOLE_STREAMS: [&str; 7] =
     ["", "\n", "\r\n", ": bye\n", ":\r\n", ": bye\n\n", ": two\n: comments\n\n\n"];
