--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -3,11 +3,13 @@
 //! `moving` moves the generation away from engines that are leaving or overloaded, with a copy of its KV
 //! cache memory; `stopping` stops it, and `after_stop` resumes it once it has stopped; `after_loss` resumes
 //! it at another engine after the last event when its engine is lost; `silent_connection` takes it off
-//! connections that deliver nothing; `restart` finds streams that a restart of their engine ended;
-//! `engine_loss` names why an engine is abandoned.
+//! connections that deliver nothing; `restart` finds streams that a restart of their engine ended; `ending`
+//! decides whether a stream whose engine ended its response is whole; `engine_loss` names why an engine is
+//! abandoned.
 
 mod after_loss;
 mod after_stop;
+mod ending;
 mod engine_loss;
 mod moving;
 mod restart;
@@ -231,47 +233,6 @@
         }
     }
 
-    /// Handles the end of the body of the engine's response.
-    async fn on_body_end(&mut self) -> Result<(), StreamEnd> {
-        self.log_body_end();
-        if self.is_cut_off() {
-            return self.on_break("ended inside an event, or before the first one").await;
-        }
-        if self.engine_stream.is_framed() {
-            return Err(self.on_stream_end().await);
-        }
-        if self.may_be_stopped() {
-            return self.on_unframed_end().await;
-        }
-        self.on_unstopped_end().await
-    }
-
-    /// Whether the body that has ended shows by itself that it is not whole. An unframed one without any event may
-    /// be whole only if the caller may have had all events before.
-    fn is_cut_off(&self) -> bool {
-        let may_be_empty =
-            self.engine_stream.is_framed() || (self.moves == 0 && self.req.last_event().is_some());
-        self.events.is_inside_event() || (self.awaits_first_event && !may_be_empty)
-    }
-
-    /// Handles the end of an unframed stream that was not stopped: it is whole if its engine runs on.
-    async fn on_unstopped_end(&mut self) -> Result<(), StreamEnd> {
-        if self.outlived_by_engine().await {
-            return Err(self.on_stream_end().await);
-        }
-        self.on_break("closed by an engine that has ended").await
-    }
-
-    async fn outlived_by_engine(&self) -> bool {
-        let engine = &self.engine_stream.run.placed.replica;
-        self.lost_at.is_none() && self.traffic.outlives_response(&self.req, engine).await
-    }
-
-    fn log_body_end(&self) {
-        let engine = &self.engine_stream;
-        info!(event = "body_ended", request = self.req.id(), upstream = &*engine.run.placed.replica.id, framed = engine.is_framed(), direct = engine.is_direct(), events = self.events.events(), partial_bytes = self.events.partial_bytes(); "the body of the engine's response ended");
-    }
-
     /// Handles the deadline. If the process was suspended at that time, events that have arrived are relayed,
     /// and the stream may turn out to be complete.
     async fn on_deadline(&mut self) -> StreamEnd {
@@ -319,15 +280,6 @@
         sending.await.map_err(|_| StreamEnd::TimedOut)?.map_err(|_| StreamEnd::CallerLeft)
     }
 
-    /// Sends what follows the last event of a whole stream.
-    async fn on_stream_end(&mut self) -> StreamEnd {
-        let remainder = self.events.take_remainder();
-        if remainder.is_empty() {
-            return StreamEnd::Done;
-        }
-        self.send_to_caller(remainder).await.err().unwrap_or(StreamEnd::Done)
-    }
-
     /// Drops the tasks next to the stream and their unread results: they concern an engine or a move that
     /// is over.
     fn drop_tasks(&mut self) {
--- a/node/src/gateway/upstream/relay/stopping.rs
+++ b/node/src/gateway/upstream/relay/stopping.rs
@@ -126,11 +126,6 @@
         self.evacuate_if_leaving();
     }
 
-    /// Whether the end of the body that was received between two events is that of the stream.
-    async fn is_end_regular(&self) -> bool {
-        self.engine_stream.is_framed() || (!self.may_be_stopped() && self.outlived_by_engine().await)
-    }
-
     /// Relays the events that are on their way, for `limit` at most. Returns how the stream ended if the
     /// generation had already ended by itself; the end of an unframed stream shows that only if nothing may
     /// have stopped the generation.
--- a/node/tests/test_gateway_broken_answers.rs
+++ b/node/tests/test_gateway_broken_answers.rs
@@ -321,7 +321,7 @@
     let (gateway, _bookings, _models) = Gateway::with_replicas(2).await;
     gateway.engines.set_stream_faults([ends(Framing::Unframed, ENDS_AFTER, "id: 21\ndata")]);
     gateway.call(0, chat("r-chat")).await;
-    let log = gateway.log(0);
-    let broken = log.lines().filter(|line| line.contains("event=run_broke")).count();
-    assert_eq!(broken, 1, "{}", gateway.logs());
+    let lines_with = |text: &str| gateway.log(0).lines().filter(|line| line.contains(text)).count();
+    gateway.until("the stream's end is logged", async || lines_with("event=stream_end") == 1).await;
+    assert_eq!(lines_with("event=run_broke"), 1, "{}", gateway.logs());
 }
