testutils: one crash after a delay, one list of framings

The stand-in scheduled its crash in two places, and two tests listed all framings. Assertions, bounds and draws are as before.

--- a/node/tests/test_gateway_broken_answers.rs
+++ b/node/tests/test_gateway_broken_answers.rs
@@ -29,8 +29,6 @@
 /// The number of generated events after which a stream ends early.
 const ENDS_AFTER: u64 = 20;
 
-const FRAMINGS: [Framing; 3] = [Framing::Chunked, Framing::Length, Framing::Unframed];
-
 fn ends(framing: Framing, events: u64, rest: &'static str) -> StreamFault {
     StreamFault::Ends(StreamEnding { framing, events, rest })
 }
@@ -49,7 +47,7 @@
 async fn test_a_stream_that_ends_inside_an_event_looks_broken() {
     let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
     let mut rows = Vec::new();
-    for framing in FRAMINGS {
+    for framing in Framing::ALL {
         for part in PARTS_OF_EVENTS {
             gateway.engines.set_stream_faults([ends(framing, ENDS_AFTER, part)]);
             let called = gateway.call(0, chat("r-chat")).await;
@@ -78,7 +76,7 @@
 #[tokio::test]
 async fn test_a_resumable_stream_that_ends_inside_an_event_goes_on() {
     let mut rows = Vec::new();
-    for framing in FRAMINGS {
+    for framing in Framing::ALL {
         let (gateway, _bookings, _models) = Gateway::with_replicas(3).await;
         let second_end = ends(framing, 2 * ENDS_AFTER, "id: 41\ndata");
         gateway.engines.set_stream_faults([ends(framing, ENDS_AFTER, "id: 21\ndata"), second_end]);
@@ -97,7 +95,7 @@
 async fn test_an_unframed_stream_that_ends_before_its_first_event_looks_broken() {
     let (gateway, _bookings, _models) = Gateway::with_replicas(2).await;
     let mut rows = Vec::new();
-    for framing in FRAMINGS {
+    for framing in Framing::ALL {
         for req in [chat("r-chat"), tag("r-tag")] {
             gateway.engines.set_stream_faults([ends(framing, 0, "")]);
             let path = req.uri().path().to_owned();
@@ -141,7 +139,7 @@
 #[tokio::test]
 async fn test_whole_streams_stay_whole() {
     let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
-    for framing in FRAMINGS {
+    for framing in Framing::ALL {
         for rest in RESTS_OF_WHOLE_STREAMS {
             gateway.engines.set_stream_faults([ends(framing, EVENTS, rest)]);
             let called = gateway.call(0, chat("r-chat")).await;
@@ -155,7 +153,7 @@
 #[tokio::test]
 async fn test_an_answer_to_a_stream_that_is_no_event_stream_stays_whole() {
     let (gateway, _bookings, _models) = Gateway::with_replicas(1).await;
-    for framing in FRAMINGS {
+    for framing in Framing::ALL {
         gateway.engines.set_stream_faults([StreamFault::Json(framing)]);
         let called = gateway.call(0, chat("r-chat")).await;
         assert!(called.whole, "{framing:?}\n{}", gateway.logs());
--- a/node/tests/test_gateway_soak.rs
+++ b/node/tests/test_gateway_soak.rs
@@ -210,12 +210,11 @@
 
     /// A stream without a length or chunks, or one that ends inside an event.
     fn random_ending(&mut self) -> StreamFault {
-        const FRAMINGS: [Framing; 3] = [Framing::Chunked, Framing::Length, Framing::Unframed];
         const RESTS: [&str; 3] = ["i", "id: 77\n", "id: 77\ndata: token 77\n"];
         if self.event_rng.random_bool(0.5) {
             return StreamFault::Unframed;
         }
-        let framing = FRAMINGS[self.event_rng.random_range(0..FRAMINGS.len())];
+        let framing = Framing::ALL[self.event_rng.random_range(0..Framing::ALL.len())];
         let rest = RESTS[self.event_rng.random_range(0..RESTS.len())];
         StreamFault::Ends(StreamEnding { framing, events: self.event_rng.random_range(0..EVENTS), rest })
     }
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -395,15 +395,16 @@
     fn crashes_on(self: &Arc<Self>, req: &Request<Bytes>) -> bool {
         let crashes = self.state().crash_on.as_ref() == Some(req.body());
         if crashes {
-            let replica = self.clone();
-            tokio::spawn(async move {
-                tokio::time::sleep(CRASH_DELAY).await;
-                replica.crash();
-            });
+            tokio::spawn(self.clone().crash_soon());
         }
         crashes
     }
 
+    async fn crash_soon(self: Arc<Self>) {
+        tokio::time::sleep(CRASH_DELAY).await;
+        self.crash();
+    }
+
     /// Handles a request that crashes the replica: a stream gets its response headers before the crash, a
     /// plain call gets nothing.
     async fn crash_response(&self, req: &Request<Bytes>) -> Response<Body> {
@@ -438,8 +439,7 @@
             ReplicaFault::UnframedCrash => {
                 let replica = self.clone();
                 let crash = async move {
-                    tokio::time::sleep(CRASH_DELAY).await;
-                    replica.crash();
+                    replica.crash_soon().await;
                     std::future::pending().await
                 };
                 let part = futures::stream::iter([Ok(Bytes::from("cut"))]);
--- a/testutils/src/gateway_replica/ending.rs
+++ b/testutils/src/gateway_replica/ending.rs
@@ -35,6 +35,11 @@
     Unframed,
 }
 
+impl Framing {
+    /// All of them.
+    pub const ALL: [Framing; 3] = [Framing::Chunked, Framing::Length, Framing::Unframed];
+}
+
 /// The end of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StreamEnding {
