tests: a stream that moved three times and breaks off is not taken for whole

Ruled out: a loss of four replicas to one attempt; the record's 'crashed' runs are stops of moves, whose engines serve on.

--- a/node/tests/test_gateway_broken_answers.rs
+++ b/node/tests/test_gateway_broken_answers.rs
@@ -323,3 +323,44 @@
     gateway.until("the stream's end is logged", async || lines_with("event=stream_end") == 1).await;
     assert_eq!(lines_with("event=run_broke"), 1, "{}", gateway.logs());
 }
+
+/// Lets the generation's engine leave as often as `moves`, each time after some events.
+async fn move_generation(gateway: &Gateway, models: &[RunningReplica], moves: usize) {
+    for _ in 0..moves {
+        let runs =
+            |running: &&RunningReplica| running.replica.running() > 0 && running.replica.copy_calls() == 0;
+        gateway.until("a generation runs", async || models.iter().any(|running| runs(&running))).await;
+        let engine = models.iter().find(runs).expect("a generation runs");
+        tokio::time::sleep(engine.replica.event_interval * 5).await;
+        gateway.drain(MODEL, engine);
+        gateway.until("it has moved", async || engine.replica.running() == 0).await;
+    }
+}
+
+#[tokio::test]
+async fn test_a_stream_that_breaks_off_after_three_moves_is_not_taken_for_whole() {
+    const MOVES: usize = 3;
+    let mut rows = Vec::new();
+    for framing in Framing::ALL {
+        for rest in ["id: 51", "id: 51\ndata: token 51\n"] {
+            let (gateway, _bookings, models) = Gateway::with_replicas(MOVES + 1).await;
+            let moved = [ends(framing, EVENTS, ""); MOVES];
+            gateway.engines.set_stream_faults(moved.into_iter().chain([ends(framing, 50, rest)]));
+            let moving = move_generation(&gateway, &models, MOVES);
+            let (called, ()) = tokio::join!(gateway.call(0, chat("r-chat")), moving);
+            let log = gateway.log(0);
+            let lost =
+                log.matches("event=request_suspected").count() + log.matches("event=not_sent_again").count();
+            let moves = log.matches("event=moved").count();
+            rows.push(format!("{framing:?} {rest:?}: {}, {moves} moves, {lost} losses", outcome(&called)));
+        }
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r#"
+    Chunked "id: 51": broken 50, 3 moves, 0 losses
+    Chunked "id: 51\ndata: token 51\n": broken 50, 3 moves, 0 losses
+    Length "id: 51": broken 50, 3 moves, 0 losses
+    Length "id: 51\ndata: token 51\n": broken 50, 3 moves, 0 losses
+    Unframed "id: 51": broken 50, 3 moves, 0 losses
+    Unframed "id: 51\ndata: token 51\n": broken 50, 3 moves, 0 losses
+    "#);
+}
