gateway: a broken run is logged with the parts of its prompt and its events at this replica

The log could not tell whether ended replicas ran requests that share a part: no line held the parts, and the number of events was that of the whole stream, so that a run which broke as its answer began looked like a long one if it had moved. No change of behaviour.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -32,6 +32,7 @@
 pub mod policy;
 pub mod prefill;
 pub mod process_pauses;
+pub mod prompt_parts;
 pub mod rebalance;
 pub mod rebroadcast;
 pub mod recent_successes;
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -33,6 +33,7 @@
 use crate::gateway::upstream::connections::IdleConnections;
 use crate::gateway::upstream::silence;
 use crate::gateway::upstream::stall;
+use crate::gateway::upstream::suspicion::RunProgress;
 use crate::gateway::upstream::traffic::Traffic;
 
 /// The media type of event streams.
@@ -198,7 +199,7 @@
         traffic.connections.on_break(idle_time);
     }
     let (head, body) = answer
-        .inspect_err(|_| traffic.on_broken_run(req, replica, None, 0))
+        .inspect_err(|_| traffic.on_broken_run(req, replica, RunProgress::default()))
         .map_err(SendError::Broken)?
         .into_parts();
     if head.headers.get(headers::REQUEST_ID) != req.headers.get(headers::REQUEST_ID) {
@@ -270,7 +271,7 @@
             answer = Err(SendError::Truncated("the replica has ended".to_owned()));
         }
         if matches!(answer, Err(SendError::Truncated(_))) {
-            traffic.on_broken_run(req, replica, None, 0);
+            traffic.on_broken_run(req, replica, RunProgress::default());
         }
         answer
     }
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -49,6 +49,7 @@
 use crate::gateway::upstream::resuming::ResumeFailure;
 use crate::gateway::upstream::stall::StallWatch;
 use crate::gateway::upstream::stopping::StopCalls;
+use crate::gateway::upstream::suspicion::RunProgress;
 use crate::gateway::upstream::traffic::Traffic;
 
 /// Minimum number of intervals between events for a sample of an engine's pace.
@@ -102,6 +103,8 @@
     pace: Pace,
     /// No event has been received from the engine yet: it may still be in prefill.
     awaits_first_event: bool,
+    /// Number of events received before the request was last sent.
+    events_before_run: u64,
     /// Number of engines that the request was sent to, not counting those that resumed from a copy.
     sent: u32,
     stall: StallWatch,
@@ -148,6 +151,7 @@
             moves: 0,
             pace: Pace::default(),
             awaits_first_event: true,
+            events_before_run: 0,
             req: Arc::new(req),
         }
     }
@@ -292,11 +296,27 @@
         info!(event = "moved", request = self.req.id(), from = &*self.engine_stream.run.placed.replica.id, upstream = &*engine_stream.run.placed.replica.id, events = self.events.events(); "stream continues at another engine");
         let old = std::mem::replace(&mut self.engine_stream, engine_stream);
         self.stops = StopCalls::default();
-        self.lost_at = None;
+        self.on_resumed();
         old.run.end(outcome);
         self.moves += 1;
     }
 
+    /// Handles the start of a further run, at the same engine or another one.
+    fn on_resumed(&mut self) {
+        self.lost_at = None;
+        self.events_before_run = self.events.events();
+    }
+
+    /// How far the current run got.
+    fn run_progress(&self) -> RunProgress {
+        let events = self.events.events();
+        RunProgress {
+            began: self.engine_stream.exchange.as_ref().map(|exchange| exchange.head_received),
+            events,
+            events_here: events - self.events_before_run,
+        }
+    }
+
     /// Sends the request to an engine that is to resume the generation.
     async fn resume(
         &self,
--- a/node/src/gateway/upstream/relay/after_stop.rs
+++ b/node/src/gateway/upstream/relay/after_stop.rs
@@ -193,7 +193,7 @@
         at_target: Option<ResumeFailure>,
     ) {
         self.engine_stream.exchange = Some(exchange);
-        self.lost_at = None;
+        self.on_resumed();
         let Some(why) = at_target else {
             info!(event = "went_on", request = self.req.id(), upstream = &*self.engine_stream.run.placed.replica.id, events = self.events.events(); "the generation was resumed at its engine on a new connection");
             move_target.end(Outcome::Withdrawn);
--- a/node/src/gateway/upstream/relay/moving.rs
+++ b/node/src/gateway/upstream/relay/moving.rs
@@ -125,9 +125,8 @@
             return Err(StreamEnd::EngineLost(EngineLoss::Restarted));
         }
         if !self.may_be_stopped() {
-            let began = self.engine_stream.exchange.as_ref().map(|exchange| exchange.head_received);
-            let events = self.events.events();
-            self.traffic.on_broken_run(&self.req, &self.engine_stream.run.placed.replica, began, events);
+            let replica = &self.engine_stream.run.placed.replica;
+            self.traffic.on_broken_run(&self.req, replica, self.run_progress());
         }
         if self.move_target.is_none() {
             self.move_target = self.await_copy().await;
--- a/node/src/gateway/upstream/suspicion.rs
+++ b/node/src/gateway/upstream/suspicion.rs
@@ -7,8 +7,10 @@
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::crash_ledger::CrashTable;
 use leadstage_lib::gateway::crash_ledger::SuspectStatus;
+use leadstage_lib::gateway::prompt_parts::PartId;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::loss_limit;
+use leadstage_platform::headers;
 use leadstage_platform::health::Health;
 use log::info;
 use tokio::time::Instant;
@@ -20,20 +22,25 @@
 use crate::gateway::upstream::traffic::Traffic;
 use crate::shared::unix_millis;
 
+/// How far a run got.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RunProgress {
+    /// When it began at its replica, if that is known.
+    pub began: Option<Instant>,
+    /// Number of events of the stream that its caller has received, from all replicas.
+    pub events: u64,
+    /// Number of events received from this replica.
+    pub events_here: u64,
+}
+
 impl Traffic {
-    /// Records that a request's run at a replica broke before the end of the response. `began` is when
-    /// the run started, if that is known; `events` is the number of events that the caller has received
-    /// of a stream. The break counts against the request unless another run of it succeeded recently.
-    pub fn on_broken_run(
-        &self,
-        req: &CallerRequest,
-        replica: &ReplicaRecord,
-        began: Option<Instant>,
-        events: u64,
-    ) {
+    /// Records that a request's run at a replica broke before the end of the response. The break counts
+    /// against the request unless another run of it succeeded recently.
+    pub fn on_broken_run(&self, req: &CallerRequest, replica: &ReplicaRecord, progress: RunProgress) {
         let counts_against_request = !self.succeeded_recently(req);
-        let ran_ms = began.map_or(0, |began| began.elapsed().as_millis() as u64);
-        info!(event = "run_broke", request = req.id(), fingerprint:% = req.fingerprint(), route = &*req.route.name, upstream = &*replica.id, born = replica.born, began = began.is_some(), ran_ms, events, held = counts_against_request; "a run broke at its replica");
+        let ran_ms = progress.began.map_or(0, |began| began.elapsed().as_millis() as u64);
+        let parts: Vec<PartId> = headers::shared_parts(&req.headers).collect();
+        info!(event = "run_broke", request = req.id(), fingerprint:% = req.fingerprint(), parts:? = parts, route = &*req.route.name, upstream = &*replica.id, born = replica.born, began = progress.began.is_some(), ran_ms, events = progress.events, events_here = progress.events_here, held = counts_against_request; "a run broke at its replica");
         self.shared.metrics.on_broken_run(counts_against_request);
         if counts_against_request {
             req.broken_at.lock().expect("no holder panics").push(replica.clone());
