--- a/node/tests/crashing_fleet.rs
+++ b/node/tests/crashing_fleet.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
+use leadstage_testutils::gateway_replica::CrashTrigger;
 use tokio::time::Instant;
 
 use crate::gateway_environment::CallResult;
@@ -14,6 +15,8 @@
 
 /// The request body that crashes replicas.
 const CRASHING_BODY: &str = "ends replicas";
+/// The part of a prompt that crashes replicas.
+pub const CRASHING_PART: &str = "bad0bad0";
 /// The number of nodes in a fleet.
 pub const NODES: usize = 3;
 /// The number of live replicas of the service.
@@ -36,6 +39,7 @@
     /// The nodes and the store.
     pub gateway: Gateway,
     service: &'static str,
+    trigger: CrashTrigger,
     /// All replicas that were started, including the crashed ones.
     pub replicas: Vec<RunningReplica>,
     attempts: usize,
@@ -51,10 +55,20 @@
     pub async fn start_with(
         service: &'static str,
         start_node: impl Fn(&mut Gateway) -> usize,
+    ) -> CrashingFleet {
+        let trigger = CrashTrigger::Body(CRASHING_BODY.into());
+        CrashingFleet::start_crashing_on(trigger, service, start_node).await
+    }
+
+    /// Starts a fleet whose replicas crash on `trigger` instead.
+    pub async fn start_crashing_on(
+        trigger: CrashTrigger,
+        service: &'static str,
+        start_node: impl Fn(&mut Gateway) -> usize,
     ) -> CrashingFleet {
         let gateway = Gateway::start().await;
         gateway.store.put("config", "main", config(1));
-        let mut fleet = CrashingFleet { gateway, service, replicas: Vec::new(), attempts: 0 };
+        let mut fleet = CrashingFleet { gateway, service, trigger, replicas: Vec::new(), attempts: 0 };
         for _ in 0..REPLICAS {
             fleet.add_replica().await;
         }
@@ -71,7 +85,7 @@
     pub async fn add_replica(&mut self) {
         let id = format!("{}-{}", self.service, self.replicas.len() + 1);
         let running = self.gateway.start_replica(self.service, &id, EVENTS).await;
-        running.replica.set_crash_on(CRASHING_BODY);
+        running.replica.set_crash_on(Some(self.trigger.clone()));
         self.replicas.push(running);
     }
 
@@ -80,10 +94,10 @@
         self.replicas.iter().filter(|running| running.replica.has_crashed()).count()
     }
 
-    /// The number of requests with the crashing body that reached replicas.
+    /// The number of crashing requests that reached replicas.
     pub fn sends(&self) -> usize {
         let seen = self.replicas.iter().flat_map(|running| running.replica.received_requests());
-        seen.filter(|seen| seen.body == CRASHING_BODY).count()
+        seen.filter(|seen| self.trigger.matches(&seen.headers, &seen.body)).count()
     }
 
     /// Sends the caller's next attempt to the next node. Replicas that crash meanwhile are replaced by ones
@@ -115,7 +129,16 @@
     /// Sends attempts until [`CRASHES_UNTIL_QUARANTINE`] replicas have crashed and all nodes have had time to
     /// quarantine the request; returns the number of sends so far.
     pub async fn until_quarantined(&mut self, make_request: impl Fn(&str) -> Request<Full<Bytes>>) -> usize {
-        while self.ended_count() < CRASHES_UNTIL_QUARANTINE {
+        self.until_quarantined_after(CRASHES_UNTIL_QUARANTINE, make_request).await
+    }
+
+    /// [`Self::until_quarantined`] for a fleet that needs `crashes`.
+    pub async fn until_quarantined_after(
+        &mut self,
+        crashes: usize,
+        make_request: impl Fn(&str) -> Request<Full<Bytes>>,
+    ) -> usize {
+        while self.ended_count() < crashes {
             self.attempt(&make_request).await;
         }
         let deadline = Instant::now() + QUARANTINED_WITHIN;
--- a/node/tests/test_gateway_crashing_requests.rs
+++ b/node/tests/test_gateway_crashing_requests.rs
@@ -131,7 +131,7 @@
 async fn test_an_operator_lifts_a_quarantine() {
     let mut fleet = CrashingFleet::start(MODEL).await;
     fleet.until_quarantined(|id| with_crashing_body(chat(id))).await;
-    fleet.replicas.iter().for_each(|running| running.replica.set_crash_on("nothing that comes"));
+    fleet.replicas.iter().for_each(|running| running.replica.set_crash_on(None));
     let names = fleet.gateway.store.names(KIND);
     assert_eq!(names.len(), 1);
     fleet.gateway.store.delete(KIND, &names[0]);
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -2,6 +2,7 @@
 //! another engine, and injects faults.
 
 mod brittleness;
+mod crash_trigger;
 mod ending;
 mod faults;
 
@@ -23,6 +24,7 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
+pub use self::crash_trigger::CrashTrigger;
 pub use self::ending::Framing;
 pub use self::ending::JSON_DOCUMENT;
 pub use self::ending::StreamEnding;
@@ -127,8 +129,8 @@
     close_port: Option<Arc<Notify>>,
     /// Shuts the server down.
     shutdown: Option<Arc<Notify>>,
-    /// Body of a request that crashes the replica.
-    crash_on: Option<Bytes>,
+    /// What crashes the replica.
+    crash_on: Option<CrashTrigger>,
     has_crashed: bool,
     /// How long the replica worked on each call.
     work_times: Vec<Duration>,
@@ -283,9 +285,9 @@
         self.state().health_id = Some(id.to_owned());
     }
 
-    /// Makes the replica crash soon after it starts to run a request with this body.
-    pub fn set_crash_on(&self, body: &str) {
-        self.state().crash_on = Some(Bytes::copy_from_slice(body.as_bytes()));
+    /// Makes the replica crash soon after it starts to run such a request.
+    pub fn set_crash_on(&self, trigger: Option<CrashTrigger>) {
+        self.state().crash_on = trigger;
     }
 
     /// Sets or removes the `server-limit` header of responses.
@@ -393,7 +395,7 @@
 
     /// Returns whether this request crashes the replica; if so, schedules the crash.
     fn crashes_on(self: &Arc<Self>, req: &Request<Bytes>) -> bool {
-        let crashes = self.state().crash_on.as_ref() == Some(req.body());
+        let crashes = self.state().crash_on.as_ref().is_some_and(|on| on.matches(req.headers(), req.body()));
         if crashes {
             tokio::spawn(self.clone().crash_soon());
         }
