--- a/lib/src/code.rs
+++ b/lib/src/code.rs
@@ -123,6 +123,9 @@
     Quarantined = 2111, 503, No, Later;
     /// The node holds as much for its callers and upstreams as its memory bears.
     MemoryFull = 2112, 503, No, Later;
+    /// Upstreams ended each time that they ran a request with a part of this prompt, so requests with it are sent
+    /// to none.
+    PartQuarantined = 2113, 503, No, Later;
     /// The upstream was lost after the request was sent to it.
     UpstreamLost = 3001, 502, Unknown, IfRepeatable;
     /// Another arrival of the key was dispatched and its outcome is not recorded yet.
--- a/lib/src/gateway/fingerprint.rs
+++ b/lib/src/gateway/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Identifies a request by those parts that its caller repeats in a retry.
+//! Identifies a request by those parts that its caller repeats in a retry, and a part of prompts.
 //!
 //! A retry has another request id, deadline, trace and `Last-Event-ID`. Method, host, path, organisation and
 //! body stay the same.
@@ -10,6 +10,8 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::gateway::prompt_parts::PartId;
+
 /// Bytes of a fingerprint: finding a second request with a given fingerprint takes 2^128 tries.
 const BYTES: usize = 16;
 
@@ -42,6 +44,24 @@
             hash.update(part);
         }
         hash.update(parts.body);
+        Fingerprint::first_half(hash)
+    }
+
+    /// Returns the fingerprint of a part of the prompts that an organisation, or all of them, send to a service.
+    pub fn of_part(service: &str, organisation: Option<&str>, part: PartId) -> Fingerprint {
+        let mut hash = Sha256::new();
+        // No request begins like this: its method would have this length.
+        hash.update(u64::MAX.to_le_bytes());
+        hash.update([u8::from(organisation.is_some())]);
+        for part in [service, organisation.unwrap_or_default()] {
+            hash.update((part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        hash.update(part.to_le_bytes());
+        Fingerprint::first_half(hash)
+    }
+
+    fn first_half(hash: Sha256) -> Fingerprint {
         let mut bytes = [0; BYTES];
         bytes.copy_from_slice(&hash.finalize()[..BYTES]);
         Fingerprint(bytes)
--- a/lib/src/gateway/pending_ends.rs
+++ b/lib/src/gateway/pending_ends.rs
@@ -8,8 +8,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::replica_record::Incarnation;
+use crate::gateway::suspect::SuspectName;
 use crate::ids::Timestamp;
 
 /// When a replica is checked after a run broke there, as times since the break. Most ended replicas refuse
@@ -43,7 +43,7 @@
 /// A replica at which runs broke.
 #[derive(Debug)]
 struct Broken {
-    fingerprints: BTreeSet<Fingerprint>,
+    suspects: BTreeSet<SuspectName>,
     since: Timestamp,
     checks: usize,
     refusals: u32,
@@ -56,15 +56,20 @@
 }
 
 impl PendingEnds {
-    /// Records that a request's run broke at a replica.
-    pub fn on_break(&mut self, replica: Incarnation, fingerprint: Fingerprint, now: Timestamp) {
+    /// Records that a run of these suspects broke at a replica.
+    pub fn on_break(
+        &mut self,
+        replica: Incarnation,
+        suspects: impl IntoIterator<Item = SuspectName>,
+        now: Timestamp,
+    ) {
         let broken = self.replicas.entry(replica).or_insert_with(|| Broken {
-            fingerprints: BTreeSet::new(),
+            suspects: BTreeSet::new(),
             since: now,
             checks: 0,
             refusals: 0,
         });
-        broken.fingerprints.insert(fingerprint);
+        broken.suspects.extend(suspects);
     }
 
     /// Returns the replicas that are to be checked now; they count as checked.
@@ -80,9 +85,9 @@
         due
     }
 
-    /// Handles the result of a check; once the replica is known to have ended, returns the requests whose
+    /// Handles the result of a check; once the replica is known to have ended, returns the suspects whose
     /// runs broke there.
-    pub fn on_check_result(&mut self, replica: &Incarnation, result: CheckResult) -> BTreeSet<Fingerprint> {
+    pub fn on_check_result(&mut self, replica: &Incarnation, result: CheckResult) -> BTreeSet<SuspectName> {
         let Some(broken) = self.replicas.get_mut(replica) else {
             return BTreeSet::new();
         };
@@ -105,9 +110,9 @@
         self.replicas.remove(replica);
     }
 
-    /// Handles a replica that is known to have ended; returns the requests whose runs broke there.
-    pub fn on_gone(&mut self, replica: &Incarnation) -> BTreeSet<Fingerprint> {
-        self.replicas.remove(replica).map(|broken| broken.fingerprints).unwrap_or_default()
+    /// Handles a replica that is known to have ended; returns the suspects whose runs broke there.
+    pub fn on_gone(&mut self, replica: &Incarnation) -> BTreeSet<SuspectName> {
+        self.replicas.remove(replica).map(|broken| broken.suspects).unwrap_or_default()
     }
 
     /// Returns the replicas that are not yet known to have ended, with the time of the first break at each.
--- a/lib/src/gateway/prompt_parts.rs
+++ b/lib/src/gateway/prompt_parts.rs
@@ -2,13 +2,16 @@
 
 use std::fmt;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::gateway::digest;
 
 /// Maximum number of digits of a part's name that identify it as they are.
 const MAX_DIGITS: usize = 16;
 
 /// Identifies a part of prompts, as far as its caller says.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Deserialize, Serialize, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PartId(u64);
 
 impl PartId {
@@ -17,6 +20,11 @@
         let number = (name.len() <= MAX_DIGITS).then(|| u64::from_str_radix(name, 16).ok());
         PartId(number.flatten().unwrap_or_else(|| digest::of(std::iter::once(name))))
     }
+
+    /// The id as bytes.
+    pub fn to_le_bytes(self) -> [u8; 8] {
+        self.0.to_le_bytes()
+    }
 }
 
 impl fmt::Display for PartId {
--- /dev/null
+++ b/lib/src/gateway/quarantine.rs
@@ -0,0 +1,175 @@
+//! Which requests are sent to no replica, by the ends of replicas that count against suspects.
+//!
+//! When a replica ends, all parts of all prompts that it had just begun to answer become suspects. The part
+//! that crashes replicas is among them at every end; the others are there by chance or because they go with
+//! it. So the suspects are taken in turn, the one that explains the most ends first, and an end that one of
+//! them explains speaks against no other. Parts that replicas have served before come last. Parts that were
+//! together at the same ends can't be told apart: only requests with all of them are quarantined, so that each
+//! of them is still served without the others, or shows by itself that it crashes replicas.
+//!
+//! The result depends only on the suspects, so that nodes with the same ledger agree.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::fmt;
+use std::time::Duration;
+
+use crate::gateway::fingerprint::Fingerprint;
+use crate::gateway::replica_record::Incarnation;
+use crate::gateway::suspect::END_RETENTION;
+use crate::gateway::suspect::SuspectName;
+use crate::ids::UnixMillis;
+
+/// Number of replica ends at which a request is quarantined, or a part of prompts that no replica has served.
+pub const ENDS_TO_QUARANTINE: usize = 3;
+/// Number of replica ends at which a part of prompts is quarantined that replicas have served.
+pub const ENDS_TO_QUARANTINE_SERVED: usize = 5;
+/// Time within which ends may have one cause, as the loss of a hall.
+const SIMULTANEOUS: Duration = Duration::from_secs(1);
+/// Number of ends that count against a part of prompts within [`SIMULTANEOUS`]. A burst of requests with a new
+/// part runs on many replicas of a hall that is lost.
+const MAX_SIMULTANEOUS_ENDS: usize = 2;
+
+/// What counts against a suspect.
+#[derive(Clone, Debug)]
+pub struct Evidence<'a> {
+    /// The suspect.
+    pub name: SuspectName,
+    /// Whether replicas served prompts with this part before.
+    pub has_served: bool,
+    /// The valid ends, with the time at which each was noticed.
+    pub ends: Vec<(&'a Incarnation, UnixMillis)>,
+}
+
+impl Evidence<'_> {
+    fn is_sufficient(&self) -> bool {
+        let needed = if self.has_served { ENDS_TO_QUARANTINE_SERVED } else { ENDS_TO_QUARANTINE };
+        let ends = if self.name.is_request() { self.ends.len() } else { self.separate_ends() };
+        ends >= needed
+    }
+
+    /// The number of ends, of which no more than [`MAX_SIMULTANEOUS_ENDS`] count for each moment.
+    fn separate_ends(&self) -> usize {
+        let mut times: Vec<UnixMillis> = self.ends.iter().map(|(_, at)| *at).collect();
+        times.sort_unstable();
+        let (mut count, mut moment, mut in_moment) = (0, 0, 0);
+        for at in times {
+            if at >= moment + SIMULTANEOUS.as_millis() as UnixMillis {
+                (moment, in_moment) = (at, 0);
+            }
+            in_moment += 1;
+            count += usize::from(in_moment <= MAX_SIMULTANEOUS_ENDS);
+        }
+        count
+    }
+
+    /// In which order suspects are taken; the greatest one first.
+    fn rank(&self) -> (bool, usize, bool, Reverse<SuspectName>) {
+        (!self.has_served, self.ends.len(), self.name.is_request(), Reverse(self.name))
+    }
+
+    fn replicas(&self) -> BTreeSet<&Incarnation> {
+        self.ends.iter().map(|(replica, _)| *replica).collect()
+    }
+}
+
+/// What counts against a suspect by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectStatus {
+    /// Number of its valid ends.
+    pub ends: usize,
+}
+
+/// Requests with all of these names are sent to no replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Quarantine {
+    /// A request, or parts of prompts that are always together.
+    pub names: BTreeSet<SuspectName>,
+    /// Number of ends that led to it.
+    pub ends: usize,
+    /// When the first of these expires.
+    pub until: UnixMillis,
+}
+
+impl Quarantine {
+    /// Whether a request with these names is quarantined.
+    pub fn applies_to(&self, names: &[SuspectName]) -> bool {
+        self.names.iter().all(|name| names.contains(name))
+    }
+
+    /// Whether it is that of a request, not of parts.
+    pub fn is_of_request(&self) -> bool {
+        self.names.iter().any(|name| name.is_request())
+    }
+}
+
+impl fmt::Display for Quarantine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (n, name) in self.names.iter().enumerate() {
+            let separator = if n == 0 { "" } else { " with " };
+            write!(f, "{separator}{name}")?;
+        }
+        Ok(())
+    }
+}
+
+/// The suspects with valid ends, and what is quarantined.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashTable {
+    suspects: HashMap<Fingerprint, SuspectStatus>,
+    quarantines: Vec<Quarantine>,
+}
+
+impl CrashTable {
+    /// Decides what is quarantined.
+    pub fn new(evidence: Vec<Evidence<'_>>) -> CrashTable {
+        let status = |of: &Evidence<'_>| (of.name.fingerprint, SuspectStatus { ends: of.ends.len() });
+        CrashTable { suspects: evidence.iter().map(status).collect(), quarantines: quarantines(evidence) }
+    }
+
+    /// Whether there are no suspects.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Returns the number of suspects.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Returns what counts against a suspect.
+    pub fn get(&self, fingerprint: &Fingerprint) -> Option<SuspectStatus> {
+        self.suspects.get(fingerprint).copied()
+    }
+
+    /// Returns what is quarantined.
+    pub fn quarantines(&self) -> &[Quarantine] {
+        &self.quarantines
+    }
+
+    /// Returns the quarantine of a request with these names.
+    pub fn quarantine_of(&self, names: &[SuspectName]) -> Option<&Quarantine> {
+        self.quarantines.iter().find(|quarantine| quarantine.applies_to(names))
+    }
+}
+
+fn quarantines(mut open: Vec<Evidence<'_>>) -> Vec<Quarantine> {
+    let mut quarantines = Vec::new();
+    open.retain(Evidence::is_sufficient);
+    while let Some(worst) = open.iter().max_by_key(|suspect| suspect.rank()).cloned() {
+        let explained = worst.replicas();
+        let is_alike = |other: &&Evidence<'_>| {
+            !worst.name.is_request() && other.has_served == worst.has_served && other.replicas() == explained
+        };
+        let names = open.iter().filter(is_alike).map(|other| other.name).chain([worst.name]).collect();
+        let first = worst.ends.iter().map(|(_, at)| *at).min().unwrap_or_default();
+        let until = first + END_RETENTION.as_millis() as UnixMillis;
+        quarantines.push(Quarantine { names, ends: worst.ends.len(), until });
+        for suspect in &mut open {
+            suspect.ends.retain(|(replica, _)| !explained.contains(replica));
+        }
+        open.retain(Evidence::is_sufficient);
+    }
+    quarantines
+}
--- a/lib/src/gateway/recent_successes.rs
+++ b/lib/src/gateway/recent_successes.rs
@@ -5,13 +5,12 @@
 //! 10,745 of 323,296 harmless requests were refused in a model of a fleet whose replicas also end for other
 //! reasons, and none with it.
 
-use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::hash::BuildHasher;
 use std::hash::RandomState;
 use std::time::Duration;
 
 use crate::gateway::fingerprint::RequestParts;
+use crate::gateway::recent_keys::RecentKeys;
 use crate::ids::Timestamp;
 
 /// Time after a success in which the request is not held responsible for the end of a replica. A request that
@@ -28,13 +27,19 @@
 pub struct RequestHash(u64);
 
 /// The requests that succeeded lately.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RecentSuccesses {
     keys: RandomState,
-    succeeded_at: HashMap<RequestHash, Timestamp>,
-    /// In the order of their first success; a request that succeeded again since is moved to the back when it
-    /// gets to the front.
-    queue: VecDeque<RequestHash>,
+    recent: RecentKeys<RequestHash>,
+}
+
+impl Default for RecentSuccesses {
+    fn default() -> Self {
+        RecentSuccesses {
+            keys: RandomState::new(),
+            recent: RecentKeys::new(SUCCESS_VALIDITY, MAX_REMEMBERED),
+        }
+    }
 }
 
 impl RecentSuccesses {
@@ -46,30 +51,11 @@
 
     /// Records that a run of the request succeeded.
     pub fn on_success(&mut self, request: RequestHash, now: Timestamp) {
-        if self.succeeded_at.insert(request, now).is_none() {
-            self.queue.push_back(request);
-        }
-        self.forget(now);
+        self.recent.add(request, now);
     }
 
     /// Whether a run of the request succeeded lately.
     pub fn succeeded_recently(&self, request: RequestHash, now: Timestamp) -> bool {
-        self.succeeded_at.get(&request).is_some_and(|at| now < *at + SUCCESS_VALIDITY)
-    }
-
-    /// Removes expired or surplus requests. Checks only the two oldest, so that each addition has constant
-    /// cost.
-    fn forget(&mut self, now: Timestamp) {
-        for _ in 0..2 {
-            let Some(request) = self.queue.pop_front() else {
-                return;
-            };
-            let is_full = self.queue.len() >= MAX_REMEMBERED;
-            if !is_full && self.succeeded_recently(request, now) {
-                self.queue.push_back(request);
-            } else {
-                self.succeeded_at.remove(&request);
-            }
-        }
+        self.recent.contains(&request, now)
     }
 }
--- a/lib/src/gateway/stored_suspects.rs
+++ b/lib/src/gateway/stored_suspects.rs
@@ -12,17 +12,21 @@
 use std::time::Duration;
 
 use crate::gateway::crash_ledger::CrashLedger;
-use crate::gateway::crash_ledger::END_RETENTION;
-use crate::gateway::crash_ledger::Suspect;
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::replica_record::Incarnation;
 use crate::gateway::revision;
 use crate::gateway::revision::Revision;
+use crate::gateway::suspect::END_RETENTION;
+use crate::gateway::suspect::Suspect;
+use crate::gateway::suspect::SuspectKind;
 use crate::ids::Timestamp;
 use crate::ids::UnixMillis;
 
 /// Number of valid ends from which on a request is written.
-const ENDS_TO_WRITE: usize = 2;
+const REQUEST_ENDS_TO_WRITE: usize = 2;
+/// Number of valid ends from which on a part of prompts is written. Each end makes all parts suspects that the
+/// replica had begun to answer.
+const PART_ENDS_TO_WRITE: usize = 3;
 /// Delay after which nodes that observed none of the ends write, if no other node has.
 const FALLBACK_WRITE_DELAY: Duration = Duration::from_secs(1);
 /// Delay before a failed write is retried.
@@ -50,7 +54,7 @@
     /// Returns the request that is written or removed.
     pub fn fingerprint(&self) -> Fingerprint {
         match self {
-            StoreWrite::Put(suspect) => suspect.fingerprint,
+            StoreWrite::Put(suspect) => suspect.name.fingerprint,
             StoreWrite::Remove(fingerprint) => *fingerprint,
         }
     }
@@ -60,6 +64,7 @@
 #[derive(Clone, Debug)]
 struct StoredObject {
     replicas: BTreeSet<Incarnation>,
+    has_served: bool,
     newest: UnixMillis,
     at: Revision,
 }
@@ -69,13 +74,15 @@
         let valid = suspect.ends.iter().filter(|end| !end.is_void);
         StoredObject {
             replicas: valid.map(|end| end.replica.clone()).collect(),
+            has_served: suspect.has_served,
             newest: suspect.ends.iter().map(|end| end.at).max().unwrap_or(0),
             at,
         }
     }
 
     fn covers(&self, suspect: &Suspect) -> bool {
-        suspect.ends.iter().all(|end| end.is_void || self.replicas.contains(&end.replica))
+        let holds_ends = suspect.ends.iter().all(|end| end.is_void || self.replicas.contains(&end.replica));
+        holds_ends && (self.has_served || !suspect.has_served)
     }
 }
 
@@ -97,9 +104,9 @@
 
     /// Handles an object that the store held at a revision.
     pub fn on_put(&mut self, suspect: &Suspect, at: Revision) {
-        let known = self.stored.get(&suspect.fingerprint);
+        let known = self.stored.get(&suspect.name.fingerprint);
         if known.is_none_or(|known| known.at <= at) {
-            self.stored.insert(suspect.fingerprint, StoredObject::new(suspect, at));
+            self.stored.insert(suspect.name.fingerprint, StoredObject::new(suspect, at));
         }
     }
 
@@ -114,7 +121,7 @@
     /// copy, and are written again.
     pub fn on_listed(&mut self, items: &[Suspect], at: Revision) -> Vec<Fingerprint> {
         items.iter().for_each(|suspect| self.on_put(suspect, at));
-        let listed: HashSet<Fingerprint> = items.iter().map(|suspect| suspect.fingerprint).collect();
+        let listed: HashSet<Fingerprint> = items.iter().map(|suspect| suspect.name.fingerprint).collect();
         let missing: Vec<Fingerprint> =
             self.stored.keys().filter(|fingerprint| !listed.contains(fingerprint)).copied().collect();
         let is_lost = |object: &StoredObject| revision::era(object.at) < revision::era(at);
@@ -153,12 +160,17 @@
     }
 
     fn missing_writes(&self, ledger: &CrashLedger, role: StoreRole) -> Vec<StoreWrite> {
-        let min = if role.is_alone { 1 } else { ENDS_TO_WRITE };
-        let suspected = ledger.with_valid_ends(min);
-        let writable = suspected.filter(|of| role.is_watcher || self.observed.contains(*of));
-        let suspects = writable.filter_map(|fingerprint| ledger.get(fingerprint));
+        let min = |kind: SuspectKind| match kind {
+            _ if role.is_alone => 1,
+            SuspectKind::Request => REQUEST_ENDS_TO_WRITE,
+            SuspectKind::Part(_) | SuspectKind::SharedPart(_) => PART_ENDS_TO_WRITE,
+        };
+        let suspected = ledger.with_valid_ends().filter(|(name, ends)| *ends >= min(name.kind));
+        let fingerprints = suspected.map(|(name, _)| name.fingerprint);
+        let writable = fingerprints.filter(|of| role.is_watcher || self.observed.contains(of));
+        let suspects = writable.filter_map(|fingerprint| ledger.get(&fingerprint));
         let is_missing = |suspect: &Suspect| {
-            !self.stored.get(&suspect.fingerprint).is_some_and(|object| object.covers(suspect))
+            !self.stored.get(&suspect.name.fingerprint).is_some_and(|object| object.covers(suspect))
         };
         suspects.filter(is_missing).map(StoreWrite::Put).collect()
     }
--- a/lib/src/status.rs
+++ b/lib/src/status.rs
@@ -32,8 +32,8 @@
     /// Halls that are known to be closed.
     #[serde(default)]
     pub closed_halls: Vec<String>,
-    /// Fingerprints of the quarantined requests, which are sent to no upstream because upstreams ended under
-    /// them.
+    /// The quarantined requests, which are sent to no upstream because upstreams ended under them: each a
+    /// fingerprint, or those of the parts of prompts that requests are quarantined for.
     #[serde(default)]
     pub quarantined: Vec<String>,
     /// Upstreams that announce a limit, each with the requests per second that it accepts from all nodes
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -31,6 +31,7 @@
 mod test_gateway_low_limit;
 mod test_gateway_pending_ends;
 mod test_gateway_pending_queries;
+mod test_gateway_quarantine;
 mod test_gateway_recent_successes;
 mod test_gateway_replica_backoffs;
 mod test_gateway_replica_index;
--- a/lib/tests/test_gateway_crash_blame.rs
+++ b/lib/tests/test_gateway_crash_blame.rs
@@ -12,12 +12,13 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::crash_ledger::CrashLedger;
-use leadstage_lib::gateway::crash_ledger::ENDS_TO_QUARANTINE;
-use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::fingerprint::Fingerprint;
 use leadstage_lib::gateway::fingerprint::RequestParts;
+use leadstage_lib::gateway::quarantine::ENDS_TO_QUARANTINE;
 use leadstage_lib::gateway::recent_successes::RecentSuccesses;
 use leadstage_lib::gateway::replica_record::Incarnation;
+use leadstage_lib::gateway::suspect::Suspect;
+use leadstage_lib::gateway::suspect::SuspectName;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::loss_limit;
 use rand::RngExt;
@@ -286,7 +287,8 @@
         for (_, update) in due {
             match update {
                 Update::Ended(node, fingerprint, of) => {
-                    let changes = self.nodes[node].ledger.on_end(fingerprint, of, unix);
+                    let changes =
+                        self.nodes[node].ledger.on_end(SuspectName::of_request(fingerprint), of, unix);
                     self.count_quarantined(node, &changes);
                     self.announce(node, changes);
                 }
@@ -300,7 +302,7 @@
 
     fn count_quarantined(&mut self, node: usize, changes: &[Suspect]) {
         let ledger = &self.nodes[node].ledger;
-        let fingerprints = changes.iter().map(|suspect| suspect.fingerprint);
+        let fingerprints = changes.iter().map(|suspect| suspect.name.fingerprint);
         let harmless = fingerprints.filter(|fingerprint| !self.crashing.contains(fingerprint));
         let is_quarantined = |fingerprint: &Fingerprint| {
             ledger.get(fingerprint).is_some_and(|known| known.valid_ends() >= ENDS_TO_QUARANTINE)
--- a/lib/tests/test_gateway_crash_ledger.rs
+++ b/lib/tests/test_gateway_crash_ledger.rs
@@ -2,17 +2,17 @@
 //! agree; ends expire, and are void after a successful run.
 
 use leadstage_lib::gateway::crash_ledger::CrashLedger;
-use leadstage_lib::gateway::crash_ledger::END_RETENTION;
-use leadstage_lib::gateway::crash_ledger::ENDS_TO_QUARANTINE;
 use leadstage_lib::gateway::crash_ledger::MAX_ENDS;
 use leadstage_lib::gateway::crash_ledger::MAX_SUSPECTS;
 use leadstage_lib::gateway::crash_ledger::MAX_SUSPECTS_PER_MESSAGE;
-use leadstage_lib::gateway::crash_ledger::ReplicaEnd;
-use leadstage_lib::gateway::crash_ledger::Suspect;
-use leadstage_lib::gateway::crash_ledger::SuspectStatus;
 use leadstage_lib::gateway::fingerprint::Fingerprint;
 use leadstage_lib::gateway::fingerprint::RequestParts;
+use leadstage_lib::gateway::quarantine::ENDS_TO_QUARANTINE;
 use leadstage_lib::gateway::replica_record::Incarnation;
+use leadstage_lib::gateway::suspect::END_RETENTION;
+use leadstage_lib::gateway::suspect::ReplicaEnd;
+use leadstage_lib::gateway::suspect::Suspect;
+use leadstage_lib::gateway::suspect::SuspectName;
 use leadstage_lib::ids::UnixMillis;
 use proptest::prelude::*;
 
@@ -24,6 +24,10 @@
     Fingerprint::of(&RequestParts { method: "POST", host: "h", path: "/", organisation: "o", body: &body })
 }
 
+pub fn request(n: usize) -> SuspectName {
+    SuspectName::of_request(fingerprint(n))
+}
+
 pub fn replica(n: usize) -> Incarnation {
     Incarnation { id: format!("i-{n:08x}").into(), born: 0 }
 }
@@ -33,7 +37,7 @@
 }
 
 fn suspect(n: usize, ends: Vec<ReplicaEnd>) -> Suspect {
-    Suspect { fingerprint: fingerprint(n), ends }
+    Suspect { name: request(n), has_served: false, ends }
 }
 
 fn ends(ledger: &CrashLedger, n: usize) -> usize {
@@ -41,7 +45,7 @@
 }
 
 fn is_quarantined(ledger: &CrashLedger, n: usize) -> bool {
-    ledger.table().get(&fingerprint(n)).is_some_and(SuspectStatus::is_quarantined)
+    ledger.table().quarantine_of(&[request(n)]).is_some()
 }
 
 #[test]
@@ -49,13 +53,13 @@
     let mut ledger = CrashLedger::default();
     for n in 0..ENDS_TO_QUARANTINE {
         assert!(!is_quarantined(&ledger, 1));
-        assert!(!ledger.on_end(fingerprint(1), replica(n), NOW).is_empty());
-        assert!(ledger.on_end(fingerprint(1), replica(n), NOW + 5).is_empty(), "the end is known already");
+        assert!(!ledger.on_end(request(1), replica(n), NOW).is_empty());
+        assert!(ledger.on_end(request(1), replica(n), NOW + 5).is_empty(), "the end is known already");
     }
     assert!(is_quarantined(&ledger, 1) && !is_quarantined(&ledger, 2));
     // A restarted replica is another incarnation.
     let later = Incarnation { born: 7, ..replica(0) };
-    ledger.on_end(fingerprint(1), later, NOW);
+    ledger.on_end(request(1), later, NOW);
     assert_eq!(ends(&ledger, 1), ENDS_TO_QUARANTINE + 1);
 }
 
@@ -63,14 +67,13 @@
 fn test_a_successful_run_voids_earlier_ends() {
     let mut ledger = CrashLedger::default();
     assert!(ledger.clear(fingerprint(1)).is_empty(), "nothing is announced for a request without ends");
-    let announced: Vec<Suspect> =
-        (0..3).flat_map(|n| ledger.on_end(fingerprint(1), replica(n), NOW)).collect();
+    let announced: Vec<Suspect> = (0..3).flat_map(|n| ledger.on_end(request(1), replica(n), NOW)).collect();
     let cleared = ledger.clear(fingerprint(1));
     assert_eq!(ends(&ledger, 1), 0);
     // Older updates that arrive late don't make the ends valid again; another end counts.
     assert!(ledger.merge(announced.clone(), NOW).is_empty());
     assert_eq!(ends(&ledger, 1), 0);
-    ledger.on_end(fingerprint(1), replica(9), NOW);
+    ledger.on_end(request(1), replica(9), NOW);
     assert_eq!(ends(&ledger, 1), 1);
     // A node that receives the updates in the opposite order agrees.
     let mut other = CrashLedger::default();
@@ -82,8 +85,8 @@
 #[test]
 fn test_ends_expire() {
     let mut ledger = CrashLedger::default();
-    (0..3).for_each(|n| drop(ledger.on_end(fingerprint(1), replica(n), NOW + n as u64)));
-    let until = ledger.table()[&fingerprint(1)].until;
+    (0..3).for_each(|n| drop(ledger.on_end(request(1), replica(n), NOW + n as u64)));
+    let until = ledger.table().quarantine_of(&[request(1)]).expect("it is quarantined").until;
     assert_eq!(until, NOW + RETENTION_MS);
     assert!(!ledger.forget(until - 1));
     assert!(ledger.forget(until) && !is_quarantined(&ledger, 1));
@@ -97,15 +100,15 @@
 fn test_the_ledger_is_bounded_and_quarantined_requests_are_evicted_last() {
     let mut ledger = CrashLedger::default();
     for n in 0..3 {
-        ledger.on_end(fingerprint(0), replica(n), NOW);
+        ledger.on_end(request(0), replica(n), NOW);
     }
     for n in 1..3 * MAX_SUSPECTS {
-        ledger.on_end(fingerprint(n), replica(n), NOW + n as u64);
+        ledger.on_end(request(n), replica(n), NOW + n as u64);
     }
     assert_eq!(ledger.table().len(), MAX_SUSPECTS);
     assert!(is_quarantined(&ledger, 0));
     assert_eq!(ends(&ledger, 3 * MAX_SUSPECTS - 1), 1, "the newest of the other requests stay");
-    (0..3 * MAX_ENDS).for_each(|n| drop(ledger.on_end(fingerprint(0), replica(n), NOW)));
+    (0..3 * MAX_ENDS).for_each(|n| drop(ledger.on_end(request(0), replica(n), NOW)));
     assert_eq!(ends(&ledger, 0), MAX_ENDS);
 }
 
@@ -114,10 +117,10 @@
 fn test_void_ends_are_evicted_for_new_ones() {
     let mut ledger = CrashLedger::default();
     for n in 0..3 * MAX_ENDS {
-        assert_eq!(ledger.on_end(fingerprint(1), replica(n), NOW + n as u64).len(), 1, "{n}");
+        assert_eq!(ledger.on_end(request(1), replica(n), NOW + n as u64).len(), 1, "{n}");
         ledger.clear(fingerprint(1));
     }
-    (100..103).for_each(|n| drop(ledger.on_end(fingerprint(1), replica(n), NOW + 200)));
+    (100..103).for_each(|n| drop(ledger.on_end(request(1), replica(n), NOW + 200)));
     assert!(is_quarantined(&ledger, 1));
 }
 
@@ -127,7 +130,7 @@
     for n in 0..3 * MAX_SUSPECTS_PER_MESSAGE {
         for r in 0..MAX_ENDS {
             let replica = Incarnation { id: format!("i-{r:010x}").into(), born: NOW };
-            ledger.on_end(fingerprint(n), replica, NOW + n as u64);
+            ledger.on_end(request(n), replica, NOW + n as u64);
         }
     }
     let sent = ledger.suspects_to_sync();
@@ -143,9 +146,9 @@
 #[test]
 fn test_a_single_end_does_not_change_the_digest() {
     let mut ledger = CrashLedger::default();
-    ledger.on_end(fingerprint(1), replica(0), NOW);
+    ledger.on_end(request(1), replica(0), NOW);
     assert_eq!(ledger.digest(), 0);
-    ledger.on_end(fingerprint(1), replica(1), NOW);
+    ledger.on_end(request(1), replica(1), NOW);
     let before = ledger.digest();
     assert_ne!(before, 0);
     ledger.clear(fingerprint(1));
--- a/lib/tests/test_gateway_crash_spread.rs
+++ b/lib/tests/test_gateway_crash_spread.rs
@@ -11,10 +11,10 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::crash_ledger::CrashLedger;
-use leadstage_lib::gateway::crash_ledger::ENDS_TO_QUARANTINE;
-use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::fingerprint::Fingerprint;
+use leadstage_lib::gateway::quarantine::ENDS_TO_QUARANTINE;
 use leadstage_lib::gateway::rebroadcast::Rebroadcast;
+use leadstage_lib::gateway::suspect::Suspect;
 use leadstage_lib::ids::Timestamp;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -22,6 +22,7 @@
 
 use crate::test_gateway_crash_ledger::fingerprint;
 use crate::test_gateway_crash_ledger::replica;
+use crate::test_gateway_crash_ledger::request;
 
 const FIRST_FAN_OUT: usize = 8;
 const FAN_OUT: usize = 4;
@@ -170,8 +171,8 @@
 
     fn on_update(&mut self, node: usize, changes: &[Suspect]) {
         let Node { ledger, rebroadcast, .. } = &mut self.nodes[node];
-        let to_sync = changes.iter().filter(|suspect| ledger.needs_sync(&suspect.fingerprint));
-        to_sync.for_each(|suspect| rebroadcast.on_update(suspect.fingerprint));
+        let to_sync = changes.iter().filter(|suspect| ledger.needs_sync(&suspect.name.fingerprint));
+        to_sync.for_each(|suspect| rebroadcast.on_update(suspect.name.fingerprint));
         let known = self.nodes[node].ledger.get(&fingerprint(1));
         if known.is_some_and(|known| known.valid_ends() >= ENDS_TO_QUARANTINE) {
             self.informed.insert(node);
@@ -187,7 +188,7 @@
             match event {
                 Event::Start(node) => self.nodes[node].is_up = true,
                 Event::End(node, end) => {
-                    let changes = self.nodes[node].ledger.on_end(fingerprint(1), replica(end), UNIX);
+                    let changes = self.nodes[node].ledger.on_end(request(1), replica(end), UNIX);
                     self.on_update(node, &changes);
                     self.announce(node, FIRST_FAN_OUT, &changes);
                 }
--- a/lib/tests/test_gateway_pending_ends.rs
+++ b/lib/tests/test_gateway_pending_ends.rs
@@ -5,23 +5,24 @@
 
 use leadstage_lib::gateway::pending_ends::CheckResult;
 use leadstage_lib::gateway::pending_ends::PendingEnds;
+use leadstage_lib::gateway::suspect::SuspectName;
 use leadstage_lib::ids::Timestamp;
 
-use crate::test_gateway_crash_ledger::fingerprint;
 use crate::test_gateway_crash_ledger::replica;
+use crate::test_gateway_crash_ledger::request;
 
 const START: Timestamp = Duration::from_secs(100);
 
 /// Creates a table with one replica at which the runs of two requests broke.
 fn two_broken_runs() -> PendingEnds {
     let mut pending = PendingEnds::default();
-    pending.on_break(replica(1), fingerprint(1), START);
-    pending.on_break(replica(1), fingerprint(2), START + Duration::from_millis(3));
+    pending.on_break(replica(1), [request(1)], START);
+    pending.on_break(replica(1), [request(2)], START + Duration::from_millis(3));
     pending
 }
 
-fn both_requests() -> BTreeSet<leadstage_lib::gateway::fingerprint::Fingerprint> {
-    BTreeSet::from([fingerprint(1), fingerprint(2)])
+fn both_requests() -> BTreeSet<SuspectName> {
+    BTreeSet::from([request(1), request(2)])
 }
 
 #[test]
--- a/lib/tests/test_gateway_stored_suspects.rs
+++ b/lib/tests/test_gateway_stored_suspects.rs
@@ -3,17 +3,18 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::crash_ledger::CrashLedger;
-use leadstage_lib::gateway::crash_ledger::END_RETENTION;
-use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::revision;
 use leadstage_lib::gateway::stored_suspects::StoreRole;
 use leadstage_lib::gateway::stored_suspects::StoreWrite;
 use leadstage_lib::gateway::stored_suspects::StoredSuspects;
+use leadstage_lib::gateway::suspect::END_RETENTION;
+use leadstage_lib::gateway::suspect::Suspect;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UnixMillis;
 
 use crate::test_gateway_crash_ledger::fingerprint;
 use crate::test_gateway_crash_ledger::replica;
+use crate::test_gateway_crash_ledger::request;
 
 const UNIX: UnixMillis = 1_800_000_000_000;
 const NODE: StoreRole = StoreRole { is_watcher: false, is_alone: false };
@@ -35,7 +36,7 @@
     }
 
     fn end(&mut self, n: usize) {
-        self.ledger.on_end(fingerprint(1), replica(n), UNIX);
+        self.ledger.on_end(request(1), replica(n), UNIX);
     }
 
     fn due_writes(&mut self, role: StoreRole, at_ms: u64) -> Vec<StoreWrite> {
@@ -143,7 +144,7 @@
     assert!(node.ledger.forget(UNIX + later));
     assert!(node.due_writes(NODE, later).is_empty());
     for n in [5, 6] {
-        node.ledger.on_end(fingerprint(1), replica(n), UNIX + later);
+        node.ledger.on_end(request(1), replica(n), UNIX + later);
     }
     assert!(node.due_writes(NODE, later + 10_000).is_empty());
 }
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -139,7 +139,7 @@
             ToControl::Brittle(of, is_brittle) => self.placing.state.on_brittle_report(&of, is_brittle),
             ToControl::GrantSilent(id) => self.placing.on_grant_silent(&self.fleet, id),
             ToControl::RunBroke(run) => self.crashes.on_break(&self.placing, run),
-            ToControl::RunSucceeded(fingerprint) => self.crashes.on_run_succeeded(&self.fleet, fingerprint),
+            ToControl::RunSucceeded(suspects) => self.crashes.on_run_succeeded(&self.fleet, &suspects),
             ToControl::CheckedAfterBreak(of, result) => {
                 self.crashes.on_checked_after_break(&self.placing, &self.fleet, &of, result)
             }
@@ -225,7 +225,7 @@
             nodes: self.shared.nodes(),
             suspects: crashes.len(),
             limited: self.shared.limits().len(),
-            quarantined: crashes.values().filter(|status| status.is_quarantined()).count(),
+            quarantined: crashes.quarantines().len(),
             config_age: now.saturating_sub(self.configs.last_update()),
             replicas_age: now.saturating_sub(self.replicas.last_update()),
         };
--- a/node/src/gateway/control/crash_intake.rs
+++ b/node/src/gateway/control/crash_intake.rs
@@ -1,4 +1,4 @@
-//! Receives reports of requests under which replicas ended, from this node's own runs, from other nodes and
+//! Receives reports of suspects, under which replicas ended, from this node's own runs, from other nodes and
 //! from the store. New reports are sent to other nodes and, where they must be kept, written to the store.
 
 use std::collections::BTreeSet;
@@ -7,19 +7,21 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::crash_ledger::CrashLedger;
-use leadstage_lib::gateway::crash_ledger::CrashTable;
-use leadstage_lib::gateway::crash_ledger::Suspect;
-use leadstage_lib::gateway::crash_ledger::SuspectStatus;
+use leadstage_lib::gateway::crash_ledger::MAX_SUSPECTS_PER_MESSAGE;
 use leadstage_lib::gateway::digest::FullSyncLimiter;
 use leadstage_lib::gateway::fingerprint::Fingerprint;
 use leadstage_lib::gateway::pending_ends::CheckResult;
 use leadstage_lib::gateway::pending_ends::PendingEnds;
+use leadstage_lib::gateway::quarantine::CrashTable;
+use leadstage_lib::gateway::quarantine::Quarantine;
 use leadstage_lib::gateway::rebroadcast::Rebroadcast;
 use leadstage_lib::gateway::replica::LeavingSign;
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::stored_suspects::StoreRole;
 use leadstage_lib::gateway::stored_suspects::StoredSuspects;
+use leadstage_lib::gateway::suspect::Suspect;
+use leadstage_lib::gateway::suspect::SuspectName;
 use leadstage_lib::ids::Timestamp;
 use leadstage_platform::health;
 use leadstage_platform::health::Health;
@@ -48,7 +50,7 @@
 /// Time between two passes that forget ends that no longer count.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Receives reports of requests under which replicas ended, and announces them to other nodes.
+/// Receives reports of suspects, and announces them to other nodes.
 pub struct CrashIntake {
     shared: Arc<Shared>,
     ledger: CrashLedger,
@@ -80,7 +82,7 @@
         if replica.is_some_and(|replica| replica.leaving.is_some()) {
             return;
         }
-        self.pending.on_break(run.replica, run.fingerprint, self.shared.now());
+        self.pending.on_break(run.replica, run.suspects, self.shared.now());
         self.check_pending(placing);
     }
 
@@ -138,8 +140,8 @@
     ) {
         self.check_list(placing, fleet);
         info!(event = "asked_after_break", upstream = &*incarnation.id, shown:? = result; "checked the health of a replica at which a run broke");
-        let fingerprints = self.pending.on_check_result(incarnation, result);
-        self.on_ended(fleet, incarnation, fingerprints);
+        let suspects = self.pending.on_check_result(incarnation, result);
+        self.on_ended(fleet, incarnation, suspects);
     }
 
     /// Checks in the list of replicas whether those at which runs broke have ended.
@@ -165,43 +167,80 @@
     }
 
     fn on_gone(&mut self, fleet: &Fleet, incarnation: &Incarnation) {
-        let fingerprints = self.pending.on_gone(incarnation);
-        self.on_ended(fleet, incarnation, fingerprints);
+        let suspects = self.pending.on_gone(incarnation);
+        self.on_ended(fleet, incarnation, suspects);
     }
 
-    fn on_ended(&mut self, fleet: &Fleet, incarnation: &Incarnation, fingerprints: BTreeSet<Fingerprint>) {
+    fn on_ended(&mut self, fleet: &Fleet, incarnation: &Incarnation, suspects: BTreeSet<SuspectName>) {
         let mut updated = Vec::new();
-        for fingerprint in fingerprints {
-            self.stored.on_own_end(fingerprint);
-            updated.extend(self.ledger.on_end(fingerprint, incarnation.clone(), unix_millis()));
+        for name in suspects {
+            self.stored.on_own_end(name.fingerprint);
+            updated.extend(self.ledger.on_end(name, incarnation.clone(), unix_millis()));
         }
         self.announce(fleet, updated);
     }
 
     /// Publishes changes on this node and sends them to other nodes.
     fn announce(&mut self, fleet: &Fleet, updated: Vec<Suspect>) {
+        let updated = self.with_served_parts(updated);
         if !updated.is_empty() {
             self.on_change(&updated);
-            fleet.notify(&PeerMessage::Suspects(updated));
+            for message in updated.chunks(MAX_SUSPECTS_PER_MESSAGE) {
+                fleet.notify(&PeerMessage::Suspects(message.to_vec()));
+            }
         }
     }
 
-    /// A run of a suspected request succeeded.
-    pub fn on_run_succeeded(&mut self, fleet: &Fleet, fingerprint: Fingerprint) {
-        self.clear(fleet, fingerprint, "it ended well");
+    /// Adds to changes that replicas have served the parts to this node.
+    fn with_served_parts(&mut self, mut updated: Vec<Suspect>) -> Vec<Suspect> {
+        for suspect in &mut updated {
+            let fingerprint = suspect.name.fingerprint;
+            if !suspect.has_served && self.shared.has_served(&fingerprint) {
+                suspect.has_served = true;
+                self.ledger.on_served(&fingerprint);
+            }
+        }
+        updated
     }
 
-    fn clear(&mut self, fleet: &Fleet, fingerprint: Fingerprint, reason: &str) {
-        let updated = self.ledger.clear(fingerprint);
-        if !updated.is_empty() {
-            warn!(event = "request_cleared", fingerprint:% = fingerprint, reason = reason; "a request is no longer suspected");
+    /// A run succeeded that speaks for these suspects.
+    pub fn on_run_succeeded(&mut self, fleet: &Fleet, suspects: &[SuspectName]) {
+        self.clear(fleet, suspects, "it ended well");
+    }
+
+    fn clear<'a>(
+        &mut self,
+        fleet: &Fleet,
+        suspects: impl IntoIterator<Item = &'a SuspectName>,
+        reason: &str,
+    ) {
+        let mut updated = Vec::new();
+        for suspect in suspects {
+            let cleared = self.ledger.clear(suspect.fingerprint);
+            if !cleared.is_empty() {
+                let event = if suspect.is_request() { "request_cleared" } else { "part_cleared" };
+                info!(event = event, suspect:% = suspect, reason = reason; "a request or a part of prompts is no longer suspected");
+            }
+            updated.extend(cleared);
         }
         self.announce(fleet, updated);
     }
 
+    /// The store no longer holds a suspect: an operator lifts the quarantine. With some of its names it would
+    /// apply to more requests than before.
+    fn on_removed_from_store(&mut self, fleet: &Fleet, fingerprint: Fingerprint) {
+        let crashes = self.shared.crashes();
+        let holds =
+            |quarantine: &&Quarantine| quarantine.names.iter().any(|name| name.fingerprint == fingerprint);
+        let lifted = crashes.quarantines().iter().find(holds).map(|quarantine| &quarantine.names);
+        let removed = self.ledger.get(&fingerprint).map(|suspect| suspect.name);
+        self.clear(fleet, lifted.into_iter().flatten().chain(&removed), "its object was removed");
+    }
+
     /// Another node announced suspects.
     pub fn on_announced(&mut self, fleet: &Fleet, announced: Vec<Suspect>) {
         let updated = self.ledger.merge(announced, unix_millis());
+        let updated = self.with_served_parts(updated);
         if !updated.is_empty() {
             self.on_change(&updated);
             fleet.forward(&PeerMessage::Suspects(updated));
@@ -244,7 +283,7 @@
         let updated = self.ledger.merge(announced, unix_millis());
         self.announce(fleet, updated);
         for fingerprint in removed {
-            self.clear(fleet, fingerprint, "its object was removed");
+            self.on_removed_from_store(fleet, fingerprint);
         }
     }
 
@@ -265,12 +304,16 @@
         let before = self.shared.crashes();
         self.publish();
         let after = self.shared.crashes();
-        for suspect in updated {
-            if self.ledger.needs_sync(&suspect.fingerprint) {
-                self.rebroadcast.on_update(suspect.fingerprint);
+        for Suspect { name, .. } in updated {
+            if self.ledger.needs_sync(&name.fingerprint) {
+                self.rebroadcast.on_update(name.fingerprint);
+            }
+            if let Some(status) = after.get(&name.fingerprint) {
+                let event = if name.is_request() { "request_suspected" } else { "part_suspected" };
+                info!(event = event, suspect:% = name, ends = status.ends; "replicas ended under a request or a part of prompts");
             }
-            log_change(suspect.fingerprint, &before, &after);
         }
+        log_quarantines(&before, &after);
     }
 
     fn publish(&self) {
@@ -278,22 +321,17 @@
     }
 }
 
-/// Logs a new suspicion, and the beginning and the end of a quarantine.
-fn log_change(fingerprint: Fingerprint, before: &CrashTable, after: &CrashTable) {
-    let is_quarantined =
-        |table: &CrashTable| table.get(&fingerprint).is_some_and(SuspectStatus::is_quarantined);
-    let ends = after.get(&fingerprint).map_or(0, |status| status.ends);
-    match (is_quarantined(before), is_quarantined(after)) {
-        (false, true) => {
-            warn!(event = "request_quarantined", fingerprint:% = fingerprint, ends; "several replicas ended under a request; it is quarantined")
-        }
-        (true, false) => {
-            warn!(event = "quarantine_ended", fingerprint:% = fingerprint, ends; "a request is no longer quarantined")
-        }
-        _ if ends > 0 => {
-            info!(event = "request_suspected", fingerprint:% = fingerprint, ends; "a replica ended under a request")
-        }
-        _ => {}
+/// Logs the beginning and the end of quarantines.
+fn log_quarantines(before: &CrashTable, after: &CrashTable) {
+    let is_in = |table: &CrashTable, quarantine: &Quarantine| {
+        table.quarantines().iter().any(|other| other.names == quarantine.names)
+    };
+    for quarantine in after.quarantines().iter().filter(|quarantine| !is_in(before, quarantine)) {
+        let event = if quarantine.is_of_request() { "request_quarantined" } else { "part_quarantined" };
+        warn!(event = event, names:% = quarantine, ends = quarantine.ends; "several replicas ended under a request or a part of prompts; it is quarantined");
+    }
+    for quarantine in before.quarantines().iter().filter(|quarantine| !is_in(after, quarantine)) {
+        warn!(event = "quarantine_ended", names:% = quarantine; "a request or a part of prompts is no longer quarantined");
     }
 }
 
--- a/node/src/gateway/control/suspect_store.rs
+++ b/node/src/gateway/control/suspect_store.rs
@@ -1,11 +1,11 @@
-//! Writes requests under which replicas ended to the platform's store, so that they outlast all nodes.
+//! Writes suspects, under which replicas ended, to the platform's store, so that they outlast all nodes.
 
 use std::sync::Arc;
 
 use leadstage_lib::gateway::crash_ledger::CrashLedger;
-use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::fingerprint::Fingerprint;
 use leadstage_lib::gateway::stored_suspects::StoreWrite;
+use leadstage_lib::gateway::suspect::Suspect;
 use leadstage_platform::store::Revision;
 use leadstage_platform::store::Store;
 use leadstage_platform::store::StoreError;
@@ -31,7 +31,7 @@
         StoreWrite::Remove(fingerprint) => store.remove(fingerprint).await.map(Some),
     };
     let stored = stored.unwrap_or_else(|err| {
-        info!(event = "suspect_not_stored", fingerprint:% = fingerprint, reason:% = err; "could not store a request under which replicas ended");
+        info!(event = "suspect_not_stored", fingerprint:% = fingerprint, reason:% = err; "could not store a suspect");
         None
     });
     shared.notify(ToControl::SuspectStored(fingerprint, stored));
@@ -80,7 +80,7 @@
 fn union(ours: Suspect, held: Suspect) -> (Suspect, bool) {
     let now = unix_millis();
     let mut ledger = CrashLedger::default();
-    let fingerprint = ours.fingerprint;
+    let fingerprint = ours.name.fingerprint;
     ledger.merge(vec![held.clone()], now);
     let is_held = ledger.merge(vec![ours], now).is_empty();
     let all = ledger.get(&fingerprint).unwrap_or(held);
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -147,6 +147,9 @@
         }
         Ok(answer) => {
             traffic.on_successful_run(req);
+            if answer.status.is_success() {
+                traffic.on_parts_served(req);
+            }
             let is_error = answer.status.is_server_error();
             traffic.sample_answer(req, &replica, is_error, run.placed_at.elapsed());
             run.end(if is_error { Outcome::Errored } else { Outcome::Answered });
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -187,6 +187,7 @@
             let answer = exchanged.read_response(traffic, &replica, req).await;
             if is_success && answer.is_ok() {
                 traffic.on_successful_run(req);
+                traffic.on_parts_served(req);
                 run.end(Outcome::Answered);
             } else {
                 traffic.sample_answer(req, &replica, true, Duration::ZERO);
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -9,7 +9,6 @@
 use leadstage_lib::gateway::answer_counts::Sample;
 use leadstage_lib::gateway::answer_counts::Side;
 use leadstage_lib::gateway::config_text::PartialConfig;
-use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::fingerprint::Fingerprint;
 use leadstage_lib::gateway::limit_grants::GrantRequestId;
 use leadstage_lib::gateway::pending_ends::CheckResult;
@@ -23,6 +22,8 @@
 use leadstage_lib::gateway::routing::RouteId;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::run_key::RunId;
+use leadstage_lib::gateway::suspect::Suspect;
+use leadstage_lib::gateway::suspect::SuspectName;
 use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
@@ -64,8 +65,8 @@
     Brittle(Incarnation, bool),
     /// A run broke off, possibly because its replica ended.
     RunBroke(BrokenRun),
-    /// A run of a request with evidence against it succeeded.
-    RunSucceeded(Fingerprint),
+    /// A run succeeded that speaks for these suspects.
+    RunSucceeded(Vec<SuspectName>),
     /// The result of checking a replica after a run broke off there.
     CheckedAfterBreak(Incarnation, CheckResult),
     /// An update from the store of the requests during which replicas ended.
@@ -116,8 +117,8 @@
 /// A run that broke off before the end of its answer.
 #[derive(Clone, Debug)]
 pub struct BrokenRun {
-    /// The request's fingerprint.
-    pub fingerprint: Fingerprint,
+    /// The request and the parts of its prompt, as far as the end of the replica would count against them.
+    pub suspects: Vec<SuspectName>,
     /// The replica that it ran on.
     pub replica: Incarnation,
 }
--- a/node/src/gateway/observability/status.rs
+++ b/node/src/gateway/observability/status.rs
@@ -1,5 +1,6 @@
 //! A gateway node's status for operators, in the form that `leadstage status` reads.
 
+use leadstage_lib::gateway::quarantine::Quarantine;
 use leadstage_lib::gateway::replica::Replica;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::status::EngineSummary;
@@ -54,8 +55,7 @@
 
 fn quarantined(shared: &Shared) -> Vec<String> {
     let crashes = shared.crashes();
-    let quarantined = crashes.iter().filter(|(_, status)| status.is_quarantined());
-    let mut names: Vec<String> = quarantined.map(|(fingerprint, _)| fingerprint.to_string()).collect();
+    let mut names: Vec<String> = crashes.quarantines().iter().map(Quarantine::to_string).collect();
     names.sort();
     names
 }
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
-use leadstage_lib::gateway::crash_ledger::Suspect;
 use leadstage_lib::gateway::inventory::Inventory;
 use leadstage_lib::gateway::limit_grants::Grant;
 use leadstage_lib::gateway::limit_grants::GrantRequestId;
@@ -21,6 +20,7 @@
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::run_key::RunId;
+use leadstage_lib::gateway::suspect::Suspect;
 use leadstage_lib::gateway::trial_evidence::TrialReport;
 use leadstage_lib::gateway::trial_reports::SampleCount;
 use leadstage_lib::gateway::upgrade::AnnouncedUpgrades;
@@ -54,7 +54,7 @@
     pub replicas_at: Revision,
     /// The halls that are closed, as far as the sender knows.
     pub closed_halls: ClosedHalls,
-    /// Digest of the suspects that the sender knows: requests under which replicas ended.
+    /// Digest of the suspects that the sender knows.
     pub crash_digest: u64,
     /// Digest of the limits of replicas that the sender knows.
     pub limits_digest: u64,
@@ -99,7 +99,7 @@
     NewConfig,
     /// Halls were closed or opened; the closed ones are in the datagram.
     HallsChanged,
-    /// Requests under which replicas ended. Receivers forward those that are new to them.
+    /// Requests and parts of prompts under which replicas ended. Receivers forward those that are new to them.
     Suspects(Vec<Suspect>),
     /// Limits that replicas announce or withdraw. Receivers forward those that are new to them.
     Limits(Vec<AnnouncedLimit>),
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -18,6 +18,7 @@
 use leadstage_lib::gateway::fingerprint::Fingerprint;
 use leadstage_lib::gateway::fingerprint::RequestParts;
 use leadstage_lib::gateway::load::GenerationSize;
+use leadstage_lib::gateway::part_blame::MAX_PARTS;
 use leadstage_lib::gateway::prefill;
 use leadstage_lib::gateway::regions::AllowedRegions;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
@@ -26,6 +27,7 @@
 use leadstage_lib::gateway::routing::RouteError;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::suspect::SuspectName;
 use leadstage_lib::ids::Timestamp;
 use leadstage_platform::engine::Resume;
 use leadstage_platform::headers;
@@ -91,6 +93,7 @@
     timeout: Duration,
     /// Its fingerprint, computed on first use.
     fingerprint: OnceLock<Fingerprint>,
+    part_names: OnceLock<Vec<SuspectName>>,
     /// Replicas at which runs of this attempt broke, perhaps because the replicas ended while they ran it.
     pub broken_at: Mutex<Vec<ReplicaRecord>>,
     /// The node's memory that its body occupies.
@@ -108,6 +111,29 @@
         *self.fingerprint.get_or_init(|| Fingerprint::of(&self.parts()))
     }
 
+    /// Names of the parts of its prompt that other requests may share, for its organisation and, if there are
+    /// organisations, for all of them. The first call hashes the parts.
+    pub fn part_names(&self) -> &[SuspectName] {
+        self.part_names.get_or_init(|| {
+            let parts = headers::shared_parts(&self.headers).take(MAX_PARTS);
+            let names_of = |part| {
+                let organisation = self.organisation.as_ref();
+                let name = organisation.map_or("", |organisation| &organisation.name);
+                let own = SuspectName::of_part(&self.service, name, part);
+                [own]
+                    .into_iter()
+                    .chain(organisation.map(|_| SuspectName::of_shared_part(&self.service, part)))
+            };
+            parts.flat_map(names_of).collect()
+        })
+    }
+
+    /// All names under which it may be a suspect.
+    pub fn suspect_names(&self) -> Vec<SuspectName> {
+        let request = SuspectName::of_request(self.fingerprint());
+        self.part_names().iter().copied().chain([request]).collect()
+    }
+
     /// The parts that its caller sends again when it retries.
     pub fn parts(&self) -> RequestParts<'_> {
         RequestParts {
@@ -248,6 +274,7 @@
         received_since_boot,
         timeout,
         fingerprint: OnceLock::new(),
+        part_names: OnceLock::new(),
         broken_at: Mutex::default(),
         _held: held,
     })
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -16,12 +16,15 @@
 use bytes::Bytes;
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
 use leadstage_lib::gateway::config_text::ConfigText;
-use leadstage_lib::gateway::crash_ledger::CrashTable;
+use leadstage_lib::gateway::fingerprint::Fingerprint;
+use leadstage_lib::gateway::part_blame::ServedParts;
+use leadstage_lib::gateway::quarantine::CrashTable;
 use leadstage_lib::gateway::replica_limits::LimitsInForce;
 use leadstage_lib::gateway::replica_paths::ReplicaPaths;
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::suspect::SuspectName;
 use leadstage_lib::gateway::token_pace::DEFAULT_TOKENS_PER_SECOND;
 use leadstage_lib::gateway::upgrade::Upgrades;
 use leadstage_lib::gateway::waiting::NoRoom;
@@ -78,6 +81,7 @@
     bounds: RwLock<Bounds>,
     crashes: watch::Sender<Arc<CrashTable>>,
     crash_digest: AtomicU64,
+    served_parts: Mutex<ServedParts>,
     nodes: AtomicUsize,
     fleet_size: AtomicUsize,
     has_neighbour: AtomicBool,
@@ -125,6 +129,7 @@
             phase: watch::Sender::new(Phase::Starting),
             crashes: watch::Sender::new(Arc::default()),
             crash_digest: AtomicU64::new(0),
+            served_parts: Mutex::default(),
             open: AtomicUsize::new(0),
             stop_began: OnceLock::new(),
         }
@@ -275,7 +280,7 @@
         *self.upgrades.write().expect("no holder panics") = Arc::new(upgrades);
     }
 
-    /// Returns the suspects: requests with evidence against them, as replicas ended under them.
+    /// Returns the suspects, under which replicas ended, and what is quarantined.
     pub fn crashes(&self) -> Arc<CrashTable> {
         self.crashes.borrow().clone()
     }
@@ -296,6 +301,18 @@
         self.crash_digest.load(Ordering::Relaxed)
     }
 
+    /// Records that a run at a replica spoke for parts of its prompt.
+    pub fn on_parts_served(&self, parts: &[SuspectName]) {
+        let now = self.now();
+        let mut served = self.served_parts.lock().expect("no holder panics");
+        parts.iter().for_each(|part| served.on_served(part.fingerprint, now));
+    }
+
+    /// Whether a run spoke lately for a part of prompts.
+    pub fn has_served(&self, part: &Fingerprint) -> bool {
+        self.served_parts.lock().expect("no holder panics").has_served(part, self.now())
+    }
+
     /// Returns the tokens per second of a generation of a service, as far as this node knows.
     pub fn tokens_per_second(&self, service: &ServiceId) -> f64 {
         let paces = self.paces.read().expect("no holder panics");
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -22,6 +22,7 @@
 
 use bytes::Bytes;
 use leadstage_lib::gateway::event_splitter::EventSplitter;
+use leadstage_lib::gateway::part_blame;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::arrival;
@@ -105,6 +106,8 @@
     awaits_first_event: bool,
     /// Number of events received before the request was last sent.
     events_before_run: u64,
+    /// Whether the current run has shown that its replica does not crash on the prompt.
+    serves_parts: bool,
     /// Number of engines that the request was sent to, not counting those that resumed from a copy.
     sent: u32,
     stall: StallWatch,
@@ -152,6 +155,7 @@
             pace: Pace::default(),
             awaits_first_event: true,
             events_before_run: 0,
+            serves_parts: false,
             req: Arc::new(req),
         }
     }
@@ -166,6 +170,9 @@
         metrics.on_answer(&self.req.route.name, if end == StreamEnd::Done { 200 } else { 0 });
         if end == StreamEnd::Done {
             self.traffic.on_successful_run(&self.req);
+            if self.run_progress().events_here > 0 {
+                self.on_parts_served();
+            }
             self.report_pace();
         }
         let outcome = match end {
@@ -272,6 +279,9 @@
             self.traffic.sample_answer(&self.req, &run.placed.replica, false, took);
         }
         self.pace.on_event(self.req.received_at);
+        if part_blame::speaks_for_parts(self.run_progress().events_here) {
+            self.on_parts_served();
+        }
         let tokens = self.events.events() as u32 * self.tokens_per_event;
         self.handle.produced.store(tokens, Ordering::Relaxed);
         self.send_to_caller(complete).await
@@ -305,6 +315,13 @@
     fn on_resumed(&mut self) {
         self.lost_at = None;
         self.events_before_run = self.events.events();
+        self.serves_parts = false;
+    }
+
+    fn on_parts_served(&mut self) {
+        if !std::mem::replace(&mut self.serves_parts, true) {
+            self.traffic.on_parts_served(&self.req);
+        }
     }
 
     /// How far the current run got.
--- a/node/src/gateway/upstream/suspicion.rs
+++ b/node/src/gateway/upstream/suspicion.rs
@@ -1,14 +1,17 @@
-//! Detects requests that make replicas end, on the traffic thread: reports broken and successful runs to
-//! the control loop, and sends quarantined requests to no replica.
+//! Detects requests and parts of prompts that make replicas end, on the traffic thread: reports broken and
+//! successful runs to the control loop, and sends quarantined requests to no replica.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use leadstage_lib::code::Code;
-use leadstage_lib::gateway::crash_ledger::CrashTable;
-use leadstage_lib::gateway::crash_ledger::SuspectStatus;
+use leadstage_lib::gateway::part_blame;
 use leadstage_lib::gateway::prompt_parts::PartId;
+use leadstage_lib::gateway::quarantine::CrashTable;
+use leadstage_lib::gateway::quarantine::Quarantine;
+use leadstage_lib::gateway::quarantine::SuspectStatus;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
+use leadstage_lib::gateway::suspect::SuspectName;
 use leadstage_lib::loss_limit;
 use leadstage_platform::headers;
 use leadstage_platform::health::Health;
@@ -35,20 +38,38 @@
 
 impl Traffic {
     /// Records that a request's run at a replica broke before the end of the response. The break counts
-    /// against the request unless another run of it succeeded recently.
+    /// against the request unless another run of it succeeded recently, and against the parts of its prompt
+    /// if the response had just begun.
     pub fn on_broken_run(&self, req: &CallerRequest, replica: &ReplicaRecord, progress: RunProgress) {
         let counts_against_request = !self.succeeded_recently(req);
+        let counts_against_parts = part_blame::speaks_against_parts(progress.events_here);
         let ran_ms = progress.began.map_or(0, |began| began.elapsed().as_millis() as u64);
         let parts: Vec<PartId> = headers::shared_parts(&req.headers).collect();
-        info!(event = "run_broke", request = req.id(), fingerprint:% = req.fingerprint(), parts:? = parts, route = &*req.route.name, upstream = &*replica.id, born = replica.born, began = progress.began.is_some(), ran_ms, events = progress.events, events_here = progress.events_here, held = counts_against_request; "a run broke at its replica");
+        info!(event = "run_broke", request = req.id(), fingerprint:% = req.fingerprint(), parts:? = parts, route = &*req.route.name, upstream = &*replica.id, born = replica.born, began = progress.began.is_some(), ran_ms, events = progress.events, events_here = progress.events_here, held = counts_against_request, parts_held = counts_against_parts; "a run broke at its replica");
         self.shared.metrics.on_broken_run(counts_against_request);
+        let mut suspects = Vec::new();
+        if counts_against_parts {
+            suspects.extend(self.parts_to_blame(req));
+        }
         if counts_against_request {
             req.broken_at.lock().expect("no holder panics").push(replica.clone());
-            let run = BrokenRun { fingerprint: req.fingerprint(), replica: replica.incarnation() };
+            suspects.push(SuspectName::of_request(req.fingerprint()));
+        }
+        if !suspects.is_empty() {
+            let run = BrokenRun { suspects, replica: replica.incarnation() };
             self.shared.notify(ToControl::RunBroke(run));
         }
     }
 
+    /// The parts that a broken run speaks against: those that are quarantined already explain it.
+    fn parts_to_blame(&self, req: &CallerRequest) -> Vec<SuspectName> {
+        let crashes = self.shared.crashes();
+        match crashes.quarantine_of(req.part_names()) {
+            Some(quarantine) => quarantine.names.iter().copied().collect(),
+            None => req.part_names().to_vec(),
+        }
+    }
+
     fn succeeded_recently(&self, req: &CallerRequest) -> bool {
         let successes = self.recent_successes.borrow();
         successes.succeeded_recently(successes.hash(&req.parts()), self.shared.now())
@@ -60,14 +81,30 @@
         let hash = successes.hash(&req.parts());
         successes.on_success(hash, self.shared.now());
         if self.suspect_status(req).is_some() {
-            self.shared.notify(ToControl::RunSucceeded(req.fingerprint()));
+            let request = SuspectName::of_request(req.fingerprint());
+            self.shared.notify(ToControl::RunSucceeded(vec![request]));
         }
     }
 
-    /// Returns the suspect status of a request. Costs nothing while there are no suspects.
+    /// Records that a replica answers a request without crashing on a part of its prompt.
+    pub fn on_parts_served(&self, req: &CallerRequest) {
+        let parts = req.part_names();
+        if parts.is_empty() {
+            return;
+        }
+        self.shared.on_parts_served(parts);
+        let crashes = self.shared.crashes();
+        let suspects = parts.iter().filter(|part| crashes.get(&part.fingerprint).is_some());
+        let suspects: Vec<SuspectName> = suspects.copied().collect();
+        if !suspects.is_empty() {
+            self.shared.notify(ToControl::RunSucceeded(suspects));
+        }
+    }
+
+    /// Returns what counts against a request as a whole. Costs nothing while there are no suspects.
     fn suspect_status(&self, req: &CallerRequest) -> Option<SuspectStatus> {
         let crashes = self.shared.crashes();
-        if crashes.is_empty() { None } else { crashes.get(&req.fingerprint()).copied() }
+        if crashes.is_empty() { None } else { crashes.get(&req.fingerprint()) }
     }
 
     /// Whether a request may be sent to one more replica after a run that broke, although it may end that
@@ -99,26 +136,31 @@
 
     /// Whether a request must not be sent to any replica.
     pub fn is_quarantined(&self, req: &CallerRequest) -> bool {
-        self.suspect_status(req).is_some_and(|status| status.is_quarantined())
+        quarantine_of(&self.shared.crashes(), req).is_some()
     }
 
     /// Refuses a quarantined request, with a retry delay until the quarantine ends: each earlier attempt
     /// would be refused again.
     pub fn refuse_quarantined(&self, req: &CallerRequest) -> Result<(), Refusal> {
-        let Some(status) = self.suspect_status(req).filter(SuspectStatus::is_quarantined) else {
+        let crashes = self.shared.crashes();
+        let Some(quarantine) = quarantine_of(&crashes, req) else {
             return Ok(());
         };
-        let left = Duration::from_millis(status.until.saturating_sub(unix_millis()));
-        info!(event = "quarantined", request = req.id(), fingerprint:% = req.fingerprint(), ends = status.ends; "refusing a quarantined request");
-        Err(Refusal { code: Code::Quarantined, retry_after: Some(left) })
+        let left = Duration::from_millis(quarantine.until.saturating_sub(unix_millis()));
+        info!(event = "quarantined", request = req.id(), names:% = quarantine, ends = quarantine.ends; "refusing a quarantined request");
+        let code = if quarantine.is_of_request() { Code::Quarantined } else { Code::PartQuarantined };
+        Err(Refusal { code, retry_after: Some(left) })
     }
 
     /// Waits until a request is quarantined.
     pub async fn until_quarantined(&self, req: &CallerRequest) {
-        let is_quarantined = |table: &Arc<CrashTable>| {
-            !table.is_empty() && table.get(&req.fingerprint()).is_some_and(SuspectStatus::is_quarantined)
-        };
+        let is_quarantined = |table: &Arc<CrashTable>| quarantine_of(table, req).is_some();
         // The sender lives as long as the process.
         let _ = self.shared.crash_changes().wait_for(is_quarantined).await;
     }
 }
+
+/// Returns the quarantine of a request. Costs nothing while nothing is quarantined.
+fn quarantine_of<'a>(table: &'a CrashTable, req: &CallerRequest) -> Option<&'a Quarantine> {
+    if table.quarantines().is_empty() { None } else { table.quarantine_of(&req.suspect_names()) }
+}
