lib: two parts that crash the same replicas are both quarantined, and ends of one moment all count

Cause: found by a model (test_gateway_part_blame: 6 nodes, 12 replicas that also end by themselves, alone and by the half, two crashing parts at once, popular, rare and new parts, bursts).

Now all ends count, and a part that no replica has served is quarantined from its fifth end on if one of them is not explained. Ruled out as the cause: news that comes late (the ledgers were equal).

--- a/lib/src/gateway/quarantine.rs
+++ b/lib/src/gateway/quarantine.rs
@@ -13,7 +13,6 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::fmt;
-use std::time::Duration;
 
 use crate::gateway::fingerprint::Fingerprint;
 use crate::gateway::replica_record::Incarnation;
@@ -25,11 +24,9 @@
 pub const ENDS_TO_QUARANTINE: usize = 3;
 /// Number of replica ends at which a part of prompts is quarantined that replicas have served.
 pub const ENDS_TO_QUARANTINE_SERVED: usize = 5;
-/// Time within which ends may have one cause, as the loss of a hall.
-const SIMULTANEOUS: Duration = Duration::from_secs(1);
-/// Number of ends that count against a part of prompts within [`SIMULTANEOUS`]. A burst of requests with a new
-/// part runs on many replicas of a hall that is lost.
-const MAX_SIMULTANEOUS_ENDS: usize = 2;
+/// Number of ends from which on a part of prompts that no replica has served is quarantined if a single one of
+/// them is not explained by other parts: two crashing parts may run on the same replicas.
+const ENDS_TO_DOUBT_EXPLANATION: usize = 5;
 
 /// What counts against a suspect.
 #[derive(Clone, Debug)]
@@ -42,26 +39,29 @@
     pub ends: Vec<(&'a Incarnation, UnixMillis)>,
 }
 
-impl Evidence<'_> {
-    fn is_sufficient(&self) -> bool {
-        let needed = if self.has_served { ENDS_TO_QUARANTINE_SERVED } else { ENDS_TO_QUARANTINE };
-        let ends = if self.name.is_request() { self.ends.len() } else { self.separate_ends() };
-        ends >= needed
+/// A suspect while it is decided what is quarantined.
+#[derive(Clone, Debug)]
+struct OpenSuspect<'a> {
+    name: SuspectName,
+    has_served: bool,
+    /// Number of its valid ends.
+    total_ends: usize,
+    /// Those that no other suspect explains.
+    ends: Vec<(&'a Incarnation, UnixMillis)>,
+}
+
+impl<'a> OpenSuspect<'a> {
+    fn new(Evidence { name, has_served, ends }: Evidence<'a>) -> Self {
+        OpenSuspect { name, has_served, total_ends: ends.len(), ends }
     }
 
-    /// The number of ends, of which no more than [`MAX_SIMULTANEOUS_ENDS`] count for each moment.
-    fn separate_ends(&self) -> usize {
-        let mut times: Vec<UnixMillis> = self.ends.iter().map(|(_, at)| *at).collect();
-        times.sort_unstable();
-        let (mut count, mut moment, mut in_moment) = (0, 0, 0);
-        for at in times {
-            if at >= moment + SIMULTANEOUS.as_millis() as UnixMillis {
-                (moment, in_moment) = (at, 0);
-            }
-            in_moment += 1;
-            count += usize::from(in_moment <= MAX_SIMULTANEOUS_ENDS);
-        }
-        count
+    fn is_to_be_quarantined(&self) -> bool {
+        let needed = if self.has_served { ENDS_TO_QUARANTINE_SERVED } else { ENDS_TO_QUARANTINE };
+        let doubts_explanation = !self.name.is_request()
+            && !self.has_served
+            && self.total_ends >= ENDS_TO_DOUBT_EXPLANATION
+            && !self.ends.is_empty();
+        self.ends.len() >= needed || doubts_explanation
     }
 
     /// In which order suspects are taken; the greatest one first.
@@ -154,12 +154,13 @@
     }
 }
 
-fn quarantines(mut open: Vec<Evidence<'_>>) -> Vec<Quarantine> {
+fn quarantines(evidence: Vec<Evidence<'_>>) -> Vec<Quarantine> {
     let mut quarantines = Vec::new();
-    open.retain(Evidence::is_sufficient);
+    let mut open: Vec<OpenSuspect> = evidence.into_iter().map(OpenSuspect::new).collect();
+    open.retain(OpenSuspect::is_to_be_quarantined);
     while let Some(worst) = open.iter().max_by_key(|suspect| suspect.rank()).cloned() {
         let explained = worst.replicas();
-        let is_alike = |other: &&Evidence<'_>| {
+        let is_alike = |other: &&OpenSuspect| {
             !worst.name.is_request() && other.has_served == worst.has_served && other.replicas() == explained
         };
         let names = open.iter().filter(is_alike).map(|other| other.name).chain([worst.name]).collect();
@@ -169,7 +170,7 @@
         for suspect in &mut open {
             suspect.ends.retain(|(replica, _)| !explained.contains(replica));
         }
-        open.retain(Evidence::is_sufficient);
+        open.retain(OpenSuspect::is_to_be_quarantined);
     }
     quarantines
 }
