gateway: lifting the quarantine of a part lifts it under all its names

An operator lifts a quarantine by removing its store object. A part has one for its organisation and one for all; without the first, the second alone would have applied to more requests than before. Other parts in the quarantine stay, as a node also removes the objects of parts that were cleared. A fleet that restarts as a whole reads quarantined parts from the store (test).

--- a/lib/src/gateway/quarantine.rs
+++ b/lib/src/gateway/quarantine.rs
@@ -74,13 +74,6 @@
     }
 }
 
-/// What counts against a suspect by itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SuspectStatus {
-    /// Number of its valid ends.
-    pub ends: usize,
-}
-
 /// Requests with all of these names are sent to no replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Quarantine {
@@ -117,30 +110,31 @@
 /// The suspects with valid ends, and what is quarantined.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashTable {
-    suspects: HashMap<Fingerprint, SuspectStatus>,
+    /// The number of valid ends of each suspect.
+    ends: HashMap<Fingerprint, usize>,
     quarantines: Vec<Quarantine>,
 }
 
 impl CrashTable {
     /// Decides what is quarantined.
     pub fn new(evidence: Vec<Evidence<'_>>) -> CrashTable {
-        let status = |of: &Evidence<'_>| (of.name.fingerprint, SuspectStatus { ends: of.ends.len() });
-        CrashTable { suspects: evidence.iter().map(status).collect(), quarantines: quarantines(evidence) }
+        let ends = evidence.iter().map(|suspect| (suspect.name.fingerprint, suspect.ends.len())).collect();
+        CrashTable { ends, quarantines: quarantines(evidence) }
     }
 
     /// Whether there are no suspects.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+        self.ends.is_empty()
     }
 
     /// Returns the number of suspects.
     pub fn len(&self) -> usize {
-        self.suspects.len()
+        self.ends.len()
     }
 
-    /// Returns what counts against a suspect.
-    pub fn get(&self, fingerprint: &Fingerprint) -> Option<SuspectStatus> {
-        self.suspects.get(fingerprint).copied()
+    /// Returns the number of valid ends of a suspect.
+    pub fn ends_of(&self, suspect: &Fingerprint) -> usize {
+        self.ends.get(suspect).copied().unwrap_or(0)
     }
 
     /// Returns what is quarantined.
--- a/lib/tests/test_gateway_crash_ledger.rs
+++ b/lib/tests/test_gateway_crash_ledger.rs
@@ -41,7 +41,7 @@
 }
 
 fn ends(ledger: &CrashLedger, n: usize) -> usize {
-    ledger.table().get(&fingerprint(n)).map_or(0, |status| status.ends)
+    ledger.table().ends_of(&fingerprint(n))
 }
 
 fn is_quarantined(ledger: &CrashLedger, n: usize) -> bool {
--- a/node/src/gateway/control/crash_intake.rs
+++ b/node/src/gateway/control/crash_intake.rs
@@ -226,15 +226,17 @@
         self.announce(fleet, updated);
     }
 
-    /// The store no longer holds a suspect: an operator lifts the quarantine. With some of its names it would
-    /// apply to more requests than before.
+    /// The store no longer holds a suspect: an operator lifts its quarantine. A part is then cleared under all
+    /// names in the quarantine, as it would apply to more requests with only some of them.
     fn on_removed_from_store(&mut self, fleet: &Fleet, fingerprint: Fingerprint) {
+        let Some(removed) = self.ledger.get(&fingerprint).map(|suspect| suspect.name) else {
+            return;
+        };
         let crashes = self.shared.crashes();
-        let holds =
-            |quarantine: &&Quarantine| quarantine.names.iter().any(|name| name.fingerprint == fingerprint);
-        let lifted = crashes.quarantines().iter().find(holds).map(|quarantine| &quarantine.names);
-        let removed = self.ledger.get(&fingerprint).map(|suspect| suspect.name);
-        self.clear(fleet, lifted.into_iter().flatten().chain(&removed), "its object was removed");
+        let quarantine = crashes.quarantines().iter().find(|quarantine| quarantine.names.contains(&removed));
+        let names = quarantine.iter().flat_map(|quarantine| &quarantine.names);
+        let of_part = names.filter(|name| name.kind.part() == removed.kind.part());
+        self.clear(fleet, of_part.chain([&removed]), "its object was removed");
     }
 
     /// Another node announced suspects.
@@ -308,9 +310,10 @@
             if self.ledger.needs_sync(&name.fingerprint) {
                 self.rebroadcast.on_update(name.fingerprint);
             }
-            if let Some(status) = after.get(&name.fingerprint) {
+            let ends = after.ends_of(&name.fingerprint);
+            if ends > 0 {
                 let event = if name.is_request() { "request_suspected" } else { "part_suspected" };
-                info!(event = event, suspect:% = name, ends = status.ends; "replicas ended under a request or a part of prompts");
+                info!(event = event, suspect:% = name, ends; "replicas ended under a request or a part of prompts");
             }
         }
         log_quarantines(&before, &after);
--- a/node/src/gateway/upstream/suspicion.rs
+++ b/node/src/gateway/upstream/suspicion.rs
@@ -9,7 +9,6 @@
 use leadstage_lib::gateway::prompt_parts::PartId;
 use leadstage_lib::gateway::quarantine::CrashTable;
 use leadstage_lib::gateway::quarantine::Quarantine;
-use leadstage_lib::gateway::quarantine::SuspectStatus;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::suspect::SuspectName;
 use leadstage_lib::loss_limit;
@@ -80,7 +79,7 @@
         let mut successes = self.recent_successes.borrow_mut();
         let hash = successes.hash(&req.parts());
         successes.on_success(hash, self.shared.now());
-        if self.suspect_status(req).is_some() {
+        if self.suspected_ends(req) > 0 {
             let request = SuspectName::of_request(req.fingerprint());
             self.shared.notify(ToControl::RunSucceeded(vec![request]));
         }
@@ -94,17 +93,18 @@
         }
         self.shared.on_parts_served(parts);
         let crashes = self.shared.crashes();
-        let suspects = parts.iter().filter(|part| crashes.get(&part.fingerprint).is_some());
+        let suspects = parts.iter().filter(|part| crashes.ends_of(&part.fingerprint) > 0);
         let suspects: Vec<SuspectName> = suspects.copied().collect();
         if !suspects.is_empty() {
             self.shared.notify(ToControl::RunSucceeded(suspects));
         }
     }
 
-    /// Returns what counts against a request as a whole. Costs nothing while there are no suspects.
-    fn suspect_status(&self, req: &CallerRequest) -> Option<SuspectStatus> {
+    /// Returns the number of replicas that ended under a request as a whole. Costs nothing while there are no
+    /// suspects.
+    fn suspected_ends(&self, req: &CallerRequest) -> usize {
         let crashes = self.shared.crashes();
-        if crashes.is_empty() { None } else { crashes.get(&req.fingerprint()) }
+        if crashes.is_empty() { 0 } else { crashes.ends_of(&req.fingerprint()) }
     }
 
     /// Whether a request may be sent to one more replica after a run that broke, although it may end that
@@ -112,7 +112,7 @@
     /// do not count: if two such replicas counted, a stream would end at its second break instead of
     /// being resumed at a third engine.
     pub async fn may_retry_after_loss(&self, req: &CallerRequest) -> bool {
-        let ended = self.suspect_status(req).map_or(0, |status| status.ends);
+        let ended = self.suspected_ends(req);
         let broken_at = req.broken_at.lock().expect("no holder panics").clone();
         if loss_limit::may_retry_after_loss(ended, broken_at.len()) {
             return true;
--- a/node/tests/test_gateway_crashing_parts.rs
+++ b/node/tests/test_gateway_crashing_parts.rs
@@ -126,6 +126,23 @@
     }
 }
 
+#[tokio::test]
+async fn test_a_quarantine_of_a_part_survives_a_restart_of_all_nodes() {
+    let mut fleet = start_fleet().await;
+    until_quarantined(&mut fleet).await;
+    let before = fleet.quarantined(0).await;
+    let name = before[0].split(' ').next().expect("a fingerprint");
+    let is_stored = async || fleet.gateway.store.names("crash-suspects").iter().any(|stored| stored == name);
+    fleet.gateway.until("the quarantine is stored", is_stored).await;
+    (0..NODES).for_each(|node| fleet.gateway.kill(node));
+    (0..NODES).for_each(|node| fleet.gateway.restart_node(node));
+    for node in 0..NODES {
+        let is_known = async || fleet.quarantined(node).await == before;
+        fleet.gateway.until("the quarantine is read from the store", is_known).await;
+    }
+    assert!(sound_call(&fleet, chat, &["0a"], 0).await, "{}", fleet.gateway.logs());
+}
+
 #[tokio::test]
 async fn test_a_node_that_starts_later_receives_the_quarantine_of_a_part() {
     let mut fleet = start_fleet().await;
