tests: a node that gets most new connections serves their requests

Three nodes, nine of ten connections at one, three times the rate: all requests are served at the first attempt, before and during. No change of code.

--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -46,6 +46,7 @@
 mod test_gateway_suspended_fleet;
 mod test_gateway_suspended_store;
 mod test_gateway_suspended_streams;
+mod test_gateway_uneven_connections;
 mod test_gateway_upgrade_judges;
 mod test_gateway_upgrade_recheck;
 mod test_gateway_upgrade_soak;
