--- a/node/tests/test_gateway_crashing_parts.rs
+++ b/node/tests/test_gateway_crashing_parts.rs
@@ -19,7 +19,6 @@
 const CRASHES_UNTIL_PART_IS_KNOWN: usize = 5;
 /// The number of attempts after that.
 const LATE_ATTEMPTS: usize = 4 * NODES;
-
 /// The code of a refusal because of a part.
 const PART_QUARANTINED: u64 = 2113;
 
@@ -43,7 +42,7 @@
 }
 
 /// Sends requests with the crashing part at `position` among `shared`, and beside each a sound one with all other
-/// parts. Returns the crashed replicas, the late sends, and the sound requests that were served late.
+/// parts. Returns how many sound requests were served after the part had to be known.
 async fn play(make: MakeRequest, shared: &[&str], position: usize) -> String {
     let mut fleet = start_fleet().await;
     let mut crashing = shared.to_vec();
