gateway: placement requests and runs name their organisation and gap objective; switches of the parts for hard load

The change: Wanted and Run carry both, and so do inventories, so that a lead that takes over knows them. Four switches in the policy, which nothing reads yet. Nothing is decided differently.

Ruled out: an objective by service in place of one by run, as routes of one service differ.

--- a/lib/benches/decision.rs
+++ b/lib/benches/decision.rs
@@ -80,7 +80,7 @@
         let replica = engine_id((run % u64::from(engines)) as u32);
         let listed = table.get(&replica).expect("replica is in the list").clone();
         let produced = (run * 37 % 700) as u32;
-        let tracked_run = Run { replica, size: Some(size), produced, copied_from: None };
+        let tracked_run = Run { replica, size: Some(size), produced, copied_from: None, ..Run::default() };
         tracker.add(RunKey { entry: "node".into(), run }, tracked_run, &listed, Duration::ZERO);
     }
     let engine = EngineTraits {
--- a/lib/src/gateway/inventory.rs
+++ b/lib/src/gateway/inventory.rs
@@ -12,10 +12,11 @@
 use crate::gateway::load::Run;
 use crate::gateway::run_key::RunId;
 
-/// Maximum encoded size of a request without the names of engines: its id and three numbers as varints,
-/// and the flags for whether it has a size and is copied.
-const MAX_RUN_BYTES: usize = 10 + 3 * 5 + 2;
-/// Maximum encoded overhead of an engine's name: whether there is one, and its length.
+/// Maximum encoded size of a request without the names of engines and organisations: its id, three
+/// numbers and a duration as varints, and the flags for whether it has a size, is copied, and has an
+/// objective.
+const MAX_RUN_BYTES: usize = 10 + 3 * 5 + (10 + 5) + 3;
+/// Maximum encoded overhead of a name: whether there is one, and its length.
 const MAX_NAME_OVERHEAD_BYTES: usize = 1 + 5;
 
 /// A node's requests with ids in a range, at the replicas of the lead that receives the inventory.
@@ -56,6 +57,6 @@
 
 /// Maximum encoded size of a request in a message.
 fn max_encoded_len(run: &Run) -> usize {
-    let names = std::iter::once(&run.replica).chain(&run.copied_from);
+    let names = std::iter::once(&run.replica).chain(&run.copied_from).chain(&run.organisation);
     MAX_RUN_BYTES + names.map(|name| MAX_NAME_OVERHEAD_BYTES + name.len()).sum::<usize>()
 }
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -19,6 +19,7 @@
 use crate::gateway::run_key::RunKey;
 use crate::gateway::token_pace::DEFAULT_TOKENS_PER_SECOND;
 use crate::gateway::token_pace::TokenPaces;
+use crate::ids::OrganisationId;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
 use crate::ids::VmId;
@@ -45,7 +46,7 @@
 }
 
 /// A request at a replica.
-#[derive(Clone, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
 pub struct Run {
     /// The replica.
     pub replica: UpstreamId,
@@ -55,6 +56,10 @@
     pub produced: u32,
     /// While its memory is being copied to the replica: the engine on which it still runs.
     pub copied_from: Option<UpstreamId>,
+    /// The organisation that it is accounted to; `None` if the configuration has no organisations.
+    pub organisation: Option<OrganisationId>,
+    /// For generations, the longest gap between two events that still counts as in time.
+    pub gap_objective: Option<Duration>,
 }
 
 impl Run {
--- a/lib/src/gateway/policy.rs
+++ b/lib/src/gateway/policy.rs
@@ -35,6 +35,14 @@
     pub avoid_errors: bool,
     /// Queries the health of engines while the store may fail to report that they leave.
     pub look_out: bool,
+    /// While room is short, gives each organisation that asks for it its share.
+    pub share_room: bool,
+    /// Keeps prompts away from generations whose gaps would exceed their objective.
+    pub protect_gaps: bool,
+    /// Raises the rate of requests to a replica that has started or recovered as its answers allow.
+    pub ramp_up: bool,
+    /// Bounds what a peer may send before the head of its message is complete.
+    pub bound_heads: bool,
 }
 
 impl Default for Policy {
@@ -54,6 +62,10 @@
             rest_after_failures: true,
             avoid_errors: true,
             look_out: true,
+            share_room: true,
+            protect_gaps: true,
+            ramp_up: true,
+            bound_heads: true,
         }
     }
 }
--- a/lib/tests/test_gateway_full_engines.rs
+++ b/lib/tests/test_gateway_full_engines.rs
@@ -252,7 +252,8 @@
             .position(|engine| engine.record.id == replica.record.id)
             .expect("the engine is listed");
         let id = replica.record.id.clone();
-        let run = Run { replica: id, size: Some(caller.size), produced: 0, copied_from: None };
+        let run =
+            Run { replica: id, size: Some(caller.size), produced: 0, copied_from: None, ..Run::default() };
         self.tracker.add(key(caller.run), run, &replica, self.now);
         self.prompts[at].push_back(caller);
         if self.prompts[at].len() == 1 {
--- a/lib/tests/test_gateway_load.rs
+++ b/lib/tests/test_gateway_load.rs
@@ -57,7 +57,7 @@
 
 fn run(engine: &str, prompt: u32, expected: u32, produced: u32) -> Run {
     let size = Some(GenerationSize { prompt, expected });
-    Run { replica: engine.into(), size, produced, copied_from: None }
+    Run { replica: engine.into(), size, produced, copied_from: None, ..Run::default() }
 }
 
 /// Records that a request is at its replica.
@@ -330,7 +330,12 @@
 #[test]
 fn test_inventory_parts_respect_the_size_limit() {
     let from = Some("e".repeat(80).into());
-    let largest = Run { copied_from: from, ..run(&"e".repeat(90), u32::MAX, u32::MAX, u32::MAX) };
+    let largest = Run {
+        copied_from: from,
+        organisation: Some("o".repeat(70).into()),
+        gap_objective: Some(Duration::MAX),
+        ..run(&"e".repeat(90), u32::MAX, u32::MAX, u32::MAX)
+    };
     let runs: Vec<_> = (0..3_000).map(|n| (u64::MAX - 3_000 + n, largest.clone())).collect();
     let parts = Inventory::parts(runs, u64::MAX, 15 << 10);
     let named: usize = parts.iter().map(|part| part.runs.len()).sum();
--- a/lib/tests/test_gateway_restarts.rs
+++ b/lib/tests/test_gateway_restarts.rs
@@ -91,7 +91,13 @@
     let runs = [("a", None), ("b", Some("a")), ("b", None)];
     let keys: Vec<RunKey> = (0..3).map(|run| RunKey { entry: "n".into(), run }).collect();
     for (key, (at, from)) in keys.iter().zip(runs) {
-        let run = Run { replica: at.into(), size, produced: 0, copied_from: from.map(Into::into) };
+        let run = Run {
+            replica: at.into(),
+            size,
+            produced: 0,
+            copied_from: from.map(Into::into),
+            ..Run::default()
+        };
         tracker.add(key.clone(), run, table.get(at).expect("known"), NOW);
     }
     assert_eq!((tracker.copies_from("a"), tracker.prefill.wait("a", NOW) > Duration::ZERO), (1, true));
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -112,6 +112,8 @@
             exclude: exclude.to_vec(),
             resting: Vec::new(),
             regions: req.regions(),
+            organisation: req.organisation_name(),
+            gap_objective: None,
         },
         priority: req.priority(),
         patience: req.route.objective,
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -28,6 +28,7 @@
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::ids::HallId;
+use leadstage_lib::ids::OrganisationId;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::membership::MemberUpdate;
 use leadstage_platform::store::Revision;
@@ -200,6 +201,10 @@
     pub resting: Vec<UpstreamId>,
     /// Regions where the request may be served.
     pub regions: AllowedRegions,
+    /// The organisation that the request is accounted to; `None` if the configuration has no organisations.
+    pub organisation: Option<OrganisationId>,
+    /// For generations, the longest gap between two events that still counts as in time.
+    pub gap_objective: Option<Duration>,
 }
 
 impl Wanted {
@@ -210,6 +215,8 @@
             size: self.size,
             produced: self.produced,
             copied_from: self.from.clone(),
+            organisation: self.organisation.clone(),
+            gap_objective: self.gap_objective,
         }
     }
 }
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -28,6 +28,7 @@
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::suspect::SuspectName;
+use leadstage_lib::ids::OrganisationId;
 use leadstage_lib::ids::Timestamp;
 use leadstage_platform::engine::Resume;
 use leadstage_platform::headers;
@@ -195,6 +196,11 @@
         headers::size(&self.headers).max_tokens
     }
 
+    /// The name of the organisation that it is made for.
+    pub fn organisation_name(&self) -> Option<OrganisationId> {
+        self.organisation.as_ref().map(|organisation| organisation.name.clone())
+    }
+
     /// The regions in which it may be served: those that both its route and its organisation allow.
     pub fn regions(&self) -> AllowedRegions {
         let of_organisation = self.organisation.as_ref().map(|organisation| &organisation.regions);
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -199,6 +199,8 @@
                 exclude: exclude.to_vec(),
                 resting: Vec::new(),
                 regions: self.req.regions(),
+                organisation: self.req.organisation_name(),
+                gap_objective: Some(self.req.route.gap_objective),
             },
             priority: evacuation::rank(self.req.generation_size(), produced),
             patience,
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -114,6 +114,8 @@
                 exclude: exclude.to_vec(),
                 resting: Vec::new(),
                 regions: req.regions(),
+                organisation: req.organisation_name(),
+                gap_objective: Some(req.route.gap_objective),
             },
             priority: req.priority(),
             patience: req.first_event_due(),
--- a/testutils/src/fleet_model/lead.rs
+++ b/testutils/src/fleet_model/lead.rs
@@ -239,7 +239,8 @@
         now: Timestamp,
     ) {
         let replica = engine.record.id.clone();
-        self.load.add(key(run), Run { replica, size: Some(size), produced, copied_from }, engine, now);
+        let at = Run { replica, size: Some(size), produced, copied_from, ..Run::default() };
+        self.load.add(key(run), at, engine, now);
     }
 
     /// Handles the end of a generation; if its engine stays, the freed memory is recorded for the forecast.
