gateway: logs, metrics and report losses name organisations

Cause: lines of streams, calls and refusals named no organisation, so an operator could not see who pays while room is short.

The change: stream_begins, stream_end, call_end and refused name the organisation, refused the route too and call_end its due time. A counter by outcome has label values of their own for organisations with one of 50 requests or more, 16 at the most; the rest share one. report losses has a table by organisation where lines name any.

Ruled out: a label for each organisation, as a configuration may hold any number; labels that are taken away again, as sums over time would no longer add up.

--- a/cli/src/losses_command.rs
+++ b/cli/src/losses_command.rs
@@ -1,5 +1,6 @@
 //! `leadstage report losses FILE`: outcomes of the streams that gateway nodes served, by route, cause and
-//! time, where their time was spent, why some were late, and the calls to the store.
+//! time, where their time was spent, why some were late, which organisations they belong to, and the calls to
+//! the store.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -16,6 +17,8 @@
 use crate::log_lines;
 use crate::log_lines::Line;
 use crate::log_lines::events;
+use crate::organisation_losses;
+use crate::organisation_losses::OrganisationLosses;
 use crate::plot;
 use crate::plot::Frame;
 use crate::plot::Series;
@@ -101,6 +104,7 @@
     times: Vec<RouteTimes>,
     moments: Vec<Interval>,
     late: Vec<LateStreams>,
+    organisations: Vec<OrganisationLosses>,
     store_calls: Vec<StoreCalls>,
 }
 
@@ -130,6 +134,7 @@
         times: mean_times(&streams),
         moments: count_by_interval(&streams, lines),
         late: late_streams::count_late_streams(lines, INTERVAL_MS),
+        organisations: organisation_losses::count_by_organisation(lines),
         store_calls: store_calls::count_store_calls(lines, INTERVAL_MS),
     }
 }
@@ -296,6 +301,9 @@
     if !report.late.is_empty() {
         tables.push(late_streams::table(&report.late));
     }
+    if !report.organisations.is_empty() {
+        tables.push(organisation_losses::table(&report.organisations));
+    }
     if !report.store_calls.is_empty() {
         tables.push(store_calls::table(&report.store_calls));
     }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -11,6 +11,7 @@
 mod late_streams;
 mod log_lines;
 mod losses_command;
+mod organisation_losses;
 mod peer_traffic;
 mod plot;
 mod propagation;
--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -13,8 +13,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use leadstage_lib::code::Ran;
 use leadstage_lib::gateway::routing::CallerLimits;
+use leadstage_lib::gateway::routing::Organisation;
 use leadstage_lib::gateway::routing::Repeat;
+use leadstage_lib::gateway::routing::Route;
 use log::info;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -27,9 +30,11 @@
 use crate::gateway::ingress::io_watch::WatchedIo;
 use crate::gateway::ingress::plain;
 use crate::gateway::ingress::streams;
+use crate::gateway::observability::metrics::RequestOutcome;
 use crate::gateway::reply::Refusal;
 use crate::gateway::reply::Reply;
 use crate::gateway::request;
+use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::OpenGuard;
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
@@ -162,25 +167,68 @@
 ) -> Result<Reply, Reply> {
     let id = leadstage_platform::headers::REQUEST_ID;
     let id = req.headers().get(id).and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
-    let refused = |refusal: Refusal| {
+    let shared = &traffic.shared;
+    let req = request::admit(shared, req).await.map_err(|refusal| {
         info!(event = "refused", request = id, code:% = refusal.code; "request refused");
-        traffic.shared.metrics.on_refusal(refusal.code);
+        shared.metrics.on_refusal(refusal.code);
         refusal.reply()
-    };
-    let req = request::admit(&traffic.shared, req).await.map_err(refused)?;
-    if !stop::accepts(&traffic.shared, &req) {
-        return Err(refused(stop::refusal(&traffic.shared)));
+    })?;
+    if !stop::accepts(shared, &req) {
+        return Err(refuse(shared, &Subject::of(&req), stop::refusal(shared)));
     }
     traffic.on_request(&req.service);
     if req.route.repeat == Repeat::Stream {
-        return streams::serve(traffic, req, serving, open).await.map_err(refused);
+        let subject = Subject::of(&req);
+        return streams::serve(traffic, req, serving, open)
+            .await
+            .map_err(|refusal| refuse(shared, &subject, refusal));
     }
-    let reply = plain::serve(traffic, &req).await.map_err(refused);
+    let answer = plain::serve(traffic, &req).await;
     drop((serving, open));
+    let outcome = answer.as_ref().ok().map(|reply| call_outcome(&req, reply));
+    let reply = answer.map_err(|refusal| refuse(shared, &Subject::of(&req), refusal));
     let status = reply.as_ref().map_or_else(|refused| refused.status(), |reply| reply.status());
     let took = req.received_at.elapsed();
-    info!(event = "call_end", request = req.id(), route = &*req.route.name, status = status.as_u16(), took_ms = took.as_millis() as u64; "call ended");
-    traffic.shared.metrics.on_call(took);
-    traffic.shared.metrics.on_answer(&req.route.name, status.as_u16());
+    info!(event = "call_end", request = req.id(), route = &*req.route.name, organisation = req.organisation_label(), status = status.as_u16(), took_ms = took.as_millis() as u64, due_ms = req.route.objective.as_millis() as u64; "call ended");
+    shared.metrics.on_call(took);
+    shared.metrics.on_answer(&req.route.name, status.as_u16());
+    if let Some(outcome) = outcome {
+        shared.metrics.on_organisation_request(req.organisation.as_deref(), outcome);
+    }
     reply
 }
+
+/// What is said of an admitted request that is refused.
+struct Subject {
+    id: String,
+    route: Arc<Route>,
+    organisation: Option<Arc<Organisation>>,
+}
+
+impl Subject {
+    fn of(req: &CallerRequest) -> Self {
+        Subject { id: req.id().to_owned(), route: req.route.clone(), organisation: req.organisation.clone() }
+    }
+}
+
+/// Logs and counts the refusal of an admitted request, and builds its reply.
+fn refuse(shared: &Shared, subject: &Subject, refusal: Refusal) -> Reply {
+    let organisation = subject.organisation.as_deref();
+    let name = organisation.map_or("", |organisation| &*organisation.name);
+    info!(event = "refused", request = subject.id, code:% = refusal.code, route = &*subject.route.name, organisation = name; "request refused");
+    shared.metrics.on_refusal(refusal.code);
+    let outcome =
+        if refusal.code.ran() == Ran::No { RequestOutcome::Refused } else { RequestOutcome::Failed };
+    shared.metrics.on_organisation_request(organisation, outcome);
+    refusal.reply()
+}
+
+fn call_outcome(req: &CallerRequest, reply: &Reply) -> RequestOutcome {
+    if reply.status().is_server_error() {
+        RequestOutcome::Failed
+    } else if req.received_at.elapsed() > req.route.objective {
+        RequestOutcome::Late
+    } else {
+        RequestOutcome::InTime
+    }
+}
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -50,7 +50,7 @@
         StartResult::Answered(answer) => return Ok(plain::reply(answer)),
     };
     let placed_ms = run.placed_at.duration_since(req.received_at.into_std()).as_millis() as u64;
-    info!(event = "stream_begins", request = req.id(), route = &*req.route.name, upstream = &*run.placed.replica.id, run = run.placed.run, entry:% = traffic.shared.settings.peer, priority = req.priority(), placed_ms, head_ms = req.received_at.elapsed().as_millis() as u64, due_ms = req.route.objective.as_millis() as u64, gap_due_ms = req.route.gap_objective.as_millis() as u64; "stream begins");
+    info!(event = "stream_begins", request = req.id(), route = &*req.route.name, organisation = req.organisation_label(), upstream = &*run.placed.replica.id, run = run.placed.run, entry:% = traffic.shared.settings.peer, priority = req.priority(), placed_ms, head_ms = req.received_at.elapsed().as_millis() as u64, due_ms = req.route.objective.as_millis() as u64, gap_due_ms = req.route.gap_objective.as_millis() as u64; "stream begins");
     let (tx, body) = reply_body::streaming_body(traffic.shared.held.clone());
     let mut res = Response::new(ReplyBody::Stream(body));
     *res.status_mut() = exchange.status;
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -10,6 +10,8 @@
 
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::limit_grants::Grant;
+use leadstage_lib::gateway::organisation_labels::OrganisationLabels;
+use leadstage_lib::gateway::routing::Organisation;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
@@ -28,7 +30,9 @@
 pub struct GatewayMetrics {
     instruments: Instruments,
     routes: Mutex<HashSet<String>>,
+    organisations: Mutex<OrganisationLabels>,
     requests: Counter<u64>,
+    organisation_requests: Counter<u64>,
     refusals: Counter<u64>,
     first_event: Histogram<f64>,
     event_gap: Histogram<f64>,
@@ -68,6 +72,10 @@
         let seconds = |name, description| instruments.seconds(name, description);
         Ok(GatewayMetrics {
             requests: counter("leadstage.gateway.requests", "Requests answered, by route and status"),
+            organisation_requests: counter(
+                "leadstage.gateway.organisation_requests",
+                "Requests of the largest organisations, by outcome",
+            ),
             refusals: counter("leadstage.gateway.refusals", "Requests refused here, by result code"),
             first_event: seconds(
                 "leadstage.gateway.first_event",
@@ -131,6 +139,7 @@
                 "Requests sent to replicas that name a limit",
             ),
             routes: Mutex::default(),
+            organisations: Mutex::default(),
             instruments,
         })
     }
@@ -153,6 +162,18 @@
         self.requests.add(1, &[route, KeyValue::new("status", i64::from(status))]);
     }
 
+    /// Counts a request of an organisation by its outcome; none if there are no organisations.
+    pub fn on_organisation_request(&self, organisation: Option<&Organisation>, outcome: RequestOutcome) {
+        let Some(organisation) = organisation else {
+            return;
+        };
+        let mut labels = self.organisations.lock().expect("no holder panics");
+        let label = labels.on_request(&organisation.name).to_owned();
+        drop(labels);
+        let outcome = KeyValue::new("outcome", outcome.label());
+        self.organisation_requests.add(1, &[KeyValue::new("organisation", label), outcome]);
+    }
+
     /// Counts a request that was refused.
     pub fn on_refusal(&self, code: Code) {
         self.refusals.add(1, &[KeyValue::new("code", i64::from(code.number()))]);
@@ -264,6 +285,33 @@
     }
 }
 
+/// The outcome of an organisation's request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestOutcome {
+    /// Answered within its route's objectives.
+    InTime,
+    /// Answered in full, but later.
+    Late,
+    /// Refused here.
+    Refused,
+    /// Not answered in full, or with an error of its replica.
+    Failed,
+    /// Its caller left.
+    CallerLeft,
+}
+
+impl RequestOutcome {
+    fn label(self) -> &'static str {
+        match self {
+            RequestOutcome::InTime => "in time",
+            RequestOutcome::Late => "late",
+            RequestOutcome::Refused => "refused",
+            RequestOutcome::Failed => "failed",
+            RequestOutcome::CallerLeft => "caller left",
+        }
+    }
+}
+
 /// The outcome of an attempt to open a connection to a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DialOutcome {
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -118,8 +118,7 @@
         self.part_names.get_or_init(|| {
             let parts = headers::shared_parts(&self.headers).take(MAX_PARTS);
             let names_of = |part| {
-                let organisation = self.organisation.as_ref();
-                let name = organisation.map_or("", |organisation| &organisation.name);
+                let (organisation, name) = (self.organisation.as_ref(), self.organisation_label());
                 let own = SuspectName::of_part(&self.service, name, part);
                 [own]
                     .into_iter()
@@ -141,7 +140,7 @@
             method: self.method.as_str(),
             host: host(&self.uri, &self.headers),
             path: self.uri.path_and_query().map_or("/", |path| path.as_str()),
-            organisation: self.organisation.as_ref().map_or("", |organisation| &organisation.name),
+            organisation: self.organisation_label(),
             body: &self.body,
         }
     }
@@ -201,6 +200,11 @@
         self.organisation.as_ref().map(|organisation| organisation.name.clone())
     }
 
+    /// The name of the organisation for logs; empty if there is none.
+    pub fn organisation_label(&self) -> &str {
+        self.organisation.as_ref().map_or("", |organisation| &organisation.name)
+    }
+
     /// The regions in which it may be served: those that both its route and its organisation allow.
     pub fn regions(&self) -> AllowedRegions {
         let of_organisation = self.organisation.as_ref().map(|organisation| &organisation.regions);
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -38,6 +38,7 @@
 use crate::gateway::messages::StreamCommand;
 use crate::gateway::messages::StreamHandle;
 use crate::gateway::messages::ToControl;
+use crate::gateway::observability::metrics::RequestOutcome;
 use crate::gateway::reply_body::StreamingBodySender;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::upstream::copying::MoveTarget;
@@ -164,10 +165,11 @@
     pub async fn run(mut self, mut commands: UnboundedReceiver<StreamCommand>) {
         let end = self.relay(&mut commands).await;
         let took = self.req.received_at.elapsed().as_millis() as u64;
-        info!(event = "stream_end", request = self.req.id(), route = &*self.req.route.name, end:% = end, upstream = &*self.engine_stream.run.placed.replica.id, events = self.events.events(), moves = self.moves, first_ms = self.pace.first.unwrap_or_default().as_millis() as u64, gap_ms = self.pace.longest_gap.as_millis() as u64, took_ms = took; "stream ended");
+        info!(event = "stream_end", request = self.req.id(), route = &*self.req.route.name, organisation = self.req.organisation_label(), end:% = end, upstream = &*self.engine_stream.run.placed.replica.id, events = self.events.events(), moves = self.moves, first_ms = self.pace.first.unwrap_or_default().as_millis() as u64, gap_ms = self.pace.longest_gap.as_millis() as u64, took_ms = took; "stream ended");
         let metrics = &self.traffic.shared.metrics;
         metrics.on_stream(self.pace.first, self.pace.longest_gap);
         metrics.on_answer(&self.req.route.name, if end == StreamEnd::Done { 200 } else { 0 });
+        metrics.on_organisation_request(self.req.organisation.as_deref(), self.organisation_outcome(end));
         if end == StreamEnd::Done {
             self.traffic.on_successful_run(&self.req);
             if self.run_progress().events_here > 0 {
@@ -187,6 +189,18 @@
         }
     }
 
+    fn organisation_outcome(&self, end: StreamEnd) -> RequestOutcome {
+        let route = &self.req.route;
+        let is_late = self.pace.first.is_some_and(|first| first > route.objective)
+            || self.pace.longest_gap > route.gap_objective;
+        match end {
+            StreamEnd::Done if is_late => RequestOutcome::Late,
+            StreamEnd::Done => RequestOutcome::InTime,
+            StreamEnd::CallerLeft => RequestOutcome::CallerLeft,
+            StreamEnd::TimedOut | StreamEnd::EngineLost(_) => RequestOutcome::Failed,
+        }
+    }
+
     /// Reports how fast the engine produced events, if a single engine produced all of them.
     fn report_pace(&self) {
         let (first, gaps) = (self.pace.first.unwrap_or_default(), self.events.events().saturating_sub(1));
