tests: the soak's replicas send heads without end

Two numbers of the random events that did nothing until now make a plain replica or the next two streams send informational heads without end. No draw is added, so a seed keeps its faults and events in their order; what a replica's fault replaces may differ.

--- a/node/tests/test_gateway_soak.rs
+++ b/node/tests/test_gateway_soak.rs
@@ -221,7 +221,8 @@
 
     /// Applies a random event that is not among the faults: an engine announces in its responses that it leaves, a
     /// plain replica refuses requests and asks for a back-off, answers end with their connections or inside an
-    /// event, or the store is restored from a copy.
+    /// event or do not come to their heads, or the store is restored from a copy. Further kinds take numbers
+    /// without an event so far, so that seeds keep their other events.
     fn apply_random_event(&mut self) {
         let at = self.event_rng.random_range(0..ENGINE_COUNT);
         match self.event_rng.random_range(0..10) {
@@ -239,6 +240,8 @@
                 self.gateway.engines.set_stream_faults(chosen);
             }
             4 => self.bookings[at].replica.set_fault(ReplicaFault::Unframed),
+            5 => self.bookings[at].replica.set_fault(ReplicaFault::EndlessHeads),
+            6 => self.gateway.engines.set_stream_faults([StreamFault::EndlessHeads; 2]),
             _ => {}
         }
     }
