gateway: comments and blank lines are no progress of a stream

Cause: a blank line completes something that is passed on, and whatever is passed on counted as an event. An engine that sent comments or blank lines only was never taken for silent, and a resumable stream stayed with it until its deadline.

The splitter counts events by their fields; only these reset the watch for stalls, report a first event, a pace and parts served. Comments are passed on as before.

--- a/lib/src/gateway/event_splitter.rs
+++ b/lib/src/gateway/event_splitter.rs
@@ -53,6 +53,7 @@
     has_field: bool,
     last_id: Option<String>,
     events: u64,
+    complete_events: u64,
     unusable: Option<Unusable>,
 }
 
@@ -77,7 +78,7 @@
                 break;
             }
             complete = self.line_start;
-            self.has_field = false;
+            self.complete_events += u64::from(std::mem::take(&mut self.has_field));
         }
         let out = self.buf.split_to(complete).freeze();
         self.line_start -= complete;
@@ -155,6 +156,11 @@
         self.events
     }
 
+    /// Number of complete events, with or without an id. Comments and blank lines are none.
+    pub fn complete_events(&self) -> u64 {
+        self.complete_events
+    }
+
     /// Records a complete event; returns false if its id is not greater than the id before.
     fn record_event(&mut self, start: usize, end: usize) -> bool {
         let event = &self.buf[start..end];
--- a/lib/tests/test_gateway_event_splitter.rs
+++ b/lib/tests/test_gateway_event_splitter.rs
@@ -116,3 +116,29 @@
         prop_assert_eq!(&released[..], stream);
     }
 }
+
+#[test]
+fn test_comments_and_blank_lines_are_no_events() {
+    let texts =
+        ["", "\n\n\n", ": a\n\n: b\n\n", "id: 1\n\n", "data: a\n\n", ": a\nid: 1\n\n", "id: 1\n", STREAM];
+    let mut rows = Vec::new();
+    for text in texts {
+        let counts = LINE_ENDS.map(|end| {
+            let mut events = EventSplitter::default();
+            events.push(text.replace('\n', end).as_bytes());
+            events.complete_events()
+        });
+        assert!(counts.iter().all(|count| *count == counts[0]), "{text:?}: {counts:?}");
+        rows.push(format!("{text:?}: {}", counts[0]));
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r#"
+    "": 0
+    "\n\n\n": 0
+    ": a\n\n: b\n\n": 0
+    "id: 1\n\n": 1
+    "data: a\n\n": 1
+    ": a\nid: 1\n\n": 1
+    "id: 1\n": 0
+    ": hello\n\nid: 1\ndata: a\n\nid: 2\nevent: x\ndata: b\ndata: c\n\n\n: two\n: lines\nid: 3\ndata:\n\n": 3
+    "#);
+}
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -256,9 +256,14 @@
     }
 
     async fn on_frame(&mut self, bytes: Bytes) -> Result<(), StreamEnd> {
+        let events_before = self.events.complete_events();
         let complete = self.events.push(&bytes);
+        if self.events.complete_events() > events_before || (!complete.is_empty() && !self.bounds_comments())
+        {
+            self.on_events();
+        }
         if !complete.is_empty() {
-            self.forward_events(complete).await?;
+            self.send_to_caller(complete).await?;
         }
         match self.events.unusable() {
             Some(why) => {
@@ -269,7 +274,12 @@
         }
     }
 
-    async fn forward_events(&mut self, complete: Bytes) -> Result<(), StreamEnd> {
+    /// Whether comments and blank lines are no sign that a generation makes progress.
+    fn bounds_comments(&self) -> bool {
+        self.traffic.shared.settings.policy.bound_heads
+    }
+
+    fn on_events(&mut self) {
         self.stall.on_event(&self.req.route);
         self.on_event_after_restart();
         if std::mem::take(&mut self.awaits_first_event) {
@@ -284,7 +294,6 @@
         }
         let tokens = self.events.events() as u32 * self.tokens_per_event;
         self.handle.produced.store(tokens, Ordering::Relaxed);
-        self.send_to_caller(complete).await
     }
 
     /// Sends events to the caller's connection until the deadline. Without the timeout, a caller with a
--- a/node/tests/test_gateway_endless_messages.rs
+++ b/node/tests/test_gateway_endless_messages.rs
@@ -191,6 +191,25 @@
                 break;
             }
         }
+        assert!(!fleet.calls().is_empty(), "{name}: no stream reached the endless engine");
+    }
+}
+
+/// An engine that sends comments or blank lines makes no progress: another one generates the stream.
+#[tokio::test]
+async fn test_a_resumable_stream_without_events_goes_on_at_another_engine() {
+    for answer in [endless_server::COMMENTS, endless_server::BLANK_EVENTS] {
+        let fleet = fleet(MODEL, answer, 1, "").await;
+        for n in 0..MAX_CALLS {
+            let called = fleet.gateway.call(0, tag(&format!("r-{n}"))).await;
+            let events = called.body.trim_start_matches(answer.repeated).matches("\n\n").count();
+            let outcome = (called.status, called.whole, events as u64);
+            assert_eq!(outcome, (200, true, EVENTS), "{answer:?}\n{}", fleet.gateway.logs());
+            if !fleet.calls().is_empty() {
+                break;
+            }
+        }
+        assert!(!fleet.calls().is_empty(), "no stream reached the endless engine");
     }
 }
 
--- a/testutils/src/endless_server.rs
+++ b/testutils/src/endless_server.rs
@@ -73,6 +73,15 @@
 pub const WHITE_SPACE: EndlessAnswer =
     EndlessAnswer::new("HTTP/1.1 200 OK\r\nleadstage-request-id: {id}\r\n\r\n", " ");
 
+/// An event stream of comments without end.
+pub const COMMENTS: EndlessAnswer = EndlessAnswer {
+    start: "HTTP/1.1 200 OK\r\nleadstage-request-id: {id}\r\ncontent-type: text/event-stream\r\n\r\n",
+    repeated: ": still here\n\n",
+    pause: Duration::from_millis(5),
+};
+/// An event stream of blank lines without end.
+pub const BLANK_EVENTS: EndlessAnswer = EndlessAnswer { repeated: "\n", ..COMMENTS };
+
 #[derive(Debug, Default)]
 struct Counts {
     requests: Vec<String>,
