gateway: heads of requests are bounded on all ports

The stream under the server is the one under the clients, and the meter starts again after each answer. A tunnel's bytes are not measured. Blank lines do not begin a head, so a stray line end after a request does not close a kept connection.

Ruled out: the library's timeout for heads, which also closes idle kept connections, as the balancer's are.

--- a/lib/src/gateway/head_meter.rs
+++ b/lib/src/gateway/head_meter.rs
@@ -1,4 +1,5 @@
-//! Measures what a peer sends before the head of its answer is complete, and decides when it is too much.
+//! Measures what a peer sends before the head of its answer or request is complete, and decides when it is too
+//! much.
 //!
 //! Informational heads (status 100 to 199, without 101) may come before the head of the answer itself. The
 //! HTTP library skips them, however many there are.
@@ -40,7 +41,7 @@
     TooSlow,
 }
 
-/// The heads of the answer to one request.
+/// The heads of one answer, or the head of one request.
 #[derive(Debug, Default)]
 pub struct HeadMeter {
     /// Whether the answer's own head is expected.
@@ -56,8 +57,8 @@
 }
 
 impl HeadMeter {
-    /// Starts to measure the answer to a request that is about to be sent.
-    pub fn on_request(&mut self) {
+    /// Starts to measure the answer to a request that is about to be sent, or the next request.
+    pub fn expect_head(&mut self) {
         *self = HeadMeter { is_expecting: true, ..HeadMeter::default() };
     }
 
@@ -67,7 +68,10 @@
             if !self.is_expecting {
                 return Ok(());
             }
-            self.began.get_or_insert(now);
+            // Blank lines may precede a head, and do not begin it.
+            if !matches!(byte, b'\r' | b'\n') {
+                self.began.get_or_insert(now);
+            }
             self.bytes += 1;
             if self.bytes > MAX_HEAD_BYTES {
                 return Err(EndlessHead::TooManyBytes);
@@ -128,7 +132,8 @@
     /// Whether this is the status line of an informational head. After status 101 the connection no longer
     /// carries HTTP.
     fn has_informational_status(&self) -> bool {
-        let status = &self.start[STATUS_START..];
-        self.bytes >= STATUS_END && status[0] == b'1' && status != b"101"
+        let (version, status) = self.start.split_at(STATUS_START);
+        let is_status_line = self.bytes >= STATUS_END && version.starts_with(b"HTTP/1.");
+        is_status_line && status[0] == b'1' && status != b"101"
     }
 }
--- a/lib/tests/test_gateway_head_meter.rs
+++ b/lib/tests/test_gateway_head_meter.rs
@@ -13,7 +13,7 @@
 
 fn expecting() -> HeadMeter {
     let mut meter = HeadMeter::default();
-    meter.on_request();
+    meter.expect_head();
     meter
 }
 
@@ -46,6 +46,7 @@
         ("a switch of protocols", format!("HTTP/1.1 101 x\r\n\r\n{}", PROCESSING.repeat(5_000))),
         ("a body", body),
         ("the beginning of an answer", ANSWER[..20].to_owned()),
+        ("a request whose path looks like a status", format!("GET /abcd102 HTTP/1.1\r\n\r\n{PROCESSING}")),
     ];
     let mut rows = Vec::new();
     for (name, text) in texts {
@@ -66,6 +67,7 @@
     a switch of protocols: no part of a head
     a body: no part of a head
     the beginning of an answer: part of a head
+    a request whose path looks like a status: no part of a head
     ");
 }
 
@@ -77,6 +79,7 @@
     meter.on_bytes(&PROCESSING.as_bytes()[..5], second).expect("it has just begun");
     assert_eq!(meter.due(), Some(second + MAX_HEAD_TIME));
     meter.on_bytes(&PROCESSING.as_bytes()[5..], 2 * second).expect("it is in time");
+    meter.on_bytes(b"\r\n", 2 * second).expect("it is in time");
     assert_eq!(meter.due(), None, "the peer may be working on the answer");
     meter.on_bytes(b"H", 20 * second).expect("the next head has just begun");
     assert_eq!(meter.due(), Some(20 * second + MAX_HEAD_TIME));
@@ -89,7 +92,7 @@
     let mut meter = expecting();
     let heads = PROCESSING.repeat(MAX_INFORMATIONAL_HEADS);
     for _ in 0..3 {
-        meter.on_request();
+        meter.expect_head();
         assert_eq!(meter.on_bytes(heads.as_bytes(), Duration::ZERO), Ok(()));
     }
     let one_more = meter.on_bytes(PROCESSING.as_bytes(), Duration::ZERO);
--- a/node/src/gateway/http_port.rs
+++ b/node/src/gateway/http_port.rs
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use leadstage_platform::connect;
+use leadstage_platform::head_bound;
 use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -51,8 +52,10 @@
         let stream = accept(&listener, port).await;
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
+            let (stream, heads) = head_bound::accept(stream);
             let service = service_fn(|req: Request<Incoming>| {
                 let res = handler(&shared, &req);
+                heads.expect_next();
                 async move { Ok::<_, Infallible>(res) }
             });
             // The client retries.
--- a/node/src/gateway/peers/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -25,6 +25,7 @@
 use leadstage_lib::gateway::routing::ConfigVersion;
 use leadstage_lib::gateway::transfer_slots;
 use leadstage_lib::gateway::transfer_slots::TransferSlots;
+use leadstage_platform::head_bound;
 use leadstage_platform::store::Revision;
 use log::warn;
 use tokio::net::TcpListener;
@@ -94,13 +95,17 @@
 
 impl Connection {
     async fn serve(self, stream: TcpStream) {
+        let (stream, heads) = head_bound::accept(stream);
         let service = service_fn(|req: Request<Incoming>| {
-            let this = &self;
+            let (this, heads) = (&self, &heads);
             async move {
-                Ok::<_, Infallible>(match *req.method() {
-                    Method::CONNECT => this.tunnels.answer(req).await,
-                    _ => this.answer(&req).await,
-                })
+                if req.method() == Method::CONNECT {
+                    // The bytes in the tunnel are no further request.
+                    return Ok::<_, Infallible>(this.tunnels.answer(req).await);
+                }
+                let res = this.answer(&req).await;
+                heads.expect_next();
+                Ok(res)
             }
         });
         let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
--- a/node/src/gateway/peers/tunnel_port.rs
+++ b/node/src/gateway/peers/tunnel_port.rs
@@ -23,6 +23,7 @@
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
 use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_platform::head_bound::HeadBoundStream;
 use log::debug;
 use log::info;
 use tokio::io::AsyncReadExt;
@@ -142,7 +143,7 @@
     _guard: TunnelGuard,
 ) {
     let upgraded = match hyper::upgrade::on(req).await {
-        Ok(upgraded) => upgraded.downcast::<TokioIo<TcpStream>>(),
+        Ok(upgraded) => upgraded.downcast::<TokioIo<HeadBoundStream>>(),
         Err(err) => {
             info!(event = "tunnel_lost", replica:% = replica, reason:% = err; "a tunnel ended before it was used");
             return;
@@ -152,7 +153,7 @@
         info!(event = "tunnel_lost", replica:% = replica, reason = "unknown transport"; "a tunnel ended before it was used");
         return;
     };
-    let client = parts.io.into_inner();
+    let client = parts.io.into_inner().into_inner();
     if let Err(err) = reset_on_close::set(&client, true) {
         info!(event = "tunnel_lost", replica:% = replica, reason:% = err; "a tunnel ended before it was used");
         return;
--- a/node/tests/test_gateway_endless_messages.rs
+++ b/node/tests/test_gateway_endless_messages.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::head_meter::MAX_HEAD_BYTES;
+use leadstage_lib::gateway::head_meter::MAX_HEAD_TIME;
 use leadstage_testutils::endless_server;
 use leadstage_testutils::endless_server::EndlessAnswer;
 use leadstage_testutils::endless_server::EndlessServer;
@@ -17,6 +18,8 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 use crate::gateway_environment::BOOKING;
 use crate::gateway_environment::Gateway;
@@ -303,3 +306,81 @@
     trailers: HTTP/1.1 400 Bad Request
     ");
 }
+
+/// The ports of the balancer, the operators and other nodes.
+#[tokio::test]
+async fn test_requests_without_end_on_other_ports_are_refused() {
+    let fleet = fleet(BOOKING, EndlessAnswer::new("", ""), 0, "").await;
+    let gateway = &fleet.gateway;
+    let requests = [
+        ("blank lines", "", "\r\n"),
+        ("a header line", "GET / HTTP/1.1\r\nx: ", "x"),
+        ("header lines", "GET / HTTP/1.1\r\n", "x: y\r\n"),
+        ("a body", "GET / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\n \r\n"),
+    ];
+    let mut rows = Vec::new();
+    for (port, address) in
+        [("ready", gateway.ready(0)), ("metrics", gateway.metrics(0)), ("peer", gateway.peer(0))]
+    {
+        for (name, start, repeated) in requests {
+            let (answer, sent) = send_endlessly(&address, start, repeated).await;
+            assert!(sent <= MAX_REQUEST_BYTES + MAX_UNREAD_BYTES, "{port}, {name}: {sent} bytes");
+            rows.push(format!("{port}, {name}: {answer}"));
+        }
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    ready, blank lines: closed
+    ready, a header line: closed
+    ready, header lines: HTTP/1.1 431 Request Header Fields Too Large
+    ready, a body: HTTP/1.1 404 Not Found
+    metrics, blank lines: closed
+    metrics, a header line: closed
+    metrics, header lines: HTTP/1.1 431 Request Header Fields Too Large
+    metrics, a body: HTTP/1.1 404 Not Found
+    peer, blank lines: closed
+    peer, a header line: closed
+    peer, header lines: HTTP/1.1 431 Request Header Fields Too Large
+    peer, a body: HTTP/1.1 404 Not Found
+    ");
+}
+
+/// A head that is begun and not completed does not keep its connection, be it the first or a later one.
+#[tokio::test]
+async fn test_requests_that_stop_inside_their_heads_close_their_connections() {
+    let fleet = fleet(BOOKING, EndlessAnswer::new("", ""), 0, "").await;
+    let gateway = &fleet.gateway;
+    let ports = [("ready", gateway.ready(0)), ("metrics", gateway.metrics(0)), ("peer", gateway.peer(0))];
+    let mut waiting = JoinSet::new();
+    for (port, address) in ports {
+        for earlier_requests in [0, 1] {
+            let address = address.clone();
+            waiting.spawn(async move {
+                let mut stream = TcpStream::connect(address).await.expect("the node listens");
+                for _ in 0..earlier_requests {
+                    stream.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").await.expect("writable");
+                    assert!(stream.read(&mut [0; 4 << 10]).await.expect("an answer") > 0);
+                }
+                stream.write_all(b"GET / HTTP/1.1\r\nx: y").await.expect("writable");
+                let mut rest = Vec::new();
+                let reading = tokio::time::timeout(WAIT_TIMEOUT, stream.read_to_end(&mut rest));
+                // A reset counts as closed.
+                let _ = reading.await.unwrap_or_else(|_| panic!("{port}: the connection stays open"));
+            });
+        }
+    }
+    waiting.join_all().await;
+}
+
+/// A connection between two requests stays open.
+#[tokio::test]
+async fn test_an_idle_connection_is_not_closed_by_the_bound_on_heads() {
+    let fleet = fleet(BOOKING, EndlessAnswer::new("", ""), 0, "").await;
+    let mut stream = TcpStream::connect(fleet.gateway.ready(0)).await.expect("the node listens");
+    let mut buf = [0; 4 << 10];
+    for _ in 0..2 {
+        stream.write_all(b"GET /v1/readyz HTTP/1.1\r\nhost: x\r\n\r\n").await.expect("writable");
+        let read = stream.read(&mut buf).await.expect("an answer");
+        assert!(buf[..read].starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&buf[..read]));
+        tokio::time::sleep(MAX_HEAD_TIME + Duration::from_millis(200)).await;
+    }
+}
