gateway: find the pace of plain replicas that start or recover

A replica that failed once kept a cost that only a new answer took away, and got no call while others had room; one that started slow got a call from every node at once, and no node saw that together they were a flood.

Each node now offers such a replica to a part of its calls, the pace, which doubles until answers are slow or calls fail, and tells the others what its own calls show. The pace takes the place of the cost of failures. Nothing changes with `policy: {ramp_up: false}`, and for engines.

--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -68,11 +68,22 @@
 struct Costs {
     other_hall: f64,
     all_errors: f64,
+    each_failure: f64,
 }
 
-const PLAIN_COSTS: Costs = Costs { other_hall: COST_CROSS_HALL_CALL_MS, all_errors: COST_ALL_ERRORS_MS };
-const ENGINE_COSTS: Costs =
-    Costs { other_hall: COST_CROSS_HALL_STREAM_MS, all_errors: COST_ENGINE_ERRORS_MS };
+const PLAIN_COSTS: Costs = Costs {
+    other_hall: COST_CROSS_HALL_CALL_MS,
+    all_errors: COST_ALL_ERRORS_MS,
+    each_failure: COST_PER_FAILURE_MS,
+};
+/// Where the pace of replicas that failed is limited, a cost of failures would keep them idle: only an answer
+/// takes it away, and calls go elsewhere as long as other replicas have room.
+const PACED_PLAIN_COSTS: Costs = Costs { each_failure: 0.0, ..PLAIN_COSTS };
+const ENGINE_COSTS: Costs = Costs {
+    other_hall: COST_CROSS_HALL_STREAM_MS,
+    all_errors: COST_ENGINE_ERRORS_MS,
+    each_failure: COST_PER_FAILURE_MS,
+};
 
 /// An engine with the figures that decide whether it is chosen.
 #[derive(Clone, Copy, Debug)]
@@ -174,9 +185,10 @@
         now: Timestamp,
         rng: &mut R,
     ) -> Option<&'a Replica> {
+        let general_costs = if self.policy.ramp_up { &PACED_PLAIN_COSTS } else { &PLAIN_COSTS };
         let costs = candidates.map(|replica| {
             let calls = self.runs_at(&replica.record.id).count() as f64;
-            (calls * COST_PER_CALL_MS + self.general_cost(replica, hall, &PLAIN_COSTS, now, rng), replica)
+            (calls * COST_PER_CALL_MS + self.general_cost(replica, hall, general_costs, now, rng), replica)
         });
         costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, replica)| replica)
     }
@@ -224,7 +236,7 @@
     ) -> f64 {
         let is_local = replica.record.hall == *hall || !self.policy.stay_in_hall;
         let hall_cost = if is_local { 0.0 } else { costs.other_hall };
-        let failures = f64::from(replica.consecutive_failures()) * COST_PER_FAILURE_MS;
+        let failures = f64::from(replica.consecutive_failures()) * costs.each_failure;
         let errors = if self.policy.avoid_errors { replica.error_share(now) } else { 0.0 };
         hall_cost + failures + errors * errors * costs.all_errors + rng.random::<f64>() * COST_JITTER_MS
     }
--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -206,11 +206,20 @@
         self.forget_failures();
     }
 
+    pub(super) fn forget_errors(&mut self) {
+        self.error_share = 0.0;
+    }
+
     pub(super) fn forget_failures(&mut self) {
         self.consecutive_failures = 0;
         self.backoff_until = Timestamp::ZERO;
     }
 
+    /// Until when it gets no new work after failures.
+    pub fn backoff_until(&self) -> Timestamp {
+        self.backoff_until
+    }
+
     /// The number of consecutive failures.
     pub fn consecutive_failures(&self) -> u32 {
         self.consecutive_failures
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -38,6 +38,8 @@
     pub leaving: Vec<UpstreamId>,
     /// Replicas that appeared or are no longer leaving.
     pub added: Vec<UpstreamId>,
+    /// The replicas among `added` that were not known, that restarted, or that are cold again.
+    pub started: Vec<UpstreamId>,
     /// The replicas among `added` that restarted under the same id: none of their earlier state applies.
     pub restarted: Vec<UpstreamId>,
 }
@@ -207,7 +209,8 @@
             if record.leaving {
                 change.leaving.push(id.clone());
             }
-            change.added.push(id);
+            change.added.push(id.clone());
+            change.started.push(id);
             self.insert(Replica::new(record, now));
             return;
         };
@@ -223,6 +226,7 @@
                 change.leaving.push(id.clone());
             }
             change.added.push(id.clone());
+            change.started.push(id.clone());
             change.restarted.push(id.clone());
             self.update(&id, |replica| {
                 let changed_at = replica.changed_at;
@@ -235,9 +239,13 @@
             // Other nodes may have missed the entry too, and may no longer follow the store.
             let is_back = replica.missing_since.take().is_some() && replica.leaving.is_none();
             // A replica may turn cold again at any time; other nodes need to learn of it.
-            if is_back || (!record.cold.is_zero() && replica.warm_at < now) {
+            let is_cold_again = !record.cold.is_zero() && replica.warm_at < now;
+            if is_back || is_cold_again {
                 change.added.push(id.clone());
             }
+            if is_cold_again {
+                change.started.push(id.clone());
+            }
             replica.on_cold(record.cold, now);
             if record.leaving && replica.on_sign(LeavingSign::Listed, now) {
                 change.leaving.push(id.clone());
@@ -449,6 +457,16 @@
         }
     }
 
+    /// Forgets the failures of a replica: it answers again.
+    pub fn on_recovered(&mut self, id: &str) {
+        self.update(id, Replica::forget_failures);
+    }
+
+    /// Forgets the errors of a replica, as its pace takes account of them.
+    pub fn forget_errors(&mut self, id: &str) {
+        self.update(id, Replica::forget_errors);
+    }
+
     /// A replica answered a request; `is_error` is set if the answer is an error of the replica's own.
     pub fn on_answer(&mut self, id: &str, is_error: bool, now: Timestamp) {
         self.update(id, |replica| replica.on_answer(is_error, now));
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -39,6 +39,7 @@
 mod test_gateway_replica_limits;
 mod test_gateway_replica_list;
 mod test_gateway_replica_paths;
+mod test_gateway_replica_ramp;
 mod test_gateway_replica_updates;
 mod test_gateway_replicas;
 mod test_gateway_restarts;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -112,6 +112,7 @@
             ToControl::FirstEvent(run) => self.placing.on_own_first_event(&self.fleet, run),
             ToControl::Copied(run) => self.placing.on_own_copied(&self.fleet, run),
             ToControl::Ended(run, outcome) => self.placing.on_ended(&self.fleet, run, outcome),
+            ToControl::Backoff(of, backoff) => self.placing.on_backoff(&of, backoff),
             ToControl::LeavingSign(of, sign) => {
                 self.replicas.on_sign(&mut self.placing, &self.fleet, &of, sign)
             }
@@ -153,7 +154,7 @@
             ToControl::ConfigurationDue => self.configs.on_due(),
             ToControl::ServeReplicas(known, reply) => self.replicas.serve_list(&self.placing, known, reply),
             // The path was the reason for the failures so far.
-            ToControl::PathLost(service) => self.placing.state.replicas.forget_failures(&service),
+            ToControl::PathLost(service) => self.placing.on_path_lost(&service),
             ToControl::PathRestored(service) => {
                 self.path_probes.on_path_restored(&mut self.placing.state, &service)
             }
@@ -182,6 +183,7 @@
         self.path_probes.tick(&self.fleet, &self.placing.state);
         self.placing.send_inventories(&self.fleet);
         self.placing.lead(&self.fleet);
+        self.placing.tick_ramps(&self.fleet);
         self.watchers.tick(now);
         self.fleet.hears_watchers = self.watchers.fresh_pulses(now).next().is_some();
         let has_wide_link = |node: &VmId| self.fleet.node_has_wide_link(node);
@@ -225,6 +227,7 @@
             nodes: self.shared.nodes(),
             suspects: crashes.len(),
             limited: self.shared.limits().len(),
+            ramping: self.placing.state.ramps.len(),
             quarantined: crashes.quarantines().len(),
             config_age: now.saturating_sub(self.configs.last_update()),
             replicas_age: now.saturating_sub(self.replicas.last_update()),
@@ -296,6 +299,7 @@
                 self.replicas.on_peer_update(&mut self.placing, &self.fleet, from, update)
             }
             PeerMessage::Pulse(pulse) => self.on_pulse(pulse),
+            PeerMessage::Ramps(news) => self.placing.on_ramp_news(&self.fleet, news),
             PeerMessage::Suspects(announced) => self.crashes.on_announced(&self.fleet, announced),
             PeerMessage::Limits(announced) => {
                 self.limits.on_announced(&mut self.placing.state, &self.fleet, announced)
--- a/node/src/gateway/control/placement_state.rs
+++ b/node/src/gateway/control/placement_state.rs
@@ -17,6 +17,8 @@
 use leadstage_lib::gateway::load::LoadTracker;
 use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::replica::Replica;
+use leadstage_lib::gateway::replica_ramp::RampCause;
+use leadstage_lib::gateway::replica_ramp::ReplicaRamps;
 use leadstage_lib::gateway::replica_rate_limiter::ReplicaRateLimiter;
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
@@ -27,6 +29,7 @@
 use leadstage_lib::gateway::run_key::RunKey;
 use leadstage_lib::gateway::shortage::Shortage;
 use leadstage_lib::ids::Timestamp;
+use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::ids::VmId;
 use log::info;
 
@@ -38,6 +41,7 @@
 /// The replicas and the requests running on them.
 pub struct PlacementState {
     shared: Arc<Shared>,
+    own: VmId,
     /// The replicas.
     pub replicas: ReplicaTable,
     /// The running requests: those of this node, and those of other nodes for the services that this node
@@ -47,6 +51,8 @@
     cold: RefCell<ColdStartLimiter>,
     /// The limits that replicas announce.
     pub limits: RefCell<ReplicaRateLimiter>,
+    /// The pace of plain replicas that start or recover.
+    pub ramps: ReplicaRamps,
     brittle: BrittleReplicas,
     /// The model services and the brittle ones that this node leads.
     led_services: Vec<ServiceId>,
@@ -61,10 +67,12 @@
         let policy = shared.settings.policy;
         PlacementState {
             shared,
+            own: own.clone(),
             replicas: ReplicaTable::new(policy),
             load: LoadTracker::new(policy),
             forecasts: HashMap::new(),
             cold: RefCell::new(ColdStartLimiter::new(own)),
+            ramps: ReplicaRamps::new(policy),
             limits: RefCell::default(),
             brittle: BrittleReplicas::default(),
             led_services: Vec::new(),
@@ -90,9 +98,10 @@
         match (&traits, wanted.size) {
             (Some(traits), Some(size)) => self.choose_engine(key, wanted, traits, size, may_wait),
             _ => {
-                let candidates = self.candidates(key, wanted, |_| true).into_iter();
-                let now = self.shared.now();
-                let chosen = self.load.choose_plain(candidates, &wanted.hall, now, &mut rand::rng());
+                let mut candidates = self.candidates(key, wanted, |_| true);
+                let (now, rng) = (self.shared.now(), &mut rand::rng());
+                self.ramps.filter(&mut candidates, wanted.is_repeatable, now, rng);
+                let chosen = self.load.choose_plain(candidates.into_iter(), &wanted.hall, now, rng);
                 chosen.map(|replica| replica.record.clone()).ok_or(Shortage::Engines)
             }
         }
@@ -215,7 +224,28 @@
         });
         for (id, cold_for) in cold.collect::<Vec<_>>() {
             self.replicas.on_cold(&id, cold_for, now);
+            if !cold_for.is_zero() {
+                self.begin_ramp(&id, RampCause::Start, now);
+            }
+        }
+    }
+
+    /// Limits the pace of a plain replica from a time on.
+    pub fn begin_ramp(&mut self, id: &UpstreamId, cause: RampCause, begins: Timestamp) {
+        let now = self.shared.now();
+        let Some(replica) = self.replicas.get(id) else {
+            return;
+        };
+        let service = replica.record.service.clone();
+        if !self.shared.settings.policy.ramp_up || self.engine_traits(&service).is_some() {
+            return;
         }
+        if self.ramps.begin(replica, cause, begins, now) {
+            let pause_ms = begins.saturating_sub(now).as_millis() as u64;
+            info!(event = "ramp_begins", upstream = &**id, service = &*service, cause:% = cause, pause_ms; "the replica gets calls as fast as its answers allow");
+        }
+        // The pace takes the place of the cost of its errors.
+        self.replicas.forget_errors(id);
     }
 
     /// Records that a request was placed on a replica.
@@ -223,6 +253,9 @@
         let now = self.shared.now();
         let placed_by = self.placed_by(&wanted.service);
         if let Some(replica) = self.replicas.get(id) {
+            if wanted.size.is_none() && wanted.from.is_none() && key.entry == self.own {
+                self.ramps.on_sent(key.clone(), replica, now);
+            }
             self.cold.get_mut().on_assigned(id, now);
             self.limits.get_mut().on_assigned(id, placed_by, now, &mut rand::rng());
             self.load.add(key, wanted.at(&replica.record.id), replica, now);
@@ -267,6 +300,7 @@
         let replicas = &self.replicas;
         self.load.retain_replicas(|id| replicas.get(id).is_some());
         let now = self.shared.now();
+        self.ramps.retain(|id| replicas.get(id).is_some());
         self.brittle.retain(|id| replicas.get(id).is_some(), now);
         self.cold.get_mut().retain(|id| replicas.get(id).is_some_and(|replica| replica.is_cold(now)));
         self.limits.get_mut().retain(|id| replicas.get(id).is_some(), now);
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -2,6 +2,7 @@
 //! service, or by this node while no lead answers.
 
 mod plain_calls;
+mod ramps;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -115,6 +116,10 @@
             leaves_after: request.leaves_after,
             requester: Requester::Local { request: request.request, stream: request.stream, reply },
         };
+        if pending.wanted.size.is_none() {
+            let wanted = &pending.wanted;
+            self.state.ramps.on_call(&wanted.service, wanted.is_repeatable, self.shared.now());
+        }
         if self.state.is_excluded_from_all(&pending.wanted) {
             let chosen = Err(self.state.no_room(&pending.wanted));
             return self.answer(Decision { pending, chosen });
@@ -317,6 +322,7 @@
     pub fn on_ended(&mut self, fleet: &Fleet, run: RunId, outcome: Outcome) {
         self.on_own_copied(fleet, run);
         self.notify_lead_of_end(fleet, run, outcome);
+        self.update_ramp(fleet, &self.own_key(run), outcome);
         self.end(run, outcome);
         // A request that is queued here may get its place.
         self.settle();
@@ -389,7 +395,12 @@
         match outcome {
             Outcome::Answered => replicas.on_answer(&run.replica, false, self.shared.now()),
             Outcome::Errored => replicas.on_answer(&run.replica, true, self.shared.now()),
-            Outcome::Failed => replicas.on_failure(&run.replica, self.shared.now()),
+            Outcome::Failed => {
+                replicas.on_failure(&run.replica, self.shared.now());
+                if run.size.is_none() {
+                    self.ramp_after_failure(&run.replica);
+                }
+            }
             Outcome::Refused | Outcome::Withdrawn => {}
         }
     }
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -462,6 +462,10 @@
     fn on_list_change(&mut self, placing: &mut Placing, change: &ListChange, at: Revision) {
         placing.state.replicas.set_changed_at(change, at.max(self.progress.at()));
         self.log_added(placing, change);
+        // Replicas that are known to this node from its start on have not just started themselves.
+        if self.shared.replicas_at() > 0 {
+            placing.on_started(&change.started);
+        }
         for id in &change.restarted {
             placing.on_restarted(id);
         }
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -112,6 +112,7 @@
             exclude: exclude.to_vec(),
             resting: Vec::new(),
             regions: req.regions(),
+            is_repeatable: req.route.is_repeatable(),
             organisation: req.organisation_name(),
             gap_objective: None,
         },
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -55,6 +55,8 @@
     Copied(RunId),
     /// A request has left its replica.
     Ended(RunId, Outcome),
+    /// A replica asked this node for a back-off of this length.
+    Backoff(Incarnation, Duration),
     /// A replica showed that it is leaving.
     LeavingSign(Incarnation, LeavingSign),
     /// The result of a replica's health check.
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -56,6 +56,7 @@
     suspects: Gauge<u64>,
     quarantined: Gauge<u64>,
     limited: Gauge<u64>,
+    ramping: Gauge<u64>,
     grants: Counter<u64>,
     sent_to_limited: Counter<u64>,
 }
@@ -122,6 +123,7 @@
             quarantined: instruments
                 .gauge("leadstage.gateway.quarantined", "Those of them that are sent to no replica"),
             limited: instruments.gauge("leadstage.gateway.limited", "Replicas that name a limit"),
+            ramping: instruments.gauge("leadstage.gateway.ramping", "Plain replicas whose pace is limited"),
             grants: counter(
                 "leadstage.gateway.grants",
                 "Grants that calls to replicas with a limit asked for, by outcome",
@@ -254,6 +256,7 @@
         self.suspects.record(levels.suspects as u64, &[]);
         self.quarantined.record(levels.quarantined as u64, &[]);
         self.limited.record(levels.limited as u64, &[]);
+        self.ramping.record(levels.ramping as u64, &[]);
         self.config_age.record(levels.config_age.as_secs_f64(), &[]);
         self.replicas_age.record(levels.replicas_age.as_secs_f64(), &[]);
     }
@@ -445,6 +448,8 @@
     pub quarantined: usize,
     /// Replicas that announce a limit.
     pub limited: usize,
+    /// Plain replicas that start or recover, so that their pace is limited.
+    pub ramping: usize,
     /// Time since the configuration was received.
     pub config_age: Duration,
     /// Time since the last update about the replicas.
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -14,6 +14,7 @@
 use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::regions::AllowedRegions;
 use leadstage_lib::gateway::replica_limits::AnnouncedLimit;
+use leadstage_lib::gateway::replica_ramp::RampNews;
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replica_updates::PackedUpdate;
@@ -104,6 +105,9 @@
     Suspects(Vec<Suspect>),
     /// Limits that replicas announce or withdraw. Receivers forward those that are new to them.
     Limits(Vec<AnnouncedLimit>),
+    /// How calls of the sender, or of a node that it heard from, were answered by replicas whose pace is
+    /// limited. Receivers forward what is new to them.
+    Ramps(Vec<RampNews>),
     /// Requests permission to send a request to a replica with a limit.
     AskGrant(AskGrant),
     /// Grants or denies that permission.
@@ -132,7 +136,8 @@
             | PeerMessage::Ended(_)
             | PeerMessage::EngineFailed(_)
             | PeerMessage::Copied(_)
-            | PeerMessage::MoveAway(..) => MessageKind::Placing,
+            | PeerMessage::MoveAway(..)
+            | PeerMessage::Ramps(_) => MessageKind::Placing,
             PeerMessage::Inventory(_) => MessageKind::Inventory,
             PeerMessage::Replicas(_) | PeerMessage::NewReplicas => MessageKind::Replicas,
             PeerMessage::Pulse(_) => MessageKind::Pulse,
@@ -201,6 +206,8 @@
     pub resting: Vec<UpstreamId>,
     /// Regions where the request may be served.
     pub regions: AllowedRegions,
+    /// Whether the request may run more than once.
+    pub is_repeatable: bool,
     /// The organisation that the request is accounted to; `None` if the configuration has no organisations.
     pub organisation: Option<OrganisationId>,
     /// For generations, the longest gap between two events that still counts as in time.
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -199,6 +199,7 @@
                 exclude: exclude.to_vec(),
                 resting: Vec::new(),
                 regions: self.req.regions(),
+                is_repeatable: self.req.route.is_repeatable(),
                 organisation: self.req.organisation_name(),
                 gap_objective: Some(self.req.route.gap_objective),
             },
--- a/node/src/gateway/upstream/replica_headers.rs
+++ b/node/src/gateway/upstream/replica_headers.rs
@@ -8,6 +8,7 @@
 use http::response::Parts;
 use leadstage_lib::gateway::brittle_replicas::BrittleReport;
 use leadstage_lib::gateway::replica::LeavingSign;
+use leadstage_lib::gateway::replica_backoffs::MAX_BACKOFF;
 use leadstage_lib::gateway::replica_limits::LimitReport;
 use leadstage_lib::gateway::replica_limits::ResponseTimes;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
@@ -116,6 +117,7 @@
         match headers::requested_backoff(head.status, &head.headers) {
             Some(backoff) => {
                 backoffs.on_retry_after(replica, backoff, self.shared.now());
+                self.shared.notify(ToControl::Backoff(replica.incarnation(), backoff.min(MAX_BACKOFF)));
                 info!(event = "rest_asked", request = req.id(), upstream = &*replica.id, rest_ms = backoff.as_millis() as u64; "the replica requests a back-off");
             }
             None if head.status == StatusCode::SERVICE_UNAVAILABLE => {}
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -114,6 +114,7 @@
                 exclude: exclude.to_vec(),
                 resting: Vec::new(),
                 regions: req.regions(),
+                is_repeatable: req.route.is_repeatable(),
                 organisation: req.organisation_name(),
                 gap_objective: Some(req.route.gap_objective),
             },
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -30,6 +30,7 @@
 mod test_gateway_partitioned_roles;
 mod test_gateway_regions;
 mod test_gateway_replica_limits;
+mod test_gateway_replica_ramp;
 mod test_gateway_restarts;
 mod test_gateway_resuming;
 mod test_gateway_retry_after;
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -23,6 +23,7 @@
 use http::Response;
 use serde_json::json;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 
 pub use self::crash_trigger::CrashTrigger;
 pub use self::ending::Framing;
@@ -137,6 +138,8 @@
     /// Value of the `server-limit` response header.
     limit: Option<String>,
     brittleness: Option<Brittleness>,
+    /// Bounds the number of calls that it works on at once; others wait.
+    workers: Option<Arc<Semaphore>>,
     /// Value of the `server-leaving` response header.
     leaving: Option<String>,
     /// Ids of the requests rejected because of `ReplicaFault::NotExecuted`.
@@ -302,6 +305,11 @@
         self.state().brittleness = limit.map(|limit| Brittleness::new(limit, room, since));
     }
 
+    /// Has the replica work on so many calls at once; others wait for their turn.
+    pub fn set_workers(&self, count: usize) {
+        self.state().workers = Some(Arc::new(Semaphore::new(count)));
+    }
+
     /// How often the replica has fallen over since it became brittle.
     pub fn falls(&self) -> usize {
         self.state().brittleness.as_ref().map_or(0, |brittleness| brittleness.falls)
@@ -425,6 +433,11 @@
         if fault == ReplicaFault::Hangs {
             std::future::pending::<()>().await;
         }
+        let workers = self.state().workers.clone();
+        let _worker = match &workers {
+            Some(workers) => workers.acquire().await.ok(),
+            None => None,
+        };
         let began = Instant::now();
         if let ReplicaFault::Late(after) = fault {
             tokio::time::sleep(after).await;
