gateway: keep organisations to their shares of a plain service whose replicas are full

Cause: plain calls are placed by each node for itself, and no node knows how much of a service an organisation uses.

The change: nodes count their calls by organisation, and how replicas answer them. While that looks short, they report to one node of the service, which estimates what the replicas bear, shares it by max-min fairness (what is left goes by priority) and tells the admitted part of those over their share. The surplus is refused at once, with a Retry-After that spreads its callers. Shares expire after 2 s; a node that nobody answers then shares its own calls.

Changes to existing tests: two patterns of TimedCall leave out its new field.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -5,6 +5,9 @@
 
 pub mod answer_counts;
 pub mod brittle_replicas;
+pub mod call_admission;
+pub mod call_sharing;
+pub mod call_window;
 pub mod canary;
 pub mod choice;
 pub mod closed_halls;
@@ -30,6 +33,7 @@
 pub mod peers_by_hall;
 pub mod pending_ends;
 pub mod pending_queries;
+pub mod plain_shares;
 pub mod policy;
 pub mod prefill;
 pub mod process_pauses;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! All tests of the package, in one program.
 
 mod limit_windows;
+mod plain_fleet;
 mod test_bundle;
 mod test_burn;
 mod test_claims;
@@ -32,6 +33,7 @@
 mod test_gateway_part_blame;
 mod test_gateway_pending_ends;
 mod test_gateway_pending_queries;
+mod test_gateway_plain_shares;
 mod test_gateway_quarantine;
 mod test_gateway_recent_successes;
 mod test_gateway_replica_backoffs;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -182,6 +182,7 @@
         self.path_probes.tick(&self.fleet, &self.placing.state);
         self.placing.send_inventories(&self.fleet);
         self.placing.lead(&self.fleet);
+        self.placing.share_plain_calls(&self.fleet);
         self.watchers.tick(now);
         self.fleet.hears_watchers = self.watchers.fresh_pulses(now).next().is_some();
         let has_wide_link = |node: &VmId| self.fleet.node_has_wide_link(node);
@@ -243,7 +244,7 @@
     fn log_peer_traffic(&self) {
         let traffic = &self.shared.metrics.peer_traffic;
         let of = |kind| traffic.of(kind);
-        info!(event = "peer_traffic", membership:% = of(MessageKind::Membership), placing:% = of(MessageKind::Placing), inventory:% = of(MessageKind::Inventory), replicas:% = of(MessageKind::Replicas), pulse:% = of(MessageKind::Pulse), config:% = of(MessageKind::Config), halls:% = of(MessageKind::Halls), suspects:% = of(MessageKind::Suspects), limits:% = of(MessageKind::Limits), upgrades:% = of(MessageKind::Upgrades), config_handed_out:% = of(MessageKind::ConfigServed), replicas_handed_out:% = of(MessageKind::ReplicasServed); "sent to other nodes so far");
+        info!(event = "peer_traffic", membership:% = of(MessageKind::Membership), placing:% = of(MessageKind::Placing), inventory:% = of(MessageKind::Inventory), replicas:% = of(MessageKind::Replicas), pulse:% = of(MessageKind::Pulse), config:% = of(MessageKind::Config), halls:% = of(MessageKind::Halls), suspects:% = of(MessageKind::Suspects), limits:% = of(MessageKind::Limits), upgrades:% = of(MessageKind::Upgrades), shares:% = of(MessageKind::Shares), config_handed_out:% = of(MessageKind::ConfigServed), replicas_handed_out:% = of(MessageKind::ReplicasServed); "sent to other nodes so far");
     }
 
     /// Logs the calls to the store so far if there were new ones.
@@ -309,6 +310,8 @@
             PeerMessage::CountsTaken(report) => {
                 self.upgrades.on_acknowledged(&mut self.placing, &self.fleet, &node_id(from), &report)
             }
+            PeerMessage::CallCounts(service, report) => self.placing.on_call_counts(from, service, report),
+            PeerMessage::CallShares(service, shares) => self.placing.on_call_shares(&service, shares),
             PeerMessage::NewConfig
             | PeerMessage::NewReplicas
             | PeerMessage::HallsChanged
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -1,6 +1,7 @@
 //! Finds a replica for each request: plain calls are placed by this node, generations by the lead of the
 //! service, or by this node while no lead answers.
 
+mod call_shares;
 mod plain_calls;
 
 use std::collections::HashMap;
@@ -13,6 +14,7 @@
 use leadstage_lib::gateway::inventory::Inventory;
 use leadstage_lib::gateway::lead::Leads;
 use leadstage_lib::gateway::load::Run;
+use leadstage_lib::gateway::plain_shares::PlainShares;
 use leadstage_lib::gateway::replica_record::Incarnation;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ListChange;
@@ -73,6 +75,7 @@
     /// This node's plain calls that a lead placed.
     calls_at_lead: HashSet<RunId>,
     inventories: Inventories,
+    plain_shares: PlainShares,
     last_run: RunId,
     own: VmId,
     /// The version of the set of nodes that was last passed to `state`.
@@ -94,6 +97,7 @@
             streams: HashMap::new(),
             calls_at_lead: HashSet::new(),
             inventories: Inventories::default(),
+            plain_shares: PlainShares::new(own.clone()),
             last_run: unix_millis() * RUN_IDS_PER_MS,
             own,
             fleet_version: None,
@@ -120,6 +124,9 @@
             return self.answer(Decision { pending, chosen });
         }
         if is_placed_at_once {
+            if let Err(no_room) = self.admit_plain(&pending) {
+                return self.answer(Decision { pending, chosen: Err(no_room) });
+            }
             return self.place_plain(fleet, pending, 0);
         }
         match self.other_lead(fleet, &pending.wanted.service) {
@@ -154,6 +161,7 @@
     fn answer(&mut self, decision: Decision) {
         let Decision { pending, chosen } = decision;
         let run = pending.key.run;
+        self.on_plain_decided(&pending, chosen.is_ok());
         match pending.requester {
             Requester::Remote(address) => {
                 let placed = chosen.map(|record| (*record).clone());
@@ -381,6 +389,7 @@
 
     fn end(&mut self, run: RunId, outcome: Outcome) {
         self.streams.remove(&run);
+        self.on_plain_ended(run, outcome);
         let key = self.own_key(run);
         let Some(run) = self.state.remove(&key) else {
             return;
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -58,6 +58,7 @@
     limited: Gauge<u64>,
     grants: Counter<u64>,
     sent_to_limited: Counter<u64>,
+    over_share: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -130,6 +131,10 @@
                 "leadstage.gateway.sent_to_limited",
                 "Requests sent to replicas that name a limit",
             ),
+            over_share: counter(
+                "leadstage.gateway.over_share",
+                "Calls refused as their organisation is over its share of a full service",
+            ),
             routes: Mutex::default(),
             instruments,
         })
@@ -191,6 +196,11 @@
         self.sent_to_limited.add(1, &[]);
     }
 
+    /// Counts a call that is refused because its organisation is over its share.
+    pub fn on_over_share(&self) {
+        self.over_share.add(1, &[]);
+    }
+
     /// Counts a connection to a replica, new or reused, that a request takes.
     pub fn on_connection(&self, reused: bool) {
         self.connections.add(1, &[KeyValue::new("reused", reused)]);
--- a/node/src/gateway/observability/peer_traffic.rs
+++ b/node/src/gateway/observability/peer_traffic.rs
@@ -27,6 +27,8 @@
     Limits,
     /// Stages of upgrades, and counts of how both versions answer.
     Upgrades,
+    /// Calls to plain services that look short, and the shares of their organisations.
+    Shares,
     /// A configuration, or the difference to an older one, served to another node.
     ConfigServed,
     /// A list of replicas, or the changes to it, served to another node.
@@ -35,7 +37,7 @@
 
 impl MessageKind {
     /// All kinds, in declaration order.
-    pub const ALL: [MessageKind; 12] = [
+    pub const ALL: [MessageKind; 13] = [
         MessageKind::Membership,
         MessageKind::Placing,
         MessageKind::Inventory,
@@ -46,6 +48,7 @@
         MessageKind::Suspects,
         MessageKind::Limits,
         MessageKind::Upgrades,
+        MessageKind::Shares,
         MessageKind::ConfigServed,
         MessageKind::ReplicasServed,
     ];
@@ -63,6 +66,7 @@
             MessageKind::Suspects => "suspects",
             MessageKind::Limits => "limits",
             MessageKind::Upgrades => "upgrades",
+            MessageKind::Shares => "shares",
             MessageKind::ConfigServed => "config_handed_out",
             MessageKind::ReplicasServed => "replicas_handed_out",
         }
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use leadstage_lib::gateway::call_sharing::CallShares;
+use leadstage_lib::gateway::call_window::CallReport;
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
 use leadstage_lib::gateway::inventory::Inventory;
 use leadstage_lib::gateway::limit_grants::Grant;
@@ -116,6 +118,10 @@
     NewReplicas,
     /// The sender, which judges an upgrade, has received a report from the receiver.
     CountsTaken(ReportId),
+    /// The sender's calls to a plain service that looks short, for the node that shares it out.
+    CallCounts(ServiceId, CallReport),
+    /// The shares of a plain service's organisations, for a node that reported its calls.
+    CallShares(ServiceId, CallShares),
 }
 
 impl PeerMessage {
@@ -145,6 +151,7 @@
             PeerMessage::UpgradesChanged | PeerMessage::AnswerCounts(_) | PeerMessage::CountsTaken(..) => {
                 MessageKind::Upgrades
             }
+            PeerMessage::CallCounts(..) | PeerMessage::CallShares(..) => MessageKind::Shares,
         }
     }
 }
--- a/node/tests/loaded_fleet.rs
+++ b/node/tests/loaded_fleet.rs
@@ -36,6 +36,8 @@
 /// The result of one call of a load, with its duration.
 #[derive(Debug)]
 pub struct TimedCall {
+    /// When the call began, after the beginning of the load.
+    pub began_after: Duration,
     /// The result of the call.
     pub called: CallResult,
     /// Duration of the call.
@@ -113,9 +115,9 @@
             tokio::time::sleep_until((began + at).into()).await;
             let (address, req) = (self.gateway.client_address(node), make(&format!("{node}-{n}")));
             calls.spawn(async move {
-                let began = Instant::now();
+                let (began_after, began) = (began.elapsed(), Instant::now());
                 let called = call(&address, req).await;
-                TimedCall { called, took: began.elapsed() }
+                TimedCall { began_after, called, took: began.elapsed() }
             });
         }
         calls.join_all().await
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -28,6 +28,7 @@
 mod test_gateway_noise;
 mod test_gateway_partitioned_nodes;
 mod test_gateway_partitioned_roles;
+mod test_gateway_plain_shares;
 mod test_gateway_regions;
 mod test_gateway_replica_limits;
 mod test_gateway_restarts;
--- a/node/tests/test_gateway_leaving_header.rs
+++ b/node/tests/test_gateway_leaving_header.rs
@@ -153,7 +153,7 @@
     fleet.load(&[8.0; NODES], LOAD_DURATION, read).await;
     let all_announced_at = Instant::now();
     let answers = fleet.load(&[8.0; NODES], LOAD_DURATION / 2, read).await;
-    for TimedCall { called, took } in answers {
+    for TimedCall { called, took, .. } in answers {
         assert_eq!((called.status, called.code()), (503, 2104), "{called:?}\n{}", fleet.gateway.logs());
         assert!(called.header("retry-after").is_some() && took < MAX_REFUSAL_LATENCY, "{took:?} {called:?}");
     }
--- a/node/tests/test_gateway_retry_after.rs
+++ b/node/tests/test_gateway_retry_after.rs
@@ -100,7 +100,7 @@
     let from = reject_requests(&fleet, 3);
     let answers = fleet.load(&[10.0; NODES], LOAD_DURATION, make).await;
     (0..3).for_each(|replica| assert_backed_off(&fleet, replica, from));
-    for TimedCall { called, took } in &answers {
+    for TimedCall { called, took, .. } in &answers {
         assert_eq!(called.status, 503, "{called:?}");
         let after: f64 =
             called.header("retry-after").and_then(|s| s.parse().ok()).expect("a number of seconds");
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -5,6 +5,7 @@
 mod crash_trigger;
 mod ending;
 mod faults;
+mod places;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -35,6 +36,8 @@
 use crate::gateway_replica::brittleness::Brittleness;
 use crate::gateway_replica::ending::event_text;
 use crate::gateway_replica::ending::mark_end;
+use crate::gateway_replica::places::Place;
+use crate::gateway_replica::places::Places;
 use crate::loopback;
 use crate::loopback::Body;
 use crate::loopback::RequestHandler;
@@ -137,6 +140,8 @@
     /// Value of the `server-limit` response header.
     limit: Option<String>,
     brittleness: Option<Brittleness>,
+    /// Bounds the calls that run at once.
+    places: Option<Arc<Places>>,
     /// Value of the `server-leaving` response header.
     leaving: Option<String>,
     /// Ids of the requests rejected because of `ReplicaFault::NotExecuted`.
@@ -302,6 +307,12 @@
         self.state().brittleness = limit.map(|limit| Brittleness::new(limit, room, since));
     }
 
+    /// Makes the replica run `slots` plain calls at once, each for `work`, queue `queue` more and turn the others
+    /// away.
+    pub fn set_places(&self, slots: usize, queue: usize, work: Duration) {
+        self.state().places = Some(Arc::new(Places::new(slots, queue, work)));
+    }
+
     /// How often the replica has fallen over since it became brittle.
     pub fn falls(&self) -> usize {
         self.state().brittleness.as_ref().map_or(0, |brittleness| brittleness.falls)
@@ -670,6 +681,12 @@
         state.brittleness.as_mut().is_some_and(|brittleness| brittleness.turns_away(running))
     }
 
+    /// Takes a place for a plain call: `Ok(None)` if calls need none, `Err` if none is free.
+    fn take_place(&self) -> Result<Option<Place>, ()> {
+        let places = self.state().places.clone();
+        places.map(|places| places.take().ok_or(())).transpose()
+    }
+
     async fn close_port(&self) {
         let close_port = self.state().close_port.clone().expect("the server was started");
         close_port.notify_one();
@@ -730,6 +747,13 @@
             }
             return self.handle_stream(&req).await;
         }
+        let Ok(place) = self.take_place() else {
+            self.state().rejected.push(header_text(req.headers(), "leadstage-request-id"));
+            return self.not_executed(req.headers());
+        };
+        if let Some(place) = &place {
+            place.work().await;
+        }
         self.handle_call(req, fault).await
     }
 }
