gateway: shares of scarce engine room between organisations

Cause: a lead's queue knew urgency, due time and memory, not whose a request is. One organisation that sends 40 times its usual load filled the engines and made the streams of all others late.

The change: while memory or prefill is short, each organisation may use up to the level at which the capacity is just used (max-min fairness over what all demand). One at its level waits for room of its own or is refused at once, with callers that return one after the other; others pass it. The queue has a line for each organisation, so that a choice no longer scans it. The fleet model knows organisations, a flood and a new lead.

Tests changed: Waiting and QueueTerms have new fields and tokens_before takes &mut self, so the tests that build them name the fields; their checks are as before.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -26,6 +26,7 @@
 pub mod limit_grants;
 pub mod limit_permits;
 pub mod load;
+pub mod organisation_shares;
 pub mod part_blame;
 pub mod peers_by_hall;
 pub mod pending_ends;
--- a/lib/src/gateway/waiting.rs
+++ b/lib/src/gateway/waiting.rs
@@ -11,7 +11,8 @@
 //! refused at once retries when there is room, while a caller that is held and then refused has lost both
 //! its time and its place.
 
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::Rng;
@@ -19,6 +20,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ids::OrganisationId;
 use crate::ids::Timestamp;
 
 /// Fraction by which the delay of refused callers is varied in either direction, so that callers refused
@@ -52,6 +54,8 @@
 pub struct NoRoom {
     /// The expected time until there is room, if known.
     pub expected: Option<Duration>,
+    /// Whether there is room for others: the request's organisation uses its share already.
+    pub over_share: bool,
 }
 
 /// An entry of the queue.
@@ -59,6 +63,8 @@
 pub struct Waiting<T> {
     /// The waiting item.
     pub item: T,
+    /// The organisation that it is accounted to, if there are organisations.
+    pub organisation: Option<OrganisationId>,
     /// Its urgency; 0 is the most urgent.
     pub priority: u8,
     /// If the item is placed after this time, it begins late.
@@ -69,40 +75,164 @@
     pub tokens: f64,
 }
 
-/// The class of an entry, in the order in which entries are placed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Turn {
-    /// Overdue, and an overdue entry is next: the one that was due first goes first, regardless of
-    /// urgency.
-    OverdueFirst { due: Timestamp },
+/// How late an entry is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
     /// Can still begin in time.
-    InTime { priority: u8 },
-    /// Overdue, while it is not the turn of an overdue entry.
-    Overdue { due: Timestamp },
+    InTime,
     /// Can no longer begin in time.
-    Late { priority: u8 },
+    Late,
+    /// Has been late for long.
+    Overdue,
 }
 
+/// The stages in the order in which entries are placed while it is the turn of an overdue one.
+const OVERDUE_FIRST: [Stage; 3] = [Stage::Overdue, Stage::InTime, Stage::Late];
+/// The stages in the order in which entries are placed otherwise.
+const IN_TIME_FIRST: [Stage; 3] = [Stage::InTime, Stage::Overdue, Stage::Late];
+
 impl<T> Waiting<T> {
-    fn turn(&self, now: Timestamp, overdue_first: bool) -> Turn {
-        let overdue_after = self.until.saturating_sub(self.due).mul_f64(OVERDUE_AFTER_FRACTION);
+    fn overdue_at(&self) -> Timestamp {
+        self.due + self.until.saturating_sub(self.due).mul_f64(OVERDUE_AFTER_FRACTION)
+    }
+
+    fn stage(&self, now: Timestamp) -> Stage {
         if now <= self.due {
-            Turn::InTime { priority: self.priority }
-        } else if now < self.due + overdue_after {
-            Turn::Late { priority: self.priority }
-        } else if overdue_first {
-            Turn::OverdueFirst { due: self.due }
+            Stage::InTime
+        } else if now < self.overdue_at() {
+            Stage::Late
         } else {
-            Turn::Overdue { due: self.due }
+            Stage::Overdue
+        }
+    }
+
+    /// The first time at which it leaves this stage.
+    fn leaves_at(&self, stage: Stage) -> Option<Timestamp> {
+        match stage {
+            Stage::InTime => Some(self.due.saturating_add(Duration::from_nanos(1))),
+            Stage::Late => Some(self.overdue_at()),
+            Stage::Overdue => None,
         }
     }
+
+    /// Its place among the entries of a stage: overdue ones are ordered by when they were due, regardless
+    /// of urgency, and the others by urgency.
+    fn position(&self, stage: Stage, arrival: Arrival) -> Position {
+        let due = if stage == Stage::Overdue { self.due } else { Timestamp::ZERO };
+        Position { due, priority: self.priority, arrival }
+    }
+}
+
+/// Number of an entry in the order of arrival. An entry that is put back goes before all others.
+type Arrival = i64;
+
+/// The place of an entry among those of its stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Position {
+    due: Timestamp,
+    priority: u8,
+    arrival: Arrival,
+}
+
+/// The entries of one stage, of one organisation.
+#[derive(Debug)]
+struct StageEntries<T> {
+    entries: BTreeMap<Position, Waiting<T>>,
+    /// Number of the entries and sum of their tokens, by priority.
+    tokens: BTreeMap<u8, (usize, f64)>,
+}
+
+impl<T> Default for StageEntries<T> {
+    fn default() -> Self {
+        StageEntries { entries: BTreeMap::new(), tokens: BTreeMap::new() }
+    }
+}
+
+impl<T> StageEntries<T> {
+    fn insert(&mut self, position: Position, waiting: Waiting<T>) {
+        let (count, tokens) = self.tokens.entry(waiting.priority).or_default();
+        *count += 1;
+        *tokens += waiting.tokens;
+        self.entries.insert(position, waiting);
+    }
+
+    fn remove(&mut self, position: &Position) -> Option<Waiting<T>> {
+        let waiting = self.entries.remove(position)?;
+        if let Some((count, tokens)) = self.tokens.get_mut(&waiting.priority) {
+            *count -= 1;
+            *tokens -= waiting.tokens;
+            if *count == 0 {
+                self.tokens.remove(&waiting.priority);
+            }
+        }
+        Some(waiting)
+    }
+
+    fn first(&self) -> Option<Position> {
+        self.entries.first_key_value().map(|(position, _)| *position)
+    }
+
+    fn tokens_up_to(&self, priority: u8) -> f64 {
+        self.tokens.range(..=priority).map(|(_, (_, tokens))| tokens).sum()
+    }
+}
+
+/// The entries of one organisation.
+#[derive(Debug)]
+struct Line<T> {
+    stages: [StageEntries<T>; 3],
+    is_paused: bool,
+}
+
+impl<T> Default for Line<T> {
+    fn default() -> Self {
+        Line { stages: Default::default(), is_paused: false }
+    }
+}
+
+impl<T> Line<T> {
+    fn is_empty(&self) -> bool {
+        self.stages.iter().all(|stage| stage.entries.is_empty())
+    }
+
+    fn len(&self) -> usize {
+        self.stages.iter().map(|stage| stage.entries.len()).sum()
+    }
+
+    fn count(&self, stage: Stage) -> usize {
+        self.stages[stage as usize].entries.len()
+    }
+}
+
+/// The organisation of a line; `None` for entries without one.
+type LineId = Option<OrganisationId>;
+
+/// Identifies an entry.
+#[derive(Clone, Debug)]
+struct EntryId {
+    line: LineId,
+    stage: Stage,
+    position: Position,
 }
 
 /// The queue of a service, sorted by urgency and then by arrival. The order of placement depends on the
-/// current time.
+/// current time, which must not decrease from call to call.
+///
+/// Each organisation has a line of its own. While the line is paused, its entries wait and others go
+/// before them. A choice takes the first of the heads of the lines, so that its cost hardly depends on the
+/// number of entries.
 #[derive(Debug)]
 pub struct WaitQueue<T> {
-    queue: VecDeque<Waiting<T>>,
+    lines: HashMap<LineId, Line<T>>,
+    /// The first entry of each line that is not paused, by stage.
+    heads: [BTreeMap<Position, LineId>; 3],
+    /// When entries leave their stages.
+    stage_ends: BTreeMap<(Timestamp, Arrival), EntryId>,
+    /// Number of overdue entries in lines that are not paused.
+    overdue: usize,
+    /// Numbers of the next entries that are added at the end and at the front.
+    next_arrival: Arrival,
+    next_front: Arrival,
     /// Number of placements since the last overdue entry.
     since_overdue: u32,
     /// The previous value, restored if the entry that was last taken out is put back.
@@ -112,7 +242,12 @@
 impl<T> Default for WaitQueue<T> {
     fn default() -> Self {
         WaitQueue {
-            queue: VecDeque::new(),
+            lines: HashMap::new(),
+            heads: Default::default(),
+            stage_ends: BTreeMap::new(),
+            overdue: 0,
+            next_arrival: 0,
+            next_front: -1,
             since_overdue: OVERDUE_INTERVAL,
             since_overdue_before: OVERDUE_INTERVAL,
         }
@@ -122,77 +257,121 @@
 impl<T> WaitQueue<T> {
     /// Adds an entry behind those of the same urgency.
     pub fn push(&mut self, waiting: Waiting<T>) {
-        let at = self.queue.partition_point(|other| other.priority <= waiting.priority);
-        self.queue.insert(at, waiting);
+        let arrival = self.next_arrival;
+        self.next_arrival += 1;
+        self.insert(waiting, Stage::InTime, arrival);
     }
 
-    /// Whether no entry goes before a new one of this urgency that can begin in time.
-    pub fn is_next(&self, priority: u8, now: Timestamp) -> bool {
-        self.entries_before(priority, now).next().is_none()
+    /// Whether no entry goes before a new one of this urgency that can begin in time. Entries in paused
+    /// lines do not.
+    pub fn is_next(&mut self, priority: u8, now: Timestamp) -> bool {
+        self.advance(now);
+        if self.overdue_first() && self.overdue > 0 {
+            return false;
+        }
+        self.heads[Stage::InTime as usize]
+            .first_key_value()
+            .is_none_or(|(first, _)| first.priority > priority)
     }
 
     /// Returns the tokens of memory needed by the entries that go before a new one of this urgency that
     /// can begin in time.
-    pub fn tokens_before(&self, priority: u8, now: Timestamp) -> f64 {
-        self.entries_before(priority, now).map(|other| other.tokens).sum()
-    }
-
-    fn entries_before(&self, priority: u8, now: Timestamp) -> impl Iterator<Item = &Waiting<T>> {
-        let overdue_first = self.overdue_first(now);
-        self.queue.iter().filter(move |other| other.turn(now, overdue_first) <= Turn::InTime { priority })
+    pub fn tokens_before(&mut self, priority: u8, now: Timestamp) -> f64 {
+        self.advance(now);
+        let overdue_first = self.overdue_first();
+        let lines = self.lines.values().filter(|line| !line.is_paused);
+        let tokens = lines.map(|line| {
+            let overdue = &line.stages[Stage::Overdue as usize];
+            let overdue = if overdue_first { overdue.tokens_up_to(u8::MAX) } else { 0.0 };
+            overdue + line.stages[Stage::InTime as usize].tokens_up_to(priority)
+        });
+        tokens.sum()
     }
 
     /// Removes the entries that can no longer be expected to begin before they are abandoned: the time of
     /// abandonment has passed, or by `time_until` the memory for them and the entries before them is
-    /// expected to be free only later. Returns them with that expected time, if known.
+    /// expected to be free only later. Returns them with that expected time, if known. Leaves out paused
+    /// lines.
     pub fn take_unservable(
         &mut self,
         now: Timestamp,
         time_until: impl Fn(f64) -> Option<Duration>,
     ) -> Vec<(T, Option<Duration>)> {
+        self.advance(now);
+        let ids = self.in_turn(|line| !line.is_paused);
+        let unservable = self.unservable(&ids, now, &time_until);
+        self.take(unservable)
+    }
+
+    /// Like [`Self::take_unservable`], for the paused line of an organisation: `time_until` says when the
+    /// organisation will have room for its own entries.
+    pub fn take_unservable_of(
+        &mut self,
+        organisation: &OrganisationId,
+        now: Timestamp,
+        time_until: impl Fn(f64) -> Option<Duration>,
+    ) -> Vec<(T, Option<Duration>)> {
+        self.advance(now);
+        let line = Some(organisation.clone());
+        let ids = self
+            .lines
+            .get(&line)
+            .map_or_else(Vec::new, |entries| ids_in_turn(self.order(), [(&line, entries)]));
+        let unservable = self.unservable(&ids, now, &time_until);
+        self.take(unservable)
+    }
+
+    fn unservable(
+        &self,
+        ids: &[EntryId],
+        now: Timestamp,
+        time_until: &impl Fn(f64) -> Option<Duration>,
+    ) -> Vec<(EntryId, Option<Duration>)> {
         let mut unservable = Vec::new();
         let mut tokens = 0.0;
-        let mut expected = vec![None; self.queue.len()];
-        for at in self.in_turn(now) {
-            let waiting = &self.queue[at];
+        for id in ids {
+            let Some(waiting) = self.get(id) else { continue };
             let after = time_until(tokens + waiting.tokens);
             let has_expired = waiting.until <= now;
             if has_expired || after.is_some_and(|after| after > waiting.until - now) {
-                expected[at] = Some(after);
+                unservable.push((id.clone(), after));
             } else {
                 tokens += waiting.tokens;
             }
         }
-        let mut remaining = VecDeque::new();
-        for (waiting, expected) in std::mem::take(&mut self.queue).into_iter().zip(expected) {
-            match expected {
-                Some(expected) => unservable.push((waiting.item, expected)),
-                None => remaining.push_back(waiting),
-            }
-        }
-        self.queue = remaining;
         unservable
     }
 
-    /// Returns the indices of the entries in the order of placement.
-    fn in_turn(&self, now: Timestamp) -> Vec<usize> {
-        let mut order: Vec<usize> = (0..self.queue.len()).collect();
-        let overdue_first = self.overdue_first(now);
-        order.sort_by_key(|at| self.queue[*at].turn(now, overdue_first));
-        order
+    /// Removes these entries and returns them in the order of their lines.
+    fn take(&mut self, mut entries: Vec<(EntryId, Option<Duration>)>) -> Vec<(T, Option<Duration>)> {
+        entries.sort_by_key(|(id, _)| (id.position.priority, id.position.arrival));
+        let taken = entries.into_iter().filter_map(|(id, expected)| Some((self.remove(&id)?.item, expected)));
+        taken.collect()
     }
 
-    /// Removes and returns the next entry.
+    /// Returns the entries of some lines in the order of placement.
+    fn in_turn(&self, of: impl Fn(&Line<T>) -> bool) -> Vec<EntryId> {
+        ids_in_turn(self.order(), self.lines.iter().filter(|(_, line)| of(line)))
+    }
+
+    fn order(&self) -> [Stage; 3] {
+        if self.overdue_first() { OVERDUE_FIRST } else { IN_TIME_FIRST }
+    }
+
+    /// Removes and returns the next entry of the lines that are not paused.
     pub fn pop(&mut self, now: Timestamp) -> Option<Waiting<T>> {
-        let overdue_first = self.overdue_first(now);
-        let turns = self.queue.iter().map(|waiting| waiting.turn(now, overdue_first)).enumerate();
-        let (at, turn) = turns.min_by_key(|(_, turn)| *turn)?;
+        self.advance(now);
+        let first = |stage: Stage| {
+            let (position, line) = self.heads[stage as usize].first_key_value()?;
+            Some(EntryId { line: line.clone(), stage, position: *position })
+        };
+        let id = self.order().into_iter().find_map(first)?;
         self.since_overdue_before = self.since_overdue;
-        match turn {
-            Turn::OverdueFirst { .. } | Turn::Overdue { .. } => self.since_overdue = 0,
-            Turn::InTime { .. } | Turn::Late { .. } => self.on_direct_placement(),
+        match id.stage {
+            Stage::Overdue => self.since_overdue = 0,
+            Stage::InTime | Stage::Late => self.on_direct_placement(),
         }
-        self.queue.remove(at)
+        self.remove(&id)
     }
 
     /// Records the placement of a generation that was not overdue, such as one that did not wait.
@@ -201,33 +380,141 @@
     }
 
     /// Whether an overdue entry goes before entries that can begin in time.
-    fn overdue_first(&self, now: Timestamp) -> bool {
-        self.since_overdue + 1 >= self.overdue_interval(now)
+    fn overdue_first(&self) -> bool {
+        self.since_overdue + 1 >= self.overdue_interval()
     }
 
     /// Returns the number of placements of which one may go to an overdue entry.
-    fn overdue_interval(&self, now: Timestamp) -> u32 {
-        let is_overdue = |waiting: &&Waiting<T>| matches!(waiting.turn(now, false), Turn::Overdue { .. });
-        let overdue = self.queue.iter().filter(is_overdue).count();
-        if overdue <= MAX_FEW_OVERDUE { OVERDUE_INTERVAL } else { MANY_OVERDUE_INTERVAL }
+    fn overdue_interval(&self) -> u32 {
+        if self.overdue <= MAX_FEW_OVERDUE { OVERDUE_INTERVAL } else { MANY_OVERDUE_INTERVAL }
     }
 
     /// Puts back an entry that was taken out, before those of the same urgency.
     pub fn put_back(&mut self, waiting: Waiting<T>) {
-        let at = self.queue.partition_point(|other| other.priority < waiting.priority);
-        self.queue.insert(at, waiting);
+        let arrival = self.next_front;
+        self.next_front -= 1;
+        self.insert(waiting, Stage::InTime, arrival);
         self.since_overdue = self.since_overdue_before;
     }
 
+    /// Pauses the line of an organisation, or ends the pause.
+    pub fn set_paused(&mut self, organisation: &OrganisationId, is_paused: bool) {
+        let id = Some(organisation.clone());
+        let Some(line) = self.lines.get_mut(&id).filter(|line| line.is_paused != is_paused) else {
+            return;
+        };
+        line.is_paused = is_paused;
+        let overdue = line.count(Stage::Overdue);
+        for (heads, stage) in self.heads.iter_mut().zip(&line.stages) {
+            match stage.first() {
+                Some(first) if is_paused => {
+                    heads.remove(&first);
+                }
+                Some(first) => {
+                    heads.insert(first, id.clone());
+                }
+                None => {}
+            }
+        }
+        self.overdue = if is_paused { self.overdue - overdue } else { self.overdue + overdue };
+    }
+
+    /// The organisations with waiting entries, and whether their lines are paused.
+    pub fn organisations(&self) -> impl Iterator<Item = (&OrganisationId, bool)> {
+        self.lines.iter().filter_map(|(id, line)| Some((id.as_ref()?, line.is_paused)))
+    }
+
     /// The number of waiting entries.
     pub fn len(&self) -> usize {
-        self.queue.len()
+        self.lines.values().map(Line::len).sum()
     }
 
     /// Whether no entry waits.
     pub fn is_empty(&self) -> bool {
-        self.queue.is_empty()
+        self.lines.is_empty()
+    }
+
+    fn get(&self, id: &EntryId) -> Option<&Waiting<T>> {
+        self.lines.get(&id.line)?.stages[id.stage as usize].entries.get(&id.position)
     }
+
+    fn insert(&mut self, waiting: Waiting<T>, stage: Stage, arrival: Arrival) {
+        let position = waiting.position(stage, arrival);
+        let id = EntryId { line: waiting.organisation.clone(), stage, position };
+        if let Some(at) = waiting.leaves_at(stage) {
+            self.stage_ends.insert((at, arrival), id.clone());
+        }
+        let line = self.lines.entry(id.line.clone()).or_default();
+        let entries = &mut line.stages[stage as usize];
+        let first = entries.first();
+        entries.insert(position, waiting);
+        if line.is_paused {
+            return;
+        }
+        self.overdue += usize::from(stage == Stage::Overdue);
+        if first.is_none_or(|first| position < first) {
+            let heads = &mut self.heads[stage as usize];
+            first.map(|first| heads.remove(&first));
+            heads.insert(position, id.line);
+        }
+    }
+
+    fn remove(&mut self, id: &EntryId) -> Option<Waiting<T>> {
+        let line = self.lines.get_mut(&id.line)?;
+        let entries = &mut line.stages[id.stage as usize];
+        let waiting = entries.remove(&id.position)?;
+        if let Some(at) = waiting.leaves_at(id.stage) {
+            self.stage_ends.remove(&(at, id.position.arrival));
+        }
+        if !line.is_paused {
+            self.overdue -= usize::from(id.stage == Stage::Overdue);
+            let heads = &mut self.heads[id.stage as usize];
+            if heads.remove(&id.position).is_some()
+                && let Some(first) = entries.first()
+            {
+                heads.insert(first, id.line.clone());
+            }
+        }
+        if line.is_empty() {
+            self.lines.remove(&id.line);
+        }
+        Some(waiting)
+    }
+
+    /// Moves the entries that have become late or overdue to their stages.
+    fn advance(&mut self, now: Timestamp) {
+        while let Some(ended) = self.stage_ends.first_entry().filter(|ended| ended.key().0 <= now) {
+            let id = ended.get().clone();
+            let is_paused = self.lines.get(&id.line).is_some_and(|line| line.is_paused);
+            if let Some(waiting) = self.remove(&id) {
+                let (stage, arrival) = (waiting.stage(now), id.position.arrival);
+                self.lines.entry(id.line).or_default().is_paused = is_paused;
+                self.insert(waiting, stage, arrival);
+            }
+        }
+    }
+}
+
+/// The entries of some lines in the order of placement, for this order of stages.
+fn ids_in_turn<'a, T: 'a>(
+    order: [Stage; 3],
+    lines: impl IntoIterator<Item = (&'a LineId, &'a Line<T>)>,
+) -> Vec<EntryId> {
+    let lines: Vec<_> = lines.into_iter().collect();
+    let mut ids = Vec::new();
+    for stage in order {
+        let start = ids.len();
+        for (line, entries) in &lines {
+            let positions = entries.stages[stage as usize].entries.keys();
+            ids.extend(positions.map(|position| EntryId {
+                line: (*line).clone(),
+                stage,
+                position: *position,
+            }));
+        }
+        ids[start..].sort_by_key(|id: &EntryId| id.position);
+    }
+    ids
 }
 
 /// Delay for a refused caller if the time until there is room is unknown: short, as the next attempt
@@ -238,6 +525,22 @@
 /// Maximum delay: forecasts extend no further than the observations of the last seconds.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
 
+/// Maximum delay for callers of an organisation above its share: the time at which each of them may return
+/// is known from those that were refused before it.
+const MAX_SHARE_RETRY_DELAY: Duration = Duration::from_secs(30);
+
+/// Returns the delay after which a caller that was refused for lack of room retries. Callers of an
+/// organisation above its share do not return before it has room.
+pub fn retry_delay_for<R: Rng>(no_room: NoRoom, rng: &mut R) -> Duration {
+    match no_room.expected {
+        Some(expected) if no_room.over_share => {
+            let expected = expected.clamp(MIN_RETRY_DELAY, MAX_SHARE_RETRY_DELAY);
+            expected.mul_f64(rng.random_range(1.0..=1.0 + RETRY_DELAY_JITTER))
+        }
+        expected => retry_delay(expected, rng),
+    }
+}
+
 /// Returns the delay after which a refused caller retries when room is expected after `expected`, if
 /// known.
 pub fn retry_delay<R: Rng>(expected: Option<Duration>, rng: &mut R) -> Duration {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -29,6 +29,7 @@
 mod test_gateway_limit_regular_calls;
 mod test_gateway_load;
 mod test_gateway_low_limit;
+mod test_gateway_organisation_shares;
 mod test_gateway_part_blame;
 mod test_gateway_pending_ends;
 mod test_gateway_pending_queries;
--- a/lib/tests/test_gateway_full_engines.rs
+++ b/lib/tests/test_gateway_full_engines.rs
@@ -212,7 +212,7 @@
             Lead::ByTurn => (kind.objective() - prefill).saturating_sub(MAX_QUEUED_PREFILL),
             _ => may_wait,
         };
-        let terms = QueueTerms { priority, in_time, may_wait, tokens: 0.0 };
+        let terms = QueueTerms { priority, in_time, may_wait, tokens: 0.0, ..QueueTerms::default() };
         let mut queue = self.take_queue();
         let reply = queue.ask(caller, &terms, self, self.now);
         assert!(!matches!(reply, QueueReply::Refused(..)), "without a forecast of room nothing is refused");
--- a/lib/tests/test_gateway_lead_queue.rs
+++ b/lib/tests/test_gateway_lead_queue.rs
@@ -53,7 +53,8 @@
 fn queue(policy: Policy, generations: &[Generation]) -> LeadQueue<Generation> {
     let mut queue = LeadQueue::new(policy);
     for (name, tokens) in generations.iter().copied() {
-        let terms = QueueTerms { priority: 0, in_time: s(5), may_wait: s(10), tokens };
+        let terms =
+            QueueTerms { priority: 0, in_time: s(5), may_wait: s(10), tokens, ..QueueTerms::default() };
         assert!(matches!(
             queue.ask((name, tokens), &terms, &mut engines_with_memory(0.0), s(0)),
             QueueReply::Waits
--- a/lib/tests/test_gateway_waiting.rs
+++ b/lib/tests/test_gateway_waiting.rs
@@ -14,7 +14,7 @@
     let mut queue = WaitQueue::default();
     for (item, priority, until, tokens) in items.iter().copied() {
         let until = Duration::from_secs(until);
-        queue.push(Waiting { item, priority, due: until, until, tokens });
+        queue.push(Waiting { item, organisation: None, priority, due: until, until, tokens });
     }
     queue
 }
@@ -51,7 +51,7 @@
         let items = [("old", 1, 2, 10), ("late", 0, 4, 12), ("urgent", 0, 8, 16), ("new", 1, 9, 17)];
         for (item, priority, due, until) in items {
             let (due, until) = (Duration::from_secs(due), Duration::from_secs(until));
-            queue.push(Waiting { item, priority, due, until, tokens: 1.0 });
+            queue.push(Waiting { item, organisation: None, priority, due, until, tokens: 1.0 });
         }
         let is_next = (0..2).map(|priority| queue.is_next(priority, Duration::from_secs(now_s)));
         let is_next: Vec<bool> = is_next.collect();
@@ -70,14 +70,28 @@
     let at = Duration::from_secs;
     let mut queue = WaitQueue::default();
     for (item, due) in [("o1", 1), ("o2", 2), ("o3", 3), ("a", 50), ("b", 50), ("c", 50), ("d", 50)] {
-        queue.push(Waiting { item, priority: 0, due: at(due), until: at(due + 10), tokens: 1.0 });
+        queue.push(Waiting {
+            item,
+            organisation: None,
+            priority: 0,
+            due: at(due),
+            until: at(due + 10),
+            tokens: 1.0,
+        });
     }
     // An entry that is put back does not count as a placement.
     let first = queue.pop(at(20)).expect("seven entries wait");
     queue.put_back(first);
     assert!(!queue.is_next(0, at(20)));
     assert_eq!(drain_at(&mut queue, 20), ["o1", "a", "b", "c", "o2", "d", "o3"]);
-    queue.push(Waiting { item: "o4", priority: 0, due: at(1), until: at(11), tokens: 1.0 });
+    queue.push(Waiting {
+        item: "o4",
+        organisation: None,
+        priority: 0,
+        due: at(1),
+        until: at(11),
+        tokens: 1.0,
+    });
     for _ in 0..3 {
         assert!(queue.is_next(0, at(20)), "it is not the turn of an overdue entry");
         queue.on_direct_placement();
@@ -91,7 +105,14 @@
     let at = Duration::from_secs;
     let mut queue = WaitQueue::default();
     for (item, due) in [("first", 2), ("second", 3)] {
-        queue.push(Waiting { item, priority: 0, due: at(due), until: at(20), tokens: 1.0 });
+        queue.push(Waiting {
+            item,
+            organisation: None,
+            priority: 0,
+            due: at(due),
+            until: at(20),
+            tokens: 1.0,
+        });
     }
     let first = queue.pop(at(1)).expect("two entries wait");
     queue.put_back(first);
@@ -105,7 +126,7 @@
 #[test]
 fn test_generations_that_cannot_begin_in_time_are_refused_at_once() {
     let mut queue = queue(&[("a", 0, 14, 3.0), ("huge", 0, 14, 90.0), ("b", 0, 14, 1.0), ("c", 1, 13, 1.0)]);
-    let before = |priority| queue.tokens_before(priority, Duration::from_secs(10));
+    let mut before = |priority| queue.tokens_before(priority, Duration::from_secs(10));
     assert_eq!((before(0), before(1)), (94.0, 95.0));
     let one_a_second = |tokens: f64| Some(Duration::from_secs_f64(tokens));
     let unservable = queue.take_unservable(Duration::from_secs(10), one_a_second);
--- a/node/src/gateway/control/lead_scheduler.rs
+++ b/node/src/gateway/control/lead_scheduler.rs
@@ -12,6 +12,7 @@
 use leadstage_lib::gateway::lead_queue::QueueTerms;
 use leadstage_lib::gateway::lead_queue::Settled;
 use leadstage_lib::gateway::load::MAX_QUEUED_PREFILL;
+use leadstage_lib::gateway::organisation_shares::OrganisationShares;
 use leadstage_lib::gateway::policy::Policy;
 use leadstage_lib::gateway::rebalance::RebalanceMove;
 use leadstage_lib::gateway::rebalance::Rebalancer;
@@ -94,6 +95,8 @@
 pub struct LeadScheduler {
     policy: Policy,
     queues: HashMap<QueueKey, LeadQueue<PendingPlacement>>,
+    /// Who uses how much of each service's engines.
+    shares: HashMap<ServiceId, OrganisationShares>,
     rebalancers: HashMap<ServiceId, Rebalancer>,
 }
 
@@ -123,25 +126,32 @@
             Requester::Remote(address) => Some(*address),
             Requester::Local { .. } => None,
         };
+        let shares = self.policy.share_room.then(|| shares_of(&mut self.shares, &key)).flatten();
         let queue = self.queues.entry(key.clone()).or_insert_with(|| LeadQueue::new(self.policy));
-        match queue.ask(pending, &terms, &mut QueueEngines { state, key, now }, now) {
+        match queue.ask(pending, &terms, &mut QueueEngines { state, shares, key, now }, now) {
             QueueReply::Placed(pending, replica) => {
                 Outcome::Decided(Box::new(Decision { pending, chosen: Ok(replica) }))
             }
             QueueReply::Refused(pending, expected) => Outcome::Decided(Box::new(refusal(pending, expected))),
+            QueueReply::OverShare(pending, after) => {
+                Outcome::Decided(Box::new(refusal_over_share(pending, Some(after))))
+            }
             QueueReply::Waits => Outcome::Waits(run_key, remote),
         }
     }
 
     /// Decides the queued requests that can be placed now or are not expected to begin in time.
     pub fn settle(&mut self, state: &mut PlacementState, now: Timestamp) -> Vec<Decision> {
+        self.measure_shares(state, now);
         let mut decisions = Vec::new();
         for (key, queue) in &mut self.queues {
-            let mut engines = QueueEngines { state: &mut *state, key: key.clone(), now };
-            for Settled { item: pending, outcome, waited } in queue.settle(&mut engines, now) {
+            let shares = self.policy.share_room.then(|| shares_of(&mut self.shares, key)).flatten();
+            let mut engines = QueueEngines { state: &mut *state, shares, key: key.clone(), now };
+            for Settled { item: pending, outcome, over_share, waited } in queue.settle(&mut engines, now) {
                 log_waited(&pending, &waited, outcome.is_ok());
                 decisions.push(match outcome {
                     Ok(replica) => Decision { pending, chosen: Ok(replica) },
+                    Err(after) if over_share => refusal_over_share(pending, after),
                     Err(expected) => refusal(pending, expected),
                 });
             }
@@ -150,6 +160,15 @@
         decisions
     }
 
+    /// Measures the memory that each organisation holds, where that decides who may use more.
+    fn measure_shares(&mut self, state: &PlacementState, now: Timestamp) {
+        for (service, shares) in &mut self.shares {
+            if shares.is_measurement_due(now) {
+                shares.on_measured(state.held_by_organisation(service), now);
+            }
+        }
+    }
+
     /// Number of queued generations.
     pub fn waiting(&self) -> usize {
         self.queues.values().map(LeadQueue::len).sum()
@@ -174,6 +193,8 @@
 /// The engines as seen from one queue.
 struct QueueEngines<'a> {
     state: &'a mut PlacementState,
+    /// `None` if the engines are not shared between organisations.
+    shares: Option<&'a mut OrganisationShares>,
     key: QueueKey,
     now: Timestamp,
 }
@@ -195,17 +216,35 @@
             QueueKey::Engine(_) => None,
         }
     }
+
+    fn shares(&mut self) -> Option<&mut OrganisationShares> {
+        self.shares.as_deref_mut()
+    }
+}
+
+/// The shares that hold for a queue: those of its service, in all regions. Generations that wait for their
+/// turn on a link have a place already.
+fn shares_of<'a>(
+    shares: &'a mut HashMap<ServiceId, OrganisationShares>,
+    key: &QueueKey,
+) -> Option<&'a mut OrganisationShares> {
+    match key {
+        QueueKey::Service(service, _) => Some(shares.entry(service.clone()).or_default()),
+        QueueKey::Engine(_) => None,
+    }
 }
 
 /// The queue terms for a generation that may wait.
 fn terms(state: &PlacementState, pending: &PendingPlacement) -> QueueTerms {
     let PendingPlacement { priority, patience, leaves_after, .. } = *pending;
     if pending.wanted.from.is_some() || pending.wanted.size.is_none() {
-        return QueueTerms { priority, in_time: patience, may_wait: leaves_after, tokens: 0.0 };
+        return QueueTerms { priority, in_time: patience, may_wait: leaves_after, ..QueueTerms::default() };
     }
     let (service, size) = (&pending.wanted.service, pending.wanted.size.unwrap_or_default());
     let prefill_time = state.load.prefill.usual_prefill_time(service, size.prompt);
     QueueTerms {
+        organisation: pending.wanted.organisation.clone(),
+        prompt: size.prompt,
         priority,
         in_time: patience.saturating_sub(prefill_time + MAX_QUEUED_PREFILL),
         may_wait: leaves_after.saturating_sub(prefill_time),
@@ -214,7 +253,11 @@
 }
 
 fn refusal(pending: PendingPlacement, expected: Option<Duration>) -> Decision {
-    Decision { pending, chosen: Err(NoRoom { expected }) }
+    Decision { pending, chosen: Err(NoRoom { expected, over_share: false }) }
+}
+
+fn refusal_over_share(pending: PendingPlacement, after: Option<Duration>) -> Decision {
+    Decision { pending, chosen: Err(NoRoom { expected: after, over_share: true }) }
 }
 
 fn queue_key(pending: &PendingPlacement) -> QueueKey {
--- a/node/src/gateway/control/placement_state.rs
+++ b/node/src/gateway/control/placement_state.rs
@@ -26,6 +26,7 @@
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::run_key::RunKey;
 use leadstage_lib::gateway::shortage::Shortage;
+use leadstage_lib::ids::OrganisationId;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::VmId;
 use log::info;
@@ -244,6 +245,19 @@
         Some(run)
     }
 
+    /// Tokens of memory at a service's engines that the generations of each organisation use.
+    pub fn held_by_organisation(&self, service: &ServiceId) -> HashMap<OrganisationId, f64> {
+        let mut held = HashMap::new();
+        let replicas = self.replicas.of_service(service);
+        for (_, run) in replicas.iter().flat_map(|replica| self.load.runs_at(&replica.record.id)) {
+            if let (Some(organisation), Some(size)) = (&run.organisation, run.size) {
+                let tokens = self.load.memory_of(service, size, run.produced);
+                *held.entry(organisation.clone()).or_default() += tokens;
+            }
+        }
+        held
+    }
+
     /// The forecast of when engines of a service will have room.
     pub fn forecast(&self, service: &ServiceId) -> RoomForecast {
         self.forecasts.get(service).copied().unwrap_or_default()
--- a/node/src/gateway/control/placement_state/eligible.rs
+++ b/node/src/gateway/control/placement_state/eligible.rs
@@ -203,9 +203,9 @@
     /// may serve it (see [`Self::is_closed`]), and the retry delay if all replicas announce limits.
     pub fn no_room(&self, wanted: &Wanted) -> NoRoom {
         if self.is_closed(&wanted.service, &wanted.regions) {
-            return NoRoom { expected: Some(Duration::MAX) };
+            return NoRoom { expected: Some(Duration::MAX), over_share: false };
         }
-        NoRoom { expected: self.limited_retry_delay(wanted) }
+        NoRoom { expected: self.limited_retry_delay(wanted), over_share: false }
     }
 
     fn limited_retry_delay(&self, wanted: &Wanted) -> Option<Duration> {
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -164,6 +164,10 @@
                     (Ok(_), Some(stream)) => {
                         self.streams.insert(run, stream);
                     }
+                    (Err(no_room), _) if no_room.over_share => {
+                        let organisation = pending.wanted.organisation.as_deref().unwrap_or("");
+                        info!(event = "over_share", request = request, run, service = &*pending.wanted.service, organisation, retry_after_ms = no_room.expected.map_or(0, |after| after.as_millis() as u64); "the organisation uses its share of the engines");
+                    }
                     (Err(no_room), _) => {
                         let replicas = self.state.count_open(&pending.wanted.service);
                         info!(event = "no_room", request = request, run, service = &*pending.wanted.service, replicas, excluded = pending.wanted.exclude.len(), patience_ms = pending.patience.as_millis() as u64, expected_ms = no_room.expected.map_or(0, |expected| expected.as_millis() as u64); "no replica has room");
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -7,6 +7,7 @@
 use http::Response;
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::waiting;
+use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::engine::Resume;
 use leadstage_platform::headers;
@@ -104,7 +105,7 @@
     let mut tried: Vec<UpstreamId> = Vec::new();
     let mut sent = 0;
     let mut unreached = 0;
-    let refusal = |code| refuse(code, None);
+    let refusal = |code| refuse(code, NoRoom::default());
     let mut best: Result<StartResult, Refusal> = Err(refusal(Code::NoUpstream));
     loop {
         if sent == 0 {
@@ -116,7 +117,7 @@
                 if sent == 0 {
                     // A stop shortens the wait; another node may wait longer.
                     best = Err(if stop::accepts(&traffic.shared, req) {
-                        refuse(Code::NoUpstream, no_room.expected)
+                        refuse(Code::NoUpstream, no_room)
                     } else {
                         stop::refusal(&traffic.shared)
                     });
@@ -165,8 +166,8 @@
 }
 
 /// Builds a refusal whose retry delay depends on when room is expected, if that is known.
-fn refuse(code: Code, expected: Option<Duration>) -> Refusal {
-    Refusal { code, retry_after: Some(waiting::retry_delay(expected, &mut rand::rng())) }
+fn refuse(code: Code, no_room: NoRoom) -> Refusal {
+    Refusal { code, retry_after: Some(waiting::retry_delay_for(no_room, &mut rand::rng())) }
 }
 
 async fn attempt(traffic: &Traffic, req: &CallerRequest, run: RunGuard, sent: u32) -> Attempt {
--- a/node/src/gateway/upstream/replica_headers.rs
+++ b/node/src/gateway/upstream/replica_headers.rs
@@ -48,7 +48,12 @@
         request.wanted.resting = backing_off;
         let soonest = left.into_iter().min();
         let placed = self.shared.place(request).await;
-        placed.map_err(|no_room| NoRoom { expected: no_room.expected.into_iter().chain(soonest).min() })
+        placed.map_err(|no_room| match no_room {
+            NoRoom { over_share: true, .. } => no_room,
+            NoRoom { expected, .. } => {
+                NoRoom { expected: expected.into_iter().chain(soonest).min(), over_share: false }
+            }
+        })
     }
 
     /// Whether a request must not be sent to a replica because of a back-off, which the replica may have
--- a/testutils/src/fleet_model/experiment.rs
+++ b/testutils/src/fleet_model/experiment.rs
@@ -21,6 +21,12 @@
     /// Reclaims of engines, in waves.
     #[serde(default)]
     pub reclaims: Option<Reclaims>,
+    /// The organisations that send the requests, if there are any.
+    #[serde(default)]
+    pub organisations: Option<Organisations>,
+    /// Seconds until another node takes over as the lead, if it does.
+    #[serde(default)]
+    pub lead_lost_at_s: Option<f64>,
     /// Variation of the arrival rate.
     #[serde(default)]
     pub wave: Option<Wave>,
@@ -105,6 +111,31 @@
     pub replaced_after_s: f64,
 }
 
+/// The organisations that send the requests.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Organisations {
+    /// Parts of the usual load, by organisation; their sum is 1.
+    pub parts: Vec<f64>,
+    /// An organisation that sends more than usual.
+    #[serde(default)]
+    pub flood: Option<Flood>,
+}
+
+/// An organisation that sends more than usual for a time.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Flood {
+    /// Index of the organisation.
+    pub organisation: usize,
+    /// Multiple of its usual load.
+    pub factor: f64,
+    /// Seconds until it begins.
+    pub from_s: f64,
+    /// Seconds until it ends.
+    pub until_s: f64,
+}
+
 /// Sinusoidal variation of the arrival rate.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -121,6 +152,16 @@
         serde_saphyr::from_str(yaml)
     }
 
+    /// Returns the number of organisations.
+    pub fn organisation_count(&self) -> usize {
+        self.organisations.as_ref().map_or(0, |organisations| organisations.parts.len())
+    }
+
+    /// Returns the flood, if there is one.
+    pub fn flood(&self) -> Option<&Flood> {
+        self.organisations.as_ref()?.flood.as_ref()
+    }
+
     /// Returns the factor on the mean arrival rate at a time.
     pub fn rate_factor(&self, since_start: Duration) -> f64 {
         let Some(wave) = &self.wave else { return 1.0 };
--- a/testutils/src/fleet_model/lead.rs
+++ b/testutils/src/fleet_model/lead.rs
@@ -1,6 +1,7 @@
 //! The lead of a modelled fleet: the load tracker, choice of engines, queue and forecasts of `leadstage-lib`,
 //! combined as in a node.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use leadstage_lib::gateway::choice::EngineRequest;
@@ -14,6 +15,7 @@
 use leadstage_lib::gateway::load::LoadTracker;
 use leadstage_lib::gateway::load::MAX_QUEUED_PREFILL;
 use leadstage_lib::gateway::load::Run;
+use leadstage_lib::gateway::organisation_shares::OrganisationShares;
 use leadstage_lib::gateway::policy::Policy;
 use leadstage_lib::gateway::rebalance::RebalanceMove;
 use leadstage_lib::gateway::rebalance::Rebalancer;
@@ -26,7 +28,9 @@
 use leadstage_lib::gateway::run_key::RunId;
 use leadstage_lib::gateway::run_key::RunKey;
 use leadstage_lib::gateway::shortage::Shortage;
+use leadstage_lib::gateway::waiting::NoRoom;
 use leadstage_lib::ids::HallId;
+use leadstage_lib::ids::OrganisationId;
 use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use rand::rngs::SmallRng;
@@ -36,10 +40,12 @@
 const SERVICE: &str = "model";
 
 /// A request to place a generation.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct PlacementRequest {
     /// Id of the generation.
     pub run: RunId,
+    /// The organisation that it is accounted to.
+    pub organisation: Option<OrganisationId>,
     /// Its size.
     pub size: GenerationSize,
     /// Its priority; 0 is the most urgent.
@@ -56,7 +62,7 @@
     /// The generation was placed on an engine.
     Placed(RunId, UpstreamId),
     /// Refused, with the time until capacity is expected, if known.
-    Refused(RunId, Option<Duration>),
+    Refused(RunId, NoRoom),
     /// Queued; a reply follows later.
     Queued,
 }
@@ -66,6 +72,7 @@
     /// Its view of the fleet.
     pub fleet: Fleet,
     queue: LeadQueue<PlacementRequest>,
+    shares: Option<OrganisationShares>,
     rebalancer: Rebalancer,
 }
 
@@ -105,6 +112,7 @@
                 hall: "hall".into(),
             },
             queue: LeadQueue::new(policy),
+            shares: policy.share_room.then(OrganisationShares::default),
             rebalancer: Rebalancer::default(),
         }
     }
@@ -112,10 +120,15 @@
     /// Places, queues or refuses a generation.
     pub fn place(&mut self, request: PlacementRequest, now: Timestamp, rng: &mut SmallRng) -> PlacementReply {
         let (run, terms) = (request.run, self.fleet.terms(&request));
-        let mut engines = EnginesAt { fleet: &mut self.fleet, now, rng };
+        let mut engines = EnginesAt { fleet: &mut self.fleet, shares: self.shares.as_mut(), now, rng };
         match self.queue.ask(request, &terms, &mut engines, now) {
             QueueReply::Placed(_, engine) => PlacementReply::Placed(run, engine),
-            QueueReply::Refused(_, expected) => PlacementReply::Refused(run, expected),
+            QueueReply::Refused(_, expected) => {
+                PlacementReply::Refused(run, NoRoom { expected, over_share: false })
+            }
+            QueueReply::OverShare(_, after) => {
+                PlacementReply::Refused(run, NoRoom { expected: Some(after), over_share: true })
+            }
             QueueReply::Waits => PlacementReply::Queued,
         }
     }
@@ -123,15 +136,34 @@
     /// Replies to queued requests that can be placed now, and to requests that are not expected to start in
     /// time.
     pub fn settle(&mut self, now: Timestamp, rng: &mut SmallRng) -> Vec<PlacementReply> {
-        let mut engines = EnginesAt { fleet: &mut self.fleet, now, rng };
+        if let Some(shares) = self.shares.as_mut().filter(|shares| shares.is_measurement_due(now)) {
+            shares.on_measured(self.fleet.held_by_organisation(), now);
+        }
+        let mut engines = EnginesAt { fleet: &mut self.fleet, shares: self.shares.as_mut(), now, rng };
         let settled = self.queue.settle(&mut engines, now);
         let reply = |settled: Settled<PlacementRequest, UpstreamId>| match settled.outcome {
             Ok(engine) => PlacementReply::Placed(settled.item.run, engine),
-            Err(expected) => PlacementReply::Refused(settled.item.run, expected),
+            Err(expected) => {
+                PlacementReply::Refused(settled.item.run, NoRoom { expected, over_share: settled.over_share })
+            }
         };
         settled.into_iter().map(reply).collect()
     }
 
+    /// Replaces the lead by one that knows the engines and, from the nodes' inventories, what runs there. The
+    /// requests that waited are gone; their nodes place them again.
+    pub fn take_over(&mut self, now: Timestamp) {
+        let policy = self.fleet.load.policy;
+        let entry = key(0).entry;
+        let runs = self.fleet.load.runs_of_entry(&entry);
+        let runs: Vec<(RunId, Run)> = runs.map(|(id, run)| (id, run.clone())).collect();
+        self.fleet.load = LoadTracker::new(policy);
+        self.fleet.load.on_inventory(&entry, 0..=RunId::MAX, runs, now);
+        self.fleet.forecast = RoomForecast::default();
+        self.queue = LeadQueue::new(policy);
+        self.shares = policy.share_room.then(OrganisationShares::default);
+    }
+
     /// Returns the generations that should move to balance the load.
     pub fn due_moves(&mut self, now: Timestamp) -> Vec<RebalanceMove> {
         let fleet = &self.fleet;
@@ -143,6 +175,7 @@
 /// The engines at a point in time, as the queue uses them.
 struct EnginesAt<'a> {
     fleet: &'a mut Fleet,
+    shares: Option<&'a mut OrganisationShares>,
     now: Timestamp,
     rng: &'a mut SmallRng,
 }
@@ -157,6 +190,10 @@
     fn time_until(&self, tokens: f64) -> Option<Duration> {
         self.fleet.forecast.time_until(tokens, self.now)
     }
+
+    fn shares(&mut self) -> Option<&mut OrganisationShares> {
+        self.shares.as_deref_mut()
+    }
 }
 
 impl Fleet {
@@ -179,6 +216,8 @@
     fn terms(&self, request: &PlacementRequest) -> QueueTerms {
         let prefill_time = self.load.prefill.usual_prefill_time(SERVICE, request.size.prompt);
         QueueTerms {
+            organisation: request.organisation.clone(),
+            prompt: request.size.prompt,
             priority: request.priority,
             in_time: request.first_event_due_in.saturating_sub(prefill_time + MAX_QUEUED_PREFILL),
             may_wait: request.leaves_after.saturating_sub(prefill_time),
@@ -204,7 +243,13 @@
             usable.partition(|engine| self.load.has_prefill_capacity(&engine.record.id, now));
         let choice = self.load.choose_engine_or_shortage(available, backlogged, &engine_request, now, rng)?;
         let engine = choice.replica.clone();
-        self.add(request.run, request.size, 0, None, &engine, now);
+        let run = Run {
+            replica: engine.record.id.clone(),
+            size: Some(request.size),
+            organisation: request.organisation.clone(),
+            ..Run::default()
+        };
+        self.load.add(key(request.run), run, &engine, now);
         Ok(engine.record.id.clone())
     }
 
@@ -225,22 +270,22 @@
         let others = self.table.of_service(SERVICE).into_iter().filter(|engine| engine.record.id != *from);
         let usable = others.filter(|engine| engine.is_usable(now));
         let engine = self.load.choose_engine(usable, &request, now, rng)?.replica.clone();
-        self.add(run, size, produced, Some(from.clone()), &engine, now);
+        let moved =
+            Run { replica: engine.record.id.clone(), copied_from: Some(from.clone()), ..current.clone() };
+        self.load.add(key(run), moved, &engine, now);
         Some(engine.record.id.clone())
     }
 
-    fn add(
-        &mut self,
-        run: RunId,
-        size: GenerationSize,
-        produced: u32,
-        copied_from: Option<UpstreamId>,
-        engine: &Replica,
-        now: Timestamp,
-    ) {
-        let replica = engine.record.id.clone();
-        let at = Run { replica, size: Some(size), produced, copied_from, ..Run::default() };
-        self.load.add(key(run), at, engine, now);
+    /// Tokens of memory that the generations of each organisation use.
+    fn held_by_organisation(&self) -> HashMap<OrganisationId, f64> {
+        let mut held = HashMap::new();
+        for (_, run) in self.load.iter() {
+            if let (Some(organisation), Some(size)) = (&run.organisation, run.size) {
+                *held.entry(organisation.clone()).or_default() +=
+                    self.load.memory_of(SERVICE, size, run.produced);
+            }
+        }
+        held
     }
 
     /// Handles the end of a generation; if its engine stays, the freed memory is recorded for the forecast.
--- a/testutils/src/fleet_model/report.rs
+++ b/testutils/src/fleet_model/report.rs
@@ -49,6 +49,10 @@
 pub struct DayReport {
     /// Results by kind, in the experiment's order.
     pub kinds: Vec<KindReport>,
+    /// Results by organisation; requests beyond an organisation's usual load are not counted.
+    pub organisations: Vec<KindReport>,
+    /// Results of the requests beyond an organisation's usual load.
+    pub flood: KindReport,
     /// Preemptions by engines.
     pub preempted: usize,
     /// Generations that were moved to another engine.
--- a/testutils/src/fleet_model/simulation.rs
+++ b/testutils/src/fleet_model/simulation.rs
@@ -35,6 +35,10 @@
 enum Event {
     /// A request of a kind arrives.
     Arrival(usize),
+    /// A request of a kind arrives beyond its organisation's usual load.
+    FloodArrival(usize),
+    /// Another node takes over as the lead.
+    TakeOver,
     /// A caller that was refused retries.
     Retry(RunId),
     /// A caller leaves if it has received no event.
@@ -61,6 +65,12 @@
 #[derive(Clone, Debug)]
 struct Caller {
     kind: usize,
+    /// Index of its organisation, if there are organisations.
+    organisation: Option<usize>,
+    /// Whether it arrived beyond its organisation's usual load.
+    is_flood: bool,
+    /// Whether it waits at the lead.
+    is_queued: bool,
     size: GenerationSize,
     output: u32,
     arrived: Timestamp,
@@ -113,6 +123,7 @@
         last_run: 0,
         report: DayReport {
             kinds: vec![KindReport::default(); experiment.kinds.len()],
+            organisations: vec![KindReport::default(); experiment.organisation_count()],
             ..DayReport::default()
         },
         rng: SmallRng::seed_from_u64(seed),
@@ -138,6 +149,14 @@
         for kind in 0..self.experiment.kinds.len() {
             self.push(START, Event::Arrival(kind));
         }
+        if let Some(flood) = self.experiment.flood() {
+            for kind in 0..self.experiment.kinds.len() {
+                self.push(START + Duration::from_secs_f64(flood.from_s), Event::FloodArrival(kind));
+            }
+        }
+        if let Some(at) = self.experiment.lead_lost_at_s {
+            self.push(START + Duration::from_secs_f64(at), Event::TakeOver);
+        }
         if let Some(reclaims) = &self.experiment.reclaims {
             self.push(START + Duration::from_secs_f64(reclaims.first_s), Event::Notice);
         }
@@ -151,6 +170,8 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrival(kind) => self.on_arrival(kind),
+            Event::FloodArrival(kind) => self.on_flood_arrival(kind),
+            Event::TakeOver => self.on_take_over(),
             Event::Retry(run) => self.place(run),
             Event::Departure(run) => self.on_departure(run),
             Event::StepDone(engine) => self.on_step_done(engine),
--- a/testutils/tests/runner.rs
+++ b/testutils/tests/runner.rs
@@ -2,4 +2,5 @@
 
 mod test_engine_model;
 mod test_fleet_model;
+mod test_fleet_organisations;
 mod test_object_store;
