gateway: prices and moves streams by whether their gaps keep their objective

Cause: prompts and streams were placed by prefill time and the number of streams. On engines of uneven speed long streams missed the longest gap of their route where a prompt was read beside them in a slow moment.

The lead learns the time per token of each engine and, for a service, how far the longest gap of a second exceeds it with and without prompts. Inventories carry the longest gap of the last second, and the objective only until it is missed. The cost of an engine counts what the stream and, for a prompt, the streams there are expected to lose; streams move to engines where that is less. Engines without streams are judged by their prefill, unknown ones as slower.

--- a/lib/benches/decision.rs
+++ b/lib/benches/decision.rs
@@ -93,7 +93,8 @@
         tokens_per_event: 4,
     };
     let hall = "hall".into();
-    let request = EngineRequest { size, engine: &engine, hall: &hall, produced: 0, moves: false };
+    let request =
+        EngineRequest { size, engine: &engine, hall: &hall, produced: 0, moves: false, gap_objective: None };
     let mut rng = SmallRng::seed_from_u64(1);
     let started = Instant::now();
     for _ in 0..ROUNDS {
--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -4,6 +4,8 @@
 //! another), the slowdown of the streams that run beside the new one, and the risk that the engine's
 //! memory overflows. For plain services only the requests in flight count.
 
+use std::time::Duration;
+
 use rand::Rng;
 use rand::RngExt;
 
@@ -87,7 +89,9 @@
     pub fits: bool,
     /// Time until it has prefilled the prompts that were assigned to it.
     pub wait: Timestamp,
-    /// Its cost in milliseconds; lower is better.
+    /// Cost of gaps that are expected to exceed their objective there, in milliseconds.
+    pub gap_cost: f64,
+    /// Its cost in milliseconds, with that of gaps; lower is better.
     pub cost: f64,
 }
 
@@ -104,6 +108,8 @@
     pub produced: u32,
     /// Whether it runs on another engine and moves.
     pub moves: bool,
+    /// The longest gap between two events that still counts as in time, if it has kept it so far.
+    pub gap_objective: Option<Duration>,
 }
 
 impl LoadTracker {
@@ -207,11 +213,51 @@
         };
         let max_free_fill = if moves { MAX_FILL_WITHOUT_COST_FOR_MOVES } else { MAX_FILL_WITHOUT_COST };
         let excess = (fill - max_free_fill).max(0.0) / (1.0 - max_free_fill);
+        let gap_cost = self.gap_cost(replica, request);
         let cost = delay_cost
             + runs as f64 * COST_PER_RUN_MS
             + excess * excess * COST_FULL_MEMORY_MS
+            + gap_cost
             + self.general_cost(replica, request.hall, &ENGINE_COSTS, now, rng);
-        EngineChoice { replica, runs, fill, fits, wait, cost }
+        EngineChoice { replica, runs, fill, fits, wait, gap_cost, cost }
+    }
+
+    /// Cost of the gaps that are expected to exceed their objective: those of the generation itself and, if
+    /// its prompt is to be prefilled, those of the generations that run there.
+    fn gap_cost(&self, replica: &Replica, request: &EngineRequest<'_>) -> f64 {
+        if !self.policy.protect_gaps {
+            return 0.0;
+        }
+        let service = &replica.record.service;
+        let own = request.gap_objective.map_or(0.0, |objective| {
+            let remaining = request.size.expected.saturating_sub(request.produced);
+            self.gap_risk(replica, objective).over(remaining) * self.loss_by_gap(service, request.size)
+        });
+        if request.moves { own } else { own + self.gap_cost_of_prompt(replica) }
+    }
+
+    /// Cost of a prompt for the generations at an engine whose gaps have kept their objective so far.
+    fn gap_cost_of_prompt(&self, replica: &Replica) -> f64 {
+        let service = &replica.record.service;
+        let risk = |objective| self.gap_risk(replica, objective).reading;
+        // The generations of a service have few different objectives.
+        let mut last = None;
+        let costs = self.runs_at(&replica.record.id).filter_map(|(_, run)| {
+            let (objective, size) = (run.gap_objective?, run.size?);
+            let chance = match last {
+                Some((known, chance)) if known == objective => chance,
+                _ => risk(objective),
+            };
+            last = Some((objective, chance));
+            Some(chance * self.loss_by_gap(service, size))
+        });
+        costs.sum()
+    }
+
+    /// Loss if a generation's gap exceeds its objective, in milliseconds: the time that an engine spends on
+    /// its output, as its caller would not be served in time after all. A short one loses little.
+    pub fn loss_by_gap(&self, service: &str, size: GenerationSize) -> f64 {
+        f64::from(size.expected) * 1_000.0 / self.paces().tokens_per_second(service)
     }
 
     fn general_cost<R: Rng>(
--- a/lib/src/gateway/decaying_mean.rs
+++ b/lib/src/gateway/decaying_mean.rs
@@ -19,6 +19,11 @@
         DecayingMean { value: guess, observations: 1, newest_weight }
     }
 
+    /// Starts from a guess that the first observation replaces.
+    pub fn unknown(guess: f64, newest_weight: f64) -> Self {
+        DecayingMean { value: guess, observations: 0, newest_weight }
+    }
+
     /// Starts from the estimate of a similar quantity. New observations have their final weight at
     /// once.
     pub fn from_prior(other: &DecayingMean, newest_weight: f64) -> Self {
--- a/lib/src/gateway/inventory.rs
+++ b/lib/src/gateway/inventory.rs
@@ -13,9 +13,9 @@
 use crate::gateway::run_key::RunId;
 
 /// Maximum encoded size of a request without the names of engines and organisations: its id, three
-/// numbers and a duration as varints, and the flags for whether it has a size, is copied, and has an
+/// numbers and two durations as varints, and the flags for whether it has a size, is copied, and has an
 /// objective.
-const MAX_RUN_BYTES: usize = 10 + 3 * 5 + (10 + 5) + 3;
+const MAX_RUN_BYTES: usize = 10 + 3 * 5 + 2 * (10 + 5) + 3;
 /// Maximum encoded overhead of a name: whether there is one, and its length.
 const MAX_NAME_OVERHEAD_BYTES: usize = 1 + 5;
 
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -10,6 +10,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::engine_pace;
+use crate::gateway::engine_pace::EnginePaces;
+use crate::gateway::engine_pace::GapRisk;
 use crate::gateway::policy::Policy;
 use crate::gateway::prefill::PrefillClocks;
 use crate::gateway::replica::Replica;
@@ -58,8 +61,12 @@
     pub copied_from: Option<UpstreamId>,
     /// The organisation that it is accounted to; `None` if the configuration has no organisations.
     pub organisation: Option<OrganisationId>,
-    /// For generations, the longest gap between two events that still counts as in time.
+    /// For generations, the longest gap between two events that still counts as in time; `None` once a
+    /// gap was longer, as the generation has nothing more to lose.
     pub gap_objective: Option<Duration>,
+    /// Longest gap between two events in about the last second, other than that of a move; zero if there
+    /// was none.
+    pub longest_gap: Duration,
 }
 
 impl Run {
@@ -85,6 +92,7 @@
     /// When engines will have prefilled the prompts assigned to them.
     pub prefill: PrefillClocks,
     paces: TokenPaces,
+    engine_paces: EnginePaces,
 }
 
 impl LoadTracker {
@@ -121,6 +129,7 @@
     /// Drops what is known of replicas that are gone.
     pub fn retain_replicas(&mut self, is_known: impl Fn(&str) -> bool) {
         self.services.retain(|replica, _| is_known(replica));
+        self.engine_paces.retain(&is_known);
         self.prefill.retain(is_known);
     }
 
@@ -132,6 +141,7 @@
             self.remove(key);
         });
         self.prefill.retain(|engine| engine != replica);
+        self.engine_paces.retain(|engine| engine != replica);
         let runs = self.by_replica.values_mut().flatten().map(|(_, run)| run);
         for copy in runs.filter(|run| run.copied_from.as_deref() == Some(replica)) {
             copy.copied_from = None;
@@ -142,6 +152,7 @@
     pub fn remove(&mut self, key: &RunKey) -> Option<Run> {
         self.prefill.forget(key);
         self.paces.forget(key);
+        self.engine_paces.forget(key);
         self.remove_run(key)
     }
 
@@ -166,14 +177,48 @@
             return;
         };
         run.produced = produced;
-        let replica = run.replica.clone();
-        self.record_pace(key, &replica, produced, now);
+        let run = run.clone();
+        if let Some(longest_gap) = self.record_pace(key, &run, None, now)
+            && let Some(run) = self.get_mut(key)
+        {
+            run.longest_gap = longest_gap;
+        }
     }
 
-    fn record_pace(&mut self, key: &RunKey, replica: &str, produced: u32, now: Timestamp) {
-        if let Some(service) = self.services.get(replica).filter(|_| self.policy.learn) {
-            self.paces.on_progress(key, service, produced, now);
+    /// Records gaps between the events of a stream of this node since the last call: the longest one, and
+    /// the longest one other than that of a move.
+    pub fn on_gaps(&mut self, key: &RunKey, longest: Duration, longest_at_engine: Duration) {
+        if let Some(run) = self.get_mut(key) {
+            run.gap_objective = run.gap_objective.filter(|objective| longest <= *objective);
         }
+        self.engine_paces.on_gap(key, longest_at_engine);
+    }
+
+    /// Learns from the progress of a generation; returns its longest gap if that is complete.
+    fn record_pace(
+        &mut self,
+        key: &RunKey,
+        run: &Run,
+        reported_gap: Option<Duration>,
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let service = self.services.get(&run.replica).filter(|_| self.policy.learn)?;
+        self.paces.on_progress(key, service, run.produced, now);
+        let is_reading = self.prefill.has_read_since(&run.replica, now.saturating_sub(engine_pace::SPAN));
+        self.engine_paces.on_progress(key, service, run, reported_gap, is_reading, now)
+    }
+
+    /// The risk of streams at an engine to exceed a gap objective. An engine whose streams were not observed
+    /// yet is assumed to produce tokens as much slower than others as it prefills.
+    pub fn gap_risk(&self, replica: &Replica, objective: Duration) -> GapRisk {
+        let record = &replica.record;
+        let prefill_factor = self.prefill.relative_time(&record.id);
+        self.engine_paces.risk(&record.service, &record.id, objective, prefill_factor)
+    }
+
+    /// How fast each engine produces tokens.
+    pub fn engine_paces(&self) -> &EnginePaces {
+        &self.engine_paces
     }
 
     /// How fast the generations of each service produce tokens.
@@ -224,7 +269,7 @@
         }
         for (run, report) in runs {
             let key = RunKey { entry: entry.clone(), run };
-            self.record_pace(&key, &report.replica, report.produced, now);
+            self.record_pace(&key, &report, Some(report.longest_gap), now);
             self.insert(key, report);
         }
     }
--- a/lib/src/gateway/prefill.rs
+++ b/lib/src/gateway/prefill.rs
@@ -58,6 +58,9 @@
     service: ServiceId,
     busy_until: Timestamp,
     ms_per_token: DecayingMean,
+    /// How many times longer it takes for a prompt than a typical engine of its service; `None` until the
+    /// first observation.
+    relative_time: Option<DecayingMean>,
 }
 
 /// The prefill clocks of all engines.
@@ -84,6 +87,7 @@
             service: record.service.clone(),
             busy_until: Timestamp::ZERO,
             ms_per_token: DecayingMean::from_prior(&service.ms_per_token, ENGINE_WEIGHT),
+            relative_time: None,
         });
         clock.busy_until = clock.busy_until.max(now) + duration;
         let prefill =
@@ -105,6 +109,8 @@
             service.cold_factor.observe(service.cold_factor.value() * actual / expected);
         } else {
             let observed = clock.ms_per_token.value() * actual / expected;
+            let first = || DecayingMean::unknown(1.0, ENGINE_WEIGHT);
+            clock.relative_time.get_or_insert_with(first).observe(observed / service.ms_per_token.value());
             clock.ms_per_token.observe(observed);
             service.ms_per_token.observe(observed);
         }
@@ -125,6 +131,17 @@
         clock.map_or(Duration::ZERO, |clock| clock.busy_until.saturating_sub(now))
     }
 
+    /// How many times longer an engine takes for a prompt than a typical one of its service, if it was
+    /// observed.
+    pub fn relative_time(&self, engine: &str) -> Option<f64> {
+        Some(self.engines.get(engine)?.relative_time?.value())
+    }
+
+    /// Whether an engine has prefilled a prompt after a time, or still does.
+    pub fn has_read_since(&self, engine: &str, since: Timestamp) -> bool {
+        self.engines.get(engine).is_some_and(|clock| clock.busy_until > since)
+    }
+
     /// Time that an engine needs to prefill a prompt.
     pub fn prefill_time(&self, engine: &Replica, tokens: u32, now: Timestamp) -> Duration {
         let service = self.services.get(&engine.record.service).copied().unwrap_or_default();
--- a/lib/src/gateway/rebalance.rs
+++ b/lib/src/gateway/rebalance.rs
@@ -11,6 +11,7 @@
 
 use crate::gateway::choice::MAX_EXPECTED_PEAK;
 use crate::gateway::load::LoadTracker;
+use crate::gateway::load::Run;
 use crate::gateway::replica::Replica;
 use crate::gateway::routing::EngineTraits;
 use crate::gateway::run_key::RunKey;
@@ -31,6 +32,16 @@
 /// those of the time that it takes to copy a large one, at the usual pace.
 const MIN_REMAINING_TOKENS: u32 = 100;
 
+/// Tokens that a long generation has still to produce, by which engines are compared.
+const USUAL_REMAINING_TOKENS: u32 = 500;
+/// Cost of a move that keeps a generation's gaps within their objective: it occupies the links of two
+/// engines for some tenths of a second, in which no engine that leaves can be evacuated over them.
+const COST_PER_MOVE_MS: f64 = 1_000.0;
+
+/// Largest loss by longer gaps at which a generation still moves only to even out the numbers of
+/// generations: what those further runs cost a new one.
+const MAX_LOSS_TO_BALANCE_RUNS_MS: f64 = 100.0;
+
 /// A generation that should move away from its engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RebalanceMove {
@@ -67,6 +78,21 @@
     }
 }
 
+/// Chance that a stream exceeds an objective at an engine before it has produced this many tokens.
+fn risk(tracker: &LoadTracker, load: &Load<'_>, objective: Duration, tokens: u32) -> f64 {
+    tracker.gap_risk(load.replica, objective).over(tokens)
+}
+
+/// What a generation gains by a move for its gaps, in milliseconds; 0 if it has no objective to keep.
+fn gain(tracker: &LoadTracker, run: &Run, source: &Load<'_>, target: &Load<'_>) -> f64 {
+    let (Some(objective), Some(size), true) = (run.gap_objective, run.size, tracker.policy.protect_gaps)
+    else {
+        return 0.0;
+    };
+    let risk_at = |load| risk(tracker, load, objective, run.remaining());
+    (risk_at(source) - risk_at(target)) * tracker.loss_by_gap(&source.replica.record.service, size)
+}
+
 impl Rebalancer {
     /// Returns the generations that should move now, at most one for each pair of engines.
     pub fn due_moves<'a>(
@@ -94,15 +120,77 @@
             if self.has_pending_move(tracker, &source.replica.record.id) {
                 continue;
             }
-            let room = MAX_TARGET_FILL - target.fill;
-            if let Some(key) = self.pick_generation(tracker, &source.replica.record.id, room, traits) {
+            let is_worth_it = |run: &Run| {
+                source.peak > MAX_EXPECTED_PEAK
+                    || gain(tracker, run, source, target) >= -MAX_LOSS_TO_BALANCE_RUNS_MS
+            };
+            if let Some(key) = self.pick_generation(tracker, source, target, traits, is_worth_it) {
                 self.requested.insert(key.clone(), now);
                 moves.push(RebalanceMove { key, from: source.replica.record.id.clone() });
             }
         }
+        if tracker.policy.protect_gaps {
+            self.add_moves_for_gaps(&mut moves, tracker, &loads, traits, now);
+        }
         moves
     }
 
+    /// Adds moves of generations whose gaps are likely to exceed their objective where they run and to keep
+    /// it elsewhere, at most one for each pair of engines.
+    fn add_moves_for_gaps(
+        &mut self,
+        moves: &mut Vec<RebalanceMove>,
+        tracker: &LoadTracker,
+        loads: &[Load<'_>],
+        traits: &EngineTraits,
+        now: Timestamp,
+    ) {
+        let objectives = loads.iter().flat_map(|load| tracker.runs_at(&load.replica.record.id));
+        let Some(objective) = objectives.filter_map(|(_, run)| run.gap_objective).min() else {
+            return;
+        };
+        let mut by_risk: Vec<(f64, &Load<'_>)> =
+            loads.iter().map(|load| (risk(tracker, load, objective, USUAL_REMAINING_TOKENS), load)).collect();
+        by_risk.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        let is_target = |load: &Load<'_>| !load.arriving && load.fill < MAX_TARGET_FILL;
+        let mut targets = by_risk.iter().filter(|(_, load)| is_target(load)).peekable();
+        for (risk, source) in by_risk.iter().rev() {
+            let Some((target_risk, target)) = targets.peek() else { break };
+            if target_risk >= risk {
+                break;
+            }
+            let from = &source.replica.record.id;
+            if self.has_pending_move(tracker, from) {
+                continue;
+            }
+            if let Some(key) = self.pick_endangered(tracker, source, target, traits) {
+                self.requested.insert(key.clone(), now);
+                moves.push(RebalanceMove { key, from: from.clone() });
+                targets.next();
+            }
+        }
+    }
+
+    /// The generation at an engine that gains most from a move to another one, if that pays off.
+    fn pick_endangered(
+        &self,
+        tracker: &LoadTracker,
+        source: &Load<'_>,
+        target: &Load<'_>,
+        traits: &EngineTraits,
+    ) -> Option<RunKey> {
+        let memory = f64::from(traits.memory_tokens.max(1));
+        let gains = tracker.runs_at(&source.replica.record.id).filter_map(|(key, run)| {
+            let is_movable = run.produced > 0
+                && run.copied_from.is_none()
+                && run.remaining() >= MIN_REMAINING_TOKENS
+                && tracker.memory(run) / memory <= MAX_TARGET_FILL - target.fill;
+            is_movable.then(|| (gain(tracker, run, source, target), key))
+        });
+        let (gain, key) = gains.max_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        (gain > COST_PER_MOVE_MS).then(|| key.clone())
+    }
+
     fn has_pending_move(&self, tracker: &LoadTracker, engine: &UpstreamId) -> bool {
         tracker.runs_at(engine).any(|(key, _)| self.requested.contains_key(key))
     }
@@ -111,16 +199,18 @@
     fn pick_generation(
         &self,
         tracker: &LoadTracker,
-        engine: &UpstreamId,
-        room: f64,
+        source: &Load<'_>,
+        target: &Load<'_>,
         traits: &EngineTraits,
+        is_worth_it: impl Fn(&Run) -> bool,
     ) -> Option<RunKey> {
         let memory = f64::from(traits.memory_tokens.max(1));
-        let runs = tracker.runs_at(engine).filter(|(key, run)| {
+        let runs = tracker.runs_at(&source.replica.record.id).filter(|(key, run)| {
             run.produced > 0
                 && run.copied_from.is_none()
                 && !self.requested.contains_key(*key)
-                && tracker.memory(run) / memory <= room
+                && tracker.memory(run) / memory <= MAX_TARGET_FILL - target.fill
+                && is_worth_it(run)
         });
         let remaining = runs.map(|(key, run)| (run.remaining(), key));
         let longest = remaining.max_by_key(|(remaining, _)| *remaining)?;
--- a/lib/src/gateway/routing.rs
+++ b/lib/src/gateway/routing.rs
@@ -83,6 +83,12 @@
         self.repeat == Repeat::Idempotent || self.resumable
     }
 
+    /// The longest gap between two events of a stream that still counts as in time; `None` if the route
+    /// states none.
+    pub fn stated_gap_objective(&self) -> Option<Duration> {
+        Some(self.gap_objective).filter(|objective| !objective.is_zero())
+    }
+
     /// How long a caller waits for the next event of a stream before it disconnects, as defined by the
     /// platform's protocol.
     pub fn caller_patience(&self) -> Duration {
--- /dev/null
+++ b/lib/tests/test_gateway_engine_pace.rs
@@ -0,0 +1,100 @@
+//! The pace of each engine, and the chance that a stream's gaps exceed their objective there.
+
+use std::time::Duration;
+
+use leadstage_lib::gateway::engine_pace::EnginePaces;
+use leadstage_lib::gateway::engine_pace::GapRisk;
+use leadstage_lib::gateway::gap_spread::GapSpread;
+use leadstage_lib::gateway::load::GenerationSize;
+use leadstage_lib::gateway::load::Run;
+use leadstage_lib::gateway::routing::ServiceId;
+use leadstage_lib::gateway::run_key::RunId;
+use leadstage_lib::gateway::run_key::RunKey;
+
+const OBJECTIVE: Duration = Duration::from_millis(180);
+
+fn key(run: RunId) -> RunKey {
+    RunKey { entry: "node".into(), run }
+}
+
+fn run(engine: &str, produced: u32) -> Run {
+    let size = GenerationSize { prompt: 3_000, expected: 700 };
+    Run { replica: engine.into(), size: Some(size), produced, ..Run::default() }
+}
+
+/// Reports 60 s of a stream at an engine that needs `ms_per_token`. Prompts are prefilled in every second
+/// second, in which tokens take 1.5 times as long; the longest gap of a second is `usual_gap` times, and
+/// in one of eight seconds three times as long as that of the tokens of an event.
+fn observe(paces: &mut EnginePaces, id: RunId, engine: &str, ms_per_token: f64) {
+    let service: ServiceId = "m".into();
+    let mut produced = 1.0;
+    for second in 0..60 {
+        let is_reading = second % 2 == 1;
+        let ms_per_token = if is_reading { ms_per_token * 1.5 } else { ms_per_token };
+        produced += 1_000.0 / ms_per_token;
+        let slowness = if second % 8 == 3 { 2.5 } else { 1.1 };
+        let gap = Duration::from_secs_f64(4.0 * ms_per_token * slowness / 1_000.0);
+        let now = Duration::from_secs(100 + second);
+        paces.on_progress(&key(id), &service, &run(engine, produced as u32), Some(gap), is_reading, now);
+    }
+}
+
+fn risks(paces: &EnginePaces, engines: &[&str]) -> String {
+    let line = |engine: &&str| {
+        let GapRisk { quiet, reading, reading_share, .. } = paces.risk("m", engine, OBJECTIVE, None);
+        let over = paces.risk("m", engine, OBJECTIVE, None).over(700);
+        format!("{engine}: {quiet:.2} {reading:.2} {reading_share:.2}, {over:.2} over 700 tokens\n")
+    };
+    engines.iter().map(line).collect()
+}
+
+/// A fast engine keeps the objective also beside prompts in slow moments. A slow one exceeds it only then.
+/// An engine without observations is taken for a slower one.
+#[test]
+fn test_only_slow_engines_beside_prompts_exceed_the_objective() {
+    let mut paces = EnginePaces::default();
+    for round in 0..10 {
+        observe(&mut paces, round * 2, "fast", 6.0);
+        observe(&mut paces, round * 2 + 1, "slow", 13.0);
+    }
+    insta::assert_snapshot!(risks(&paces, &["fast", "slow", "new"]), @r"
+    fast: 0.00 0.00 0.53, 0.00 over 700 tokens
+    slow: 0.00 0.27 0.53, 0.85 over 700 tokens
+    new: 0.00 0.27 0.51, 0.85 over 700 tokens
+    ");
+}
+
+/// Without observations nothing is at risk, so placing goes by the other costs.
+#[test]
+fn test_nothing_is_at_risk_without_observations() {
+    let paces = EnginePaces::default();
+    assert_eq!(paces.risk("m", "e1", OBJECTIVE, None), GapRisk::default());
+    assert_eq!(GapRisk::default().over(10_000), 0.0);
+}
+
+/// The first event after a move says nothing of the new engine's pace.
+#[test]
+fn test_a_moved_stream_is_observed_anew() {
+    let mut paces = EnginePaces::default();
+    let service: ServiceId = "m".into();
+    let mut observe = |run: Run, millis: u64| {
+        let now = Duration::from_millis(millis);
+        paces.on_progress(&key(1), &service, &run, Some(Duration::from_millis(50)), false, now)
+    };
+    assert_eq!(observe(run("e1", 4), 1_000), None);
+    assert_eq!(observe(run("e1", 104), 2_000), Some(Duration::from_millis(50)));
+    let copy = Run { copied_from: Some("e1".into()), ..run("e2", 104) };
+    assert_eq!(observe(copy, 2_100), None);
+    assert_eq!(observe(run("e2", 112), 2_600), None);
+    assert_eq!(observe(run("e2", 212), 3_600), Some(Duration::from_millis(50)));
+}
+
+#[test]
+fn test_share_above_a_ratio() {
+    let mut spread = GapSpread::default();
+    (0..19).for_each(|_| spread.observe(5.0));
+    assert_eq!(spread.share_above(1.0), 0.0);
+    (0..81).for_each(|at| spread.observe(if at % 4 == 0 { 20.0 } else { 5.0 }));
+    let shares = [1.0, 4.0, 10.0, 18.0, 22.0, 1e9].map(|ratio| format!("{:.2}", spread.share_above(ratio)));
+    insta::assert_snapshot!(shares.join(" "), @"1.00 1.00 0.21 0.21 0.00 0.00");
+}
--- a/lib/tests/test_gateway_full_engines.rs
+++ b/lib/tests/test_gateway_full_engines.rs
@@ -237,8 +237,14 @@
     /// Assigns a caller's prompt to the best engine, if there is one.
     fn grant(&mut self, caller: Caller, may_wait: bool) -> bool {
         let (traits, hall) = (traits(), HallId::from("a"));
-        let request =
-            EngineRequest { size: caller.size, engine: &traits, hall: &hall, produced: 0, moves: false };
+        let request = EngineRequest {
+            size: caller.size,
+            engine: &traits,
+            hall: &hall,
+            produced: 0,
+            moves: false,
+            gap_objective: None,
+        };
         let engines: Vec<&Replica> = self.table.of_service("m");
         let candidates = engines.iter().copied();
         let soon = candidates
--- a/lib/tests/test_gateway_load.rs
+++ b/lib/tests/test_gateway_load.rs
@@ -70,7 +70,7 @@
     let (traits, hall) = (traits(), HallId::from("a"));
     let size = GenerationSize { prompt, expected: 900 };
     let produced = if moves { 400 } else { 0 };
-    let request = EngineRequest { size, engine: &traits, hall: &hall, produced, moves };
+    let request = EngineRequest { size, engine: &traits, hall: &hall, produced, moves, gap_objective: None };
     let rng = &mut SmallRng::seed_from_u64(1);
     let choice = tracker.choose_engine(table.of_service("m").into_iter(), &request, NOW, rng);
     choice.map(|choice| choice.replica.record.id.to_string())
@@ -334,6 +334,7 @@
         copied_from: from,
         organisation: Some("o".repeat(70).into()),
         gap_objective: Some(Duration::MAX),
+        longest_gap: Duration::MAX,
         ..run(&"e".repeat(90), u32::MAX, u32::MAX, u32::MAX)
     };
     let runs: Vec<_> = (0..3_000).map(|n| (u64::MAX - 3_000 + n, largest.clone())).collect();
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -6,6 +6,7 @@
 
 mod balancer_port;
 mod control;
+mod gap_meter;
 mod held_bytes;
 mod http_port;
 mod ingress;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -236,6 +236,7 @@
             let peer_bytes = self.shared.metrics.peer_bytes_so_far();
             info!(event = "levels", open = levels.open, waiting = levels.waiting, nodes = levels.nodes, config = self.shared.config_version(), config_age_ms = levels.config_age.as_millis() as u64, replicas_age_ms = levels.replicas_age.as_millis() as u64, replicas_at = revision::number(replicas_at), store_era = revision::era(replicas_at), peer_bytes; "levels");
             self.log_peer_traffic();
+            self.placing.log_engine_paces(&self.fleet);
         }
     }
 
--- a/node/src/gateway/control/placement_state.rs
+++ b/node/src/gateway/control/placement_state.rs
@@ -113,6 +113,7 @@
             hall: &wanted.hall,
             produced: wanted.produced,
             moves: wanted.from.is_some(),
+            gap_objective: wanted.gap_objective,
         };
         // Engines with a prefill backlog are only checked for whether their memory would admit the
         // generation.
@@ -127,7 +128,7 @@
         let engines = available.len() + backlogged.len();
         let choice =
             self.load.choose_engine_or_shortage(available, backlogged, &request, now, &mut rand::rng())?;
-        info!(event = "engine_chosen", run = key.run, entry = &*key.entry, upstream = &*choice.replica.record.id, service = &*wanted.service, prompt = size.prompt, expected = size.expected, produced = wanted.produced, engines, runs = choice.runs, fill:% = format_args!("{:.2}", choice.fill), wait_ms = choice.wait.as_millis() as u64, cost_ms:% = format_args!("{:.0}", choice.cost); "engine chosen");
+        info!(event = "engine_chosen", run = key.run, entry = &*key.entry, upstream = &*choice.replica.record.id, service = &*wanted.service, prompt = size.prompt, expected = size.expected, produced = wanted.produced, engines, runs = choice.runs, fill:% = format_args!("{:.2}", choice.fill), wait_ms = choice.wait.as_millis() as u64, gap_cost_ms:% = format_args!("{:.0}", choice.gap_cost), cost_ms:% = format_args!("{:.0}", choice.cost); "engine chosen");
         Ok(choice.replica.record.clone())
     }
 
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -55,6 +55,8 @@
 
 /// Ids per millisecond of the start time. The ids of a process start above those of the previous one.
 const RUN_IDS_PER_MS: RunId = 1 << 10;
+/// Maximum number of engines in a log line of paces.
+const MAX_LOGGED_PACES: usize = 8;
 
 /// Places requests on replicas.
 pub struct Placing {
@@ -447,6 +449,19 @@
         self.shared.set_paces(paces.map(|(service, pace)| (service.clone(), pace)).collect());
     }
 
+    /// Logs the paces of the engines of the services that this node leads: the median and the slowest ones.
+    pub fn log_engine_paces(&self, fleet: &Fleet) {
+        for service in self.led_services(fleet) {
+            let engines = self.state.replicas.staying(&service).map(|replica| &replica.record.id);
+            let pace = |id: &UpstreamId| Some((self.state.load.engine_paces().ms_per_token(id)?, id.clone()));
+            let mut paces: Vec<(f64, UpstreamId)> = engines.filter_map(pace).collect();
+            paces.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+            let Some((median, _)) = paces.get(paces.len() / 2) else { continue };
+            let slowest = paces.iter().take(MAX_LOGGED_PACES).map(|(pace, id)| format!("{id}:{pace:.1}"));
+            info!(event = "engine_paces", service = &*service, engines = paces.len(), median_token_ms:% = format_args!("{median:.1}"), slowest_token_ms = slowest.collect::<Vec<_>>().join(" "); "paces of the engines");
+        }
+    }
+
     /// The node's current status.
     pub fn status(&self, fleet: &Fleet) -> NodeStatus {
         status::status(
@@ -511,6 +526,11 @@
         let now = self.shared.now();
         for (run, stream) in &self.streams {
             let key = RunKey { entry: self.own.clone(), run: *run };
+            let is_copied = self.state.load.get(&key).is_some_and(|run| run.copied_from.is_some());
+            // Until its copy is complete, the stream runs under its earlier key.
+            if !is_copied {
+                self.state.load.on_gaps(&key, stream.gaps.longest(), stream.gaps.take_at_engine());
+            }
             self.state.load.on_progress(&key, stream.produced.load(Ordering::Relaxed), now);
         }
     }
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -44,7 +44,11 @@
     open: OpenGuard,
 ) -> Result<Reply, Refusal> {
     let (commands_tx, commands) = mpsc::unbounded_channel();
-    let handle = StreamHandle { commands: commands_tx.clone(), produced: Arc::new(AtomicU32::new(0)) };
+    let handle = StreamHandle {
+        commands: commands_tx.clone(),
+        produced: Arc::new(AtomicU32::new(0)),
+        gaps: Arc::default(),
+    };
     let StartedStream { run, exchange, sent } = match start(traffic, &req, &handle).await? {
         StartResult::Started(started) => started,
         StartResult::Answered(answer) => return Ok(plain::reply(answer)),
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -38,6 +38,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
+use crate::gateway::gap_meter::GapMeter;
 use crate::gateway::peers::peer_message::Datagram;
 use crate::gateway::peers::peer_message::Wanted;
 
@@ -229,6 +230,8 @@
     pub commands: UnboundedSender<StreamCommand>,
     /// Number of tokens that the stream has produced.
     pub produced: Arc<AtomicU32>,
+    /// The gaps between its events.
+    pub gaps: Arc<GapMeter>,
 }
 
 /// A command to a stream.
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -217,6 +217,7 @@
             copied_from: self.from.clone(),
             organisation: self.organisation.clone(),
             gap_objective: self.gap_objective,
+            longest_gap: Duration::ZERO,
         }
     }
 }
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -200,7 +200,7 @@
                 resting: Vec::new(),
                 regions: self.req.regions(),
                 organisation: self.req.organisation_name(),
-                gap_objective: Some(self.req.route.gap_objective),
+                gap_objective: self.gap_objective(),
             },
             priority: evacuation::rank(self.req.generation_size(), produced),
             patience,
@@ -210,6 +210,12 @@
         self.traffic.place(request).await.ok()
     }
 
+    /// The gap objective, if the stream has kept it so far.
+    fn gap_objective(&self) -> Option<Duration> {
+        let longest = self.handle.gaps.longest();
+        self.req.route.stated_gap_objective().filter(|objective| longest <= *objective)
+    }
+
     async fn copy_to(&self, target: RunGuard) -> Result<MoveTarget, CopyFailure> {
         let to = target.placed.replica.clone();
         let began = Instant::now();
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -278,7 +278,7 @@
             let took = run.placed_at.elapsed();
             self.traffic.sample_answer(&self.req, &run.placed.replica, false, took);
         }
-        self.pace.on_event(self.req.received_at);
+        self.pace.on_event(self.req.received_at, &self.handle.gaps);
         if part_blame::speaks_for_parts(self.run_progress().events_here) {
             self.on_parts_served();
         }
@@ -314,6 +314,7 @@
     /// Handles the start of a further run, at the same engine or another one.
     fn on_resumed(&mut self) {
         self.lost_at = None;
+        self.pace.on_new_engine();
         self.events_before_run = self.events.events();
         self.serves_parts = false;
     }
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -115,7 +115,7 @@
                 resting: Vec::new(),
                 regions: req.regions(),
                 organisation: req.organisation_name(),
-                gap_objective: Some(req.route.gap_objective),
+                gap_objective: req.route.stated_gap_objective(),
             },
             priority: req.priority(),
             patience: req.first_event_due(),
--- a/testutils/src/fleet_model/experiment.rs
+++ b/testutils/src/fleet_model/experiment.rs
@@ -57,6 +57,21 @@
     pub link_mbps: f64,
     /// Factors on the engines' step times, assigned in turn.
     pub slowdowns: Vec<f64>,
+    /// Moments in which an engine is slower than usual.
+    #[serde(default)]
+    pub slow_moments: Option<SlowMoments>,
+}
+
+/// Moments in which an engine is slower than usual, at random times.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SlowMoments {
+    /// Share of the moments that are slow.
+    pub share: f64,
+    /// Factor on the engine's step times in a slow moment.
+    pub factor: f64,
+    /// Milliseconds of a moment.
+    pub moment_ms: u64,
 }
 
 /// A kind of requests.
--- a/testutils/src/fleet_model/lead.rs
+++ b/testutils/src/fleet_model/lead.rs
@@ -48,6 +48,8 @@
     pub first_event_due_in: Duration,
     /// Time until its caller leaves.
     pub leaves_after: Duration,
+    /// Longest acceptable gap between two events.
+    pub gap_objective: Duration,
 }
 
 /// The lead's reply to a placement request.
@@ -198,13 +200,16 @@
             hall: &self.hall,
             produced: 0,
             moves: false,
+            gap_objective: Some(request.gap_objective),
         };
         let usable = self.table.of_service(SERVICE).into_iter().filter(|engine| engine.is_usable(now));
         let (available, backlogged): (Vec<&Replica>, Vec<&Replica>) =
             usable.partition(|engine| self.load.has_prefill_capacity(&engine.record.id, now));
         let choice = self.load.choose_engine_or_shortage(available, backlogged, &engine_request, now, rng)?;
         let engine = choice.replica.clone();
-        self.add(request.run, request.size, 0, None, &engine, now);
+        let run =
+            Run { size: Some(request.size), gap_objective: Some(request.gap_objective), ..Run::default() };
+        self.add(request.run, run, &engine, now);
         Ok(engine.record.id.clone())
     }
 
@@ -220,27 +225,26 @@
             return None;
         }
         let current = self.load.get(&key(run))?.clone();
-        let (size, produced) = (current.size?, current.produced);
-        let request = EngineRequest { size, engine: &self.traits, hall: &self.hall, produced, moves: true };
+        let (size, produced, gap_objective) = (current.size?, current.produced, current.gap_objective);
+        let request = EngineRequest {
+            size,
+            engine: &self.traits,
+            hall: &self.hall,
+            produced,
+            moves: true,
+            gap_objective,
+        };
         let others = self.table.of_service(SERVICE).into_iter().filter(|engine| engine.record.id != *from);
         let usable = others.filter(|engine| engine.is_usable(now));
         let engine = self.load.choose_engine(usable, &request, now, rng)?.replica.clone();
-        self.add(run, size, produced, Some(from.clone()), &engine, now);
+        let run_there = Run { copied_from: Some(from.clone()), ..current };
+        self.add(run, run_there, &engine, now);
         Some(engine.record.id.clone())
     }
 
-    fn add(
-        &mut self,
-        run: RunId,
-        size: GenerationSize,
-        produced: u32,
-        copied_from: Option<UpstreamId>,
-        engine: &Replica,
-        now: Timestamp,
-    ) {
-        let replica = engine.record.id.clone();
-        let at = Run { replica, size: Some(size), produced, copied_from, ..Run::default() };
-        self.load.add(key(run), at, engine, now);
+    fn add(&mut self, id: RunId, run: Run, engine: &Replica, now: Timestamp) {
+        let run = Run { replica: engine.record.id.clone(), ..run };
+        self.load.add(key(id), run, engine, now);
     }
 
     /// Handles the end of a generation; if its engine stays, the freed memory is recorded for the forecast.
--- a/testutils/src/fleet_model/simulation.rs
+++ b/testutils/src/fleet_model/simulation.rs
@@ -55,6 +55,8 @@
         place: usize,
     },
     Tick,
+    /// A new moment begins, in which an engine may be slow.
+    Moment(usize),
 }
 
 /// A request of a caller.
@@ -71,7 +73,11 @@
     produced: u32,
     last_event: Option<Timestamp>,
     is_late: bool,
-    has_exceeded_gap: bool,
+    longest_gap: Duration,
+    /// Longest gap since the last inventory, other than those of moves.
+    longest_gap_at_engine: Duration,
+    /// It has moved since its last event.
+    is_moved: bool,
 }
 
 struct Engine {
@@ -159,6 +165,7 @@
             Event::EngineEnd(engine) => self.on_engine_end(engine),
             Event::EngineStart { place } => self.start_engine(place),
             Event::Tick => self.on_tick(),
+            Event::Moment(engine) => self.on_moment(engine),
         }
     }
 
@@ -171,7 +178,9 @@
     fn on_tick(&mut self) {
         self.ticks += 1;
         if self.ticks.is_multiple_of(TICKS_PER_INVENTORY) {
-            for (run, caller) in &self.callers {
+            for (run, caller) in &mut self.callers {
+                let gap = std::mem::take(&mut caller.longest_gap_at_engine);
+                self.lead.fleet.load.on_gaps(&key(*run), caller.longest_gap, gap);
                 self.lead.fleet.load.on_progress(&key(*run), caller.produced, self.now);
             }
         }
--- a/testutils/src/fleet_model/simulation/callers.rs
+++ b/testutils/src/fleet_model/simulation/callers.rs
@@ -46,7 +46,9 @@
             produced: 0,
             last_event: None,
             is_late: false,
-            has_exceeded_gap: false,
+            longest_gap: Duration::ZERO,
+            longest_gap_at_engine: Duration::ZERO,
+            is_moved: false,
         };
         self.callers.insert(run, caller);
         self.push(self.now + leaves_after, Event::Departure(run));
@@ -64,6 +66,7 @@
             priority: caller.kind as u8,
             first_event_due_in: kind.objective().saturating_sub(waited),
             leaves_after: kind.leaves_after().saturating_sub(waited),
+            gap_objective: kind.gap(),
         };
         let reply = self.lead.place(request, self.now, &mut self.rng);
         self.on_reply(reply);
--- a/testutils/src/fleet_model/simulation/engines.rs
+++ b/testutils/src/fleet_model/simulation/engines.rs
@@ -1,7 +1,10 @@
 //! Engines: their steps, and the stream events that these produce for callers.
 
+use std::time::Duration;
+
 use leadstage_lib::gateway::run_key::RunId;
 use leadstage_lib::ids::UpstreamId;
+use rand::RngExt;
 
 use crate::engine_model::EngineEvent;
 use crate::engine_model::EngineModel;
@@ -27,6 +30,20 @@
             is_gone: false,
             link_free_at: self.now,
         });
+        self.on_moment(index);
+    }
+
+    /// Draws whether an engine is slow until the next moment.
+    pub(super) fn on_moment(&mut self, index: usize) {
+        let config = &self.experiment.engines;
+        let (Some(moments), false) = (config.slow_moments, self.engines[index].is_gone) else { return };
+        let usual = config.config(self.engines[index].place).slowdown;
+        let is_slow = self.rng.random::<f64>() < moments.share;
+        let factor = if is_slow { moments.factor } else { 1.0 };
+        self.engines[index].model.set_slowdown(usual * factor);
+        if !self.is_over() {
+            self.push(self.now + Duration::from_millis(moments.moment_ms), Event::Moment(index));
+        }
     }
 
     pub(super) fn engine_index(&self, id: &UpstreamId) -> usize {
@@ -109,8 +126,12 @@
                 caller.is_late = self.now - caller.arrived > kind.objective();
             }
             Some(last) => {
-                report.gaps = (report.gaps.0 + (self.now - last), report.gaps.1 + 1);
-                caller.has_exceeded_gap |= self.now - last > kind.gap();
+                let gap = self.now - last;
+                report.gaps = (report.gaps.0 + gap, report.gaps.1 + 1);
+                caller.longest_gap = caller.longest_gap.max(gap);
+                if !std::mem::take(&mut caller.is_moved) {
+                    caller.longest_gap_at_engine = caller.longest_gap_at_engine.max(gap);
+                }
             }
         }
         caller.last_event = Some(self.now);
@@ -124,7 +145,9 @@
         let Some(caller) = self.callers.get(&run) else { return };
         let outcome = match caller {
             Caller { is_late: true, .. } => Outcome::Late,
-            Caller { has_exceeded_gap: true, .. } => Outcome::Paused,
+            Caller { longest_gap, kind, .. } if *longest_gap > self.experiment.kinds[*kind].gap() => {
+                Outcome::Paused
+            }
             _ => Outcome::InTime,
         };
         self.finish(run, outcome);
--- a/testutils/src/fleet_model/simulation/moves.rs
+++ b/testutils/src/fleet_model/simulation/moves.rs
@@ -76,6 +76,7 @@
     pub(super) fn on_copied(&mut self, run: RunId, to: usize) {
         let Some(caller) = self.callers.get_mut(&run) else { return };
         caller.is_copying = false;
+        caller.is_moved = true;
         let Some(from) = caller.engine else { return };
         self.lead.fleet.load.on_copied(&key(run));
         if self.engines[to].is_gone {
--- a/testutils/tests/test_fleet_model.rs
+++ b/testutils/tests/test_fleet_model.rs
@@ -4,6 +4,7 @@
 use leadstage_lib::gateway::policy::Policy;
 use leadstage_testutils::fleet_model;
 use leadstage_testutils::fleet_model::experiment::Experiment;
+use leadstage_testutils::fleet_model::experiment::SlowMoments;
 use leadstage_testutils::fleet_model::report;
 use leadstage_testutils::fleet_model::report::DayReport;
 
@@ -149,3 +150,29 @@
     assert_eq!(results.iter().flat_map(|result| &result.kinds).map(|report| report.broken).sum::<usize>(), 0);
     assert!(results.iter().all(|result| result.moved > 0), "{results:?}");
 }
+
+/// Engines of two speeds, one in two of them slow, on which a gap exceeds the objective if a prompt is
+/// prefilled beside a stream in a slow moment; on the fast engines it hardly ever does.
+fn uneven_engines() -> Experiment {
+    let mut experiment = shortened(SHAPES[0].1, 0.5);
+    experiment.seconds = 34.0;
+    experiment.engines.slowdowns = vec![0.85, 1.75];
+    experiment.engines.slow_moments = Some(SlowMoments { share: 0.15, factor: 2.5, moment_ms: 600 });
+    experiment.kinds.iter_mut().for_each(|kind| kind.per_second *= 0.6);
+    experiment
+}
+
+/// At most half as many long streams miss their gap objective as without the protection of gaps.
+#[test]
+fn test_long_streams_on_uneven_engines_keep_their_gaps() {
+    let (experiment, with, without) =
+        with_and_without(uneven_engines(), |policy| policy.protect_gaps = false);
+    let missed = |results: &[DayReport]| {
+        let long = results.iter().map(|result| &result.kinds[1]);
+        let (paused, all) = long.fold((0, 0), |(paused, all), r| (paused + r.paused, all + r.all()));
+        paused as f64 / all as f64
+    };
+    let table = format!("{}\n{}", report::table(&experiment, &with), report::table(&experiment, &without));
+    assert!(missed(&with) <= missed(&without) / 2.0, "{table}");
+    insta::assert_snapshot!(table);
+}
