--- a/node/src/gateway/control/placing/call_shares.rs
+++ b/node/src/gateway/control/placing/call_shares.rs
@@ -37,10 +37,8 @@
         }
         let (service, organisation) = (&pending.wanted.service, pending.wanted.organisation.as_ref());
         let now = self.shared.now();
-        self.plain_shares.on_call(service, organisation, pending.priority, now).map_err(|delay| {
-            self.shared.metrics.on_over_share();
-            NoRoom { expected: Some(delay) }
-        })
+        let admitted = self.plain_shares.on_call(service, organisation, pending.priority, now);
+        admitted.map_err(|delay| NoRoom { expected: Some(delay), over_share: true })
     }
 
     /// Whether a request counts for the shares of its service: it is a plain call of an organisation.
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -47,7 +47,7 @@
     let mut unreached = 0;
     let mut best: Result<BufferedResponse, Refusal> = Err(Refusal::new(Code::NoUpstream));
     let mut choice = ConnectionChoice::Any;
-    let mut expected = None;
+    let mut last_no_room = NoRoom::default();
     loop {
         if sent == 0 {
             traffic.refuse_quarantined(req)?;
@@ -61,7 +61,7 @@
         let run = match placed {
             Ok(run) => run,
             Err(no_room) => {
-                expected = no_room.expected;
+                last_no_room = no_room;
                 break;
             }
         };
@@ -94,7 +94,7 @@
     match best {
         Ok(answer) => Ok(reply(answer)),
         Err(refusal) => {
-            let retry_after = Some(waiting::retry_delay(expected, &mut rand::rng()));
+            let retry_after = Some(waiting::retry_delay_for(last_no_room, &mut rand::rng()));
             Err(Refusal { retry_after, ..refusal })
         }
     }
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -148,7 +148,7 @@
             ),
             over_share: counter(
                 "leadstage.gateway.over_share",
-                "Calls refused as their organisation is over its share of a full service",
+                "Requests refused as their organisation is over its share of a full service",
             ),
             routes: Mutex::default(),
             organisations: Mutex::default(),
--- a/node/src/gateway/upstream/copying.rs
+++ b/node/src/gateway/upstream/copying.rs
@@ -201,7 +201,7 @@
                 regions: self.req.regions(),
                 is_repeatable: self.req.route.is_repeatable(),
                 organisation: self.req.organisation_name(),
-                gap_objective: Some(self.req.route.gap_objective),
+                gap_objective: self.gap_objective(),
             },
             priority: evacuation::rank(self.req.generation_size(), produced),
             patience,
@@ -211,6 +211,12 @@
         self.traffic.place(request).await.ok()
     }
 
+    /// The gap objective, if the stream has kept it so far.
+    fn gap_objective(&self) -> Option<Duration> {
+        let longest = self.handle.gaps.longest();
+        self.req.route.stated_gap_objective().filter(|objective| longest <= *objective)
+    }
+
     async fn copy_to(&self, target: RunGuard) -> Result<MoveTarget, CopyFailure> {
         let to = target.placed.replica.clone();
         let began = Instant::now();
--- a/node/src/gateway/upstream/traffic.rs
+++ b/node/src/gateway/upstream/traffic.rs
@@ -116,7 +116,7 @@
                 regions: req.regions(),
                 is_repeatable: req.route.is_repeatable(),
                 organisation: req.organisation_name(),
-                gap_objective: Some(req.route.gap_objective),
+                gap_objective: req.route.stated_gap_objective(),
             },
             priority: req.priority(),
             patience: req.first_event_due(),
--- a/testutils/src/fleet_model/lead.rs
+++ b/testutils/src/fleet_model/lead.rs
@@ -54,6 +54,8 @@
     pub first_event_due_in: Duration,
     /// Time until its caller leaves.
     pub leaves_after: Duration,
+    /// Longest acceptable gap between two events.
+    pub gap_objective: Duration,
 }
 
 /// The lead's reply to a placement request.
@@ -237,6 +239,7 @@
             hall: &self.hall,
             produced: 0,
             moves: false,
+            gap_objective: Some(request.gap_objective),
         };
         let usable = self.table.of_service(SERVICE).into_iter().filter(|engine| engine.is_usable(now));
         let (available, backlogged): (Vec<&Replica>, Vec<&Replica>) =
@@ -244,12 +247,12 @@
         let choice = self.load.choose_engine_or_shortage(available, backlogged, &engine_request, now, rng)?;
         let engine = choice.replica.clone();
         let run = Run {
-            replica: engine.record.id.clone(),
             size: Some(request.size),
             organisation: request.organisation.clone(),
+            gap_objective: Some(request.gap_objective),
             ..Run::default()
         };
-        self.load.add(key(request.run), run, &engine, now);
+        self.add(request.run, run, &engine, now);
         Ok(engine.record.id.clone())
     }
 
@@ -265,17 +268,28 @@
             return None;
         }
         let current = self.load.get(&key(run))?.clone();
-        let (size, produced) = (current.size?, current.produced);
-        let request = EngineRequest { size, engine: &self.traits, hall: &self.hall, produced, moves: true };
+        let (size, produced, gap_objective) = (current.size?, current.produced, current.gap_objective);
+        let request = EngineRequest {
+            size,
+            engine: &self.traits,
+            hall: &self.hall,
+            produced,
+            moves: true,
+            gap_objective,
+        };
         let others = self.table.of_service(SERVICE).into_iter().filter(|engine| engine.record.id != *from);
         let usable = others.filter(|engine| engine.is_usable(now));
         let engine = self.load.choose_engine(usable, &request, now, rng)?.replica.clone();
-        let moved =
-            Run { replica: engine.record.id.clone(), copied_from: Some(from.clone()), ..current.clone() };
-        self.load.add(key(run), moved, &engine, now);
+        let run_there = Run { copied_from: Some(from.clone()), ..current };
+        self.add(run, run_there, &engine, now);
         Some(engine.record.id.clone())
     }
 
+    fn add(&mut self, id: RunId, run: Run, engine: &Replica, now: Timestamp) {
+        let run = Run { replica: engine.record.id.clone(), ..run };
+        self.load.add(key(id), run, engine, now);
+    }
+
     /// Tokens of memory that the generations of each organisation use.
     fn held_by_organisation(&self) -> HashMap<OrganisationId, f64> {
         let mut held = HashMap::new();
