gateway: requests by organisation are counted once, and by objectives that are stated

Cause, found in review: a route without an objective counted each answer as late; at the 100th request of a node two requests were enough for a label, so that chance took up the labels; calls that ended with a code of leadstage's own stood in two columns of report losses; answers of engines that are no streams were not counted.

Ruled out: labels for organisations of one request in 50 alone, as all are that at first.

--- a/cli/src/organisation_losses.rs
+++ b/cli/src/organisation_losses.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use serde::Serialize;
 
@@ -9,9 +10,6 @@
 use crate::log_lines::Line;
 use crate::table::Table;
 
-/// Statuses of calls that were refused, which have a line of their own.
-const REFUSED_STATUSES: [f64; 2] = [429.0, 503.0];
-
 /// Requests of an organisation by their outcome.
 #[derive(Debug, Default, PartialEq, Serialize)]
 pub struct OrganisationLosses {
@@ -22,13 +20,13 @@
     late_streams: usize,
     /// Streams that are not complete.
     lost_streams: usize,
-    /// Plain calls that were answered or failed.
+    /// Plain calls that a replica answered.
     calls: usize,
     /// Calls that were answered late.
     late_calls: usize,
-    /// Calls that failed.
+    /// Calls that a replica answered with an error.
     failed_calls: usize,
-    /// Streams and calls that were refused.
+    /// Streams and calls that were ended with a code of leadstage's own.
     refused: usize,
 }
 
@@ -40,7 +38,9 @@
     for begin in log_lines::events(lines, "stream_begins") {
         rows.add_stream(begin, ends.get(begin.get("request")).copied());
     }
-    for line in log_lines::events(lines, "call_end") {
+    let refused: HashSet<&str> =
+        log_lines::events(lines, "refused").map(|line| line.get("request")).collect();
+    for line in log_lines::events(lines, "call_end").filter(|line| !refused.contains(line.get("request"))) {
         rows.add_call(line);
     }
     for line in log_lines::events(lines, "refused") {
@@ -77,11 +77,7 @@
     }
 
     fn add_call(&mut self, line: &'a Line) {
-        let status = line.number("status");
-        if REFUSED_STATUSES.contains(&status) {
-            return;
-        }
-        let due_ms = line.number("due_ms");
+        let (status, due_ms) = (line.number("status"), line.number("due_ms"));
         self.with(line, |row| {
             row.calls += 1;
             if status >= 500.0 {
--- a/lib/src/gateway/organisation_labels.rs
+++ b/lib/src/gateway/organisation_labels.rs
@@ -10,7 +10,7 @@
 const MAX_LABELS: usize = 16;
 /// An organisation gets a label value of its own once it has made one of this many requests.
 const MIN_SHARE_DIVISOR: u64 = 50;
-/// Number of requests before which shares say too little.
+/// Number of an organisation's own requests before which its share says too little.
 const MIN_REQUESTS: u64 = 100;
 
 /// The label value of all organisations without one of their own.
@@ -34,7 +34,7 @@
         }
         let count = self.counts.entry(organisation.clone()).or_default();
         *count += 1;
-        let is_large = *count * MIN_SHARE_DIVISOR >= self.total && self.total >= MIN_REQUESTS;
+        let is_large = *count * MIN_SHARE_DIVISOR >= self.total && *count >= MIN_REQUESTS;
         if !is_large || self.labelled.len() >= MAX_LABELS {
             return OTHER_ORGANISATIONS;
         }
--- a/lib/src/gateway/routing.rs
+++ b/lib/src/gateway/routing.rs
@@ -83,6 +83,16 @@
         self.repeat == Repeat::Idempotent || self.resumable
     }
 
+    /// Whether an answer, or the first event of a stream, is late. A route without an objective has no late ones.
+    pub fn is_late(&self, latency: Duration) -> bool {
+        exceeds(latency, self.objective)
+    }
+
+    /// Whether a gap between two events is too long. A route without an objective for gaps has no such gaps.
+    pub fn is_gap_late(&self, gap: Duration) -> bool {
+        exceeds(gap, self.gap_objective)
+    }
+
     /// How long a caller waits for the next event of a stream before it disconnects, as defined by the
     /// platform's protocol.
     pub fn caller_patience(&self) -> Duration {
@@ -105,6 +115,10 @@
     }
 }
 
+fn exceeds(value: Duration, objective: Duration) -> bool {
+    !objective.is_zero() && value > objective
+}
+
 /// Properties of the engines of a model service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineTraits {
--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -185,7 +185,7 @@
     }
     let answer = plain::serve(traffic, &req).await;
     drop((serving, open));
-    let outcome = answer.as_ref().ok().map(|reply| call_outcome(&req, reply));
+    let outcome = answer.as_ref().ok().map(|reply| req.outcome_of_answer(reply.status()));
     let reply = answer.map_err(|refusal| refuse(shared, &Subject::of(&req), refusal));
     let status = reply.as_ref().map_or_else(|refused| refused.status(), |reply| reply.status());
     let took = req.received_at.elapsed();
@@ -222,13 +222,3 @@
     shared.metrics.on_organisation_request(organisation, outcome);
     refusal.reply()
 }
-
-fn call_outcome(req: &CallerRequest, reply: &Reply) -> RequestOutcome {
-    if reply.status().is_server_error() {
-        RequestOutcome::Failed
-    } else if req.received_at.elapsed() > req.route.objective {
-        RequestOutcome::Late
-    } else {
-        RequestOutcome::InTime
-    }
-}
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -47,7 +47,11 @@
     let handle = StreamHandle { commands: commands_tx.clone(), produced: Arc::new(AtomicU32::new(0)) };
     let StartedStream { run, exchange, sent } = match start(traffic, &req, &handle).await? {
         StartResult::Started(started) => started,
-        StartResult::Answered(answer) => return Ok(plain::reply(answer)),
+        StartResult::Answered(answer) => {
+            let outcome = req.outcome_of_answer(answer.status);
+            traffic.shared.metrics.on_organisation_request(req.organisation.as_deref(), outcome);
+            return Ok(plain::reply(answer));
+        }
     };
     let placed_ms = run.placed_at.duration_since(req.received_at.into_std()).as_millis() as u64;
     info!(event = "stream_begins", request = req.id(), route = &*req.route.name, organisation = req.organisation_label(), upstream = &*run.placed.replica.id, run = run.placed.run, entry:% = traffic.shared.settings.peer, priority = req.priority(), placed_ms, head_ms = req.received_at.elapsed().as_millis() as u64, due_ms = req.route.objective.as_millis() as u64, gap_due_ms = req.route.gap_objective.as_millis() as u64; "stream begins");
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -9,6 +9,7 @@
 use http::HeaderMap;
 use http::Method;
 use http::Request;
+use http::StatusCode;
 use http::Uri;
 use http::header;
 use http_body_util::Limited;
@@ -39,6 +40,7 @@
 use crate::gateway::held_bytes;
 use crate::gateway::held_bytes::HeldBytes;
 use crate::gateway::held_bytes::HeldGuard;
+use crate::gateway::observability::metrics::RequestOutcome;
 use crate::gateway::reply::Refusal;
 use crate::gateway::shared::Shared;
 
@@ -205,6 +207,17 @@
         self.organisation.as_ref().map_or("", |organisation| &organisation.name)
     }
 
+    /// The outcome for its organisation if it is answered now, in full, with a status of its replica.
+    pub fn outcome_of_answer(&self, status: StatusCode) -> RequestOutcome {
+        if status.is_server_error() {
+            RequestOutcome::Failed
+        } else if self.route.is_late(self.received_at.elapsed()) {
+            RequestOutcome::Late
+        } else {
+            RequestOutcome::InTime
+        }
+    }
+
     /// The regions in which it may be served: those that both its route and its organisation allow.
     pub fn regions(&self) -> AllowedRegions {
         let of_organisation = self.organisation.as_ref().map(|organisation| &organisation.regions);
--- a/node/src/gateway/upstream/relay.rs
+++ b/node/src/gateway/upstream/relay.rs
@@ -191,8 +191,8 @@
 
     fn organisation_outcome(&self, end: StreamEnd) -> RequestOutcome {
         let route = &self.req.route;
-        let is_late = self.pace.first.is_some_and(|first| first > route.objective)
-            || self.pace.longest_gap > route.gap_objective;
+        let first = self.pace.first.unwrap_or_default();
+        let is_late = route.is_late(first) || route.is_gap_late(self.pace.longest_gap);
         match end {
             StreamEnd::Done if is_late => RequestOutcome::Late,
             StreamEnd::Done => RequestOutcome::InTime,
