gateway: gathers long streams on engines where little is read

Cause: on a fleet where one engine in four is fast the memory of the fast ones is full, and prompts hit long streams on all slow ones alike. Risks came out too low: gaps heap just above the objective, and an engine whose pace is taken for a tenth too short looks safe.

A stream expects fewer prompts the more other long streams run at an engine, as prompts cost more there. The own danger of a new stream counts at most as much as a move, since it can move once its prompt is prefilled. A gap counts as a risk from three quarters of the objective.

--- a/lib/benches/decision.rs
+++ b/lib/benches/decision.rs
@@ -35,6 +35,8 @@
 const ROUNDS: u64 = 20_000;
 /// Maximum number of engines that a lead considers for one generation.
 const MAX_CONSIDERED: usize = 64;
+/// Longest gap between two events of a generation that counts as in time.
+const GAP_OBJECTIVE: Duration = Duration::from_millis(180);
 /// Number of organisations that the requests are distributed over.
 const ORGANISATIONS: u64 = 260;
 
@@ -80,9 +82,11 @@
         let replica = engine_id((run % u64::from(engines)) as u32);
         let listed = table.get(&replica).expect("replica is in the list").clone();
         let produced = (run * 37 % 700) as u32;
-        let tracked_run = Run { replica, size: Some(size), produced, copied_from: None, ..Run::default() };
+        let gap_objective = Some(GAP_OBJECTIVE);
+        let tracked_run = Run { replica, size: Some(size), produced, gap_objective, ..Run::default() };
         tracker.add(RunKey { entry: "node".into(), run }, tracked_run, &listed, Duration::ZERO);
     }
+    report_progress(&mut tracker);
     let engine = EngineTraits {
         batch: 24,
         memory_tokens: 34_000,
@@ -93,8 +97,14 @@
         tokens_per_event: 4,
     };
     let hall = "hall".into();
-    let request =
-        EngineRequest { size, engine: &engine, hall: &hall, produced: 0, moves: false, gap_objective: None };
+    let request = EngineRequest {
+        size,
+        engine: &engine,
+        hall: &hall,
+        produced: 0,
+        moves: false,
+        gap_objective: Some(GAP_OBJECTIVE),
+    };
     let mut rng = SmallRng::seed_from_u64(1);
     let started = Instant::now();
     for _ in 0..ROUNDS {
@@ -104,6 +114,19 @@
     started.elapsed().as_secs_f64() * 1e6 / ROUNDS as f64
 }
 
+/// Reports some seconds of progress of all generations, from which the paces of the engines are learned.
+fn report_progress(tracker: &mut LoadTracker) {
+    let node = "node".into();
+    for second in 1..5 {
+        let runs = tracker.runs_of_entry(&node).map(|(id, run)| {
+            let produced = run.produced + 100;
+            (id, Run { produced, longest_gap: Duration::from_millis(80 * second), ..run.clone() })
+        });
+        let runs = runs.collect();
+        tracker.on_inventory(&node, 0..=u64::MAX, runs, Duration::from_secs(second));
+    }
+}
+
 /// Measures the two hashes of a request: the fast hash, computed for every request that succeeds, and the
 /// fingerprint, computed once there is evidence against a request.
 fn measure_request_hashes(body_bytes: usize) {
--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -66,6 +66,9 @@
 /// Cost of each recent consecutive failure of a replica.
 const COST_PER_FAILURE_MS: f64 = 100.0;
 
+/// Largest cost of a new generation's own gaps: that of a move to an engine where they are short.
+const MAX_OWN_GAP_COST_MS: f64 = 1_500.0;
+
 /// Costs that differ between engines and plain replicas, in milliseconds.
 struct Costs {
     other_hall: f64,
@@ -231,9 +234,12 @@
         let service = &replica.record.service;
         let own = request.gap_objective.map_or(0.0, |objective| {
             let remaining = request.size.expected.saturating_sub(request.produced);
-            self.gap_risk(replica, objective).over(remaining) * self.loss_by_gap(service, request.size)
+            let others = self.endangered_at(&replica.record.id, None);
+            let risk = self.gap_risk(replica, objective).beside(others);
+            risk.over(remaining) * self.loss_by_gap(service, request.size)
         });
-        if request.moves { own } else { own + self.gap_cost_of_prompt(replica) }
+        // A new generation that is in danger moves on once its prompt is prefilled.
+        if request.moves { own } else { own.min(MAX_OWN_GAP_COST_MS) + self.gap_cost_of_prompt(replica) }
     }
 
     /// Cost of a prompt for the generations at an engine whose gaps have kept their objective so far.
--- a/lib/src/gateway/engine_pace.rs
+++ b/lib/src/gateway/engine_pace.rs
@@ -31,6 +31,8 @@
 /// How many times longer than others an engine is assumed to need for a token until it was observed: a short
 /// request shows its speed at less risk than a long one.
 const UNKNOWN_ENGINE_FACTOR: f64 = 1.4;
+/// Part of an objective up to which a gap counts as safe: the pace of an engine is known to about a quarter.
+const SAFE_SHARE_OF_OBJECTIVE: f64 = 0.75;
 /// Minimum time between two observations of one stream; an event holds several tokens.
 const MIN_SPAN: Duration = Duration::from_millis(400);
 /// Time that an observation refers to: that between two inventories.
@@ -90,6 +92,12 @@
 }
 
 impl GapRisk {
+    /// The risk beside this many other streams with an objective: prompts go elsewhere the more of them there
+    /// are.
+    pub fn beside(self, others: f64) -> GapRisk {
+        GapRisk { reading_share: self.reading_share / (1.0 + others), ..self }
+    }
+
     /// Chance that a stream exceeds the objective before it has produced this many further tokens.
     pub fn over(&self, tokens: u32) -> f64 {
         let seconds = f64::from(tokens) * self.ms_per_token / 1_000.0;
@@ -199,7 +207,7 @@
         let expected = service.ms_per_token.value() * expected_factor.unwrap_or(UNKNOWN_ENGINE_FACTOR);
         let usual = engine.map_or(expected, |engine| engine.ms_per_token.value());
         let reading_share = engine.map_or(service.reading_share, |engine| engine.reading_share);
-        let limit = objective.as_secs_f64() * 1_000.0 / usual;
+        let limit = objective.as_secs_f64() * 1_000.0 * SAFE_SHARE_OF_OBJECTIVE / usual;
         let slowdown = 1.0 + reading_share * (service.reading_factor.value() - 1.0);
         GapRisk {
             quiet: service.quiet.share_above(limit),
--- a/lib/src/gateway/rebalance.rs
+++ b/lib/src/gateway/rebalance.rs
@@ -78,18 +78,26 @@
     }
 }
 
-/// Chance that a stream exceeds an objective at an engine before it has produced this many tokens.
-fn risk(tracker: &LoadTracker, load: &Load<'_>, objective: Duration, tokens: u32) -> f64 {
-    tracker.gap_risk(load.replica, objective).over(tokens)
+/// Chance that a stream, which may run there, exceeds an objective at an engine before it has produced this
+/// many tokens.
+fn risk(
+    tracker: &LoadTracker,
+    load: &Load<'_>,
+    stream: Option<&RunKey>,
+    objective: Duration,
+    tokens: u32,
+) -> f64 {
+    let others = tracker.endangered_at(&load.replica.record.id, stream);
+    tracker.gap_risk(load.replica, objective).beside(others).over(tokens)
 }
 
 /// What a generation gains by a move for its gaps, in milliseconds; 0 if it has no objective to keep.
-fn gain(tracker: &LoadTracker, run: &Run, source: &Load<'_>, target: &Load<'_>) -> f64 {
+fn gain(tracker: &LoadTracker, key: &RunKey, run: &Run, source: &Load<'_>, target: &Load<'_>) -> f64 {
     let (Some(objective), Some(size), true) = (run.gap_objective, run.size, tracker.policy.protect_gaps)
     else {
         return 0.0;
     };
-    let risk_at = |load| risk(tracker, load, objective, run.remaining());
+    let risk_at = |load| risk(tracker, load, Some(key), objective, run.remaining());
     (risk_at(source) - risk_at(target)) * tracker.loss_by_gap(&source.replica.record.service, size)
 }
 
@@ -120,9 +128,9 @@
             if self.has_pending_move(tracker, &source.replica.record.id) {
                 continue;
             }
-            let is_worth_it = |run: &Run| {
+            let is_worth_it = |key: &RunKey, run: &Run| {
                 source.peak > MAX_EXPECTED_PEAK
-                    || gain(tracker, run, source, target) >= -MAX_LOSS_TO_BALANCE_RUNS_MS
+                    || gain(tracker, key, run, source, target) >= -MAX_LOSS_TO_BALANCE_RUNS_MS
             };
             if let Some(key) = self.pick_generation(tracker, source, target, traits, is_worth_it) {
                 self.requested.insert(key.clone(), now);
@@ -149,8 +157,10 @@
         let Some(objective) = objectives.filter_map(|(_, run)| run.gap_objective).min() else {
             return;
         };
-        let mut by_risk: Vec<(f64, &Load<'_>)> =
-            loads.iter().map(|load| (risk(tracker, load, objective, USUAL_REMAINING_TOKENS), load)).collect();
+        let mut by_risk: Vec<(f64, &Load<'_>)> = loads
+            .iter()
+            .map(|load| (risk(tracker, load, None, objective, USUAL_REMAINING_TOKENS), load))
+            .collect();
         by_risk.sort_by(|(a, _), (b, _)| a.total_cmp(b));
         let is_target = |load: &Load<'_>| !load.arriving && load.fill < MAX_TARGET_FILL;
         let mut targets = by_risk.iter().filter(|(_, load)| is_target(load)).peekable();
@@ -185,7 +195,7 @@
                 && run.copied_from.is_none()
                 && run.remaining() >= MIN_REMAINING_TOKENS
                 && tracker.memory(run) / memory <= MAX_TARGET_FILL - target.fill;
-            is_movable.then(|| (gain(tracker, run, source, target), key))
+            is_movable.then(|| (gain(tracker, key, run, source, target), key))
         });
         let (gain, key) = gains.max_by(|(a, _), (b, _)| a.total_cmp(b))?;
         (gain > COST_PER_MOVE_MS).then(|| key.clone())
@@ -202,7 +212,7 @@
         source: &Load<'_>,
         target: &Load<'_>,
         traits: &EngineTraits,
-        is_worth_it: impl Fn(&Run) -> bool,
+        is_worth_it: impl Fn(&RunKey, &Run) -> bool,
     ) -> Option<RunKey> {
         let memory = f64::from(traits.memory_tokens.max(1));
         let runs = tracker.runs_at(&source.replica.record.id).filter(|(key, run)| {
@@ -210,7 +220,7 @@
                 && run.copied_from.is_none()
                 && !self.requested.contains_key(*key)
                 && tracker.memory(run) / memory <= MAX_TARGET_FILL - target.fill
-                && is_worth_it(run)
+                && is_worth_it(key, run)
         });
         let remaining = runs.map(|(key, run)| (run.remaining(), key));
         let longest = remaining.max_by_key(|(remaining, _)| *remaining)?;
