gateway: paces of engines don't depend on the tracker of loads

Cause: engine_pace took a Run of the load tracker, which uses engine_pace: a cycle of modules, which test_modules_have_no_cyclic_dependencies found.

The progress of a stream is a type of engine_pace. No decision changes.

--- a/lib/src/gateway/engine_pace.rs
+++ b/lib/src/gateway/engine_pace.rs
@@ -11,7 +11,6 @@
 
 use crate::gateway::decaying_mean::DecayingMean;
 use crate::gateway::gap_spread::GapSpread;
-use crate::gateway::load::Run;
 use crate::gateway::routing::ServiceId;
 use crate::gateway::run_key::RunKey;
 use crate::ids::Timestamp;
@@ -69,6 +68,22 @@
     reading_share: f64,
 }
 
+/// How far a stream is at an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamProgress<'a> {
+    /// The engine.
+    pub engine: &'a UpstreamId,
+    /// Number of tokens produced so far.
+    pub produced: u32,
+    /// Whether its memory is still being copied to the engine.
+    pub is_copied: bool,
+    /// The longest gap that the stream's node has reported; `None` for a stream of this node, whose gaps are
+    /// recorded.
+    pub reported_gap: Option<Duration>,
+    /// Whether the engine has prefilled a prompt in the last second.
+    pub is_reading: bool,
+}
+
 /// What was known of a stream at its last observation.
 #[derive(Clone, Debug)]
 struct Sample {
@@ -123,43 +138,36 @@
         }
     }
 
-    /// Observes the progress of a stream. `reported` is the longest gap that the node of the stream has
-    /// reported; for a stream of this node it is `None`, as its gaps are recorded. `is_reading` says whether
-    /// the engine has prefilled a prompt in the last second. Returns the longest gap if the observation is
+    /// Observes the progress of a stream. Returns its longest gap since the last observation if this one is
     /// complete.
     pub fn on_progress(
         &mut self,
         key: &RunKey,
         service: &ServiceId,
-        run: &Run,
-        reported: Option<Duration>,
-        is_reading: bool,
+        progress: &StreamProgress<'_>,
         now: Timestamp,
     ) -> Option<Duration> {
-        let begun = || Sample {
-            engine: run.replica.clone(),
-            tokens: run.produced,
-            at: now,
-            longest_gap: Duration::ZERO,
-        };
-        if run.produced == 0 || run.copied_from.is_some() {
+        let StreamProgress { engine, produced, is_copied, reported_gap, is_reading } = *progress;
+        let begun =
+            || Sample { engine: engine.clone(), tokens: produced, at: now, longest_gap: Duration::ZERO };
+        if produced == 0 || is_copied {
             self.samples.remove(key);
             return None;
         }
-        let Some(sample) = self.samples.get_mut(key).filter(|sample| sample.engine == run.replica) else {
+        let Some(sample) = self.samples.get_mut(key).filter(|sample| sample.engine == *engine) else {
             self.samples.insert(key.clone(), begun());
             return None;
         };
         let span = now.saturating_sub(sample.at);
-        let tokens = run.produced.saturating_sub(sample.tokens);
+        let tokens = produced.saturating_sub(sample.tokens);
         if span < MIN_SPAN {
             return None;
         }
         let last = std::mem::replace(sample, begun());
-        let longest_gap = reported.unwrap_or(last.longest_gap);
+        let longest_gap = reported_gap.unwrap_or(last.longest_gap);
         if tokens > 0 && !longest_gap.is_zero() {
             let ms_per_token = span.as_secs_f64() * 1_000.0 / f64::from(tokens);
-            self.observe(service, &run.replica, ms_per_token, longest_gap, is_reading);
+            self.observe(service, engine, ms_per_token, longest_gap, is_reading);
         }
         Some(longest_gap)
     }
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -13,6 +13,7 @@
 use crate::gateway::engine_pace;
 use crate::gateway::engine_pace::EnginePaces;
 use crate::gateway::engine_pace::GapRisk;
+use crate::gateway::engine_pace::StreamProgress;
 use crate::gateway::policy::Policy;
 use crate::gateway::prefill::PrefillClocks;
 use crate::gateway::replica::Replica;
@@ -207,7 +208,14 @@
         let service = self.services.get(&run.replica).filter(|_| self.policy.learn)?;
         self.paces.on_progress(key, service, run.produced, now);
         let is_reading = self.prefill.has_read_since(&run.replica, now.saturating_sub(engine_pace::SPAN));
-        self.engine_paces.on_progress(key, service, run, reported_gap, is_reading, now)
+        let progress = StreamProgress {
+            engine: &run.replica,
+            produced: run.produced,
+            is_copied: run.copied_from.is_some(),
+            reported_gap,
+            is_reading,
+        };
+        self.engine_paces.on_progress(key, service, &progress, now)
     }
 
     /// The risk of streams at an engine to exceed a gap objective. An engine whose streams were not observed
--- a/lib/tests/test_gateway_engine_pace.rs
+++ b/lib/tests/test_gateway_engine_pace.rs
@@ -4,12 +4,12 @@
 
 use leadstage_lib::gateway::engine_pace::EnginePaces;
 use leadstage_lib::gateway::engine_pace::GapRisk;
+use leadstage_lib::gateway::engine_pace::StreamProgress;
 use leadstage_lib::gateway::gap_spread::GapSpread;
-use leadstage_lib::gateway::load::GenerationSize;
-use leadstage_lib::gateway::load::Run;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::run_key::RunId;
 use leadstage_lib::gateway::run_key::RunKey;
+use leadstage_lib::ids::UpstreamId;
 
 const OBJECTIVE: Duration = Duration::from_millis(180);
 
@@ -17,16 +17,15 @@
     RunKey { entry: "node".into(), run }
 }
 
-fn run(engine: &str, produced: u32) -> Run {
-    let size = GenerationSize { prompt: 3_000, expected: 700 };
-    Run { replica: engine.into(), size: Some(size), produced, ..Run::default() }
+fn progress(engine: &UpstreamId, produced: u32, gap: Duration, is_reading: bool) -> StreamProgress<'_> {
+    StreamProgress { engine, produced, is_copied: false, reported_gap: Some(gap), is_reading }
 }
 
 /// Reports 60 s of a stream at an engine that needs `ms_per_token`. Prompts are prefilled in every second
 /// second, in which tokens take 1.5 times as long; the longest gap of a second is `usual_gap` times, and
 /// in one of eight seconds three times as long as that of the tokens of an event.
 fn observe(paces: &mut EnginePaces, id: RunId, engine: &str, ms_per_token: f64) {
-    let service: ServiceId = "m".into();
+    let (service, engine): (ServiceId, UpstreamId) = ("m".into(), engine.into());
     let mut produced = 1.0;
     for second in 0..60 {
         let is_reading = second % 2 == 1;
@@ -35,7 +34,7 @@
         let slowness = if second % 8 == 3 { 2.5 } else { 1.1 };
         let gap = Duration::from_secs_f64(4.0 * ms_per_token * slowness / 1_000.0);
         let now = Duration::from_secs(100 + second);
-        paces.on_progress(&key(id), &service, &run(engine, produced as u32), Some(gap), is_reading, now);
+        paces.on_progress(&key(id), &service, &progress(&engine, produced as u32, gap, is_reading), now);
     }
 }
 
@@ -77,16 +76,17 @@
 fn test_a_moved_stream_is_observed_anew() {
     let mut paces = EnginePaces::default();
     let service: ServiceId = "m".into();
-    let mut observe = |run: Run, millis: u64| {
-        let now = Duration::from_millis(millis);
-        paces.on_progress(&key(1), &service, &run, Some(Duration::from_millis(50)), false, now)
+    let (first, second) = (UpstreamId::from("e1"), UpstreamId::from("e2"));
+    let gap = Duration::from_millis(50);
+    let mut observe = |progress: StreamProgress<'_>, millis: u64| {
+        paces.on_progress(&key(1), &service, &progress, Duration::from_millis(millis))
     };
-    assert_eq!(observe(run("e1", 4), 1_000), None);
-    assert_eq!(observe(run("e1", 104), 2_000), Some(Duration::from_millis(50)));
-    let copy = Run { copied_from: Some("e1".into()), ..run("e2", 104) };
+    assert_eq!(observe(progress(&first, 4, gap, false), 1_000), None);
+    assert_eq!(observe(progress(&first, 104, gap, false), 2_000), Some(gap));
+    let copy = StreamProgress { is_copied: true, ..progress(&second, 104, gap, false) };
     assert_eq!(observe(copy, 2_100), None);
-    assert_eq!(observe(run("e2", 112), 2_600), None);
-    assert_eq!(observe(run("e2", 212), 3_600), Some(Duration::from_millis(50)));
+    assert_eq!(observe(progress(&second, 112, gap, false), 2_600), None);
+    assert_eq!(observe(progress(&second, 212, gap, false), 3_600), Some(gap));
 }
 
 #[test]
