gateway: take news of a ramp once, and no error as a sign of trouble

Nodes forward news that are new to them. News now name their call, and each is taken once; a higher pace is taken only after the present one was held.

Pauses grow with the time since the last good answer, not since the begin of the ramp, so that a replica that fails now and then isn't left idle.

--- a/lib/src/gateway/replica_ramp.rs
+++ b/lib/src/gateway/replica_ramp.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 
 use crate::gateway::policy::Policy;
+use crate::gateway::recent_keys::RecentKeys;
 use crate::gateway::replica::Replica;
 use crate::gateway::replica_record;
 use crate::gateway::replica_record::Incarnation;
@@ -34,8 +35,8 @@
 const MIN_HOLD: Duration = Duration::from_millis(300);
 /// Longest such time.
 const MAX_HOLD: Duration = Duration::from_secs(5);
-/// Part of the time since a ramp began for which the pace does not rise: a replica that is slow or fails for
-/// long is tried less often.
+/// Part of the time since the last good answer for which the pace does not rise: a replica that is slow or
+/// fails for long is tried less often.
 const HOLD_SHARE: f64 = 0.125;
 /// Paces that differ by less than this factor are the same.
 const SAME_PACE: f64 = 1.4;
@@ -44,6 +45,10 @@
 const MIN_FULL_TIME: Duration = Duration::from_secs(1);
 /// Signs of trouble within this time of the last one are about the same calls.
 const SAME_TROUBLE: Duration = Duration::from_millis(100);
+/// Time for which news are remembered; they reach all nodes well within it.
+const NEWS_MEMORY: Duration = Duration::from_secs(5);
+/// Maximum number of news that are remembered.
+const MAX_HEARD_NEWS: usize = 1_024;
 /// A service without a repeatable call for this long is probed by calls that may not be repeated.
 const REPEATABLE_MEMORY: Duration = Duration::from_secs(5);
 
@@ -79,8 +84,24 @@
     pub replica: Incarnation,
     /// What the node's calls show.
     pub sign: RampSign,
+    /// The call that shows it.
+    pub call: RunKey,
 }
 
+impl RampNews {
+    fn key(&self) -> NewsKey {
+        let sign = match self.sign {
+            RampSign::Answers => 0,
+            RampSign::Fails => 1,
+            RampSign::Slow(pace) => pace.to_bits(),
+        };
+        (self.call.clone(), sign)
+    }
+}
+
+/// Identifies a piece of news.
+type NewsKey = (RunKey, u64);
+
 /// How a call to a replica ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
@@ -117,6 +138,8 @@
     rests_until: Timestamp,
     /// When trouble was last seen.
     trouble_at: Option<Timestamp>,
+    /// Since when there were no good answers.
+    trouble_since: Option<Timestamp>,
     /// Whether a call was answered since the last failure.
     is_answered: bool,
 }
@@ -132,6 +155,7 @@
             rises_at: begins,
             rests_until: begins,
             trouble_at: None,
+            trouble_since: None,
             is_answered: false,
         }
     }
@@ -155,8 +179,11 @@
         now >= self.full_at() + MIN_FULL_TIME && (self.is_answered || self.cause == RampCause::Start)
     }
 
-    fn hold(&self, now: Timestamp) -> Duration {
-        now.saturating_sub(self.began).mul_f64(HOLD_SHARE).clamp(MIN_HOLD, MAX_HOLD)
+    /// Trouble is seen: returns for how long the pace does not rise.
+    fn hold(&mut self, now: Timestamp) -> Duration {
+        self.trouble_at = Some(now);
+        let since = *self.trouble_since.get_or_insert(now);
+        now.saturating_sub(since).mul_f64(HOLD_SHARE).clamp(MIN_HOLD, MAX_HOLD)
     }
 
     /// A call took `slowdown` times as long as usual, or has waited for so long: the replica bears that much
@@ -170,24 +197,23 @@
         is_new.then_some(pace)
     }
 
-    /// Whether a pace differs from the one that is held now.
+    /// Whether a pace is to be held from now on: none is held, or a clearly higher one.
     fn is_new_pace(&self, pace: f64, now: Timestamp) -> bool {
         let before = self.pace(now);
-        now >= self.rises_at || pace < before / SAME_PACE || pace > before * SAME_PACE
+        now >= self.rises_at || pace < before / SAME_PACE
     }
 
     /// Sets the pace and holds it for a while.
     fn set_pace(&mut self, pace: f64, now: Timestamp) {
         self.pace = pace.clamp(FIRST_PACE, 1.0);
         self.rises_at = now + self.hold(now);
-        self.trouble_at = Some(now);
     }
 
     fn rest(&mut self, now: Timestamp) {
         self.pace = FIRST_PACE;
-        self.rises_at = self.rises_at.max(now + self.hold(now));
+        let rested_at = now + self.hold(now);
+        self.rises_at = self.rises_at.max(rested_at);
         self.rests_until = self.rises_at;
-        self.trouble_at = Some(now);
         self.is_answered = false;
     }
 
@@ -211,19 +237,28 @@
 }
 
 /// The ramps of all replicas, as known to a node, and the times in which services usually answer.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ReplicaRamps {
     policy: Policy,
     ramps: HashMap<UpstreamId, Ramp>,
     calls: HashMap<RunKey, Call>,
     usual: HashMap<ServiceId, UsualTime>,
     repeatable_at: HashMap<ServiceId, Timestamp>,
+    /// News from other nodes. Each is taken once: what contradicts it may have come since.
+    heard: RecentKeys<NewsKey>,
 }
 
 impl ReplicaRamps {
     /// Creates a state without ramps.
     pub fn new(policy: Policy) -> Self {
-        ReplicaRamps { policy, ..ReplicaRamps::default() }
+        ReplicaRamps {
+            policy,
+            ramps: HashMap::new(),
+            calls: HashMap::new(),
+            usual: HashMap::new(),
+            repeatable_at: HashMap::new(),
+            heard: RecentKeys::new(NEWS_MEMORY, MAX_HEARD_NEWS),
+        }
     }
 
     /// Begins a ramp, or begins it anew, at a time that may lie ahead: until then the replica gets no calls.
@@ -328,6 +363,9 @@
             CallEnd::Answered => {
                 let is_first = !std::mem::replace(&mut ramp.is_answered, true);
                 let slowdown = self.usual.get(&call.service).and_then(|usual| usual.slowdown(took));
+                if slowdown.is_none() {
+                    ramp.trouble_since = None;
+                }
                 let slowdown = slowdown.filter(|_| ramp.counts(call.sent));
                 match slowdown.and_then(|slowdown| ramp.on_slow(slowdown, now)) {
                     Some(pace) => RampSign::Slow(pace),
@@ -337,7 +375,7 @@
             }
         };
         let born = ramp.born;
-        Some(RampNews { replica: Incarnation { id: call.replica, born }, sign })
+        Some(RampNews { replica: Incarnation { id: call.replica, born }, sign, call: key.clone() })
     }
 
     /// Lowers the pace of replicas where calls of this node have waited for longer than is usual. Returns
@@ -347,7 +385,7 @@
             return Vec::new();
         }
         let mut news = Vec::new();
-        for call in self.calls.values() {
+        for (key, call) in &self.calls {
             let Some(ramp) = self.ramps.get_mut(&call.replica) else {
                 continue;
             };
@@ -357,7 +395,7 @@
             let slowdown = slowdown.filter(|slowdown| 1.0 / slowdown < ramp.pace(now));
             if let Some(pace) = slowdown.and_then(|slowdown| ramp.on_slow(slowdown, now)) {
                 let replica = Incarnation { id: call.replica.clone(), born: ramp.born };
-                news.push(RampNews { replica, sign: RampSign::Slow(pace) });
+                news.push(RampNews { replica, sign: RampSign::Slow(pace), call: key.clone() });
             }
         }
         news
@@ -365,6 +403,10 @@
 
     /// Another node tells what its calls show. Returns whether that is new to this node.
     pub fn on_news(&mut self, news: &RampNews, now: Timestamp) -> bool {
+        if self.heard.contains(&news.key(), now) {
+            return false;
+        }
+        self.heard.add(news.key(), now);
         let ramp = self.ramps.get_mut(&news.replica.id);
         let Some(ramp) = ramp.filter(|ramp| replica_record::applies_to(news.replica.born, ramp.born)) else {
             return false;
@@ -373,6 +415,7 @@
             RampSign::Answers if ramp.is_answered || ramp.cause == RampCause::Start => false,
             RampSign::Answers => {
                 ramp.is_answered = true;
+                ramp.trouble_since = None;
                 ramp.rests_until = ramp.rests_until.min(now);
                 ramp.rises_at = ramp.rises_at.min(now);
                 true
--- a/node/src/gateway/control/placing/ramps.rs
+++ b/node/src/gateway/control/placing/ramps.rs
@@ -39,8 +39,9 @@
     pub(super) fn update_ramp(&mut self, fleet: &Fleet, key: &RunKey, outcome: Outcome) {
         let end = match outcome {
             Outcome::Answered => CallEnd::Answered,
-            Outcome::Errored | Outcome::Failed | Outcome::Refused => CallEnd::Failed,
-            Outcome::Withdrawn => CallEnd::Withdrawn,
+            Outcome::Failed | Outcome::Refused => CallEnd::Failed,
+            // Some requests get an error from any replica; the cost of errors takes account of the others.
+            Outcome::Errored | Outcome::Withdrawn => CallEnd::Withdrawn,
         };
         let news = self.state.ramps.on_end(key, end, self.shared.now());
         self.tell_ramps(fleet, news.into_iter().collect());
@@ -90,7 +91,7 @@
                 !self.shared.with_paths(&replica.record.service, |paths| paths.is_in_doubt())
             })
         });
-        for RampNews { replica, sign } in &news {
+        for RampNews { replica, sign, .. } in &news {
             info!(event = "ramp_news", upstream = &*replica.id, sign:? = sign; "calls of this node show how a replica bears its pace");
         }
         if !news.is_empty() {
