--- a/lib/tests/test_gateway_replica_ramp.rs
+++ b/lib/tests/test_gateway_replica_ramp.rs
@@ -323,6 +323,14 @@
         served as f64 / (EVEN_SHARE * (until - from))
     }
 
+    /// The late calls, the share in each second after the event, and how much was told.
+    fn summary(&self) -> String {
+        let shares = (0..10).map(|second| self.share(f64::from(second), f64::from(second + 1)));
+        let shares: Vec<String> = shares.map(|share| format!("{share:.2}")).collect();
+        let (late, shares) = (self.late_share(), shares.join(" "));
+        format!("{late:.4} late, shares {shares}, {} failed, {} news", self.failed.len(), self.news)
+    }
+
     fn late_share(&self) -> f64 {
         self.late as f64 / self.judged as f64
     }
@@ -339,7 +347,12 @@
 fn play(case: Case) -> impl Iterator<Item = (String, Vec<Model>)> {
     FLEETS.into_iter().map(move |nodes| {
         let models = SEEDS.map(|seed| Model::new(case, nodes, Policy::default(), seed).run());
-        (format!("{case:?}, {nodes} nodes"), models.collect())
+        let models: Vec<Model> = models.collect();
+        let name = format!("{case:?}, {nodes} nodes");
+        for model in &models {
+            println!("{name}: {}", model.summary());
+        }
+        (name, models)
     })
 }
 
