--- a/lib/tests/test_gateway_replica_ramp.rs
+++ b/lib/tests/test_gateway_replica_ramp.rs
@@ -323,6 +323,14 @@
         served as f64 / (EVEN_SHARE * (until - from))
     }
 
+    /// The late calls, the share in each second after the event, and how much was told.
+    fn summary(&self) -> String {
+        let shares = (0..10).map(|second| self.share(f64::from(second), f64::from(second + 1)));
+        let shares: Vec<String> = shares.map(|share| format!("{share:.2}")).collect();
+        let (late, shares) = (self.late_share(), shares.join(" "));
+        format!("{late:.4} late, shares {shares}, {} failed, {} news", self.failed.len(), self.news)
+    }
+
     fn late_share(&self) -> f64 {
         self.late as f64 / self.judged as f64
     }
@@ -339,7 +347,12 @@
 fn play(case: Case) -> impl Iterator<Item = (String, Vec<Model>)> {
     FLEETS.into_iter().map(move |nodes| {
         let models = SEEDS.map(|seed| Model::new(case, nodes, Policy::default(), seed).run());
-        (format!("{case:?}, {nodes} nodes"), models.collect())
+        let models: Vec<Model> = models.collect();
+        let name = format!("{case:?}, {nodes} nodes");
+        for model in &models {
+            println!("{name}: {}", model.summary());
+        }
+        (name, models)
     })
 }
 
@@ -498,21 +511,41 @@
     assert_eq!(offered(&ramps, &table, true, Duration::ZERO), ["r-0", "r-1"]);
 }
 
+/// News of replica `r-0` from another node's call with this number.
+fn news(sign: RampSign, run: u64) -> RampNews {
+    RampNews { replica: entry(0).incarnation(), sign, call: RunKey { entry: "other".into(), run } }
+}
+
 /// A node that has lost its path to a replica must not keep other nodes from it.
 #[test]
 fn test_news_of_a_replica_whose_pace_is_not_limited_are_ignored() {
     let (table, mut ramps) = (two_replicas(), ReplicaRamps::new(Policy::default()));
-    let news = |sign| RampNews { replica: entry(0).incarnation(), sign };
-    assert!(!ramps.on_news(&news(RampSign::Fails), SECOND));
+    assert!(!ramps.on_news(&news(RampSign::Fails, 1), SECOND));
     assert_eq!(ramps.pace("r-0", SECOND), 1.0);
     ramps.begin(table.get("r-0").expect("it is listed"), RampCause::Start, SECOND, SECOND);
-    assert!(ramps.on_news(&news(RampSign::Slow(0.25)), 2 * SECOND));
+    assert!(ramps.on_news(&news(RampSign::Slow(0.25), 2), 2 * SECOND));
     assert_eq!(ramps.pace("r-0", 2 * SECOND), 0.25);
-    assert!(!ramps.on_news(&news(RampSign::Slow(0.25)), 2 * SECOND), "it is known");
-    assert!(ramps.on_news(&news(RampSign::Fails), 3 * SECOND));
+    assert!(ramps.on_news(&news(RampSign::Fails, 3), 3 * SECOND));
     assert_eq!(ramps.pace("r-0", 3 * SECOND), 0.0);
 }
 
+/// Nodes forward what is new to them. If contradicting news could replace each other again and again, they would
+/// be forwarded without end.
+#[test]
+fn test_each_news_is_new_once() {
+    let (table, mut ramps) = (two_replicas(), ReplicaRamps::new(Policy::default()));
+    let failed = table.get("r-0").expect("it is listed");
+    ramps.begin(failed, RampCause::Failure, Duration::ZERO, Duration::ZERO);
+    let signs = [RampSign::Slow(0.2), RampSign::Slow(0.6), RampSign::Fails, RampSign::Answers];
+    let all: Vec<RampNews> = signs.into_iter().zip(1..).map(|(sign, run)| news(sign, run)).collect();
+    let mut new_ones = 0;
+    for n in 0..200_u32 {
+        let now = SECOND + n * Duration::from_millis(10);
+        new_ones += all.iter().filter(|news| ramps.on_news(news, now)).count();
+    }
+    assert!(new_ones <= all.len(), "{new_ones} were new");
+}
+
 #[test]
 fn test_the_pace_is_not_limited_if_the_policy_is_off() {
     let table = two_replicas();
