tests: the store, carried connections and large answers without end

A node whose store does not end its answers serves callers with what another node tells it; heads without end through a tunnel are given up by the node that uses it; 40 plain answers without end at once stay within the memory for held bytes.

--- a/node/tests/test_gateway_endless_messages.rs
+++ b/node/tests/test_gateway_endless_messages.rs
@@ -244,6 +244,25 @@
     insta::assert_snapshot!(format!("{}: {}", called.status, fleet.reasons().await), @"504: no answer in time");
 }
 
+/// A node whose store's answers do not end serves callers with what other nodes tell it.
+#[tokio::test]
+async fn test_a_node_whose_store_does_not_end_its_answers_serves_callers() {
+    let (mut gateway, _booking) = Gateway::with_nodes(1).await;
+    for (name, answer) in HEADS.into_iter().chain(BODIES) {
+        let server = EndlessServer::start(&gateway.own_store_ip(), answer).await;
+        let node = gateway.start_node_at(server.address);
+        gateway.until_ready(node).await;
+        gateway.until("the store is asked", async || !server.requests().is_empty()).await;
+        let called = gateway.call(node, read(&format!("r-{node}"))).await;
+        assert_eq!(called.status, 200, "{name}\n{}", gateway.logs());
+        gateway.until("the connection is closed", async || server.open_connections() == 0).await;
+        let (requests, sent) = (server.requests().len(), server.sent_bytes());
+        let max_bytes = requests * (MAX_BODY_BYTES + MAX_UNREAD_BYTES_OF_FAST_CLIENT);
+        assert!(sent <= max_bytes, "{name}: {sent} bytes in answer to {requests} requests");
+        gateway.kill(node);
+    }
+}
+
 const HEAD: &str = "POST /book/x HTTP/1.1\r\nhost: h.example\r\nleadstage-request-id: r-1\r\n\
     leadstage-deadline-ms: 1000\r\nauthorization: Token key-a\r\n";
 
--- a/node/tests/test_gateway_partitioned_nodes.rs
+++ b/node/tests/test_gateway_partitioned_nodes.rs
@@ -314,6 +314,24 @@
     assert_eq!((called.whole, called.events()), (true, Some(CARRIED_EVENTS)), "{}", fleet.gateway.logs());
 }
 
+/// The node that carries a connection passes on what a replica sends without end; the node that uses it gives it up.
+#[tokio::test]
+async fn test_heads_without_end_that_another_node_carries_are_given_up() {
+    let fleet = PartitionedFleet::start(2, 5).await;
+    fleet.partition(1, OpenLinks::Hang);
+    let faulty = &fleet.replicas[0].replica;
+    faulty.set_fault(ReplicaFault::EndlessHeads);
+    let mut calls = 0;
+    while faulty.received_requests().is_empty() {
+        calls += 1;
+        let called = fleet.gateway.call(0, read(&format!("r-{calls}"))).await;
+        assert!(called.status == 200 && calls < 100, "call {calls}: {called:?}\n{}", fleet.gateway.logs());
+    }
+    assert_eq!(fleet.connections_from(0), 0);
+    let reason = "reason=\"more than 32 informational heads\"";
+    fleet.gateway.until("the reason is logged", async || fleet.gateway.log(0).contains(reason)).await;
+}
+
 /// Guards against running streams that end when their node loses its path while the engine goes on.
 #[tokio::test]
 async fn test_running_streams_are_completed_after_their_node_has_lost_its_path() {
--- a/node/tests/test_gateway_slow_readers.rs
+++ b/node/tests/test_gateway_slow_readers.rs
@@ -1,8 +1,11 @@
 //! Callers and replicas that read slowly: a node buffers a bounded amount for them, and serves other callers
 //! meanwhile.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use leadstage_testutils::endless_server;
+use leadstage_testutils::endless_server::EndlessServer;
 use leadstage_testutils::gateway_replica::PartialFault;
 use leadstage_testutils::gateway_replica::ReplicaFault;
 use leadstage_testutils::metadata_store::replica_entry;
@@ -27,6 +30,8 @@
 const MEMORY_MB: usize = 88;
 const SLOW_CALLER_COUNT: usize = 300;
 const ENGINES: usize = 12;
+/// Calls that a replica answers without end at the same time.
+const ENDLESS_CALL_COUNT: usize = 40;
 /// Delay after which a refused caller retries.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Bytes that a slow caller reads per second.
@@ -212,6 +217,40 @@
     gateway.until("no bytes are buffered", is_freed).await;
 }
 
+/// Plain answers that do not end are buffered up to a bound for each and for all, and then given up.
+#[tokio::test]
+async fn test_memory_is_bounded_while_a_replica_sends_bodies_without_end() {
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    let server = EndlessServer::start(&gateway.replicas_ip(), endless_server::WHITE_SPACE).await;
+    gateway.store.put("servers", "endless", replica_entry(BOOKING, server.address, "hall-1", "ready"));
+    let node = gateway.start_node_with(|yaml| format!("{yaml}memory_mb: {MEMORY_MB}\n"));
+    gateway.until_ready(node).await;
+    let mut calls = JoinSet::new();
+    for n in 0..ENDLESS_CALL_COUNT {
+        let mut req = request("POST", "/book/x", KEY, &format!("r-{n}"));
+        req.headers_mut().insert("leadstage-deadline-ms", 2_000.into());
+        let address = gateway.client_address(0);
+        calls.spawn(async move { call(&address, req).await.status });
+    }
+    let mut peak = (0, 0);
+    let mut statuses = BTreeMap::<u16, usize>::new();
+    while !calls.is_empty() {
+        while let Some(status) = calls.try_join_next() {
+            *statuses.entry(status.expect("no call panics")).or_default() += 1;
+        }
+        peak = (peak.0.max(memory_mb(&gateway)), peak.1.max(held_bytes(&gateway).await));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(
+        statuses.keys().all(|status| [502, 503, 504].contains(status)),
+        "{statuses:?}\n{}",
+        gateway.logs()
+    );
+    assert!(server.requests().len() > 1, "{statuses:?}\n{}", gateway.logs());
+    assert!(peak.0 < MEMORY_MB && peak.1 <= MEMORY_MB * 300_000, "{peak:?}");
+}
+
 /// A replica reads 1 kB of large request bodies per second: each body is buffered once, and the total stays
 /// within the bound.
 #[tokio::test]
