gateway: only informational heads without a pause are counted

A replica that sends `102 Processing` each second of a long call passed 32 heads after half a minute, and a call that may not be repeated got 502 while it ran. Heads and bytes are now a budget of 32 heads and 32 KiB that refills between heads: one head and 1 KiB each 125 ms. A burst is cut as before. The time inside one head refills nothing, so that a head without end stays bounded however slowly it comes.

Ruled out: the bytes alone, as the heads of an hour exceed them too.

--- a/lib/src/gateway/head_meter.rs
+++ b/lib/src/gateway/head_meter.rs
@@ -11,15 +11,20 @@
 
 use crate::ids::Timestamp;
 
-/// Maximum size in bytes of all heads of one answer. Twice the largest head that a connection to a replica
-/// reads, so that informational heads fit beside it.
+/// Maximum size in bytes of all heads of one answer that come without a pause. Twice the largest head that a
+/// connection to a replica reads, so that informational heads fit beside it.
 pub const MAX_HEAD_BYTES: usize = 32 << 10;
-/// Maximum number of informational heads of one answer. Servers send one `100 Continue` or `103 Early Hints`,
-/// and `102 Processing` seconds apart.
+/// Maximum number of informational heads of one answer that come without a pause. Servers send one
+/// `100 Continue` or `103 Early Hints`, and `102 Processing` seconds apart.
 pub const MAX_INFORMATIONAL_HEADS: usize = 32;
-/// Maximum time from the first byte of a head to its end. A connection whose bytes stay unacknowledged for as
-/// long is closed, so a head that was interrupted is not waited for any longer than that. The time between two
-/// heads does not count: the sender may be working on the answer.
+/// Time after which one more informational head may come, so that a sender that reports now and then that it
+/// works on a long call is never given up.
+pub const TIME_PER_HEAD: Duration = Duration::from_millis(125);
+/// Bytes of heads that may come once more after [`TIME_PER_HEAD`].
+pub const BYTES_PER_HEAD: usize = MAX_HEAD_BYTES / MAX_INFORMATIONAL_HEADS;
+/// Maximum time from the first byte of a head to its end, where a request may be repeated. A segment that is
+/// lost once arrives within this time, and after it another sender is likely to answer sooner. The time between
+/// two heads does not count: the sender may be working on the answer.
 pub const MAX_HEAD_TIME: Duration = Duration::from_millis(2_500);
 
 /// Bytes of a status line up to the end of the status.
@@ -33,8 +38,8 @@
     /// Its heads exceed [`MAX_HEAD_BYTES`], or a smaller read buffer.
     #[display("too many bytes before the end of its head")]
     TooManyBytes,
-    /// More than [`MAX_INFORMATIONAL_HEADS`] informational heads came before its own.
-    #[display("more than {MAX_INFORMATIONAL_HEADS} informational heads")]
+    /// More than [`MAX_INFORMATIONAL_HEADS`] informational heads came before its own without a pause.
+    #[display("more than {MAX_INFORMATIONAL_HEADS} informational heads without pause")]
     TooManyHeads,
     /// A head is not complete after [`MAX_HEAD_TIME`].
     #[display("head not complete after {MAX_HEAD_TIME:?}")]
@@ -46,9 +51,14 @@
 pub struct HeadMeter {
     /// Whether the answer's own head is expected.
     is_expecting: bool,
-    /// Bytes of all heads so far.
+    /// Whether a head that takes too long is waited for.
+    is_patient: bool,
+    /// Bytes of heads that count against the maximum; some are forgiven with time.
     bytes: usize,
+    /// Informational heads that count against the maximum; some are forgiven with time.
     informational_heads: usize,
+    /// Up to when bytes and heads have been forgiven.
+    forgiven_until: Option<Timestamp>,
     /// When the head that is being received began.
     began: Option<Timestamp>,
     /// Whether that head is informational; `None` before the end of its status line.
@@ -62,6 +72,16 @@
         *self = HeadMeter { is_expecting: true, ..HeadMeter::default() };
     }
 
+    /// Like [`Self::expect_head`], where nobody else may answer: a head is waited for however long it takes.
+    pub fn expect_head_patiently(&mut self) {
+        *self = HeadMeter { is_expecting: true, is_patient: true, ..HeadMeter::default() };
+    }
+
+    /// Ignores what is received until the next head is expected.
+    pub fn expect_no_head(&mut self) {
+        *self = HeadMeter::default();
+    }
+
     /// Measures received bytes up to the end of the answer's head; those after it are ignored.
     pub fn on_bytes(&mut self, bytes: &[u8], now: Timestamp) -> Result<(), EndlessHead> {
         for &byte in bytes {
@@ -69,8 +89,9 @@
                 return Ok(());
             }
             // Blank lines may precede a head, and do not begin it.
-            if !matches!(byte, b'\r' | b'\n') {
-                self.began.get_or_insert(now);
+            if self.began.is_none() && !matches!(byte, b'\r' | b'\n') {
+                self.began = Some(now);
+                self.forgive(now);
             }
             self.bytes += 1;
             if self.bytes > MAX_HEAD_BYTES {
@@ -85,9 +106,20 @@
         Ok(())
     }
 
-    /// Returns when the head that is being received takes too long; `None` if none is.
+    /// Returns when the head that is being received takes too long; `None` if none is, or if it is waited for.
     pub fn due(&self) -> Option<Timestamp> {
-        self.began.filter(|_| self.is_expecting).map(|began| began + MAX_HEAD_TIME)
+        let began = self.began.filter(|_| self.is_expecting && !self.is_patient);
+        began.map(|began| began + MAX_HEAD_TIME)
+    }
+
+    /// Forgives earlier heads when another one begins. The time that one head takes forgives none of its bytes.
+    fn forgive(&mut self, now: Timestamp) {
+        let since = *self.forgiven_until.get_or_insert(now);
+        let heads = now.saturating_sub(since).as_millis() / TIME_PER_HEAD.as_millis();
+        let heads = u32::try_from(heads).unwrap_or(u32::MAX);
+        self.forgiven_until = Some(since + TIME_PER_HEAD.saturating_mul(heads));
+        self.informational_heads = self.informational_heads.saturating_sub(heads as usize);
+        self.bytes = self.bytes.saturating_sub((heads as usize).saturating_mul(BYTES_PER_HEAD));
     }
 
     fn on_line(&mut self) -> Result<(), EndlessHead> {
