gateway: slow heads of answers to what may not be repeated are waited for

The rest of a head can come more than 2.5 s after its first byte when its segments are lost. A call that may not be repeated then got 502 although it had run, and its answer was lost. Slowness now ends only attempts whose request is idempotent or resumable; the deadline bounds the others.

--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -18,6 +18,7 @@
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_platform::arrival;
 use leadstage_platform::head_bound;
+use leadstage_platform::head_bound::HeadBound;
 use leadstage_platform::headers;
 use leadstage_platform::headers::AddedHeaders;
 use log::info;
@@ -194,7 +195,7 @@
     let sent_at = traffic.shared.now();
     traffic.on_sending(req, replica, sent);
     traffic.shared.metrics.on_connection(connection.idle_time.is_some());
-    connection.sender.set_bounded(traffic.shared.settings.policy.bound_heads);
+    connection.sender.set_bound(head_bound(traffic, req));
     let sending = connection.sender.send_request(request(req, added));
     let sending = stall::await_head(traffic, req, replica, sending);
     // Boxed, as each of the futures around this one would hold it more than once.
@@ -223,6 +224,18 @@
     })
 }
 
+/// How the head of the response to a request is bounded. What may not be repeated waits until its deadline for
+/// a slow head, as the request has probably run.
+fn head_bound(traffic: &Traffic, req: &CallerRequest) -> HeadBound {
+    if !traffic.shared.settings.policy.bound_heads {
+        HeadBound::Unbounded
+    } else if req.route.is_repeatable() {
+        HeadBound::BytesAndTime
+    } else {
+        HeadBound::Bytes
+    }
+}
+
 /// Records a connection that ended before the head of the response was complete, after it had been idle for
 /// `idle_time` if it was reused. A replica whose head does not end has not ended itself, and has not forgotten
 /// the connection.
--- a/node/tests/test_gateway_endless_messages.rs
+++ b/node/tests/test_gateway_endless_messages.rs
@@ -17,6 +17,7 @@
 use leadstage_testutils::metadata_store::replica_entry;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -225,6 +226,38 @@
     insta::assert_snapshot!(fleet.reasons().await, @"head not complete after 2.5s");
 }
 
+/// The rest of a head that comes late, as after a loss, is waited for where the request may not be repeated.
+#[tokio::test]
+async fn test_a_slow_head_of_a_call_that_may_not_be_repeated_is_waited_for() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nleadstage-request-id: r-book\r\n";
+    const REST: &str = "content-length: 4\r\n\r\ndone";
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    let listener = TcpListener::bind((&*gateway.replicas_ip(), 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    gateway.store.put("servers", "slow", replica_entry(BOOKING, address, "hall-1", "ready"));
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buf = [0; 4 << 10];
+                let read = stream.read(&mut buf).await.unwrap_or_default();
+                if buf[..read].starts_with(b"POST") {
+                    stream.write_all(HEAD.as_bytes()).await.expect("writable");
+                    tokio::time::sleep(MAX_HEAD_TIME + Duration::from_millis(500)).await;
+                    stream.write_all(REST.as_bytes()).await.expect("the connection is open");
+                } else {
+                    let ok = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+                    stream.write_all(ok.as_bytes()).await.expect("writable");
+                }
+            });
+        }
+    });
+    gateway.start_node();
+    gateway.until_ready(0).await;
+    let called = gateway.call(0, book("r-book")).await;
+    assert_eq!((called.status, &*called.body), (200, "done"), "{}", gateway.logs());
+}
+
 #[tokio::test]
 async fn test_an_answer_after_informational_heads_is_passed_on() {
     const START: &str = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n\
