gateway: a request's body is not measured as the head of the next one

The ports of the balancer, the operators and other nodes expected the next head before the body of a request was read. The connection of a body that is longer or slower closes after the answer, so that no head on it is unbounded. A refused CONNECT keeps the bound too, which it had lost; a tunnel has none.

Without the change the new test fails: the node closes the connection before the second request.

--- a/node/src/gateway/http_port.rs
+++ b/node/src/gateway/http_port.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -46,6 +48,11 @@
     }
 }
 
+/// Lets the connection close once the response is sent.
+pub fn close_after(res: &mut Response<Full<Bytes>>) {
+    res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
 /// Serves `listener` until the process ends.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener, port: &'static str, handler: Handler) {
     loop {
@@ -53,10 +60,16 @@
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
             let (stream, heads) = head_bound::accept(stream);
-            let service = service_fn(|req: Request<Incoming>| {
-                let res = handler(&shared, &req);
-                heads.expect_next();
-                async move { Ok::<_, Infallible>(res) }
+            let service = service_fn(|mut req: Request<Incoming>| {
+                let (shared, heads) = (&shared, &heads);
+                async move {
+                    let has_ended = heads.drop_body(req.body_mut()).await;
+                    let mut res = handler(shared, &req);
+                    if !has_ended {
+                        close_after(&mut res);
+                    }
+                    Ok::<_, Infallible>(res)
+                }
             });
             // The client retries.
             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
--- a/node/src/gateway/peers/peer_port.rs
+++ b/node/src/gateway/peers/peer_port.rs
@@ -26,6 +26,7 @@
 use leadstage_lib::gateway::transfer_slots;
 use leadstage_lib::gateway::transfer_slots::TransferSlots;
 use leadstage_platform::head_bound;
+use leadstage_platform::head_bound::RequestHeads;
 use leadstage_platform::store::Revision;
 use log::warn;
 use tokio::net::TcpListener;
@@ -96,16 +97,19 @@
 impl Connection {
     async fn serve(self, stream: TcpStream) {
         let (stream, heads) = head_bound::accept(stream);
-        let service = service_fn(|req: Request<Incoming>| {
+        let service = service_fn(|mut req: Request<Incoming>| {
             let (this, heads) = (&self, &heads);
             async move {
-                if req.method() == Method::CONNECT {
-                    // The bytes in the tunnel are no further request.
-                    return Ok::<_, Infallible>(this.tunnels.answer(req).await);
+                let has_ended = heads.drop_body(req.body_mut()).await;
+                let mut res = if req.method() == Method::CONNECT {
+                    this.connect(req, heads).await
+                } else {
+                    this.answer(&req).await
+                };
+                if !has_ended {
+                    http_port::close_after(&mut res);
                 }
-                let res = this.answer(&req).await;
-                heads.expect_next();
-                Ok(res)
+                Ok::<_, Infallible>(res)
             }
         });
         let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -113,6 +117,15 @@
         let _ = serving.with_upgrades().await;
     }
 
+    async fn connect(&self, req: Request<Incoming>, heads: &RequestHeads) -> Response<Full<Bytes>> {
+        let res = self.tunnels.answer(req).await;
+        if res.status().is_success() {
+            // The bytes in the tunnel are no further request.
+            heads.expect_none();
+        }
+        res
+    }
+
     async fn answer(&self, req: &Request<Incoming>) -> Response<Full<Bytes>> {
         let known = req.uri().query().and_then(|known| known.parse().ok()).unwrap_or(0);
         let (res, kind) = match req.uri().path() {
--- a/node/tests/test_gateway_endless_messages.rs
+++ b/node/tests/test_gateway_endless_messages.rs
@@ -423,6 +423,41 @@
     waiting.join_all().await;
 }
 
+/// A body is no head, also if it has no line end, comes in parts or follows another request.
+#[tokio::test]
+async fn test_a_request_with_a_body_does_not_close_its_connection() {
+    let fleet = fleet(BOOKING, EndlessAnswer::new("", ""), 0, "").await;
+    let gateway = &fleet.gateway;
+    let mut waiting = JoinSet::new();
+    for (port, address) in
+        [("ready", gateway.ready(0)), ("metrics", gateway.metrics(0)), ("peer", gateway.peer(0))]
+    {
+        for method in ["GET /x", "CONNECT 127.0.0.1:1"] {
+            let address = address.clone();
+            waiting.spawn(async move {
+                let mut stream = TcpStream::connect(address).await.expect("the node listens");
+                let mut buf = [0; 4 << 10];
+                for _ in 0..2 {
+                    let head = format!("{method} HTTP/1.1\r\nhost: x\r\ncontent-length: 8\r\n\r\nbody");
+                    stream.write_all(head.as_bytes()).await.expect("writable");
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                    stream.write_all(b"rest").await.expect("writable");
+                    let read = stream.read(&mut buf).await.expect("an answer");
+                    assert!(buf[..read].starts_with(b"HTTP/1.1 4"), "{port}, {method}");
+                    tokio::time::sleep(MAX_HEAD_TIME + Duration::from_millis(200)).await;
+                }
+                // The head of a further request is bounded.
+                stream.write_all(b"GET / HTTP/1.1\r\nx: y").await.expect("writable");
+                let reading = tokio::time::timeout(WAIT_TIMEOUT, stream.read(&mut buf));
+                // A reset counts as closed.
+                let read = reading.await.unwrap_or_else(|_| panic!("{port}, {method}: stays open"));
+                assert_eq!(read.unwrap_or_default(), 0, "{port}, {method}");
+            });
+        }
+    }
+    waiting.join_all().await;
+}
+
 /// A connection between two requests stays open.
 #[tokio::test]
 async fn test_an_idle_connection_is_not_closed_by_the_bound_on_heads() {
