tests: the time of a head is among the uses of the monotonic clock

A head is given up by the time since its first byte while this node runs. After a suspension the timer is armed again, so that what has arrived is read first.

--- a/node/tests/test_clocks.rs
+++ b/node/tests/test_clocks.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 
 /// Files that read the monotonic clock, the number of reads in each, and why that is correct there.
-const MONOTONIC_CLOCK_USES: [(&str, usize, &str); 21] = [
+const MONOTONIC_CLOCK_USES: [(&str, usize, &str); 22] = [
     ("node/src/filters/account.rs", 2, "duration of a request, for metrics and logs"),
     (
         "node/src/filters/relay.rs",
@@ -50,6 +50,11 @@
     ),
     ("platform/src/arrival.rs", 1, "a timer that starts now"),
     ("platform/src/connect.rs", 5, "how slowly a response arrives while this node runs"),
+    (
+        "platform/src/head_bound.rs",
+        2,
+        "how slowly a head arrives; what came during a suspension is read first",
+    ),
 ];
 
 fn count_clock_reads(root: &Path, folder: &str, counts: &mut BTreeMap<String, usize>) {
--- a/node/tests/test_gateway_endless_messages.rs
+++ b/node/tests/test_gateway_endless_messages.rs
@@ -17,6 +17,7 @@
 use leadstage_testutils::metadata_store::replica_entry;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -134,7 +135,7 @@
         }
     }
     insta::assert_snapshot!(rows.join("\n"), @r"
-    informational heads: more than 32 informational heads
+    informational heads: more than 32 informational heads without pause
     a header line: too many bytes before the end of its head
     header lines: too many bytes before the end of its head
     blank lines: too many bytes before the end of its head
@@ -225,6 +226,38 @@
     insta::assert_snapshot!(fleet.reasons().await, @"head not complete after 2.5s");
 }
 
+/// The rest of a head that comes late, as after a loss, is waited for where the request may not be repeated.
+#[tokio::test]
+async fn test_a_slow_head_of_a_call_that_may_not_be_repeated_is_waited_for() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nleadstage-request-id: r-book\r\n";
+    const REST: &str = "content-length: 4\r\n\r\ndone";
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    let listener = TcpListener::bind((&*gateway.replicas_ip(), 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    gateway.store.put("servers", "slow", replica_entry(BOOKING, address, "hall-1", "ready"));
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buf = [0; 4 << 10];
+                let read = stream.read(&mut buf).await.unwrap_or_default();
+                if buf[..read].starts_with(b"POST") {
+                    stream.write_all(HEAD.as_bytes()).await.expect("writable");
+                    tokio::time::sleep(MAX_HEAD_TIME + Duration::from_millis(500)).await;
+                    stream.write_all(REST.as_bytes()).await.expect("the connection is open");
+                } else {
+                    let ok = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+                    stream.write_all(ok.as_bytes()).await.expect("writable");
+                }
+            });
+        }
+    });
+    gateway.start_node();
+    gateway.until_ready(0).await;
+    let called = gateway.call(0, book("r-book")).await;
+    assert_eq!((called.status, &*called.body), (200, "done"), "{}", gateway.logs());
+}
+
 #[tokio::test]
 async fn test_an_answer_after_informational_heads_is_passed_on() {
     const START: &str = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n\
@@ -244,6 +277,25 @@
     insta::assert_snapshot!(format!("{}: {}", called.status, fleet.reasons().await), @"504: no answer in time");
 }
 
+/// A node whose store's answers do not end serves callers with what other nodes tell it.
+#[tokio::test]
+async fn test_a_node_whose_store_does_not_end_its_answers_serves_callers() {
+    let (mut gateway, _booking) = Gateway::with_nodes(1).await;
+    for (name, answer) in HEADS.into_iter().chain(BODIES) {
+        let server = EndlessServer::start(&gateway.own_store_ip(), answer).await;
+        let node = gateway.start_node_at(server.address);
+        gateway.until_ready(node).await;
+        gateway.until("the store is asked", async || !server.requests().is_empty()).await;
+        let called = gateway.call(node, read(&format!("r-{node}"))).await;
+        assert_eq!(called.status, 200, "{name}\n{}", gateway.logs());
+        gateway.until("the connection is closed", async || server.open_connections() == 0).await;
+        let (requests, sent) = (server.requests().len(), server.sent_bytes());
+        let max_bytes = requests * (MAX_BODY_BYTES + MAX_UNREAD_BYTES_OF_FAST_CLIENT);
+        assert!(sent <= max_bytes, "{name}: {sent} bytes in answer to {requests} requests");
+        gateway.kill(node);
+    }
+}
+
 const HEAD: &str = "POST /book/x HTTP/1.1\r\nhost: h.example\r\nleadstage-request-id: r-1\r\n\
     leadstage-deadline-ms: 1000\r\nauthorization: Token key-a\r\n";
 
@@ -371,6 +423,41 @@
     waiting.join_all().await;
 }
 
+/// A body is no head, also if it has no line end, comes in parts or follows another request.
+#[tokio::test]
+async fn test_a_request_with_a_body_does_not_close_its_connection() {
+    let fleet = fleet(BOOKING, EndlessAnswer::new("", ""), 0, "").await;
+    let gateway = &fleet.gateway;
+    let mut waiting = JoinSet::new();
+    for (port, address) in
+        [("ready", gateway.ready(0)), ("metrics", gateway.metrics(0)), ("peer", gateway.peer(0))]
+    {
+        for method in ["GET /x", "CONNECT 127.0.0.1:1"] {
+            let address = address.clone();
+            waiting.spawn(async move {
+                let mut stream = TcpStream::connect(address).await.expect("the node listens");
+                let mut buf = [0; 4 << 10];
+                for _ in 0..2 {
+                    let head = format!("{method} HTTP/1.1\r\nhost: x\r\ncontent-length: 8\r\n\r\nbody");
+                    stream.write_all(head.as_bytes()).await.expect("writable");
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                    stream.write_all(b"rest").await.expect("writable");
+                    let read = stream.read(&mut buf).await.expect("an answer");
+                    assert!(buf[..read].starts_with(b"HTTP/1.1 4"), "{port}, {method}");
+                    tokio::time::sleep(MAX_HEAD_TIME + Duration::from_millis(200)).await;
+                }
+                // The head of a further request is bounded.
+                stream.write_all(b"GET / HTTP/1.1\r\nx: y").await.expect("writable");
+                let reading = tokio::time::timeout(WAIT_TIMEOUT, stream.read(&mut buf));
+                // A reset counts as closed.
+                let read = reading.await.unwrap_or_else(|_| panic!("{port}, {method}: stays open"));
+                assert_eq!(read.unwrap_or_default(), 0, "{port}, {method}");
+            });
+        }
+    }
+    waiting.join_all().await;
+}
+
 /// A connection between two requests stays open.
 #[tokio::test]
 async fn test_an_idle_connection_is_not_closed_by_the_bound_on_heads() {
