gateway: streams of leaving engines go wherever their copies are in time

A move off an engine that leaves, or whose hall is closed, paid the full cost of the stream's gaps, so the long streams of all leaving engines queued at the links of the few safe engines or crossed halls. A copy that is late breaks the stream. The run keeps its objective, so it may move on later.

--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -111,7 +111,8 @@
     pub produced: u32,
     /// Whether it runs on another engine and moves.
     pub moves: bool,
-    /// The longest gap between two events that still counts as in time, if it has kept it so far.
+    /// The longest gap between two events that still counts as in time, if it has kept it so far; `None` also
+    /// if its engine is leaving, as a late copy breaks it, which is worse than long gaps.
     pub gap_objective: Option<Duration>,
 }
 
--- a/node/src/gateway/control/placement_state.rs
+++ b/node/src/gateway/control/placement_state.rs
@@ -113,7 +113,7 @@
             hall: &wanted.hall,
             produced: wanted.produced,
             moves: wanted.from.is_some(),
-            gap_objective: wanted.gap_objective,
+            gap_objective: wanted.gap_objective.filter(|_| !self.must_leave(wanted)),
         };
         // Engines with a prefill backlog are only checked for whether their memory would admit the
         // generation.
@@ -132,6 +132,12 @@
         Ok(choice.replica.record.clone())
     }
 
+    /// Whether a generation moves because its engine takes no requests any more. If its copy is late, it
+    /// breaks, which is worse than long gaps, so it may go to any engine.
+    fn must_leave(&self, wanted: &Wanted) -> bool {
+        wanted.from.as_ref().is_some_and(|engine| !self.is_open(engine))
+    }
+
     /// Whether the engine that a generation moves away from may start another copy. Always true for a new
     /// generation, which needs no copy.
     pub fn may_start_copy(&self, wanted: &Wanted) -> bool {
--- a/testutils/src/fleet_model/lead.rs
+++ b/testutils/src/fleet_model/lead.rs
@@ -226,13 +226,14 @@
         }
         let current = self.load.get(&key(run))?.clone();
         let (size, produced, gap_objective) = (current.size?, current.produced, current.gap_objective);
+        let stays = self.table.get(from).is_some_and(|engine| engine.leaving.is_none());
         let request = EngineRequest {
             size,
             engine: &self.traits,
             hall: &self.hall,
             produced,
             moves: true,
-            gap_objective,
+            gap_objective: gap_objective.filter(|_| stays),
         };
         let others = self.table.of_service(SERVICE).into_iter().filter(|engine| engine.record.id != *from);
         let usable = others.filter(|engine| engine.is_usable(now));
