gateway: gaps are reported for whole spans of inventories; prompts cost what remains

- A node closed the window of an own stream after 400 ms, but an inventory, once a second, holds only the last window, so more than half of all gaps never reached the lead.
Windows are now as long as its interval.
- The cost of a prompt counted streams that are about to end in full; they are weighed by their remaining tokens, and not at all without any.
- The service's pace is looked up once per engine, streams without risk are skipped, old weights of the histogram become 0 rather than denormal, and the usual number of remaining tokens has one definition.

--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -245,18 +245,26 @@
 
     /// Cost of a prompt for the generations at an engine whose gaps have kept their objective so far.
     fn gap_cost_of_prompt(&self, replica: &Replica) -> f64 {
-        let service = &replica.record.service;
+        let tokens_per_second = self.paces().tokens_per_second(&replica.record.service);
         let risk = |objective| self.gap_risk(replica, objective).reading;
         // The generations of a service have few different objectives.
         let mut last = None;
         let costs = self.runs_at(&replica.record.id).filter_map(|(_, run)| {
-            let (objective, size) = (run.gap_objective?, run.size?);
+            let (objective, remaining) = (run.gap_objective?, run.remaining());
+            if remaining == 0 {
+                return None;
+            }
             let chance = match last {
                 Some((known, chance)) if known == objective => chance,
                 _ => risk(objective),
             };
             last = Some((objective, chance));
-            Some(chance * self.loss_by_gap(service, size))
+            if chance == 0.0 {
+                return None;
+            }
+            // All of its output is lost, but weighing by what remains leaves one alone that is about to end: it
+            // is unlikely to still run when the prompt is prefilled.
+            Some(chance * f64::from(remaining) * 1_000.0 / tokens_per_second)
         });
         costs.sum()
     }
--- a/lib/src/gateway/engine_pace.rs
+++ b/lib/src/gateway/engine_pace.rs
@@ -32,7 +32,8 @@
 const UNKNOWN_ENGINE_FACTOR: f64 = 1.4;
 /// Part of an objective up to which a gap counts as safe: the pace of an engine is known to about a quarter.
 const SAFE_SHARE_OF_OBJECTIVE: f64 = 0.75;
-/// Minimum time between two observations of one stream; an event holds several tokens.
+/// Minimum time between two observations of a stream of another node, whose inventories may come early; an
+/// event holds several tokens.
 const MIN_SPAN: Duration = Duration::from_millis(400);
 /// Time that an observation refers to: that between two inventories.
 pub const SPAN: Duration = Duration::from_secs(1);
@@ -160,7 +161,9 @@
         };
         let span = now.saturating_sub(sample.at);
         let tokens = produced.saturating_sub(sample.tokens);
-        if span < MIN_SPAN {
+        // An inventory holds only the last complete span of a stream, so spans are as long as its interval.
+        let min_span = if reported_gap.is_some() { MIN_SPAN } else { SPAN };
+        if span < min_span {
             return None;
         }
         let last = std::mem::replace(sample, begun());
--- a/lib/src/gateway/gap_spread.rs
+++ b/lib/src/gateway/gap_spread.rs
@@ -8,6 +8,9 @@
 /// Factor on the weight of all earlier observations with each new one: some 500 count, which a service
 /// with a hundred streams shows within some seconds.
 const DECAY: f64 = 0.998;
+/// Weight below which an old observation is dropped: it changes no share, and ever smaller numbers are slow to
+/// compute with.
+const MIN_BUCKET_WEIGHT: f32 = 1e-6;
 /// Weight of all observations below which nothing is said.
 const MIN_WEIGHT: f64 = 20.0;
 
@@ -29,6 +32,9 @@
     pub fn observe(&mut self, ratio: f64) {
         for weight in &mut self.weights {
             *weight *= DECAY as f32;
+            if *weight < MIN_BUCKET_WEIGHT {
+                *weight = 0.0;
+            }
         }
         self.total = self.total * DECAY + 1.0;
         self.weights[bucket(ratio) as usize] += 1.0;
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -35,7 +35,7 @@
 /// already.
 const MIN_GROWTH_S: f64 = 0.7;
 /// Tokens that a long generation has still to produce, of which others count as a part.
-const USUAL_REMAINING_TOKENS: f64 = 500.0;
+pub const USUAL_REMAINING_TOKENS: u32 = 500;
 /// Longest prefill that may be queued at an engine when a generation that can wait is assigned to it.
 /// This much keeps the engine busy until the next generation arrives, some tens of milliseconds after a
 /// prefill has ended. A generation that would wait longer there waits at the lead, which can still let
@@ -231,7 +231,7 @@
     pub fn endangered_at(&self, engine: &str, except: Option<&RunKey>) -> f64 {
         let runs =
             self.runs_at(engine).filter(|(key, run)| run.gap_objective.is_some() && Some(*key) != except);
-        runs.map(|(_, run)| (f64::from(run.remaining()) / USUAL_REMAINING_TOKENS).min(1.0)).sum()
+        runs.map(|(_, run)| (f64::from(run.remaining()) / f64::from(USUAL_REMAINING_TOKENS)).min(1.0)).sum()
     }
 
     /// How fast each engine produces tokens.
--- a/lib/src/gateway/rebalance.rs
+++ b/lib/src/gateway/rebalance.rs
@@ -12,6 +12,7 @@
 use crate::gateway::choice::MAX_EXPECTED_PEAK;
 use crate::gateway::load::LoadTracker;
 use crate::gateway::load::Run;
+use crate::gateway::load::USUAL_REMAINING_TOKENS;
 use crate::gateway::replica::Replica;
 use crate::gateway::routing::EngineTraits;
 use crate::gateway::run_key::RunKey;
@@ -32,8 +33,6 @@
 /// those of the time that it takes to copy a large one, at the usual pace.
 const MIN_REMAINING_TOKENS: u32 = 100;
 
-/// Tokens that a long generation has still to produce, by which engines are compared.
-const USUAL_REMAINING_TOKENS: u32 = 500;
 /// Cost of a move that keeps a generation's gaps within their objective: it occupies the links of two
 /// engines for some tenths of a second, in which no engine that leaves can be evacuated over them.
 const COST_PER_MOVE_MS: f64 = 1_000.0;
--- a/lib/tests/test_gateway_engine_pace.rs
+++ b/lib/tests/test_gateway_engine_pace.rs
@@ -89,6 +89,23 @@
     assert_eq!(observe(progress(&second, 212, gap, false), 3_600), Some(gap));
 }
 
+/// A gap of a stream of this node is reported with the span of an inventory, however often progress is
+/// recorded in between.
+#[test]
+fn test_own_gaps_are_reported_for_the_span_of_an_inventory() {
+    let mut paces = EnginePaces::default();
+    let (service, engine): (ServiceId, UpstreamId) = ("m".into(), "e1".into());
+    let mut reports = Vec::new();
+    for step in 0..=10_u64 {
+        let (now, produced) = (Duration::from_millis(1_000 + 100 * step), 4 + 12 * step as u32);
+        let gap = Duration::from_millis(if step == 2 { 300 } else { 50 });
+        paces.on_gap(&key(1), gap);
+        let own = StreamProgress { reported_gap: None, ..progress(&engine, produced, gap, false) };
+        reports.extend(paces.on_progress(&key(1), &service, &own, now));
+    }
+    assert_eq!(reports, [Duration::from_millis(300)]);
+}
+
 #[test]
 fn test_share_above_a_ratio() {
     let mut spread = GapSpread::default();
