gateway: an engine's pace is forgotten after some seconds without streams

An engine that was slow for a while was avoided by all long streams, so nothing was observed there that could correct its pace. Five seconds after its last observation the figures begin to tend to those expected from its prefill, or to the service's mean, halving every five seconds. They age by the newest observation of any engine: without any streams there is nothing to avoid.

--- a/lib/src/gateway/engine_pace.rs
+++ b/lib/src/gateway/engine_pace.rs
@@ -32,6 +32,11 @@
 const UNKNOWN_ENGINE_FACTOR: f64 = 1.4;
 /// Part of an objective up to which a gap counts as safe: the pace of an engine is known to about a quarter.
 const SAFE_SHARE_OF_OBJECTIVE: f64 = 0.75;
+/// Time without an observation after which the figures of an engine begin to count less: moments in which an
+/// engine is slow pass, but without streams nothing shows that.
+const FRESH: Duration = Duration::from_secs(5);
+/// Time in which the weight of older figures of an engine halves.
+const HALF_LIFE: Duration = Duration::from_secs(5);
 /// Minimum time between two observations of a stream of another node, whose inventories may come early; an
 /// event holds several tokens.
 const MIN_SPAN: Duration = Duration::from_millis(400);
@@ -67,6 +72,16 @@
     ms_per_token: DecayingMean,
     /// Part of the time in which it prefills.
     reading_share: f64,
+    /// Time of the last observation.
+    observed_at: Timestamp,
+}
+
+impl EnginePace {
+    /// How far these figures still count, 0 to 1.
+    fn trust(&self, now: Timestamp) -> f64 {
+        let age = now.saturating_sub(self.observed_at).saturating_sub(FRESH);
+        (-age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+    }
 }
 
 /// How far a stream is at an engine.
@@ -129,6 +144,8 @@
     services: HashMap<ServiceId, ServicePace>,
     engines: HashMap<UpstreamId, EnginePace>,
     samples: HashMap<RunKey, Sample>,
+    /// Time of the newest observation of any engine; figures age only while others are observed.
+    newest: Timestamp,
 }
 
 impl EnginePaces {
@@ -170,7 +187,7 @@
         let longest_gap = reported_gap.unwrap_or(last.longest_gap);
         if tokens > 0 && !longest_gap.is_zero() {
             let ms_per_token = span.as_secs_f64() * 1_000.0 / f64::from(tokens);
-            self.observe(service, engine, ms_per_token, longest_gap, is_reading);
+            self.observe(service, engine, ms_per_token, longest_gap, is_reading, now);
         }
         Some(longest_gap)
     }
@@ -182,12 +199,16 @@
         ms_per_token: f64,
         longest_gap: Duration,
         is_reading: bool,
+        now: Timestamp,
     ) {
+        self.newest = self.newest.max(now);
         let service = self.services.entry(service.clone()).or_default();
         let pace = self.engines.entry(engine.clone()).or_insert_with(|| EnginePace {
             ms_per_token: DecayingMean::unknown(service.ms_per_token.value(), ENGINE_WEIGHT),
             reading_share: service.reading_share,
+            observed_at: now,
         });
+        pace.observed_at = now;
         let factor = if is_reading { service.reading_factor.value() } else { 1.0 };
         pace.ms_per_token.observe(ms_per_token / factor);
         service.ms_per_token.observe(ms_per_token / factor);
@@ -203,7 +224,8 @@
     }
 
     /// The risk of streams at an engine to exceed an objective. An engine without observations is assumed to
-    /// need `expected_factor` times as long for a token as the others of its service, if that is known.
+    /// need `expected_factor` times as long for a token as the others of its service, if that is known; one
+    /// that was not observed for long tends to that too, or to the mean.
     pub fn risk(
         &self,
         service: &str,
@@ -214,10 +236,17 @@
         let Some(service) = self.services.get(service) else {
             return GapRisk::default();
         };
-        let engine = self.engines.get(engine);
-        let expected = service.ms_per_token.value() * expected_factor.unwrap_or(UNKNOWN_ENGINE_FACTOR);
-        let usual = engine.map_or(expected, |engine| engine.ms_per_token.value());
-        let reading_share = engine.map_or(service.reading_share, |engine| engine.reading_share);
+        let mean = service.ms_per_token.value();
+        let (usual, reading_share) = match self.engines.get(engine) {
+            None => (mean * expected_factor.unwrap_or(UNKNOWN_ENGINE_FACTOR), service.reading_share),
+            Some(engine) => {
+                let trust = engine.trust(self.newest);
+                let expected = mean * expected_factor.unwrap_or(1.0);
+                let known = engine.ms_per_token.value();
+                let share = engine.reading_share - service.reading_share;
+                (expected * (known / expected).powf(trust), service.reading_share + trust * share)
+            }
+        };
         let limit = objective.as_secs_f64() * 1_000.0 * SAFE_SHARE_OF_OBJECTIVE / usual;
         let slowdown = 1.0 + reading_share * (service.reading_factor.value() - 1.0);
         GapRisk {
--- a/lib/tests/test_gateway_engine_pace.rs
+++ b/lib/tests/test_gateway_engine_pace.rs
@@ -89,6 +89,29 @@
     assert_eq!(observe(progress(&second, 212, gap, false), 3_600), Some(gap));
 }
 
+/// An engine that was slow and has no streams since is taken for an average one after a while.
+#[test]
+fn test_a_passing_slowdown_is_forgotten() {
+    let mut paces = EnginePaces::default();
+    for round in 0..10 {
+        observe(&mut paces, round * 2, "fast", 6.0);
+        observe(&mut paces, round * 2 + 1, "slow", 13.0);
+    }
+    let pace = |paces: &EnginePaces| paces.risk("m", "slow", OBJECTIVE, None).ms_per_token;
+    let before = pace(&paces);
+    let (service, engine): (ServiceId, UpstreamId) = ("m".into(), "fast".into());
+    let mut after = Vec::new();
+    for second in 0..=30_u64 {
+        let now = Duration::from_secs(160 + second);
+        let gap = Duration::from_millis(40);
+        let fast = progress(&engine, 4 + 166 * second as u32, gap, false);
+        paces.on_progress(&key(100), &service, &fast, now);
+        after.push(pace(&paces));
+    }
+    assert!(after[4] > before * 0.85, "{before} {after:?}");
+    assert!(after[30] < before * 0.75, "{before} {after:?}");
+}
+
 /// A gap of a stream of this node is reported with the span of an inventory, however often progress is
 /// recorded in between.
 #[test]
