gateway: a node that begins to lead a service learns the paces of its engines anew

Every node observes its own streams, but its prefill clocks know only its own prompts, so seconds beside others' prompts were learned as quiet, and a new lead started from these figures. Observing only at the lead was ruled out: nodes report their longest gaps by the same windows.

--- a/lib/src/gateway/engine_pace.rs
+++ b/lib/src/gateway/engine_pace.rs
@@ -267,6 +267,12 @@
         self.samples.remove(key);
     }
 
+    /// Drops the figures of a service with these engines.
+    pub fn forget_service(&mut self, service: &str, is_of_service: impl Fn(&str) -> bool) {
+        self.services.remove(service);
+        self.engines.retain(|engine, _| !is_of_service(engine));
+    }
+
     /// Drops engines that are gone.
     pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.engines.retain(|engine, _| is_known(engine));
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -234,6 +234,13 @@
         runs.map(|(_, run)| (f64::from(run.remaining()) / f64::from(USUAL_REMAINING_TOKENS)).min(1.0)).sum()
     }
 
+    /// Forgets how fast the engines of a service produce tokens. A node that begins to lead it knows only the
+    /// prompts that it sent there itself, so it took seconds beside others' prompts for quiet ones.
+    pub fn on_lead(&mut self, service: &ServiceId) {
+        let services = &self.services;
+        self.engine_paces.forget_service(service, |engine| services.get(engine) == Some(service));
+    }
+
     /// How fast each engine produces tokens.
     pub fn engine_paces(&self) -> &EnginePaces {
         &self.engine_paces
--- a/lib/tests/test_gateway_engine_pace.rs
+++ b/lib/tests/test_gateway_engine_pace.rs
@@ -112,6 +112,18 @@
     assert!(after[30] < before * 0.75, "{before} {after:?}");
 }
 
+/// A node that begins to lead a service learns anew; figures of other services stay.
+#[test]
+fn test_figures_of_a_service_are_forgotten() {
+    let mut paces = EnginePaces::default();
+    observe(&mut paces, 1, "e1", 13.0);
+    paces.forget_service("other", |_| false);
+    assert!(paces.ms_per_token("e1").is_some());
+    paces.forget_service("m", |engine| engine == "e1");
+    assert_eq!(paces.ms_per_token("e1"), None);
+    assert_eq!(paces.risk("m", "e1", OBJECTIVE, None), GapRisk::default());
+}
+
 /// A gap of a stream of this node is reported with the span of an inventory, however often progress is
 /// recorded in between.
 #[test]
--- a/node/src/gateway/control/placement_state.rs
+++ b/node/src/gateway/control/placement_state.rs
@@ -153,6 +153,9 @@
     /// Updates the number of nodes, including this one, and the services that this node leads.
     pub fn on_tick(&mut self, nodes: usize, led_services: Vec<ServiceId>) {
         self.limits.get_mut().set_nodes(nodes, self.shared.now());
+        for service in led_services.iter().filter(|service| !self.led_services.contains(service)) {
+            self.load.on_lead(service);
+        }
         self.led_services = led_services;
     }
 
