--- a/lib/tests/test_gateway_engine_pace.rs
+++ b/lib/tests/test_gateway_engine_pace.rs
@@ -89,6 +89,58 @@
     assert_eq!(observe(progress(&second, 212, gap, false), 3_600), Some(gap));
 }
 
+/// An engine that was slow and has no streams since is taken for an average one after a while.
+#[test]
+fn test_a_passing_slowdown_is_forgotten() {
+    let mut paces = EnginePaces::default();
+    for round in 0..10 {
+        observe(&mut paces, round * 2, "fast", 6.0);
+        observe(&mut paces, round * 2 + 1, "slow", 13.0);
+    }
+    let pace = |paces: &EnginePaces| paces.risk("m", "slow", OBJECTIVE, None).ms_per_token;
+    let before = pace(&paces);
+    let (service, engine): (ServiceId, UpstreamId) = ("m".into(), "fast".into());
+    let mut after = Vec::new();
+    for second in 0..=30_u64 {
+        let now = Duration::from_secs(160 + second);
+        let gap = Duration::from_millis(40);
+        let fast = progress(&engine, 4 + 166 * second as u32, gap, false);
+        paces.on_progress(&key(100), &service, &fast, now);
+        after.push(pace(&paces));
+    }
+    assert!(after[4] > before * 0.85, "{before} {after:?}");
+    assert!(after[30] < before * 0.75, "{before} {after:?}");
+}
+
+/// A node that begins to lead a service learns anew; figures of other services stay.
+#[test]
+fn test_figures_of_a_service_are_forgotten() {
+    let mut paces = EnginePaces::default();
+    observe(&mut paces, 1, "e1", 13.0);
+    paces.forget_service("other", |_| false);
+    assert!(paces.ms_per_token("e1").is_some());
+    paces.forget_service("m", |engine| engine == "e1");
+    assert_eq!(paces.ms_per_token("e1"), None);
+    assert_eq!(paces.risk("m", "e1", OBJECTIVE, None), GapRisk::default());
+}
+
+/// A gap of a stream of this node is reported with the span of an inventory, however often progress is
+/// recorded in between.
+#[test]
+fn test_own_gaps_are_reported_for_the_span_of_an_inventory() {
+    let mut paces = EnginePaces::default();
+    let (service, engine): (ServiceId, UpstreamId) = ("m".into(), "e1".into());
+    let mut reports = Vec::new();
+    for step in 0..=10_u64 {
+        let (now, produced) = (Duration::from_millis(1_000 + 100 * step), 4 + 12 * step as u32);
+        let gap = Duration::from_millis(if step == 2 { 300 } else { 50 });
+        paces.on_gap(&key(1), gap);
+        let own = StreamProgress { reported_gap: None, ..progress(&engine, produced, gap, false) };
+        reports.extend(paces.on_progress(&key(1), &service, &own, now));
+    }
+    assert_eq!(reports, [Duration::from_millis(300)]);
+}
+
 #[test]
 fn test_share_above_a_ratio() {
     let mut spread = GapSpread::default();
