--- a/node/tests/test_gateway_plain_shares.rs
+++ b/node/tests/test_gateway_plain_shares.rs
@@ -53,7 +53,7 @@
     config
 }
 
-async fn start_fleet(change: impl Fn(String) -> String) -> LoadedFleet {
+async fn start_fleet(config: Value, change: impl Fn(String) -> String) -> LoadedFleet {
     let gateway = Gateway::start().await;
     let mut replicas = Vec::new();
     for n in 1..=REPLICAS {
@@ -64,7 +64,7 @@
         replicas.push(running);
     }
     let fleet = LoadedFleet::start_before(gateway, replicas, NODES, change).await;
-    fleet.gateway.store.put("config", "main", config_with_organisations());
+    fleet.gateway.store.put("config", "main", config);
     for node in 0..NODES {
         let knows_organisations = async || fleet.gateway.status_of(node, "/read/x", FLOODER).await == 200;
         fleet.gateway.until("a node has the configuration", knows_organisations).await;
@@ -131,7 +131,7 @@
 /// Guards against one organisation's flood that makes the calls of all others late or refused.
 #[tokio::test]
 async fn test_nodes_keep_a_flooding_organisation_to_its_share() {
-    let fleet = start_fleet(|yaml| yaml).await;
+    let fleet = start_fleet(config_with_organisations(), |yaml| yaml).await;
     let usual = [OTHERS_PER_SECOND / NODES as f64; NODES];
     let calls = fleet.load(&usual, Duration::from_secs(3), |id| book_for(OTHERS[0], id.to_owned())).await;
     let usual = in_time_part(&calls);
@@ -157,7 +157,7 @@
 
 #[tokio::test]
 async fn test_shares_go_on_within_two_seconds_after_the_sharing_node_is_killed() {
-    let fleet = start_fleet(|yaml| yaml).await;
+    let fleet = start_fleet(config_with_organisations(), |yaml| yaml).await;
     let killed_at = Duration::from_secs(4);
     let (others, _) = flood(&fleet, killed_at + Duration::from_secs(2), Some(killed_at)).await;
     let shared = in_time_part(&others);
@@ -168,11 +168,25 @@
 /// Nothing is shared while the policy says so: no message is sent, and the flood hurts all alike.
 #[tokio::test]
 async fn test_nothing_is_shared_if_the_policy_says_so() {
-    let fleet = start_fleet(|yaml| format!("{yaml}policy: {{share_room: false}}\n")).await;
-    let (others, _) = flood(&fleet, FIND_OUT, None).await;
+    let switched_off = |yaml| format!("{yaml}policy: {{share_room: false}}\n");
+    let fleet = start_fleet(config_with_organisations(), switched_off).await;
+    assert_flood_is_not_shared(&fleet).await;
+}
+
+#[tokio::test]
+async fn test_nothing_is_shared_without_organisations() {
+    let mut config = config_with_organisations();
+    config.as_object_mut().expect("an object").remove("tenants");
+    assert_flood_is_not_shared(&start_fleet(config, |yaml| yaml).await).await;
+}
+
+async fn assert_flood_is_not_shared(fleet: &LoadedFleet) {
+    let (others, _) = flood(fleet, FIND_OUT, None).await;
     println!("others in time without shares {:.3}", in_time_part(&others));
     assert!(in_time_part(&others) < 0.8, "the flood is none");
     assert_eq!(fleet.gateway.lines_with("event=plain_share"), "");
-    let metrics = call(&fleet.gateway.metrics(0), request("GET", "/metrics", "", "")).await.body;
-    assert!(!metrics.contains("kind=\"shares\""), "{metrics}");
+    for node in 0..NODES {
+        let metrics = call(&fleet.gateway.metrics(node), request("GET", "/metrics", "", "")).await.body;
+        assert!(!metrics.contains("kind=\"shares\""), "{metrics}");
+    }
 }
