gateway: shares of a plain service end when one organisation is left

Cause: shares began only where several organisations ask, but did not end when all but one had left, so that it was kept to an estimate of the room that nobody else asked for.

--- a/lib/src/gateway/call_sharing.rs
+++ b/lib/src/gateway/call_sharing.rs
@@ -199,11 +199,13 @@
         self.expect_growth(&mut totals);
         self.capacity = self.next_capacity(&totals, nodes);
         let shares = self.share(&totals);
-        if shares.admitted.is_empty() && totals.excess_bad < BAD_PART {
+        let is_over = shares.admitted.is_empty() && totals.excess_bad < BAD_PART;
+        if is_over || totals.asked.len() < 2 {
             self.capacity = None;
+            return CallShares::default();
         }
         self.reports.values_mut().for_each(|reported| reported.is_in_capacity = self.capacity.is_some());
-        CallShares { capacity: self.capacity, ..shares }
+        shares
     }
 
     /// The nodes that are to know the shares: all that reported, or those that wait for an answer.
--- a/lib/tests/test_gateway_plain_shares.rs
+++ b/lib/tests/test_gateway_plain_shares.rs
@@ -174,6 +174,16 @@
     assert!(outcome.used(2..20) > 0.95, "{}", outcome.used(2..20));
 }
 
+/// An organisation that floods on after all others have left is no longer kept to a share.
+#[test]
+fn test_shares_end_when_one_organisation_is_left() {
+    let loads = vec![load(FLOODER, 900.0, 0..DAY_SECONDS), load("org-00", 60.0, 0..8)];
+    let outcome = plain_fleet::play(&Day::new(NODES, Duration::from_secs(DAY_SECONDS), loads));
+    let over_share = |seconds| outcome.served(seconds, |name| name == FLOODER).over_share;
+    assert!(over_share(2..8) > 0);
+    assert_eq!(over_share(12..DAY_SECONDS), 0);
+}
+
 #[test]
 fn test_messages_stay_small_while_a_service_is_short() {
     let outcome = plain_fleet::play(&flood_day(1, FLOODER, FLOOD_FACTOR));
