gateway: shares of a plain service do not refuse ever more calls while answers stay slow

Where all replicas are slower for another reason than load, the bad part of the answers stayed high, so the admitted rate fell in each decision without end. It now has a floor, the rate that was usually answered; nothing is refused unless calls are turned away or exceed the usual rate by more than chance; all calls are admitted after eight decisions in a row that left the answers bad; and the usual part of slow answers is learnt after five seconds of reporting. Sums of counts from other nodes no longer overflow.

--- a/lib/src/gateway/call_sharing.rs
+++ b/lib/src/gateway/call_sharing.rs
@@ -44,6 +44,12 @@
 const SLOW_INCREASE: f64 = 1.015;
 /// Largest decrease of the rate of answers of full replicas in one decision.
 const MAX_DECREASE: f64 = 0.9;
+/// Decisions in a row that leave answers bad before shares end: the answers are slow for another reason than load.
+const MAX_VAIN_DECISIONS: u32 = 8;
+/// Standard deviations by which the calls of a window exceed the usual ones hardly ever by chance.
+const CHANCE: f64 = 2.0;
+/// Weight of the newest excess of bad answers in the one that shares did not lower.
+const VAIN_WEIGHT: f64 = 0.2;
 /// Largest expected growth of what an organisation asks for from one window to the next.
 const MAX_GROWTH: f64 = 0.15;
 /// Part of the capacity that organisations without a name in the reports may take off the shares.
@@ -97,11 +103,12 @@
     /// Usual number of answers per second.
     usual_answered: f64,
     excess_bad: f64,
+    is_turning_away: bool,
 }
 
 impl Totals {
     fn of<'a>(reports: impl Iterator<Item = &'a CallReport>) -> Totals {
-        let (mut asked, mut unnamed) = (BTreeMap::new(), 0.0);
+        let (mut asked, mut unnamed, mut is_turning_away) = (BTreeMap::new(), 0.0, false);
         let (mut answered, mut usual_answered, mut ended, mut bad, mut usual) = (0.0, 0.0, 0.0, 0.0, 0.0);
         for report in reports {
             for calls in &report.asked {
@@ -115,10 +122,20 @@
             answered += per_second(report.answered);
             usual_answered += report.usual_answered;
             ended += f64::from(report.ended());
-            bad += f64::from(report.slow + report.turned_away);
+            bad += f64::from(report.slow) + f64::from(report.turned_away);
             usual += report.usual_slow * f64::from(report.ended());
+            is_turning_away |= report.turned_away > 0;
         }
-        Totals { asked, unnamed, answered, usual_answered, excess_bad: (bad - usual) / f64::max(ended, 1.0) }
+        let excess_bad = (bad - usual) / f64::max(ended, 1.0);
+        Totals { asked, unnamed, answered, usual_answered, excess_bad, is_turning_away }
+    }
+
+    /// Whether load may be the reason of slow answers: replicas turn calls away, or are asked for more than usual
+    /// by more than chance.
+    fn shows_load(&self) -> bool {
+        let asked = self.unnamed + self.asked.values().map(|asked| asked.rate).sum::<f64>();
+        let usual = self.usual_answered * USUAL_HEADROOM;
+        self.is_turning_away || asked > usual + CHANCE * (usual / WINDOW.as_secs_f64()).sqrt()
     }
 }
 
@@ -156,6 +173,10 @@
     capacity: Option<f64>,
     /// Answers per second when the replicas were last full.
     when_full: f64,
+    /// Decisions in a row after which the answers were as bad as when replicas are full.
+    vain_decisions: u32,
+    /// Excess of bad answers, 0 to 1, that shares did not lower; no organisation is over its share then.
+    vain_bad: Option<f64>,
     decided_at: Option<Timestamp>,
     /// What organisations asked for in the window before the last decision, in calls per second.
     asked_before: BTreeMap<OrganisationId, f64>,
@@ -197,6 +218,9 @@
     fn next_shares(&mut self, nodes: usize) -> CallShares {
         let mut totals = Totals::of(self.reports.values().map(|reported| &reported.report));
         self.expect_growth(&mut totals);
+        if self.is_in_vain(totals.excess_bad) && totals.asked.len() > 1 {
+            return CallShares { capacity: self.capacity, admitted: Vec::new() };
+        }
         self.capacity = self.next_capacity(&totals, nodes);
         let shares = self.share(&totals);
         let is_over = shares.admitted.is_empty() && totals.excess_bad < BAD_PART;
@@ -208,6 +232,22 @@
         shares
     }
 
+    /// Whether shares do not make the answers better, so that all calls are admitted until the answers are good or
+    /// much worse. The nodes go on reporting meanwhile.
+    fn is_in_vain(&mut self, excess_bad: f64) -> bool {
+        if let Some(vain_bad) = self.vain_bad {
+            let is_over = excess_bad < BAD_PART || excess_bad >= vain_bad + SHORT_BAD_PART;
+            let lower = vain_bad.min(vain_bad + (excess_bad - vain_bad) * VAIN_WEIGHT);
+            self.vain_bad = (!is_over).then_some(lower);
+        } else if self.capacity.is_none() || excess_bad < SHORT_BAD_PART {
+            self.vain_decisions = 0;
+        } else {
+            self.vain_decisions += 1;
+            self.vain_bad = (self.vain_decisions > MAX_VAIN_DECISIONS).then_some(excess_bad);
+        }
+        self.vain_bad.is_some()
+    }
+
     /// The nodes that are to know the shares: all that reported, or those that wait for an answer.
     fn receivers(&mut self, all: bool) -> Vec<VmId> {
         let receivers = self.reports.iter_mut().filter(|(_, reported)| all || !reported.is_answered);
@@ -226,7 +266,7 @@
         let by_new = new.map(|reported| borne_by(&reported.report)).sum::<f64>();
         self.when_full = f64::max(self.when_full, capacity) + by_new;
         let capacity = capacity + by_new;
-        Some(if totals.excess_bad >= SHORT_BAD_PART {
+        let capacity = if totals.excess_bad >= SHORT_BAD_PART {
             self.when_full = totals.answered.max(self.when_full * MAX_DECREASE);
             self.when_full * DRAIN_PART
         } else if totals.excess_bad >= BAD_PART {
@@ -237,7 +277,10 @@
             capacity * INCREASE
         } else {
             capacity * SLOW_INCREASE
-        })
+        };
+        // Fewer answers than before the shortage show that fewer calls were admitted, not what replicas bear.
+        let some_room = (totals.usual_answered * USUAL_HEADROOM).min(self.when_full * STEADY_PART);
+        Some(capacity.max(totals.usual_answered).max(some_room))
     }
 
     /// Raises what organisations ask for by as much as it grew since the last window, as the shares are for the
@@ -264,7 +307,7 @@
         // At the beginning of a flood, the answers of a window are those to the calls before it.
         self.when_full = totals.answered.max(totals.usual_answered);
         let capacity = (totals.answered * DRAIN_PART).max(totals.usual_answered * USUAL_HEADROOM);
-        (is_short && totals.asked.len() > 1).then_some(capacity)
+        (is_short && totals.asked.len() > 1 && totals.shows_load()).then_some(capacity)
     }
 
     /// Forgets nodes that no longer report, and what their calls got.
@@ -285,6 +328,9 @@
         let Some(capacity) = self.capacity else {
             return CallShares::default();
         };
+        if !totals.shows_load() {
+            return CallShares { capacity: self.capacity, admitted: Vec::new() };
+        }
         let asked: Vec<Asked> = totals.asked.values().copied().collect();
         let unnamed = totals.unnamed.min(capacity * MAX_UNNAMED_PART);
         let shares = share_out(capacity - unnamed, &asked);
--- a/lib/src/gateway/call_window.rs
+++ b/lib/src/gateway/call_window.rs
@@ -29,6 +29,8 @@
 pub const SHORT_BAD_PART: f64 = 0.25;
 /// Answers after which the usual part of slow ones is known well; older answers lose weight beyond that.
 const USUAL_ANSWERS: f64 = 500.0;
+/// The same while answers are unusual for long.
+const CHANGED_ANSWERS: f64 = 30.0;
 /// Minimum weight of the newest slot in the usual rate of answers, which is the mean of some seconds.
 const USUAL_RATE_WEIGHT: f64 = 0.02;
 /// How long an organisation counts as one that uses the service after its last call.
@@ -108,18 +110,18 @@
 impl CallReport {
     /// Calls that ended at replicas.
     pub fn ended(&self) -> u32 {
-        self.answered + self.turned_away
+        self.answered.saturating_add(self.turned_away)
     }
 
     /// The part of the ended calls that were slow or turned away beyond the usual part, -1 to 1.
     pub fn excess_bad(&self) -> f64 {
-        let bad = f64::from(self.slow + self.turned_away);
+        let bad = f64::from(self.slow) + f64::from(self.turned_away);
         bad / f64::from(self.ended().max(1)) - self.usual_slow
     }
 
     /// Whether the node alone takes the service for short.
     pub fn looks_short(&self) -> bool {
-        self.slow + self.turned_away >= MIN_BAD_ANSWERS && self.excess_bad() >= SHORT_BAD_PART
+        self.slow.saturating_add(self.turned_away) >= MIN_BAD_ANSWERS && self.excess_bad() >= SHORT_BAD_PART
     }
 }
 
@@ -155,15 +157,25 @@
 }
 
 impl UsualAnswers {
-    fn add(&mut self, answered: u32, slow: u32) {
-        let answered = f64::from(answered);
-        let keep = (1.0 - answered / USUAL_ANSWERS).max(0.0);
-        if self.answered + answered > USUAL_ANSWERS {
+    /// Counts the answers of a slot for the usual part of slow ones alone; older ones soon lose weight.
+    fn add_slow_part(&mut self, answered: u32, slow: u32) {
+        self.count(f64::from(answered), f64::from(slow), CHANGED_ANSWERS);
+    }
+
+    fn count(&mut self, answered: f64, slow: f64, max_answers: f64) {
+        let sum = self.answered + answered;
+        if sum > max_answers {
+            let keep = (max_answers - answered).max(0.0) / self.answered.max(1.0);
             self.answered *= keep;
             self.slow *= keep;
         }
         self.answered += answered;
-        self.slow += f64::from(slow);
+        self.slow += slow;
+    }
+
+    fn add(&mut self, answered: u32, slow: u32) {
+        let answered = f64::from(answered);
+        self.count(answered, f64::from(slow), USUAL_ANSWERS);
         self.slots = self.slots.saturating_add(1);
         self.in_slot += (answered - self.in_slot) * USUAL_RATE_WEIGHT.max(1.0 / f64::from(self.slots));
     }
@@ -209,14 +221,18 @@
         }
     }
 
-    /// Counts the answers that are about to leave the window among the usual ones, unless the service `is_short`.
-    pub fn learn_usual(&mut self, is_short: bool, now: Timestamp) {
+    /// Counts the answers that are about to leave the window among the usual ones. While the service is short,
+    /// only the part of slow ones is learnt, and only if it is short `for_long`.
+    pub fn learn_usual(&mut self, is_short: bool, for_long: bool, now: Timestamp) {
         let end = (slot_of(now) + 1).saturating_sub(WINDOW_SLOTS);
         let begin = self.usual.next_slot.max(end.saturating_sub(KEPT_SLOTS as u64));
         self.usual.next_slot = end;
-        if !is_short {
-            for slot in begin..end {
-                self.usual.add(self.answered.count_in(slot), self.slow.count_in(slot));
+        for slot in begin..end {
+            let (answered, slow) = (self.answered.count_in(slot), self.slow.count_in(slot));
+            if !is_short {
+                self.usual.add(answered, slow);
+            } else if for_long {
+                self.usual.add_slow_part(answered, slow);
             }
         }
     }
--- a/lib/src/gateway/plain_shares.rs
+++ b/lib/src/gateway/plain_shares.rs
@@ -29,6 +29,8 @@
 const REPORT_INTERVAL: Duration = WINDOW;
 /// How long a node goes on reporting after the last sign of a shortage.
 const REPORT_FOR: Duration = Duration::from_secs(1);
+/// Time after which answers that are still slow are taken for usual by and by.
+const UNUSUAL_FOR: Duration = Duration::from_secs(5);
 /// Time after which a report that has no answer counts as lost, and its receiver as silent.
 const SILENT_AFTER: Duration = Duration::from_millis(700);
 /// How long a silent node is passed over: membership reports a dead one after some seconds.
@@ -45,6 +47,7 @@
 /// Reports about a service that looks short.
 #[derive(Debug, Default)]
 struct Reporting {
+    since: Timestamp,
     until: Timestamp,
     last: Option<Timestamp>,
     /// The receiver and the time of the first report since its last answer.
@@ -172,9 +175,13 @@
         for (service, window) in &mut self.windows {
             let is_short = self.admission.is_short(service, now);
             if is_short || window.is_shared() && window.looks_short(now) {
-                self.reporting.entry(service.clone()).or_default().until = now + REPORT_FOR;
+                let reporting = self.reporting.entry(service.clone());
+                let reporting = reporting.or_insert_with(|| Reporting { since: now, ..Reporting::default() });
+                reporting.until = now + REPORT_FOR;
             }
-            window.learn_usual(self.reporting.contains_key(service), now);
+            let reporting = self.reporting.get(service);
+            let for_long = reporting.is_some_and(|reporting| reporting.since + UNUSUAL_FOR <= now);
+            window.learn_usual(reporting.is_some(), for_long, now);
         }
         self.reporting.retain(|_, reporting| now < reporting.until);
     }
--- a/lib/tests/plain_fleet.rs
+++ b/lib/tests/plain_fleet.rs
@@ -77,6 +77,8 @@
     pub lost_messages: f64,
     /// A node with a path of its own that is slow: its calls take this much longer.
     pub slow_path: Option<(usize, Duration)>,
+    /// When all replicas become slower, and by which factor.
+    pub slower: Option<(Duration, f64)>,
     pub seed: u64,
 }
 
@@ -90,6 +92,7 @@
             sharer_killed_at: None,
             lost_messages: 0.0,
             slow_path: None,
+            slower: None,
             seed: 1,
         }
     }
@@ -300,7 +303,8 @@
 
     fn start(&mut self, replica: usize, run: RunId, now: Timestamp) {
         let factor = 1.0 + WORK_SPREAD * (2.0 * self.rng.random::<f64>() - 1.0);
-        let work = MEAN_WORK.mul_f64(factor);
+        let slower = self.day.slower.filter(|(from, _)| *from <= now).map_or(1.0, |(_, slower)| slower);
+        let work = MEAN_WORK.mul_f64(factor * slower);
         *self.outcome.busy.entry(now.as_secs()).or_default() += work;
         self.push(now + work, Event::Finished { replica, run });
     }
--- a/lib/tests/test_gateway_plain_shares.rs
+++ b/lib/tests/test_gateway_plain_shares.rs
@@ -184,6 +184,26 @@
     assert_eq!(over_share(12..DAY_SECONDS), 0);
 }
 
+/// Guards against shares that refuse ever more calls while answers are slow for another reason than load.
+#[test]
+fn test_shares_end_while_all_replicas_are_slower_and_have_room() {
+    for seed in SEEDS {
+        let mut day = Day { slower: Some((Duration::from_secs(5), 3.0)), ..usual_day(seed) };
+        day.length = Duration::from_secs(30);
+        for load in &mut day.loads {
+            load.per_second /= 3.0;
+            load.until = day.length;
+        }
+        let outcome = plain_fleet::play(&day);
+        let slow = outcome.served(5..28, |_| true);
+        let end = outcome.served(15..28, |_| true);
+        println!("seed {seed}: {slow:?}, at the end {end:?}");
+        // All calls fit into the places.
+        assert_eq!(slow.refused, 0, "seed {seed}: {slow:?}");
+        assert_eq!(end.over_share, 0, "seed {seed}: {end:?}");
+    }
+}
+
 #[test]
 fn test_messages_stay_small_while_a_service_is_short() {
     let outcome = plain_fleet::play(&flood_day(1, FLOODER, FLOOD_FACTOR));
