gateway: a new sharing node takes over shares whoever reports first

Shares in force were taken over only at the node's first decision; a first report from a node without shares made it decide without them, and remove them elsewhere.

--- a/lib/src/gateway/call_sharing.rs
+++ b/lib/src/gateway/call_sharing.rs
@@ -173,6 +173,8 @@
     capacity: Option<f64>,
     /// Answers per second when the replicas were last full.
     when_full: f64,
+    /// Whether this node has decided shares, so that those in force are its own.
+    has_shared: bool,
     /// Decisions in a row after which the answers were as bad as when replicas are full.
     vain_decisions: u32,
     /// Excess of bad answers, 0 to 1, that shares did not lower; no organisation is over its share then.
@@ -222,6 +224,7 @@
             return CallShares { capacity: self.capacity, admitted: Vec::new() };
         }
         self.capacity = self.next_capacity(&totals, nodes);
+        self.has_shared |= self.capacity.is_some();
         let shares = self.share(&totals);
         let is_over = shares.admitted.is_empty() && totals.excess_bad < BAD_PART;
         if is_over || totals.asked.len() < 2 {
@@ -298,7 +301,7 @@
     /// the replicas below their capacity.
     fn first_capacity(&mut self, totals: &Totals, nodes: usize) -> Option<f64> {
         let mut reports = self.reports.values();
-        if self.decided_at.is_none() && reports.any(|reported| reported.report.is_short) {
+        if !self.has_shared && reports.any(|reported| reported.report.is_short) {
             self.when_full = totals.answered / STEADY_PART;
             return Some(totals.answered);
         }
--- a/lib/tests/test_gateway_plain_shares.rs
+++ b/lib/tests/test_gateway_plain_shares.rs
@@ -5,7 +5,10 @@
 use std::time::Instant;
 
 use leadstage_lib::gateway::call_sharing::Asked;
+use leadstage_lib::gateway::call_sharing::CallSharer;
 use leadstage_lib::gateway::call_sharing::share_out;
+use leadstage_lib::gateway::call_window::AskedCalls;
+use leadstage_lib::gateway::call_window::CallReport;
 use leadstage_lib::gateway::plain_shares::PlainShares;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::ids::OrganisationId;
@@ -213,6 +216,21 @@
     assert!(mean < MAX_BYTES_PER_SECOND && outcome.max_bytes_per_node < MAX_BYTES_PER_SECOND);
 }
 
+/// A new sharing node takes over shares in force, also if a node without any reports first.
+#[test]
+fn test_shares_in_force_are_taken_over_after_a_first_report_without_any() {
+    let calls = |name: &str, calls| AskedCalls { organisation: name.into(), priority: 1, calls };
+    let mut sharer = CallSharer::default();
+    sharer.on_report(&"10.0.0.1:7003".into(), CallReport::default(), Duration::ZERO);
+    sharer.decide(NODES, Duration::ZERO);
+    let asked = vec![calls(FLOODER, 500), calls("org-00", 10)];
+    let report = CallReport { asked, answered: 100, is_short: true, ..CallReport::default() };
+    sharer.on_report(&"10.0.0.2:7003".into(), report, Duration::from_millis(100));
+    let (shares, _) = sharer.decide(NODES, Duration::from_millis(100)).expect("shares");
+    assert_eq!(shares.capacity, Some(200.0));
+    assert_eq!(shares.admitted.len(), 1);
+}
+
 #[test]
 fn test_share_out() {
     let shares = |capacity, rates: &[(u8, f64)]| {
