--- a/lib/tests/test_gateway_plain_shares.rs
+++ b/lib/tests/test_gateway_plain_shares.rs
@@ -5,7 +5,10 @@
 use std::time::Instant;
 
 use leadstage_lib::gateway::call_sharing::Asked;
+use leadstage_lib::gateway::call_sharing::CallSharer;
 use leadstage_lib::gateway::call_sharing::share_out;
+use leadstage_lib::gateway::call_window::AskedCalls;
+use leadstage_lib::gateway::call_window::CallReport;
 use leadstage_lib::gateway::plain_shares::PlainShares;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::ids::OrganisationId;
@@ -174,6 +177,36 @@
     assert!(outcome.used(2..20) > 0.95, "{}", outcome.used(2..20));
 }
 
+/// An organisation that floods on after all others have left is no longer kept to a share.
+#[test]
+fn test_shares_end_when_one_organisation_is_left() {
+    let loads = vec![load(FLOODER, 900.0, 0..DAY_SECONDS), load("org-00", 60.0, 0..8)];
+    let outcome = plain_fleet::play(&Day::new(NODES, Duration::from_secs(DAY_SECONDS), loads));
+    let over_share = |seconds| outcome.served(seconds, |name| name == FLOODER).over_share;
+    assert!(over_share(2..8) > 0);
+    assert_eq!(over_share(12..DAY_SECONDS), 0);
+}
+
+/// Guards against shares that refuse ever more calls while answers are slow for another reason than load.
+#[test]
+fn test_shares_end_while_all_replicas_are_slower_and_have_room() {
+    for seed in SEEDS {
+        let mut day = Day { slower: Some((Duration::from_secs(5), 3.0)), ..usual_day(seed) };
+        day.length = Duration::from_secs(30);
+        for load in &mut day.loads {
+            load.per_second /= 3.0;
+            load.until = day.length;
+        }
+        let outcome = plain_fleet::play(&day);
+        let slow = outcome.served(5..28, |_| true);
+        let end = outcome.served(15..28, |_| true);
+        println!("seed {seed}: {slow:?}, at the end {end:?}");
+        // All calls fit into the places.
+        assert_eq!(slow.refused, 0, "seed {seed}: {slow:?}");
+        assert_eq!(end.over_share, 0, "seed {seed}: {end:?}");
+    }
+}
+
 #[test]
 fn test_messages_stay_small_while_a_service_is_short() {
     let outcome = plain_fleet::play(&flood_day(1, FLOODER, FLOOD_FACTOR));
@@ -183,6 +216,21 @@
     assert!(mean < MAX_BYTES_PER_SECOND && outcome.max_bytes_per_node < MAX_BYTES_PER_SECOND);
 }
 
+/// A new sharing node takes over shares in force, also if a node without any reports first.
+#[test]
+fn test_shares_in_force_are_taken_over_after_a_first_report_without_any() {
+    let calls = |name: &str, calls| AskedCalls { organisation: name.into(), priority: 1, calls };
+    let mut sharer = CallSharer::default();
+    sharer.on_report(&"10.0.0.1:7003".into(), CallReport::default(), Duration::ZERO);
+    sharer.decide(NODES, Duration::ZERO);
+    let asked = vec![calls(FLOODER, 500), calls("org-00", 10)];
+    let report = CallReport { asked, answered: 100, is_short: true, ..CallReport::default() };
+    sharer.on_report(&"10.0.0.2:7003".into(), report, Duration::from_millis(100));
+    let (shares, _) = sharer.decide(NODES, Duration::from_millis(100)).expect("shares");
+    assert_eq!(shares.capacity, Some(200.0));
+    assert_eq!(shares.admitted.len(), 1);
+}
+
 #[test]
 fn test_share_out() {
     let shares = |capacity, rates: &[(u8, f64)]| {
