gateway: drop news of paces that are no numbers

A peer's `Slow(NaN)` passed the clamp of the pace, and the time at which the pace is whole again was then computed from it, which panics. Such news, and infinite paces, are now dropped with a warning and aren't forwarded.

--- a/lib/src/gateway/replica_ramp.rs
+++ b/lib/src/gateway/replica_ramp.rs
@@ -89,6 +89,14 @@
 }
 
 impl RampNews {
+    /// Whether its pace, if it has one, is a finite number.
+    pub fn is_valid(&self) -> bool {
+        match self.sign {
+            RampSign::Slow(pace) => pace.is_finite(),
+            RampSign::Answers | RampSign::Fails => true,
+        }
+    }
+
     fn key(&self) -> NewsKey {
         let sign = match self.sign {
             RampSign::Answers => 0,
@@ -403,6 +411,9 @@
 
     /// Another node tells what its calls show. Returns whether that is new to this node.
     pub fn on_news(&mut self, news: &RampNews, now: Timestamp) -> bool {
+        if !news.is_valid() {
+            return false;
+        }
         if self.heard.contains(&news.key(), now) {
             return false;
         }
--- a/lib/tests/test_gateway_replica_ramp.rs
+++ b/lib/tests/test_gateway_replica_ramp.rs
@@ -529,6 +529,19 @@
     assert_eq!(ramps.pace("r-0", 3 * SECOND), 0.0);
 }
 
+/// News come from the network: a pace that is no number must not reach the arithmetic of times.
+#[test]
+fn test_news_of_a_pace_that_is_no_number_are_dropped() {
+    let (table, mut ramps) = (two_replicas(), ReplicaRamps::new(Policy::default()));
+    ramps.begin(table.get("r-0").expect("it is listed"), RampCause::Start, SECOND, SECOND);
+    let before = ramps.pace("r-0", 2 * SECOND);
+    for (pace, run) in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY].into_iter().zip(1..) {
+        assert!(!ramps.on_news(&news(RampSign::Slow(pace), run), 2 * SECOND));
+        assert_eq!(ramps.pace("r-0", 2 * SECOND), before);
+    }
+    assert_eq!(ramps.take_ended(3 * SECOND).len(), 1);
+}
+
 /// Nodes forward what is new to them. If contradicting news could replace each other again and again, they would
 /// be forwarded without end.
 #[test]
--- a/node/src/gateway/control/placing/ramps.rs
+++ b/node/src/gateway/control/placing/ramps.rs
@@ -13,6 +13,7 @@
 use leadstage_lib::gateway::run_key::RunKey;
 use leadstage_lib::ids::UpstreamId;
 use log::info;
+use log::warn;
 
 use crate::gateway::control::placing::Placing;
 use crate::gateway::messages::Outcome;
@@ -68,6 +69,9 @@
     /// Another node tells what its calls to replicas show whose pace is limited.
     pub fn on_ramp_news(&mut self, fleet: &Fleet, mut news: Vec<RampNews>) {
         let now = self.shared.now();
+        for RampNews { replica, sign, .. } in news.iter().filter(|news| !news.is_valid()) {
+            warn!(event = "ramp_news_invalid", upstream = &*replica.id, sign:? = sign; "another node told a pace that is no number");
+        }
         news.retain(|news| self.state.ramps.on_news(news, now));
         for recovered in news.iter().filter(|news| news.sign == RampSign::Answers) {
             self.state.replicas.on_recovered(&recovered.replica.id);
