gateway: forget plain calls that have left without an end

Where the requester is gone, a placed call ends without news of its end, and its entry stayed among the calls that wait at the replica: at each later ramp it held the pace down for ever. The entry now goes when the call leaves the placement state, and with its replica when that is gone.

The tests of the node were not run.

--- a/lib/src/gateway/replica_ramp.rs
+++ b/lib/src/gateway/replica_ramp.rs
@@ -464,8 +464,14 @@
         self.ramps.retain(|_, ramp| ramp.cause != RampCause::Failure || *ramp.service != *service);
     }
 
-    /// Drops replicas that are gone.
+    /// A plain call has left its replica without an end that says anything about it.
+    pub fn forget_call(&mut self, key: &RunKey) {
+        self.calls.remove(key);
+    }
+
+    /// Drops replicas that are gone, and the calls there.
     pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.ramps.retain(|replica, _| is_known(replica));
+        self.calls.retain(|_, call| is_known(&call.replica));
     }
 }
--- a/lib/tests/test_gateway_replica_ramp.rs
+++ b/lib/tests/test_gateway_replica_ramp.rs
@@ -542,6 +542,29 @@
     assert_eq!(ramps.take_ended(3 * SECOND).len(), 1);
 }
 
+/// A call that waits for ever would lower the pace of its replica again and again.
+#[test]
+fn test_calls_that_have_left_their_replica_do_not_wait_there() {
+    let leave: [(fn(&mut ReplicaRamps, &RunKey), usize); 3] = [
+        (|_, _| {}, 1),
+        (|ramps, key| ramps.forget_call(key), 0),
+        (|ramps, _| ramps.retain(|replica| replica != "r-0"), 0),
+    ];
+    for (leave, told) in leave {
+        let (table, mut ramps) = (two_replicas(), ReplicaRamps::new(Policy::default()));
+        let replica = table.get("r-0").expect("it is listed");
+        for n in 0..200 {
+            let sent = n * Duration::from_millis(10);
+            answer(&mut ramps, &table, sent, sent + Duration::from_millis(10));
+        }
+        let key = RunKey { entry: "own".into(), run: 2 };
+        ramps.on_sent(key.clone(), replica, 2 * SECOND);
+        leave(&mut ramps, &key);
+        ramps.begin(replica, RampCause::Start, 3 * SECOND, 3 * SECOND);
+        assert_eq!(ramps.check_calls(4 * SECOND).len(), told);
+    }
+}
+
 /// Nodes forward what is new to them. If contradicting news could replace each other again and again, they would
 /// be forwarded without end.
 #[test]
--- a/node/src/gateway/control/placement_state.rs
+++ b/node/src/gateway/control/placement_state.rs
@@ -266,6 +266,7 @@
     /// the replica is leaving or its hall is closed.
     pub fn remove(&mut self, key: &RunKey) -> Option<Run> {
         let now = self.shared.now();
+        self.ramps.forget_call(key);
         let run = self.load.remove(key)?;
         let halls = self.shared.closed_halls();
         let replica =
