--- a/lib/src/gateway/replica_ramp.rs
+++ b/lib/src/gateway/replica_ramp.rs
@@ -89,6 +89,14 @@
 }
 
 impl RampNews {
+    /// Whether its pace, if it has one, is a finite number.
+    pub fn is_valid(&self) -> bool {
+        match self.sign {
+            RampSign::Slow(pace) => pace.is_finite(),
+            RampSign::Answers | RampSign::Fails => true,
+        }
+    }
+
     fn key(&self) -> NewsKey {
         let sign = match self.sign {
             RampSign::Answers => 0,
@@ -403,6 +411,9 @@
 
     /// Another node tells what its calls show. Returns whether that is new to this node.
     pub fn on_news(&mut self, news: &RampNews, now: Timestamp) -> bool {
+        if !news.is_valid() {
+            return false;
+        }
         if self.heard.contains(&news.key(), now) {
             return false;
         }
@@ -453,8 +464,14 @@
         self.ramps.retain(|_, ramp| ramp.cause != RampCause::Failure || *ramp.service != *service);
     }
 
-    /// Drops replicas that are gone.
+    /// A plain call has left its replica without an end that says anything about it.
+    pub fn forget_call(&mut self, key: &RunKey) {
+        self.calls.remove(key);
+    }
+
+    /// Drops replicas that are gone, and the calls there.
     pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.ramps.retain(|replica, _| is_known(replica));
+        self.calls.retain(|_, call| is_known(&call.replica));
     }
 }
