gateway: shares of plain services have a switch of their own, off by default

Cause: the part is not whole. With the switch on the tests of ten processes hold as before; with it off nothing is counted, sent or refused.

Ruled out: leaving the part out, as what it does well would be lost.

--- a/lib/src/gateway/policy.rs
+++ b/lib/src/gateway/policy.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 
-/// The mechanisms that are enabled; all are by default.
+/// The mechanisms that are enabled; all are by default but [`Policy::share_calls`].
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
@@ -37,6 +37,8 @@
     pub look_out: bool,
     /// While room is short, gives each organisation that asks for it its share.
     pub share_room: bool,
+    /// While the replicas of a plain service are full, gives each organisation its share of them.
+    pub share_calls: bool,
     /// Keeps prompts away from generations whose gaps would exceed their objective.
     pub protect_gaps: bool,
     /// Raises the rate of requests to a replica that has started or recovered as its answers allow.
@@ -63,6 +65,7 @@
             avoid_errors: true,
             look_out: true,
             share_room: true,
+            share_calls: false,
             protect_gaps: true,
             ramp_up: true,
             bound_heads: true,
--- a/node/src/gateway/control/placing/call_shares.rs
+++ b/node/src/gateway/control/placing/call_shares.rs
@@ -44,7 +44,7 @@
     /// Whether a request counts for the shares of its service: it is a plain call of an organisation.
     fn is_shared(&self, pending: &PendingPlacement) -> bool {
         let wanted = &pending.wanted;
-        self.shared.settings.policy.share_room && wanted.size.is_none() && wanted.organisation.is_some()
+        self.shared.settings.policy.share_calls && wanted.size.is_none() && wanted.organisation.is_some()
     }
 
     /// Handles the placement of a request of this node.
@@ -69,7 +69,7 @@
 
     /// Handles another node's counts of its calls to a service that this node shares out.
     pub fn on_call_counts(&mut self, from: SocketAddr, service: ServiceId, report: CallReport) {
-        if self.shared.settings.policy.share_room {
+        if self.shared.settings.policy.share_calls {
             self.plain_shares.on_report(&node_id(from), service, report, self.shared.now());
         }
     }
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -75,7 +75,7 @@
         let seconds = |name, description| instruments.seconds(name, description);
         let over_share = counter(
             "leadstage.gateway.over_share",
-            "Calls refused as their organisation is over its share of a full service",
+            "Requests refused as their organisation is over its share of a full service",
         );
         // Shown from the start, so that the first refusals are an increase.
         over_share.add(0, &[]);
@@ -152,10 +152,6 @@
                 "leadstage.gateway.sent_to_limited",
                 "Requests sent to replicas that name a limit",
             ),
-            over_share: counter(
-                "leadstage.gateway.over_share",
-                "Requests refused as their organisation is over its share of a full service",
-            ),
             over_share,
             routes: Mutex::default(),
             organisations: Mutex::default(),
