gateway: every failure of a replica has a cost or begins a ramp

The cost of failures was dropped for all plain calls, as a ramp takes its place, but none began after a failed health check, nor at the lead of a service with few slots whose replica failed a call of another node; and calls to model services have no ramps at all. The first two now begin a ramp; the calls to model services keep the cost.

The ramps after health checks and at a lead have no test of their own, and the tests of the node were not run.

--- a/lib/src/gateway/choice.rs
+++ b/lib/src/gateway/choice.rs
@@ -177,15 +177,17 @@
         }
     }
 
-    /// Returns the cheapest of the given usable replicas for a plain call.
+    /// Returns the cheapest of the given usable replicas for a plain call. If `is_paced`, the pace of those
+    /// that failed is limited in place of a cost of their failures.
     pub fn choose_plain<'a, R: Rng>(
         &self,
         candidates: impl Iterator<Item = &'a Replica>,
         hall: &HallId,
+        is_paced: bool,
         now: Timestamp,
         rng: &mut R,
     ) -> Option<&'a Replica> {
-        let general_costs = if self.policy.ramp_up { &PACED_PLAIN_COSTS } else { &PLAIN_COSTS };
+        let general_costs = if is_paced && self.policy.ramp_up { &PACED_PLAIN_COSTS } else { &PLAIN_COSTS };
         let costs = candidates.map(|replica| {
             let calls = self.runs_at(&replica.record.id).count() as f64;
             (calls * COST_PER_CALL_MS + self.general_cost(replica, hall, general_costs, now, rng), replica)
--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -131,7 +131,7 @@
     }
 
     /// Whether a report about an incarnation applies to this one, rather than only to an earlier one.
-    pub(super) fn is_covered_by(&self, incarnation: &Incarnation) -> bool {
+    pub fn is_covered_by(&self, incarnation: &Incarnation) -> bool {
         replica_record::applies_to(incarnation.born, self.record.born)
     }
 
--- a/lib/tests/test_gateway_replica_ramp.rs
+++ b/lib/tests/test_gateway_replica_ramp.rs
@@ -216,7 +216,7 @@
         let mut candidates: Vec<&Replica> = node.table.staying("m").filter(usable).collect();
         node.ramps.on_call(&"m".into(), true, now);
         node.ramps.filter(&mut candidates, true, now, &mut self.rng);
-        let chosen = node.load.choose_plain(candidates.into_iter(), &"a".into(), now, &mut self.rng);
+        let chosen = node.load.choose_plain(candidates.into_iter(), &"a".into(), true, now, &mut self.rng);
         let chosen = chosen.expect("others are usable");
         node.ramps.on_sent(key.clone(), chosen, now);
         node.load.add(key, Run { replica: chosen.record.id.clone(), ..Run::default() }, chosen, now);
@@ -529,6 +529,24 @@
     assert_eq!(ramps.pace("r-0", 3 * SECOND), 0.0);
 }
 
+/// Without a limit of its pace, a replica that failed must cost more than one that didn't.
+#[test]
+fn test_failures_cost_where_no_pace_is_limited() {
+    let mut table = two_replicas();
+    table.on_failure("r-0", Duration::ZERO);
+    let load = LoadTracker::new(Policy::default());
+    for (is_paced, is_chosen) in [(true, true), (false, false)] {
+        let mut rng = SmallRng::seed_from_u64(1);
+        let chosen: HashSet<UpstreamId> = (0..200)
+            .filter_map(|_| {
+                load.choose_plain(table.staying("m"), &"a".into(), is_paced, 9 * SECOND, &mut rng)
+            })
+            .map(|replica| replica.record.id.clone())
+            .collect();
+        assert_eq!(chosen.contains("r-0"), is_chosen);
+    }
+}
+
 /// News come from the network: a pace that is no number must not reach the arithmetic of times.
 #[test]
 fn test_news_of_a_pace_that_is_no_number_are_dropped() {
--- a/node/src/gateway/control/placement_state.rs
+++ b/node/src/gateway/control/placement_state.rs
@@ -101,7 +101,8 @@
                 let mut candidates = self.candidates(key, wanted, |_| true);
                 let (now, rng) = (self.shared.now(), &mut rand::rng());
                 self.ramps.filter(&mut candidates, wanted.is_repeatable, now, rng);
-                let chosen = self.load.choose_plain(candidates.into_iter(), &wanted.hall, now, rng);
+                let chosen =
+                    self.load.choose_plain(candidates.into_iter(), &wanted.hall, traits.is_none(), now, rng);
                 chosen.map(|replica| replica.record.clone()).ok_or(Shortage::Engines)
             }
         }
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -361,7 +361,7 @@
     /// An engine failed a generation of another node.
     pub fn on_engine_failed(&mut self, engine: &Incarnation) {
         info!(event = "engine_failed", upstream = &*engine.id; "an engine failed a generation of another node");
-        self.state.replicas.on_incarnation_failure(engine, self.shared.now());
+        self.on_incarnation_failure(engine);
     }
 
     /// A replica has restarted under the same id: the requests that ran there are lost. This node's streams
--- a/node/src/gateway/control/placing/ramps.rs
+++ b/node/src/gateway/control/placing/ramps.rs
@@ -48,6 +48,15 @@
         self.tell_ramps(fleet, news.into_iter().collect());
     }
 
+    /// A request of another node or a health check failed at a replica; it is ignored if the known
+    /// incarnation is a later one.
+    pub fn on_incarnation_failure(&mut self, of: &Incarnation) {
+        self.state.replicas.on_incarnation_failure(of, self.shared.now());
+        if self.state.replicas.get(&of.id).is_some_and(|replica| replica.is_covered_by(of)) {
+            self.ramp_after_failure(&of.id);
+        }
+    }
+
     /// A call failed at a replica, which backs off.
     pub(super) fn ramp_after_failure(&mut self, id: &UpstreamId) {
         if let Some(replica) = self.state.replicas.get(id) {
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -211,7 +211,7 @@
             Health::Leaving => LeavingSign::Announced,
             Health::Other => LeavingSign::Replaced,
             Health::Silent | Health::Broken | Health::Unreached | Health::Closed => {
-                return placing.state.replicas.on_incarnation_failure(&incarnation, now);
+                return placing.on_incarnation_failure(&incarnation);
             }
         };
         self.on_sign(placing, fleet, &incarnation, sign);
