lib: replicas beside many that start get two even shares at most

Cause, found in review: where most replicas of a service start at once, as in a release, the few others got up to eight even shares for some tenths of a second. The paces of those that start are raised so far that none of the others gets more than two; replicas that failed are not raised.

Ruled out: no ramp while many start, as the first calls would then flood all of them alike.

--- a/lib/src/gateway/replica_ramp.rs
+++ b/lib/src/gateway/replica_ramp.rs
@@ -29,6 +29,8 @@
 
 /// Pace of a replica of which nothing is known yet: a few calls a second of some tens.
 const FIRST_PACE: f64 = 1.0 / 16.0;
+/// Largest load of a replica beside others that start, in even shares: replicas have room for as much in a burst.
+const MAX_EVEN_SHARES: f64 = 2.0;
 /// Time in which the pace doubles. Four doublings lead to the whole share, well within a second.
 const DOUBLING_TIME: Duration = Duration::from_millis(150);
 /// Shortest time for which the pace does not rise after a slow answer or a failure.
@@ -182,6 +184,11 @@
         self.rises_at + DOUBLING_TIME.mul_f64((1.0 / self.pace).log2())
     }
 
+    /// Whether the replica has started and failed no call since.
+    fn is_start(&self) -> bool {
+        self.cause == RampCause::Start
+    }
+
     /// Whether the replica has had its whole share for a while and, where that was in doubt, has answered.
     fn is_over(&self, now: Timestamp) -> bool {
         now >= self.full_at() + MIN_FULL_TIME && (self.is_answered || self.cause == RampCause::Start)
@@ -324,8 +331,12 @@
         if self.ramps.is_empty() {
             return;
         }
+        let raise = self.raise_of_starts(candidates, now);
         let offered = |replica: &&Replica, rng: &mut R| match self.ramps.get(&replica.record.id) {
-            Some(ramp) => self.may_probe(ramp, is_repeatable, now) && rng.random::<f64>() < ramp.pace(now),
+            Some(ramp) => {
+                let raise = if ramp.is_start() { raise } else { 1.0 };
+                self.may_probe(ramp, is_repeatable, now) && rng.random::<f64>() < ramp.pace(now) * raise
+            }
             None => true,
         };
         let kept: Vec<&Replica> =
@@ -335,6 +346,21 @@
         }
     }
 
+    /// The factor on the paces of replicas that start by which none of the others gets more than
+    /// [`MAX_EVEN_SHARES`] even shares: where most replicas start at once, the few others would be flooded.
+    fn raise_of_starts(&self, candidates: &[&Replica], now: Timestamp) -> f64 {
+        let (mut starting, mut others) = (0.0, 0.0);
+        for replica in candidates {
+            match self.ramps.get(&replica.record.id) {
+                Some(ramp) if ramp.is_start() => starting += ramp.pace(now),
+                Some(ramp) => others += ramp.pace(now),
+                None => others += 1.0,
+            }
+        }
+        let missing = candidates.len() as f64 / MAX_EVEN_SHARES - others;
+        if starting > 0.0 { (missing / starting).max(1.0) } else { 1.0 }
+    }
+
     /// A call that may not be repeated follows once another was answered, if there are others.
     fn may_probe(&self, ramp: &Ramp, is_repeatable: bool, now: Timestamp) -> bool {
         let has_repeatable =
--- a/lib/tests/test_gateway_replica_ramp.rs
+++ b/lib/tests/test_gateway_replica_ramp.rs
@@ -563,7 +563,8 @@
 /// A call that waits for ever would lower the pace of its replica again and again.
 #[test]
 fn test_calls_that_have_left_their_replica_do_not_wait_there() {
-    let leave: [(fn(&mut ReplicaRamps, &RunKey), usize); 3] = [
+    type Leave = fn(&mut ReplicaRamps, &RunKey);
+    let leave: [(Leave, usize); 3] = [
         (|_, _| {}, 1),
         (|ramps, key| ramps.forget_call(key), 0),
         (|ramps, _| ramps.retain(|replica| replica != "r-0"), 0),
@@ -630,3 +631,25 @@
     ]
     "#);
 }
+
+/// Guards against the flood of the few replicas that remain where all others start at once, as in a release.
+#[test]
+fn test_a_replica_beside_many_that_start_is_not_flooded() {
+    let (now, mut rng) = (EVENT_AT, SmallRng::seed_from_u64(1));
+    let mut table = ReplicaTable::new(Policy::default());
+    (0..REPLICAS).for_each(|n| table.on_entry(entry(n), now, &mut ListChange::default()));
+    let mut ramps = ReplicaRamps::new(Policy::default());
+    for n in 1..REPLICAS {
+        ramps.begin(table.get(&id(n)).expect("it is listed"), RampCause::Start, now, now);
+    }
+    let calls = 20_000;
+    let mut at_warm = 0;
+    for _ in 0..calls {
+        let mut candidates: Vec<&Replica> = table.staying("m").collect();
+        ramps.filter(&mut candidates, true, now, &mut rng);
+        let chosen = candidates[rng.random_range(0..candidates.len())];
+        at_warm += usize::from(chosen.record.id == id(0));
+    }
+    let even_shares = at_warm as f64 / calls as f64 * REPLICAS as f64;
+    assert!(even_shares < 2.5, "{even_shares} even shares");
+}
