--- a/lib/benches/decision.rs
+++ b/lib/benches/decision.rs
@@ -14,12 +14,18 @@
 use leadstage_lib::gateway::load::GenerationSize;
 use leadstage_lib::gateway::load::LoadTracker;
 use leadstage_lib::gateway::load::Run;
+use leadstage_lib::gateway::organisation_shares::Need;
+use leadstage_lib::gateway::organisation_shares::OrganisationShares;
 use leadstage_lib::gateway::policy::Policy;
 use leadstage_lib::gateway::recent_successes::RecentSuccesses;
 use leadstage_lib::gateway::replica_record::ReplicaRecord;
 use leadstage_lib::gateway::replicas::ReplicaTable;
 use leadstage_lib::gateway::routing::EngineTraits;
 use leadstage_lib::gateway::run_key::RunKey;
+use leadstage_lib::gateway::shortage::Shortage;
+use leadstage_lib::gateway::waiting::WaitQueue;
+use leadstage_lib::gateway::waiting::Waiting;
+use leadstage_lib::ids::OrganisationId;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_lib::pool::Pool;
 use leadstage_lib::pool_event::EndKind;
@@ -52,6 +58,11 @@
         let [by_growth, by_peak] = [false, true].map(|by_peak| measure_choice(engines, generations, by_peak));
         println!("{engines},{generations},{by_growth:.1},{by_peak:.1}");
     }
+    println!("waiting,organisations,queue_choice_us,measurement_us");
+    for (waiting, organisations) in [(100, 24), (1_000, 24), (10_000, 24), (10_000, 333)] {
+        let [choice, measurement] = measure_queue(waiting, organisations);
+        println!("{waiting},{organisations},{choice:.1},{measurement:.1}");
+    }
     println!("body_bytes,quick_name_us,fingerprint_us");
     [0, 8 << 10, 1 << 20, 4 << 20].into_iter().for_each(measure_request_hashes);
 }
@@ -103,6 +114,41 @@
     started.elapsed().as_secs_f64() * 1e6 / ROUNDS as f64
 }
 
+/// Mean times in microseconds of the choice of the next of `waiting` generations, which finds no room and is put
+/// back, and of computing the levels of the organisations. Each tenth organisation uses its share.
+fn measure_queue(waiting: u64, organisations: u64) -> [f64; 2] {
+    let organisation = |at: u64| -> OrganisationId { format!("org-{at}").into() };
+    let mut queue = WaitQueue::default();
+    let mut shares = OrganisationShares::default();
+    shares.on_short(Shortage::Memory, Duration::ZERO);
+    for n in 0..waiting {
+        let id = organisation(n % organisations);
+        shares.on_waits(&id, Need { memory: 3_000.0, prompt: 2_500.0 });
+        let due = Duration::from_millis(n * 7 % 4_000);
+        let until = due + Duration::from_secs(60);
+        let priority = (n % 3) as u8;
+        queue.push(Waiting { item: n, organisation: Some(id), priority, due, until, tokens: 3_000.0 });
+    }
+    let now = Duration::from_secs(2);
+    for at in (0..organisations).step_by(10) {
+        queue.set_paused(&organisation(at), true);
+    }
+    let started = Instant::now();
+    for _ in 0..ROUNDS {
+        if let Some(first) = queue.pop(now) {
+            queue.put_back(black_box(first));
+        }
+    }
+    let choice = started.elapsed();
+    let started = Instant::now();
+    for _ in 0..ROUNDS {
+        let held = (0..organisations).map(|at| (organisation(at), 20_000.0));
+        shares.on_measured(held, now);
+        black_box(shares.is_over(&organisation(0), now));
+    }
+    [choice, started.elapsed()].map(|time| time.as_secs_f64() * 1e6 / ROUNDS as f64)
+}
+
 /// Measures the two hashes of a request: the fast hash, computed for every request that succeeds, and the
 /// fingerprint, computed once there is evidence against a request.
 fn measure_request_hashes(body_bytes: usize) {
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -111,7 +111,14 @@
         if sent == 0 {
             traffic.refuse_quarantined(req)?;
         }
-        let run = match traffic.place_generation(req, handle, &tried).await {
+        let placed = tokio::select! {
+            biased;
+            placed = traffic.place_generation(req, handle, &tried) => placed,
+            () = req.until_key_invalid(&traffic.shared), if sent == 0 => {
+                return Err(Refusal::new(Code::Unauthorised));
+            }
+        };
+        let run = match placed {
             Ok(run) => run,
             Err(no_room) => {
                 if sent == 0 {
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -146,6 +146,23 @@
         }
     }
 
+    /// Waits until a configuration is in force in which its caller's key is no longer valid.
+    pub async fn until_key_invalid(&self, shared: &Shared) {
+        let mut versions = shared.config_versions();
+        loop {
+            let is_invalid = |table: Arc<RoutingTable>| {
+                table.organisation(&self.route, headers::api_key(&self.headers)).is_err()
+            };
+            if shared.table().is_some_and(is_invalid) {
+                return;
+            }
+            if versions.changed().await.is_err() {
+                // No further configuration follows: the node stops.
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// Time since it was received, including suspensions of the VM, during which the caller keeps waiting.
     fn age(&self) -> Duration {
         clock::since_boot().saturating_sub(self.received_since_boot)
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -443,8 +443,25 @@
     pub async fn place(self: &Arc<Self>, request: PlaceRequest) -> Result<RunGuard, NoRoom> {
         let (tx, rx) = oneshot::channel();
         self.notify(ToControl::Place(request, tx));
-        let placed = rx.await.unwrap_or(Err(NoRoom::default()))?;
-        Ok(RunGuard { shared: self.clone(), placed, placed_at: Instant::now(), outcome: Outcome::Withdrawn })
+        let mut awaited = AwaitedPlace { shared: self.clone(), rx };
+        let placed = (&mut awaited.rx).await.unwrap_or(Err(NoRoom::default()))?;
+        Ok(RunGuard::new(self.clone(), placed))
+    }
+}
+
+/// A place that a request waits for. If the request is dropped just when the place is assigned, the place
+/// is released.
+struct AwaitedPlace {
+    shared: Arc<Shared>,
+    rx: oneshot::Receiver<Result<Placed, NoRoom>>,
+}
+
+impl Drop for AwaitedPlace {
+    fn drop(&mut self) {
+        self.rx.close();
+        if let Ok(Ok(placed)) = self.rx.try_recv() {
+            drop(RunGuard::new(self.shared.clone(), placed));
+        }
     }
 }
 
@@ -459,6 +476,10 @@
 }
 
 impl RunGuard {
+    fn new(shared: Arc<Shared>, placed: Placed) -> Self {
+        RunGuard { shared, placed, placed_at: Instant::now(), outcome: Outcome::Withdrawn }
+    }
+
     /// Releases the place with an outcome.
     pub fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
