--- a/node/tests/test_gateway_partitioned_nodes.rs
+++ b/node/tests/test_gateway_partitioned_nodes.rs
@@ -328,7 +328,7 @@
         assert!(called.status == 200 && calls < 100, "call {calls}: {called:?}\n{}", fleet.gateway.logs());
     }
     assert_eq!(fleet.connections_from(0), 0);
-    let reason = "reason=\"more than 32 informational heads\"";
+    let reason = "reason=\"more than 32 informational heads without pause\"";
     fleet.gateway.until("the reason is logged", async || fleet.gateway.log(0).contains(reason)).await;
 }
 
