--- a/node/tests/test_clocks.rs
+++ b/node/tests/test_clocks.rs
@@ -52,7 +52,7 @@
     ("platform/src/connect.rs", 5, "how slowly a response arrives while this node runs"),
     (
         "platform/src/head_bound.rs",
-        2,
+        3,
         "how slowly a head arrives; what came during a suspension is read first",
     ),
 ];
