tests: a replica that has just been listed gets few calls at first

The test asks for a call that is placed at a replica listed a moment before, and made its 20 calls within some tenths of a second.

--- a/node/tests/test_gateway_suspended_deadlines.rs
+++ b/node/tests/test_gateway_suspended_deadlines.rs
@@ -30,6 +30,9 @@
     (listener, queued)
 }
 
+/// Time between two calls.
+const CALL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Guards against a call that is sent, and may run, after its caller has left: the node goes on long after the
 /// deadline, finds that it could not reach the first replica, and chooses the next one.
 #[tokio::test]
@@ -46,6 +49,8 @@
         req.headers_mut().insert("leadstage-deadline-ms", deadline_ms);
         let mut calling = std::pin::pin!(gateway.call(0, req));
         if tokio::time::timeout(RESPONSE_TIME, &mut calling).await.is_ok() {
+            // A replica that has just been listed gets few calls at first.
+            tokio::time::sleep(CALL_INTERVAL).await;
             continue;
         }
         gateway.signal(0, "-STOP");
