--- a/review/standins/src/drain.rs
+++ b/review/standins/src/drain.rs
@@ -1,4 +1,7 @@
 //! A node is stopped and started as planned while a replica drains.
+//!
+//! With `RELEASE=1` in the environment all replicas are replaced meanwhile: the new ones start first, and the old
+//! ones drain. That shows what else follows; the check is the same.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +29,10 @@
 const STALE_BY: Duration = Duration::from_secs(3);
 /// How long the draining replica serves on.
 const SERVES_ON: Duration = Duration::from_secs(9);
+/// How long new replicas run before the old ones drain, if all are replaced.
+const REPLACED_AFTER: Duration = Duration::from_millis(1_000);
+/// How long a replica works on a request.
+const WORK: Duration = Duration::from_millis(150);
 /// Allowed for the threads of the stand-ins.
 const SLACK: Duration = Duration::from_millis(50);
 
@@ -40,8 +47,7 @@
     let mut replicas = Vec::new();
     for (n, hall) in ["hall-a", "hall-b", "hall-c"].iter().enumerate() {
         let address = SocketAddr::new(net.ip(101 + n as u8).into(), REPLICA);
-        let replica =
-            Replica::start(&format!("i-{}", n + 1), "booking", hall, address, Duration::from_millis(150))?;
+        let replica = Replica::start(&format!("i-{}", n + 1), "booking", hall, address, WORK)?;
         store.put("servers", &replica.id, &replica.entry("ready"));
         replicas.push(replica);
     }
@@ -74,10 +80,26 @@
         fleet.stop(restarted);
         record.add(format!("{} has ended", fleet.nodes[restarted].name));
     }
+    let is_release = std::env::var("RELEASE").is_ok_and(|value| value == "1");
+    let leaving: Vec<usize> = if is_release { vec![0, 2, 1] } else { vec![1] };
+    if is_release {
+        for n in 0..3_u8 {
+            let address = SocketAddr::new(net.ip(111 + n).into(), REPLICA);
+            let replica = Replica::start(&format!("i-new-{}", n + 1), "booking", "hall-a", address, WORK)?;
+            store.put("servers", &replica.id, &replica.entry("ready"));
+            record.add(format!("{} is ready, and listed by the store", replica.id));
+            replicas.push(replica);
+        }
+        thread::sleep(REPLACED_AFTER);
+    }
     let draining = &replicas[1];
-    draining.drain();
-    let acknowledged = store.put("servers", &draining.id, &draining.entry("draining"));
-    record.add_at(acknowledged, format!("the store takes that {} drains", draining.id));
+    let mut acknowledged = Instant::now();
+    for n in &leaving {
+        let replica = &replicas[*n];
+        replica.drain();
+        acknowledged = store.put("servers", &replica.id, &replica.entry("draining"));
+        record.add_at(acknowledged, format!("the store takes that {} drains", replica.id));
+    }
     thread::sleep(Duration::from_millis(300));
     let mut in_touch_from = vec![Instant::now(); fleet.nodes.len()];
     in_touch_from.fill(fleet.nodes[(restarted + 1) % fleet.nodes.len()].started + CONTACT);
@@ -88,10 +110,13 @@
         record.add_at(in_touch_from[restarted], format!("{} is in touch", fleet.nodes[restarted].name));
     }
     thread::sleep((acknowledged + SERVES_ON).saturating_duration_since(Instant::now()));
-    draining.end();
-    store.remove("servers", &draining.id);
-    record.add(format!("{} ends, and its entry goes", draining.id));
-    thread::sleep(Duration::from_millis(1_500));
+    for n in &leaving {
+        replicas[*n].end();
+        store.remove("servers", &replicas[*n].id);
+        record.add(format!("{} ends, and its entry goes", replicas[*n].id));
+    }
+    let ended = Instant::now();
+    thread::sleep(if is_release { Duration::from_secs(15) } else { Duration::from_millis(1_500) });
     stop.store(true, Ordering::SeqCst);
     let sent = callers.finish();
     let _ = balancer.join();
@@ -119,6 +144,13 @@
         let name = &fleet.nodes[sent.node].name;
         record.add_at(sent.at, format!("{} sent to {name}; after {} ms: {}", sent.request, sent.took.as_millis(), sent.end));
     }
+    for (n, node) in fleet.nodes.iter().enumerate() {
+        let after = sent.iter().filter(|sent| sent.node == n && sent.at > ended + SLACK);
+        let (all, served) = after.fold((0, 0), |(all, served), sent| {
+            (all + 1, served + u32::from(sent.end.starts_with("200")))
+        });
+        record.add(format!("{}: {served} of {all} requests served that were sent after the end", node.name));
+    }
     record.add(format!(
         "{} requests sent; {late} reached {} more than {DRAIN:?} after the store took that it drains, from nodes in touch; {lost} of them it ended with and never answered",
         sent.len(),
