review: case 2, a replica is used after it has left while the store's followers are restarted (DRAIN)

Cause: the gap until other nodes follow the store is taken for an outage of the store, so an entry that goes meanwhile counts as lapsed for 2 s more.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 
 mod cut;
 mod drain;
+mod handover;
 mod home;
 mod http;
 mod json;
@@ -67,6 +68,7 @@
     };
     let case: Case = match case.as_str() {
         "drain" => drain::run,
+        "handover" => handover::run,
         "home" => home::run,
         other => {
             eprintln!("no such case: {other}");
--- a/review/standins/src/system.rs
+++ b/review/standins/src/system.rs
@@ -170,6 +170,20 @@
         }
     }
 
+    /// Sends SIGTERM to some nodes at once and waits until all have ended.
+    pub fn stop_all(&mut self, nodes: &[usize]) {
+        for n in nodes {
+            if let Some(child) = &self.nodes[*n].process {
+                cut::signal(child.id(), SIGTERM);
+            }
+        }
+        for n in nodes {
+            if let Some(mut child) = self.nodes[*n].process.take() {
+                let _ = child.wait();
+            }
+        }
+    }
+
     /// The names of the nodes that follow the store, by their logs.
     pub fn followers(&self) -> Vec<usize> {
         let follows = |node: &Node| {
