--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -235,6 +235,7 @@
         }
         let change = match update {
             StoreUpdate::Listed { list, after_outage } => {
+                info!(event = "replicas_read", replicas = list.items.len(), at, before, after_outage; "the store listed its replicas");
                 self.check_era(at);
                 let may_have_expired = after_outage || self.outages.missing_since(now).is_some();
                 placing.state.replicas.on_store_list(list.items, at, may_have_expired, now)
