replicas: what is older never replaces what is newer, whichever way it comes

Cause: two gaps. The stale list of the start was applied whatever its revision (replicas_read at=104 before=105, then replica_listed i-2), and the word of other nodes that a replica leaves was dropped if the replica was not known yet, which is so for each leaving replica in a node's first list.

The change: an entry, a removal or a sign that is older than the last known change of its replica is ignored; a departure of an unknown replica is kept with its revision for 30 s, and told to nodes that ask; a list adds none that a newer one lacks, and takes none away that changed after it. A sign carries the revision up to which its sender knows the replicas, in the field `before`, which was 0; 0 counts as before. Decisions about updates of other nodes move from the node to lib/.

The same cause on related paths, each with a test that fails without the rule: an update before the first list; updates that overtake each other; a list older than an update that is ahead; an old sign against a replica that came back; a list that lacks newer replicas. Without a test of their own: the packed list for starting nodes kept its content after a sign; a lead's choice took up a replica that is known to leave. Read, nothing found: closed halls, upgrades, configuration, suspects.

Ruled out: a watch that replays history and another node's old list, by the log. Weighed: leaving out whole lists below the known revision (a standby would miss what went in an outage), the newest list at each start (ten times the price, and overtaken all the same); docs/design/platform.md.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod crash_ledger;
 pub mod decaying_mean;
 pub mod digest;
+pub mod early_departures;
 pub mod engine_pace;
 pub mod evacuation;
 pub mod event_splitter;
--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -135,6 +135,11 @@
         replica_record::applies_to(incarnation.born, self.record.born)
     }
 
+    /// Whether an incarnation is later than this one.
+    pub(super) fn is_restarted_by(&self, incarnation: &Incarnation) -> bool {
+        self.record.born > 0 && incarnation.born > self.record.born
+    }
+
     /// Whether its entry is missing, perhaps only because the store was unavailable.
     pub fn is_missing(&self) -> bool {
         self.missing_since.is_some()
--- a/lib/src/gateway/replica_updates.rs
+++ b/lib/src/gateway/replica_updates.rs
@@ -58,10 +58,9 @@
 /// Changes of the replicas that a watcher has learnt.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
 pub struct ReplicaUpdate {
-    /// The revision up to which the watcher knew the replicas before; 0 for a sign that does not come from
-    /// the store.
+    /// The revision up to which the sender knew the replicas before.
     pub before: Revision,
-    /// The revision up to which it knows them now.
+    /// The revision up to which it knows them now; 0 for a sign that does not come from the store.
     pub at: Revision,
     /// Replicas that are new or no longer leaving.
     pub added: Vec<ReplicaRecord>,
@@ -72,6 +71,16 @@
 }
 
 impl ReplicaUpdate {
+    /// A sign that replicas are leaving, seen by a node that knows them up to the revision `known`.
+    pub fn sign(leaving: Vec<Incarnation>, known: Revision) -> Self {
+        ReplicaUpdate { before: known, leaving, ..ReplicaUpdate::default() }
+    }
+
+    /// The revision up to which the sender knew the replicas that the update names; 0 if unknown.
+    pub fn known_at(&self) -> Revision {
+        if self.at > 0 { self.at } else { self.before }
+    }
+
     /// Splits the update into messages, leaving replicas first. Returns `None` if the update has many parts
     /// and changes a large share of the replicas: nodes then fetch the list from each other instead, as each
     /// message between nodes carries the revision up to which its sender knows the replicas.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -44,6 +44,7 @@
 mod test_gateway_replica_index;
 mod test_gateway_replica_limits;
 mod test_gateway_replica_list;
+mod test_gateway_replica_news;
 mod test_gateway_replica_paths;
 mod test_gateway_replica_ramp;
 mod test_gateway_replica_updates;
--- a/lib/tests/test_gateway_revision.rs
+++ b/lib/tests/test_gateway_revision.rs
@@ -74,7 +74,7 @@
         ids
     };
     let at = revision::in_era(1, 5);
-    let change = table.on_store_list(all(), at, true, 4 * SECOND);
+    let change = table.on_store_list(all(), at, revision::in_era(0, 90), true, 4 * SECOND);
     assert_eq!((change.added, staying(&table)), (vec!["b".into()], vec!["b".to_owned(), "d".to_owned()]));
     let mut change = ListChange::default();
     table.on_entry(record("a", false), 5 * SECOND, &mut change);
@@ -88,6 +88,7 @@
     table.on_list(vec![record("a", false)], false, SECOND);
     table.on_unlisted("a", SECOND, &mut ListChange::default());
     table.set_changed_at(&change("a"), revision::in_era(1, 4));
-    let change = table.on_store_list(vec![record("a", false)], revision::in_era(1, 5), false, 2 * SECOND);
+    let (at, known) = (revision::in_era(1, 5), revision::in_era(1, 4));
+    let change = table.on_store_list(vec![record("a", false)], at, known, false, 2 * SECOND);
     assert_eq!(change.added, ["a".into()]);
 }
--- a/node/src/gateway/control/placing.rs
+++ b/node/src/gateway/control/placing.rs
@@ -210,7 +210,9 @@
         };
         let known = self.state.replicas.get(&record.id);
         let is_open = self.shared.closed_halls().is_open(&record.hall);
-        if !is_open || known.is_some_and(|replica| replica.leaving.is_some()) {
+        let leaves = known.is_some_and(|replica| replica.leaving.is_some())
+            || self.state.replicas.has_left_early(&record.incarnation());
+        if !is_open || leaves {
             return self.place_locally(pending);
         }
         let now = self.shared.now();
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -8,7 +8,6 @@
 
 use bytes::Bytes;
 use leadstage_lib::gateway::replica::LeavingSign;
-use leadstage_lib::gateway::replica::Replica;
 use leadstage_lib::gateway::replica_catch_up::ReplicaCatchUp;
 use leadstage_lib::gateway::replica_catch_up::Source;
 use leadstage_lib::gateway::replica_record::Incarnation;
@@ -126,8 +125,7 @@
     /// Announces replicas that leave, without a new revision.
     fn announce_departures(&self, placing: &Placing, fleet: &Fleet, leaving: Vec<Incarnation>) {
         let count = leaving.len();
-        let update = ReplicaUpdate { leaving, ..ReplicaUpdate::default() };
-        match update.into_parts(placing.state.replicas.len()) {
+        match self.sign(placing, leaving).into_parts(placing.state.replicas.len()) {
             Some(parts) => parts.iter().for_each(|part| self.send_update(fleet, part)),
             None => {
                 info!(event = "news_not_told", added = 0, leaving = count, at = 0; "too many changes to send to other nodes")
@@ -189,10 +187,13 @@
         }
         let change = ListChange { leaving: vec![incarnation.id.clone()], ..ListChange::default() };
         self.after_update(placing, &change, 0);
-        self.send_update(
-            fleet,
-            &ReplicaUpdate { leaving: vec![incarnation.clone()], ..ReplicaUpdate::default() },
-        );
+        self.send_update(fleet, &self.sign(placing, vec![incarnation.clone()]));
+    }
+
+    /// Returns the update that tells other nodes of a sign that replicas are leaving.
+    fn sign(&self, placing: &Placing, leaving: Vec<Incarnation>) -> ReplicaUpdate {
+        let known = self.progress.at().max(placing.state.replicas.changed_at(&leaving));
+        ReplicaUpdate::sign(leaving, known)
     }
 
     /// A health check of a replica ended.
@@ -238,7 +239,7 @@
                 info!(event = "replicas_read", replicas = list.items.len(), at, before, after_outage; "the store listed its replicas");
                 self.check_era(at);
                 let may_have_expired = after_outage || self.outages.missing_since(now).is_some();
-                placing.state.replicas.on_store_list(list.items, at, may_have_expired, now)
+                placing.state.replicas.on_store_list(list.items, at, before, may_have_expired, now)
             }
             StoreUpdate::Changed(changes) => self.on_changes(placing, changes),
         };
@@ -272,25 +273,32 @@
     }
 
     fn on_changes(&mut self, placing: &mut Placing, changes: Changes<ReplicaRecord>) -> ListChange {
-        let now = self.shared.now();
+        let (known, now) = (self.progress.at(), self.shared.now());
         let mut change = ListChange::default();
         for event in changes.events {
             match event {
-                Change::Put(record) => placing.state.replicas.on_entry(record, now, &mut change),
+                Change::Put(record) => {
+                    placing.state.replicas.on_store_entry(record, changes.at, known, now, &mut change)
+                }
                 // An entry that can no longer be parsed names no usable replica.
-                Change::Gone(id) | Change::Unreadable(id) => match self.outages.missing_since(now) {
-                    Some(since) => {
-                        info!(event = "replica_missing", upstream = id; "a replica is no longer listed, perhaps because the store was unavailable");
-                        placing.state.replicas.on_missing(&id, since);
-                        self.health_poller.poll(placing.state.health_check_target(&id), now);
-                    }
-                    None => placing.state.replicas.on_unlisted(&id, now, &mut change),
-                },
+                Change::Gone(id) | Change::Unreadable(id) => {
+                    self.on_removed(placing, &id, changes.at, &mut change)
+                }
             }
         }
         change
     }
 
+    /// A replica's entry was removed by the store's revision `at`.
+    fn on_removed(&mut self, placing: &mut Placing, id: &str, at: Revision, change: &mut ListChange) {
+        let now = self.shared.now();
+        let missing_since = self.outages.missing_since(now);
+        if placing.state.replicas.on_store_removal(id, at, missing_since, now, change) {
+            info!(event = "replica_missing", upstream = id; "a replica is no longer listed, perhaps because the store was unavailable");
+            self.health_poller.poll(placing.state.health_check_target(id), now);
+        }
+    }
+
     /// Sends an update to other nodes, batched with those that follow soon.
     fn batch(&mut self, placing: &Placing, fleet: &Fleet, update: ReplicaUpdate) {
         match self.batcher.add(update, self.shared.now()) {
@@ -359,30 +367,13 @@
                 return;
             }
         };
-        let now = self.shared.now();
-        let mut change = ListChange::default();
-        for record in &update.added {
-            // A replica that is considered leaving may stay after all; another may have restarted, or be
-            // cold.
-            let known = placing.state.replicas.get(&record.id);
-            let is_new = |known: &Replica| {
-                known.leaving.is_some() || known.is_missing() || known.record.born < record.born
-            };
-            if !record.cold.is_zero() || known.is_none_or(is_new) {
-                placing.state.replicas.on_entry(record.clone(), now, &mut change);
-            }
-        }
-        for incarnation in &update.leaving {
-            if placing.state.replicas.on_sign(incarnation, LeavingSign::ReportedByPeer, now) {
-                change.leaving.push(incarnation.id.clone());
-            }
-        }
+        let change = placing.state.replicas.on_peer_update(&update, self.shared.now());
         let has_changes = !change.added.is_empty() || !change.leaving.is_empty();
         if !is_sign && self.progress.on_part(&update) {
             // An earlier update or another part is still missing.
             self.compare(placing, fleet, from, update.at);
         }
-        self.after_update(placing, &change, update.at);
+        self.after_update(placing, &change, update.known_at());
         if self.relay.should_forward(&update, has_changes) {
             fleet.forward(&PeerMessage::Replicas(packed));
         }
@@ -440,14 +431,15 @@
         let change = placing.state.replicas.on_peer_list(list, self.shared.now());
         self.progress.on_known(at);
         self.after_update(placing, &change, at);
-        if is_first {
+        if is_first && change.outdated == 0 {
             // The list is served to other nodes as it was received.
             self.packed = Some((at, packed));
             fleet.announce_replicas();
         }
     }
 
-    /// Applies the consequences of any update; `at` is its revision, 0 for a sign without one.
+    /// Applies the consequences of any update; `at` is the revision up to which its sender knew the replicas, 0
+    /// for a sign that this node saw itself.
     fn after_update(&mut self, placing: &mut Placing, change: &ListChange, at: Revision) {
         self.last_update = self.shared.now();
         self.on_list_change(placing, change, at);
@@ -461,6 +453,14 @@
     /// complete yet is recorded under that update's later revision, so that nodes that fetch from this one
     /// afterwards get it.
     fn on_list_change(&mut self, placing: &mut Placing, change: &ListChange, at: Revision) {
+        if change.outdated + change.early > 0 {
+            info!(event = "replica_news_early_or_old", outdated = change.outdated, early = change.early, at, known = self.progress.at(); "entries or signs are older than what is known of their replicas, or replicas leave that are not known");
+            self.shared.metrics.on_outdated_replica_news(change.outdated);
+        }
+        if *change != ListChange::default() {
+            // A sign has no revision of its own by which the packed list would be found to be old.
+            self.packed = None;
+        }
         placing.state.replicas.set_changed_at(change, at.max(self.progress.at()));
         self.log_added(placing, change);
         // Replicas that are known to this node from its start on have not just started themselves.
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -44,6 +44,7 @@
     tunnels: Counter<u64>,
     store_calls: Counter<u64>,
     store_calls_sums: [AtomicU64; StoreCall::COUNT],
+    outdated_replica_news: Counter<u64>,
     lead_silences: Counter<u64>,
     peer_bytes: Counter<u64>,
     peer_bytes_sum: AtomicU64,
@@ -114,6 +115,10 @@
                 "Calls to the store, by purpose and answer",
             ),
             store_calls_sums: Default::default(),
+            outdated_replica_news: counter(
+                "leadstage.gateway.outdated_replica_news",
+                "Entries of replicas and signs that they leave that were older than what was known of them",
+            ),
             lead_silences: counter("leadstage.gateway.lead_silences", "Questions that a lead did not answer"),
             peer_bytes: counter("leadstage.gateway.peer_bytes", "Bytes from and to other nodes, by what"),
             peer_bytes_sum: AtomicU64::new(0),
@@ -259,6 +264,11 @@
         StoreCalls(self.store_calls_sums.each_ref().map(|sum| sum.load(Ordering::Relaxed)))
     }
 
+    /// Counts entries and signs that were ignored, as newer ones of their replicas were known.
+    pub fn on_outdated_replica_news(&self, count: usize) {
+        self.outdated_replica_news.add(count as u64, &[]);
+    }
+
     /// Counts a request to a lead that was not answered in time.
     pub fn on_lead_timeout(&self) {
         self.lead_silences.add(1, &[]);
--- a/testutils/src/metadata_store.rs
+++ b/testutils/src/metadata_store.rs
@@ -48,9 +48,37 @@
     page_size: Option<usize>,
     /// Number of times that the store was restored from a copy.
     era: u64,
+    /// How lists are served that may be stale; like all others if `None`.
+    stale_lists: Option<StaleLists>,
+}
+
+/// The lists that the store serves to readers that accept stale ones.
+#[derive(Clone)]
+struct StaleLists {
+    copy: Copy,
+    /// Time until the store responds.
+    delay: Duration,
+}
+
+impl State {
+    fn list(&self, kind: &str, after: &str) -> Value {
+        let after = if self.fault == StoreFault::RepeatsPage { "" } else { after };
+        let page_size = self.page_size.unwrap_or(usize::MAX);
+        let from = (kind.to_owned(), after.to_owned());
+        let following = self.objects.range(from..).filter(|((_, name), _)| name != after);
+        let mut items: Vec<&Value> = following
+            .take_while(|((k, _), _)| k == kind)
+            .map(|(_, object)| object)
+            .take(page_size.saturating_add(1))
+            .collect();
+        let more = items.len() > page_size;
+        items.truncate(page_size);
+        json!({"items": items, "more": more, "at": self.revision})
+    }
 }
 
 /// A copy of the store's content at one moment.
+#[derive(Clone)]
 pub struct Copy {
     objects: BTreeMap<(String, String), Value>,
     history: Vec<(u64, String, Value, bool)>,
@@ -210,20 +238,23 @@
         self.state().page_size = Some(objects);
     }
 
+    /// Serves lists that may be stale from a copy from now on, each after `delay`.
+    pub fn set_stale_lists(&self, copy: Copy, delay: Duration) {
+        self.state().stale_lists = Some(StaleLists { copy, delay });
+    }
+
+    async fn stale_list(&self, kind: &str, after: &str) -> Value {
+        let stale = self.state().stale_lists.clone();
+        let Some(StaleLists { copy, delay }) = stale else {
+            return self.list(kind, after);
+        };
+        tokio::time::sleep(delay).await;
+        let state = State { objects: copy.objects, revision: copy.revision, ..State::default() };
+        state.list(kind, after)
+    }
+
     fn list(&self, kind: &str, after: &str) -> Value {
-        let state = self.state();
-        let after = if state.fault == StoreFault::RepeatsPage { "" } else { after };
-        let page_size = state.page_size.unwrap_or(usize::MAX);
-        let from = (kind.to_owned(), after.to_owned());
-        let following = state.objects.range(from..).filter(|((_, name), _)| name != after);
-        let mut items: Vec<&Value> = following
-            .take_while(|((k, _), _)| k == kind)
-            .map(|(_, object)| object)
-            .take(page_size.saturating_add(1))
-            .collect();
-        let more = items.len() > page_size;
-        items.truncate(page_size);
-        json!({"items": items, "more": more, "at": state.revision})
+        self.state().list(kind, after)
     }
 
     fn events(&self, kind: &str, since: u64) -> Vec<Value> {
@@ -307,7 +338,15 @@
         let wait = query_value(&req, "waitMs").and_then(|wait| wait.parse().ok()).unwrap_or(0);
         match since {
             Some(since) => self.watch(kind, since, Duration::from_millis(wait)).await,
-            None => json_response(&self.list(kind, query_value(&req, "after").unwrap_or_default())),
+            None => {
+                let after = query_value(&req, "after").unwrap_or_default();
+                let is_stale = query_value(&req, "stale") == Some("1");
+                json_response(&if is_stale {
+                    self.stale_list(kind, after).await
+                } else {
+                    self.list(kind, after)
+                })
+            }
         }
     }
 }
