--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -78,8 +78,13 @@
             "leadstage.gateway.over_share",
             "Requests refused as their organisation is over its share of a full service",
         );
-        // Shown from the start, so that the first refusals are an increase.
+        let outdated_replica_news = counter(
+            "leadstage.gateway.outdated_replica_news",
+            "Entries of replicas and signs that they leave that were older than what was known of them",
+        );
+        // Shown from the start, so that the first counts are an increase.
         over_share.add(0, &[]);
+        outdated_replica_news.add(0, &[]);
         Ok(GatewayMetrics {
             requests: counter("leadstage.gateway.requests", "Requests answered, by route and status"),
             organisation_requests: counter(
@@ -115,10 +120,7 @@
                 "Calls to the store, by purpose and answer",
             ),
             store_calls_sums: Default::default(),
-            outdated_replica_news: counter(
-                "leadstage.gateway.outdated_replica_news",
-                "Entries of replicas and signs that they leave that were older than what was known of them",
-            ),
+            outdated_replica_news,
             lead_silences: counter("leadstage.gateway.lead_silences", "Questions that a lead did not answer"),
             peer_bytes: counter("leadstage.gateway.peer_bytes", "Bytes from and to other nodes, by what"),
             peer_bytes_sum: AtomicU64::new(0),
