watchers: those that leave are replaced at once, and their silence is no outage

Cause: nodes that left counted as watchers until their last pulse was 2 s old, so nobody took over in the 2.4 s that they still ran; and 1.3 s after that pulse the store counted as unavailable by silence alone, so that the entry's end counted as an expiry in an outage and was held back 2 s more.

The change: a node that announced that it leaves is no watcher in the ranking of the others, and goes on following until its process ends. A node that leaves begins no watch. The next group by rank gives the first a pulse's time to ask the store after a departure (without it six began instead of three: the new test of lib found it). The store counts as away only if a node that asked it got no answer and none has had one since; the health of engines is asked for in silence as before.

Ruled out: a word to one successor, shorter pulses, more watchers (docs/design/platform.md).

--- a/lib/src/gateway/store_outages.rs
+++ b/lib/src/gateway/store_outages.rs
@@ -19,7 +19,7 @@
 }
 
 impl StoreOutages {
-    /// The store answers no node, or was restored from a copy.
+    /// The store answers no node that asks it, or was restored from a copy.
     pub fn on_store_unavailable(&mut self, now: Timestamp) {
         self.unavailable_at = Some(now);
     }
--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -15,6 +15,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -132,10 +133,17 @@
 pub struct Watchers {
     own: VmId,
     pulses: BTreeMap<VmId, Pulse>,
+    /// Nodes that left the fleet in order. They watch the store until their processes end.
+    left: BTreeSet<VmId>,
+    last_left: Option<Timestamp>,
+    /// Whether this node is leaving.
+    is_leaving: bool,
     last_pulse: Option<Timestamp>,
     last_contact: Option<Timestamp>,
     last_answer: Option<Timestamp>,
     last_miss: Option<Timestamp>,
+    /// When the store last did not answer a watcher at all.
+    last_away: Option<Timestamp>,
     /// The largest number of nodes that another node reported; this one may know fewer.
     reported_nodes: usize,
     /// Whether this node watches the store.
@@ -152,10 +160,14 @@
         Watchers {
             own,
             pulses: BTreeMap::new(),
+            left: BTreeSet::new(),
+            last_left: None,
+            is_leaving: false,
             last_pulse: None,
             last_contact: None,
             last_answer: None,
             last_miss: None,
+            last_away: None,
             reported_nodes: 0,
             watches: false,
             last_own_answer: None,
@@ -176,7 +188,9 @@
             &mut self.last_contact,
             &mut self.last_answer,
             &mut self.last_miss,
+            &mut self.last_away,
             &mut self.last_own_answer,
+            &mut self.last_left,
         ];
         let pulses = self.pulses.values_mut().map(|pulse| &mut pulse.at);
         for at in ages.into_iter().flatten().chain(pulses) {
@@ -194,9 +208,22 @@
         self.reported_nodes = self.reported_nodes.max(nodes);
     }
 
-    /// The latest pulses that have not expired, to be sent to a node that has just started.
+    /// Another node left the fleet in order. Other nodes take over what it watches while it still does.
+    pub fn on_left(&mut self, node: &VmId, now: Timestamp) {
+        self.left.insert(node.clone());
+        self.last_left = Some(now);
+    }
+
+    /// This node leaves the fleet; it no longer begins to watch.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// The latest pulses that have not expired, of nodes that stay, to be sent to a node that has just started.
     pub fn fresh_pulses(&self, now: Timestamp) -> impl Iterator<Item = (&VmId, PulseNumber, StoreState)> {
-        let fresh = self.pulses.iter().filter(move |(_, pulse)| pulse.at + PULSE_TTL >= now);
+        let is_fresh =
+            move |watcher: &VmId, pulse: &Pulse| pulse.at + PULSE_TTL >= now && !self.left.contains(watcher);
+        let fresh = self.pulses.iter().filter(move |(watcher, pulse)| is_fresh(watcher, pulse));
         fresh.map(|(watcher, pulse)| (watcher, pulse.number, pulse.state))
     }
 
@@ -229,7 +256,8 @@
     fn record_state(&mut self, state: StoreState, now: Timestamp) {
         match state {
             StoreState::Answers => self.last_answer = Some(now),
-            StoreState::Late | StoreState::Away => self.last_miss = Some(now),
+            StoreState::Late => self.last_miss = Some(now),
+            StoreState::Away => (self.last_miss, self.last_away) = (Some(now), Some(now)),
         }
     }
 
@@ -238,6 +266,13 @@
         self.last_answer.is_some_and(|at| at + ANSWER_TTL > now)
     }
 
+    /// Whether the store answers no node, according to a node that asked it. Silence of all watchers says nothing
+    /// of the store: they may have ended.
+    pub fn is_store_away(&self, now: Timestamp) -> bool {
+        let is_away = |away: Timestamp| self.last_answer.is_none_or(|answer| answer < away);
+        !self.store_answers(now) && self.last_away.is_some_and(is_away)
+    }
+
     /// Whether the store may be away: a watcher did not get an answer in time, and none has had one since.
     /// This becomes true about a second before [`Self::store_answers`] becomes false.
     pub fn store_may_be_down(&self, now: Timestamp) -> bool {
@@ -254,11 +289,14 @@
         has_wide_link: impl Fn(&VmId) -> bool,
         now: Timestamp,
     ) -> Option<WatchRole> {
-        if now < STARTUP_LISTEN_TIME || self.has_enough_watchers(now) {
+        let takes_no_role = self.is_leaving && !self.watches;
+        if now < STARTUP_LISTEN_TIME || takes_no_role || self.has_enough_watchers(now) {
             return None;
         }
         self.last_ranked = Some(now);
         let mut nodes: Vec<&VmId> = alive.collect();
+        // A node that left may have started again.
+        nodes.iter().for_each(|node| drop(self.left.take(*node)));
         nodes.push(&self.own);
         let known = nodes.len();
         nodes.extend(self.fresh_pulses(now).map(|(watcher, _, _)| watcher));
@@ -295,7 +333,9 @@
         let others = ranking.len().saturating_sub(WATCHERS).max(1);
         let tries = rank >= WATCHERS
             && (rank - WATCHERS + others - (groups_tried * WATCHERS) % others) % others < WATCHERS;
-        rank < WATCHERS || (tries && none_answered())
+        // The next nodes by rank have not asked the store yet.
+        let takes_over = self.last_left.is_some_and(|at| now < at + PULSE_INTERVAL);
+        rank < WATCHERS || (tries && !takes_over && none_answered())
     }
 
     /// Whether a watcher is silent or reports that the store does not answer it.
--- a/lib/tests/test_gateway_watchers.rs
+++ b/lib/tests/test_gateway_watchers.rs
@@ -204,3 +204,71 @@
     });
     assert!(others.count() > 0, "no node that may reach the store watches it");
 }
+
+/// Guards against a gap among the nodes that follow the store when those that do are stopped as planned: others
+/// take over while these still run.
+#[test]
+fn test_watchers_that_leave_are_replaced_at_once() {
+    for leaving in 1..=WATCHERS {
+        let nodes = nodes(9);
+        let first = watching(&nodes, &[(0, true), (1, true), (2, true)]);
+        let before = watching(&nodes, &first.iter().map(|n| (*n, true)).collect::<Vec<_>>());
+        let (left, staying): (Vec<usize>, Vec<usize>) =
+            (0..nodes.len()).partition(|n| before[..leaving].contains(n));
+        let takes_over = |own: &&usize| {
+            let mut view = Watchers::new(nodes[**own].clone());
+            for watcher in &before {
+                view.on_pulse(&nodes[*watcher], 1, StoreState::Answers, NOW);
+            }
+            let alive = |count: usize| nodes[..count].iter().filter(|node| **node != nodes[**own]);
+            view.role(alive(nodes.len()), |_| true, NOW);
+            left.iter().for_each(|n| view.on_left(&nodes[*n], NOW));
+            let alive = staying.iter().filter(|n| n != own).map(|n| &nodes[*n]);
+            view.role(alive, |_| true, NOW + Duration::from_millis(100)).is_some()
+        };
+        assert_eq!(staying.iter().filter(takes_over).count(), WATCHERS, "{leaving} of {before:?} leave");
+    }
+}
+
+/// A node that leaves does not begin to watch; one that watches continues until its process ends.
+#[test]
+fn test_a_leaving_node_begins_no_watch() {
+    let mut view = Watchers::new("10.0.0.1:7200".into());
+    view.leave();
+    assert_eq!(view.role(std::iter::empty(), |_| true, NOW), None);
+    let mut watcher = Watchers::new("10.0.0.1:7200".into());
+    assert_eq!(watcher.role(std::iter::empty(), |_| true, NOW), Some(WatchRole::First));
+    watcher.leave();
+    assert_eq!(watcher.role(std::iter::empty(), |_| true, NOW), Some(WatchRole::First));
+}
+
+/// A node that left and started again counts as a watcher again.
+#[test]
+fn test_a_watcher_that_started_again_counts() {
+    let nodes = nodes(2);
+    let mut view = Watchers::new(nodes[0].clone());
+    view.on_left(&nodes[1], NOW);
+    view.on_pulse(&nodes[1], 1, StoreState::Answers, NOW);
+    assert_eq!(view.fresh_pulses(NOW).count(), 0);
+    view.role(nodes[1..].iter(), |_| true, NOW);
+    assert_eq!(view.fresh_pulses(NOW).count(), 1);
+}
+
+/// Guards against a gap among the nodes that follow the store that is taken for an outage of the store, so that
+/// entries which go count as expired.
+#[test]
+fn test_silent_watchers_are_no_outage() {
+    let nodes = nodes(2);
+    let ms = |ms| NOW + Duration::from_millis(ms);
+    let mut view = Watchers::new(nodes[0].clone());
+    view.on_pulse(&nodes[1], 1, StoreState::Answers, ms(0));
+    view.on_pulse(&nodes[1], 2, StoreState::Late, ms(100));
+    assert!(!view.store_answers(ms(2_000)));
+    assert!(!view.is_store_away(ms(2_000)), "nobody said so");
+    view.on_pulse(&nodes[1], 3, StoreState::Away, ms(2_000));
+    assert!(view.is_store_away(ms(2_000)));
+    view.on_own_pulse(StoreState::Answers, ms(2_100));
+    assert!(!view.is_store_away(ms(5_000)));
+    view.on_own_pulse(StoreState::Away, ms(5_000));
+    assert!(view.is_store_away(ms(5_000)));
+}
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -168,7 +168,10 @@
             ToControl::OwnPulse(number, store) => self.on_own_pulse(number, store),
             ToControl::Datagram(datagram) => self.on_datagram(datagram),
             ToControl::Seeds(seeds) => self.fleet.set_seeds(&seeds, self.shared.now()),
-            ToControl::Stopping => self.fleet.leave(),
+            ToControl::Stopping => {
+                self.watchers.leave();
+                self.fleet.leave();
+            }
         }
         self.check_ready();
     }
@@ -201,11 +204,10 @@
 
     /// Polls the health of engines while the store may be unable to report that they are leaving.
     fn update_health_polls(&mut self, now: Timestamp) {
-        let is_store_down = !self.watchers.store_answers(now);
-        if is_store_down {
+        if self.watchers.is_store_away(now) {
             self.replicas.on_store_unavailable();
         }
-        if is_store_down || self.watchers.store_may_be_down(now) {
+        if !self.watchers.store_answers(now) || self.watchers.store_may_be_down(now) {
             self.replicas.poll_health(&self.placing, &self.fleet);
         }
     }
@@ -328,6 +330,9 @@
     fn on_gone(&mut self, gone: Vec<VmId>) {
         for node in gone {
             self.placing.on_node_gone(&node);
+            if self.fleet.has_left(&node) {
+                self.watchers.on_left(&node, self.shared.now());
+            }
             if let Some(address) = address_of(&node) {
                 self.configs.on_node_gone(address);
             }
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -158,7 +158,7 @@
         }
     }
 
-    /// The store answers no node, so entries may expire.
+    /// The store answers no node that asks it, so entries may expire.
     pub fn on_store_unavailable(&mut self) {
         self.outages.on_store_unavailable(self.shared.now());
     }
--- a/node/src/gateway/peers/fleet.rs
+++ b/node/src/gateway/peers/fleet.rs
@@ -355,6 +355,11 @@
         }
     }
 
+    /// Whether another node announced that it left the fleet.
+    pub fn has_left(&self, node: &VmId) -> bool {
+        self.membership.liveness(node) == Some(Liveness::Left)
+    }
+
     fn awaits_indirect(&self, target: &VmId) -> bool {
         self.probes.values().any(|(purpose, _)| matches!(purpose, ProbePurpose::Indirect(t) if t == target))
     }
