replicas: a confirmed state is no change, and a current list removes what it lacks

- A state that is only confirmed at a revision was recorded as a change, so a list that lacks all entries after an outage would have been handed to nodes that ask for changes as a change of every replica.
The revision up to which a state is known is a field of its own now (known_at), beside that of the last change.

--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -98,6 +98,8 @@
     pub(super) ends_by: Option<Timestamp>,
     /// The store's revision at the last change that other nodes need to learn; 0 if there is none.
     pub(super) changed_at: Revision,
+    /// The store's revision up to which its state is known, at least; what is older has no effect.
+    pub(super) known_at: Revision,
 }
 
 impl Replica {
@@ -115,6 +117,7 @@
             missing_since: None,
             ends_by: None,
             changed_at: 0,
+            known_at: 0,
         }
     }
 
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -241,9 +241,9 @@
             change.started.push(id.clone());
             change.restarted.push(id.clone());
             self.update(&id, |replica| {
-                let changed_at = replica.changed_at;
+                let (changed_at, known_at) = (replica.changed_at, replica.known_at);
                 *replica = Replica::new(record, now);
-                replica.changed_at = changed_at;
+                (replica.changed_at, replica.known_at) = (changed_at, known_at);
             });
             return;
         }
--- a/lib/src/gateway/replicas/reports.rs
+++ b/lib/src/gateway/replicas/reports.rs
@@ -16,6 +16,8 @@
 use crate::gateway::replicas::ListChange;
 use crate::gateway::replicas::ReplicaTable;
 use crate::gateway::revision::Revision;
+#[cfg(doc)]
+use crate::gateway::store_outages::RELIST_GRACE;
 use crate::ids::Timestamp;
 use crate::ids::UpstreamId;
 
@@ -25,7 +27,7 @@
     fn is_outdated(&self, incarnation: &Incarnation, at: Revision) -> bool {
         let known = match self.get(&incarnation.id) {
             Some(replica) if replica.is_restarted_by(incarnation) => None,
-            Some(replica) => Some(replica.changed_at),
+            Some(replica) => Some(replica.known_at),
             None => self.early_departures.revision_of(incarnation),
         };
         at > 0 && known.is_some_and(|known| known > at)
@@ -87,7 +89,7 @@
     }
 
     /// A whole list was read that is newer than all that is known. Replicas that it lacks are gone at once, or
-    /// after [`RELIST_GRACE`](crate::gateway::store_outages::RELIST_GRACE) if their entries may have expired because the store was unavailable.
+    /// after [`RELIST_GRACE`] if their entries may have expired because the store was unavailable.
     pub fn on_list(
         &mut self,
         records: Vec<ReplicaRecord>,
@@ -112,7 +114,7 @@
             self.on_entry_at(record, at, now, &mut change);
         }
         let is_missing =
-            |replica: &&Replica| !listed.contains(&replica.record.id) && replica.changed_at <= at;
+            |replica: &&Replica| !listed.contains(&replica.record.id) && (at == 0 || replica.known_at <= at);
         let mut missing: Vec<UpstreamId> =
             self.iter().filter(is_missing).map(|replica| replica.record.id.clone()).collect();
         missing.sort_unstable();
@@ -158,7 +160,7 @@
 
     /// The known state of a replica is that of the store's revision `at`, at least.
     fn confirm(&mut self, id: &str, at: Revision) {
-        self.update(id, |replica| replica.changed_at = replica.changed_at.max(at));
+        self.update(id, |replica| replica.known_at = replica.known_at.max(at));
     }
 
     /// As [`Self::confirm`], unless a later incarnation is known.
@@ -168,15 +170,16 @@
         }
     }
 
-    /// The latest revision of a known change of these replicas.
-    pub fn changed_at(&self, replicas: &[Incarnation]) -> Revision {
+    /// The latest revision at which the state of any of these replicas is known.
+    pub fn known_at(&self, replicas: &[Incarnation]) -> Revision {
         let known = replicas.iter().filter_map(|incarnation| self.get(&incarnation.id));
-        known.map(|replica| replica.changed_at).max().unwrap_or(0)
+        known.map(|replica| replica.known_at).max().unwrap_or(0)
     }
 
     /// Records the revision of the store at which a change became known.
     pub fn set_changed_at(&mut self, change: &ListChange, at: Revision) {
         for id in change.added.iter().chain(&change.leaving) {
+            self.update(id, |replica| replica.changed_at = replica.changed_at.max(at));
             self.confirm(id, at);
         }
     }
--- a/lib/tests/test_gateway_replica_news.rs
+++ b/lib/tests/test_gateway_replica_news.rs
@@ -239,6 +239,25 @@
     assert_eq!((node.staying(), node.known()), (ids(["a"]), at));
 }
 
+/// A list that is newer than all that is known removes what it lacks, whatever the revision of that.
+#[test]
+fn test_a_current_list_removes_what_it_lacks() {
+    let mut node = Node::default();
+    node.on_store_list(vec![ready("a"), ready("b")], 11, false);
+    let change = node.table.on_list(vec![ready("a")], false, NOW);
+    assert_eq!((change.leaving, node.staying()), (vec!["b".into()], ids(["a"])));
+}
+
+/// Replicas that an outage may have expired are not handed to other nodes as changed.
+#[test]
+fn test_missing_replicas_are_no_changes() {
+    let mut node = Node::default();
+    node.on_store_list(vec![ready("a"), ready("b")], 11, false);
+    node.on_store_list(vec![], 12, true);
+    let list = node.table.since(12, 11);
+    assert_eq!((list.is_whole, list.staying.len(), list.leaving.len()), (false, 0, 0));
+}
+
 /// The state of a replica's entry in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -192,7 +192,7 @@
 
     /// Returns the update that tells other nodes of a sign that replicas are leaving.
     fn sign(&self, placing: &Placing, leaving: Vec<Incarnation>) -> ReplicaUpdate {
-        let known = self.progress.at().max(placing.state.replicas.changed_at(&leaving));
+        let known = self.progress.at().max(placing.state.replicas.known_at(&leaving));
         ReplicaUpdate::sign(leaving, known)
     }
 
