tests: a later change of the store is seen by a replica that is listed

test_a_newer_configuration_is_applied_and_an_older_one_is_ignored waited for the log to name an entry that can't be parsed (no version, no slots). The entry can be parsed now, and the test waits for replica_listed: as strict, since the change of the configuration comes before that of the entry in the store, and it no longer rests on the outage.

--- a/node/tests/test_gateway_calls.rs
+++ b/node/tests/test_gateway_calls.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use leadstage_testutils::gateway_replica::ReplicaFault;
+use leadstage_testutils::metadata_store::replica_entry;
 
 use crate::gateway_environment::Gateway;
 use crate::gateway_environment::KEY;
@@ -178,12 +179,10 @@
         .await;
     assert_eq!(gateway.status_of(0, "/read/x", "key-b").await, 200);
     gateway.store.put("config", "main", config(2));
-    gateway.store.put(
-        "servers",
-        "other",
-        serde_json::json!({"service": "s", "address": "127.0.0.1:1", "zone": "z", "state": "ready"}),
-    );
-    gateway.until("a later store change", async || gateway.log(0).contains("upstream=other")).await;
+    let address = "127.0.0.1:1".parse().expect("valid");
+    gateway.store.put("servers", "other", replica_entry("s", address, "z", "ready"));
+    let is_listed = async || gateway.log(0).contains("event=replica_listed upstream=other");
+    gateway.until("a later store change", is_listed).await;
     assert_eq!(gateway.status_of(0, "/read/x", KEY).await, 401);
 }
 
