replicas: a node announces its first list also if it knew something newer

A first list of another node that held an outdated entry was rightly no longer handed on as it was received, but the node also no longer announced that it knows the replicas, which it always did before. Only the packed copy depends on the condition now.

--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -431,9 +431,9 @@
         let change = placing.state.replicas.on_peer_list(list, self.shared.now());
         self.progress.on_known(at);
         self.after_update(placing, &change, at);
-        if is_first && change.outdated == 0 {
-            // The list is served to other nodes as it was received.
-            self.packed = Some((at, packed));
+        if is_first {
+            // The list is served to other nodes as it was received, unless something newer was known.
+            self.packed = (change.outdated == 0).then_some((at, packed));
             fleet.announce_replicas();
         }
     }
