logs: how long the store's last answer is known here

Cause: the line of a changed role as a watcher says neither why nor how old this node's knowledge of the store is, so a gap among the watchers can't be told from a store that is slow or from a late spread.

The line store_watch, the line levels and a gauge now have the time since the store last answered any node that this one hears of.

--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -266,6 +266,11 @@
         self.last_answer.is_some_and(|at| at + ANSWER_TTL > now)
     }
 
+    /// Time since the store last answered a node, as far as this one knows; since the start if it never did.
+    pub fn answer_age(&self, now: Timestamp) -> Duration {
+        now.saturating_sub(self.last_answer.unwrap_or_default())
+    }
+
     /// Whether the store answers no node, according to a node that asked it. Silence of all watchers says nothing
     /// of the store: they may have ended.
     pub fn is_store_away(&self, now: Timestamp) -> bool {
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -192,7 +192,7 @@
         self.fleet.hears_watchers = self.watchers.fresh_pulses(now).next().is_some();
         let has_wide_link = |node: &VmId| self.fleet.node_has_wide_link(node);
         let role = self.watchers.role(self.fleet.alive(), has_wide_link, now);
-        self.store_watcher.set(role);
+        self.store_watcher.set(role, self.watchers.answer_age(now));
         self.halls.tick(&mut self.placing, &self.fleet);
         self.crashes.tick(&self.placing, &self.fleet, role.is_some());
         let store_answers = self.watchers.store_answers(now);
@@ -234,13 +234,14 @@
             quarantined: crashes.quarantines().len(),
             config_age: now.saturating_sub(self.configs.last_update()),
             replicas_age: now.saturating_sub(self.replicas.last_update()),
+            store_answer_age: self.watchers.answer_age(now),
         };
         self.shared.metrics.record_gauges(&levels);
         if now >= self.last_levels_log + LEVELS_LOG_INTERVAL {
             self.last_levels_log = now;
             let replicas_at = self.shared.replicas_at();
             let peer_bytes = self.shared.metrics.peer_bytes_so_far();
-            info!(event = "levels", open = levels.open, waiting = levels.waiting, nodes = levels.nodes, config = self.shared.config_version(), config_age_ms = levels.config_age.as_millis() as u64, replicas_age_ms = levels.replicas_age.as_millis() as u64, replicas_at = revision::number(replicas_at), store_era = revision::era(replicas_at), peer_bytes; "levels");
+            info!(event = "levels", open = levels.open, waiting = levels.waiting, nodes = levels.nodes, config = self.shared.config_version(), config_age_ms = levels.config_age.as_millis() as u64, replicas_age_ms = levels.replicas_age.as_millis() as u64, store_answer_age_ms = levels.store_answer_age.as_millis() as u64, replicas_at = revision::number(replicas_at), store_era = revision::era(replicas_at), peer_bytes; "levels");
             self.log_peer_traffic();
             self.placing.log_engine_paces(&self.fleet);
         }
--- a/node/src/gateway/control/store_watcher.rs
+++ b/node/src/gateway/control/store_watcher.rs
@@ -66,12 +66,14 @@
         StoreWatcher { shared, role: None, tasks_role: Rc::new(Cell::new(WatchRole::Standby)), tasks: None }
     }
 
-    /// Starts or stops watching, or changes the role.
-    pub fn set(&mut self, role: Option<WatchRole>) {
+    /// Starts or stops watching, or changes the role. `answer_age` is the time since the store last answered any
+    /// node that this one hears of.
+    pub fn set(&mut self, role: Option<WatchRole>, answer_age: Duration) {
         if role == self.role {
             return;
         }
-        info!(event = "store_watch", before:? = self.role, now:? = role; "this node's role as a watcher of the store changed");
+        let answer_age_ms = answer_age.as_millis() as u64;
+        info!(event = "store_watch", before:? = self.role, now:? = role, answer_age_ms; "this node's role as a watcher of the store changed");
         self.role = role;
         let Some(role) = role else {
             self.tasks = None;
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -56,6 +56,7 @@
     held: Gauge<u64>,
     config_age: Gauge<f64>,
     replicas_age: Gauge<f64>,
+    store_answer_age: Gauge<f64>,
     nodes: Gauge<u64>,
     broken_runs: Counter<u64>,
     endless_heads: Counter<u64>,
@@ -136,6 +137,10 @@
             config_age: instruments.age("leadstage.gateway.config_age", "Time since the configuration came"),
             replicas_age: instruments
                 .age("leadstage.gateway.replicas_age", "Time since news of the replicas"),
+            store_answer_age: instruments.age(
+                "leadstage.gateway.store_answer_age",
+                "Time since the store is known to have answered a node",
+            ),
             nodes: instruments.gauge("leadstage.gateway.nodes", "Nodes taken to be alive, this one included"),
             broken_runs: counter(
                 "leadstage.gateway.broken_runs",
@@ -315,6 +320,7 @@
         self.ramping.record(levels.ramping as u64, &[]);
         self.config_age.record(levels.config_age.as_secs_f64(), &[]);
         self.replicas_age.record(levels.replicas_age.as_secs_f64(), &[]);
+        self.store_answer_age.record(levels.store_answer_age.as_secs_f64(), &[]);
     }
 
     /// Returns the metrics in the Prometheus text format.
@@ -537,4 +543,6 @@
     pub config_age: Duration,
     /// Time since the last update about the replicas.
     pub replicas_age: Duration,
+    /// Time since the store last answered any node that this one hears of.
+    pub store_answer_age: Duration,
 }
