--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -6,12 +6,12 @@
 //! example because it refuses some nodes, a few others try as well, whatever their links, but no more: a
 //! store that is down must not be polled by the whole fleet.
 //!
-//! If no pulses arrive, as at the first start or in a network partition, nodes take turns: each waits in
-//! proportion to its position in the hash order, scaled by the number of nodes that it knows to exist, and
-//! the pulses of the first few watchers keep all others from watching. A node that knows only some of the
-//! others, as all nodes do after a start, thus does not consider itself one of the first, whereas an isolated
-//! node knows few others and its turn comes soon. A watcher continues until enough higher-ranked nodes watch
-//! the store.
+//! If no pulse says that the store answers, as at the first start, in a network partition or after the loss of
+//! all watchers, nodes take turns ([`TakeoverSchedule`]): each waits in proportion to its position in the hash
+//! order, scaled by the number of nodes that it knows to exist, and the pulses of the first few watchers keep all
+//! others from watching. A node that knows only some of the others, as all nodes do after a start, thus does not
+//! consider itself one of the first, whereas an isolated node knows few others and its turn comes soon. A watcher
+//! continues until enough higher-ranked nodes watch the store.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -22,6 +22,8 @@
 use serde::Serialize;
 
 use crate::gateway::process_pauses::MAX_TICK_GAP;
+use crate::gateway::watch_takeover::PULSE_SILENCE;
+use crate::gateway::watch_takeover::TakeoverSchedule;
 use crate::ids::Timestamp;
 use crate::ids::VmId;
 use crate::rendezvous;
@@ -30,6 +32,9 @@
 pub const WATCHERS: usize = 3;
 /// Time between two pulses of a watcher.
 pub const PULSE_INTERVAL: Duration = Duration::from_millis(800);
+/// Time after which a watcher that has no answer reports the store as [`StoreState::Away`]; a slow store takes a
+/// quarter of a second.
+pub const PULSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Age at which a pulse expires; two consecutive pulses may be lost.
 const PULSE_TTL: Duration = Duration::from_millis(2_000);
 /// How long after its last answer the store is considered answering.
@@ -43,10 +48,6 @@
 /// Time after its start when a node knows enough of the others to rank itself among them. In a fleet of 295
 /// nodes that start together, nodes know enough of each other by then to compute the same ranking.
 const RANKING_SETTLE_TIME: Duration = Duration::from_secs(4);
-/// Time without any pulse after which nodes take turns.
-const PULSE_SILENCE: Duration = Duration::from_secs(3);
-/// Time from one turn to the next; a pulse reaches nearly all of 300 nodes within it.
-const TURN_INTERVAL: Duration = Duration::from_millis(250);
 /// The longest wait for a turn after a node's start.
 const MAX_STARTUP_TURN_DELAY: Duration = Duration::from_millis(3_600);
 /// The longest wait for a later turn while other nodes are in contact. If 100 of 295 nodes are cut off from
@@ -121,24 +122,28 @@
     Away,
 }
 
+/// A watcher's sign of life.
 #[derive(Clone, Copy, Debug)]
-struct Pulse {
-    number: PulseNumber,
-    at: Timestamp,
-    state: StoreState,
+pub struct Pulse {
+    /// Its number.
+    pub number: PulseNumber,
+    /// The state of the store.
+    pub state: StoreState,
+    /// When the watcher sent it. A pulse that another node held for some time says nothing of that time.
+    pub at: Timestamp,
 }
 
 /// A node's knowledge of the watchers.
 #[derive(Debug)]
 pub struct Watchers {
     own: VmId,
+    schedule: TakeoverSchedule,
     pulses: BTreeMap<VmId, Pulse>,
     /// Nodes that left the fleet in order. They watch the store until their processes end.
     left: BTreeSet<VmId>,
     last_left: Option<Timestamp>,
     /// Whether this node is leaving.
     is_leaving: bool,
-    last_pulse: Option<Timestamp>,
     last_contact: Option<Timestamp>,
     last_answer: Option<Timestamp>,
     last_miss: Option<Timestamp>,
@@ -148,6 +153,10 @@
     reported_nodes: usize,
     /// Whether this node watches the store.
     watches: bool,
+    /// Pulses up to this time have expired: since then, all watchers have been silent for a while.
+    silent_since: Option<Timestamp>,
+    /// Up to when this node knows the store's changes, if it lacks some that other nodes have.
+    lags_since: Option<Timestamp>,
     /// When the store last answered a call of this node.
     last_own_answer: Option<Timestamp>,
     last_ranked: Option<Timestamp>,
@@ -156,26 +165,33 @@
 
 impl Watchers {
     /// Creates the state of a node that knows no watchers yet.
-    pub fn new(own: VmId) -> Self {
+    pub fn new(own: VmId, schedule: TakeoverSchedule) -> Self {
         Watchers {
             own,
+            schedule,
             pulses: BTreeMap::new(),
             left: BTreeSet::new(),
             last_left: None,
             is_leaving: false,
-            last_pulse: None,
             last_contact: None,
             last_answer: None,
             last_miss: None,
             last_away: None,
             reported_nodes: 0,
             watches: false,
+            silent_since: None,
+            lags_since: None,
             last_own_answer: None,
             last_ranked: None,
             last_tick: None,
         }
     }
 
+    /// Replaces the schedule after a change of the settings.
+    pub fn set_schedule(&mut self, schedule: TakeoverSchedule) {
+        self.schedule = schedule;
+    }
+
     /// Detects a pause of the process, during which it heard nobody: silence counts only while it runs.
     /// Called a few times a second, before decisions.
     pub fn tick(&mut self, now: Timestamp) {
@@ -184,13 +200,14 @@
             return;
         }
         let ages = [
-            &mut self.last_pulse,
             &mut self.last_contact,
             &mut self.last_answer,
             &mut self.last_miss,
             &mut self.last_away,
             &mut self.last_own_answer,
             &mut self.last_left,
+            &mut self.silent_since,
+            &mut self.lags_since,
         ];
         let pulses = self.pulses.values_mut().map(|pulse| &mut pulse.at);
         for at in ages.into_iter().flatten().chain(pulses) {
@@ -220,28 +237,22 @@
     }
 
     /// The latest pulses that have not expired, of nodes that stay, to be sent to a node that has just started.
-    pub fn fresh_pulses(&self, now: Timestamp) -> impl Iterator<Item = (&VmId, PulseNumber, StoreState)> {
-        let is_fresh =
-            move |watcher: &VmId, pulse: &Pulse| pulse.at + PULSE_TTL >= now && !self.left.contains(watcher);
+    pub fn fresh_pulses(&self, now: Timestamp) -> impl Iterator<Item = (&VmId, Pulse)> {
+        let is_fresh = move |watcher: &VmId, pulse: &Pulse| {
+            !self.has_expired(pulse, now) && !self.left.contains(watcher)
+        };
         let fresh = self.pulses.iter().filter(move |(watcher, pulse)| is_fresh(watcher, pulse));
-        fresh.map(|(watcher, pulse)| (watcher, pulse.number, pulse.state))
+        fresh.map(|(watcher, pulse)| (watcher, *pulse))
     }
 
     /// A watcher's pulse arrived, directly or forwarded. Returns whether it is new.
-    pub fn on_pulse(
-        &mut self,
-        watcher: &VmId,
-        number: PulseNumber,
-        state: StoreState,
-        now: Timestamp,
-    ) -> bool {
+    pub fn on_pulse(&mut self, watcher: &VmId, pulse: Pulse) -> bool {
         let known = self.pulses.get(watcher);
-        if *watcher == self.own || known.is_some_and(|pulse| pulse.number >= number) {
+        if *watcher == self.own || known.is_some_and(|known| known.number >= pulse.number) {
             return false;
         }
-        self.pulses.insert(watcher.clone(), Pulse { number, at: now, state });
-        self.last_pulse = Some(now);
-        self.record_state(state, now);
+        self.pulses.insert(watcher.clone(), pulse);
+        self.record_state(pulse.state, pulse.at);
         true
     }
 
@@ -253,11 +264,12 @@
         self.record_state(state, now);
     }
 
-    fn record_state(&mut self, state: StoreState, now: Timestamp) {
+    fn record_state(&mut self, state: StoreState, at: Timestamp) {
+        let record = |last: &mut Option<Timestamp>| *last = (*last).max(Some(at));
         match state {
-            StoreState::Answers => self.last_answer = Some(now),
-            StoreState::Late => self.last_miss = Some(now),
-            StoreState::Away => (self.last_miss, self.last_away) = (Some(now), Some(now)),
+            StoreState::Answers => record(&mut self.last_answer),
+            StoreState::Late => record(&mut self.last_miss),
+            StoreState::Away => [&mut self.last_miss, &mut self.last_away].into_iter().for_each(record),
         }
     }
 
@@ -266,6 +278,21 @@
         self.last_answer.is_some_and(|at| at + ANSWER_TTL > now)
     }
 
+    /// Sets up to when this node knows the store's changes, if it lacks some that other nodes have.
+    pub fn set_lag(&mut self, lags_since: Option<Timestamp>) {
+        self.lags_since = lags_since;
+    }
+
+    /// When the store last answered a node, as far as this one knows.
+    pub fn answered_at(&self) -> Option<Timestamp> {
+        self.last_answer
+    }
+
+    /// Time for which this node may not know the store's changes.
+    pub fn staleness(&self, now: Timestamp) -> Duration {
+        self.lags_since.map_or(self.answer_age(now), |since| now.saturating_sub(since))
+    }
+
     /// Time since the store last answered a node, as far as this one knows; since the start if it never did.
     pub fn answer_age(&self, now: Timestamp) -> Duration {
         now.saturating_sub(self.last_answer.unwrap_or_default())
@@ -294,6 +321,9 @@
         has_wide_link: impl Fn(&VmId) -> bool,
         now: Timestamp,
     ) -> Option<WatchRole> {
+        if self.is_silent(now) {
+            self.silent_since = self.last_answer;
+        }
         let takes_no_role = self.is_leaving && !self.watches;
         if now < STARTUP_LISTEN_TIME || takes_no_role || self.has_enough_watchers(now) {
             return None;
@@ -304,7 +334,7 @@
         nodes.iter().for_each(|node| drop(self.left.take(*node)));
         nodes.push(&self.own);
         let known = nodes.len();
-        nodes.extend(self.fresh_pulses(now).map(|(watcher, _, _)| watcher));
+        nodes.extend(self.fresh_pulses(now).map(|(watcher, _)| watcher));
         let ranking = ranked(nodes, has_wide_link);
         let rank = ranking.iter().position(|node| **node == self.own).unwrap_or(0);
         let working = ranking[..rank].iter().filter(|node| !self.is_failing(node, now)).count();
@@ -318,8 +348,24 @@
     /// Whether enough other nodes watch the store, and a recent ranking did not select this node.
     fn has_enough_watchers(&self, now: Timestamp) -> bool {
         let is_recent = self.last_ranked.is_some_and(|at| at + RANK_INTERVAL > now);
-        let working = || self.fresh_pulses(now).filter(|(_, _, state)| *state != StoreState::Away).count();
-        is_recent && !self.watches && working() >= WATCHERS
+        let working = || self.fresh_pulses(now).filter(|(_, pulse)| pulse.state != StoreState::Away).count();
+        let may_be_outdated = self.staleness(now) > PULSE_SILENCE;
+        is_recent && !self.watches && !may_be_outdated && working() >= WATCHERS
+    }
+
+    /// Whether no watcher has reported an answer of the store for so long that all of them may have stopped.
+    fn is_silent(&self, now: Timestamp) -> bool {
+        self.answer_age(now) > PULSE_SILENCE && !self.is_answer_awaited(now)
+    }
+
+    /// Whether a watcher waits for a late answer of the store and will soon report whether one came.
+    fn is_answer_awaited(&self, now: Timestamp) -> bool {
+        self.has_pulse(StoreState::Late, PULSE_TIMEOUT, now)
+    }
+
+    /// Whether a watcher sent a pulse with this state less than `max_age` ago.
+    fn has_pulse(&self, state: StoreState, max_age: Duration, now: Timestamp) -> bool {
+        self.pulses.values().any(|pulse| pulse.state == state && pulse.at + max_age > now)
     }
 
     /// Whether this node watches the store and gets answers.
@@ -346,22 +392,29 @@
     /// Whether a watcher is silent or reports that the store does not answer it.
     fn is_failing(&self, watcher: &VmId, now: Timestamp) -> bool {
         let pulse = self.pulses.get(watcher);
-        pulse.is_none_or(|pulse| pulse.state == StoreState::Away || pulse.at + PULSE_TTL < now)
+        pulse.is_none_or(|pulse| pulse.state == StoreState::Away || self.has_expired(pulse, now))
+    }
+
+    fn has_expired(&self, pulse: &Pulse, now: Timestamp) -> bool {
+        pulse.at + PULSE_TTL < now || self.silent_since.is_some_and(|since| pulse.at <= since)
     }
 
-    /// Whether no pulse has arrived for so long that it is this node's turn; `known` is the number of nodes
-    /// that it knows, itself included.
+    /// Whether this node may not know the store's changes for so long that it is its turn to ask; `known` is the
+    /// number of nodes that it knows, itself included. While another node asks in vain, only the groups of
+    /// [`Self::is_ranked_to_watch`] do: a store that is down must not be polled by the whole fleet.
     fn has_turn(&self, known: usize, now: Timestamp) -> bool {
-        let hash_fraction = rendezvous::weight(RANKING, &self.own) as f64 / u64::MAX as f64;
+        if self.is_answer_awaited(now) || self.has_pulse(StoreState::Away, PULSE_SILENCE, now) {
+            return false;
+        }
+        let position = 1.0 - rendezvous::weight(RANKING, &self.own) as f64 / u64::MAX as f64;
         let others = known.max(self.reported_nodes).saturating_sub(1);
-        let turns_before = (1.0 - hash_fraction) * others as f64;
         let is_in_contact = self.last_contact.is_some_and(|at| at + CONTACT_TIMEOUT > now);
-        let (wait_from, max_delay) = match self.last_pulse {
+        let (earliest, max_spread) = match self.last_answer {
             None => (STARTUP_LISTEN_TIME, MAX_STARTUP_TURN_DELAY),
-            Some(at) if is_in_contact => (at + PULSE_SILENCE, MAX_TURN_DELAY),
-            Some(at) => (at + PULSE_SILENCE, MAX_ISOLATED_TURN_DELAY),
+            Some(_) if is_in_contact => (PULSE_SILENCE, MAX_TURN_DELAY),
+            Some(_) => (PULSE_SILENCE, MAX_ISOLATED_TURN_DELAY),
         };
-        now >= wait_from + TURN_INTERVAL.mul_f64(turns_before).min(max_delay)
+        self.staleness(now) >= self.schedule.wait(position, others, earliest, max_spread)
     }
 }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -62,6 +62,7 @@
 mod test_gateway_upgrade_model;
 mod test_gateway_upgrade_recheck;
 mod test_gateway_waiting;
+mod test_gateway_watch_takeover;
 mod test_gateway_watchers;
 mod test_gateway_watchers_model;
 mod test_membership;
--- a/lib/tests/test_gateway_watchers.rs
+++ b/lib/tests/test_gateway_watchers.rs
@@ -2,14 +2,27 @@
 
 use std::time::Duration;
 
+use leadstage_lib::gateway::watch_takeover::TakeoverSchedule;
+use leadstage_lib::gateway::watchers::Pulse;
+use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::gateway::watchers::WATCHERS;
 use leadstage_lib::gateway::watchers::WatchRole;
 use leadstage_lib::gateway::watchers::Watchers;
+use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::VmId;
 
 const NOW: Duration = Duration::from_secs(20);
 
+/// The smallest bound of a fleet of hundreds of nodes.
+fn schedule() -> TakeoverSchedule {
+    TakeoverSchedule::new(Duration::from_secs(4), 1e9)
+}
+
+fn pulse(number: PulseNumber, state: StoreState, at: Timestamp) -> Pulse {
+    Pulse { number, state, at }
+}
+
 fn nodes(count: usize) -> Vec<VmId> {
     (0..count).map(|n| VmId::from(format!("10.0.0.{n}:7200"))).collect()
 }
@@ -19,10 +32,10 @@
 fn watching(nodes: &[VmId], pulses: &[(usize, bool)]) -> Vec<usize> {
     let mut watching = Vec::new();
     for (at, own) in nodes.iter().enumerate() {
-        let mut view = Watchers::new(own.clone());
+        let mut view = Watchers::new(own.clone(), schedule());
         for (watcher, answers) in pulses {
             let state = if *answers { StoreState::Answers } else { StoreState::Away };
-            view.on_pulse(&nodes[*watcher], 1, state, NOW);
+            view.on_pulse(&nodes[*watcher], pulse(1, state, NOW));
         }
         if view.role(nodes.iter().filter(|node| *node != own), |_| true, NOW).is_some() {
             watching.push(at);
@@ -63,7 +76,7 @@
 fn test_all_nodes_watch_in_turn_without_pulses() {
     let nodes = nodes(40);
     let watching_at = |now| {
-        let views = nodes.iter().map(|own| Watchers::new(own.clone()));
+        let views = nodes.iter().map(|own| Watchers::new(own.clone(), schedule()));
         let mut views: Vec<Watchers> = views.collect();
         views
             .iter_mut()
@@ -83,7 +96,7 @@
 #[test]
 fn test_isolated_node_does_not_wait_for_a_turn() {
     for own in nodes(40) {
-        let mut view = Watchers::new(own);
+        let mut view = Watchers::new(own, schedule());
         assert_eq!(view.role(std::iter::empty(), |_| true, Duration::from_millis(500)), None);
         let role = view.role(std::iter::empty(), |_| true, Duration::from_millis(700));
         assert_eq!(role, Some(WatchRole::First));
@@ -93,11 +106,11 @@
 #[test]
 fn test_pulses_are_new_once_and_expire() {
     let nodes = nodes(2);
-    let mut view = Watchers::new(nodes[0].clone());
-    assert!(view.on_pulse(&nodes[1], 5, StoreState::Answers, NOW));
-    assert!(!view.on_pulse(&nodes[1], 5, StoreState::Answers, NOW));
-    assert!(!view.on_pulse(&nodes[1], 4, StoreState::Away, NOW));
-    assert!(!view.on_pulse(&nodes[0], 9, StoreState::Answers, NOW), "its own pulse, forwarded back");
+    let mut view = Watchers::new(nodes[0].clone(), schedule());
+    assert!(view.on_pulse(&nodes[1], pulse(5, StoreState::Answers, NOW)));
+    assert!(!view.on_pulse(&nodes[1], pulse(5, StoreState::Answers, NOW)));
+    assert!(!view.on_pulse(&nodes[1], pulse(4, StoreState::Away, NOW)));
+    assert!(!view.on_pulse(&nodes[0], pulse(9, StoreState::Answers, NOW)), "its own pulse, forwarded back");
     assert!(view.store_answers(NOW + Duration::from_secs(1)));
     assert!(!view.store_answers(NOW + Duration::from_secs(2)));
 }
@@ -108,14 +121,14 @@
 fn test_late_answer_puts_the_store_in_doubt_until_the_next_one() {
     let nodes = nodes(3);
     let ms = |ms| NOW + Duration::from_millis(ms);
-    let mut view = Watchers::new(nodes[0].clone());
-    view.on_pulse(&nodes[1], 1, StoreState::Answers, ms(0));
+    let mut view = Watchers::new(nodes[0].clone(), schedule());
+    view.on_pulse(&nodes[1], pulse(1, StoreState::Answers, ms(0)));
     assert!(!view.store_may_be_down(ms(50)));
-    view.on_pulse(&nodes[2], 1, StoreState::Late, ms(100));
+    view.on_pulse(&nodes[2], pulse(1, StoreState::Late, ms(100)));
     assert!(view.store_may_be_down(ms(100)) && view.store_answers(ms(100)));
     view.on_own_pulse(StoreState::Answers, ms(200));
     assert!(!view.store_may_be_down(ms(200)));
-    view.on_pulse(&nodes[1], 2, StoreState::Away, ms(300));
+    view.on_pulse(&nodes[1], pulse(2, StoreState::Away, ms(300)));
     assert!(view.store_may_be_down(ms(1_500)), "no node had an answer since");
     assert!(!view.store_may_be_down(ms(1_700)), "doubt expires");
 }
@@ -126,9 +139,9 @@
     let nodes = nodes(9);
     let first = watching(&nodes, &[(0, true), (1, true), (2, true)]);
     for own in nodes.iter().enumerate().filter(|(at, _)| !first.contains(at)).map(|(_, own)| own) {
-        let mut view = Watchers::new(own.clone());
+        let mut view = Watchers::new(own.clone(), schedule());
         for watcher in &first {
-            view.on_pulse(&nodes[*watcher], 1, StoreState::Late, NOW);
+            view.on_pulse(&nodes[*watcher], pulse(1, StoreState::Late, NOW));
         }
         assert_eq!(view.role(nodes.iter().filter(|node| *node != own), |_| true, NOW), None);
     }
@@ -142,10 +155,10 @@
     let firsts = |pulses: &[(usize, bool)]| {
         let mut firsts = Vec::new();
         for (at, own) in nodes.iter().enumerate() {
-            let mut view = Watchers::new(own.clone());
+            let mut view = Watchers::new(own.clone(), schedule());
             for (watcher, answers) in pulses {
                 let state = if *answers { StoreState::Answers } else { StoreState::Away };
-                view.on_pulse(&nodes[*watcher], 1, state, NOW);
+                view.on_pulse(&nodes[*watcher], pulse(1, state, NOW));
             }
             if view.role(nodes.iter().filter(|node| *node != own), |_| true, NOW) == Some(WatchRole::First) {
                 firsts.push(at);
@@ -171,9 +184,9 @@
         let has_wide_link = |node: &VmId| nodes[..wide].contains(node);
         let watchers = |pulses: &[(usize, bool)]| -> Vec<usize> {
             let views = nodes.iter().enumerate().filter(|(_, own)| {
-                let mut view = Watchers::new((*own).clone());
+                let mut view = Watchers::new((*own).clone(), schedule());
                 for (watcher, _) in pulses {
-                    view.on_pulse(&nodes[*watcher], 1, StoreState::Answers, NOW);
+                    view.on_pulse(&nodes[*watcher], pulse(1, StoreState::Answers, NOW));
                 }
                 view.role(nodes.iter().filter(|node| node != own), has_wide_link, NOW).is_some()
             });
@@ -196,9 +209,9 @@
     let (nodes, wide) = (nodes(62), 8);
     let has_wide_link = |node: &VmId| nodes[..wide].contains(node);
     let others = nodes[wide..].iter().filter(|own| {
-        let mut view = Watchers::new((*own).clone());
+        let mut view = Watchers::new((*own).clone(), schedule());
         for node in &nodes[..wide] {
-            view.on_pulse(node, 1, StoreState::Away, NOW);
+            view.on_pulse(node, pulse(1, StoreState::Away, NOW));
         }
         view.role(nodes.iter().filter(|node| node != own), has_wide_link, NOW).is_some()
     });
@@ -216,9 +229,9 @@
         let (left, staying): (Vec<usize>, Vec<usize>) =
             (0..nodes.len()).partition(|n| before[..leaving].contains(n));
         let takes_over = |own: &&usize| {
-            let mut view = Watchers::new(nodes[**own].clone());
+            let mut view = Watchers::new(nodes[**own].clone(), schedule());
             for watcher in &before {
-                view.on_pulse(&nodes[*watcher], 1, StoreState::Answers, NOW);
+                view.on_pulse(&nodes[*watcher], pulse(1, StoreState::Answers, NOW));
             }
             let alive = |count: usize| nodes[..count].iter().filter(|node| **node != nodes[**own]);
             view.role(alive(nodes.len()), |_| true, NOW);
@@ -233,10 +246,10 @@
 /// A node that leaves does not begin to watch; one that watches continues until its process ends.
 #[test]
 fn test_a_leaving_node_begins_no_watch() {
-    let mut view = Watchers::new("10.0.0.1:7200".into());
+    let mut view = Watchers::new("10.0.0.1:7200".into(), schedule());
     view.leave();
     assert_eq!(view.role(std::iter::empty(), |_| true, NOW), None);
-    let mut watcher = Watchers::new("10.0.0.1:7200".into());
+    let mut watcher = Watchers::new("10.0.0.1:7200".into(), schedule());
     assert_eq!(watcher.role(std::iter::empty(), |_| true, NOW), Some(WatchRole::First));
     watcher.leave();
     assert_eq!(watcher.role(std::iter::empty(), |_| true, NOW), Some(WatchRole::First));
@@ -246,9 +259,9 @@
 #[test]
 fn test_a_watcher_that_started_again_counts() {
     let nodes = nodes(2);
-    let mut view = Watchers::new(nodes[0].clone());
+    let mut view = Watchers::new(nodes[0].clone(), schedule());
     view.on_left(&nodes[1], NOW);
-    view.on_pulse(&nodes[1], 1, StoreState::Answers, NOW);
+    view.on_pulse(&nodes[1], pulse(1, StoreState::Answers, NOW));
     assert_eq!(view.fresh_pulses(NOW).count(), 0);
     view.role(nodes[1..].iter(), |_| true, NOW);
     assert_eq!(view.fresh_pulses(NOW).count(), 1);
@@ -260,12 +273,12 @@
 fn test_silent_watchers_are_no_outage() {
     let nodes = nodes(2);
     let ms = |ms| NOW + Duration::from_millis(ms);
-    let mut view = Watchers::new(nodes[0].clone());
-    view.on_pulse(&nodes[1], 1, StoreState::Answers, ms(0));
-    view.on_pulse(&nodes[1], 2, StoreState::Late, ms(100));
+    let mut view = Watchers::new(nodes[0].clone(), schedule());
+    view.on_pulse(&nodes[1], pulse(1, StoreState::Answers, ms(0)));
+    view.on_pulse(&nodes[1], pulse(2, StoreState::Late, ms(100)));
     assert!(!view.store_answers(ms(2_000)));
     assert!(!view.is_store_away(ms(2_000)), "nobody said so");
-    view.on_pulse(&nodes[1], 3, StoreState::Away, ms(2_000));
+    view.on_pulse(&nodes[1], pulse(3, StoreState::Away, ms(2_000)));
     assert!(view.is_store_away(ms(2_000)));
     view.on_own_pulse(StoreState::Answers, ms(2_100));
     assert!(!view.is_store_away(ms(5_000)));
--- a/lib/tests/test_gateway_watchers_model.rs
+++ b/lib/tests/test_gateway_watchers_model.rs
@@ -8,7 +8,10 @@
 use std::fmt::Write;
 use std::time::Duration;
 
+use leadstage_lib::gateway::catch_up_age::CatchUpAge;
+use leadstage_lib::gateway::watch_takeover::TakeoverSchedule;
 use leadstage_lib::gateway::watchers::PULSE_INTERVAL;
+use leadstage_lib::gateway::watchers::Pulse;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::gateway::watchers::WATCHERS;
@@ -77,20 +80,65 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Message {
-    Probe { nodes: usize, receives_pulses: bool, known: Vec<Node> },
-    Answer { nodes: usize, known: Vec<Node> },
-    Pulse { watcher: Node, number: PulseNumber, answers: bool },
+    Probe {
+        nodes: usize,
+        receives_pulses: bool,
+        known: Vec<Node>,
+    },
+    Answer {
+        nodes: usize,
+        known: Vec<Node>,
+    },
+    Pulse {
+        watcher: Node,
+        number: PulseNumber,
+        answers: bool,
+        age: Duration,
+    },
+    /// The sender knows more changes of the store.
+    Announcement,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    Start { node: Node },
+    Start {
+        node: Node,
+    },
     Sample,
-    Tick { node: Node, incarnation: u32 },
-    Arrives { from: Node, to: Node, has_contents: bool, message: Message },
-    Fetched { node: Node, incarnation: u32 },
-    Pulse { node: Node, incarnation: u32, term: u32 },
-    Watch { node: Node, incarnation: u32, term: u32 },
+    Tick {
+        node: Node,
+        incarnation: u32,
+    },
+    Arrives {
+        from: Node,
+        to: Node,
+        has_contents: bool,
+        known_changes: usize,
+        message: Message,
+    },
+    Fetched {
+        node: Node,
+        incarnation: u32,
+    },
+    /// What the store holds changes.
+    Change,
+    /// The node has fetched these changes from `from`.
+    Learnt {
+        node: Node,
+        incarnation: u32,
+        from: Node,
+        changes: usize,
+    },
+    Pulse {
+        node: Node,
+        incarnation: u32,
+        term: u32,
+    },
+    Watch {
+        node: Node,
+        incarnation: u32,
+        term: u32,
+    },
 }
 
 struct State {
@@ -104,6 +152,11 @@
     last_probe: Time,
     /// When the node received the store's contents, measured from its start.
     contents_at: Option<Time>,
+    /// Number of changes of the store that the node knows.
+    known_changes: usize,
+    /// Number of changes that another node is known to know.
+    known_elsewhere: usize,
+    age: CatchUpAge<usize>,
     role: Option<WatchRole>,
     /// Incremented whenever the node becomes a watcher.
     term: u32,
@@ -117,9 +170,12 @@
     max_watching: usize,
     longest_unwatched: Duration,
     unwatched_since: Option<Time>,
+    /// The longest time for which a node did not know a change.
+    max_staleness: Duration,
 }
 
 struct Model {
+    schedule: TakeoverSchedule,
     scenario: Scenario,
     ids: Vec<VmId>,
     wide: BTreeSet<VmId>,
@@ -127,6 +183,8 @@
     /// Whether nodes read the store when they start.
     reads_at_start: bool,
     number: PulseNumber,
+    /// When the store changed.
+    changes: Vec<Time>,
     now: Time,
     events: BinaryHeap<Reverse<(Time, u64, Event)>>,
     sequence: u64,
@@ -135,29 +193,34 @@
 }
 
 impl Model {
-    fn new(nodes: usize, scenario: Scenario, seed: u64) -> Self {
+    fn new(nodes: usize, scenario: Scenario, schedule: TakeoverSchedule, seed: u64) -> Self {
         let ids: Vec<VmId> =
             (0..nodes).map(|n| VmId::from(format!("10.{}.0.{}:7200", n % 5 + 1, n + 9))).collect();
         let state = |id: &VmId| State {
             incarnation: 0,
             started: None,
-            watchers: Watchers::new(id.clone()),
+            watchers: Watchers::new(id.clone(), schedule),
             known: BTreeMap::new(),
             has_contact: false,
             contacted_again: false,
             seed_contacts: 0,
             last_probe: Time::ZERO,
             contents_at: None,
+            known_changes: 0,
+            known_elsewhere: 0,
+            age: CatchUpAge::default(),
             role: None,
             term: 0,
         };
         let mut model = Model {
+            schedule,
             scenario,
             states: ids.iter().map(state).collect(),
             wide: ids.iter().skip(4).step_by(NODES_PER_WIDE_LINK).cloned().collect(),
             ids,
             reads_at_start: false,
             number: 0,
+            changes: Vec::new(),
             now: Time::ZERO,
             events: BinaryHeap::new(),
             sequence: 0,
@@ -183,10 +246,8 @@
     }
 
     fn run(&mut self, until: Time) {
-        while let Some(Reverse((at, _, event))) = self.events.pop() {
-            if at > until {
-                break;
-            }
+        while self.events.peek().is_some_and(|Reverse((at, ..))| *at <= until) {
+            let Some(Reverse((at, _, event))) = self.events.pop() else { break };
             self.now = at;
             self.handle(event);
         }
@@ -197,6 +258,7 @@
     fn sample(&mut self) {
         let now = self.now;
         self.push(now + TICK, Event::Sample);
+        self.record_staleness();
         let nodes = self.ids.len();
         let answered =
             |node: &Node| self.states[*node].started.is_some() && self.scenario.answers(nodes, *node, now);
@@ -211,6 +273,18 @@
         self.counts.longest_unwatched = self.counts.longest_unwatched.max(now - since);
     }
 
+    /// Records for how long nodes that can reach the store have not known its latest changes.
+    fn record_staleness(&mut self) {
+        for node in 0..self.ids.len() {
+            if self.states[node].started.is_none() || !self.scenario.answers(self.ids.len(), node, self.now) {
+                continue;
+            }
+            if let Some(at) = self.changes.get(self.states[node].known_changes) {
+                self.counts.max_staleness = self.counts.max_staleness.max(self.now - *at);
+            }
+        }
+    }
+
     fn uptime(&self, node: Node) -> Time {
         self.now - self.states[node].started.unwrap_or(self.now)
     }
@@ -226,9 +300,25 @@
             Event::Tick { node, incarnation } if self.is_current_incarnation(node, incarnation) => {
                 self.tick(node)
             }
-            Event::Arrives { from, to, has_contents, message } if self.states[to].started.is_some() => {
+            Event::Change => self.change(),
+            Event::Arrives { from, to, has_contents, known_changes, message }
+                if self.states[to].started.is_some() =>
+            {
+                let elsewhere = &mut self.states[to].known_elsewhere;
+                *elsewhere = known_changes.max(*elsewhere);
+                if known_changes > self.states[to].known_changes {
+                    let incarnation = self.states[to].incarnation;
+                    let learnt = Event::Learnt { node: to, incarnation, from, changes: known_changes };
+                    self.push(self.now + FETCH_TIME, learnt);
+                }
                 self.on_message(from, to, has_contents, message)
             }
+            // A node that has stopped hands out nothing.
+            Event::Learnt { node, incarnation, from, changes }
+                if self.is_current_incarnation(node, incarnation) && self.states[from].started.is_some() =>
+            {
+                self.on_changes(node, changes)
+            }
             Event::Fetched { node, incarnation } if self.is_current_incarnation(node, incarnation) => {
                 self.on_store_contents(node)
             }
@@ -253,7 +343,7 @@
         let state = &mut self.states[node];
         state.incarnation += 1;
         state.started = Some(self.now);
-        state.watchers = Watchers::new(self.ids[node].clone());
+        state.watchers = Watchers::new(self.ids[node].clone(), self.schedule);
         state.known =
             (0..SEEDS.min(nodes)).filter(|seed| *seed != node).map(|seed| (seed, self.now)).collect();
         (state.has_contact, state.contacted_again, state.contents_at, state.role) =
@@ -272,6 +362,24 @@
         *self.counts.calls.entry(purpose).or_default() += 1;
     }
 
+    fn change(&mut self) {
+        self.changes.push(self.now);
+        for node in self.watching() {
+            let reads = self.states[node].contents_at.is_some();
+            if reads && self.scenario.answers(self.ids.len(), node, self.now) {
+                self.on_changes(node, self.changes.len());
+            }
+        }
+    }
+
+    /// A node that has received new changes announces them.
+    fn on_changes(&mut self, node: Node, changes: usize) {
+        if changes > self.states[node].known_changes {
+            self.states[node].known_changes = changes;
+            self.spread(node, FAN_OUT, &Message::Announcement);
+        }
+    }
+
     fn on_store_contents(&mut self, node: Node) {
         let now = self.uptime(node);
         self.states[node].contents_at.get_or_insert(now);
@@ -298,6 +406,10 @@
         let (uptime, ids, wide) = (self.uptime(node), &self.ids, &self.wide);
         let is_wide = |id: &VmId| wide.contains(id);
         let state = &mut self.states[node];
+        if let Some(answered_at) = state.watchers.answered_at() {
+            let lags_since = state.age.update(state.known_changes, state.known_elsewhere, answered_at);
+            state.watchers.set_lag(lags_since);
+        }
         let role = state.watchers.role(alive.iter().map(|other| &ids[*other]), is_wide, uptime);
         let becomes_watcher = role.is_some() && state.role.is_none();
         state.role = role;
@@ -305,11 +417,12 @@
             state.term += 1;
             self.counts.became_watcher += 1;
             let term = self.states[node].term;
-            self.push(self.now, Event::Pulse { node, incarnation, term });
             for purpose in ["list", "list"] {
                 self.call(node, purpose);
             }
             self.push(self.now, Event::Watch { node, incarnation, term });
+            // The first pulse follows the first reads.
+            self.push(self.now, Event::Pulse { node, incarnation, term });
         }
     }
 
@@ -347,7 +460,8 @@
         }
         let has_contents = self.states[from].contents_at.is_some();
         let delay = Duration::from_millis(self.rng.random_range(DELAYS_MS));
-        self.push(self.now + delay, Event::Arrives { from, to, has_contents, message });
+        let known_changes = self.states[from].known_changes;
+        self.push(self.now + delay, Event::Arrives { from, to, has_contents, known_changes, message });
     }
 
     fn spread(&mut self, node: Node, fan_out: usize, message: &Message) {
@@ -375,12 +489,13 @@
                     self.send_fresh_pulses(to, from);
                 }
             }
+            Message::Announcement => {}
             Message::Answer { nodes, known } => self.on_gossip(to, nodes, known),
-            Message::Pulse { watcher, number, answers } => {
-                let state_of_store = if answers { StoreState::Answers } else { StoreState::Away };
-                let id = self.ids[watcher].clone();
-                if self.states[to].watchers.on_pulse(&id, number, state_of_store, uptime) {
-                    self.spread(to, FAN_OUT, &Message::Pulse { watcher, number, answers });
+            Message::Pulse { watcher, number, answers, age } => {
+                let state = if answers { StoreState::Answers } else { StoreState::Away };
+                let pulse = Pulse { number, state, at: uptime.saturating_sub(age) };
+                if self.states[to].watchers.on_pulse(&self.ids[watcher], pulse) {
+                    self.spread(to, FAN_OUT, &Message::Pulse { watcher, number, answers, age });
                 }
             }
         }
@@ -398,11 +513,12 @@
     fn send_fresh_pulses(&mut self, node: Node, to: Node) {
         let uptime = self.uptime(node);
         let fresh = self.states[node].watchers.fresh_pulses(uptime);
-        let fresh: Vec<_> = fresh.map(|(id, number, state)| (id.clone(), number, state)).collect();
-        for (id, number, state) in fresh {
+        let fresh: Vec<_> = fresh.map(|(id, pulse)| (id.clone(), pulse)).collect();
+        for (id, Pulse { number, state, at }) in fresh {
             let watcher = self.ids.iter().position(|other| *other == id).expect("pulse is from a known node");
             let answers = state == StoreState::Answers;
-            self.send(node, to, Message::Pulse { watcher, number, answers });
+            let age = uptime - at;
+            self.send(node, to, Message::Pulse { watcher, number, answers, age });
         }
     }
 
@@ -415,7 +531,8 @@
         let state = if answers { StoreState::Answers } else { StoreState::Away };
         let uptime = self.uptime(node);
         self.states[node].watchers.on_own_pulse(state, uptime);
-        self.spread(node, FIRST_FAN_OUT, &Message::Pulse { watcher: node, number, answers });
+        let message = Message::Pulse { watcher: node, number, answers, age: Duration::ZERO };
+        self.spread(node, FIRST_FAN_OUT, &message);
         self.push(self.now + PULSE_INTERVAL, Event::Pulse { node, incarnation, term });
     }
 
@@ -429,6 +546,7 @@
         let answers = self.scenario.answers(self.ids.len(), node, self.now);
         if answers {
             self.on_store_contents(node);
+            self.on_changes(node, self.changes.len());
         }
         let pause = if answers { role.watch_timeout() } else { Duration::from_secs(1) };
         self.push(self.now + pause, Event::Watch { node, incarnation, term });
@@ -444,6 +562,17 @@
         self.start_all(self.now + Duration::from_secs(1));
     }
 
+    /// These nodes lose power and do not start again.
+    fn lose(&mut self, nodes: impl IntoIterator<Item = Node>) {
+        for node in nodes {
+            (self.states[node].started, self.states[node].role) = (None, None);
+        }
+    }
+
+    fn running(&self) -> Vec<Node> {
+        (0..self.ids.len()).filter(|node| self.states[*node].started.is_some()).collect()
+    }
+
     fn calls(&self) -> usize {
         self.counts.calls.values().sum()
     }
@@ -488,8 +617,23 @@
     ]
 }
 
+/// The smallest bound of the users' settings for a fleet of this size, and the narrowest of its links.
+fn bound_and_link(nodes: usize) -> (Duration, f64) {
+    match nodes {
+        ..=9 => (s(2.0), 1e9),
+        10..=100 => (s(3.0), 1e7),
+        101..=300 => (s(4.0), 1e7),
+        _ => (s(5.0), 1e7),
+    }
+}
+
+fn schedule(nodes: usize) -> TakeoverSchedule {
+    let (bound, link_bits_per_second) = bound_and_link(nodes);
+    TakeoverSchedule::new(bound, link_bits_per_second)
+}
+
 fn simulate(nodes: usize, scenario: Scenario, seed: u64) -> Model {
-    let mut model = Model::new(nodes, scenario, seed);
+    let mut model = Model::new(nodes, scenario, schedule(nodes), seed);
     if let Some(at) = model.scenario.power {
         model.run(at);
         model.lose_power();
@@ -560,3 +704,83 @@
 const MAX_UNWATCHED: Duration = Duration::from_secs(6);
 /// In steady state the first few nodes watch, and one that was cut off may not have stopped yet.
 const MAX_WATCHERS_AT_END: usize = WATCHERS + 1;
+
+/// Nodes that lose power together, and the time from one such loss to the next.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    /// All that watch the store, so many times.
+    Watchers { times: usize, gap: Duration },
+    /// All that watch the store and all others but so many.
+    AllBut(usize),
+    /// All that watch the store and half of the others.
+    Half,
+}
+
+impl Loss {
+    fn apply(self, model: &mut Model) {
+        let (times, gap) = match self {
+            Loss::Watchers { times, gap } => (times, gap),
+            Loss::AllBut(_) | Loss::Half => (1, Duration::ZERO),
+        };
+        for _ in 0..times {
+            let watching = model.watching();
+            let others: Vec<Node> = model.running().into_iter().filter(|n| !watching.contains(n)).collect();
+            let left = match self {
+                Loss::Watchers { .. } => others.len(),
+                Loss::AllBut(left) => left,
+                Loss::Half => others.len() / 2,
+            };
+            let others = if others.is_empty() { model.running() } else { others };
+            let left: BTreeSet<Node> =
+                others.into_iter().sample(&mut model.rng, left.max(1)).into_iter().collect();
+            model.lose(model.running().into_iter().filter(|node| !left.contains(node)));
+            model.run(model.now + gap);
+        }
+    }
+}
+
+/// The store changes so many times, from before the first loss until after the last one.
+const CHANGES: u32 = 150;
+const CHANGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Guards against nodes that act on an outdated configuration or list of replicas after all nodes that watched the
+/// store have lost power: whichever nodes are left, they know the store's latest changes within the bound of the
+/// settings.
+#[test]
+fn test_nodes_that_are_left_know_the_latest_changes_in_time() {
+    let mut text = String::new();
+    for (nodes, seeds, losses_played) in [(3, 40, 5), (9, 40, 5), (62, 8, 5), (985, 1, 2)] {
+        let bound = bound_and_link(nodes).0;
+        let losses = [
+            Loss::Watchers { times: 3, gap: bound / 2 },
+            Loss::Half,
+            Loss::Watchers { times: 1, gap: Duration::ZERO },
+            Loss::AllBut(1),
+            Loss::AllBut(2),
+        ];
+        for loss in losses.into_iter().take(losses_played) {
+            let (mut stalest, mut most_watching) = (Duration::ZERO, 0);
+            for seed in 0..seeds {
+                let mut model = Model::new(nodes, Scenario::default(), schedule(nodes), seed);
+                for n in 0..CHANGES {
+                    model.push(s(8.0) + CHANGE_INTERVAL * n, Event::Change);
+                }
+                let at = model.rng.random_range(s(9.0)..s(10.0));
+                model.run(at);
+                model.counts = Counts::default();
+                loss.apply(&mut model);
+                model.run(model.now + bound + s(2.0));
+                let staleness = model.counts.max_staleness;
+                assert!(staleness <= bound, "{nodes} nodes, {loss:?}, seed {seed}: {staleness:?}");
+                stalest = stalest.max(staleness);
+                most_watching = most_watching.max(model.counts.max_watching);
+            }
+            writeln!(
+                text,
+                "{nodes} nodes, {loss:?}: outdated for {stalest:.1?} at most, {most_watching} watch at most"
+            )
+            .unwrap();
+        }
+    }
+    insta::assert_snapshot!(text);
+}
--- a/node/src/gateway/control/config_intake.rs
+++ b/node/src/gateway/control/config_intake.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use leadstage_lib::gateway::catch_up_age::CatchUpAge;
 use leadstage_lib::gateway::config_sources::ConfigSources;
 use leadstage_lib::gateway::config_sources::NextSource;
 use leadstage_lib::gateway::config_sources::VersionNotice;
@@ -44,6 +45,7 @@
     /// When a configuration was last put in force.
     last_update: Timestamp,
     sources: ConfigSources,
+    age: CatchUpAge<ConfigVersion>,
     /// The received part of a configuration whose transfer was interrupted.
     partial: Option<PartialConfig>,
     /// The next transfer must send the full text: the last difference could not be applied to the
@@ -66,6 +68,7 @@
             shared,
             last_update: Timestamp::ZERO,
             sources: ConfigSources::default(),
+            age: CatchUpAge::default(),
             partial: None,
             needs_full_text: false,
             unreadable_version: 0,
@@ -80,6 +83,13 @@
         self.last_update
     }
 
+    /// Up to when this node knows the configurations in the store if another node has a newer one;
+    /// `answered_at` is when the store last answered a node.
+    pub fn lags_since(&mut self, answered_at: Timestamp) -> Option<Timestamp> {
+        let own = self.shared.config_version();
+        self.age.update(own, self.sources.newest().unwrap_or(own), answered_at)
+    }
+
     /// The store reported its configuration.
     pub fn on_store_update(&mut self, fleet: &Fleet, update: StoreUpdate<Bytes>) {
         let texts: Vec<Bytes> = match update {
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -7,6 +7,8 @@
 
 use leadstage_lib::gateway::config_sources::VersionNotice;
 use leadstage_lib::gateway::revision;
+use leadstage_lib::gateway::watch_takeover::TakeoverSchedule;
+use leadstage_lib::gateway::watchers;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::gateway::watchers::Watchers;
@@ -82,7 +84,7 @@
             limits: LimitIntake::new(shared.clone()),
             upgrades: UpgradeIntake::new(shared.clone()),
             path_probes: PathProbes::new(shared.clone()),
-            watchers: Watchers::new(fleet.own().clone()),
+            watchers: Watchers::new(fleet.own().clone(), takeover_schedule(&shared)),
             store_watcher: StoreWatcher::new(shared.clone()),
             last_status: Timestamp::ZERO,
             last_levels_log: Timestamp::ZERO,
@@ -188,11 +190,14 @@
         self.placing.lead(&self.fleet);
         self.placing.tick_ramps(&self.fleet);
         self.placing.share_plain_calls(&self.fleet);
+        self.watchers.set_schedule(takeover_schedule(&self.shared));
         self.watchers.tick(now);
+        let lags_since = self.lags_since();
+        self.watchers.set_lag(lags_since);
         self.fleet.hears_watchers = self.watchers.fresh_pulses(now).next().is_some();
         let has_wide_link = |node: &VmId| self.fleet.node_has_wide_link(node);
         let role = self.watchers.role(self.fleet.alive(), has_wide_link, now);
-        self.store_watcher.set(role, self.watchers.answer_age(now));
+        self.store_watcher.set(role, self.watchers.answer_age(now), self.watchers.staleness(now));
         self.halls.tick(&mut self.placing, &self.fleet);
         self.crashes.tick(&self.placing, &self.fleet, role.is_some());
         let store_answers = self.watchers.store_answers(now);
@@ -202,6 +207,14 @@
         self.publish_status(now);
     }
 
+    /// Up to when this node knows the configurations and replicas in the store, if it lacks some that other nodes
+    /// have.
+    fn lags_since(&mut self) -> Option<Timestamp> {
+        let answered_at = self.watchers.answered_at()?;
+        let lags = [self.configs.lags_since(answered_at), self.replicas.lags_since(answered_at)];
+        lags.into_iter().flatten().min()
+    }
+
     /// Polls the health of engines while the store may be unable to report that they are leaving.
     fn update_health_polls(&mut self, now: Timestamp) {
         if self.watchers.is_store_away(now) {
@@ -235,13 +248,14 @@
             config_age: now.saturating_sub(self.configs.last_update()),
             replicas_age: now.saturating_sub(self.replicas.last_update()),
             store_answer_age: self.watchers.answer_age(now),
+            staleness: self.watchers.staleness(now),
         };
         self.shared.metrics.record_gauges(&levels);
         if now >= self.last_levels_log + LEVELS_LOG_INTERVAL {
             self.last_levels_log = now;
             let replicas_at = self.shared.replicas_at();
             let peer_bytes = self.shared.metrics.peer_bytes_so_far();
-            info!(event = "levels", open = levels.open, waiting = levels.waiting, nodes = levels.nodes, config = self.shared.config_version(), config_age_ms = levels.config_age.as_millis() as u64, replicas_age_ms = levels.replicas_age.as_millis() as u64, store_answer_age_ms = levels.store_answer_age.as_millis() as u64, replicas_at = revision::number(replicas_at), store_era = revision::era(replicas_at), peer_bytes; "levels");
+            info!(event = "levels", open = levels.open, waiting = levels.waiting, nodes = levels.nodes, config = self.shared.config_version(), config_age_ms = levels.config_age.as_millis() as u64, replicas_age_ms = levels.replicas_age.as_millis() as u64, store_answer_age_ms = levels.store_answer_age.as_millis() as u64, staleness_ms = levels.staleness.as_millis() as u64, replicas_at = revision::number(replicas_at), store_era = revision::era(replicas_at), peer_bytes; "levels");
             self.log_peer_traffic();
             self.placing.log_engine_paces(&self.fleet);
         }
@@ -346,7 +360,7 @@
         self.update_health_polls(now);
         let settings = &self.shared.settings;
         let (watcher, has_wide_link) = (settings.peer, settings.has_wide_link());
-        self.fleet.notify(&PeerMessage::Pulse(Pulse { watcher, has_wide_link, number, store }));
+        self.fleet.notify(&PeerMessage::Pulse(Pulse { watcher, has_wide_link, number, store, age_ms: 0 }));
     }
 
     /// Handles a probe from another node. A sender that receives no pulses from watchers, because it has
@@ -357,10 +371,12 @@
         if gossip.hears_watchers {
             return;
         }
-        for (watcher, number, store) in self.watchers.fresh_pulses(now) {
+        for (watcher, watchers::Pulse { number, state, at }) in self.watchers.fresh_pulses(now) {
             let has_wide_link = self.fleet.node_has_wide_link(watcher);
+            let age_ms = now.saturating_sub(at).as_millis() as u32;
             if let Some(watcher) = address_of(watcher) {
-                self.fleet.send(from, &PeerMessage::Pulse(Pulse { watcher, has_wide_link, number, store }));
+                let pulse = Pulse { watcher, has_wide_link, number, store: state, age_ms };
+                self.fleet.send(from, &PeerMessage::Pulse(pulse));
             }
         }
     }
@@ -371,7 +387,9 @@
         if pulse.has_wide_link {
             self.fleet.on_wide_link(&watcher);
         }
-        if self.watchers.on_pulse(&watcher, pulse.number, pulse.store, now) {
+        let at = now.saturating_sub(Duration::from_millis(pulse.age_ms.into()));
+        if self.watchers.on_pulse(&watcher, watchers::Pulse { number: pulse.number, state: pulse.store, at })
+        {
             self.update_health_polls(now);
             self.fleet.forward(&PeerMessage::Pulse(pulse));
         }
@@ -384,3 +402,8 @@
         }
     }
 }
+
+/// How long this node waits for news of the store before it asks the store itself, by its settings.
+fn takeover_schedule(shared: &Shared) -> TakeoverSchedule {
+    TakeoverSchedule::new(shared.bounds().max_staleness, shared.settings.link_bits_per_second())
+}
--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -17,6 +17,7 @@
 use leadstage_platform::store_kinds::Kind;
 use log::info;
 use log::warn;
+use tokio::sync::oneshot;
 
 use crate::gateway::messages::StoreUpdate;
 use crate::gateway::messages::ToControl;
@@ -44,6 +45,8 @@
     /// Whether changes also arrive in another way if a watch's connection goes silent. Each watch then
     /// waits as long as a standby's.
     pub has_other_source: bool,
+    /// Dropped once the first call has ended.
+    pub first_call: Option<oneshot::Sender<()>>,
 }
 
 impl FollowOptions {
@@ -107,7 +110,9 @@
         logged_fields: BTreeSet::new(),
     };
     loop {
-        if let Err(err) = follower.poll().await {
+        let result = follower.poll().await;
+        follower.options.first_call = None;
+        if let Err(err) = result {
             follower.on_error(err).await;
         }
     }
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use leadstage_lib::gateway::catch_up_age::CatchUpAge;
 use leadstage_lib::gateway::replica::LeavingSign;
 use leadstage_lib::gateway::replica_catch_up::ReplicaCatchUp;
 use leadstage_lib::gateway::replica_catch_up::Source;
@@ -72,6 +73,9 @@
     /// The whole list, packed for other nodes, and the revision that it has.
     packed: Option<(Revision, Bytes)>,
     catch_up: ReplicaCatchUp,
+    /// The latest revision up to which another node knows the replicas.
+    newest_elsewhere: Revision,
+    age: CatchUpAge<Revision>,
 }
 
 impl ReplicaIntake {
@@ -89,6 +93,8 @@
             is_watcher: false,
             packed: None,
             catch_up: ReplicaCatchUp::new(&mut rand::rng()),
+            newest_elsewhere: 0,
+            age: CatchUpAge::default(),
         }
     }
 
@@ -104,6 +110,12 @@
         self.last_update
     }
 
+    /// Up to when this node knows the replicas in the store if another node knows later changes; `answered_at` is
+    /// when the store last answered a node.
+    pub fn lags_since(&mut self, answered_at: Timestamp) -> Option<Timestamp> {
+        self.age.update(self.progress.at(), self.newest_elsewhere, answered_at)
+    }
+
     /// Treats replicas as gone whose entries stayed missing. A node that follows the store announces them,
     /// as the other nodes know the same revision and would not notice.
     pub fn tick(&mut self, placing: &mut Placing, fleet: &Fleet, is_watcher: bool) {
@@ -383,6 +395,7 @@
     /// they arrive on their own before.
     pub fn compare(&mut self, placing: &Placing, fleet: &Fleet, from: SocketAddr, peer_revision: Revision) {
         let own = self.progress.at();
+        self.newest_elsewhere = self.newest_elsewhere.max(peer_revision);
         if peer_revision <= own {
             return;
         }
--- a/node/src/gateway/control/store_watcher.rs
+++ b/node/src/gateway/control/store_watcher.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::watchers::PULSE_INTERVAL;
+use leadstage_lib::gateway::watchers::PULSE_TIMEOUT;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
 use leadstage_lib::gateway::watchers::WatchRole;
@@ -19,6 +20,7 @@
 use log::info;
 use log::warn;
 use rand::RngExt;
+use tokio::sync::oneshot;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::gateway::control::follow;
@@ -30,9 +32,6 @@
 use crate::gateway::shared::Shared;
 use crate::shared::unix_millis;
 
-/// Time without an answer after which the store is considered unavailable; a slow store takes a quarter of
-/// a second.
-const PULSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time without an answer after which the store is considered late. An answer usually takes about 4 ms, and
 /// a busy node some tens of milliseconds until it processes one.
 const PULSE_LATE_AFTER: Duration = Duration::from_millis(120);
@@ -67,13 +66,13 @@
     }
 
     /// Starts or stops watching, or changes the role. `answer_age` is the time since the store last answered any
-    /// node that this one hears of.
-    pub fn set(&mut self, role: Option<WatchRole>, answer_age: Duration) {
+    /// node that this one hears of, and `staleness` the time for which this node may not know its changes.
+    pub fn set(&mut self, role: Option<WatchRole>, answer_age: Duration, staleness: Duration) {
         if role == self.role {
             return;
         }
-        let answer_age_ms = answer_age.as_millis() as u64;
-        info!(event = "store_watch", before:? = self.role, now:? = role, answer_age_ms; "this node's role as a watcher of the store changed");
+        let (answer_age_ms, staleness_ms) = (answer_age.as_millis() as u64, staleness.as_millis() as u64);
+        info!(event = "store_watch", before:? = self.role, now:? = role, answer_age_ms, staleness_ms; "this node's role as a watcher of the store changed");
         self.role = role;
         let Some(role) = role else {
             self.tasks = None;
@@ -89,14 +88,28 @@
         let (shared, role) = (&self.shared, &self.tasks_role);
         // Each watcher reads a new configuration at once: all nodes fetch it from those that have it, and a
         // single watcher may have a narrow link.
-        let options =
-            |is_batching| FollowOptions { role: role.clone(), is_batching, has_other_source: false };
-        let configuration =
-            follow::follow::<Configuration>(shared.clone(), ToControl::Configuration, options(false));
-        let replicas = follow::follow::<Replicas>(shared.clone(), ToControl::Replicas, options(true));
+        let options = |is_batching, first_call| FollowOptions {
+            role: role.clone(),
+            is_batching,
+            has_other_source: false,
+            first_call,
+        };
+        let (config_call, config_read) = oneshot::channel();
+        let configuration = follow::follow::<Configuration>(
+            shared.clone(),
+            ToControl::Configuration,
+            options(false, Some(config_call)),
+        );
+        let (replicas_call, replicas_read) = oneshot::channel();
+        let replicas = follow::follow::<Replicas>(
+            shared.clone(),
+            ToControl::Replicas,
+            options(true, Some(replicas_call)),
+        );
+        let first_reads = async move { drop(tokio::join!(config_read, replicas_read)) };
         // Pulses read the closed halls as well. Without faults, 66 nodes then make 387 calls to the store
         // instead of 411.
-        let with_other_source = || FollowOptions { has_other_source: true, ..options(false) };
+        let with_other_source = || FollowOptions { has_other_source: true, ..options(false, None) };
         let closed_halls =
             follow::follow::<Evacuations>(shared.clone(), ToControl::ClosedHalls, with_other_source());
         // Nodes also send suspects to each other, with or without the store.
@@ -112,7 +125,7 @@
             _closed_halls: AbortOnDropHandle::new(tokio::task::spawn_local(closed_halls)),
             _suspects: AbortOnDropHandle::new(tokio::task::spawn_local(suspects)),
             _upgrades: upgrades,
-            _pulse: AbortOnDropHandle::new(tokio::task::spawn_local(pulse(self.shared.clone()))),
+            _pulse: AbortOnDropHandle::new(tokio::task::spawn_local(pulse(shared.clone(), first_reads))),
         }
     }
 }
@@ -120,7 +133,14 @@
 /// Checks periodically whether the store answers: a pending watch does not show that it is unavailable.
 /// Each check costs a tenth of a usual call. It reads the closed halls, as they were some seconds ago, so
 /// that a closed hall is noticed even if the answer of its watch was lost.
-async fn pulse(shared: Arc<Shared>) {
+///
+/// Other nodes take a pulse as a sign that its sender knows the store's latest changes, so the first one is sent
+/// after `first_reads`. A read that takes longer than a call without an answer is not waited for: meanwhile, more
+/// nodes would begin to watch.
+async fn pulse(shared: Arc<Shared>, first_reads: impl Future<Output = ()>) {
+    if tokio::time::timeout(PULSE_TIMEOUT, first_reads).await.is_err() {
+        info!(event = "first_reads_late"; "the store is still being read; sending pulses meanwhile");
+    }
     let mut store = Store::new(shared.settings.store);
     let mut number: PulseNumber = unix_millis();
     loop {
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -57,6 +57,7 @@
     config_age: Gauge<f64>,
     replicas_age: Gauge<f64>,
     store_answer_age: Gauge<f64>,
+    staleness: Gauge<f64>,
     nodes: Gauge<u64>,
     broken_runs: Counter<u64>,
     endless_heads: Counter<u64>,
@@ -141,6 +142,8 @@
                 "leadstage.gateway.store_answer_age",
                 "Time since the store is known to have answered a node",
             ),
+            staleness: instruments
+                .age("leadstage.gateway.staleness", "Time for which changes of the store may not be known"),
             nodes: instruments.gauge("leadstage.gateway.nodes", "Nodes taken to be alive, this one included"),
             broken_runs: counter(
                 "leadstage.gateway.broken_runs",
@@ -321,6 +324,7 @@
         self.config_age.record(levels.config_age.as_secs_f64(), &[]);
         self.replicas_age.record(levels.replicas_age.as_secs_f64(), &[]);
         self.store_answer_age.record(levels.store_answer_age.as_secs_f64(), &[]);
+        self.staleness.record(levels.staleness.as_secs_f64(), &[]);
     }
 
     /// Returns the metrics in the Prometheus text format.
@@ -545,4 +549,6 @@
     pub replicas_age: Duration,
     /// Time since the store last answered any node that this one hears of.
     pub store_answer_age: Duration,
+    /// Time for which this node may not know changes of the store.
+    pub staleness: Duration,
 }
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -304,4 +304,6 @@
     pub number: PulseNumber,
     /// Whether the store answers the watcher.
     pub store: StoreState,
+    /// Time since the watcher sent it, in ms, as far as the nodes that forwarded it held it.
+    pub age_ms: u32,
 }
--- a/node/src/gateway/settings.rs
+++ b/node/src/gateway/settings.rs
@@ -80,6 +80,10 @@
     retry_slack: f64,
     #[serde(with = "humantime_serde")]
     retry_window: Duration,
+    #[serde(with = "humantime_serde")]
+    config_within: Duration,
+    #[serde(with = "humantime_serde")]
+    drain_within: Duration,
     cold_overshoot: Option<f64>,
     cold_slack: Option<f64>,
     exposure_share: Option<f64>,
@@ -93,6 +97,8 @@
             retry_ratio: 0.1,
             retry_slack: 10.0,
             retry_window: Duration::from_secs(10),
+            config_within: Duration::from_secs(2),
+            drain_within: Duration::from_secs(2),
             cold_overshoot: None,
             cold_slack: None,
             exposure_share: None,
@@ -112,6 +118,9 @@
     pub retry_slack: f64,
     /// The time window that `retry_ratio` and `retry_slack` apply to.
     pub retry_window: Duration,
+    /// Time after which a change that the store has accepted must be in force at every node: the smaller of the
+    /// bounds for configurations and for replicas that leave.
+    pub max_staleness: Duration,
     /// Bounds on what all nodes together may send to a cold replica.
     pub cold: ColdBounds,
     /// Bounds on what a version of a service's software may be sent while it is on trial; `None` if the
@@ -248,7 +257,13 @@
             problems.push(Problem::new(format!("bounds.{name}"), format!("{value} must be 0 or more")));
         }
     }
-    for (name, value) in [("stop_within", file.stop_within), ("retry_window", file.retry_window)] {
+    let durations = [
+        ("stop_within", file.stop_within),
+        ("retry_window", file.retry_window),
+        ("config_within", file.config_within),
+        ("drain_within", file.drain_within),
+    ];
+    for (name, value) in durations {
         if value.is_zero() {
             problems.push(Problem::new(format!("bounds.{name}"), "must be more than 0s"));
         }
@@ -258,6 +273,7 @@
         retry_ratio: file.retry_ratio,
         retry_slack: file.retry_slack,
         retry_window: file.retry_window,
+        max_staleness: file.config_within.min(file.drain_within),
         cold,
         exposure: check_exposure(file, problems),
     }
