answers: an empty success without a length is not passed on as whole

What callers saw: 200 with content-length 0, which the node added, where a replica had closed its connection in order after a head that names neither a length nor chunks.

Cause: such an answer ends with its connection, and the node asks only whether the replica runs on. Here it does, so an empty body counted as whole.

Change: a success of that kind without a byte of body is taken for lost. It is repeated at another replica where the request allows it, else 502 (3001). 204 and 205 stay; so do failures. The completions interface does the same.

Ruled out: heads that stop before their blank line (seven forms, one behind a 103); they were 502 before as well.

--- a/node/src/filters/dispatch.rs
+++ b/node/src/filters/dispatch.rs
@@ -15,6 +15,7 @@
 use leadstage_lib::ids::GenerationId;
 use leadstage_lib::ids::OrganisationId;
 use leadstage_platform::arrival;
+use log::info;
 
 use crate::filters::place::GenerationRequest;
 use crate::filters::route::GenerationKind;
@@ -135,15 +136,19 @@
     let exchange = async {
         let res = upstream_client::send(request, limit).await?;
         let is_framed = framing::is_framed(res.headers(), res.body());
-        let status = res.status().as_u16();
+        let status = res.status();
         let header = res.headers().get("content-type").and_then(|v| v.to_str().ok());
         let content_type = header.unwrap_or("application/octet-stream").to_owned();
         let body = http_body_util::Limited::new(res.into_body(), MAX_CALL_RESPONSE_BYTES);
         let body = body.collect().await.map_err(|_| SendError::MayHaveRun)?.to_bytes();
+        if framing::lacks_body(status, is_framed, &body) {
+            info!(event = "answer_lacks_body", upstream:% = address; "a success without a length or a body is not passed on");
+            return Err(SendError::MayHaveRun);
+        }
         if !is_framed && !upstream_client::accepts_connections(address).await {
             return Err(SendError::MayHaveRun);
         }
-        Ok(CallResponse { status, content_type, body })
+        Ok(CallResponse { status: status.as_u16(), content_type, body })
     };
     arrival::timeout(limit, exchange).await.unwrap_or(Err(SendError::TimedOut))
 }
--- a/node/src/framing.rs
+++ b/node/src/framing.rs
@@ -1,6 +1,8 @@
 //! How the end of a response body is marked.
 
+use bytes::Bytes;
 use http::HeaderMap;
+use http::StatusCode;
 use http::header;
 use hyper::body::Body;
 
@@ -9,6 +11,14 @@
     body.size_hint().exact().is_some() || is_chunked(headers)
 }
 
+/// Whether the body of a complete response is probably missing: a success that names neither a length nor chunks,
+/// and whose connection was closed before the first byte of a body. A service that has no body to send says so with
+/// a length of 0 or with status 204, as its connection could not be reused otherwise.
+pub fn lacks_body(status: StatusCode, is_framed: bool, body: &Bytes) -> bool {
+    let may_be_empty = matches!(status, StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT);
+    status.is_success() && !may_be_empty && !is_framed && body.is_empty()
+}
+
 fn is_chunked(headers: &HeaderMap) -> bool {
     let mut codings =
         headers.get_all(header::TRANSFER_ENCODING).iter().filter_map(|value| value.to_str().ok());
--- a/node/src/gateway/upstream/exchange.rs
+++ b/node/src/gateway/upstream/exchange.rs
@@ -309,8 +309,14 @@
     ) -> Result<BufferedResponse, SendError> {
         let is_framed = self.is_framed;
         let mut answer = self.read(&traffic.shared.held, &traffic.connections, replica, req.deadline()).await;
-        if answer.is_ok() && !is_framed && !traffic.outlives_response(req, replica).await {
-            answer = Err(SendError::Truncated("the replica has ended".to_owned()));
+        if let Ok(response) = &answer
+            && !is_framed
+        {
+            if framing::lacks_body(response.status, is_framed, &response.body) {
+                answer = Err(SendError::Truncated("a success without a length or a body".to_owned()));
+            } else if !traffic.outlives_response(req, replica).await {
+                answer = Err(SendError::Truncated("the replica has ended".to_owned()));
+            }
         }
         if matches!(answer, Err(SendError::Truncated(_))) {
             traffic.on_broken_run(req, replica, RunProgress::default());
--- a/node/tests/test_calls.rs
+++ b/node/tests/test_calls.rs
@@ -255,3 +255,14 @@
     par: 3001
     ");
 }
+
+/// Guards against an empty success that looks whole: a service closes its connection after a head that names neither
+/// a length nor chunks, and runs on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_an_empty_success_without_a_length_is_not_passed_on() {
+    let mut env = Env::start(Options { engines: 0, ..Options::default() }).await;
+    let service = answer_unframed(&mut env, "", false).await;
+    let reply = env.book(1, None).await;
+    assert_eq!(status_or_code(&reply), 3001);
+    service.await.expect("the service answers");
+}
--- a/node/tests/test_gateway_broken_answers.rs
+++ b/node/tests/test_gateway_broken_answers.rs
@@ -2,6 +2,7 @@
 //! process ends; whole answers stay whole.
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use leadstage_testutils::gateway_replica::CopyFault;
@@ -10,8 +11,10 @@
 use leadstage_testutils::gateway_replica::ReplicaFault;
 use leadstage_testutils::gateway_replica::StreamEnding;
 use leadstage_testutils::gateway_replica::StreamFault;
+use leadstage_testutils::metadata_store::replica_entry;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 use crate::gateway_environment::CallResult;
@@ -21,6 +24,7 @@
 use crate::gateway_environment::RunningReplica;
 use crate::gateway_environment::book;
 use crate::gateway_environment::chat;
+use crate::gateway_environment::config;
 use crate::gateway_environment::read;
 use crate::gateway_environment::tag;
 
@@ -264,6 +268,85 @@
     }
 }
 
+/// Guards against an empty success that looks whole: a replica closes its connection after a head that names neither
+/// a length nor chunks, and runs on.
+#[tokio::test]
+async fn test_an_empty_success_without_a_length_is_not_taken_for_whole() {
+    let (gateway, bookings, _models) = Gateway::with_replicas(2).await;
+    bookings.iter().for_each(|running| running.replica.set_fault(ReplicaFault::UnframedEmpty));
+    let mut rows = Vec::new();
+    for req in [book("r-book"), read("r-read")] {
+        let path = req.uri().path().to_owned();
+        let called = gateway.call(0, req).await;
+        rows.push(format!("{path}: {}, code {}", called.status, called.code()));
+    }
+    insta::assert_snapshot!(rows.join("\n"), @r"
+    /book/x: 502, code 3001
+    /read/x: 502, code 3001
+    ");
+    bookings[1].replica.set_fault(ReplicaFault::None);
+    for n in 0..4 {
+        let called = gateway.call(0, read(&format!("r-{n}"))).await;
+        assert_eq!((called.status, &*called.body), (200, "booking-2 answers /read/x"), "{}", gateway.logs());
+    }
+}
+
+/// Listens as a replica that passes its health checks and answers each call with `answer`, in which `ID` stands for
+/// the request's id, and closes the connection in order.
+async fn serve_raw_answer(ip: String, answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        while let Ok((mut connection, _)) = listener.accept().await {
+            let mut req = Vec::new();
+            while !req.ends_with(b"\r\n\r\n")
+                && connection.read_buf(&mut req).await.is_ok_and(|read| read > 0)
+            {}
+            let req = String::from_utf8_lossy(&req).to_lowercase();
+            let id = req.lines().find_map(|line| line.strip_prefix("leadstage-request-id: "));
+            let answer = match id {
+                Some(id) => answer.replace("ID", id),
+                None => "HTTP/1.1 200 OK\r\nleadstage-instance-id: booking-1\r\ncontent-length: 0\r\n\r\n"
+                    .to_owned(),
+            };
+            // The node may have closed the connection.
+            let _ = connection.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+/// Guards against a success made of a head that stops: a replica ends in the middle of a head and closes its
+/// connection in order.
+#[tokio::test]
+async fn test_a_head_that_stops_is_no_success() {
+    let mut rows = Vec::new();
+    for answer in [
+        "H",
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nleadstage-req",
+        "HTTP/1.1 200 OK\r\nleadstage-request-id: ID\r\n",
+        "HTTP/1.1 200 OK\r\nleadstage-request-id: ID\r\ncontent-length: 5\r\n\r",
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nleadstage-request-id: ID\r\n",
+        "HTTP/1.1 200 OK\r\nleadstage-request-id: ID\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nleadstage-request-id: ID\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nleadstage-request-id: ID\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nleadstage-request-id: ID\r\n\r\n",
+        "HTTP/1.1 500 Internal Server Error\r\nleadstage-request-id: ID\r\n\r\n",
+    ] {
+        let mut gateway = Gateway::start().await;
+        gateway.store.put("config", "main", config(1));
+        let address = serve_raw_answer(gateway.replicas_ip(), answer).await;
+        gateway.store.put("servers", "booking-1", replica_entry("booking", address, "hall-1", "ready"));
+        let node = gateway.start_node();
+        gateway.until_ready(node).await;
+        let called = gateway.call(node, book("r-book")).await;
+        rows.push(format!("{answer:?}: {}, {}", called.status, called.code()));
+    }
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
 /// Sends a request for a stream as HTTP/1.0, whose answers end with their connection. Returns the number of
 /// events received, and how the connection ended.
 async fn call_http_10(gateway: &Gateway, path: &str) -> (usize, io::Result<()>) {
--- a/testutils/src/gateway_replica.rs
+++ b/testutils/src/gateway_replica.rs
@@ -466,6 +466,7 @@
             }
             ReplicaFault::TruncatesBody => loopback::stream_body(cut),
             ReplicaFault::Long(bytes) => loopback::full_body("x".repeat(bytes)),
+            ReplicaFault::UnframedEmpty => loopback::stream_body(futures::stream::empty()),
             ReplicaFault::UnframedCrash => {
                 let replica = self.clone();
                 let crash = async move {
@@ -479,7 +480,11 @@
         };
         let mut res = Response::new(body);
         *res.headers_mut() = self.response_headers(req.headers(), fault);
-        if matches!(fault, ReplicaFault::Unframed | ReplicaFault::UnframedCrash) {
+        let is_unframed = matches!(
+            fault,
+            ReplicaFault::Unframed | ReplicaFault::UnframedEmpty | ReplicaFault::UnframedCrash
+        );
+        if is_unframed {
             mark_end(&mut res, Framing::Unframed, 0);
         }
         if fault == ReplicaFault::Fails {
--- a/testutils/src/gateway_replica/faults.rs
+++ b/testutils/src/gateway_replica/faults.rs
@@ -31,6 +31,8 @@
     Long(usize),
     /// Sends the body without a length or chunks.
     Unframed,
+    /// Sends the head of such a response and no body.
+    UnframedEmpty,
     /// Sends a part of such a body and crashes.
     UnframedCrash,
     /// Executes the request and sends informational heads without end.
