--- a/lib/tests/test_gateway_watchers_model.rs
+++ b/lib/tests/test_gateway_watchers_model.rs
@@ -699,8 +699,8 @@
     }
 }
 
-/// After a start, nodes listen and wait for a few turns. Later, three watchers that stop sending pulses
-/// together are detected after 2 s, and turns begin 3 s after the last pulse.
+/// After a start, nodes listen and wait for a few turns. While the store answers none of the first nodes, the next
+/// groups try for 3 s each.
 const MAX_UNWATCHED: Duration = Duration::from_secs(6);
 /// In steady state the first few nodes watch, and one that was cut off may not have stopped yet.
 const MAX_WATCHERS_AT_END: usize = WATCHERS + 1;
