logs: a starting node says what it waits for

Operators saw nodes that came back late after all machines had returned, and a start logged two lines: `start` and `serving`. From these, a start that waits for the configuration, one that waits for the replicas and one whose store or whose peers do not answer look the same.

A node that has started now logs `start_waits` for each part that it lacks, after 1 s and then after twice the wait each time, with the nodes it knows, whether one of them has the part, and its calls to the store that ended and that failed. Its line `serving` says how long the start took, when each part came and from where (the store or a node). `leadstage_gateway_start_seconds` shows the time so far, and `status` tells a node without replicas from one without a configuration.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -70,6 +70,7 @@
 pub mod service_index;
 pub mod shortage;
 pub mod stage_history;
+pub mod start_progress;
 pub mod startup_read;
 pub mod store_outages;
 pub mod stored_suspects;
--- a/node/src/gateway/control.rs
+++ b/node/src/gateway/control.rs
@@ -19,6 +19,7 @@
 pub mod placement_state;
 pub mod placing;
 pub mod replica_intake;
+pub mod start_log;
 pub mod store_watcher;
 pub mod suspect_store;
 pub mod trial;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -7,6 +7,7 @@
 
 use leadstage_lib::gateway::config_sources::VersionNotice;
 use leadstage_lib::gateway::revision;
+use leadstage_lib::gateway::start_progress::Source;
 use leadstage_lib::gateway::watch_takeover::TakeoverSchedule;
 use leadstage_lib::gateway::watchers;
 use leadstage_lib::gateway::watchers::PulseNumber;
@@ -24,6 +25,8 @@
 use crate::gateway::control::path_probes::PathProbes;
 use crate::gateway::control::placing::Placing;
 use crate::gateway::control::replica_intake::ReplicaIntake;
+use crate::gateway::control::start_log;
+use crate::gateway::control::start_log::StartLog;
 use crate::gateway::control::store_watcher::StoreWatcher;
 use crate::gateway::control::upgrade_intake::UpgradeIntake;
 use crate::gateway::messages::Fetched;
@@ -64,6 +67,7 @@
     path_probes: PathProbes,
     watchers: Watchers,
     store_watcher: StoreWatcher,
+    start_log: StartLog,
     last_status: Timestamp,
     last_levels_log: Timestamp,
     /// The counts of calls to the store that were last logged.
@@ -86,6 +90,7 @@
             path_probes: PathProbes::new(shared.clone()),
             watchers: Watchers::new(fleet.own().clone(), takeover_schedule(&shared)),
             store_watcher: StoreWatcher::new(shared.clone()),
+            start_log: StartLog::new(shared.clone()),
             last_status: Timestamp::ZERO,
             last_levels_log: Timestamp::ZERO,
             logged_calls: StoreCalls::default(),
@@ -108,6 +113,7 @@
     }
 
     fn handle(&mut self, message: ToControl) {
+        let source = start_log::source_of(&message);
         match message {
             ToControl::Place(request, reply) => self.placing.place(&self.fleet, request, reply),
             ToControl::LeadSilent(run) => self.placing.on_lead_silent(run),
@@ -175,7 +181,7 @@
                 self.fleet.leave();
             }
         }
-        self.check_ready();
+        self.check_ready(source);
     }
 
     fn tick(&mut self) {
@@ -204,6 +210,7 @@
         self.upgrades.tick(&mut self.placing, &self.fleet, role, store_answers);
         self.update_health_polls(now);
         self.replicas.tick(&mut self.placing, &self.fleet, role.is_some());
+        self.start_log.tick(&self.replicas);
         self.publish_status(now);
     }
 
@@ -245,6 +252,7 @@
             limited: self.shared.limits().len(),
             ramping: self.placing.state.ramps.len(),
             quarantined: crashes.quarantines().len(),
+            start_time: self.start_log.time(),
             config_age: now.saturating_sub(self.configs.last_update()),
             replicas_age: now.saturating_sub(self.replicas.last_update()),
             store_answer_age: self.watchers.answer_age(now),
@@ -395,10 +403,16 @@
         }
     }
 
-    fn check_ready(&mut self) {
-        let is_known = self.replicas.is_known() && self.shared.phase() == Phase::Starting;
-        if is_known && self.shared.table().is_some() && self.shared.advance(Phase::Serving) {
-            info!(event = "serving"; "configuration and replicas are known");
+    /// Begins to serve once the configuration and the replicas are known; `source` is where the last message
+    /// came from.
+    fn check_ready(&mut self, source: Option<Source>) {
+        if self.shared.phase() != Phase::Starting {
+            return;
+        }
+        self.start_log.on_message(source, &self.replicas);
+        let is_known = self.replicas.is_known() && self.shared.table().is_some();
+        if is_known && self.shared.advance(Phase::Serving) {
+            self.start_log.on_serving();
         }
     }
 }
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -105,6 +105,11 @@
         self.progress.at() > 0
     }
 
+    /// Whether another node knows replicas up to some revision.
+    pub fn is_known_elsewhere(&self) -> bool {
+        self.newest_elsewhere > 0
+    }
+
     /// When an update was last received.
     pub fn last_update(&self) -> Timestamp {
         self.last_update
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -44,6 +44,7 @@
     tunnels: Counter<u64>,
     store_calls: Counter<u64>,
     store_calls_sums: [AtomicU64; StoreCall::COUNT],
+    store_failures_sum: AtomicU64,
     outdated_replica_news: Counter<u64>,
     lead_silences: Counter<u64>,
     peer_bytes: Counter<u64>,
@@ -54,6 +55,7 @@
     waiting: Gauge<u64>,
     open: Gauge<u64>,
     held: Gauge<u64>,
+    start_time: Gauge<f64>,
     config_age: Gauge<f64>,
     replicas_age: Gauge<f64>,
     store_answer_age: Gauge<f64>,
@@ -122,6 +124,7 @@
                 "Calls to the store, by purpose and answer",
             ),
             store_calls_sums: Default::default(),
+            store_failures_sum: AtomicU64::new(0),
             outdated_replica_news,
             lead_silences: counter("leadstage.gateway.lead_silences", "Questions that a lead did not answer"),
             peer_bytes: counter("leadstage.gateway.peer_bytes", "Bytes from and to other nodes, by what"),
@@ -135,6 +138,8 @@
                 "leadstage.gateway.held_bytes",
                 "Bytes of requests and answers that callers and replicas have not taken yet",
             ),
+            start_time: instruments
+                .age("leadstage.gateway.start", "Time from the start until the node served, or so far"),
             config_age: instruments.age("leadstage.gateway.config_age", "Time since the configuration came"),
             replicas_age: instruments
                 .age("leadstage.gateway.replicas_age", "Time since news of the replicas"),
@@ -265,6 +270,9 @@
     /// Counts a call to the store that was answered or failed.
     pub fn on_store_call(&self, purpose: StoreCall, answered: bool) {
         self.store_calls_sums[purpose as usize].fetch_add(1, Ordering::Relaxed);
+        if !answered {
+            self.store_failures_sum.fetch_add(1, Ordering::Relaxed);
+        }
         let answer = if answered { "answered" } else { "failed" };
         self.store_calls.add(1, &[KeyValue::new("kind", purpose.label()), KeyValue::new("answer", answer)]);
     }
@@ -274,6 +282,12 @@
         StoreCalls(self.store_calls_sums.each_ref().map(|sum| sum.load(Ordering::Relaxed)))
     }
 
+    /// Returns the number of calls to the store that have ended, and how many of them failed.
+    pub fn store_answers_so_far(&self) -> (u64, u64) {
+        let ended = self.store_calls_sums.iter().map(|sum| sum.load(Ordering::Relaxed)).sum();
+        (ended, self.store_failures_sum.load(Ordering::Relaxed))
+    }
+
     /// Counts entries and signs that were ignored, as newer ones of their replicas were known.
     pub fn on_outdated_replica_news(&self, count: usize) {
         self.outdated_replica_news.add(count as u64, &[]);
@@ -321,6 +335,7 @@
         self.quarantined.record(levels.quarantined as u64, &[]);
         self.limited.record(levels.limited as u64, &[]);
         self.ramping.record(levels.ramping as u64, &[]);
+        self.start_time.record(levels.start_time.as_secs_f64(), &[]);
         self.config_age.record(levels.config_age.as_secs_f64(), &[]);
         self.replicas_age.record(levels.replicas_age.as_secs_f64(), &[]);
         self.store_answer_age.record(levels.store_answer_age.as_secs_f64(), &[]);
@@ -543,6 +558,8 @@
     pub limited: usize,
     /// Plain replicas that start or recover, so that their pace is limited.
     pub ramping: usize,
+    /// Time from the start until the node served, or so far.
+    pub start_time: Duration,
     /// Time since the configuration was received.
     pub config_age: Duration,
     /// Time since the last update about the replicas.
--- a/node/src/gateway/observability/status.rs
+++ b/node/src/gateway/observability/status.rs
@@ -29,7 +29,7 @@
     NodeStatus {
         vm: shared.settings.vm.to_string(),
         hall: shared.settings.hall.to_string(),
-        readiness: readiness(shared.phase()).to_owned(),
+        readiness: readiness(shared).to_owned(),
         bundle: shared.table().map(|table| table.version),
         bundle_hash: String::new(),
         open: shared.open_requests() as u32,
@@ -63,9 +63,10 @@
 /// Maximum number of engines listed for one service.
 const MAX_ENGINES: usize = 200;
 
-fn readiness(phase: Phase) -> &'static str {
-    match phase {
-        Phase::Starting => "no bundle",
+fn readiness(shared: &Shared) -> &'static str {
+    match shared.phase() {
+        Phase::Starting if shared.table().is_none() => "no bundle",
+        Phase::Starting => "no replicas",
         Phase::Serving => "ready",
         Phase::Stopping | Phase::Closing | Phase::Closed => "stopping",
     }
