start: wait for ports and addresses of the gateway that come late

Callers saw a node that was away for the supervisor's pause, each time longer: a port that another process held for a moment, an address that no interface had yet, and a process that was started while the earlier one with the same settings still drained ended the start with exit code 1.

Cause: each port was bound once, and any error ended the process, also of the metrics port, which no caller needs. Class: a passing state of the machine is taken for a mistake in the settings.

Errors that remain, such as a lacking permission or an invalid address, still end the start with the reason. The peer ports come first and both at once: a node that does not hear the others would follow the store and lead every service, and the times that it allows others for a first contact count from its start; a port that is held without being read would collect outdated messages. The ready, callers' and metrics ports then come independently of each other. The node is ready only once the callers' port listens (`CallersPortListens`); that was given by the order of the binds before. A planned stop ends the wait with exit code 0.

Ruled out: SO_REUSEPORT, with which an earlier process and a new one would share callers and datagrams at random; running control without its peer socket, which reads the store in a loop and takes itself for the only node.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -2,6 +2,7 @@
 //! in events and the current time and get typed actions back; a seed makes a run reproducible. External
 //! simulations drive the same interfaces as the node does.
 
+pub mod bind_retry;
 pub mod bundle;
 pub mod bundle_check;
 pub mod burn;
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -53,6 +53,7 @@
 /// The components of the control thread.
 pub struct Control {
     shared: Arc<Shared>,
+    callers_port_listens: bool,
     fleet: Fleet,
     placing: Placing,
     configs: ConfigIntake,
@@ -86,6 +87,7 @@
             path_probes: PathProbes::new(shared.clone()),
             watchers: Watchers::new(fleet.own().clone(), takeover_schedule(&shared)),
             store_watcher: StoreWatcher::new(shared.clone()),
+            callers_port_listens: false,
             last_status: Timestamp::ZERO,
             last_levels_log: Timestamp::ZERO,
             logged_calls: StoreCalls::default(),
@@ -170,6 +172,7 @@
             ToControl::OwnPulse(number, store) => self.on_own_pulse(number, store),
             ToControl::Datagram(datagram) => self.on_datagram(datagram),
             ToControl::Seeds(seeds) => self.fleet.set_seeds(&seeds, self.shared.now()),
+            ToControl::CallersPortListens => self.callers_port_listens = true,
             ToControl::Stopping => {
                 self.watchers.leave();
                 self.fleet.leave();
@@ -396,8 +399,12 @@
     }
 
     fn check_ready(&mut self) {
-        let is_known = self.replicas.is_known() && self.shared.phase() == Phase::Starting;
-        if is_known && self.shared.table().is_some() && self.shared.advance(Phase::Serving) {
+        let is_starting = self.callers_port_listens && self.shared.phase() == Phase::Starting;
+        if is_starting
+            && self.replicas.is_known()
+            && self.shared.table().is_some()
+            && self.shared.advance(Phase::Serving)
+        {
             info!(event = "serving"; "configuration and replicas are known");
         }
     }
--- a/node/src/gateway/messages.rs
+++ b/node/src/gateway/messages.rs
@@ -113,6 +113,8 @@
     Datagram(Datagram),
     /// The settings name different seeds.
     Seeds(Vec<SocketAddr>),
+    /// The callers' port listens.
+    CallersPortListens,
     /// A planned stop has begun.
     Stopping,
 }
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -48,7 +48,7 @@
 /// The phases of a node from its start to its end, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
-    /// The node lacks the configuration or the list of replicas.
+    /// The node lacks the configuration, the list of replicas or the callers' port.
     Starting,
     /// The node serves requests.
     Serving,
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -10,9 +10,12 @@
 use derive_more::Error;
 use log::error;
 use log::info;
+use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
@@ -34,6 +37,7 @@
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
 use crate::gateway::stop;
+use crate::late_port::Port;
 use crate::listener;
 
 /// Reason why a node did not start.
@@ -45,7 +49,7 @@
     /// The metrics could not be set up.
     #[display("no metrics: {_0}")]
     Metrics(#[error(not(source))] String),
-    /// A port could not be bound.
+    /// A port can't be bound.
     #[display("port {address}: {source}")]
     Port {
         /// The address.
@@ -68,60 +72,119 @@
 
 /// Runs a gateway node until a planned stop has ended.
 pub fn run(settings: GatewaySettings, file: SettingsFile) -> Result<(), RunError> {
-    let (tx, rx) = mpsc::unbounded_channel();
-    let metrics = GatewayMetrics::new().map_err(|err| RunError::Metrics(err.to_string()))?;
-    let shared = Arc::new(Shared::new(settings, tx, metrics));
-    let settings = &shared.settings;
     info!(event = "start", vm = &*settings.vm, hall = &*settings.hall, first = settings.first_start, listen:% = settings.listen, version = env!("CARGO_PKG_VERSION"); "leadstaged starts");
     let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime)?;
-    // Bound here, before the node can report itself ready. The traffic thread would bind the port too
-    // late: after that report at 2 to 4 of 20 nodes that started on loaded machines.
-    let callers = runtime.block_on(async { bind_tcp(settings.listen) })?;
-    let callers = callers.into_std().map_err(|source| RunError::Port { address: settings.listen, source })?;
-    let traffic = shared.clone();
-    let thread = std::thread::Builder::new().name("traffic".to_owned());
-    thread.spawn(move || traffic_thread(traffic, callers)).map_err(RunError::Runtime)?;
-    LocalSet::new().block_on(&runtime, control_thread(shared, rx, file))
+    LocalSet::new().block_on(&runtime, control_thread(settings, file))
 }
 
-async fn control_thread(
-    shared: Arc<Shared>,
-    rx: mpsc::UnboundedReceiver<ToControl>,
-    file: SettingsFile,
-) -> Result<(), RunError> {
-    let ready = bind_tcp(shared.settings.ready)?;
-    tokio::task::spawn_local(http_port::serve(shared.clone(), ready, "ready", balancer_port::answer));
-    let metrics = bind_tcp(shared.settings.metrics)?;
-    tokio::task::spawn_local(http_port::serve(shared.clone(), metrics, "metrics", metrics_port::answer));
+async fn control_thread(settings: GatewaySettings, file: SettingsFile) -> Result<(), RunError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Signal)?;
+    // Bound before anything else: a node that does not hear the others would follow the store and lead all
+    // services, and the times that it allows others for a first contact count from here.
+    let peer_ports = tokio::select! {
+        bound = PeerPorts::bind(settings.peer) => bound?,
+        _ = terminate.recv() => {
+            info!(event = "stopped"; "planned stop ends a start that waited for the peer port");
+            return Ok(());
+        }
+    };
+    let (tx, rx) = mpsc::unbounded_channel();
+    let metrics = GatewayMetrics::new().map_err(|err| RunError::Metrics(err.to_string()))?;
+    let shared = Arc::new(Shared::new(settings, tx, metrics));
+    tokio::task::spawn_local(serve_operators(shared.clone()));
     if !shared.settings.first_start {
         tokio::task::spawn_local(config_intake::read_at_start(shared.clone()));
         tokio::task::spawn_local(first_read::read_until_replicas_known(shared.clone()));
     }
-    let peer = bind_tcp(shared.settings.peer)?;
-    tokio::task::spawn_local(peer_port::serve(shared.clone(), peer));
-    let socket = Arc::new(bind_udp(shared.settings.peer).await?);
+    tokio::task::spawn_local(peer_port::serve(shared.clone(), peer_ports.listener));
+    let socket = Arc::new(peer_ports.socket);
     tokio::task::spawn_local(outbox::receive(socket.clone(), shared.clone()));
     let outbox = Outbox::new(socket, shared.clone());
     tokio::task::spawn_local(Control::new(shared.clone(), outbox).run(rx));
     let reloads = reload::watch_file(shared.clone(), file.path, file.text);
     tokio::select! {
-        stopped = stop::wait(&shared) => stopped.map_err(RunError::Signal),
+        () = stop::wait(&shared, &mut terminate) => Ok(()),
         failed = reloads => failed.map_err(RunError::Signal),
+        Err(failed) = open_ports(&shared) => Err(failed),
+    }
+}
+
+/// The ports for other nodes.
+struct PeerPorts {
+    listener: TcpListener,
+    socket: UdpSocket,
+}
+
+impl PeerPorts {
+    /// Binds both as soon as they are available. Neither is held while the other one is missing: it would collect
+    /// connections and messages that are outdated when they are read.
+    async fn bind(address: SocketAddr) -> Result<Self, RunError> {
+        let bind = || {
+            Ok(PeerPorts { listener: listener::bind(address)?, socket: listener::bind_datagrams(address)? })
+        };
+        let bound = Port { name: "peer", address }.bind(bind).await;
+        bound.map_err(|source| RunError::Port { address, source })
+    }
+}
+
+/// Opens the balancer's and the callers' port as soon as each is available.
+async fn open_ports(shared: &Arc<Shared>) -> Result<(), RunError> {
+    tokio::try_join!(serve_balancer(shared), serve_callers(shared))?;
+    std::future::pending().await
+}
+
+/// Answers the balancer. Until the port is available, the balancer takes the node for not ready.
+async fn serve_balancer(shared: &Arc<Shared>) -> Result<(), RunError> {
+    let address = shared.settings.ready;
+    let listener = Port { name: "ready", address }.listen().await;
+    let listener = listener.map_err(|source| RunError::Port { address, source })?;
+    tokio::task::spawn_local(http_port::serve(shared.clone(), listener, "ready", balancer_port::answer));
+    Ok(())
+}
+
+/// Serves operators. The node works without this port.
+async fn serve_operators(shared: Arc<Shared>) {
+    let address = shared.settings.metrics;
+    match (Port { name: "metrics", address }).listen().await {
+        Ok(listener) => http_port::serve(shared, listener, "metrics", metrics_port::answer).await,
+        Err(err) => {
+            warn!(event = "port_failed", port = "metrics", address:% = address, reason:% = err; "port can't be bound; no metrics are served")
+        }
     }
 }
 
+/// Starts to serve callers, unless a planned stop begins before the port is available.
+async fn serve_callers(shared: &Arc<Shared>) -> Result<(), RunError> {
+    let address = shared.settings.listen;
+    let failed = |source| RunError::Port { address, source };
+    let listener = tokio::select! {
+        bound = Port { name: "callers", address }.listen() => bound.map_err(failed)?,
+        () = shared.wait_for_phase(Phase::Stopping) => {
+            shared.advance(Phase::Closed);
+            return Ok(());
+        }
+    };
+    let listener = listener.into_std().map_err(failed)?;
+    let traffic = shared.clone();
+    let thread = std::thread::Builder::new().name("traffic".to_owned());
+    thread.spawn(move || traffic_thread(traffic, listener)).map_err(RunError::Runtime)?;
+    // The node is not ready before its callers can connect.
+    shared.notify(ToControl::CallersPortListens);
+    Ok(())
+}
+
 /// Serves callers. The node is useless without this thread, so its failure ends the process.
 fn traffic_thread(shared: Arc<Shared>, callers: std::net::TcpListener) {
     let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime);
     let result =
-        runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, serve_callers(shared, callers)));
+        runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, accept_callers(shared, callers)));
     let Err(err) = result;
     error!(event = "failed", thread = "traffic", reason:% = err; "the callers' port failed");
     logging::flush();
     std::process::exit(1);
 }
 
-async fn serve_callers(shared: Arc<Shared>, callers: std::net::TcpListener) -> Result<Infallible, RunError> {
+async fn accept_callers(shared: Arc<Shared>, callers: std::net::TcpListener) -> Result<Infallible, RunError> {
     let address = shared.settings.listen;
     let listener = TcpListener::from_std(callers).map_err(|source| RunError::Port { address, source })?;
     caller_port::serve(shared.clone(), listener).await;
@@ -130,11 +193,3 @@
     // engines.
     std::future::pending().await
 }
-
-fn bind_tcp(address: SocketAddr) -> Result<TcpListener, RunError> {
-    listener::bind(address).map_err(|source| RunError::Port { address, source })
-}
-
-async fn bind_udp(address: SocketAddr) -> Result<UdpSocket, RunError> {
-    UdpSocket::bind(address).await.map_err(|source| RunError::Port { address, source })
-}
--- a/node/src/listener.rs
+++ b/node/src/listener.rs
@@ -5,6 +5,7 @@
 
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
+use tokio::net::UdpSocket;
 
 /// Number of connections that may wait to be accepted, if the system allows as many. A connection that finds
 /// the queue full is not refused: its client sends the request for it again after a second.
@@ -18,3 +19,10 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
+
+/// Binds a UDP socket.
+pub fn bind_datagrams(address: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::from_std(socket)
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,6 +1,7 @@
 //! `leadstaged`: the entry process of leadstage, which runs on each VM.
 
 mod admin;
+mod bind_error;
 mod bundle_fetch;
 mod bundle_watch;
 mod call;
@@ -18,6 +19,7 @@
 mod framing;
 mod gateway;
 mod generation;
+mod late_port;
 mod leads;
 mod listener;
 mod membership_driver;
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -1,11 +1,14 @@
 //! All tests of the package in one program. They run leadstaged and the stand-ins as processes, which
 //! `cargo test --workspace` builds first.
 
+#[path = "../src/bind_error.rs"]
+mod bind_error;
 mod crashing_fleet;
 mod environment;
 mod gateway_environment;
 mod loaded_fleet;
 mod stream;
+mod test_bind_errors;
 mod test_bundles;
 mod test_callers;
 mod test_calls;
@@ -24,6 +27,7 @@
 mod test_gateway_foreign_entries;
 mod test_gateway_inventories;
 mod test_gateway_large_config;
+mod test_gateway_late_ports;
 mod test_gateway_leaving_header;
 mod test_gateway_limits;
 mod test_gateway_noise;
