--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -56,6 +56,7 @@
 /// The components of the control thread.
 pub struct Control {
     shared: Arc<Shared>,
+    callers_port_listens: bool,
     fleet: Fleet,
     placing: Placing,
     configs: ConfigIntake,
@@ -91,6 +92,7 @@
             watchers: Watchers::new(fleet.own().clone(), takeover_schedule(&shared)),
             store_watcher: StoreWatcher::new(shared.clone()),
             start_log: StartLog::new(shared.clone()),
+            callers_port_listens: false,
             last_status: Timestamp::ZERO,
             last_levels_log: Timestamp::ZERO,
             logged_calls: StoreCalls::default(),
@@ -176,6 +178,7 @@
             ToControl::OwnPulse(number, store) => self.on_own_pulse(number, store),
             ToControl::Datagram(datagram) => self.on_datagram(datagram),
             ToControl::Seeds(seeds) => self.fleet.set_seeds(&seeds, self.shared.now()),
+            ToControl::CallersPortListens => self.callers_port_listens = true,
             ToControl::Stopping => {
                 self.watchers.leave();
                 self.fleet.leave();
@@ -403,15 +406,15 @@
         }
     }
 
-    /// Begins to serve once the configuration and the replicas are known; `source` is where the last message
-    /// came from.
+    /// Begins to serve once the callers' port listens and the configuration and the replicas are known;
+    /// `source` is where the last message came from.
     fn check_ready(&mut self, source: Option<Source>) {
         if self.shared.phase() != Phase::Starting {
             return;
         }
         self.start_log.on_message(source, &self.replicas);
         let is_known = self.replicas.is_known() && self.shared.table().is_some();
-        if is_known && self.shared.advance(Phase::Serving) {
+        if self.callers_port_listens && is_known && self.shared.advance(Phase::Serving) {
             self.start_log.on_serving();
         }
     }
