logs: bound the length of a value

An entry with a long text where a number belongs was quoted in the line `object_unreadable` in full, as the decoder's error has it. 1,024 lines may wait for a slow reader of the logs, so that a writer of such entries could fill the memory, and the lines before it were hard to read.

Before: test_odd_objects_neither_end_nodes_nor_keep_them_from_following_the_store fails at its bound on lines (a text of 100 KiB was quoted in full). After: it passes. Values of any line now have 512 bytes at most, cut at a character.

A pulse reads the closed halls each second and logged objects that it could not parse each time. The task that follows the kind logs them, once for each reading.

--- a/node/src/gateway/control/store_watcher.rs
+++ b/node/src/gateway/control/store_watcher.rs
@@ -149,7 +149,8 @@
             shared.notify(ToControl::OwnPulse(number, state));
         };
         let StoreProbe { answers, listed } = {
-            let probe = store.probe::<Evacuations>(PULSE_TIMEOUT, follow::log_unreadable::<Evacuations>);
+            // The task that follows this kind logs what can't be parsed.
+            let probe = store.probe::<Evacuations>(PULSE_TIMEOUT, |_, _| {});
             let mut answer = std::pin::pin!(probe);
             match tokio::time::timeout(PULSE_LATE_AFTER, &mut answer).await {
                 Ok(probe) => probe,
--- a/node/src/gateway/observability/logging.rs
+++ b/node/src/gateway/observability/logging.rs
@@ -29,6 +29,9 @@
 /// 20 to 60.
 const MAX_LINES_PER_SECOND: u32 = 300;
 
+/// Maximum length of a value; the rest is left out. Values may quote what others sent, and lines wait in memory.
+const MAX_VALUE_BYTES: usize = 512;
+
 /// Number of the latest lines over that limit that are kept in case the process ends in the same second.
 /// Otherwise a node that logs 500 lines in its last second does not log that it stopped.
 const MAX_DEFERRED_LINES: usize = 32;
@@ -190,7 +193,11 @@
 
 impl<'kvs> VisitSource<'kvs> for PairFormatter<'_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
-        let text = value.to_string();
+        let mut text = value.to_string();
+        if text.len() > MAX_VALUE_BYTES {
+            text.truncate(text.floor_char_boundary(MAX_VALUE_BYTES));
+            text.push('…');
+        }
         let is_bare = !text.is_empty() && !text.contains([' ', '"', '=', '\n', '\\']);
         self.result =
             if is_bare { write!(self.buf, " {key}={text}") } else { write!(self.buf, " {key}={text:?}") };
--- a/node/tests/test_gateway_odd_objects.rs
+++ b/node/tests/test_gateway_odd_objects.rs
@@ -15,6 +15,8 @@
 const LEVELS: usize = 100_000;
 /// Length of an odd text.
 const TEXT_BYTES: usize = 100 << 10;
+/// Maximum length of a line of a log.
+const MAX_LINE_BYTES: usize = 2 << 10;
 
 fn odd_specs() -> Vec<Vec<u8>> {
     let specs =
@@ -78,6 +80,7 @@
     assert_eq!(gateway.ended(0), None, "it runs");
     let logged = gateway.lines_with("event=object_unreadable");
     assert!(logged.contains("kind=servers name=\"odd 0\""), "{logged}");
+    assert!(logged.lines().all(|line| line.len() <= MAX_LINE_BYTES), "{logged:.4000}");
 }
 
 /// Guards against nodes that end because the path of a call to the store would have the name of an object.
