signals: handle them before the settings are read, and let none end a node

What callers saw: a SIGHUP in the first milliseconds of a process ended it, a SIGTERM there was no planned stop but an end by the signal, and SIGINT (gateway), SIGQUIT, SIGUSR1, SIGUSR2, SIGALRM and others ended a running node together with its open calls; SIGHUP did so with the completions interface.

Cause: each place that waits for a signal installed its handler when it began to wait: `reload` and `stop`, after the settings were read, the logs started and the ports opened. Until then, and for signals that nobody waits for, the default of the signal holds, which ends the process.

Change: `signals` installs all handlers at once, before the settings are read, on the runtime that the control thread then uses, and is the only module that knows which signal asks for what. Signals are kept until the node can follow them. The settings are read on another thread, so that a stop ends a start whose file can't be read yet; a stop that is asked for while ports are opened is a planned one, too, even if the start then fails.

Ruled out: blocking on the file in the control thread (a stop would wait for the file).

--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -16,6 +16,7 @@
 use leadstage_lib::upstreams::Directory;
 use log::info;
 use rand::RngExt;
+use tokio::runtime::Runtime;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::LocalSet;
@@ -40,6 +41,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::shared::unix_millis;
+use crate::signals::Signals;
 use crate::status_report;
 use crate::stop;
 use crate::vm_watch;
@@ -157,20 +159,22 @@
 
 /// Runs the control thread until the graceful shutdown has finished.
 pub fn run(
+    runtime: &Runtime,
+    signals: &Signals,
     settings: Settings,
     shared: Arc<Shared>,
     rx: UnboundedReceiver<ControlMessage>,
 ) -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
     let control = Rc::new(RefCell::new(Control::new(settings, shared)));
-    local.block_on(&runtime, async move {
+    local.block_on(runtime, async move {
         peer_server::listen(control.clone())?;
         tokio::task::spawn_local(bundle_watch::run(control.clone()));
         tokio::task::spawn_local(vm_watch::run(control.clone()));
         tokio::task::spawn_local(run_ticks(control.clone()));
         tokio::task::spawn_local(serve_traffic(control.clone(), rx));
-        stop::wait(control).await
+        stop::wait(control, signals).await;
+        Ok(())
     })
 }
 
--- a/node/src/gateway.rs
+++ b/node/src/gateway.rs
@@ -27,5 +27,4 @@
 
 pub use observability::logging::flush as flush_logs;
 pub use observability::logging::start as start_logging;
-pub use start::SettingsFile;
 pub use start::run;
--- a/node/src/gateway/reload.rs
+++ b/node/src/gateway/reload.rs
@@ -1,28 +1,26 @@
 //! Reloads the settings while the node runs: on SIGHUP, or when the file has changed without a signal.
 
+use std::convert::Infallible;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use log::info;
 use log::warn;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
 use crate::gateway::messages::ToControl;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shared::Shared;
+use crate::signals::Signals;
 
 /// Interval between two checks of the file, which may change without a signal.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Applies changed settings until the process ends. `text` is the content that the node started with.
-pub async fn watch_file(shared: Arc<Shared>, path: PathBuf, text: String) -> std::io::Result<()> {
-    let mut hangups = signal(SignalKind::hangup())?;
+pub async fn watch_file(shared: Arc<Shared>, signals: Signals, path: PathBuf, text: String) -> Infallible {
     let mut text = text;
     loop {
-        let signalled = wait(&mut hangups).await;
+        let signalled = wait(&signals).await;
         match std::fs::read_to_string(&path) {
             Ok(new) if new == text => {
                 if signalled {
@@ -41,9 +39,9 @@
 }
 
 /// Waits for a signal or the next check of the file; returns whether there was a signal.
-async fn wait(hangups: &mut Signal) -> bool {
+async fn wait(signals: &Signals) -> bool {
     tokio::select! {
-        _ = hangups.recv() => true,
+        () = signals.reload_requested() => true,
         () = tokio::time::sleep(POLL_INTERVAL) => false,
     }
 }
--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -4,15 +4,18 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::pin::pin;
 use std::sync::Arc;
 
 use derive_more::Display;
 use derive_more::Error;
 use log::error;
 use log::info;
+use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
@@ -35,6 +38,7 @@
 use crate::gateway::shared::Shared;
 use crate::gateway::stop;
 use crate::listener;
+use crate::signals::Signals;
 
 /// Reason why a node did not start.
 #[derive(Debug, Display, Error)]
@@ -53,42 +57,62 @@
         /// The cause.
         source: io::Error,
     },
-    /// A signal handler could not be installed.
-    #[display("no signal handler: {_0}")]
-    Signal(io::Error),
 }
 
-/// The file that the settings were read from.
-pub struct SettingsFile {
-    /// Its path.
-    pub path: PathBuf,
-    /// Its content.
-    pub text: String,
-}
-
-/// Runs a gateway node until a planned stop has ended.
-pub fn run(settings: GatewaySettings, file: SettingsFile) -> Result<(), RunError> {
+/// Runs a gateway node until a planned stop has ended. The settings were read from the file at `path`, which
+/// contained `text`.
+pub fn run(
+    runtime: &Runtime,
+    signals: Signals,
+    settings: GatewaySettings,
+    path: PathBuf,
+    text: String,
+) -> Result<(), RunError> {
     let (tx, rx) = mpsc::unbounded_channel();
     let metrics = GatewayMetrics::new().map_err(|err| RunError::Metrics(err.to_string()))?;
     let shared = Arc::new(Shared::new(settings, tx, metrics));
     let settings = &shared.settings;
     info!(event = "start", vm = &*settings.vm, hall = &*settings.hall, first = settings.first_start, listen:% = settings.listen, version = env!("CARGO_PKG_VERSION"); "leadstaged starts");
-    let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime)?;
     // Bound here, before the node can report itself ready. The traffic thread would bind the port too
     // late: after that report at 2 to 4 of 20 nodes that started on loaded machines.
-    let callers = runtime.block_on(async { bind_tcp(settings.listen) })?;
+    let callers = runtime.block_on(signals.unless_stopped(async { bind_tcp(settings.listen) }));
+    let Some(callers) = callers.transpose()? else {
+        info!(event = "stopped"; "stopped before the callers' port was open");
+        return Ok(());
+    };
     let callers = callers.into_std().map_err(|source| RunError::Port { address: settings.listen, source })?;
     let traffic = shared.clone();
     let thread = std::thread::Builder::new().name("traffic".to_owned());
     thread.spawn(move || traffic_thread(traffic, callers)).map_err(RunError::Runtime)?;
-    LocalSet::new().block_on(&runtime, control_thread(shared, rx, file))
+    let control =
+        control_thread(shared.clone(), rx, reload::watch_file(shared.clone(), signals.clone(), path, text));
+    LocalSet::new().block_on(runtime, run_until_stopped(&shared, &signals, control))
+}
+
+/// Runs the control thread until a planned stop, which may be requested before all ports are open, has ended.
+async fn run_until_stopped(
+    shared: &Arc<Shared>,
+    signals: &Signals,
+    control: impl Future<Output = Result<Infallible, RunError>>,
+) -> Result<(), RunError> {
+    let mut stop = pin!(stop::wait(shared, signals));
+    let Err(err) = tokio::select! {
+        () = &mut stop => return Ok(()),
+        failed = control => failed,
+    };
+    if !signals.is_stop_requested() {
+        return Err(err);
+    }
+    warn!(event = "start_failed", reason:% = err; "the start failed during a planned stop");
+    stop.await;
+    Ok(())
 }
 
 async fn control_thread(
     shared: Arc<Shared>,
     rx: mpsc::UnboundedReceiver<ToControl>,
-    file: SettingsFile,
-) -> Result<(), RunError> {
+    reloads: impl Future<Output = Infallible>,
+) -> Result<Infallible, RunError> {
     let ready = bind_tcp(shared.settings.ready)?;
     tokio::task::spawn_local(http_port::serve(shared.clone(), ready, "ready", balancer_port::answer));
     let metrics = bind_tcp(shared.settings.metrics)?;
@@ -103,11 +127,7 @@
     tokio::task::spawn_local(outbox::receive(socket.clone(), shared.clone()));
     let outbox = Outbox::new(socket, shared.clone());
     tokio::task::spawn_local(Control::new(shared.clone(), outbox).run(rx));
-    let reloads = reload::watch_file(shared.clone(), file.path, file.text);
-    tokio::select! {
-        stopped = stop::wait(&shared) => stopped.map_err(RunError::Signal),
-        failed = reloads => failed.map_err(RunError::Signal),
-    }
+    Ok(reloads.await)
 }
 
 /// Serves callers. The node is useless without this thread, so its failure ends the process.
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -8,14 +8,13 @@
 use leadstage_lib::ids::Timestamp;
 use log::info;
 use log::warn;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
 use crate::gateway::messages::ToControl;
 use crate::gateway::reply::Refusal;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
+use crate::signals::Signals;
 
 /// Time within which the balancer detects that a node is not ready: two checks, a second apart, and some
 /// slack.
@@ -107,8 +106,8 @@
 ///
 /// Callers are served until no request is open: if the hall has no other node, the balancer keeps sending
 /// them here. Then the port closes, and the stop is complete once it is closed.
-pub async fn wait(shared: &Arc<Shared>) -> std::io::Result<()> {
-    signal(SignalKind::terminate())?.recv().await;
+pub async fn wait(shared: &Arc<Shared>, signals: &Signals) {
+    signals.stop_requested().await;
     shared.stop();
     shared.notify(ToControl::Stopping);
     let started = shared.now();
@@ -123,7 +122,6 @@
     close_port(shared, close_at + PORT_CLOSE_TIMEOUT).await;
     tokio::time::sleep(LAST_MESSAGES_TIME).await;
     info!(event = "stopped", open = shared.open_requests(), took_ms = (shared.now() - started).as_millis() as u64; "planned stop ends");
-    Ok(())
 }
 
 /// Accepts no more requests, and waits until `deadline` for those that were read and for their responses to
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -29,7 +29,9 @@
 mod readiness;
 mod refusal;
 mod settings;
+mod settings_file;
 mod shared;
+mod signals;
 mod status_report;
 mod stop;
 mod traffic;
@@ -37,6 +39,7 @@
 mod vm_watch;
 mod wire;
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -44,18 +47,20 @@
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
-use leadstage_lib::checked_yaml::Problem;
 use lexopt::prelude::*;
 use log::error;
 use log::info;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 
-use crate::gateway::SettingsFile;
-use crate::gateway::settings::GatewaySettings;
-use crate::gateway::settings::Interface;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::settings_file::NodeSettings;
+use crate::settings_file::SettingsError;
 use crate::shared::Shared;
+use crate::signals::Handlers;
+use crate::signals::Signals;
 
 /// Exit code for invalid arguments or settings.
 const EXIT_USAGE: u8 = 2;
@@ -83,12 +88,23 @@
     #[display("--config FILE is missing")]
     #[from(skip)]
     NoConfig,
-    #[display("{}: {source}", path.display())]
+    #[display("{_0}")]
+    Settings(SettingsError),
+    #[display("cannot handle signals: {_0}")]
     #[from(skip)]
-    Unreadable { path: PathBuf, source: std::io::Error },
-    #[display("{} mistakes in the settings", problems.len())]
+    Signals(std::io::Error),
+    #[display("cannot start logging: {_0}")]
     #[from(skip)]
-    Settings { problems: Vec<Problem> },
+    Logging(std::io::Error),
+}
+
+impl StartError {
+    fn exit_code(&self) -> u8 {
+        match self {
+            StartError::Arguments(_) | StartError::NoConfig | StartError::Settings(_) => EXIT_USAGE,
+            StartError::Signals(_) | StartError::Logging(_) => EXIT_FAILURE,
+        }
+    }
 }
 
 /// Aborts the process when the control thread panics. Otherwise the node would keep running without
@@ -107,35 +123,70 @@
 }
 
 enum Command {
-    Run(Settings),
-    RunGateway(Box<GatewaySettings>, SettingsFile),
+    Run { config: PathBuf },
+    Check { config: PathBuf },
     Print(String),
 }
 
 fn main() -> ExitCode {
-    let command = match command() {
-        Ok(Command::Print(text)) => {
-            print!("{text}");
-            return ExitCode::SUCCESS;
+    execute().unwrap_or_else(|err| {
+        eprintln!("leadstaged: {err}");
+        if let StartError::Settings(SettingsError::Invalid { problems }) = &err {
+            problems.iter().for_each(|problem| eprintln!("  {problem}"));
         }
-        Ok(command) => command,
-        Err(err) => {
-            eprintln!("leadstaged: {err}");
-            if let StartError::Settings { problems } = &err {
-                problems.iter().for_each(|problem| eprintln!("  {problem}"));
-            }
-            return ExitCode::from(EXIT_USAGE);
+        ExitCode::from(err.exit_code())
+    })
+}
+
+fn execute() -> Result<ExitCode, StartError> {
+    match command()? {
+        Command::Print(text) => print!("{text}"),
+        Command::Check { config } => {
+            settings_file::read(&config)?;
+            println!("the settings are right");
         }
-    };
-    if let Err(err) = start_logging(&command) {
-        eprintln!("leadstaged: cannot start logging: {err}");
-        return ExitCode::from(EXIT_FAILURE);
+        Command::Run { config } => return run(&config),
     }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Runs a node until a planned stop has ended or it has failed.
+fn run(config: &Path) -> Result<ExitCode, StartError> {
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(StartError::Signals)?;
+    let code = run_on(&runtime, config);
+    // A stop does not wait for a settings file that is still being read.
+    runtime.shutdown_background();
+    code
+}
+
+fn run_on(runtime: &Runtime, config: &Path) -> Result<ExitCode, StartError> {
+    let context = runtime.enter();
+    // Precedes everything that takes time: until then each signal ends the process.
+    let mut handlers = Handlers::install().map_err(StartError::Signals)?;
+    let read = runtime.block_on(async {
+        tokio::select! {
+            biased;
+            () = handlers.stop_requested() => None,
+            read = settings_file::read_in_background(config) => Some(read),
+        }
+    });
+    let Some(file) = read.transpose()? else {
+        eprintln!("leadstaged: stopped before the settings were read");
+        return Ok(ExitCode::SUCCESS);
+    };
+    start_logging(&file.settings).map_err(StartError::Logging)?;
     abort_on_control_panic();
-    let result = match command {
-        Command::RunGateway(settings, file) => gateway::run(*settings, file).map_err(Into::into),
-        Command::Run(settings) => run(settings),
-        Command::Print(_) => Ok(()),
+    let result = match file.settings {
+        NodeSettings::Gateway(settings) => {
+            let signals = handlers.dispatch();
+            drop(context);
+            gateway::run(runtime, signals, *settings, file.path, file.text).map_err(Into::into)
+        }
+        NodeSettings::Completions(settings) => {
+            let signals = handlers.without_reload().dispatch();
+            drop(context);
+            run_completions(runtime, &signals, settings)
+        }
     };
     let code = match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -145,13 +196,13 @@
         }
     };
     gateway::flush_logs();
-    code
+    Ok(code)
 }
 
 /// A node with the gateway interface logs to standard output, which its platform collects; with the other
 /// interface it logs to standard error.
-fn start_logging(command: &Command) -> std::io::Result<()> {
-    if matches!(command, Command::RunGateway(..)) {
+fn start_logging(settings: &NodeSettings) -> std::io::Result<()> {
+    if matches!(settings, NodeSettings::Gateway(_)) {
         return gateway::start_logging();
     }
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
@@ -175,31 +226,22 @@
             _ => return Err(arg.unexpected().into()),
         }
     }
-    let path = path.ok_or(StartError::NoConfig)?;
-    let yaml = std::fs::read_to_string(&path)
-        .map_err(|source| StartError::Unreadable { path: path.clone(), source })?;
-    let invalid_settings = |problems| StartError::Settings { problems };
-    let command = match gateway::settings::interface_of(&yaml) {
-        Interface::Gateway => {
-            let settings = GatewaySettings::from_yaml(&yaml).map_err(invalid_settings)?;
-            Command::RunGateway(Box::new(settings), SettingsFile { path, text: yaml })
-        }
-        Interface::Completions => Command::Run(Settings::from_yaml(&yaml).map_err(invalid_settings)?),
-    };
-    if check_only {
-        return Ok(Command::Print("the settings are right\n".to_owned()));
-    }
-    Ok(command)
+    let config = path.ok_or(StartError::NoConfig)?;
+    Ok(if check_only { Command::Check { config } } else { Command::Run { config } })
 }
 
-fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+fn run_completions(
+    runtime: &Runtime,
+    signals: &Signals,
+    settings: Settings,
+) -> Result<(), Box<dyn std::error::Error>> {
     let (tx, rx) = mpsc::unbounded_channel();
     let metrics = Metrics::new()?;
     let shared = Arc::new(Shared::new(settings.vm.clone(), settings.hall.clone(), tx, metrics));
     info!(event = "start", vm = &*settings.vm, hall = &*settings.hall, listen:% = settings.listen; "leadstaged starts");
     spawn("traffic", settings.clone(), shared.clone(), traffic::serve);
     spawn("admin", settings.clone(), shared.clone(), admin::serve);
-    control::run(settings, shared, rx)?;
+    control::run(runtime, signals, settings, shared, rx)?;
     Ok(())
 }
 
--- a/node/src/stop.rs
+++ b/node/src/stop.rs
@@ -6,11 +6,10 @@
 
 use log::info;
 use log::warn;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
 use crate::control::ControlRef;
 use crate::shared::Readiness;
+use crate::signals::Signals;
 
 /// How long new requests are still accepted, until the load balancer has noticed that the node is unready.
 pub const BALANCER_GRACE: Duration = Duration::from_secs(3);
@@ -23,15 +22,10 @@
 /// Time limit of the stop if there is no bundle.
 const DEFAULT_STOP_BOUND: Duration = Duration::from_secs(5);
 
-/// Waits for SIGTERM or SIGINT, then stops the node and waits until all requests have ended or the time
+/// Waits for a signal to stop, then stops the node and waits until all requests have ended or the time
 /// limit is reached.
-pub async fn wait(control: ControlRef) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+pub async fn wait(control: ControlRef, signals: &Signals) {
+    signals.stop_requested().await;
     begin_stop(&control);
     let bundle = control.borrow().shared.bundle();
     let bound = bundle.map_or(DEFAULT_STOP_BOUND, |b| b.bounds.stop_within);
@@ -48,7 +42,6 @@
     }
     tokio::time::sleep(FLUSH_TIME).await;
     info!(event = "stopped"; "stopped");
-    Ok(())
 }
 
 /// Waits until no request is open and no other node waits for this one.
--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -1,8 +1,12 @@
 //! A gateway fleet on loopback: the nodes are processes; the metadata store and the replicas are stand-ins
 //! that run inside the test process.
 
+use std::fs::File;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::os::unix::fs::MetadataExt;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -57,6 +61,50 @@
     pub server: Option<Server>,
 }
 
+/// A FIFO in place of a settings file: a process that reads it is held there until the text is delivered.
+pub struct SettingsPipe {
+    path: PathBuf,
+    // Open for reading too, so that opening and writing it wait for no reader.
+    pipe: File,
+}
+
+impl SettingsPipe {
+    /// Puts a FIFO in the place of `path`. A process that has opened the file that was there keeps it.
+    pub fn lay(path: &Path) -> SettingsPipe {
+        let fifo = path.with_extension("fifo");
+        let status = Command::new("mkfifo").arg(&fifo).status().expect("mkfifo runs");
+        assert!(status.success(), "mkfifo {}", fifo.display());
+        let pipe = File::options().read(true).write(true).open(&fifo).expect("a FIFO");
+        std::fs::rename(fifo, path).expect("the same file system");
+        SettingsPipe { path: path.to_owned(), pipe }
+    }
+
+    /// Waits until a process has opened the FIFO.
+    pub async fn wait_for_reader(&self, process: &mut Child) {
+        let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
+        while !has_open(process.id(), &self.path) {
+            assert_eq!(process.try_wait().expect("a child"), None, "the process reads its settings");
+            assert!(tokio::time::Instant::now() < deadline, "the process opens its settings in time");
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Delivers the text of the file to the process that has opened it.
+    pub fn deliver(mut self, text: &str) {
+        self.pipe.write_all(text.as_bytes()).expect("less than the FIFO's capacity");
+    }
+}
+
+/// Whether a process has opened the file at `path`.
+fn has_open(process: u32, path: &Path) -> bool {
+    let inode = |path: &Path| std::fs::metadata(path).map(|file| (file.dev(), file.ino())).ok();
+    let wanted = inode(path).expect("the file is there");
+    let Ok(open) = std::fs::read_dir(format!("/proc/{process}/fd")) else {
+        return false;
+    };
+    open.flatten().any(|entry| inode(&entry.path()) == Some(wanted))
+}
+
 /// A gateway fleet with its store and engines; its nodes are killed on drop.
 pub struct Gateway {
     /// The metadata store of the fleet.
@@ -246,6 +294,29 @@
         self.start_node_at(self.store_server.address)
     }
 
+    /// Starts a node whose settings are held back, and waits until it reads them.
+    pub async fn start_held_node(&mut self) -> (usize, SettingsPipe) {
+        let node = self.nodes.len();
+        let pipe = SettingsPipe::lay(&self.settings_path(node));
+        self.start_process();
+        pipe.wait_for_reader(&mut self.nodes[node]).await;
+        (node, pipe)
+    }
+
+    /// Delivers its settings to a node that was started without. The file is there from then on.
+    pub fn deliver_settings(&self, node: usize, pipe: SettingsPipe) {
+        let yaml = self.settings(node, self.store_address(), "");
+        self.lay_settings(node, &yaml);
+        pipe.deliver(&yaml);
+    }
+
+    /// Replaces a node's settings file by one with the given text.
+    pub fn lay_settings(&self, node: usize, yaml: &str) {
+        let new = self.settings_path(node).with_extension("new");
+        std::fs::write(&new, yaml).expect("writable");
+        std::fs::rename(new, self.settings_path(node)).expect("the same file system");
+    }
+
     /// Starts a node that uses the store at `store`.
     pub fn start_node_at(&mut self, store: SocketAddr) -> usize {
         let yaml = self.settings(self.nodes.len(), store, "");
@@ -265,8 +336,12 @@
     }
 
     fn start_with_settings(&mut self, yaml: String) -> usize {
+        std::fs::write(self.settings_path(self.nodes.len()), yaml).expect("writable");
+        self.start_process()
+    }
+
+    fn start_process(&mut self) -> usize {
         let node = self.nodes.len();
-        std::fs::write(self.settings_path(node), yaml).expect("writable");
         let log = std::fs::File::create(self.dir.path().join(format!("node-{node}.log"))).expect("a log");
         let child = self.spawn(node, log);
         self.nodes.push(child);
@@ -372,6 +447,12 @@
         assert!(status.success(), "{signal} node {node}");
     }
 
+    /// Sends a signal to a node that may have exited.
+    pub fn try_signal(&self, node: usize, signal: &str) {
+        let pid = self.pid(node).to_string();
+        Command::new("kill").args([signal, &pid]).stderr(Stdio::null()).status().expect("kill runs");
+    }
+
     /// A node's process id.
     pub fn pid(&self, node: usize) -> u32 {
         self.nodes[node].id()
