--- a/node/src/gateway/start.rs
+++ b/node/src/gateway/start.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::pin::pin;
 use std::sync::Arc;
 
 use derive_more::Display;
@@ -14,8 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::runtime::Builder;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
+use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
@@ -39,6 +39,7 @@
 use crate::gateway::stop;
 use crate::late_port::Port;
 use crate::listener;
+use crate::signals::Signals;
 
 /// Reason why a node did not start.
 #[derive(Debug, Display, Error)]
@@ -57,36 +58,33 @@
         /// The cause.
         source: io::Error,
     },
-    /// A signal handler could not be installed.
-    #[display("no signal handler: {_0}")]
-    Signal(io::Error),
 }
 
-/// The file that the settings were read from.
-pub struct SettingsFile {
-    /// Its path.
-    pub path: PathBuf,
-    /// Its content.
-    pub text: String,
-}
-
-/// Runs a gateway node until a planned stop has ended.
-pub fn run(settings: GatewaySettings, file: SettingsFile) -> Result<(), RunError> {
+/// Runs a gateway node until a planned stop has ended. The settings were read from the file at `path`, which
+/// contained `text`.
+pub fn run(
+    runtime: &Runtime,
+    signals: &Signals,
+    settings: GatewaySettings,
+    path: PathBuf,
+    text: String,
+) -> Result<(), RunError> {
     info!(event = "start", vm = &*settings.vm, hall = &*settings.hall, first = settings.first_start, listen:% = settings.listen, version = env!("CARGO_PKG_VERSION"); "leadstaged starts");
-    let runtime = Builder::new_current_thread().enable_all().build().map_err(RunError::Runtime)?;
-    LocalSet::new().block_on(&runtime, control_thread(settings, file))
+    LocalSet::new().block_on(runtime, control_thread(signals, settings, path, text))
 }
 
-async fn control_thread(settings: GatewaySettings, file: SettingsFile) -> Result<(), RunError> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Signal)?;
+async fn control_thread(
+    signals: &Signals,
+    settings: GatewaySettings,
+    path: PathBuf,
+    text: String,
+) -> Result<(), RunError> {
     // Bound before anything else: a node that does not hear the others would follow the store and lead all
     // services, and the times that it allows others for a first contact count from here.
-    let peer_ports = tokio::select! {
-        bound = PeerPorts::bind(settings.peer) => bound?,
-        _ = terminate.recv() => {
-            info!(event = "stopped"; "planned stop ends a start that waited for the peer port");
-            return Ok(());
-        }
+    let peer_ports = signals.unless_stopped(PeerPorts::bind(settings.peer)).await;
+    let Some(peer_ports) = peer_ports.transpose()? else {
+        info!(event = "stopped"; "planned stop ends a start that waited for the peer port");
+        return Ok(());
     };
     let (tx, rx) = mpsc::unbounded_channel();
     let metrics = GatewayMetrics::new().map_err(|err| RunError::Metrics(err.to_string()))?;
@@ -101,12 +99,24 @@
     tokio::task::spawn_local(outbox::receive(socket.clone(), shared.clone()));
     let outbox = Outbox::new(socket, shared.clone());
     tokio::task::spawn_local(Control::new(shared.clone(), outbox).run(rx));
-    let reloads = reload::watch_file(shared.clone(), file.path, file.text);
-    tokio::select! {
-        () = stop::wait(&shared, &mut terminate) => Ok(()),
-        failed = reloads => failed.map_err(RunError::Signal),
-        Err(failed) = open_ports(&shared) => Err(failed),
+    tokio::task::spawn_local(reload::watch_file(shared.clone(), signals.clone(), path, text));
+    run_until_stopped(&shared, signals).await
+}
+
+/// Opens the remaining ports and waits until a planned stop, which may be requested before they are open, has
+/// ended.
+async fn run_until_stopped(shared: &Arc<Shared>, signals: &Signals) -> Result<(), RunError> {
+    let mut stop = pin!(stop::wait(shared, signals));
+    let err = tokio::select! {
+        () = &mut stop => return Ok(()),
+        Err(failed) = open_ports(shared) => failed,
+    };
+    if !signals.is_stop_requested() {
+        return Err(err);
     }
+    warn!(event = "start_failed", reason:% = err; "the start failed during a planned stop");
+    stop.await;
+    Ok(())
 }
 
 /// The ports for other nodes.
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -8,13 +8,13 @@
 use leadstage_lib::ids::Timestamp;
 use log::info;
 use log::warn;
-use tokio::signal::unix::Signal;
 
 use crate::gateway::messages::ToControl;
 use crate::gateway::reply::Refusal;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::Phase;
 use crate::gateway::shared::Shared;
+use crate::signals::Signals;
 
 /// Time within which the balancer detects that a node is not ready: two checks, a second apart, and some
 /// slack.
@@ -106,8 +106,8 @@
 ///
 /// Callers are served until no request is open: if the hall has no other node, the balancer keeps sending
 /// them here. Then the port closes, and the stop is complete once it is closed.
-pub async fn wait(shared: &Arc<Shared>, terminate: &mut Signal) {
-    terminate.recv().await;
+pub async fn wait(shared: &Arc<Shared>, signals: &Signals) {
+    signals.stop_requested().await;
     shared.stop();
     shared.notify(ToControl::Stopping);
     let started = shared.now();
