start: wait for late ports of the completions interface, too

Callers saw a node of the completions interface end at its start while one of its ports was taken or its address was not there yet: the same cause as in the gateway interface.

Change: the callers' and admin ports retry on their threads, the peer port on the control thread beside the wait for a signal, so that a planned stop ends a start with exit code 0. A node whose callers' port is not bound is not ready (`no port`): before, the order of the two was left to chance. The control thread counts a pause of the process from the first tick, not from a start that waited.

Errors that remain end the process as before.

--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -10,6 +10,7 @@
 use xitca_web::http::HeaderValue;
 use xitca_web::http::WebResponse;
 
+use crate::late_port::Port;
 use crate::settings::Settings;
 use crate::shared::Readiness;
 use crate::shared::Shared;
@@ -17,15 +18,17 @@
 
 /// Serves the admin port until the process ends.
 pub fn serve(settings: &Settings, shared: Arc<Shared>) -> std::io::Result<()> {
-    App::new()
-        .with_state(shared)
-        .at("/{*path}", handler_service(handle))
-        .serve()
-        .disable_signal()
-        .worker_threads(1)
-        .bind(settings.admin)?
-        .run()
-        .wait()
+    let port = Port { name: "admin", address: settings.admin };
+    let server = port.bind_blocking(|| {
+        App::new()
+            .with_state(shared.clone())
+            .at("/{*path}", handler_service(handle))
+            .serve()
+            .disable_signal()
+            .worker_threads(1)
+            .bind(port.address)
+    })?;
+    server.run().wait()
 }
 
 async fn handle(cx: &WebContext<'_, Arc<Shared>>) -> WebResponse {
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -115,6 +115,11 @@
         clock::since_boot().saturating_sub(self.started)
     }
 
+    /// The periodic tasks begin now; the time before was no pause of the process.
+    fn begin_ticks(&mut self) {
+        self.last_tick = self.now();
+    }
+
     /// Updates the state of the object API after a call to it.
     pub fn on_platform_call(&mut self, succeeded: bool) {
         self.platform_reached = succeeded;
@@ -165,15 +170,24 @@
     let local = LocalSet::new();
     let control = Rc::new(RefCell::new(Control::new(settings, shared)));
     local.block_on(&runtime, async move {
-        peer_server::listen(control.clone())?;
-        tokio::task::spawn_local(bundle_watch::run(control.clone()));
-        tokio::task::spawn_local(vm_watch::run(control.clone()));
-        tokio::task::spawn_local(run_ticks(control.clone()));
-        tokio::task::spawn_local(serve_traffic(control.clone(), rx));
-        stop::wait(control).await
+        tokio::select! {
+            stopped = stop::wait(control.clone()) => stopped,
+            Err(failed) = start(control, rx) => Err(failed),
+        }
     })
 }
 
+/// Starts the tasks of the control thread once other nodes can connect to this one.
+async fn start(control: ControlRef, rx: UnboundedReceiver<ControlMessage>) -> std::io::Result<()> {
+    peer_server::listen(control.clone()).await?;
+    control.borrow_mut().begin_ticks();
+    tokio::task::spawn_local(bundle_watch::run(control.clone()));
+    tokio::task::spawn_local(vm_watch::run(control.clone()));
+    tokio::task::spawn_local(run_ticks(control.clone()));
+    tokio::task::spawn_local(serve_traffic(control, rx));
+    Ok(())
+}
+
 async fn run_ticks(control: ControlRef) {
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/node/src/filters/limit.rs
+++ b/node/src/filters/limit.rs
@@ -27,7 +27,8 @@
 pub fn open(shared: &Arc<Shared>, cx: &Authenticated) -> Result<OpenGuard, Refusal> {
     match shared.readiness() {
         Readiness::NoBundle | Readiness::Alone => return Err(Refusal::new(Code::NotReady)),
-        Readiness::Ready | Readiness::Stopping => {}
+        // A request that has arrived shows that the port is bound.
+        Readiness::NoPort | Readiness::Ready | Readiness::Stopping => {}
     }
     let max_open = cx.organisation.max_open;
     let max_open_on_node = cx.bundle.bounds.max_open_per_node;
--- a/node/src/late_port.rs
+++ b/node/src/late_port.rs
@@ -30,6 +30,17 @@
         self.bind(|| listener::bind(self.address)).await
     }
 
+    /// Calls `bind` until it succeeds. Blocks the thread. Fails with an error that remains.
+    pub fn bind_blocking<T>(self, mut bind: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+        let mut attempts = Attempts::new(self);
+        loop {
+            match bind() {
+                Ok(bound) => return Ok(attempts.on_bound(bound)),
+                Err(err) => std::thread::sleep(attempts.on_failure(err)?),
+            }
+        }
+    }
+
     /// Calls `bind` until it succeeds. Fails with an error that remains.
     pub async fn bind<T>(self, mut bind: impl FnMut() -> io::Result<T>) -> io::Result<T> {
         let mut attempts = Attempts::new(self);
--- a/node/src/peer_server.rs
+++ b/node/src/peer_server.rs
@@ -21,10 +21,10 @@
 use crate::control::ControlRef;
 use crate::control_message::ClaimDecision;
 use crate::entry_generations;
+use crate::late_port::Port;
 use crate::leads;
 use crate::leads::Placement;
 use crate::leads::PoolKey;
-use crate::listener;
 use crate::membership_driver;
 use crate::peers;
 use crate::wire;
@@ -34,9 +34,9 @@
 }
 
 /// Listens for connections from peers. Returns once the port is bound.
-pub fn listen(control: ControlRef) -> std::io::Result<()> {
+pub async fn listen(control: ControlRef) -> std::io::Result<()> {
     let address = control.borrow().settings.peer;
-    let listener = listener::bind(address)?;
+    let listener = Port { name: "peer", address }.listen().await?;
     tokio::task::spawn_local(accept(listener, control));
     Ok(())
 }
--- a/node/src/readiness.rs
+++ b/node/src/readiness.rs
@@ -8,7 +8,7 @@
 
 /// Recomputes the node's readiness.
 ///
-/// A node without a bundle is not ready. Neither is a node that, for longer than the bundle's limit, has
+/// A node without a bundle, or to which callers can't connect yet, is not ready. Neither is a node that, for longer than the bundle's limit, has
 /// reached neither the object API nor any peer that should be alive, as it cannot learn of a newer bundle.
 /// An outage of the object API alone never makes a node unready.
 pub fn update(control: &mut Control) {
@@ -16,6 +16,7 @@
     let now = control.now();
     let readiness = match control.shared.bundle() {
         None => Readiness::NoBundle,
+        Some(_) if !control.shared.callers_port_listens() => Readiness::NoPort,
         Some(bundle) => {
             let bound = bundle.bounds.alone_within;
             let recent = |at: Option<Timestamp>| at.is_some_and(|at| now.saturating_sub(at) <= bound);
--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -33,6 +33,8 @@
 pub enum Readiness {
     /// Not ready: the node has no bundle yet.
     NoBundle,
+    /// Not ready: the callers' port is not bound yet.
+    NoPort,
     /// Ready.
     Ready,
     /// Not ready: neither the object API nor a peer was reached within the bundle's limit.
@@ -77,6 +79,7 @@
     pub stop_now: AtomicBool,
     /// Whether new requests are refused.
     closed: AtomicBool,
+    callers_port_listens: AtomicBool,
     in_force: RwLock<Option<BundleInForce>>,
     readiness: RwLock<Readiness>,
     upstreams: RwLock<Arc<UpstreamTable>>,
@@ -108,6 +111,7 @@
             retries: Mutex::new(RetryBudget::new(0.1)),
             stop_now: AtomicBool::new(false),
             closed: AtomicBool::new(false),
+            callers_port_listens: AtomicBool::new(false),
             in_force: RwLock::new(None),
             readiness: RwLock::new(Readiness::NoBundle),
             upstreams: RwLock::default(),
@@ -139,6 +143,16 @@
         newer
     }
 
+    /// Whether callers can connect to this node.
+    pub fn callers_port_listens(&self) -> bool {
+        self.callers_port_listens.load(Ordering::Relaxed)
+    }
+
+    /// Records that callers can connect to this node.
+    pub fn set_callers_port_listens(&self) {
+        self.callers_port_listens.store(true, Ordering::Relaxed);
+    }
+
     /// Returns whether the load balancer may send requests to this node.
     pub fn readiness(&self) -> Readiness {
         *self.readiness.read().expect("no holder panics")
--- a/node/src/status_report.rs
+++ b/node/src/status_report.rs
@@ -40,6 +40,7 @@
 pub fn readiness_text(readiness: Readiness) -> &'static str {
     match readiness {
         Readiness::NoBundle => "no bundle",
+        Readiness::NoPort => "no port",
         Readiness::Ready => "ready",
         Readiness::Alone => "alone",
         Readiness::Stopping => "stopping",
--- a/node/src/traffic.rs
+++ b/node/src/traffic.rs
@@ -26,6 +26,7 @@
 use crate::filters::route::GenerationKind;
 use crate::filters::route::Routed;
 use crate::generation;
+use crate::late_port::Port;
 use crate::refusal::Refusal;
 use crate::refusal::json_response;
 use crate::settings::Settings;
@@ -52,19 +53,22 @@
 
 /// Serves callers until the process ends.
 pub fn serve(settings: &Settings, shared: Arc<Shared>) -> std::io::Result<()> {
-    App::new()
-        .with_state(shared)
-        .at("/{*path}", handler_service(handle))
-        .serve()
-        .disable_signal()
-        .worker_threads(settings.traffic_threads)
-        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-        .request_head_timeout(HEAD_TIMEOUT)
-        .max_read_buf_size::<READ_BUF_BYTES>()
-        .max_request_headers::<MAX_HEADERS>()
-        .bind(settings.listen)?
-        .run()
-        .wait()
+    let port = Port { name: "callers", address: settings.listen };
+    let server = port.bind_blocking(|| {
+        App::new()
+            .with_state(shared.clone())
+            .at("/{*path}", handler_service(handle))
+            .serve()
+            .disable_signal()
+            .worker_threads(settings.traffic_threads)
+            .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+            .request_head_timeout(HEAD_TIMEOUT)
+            .max_read_buf_size::<READ_BUF_BYTES>()
+            .max_request_headers::<MAX_HEADERS>()
+            .bind(port.address)
+    })?;
+    shared.set_callers_port_listens();
+    server.run().wait()
 }
 
 async fn handle(cx: &WebContext<'_, Arc<Shared>>) -> WebResponse {
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -61,6 +61,7 @@
 mod test_gateway_upgrade_soak;
 mod test_gateway_upgrades;
 mod test_gateway_watcher_handover;
+mod test_late_ports;
 mod test_module_cycles;
 mod test_settings;
 mod test_stop;
