--- a/node/tests/test_gateway_foreign_entries.rs
+++ b/node/tests/test_gateway_foreign_entries.rs
@@ -9,6 +9,8 @@
 use crate::gateway_environment::BOOKING;
 use crate::gateway_environment::Gateway;
 use crate::gateway_environment::KEY;
+use crate::gateway_environment::WAIT_TIMEOUT;
+use crate::gateway_environment::config;
 
 /// The entry with `field` set to `value`, or without the field if there is no value.
 fn with_field(mut entry: Value, field: &str, value: Option<Value>) -> Value {
@@ -67,3 +69,54 @@
         })
         .await;
 }
+
+/// Guards against a node that ends because of the name of an object at the end of a page.
+#[tokio::test]
+async fn test_a_node_reads_a_list_with_odd_names() {
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    for name in [" ", "a b", "c%d", "d&e=f", "e#f", "g/h", "h\"i", "i\u{1}j", "\u{f1}"] {
+        gateway.store.put("servers", name, json!({}));
+    }
+    let _booking = gateway.start_replica(BOOKING, "z", 1).await;
+    gateway.store.set_page_size(1);
+    gateway.start_node();
+    until_met_or_ended(&mut gateway, async |gateway| gateway.ready_status(0).await == 200).await;
+    assert_eq!(gateway.status_of(0, "/read/x", KEY).await, 200, "{}", gateway.logs());
+}
+
+/// Polls until the condition `is_met` holds; panics if node 0 ends before.
+async fn until_met_or_ended(gateway: &mut Gateway, is_met: impl AsyncFn(&Gateway) -> bool) {
+    let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
+    while !is_met(gateway).await {
+        assert_eq!(gateway.ended(0), None, "the node ended\n{}", gateway.logs());
+        assert!(tokio::time::Instant::now() < deadline, "timed out\n{}", gateway.logs());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a node that ends because of an order's name, to which it writes a status, or its time.
+#[tokio::test]
+async fn test_odd_orders_are_refused_or_followed() {
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    let _booking = gateway.start_replica(BOOKING, "booking-1", 1).await;
+    gateway.start_node_with(|yaml| {
+        yaml.replace("retry_slack: 100", "retry_slack: 100, exposure_share: 0.1, exposure_slack: 10")
+    });
+    gateway.until_ready(0).await;
+    gateway.store.put(
+        "rollouts",
+        BOOKING,
+        json!({"service": BOOKING, "targetVersion": "v2", "durationS": 1.8e19}),
+    );
+    for name in ["odd name", "\u{1}", "\u{f1}"] {
+        gateway.store.put("rollouts", name, json!({"service": name, "targetVersion": "v2", "durationS": 9}));
+        let has_status = |gateway: &Gateway| {
+            gateway.store.status("rollouts", name).is_some_and(|s| s["state"] == "rolled_back")
+        };
+        until_met_or_ended(&mut gateway, async |gateway| has_status(gateway)).await;
+    }
+    assert_eq!(gateway.status_of(0, "/read/x", KEY).await, 200);
+    assert_eq!(gateway.ended(0), None, "{}", gateway.logs());
+}
--- a/testutils/src/metadata_store.rs
+++ b/testutils/src/metadata_store.rs
@@ -310,6 +310,26 @@
     pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
 }
 
+/// Decodes the percent-encoded bytes of a part of a URI; others stay as they are.
+fn percent_decoded(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let [first, after @ ..] = rest {
+        let encoded = after.get(..2).and_then(|hex| std::str::from_utf8(hex).ok());
+        match encoded.and_then(|hex| u8::from_str_radix(hex, 16).ok()).filter(|_| *first == b'%') {
+            Some(byte) => {
+                bytes.push(byte);
+                rest = &after[2..];
+            }
+            None => {
+                bytes.push(*first);
+                rest = after;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 impl MetadataStore {
     async fn route(&self, req: Request<Bytes>) -> Response<Body> {
         self.state().calls += 1;
@@ -320,6 +340,8 @@
             return error_response(404);
         };
         let (kind, name) = rest.split_once('/').map_or((rest, None), |(kind, name)| (kind, Some(name)));
+        let name = name.map(percent_decoded);
+        let name = name.as_deref();
         if req.method() != Method::GET {
             if self.state().fault == StoreFault::RefusesWrites {
                 return error_response(503);
@@ -335,9 +357,9 @@
         match since {
             Some(since) => self.watch(kind, since, Duration::from_millis(wait)).await,
             None => {
-                let after = query_value(&req, "after").unwrap_or_default();
+                let after = percent_decoded(query_value(&req, "after").unwrap_or_default());
                 let may_be_stale = query_value(&req, "stale") == Some("1");
-                json_response(&self.list(kind, after, may_be_stale).await)
+                json_response(&self.list(kind, &after, may_be_stale).await)
             }
         }
     }
