--- a/node/tests/test_gateway_foreign_entries.rs
+++ b/node/tests/test_gateway_foreign_entries.rs
@@ -5,11 +5,15 @@
 use leadstage_testutils::metadata_store::replica_entry;
 use serde_json::Value;
 use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use crate::gateway_environment::BOOKING;
 use crate::gateway_environment::Gateway;
 use crate::gateway_environment::KEY;
 use crate::gateway_environment::WAIT_TIMEOUT;
+use crate::gateway_environment::book;
 use crate::gateway_environment::config;
 
 /// The entry with `field` set to `value`, or without the field if there is no value.
@@ -120,3 +124,39 @@
     assert_eq!(gateway.status_of(0, "/read/x", KEY).await, 200);
     assert_eq!(gateway.ended(0), None, "{}", gateway.logs());
 }
+
+/// Guards against an answer that is lost because its replica keeps connections open for ever.
+#[tokio::test]
+async fn test_a_replica_with_an_endless_keep_alive_time_is_used() {
+    let (gateway, bookings, _models) = Gateway::with_replicas(1).await;
+    let listener = TcpListener::bind(format!("{}:0", gateway.replicas_ip())).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    gateway.store.put("servers", "endless", replica_entry(BOOKING, address, "hall-1", "ready"));
+    gateway.drain(BOOKING, &bookings[0]);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buf = [0; 4_096];
+                while let Ok(read @ 1..) = stream.read(&mut buf).await {
+                    let req = String::from_utf8_lossy(&buf[..read]).into_owned();
+                    let id = req.lines().find(|line| line.starts_with("leadstage-request-id: "));
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\n{}\r\nkeep-alive: timeout={}\r\ncontent-length: 2\r\n\r\nok",
+                        id.unwrap_or("x: y"),
+                        u64::MAX
+                    );
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    gateway
+        .until("the other replica to leave", async || gateway.log(0).contains("event=replica_leaves"))
+        .await;
+    for n in 0..3 {
+        let called = gateway.call(0, book(&format!("r-{n}"))).await;
+        assert_eq!((called.status, &*called.body), (200, "ok"), "{called:?}\n{}", gateway.logs());
+    }
+}
