settings: a start waits for a whole file, and says which interface it checks

What callers saw: a process whose settings file was empty, half written or not there yet ended at once with 2, though the platform lays the file anew at each start. As such a file names no interface, the mistakes listed were those of the completions interface: an empty file of a gateway node lacked `admin`, `platform` and `operators`.

Cause: the file was read once. Its interface was read leniently, and whatever could not be read, also a misspelt name, became the default. `interface: completions` was refused as an unknown field.

`interface` is a module of its own: a file that can't be read as a whole, or names an unknown interface, has that mistake alone; one that names none and has mistakes says first which interface it was checked for. Files of the completions interface may still leave it out.

What remains: a file that ends between two lines is valid if only settings with defaults are missing; docs/CONFIG.md tells writers to rename.

--- a/node/src/gateway/settings.rs
+++ b/node/src/gateway/settings.rs
@@ -14,6 +14,7 @@
 use leadstage_lib::ids::VmId;
 use serde::Deserialize;
 
+use crate::interface::Interface;
 use crate::settings::required;
 
 /// Bandwidth of a VM's link if the settings don't set it, in 10^6 bits per second.
@@ -25,36 +26,12 @@
 /// Bandwidth from which on a link counts as wide: 1 MB takes less than a tenth of a second.
 const WIDE_LINK_MBPS: f64 = 100.0;
 
-/// The interface that the node serves, one of leadstage's two.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "snake_case")]
-pub enum Interface {
-    /// Chat and text completions, with signed bundles.
-    #[default]
-    Completions,
-    /// Forwards requests unaltered to the replicas that the platform lists.
-    Gateway,
-}
-
-/// Only the field that determines how the rest is read.
-#[derive(Default, Deserialize)]
-struct InterfaceField {
-    #[serde(default)]
-    interface: Interface,
-}
-
-/// The interface that a settings file selects; the default if the file can't be read, so that the full
-/// check reports the error.
-pub fn interface_of(yaml: &str) -> Interface {
-    serde_saphyr::from_str::<InterfaceField>(yaml).unwrap_or_default().interface
-}
-
 /// The settings file as written.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct SettingsFile {
     #[serde(rename = "interface")]
-    _interface: Interface,
+    _interface: Option<Interface>,
     vm: Option<String>,
     hall: Option<String>,
     listen: Option<SocketAddr>,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -18,6 +18,7 @@
 mod framing;
 mod gateway;
 mod generation;
+mod interface;
 mod leads;
 mod listener;
 mod membership_driver;
@@ -39,6 +40,7 @@
 mod vm_watch;
 mod wire;
 
+use std::io::Write;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -50,6 +52,7 @@
 use lexopt::prelude::*;
 use log::error;
 use log::info;
+use log::warn;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
@@ -77,6 +80,7 @@
   --help           this text
   --version        the version
 
+A start waits up to 2 s for a settings file that is missing or has mistakes.
 Exit codes: 0 stopped as planned, 1 failure, 2 wrong arguments or settings.
 Logs go to standard error; RUST_LOG sets their level (info by default).
 ";
@@ -163,19 +167,26 @@
     let context = runtime.enter();
     // Precedes everything that takes time: until then each signal ends the process.
     let mut handlers = Handlers::install().map_err(StartError::Signals)?;
+    let on_wait = |err: &SettingsError| {
+        // A start does not depend on a reader of this line.
+        let _ = writeln!(std::io::stderr(), "leadstaged: {err}; waiting for a whole settings file");
+    };
     let read = runtime.block_on(async {
         tokio::select! {
             biased;
             () = handlers.stop_requested() => None,
-            read = settings_file::read_in_background(config) => Some(read),
+            read = settings_file::read_when_whole(config, on_wait) => Some(read),
         }
     });
-    let Some(file) = read.transpose()? else {
+    let Some((file, waited)) = read.transpose()? else {
         eprintln!("leadstaged: stopped before the settings were read");
         return Ok(ExitCode::SUCCESS);
     };
     start_logging(&file.settings).map_err(StartError::Logging)?;
     abort_on_control_panic();
+    if !waited.is_zero() {
+        warn!(event = "settings_late", waited_ms = waited.as_millis() as u64; "the settings file was not whole at first");
+    }
     let result = match file.settings {
         NodeSettings::Gateway(settings) => {
             let signals = handlers.dispatch();
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -11,6 +11,8 @@
 use leadstage_lib::signing::decode_key;
 use serde::Deserialize;
 
+use crate::interface::Interface;
+
 /// Maximum number of traffic threads.
 const MAX_TRAFFIC_THREADS: usize = 64;
 
@@ -18,6 +20,8 @@
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct SettingsFile {
+    #[serde(rename = "interface")]
+    _interface: Option<Interface>,
     vm: Option<String>,
     hall: Option<String>,
     listen: Option<SocketAddr>,
--- a/node/src/settings_file.rs
+++ b/node/src/settings_file.rs
@@ -3,16 +3,23 @@
 use std::io;
 use std::path::Path;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use derive_more::Display;
 use derive_more::Error;
 use leadstage_lib::checked_yaml::Problem;
+use tokio::time::Instant;
 
 use crate::gateway::settings::GatewaySettings;
-use crate::gateway::settings::Interface;
-use crate::gateway::settings::interface_of;
+use crate::interface::Interface;
+use crate::interface::interface_of;
 use crate::settings::Settings;
 
+/// How long a start waits for a whole file: the file may be written while the process starts.
+const MAX_WAIT: Duration = Duration::from_secs(2);
+/// Interval between two readings of a file that is not whole yet.
+const REREAD_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Reason why there are no settings.
 #[derive(Debug, Display, Error)]
 pub enum SettingsError {
@@ -55,8 +62,33 @@
     parse(path, std::fs::read_to_string(path))
 }
 
-/// Reads and checks a settings file on another thread, so that a file whose reading blocks does not delay a stop.
-pub async fn read_in_background(path: &Path) -> Result<SettingsFile, SettingsError> {
+/// Reads a settings file; calls `on_wait` once if it must wait for the file to be whole. Returns how long it
+/// has waited, too.
+pub async fn read_when_whole(
+    path: &Path,
+    on_wait: impl FnOnce(&SettingsError),
+) -> Result<(SettingsFile, Duration), SettingsError> {
+    let mut on_wait = Some(on_wait);
+    let mut waiting_since = None;
+    loop {
+        let err = match read_in_background(path).await {
+            Ok(file) => {
+                return Ok((file, waiting_since.map_or(Duration::ZERO, |since: Instant| since.elapsed())));
+            }
+            Err(err) => err,
+        };
+        if waiting_since.get_or_insert_with(Instant::now).elapsed() >= MAX_WAIT {
+            return Err(err);
+        }
+        if let Some(on_wait) = on_wait.take() {
+            on_wait(&err);
+        }
+        tokio::time::sleep(REREAD_INTERVAL).await;
+    }
+}
+
+/// Reads the file on another thread, so that a file whose reading blocks does not delay a stop.
+async fn read_in_background(path: &Path) -> Result<SettingsFile, SettingsError> {
     let owned = path.to_owned();
     let text = tokio::task::spawn_blocking(move || std::fs::read_to_string(owned)).await;
     parse(path, text.map_err(io::Error::from).flatten())
@@ -74,8 +106,13 @@
 }
 
 fn parse_text(yaml: &str) -> Result<NodeSettings, Vec<Problem>> {
-    match interface_of(yaml) {
-        Interface::Gateway => GatewaySettings::from_yaml(yaml).map(Box::new).map(NodeSettings::Gateway),
-        Interface::Completions => Settings::from_yaml(yaml).map(NodeSettings::Completions),
+    match interface_of(yaml)? {
+        Some(Interface::Gateway) => GatewaySettings::from_yaml(yaml).map(Box::new).map(NodeSettings::Gateway),
+        Some(Interface::Completions) => Settings::from_yaml(yaml).map(NodeSettings::Completions),
+        None => Settings::from_yaml(yaml).map(NodeSettings::Completions).map_err(|mut problems| {
+            let message = "is not given: checked as settings of `completions`, not of `gateway`";
+            problems.insert(0, Problem::new("interface", message));
+            problems
+        }),
     }
 }
--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -317,6 +317,11 @@
         std::fs::rename(new, self.settings_path(node)).expect("the same file system");
     }
 
+    /// Waits until a node reads its settings from a FIFO.
+    pub async fn wait_for_reader(&mut self, node: usize, pipe: &SettingsPipe) {
+        pipe.wait_for_reader(&mut self.nodes[node]).await;
+    }
+
     /// Starts a node that uses the store at `store`.
     pub fn start_node_at(&mut self, store: SocketAddr) -> usize {
         let yaml = self.settings(self.nodes.len(), store, "");
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -24,6 +24,7 @@
 mod test_gateway_foreign_entries;
 mod test_gateway_inventories;
 mod test_gateway_large_config;
+mod test_gateway_late_settings;
 mod test_gateway_leaving_header;
 mod test_gateway_limits;
 mod test_gateway_noise;
--- a/node/tests/test_settings.rs
+++ b/node/tests/test_settings.rs
@@ -33,9 +33,10 @@
         check("vm: entry-1\nlisten: here\nport: 7\noperators: [abc]\nsign_offs: 3\ntraffic_threads: 0\n");
     assert_eq!(code, 2);
     insta::assert_snapshot!(text, @r#"
-    leadstaged: 9 mistakes in the settings
+    leadstaged: 10 mistakes in the settings
+      interface: is not given: checked as settings of `completions`, not of `gateway`
       listen: invalid socket address syntax (found "here")
-      port: unknown field `port`, expected one of `vm`, `hall`, `listen`, `admin`, `peer`, `platform`, `operators`, `sign_offs`, `traffic_threads` (found 7)
+      port: unknown field `port`, expected one of `interface`, `vm`, `hall`, `listen`, `admin`, `peer`, `platform`, `operators`, `sign_offs`, `traffic_threads` (found 7)
       hall: must be given: the hall's id
       admin: must be given: IP:PORT
       peer: must be given: IP:PORT
@@ -79,3 +80,50 @@
       policy.magic: unknown field `magic`, expected one of `evacuate`, `copy_turns`, `balance`, `reading_clocks`, `learn`, `stay_in_hall`, `admit_by_peak`, `pass_over`, `wait_for_room`, `resume_streams`, `repeat`, `rest_after_failures`, `avoid_errors`, `look_out`, `share_room`, `share_calls`, `protect_gaps`, `ramp_up`, `bound_heads`
     ");
 }
+
+#[test]
+fn test_a_file_that_names_no_interface_says_so_first() {
+    let (code, text) = check(&GATEWAY_SETTINGS.replace("interface: gateway\n", ""));
+    assert_eq!(code, 2);
+    insta::assert_snapshot!(text, @r#"
+    leadstaged: 7 mistakes in the settings
+      interface: is not given: checked as settings of `completions`, not of `gateway`
+      metrics: unknown field `metrics`, expected one of `interface`, `vm`, `hall`, `listen`, `admin`, `peer`, `platform`, `operators`, `sign_offs`, `traffic_threads` (found "127.0.0.1:8083")
+      ready: unknown field `ready`, expected one of `interface`, `vm`, `hall`, `listen`, `admin`, `peer`, `platform`, `operators`, `sign_offs`, `traffic_threads` (found "127.0.0.1:8081")
+      store: unknown field `store`, expected one of `interface`, `vm`, `hall`, `listen`, `admin`, `peer`, `platform`, `operators`, `sign_offs`, `traffic_threads` (found "127.0.0.1:9000")
+      admin: must be given: IP:PORT
+      platform: must be given: IP:PORT
+      operators: must list at least one public key in base64
+    "#);
+}
+
+#[test]
+fn test_a_file_that_is_not_whole_is_not_checked_as_one_of_the_other_interface() {
+    let misspelt = GATEWAY_SETTINGS.replace("gateway", "gatway");
+    let texts = ["", "interface: gateway\nvm: \"entry", &misspelt].map(|yaml| {
+        let (code, text) = check(yaml);
+        assert_eq!(code, 2);
+        text
+    });
+    insta::assert_snapshot!(texts.join("\n"), @r#"
+    leadstaged: 1 mistakes in the settings
+      (file): is empty
+
+    leadstaged: 1 mistakes in the settings
+      (file): error: line 2 column 5: unclosed quote
+     --> <input>:2:5
+      |
+    1 | interface: gateway
+    2 | vm: "entry
+      |     ^ unclosed quote
+
+    leadstaged: 1 mistakes in the settings
+      interface: unknown variant `gatway`, expected `completions` or `gateway` (found "gatway")
+    "#);
+}
+
+#[test]
+fn test_settings_of_the_completions_interface_may_name_it() {
+    let (code, text) = check(&format!("interface: completions\n{VALID_SETTINGS}"));
+    assert_eq!((code, text.as_str()), (0, "the settings are right\n"));
+}
