stop: what a stop ends without an answer gets one

Callers whose calls were at a replica when their node's planned stop reached its bound saw the connection close without an answer, also for calls that can't be repeated. Nothing told the requests that the time was over: the node waited for them until 0.5 s before the bound, closed its port, and the process ended with them.

At the end of the serving time, 200 ms before the port must be closed, each request that has no answer gets a failure now: StopUnanswered (3005, 504, outcome unknown) if a replica may have run it, else Stopping (2108, not run). A request counts its sends, less those of which the replica said that it did not run it, so that 503 is never said of what may have run. The one place is around all that is done for a request, so that no wait in it is left out. An answer that a first replica gave, a 5xx, is kept for the end. Streams that have begun break as before.

Ruled out: 3004 for it, which is the caller's or the route's own time; and a check of the phase, as Closing also begins early, while requests still have time.

--- a/lib/src/code.rs
+++ b/lib/src/code.rs
@@ -134,6 +134,8 @@
     ClaimantLost = 3003, 409, Unknown, No;
     /// The upstream did not answer within the bundle's bound.
     UpstreamTimeout = 3004, 504, Unknown, IfRepeatable;
+    /// The node reached the bound of its planned stop before the upstream had answered.
+    StopUnanswered = 3005, 504, Unknown, IfRepeatable;
     /// The engine was lost after tokens had reached the caller.
     StreamLost = 4001, 502, Yes, IfRepeatable;
     /// The generation that the caller wants to go on with is no longer known.
--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -168,7 +168,12 @@
     let id = leadstage_platform::headers::REQUEST_ID;
     let id = req.headers().get(id).and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
     let shared = &traffic.shared;
-    let req = request::admit(shared, req).await.map_err(|refusal| {
+    let admitted = tokio::select! {
+        biased;
+        admitted = request::admit(shared, req) => admitted,
+        () = shared.wait_for_end_of_serving() => Err(stop::refusal(shared)),
+    };
+    let req = admitted.map_err(|refusal| {
         info!(event = "refused", request = id, code:% = refusal.code; "request refused");
         shared.metrics.on_refusal(refusal.code);
         refusal.reply()
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -17,6 +17,7 @@
 use crate::gateway::reply_body::ReplyBody;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
+use crate::gateway::stop;
 use crate::gateway::upstream::connections::ConnectionChoice;
 use crate::gateway::upstream::exchange;
 use crate::gateway::upstream::exchange::BufferedResponse;
@@ -42,15 +43,31 @@
 
 /// Serves a plain call.
 pub async fn serve(traffic: &Traffic, req: &CallerRequest) -> Result<Reply, Refusal> {
+    let mut best: Result<BufferedResponse, Refusal> = Err(Refusal::new(Code::NoUpstream));
+    tokio::select! {
+        biased;
+        () = try_replicas(traffic, req, &mut best) => {}
+        () = traffic.shared.wait_for_end_of_serving() => {
+            best = best.or(Err(stop::unanswered(&traffic.shared, req)));
+        }
+    }
+    best.map(reply)
+}
+
+/// Sends a call to one replica after the other, as long as that is allowed and has not succeeded. `best` is the
+/// best outcome so far.
+async fn try_replicas(traffic: &Traffic, req: &CallerRequest, best: &mut Result<BufferedResponse, Refusal>) {
     let mut tried: Vec<UpstreamId> = Vec::new();
     let mut sent = 0;
     let mut unreached = 0;
-    let mut best: Result<BufferedResponse, Refusal> = Err(Refusal::new(Code::NoUpstream));
     let mut choice = ConnectionChoice::Any;
     let mut last_no_room = NoRoom::default();
     loop {
-        if sent == 0 {
-            traffic.refuse_quarantined(req)?;
+        if sent == 0
+            && let Err(quarantined) = traffic.refuse_quarantined(req)
+        {
+            *best = Err(quarantined);
+            return;
         }
         let mut placed = place(traffic, req, &tried).await;
         if placed.is_err() && choice == ConnectionChoice::New {
@@ -67,8 +84,11 @@
         };
         tried.push(run.placed.replica.id.clone());
         match attempt(traffic, req, run, choice, sent).await {
-            Attempt::Answer(answer) if answer.status.is_server_error() => best = Ok(answer),
-            Attempt::Answer(answer) => return Ok(reply(answer)),
+            Attempt::Answer(answer) if answer.status.is_server_error() => *best = Ok(answer),
+            Attempt::Answer(answer) => {
+                *best = Ok(answer);
+                return;
+            }
             Attempt::NotSent => {
                 unreached += 1;
                 if unreached > MAX_UNREACHED {
@@ -76,11 +96,11 @@
                 }
                 continue;
             }
-            Attempt::NotRun if sent == 0 => best = Err(Refusal::new(Code::UpstreamRefused)),
+            Attempt::NotRun if sent == 0 => *best = Err(Refusal::new(Code::UpstreamRefused)),
             Attempt::NotRun => {}
-            Attempt::Unknown(code) => best = best.or(Err(Refusal::new(code))),
+            Attempt::Unknown(code) => set_failure(best, code),
             Attempt::ConnectionSilent(code) => {
-                best = best.or(Err(Refusal::new(code)));
+                set_failure(best, code);
                 choice = ConnectionChoice::New;
                 sent += 1;
                 continue;
@@ -91,12 +111,15 @@
             break;
         }
     }
-    match best {
-        Ok(answer) => Ok(reply(answer)),
-        Err(refusal) => {
-            let retry_after = Some(waiting::retry_delay_for(last_no_room, &mut rand::rng()));
-            Err(Refusal { retry_after, ..refusal })
-        }
+    if let Err(refusal) = best {
+        refusal.retry_after = Some(waiting::retry_delay_for(last_no_room, &mut rand::rng()));
+    }
+}
+
+/// Records a failure unless a replica has answered.
+fn set_failure(best: &mut Result<BufferedResponse, Refusal>, code: Code) {
+    if best.is_err() {
+        *best = Err(Refusal::new(code));
     }
 }
 
--- a/node/src/gateway/ingress/streams.rs
+++ b/node/src/gateway/ingress/streams.rs
@@ -50,7 +50,12 @@
         produced: Arc::new(AtomicU32::new(0)),
         gaps: Arc::default(),
     };
-    let StartedStream { run, exchange, sent } = match start(traffic, &req, &handle).await? {
+    let started = tokio::select! {
+        biased;
+        started = start(traffic, &req, &handle) => started,
+        () = traffic.shared.wait_for_end_of_serving() => Err(stop::unanswered(&traffic.shared, &req)),
+    };
+    let StartedStream { run, exchange, sent } = match started? {
         StartResult::Started(started) => started,
         StartResult::Answered(answer) => {
             let outcome = req.outcome_of_answer(answer.status);
--- a/node/src/gateway/request.rs
+++ b/node/src/gateway/request.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -99,6 +101,8 @@
     part_names: OnceLock<Vec<SuspectName>>,
     /// Replicas at which runs of this attempt broke, perhaps because the replicas ended while they ran it.
     pub broken_at: Mutex<Vec<ReplicaRecord>>,
+    /// Number of replicas that it was sent to and that did not report that they had not run it.
+    possible_runs: AtomicU32,
     /// The node's memory that its body occupies.
     _held: HeldGuard,
 }
@@ -164,6 +168,21 @@
         }
     }
 
+    /// Records that it is sent to a replica.
+    pub fn on_sending(&self) {
+        self.possible_runs.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records that a replica reported that it did not run it.
+    pub fn on_not_run(&self) {
+        self.possible_runs.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Whether a replica may have run it.
+    pub fn may_have_run(&self) -> bool {
+        self.possible_runs.load(Ordering::Relaxed) > 0
+    }
+
     /// Time since it was received, including suspensions of the VM, during which the caller keeps waiting.
     fn age(&self) -> Duration {
         clock::since_boot().saturating_sub(self.received_since_boot)
@@ -316,6 +335,7 @@
         fingerprint: OnceLock::new(),
         part_names: OnceLock::new(),
         broken_at: Mutex::default(),
+        possible_runs: AtomicU32::new(0),
         _held: held,
     })
 }
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -34,6 +34,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::clock;
 use crate::gateway::held_bytes::HeldBytes;
@@ -78,6 +79,7 @@
     phase: watch::Sender<Phase>,
     open: AtomicUsize,
     stop_began: OnceLock<Timestamp>,
+    serving_ended: CancellationToken,
     bounds: RwLock<Bounds>,
     crashes: watch::Sender<Arc<CrashTable>>,
     crash_digest: AtomicU64,
@@ -132,6 +134,7 @@
             served_parts: Mutex::default(),
             open: AtomicUsize::new(0),
             stop_began: OnceLock::new(),
+            serving_ended: CancellationToken::new(),
         }
     }
 
@@ -392,6 +395,16 @@
         self.advance(Phase::Stopping);
     }
 
+    /// Ends the time in which a planned stop serves requests: each that is not answered yet gets a failure.
+    pub fn end_serving(&self) {
+        self.serving_ended.cancel();
+    }
+
+    /// Waits until a planned stop serves requests no longer.
+    pub async fn wait_for_end_of_serving(&self) {
+        self.serving_ended.cancelled().await;
+    }
+
     /// Returns the time within which a request that arrives now must be finished, if a planned stop has
     /// begun.
     pub fn remaining_serving_time(&self) -> Option<Duration> {
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -22,8 +22,8 @@
 const BALANCER_DETECTION_TIME: Duration = Duration::from_millis(2_300);
 /// The process ends by itself this long before the platform would kill it.
 const END_MARGIN: Duration = Duration::from_millis(300);
-/// Time for the port to close if requests are open until the end: by then callers receive only refusals,
-/// which are written within some milliseconds.
+/// Time for the port to close if requests are open until the end: those without an answer get a failure, which
+/// is written within some milliseconds.
 const PORT_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time for the control loop to send its last messages to other nodes.
 const LAST_MESSAGES_TIME: Duration = Duration::from_millis(50);
@@ -59,6 +59,11 @@
     Refusal { code: Code::Stopping, retry_after: Some(retry_delay(shared)) }
 }
 
+/// The failure of a request that is not answered when the node serves requests no longer.
+pub fn unanswered(shared: &Shared, req: &CallerRequest) -> Refusal {
+    if req.may_have_run() { Refusal::new(Code::StopUnanswered) } else { refusal(shared) }
+}
+
 /// Whether a node that may be stopping still accepts a request, because it can be expected to complete it
 /// in time.
 pub fn accepts(shared: &Shared, req: &CallerRequest) -> bool {
@@ -120,24 +125,29 @@
         () = wait_until_none_open(shared) => {}
         () = sleep_until(shared, close_at) => {}
     }
-    close_port(shared, close_at + PORT_CLOSE_TIMEOUT).await;
+    close_port(shared, close_at).await;
     tokio::time::sleep(LAST_MESSAGES_TIME).await;
     info!(event = "stopped", open = shared.open_requests(), took_ms = (shared.now() - started).as_millis() as u64; "planned stop ends");
     Ok(())
 }
 
-/// Accepts no more requests, and waits until `deadline` for those that were read and for their responses to
-/// be written.
-async fn close_port(shared: &Shared, deadline: Timestamp) {
+/// Accepts no more requests, and waits for those that were read and for their responses to be written. Requests
+/// that have no answer at `end` get a failure.
+async fn close_port(shared: &Shared, end: Timestamp) {
     shared.advance(Phase::Closing);
     let closed = async {
         shared.wait_for_phase(Phase::Closed).await;
         wait_until_none_open(shared).await;
     };
+    let time_over = async {
+        sleep_until(shared, end).await;
+        shared.end_serving();
+        sleep_until(shared, end + PORT_CLOSE_TIMEOUT).await;
+    };
     tokio::select! {
         biased;
         () = closed => {}
-        () = sleep_until(shared, deadline) => {
+        () = time_over => {
             warn!(event = "stop_bound", open = shared.open_requests(); "time limit of the planned stop reached; closing open connections");
         }
     }
--- a/node/src/gateway/upstream/replica_headers.rs
+++ b/node/src/gateway/upstream/replica_headers.rs
@@ -68,6 +68,7 @@
 
     /// Called before a request that was sent to `sent` replicas before is sent to one more.
     pub fn on_sending(&self, req: &CallerRequest, replica: &ReplicaRecord, sent: u32) {
+        req.on_sending();
         if let Some(limit) = self.shared.limits().get(&replica.id) {
             self.shared.metrics.on_sent_to_limited();
             info!(event = "sent_to_limited", request = req.id(), upstream = &*replica.id, limit, sent; "sending a request to a replica that has a limit");
@@ -168,6 +169,7 @@
 
     /// Handles a replica that did not run a request.
     pub fn on_not_run(&self, req: &CallerRequest, run: &RunGuard, status: StatusCode) {
+        req.on_not_run();
         let replica = &run.placed.replica;
         info!(event = "turned_away", request = req.id(), upstream = &*replica.id, status = status.as_u16(); "the replica did not run the request");
         if status == StatusCode::MISDIRECTED_REQUEST {
