stop: accept a call only as long as it can be answered

A stopping node accepted every plain call until 2.5 s before its bound, whatever the route's calls take and whatever deadline the call has. A call that waited for room was sent whenever it got it.

Now the node remembers for each route the usual and the longest time of its calls of the last 5 to 10 minutes (two windows; at most the routes that were called in them; callers that left count too), and a call is accepted if it can end in time by these or by its deadline, with margins. Routes without a call yet count with their timeout. Callers that no other node serves, or who still connect to the node in full number as the balancer has not detected the stop, are judged by the usual time, or the route's objective: the longest would turn away callers that are served well. The decision is taken again when a call has got its place, and bounds its wait for one. A planned stop keeps the bound that held when it began, as the platform's does not change.

Streams keep their rule. The least time to be left is what it was, 2.5 s before the bound. Ruled out: the mean (one slow route or replica hides in it), and a count of what is in progress, which tells only how long others have waited so far.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -4,6 +4,7 @@
 //! from the platform's API.
 
 pub mod answer_counts;
+pub mod answer_times;
 pub mod brittle_replicas;
 pub mod call_admission;
 pub mod call_sharing;
@@ -71,6 +72,7 @@
 pub mod shortage;
 pub mod stage_history;
 pub mod startup_read;
+pub mod stop_admission;
 pub mod store_outages;
 pub mod stored_suspects;
 pub mod suspect;
--- a/lib/src/gateway/usual_time.rs
+++ b/lib/src/gateway/usual_time.rs
@@ -35,6 +35,11 @@
         };
     }
 
+    /// The estimate; of few answers, the longest time.
+    pub fn time(&self) -> Duration {
+        Duration::from_secs_f64(self.seconds)
+    }
+
     /// How many times longer than usual an answer took; `None` if it is not slow, or if too few answers were
     /// observed to tell.
     pub fn slowdown(&self, took: Duration) -> Option<f64> {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -53,6 +53,7 @@
 mod test_gateway_revision;
 mod test_gateway_routing;
 mod test_gateway_shortage;
+mod test_gateway_stop_admission;
 mod test_gateway_stored_suspects;
 mod test_gateway_trial_evidence;
 mod test_gateway_trial_reports;
--- a/node/src/gateway/ingress/plain.rs
+++ b/node/src/gateway/ingress/plain.rs
@@ -2,8 +2,10 @@
 
 use http::Response;
 use leadstage_lib::code::Code;
+use leadstage_lib::gateway::routing::RouteId;
 use leadstage_lib::gateway::waiting;
 use leadstage_lib::gateway::waiting::NoRoom;
+use leadstage_lib::ids::Timestamp;
 use leadstage_lib::ids::UpstreamId;
 use leadstage_platform::headers;
 use leadstage_platform::headers::AddedHeaders;
@@ -17,6 +19,7 @@
 use crate::gateway::reply_body::ReplyBody;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::shared::RunGuard;
+use crate::gateway::shared::Shared;
 use crate::gateway::stop;
 use crate::gateway::upstream::connections::ConnectionChoice;
 use crate::gateway::upstream::exchange;
@@ -79,9 +82,21 @@
             Ok(run) => run,
             Err(no_room) => {
                 last_no_room = no_room;
+                if sent == 0 && !stop::accepts(&traffic.shared, req) {
+                    // A stop shortens the wait; another node may wait longer.
+                    *best = Err(stop::refusal(&traffic.shared));
+                }
                 break;
             }
         };
+        if !stop::accepts(&traffic.shared, req) {
+            // The node began to stop while the call waited.
+            run.end(Outcome::Withdrawn);
+            if sent == 0 {
+                *best = Err(stop::refusal(&traffic.shared));
+            }
+            break;
+        }
         tried.push(run.placed.replica.id.clone());
         match attempt(traffic, req, run, choice, sent).await {
             Attempt::Answer(answer) if answer.status.is_server_error() => *best = Ok(answer),
@@ -112,7 +127,8 @@
         }
     }
     if let Err(refusal) = best {
-        refusal.retry_after = Some(waiting::retry_delay_for(last_no_room, &mut rand::rng()));
+        let retry_delay = || waiting::retry_delay_for(last_no_room, &mut rand::rng());
+        refusal.retry_after.get_or_insert_with(retry_delay);
     }
 }
 
@@ -141,7 +157,7 @@
         },
         priority: req.priority(),
         patience: req.route.objective,
-        leaves_after: req.route.objective,
+        leaves_after: stop::max_call_wait(&traffic.shared, req),
         stream: None,
     };
     traffic.place(request).await
@@ -156,12 +172,14 @@
 ) -> Attempt {
     let replica = run.placed.replica.clone();
     let added = AddedHeaders { priority: None, ..req.added(&replica.id, None) };
+    let timer = CallTimer::start(traffic, req);
     let sent = exchange::send(traffic, &replica, req, &added, choice, sent).await;
     let exchanged = match sent {
         Ok(exchanged) => exchanged,
-        Err(err) => return on_send_error(traffic, req, run, err),
+        Err(err) => return on_send_error(traffic, req, run, err, timer),
     };
     if exchanged.says_not_run() {
+        timer.discard();
         traffic.on_not_run(req, &run, exchanged.status);
         run.end(Outcome::Refused);
         return Attempt::NotRun;
@@ -181,15 +199,52 @@
             run.end(if is_error { Outcome::Errored } else { Outcome::Answered });
             Attempt::Answer(answer)
         }
-        Err(err) => on_send_error(traffic, req, run, err),
+        Err(err) => on_send_error(traffic, req, run, err, timer),
     }
 }
 
-fn on_send_error(traffic: &Traffic, req: &CallerRequest, run: RunGuard, err: SendError) -> Attempt {
+fn on_send_error(
+    traffic: &Traffic,
+    req: &CallerRequest,
+    run: RunGuard,
+    err: SendError,
+    timer: CallTimer,
+) -> Attempt {
     match exchange::end_failed_run(traffic, req, run, &err) {
         Some(code) if matches!(err, SendError::ConnectionSilent) => Attempt::ConnectionSilent(code),
         Some(code) => Attempt::Unknown(code),
-        None => Attempt::NotSent,
+        None => {
+            timer.discard();
+            Attempt::NotSent
+        }
+    }
+}
+
+/// Records how long a call was at a replica, also if its caller leaves before the answer.
+struct CallTimer<'a> {
+    shared: &'a Shared,
+    route: &'a RouteId,
+    /// When the call was sent; `None` if its time does not count.
+    began: Option<Timestamp>,
+}
+
+impl<'a> CallTimer<'a> {
+    fn start(traffic: &'a Traffic, req: &'a CallerRequest) -> Self {
+        let shared = &*traffic.shared;
+        CallTimer { shared, route: &req.route.name, began: Some(shared.now()) }
+    }
+
+    /// Forgets a call that was not run.
+    fn discard(mut self) {
+        self.began = None;
+    }
+}
+
+impl Drop for CallTimer<'_> {
+    fn drop(&mut self) {
+        if let Some(began) = self.began {
+            self.shared.on_call_time(self.route, self.shared.now().saturating_sub(began));
+        }
     }
 }
 
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -14,6 +14,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use leadstage_lib::gateway::answer_times::AnswerTimes;
+use leadstage_lib::gateway::answer_times::CallTimes;
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
 use leadstage_lib::gateway::config_text::ConfigText;
 use leadstage_lib::gateway::fingerprint::Fingerprint;
@@ -22,6 +24,7 @@
 use leadstage_lib::gateway::replica_limits::LimitsInForce;
 use leadstage_lib::gateway::replica_paths::ReplicaPaths;
 use leadstage_lib::gateway::routing::ConfigVersion;
+use leadstage_lib::gateway::routing::RouteId;
 use leadstage_lib::gateway::routing::RoutingTable;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_lib::gateway::suspect::SuspectName;
@@ -61,6 +64,14 @@
     Closed,
 }
 
+/// A planned stop that has begun.
+#[derive(Clone, Copy, Debug)]
+struct PlannedStop {
+    began: Timestamp,
+    /// The bound that held at its beginning: the platform's own does not change with a reload.
+    within: Duration,
+}
+
 /// State shared by the threads.
 pub struct Shared {
     /// The node's settings.
@@ -78,7 +89,7 @@
     config_versions: watch::Sender<ConfigVersion>,
     phase: watch::Sender<Phase>,
     open: AtomicUsize,
-    stop_began: OnceLock<Timestamp>,
+    stop: OnceLock<PlannedStop>,
     serving_ended: CancellationToken,
     bounds: RwLock<Bounds>,
     crashes: watch::Sender<Arc<CrashTable>>,
@@ -94,6 +105,7 @@
     upgrades: RwLock<Arc<Upgrades>>,
     replicas_at: AtomicU64,
     paces: RwLock<HashMap<ServiceId, f64>>,
+    call_times: Mutex<AnswerTimes>,
     paths: Mutex<HashMap<ServiceId, ReplicaPaths>>,
     tunnel_nodes: RwLock<Arc<[SocketAddr]>>,
 }
@@ -117,6 +129,7 @@
             upgrades: RwLock::default(),
             replicas_at: AtomicU64::new(0),
             paces: RwLock::default(),
+            call_times: Mutex::default(),
             paths: Mutex::default(),
             tunnel_nodes: RwLock::default(),
             held: HeldBytes::new(settings.memory_bytes),
@@ -133,7 +146,7 @@
             crash_digest: AtomicU64::new(0),
             served_parts: Mutex::default(),
             open: AtomicUsize::new(0),
-            stop_began: OnceLock::new(),
+            stop: OnceLock::new(),
             serving_ended: CancellationToken::new(),
         }
     }
@@ -327,6 +340,16 @@
         *self.paces.write().expect("no holder panics") = paces;
     }
 
+    /// Records how long a call of a route took at a replica.
+    pub fn on_call_time(&self, route: &RouteId, took: Duration) {
+        self.call_times.lock().expect("no holder panics").observe(route, took, self.now());
+    }
+
+    /// Returns how long the calls of a route took at replicas lately; `None` if there were none.
+    pub fn call_times(&self, route: &RouteId) -> Option<CallTimes> {
+        self.call_times.lock().expect("no holder panics").of(route, self.now())
+    }
+
     /// Reads or updates what this node knows about its paths to the replicas of a service.
     pub fn with_paths<T>(&self, service: &ServiceId, access: impl FnOnce(&mut ReplicaPaths) -> T) -> T {
         let mut paths = self.paths.lock().expect("no holder panics");
@@ -391,7 +414,7 @@
 
     /// Begins a planned stop.
     pub fn stop(&self) {
-        self.stop_began.get_or_init(|| self.now());
+        self.stop.get_or_init(|| PlannedStop { began: self.now(), within: self.bounds().stop_within });
         self.advance(Phase::Stopping);
     }
 
@@ -408,13 +431,13 @@
     /// Returns the time within which a request that arrives now must be finished, if a planned stop has
     /// begun.
     pub fn remaining_serving_time(&self) -> Option<Duration> {
-        let deadline = *self.stop_began.get()? + self.bounds().stop_within;
-        Some(deadline.saturating_sub(self.now()))
+        let stop = self.stop.get()?;
+        Some((stop.began + stop.within).saturating_sub(self.now()))
     }
 
     /// Returns the time since a planned stop began, if one has.
     pub fn time_since_stop(&self) -> Option<Duration> {
-        Some(self.now().saturating_sub(*self.stop_began.get()?))
+        Some(self.now().saturating_sub(self.stop.get()?.began))
     }
 
     /// Returns the latest published status.
--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -5,6 +5,8 @@
 
 use leadstage_lib::code::Code;
 use leadstage_lib::gateway::routing::Repeat;
+use leadstage_lib::gateway::stop_admission::CallEstimate;
+use leadstage_lib::gateway::stop_admission::StopState;
 use leadstage_lib::ids::Timestamp;
 use log::info;
 use log::warn;
@@ -32,8 +34,8 @@
 /// Interval between two checks of the number of open requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// A stopping node accepts plain calls until this long before its end.
-const MIN_PLAIN_CALL_TIME: Duration = Duration::from_millis(2_500);
+/// A stopping node accepts streams until this long before its end.
+const MIN_STREAM_TIME: Duration = Duration::from_millis(2_500);
 /// Factor by which a stream that a stopping node accepts may take longer than expected: callers' estimates
 /// of lengths are often wrong, and a stream that is cut is lost, while a refused one starts at another node
 /// some 50 ms later.
@@ -70,11 +72,42 @@
     let Some(left) = shared.remaining_serving_time() else {
         return true;
     };
-    let min_time = match req.route.repeat {
-        Repeat::Stream => stream_time(shared, req).mul_f64(STREAM_TIME_MARGIN).max(MIN_PLAIN_CALL_TIME),
-        Repeat::Idempotent | Repeat::Once => MIN_PLAIN_CALL_TIME,
+    match req.route.repeat {
+        Repeat::Stream => left > stream_time(shared, req).mul_f64(STREAM_TIME_MARGIN).max(MIN_STREAM_TIME),
+        Repeat::Idempotent | Repeat::Once => call_estimate(shared, req).is_accepted(&state(shared, left)),
+    }
+}
+
+/// How long a plain call may wait for room at a replica: until it is late and, at a stopping node, only as long
+/// as it can still be answered afterwards.
+pub fn max_call_wait(shared: &Shared, req: &CallerRequest) -> Duration {
+    let objective = req.route.objective;
+    let Some(left) = shared.remaining_serving_time() else {
+        return objective;
     };
-    left > min_time
+    objective.min(call_estimate(shared, req).max_wait(&state(shared, left)))
+}
+
+fn call_estimate(shared: &Shared, req: &CallerRequest) -> CallEstimate {
+    CallEstimate {
+        time_left: req.time_left(),
+        objective: req.route.objective,
+        times: shared.call_times(&req.route.name),
+    }
+}
+
+/// The state of a stop whose bound is `left` away.
+fn state(shared: &Shared, left: Duration) -> StopState {
+    StopState {
+        left: left.saturating_sub(END_MARGIN + PORT_CLOSE_TIMEOUT),
+        is_detected: is_detected(shared),
+        has_neighbour: shared.has_neighbour(),
+    }
+}
+
+/// Whether the balancer has detected that the node stops.
+fn is_detected(shared: &Shared) -> bool {
+    shared.time_since_stop().is_some_and(|elapsed| elapsed >= BALANCER_DETECTION_TIME)
 }
 
 /// How long a stream may wait for an engine: until its caller disconnects and, at a stopping node, only as
@@ -95,8 +128,7 @@
 /// and the maximum number of tokens that a stream may generate counts: with the expected number,
 /// overlapping stops in series cut a stream each in 3 of 18 simulated runs of fleets of 6 to 62 nodes.
 fn stream_time(shared: &Shared, req: &CallerRequest) -> Duration {
-    let is_stop_detected = shared.time_since_stop().is_some_and(|elapsed| elapsed >= BALANCER_DETECTION_TIME);
-    let tokens = if is_stop_detected { req.max_tokens() } else { req.generation_size().expected };
+    let tokens = if is_detected(shared) { req.max_tokens() } else { req.generation_size().expected };
     req.route.objective + Duration::from_secs_f64(f64::from(tokens) / shared.tokens_per_second(&req.service))
 }
 
@@ -118,7 +150,8 @@
     shared.notify(ToControl::Stopping);
     let started = shared.now();
     info!(event = "stop", open = shared.open_requests(); "planned stop begins");
-    let close_at = started + shared.bounds().stop_within.saturating_sub(END_MARGIN + PORT_CLOSE_TIMEOUT);
+    let left = shared.remaining_serving_time().unwrap_or_default();
+    let close_at = started + left.saturating_sub(END_MARGIN + PORT_CLOSE_TIMEOUT);
     sleep_until(shared, close_at.min(started + BALANCER_DETECTION_TIME)).await;
     // The port closes in either case: when no request is open, or when the time is over.
     tokio::select! {
--- a/node/tests/test_gateway_stop_late_calls.rs
+++ b/node/tests/test_gateway_stop_late_calls.rs
@@ -13,14 +13,18 @@
 use hyper_util::rt::TokioIo;
 use leadstage_testutils::gateway_replica::ReplicaFault;
 use leadstage_testutils::gateway_replica::StreamFault;
+use leadstage_testutils::metadata_store::replica_entry;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::gateway_environment::BOOKING;
 use crate::gateway_environment::CallResult;
 use crate::gateway_environment::Gateway;
+use crate::gateway_environment::MODEL;
 use crate::gateway_environment::RunningReplica;
 use crate::gateway_environment::book;
 use crate::gateway_environment::chat;
+use crate::gateway_environment::config;
 use crate::gateway_environment::read;
 
 /// Duration of calls that can't end in a stop of 6 s if they arrive at `LATE`.
@@ -30,6 +34,8 @@
     [Duration::from_millis(2_900), Duration::from_millis(3_100), Duration::from_millis(3_300)];
 /// Time at which a call arrives that can end in time; the node listens until it has ended.
 const IN_TIME: Duration = Duration::from_millis(2_000);
+/// Longest time until a node refuses a call that it can't serve, on a busy machine.
+const MAX_REFUSAL_TIME: Duration = Duration::from_millis(500);
 /// The code of a call that its replica did not answer before the end of the stop.
 const STOP_UNANSWERED: u64 = 3005;
 
@@ -119,6 +125,115 @@
     assert!(gateway.wait_for_exit(0).await, "the stop is no failure");
 }
 
+/// Guards against sending calls to a replica when their route's recent calls show that they can't end in time.
+#[tokio::test]
+async fn test_calls_of_a_slow_route_are_refused_when_they_would_outlast_a_stop() {
+    let (mut gateway, bookings, _models) = Gateway::with_replicas(1).await;
+    bookings[0].replica.set_fault(ReplicaFault::Late(LONG_CALL));
+    let known = gateway.call(0, book("known")).await;
+    assert_eq!(known.status, 200, "{known:?}");
+    gateway.signal(0, "-TERM");
+    let began = Instant::now();
+    let early = [Duration::from_millis(300)];
+    let (early, late) = tokio::join!(call_at(&gateway, 0, began, &early, book), async {
+        tokio::time::sleep_until(began + LATE[0]).await;
+        let sent = Instant::now();
+        (gateway.call(0, book("refused")).await, sent.elapsed())
+    });
+    assert_eq!(answers(&early), [(200, 0)], "it ends in time: {early:?}");
+    let (refused, took) = late;
+    assert_eq!((refused.status, refused.code()), (503, 2108), "{refused:?}");
+    assert!(refused.header("retry-after").is_some(), "{refused:?}");
+    assert!(took < MAX_REFUSAL_TIME, "refused after {took:?}");
+    assert!(!runs(&bookings).contains_key("refused"), "it was sent to no replica");
+    assert!(gateway.wait_for_exit(0).await, "the stop is no failure");
+}
+
+/// Guards against serving calls of unknown duration late in a stop although another node can serve them.
+#[tokio::test]
+async fn test_calls_of_unknown_duration_are_left_to_another_node_late_in_a_stop() {
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    let booking = gateway.start_replica(BOOKING, "booking-1", 1).await;
+    let model = gateway.start_replica(MODEL, "model-1", 300).await;
+    for node in 0..2 {
+        gateway.start_node();
+        gateway.until_ready(node).await;
+    }
+    gateway.until("both nodes", async || gateway.node_status(0).await.peers.len() == 1).await;
+    booking.replica.set_fault(ReplicaFault::Late(LONG_CALL));
+    // A stream keeps the port open.
+    let (stream, late) = tokio::join!(gateway.call(0, chat("stream")), async {
+        gateway.until("a stream", async || model.replica.running() == 1).await;
+        gateway.signal(0, "-TERM");
+        let began = Instant::now();
+        call_at(&gateway, 0, began, &LATE, book).await
+    });
+    assert_eq!(stream.events(), Some(300), "{stream:?}");
+    assert_eq!(answers(&late), [(503, 2108); 3], "{late:?}\n{}", gateway.logs());
+    assert!(runs(&[booking]).is_empty(), "they were sent to no replica");
+    assert!(gateway.wait_for_exit(0).await, "the stop is no failure");
+}
+
+/// Guards against refusing calls that their callers' deadlines end before the stop does.
+#[tokio::test]
+async fn test_calls_with_a_short_deadline_are_served_until_the_end_of_a_stop() {
+    let (mut gateway, bookings, models) = Gateway::with_replicas(1).await;
+    let short = |id: &str| {
+        let mut req = book(id);
+        req.headers_mut().insert("leadstage-deadline-ms", "700".parse().expect("valid"));
+        req
+    };
+    let mut held = chat("held");
+    held.headers_mut().insert("leadstage-token-usage", "100,300".parse().expect("valid"));
+    gateway.engines.set_stream_faults([StreamFault::Late(Duration::from_millis(4_000))]);
+    // A stream keeps the port open.
+    let (_stream, (served, late)) = tokio::join!(gateway.call(0, held), async {
+        gateway.until("a stream", async || models[0].replica.received_requests().len() == 1).await;
+        gateway.signal(0, "-TERM");
+        let began = Instant::now();
+        let served = call_at(&gateway, 0, began, &[Duration::from_millis(3_800)], short).await;
+        bookings[0].replica.set_fault(ReplicaFault::Late(LONG_CALL));
+        (served, gateway.call(0, short("slow")).await)
+    });
+    assert_eq!(answers(&served), [(200, 0)], "{served:?}\n{}", gateway.logs());
+    assert_eq!((late.status, late.code()), (504, 3004), "{late:?}\n{}", gateway.logs());
+    assert!(gateway.wait_for_exit(0).await, "the stop is no failure");
+}
+
+/// Guards against sending a queued call when the room that it waited for is free too late in the stop.
+#[tokio::test]
+async fn test_a_queued_call_that_is_placed_too_late_in_a_stop_is_refused() {
+    let mut gateway = Gateway::start().await;
+    let mut patient = config(1);
+    patient["routes"][1]["targetLatencyMs"] = 5_000.into();
+    gateway.store.put("config", "main", patient);
+    // A brittle replica gets no more calls at once than it has slots.
+    let bookings = [gateway.start_replica(BOOKING, "booking-1", 1).await];
+    bookings[0].replica.set_brittle(Some(100), 1, Duration::ZERO);
+    let address = bookings[0].server.as_ref().expect("it serves").address;
+    let mut entry = replica_entry(BOOKING, address, "hall-1", "ready");
+    entry["slots"] = 1.into();
+    gateway.store.put("servers", "booking-1", entry);
+    gateway.start_node();
+    gateway.until_ready(0).await;
+    assert_eq!(gateway.call(0, read("known")).await.status, 200);
+    bookings[0].replica.set_fault(ReplicaFault::Late(Duration::from_millis(4_500)));
+    let queued_at = [Duration::ZERO, Duration::from_millis(700)];
+    let (first, (queued, ())) = tokio::join!(gateway.call(0, book("first")), async {
+        gateway.until("a call", async || bookings[0].replica.running() == 1).await;
+        tokio::join!(call_at(&gateway, 0, Instant::now(), &queued_at, book), async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            gateway.signal(0, "-TERM");
+        })
+    });
+    assert_eq!(first.status, 200, "{first:?}\n{}", gateway.logs());
+    assert_eq!(lost(&queued, &runs(&bookings)), [""; 0], "{queued:?}\n{}", gateway.logs());
+    assert_eq!(answers(&queued), [(503, 2108); 2], "{queued:?}\n{}", gateway.logs());
+    assert!(queued.values().all(|called| called.header("retry-after").is_some()), "{queued:?}");
+    assert!(gateway.wait_for_exit(0).await, "the stop is no failure");
+}
+
 /// Guards against losing answers that replicas give while the node ends.
 #[tokio::test]
 async fn test_answers_at_the_end_of_a_stop_arrive_whole() {
@@ -135,6 +250,35 @@
     assert!(gateway.wait_for_exit(0).await, "the stop is no failure");
 }
 
+/// Sends long calls to a node whose settings file changes and which gets SIGHUP before and after SIGTERM.
+async fn check_reload_around_stop(delay_before: Duration, delay_after: Duration, stop_within: &str) {
+    let (mut gateway, bookings, _models) = Gateway::with_replicas(1).await;
+    bookings[0].replica.set_fault(ReplicaFault::Late(LONG_CALL));
+    let settings = gateway.settings(0, gateway.store_address(), "");
+    let changed = settings.replace("stop_within: 6s", &format!("stop_within: {stop_within}"));
+    gateway.signal(0, "-HUP");
+    tokio::time::sleep(delay_before).await;
+    gateway.signal(0, "-TERM");
+    let began = Instant::now();
+    tokio::time::sleep(delay_after).await;
+    std::fs::write(gateway.settings_path(0), changed).expect("writable");
+    gateway.signal(0, "-HUP");
+    let called = call_at(&gateway, 0, began, &in_time_and_late(), book).await;
+    assert_eq!(lost(&called, &runs(&bookings)), [""; 0], "{called:?}\n{}", gateway.logs());
+    assert!(called.values().all(|called| called.status != 0), "{called:?}\n{}", gateway.logs());
+    assert!(gateway.wait_for_exit(0).await, "the stop is no failure");
+}
+
+/// Guards against a stop whose bounds change with a reload while it ends when it was to end before.
+#[tokio::test]
+async fn test_a_reload_in_a_stop_loses_no_calls() {
+    tokio::join!(
+        check_reload_around_stop(Duration::ZERO, Duration::ZERO, "9s"),
+        check_reload_around_stop(Duration::from_millis(20), Duration::from_millis(20), "9s"),
+        check_reload_around_stop(Duration::ZERO, Duration::from_millis(500), "3s"),
+    );
+}
+
 /// Guards against lost calls when the nodes of a hall stop one after the other, so that the last one gets
 /// all callers.
 #[tokio::test]
