held bytes: read bodies in blocks instead of one buffer that grows

While many replicas sent bodies without end at the same time, a node needed more than its VM's memory: 95 MB where it has 88, of which it counts 26.4 MB as held at most. Bodies alone: 82 MB, streams alone: 63 MB, idle: 24 MB (debug build).

A body that was being read was one buffer that doubled: the spare capacity was not counted, and each growth copied to another buffer and left a hole behind. Now it is read into blocks of an eighth of its bytes so far, 64 KiB at most, that are joined once at its end.

test_callers_are_served_and_memory_is_bounded_while_many_replicas_send_without_end (10 replicas and 6 engines that send without end in heads, bodies, chunk extensions, trailers, announced lengths and events; 150 callers that do not read): before: failed at a peak of 95 MB. After: 71 and 75 MB, and all 300 calls of another service are served both times.

--- a/node/src/gateway/held_bytes.rs
+++ b/node/src/gateway/held_bytes.rs
@@ -72,6 +72,11 @@
     }
 }
 
+/// Maximum size of a block of a body that is being read, if no chunk is larger.
+const MAX_BLOCK_BYTES: usize = 64 << 10;
+/// A buffer has at most its bytes divided by this as spare capacity.
+const MAX_SPARE_DIVISOR: usize = 8;
+
 /// Reads a body to its end and holds the bytes of each chunk as it arrives. Returns `None` if there is no
 /// room; the rest of the body is read all the same, as its sender may read a response only after that.
 pub async fn collect<B>(
@@ -82,7 +87,7 @@
     B: Body<Data = Bytes> + Unpin,
 {
     let announced = body.size_hint().exact().unwrap_or(0) as usize;
-    let mut buffer = BytesMut::with_capacity(announced.min(MAX_PREALLOCATED_BYTES));
+    let mut blocks = Blocks::with_capacity(announced.min(MAX_PREALLOCATED_BYTES));
     let mut total: Option<HeldGuard> = None;
     let mut has_room = true;
     while let Some(frame) = body.frame().await {
@@ -95,16 +100,56 @@
             (Some(held), None) => total = Some(held),
             (None, _) => {
                 has_room = false;
-                (buffer, total) = (BytesMut::new(), None);
+                (blocks, total) = (Blocks::with_capacity(0), None);
                 continue;
             }
         }
-        buffer.extend_from_slice(&chunk);
+        blocks.push(&chunk);
+    }
+    Ok(has_room.then(|| (blocks.into_bytes(), total)))
+}
+
+/// The bytes of a body that is being read. One buffer that grows would occupy up to three times its bytes: it is
+/// copied to a larger one, and has spare capacity.
+struct Blocks {
+    full: Vec<BytesMut>,
+    last: BytesMut,
+    bytes: usize,
+}
+
+impl Blocks {
+    fn with_capacity(bytes: usize) -> Self {
+        Blocks { full: Vec::new(), last: BytesMut::with_capacity(bytes), bytes: 0 }
+    }
+
+    fn push(&mut self, chunk: &[u8]) {
+        let (now, rest) = chunk.split_at(chunk.len().min(self.last.capacity() - self.last.len()));
+        self.last.extend_from_slice(now);
+        self.bytes += chunk.len();
+        if rest.is_empty() {
+            return;
+        }
+        let capacity = (self.bytes / MAX_SPARE_DIVISOR).min(MAX_BLOCK_BYTES).max(rest.len());
+        let full = std::mem::replace(&mut self.last, BytesMut::with_capacity(capacity));
+        if !full.is_empty() {
+            self.full.push(full);
+        }
+        self.last.extend_from_slice(rest);
+    }
+
+    /// All bytes in one buffer without much spare capacity, which would occupy memory too without being counted.
+    fn into_bytes(self) -> Bytes {
+        let spare = self.last.capacity() - self.last.len();
+        if self.full.is_empty() && spare <= self.bytes / MAX_SPARE_DIVISOR {
+            return self.last.freeze();
+        }
+        let mut whole = BytesMut::with_capacity(self.bytes);
+        for block in self.full {
+            whole.extend_from_slice(&block);
+        }
+        whole.extend_from_slice(&self.last);
+        whole.freeze()
     }
-    // Spare capacity would occupy memory too without being counted.
-    let is_tight = buffer.capacity() - buffer.len() <= buffer.len() / 8;
-    let bytes = if is_tight { buffer.freeze() } else { Bytes::copy_from_slice(&buffer) };
-    Ok(has_room.then_some((bytes, total)))
 }
 
 /// Bytes that are held until this guard is dropped.
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_gateway_crash_evidence;
 mod test_gateway_crashing_parts;
 mod test_gateway_crashing_requests;
+mod test_gateway_endless_fleet;
 mod test_gateway_endless_messages;
 mod test_gateway_fleet;
 mod test_gateway_foreign_entries;
--- a/testutils/src/endless_server.rs
+++ b/testutils/src/endless_server.rs
@@ -73,6 +73,23 @@
 pub const WHITE_SPACE: EndlessAnswer =
     EndlessAnswer::new("HTTP/1.1 200 OK\r\nleadstage-request-id: {id}\r\n\r\n", " ");
 
+/// A body of an announced length that it does not reach.
+pub const LONG_BODY: EndlessAnswer = EndlessAnswer {
+    start: "HTTP/1.1 200 OK\r\nleadstage-request-id: {id}\r\ncontent-length: 4000000\r\n\r\n",
+    repeated: "                                                                ",
+    pause: Duration::from_millis(5),
+};
+/// An event stream without end.
+pub const EVENTS: EndlessAnswer = EndlessAnswer::new(
+    "HTTP/1.1 200 OK\r\nleadstage-request-id: {id}\r\ncontent-type: text/event-stream\r\n\r\n",
+    "data: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\n\n",
+);
+/// An event without end.
+pub const EVENT: EndlessAnswer = EndlessAnswer::new(
+    "HTTP/1.1 200 OK\r\nleadstage-request-id: {id}\r\ncontent-type: text/event-stream\r\n\r\ndata: ",
+    "x",
+);
+
 /// An event stream of comments without end.
 pub const COMMENTS: EndlessAnswer = EndlessAnswer {
     start: "HTTP/1.1 200 OK\r\nleadstage-request-id: {id}\r\ncontent-type: text/event-stream\r\n\r\n",
