peers: bound what a node unpacks from another one

32 MiB of zeros are 1 KB of a compressed list of replicas, and were unpacked up to 64 MiB, more than two thirds of the memory of the smallest VM. A configuration was cut at 4 MiB and then taken as its text.

Before: test_lists_that_expand_without_end_are_rejected gets an empty list, and test_a_text_that_expands_without_end_is_rejected gets 4 MiB of blanks. After: both are errors. A list has 8 MiB unpacked at most, which is enough for 20,000 replicas with long names (in the test).

Updates of replicas in datagrams were bounded to 64 KiB already.

--- a/lib/src/gateway/config_text.rs
+++ b/lib/src/gateway/config_text.rs
@@ -132,7 +132,10 @@
         let mut decoder = zstd::stream::read::Decoder::with_ref_prefix(encoded, base)?;
         decoder.window_log_max(WINDOW_LOG)?;
         let mut text = Vec::new();
-        decoder.take(MAX_TEXT_BYTES).read_to_end(&mut text)?;
+        decoder.take(MAX_TEXT_BYTES + 1).read_to_end(&mut text)?;
+        if text.len() as u64 > MAX_TEXT_BYTES {
+            return Err(io::Error::other("the text is too long"));
+        }
         Ok(Bytes::from(text))
     }
 }
--- a/lib/src/gateway/replica_list.rs
+++ b/lib/src/gateway/replica_list.rs
@@ -40,8 +40,9 @@
 
 /// Zstandard compression level: a list of 10,000 replicas shrinks to a quarter in a few milliseconds.
 const COMPRESSION_LEVEL: i32 = 3;
-/// Maximum size of an unpacked list, in bytes.
-const MAX_UNPACKED_BYTES: usize = 64 << 20;
+/// Maximum size of an unpacked list, in bytes: a tenth of the memory of the smallest VM, and some hundred bytes for each
+/// of 20,000 replicas.
+const MAX_UNPACKED_BYTES: usize = 8 << 20;
 
 /// An error while packing or unpacking a list.
 #[derive(Debug, Display, Error, From)]
--- a/lib/tests/test_gateway_config_text.rs
+++ b/lib/tests/test_gateway_config_text.rs
@@ -97,3 +97,13 @@
         let _ = ConfigText::decode(edition, &bytes, Some(&known));
     }
 }
+
+/// Guards against a few bytes of another node that fill the memory of a small VM when they are decoded.
+#[test]
+fn test_a_text_that_expands_without_end_is_rejected() {
+    const TEXT_BYTES: usize = 32 << 20;
+    let encoded = zstd::bulk::compress(&vec![b' '; TEXT_BYTES], 3).expect("it is compressed");
+    let edition = Edition { version: 2, base: 0, bytes: encoded.len() };
+    let err = ConfigText::decode(edition, &encoded, None).expect_err("it is too long");
+    insta::assert_snapshot!(err, @"the text is too long");
+}
--- a/lib/tests/test_gateway_replica_updates.rs
+++ b/lib/tests/test_gateway_replica_updates.rs
@@ -218,6 +218,21 @@
     assert!(ReplicaList::unpack(b"no list").is_err());
 }
 
+/// Guards against a few bytes of another node that fill the memory of a small VM when they are unpacked.
+#[test]
+fn test_lists_that_expand_without_end_are_rejected() {
+    const UNPACKED_BYTES: usize = 32 << 20;
+    let packed = zstd::bulk::compress(&vec![0; UNPACKED_BYTES], 3).expect("it is compressed");
+    assert!(packed.len() < 10_000, "{} bytes", packed.len());
+    let err = ReplicaList::unpack(&packed).expect_err("it is too large");
+    assert!(err.to_string().starts_with("not unpacked"), "{err}");
+    let mut table = ReplicaTable::default();
+    table.on_list((0..20_000).map(long_record).collect(), false, Duration::ZERO);
+    let list = table.since(5, 0);
+    let packed = list.pack().expect("it is packed");
+    assert_eq!(ReplicaList::unpack(&packed).expect("it is unpacked"), list);
+}
+
 proptest! {
     /// Arbitrary bytes from the network decode to an update or fail with an error.
     #[test]
