locks: go on after a panic of an earlier holder

What callers would see: a panic on the traffic thread ends one connection, but with a lock held it would end each later holder of the lock, and on the control thread the process with all callers.

Cause: each of 37 lock calls expects that no holder panics, and some are held across code that may: closures over the paths to replicas (`with_paths`, both threads), the encoding of a configuration (`set_table`), the records of parts, labels and burn. No trigger is known on this code.

Change: locks::{lock, read, write} hand the guard out, log the panic once (`lock_poisoned`) and clear the mark. Values behind the locks are replaced as a whole or stay usable. Panics of tasks were written to standard error alone, which nobody collects from a gateway node; they are logged (`panicked`, with the thread).

--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -11,6 +11,7 @@
 use xitca_web::http::WebResponse;
 
 use crate::late_port::Port;
+use crate::locks;
 use crate::settings::Settings;
 use crate::shared::Readiness;
 use crate::shared::Shared;
@@ -58,7 +59,7 @@
 
 fn explain(shared: &Shared, query: &str) -> WebResponse {
     let id = query.strip_prefix("id=").and_then(|id| u64::from_str_radix(id, 16).ok());
-    let log = shared.decisions.lock().expect("no holder panics");
+    let log = locks::lock(&shared.decisions);
     match id.and_then(|id| log.get(id)) {
         Some(decisions) => json(&decisions),
         None => respond(404, "text/plain", "unknown request".to_owned()),
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -19,6 +19,7 @@
 
 use crate::gateway::observability::peer_traffic::MessageKind;
 use crate::gateway::observability::peer_traffic::PeerTraffic;
+use crate::locks;
 use crate::metrics::Instruments;
 
 /// Maximum number of routes with a label value of their own; later ones share `other`.
@@ -175,7 +176,7 @@
     }
 
     fn route_label(&self, route: &str) -> String {
-        let mut routes = self.routes.lock().expect("no holder panics");
+        let mut routes = locks::lock(&self.routes);
         if routes.contains(route) {
             return route.to_owned();
         }
@@ -197,7 +198,7 @@
         let Some(organisation) = organisation else {
             return;
         };
-        let mut labels = self.organisations.lock().expect("no holder panics");
+        let mut labels = locks::lock(&self.organisations);
         let label = labels.on_request(&organisation.name).to_owned();
         drop(labels);
         let outcome = KeyValue::new("outcome", outcome.label());
--- a/node/src/gateway/shared.rs
+++ b/node/src/gateway/shared.rs
@@ -44,6 +44,7 @@
 use crate::gateway::observability::metrics::GatewayMetrics;
 use crate::gateway::settings::Bounds;
 use crate::gateway::settings::GatewaySettings;
+use crate::locks;
 
 /// The phases of a node from its start to its end, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -142,7 +143,7 @@
 
     /// Returns the configuration in force.
     pub fn table(&self) -> Option<Arc<RoutingTable>> {
-        self.table.read().expect("no holder panics").as_ref().map(|(table, _)| table.clone())
+        locks::read(&self.table).as_ref().map(|(table, _)| table.clone())
     }
 
     /// Returns the version of the configuration in force; 0 before there is one.
@@ -162,13 +163,13 @@
 
     /// Returns the text of the configuration in force, to be served to other nodes.
     pub fn config_text(&self) -> Option<Arc<ConfigText>> {
-        self.table.read().expect("no holder panics").as_ref().map(|(_, text)| text.clone())
+        locks::read(&self.table).as_ref().map(|(_, text)| text.clone())
     }
 
     /// Puts a configuration in force unless it is older than or equal to the current one. Returns whether it
     /// was newer.
     pub fn set_table(&self, new: RoutingTable, text: Bytes) -> bool {
-        let mut table = self.table.write().expect("no holder panics");
+        let mut table = locks::write(&self.table);
         let version = new.version;
         let newer = table.as_ref().is_none_or(|(t, _)| t.version < version);
         if newer {
@@ -190,12 +191,12 @@
 
     /// Returns the bounds that hold for the whole fleet.
     pub fn bounds(&self) -> Bounds {
-        self.bounds.read().expect("no holder panics").clone()
+        locks::read(&self.bounds).clone()
     }
 
     /// Replaces the bounds.
     pub fn set_bounds(&self, new: Bounds) {
-        *self.bounds.write().expect("no holder panics") = new;
+        *locks::write(&self.bounds) = new;
     }
 
     /// Returns the number of nodes in the fleet that are considered alive, this one included.
@@ -246,17 +247,17 @@
 
     /// Returns the halls that are closed, as far as this node knows.
     pub fn closed_halls(&self) -> Arc<ClosedHalls> {
-        self.closed_halls.read().expect("no holder panics").clone()
+        locks::read(&self.closed_halls).clone()
     }
 
     /// Publishes the closed halls.
     pub fn set_closed_halls(&self, halls: ClosedHalls) {
-        *self.closed_halls.write().expect("no holder panics") = Arc::new(halls);
+        *locks::write(&self.closed_halls) = Arc::new(halls);
     }
 
     /// Returns the limits that replicas announce, as far as this node knows.
     pub fn limits(&self) -> Arc<LimitsInForce> {
-        self.limits.read().expect("no holder panics").clone()
+        locks::read(&self.limits).clone()
     }
 
     /// Returns the digest of the limits that this node knows.
@@ -267,17 +268,17 @@
     /// Publishes the limits, with their digest for messages to other nodes.
     pub fn set_limits(&self, limits: LimitsInForce, digest: u64) {
         self.limits_digest.store(digest, Ordering::Relaxed);
-        *self.limits.write().expect("no holder panics") = Arc::new(limits);
+        *locks::write(&self.limits) = Arc::new(limits);
     }
 
     /// Returns the upgrades of services, as far as this node knows.
     pub fn upgrades(&self) -> Arc<Upgrades> {
-        self.upgrades.read().expect("no holder panics").clone()
+        locks::read(&self.upgrades).clone()
     }
 
     /// Publishes the upgrades.
     pub fn set_upgrades(&self, upgrades: Upgrades) {
-        *self.upgrades.write().expect("no holder panics") = Arc::new(upgrades);
+        *locks::write(&self.upgrades) = Arc::new(upgrades);
     }
 
     /// Returns the suspects, under which replicas ended, and what is quarantined.
@@ -304,36 +305,36 @@
     /// Records that a run at a replica spoke for parts of its prompt.
     pub fn on_parts_served(&self, parts: &[SuspectName]) {
         let now = self.now();
-        let mut served = self.served_parts.lock().expect("no holder panics");
+        let mut served = locks::lock(&self.served_parts);
         parts.iter().for_each(|part| served.on_served(part.fingerprint, now));
     }
 
     /// Whether a run spoke lately for a part of prompts.
     pub fn has_served(&self, part: &Fingerprint) -> bool {
-        self.served_parts.lock().expect("no holder panics").has_served(part, self.now())
+        locks::lock(&self.served_parts).has_served(part, self.now())
     }
 
     /// Returns the tokens per second of a generation of a service, as far as this node knows.
     pub fn tokens_per_second(&self, service: &ServiceId) -> f64 {
-        let paces = self.paces.read().expect("no holder panics");
+        let paces = locks::read(&self.paces);
         paces.get(service).copied().unwrap_or(DEFAULT_TOKENS_PER_SECOND)
     }
 
     /// Publishes the tokens per second of each service.
     pub fn set_paces(&self, paces: HashMap<ServiceId, f64>) {
-        *self.paces.write().expect("no holder panics") = paces;
+        *locks::write(&self.paces) = paces;
     }
 
     /// Reads or updates what this node knows about its paths to the replicas of a service.
     pub fn with_paths<T>(&self, service: &ServiceId, access: impl FnOnce(&mut ReplicaPaths) -> T) -> T {
-        let mut paths = self.paths.lock().expect("no holder panics");
+        let mut paths = locks::lock(&self.paths);
         access(paths.entry(service.clone()).or_default())
     }
 
     /// Returns the replicas to which the path is to be probed now, with their services.
     pub fn due_path_probes(&self) -> Vec<(ServiceId, SocketAddr)> {
         let now = self.now();
-        let mut paths = self.paths.lock().expect("no holder panics");
+        let mut paths = locks::lock(&self.paths);
         let due = paths
             .iter_mut()
             .filter_map(|(service, paths)| Some((service.clone(), paths.due_probe(now, &mut rand::rng())?)));
@@ -342,17 +343,17 @@
 
     /// Whether a path to replicas of any service is lost or in doubt.
     pub fn has_impaired_path(&self) -> bool {
-        self.paths.lock().expect("no holder panics").values().any(ReplicaPaths::is_impaired)
+        locks::lock(&self.paths).values().any(ReplicaPaths::is_impaired)
     }
 
     /// Returns some other nodes that may carry this node's connections to replicas.
     pub fn tunnel_nodes(&self) -> Arc<[SocketAddr]> {
-        self.tunnel_nodes.read().expect("no holder panics").clone()
+        locks::read(&self.tunnel_nodes).clone()
     }
 
     /// Publishes some other nodes that may carry this node's connections to replicas.
     pub fn set_tunnel_nodes(&self, nodes: Vec<SocketAddr>) {
-        *self.tunnel_nodes.write().expect("no holder panics") = nodes.into();
+        *locks::write(&self.tunnel_nodes) = nodes.into();
     }
 
     /// Publishes whether the store answers this node; returns whether that has changed.
@@ -406,12 +407,12 @@
 
     /// Returns the latest published status.
     pub fn status(&self) -> NodeStatus {
-        self.status.read().expect("no holder panics").clone()
+        locks::read(&self.status).clone()
     }
 
     /// Publishes the status.
     pub fn set_status(&self, status: NodeStatus) {
-        *self.status.write().expect("no holder panics") = status;
+        *locks::write(&self.status) = status;
     }
 
     /// Counts a request as open until the guard is dropped.
--- a/node/src/gateway/upstream/suspicion.rs
+++ b/node/src/gateway/upstream/suspicion.rs
@@ -22,6 +22,7 @@
 use crate::gateway::reply::Refusal;
 use crate::gateway::request::CallerRequest;
 use crate::gateway::upstream::traffic::Traffic;
+use crate::locks;
 use crate::shared::unix_millis;
 
 /// How far a run got.
@@ -51,7 +52,7 @@
             suspects.extend(self.parts_to_blame(req));
         }
         if counts_against_request {
-            req.broken_at.lock().expect("no holder panics").push(replica.clone());
+            locks::lock(&req.broken_at).push(replica.clone());
             suspects.push(SuspectName::of_request(req.fingerprint()));
         }
         if !suspects.is_empty() {
@@ -113,7 +114,7 @@
     /// being resumed at a third engine.
     pub async fn may_retry_after_loss(&self, req: &CallerRequest) -> bool {
         let ended = self.suspected_ends(req);
-        let broken_at = req.broken_at.lock().expect("no holder panics").clone();
+        let broken_at = locks::lock(&req.broken_at).clone();
         if loss_limit::may_retry_after_loss(ended, broken_at.len()) {
             return true;
         }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -22,6 +22,7 @@
 mod late_port;
 mod leads;
 mod listener;
+mod locks;
 mod membership_driver;
 mod metrics;
 mod orders;
@@ -105,6 +106,8 @@
             gateway::flush_logs();
             std::process::abort();
         }
+        let thread = std::thread::current();
+        error!(event = "panicked", thread = thread.name().unwrap_or(""), reason:% = panic; "a task panicked; its connection ends");
     }));
 }
 
--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
@@ -26,6 +25,7 @@
 
 use crate::control_message::ControlMessage;
 use crate::decision_log::DecisionLog;
+use crate::locks;
 use crate::metrics::Metrics;
 
 /// Whether the load balancer may send requests to this node.
@@ -95,10 +95,6 @@
     since.as_millis() as u64
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().expect("no holder panics")
-}
-
 impl Shared {
     /// Creates the state of a node that has just started.
     pub fn new(vm: VmId, hall: HallId, control: UnboundedSender<ControlMessage>, metrics: Metrics) -> Self {
@@ -124,20 +120,20 @@
 
     /// Returns the bundle in force with its envelope.
     pub fn in_force(&self) -> Option<BundleInForce> {
-        self.in_force.read().expect("no holder panics").clone()
+        locks::read(&self.in_force).clone()
     }
 
     /// Returns the bundle in force.
     pub fn bundle(&self) -> Option<Arc<Bundle>> {
-        self.in_force.read().expect("no holder panics").as_ref().map(|f| f.bundle.clone())
+        locks::read(&self.in_force).as_ref().map(|f| f.bundle.clone())
     }
 
     /// Puts a bundle in force if its number is higher than the current one. Returns whether it did.
     pub fn set_in_force(&self, new: BundleInForce) -> bool {
-        let mut current = self.in_force.write().expect("no holder panics");
+        let mut current = locks::write(&self.in_force);
         let newer = current.as_ref().is_none_or(|f| f.bundle.number < new.bundle.number);
         if newer {
-            lock(&self.retries).set_ratio(new.bundle.bounds.retry_ratio);
+            locks::lock(&self.retries).set_ratio(new.bundle.bounds.retry_ratio);
             *current = Some(new);
         }
         newer
@@ -155,12 +151,12 @@
 
     /// Returns whether the load balancer may send requests to this node.
     pub fn readiness(&self) -> Readiness {
-        *self.readiness.read().expect("no holder panics")
+        *locks::read(&self.readiness)
     }
 
     /// Sets the readiness. Has no effect after a planned stop has begun.
     pub fn set_readiness(&self, new: Readiness) {
-        let mut current = self.readiness.write().expect("no holder panics");
+        let mut current = locks::write(&self.readiness);
         if *current != Readiness::Stopping {
             *current = new;
         }
@@ -168,48 +164,48 @@
 
     /// Returns all upstreams.
     pub fn upstreams(&self) -> Arc<UpstreamTable> {
-        self.upstreams.read().expect("no holder panics").clone()
+        locks::read(&self.upstreams).clone()
     }
 
     /// Publishes the upstreams.
     pub fn set_upstreams(&self, table: UpstreamTable) {
-        *self.upstreams.write().expect("no holder panics") = Arc::new(table);
+        *locks::write(&self.upstreams) = Arc::new(table);
     }
 
     /// Returns the latest status.
     pub fn status(&self) -> NodeStatus {
-        self.status.read().expect("no holder panics").clone()
+        locks::read(&self.status).clone()
     }
 
     /// Publishes the status.
     pub fn set_status(&self, status: NodeStatus) {
-        *self.status.write().expect("no holder panics") = status;
+        *locks::write(&self.status) = status;
     }
 
     /// Counts a good or bad event for its service level objective.
     pub fn observe(&self, indicator: Indicator, good: bool) {
         let minute = unix_millis() / 60_000;
-        lock(&self.burn).observe(indicator, good, minute);
+        locks::lock(&self.burn).observe(indicator, good, minute);
     }
 
     /// Returns the counts for the error budgets.
     pub fn burn(&self) -> BurnCounts {
-        lock(&self.burn).clone()
+        locks::lock(&self.burn).clone()
     }
 
     /// Records a decision for `leadstage explain`.
     pub fn note(&self, request: u64, filter: &'static str, what: String) {
-        lock(&self.decisions).note(request, unix_millis(), filter, what);
+        locks::lock(&self.decisions).note(request, unix_millis(), filter, what);
     }
 
     /// Called when a request arrives; it adds to the retry budget.
     pub fn on_request(&self) {
-        lock(&self.retries).on_request();
+        locks::lock(&self.retries).on_request();
     }
 
     /// Takes a retry from the budget. Returns whether one was left.
     pub fn take_retry(&self) -> bool {
-        lock(&self.retries).take()
+        locks::lock(&self.retries).take()
     }
 
     /// Refuses new requests from now on. Called in a planned stop after the grace period for the load
@@ -236,7 +232,7 @@
         max_open: u32,
         max_open_on_node: u32,
     ) -> Result<OpenGuard, OpenLimit> {
-        let mut counts = lock(&self.open_by_organisation);
+        let mut counts = locks::lock(&self.open_by_organisation);
         if self.open() >= max_open_on_node {
             return Err(OpenLimit::Node);
         }
@@ -267,7 +263,7 @@
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        let mut counts = lock(&self.shared.open_by_organisation);
+        let mut counts = locks::lock(&self.shared.open_by_organisation);
         if let Some(count) = counts.get_mut(&self.organisation) {
             *count -= 1;
             if *count == 0 {
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -7,6 +7,8 @@
 mod environment;
 mod gateway_environment;
 mod loaded_fleet;
+#[path = "../src/locks.rs"]
+mod locks;
 mod stream;
 mod test_bind_errors;
 mod test_bundles;
@@ -62,6 +64,7 @@
 mod test_gateway_upgrades;
 mod test_gateway_watcher_handover;
 mod test_late_ports;
+mod test_locks;
 mod test_module_cycles;
 mod test_settings;
 mod test_stop;
