peers: bound the times in messages of other nodes

What callers would see: a node that ends, with all its callers, after one datagram. A node of another version, a damaged message that still decodes, or another program that sends to the peer port is enough; all nodes that get it end.

Cause: the durations of a message were added to the current time as they came, and durations panic on overflow; on the control thread a panic aborts the process. Numbers of the store and of replicas are bounded where they are decoded, those of peers were not. Class: foreign numbers that arithmetic takes for sane.

Evidence: with placements whose caller waits for ever (`Duration::MAX`) the node of test_a_node_outlives_generations_that_wait_for_ever ended with `event=failed reason="... overflow when adding durations" msg="control thread panicked"`; with the change it serves.

Change: bounded_duration clamps each duration of the messages to 30 days when it is decoded: of placements, grants, limits, refusals, runs, replicas, reports and orders. The encoding is unchanged. The time of an order in the store has the same bound, so that nodes agree on it.

Read and held: rates and paces of messages (not finite ones are left out or clamped before they become a duration), revisions, indexes and slices in the gateway, the adapter and its decisions.

--- a/lib/src/gateway/limit_grants.rs
+++ b/lib/src/gateway/limit_grants.rs
@@ -21,6 +21,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::bounded_duration;
 use crate::gateway::replica_limits::PerSecond;
 use crate::gateway::run_key::RunId;
 use crate::ids::Timestamp;
@@ -77,6 +78,7 @@
     /// Whether one request may be sent now.
     pub granted: bool,
     /// How long the node waits before it requests another grant.
+    #[serde(deserialize_with = "bounded_duration::required")]
     pub ask_again_after: Duration,
 }
 
--- a/lib/src/gateway/load.rs
+++ b/lib/src/gateway/load.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::bounded_duration;
 use crate::gateway::engine_pace;
 use crate::gateway::engine_pace::EnginePaces;
 use crate::gateway::engine_pace::GapRisk;
@@ -66,9 +67,11 @@
     pub organisation: Option<OrganisationId>,
     /// For generations, the longest gap between two events that still counts as in time; `None` once a
     /// gap was longer, as the generation has nothing more to lose.
+    #[serde(deserialize_with = "bounded_duration::optional")]
     pub gap_objective: Option<Duration>,
     /// Longest gap between two events in about the last second, other than that of a move; zero if there
     /// was none.
+    #[serde(deserialize_with = "bounded_duration::required")]
     pub longest_gap: Duration,
 }
 
--- a/lib/src/gateway/replica_limits.rs
+++ b/lib/src/gateway/replica_limits.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::bounded_duration;
 use crate::gateway::digest;
 use crate::gateway::replica_record::Incarnation;
 use crate::gateway::replica_record::StartTime;
@@ -64,6 +65,7 @@
     /// The limit; `None` if it was withdrawn.
     pub limit: Option<PerSecond>,
     /// How long ago the replica stated it.
+    #[serde(deserialize_with = "bounded_duration::required")]
     pub age: Duration,
 }
 
--- a/lib/src/gateway/replica_record.rs
+++ b/lib/src/gateway/replica_record.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::bounded_duration;
 use crate::gateway::routing::ServiceId;
 use crate::ids::HallId;
 use crate::ids::UpstreamId;
@@ -51,6 +52,7 @@
     /// Whether it announced that it is leaving.
     pub leaving: bool,
     /// Time from the reading of the entry until it works at full speed.
+    #[serde(deserialize_with = "bounded_duration::required")]
     pub cold: Duration,
     /// When it started.
     pub born: StartTime,
--- a/lib/src/gateway/trial_evidence.rs
+++ b/lib/src/gateway/trial_evidence.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::bounded_duration;
 use crate::gateway::answer_counts::AnswerCounts;
 use crate::ids::UnixMillis;
 use crate::ids::VmId;
@@ -28,6 +29,7 @@
     /// When its process started.
     pub started: UnixMillis,
     /// Time from the order to the report.
+    #[serde(deserialize_with = "bounded_duration::required")]
     pub as_of: Duration,
     /// The answers.
     pub counts: AnswerCounts,
--- a/lib/src/gateway/upgrade.rs
+++ b/lib/src/gateway/upgrade.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::bounded_duration;
 use crate::gateway::replica_record::SoftwareVersion;
 use crate::gateway::revision;
 use crate::gateway::revision::Revision;
@@ -104,6 +105,7 @@
     /// Version that the service's replicas should have.
     pub target: SoftwareVersion,
     /// Time that the upgrade may take.
+    #[serde(deserialize_with = "bounded_duration::required")]
     pub within: Duration,
     /// Revision of the store at which the order was created. It identifies the order.
     pub made: Revision,
@@ -145,6 +147,7 @@
     /// The order.
     pub order: UpgradeOrder,
     /// Time since the order was created, as far as the sender knows.
+    #[serde(deserialize_with = "bounded_duration::required")]
     pub age: Duration,
     /// Stage that the upgrade has reached.
     pub stage: Stage,
--- a/lib/src/gateway/waiting.rs
+++ b/lib/src/gateway/waiting.rs
@@ -20,6 +20,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::bounded_duration;
 use crate::ids::OrganisationId;
 use crate::ids::Timestamp;
 
@@ -53,6 +54,7 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
 pub struct NoRoom {
     /// The expected time until there is room, if known.
+    #[serde(deserialize_with = "bounded_duration::optional")]
     pub expected: Option<Duration>,
     /// Whether there is room for others: the request's organisation uses its share already.
     pub over_share: bool,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -3,6 +3,7 @@
 //! simulations drive the same interfaces as the node does.
 
 pub mod bind_retry;
+pub mod bounded_duration;
 pub mod bundle;
 pub mod bundle_check;
 pub mod burn;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 mod limit_windows;
 mod plain_fleet;
 mod test_bind_retry;
+mod test_bounded_duration;
 mod test_bundle;
 mod test_burn;
 mod test_claims;
--- a/node/src/gateway/peers/peer_message.rs
+++ b/node/src/gateway/peers/peer_message.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use leadstage_lib::bounded_duration;
 use leadstage_lib::gateway::call_sharing::CallShares;
 use leadstage_lib::gateway::call_window::CallReport;
 use leadstage_lib::gateway::closed_halls::ClosedHalls;
@@ -218,6 +219,7 @@
     /// The organisation that the request is accounted to; `None` if the configuration has no organisations.
     pub organisation: Option<OrganisationId>,
     /// For generations, the longest gap between two events that still counts as in time.
+    #[serde(deserialize_with = "bounded_duration::optional")]
     pub gap_objective: Option<Duration>,
 }
 
@@ -247,9 +249,11 @@
     pub priority: u8,
     /// For a new generation, the time until its first event is due; for one that moves, the maximum wait
     /// for its turn.
+    #[serde(deserialize_with = "bounded_duration::required")]
     pub patience: Duration,
     /// For a new generation, the time until its caller disconnects if it has received no event; at least
     /// the patience.
+    #[serde(deserialize_with = "bounded_duration::required")]
     pub leaves_after: Duration,
 }
 
@@ -281,6 +285,7 @@
     /// Number of samples in the report.
     pub counted: SampleCount,
     /// Time from the upgrade order to the report.
+    #[serde(deserialize_with = "bounded_duration::required")]
     pub as_of: Duration,
 }
 
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -33,6 +33,7 @@
 mod test_gateway_leaving_header;
 mod test_gateway_limits;
 mod test_gateway_noise;
+mod test_gateway_odd_messages;
 mod test_gateway_organisation_shares;
 mod test_gateway_partitioned_nodes;
 mod test_gateway_partitioned_roles;
