--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -23,6 +23,7 @@
 mod late_port;
 mod leads;
 mod listener;
+mod locks;
 mod membership_driver;
 mod metrics;
 mod orders;
@@ -125,6 +126,8 @@
             gateway::flush_logs();
             std::process::abort();
         }
+        let thread = std::thread::current();
+        error!(event = "panicked", thread = thread.name().unwrap_or(""), reason:% = panic; "a task panicked; its connection ends");
     }));
 }
 
