--- a/node/tests/test_gateway_return.rs
+++ b/node/tests/test_gateway_return.rs
@@ -288,7 +288,8 @@
         callers.spawn(caller(addresses.clone(), number, is_over.clone(), samples.clone()));
     }
     tokio::time::sleep(MS(1_000)).await;
-    let mut back = Instant::now();
+    let killed = Instant::now();
+    let mut back = killed;
     for _ in 0..play.returns {
         if let Some((fault, _)) = play.store {
             fleet.store.set(fault);
@@ -360,6 +361,14 @@
     if std::env::var("LEADSTAGE_RETURN_LOGS").is_ok() {
         println!("{}", fleet.gateway.lines_with("event=serving"));
         println!("{}", fleet.gateway.lines_with("event=start_waits"));
+        let mut codes = BTreeMap::<String, usize>::new();
+        for line in fleet.gateway.lines_with("event=refused").lines() {
+            let code = line.split_once("code=\"").and_then(|(_, rest)| rest.split(' ').next());
+            *codes.entry(code.unwrap_or("none").to_owned()).or_default() += 1;
+        }
+        let before = samples.iter().filter(|s| s.sent < killed);
+        let served = before.clone().filter(|s| s.served).count();
+        println!("refused by code {codes:?}; before the kill {served} of {} served", before.count());
     }
     in_time && all_run
 }
