store: read lists from a store that takes seconds for each call

Callers of a fleet whose nodes had all been killed got 503 (2107) from every node for as long as the store took 1 s or more until its responses began, however often it was read: no node ever served, also long after all machines were back.

A list was given up after 1 s without a response and requested again, so a store that takes 1.3 s answered every call and none was awaited. The configuration was read once at a start; afterwards a node depended on the store's watchers, which gave up in the same way. The kinds of the first read were read one after the other, so that their waits added up.

Evidence, 3 nodes killed at once, a store that takes 3 s for each call, before: test_a_fleet_returns_beside_a_store_that_takes_seconds_for_each_call fails, 1,479 of 1,479 requests get 503 in the 15 s after the return; the log has `start_waits for=config` and `for=replicas` after 1, 2, 4 and 8 s with failed calls and `seen_elsewhere=false`. With 6 nodes and 1.3 s it is the same (1,485 of 1,486), and 0.9 s is served after 1.5 s, which shows the edge at the timeout.

The first read requests all kinds at once and hands the replicas on last, and a node without a configuration reads it again when it is its turn, as it does for the replicas.

Held before and after, as plays of 6 nodes (LEADSTAGE_RETURN_PLAYS), a quarter of the callers served from the first half second at nearly all nodes: a silent store, one that loses what it got while silent, one that refuses for 2 s more, new replicas, the same ids, replicas on their ramps, 1,400 routes, nodes one after the other, three returns in a row. First connections that fall silent take up to 2 s at a node (nine tenths: 3.5 s), a store at 100 kB/s with 1,400 routes 3.5 s. With 300 callers a quarter is served at once; nine tenths are not reached within 12 s on a machine at load 33 to 41, before and after the change alike: 2104, no room at the replicas, also before the kill (441 of 610 served).

--- a/node/src/gateway/control/config_intake.rs
+++ b/node/src/gateway/control/config_intake.rs
@@ -23,6 +23,7 @@
 
 use crate::gateway::control::config_transfers;
 use crate::gateway::control::config_transfers::Transfers;
+use crate::gateway::control::first_read;
 use crate::gateway::control::follow;
 use crate::gateway::messages::FetchedConfig;
 use crate::gateway::messages::StoreUpdate;
@@ -261,12 +262,15 @@
 }
 
 /// Reads the store once; returns whether it answered.
-async fn read(shared: &Arc<Shared>, age: Age) -> bool {
-    follow::read_once::<Configuration>(shared.clone(), ToControl::Configuration, age).await
+async fn read(shared: &Shared, age: Age) -> bool {
+    let listed = follow::list_once::<Configuration>(shared, age).await;
+    let answered = listed.is_some();
+    listed.into_iter().for_each(|update| shared.notify(ToControl::Configuration(update)));
+    answered
 }
 
-/// Reads the configuration from the store when the node starts. With a narrow link, first waits for another
-/// node to deliver it.
+/// Reads the configuration from the store when the node starts, and again if that failed and it is this node's
+/// turn. With a narrow link, first waits for another node to deliver it.
 pub async fn read_at_start(shared: Arc<Shared>) {
     if !shared.settings.has_wide_link() {
         tokio::time::sleep(PEER_ANNOUNCEMENT_WAIT).await;
@@ -274,7 +278,7 @@
             tokio::time::sleep(MAX_PEER_CONFIG_WAIT - PEER_ANNOUNCEMENT_WAIT).await;
         }
     }
-    if shared.table().is_none() {
-        read(&shared, Age::SomeSeconds).await;
+    while shared.table().is_none() && !read(&shared, Age::SomeSeconds).await {
+        first_read::wait_for_turn(&shared).await;
     }
 }
--- a/node/src/gateway/control/first_read.rs
+++ b/node/src/gateway/control/first_read.rs
@@ -5,41 +5,61 @@
 use leadstage_lib::gateway::startup_read;
 use leadstage_platform::store_kinds::Age;
 use leadstage_platform::store_kinds::Evacuations;
-use leadstage_platform::store_kinds::Kind;
 use leadstage_platform::store_kinds::Replicas;
 use leadstage_platform::store_kinds::Suspects;
 use leadstage_platform::store_kinds::Upgrades;
 
 use crate::gateway::control::follow;
-use crate::gateway::messages::StoreUpdate;
 use crate::gateway::messages::ToControl;
 use crate::gateway::shared::Shared;
 
 /// Reads everything but the configuration from the store once it is this node's turn, and again if that
 /// failed; returns when the replicas are known.
 pub async fn read_until_replicas_known(shared: Arc<Shared>) {
-    let settings = &shared.settings;
-    let is_seed =
-        settings.seeds.is_empty() || settings.seeds.iter().any(|seed| seed.ip() == settings.peer.ip());
     while shared.replicas_at() == 0 {
-        if startup_read::should_read_store(is_seed, shared.fleet_size(), shared.now(), &mut rand::rng()) {
+        if is_own_turn(&shared) {
             read(&shared).await;
         }
         tokio::time::sleep(startup_read::CHECK_INTERVAL).await;
     }
 }
 
-/// Reads the replicas last, so that a node that gets them from this one gets the other state as well.
-async fn read(shared: &Arc<Shared>) {
-    read_kind::<Evacuations>(shared, ToControl::ClosedHalls).await;
-    read_kind::<Suspects>(shared, ToControl::Suspects).await;
-    if shared.bounds().exposure.is_some() {
-        read_kind::<Upgrades>(shared, ToControl::Upgrades).await;
+/// Waits until it is this node's turn to read the store again.
+pub async fn wait_for_turn(shared: &Shared) {
+    loop {
+        tokio::time::sleep(startup_read::CHECK_INTERVAL).await;
+        if is_own_turn(shared) {
+            return;
+        }
     }
-    read_kind::<Replicas>(shared, ToControl::Replicas).await;
 }
 
-async fn read_kind<K: Kind>(shared: &Arc<Shared>, wrap: fn(StoreUpdate<K::Item>) -> ToControl) {
+fn is_own_turn(shared: &Shared) -> bool {
+    let settings = &shared.settings;
+    let is_seed =
+        settings.seeds.is_empty() || settings.seeds.iter().any(|seed| seed.ip() == settings.peer.ip());
+    startup_read::should_read_store(is_seed, shared.fleet_size(), shared.now(), &mut rand::rng())
+}
+
+/// Reads all kinds at once, as a slow store would otherwise delay the start by the time of each. The replicas are
+/// handed on last, so that a node that gets them from this one gets the other state as well.
+async fn read(shared: &Shared) {
+    let upgrades = async {
+        shared.bounds().exposure?;
+        follow::list_once::<Upgrades>(shared, Age::SomeSeconds).await
+    };
+    let (halls, suspects, upgrades, replicas) = tokio::join!(
+        follow::list_once::<Evacuations>(shared, Age::SomeSeconds),
+        follow::list_once::<Suspects>(shared, Age::SomeSeconds),
+        upgrades,
+        follow::list_once::<Replicas>(shared, Age::SomeSeconds),
+    );
+    let updates = [
+        halls.map(ToControl::ClosedHalls),
+        suspects.map(ToControl::Suspects),
+        upgrades.map(ToControl::Upgrades),
+        replicas.map(ToControl::Replicas),
+    ];
     // A failure is logged; nodes that follow the store send what is missing.
-    follow::read_once::<K>(shared.clone(), wrap, Age::SomeSeconds).await;
+    updates.into_iter().flatten().for_each(|update| shared.notify(update));
 }
--- a/node/src/gateway/control/follow.rs
+++ b/node/src/gateway/control/follow.rs
@@ -62,28 +62,20 @@
     }
 }
 
-/// Lists a kind once; returns whether the store answered. A starting node can use a list that is some
-/// seconds old, which costs a tenth: other nodes send it what is newer.
-pub async fn read_once<K: Kind>(
-    shared: Arc<Shared>,
-    wrap: fn(StoreUpdate<K::Item>) -> ToControl,
-    age: Age,
-) -> bool {
-    let mut store = Store::new(shared.settings.store);
+/// Lists a kind once; a failure is logged. A starting node can use a list that is some seconds old, which costs a
+/// tenth: other nodes send it what is newer.
+pub async fn list_once<K: Kind>(shared: &Shared, age: Age) -> Option<StoreUpdate<K::Item>> {
     let purpose = match age {
         Age::SomeSeconds => StoreCall::Start,
         Age::Newest => StoreCall::Read,
     };
-    match store.list::<K>(age, log_unreadable::<K>).await {
-        Ok(list) => {
-            shared.metrics.on_store_call(purpose, true);
-            shared.notify(wrap(StoreUpdate::Listed { list, after_outage: true }));
-            true
-        }
+    let listed = Store::new(shared.settings.store).list::<K>(age, log_unreadable::<K>).await;
+    shared.metrics.on_store_call(purpose, listed.is_ok());
+    match listed {
+        Ok(list) => Some(StoreUpdate::Listed { list, after_outage: true }),
         Err(err) => {
-            shared.metrics.on_store_call(purpose, false);
             info!(event = "store_lost", kind = K::NAME, reason:% = err; "the store did not answer a single read");
-            false
+            None
         }
     }
 }
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -37,6 +37,7 @@
 mod test_gateway_restarts;
 mod test_gateway_resuming;
 mod test_gateway_retry_after;
+mod test_gateway_return;
 mod test_gateway_silent;
 mod test_gateway_slow_readers;
 mod test_gateway_soak;
--- a/testutils/src/metadata_store.rs
+++ b/testutils/src/metadata_store.rs
@@ -50,6 +50,8 @@
     era: u64,
     /// How lists are served that may be stale; like all others if `None`.
     stale_lists: Option<StaleLists>,
+    /// Time until a call is handled.
+    delay: Duration,
 }
 
 /// The lists that the store serves to readers that accept stale ones.
@@ -207,6 +209,11 @@
         self.changed.send_modify(|_| {});
     }
 
+    /// Sets the time until a call is handled.
+    pub fn set_delay(&self, delay: Duration) {
+        self.state().delay = delay;
+    }
+
     /// Returns a copy of the current content.
     pub fn copy(&self) -> Copy {
         let state = self.state();
@@ -345,6 +352,8 @@
 
 impl RequestHandler for MetadataStore {
     async fn handle(self: Arc<Self>, req: Request<Bytes>) -> Response<Body> {
+        let delay = self.state().delay;
+        tokio::time::sleep(delay).await;
         let mut res = self.route(req).await;
         res.headers_mut().insert("store-era", self.state().era.into());
         res
