stop: plain completions calls that a stop ends get an answer

On the completions interface, too, a caller whose plain call was at a replica when the node's planned stop reached its bound saw the connection close without an answer: the bound ends streams (4004) through a flag that only the relay reads, and plain calls were waited for no longer.

The flag is a cancellation now, which the wait for a replica's answer ends on, with StopUnanswered (3005). A claimed key should record that outcome, as it does others of its kind; that is not tested. Accepting by expected durations is not needed there: bounds of stops are minutes by default, and calls are bounded by call_within.

--- a/node/src/call.rs
+++ b/node/src/call.rs
@@ -80,7 +80,11 @@
             }
         },
     };
-    let sent = send(shared, cx, call, account).await;
+    let sent = tokio::select! {
+        biased;
+        sent = send(shared, cx, call, account) => sent,
+        () = shared.stop_now.cancelled() => SendOutcome::Unknown(Code::StopUnanswered),
+    };
     match sent {
         SendOutcome::Answered(answer) => {
             account.on_answer(Code::Done);
--- a/node/src/filters/relay.rs
+++ b/node/src/filters/relay.rs
@@ -2,7 +2,6 @@
 //! many engine links as needed.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use eventsource_stream::Event;
@@ -185,7 +184,7 @@
             return Relayed::Done;
         }
         loop {
-            if self.shared.stop_now.load(Ordering::Relaxed) {
+            if self.shared.stop_now.is_cancelled() {
                 return self.fail(Refusal::new(Code::StopBound));
             }
             let event = match self.next_event().await {
@@ -216,7 +215,7 @@
                 return Some(event);
             }
             let broke = started.elapsed() < wait;
-            if broke || self.shared.stop_now.load(Ordering::Relaxed) {
+            if broke || self.shared.stop_now.is_cancelled() {
                 return None;
             }
             waited += wait;
--- a/node/src/shared.rs
+++ b/node/src/shared.rs
@@ -23,6 +23,7 @@
 use leadstage_lib::rollout::BundleInForce;
 use leadstage_lib::status::NodeStatus;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio_util::sync::CancellationToken;
 
 use crate::control_message::ControlMessage;
 use crate::decision_log::DecisionLog;
@@ -73,8 +74,8 @@
     pub decisions: Mutex<DecisionLog>,
     /// The retry budget.
     pub retries: Mutex<RetryBudget>,
-    /// Set when the time limit of a planned stop is reached: all streams end.
-    pub stop_now: AtomicBool,
+    /// Cancelled when the time limit of a planned stop is reached: all requests end.
+    pub stop_now: CancellationToken,
     /// Whether new requests are refused.
     closed: AtomicBool,
     in_force: RwLock<Option<BundleInForce>>,
@@ -106,7 +107,7 @@
             metrics,
             decisions: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(0.1)),
-            stop_now: AtomicBool::new(false),
+            stop_now: CancellationToken::new(),
             closed: AtomicBool::new(false),
             in_force: RwLock::new(None),
             readiness: RwLock::new(Readiness::NoBundle),
--- a/node/src/stop.rs
+++ b/node/src/stop.rs
@@ -1,7 +1,6 @@
 //! The planned stop of a node: it becomes unready for the load balancer, hands over its leads, finishes every
 //! stream, and then the process ends.
 
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::info;
@@ -16,7 +15,7 @@
 pub const BALANCER_GRACE: Duration = Duration::from_secs(3);
 /// Interval between checks for remaining work.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time that streams ended at the time limit have to send their error code.
+/// Time that requests ended at the time limit have to send their error code.
 const ABORT_GRACE: Duration = Duration::from_millis(500);
 /// Time to send the last reports and outcomes.
 const FLUSH_TIME: Duration = Duration::from_millis(400);
@@ -42,8 +41,8 @@
     // while it sends its last reports; it answered none of four calls in those 400 ms.
     shared.close();
     if tokio::time::timeout_at(started + bound, wait_for_requests(&control)).await.is_err() {
-        warn!(event = "stop_bound", open = shared.open(); "stop time limit reached; ending all streams");
-        shared.stop_now.store(true, Ordering::Relaxed);
+        warn!(event = "stop_bound", open = shared.open(); "stop time limit reached; ending all requests");
+        shared.stop_now.cancel();
         tokio::time::sleep(ABORT_GRACE).await;
     }
     tokio::time::sleep(FLUSH_TIME).await;
