tests: odd datagrams of other nodes do not end a node

1,728 datagrams with message kinds 0 to 31, filled with bytes that announce collections of any length, and heads that are cut at or changed in each byte.

--- a/node/tests/test_gateway_odd_objects.rs
+++ b/node/tests/test_gateway_odd_objects.rs
@@ -1,7 +1,13 @@
-//! Odd objects of other writers in the store, some of which no JSON writer makes: nodes go on serving, and follow what
-//! changes later.
+//! Odd objects of other writers in the store, some of which no JSON writer makes, and odd datagrams: nodes go on serving,
+//! and follow what changes later.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use leadstage_lib::gateway::closed_halls::ClosedHalls;
+use leadstage_lib::gateway::upgrade::AnnouncedUpgrades;
 use serde_json::json;
+use tokio::net::UdpSocket;
 
 use crate::gateway_environment::BOOKING;
 use crate::gateway_environment::Gateway;
@@ -104,3 +110,36 @@
         gateway.until("it serves", async || gateway.status_of(node, "/read/x", KEY).await == 200).await;
     }
 }
+
+/// Datagrams that are cut, have odd bytes, or announce collections of any length.
+#[tokio::test]
+async fn test_odd_datagrams_do_not_end_nodes() {
+    const MESSAGE_KINDS: u8 = 32;
+    let (gateway, _booking) = Gateway::with_nodes(1).await;
+    let from: SocketAddr = "127.0.0.1:7003".parse().expect("an address");
+    let head = (from, 1_u64, 1_u64, ClosedHalls::default(), 0_u64, 0_u64, AnnouncedUpgrades::default());
+    let head = postcard::to_stdvec(&head).expect("it can be encoded");
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let to: SocketAddr = gateway.peer(0).parse().expect("an address");
+    for kind in 0..MESSAGE_KINDS {
+        for fill in [0, 1, 2, 0x7f, 0x80, 0xff] {
+            for bytes in [0, 1, 2, 3, 7, 11, 30, 300, 9_000] {
+                let mut datagram = [&*head, &[kind]].concat();
+                datagram.resize(datagram.len() + bytes, fill);
+                socket.send_to(&datagram, to).await.expect("it is sent");
+            }
+            // The socket of the node keeps all of them.
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+    for at in 0..head.len() {
+        socket.send_to(&head[..at], to).await.expect("it is sent");
+        for byte in [0x7f, 0xff] {
+            let mut datagram = [&*head, &[14]].concat();
+            datagram[at] = byte;
+            socket.send_to(&datagram, to).await.expect("it is sent");
+        }
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    gateway.until("it serves", async || gateway.status_of(0, "/read/x", KEY).await == 200).await;
+}
