tests: a call through a node that stops breaks, and is listed

Callers of a node that has lost its path to a replica, and reaches it through another node, get 502 (3001) for a call in progress when that other node's planned stop ends. A stopping node opens no tunnels and closes those that are unused for 0.5 s; one that is used more often is kept, and used for new requests, until the process ends.

No call is left without an answer.

--- a/node/tests/test_gateway_stop_late_calls.rs
+++ b/node/tests/test_gateway_stop_late_calls.rs
@@ -2,6 +2,7 @@
 //! being run, or not accepted.
 
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use leadstage_testutils::faulty_proxy::OpenLinks;
 use leadstage_testutils::gateway_replica::ReplicaFault;
 use leadstage_testutils::gateway_replica::StreamFault;
 use leadstage_testutils::metadata_store::replica_entry;
@@ -379,3 +381,39 @@
     assert_eq!((called.status, called.code()), (504, STOP_UNANSWERED), "{called:?}\n{}", gateway.logs());
     assert!(gateway.wait_for_exit(0).await, "the stop is no failure");
 }
+
+/// Guards against calls that break when the node ends through which they reach their replica.
+#[tokio::test]
+async fn test_calls_through_another_node_that_stops_are_answered() {
+    let mut gateway = Gateway::start().await;
+    gateway.store.put("config", "main", config(1));
+    let booking = gateway.start_replica(BOOKING, "booking-1", 1).await;
+    let proxy = gateway.put_proxy_before(BOOKING, &booking).await;
+    for node in 0..2 {
+        gateway.start_node();
+        gateway.until_ready(node).await;
+    }
+    let own: Ipv4Addr = gateway.client_address(0).split(':').next().expect("an IP").parse().expect("an IP");
+    proxy.partition(&[own], OpenLinks::Reset);
+    booking.replica.set_fault(ReplicaFault::Late(Duration::from_millis(100)));
+    // Their connections lead through node 1, as there is no other one yet.
+    let before = join_all((0..4).map(|n| gateway.call(0, read(["b-0", "b-1", "b-2", "b-3"][n])))).await;
+    assert!(before.iter().all(|called| called.status == 200), "{before:?}\n{}", gateway.logs());
+    gateway.start_node();
+    gateway.until_ready(2).await;
+    gateway.until("all nodes", async || gateway.node_status(0).await.peers.len() == 2).await;
+    let began = Instant::now();
+    // Frequent calls keep all tunnels in use.
+    let times: Vec<Duration> = (0..140).map(|n| Duration::from_millis(n * 40)).collect();
+    let (called, ()) = tokio::join!(call_at(&gateway, 0, began, &times, book), async {
+        tokio::time::sleep_until(began + Duration::from_millis(400)).await;
+        gateway.signal(1, "-TERM");
+        tokio::time::sleep_until(began + Duration::from_millis(4_800)).await;
+        booking.replica.set_fault(ReplicaFault::Late(Duration::from_millis(1_800)));
+    });
+    let runs = runs(&[booking]);
+    assert_eq!(lost(&called, &runs), [""; 0], "{called:?}\n{}", gateway.logs());
+    let broken: Vec<_> = called.iter().filter(|(_, called)| called.status == 502).collect();
+    assert!(broken.is_empty(), "{broken:?}\n{}", gateway.logs());
+    assert!(gateway.wait_for_exit(1).await, "the stop is no failure");
+}
