tests: plays of replicas that return after the nodes

Nodes that know their replicas from their start on do not ramp them up, so the plays of a return did not show replicas on their ramps beside nodes that already serve.

--- a/node/tests/test_gateway_return.rs
+++ b/node/tests/test_gateway_return.rs
@@ -61,6 +61,8 @@
     /// The store refuses all calls until so long after the return.
     refuses: Option<Duration>,
     replicas: Replicas,
+    /// Time from the return of the nodes to that of the replicas; 0 if they are back before the nodes.
+    replicas_after: Duration,
     /// Time between the starts of two nodes; the seeds start last.
     apart: Duration,
     /// Number of returns in a row.
@@ -91,6 +93,7 @@
     loses_links: false,
     refuses: None,
     replicas: Replicas::Stay,
+    replicas_after: Duration::ZERO,
     apart: Duration::ZERO,
     returns: 1,
     silence: None,
@@ -132,6 +135,9 @@
         Play { name: "new", replicas: Replicas::New, ..DEFAULT },
         Play { name: "same-ids", replicas: Replicas::SameIds, ..DEFAULT },
         Play { name: "cold", replicas: Replicas::Cold, ..DEFAULT },
+        Play { name: "new-late", replicas: Replicas::New, replicas_after: MS(700), ..DEFAULT },
+        Play { name: "same-ids-late", replicas: Replicas::SameIds, replicas_after: MS(700), ..DEFAULT },
+        Play { name: "cold-late", replicas: Replicas::Cold, replicas_after: MS(700), ..DEFAULT },
         Play { name: "crowd", callers: 300, ..DEFAULT },
         Play { name: "crowd-cold", callers: 300, replicas: Replicas::Cold, ..DEFAULT },
         Play { name: "crowd-apart", callers: 300, apart: MS(600), ..DEFAULT },
@@ -209,18 +215,26 @@
     }
 
     async fn return_all(&mut self, play: &Play) {
-        match play.replicas {
-            Replicas::Stay => {}
-            Replicas::Cold => self.start_replicas(Duration::from_secs(3), play.replicas).await,
-            Replicas::New | Replicas::SameIds => {
-                self.start_replicas(Duration::ZERO, play.replicas).await;
-            }
+        if play.replicas_after.is_zero() {
+            self.return_replicas(play).await;
         }
         // The seeds are the first three.
         for node in (0..nodes()).rev() {
             self.gateway.restart_node(node);
             tokio::time::sleep(play.apart).await;
         }
+        if !play.replicas_after.is_zero() {
+            tokio::time::sleep(play.replicas_after).await;
+            self.return_replicas(play).await;
+        }
+    }
+
+    async fn return_replicas(&mut self, play: &Play) {
+        match play.replicas {
+            Replicas::Stay => {}
+            Replicas::Cold => self.start_replicas(Duration::from_secs(3), play.replicas).await,
+            Replicas::New | Replicas::SameIds => self.start_replicas(Duration::ZERO, play.replicas).await,
+        }
     }
 
     fn silence(&self) {
