start: hand each kind on as soon as it is read

Since the kinds of the first read are read at once, all were handed on when the slowest was there: a list of orders or of suspects could be up to 4 s old by then. Only the replicas wait for the others now, as before.

--- a/node/src/framing.rs
+++ b/node/src/framing.rs
@@ -1,4 +1,4 @@
-//! How the end of a response body is marked.
+//! Whether a response is a final one, and how the end of its body is marked.
 
 use bytes::Bytes;
 use http::HeaderMap;
--- a/node/src/gateway/control/first_read.rs
+++ b/node/src/gateway/control/first_read.rs
@@ -5,11 +5,13 @@
 use leadstage_lib::gateway::startup_read;
 use leadstage_platform::store_kinds::Age;
 use leadstage_platform::store_kinds::Evacuations;
+use leadstage_platform::store_kinds::Kind;
 use leadstage_platform::store_kinds::Replicas;
 use leadstage_platform::store_kinds::Suspects;
 use leadstage_platform::store_kinds::Upgrades;
 
 use crate::gateway::control::follow;
+use crate::gateway::messages::StoreUpdate;
 use crate::gateway::messages::ToControl;
 use crate::gateway::shared::Shared;
 
@@ -45,21 +47,24 @@
 /// handed on last, so that a node that gets them from this one gets the other state as well.
 async fn read(shared: &Shared) {
     let upgrades = async {
-        shared.bounds().exposure?;
-        follow::list_once::<Upgrades>(shared, Age::SomeSeconds).await
+        if shared.bounds().exposure.is_some() {
+            hand_on(shared, list::<Upgrades>(shared).await.map(ToControl::Upgrades));
+        }
     };
-    let (halls, suspects, upgrades, replicas) = tokio::join!(
-        follow::list_once::<Evacuations>(shared, Age::SomeSeconds),
-        follow::list_once::<Suspects>(shared, Age::SomeSeconds),
+    let ((), (), (), replicas) = tokio::join!(
+        async { hand_on(shared, list::<Evacuations>(shared).await.map(ToControl::ClosedHalls)) },
+        async { hand_on(shared, list::<Suspects>(shared).await.map(ToControl::Suspects)) },
         upgrades,
-        follow::list_once::<Replicas>(shared, Age::SomeSeconds),
+        list::<Replicas>(shared),
     );
-    let updates = [
-        halls.map(ToControl::ClosedHalls),
-        suspects.map(ToControl::Suspects),
-        upgrades.map(ToControl::Upgrades),
-        replicas.map(ToControl::Replicas),
-    ];
-    // A failure is logged; nodes that follow the store send what is missing.
-    updates.into_iter().flatten().for_each(|update| shared.notify(update));
+    hand_on(shared, replicas.map(ToControl::Replicas));
+}
+
+/// Lists a kind. A failure is logged; nodes that follow the store send what is missing.
+async fn list<K: Kind>(shared: &Shared) -> Option<StoreUpdate<K::Item>> {
+    follow::list_once::<K>(shared, Age::SomeSeconds).await
+}
+
+fn hand_on(shared: &Shared, update: Option<ToControl>) {
+    update.into_iter().for_each(|update| shared.notify(update));
 }
--- a/node/src/gateway/control/start_log.rs
+++ b/node/src/gateway/control/start_log.rs
@@ -68,7 +68,7 @@
         let took_ms = took.as_millis() as u64;
         let (config_ms, config_from) = arrival_fields(self.progress.arrival(Part::Config));
         let (replicas_ms, replicas_from) = arrival_fields(self.progress.arrival(Part::Replicas));
-        info!(event = "serving", took_ms, config_ms, config_from, replicas_ms, replicas_from; "configuration and replicas are known");
+        info!(event = "serving", took_ms, config_ms, config_from, replicas_ms, replicas_from; "the callers' port listens; configuration and replicas are known");
     }
 }
 
--- a/node/src/readiness.rs
+++ b/node/src/readiness.rs
@@ -8,8 +8,9 @@
 
 /// Recomputes the node's readiness.
 ///
-/// A node without a bundle, or to which callers can't connect yet, is not ready. Neither is a node that, for longer than the bundle's limit, has
-/// reached neither the object API nor any peer that should be alive, as it cannot learn of a newer bundle.
+/// A node without a bundle, or to which callers can't connect yet, is not ready. Neither is a node that, for longer
+/// than the bundle's limit, has reached neither the object API nor any peer that should be alive, as it cannot learn
+/// of a newer bundle.
 /// An outage of the object API alone never makes a node unready.
 pub fn update(control: &mut Control) {
     let before = control.shared.readiness();
