settings: a reload reads the file on another thread

When reading the settings file blocked (a FIFO in its place), a ready gateway node left a call without an answer for 30 s; the review that found it saw that SIGTERM was not logged and the node had not ended after 12 s. The file was read on the control thread, every 2 s and after SIGHUP. The start already read it on another thread; a reload now does so by the same function, so that only the reload waits.

test_a_reload_from_a_file_that_blocks_does_not_hold_up_calls_and_a_stop failed before: its call had no answer after 30 s (`response before the timeout: Elapsed`). It passes with the change, as do the tests of signals and late_settings (16 of 16). test_a_reload_from_a_file_that_blocks_goes_on_with_its_text passed before as well; it guards against a file that is no longer followed after a reading that took long. While a reading blocks, a later reload waits for it, as before.

--- a/node/src/gateway/reload.rs
+++ b/node/src/gateway/reload.rs
@@ -11,6 +11,7 @@
 use crate::gateway::messages::ToControl;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shared::Shared;
+use crate::settings_file;
 use crate::signals::Signals;
 
 /// Interval between two checks of the file, which may change without a signal.
@@ -21,7 +22,7 @@
     let mut text = text;
     loop {
         let signalled = wait(&signals).await;
-        match std::fs::read_to_string(&path) {
+        match settings_file::read_text(&path).await {
             Ok(new) if new == text => {
                 if signalled {
                     info!(event = "reload", changed = false; "settings are unchanged");
--- a/node/src/settings_file.rs
+++ b/node/src/settings_file.rs
@@ -1,4 +1,4 @@
-//! Reads the settings file when the process starts.
+//! Reads the settings file.
 
 use std::io;
 use std::path::Path;
@@ -71,7 +71,7 @@
     let mut on_wait = Some(on_wait);
     let mut waiting_since = None;
     loop {
-        let err = match read_in_background(path).await {
+        let err = match parse(path, read_text(path).await) {
             Ok(file) => {
                 return Ok((file, waiting_since.map_or(Duration::ZERO, |since: Instant| since.elapsed())));
             }
@@ -87,11 +87,11 @@
     }
 }
 
-/// Reads the file on another thread, so that a file whose reading blocks does not delay a stop.
-async fn read_in_background(path: &Path) -> Result<SettingsFile, SettingsError> {
-    let owned = path.to_owned();
-    let text = tokio::task::spawn_blocking(move || std::fs::read_to_string(owned)).await;
-    parse(path, text.map_err(io::Error::from).flatten())
+/// Reads the text of a file on another thread, so that a file whose reading blocks delays nothing else.
+pub async fn read_text(path: &Path) -> io::Result<String> {
+    let path = path.to_owned();
+    let text = tokio::task::spawn_blocking(move || std::fs::read_to_string(path)).await;
+    text.map_err(io::Error::from).flatten()
 }
 
 fn parse(path: &Path, text: io::Result<String>) -> Result<SettingsFile, SettingsError> {
--- a/node/tests/test_gateway_signals.rs
+++ b/node/tests/test_gateway_signals.rs
@@ -126,3 +126,30 @@
     assert_eq!(gateway.status_of(0, "/read/x", KEY).await, 200);
     assert_eq!(gateway.ended(0), None);
 }
+
+/// Guards against a reload that keeps the control thread from everything else while its file is read.
+#[tokio::test]
+async fn test_a_reload_from_a_file_that_blocks_does_not_hold_up_calls_and_a_stop() {
+    let (mut gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    let pipe = SettingsPipe::lay(&gateway.settings_path(0));
+    gateway.signal(0, "-HUP");
+    gateway.wait_for_reader(0, &pipe).await;
+    assert_eq!(gateway.status_of(0, "/read/x", KEY).await, 200);
+    gateway.signal(0, "-TERM");
+    assert!(gateway.wait_for_exit(0).await, "the stop is no failure\n{}", gateway.logs());
+    assert!(gateway.log(0).contains("event=stopped"), "{}", gateway.logs());
+}
+
+/// Guards against a settings file that is no longer followed after a reading that took long.
+#[tokio::test]
+async fn test_a_reload_from_a_file_that_blocks_goes_on_with_its_text() {
+    let (mut gateway, _bookings, _models) = Gateway::with_replicas(1).await;
+    let pipe = SettingsPipe::lay(&gateway.settings_path(0));
+    gateway.signal(0, "-HUP");
+    gateway.wait_for_reader(0, &pipe).await;
+    gateway.lay_settings(0, &gateway.settings(0, gateway.store_address(), "# second\n"));
+    pipe.deliver(&gateway.settings(0, gateway.store_address(), "# first\n"));
+    let reloads = || gateway.log(0).matches("event=reload changed=true").count();
+    gateway.until("both files to be applied", async || reloads() == 2).await;
+    assert_eq!(gateway.status_of(0, "/read/x", KEY).await, 200);
+}
