main: exit codes do not depend on a reader of the output

With the reader of standard error gone, wrong settings ended `leadstaged` with 101 in place of 2, and a stop before the settings were read did not end as planned: `eprintln!` panics when its write fails. `print!` and `println!` do the same on standard output. All of them now write through one function that ignores a failed write.

Before, test_exit_codes_do_not_depend_on_a_reader_of_the_output saw 101 four times (run and check of wrong settings, check of right ones, help) in place of 2, 2, 0 and 0, and in test_a_stop_before_the_settings_are_read_does_not_depend_on_a_reader_of_the_output the process had not ended 30 s after SIGTERM: suspected, the unwinding drops the runtime, which waits for the reading of the file. Both pass with the change, as do the tests of signals, settings and module_cycles.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -44,6 +44,8 @@
 mod wire;
 
 use std::io::Write;
+use std::io::stderr;
+use std::io::stdout;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -139,20 +141,25 @@
 
 fn main() -> ExitCode {
     execute().unwrap_or_else(|err| {
-        eprintln!("leadstaged: {err}");
+        tell(stderr(), &format!("leadstaged: {err}\n"));
         if let StartError::Settings(SettingsError::Invalid { problems }) = &err {
-            problems.iter().for_each(|problem| eprintln!("  {problem}"));
+            problems.iter().for_each(|problem| tell(stderr(), &format!("  {problem}\n")));
         }
         ExitCode::from(err.exit_code())
     })
 }
 
+/// Writes `text`. A failed write is ignored: a run and its exit code do not depend on a reader.
+fn tell(mut out: impl Write, text: &str) {
+    let _ = out.write_all(text.as_bytes());
+}
+
 fn execute() -> Result<ExitCode, StartError> {
     match command()? {
-        Command::Print(text) => print!("{text}"),
+        Command::Print(text) => tell(stdout(), &text),
         Command::Check { config } => {
             settings_file::read(&config)?;
-            println!("the settings are right");
+            tell(stdout(), "the settings are right\n");
         }
         Command::Run { config } => return run(&config),
     }
@@ -173,8 +180,7 @@
     // Precedes everything that takes time: until then each signal ends the process.
     let mut handlers = Handlers::install().map_err(StartError::Signals)?;
     let on_wait = |err: &SettingsError| {
-        // A start does not depend on a reader of this line.
-        let _ = writeln!(std::io::stderr(), "leadstaged: {err}; waiting for a whole settings file");
+        tell(stderr(), &format!("leadstaged: {err}; waiting for a whole settings file\n"));
     };
     let read = runtime.block_on(async {
         tokio::select! {
@@ -184,7 +190,7 @@
         }
     });
     let Some((file, waited)) = read.transpose()? else {
-        eprintln!("leadstaged: stopped before the settings were read");
+        tell(stderr(), "leadstaged: stopped before the settings were read\n");
         return Ok(ExitCode::SUCCESS);
     };
     start_logging(&file.settings).map_err(StartError::Logging)?;
--- a/node/tests/test_gateway_late_settings.rs
+++ b/node/tests/test_gateway_late_settings.rs
@@ -1,7 +1,9 @@
 //! Settings files that are empty or half written while a gateway node starts.
 
+use std::path::Path;
 use std::process::Command;
 use std::process::Stdio;
+use std::time::Duration;
 
 use tempfile::TempDir;
 
@@ -9,8 +11,11 @@
 use crate::gateway_environment::Gateway;
 use crate::gateway_environment::KEY;
 use crate::gateway_environment::SettingsPipe;
+use crate::gateway_environment::WAIT_TIMEOUT;
 use crate::gateway_environment::config;
 
+/// Interval between two checks whether a process has ended.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Contents of a settings file that is being written.
 const PARTS: [&str; 4] = [
     "",
@@ -87,3 +92,54 @@
         (Some(2), "leadstaged: 1 mistakes in the settings\n  (file): is empty\n")
     );
 }
+
+/// Returns a command whose standard output and standard error have lost their reader.
+fn unheard_command(arguments: &[&str], config: &Path) -> Command {
+    let (reader, writer) = std::io::pipe().expect("a pipe");
+    drop(reader);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_leadstaged"));
+    command.args(arguments).arg("--config").arg(config);
+    command.stdin(Stdio::null()).stdout(writer.try_clone().expect("a pipe")).stderr(writer);
+    command
+}
+
+#[test]
+fn test_exit_codes_do_not_depend_on_a_reader_of_the_output() {
+    let dir = TempDir::new().expect("a folder");
+    let path = dir.path().join("node.yaml");
+    let exit_code = |arguments: &[&str], text: &str| {
+        std::fs::write(&path, text).expect("writable");
+        unheard_command(arguments, &path).status().expect("it runs").code()
+    };
+    let valid = "interface: gateway\nvm: node-0\nhall: hall-1\nlisten: 127.0.0.1:7001\nready: 127.0.0.1:7002\n\
+                 peer: 127.0.0.1:7003\nmetrics: 127.0.0.1:7004\nstore: 127.0.0.1:7005\n";
+    let codes = [
+        ("run, invalid", exit_code(&[], PARTS[3])),
+        ("check, invalid", exit_code(&["--check-config"], PARTS[3])),
+        ("check, valid", exit_code(&["--check-config"], valid)),
+        ("help", exit_code(&["--help"], "")),
+    ];
+    insta::assert_compact_debug_snapshot!(codes, @r#"[("run, invalid", Some(2)), ("check, invalid", Some(2)), ("check, valid", Some(0)), ("help", Some(0))]"#);
+}
+
+#[tokio::test]
+async fn test_a_stop_before_the_settings_are_read_does_not_depend_on_a_reader_of_the_output() {
+    let dir = TempDir::new().expect("a folder");
+    let path = dir.path().join("node.yaml");
+    let pipe = SettingsPipe::lay(&path);
+    let mut process = unheard_command(&[], &path).spawn().expect("it starts");
+    pipe.wait_for_reader(&mut process).await;
+    let status = Command::new("kill").args(["-TERM", &process.id().to_string()]).status().expect("kill runs");
+    assert!(status.success(), "kill -TERM");
+    let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
+    let mut status = None;
+    while status.is_none() && tokio::time::Instant::now() < deadline {
+        tokio::time::sleep(POLL_INTERVAL).await;
+        status = process.try_wait().expect("a child");
+    }
+    if status.is_none() {
+        process.kill().expect("it runs");
+        process.wait().expect("a child");
+    }
+    assert_eq!(status.and_then(|status| status.code()), Some(0));
+}
