settings: read the file on a thread of its own

A thread of its own fails with an error, which is logged as reload_failed. A stop needs no special end of the runtime any more, as no task of the pool is left.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -169,10 +169,7 @@
 /// Runs a node until a planned stop has ended or it has failed.
 fn run(config: &Path) -> Result<ExitCode, StartError> {
     let runtime = Builder::new_current_thread().enable_all().build().map_err(StartError::Signals)?;
-    let code = run_on(&runtime, config);
-    // A stop does not wait for a settings file that is still being read.
-    runtime.shutdown_background();
-    code
+    run_on(&runtime, config)
 }
 
 fn run_on(runtime: &Runtime, config: &Path) -> Result<ExitCode, StartError> {
--- a/node/src/settings_file.rs
+++ b/node/src/settings_file.rs
@@ -8,6 +8,7 @@
 use derive_more::Display;
 use derive_more::Error;
 use leadstage_lib::checked_yaml::Problem;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::gateway::settings::GatewaySettings;
@@ -87,11 +88,15 @@
     }
 }
 
-/// Reads the text of a file on another thread, so that a file whose reading blocks delays nothing else.
+/// Reads the text of a file on a thread of its own, so that a file whose reading blocks delays nothing else. Fails
+/// if that thread can't be started.
 pub async fn read_text(path: &Path) -> io::Result<String> {
     let path = path.to_owned();
-    let text = tokio::task::spawn_blocking(move || std::fs::read_to_string(path)).await;
-    text.map_err(io::Error::from).flatten()
+    let (tx, rx) = oneshot::channel();
+    let thread = std::thread::Builder::new().name("settings".to_owned());
+    // Nobody waits for the text any more if a stop came first.
+    thread.spawn(move || drop(tx.send(std::fs::read_to_string(path))))?;
+    rx.await.map_err(io::Error::other)?
 }
 
 fn parse(path: &Path, text: io::Result<String>) -> Result<SettingsFile, SettingsError> {
