stop, main: say once when answers are due, and start a node in one function

The time in which a stopping node answers was computed at its admission and at its end. The start of a node was split in two for an end of the runtime that is no longer needed.

--- a/node/src/gateway/stop.rs
+++ b/node/src/gateway/stop.rs
@@ -95,10 +95,15 @@
     }
 }
 
+/// The time in which requests are answered, at a stop whose bound is `left` away.
+fn answer_time(left: Duration) -> Duration {
+    left.saturating_sub(END_MARGIN + PORT_CLOSE_TIMEOUT)
+}
+
 /// The state of a stop whose bound is `left` away.
 fn state(shared: &Shared, left: Duration) -> StopState {
     StopState {
-        left: left.saturating_sub(END_MARGIN + PORT_CLOSE_TIMEOUT),
+        left: answer_time(left),
         is_detected: is_detected(shared),
         has_neighbour: shared.has_neighbour(),
     }
@@ -150,7 +155,7 @@
     let started = shared.now();
     info!(event = "stop", open = shared.open_requests(); "planned stop begins");
     let left = shared.remaining_serving_time().unwrap_or_default();
-    let close_at = started + left.saturating_sub(END_MARGIN + PORT_CLOSE_TIMEOUT);
+    let close_at = started + answer_time(left);
     sleep_until(shared, close_at.min(started + BALANCER_DETECTION_TIME)).await;
     // The port closes in either case: when no request is open, or when the time is over.
     tokio::select! {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -169,10 +169,6 @@
 /// Runs a node until a planned stop has ended or it has failed.
 fn run(config: &Path) -> Result<ExitCode, StartError> {
     let runtime = Builder::new_current_thread().enable_all().build().map_err(StartError::Signals)?;
-    run_on(&runtime, config)
-}
-
-fn run_on(runtime: &Runtime, config: &Path) -> Result<ExitCode, StartError> {
     let context = runtime.enter();
     // Precedes everything that takes time: until then each signal ends the process.
     let mut handlers = Handlers::install().map_err(StartError::Signals)?;
@@ -199,12 +195,12 @@
         NodeSettings::Gateway(settings) => {
             let signals = handlers.dispatch();
             drop(context);
-            gateway::run(runtime, &signals, *settings, file.path, file.text).map_err(Into::into)
+            gateway::run(&runtime, &signals, *settings, file.path, file.text).map_err(Into::into)
         }
         NodeSettings::Completions(settings) => {
             let signals = handlers.without_reload().dispatch();
             drop(context);
-            run_completions(runtime, &signals, settings)
+            run_completions(&runtime, &signals, settings)
         }
     };
     let code = match result {
