--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -463,6 +463,15 @@
         self.nodes[node].id()
     }
 
+    /// A figure of a node's process in `/proc/PID/status`, such as `VmRSS`, in bytes.
+    pub fn memory_bytes(&self, node: usize, name: &str) -> usize {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.pid(node))).expect("the node runs");
+        let figure = status.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
+        let kb = figure.and_then(|figure| figure.trim().strip_suffix(" kB")?.parse::<usize>().ok());
+        kb.expect("a size") * 1_024
+    }
+
     /// Whether a node that has exited did so successfully; `None` while it runs.
     pub fn ended(&mut self, node: usize) -> Option<bool> {
         self.nodes[node].try_wait().expect("a child").map(|status| status.success())
--- a/node/tests/test_gateway_endless_fleet.rs
+++ b/node/tests/test_gateway_endless_fleet.rs
@@ -76,10 +76,7 @@
 
 /// The largest resident memory that a node's process had, in 10^6 bytes.
 fn peak_mb(gateway: &Gateway) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.pid(0))).expect("the node runs");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a size");
-    let kb: usize = line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).expect("a number");
-    kb * 1_024 / 1_000_000
+    gateway.memory_bytes(0, "VmHWM") / 1_000_000
 }
 
 /// Asks for a stream and reads nothing of it.
--- a/node/tests/test_gateway_noise.rs
+++ b/node/tests/test_gateway_noise.rs
@@ -79,10 +79,7 @@
 
 /// Returns the resident memory of a node's process, in kilobytes.
 fn resident_memory_kb(gateway: &Gateway, node: usize) -> u64 {
-    let status =
-        std::fs::read_to_string(format!("/proc/{}/status", gateway.pid(node))).expect("the node runs");
-    let line = status.lines().find(|line| line.starts_with("VmRSS")).expect("VmRSS is listed");
-    line.split_whitespace().nth(1).and_then(|s| s.parse().ok()).expect("a number")
+    gateway.memory_bytes(node, "VmRSS") as u64 / 1_024
 }
 
 async fn check_seed(seed: u64) {
--- a/node/tests/test_gateway_slow_readers.rs
+++ b/node/tests/test_gateway_slow_readers.rs
@@ -65,10 +65,7 @@
 
 /// Returns the resident memory of the node's process, in 10^6 bytes.
 fn memory_mb(gateway: &Gateway) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.pid(0))).expect("the node runs");
-    let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("a size");
-    let kb: usize = line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).expect("a number");
-    kb * 1_024 / 1_000_000
+    gateway.memory_bytes(0, "VmRSS") / 1_000_000
 }
 
 /// Returns the number of buffered bytes in the node's metrics.
--- a/node/tests/test_gateway_stop_late_calls.rs
+++ b/node/tests/test_gateway_stop_late_calls.rs
@@ -2,7 +2,6 @@
 //! being run, or not accepted.
 
 use std::collections::BTreeMap;
-use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,6 +27,7 @@
 use crate::gateway_environment::chat;
 use crate::gateway_environment::config;
 use crate::gateway_environment::read;
+use crate::test_gateway_partitioned_nodes::node_ip;
 
 /// Duration of calls that can't end in a stop of 6 s if they arrive at `LATE`.
 const LONG_CALL: Duration = Duration::from_secs(3);
@@ -393,8 +393,7 @@
         gateway.start_node();
         gateway.until_ready(node).await;
     }
-    let own: Ipv4Addr = gateway.client_address(0).split(':').next().expect("an IP").parse().expect("an IP");
-    proxy.partition(&[own], OpenLinks::Reset);
+    proxy.partition(&[node_ip(&gateway, 0)], OpenLinks::Reset);
     booking.replica.set_fault(ReplicaFault::Late(Duration::from_millis(100)));
     // Their connections lead through node 1, as there is no other one yet.
     let before = join_all((0..4).map(|n| gateway.call(0, read(["b-0", "b-1", "b-2", "b-3"][n])))).await;
