--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -36,6 +36,7 @@
 mod test_gateway_limits;
 mod test_gateway_noise;
 mod test_gateway_odd_messages;
+mod test_gateway_odd_names;
 mod test_gateway_odd_objects;
 mod test_gateway_odd_statuses;
 mod test_gateway_organisation_shares;
--- a/testutils/src/metadata_store.rs
+++ b/testutils/src/metadata_store.rs
@@ -70,7 +70,8 @@
         let after = if self.fault == StoreFault::RepeatsPage { "" } else { after };
         let page_size = self.page_size.unwrap_or(usize::MAX);
         let from = (kind.to_owned(), after.to_owned());
-        let following = self.objects.range(from..).filter(|((_, name), _)| name != after);
+        // An empty name to go on after is none: the list begins with an object of that name.
+        let following = self.objects.range(from..).filter(|((_, name), _)| after.is_empty() || name != after);
         let mut items: Vec<&Value> = following
             .take_while(|((k, _), _)| k == kind)
             .map(|(_, object)| object)
