--- a/node/tests/test_gateway_odd_names.rs
+++ b/node/tests/test_gateway_odd_names.rs
@@ -1,8 +1,10 @@
 //! Entries of other writers under odd names in the list of replicas: nodes that start while they stand use the
 //! replicas of all other entries, and no other.
 
+use leadstage_testutils::metadata_store::NameReading;
 use leadstage_testutils::metadata_store::replica_entry;
 use serde_json::Value;
+use serde_json::json;
 use tokio::net::TcpListener;
 
 use crate::gateway_environment::BOOKING;
@@ -44,10 +46,12 @@
 const REPLICAS: usize = 4;
 const CALLS: usize = 20;
 
-/// A fleet of [`NODES`] nodes and [`REPLICAS`] replicas.
-async fn fleet() -> (Gateway, Vec<RunningReplica>) {
+/// A fleet of [`NODES`] nodes and [`REPLICAS`] replicas, whose store serves lists in pages of `page_size`.
+async fn fleet(reading: NameReading, page_size: usize) -> (Gateway, Vec<RunningReplica>) {
     let mut gateway = Gateway::start().await;
     gateway.store.put("config", "main", config(1));
+    gateway.store.set_name_reading(reading);
+    gateway.store.set_page_size(page_size);
     let mut replicas = Vec::new();
     for n in 0..REPLICAS {
         replicas.push(gateway.start_replica(BOOKING, &format!("{n}-{n}"), 1).await);
@@ -89,10 +93,36 @@
     names.iter().for_each(|name| gateway.store.delete("servers", name));
 }
 
+#[tokio::test]
+async fn test_nodes_that_restart_beside_an_odd_name_serve() {
+    for reading in [NameReading::Decoded, NameReading::FormDecoded, NameReading::AsSent] {
+        let (mut gateway, replicas) = fleet(reading, 1).await;
+        for page_size in [1, 3] {
+            gateway.store.set_page_size(page_size);
+            for name in ["0a&b", "1-1+", "2 # %", "z&%26+"] {
+                let case = format!("{name} in pages of {page_size}, {reading:?}");
+                play(&mut gateway, &replicas, &[name], &json!({}), &case).await;
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn test_nodes_that_restart_beside_many_odd_names_serve() {
+    for reading in [NameReading::Decoded, NameReading::FormDecoded, NameReading::AsSent] {
+        let (mut gateway, replicas) = fleet(reading, 1).await;
+        for page_size in [1, 3, 4, 10] {
+            gateway.store.set_page_size(page_size);
+            let case = format!("in pages of {page_size}, {reading:?}");
+            play(&mut gateway, &replicas, &ODD_NAMES, &json!({}), &case).await;
+        }
+    }
+}
+
 /// The entries are valid but for their names; nobody listens at their address.
 #[tokio::test]
 async fn test_a_valid_entry_under_an_odd_name_is_not_used() {
-    let (mut gateway, replicas) = fleet().await;
+    let (mut gateway, replicas) = fleet(NameReading::Decoded, 100).await;
     let listener = TcpListener::bind(format!("{}:0", gateway.replicas_ip())).await.expect("a port");
     let entry = replica_entry(BOOKING, listener.local_addr().expect("bound"), "hall-1", "ready");
     drop(listener);
--- a/testutils/src/metadata_store.rs
+++ b/testutils/src/metadata_store.rs
@@ -38,6 +38,29 @@
     RepeatsPage,
 }
 
+/// How the store reads a name in a query.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum NameReading {
+    /// Decodes percent-encoding.
+    #[default]
+    Decoded,
+    /// Decodes percent-encoding, and reads `+` as a blank, as in a form.
+    FormDecoded,
+    /// Takes the characters as they are sent.
+    AsSent,
+}
+
+impl NameReading {
+    /// The name that the store reads from the text in a query.
+    pub fn read(self, text: &str) -> String {
+        match self {
+            NameReading::Decoded => percent_decoded(text),
+            NameReading::FormDecoded => percent_decoded(&text.replace('+', " ")),
+            NameReading::AsSent => text.to_owned(),
+        }
+    }
+}
+
 #[derive(Default)]
 struct State {
     objects: BTreeMap<(String, String), Value>,
@@ -47,6 +70,7 @@
     calls: u64,
     /// Maximum number of objects in a page of a list; unlimited if `None`.
     page_size: Option<usize>,
+    name_reading: NameReading,
     /// Number of times that the store was restored from a copy.
     era: u64,
     /// How lists are served that may be stale; like all others if `None`.
@@ -265,6 +289,11 @@
         self.state().page_size = Some(objects);
     }
 
+    /// Sets how the name that a list goes on after is read.
+    pub fn set_name_reading(&self, reading: NameReading) {
+        self.state().name_reading = reading;
+    }
+
     /// Serves lists that may be stale from a copy from now on, each after `delay`.
     pub fn set_stale_lists(&self, copy: Copy, delay: Duration) {
         self.state().stale_lists = Some(StaleLists { copy, delay });
@@ -351,7 +380,7 @@
 
 fn query_value(req: &Request<Bytes>, name: &str) -> Option<String> {
     let pairs = req.uri().query()?.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| percent_decoded(value))
+    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
 }
 
 /// Decodes `%` followed by two hexadecimal digits.
@@ -393,7 +422,8 @@
         match since {
             Some(since) => self.watch(kind, since, Duration::from_millis(wait)).await,
             None => {
-                let after = query_value(&req, "after").unwrap_or_default();
+                let reading = self.state().name_reading;
+                let after = query_value(&req, "after").map(|after| reading.read(&after)).unwrap_or_default();
                 let may_be_stale = query_value(&req, "stale").as_deref() == Some("1");
                 self.raw_response(&self.list(kind, &after, may_be_stale).await)
             }
