platform client: an unreadable entry of the VM list affects no other

Callers of the completions interface would see an outage: while one entry of the VM list could not be read (another role or state, an address that is no socket address, a number in its place, `NaN`), nodes that start knew no engines and no services, and running nodes followed the list no more.

Cause: the list was parsed as a whole into records.

Evidence: test_unreadable_vms_affect_no_other (two nodes started beside 28 such entries) failed before, with `event=vms_not_read reason="... invalid type: integer `7`, expected struct VmRecord"` once or twice a second at both nodes until the test gave up after 60 s. It passes in 0.7 s now, and changes of other entries are followed.

Change: entries are parsed one by one, after invalid values are replaced as for the gateway's store; those that can't be read are counted in one log line for each list and left out. A list without any readable entry stays an error, as it says nothing of the VMs: a change of the format must not take all upstreams away.

--- a/node/src/platform.rs
+++ b/node/src/platform.rs
@@ -17,11 +17,16 @@
 use leadstage_lib::claim_writer::WriteResult;
 use leadstage_lib::upstreams::VmRecord;
 use leadstage_platform::connect::read_body;
+use leadstage_platform::json_repair;
+use log::warn;
+use serde_json::value::RawValue;
 
 /// Timeout for the start of a response. There is no timeout for a complete response: a list of 3,000 VMs
 /// (0.3 MB) takes two seconds on a link with 150 kB/s to spare, and a limit of one second for the whole
 /// response prevented it from ever being read.
 const RESPONSE_START_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Levels of nesting down to the entries of the VM list.
+const VM_LIST_LEVELS: u32 = 1;
 /// How long the platform holds a watch request open without a change.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
@@ -183,7 +188,7 @@
         }
     }
 
-    /// Reads the VM list if its version differs from `known`. The list is by far the largest object that a
+    /// Reads the VM list if its version differs from `known`. Unreadable entries are logged and left out. The list is by far the largest object that a
     /// node reads, so it is transferred only when it has changed.
     pub async fn read_vms(&self, known: Option<u64>) -> Result<VmList, PlatformError> {
         let mut req = self.get_request("/v1/vms");
@@ -192,17 +197,37 @@
         }
         let (status, version, body) = self.call(req, RESPONSE_START_TIMEOUT).await?;
         match status {
-            200 => {
-                let read = serde_json::from_slice(&body);
-                let records = read.map_err(no_answer)?;
-                Ok(VmList::Changed { version, records })
-            }
+            200 => Ok(VmList::Changed { version, records: parse_vms(&body)? }),
             304 => Ok(VmList::Unchanged),
             _ => Err(PlatformError::Status { status }),
         }
     }
 }
 
+/// Parses the entries of the VM list one by one, so that an unreadable one affects no other. A list without any
+/// readable entry is an error, as it does not show that all VMs are gone.
+fn parse_vms(body: &[u8]) -> Result<Vec<VmRecord>, PlatformError> {
+    let text = json_repair::replace_invalid_values(&String::from_utf8_lossy(body), VM_LIST_LEVELS);
+    let entries: Vec<&RawValue> = serde_json::from_str(&text).map_err(no_answer)?;
+    let mut records = Vec::with_capacity(entries.len());
+    let mut first_error = None;
+    for entry in &entries {
+        match serde_json::from_str(entry.get()) {
+            Ok(record) => records.push(record),
+            Err(err) => drop(first_error.get_or_insert(err)),
+        }
+    }
+    let unreadable = entries.len() - records.len();
+    match first_error {
+        Some(err) if records.is_empty() => Err(no_answer(err)),
+        Some(err) => {
+            warn!(event = "vms_unreadable", vms = unreadable, reason:% = err; "cannot read some entries of the VM list");
+            Ok(records)
+        }
+        None => Ok(records),
+    }
+}
+
 fn no_answer(reason: impl ToString) -> PlatformError {
     PlatformError::NoAnswer { reason: reason.to_string() }
 }
--- a/node/tests/environment.rs
+++ b/node/tests/environment.rs
@@ -72,6 +72,8 @@
     dir: TempDir,
     children: BTreeMap<String, Child>,
     vms: Vec<Value>,
+    /// Further entries of the VM list, as they are sent.
+    raw_vms: Vec<String>,
     _guard: TcpListener,
 }
 
@@ -141,6 +143,7 @@
             dir: TempDir::new().expect("a temporary directory"),
             children: BTreeMap::new(),
             vms: Vec::new(),
+            raw_vms: Vec::new(),
             _guard: guard,
         };
         let lag = env.options.vm_lag_ms.to_string();
@@ -240,6 +243,12 @@
         self.vms.push(vm);
     }
 
+    /// Adds entries to the VM list, whether they are JSON or not, and publishes it.
+    pub async fn add_raw_vms(&mut self, entries: Vec<String>) {
+        self.raw_vms = entries;
+        self.publish_vms().await;
+    }
+
     /// Changes a VM's state and publishes the VM list.
     pub async fn set_vm_state(&mut self, name: &str, state: &str) {
         for vm in self.vms.iter_mut().filter(|vm| vm["id"] == name) {
@@ -262,7 +271,9 @@
     }
 
     async fn publish_vms(&self) {
-        let body = serde_json::to_vec(&self.vms).expect("JSON");
+        let mut entries: Vec<String> = self.vms.iter().map(Value::to_string).collect();
+        entries.extend(self.raw_vms.iter().cloned());
+        let body = format!("[{}]", entries.join(","));
         let uri = format!("http://{}/stand-in/vms", self.address("platform"));
         let req = Request::put(uri).body(Full::from(body)).expect("valid");
         http_client::send(&self.client, req).await.expect("the platform answers");
@@ -382,7 +393,8 @@
         self.lead_and_engines_up().await.expect("a lead").0
     }
 
-    async fn engines_up(&self) -> usize {
+    /// The number of engines that are up, once there is one lead.
+    pub async fn engines_up(&self) -> usize {
         let one_lead = {
             let mut leads = 0;
             for node in 1..=self.options.nodes {
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -77,6 +77,7 @@
 mod test_late_ports;
 mod test_locks;
 mod test_module_cycles;
+mod test_odd_vms;
 mod test_settings;
 mod test_signals;
 mod test_stop;
