platform client: encode the names in the keys of objects

Callers of the completions interface saw nodes end, one after the other: the control thread panicked, which ends the process.

Cause: a lead stores its fence under the model and the hall of its pool (`fences/m/hall 1`), and the hall comes from the VM list. The key became a part of a URI as it was, and the URI was expected to be valid.

Evidence: test_a_hall_with_an_odd_name_does_not_end_nodes (an engine in each of eight such halls beside the two usual ones) failed before at `hall 1`, with `event=failed reason=panicked at node/src/platform.rs:128 a valid request: http::Error(InvalidUri(InvalidUriChar))` at both nodes. It passes now: each engine loads its adapter, calls are served beside it, and the platform has a fence for each hall.

Change: the segments of a key are percent-encoded. Keys of usual names are sent as before; one with `&`, `+` or `%` in a hall's name gets another key once, as a new fence. Ruled out: to leave such VMs out, as any name of a hall is valid.

--- a/node/src/platform.rs
+++ b/node/src/platform.rs
@@ -18,6 +18,7 @@
 use leadstage_lib::upstreams::VmRecord;
 use leadstage_platform::connect::read_body;
 use leadstage_platform::json_repair;
+use leadstage_platform::uri_part;
 use log::warn;
 use serde_json::value::RawValue;
 
@@ -128,6 +129,12 @@
         sent.map_err(|_| no_answer(format!("no response within {limit:?}")))?.map_err(no_answer)
     }
 
+    /// The path of an object. The names in its key are encoded, as they may come from the VM list.
+    fn path_of(key: &str) -> String {
+        let segments: Vec<String> = key.split('/').map(uri_part::encode).collect();
+        format!("/v1/objects/{}", segments.join("/"))
+    }
+
     fn get_request(&self, path: &str) -> Request<Full<Bytes>> {
         let uri = format!("http://{}{path}", self.address);
         Request::get(uri).body(Full::default()).expect("a valid request")
@@ -135,14 +142,14 @@
 
     /// Reads an object.
     async fn read(&self, key: &str) -> Result<ReadResult, PlatformError> {
-        let req = self.get_request(&format!("/v1/objects/{key}"));
+        let req = self.get_request(&Self::path_of(key));
         Self::to_read_result(self.call(req, RESPONSE_START_TIMEOUT).await?)
     }
 
     /// Waits until an object has a version higher than `after`, for a limited time.
     pub async fn watch(&self, key: &str, after: u64) -> Result<ReadResult, PlatformError> {
         let wait = WATCH_WAIT.as_millis();
-        let req = self.get_request(&format!("/v1/objects/{key}?after={after}&wait_ms={wait}"));
+        let req = self.get_request(&format!("{}?after={after}&wait_ms={wait}", Self::path_of(key)));
         Self::to_read_result(self.call(req, WATCH_WAIT + RESPONSE_START_TIMEOUT).await?)
     }
 
@@ -158,7 +165,7 @@
     /// Writes an object if it has version `expected`, where 0 means that it does not exist. The write may
     /// have taken effect even if an error is returned.
     async fn write(&self, key: &str, expected: u64, value: Vec<u8>) -> Result<WriteOutcome, PlatformError> {
-        let uri = format!("http://{}/v1/objects/{key}", self.address);
+        let uri = format!("http://{}{}", self.address, Self::path_of(key));
         let req = Request::put(uri).header("if-match", expected.to_string());
         let req = req.body(Full::from(value)).expect("a valid request");
         match self.call(req, RESPONSE_START_TIMEOUT).await? {
--- a/node/tests/environment.rs
+++ b/node/tests/environment.rs
@@ -251,8 +251,13 @@
 
     /// Changes a VM's state and publishes the VM list.
     pub async fn set_vm_state(&mut self, name: &str, state: &str) {
+        self.set_vm_field(name, "state", state).await;
+    }
+
+    /// Changes a field of a VM's entry and publishes the VM list.
+    pub async fn set_vm_field(&mut self, name: &str, field: &str, value: &str) {
         for vm in self.vms.iter_mut().filter(|vm| vm["id"] == name) {
-            vm["state"] = state.into();
+            vm[field] = value.into();
         }
         self.publish_vms().await;
     }
@@ -262,11 +267,7 @@
     pub async fn add_peer_proxy(&mut self, node: usize) -> FaultyProxy {
         let peer = self.port(node, 8082).parse().expect("an address");
         let proxy = FaultyProxy::start(&format!("{}.{}", self.network, 10 + node), peer).await;
-        let name = format!("entry-{node}");
-        for vm in self.vms.iter_mut().filter(|vm| vm["id"] == *name) {
-            vm["address"] = proxy.address.to_string().into();
-        }
-        self.publish_vms().await;
+        self.set_vm_field(&format!("entry-{node}"), "address", &proxy.address.to_string()).await;
         proxy
     }
 
--- a/node/tests/test_odd_vms.rs
+++ b/node/tests/test_odd_vms.rs
@@ -61,3 +61,25 @@
         .await;
     }
 }
+
+/// A lead stores its fence under the name of its pool's hall.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn test_a_hall_with_an_odd_name_does_not_end_nodes() {
+    let mut env = Env::start(Options::default()).await;
+    for (n, hall) in ["hall 1", "a&b", "a+b", "a#b", "a%b", "a?b=c", "a\u{1}b", "\u{f1}"].iter().enumerate() {
+        let engine = format!("engine-{}", 3 + n);
+        env.start_engine(3 + n);
+        env.set_vm_field(&engine, "hall", hall).await;
+        env.until("the engine to load the adapter", async |env: &Env| {
+            let orders = env.get(&env.address(&engine), "/stand-in/orders").await;
+            orders.is_ok_and(|reply| reply.body == r#"["1:load:desk"]"#)
+        })
+        .await;
+        for node in 1..=2 {
+            assert_served(&env, node).await;
+        }
+    }
+    let fences = env.get(&env.address("platform"), "/v1/list/fences").await.expect("a list");
+    let fences: Vec<String> = serde_json::from_str(&fences.body).expect("names");
+    assert_eq!(fences.len(), 9, "a fence for each hall: {fences:?}");
+}
