tests: nodes that restart beside odd names of other kinds

The lists of configurations, closed halls, orders and suspects go on in the same way as that of replicas. On the code before (trial on a scratch copy) the test failed: no node was ready, as the list of the configuration was given up ("a list does not go on after 0 objects", the store takes names as sent, pages of 1). It passes since, for the three readings and pages of 1, 3, 4 and 10.

--- a/node/tests/test_gateway_odd_names.rs
+++ b/node/tests/test_gateway_odd_names.rs
@@ -119,6 +119,22 @@
     }
 }
 
+/// Names of objects that are no configuration, halls that no replica is in, and no suspects.
+#[tokio::test]
+async fn test_nodes_that_restart_beside_odd_names_of_other_kinds_serve() {
+    for reading in [NameReading::Decoded, NameReading::FormDecoded, NameReading::AsSent] {
+        let (mut gateway, replicas) = fleet(reading, 1).await;
+        for kind in ["config", "evacuations", "rollouts", "crash-suspects"] {
+            ODD_NAMES.iter().for_each(|name| gateway.store.put(kind, name, json!({})));
+        }
+        for page_size in [1, 3, 4, 10] {
+            gateway.store.set_page_size(page_size);
+            restart_all(&mut gateway).await;
+            assert_served(&gateway, &replicas, &format!("in pages of {page_size}, {reading:?}")).await;
+        }
+    }
+}
+
 /// The entries are valid but for their names; nobody listens at their address.
 #[tokio::test]
 async fn test_a_valid_entry_under_an_odd_name_is_not_used() {
