--- a/node/src/platform.rs
+++ b/node/src/platform.rs
@@ -195,8 +195,8 @@
         }
     }
 
-    /// Reads the VM list if its version differs from `known`. Unreadable entries are logged and left out. The list is by far the largest object that a
-    /// node reads, so it is transferred only when it has changed.
+    /// Reads the VM list if its version differs from `known`. Unreadable entries are logged and left out. The list
+    /// is by far the largest object that a node reads, so it is transferred only when it has changed.
     pub async fn read_vms(&self, known: Option<u64>) -> Result<VmList, PlatformError> {
         let mut req = self.get_request("/v1/vms");
         if let Some(known) = known {
--- a/node/tests/test_gateway_odd_names.rs
+++ b/node/tests/test_gateway_odd_names.rs
@@ -44,7 +44,7 @@
 ];
 const NODES: usize = 2;
 const REPLICAS: usize = 4;
-const CALLS: usize = 20;
+const CALLS: usize = 40;
 
 /// A fleet of [`NODES`] nodes and [`REPLICAS`] replicas, whose store serves lists in pages of `page_size`.
 async fn fleet(reading: NameReading, page_size: usize) -> (Gateway, Vec<RunningReplica>) {
