json_repair: parse the store's answers and the VM list in one function

Cause: wrote again what the client of the store had, and repaired and copied each VM list, valid or not. Both call json_repair::parse now, which repairs only what can't be parsed. Records are as before; the error of a list that is no JSON at all is that of its own text. All 50 tests of platform/ pass, and 21 of the node (VM list, upstreams, odd objects, names and VMs).

--- a/node/src/platform.rs
+++ b/node/src/platform.rs
@@ -214,8 +214,7 @@
 /// Parses the entries of the VM list one by one, so that an unreadable one affects no other. A list without any
 /// readable entry is an error, as it does not show that all VMs are gone.
 fn parse_vms(body: &[u8]) -> Result<Vec<VmRecord>, PlatformError> {
-    let text = json_repair::replace_invalid_values(&String::from_utf8_lossy(body), VM_LIST_LEVELS);
-    let entries: Vec<&RawValue> = serde_json::from_str(&text).map_err(no_answer)?;
+    let entries: Vec<Box<RawValue>> = json_repair::parse(body, VM_LIST_LEVELS).map_err(no_answer)?;
     let mut records = Vec::with_capacity(entries.len());
     let mut first_error = None;
     for entry in &entries {
