--- a/node/tests/environment.rs
+++ b/node/tests/environment.rs
@@ -245,7 +245,7 @@
 
     /// Adds entries to the VM list, whether they are JSON or not, and publishes it.
     pub async fn add_raw_vms(&mut self, entries: Vec<String>) {
-        self.raw_vms = entries;
+        self.raw_vms.extend(entries);
         self.publish_vms().await;
     }
 
