--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
 
+mod cold;
 mod config;
 mod fleet;
 mod http;
@@ -9,6 +10,7 @@
 mod replica;
 mod store;
 mod token_counts;
+mod unsigned;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -36,6 +38,8 @@
     let record = Record::create(Path::new(folder));
     let verdict = match &**case {
         "token-counts" => token_counts::run(&record),
+        "cold" => cold::run(&record),
+        "unsigned" => unsigned::run(&record),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     let (code, text) = match verdict {
