review: case 5, clients that pause reading lose their answers

TCP_USER_TIMEOUT, set on callers' connections to notice dead peers, also ends those of callers that do not read for 2.5 s, with all that was written to them.

--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -56,6 +56,13 @@
         self.process.as_mut()?.try_wait().ok().flatten()
     }
 
+    /// Sends SIGHUP to the process.
+    pub fn hang_up(&self) {
+        if let Some(process) = &self.process {
+            let _ = Command::new("kill").arg("-HUP").arg(process.id().to_string()).status();
+        }
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod record;
 mod replica;
+mod slow_reader;
 mod store;
 mod token_counts;
 mod unsigned;
@@ -39,6 +40,7 @@
     let verdict = match &**case {
         "token-counts" => token_counts::run(&record),
         "cold" => cold::run(&record),
+        "slow-reader" => slow_reader::run(&record),
         "unsigned" => unsigned::run(&record),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
