--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod fleet;
 mod http;
+mod no_gap;
 mod record;
 mod replica;
 mod slow_reader;
@@ -40,6 +41,7 @@
     let verdict = match &**case {
         "token-counts" => token_counts::run(&record),
         "cold" => cold::run(&record),
+        "no-gap" => no_gap::run(&record),
         "slow-reader" => slow_reader::run(&record),
         "unsigned" => unsigned::run(&record),
         _ => Verdict::NotRun(format!("no case {case}")),
