review: case 8, a store that turns the followers away is taken for an outage

Cause: the nodes that the store turns away report it as away, and the others take that for an outage of the store. After an outage a replica that is no longer listed is kept for 2 s, and nobody reads the store for 1 to 2 s before, which is more than drainMs together.

Adds the script, plays that found nothing (endless replicas on 88 MB, stops with reloads), and the stand-ins that they need.

--- a/review/standins-2/src/cold.rs
+++ b/review/standins-2/src/cold.rs
@@ -42,7 +42,8 @@
 fn falls_over(replica: &Replica, is_cold: &AtomicBool) -> bool {
     let now = Instant::now();
     let arrivals = replica.arrivals.lock().expect("sound");
-    let recent = arrivals.iter().rev().take_while(|arrival| now - arrival.at < Duration::from_secs(1)).count();
+    let recent =
+        arrivals.iter().rev().take_while(|arrival| now - arrival.at < Duration::from_secs(1)).count();
     is_cold.load(Ordering::Relaxed) && recent as f64 > FALLS_OVER_AT * (WARMUP_PER_S * OVERSHOOT + SLACK)
 }
 
@@ -76,7 +77,10 @@
                 thread::sleep(WORK);
                 if has_fallen.load(Ordering::Relaxed) {
                     if !has_ended {
-                        lost.lock().expect("sound").push((Instant::now(), request.header("leadstage-request-id").unwrap_or("").to_owned()));
+                        lost.lock().expect("sound").push((
+                            Instant::now(),
+                            request.header("leadstage-request-id").unwrap_or("").to_owned(),
+                        ));
                     }
                     return Ok(false);
                 }
@@ -153,10 +157,21 @@
         let times: Vec<Instant> =
             arrivals.iter().map(|arrival| arrival.at).filter(|at| *at > from && *at < cold_until).collect();
         for arrival in arrivals.iter().filter(|arrival| arrival.at > from) {
-            record.line_at(arrival.at, format!("{} gets {} from {}", replica.id, arrival.request.header("leadstage-request-id").unwrap_or(""), arrival.from.ip()));
+            record.line_at(
+                arrival.at,
+                format!(
+                    "{} gets {} from {}",
+                    replica.id,
+                    arrival.request.header("leadstage-request-id").unwrap_or(""),
+                    arrival.from.ip()
+                ),
+            );
         }
         let (most, at) = most_in_a_second(times);
-        let text = format!("{}: at most {most} requests in one second while it is cold; {bound} are allowed", replica.id);
+        let text = format!(
+            "{}: at most {most} requests in one second while it is cold; {bound} are allowed",
+            replica.id
+        );
         println!("{text}");
         record.line_at(at.unwrap_or(cold_at), text);
         worst = worst.max(most);
@@ -166,6 +181,8 @@
     }
     let lost = lost.lock().expect("sound").len();
     let (served, refused, failed) = *counts.lock().expect("sound");
-    let summary = format!("{worst} requests in one second at a cold replica, {bound} are allowed; {lost} requests were running at a replica that fell over; {served} were served, {refused} refused or failed, {failed} without an answer");
+    let summary = format!(
+        "{worst} requests in one second at a cold replica, {bound} are allowed; {lost} requests were running at a replica that fell over; {served} were served, {refused} refused or failed, {failed} without an answer"
+    );
     if worst as f64 > bound { Verdict::Broken(summary) } else { Verdict::Held(summary) }
 }
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -56,10 +56,20 @@
         self.process.as_mut()?.try_wait().ok().flatten()
     }
 
+    /// The id of its process; 0 if it has none.
+    pub fn pid(&self) -> u32 {
+        self.process.as_ref().map_or(0, Child::id)
+    }
+
     /// Sends SIGHUP to the process.
     pub fn hang_up(&self) {
+        self.signal("HUP");
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
         if let Some(process) = &self.process {
-            let _ = Command::new("kill").arg("-HUP").arg(process.id().to_string()).status();
+            let _ = Command::new("kill").arg(format!("-{name}")).arg(process.id().to_string()).status();
         }
     }
 
@@ -80,8 +90,12 @@
     pub net: String,
     folder: PathBuf,
     store: SocketAddr,
+    /// Addresses of the store for single nodes.
+    pub stores: Vec<SocketAddr>,
     /// Further lines of the settings' `bounds`.
     pub bounds: String,
+    /// Memory of each machine, in 10^6 bytes.
+    pub memory_mb: u32,
     /// Region of each zone, as the value of `regions`.
     pub regions: String,
 }
@@ -98,7 +112,16 @@
         let folder = std::env::temp_dir().join(format!("leadstage-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let regions = r#"{"zone-a":"region-a"}"#.to_owned();
-        Fleet { nodes: Vec::new(), net: net.to_owned(), folder, store, bounds: String::new(), regions }
+        Fleet {
+            nodes: Vec::new(),
+            net: net.to_owned(),
+            folder,
+            store,
+            stores: Vec::new(),
+            bounds: String::new(),
+            memory_mb: 110,
+            regions,
+        }
     }
 
     /// Adds a node in a zone; it is not started. The ports of all nodes are alike.
@@ -117,11 +140,20 @@
         let node = &self.nodes[at];
         let settings = format!(
             "interface: gateway\nvm: \"edge-{at}\"\nhall: \"{}\"\nlisten: \"{}\"\nready: \"{}\"\npeer: \"{}\"\n\
-             metrics: \"{}:{}\"\nseeds: [{}]\nstore: \"{}\"\nlink_mbps: 1000.0\nmemory_mb: 110\n\
+             metrics: \"{}:{}\"\nseeds: [{}]\nstore: \"{}\"\nlink_mbps: 1000.0\nmemory_mb: {}\n\
              first_start: {is_first_start}\nregions: {}\nbounds:\n  stop_within: \"8s\"\n  retry_ratio: 0.2\n  \
              retry_slack: 58\n  retry_window: \"10s\"\n  config_within: \"2000ms\"\n  drain_within: \"2000ms\"\n{}",
-            node.zone, node.front(), node.ready(), node.peer(), node.ip, node.port + 3, seeds.join(","),
-            self.store, self.regions, self.bounds,
+            node.zone,
+            node.front(),
+            node.ready(),
+            node.peer(),
+            node.ip,
+            node.port + 3,
+            seeds.join(","),
+            self.stores.get(at).unwrap_or(&self.store),
+            self.memory_mb,
+            self.regions,
+            self.bounds,
         );
         let path = self.folder.join(format!("node-{at}.yaml"));
         fs::write(&path, settings).expect("the temporary folder is writable");
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,12 +4,15 @@
 
 mod cold;
 mod config;
+mod endless;
 mod fleet;
+mod gap;
 mod http;
 mod no_gap;
 mod record;
 mod replica;
 mod slow_reader;
+mod starts;
 mod store;
 mod token_counts;
 mod unsigned;
@@ -41,8 +44,11 @@
     let verdict = match &**case {
         "token-counts" => token_counts::run(&record),
         "cold" => cold::run(&record),
+        "endless" => endless::run(&record),
+        "gap" => gap::run(&record),
         "no-gap" => no_gap::run(&record),
         "slow-reader" => slow_reader::run(&record),
+        "starts" => starts::run(&record),
         "unsigned" => unsigned::run(&record),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
--- a/review/standins-2/src/no_gap.rs
+++ b/review/standins-2/src/no_gap.rs
@@ -164,6 +164,8 @@
             record.line(format!("edge-{at}: {line}"));
         }
     }
-    let summary = format!("{cut} of {CLIENTS} streams were cut off before their end; no replica broke off and no deadline passed");
+    let summary = format!(
+        "{cut} of {CLIENTS} streams were cut off before their end; no replica broke off and no deadline passed"
+    );
     if cut > 3 { Verdict::Broken(summary) } else { Verdict::Held(summary) }
 }
--- a/review/standins-2/src/replica.rs
+++ b/review/standins-2/src/replica.rs
@@ -8,6 +8,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use crate::http;
@@ -36,6 +38,8 @@
     pub address: SocketAddr,
     /// The requests that arrived, without health checks.
     pub arrivals: Mutex<Vec<Arrival>>,
+    /// Whether it is leaving.
+    pub is_leaving: AtomicBool,
 }
 
 impl Replica {
@@ -43,7 +47,12 @@
     pub fn start(id: &str, ip: &str, behaviour: Arc<Behaviour>) -> Arc<Replica> {
         let listener = TcpListener::bind((ip, 0)).expect("a port for a replica");
         let address = listener.local_addr().expect("bound");
-        let replica = Arc::new(Replica { id: id.to_owned(), address, arrivals: Mutex::default() });
+        let replica = Arc::new(Replica {
+            id: id.to_owned(),
+            address,
+            arrivals: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
+        });
         let serving = replica.clone();
         http::serve(listener, move |stream| {
             let _ = serving.serve(stream, &*behaviour);
@@ -58,7 +67,9 @@
         while let Some(request) = http::read(&mut reader)? {
             if request.target().1 == "/healthz" {
                 let id = format!("Leadstage-Instance-Id: {}\r\n", self.id);
-                http::answer(&mut stream, "200 OK", &id, "")?;
+                let is_well = !self.is_leaving.load(Ordering::Relaxed);
+                let status = if is_well { "200 OK" } else { "503 Service Unavailable" };
+                http::answer(&mut stream, status, &id, "")?;
                 continue;
             }
             let at = Instant::now();
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -31,6 +31,8 @@
 pub struct Store {
     objects: Mutex<Objects>,
     changed: Condvar,
+    /// Addresses at which all are turned away.
+    turned_away: Mutex<Vec<SocketAddr>>,
 }
 
 fn object(name: &str, revision: u64, spec: &str) -> String {
@@ -50,6 +52,15 @@
         (store, address)
     }
 
+    /// Serves at one more address.
+    pub fn serve_also(self: &Arc<Store>, ip: &str) -> SocketAddr {
+        let listener = TcpListener::bind((ip, 0)).expect("a port for the store");
+        let address = listener.local_addr().expect("bound");
+        let serving = self.clone();
+        http::serve(listener, move |stream| serving.serve(stream));
+        address
+    }
+
     /// Creates or replaces an object.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let mut objects = self.objects.lock().expect("sound");
@@ -60,11 +71,51 @@
         self.changed.notify_all();
     }
 
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut objects = self.objects.lock().expect("sound");
+        objects.revision += 1;
+        let (revision, key) = (objects.revision, (kind.to_owned(), name.to_owned()));
+        objects.objects.remove(&key);
+        objects.history.push((revision, key, None));
+        self.changed.notify_all();
+    }
+
+    /// Answers nothing at an address from now on.
+    pub fn turn_away(&self, address: SocketAddr) {
+        self.turned_away.lock().expect("sound").push(address);
+        self.changed.notify_all();
+    }
+
+    /// Answers at all addresses again.
+    pub fn turn_nobody_away(&self) {
+        self.turned_away.lock().expect("sound").clear();
+    }
+
+    /// Keeps a connection open that gets no answer; it says nothing further afterwards.
+    fn wait_until_answered(&self, stream: &TcpStream) {
+        while self.is_turned_away(stream) {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn is_turned_away(&self, stream: &TcpStream) -> bool {
+        let address = stream.local_addr().ok();
+        self.turned_away.lock().expect("sound").iter().any(|away| Some(*away) == address)
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().expect("a socket"));
         let mut stream = stream;
         while let Ok(Some(request)) = http::read(&mut reader) {
+            if self.is_turned_away(&stream) {
+                return self.wait_until_answered(&stream);
+            }
             let (status, body) = self.reply(&request);
+            // A watch that was waiting gets no answer.
+            if self.is_turned_away(&stream) {
+                return self.wait_until_answered(&stream);
+            }
             let json = "Content-Type: application/json\r\n";
             if http::answer(&mut stream, status, json, &body).is_err() {
                 return;
--- a/review/standins-2/src/token_counts.rs
+++ b/review/standins-2/src/token_counts.rs
@@ -94,7 +94,10 @@
     let mut ends = [0; NODES];
     let mut unanswered = 0;
     for round in 1..=ROUNDS {
-        record.say(format!("round {round}: {STREAMS} streams with Leadstage-Token-Usage: {usage}, then {} with {USUAL}", LAST_STREAMS * NODES));
+        record.say(format!(
+            "round {round}: {STREAMS} streams with Leadstage-Token-Usage: {usage}, then {} with {USUAL}",
+            LAST_STREAMS * NODES
+        ));
         unanswered += run_round(record, &fleet, round, usage);
         let ended: Vec<usize> = (0..NODES).filter(|at| fleet.nodes[*at].ended().is_some()).collect();
         for &at in &ended {
@@ -112,6 +115,8 @@
     record.line(format!("{arrived} streams arrived at the engines"));
     let counted = ends.iter().filter(|ends| **ends >= ROUNDS).count();
     let all: usize = ends.iter().sum();
-    let summary = format!("processes ended by themselves {all} times, on {counted} of {NODES} machines three times; {unanswered} requests got no answer");
+    let summary = format!(
+        "processes ended by themselves {all} times, on {counted} of {NODES} machines three times; {unanswered} requests got no answer"
+    );
     if counted >= 2 { Verdict::Broken(summary) } else { Verdict::Held(summary) }
 }
--- a/review/standins-2/src/unsigned.rs
+++ b/review/standins-2/src/unsigned.rs
@@ -45,7 +45,11 @@
                 format!("Leadstage-Server-Signature: sig-{}-{id}\r\n", replica.id)
             };
             let body = if is_spoilt { "#".repeat(9) } else { format!("answer to {id}") };
-            write!(stream, "HTTP/1.1 200 OK\r\nLeadstage-Request-Id: {id}\r\n{signature}Content-Length: {}\r\n\r\n{body}", body.len())?;
+            write!(
+                stream,
+                "HTTP/1.1 200 OK\r\nLeadstage-Request-Id: {id}\r\n{signature}Content-Length: {}\r\n\r\n{body}",
+                body.len()
+            )?;
             Ok(true)
         };
         let replica = Replica::start(&format!("booking-{n}"), &format!("{net}.2"), Arc::new(behaviour));
@@ -78,6 +82,8 @@
         record.line(format!("request {id} ({route}): {result}"));
     }
     let spoilt = spoilt.load(Ordering::Relaxed);
-    let summary = format!("{unsigned} of {REQUESTS} requests got a success without a signature; {spoilt} answers were spoilt");
+    let summary = format!(
+        "{unsigned} of {REQUESTS} requests got a success without a signature; {spoilt} answers were spoilt"
+    );
     if unsigned > 0 { Verdict::Broken(summary) } else { Verdict::Held(summary) }
 }
