connections: a peer that does not read is no dead peer

The engines had made all events, and the node logged the streams as done. Also cut off: plain answers of 600 kB, requests of 900 kB whose replica begins to read 4 s late, streams through another node, and the last bytes of a connection that the node had closed.

Cause: TCP_USER_TIMEOUT of 2.5 s on callers' and replicas' connections. Linux applies it to bytes that nobody acknowledges, which is what the option is there for, and also to a closed receive window whose probes are acknowledged. Besides, the time since which a window counts as closed is not always reset when it opens, so that a second closed window ends the connection at its first probe.

The change: PatientStream asks the kernel by sock_diag about a connection with unacknowledged bytes, first 1 s after a write. While the window is closed and probes are acknowledged, the user timeout is extended step by step, so that the kernel also goes on sending probes in time; a peer that acknowledges neither probes nor segments is gone. Connections without such a window keep the timeout of 2.5 s. A connection that is closed leaves its last bytes to the kernel's own limits.

Ruled out: a larger timeout (a vanished caller holds its engine for longer, and the second closed window is cut off all the same); keep-alive alone (no probes while bytes are queued); progress of the node's writes (says nothing of bytes in the kernel); getsockopt(TCP_INFO) needs unsafe code.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -68,6 +68,7 @@
 pub mod room_forecast;
 pub mod routing;
 pub mod run_key;
+pub mod send_progress;
 pub mod service_index;
 pub mod shortage;
 pub mod stage_history;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -54,6 +54,7 @@
 mod test_gateway_restarts;
 mod test_gateway_revision;
 mod test_gateway_routing;
+mod test_gateway_send_progress;
 mod test_gateway_shortage;
 mod test_gateway_start_progress;
 mod test_gateway_stop_admission;
--- a/node/src/gateway/ingress/io_watch.rs
+++ b/node/src/gateway/ingress/io_watch.rs
@@ -12,6 +12,7 @@
 
 use leadstage_lib::gateway::routing::CallerLimits;
 use leadstage_platform::arrival;
+use leadstage_platform::patient_stream::PatientStream;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -146,7 +147,7 @@
 /// A caller's socket that records reads, and is reset unless it is shut down in order once its end marks the
 /// end of a response.
 pub struct WatchedIo {
-    stream: TcpStream,
+    stream: PatientStream,
     activity: Activity,
     ends_response: EndsResponse,
     resets_on_close: bool,
@@ -155,12 +156,12 @@
 impl WatchedIo {
     /// Wraps `stream` and records its reads in `activity`.
     pub fn new(stream: TcpStream, activity: Activity, ends_response: EndsResponse) -> Self {
-        WatchedIo { stream, activity, ends_response, resets_on_close: false }
+        WatchedIo { stream: PatientStream::new(stream), activity, ends_response, resets_on_close: false }
     }
 
     fn set_resets_on_close(&mut self, resets: bool) -> io::Result<()> {
         if resets != self.resets_on_close {
-            reset_on_close::set(&self.stream, resets)?;
+            reset_on_close::set(self.stream.get_ref(), resets)?;
             self.resets_on_close = resets;
         }
         Ok(())
--- a/node/src/gateway/peers/tunnel_port.rs
+++ b/node/src/gateway/peers/tunnel_port.rs
@@ -24,13 +24,14 @@
 use hyper_util::rt::TokioIo;
 use leadstage_lib::gateway::routing::ServiceId;
 use leadstage_platform::head_bound::HeadBoundStream;
+use leadstage_platform::patient_stream::PatientStream;
 use log::debug;
 use log::info;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::io::ReadHalf;
+use tokio::io::WriteHalf;
 use tokio::net::TcpStream;
-use tokio::net::tcp::ReadHalf;
-use tokio::net::tcp::WriteHalf;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -213,9 +214,9 @@
 }
 
 /// Carries bytes in both directions until either side closes or breaks.
-async fn carry(mut client: TcpStream, mut upstream: TcpStream, activity: &Activity) {
-    let (mut from_client, mut to_client) = client.split();
-    let (mut from_replica, mut to_replica) = upstream.split();
+async fn carry(client: TcpStream, upstream: TcpStream, activity: &Activity) {
+    let (mut from_client, mut to_client) = tokio::io::split(PatientStream::new(client));
+    let (mut from_replica, mut to_replica) = tokio::io::split(PatientStream::new(upstream));
     let requests = async {
         match copy(&mut from_client, &mut to_replica, || activity.on_bytes(true)).await {
             // The replica may have answered before it closed: that answer is still carried.
@@ -229,11 +230,15 @@
         end = answers => Some(end),
     };
     if end == Some(CopyEnd::Closed) {
-        close(client).await;
+        close(from_client.unsplit(to_client)).await;
     }
 }
 
-async fn copy(from: &mut ReadHalf<'_>, to: &mut WriteHalf<'_>, on_bytes: impl Fn()) -> CopyEnd {
+async fn copy(
+    from: &mut ReadHalf<PatientStream>,
+    to: &mut WriteHalf<PatientStream>,
+    on_bytes: impl Fn(),
+) -> CopyEnd {
     let mut buf = vec![0; BUF_BYTES];
     loop {
         match from.read(&mut buf).await {
@@ -250,9 +255,9 @@
 }
 
 /// Closes the connection to the other node after the replica closed its own in order.
-async fn close(mut client: TcpStream) {
+async fn close(mut client: PatientStream) {
     let closing = async {
-        reset_on_close::set(&client, false)?;
+        reset_on_close::set(client.get_ref(), false)?;
         client.shutdown().await?;
         let mut buf = vec![0; BUF_BYTES];
         while client.read(&mut buf).await? > 0 {}
