callers' port: a connection is not idle while a response is sent

Cause: the guard that marks a connection as serving was dropped when the answer was handed to the connection, not when the caller had it. The limit of idle connections then counted while the answer was being written.

The change: the guard stays with the body of the response, and the connection counts as idle once it has written all of it. A caller that never reads is disconnected when the request's deadline and the limit are over, which bounds the time for which it holds bytes.

Test: test_a_connection_is_not_idle_while_an_answer_is_sent (limit 2 s, pause 6 s, 4 MB).

--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -6,6 +6,7 @@
 
 use http::HeaderValue;
 use http::Request;
+use http::Response;
 use http::Version;
 use http::header;
 use hyper::body::Body;
@@ -29,6 +30,7 @@
 use crate::gateway::ingress::io_watch::ServingGuard;
 use crate::gateway::ingress::io_watch::WatchedIo;
 use crate::gateway::ingress::plain;
+use crate::gateway::ingress::responding_body::RespondingBody;
 use crate::gateway::ingress::streams;
 use crate::gateway::observability::metrics::RequestOutcome;
 use crate::gateway::reply::Refusal;
@@ -146,17 +148,17 @@
     while tokio::time::timeout(CLOSE_TIMEOUT, connection.as_mut()).await.is_err() && activity.is_serving() {}
 }
 
-async fn handle(traffic: &Traffic, req: Request<Incoming>, activity: &Activity) -> Reply {
+async fn handle(traffic: &Traffic, req: Request<Incoming>, activity: &Activity) -> Response<RespondingBody> {
     let serving = activity.begin_serving();
     let open = traffic.shared.open();
-    let mut reply = match admit_and_serve(traffic, req, serving, open).await {
+    let mut reply = match admit_and_serve(traffic, req, serving.clone(), open).await {
         Ok(reply) => reply,
         Err(refused) => refused,
     };
     if traffic.shared.phase() >= Phase::Stopping {
         reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    reply
+    reply.map(|body| RespondingBody::new(body, serving))
 }
 
 async fn admit_and_serve(
@@ -182,6 +184,7 @@
         return Err(refuse(shared, &Subject::of(&req), stop::refusal(shared)));
     }
     traffic.on_request(&req.service);
+    serving.set_deadline(req.deadline());
     if req.route.repeat == Repeat::Stream {
         let subject = Subject::of(&req);
         return streams::serve(traffic, req, serving, open)
--- a/node/src/gateway/ingress/io_watch.rs
+++ b/node/src/gateway/ingress/io_watch.rs
@@ -34,6 +34,12 @@
     Head(Instant),
     /// A request is being served.
     Serving,
+    /// A response is being sent. The limit of idle connections counts from this time, the request's deadline or
+    /// the beginning of a late response.
+    Responding(Instant),
+    /// The connection has taken all of a response and sends the rest. The limit of idle connections counts from
+    /// this time.
+    Flushing(Instant),
 }
 
 /// Activity of one connection, shared with the requests on it.
@@ -57,15 +63,11 @@
         Activity(Rc::new(Cell::new(ConnectionState::Idle(Instant::now()))))
     }
 
-    /// Marks a request as being served until the guard is dropped.
+    /// Marks a request as being served, and then its response as being sent, until all guards are dropped.
     pub fn begin_serving(&self) -> ServingGuard {
         self.0.set(ConnectionState::Serving);
-        ServingGuard(self.clone())
-    }
-
-    /// Whether no request is arriving or being served.
-    pub fn is_idle(&self) -> bool {
-        matches!(self.0.get(), ConnectionState::Idle(_))
+        let serving = Serving { activity: self.clone(), deadline: Cell::new(Instant::now()) };
+        ServingGuard(Rc::new(serving))
     }
 
     /// Whether a request is being served.
@@ -78,7 +80,10 @@
     pub async fn wait_while_reading_head(&self) {
         let poll = |_: &mut Context<'_>| match self.0.get() {
             ConnectionState::Head(_) => Poll::Pending,
-            ConnectionState::Idle(_) | ConnectionState::Serving => Poll::Ready(()),
+            ConnectionState::Idle(_)
+            | ConnectionState::Serving
+            | ConnectionState::Responding(_)
+            | ConnectionState::Flushing(_) => Poll::Ready(()),
         };
         std::future::poll_fn(poll).await;
     }
@@ -123,24 +128,54 @@
     fn limit_deadline(&self, limits: &CallerLimits) -> Instant {
         match self.0.get() {
             ConnectionState::Serving => Instant::now() + SERVING_CHECK_INTERVAL,
-            ConnectionState::Idle(since) => since + limits.idle,
+            ConnectionState::Idle(since)
+            | ConnectionState::Responding(since)
+            | ConnectionState::Flushing(since) => since + limits.idle,
             ConnectionState::Head(since) => since + limits.head_within,
         }
     }
 
+    fn on_flushed(&self) {
+        if matches!(self.0.get(), ConnectionState::Flushing(_)) {
+            self.0.set(ConnectionState::Idle(Instant::now()));
+        }
+    }
+
     fn on_read(&self) {
-        if self.is_idle() {
+        if matches!(self.0.get(), ConnectionState::Idle(_) | ConnectionState::Flushing(_)) {
             self.0.set(ConnectionState::Head(Instant::now()));
         }
     }
 }
 
-/// Marks a request as being served until this is dropped.
-pub struct ServingGuard(Activity);
+/// A request that is being served.
+struct Serving {
+    activity: Activity,
+    /// Until when its caller waits; the time of its arrival while that is not known.
+    deadline: Cell<Instant>,
+}
 
-impl Drop for ServingGuard {
+impl Drop for Serving {
     fn drop(&mut self) {
-        self.0.0.set(ConnectionState::Idle(Instant::now()));
+        let flushing_since = Instant::now().max(self.deadline.get());
+        self.activity.0.set(ConnectionState::Flushing(flushing_since));
+    }
+}
+
+/// Marks a request as being served, and then its response as being sent, until this and its clones are dropped.
+#[derive(Clone)]
+pub struct ServingGuard(Rc<Serving>);
+
+impl ServingGuard {
+    /// Sets until when the caller waits for the response.
+    pub fn set_deadline(&self, deadline: Instant) {
+        self.0.deadline.set(deadline);
+    }
+
+    /// The response begins. The limit of idle connections counts from the deadline, if that is still to come.
+    pub fn begin_response(&self) {
+        let since = Instant::now().max(self.0.deadline.get());
+        self.0.activity.0.set(ConnectionState::Responding(since));
     }
 }
 
@@ -207,7 +242,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.activity.on_flushed();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/node/tests/test_gateway_paused_readers.rs
+++ b/node/tests/test_gateway_paused_readers.rs
@@ -39,6 +39,8 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(2);
 /// Bytes of a plain answer, which fit into the kernel's buffers.
 const ANSWER_BYTES: usize = 600_000;
+/// Bytes of a plain answer, which are more than the kernel buffers.
+const LARGE_ANSWER_BYTES: usize = 4_000_000;
 /// Events of a stream, and bytes of each.
 const EVENTS: u64 = 300;
 const EVENT_BYTES: usize = 600;
@@ -238,6 +240,15 @@
     assert!(cut.is_empty(), "{cut:#?}\n{}", gateway.logs());
 }
 
+/// Guards against answers that are cut off because the connection counts as idle while they are being sent.
+#[tokio::test]
+async fn test_a_connection_is_not_idle_while_an_answer_is_sent() {
+    let (gateway, _booking, _models) = fleet_with_node(LARGE_ANSWER_BYTES).await;
+    let pauses = vec![Pauses::once(READ_FIRST, IDLE_LIMIT * 3); 2];
+    let cut = incomplete(gateway.client_address(0), plain, pauses, LARGE_ANSWER_BYTES).await;
+    assert!(cut.is_empty(), "{cut:#?}\n{}", gateway.logs());
+}
+
 /// Starts two nodes, of which the first one reaches the engine through the second one. Streams are larger than what
 /// the kernel buffers on the way.
 async fn fleet_with_tunnel() -> (Gateway, RunningReplica, Vec<RunningReplica>, FaultyProxy) {
