tunnels: one that holds bytes of an answer is in use

Cause: a tunnel counts as unused in a stop if nothing was read from either side for half a second. While the other node does not read, because its caller does not, the node reads nothing from the engine, so that the tunnel was closed with the bytes that it held.

The change: a tunnel whose bytes of an answer have not been taken by the other node is in use. The bound of the stop limits the wait.

Left: bytes that the kernel has taken and not sent yet are still dropped if the tunnel counts as unused then.

Test: test_a_stop_of_another_node_does_not_cut_off_callers_that_pause. It failed on the code before (connections cut in the stop) and passes.

--- a/node/src/gateway/peers/tunnel_port.rs
+++ b/node/src/gateway/peers/tunnel_port.rs
@@ -174,22 +174,40 @@
 struct Activity {
     at: Cell<Instant>,
     awaits_answer: Cell<bool>,
+    /// Whether bytes of an answer wait for the other node, which may not read for some time.
+    holds_answer: Cell<bool>,
 }
 
 impl Default for Activity {
     fn default() -> Self {
-        Activity { at: Cell::new(Instant::now()), awaits_answer: Cell::new(false) }
+        Activity {
+            at: Cell::new(Instant::now()),
+            awaits_answer: Cell::new(false),
+            holds_answer: Cell::new(false),
+        }
     }
 }
 
 impl Activity {
-    fn on_bytes(&self, to_replica: bool) {
+    /// Bytes were received, and are about to be sent on.
+    fn begin_bytes(&self, to_replica: bool) {
         self.at.set(Instant::now());
         self.awaits_answer.set(to_replica);
+        if !to_replica {
+            self.holds_answer.set(true);
+        }
+    }
+
+    /// The received bytes were sent on.
+    fn end_bytes(&self, to_replica: bool) {
+        self.at.set(Instant::now());
+        if !to_replica {
+            self.holds_answer.set(false);
+        }
     }
 
     fn is_idle(&self) -> bool {
-        !self.awaits_answer.get() && self.at.get().elapsed() >= IDLE_TIME
+        !self.awaits_answer.get() && !self.holds_answer.get() && self.at.get().elapsed() >= IDLE_TIME
     }
 }
 
@@ -218,13 +236,13 @@
     let (mut from_client, mut to_client) = tokio::io::split(PatientStream::new(client));
     let (mut from_replica, mut to_replica) = tokio::io::split(PatientStream::new(upstream));
     let requests = async {
-        match copy(&mut from_client, &mut to_replica, || activity.on_bytes(true)).await {
+        match copy(&mut from_client, &mut to_replica, activity, true).await {
             // The replica may have answered before it closed: that answer is still carried.
             CopyEnd::ReceiverGone => std::future::pending().await,
             CopyEnd::Closed | CopyEnd::Broken => {}
         }
     };
-    let answers = copy(&mut from_replica, &mut to_client, || activity.on_bytes(false));
+    let answers = copy(&mut from_replica, &mut to_client, activity, false);
     let end = tokio::select! {
         () = requests => None,
         end = answers => Some(end),
@@ -237,17 +255,19 @@
 async fn copy(
     from: &mut ReadHalf<PatientStream>,
     to: &mut WriteHalf<PatientStream>,
-    on_bytes: impl Fn(),
+    activity: &Activity,
+    to_replica: bool,
 ) -> CopyEnd {
     let mut buf = vec![0; BUF_BYTES];
     loop {
         match from.read(&mut buf).await {
             Ok(0) => return CopyEnd::Closed,
             Ok(read) => {
-                on_bytes();
+                activity.begin_bytes(to_replica);
                 if to.write_all(&buf[..read]).await.is_err() {
                     return CopyEnd::ReceiverGone;
                 }
+                activity.end_bytes(to_replica);
             }
             Err(_) => return CopyEnd::Broken,
         }
--- a/node/tests/test_gateway_paused_readers.rs
+++ b/node/tests/test_gateway_paused_readers.rs
@@ -277,6 +277,22 @@
     assert!(cut.is_empty(), "{cut:#?}\n{}", gateway.logs());
 }
 
+/// Guards against a stopping node that takes a connection which it carries for unused while the other node does not
+/// read.
+#[tokio::test]
+async fn test_a_stop_of_another_node_does_not_cut_off_callers_that_pause() {
+    let (gateway, _booking, _models, _proxy) = fleet_with_tunnel().await;
+    let pauses = vec![Pauses::once(READ_FIRST, Duration::from_secs(6)); 2];
+    let bytes = EVENTS as usize * LARGE_EVENT_BYTES;
+    let callers = incomplete(gateway.client_address(0), stream, pauses, bytes);
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(3_500)).await;
+        gateway.signal(1, "-TERM");
+    };
+    let (cut, ()) = tokio::join!(callers, stop);
+    assert!(cut.is_empty(), "{cut:#?}\n{}", gateway.logs());
+}
+
 /// Serves one connection of a replica that reads the body of a request only after `delay`.
 async fn serve_late(stream: TcpStream, delay: Duration) -> io::Result<()> {
     let mut reader = BufReader::with_capacity(1 << 10, stream);
