callers' port: responses that did not reach their callers are reported

The change: when a caller's connection ends while a response is being sent, or breaks while bytes were found to be unacknowledged, response_cut names the request, and leadstage_gateway_cut_responses_total counts it.

Test: test_a_stream_that_its_caller_did_not_get_is_reported; it failed before, as there was neither the line nor the metric.

--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -95,9 +95,17 @@
     shared.table().map_or(DEFAULT_LIMITS, |table| table.limits)
 }
 
-/// Serves one connection until either side closes it or it exceeds a limit.
 async fn serve_connection(traffic: Traffic, stream: TcpStream) {
-    let activity = Activity::new();
+    let (shared, activity) = (traffic.shared.clone(), Activity::new());
+    drive_connection(traffic, stream, &activity).await;
+    if let Some(request) = activity.cut_response() {
+        info!(event = "response_cut", request = &*request; "the connection ended before its caller had the whole response");
+        shared.metrics.on_response_cut();
+    }
+}
+
+/// Serves one connection until either side closes it or it exceeds a limit.
+async fn drive_connection(traffic: Traffic, stream: TcpStream, activity: &Activity) {
     let ends_response = EndsResponse::default();
     let io = TokioIo::new(WatchedIo::new(stream, activity.clone(), ends_response.clone()));
     let shared = traffic.shared.clone();
@@ -149,9 +157,11 @@
 }
 
 async fn handle(traffic: &Traffic, req: Request<Incoming>, activity: &Activity) -> Response<RespondingBody> {
-    let serving = activity.begin_serving();
+    let id = leadstage_platform::headers::REQUEST_ID;
+    let id = req.headers().get(id).and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
+    let serving = activity.begin_serving(&id);
     let open = traffic.shared.open();
-    let mut reply = match admit_and_serve(traffic, req, serving.clone(), open).await {
+    let mut reply = match admit_and_serve(traffic, req, id, serving.clone(), open).await {
         Ok(reply) => reply,
         Err(refused) => refused,
     };
@@ -164,11 +174,10 @@
 async fn admit_and_serve(
     traffic: &Traffic,
     req: Request<Incoming>,
+    id: String,
     serving: ServingGuard,
     open: OpenGuard,
 ) -> Result<Reply, Reply> {
-    let id = leadstage_platform::headers::REQUEST_ID;
-    let id = req.headers().get(id).and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
     let shared = &traffic.shared;
     let admitted = tokio::select! {
         biased;
--- a/node/src/gateway/ingress/io_watch.rs
+++ b/node/src/gateway/ingress/io_watch.rs
@@ -2,6 +2,8 @@
 //! so that changed limits apply to open connections too.
 
 use std::cell::Cell;
+use std::cell::Ref;
+use std::cell::RefCell;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -44,7 +46,16 @@
 
 /// Activity of one connection, shared with the requests on it.
 #[derive(Clone, Debug)]
-pub struct Activity(Rc<Cell<ConnectionState>>);
+pub struct Activity(Rc<ConnectionActivity>);
+
+#[derive(Debug)]
+struct ConnectionActivity {
+    state: Cell<ConnectionState>,
+    /// Id of the latest request.
+    request: RefCell<String>,
+    /// Whether the connection broke before its caller had all of a response.
+    is_response_cut: Cell<bool>,
+}
 
 /// Whether the connection's end marks the end of a response, shared with the requests on it.
 #[derive(Clone, Debug, Default)]
@@ -60,25 +71,40 @@
 impl Activity {
     /// State of a connection that has just been accepted.
     pub fn new() -> Self {
-        Activity(Rc::new(Cell::new(ConnectionState::Idle(Instant::now()))))
+        Activity(Rc::new(ConnectionActivity {
+            state: Cell::new(ConnectionState::Idle(Instant::now())),
+            request: RefCell::default(),
+            is_response_cut: Cell::new(false),
+        }))
     }
 
     /// Marks a request as being served, and then its response as being sent, until all guards are dropped.
-    pub fn begin_serving(&self) -> ServingGuard {
-        self.0.set(ConnectionState::Serving);
+    pub fn begin_serving(&self, request: &str) -> ServingGuard {
+        request.clone_into(&mut self.0.request.borrow_mut());
+        self.0.state.set(ConnectionState::Serving);
         let serving = Serving { activity: self.clone(), deadline: Cell::new(Instant::now()) };
         ServingGuard(Rc::new(serving))
     }
 
     /// Whether a request is being served.
     pub fn is_serving(&self) -> bool {
-        matches!(self.0.get(), ConnectionState::Serving)
+        matches!(self.0.state.get(), ConnectionState::Serving)
+    }
+
+    /// The id of the latest request, if the connection has ended before its caller had all of the response.
+    pub fn cut_response(&self) -> Option<Ref<'_, str>> {
+        let is_cut = self.0.is_response_cut.get() || self.is_sending();
+        is_cut.then(|| Ref::map(self.0.request.borrow(), String::as_str))
+    }
+
+    fn is_sending(&self) -> bool {
+        matches!(self.0.state.get(), ConnectionState::Responding(_) | ConnectionState::Flushing(_))
     }
 
     /// Waits while the head of a request is arriving. The same task has to poll the connection, so that it
     /// is woken when the head is complete.
     pub async fn wait_while_reading_head(&self) {
-        let poll = |_: &mut Context<'_>| match self.0.get() {
+        let poll = |_: &mut Context<'_>| match self.0.state.get() {
             ConnectionState::Head(_) => Poll::Pending,
             ConnectionState::Idle(_)
             | ConnectionState::Serving
@@ -126,7 +152,7 @@
 
     /// When the connection exceeds a limit if nothing happens on it.
     fn limit_deadline(&self, limits: &CallerLimits) -> Instant {
-        match self.0.get() {
+        match self.0.state.get() {
             ConnectionState::Serving => Instant::now() + SERVING_CHECK_INTERVAL,
             ConnectionState::Idle(since)
             | ConnectionState::Responding(since)
@@ -136,14 +162,14 @@
     }
 
     fn on_flushed(&self) {
-        if matches!(self.0.get(), ConnectionState::Flushing(_)) {
-            self.0.set(ConnectionState::Idle(Instant::now()));
+        if matches!(self.0.state.get(), ConnectionState::Flushing(_)) {
+            self.0.state.set(ConnectionState::Idle(Instant::now()));
         }
     }
 
     fn on_read(&self) {
-        if matches!(self.0.get(), ConnectionState::Idle(_) | ConnectionState::Flushing(_)) {
-            self.0.set(ConnectionState::Head(Instant::now()));
+        if matches!(self.0.state.get(), ConnectionState::Idle(_) | ConnectionState::Flushing(_)) {
+            self.0.state.set(ConnectionState::Head(Instant::now()));
         }
     }
 }
@@ -158,7 +184,7 @@
 impl Drop for Serving {
     fn drop(&mut self) {
         let flushing_since = Instant::now().max(self.deadline.get());
-        self.activity.0.set(ConnectionState::Flushing(flushing_since));
+        self.activity.0.state.set(ConnectionState::Flushing(flushing_since));
     }
 }
 
@@ -175,7 +201,7 @@
     /// The response begins. The limit of idle connections counts from the deadline, if that is still to come.
     pub fn begin_response(&self) {
         let since = Instant::now().max(self.0.deadline.get());
-        self.0.activity.0.set(ConnectionState::Responding(since));
+        self.0.activity.0.state.set(ConnectionState::Responding(since));
     }
 }
 
@@ -202,6 +228,16 @@
         Ok(())
     }
 
+    /// Passes on a result of the connection, and records whether an error cuts off a response.
+    fn observe<T>(&self, polled: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if matches!(polled, Poll::Ready(Err(_)))
+            && (self.activity.is_sending() || self.stream.has_unacknowledged())
+        {
+            self.activity.0.is_response_cut.set(true);
+        }
+        polled
+    }
+
     fn before_write(&mut self) -> io::Result<()> {
         self.set_resets_on_close(self.ends_response.0.get())
     }
@@ -218,14 +254,15 @@
         if buf.filled().len() > before {
             self.activity.on_read();
         }
-        polled
+        self.observe(polled)
     }
 }
 
 impl AsyncWrite for WatchedIo {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.before_write()?;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.observe(polled)
     }
 
     fn poll_write_vectored(
@@ -234,7 +271,8 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.before_write()?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.observe(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -246,7 +284,7 @@
         if matches!(flushed, Poll::Ready(Ok(()))) {
             self.activity.on_flushed();
         }
-        flushed
+        self.observe(flushed)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/node/src/gateway/observability/metrics.rs
+++ b/node/src/gateway/observability/metrics.rs
@@ -64,6 +64,7 @@
     nodes: Gauge<u64>,
     broken_runs: Counter<u64>,
     endless_heads: Counter<u64>,
+    cut_responses: Counter<u64>,
     suspects: Gauge<u64>,
     quarantined: Gauge<u64>,
     limited: Gauge<u64>,
@@ -159,6 +160,10 @@
                 "leadstage.gateway.endless_heads",
                 "Attempts at replicas whose answer's head did not end",
             ),
+            cut_responses: counter(
+                "leadstage.gateway.cut_responses",
+                "Responses whose connection ended before the caller had all of them",
+            ),
             suspects: instruments
                 .gauge("leadstage.gateway.suspects", "Requests under which replicas ended lately"),
             quarantined: instruments
@@ -326,6 +331,11 @@
         self.endless_heads.add(1, &[]);
     }
 
+    /// Counts a response whose connection ended before its caller had acknowledged all of it.
+    pub fn on_response_cut(&self) {
+        self.cut_responses.add(1, &[]);
+    }
+
     /// Records the current values of the gauges.
     pub fn record_gauges(&self, levels: &GaugeValues) {
         self.waiting.record(levels.waiting as u64, &[]);
--- a/node/tests/test_gateway_paused_readers.rs
+++ b/node/tests/test_gateway_paused_readers.rs
@@ -371,6 +371,27 @@
     assert!(vanished.elapsed() < MAX_DETECTION_TIME, "{:?}\n{}", vanished.elapsed(), gateway.logs());
 }
 
+/// Guards against a stream that only counts as served although its caller did not get all of it: the kernel had
+/// taken the rest.
+#[tokio::test]
+async fn test_a_stream_that_its_caller_did_not_get_is_reported() {
+    let (gateway, _booking, _models) = fleet_with_node(1).await;
+    let mut stream = connect(&gateway.client_address(0)).await;
+    stream.write_all(self::stream("r-1").as_bytes()).await.expect("writable");
+    stream.read_exact(&mut vec![0; READ_FIRST]).await.expect("a stream");
+    let has_ended = async || gateway.log(0).contains("event=stream_end request=r-1");
+    gateway.until("the stream has ended", has_ended).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    // Bytes that were received are unread.
+    drop(stream);
+    let is_reported = async || gateway.log(0).contains("event=response_cut request=r-1");
+    gateway.until("the cut response is reported", is_reported).await;
+    let metrics = call(&gateway.metrics(0), request("GET", "/metrics", "", "")).await;
+    let is_counted =
+        |line: &str| line.starts_with("leadstage_gateway_cut_responses_total{") && line.ends_with(" 1");
+    assert!(metrics.body.lines().any(is_counted), "{}", metrics.body);
+}
+
 /// A stopping node hands the rest of an answer to a caller that pauses, also after it has ended, and does not wait
 /// for a caller that never reads.
 #[tokio::test]
