watchers: a node that asks again after a failure does not work yet

Cause: a watcher's pulses in such a time are Late (120 ms after each question) and Away (at 500 ms). Only Away counted as failing, so with each further question the three seemed to work again: the nodes of the next group, which had begun to read the store, stopped, and began anew at the next Away.

In the unit test, "Late" after "Away" left 0 others watching, where 3 are right.

The change: a node that the store did not answer counts as failing until the store answers it. A first Late still changes nothing.

--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -35,6 +35,9 @@
 /// Time after which a watcher that has no answer reports the store as [`StoreState::Away`]; a slow store takes a
 /// quarter of a second.
 pub const PULSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a watcher that has no answer reports the store as [`StoreState::Late`]. An answer usually takes
+/// about 4 ms, and a busy node some tens of milliseconds until it processes one.
+pub const PULSE_LATE_AFTER: Duration = Duration::from_millis(120);
 /// Age at which a pulse expires; two consecutive pulses may be lost.
 const PULSE_TTL: Duration = Duration::from_millis(2_000);
 /// How long after its last answer the store is considered answering.
@@ -149,6 +152,8 @@
     last_miss: Option<Timestamp>,
     /// When the store last did not answer a watcher at all.
     last_away: Option<Timestamp>,
+    /// The nodes that the store did not answer when they last asked it.
+    unanswered: BTreeSet<VmId>,
     /// The largest number of nodes that another node reported; this one may know fewer.
     reported_nodes: usize,
     /// Whether this node watches the store.
@@ -177,6 +182,7 @@
             last_answer: None,
             last_miss: None,
             last_away: None,
+            unanswered: BTreeSet::new(),
             reported_nodes: 0,
             watches: false,
             silent_since: None,
@@ -252,7 +258,7 @@
             return false;
         }
         self.pulses.insert(watcher.clone(), pulse);
-        self.record_state(pulse.state, pulse.at);
+        self.record_state(watcher, pulse.state, pulse.at);
         true
     }
 
@@ -261,15 +267,23 @@
         if state == StoreState::Answers {
             self.last_own_answer = Some(now);
         }
-        self.record_state(state, now);
+        let own = self.own.clone();
+        self.record_state(&own, state, now);
     }
 
-    fn record_state(&mut self, state: StoreState, at: Timestamp) {
+    /// Records what a node that asked the store reported at `at`.
+    fn record_state(&mut self, node: &VmId, state: StoreState, at: Timestamp) {
         let record = |last: &mut Option<Timestamp>| *last = (*last).max(Some(at));
         match state {
-            StoreState::Answers => record(&mut self.last_answer),
+            StoreState::Answers => {
+                self.unanswered.remove(node);
+                record(&mut self.last_answer);
+            }
             StoreState::Late => record(&mut self.last_miss),
-            StoreState::Away => [&mut self.last_miss, &mut self.last_away].into_iter().for_each(record),
+            StoreState::Away => {
+                self.unanswered.insert(node.clone());
+                [&mut self.last_miss, &mut self.last_away].into_iter().for_each(record);
+            }
         }
     }
 
@@ -348,7 +362,7 @@
     /// Whether enough other nodes watch the store, and a recent ranking did not select this node.
     fn has_enough_watchers(&self, now: Timestamp) -> bool {
         let is_recent = self.last_ranked.is_some_and(|at| at + RANK_INTERVAL > now);
-        let working = || self.fresh_pulses(now).filter(|(_, pulse)| pulse.state != StoreState::Away).count();
+        let working = || self.fresh_pulses(now).filter(|(node, _)| !self.unanswered.contains(*node)).count();
         let may_be_outdated = self.staleness(now) > PULSE_SILENCE;
         is_recent && !self.watches && !may_be_outdated && working() >= WATCHERS
     }
@@ -389,10 +403,10 @@
         rank < WATCHERS || (tries && !takes_over && none_answered())
     }
 
-    /// Whether a watcher is silent or reports that the store does not answer it.
+    /// Whether a watcher is silent, or the store has not answered it since it reported that.
     fn is_failing(&self, watcher: &VmId, now: Timestamp) -> bool {
         let pulse = self.pulses.get(watcher);
-        pulse.is_none_or(|pulse| pulse.state == StoreState::Away || self.has_expired(pulse, now))
+        self.unanswered.contains(watcher) || pulse.is_none_or(|pulse| self.has_expired(pulse, now))
     }
 
     fn has_expired(&self, pulse: &Pulse, now: Timestamp) -> bool {
--- a/lib/tests/test_gateway_watchers.rs
+++ b/lib/tests/test_gateway_watchers.rs
@@ -1,5 +1,6 @@
 //! Selection of the nodes that watch the store.
 
+use std::fmt::Write as _;
 use std::time::Duration;
 
 use leadstage_lib::gateway::watch_takeover::TakeoverSchedule;
@@ -285,3 +286,44 @@
     view.on_own_pulse(StoreState::Away, ms(5_000));
     assert!(view.is_store_away(ms(5_000)));
 }
+
+/// Guards against a node that stops watching whenever one that the store did not answer asks again: it must not
+/// count as working before it has an answer.
+#[test]
+fn test_a_watcher_that_asks_again_after_a_failure_is_not_working() {
+    let nodes = nodes(9);
+    let ms = |ms| NOW + Duration::from_millis(ms);
+    let first = watching(&nodes, &[(0, true), (1, true), (2, true)]);
+    let first = watching(&nodes, &first.iter().map(|n| (*n, true)).collect::<Vec<_>>());
+    let states = [
+        (ms(0), StoreState::Answers),
+        (ms(800), StoreState::Late),
+        (ms(1_200), StoreState::Away),
+        (ms(2_000), StoreState::Late),
+        (ms(2_400), StoreState::Away),
+        (ms(3_200), StoreState::Late),
+        (ms(3_300), StoreState::Answers),
+    ];
+    let mut watching = String::new();
+    let mut views: Vec<Watchers> = nodes.iter().map(|own| Watchers::new(own.clone(), schedule())).collect();
+    for (number, (at, state)) in (1..).zip(states) {
+        let watches = |(own, view): (&VmId, &mut Watchers)| {
+            for watcher in &first {
+                view.on_pulse(&nodes[*watcher], pulse(number, state, at));
+            }
+            view.role(nodes.iter().filter(|node| *node != own), |_| true, at).is_some()
+        };
+        let others = nodes.iter().zip(&mut views).enumerate().filter(|(n, _)| !first.contains(n));
+        let count = others.map(|(_, view)| view).filter_map(|view| watches(view).then_some(())).count();
+        writeln!(watching, "{state:?}: {count} others watch").unwrap();
+    }
+    insta::assert_snapshot!(watching, @r"
+    Answers: 0 others watch
+    Late: 0 others watch
+    Away: 3 others watch
+    Late: 3 others watch
+    Away: 3 others watch
+    Late: 3 others watch
+    Answers: 0 others watch
+    ");
+}
--- a/lib/tests/test_gateway_watchers_model.rs
+++ b/lib/tests/test_gateway_watchers_model.rs
@@ -11,6 +11,8 @@
 use leadstage_lib::gateway::catch_up_age::CatchUpAge;
 use leadstage_lib::gateway::watch_takeover::TakeoverSchedule;
 use leadstage_lib::gateway::watchers::PULSE_INTERVAL;
+use leadstage_lib::gateway::watchers::PULSE_LATE_AFTER;
+use leadstage_lib::gateway::watchers::PULSE_TIMEOUT;
 use leadstage_lib::gateway::watchers::Pulse;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
@@ -52,8 +54,12 @@
     cut: Option<(usize, Time, Time)>,
     /// This many nodes, counted from the last one, are refused by the store between these times.
     refused: Option<(usize, Time, Time)>,
+    /// The nodes that the store turns away from now on.
+    turned_away: BTreeSet<Node>,
     /// The store answers no node between these times.
     away: Option<(Time, Time)>,
+    /// Calls that the store doesn't answer are not refused but time out.
+    is_silent: bool,
     /// All nodes lose power at this time and start again a second later.
     power: Option<Time>,
     /// The seeds never start.
@@ -74,7 +80,34 @@
         let refuses =
             |(count, from, to): (usize, Time, Time)| node + count >= nodes && (from..to).contains(&now);
         let is_away = self.away.is_some_and(|(from, to)| (from..to).contains(&now));
-        !is_away && !self.cuts(node, now) && !self.refused.is_some_and(refuses)
+        let is_turned_away = self.turned_away.contains(&node);
+        !is_away && !self.cuts(node, now) && !is_turned_away && !self.refused.is_some_and(refuses)
+    }
+}
+
+/// A [`StoreState`] that can be ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Report {
+    Answers,
+    Late,
+    Away,
+}
+
+impl Report {
+    fn state(self) -> StoreState {
+        match self {
+            Report::Answers => StoreState::Answers,
+            Report::Late => StoreState::Late,
+            Report::Away => StoreState::Away,
+        }
+    }
+
+    fn of(state: StoreState) -> Report {
+        match state {
+            StoreState::Answers => Report::Answers,
+            StoreState::Late => Report::Late,
+            StoreState::Away => Report::Away,
+        }
     }
 }
 
@@ -92,7 +125,7 @@
     Pulse {
         watcher: Node,
         number: PulseNumber,
-        answers: bool,
+        report: Report,
         age: Duration,
     },
     /// The sender knows more changes of the store.
@@ -134,6 +167,13 @@
         incarnation: u32,
         term: u32,
     },
+    /// The watcher reports what it knows of its call.
+    Report {
+        node: Node,
+        incarnation: u32,
+        term: u32,
+        report: Report,
+    },
     Watch {
         node: Node,
         incarnation: u32,
@@ -325,6 +365,9 @@
             Event::Pulse { node, incarnation, term } if self.is_term(node, incarnation, term) => {
                 self.pulse(node)
             }
+            Event::Report { node, incarnation, term, report } if self.is_term(node, incarnation, term) => {
+                self.report(node, report)
+            }
             Event::Watch { node, incarnation, term } if self.is_term(node, incarnation, term) => {
                 self.watch(node)
             }
@@ -491,11 +534,10 @@
             }
             Message::Announcement => {}
             Message::Answer { nodes, known } => self.on_gossip(to, nodes, known),
-            Message::Pulse { watcher, number, answers, age } => {
-                let state = if answers { StoreState::Answers } else { StoreState::Away };
-                let pulse = Pulse { number, state, at: uptime.saturating_sub(age) };
+            Message::Pulse { watcher, number, report, age } => {
+                let pulse = Pulse { number, state: report.state(), at: uptime.saturating_sub(age) };
                 if self.states[to].watchers.on_pulse(&self.ids[watcher], pulse) {
-                    self.spread(to, FAN_OUT, &Message::Pulse { watcher, number, answers, age });
+                    self.spread(to, FAN_OUT, &Message::Pulse { watcher, number, report, age });
                 }
             }
         }
@@ -516,9 +558,8 @@
         let fresh: Vec<_> = fresh.map(|(id, pulse)| (id.clone(), pulse)).collect();
         for (id, Pulse { number, state, at }) in fresh {
             let watcher = self.ids.iter().position(|other| *other == id).expect("pulse is from a known node");
-            let answers = state == StoreState::Answers;
-            let age = uptime - at;
-            self.send(node, to, Message::Pulse { watcher, number, answers, age });
+            let (report, age) = (Report::of(state), uptime - at);
+            self.send(node, to, Message::Pulse { watcher, number, report, age });
         }
     }
 
@@ -526,14 +567,28 @@
         let (incarnation, term) = (self.states[node].incarnation, self.states[node].term);
         let answers = self.scenario.answers(self.ids.len(), node, self.now);
         self.call(node, "pulse");
+        let reported_at = if answers {
+            self.report(node, Report::Answers);
+            self.now
+        } else if self.scenario.is_silent {
+            let timed_out_at = self.now + PULSE_TIMEOUT;
+            for (at, report) in [(self.now + PULSE_LATE_AFTER, Report::Late), (timed_out_at, Report::Away)] {
+                self.push(at, Event::Report { node, incarnation, term, report });
+            }
+            timed_out_at
+        } else {
+            self.report(node, Report::Away);
+            self.now
+        };
+        self.push(reported_at + PULSE_INTERVAL, Event::Pulse { node, incarnation, term });
+    }
+
+    fn report(&mut self, node: Node, report: Report) {
         self.number += 1;
-        let number = self.number;
-        let state = if answers { StoreState::Answers } else { StoreState::Away };
-        let uptime = self.uptime(node);
-        self.states[node].watchers.on_own_pulse(state, uptime);
-        let message = Message::Pulse { watcher: node, number, answers, age: Duration::ZERO };
+        let (number, uptime) = (self.number, self.uptime(node));
+        self.states[node].watchers.on_own_pulse(report.state(), uptime);
+        let message = Message::Pulse { watcher: node, number, report, age: Duration::ZERO };
         self.spread(node, FIRST_FAN_OUT, &message);
-        self.push(self.now + PULSE_INTERVAL, Event::Pulse { node, incarnation, term });
     }
 
     /// Watches both kinds of objects: each watch runs into its timeout, or fails and is retried.
@@ -784,3 +839,52 @@
     }
     insta::assert_snapshot!(text);
 }
+
+/// Guards against nodes that begin to read the store, because it answers none of its watchers, and stop when one of
+/// these asks again: they began up to ten times in an outage, listed the store each time and never got to know
+/// whether it answers them.
+#[test]
+fn test_nodes_go_on_asking_a_store_that_answers_no_watcher() {
+    let mut text = String::new();
+    for nodes in [9, 62, 300] {
+        for (name, away) in [("calm", None), ("silent for 9 s", Some((s(10.0), s(19.0))))] {
+            let scenario = Scenario { is_silent: true, away, ..Scenario::default() };
+            let model = simulate(nodes, scenario, 1);
+            let counts = &model.counts;
+            writeln!(
+                text,
+                "{nodes} nodes, {name}: {} calls {:?}, {} began to follow, {} at once at most",
+                model.calls(),
+                counts.calls,
+                counts.became_watcher,
+                counts.max_watching
+            )
+            .unwrap();
+        }
+    }
+    insta::assert_snapshot!(text, @r#"
+    9 nodes, calm: 118 calls {"list": 6, "pulse": 88, "watch": 24}, 3 began to follow, 3 at once at most
+    9 nodes, silent for 9 s: 234 calls {"list": 30, "pulse": 102, "watch": 102}, 15 began to follow, 8 at once at most
+    62 nodes, calm: 123 calls {"list": 8, "pulse": 89, "watch": 26}, 4 began to follow, 4 at once at most
+    62 nodes, silent for 9 s: 300 calls {"list": 58, "pulse": 114, "watch": 128}, 29 began to follow, 10 at once at most
+    300 nodes, calm: 156 calls {"list": 18, "pulse": 100, "watch": 38}, 9 began to follow, 5 at once at most
+    300 nodes, silent for 9 s: 394 calls {"list": 96, "pulse": 136, "watch": 162}, 48 began to follow, 11 at once at most
+    "#);
+}
+
+/// While the store turns its watchers away, silently, the others know its changes in time.
+#[test]
+fn test_a_store_that_turns_its_watchers_away_is_read_in_time() {
+    for nodes in [3, 4, 9, 24, 62] {
+        for seed in 0..10 {
+            let scenario = Scenario { is_silent: true, ..Scenario::default() };
+            let mut model = Model::new(nodes, scenario, schedule(nodes), seed);
+            model.run(s(10.0));
+            model.scenario.turned_away = model.watching();
+            model.push(s(10.0) + s(0.1) * seed as u32, Event::Change);
+            model.run(s(19.0));
+            let staleness = model.counts.max_staleness;
+            assert!(staleness < bound_and_link(nodes).0, "{nodes} nodes, seed {seed}: {staleness:?}");
+        }
+    }
+}
--- a/node/src/gateway/control/store_watcher.rs
+++ b/node/src/gateway/control/store_watcher.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use leadstage_lib::gateway::watchers::PULSE_INTERVAL;
+use leadstage_lib::gateway::watchers::PULSE_LATE_AFTER;
 use leadstage_lib::gateway::watchers::PULSE_TIMEOUT;
 use leadstage_lib::gateway::watchers::PulseNumber;
 use leadstage_lib::gateway::watchers::StoreState;
@@ -32,9 +33,6 @@
 use crate::gateway::shared::Shared;
 use crate::shared::unix_millis;
 
-/// Time without an answer after which the store is considered late. An answer usually takes about 4 ms, and
-/// a busy node some tens of milliseconds until it processes one.
-const PULSE_LATE_AFTER: Duration = Duration::from_millis(120);
 /// Fraction of the interval by which pulses are sent earlier or later at random, so that those of the three
 /// watchers spread over it: the first watcher that misses an answer warns all nodes.
 const PULSE_JITTER: f64 = 0.3;
