replicas: a list does not restart the grace for entries that are missing

Cause: an entry that is missing while the store may have been unavailable is kept for 2 s. A removal that a watch reports counts from the store's last disturbance, but a list counted from its own read. So each node that began to read the store kept the entry for 2 s more.

The change: lists count from the disturbance as well; only a reader that was itself without answers, and knows of no disturbance elsewhere, counts from its read.

The test failed before: of two lists, read 0.5 and 1.9 s after the disturbance, the entry was still kept 2.001 s after it. The signature of on_list has changed with it, so calls of other tests pass None for false and Some(now) for true.

--- a/lib/benches/decision.rs
+++ b/lib/benches/decision.rs
@@ -86,7 +86,7 @@
     };
     let policy = Policy { admit_by_peak, ..Policy::default() };
     let mut table = ReplicaTable::new(policy);
-    table.on_list((0..engines).map(record).collect(), false, Duration::ZERO);
+    table.on_list((0..engines).map(record).collect(), None, Duration::ZERO);
     let mut tracker = LoadTracker::new(policy);
     let size = GenerationSize { prompt: 2_000, expected: 700 };
     for run in 0..generations {
--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -293,12 +293,17 @@
 
     /// This node no longer follows the store; the nodes that do report entries that stay missing.
     pub fn forget_missing(&mut self) {
-        let missing: Vec<UpstreamId> = self.missing.keys().cloned().collect();
+        let missing: Vec<UpstreamId> = self.missing().cloned().collect();
         for id in missing {
             self.update(&id, |replica| replica.missing_since = None);
         }
     }
 
+    /// The replicas whose entries are missing.
+    pub fn missing(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.missing.keys()
+    }
+
     /// Treats replicas as gone whose entries stayed missing, and forgets replicas that left long ago.
     pub fn tick(&mut self, now: Timestamp, forget_after: Duration) -> ListChange {
         let mut change = ListChange::default();
--- a/lib/src/gateway/replicas/reports.rs
+++ b/lib/src/gateway/replicas/reports.rs
@@ -89,14 +89,14 @@
     }
 
     /// A whole list was read that is newer than all that is known. Replicas that it lacks are gone at once, or
-    /// after [`RELIST_GRACE`] if their entries may have expired because the store was unavailable.
+    /// [`RELIST_GRACE`] after `missing_since` if their entries may have expired because the store was unavailable.
     pub fn on_list(
         &mut self,
         records: Vec<ReplicaRecord>,
-        may_have_expired: bool,
+        missing_since: Option<Timestamp>,
         now: Timestamp,
     ) -> ListChange {
-        self.on_list_at(records, 0, may_have_expired, now)
+        self.on_list_at(records, 0, missing_since, now)
     }
 
     /// A whole list was read at the store's revision `at`, with the consequences of [`Self::on_list`] for
@@ -105,7 +105,7 @@
         &mut self,
         records: Vec<ReplicaRecord>,
         at: Revision,
-        may_have_expired: bool,
+        missing_since: Option<Timestamp>,
         now: Timestamp,
     ) -> ListChange {
         let mut change = ListChange::default();
@@ -119,11 +119,12 @@
             self.iter().filter(is_missing).map(|replica| replica.record.id.clone()).collect();
         missing.sort_unstable();
         for id in missing {
-            if may_have_expired {
-                self.on_missing(&id, now);
-                self.confirm(&id, at);
-            } else {
-                self.on_unlisted(&id, now, &mut change);
+            match missing_since {
+                Some(since) => {
+                    self.on_missing(&id, since);
+                    self.confirm(&id, at);
+                }
+                None => self.on_unlisted(&id, now, &mut change),
             }
         }
         change
@@ -140,7 +141,7 @@
         mut records: Vec<ReplicaRecord>,
         at: Revision,
         known: Revision,
-        may_have_expired: bool,
+        missing_since: Option<Timestamp>,
         now: Timestamp,
     ) -> ListChange {
         let listed = records.len();
@@ -153,7 +154,7 @@
             None => at >= known && !self.early_departures.is_before_copy(&record.incarnation(), at),
         });
         let ignored = listed - records.len();
-        let mut change = self.on_list_at(records, at, may_have_expired, now);
+        let mut change = self.on_list_at(records, at, missing_since, now);
         change.outdated += ignored;
         change
     }
@@ -194,7 +195,7 @@
             .map(|AtRevision { at, item }| ((item.id.clone(), at), self.without_stale_cold(item)))
             .unzip();
         let mut change = if list.is_whole {
-            self.on_list_at(records, at, true, now)
+            self.on_list_at(records, at, Some(now), now)
         } else {
             let mut change = ListChange::default();
             records.into_iter().for_each(|record| self.on_entry_at(record, at, now, &mut change));
--- a/lib/tests/test_gateway_decaying_mean.rs
+++ b/lib/tests/test_gateway_decaying_mean.rs
@@ -25,7 +25,7 @@
     let mut table = ReplicaTable::default();
     let mut record = record(id, false);
     record.cold = cold;
-    table.on_list(vec![record], false, NOW);
+    table.on_list(vec![record], None, NOW);
     table.get(id).expect("the engine is listed").clone()
 }
 
--- a/lib/tests/test_gateway_full_engines.rs
+++ b/lib/tests/test_gateway_full_engines.rs
@@ -145,7 +145,7 @@
     fn new(lead: Lead, load: f64, seed: u64) -> Self {
         let mut table = ReplicaTable::default();
         let records = (0..ENGINES).map(|n| record(&format!("e{n:02}"), false));
-        table.on_list(records.collect(), false, Duration::ZERO);
+        table.on_list(records.collect(), None, Duration::ZERO);
         let mut model = Model {
             lead,
             load,
--- a/lib/tests/test_gateway_load.rs
+++ b/lib/tests/test_gateway_load.rs
@@ -47,7 +47,7 @@
         record.hall = (*hall).into();
         record
     });
-    table.on_list(records.collect(), false, Duration::ZERO);
+    table.on_list(records.collect(), None, Duration::ZERO);
     table
 }
 
--- a/lib/tests/test_gateway_replica_index.rs
+++ b/lib/tests/test_gateway_replica_index.rs
@@ -34,7 +34,7 @@
 
 fn table(replicas: usize) -> ReplicaTable {
     let mut table = ReplicaTable::default();
-    table.on_list((0..replicas).map(|n| record(n, false)).collect(), false, Duration::ZERO);
+    table.on_list((0..replicas).map(|n| record(n, false)).collect(), None, Duration::ZERO);
     table
 }
 
--- a/lib/tests/test_gateway_replica_news.rs
+++ b/lib/tests/test_gateway_replica_news.rs
@@ -42,7 +42,8 @@
 
     /// The store's list; `may_have_expired` as in a list after an outage or at a start.
     fn on_store_list(&mut self, entries: Vec<ReplicaRecord>, at: Revision, may_have_expired: bool) {
-        let change = self.table.on_store_list(entries, at, self.known(), may_have_expired, NOW);
+        let change =
+            self.table.on_store_list(entries, at, self.known(), may_have_expired.then_some(NOW), NOW);
         self.progress.on_known(at);
         self.record(&change, at);
     }
@@ -244,7 +245,7 @@
 fn test_a_current_list_removes_what_it_lacks() {
     let mut node = Node::default();
     node.on_store_list(vec![ready("a"), ready("b")], 11, false);
-    let change = node.table.on_list(vec![ready("a")], false, NOW);
+    let change = node.table.on_list(vec![ready("a")], None, NOW);
     assert_eq!((change.leaving, node.staying()), (vec!["b".into()], ids(["a"])));
 }
 
--- a/lib/tests/test_gateway_replica_ramp.rs
+++ b/lib/tests/test_gateway_replica_ramp.rs
@@ -147,7 +147,7 @@
         let first = usize::from(case.starts());
         let node = |_| {
             let mut table = ReplicaTable::new(policy);
-            table.on_list((first..REPLICAS).map(entry).collect(), false, Duration::ZERO);
+            table.on_list((first..REPLICAS).map(entry).collect(), None, Duration::ZERO);
             Node { table, load: LoadTracker::new(policy), ramps: ReplicaRamps::new(policy) }
         };
         let mut model = Model {
@@ -452,7 +452,7 @@
 /// A table with replicas `r-0` and `r-1`.
 fn two_replicas() -> ReplicaTable {
     let mut table = ReplicaTable::default();
-    table.on_list(vec![entry(0), entry(1)], false, Duration::ZERO);
+    table.on_list(vec![entry(0), entry(1)], None, Duration::ZERO);
     table
 }
 
--- a/lib/tests/test_gateway_replica_updates.rs
+++ b/lib/tests/test_gateway_replica_updates.rs
@@ -210,7 +210,7 @@
 #[test]
 fn test_lists_are_small_and_survive_encoding() {
     let mut table = ReplicaTable::default();
-    table.on_list((0..10_000).map(long_record).collect(), false, Duration::ZERO);
+    table.on_list((0..10_000).map(long_record).collect(), None, Duration::ZERO);
     let list = table.since(5, 0);
     let packed = list.pack().expect("it is packed");
     assert!(packed.len() < 10_000 * 20, "{} bytes", packed.len());
@@ -227,7 +227,7 @@
     let err = ReplicaList::unpack(&packed).expect_err("it is too large");
     assert!(err.to_string().starts_with("not unpacked"), "{err}");
     let mut table = ReplicaTable::default();
-    table.on_list((0..20_000).map(long_record).collect(), false, Duration::ZERO);
+    table.on_list((0..20_000).map(long_record).collect(), None, Duration::ZERO);
     let list = table.since(5, 0);
     let packed = list.pack().expect("it is packed");
     assert_eq!(ReplicaList::unpack(&packed).expect("it is unpacked"), list);
--- a/lib/tests/test_gateway_replicas.rs
+++ b/lib/tests/test_gateway_replicas.rs
@@ -38,7 +38,7 @@
 #[test]
 fn test_announced_or_unlisted_replicas_are_leaving() {
     let mut table = ReplicaTable::default();
-    let change = table.on_list(vec![record("a", false), record("b", false)], false, seconds(1));
+    let change = table.on_list(vec![record("a", false), record("b", false)], None, seconds(1));
     assert_eq!(change.added.len(), 2);
     let mut change = ListChange::default();
     table.on_entry(record("a", true), seconds(2), &mut change);
@@ -53,8 +53,8 @@
 #[test]
 fn test_expired_entries_get_a_grace_period() {
     let mut table = ReplicaTable::default();
-    table.on_list(vec![record("a", false), record("b", false)], false, seconds(1));
-    let change = table.on_list(vec![], true, seconds(10));
+    table.on_list(vec![record("a", false), record("b", false)], None, seconds(1));
+    let change = table.on_list(vec![], Some(seconds(10)), seconds(10));
     assert_eq!(change, ListChange::default());
     assert_eq!(usable(&table, seconds(10)).len(), 2);
     table.on_entry(record("a", false), seconds(11), &mut ListChange::default());
@@ -68,7 +68,7 @@
 #[test]
 fn test_grace_period_counts_from_the_first_absence() {
     let mut table = ReplicaTable::default();
-    table.on_list(vec![record("a", false)], false, seconds(1));
+    table.on_list(vec![record("a", false)], None, seconds(1));
     table.on_missing("a", seconds(10));
     table.on_missing("a", seconds(11));
     assert_eq!(usable(&table, seconds(11)), ["a"]);
@@ -78,7 +78,7 @@
 #[test]
 fn test_an_entry_revokes_only_indirect_signs() {
     let mut table = ReplicaTable::default();
-    table.on_list(vec![record("a", false), record("b", false)], false, seconds(1));
+    table.on_list(vec![record("a", false), record("b", false)], None, seconds(1));
     assert!(table.on_sign(&record("a", false).incarnation(), LeavingSign::ReportedByPeer, seconds(2)));
     assert!(
         !table.on_sign(&record("a", false).incarnation(), LeavingSign::Unhealthy, seconds(2)),
@@ -96,7 +96,7 @@
 #[test]
 fn test_no_entry_revokes_an_announcement() {
     let mut table = ReplicaTable::default();
-    table.on_list(vec![record("a", false), record("b", false)], false, seconds(1));
+    table.on_list(vec![record("a", false), record("b", false)], None, seconds(1));
     let of = |id| record(id, false).incarnation();
     assert!(table.on_sign(&of("a"), LeavingSign::Announced, seconds(2)));
     assert!(!table.on_sign(&of("a"), LeavingSign::Announced, seconds(2)), "not recorded again");
@@ -114,7 +114,7 @@
 #[test]
 fn test_announced_replica_is_kept_while_it_may_serve() {
     let mut table = ReplicaTable::default();
-    table.on_list(vec![record("a", false), record("b", false)], false, seconds(1));
+    table.on_list(vec![record("a", false), record("b", false)], None, seconds(1));
     for id in ["a", "b"] {
         table.on_sign(&record(id, false).incarnation(), LeavingSign::Announced, seconds(2));
     }
@@ -131,7 +131,7 @@
 #[test]
 fn test_backoff_grows_with_consecutive_failures() {
     let mut table = ReplicaTable::default();
-    table.on_list(vec![record("a", false)], false, seconds(1));
+    table.on_list(vec![record("a", false)], None, seconds(1));
     table.on_failure("a", seconds(1));
     assert_eq!(usable(&table, seconds(1)), Vec::<String>::new());
     assert_eq!(usable(&table, seconds(2)), ["a"]);
@@ -146,7 +146,7 @@
 #[test]
 fn test_replicas_that_left_are_forgotten() {
     let mut table = ReplicaTable::default();
-    table.on_list(vec![record("a", false)], false, seconds(1));
+    table.on_list(vec![record("a", false)], None, seconds(1));
     table.on_unlisted("a", seconds(2), &mut ListChange::default());
     table.tick(seconds(20), seconds(30));
     assert!(table.get("a").is_some());
@@ -170,7 +170,7 @@
 #[test]
 fn test_error_share_decays() {
     let mut table = ReplicaTable::default();
-    table.on_list(vec![record("a", false)], false, seconds(1));
+    table.on_list(vec![record("a", false)], None, seconds(1));
     let error_share = |table: &ReplicaTable, now| table.get("a").expect("known").error_share(now);
     for _ in 0..20 {
         table.on_answer("a", true, seconds(2));
@@ -191,7 +191,7 @@
     for reported in [10 * second, 11 * second, 12 * second - Duration::from_millis(1)] {
         let since = outages.missing_since(reported).expect("it may have expired");
         let mut table = ReplicaTable::default();
-        table.on_list(vec![record("r", false)], false, Duration::ZERO);
+        table.on_list(vec![record("r", false)], None, Duration::ZERO);
         table.on_missing("r", since);
         assert!(table.tick(12 * second, 60 * second).leaving.is_empty());
         let gone = table.tick(12 * second + Duration::from_millis(1), 60 * second).leaving;
@@ -199,3 +199,19 @@
     }
     assert_eq!(outages.missing_since(12 * second), None, "live replicas are listed again by then");
 }
+
+/// Guards against a grace period that each new reader of the store starts again with its list.
+#[test]
+fn test_lists_do_not_extend_the_grace_period() {
+    let second = Duration::from_secs(1);
+    let mut outages = StoreOutages::default();
+    outages.on_store_unavailable(10 * second);
+    let mut table = ReplicaTable::default();
+    table.on_list(vec![record("a", false), record("b", false)], None, Duration::ZERO);
+    for read in [10 * second + Duration::from_millis(500), 11 * second + Duration::from_millis(900)] {
+        table.on_list(vec![record("a", false)], outages.missing_since(read), read);
+        assert!(table.missing().map(|id| &**id).eq(["b"]), "read at {read:?}");
+        assert_eq!(usable(&table, read), ["a", "b"], "read at {read:?}");
+    }
+    assert_eq!(table.tick(12 * second + Duration::from_millis(1), 60 * second).leaving, ["b".into()]);
+}
--- a/lib/tests/test_gateway_revision.rs
+++ b/lib/tests/test_gateway_revision.rs
@@ -58,7 +58,7 @@
 fn test_list_of_a_restored_store_revives_no_ended_replica() {
     let mut table = ReplicaTable::default();
     let all = || ["a", "b", "c", "d"].map(|id| record(id, false)).to_vec();
-    table.on_list(all(), false, SECOND);
+    table.on_list(all(), None, SECOND);
     let mut gone = ListChange::default();
     table.on_unlisted("a", SECOND, &mut gone);
     table.on_missing("b", Duration::ZERO);
@@ -74,7 +74,7 @@
         ids
     };
     let at = revision::in_era(1, 5);
-    let change = table.on_store_list(all(), at, revision::in_era(0, 90), true, 4 * SECOND);
+    let change = table.on_store_list(all(), at, revision::in_era(0, 90), Some(4 * SECOND), 4 * SECOND);
     assert_eq!((change.added, staying(&table)), (vec!["b".into()], vec!["b".to_owned(), "d".to_owned()]));
     let mut change = ListChange::default();
     table.on_entry(record("a", false), 5 * SECOND, &mut change);
@@ -85,10 +85,10 @@
 #[test]
 fn test_list_of_the_same_era_revives_a_replica() {
     let mut table = ReplicaTable::default();
-    table.on_list(vec![record("a", false)], false, SECOND);
+    table.on_list(vec![record("a", false)], None, SECOND);
     table.on_unlisted("a", SECOND, &mut ListChange::default());
     table.set_changed_at(&change("a"), revision::in_era(1, 4));
     let (at, known) = (revision::in_era(1, 5), revision::in_era(1, 4));
-    let change = table.on_store_list(vec![record("a", false)], at, known, false, 2 * SECOND);
+    let change = table.on_store_list(vec![record("a", false)], at, known, None, 2 * SECOND);
     assert_eq!(change.added, ["a".into()]);
 }
--- a/lib/tests/test_gateway_uneven_engines.rs
+++ b/lib/tests/test_gateway_uneven_engines.rs
@@ -57,7 +57,7 @@
     /// second; in one of eight seconds they were 2.5 times slower.
     fn observed(policy: Policy, engines: &[(&str, f64)]) -> Fleet {
         let mut table = ReplicaTable::default();
-        table.on_list(engines.iter().map(|(id, _)| record(id, false)).collect(), false, Duration::ZERO);
+        table.on_list(engines.iter().map(|(id, _)| record(id, false)).collect(), None, Duration::ZERO);
         let mut fleet = Fleet { table, tracker: LoadTracker::new(policy), last_run: 0 };
         let streams: Vec<RunId> = engines.iter().map(|(id, _)| fleet.add(id, LONG, 4, None)).collect();
         for second in 1..=OBSERVED.as_secs() {
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -257,8 +257,8 @@
                 self.check_era(at);
                 // The store knows best which changes there are.
                 self.newest_elsewhere = at;
-                let may_have_expired = after_outage || self.outages.missing_since(now).is_some();
-                placing.state.replicas.on_store_list(list.items, at, before, may_have_expired, now)
+                let missing_since = self.outages.missing_since(now).or(after_outage.then_some(now));
+                placing.state.replicas.on_store_list(list.items, at, before, missing_since, now)
             }
             StoreUpdate::Changed(changes) => self.on_changes(placing, changes),
         };
