watchers: a store that turns its watchers away is not down

Cause: `Away` of a watcher says that the store does not answer this node. As soon as the last answer was 1.3 s old, all nodes took it for an outage, and an entry that went in the gap until another node read the store counted as one that may only have expired: its replica was kept for 2 s after that.

Evidence: test_gateway_refused_watchers, nine nodes with a proxy each between them and the store: the time until the other nodes know a departure is either below 1 s (another node was about to read) or 2.0 to 3 s, with `replica_missing` and "not listed again" in the logs of the second kind.

The change: if the store answers another node while it answered none of those that asked, these ask again 120 ms later, and if a question fails that was asked after that answer, and the store has not answered any node again that it did not answer, there was no outage: entries that are missing are gone. After a true outage the first question of each of those is answered, so the grace stays, also for what lapsed before and for a store that was restored from a copy. The calls: one stale read for each such node and return of the store.

Ruled out: no or a shorter grace (replicas whose entries lapse in an outage would be lost), the number of missing entries, waiting for the next pulse.

The second test, outages for all, also of a store that turns nodes away when it comes back, passed before and passes now.

--- a/lib/src/gateway/replicas.rs
+++ b/lib/src/gateway/replicas.rs
@@ -304,6 +304,14 @@
         self.missing.keys()
     }
 
+    /// Treats the replicas as gone whose entries are missing: none of them has only expired.
+    pub fn end_missing(&mut self, now: Timestamp) -> ListChange {
+        let mut change = ListChange::default();
+        let missing: Vec<UpstreamId> = self.missing().cloned().collect();
+        missing.iter().for_each(|id| self.on_unlisted(id, now, &mut change));
+        change
+    }
+
     /// Treats replicas as gone whose entries stayed missing, and forgets replicas that left long ago.
     pub fn tick(&mut self, now: Timestamp, forget_after: Duration) -> ListChange {
         let mut change = ListChange::default();
--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -152,8 +152,14 @@
     last_miss: Option<Timestamp>,
     /// When the store last did not answer a watcher at all.
     last_away: Option<Timestamp>,
+    /// When the store answered a node after it had answered none for a while.
+    answering_since: Option<Timestamp>,
     /// The nodes that the store did not answer when they last asked it.
     unanswered: BTreeSet<VmId>,
+    /// When the store last answered a node that it had not answered before.
+    last_regained: Option<Timestamp>,
+    /// When a call failed that a node made after the store had answered another one.
+    last_refused: Option<Timestamp>,
     /// The largest number of nodes that another node reported; this one may know fewer.
     reported_nodes: usize,
     /// Whether this node watches the store.
@@ -182,7 +188,10 @@
             last_answer: None,
             last_miss: None,
             last_away: None,
+            answering_since: None,
             unanswered: BTreeSet::new(),
+            last_regained: None,
+            last_refused: None,
             reported_nodes: 0,
             watches: false,
             silent_since: None,
@@ -210,6 +219,9 @@
             &mut self.last_answer,
             &mut self.last_miss,
             &mut self.last_away,
+            &mut self.answering_since,
+            &mut self.last_regained,
+            &mut self.last_refused,
             &mut self.last_own_answer,
             &mut self.last_left,
             &mut self.silent_since,
@@ -257,8 +269,12 @@
         if *watcher == self.own || known.is_some_and(|known| known.number >= pulse.number) {
             return false;
         }
+        // A watcher reports that an answer is late before it gives up.
+        let failed_at_once =
+            known.is_some_and(|known| known.number + 1 == pulse.number && known.state != StoreState::Late);
+        let max_call_time = if failed_at_once { PULSE_LATE_AFTER } else { PULSE_TIMEOUT };
         self.pulses.insert(watcher.clone(), pulse);
-        self.record_state(watcher, pulse.state, pulse.at);
+        self.record_state(watcher, pulse.state, pulse.at, max_call_time);
         true
     }
 
@@ -268,20 +284,33 @@
             self.last_own_answer = Some(now);
         }
         let own = self.own.clone();
-        self.record_state(&own, state, now);
+        self.record_state(&own, state, now, PULSE_TIMEOUT);
     }
 
-    /// Records what a node that asked the store reported at `at`.
-    fn record_state(&mut self, node: &VmId, state: StoreState, at: Timestamp) {
+    /// The store answered this node after a call that failed.
+    pub fn on_own_regained(&mut self, now: Timestamp) {
+        self.last_regained = Some(now);
+    }
+
+    /// Records what a node that asked the store reported at `at`, at most `max_call_time` after it had asked.
+    fn record_state(&mut self, node: &VmId, state: StoreState, at: Timestamp, max_call_time: Duration) {
         let record = |last: &mut Option<Timestamp>| *last = (*last).max(Some(at));
         match state {
             StoreState::Answers => {
-                self.unanswered.remove(node);
+                if !self.store_answers(at) {
+                    self.answering_since = Some(at);
+                }
+                if self.unanswered.remove(node) {
+                    record(&mut self.last_regained);
+                }
                 record(&mut self.last_answer);
             }
             StoreState::Late => record(&mut self.last_miss),
             StoreState::Away => {
                 self.unanswered.insert(node.clone());
+                if self.answering_since.is_some_and(|since| since + max_call_time <= at) {
+                    record(&mut self.last_refused);
+                }
                 [&mut self.last_miss, &mut self.last_away].into_iter().for_each(record);
             }
         }
@@ -312,13 +341,37 @@
         now.saturating_sub(self.last_answer.unwrap_or_default())
     }
 
-    /// Whether the store answers no node, according to a node that asked it. Silence of all watchers says nothing
-    /// of the store: they may have ended.
+    /// Whether the store seems to answer no node, according to a node that asked it. It may also turn away just the
+    /// nodes that ask, see [`Self::is_store_partly_away`]. Silence of all watchers says nothing of the store: they may
+    /// have ended.
     pub fn is_store_away(&self, now: Timestamp) -> bool {
         let is_away = |away: Timestamp| self.last_answer.is_none_or(|answer| answer < away);
         !self.store_answers(now) && self.last_away.is_some_and(is_away)
     }
 
+    /// Whether the store answers some nodes and turns others away, and did so when it seemed to be away: a call
+    /// failed that was made after the store had answered another node, and it has answered no node since that it had
+    /// not answered before.
+    pub fn is_store_partly_away(&self, now: Timestamp) -> bool {
+        let is_refused = self.has_answered_since(self.last_refused);
+        self.store_answers(now) && is_refused && !self.has_answered_since(self.last_regained)
+    }
+
+    /// Whether the store has answered some nodes ever since `at`.
+    fn has_answered_since(&self, at: Option<Timestamp>) -> bool {
+        at.is_some_and(|at| self.answering_since.is_some_and(|since| since <= at))
+    }
+
+    /// When the store answered a node after it had answered none for a while.
+    pub fn answering_since(&self) -> Option<Timestamp> {
+        self.answering_since
+    }
+
+    /// Whether the store did not answer this node when it last asked.
+    pub fn is_own_unanswered(&self) -> bool {
+        self.unanswered.contains(&self.own)
+    }
+
     /// Whether the store may be away: a watcher did not get an answer in time, and none has had one since.
     /// This becomes true about a second before [`Self::store_answers`] becomes false.
     pub fn store_may_be_down(&self, now: Timestamp) -> bool {
--- a/lib/tests/test_gateway_replicas.rs
+++ b/lib/tests/test_gateway_replicas.rs
@@ -215,3 +215,26 @@
     }
     assert_eq!(table.tick(12 * second + Duration::from_millis(1), 60 * second).leaving, ["b".into()]);
 }
+
+/// If the store answered other nodes in what seemed to be an outage, entries that were missing have been removed; a
+/// store that was restored from a copy may lack entries all the same.
+#[test]
+fn test_missing_replicas_are_gone_once_an_outage_is_refuted() {
+    let second = Duration::from_secs(1);
+    let mut outages = StoreOutages::default();
+    assert!(!outages.on_refuted(9 * second), "there was no outage");
+    outages.on_store_unavailable(10 * second);
+    let mut table = ReplicaTable::default();
+    table.on_list(vec![record("a", false), record("b", false)], None, Duration::ZERO);
+    table.on_missing("a", outages.missing_since(11 * second).expect("it may have expired"));
+    assert!(outages.on_refuted(11 * second));
+    assert_eq!(table.end_missing(11 * second).leaving, ["a".into()]);
+    assert_eq!(usable(&table, 11 * second), ["b"]);
+    assert_eq!(outages.missing_since(11 * second), None);
+    assert!(!outages.on_refuted(11 * second), "it was refuted before");
+
+    outages.on_store_restored(20 * second);
+    outages.on_store_unavailable(20 * second);
+    assert!(!outages.on_refuted(21 * second));
+    assert!(outages.missing_since(21 * second).is_some());
+}
--- a/lib/tests/test_gateway_watchers.rs
+++ b/lib/tests/test_gateway_watchers.rs
@@ -327,3 +327,90 @@
     Answers: 0 others watch
     ");
 }
+
+/// A watcher's report: after how many milliseconds, by which watcher, and the state of the store.
+type Report = (u64, usize, StoreState);
+
+/// A node's view of the store after reports of its three watchers.
+fn view_after(reports: &[Report]) -> Watchers {
+    let nodes = nodes(4);
+    let mut view = Watchers::new(nodes[0].clone(), schedule());
+    let mut numbers = [0; 4];
+    for (ms, node, state) in reports {
+        numbers[*node] += 1;
+        let at = NOW + Duration::from_millis(*ms);
+        view.on_pulse(&nodes[*node], pulse(numbers[*node], *state, at));
+    }
+    view
+}
+
+/// A store that turns some nodes away is told from one that answers nobody: a call failed that was made after an
+/// answer to another node.
+#[test]
+fn test_a_store_that_turns_some_nodes_away_is_told_from_an_outage() {
+    use StoreState::Answers;
+    use StoreState::Away;
+    use StoreState::Late;
+    let cases: &[(&str, &[Report])] = &[
+        ("all fail", &[(0, 1, Answers), (0, 2, Answers), (1_400, 1, Away), (1_450, 2, Away)]),
+        (
+            "another node is answered",
+            &[(0, 1, Answers), (1_000, 1, Late), (1_400, 1, Away), (2_000, 3, Answers)],
+        ),
+        (
+            "the call that fails began before that answer",
+            &[(0, 1, Answers), (1_400, 1, Away), (1_850, 1, Late), (2_000, 3, Answers), (2_230, 1, Away)],
+        ),
+        (
+            "a call fails that began after that answer",
+            &[(0, 1, Answers), (1_400, 1, Away), (2_000, 3, Answers), (2_240, 1, Late), (2_620, 1, Away)],
+        ),
+        (
+            "a call is refused at once after that answer",
+            &[(0, 1, Answers), (1_400, 1, Away), (2_000, 3, Answers), (2_130, 1, Away)],
+        ),
+        (
+            "nodes are answered again that were not",
+            &[
+                (0, 1, Answers),
+                (0, 2, Answers),
+                (1_400, 1, Away),
+                (1_400, 2, Away),
+                (2_000, 1, Answers),
+                (2_640, 2, Away),
+            ],
+        ),
+    ];
+    let mut text = String::new();
+    for (name, reports) in cases {
+        let view = view_after(reports);
+        let at = NOW + Duration::from_millis(reports.last().unwrap().0);
+        let (away, partly) = (view.is_store_away(at), view.is_store_partly_away(at));
+        writeln!(text, "{name}: away {away}, partly {partly}").unwrap();
+    }
+    insta::assert_snapshot!(text, @r"
+    all fail: away true, partly false
+    another node is answered: away false, partly false
+    the call that fails began before that answer: away false, partly false
+    a call fails that began after that answer: away false, partly true
+    a call is refused at once after that answer: away false, partly true
+    nodes are answered again that were not: away false, partly false
+    ");
+}
+
+/// Guards against a node that refutes an outage that it saw itself, because another one does not know yet that the
+/// store answers again.
+#[test]
+fn test_an_outage_that_ended_for_this_node_is_no_turning_away() {
+    let nodes = nodes(3);
+    let ms = |ms| NOW + Duration::from_millis(ms);
+    let mut view = Watchers::new(nodes[0].clone(), schedule());
+    view.on_own_pulse(StoreState::Away, ms(0));
+    assert!(view.is_own_unanswered());
+    view.on_pulse(&nodes[1], pulse(1, StoreState::Answers, ms(1_000)));
+    view.on_own_regained(ms(1_100));
+    view.on_pulse(&nodes[2], pulse(1, StoreState::Away, ms(1_600)));
+    assert!(!view.is_store_partly_away(ms(1_600)));
+    view.on_own_pulse(StoreState::Answers, ms(1_700));
+    assert!(!view.is_own_unanswered());
+}
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -30,6 +30,7 @@
 use crate::gateway::control::store_watcher::StoreWatcher;
 use crate::gateway::control::upgrade_intake::UpgradeIntake;
 use crate::gateway::messages::Fetched;
+use crate::gateway::messages::StoreUpdate;
 use crate::gateway::messages::ToControl;
 use crate::gateway::observability::metrics::GaugeValues;
 use crate::gateway::observability::metrics::StoreCall;
@@ -132,6 +133,9 @@
             ToControl::SendNextUpdatePart => self.replicas.send_next_part(&self.fleet),
             ToControl::SendReplicaUpdates => self.replicas.send_updates(&self.placing, &self.fleet),
             ToControl::Replicas(update) => {
+                if matches!(update, StoreUpdate::Listed { after_outage: true, .. }) {
+                    self.watchers.on_own_regained(self.shared.now());
+                }
                 self.replicas.on_store_update(&mut self.placing, &self.fleet, update)
             }
             ToControl::ClosedHalls(update) => {
@@ -229,6 +233,8 @@
     fn update_health_polls(&mut self, now: Timestamp) {
         if self.watchers.is_store_away(now) {
             self.replicas.on_store_unavailable();
+        } else if self.watchers.is_store_partly_away(now) {
+            self.replicas.on_outage_refuted(&mut self.placing, &self.fleet);
         }
         if !self.watchers.store_answers(now) || self.watchers.store_may_be_down(now) {
             self.replicas.poll_health(&self.placing, &self.fleet);
@@ -399,8 +405,13 @@
             self.fleet.on_wide_link(&watcher);
         }
         let at = now.saturating_sub(Duration::from_millis(pulse.age_ms.into()));
+        let answering_since = self.watchers.answering_since();
         if self.watchers.on_pulse(&watcher, watchers::Pulse { number: pulse.number, state: pulse.store, at })
         {
+            let answers_again = self.watchers.answering_since() != answering_since;
+            if answers_again && self.watchers.is_own_unanswered() {
+                self.store_watcher.check_soon();
+            }
             self.update_health_polls(now);
             self.fleet.forward(&PeerMessage::Pulse(pulse));
         }
--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -129,12 +129,17 @@
             replicas.forget_missing();
         }
         let change = replicas.tick(self.shared.now(), FORGET_AFTER);
+        self.on_missing_gone(placing, fleet, &change);
+    }
+
+    /// Replicas are gone whose entries were missing.
+    fn on_missing_gone(&mut self, placing: &mut Placing, fleet: &Fleet, change: &ListChange) {
         if change.leaving.is_empty() {
             return;
         }
-        let leaving = replicas.leaving_of(&change.leaving);
-        self.on_list_change(placing, &change, 0);
-        if is_watcher {
+        let leaving = placing.state.replicas.leaving_of(&change.leaving);
+        self.on_list_change(placing, change, 0);
+        if self.is_watcher {
             self.announce_departures(placing, fleet, leaving);
         }
     }
@@ -180,6 +185,17 @@
         self.outages.on_store_unavailable(self.shared.now());
     }
 
+    /// The store had not been unavailable: it answered other nodes while it turned those away that asked. Entries
+    /// that disappeared were removed.
+    pub fn on_outage_refuted(&mut self, placing: &mut Placing, fleet: &Fleet) {
+        let now = self.shared.now();
+        if self.outages.on_refuted(now) {
+            let change = placing.state.replicas.end_missing(now);
+            info!(event = "outage_refuted", missing = change.leaving.len(); "the store answers this node or another one while it turns others away");
+            self.on_missing_gone(placing, fleet, &change);
+        }
+    }
+
     /// Polls the health of the engines that this node leads, as the store may not report that they leave.
     pub fn poll_health(&mut self, placing: &Placing, fleet: &Fleet) {
         if self.shared.settings.policy.look_out {
@@ -287,7 +303,7 @@
         let before = self.progress.at();
         if before > 0 && revision::era(at) > revision::era(before) {
             info!(event = "store_copy", era = revision::era(at), revision = revision::number(at); "the store was restored from a copy, which may lack replicas");
-            self.outages.on_store_unavailable(self.shared.now());
+            self.outages.on_store_restored(self.shared.now());
         }
     }
 
--- a/node/src/gateway/control/store_watcher.rs
+++ b/node/src/gateway/control/store_watcher.rs
@@ -21,6 +21,7 @@
 use log::info;
 use log::warn;
 use rand::RngExt;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -46,6 +47,8 @@
     /// Only where the operator can order upgrades.
     _upgrades: Option<AbortOnDropHandle<()>>,
     _pulse: AbortOnDropHandle<()>,
+    /// Wakes the task that sends pulses.
+    check_soon: Rc<Notify>,
 }
 
 /// Follows the store while this node has a role as one of its watchers.
@@ -82,6 +85,13 @@
         }
     }
 
+    /// Checks soon whether the store answers this node, as it answers another one again.
+    pub fn check_soon(&self) {
+        if let Some(tasks) = &self.tasks {
+            tasks.check_soon.notify_one();
+        }
+    }
+
     fn start(&self) -> Tasks {
         let (shared, role) = (&self.shared, &self.tasks_role);
         // Each watcher reads a new configuration at once: all nodes fetch it from those that have it, and a
@@ -117,13 +127,16 @@
                 follow::follow::<Upgrades>(shared.clone(), ToControl::Upgrades, with_other_source());
             AbortOnDropHandle::new(tokio::task::spawn_local(upgrades))
         });
+        let check_soon = Rc::<Notify>::default();
+        let pulse = pulse(shared.clone(), first_reads, check_soon.clone());
         Tasks {
             _configuration: AbortOnDropHandle::new(tokio::task::spawn_local(configuration)),
             _replicas: AbortOnDropHandle::new(tokio::task::spawn_local(replicas)),
             _closed_halls: AbortOnDropHandle::new(tokio::task::spawn_local(closed_halls)),
             _suspects: AbortOnDropHandle::new(tokio::task::spawn_local(suspects)),
             _upgrades: upgrades,
-            _pulse: AbortOnDropHandle::new(tokio::task::spawn_local(pulse(shared.clone(), first_reads))),
+            _pulse: AbortOnDropHandle::new(tokio::task::spawn_local(pulse)),
+            check_soon,
         }
     }
 }
@@ -135,7 +148,9 @@
 /// Other nodes take a pulse as a sign that its sender knows the store's latest changes, so the first one is sent
 /// after `first_reads`. A read that takes longer than a call without an answer is not waited for: meanwhile, more
 /// nodes would begin to watch.
-async fn pulse(shared: Arc<Shared>, first_reads: impl Future<Output = ()>) {
+///
+/// After `check_soon` the next check begins when others know that a call which fails was made afterwards.
+async fn pulse(shared: Arc<Shared>, first_reads: impl Future<Output = ()>, check_soon: Rc<Notify>) {
     if tokio::time::timeout(PULSE_TIMEOUT, first_reads).await.is_err() {
         info!(event = "first_reads_late"; "the store is still being read; sending pulses meanwhile");
     }
@@ -171,6 +186,9 @@
             }
         }
         let jitter = rand::rng().random_range(1.0 - PULSE_JITTER..=1.0 + PULSE_JITTER);
-        tokio::time::sleep(PULSE_INTERVAL.mul_f64(jitter)).await;
+        tokio::select! {
+            () = tokio::time::sleep(PULSE_INTERVAL.mul_f64(jitter)) => {}
+            () = check_soon.notified() => tokio::time::sleep(PULSE_LATE_AFTER).await,
+        }
     }
 }
--- a/node/tests/runner.rs
+++ b/node/tests/runner.rs
@@ -44,6 +44,7 @@
 mod test_gateway_partitioned_roles;
 mod test_gateway_paused_readers;
 mod test_gateway_plain_shares;
+mod test_gateway_refused_watchers;
 mod test_gateway_regions;
 mod test_gateway_replica_limits;
 mod test_gateway_replica_ramp;
