replicas: those missing in a list are asked whether they leave

What callers saw: after an outage of the store they were served by a replica that leaves, for 2 s after the store is back, although the replica would have said so.

Cause: a replica whose entry is missing is kept for 2 s. If a watch reports it, the replica is asked for its health at once, but not if a list lacks it, as after each call that failed.

The change: replicas that a list lacks are asked as well, up to 16: an outage may take the entries of all, and live ones write theirs again by themselves.

--- a/node/src/gateway/control/replica_intake.rs
+++ b/node/src/gateway/control/replica_intake.rs
@@ -50,6 +50,9 @@
 /// Largest number of replicas of one change that are logged with a line each. A starting node would
 /// otherwise log a thousand lines, of which the log's limit keeps 300, and lose the lines that follow.
 const MAX_LOGGED_INDIVIDUALLY: usize = 50;
+/// Largest number of replicas with missing entries whose health is polled: an outage of the store may take the
+/// entries of all replicas, and health checks are billed.
+const MAX_POLLED_MISSING: usize = 16;
 /// Bits that the link carries when one part of an update is sent to all nodes that this node sends it to.
 const PART_BITS: f64 = 8.0 * 9_000.0 * 8.0;
 /// Fraction of the link that updates may take.
@@ -274,7 +277,10 @@
                 // The store knows best which changes there are.
                 self.newest_elsewhere = at;
                 let missing_since = self.outages.missing_since(now).or(after_outage.then_some(now));
-                placing.state.replicas.on_store_list(list.items, at, before, missing_since, now)
+                let replicas = &mut placing.state.replicas;
+                let change = replicas.on_store_list(list.items, at, before, missing_since, now);
+                self.poll_missing(placing);
+                change
             }
             StoreUpdate::Changed(changes) => self.on_changes(placing, changes),
         };
@@ -307,6 +313,21 @@
         }
     }
 
+    /// Polls the health of replicas whose entries are missing, unless these are many: one that leaves says so.
+    fn poll_missing(&mut self, placing: &Placing) {
+        let missing: Vec<&UpstreamId> = placing.state.replicas.missing().collect();
+        if missing.is_empty() {
+            return;
+        }
+        info!(event = "replicas_missing", replicas = missing.len(); "replicas are not listed, perhaps because the store was unavailable");
+        if missing.len() <= MAX_POLLED_MISSING {
+            let now = self.shared.now();
+            for id in missing {
+                self.health_poller.poll(placing.state.health_check_target(id), now);
+            }
+        }
+    }
+
     fn on_changes(&mut self, placing: &mut Placing, changes: Changes<ReplicaRecord>) -> ListChange {
         let (known, now) = (self.progress.at(), self.shared.now());
         let mut change = ListChange::default();
--- a/node/tests/test_gateway_refused_watchers.rs
+++ b/node/tests/test_gateway_refused_watchers.rs
@@ -26,7 +26,7 @@
 struct Fleet {
     gateway: Gateway,
     proxies: Vec<FaultyProxy>,
-    _replicas: Vec<RunningReplica>,
+    replicas: Vec<RunningReplica>,
 }
 
 impl Fleet {
@@ -44,7 +44,7 @@
             gateway.until_ready(node).await;
             proxies.push(proxy);
         }
-        let fleet = Fleet { gateway, proxies, _replicas: replicas };
+        let fleet = Fleet { gateway, proxies, replicas };
         let is_settled = async || fleet.followers().len() == FOLLOWERS;
         fleet.gateway.until("three nodes follow the store", is_settled).await;
         // A node ranks itself among the others from 4 s after its start on.
@@ -125,6 +125,25 @@
     }
 }
 
+/// Guards against replicas that are missing in the first list after an outage, are not asked whether they leave, and
+/// get requests until they would have been listed again.
+#[tokio::test]
+async fn test_replicas_missing_after_an_outage_are_asked_whether_they_leave() {
+    let fleet = Fleet::start().await;
+    let all: Vec<usize> = (0..NODES).collect();
+    fleet.set(&all, LinkFault::Reset);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    fleet.replicas[0].replica.set_leaving(Some("1"));
+    fleet.gateway.store.delete("servers", "booking-1");
+    fleet.set(&all, LinkFault::None);
+    let took = fleet.time_until_known(&all, "booking-1").await;
+    assert!(took < DRAIN_TIME, "{took:?}\n{}", fleet.gateway.logs());
+    for node in all {
+        let log = fleet.gateway.log(node);
+        assert!(!log.contains("sign=\"not listed again\""), "node {node} was not told\n{log}");
+    }
+}
+
 fn others(nodes: &[usize]) -> Vec<usize> {
     (0..NODES).filter(|node| !nodes.contains(node)).collect()
 }
