watchers: a node that was turned away has not seen an outage

Cause: a list after a failed call takes the reader's own failures for an outage, so entries that are missing in it are kept for 2 s from the read on. The departure that other nodes tell is not news to it, as it has read the store at that revision itself.

Evidence: in the log of such a node `replicas_read after_outage=true` and `replicas_missing`, and "not listed again" 2.0 s later, while the other nodes have "no longer listed" or "told by another node" at the time of its read.

The change: calls of this node that failed while the store answered other nodes, before and during the call, are no outage. If the store has answered nobody for a while since, or only afterwards, the grace stays as it was.

The unit test fails before, as the method tells nothing there.

--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -160,6 +160,8 @@
     last_regained: Option<Timestamp>,
     /// When a call failed that a node made after the store had answered another one.
     last_refused: Option<Timestamp>,
+    /// When a call of this node last failed while the store answered another one.
+    last_own_refused: Option<Timestamp>,
     /// The largest number of nodes that another node reported; this one may know fewer.
     reported_nodes: usize,
     /// Whether this node watches the store.
@@ -192,6 +194,7 @@
             unanswered: BTreeSet::new(),
             last_regained: None,
             last_refused: None,
+            last_own_refused: None,
             reported_nodes: 0,
             watches: false,
             silent_since: None,
@@ -222,6 +225,7 @@
             &mut self.answering_since,
             &mut self.last_regained,
             &mut self.last_refused,
+            &mut self.last_own_refused,
             &mut self.last_own_answer,
             &mut self.last_left,
             &mut self.silent_since,
@@ -287,9 +291,12 @@
         self.record_state(&own, state, now, PULSE_TIMEOUT);
     }
 
-    /// The store answered this node after a call that failed.
-    pub fn on_own_regained(&mut self, now: Timestamp) {
+    /// The store answered this node after a call that failed. Returns whether it may have been unavailable: it did not
+    /// answer other nodes meanwhile.
+    pub fn on_own_regained(&mut self, now: Timestamp) -> bool {
+        let was_refused = self.has_answered_since(self.last_own_refused);
         self.last_regained = Some(now);
+        !was_refused
     }
 
     /// Records what a node that asked the store reported at `at`, at most `max_call_time` after it had asked.
@@ -310,6 +317,11 @@
                 self.unanswered.insert(node.clone());
                 if self.answering_since.is_some_and(|since| since + max_call_time <= at) {
                     record(&mut self.last_refused);
+                    if *node == self.own
+                        && self.last_answer.is_some_and(|answer| at <= answer + max_call_time)
+                    {
+                        record(&mut self.last_own_refused);
+                    }
                 }
                 [&mut self.last_miss, &mut self.last_away].into_iter().for_each(record);
             }
--- a/lib/tests/test_gateway_watchers.rs
+++ b/lib/tests/test_gateway_watchers.rs
@@ -414,3 +414,32 @@
     view.on_own_pulse(StoreState::Answers, ms(1_700));
     assert!(!view.is_own_unanswered());
 }
+
+/// Guards against a node that was turned away, takes that for an outage and keeps replicas whose entries were removed.
+#[test]
+fn test_a_node_that_was_turned_away_saw_no_outage() {
+    let nodes = nodes(2);
+    let ms = |ms| NOW + Duration::from_millis(ms);
+    let other_answers = |view: &mut Watchers, number, at| {
+        view.on_pulse(&nodes[1], pulse(number, StoreState::Answers, at));
+    };
+
+    let mut view = Watchers::new(nodes[0].clone(), schedule());
+    other_answers(&mut view, 1, ms(0));
+    other_answers(&mut view, 2, ms(800));
+    view.on_own_pulse(StoreState::Away, ms(1_000));
+    other_answers(&mut view, 3, ms(1_600));
+    assert!(!view.on_own_regained(ms(1_700)), "the store answered another node meanwhile");
+
+    let mut view = Watchers::new(nodes[0].clone(), schedule());
+    other_answers(&mut view, 1, ms(0));
+    view.on_own_pulse(StoreState::Away, ms(1_000));
+    other_answers(&mut view, 2, ms(1_100));
+    assert!(view.on_own_regained(ms(1_200)), "it answered nobody for a second");
+
+    other_answers(&mut view, 3, ms(2_000));
+    view.on_own_pulse(StoreState::Away, ms(2_100));
+    view.on_own_pulse(StoreState::Away, ms(4_000));
+    other_answers(&mut view, 4, ms(4_100));
+    assert!(view.on_own_regained(ms(4_200)), "an outage began after the node had been turned away");
+}
--- a/node/src/gateway/control/control_loop.rs
+++ b/node/src/gateway/control/control_loop.rs
@@ -132,9 +132,11 @@
             }
             ToControl::SendNextUpdatePart => self.replicas.send_next_part(&self.fleet),
             ToControl::SendReplicaUpdates => self.replicas.send_updates(&self.placing, &self.fleet),
-            ToControl::Replicas(update) => {
-                if matches!(update, StoreUpdate::Listed { after_outage: true, .. }) {
-                    self.watchers.on_own_regained(self.shared.now());
+            ToControl::Replicas(mut update) => {
+                if let StoreUpdate::Listed { after_outage, .. } = &mut update
+                    && *after_outage
+                {
+                    *after_outage = self.watchers.on_own_regained(self.shared.now());
                 }
                 self.replicas.on_store_update(&mut self.placing, &self.fleet, update)
             }
--- a/node/tests/test_gateway_refused_watchers.rs
+++ b/node/tests/test_gateway_refused_watchers.rs
@@ -98,6 +98,30 @@
     }
 }
 
+/// Guards against a reader that was turned away, takes that for an outage and keeps what went when the store answers
+/// it again.
+#[tokio::test]
+async fn test_a_departure_is_known_in_time_when_the_store_turns_other_nodes_away() {
+    let fleet = Fleet::start().await;
+    let first = fleet.followers();
+    for n in 1..=ROUNDS {
+        fleet.set(&first, LinkFault::Silent);
+        let read_by_others = async || fleet.followers().iter().any(|node| !first.contains(node));
+        fleet.gateway.until("others follow the store", read_by_others).await;
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let refused: Vec<usize> =
+            fleet.followers().into_iter().filter(|node| !first.contains(node)).collect();
+        fleet.set(&refused, LinkFault::Silent);
+        fleet.set(&first, LinkFault::None);
+        let replica = format!("booking-{n}");
+        fleet.gateway.store.delete("servers", &replica);
+        let took = fleet.time_until_known(&others(&refused), &replica).await;
+        assert!(took < DRAIN_TIME, "{took:?}, {first:?}, then {refused:?}\n{}", fleet.gateway.logs());
+        fleet.set(&refused, LinkFault::None);
+        tokio::time::sleep(Duration::from_secs(6)).await;
+    }
+}
+
 /// Entries that expire in an outage of the store for all nodes are no departures, also if the store turns some
 /// nodes away when it is back.
 #[tokio::test]
