tests: share the steps of departures while the store turns nodes away

Cause: two tests of the same file repeated the removal of an entry, the wait and the end of the faults.

The bounds and rounds are the same; a settled fleet is waited for for 6 s in each place (5 s before after the start).

--- a/node/tests/test_gateway_refused_watchers.rs
+++ b/node/tests/test_gateway_refused_watchers.rs
@@ -19,6 +19,9 @@
 /// How often the store turns its followers away, as the nodes are in another state each time; a replica leaves in
 /// each round.
 const ROUNDS: usize = 6;
+/// Time after a start or fault until the same nodes follow the store; a node ranks itself among the others from 4 s
+/// after its start on.
+const SETTLE_TIME: Duration = Duration::from_secs(6);
 /// How long live replicas need until they have written their entries again after an outage.
 const RELIST_TIME: Duration = Duration::from_millis(1_500);
 
@@ -47,8 +50,7 @@
         let fleet = Fleet { gateway, proxies, replicas };
         let is_settled = async || fleet.followers().len() == FOLLOWERS;
         fleet.gateway.until("three nodes follow the store", is_settled).await;
-        // A node ranks itself among the others from 4 s after its start on.
-        tokio::time::sleep(Duration::from_secs(5)).await;
+        tokio::time::sleep(SETTLE_TIME).await;
         fleet
     }
 
@@ -66,6 +68,12 @@
         nodes.iter().for_each(|node| self.proxies[*node].set(fault));
     }
 
+    /// Ends the faults of `nodes` and waits until the fleet has settled.
+    async fn end_faults(&self, nodes: &[usize]) {
+        self.set(nodes, LinkFault::None);
+        tokio::time::sleep(SETTLE_TIME).await;
+    }
+
     fn knows_departure(&self, node: usize, replica: &str) -> bool {
         self.gateway.log(node).contains(&format!("event=replica_leaves upstream={replica}"))
     }
@@ -77,6 +85,15 @@
         self.gateway.until("the departure is known", is_known).await;
         since.elapsed()
     }
+
+    /// Removes a replica's entry and checks that all nodes but those that are `refused` know it in time. Then ends the
+    /// faults of these.
+    async fn check_departure(&self, replica: &str, refused: &[usize]) {
+        self.gateway.store.delete("servers", replica);
+        let took = self.time_until_known(&others(refused), replica).await;
+        assert!(took < DRAIN_TIME, "{replica}: {took:?}, {refused:?} refused\n{}", self.gateway.logs());
+        self.end_faults(refused).await;
+    }
 }
 
 /// Guards against a store that turns its followers away being taken for an outage: an entry that went meanwhile
@@ -89,12 +106,7 @@
         let refused = fleet.followers();
         fleet.set(&refused, fault);
         tokio::time::sleep(Duration::from_millis(700)).await;
-        let replica = format!("booking-{n}");
-        fleet.gateway.store.delete("servers", &replica);
-        let took = fleet.time_until_known(&others(&refused), &replica).await;
-        assert!(took < DRAIN_TIME, "{took:?}, {fault:?}, {refused:?}\n{}", fleet.gateway.logs());
-        fleet.set(&refused, LinkFault::None);
-        tokio::time::sleep(Duration::from_secs(6)).await;
+        fleet.check_departure(&format!("booking-{n}"), &refused).await;
     }
 }
 
@@ -113,12 +125,7 @@
             fleet.followers().into_iter().filter(|node| !first.contains(node)).collect();
         fleet.set(&refused, LinkFault::Silent);
         fleet.set(&first, LinkFault::None);
-        let replica = format!("booking-{n}");
-        fleet.gateway.store.delete("servers", &replica);
-        let took = fleet.time_until_known(&others(&refused), &replica).await;
-        assert!(took < DRAIN_TIME, "{took:?}, {first:?}, then {refused:?}\n{}", fleet.gateway.logs());
-        fleet.set(&refused, LinkFault::None);
-        tokio::time::sleep(Duration::from_secs(6)).await;
+        fleet.check_departure(&format!("booking-{n}"), &refused).await;
     }
 }
 
@@ -144,8 +151,7 @@
             let knows = expired.map(|replica| fleet.knows_departure(*node, replica));
             assert_eq!(knows, [false; 2], "node {node}, partial: {is_partial}\n{}", fleet.gateway.logs());
         }
-        fleet.set(&all, LinkFault::None);
-        tokio::time::sleep(Duration::from_secs(6)).await;
+        fleet.end_faults(&all).await;
     }
 }
 
