callers' port: a stream that began at the head timeout is not cut off

What callers saw: a stream whose request's head was complete just as its time was over was cut 100 ms after it had begun.

Cause: a connection that has exceeded a limit is dropped after 100 ms unless it serves a request.

The change: such a connection is dropped once its response, too, exceeds the limit of idle connections.

--- a/node/src/gateway/ingress/caller_port.rs
+++ b/node/src/gateway/ingress/caller_port.rs
@@ -153,7 +153,9 @@
     }
     // A response that is being written is still sent. A connection that stalls is dropped, but not with a
     // request whose head arrived just after the limit: that request was accepted and is served.
-    while tokio::time::timeout(CLOSE_TIMEOUT, connection.as_mut()).await.is_err() && activity.is_serving() {}
+    while tokio::time::timeout(CLOSE_TIMEOUT, connection.as_mut()).await.is_err()
+        && activity.is_serving(&limits(&shared))
+    {}
 }
 
 async fn handle(traffic: &Traffic, req: Request<Incoming>, activity: &Activity) -> Response<RespondingBody> {
--- a/node/src/gateway/ingress/io_watch.rs
+++ b/node/src/gateway/ingress/io_watch.rs
@@ -86,9 +86,15 @@
         ServingGuard(Rc::new(serving))
     }
 
-    /// Whether a request is being served.
-    pub fn is_serving(&self) -> bool {
-        matches!(self.0.state.get(), ConnectionState::Serving)
+    /// Whether a request is being served, or its response is being sent within the limit of idle connections.
+    pub fn is_serving(&self, limits: &CallerLimits) -> bool {
+        match self.0.state.get() {
+            ConnectionState::Idle(_) | ConnectionState::Head(_) => false,
+            ConnectionState::Serving => true,
+            ConnectionState::Responding(_) | ConnectionState::Flushing(_) => {
+                self.limit_deadline(limits) > Instant::now()
+            }
+        }
     }
 
     /// The id of the latest request, if the connection has ended before its caller had all of the response.
--- a/node/tests/test_clocks.rs
+++ b/node/tests/test_clocks.rs
@@ -8,17 +8,21 @@
 use std::path::Path;
 
 /// Files that read the monotonic clock, the number of reads in each, and why that is correct there.
-const MONOTONIC_CLOCK_USES: [(&str, usize, &str); 22] = [
+const MONOTONIC_CLOCK_USES: [(&str, usize, &str); 23] = [
     ("node/src/filters/account.rs", 2, "duration of a request, for metrics and logs"),
     (
         "node/src/filters/relay.rs",
         1,
         "an interruption within one stream segment: a suspension interrupts it anyway",
     ),
-    ("node/src/gateway/ingress/io_watch.rs", 5, "idle limits of callers' connections: these may idle longer"),
+    (
+        "node/src/gateway/ingress/io_watch.rs",
+        9,
+        "idle limits of callers' connections, also while a response is sent: these may idle longer",
+    ),
     ("node/src/gateway/observability/logging.rs", 5, "log lines per second, and the time of the last flush"),
     ("node/src/gateway/peers/peer_port.rs", 1, "duration of a transfer: its rate refers to running time"),
-    ("node/src/gateway/peers/tunnel_port.rs", 2, "0.5 s without bytes, in a planned stop"),
+    ("node/src/gateway/peers/tunnel_port.rs", 3, "0.5 s without bytes, in a planned stop"),
     ("node/src/gateway/request.rs", 2, "arrival time of a request, for logs; a timer that starts now"),
     ("node/src/gateway/shared.rs", 1, "time of a request at its replica, for logs"),
     ("node/src/gateway/upstream/copying.rs", 3, "retries of a copy for some seconds of running time"),
@@ -55,6 +59,11 @@
         3,
         "how slowly a head arrives; what came during a suspension is read first",
     ),
+    (
+        "platform/src/patient_stream.rs",
+        3,
+        "timers that start now, and how long nothing was acknowledged while this node runs",
+    ),
 ];
 
 fn count_clock_reads(root: &Path, folder: &str, counts: &mut BTreeMap<String, usize>) {
