watchers, replicas: one piece of code for what stood twice

Behaviour, bounds and assertions are as before.

- reports.rs: a replica that a list lacks and one whose removal a watch tells are treated alike since lists count from the store's disturbance, so both call on_absent.
- The nodes that follow the store, by their logs, were found by the same code in test_gateway_watcher_handover and test_gateway_refused_watchers: it is Gateway::store_followers now.
- StoreState is ordered, which the model's queue of events needs, so the model's copy of it and the conversions both ways are gone.

--- a/lib/src/gateway/replicas/reports.rs
+++ b/lib/src/gateway/replicas/reports.rs
@@ -78,6 +78,20 @@
             change.outdated += 1;
             return false;
         }
+        self.on_absent(id, at, missing_since, now, change);
+        missing_since.is_some()
+    }
+
+    /// A replica has no entry at the store's revision `at`. If the entry may only have expired, it counts as missing
+    /// since `missing_since`.
+    fn on_absent(
+        &mut self,
+        id: &str,
+        at: Revision,
+        missing_since: Option<Timestamp>,
+        now: Timestamp,
+        change: &mut ListChange,
+    ) {
         match missing_since {
             Some(since) => {
                 self.on_missing(id, since);
@@ -85,7 +99,6 @@
             }
             None => self.on_unlisted(id, now, change),
         }
-        missing_since.is_some()
     }
 
     /// A whole list was read that is newer than all that is known. Replicas that it lacks are gone at once, or
@@ -118,15 +131,7 @@
         let mut missing: Vec<UpstreamId> =
             self.iter().filter(is_missing).map(|replica| replica.record.id.clone()).collect();
         missing.sort_unstable();
-        for id in missing {
-            match missing_since {
-                Some(since) => {
-                    self.on_missing(&id, since);
-                    self.confirm(&id, at);
-                }
-                None => self.on_unlisted(&id, now, &mut change),
-            }
-        }
+        missing.iter().for_each(|id| self.on_absent(id, at, missing_since, now, &mut change));
         change
     }
 
--- a/lib/src/gateway/watchers.rs
+++ b/lib/src/gateway/watchers.rs
@@ -114,8 +114,8 @@
 /// The number of a watcher's pulse; numbers increase, also across restarts.
 pub type PulseNumber = u64;
 
-/// The state of the store as reported by a pulse.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+/// The state of the store as reported by a pulse, ordered by how long an answer takes.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StoreState {
     /// The store answers the watcher.
     Answers,
--- a/lib/tests/test_gateway_watchers.rs
+++ b/lib/tests/test_gateway_watchers.rs
@@ -314,7 +314,7 @@
             view.role(nodes.iter().filter(|node| *node != own), |_| true, at).is_some()
         };
         let others = nodes.iter().zip(&mut views).enumerate().filter(|(n, _)| !first.contains(n));
-        let count = others.map(|(_, view)| view).filter_map(|view| watches(view).then_some(())).count();
+        let count = others.map(|(_, view)| watches(view)).filter(|watches| *watches).count();
         writeln!(watching, "{state:?}: {count} others watch").unwrap();
     }
     insta::assert_snapshot!(watching, @r"
--- a/lib/tests/test_gateway_watchers_model.rs
+++ b/lib/tests/test_gateway_watchers_model.rs
@@ -85,32 +85,6 @@
     }
 }
 
-/// A [`StoreState`] that can be ordered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Report {
-    Answers,
-    Late,
-    Away,
-}
-
-impl Report {
-    fn state(self) -> StoreState {
-        match self {
-            Report::Answers => StoreState::Answers,
-            Report::Late => StoreState::Late,
-            Report::Away => StoreState::Away,
-        }
-    }
-
-    fn of(state: StoreState) -> Report {
-        match state {
-            StoreState::Answers => Report::Answers,
-            StoreState::Late => Report::Late,
-            StoreState::Away => Report::Away,
-        }
-    }
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Message {
     Probe {
@@ -125,7 +99,7 @@
     Pulse {
         watcher: Node,
         number: PulseNumber,
-        report: Report,
+        state: StoreState,
         age: Duration,
     },
     /// The sender knows more changes of the store.
@@ -172,7 +146,7 @@
         node: Node,
         incarnation: u32,
         term: u32,
-        report: Report,
+        state: StoreState,
     },
     Watch {
         node: Node,
@@ -365,8 +339,8 @@
             Event::Pulse { node, incarnation, term } if self.is_term(node, incarnation, term) => {
                 self.pulse(node)
             }
-            Event::Report { node, incarnation, term, report } if self.is_term(node, incarnation, term) => {
-                self.report(node, report)
+            Event::Report { node, incarnation, term, state } if self.is_term(node, incarnation, term) => {
+                self.report(node, state)
             }
             Event::Watch { node, incarnation, term } if self.is_term(node, incarnation, term) => {
                 self.watch(node)
@@ -534,10 +508,10 @@
             }
             Message::Announcement => {}
             Message::Answer { nodes, known } => self.on_gossip(to, nodes, known),
-            Message::Pulse { watcher, number, report, age } => {
-                let pulse = Pulse { number, state: report.state(), at: uptime.saturating_sub(age) };
+            Message::Pulse { watcher, number, state, age } => {
+                let pulse = Pulse { number, state, at: uptime.saturating_sub(age) };
                 if self.states[to].watchers.on_pulse(&self.ids[watcher], pulse) {
-                    self.spread(to, FAN_OUT, &Message::Pulse { watcher, number, report, age });
+                    self.spread(to, FAN_OUT, &Message::Pulse { watcher, number, state, age });
                 }
             }
         }
@@ -558,8 +532,7 @@
         let fresh: Vec<_> = fresh.map(|(id, pulse)| (id.clone(), pulse)).collect();
         for (id, Pulse { number, state, at }) in fresh {
             let watcher = self.ids.iter().position(|other| *other == id).expect("pulse is from a known node");
-            let (report, age) = (Report::of(state), uptime - at);
-            self.send(node, to, Message::Pulse { watcher, number, report, age });
+            self.send(node, to, Message::Pulse { watcher, number, state, age: uptime - at });
         }
     }
 
@@ -568,26 +541,28 @@
         let answers = self.scenario.answers(self.ids.len(), node, self.now);
         self.call(node, "pulse");
         let reported_at = if answers {
-            self.report(node, Report::Answers);
+            self.report(node, StoreState::Answers);
             self.now
         } else if self.scenario.is_silent {
             let timed_out_at = self.now + PULSE_TIMEOUT;
-            for (at, report) in [(self.now + PULSE_LATE_AFTER, Report::Late), (timed_out_at, Report::Away)] {
-                self.push(at, Event::Report { node, incarnation, term, report });
+            for (at, state) in
+                [(self.now + PULSE_LATE_AFTER, StoreState::Late), (timed_out_at, StoreState::Away)]
+            {
+                self.push(at, Event::Report { node, incarnation, term, state });
             }
             timed_out_at
         } else {
-            self.report(node, Report::Away);
+            self.report(node, StoreState::Away);
             self.now
         };
         self.push(reported_at + PULSE_INTERVAL, Event::Pulse { node, incarnation, term });
     }
 
-    fn report(&mut self, node: Node, report: Report) {
+    fn report(&mut self, node: Node, state: StoreState) {
         self.number += 1;
         let (number, uptime) = (self.number, self.uptime(node));
-        self.states[node].watchers.on_own_pulse(report.state(), uptime);
-        let message = Message::Pulse { watcher: node, number, report, age: Duration::ZERO };
+        self.states[node].watchers.on_own_pulse(state, uptime);
+        let message = Message::Pulse { watcher: node, number, state, age: Duration::ZERO };
         self.spread(node, FIRST_FAN_OUT, &message);
     }
 
--- a/node/tests/gateway_environment.rs
+++ b/node/tests/gateway_environment.rs
@@ -494,6 +494,16 @@
         std::fs::read_to_string(self.dir.path().join(format!("node-{node}.log"))).unwrap_or_default()
     }
 
+    /// The nodes that follow the store, by their logs.
+    pub fn store_followers(&self) -> Vec<usize> {
+        let follows = |node: &usize| {
+            let log = self.log(*node);
+            let last = log.lines().rfind(|line| line.contains("event=store_watch "));
+            last.is_some_and(|line| line.contains("now=Some"))
+        };
+        (0..self.nodes.len()).filter(follows).collect()
+    }
+
     /// The lines of all logs that contain `text`, each preceded by its node's number.
     pub fn lines_with(&self, text: &str) -> String {
         let lines = (0..self.nodes.len()).flat_map(|node| {
--- a/node/tests/test_gateway_refused_watchers.rs
+++ b/node/tests/test_gateway_refused_watchers.rs
@@ -48,22 +48,12 @@
             proxies.push(proxy);
         }
         let fleet = Fleet { gateway, proxies, replicas };
-        let is_settled = async || fleet.followers().len() == FOLLOWERS;
+        let is_settled = async || fleet.gateway.store_followers().len() == FOLLOWERS;
         fleet.gateway.until("three nodes follow the store", is_settled).await;
         tokio::time::sleep(SETTLE_TIME).await;
         fleet
     }
 
-    /// The nodes that follow the store, by their logs.
-    fn followers(&self) -> Vec<usize> {
-        let follows = |node: &usize| {
-            let log = self.gateway.log(*node);
-            let last = log.lines().rfind(|line| line.contains("event=store_watch "));
-            last.is_some_and(|line| line.contains("now=Some"))
-        };
-        (0..NODES).filter(follows).collect()
-    }
-
     fn set(&self, nodes: &[usize], fault: LinkFault) {
         nodes.iter().for_each(|node| self.proxies[*node].set(fault));
     }
@@ -103,7 +93,7 @@
     let fleet = Fleet::start().await;
     for n in 1..=ROUNDS {
         let fault = if n % 3 == 0 { LinkFault::Reset } else { LinkFault::Silent };
-        let refused = fleet.followers();
+        let refused = fleet.gateway.store_followers();
         fleet.set(&refused, fault);
         tokio::time::sleep(Duration::from_millis(700)).await;
         fleet.check_departure(&format!("booking-{n}"), &refused).await;
@@ -115,14 +105,15 @@
 #[tokio::test]
 async fn test_a_departure_is_known_in_time_when_the_store_turns_other_nodes_away() {
     let fleet = Fleet::start().await;
-    let first = fleet.followers();
+    let first = fleet.gateway.store_followers();
     for n in 1..=ROUNDS {
         fleet.set(&first, LinkFault::Silent);
-        let read_by_others = async || fleet.followers().iter().any(|node| !first.contains(node));
+        let read_by_others =
+            async || fleet.gateway.store_followers().iter().any(|node| !first.contains(node));
         fleet.gateway.until("others follow the store", read_by_others).await;
         tokio::time::sleep(Duration::from_secs(4)).await;
         let refused: Vec<usize> =
-            fleet.followers().into_iter().filter(|node| !first.contains(node)).collect();
+            fleet.gateway.store_followers().into_iter().filter(|node| !first.contains(node)).collect();
         fleet.set(&refused, LinkFault::Silent);
         fleet.set(&first, LinkFault::None);
         fleet.check_departure(&format!("booking-{n}"), &refused).await;
@@ -136,7 +127,7 @@
     let fleet = Fleet::start().await;
     let all: Vec<usize> = (0..NODES).collect();
     for is_partial in [false, true] {
-        let followers = fleet.followers();
+        let followers = fleet.gateway.store_followers();
         fleet.set(&all, LinkFault::Silent);
         tokio::time::sleep(Duration::from_secs(4)).await;
         let expired = ["booking-1", "booking-2"];
--- a/node/tests/test_gateway_watcher_handover.rs
+++ b/node/tests/test_gateway_watcher_handover.rs
@@ -17,16 +17,6 @@
 /// What nodes are ranked by when they watch the store.
 const RANKING: &str = "store watchers";
 
-/// The nodes that follow the store, by their logs.
-fn followers(gateway: &Gateway) -> Vec<usize> {
-    let follows = |node: &usize| {
-        let log = gateway.log(*node);
-        let last = log.lines().rfind(|line| line.contains("event=store_watch "));
-        last.is_some_and(|line| line.contains("now=Some"))
-    };
-    (0..NODES).filter(follows).collect()
-}
-
 /// A fleet whose nodes have settled who follows the store.
 async fn settled_fleet() -> Gateway {
     let mut gateway = Gateway::start().await;
@@ -38,7 +28,7 @@
         gateway.start_node();
         gateway.until_ready(node).await;
     }
-    gateway.until("three nodes follow the store", async || followers(&gateway).len() == 3).await;
+    gateway.until("three nodes follow the store", async || gateway.store_followers().len() == 3).await;
     // A node ranks itself among the others from 4 s after its start on.
     tokio::time::sleep(Duration::from_secs(5)).await;
     gateway
@@ -57,7 +47,7 @@
 #[tokio::test]
 async fn test_an_entry_that_goes_during_a_handover_is_noticed_in_time() {
     let mut gateway = settled_fleet().await;
-    let stopped = followers(&gateway);
+    let stopped = gateway.store_followers();
     for node in &stopped {
         gateway.signal(*node, "-TERM");
     }
